Lay down the design, the core types and one path from end to end

Cause: an empty repository; the modules need fixed interfaces before they can be written side by side. Change: docs/design.md, the folders for machines, zones, links and contracts, the loop, the event and effect types, and a thin path: an entry process claims the workers of its zone through the log, starts a request under a lease on a worker and returns the answer to its client. The log, the VM list and the worker are small stand-ins.

--- /dev/null
+++ b/src/contracts/configuration.ts
@@ -0,0 +1,35 @@
+import type * as either from 'purify-ts/Either';
+import type * as resources from '../machines/resources.js';
+import type * as result from '../result.js';
+import type * as team from './team.js';
+
+/** An availability zone as the operators describe it. */
+export interface ZonePlan {
+  readonly name: string;
+  readonly region: string;
+}
+
+/** A shape of worker that the operators run, and in which zones. */
+export interface WorkerShape {
+  readonly capacity: resources.Resources;
+  readonly zones: ReadonlyArray<string>;
+}
+
+/** The document `fleet`: what the cell consists of. */
+export interface FleetPlan {
+  readonly zones: ReadonlyArray<ZonePlan>;
+  readonly workerShapes: ReadonlyArray<WorkerShape>;
+}
+
+/** The documents in force, each at its own version. */
+export interface Configuration {
+  readonly fleet: FleetPlan | undefined;
+  readonly teams: ReadonlyMap<string, team.Team>;
+  readonly versions: ReadonlyMap<string, number>;
+}
+
+/** Reads the text of documents; the encoding is its own affair. */
+export interface DocumentReader {
+  readFleet(content: string): either.Either<result.Failure, FleetPlan>;
+  readTeam(content: string): either.Either<result.Failure, team.Team>;
+}
--- /dev/null
+++ b/src/links/entry_links.ts
@@ -0,0 +1,77 @@
+import type * as callerServer from './caller_server.js';
+import type * as effect from '../contracts/effect.js';
+import type * as loop from '../loop.js';
+import type * as platformLink from './platform_link.js';
+import type * as workerLink from './worker_link.js';
+
+/** Receives counters and durations. */
+export interface MetricsSink {
+  count(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    value: number,
+  ): void;
+  observe(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    milliseconds: number,
+  ): void;
+}
+
+/** Receives log events. */
+export interface LogSink {
+  log(
+    level: 'debug' | 'info' | 'warn' | 'error',
+    event: string,
+    fields: Readonly<Record<string, string | number | boolean>>,
+  ): void;
+}
+
+/** The links of an entry process. */
+export interface Links {
+  readonly callers: callerServer.CallerServer;
+  readonly workers: workerLink.WorkerLink;
+  readonly platform: platformLink.PlatformLink;
+  readonly metrics: MetricsSink;
+  readonly logs: LogSink;
+}
+
+/** Hands each effect to the link that performs it. */
+export class EntryLinks implements loop.EffectPerformer {
+  constructor(private readonly links: Links) {}
+
+  perform(wanted: effect.Effect): void {
+    switch (wanted.kind) {
+      case 'startTask':
+      case 'renewLeases':
+      case 'stopTask':
+      case 'checkpointTask':
+      case 'fetchTaskAnswer':
+      case 'throttleTask':
+      case 'readReport':
+        void this.links.workers.perform(wanted);
+        return;
+      case 'append':
+      case 'readStream':
+      case 'readVmList':
+        void this.links.platform.perform(wanted);
+        return;
+      case 'answerCaller':
+        this.links.callers.answer(wanted.call, wanted.reply);
+        return;
+      case 'count':
+        this.links.metrics.count(wanted.metric, wanted.labels, wanted.value);
+        return;
+      case 'observe':
+        this.links.metrics.observe(
+          wanted.metric,
+          wanted.labels,
+          wanted.milliseconds,
+        );
+        return;
+      case 'log':
+        this.links.logs.log(wanted.level, wanted.event, wanted.fields);
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/src/loop.ts
@@ -0,0 +1,85 @@
+import type * as clock from './machines/clock.js';
+import type * as effect from './contracts/effect.js';
+import type * as event from './contracts/event.js';
+
+/** Takes one event a turn and returns what is to be done about it. */
+export interface EventHandler {
+  handle(
+    event: event.Event,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effect.Effect>;
+  /** When `timePassed` is wanted next; Infinity when nothing is due. */
+  nextDeadline(now: clock.Milliseconds): clock.Milliseconds;
+}
+
+/** Performs effects and posts what comes of them to the loop. */
+export interface EffectPerformer {
+  perform(effect: effect.Effect): void;
+}
+
+/**
+ * The only event queue of a process. Links and timers post events; each turn
+ * hands one event to the handler and its effects to the performer. The loop
+ * runs on Node's thread and sleeps in its poll while the queue is empty.
+ */
+export class Loop {
+  private readonly queue: event.Event[] = [];
+  private turning = false;
+  private timer: NodeJS.Timeout | undefined;
+  private timerDue = Infinity;
+  private stopped = false;
+
+  constructor(
+    private readonly handler: EventHandler,
+    private readonly performer: EffectPerformer,
+    private readonly clock: clock.Clock,
+  ) {}
+
+  /** Queues an event; returns before it is handled. */
+  post(posted: event.Event): void {
+    if (this.stopped) return;
+    this.queue.push(posted);
+    if (this.turning) return;
+    this.turning = true;
+    queueMicrotask(() => this.turn());
+  }
+
+  /** Discards queued events and takes no more. */
+  stop(): void {
+    this.stopped = true;
+    this.queue.length = 0;
+    clearTimeout(this.timer);
+  }
+
+  private turn(): void {
+    let position = 0;
+    while (position < this.queue.length) {
+      const next = this.queue[position];
+      position += 1;
+      for (const effect of this.handler.handle(next, this.clock.now())) {
+        this.performer.perform(effect);
+      }
+    }
+    this.queue.length = 0;
+    this.turning = false;
+    this.armTimer();
+  }
+
+  private armTimer(): void {
+    if (this.stopped) return;
+    const now = this.clock.now();
+    const due = this.handler.nextDeadline(now);
+    if (due === this.timerDue && this.timer !== undefined) return;
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.timerDue = due;
+    if (due === Infinity) return;
+    this.timer = setTimeout(
+      () => {
+        this.timer = undefined;
+        this.post({kind: 'timePassed'});
+      },
+      Math.max(1, Math.ceil(due - now)),
+    );
+  }
+}
--- /dev/null
+++ b/src/machines/resources.ts
@@ -0,0 +1,78 @@
+/** Quantities that a worker offers and a task occupies. */
+export interface Resources {
+  /** Thousandths of a processor. */
+  readonly processors: number;
+  /** Mebibytes. */
+  readonly memory: number;
+  /** Whole accelerators. */
+  readonly accelerators: number;
+  /** Concurrent tasks. */
+  readonly slots: number;
+}
+
+/** The names of all dimensions, for code that treats them alike. */
+export const DIMENSIONS = [
+  'processors',
+  'memory',
+  'accelerators',
+  'slots',
+] as const;
+
+/** One dimension of `Resources`. */
+export type Dimension = (typeof DIMENSIONS)[number];
+
+/** No resources at all. */
+export const NONE: Resources = {
+  processors: 0,
+  memory: 0,
+  accelerators: 0,
+  slots: 0,
+};
+
+/** Returns the sum of two quantities. */
+export function add(left: Resources, right: Resources): Resources {
+  return {
+    processors: left.processors + right.processors,
+    memory: left.memory + right.memory,
+    accelerators: left.accelerators + right.accelerators,
+    slots: left.slots + right.slots,
+  };
+}
+
+/** Returns the difference of two quantities, which may be negative. */
+export function subtract(left: Resources, right: Resources): Resources {
+  return {
+    processors: left.processors - right.processors,
+    memory: left.memory - right.memory,
+    accelerators: left.accelerators - right.accelerators,
+    slots: left.slots - right.slots,
+  };
+}
+
+/** Tells whether `size` is at most `room` in every dimension. */
+export function fits(size: Resources, room: Resources): boolean {
+  return (
+    size.processors <= room.processors &&
+    size.memory <= room.memory &&
+    size.accelerators <= room.accelerators &&
+    size.slots <= room.slots
+  );
+}
+
+/** Returns the first dimension in which `size` exceeds `room`. */
+export function exceededDimension(
+  size: Resources,
+  room: Resources,
+): Dimension | undefined {
+  return DIMENSIONS.find(dimension => size[dimension] > room[dimension]);
+}
+
+/** Returns the larger of both quantities in every dimension. */
+export function maximum(left: Resources, right: Resources): Resources {
+  return {
+    processors: Math.max(left.processors, right.processors),
+    memory: Math.max(left.memory, right.memory),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+    slots: Math.max(left.slots, right.slots),
+  };
+}
--- /dev/null
+++ b/src/operations/logger.ts
@@ -0,0 +1,41 @@
+import './enable_roarr.js';
+import * as roarr from 'roarr';
+import type * as entryLinks from '../links/entry_links.js';
+
+/** Writes one line of key=value pairs for each event through roarr. */
+export class Logger implements entryLinks.LogSink {
+  constructor(write: (line: string) => void) {
+    roarr.ROARR.write = message => write(toLine(message));
+  }
+
+  log(
+    level: 'debug' | 'info' | 'warn' | 'error',
+    event: string,
+    fields: Readonly<Record<string, string | number | boolean>>,
+  ): void {
+    roarr.Roarr[level]({...fields}, event);
+  }
+}
+
+interface RoarrMessage {
+  readonly context: Readonly<Record<string, unknown>>;
+  readonly message: string;
+  readonly time: number;
+}
+
+function toLine(text: string): string {
+  const message = JSON.parse(text) as RoarrMessage;
+  const {logLevel, ...fields} = message.context;
+  const pairs = [
+    `time=${new Date(message.time).toISOString()}`,
+    `level=${roarr.getLogLevelName(Number(logLevel))}`,
+    `event=${message.message}`,
+    ...Object.entries(fields).map(([key, value]) => `${key}=${quote(value)}`),
+  ];
+  return pairs.join(' ');
+}
+
+function quote(value: unknown): string {
+  const text = String(value);
+  return /[\s"=]/.test(text) ? JSON.stringify(text) : text;
+}
--- /dev/null
+++ b/src/result.ts
@@ -0,0 +1,302 @@
+/** What is known of a request's execution. */
+export type Execution = 'notRun' | 'ran' | 'unknown' | 'pending';
+
+/** Whether the caller may send the request again, and under which identity. */
+export type RetryAdvice = 'no' | 'sameIdentity' | 'afterCorrection' | 'later';
+
+/** One row of the table of result codes. */
+export interface ResultCode {
+  readonly code: number;
+  readonly name: string;
+  readonly httpStatus: number;
+  readonly execution: Execution;
+  readonly retry: RetryAdvice;
+  readonly meaning: string;
+}
+
+function row(
+  code: number,
+  name: string,
+  httpStatus: number,
+  execution: Execution,
+  retry: RetryAdvice,
+  meaning: string,
+): ResultCode {
+  return {code, name, httpStatus, execution, retry, meaning};
+}
+
+/** All result codes; docs/errors.md holds the same table. */
+export const RESULT_CODES = {
+  ok: row(0, 'ok', 200, 'ran', 'no', 'The request ran and finished.'),
+  accepted: row(
+    1,
+    'accepted',
+    202,
+    'pending',
+    'sameIdentity',
+    'The request is queued or running.',
+  ),
+  invalidBody: row(
+    1001,
+    'invalidBody',
+    400,
+    'notRun',
+    'afterCorrection',
+    'The body is not the JSON object that the call needs.',
+  ),
+  bodyTooLarge: row(
+    1002,
+    'bodyTooLarge',
+    413,
+    'notRun',
+    'afterCorrection',
+    'The body exceeds the size limit.',
+  ),
+  bodyTooSlow: row(
+    1003,
+    'bodyTooSlow',
+    408,
+    'notRun',
+    'later',
+    'The body did not arrive within the deadline.',
+  ),
+  invalidField: row(
+    1004,
+    'invalidField',
+    400,
+    'notRun',
+    'afterCorrection',
+    'A field is missing, unknown or breaks a rule.',
+  ),
+  unknownTeam: row(
+    1005,
+    'unknownTeam',
+    404,
+    'notRun',
+    'afterCorrection',
+    'No team of this name is configured.',
+  ),
+  unknownWorkload: row(
+    1006,
+    'unknownWorkload',
+    404,
+    'notRun',
+    'afterCorrection',
+    'The team has no workload of this name.',
+  ),
+  unknownPath: row(
+    1007,
+    'unknownPath',
+    404,
+    'notRun',
+    'afterCorrection',
+    'The path or method does not exist.',
+  ),
+  unknownIdentity: row(
+    1008,
+    'unknownIdentity',
+    404,
+    'notRun',
+    'afterCorrection',
+    'The identity is malformed or was never issued to this client.',
+  ),
+  identityRequired: row(
+    1009,
+    'identityRequired',
+    400,
+    'notRun',
+    'afterCorrection',
+    'A non-idempotent request needs an identity issued beforehand.',
+  ),
+  identityConflict: row(
+    1010,
+    'identityConflict',
+    409,
+    'notRun',
+    'no',
+    'The identity was used for a different request.',
+  ),
+  clientNotAllowed: row(
+    1011,
+    'clientNotAllowed',
+    403,
+    'notRun',
+    'afterCorrection',
+    'The client does not belong to the team.',
+  ),
+  neverFits: row(
+    2001,
+    'neverFits',
+    422,
+    'notRun',
+    'afterCorrection',
+    'No configured worker can hold the request even when empty.',
+  ),
+  queueFull: row(
+    2002,
+    'queueFull',
+    429,
+    'notRun',
+    'later',
+    "The team's queue is full.",
+  ),
+  quotaExceeded: row(
+    2003,
+    'quotaExceeded',
+    429,
+    'notRun',
+    'later',
+    "The request exceeds the team's quota.",
+  ),
+  deadlineUnmeetable: row(
+    2004,
+    'deadlineUnmeetable',
+    422,
+    'notRun',
+    'later',
+    'The request cannot start before its deadline.',
+  ),
+  deadlinePassed: row(
+    2005,
+    'deadlinePassed',
+    504,
+    'notRun',
+    'later',
+    'The deadline passed before the request was started.',
+  ),
+  cancelled: row(
+    2006,
+    'cancelled',
+    409,
+    'notRun',
+    'no',
+    'The request was cancelled before it was started.',
+  ),
+  retryBudgetSpent: row(
+    2007,
+    'retryBudgetSpent',
+    503,
+    'notRun',
+    'later',
+    'The start failed and the retry budget is spent.',
+  ),
+  noConfiguration: row(
+    3001,
+    'noConfiguration',
+    503,
+    'notRun',
+    'later',
+    'This process has no configuration yet.',
+  ),
+  noAuthority: row(
+    3002,
+    'noAuthority',
+    503,
+    'notRun',
+    'later',
+    'This process owns no worker at present.',
+  ),
+  logUnavailable: row(
+    3003,
+    'logUnavailable',
+    503,
+    'notRun',
+    'later',
+    'What must be recorded before the action could not be recorded.',
+  ),
+  draining: row(
+    3004,
+    'draining',
+    503,
+    'notRun',
+    'later',
+    'This process is shutting down; ask another.',
+  ),
+  unknownOutcome: row(
+    4001,
+    'unknownOutcome',
+    504,
+    'unknown',
+    'sameIdentity',
+    'Whether the request ran is not known yet; ask again.',
+  ),
+  outcomeLost: row(
+    4002,
+    'outcomeLost',
+    502,
+    'unknown',
+    'no',
+    'The request may have run; its outcome cannot be found any more.',
+  ),
+  taskFailed: row(
+    5001,
+    'taskFailed',
+    500,
+    'ran',
+    'no',
+    'The task ran and failed.',
+  ),
+  taskStopped: row(
+    5002,
+    'taskStopped',
+    500,
+    'ran',
+    'no',
+    'The task was stopped while it ran.',
+  ),
+  answerLost: row(
+    5003,
+    'answerLost',
+    502,
+    'ran',
+    'no',
+    'The request ran; its answer is no longer kept.',
+  ),
+  versionConflict: row(
+    6001,
+    'versionConflict',
+    409,
+    'notRun',
+    'afterCorrection',
+    'The document has changed since the base version.',
+  ),
+  invalidDocument: row(
+    6002,
+    'invalidDocument',
+    422,
+    'notRun',
+    'afterCorrection',
+    'The document breaks a rule.',
+  ),
+  unknownDocument: row(
+    6003,
+    'unknownDocument',
+    404,
+    'notRun',
+    'afterCorrection',
+    'No document of this name exists.',
+  ),
+  publicationUnknown: row(
+    6004,
+    'publicationUnknown',
+    504,
+    'unknown',
+    'sameIdentity',
+    'The log has not shown yet whether the publication was accepted.',
+  ),
+} as const satisfies Record<string, ResultCode>;
+
+/** The name of a result code. */
+export type ResultName = keyof typeof RESULT_CODES;
+
+/** A result with the details that a caller needs to act on it. */
+export interface Failure {
+  readonly result: ResultName;
+  /** Names the field, the value and the rule. */
+  readonly detail: string;
+}
+
+/** Builds a failure. */
+export function failure(result: ResultName, detail: string): Failure {
+  return {result, detail};
+}
