--- /dev/null
+++ b/src/contracts/stream_replica.ts
@@ -0,0 +1,125 @@
+import type * as event from './event.js';
+
+/** State that is a function of the records of a stream. */
+export interface ReplicatedState {
+  /** Applies the next record that is not a snapshot. */
+  apply(record: event.StreamRecord): void;
+  /** Returns the whole state as text. */
+  snapshot(): string;
+  /** Replaces the whole state by one that `snapshot` returned. */
+  restore(snapshot: string): void;
+}
+
+/** A record that carries the state through an offset past the retention. */
+export interface SnapshotRecord {
+  readonly kind: 'snapshot';
+  /** The state includes every record up to this offset, itself included. */
+  readonly through: number;
+  readonly state: string;
+}
+
+/** Where a replica stands after a read. */
+export type ReplicaProgress =
+  /** Every record that the log had shown is applied. */
+  | 'tail'
+  /** More records are to be read. */
+  | 'behind'
+  /** Records were trimmed before they were read, and no snapshot bridges them. */
+  | 'gap';
+
+/**
+ * Replays a log stream. A snapshot is used only by a replica that lacks
+ * earlier records, and only if all records after the snapshot's state are
+ * still readable, so that one written by a lagging process reverts nothing.
+ */
+export class StreamReplica {
+  private nextOffset = 0;
+  private snapshotOffset = -1;
+  /** Whether the state includes every record before `nextOffset`. */
+  private complete = true;
+  /** Records read since a gap, kept until a snapshot bridges it. */
+  private pending: event.StreamRecord[] = [];
+  private pendingStart = 0;
+
+  constructor(private readonly state: ReplicatedState) {}
+
+  /** Offset from which to read next. */
+  get position(): number {
+    return this.nextOffset;
+  }
+
+  /** Offset of the last snapshot seen; -1 before the first. */
+  get lastSnapshot(): number {
+    return this.snapshotOffset;
+  }
+
+  /** Applies what a read returned; repeated records change nothing. */
+  accept(
+    read: Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
+  ): ReplicaProgress {
+    if (read.first > this.nextOffset) this.beginGap(read.first);
+    this.acceptRecords(read.records);
+    if (this.nextOffset < read.next) return 'behind';
+    return this.complete ? 'tail' : 'gap';
+  }
+
+  /** Applies records in order; those that do not follow on are left alone. */
+  acceptRecords(records: ReadonlyArray<event.StreamRecord>): void {
+    for (const record of records) {
+      if (record.offset === this.nextOffset) this.acceptNext(record);
+    }
+  }
+
+  /** Builds the snapshot of the state as it stands. */
+  buildSnapshot(): SnapshotRecord {
+    return {
+      kind: 'snapshot',
+      through: this.nextOffset - 1,
+      state: this.state.snapshot(),
+    };
+  }
+
+  private beginGap(first: number): void {
+    this.complete = false;
+    this.pending = [];
+    this.pendingStart = first;
+    this.nextOffset = first;
+  }
+
+  private acceptNext(record: event.StreamRecord): void {
+    this.nextOffset = record.offset + 1;
+    const snapshot = readSnapshot(record);
+    if (snapshot !== undefined) this.snapshotOffset = record.offset;
+    if (!this.complete) this.acceptAfterGap(record, snapshot);
+    else if (snapshot === undefined) this.state.apply(record);
+  }
+
+  private acceptAfterGap(
+    record: event.StreamRecord,
+    snapshot: SnapshotRecord | undefined,
+  ): void {
+    if (snapshot === undefined) {
+      this.pending.push(record);
+      return;
+    }
+    if (snapshot.through + 1 < this.pendingStart) return;
+    this.state.restore(snapshot.state);
+    for (const later of this.pending) {
+      if (later.offset > snapshot.through) this.state.apply(later);
+    }
+    this.pending = [];
+    this.complete = true;
+  }
+}
+
+function readSnapshot(record: event.StreamRecord): SnapshotRecord | undefined {
+  try {
+    const parsed = JSON.parse(record.data) as Partial<SnapshotRecord>;
+    if (parsed.kind !== 'snapshot') return undefined;
+    if (typeof parsed.through !== 'number') return undefined;
+    if (typeof parsed.state !== 'string') return undefined;
+    return parsed as SnapshotRecord;
+  } catch {
+    return undefined;
+  }
+}
