Add randomised runs of whole entry processes between fakes

Cause: the promises need a proof under combined failures, and the thin path has no safeguards yet, so that the proof can be seen to fail first. Change: bench/fakes holds a timeline with injected time, drifting clocks, a network that loses, delays and cuts, a log, workers, clients and a checker that sees only what workers run and clients are told; bench/soak.ts runs seeds of it.

--- /dev/null
+++ b/bench/fakes/peer_messages.ts
@@ -0,0 +1,149 @@
+import type * as effect from '../../src/contracts/effect.js';
+import type * as event from '../../src/contracts/event.js';
+
+/** Calls between processes that the fakes translate. */
+export type PeerCall = Exclude<
+  Extract<effect.PeerEffect, {readonly peer: string}>,
+  {kind: 'forwardCall'}
+>;
+
+/** The event that a call becomes at its receiver. */
+export function toPeerEvent(
+  from: string,
+  wanted: PeerCall,
+  call: event.CallNumber,
+): event.PeerEvent {
+  const to = wanted.peer;
+  switch (wanted.kind) {
+    case 'confirmPeer':
+      return {
+        kind: 'confirmArrived',
+        call,
+        to,
+        zonePosition: wanted.zonePosition,
+        news: wanted.news,
+      };
+    case 'offerRequest': {
+      const {identity, client, submission, remainingMs} = wanted;
+      return {
+        kind: 'offerArrived',
+        call,
+        from,
+        to,
+        identity,
+        client,
+        submission,
+        remainingMs,
+      };
+    }
+    case 'withdrawOffer':
+      return {
+        kind: 'withdrawArrived',
+        call,
+        from,
+        to,
+        identity: wanted.identity,
+      };
+    case 'fetchDocuments':
+      return {kind: 'fetchDocumentsArrived', call, have: wanted.have};
+    case 'sendWitness':
+      return {kind: 'witnessArrived', call, from, to, entries: wanted.entries};
+    case 'readWitness':
+      return {kind: 'readWitnessArrived', call, process: wanted.process};
+  }
+}
+
+/** The event that an answer becomes at the caller. */
+export function toAnswerEvent(
+  wanted: PeerCall,
+  answer: effect.Effect,
+  sentAt: number,
+): event.Event | undefined {
+  const peer = wanted.peer;
+  switch (answer.kind) {
+    case 'answerConfirm': {
+      const {confirmed, zoneRecords, news} = answer;
+      return {
+        kind: 'confirmAnswered',
+        peer,
+        sentAt,
+        confirmed,
+        zoneRecords,
+        news,
+      };
+    }
+    case 'answerOffer':
+      if (wanted.kind !== 'offerRequest') return undefined;
+      return {
+        kind: 'offerAnswered',
+        peer,
+        identity: wanted.identity,
+        code: answer.code,
+        answer: answer.answer,
+      };
+    case 'answerWithdraw':
+      if (wanted.kind !== 'withdrawOffer') return undefined;
+      return {
+        kind: 'withdrawAnswered',
+        peer,
+        identity: wanted.identity,
+        code: answer.code,
+      };
+    case 'answerDocuments':
+      return {kind: 'documentsArrived', documents: answer.documents};
+    case 'answerWitness':
+      if (wanted.kind !== 'sendWitness') return undefined;
+      return {
+        kind: 'witnessAnswered',
+        peer,
+        batch: wanted.batch,
+        stored: answer.stored,
+      };
+    case 'answerReadWitness':
+      if (wanted.kind !== 'readWitness') return undefined;
+      return {
+        kind: 'readWitnessAnswered',
+        peer,
+        process: wanted.process,
+        complete: answer.complete,
+        entries: answer.entries,
+      };
+    default:
+      return undefined;
+  }
+}
+
+/** The event that a missing answer becomes at the caller. */
+export function toFailureEvent(wanted: PeerCall): event.Event | undefined {
+  const peer = wanted.peer;
+  switch (wanted.kind) {
+    case 'confirmPeer':
+      return {kind: 'confirmFailed', peer};
+    case 'offerRequest':
+      return {kind: 'offerLost', peer, identity: wanted.identity};
+    case 'withdrawOffer':
+      return {
+        kind: 'withdrawAnswered',
+        peer,
+        identity: wanted.identity,
+        code: 4001,
+      };
+    case 'sendWitness':
+      return {
+        kind: 'witnessAnswered',
+        peer,
+        batch: wanted.batch,
+        stored: false,
+      };
+    case 'readWitness':
+      return {
+        kind: 'readWitnessAnswered',
+        peer,
+        process: wanted.process,
+        complete: false,
+        entries: [],
+      };
+    case 'fetchDocuments':
+      return undefined;
+  }
+}
--- /dev/null
+++ b/bench/fakes/worker.ts
@@ -0,0 +1,134 @@
+import * as resources from '../../src/machines/resources.js';
+import type * as task from '../../src/contracts/task.js';
+import type * as timeline from './timeline.js';
+
+/** What an observer hears of the tasks of a worker. */
+export interface WorkerObserver {
+  taskStarted(worker: FakeWorker, start: task.TaskStart): void;
+  taskEnded(worker: FakeWorker, start: task.TaskStart): void;
+}
+
+interface HeldTask {
+  readonly start: task.TaskStart;
+  readonly leaseEnd: number;
+  readonly state: task.TaskState;
+  readonly answer: string;
+}
+
+/** Longest time for which ended tasks stay in reports. */
+const ENDED_KEPT_MS = 600_000;
+
+/** In-memory worker: runs what it is told under leases, checks nothing else. */
+export class FakeWorker {
+  private readonly tasks = new Map<string, HeldTask>();
+  private readonly waiting = new Map<string, Array<() => void>>();
+  leaving = false;
+  failsEverything = false;
+  dead = false;
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+    private readonly rack: string,
+    readonly capacity: resources.Resources,
+    private readonly clock: timeline.DriftingClock,
+    private readonly time: timeline.Timeline,
+    private readonly observer: WorkerObserver,
+  ) {}
+
+  /** Starts a task unless its lease has lapsed. */
+  start(start: task.TaskStart, runTimeMs: number): boolean {
+    if (start.leaseEnd <= this.clock.now()) return false;
+    this.tasks.set(start.task, {
+      start,
+      leaseEnd: start.leaseEnd,
+      state: 'running',
+      answer: '',
+    });
+    this.observer.taskStarted(this, start);
+    const failing = this.failsEverything;
+    this.time.after(failing ? 1 : runTimeMs, () =>
+      this.end(start.task, failing ? 'failed' : 'finished'),
+    );
+    this.watchLease(start.task);
+    return true;
+  }
+
+  /** Extends leases of running tasks. */
+  renew(names: ReadonlyArray<string>, leaseEnd: number): void {
+    for (const name of names) {
+      const held = this.tasks.get(name);
+      if (held === undefined || held.leaseEnd >= leaseEnd) continue;
+      this.tasks.set(name, {...held, leaseEnd});
+    }
+  }
+
+  /** Ends a running task and answers those that wait for it. */
+  end(name: string, state: task.TaskState): void {
+    const held = this.tasks.get(name);
+    if (held === undefined || held.state !== 'running' || this.dead) return;
+    const answer = state === 'finished' ? `done ${held.start.payload}` : '';
+    this.tasks.set(name, {...held, state, answer});
+    this.observer.taskEnded(this, held.start);
+    for (const answerNow of this.waiting.get(name) ?? []) answerNow();
+    this.waiting.delete(name);
+    this.time.after(ENDED_KEPT_MS, () => this.tasks.delete(name));
+  }
+
+  /** Calls back with the ended task; with undefined when it is unknown. */
+  answer(name: string, respond: (ended?: HeldTask) => void): void {
+    const held = this.tasks.get(name);
+    if (held?.state !== 'running') {
+      respond(held);
+      return;
+    }
+    const waiting = this.waiting.get(name) ?? [];
+    waiting.push(() => respond(this.tasks.get(name)));
+    this.waiting.set(name, waiting);
+  }
+
+  /** What the worker says of itself. */
+  report(): task.WorkerReport {
+    return {
+      worker: this.name,
+      workerClock: this.clock.now(),
+      capacity: this.capacity,
+      rack: this.rack,
+      leaving: this.leaving,
+      tasks: [...this.tasks.values()].map(held => ({
+        task: held.start.task,
+        label: held.start.label,
+        state: held.state,
+        size: held.start.size,
+        usage: held.start.size,
+        leaseEnd: held.leaseEnd,
+      })),
+    };
+  }
+
+  /** Ends everything at once, as the loss of the machine does. */
+  lose(): void {
+    for (const held of this.tasks.values()) {
+      if (held.state === 'running') this.observer.taskEnded(this, held.start);
+    }
+    this.tasks.clear();
+    this.dead = true;
+  }
+
+  /** Sum of what the running tasks hold. */
+  used(): resources.Resources {
+    let used = resources.NONE;
+    for (const held of this.tasks.values()) {
+      if (held.state === 'running') used = resources.add(used, held.start.size);
+    }
+    return used;
+  }
+
+  private watchLease(name: string): void {
+    const held = this.tasks.get(name);
+    if (held === undefined || held.state !== 'running') return;
+    const remaining = this.clock.until(held.leaseEnd);
+    if (remaining <= 0) this.end(name, 'lapsed');
+    else this.time.after(remaining + 0.001, () => this.watchLease(name));
+  }
+}
--- /dev/null
+++ b/bench/soak.ts
@@ -0,0 +1,86 @@
+import * as commandTypes from 'cmd-ts';
+import * as randomizedRun from './randomized_run.js';
+
+/** Reads the list of faults; `all` and `none` stand for themselves. */
+function readFaults(text: string): ReadonlyArray<randomizedRun.Fault> {
+  if (text === 'all') return randomizedRun.FAULTS;
+  if (text === 'none') return [];
+  const names: ReadonlyArray<string> = text.split(',');
+  return randomizedRun.FAULTS.filter(fault => names.includes(fault));
+}
+
+function describe(result: randomizedRun.RunResult): string {
+  const first = result.violations[0];
+  const broken = first === undefined ? '' : ` ${JSON.stringify(first)}`;
+  const reported = result.reported[0] ?? '';
+  return (
+    `seed ${result.seed} violations ${result.violations.length}` +
+    ` unfinished ${result.unfinished}` +
+    ` reported ${result.reported.length} ${reported}${broken}`
+  );
+}
+
+function addAll<Key>(
+  totals: Map<Key, number>,
+  more: ReadonlyMap<Key, number>,
+): void {
+  for (const [key, count] of more) {
+    totals.set(key, (totals.get(key) ?? 0) + count);
+  }
+}
+
+const soak = commandTypes.command({
+  name: 'soak',
+  description: 'Runs randomised runs of entry processes between fakes',
+  args: {
+    seeds: commandTypes.option({
+      long: 'seeds',
+      type: commandTypes.number,
+      defaultValue: () => 100,
+    }),
+    from: commandTypes.option({
+      long: 'from',
+      type: commandTypes.number,
+      defaultValue: () => 1,
+    }),
+    faults: commandTypes.option({
+      long: 'faults',
+      type: commandTypes.string,
+      defaultValue: () => 'all',
+    }),
+    trace: commandTypes.flag({long: 'trace'}),
+  },
+  handler: options => {
+    const faults = readFaults(options.faults);
+    const injected = new Map<randomizedRun.Fault, number>();
+    const codes = new Map<number, number>();
+    let checks = 0;
+    let failed = 0;
+    for (let index = 0; index < options.seeds; index += 1) {
+      const result = randomizedRun.runRandomized({
+        seed: options.from + index,
+        faults,
+        trace: options.trace,
+      });
+      addAll(injected, result.injected);
+      addAll(codes, result.codes);
+      checks += result.checks;
+      const bad =
+        result.violations.length > 0 ||
+        result.reported.length > 0 ||
+        result.unfinished > 0;
+      if (!bad) continue;
+      failed += 1;
+      console.log(describe(result));
+      if (options.trace) console.log(result.trace.join('\n'));
+    }
+    console.log(`seeds ${options.seeds} from ${options.from} failed ${failed}`);
+    console.log(`faults ${JSON.stringify(Object.fromEntries(injected))}`);
+    console.log(`codes ${JSON.stringify(Object.fromEntries(codes))}`);
+    console.log(`checks ${checks}`);
+    const idle = checks === 0 || (faults.length > 0 && injected.size === 0);
+    if (failed > 0 || idle) process.exitCode = 1;
+  },
+});
+
+void commandTypes.run(soak, process.argv.slice(2));
