Measure one entry process from outside, at rest and under load

Cause: the control figures (1.8 % of a core, 64 MB, 3 KB a second) are stated for a node, so they have to be read from outside the process. Change: bench/process_bench.ts starts the process between stand-ins and reads its processor time, resident size and bytes from the system.

--- /dev/null
+++ b/bench/process_bench.ts
@@ -0,0 +1,223 @@
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
+import * as undici from 'undici';
+import * as logService from '../stand_ins/log_service.js';
+import * as processMeter from './process_meter.js';
+import * as vmList from '../stand_ins/vm_list.js';
+import * as worker from '../stand_ins/worker.js';
+import type * as benchRow from './bench_row.js';
+
+/** Time over which rates are taken. */
+const MEASURE_MS = 10_000;
+
+/** Time for a process to join, claim and read reports. */
+const SETTLE_MS = 8_000;
+
+const BINARY = 'dist/parsleyknot';
+
+const TEAM = `
+name = "dispatch"
+clients = ["workshop-1"]
+share = 1
+queueLimit = 10000
+quota = {processors = 100000000, memory = 100000000, accelerators = 1000, slots = 100000}
+
+[[workloads]]
+name = "polish-order"
+kind = "batch"
+urgency = "normal"
+worth = 10
+idempotent = false
+size = {processors = 100, memory = 64, accelerators = 0, slots = 1}
+runTimeMs = 100
+taskCount = 1
+startDeadlineMs = 0
+zones = []
+maximumPerRack = 0
+`;
+
+const FLEET = `
+zones = [{name = "kigali-a", region = "kigali"}]
+
+[[workerShapes]]
+capacity = {processors = 16000, memory = 32768, accelerators = 0, slots = 8}
+zones = ["kigali-a"]
+`;
+
+/** One entry process between stand-ins in this process, over loopback. */
+class MeasuredCell {
+  private readonly log = new logService.LogService();
+  private readonly list = new vmList.VmList();
+  private readonly workers: worker.StandInWorker[] = [];
+  private child: childProcess.ChildProcess | undefined;
+  private address = '';
+  private folder = '';
+
+  /** Starts the stand-ins and the entry process. */
+  async start(workerCount: number): Promise<void> {
+    const log = await this.log.listen();
+    const list = await this.list.listen();
+    for (let index = 0; index < workerCount; index += 1) {
+      await this.addWorker(index);
+    }
+    this.publish('fleet', FLEET);
+    this.publish('team/dispatch', TEAM);
+    this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bench-'));
+    const config = path.join(this.folder, 'settings.toml');
+    const lines = [
+      'vm = "entry-1"',
+      'zone = "kigali-a"',
+      'region = "kigali"',
+      'host = "127.0.0.1"',
+      'callerPort = 0',
+      'peerPort = 0',
+      `log = "${log}"`,
+      `vmList = "${list}"`,
+    ];
+    fs.writeFileSync(config, lines.join('\n'));
+    const serve = ['serve', '--config', config];
+    const binary = fs.existsSync(BINARY);
+    this.child = childProcess.spawn(
+      binary ? BINARY : process.execPath,
+      binary ? serve : ['build/src/main.js', ...serve],
+      {stdio: ['ignore', 'pipe', 'inherit']},
+    );
+    this.address = await this.waitForAddress();
+    await timers.setTimeout(SETTLE_MS);
+  }
+
+  /** Measures at a steady rate of requests a second; 0 measures at rest. */
+  async measure(rate: number): Promise<processMeter.ProcessUse> {
+    const pid = this.child?.pid ?? 0;
+    const sending = new AbortController();
+    const load = rate > 0 ? this.load(rate, sending.signal) : undefined;
+    await timers.setTimeout(1_000);
+    const before = processMeter.readProcess(pid);
+    await timers.setTimeout(MEASURE_MS);
+    const after = processMeter.readProcess(pid);
+    sending.abort();
+    await load;
+    return processMeter.useBetween(before, after);
+  }
+
+  /** Ends the process and the stand-ins. */
+  async stop(): Promise<void> {
+    const child = this.child;
+    if (child !== undefined && child.exitCode === null) {
+      const ended = new Promise(resolve => child.once('exit', resolve));
+      child.kill('SIGKILL');
+      await ended;
+    }
+    for (const item of this.workers) item.close();
+    this.list.close();
+    this.log.close();
+    fs.rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  private async addWorker(index: number): Promise<void> {
+    const item = new worker.StandInWorker({
+      name: `worker-${index}`,
+      rack: `rack-${index >> 3}`,
+      capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
+      runTimeMs: 50,
+    });
+    this.workers.push(item);
+    this.list.put({
+      vm: `worker-${index}`,
+      role: 'worker',
+      zone: 'kigali-a',
+      address: await item.listen(),
+      state: 'live',
+    });
+  }
+
+  private publish(document: string, content: string): void {
+    const record = {
+      kind: 'publish',
+      document,
+      baseVersion: 0,
+      content,
+      publication: document,
+    };
+    this.log.append('configuration', [JSON.stringify(record)]);
+  }
+
+  private waitForAddress(): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.child?.once('exit', () => reject(new Error('the process ended')));
+      let output = '';
+      this.child?.stdout?.on('data', (chunk: Buffer) => {
+        output = (output + chunk.toString()).slice(-10_000);
+        const port = /event=serving.* port=(\d+)/.exec(output)?.[1];
+        if (port !== undefined) resolve(`127.0.0.1:${port}`);
+      });
+    });
+  }
+
+  private async load(rate: number, signal: AbortSignal): Promise<void> {
+    const pending: Array<Promise<void>> = [];
+    while (!signal.aborted) {
+      pending.push(this.sendOne());
+      await timers.setTimeout(1_000 / rate);
+    }
+    await Promise.allSettled(pending);
+  }
+
+  private async sendOne(): Promise<void> {
+    const headers = {'x-client': 'workshop-1'};
+    const base = `http://${this.address}/v1`;
+    const reserved = await undici.request(`${base}/identities`, {
+      method: 'POST',
+      headers,
+      body: JSON.stringify({count: 1}),
+    });
+    const body = (await reserved.body.json()) as {
+      readonly identities: ReadonlyArray<string>;
+    };
+    const answer = await undici.request(
+      `${base}/requests/${body.identities[0]}?wait=20`,
+      {
+        method: 'PUT',
+        headers,
+        body: JSON.stringify({
+          team: 'dispatch',
+          workload: 'polish-order',
+          payload: '{}',
+        }),
+      },
+    );
+    await answer.body.dump();
+  }
+}
+
+/** Measures one entry process from outside, at rest and under load. */
+export async function measureProcess(): Promise<
+  ReadonlyArray<benchRow.BenchRow>
+> {
+  const rows: benchRow.BenchRow[] = [];
+  for (const workerCount of [4, 15, 43]) {
+    const cell = new MeasuredCell();
+    try {
+      await cell.start(workerCount);
+      for (const rate of workerCount === 15 ? [0, 5, 20, 80] : [0]) {
+        const use = await cell.measure(rate);
+        const name = `process/${workerCount} workers/${rate} starts a second`;
+        rows.push(
+          row(`${name}/processor`, use.processorPercent, '% of a core'),
+          row(`${name}/resident`, use.residentMebibytes, 'MiB'),
+          row(`${name}/traffic`, use.bytesPerSecond, 'B a second'),
+        );
+      }
+    } finally {
+      await cell.stop();
+    }
+  }
+  return rows;
+}
+
+function row(name: string, figure: number, unit: string): benchRow.BenchRow {
+  return {name, figure, unit, seed: 0, goal: '', baseline: ''};
+}
--- /dev/null
+++ b/bench/process_meter.ts
@@ -0,0 +1,52 @@
+import * as fs from 'node:fs';
+
+/** Clock ticks a second that Linux reports processor time in. */
+const TICKS_PER_SECOND = 100;
+
+/** Use of resources by a process at one moment, seen from outside. */
+export interface ProcessReading {
+  readonly at: number;
+  readonly processorSeconds: number;
+  readonly residentBytes: number;
+  /** Bytes that the process read and wrote, over sockets and its output. */
+  readonly bytes: number;
+}
+
+/** Use of resources between two readings. */
+export interface ProcessUse {
+  readonly processorPercent: number;
+  readonly residentMebibytes: number;
+  readonly bytesPerSecond: number;
+}
+
+/** Reads what the system knows of a process. */
+export function readProcess(pid: number): ProcessReading {
+  const stat = fs.readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const status = fs.readFileSync(`/proc/${pid}/status`, 'utf8');
+  const resident = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  const io = fs.readFileSync(`/proc/${pid}/io`, 'utf8');
+  const read = Number(/rchar: (\d+)/.exec(io)?.[1] ?? 0);
+  const written = Number(/wchar: (\d+)/.exec(io)?.[1] ?? 0);
+  return {
+    at: performance.now(),
+    processorSeconds: ticks / TICKS_PER_SECOND,
+    residentBytes: resident * 1_024,
+    bytes: read + written,
+  };
+}
+
+/** Returns the use between two readings. */
+export function useBetween(
+  earlier: ProcessReading,
+  later: ProcessReading,
+): ProcessUse {
+  const seconds = (later.at - earlier.at) / 1_000;
+  const processor = later.processorSeconds - earlier.processorSeconds;
+  return {
+    processorPercent: (100 * processor) / seconds,
+    residentMebibytes: later.residentBytes / 1_048_576,
+    bytesPerSecond: (later.bytes - earlier.bytes) / seconds,
+  };
+}
