Test the zone's records, stream, routing and summaries one by one

Cause: the randomised test does not say which rule broke.

A summary states at most 1 h of wait, so that an endless wait can be encoded.

--- a/src/zones/confirmations.ts
+++ b/src/zones/confirmations.ts
@@ -13,6 +13,9 @@
 /** Time between summaries of one zone to each other zone. */
 export const SUMMARY_INTERVAL_MS = 5_000;
 
+/** Longest wait that a summary states; longer ones mean the same. */
+const MAXIMUM_WAIT_MS = 60 * 60 * 1_000;
+
 /** Largest number of leaving workers named in one confirmation. */
 const LEAVING_LIMIT = 64;
 
@@ -56,7 +59,7 @@
 
   /** Sets the wait that new work has here, for the zone's summary. */
   setExpectedWait(wait: clock.Milliseconds): void {
-    this.expectedWait = wait;
+    this.expectedWait = Math.min(Math.max(0, wait), MAXIMUM_WAIT_MS);
   }
 
   /** Tells other members from now on that this process leaves. */
--- /dev/null
+++ b/test/zones/confirmations_test.ts
@@ -0,0 +1,88 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as protobuf from '@bufbuild/protobuf';
+import * as fleet from '../../src/machines/fleet.js';
+import * as peer from '../../src/links/generated/peer_pb.js';
+import * as zoneControl from '../../src/zones/zone_control.js';
+import type * as effect from '../../src/contracts/effect.js';
+import type * as event from '../../src/contracts/event.js';
+
+const SELF = {
+  process: 'kigali-a.entry-1.0123abcd',
+  vm: 'entry-1',
+  zone: 'kigali-a',
+  region: 'kigali',
+  address: '10.0.0.1:7000',
+};
+
+function list(
+  vm: string,
+  zone: string,
+  state: event.ListedVm['state'] = 'live',
+): event.ListedVm {
+  const role = vm.startsWith('entry') ? 'entry' : 'worker';
+  return {vm, role, zone, address: '10.0.0.2:7000', state};
+}
+
+/** A member of kigali-a beside a second one, `kigali-a.entry-2`. */
+function createMember(): zoneControl.ZoneControl {
+  const control = new zoneControl.ZoneControl(SELF, new fleet.Fleet());
+  const joins = [SELF, {process: 'kigali-a.entry-2', vm: 'entry-2'}];
+  const records = joins.map(({process, vm}, offset) => {
+    const address = SELF.address;
+    return {offset, data: JSON.stringify({kind: 'join', process, vm, address})};
+  });
+  const stream = 'zone/kigali-a';
+  const range = {first: 0, next: 2, sentAt: 0};
+  control.handle({kind: 'recordsRead', stream, ...range, records}, 1);
+  return control;
+}
+
+function confirmations(done: ReadonlyArray<effect.Effect>) {
+  return done.filter(wanted => wanted.kind === 'confirmPeer');
+}
+
+nodeTest.describe('confirmations', () => {
+  nodeTest.test(
+    'a worker that the VM list names leaving is known in the same turn and ' +
+      'passed on in the next confirmation: guards against late drains',
+    () => {
+      const control = createMember();
+      const vms = [list('worker-1', SELF.zone, 'leaving')];
+      control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
+      assert.deepEqual(control.leavingWorkers(), ['worker-1']);
+      const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
+      assert.deepEqual(sent[0].news.leavingWorkers, ['worker-1']);
+    },
+  );
+
+  nodeTest.test(
+    'the first live member sends the summary to one VM of each other zone in ' +
+      'at most 200 bytes: guards against costly traffic between zones',
+    () => {
+      const control = createMember();
+      const vms = [list('entry-7', 'musanze-a'), list('entry-8', 'musanze-a')];
+      control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
+      const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
+      const [summary, ...more] = sent.filter(({peer: to}) => to === 'entry-7');
+      assert.equal(sent.length, 2);
+      assert.equal(more.length, 0);
+      const {documents, leavingWorkers, summaries, ...sender} = summary.news;
+      assert.equal(documents.length + leavingWorkers.length, 0);
+      const message = protobuf.create(peer.ConfirmRequestSchema, {
+        ...sender,
+        to: summary.peer,
+        summaries: summaries.map(known => ({
+          zone: known.zone,
+          freeProcessors: 500_000n,
+          freeMemory: 4_000_000n,
+          freeAccelerators: 1_000n,
+          expectedWaitMs: 60_000n,
+          workerCount: known.workerCount,
+        })),
+      });
+      const bytes = protobuf.toBinary(peer.ConfirmRequestSchema, message);
+      assert.ok(bytes.length <= 200, `${bytes.length} bytes`);
+    },
+  );
+});
--- /dev/null
+++ b/test/zones/routing_test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as region from '../../src/zones/region.js';
+import * as routing from '../../src/zones/routing.js';
+
+const WORK: routing.RoutedWork = {
+  size: {processors: 1_000, memory: 100, accelerators: 0, slots: 1},
+  worth: 10,
+  zones: [],
+  expectedWaitMs: 1_000,
+  fitsHere: false,
+};
+
+function createRouter(
+  waits: Readonly<Record<string, number>>,
+  heardAt = 0,
+): routing.Router {
+  const regions = new region.RegionMap('a1', 'a');
+  regions.configure([
+    {name: 'a2', region: 'a'},
+    {name: 'b1', region: 'b'},
+  ]);
+  for (const [zone, expectedWaitMs] of Object.entries(waits)) {
+    const free = {freeProcessors: 2_000, freeMemory: 200, freeAccelerators: 0};
+    const summary = {zone, ...free, expectedWaitMs, workerCount: 1};
+    regions.update(summary, heardAt);
+  }
+  return new routing.Router(regions, 5);
+}
+
+nodeTest.describe('routing between zones', () => {
+  nodeTest.test(
+    'the nearest zone with room takes the work: guards against traffic ' +
+      'between regions that nobody needs',
+    () => {
+      const router = createRouter({a2: 500, b1: 0});
+      assert.equal(router.route({...WORK, fitsHere: true}, 0).zone, 'a1');
+      assert.equal(router.route(WORK, 0).zone, 'a2');
+    },
+  );
+
+  nodeTest.test(
+    'another region is used only for a benefit above cost and round trip, ' +
+      'and with a counted reason: guards against crossings without a gain',
+    () => {
+      const router = createRouter({b1: 0});
+      const far = router.route(WORK, 0);
+      assert.equal(far.zone, 'b1');
+      assert.deepEqual(router.count(far)[0], {
+        kind: 'count',
+        metric: 'route_crossing',
+        labels: {distance: 'otherRegion', reason: 'shorterWaitElsewhere'},
+        value: 1,
+      });
+      const reason = 'noBetterZone';
+      const cheap = router.route({...WORK, worth: 5}, 0);
+      assert.equal(cheap.reason, reason);
+      const near = router.route({...WORK, expectedWaitMs: 40}, 0);
+      assert.equal(near.reason, reason);
+      const stale = createRouter({b1: 0}).route(WORK, 60_000);
+      assert.equal(stale.reason, reason);
+    },
+  );
+});
--- /dev/null
+++ b/test/zones/zone_stream_test.ts
@@ -0,0 +1,78 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as ownership from '../../src/zones/ownership.js';
+import * as zoneStream from '../../src/zones/zone_stream.js';
+
+const JOIN = {kind: 'join', process: 'a', vm: 'a', address: 'a:1'} as const;
+
+function create(): zoneStream.ZoneStream {
+  const table = new ownership.OwnershipTable();
+  return new zoneStream.ZoneStream('zone/z', 'a', table);
+}
+
+function read(sentAt: number, data: ReadonlyArray<string> = []) {
+  return {
+    kind: 'recordsRead',
+    stream: 'zone/z',
+    sentAt,
+    first: 0,
+    next: data.length,
+    records: data.map((text, offset) => ({offset, data: text})),
+  } as const;
+}
+
+function lost(append: number) {
+  return {
+    kind: 'appendAnswered',
+    stream: 'zone/z',
+    append,
+    answer: 'lost',
+  } as const;
+}
+
+nodeTest.describe('zone stream', () => {
+  nodeTest.test(
+    'an append whose answer was lost is repeated only after a later read ' +
+      'does not show it: guards against lost and doubled records',
+    () => {
+      const stream = create();
+      const first = stream.append([JOIN], 0);
+      stream.appendAnswered(lost(1), 2_000);
+      stream.accept(read(1_900), 2_100);
+      const early = stream.poll(2_200).map(wanted => wanted.kind);
+      assert.equal(early.includes('append'), false);
+      stream.accept(read(2_300), 2_400);
+      const again = stream.poll(2_500).find(({kind}) => kind === 'append');
+      assert.ok(first.kind === 'append' && again?.kind === 'append');
+      assert.deepEqual(again.records, first.records);
+      stream.accept(read(2_600, first.records), 2_700);
+      assert.equal(stream.appending, false);
+    },
+  );
+
+  nodeTest.test(
+    'a read that ends before the known records proves nothing: guards ' +
+      'against permits from a log that lags',
+    () => {
+      const stream = create();
+      assert.equal(stream.accept(read(10, ['{}', '{}']), 20), true);
+      assert.equal(stream.accept(read(30, ['{}']), 40), false);
+      assert.equal(stream.freshAt, 10);
+    },
+  );
+
+  nodeTest.test(
+    'a snapshot falls due by records and by time: guards against a zone ' +
+      'whose records expire',
+    () => {
+      const stream = create();
+      stream.accept(read(10, ['{}']), 20);
+      assert.equal(stream.dueSnapshot(20, 1), undefined);
+      const late = 30 + zoneStream.SNAPSHOT_INTERVAL_MS;
+      assert.equal(stream.dueSnapshot(late, 1)?.through, 0);
+      const many = Array<string>(zoneStream.SNAPSHOT_RECORDS + 1).fill('{}');
+      stream.accept(read(40, many), 50);
+      assert.equal(stream.dueSnapshot(50, 1)?.through, many.length - 1);
+    },
+  );
+});
