--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -41,7 +41,9 @@
   private readonly issuer: identity.IdentityIssuer;
 
   constructor(private readonly parts: EntryVmParts) {
-    this.zone = new zoneControl.ZoneControl(parts.self, this.workers);
+    this.zone = new zoneControl.ZoneControl(parts.self, this.workers, {
+      documents: () => this.documentVersions(),
+    });
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader);
     this.scheduler = new scheduler.Scheduler(this.workers, {
       mayPlace: (name, now) => this.zone.permitEnd(name) > now,
@@ -63,7 +65,7 @@
     ];
     if (handled.kind === 'timePassed') done.push(...this.expire(now));
     done.push(...this.placeWaiting(now));
-    return done;
+    return this.zone.guard(done);
   }
 
   /** When `timePassed` is wanted next. */
@@ -212,6 +214,11 @@
     });
   }
 
+  private documentVersions(): ReadonlyArray<event.DocumentVersion> {
+    const {versions} = this.documents.current();
+    return [...versions].map(([name, version]) => ({name, version}));
+  }
+
   private queueLimit(team: string): number {
     return this.documents.current().teams.get(team)?.queueLimit ?? 0;
   }
--- a/src/zones/authority.ts
+++ b/src/zones/authority.ts
@@ -98,8 +98,9 @@
     if (held?.owner !== this.sources.process) return -Infinity;
     if ((this.givenUp.get(item) ?? 0) >= held.epoch) return -Infinity;
     if (now < this.waitEnd(item, held)) return -Infinity;
-    if (this.sightings.get(item)?.epoch !== held.epoch) {
-      this.violations.push(`permit for ${item} at an epoch not yet noted`);
+    const seen = this.sightings.get(item);
+    if (seen?.epoch !== held.epoch || seen.owner !== held.owner) {
+      this.violations.push(`permit for ${item} after a change of owner`);
       return -Infinity;
     }
     return this.processPermitEnd(now);
@@ -155,10 +156,7 @@
     if (this.violations.length === 0) return [];
     const found = this.violations;
     this.violations = [];
-    return found.flatMap(evidence => [
-      effects.count('invariant_violated', {invariant: 'permit'}),
-      effects.log('error', 'invariantViolated', {evidence}),
-    ]);
+    return found.flatMap(violation);
   }
 
   /**
@@ -250,3 +248,11 @@
     }
   }
 }
+
+/** Reports a violated invariant by a counter and a log line. */
+export function violation(evidence: string): ReadonlyArray<effects.Effect> {
+  return [
+    effects.count('invariant_violated', {invariant: 'permit'}),
+    effects.log('error', 'invariantViolated', {evidence}),
+  ];
+}
--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -1,11 +1,10 @@
 import * as authority from './authority.js';
 import * as confirmations from './confirmations.js';
-import * as distribution from './distribution.js';
 import * as effects from '../contracts/effect.js';
 import * as membership from './membership.js';
 import * as ownership from './ownership.js';
+import * as recordPlan from './record_plan.js';
 import * as region from './region.js';
-import * as succession from './succession.js';
 import * as vmPresence from './vm_presence.js';
 import * as zoneStream from './zone_stream.js';
 import type * as clock from '../machines/clock.js';
@@ -18,12 +17,6 @@
 /** Age of the last read up to which this process writes to the stream. */
 const WRITE_FRESHNESS_MS = 2_500;
 
-/** Time after which any member claims a worker that still has no owner. */
-const UNOWNED_GRACE_MS = 6_000;
-
-/** Least time between handovers, so that members see each other's. */
-const BALANCE_INTERVAL_MS = 3_000;
-
 /**
  * Time between two turns from which this process counts as paused: silence of
  * others during a pause says nothing about them.
@@ -36,6 +29,8 @@
 export interface ZoneControlOptions {
   /** Lag of the log's reads; added to the wait after a claim. */
   readonly logStalenessMs?: clock.Milliseconds;
+  /** When a snapshot is due; well before the log drops records. */
+  readonly snapshotRule?: zoneStream.SnapshotRule;
   /** Versions of the documents in force, which confirmations carry. */
   readonly documents?: () => ReadonlyArray<event.DocumentVersion>;
 }
@@ -53,16 +48,10 @@
   private readonly membership: membership.Membership;
   private readonly authority: authority.Authority;
   private readonly confirmations: confirmations.Confirmations;
-  private readonly succession: succession.Succession;
-  private readonly unownedSince = new Map<string, clock.Milliseconds>();
-  /** Replicas that run here and the worker of each. */
-  private readonly replicas = new Map<string, string>();
-  private readonly droppedReplicas = new Set<string>();
+  private readonly plan: recordPlan.RecordPlan;
   private latest: clock.Milliseconds | undefined;
   private nextVmList = 0;
-  private nextBalance = 0;
   private joinSent = false;
-  private draining = false;
   private reportedEnd = false;
 
   constructor(
@@ -71,10 +60,14 @@
     options: ZoneControlOptions = {},
   ) {
     const {table, presence} = this;
-    const {process, vm, zone} = self;
+    const {process, zone} = self;
     const members = new membership.Membership(process, table, presence);
-    const name = `zone/${zone}`;
-    const stream = new zoneStream.ZoneStream(name, process, table);
+    const stream = new zoneStream.ZoneStream(
+      this.streamName(),
+      process,
+      table,
+      options.snapshotRule,
+    );
     const sources = {...self, table, presence, members, stream};
     const logStalenessMs = options.logStalenessMs ?? 0;
     this.regions = new region.RegionMap(zone, self.region);
@@ -89,12 +82,9 @@
       regions: this.regions,
       documents: options.documents ?? (() => []),
     });
-    this.succession = new succession.Succession({
-      process,
-      vm,
-      table,
-      members,
-      presence,
+    this.plan = new recordPlan.RecordPlan({
+      ...sources,
+      workers,
       authority: this.authority,
     });
   }
@@ -155,20 +145,21 @@
 
   /** Notes that a replica runs on a worker, so that its item moves with it. */
   keepReplica(item: string, worker: string): void {
-    this.replicas.set(item, worker);
-    this.droppedReplicas.delete(item);
+    this.plan.keepReplica(item, worker);
   }
 
   /** Notes that a replica does not run any more; its item is released. */
   dropReplica(item: string): void {
-    this.replicas.delete(item);
-    this.droppedReplicas.add(item);
+    this.plan.dropReplica(item);
   }
 
-  /** Hands everything over to other members and leaves. */
+  /**
+   * Hands everything over to other members and leaves; to be called when the
+   * requests in progress have ended.
+   */
   drain(): void {
-    this.draining = true;
     this.confirmations.beginLeaving();
+    this.plan.drain();
   }
 
   /** Handles what concerns the zone; ignores other events. */
@@ -185,6 +176,24 @@
     ];
   }
 
+  /**
+   * Lets effects through except starts and renewals without a permit, which
+   * no caller should have built.
+   */
+  guard(wanted: ReadonlyArray<effects.Effect>): ReadonlyArray<effects.Effect> {
+    const now = this.latest ?? 0;
+    return wanted.flatMap(item => {
+      if (item.kind !== 'startTask' && item.kind !== 'renewLeases') {
+        return [item];
+      }
+      if (this.permitEnd(item.worker) > now) return [item];
+      const owner = this.ownerOf(item.worker) ?? 'nobody';
+      return authority.violation(
+        `${item.kind} on ${item.worker} of ${owner} without a permit`,
+      );
+    });
+  }
+
   /** When `timePassed` is wanted next. */
   nextDeadline(): clock.Milliseconds {
     if (this.hasEnded()) return Infinity;
@@ -224,7 +233,7 @@
         if (handled.report.leaving) this.markLeaving(handled.report.worker);
         return [];
       case 'drainArrived':
-        if (handled.worker === undefined) this.drain();
+        if (handled.worker === undefined) this.beginLeaving();
         else this.markLeaving(handled.worker);
         return [];
       case 'timePassed':
@@ -254,6 +263,7 @@
     const permitEnd = this.processPermitEnd();
     const atTail = this.stream.accept(answer, now);
     this.follow(permitEnd, now);
+    if (this.stream.incomplete) return [effects.count('zone_stream_gap')];
     return atTail ? this.write(now) : [];
   }
 
@@ -279,11 +289,7 @@
     if (this.hasEnded() || !this.stream.mayAppend(now)) return [];
     if (!this.joinSent) return this.join(now);
     if (!this.authority.active) return [];
-    const records = [
-      ...this.snapshots(now),
-      ...this.claims(now),
-      ...(this.draining ? this.leaveZone(now) : this.keepHouse(now)),
-    ];
+    const records = this.plan.due(now);
     if (records.length === 0) return [];
     return [
       ...records.map(record => effects.count('zone_record', kindOf(record))),
@@ -300,159 +306,6 @@
     ];
   }
 
-  private snapshots(
-    now: clock.Milliseconds,
-  ): ReturnType<zoneStream.ZoneStream['unresolved']> {
-    // Others write only when the first member has missed its turn.
-    const first = this.membership.live(now)[0] === this.self.process;
-    const due = this.stream.dueSnapshot(now, first ? 1 : 1.25);
-    return due === undefined ? [] : [due];
-  }
-
-  private claims(now: clock.Milliseconds): ReadonlyArray<ownership.ZoneRecord> {
-    if (this.draining) return [];
-    const claimant = this.self.process;
-    const victims = this.succession.victims(now);
-    const claims = [
-      ...victims.map(victim => this.table.itemsOf(victim)),
-      [...this.unownedWorkers(now), ...this.newReplicas(now)],
-    ];
-    return claims
-      .filter(items => items.length > 0)
-      .map(items => ({kind: 'claim', claimant, items}));
-  }
-
-  /** Workers without an owner that fall to this process. */
-  private unownedWorkers(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<ownership.ItemEpoch> {
-    if (!this.hasHeardOthers(now)) return [];
-    const unowned = this.findUnowned(now);
-    const live = this.membership.live(now);
-    const assigned = distribution.spread(unowned, this.table, live);
-    return unowned
-      .filter(
-        worker =>
-          assigned.get(worker) === this.self.process ||
-          now - (this.unownedSince.get(worker) ?? now) > UNOWNED_GRACE_MS,
-      )
-      .map(item => ({item, epoch: this.table.ownership(item)?.epoch ?? 0}));
-  }
-
-  private findUnowned(now: clock.Milliseconds): ReadonlyArray<string> {
-    const unowned = this.workers
-      .all()
-      .map(known => known.name)
-      .filter(name => !this.hasLivingOwner(name));
-    for (const name of this.unownedSince.keys()) {
-      if (!unowned.includes(name)) this.unownedSince.delete(name);
-    }
-    for (const name of unowned) {
-      if (!this.unownedSince.has(name)) this.unownedSince.set(name, now);
-    }
-    return unowned;
-  }
-
-  private hasLivingOwner(item: string): boolean {
-    const owner = this.ownerOf(item);
-    return owner !== undefined && this.table.members().has(owner);
-  }
-
-  /** Whether every member that may be live has been heard once. */
-  private hasHeardOthers(now: clock.Milliseconds): boolean {
-    return this.membership
-      .others()
-      .every(
-        ({process}) =>
-          this.membership.contact(process).heard ||
-          this.membership.state(process, now) !== 'live',
-      );
-  }
-
-  private newReplicas(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<ownership.ItemEpoch> {
-    const items: ownership.ItemEpoch[] = [];
-    for (const [item, on] of this.replicas) {
-      if (this.authority.permitEnd(on, now) <= now) continue;
-      if (this.hasLivingOwner(item)) continue;
-      const epoch = this.table.ownership(item)?.epoch ?? 0;
-      items.push({item, epoch, on});
-    }
-    return items;
-  }
-
-  /** Releases what no longer exists and shares workers evenly. */
-  private keepHouse(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<ownership.ZoneRecord> {
-    const releases = this.releases(now);
-    if (releases.length > 0 || now < this.nextBalance) return releases;
-    const plan = distribution.planHandovers(
-      this.self.process,
-      this.table,
-      this.membership.live(now),
-    );
-    const records = plan.flatMap(({to, workers}) =>
-      this.transfer(to, workers, now),
-    );
-    if (records.length > 0) this.nextBalance = now + BALANCE_INTERVAL_MS;
-    return records;
-  }
-
-  private releases(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<ownership.ZoneRecord> {
-    const gone = this.table
-      .itemsOf(this.self.process)
-      .map(({item}) => item)
-      .filter(item =>
-        ownership.isWorker(item)
-          ? this.presence.isGoneOrOlder(item)
-          : this.droppedReplicas.has(item),
-      );
-    return this.transfer(ownership.NOBODY, gone, now);
-  }
-
-  /** Stops placing on items in this turn and hands them over. */
-  private transfer(
-    to: string,
-    names: ReadonlyArray<string>,
-    now: clock.Milliseconds,
-  ): ReadonlyArray<ownership.ZoneRecord> {
-    const items = names
-      .filter(item => this.authority.permitEnd(item, now) > now)
-      .map(item => ({item, epoch: this.table.ownership(item)?.epoch ?? 0}));
-    if (items.length === 0) return [];
-    this.authority.giveUp(items);
-    return [{kind: 'transfer', from: this.self.process, to, items}];
-  }
-
-  /** Hands workers over; leaves once none is left that another could take. */
-  private leaveZone(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<ownership.ZoneRecord> {
-    if (!this.authority.isSettled(now)) return [];
-    const others = this.membership
-      .live(now)
-      .filter(process => process !== this.self.process);
-    const items = this.table
-      .itemsOf(this.self.process)
-      .map(({item}) => item)
-      .filter(item => item !== ownership.processItem(this.self.process));
-    if (others.length > 0 && items.length > 0) {
-      return others.flatMap((to, index) =>
-        this.transfer(
-          to,
-          items.filter((_, rank) => rank % others.length === index),
-          now,
-        ),
-      );
-    }
-    this.authority.leave();
-    return [{kind: 'leave', process: this.self.process}];
-  }
-
   private updateFleet(vms: ReadonlyArray<event.ListedVm>): void {
     for (const listed of vms) {
       if (listed.role !== 'worker' || listed.zone !== this.self.zone) continue;
@@ -468,6 +321,11 @@
     }
   }
 
+  private beginLeaving(): void {
+    this.confirmations.beginLeaving();
+    this.plan.beginLeaving();
+  }
+
   private markLeaving(worker: string): void {
     this.workers.get(worker)?.markLeaving();
   }
--- a/src/zones/zone_stream.ts
+++ b/src/zones/zone_stream.ts
@@ -27,6 +27,18 @@
 /** Most records that a confirmation passes on to a peer that is behind. */
 const PASSED_RECORDS = 200;
 
+/** When a snapshot is due. */
+export interface SnapshotRule {
+  readonly records: number;
+  readonly intervalMs: clock.Milliseconds;
+}
+
+/** The rule for a log that keeps records as long as the design assumes. */
+export const DEFAULT_SNAPSHOT_RULE: SnapshotRule = {
+  records: SNAPSHOT_RECORDS,
+  intervalMs: SNAPSHOT_INTERVAL_MS,
+};
+
 /** A record as it is written: its identity makes copies recognisable. */
 interface WrittenRecord {
   readonly id: string;
@@ -65,6 +77,7 @@
     private readonly name: string,
     private readonly process: string,
     state: streamReplica.ReplicatedState,
+    private readonly rule = DEFAULT_SNAPSHOT_RULE,
   ) {
     this.replica = new streamReplica.StreamReplica(state);
   }
@@ -198,8 +211,8 @@
     if (this.position === 0) return undefined;
     const records = this.position - this.replica.lastSnapshot;
     const due =
-      records > SNAPSHOT_RECORDS * patience ||
-      now - this.snapshotAt > SNAPSHOT_INTERVAL_MS * patience;
+      records > this.rule.records * patience ||
+      now - this.snapshotAt > this.rule.intervalMs * patience;
     return due ? this.replica.buildSnapshot() : undefined;
   }
 
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -7,6 +7,9 @@
 /** How long a call to the platform or a peer waits for its answer. */
 const CALL_DEADLINE_MS = 2_000;
 
+/** Records that the log keeps; enough for the snapshot rule below. */
+const RETAINED_RECORDS = 22;
+
 /** Lag of the VM list in the simulation. */
 const LIST_LAG_MS = 4_000;
 
@@ -46,6 +49,7 @@
         address: `${vm}:7000`,
       },
       this.workers,
+      {snapshotRule: {records: 5, intervalMs: 30_000}},
     );
   }
 
@@ -285,14 +289,13 @@
   ): void {
     const sentAt = process.localTime(this.now);
     const {stream, from} = wanted;
-    const serve = (): event.Event => ({
-      kind: 'recordsRead',
-      stream,
-      sentAt,
-      first: 0,
-      next: this.records.length,
-      records: this.records.slice(from, from + 100),
-    });
+    const serve = (): event.Event => {
+      const next = this.records.length;
+      const first = Math.max(0, next - RETAINED_RECORDS);
+      const start = Math.max(first, from);
+      const records = this.records.slice(start, start + 30);
+      return {kind: 'recordsRead', stream, sentAt, first, next, records};
+    };
     const reach = (): boolean => this.reachesLog(process);
     this.call(process, reach, serve, {kind: 'readFailed', stream});
   }
