--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,68 @@
+import * as fs from 'node:fs';
+import * as capacityBench from './capacity_bench.js';
+import * as commandTypes from 'cmd-ts';
+import * as processBench from './process_bench.js';
+import type * as benchRow from './bench_row.js';
+
+const RESULTS = 'bench/results/latest.json';
+
+type Measure = () => Promise<ReadonlyArray<benchRow.BenchRow>>;
+
+/** The parts of the bench, by name. */
+const PARTS: ReadonlyMap<string, Measure> = new Map<string, Measure>([
+  ['capacity', async () => capacityBench.measureCapacity()],
+  ['process', processBench.measureProcess],
+]);
+
+function readPrevious(): ReadonlyMap<string, number> {
+  if (!fs.existsSync(RESULTS)) return new Map();
+  const rows = JSON.parse(
+    fs.readFileSync(RESULTS, 'utf8'),
+  ) as ReadonlyArray<benchRow.BenchRow>;
+  return new Map(rows.map(row => [row.name, row.figure]));
+}
+
+function printRow(
+  row: benchRow.BenchRow,
+  previous: ReadonlyMap<string, number>,
+): void {
+  const before = previous.get(row.name);
+  const columns = [
+    row.name.padEnd(56),
+    row.figure.toFixed(2).padStart(12),
+    row.unit.padEnd(14),
+    row.goal === '' ? '' : `goal ${row.goal}`,
+    row.baseline === '' ? '' : `baseline ${row.baseline}`,
+    before === undefined ? '' : `previous ${before.toFixed(2)}`,
+    `seed ${row.seed}`,
+  ];
+  console.log(columns.filter(column => column !== '').join('  '));
+}
+
+const bench = commandTypes.command({
+  name: 'bench',
+  description: 'Measures the system and compares with the committed results',
+  args: {
+    part: commandTypes.option({
+      long: 'part',
+      type: commandTypes.string,
+      defaultValue: () => 'all',
+    }),
+    save: commandTypes.flag({long: 'save'}),
+  },
+  handler: async ({part, save}) => {
+    const previous = readPrevious();
+    const rows: benchRow.BenchRow[] = [];
+    for (const [name, measure] of PARTS) {
+      if (part !== 'all' && part !== name) continue;
+      for (const row of await measure()) {
+        printRow(row, previous);
+        rows.push(row);
+      }
+    }
+    if (save) fs.writeFileSync(RESULTS, `${JSON.stringify(rows, null, 1)}\n`);
+    process.exit(0);
+  },
+});
+
+void commandTypes.run(bench, process.argv.slice(2));
