Publish conditionally and keep versions from falling

Change: ConfigurationKeeper replays through StreamReplica. A publication is checked, refused at once when its base is already superseded in the replay (6001), appended, and answered when its identity shows in the stream; a lost append is sent again under the same identity, and 6004 follows after 10 s. Outcomes of the last 512 publications are part of the replayed state, so repeats get the same answer on every process. Documents of peers are kept apart from the replay and count only when their version is higher. A confirmation names only the newest document, because versions are offsets of one stream and a fetch takes all newer documents.

--- /dev/null
+++ b/src/contracts/configuration_history.ts
@@ -0,0 +1,171 @@
+import * as crypto from 'node:crypto';
+import * as configurationDocuments from './configuration_documents.js';
+import type * as configuration from './configuration.js';
+import type * as event from './event.js';
+import type * as streamReplica from './stream_replica.js';
+
+/**
+ * Publications whose outcomes are kept for repeats. At 2,200 changes a day
+ * they cover more than five hours, and a snapshot stays small.
+ */
+const REMEMBERED_PUBLICATIONS = 512;
+
+/** A record of the stream `configuration`. */
+export interface PublishRecord {
+  readonly kind: 'publish';
+  readonly document: string;
+  readonly baseVersion: number;
+  readonly content: string;
+  readonly publication: string;
+}
+
+/** What became of a publication at its position in the stream. */
+export interface PublicationOutcome {
+  readonly publication: string;
+  /** Digest of the record, by which a reused identity is noticed. */
+  readonly digest: string;
+  readonly document: string;
+  readonly outcome: 'accepted' | 'conflict' | 'invalid';
+  /** The new version if accepted, else the version in force then. */
+  readonly version: number;
+  readonly detail: string;
+}
+
+interface HistoryState {
+  readonly documents: ReadonlyArray<event.Document>;
+  readonly publications: ReadonlyArray<PublicationOutcome>;
+}
+
+/**
+ * Accepted versions of the documents, as a function of the stream's records:
+ * a publication is accepted only if its base is the current version at its
+ * position and its content passes the checks there.
+ */
+export class ConfigurationHistory implements streamReplica.ReplicatedState {
+  private readonly set: configurationDocuments.DocumentSet;
+  private readonly outcomes = new Map<string, PublicationOutcome>();
+  private unreadable = 0;
+
+  constructor(reader: configuration.DocumentReader) {
+    this.set = new configurationDocuments.DocumentSet(reader);
+  }
+
+  /** The documents that the records read so far put in force. */
+  documents(): ReadonlyArray<event.Document> {
+    return this.set.all();
+  }
+
+  /** Version of a document by the records read so far; 0 without one. */
+  version(document: string): number {
+    return this.set.version(document);
+  }
+
+  /** Outcome of a publication; undefined when none is remembered. */
+  outcome(publication: string): PublicationOutcome | undefined {
+    return this.outcomes.get(publication);
+  }
+
+  /** Records so far that were no publication. */
+  unreadableCount(): number {
+    return this.unreadable;
+  }
+
+  apply(record: event.StreamRecord): void {
+    const parsed = readPublish(record.data);
+    if (parsed === undefined) {
+      this.unreadable += 1;
+      return;
+    }
+    // A lost acknowledgement leads to a second append of the same record.
+    if (this.outcomes.has(parsed.publication)) return;
+    this.remember(this.judge(parsed, record.offset));
+  }
+
+  snapshot(): string {
+    const state: HistoryState = {
+      documents: this.set.all(),
+      publications: [...this.outcomes.values()],
+    };
+    return JSON.stringify(state);
+  }
+
+  restore(snapshot: string): void {
+    const state = JSON.parse(snapshot) as HistoryState;
+    const documents = state.documents.map(document => ({
+      document,
+      parsed: this.set
+        .read(document.name, document.content)
+        .mapLeft(fault => new Error(fault.detail))
+        .unsafeCoerce(),
+    }));
+    const outcomes = state.publications.map(known => ({...known}));
+    this.set.clear();
+    for (const {document, parsed} of documents) this.set.put(document, parsed);
+    this.outcomes.clear();
+    for (const outcome of outcomes) this.remember(outcome);
+  }
+
+  private judge(record: PublishRecord, offset: number): PublicationOutcome {
+    const current = this.set.version(record.document);
+    const base = {
+      publication: record.publication,
+      digest: digestOf(record),
+      document: record.document,
+      version: current,
+    };
+    if (record.baseVersion !== current) {
+      const detail = conflictDetail(record, current);
+      return {...base, outcome: 'conflict', detail};
+    }
+    return this.set
+      .check(record.document, record.content)
+      .caseOf<PublicationOutcome>({
+        Left: fault => ({...base, outcome: 'invalid', detail: fault.detail}),
+        Right: parsed => {
+          // Versions start at 1, so that 0 can stand for a missing document.
+          const version = offset + 1;
+          const {document: name, content} = record;
+          this.set.put({name, version, content}, parsed);
+          return {...base, outcome: 'accepted', version, detail: ''};
+        },
+      });
+  }
+
+  private remember(outcome: PublicationOutcome): void {
+    this.outcomes.set(outcome.publication, outcome);
+    if (this.outcomes.size <= REMEMBERED_PUBLICATIONS) return;
+    const [oldest] = this.outcomes.keys();
+    this.outcomes.delete(oldest);
+  }
+}
+
+/** Digest of what a publication asks for. */
+export function digestOf(record: PublishRecord): string {
+  const {document, baseVersion, content} = record;
+  const text = JSON.stringify([document, baseVersion, content]);
+  return crypto.createHash('sha256').update(text).digest('hex').slice(0, 16);
+}
+
+/** Says which version the base should have been. */
+export function conflictDetail(record: PublishRecord, current: number): string {
+  return (
+    `baseVersion: ${record.baseVersion} must be the current version of ` +
+    `${record.document}, which is ${current}`
+  );
+}
+
+function readPublish(data: string): PublishRecord | undefined {
+  try {
+    const parsed = JSON.parse(data) as Partial<PublishRecord>;
+    const valid =
+      parsed.kind === 'publish' &&
+      typeof parsed.document === 'string' &&
+      configurationDocuments.isDocumentName(parsed.document) &&
+      Number.isInteger(parsed.baseVersion) &&
+      typeof parsed.content === 'string' &&
+      typeof parsed.publication === 'string';
+    return valid ? (parsed as PublishRecord) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/contracts/configuration_publications.ts
@@ -0,0 +1,235 @@
+import * as configurationDocuments from './configuration_documents.js';
+import * as effects from './effect.js';
+import * as result from '../result.js';
+import type * as clock from '../machines/clock.js';
+import type * as configurationHistory from './configuration_history.js';
+import type * as event from './event.js';
+
+/** Time after which an operator is told that the outcome is unknown. */
+export const PUBLICATION_LIMIT_MS = 10_000;
+
+/** Longest identity of a publication. */
+const PUBLICATION_LENGTH_LIMIT = 100;
+
+/**
+ * Where a publication stands: waiting for a read that allows a judgement,
+ * waiting for its append, or appended and not seen in the stream yet.
+ */
+type Stage = 'unchecked' | 'unsent' | 'sent';
+
+interface Publication {
+  readonly record: configurationHistory.PublishRecord;
+  readonly arrivedAt: clock.Milliseconds;
+  readonly calls: Set<event.CallNumber>;
+  stage: Stage;
+}
+
+/** A publication that no read has allowed to judge yet. */
+export interface Unchecked {
+  readonly record: configurationHistory.PublishRecord;
+  readonly arrivedAt: clock.Milliseconds;
+}
+
+/** The publications that operators wait for at this process. */
+export class ConfigurationPublications {
+  private readonly open = new Map<string, Publication>();
+
+  /** Adds a publication, or a further call that waits for a known one. */
+  add(
+    call: event.CallNumber,
+    record: configurationHistory.PublishRecord,
+    now: clock.Milliseconds,
+  ): void {
+    const known = this.open.get(record.publication);
+    if (known !== undefined) {
+      known.calls.add(call);
+      return;
+    }
+    this.open.set(record.publication, {
+      record,
+      arrivedAt: now,
+      calls: new Set([call]),
+      stage: 'unchecked',
+    });
+  }
+
+  /** The record that an open publication asks to append. */
+  record(publication: string): configurationHistory.PublishRecord | undefined {
+    return this.open.get(publication)?.record;
+  }
+
+  /** Publications that still have to be judged before an append. */
+  unchecked(): ReadonlyArray<Unchecked> {
+    return [...this.open.values()].filter(item => item.stage === 'unchecked');
+  }
+
+  /** Lets a publication be appended. */
+  approve(publication: string): void {
+    const known = this.open.get(publication);
+    if (known !== undefined) known.stage = 'unsent';
+  }
+
+  /** Whether a record waits for its append. */
+  hasUnsent(): boolean {
+    return [...this.open.values()].some(item => item.stage === 'unsent');
+  }
+
+  /** Returns the records to append now. */
+  takeUnsent(): ReadonlyArray<configurationHistory.PublishRecord> {
+    const taken = [...this.open.values()].filter(
+      item => item.stage === 'unsent',
+    );
+    for (const item of taken) item.stage = 'sent';
+    return taken.map(item => item.record);
+  }
+
+  /**
+   * Lets the records of a lost append be sent again. They keep their
+   * identities, so readers drop the second copy.
+   */
+  sendAgain(): void {
+    for (const item of this.open.values()) {
+      if (item.stage === 'sent') item.stage = 'unsent';
+    }
+  }
+
+  /** Answers every publication whose outcome the stream has shown. */
+  resolve(
+    outcomeOf: (
+      publication: string,
+    ) => configurationHistory.PublicationOutcome | undefined,
+  ): ReadonlyArray<effects.Effect> {
+    return [...this.open.keys()].flatMap(publication => {
+      const outcome = outcomeOf(publication);
+      return outcome === undefined ? [] : this.finish(publication, outcome);
+    });
+  }
+
+  /** Refuses an open publication. */
+  refuse(
+    publication: string,
+    refusal: result.Failure,
+  ): ReadonlyArray<effects.Effect> {
+    const known = this.open.get(publication);
+    this.open.delete(publication);
+    return [...(known?.calls ?? [])].flatMap(call =>
+      refusalEffects(call, refusal),
+    );
+  }
+
+  /** Answers publications for which the log showed nothing in time. */
+  expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    return [...this.open.values()]
+      .filter(item => now >= item.arrivedAt + PUBLICATION_LIMIT_MS)
+      .flatMap(item => this.refuse(item.record.publication, expiry(item)));
+  }
+
+  /** When `expire` has something to do next. */
+  nextDeadline(): clock.Milliseconds {
+    let earliest = Infinity;
+    for (const item of this.open.values()) {
+      earliest = Math.min(earliest, item.arrivedAt + PUBLICATION_LIMIT_MS);
+    }
+    return earliest;
+  }
+
+  private finish(
+    publication: string,
+    outcome: configurationHistory.PublicationOutcome,
+  ): ReadonlyArray<effects.Effect> {
+    const known = this.open.get(publication);
+    this.open.delete(publication);
+    return [...(known?.calls ?? [])].flatMap(call =>
+      outcomeEffects(call, outcome),
+    );
+  }
+}
+
+/** Answers a call with what became of its publication. */
+export function outcomeEffects(
+  call: event.CallNumber,
+  outcome: configurationHistory.PublicationOutcome,
+): ReadonlyArray<effects.Effect> {
+  switch (outcome.outcome) {
+    case 'accepted':
+      return [
+        effects.count('publication', {outcome: 'accepted'}),
+        {
+          kind: 'answerCaller',
+          call,
+          reply: {
+            code: result.RESULT_CODES.ok.code,
+            version: outcome.version,
+            detail: `${outcome.document} is in force`,
+          },
+        },
+      ];
+    case 'conflict':
+      return refusalEffects(
+        call,
+        result.failure('versionConflict', outcome.detail),
+      );
+    case 'invalid':
+      return refusalEffects(
+        call,
+        result.failure('invalidDocument', outcome.detail),
+      );
+  }
+}
+
+/** Refuses a call and counts the reason. */
+export function refusalEffects(
+  call: event.CallNumber,
+  refusal: result.Failure,
+): ReadonlyArray<effects.Effect> {
+  return [
+    effects.count('refusal', {reason: refusal.result}),
+    {
+      kind: 'answerCaller',
+      call,
+      reply: {
+        code: result.RESULT_CODES[refusal.result].code,
+        detail: refusal.detail,
+      },
+    },
+  ];
+}
+
+/**
+ * Also covers a publication that was never appended here: an earlier try may
+ * have appended it through another process.
+ */
+function expiry(item: Publication): result.Failure {
+  return result.failure(
+    'publicationUnknown',
+    `publication: ${item.record.publication} was not shown by the log within ` +
+      `${PUBLICATION_LIMIT_MS} ms; publish again with the same identity`,
+  );
+}
+
+/** Names the first field of a publication that breaks a rule. */
+export function checkPublication(
+  call: Extract<event.Event, {readonly kind: 'publishArrived'}>,
+): result.Failure | undefined {
+  if (!configurationDocuments.isDocumentName(call.document)) {
+    return result.failure(
+      'unknownDocument',
+      `document: "${call.document}" must be fleet or team/ with a name`,
+    );
+  }
+  const {length} = call.publication;
+  if (length === 0 || length > PUBLICATION_LENGTH_LIMIT) {
+    return result.failure(
+      'invalidField',
+      `publication: "${call.publication}" must have 1 to ` +
+        `${PUBLICATION_LENGTH_LIMIT} characters`,
+    );
+  }
+  if (Number.isInteger(call.baseVersion) && call.baseVersion >= 0) {
+    return undefined;
+  }
+  return result.failure(
+    'invalidField',
+    `baseVersion: ${call.baseVersion} must be a whole number from 0`,
+  );
+}
--- /dev/null
+++ b/src/contracts/configuration_snapshot_schedule.ts
@@ -0,0 +1,86 @@
+import type * as clock from '../machines/clock.js';
+import type * as randomSource from '../machines/random_source.js';
+import type * as streamReplica from './stream_replica.js';
+
+/**
+ * Parts of the retention time between a snapshot and the next. With the
+ * random part added it stays under the half that a reader relies on.
+ */
+const REPEAT_PART = 1 / 4;
+
+/**
+ * Part of the retention time before the first snapshot of a new process; it
+ * is shorter because the age of the records found at the start is unknown.
+ */
+const FIRST_PART = 1 / 8;
+
+/** Part of the retention time over which processes spread their snapshots. */
+const SPREAD_PART = 1 / 8;
+
+/** Steps of the random part. */
+const SPREAD_STEPS = 1_000;
+
+/** Time for a snapshot to be seen in the stream before it is sent again. */
+const RESEND_MS = 60_000;
+
+/** Age of the position that a snapshot of another process has to include. */
+const LAG_LIMIT_MS = 60_000;
+
+interface Sample {
+  readonly at: clock.Milliseconds;
+  readonly position: number;
+}
+
+/**
+ * Decides when this process appends a snapshot: before the records it stands
+ * for expire, and not when another process has just done so.
+ */
+export class SnapshotSchedule {
+  private due = Infinity;
+  private seen = -1;
+  private older: Sample = {at: -Infinity, position: 0};
+  private newer: Sample = {at: -Infinity, position: 0};
+
+  constructor(
+    private readonly retentionMs: clock.Milliseconds,
+    private readonly random?: randomSource.RandomSource,
+  ) {}
+
+  /** Takes note of how far the stream was read at `now`. */
+  observe(replica: streamReplica.StreamReplica, now: clock.Milliseconds): void {
+    if (this.due === Infinity) this.due = now + this.after(FIRST_PART);
+    else if (this.isRecent(replica)) this.due = now + this.after(REPEAT_PART);
+    this.seen = replica.lastSnapshot;
+    if (now - this.newer.at < LAG_LIMIT_MS) return;
+    this.older = this.newer;
+    this.newer = {at: now, position: replica.position};
+  }
+
+  /** Whether a snapshot is to be appended; one of no records never is. */
+  isDue(
+    replica: streamReplica.StreamReplica,
+    now: clock.Milliseconds,
+  ): boolean {
+    return now >= this.due && replica.isComplete && replica.position > 0;
+  }
+
+  /** Takes note that a snapshot was sent; its acknowledgement may be lost. */
+  sent(now: clock.Milliseconds): void {
+    this.due = now + RESEND_MS;
+  }
+
+  /**
+   * Whether a new snapshot includes all but the latest records. One written
+   * by a lagging process does not, and must not delay the next one.
+   */
+  private isRecent(replica: streamReplica.StreamReplica): boolean {
+    if (replica.lastSnapshot === this.seen) return false;
+    return replica.lastSnapshotThrough + 1 >= this.older.position;
+  }
+
+  private after(part: number): clock.Milliseconds {
+    const step = this.random?.below(SPREAD_STEPS) ?? 0;
+    const spread = (step / SPREAD_STEPS) * SPREAD_PART;
+    return this.retentionMs * (part + spread);
+  }
+}
--- a/src/contracts/stream_replica.ts
+++ b/src/contracts/stream_replica.ts
@@ -6,7 +6,10 @@
   apply(record: event.StreamRecord): void;
   /** Returns the whole state as text. */
   snapshot(): string;
-  /** Replaces the whole state by one that `snapshot` returned. */
+  /**
+   * Replaces the whole state by one that `snapshot` returned. Throws, and
+   * changes nothing, when the text is not such a state.
+   */
   restore(snapshot: string): void;
 }
 
@@ -35,6 +38,9 @@
 export class StreamReplica {
   private nextOffset = 0;
   private snapshotOffset = -1;
+  private snapshotThrough = -1;
+  /** Offset of the last record that the state includes. */
+  private appliedThrough = -1;
   /** Whether the state includes every record before `nextOffset`. */
   private complete = true;
   /** Records read since a gap, kept until a snapshot bridges it. */
@@ -53,6 +59,16 @@
     return this.snapshotOffset;
   }
 
+  /** Offset through which the last snapshot seen carries the state. */
+  get lastSnapshotThrough(): number {
+    return this.snapshotThrough;
+  }
+
+  /** Whether the state includes every record before `position`. */
+  get isComplete(): boolean {
+    return this.complete;
+  }
+
   /** Applies what a read returned; repeated records change nothing. */
   accept(
     read: Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
@@ -70,11 +86,14 @@
     }
   }
 
-  /** Builds the snapshot of the state as it stands. */
+  /**
+   * Builds the snapshot of the state as it stands. During a gap it names the
+   * last record before the gap, because the state holds nothing later.
+   */
   buildSnapshot(): SnapshotRecord {
     return {
       kind: 'snapshot',
-      through: this.nextOffset - 1,
+      through: this.appliedThrough,
       state: this.state.snapshot(),
     };
   }
@@ -89,9 +108,13 @@
   private acceptNext(record: event.StreamRecord): void {
     this.nextOffset = record.offset + 1;
     const snapshot = readSnapshot(record);
-    if (snapshot !== undefined) this.snapshotOffset = record.offset;
+    if (snapshot !== undefined) {
+      this.snapshotOffset = record.offset;
+      this.snapshotThrough = snapshot.through;
+    }
     if (!this.complete) this.acceptAfterGap(record, snapshot);
     else if (snapshot === undefined) this.state.apply(record);
+    if (this.complete) this.appliedThrough = record.offset;
   }
 
   private acceptAfterGap(
@@ -103,20 +126,35 @@
       return;
     }
     if (snapshot.through + 1 < this.pendingStart) return;
-    this.state.restore(snapshot.state);
+    if (!this.restore(snapshot.state)) return;
     for (const later of this.pending) {
       if (later.offset > snapshot.through) this.state.apply(later);
     }
     this.pending = [];
     this.complete = true;
   }
+
+  private restore(text: string): boolean {
+    try {
+      this.state.restore(text);
+      return true;
+    } catch {
+      return false;
+    }
+  }
 }
 
 function readSnapshot(record: event.StreamRecord): SnapshotRecord | undefined {
   try {
     const parsed = JSON.parse(record.data) as Partial<SnapshotRecord>;
     if (parsed.kind !== 'snapshot') return undefined;
-    if (typeof parsed.through !== 'number') return undefined;
+    // A snapshot cannot include records that follow it; one that says so
+    // would hide them from a reader that uses it.
+    const {through} = parsed;
+    if (!Number.isInteger(through)) return undefined;
+    if (Number(through) < -1 || Number(through) >= record.offset) {
+      return undefined;
+    }
     if (typeof parsed.state !== 'string') return undefined;
     return parsed as SnapshotRecord;
   } catch {
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -20,6 +20,8 @@
   readonly self: zoneControl.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
+  /** Retention and append interval of the log. */
+  readonly logTerms?: configurationKeeper.KeeperOptions;
 }
 
 type CallOf<Kind extends event.CallEvent['kind']> = Extract<
@@ -42,7 +44,10 @@
 
   constructor(private readonly parts: EntryVmParts) {
     this.zone = new zoneControl.ZoneControl(parts.self, this.workers);
-    this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader);
+    this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
+      random: parts.random,
+      ...parts.logTerms,
+    });
     this.scheduler = new scheduler.Scheduler(this.workers, {
       mayPlace: (name, now) => this.zone.permitEnd(name) > now,
     });
--- /dev/null
+++ b/test/contracts/configuration_keeper_property_test.ts
@@ -0,0 +1,295 @@
+import * as assert from 'node:assert/strict';
+import * as fastCheck from 'fast-check';
+import * as nodeTest from 'node:test';
+import * as configurationCell from '../support/configuration_cell.js';
+import type * as event from '../../src/contracts/event.js';
+
+const SEED = 20261204;
+const RUNS = 600;
+
+type Action =
+  | {readonly kind: 'time'; readonly keeper: number; readonly ms: number}
+  | {
+      readonly kind: 'serve';
+      readonly keeper: number;
+      readonly position: number;
+      readonly lost: boolean;
+      readonly limit: number;
+    }
+  | {
+      readonly kind: 'arrive';
+      readonly keeper: number;
+      readonly position: number;
+      readonly keep: boolean;
+    }
+  | {
+      readonly kind: 'publish';
+      readonly keeper: number;
+      readonly document: string;
+      readonly behind: number;
+    }
+  | {readonly kind: 'repeat'; readonly keeper: number; readonly which: number}
+  | {readonly kind: 'peer'; readonly from: number; readonly to: number}
+  | {readonly kind: 'trim'; readonly first: number}
+  | {readonly kind: 'snapshot'; readonly lag: number}
+  | {readonly kind: 'replace'; readonly keeper: number};
+
+const keeperNumber = fastCheck.nat({max: 1});
+
+const action: fastCheck.Arbitrary<Action> = fastCheck.oneof(
+  {
+    weight: 4,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('time' as const),
+      keeper: keeperNumber,
+      ms: fastCheck.constantFrom(1, 1_000, 3_000, 70_000, 260_000),
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('serve' as const),
+      keeper: keeperNumber,
+      position: fastCheck.nat({max: 5}),
+      lost: fastCheck.boolean(),
+      limit: fastCheck.constantFrom(1, 3, 500),
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('arrive' as const),
+      keeper: keeperNumber,
+      position: fastCheck.nat({max: 5}),
+      keep: fastCheck.boolean(),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('publish' as const),
+      keeper: keeperNumber,
+      document: fastCheck.constantFrom('fleet', 'team/a', 'team/b'),
+      behind: fastCheck.constantFrom(0, 0, 0, 1),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('repeat' as const),
+      keeper: keeperNumber,
+      which: fastCheck.nat({max: 30}),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('peer' as const),
+      from: keeperNumber,
+      to: keeperNumber,
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('snapshot' as const),
+      lag: fastCheck.nat({max: 6}),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('trim' as const),
+      first: fastCheck.nat({max: 60}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('replace' as const),
+      keeper: keeperNumber,
+    }),
+  },
+);
+
+type Publish = Extract<event.Event, {readonly kind: 'publishArrived'}>;
+
+/** Two keepers on one log, driven by a list of actions. */
+class Run {
+  readonly log = new configurationCell.TrimmedLog();
+  readonly keepers = [
+    new configurationCell.KeeperUnderTest(this.log),
+    new configurationCell.KeeperUnderTest(this.log),
+  ];
+  readonly published: Publish[] = [];
+  private readonly calls = new Map<number, Publish>();
+  private now = 0;
+  private nextCall = 1;
+
+  perform(done: Action): void {
+    const before = this.keepers.map(keeper => keeper.versions());
+    this.act(done);
+    if (done.kind === 'replace') return;
+    this.keepers.forEach((keeper, index) => {
+      for (const [document, version] of before[index]) {
+        const after = keeper.versions().get(document) ?? 0;
+        assert.ok(after >= version, `${document} fell to ${after}`);
+      }
+    });
+  }
+
+  finish(): void {
+    for (const keeper of this.keepers) this.now = keeper.settle(this.now, 20);
+    for (const keeper of this.keepers) this.now = keeper.settle(this.now, 20);
+  }
+
+  /** Versions by a replay of the records that the log no longer shows. */
+  expectedVersions(): ReadonlyMap<string, number> {
+    return new Map(
+      [...this.winners().values()].map(win => [win.document, win.version]),
+    );
+  }
+
+  /** Publications that were answered with a result code. */
+  answeredWith(code: number): ReadonlyArray<Publish> {
+    return [...this.calls]
+      .filter(([call]) =>
+        this.keepers.some(keeper => keeper.replies.get(call)?.code === code),
+      )
+      .map(([, publish]) => publish);
+  }
+
+  /** Winning publications of the whole history, by identity. */
+  winners(): ReadonlyMap<string, {document: string; version: number}> {
+    const versions = new Map<string, number>();
+    const winners = new Map<string, {document: string; version: number}>();
+    for (const record of this.log.history) {
+      const parsed = JSON.parse(record.data) as Publish;
+      if ((parsed.kind as string) !== 'publish') continue;
+      const current = versions.get(parsed.document) ?? 0;
+      if (parsed.baseVersion !== current) continue;
+      const version = record.offset + 1;
+      versions.set(parsed.document, version);
+      winners.set(parsed.publication, {document: parsed.document, version});
+    }
+    return winners;
+  }
+
+  private act(done: Action): void {
+    switch (done.kind) {
+      case 'time':
+        this.now += done.ms;
+        this.keepers[done.keeper].handle({kind: 'timePassed'}, this.now);
+        return;
+      case 'serve':
+        this.keepers[done.keeper].serve(
+          done.position,
+          this.now,
+          done.lost,
+          done.limit,
+        );
+        return;
+      case 'arrive':
+        this.keepers[done.keeper].arrive(done.position, this.now, done.keep);
+        return;
+      case 'publish':
+        return this.publish(done.keeper, done.document, done.behind);
+      case 'repeat':
+        return this.repeat(done.keeper, done.which);
+      case 'peer':
+        return this.exchange(done.from, done.to);
+      case 'trim':
+        this.log.trimCovered(done.first);
+        return;
+      case 'snapshot':
+        this.log.appendSnapshot(done.lag);
+        return;
+      case 'replace':
+        this.keepers[done.keeper].replace();
+        return;
+    }
+  }
+
+  private publish(index: number, document: string, behind: number): void {
+    const keeper = this.keepers[index];
+    const current = keeper.versions().get(document) ?? 0;
+    const number = this.published.length;
+    const name = document.replace('team/', '');
+    this.send(index, {
+      kind: 'publishArrived',
+      call: 0,
+      document,
+      baseVersion: Math.max(0, current - behind),
+      content: document === 'fleet' ? `zone-${number}` : `${name} ${number}`,
+      publication: `publication-${number}`,
+    });
+  }
+
+  private repeat(index: number, which: number): void {
+    if (this.published.length === 0) return;
+    this.send(index, this.published[which % this.published.length]);
+  }
+
+  private send(index: number, publish: Publish): void {
+    const call = this.nextCall;
+    this.nextCall += 1;
+    this.published.push(publish);
+    this.calls.set(call, publish);
+    this.keepers[index].handle({...publish, call}, this.now);
+  }
+
+  private exchange(from: number, to: number): void {
+    const have = [...this.keepers[to].versions()].map(([name, version]) => ({
+      name,
+      version,
+    }));
+    const answered = this.keepers[from].handle(
+      {kind: 'fetchDocumentsArrived', call: 0, have},
+      this.now,
+    );
+    for (const answer of answered) {
+      if (answer.kind !== 'answerDocuments') continue;
+      const {documents} = answer;
+      this.keepers[to].handle({kind: 'documentsArrived', documents}, this.now);
+    }
+  }
+}
+
+nodeTest.describe('configuration under any order of events', () => {
+  nodeTest.test(
+    'keepers that read to the end agree, nothing accepted reverts, and one ' +
+      'of the publications from one base wins; guards against snapshots, ' +
+      'repeats and peers that bring an old version back',
+    () => {
+      fastCheck.assert(
+        fastCheck.property(
+          fastCheck.array(action, {minLength: 60, maxLength: 200, size: 'max'}),
+          actions => {
+            const run = new Run();
+            for (const done of actions) run.perform(done);
+            run.finish();
+            const expected = [...run.expectedVersions()].sort();
+            for (const keeper of run.keepers) {
+              assert.deepEqual([...keeper.versions()].sort(), expected);
+              assert.ok(
+                !keeper.counted.some(name => name.startsWith('invariant')),
+              );
+            }
+            const winners = run.winners();
+            const told = new Map<string, string>();
+            for (const win of run.answeredWith(0)) {
+              assert.ok(winners.has(win.publication));
+              const base = `${win.document} ${win.baseVersion}`;
+              assert.ok([undefined, win.publication].includes(told.get(base)));
+              told.set(base, win.publication);
+            }
+            for (const lost of run.answeredWith(6001)) {
+              assert.ok(!winners.has(lost.publication), 'a winner got 6001');
+            }
+          },
+        ),
+        {seed: SEED, numRuns: RUNS, includeErrorInReport: true},
+      );
+    },
+  );
+});
