--- a/src/contracts/configuration.ts
+++ b/src/contracts/configuration.ts
@@ -12,6 +12,8 @@
 /** A shape of worker that the operators run, and in which zones. */
 export interface WorkerShape {
   readonly capacity: resources.Resources;
+  /** Connections that one worker accepts. */
+  readonly connections?: number;
   readonly zones: ReadonlyArray<string>;
 }
 
--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -11,7 +11,7 @@
 export const TEAM_PREFIX = 'team/';
 
 /** Rule for names of teams, workloads, zones and regions. */
-export const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+export const NAME_PATTERN = /^[a-z][a-z0-9-]{0,31}$/;
 
 /** A document's content after reading. */
 export type ParsedDocument =
--- a/src/contracts/configuration_keeper.ts
+++ b/src/contracts/configuration_keeper.ts
@@ -253,7 +253,7 @@
       const version = next.versions.get(document) ?? 0;
       if (version >= before) continue;
       return [
-        effects.count('invariant_violated', {invariant: 'versionNeverFalls'}),
+        effects.count('invariant', {name: 'versionNeverFalls'}),
         effects.log('error', 'invariantViolated', {
           invariant: 'versionNeverFalls',
           document,
--- /dev/null
+++ b/src/links/toml_schema.ts
@@ -0,0 +1,274 @@
+import * as net from 'node:net';
+import * as toml from 'smol-toml';
+import * as configurationDocuments from '../contracts/configuration_documents.js';
+
+/** A value that breaks a rule. */
+export interface Fault {
+  /** Path of the key, such as `workloads[0].size.memory`. */
+  readonly field: string;
+  /** The value as JSON; `missing` when there is none. */
+  readonly value: string;
+  readonly rule: string;
+}
+
+/** Decides whether a value is allowed. */
+export interface ValueRule {
+  /** Completes the sentence "the value must be ...". */
+  readonly text: string;
+  /** Returns every fault of the value found at `field`. */
+  check(value: unknown, field: string): ReadonlyArray<Fault>;
+  /** Returns a checked value with defaults in place of missing keys. */
+  complete(value: unknown): unknown;
+}
+
+/** One key of a table. */
+export interface SchemaKey {
+  readonly key: string;
+  readonly rule: ValueRule;
+  /** Used when the key is missing; a key without a default is required. */
+  readonly default?: unknown;
+  readonly unit?: string;
+  readonly meaning: string;
+}
+
+/** Says on which line TOML could not be read, without the quoted lines. */
+export function describeSyntaxFault(syntax: Error): string {
+  const [first] = syntax.message.split('\n');
+  if (!(syntax instanceof toml.TomlError)) return first;
+  return `line ${syntax.line}, column ${syntax.column}: ${first}`;
+}
+
+/** Formats a fault as "field: value must be rule". */
+export function formatFault(fault: Fault): string {
+  return `${fault.field}: ${fault.value} must be ${fault.rule}`;
+}
+
+/** Longest value that a fault shows in full. */
+const SHOWN_LENGTH = 120;
+
+/** Builds the fault of a value that breaks `rule`. */
+export function fault(field: string, value: unknown, rule: string): Fault {
+  const text = value === undefined ? 'missing' : JSON.stringify(value);
+  const shown =
+    text.length > SHOWN_LENGTH ? `${text.slice(0, SHOWN_LENGTH)}...` : text;
+  return {field, value: shown, rule};
+}
+
+abstract class PlainRule implements ValueRule {
+  abstract readonly text: string;
+
+  check(value: unknown, field: string): ReadonlyArray<Fault> {
+    return this.allows(value) ? [] : [fault(field, value, this.text)];
+  }
+
+  complete(value: unknown): unknown {
+    return value;
+  }
+
+  protected abstract allows(value: unknown): boolean;
+}
+
+/** Text of a limited length without control characters. */
+export class TextRule extends PlainRule {
+  readonly text: string;
+
+  constructor(private readonly limit: number) {
+    super();
+    this.text = `text of 1 to ${limit} printable characters`;
+  }
+
+  protected allows(value: unknown): boolean {
+    if (typeof value !== 'string') return false;
+    if (value.length === 0 || value.length > this.limit) return false;
+    return /^[^\p{Cc}]+$/u.test(value);
+  }
+}
+
+/** A name of the configured world. */
+export class NameRule extends PlainRule {
+  readonly text =
+    'a name of at most 32 lower-case letters, digits and hyphens that ' +
+    'starts with a letter';
+
+  protected allows(value: unknown): boolean {
+    if (typeof value !== 'string') return false;
+    return configurationDocuments.NAME_PATTERN.test(value);
+  }
+}
+
+/** An IP number. */
+export class HostRule extends PlainRule {
+  readonly text = 'an IP number';
+
+  protected allows(value: unknown): boolean {
+    return typeof value === 'string' && net.isIP(value) !== 0;
+  }
+}
+
+/** An IP number with a port. */
+export class AddressRule extends PlainRule {
+  readonly text = 'an IP number and a port, as in 10.0.0.5:7000';
+
+  protected allows(value: unknown): boolean {
+    if (typeof value !== 'string') return false;
+    const match = /^(?:\[(.+)\]|([^:]+)):([0-9]{1,5})$/.exec(value);
+    if (match === null) return false;
+    const port = Number(match[3]);
+    return net.isIP(match[1] ?? match[2]) !== 0 && port > 0 && port < 65_536;
+  }
+}
+
+/** A whole number in a range, both ends included. */
+export class WholeRule extends PlainRule {
+  readonly text: string;
+
+  constructor(
+    private readonly minimum: number,
+    private readonly maximum: number,
+  ) {
+    super();
+    this.text = `a whole number from ${minimum} to ${maximum}`;
+  }
+
+  protected allows(value: unknown): boolean {
+    if (!Number.isInteger(value)) return false;
+    return Number(value) >= this.minimum && Number(value) <= this.maximum;
+  }
+}
+
+/** A number above a lower bound and up to a maximum. */
+export class NumberRule extends PlainRule {
+  readonly text: string;
+
+  constructor(
+    private readonly above: number,
+    private readonly maximum: number,
+  ) {
+    super();
+    this.text = `a number above ${above} and up to ${maximum}`;
+  }
+
+  protected allows(value: unknown): boolean {
+    if (typeof value !== 'number' || !Number.isFinite(value)) return false;
+    return value > this.above && value <= this.maximum;
+  }
+}
+
+/** true or false. */
+export class BooleanRule extends PlainRule {
+  readonly text = 'true or false';
+
+  protected allows(value: unknown): boolean {
+    return typeof value === 'boolean';
+  }
+}
+
+/** One of some words. */
+export class ChoiceRule extends PlainRule {
+  readonly text: string;
+
+  constructor(private readonly choices: ReadonlyArray<string>) {
+    super();
+    this.text = `one of ${choices.join(', ')}`;
+  }
+
+  protected allows(value: unknown): boolean {
+    return typeof value === 'string' && this.choices.includes(value);
+  }
+}
+
+/** A list in which every item obeys one rule. */
+export class ListRule implements ValueRule {
+  readonly text: string;
+
+  /** `identify` returns what must differ between the items. */
+  constructor(
+    readonly item: ValueRule,
+    private readonly minimum: number,
+    private readonly maximum: number,
+    private readonly identify: (value: unknown) => unknown = value => value,
+  ) {
+    this.text =
+      `a list of ${minimum} to ${maximum} different items, ` +
+      `each ${item.text}`;
+  }
+
+  check(value: unknown, field: string): ReadonlyArray<Fault> {
+    if (!Array.isArray(value)) return [fault(field, value, this.text)];
+    const items = value as ReadonlyArray<unknown>;
+    const faults = items.flatMap((item, position) =>
+      this.item.check(item, `${field}[${position}]`),
+    );
+    if (items.length < this.minimum || items.length > this.maximum) {
+      const counted = `${items.length} items`;
+      const rule = `a list of ${this.minimum} to ${this.maximum} items`;
+      faults.unshift({field, value: counted, rule});
+    }
+    return [...faults, ...this.repeated(items, field)];
+  }
+
+  complete(value: unknown): unknown {
+    const items = value as ReadonlyArray<unknown>;
+    return items.map(item => this.item.complete(item));
+  }
+
+  private repeated(
+    items: ReadonlyArray<unknown>,
+    field: string,
+  ): ReadonlyArray<Fault> {
+    const seen = new Set<unknown>();
+    return items.flatMap((item, position) => {
+      const identity = this.identify(item);
+      if (identity === undefined) return [];
+      if (!seen.has(identity)) {
+        seen.add(identity);
+        return [];
+      }
+      const rule = 'different from the items before it';
+      return [fault(`${field}[${position}]`, identity, rule)];
+    });
+  }
+}
+
+/** A table with known keys. */
+export class TableRule implements ValueRule {
+  readonly text: string;
+
+  constructor(readonly keys: ReadonlyArray<SchemaKey>) {
+    this.text = `a table with ${keys.map(item => item.key).join(', ')}`;
+  }
+
+  check(value: unknown, field: string): ReadonlyArray<Fault> {
+    if (!isTable(value)) return [fault(field, value, this.text)];
+    const prefix = field === '' ? '' : `${field}.`;
+    const known = this.keys.flatMap(item => {
+      const present = value[item.key];
+      if (present === undefined && item.default !== undefined) return [];
+      return item.rule.check(present, `${prefix}${item.key}`);
+    });
+    const names = this.keys.map(item => item.key);
+    const unknown = Object.keys(value)
+      .filter(key => !names.includes(key))
+      .map(key => fault(`${prefix}${key}`, value[key], unknownRule(names)));
+    return [...known, ...unknown];
+  }
+
+  complete(value: unknown): unknown {
+    const table = value as Readonly<Record<string, unknown>>;
+    return Object.fromEntries(
+      this.keys.map(item => {
+        const present = table[item.key];
+        if (present === undefined) return [item.key, item.default];
+        return [item.key, item.rule.complete(present)];
+      }),
+    );
+  }
+}
+
+function unknownRule(names: ReadonlyArray<string>): string {
+  return `left out; the keys here are ${names.join(', ')}`;
+}
+
+function isTable(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -1,5 +1,6 @@
 import * as either from 'purify-ts/Either';
 import * as toml from 'smol-toml';
+import * as tomlSchema from '../links/toml_schema.js';
 
 /** Settings of one entry process. */
 export interface Settings {
@@ -13,41 +14,177 @@
   readonly peerPort: number;
   readonly log: string;
   readonly vmList: string;
+  readonly logRetentionMs: number;
+  readonly logStalenessMs: number;
+  readonly appendIntervalMs: number;
+  readonly metricsHost: string;
+  /** Port of the StatsD receiver; 0 sends nothing. */
+  readonly metricsPort: number;
+  readonly connectionsPerWorker: number;
+  readonly bodyLimitBytes: number;
+  readonly openCallLimit: number;
 }
 
 /** A fault in the settings, by key. */
 export interface SettingsFault {
   readonly key: string;
+  /** Line of the key; 0 when the key is missing. */
+  readonly line: number;
+  readonly value: string;
   readonly rule: string;
 }
 
-const TEXT_KEYS = ['vm', 'zone', 'region', 'host', 'log', 'vmList'] as const;
-const PORT_KEYS = ['callerPort', 'peerPort'] as const;
+/**
+ * Least retention of the log. Outcomes are answered for 1 h after the end of
+ * a request, and a snapshot has to be readable for half of the retention.
+ */
+const LEAST_RETENTION_MS = 7_200_001;
+
+/** Most retention that can be stated: a year. */
+const MOST_RETENTION_MS = 31_536_000_000;
+
+const name = new tomlSchema.NameRule();
+const host = new tomlSchema.HostRule();
+const address = new tomlSchema.AddressRule();
+const port = new tomlSchema.WholeRule(0, 65_535);
+
+/** Every key of the settings with its rule, default and unit. */
+export const SETTINGS_SCHEMA = new tomlSchema.TableRule([
+  {
+    key: 'vm',
+    rule: name,
+    meaning: 'Name of this VM, as in the VM list.',
+  },
+  {
+    key: 'zone',
+    rule: name,
+    meaning: 'Availability zone of this VM, as in the document `fleet`.',
+  },
+  {key: 'region', rule: name, meaning: 'Region of the zone.'},
+  {
+    key: 'host',
+    rule: host,
+    meaning: 'IP number on which callers and other entry processes connect.',
+  },
+  {
+    key: 'callerPort',
+    rule: port,
+    meaning: 'Port for callers; 0 lets the system choose.',
+  },
+  {
+    key: 'peerPort',
+    rule: port,
+    meaning: 'Port for other entry processes; 0 lets the system choose.',
+  },
+  {key: 'log', rule: address, meaning: "Address of the platform's log."},
+  {
+    key: 'vmList',
+    rule: address,
+    meaning: "Address of the platform's list of VMs.",
+  },
+  {
+    key: 'logRetentionMs',
+    rule: new tomlSchema.WholeRule(LEAST_RETENTION_MS, MOST_RETENTION_MS),
+    default: 86_400_000,
+    unit: 'ms',
+    meaning: 'How long the log keeps a record; longer than 2 h.',
+  },
+  {
+    key: 'logStalenessMs',
+    rule: new tomlSchema.WholeRule(0, 60_000),
+    default: 0,
+    unit: 'ms',
+    meaning: 'Lag of reads of the log; added to the wait after a claim.',
+  },
+  {
+    key: 'appendIntervalMs',
+    rule: new tomlSchema.WholeRule(0, 60_000),
+    default: 30,
+    unit: 'ms',
+    meaning:
+      'Least time between two appends of this process. Set it to the number ' +
+      'of entry processes of the cell times 1000/300, so that all together ' +
+      'stay under 300 appends a second; the default suits 9 processes.',
+  },
+  {
+    key: 'metricsHost',
+    rule: host,
+    default: '127.0.0.1',
+    meaning: 'IP number of the StatsD receiver.',
+  },
+  {
+    key: 'metricsPort',
+    rule: port,
+    default: 0,
+    meaning: 'Port of the StatsD receiver; 0 sends nothing.',
+  },
+  {
+    key: 'connectionsPerWorker',
+    rule: new tomlSchema.WholeRule(1, 1_000),
+    default: 20,
+    meaning:
+      'Connections that this process opens to one worker. A worker accepts ' +
+      'about 60 from all processes together.',
+  },
+  {
+    key: 'bodyLimitBytes',
+    rule: new tomlSchema.WholeRule(1_024, 67_108_864),
+    default: 1_048_576,
+    unit: 'bytes',
+    meaning: 'Largest body of a call; bounds the memory of one call.',
+  },
+  {
+    key: 'openCallLimit',
+    rule: new tomlSchema.WholeRule(1, 1_000_000),
+    default: 10_000,
+    meaning: 'Most calls that are open at once; bounds the memory of all.',
+  },
+]);
 
 /** Reads settings and returns every fault at once. */
 export function readSettings(
   text: string,
 ): either.Either<ReadonlyArray<SettingsFault>, Settings> {
   return either.Either.encase(() => toml.parse(text))
-    .mapLeft(fault => [{key: '', rule: fault.message}])
-    .chain(checkSettings);
+    .mapLeft(syntaxFault)
+    .chain(table => {
+      const faults = findFaults(table);
+      if (faults.length === 0) {
+        return either.Right(SETTINGS_SCHEMA.complete(table) as Settings);
+      }
+      return either.Left(faults.map(fault => locate(fault, text)));
+    });
 }
 
-function checkSettings(
-  table: toml.TomlTable,
-): either.Either<ReadonlyArray<SettingsFault>, Settings> {
-  const faults: SettingsFault[] = [];
-  for (const key of TEXT_KEYS) {
-    if (typeof table[key] !== 'string' || table[key] === '') {
-      faults.push({key, rule: 'must be a string that is not empty'});
-    }
-  }
-  for (const key of PORT_KEYS) {
-    const port = table[key];
-    const valid =
-      Number.isInteger(port) && Number(port) >= 0 && Number(port) < 65536;
-    if (!valid) faults.push({key, rule: 'must be a port from 0 to 65535'});
-  }
-  if (faults.length > 0) return either.Left(faults);
-  return either.Right(table as unknown as Settings);
+function syntaxFault(fault: Error): ReadonlyArray<SettingsFault> {
+  const line = fault instanceof toml.TomlError ? fault.line : 0;
+  const rule = tomlSchema.describeSyntaxFault(fault);
+  return [{key: '', line, value: '', rule}];
+}
+
+function findFaults(table: toml.TomlTable): ReadonlyArray<tomlSchema.Fault> {
+  const faults = SETTINGS_SCHEMA.check(table, '');
+  const {callerPort, peerPort} = table;
+  if (callerPort !== peerPort || !callerPort) return faults;
+  const rule = 'different from callerPort';
+  return [...faults, tomlSchema.fault('peerPort', peerPort, rule)];
+}
+
+function locate(fault: tomlSchema.Fault, text: string): SettingsFault {
+  const {field, value} = fault;
+  const line = findLine(field, text);
+  return {key: field, line, value, rule: `must be ${fault.rule}`};
+}
+
+/** Settings have no sub-tables, so a key stands at the start of its line. */
+function findLine(field: string, text: string): number {
+  const lines = text.split('\n');
+  return 1 + lines.findIndex(line => keyOfLine(line) === field);
+}
+
+function keyOfLine(line: string): string | undefined {
+  return /^\s*(?:"([^"]*)"|'([^']*)'|([\w-]+))\s*=/
+    .exec(line)
+    ?.slice(1)
+    .find(part => part !== undefined);
 }
--- /dev/null
+++ b/test/operations/settings_test.ts
@@ -0,0 +1,63 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as settings from '../../src/operations/settings.js';
+
+const VALID = `vm = "entry-1"
+zone = "kigali-a"
+region = "kigali"
+host = "10.0.0.1"
+callerPort = 7000
+peerPort = 7001
+log = "10.0.0.2:7100"
+vmList = "10.0.0.2:7200"
+`;
+
+function faultsOf(text: string): ReadonlyArray<settings.SettingsFault> {
+  return settings.readSettings(text).swap().orDefault([]);
+}
+
+nodeTest.describe('settings', () => {
+  nodeTest.test(
+    'missing optional keys get their defaults; guards against settings of an ' +
+      'earlier version that stop working',
+    () => {
+      const read = settings.readSettings(VALID).unsafeCoerce();
+      assert.equal(read.logRetentionMs, 86_400_000);
+      assert.equal(read.logStalenessMs, 0);
+      assert.equal(read.callerPort, 7000);
+    },
+  );
+
+  nodeTest.test(
+    'all faults are reported at once with line, key, value and rule; guards ' +
+      'against one correction per attempt',
+    () => {
+      const text =
+        VALID.replace('7000', '70000').replace('10.0.0.1', 'entry.example') +
+        'colour = "red"\nlogRetentionMs = 7200000\n';
+      const faults = faultsOf(text.replace('vm = "entry-1"\n', ''));
+      const shown = faults.map(({key, line, value}) => [key, line, value]);
+      assert.deepEqual(shown, [
+        ['vm', 0, 'missing'],
+        ['host', 3, '"entry.example"'],
+        ['callerPort', 4, '70000'],
+        ['logRetentionMs', 9, '7200000'],
+        ['colour', 8, '"red"'],
+      ]);
+      for (const fault of faults) assert.match(fault.rule, /^must be /);
+    },
+  );
+
+  nodeTest.test(
+    'a syntax fault names its line, and equal ports are refused; guards ' +
+      'against a process that fails only when it listens',
+    () => {
+      assert.equal(faultsOf(`${VALID}zone == 3\n`)[0].line, 9);
+      const faults = faultsOf(VALID.replace('7001', '7000'));
+      assert.deepEqual(
+        faults.map(fault => fault.key),
+        ['peerPort'],
+      );
+    },
+  );
+});
--- /dev/null
+++ b/test/support/configuration_page.ts
@@ -0,0 +1,32 @@
+import type * as tomlSchema from '../../src/links/toml_schema.js';
+
+/** Returns the row that docs/configuration.md holds for a key. */
+export function row(path: string, key: tomlSchema.SchemaKey): string {
+  const standard =
+    key.default === undefined
+      ? 'required'
+      : `\`${JSON.stringify(key.default)}\``;
+  return `| \`${path}\` | ${key.rule.text} | ${standard} | ${key.unit ?? ''} | ${key.meaning} |`;
+}
+
+/** Returns the rows of a table's keys, those of tables within it as well. */
+export function rows(
+  table: tomlSchema.TableRule,
+  prefix = '',
+): ReadonlyArray<string> {
+  return table.keys.flatMap(key => {
+    const path = `${prefix}${key.key}`;
+    const {rule} = key;
+    const inner = 'item' in rule ? rule.item : rule;
+    const suffix = 'item' in rule ? '[]' : '';
+    const nested =
+      inner !== undefined && isTable(inner)
+        ? rows(inner, `${path}${suffix}.`)
+        : [];
+    return [row(path, key), ...nested];
+  });
+}
+
+function isTable(rule: unknown): rule is tomlSchema.TableRule {
+  return typeof rule === 'object' && rule !== null && 'keys' in rule;
+}
