Add the questionnaire and the operators' and callers' commands

Cause: policy had to be written by hand, and an entry process could only be called with a general HTTP client.

Change: `questionnaire` derives the documents from an answers file, or from an interview that checks each typed answer, and names beside each value the answer from which it came.

--- /dev/null
+++ b/src/commands/cell_commands.ts
@@ -0,0 +1,83 @@
+import * as commandTypes from 'cmd-ts';
+import * as callArguments from './call_arguments.js';
+import * as commandReport from './command_report.js';
+import * as entryCommand from './entry_command.js';
+
+/** The command `status`: shows what one entry process knows. */
+export const status = commandTypes.command({
+  name: 'status',
+  description: 'Shows the members, workers, documents and queues of a process',
+  args: callArguments.callArguments,
+  examples: [
+    {
+      description: 'Show the status of one entry process',
+      command: 'parsleyknot status --entry 10.0.0.5:7000',
+    },
+  ],
+  handler: given => get(given, '/v1/status'),
+});
+
+/** The command `workloads`: lists the configured workloads. */
+export const workloads = commandTypes.command({
+  name: 'workloads',
+  description: 'Lists the workloads of the teams',
+  args: callArguments.callArguments,
+  examples: [
+    {
+      description: 'List the workloads as JSON',
+      command: 'parsleyknot workloads --entry 10.0.0.5:7000 --json',
+    },
+  ],
+  handler: given => get(given, '/v1/workloads'),
+});
+
+/** The command `drain`: empties a worker or an entry process. */
+export const drain = commandTypes.command({
+  name: 'drain',
+  description:
+    'Empties a worker, or without --worker the entry process itself, without ' +
+    'interrupting a request',
+  args: {
+    ...callArguments.callArguments,
+    worker: commandTypes.option({
+      long: 'worker',
+      type: commandTypes.optional(commandTypes.string),
+      description: 'Worker to drain; without it the entry process drains',
+    }),
+  },
+  examples: [
+    {
+      description: 'Drain a worker',
+      command: 'parsleyknot drain --entry 10.0.0.5:7000 --worker worker-12',
+    },
+  ],
+  handler: async given => {
+    const output = new commandReport.ProcessOutput();
+    const {worker, entries, json} = given;
+    if (worker === undefined && entries.length > 1) {
+      // A fallback to another process would drain that one as well.
+      const fault = '--entry: must be given once to drain an entry process';
+      commandReport.reportFaults(output, 'arguments', [fault], json);
+      return;
+    }
+    const body = JSON.stringify(worker === undefined ? {} : {worker});
+    await entryCommand.run(given, output, async caller => ({
+      reply: await caller.call(() => ({
+        method: 'POST',
+        path: '/v1/drain',
+        body,
+        headers: {'content-type': 'application/json'},
+      })),
+    }));
+  },
+});
+
+function get(given: callArguments.CallArguments, path: string): Promise<void> {
+  return entryCommand.run(
+    given,
+    new commandReport.ProcessOutput(),
+    async caller => ({
+      reply: await caller.call(() => ({method: 'GET', path})),
+    }),
+  );
+}
--- /dev/null
+++ b/src/commands/command_report.ts
@@ -0,0 +1,116 @@
+import * as result from '../result.js';
+import type * as effect from '../contracts/effect.js';
+
+/** Exit codes of the commands, by kind of result code. */
+export const EXIT_CODES = {
+  done: 0,
+  badInput: 2,
+  refused: 3,
+  unavailable: 4,
+  unknown: 5,
+  failed: 6,
+  configuration: 7,
+  pending: 8,
+} as const;
+
+/** A kind of `EXIT_CODES`. */
+export type ExitKind = keyof typeof EXIT_CODES;
+
+/** Exit kinds by the thousands of a result code. */
+const KINDS: ReadonlyArray<ExitKind> = [
+  'done',
+  'badInput',
+  'refused',
+  'unavailable',
+  'unknown',
+  'failed',
+  'configuration',
+];
+
+/** Returns the exit code for a reply; no reply counts as unavailable. */
+export function exitCodeOf(reply: effect.Reply | undefined): number {
+  if (reply === undefined) return EXIT_CODES.unavailable;
+  if (reply.code === result.RESULT_CODES.accepted.code) {
+    return EXIT_CODES.pending;
+  }
+  const kind = KINDS[Math.floor(reply.code / 1_000)] ?? 'failed';
+  return EXIT_CODES[kind];
+}
+
+/** Returns the row of a result code. */
+export function rowOf(code: number): result.ResultCode | undefined {
+  const rows: ReadonlyArray<result.ResultCode> = Object.values(
+    result.RESULT_CODES,
+  );
+  return rows.find(row => row.code === code);
+}
+
+/** Receives what a command prints. */
+export interface Output {
+  line(text: string): void;
+  exit(code: number): void;
+}
+
+/** Prints to the standard output and sets the exit code of this process. */
+export class ProcessOutput implements Output {
+  line(text: string): void {
+    process.stdout.write(`${text}\n`);
+  }
+
+  exit(code: number): void {
+    process.exitCode = code;
+  }
+}
+
+/** Prints a reply with further fields and sets the exit code. */
+export function reportReply(
+  output: Output,
+  reply: effect.Reply | undefined,
+  json: boolean,
+  further: Readonly<Record<string, string | number>> = {},
+): void {
+  output.exit(exitCodeOf(reply));
+  const shown = reply ?? {detail: 'no entry process answered in time'};
+  const fields = {...further, ...shown};
+  if (json) output.line(JSON.stringify(fields));
+  else for (const text of describe(fields)) output.line(text);
+}
+
+/** Prints the faults of a file and sets the exit code. */
+export function reportFaults(
+  output: Output,
+  file: string,
+  faults: ReadonlyArray<string>,
+  json: boolean,
+): void {
+  if (faults.length > 0) output.exit(EXIT_CODES.badInput);
+  if (json) {
+    output.line(JSON.stringify({file, faults}));
+    return;
+  }
+  if (faults.length === 0) output.line(`${file}: no faults`);
+  for (const fault of faults) output.line(`${file}: ${fault}`);
+}
+
+function describe(
+  fields: Readonly<Record<string, unknown>>,
+): ReadonlyArray<string> {
+  return Object.entries(fields).flatMap(([name, value]) => {
+    if (value === undefined || value === '') return [];
+    if (name === 'code') return [describeCode(Number(value))];
+    if (name === 'content') return [describeContent(value)];
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    return [`${name}: ${text}`];
+  });
+}
+
+function describeCode(code: number): string {
+  const row = rowOf(code);
+  if (row === undefined) return `result: ${code}`;
+  return `result: ${code} ${row.name}: ${row.meaning}`;
+}
+
+function describeContent(content: unknown): string {
+  if (typeof content === 'string') return content;
+  return JSON.stringify(content, undefined, 2);
+}
--- /dev/null
+++ b/src/commands/questionnaire.ts
@@ -0,0 +1,114 @@
+import * as commandTypes from 'cmd-ts';
+import * as either from 'purify-ts/Either';
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as readline from 'node:readline/promises';
+import * as toml from 'smol-toml';
+import * as answersSchema from '../links/answers_schema.js';
+import * as callArguments from './call_arguments.js';
+import * as commandReport from './command_report.js';
+import * as documentGenerator from '../links/document_generator.js';
+import * as inputFile from './input_file.js';
+import * as interviewer from './interviewer.js';
+
+type Generated = either.Either<
+  ReadonlyArray<string>,
+  ReadonlyArray<documentGenerator.GeneratedDocument>
+>;
+
+const optionalText = commandTypes.optional(commandTypes.string);
+
+/** The command `questionnaire`: generates documents from answers. */
+export const questionnaire = commandTypes.command({
+  name: 'questionnaire',
+  description:
+    'Generates the documents fleet and team/NAME from answers, which it asks ' +
+    'for when no file is given',
+  args: {
+    answers: commandTypes.option({
+      long: 'answers',
+      type: optionalText,
+      description: 'TOML file with the answers',
+    }),
+    save: commandTypes.option({
+      long: 'save',
+      type: optionalText,
+      description: 'File to which typed answers are written',
+    }),
+    out: commandTypes.option({
+      long: 'out',
+      type: optionalText,
+      description:
+        'Folder for one file a document; without it they are printed',
+    }),
+    json: callArguments.json,
+  },
+  examples: [
+    {
+      description: 'Generate the documents of a deployment',
+      command:
+        'parsleyknot questionnaire --answers deployments/go_stones/answers.toml ' +
+        '--out deployments/go_stones',
+    },
+  ],
+  handler: async ({answers, save, out, json}) => {
+    const output = new commandReport.ProcessOutput();
+    const generated =
+      answers === undefined ? await interview(save) : fromFile(answers);
+    generated.caseOf({
+      Left: faults =>
+        commandReport.reportFaults(output, answers ?? 'answers', faults, json),
+      Right: documents => deliver(output, documents, out, json),
+    });
+  },
+});
+
+function fromFile(file: string): Generated {
+  return inputFile
+    .read(file)
+    .mapLeft(fault => [fault])
+    .chain(documentGenerator.generateDocuments);
+}
+
+async function interview(save: string | undefined): Promise<Generated> {
+  // Questions go to the error output, so that documents can be redirected.
+  const terminal = readline.createInterface({
+    input: process.stdin,
+    output: process.stderr,
+  });
+  const prompter = {ask: (text: string) => terminal.question(text)};
+  const print = (text: string): void => {
+    process.stderr.write(`${text}\n`);
+  };
+  const raw = await new interviewer.Interviewer(prompter, print).askTable(
+    answersSchema.ANSWERS_SCHEMA,
+    '',
+  );
+  terminal.close();
+  if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
+  return documentGenerator.generateFromAnswers(raw);
+}
+
+function deliver(
+  output: commandReport.Output,
+  documents: ReadonlyArray<documentGenerator.GeneratedDocument>,
+  folder: string | undefined,
+  json: boolean,
+): void {
+  for (const document of documents) {
+    const file = folder === undefined ? undefined : writeFile(folder, document);
+    if (json) output.line(JSON.stringify({...document, file}));
+    else output.line(file ?? document.content);
+  }
+}
+
+/** Writes a document below the folder, under its name. */
+function writeFile(
+  folder: string,
+  document: documentGenerator.GeneratedDocument,
+): string {
+  const file = path.join(folder, `${document.name}.toml`);
+  fs.mkdirSync(path.dirname(file), {recursive: true});
+  fs.writeFileSync(file, document.content);
+  return file;
+}
--- /dev/null
+++ b/src/commands/submit.ts
@@ -0,0 +1,123 @@
+import * as commandTypes from 'cmd-ts';
+import * as either from 'purify-ts/Either';
+import * as callArguments from './call_arguments.js';
+import * as commandReport from './command_report.js';
+import * as entryCommand from './entry_command.js';
+import * as inputFile from './input_file.js';
+import * as patientCaller from './patient_caller.js';
+import * as result from '../result.js';
+import type * as effect from '../contracts/effect.js';
+
+interface Submission {
+  readonly team: string;
+  readonly workload: string;
+  readonly payload: string;
+  readonly startDeadlineMs?: number;
+}
+
+/** The command `submit`: sends a request and waits for its answer. */
+export const submit = commandTypes.command({
+  name: 'submit',
+  description:
+    'Reserves an identity, sends a request under it and waits for the end; ' +
+    'repeats are safe, because an identity runs at most once',
+  args: {
+    ...callArguments.callArguments,
+    team: commandTypes.option({
+      long: 'team',
+      type: commandTypes.string,
+      description: 'Team whose work it is',
+    }),
+    workload: commandTypes.option({
+      long: 'workload',
+      type: commandTypes.string,
+      description: 'Kind of work',
+    }),
+    payload: commandTypes.option({
+      long: 'payload',
+      type: commandTypes.string,
+      defaultValue: () => '',
+      description: 'Text that is passed to the tasks',
+    }),
+    payloadFile: commandTypes.option({
+      long: 'payload-file',
+      type: commandTypes.optional(commandTypes.string),
+      description: 'File whose text is passed to the tasks instead',
+    }),
+    startDeadlineMs: commandTypes.option({
+      long: 'start-deadline',
+      type: commandTypes.optional(commandTypes.number),
+      description: "Longest wait for a start in ms; overrides the workload's",
+    }),
+    identity: commandTypes.option({
+      long: 'identity',
+      type: commandTypes.optional(commandTypes.string),
+      description: 'Identity of an earlier try, to ask for its outcome',
+    }),
+  },
+  examples: [
+    {
+      description: 'Submit a polish order and wait for its answer',
+      command:
+        'parsleyknot submit --entry 10.0.0.5:7000 --client dispatch-service ' +
+        '--team dispatch --workload polish-order --payload order-17',
+    },
+  ],
+  handler: async given => {
+    const output = new commandReport.ProcessOutput();
+    await readPayload(given.payload, given.payloadFile).caseOf({
+      Left: async fault => {
+        const file = given.payloadFile ?? '';
+        commandReport.reportFaults(output, file, [fault], given.json);
+      },
+      Right: payload =>
+        entryCommand.run(given, output, caller => {
+          const {team, workload, startDeadlineMs, identity} = given;
+          const submission = {team, workload, payload, startDeadlineMs};
+          return send(caller, submission, identity);
+        }),
+    });
+  },
+});
+
+function readPayload(
+  text: string,
+  file: string | undefined,
+): either.Either<string, string> {
+  return file === undefined ? either.Right(text) : inputFile.read(file);
+}
+
+async function send(
+  caller: patientCaller.PatientCaller,
+  submission: Submission,
+  known: string | undefined,
+): Promise<entryCommand.Outcome> {
+  const identity = known ?? (await reserve(caller));
+  if (typeof identity !== 'string') return {reply: identity};
+  const path = `/v1/requests/${encodeURIComponent(identity)}`;
+  const body = JSON.stringify(submission);
+  const reply = await caller.call(
+    waitSeconds => ({
+      method: 'PUT',
+      path: `${path}?wait=${waitSeconds}`,
+      body,
+      headers: {'content-type': 'application/json'},
+    }),
+    {
+      code: result.RESULT_CODES.unknownOutcome.code,
+      detail: `repeat with --identity ${identity}`,
+    },
+  );
+  return {reply, further: {identity}};
+}
+
+/** Returns a new identity, or the reply that gives none. */
+async function reserve(
+  caller: patientCaller.PatientCaller,
+): Promise<string | effect.Reply | undefined> {
+  const reply = await caller.call(() => ({
+    method: 'POST',
+    path: '/v1/identities',
+  }));
+  return reply?.identities?.[0] ?? reply;
+}
--- /dev/null
+++ b/src/links/document_generator.ts
@@ -0,0 +1,60 @@
+import * as either from 'purify-ts/Either';
+import * as toml from 'smol-toml';
+import * as answersSchema from './answers_schema.js';
+import * as configurationDocuments from '../contracts/configuration_documents.js';
+import * as questionnaire from '../contracts/questionnaire.js';
+import * as tomlDocumentReader from './toml_document_reader.js';
+import * as tomlDocumentWriter from './toml_document_writer.js';
+import * as tomlSchema from './toml_schema.js';
+
+/** A document as it can be published. */
+export interface GeneratedDocument {
+  readonly name: string;
+  readonly content: string;
+}
+
+type Generated = either.Either<
+  ReadonlyArray<string>,
+  ReadonlyArray<GeneratedDocument>
+>;
+
+/** Generates the documents from a TOML file of answers, or names all faults. */
+export function generateDocuments(text: string): Generated {
+  return either.Either.encase(() => toml.parse(text))
+    .mapLeft(fault => [tomlSchema.describeSyntaxFault(fault)])
+    .chain(generateFromAnswers);
+}
+
+/** Generates the documents from answers that were not checked yet. */
+export function generateFromAnswers(raw: unknown): Generated {
+  const faults = answersSchema.ANSWERS_SCHEMA.check(raw, '');
+  if (faults.length > 0) return either.Left(faults.map(tomlSchema.formatFault));
+  const completed = answersSchema.ANSWERS_SCHEMA.complete(raw);
+  const answers = completed as questionnaire.Answers;
+  const contradictions = questionnaire.findContradictions(answers);
+  if (contradictions.length > 0) return either.Left(contradictions);
+  const documents = questionnaire.deriveDocuments(answers).map(document => ({
+    name: document.name,
+    content: tomlDocumentWriter.writeDocument(document, answers.operator),
+  }));
+  return checkGenerated(documents);
+}
+
+/** Checks the documents as a publication would, the fleet first. */
+function checkGenerated(
+  documents: ReadonlyArray<GeneratedDocument>,
+): Generated {
+  const set = new configurationDocuments.DocumentSet(
+    new tomlDocumentReader.TomlDocumentReader(),
+  );
+  const faults: string[] = [];
+  documents.forEach(({name, content}, position) => {
+    set
+      .check(name, content)
+      .ifLeft(fault => faults.push(`${name}: ${fault.detail}`))
+      .ifRight(parsed => {
+        set.put({name, version: position + 1, content}, parsed);
+      });
+  });
+  return faults.length > 0 ? either.Left(faults) : either.Right(documents);
+}
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -180,7 +180,7 @@
   },
   {
     key: 'share',
-    rule: new tomlSchema.NumberRule(0, 1_000),
+    rule: new tomlSchema.NumberRule(0.001, 1_000),
     default: 1,
     meaning: 'Weight among teams that compete for the same room.',
   },
--- a/src/links/toml_schema.ts
+++ b/src/links/toml_schema.ts
@@ -17,6 +17,8 @@
   readonly text: string;
   /** Returns every fault of the value found at `field`. */
   check(value: unknown, field: string): ReadonlyArray<Fault>;
+  /** Returns the value that a typed answer stands for, not checked yet. */
+  fromText(text: string): unknown;
   /** Returns a checked value with defaults in place of missing keys. */
   complete(value: unknown): unknown;
 }
@@ -61,6 +63,10 @@
     return this.allows(value) ? [] : [fault(field, value, this.text)];
   }
 
+  fromText(text: string): unknown {
+    return text;
+  }
+
   complete(value: unknown): unknown {
     return value;
   }
@@ -130,27 +136,35 @@
     this.text = `a whole number from ${minimum} to ${maximum}`;
   }
 
+  override fromText(text: string): unknown {
+    return text === '' ? undefined : Number(text);
+  }
+
   protected allows(value: unknown): boolean {
     if (!Number.isInteger(value)) return false;
     return Number(value) >= this.minimum && Number(value) <= this.maximum;
   }
 }
 
-/** A number above a lower bound and up to a maximum. */
+/** A number in a range, both ends included. */
 export class NumberRule extends PlainRule {
   readonly text: string;
 
   constructor(
-    private readonly above: number,
+    private readonly minimum: number,
     private readonly maximum: number,
   ) {
     super();
-    this.text = `a number above ${above} and up to ${maximum}`;
+    this.text = `a number from ${minimum} to ${maximum}`;
+  }
+
+  override fromText(text: string): unknown {
+    return text === '' ? undefined : Number(text);
   }
 
   protected allows(value: unknown): boolean {
     if (typeof value !== 'number' || !Number.isFinite(value)) return false;
-    return value > this.above && value <= this.maximum;
+    return value >= this.minimum && value <= this.maximum;
   }
 }
 
@@ -158,6 +172,11 @@
 export class BooleanRule extends PlainRule {
   readonly text = 'true or false';
 
+  override fromText(text: string): unknown {
+    if (['true', 'yes', 'y'].includes(text)) return true;
+    return ['false', 'no', 'n'].includes(text) ? false : text;
+  }
+
   protected allows(value: unknown): boolean {
     return typeof value === 'boolean';
   }
@@ -207,6 +226,11 @@
     return [...faults, ...this.repeated(items, field)];
   }
 
+  fromText(text: string): unknown {
+    if (text === '') return [];
+    return text.split(',').map(item => this.item.fromText(item.trim()));
+  }
+
   complete(value: unknown): unknown {
     const items = value as ReadonlyArray<unknown>;
     return items.map(item => this.item.complete(item));
@@ -253,6 +277,10 @@
     return [...known, ...unknown];
   }
 
+  fromText(text: string): unknown {
+    return text;
+  }
+
   complete(value: unknown): unknown {
     const table = value as Readonly<Record<string, unknown>>;
     return Object.fromEntries(
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,10 +1,27 @@
 import * as commandTypes from 'cmd-ts';
+import * as cellCommands from './commands/cell_commands.js';
+import * as check from './commands/check.js';
+import * as publish from './commands/publish.js';
+import * as questionnaire from './commands/questionnaire.js';
+import * as requestCommands from './commands/request_commands.js';
 import * as serve from './commands/serve.js';
+import * as submit from './commands/submit.js';
 
 const program = commandTypes.subcommands({
   name: 'parsleyknot',
   description: 'Schedules services, batch work and all-at-once jobs',
-  cmds: {serve: serve.serve},
+  cmds: {
+    serve: serve.serve,
+    check: check.check,
+    questionnaire: questionnaire.questionnaire,
+    publish: publish.publish,
+    status: cellCommands.status,
+    workloads: cellCommands.workloads,
+    submit: submit.submit,
+    explain: requestCommands.explain,
+    cancel: requestCommands.cancel,
+    drain: cellCommands.drain,
+  },
 });
 
 void commandTypes.run(program, process.argv.slice(2));
--- /dev/null
+++ b/test/commands/entry_commands_test.ts
@@ -0,0 +1,172 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as command from '../support/command.js';
+
+const TEAM_FILE = 'deployments/go_stones/team/dispatch.toml';
+const DOCUMENT_PATH = '/v1/configuration/team%2Fdispatch';
+
+async function withEntry(
+  answer: (call: command.SeenCall, earlier: number) => unknown,
+  check: (
+    entry: command.AnsweringEntry,
+    ...given: ReadonlyArray<string>
+  ) => Promise<void>,
+): Promise<void> {
+  const entry = new command.AnsweringEntry(answer);
+  try {
+    await check(entry, '--entry', await entry.listen(), '--json');
+  } finally {
+    entry.close();
+  }
+}
+
+function publish(
+  ...given: ReadonlyArray<string>
+): Promise<command.CommandResult> {
+  const document = ['--document', 'team/dispatch', TEAM_FILE];
+  return command.run('', 'publish', ...given, ...document);
+}
+
+nodeTest.describe('publish', () => {
+  nodeTest.test(
+    'it is based on the version in force and keeps its identity across ' +
+      'retries; guards against a second publication after a lost reply',
+    async () => {
+      await withEntry(
+        (call, earlier) => {
+          if (call.route.startsWith('GET')) return {code: 0, version: 41};
+          return earlier === 0 ? undefined : {code: 0, version: 42};
+        },
+        async (entry, ...given) => {
+          const result = await publish(...given);
+          assert.equal(result.exitCode, 0);
+          const puts = entry.seen.filter(
+            call => call.route === `PUT ${DOCUMENT_PATH}`,
+          );
+          const identities = puts.map(call => call.headers['x-publication']);
+          assert.equal(puts.length, 2);
+          assert.equal(new Set(identities).size, 1);
+          assert.equal(puts[1].headers['if-match'], '"41"');
+          assert.match(puts[1].body, /name = "dispatch"/);
+          const printed = JSON.parse(result.output) as Record<string, unknown>;
+          assert.equal(printed['publication'], identities[0]);
+          assert.equal(printed['version'], 42);
+        },
+      );
+    },
+  );
+
+  nodeTest.test(
+    'a refusal after a lost reply is reported as unknown; guards against ' +
+      'telling an operator that nothing was published',
+    async () => {
+      await withEntry(
+        (_call, earlier) =>
+          earlier === 0 ? undefined : {code: 3003, detail: 'log'},
+        async (_entry, ...given) => {
+          const result = await publish(...given, '--base=1', '--timeout=1');
+          assert.equal(JSON.parse(result.output).code, 6004);
+          assert.equal(result.exitCode, 7);
+        },
+      );
+    },
+  );
+
+  nodeTest.test(
+    'a conflict ends it with its own exit code; guards against publishing ' +
+      'over the change of another operator',
+    async () => {
+      await withEntry(
+        () => ({code: 6001, detail: 'baseVersion'}),
+        async (entry, ...given) => {
+          const result = await publish(...given, '--base=0');
+          assert.equal(result.exitCode, 7);
+          assert.equal(entry.seen.length, 1);
+        },
+      );
+    },
+  );
+});
+
+nodeTest.describe('submit', () => {
+  nodeTest.test(
+    'it reserves an identity and repeats only under it; guards against a ' +
+      'second run of work that is not idempotent',
+    async () => {
+      await withEntry(
+        (call, earlier) => {
+          if (call.route === 'POST /v1/identities') {
+            return {code: 0, identities: ['id-1']};
+          }
+          if (earlier === 0) return undefined;
+          if (earlier === 1) return {code: 1, state: 'running'};
+          return {code: 0, answer: 'polished'};
+        },
+        async (entry, ...given) => {
+          const work = ['--team', 'dispatch', '--workload', 'polish-order'];
+          const result = await command.run('', 'submit', ...given, ...work);
+          assert.equal(result.exitCode, 0);
+          assert.equal(JSON.parse(result.output).answer, 'polished');
+          const routes = entry.seen.map(call => call.route);
+          assert.deepEqual(routes, [
+            'POST /v1/identities',
+            'PUT /v1/requests/id-1',
+            'PUT /v1/requests/id-1',
+            'PUT /v1/requests/id-1',
+          ]);
+          assert.deepEqual(JSON.parse(entry.seen[1].body), {
+            team: 'dispatch',
+            workload: 'polish-order',
+            payload: '',
+          });
+        },
+      );
+    },
+  );
+});
+
+nodeTest.describe('other calls', () => {
+  nodeTest.test(
+    'each goes to its path and ends with the exit code of its result; ' +
+      'guards against scripts that take a refusal for success',
+    async () => {
+      const cases: ReadonlyArray<
+        readonly [ReadonlyArray<string>, string, number, number]
+      > = [
+        [['status'], 'GET /v1/status', 0, 0],
+        [['workloads'], 'GET /v1/workloads', 0, 0],
+        [['explain', 'id-1'], 'GET /v1/explain/id-1', 1008, 2],
+        [['cancel', 'id-1'], 'DELETE /v1/requests/id-1', 2006, 3],
+        [['drain', '--worker', 'w'], 'POST /v1/drain', 5001, 6],
+      ];
+      for (const [words, route, code, exitCode] of cases) {
+        await withEntry(
+          () => ({code}),
+          async (entry, ...given) => {
+            const result = await command.run('', ...words, ...given);
+            assert.equal(result.exitCode, exitCode, words[0]);
+            assert.equal(entry.seen[0].route, route);
+          },
+        );
+      }
+    },
+  );
+
+  nodeTest.test(
+    'the next entry process is asked when one cannot be reached, and none ' +
+      'has its own exit code; guards against one dead process that stops ' +
+      'an operator',
+    async () => {
+      await withEntry(
+        () => ({code: 0}),
+        async (_entry, ...given) => {
+          const dead = ['status', '--entry', '127.0.0.1:9'];
+          const reached = await command.run('', ...dead, ...given);
+          assert.equal(reached.exitCode, 0);
+          const none = await command.run('', ...dead, '--timeout=0');
+          assert.equal(none.exitCode, 4);
+        },
+      );
+    },
+  );
+});
--- a/test/links/toml_document_reader_test.ts
+++ b/test/links/toml_document_reader_test.ts
@@ -78,7 +78,7 @@
         assert.ok(fields.includes(field), `${field} in ${fields.join(', ')}`);
       }
       assert.ok(
-        faults.includes('share: 0 must be a number above 0 and up to 1000'),
+        faults.includes('share: 0 must be a number from 0.001 to 1000'),
       );
     },
   );
--- /dev/null
+++ b/test/support/command.ts
@@ -0,0 +1,75 @@
+import * as childProcess from 'node:child_process';
+import * as http from 'node:http';
+
+/** What a command printed and how it ended. */
+export interface CommandResult {
+  readonly exitCode: number | null;
+  readonly output: string;
+}
+
+/** Runs the program with arguments and a text as its input. */
+export function run(
+  input: string,
+  ...given: ReadonlyArray<string>
+): Promise<CommandResult> {
+  return new Promise(resolve => {
+    const child = childProcess.spawn(
+      process.execPath,
+      ['build/src/main.js', ...given],
+      {stdio: ['pipe', 'pipe', 'ignore']},
+    );
+    let output = '';
+    child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    child.on('close', exitCode => resolve({exitCode, output}));
+    child.stdin.end(input);
+  });
+}
+
+/** A call that a command made. */
+export interface SeenCall {
+  readonly route: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** Answers calls in the place of an entry process. */
+export class AnsweringEntry {
+  readonly seen: SeenCall[] = [];
+  private readonly server: http.Server;
+
+  /** `answer` returns the reply, or undefined to close the connection. */
+  constructor(answer: (call: SeenCall, earlier: number) => unknown) {
+    this.server = http.createServer((incoming, response) => {
+      let body = '';
+      incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
+      incoming.on('end', () => {
+        const route = `${incoming.method} ${incoming.url?.split('?')[0]}`;
+        const call = {route, headers: incoming.headers, body};
+        const earlier = this.countOf(route);
+        this.seen.push(call);
+        const reply = answer(call, earlier);
+        if (reply === undefined) response.destroy();
+        else response.end(JSON.stringify(reply));
+      });
+    });
+  }
+
+  listen(): Promise<string> {
+    return new Promise(resolve => {
+      this.server.listen(0, '127.0.0.1', () => {
+        const address = this.server.address();
+        const port = typeof address === 'object' ? address?.port : 0;
+        resolve(`127.0.0.1:${port}`);
+      });
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private countOf(route: string): number {
+    return this.seen.filter(call => call.route === route).length;
+  }
+}
