List workloads and keep documents that one release cannot read

Change: ConfigurationKeeper answers workloadsArrived with the teams' workloads. A restored document that cannot be read keeps its version and stays unused. Each unusable version is reported once. At most 128 publications wait at a time, because each holds a whole document.

--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -96,6 +96,17 @@
     else this.teams.set(parsed.team.name, parsed.team);
   }
 
+  /**
+   * Puts a document that was accepted elsewhere. When this process cannot
+   * read it, its version counts nevertheless and its content stays unused.
+   */
+  putAccepted(document: event.Document): void {
+    this.documents.set(document.name, document);
+    this.read(document.name, document.content).ifRight(parsed => {
+      this.put(document, parsed);
+    });
+  }
+
   /** Forgets all documents. */
   clear(): void {
     this.documents.clear();
--- a/src/contracts/configuration_history.ts
+++ b/src/contracts/configuration_history.ts
@@ -91,16 +91,10 @@
 
   restore(snapshot: string): void {
     const state = JSON.parse(snapshot) as HistoryState;
-    const documents = state.documents.map(document => ({
-      document,
-      parsed: this.set
-        .read(document.name, document.content)
-        .mapLeft(fault => new Error(fault.detail))
-        .unsafeCoerce(),
-    }));
+    const documents = state.documents.map(document => ({...document}));
     const outcomes = state.publications.map(known => ({...known}));
     this.set.clear();
-    for (const {document, parsed} of documents) this.set.put(document, parsed);
+    for (const document of documents) this.set.putAccepted(document);
     this.outcomes.clear();
     for (const outcome of outcomes) this.remember(outcome);
   }
--- a/src/contracts/configuration_keeper.ts
+++ b/src/contracts/configuration_keeper.ts
@@ -51,6 +51,8 @@
   private readonly snapshots: snapshotSchedule.SnapshotSchedule;
   private readonly appendIntervalMs: clock.Milliseconds;
   private configuration: configuration.Configuration;
+  /** Versions that this process cannot read, so that each is reported once. */
+  private readonly unusable = new Map<string, number>();
   /** Whether the documents were complete once, from the log or a peer. */
   private loaded = false;
   private caughtUpAt = -Infinity;
@@ -115,6 +117,8 @@
         return this.publish(handled, now);
       case 'documentFetchArrived':
         return this.fetch(handled);
+      case 'workloadsArrived':
+        return this.listWorkloads(handled);
       case 'fetchDocumentsArrived':
         return this.answerPeer(handled);
       case 'documentsArrived':
@@ -215,7 +219,8 @@
     const newer = documents.filter(
       document =>
         configurationDocuments.isDocumentName(document.name) &&
-        document.version > this.inForce.version(document.name),
+        document.version > this.inForce.version(document.name) &&
+        document.version !== this.unusable.get(document.name),
     );
     if (newer.length === 0) return [];
     const done = newer.flatMap(document => this.take(document, source));
@@ -229,13 +234,14 @@
   ): ReadonlyArray<effects.Effect> {
     const fields = {document: document.name, version: document.version, source};
     return this.inForce.read(document.name, document.content).caseOf({
-      Left: fault => [
-        effects.count('document_refused', {source}),
-        effects.log('warn', 'documentRefused', {
-          ...fields,
-          detail: fault.detail,
-        }),
-      ],
+      Left: fault => {
+        this.unusable.set(document.name, document.version);
+        const {detail} = fault;
+        return [
+          effects.count('document_refused', {source}),
+          effects.log('warn', 'documentRefused', {...fields, detail}),
+        ];
+      },
       Right: parsed => {
         this.inForce.put(document, parsed);
         return [
@@ -284,6 +290,16 @@
     } as const;
     const reused = this.answerRepeat(call.call, record);
     if (reused !== undefined) return reused;
+    if (this.publications.isFull(publication)) {
+      return configurationPublications.refusalEffects(
+        call.call,
+        result.failure(
+          'publicationUnknown',
+          `publication: ${publication} was not taken, because too many wait ` +
+            'for the log; publish again with the same identity',
+        ),
+      );
+    }
     this.publications.add(call.call, record, now);
     const done = [...this.judgeWaiting(), ...this.append(now)];
     // A base that is not known here yet is judged after the next read.
@@ -342,7 +358,7 @@
     // Had an earlier append of this record won, the replay would know it.
     if (baseVersion < this.history.version(document)) return 'wrong';
     if (!this.loaded) return 'undecided';
-    const current = this.inForce.version(document);
+    const current = this.currentVersion(document);
     if (baseVersion === current) return 'right';
     // A lower base may have won by an earlier append that only a peer has
     // read; a higher one may come from a process that has read further.
@@ -350,10 +366,18 @@
     return baseVersion > current && fresh ? 'wrong' : 'undecided';
   }
 
+  /** The higher of what the stream and the peers have shown. */
+  private currentVersion(document: string): number {
+    return Math.max(
+      this.history.version(document),
+      this.inForce.version(document),
+    );
+  }
+
   private refuseBase(
     record: configurationHistory.PublishRecord,
   ): ReadonlyArray<effects.Effect> {
-    const current = this.inForce.version(record.document);
+    const current = this.currentVersion(record.document);
     const detail = configurationHistory.conflictDetail(record, current);
     return this.publications.refuse(
       record.publication,
@@ -436,6 +460,15 @@
     return configurationPublications.refusalEffects(call.call, refusal);
   }
 
+  private listWorkloads(
+    call: EventOf<'workloadsArrived'>,
+  ): ReadonlyArray<effects.Effect> {
+    const teams = [...this.configuration.teams.values()];
+    const content = teams.map(({name, workloads}) => ({team: name, workloads}));
+    const reply = {code: result.RESULT_CODES.ok.code, content};
+    return [{kind: 'answerCaller', call: call.call, reply}];
+  }
+
   private answerPeer(
     call: EventOf<'fetchDocumentsArrived'>,
   ): ReadonlyArray<effects.Effect> {
--- a/src/contracts/configuration_publications.ts
+++ b/src/contracts/configuration_publications.ts
@@ -8,6 +8,9 @@
 /** Time after which an operator is told that the outcome is unknown. */
 export const PUBLICATION_LIMIT_MS = 10_000;
 
+/** Most publications that wait at once; each holds a whole document. */
+const OPEN_LIMIT = 128;
+
 /** Longest identity of a publication. */
 const PUBLICATION_LENGTH_LIMIT = 100;
 
@@ -53,6 +56,11 @@
     });
   }
 
+  /** Whether no further publication can wait; a known one always can. */
+  isFull(publication: string): boolean {
+    return this.open.size >= OPEN_LIMIT && !this.open.has(publication);
+  }
+
   /** The record that an open publication asks to append. */
   record(publication: string): configurationHistory.PublishRecord | undefined {
     return this.open.get(publication)?.record;
--- a/test/contracts/configuration_keeper_test.ts
+++ b/test/contracts/configuration_keeper_test.ts
@@ -254,7 +254,46 @@
   );
 });
 
+nodeTest.describe('documents in force', () => {
+  nodeTest.test(
+    'their workloads are listed by team; guards against a call that nobody ' +
+      'answers',
+    () => {
+      const {keeper, now} = start();
+      keeper.handle(publish({}), now);
+      const later = keeper.settle(now);
+      keeper.handle({kind: 'workloadsArrived', call: 5}, later);
+      const content = [{team: 'a', workloads: []}];
+      assert.deepEqual(keeper.replies.get(5)?.content, content);
+    },
+  );
+});
+
 nodeTest.describe('retention', () => {
+  nodeTest.test(
+    'a snapshot with a document that cannot be read brings the others; ' +
+      'guards against a release with stricter rules that starts with nothing',
+    () => {
+      const {log, keeper} = start();
+      const documents = [
+        {name: 'team/a', version: 1, content: 'broken'},
+        {name: 'team/b', version: 2, content: 'b first'},
+      ];
+      const state = JSON.stringify({documents, publications: []});
+      log.append([
+        '1',
+        '2',
+        JSON.stringify({kind: 'snapshot', through: 1, state}),
+      ]);
+      log.trim(2);
+      keeper.replace();
+      keeper.settle(0);
+      assert.deepEqual([...keeper.versions()], [['team/b', 2]]);
+      const refused = keeper.counted.filter(item => item.includes('refused'));
+      assert.equal(refused.length, 1);
+    },
+  );
+
   nodeTest.test(
     'a snapshot is appended before half of the retention time; guards ' +
       'against documents that expire with their records',
