--- /dev/null
+++ b/src/commands/entry_process.ts
@@ -0,0 +1,162 @@
+import * as callNumbers from '../links/call_numbers.js';
+import * as callerServer from '../links/caller_server.js';
+import * as clock from '../machines/clock.js';
+import * as entryLinks from '../links/entry_links.js';
+import * as entryVm from '../machines/entry_vm.js';
+import * as gracefulShutdown from './graceful_shutdown.js';
+import * as httpCaller from '../links/http_caller.js';
+import * as logger from '../operations/logger.js';
+import * as loop from '../loop.js';
+import * as metrics from '../operations/metrics.js';
+import * as peerLink from '../links/peer_link.js';
+import * as peerServer from '../links/peer_server.js';
+import * as platformLink from '../links/platform_link.js';
+import * as randomSource from '../machines/random_source.js';
+import * as tomlDocumentReader from '../links/toml_document_reader.js';
+import * as workerLink from '../links/worker_link.js';
+import type * as connectionLimit from '../links/connection_limit.js';
+import type * as event from '../contracts/event.js';
+import type * as settings from '../operations/settings.js';
+
+// A worker has about 60 connections: 12 for short calls and 40 that wait for
+// answers leave some to a second owner and to the platform.
+const WORKER_CONNECTIONS = {least: 2, first: 4, greatest: 12};
+const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
+const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
+
+type Sink = metrics.StatsdMetrics | metrics.DroppedMetrics;
+
+/** One entry process: the decision core, its loop and its links. */
+export class EntryProcess {
+  private readonly clock = new clock.SystemClock();
+  private readonly numbers = new callNumbers.CallNumbers();
+  private readonly logs = new logger.Logger(line =>
+    process.stdout.write(`${line}\n`),
+  );
+  private readonly incarnation: string;
+  private readonly random = new randomSource.UnpredictableRandom();
+  private readonly metrics: Sink;
+  private readonly callers: callerServer.CallerServer;
+  private readonly peerServer: peerServer.PeerServer;
+  private readonly peers: peerLink.PeerLink;
+  private readonly httpCallers: httpCaller.HttpCaller[] = [];
+  private loop: loop.Loop | undefined;
+  private ending = false;
+
+  constructor(private readonly settings: settings.Settings) {
+    const suffix = this.random.hexadecimal(8);
+    this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
+    this.metrics = new metrics.DroppedMetrics();
+    this.callers = new callerServer.CallerServer({
+      numbers: this.numbers,
+      post: this.post,
+      metrics: this.metrics,
+    });
+    this.peerServer = new peerServer.PeerServer(
+      this.incarnation,
+      this.numbers,
+      this.post,
+    );
+    this.peers = new peerLink.PeerLink({
+      self: this.incarnation,
+      calls: this.callers,
+      post: this.post,
+      now: this.now,
+      metrics: this.metrics,
+    });
+  }
+
+  /** Listens to peers and callers and begins to decide. */
+  async start(): Promise<void> {
+    const {host, callerPort, peerPort} = this.settings;
+    // Other processes learn the address from the log, so it has to be known
+    // before the first decision.
+    const realPeerPort = await this.peerServer.listen(host, peerPort);
+    this.loop = new loop.Loop(
+      this.buildCore(`${host}:${realPeerPort}`),
+      this.buildLinks(),
+      this.clock,
+    );
+    const port = await this.callers.listen(host, callerPort);
+    this.loop.post({kind: 'timePassed'});
+    this.logs.log('info', 'serving', {
+      process: this.incarnation,
+      host,
+      port,
+      peerPort: realPeerPort,
+    });
+  }
+
+  /** Finishes what is in progress and ends the process. */
+  async end(): Promise<void> {
+    if (this.ending) return;
+    this.ending = true;
+    await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
+    await this.callers.close();
+    this.loop?.stop();
+    this.peers.close();
+    this.peerServer.close();
+    await Promise.all(this.httpCallers.map(caller => caller.close()));
+    await this.metrics.close();
+    process.exit(0);
+  }
+
+  private readonly post = (posted: event.Event): void => {
+    this.loop?.post(posted);
+  };
+
+  private readonly now = (): clock.Milliseconds => this.clock.now();
+
+  private buildCore(address: string): entryVm.EntryVm {
+    const {vm, zone, region} = this.settings;
+    return new entryVm.EntryVm({
+      self: {process: this.incarnation, vm, zone, region, address},
+      reader: new tomlDocumentReader.TomlDocumentReader(),
+      random: this.random,
+    });
+  }
+
+  private buildLinks(): entryLinks.EntryLinks {
+    const {post, now, metrics: sink} = this;
+    return new entryLinks.EntryLinks({
+      callers: this.callers,
+      workers: new workerLink.WorkerLink({
+        caller: this.buildCaller('worker', WORKER_CONNECTIONS, '/report'),
+        answerCaller: this.buildCaller('answer', ANSWER_CONNECTIONS, '/report'),
+        post,
+        now,
+        metrics: sink,
+      }),
+      platform: new platformLink.PlatformLink({
+        addresses: this.settings,
+        // Any answer shows that a connection works, so the path may be unknown.
+        caller: this.buildCaller('platform', PLATFORM_CONNECTIONS, '/'),
+        post,
+        now,
+        metrics: sink,
+      }),
+      peers: this.peers,
+      peerServer: this.peerServer,
+      metrics: sink,
+      logs: this.logs,
+    });
+  }
+
+  private buildCaller(
+    link: string,
+    connections: connectionLimit.LimitBounds,
+    probePath: string,
+  ): httpCaller.HttpCaller {
+    const caller = new httpCaller.HttpCaller({
+      connections,
+      probePath,
+      onSilent: address => {
+        const labels = {link, reason: 'deadline'};
+        this.metrics.count('silent_connection', labels, 1);
+        this.logs.log('warn', 'silentConnection', {...labels, address});
+      },
+    });
+    this.httpCallers.push(caller);
+    return caller;
+  }
+}
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -1,29 +1,71 @@
 import * as http from 'node:http';
+import * as callReader from './call_reader.js';
+import * as eventStream from './event_stream.js';
 import * as jsonBody from './json_body.js';
 import * as result from '../result.js';
+import * as shape from './shape.js';
+import type * as net from 'node:net';
+import type * as callNumbers from './call_numbers.js';
 import type * as effect from '../contracts/effect.js';
+import type * as entryLinks from './entry_links.js';
 import type * as event from '../contracts/event.js';
-import type * as request from '../contracts/request.js';
 
-/** Largest body of a call in bytes. */
-const BODY_LIMIT = 1_048_576;
+/** Time for the headers of a call to arrive. */
+const HEADERS_DEADLINE_MS = 10_000;
 
 /** Time for a body to arrive. */
 const BODY_DEADLINE_MS = 10_000;
 
-/** Longest wait that a caller may ask for, in seconds. */
-const LONGEST_WAIT_SECONDS = 300;
+/**
+ * Time for which one look at a request waits for its end while its events are
+ * streamed; other changes of state are seen this much later at most.
+ */
+const STREAM_INTERVAL_MS = 250;
+
+/** Time for the loop to answer a readiness check. */
+const READY_DEADLINE_MS = 1_000;
+
+/** Time between looks for connections that have become idle at the end. */
+const CLOSE_INTERVAL_MS = 20;
+
+/** Time after which connections without a call are closed at the end. */
+const IDLE_CLOSE_MS = 500;
+
+interface OpenCall {
+  readonly event: event.CallEvent;
+  /** Gets the reply. */
+  readonly answer: (reply: effect.Reply) => void;
+}
+
+/** What a caller server is made with. */
+export interface CallerServerParts {
+  readonly numbers: callNumbers.CallNumbers;
+  readonly post: (event: event.Event) => void;
+  readonly metrics: entryLinks.MetricsSink;
+  /** Time for a body to arrive; the default is `BODY_DEADLINE_MS`. */
+  readonly bodyDeadlineMs?: number;
+}
 
 /** HTTP front end for callers and operators. */
 export class CallerServer {
   private readonly server: http.Server;
-  private readonly open = new Map<event.CallNumber, http.ServerResponse>();
-  private nextCall = 1;
+  private readonly open = new Map<event.CallNumber, OpenCall>();
+  private draining = false;
+  /** Responses that are not sent completely. */
+  private unsent = 0;
 
-  constructor(private readonly post: (event: event.Event) => void) {
-    this.server = http.createServer((incoming, response) => {
-      void this.serve(incoming, response);
-    });
+  constructor(private readonly parts: CallerServerParts) {
+    this.server = http.createServer(
+      {
+        headersTimeout: HEADERS_DEADLINE_MS,
+        // The body has a deadline of its own that answers with a code.
+        requestTimeout: 0,
+      },
+      (incoming, response) => void this.serve(incoming, response),
+    );
+    this.server.on('clientError', (fault: NodeJS.ErrnoException, socket) =>
+      this.refuseMalformed(fault, socket as net.Socket),
+    );
   }
 
   /** Listens and returns the port, which the system chooses for port 0. */
@@ -39,17 +81,59 @@
 
   /** Answers an open call; does nothing when its caller has gone. */
   answer(call: event.CallNumber, reply: effect.Reply): void {
-    const response = this.open.get(call);
-    if (response === undefined) return;
+    const known = this.open.get(call);
+    if (known === undefined) return;
     this.open.delete(call);
-    jsonBody.sendJson(response, httpStatus(reply.code), reply);
+    known.answer(reply);
+  }
+
+  /** Returns an open call as it was posted. */
+  openCall(call: event.CallNumber): event.CallEvent | undefined {
+    return this.open.get(call)?.event;
+  }
+
+  /** Calls of callers that are not answered completely. */
+  unansweredCount(): number {
+    return this.unsent;
+  }
+
+  /** Posts a call of this process itself and resolves with the reply. */
+  ask(
+    build: (call: event.CallNumber) => event.CallEvent,
+    deadlineMs: number,
+  ): Promise<effect.Reply | undefined> {
+    const call = this.parts.numbers.next();
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        this.end(call);
+        resolve(undefined);
+      }, deadlineMs);
+      this.postCall(build(call), reply => {
+        clearTimeout(timer);
+        resolve(reply);
+      });
+    });
+  }
+
+  /** Turns readiness off and asks callers to use other connections. */
+  beginDrain(): void {
+    this.draining = true;
   }
 
-  /** Takes no new calls and resolves when the open ones are answered. */
+  /** Takes no new connections and resolves when the open ones have ended. */
   close(): Promise<void> {
+    const started = performance.now();
     return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      const timer = setInterval(() => {
+        this.server.closeIdleConnections();
+        // A connection on which no call has begun does not count as idle.
+        const late = performance.now() - started >= IDLE_CLOSE_MS;
+        if (late && this.unsent === 0) this.server.closeAllConnections();
+      }, CLOSE_INTERVAL_MS);
+      this.server.close(() => {
+        clearInterval(timer);
+        resolve();
+      });
     });
   }
 
@@ -57,116 +141,219 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const url = new URL(incoming.url ?? '/', 'http://entry');
-    const client = String(incoming.headers['x-client'] ?? '');
+    this.unsent += 1;
+    response.once('close', () => (this.unsent -= 1));
+    if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
-      BODY_LIMIT,
-      BODY_DEADLINE_MS,
+      jsonBody.LARGEST_BODY_BYTES,
+      this.parts.bodyDeadlineMs ?? BODY_DEADLINE_MS,
     );
     if (body.kind !== 'body') {
-      const name = body.kind === 'tooLarge' ? 'bodyTooLarge' : 'bodyTooSlow';
-      sendFailure(response, result.failure(name, 'body'));
+      this.refuseBody(body.kind, response);
       return;
     }
-    const route = `${incoming.method} ${url.pathname}`;
-    const waitMs = readWait(url);
-    const call = this.register(response);
-    const arrived = this.translate(route, call, client, waitMs, body.text);
-    if ('result' in arrived) {
-      this.open.delete(call);
-      sendFailure(response, arrived);
-      return;
+    if (incoming.url === '/live') {
+      jsonBody.sendJson(response, 200, {live: true});
+    } else if (incoming.url === '/ready') {
+      await this.answerReady(response);
+    } else {
+      this.takeCall(incoming, response, body.text);
     }
-    this.post(arrived);
-  }
-
-  private register(response: http.ServerResponse): event.CallNumber {
-    const call = this.nextCall;
-    this.nextCall += 1;
-    this.open.set(call, response);
-    response.on('close', () => {
-      if (this.open.delete(call)) this.post({kind: 'callEnded', call});
-    });
-    return call;
   }
 
-  private translate(
-    route: string,
-    call: event.CallNumber,
-    client: string,
-    waitMs: number,
+  private takeCall(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
     body: string,
-  ): event.CallEvent | result.Failure {
-    if (route === 'POST /v1/identities') {
-      return {kind: 'identitiesArrived', call, client, count: 1};
-    }
-    if (route === 'GET /v1/status') return {kind: 'statusArrived', call};
-    if (route === 'POST /v1/requests') {
-      return readSubmission(body, submission => ({
-        kind: 'requestArrived',
+  ): void {
+    const call = this.parts.numbers.next();
+    const {headers} = incoming;
+    callReader
+      .readCall(
+        {
+          method: incoming.method ?? '',
+          target: incoming.url ?? '',
+          client: headerText(headers['x-client']),
+          ifMatch: headers['if-match'],
+          publication: headerText(headers['x-publication']),
+          body,
+        },
         call,
-        client,
-        submission,
-        waitMs,
-      }));
+      )
+      .caseOf({
+        Left: failure => this.refuse(response, failure),
+        Right: read => this.post(read, response),
+      });
+  }
+
+  private post(read: callReader.ReadCall, response: http.ServerResponse): void {
+    if (read.form === 'events') {
+      const stream = new eventStream.EventStream(response);
+      this.stream(stream, read.event, response);
+      return;
     }
-    const match = /^(PUT|GET|DELETE) \/v1\/requests\/([^/]+)$/.exec(route);
-    if (match === null) return result.failure('unknownPath', route);
-    const identity = decodeURIComponent(match[2]);
-    if (match[1] === 'GET') {
-      return {kind: 'fetchArrived', call, client, identity, waitMs};
+    response.once('close', () => this.end(read.event.call));
+    this.postCall(read.event, reply => {
+      this.noteDrain(read.event, reply);
+      if (read.form === 'rawAnswer') sendAnswer(response, reply);
+      else sendReply(response, reply);
+    });
+  }
+
+  /** Looks at a request again and again until it has ended. */
+  private stream(
+    stream: eventStream.EventStream,
+    first: event.CallEvent,
+    response: http.ServerResponse,
+  ): void {
+    if (first.kind !== 'fetchArrived') return;
+    let current = first.call;
+    response.once('close', () => this.end(current));
+    const look = (waitMs: number): void => {
+      this.postCall({...first, call: current, waitMs}, reply => {
+        if (response.destroyed) return;
+        if (!stream.started && reply.state === undefined) {
+          sendReply(response, reply);
+          return;
+        }
+        if (stream.take(reply)) return;
+        current = this.parts.numbers.next();
+        look(STREAM_INTERVAL_MS);
+      });
+    };
+    look(0);
+  }
+
+  private postCall(
+    posted: event.CallEvent,
+    answer: (reply: effect.Reply) => void,
+  ): void {
+    this.open.set(posted.call, {event: posted, answer});
+    this.parts.post(posted);
+  }
+
+  /** Ends a call whose caller has gone. */
+  private end(call: event.CallNumber): void {
+    if (this.open.delete(call)) this.parts.post({kind: 'callEnded', call});
+  }
+
+  private noteDrain(asked: event.CallEvent, reply: effect.Reply): void {
+    if (asked.kind !== 'drainArrived' || asked.worker !== undefined) return;
+    if (reply.code === result.RESULT_CODES.ok.code) this.beginDrain();
+  }
+
+  private async answerReady(response: http.ServerResponse): Promise<void> {
+    const reply = this.draining
+      ? undefined
+      : await this.ask(
+          call => ({kind: 'statusArrived', call}),
+          READY_DEADLINE_MS,
+        );
+    const ready = reply !== undefined && isReady(reply);
+    jsonBody.sendJson(response, ready ? 200 : 503, {ready});
+  }
+
+  private refuseBody(
+    fault: jsonBody.BodyFault,
+    response: http.ServerResponse,
+  ): void {
+    // What is left of the body cannot be told from a following call.
+    response.setHeader('connection', 'close');
+    if (fault === 'aborted') response.destroy();
+    else if (fault === 'tooLarge') {
+      this.refuse(
+        response,
+        result.failure(
+          'bodyTooLarge',
+          `body: must have at most ${jsonBody.LARGEST_BODY_BYTES} bytes`,
+        ),
+      );
+    } else {
+      const deadline = this.parts.bodyDeadlineMs ?? BODY_DEADLINE_MS;
+      this.refuse(
+        response,
+        result.failure(
+          'bodyTooSlow',
+          `body: must arrive within ${deadline} ms`,
+        ),
+      );
     }
-    if (match[1] === 'DELETE') {
-      return {kind: 'cancelArrived', call, client, identity};
+  }
+
+  private refuse(response: http.ServerResponse, failure: result.Failure): void {
+    this.parts.metrics.count('refusal', {reason: failure.result}, 1);
+    const row = result.RESULT_CODES[failure.result];
+    jsonBody.sendJson(response, row.httpStatus, {
+      code: row.code,
+      detail: failure.detail,
+    });
+  }
+
+  /** Answers what is not HTTP, or whose headers are too slow or too large. */
+  private refuseMalformed(
+    fault: NodeJS.ErrnoException,
+    socket: net.Socket,
+  ): void {
+    if (fault.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
     }
-    return readSubmission(body, submission => ({
-      kind: 'requestArrived',
-      call,
-      client,
-      identity,
-      submission,
-      waitMs,
-    }));
+    const slow = fault.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    const name = slow ? 'bodyTooSlow' : 'malformedCall';
+    this.parts.metrics.count('refusal', {reason: name}, 1);
+    const row = result.RESULT_CODES[name];
+    const text = JSON.stringify({
+      code: row.code,
+      detail: `call: ${fault.code}: must be a complete HTTP/1.1 request`,
+    });
+    socket.end(
+      `HTTP/1.1 ${row.httpStatus} ${http.STATUS_CODES[row.httpStatus]}\r\n` +
+        'content-type: application/json\r\nconnection: close\r\n' +
+        `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
+    );
   }
 }
 
-function readSubmission(
-  body: string,
-  build: (submission: request.Submission) => event.CallEvent,
-): event.CallEvent | result.Failure {
-  const parsed = jsonBody.parseObject(body);
-  if (parsed === undefined) {
-    return result.failure('invalidBody', 'body: must be a JSON object');
-  }
-  for (const field of ['team', 'workload', 'payload']) {
-    if (typeof parsed[field] !== 'string') {
-      return result.failure('invalidField', `${field}: must be a string`);
-    }
+function headerText(value: string | string[] | undefined): string | undefined {
+  return typeof value === 'string' ? value : undefined;
+}
+
+function sendReply(response: http.ServerResponse, reply: effect.Reply): void {
+  if (reply.version !== undefined) {
+    response.setHeader('etag', `"${reply.version}"`);
   }
-  return build(parsed as unknown as request.Submission);
+  jsonBody.sendJson(response, httpStatus(reply.code), reply);
 }
 
-function readWait(url: URL): number {
-  const seconds = Number(url.searchParams.get('wait') ?? 0);
-  if (!(seconds > 0)) return 0;
-  return Math.min(seconds, LONGEST_WAIT_SECONDS) * 1_000;
+/** A process is ready when its status says so, or shows a configuration. */
+function isReady(status: effect.Reply): boolean {
+  if (!shape.isObject(status.content)) return false;
+  const {ready, documents} = status.content;
+  if (typeof ready === 'boolean') return ready;
+  return shape.isObject(documents) && Object.keys(documents).length > 0;
 }
 
-function httpStatus(code: number): number {
-  const row = Object.values(result.RESULT_CODES).find(
-    known => known.code === code,
+/** Sends the whole answer as it came; anything else as a reply. */
+function sendAnswer(response: http.ServerResponse, reply: effect.Reply): void {
+  const whole =
+    reply.code === result.RESULT_CODES.ok.code && reply.answer !== undefined;
+  if (!whole) {
+    sendReply(response, reply);
+    return;
+  }
+  jsonBody.sendText(
+    response,
+    200,
+    'application/octet-stream',
+    reply.answer ?? '',
   );
-  return row?.httpStatus ?? 500;
 }
 
-function sendFailure(
-  response: http.ServerResponse,
-  failed: result.Failure,
-): void {
-  const row = result.RESULT_CODES[failed.result];
-  jsonBody.sendJson(response, row.httpStatus, {
-    code: row.code,
-    detail: failed.detail,
-  });
+const HTTP_STATUS: ReadonlyMap<number, number> = new Map(
+  Object.values(result.RESULT_CODES).map(row => [row.code, row.httpStatus]),
+);
+
+function httpStatus(code: number): number {
+  return HTTP_STATUS.get(code) ?? 500;
 }
--- a/src/links/entry_links.ts
+++ b/src/links/entry_links.ts
@@ -1,6 +1,8 @@
 import type * as callerServer from './caller_server.js';
 import type * as effect from '../contracts/effect.js';
 import type * as loop from '../loop.js';
+import type * as peerLink from './peer_link.js';
+import type * as peerServer from './peer_server.js';
 import type * as platformLink from './platform_link.js';
 import type * as workerLink from './worker_link.js';
 
@@ -32,6 +34,8 @@
   readonly callers: callerServer.CallerServer;
   readonly workers: workerLink.WorkerLink;
   readonly platform: platformLink.PlatformLink;
+  readonly peers: peerLink.PeerLink;
+  readonly peerServer: peerServer.PeerServer;
   readonly metrics: MetricsSink;
   readonly logs: LogSink;
 }
@@ -56,8 +60,25 @@
       case 'readVmList':
         void this.links.platform.perform(wanted);
         return;
+      case 'confirmPeer':
+      case 'offerRequest':
+      case 'withdrawOffer':
+      case 'forwardCall':
+      case 'fetchDocuments':
+      case 'sendWitness':
+      case 'readWitness':
+        void this.links.peers.perform(wanted);
+        return;
+      case 'answerConfirm':
+      case 'answerOffer':
+      case 'answerWithdraw':
+      case 'answerDocuments':
+      case 'answerWitness':
+      case 'answerReadWitness':
+        this.links.peerServer.answer(wanted);
+        return;
       case 'answerCaller':
-        this.links.callers.answer(wanted.call, wanted.reply);
+        this.answerCaller(wanted.call, wanted.reply);
         return;
       case 'count':
         this.links.metrics.count(wanted.metric, wanted.labels, wanted.value);
@@ -72,6 +93,19 @@
       case 'log':
         this.links.logs.log(wanted.level, wanted.event, wanted.fields);
         return;
+      default:
+        rejectUnperformed(wanted);
     }
   }
+
+  /** Answers the caller, who may be a caller of another process. */
+  private answerCaller(call: number, reply: effect.Reply): void {
+    if (this.links.peerServer.answerForwarded(call, reply)) return;
+    this.links.callers.answer(call, reply);
+  }
+}
+
+/** Fails to compile when a kind of effect has no link. */
+function rejectUnperformed(wanted: never): never {
+  throw new Error(`no link performs ${JSON.stringify(wanted)}`);
 }
--- a/src/links/http_caller.ts
+++ b/src/links/http_caller.ts
@@ -1,50 +1,296 @@
 import * as undici from 'undici';
-
-/** An HTTP answer with its whole body. */
-export interface HttpAnswer {
-  readonly status: number;
-  readonly text: string;
-}
+import * as connectionLimit from './connection_limit.js';
 
 /** One HTTP call. */
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
-  readonly url: string;
+  /** Host and port. */
+  readonly address: string;
+  readonly path: string;
   readonly body?: unknown;
-  /** Time for the whole answer; a silent connection ends here. */
-  readonly deadlineMs: number;
+  /** Time until the headers of the answer, the wait for a turn included. */
+  readonly headersDeadlineMs: number;
+  /** Time from the headers to the end of the answer. */
+  readonly bodyDeadlineMs: number;
+  /** Largest answer in bytes. */
+  readonly largestAnswer: number;
+  /** Ends the call early. */
+  readonly signal?: AbortSignal;
+}
+
+/** What came of a call. */
+export type HttpOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly text: string;
+    }
+  /** Proved not to have reached the other side. */
+  | {readonly kind: 'notSent'; readonly detail: string}
+  /** May have taken effect. */
+  | {readonly kind: 'lost'; readonly detail: string};
+
+/** Options of a caller. */
+export interface HttpCallerOptions {
+  readonly connections: connectionLimit.LimitBounds;
+  /** Path without side effects for probes of silent connections. */
+  readonly probePath: string;
+  /** Hears of each address whose connections went silent. */
+  readonly onSilent: (address: string) => void;
+}
+
+/** Time for a connection to be made; shorter than any deadline for headers. */
+const CONNECT_DEADLINE_MS = 1_000;
+
+/** Deadline of a probe over a new connection. */
+const PROBE_DEADLINE_MS = 1_000;
+
+/** Time without calls after which the connections of an address are closed. */
+const IDLE_LIMIT_MS = 60_000;
+
+/** Codes of faults that arise only before anything was sent. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Codes of faults by which an origin shows that it is crowded. */
+const CROWDED_CODES: ReadonlySet<string> = new Set([
+  ...NOT_SENT_CODES,
+  'ECONNRESET',
+  'UND_ERR_SOCKET',
+]);
+
+interface Origin {
+  pool: undici.Pool;
+  readonly limit: connectionLimit.ConnectionLimit;
+  probing: boolean;
+  lastUsed: number;
+}
+
+/** A deadline that passed or a bound that was exceeded. */
+class CallFault extends Error {
+  constructor(
+    readonly code: 'QUEUED' | 'HEADERS' | 'BODY' | 'TOO_LARGE',
+    message: string,
+  ) {
+    super(message);
+  }
 }
 
-/** Sends HTTP calls over kept connections; never retries by itself. */
+/**
+ * Sends HTTP calls over kept connections and never repeats one. A call whose
+ * headers miss their deadline causes a probe over a new connection; when the
+ * probe is answered, the old connections of that address take no more calls.
+ */
 export class HttpCaller {
-  private readonly agent: undici.Agent;
+  private readonly origins = new Map<string, Origin>();
+  private lastSweep = 0;
+
+  constructor(private readonly options: HttpCallerOptions) {}
+
+  /** Sends one call; never rejects. */
+  async call(call: HttpCall): Promise<HttpOutcome> {
+    const origin = this.origin(call.address);
+    const abort = new AbortController();
+    const forward = (): void => abort.abort(call.signal?.reason);
+    call.signal?.addEventListener('abort', forward, {once: true});
+    const timer = setTimeout(() => {
+      abort.abort(new CallFault('HEADERS', 'no answer within the deadline'));
+    }, call.headersDeadlineMs);
+    try {
+      if (!(await takeTurn(origin.limit, abort.signal))) {
+        return {kind: 'notSent', detail: 'no connection was free in time'};
+      }
+      return await this.sendInTurn(origin, call, abort, timer);
+    } finally {
+      clearTimeout(timer);
+      call.signal?.removeEventListener('abort', forward);
+    }
+  }
+
+  /** Connections that may be open to an address at present. */
+  connectionLimit(address: string): number {
+    return this.origins.get(address)?.limit.current ?? 0;
+  }
+
+  /** Closes all connections at once. */
+  async close(): Promise<void> {
+    const pools = [...this.origins.values()].map(({pool}) => pool.destroy());
+    this.origins.clear();
+    await Promise.all(pools);
+  }
+
+  private async sendInTurn(
+    origin: Origin,
+    call: HttpCall,
+    abort: AbortController,
+    timer: NodeJS.Timeout,
+  ): Promise<HttpOutcome> {
+    const {pool} = origin;
+    let outcome: HttpOutcome;
+    let refused = false;
+    try {
+      outcome = await send(pool, call, abort, timer);
+    } catch (fault) {
+      outcome = outcomeOf(fault);
+      refused = CROWDED_CODES.has(codeOf(fault));
+      if (fault instanceof CallFault && fault.code === 'HEADERS') {
+        void this.probe(call.address, origin, pool);
+      }
+    }
+    origin.limit.release(refused);
+    return outcome;
+  }
+
+  private origin(address: string): Origin {
+    const now = performance.now();
+    this.sweep(now);
+    const known = this.origins.get(address);
+    if (known !== undefined) {
+      known.lastUsed = now;
+      return known;
+    }
+    const opened: Origin = {
+      pool: this.openPool(address),
+      limit: new connectionLimit.ConnectionLimit(this.options.connections),
+      probing: false,
+      lastUsed: now,
+    };
+    this.origins.set(address, opened);
+    return opened;
+  }
+
+  /** Forgets addresses that are not called any more. */
+  private sweep(now: number): void {
+    if (now - this.lastSweep < IDLE_LIMIT_MS) return;
+    this.lastSweep = now;
+    for (const [address, origin] of this.origins) {
+      const idle = now - origin.lastUsed >= IDLE_LIMIT_MS;
+      if (!idle || origin.limit.open > 0) continue;
+      this.origins.delete(address);
+      void origin.pool.destroy();
+    }
+  }
 
-  constructor(connectionsPerOrigin: number) {
-    this.agent = new undici.Agent({
-      connections: connectionsPerOrigin,
+  private openPool(address: string): undici.Pool {
+    return new undici.Pool(`http://${address}`, {
+      connections: this.options.connections.greatest,
       pipelining: 1,
-      connect: {timeout: 2_000},
+      connect: {timeout: CONNECT_DEADLINE_MS},
+      // The deadlines of each call replace the pool's own.
+      headersTimeout: 0,
+      bodyTimeout: 0,
     });
   }
 
-  /** Returns the whole answer, or undefined when none came in time. */
-  async call(call: HttpCall): Promise<HttpAnswer | undefined> {
-    try {
-      const answer = await undici.request(call.url, {
-        method: call.method,
-        dispatcher: this.agent,
-        signal: AbortSignal.timeout(call.deadlineMs),
-        headers: {'content-type': 'application/json'},
-        body: call.body === undefined ? null : JSON.stringify(call.body),
-      });
-      return {status: answer.statusCode, text: await answer.body.text()};
-    } catch {
-      return undefined;
+  private async probe(
+    address: string,
+    origin: Origin,
+    silent: undici.Pool,
+  ): Promise<void> {
+    if (origin.probing || origin.pool !== silent) return;
+    origin.probing = true;
+    const fresh = this.openPool(address);
+    const answered = await answersProbe(fresh, this.options.probePath);
+    origin.probing = false;
+    if (!answered || this.origins.get(address) !== origin) {
+      void fresh.destroy();
+      return;
     }
+    origin.pool = fresh;
+    // Calls that the old connections still answer are not cut off.
+    void silent.close();
+    this.options.onSilent(address);
   }
+}
 
-  /** Closes all connections. */
-  async close(): Promise<void> {
-    await this.agent.destroy();
+/** Waits for a turn below the limit; false when the call ends before it. */
+function takeTurn(
+  limit: connectionLimit.ConnectionLimit,
+  signal: AbortSignal,
+): Promise<boolean> {
+  return new Promise(resolve => {
+    if (signal.aborted) {
+      resolve(false);
+      return;
+    }
+    const withdraw = limit.acquire(() => {
+      signal.removeEventListener('abort', leave);
+      resolve(true);
+    });
+    function leave(): void {
+      withdraw();
+      resolve(false);
+    }
+    signal.addEventListener('abort', leave, {once: true});
+  });
+}
+
+async function send(
+  pool: undici.Pool,
+  call: HttpCall,
+  abort: AbortController,
+  headersTimer: NodeJS.Timeout,
+): Promise<HttpOutcome> {
+  const answer = await pool.request({
+    method: call.method,
+    path: call.path,
+    signal: abort.signal,
+    headers:
+      call.body === undefined ? {} : {'content-type': 'application/json'},
+    body: call.body === undefined ? null : JSON.stringify(call.body),
+  });
+  clearTimeout(headersTimer);
+  const timer = setTimeout(() => {
+    abort.abort(new CallFault('BODY', 'the answer did not end in time'));
+  }, call.bodyDeadlineMs);
+  try {
+    const text = await readText(answer.body, call.largestAnswer);
+    return {kind: 'answered', status: answer.statusCode, text};
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+async function readText(
+  body: AsyncIterable<Buffer>,
+  largest: number,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of body) {
+    length += chunk.length;
+    if (length > largest) {
+      throw new CallFault('TOO_LARGE', `the answer exceeds ${largest} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+async function answersProbe(pool: undici.Pool, path: string): Promise<boolean> {
+  try {
+    const answer = await pool.request({
+      method: 'GET',
+      path,
+      signal: AbortSignal.timeout(PROBE_DEADLINE_MS),
+    });
+    await answer.body.dump();
+    return true;
+  } catch {
+    return false;
   }
 }
+
+function outcomeOf(fault: unknown): HttpOutcome {
+  const code = codeOf(fault);
+  const detail = `${code}: ${fault instanceof Error ? fault.message : ''}`;
+  return {kind: NOT_SENT_CODES.has(code) ? 'notSent' : 'lost', detail};
+}
+
+function codeOf(fault: unknown): string {
+  return String((fault as {readonly code?: unknown} | undefined)?.code);
+}
--- a/src/links/json_body.ts
+++ b/src/links/json_body.ts
@@ -1,5 +1,14 @@
 import type * as http from 'node:http';
 
+/** Largest body of a caller's call in bytes. */
+export const LARGEST_BODY_BYTES = 1_048_576;
+
+/**
+ * How much of a too large body is read and dropped, in multiples of the limit,
+ * so that the sender can finish and read the error instead of a reset.
+ */
+const DISCARD_FACTOR = 16;
+
 /** Why a body could not be read. */
 export type BodyFault = 'tooLarge' | 'tooSlow' | 'aborted';
 
@@ -8,30 +17,33 @@
   {readonly kind: 'body'; readonly text: string} | {readonly kind: BodyFault};
 
 /** Reads a body of at most `limit` bytes within `deadlineMs`. */
-export async function readBody(
+export function readBody(
   incoming: http.IncomingMessage,
   limit: number,
   deadlineMs: number,
 ): Promise<Body> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  let late = false;
-  const timer = setTimeout(() => {
-    late = true;
-    incoming.destroy();
-  }, deadlineMs);
-  try {
-    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const finish = (body: Body): void => {
+      clearTimeout(timer);
+      incoming.removeAllListeners('data');
+      resolve(body);
+    };
+    const timer = setTimeout(() => finish({kind: 'tooSlow'}), deadlineMs);
+    incoming.on('data', (chunk: Buffer) => {
       length += chunk.length;
-      if (length > limit) return {kind: 'tooLarge'};
-      chunks.push(chunk);
-    }
-    return {kind: 'body', text: Buffer.concat(chunks).toString('utf8')};
-  } catch {
-    return {kind: late ? 'tooSlow' : 'aborted'};
-  } finally {
-    clearTimeout(timer);
-  }
+      if (length <= limit) chunks.push(chunk);
+      else chunks.length = 0;
+      if (length > limit * DISCARD_FACTOR) finish({kind: 'tooLarge'});
+    });
+    incoming.once('end', () => {
+      if (length > limit) finish({kind: 'tooLarge'});
+      else finish({kind: 'body', text: Buffer.concat(chunks).toString('utf8')});
+    });
+    incoming.once('close', () => finish({kind: 'aborted'}));
+    incoming.once('error', () => finish({kind: 'aborted'}));
+  });
 }
 
 /** Parses JSON; undefined when the text is not a JSON object. */
@@ -54,9 +66,18 @@
   status: number,
   body: unknown,
 ): void {
-  const text = JSON.stringify(body);
+  sendText(response, status, 'application/json', JSON.stringify(body));
+}
+
+/** Answers with text. */
+export function sendText(
+  response: http.ServerResponse,
+  status: number,
+  type: string,
+  text: string,
+): void {
   response.writeHead(status, {
-    'content-type': 'application/json',
+    'content-type': type,
     'content-length': Buffer.byteLength(text),
   });
   response.end(text);
--- /dev/null
+++ b/src/links/peer_link.ts
@@ -0,0 +1,301 @@
+import * as peerConnections from './peer_connections.js';
+import * as peerMessages from './peer_messages.js';
+import * as result from '../result.js';
+import type * as effect from '../contracts/effect.js';
+import type * as entryLinks from './entry_links.js';
+import type * as event from '../contracts/event.js';
+
+/** Deadline of confirmations; three of them fit into the time to suspect. */
+const CONFIRM_DEADLINE_MS = 1_000;
+
+/** Deadline of short calls other than confirmations. */
+const CALL_DEADLINE_MS = 2_000;
+
+/** Deadline of calls whose answer may be large. */
+const TRANSFER_DEADLINE_MS = 5_000;
+
+/** Deadline of an offer, whose answer comes when the request has ended. */
+const OFFER_DEADLINE_MS = 3_600_000;
+
+/** The effects that ask something of a peer. */
+export type PeerCallEffect = Extract<
+  effect.PeerEffect,
+  {readonly peer: string}
+>;
+
+/** Gives the calls of callers that are open, for passing them on. */
+export interface OpenCalls {
+  openCall(call: event.CallNumber): event.CallEvent | undefined;
+}
+
+/** What a peer link is made with. */
+export interface PeerLinkParts {
+  readonly self: string;
+  readonly calls: OpenCalls;
+  readonly post: (event: event.Event) => void;
+  readonly now: () => number;
+  readonly metrics: entryLinks.MetricsSink;
+}
+
+type EffectOf<Kind extends PeerCallEffect['kind']> = Extract<
+  PeerCallEffect,
+  {readonly kind: Kind}
+>;
+
+/**
+ * Calls other entry processes and posts their answers, or that none came. It
+ * never repeats a call.
+ */
+export class PeerLink {
+  private readonly connections: peerConnections.PeerConnections;
+
+  constructor(private readonly parts: PeerLinkParts) {
+    this.connections = new peerConnections.PeerConnections(() =>
+      parts.metrics.count(
+        'silent_connection',
+        {link: 'peer', reason: 'deadline'},
+        1,
+      ),
+    );
+  }
+
+  /** Performs one effect; the answer comes as an event. */
+  async perform(wanted: PeerCallEffect): Promise<void> {
+    this.parts.post(await this.send(wanted).catch(() => failed(wanted)));
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.connections.close();
+  }
+
+  private send(wanted: PeerCallEffect): Promise<event.Event> {
+    switch (wanted.kind) {
+      case 'confirmPeer':
+        return this.confirm(wanted);
+      case 'offerRequest':
+        return this.offer(wanted);
+      case 'withdrawOffer':
+        return this.withdraw(wanted);
+      case 'forwardCall':
+        return this.forward(wanted);
+      case 'fetchDocuments':
+        return this.fetchDocuments(wanted);
+      case 'sendWitness':
+        return this.sendWitness(wanted);
+      case 'readWitness':
+        return this.readWitness(wanted);
+    }
+  }
+
+  private async confirm(wanted: EffectOf<'confirmPeer'>): Promise<event.Event> {
+    const sentAt = this.parts.now();
+    const answer = await this.connections.call(
+      wanted.address,
+      CONFIRM_DEADLINE_MS,
+      (client, options) =>
+        client.confirm(
+          {
+            ...peerMessages.toNews(wanted.news),
+            to: wanted.peer,
+            zonePosition: peerMessages.toUint64(wanted.zonePosition),
+          },
+          options,
+        ),
+    );
+    // Another incarnation at the same address confirms nothing for this peer.
+    if (answer.from !== wanted.peer) return failed(wanted);
+    return {
+      kind: 'confirmAnswered',
+      peer: wanted.peer,
+      sentAt,
+      confirmed: answer.confirmed,
+      zoneRecords: peerMessages.fromRecords(answer.zoneRecords),
+      news: peerMessages.fromNews(answer),
+    };
+  }
+
+  private async offer(wanted: EffectOf<'offerRequest'>): Promise<event.Event> {
+    const answer = await this.connections.call(
+      wanted.address,
+      OFFER_DEADLINE_MS,
+      (client, options) =>
+        client.offer(peerMessages.toOffer(wanted, this.parts.self), options),
+    );
+    return {
+      kind: 'offerAnswered',
+      peer: wanted.peer,
+      identity: wanted.identity,
+      code: answer.code,
+      answer: peerMessages.toText(answer.answer),
+    };
+  }
+
+  private async withdraw(
+    wanted: EffectOf<'withdrawOffer'>,
+  ): Promise<event.Event> {
+    const {peer, identity} = wanted;
+    const answer = await this.connections.call(
+      wanted.address,
+      CALL_DEADLINE_MS,
+      (client, options) =>
+        client.withdraw({from: this.parts.self, to: peer, identity}, options),
+    );
+    return {kind: 'withdrawAnswered', peer, identity, code: answer.code};
+  }
+
+  private async forward(wanted: EffectOf<'forwardCall'>): Promise<event.Event> {
+    const original = this.parts.calls.openCall(wanted.call);
+    const message = original && forwardedCall(original);
+    if (message === undefined) return failed(wanted);
+    const answer = await this.connections.call(
+      wanted.address,
+      message.waitMs + CALL_DEADLINE_MS,
+      (client, options) =>
+        client.forward(
+          {...message, from: this.parts.self, to: wanted.peer},
+          options,
+        ),
+    );
+    return {
+      kind: 'forwardAnswered',
+      call: wanted.call,
+      code: answer.code,
+      body: peerMessages.toText(answer.body),
+    };
+  }
+
+  private async fetchDocuments(
+    wanted: EffectOf<'fetchDocuments'>,
+  ): Promise<event.Event> {
+    const answer = await this.connections.call(
+      wanted.address,
+      TRANSFER_DEADLINE_MS,
+      (client, options) =>
+        client.fetchDocuments(
+          {have: peerMessages.toVersions(wanted.have)},
+          options,
+        ),
+    );
+    return {
+      kind: 'documentsArrived',
+      documents: answer.documents.map(item => ({
+        name: item.name,
+        version: Number(item.version),
+        content: item.content,
+      })),
+    };
+  }
+
+  private async sendWitness(
+    wanted: EffectOf<'sendWitness'>,
+  ): Promise<event.Event> {
+    const {peer, batch} = wanted;
+    const entries = wanted.entries.map(peerMessages.toBytes);
+    const answer = await this.connections.call(
+      wanted.address,
+      CALL_DEADLINE_MS,
+      (client, options) =>
+        client.witness({from: this.parts.self, to: peer, entries}, options),
+    );
+    return {kind: 'witnessAnswered', peer, batch, stored: answer.stored};
+  }
+
+  private async readWitness(
+    wanted: EffectOf<'readWitness'>,
+  ): Promise<event.Event> {
+    const {peer, process} = wanted;
+    const answer = await this.connections.call(
+      wanted.address,
+      TRANSFER_DEADLINE_MS,
+      (client, options) => client.readWitness({process}, options),
+    );
+    return {
+      kind: 'readWitnessAnswered',
+      peer,
+      process,
+      complete: answer.complete,
+      entries: answer.entries.map(peerMessages.toText),
+    };
+  }
+}
+
+interface ForwardedCall {
+  readonly operation: string;
+  readonly identity: string;
+  readonly client: string;
+  readonly body: Uint8Array;
+  readonly waitMs: number;
+}
+
+/** The message of a call that may be passed on; undefined for other calls. */
+function forwardedCall(call: event.CallEvent): ForwardedCall | undefined {
+  const nothing = peerMessages.toBytes('');
+  switch (call.kind) {
+    case 'requestArrived':
+      return {
+        operation: 'submit',
+        identity: call.identity ?? '',
+        client: call.client,
+        body: peerMessages.toBytes(JSON.stringify(call.submission)),
+        waitMs: peerMessages.toUint32(call.waitMs),
+      };
+    case 'fetchArrived':
+      return {
+        operation: 'fetch',
+        identity: call.identity,
+        client: call.client,
+        body: nothing,
+        waitMs: peerMessages.toUint32(call.waitMs),
+      };
+    case 'cancelArrived':
+    case 'explainArrived':
+      return {
+        operation: call.kind === 'cancelArrived' ? 'cancel' : 'explain',
+        identity: call.identity,
+        client: call.client,
+        body: nothing,
+        waitMs: 0,
+      };
+    default:
+      return undefined;
+  }
+}
+
+/** The event for a call that got no answer. */
+function failed(wanted: PeerCallEffect): event.Event {
+  const {peer} = wanted;
+  switch (wanted.kind) {
+    case 'confirmPeer':
+      return {kind: 'confirmFailed', peer};
+    case 'offerRequest':
+      return {kind: 'offerLost', peer, identity: wanted.identity};
+    case 'withdrawOffer':
+      return {
+        kind: 'withdrawAnswered',
+        peer,
+        identity: wanted.identity,
+        code: result.RESULT_CODES.unknownOutcome.code,
+      };
+    case 'forwardCall':
+      return {kind: 'forwardFailed', call: wanted.call};
+    case 'fetchDocuments':
+      // The next confirmation shows again which documents are missing.
+      return {kind: 'documentsArrived', documents: []};
+    case 'sendWitness':
+      return {
+        kind: 'witnessAnswered',
+        peer,
+        batch: wanted.batch,
+        stored: false,
+      };
+    case 'readWitness':
+      return {
+        kind: 'readWitnessAnswered',
+        peer,
+        process: wanted.process,
+        complete: false,
+        entries: [],
+      };
+  }
+}
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -1,5 +1,7 @@
 import * as jsonBody from './json_body.js';
+import * as shape from './shape.js';
 import type * as effect from '../contracts/effect.js';
+import type * as entryLinks from './entry_links.js';
 import type * as event from '../contracts/event.js';
 import type * as httpCaller from './http_caller.js';
 
@@ -9,26 +11,32 @@
 /** Most records that one read returns. */
 const READ_LIMIT = 500;
 
+/** Largest answer, in bytes. */
+const LARGEST_ANSWER = 67_108_864;
+
 /** Where the platform's services are. */
 export interface PlatformAddresses {
   readonly log: string;
   readonly vmList: string;
 }
 
-interface ReadBody {
-  readonly first: number;
-  readonly next: number;
-  readonly records: ReadonlyArray<event.StreamRecord>;
+/** What a platform link is made with. */
+export interface PlatformLinkParts {
+  readonly addresses: PlatformAddresses;
+  readonly caller: httpCaller.HttpCaller;
+  readonly post: (event: event.Event) => void;
+  readonly now: () => number;
+  readonly metrics: entryLinks.MetricsSink;
 }
 
+type ReadRecords = Pick<
+  Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
+  'first' | 'next' | 'records'
+>;
+
 /** Reads and appends to the log and reads the VM list over HTTP. */
 export class PlatformLink {
-  constructor(
-    private readonly addresses: PlatformAddresses,
-    private readonly caller: httpCaller.HttpCaller,
-    private readonly post: (event: event.Event) => void,
-    private readonly now: () => number,
-  ) {}
+  constructor(private readonly parts: PlatformLinkParts) {}
 
   /** Performs one effect; the answer comes as an event. */
   async perform(wanted: effect.PlatformEffect): Promise<void> {
@@ -45,56 +53,121 @@
   private async append(
     wanted: Extract<effect.PlatformEffect, {kind: 'append'}>,
   ): Promise<void> {
-    const answer = await this.caller.call({
+    const outcome = await this.parts.caller.call({
       method: 'POST',
-      url: this.streamUrl(wanted.stream),
+      address: this.parts.addresses.log,
+      path: recordsPath(wanted.stream),
       body: {records: wanted.records},
-      deadlineMs: CALL_DEADLINE_MS,
+      headersDeadlineMs: CALL_DEADLINE_MS,
+      bodyDeadlineMs: CALL_DEADLINE_MS,
+      largestAnswer: LARGEST_ANSWER,
     });
-    this.post({
+    const appended = outcome.kind === 'answered' && outcome.status === 200;
+    if (!appended) this.countFailure('append', 'no_answer');
+    this.parts.post({
       kind: 'appendAnswered',
       stream: wanted.stream,
       append: wanted.append,
-      answer: answer?.status === 200 ? 'appended' : 'lost',
+      answer: appended ? 'appended' : 'lost',
     });
   }
 
   private async readStream(stream: string, from: number): Promise<void> {
-    const sentAt = this.now();
-    const answer = await this.caller.call({
-      method: 'GET',
-      url: `${this.streamUrl(stream)}?from=${from}&limit=${READ_LIMIT}`,
-      deadlineMs: CALL_DEADLINE_MS,
-    });
-    const parsed =
-      answer?.status === 200 ? jsonBody.parseObject(answer.text) : undefined;
-    if (parsed === undefined) {
-      this.post({kind: 'readFailed', stream});
+    const sentAt = this.parts.now();
+    const text = await this.get(
+      this.parts.addresses.log,
+      `${recordsPath(stream)}?from=${from}&limit=${READ_LIMIT}`,
+    );
+    const read = text === undefined ? undefined : readRecords(text);
+    if (read === undefined) {
+      const reason = text === undefined ? 'no_answer' : 'malformed';
+      this.countFailure('read', reason);
+      this.parts.post({kind: 'readFailed', stream});
       return;
     }
-    const body = parsed as unknown as ReadBody;
-    this.post({kind: 'recordsRead', stream, sentAt, ...body});
+    this.parts.post({kind: 'recordsRead', stream, sentAt, ...read});
   }
 
   private async readVmList(): Promise<void> {
-    const sentAt = this.now();
-    const answer = await this.caller.call({
-      method: 'GET',
-      url: `http://${this.addresses.vmList}/vms`,
-      deadlineMs: CALL_DEADLINE_MS,
-    });
-    const parsed =
-      answer?.status === 200 ? jsonBody.parseObject(answer.text) : undefined;
-    if (parsed === undefined) {
-      this.post({kind: 'vmListFailed'});
+    const sentAt = this.parts.now();
+    const text = await this.get(this.parts.addresses.vmList, '/vms');
+    const vms = text === undefined ? undefined : readVms(text);
+    if (vms === undefined) {
+      const reason = text === undefined ? 'no_answer' : 'malformed';
+      this.countFailure('vm_list', reason);
+      this.parts.post({kind: 'vmListFailed'});
       return;
     }
-    const vms = parsed['vms'] as ReadonlyArray<event.ListedVm>;
-    this.post({kind: 'vmListRead', sentAt, vms});
+    this.parts.post({kind: 'vmListRead', sentAt, vms});
+  }
+
+  private async get(
+    address: string,
+    path: string,
+  ): Promise<string | undefined> {
+    const outcome = await this.parts.caller.call({
+      method: 'GET',
+      address,
+      path,
+      headersDeadlineMs: CALL_DEADLINE_MS,
+      bodyDeadlineMs: CALL_DEADLINE_MS,
+      largestAnswer: LARGEST_ANSWER,
+    });
+    if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
+    return outcome.text;
+  }
+
+  private countFailure(call: string, reason: string): void {
+    this.parts.metrics.count('platform_call_failed', {call, reason}, 1);
   }
+}
+
+function recordsPath(stream: string): string {
+  return `/streams/${encodeURIComponent(stream)}/records`;
+}
 
-  private streamUrl(stream: string): string {
-    const name = encodeURIComponent(stream);
-    return `http://${this.addresses.log}/streams/${name}/records`;
+/** Reads records; undefined unless they are in order and within the bounds. */
+function readRecords(text: string): ReadRecords | undefined {
+  const raw = jsonBody.parseObject(text);
+  if (raw === undefined) return undefined;
+  const {first, next, records} = raw;
+  if (!shape.isCount(first) || !shape.isCount(next) || first > next) {
+    return undefined;
+  }
+  if (!Array.isArray(records) || !records.every(isRecord)) return undefined;
+  let least = first;
+  for (const record of records) {
+    if (record.offset < least || record.offset >= next) return undefined;
+    least = record.offset + 1;
   }
+  return {first, next, records};
+}
+
+function isRecord(value: unknown): value is event.StreamRecord {
+  return (
+    shape.isObject(value) &&
+    shape.isCount(value['offset']) &&
+    typeof value['data'] === 'string'
+  );
+}
+
+/**
+ * Reads the VM list; undefined when any row is malformed, because a row that
+ * were left out would say that its VM no longer exists.
+ */
+function readVms(text: string): ReadonlyArray<event.ListedVm> | undefined {
+  const vms = jsonBody.parseObject(text)?.['vms'];
+  if (!Array.isArray(vms) || !vms.every(isListedVm)) return undefined;
+  return vms;
+}
+
+function isListedVm(value: unknown): value is event.ListedVm {
+  return (
+    shape.isObject(value) &&
+    shape.isName(value['vm']) &&
+    (value['role'] === 'entry' || value['role'] === 'worker') &&
+    shape.isName(value['zone']) &&
+    typeof value['address'] === 'string' &&
+    (value['state'] === 'live' || value['state'] === 'leaving')
+  );
 }
--- /dev/null
+++ b/src/links/report_reader.ts
@@ -0,0 +1,65 @@
+import * as jsonBody from './json_body.js';
+import * as shape from './shape.js';
+import type * as task from '../contracts/task.js';
+
+const TASK_STATES: ReadonlySet<unknown> = new Set<task.TaskState>([
+  'running',
+  'finished',
+  'failed',
+  'stopped',
+  'checkpointed',
+  'lapsed',
+]);
+
+/** Reads a worker's report; undefined when any part of it is malformed. */
+export function readReport(
+  worker: string,
+  text: string,
+): task.WorkerReport | undefined {
+  const raw = jsonBody.parseObject(text);
+  if (raw === undefined || !isReport(raw)) return undefined;
+  return {...raw, worker};
+}
+
+function isReport(
+  raw: Readonly<Record<string, unknown>>,
+): raw is Readonly<Record<string, unknown>> &
+  Omit<task.WorkerReport, 'worker'> {
+  return (
+    shape.isQuantity(raw['workerClock']) &&
+    shape.isResources(raw['capacity']) &&
+    typeof raw['rack'] === 'string' &&
+    typeof raw['leaving'] === 'boolean' &&
+    Array.isArray(raw['tasks']) &&
+    raw['tasks'].every(isTask) &&
+    hasDistinctTasks(raw['tasks'])
+  );
+}
+
+function isTask(value: unknown): value is task.TaskReport {
+  return (
+    shape.isObject(value) &&
+    shape.isName(value['task']) &&
+    isLabel(value['label']) &&
+    TASK_STATES.has(value['state']) &&
+    shape.isResources(value['size']) &&
+    shape.isResources(value['usage']) &&
+    shape.isQuantity(value['leaseEnd'])
+  );
+}
+
+function isLabel(value: unknown): value is task.TaskLabel {
+  return (
+    shape.isObject(value) &&
+    shape.isName(value['identity']) &&
+    typeof value['client'] === 'string' &&
+    typeof value['team'] === 'string' &&
+    typeof value['workload'] === 'string' &&
+    typeof value['idempotent'] === 'boolean' &&
+    Number.isFinite(value['worth'])
+  );
+}
+
+function hasDistinctTasks(tasks: ReadonlyArray<task.TaskReport>): boolean {
+  return new Set(tasks.map(item => item.task)).size === tasks.length;
+}
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -1,5 +1,8 @@
+import * as answerWatch from './answer_watch.js';
 import * as jsonBody from './json_body.js';
+import * as reportReader from './report_reader.js';
 import type * as effect from '../contracts/effect.js';
+import type * as entryLinks from './entry_links.js';
 import type * as event from '../contracts/event.js';
 import type * as httpCaller from './http_caller.js';
 import type * as task from '../contracts/task.js';
@@ -7,16 +10,41 @@
 /** Deadline of short calls to a worker. */
 const CALL_DEADLINE_MS = 2_000;
 
-/** Longest wait for a task's answer over one connection. */
-const ANSWER_DEADLINE_MS = 600_000;
+/** Longest wait for a task to end over one connection. */
+const ANSWER_DEADLINE_MS = 3_600_000;
 
-/** Sends effects to workers over HTTP and posts their answers. */
+/** Time for a large answer to be transferred. */
+const TRANSFER_DEADLINE_MS = 60_000;
+
+/** Largest report, in bytes: some 10,000 tasks. */
+const LARGEST_REPORT = 8_388_608;
+
+/** Largest answer of a task, in bytes. */
+const LARGEST_ANSWER = 67_108_864;
+
+type WorkerCall = Pick<effect.WorkerEffect, 'kind' | 'worker' | 'address'>;
+
+type EffectOf<Kind extends effect.WorkerEffect['kind']> = Extract<
+  effect.WorkerEffect,
+  {readonly kind: Kind}
+>;
+
+/** What a worker link is made with. */
+export interface WorkerLinkParts {
+  /** Connections for short calls. */
+  readonly caller: httpCaller.HttpCaller;
+  /** Connections that wait for answers, so that they hold up no other call. */
+  readonly answerCaller: httpCaller.HttpCaller;
+  readonly post: (event: event.Event) => void;
+  readonly now: () => number;
+  readonly metrics: entryLinks.MetricsSink;
+}
+
+/** Sends effects to workers over HTTP and posts what they answer. */
 export class WorkerLink {
-  constructor(
-    private readonly caller: httpCaller.HttpCaller,
-    private readonly post: (event: event.Event) => void,
-    private readonly now: () => number,
-  ) {}
+  private readonly watch = new answerWatch.AnswerWatch();
+
+  constructor(private readonly parts: WorkerLinkParts) {}
 
   /** Performs one effect; the answer comes as an event. */
   async perform(wanted: effect.WorkerEffect): Promise<void> {
@@ -24,27 +52,23 @@
       case 'startTask':
         return this.start(wanted);
       case 'renewLeases':
-        await this.send(wanted.address, 'POST', '/renewals', {
+        await this.send(wanted, 'POST', '/renewals', {
           tasks: wanted.tasks,
           leaseEnd: wanted.leaseEnd,
         });
         return;
       case 'readReport':
-        return this.readReport(wanted.worker, wanted.address);
+        return this.readReport(wanted);
       case 'fetchTaskAnswer':
         return this.fetchAnswer(wanted.worker, wanted.address, wanted.task);
       case 'stopTask':
-        return this.stop(wanted.worker, wanted.address, wanted.task);
+        return this.stop(wanted, wanted.task);
       case 'checkpointTask':
-        await this.send(
-          wanted.address,
-          'POST',
-          taskPath(wanted.task, 'checkpoint'),
-        );
+        await this.send(wanted, 'POST', taskPath(wanted.task, 'checkpoint'));
         return;
       case 'throttleTask':
         await this.send(
-          wanted.address,
+          wanted,
           'POST',
           taskPath(wanted.task, 'throttle'),
           wanted.limit,
@@ -53,99 +77,148 @@
     }
   }
 
-  private async start(
-    wanted: Extract<effect.WorkerEffect, {kind: 'startTask'}>,
-  ): Promise<void> {
-    const answer = await this.send(
-      wanted.address,
-      'POST',
-      '/tasks',
-      wanted.start,
-    );
-    this.post({
+  private async start(wanted: EffectOf<'startTask'>): Promise<void> {
+    const outcome = await this.send(wanted, 'POST', '/tasks', wanted.start);
+    this.parts.post({
       kind: 'startAnswered',
       worker: wanted.worker,
       task: wanted.start.task,
-      answer: startAnswer(answer?.status),
-      detail: answer?.text ?? 'no answer',
+      answer: startAnswer(outcome),
+      detail: detailOf(outcome),
     });
   }
 
-  private async readReport(name: string, address: string): Promise<void> {
-    const sentAt = this.now();
-    const answer = await this.send(address, 'GET', '/report');
-    const parsed =
-      answer?.status === 200 ? jsonBody.parseObject(answer.text) : undefined;
-    if (parsed === undefined) {
-      this.post({kind: 'reportFailed', worker: name});
+  private async readReport(wanted: EffectOf<'readReport'>): Promise<void> {
+    const {worker} = wanted;
+    const sentAt = this.parts.now();
+    const outcome = await this.send(wanted, 'GET', '/report');
+    const report = isOk(outcome)
+      ? reportReader.readReport(worker, outcome.text)
+      : undefined;
+    if (report === undefined) {
+      if (isOk(outcome)) this.count('malformed_report', {worker});
+      this.parts.post({kind: 'reportFailed', worker});
       return;
     }
-    const report = {...parsed, worker: name} as unknown as task.WorkerReport;
-    this.post({kind: 'reportArrived', report, sentAt});
+    const overdue = this.watch.compare(report, this.parts.now());
+    if (overdue > 0) {
+      const labels = {link: 'worker', reason: 'answer_overdue'};
+      this.count('silent_connection', labels, overdue);
+    }
+    this.parts.post({kind: 'reportArrived', report, sentAt});
   }
 
   private async fetchAnswer(
-    name: string,
+    worker: string,
     address: string,
-    taskName: string,
+    name: string,
   ): Promise<void> {
-    const answer = await this.caller.call({
+    const signal = this.watch.begin(worker, name);
+    const outcome = await this.parts.answerCaller.call({
       method: 'GET',
-      url: `http://${address}${taskPath(taskName, 'answer')}`,
-      deadlineMs: ANSWER_DEADLINE_MS,
+      address,
+      path: taskPath(name, 'answer'),
+      headersDeadlineMs: ANSWER_DEADLINE_MS,
+      bodyDeadlineMs: TRANSFER_DEADLINE_MS,
+      largestAnswer: LARGEST_ANSWER,
+      signal,
     });
-    const parsed =
-      answer?.status === 200 ? jsonBody.parseObject(answer.text) : undefined;
-    if (parsed === undefined || parsed['task'] !== taskName) {
-      this.post({kind: 'taskAnswerLost', worker: name, task: taskName});
+    this.watch.end(worker, name, signal);
+    const read = isOk(outcome) ? readAnswer(outcome.text, name) : undefined;
+    if (read === undefined) {
+      this.parts.post({kind: 'taskAnswerLost', worker, task: name});
       return;
     }
-    this.post({
-      kind: 'taskAnswerArrived',
-      worker: name,
-      task: taskName,
-      state: parsed['state'] as 'finished' | 'failed' | 'stopped',
-      answer: String(parsed['answer'] ?? ''),
-    });
+    this.parts.post({kind: 'taskAnswerArrived', worker, task: name, ...read});
   }
 
-  private async stop(
-    name: string,
-    address: string,
-    taskName: string,
-  ): Promise<void> {
-    const answer = await this.send(address, 'DELETE', taskPath(taskName));
-    this.post({
+  private async stop(wanted: WorkerCall, name: string): Promise<void> {
+    const outcome = await this.send(wanted, 'DELETE', taskPath(name));
+    this.parts.post({
       kind: 'stopAnswered',
-      worker: name,
-      task: taskName,
-      done: answer !== undefined && answer.status < 300,
+      worker: wanted.worker,
+      task: name,
+      done: isOk(outcome),
     });
   }
 
-  private send(
-    address: string,
+  private async send(
+    wanted: WorkerCall,
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body?: unknown,
-  ): ReturnType<httpCaller.HttpCaller['call']> {
-    return this.caller.call({
+  ): Promise<httpCaller.HttpOutcome> {
+    const outcome = await this.parts.caller.call({
       method,
-      url: `http://${address}${path}`,
+      address: wanted.address,
+      path,
       body,
-      deadlineMs: CALL_DEADLINE_MS,
+      headersDeadlineMs: CALL_DEADLINE_MS,
+      bodyDeadlineMs: CALL_DEADLINE_MS,
+      largestAnswer: LARGEST_REPORT,
     });
+    if (outcome.kind !== 'answered') {
+      const labels = {call: wanted.kind, outcome: outcome.kind};
+      this.count('worker_call_failed', labels);
+    }
+    return outcome;
+  }
+
+  private count(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    value = 1,
+  ): void {
+    this.parts.metrics.count(metric, labels, value);
   }
 }
 
+type TaskAnswer = Pick<
+  Extract<event.WorkerEvent, {kind: 'taskAnswerArrived'}>,
+  'state' | 'answer'
+>;
+
+const ENDED_STATES: ReadonlySet<unknown> = new Set<task.TaskState>([
+  'finished',
+  'failed',
+  'stopped',
+  'checkpointed',
+  'lapsed',
+]);
+
+/** Reads an answer; undefined unless it names the task that was asked for. */
+function readAnswer(text: string, name: string): TaskAnswer | undefined {
+  const parsed = jsonBody.parseObject(text);
+  if (parsed === undefined || parsed['task'] !== name) return undefined;
+  const {state, answer} = parsed;
+  if (typeof answer !== 'string' || !ENDED_STATES.has(state)) return undefined;
+  return {state: state as TaskAnswer['state'], answer};
+}
+
 function taskPath(taskName: string, part?: string): string {
   const path = `/tasks/${encodeURIComponent(taskName)}`;
   return part === undefined ? path : `${path}/${part}`;
 }
 
+function isOk(
+  outcome: httpCaller.HttpOutcome,
+): outcome is Extract<httpCaller.HttpOutcome, {kind: 'answered'}> {
+  return (
+    outcome.kind === 'answered' && outcome.status >= 200 && outcome.status < 300
+  );
+}
+
+/** A start that was not sent, or was answered by a refusal, never runs. */
 function startAnswer(
-  status: number | undefined,
+  outcome: httpCaller.HttpOutcome,
 ): 'started' | 'refused' | 'lost' {
-  if (status === undefined || status >= 500) return 'lost';
-  return status === 201 ? 'started' : 'refused';
+  if (outcome.kind === 'notSent') return 'refused';
+  if (outcome.kind === 'lost') return 'lost';
+  if (outcome.status === 201) return 'started';
+  return outcome.status >= 400 && outcome.status < 500 ? 'refused' : 'lost';
+}
+
+function detailOf(outcome: httpCaller.HttpOutcome): string {
+  if (outcome.kind !== 'answered') return outcome.detail;
+  return `status ${outcome.status}: ${outcome.text.slice(0, 200)}`;
 }
--- a/src/loop.ts
+++ b/src/loop.ts
@@ -1,5 +1,5 @@
+import * as effects from './contracts/effect.js';
 import type * as clock from './machines/clock.js';
-import type * as effect from './contracts/effect.js';
 import type * as event from './contracts/event.js';
 
 /** Takes one event a turn and returns what is to be done about it. */
@@ -7,14 +7,14 @@
   handle(
     event: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effect.Effect>;
+  ): ReadonlyArray<effects.Effect>;
   /** When `timePassed` is wanted next; Infinity when nothing is due. */
   nextDeadline(now: clock.Milliseconds): clock.Milliseconds;
 }
 
 /** Performs effects and posts what comes of them to the loop. */
 export interface EffectPerformer {
-  perform(effect: effect.Effect): void;
+  perform(effect: effects.Effect): void;
 }
 
 /**
@@ -56,15 +56,30 @@
     while (position < this.queue.length) {
       const next = this.queue[position];
       position += 1;
-      for (const effect of this.handler.handle(next, this.clock.now())) {
-        this.performer.perform(effect);
-      }
+      this.handle(next);
     }
     this.queue.length = 0;
     this.turning = false;
     this.armTimer();
   }
 
+  /** A fault in one turn is reported and does not end the following turns. */
+  private handle(taken: event.Event): void {
+    try {
+      for (const wanted of this.handler.handle(taken, this.clock.now())) {
+        this.performer.perform(wanted);
+      }
+    } catch (fault) {
+      this.performer.perform(effects.count('turn_failed', {event: taken.kind}));
+      this.performer.perform(
+        effects.log('error', 'turnFailed', {
+          taken: taken.kind,
+          fault: fault instanceof Error ? String(fault.stack) : String(fault),
+        }),
+      );
+    }
+  }
+
   private armTimer(): void {
     if (this.stopped) return;
     const now = this.clock.now();
--- a/src/operations/logger.ts
+++ b/src/operations/logger.ts
@@ -37,5 +37,5 @@
 
 function quote(value: unknown): string {
   const text = String(value);
-  return /[\s"=]/.test(text) ? JSON.stringify(text) : text;
+  return /^[^\s"=\p{Cc}]+$/u.test(text) ? text : JSON.stringify(text);
 }
--- a/src/operations/metrics.ts
+++ b/src/operations/metrics.ts
@@ -1,17 +1,25 @@
 import * as hotShots from 'hot-shots';
 import type * as entryLinks from '../links/entry_links.js';
 
+/** Time for which datagrams are collected before they are sent. */
+const FLUSH_INTERVAL_MS = 1_000;
+
+/** Largest datagram that no usual network splits, in bytes. */
+const LARGEST_DATAGRAM = 1_400;
+
 /** Sends counters and durations as StatsD datagrams. */
-export class Metrics implements entryLinks.MetricsSink {
+export class StatsdMetrics implements entryLinks.MetricsSink {
   private readonly client: hotShots.StatsD;
 
   constructor(host: string, port: number, process: string) {
     this.client = new hotShots.StatsD({
       host,
-      ...(port > 0 ? {port} : {}),
+      port,
       prefix: 'parsleyknot.',
       globalTags: {process},
-      mock: port === 0,
+      maxBufferSize: LARGEST_DATAGRAM,
+      bufferFlushInterval: FLUSH_INTERVAL_MS,
+      // A lost datagram costs a figure; it must not disturb the process.
       errorHandler: () => {},
     });
   }
@@ -31,4 +39,19 @@
   ): void {
     this.client.distribution(metric, milliseconds, {...labels});
   }
+
+  /** Sends what is collected. */
+  close(): Promise<void> {
+    return new Promise(resolve => this.client.close(() => resolve()));
+  }
+}
+
+/** Drops everything, for a process without a receiver of metrics. */
+export class DroppedMetrics implements entryLinks.MetricsSink {
+  count(): void {}
+
+  observe(): void {}
+
+  /** Does nothing. */
+  async close(): Promise<void> {}
 }
--- a/src/result.ts
+++ b/src/result.ts
@@ -124,6 +124,14 @@
     'afterCorrection',
     'The client does not belong to the team.',
   ),
+  malformedCall: row(
+    1020,
+    'malformedCall',
+    400,
+    'notRun',
+    'afterCorrection',
+    'What was sent is not an HTTP/1.1 request.',
+  ),
   neverFits: row(
     2001,
     'neverFits',
--- a/stand_ins/log_service.ts
+++ b/stand_ins/log_service.ts
@@ -1,5 +1,6 @@
-import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import * as jsonBody from '../src/links/json_body.js';
+import * as standInServer from './stand_in_server.js';
 
 interface StoredRecord {
   readonly offset: number;
@@ -15,54 +16,61 @@
 export interface LogFailures {
   /** Every call fails. */
   readonly down: boolean;
+  /** No call is answered; connections stay open. */
+  readonly hangs: boolean;
   /** Appends take effect but are not acknowledged. */
   readonly losesAcknowledgements: boolean;
   /** Delay of every answer in milliseconds. */
   readonly delayMs: number;
+  /** Latest records that reads do not show. */
+  readonly staleRecords: number;
 }
 
 const HEALTHY: LogFailures = {
   down: false,
+  hangs: false,
   losesAcknowledgements: false,
   delayMs: 0,
+  staleRecords: 0,
 };
 
 /** Stand-in for the platform's append-only log service. */
-export class LogService {
+export class LogService implements standInServer.StandInHandler {
   private readonly streams = new Map<string, Stream>();
-  private readonly server: http.Server;
+  private readonly server = new standInServer.StandInServer(this);
   private failures = HEALTHY;
   private appends = 0;
+  private reads = 0;
 
   /** Keeps at most `retention` records of each stream. */
-  constructor(private readonly retention = Infinity) {
-    this.server = http.createServer((incoming, response) => {
-      void this.serve(incoming, response);
-    });
-  }
+  constructor(private readonly retention = Infinity) {}
 
   /** Listens on a port that the system chooses when `port` is 0. */
   listen(port = 0): Promise<string> {
-    return new Promise(resolve => {
-      this.server.listen(port, '127.0.0.1', () => {
-        const address = this.server.address();
-        const chosen = typeof address === 'object' ? address?.port : port;
-        resolve(`127.0.0.1:${chosen}`);
-      });
-    });
+    return this.server.listen(port);
   }
 
-  /** Switches failures on or off. */
+  /** Sets the failures; those that are not named are switched off. */
   fail(failures: Partial<LogFailures>): void {
     this.failures = {...HEALTHY, ...failures};
   }
 
+  /** Makes the open connections silent; new ones work. */
+  silenceConnections(): void {
+    this.server.silenceConnections();
+  }
+
   /** Appends that took effect. */
   appendCount(): number {
     return this.appends;
   }
 
-  /** Appends as an operator's own tool would. */
+  /** Records that a stream keeps. */
+  records(name: string): ReadonlyArray<string> {
+    return this.stream(name).records.map(record => record.data);
+  }
+
+  /** Appends as an operator's own tool would; returns the first offset. */
   append(name: string, records: ReadonlyArray<string>): number {
     const stream = this.stream(name);
     const first = stream.next;
@@ -80,58 +88,82 @@
   /** Stops the service. */
   close(): void {
     this.server.close();
-    this.server.closeAllConnections();
   }
 
-  private stream(name: string): Stream {
-    const known = this.streams.get(name);
-    if (known !== undefined) return known;
-    const created: Stream = {next: 0, records: []};
-    this.streams.set(name, created);
-    return created;
-  }
-
-  private async serve(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    const {down, losesAcknowledgements, delayMs} = this.failures;
-    const body = await jsonBody.readBody(incoming, 16_777_216, 10_000);
-    const url = new URL(incoming.url ?? '/', 'http://log');
-    const match = /^\/streams\/([^/]+)\/records$/.exec(url.pathname);
-    if (down || match === null || body.kind !== 'body') {
-      response.destroy();
+  /** Serves reads and appends. */
+  async serve(call: standInServer.StandInCall): Promise<void> {
+    const {down, hangs, losesAcknowledgements, delayMs} = this.failures;
+    if (hangs) return;
+    if (down) {
+      call.drop();
+      return;
+    }
+    const match = /^\/streams\/([^/]+)\/records$/.exec(call.url.pathname);
+    if (match === null) {
+      call.send(404, {detail: 'no such path'});
       return;
     }
     const name = decodeURIComponent(match[1]);
-    if (incoming.method === 'GET') {
-      await delay(delayMs);
-      jsonBody.sendJson(response, 200, this.read(name, url));
+    if (call.method === 'GET') {
+      const shown = this.read(name, call.url);
+      if (delayMs > 0) await timers.setTimeout(delayMs);
+      call.send(200, shown);
       return;
     }
-    const parsed = jsonBody.parseObject(body.text);
+    const parsed = jsonBody.parseObject(call.body);
     const records = (parsed?.['records'] ?? []) as ReadonlyArray<string>;
     const offset = this.append(name, records);
-    await delay(delayMs);
-    if (losesAcknowledgements) response.destroy();
-    else jsonBody.sendJson(response, 200, {offset});
+    if (delayMs > 0) await timers.setTimeout(delayMs);
+    if (losesAcknowledgements) call.drop();
+    else call.send(200, {offset});
+  }
+
+  /**
+   * Sets failures by their names; `append` with `stream` and `records` appends
+   * and `silenceConnections` makes the open connections silent.
+   */
+  control(change: Readonly<Record<string, unknown>>): void {
+    const {append, silenceConnections, ...failures} = change;
+    if (append !== undefined) {
+      const {stream, records} = append as {
+        readonly stream: string;
+        readonly records: ReadonlyArray<string>;
+      };
+      this.append(stream, records);
+    }
+    if (silenceConnections === true) this.silenceConnections();
+    if (Object.keys(failures).length > 0) this.fail(failures);
+  }
+
+  /** Counts and the failures that are switched on. */
+  observe(): unknown {
+    return {
+      appends: this.appends,
+      reads: this.reads,
+      failures: this.failures,
+      streams: Object.fromEntries(
+        [...this.streams].map(([name, stream]) => [name, stream.next]),
+      ),
+    };
+  }
+
+  private stream(name: string): Stream {
+    const known = this.streams.get(name);
+    if (known !== undefined) return known;
+    const created: Stream = {next: 0, records: []};
+    this.streams.set(name, created);
+    return created;
   }
 
   private read(name: string, url: URL): unknown {
+    this.reads += 1;
     const stream = this.stream(name);
     const from = Number(url.searchParams.get('from') ?? 0);
     const limit = Number(url.searchParams.get('limit') ?? 500);
     const first = stream.records[0]?.offset ?? stream.next;
+    const next = Math.max(first, stream.next - this.failures.staleRecords);
     const start = Math.max(0, from - first);
-    return {
-      first,
-      next: stream.next,
-      records: stream.records.slice(start, start + limit),
-    };
+    const end = Math.min(start + limit, next - first);
+    return {first, next, records: stream.records.slice(start, end)};
   }
 }
-
-function delay(milliseconds: number): Promise<void> {
-  if (milliseconds <= 0) return Promise.resolve();
-  return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- /dev/null
+++ b/stand_ins/stand_in_server.ts
@@ -0,0 +1,128 @@
+import * as http from 'node:http';
+import * as jsonBody from '../src/links/json_body.js';
+import type * as net from 'node:net';
+
+/** Largest body that a stand-in takes, in bytes. */
+const LARGEST_BODY = 67_108_864;
+
+/** Time for a body to arrive. */
+const BODY_DEADLINE_MS = 10_000;
+
+/** A call with its whole body. */
+export interface StandInCall {
+  readonly method: string;
+  readonly url: URL;
+  readonly body: string;
+  /** Answers, unless the connection has gone silent. */
+  readonly send: (status: number, body: unknown) => void;
+  /** Ends the connection without an answer. */
+  readonly drop: () => void;
+}
+
+/** What a stand-in does with calls. */
+export interface StandInHandler {
+  /** Serves a call that is not under /control. */
+  serve(call: StandInCall): void | Promise<void>;
+  /** Carries out what a test posts to /control. */
+  control(change: Readonly<Record<string, unknown>>): void;
+  /** What a test reads from /control. */
+  observe(): unknown;
+}
+
+/** HTTP server of a stand-in, with connections that can be made silent. */
+export class StandInServer {
+  private readonly server: http.Server;
+  private readonly sockets = new Set<net.Socket>();
+  private readonly silent = new WeakSet<net.Socket>();
+
+  constructor(private readonly handler: StandInHandler) {
+    this.server = http.createServer((incoming, response) => {
+      void this.serve(incoming, response);
+    });
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** Listens on a port that the system chooses when `port` is 0. */
+  listen(port: number): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, '127.0.0.1', () => {
+        const address = this.server.address();
+        const chosen = typeof address === 'object' ? address?.port : port;
+        resolve(`127.0.0.1:${chosen}`);
+      });
+    });
+  }
+
+  /** Refuses connections above the limit. */
+  limitConnections(limit: number): void {
+    this.server.maxConnections = limit;
+  }
+
+  /** Open connections, silent ones included. */
+  connectionCount(): number {
+    return this.sockets.size;
+  }
+
+  /** Makes the open connections silent for good; new ones work. */
+  silenceConnections(): void {
+    for (const socket of this.sockets) {
+      this.silent.add(socket);
+      socket.setTimeout(0);
+    }
+  }
+
+  /** Stops the service. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const {socket} = incoming;
+    const body = await jsonBody.readBody(
+      incoming,
+      LARGEST_BODY,
+      BODY_DEADLINE_MS,
+    );
+    if (body.kind !== 'body') {
+      response.destroy();
+      return;
+    }
+    const send = (status: number, content: unknown): void => {
+      if (this.silent.has(socket) || response.destroyed) return;
+      jsonBody.sendJson(response, status, content);
+    };
+    const url = new URL(incoming.url ?? '/', 'http://stand-in');
+    if (url.pathname === '/control') {
+      this.serveControl(incoming.method, body.text, send);
+      return;
+    }
+    if (this.silent.has(socket)) return;
+    const drop = (): void => void response.destroy();
+    const method = incoming.method ?? '';
+    await this.handler.serve({method, url, body: body.text, send, drop});
+  }
+
+  private serveControl(
+    method: string | undefined,
+    body: string,
+    send: StandInCall['send'],
+  ): void {
+    if (method === 'POST') {
+      const change = jsonBody.parseObject(body);
+      if (change === undefined) {
+        send(400, {detail: 'body: must be a JSON object'});
+        return;
+      }
+      this.handler.control(change);
+    }
+    send(200, this.handler.observe());
+  }
+}
--- a/stand_ins/vm_list.ts
+++ b/stand_ins/vm_list.ts
@@ -1,31 +1,18 @@
-import * as http from 'node:http';
-import * as jsonBody from '../src/links/json_body.js';
+import * as standInServer from './stand_in_server.js';
 import type * as event from '../src/contracts/event.js';
 
 /** Stand-in for the platform's lagging list of live and leaving VMs. */
-export class VmList {
+export class VmList implements standInServer.StandInHandler {
   private readonly vms = new Map<string, event.ListedVm>();
-  private readonly server: http.Server;
+  private readonly server = new standInServer.StandInServer(this);
   private down = false;
 
   /** Changes show `lagMs` after they are made. */
-  constructor(private readonly lagMs = 0) {
-    this.server = http.createServer((incoming, response) => {
-      incoming.resume();
-      if (this.down) response.destroy();
-      else jsonBody.sendJson(response, 200, {vms: [...this.vms.values()]});
-    });
-  }
+  constructor(private readonly lagMs = 0) {}
 
   /** Listens on a port that the system chooses when `port` is 0. */
   listen(port = 0): Promise<string> {
-    return new Promise(resolve => {
-      this.server.listen(port, '127.0.0.1', () => {
-        const address = this.server.address();
-        const chosen = typeof address === 'object' ? address?.port : port;
-        resolve(`127.0.0.1:${chosen}`);
-      });
-    });
+    return this.server.listen(port);
   }
 
   /** Adds or changes a VM after the lag. */
@@ -46,7 +33,26 @@
   /** Stops the service. */
   close(): void {
     this.server.close();
-    this.server.closeAllConnections();
+  }
+
+  /** Serves the list. */
+  serve(call: standInServer.StandInCall): void {
+    if (this.down) call.drop();
+    else if (call.url.pathname !== '/vms') call.send(404, {});
+    else call.send(200, {vms: [...this.vms.values()]});
+  }
+
+  /** Takes `put` (a VM), `remove` (its name) and `down`. */
+  control(change: Readonly<Record<string, unknown>>): void {
+    const {put, remove, down} = change;
+    if (put !== undefined) this.put(put as event.ListedVm);
+    if (typeof remove === 'string') this.remove(remove);
+    if (typeof down === 'boolean') this.setDown(down);
+  }
+
+  /** The list as it is shown. */
+  observe(): unknown {
+    return {vms: [...this.vms.values()], down: this.down};
   }
 
   private afterLag(change: () => void): void {
--- a/stand_ins/worker.ts
+++ b/stand_ins/worker.ts
@@ -1,6 +1,8 @@
-import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import * as jsonBody from '../src/links/json_body.js';
 import * as resources from '../src/machines/resources.js';
+import * as standInServer from './stand_in_server.js';
+import * as workerTask from './worker_task.js';
 import type * as task from '../src/contracts/task.js';
 
 /** What a stand-in worker is made with. */
@@ -10,6 +12,16 @@
   readonly capacity: resources.Resources;
   /** Run time of a task whose payload does not name one. */
   readonly runTimeMs: number;
+  /** Time until a report shows what a task uses; 0 by default. */
+  readonly usageLagMs?: number;
+  /** Time for which ended tasks are listed; 10 minutes by default. */
+  readonly keepEndedMs?: number;
+  /** Rate of the worker's clock; 1 by default. */
+  readonly clockRate?: number;
+  /** Reading of the worker's clock at its start; 0 by default. */
+  readonly clockOffsetMs?: number;
+  /** Most connections; no limit by default. */
+  readonly connectionLimit?: number;
 }
 
 /** Failures that a test switches on. */
@@ -18,223 +30,234 @@
   readonly failsEverything: boolean;
   /** Starts take effect but their answers are lost. */
   readonly losesStartAnswers: boolean;
+  /** Time by which starts are late when they reach the worker. */
+  readonly startDelayMs: number;
+  /** No call is answered; connections stay open. */
+  readonly hangs: boolean;
 }
 
-interface RunningTask {
-  readonly start: task.TaskStart;
-  readonly timer: NodeJS.Timeout;
-  leaseEnd: number;
-  state: task.TaskState;
-  answer: string;
-  readonly waiting: http.ServerResponse[];
-}
+const HEALTHY: WorkerFailures = {
+  failsEverything: false,
+  losesStartAnswers: false,
+  startDelayMs: 0,
+  hangs: false,
+};
 
-interface Payload {
-  readonly runTimeMs?: number;
-  readonly answer?: string;
-}
+/** How often leases, kept tasks and usage are checked. */
+const CHECK_INTERVAL_MS = 20;
 
-/** How often leases are checked. */
-const LEASE_CHECK_MS = 50;
+/** Time for which an ended task is listed. */
+const KEEP_ENDED_MS = 600_000;
 
 /**
  * Stand-in for a platform worker. It runs what it is told under leases and
  * checks nothing else; it notes when it was overcommitted.
  */
-export class StandInWorker {
-  private readonly tasks = new Map<string, RunningTask>();
-  private readonly server: http.Server;
-  private readonly leaseTimer: NodeJS.Timeout;
-  private failures: WorkerFailures = {
-    failsEverything: false,
-    losesStartAnswers: false,
-  };
+export class StandInWorker implements standInServer.StandInHandler {
+  private readonly tasks = new Map<string, workerTask.WorkerTask>();
+  private readonly server = new standInServer.StandInServer(this);
+  private readonly checkTimer: NodeJS.Timeout;
+  private failures = HEALTHY;
   private leaving = false;
   private readonly runs = new Map<string, number>();
   private overcommitments = 0;
+  private overuses = 0;
+  private lapsedStarts = 0;
+  private mostConnections = 0;
 
   constructor(private readonly options: WorkerOptions) {
-    this.server = http.createServer((incoming, response) => {
-      void this.serve(incoming, response);
-    });
-    this.leaseTimer = setInterval(() => this.lapse(), LEASE_CHECK_MS);
-    this.leaseTimer.unref();
+    if (options.connectionLimit !== undefined) {
+      this.server.limitConnections(options.connectionLimit);
+    }
+    this.checkTimer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    this.checkTimer.unref();
   }
 
   /** Listens on a port that the system chooses when `port` is 0. */
   listen(port = 0): Promise<string> {
-    return new Promise(resolve => {
-      this.server.listen(port, '127.0.0.1', () => {
-        const address = this.server.address();
-        const chosen = typeof address === 'object' ? address?.port : port;
-        resolve(`127.0.0.1:${chosen}`);
-      });
-    });
+    return this.server.listen(port);
   }
 
-  /** Switches failures on or off. */
+  /** Changes the failures that are named. */
   fail(failures: Partial<WorkerFailures>): void {
     this.failures = {...this.failures, ...failures};
   }
 
+  /** Makes the open connections silent; new ones work. */
+  silenceConnections(): void {
+    this.server.silenceConnections();
+  }
+
   /** Says in reports that the worker leaves. */
   leave(): void {
     this.leaving = true;
   }
 
-  /** How often each request's first task was run. */
+  /** How often tasks of each request were run. */
   runCounts(): ReadonlyMap<string, number> {
     return this.runs;
   }
 
-  /** Starts that took the worker over its capacity. */
+  /** Tasks that run now. */
+  runningCount(): number {
+    return [...this.tasks.values()].filter(item => item.state === 'running')
+      .length;
+  }
+
+  /** Open connections, silent ones included. */
+  connectionCount(): number {
+    return this.server.connectionCount();
+  }
+
+  /** Starts whose reservations took the worker over its capacity. */
   overcommitmentCount(): number {
     return this.overcommitments;
   }
 
   /** Stops the worker with everything on it. */
   close(): void {
-    clearInterval(this.leaseTimer);
-    for (const running of this.tasks.values()) clearTimeout(running.timer);
+    clearInterval(this.checkTimer);
+    for (const known of this.tasks.values()) known.end('stopped', '');
     this.server.close();
-    this.server.closeAllConnections();
   }
 
-  private async serve(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    const body = await jsonBody.readBody(incoming, 16_777_216, 10_000);
-    if (body.kind !== 'body') {
-      response.destroy();
+  /** Serves the calls of the owner. */
+  async serve(call: standInServer.StandInCall): Promise<void> {
+    if (this.failures.hangs) return;
+    const [, first, name, part] = call.url.pathname.split('/');
+    if (first === 'report') call.send(200, this.report());
+    else if (first === 'renewals') this.renew(call);
+    else if (first !== 'tasks') call.send(404, {detail: 'no such path'});
+    else if (name === undefined) await this.takeStart(call);
+    else this.serveTask(decodeURIComponent(name), part, call);
+  }
+
+  /** Sets failures by their names; takes `leave` and `silenceConnections`. */
+  control(change: Readonly<Record<string, unknown>>): void {
+    const {leave, silenceConnections, ...failures} = change;
+    if (leave === true) this.leave();
+    if (silenceConnections === true) this.silenceConnections();
+    this.fail(failures);
+  }
+
+  /** What the worker has seen. */
+  observe(): unknown {
+    return {
+      name: this.options.name,
+      runs: Object.fromEntries(this.runs),
+      running: this.runningCount(),
+      overcommitments: this.overcommitments,
+      overuses: this.overuses,
+      lapsedStarts: this.lapsedStarts,
+      connections: this.server.connectionCount(),
+      mostConnections: this.mostConnections,
+      failures: this.failures,
+    };
+  }
+
+  private async takeStart(call: standInServer.StandInCall): Promise<void> {
+    const start = jsonBody.parseObject(call.body);
+    if (start === undefined) {
+      call.send(400, {detail: 'body: must be a JSON object'});
       return;
     }
-    const [, first, name, part] = (incoming.url ?? '').split('/');
-    const taskName = decodeURIComponent(name ?? '');
-    if (first === 'report') {
-      jsonBody.sendJson(response, 200, this.report());
-    } else if (first === 'renewals') {
-      this.renew(jsonBody.parseObject(body.text) ?? {});
-      jsonBody.sendJson(response, 200, {});
-    } else if (incoming.method === 'POST' && name === undefined) {
-      const start = jsonBody.parseObject(body.text);
-      this.start(start as unknown as task.TaskStart, response);
-    } else if (part === 'answer') {
-      this.answer(taskName, response);
-    } else if (incoming.method === 'DELETE') {
-      this.end(taskName, 'stopped', '');
-      jsonBody.sendJson(response, 200, {});
-    } else if (part === 'checkpoint') {
-      this.end(taskName, 'checkpointed', '');
-      jsonBody.sendJson(response, 200, {});
-    } else {
-      jsonBody.sendJson(response, 200, {});
-    }
+    const {startDelayMs} = this.failures;
+    if (startDelayMs > 0) await timers.setTimeout(startDelayMs);
+    this.start(start as unknown as task.TaskStart, call);
   }
 
-  private start(start: task.TaskStart, response: http.ServerResponse): void {
-    if (start.leaseEnd <= performance.now()) {
-      jsonBody.sendJson(response, 410, {detail: 'the lease has lapsed'});
+  private start(start: task.TaskStart, call: standInServer.StandInCall): void {
+    if (start.leaseEnd <= this.clock()) {
+      this.lapsedStarts += 1;
+      call.send(410, {detail: 'the lease has lapsed'});
       return;
     }
-    const identity = start.label.identity;
+    const {identity} = start.label;
     this.runs.set(identity, (this.runs.get(identity) ?? 0) + 1);
-    const payload = readPayload(start.payload);
-    const failing = this.failures.failsEverything;
-    const timer = setTimeout(
-      () =>
-        this.end(
-          start.task,
-          failing ? 'failed' : 'finished',
-          payload.answer ?? `done ${start.payload}`,
-        ),
-      failing ? 0 : (payload.runTimeMs ?? this.options.runTimeMs),
-    );
-    this.tasks.set(start.task, {
-      start,
-      timer,
-      leaseEnd: start.leaseEnd,
-      state: 'running',
-      answer: '',
-      waiting: [],
+    const created = new workerTask.WorkerTask(start, {
+      runTimeMs: this.options.runTimeMs,
+      usageLagMs: this.options.usageLagMs ?? 0,
+      failsEverything: this.failures.failsEverything,
     });
-    if (!resources.fits(this.used(), this.options.capacity)) {
+    this.tasks.set(start.task, created);
+    const reserved = this.sum(item => item.size);
+    if (!resources.fits(reserved, this.options.capacity)) {
       this.overcommitments += 1;
     }
-    if (this.failures.losesStartAnswers) response.destroy();
-    else jsonBody.sendJson(response, 201, {workerClock: performance.now()});
+    if (this.failures.losesStartAnswers) call.drop();
+    else call.send(201, {workerClock: this.clock()});
   }
 
-  private used(): resources.Resources {
-    let used = resources.NONE;
-    for (const running of this.tasks.values()) {
-      if (running.state !== 'running') continue;
-      used = resources.add(used, running.start.size);
+  private serveTask(
+    name: string,
+    part: string | undefined,
+    call: standInServer.StandInCall,
+  ): void {
+    const known = this.tasks.get(name);
+    if (known === undefined) {
+      call.send(404, {detail: 'no such task'});
+      return;
     }
-    return used;
-  }
-
-  private end(name: string, state: task.TaskState, answer: string): void {
-    const running = this.tasks.get(name);
-    if (running === undefined || running.state !== 'running') return;
-    clearTimeout(running.timer);
-    running.state = state;
-    running.answer = answer;
-    for (const response of running.waiting) this.sendAnswer(running, response);
-    running.waiting.length = 0;
+    if (part === 'answer') {
+      known.whenEnded(answer => call.send(200, answer));
+      return;
+    }
+    if (call.method === 'DELETE') known.end('stopped', '');
+    else if (part === 'checkpoint') known.end('checkpointed', '');
+    else if (part === 'throttle') {
+      const limit = jsonBody.parseObject(call.body);
+      known.throttle(limit as unknown as resources.Resources);
+    }
+    call.send(200, {});
   }
 
-  private answer(name: string, response: http.ServerResponse): void {
-    const running = this.tasks.get(name);
-    if (running === undefined) jsonBody.sendJson(response, 404, {});
-    else if (running.state === 'running') running.waiting.push(response);
-    else this.sendAnswer(running, response);
+  private renew(call: standInServer.StandInCall): void {
+    const body = jsonBody.parseObject(call.body) ?? {};
+    for (const name of (body['tasks'] ?? []) as ReadonlyArray<string>) {
+      this.tasks.get(name)?.renew(Number(body['leaseEnd']));
+    }
+    call.send(200, {});
   }
 
-  private sendAnswer(
-    running: RunningTask,
-    response: http.ServerResponse,
-  ): void {
-    jsonBody.sendJson(response, 200, {
-      task: running.start.task,
-      state: running.state,
-      answer: running.answer,
-    });
+  private check(): void {
+    const keepEnded = this.options.keepEndedMs ?? KEEP_ENDED_MS;
+    const now = performance.now();
+    for (const [name, known] of this.tasks) {
+      known.lapse(this.clock());
+      const kept = known.state === 'running' || now - known.endedAt < keepEnded;
+      if (!kept) this.tasks.delete(name);
+    }
+    const used = this.sum(item => item.usage());
+    if (!resources.fits(used, this.options.capacity)) this.overuses += 1;
+    this.mostConnections = Math.max(
+      this.mostConnections,
+      this.server.connectionCount(),
+    );
   }
 
-  private renew(body: Readonly<Record<string, unknown>>): void {
-    for (const name of (body['tasks'] ?? []) as ReadonlyArray<string>) {
-      const running = this.tasks.get(name);
-      if (running === undefined) continue;
-      running.leaseEnd = Math.max(running.leaseEnd, Number(body['leaseEnd']));
+  private sum(
+    quantity: (item: workerTask.WorkerTask) => resources.Resources,
+  ): resources.Resources {
+    let total = resources.NONE;
+    for (const known of this.tasks.values()) {
+      if (known.state !== 'running') continue;
+      total = resources.add(total, quantity(known));
     }
+    return total;
   }
 
-  private lapse(): void {
-    const now = performance.now();
-    for (const [name, running] of this.tasks) {
-      if (running.leaseEnd <= now) this.end(name, 'lapsed', '');
-    }
+  private clock(): number {
+    const {clockRate = 1, clockOffsetMs = 0} = this.options;
+    return clockOffsetMs + performance.now() * clockRate;
   }
 
   private report(): Omit<task.WorkerReport, 'worker'> {
     return {
-      workerClock: performance.now(),
+      workerClock: this.clock(),
       capacity: this.options.capacity,
       rack: this.options.rack,
       leaving: this.leaving,
-      tasks: [...this.tasks.values()].map(running => ({
-        task: running.start.task,
-        label: running.start.label,
-        state: running.state,
-        size: running.start.size,
-        usage: running.start.size,
-        leaseEnd: running.leaseEnd,
-      })),
+      tasks: [...this.tasks.values()].map(known => known.report()),
     };
   }
 }
-
-function readPayload(payload: string): Payload {
-  return (jsonBody.parseObject(payload) ?? {}) as Payload;
-}
--- /dev/null
+++ b/stand_ins/worker_main.ts
@@ -0,0 +1,46 @@
+import * as commandTypes from 'cmd-ts';
+import * as announce from './announce.js';
+import * as worker from './worker.js';
+
+function numberOption(
+  long: string,
+  description: string,
+  value: number,
+): ReturnType<typeof commandTypes.option<typeof commandTypes.number>> {
+  return commandTypes.option({
+    long,
+    description,
+    type: commandTypes.number,
+    defaultValue: () => value,
+  });
+}
+
+const command = commandTypes.command({
+  name: 'worker',
+  description: 'Runs a stand-in for a worker; control is at /control',
+  args: {
+    name: commandTypes.option({long: 'name', type: commandTypes.string}),
+    rack: commandTypes.option({
+      long: 'rack',
+      type: commandTypes.string,
+      defaultValue: () => 'rack-1',
+    }),
+    port: numberOption('port', '0 lets the system choose', 0),
+    processors: numberOption('processors', 'thousandths', 16_000),
+    memory: numberOption('memory', 'MiB', 32_768),
+    accelerators: numberOption('accelerators', 'whole ones', 0),
+    slots: numberOption('slots', 'tasks at once', 8),
+    runTimeMs: numberOption('run-time-ms', 'of a task by default', 100),
+    usageLagMs: numberOption('usage-lag-ms', 'until usage shows', 0),
+    connectionLimit: numberOption('connections', 'most at once', 60),
+    clockRate: numberOption('clock-rate', 'of the own clock', 1),
+    clockOffsetMs: numberOption('clock-offset-ms', 'of the own clock', 0),
+  },
+  handler: async ({port, processors, memory, accelerators, slots, ...rest}) => {
+    const capacity = {processors, memory, accelerators, slots};
+    const machine = new worker.StandInWorker({...rest, capacity});
+    announce.announce('worker', await machine.listen(port));
+  },
+});
+
+void commandTypes.run(command, process.argv.slice(2));
--- /dev/null
+++ b/test/support/recorded_metrics.ts
@@ -0,0 +1,22 @@
+import type * as entryLinks from '../../src/links/entry_links.js';
+
+/** Keeps counters for a test to look at. */
+export class RecordedMetrics implements entryLinks.MetricsSink {
+  private readonly totals = new Map<string, number>();
+
+  count(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    value: number,
+  ): void {
+    const key = [metric, ...Object.values(labels)].join(' ');
+    this.totals.set(key, (this.totals.get(key) ?? 0) + value);
+  }
+
+  observe(): void {}
+
+  /** Total of a metric with the values of its labels, joined by spaces. */
+  total(key: string): number {
+    return this.totals.get(key) ?? 0;
+  }
+}
