--- a/src/links/call_reader.ts
+++ b/src/links/call_reader.ts
@@ -18,6 +18,9 @@
 /** Longest identity; the ones that are issued are shorter. */
 const LONGEST_IDENTITY = 200;
 
+/** Longest payload; the limit of bodies is lower unless it is raised. */
+const LONGEST_PAYLOAD = 67_108_864;
+
 /** Largest quantity of a size. */
 const LARGEST_SIZE = 1_000_000_000;
 
@@ -74,12 +77,7 @@
           fieldRules.readText('workload', raw['workload'], 1, LONGEST_NAME),
         )
         .chain(() =>
-          fieldRules.readText(
-            'payload',
-            raw['payload'],
-            0,
-            jsonBody.LARGEST_BODY_BYTES,
-          ),
+          fieldRules.readText('payload', raw['payload'], 0, LONGEST_PAYLOAD),
         )
         .chain(() => readOptional(raw['size'], readSize))
         .chain(() =>
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -13,9 +13,6 @@
 /** Time for the headers of a call to arrive. */
 const HEADERS_DEADLINE_MS = 10_000;
 
-/** Time for a body to arrive. */
-const BODY_DEADLINE_MS = 10_000;
-
 /**
  * Time for which one look at a request waits for its end while its events are
  * streamed; other changes of state are seen this much later at most.
@@ -42,10 +39,25 @@
   readonly numbers: callNumbers.CallNumbers;
   readonly post: (event: event.Event) => void;
   readonly metrics: entryLinks.MetricsSink;
-  /** Time for a body to arrive; the default is `BODY_DEADLINE_MS`. */
-  readonly bodyDeadlineMs?: number;
+  readonly limits?: Partial<CallerLimits>;
+}
+
+/** Bounds of what callers may occupy. */
+export interface CallerLimits {
+  /** Time for a body to arrive. */
+  readonly bodyDeadlineMs: number;
+  /** Largest body. */
+  readonly bodyBytes: number;
+  /** Most calls that are open at once. */
+  readonly openCalls: number;
 }
 
+const DEFAULT_LIMITS: CallerLimits = {
+  bodyDeadlineMs: 10_000,
+  bodyBytes: jsonBody.LARGEST_BODY_BYTES,
+  openCalls: 10_000,
+};
+
 /** HTTP front end for callers and operators. */
 export class CallerServer {
   private readonly server: http.Server;
@@ -54,7 +66,10 @@
   /** Responses that are not sent completely. */
   private unsent = 0;
 
+  private readonly limits: CallerLimits;
+
   constructor(private readonly parts: CallerServerParts) {
+    this.limits = {...DEFAULT_LIMITS, ...parts.limits};
     this.server = http.createServer(
       {
         headersTimeout: HEADERS_DEADLINE_MS,
@@ -146,8 +161,8 @@
     if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
-      jsonBody.LARGEST_BODY_BYTES,
-      this.parts.bodyDeadlineMs ?? BODY_DEADLINE_MS,
+      this.limits.bodyBytes,
+      this.limits.bodyDeadlineMs,
     );
     if (body.kind !== 'body') {
       this.refuseBody(body.kind, response);
@@ -157,6 +172,14 @@
       jsonBody.sendJson(response, 200, {live: true});
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
+    } else if (this.unsent > this.limits.openCalls) {
+      this.refuse(
+        response,
+        result.failure(
+          'tooManyCalls',
+          `calls: ${this.unsent}: at most ${this.limits.openCalls} at once`,
+        ),
+      );
     } else {
       this.takeCall(incoming, response, body.text);
     }
@@ -266,16 +289,15 @@
         response,
         result.failure(
           'bodyTooLarge',
-          `body: must have at most ${jsonBody.LARGEST_BODY_BYTES} bytes`,
+          `body: must have at most ${this.limits.bodyBytes} bytes`,
         ),
       );
     } else {
-      const deadline = this.parts.bodyDeadlineMs ?? BODY_DEADLINE_MS;
       this.refuse(
         response,
         result.failure(
           'bodyTooSlow',
-          `body: must arrive within ${deadline} ms`,
+          `body: must arrive within ${this.limits.bodyDeadlineMs} ms`,
         ),
       );
     }
--- a/src/result.ts
+++ b/src/result.ts
@@ -220,6 +220,14 @@
     'later',
     'This process is shutting down; ask another.',
   ),
+  tooManyCalls: row(
+    3010,
+    'tooManyCalls',
+    503,
+    'notRun',
+    'later',
+    'This process has as many open calls as it may have.',
+  ),
   unknownOutcome: row(
     4001,
     'unknownOutcome',
--- a/test/links/caller_server_test.ts
+++ b/test/links/caller_server_test.ts
@@ -23,11 +23,11 @@
   readonly server: callerServer.CallerServer;
   address = '';
 
-  constructor(respond: Respond, bodyDeadlineMs?: number) {
+  constructor(respond: Respond, limits?: Partial<callerServer.CallerLimits>) {
     this.server = new callerServer.CallerServer({
       numbers: new callNumbers.CallNumbers(),
       metrics: this.metrics,
-      ...(bodyDeadlineMs === undefined ? {} : {bodyDeadlineMs}),
+      limits,
       post: posted => {
         this.posted.push(posted);
         respond(posted, reply => {
@@ -176,7 +176,7 @@
   });
 
   nodeTest.test('a body that is too slow gets its code', async () => {
-    const front = new Front(() => {}, 50);
+    const front = new Front(() => {}, {bodyDeadlineMs: 50});
     const address = await front.listen();
     const text = await sendRaw(
       address,
@@ -196,6 +196,27 @@
   });
 });
 
+nodeTest.describe('many calls', () => {
+  // Guards against callers that occupy all memory.
+  nodeTest.test('calls above the limit are refused, not run', async () => {
+    const front = new Front(() => {}, {openCalls: 2});
+    const address = await front.listen();
+    const open = ['a', 'b'].map(name =>
+      httpCall.callJson(address, 'GET', `/v1/requests/${name}?wait=9`),
+    );
+    await wait.until('both calls', async () => front.posted[1]);
+    const refused = await httpCall.callJson(address, 'GET', '/v1/requests/c');
+    assert.equal(refused.body['code'], 3010);
+    for (const posted of front.posted) {
+      if ('call' in posted) front.server.answer(posted.call, {code: 1});
+    }
+    for (const answer of await Promise.all(open)) {
+      assert.equal(answer.status, 202);
+    }
+    await front.server.close();
+  });
+});
+
 nodeTest.describe('readiness', () => {
   nodeTest.test('a process without configuration is not ready', async () => {
     let documents = {};
--- /dev/null
+++ b/test/processes/fault_test.ts
@@ -0,0 +1,63 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as processCell from '../support/process_cell.js';
+import * as wait from '../support/wait.js';
+
+async function withCell(
+  body: (cell: processCell.ProcessCell) => Promise<void>,
+): Promise<void> {
+  const cell = await processCell.ProcessCell.start();
+  try {
+    await body(cell);
+    await cell.assertNotOvercommitted();
+  } finally {
+    await cell.close();
+  }
+}
+
+nodeTest.describe('faults of one process', () => {
+  // Guards against a planned stop that costs a request its answer.
+  nodeTest.test('SIGTERM under load cuts off no request', () =>
+    withCell(async cell => {
+      await cell.addWorker();
+      const entry = await cell.addEntry();
+      await cell.untilOwner(entry);
+      const identities: string[] = [];
+      for (let index = 0; index < 40; index += 1) {
+        identities.push(await cell.identity(entry));
+      }
+      const calls = identities.map((identity, index) =>
+        cell.put(entry, identity, {runTimeMs: 200, answer: `of ${index}`}),
+      );
+      await wait.until('a running task', async () =>
+        (await cell.workers[0].observe())['running'] ? true : undefined,
+      );
+      entry.signal('SIGTERM');
+      const answers = await Promise.all(calls);
+      answers.forEach((answer, index) => {
+        assert.equal(answer.body['code'], 0, answer.text);
+        assert.equal(answer.body['answer'], `of ${index}`);
+      });
+      assert.equal(await entry.ended(), 0);
+      const runs = await cell.runs();
+      assert.deepEqual(
+        identities.map(identity => runs.get(identity)),
+        identities.map(() => 1),
+      );
+    }),
+  );
+
+  // Guards against a second run after an append that was not acknowledged.
+  nodeTest.test('lost answers of the log lose and repeat nothing', () =>
+    withCell(async cell => {
+      await cell.addWorker();
+      await cell.log.control({losesAcknowledgements: true});
+      const entry = await cell.addEntry();
+      await cell.untilOwner(entry);
+      const identity = await cell.identity(entry);
+      const answer = await cell.untilFinal(entry, identity, {answer: 'done'});
+      assert.equal(answer.body['code'], 0, answer.text);
+      assert.equal((await cell.runs()).get(identity), 1);
+    }),
+  );
+});
--- /dev/null
+++ b/test/support/child_process.ts
@@ -0,0 +1,62 @@
+import * as childProcess from 'node:child_process';
+
+/** Time for a process to say that it is ready. */
+const START_LIMIT_MS = 20_000;
+
+/** A process that a test starts, with the lines that it prints. */
+export class ChildProcess {
+  readonly lines: string[] = [];
+  private readonly child: childProcess.ChildProcess;
+  private readonly exit: Promise<number | null>;
+
+  constructor(command: string, commandArguments: ReadonlyArray<string>) {
+    this.child = childProcess.spawn(command, commandArguments, {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this.exit = new Promise(resolve =>
+      this.child.once('exit', code => resolve(code)),
+    );
+    let rest = '';
+    this.child.stdout?.on('data', (chunk: Buffer) => {
+      const parts = (rest + chunk.toString()).split('\n');
+      rest = parts.pop() ?? '';
+      this.lines.push(...parts);
+    });
+  }
+
+  /** Number of the process. */
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  /** Waits for a line; fails when the process ends before it. */
+  async line(pattern: RegExp): Promise<string> {
+    let exited = false;
+    void this.exit.then(() => (exited = true));
+    const started = performance.now();
+    while (performance.now() - started < START_LIMIT_MS) {
+      const found = this.lines.find(item => pattern.test(item));
+      if (found !== undefined) return found;
+      if (exited) break;
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    await this.kill();
+    throw new Error(`no line with ${pattern}; ${this.lines.length} lines`);
+  }
+
+  /** Sends a signal, such as SIGSTOP. */
+  signal(name: NodeJS.Signals): void {
+    this.child.kill(name);
+  }
+
+  /** Resolves with the exit code; null when a signal ended the process. */
+  ended(): Promise<number | null> {
+    return this.exit;
+  }
+
+  /** Ends the process at once. */
+  async kill(): Promise<void> {
+    this.child.kill('SIGKILL');
+    await this.exit;
+  }
+}
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -1,10 +1,7 @@
-import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-
-/** Time for a process to say that it serves. */
-const START_LIMIT_MS = 20_000;
+import * as childProcess from './child_process.js';
 
 /** Settings of one entry process that a test starts. */
 export interface EntryOptions {
@@ -15,6 +12,9 @@
   readonly vmList: string;
 }
 
+/** The program as the compiler leaves it. */
+const COMPILED: ReadonlyArray<string> = [process.execPath, 'build/src/main.js'];
+
 /** An entry process that runs apart from the test. */
 export class EntryProcess {
   private constructor(
@@ -22,12 +22,17 @@
     private readonly folder: string,
     /** Address for callers. */
     readonly address: string,
+    /** Address for other entry processes. */
+    readonly peerAddress: string,
     /** Name of this incarnation. */
     readonly process: string,
   ) {}
 
   /** Starts a process and waits until it says that it serves. */
-  static async start(options: EntryOptions): Promise<EntryProcess> {
+  static async start(
+    options: EntryOptions,
+    program = COMPILED,
+  ): Promise<EntryProcess> {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'entry-'));
     const config = path.join(folder, 'settings.toml');
     const settings = {...options, host: '127.0.0.1'};
@@ -36,50 +41,49 @@
     );
     lines.push('callerPort = 0', 'peerPort = 0');
     fs.writeFileSync(config, `${lines.join('\n')}\n`);
-    const child = childProcess.spawn(
-      process.execPath,
-      ['build/src/main.js', 'serve', '--config', config],
-      {stdio: ['ignore', 'pipe', 'inherit']},
-    );
-    const line = await waitForLine(child, /event=serving/);
-    const port = /port=(\d+)/.exec(line)?.[1] ?? '';
+    const [command, ...before] = program;
+    const child = new childProcess.ChildProcess(command, [
+      ...before,
+      'serve',
+      '--config',
+      config,
+    ]);
+    const line = await child.line(/event=serving/);
+    const port = /\bport=(\d+)/.exec(line)?.[1] ?? '';
+    const peerPort = /\bpeerPort=(\d+)/.exec(line)?.[1] ?? '';
     const name = /process=(\S+)/.exec(line)?.[1] ?? '';
-    return new EntryProcess(child, folder, `127.0.0.1:${port}`, name);
+    return new EntryProcess(
+      child,
+      folder,
+      `127.0.0.1:${port}`,
+      `127.0.0.1:${peerPort}`,
+      name,
+    );
+  }
+
+  /** Number of the process. */
+  get pid(): number {
+    return this.child.pid;
+  }
+
+  /** Lines that the process has logged. */
+  get lines(): ReadonlyArray<string> {
+    return this.child.lines;
   }
 
   /** Sends a signal, such as SIGSTOP. */
   signal(name: NodeJS.Signals): void {
-    this.child.kill(name);
+    this.child.signal(name);
+  }
+
+  /** Resolves with the exit code. */
+  ended(): Promise<number | null> {
+    return this.child.ended();
   }
 
   /** Ends the process at once. */
   async kill(): Promise<void> {
-    if (this.child.exitCode === null && this.child.signalCode === null) {
-      const ended = new Promise(resolve => this.child.once('exit', resolve));
-      this.child.kill('SIGKILL');
-      await ended;
-    }
+    await this.child.kill();
     fs.rmSync(this.folder, {recursive: true, force: true});
   }
 }
-
-function waitForLine(
-  child: childProcess.ChildProcess,
-  pattern: RegExp,
-): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => {
-      child.kill('SIGKILL');
-      reject(new Error(`no line with ${pattern} within ${START_LIMIT_MS} ms`));
-    }, START_LIMIT_MS);
-    let output = '';
-    child.once('exit', code => reject(new Error(`exited with ${code}`)));
-    child.stdout?.on('data', (chunk: Buffer) => {
-      output += chunk.toString();
-      const line = output.split('\n').find(item => pattern.test(item));
-      if (line === undefined) return;
-      clearTimeout(timer);
-      resolve(line);
-    });
-  });
-}
