Count the bytes of each link by zone

Cause: the design asks for traffic by scope; regions bill it by volume. Change: connections are watched by link and zone at the other end.

--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -1,3 +1,4 @@
+import * as byteCounter from '../links/byte_counter.js';
 import * as callNumbers from '../links/call_numbers.js';
 import * as callerServer from '../links/caller_server.js';
 import * as clock from '../machines/clock.js';
@@ -36,6 +37,7 @@
   private readonly incarnation: string;
   private readonly random = new randomSource.UnpredictableRandom();
   private readonly metrics: Sink;
+  private readonly bytes: byteCounter.ByteCounter;
   private readonly callers: callerServer.CallerServer;
   private readonly peerServer: peerServer.PeerServer;
   private readonly peers: peerLink.PeerLink;
@@ -47,10 +49,12 @@
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
     this.metrics = new metrics.DroppedMetrics();
+    this.bytes = new byteCounter.ByteCounter(this.metrics);
     this.callers = new callerServer.CallerServer({
       numbers: this.numbers,
       post: this.post,
       metrics: this.metrics,
+      bytes: this.bytes,
     });
     this.peerServer = new peerServer.PeerServer(
       this.incarnation,
@@ -63,6 +67,8 @@
       post: this.post,
       now: this.now,
       metrics: this.metrics,
+      logs: this.logs,
+      bytes: this.bytes,
     });
   }
 
@@ -97,6 +103,7 @@
     this.peers.close();
     this.peerServer.close();
     await Promise.all(this.httpCallers.map(caller => caller.close()));
+    this.bytes.close();
     await this.metrics.close();
     process.exit(0);
   }
@@ -155,6 +162,8 @@
         this.metrics.count('silent_connection', labels, 1);
         this.logs.log('warn', 'silentConnection', {...labels, address});
       },
+      // Workers are of the own zone; the platform answers from there too.
+      onConnected: socket => this.bytes.watch(socket, link, this.settings.zone),
     });
     this.httpCallers.push(caller);
     return caller;
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -5,6 +5,7 @@
 import * as result from '../result.js';
 import * as shape from './shape.js';
 import type * as net from 'node:net';
+import type * as byteCounter from './byte_counter.js';
 import type * as callNumbers from './call_numbers.js';
 import type * as effect from '../contracts/effect.js';
 import type * as entryLinks from './entry_links.js';
@@ -40,6 +41,7 @@
   readonly post: (event: event.Event) => void;
   readonly metrics: entryLinks.MetricsSink;
   readonly limits?: Partial<CallerLimits>;
+  readonly bytes?: byteCounter.ByteCounter;
 }
 
 /** Bounds of what callers may occupy. */
@@ -78,6 +80,9 @@
       },
       (incoming, response) => void this.serve(incoming, response),
     );
+    this.server.on('connection', socket =>
+      parts.bytes?.watch(socket, 'caller', 'outside'),
+    );
     this.server.on('clientError', (fault: NodeJS.ErrnoException, socket) =>
       this.refuseMalformed(fault, socket as net.Socket),
     );
--- a/src/links/http_caller.ts
+++ b/src/links/http_caller.ts
@@ -1,5 +1,6 @@
 import * as undici from 'undici';
 import * as connectionLimit from './connection_limit.js';
+import type * as net from 'node:net';
 
 /** One HTTP call. */
 export interface HttpCall {
@@ -37,6 +38,8 @@
   readonly probePath: string;
   /** Hears of each address whose connections went silent. */
   readonly onSilent: (address: string) => void;
+  /** Hears of each connection that is made. */
+  readonly onConnected?: (socket: net.Socket) => void;
 }
 
 /** Time for a connection to be made; shorter than any deadline for headers. */
@@ -89,7 +92,16 @@
   private readonly origins = new Map<string, Origin>();
   private lastSweep = 0;
 
-  constructor(private readonly options: HttpCallerOptions) {}
+  private readonly connect: undici.buildConnector.connector;
+
+  constructor(private readonly options: HttpCallerOptions) {
+    const build = undici.buildConnector({timeout: CONNECT_DEADLINE_MS});
+    this.connect = (target, callback) =>
+      build(target, (...made) => {
+        if (made[1] !== null) options.onConnected?.(made[1]);
+        callback(...made);
+      });
+  }
 
   /** Sends one call; never rejects. */
   async call(call: HttpCall): Promise<HttpOutcome> {
@@ -179,7 +191,7 @@
     return new undici.Pool(`http://${address}`, {
       connections: this.options.connections.greatest,
       pipelining: 1,
-      connect: {timeout: CONNECT_DEADLINE_MS},
+      connect: this.connect,
       // The deadlines of each call replace the pool's own.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import * as connect from '@connectrpc/connect';
 import * as connectNode from '@connectrpc/connect-node';
 import * as peerPb from './generated/peer_pb.js';
@@ -17,6 +18,14 @@
   readonly signal: AbortSignal;
 }
 
+/** Hears of connections to peers. */
+export interface ConnectionListener {
+  /** A connection was made. */
+  connected(socket: net.Socket, peer: string): void;
+  /** A connection went silent while a new one worked. */
+  silent(peer: string): void;
+}
+
 interface Connection {
   readonly client: PeerClient;
   readonly session: connectNode.Http2SessionManager;
@@ -31,22 +40,22 @@
   private readonly connections = new Map<string, Connection>();
   private readonly probing = new Set<string>();
 
-  /** `onSilent` hears of each connection that went silent. */
-  constructor(private readonly onSilent: (address: string) => void) {}
+  constructor(private readonly listener: ConnectionListener) {}
 
   /** Sends one call; rejects when no answer came within the deadline. */
   async call<Answer>(
+    peer: string,
     address: string,
     deadlineMs: number,
     send: (client: PeerClient, options: PeerCallOptions) => Promise<Answer>,
   ): Promise<Answer> {
-    const connection = this.connection(address);
+    const connection = this.connection(peer, address);
     try {
       return await sendWithin(connection.client, deadlineMs, send);
     } catch (fault) {
       const {code} = connect.ConnectError.from(fault);
       if (code === connect.Code.DeadlineExceeded) {
-        void this.probe(address, connection);
+        void this.probe(peer, address, connection);
       }
       throw fault;
     }
@@ -58,18 +67,45 @@
     this.connections.clear();
   }
 
-  private connection(address: string): Connection {
+  private connection(peer: string, address: string): Connection {
     const known = this.connections.get(address);
     if (known !== undefined) return known;
-    const opened = openConnection(address);
+    const opened = this.open(peer, address);
     this.connections.set(address, opened);
     return opened;
   }
 
-  private async probe(address: string, old: Connection): Promise<void> {
+  private open(peer: string, address: string): Connection {
+    const baseUrl = `http://${address}`;
+    const session = new connectNode.Http2SessionManager(
+      baseUrl,
+      {idleConnectionTimeoutMs: IDLE_LIMIT_MS},
+      {
+        createConnection: url => {
+          const socket = net.connect(Number(url.port), url.hostname);
+          this.listener.connected(socket, peer);
+          return socket;
+        },
+      },
+    );
+    const transport = connectNode.createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: session,
+      // Messages are a few hundred bytes; compression would only add headers.
+      acceptCompression: [],
+    });
+    return {client: connect.createClient(peerPb.Peer, transport), session};
+  }
+
+  private async probe(
+    peer: string,
+    address: string,
+    old: Connection,
+  ): Promise<void> {
     if (this.probing.has(address)) return;
     this.probing.add(address);
-    const fresh = openConnection(address);
+    const fresh = this.open(peer, address);
     const [freshWorks, oldWorks] = await Promise.all([
       answersProbe(fresh),
       answersProbe(old),
@@ -83,25 +119,10 @@
     }
     this.connections.set(address, fresh);
     old.session.abort();
-    this.onSilent(address);
+    this.listener.silent(peer);
   }
 }
 
-function openConnection(address: string): Connection {
-  const baseUrl = `http://${address}`;
-  const session = new connectNode.Http2SessionManager(baseUrl, {
-    idleConnectionTimeoutMs: IDLE_LIMIT_MS,
-  });
-  const transport = connectNode.createConnectTransport({
-    baseUrl,
-    httpVersion: '2',
-    sessionManager: session,
-    // Messages are a few hundred bytes; compression would only add headers.
-    acceptCompression: [],
-  });
-  return {client: connect.createClient(peerPb.Peer, transport), session};
-}
-
 async function answersProbe(connection: Connection): Promise<boolean> {
   try {
     await sendWithin(connection.client, PROBE_DEADLINE_MS, (client, options) =>
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -1,6 +1,7 @@
 import * as peerConnections from './peer_connections.js';
 import * as peerMessages from './peer_messages.js';
 import * as result from '../result.js';
+import type * as byteCounter from './byte_counter.js';
 import type * as effect from '../contracts/effect.js';
 import type * as entryLinks from './entry_links.js';
 import type * as event from '../contracts/event.js';
@@ -35,6 +36,8 @@
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
   readonly metrics: entryLinks.MetricsSink;
+  readonly logs?: entryLinks.LogSink;
+  readonly bytes?: byteCounter.ByteCounter;
 }
 
 type EffectOf<Kind extends PeerCallEffect['kind']> = Extract<
@@ -50,13 +53,15 @@
   private readonly connections: peerConnections.PeerConnections;
 
   constructor(private readonly parts: PeerLinkParts) {
-    this.connections = new peerConnections.PeerConnections(() =>
-      parts.metrics.count(
-        'silent_connection',
-        {link: 'peer', reason: 'deadline'},
-        1,
-      ),
-    );
+    this.connections = new peerConnections.PeerConnections({
+      connected: (socket, peer) =>
+        parts.bytes?.watch(socket, 'peer', zoneOf(peer)),
+      silent: peer => {
+        const labels = {link: 'peer', reason: 'deadline'};
+        parts.metrics.count('silent_connection', labels, 1);
+        parts.logs?.log('warn', 'silentConnection', {...labels, peer});
+      },
+    });
   }
 
   /** Performs one effect; the answer comes as an event. */
@@ -91,6 +96,7 @@
   private async confirm(wanted: EffectOf<'confirmPeer'>): Promise<event.Event> {
     const sentAt = this.parts.now();
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       CONFIRM_DEADLINE_MS,
       (client, options) =>
@@ -117,6 +123,7 @@
 
   private async offer(wanted: EffectOf<'offerRequest'>): Promise<event.Event> {
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       OFFER_DEADLINE_MS,
       (client, options) =>
@@ -136,6 +143,7 @@
   ): Promise<event.Event> {
     const {peer, identity} = wanted;
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       CALL_DEADLINE_MS,
       (client, options) =>
@@ -149,6 +157,7 @@
     const message = original && forwardedCall(original);
     if (message === undefined) return failed(wanted);
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       message.waitMs + CALL_DEADLINE_MS,
       (client, options) =>
@@ -169,6 +178,7 @@
     wanted: EffectOf<'fetchDocuments'>,
   ): Promise<event.Event> {
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       TRANSFER_DEADLINE_MS,
       (client, options) =>
@@ -193,6 +203,7 @@
     const {peer, batch} = wanted;
     const entries = wanted.entries.map(peerMessages.toBytes);
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       CALL_DEADLINE_MS,
       (client, options) =>
@@ -206,6 +217,7 @@
   ): Promise<event.Event> {
     const {peer, process} = wanted;
     const answer = await this.connections.call(
+      wanted.peer,
       wanted.address,
       TRANSFER_DEADLINE_MS,
       (client, options) => client.readWitness({process}, options),
@@ -220,6 +232,11 @@
   }
 }
 
+/** The zone in the name of an incarnation, which begins with it. */
+function zoneOf(peer: string): string {
+  return peer.split('.')[0];
+}
+
 interface ForwardedCall {
   readonly operation: string;
   readonly identity: string;
