Number the refusal of too many calls among those by policy

Cause: 3010 stood where the home's own codes are added. Change: tooManyCalls is 2008; homeGone (3005) has its row on the page. Result: the test of docs/errors.md passes.

--- a/src/result.ts
+++ b/src/result.ts
@@ -188,6 +188,14 @@
     'later',
     'The start failed and the retry budget is spent.',
   ),
+  tooManyCalls: row(
+    2008,
+    'tooManyCalls',
+    503,
+    'notRun',
+    'later',
+    'This process has as many open calls as it may have.',
+  ),
   noConfiguration: row(
     3001,
     'noConfiguration',
@@ -220,13 +228,13 @@
     'later',
     'This process is shutting down; ask another.',
   ),
-  tooManyCalls: row(
-    3010,
-    'tooManyCalls',
+  homeGone: row(
+    3005,
+    'homeGone',
     503,
     'notRun',
     'later',
-    'This process has as many open calls as it may have.',
+    'The home of the identity is gone and did not run it; use a new identity.',
   ),
   unknownOutcome: row(
     4001,
