--- a/src/contracts/event.ts
+++ b/src/contracts/event.ts
@@ -85,7 +85,7 @@
       readonly kind: 'taskAnswerArrived';
       readonly worker: string;
       readonly task: string;
-      readonly state: 'finished' | 'failed' | 'stopped';
+      readonly state: Exclude<task.TaskState, 'running'>;
       readonly answer: string;
     }
   | {
--- a/src/contracts/identity.ts
+++ b/src/contracts/identity.ts
@@ -1,3 +1,5 @@
+import * as crypto from 'node:crypto';
+import type * as clock from '../machines/clock.js';
 import type * as randomSource from '../machines/random_source.js';
 
 /** The parts of a request identity. */
@@ -7,26 +9,107 @@
   readonly secret: string;
 }
 
-/** Characters of the part that makes an identity impossible to guess. */
+/** What the home knows of an identity that a client presents. */
+export type IdentityCheck =
+  | 'valid'
+  /** Malformed, issued elsewhere or to another client. */
+  | 'foreign'
+  /** Issued so long ago that its outcome may have been forgotten. */
+  | 'expired';
+
+/** Time in which an identity has to be used for the first time. */
+export const IDENTITY_LIFETIME_MS = 3_600_000;
+
+/** Hexadecimal digits of the part that nobody can guess: 96 bits. */
 const SECRET_LENGTH = 24;
 
+/** Hexadecimal digits of the key that binds identities to clients. */
+const KEY_LENGTH = 64;
+
+/** Identities issued within this time expire together. */
+const MARK_INTERVAL_MS = 60_000;
+
 const PATTERN = /^([a-z0-9.-]{1,80})_([0-9]{1,15})_([0-9a-f]{24})$/;
 
-/** Issues identities whose home is one incarnation of a process. */
+/** Identities up to `through` that no earlier mark covers. */
+interface IssueMark {
+  /** When the first of them was issued. */
+  readonly since: clock.Milliseconds;
+  readonly through: number;
+}
+
+/**
+ * Issues identities whose home is one incarnation of a process. The secret is
+ * a keyed hash over the sequence number and the client, so that the binding to
+ * the client needs no table: clients that reserve identities without using
+ * them occupy no memory. The key lives and dies with the process.
+ */
 export class IdentityIssuer {
+  private readonly key: string;
   private sequence = 0;
+  private expired = 0;
+  private marks: ReadonlyArray<IssueMark> = [];
 
   constructor(
     private readonly home: string,
-    private readonly random: randomSource.RandomSource,
-  ) {}
+    random: randomSource.RandomSource,
+  ) {
+    this.key = random.hexadecimal(KEY_LENGTH);
+  }
 
   /** Returns an identity that this issuer has not returned before. */
-  issue(): string {
+  issue(client: string, now: clock.Milliseconds): string {
     this.sequence += 1;
-    const secret = this.random.hexadecimal(SECRET_LENGTH);
+    this.mark(now);
+    const secret = this.secret(this.sequence, client);
     return `${this.home}_${this.sequence}_${secret}`;
   }
+
+  /**
+   * Checks an identity that is used for the first time. An outcome is kept for
+   * `IDENTITY_LIFETIME_MS` after its end, so that an identity whose outcome
+   * was forgotten is always expired and can't run again.
+   */
+  check(
+    identity: string,
+    client: string,
+    now: clock.Milliseconds,
+  ): IdentityCheck {
+    const parts = parseIdentity(identity);
+    if (parts === undefined || parts.home !== this.home) return 'foreign';
+    const expected = Buffer.from(this.secret(parts.sequence, client));
+    const presented = Buffer.from(parts.secret);
+    if (!crypto.timingSafeEqual(expected, presented)) return 'foreign';
+    return parts.sequence <= this.expiredThrough(now) ? 'expired' : 'valid';
+  }
+
+  private mark(now: clock.Milliseconds): void {
+    const last = this.marks.at(-1);
+    if (last === undefined || now - last.since >= MARK_INTERVAL_MS) {
+      this.marks = [...this.marks, {since: now, through: this.sequence}];
+      return;
+    }
+    const extended = {since: last.since, through: this.sequence};
+    this.marks = [...this.marks.slice(0, -1), extended];
+  }
+
+  private expiredThrough(now: clock.Milliseconds): number {
+    const isOld = (known: IssueMark): boolean =>
+      now - known.since >= IDENTITY_LIFETIME_MS;
+    const newestOld = this.marks.filter(isOld).at(-1);
+    if (newestOld === undefined) return this.expired;
+    this.expired = newestOld.through;
+    this.marks = this.marks.filter(known => !isOld(known));
+    return this.expired;
+  }
+
+  private secret(sequence: number, client: string): string {
+    return crypto
+      .createHmac('sha256', this.key)
+      .update(`${this.home}_${sequence}_${client}`)
+      .digest('hex')
+      .slice(0, SECRET_LENGTH);
+  }
 }
 
 /** Splits an identity; undefined when it is malformed. */
--- a/src/contracts/lease.ts
+++ b/src/contracts/lease.ts
@@ -9,6 +9,15 @@
 /** Time between renewals; two may be lost before a task lapses. */
 export const RENEWAL_INTERVAL_MS = 10_000;
 
+/**
+ * Longest time from the record of a start to the end of the start's lease. It
+ * leaves the journal 7 s to acknowledge the record.
+ */
+export const RECORDED_LEASE_MS = 10_000;
+
+/** Time for which a worker's reports list a task after its end. */
+export const ENDED_TASKS_LISTED_MS = 600_000;
+
 /**
  * Returns the lease end on the worker's clock for a start sent under a permit
  * that ends at `permitEnd`, so that a delayed start lapses with the permit.
@@ -29,3 +38,40 @@
 ): clock.Milliseconds {
   return clock.toWorkerClock(reading, now + TASK_LEASE_MS);
 }
+
+/**
+ * Returns the bound on the worker's clock that is recorded before a start. The
+ * start's lease is cut to it, so that recovery can rely on the record alone.
+ */
+export function recordedLeaseBound(
+  reading: clock.WorkerClockReading,
+  now: clock.Milliseconds,
+): clock.Milliseconds {
+  return clock.toWorkerClock(reading, now + RECORDED_LEASE_MS);
+}
+
+/**
+ * Returns the local time at which a lease has certainly ended, even if the
+ * worker's clock is as slow as `MAXIMUM_DRIFT` allows.
+ */
+export function lapsedBy(
+  reading: clock.WorkerClockReading,
+  leaseEnd: clock.Milliseconds,
+): clock.Milliseconds {
+  const left = Math.max(0, leaseEnd - reading.workerClock);
+  return reading.receivedAt + left / (1 - clock.MAXIMUM_DRIFT);
+}
+
+/**
+ * Tells whether a report that does not list a task proves that its start never
+ * ran: the lease has ended, and a task that ended at once would still be
+ * listed. `leaseBound` is at most `RECORDED_LEASE_MS` after the start.
+ */
+export function provesNotRun(
+  leaseBound: clock.Milliseconds,
+  workerClock: clock.Milliseconds,
+): boolean {
+  const listedUntil =
+    leaseBound + ENDED_TASKS_LISTED_MS - 2 * RECORDED_LEASE_MS;
+  return workerClock > leaseBound && workerClock < listedUntil;
+}
--- /dev/null
+++ b/src/contracts/request_builder.ts
@@ -0,0 +1,85 @@
+import * as either from 'purify-ts/Either';
+import * as result from '../result.js';
+import type * as clock from '../machines/clock.js';
+import type * as configuration from './configuration.js';
+import type * as request from './request.js';
+
+/** The documents in force. */
+export interface ConfigurationSource {
+  current(): configuration.Configuration;
+}
+
+/** Who sends a submission, and under which identity. */
+export interface Sender {
+  readonly identity: string;
+  readonly client: string;
+  /** Whether the client reserved the identity beforehand. */
+  readonly reserved: boolean;
+}
+
+/** Builds requests from what clients submit and teams have configured. */
+export class RequestBuilder {
+  constructor(private readonly documents: ConfigurationSource) {}
+
+  /** Returns the request, or why the submission is refused. */
+  build(
+    submission: request.Submission,
+    sender: Sender,
+    now: clock.Milliseconds,
+  ): either.Either<result.Failure, request.Request> {
+    const team = this.documents.current().teams.get(submission.team);
+    if (team === undefined) {
+      return refuse(
+        'unknownTeam',
+        `team: ${submission.team} is not configured`,
+      );
+    }
+    if (!team.clients.includes(sender.client)) {
+      return refuse(
+        'clientNotAllowed',
+        `client: ${sender.client} does not belong to team ${team.name}`,
+      );
+    }
+    const workload = team.workloads.find(
+      item => item.name === submission.workload,
+    );
+    if (workload === undefined) {
+      return refuse(
+        'unknownWorkload',
+        `workload: team ${team.name} has no ${submission.workload}`,
+      );
+    }
+    if (!workload.idempotent && !sender.reserved) {
+      return refuse(
+        'identityRequired',
+        `workload: ${workload.name} is not idempotent; reserve an identity`,
+      );
+    }
+    const deadline = submission.startDeadlineMs ?? workload.startDeadlineMs;
+    return either.Right({
+      identity: sender.identity,
+      client: sender.client,
+      team: team.name,
+      workload,
+      payload: submission.payload,
+      size: submission.size ?? workload.size,
+      taskCount: workload.taskCount,
+      arrivedAt: now,
+      startBy: deadline > 0 ? now + deadline : Infinity,
+    });
+  }
+
+  /** Whether a submission may run twice; undefined when it is not known. */
+  isIdempotent(submission: request.Submission): boolean | undefined {
+    const team = this.documents.current().teams.get(submission.team);
+    return team?.workloads.find(item => item.name === submission.workload)
+      ?.idempotent;
+  }
+}
+
+function refuse(
+  name: result.ResultName,
+  detail: string,
+): either.Either<result.Failure, request.Request> {
+  return either.Left(result.failure(name, detail));
+}
--- /dev/null
+++ b/src/contracts/request_lifecycle.ts
@@ -0,0 +1,513 @@
+import * as attempts from './attempt.js';
+import * as effects from './effect.js';
+import * as lease from './lease.js';
+import type * as clock from '../machines/clock.js';
+import type * as event from './event.js';
+import type * as journalKeeper from './journal_keeper.js';
+import type * as request from './request.js';
+import type * as requestTable from './request_table.js';
+import type * as scheduler from './scheduler.js';
+import type * as taskRunner from '../machines/task_runner.js';
+import type * as trackedTask from '../machines/tracked_task.js';
+
+/** Time for the journal to acknowledge; the rest is for the start's lease. */
+const RECORD_LIMIT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
+
+/** Most placements of a request whose tasks keep failing. */
+const ATTEMPT_LIMIT = 3;
+
+/** Whether failed work may be tried again; one budget a process. */
+export interface RetryAllowance {
+  /** Takes one retry out of the budget; false when it is spent. */
+  take(now: clock.Milliseconds): boolean;
+  /** Notes a call that succeeded. */
+  succeeded(now: clock.Milliseconds): void;
+}
+
+/** The part of the scheduler that places waiting requests. */
+export interface RequestQueue {
+  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement>;
+  requeue(returned: request.Request): void;
+  remove(identity: string): boolean;
+}
+
+/** A task of a service that is to be replaced. */
+interface LostReplica {
+  readonly attempt: attempts.Attempt;
+  readonly task: string;
+}
+
+/** What one event led to. */
+export interface LifecycleTurn {
+  readonly effects: ReadonlyArray<effects.Effect>;
+  /** Numbers of the journal entries that are recorded from now on. */
+  readonly recorded: ReadonlyArray<number>;
+}
+
+/** The objects that a lifecycle works with. */
+export interface LifecycleParts {
+  readonly table: requestTable.RequestTable;
+  readonly queue: RequestQueue;
+  readonly runner: taskRunner.TaskRunner;
+  readonly journal: journalKeeper.JournalKeeper;
+  readonly retries: RetryAllowance;
+}
+
+/**
+ * Takes placed requests through record, start and end. Nothing is sent for a
+ * request that needs a record before the record is acknowledged, and nothing
+ * is placed again before every earlier task is proved not to run any more.
+ */
+export class RequestLifecycle {
+  private readonly attempts = new Map<string, attempts.Attempt>();
+  private readonly recording = new Map<number, attempts.Attempt>();
+  /** Lost tasks of services that wait for the retry budget. */
+  private postponed: LostReplica[] = [];
+  private orphans: trackedTask.TaskOutcome[] = [];
+
+  constructor(private readonly parts: LifecycleParts) {}
+
+  /** Places what waits and records or starts it. */
+  placeWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    const begun = new Set<attempts.Attempt>();
+    for (const placement of this.parts.queue.place(now)) {
+      begun.add(this.hold(placement, now));
+    }
+    const done = [...begun].flatMap(attempt => this.begin(attempt, now));
+    return [...done, ...this.parts.journal.flush(now)];
+  }
+
+  /** Passes an event to the runner and the journal and acts on the result. */
+  handle(handled: event.Event, now: clock.Milliseconds): LifecycleTurn {
+    const turn = this.parts.journal.handle(handled, now);
+    const done = [...turn.effects];
+    for (const number of turn.recorded) {
+      done.push(...this.recorded(number, now));
+    }
+    done.push(...this.take(this.parts.runner.handle(handled, now), now));
+    if (handled.kind === 'timePassed') {
+      done.push(...this.checkRecording(now), ...this.replacePostponed(now));
+    }
+    return {effects: done, recorded: turn.recorded};
+  }
+
+  /** Returns outcomes of tasks whose request is not known here. */
+  takeOrphans(): ReadonlyArray<trackedTask.TaskOutcome> {
+    const taken = this.orphans;
+    this.orphans = [];
+    return taken;
+  }
+
+  /** Ends a request; a recorded request has its end recorded as well. */
+  end(
+    identity: string,
+    ending: requestTable.Ending,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const entry = this.parts.table.get(identity);
+    if (entry === undefined) return [];
+    this.attempts.delete(identity);
+    if (ending.result === 'ok') this.parts.retries.succeeded(now);
+    if (entry.recorded && entry.ending === undefined) {
+      this.parts.journal.record({
+        kind: 'finished',
+        identity,
+        client: entry.request.client,
+        ...ending,
+        answerKept: true,
+      });
+    }
+    return [
+      effects.count('ended', {result: ending.result}),
+      ...this.parts.table.end(identity, ending, now),
+      ...this.parts.journal.flush(now),
+    ];
+  }
+
+  /**
+   * Cancels a request. It ends at once when nothing was sent for it; otherwise
+   * its tasks are stopped and their ends tell whether it ran.
+   */
+  cancel(
+    identity: string,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    this.parts.table.change(identity, {cancelled: true, reason: 'cancelled'});
+    const cancelled = {result: 'cancelled', detail: '', answer: ''} as const;
+    const queued = this.parts.queue.remove(identity);
+    const attempt = this.attempts.get(identity);
+    if (attempt === undefined) {
+      return queued ? this.end(identity, cancelled, now) : [];
+    }
+    if (attempt.recording) {
+      this.abandon(attempt);
+      return this.end(identity, cancelled, now);
+    }
+    return this.stopTasks(attempt, now);
+  }
+
+  /** When `timePassed` is wanted next. */
+  nextDeadline(): clock.Milliseconds {
+    const oldest = this.recording.values().next();
+    if (oldest.done === true) return Infinity;
+    const {begunAt, request: concerned} = oldest.value;
+    return Math.min(begunAt + RECORD_LIMIT_MS, concerned.startBy);
+  }
+
+  private hold(
+    placement: scheduler.Placement,
+    now: clock.Milliseconds,
+  ): attempts.Attempt {
+    const {identity} = placement.request;
+    const entry = this.parts.table.get(identity);
+    let attempt = this.attempts.get(identity);
+    if (attempt === undefined) {
+      const number = (entry?.attempts ?? 0) + 1;
+      const whole = entry?.request ?? placement.request;
+      attempt = new attempts.Attempt(whole, number, now);
+      this.attempts.set(identity, attempt);
+      this.parts.table.change(identity, {attempts: number});
+    }
+    this.parts.runner.hold(placement);
+    const reading = placement.worker.clockReading;
+    attempt.put({
+      task: placement.task,
+      worker: placement.worker.name,
+      state: 'held',
+      leaseBound:
+        reading === undefined
+          ? -Infinity
+          : lease.recordedLeaseBound(reading, now),
+      sent: false,
+      answer: '',
+      detail: '',
+    });
+    return attempt;
+  }
+
+  private begin(
+    attempt: attempts.Attempt,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const {identity, client, workload} = attempt.request;
+    const offered = this.parts.table.get(identity)?.offeredBy !== '';
+    if (workload.idempotent && !offered) return this.startHeld(attempt, now);
+    for (const held of attempt.tasks()) {
+      if (held.state !== 'held') continue;
+      const number = this.parts.journal.record({
+        kind: 'starting',
+        identity,
+        client,
+        task: held.task,
+        taskCount: attempt.request.taskCount,
+        attempt: attempt.number,
+        worker: held.worker,
+        leaseBound: held.leaseBound,
+      });
+      attempt.awaitRecord(number);
+      this.recording.set(number, attempt);
+    }
+    this.parts.table.change(identity, {recorded: true});
+    this.show(attempt, 'recording', 'the start is being recorded');
+    return [];
+  }
+
+  private recorded(
+    number: number,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const attempt = this.recording.get(number);
+    this.recording.delete(number);
+    if (attempt === undefined || !attempt.recorded(number)) return [];
+    const current = this.attempts.get(attempt.request.identity);
+    return current === attempt ? this.startHeld(attempt, now) : [];
+  }
+
+  private startHeld(
+    attempt: attempts.Attempt,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const held = attempt.tasks().filter(task => task.state === 'held');
+    const {runner} = this.parts;
+    if (!held.every(task => runner.mayPlace(task.worker, now))) {
+      return this.giveBack(attempt, 'the permit ended before the start');
+    }
+    const done: effects.Effect[] = [];
+    for (const task of held) {
+      attempt.change(task.task, {state: 'starting', sent: true});
+    }
+    this.show(attempt, 'starting', 'the start is on its way');
+    for (const task of held) {
+      const turn = runner.start(task.task, task.leaseBound, now);
+      done.push(...this.take(turn, now));
+    }
+    return done;
+  }
+
+  /** Releases an attempt of which nothing was sent, and queues it again. */
+  private giveBack(
+    attempt: attempts.Attempt,
+    reason: string,
+  ): ReadonlyArray<effects.Effect> {
+    const {identity} = attempt.request;
+    const held = attempt.tasks().filter(task => task.state === 'held');
+    this.abandon(attempt);
+    if (held.length < attempt.tasks().length) {
+      for (const task of held) attempt.remove(task.task);
+      this.requeueTasks(attempt, held.length);
+      return [effects.count('placedAgain', {reason: 'nothingSent'})];
+    }
+    this.attempts.delete(identity);
+    this.parts.queue.requeue(attempt.request);
+    this.parts.table.change(identity, {
+      state: 'queued',
+      worker: '',
+      tasks: [],
+      reason,
+    });
+    return [effects.count('placedAgain', {reason: 'nothingSent'})];
+  }
+
+  private abandon(attempt: attempts.Attempt): void {
+    for (const task of attempt.tasks()) this.parts.runner.abandon(task.task);
+    for (const [number, waiting] of this.recording) {
+      if (waiting === attempt) this.recording.delete(number);
+    }
+  }
+
+  private checkRecording(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const done: effects.Effect[] = [];
+    for (const attempt of new Set(this.recording.values())) {
+      done.push(...this.checkRecord(attempt, now));
+    }
+    return done;
+  }
+
+  private checkRecord(
+    attempt: attempts.Attempt,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const {identity, startBy} = attempt.request;
+    const {journal} = this.parts;
+    const tooLate = now >= attempt.begunAt + RECORD_LIMIT_MS;
+    if (startBy <= now) {
+      this.abandon(attempt);
+      const detail = 'the start could not be recorded in time';
+      const ending = {result: 'deadlinePassed', detail, answer: ''} as const;
+      return this.end(identity, ending, now);
+    }
+    if (!journal.available() || (tooLate && journal.inOutage())) {
+      this.abandon(attempt);
+      const detail = 'neither the log nor the witnesses acknowledged the start';
+      const ending = {result: 'logUnavailable', detail, answer: ''} as const;
+      return this.end(identity, ending, now);
+    }
+    if (!tooLate) return [];
+    return this.giveBack(attempt, 'the log is slow to record the start');
+  }
+
+  private take(
+    turn: taskRunner.RunnerTurn,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const done = [...turn.effects];
+    for (const outcome of turn.outcomes) {
+      done.push(...this.takeOutcome(outcome, now));
+    }
+    return done;
+  }
+
+  private takeOutcome(
+    outcome: trackedTask.TaskOutcome,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const attempt = this.attempts.get(outcome.of.label.identity);
+    if (attempt === undefined || !changeTask(attempt, outcome)) {
+      this.orphans.push(outcome);
+      return [];
+    }
+    switch (outcome.kind) {
+      case 'started':
+        return this.started(attempt, now);
+      case 'unknown':
+        this.show(attempt, 'unknown', 'an answer of the worker is missing');
+        return [];
+      case 'notRun':
+      case 'ended':
+        return this.taskOver(attempt, outcome.of.task, now);
+      case 'adopted':
+        return [];
+    }
+  }
+
+  private started(
+    attempt: attempts.Attempt,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const {identity, team, arrivedAt} = attempt.request;
+    const running = attempt.tasks().every(task => task.state === 'running');
+    this.show(attempt, running ? 'running' : 'starting', 'its tasks run');
+    if (this.parts.table.get(identity)?.cancelled === true) {
+      return this.stopTasks(attempt, now);
+    }
+    if (!running || !attempt.noteRunning()) return [];
+    const milliseconds = now - arrivedAt;
+    return [{kind: 'observe', metric: 'wait', labels: {team}, milliseconds}];
+  }
+
+  private taskOver(
+    attempt: attempts.Attempt,
+    name: string,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const entry = this.parts.table.get(attempt.request.identity);
+    const over = attempt.tasks().find(task => task.task === name);
+    const early = over?.end !== 'finished';
+    if (attempt.over) return this.conclude(attempt, now);
+    this.show(attempt, entry?.state ?? 'running', `task ${name} is over`);
+    if (!early || entry?.cancelled === true) return [];
+    if (attempt.request.workload.kind === 'service') {
+      return this.replace(attempt, name, now);
+    }
+    return this.stopTasks(attempt, now);
+  }
+
+  /** Replaces one task of a service while the others go on. */
+  private replace(
+    attempt: attempts.Attempt,
+    name: string,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    if (!attempt.request.workload.idempotent) return [];
+    if (!this.parts.retries.take(now)) {
+      this.postponed.push({attempt, task: name});
+      return [];
+    }
+    attempt.remove(name);
+    this.requeueTasks(attempt, 1);
+    return [effects.count('retry', {reason: 'replica'})];
+  }
+
+  private requeueTasks(attempt: attempts.Attempt, taskCount: number): void {
+    const whole = attempt.request;
+    this.parts.queue.requeue({...whole, taskCount, startBy: Infinity});
+  }
+
+  /** Tries the replacements again for which the retry budget was spent. */
+  private replacePostponed(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const waiting = this.postponed;
+    this.postponed = [];
+    return waiting.flatMap(({attempt, task}) => {
+      const current = this.attempts.get(attempt.request.identity);
+      return current === attempt ? this.replace(attempt, task, now) : [];
+    });
+  }
+
+  private stopTasks(
+    attempt: attempts.Attempt,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const done: effects.Effect[] = [];
+    for (const task of attempt.tasks()) {
+      if (task.state === 'ended' || task.state === 'notRun') continue;
+      done.push(...this.take(this.parts.runner.stop(task.task), now));
+    }
+    return done;
+  }
+
+  private conclude(
+    attempt: attempts.Attempt,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const {request: concerned} = attempt;
+    const {identity, workload} = concerned;
+    const entry = this.parts.table.get(identity);
+    const cancelled = entry?.cancelled === true;
+    const conclusion = attempts.conclude(
+      attempt.tasks(),
+      workload.idempotent,
+      cancelled,
+    );
+    this.show(attempt, 'running', 'its tasks are over');
+    if (conclusion.kind === 'ended') {
+      return this.end(identity, conclusion.ending, now);
+    }
+    if (!this.mayPlaceAgain(attempt, conclusion, entry, now)) {
+      return this.end(identity, conclusion.otherwise, now);
+    }
+    const {reason} = conclusion;
+    this.attempts.delete(identity);
+    this.parts.queue.requeue(concerned);
+    this.parts.table.change(identity, {
+      state: 'queued',
+      worker: '',
+      tasks: [],
+      reason: `placed again: ${reason}`,
+    });
+    return [
+      effects.count(conclusion.spent ? 'retry' : 'placedAgain', {reason}),
+    ];
+  }
+
+  private mayPlaceAgain(
+    attempt: attempts.Attempt,
+    conclusion: Extract<attempts.Conclusion, {kind: 'again'}>,
+    entry: requestTable.RequestEntry | undefined,
+    now: clock.Milliseconds,
+  ): boolean {
+    // Only the home places a request again.
+    if (entry === undefined || entry.offeredBy !== '') return false;
+    if (!conclusion.spent) return true;
+    const failed = attempt.tasks().some(task => task.end === 'failed');
+    const limited = attempt.request.workload.kind !== 'service';
+    if (failed && limited && attempt.number >= ATTEMPT_LIMIT) return false;
+    return this.parts.retries.take(now);
+  }
+
+  private show(
+    attempt: attempts.Attempt,
+    state: requestTable.RequestState,
+    reason: string,
+  ): void {
+    const tasks = attempt.tasks();
+    this.parts.table.change(attempt.request.identity, {
+      state,
+      worker: tasks[0]?.worker ?? '',
+      reason,
+      tasks: tasks.map(task => ({
+        task: task.task,
+        worker: task.worker,
+        state: task.end ?? task.state,
+      })),
+    });
+  }
+}
+
+function changeTask(
+  attempt: attempts.Attempt,
+  outcome: trackedTask.TaskOutcome,
+): boolean {
+  const name = outcome.of.task;
+  switch (outcome.kind) {
+    case 'started':
+      return attempt.change(name, {state: 'running'});
+    case 'unknown':
+      return attempt.change(name, {state: 'unknown'});
+    case 'notRun':
+      return attempt.change(name, {
+        state: 'notRun',
+        detail: outcome.detail,
+        sent: outcome.sent,
+      });
+    case 'ended': {
+      const {end, answer} = outcome;
+      return attempt.change(name, {state: 'ended', end, answer});
+    }
+    case 'adopted':
+      return true;
+  }
+}
--- /dev/null
+++ b/src/machines/report_schedule.ts
@@ -0,0 +1,65 @@
+import type * as clock from './clock.js';
+
+/** Time between reads of a report while tasks are on the worker. */
+const BUSY_INTERVAL_MS = 1_000;
+
+/** Time between reads of the report of an idle worker. */
+const IDLE_INTERVAL_MS = 2_000;
+
+/** Time after which a read that was never answered is no longer awaited. */
+const READ_LIMIT_MS = 5_000;
+
+interface ReportTimes {
+  readonly due: clock.Milliseconds;
+  /** When the open read was sent; -Infinity when none is open. */
+  readonly openSince: clock.Milliseconds;
+  /** Send time of the newest report that was used. */
+  readonly newest: clock.Milliseconds;
+}
+
+const NEW: ReportTimes = {due: 0, openSince: -Infinity, newest: -Infinity};
+
+/** When each worker's report is read; at most one read is open a worker. */
+export class ReportSchedule {
+  private readonly times = new Map<string, ReportTimes>();
+
+  /** Tells whether a read is to be sent now, and notes that it is. */
+  take(worker: string, now: clock.Milliseconds, busy: boolean): boolean {
+    const known = this.times.get(worker) ?? NEW;
+    if (now < this.dueAt(known)) return false;
+    const interval = busy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS;
+    this.times.set(worker, {...known, due: now + interval, openSince: now});
+    return true;
+  }
+
+  /** Returns when `take` is wanted next for a worker. */
+  due(worker: string): clock.Milliseconds {
+    return this.dueAt(this.times.get(worker) ?? NEW);
+  }
+
+  /** Moves the next read forward. */
+  hurry(worker: string, now: clock.Milliseconds): void {
+    const known = this.times.get(worker) ?? NEW;
+    this.times.set(worker, {...known, due: Math.min(known.due, now)});
+  }
+
+  /** Notes a report; false when a newer one has been used already. */
+  arrived(worker: string, sentAt: clock.Milliseconds): boolean {
+    const known = this.times.get(worker) ?? NEW;
+    const newer = sentAt >= known.newest;
+    const newest = Math.max(known.newest, sentAt);
+    this.times.set(worker, {...known, openSince: -Infinity, newest});
+    return newer;
+  }
+
+  /** Notes that a read got no answer. */
+  failed(worker: string): void {
+    const known = this.times.get(worker);
+    if (known === undefined) return;
+    this.times.set(worker, {...known, openSince: -Infinity});
+  }
+
+  private dueAt(known: ReportTimes): clock.Milliseconds {
+    return Math.max(known.due, known.openSince + READ_LIMIT_MS);
+  }
+}
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -1,15 +1,28 @@
+import * as clocks from './clock.js';
+import * as effects from '../contracts/effect.js';
+import * as invariant from '../contracts/invariant.js';
 import * as lease from '../contracts/lease.js';
+import * as leaseRenewer from './lease_renewer.js';
+import * as reportJudgement from './report_judgement.js';
+import * as reportSchedule from './report_schedule.js';
+import * as startLedger from './start_ledger.js';
+import * as taskSet from './task_set.js';
+import * as trackedTask from './tracked_task.js';
 import type * as clock from './clock.js';
-import type * as effect from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as fleet from './fleet.js';
-import type * as requestTable from '../contracts/request_table.js';
 import type * as scheduler from '../contracts/scheduler.js';
 import type * as task from '../contracts/task.js';
 import type * as worker from './worker.js';
 
-/** Time between reads of a worker's report. */
-const REPORT_INTERVAL_MS = 1_000;
+/** Time without a report after which a worker counts as silent. */
+const SILENT_MS = 3_000;
+
+/** Time after which the fetch of an ended task's answer is sent again. */
+const FETCH_RETRY_MS = 2_000;
+
+/** Time for which the end of a task is remembered against older reports. */
+const ENDED_MEMORY_MS = 30_000;
 
 /** Until when this process may place on a worker. */
 export interface PermitSource {
@@ -17,245 +30,547 @@
   owns(worker: string): boolean;
 }
 
-/** What became of a task; the caller of the runner acts on it. */
-export type TaskOutcome =
-  | {readonly kind: 'started'; readonly placement: scheduler.Placement}
-  | {
-      /** Proved not to run now or later. */
-      readonly kind: 'notRun';
-      readonly placement: scheduler.Placement;
-      readonly detail: string;
-    }
-  | {
-      readonly kind: 'ended';
-      readonly placement: scheduler.Placement;
-      readonly ending: requestTable.Ending;
-    };
-
 /** The outcomes and effects of one event. */
 export interface RunnerTurn {
-  readonly outcomes: ReadonlyArray<TaskOutcome>;
-  readonly effects: ReadonlyArray<effect.Effect>;
-}
-
-type RunState = 'starting' | 'unknown' | 'running';
-
-interface RunningTask {
-  readonly placement: scheduler.Placement;
-  readonly state: RunState;
-  /** Lease end of the start, on the worker's clock. */
-  readonly startLeaseEnd: clock.Milliseconds;
+  readonly outcomes: ReadonlyArray<trackedTask.TaskOutcome>;
+  readonly effects: ReadonlyArray<effects.Effect>;
 }
 
-const NOTHING: RunnerTurn = {outcomes: [], effects: []};
+type EventOf<Kind extends event.Event['kind']> = Extract<
+  event.Event,
+  {readonly kind: Kind}
+>;
 
-/** Starts placed tasks, keeps their leases, and finds out how they end. */
+/**
+ * Starts placed tasks, keeps their leases, and finds out how they end. A task
+ * is given up only when it is proved that it does not run any more.
+ */
 export class TaskRunner {
-  private readonly tasks = new Map<string, RunningTask>();
-  private readonly nextReport = new Map<string, clock.Milliseconds>();
-  private readonly nextRenewal = new Map<string, clock.Milliseconds>();
+  private readonly tasks = new taskSet.TaskSet();
+  private readonly ledger = new startLedger.StartLedger();
+  private readonly reports = new reportSchedule.ReportSchedule();
+  private readonly renewer = new leaseRenewer.LeaseRenewer(this.tasks);
+  private readonly endedAt = new Map<string, clock.Milliseconds>();
+  /** Owned workers whose tasks have been adopted under the present permit. */
+  private readonly adoptedOn = new Set<string>();
+  /** Reservations without a task that one report has met already. */
+  private readonly suspectRoom = new Set<string>();
+  private nextDue: clock.Milliseconds = 0;
+  private outcomes: trackedTask.TaskOutcome[] = [];
+  private effects: effects.Effect[] = [];
 
   constructor(
     private readonly workers: fleet.Fleet,
     private readonly permits: PermitSource,
   ) {}
 
-  /** Sends the start of a task whose room is reserved. */
-  start(placement: scheduler.Placement, now: clock.Milliseconds): RunnerTurn {
-    const {worker: target, request} = placement;
-    const permitEnd = this.permits.permitEnd(target.name);
-    const reading = target.clockReading;
-    if (reading === undefined || permitEnd <= now) {
-      target.release(placement.task);
-      return notRun(placement, 'the permit has ended');
+  /** Whether a worker's room is known and this process may place there. */
+  mayPlace(name: string, now: clock.Milliseconds): boolean {
+    return this.adoptedOn.has(name) && this.permits.permitEnd(name) > now;
+  }
+
+  /** Whether a task is followed. */
+  follows(name: string): boolean {
+    return this.tasks.get(name) !== undefined;
+  }
+
+  /** Follows a task whose room is reserved and whose start is not yet sent. */
+  hold(placement: scheduler.Placement): void {
+    this.tasks.put(trackedTask.heldTask(placement));
+  }
+
+  /**
+   * Sends the start of a held task, unless the permit has ended by now. The
+   * lease ends at `leaseBound` at the latest.
+   */
+  start(
+    name: string,
+    leaseBound: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): RunnerTurn {
+    const held = this.tasks.get(name);
+    if (held?.state === 'held') this.sendStart(held, leaseBound, now);
+    return this.finishTurn();
+  }
+
+  /** Gives up a held task; false when its start has been sent. */
+  abandon(name: string): boolean {
+    const held = this.tasks.get(name);
+    if (held?.state !== 'held') return false;
+    this.tasks.remove(held);
+    return true;
+  }
+
+  /** Stops a task as soon as it is known to run. */
+  stop(name: string): RunnerTurn {
+    const tracked = this.tasks.get(name);
+    if (tracked !== undefined && tracked.state !== 'held') {
+      this.tasks.put({...tracked, stopping: true});
+      if (tracked.state === 'running') this.sendStop(tracked);
     }
-    const leaseEnd = lease.startLeaseEnd(reading, permitEnd, now);
-    this.tasks.set(placement.task, {
-      placement,
-      state: 'starting',
-      startLeaseEnd: leaseEnd,
-    });
-    const start: task.TaskStart = {
-      task: placement.task,
-      label: {
-        identity: request.identity,
-        client: request.client,
-        team: request.team,
-        workload: request.workload.name,
-        idempotent: request.workload.idempotent,
-        worth: request.workload.worth,
-      },
-      size: request.size,
-      payload: request.payload,
-      leaseEnd,
-    };
-    const effects: effect.Effect[] = [
-      {
-        kind: 'startTask',
-        worker: target.name,
-        address: target.description.address,
-        start,
-      },
-    ];
-    return {outcomes: [], effects};
+    return this.finishTurn();
+  }
+
+  /** Forgets the starts of an identity that is no longer answered. */
+  forget(identity: string): void {
+    this.ledger.forget(identity);
   }
 
   /** Handles what workers answer; ignores other events. */
   handle(handled: event.Event, now: clock.Milliseconds): RunnerTurn {
     switch (handled.kind) {
       case 'startAnswered':
-        return this.startAnswered(handled, now);
+        this.startAnswered(handled, now);
+        break;
       case 'reportArrived':
-        return this.reportArrived(handled.report, now);
+        this.reportArrived(handled, now);
+        break;
+      case 'reportFailed':
+        this.reports.failed(handled.worker);
+        this.wake(this.reports.due(handled.worker));
+        break;
       case 'taskAnswerArrived':
-        return this.ended(handled.task, {
-          result: handled.state === 'finished' ? 'ok' : 'taskFailed',
-          detail: '',
-          answer: handled.answer,
-        });
+        this.answerArrived(handled, now);
+        break;
+      case 'taskAnswerLost':
+        this.answerLost(handled, now);
+        break;
       case 'timePassed':
-        return this.timePassed(now);
-      default:
-        return NOTHING;
+        this.timePassed(now);
+        break;
     }
+    return this.finishTurn();
   }
 
   /** When `timePassed` is wanted next. */
   nextDeadline(): clock.Milliseconds {
-    let due = Infinity;
-    for (const next of this.nextReport.values()) due = Math.min(due, next);
-    return due;
+    return this.nextDue;
+  }
+
+  private sendStart(
+    held: trackedTask.TrackedTask,
+    leaseBound: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): void {
+    const reading = held.worker.clockReading;
+    const permitEnd = this.permits.permitEnd(held.worker.name);
+    if (reading === undefined || permitEnd <= now || held.worker.leaving) {
+      this.neverRan(held, 'the worker may not be given a start any more');
+      return;
+    }
+    const leaseEnd = Math.min(
+      lease.startLeaseEnd(reading, permitEnd, now),
+      leaseBound,
+    );
+    if (leaseEnd <= clocks.toWorkerClock(reading, now)) {
+      this.neverRan(held, 'the recorded lease bound has passed');
+      return;
+    }
+    if (!this.allowStart(held, now)) return;
+    this.tasks.put({...held, state: 'starting', leaseEnd});
+    this.effects.push({
+      kind: 'startTask',
+      worker: held.worker.name,
+      address: held.worker.description.address,
+      start: {
+        task: held.task,
+        label: held.label,
+        size: held.size,
+        payload: held.payload,
+        leaseEnd,
+      },
+    });
+  }
+
+  private allowStart(
+    held: trackedTask.TrackedTask,
+    now: clock.Milliseconds,
+  ): boolean {
+    const {identity, idempotent} = held.label;
+    if (idempotent) return true;
+    if (this.ledger.allows(identity, held.taskCount)) {
+      this.ledger.sent(identity, held.task);
+      return true;
+    }
+    this.effects.push(
+      ...invariant.violation('startedOnce', {identity, task: held.task}),
+    );
+    this.end(held, 'unresolved', '', now);
+    return false;
   }
 
   private startAnswered(
-    answered: Extract<event.Event, {kind: 'startAnswered'}>,
+    answered: EventOf<'startAnswered'>,
     now: clock.Milliseconds,
-  ): RunnerTurn {
-    const started = this.tasks.get(answered.task);
-    if (started === undefined || started.state !== 'starting') return NOTHING;
-    if (answered.answer === 'started') return this.started(started, now);
-    if (answered.answer === 'refused') {
-      return this.neverRan(started, answered.detail);
+  ): void {
+    const known = this.tasks.get(answered.task);
+    if (known?.state !== 'starting') return;
+    if (known.worker.name !== answered.worker) {
+      this.mismatch('startFromOtherWorker', answered.task);
+    } else if (answered.answer === 'started') {
+      this.started(known, now);
+    } else if (answered.answer === 'refused') {
+      this.neverRan(known, answered.detail);
+    } else {
+      this.tasks.put({...known, state: 'unknown'});
+      this.report('unknown', known);
+      this.reports.hurry(known.worker.name, now);
+      this.wake(now);
     }
-    this.tasks.set(answered.task, {...started, state: 'unknown'});
-    this.nextReport.set(answered.worker, now);
-    return NOTHING;
-  }
-
-  private started(started: RunningTask, now: clock.Milliseconds): RunnerTurn {
-    const {placement} = started;
-    this.tasks.set(placement.task, {...started, state: 'running'});
-    return {
-      outcomes: [{kind: 'started', placement}],
-      effects: [
-        ...this.renew(placement.worker, [placement.task], now),
-        {
-          kind: 'fetchTaskAnswer',
-          worker: placement.worker.name,
-          address: placement.worker.description.address,
-          task: placement.task,
-        },
-      ],
+  }
+
+  private started(
+    known: trackedTask.TrackedTask,
+    now: clock.Milliseconds,
+  ): void {
+    const running: trackedTask.TrackedTask = {
+      ...known,
+      state: 'running',
+      startedAt: known.startedAt ?? now,
+      missingReports: 0,
+      unresolvedAt: Infinity,
     };
+    this.tasks.put(running);
+    if (known.state === 'unresolved') this.holdRoom(running);
+    this.report('started', running);
+    this.renewer.plan(running, now);
+    this.wake(this.renewer.dueAt(running.worker.name));
+    this.fetch(running, now);
+    if (running.stopping) this.sendStop(running);
   }
 
-  private neverRan(known: RunningTask, detail: string): RunnerTurn {
-    this.tasks.delete(known.placement.task);
-    known.placement.worker.release(known.placement.task);
-    return notRun(known.placement, detail);
+  private holdRoom(tracked: trackedTask.TrackedTask): void {
+    const {task: name, label, size} = tracked;
+    tracked.worker.adopt({task: name, label, size});
   }
 
-  private ended(taskName: string, ending: requestTable.Ending): RunnerTurn {
-    const known = this.tasks.get(taskName);
-    if (known === undefined) return NOTHING;
-    this.tasks.delete(taskName);
-    known.placement.worker.release(taskName);
-    return {
-      outcomes: [{kind: 'ended', placement: known.placement, ending}],
-      effects: [],
-    };
+  private neverRan(known: trackedTask.TrackedTask, detail: string): void {
+    this.tasks.remove(known);
+    this.ledger.notRun(known.label.identity, known.task);
+    this.outcomes.push({
+      kind: 'notRun',
+      of: trackedTask.reference(known),
+      detail,
+      sent: known.state !== 'held',
+    });
+  }
+
+  private answerArrived(
+    arrived: EventOf<'taskAnswerArrived'>,
+    now: clock.Milliseconds,
+  ): void {
+    const known = this.tasks.get(arrived.task);
+    if (known === undefined) {
+      this.mismatch('unknownTask', arrived.task);
+    } else if (known.worker.name !== arrived.worker) {
+      this.mismatch('otherWorker', arrived.task);
+    } else if (known.startedAt === undefined) {
+      this.mismatch('notStarted', arrived.task);
+    } else {
+      this.end(known, arrived.state, arrived.answer, now);
+    }
+  }
+
+  private answerLost(
+    lost: EventOf<'taskAnswerLost'>,
+    now: clock.Milliseconds,
+  ): void {
+    const known = this.tasks.get(lost.task);
+    if (known === undefined || known.worker.name !== lost.worker) return;
+    this.effects.push(effects.count('retry', {reason: 'answerLost'}));
+    // The next report says whether the task has ended; it sends a new fetch.
+    this.tasks.put({...known, fetchedAt: -Infinity});
+    this.reports.hurry(lost.worker, now);
+    this.wake(this.reports.due(lost.worker));
+  }
+
+  private end(
+    known: trackedTask.TrackedTask,
+    end: trackedTask.TaskEnd,
+    answer: string,
+    now: clock.Milliseconds,
+  ): void {
+    this.tasks.remove(known);
+    this.endedAt.set(known.task, now);
+    const of = trackedTask.reference(known);
+    this.outcomes.push({kind: 'ended', of, end, answer});
   }
 
   private reportArrived(
-    report: task.WorkerReport,
+    arrived: EventOf<'reportArrived'>,
     now: clock.Milliseconds,
-  ): RunnerTurn {
+  ): void {
+    const {report, sentAt} = arrived;
     const target = this.workers.get(report.worker);
-    if (target === undefined) return NOTHING;
+    if (target === undefined) return;
+    if (!this.reports.arrived(target.name, sentAt)) return;
+    this.noteRestart(target, report);
     target.update(report, now);
     const listed = new Map(report.tasks.map(item => [item.task, item]));
-    const outcomes: TaskOutcome[] = [];
-    const effects: effect.Effect[] = [];
-    for (const known of [...this.tasks.values()]) {
-      if (known.placement.worker !== target || known.state !== 'unknown') {
-        continue;
-      }
-      const turn = this.resolve(known, listed, report.workerClock, now);
-      outcomes.push(...turn.outcomes);
-      effects.push(...turn.effects);
+    for (const known of this.tasks.on(target.name)) {
+      this.moveTo(target, known);
+      this.apply(
+        {...known, worker: target},
+        listed.get(known.task),
+        arrived,
+        now,
+      );
     }
-    return {outcomes, effects};
+    this.adoptListed(target, arrived, now);
+    this.checkRoom(target);
+    this.wake(this.reports.due(target.name));
   }
 
-  private resolve(
-    known: RunningTask,
-    listed: ReadonlyMap<string, task.TaskReport>,
-    workerClock: clock.Milliseconds,
+  /** The fleet makes a new object when a worker vanishes and returns. */
+  private moveTo(target: worker.Worker, known: trackedTask.TrackedTask): void {
+    if (known.worker === target) return;
+    const moved = {...known, worker: target};
+    this.tasks.put(moved);
+    if (known.worker.held().has(known.task)) this.holdRoom(moved);
+  }
+
+  private noteRestart(target: worker.Worker, report: task.WorkerReport): void {
+    const before = target.clockReading;
+    if (before === undefined || report.workerClock >= before.workerClock) {
+      return;
+    }
+    this.effects.push(
+      effects.log('warn', 'workerRestarted', {worker: target.name}),
+    );
+    for (const known of this.tasks.on(target.name)) {
+      // Lease ends refer to the old clock and never prove anything again.
+      this.tasks.put({...known, provable: false});
+    }
+  }
+
+  private apply(
+    known: trackedTask.TrackedTask,
+    listed: task.TaskReport | undefined,
+    arrived: EventOf<'reportArrived'>,
     now: clock.Milliseconds,
-  ): RunnerTurn {
-    if (listed.has(known.placement.task)) return this.started(known, now);
-    if (workerClock <= known.startLeaseEnd) return NOTHING;
-    return this.neverRan(known, 'the start lapsed before it arrived');
-  }
-
-  private timePassed(now: clock.Milliseconds): RunnerTurn {
-    const effects: effect.Effect[] = [];
-    for (const target of this.workers.all()) {
-      if (!this.permits.owns(target.name)) continue;
-      if (now >= (this.nextReport.get(target.name) ?? 0)) {
-        this.nextReport.set(target.name, now + REPORT_INTERVAL_MS);
-        effects.push({
-          kind: 'readReport',
-          worker: target.name,
-          address: target.description.address,
-        });
-      }
-      if (now >= (this.nextRenewal.get(target.name) ?? 0)) {
-        this.nextRenewal.set(target.name, now + lease.RENEWAL_INTERVAL_MS);
-        effects.push(...this.renew(target, this.runningOn(target), now));
-      }
+  ): void {
+    const {workerClock} = arrived.report;
+    const judged = reportJudgement.judge(
+      known,
+      listed,
+      workerClock,
+      arrived.sentAt,
+    );
+    switch (judged.kind) {
+      case 'nothing':
+        return;
+      case 'running':
+        this.listedRunning(known, listed?.leaseEnd ?? -Infinity, now);
+        return;
+      case 'collect':
+        this.collect(known, now);
+        return;
+      case 'ended':
+        this.end(known, judged.end, '', now);
+        return;
+      case 'notRun':
+        this.neverRan(known, 'the start lapsed before it arrived');
+        return;
+      case 'missing':
+        this.tasks.put({...known, missingReports: known.missingReports + 1});
+        return;
+      case 'mismatch':
+        this.mismatch('otherIdentity', known.task);
+        return;
     }
-    return {outcomes: [], effects};
   }
 
-  private runningOn(target: worker.Worker): ReadonlyArray<string> {
-    const names: string[] = [];
-    for (const name of target.held().keys()) {
-      if (this.tasks.get(name)?.state === 'running') names.push(name);
+  private listedRunning(
+    known: trackedTask.TrackedTask,
+    leaseEnd: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): void {
+    const current: trackedTask.TrackedTask = {
+      ...known,
+      leaseEnd: Math.max(known.leaseEnd, leaseEnd),
+      missingReports: 0,
+    };
+    this.tasks.put(current);
+    if (known.state !== 'running') {
+      this.started(current, now);
+      return;
+    }
+    if (known.fetchedAt === -Infinity) this.fetch(current, now);
+    if (known.stopping) this.sendStop(current);
+  }
+
+  private collect(
+    known: trackedTask.TrackedTask,
+    now: clock.Milliseconds,
+  ): void {
+    const ended: trackedTask.TrackedTask = {
+      ...known,
+      state: 'collecting',
+      startedAt: known.startedAt ?? now,
+    };
+    this.tasks.put(ended);
+    // An ended task occupies nothing, even while its answer is on the way.
+    known.worker.release(known.task);
+    const first = known.state !== 'collecting';
+    if (first && known.fetchedAt !== -Infinity) return;
+    if (now - known.fetchedAt < FETCH_RETRY_MS) return;
+    this.fetch(ended, now);
+  }
+
+  private adoptListed(
+    target: worker.Worker,
+    arrived: EventOf<'reportArrived'>,
+    now: clock.Milliseconds,
+  ): void {
+    if (this.permits.permitEnd(target.name) <= arrived.sentAt) return;
+    if (!this.permits.owns(target.name)) return;
+    for (const item of arrived.report.tasks) {
+      if (item.state === 'running') this.adopt(target, item, arrived, now);
     }
-    return names;
+    this.adoptedOn.add(target.name);
   }
 
-  private renew(
+  private adopt(
     target: worker.Worker,
-    tasks: ReadonlyArray<string>,
+    item: task.TaskReport,
+    arrived: EventOf<'reportArrived'>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effect.Effect> {
-    const reading = target.clockReading;
-    if (tasks.length === 0 || reading === undefined) return [];
-    if (this.permits.permitEnd(target.name) <= now) return [];
-    return [
-      {
-        kind: 'renewLeases',
-        worker: target.name,
-        address: target.description.address,
-        tasks,
-        leaseEnd: lease.renewedLeaseEnd(reading, now),
-      },
-    ];
+  ): void {
+    if (this.tasks.get(item.task) !== undefined) return;
+    // A report that is older than the end of the task still lists it.
+    if ((this.endedAt.get(item.task) ?? -Infinity) >= arrived.sentAt) return;
+    const adopted = trackedTask.adoptedTask(target, item, arrived.sentAt);
+    this.tasks.put(adopted);
+    this.holdRoom(adopted);
+    this.effects.push(effects.count('adopted', {team: item.label.team}));
+    this.report('adopted', adopted);
+    this.renewer.plan(adopted, now);
+    this.wake(this.renewer.dueAt(target.name));
+    this.fetch(adopted, now);
+  }
+
+  private checkRoom(target: worker.Worker): void {
+    for (const name of target.held().keys()) {
+      if (this.tasks.get(name) !== undefined) {
+        this.suspectRoom.delete(name);
+      } else if (!this.suspectRoom.has(name)) {
+        // A group may reserve room over several turns before it starts.
+        this.suspectRoom.add(name);
+      } else {
+        this.suspectRoom.delete(name);
+        target.release(name);
+        const fields = {task: name, worker: target.name};
+        this.effects.push(...invariant.violation('reservationHasTask', fields));
+      }
+    }
   }
-}
 
-function notRun(placement: scheduler.Placement, detail: string): RunnerTurn {
-  return {outcomes: [{kind: 'notRun', placement, detail}], effects: []};
+  private timePassed(now: clock.Milliseconds): void {
+    this.nextDue = Infinity;
+    for (const target of this.workers.all()) this.attend(target, now);
+    for (const name of this.tasks.workers()) {
+      if (this.workers.get(name) !== undefined) continue;
+      // The VM list no longer names the worker.
+      this.attend(this.tasks.on(name)[0].worker, now);
+    }
+    for (const [name, endedAt] of this.endedAt) {
+      if (now - endedAt < ENDED_MEMORY_MS) break;
+      this.endedAt.delete(name);
+    }
+  }
+
+  private attend(target: worker.Worker, now: clock.Milliseconds): void {
+    const owned = this.permits.owns(target.name);
+    if (!owned) this.adoptedOn.delete(target.name);
+    const tasks = this.tasks.on(target.name);
+    if (!owned && tasks.length === 0) return;
+    if (this.reports.take(target.name, now, tasks.length > 0)) {
+      const address = target.description.address;
+      this.effects.push({kind: 'readReport', worker: target.name, address});
+    }
+    const permitEnd = this.permits.permitEnd(target.name);
+    for (const known of tasks) this.lapse(known, permitEnd, now);
+    this.effects.push(...this.renewer.renew(target, permitEnd, now));
+    this.wake(this.reports.due(target.name));
+    this.wake(this.renewer.dueAt(target.name));
+  }
+
+  /**
+   * Releases a task on a silent worker once its lease has certainly ended.
+   * Without a permit, another owner may have renewed the lease, unless the
+   * worker's VM does not exist any more.
+   */
+  private lapse(
+    known: trackedTask.TrackedTask,
+    permitEnd: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): void {
+    const reading = known.worker.clockReading;
+    if (known.state === 'held' || reading === undefined) return;
+    if (known.state === 'unresolved') {
+      const limit = known.unresolvedAt + lease.ENDED_TASKS_LISTED_MS;
+      if (now >= limit) this.end(known, 'unresolved', '', now);
+      return;
+    }
+    if (now - reading.receivedAt < SILENT_MS) return;
+    const exists = this.workers.get(known.worker.name) !== undefined;
+    if (exists && permitEnd <= now) return;
+    if (now < lease.lapsedBy(reading, known.leaseEnd)) return;
+    if (known.label.idempotent) {
+      this.end(known, 'lapsed', '', now);
+      return;
+    }
+    known.worker.release(known.task);
+    this.tasks.put({...known, state: 'unresolved', unresolvedAt: now});
+    this.report('unknown', known);
+  }
+
+  private fetch(
+    tracked: trackedTask.TrackedTask,
+    now: clock.Milliseconds,
+  ): void {
+    this.tasks.put({...tracked, fetchedAt: now});
+    this.sendToWorker('fetchTaskAnswer', tracked);
+  }
+
+  private sendStop(tracked: trackedTask.TrackedTask): void {
+    this.sendToWorker('stopTask', tracked);
+  }
+
+  private sendToWorker(
+    kind: 'fetchTaskAnswer' | 'stopTask',
+    tracked: trackedTask.TrackedTask,
+  ): void {
+    this.effects.push({
+      kind,
+      worker: tracked.worker.name,
+      address: tracked.worker.description.address,
+      task: tracked.task,
+    });
+  }
+
+  private mismatch(reason: string, name: string): void {
+    this.effects.push(
+      effects.count('answerDropped', {reason}),
+      effects.log('warn', 'answerDropped', {reason, task: name}),
+    );
+  }
+
+  private report(
+    kind: 'started' | 'adopted' | 'unknown',
+    tracked: trackedTask.TrackedTask,
+  ): void {
+    this.outcomes.push({kind, of: trackedTask.reference(tracked)});
+  }
+
+  private wake(due: clock.Milliseconds): void {
+    this.nextDue = Math.min(this.nextDue, due);
+  }
+
+  private finishTurn(): RunnerTurn {
+    const turn = {outcomes: this.outcomes, effects: this.effects};
+    this.outcomes = [];
+    this.effects = [];
+    return turn;
+  }
 }
--- a/src/result.ts
+++ b/src/result.ts
@@ -212,6 +212,14 @@
     'later',
     'This process is shutting down; ask another.',
   ),
+  homeGone: row(
+    3005,
+    'homeGone',
+    503,
+    'notRun',
+    'later',
+    'The home of the identity is gone and did not run it; use a new identity.',
+  ),
   unknownOutcome: row(
     4001,
     'unknownOutcome',
@@ -300,3 +308,11 @@
 export function failure(result: ResultName, detail: string): Failure {
   return {result, detail};
 }
+
+/** Returns the row of a code that another process sent. */
+export function byCode(
+  code: number,
+): (ResultCode & {readonly name: ResultName}) | undefined {
+  return Object.values(RESULT_CODES).find(known => known.code === code) as
+    (ResultCode & {readonly name: ResultName}) | undefined;
+}
