--- a/src/result.ts
+++ b/src/result.ts
@@ -324,3 +324,11 @@
 export function failure(result: ResultName, detail: string): Failure {
   return {result, detail};
 }
+
+/** Returns the row of a code that another process sent. */
+export function byCode(
+  code: number,
+): (ResultCode & {readonly name: ResultName}) | undefined {
+  return Object.values(RESULT_CODES).find(known => known.code === code) as
+    (ResultCode & {readonly name: ResultName}) | undefined;
+}
