Check the list of answers of a request with several tasks

Cause: the checker of the randomised runs expected one answer, while the answers of an all-at-once request come as a JSON list in task order. Change: the checker expects the list where a request has several tasks.

--- a/bench/fakes/checker.ts
+++ b/bench/fakes/checker.ts
@@ -10,6 +10,13 @@
   readonly evidence: string;
 }
 
+/** A request as its client knows it. */
+export interface ToldRequest {
+  readonly identity: string;
+  readonly payload: string;
+  readonly taskCount: number;
+}
+
 /**
  * Checks what must always hold from outside: it sees what the workers run and
  * what the clients are told, and nothing that the system believes.
@@ -68,7 +75,8 @@
   }
 
   /** Takes note of what a client was told of its own request. */
-  told(identity: string, payload: string, code: number, answer: string): void {
+  told(request: ToldRequest, code: number, answer: string): void {
+    const {identity} = request;
     const row = Object.values(result.RESULT_CODES).find(
       known => known.code === code,
     );
@@ -80,8 +88,8 @@
       );
     }
     if (code === result.RESULT_CODES.ok.code) {
-      this.check(answer === `done ${payload}`, 'own whole answer', () =>
-        JSON.stringify({identity, answer, payload}),
+      this.check(answer === wholeAnswer(request), 'own whole answer', () =>
+        JSON.stringify({answer, ...request}),
       );
     }
   }
@@ -92,3 +100,10 @@
     this.found.push({at: this.now(), promise, evidence: evidence()});
   }
 }
+
+/** The answers of several tasks come as one JSON list. */
+function wholeAnswer(request: ToldRequest): string {
+  const answer = `done ${request.payload}`;
+  if (request.taskCount === 1) return answer;
+  return JSON.stringify(new Array(request.taskCount).fill(answer));
+}
--- a/bench/fakes/client.ts
+++ b/bench/fakes/client.ts
@@ -9,6 +9,7 @@
 export interface ClientRequest {
   readonly workload: string;
   readonly payload: string;
+  readonly taskCount: number;
   identity: string;
   ended: boolean;
   code: number;
@@ -44,8 +45,15 @@
   ) {}
 
   /** Sends one request and sees it through. */
-  begin(team: string, workload: string, payload: string): void {
-    const request = {workload, payload, identity: '', ended: false, code: -1};
+  begin(team: string, workload: string, payload: string, taskCount = 1): void {
+    const request = {
+      workload,
+      payload,
+      taskCount,
+      identity: '',
+      ended: false,
+      code: -1,
+    };
     this.requests.push(request);
     this.reserve(team, request);
   }
@@ -97,12 +105,7 @@
       this.later(() => this.submit(team, request));
       return;
     }
-    this.surroundings.checker.told(
-      request.identity,
-      request.payload,
-      reply.code,
-      reply.answer ?? '',
-    );
+    this.surroundings.checker.told(request, reply.code, reply.answer ?? '');
     const row = Object.values(result.RESULT_CODES).find(
       known => known.code === reply.code,
     );
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -56,6 +56,7 @@
 const FAULTY_MS = 120_000;
 const RECOVERY_MS = 180_000;
 const REQUEST_COUNT = 60;
+const GANG_SIZE = 3;
 const TRACE_LINES = 400;
 const MOST_CLOCK_OFFSET_MS = 1_000_000;
 
@@ -92,7 +93,7 @@
 quota = {processors = 1000000, memory = 1000000, accelerators = 100, slots = 1000}
 ${workloadText('order', false, 1)}
 ${workloadText('inspection', true, 1)}
-${workloadText('together', true, 3)}
+${workloadText('together', true, GANG_SIZE)}
 `;
 
 const FLEET = `
@@ -241,7 +242,12 @@
       const workload = workloads[this.random.below(workloads.length)];
       const payload = `${workload}-${index}-${'x'.repeat(this.random.below(7))}`;
       this.time.after(this.random.below(FAULTY_MS), () =>
-        chosen.begin('dispatch', workload, payload),
+        chosen.begin(
+          'dispatch',
+          workload,
+          payload,
+          workload === 'together' ? GANG_SIZE : 1,
+        ),
       );
     }
   }
