Add the command try: the main job on an embedded cell

Cause: a newcomer needs one command that shows the system at work. Change: try starts two zones with two entry processes and three workers each between stand-ins in one process, publishes both users' documents, sends calm work, a flood and work past a broken worker, and prints the measures and each outcome. EntryProcess takes its sinks from outside.

--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -25,15 +25,19 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
-type Sink = metrics.StatsdMetrics | metrics.DroppedMetrics;
+type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
+
+/** Receivers that replace those of the settings. */
+export interface Sinks {
+  readonly metrics: Sink;
+  readonly logs: entryLinks.LogSink;
+}
 
 /** One entry process: the decision core, its loop and its links. */
 export class EntryProcess {
   private readonly clock = new clock.SystemClock();
   private readonly numbers = new callNumbers.CallNumbers();
-  private readonly logs = new logger.Logger(line =>
-    process.stdout.write(`${line}\n`),
-  );
+  private readonly logs: entryLinks.LogSink;
   private readonly incarnation: string;
   private readonly random = new randomSource.UnpredictableRandom();
   private readonly metrics: Sink;
@@ -43,12 +47,18 @@
   private readonly peers: peerLink.PeerLink;
   private readonly httpCallers: httpCaller.HttpCaller[] = [];
   private loop: loop.Loop | undefined;
-  private ending = false;
+  private ending: Promise<void> | undefined;
 
-  constructor(private readonly settings: settings.Settings) {
+  constructor(
+    private readonly settings: settings.Settings,
+    sinks?: Sinks,
+  ) {
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
-    this.metrics = new metrics.DroppedMetrics();
+    this.metrics = sinks?.metrics ?? new metrics.DroppedMetrics();
+    this.logs =
+      sinks?.logs ??
+      new logger.Logger(line => process.stdout.write(`${line}\n`));
     this.bytes = new byteCounter.ByteCounter(this.metrics);
     this.callers = new callerServer.CallerServer({
       numbers: this.numbers,
@@ -72,8 +82,8 @@
     });
   }
 
-  /** Listens to peers and callers and begins to decide. */
-  async start(): Promise<void> {
+  /** Begins to decide and returns the address for callers. */
+  async start(): Promise<string> {
     const {host, callerPort, peerPort} = this.settings;
     // Other processes learn the address from the log, so it has to be known
     // before the first decision.
@@ -91,12 +101,16 @@
       port,
       peerPort: realPeerPort,
     });
+    return `${host}:${port}`;
+  }
+
+  /** Finishes what is in progress and closes everything. */
+  end(): Promise<void> {
+    this.ending ??= this.finish();
+    return this.ending;
   }
 
-  /** Finishes what is in progress and ends the process. */
-  async end(): Promise<void> {
-    if (this.ending) return;
-    this.ending = true;
+  private async finish(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
     await this.callers.close();
     this.loop?.stop();
@@ -105,7 +119,6 @@
     await Promise.all(this.httpCallers.map(caller => caller.close()));
     this.bytes.close();
     await this.metrics.close();
-    process.exit(0);
   }
 
   private readonly post = (posted: event.Event): void => {
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -30,7 +30,8 @@
   // Loaded here, so that the other commands do without the servers' memory.
   const entryProcess = await import('./entry_process.js');
   const entry = new entryProcess.EntryProcess(read);
-  process.on('SIGTERM', () => void entry.end());
-  process.on('SIGINT', () => void entry.end());
+  const end = (): void => void entry.end().then(() => process.exit(0));
+  process.on('SIGTERM', end);
+  process.on('SIGINT', end);
   await entry.start();
 }
--- /dev/null
+++ b/src/commands/try.ts
@@ -0,0 +1,220 @@
+import * as commandTypes from 'cmd-ts';
+import * as timers from 'node:timers/promises';
+import * as undici from 'undici';
+import type * as effect from '../contracts/effect.js';
+import type * as tryCell from './try_cell.js';
+
+/** Time for the processes to join, claim workers and read the documents. */
+const READY_LIMIT_MS = 20_000;
+
+/** How long one call waits for the end of its request, in seconds. */
+const WAIT_SECONDS = 20;
+
+/** Requests of the flood: several times what the cell can hold at once. */
+const FLOOD_SIZE = 150;
+
+interface Sent {
+  readonly team: string;
+  readonly workload: string;
+  readonly phase: string;
+  readonly code: number;
+  readonly milliseconds: number;
+}
+
+interface Source {
+  readonly team: string;
+  readonly client: string;
+  readonly workload: string;
+}
+
+const ORDERS: Source = {
+  team: 'dispatch',
+  client: 'workshop',
+  workload: 'polish-order',
+};
+const INSPECTIONS: Source = {...ORDERS, workload: 'inspection-run'};
+const CERTIFICATES: Source = {
+  team: 'office',
+  client: 'solicitor-desk',
+  workload: 'certificate-batch',
+};
+const ROUTES: Source = {...CERTIFICATES, workload: 'route-plan'};
+
+/** Runs the main job on an embedded cell and prints what happened. */
+class TryRun {
+  private readonly sent: Sent[] = [];
+  private readonly used: number[] = [];
+  private next = 0;
+
+  constructor(private readonly cell: tryCell.TryCell) {}
+
+  async run(): Promise<void> {
+    await this.waitUntilReady();
+    await this.phase('calm', [ORDERS, INSPECTIONS, CERTIFICATES, ROUTES], 40);
+    await this.flood();
+    this.cell.breakWorker();
+    console.log('one worker now fails everything that it starts');
+    await this.phase('broken worker', [CERTIFICATES, ROUTES], 40);
+    this.report();
+  }
+
+  private async waitUntilReady(): Promise<void> {
+    const started = performance.now();
+    for (const addresses of this.cell.addresses().values()) {
+      for (const address of addresses) {
+        await this.waitForAddress(address, started + READY_LIMIT_MS);
+      }
+    }
+    const seconds = (performance.now() - started) / 1_000;
+    console.log(`ready after ${seconds.toFixed(1)} s`);
+  }
+
+  private async waitForAddress(address: string, limit: number): Promise<void> {
+    for (;;) {
+      const answer = await undici.request(`http://${address}/ready`);
+      await answer.body.dump();
+      if (answer.statusCode === 200) return;
+      if (performance.now() > limit) throw new Error(`${address} is not ready`);
+      await timers.setTimeout(100);
+    }
+  }
+
+  private async phase(
+    name: string,
+    sources: ReadonlyArray<Source>,
+    count: number,
+  ): Promise<void> {
+    const pending: Array<Promise<void>> = [];
+    for (let index = 0; index < count; index += 1) {
+      pending.push(this.send(sources[index % sources.length], name));
+      this.used.push(this.cell.usedFraction());
+      await timers.setTimeout(40);
+    }
+    await Promise.all(pending);
+    this.printPhase(name);
+  }
+
+  private async flood(): Promise<void> {
+    const flood: Array<Promise<void>> = [];
+    for (let index = 0; index < FLOOD_SIZE; index += 1) {
+      flood.push(this.send(ORDERS, 'flood'));
+    }
+    await this.phase('during the flood', [CERTIFICATES, ROUTES], 40);
+    await Promise.all(flood);
+    this.printPhase('flood');
+  }
+
+  private async send(source: Source, phase: string): Promise<void> {
+    const started = performance.now();
+    const identity = await this.reserve(source);
+    const reply = await this.call(
+      source,
+      'PUT',
+      `/v1/requests/${identity}?wait=${WAIT_SECONDS}`,
+      {team: source.team, workload: source.workload, payload: '{}'},
+    );
+    const milliseconds = performance.now() - started;
+    const {team, workload} = source;
+    this.sent.push({team, workload, phase, code: reply.code, milliseconds});
+  }
+
+  private async reserve(source: Source): Promise<string> {
+    const reply = await this.call(source, 'POST', '/v1/identities', {count: 1});
+    return reply.identities?.[0] ?? '';
+  }
+
+  private async call(
+    source: Source,
+    method: 'POST' | 'PUT',
+    path: string,
+    body: unknown,
+  ): Promise<effect.Reply> {
+    const zone = source.team === 'dispatch' ? 'kigali-a' : 'caerdydd-a';
+    const addresses = this.cell.addresses().get(zone) ?? [];
+    this.next += 1;
+    const address = addresses[this.next % addresses.length];
+    const answer = await undici.request(`http://${address}${path}`, {
+      method,
+      headers: {'x-client': source.client},
+      body: JSON.stringify(body),
+    });
+    return (await answer.body.json()) as effect.Reply;
+  }
+
+  private printPhase(phase: string): void {
+    const sent = this.sent.filter(item => item.phase === phase);
+    const finished = sent.filter(item => item.code === 0).length;
+    console.log(
+      `${phase.padEnd(18)} sent ${String(sent.length).padStart(3)}` +
+        `  finished ${String(finished).padStart(3)}` +
+        `  median ${median(sent).toFixed(0)} ms`,
+    );
+  }
+
+  private report(): void {
+    const {metrics} = this.cell;
+    const calm = this.sent.filter(
+      item => item.phase === 'calm' && item.team === 'office',
+    );
+    const flooded = this.sent.filter(item => item.phase === 'during the flood');
+    const kept = flooded.filter(item => item.code === 0).length;
+    const bytes = metrics.total('bytes_sent') + metrics.total('bytes_received');
+    const usedPeak = Math.max(...this.used);
+    console.log('\nmeasure                                  figure');
+    printFigure('wait to start, median', `${metrics.wait(0.5).toFixed(1)} ms`);
+    printFigure('wait to start, p99', `${metrics.wait(0.99).toFixed(1)} ms`);
+    printFigure('slots in use, highest', `${(usedPeak * 100).toFixed(0)} %`);
+    printFigure('workers over capacity', `${this.cell.overcommitments()}`);
+    printFigure('log appends', `${this.cell.appends()}`);
+    printFigure('bytes of closed and counted links', `${bytes}`);
+    printFigure('other work kept in the flood', `${kept} of ${flooded.length}`);
+    printFigure(
+      'its median before and during',
+      `${median(calm).toFixed(0)} and ${median(flooded).toFixed(0)} ms`,
+    );
+    this.reportOutcomes();
+  }
+
+  private reportOutcomes(): void {
+    console.log('\nworkload             code  requests');
+    const outcomes = new Map<string, number>();
+    for (const item of this.sent) {
+      const key = `${item.workload.padEnd(18)}  ${String(item.code).padStart(5)}`;
+      outcomes.set(key, (outcomes.get(key) ?? 0) + 1);
+    }
+    for (const [key, count] of [...outcomes].sort()) {
+      console.log(`${key}  ${String(count).padStart(8)}`);
+    }
+    const counted = this.cell.metrics.matching('re');
+    for (const [key, count] of [...counted].sort()) {
+      console.log(`counter ${key}: ${count}`);
+    }
+  }
+}
+
+function median(sent: ReadonlyArray<Sent>): number {
+  const sorted = sent
+    .map(item => item.milliseconds)
+    .sort((left, right) => left - right);
+  return sorted[sorted.length >> 1] ?? 0;
+}
+
+function printFigure(name: string, figure: string): void {
+  console.log(`${name.padEnd(40)} ${figure}`);
+}
+
+/** The command `try`: the main job on an embedded cell, in under a minute. */
+export const tryCommand = commandTypes.command({
+  name: 'try',
+  description: 'Runs a small cell in this process and prints what happened',
+  args: {},
+  handler: async () => {
+    // Loaded here, so that the other commands do without the stand-ins.
+    const {TryCell} = await import('./try_cell.js');
+    const cell = new TryCell();
+    await cell.start();
+    await new TryRun(cell).run();
+    await cell.stop();
+    process.exit(0);
+  },
+});
--- /dev/null
+++ b/src/commands/try_cell.ts
@@ -0,0 +1,187 @@
+import * as entryProcess from './entry_process.js';
+import * as logService from '../../stand_ins/log_service.js';
+import * as settings from '../operations/settings.js';
+import * as timers from 'node:timers/promises';
+import * as tryDocuments from './try_documents.js';
+import * as vmList from '../../stand_ins/vm_list.js';
+import * as worker from '../../stand_ins/worker.js';
+import type * as entryLinks from '../links/entry_links.js';
+
+const ZONES = ['kigali-a', 'caerdydd-a'] as const;
+const ENTRY_VMS_PER_ZONE = 2;
+const WORKERS_PER_ZONE = 3;
+const WORKER_SLOTS = 8;
+
+/** Keeps counts and durations in memory instead of sending them. */
+export class CollectedMetrics implements entryLinks.MetricsSink {
+  private readonly counts = new Map<string, number>();
+  private readonly waits: number[] = [];
+
+  count(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    value: number,
+  ): void {
+    const reason = labels['reason'];
+    const key = reason === undefined ? metric : `${metric} ${reason}`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + value);
+  }
+
+  observe(
+    metric: string,
+    _labels: Readonly<Record<string, string>>,
+    milliseconds: number,
+  ): void {
+    if (metric === 'wait') this.waits.push(milliseconds);
+  }
+
+  /** Does nothing; nothing is buffered. */
+  async close(): Promise<void> {}
+
+  /** Sum of a counter. */
+  total(key: string): number {
+    return this.counts.get(key) ?? 0;
+  }
+
+  /** Counters whose name begins with `prefix`. */
+  matching(prefix: string): ReadonlyMap<string, number> {
+    return new Map([...this.counts].filter(([key]) => key.startsWith(prefix)));
+  }
+
+  /** A quantile of the time from request to start, in milliseconds. */
+  wait(quantile: number): number {
+    const sorted = [...this.waits].sort((left, right) => left - right);
+    const position = Math.floor(quantile * (sorted.length - 1));
+    return sorted[Math.max(0, position)] ?? 0;
+  }
+}
+
+/** Entry processes of two zones between stand-ins, all in this process. */
+export class TryCell {
+  readonly metrics = new CollectedMetrics();
+  readonly warnings: string[] = [];
+  private readonly log = new logService.LogService();
+  private readonly list = new vmList.VmList();
+  private readonly workers: worker.StandInWorker[] = [];
+  private readonly entries: entryProcess.EntryProcess[] = [];
+  private readonly addressesOfZones = new Map<string, string[]>();
+
+  /** Starts everything and publishes the documents. */
+  async start(): Promise<void> {
+    const log = await this.log.listen();
+    const list = await this.list.listen();
+    for (const document of tryDocuments.TRY_DOCUMENTS) {
+      this.publish(document);
+    }
+    for (const zone of ZONES) {
+      for (let index = 0; index < WORKERS_PER_ZONE; index += 1) {
+        await this.addWorker(zone, index);
+      }
+      for (let index = 0; index < ENTRY_VMS_PER_ZONE; index += 1) {
+        await this.addEntry(zone, index, log, list);
+      }
+    }
+  }
+
+  /** Addresses for callers, by zone. */
+  addresses(): ReadonlyMap<string, ReadonlyArray<string>> {
+    return this.addressesOfZones;
+  }
+
+  /** Lets one worker fail everything that it starts. */
+  breakWorker(): void {
+    this.workers.at(-1)?.fail({failsEverything: true});
+  }
+
+  /** Fraction of all slots that run a task now. */
+  usedFraction(): number {
+    let running = 0;
+    for (const item of this.workers) running += item.runningCount();
+    return running / (this.workers.length * WORKER_SLOTS);
+  }
+
+  /** Starts that took a worker over its capacity. */
+  overcommitments(): number {
+    let total = 0;
+    for (const item of this.workers) total += item.overcommitmentCount();
+    return total;
+  }
+
+  /** Appends to the log so far. */
+  appends(): number {
+    return this.log.appendCount();
+  }
+
+  /** Ends everything; requests in progress are finished first. */
+  async stop(): Promise<void> {
+    const ended = Promise.all(this.entries.map(entry => entry.end()));
+    await Promise.race([ended, timers.setTimeout(10_000)]);
+    for (const item of this.workers) item.close();
+    this.list.close();
+    this.log.close();
+  }
+
+  private publish(document: tryDocuments.TryDocument): void {
+    const record = {
+      kind: 'publish',
+      document: document.name,
+      baseVersion: 0,
+      content: document.content,
+      publication: `try ${document.name}`,
+    };
+    this.log.append('configuration', [JSON.stringify(record)]);
+  }
+
+  private async addWorker(zone: string, index: number): Promise<void> {
+    const name = `${zone}-worker-${index}`;
+    const item = new worker.StandInWorker({
+      name,
+      rack: `${zone}-rack-${index % 2}`,
+      capacity: {
+        processors: 16_000,
+        memory: 32_768,
+        accelerators: 0,
+        slots: WORKER_SLOTS,
+      },
+      runTimeMs: 200,
+    });
+    this.workers.push(item);
+    const address = await item.listen();
+    this.list.put({vm: name, role: 'worker', zone, address, state: 'live'});
+  }
+
+  private async addEntry(
+    zone: string,
+    index: number,
+    log: string,
+    list: string,
+  ): Promise<void> {
+    const vm = `${zone}-entry-${index}`;
+    const text = [
+      `vm = "${vm}"`,
+      `zone = "${zone}"`,
+      `region = "${zone.slice(0, -2)}"`,
+      'host = "127.0.0.1"',
+      'callerPort = 0',
+      'peerPort = 0',
+      `log = "${log}"`,
+      `vmList = "${list}"`,
+    ].join('\n');
+    const read = settings.readSettings(text).unsafeCoerce();
+    const entry = new entryProcess.EntryProcess(read, {
+      metrics: this.metrics,
+      logs: {log: (level, event) => this.noteLine(vm, level, event)},
+    });
+    const address = await entry.start();
+    const known = this.addressesOfZones.get(zone) ?? [];
+    this.addressesOfZones.set(zone, [...known, address]);
+    this.entries.push(entry);
+    this.list.put({vm, role: 'entry', zone, address, state: 'live'});
+  }
+
+  private noteLine(vm: string, level: string, event: string): void {
+    if (level === 'warn' || level === 'error') {
+      this.warnings.push(`${vm} ${event}`);
+    }
+  }
+}
--- /dev/null
+++ b/src/commands/try_documents.ts
@@ -0,0 +1,100 @@
+/** A document that `try` publishes. */
+export interface TryDocument {
+  readonly name: string;
+  readonly content: string;
+}
+
+interface Work {
+  readonly name: string;
+  readonly kind: string;
+  readonly urgency: string;
+  readonly idempotent: boolean;
+  readonly taskCount: number;
+}
+
+function workload(work: Work): string {
+  return `
+[[workloads]]
+name = "${work.name}"
+kind = "${work.kind}"
+urgency = "${work.urgency}"
+worth = 10
+idempotent = ${work.idempotent}
+size = {processors = 2000, memory = 2048, accelerators = 0, slots = 1}
+runTimeMs = ${work.kind === 'service' ? 0 : 200}
+taskCount = ${work.taskCount}
+startDeadlineMs = 0
+zones = []
+maximumPerRack = 0
+`;
+}
+
+function team(
+  name: string,
+  client: string,
+  works: ReadonlyArray<Work>,
+): TryDocument {
+  const content = `
+name = "${name}"
+clients = ["${client}"]
+share = 1
+queueLimit = 200
+quota = {processors = 96000, memory = 196608, accelerators = 0, slots = 48}
+${works.map(workload).join('')}`;
+  return {name: `team/${name}`, content};
+}
+
+const FLEET = `
+zones = [
+  {name = "kigali-a", region = "kigali"},
+  {name = "caerdydd-a", region = "caerdydd"},
+]
+
+[[workerShapes]]
+capacity = {processors = 16000, memory = 32768, accelerators = 0, slots = 8}
+zones = ["kigali-a", "caerdydd-a"]
+`;
+
+/** The documents of both deployments, small enough for one machine. */
+export const TRY_DOCUMENTS: ReadonlyArray<TryDocument> = [
+  {name: 'fleet', content: FLEET},
+  team('dispatch', 'workshop', [
+    {
+      name: 'polish-order',
+      kind: 'batch',
+      urgency: 'normal',
+      idempotent: false,
+      taskCount: 1,
+    },
+    {
+      name: 'inspection-run',
+      kind: 'gang',
+      urgency: 'normal',
+      idempotent: true,
+      taskCount: 3,
+    },
+    {
+      name: 'kiln-watch',
+      kind: 'service',
+      urgency: 'normal',
+      idempotent: true,
+      taskCount: 2,
+    },
+  ]),
+  team('office', 'solicitor-desk', [
+    {
+      name: 'certificate-batch',
+      kind: 'batch',
+      urgency: 'urgent',
+      idempotent: false,
+      taskCount: 1,
+    },
+    {
+      name: 'route-plan',
+      kind: 'batch',
+      urgency: 'normal',
+      idempotent: true,
+      taskCount: 1,
+    },
+  ]),
+];
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,7 @@
 import * as requestCommands from './commands/request_commands.js';
 import * as serve from './commands/serve.js';
 import * as submit from './commands/submit.js';
+import * as tryCommand from './commands/try.js';
 
 const program = commandTypes.subcommands({
   name: 'parsleyknot',
@@ -21,6 +22,7 @@
     explain: requestCommands.explain,
     cancel: requestCommands.cancel,
     drain: cellCommands.drain,
+    try: tryCommand.tryCommand,
   },
 });
 
