--- a/bench/fakes/peer_messages.ts
+++ b/bench/fakes/peer_messages.ts
@@ -24,13 +24,14 @@
         news: wanted.news,
       };
     case 'offerRequest': {
-      const {identity, client, submission, remainingMs} = wanted;
+      const {identity, client, submission, remainingMs, attempt} = wanted;
       return {
         kind: 'offerArrived',
         call,
         from,
         to,
         identity,
+        attempt,
         client,
         submission,
         remainingMs,
@@ -43,6 +44,7 @@
         from,
         to,
         identity: wanted.identity,
+        attempt: wanted.attempt,
       };
     case 'fetchDocuments':
       return {kind: 'fetchDocumentsArrived', call, have: wanted.have};
--- a/src/contracts/effect.ts
+++ b/src/contracts/effect.ts
@@ -74,6 +74,8 @@
       readonly peer: string;
       readonly address: string;
       readonly identity: string;
+      /** Counts the offers of the request; a repeated one keeps its number. */
+      readonly attempt: number;
       readonly client: string;
       readonly submission: request.Submission;
       readonly remainingMs: number;
@@ -89,6 +91,8 @@
       readonly peer: string;
       readonly address: string;
       readonly identity: string;
+      /** Withdraws offers up to this number. */
+      readonly attempt: number;
     }
   | {
       readonly kind: 'answerWithdraw';
--- a/src/contracts/event.ts
+++ b/src/contracts/event.ts
@@ -202,6 +202,8 @@
       readonly from: string;
       readonly to: string;
       readonly identity: string;
+      /** Counts the offers of the request; 0 when the sender gives none. */
+      readonly attempt?: number;
       readonly client: string;
       readonly submission: request.Submission;
       readonly remainingMs: clock.Milliseconds;
@@ -224,6 +226,8 @@
       readonly from: string;
       readonly to: string;
       readonly identity: string;
+      /** Withdraws offers up to this number; 0 when the sender gives none. */
+      readonly attempt?: number;
     }
   | {
       readonly kind: 'withdrawAnswered';
--- a/src/contracts/offer_host.ts
+++ b/src/contracts/offer_host.ts
@@ -72,12 +72,11 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {call, identity} = offer;
-    const {table} = this.parts;
     if (offer.to !== this.parts.self) return [answer(call, 'unknownOutcome')];
     if (identities.parseIdentity(identity)?.home !== offer.from) {
       return [answer(call, 'unknownIdentity')];
     }
-    const known = table.get(identity);
+    const known = this.currentEntry(identity, offer.attempt ?? 0, offer.from);
     if (known === undefined) return this.takeOffer(offer, now);
     if (known.request.client !== offer.client) {
       return [answer(call, 'unknownIdentity')];
@@ -85,6 +84,23 @@
     return this.join(known, call);
   }
 
+  /** An earlier offer that ended as not run makes room for a later one. */
+  private currentEntry(
+    identity: string,
+    attempt: number,
+    from: string,
+  ): requestTable.RequestEntry | undefined {
+    const {table} = this.parts;
+    const known = table.get(identity);
+    if (known?.ending === undefined) return known;
+    const notRun =
+      result.RESULT_CODES[known.ending.result].execution === 'notRun';
+    const later = attempt > known.offerAttempt;
+    if (!notRun || !later || known.offeredBy !== from) return known;
+    table.forget(identity);
+    return undefined;
+  }
+
   private join(
     known: requestTable.RequestEntry,
     call: event.CallNumber,
@@ -101,7 +117,8 @@
   ): ReadonlyArray<effects.Effect> {
     const {call, identity, client, submission} = offer;
     const {builder, queue, table, lifecycle} = this.parts;
-    if (this.parts.offers.isBuried(identity)) {
+    const attempt = offer.attempt ?? 0;
+    if (this.parts.offers.isBuried(identity, attempt)) {
       return [answer(call, 'cancelled')];
     }
     if (this.draining) return this.refuse(offer, 'draining', now);
@@ -114,7 +131,7 @@
     const startBy = now + offer.remainingMs;
     const refusal = queue.admit({...offered, startBy}, now);
     if (refusal !== undefined) return this.refuse(offer, refusal.result, now);
-    table.add({...offered, startBy}, offer.from);
+    table.add({...offered, startBy}, {process: offer.from, attempt});
     const done = lifecycle.placeWaiting(now);
     if (queue.remove(identity)) {
       table.drop(identity);
@@ -130,7 +147,7 @@
     name: result.ResultName,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    this.parts.offers.bury(offer.identity, now);
+    this.parts.offers.bury(offer.identity, offer.attempt ?? 0, now);
     return [answer(offer.call, name)];
   }
 
@@ -141,7 +158,11 @@
     const {call, identity, from, to} = withdrawal;
     const {lifecycle, offers: own, table} = this.parts;
     if (to !== this.parts.self) return [answerWithdraw(call, 'unknownOutcome')];
-    if (own.bury(identity, now)) return [answerWithdraw(call, 'cancelled')];
+    const attempt = withdrawal.attempt ?? 0;
+    this.currentEntry(identity, attempt, from);
+    if (own.bury(identity, attempt, now)) {
+      return [answerWithdraw(call, 'cancelled')];
+    }
     if (table.get(identity)?.offeredBy !== from) {
       return [answerWithdraw(call, 'unknownIdentity')];
     }
--- a/src/contracts/offers.ts
+++ b/src/contracts/offers.ts
@@ -11,6 +11,9 @@
 /** Wait for room on own workers before a request is offered. */
 const OFFER_AFTER_MS = 250;
 
+/** Largest factor by which refusals lengthen the wait for the next offer. */
+const LONGEST_BACKOFF = 8;
+
 /** Most offers that are open at a time. */
 const OPEN_LIMIT = 16;
 
@@ -23,11 +26,28 @@
 /** Time for which a withdrawn identity is refused. */
 const TOMBSTONE_MS = 3_600_000;
 
+/** How often and by whom a request was refused. */
+interface Refusals {
+  readonly count: number;
+  readonly last: string;
+  /** Earliest time of the next offer. */
+  readonly notBefore: clock.Milliseconds;
+}
+
+/** Offers of an identity that never run here. */
+interface Tombstone {
+  /** The last attempt that is refused. */
+  readonly attempt: number;
+  readonly since: clock.Milliseconds;
+}
+
 /** An offer that this process has made. */
 interface OpenOffer {
   readonly identity: string;
   readonly peer: string;
   readonly address: string;
+  /** Counts the offers of the request; a sent one keeps its number. */
+  readonly attempt: number;
   /** Number of the journal entry that has to be recorded first; 0 for none. */
   readonly record: number;
   /** Whether an offer was sent whose answer is missing. */
@@ -64,9 +84,8 @@
  */
 export class Offers {
   private readonly open = new Map<string, OpenOffer>();
-  /** Processes that refused a request; they keep a tombstone of it. */
-  private readonly refusedBy = new Map<string, Set<string>>();
-  private readonly tombstones = new Map<string, clock.Milliseconds>();
+  private readonly refusals = new Map<string, Refusals>();
+  private readonly tombstones = new Map<string, Tombstone>();
   private effects: effects.Effect[] = [];
   private orphaned: OrphanedOffer[] = [];
 
@@ -120,8 +139,14 @@
       this.open.delete(identity);
       this.endCancelled(identity, now);
     } else {
-      const {peer, address} = offer;
-      this.effects.push({kind: 'withdrawOffer', peer, address, identity});
+      const {peer, address, attempt} = offer;
+      this.effects.push({
+        kind: 'withdrawOffer',
+        peer,
+        address,
+        identity,
+        attempt,
+      });
     }
     return this.finishTurn();
   }
@@ -141,22 +166,30 @@
     return this.finishTurn();
   }
 
-  /** Makes sure that an identity never runs here; false when it has begun. */
-  bury(identity: string, now: clock.Milliseconds): boolean {
+  /**
+   * Makes sure that offers of an identity up to `attempt` never run here;
+   * false when the identity has begun to run.
+   */
+  bury(identity: string, attempt: number, now: clock.Milliseconds): boolean {
     if (this.parts.table.get(identity) !== undefined) return false;
-    this.tombstones.set(identity, now);
+    const buried = this.tombstones.get(identity)?.attempt ?? attempt;
+    // Taken out first, so that the order stays by time.
+    this.tombstones.delete(identity);
+    const latest = Math.max(buried, attempt);
+    this.tombstones.set(identity, {attempt: latest, since: now});
     return true;
   }
 
-  /** Whether an identity was withdrawn before its offer arrived. */
-  isBuried(identity: string): boolean {
-    return this.tombstones.has(identity);
+  /** Whether an offer was withdrawn or refused before it arrived. */
+  isBuried(identity: string, attempt: number): boolean {
+    const buried = this.tombstones.get(identity);
+    return buried !== undefined && attempt <= buried.attempt;
   }
 
   /** Forgets refusals and tombstones that are no longer needed. */
   expire(forgotten: ReadonlyArray<string>, now: clock.Milliseconds): void {
-    for (const identity of forgotten) this.refusedBy.delete(identity);
-    for (const [identity, since] of this.tombstones) {
+    for (const identity of forgotten) this.refusals.delete(identity);
+    for (const [identity, {since}] of this.tombstones) {
       if (now - since < TOMBSTONE_MS) break;
       this.tombstones.delete(identity);
     }
@@ -170,8 +203,9 @@
 
   private offer(candidate: request.Request, now: clock.Milliseconds): void {
     if (now - candidate.arrivedAt < OFFER_AFTER_MS) return;
-    if (candidate.taskCount !== 1) return;
     const {identity, client, workload} = candidate;
+    // A single replica of a service is replaced where the others run.
+    if (candidate.taskCount !== workload.taskCount) return;
     const member = this.choose(identity, now);
     if (member === undefined) return;
     if (!workload.idempotent && !this.parts.journal.available()) return;
@@ -181,6 +215,7 @@
       identity,
       peer: process,
       address,
+      attempt: (this.refusals.get(identity)?.count ?? 0) + 1,
       record: 0,
       sent: false,
       due: now + RESEND_MS,
@@ -207,12 +242,14 @@
     identity: string,
     now: clock.Milliseconds,
   ): processDirectory.Member | undefined {
-    const refused = this.refusedBy.get(identity);
+    const refusals = this.refusals.get(identity);
+    if (refusals !== undefined && now < refusals.notBefore) return undefined;
     const {directory} = this.parts;
-    const candidates = directory
+    const live = directory
       .members()
-      .filter(member => refused?.has(member.process) !== true)
       .filter(member => directory.liveAddress(member.process, now));
+    const others = live.filter(member => member.process !== refusals?.last);
+    const candidates = others.length > 0 ? others : live;
     if (candidates.length === 0) return undefined;
     // Offers alternate, so that a wave does not meet one process alone.
     return candidates[this.open.size % candidates.length];
@@ -235,6 +272,7 @@
       address: offer.address,
       identity: offer.identity,
       client,
+      attempt: offer.attempt,
       submission: {team, workload: workload.name, payload, size},
       remainingMs: Math.max(0, left),
     });
@@ -261,8 +299,12 @@
   }
 
   private refused(offer: OpenOffer, now: clock.Milliseconds): void {
-    const refused = this.refusedBy.get(offer.identity) ?? new Set<string>();
-    this.refusedBy.set(offer.identity, refused.add(offer.peer));
+    const wait = OFFER_AFTER_MS * Math.min(offer.attempt, LONGEST_BACKOFF);
+    this.refusals.set(offer.identity, {
+      count: offer.attempt,
+      last: offer.peer,
+      notBefore: now + wait,
+    });
     this.giveBack(offer, now);
   }
 
--- a/src/contracts/outcome_rule.ts
+++ b/src/contracts/outcome_rule.ts
@@ -1,4 +1,5 @@
 import * as lease from './lease.js';
+import * as results from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as journal from './journal.js';
 import type * as requestTable from './request_table.js';
@@ -6,6 +7,8 @@
 
 type StartingEntry = Extract<journal.JournalEntry, {readonly kind: 'starting'}>;
 
+type FinishedEntry = Extract<journal.JournalEntry, {readonly kind: 'finished'}>;
+
 /** A report that was requested after the home's permits had ended. */
 export interface LateReport {
   readonly workerClock: clock.Milliseconds;
@@ -47,20 +50,21 @@
  */
 export function decide(evidence: Evidence): Finding {
   const entries = orderedEntries(evidence.records);
-  const finished = entries.findLast(entry => entry.kind === 'finished');
-  if (finished !== undefined) {
-    return {kind: 'ended', ending: recordedEnding(finished)};
-  }
   const last = entries.at(-1);
   if (last === undefined) return ifComplete(evidence, {kind: 'notRun'});
+  if (last.kind === 'finished') return decideByEnd(last, evidence);
   if (last.kind === 'offered') {
     // Without all records, the home may have started it elsewhere later.
     return ifComplete(evidence, {kind: 'offered', process: last.process});
   }
-  const starts = entries.filter(
-    (entry): entry is StartingEntry => entry.kind === 'starting',
-  );
-  return decideByWorkers(lastAttempt(starts), evidence);
+  return decideByWorkers(lastAttempt(entries), evidence);
+}
+
+/** A refused offer may have been followed by one that ran. */
+function decideByEnd(finished: FinishedEntry, evidence: Evidence): Finding {
+  const finding: Finding = {kind: 'ended', ending: recordedEnding(finished)};
+  const {execution} = results.RESULT_CODES[finished.result];
+  return execution === 'notRun' ? ifComplete(evidence, finding) : finding;
 }
 
 function orderedEntries(
@@ -72,17 +76,23 @@
     .map(record => record.entry);
 }
 
-/** Earlier attempts were proved not run before the last one was recorded. */
+/**
+ * Returns the starts of the last attempt. What was recorded before it was
+ * proved not run before it was recorded.
+ */
 function lastAttempt(
-  starts: ReadonlyArray<StartingEntry>,
+  entries: ReadonlyArray<journal.JournalEntry>,
 ): ReadonlyArray<StartingEntry> {
-  const latest = Math.max(...starts.map(start => start.attempt));
-  return starts.filter(start => start.attempt === latest);
+  const starts: StartingEntry[] = [];
+  for (const entry of [...entries].reverse()) {
+    if (entry.kind !== 'starting') break;
+    if (starts.length > 0 && entry.attempt !== starts[0].attempt) break;
+    starts.unshift(entry);
+  }
+  return starts;
 }
 
-function recordedEnding(
-  finished: Extract<journal.JournalEntry, {readonly kind: 'finished'}>,
-): requestTable.Ending {
+function recordedEnding(finished: FinishedEntry): requestTable.Ending {
   if (!finished.answerKept) {
     return {
       result: 'answerLost',
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -147,7 +147,7 @@
     if (handled.kind === 'timePassed') done.push(...this.expire(now));
     done.push(...this.lifecycle.placeWaiting(now));
     if (handled.kind === 'timePassed') done.push(...this.offerWaiting(now));
-    done.push(...this.finishTurn());
+    done.push(...this.journal.flush(now), ...this.finishTurn());
     return done;
   }
 
@@ -186,7 +186,7 @@
   }
 
   bury(identity: string, now: clock.Milliseconds): boolean {
-    return this.offers.bury(identity, now);
+    return this.offers.bury(identity, Infinity, now);
   }
 
   isIdempotent(call: callRouter.IdentityCall): boolean | undefined {
@@ -240,7 +240,8 @@
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    if (this.table.get(identity) !== undefined) {
+    const known = this.table.get(identity);
+    if (known !== undefined && isDecidedHere(known)) {
       return this.answerHere(call, identity, now);
     }
     const home = identities.parseIdentity(identity)?.home;
@@ -462,6 +463,13 @@
   }
 }
 
+/** What did not run here for its home may still run elsewhere. */
+function isDecidedHere(entry: requestTable.RequestEntry): boolean {
+  if (entry.offeredBy === '') return true;
+  if (entry.ending === undefined) return false;
+  return result.RESULT_CODES[entry.ending.result].execution === 'ran';
+}
+
 function drainingFailure(): result.Failure {
   return result.failure('draining', 'this process is shutting down');
 }
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -1,6 +1,7 @@
 import * as attempts from './attempt.js';
 import * as effects from './effect.js';
 import * as lease from './lease.js';
+import * as results from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as journalKeeper from './journal_keeper.js';
@@ -101,11 +102,12 @@
   /** Ends a request; a recorded request has its end recorded as well. */
   end(
     identity: string,
-    ending: requestTable.Ending,
+    wanted: requestTable.Ending,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const entry = this.parts.table.get(identity);
     if (entry === undefined) return [];
+    const ending = truthful(wanted, entry);
     this.attempts.delete(identity);
     if (ending.result === 'ok') this.parts.retries.succeeded(now);
     if (entry.recorded && entry.ending === undefined) {
@@ -230,7 +232,7 @@
     const held = attempt.tasks().filter(task => task.state === 'held');
     const {runner} = this.parts;
     if (!held.every(task => runner.mayPlace(task.worker, now))) {
-      return this.giveBack(attempt, 'the permit ended before the start');
+      return this.giveBack(attempt, 'the permit ended before the start', now);
     }
     const done: effects.Effect[] = [];
     for (const task of held) {
@@ -248,10 +250,19 @@
   private giveBack(
     attempt: attempts.Attempt,
     reason: string,
+    now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity} = attempt.request;
     const held = attempt.tasks().filter(task => task.state === 'held');
     this.abandon(attempt);
+    if (this.parts.table.get(identity)?.offeredBy !== '') {
+      const ending = {
+        result: 'noAuthority',
+        detail: reason,
+        answer: '',
+      } as const;
+      return this.end(identity, ending, now);
+    }
     if (held.length < attempt.tasks().length) {
       for (const task of held) attempt.remove(task.task);
       this.requeueTasks(attempt, held.length);
@@ -305,7 +316,7 @@
       return this.end(identity, ending, now);
     }
     if (!tooLate) return [];
-    return this.giveBack(attempt, 'the log is slow to record the start');
+    return this.giveBack(attempt, 'the log is slow to record the start', now);
   }
 
   private take(
@@ -440,9 +451,15 @@
       return this.end(identity, conclusion.otherwise, now);
     }
     const {reason} = conclusion;
+    const hasRun =
+      entry?.hasRun === true ||
+      attempt.tasks().some(task => task.state === 'ended');
     this.attempts.delete(identity);
-    this.parts.queue.requeue(concerned);
+    // The deadline concerns the first start.
+    const startBy = hasRun ? Infinity : concerned.startBy;
+    this.parts.queue.requeue({...concerned, startBy});
     this.parts.table.change(identity, {
+      hasRun,
       state: 'queued',
       worker: '',
       tasks: [],
@@ -487,6 +504,17 @@
   }
 }
 
+/** A request of which an earlier attempt ran never counts as not run. */
+function truthful(
+  ending: requestTable.Ending,
+  entry: requestTable.RequestEntry,
+): requestTable.Ending {
+  const {execution} = results.RESULT_CODES[ending.result];
+  if (!entry.hasRun || execution !== 'notRun') return ending;
+  const detail = `an earlier attempt ran; ${ending.result} ${ending.detail}`;
+  return {result: 'taskStopped', detail, answer: ''};
+}
+
 function changeTask(
   attempt: attempts.Attempt,
   outcome: trackedTask.TaskOutcome,
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -44,16 +44,20 @@
   readonly cancelled: boolean;
   /** Placements so far. */
   readonly attempts: number;
+  /** Whether an earlier attempt ran in part or as a whole. */
+  readonly hasRun: boolean;
   /** Whether the journal holds an entry of the request. */
   readonly recorded: boolean;
   /** Home of the identity when another process offered the request. */
   readonly offeredBy: string;
+  /** Number of that offer. */
+  readonly offerAttempt: number;
   readonly ending: Ending | undefined;
 }
 
 /** The parts of an entry that change before its end. */
 export type EntryChange = Partial<
-  Omit<RequestEntry, 'request' | 'ending' | 'offeredBy'>
+  Omit<RequestEntry, 'request' | 'ending' | 'offeredBy' | 'offerAttempt'>
 >;
 
 interface Waiter {
@@ -65,6 +69,8 @@
 /** How long an ended request is kept for callers that ask again. */
 export const RETENTION_MS = 3_600_000;
 
+const OWN = {process: '', attempt: 0};
+
 /** What `expire` did. */
 export interface ExpiryTurn {
   readonly effects: ReadonlyArray<effects.Effect>;
@@ -94,8 +100,11 @@
     return this.entries.size - this.endedAt.size;
   }
 
-  /** Adds an admitted request; `offeredBy` is empty at the home. */
-  add(admitted: request.Request, offeredBy = ''): void {
+  /** Adds an admitted request; `offer` names the home that offered it. */
+  add(
+    admitted: request.Request,
+    offer: {readonly process: string; readonly attempt: number} = OWN,
+  ): void {
     this.entries.set(admitted.identity, {
       request: admitted,
       state: 'queued',
@@ -104,8 +113,10 @@
       tasks: [],
       cancelled: false,
       attempts: 0,
+      hasRun: false,
       recorded: false,
-      offeredBy,
+      offeredBy: offer.process,
+      offerAttempt: offer.attempt,
       ending: undefined,
     });
   }
@@ -117,6 +128,12 @@
     }
   }
 
+  /** Forgets a request that ended as not run, to take it in again. */
+  forget(identity: string): void {
+    this.endedAt.delete(identity);
+    this.entries.delete(identity);
+  }
+
   /** Changes a request; an ended request stays as it ended. */
   change(identity: string, change: EntryChange): void {
     const entry = this.entries.get(identity);
--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -8,11 +8,21 @@
 /** Longest wait for further starts that share the first renewal. */
 const FIRST_RENEWAL_MS = 500;
 
-/** Time after which a renewal without a permit is tried again. */
-const NO_PERMIT_RETRY_MS = 500;
+/** Time after which a renewal that may not be sent is considered again. */
+const RETRY_MS = 500;
+
+/**
+ * Time without a report after which leases are left to end: a renewal that may
+ * or may not arrive would put off the moment at which the task is given up.
+ */
+const SILENT_MS = 5_000;
+
+/** Time after which a renewal has arrived unless it was lost. */
+const TRAVEL_MS = 200;
 
 /** Renews the leases of running tasks, one message a worker at a time. */
 export class LeaseRenewer {
+  private readonly renewedAt = new Map<string, clock.Milliseconds>();
   private readonly due = new Map<string, clock.Milliseconds>();
 
   constructor(private readonly tasks: taskSet.TaskSet) {}
@@ -28,6 +38,20 @@
     this.due.set(name, Math.min(this.dueAt(name), now + wait));
   }
 
+  /** Renews soon when a report shows that the last renewal was lost. */
+  check(
+    tracked: trackedTask.TrackedTask,
+    listedLeaseEnd: clock.Milliseconds,
+    sentAt: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): void {
+    const name = tracked.worker.name;
+    const renewedAt = this.renewedAt.get(name) ?? Infinity;
+    if (sentAt < renewedAt + TRAVEL_MS) return;
+    if (listedLeaseEnd >= tracked.leaseEnd) return;
+    this.due.set(name, Math.min(this.dueAt(name), now));
+  }
+
   /** When the next renewal for a worker is due; Infinity without tasks. */
   dueAt(name: string): clock.Milliseconds {
     return this.due.get(name) ?? Infinity;
@@ -45,14 +69,18 @@
       .filter(tracked => tracked.state === 'running');
     if (running.length === 0) {
       this.due.delete(target.name);
+      this.renewedAt.delete(target.name);
       return [];
     }
     const reading = target.clockReading;
-    if (reading === undefined || permitEnd <= now) {
-      this.due.set(target.name, now + NO_PERMIT_RETRY_MS);
+    const silent =
+      reading === undefined || now - reading.receivedAt > SILENT_MS;
+    if (silent || permitEnd <= now) {
+      this.due.set(target.name, now + RETRY_MS);
       return [];
     }
     this.due.set(target.name, now + lease.RENEWAL_INTERVAL_MS);
+    this.renewedAt.set(target.name, now);
     const leaseEnd = lease.renewedLeaseEnd(reading, now);
     for (const tracked of running) {
       const latest = Math.max(tracked.leaseEnd, leaseEnd);
--- /dev/null
+++ b/src/machines/reservation_check.ts
@@ -0,0 +1,33 @@
+import * as invariant from '../contracts/invariant.js';
+import type * as effect from '../contracts/effect.js';
+import type * as taskSet from './task_set.js';
+import type * as worker from './worker.js';
+
+/** Finds reservations whose task nobody follows, and gives them back. */
+export class ReservationCheck {
+  /**
+   * Reservations without a task that one check has met already: a group may
+   * reserve room over several turns before it starts.
+   */
+  private readonly suspects = new Set<string>();
+
+  constructor(private readonly tasks: taskSet.TaskSet) {}
+
+  /** Checks the reservations on one worker. */
+  check(target: worker.Worker): ReadonlyArray<effect.Effect> {
+    const violations: effect.Effect[] = [];
+    for (const name of target.held().keys()) {
+      if (this.tasks.get(name) !== undefined) {
+        this.suspects.delete(name);
+      } else if (!this.suspects.has(name)) {
+        this.suspects.add(name);
+      } else {
+        this.suspects.delete(name);
+        target.release(name);
+        const fields = {task: name, worker: target.name};
+        violations.push(...invariant.violation('reservationHasTask', fields));
+      }
+    }
+    return violations;
+  }
+}
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -5,6 +5,7 @@
 import * as leaseRenewer from './lease_renewer.js';
 import * as reportJudgement from './report_judgement.js';
 import * as reportSchedule from './report_schedule.js';
+import * as reservationCheck from './reservation_check.js';
 import * as startLedger from './start_ledger.js';
 import * as taskSet from './task_set.js';
 import * as trackedTask from './tracked_task.js';
@@ -50,11 +51,12 @@
   private readonly ledger = new startLedger.StartLedger();
   private readonly reports = new reportSchedule.ReportSchedule();
   private readonly renewer = new leaseRenewer.LeaseRenewer(this.tasks);
+  private readonly reservations = new reservationCheck.ReservationCheck(
+    this.tasks,
+  );
   private readonly endedAt = new Map<string, clock.Milliseconds>();
   /** Owned workers whose tasks have been adopted under the present permit. */
   private readonly adoptedOn = new Set<string>();
-  /** Reservations without a task that one report has met already. */
-  private readonly suspectRoom = new Set<string>();
   private nextDue: clock.Milliseconds = 0;
   private outcomes: trackedTask.TaskOutcome[] = [];
   private effects: effects.Effect[] = [];
@@ -104,7 +106,8 @@
   /** Stops a task as soon as it is known to run. */
   stop(name: string): RunnerTurn {
     const tracked = this.tasks.get(name);
-    if (tracked !== undefined && tracked.state !== 'held') {
+    const waits = tracked !== undefined && !tracked.stopping;
+    if (waits && tracked.state !== 'held') {
       this.tasks.put({...tracked, stopping: true});
       if (tracked.state === 'running') this.sendStop(tracked);
     }
@@ -317,7 +320,8 @@
       );
     }
     this.adoptListed(target, arrived, now);
-    this.checkRoom(target);
+    this.effects.push(...this.reservations.check(target));
+    this.wake(this.renewer.dueAt(target.name));
     this.wake(this.reports.due(target.name));
   }
 
@@ -360,7 +364,10 @@
       case 'nothing':
         return;
       case 'running':
-        this.listedRunning(known, listed?.leaseEnd ?? -Infinity, now);
+        if (listed !== undefined) {
+          this.renewer.check(known, listed.leaseEnd, arrived.sentAt, now);
+          this.listedRunning(known, listed.leaseEnd, now);
+        }
         return;
       case 'collect':
         this.collect(known, now);
@@ -449,22 +456,6 @@
     this.fetch(adopted, now);
   }
 
-  private checkRoom(target: worker.Worker): void {
-    for (const name of target.held().keys()) {
-      if (this.tasks.get(name) !== undefined) {
-        this.suspectRoom.delete(name);
-      } else if (!this.suspectRoom.has(name)) {
-        // A group may reserve room over several turns before it starts.
-        this.suspectRoom.add(name);
-      } else {
-        this.suspectRoom.delete(name);
-        target.release(name);
-        const fields = {task: name, worker: target.name};
-        this.effects.push(...invariant.violation('reservationHasTask', fields));
-      }
-    }
-  }
-
   private timePassed(now: clock.Milliseconds): void {
     this.nextDue = Infinity;
     for (const target of this.workers.all()) this.attend(target, now);
--- /dev/null
+++ b/test/contracts/identity_test.ts
@@ -0,0 +1,88 @@
+import * as assert from 'node:assert/strict';
+import * as fastCheck from 'fast-check';
+import * as nodeTest from 'node:test';
+import * as identity from '../../src/contracts/identity.js';
+import * as randomSource from '../../src/machines/random_source.js';
+import * as requestTable from '../../src/contracts/request_table.js';
+
+const SEED = 20_261;
+
+const HOUR_MS = 3_600_000;
+
+function buildIssuer(): identity.IdentityIssuer {
+  const random = new randomSource.SeededRandom(7);
+  return new identity.IdentityIssuer('kigali-a.entry-1.0a', random);
+}
+
+/** Moments at which identities are issued, as gaps in milliseconds. */
+const GAPS = fastCheck.array(fastCheck.integer({min: 0, max: HOUR_MS}), {
+  minLength: 1,
+  maxLength: 30,
+});
+
+nodeTest.describe('identity', () => {
+  nodeTest.test(
+    'is valid for the client that it was issued to and for no other, so that ' +
+      'nobody learns the outcome of a request that is not theirs',
+    () => {
+      const clients = fastCheck.string({maxLength: 8});
+      const property = fastCheck.property(clients, clients, (owner, other) => {
+        const issuer = buildIssuer();
+        const issued = issuer.issue(owner, 0);
+        assert.equal(issuer.check(issued, owner, 1), 'valid');
+        if (other === owner) return;
+        assert.equal(issuer.check(issued, other, 1), 'foreign');
+      });
+      fastCheck.assert(property, {seed: SEED, numRuns: 300});
+    },
+  );
+
+  nodeTest.test('that was never issued or was altered is foreign', () => {
+    const issuer = buildIssuer();
+    const issued = issuer.issue('alice', 0);
+    const altered = issued.replace('_1_', '_2_');
+    assert.equal(issuer.check(altered, 'alice', 1), 'foreign');
+    assert.equal(issuer.check('nonsense', 'alice', 1), 'foreign');
+    const elsewhere = issued.replace('entry-1', 'entry-2');
+    assert.equal(issuer.check(elsewhere, 'alice', 1), 'foreign');
+  });
+
+  nodeTest.test(
+    'has expired whenever its outcome may have been forgotten, so that a ' +
+      'repeated call can not run a request again',
+    () => {
+      const later = fastCheck.integer({min: 0, max: 3 * HOUR_MS});
+      const property = fastCheck.property(GAPS, later, (gaps, wait) => {
+        const issuer = buildIssuer();
+        let now = 0;
+        const issued = gaps.map(gap => {
+          now += gap;
+          return {name: issuer.issue('alice', now), at: now};
+        });
+        now += wait;
+        for (const {name, at} of issued) {
+          // The earliest end of a request is the moment of its identity.
+          const forgotten = now - at >= requestTable.RETENTION_MS;
+          const checked = issuer.check(name, 'alice', now);
+          if (forgotten) assert.equal(checked, 'expired');
+        }
+      });
+      fastCheck.assert(property, {seed: SEED, numRuns: 500});
+    },
+  );
+
+  nodeTest.test('stays valid for most of its lifetime', () => {
+    const property = fastCheck.property(GAPS, gaps => {
+      const issuer = buildIssuer();
+      let now = 0;
+      for (const gap of gaps) {
+        now += gap;
+        const name = issuer.issue('alice', now);
+        const nearEnd = now + identity.IDENTITY_LIFETIME_MS - 60_000;
+        assert.equal(issuer.check(name, 'alice', nearEnd), 'valid');
+        now = nearEnd;
+      }
+    });
+    fastCheck.assert(property, {seed: SEED, numRuns: 200});
+  });
+});
--- /dev/null
+++ b/test/contracts/journal_test.ts
@@ -0,0 +1,151 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as journal from '../../src/contracts/journal.js';
+import * as journalKeeper from '../../src/contracts/journal_keeper.js';
+import type * as effect from '../../src/contracts/effect.js';
+import type * as event from '../../src/contracts/event.js';
+import type * as processDirectory from '../../src/contracts/process_directory.js';
+
+const STREAM = 'journal/home';
+
+function entry(identity: string): journal.JournalEntry {
+  return {kind: 'offered', identity, client: 'alice', process: 'peer'};
+}
+
+function record(number: number): journal.JournalRecord {
+  return {number, entry: entry(`id-${number}`)};
+}
+
+function appendAnswered(
+  append: number,
+  answer: 'appended' | 'lost',
+): event.Event {
+  return {kind: 'appendAnswered', stream: STREAM, append, answer};
+}
+
+function recordsRead(
+  sentAt: number,
+  records: ReadonlyArray<journal.JournalRecord>,
+): event.Event {
+  return {
+    kind: 'recordsRead',
+    stream: STREAM,
+    sentAt,
+    first: 0,
+    next: records.length,
+    records: records.map((item, offset) => ({
+      offset,
+      data: journal.encodeRecord(item),
+    })),
+  };
+}
+
+function appendsIn(
+  effects: ReadonlyArray<effect.Effect>,
+): ReadonlyArray<Extract<effect.Effect, {kind: 'append'}>> {
+  return effects.filter(
+    (item): item is Extract<effect.Effect, {kind: 'append'}> =>
+      item.kind === 'append',
+  );
+}
+
+function directoryOf(
+  ...names: ReadonlyArray<string>
+): processDirectory.ProcessDirectory {
+  return {
+    members: () => names.map(process => ({process, address: process})),
+    liveAddress: process => process,
+    isSucceeded: () => false,
+    joinedBefore: () => true,
+  };
+}
+
+nodeTest.describe('log journal', () => {
+  nodeTest.test(
+    'has one append open and puts what arrives meanwhile into the next one, ' +
+      'so that the log is not flooded',
+    () => {
+      const log = new journal.LogJournal('home', () => 100);
+      log.record(record(1));
+      assert.equal(appendsIn(log.flush(0)).length, 1);
+      log.record(record(2));
+      log.record(record(3));
+      assert.deepEqual(log.flush(50), []);
+      const turn = log.handle(appendAnswered(1, 'appended'), 60);
+      assert.deepEqual(turn.recorded, [1]);
+      assert.deepEqual(turn.effects, [], 'the spacing is kept');
+      const [next] = appendsIn(log.flush(100));
+      assert.equal(next.records.length, 2);
+    },
+  );
+
+  nodeTest.test(
+    'recognises by reading what a lost append recorded and appends the rest',
+    () => {
+      const log = new journal.LogJournal('home', () => 0);
+      log.record(record(1));
+      log.record(record(2));
+      log.flush(0);
+      const lost = log.handle(appendAnswered(1, 'lost'), 10);
+      assert.equal(lost.effects[0].kind, 'readStream');
+      const early = log.handle(recordsRead(5, [record(1)]), 11);
+      assert.deepEqual(early.recorded, [], 'the read is older than the loss');
+      const turn = log.handle(recordsRead(11, [record(1)]), 12);
+      assert.deepEqual(turn.recorded, [1]);
+      const [again] = appendsIn(turn.effects);
+      assert.deepEqual(again.records, [journal.encodeRecord(record(2))]);
+    },
+  );
+});
+
+nodeTest.describe('witness journal', () => {
+  nodeTest.test(
+    'counts an entry as recorded only when every member has stored it, so ' +
+      'that any witness that was there throughout knows it',
+    () => {
+      const witnesses = new journal.WitnessJournal(directoryOf('a', 'b'));
+      witnesses.record(record(1));
+      assert.equal(witnesses.flush(0).length, 2);
+      const stored = {kind: 'witnessAnswered', batch: 1} as const;
+      const first = {...stored, peer: 'a', stored: true};
+      assert.deepEqual(witnesses.handle(first, 1).recorded, []);
+      const refused = {...stored, peer: 'b', stored: false};
+      assert.deepEqual(witnesses.handle(refused, 2).recorded, []);
+      const second = {...stored, peer: 'b', stored: true};
+      assert.deepEqual(witnesses.handle(second, 3).recorded, [1]);
+    },
+  );
+});
+
+nodeTest.describe('journal of a process', () => {
+  nodeTest.test(
+    'turns to witnesses in a log outage, with the entries whose append may ' +
+      'be lost, and still brings them to the log afterwards',
+    () => {
+      const keeper = new journalKeeper.JournalKeeper('home', directoryOf('a'));
+      const number = keeper.record(entry('id'));
+      keeper.flush(0);
+      keeper.handle(appendAnswered(1, 'lost'), 2_000);
+      const failed = {kind: 'readFailed', stream: STREAM} as const;
+      const outage = keeper.handle(failed, 4_000);
+      const [sent] = outage.effects.filter(item => item.kind === 'sendWitness');
+      assert.equal(sent.entries.length, 1);
+      const stored = {kind: 'witnessAnswered', peer: 'a', batch: 1} as const;
+      const turn = keeper.handle({...stored, stored: true}, 4_001);
+      assert.deepEqual(turn.recorded, [number]);
+      const back = keeper.handle(recordsRead(9_000, []), 9_001);
+      assert.equal(appendsIn(back.effects).length, 1);
+      assert.deepEqual(back.recorded, []);
+    },
+  );
+
+  nodeTest.test('is unavailable in an outage without another member', () => {
+    const keeper = new journalKeeper.JournalKeeper('home', directoryOf());
+    keeper.record(entry('id'));
+    keeper.flush(0);
+    keeper.handle(appendAnswered(1, 'lost'), 2_000);
+    assert.equal(keeper.available(), true);
+    keeper.handle({kind: 'readFailed', stream: STREAM}, 4_000);
+    assert.equal(keeper.available(), false);
+  });
+});
--- /dev/null
+++ b/test/contracts/outcome_rule_test.ts
@@ -0,0 +1,219 @@
+import * as assert from 'node:assert/strict';
+import * as fastCheck from 'fast-check';
+import * as nodeTest from 'node:test';
+import * as outcomeRule from '../../src/contracts/outcome_rule.js';
+import * as samples from '../support/samples.js';
+import type * as journal from '../../src/contracts/journal.js';
+import type * as requestTable from '../../src/contracts/request_table.js';
+import type * as task from '../../src/contracts/task.js';
+
+const SEED = 20_262;
+const IDENTITY = 'home_1_a';
+const LEASE_BOUND = 10_000;
+
+/** One step of a home's life with one identity, and whether it really ran. */
+interface Step {
+  readonly kind: 'lapsedStart' | 'refusedOffer';
+}
+
+/** How the last attempt really went. */
+type LastStep =
+  'none' | 'finished' | 'endedUnrecorded' | 'stillRunning' | 'lapsedStart';
+
+const STEPS = fastCheck.array(
+  fastCheck.constantFrom<Step>({kind: 'lapsedStart'}, {kind: 'refusedOffer'}),
+  {maxLength: 4},
+);
+const LAST = fastCheck.constantFrom<LastStep>(
+  'none',
+  'finished',
+  'endedUnrecorded',
+  'stillRunning',
+  'lapsedStart',
+);
+
+function startRecord(number: number, attempt: number): journal.JournalRecord {
+  return {
+    number,
+    entry: {
+      kind: 'starting',
+      identity: IDENTITY,
+      client: 'alice',
+      task: `${IDENTITY}/0.${attempt}`,
+      taskCount: 1,
+      attempt,
+      worker: `worker-${attempt}`,
+      leaseBound: LEASE_BOUND,
+    },
+  };
+}
+
+function offerRecord(number: number): journal.JournalRecord {
+  const process = 'peer';
+  const entry = {
+    kind: 'offered',
+    identity: IDENTITY,
+    client: 'alice',
+    process,
+  } as const;
+  return {number, entry};
+}
+
+function endRecord(number: number, answer = 'polished'): journal.JournalRecord {
+  return {
+    number,
+    entry: {
+      kind: 'finished',
+      identity: IDENTITY,
+      client: 'alice',
+      result: 'ok',
+      detail: '',
+      answer,
+      answerKept: true,
+    },
+  };
+}
+
+/** Everything that the home recorded, in order. */
+function history(
+  steps: ReadonlyArray<Step>,
+  last: LastStep,
+): ReadonlyArray<journal.JournalRecord> {
+  const records: journal.JournalRecord[] = steps.map((step, index) =>
+    step.kind === 'lapsedStart'
+      ? startRecord(index, index)
+      : offerRecord(index),
+  );
+  const number = steps.length;
+  if (last !== 'none') records.push(startRecord(number, number));
+  if (last === 'finished') records.push(endRecord(number + 1));
+  return records;
+}
+
+/** Reports that every worker would give at `workerClock`. */
+function reportsOf(
+  count: number,
+  last: LastStep,
+  workerClock: number,
+): ReadonlyMap<string, outcomeRule.LateReport> {
+  const reports = new Map<string, outcomeRule.LateReport>();
+  for (let attempt = 0; attempt <= count; attempt += 1) {
+    const tasks = new Map<string, task.TaskReport>();
+    const name = `${IDENTITY}/0.${attempt}`;
+    const shown = last === 'stillRunning' ? 'running' : 'finished';
+    const ran = last !== 'none' && last !== 'lapsedStart';
+    if (ran && attempt === count) {
+      const state = shown;
+      tasks.set(name, samples.buildTaskReport(name, IDENTITY, {state}));
+    }
+    reports.set(`worker-${attempt}`, {workerClock, tasks});
+  }
+  return reports;
+}
+
+const NO_ANSWERS: ReadonlyMap<string, requestTable.Ending> = new Map();
+
+nodeTest.describe('outcome of an identity whose home is dead', () => {
+  nodeTest.test(
+    'is "not run" only if nothing ran, whichever records and witnesses are ' +
+      'missing, so that no client repeats what has run',
+    () => {
+      const property = fastCheck.property(
+        STEPS,
+        LAST,
+        fastCheck.array(fastCheck.boolean(), {minLength: 6, maxLength: 6}),
+        fastCheck.constantFrom('log', 'witness', 'both'),
+        fastCheck.integer({min: 0, max: 400_000}),
+        (steps, last, seen, incomplete, workerClock) => {
+          const whole = history(steps, last);
+          const records = whole.filter((_, index) => seen[index]);
+          // Records can be missing only from incomplete sources.
+          const missing = records.length < whole.length;
+          const finding = outcomeRule.decide({
+            records,
+            logComplete: !missing || incomplete === 'witness',
+            witnessComplete: !missing || incomplete === 'log',
+            reports: reportsOf(steps.length, last, workerClock),
+            answers: NO_ANSWERS,
+          });
+          const ran = last !== 'none' && last !== 'lapsedStart';
+          if (ran) assert.notEqual(finding.kind, 'notRun');
+          if (!ran) assert.notEqual(finding.kind, 'ended');
+        },
+      );
+      fastCheck.assert(property, {seed: SEED, numRuns: 2_000});
+    },
+  );
+
+  nodeTest.test(
+    'does not depend on the order of the records or on duplicates',
+    () => {
+      const property = fastCheck.property(
+        STEPS,
+        LAST,
+        fastCheck.infiniteStream(fastCheck.nat(1_000)),
+        (steps, last, keys) => {
+          const records = history(steps, last);
+          const shuffled = [...records, ...records]
+            .map(record => ({record, key: keys.next().value ?? 0}))
+            .sort((left, right) => left.key - right.key)
+            .map(({record}) => record);
+          const evidence = {
+            logComplete: true,
+            witnessComplete: true,
+            reports: reportsOf(steps.length, last, 50_000),
+            answers: NO_ANSWERS,
+          };
+          assert.deepEqual(
+            outcomeRule.decide({...evidence, records: shuffled}),
+            outcomeRule.decide({...evidence, records}),
+          );
+        },
+      );
+      fastCheck.assert(property, {seed: SEED, numRuns: 500});
+    },
+  );
+
+  nodeTest.test(
+    'stays open while the lease of the recorded start has not ended, because ' +
+      'the start may still arrive',
+    () => {
+      const evidence = {
+        records: [startRecord(1, 0)],
+        logComplete: true,
+        witnessComplete: true,
+        answers: NO_ANSWERS,
+      };
+      const at = (workerClock: number): string =>
+        outcomeRule.decide({
+          ...evidence,
+          reports: reportsOf(0, 'none', workerClock),
+        }).kind;
+      assert.equal(at(LEASE_BOUND), 'unknown');
+      assert.equal(at(LEASE_BOUND + 1), 'notRun');
+      assert.equal(at(LEASE_BOUND + 600_000), 'unknown');
+    },
+  );
+
+  nodeTest.test(
+    'with an answer too long to record is never a part of it',
+    () => {
+      const record = endRecord(1, '');
+      const entry = {
+        ...record.entry,
+        answerKept: false,
+      } as journal.JournalEntry;
+      const finding = outcomeRule.decide({
+        records: [{number: 1, entry}],
+        logComplete: true,
+        witnessComplete: true,
+        reports: new Map(),
+        answers: NO_ANSWERS,
+      });
+      assert.equal(
+        finding.kind === 'ended' && finding.ending.result,
+        'answerLost',
+      );
+    },
+  );
+});
--- /dev/null
+++ b/test/support/desk_bench.ts
@@ -0,0 +1,212 @@
+import * as fleet from '../../src/machines/fleet.js';
+import * as randomSource from '../../src/machines/random_source.js';
+import * as requestDesk from '../../src/contracts/request_desk.js';
+import * as samples from './samples.js';
+import * as scheduler from '../../src/contracts/scheduler.js';
+import * as schedulerQueue from '../../src/contracts/scheduler_queue.js';
+import * as taskRunner from '../../src/machines/task_runner.js';
+import type * as configuration from '../../src/contracts/configuration.js';
+import type * as effect from '../../src/contracts/effect.js';
+import type * as event from '../../src/contracts/event.js';
+import type * as processDirectory from '../../src/contracts/process_directory.js';
+import type * as task from '../../src/contracts/task.js';
+
+/** The worker's clock is this far ahead of the local one. */
+const OFFSET = 50_000;
+
+const LIMIT = {
+  processors: 100_000,
+  memory: 100_000,
+  accelerators: 9,
+  slots: 99,
+};
+
+const WORKLOADS = [
+  samples.buildWorkload(),
+  samples.buildWorkload({name: 'inspection', idempotent: true}),
+  samples.buildWorkload({name: 'pair', taskCount: 2}),
+];
+
+const DOCUMENTS: configuration.Configuration = {
+  fleet: undefined,
+  teams: new Map([
+    [
+      'dispatch',
+      {
+        name: 'dispatch',
+        clients: ['alice', 'bob'],
+        quota: LIMIT,
+        share: 1,
+        queueLimit: 100,
+        workloads: WORKLOADS,
+      },
+    ],
+  ]),
+  versions: new Map(),
+};
+
+/** What other processes are to the desk under test. */
+export interface Peers {
+  readonly live: ReadonlyArray<string>;
+  readonly succeeded: ReadonlyArray<string>;
+}
+
+/**
+ * A desk with one worker, driven by hand. The log acknowledges appends by
+ * itself while `logAnswers` is true.
+ */
+export class DeskBench {
+  now = 0;
+  permitEnd = 4_000;
+  logAnswers = true;
+  peers: Peers = {live: [], succeeded: []};
+  /** Every effect so far. */
+  readonly effects: effect.Effect[] = [];
+  private readonly desk: requestDesk.RequestDesk;
+  private nextCall = 1;
+
+  constructor(
+    readonly self = 'home',
+    hasWorker = true,
+  ) {
+    const workers = new fleet.Fleet();
+    const permits = {
+      permitEnd: () => this.permitEnd,
+      owns: () => true,
+    };
+    const runner = new taskRunner.TaskRunner(workers, permits);
+    const documents = {current: () => DOCUMENTS};
+    const queue = new schedulerQueue.SchedulerQueue(
+      new scheduler.Scheduler(workers, runner),
+      documents,
+    );
+    this.desk = new requestDesk.RequestDesk({
+      self,
+      random: new randomSource.SeededRandom(1),
+      documents,
+      queue,
+      runner,
+      directory: this.directory(),
+      workers: {address: name => workers.get(name)?.description.address},
+      retries: {take: () => true, succeeded: () => {}},
+    });
+    if (!hasWorker) return;
+    workers.ensure({name: 'worker-1', zone: 'kigali-a', address: 'w:1'});
+    this.report();
+  }
+
+  /** Hands in an event and returns its effects. */
+  handle(handled: event.Event): ReadonlyArray<effect.Effect> {
+    const effects = this.desk.handle(handled, this.now);
+    this.effects.push(...effects);
+    if (!this.logAnswers) return effects;
+    const acknowledged = effects.flatMap(item => this.acknowledge(item));
+    return [...effects, ...acknowledged];
+  }
+
+  pass(milliseconds: number): ReadonlyArray<effect.Effect> {
+    this.now += milliseconds;
+    return this.handle({kind: 'timePassed'});
+  }
+
+  /** Reserves an identity. */
+  reserve(client = 'alice'): string {
+    const call = this.call();
+    this.handle({kind: 'identitiesArrived', call, client, count: 1});
+    return this.replyTo(call)?.identities?.[0] ?? '';
+  }
+
+  /** Submits a request, which waits 60 s for its end; returns the call. */
+  submit(
+    identity: string | undefined,
+    workload = 'order',
+    client = 'alice',
+  ): number {
+    const call = this.call();
+    const submission = {team: 'dispatch', workload, payload: 'stone'};
+    const waitMs = 60_000;
+    this.handle({
+      kind: 'requestArrived',
+      call,
+      client,
+      identity,
+      submission,
+      waitMs,
+    });
+    return call;
+  }
+
+  /** Makes a call about an identity; returns the call. */
+  ask(
+    kind: 'cancelArrived' | 'explainArrived' | 'fetchArrived',
+    identity: string,
+    client = 'alice',
+  ): number {
+    const call = this.call();
+    this.handle({kind, call, client, identity, waitMs: 0});
+    return call;
+  }
+
+  /** The reply to a call; undefined while it waits. */
+  replyTo(call: number): effect.Reply | undefined {
+    for (const item of this.effects) {
+      if (item.kind === 'answerCaller' && item.call === call) return item.reply;
+    }
+    return undefined;
+  }
+
+  /** All effects of a kind so far. */
+  all<Kind extends effect.Effect['kind']>(
+    kind: Kind,
+  ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
+    return this.effects.filter(
+      (item): item is effect.Effect & {readonly kind: Kind} =>
+        item.kind === kind,
+    );
+  }
+
+  /** Answers the start of a task. */
+  answerStart(task: string, answer: 'started' | 'refused' | 'lost'): void {
+    const worker = 'worker-1';
+    this.handle({kind: 'startAnswered', worker, task, answer, detail: ''});
+  }
+
+  /** Ends a task. */
+  endTask(
+    task: string,
+    state: Exclude<task.TaskState, 'running'> = 'finished',
+  ): void {
+    const worker = 'worker-1';
+    const answer = `done ${task.split('/')[1].split('.')[0]}`;
+    this.handle({kind: 'taskAnswerArrived', worker, task, state, answer});
+  }
+
+  report(tasks: ReadonlyArray<task.TaskReport> = []): void {
+    const report = samples.buildReport(this.now + OFFSET, tasks);
+    this.handle({kind: 'reportArrived', report, sentAt: this.now});
+  }
+
+  call(): number {
+    this.nextCall += 1;
+    return this.nextCall;
+  }
+
+  private acknowledge(item: effect.Effect): ReadonlyArray<effect.Effect> {
+    if (item.kind !== 'append') return [];
+    const {stream, append} = item;
+    const answer = 'appended';
+    return this.handle({kind: 'appendAnswered', stream, append, answer});
+  }
+
+  private directory(): processDirectory.ProcessDirectory {
+    const isLive = (process: string): boolean =>
+      this.peers.live.includes(process);
+    return {
+      members: () =>
+        this.peers.live.map(process => ({process, address: process})),
+      liveAddress: process => (isLive(process) ? process : undefined),
+      isSucceeded: process => this.peers.succeeded.includes(process),
+      joinedBefore: () => true,
+    };
+  }
+}
--- /dev/null
+++ b/test/support/samples.ts
@@ -0,0 +1,90 @@
+import type * as request from '../../src/contracts/request.js';
+import type * as resources from '../../src/machines/resources.js';
+import type * as task from '../../src/contracts/task.js';
+import type * as workload from '../../src/contracts/workload.js';
+
+/** Size of one sample task. */
+export const SIZE: resources.Resources = {
+  processors: 1000,
+  memory: 1024,
+  accelerators: 0,
+  slots: 1,
+};
+
+/** Builds a workload; it is a non-idempotent order unless changed. */
+export function buildWorkload(
+  change: Partial<workload.Workload> = {},
+): workload.Workload {
+  return {
+    name: 'order',
+    kind: 'batch',
+    urgency: 'normal',
+    worth: 1,
+    idempotent: false,
+    size: SIZE,
+    runTimeMs: 100,
+    taskCount: 1,
+    startDeadlineMs: 0,
+    zones: [],
+    maximumPerRack: 0,
+    ...change,
+  };
+}
+
+/** Builds a request of client `alice`. */
+export function buildRequest(
+  identity: string,
+  change: Partial<workload.Workload> = {},
+): request.Request {
+  const built = buildWorkload(change);
+  return {
+    identity,
+    client: 'alice',
+    team: 'dispatch',
+    workload: built,
+    payload: 'stone',
+    size: built.size,
+    taskCount: built.taskCount,
+    arrivedAt: 0,
+    startBy: Infinity,
+  };
+}
+
+/** Builds a row of a worker's report. */
+export function buildTaskReport(
+  name: string,
+  identity: string,
+  change: Partial<task.TaskReport> = {},
+): task.TaskReport {
+  return {
+    task: name,
+    label: {
+      identity,
+      client: 'alice',
+      team: 'dispatch',
+      workload: 'order',
+      idempotent: false,
+      worth: 1,
+    },
+    state: 'running',
+    size: SIZE,
+    usage: SIZE,
+    leaseEnd: 0,
+    ...change,
+  };
+}
+
+/** Builds a report of worker `worker-1` with room for eight sample tasks. */
+export function buildReport(
+  workerClock: number,
+  tasks: ReadonlyArray<task.TaskReport> = [],
+): task.WorkerReport {
+  return {
+    worker: 'worker-1',
+    workerClock,
+    capacity: {processors: 8000, memory: 8192, accelerators: 0, slots: 8},
+    rack: 'rack-1',
+    leaving: false,
+    tasks,
+  };
+}
