--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -19,6 +19,8 @@
   readonly self: zoneControl.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
+  /** Retention and append interval of the log. */
+  readonly logTerms?: configurationKeeper.KeeperOptions;
 }
 
 /**
@@ -35,7 +37,10 @@
   constructor(private readonly parts: EntryVmParts) {
     const {self, random} = parts;
     this.zone = new zoneControl.ZoneControl(self, this.workers);
-    this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader);
+    this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
+      random,
+      ...parts.logTerms,
+    });
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
     this.queue = new schedulerQueue.SchedulerQueue(
       new scheduler.Scheduler(this.workers, runner),
--- a/src/result.ts
+++ b/src/result.ts
@@ -124,6 +124,14 @@
     'afterCorrection',
     'The client does not belong to the team.',
   ),
+  malformedCall: row(
+    1020,
+    'malformedCall',
+    400,
+    'notRun',
+    'afterCorrection',
+    'What was sent is not an HTTP/1.1 request.',
+  ),
   neverFits: row(
     2001,
     'neverFits',
@@ -180,6 +188,14 @@
     'later',
     'The start failed and the retry budget is spent.',
   ),
+  tooManyCalls: row(
+    2008,
+    'tooManyCalls',
+    503,
+    'notRun',
+    'later',
+    'This process has as many open calls as it may have.',
+  ),
   noConfiguration: row(
     3001,
     'noConfiguration',
