Report an interview whose input ends early

Cause: with a closed input the interview never got its next answer, and the command ended with exit code 0 without any document.

Change: TerminalPrompter reads lines and throws when the input ends; the command names the fault and ends with exit code 2.

--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -2,7 +2,6 @@
 import * as either from 'purify-ts/Either';
 import * as fs from 'node:fs';
 import * as path from 'node:path';
-import * as readline from 'node:readline/promises';
 import * as toml from 'smol-toml';
 import * as answersSchema from '../links/answers_schema.js';
 import * as callArguments from './call_arguments.js';
@@ -10,6 +9,7 @@
 import * as documentGenerator from '../links/document_generator.js';
 import * as inputFile from './input_file.js';
 import * as interviewer from './interviewer.js';
+import * as terminalPrompter from './terminal_prompter.js';
 
 type Generated = either.Either<
   ReadonlyArray<string>,
@@ -71,22 +71,24 @@
 }
 
 async function interview(save: string | undefined): Promise<Generated> {
-  // Questions go to the error output, so that documents can be redirected.
-  const terminal = readline.createInterface({
-    input: process.stdin,
-    output: process.stderr,
-  });
-  const prompter = {ask: (text: string) => terminal.question(text)};
+  const prompter = new terminalPrompter.TerminalPrompter(
+    process.stdin,
+    process.stderr,
+  );
   const print = (text: string): void => {
     process.stderr.write(`${text}\n`);
   };
-  const raw = await new interviewer.Interviewer(prompter, print).askTable(
-    answersSchema.ANSWERS_SCHEMA,
-    '',
-  );
-  terminal.close();
-  if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
-  return documentGenerator.generateFromAnswers(raw);
+  const asked = new interviewer.Interviewer(prompter, print);
+  try {
+    const raw = await asked.askTable(answersSchema.ANSWERS_SCHEMA, '');
+    if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
+    return documentGenerator.generateFromAnswers(raw);
+  } catch (fault) {
+    if (!(fault instanceof terminalPrompter.InputEnded)) throw fault;
+    return either.Left([fault.message]);
+  } finally {
+    prompter.close();
+  }
 }
 
 function deliver(
--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -131,6 +131,16 @@
     },
   );
 
+  nodeTest.test(
+    'an input that ends early is a fault; guards against an interview that ' +
+      'reports success without documents',
+    async () => {
+      const result = await command.run('Stones\n', 'questionnaire');
+      assert.equal(result.exitCode, 2);
+      assert.match(result.output, /the input ended/);
+    },
+  );
+
   nodeTest.test(
     'typed answers are checked one by one and asked again when faulty; ' +
       'guards against an interview that ends in a list of faults',
