--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -115,6 +115,13 @@
     return this.membership.all(this.latest ?? 0);
   }
 
+  /** Offset at which a member or former member joined; else undefined. */
+  joinedAt(process: string): number | undefined {
+    const {table} = this;
+    const known = table.members().get(process) ?? table.ended().get(process);
+    return known?.joined;
+  }
+
   /** Whether a process has ended, and the time of its last permit is over. */
   isSucceeded(process: string, now: clock.Milliseconds): boolean {
     return this.authority.isSucceeded(process, now);
