--- a/bench/fakes/entry_host.ts
+++ b/bench/fakes/entry_host.ts
@@ -22,6 +22,8 @@
   listVms(): ReadonlyArray<event.ListedVm>;
   runTimeMs(payload: string): number;
   logged(host: EntryHost, effect: effect.Effect): void;
+  /** Takes note of a process that has to be started again. */
+  ended(host: EntryHost): void;
 }
 
 const PLATFORM: network.Place = {name: 'platform', zone: ''};
@@ -186,6 +188,9 @@
       case 'log':
         this.around.logged(this, wanted);
         return;
+      case 'endProcess':
+        this.around.ended(this);
+        return;
       default:
         this.performAtPeer(wanted);
     }
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -58,6 +58,8 @@
 const REQUEST_COUNT = 60;
 const GANG_SIZE = 3;
 const TRACE_LINES = 400;
+/** Time that the platform takes to start a process that ended itself. */
+const RESTART_MS = 500;
 const MOST_CLOCK_OFFSET_MS = 1_000_000;
 
 /** Half of the allowed drift on either side of real time, in thousandths. */
@@ -139,6 +141,7 @@
       listVms: () => [...this.listed.values()],
       runTimeMs: payload => 200 + (payload.length % 7) * 700,
       logged: (host, wanted) => this.logged(host, wanted),
+      ended: host => this.ended(host),
     };
   }
 
@@ -367,6 +370,12 @@
     this.reported.push(`${host.name} ${JSON.stringify(wanted.labels)}`);
   }
 
+  /** Starts a process again that ended itself, as the platform does. */
+  private ended(host: entryHost.EntryHost): void {
+    host.kill();
+    this.time.after(RESTART_MS, () => this.startEntry(host.vm, host.zone));
+  }
+
   private note(line: string): void {
     if (!this.options.trace) return;
     this.trace.push(`${this.time.now().toFixed(1)} ${line}`);
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -25,6 +25,12 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
+/**
+ * Exit code when another process has succeeded this one. The platform starts
+ * it again, under a new incarnation.
+ */
+const EXIT_SUPERSEDED = 9;
+
 type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
 
 /** Receivers that replace those of the settings. */
@@ -159,6 +165,7 @@
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
+      endProcess: () => process.exit(EXIT_SUPERSEDED),
     });
   }
 
--- a/src/contracts/effect.ts
+++ b/src/contracts/effect.ts
@@ -163,6 +163,14 @@
   | WorkerEffect
   | PlatformEffect
   | PeerEffect
+  | {
+      /**
+       * Ends the process at once: another one has succeeded it, and it can
+       * serve again only under a new incarnation.
+       */
+      readonly kind: 'endProcess';
+      readonly reason: string;
+    }
   | {
       readonly kind: 'answerCaller';
       readonly call: event.CallNumber;
--- a/src/links/entry_links.ts
+++ b/src/links/entry_links.ts
@@ -38,6 +38,8 @@
   readonly peerServer: peerServer.PeerServer;
   readonly metrics: MetricsSink;
   readonly logs: LogSink;
+  /** Ends the process. */
+  readonly endProcess: (reason: string) => void;
 }
 
 /** Hands each effect to the link that performs it. */
@@ -93,6 +95,9 @@
       case 'log':
         this.links.logs.log(wanted.level, wanted.event, wanted.fields);
         return;
+      case 'endProcess':
+        this.links.endProcess(wanted.reason);
+        return;
       default:
         rejectUnperformed(wanted);
     }
--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -353,6 +353,7 @@
     return [
       effects.count('superseded'),
       effects.log('error', 'superseded', {process}),
+      {kind: 'endProcess', reason: 'superseded'},
     ];
   }
 
