Hand over the workers with the fewest tasks first

Cause: balancing took workers by name, and the tasks of a busy worker lose their owner.

Change: a donor keeps its busiest workers.

--- a/src/zones/distribution.ts
+++ b/src/zones/distribution.ts
@@ -45,19 +45,24 @@
 
 /**
  * Workers that `self` hands over so that all members own equally many, give or
- * take one. Every member computes the same plan and carries out its own part.
+ * take one. Every member computes the same numbers and carries out its own
+ * part. Workers with the fewest tasks go first: their tasks lose their owner.
  */
 export function planHandovers(
   self: string,
   table: ownership.OwnershipTable,
   members: ReadonlyArray<string>,
+  taskCount: (worker: string) => number,
 ): ReadonlyArray<Handover> {
   const held = workersByOwner(table, members);
   const targets = targetCounts(held);
   const open = deficits(held, targets);
   const plan = new Map<string, string[]>();
   for (const donor of [...held.keys()].sort()) {
-    const workers = [...(held.get(donor) ?? [])].sort();
+    const workers = [...(held.get(donor) ?? [])].sort(
+      (first, second) =>
+        taskCount(second) - taskCount(first) || (first < second ? -1 : 1),
+    );
     for (const worker of workers.slice(targets.get(donor))) {
       const to = open.shift();
       if (to === undefined || donor !== self) continue;
