Check that a succeeded process acts no more, and send summaries less often

Cause: the randomised test watched workers only, not the identities that a successor takes over. Every confirmation carried the sender's part of the zone's summary.

Change: each turn also checks that no process has a permit to act while another counts it as succeeded. The schedule keeps one process up after the faults.

--- a/src/zones/confirmations.ts
+++ b/src/zones/confirmations.ts
@@ -70,11 +70,12 @@
   /** Sends what is due. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const sent: effect.Effect[] = [];
-    if (now >= this.nextConfirm) {
+    const due = now >= this.nextSummary;
+    if (now >= this.nextConfirm || due) {
       this.nextConfirm = now + membership.CONFIRM_INTERVAL_MS;
-      sent.push(...this.confirmMembers());
+      sent.push(...this.confirmMembers(due));
     }
-    if (now >= this.nextSummary) {
+    if (due) {
       this.nextSummary = now + SUMMARY_INTERVAL_MS;
       sent.push(...this.summarise(now));
     }
@@ -141,9 +142,12 @@
       .map(known => known.name);
   }
 
-  private confirmMembers(): ReadonlyArray<effect.Effect> {
+  /** Members learn each other's part of the summary only when it is due. */
+  private confirmMembers(summarise: boolean): ReadonlyArray<effect.Effect> {
     const {members, stream} = this.sources;
-    const news = this.memberNews();
+    const summaries = [...this.fresh];
+    if (summarise) summaries.push(this.ownPart());
+    const news = {...this.memberNews(), summaries};
     this.fresh = [];
     return members
       .others()
@@ -162,7 +166,7 @@
       ...this.sender(),
       documents: this.sources.documents(),
       leavingWorkers: this.leavingWorkers().slice(0, LEAVING_LIMIT),
-      summaries: [this.ownPart(), ...this.fresh],
+      summaries: [],
       leaving: this.leaving,
     };
   }
--- a/test/zones/fault_schedule.ts
+++ b/test/zones/fault_schedule.ts
@@ -11,6 +11,7 @@
   private isolated: simulatedZone.SimulatedProcess | undefined;
   /** Whether one process is cut off while all others are replaced. */
   private siege = false;
+  private ended = false;
 
   constructor(private readonly zone: simulatedZone.SimulatedZone) {}
 
@@ -30,11 +31,10 @@
     }
   }
 
-  /** Ends every fault and starts again whatever was superseded or left. */
+  /** Ends every fault; from now on at least one process is kept up. */
   end(): void {
     this.zone.endFaults();
-    const none = this.zone.living().length === 0;
-    if (none) this.startOnNewVm();
+    this.ended = true;
   }
 
   /** Restarts processes that were superseded, as their supervisor does. */
@@ -46,6 +46,7 @@
         if (this.zone.listed().has(process.vm)) this.zone.start(process.vm);
       } else if (control.hasLeft()) this.zone.kill(process);
     }
+    if (this.ended && this.zone.living().length === 0) this.startOnNewVm();
     this.zone.after(500, () => this.restartSuperseded());
   }
 
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -27,6 +27,7 @@
   readonly control: zoneControl.ZoneControl;
   /** Ends of permits in real time, by worker, after the last turn. */
   permits = new Map<string, number>();
+  permitEnd = -Infinity;
   alive = true;
   pausedUntil = 0;
   cutFromLog = false;
@@ -202,8 +203,23 @@
     });
   }
 
+  /** A process that others count as dead must not answer for its identities. */
+  private checkSuccession(): void {
+    for (const process of this.living()) {
+      if (process.permitEnd <= this.now) continue;
+      for (const other of this.living()) {
+        const local = other.localTime(this.now);
+        if (!other.control.isSucceeded(process.name, local)) continue;
+        const names = `${process.name} acts, succeeded for ${other.name}`;
+        this.violations.push(`${this.now}: ${names}`);
+      }
+    }
+  }
+
   private checkPermits(process: SimulatedProcess): void {
     process.permits.clear();
+    process.permitEnd = process.realTime(process.control.processPermitEnd());
+    this.checkSuccession();
     for (const worker of this.listed().keys()) {
       const end = process.realTime(process.control.permitEnd(worker));
       if (end <= this.now) continue;
