Wire requests to the zone: members, succession, drain

Cause: the desk knew no other process, and a drain handed the workers over while requests were still queued, so that a process alone never ran them. Change: ZoneDirectory gives members, addresses and succession; offers carry their number to peers; a peer does not start what a home that has ended offered; the zone is left when the last request has ended. The SIGTERM test passes (before: code 1, 'waits for room').

--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -60,7 +60,7 @@
     home: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const address = this.directory.liveAddress(home, now);
+    const address = this.directory.address(home);
     if (address !== undefined) {
       this.forwarded.set(call.call, identity);
       return [
--- a/src/contracts/offers.ts
+++ b/src/contracts/offers.ts
@@ -245,9 +245,7 @@
     const refusals = this.refusals.get(identity);
     if (refusals !== undefined && now < refusals.notBefore) return undefined;
     const {directory} = this.parts;
-    const live = directory
-      .members()
-      .filter(member => directory.liveAddress(member.process, now));
+    const live = directory.offerTakers();
     const others = live.filter(member => member.process !== refusals?.last);
     const candidates = others.length > 0 ? others : live;
     if (candidates.length === 0) return undefined;
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -8,31 +8,16 @@
 
 /** What this process knows of other entry processes. */
 export interface ProcessDirectory {
-  /** The other members of the own zone. */
+  /** The other members of the own zone that may be alive. */
   members(): ReadonlyArray<Member>;
-  /** Address of a process that is known and live. */
-  liveAddress(process: string, now: clock.Milliseconds): string | undefined;
+  /** Members that take offers. */
+  offerTakers(): ReadonlyArray<Member>;
+  /** Whether a process of the own zone has neither left nor been claimed. */
+  isMember(process: string): boolean;
+  /** Address of a process that may be alive; undefined when it is unknown. */
+  address(process: string): string | undefined;
   /** Whether a process was succeeded and all its permits have ended. */
   isSucceeded(process: string, now: clock.Milliseconds): boolean;
   /** Whether this process has been a member since before `process` joined. */
   joinedBefore(process: string): boolean;
 }
-
-/** The directory of a process that knows no other. */
-export class EmptyDirectory implements ProcessDirectory {
-  members(): ReadonlyArray<Member> {
-    return [];
-  }
-
-  liveAddress(): string | undefined {
-    return undefined;
-  }
-
-  isSucceeded(): boolean {
-    return false;
-  }
-
-  joinedBefore(): boolean {
-    return false;
-  }
-}
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -5,6 +5,7 @@
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as journalKeeper from './journal_keeper.js';
+import type * as processDirectory from './process_directory.js';
 import type * as request from './request.js';
 import type * as requestTable from './request_table.js';
 import type * as scheduler from './scheduler.js';
@@ -52,6 +53,7 @@
   readonly runner: taskRunner.TaskRunner;
   readonly journal: journalKeeper.JournalKeeper;
   readonly retries: RetryAllowance;
+  readonly directory: processDirectory.ProcessDirectory;
 }
 
 /**
@@ -230,7 +232,13 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const held = attempt.tasks().filter(task => task.state === 'held');
-    const {runner} = this.parts;
+    const {runner, directory, table} = this.parts;
+    const home = table.get(attempt.request.identity)?.offeredBy ?? '';
+    // A successor of the home may have told its client "not run" already. The
+    // permit below proves that this process knows of such a successor.
+    if (home !== '' && !directory.isMember(home)) {
+      return this.giveBack(attempt, 'the home of the request has ended', now);
+    }
     if (!held.every(task => runner.mayPlace(task.worker, now))) {
       return this.giveBack(attempt, 'the permit ended before the start', now);
     }
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -100,6 +100,17 @@
     return this.entries.size - this.endedAt.size;
   }
 
+  /** Whether nothing is left but services, whose tasks go on elsewhere. */
+  isFinished(): boolean {
+    if (this.unfinishedCount() === 0) return true;
+    for (const entry of this.entries.values()) {
+      const goesOn =
+        entry.request.workload.kind === 'service' && entry.state === 'running';
+      if (entry.ending === undefined && !goesOn) return false;
+    }
+    return true;
+  }
+
   /** Adds an admitted request; `offer` names the home that offered it. */
   add(
     admitted: request.Request,
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -141,13 +141,13 @@
   private async withdraw(
     wanted: EffectOf<'withdrawOffer'>,
   ): Promise<event.Event> {
-    const {peer, identity} = wanted;
+    const {peer, identity, attempt} = wanted;
+    const message = {from: this.parts.self, to: peer, identity, attempt};
     const answer = await this.connections.call(
       wanted.peer,
       wanted.address,
       CALL_DEADLINE_MS,
-      (client, options) =>
-        client.withdraw({from: this.parts.self, to: peer, identity}, options),
+      (client, options) => client.withdraw(message, options),
     );
     return {kind: 'withdrawAnswered', peer, identity, code: answer.code};
   }
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -143,6 +143,7 @@
     from,
     to: wanted.peer,
     identity: wanted.identity,
+    attempt: wanted.attempt,
     client: wanted.client,
     team: submission.team,
     workload: submission.workload,
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -123,6 +123,7 @@
       from: message.from,
       to: message.to,
       identity: message.identity,
+      attempt: message.attempt,
       client: message.client,
       submission: peerMessages.fromOffer(message),
       remainingMs: peerMessages.toRemaining(message.remainingMs),
@@ -134,13 +135,14 @@
     message: peerPb.WithdrawRequest,
     gone: AbortSignal,
   ): Promise<Init<typeof peerPb.WithdrawResponseSchema>> {
-    const {from, to, identity} = message;
+    const {from, to, identity, attempt} = message;
     const answer = await this.ask('answerWithdraw', gone, call => ({
       kind: 'withdrawArrived',
       call,
       from,
       to,
       identity,
+      attempt,
     }));
     return {code: answer.code};
   }
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -1,12 +1,12 @@
 import * as configurationKeeper from '../contracts/configuration_keeper.js';
 import * as fleet from './fleet.js';
-import * as processDirectory from '../contracts/process_directory.js';
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
 import * as scheduler from '../contracts/scheduler.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
 import * as zoneControl from '../zones/zone_control.js';
+import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
 import type * as effects from '../contracts/effect.js';
@@ -31,6 +31,7 @@
   private readonly workers = new fleet.Fleet();
   private readonly zone: zoneControl.ZoneControl;
   private readonly documents: configurationKeeper.ConfigurationKeeper;
+  private readonly directory: zoneDirectory.ZoneDirectory;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
 
@@ -41,6 +42,7 @@
       random,
       ...parts.logTerms,
     });
+    this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
     this.queue = new schedulerQueue.SchedulerQueue(
       new scheduler.Scheduler(this.workers, runner),
@@ -52,11 +54,12 @@
       documents: this.documents,
       queue: this.queue,
       runner,
-      directory: new processDirectory.EmptyDirectory(),
+      directory: this.directory,
       workers: {
         address: name => this.workers.get(name)?.description.address,
       },
       retries: {take: () => true, succeeded: () => {}},
+      isSuperseded: () => this.zone.isSuperseded(),
     });
   }
 
@@ -65,12 +68,15 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    return [
-      ...this.zone.handle(handled, now),
+    if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
+    const done = [
+      ...(isOwnDrain(handled) ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
     ];
+    this.leaveWhenIdle();
+    return done;
   }
 
   /** When `timePassed` is wanted next. */
@@ -82,6 +88,13 @@
     );
   }
 
+  /** The workers are needed until the last request has ended. */
+  private leaveWhenIdle(): void {
+    if (!this.desk.isDraining()) return;
+    this.zone.announceLeaving();
+    if (this.desk.isIdle()) this.zone.drain();
+  }
+
   private status(call: event.CallNumber): effects.Effect {
     const owned = this.workers
       .all()
@@ -96,8 +109,14 @@
       unfinished: this.desk.unfinishedCount(),
       draining: this.desk.isDraining(),
       idle: this.desk.isIdle(),
+      left: this.zone.hasLeft(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
   }
 }
+
+/** Whether an event drains this process, not one of its workers. */
+function isOwnDrain(handled: event.Event): boolean {
+  return handled.kind === 'drainArrived' && handled.worker === undefined;
+}
--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -130,6 +130,15 @@
     return this.authority.isSucceeded(process, now);
   }
 
+  /** Whether this process has been a member since before another joined. */
+  joinedBefore(process: string): boolean {
+    const own = this.table.members().get(this.self.process);
+    const other =
+      this.table.members().get(process) ?? this.table.ended().get(process);
+    if (own === undefined || other === undefined) return false;
+    return own.joined < other.joined;
+  }
+
   /**
    * Whether this process was claimed by another. It cannot act any more and
    * has to be started again.
@@ -165,6 +174,11 @@
     this.droppedReplicas.add(item);
   }
 
+  /** Tells the other members that this process takes no more work. */
+  announceLeaving(): void {
+    this.confirmations.beginLeaving();
+  }
+
   /** Hands everything over to other members and leaves. */
   drain(): void {
     this.draining = true;
--- /dev/null
+++ b/src/zones/zone_directory.ts
@@ -0,0 +1,59 @@
+import type * as clock from '../machines/clock.js';
+import type * as event from '../contracts/event.js';
+import type * as processDirectory from '../contracts/process_directory.js';
+import type * as zoneControl from './zone_control.js';
+
+/**
+ * Other entry processes by the records of the own zone and, for other zones,
+ * by the VM list.
+ */
+export class ZoneDirectory implements processDirectory.ProcessDirectory {
+  private elsewhere: ReadonlyArray<event.ListedVm> = [];
+
+  constructor(
+    private readonly self: zoneControl.ProcessDescription,
+    private readonly zone: zoneControl.ZoneControl,
+  ) {}
+
+  /** Takes the entry VMs of other zones from the VM list. */
+  noteVms(vms: ReadonlyArray<event.ListedVm>): void {
+    this.elsewhere = vms.filter(
+      listed => listed.role === 'entry' && listed.zone !== this.self.zone,
+    );
+  }
+
+  members(): ReadonlyArray<processDirectory.Member> {
+    return this.zone
+      .members()
+      .filter(member => member.process !== this.self.process)
+      .filter(member => member.state !== 'dead');
+  }
+
+  offerTakers(): ReadonlyArray<processDirectory.Member> {
+    return this.zone
+      .members()
+      .filter(member => member.process !== this.self.process)
+      .filter(member => member.state === 'live');
+  }
+
+  isMember(process: string): boolean {
+    return this.members().some(member => member.process === process);
+  }
+
+  address(process: string): string | undefined {
+    const member = this.members().find(known => known.process === process);
+    if (member !== undefined) return member.address;
+    // A process is named by its zone, its VM and a part of its own.
+    return this.elsewhere.find(({zone, vm}) =>
+      process.startsWith(`${zone}.${vm}.`),
+    )?.address;
+  }
+
+  isSucceeded(process: string, now: clock.Milliseconds): boolean {
+    return this.zone.isSucceeded(process, now);
+  }
+
+  joinedBefore(process: string): boolean {
+    return this.zone.joinedBefore(process);
+  }
+}
