--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -37,7 +37,9 @@
 
   constructor(private readonly parts: EntryVmParts) {
     const {self, random} = parts;
-    this.zone = new zoneControl.ZoneControl(self, this.workers);
+    this.zone = new zoneControl.ZoneControl(self, this.workers, {
+      documents: () => this.documents.news(),
+    });
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
       random,
       ...parts.logTerms,
@@ -76,7 +78,7 @@
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
     ];
     this.leaveWhenIdle();
-    return done;
+    return this.zone.guard(done);
   }
 
   /** When `timePassed` is wanted next. */
