Keep the control of stand-ins on silent connections

Cause: a test that silenced connections silenced its own control call too and waited for its answer until its time limit. Change: calls under /control are answered on every connection.

--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -95,16 +95,17 @@
       response.destroy();
       return;
     }
-    const send = (status: number, content: unknown): void => {
-      if (this.silent.has(socket) || response.destroyed) return;
-      jsonBody.sendJson(response, status, content);
-    };
     const url = new URL(incoming.url ?? '/', 'http://stand-in');
     if (url.pathname === '/control') {
-      this.serveControl(incoming.method, body.text, send);
+      // Tests keep their control, also over a connection that is silent.
+      this.serveControl(incoming.method, body.text, response);
       return;
     }
     if (this.silent.has(socket)) return;
+    const send = (status: number, content: unknown): void => {
+      if (this.silent.has(socket) || response.destroyed) return;
+      jsonBody.sendJson(response, status, content);
+    };
     const drop = (): void => void response.destroy();
     const method = incoming.method ?? '';
     await this.handler.serve({method, url, body: body.text, send, drop});
@@ -113,16 +114,17 @@
   private serveControl(
     method: string | undefined,
     body: string,
-    send: StandInCall['send'],
+    response: http.ServerResponse,
   ): void {
     if (method === 'POST') {
       const change = jsonBody.parseObject(body);
       if (change === undefined) {
-        send(400, {detail: 'body: must be a JSON object'});
+        const detail = 'body: must be a JSON object';
+        jsonBody.sendJson(response, 400, {detail});
         return;
       }
       this.handler.control(change);
     }
-    send(200, this.handler.observe());
+    jsonBody.sendJson(response, 200, this.handler.observe());
   }
 }
