Finish requests before a shutdown hands the workers over

Cause: a drain made the zone record the leave at once. A process alone in its zone then owned nothing, and its queued requests never started: SIGTERM with 40 requests left 15 or more with code 1. Change: EntryVm keeps the drain from the zone until its requests have ended, for 20 s at most. The status shows whether the leave is recorded, and the shell waits for that instead of guessing from the owned workers.

--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -8,9 +8,6 @@
 /** Time for the balancer to see that the process is not ready any more. */
 const NOTICE_MS = 1_000;
 
-/** Time for other members to take the workers over. */
-const HANDOVER_LIMIT_MS = 5_000;
-
 /** Time between looks at what is left to do. */
 const LOOK_INTERVAL_MS = 50;
 
@@ -20,7 +17,8 @@
 interface Remaining {
   readonly unfinished: number;
   readonly unanswered: number;
-  readonly ownedWorkers: number;
+  /** Whether the zone has recorded that this process left. */
+  readonly left: boolean;
 }
 
 /** Ends a process without cutting off a request in progress. */
@@ -41,30 +39,20 @@
       SHUTDOWN_DEADLINE_MS,
     );
     await timers.setTimeout(NOTICE_MS);
-    const left = await this.finishRequests(deadline);
-    await this.handOver(
-      Math.min(deadline, performance.now() + HANDOVER_LIMIT_MS),
-    );
-    this.logs.log(left === 0 ? 'info' : 'warn', 'drained', {
-      unfinished: left,
+    const remaining = await this.finish(deadline);
+    const clean = remaining.left && remaining.unfinished === 0;
+    this.logs.log(clean ? 'info' : 'warn', 'drained', {
+      ...remaining,
       durationMs: Math.round(performance.now() - started),
     });
   }
 
-  /** Returns how many requests and calls are left at the deadline. */
-  private async finishRequests(deadline: number): Promise<number> {
-    let left = Infinity;
-    while (left > 0 && performance.now() < deadline) {
+  /** Returns what is left when all is done, or at the deadline. */
+  private async finish(deadline: number): Promise<Remaining> {
+    for (;;) {
       const remaining = await this.look();
-      left = remaining.unfinished + remaining.unanswered;
-      if (left > 0) await timers.setTimeout(LOOK_INTERVAL_MS);
-    }
-    return left;
-  }
-
-  private async handOver(deadline: number): Promise<void> {
-    while (performance.now() < deadline) {
-      if ((await this.look()).ownedWorkers === 0) return;
+      if (remaining.left && remaining.unanswered === 0) return remaining;
+      if (performance.now() >= deadline) return remaining;
       await timers.setTimeout(LOOK_INTERVAL_MS);
     }
   }
@@ -75,12 +63,11 @@
       LOOK_DEADLINE_MS,
     );
     const content = (reply?.content ?? {}) as Readonly<Record<string, unknown>>;
-    const owned = content['ownedWorkers'];
     return {
       // Without an answer nothing is known to be finished.
       unfinished: Number(content['unfinished'] ?? 1),
       unanswered: this.callers.unansweredCount(),
-      ownedWorkers: Array.isArray(owned) ? owned.length : 0,
+      left: content['left'] === true,
     };
   }
 }
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -9,11 +9,17 @@
 import * as zoneControl from '../zones/zone_control.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
-import type * as effects from '../contracts/effect.js';
+import * as effects from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as loop from '../loop.js';
 import type * as randomSource from './random_source.js';
 
+/**
+ * Time for the requests in progress to end before the workers are handed over
+ * all the same; the rest of the 30 s of a shutdown is for the handover.
+ */
+const DRAIN_MS = 20_000;
+
 /** What an entry process is made with. */
 export interface EntryVmParts {
   readonly self: zoneControl.ProcessDescription;
@@ -33,6 +39,9 @@
   private readonly documents: configurationKeeper.ConfigurationKeeper;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
+  /** When the workers are handed over at the latest. */
+  private handOverBy = Infinity;
+  private handsOver = false;
 
   constructor(private readonly parts: EntryVmParts) {
     const {self, random} = parts;
@@ -65,10 +74,14 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
+    const drains = handled.kind === 'drainArrived' && !handled.worker;
+    if (drains) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
     return [
-      ...this.zone.handle(handled, now),
+      // The zone hands the workers over when the requests here have ended.
+      ...(drains ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
+      ...this.handOver(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
     ];
   }
@@ -79,9 +92,18 @@
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
+      this.handsOver ? Infinity : this.handOverBy,
     );
   }
 
+  private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    if (this.handOverBy === Infinity || this.handsOver) return [];
+    if (!this.desk.isIdle() && now < this.handOverBy) return [];
+    this.handsOver = true;
+    this.zone.drain();
+    return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
+  }
+
   private status(call: event.CallNumber): effects.Effect {
     const owned = this.workers
       .all()
@@ -96,6 +118,7 @@
       unfinished: this.desk.unfinishedCount(),
       draining: this.desk.isDraining(),
       idle: this.desk.isIdle(),
+      left: this.zone.hasLeft(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
--- a/test/processes/fault_test.ts
+++ b/test/processes/fault_test.ts
@@ -47,6 +47,26 @@
     }),
   );
 
+  // Guards against a request that waits forever on a dead connection.
+  nodeTest.test('silent connections to a worker lose no request', () =>
+    withCell(async cell => {
+      const machine = await cell.addWorker();
+      const entry = await cell.addEntry();
+      await cell.untilOwner(entry);
+      const identity = await cell.identity(entry);
+      const payload = {runTimeMs: 1_000, answer: 'polished'};
+      const call = cell.untilFinal(entry, identity, payload);
+      await wait.until('the task', async () =>
+        (await machine.observe())['running'] === 1 ? true : undefined,
+      );
+      await machine.control({silenceConnections: true});
+      const answer = await call;
+      assert.equal(answer.body['code'], 0, answer.text);
+      assert.equal(answer.body['answer'], 'polished');
+      assert.equal((await cell.runs()).get(identity), 1);
+    }),
+  );
+
   // Guards against a second run after an append that was not acknowledged.
   nodeTest.test('lost answers of the log lose and repeat nothing', () =>
     withCell(async cell => {
