--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as byteCounter from '../links/byte_counter.js';
 import * as callNumbers from '../links/call_numbers.js';
 import * as callerServer from '../links/caller_server.js';
@@ -13,6 +14,7 @@
 import * as peerServer from '../links/peer_server.js';
 import * as platformLink from '../links/platform_link.js';
 import * as randomSource from '../machines/random_source.js';
+import * as result from '../result.js';
 import * as tomlDocumentReader from '../links/toml_document_reader.js';
 import * as workerLink from '../links/worker_link.js';
 import type * as connectionLimit from '../links/connection_limit.js';
@@ -25,6 +27,9 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
+/** Time between looks whether this process was succeeded. */
+const SUPERSEDED_INTERVAL_MS = 500;
+
 type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
 
 /** Receivers that replace those of the settings. */
@@ -47,6 +52,7 @@
   private readonly peers: peerLink.PeerLink;
   private readonly httpCallers: httpCaller.HttpCaller[] = [];
   private loop: loop.Loop | undefined;
+  private core: entryVm.EntryVm | undefined;
   private ending: Promise<void> | undefined;
 
   constructor(
@@ -88,11 +94,9 @@
     // Other processes learn the address from the log, so it has to be known
     // before the first decision.
     const realPeerPort = await this.peerServer.listen(host, peerPort);
-    this.loop = new loop.Loop(
-      this.buildCore(`${host}:${realPeerPort}`),
-      this.buildLinks(),
-      this.clock,
-    );
+    const core = this.buildCore(`${host}:${realPeerPort}`);
+    this.loop = new loop.Loop(core, this.buildLinks(), this.clock);
+    this.core = core;
     const port = await this.callers.listen(host, callerPort);
     this.loop.post({kind: 'timePassed'});
     this.logs.log('info', 'serving', {
@@ -110,9 +114,28 @@
     return this.ending;
   }
 
+  /** Resolves when others took over what was here, as after a long pause. */
+  async superseded(): Promise<void> {
+    while (this.core?.isSuperseded() !== true) {
+      await timers.setTimeout(SUPERSEDED_INTERVAL_MS, undefined, {ref: false});
+    }
+  }
+
+  /** Closes everything at once; what callers wait for has to be asked again. */
+  async abandon(): Promise<void> {
+    const {code} = result.RESULT_CODES.unknownOutcome;
+    const detail = 'this process was succeeded; ask again';
+    await this.callers.abandon({code, detail});
+    await this.close();
+  }
+
   private async finish(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
     await this.callers.close();
+    await this.close();
+  }
+
+  private async close(): Promise<void> {
     this.loop?.stop();
     this.peers.close();
     this.peerServer.close();
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -29,9 +29,16 @@
 async function run(read: settings.Settings): Promise<void> {
   // Loaded here, so that the other commands do without the servers' memory.
   const entryProcess = await import('./entry_process.js');
-  const entry = new entryProcess.EntryProcess(read);
+  let entry: InstanceType<typeof entryProcess.EntryProcess>;
   const end = (): void => void entry.end().then(() => process.exit(0));
   process.on('SIGTERM', end);
   process.on('SIGINT', end);
-  await entry.start();
+  // A succeeded process has lost its identities and workers for good, so that
+  // a new incarnation takes its place on this VM.
+  for (;;) {
+    entry = new entryProcess.EntryProcess(read);
+    await entry.start();
+    await entry.superseded();
+    await entry.abandon();
+  }
 }
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -157,6 +157,13 @@
     });
   }
 
+  /** Answers all open calls and closes every connection. */
+  async abandon(reply: effect.Reply): Promise<void> {
+    this.beginDrain();
+    for (const call of [...this.open.keys()]) this.answer(call, reply);
+    await this.close();
+  }
+
   private async serve(
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
@@ -353,12 +360,8 @@
   jsonBody.sendJson(response, httpStatus(reply.code), reply);
 }
 
-/** A process is ready when its status says so, or shows a configuration. */
 function isReady(status: effect.Reply): boolean {
-  if (!shape.isObject(status.content)) return false;
-  const {ready, documents} = status.content;
-  if (typeof ready === 'boolean') return ready;
-  return shape.isObject(documents) && Object.keys(documents).length > 0;
+  return shape.isObject(status.content) && status.content['ready'] === true;
 }
 
 /** Sends the whole answer as it came; anything else as a reply. */
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -96,6 +96,20 @@
     );
   }
 
+  /** Whether others took over what was here; nothing more can be done. */
+  isSuperseded(): boolean {
+    return this.zone.isSuperseded();
+  }
+
+  /** A zone whose workers have no owner yet would only let calls wait. */
+  private isReady(): boolean {
+    if (this.desk.isDraining() || this.isSuperseded()) return false;
+    if (this.documents.current().versions.size === 0) return false;
+    return this.workers
+      .all()
+      .some(item => this.zone.ownerOf(item.name) !== undefined);
+  }
+
   private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     if (this.handOverBy === Infinity || this.handsOver) return [];
     if (!this.desk.isIdle() && now < this.handOverBy) return [];
@@ -119,6 +133,7 @@
       draining: this.desk.isDraining(),
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
+      ready: this.isReady(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
