--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -9,11 +9,17 @@
 import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
-import type * as effects from '../contracts/effect.js';
+import * as effects from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as loop from '../loop.js';
 import type * as randomSource from './random_source.js';
 
+/**
+ * Time for the requests in progress to end before the workers are handed over
+ * all the same; the rest of the 30 s of a shutdown is for the handover.
+ */
+const DRAIN_MS = 20_000;
+
 /** What an entry process is made with. */
 export interface EntryVmParts {
   readonly self: zoneControl.ProcessDescription;
@@ -34,6 +40,9 @@
   private readonly directory: zoneDirectory.ZoneDirectory;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
+  /** When the workers are handed over at the latest. */
+  private handOverBy = Infinity;
+  private handsOver = false;
 
   constructor(private readonly parts: EntryVmParts) {
     const {self, random} = parts;
@@ -71,13 +80,16 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
+    const drains = isOwnDrain(handled);
+    if (drains) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
     const done = [
-      ...(isOwnDrain(handled) ? [] : this.zone.handle(handled, now)),
+      // The zone hands the workers over when the requests here have ended.
+      ...(drains ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
+      ...this.handOver(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
     ];
-    this.leaveWhenIdle();
     return this.zone.guard(done);
   }
 
@@ -87,14 +99,31 @@
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
+      this.handsOver ? Infinity : this.handOverBy,
     );
   }
 
-  /** The workers are needed until the last request has ended. */
-  private leaveWhenIdle(): void {
-    if (!this.desk.isDraining()) return;
+  /** Whether others took over what was here; nothing more can be done. */
+  isSuperseded(): boolean {
+    return this.zone.isSuperseded();
+  }
+
+  /** A zone whose workers have no owner yet would only let calls wait. */
+  private isReady(): boolean {
+    if (this.desk.isDraining() || this.isSuperseded()) return false;
+    if (this.documents.current().versions.size === 0) return false;
+    return this.workers
+      .all()
+      .some(item => this.zone.ownerOf(item.name) !== undefined);
+  }
+
+  private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    if (this.handOverBy === Infinity || this.handsOver) return [];
     this.zone.announceLeaving();
-    if (this.desk.isIdle()) this.zone.drain();
+    if (!this.desk.isIdle() && now < this.handOverBy) return [];
+    this.handsOver = true;
+    this.zone.drain();
+    return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
   }
 
   private status(call: event.CallNumber): effects.Effect {
@@ -112,6 +141,7 @@
       draining: this.desk.isDraining(),
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
+      ready: this.isReady(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
