Let settings and news of documents reach the process

Cause: the keys for retention, lag and append interval of the log, for the receiver of metrics and for the bounds of callers had no effect, and confirmations carried no document, so that peers never fetched any.

Change: EntryProcess passes the settings on; EntryVm hands the newest document's version to the confirmations and the lag of the log to the zone. The key connectionsPerWorker is gone, because the worker link adapts its connections by itself.

--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -48,13 +48,17 @@
   constructor(private readonly settings: settings.Settings) {
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
-    this.metrics = new metrics.DroppedMetrics();
+    this.metrics = this.buildMetrics();
     this.bytes = new byteCounter.ByteCounter(this.metrics);
     this.callers = new callerServer.CallerServer({
       numbers: this.numbers,
       post: this.post,
       metrics: this.metrics,
       bytes: this.bytes,
+      limits: {
+        bodyBytes: settings.bodyLimitBytes,
+        openCalls: settings.openCallLimit,
+      },
     });
     this.peerServer = new peerServer.PeerServer(
       this.incarnation,
@@ -116,13 +120,29 @@
 
   private buildCore(address: string): entryVm.EntryVm {
     const {vm, zone, region} = this.settings;
+    const {logRetentionMs, logStalenessMs, appendIntervalMs} = this.settings;
     return new entryVm.EntryVm({
       self: {process: this.incarnation, vm, zone, region, address},
       reader: new tomlDocumentReader.TomlDocumentReader(),
       random: this.random,
+      logTerms: {
+        retentionMs: logRetentionMs,
+        stalenessMs: logStalenessMs,
+        appendIntervalMs,
+      },
     });
   }
 
+  private buildMetrics(): Sink {
+    const {metricsHost, metricsPort} = this.settings;
+    if (metricsPort === 0) return new metrics.DroppedMetrics();
+    return new metrics.StatsdMetrics(
+      metricsHost,
+      metricsPort,
+      this.incarnation,
+    );
+  }
+
   private buildLinks(): entryLinks.EntryLinks {
     const {post, now, metrics: sink} = this;
     return new entryLinks.EntryLinks({
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -19,8 +19,15 @@
   readonly self: zoneControl.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
-  /** Retention and append interval of the log. */
-  readonly logTerms?: configurationKeeper.KeeperOptions;
+  /** What the settings state of the log; defaults apply without it. */
+  readonly logTerms?: LogTerms;
+}
+
+/** Retention, lag and append interval of the log. */
+export interface LogTerms {
+  readonly retentionMs?: clock.Milliseconds;
+  readonly stalenessMs?: clock.Milliseconds;
+  readonly appendIntervalMs?: clock.Milliseconds;
 }
 
 /**
@@ -35,11 +42,15 @@
   private readonly desk: requestDesk.RequestDesk;
 
   constructor(private readonly parts: EntryVmParts) {
-    const {self, random} = parts;
-    this.zone = new zoneControl.ZoneControl(self, this.workers);
+    const {self, random, logTerms} = parts;
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
       random,
-      ...parts.logTerms,
+      retentionMs: logTerms?.retentionMs,
+      appendIntervalMs: logTerms?.appendIntervalMs,
+    });
+    this.zone = new zoneControl.ZoneControl(self, this.workers, {
+      logStalenessMs: logTerms?.stalenessMs,
+      documents: () => this.documents.news(),
     });
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
     this.queue = new schedulerQueue.SchedulerQueue(
--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -20,7 +20,6 @@
   readonly metricsHost: string;
   /** Port of the StatsD receiver; 0 sends nothing. */
   readonly metricsPort: number;
-  readonly connectionsPerWorker: number;
   readonly bodyLimitBytes: number;
   readonly openCallLimit: number;
 }
@@ -118,14 +117,6 @@
     default: 0,
     meaning: 'Port of the StatsD receiver; 0 sends nothing.',
   },
-  {
-    key: 'connectionsPerWorker',
-    rule: new tomlSchema.WholeRule(1, 1_000),
-    default: 20,
-    meaning:
-      'Connections that this process opens to one worker. A worker accepts ' +
-      'about 60 from all processes together.',
-  },
   {
     key: 'bodyLimitBytes',
     rule: new tomlSchema.WholeRule(1_024, 67_108_864),
