Get the documents from a listed process when a start finds no log

Cause: a process that starts while the log gives no answer knows no member of its zone, hears no confirmation, and so never learned whom to ask for the documents.

Change: until it has documents, a process asks the entry VMs of the VM list in turn, those of its own zone first, once the log has been silent for 2 s since its start. Confirmations trigger a fetch only after the same 2 s, so a start with a healthy log costs no transfer.

--- a/src/contracts/configuration_keeper.ts
+++ b/src/contracts/configuration_keeper.ts
@@ -3,6 +3,7 @@
 import * as configurationPeers from './configuration_peers.js';
 import * as configurationPublications from './configuration_publications.js';
 import * as effects from './effect.js';
+import * as invariant from './invariant.js';
 import * as result from '../result.js';
 import * as snapshotSchedule from './configuration_snapshot_schedule.js';
 import * as streamReplica from './stream_replica.js';
@@ -29,6 +30,8 @@
   readonly retentionMs?: clock.Milliseconds;
   /** Least time between two appends of this process. */
   readonly appendIntervalMs?: clock.Milliseconds;
+  /** Where this process is. */
+  readonly place?: configurationPeers.OwnPlace;
   /** Spreads the snapshots of the processes over time. */
   readonly random?: randomSource.RandomSource;
 }
@@ -59,7 +62,7 @@
   private unreadableCounted = 0;
   private nextRead = 0;
   private nextAppend = 0;
-  private readonly peers = new configurationPeers.ConfigurationPeers();
+  private readonly peers: configurationPeers.ConfigurationPeers;
   private appendNumber = 0;
   private appending = false;
 
@@ -71,6 +74,7 @@
     this.replica = new streamReplica.StreamReplica(this.history);
     this.inForce = new configurationDocuments.DocumentSet(reader);
     this.configuration = this.inForce.toConfiguration();
+    this.peers = new configurationPeers.ConfigurationPeers(options.place);
     this.appendIntervalMs = options.appendIntervalMs ?? 0;
     this.snapshots = new snapshotSchedule.SnapshotSchedule(
       options.retentionMs ?? DEFAULT_RETENTION_MS,
@@ -125,12 +129,10 @@
         return this.takeFromPeer(handled);
       case 'confirmArrived':
       case 'confirmAnswered':
-        return this.peers.compare(
-          handled.news,
-          this.inForce,
-          this.caughtUpAt,
-          now,
-        );
+        return this.peers.compare(handled.news, this.inForce, now);
+      case 'vmListRead':
+        this.peers.noteList(handled.vms);
+        return [];
       case 'timePassed':
         return this.timePassed(now);
       default:
@@ -149,7 +151,11 @@
 
   private timePassed(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     const done: effects.Effect[] = [];
+    if (this.nextRead === 0) this.peers.noteLog(now);
     if (now >= this.nextRead) done.push(this.readOn(now));
+    if (!this.loaded) {
+      done.push(...this.peers.fetchFromListed(this.inForce, now));
+    }
     done.push(...this.publications.expire(now));
     done.push(...this.append(now));
     return done;
@@ -183,6 +189,7 @@
       case 'tail':
         this.loaded = true;
         this.caughtUpAt = Math.max(this.caughtUpAt, handled.sentAt);
+        this.peers.noteLog(handled.sentAt);
         done.push(...this.judgeWaiting());
         done.push(...this.append(now));
         return done;
@@ -258,15 +265,8 @@
     for (const [document, before] of this.configuration.versions) {
       const version = next.versions.get(document) ?? 0;
       if (version >= before) continue;
-      return [
-        effects.count('invariant', {name: 'versionNeverFalls'}),
-        effects.log('error', 'invariantViolated', {
-          invariant: 'versionNeverFalls',
-          document,
-          before,
-          version,
-        }),
-      ];
+      const evidence = {document, before, version};
+      return invariant.violation('versionNeverFalls', evidence);
     }
     this.configuration = next;
     return [];
--- a/src/contracts/configuration_peers.ts
+++ b/src/contracts/configuration_peers.ts
@@ -12,18 +12,50 @@
 /** Time between fetches of documents from peers. */
 const FETCH_INTERVAL_MS = 1_000;
 
-/** Fetches from a peer what the log does not show in time. */
+/** Where this process is, by which it chooses whom to ask first. */
+export interface OwnPlace {
+  readonly vm: string;
+  readonly zone: string;
+}
+
+/** Fetches from other processes what the log does not show in time. */
 export class ConfigurationPeers {
+  /** Entry VMs of the VM list, those of this zone first. */
+  private listed: ReadonlyArray<event.ListedVm> = [];
+  private nextListed = 0;
   private nextFetch = 0;
+  private silentSince: clock.Milliseconds | undefined;
   /** Newest version that a peer has shown and that was missing here. */
   private missingVersion = 0;
   private missingSince = -Infinity;
 
+  constructor(private readonly place: OwnPlace | undefined) {}
+
+  /** Takes note of when the log last showed everything, or of the start. */
+  noteLog(shownAt: clock.Milliseconds): void {
+    this.silentSince = Math.max(this.silentSince ?? shownAt, shownAt);
+  }
+
+  /** Takes note of the entry VMs that can be asked. */
+  noteList(vms: ReadonlyArray<event.ListedVm>): void {
+    const others = vms.filter(
+      listed =>
+        listed.role === 'entry' &&
+        listed.state === 'live' &&
+        listed.vm !== this.place?.vm,
+    );
+    const isNear = (listed: event.ListedVm): boolean =>
+      listed.zone === this.place?.zone;
+    this.listed = [
+      ...others.filter(isNear),
+      ...others.filter(listed => !isNear(listed)),
+    ];
+  }
+
   /** Compares what a peer has with the documents in force. */
   compare(
     news: event.PeerNews,
     inForce: configurationDocuments.DocumentSet,
-    caughtUpAt: clock.Milliseconds,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const missing = news.documents.filter(
@@ -31,24 +63,48 @@
     );
     if (missing.length === 0) return [];
     this.noteMissing(Math.max(...missing.map(item => item.version)), now);
-    const logIsSilent = now - caughtUpAt >= LOG_HEAD_START_MS;
     const logIsLate = now - this.missingSince >= LOG_HEAD_START_MS;
-    if (!logIsSilent && !logIsLate) return [];
+    const reason = this.logIsSilent(now) ? 'logSilent' : 'logLate';
+    if (reason === 'logLate' && !logIsLate) return [];
+    return this.fetch(news.from, news.address, inForce, reason, now);
+  }
+
+  /**
+   * Asks the listed entry VMs in turn. A process that starts during an outage
+   * of the log knows no members whose confirmations could tell it more.
+   */
+  fetchFromListed(
+    inForce: configurationDocuments.DocumentSet,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    if (this.listed.length === 0 || !this.logIsSilent(now)) return [];
+    const {vm, address} = this.listed[this.nextListed % this.listed.length];
+    const fetched = this.fetch(vm, address, inForce, 'start', now);
+    if (fetched.length > 0) this.nextListed += 1;
+    return fetched;
+  }
+
+  private fetch(
+    peer: string,
+    address: string,
+    inForce: configurationDocuments.DocumentSet,
+    reason: 'logSilent' | 'logLate' | 'start',
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
     if (now < this.nextFetch) return [];
     this.nextFetch = now + FETCH_INTERVAL_MS;
+    const have = inForce.all().map(({name, version}) => ({name, version}));
     return [
-      effects.count('documents_fetched', {
-        reason: logIsSilent ? 'logSilent' : 'logLate',
-      }),
-      {
-        kind: 'fetchDocuments',
-        peer: news.from,
-        address: news.address,
-        have: inForce.all().map(({name, version}) => ({name, version})),
-      },
+      effects.count('documents_fetched', {reason}),
+      {kind: 'fetchDocuments', peer, address, have},
     ];
   }
 
+  private logIsSilent(now: clock.Milliseconds): boolean {
+    if (this.silentSince === undefined) return false;
+    return now - this.silentSince >= LOG_HEAD_START_MS;
+  }
+
   private noteMissing(version: number, now: clock.Milliseconds): void {
     if (version <= this.missingVersion) return;
     this.missingVersion = version;
--- a/src/contracts/invariant.ts
+++ b/src/contracts/invariant.ts
@@ -9,7 +9,9 @@
   /** A request ends once. */
   | 'endedOnce'
   /** Room is reserved only for a task that is followed. */
-  | 'reservationHasTask';
+  | 'reservationHasTask'
+  /** The version of a document in force never falls. */
+  | 'versionNeverFalls';
 
 /** Reports a broken invariant; the caller leaves out the unsafe action. */
 export function violation(
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -45,6 +45,7 @@
     const {self, random, logTerms} = parts;
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
       random,
+      place: self,
       retentionMs: logTerms?.retentionMs,
       appendIntervalMs: logTerms?.appendIntervalMs,
     });
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_cell.ts
@@ -176,6 +176,7 @@
 
   private create(): configurationKeeper.ConfigurationKeeper {
     return new configurationKeeper.ConfigurationKeeper(new PlainReader(), {
+      place: {vm: 'own', zone: 'z-1'},
       retentionMs: RETENTION_MS,
       random: new randomSource.SeededRandom(1),
     });
