--- a/src/contracts/configuration_history.ts
+++ b/src/contracts/configuration_history.ts
@@ -90,13 +90,11 @@
   }
 
   restore(snapshot: string): void {
-    const state = JSON.parse(snapshot) as HistoryState;
-    const documents = state.documents.map(document => ({...document}));
-    const outcomes = state.publications.map(known => ({...known}));
+    const {documents, publications} = readState(snapshot);
     this.set.clear();
     for (const document of documents) this.set.putAccepted(document);
     this.outcomes.clear();
-    for (const outcome of outcomes) this.remember(outcome);
+    for (const outcome of publications) this.remember(outcome);
   }
 
   private judge(record: PublishRecord, offset: number): PublicationOutcome {
@@ -163,3 +161,22 @@
     return undefined;
   }
 }
+
+/** Throws when the text is not the state of a history. */
+function readState(snapshot: string): HistoryState {
+  const state = JSON.parse(snapshot) as HistoryState;
+  const valid =
+    state.documents.every(
+      document =>
+        configurationDocuments.isDocumentName(document.name) &&
+        Number.isInteger(document.version) &&
+        typeof document.content === 'string',
+    ) &&
+    state.publications.every(
+      outcome =>
+        typeof outcome.publication === 'string' &&
+        ['accepted', 'conflict', 'invalid'].includes(outcome.outcome),
+    );
+  if (!valid) throw new Error('not a snapshot of the configuration');
+  return state;
+}
--- a/src/contracts/configuration_publications.ts
+++ b/src/contracts/configuration_publications.ts
@@ -79,7 +79,10 @@
 
   /** Whether a record waits for its append. */
   hasUnsent(): boolean {
-    return [...this.open.values()].some(item => item.stage === 'unsent');
+    for (const item of this.open.values()) {
+      if (item.stage === 'unsent') return true;
+    }
+    return false;
   }
 
   /** Returns the records to append now. */
