Say beside a generated value when its answer was left out

Cause: a value that came from a default looked like an answer.

Change: a derived value names its answer apart from the note on how it follows; answers that were left out are marked.

--- a/src/contracts/questionnaire.ts
+++ b/src/contracts/questionnaire.ts
@@ -61,7 +61,10 @@
 export interface DerivedValue {
   readonly key: string;
   readonly value: string | number | boolean | ReadonlyArray<string>;
-  readonly origin: string;
+  /** Path of the answer; empty when the value follows from none. */
+  readonly answer: string;
+  /** How the value follows from the answer. */
+  readonly note: string;
 }
 
 /** A part of a document; the path of its top level is empty. */
@@ -169,30 +172,35 @@
     {
       path: 'workerShapes.capacity',
       repeated: false,
-      values: deriveResources(worker, worker.slots, place, `${place}.slots`),
+      values: deriveResources(
+        worker,
+        place,
+        derived('slots', worker.slots, `${place}.slots`),
+      ),
     },
   ];
 }
 
 function deriveResources(
   stated: Pick<WorkerAnswers, 'processors' | 'memoryGiB' | 'accelerators'>,
-  slots: number,
   place: string,
-  slotsOrigin: string,
+  slots: DerivedValue,
 ): ReadonlyArray<DerivedValue> {
   return [
     derived(
       'processors',
       Math.ceil(stated.processors * PROCESSOR_PARTS),
-      `${place}.processors = ${stated.processors}, in thousandths`,
+      `${place}.processors`,
+      `= ${stated.processors}, in thousandths`,
     ),
     derived(
       'memory',
       Math.ceil(stated.memoryGiB * MIB_PER_GIB),
-      `${place}.memoryGiB = ${stated.memoryGiB}, in MiB`,
+      `${place}.memoryGiB`,
+      `= ${stated.memoryGiB}, in MiB`,
     ),
     derived('accelerators', stated.accelerators, `${place}.accelerators`),
-    derived('slots', slots, slotsOrigin),
+    slots,
   ];
 }
 
@@ -233,7 +241,8 @@
   return derived(
     'queueLimit',
     Math.max(LEAST_QUEUE, Math.ceil(waiting)),
-    `${place}.backlogMinutes = ${team.backlogMinutes} at the sum of ` +
+    `${place}.backlogMinutes`,
+    `= ${team.backlogMinutes} at the sum of ` +
       `work[].perBusyHour = ${perHour}, at least ${LEAST_QUEUE}`,
   );
 }
@@ -244,22 +253,25 @@
   place: string,
 ): ReadonlyArray<DerivedValue> {
   const whole = wholeFleet(workers);
-  const origin = `${place}.fleetPercent = ${percent} of the fleet's`;
+  const answer = `${place}.fleetPercent`;
+  const note = `= ${percent} of the fleet's`;
   const part = (quantity: number): number =>
     Math.floor((quantity * percent) / 100);
   return [
     derived(
       'processors',
       part(whole.processors),
-      `${origin} ${whole.processors}`,
+      answer,
+      `${note} ${whole.processors}`,
     ),
-    derived('memory', part(whole.memory), `${origin} ${whole.memory}`),
+    derived('memory', part(whole.memory), answer, `${note} ${whole.memory}`),
     derived(
       'accelerators',
       part(whole.accelerators),
-      `${origin} ${whole.accelerators}`,
+      answer,
+      `${note} ${whole.accelerators}`,
     ),
-    derived('slots', part(whole.slots), `${origin} ${whole.slots}`),
+    derived('slots', part(whole.slots), answer, `${note} ${whole.slots}`),
   ];
 }
 
@@ -299,7 +311,8 @@
         derived(
           'startDeadlineMs',
           Math.round(work.uselessAfterMinutes * MS_PER_MINUTE),
-          `${place}.uselessAfterMinutes = ${work.uselessAfterMinutes}`,
+          `${place}.uselessAfterMinutes`,
+          `= ${work.uselessAfterMinutes}`,
         ),
         derived('zones', work.onlyInZones, `${place}.onlyInZones`),
         derivePerRack(work, place),
@@ -308,51 +321,56 @@
     {
       path: 'workloads.size',
       repeated: false,
-      values: deriveResources(work, 1, place, 'a task takes one slot'),
+      values: deriveResources(
+        work,
+        place,
+        derived('slots', 1, '', 'a task takes one slot'),
+      ),
     },
   ];
 }
 
 function deriveKind(work: WorkAnswers, place: string): DerivedValue {
   if (!work.endsByItself) {
-    return derived('kind', 'service', `${place}.endsByItself = false`);
+    return derived('kind', 'service', `${place}.endsByItself`, '= false');
   }
   const kind = work.machinesAtOnce > 1 ? 'gang' : 'batch';
-  const origin = `${place}.machinesAtOnce = ${work.machinesAtOnce}`;
-  return derived('kind', kind, origin);
+  const note = `= ${work.machinesAtOnce}`;
+  return derived('kind', kind, `${place}.machinesAtOnce`, note);
 }
 
 function deriveUrgency(work: WorkAnswers, place: string): DerivedValue {
-  const origin = `${place}.whenLate = "${work.whenLate}"`;
+  const note = `= "${work.whenLate}"`;
   const urgencies = ['deferrable', 'normal', 'urgent'];
   const urgency = urgencies[LATENESS.indexOf(work.whenLate)] ?? 'normal';
-  return derived('urgency', urgency, origin);
+  return derived('urgency', urgency, `${place}.whenLate`, note);
 }
 
 function deriveRunTime(work: WorkAnswers, place: string): DerivedValue {
   if (!work.endsByItself) {
-    return derived('runTimeMs', 0, `${place}.endsByItself = false`);
+    return derived('runTimeMs', 0, `${place}.endsByItself`, '= false');
   }
   return derived(
     'runTimeMs',
     Math.round(work.minutes * MS_PER_MINUTE),
-    `${place}.minutes = ${work.minutes}`,
+    `${place}.minutes`,
+    `= ${work.minutes}`,
   );
 }
 
 /** Half of the tasks may share a rack when the rest has to survive it. */
 function derivePerRack(work: WorkAnswers, place: string): DerivedValue {
-  const origin =
-    `${place}.survivesRackLoss = ${work.survivesRackLoss}, ` +
-    `machinesAtOnce = ${work.machinesAtOnce}`;
+  const answer = `${place}.survivesRackLoss`;
+  const note = `= ${work.survivesRackLoss}, machinesAtOnce = ${work.machinesAtOnce}`;
   const limit = work.survivesRackLoss ? Math.ceil(work.machinesAtOnce / 2) : 0;
-  return derived('maximumPerRack', limit, origin);
+  return derived('maximumPerRack', limit, answer, note);
 }
 
 function derived(
   key: string,
   value: DerivedValue['value'],
-  origin: string,
+  answer: string,
+  note = '',
 ): DerivedValue {
-  return {key, value, origin};
+  return {key, value, answer, note};
 }
--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -35,11 +35,24 @@
   if (contradictions.length > 0) return either.Left(contradictions);
   const documents = questionnaire.deriveDocuments(answers).map(document => ({
     name: document.name,
-    content: tomlDocumentWriter.writeDocument(document, answers.operator),
+    content: tomlDocumentWriter.writeDocument(
+      document,
+      answers.operator,
+      answer => valueAt(raw, answer) !== undefined,
+    ),
   }));
   return checkGenerated(documents);
 }
 
+/** Returns the value at a path such as `teams[0].work[1].minutes`. */
+function valueAt(raw: unknown, path: string): unknown {
+  let value = raw;
+  for (const part of path.split(/[.[\]]+/)) {
+    value = (value as Readonly<Record<string, unknown>> | undefined)?.[part];
+  }
+  return value;
+}
+
 /** Checks the documents as a publication would, the fleet first. */
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
--- a/src/links/toml_document_writer.ts
+++ b/src/links/toml_document_writer.ts
@@ -1,19 +1,30 @@
 import type * as questionnaire from '../contracts/questionnaire.js';
 
-/** Writes a derived document with the origin of each value beside it. */
+/**
+ * Writes a derived document with the answer of each value beside it; `isGiven`
+ * tells whether an answer was given or left out.
+ */
 export function writeDocument(
   document: questionnaire.DerivedDocument,
   operator: string,
+  isGiven: (answer: string) => boolean,
 ): string {
   const title = `# Document ${document.name} of ${operator}.\n`;
   const note = '# Generated from the answers named beside each value.\n';
-  return `${title}${note}\n${document.tables.map(writeTable).join('\n')}`;
+  const tables = document.tables.map(table => writeTable(table, isGiven));
+  return `${title}${note}\n${tables.join('\n')}`;
 }
 
-function writeTable(table: questionnaire.DerivedTable): string {
-  const lines = table.values.map(
-    ({key, value, origin}) => `${key} = ${writeValue(value)} # ${origin}\n`,
-  );
+function writeTable(
+  table: questionnaire.DerivedTable,
+  isGiven: (answer: string) => boolean,
+): string {
+  const lines = table.values.map(derived => {
+    const {key, value, answer, note} = derived;
+    const leftOut = answer !== '' && !isGiven(answer) ? '(left out)' : '';
+    const origin = [answer, leftOut, note].filter(part => part !== '');
+    return `${key} = ${writeValue(value)} # ${origin.join(' ')}\n`;
+  });
   return [header(table), ...lines].join('');
 }
 
