Bound the length of an append of publications

Cause: all waiting publications went into one append, up to 128 documents of 1 MiB each, which a log may refuse for its size.

Change: an append takes records up to 1,000,000 characters; the rest follows in the next one.

Measured: the new test fails without the bound with "2 !== 3" and passes with it; 17 tests of the configuration pass.

--- a/src/contracts/configuration_publications.ts
+++ b/src/contracts/configuration_publications.ts
@@ -11,6 +11,9 @@
 /** Most publications that wait at once; each holds a whole document. */
 const OPEN_LIMIT = 128;
 
+/** Length of the records of one append; a longer one goes alone. */
+const APPEND_LENGTH_LIMIT = 1_000_000;
+
 /** Longest identity of a publication. */
 const PUBLICATION_LENGTH_LIMIT = 100;
 
@@ -85,13 +88,18 @@
     return false;
   }
 
-  /** Returns the records to append now. */
+  /** Returns the records to append now; others stay for the next append. */
   takeUnsent(): ReadonlyArray<configurationHistory.PublishRecord> {
-    const taken = [...this.open.values()].filter(
-      item => item.stage === 'unsent',
-    );
-    for (const item of taken) item.stage = 'sent';
-    return taken.map(item => item.record);
+    const taken: configurationHistory.PublishRecord[] = [];
+    let length = 0;
+    for (const item of this.open.values()) {
+      if (item.stage !== 'unsent') continue;
+      length += item.record.content.length;
+      if (taken.length > 0 && length > APPEND_LENGTH_LIMIT) break;
+      item.stage = 'sent';
+      taken.push(item.record);
+    }
+    return taken;
   }
 
   /**
--- a/test/contracts/configuration_keeper_test.ts
+++ b/test/contracts/configuration_keeper_test.ts
@@ -152,6 +152,25 @@
     },
   );
 
+  nodeTest.test(
+    'large documents go in one append after another; guards against an ' +
+      'append that the log refuses for its size',
+    () => {
+      const {log, keeper, now} = start();
+      const sent: number[] = [];
+      for (const name of ['a', 'b', 'c']) {
+        const content = `${name} ${'x'.repeat(600_000)}`;
+        const document = `team/${name}`;
+        const change = {document, content, publication: `p-${name}`};
+        sent.push(appends(keeper.handle(publish(change), now)));
+      }
+      keeper.settle(now);
+      assert.deepEqual(sent, [1, 0, 0]);
+      assert.equal(log.appendCount, 3);
+      assert.equal(keeper.versions().size, 3);
+    },
+  );
+
   nodeTest.test(
     'an identity that was used for another change is refused; guards ' +
       'against telling an operator that an unseen change is in force',
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_cell.ts
@@ -48,9 +48,11 @@
 /** A log whose records can be trimmed; the whole history stays for the test. */
 export class TrimmedLog {
   readonly history: event.StreamRecord[] = [];
+  appendCount = 0;
   private first = 0;
 
   append(records: ReadonlyArray<string>): void {
+    this.appendCount += 1;
     for (const data of records) {
       this.history.push({offset: this.history.length, data});
     }
