--- /dev/null
+++ b/src/contracts/fair_share.ts
@@ -0,0 +1,152 @@
+import * as resources from '../machines/resources.js';
+import type * as clock from '../machines/clock.js';
+import type * as request from './request.js';
+import type * as team from './team.js';
+import type * as workload from './workload.js';
+
+/** What teams hold of the fleet at present. */
+export interface FleetUse {
+  readonly capacity: resources.Resources;
+  readonly heldSum: resources.Resources;
+  heldByTeam(team: string): resources.Resources;
+}
+
+/** Source of the teams in force. */
+export interface TeamSource {
+  team(name: string): team.Team | undefined;
+}
+
+/** Weight of a team that configures none. */
+const DEFAULT_SHARE = 1;
+
+/** Time after its last request for which a team counts in the fair level. */
+const ACTIVITY_WINDOW_MS = 600_000;
+
+/**
+ * Fraction of the fleet that is not lent while a team below its fair level
+ * may claim it; without it, each start of such a team waits for an end.
+ */
+const LENDING_RESERVE = 0.05;
+
+/**
+ * Compares teams by dominant resource fairness: the team whose weighted
+ * largest fraction of the fleet is smallest goes next.
+ */
+export class FairShare {
+  private cellFraction = 1;
+  private fairLevelValue = Infinity;
+  private readonly arrivals = new Map<string, clock.Milliseconds>();
+
+  constructor(
+    private readonly use: FleetUse,
+    private readonly teams: TeamSource,
+  ) {}
+
+  /**
+   * Sets which fraction of the cell this process places on. Quotas cover the
+   * cell, and each process grants only its own fraction of them.
+   */
+  setCellFraction(fraction: number): void {
+    this.cellFraction = fraction;
+  }
+
+  /** The level at which all active teams together would fill the fleet. */
+  get fairLevel(): number {
+    return this.fairLevelValue;
+  }
+
+  /** Notes that a team has work. */
+  noteArrival(name: string, now: clock.Milliseconds): void {
+    const isNew = !this.arrivals.has(name);
+    this.arrivals.set(name, now);
+    if (isNew) this.refresh(now);
+  }
+
+  /** Recomputes the fair level from the teams that had work of late. */
+  refresh(now: clock.Milliseconds): void {
+    let weights = 0;
+    for (const [name, arrivedAt] of this.arrivals) {
+      if (now - arrivedAt > ACTIVITY_WINDOW_MS) this.arrivals.delete(name);
+      else weights += this.weight(name);
+    }
+    this.fairLevelValue = weights > 0 ? 1 / weights : Infinity;
+  }
+
+  /** Weighted dominant fraction that a team holds. */
+  level(name: string): number {
+    return this.levelOf(name, this.use.heldByTeam(name));
+  }
+
+  /** Weighted dominant fraction that a team would hold with `more`. */
+  levelWith(name: string, more: resources.Resources): number {
+    return this.levelOf(name, resources.add(this.use.heldByTeam(name), more));
+  }
+
+  /** Whether a team would stay within its quota with `more`. */
+  isWithinQuota(name: string, more: resources.Resources): boolean {
+    const quota = this.teams.team(name)?.quota;
+    if (quota === undefined) return false;
+    const held = this.use.heldByTeam(name);
+    const granted = resources.scale(quota, this.cellFraction);
+    if (resources.fits(resources.add(held, more), granted)) return true;
+    // A fraction smaller than one request must not shut the team out.
+    return resources.equal(held, resources.NONE) && resources.fits(more, quota);
+  }
+
+  /**
+   * Whether a team holds room that others may take back: more than its quota,
+   * or more than its fair level, once `lost` is gone.
+   */
+  lends(name: string, lost: resources.Resources): boolean {
+    const held = resources.subtract(this.use.heldByTeam(name), lost);
+    const quota = this.teams.team(name)?.quota ?? resources.NONE;
+    const granted = resources.scale(quota, this.cellFraction);
+    if (!resources.fits(held, granted)) return true;
+    return this.levelOf(name, held) > this.fairLevelValue;
+  }
+
+  /** Whether a request may take room now, by right or as a loan. */
+  mayHold(candidate: request.Request, size: resources.Resources): boolean {
+    const whole = resources.scale(size, candidate.taskCount);
+    const byRight = this.isWithinQuota(candidate.team, whole);
+    if (!byRight && !mayBorrow(candidate.workload)) return false;
+    const {kind, urgency} = candidate.workload;
+    if (kind !== 'batch' || urgency === 'urgent') return true;
+    return !this.exceedsLending(candidate.team, whole);
+  }
+
+  /** Whether room for a team above its fair level would use up the reserve. */
+  private exceedsLending(name: string, more: resources.Resources): boolean {
+    const sum = resources.add(this.use.heldSum, more);
+    const used = resources.dominantFraction(sum, this.use.capacity);
+    if (used <= 1 - LENDING_RESERVE) return false;
+    if (this.levelWith(name, more) <= this.fairLevelValue) return false;
+    for (const other of this.arrivals.keys()) {
+      if (other === name) continue;
+      if (this.level(other) < this.fairLevelValue) return true;
+    }
+    return false;
+  }
+
+  private levelOf(name: string, held: resources.Resources): number {
+    const fraction = resources.dominantFraction(held, this.use.capacity);
+    return fraction / this.weight(name);
+  }
+
+  private weight(name: string): number {
+    const share = this.teams.team(name)?.share ?? DEFAULT_SHARE;
+    return share > 0 ? share : DEFAULT_SHARE;
+  }
+}
+
+/**
+ * Whether work may run in room beyond its team's quota. Only work that can be
+ * checkpointed and placed again may, because lent room is taken back.
+ */
+export function mayBorrow(described: workload.Workload): boolean {
+  return (
+    described.kind === 'batch' &&
+    described.idempotent &&
+    described.urgency !== 'urgent'
+  );
+}
--- /dev/null
+++ b/src/contracts/gang_policy.ts
@@ -0,0 +1,33 @@
+import * as batchPolicy from './batch_policy.js';
+import * as placementPolicy from './placement_policy.js';
+import type * as worker from '../machines/worker.js';
+
+/**
+ * Places all tasks of a gang in one turn or none of them. A worker takes as
+ * many of the tasks as it has room for, which keeps the gang together and
+ * needs fewer samples.
+ */
+export class GangPolicy implements placementPolicy.PlacementPolicy {
+  place(
+    job: placementPolicy.PendingJob,
+    fleet: placementPolicy.FleetView,
+  ): placementPolicy.PlacementDecision {
+    const attempt = new placementPolicy.Attempt(job);
+    while (attempt.missing > 0) {
+      const chosen = batchPolicy.choosePacked(attempt, fleet);
+      if (chosen === undefined || !fill(attempt, chosen)) break;
+    }
+    return attempt.finish();
+  }
+}
+
+function fill(
+  attempt: placementPolicy.Attempt,
+  chosen: worker.Worker,
+): boolean {
+  if (!attempt.reserve(chosen)) return false;
+  while (attempt.missing > 0 && attempt.allows(chosen)) {
+    if (!attempt.reserve(chosen)) break;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/contracts/placement_policy.ts
@@ -0,0 +1,137 @@
+import * as resources from '../machines/resources.js';
+import type * as clock from '../machines/clock.js';
+import type * as freeRoomIndex from '../machines/free_room_index.js';
+import type * as request from './request.js';
+import type * as task from './task.js';
+import type * as worker from '../machines/worker.js';
+
+/** A waiting request with what each of its tasks is to reserve. */
+export interface PendingJob {
+  readonly request: request.Request;
+  /** Room of one task: the declared size, or the learned one. */
+  readonly size: resources.Resources;
+  /** Tells apart the attempts to place the same request. */
+  readonly attempt: number;
+}
+
+/** What a policy sees of the fleet. */
+export interface FleetView {
+  /** Samples workers with room that this process may place on. */
+  sample(
+    size: resources.Resources,
+    order: freeRoomIndex.SearchOrder,
+    filter: freeRoomIndex.CandidateFilter,
+  ): ReadonlyArray<worker.Worker>;
+  /** Tasks of a workload on a rack. */
+  countOnRack(team: string, workload: string, rack: string): number;
+}
+
+/** Workers that hold the room of each task in order, or nothing at all. */
+export type PlacementDecision =
+  | {readonly kind: 'placed'; readonly workers: ReadonlyArray<worker.Worker>}
+  | {readonly kind: 'noRoom'};
+
+/** Chooses workers for one kind of workload and reserves room on them. */
+export interface PlacementPolicy {
+  place(
+    job: PendingJob,
+    fleet: FleetView,
+    now: clock.Milliseconds,
+  ): PlacementDecision;
+}
+
+/** A request's tasks that got room so far; undone unless all of them do. */
+export class Attempt {
+  private readonly chosen: worker.Worker[] = [];
+  private readonly racks = new Map<string, number>();
+
+  constructor(readonly job: PendingJob) {}
+
+  /** Tasks that have no room yet. */
+  get missing(): number {
+    return this.job.request.taskCount - this.chosen.length;
+  }
+
+  /** Tasks of this attempt on a rack. */
+  countOnRack(rack: string): number {
+    return this.racks.get(rack) ?? 0;
+  }
+
+  /** Whether the workload allows one more task on a worker. */
+  allows(candidate: worker.Worker): boolean {
+    const {zones, maximumPerRack} = this.job.request.workload;
+    if (zones.length > 0 && !zones.includes(candidate.description.zone)) {
+      return false;
+    }
+    if (maximumPerRack === 0) return true;
+    return this.countOnRack(candidate.rack) < maximumPerRack;
+  }
+
+  /** Reserves room for the next task. */
+  reserve(chosen: worker.Worker): boolean {
+    const name = taskName(this.job, this.chosen.length);
+    const label = labelOf(this.job.request);
+    const {size} = this.job;
+    if (!chosen.reserve({task: name, label, size})) return false;
+    this.chosen.push(chosen);
+    this.racks.set(chosen.rack, this.countOnRack(chosen.rack) + 1);
+    return true;
+  }
+
+  /** Returns the decision; gives all room back when a task has none. */
+  finish(): PlacementDecision {
+    if (this.missing === 0) return {kind: 'placed', workers: this.chosen};
+    this.chosen.forEach((chosen, index) => {
+      chosen.release(taskName(this.job, index));
+    });
+    return {kind: 'noRoom'};
+  }
+}
+
+/** Name of a task of an attempt. */
+export function taskName(job: PendingJob, index: number): string {
+  return `${job.request.identity}/${index}.${job.attempt}`;
+}
+
+/** Label of the tasks of a request. */
+export function labelOf(labelled: request.Request): task.TaskLabel {
+  return {
+    identity: labelled.identity,
+    client: labelled.client,
+    team: labelled.team,
+    workload: labelled.workload.name,
+    idempotent: labelled.workload.idempotent,
+    worth: labelled.workload.worth,
+  };
+}
+
+/** Returns the candidate with the smallest cost; the first one on a tie. */
+export function cheapest(
+  candidates: ReadonlyArray<worker.Worker>,
+  costOf: (candidate: worker.Worker) => number,
+): worker.Worker | undefined {
+  let best: worker.Worker | undefined;
+  let bestCost = Infinity;
+  for (const candidate of candidates) {
+    const cost = costOf(candidate);
+    if (cost >= bestCost) continue;
+    best = candidate;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Fraction left in the dimension that a task would fill most. */
+export function tightestRemainder(
+  size: resources.Resources,
+  candidate: worker.Worker,
+): number {
+  let least = Infinity;
+  const {available, capacity} = candidate;
+  for (const dimension of resources.DIMENSIONS) {
+    if (capacity[dimension] <= 0) continue;
+    const left = available[dimension] - size[dimension];
+    least = Math.min(least, left / capacity[dimension]);
+  }
+  return least;
+}
--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -1,15 +1,46 @@
+import * as admission from './admission.js';
+import * as batchPolicy from './batch_policy.js';
+import * as earmark from './earmark.js';
 import * as either from 'purify-ts/Either';
+import * as fairShare from './fair_share.js';
+import * as gangPolicy from './gang_policy.js';
+import * as overloadRelief from './overload_relief.js';
+import * as placementPolicy from './placement_policy.js';
+import * as queue from './queue.js';
+import * as reclaimer from './reclaimer.js';
+import * as resources from '../machines/resources.js';
+import * as result from '../result.js';
+import * as servicePolicy from './service_policy.js';
+import * as usageEstimator from './usage_estimator.js';
+import * as workerPool from './worker_pool.js';
 import type * as clock from '../machines/clock.js';
+import type * as configuration from './configuration.js';
 import type * as fleet from '../machines/fleet.js';
 import type * as request from './request.js';
-import * as result from '../result.js';
+import type * as task from './task.js';
+import type * as team from './team.js';
 import type * as worker from '../machines/worker.js';
+import type * as workload from './workload.js';
+
+/** Time after which requests that found no room are tried again. */
+const RETRY_INTERVAL_MS = 100;
+
+/** Requests of one lane that may have reclaimed room earmarked at once. */
+const RECLAIM_DEPTH = 32;
+
+/** Added to the level of a team that asks for more than its quota. */
+const LOAN_PENALTY = 1_000_000;
+
+/** Failed sizes that a turn remembers; bounds the cost of comparing. */
+const FAILED_SIZES = 8;
 
 /** A task of a request and the worker on which its room is reserved. */
 export interface Placement {
   readonly request: request.Request;
   readonly task: string;
   readonly worker: worker.Worker;
+  /** Reserved room; also the limit at which the worker throttles. */
+  readonly size: resources.Resources;
 }
 
 /** Tells whether this process may start tasks on a worker now. */
@@ -17,48 +48,110 @@
   mayPlace(worker: string, now: clock.Milliseconds): boolean;
 }
 
+/** Source of the documents in force. */
+export interface ConfigurationSource {
+  current(): configuration.Configuration;
+}
+
+interface Contender {
+  readonly queue: queue.TeamQueue;
+  level: number;
+  borrows: boolean;
+}
+
+interface Turn {
+  readonly now: clock.Milliseconds;
+  readonly stamp: number;
+  readonly placements: Placement[];
+  /** Sizes without further constraints that found no room in this turn. */
+  readonly failed: resources.Resources[];
+  /** Lanes whose head may not hold room at present. */
+  readonly closed: Set<queue.Lane>;
+}
+
+type Outcome = 'placed' | 'noRoom' | 'notEntitled';
+
 /** Requests that wait, and the choice of workers for them. */
 export class Scheduler {
-  private readonly queues = new Map<string, request.Request[]>();
+  private readonly queues = new Map<string, queue.TeamQueue>();
+  private readonly estimator = new usageEstimator.UsageEstimator();
+  private readonly relief = new overloadRelief.OverloadRelief();
+  private readonly shares: fairShare.FairShare;
+  private readonly pool: workerPool.WorkerPool;
+  private readonly reclaimer: reclaimer.Reclaimer;
+  private readonly earmarks: earmark.EarmarkKeeper;
+  private readonly policies: Readonly<
+    Record<workload.WorkloadKind, placementPolicy.PlacementPolicy>
+  > = {
+    service: new servicePolicy.ServicePolicy(),
+    batch: new batchPolicy.BatchPolicy(),
+    gang: new gangPolicy.GangPolicy(),
+  };
+  private interventions: overloadRelief.Intervention[] = [];
   private attempt = 0;
+  private retries = 0;
+  private nextRetry = 0;
+  /** Rises of the fleet's room version that this object itself caused. */
+  private ownRises = 0;
+  private placedAt = -1;
+  private hasNews = false;
 
   constructor(
     private readonly workers: fleet.Fleet,
-    private readonly permission: PlacementPermission,
-  ) {}
+    permission: PlacementPermission,
+    private readonly documents: ConfigurationSource,
+  ) {
+    this.shares = new fairShare.FairShare(workers, {
+      team: name => this.teamOf(name),
+    });
+    this.pool = new workerPool.WorkerPool(workers, permission);
+    this.earmarks = new earmark.EarmarkKeeper({
+      all: () => workers.all(),
+      mayPlace: candidate => this.pool.mayPlace(candidate),
+      isLasting: label => this.isService(label),
+    });
+    this.reclaimer = new reclaimer.Reclaimer(
+      this.shares,
+      this.earmarks,
+      candidate => this.pool.mayPlace(candidate),
+    );
+  }
 
   /** Queues a request, or refuses it with the reason. */
   admit(
     admitted: request.Request,
-    queueLimit: number,
+    now: clock.Milliseconds,
   ): either.Either<result.Failure, null> {
-    const queue = this.queues.get(admitted.team) ?? [];
-    if (queue.length >= queueLimit) {
+    const described = this.teamOf(admitted.team);
+    if (described === undefined) {
       return either.Left(
         result.failure(
-          'queueFull',
-          `team ${admitted.team} has ${queue.length} requests waiting`,
+          'unknownTeam',
+          `team: ${admitted.team} is not configured`,
         ),
       );
     }
-    queue.push(admitted);
-    this.queues.set(admitted.team, queue);
-    return either.Right(null);
+    const queued = this.queueOf(admitted.team);
+    const fleetPlan = this.documents.current().fleet;
+    const view = {team: described, queue: queued, fleet: fleetPlan};
+    return admission.check(admitted, view, now).ifRight(() => {
+      queued.push(admitted, now);
+      this.shares.noteArrival(admitted.team, now);
+      this.hasNews = true;
+    });
   }
 
   /** Puts a request back whose start is proved not to have taken place. */
   requeue(returned: request.Request): void {
-    const queue = this.queues.get(returned.team) ?? [];
-    queue.unshift(returned);
-    this.queues.set(returned.team, queue);
+    this.queueOf(returned.team).putBack(returned);
+    this.hasNews = true;
   }
 
   /** Takes a waiting request out; returns false when it does not wait. */
   remove(identity: string): boolean {
-    for (const queue of this.queues.values()) {
-      const position = queue.findIndex(item => item.identity === identity);
-      if (position < 0) continue;
-      queue.splice(position, 1);
+    for (const queued of this.queues.values()) {
+      if (!queued.remove(identity)) continue;
+      this.earmarks.drop(identity);
       return true;
     }
     return false;
@@ -67,77 +160,316 @@
   /** Requests that wait. */
   waitingCount(): number {
     let waiting = 0;
-    for (const queue of this.queues.values()) waiting += queue.length;
+    for (const queued of this.queues.values()) waiting += queued.size;
     return waiting;
   }
 
   /** Takes out requests whose latest start has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
     const expired: request.Request[] = [];
-    for (const [team, queue] of this.queues) {
-      expired.push(...queue.filter(item => item.startBy <= now));
-      this.queues.set(
-        team,
-        queue.filter(item => item.startBy > now),
-      );
+    for (const queued of this.queues.values()) {
+      expired.push(...queued.takeExpired(now));
     }
+    for (const late of expired) this.earmarks.drop(late.identity);
     return expired;
   }
 
+  /** When `place` or `takeExpired` is wanted next without other events. */
+  nextDeadline(): clock.Milliseconds {
+    let due = Math.min(
+      this.pool.nextDeadline(),
+      this.earmarks.nextDeadline(),
+      this.waitingCount() > 0 ? this.nextRetry : Infinity,
+    );
+    for (const queued of this.queues.values()) {
+      due = Math.min(due, queued.nextDeadline());
+    }
+    return due;
+  }
+
+  /** Sets which fraction of the cell's capacity this process places on. */
+  setCellFraction(fraction: number): void {
+    this.shares.setCellFraction(fraction);
+  }
+
   /** Reserves room for waiting requests, all tasks of a request or none. */
   place(now: clock.Milliseconds): ReadonlyArray<Placement> {
-    const placements: Placement[] = [];
-    for (const queue of this.queues.values()) {
-      while (queue.length > 0) {
-        const placed = this.placeRequest(queue[0], now);
-        if (placed.length === 0) break;
-        placements.push(...placed);
-        queue.shift();
-      }
-    }
-    return placements;
+    this.pool.setTime(now);
+    this.refresh(now);
+    if (!this.hasNews && this.placedAt === this.stamp()) return [];
+    this.hasNews = false;
+    const turn: Turn = {
+      now,
+      stamp: this.stamp(),
+      placements: [],
+      failed: [],
+      closed: new Set(),
+    };
+    const before = this.workers.roomVersion;
+    this.placeEarmarked(turn);
+    this.placeInTurn(turn);
+    this.ownRises += this.workers.roomVersion - before;
+    this.placedAt = turn.stamp;
+    return turn.placements;
+  }
+
+  /** Takes what is to be asked of running tasks. */
+  takeInterventions(): ReadonlyArray<overloadRelief.Intervention> {
+    const taken = this.interventions;
+    this.interventions = [];
+    return taken;
+  }
+
+  /** Takes the capacity violations noted since the last call. */
+  takeViolations(): ReadonlyArray<worker.CapacityViolation> {
+    return this.workers.takeViolations();
   }
 
-  private placeRequest(
-    candidate: request.Request,
+  /** Notes that a worker acknowledged a start. */
+  taskStarted(started: Placement, now: clock.Milliseconds): void {
+    this.pool.started(started.worker, started.task, now);
+  }
+
+  /** Notes a start that is proved not to have taken place. */
+  taskNotRun(placement: Placement, now: clock.Milliseconds): void {
+    this.reclaimer.ended(placement.task);
+    this.estimator.forget(placement.task);
+    this.pool.notRun(placement.worker, placement.task, now);
+  }
+
+  /** Notes the end of a task; returns true when it suspended its worker. */
+  taskEnded(
+    ended: Placement,
+    failed: boolean,
     now: clock.Milliseconds,
-  ): ReadonlyArray<Placement> {
-    const placements: Placement[] = [];
-    this.attempt += 1;
-    for (let index = 0; index < candidate.taskCount; index += 1) {
-      const task = `${candidate.identity}/${index}.${this.attempt}`;
-      const chosen = this.reserve(candidate, task, now);
-      if (chosen === undefined) {
-        for (const placement of placements) {
-          placement.worker.release(placement.task);
-        }
-        return [];
-      }
-      placements.push({request: candidate, task, worker: chosen});
+  ): boolean {
+    this.reclaimer.ended(ended.task);
+    const label = placementPolicy.labelOf(ended.request);
+    const ranMs = this.pool.ranMs(ended.task, now);
+    if (failed) this.estimator.forget(ended.task);
+    else this.estimator.ended(ended.task, label, ranMs);
+    return this.pool.ended(ended.worker, ended.task, label, failed, now);
+  }
+
+  /**
+   * Learns from a worker's report. A task that uses more than its room gets
+   * the room at once; if the worker is then overcommitted, it is relieved.
+   */
+  observeReport(report: task.WorkerReport, now: clock.Milliseconds): void {
+    const target = this.workers.get(report.worker);
+    if (target === undefined) return;
+    for (const item of report.tasks) {
+      const held = target.held().get(item.task);
+      if (held === undefined || item.state !== 'running') continue;
+      this.estimator.observe(item);
+      if (resources.fits(item.usage, held.size)) continue;
+      target.resize(item.task, resources.wholeAbove(item.usage, held.size));
     }
-    return placements;
+    this.interventions.push(...this.relief.relieve(target, now));
   }
 
-  private reserve(
-    candidate: request.Request,
-    task: string,
-    now: clock.Milliseconds,
-  ): worker.Worker | undefined {
-    const label = {
-      identity: candidate.identity,
-      client: candidate.client,
-      team: candidate.team,
-      workload: candidate.workload.name,
-      idempotent: candidate.workload.idempotent,
-      worth: candidate.workload.worth,
-    };
-    return this.workers
-      .all()
-      .find(
-        possible =>
-          !possible.leaving &&
-          this.permission.mayPlace(possible.name, now) &&
-          possible.reserve({task, label, size: candidate.size}),
+  private refresh(now: clock.Milliseconds): void {
+    const isDue = now >= this.nextRetry;
+    if (!isDue && !this.workers.unseen) return;
+    this.nextRetry = now + RETRY_INTERVAL_MS;
+    this.retries += 1;
+    this.pool.refresh(now);
+    this.shares.refresh(now);
+    this.earmarks.expire(now);
+  }
+
+  /** Changes whenever requests that found no room may find it now. */
+  private stamp(): number {
+    return this.workers.roomVersion - this.ownRises + this.retries;
+  }
+
+  private placeEarmarked(turn: Turn): void {
+    if (this.earmarks.size === 0) return;
+    for (const kept of [...this.earmarks.all()]) {
+      const waiting = this.queues.get(kept.team)?.get(kept.identity);
+      if (waiting === undefined) this.earmarks.drop(kept.identity);
+      else if (earmark.isReady(kept)) this.useEarmark(kept, waiting, turn);
+    }
+  }
+
+  private useEarmark(
+    kept: earmark.Earmark,
+    waiting: request.Request,
+    turn: Turn,
+  ): void {
+    if (!this.shares.mayHold(waiting, kept.size)) return;
+    this.earmarks.drop(kept.identity);
+    const job = this.jobOf(waiting, kept.size);
+    const attempt = new placementPolicy.Attempt(job);
+    const ascending = [...kept.rooms.keys()].sort((left, right) =>
+      left.name < right.name ? -1 : 1,
+    );
+    for (const target of ascending) {
+      const count = kept.rooms.get(target) ?? 0;
+      for (let index = 0; index < count; index += 1) attempt.reserve(target);
+    }
+    this.commit(job, attempt.finish(), turn);
+  }
+
+  private placeInTurn(turn: Turn): void {
+    const contenders = this.contenders();
+    while (contenders.length > 0) {
+      const position = lowest(contenders);
+      const contender = contenders[position];
+      const lane = contender.queue.next(
+        candidate => this.isOpen(candidate, turn),
+        turn.now,
       );
+      if (lane === undefined) contenders.splice(position, 1);
+      else this.placeHead(contender, lane, turn);
+    }
+  }
+
+  private contenders(): Contender[] {
+    const contenders: Contender[] = [];
+    for (const queued of this.queues.values()) {
+      if (queued.size === 0) continue;
+      const level = this.shares.level(queued.team);
+      contenders.push({queue: queued, level, borrows: false});
+    }
+    return contenders;
+  }
+
+  private isOpen(lane: queue.Lane, turn: Turn): boolean {
+    return lane.blockedAt !== turn.stamp && !turn.closed.has(lane);
+  }
+
+  private placeHead(contender: Contender, lane: queue.Lane, turn: Turn): void {
+    const head = lane.head();
+    if (head === undefined) return;
+    const job = this.jobOf(head, this.sizeOf(head));
+    if (!contender.borrows && this.needsLoan(job)) {
+      // Teams within their quota choose first; this one comes back after them.
+      contender.borrows = true;
+      contender.level += LOAN_PENALTY;
+      return;
+    }
+    const outcome = this.tryPlace(job, turn);
+    if (outcome === 'noRoom') this.noRoom(job, lane, turn);
+    if (outcome === 'notEntitled') turn.closed.add(lane);
+    contender.level = this.shares.level(contender.queue.team);
+    contender.borrows = false;
+  }
+
+  private needsLoan(job: placementPolicy.PendingJob): boolean {
+    const {team: name, taskCount} = job.request;
+    const whole = resources.scale(job.size, taskCount);
+    return !this.shares.isWithinQuota(name, whole);
+  }
+
+  private tryPlace(job: placementPolicy.PendingJob, turn: Turn): Outcome {
+    const {request: waiting, size} = job;
+    if (!this.shares.mayHold(waiting, size)) return 'notEntitled';
+    if (turn.failed.some(failed => resources.fits(failed, size))) {
+      return 'noRoom';
+    }
+    const view = this.pool.viewFor(waiting);
+    const policy = this.policies[waiting.workload.kind];
+    const decision = policy.place(job, view, turn.now);
+    if (this.commit(job, decision, turn)) return 'placed';
+    if (isPlain(waiting) && turn.failed.length < FAILED_SIZES) {
+      turn.failed.push(size);
+    }
+    return 'noRoom';
+  }
+
+  private commit(
+    job: placementPolicy.PendingJob,
+    decision: placementPolicy.PlacementDecision,
+    turn: Turn,
+  ): boolean {
+    if (decision.kind === 'noRoom') return false;
+    const {request: placed, size} = job;
+    this.queueOf(placed.team).take(placed, turn.now);
+    this.earmarks.drop(placed.identity);
+    decision.workers.forEach((target, index) => {
+      const name = placementPolicy.taskName(job, index);
+      turn.placements.push({request: placed, task: name, worker: target, size});
+      this.pool.placed(target, name, turn.now);
+      this.reclaimer.placed(job, name, target);
+    });
+    return true;
   }
+
+  private noRoom(
+    job: placementPolicy.PendingJob,
+    lane: queue.Lane,
+    turn: Turn,
+  ): void {
+    lane.blockedAt = turn.stamp;
+    const {workload: described} = job.request;
+    if (described.urgency === 'urgent' && job.request.taskCount === 1) {
+      const waiting = lane.heads(RECLAIM_DEPTH);
+      const jobs = waiting.map(item => this.jobOf(item, this.sizeOf(item)));
+      this.interventions.push(...this.reclaimer.reclaimFor(jobs, turn.now));
+    }
+    const isStarving = queue.isStarving(job.request, turn.now);
+    if (described.kind === 'gang' || isStarving) {
+      this.earmarks.consider(job, turn.now);
+    }
+  }
+
+  private jobOf(
+    waiting: request.Request,
+    size: resources.Resources,
+  ): placementPolicy.PendingJob {
+    this.attempt += 1;
+    return {request: waiting, size, attempt: this.attempt};
+  }
+
+  /** The learned size, or the declared one if no worker could hold it. */
+  private sizeOf(waiting: request.Request): resources.Resources {
+    const learned = this.estimator.reservation(
+      waiting.team,
+      waiting.workload.name,
+      waiting.size,
+    );
+    const plan = this.documents.current().fleet;
+    if (learned === waiting.size || plan === undefined) return learned;
+    const grown = {...waiting, size: learned};
+    const fits = admission.excludingConstraint(grown, plan) === undefined;
+    return fits ? learned : waiting.size;
+  }
+
+  private isService(label: task.TaskLabel): boolean {
+    const described = this.teamOf(label.team)?.workloads.find(
+      item => item.name === label.workload,
+    );
+    return described?.kind === 'service';
+  }
+
+  private teamOf(name: string): team.Team | undefined {
+    return this.documents.current().teams.get(name);
+  }
+
+  private queueOf(name: string): queue.TeamQueue {
+    const known = this.queues.get(name);
+    if (known !== undefined) return known;
+    const created = new queue.TeamQueue(name);
+    this.queues.set(name, created);
+    return created;
+  }
+}
+
+function lowest(contenders: ReadonlyArray<Contender>): number {
+  let best = 0;
+  for (let index = 1; index < contenders.length; index += 1) {
+    if (contenders[index].level < contenders[best].level) best = index;
+  }
+  return best;
+}
+
+/** Whether nothing but its size restricts where a request may run. */
+function isPlain(waiting: request.Request): boolean {
+  const {workload: described, taskCount} = waiting;
+  return (
+    taskCount === 1 &&
+    described.zones.length === 0 &&
+    described.maximumPerRack === 0
+  );
 }
--- /dev/null
+++ b/src/contracts/scheduler_effects.ts
@@ -0,0 +1,45 @@
+import * as effects from './effect.js';
+import type * as overloadRelief from './overload_relief.js';
+import type * as worker from '../machines/worker.js';
+
+/** Builds the effects that carry out what the scheduler asks of tasks. */
+export function interventionEffects(
+  interventions: ReadonlyArray<overloadRelief.Intervention>,
+): ReadonlyArray<effects.Effect> {
+  return interventions.flatMap(item => [
+    effects.count('intervention', {kind: item.kind, reason: item.reason}),
+    interventionEffect(item),
+  ]);
+}
+
+/** Builds the evidence of broken capacity invariants. */
+export function violationEffects(
+  violations: ReadonlyArray<worker.CapacityViolation>,
+): ReadonlyArray<effects.Effect> {
+  return violations.flatMap(item => [
+    effects.count('violation', {invariant: 'capacity', cause: item.cause}),
+    effects.log('error', 'capacityExceeded', {
+      worker: item.worker,
+      cause: item.cause,
+      dimension: item.dimension,
+      reserved: item.reserved[item.dimension],
+      capacity: item.capacity[item.dimension],
+    }),
+  ]);
+}
+
+function interventionEffect(item: overloadRelief.Intervention): effects.Effect {
+  const target = {
+    worker: item.worker.name,
+    address: item.worker.description.address,
+    task: item.task,
+  };
+  switch (item.kind) {
+    case 'throttle':
+      return {kind: 'throttleTask', ...target, limit: item.limit};
+    case 'checkpoint':
+      return {kind: 'checkpointTask', ...target};
+    case 'stop':
+      return {kind: 'stopTask', ...target};
+  }
+}
--- /dev/null
+++ b/src/contracts/service_policy.ts
@@ -0,0 +1,45 @@
+import * as placementPolicy from './placement_policy.js';
+import type * as worker from '../machines/worker.js';
+
+/**
+ * Spreads the tasks of a service: each goes to the sampled rack with the
+ * fewest tasks of the service, and there to the worker with most room left.
+ */
+export class ServicePolicy implements placementPolicy.PlacementPolicy {
+  place(
+    job: placementPolicy.PendingJob,
+    fleet: placementPolicy.FleetView,
+  ): placementPolicy.PlacementDecision {
+    const attempt = new placementPolicy.Attempt(job);
+    while (attempt.missing > 0) {
+      const chosen = choose(attempt, fleet);
+      if (chosen === undefined || !attempt.reserve(chosen)) break;
+    }
+    return attempt.finish();
+  }
+}
+
+function choose(
+  attempt: placementPolicy.Attempt,
+  fleet: placementPolicy.FleetView,
+): worker.Worker | undefined {
+  const {request, size} = attempt.job;
+  const {maximumPerRack, name} = request.workload;
+  // Replicas are placed one at a time, so the fleet's count includes them all.
+  const onRack = (rack: string): number =>
+    fleet.countOnRack(request.team, name, rack);
+  const candidates = fleet.sample(
+    size,
+    'loosest',
+    candidate =>
+      attempt.allows(candidate) &&
+      (maximumPerRack === 0 || onRack(candidate.rack) < maximumPerRack),
+  );
+  // A remainder is at most 1, so the count on the rack always comes first.
+  return placementPolicy.cheapest(
+    candidates,
+    candidate =>
+      2 * onRack(candidate.rack) -
+      placementPolicy.tightestRemainder(size, candidate),
+  );
+}
--- a/src/contracts/team.ts
+++ b/src/contracts/team.ts
@@ -6,7 +6,10 @@
   readonly name: string;
   /** Clients that may send requests for the team. */
   readonly clients: ReadonlyArray<string>;
-  /** Upper limit of what the team's tasks reserve at once in the cell. */
+  /**
+   * What the team's tasks may reserve at once in the cell. Only idempotent
+   * batch work that is not urgent may go beyond, in room lent by others.
+   */
   readonly quota: resources.Resources;
   /** Weight among teams that compete for the same room. */
   readonly share: number;
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -5,7 +5,9 @@
 import * as identity from '../contracts/identity.js';
 import * as requestTable from '../contracts/request_table.js';
 import * as result from '../result.js';
+import * as retryBudget from '../contracts/retry_budget.js';
 import * as scheduler from '../contracts/scheduler.js';
+import * as schedulerEffects from '../contracts/scheduler_effects.js';
 import * as taskRunner from './task_runner.js';
 import * as zoneControl from '../zones/zone_control.js';
 import type * as clock from './clock.js';
@@ -39,13 +41,18 @@
   private readonly scheduler: scheduler.Scheduler;
   private readonly runner: taskRunner.TaskRunner;
   private readonly issuer: identity.IdentityIssuer;
+  private readonly retries = new retryBudget.RetryBudget();
 
   constructor(private readonly parts: EntryVmParts) {
     this.zone = new zoneControl.ZoneControl(parts.self, this.workers);
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader);
-    this.scheduler = new scheduler.Scheduler(this.workers, {
-      mayPlace: (name, now) => this.zone.permitEnd(name) > now,
-    });
+    this.scheduler = new scheduler.Scheduler(
+      this.workers,
+      {
+        mayPlace: (name, now) => this.zone.permitEnd(name) > now,
+      },
+      this.documents,
+    );
     this.runner = new taskRunner.TaskRunner(this.workers, this.zone);
     this.issuer = new identity.IdentityIssuer(parts.self.process, parts.random);
   }
@@ -62,6 +69,9 @@
       ...this.handleCall(handled, now),
     ];
     if (handled.kind === 'timePassed') done.push(...this.expire(now));
+    if (handled.kind === 'reportArrived') {
+      this.scheduler.observeReport(handled.report, now);
+    }
     done.push(...this.placeWaiting(now));
     return done;
   }
@@ -73,6 +83,7 @@
       this.documents.nextDeadline(),
       this.runner.nextDeadline(),
       this.requests.nextDeadline(),
+      this.scheduler.nextDeadline(),
     );
   }
 
@@ -123,11 +134,7 @@
     const known = this.requests.get(name);
     if (known !== undefined) return this.repeated(call, known, now);
     return this.buildRequest(call, name, now)
-      .chain(built =>
-        this.scheduler
-          .admit(built, this.queueLimit(built.team))
-          .map(() => built),
-      )
+      .chain(built => this.scheduler.admit(built, now).map(() => built))
       .caseOf({
         Left: refusal => refuse(call.call, refusal),
         Right: admitted => {
@@ -212,10 +219,6 @@
     });
   }
 
-  private queueLimit(team: string): number {
-    return this.documents.current().teams.get(team)?.queueLimit ?? 0;
-  }
-
   private fetchArrived(
     call: CallOf<'fetchArrived'>,
     now: clock.Milliseconds,
@@ -291,6 +294,10 @@
       this.requests.advance(name, 'starting', placement.worker.name);
       done.push(...this.take(this.runner.start(placement, now), now));
     }
+    const interventions = this.scheduler.takeInterventions();
+    done.push(...schedulerEffects.interventionEffects(interventions));
+    const violations = this.scheduler.takeViolations();
+    done.push(...schedulerEffects.violationEffects(violations));
     return done;
   }
 
@@ -312,6 +319,7 @@
     const {request: concerned, worker} = outcome.placement;
     switch (outcome.kind) {
       case 'started':
+        this.scheduler.taskStarted(outcome.placement, now);
         this.requests.advance(concerned.identity, 'running', worker.name);
         return [
           {
@@ -322,13 +330,35 @@
           },
         ];
       case 'notRun':
+        this.scheduler.taskNotRun(outcome.placement, now);
+        if (!this.retries.spend(now)) {
+          const ending = {
+            result: 'retryBudgetSpent',
+            detail: outcome.detail,
+            answer: '',
+          } as const;
+          return [
+            effects.count('refusal', {reason: ending.result}),
+            ...this.requests.end(concerned.identity, ending, now),
+          ];
+        }
         this.requests.advance(concerned.identity, 'queued', '');
         this.scheduler.requeue(concerned);
         return [effects.count('retry', {reason: 'startNotRun'})];
       case 'ended':
+        this.taskEnded(outcome, now);
         return this.requests.end(concerned.identity, outcome.ending, now);
     }
   }
+
+  private taskEnded(
+    ended: Extract<taskRunner.TaskOutcome, {readonly kind: 'ended'}>,
+    now: clock.Milliseconds,
+  ): void {
+    const failed = ended.ending.result === 'taskFailed';
+    if (!failed) this.retries.succeeded();
+    this.scheduler.taskEnded(ended.placement, failed, now);
+  }
 }
 
 function refuse(
--- a/src/machines/resources.ts
+++ b/src/machines/resources.ts
@@ -76,3 +76,60 @@
     slots: Math.max(left.slots, right.slots),
   };
 }
+
+/** Returns the smaller of both quantities in every dimension. */
+export function minimum(left: Resources, right: Resources): Resources {
+  return {
+    processors: Math.min(left.processors, right.processors),
+    memory: Math.min(left.memory, right.memory),
+    accelerators: Math.min(left.accelerators, right.accelerators),
+    slots: Math.min(left.slots, right.slots),
+  };
+}
+
+/** Tells whether both quantities are the same. */
+export function equal(left: Resources, right: Resources): boolean {
+  return fits(left, right) && fits(right, left);
+}
+
+/** Returns the quantity taken `factor` times. */
+export function scale(size: Resources, factor: number): Resources {
+  return {
+    processors: size.processors * factor,
+    memory: size.memory * factor,
+    accelerators: size.accelerators * factor,
+    slots: size.slots * factor,
+  };
+}
+
+/** Returns how many whole times `size` goes into `room`. */
+export function countIn(size: Resources, room: Resources): number {
+  let count = Infinity;
+  for (const dimension of DIMENSIONS) {
+    if (size[dimension] <= 0) continue;
+    count = Math.min(count, Math.floor(room[dimension] / size[dimension]));
+  }
+  return Math.max(0, count);
+}
+
+/** Returns the largest fraction that `part` takes of `whole`. */
+export function dominantFraction(part: Resources, whole: Resources): number {
+  let fraction = 0;
+  for (const dimension of DIMENSIONS) {
+    if (part[dimension] <= 0) continue;
+    if (whole[dimension] <= 0) return Infinity;
+    fraction = Math.max(fraction, part[dimension] / whole[dimension]);
+  }
+  return fraction;
+}
+
+/** Returns the larger of both quantities, rounded up to whole units. */
+export function wholeAbove(left: Resources, right: Resources): Resources {
+  const larger = maximum(left, right);
+  return {
+    processors: Math.ceil(larger.processors),
+    memory: Math.ceil(larger.memory),
+    accelerators: Math.ceil(larger.accelerators),
+    slots: Math.ceil(larger.slots),
+  };
+}
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -85,7 +85,7 @@
         idempotent: request.workload.idempotent,
         worth: request.workload.worth,
       },
-      size: request.size,
+      size: placement.size,
       payload: request.payload,
       leaseEnd,
     };
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -16,6 +16,36 @@
   readonly size: resources.Resources;
 }
 
+/** What took the reservations of a worker over its capacity. */
+export type ViolationCause = 'reserve' | 'adopt' | 'resize' | 'capacity';
+
+/** Evidence that a worker's reservations exceed its capacity. */
+export interface CapacityViolation {
+  readonly worker: string;
+  readonly cause: ViolationCause;
+  readonly dimension: resources.Dimension;
+  readonly reserved: resources.Resources;
+  readonly capacity: resources.Resources;
+}
+
+/** Learns of every change that matters to an index over workers. */
+export interface WorkerObserver {
+  /** Room, capacity or readiness changed; `grew` when there may be more room. */
+  changed(worker: Worker, grew: boolean): void;
+  held(worker: Worker, reservation: Reservation): void;
+  released(worker: Worker, reservation: Reservation): void;
+  /** Reservations exceed the capacity; called once per break. */
+  violated(violation: CapacityViolation): void;
+}
+
+/** Observer of a worker that belongs to no fleet. */
+const UNOBSERVED: WorkerObserver = {
+  changed: () => {},
+  held: () => {},
+  released: () => {},
+  violated: () => {},
+};
+
 /**
  * A machine that runs tasks. It keeps what is reserved on the machine and
  * refuses a reservation that its capacity does not hold.
@@ -23,12 +53,19 @@
 export class Worker {
   private readonly reservations = new Map<string, Reservation>();
   private reserved = resources.NONE;
+  private earmarked = resources.NONE;
+  private availableValue = resources.NONE;
   private capacityValue = resources.NONE;
   private rackValue = '';
   private clockReadingValue: clock.WorkerClockReading | undefined;
   private leavingValue = false;
+  private suspendedValue = false;
+  private violating = false;
 
-  constructor(readonly description: WorkerDescription) {}
+  constructor(
+    readonly description: WorkerDescription,
+    private readonly observer: WorkerObserver = UNOBSERVED,
+  ) {}
 
   /** Name in the VM list. */
   get name(): string {
@@ -50,6 +87,11 @@
     return resources.subtract(this.capacityValue, this.reserved);
   }
 
+  /** Free room that is not earmarked for a request that waits for more. */
+  get available(): resources.Resources {
+    return this.availableValue;
+  }
+
   /** Last reading of the worker's clock. */
   get clockReading(): clock.WorkerClockReading | undefined {
     return this.clockReadingValue;
@@ -60,24 +102,70 @@
     return this.leavingValue;
   }
 
+  /** Whether the worker is out of service because tasks fail on it. */
+  get suspended(): boolean {
+    return this.suspendedValue;
+  }
+
+  /** Whether the worker has reported and takes new tasks. */
+  get ready(): boolean {
+    return (
+      this.clockReadingValue !== undefined &&
+      !this.leavingValue &&
+      !this.suspendedValue
+    );
+  }
+
+  /** Whether reservations exceed the capacity at present. */
+  get overcommitted(): boolean {
+    return this.violating;
+  }
+
   /** Takes over what the worker says of itself. */
   update(report: task.WorkerReport, receivedAt: clock.Milliseconds): void {
-    this.capacityValue = report.capacity;
-    this.rackValue = report.rack;
+    const wasReady = this.ready;
     this.clockReadingValue = {workerClock: report.workerClock, receivedAt};
     if (report.leaving) this.leavingValue = true;
+    if (report.rack !== this.rackValue) this.moveToRack(report.rack);
+    const resized = !resources.equal(report.capacity, this.capacityValue);
+    if (!resized && wasReady === this.ready) return;
+    this.capacityValue = report.capacity;
+    this.afterChange('capacity', true);
   }
 
   /** Stops new reservations for good. */
   markLeaving(): void {
+    if (this.leavingValue) return;
     this.leavingValue = true;
+    this.observer.changed(this, false);
+  }
+
+  /** Takes the worker out of service or back into it. */
+  setSuspended(suspended: boolean): void {
+    if (this.suspendedValue === suspended) return;
+    this.suspendedValue = suspended;
+    this.observer.changed(this, !suspended);
+  }
+
+  /** Keeps more room free for requests that wait for it. */
+  earmark(size: resources.Resources): void {
+    this.earmarked = resources.add(this.earmarked, size);
+    this.recompute();
+    this.observer.changed(this, false);
+  }
+
+  /** Gives earmarked room back. */
+  withdrawEarmark(size: resources.Resources): void {
+    this.earmarked = resources.subtract(this.earmarked, size);
+    this.recompute();
+    this.observer.changed(this, true);
   }
 
   /** Holds room for a task; returns false when it does not fit. */
   reserve(reservation: Reservation): boolean {
     if (this.reservations.has(reservation.task)) return false;
-    if (!resources.fits(reservation.size, this.free)) return false;
-    this.hold(reservation);
+    if (!resources.fits(reservation.size, this.availableValue)) return false;
+    this.hold(reservation, 'reserve');
     return true;
   }
 
@@ -87,7 +175,15 @@
    */
   adopt(reservation: Reservation): void {
     this.release(reservation.task);
-    this.hold(reservation);
+    this.hold(reservation, 'adopt');
+  }
+
+  /** Changes the room of a task to what it was found to use. */
+  resize(taskName: string, size: resources.Resources): void {
+    const held = this.reservations.get(taskName);
+    if (held === undefined) return;
+    this.release(taskName);
+    this.hold({...held, size}, 'resize');
   }
 
   /** Gives back the room of a task; does nothing when it holds none. */
@@ -96,6 +192,8 @@
     if (held === undefined) return;
     this.reservations.delete(taskName);
     this.reserved = resources.subtract(this.reserved, held.size);
+    this.observer.released(this, held);
+    this.afterChange('reserve', true);
   }
 
   /** The room that tasks hold. */
@@ -103,8 +201,53 @@
     return this.reservations;
   }
 
-  private hold(reservation: Reservation): void {
+  private hold(reservation: Reservation, cause: ViolationCause): void {
     this.reservations.set(reservation.task, reservation);
     this.reserved = resources.add(this.reserved, reservation.size);
+    this.observer.held(this, reservation);
+    this.afterChange(cause, false);
+  }
+
+  private moveToRack(rack: string): void {
+    for (const held of this.reservations.values()) {
+      this.observer.released(this, held);
+    }
+    this.rackValue = rack;
+    for (const held of this.reservations.values()) {
+      this.observer.held(this, held);
+    }
+  }
+
+  private recompute(): void {
+    const {free, earmarked} = this;
+    // Room that is earmarked before it is free must not exclude tasks that
+    // need none of it, hence nothing below zero because of an earmark.
+    const floor = resources.minimum(free, resources.NONE);
+    const left = resources.subtract(free, earmarked);
+    this.availableValue = resources.maximum(left, floor);
+  }
+
+  private afterChange(cause: ViolationCause, grew: boolean): void {
+    this.recompute();
+    this.assertCapacity(cause);
+    this.observer.changed(this, grew);
+  }
+
+  /** The sum of reservations never exceeds a capacity that is known. */
+  private assertCapacity(cause: ViolationCause): void {
+    const dimension =
+      this.clockReadingValue === undefined
+        ? undefined
+        : resources.exceededDimension(this.reserved, this.capacityValue);
+    const before = this.violating;
+    this.violating = dimension !== undefined;
+    if (dimension === undefined || before) return;
+    this.observer.violated({
+      worker: this.name,
+      cause,
+      dimension,
+      reserved: this.reserved,
+      capacity: this.capacityValue,
+    });
   }
 }
--- /dev/null
+++ b/test/contracts/admission_test.ts
@@ -0,0 +1,109 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as scheduling from '../support/scheduling.js';
+import type * as request from '../../src/contracts/request.js';
+import type * as result from '../../src/result.js';
+import type * as team from '../../src/contracts/team.js';
+import type * as workload from '../../src/contracts/workload.js';
+
+const PLAN = {
+  zones: [
+    {name: 'kigali-a', region: 'kigali'},
+    {name: 'huye-a', region: 'huye'},
+  ],
+  workerShapes: [
+    {capacity: scheduling.size(16_000, 32_768, 0, 8), zones: ['kigali-a']},
+    {capacity: scheduling.size(8_000, 131_072, 4, 8), zones: ['huye-a']},
+  ],
+};
+
+function refusal(
+  described: Partial<workload.Workload>,
+  changes: Partial<request.Request> = {},
+  teamChanges: Partial<team.Team> = {},
+): result.Failure | undefined {
+  const world = new scheduling.SchedulingWorld();
+  world.setPlan(PLAN);
+  world.addTeam(scheduling.teamOf('dispatch', teamChanges));
+  const built = world.request(
+    'dispatch',
+    scheduling.workloadOf(described),
+    0,
+    changes,
+  );
+  return world.scheduler.admit(built, 0).swap().toMaybe().extract();
+}
+
+nodeTest.describe('impossible requests', () => {
+  nodeTest.test('the refusal names the dimension that no worker has', () => {
+    const refused = refusal({size: scheduling.size(1_000, 200_000)});
+    assert.equal(refused?.result, 'neverFits');
+    assert.match(refused?.detail ?? '', /^memory: 200000 exceeds 131072/);
+  });
+
+  nodeTest.test('dimensions that only different workers have are named', () => {
+    const refused = refusal({size: scheduling.size(12_000, 65_536)});
+    assert.equal(refused?.result, 'neverFits');
+    assert.match(refused?.detail ?? '', /lacks memory on .*; processors on/);
+  });
+
+  nodeTest.test('only the shapes of the allowed zones count', () => {
+    const size = scheduling.size(1_000, 1_024, 1);
+    assert.equal(refusal({size}), undefined);
+    const refused = refusal({size, zones: ['kigali-a']});
+    assert.match(refused?.detail ?? '', /^accelerators: 1 exceeds 0/);
+    const nowhere = refusal({zones: ['musanze-a']});
+    assert.match(nowhere?.detail ?? '', /^zones: .* musanze-a/);
+  });
+});
+
+nodeTest.describe('bounds of a team', () => {
+  nodeTest.test(
+    'a full queue refuses more without touching other teams',
+    () => {
+      const world = new scheduling.SchedulingWorld();
+      world.addTeam(scheduling.teamOf('flood', {queueLimit: 10}));
+      world.addTeam(scheduling.teamOf('dispatch'));
+      const described = scheduling.workloadOf();
+      assert.equal(world.admit('flood', described, 50, 0).length, 10);
+      assert.equal(world.admit('dispatch', described, 50, 0).length, 50);
+    },
+  );
+
+  nodeTest.test('a gang above the quota is refused, not queued forever', () => {
+    const refused = refusal(
+      {kind: 'gang', taskCount: 4, size: scheduling.size(4_000, 1_024)},
+      {},
+      {quota: scheduling.size(12_000, 1e6, 0, 100)},
+    );
+    assert.equal(refused?.result, 'quotaExceeded');
+    assert.match(refused?.detail ?? '', /^processors: 16000 for 4 tasks/);
+  });
+});
+
+nodeTest.describe('deadlines', () => {
+  nodeTest.test('a passed deadline is refused at once', () => {
+    const refused = refusal({}, {startBy: 0});
+    assert.equal(refused?.result, 'deadlineUnmeetable');
+  });
+
+  nodeTest.test('a deadline before the expected start is refused', () => {
+    const world = new scheduling.SchedulingWorld();
+    const machine = world.addWorkers(1, scheduling.size(1_000, 1_024))[0];
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const described = scheduling.workloadOf();
+    world.admit('dispatch', described, 40, 0);
+    for (let now = 0; now < 20_000; now += 1_000) {
+      for (const task of [...machine.held().keys()]) machine.release(task);
+      world.scheduler.place(now);
+    }
+    const hasty = world.request('dispatch', described, 20_000, {
+      startBy: 22_000,
+    });
+    assert.ok(world.scheduler.admit(hasty, 20_000).isLeft());
+    const patient = world.request('dispatch', described, 20_000, {
+      startBy: 80_000,
+    });
+    assert.ok(world.scheduler.admit(patient, 20_000).isRight());
+  });
+});
--- /dev/null
+++ b/test/contracts/scheduler_test.ts
@@ -0,0 +1,288 @@
+import * as assert from 'node:assert/strict';
+import * as fastCheck from 'fast-check';
+import * as nodeTest from 'node:test';
+import * as resources from '../../src/machines/resources.js';
+import * as scheduling from '../support/scheduling.js';
+import type * as scheduler from '../../src/contracts/scheduler.js';
+
+const SEED = 20_260_401;
+
+/** One slot's share of a worker, so that eight tasks fill it. */
+const EIGHTH = scheduling.size(2_000, 4_096);
+
+function countByTeam(
+  placements: ReadonlyArray<scheduler.Placement>,
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const placement of placements) {
+    const {team} = placement.request;
+    counts.set(team, (counts.get(team) ?? 0) + 1);
+  }
+  return counts;
+}
+
+nodeTest.describe('shares', () => {
+  nodeTest.test('a flood of one team does not keep room from another', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(4);
+    world.addTeam(scheduling.teamOf('flood'));
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const described = scheduling.workloadOf({size: EIGHTH});
+    world.admit('flood', described, 1_000, 0);
+    world.admit('dispatch', described, 16, 0);
+    const counts = countByTeam(world.scheduler.place(0));
+    assert.equal(counts.get('dispatch'), 16);
+    assert.equal(counts.get('flood'), 16);
+  });
+
+  nodeTest.test('room is divided by weight while every team waits', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(fastCheck.integer({min: 1, max: 4}), {
+          minLength: 2,
+          maxLength: 5,
+        }),
+        weights => {
+          const world = new scheduling.SchedulingWorld();
+          world.addWorkers(20);
+          const described = scheduling.workloadOf({size: EIGHTH});
+          weights.forEach((share, index) => {
+            world.addTeam(scheduling.teamOf(`team-${index}`, {share}));
+            world.admit(`team-${index}`, described, 200, 0);
+          });
+          const counts = countByTeam(world.scheduler.place(0));
+          const sum = weights.reduce((left, right) => left + right, 0);
+          weights.forEach((share, index) => {
+            const due = (160 * share) / sum;
+            const got = counts.get(`team-${index}`) ?? 0;
+            assert.ok(Math.abs(got - due) <= share + 1, `${got} of ${due}`);
+          });
+        },
+      ),
+      {seed: SEED, numRuns: 30},
+    );
+  });
+
+  nodeTest.test('work that cannot be lent room stays within its quota', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(2);
+    const quota = scheduling.size(6_000, 1e6, 0, 100);
+    world.addTeam(scheduling.teamOf('dispatch', {quota}));
+    const order = scheduling.workloadOf({size: EIGHTH, idempotent: false});
+    world.admit('dispatch', order, 8, 0);
+    assert.equal(world.scheduler.place(0).length, 3);
+  });
+
+  nodeTest.test('lent room is kept back for a team below its share', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(5);
+    world.addTeam(scheduling.teamOf('flood'));
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const described = scheduling.workloadOf({size: EIGHTH});
+    world.admit('dispatch', described, 1, 0);
+    world.admit('flood', described, 100, 0);
+    assert.equal(world.scheduler.place(0).length, 38);
+    world.admit('dispatch', described, 2, 1);
+    assert.equal(world.scheduler.place(1).length, 2);
+  });
+});
+
+nodeTest.describe('reclaiming', () => {
+  function floodedWorld(): scheduling.SchedulingWorld {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(2);
+    world.addTeam(scheduling.teamOf('flood'));
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const described = scheduling.workloadOf({size: EIGHTH});
+    world.admit('flood', described, 100, 0);
+    world.scheduler.place(0);
+    return world;
+  }
+
+  nodeTest.test(
+    'urgent work within its quota names a lent task to checkpoint and gets ' +
+      'the room of that task',
+    () => {
+      const world = floodedWorld();
+      const urgent = scheduling.workloadOf({
+        name: 'kiln',
+        urgency: 'urgent',
+        size: EIGHTH,
+      });
+      world.admit('dispatch', urgent, 1, 10);
+      assert.equal(world.scheduler.place(10).length, 0);
+      const [asked, ...more] = world.scheduler.takeInterventions();
+      assert.equal(asked.kind, 'checkpoint');
+      assert.equal(more.length, 0);
+      asked.worker.release(asked.task);
+      const [placed] = world.scheduler.place(20);
+      assert.equal(placed.request.team, 'dispatch');
+      assert.equal(placed.worker, asked.worker);
+    },
+  );
+
+  nodeTest.test('an urgent flood does not take more than its share', () => {
+    const world = floodedWorld();
+    const urgent = scheduling.workloadOf({urgency: 'urgent', size: EIGHTH});
+    world.admit('dispatch', urgent, 100, 10);
+    world.scheduler.place(10);
+    const asked = world.scheduler.takeInterventions();
+    assert.ok(asked.length <= 8, `${asked.length} tasks of 16 were named`);
+    assert.ok(asked.length >= 6, `${asked.length} tasks of 16 were named`);
+  });
+});
+
+nodeTest.describe('placement', () => {
+  nodeTest.test('no sequence of events overcommits a worker', () => {
+    const step = fastCheck.record({
+      processors: fastCheck.integer({min: 1, max: 20_000}),
+      memory: fastCheck.integer({min: 1, max: 40_000}),
+      count: fastCheck.integer({min: 1, max: 6}),
+      kind: fastCheck.constantFrom('batch', 'gang', 'service'),
+      urgent: fastCheck.boolean(),
+      ends: fastCheck.integer({min: 0, max: 5}),
+    });
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(step, {maxLength: 40}), steps => {
+        const world = new scheduling.SchedulingWorld();
+        const workers = world.addWorkers(6);
+        const names = ['one', 'two'];
+        for (const name of names) world.addTeam(scheduling.teamOf(name));
+        const running: scheduler.Placement[] = [];
+        steps.forEach((item, index) => {
+          const now = index * 150;
+          const described = scheduling.workloadOf({
+            kind: item.kind,
+            urgency: item.urgent ? 'urgent' : 'normal',
+            size: scheduling.size(item.processors, item.memory),
+            taskCount: item.count,
+          });
+          world.admit(names[index % 2], described, 2, now);
+          running.push(...world.scheduler.place(now));
+          for (const asked of world.scheduler.takeInterventions()) {
+            const found = running.findIndex(task => task.task === asked.task);
+            world.end(running.splice(found, 1)[0], false, now);
+          }
+          for (const ended of running.splice(0, item.ends)) {
+            world.end(ended, false, now);
+          }
+          for (const target of workers) {
+            assert.ok(resources.fits(resources.NONE, target.free));
+          }
+        });
+        assert.deepEqual(world.scheduler.takeViolations(), []);
+      }),
+      {seed: SEED, numRuns: 60},
+    );
+  });
+
+  nodeTest.test('large work at the head does not block small work', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(1);
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const large = scheduling.workloadOf({
+      name: 'large',
+      worth: 9,
+      size: scheduling.size(15_000, 1_024),
+    });
+    const small = scheduling.workloadOf({size: EIGHTH});
+    world.admit('dispatch', small, 1, 0);
+    world.scheduler.place(0);
+    world.admit('dispatch', large, 1, 1);
+    world.admit('dispatch', small, 2, 1);
+    const placed = world.scheduler.place(1);
+    assert.deepEqual(
+      placed.map(item => item.request.workload.name),
+      ['inspection', 'inspection'],
+    );
+  });
+
+  nodeTest.test(
+    'a worker without a permit or on its way out is avoided',
+    () => {
+      const world = new scheduling.SchedulingWorld();
+      const [forbidden, leaving, good] = world.addWorkers(3);
+      world.forbid(forbidden.name);
+      leaving.markLeaving();
+      world.addTeam(scheduling.teamOf('dispatch'));
+      world.admit('dispatch', scheduling.workloadOf({size: EIGHTH}), 20, 0);
+      const placed = world.scheduler.place(0);
+      assert.equal(placed.length, 8);
+      assert.ok(placed.every(item => item.worker === good));
+    },
+  );
+});
+
+nodeTest.describe('learned sizes', () => {
+  nodeTest.test(
+    'sizes declared ten times too large stop wasting room after five tasks',
+    () => {
+      const world = new scheduling.SchedulingWorld();
+      const [machine] = world.addWorkers(
+        1,
+        scheduling.size(16_000, 32_768, 0, 64),
+      );
+      world.addTeam(scheduling.teamOf('dispatch'));
+      const described = scheduling.workloadOf({
+        size: scheduling.size(10_000, 20_480),
+      });
+      for (let index = 0; index < 5; index += 1) {
+        const now = index * 1_000;
+        world.admit('dispatch', described, 1, now);
+        const [placed] = world.scheduler.place(now);
+        report(world, placed, scheduling.size(1_000, 2_048), now);
+        world.end(placed, false, now + 500);
+      }
+      world.admit('dispatch', described, 20, 9_000);
+      assert.equal(world.scheduler.place(9_000).length, 16);
+      assert.equal(machine.overcommitted, false);
+    },
+  );
+
+  nodeTest.test(
+    'usage above the reservation is reserved at once, and the excess of an ' +
+      'overcommitted worker is relieved step by step',
+    () => {
+      const world = new scheduling.SchedulingWorld();
+      const [machine] = world.addWorkers(1);
+      world.addTeam(scheduling.teamOf('dispatch'));
+      const described = scheduling.workloadOf({
+        size: scheduling.size(8_000, 8_192),
+      });
+      world.admit('dispatch', described, 2, 0);
+      const [first] = world.scheduler.place(0);
+      const kinds: string[] = [];
+      for (const now of [1_000, 7_000, 13_000]) {
+        report(world, first, scheduling.size(8_000, 30_000), now);
+        for (const asked of world.scheduler.takeInterventions()) {
+          kinds.push(asked.kind);
+        }
+      }
+      assert.deepEqual(kinds, ['throttle', 'checkpoint', 'stop']);
+      assert.equal(machine.overcommitted, true);
+      assert.equal(world.scheduler.takeViolations()[0].cause, 'resize');
+    },
+  );
+
+  function report(
+    world: scheduling.SchedulingWorld,
+    placed: scheduler.Placement,
+    usage: resources.Resources,
+    now: number,
+  ): void {
+    const {worker: target, task, size} = placed;
+    const label = target.held().get(task)?.label;
+    assert.ok(label !== undefined);
+    world.scheduler.observeReport(
+      {
+        worker: target.name,
+        workerClock: now,
+        capacity: target.capacity,
+        rack: target.rack,
+        leaving: false,
+        tasks: [{task, label, state: 'running', size, usage, leaseEnd: 1e9}],
+      },
+      now,
+    );
+  }
+});
--- /dev/null
+++ b/test/machines/fleet_test.ts
@@ -0,0 +1,112 @@
+import * as assert from 'node:assert/strict';
+import * as fastCheck from 'fast-check';
+import * as freeRoomIndex from '../../src/machines/free_room_index.js';
+import * as nodeTest from 'node:test';
+import * as randomSource from '../../src/machines/random_source.js';
+import * as resources from '../../src/machines/resources.js';
+import * as scheduling from '../support/scheduling.js';
+
+const SEED = 20_260_402;
+
+const LABEL = {
+  identity: 'a',
+  client: 'c',
+  team: 'dispatch',
+  workload: 'inspection',
+  idempotent: true,
+  worth: 1,
+};
+
+nodeTest.describe('search for room', () => {
+  nodeTest.test('finds only workers that have it, in either order', () => {
+    const sizes = fastCheck.record({
+      processors: fastCheck.integer({min: 0, max: 16_000}),
+      memory: fastCheck.integer({min: 0, max: 32_768}),
+      accelerators: fastCheck.integer({min: 0, max: 4}),
+      slots: fastCheck.integer({min: 0, max: 8}),
+    });
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(sizes, {minLength: 1, maxLength: 60}),
+        sizes,
+        fastCheck.constantFrom('tightest' as const, 'loosest' as const),
+        (held, wanted, order) => {
+          const world = new scheduling.SchedulingWorld();
+          const whole = scheduling.size(16_000, 32_768, 4, 8);
+          const workers = world.addWorkers(held.length, whole);
+          workers.forEach((target, index) => {
+            const task = `task-${index}`;
+            target.reserve({task, label: LABEL, size: held[index]});
+          });
+          world.workers.refresh(() => true);
+          const found = world.workers.sample(wanted, order, () => true);
+          assert.ok(found.length <= freeRoomIndex.SAMPLE_LIMIT);
+          for (const target of found) {
+            assert.ok(resources.fits(wanted, target.available));
+          }
+          const fitting = workers.filter(target =>
+            resources.fits(wanted, target.available),
+          );
+          // A sample that covers every worker must find each that fits.
+          if (workers.length <= 8) assert.equal(found.length, fitting.length);
+        },
+      ),
+      {seed: SEED, numRuns: 200},
+    );
+  });
+
+  nodeTest.test('tasks without accelerators leave accelerators free', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(4, scheduling.size(16_000, 32_768, 4, 8));
+    const [plain] = world.addWorkers(1);
+    world.workers.refresh(() => true);
+    const wanted = scheduling.size(1_000, 1_024);
+    const [first] = world.workers.sample(wanted, 'tightest', () => true);
+    assert.equal(first, plain);
+  });
+});
+
+nodeTest.describe('sums', () => {
+  nodeTest.test('follow every change of the workers', () => {
+    const random = new randomSource.SeededRandom(SEED);
+    const world = new scheduling.SchedulingWorld();
+    const workers = world.addWorkers(10);
+    for (let step = 0; step < 2_000; step += 1) {
+      const target = workers[random.below(10)];
+      const task = `task-${random.below(40)}`;
+      const amount = scheduling.size(random.below(4_000), random.below(9_000));
+      if (random.below(3) === 0) target.release(task);
+      else if (random.below(4) === 0) target.resize(task, amount);
+      else target.reserve({task, label: LABEL, size: amount});
+    }
+    let held = resources.NONE;
+    for (const target of workers) {
+      held = resources.add(
+        held,
+        resources.subtract(target.capacity, target.free),
+      );
+    }
+    assert.deepEqual(world.workers.heldSum, held);
+    assert.deepEqual(world.workers.heldByTeam('dispatch'), held);
+    for (const target of workers) world.workers.remove(target.name);
+    assert.deepEqual(world.workers.heldSum, resources.NONE);
+    assert.deepEqual(world.workers.capacity, resources.NONE);
+  });
+});
+
+nodeTest.describe('capacity invariant', () => {
+  nodeTest.test('a break is reported once with its evidence', () => {
+    const world = new scheduling.SchedulingWorld();
+    const [machine] = world.addWorkers(1);
+    const size = scheduling.size(12_000, 1_024);
+    assert.ok(machine.reserve({task: 'one', label: LABEL, size}));
+    assert.equal(machine.reserve({task: 'two', label: LABEL, size}), false);
+    assert.deepEqual(world.workers.takeViolations(), []);
+    machine.adopt({task: 'two', label: LABEL, size});
+    machine.adopt({task: 'three', label: LABEL, size});
+    const [violation, ...more] = world.workers.takeViolations();
+    assert.equal(violation.cause, 'adopt');
+    assert.equal(violation.dimension, 'processors');
+    assert.equal(more.length, 0);
+  });
+});
--- /dev/null
+++ b/test/machines/upstream_test.ts
@@ -0,0 +1,63 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as upstream from '../../src/machines/upstream.js';
+
+function callAll(
+  called: upstream.Upstream,
+  latencyMs: number,
+  now: number,
+): void {
+  const calls = called.limit;
+  for (let call = 0; call < calls; call += 1) called.sent();
+  for (let call = 0; call < calls; call += 1) called.answered(latencyMs, now);
+}
+
+nodeTest.describe('adaptive limit', () => {
+  nodeTest.test('grows to the connection limit while answers are good', () => {
+    const called = new upstream.Upstream();
+    for (let round = 0; round < 200; round += 1) callAll(called, 5, round);
+    assert.equal(called.limit, 60);
+  });
+
+  nodeTest.test('does not grow while it is not used', () => {
+    const called = new upstream.Upstream();
+    const before = called.limit;
+    for (let round = 0; round < 200; round += 1) {
+      called.sent();
+      called.answered(5, round);
+    }
+    assert.equal(called.limit, before);
+  });
+
+  nodeTest.test('shrinks once a second on lost answers, never to zero', () => {
+    const called = new upstream.Upstream();
+    const before = called.limit;
+    for (let call = 0; call < 10; call += 1) called.lost(0);
+    assert.equal(called.limit, Math.floor(before * 0.7));
+    for (let round = 1; round < 50; round += 1) called.lost(round * 1_000);
+    assert.equal(called.limit, 1);
+    assert.ok(called.isOpen);
+  });
+
+  nodeTest.test('slow answers shrink it before calls are lost', () => {
+    const called = new upstream.Upstream();
+    callAll(called, 10, 0);
+    const before = called.limit;
+    called.sent();
+    called.answered(500, 5_000);
+    assert.ok(called.limit < before);
+  });
+
+  nodeTest.test('losses in a row without any answer count as silence', () => {
+    const called = new upstream.Upstream();
+    called.lost(0);
+    called.lost(1);
+    called.sent();
+    called.answered(5, 2);
+    called.lost(3);
+    assert.equal(called.isSilent, false);
+    called.lost(4);
+    called.lost(5);
+    assert.equal(called.isSilent, true);
+  });
+});
