--- /dev/null
+++ b/bench/first_fit_baseline.ts
@@ -0,0 +1,85 @@
+import * as placementPolicy from '../src/contracts/placement_policy.js';
+import * as worker from '../src/machines/worker.js';
+import type * as clock from '../src/machines/clock.js';
+import type * as request from '../src/contracts/request.js';
+import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as schedulingSubject from './scheduling_subject.js';
+
+/**
+ * Plain baseline: first come, first served onto the first worker that fits,
+ * with declared sizes and one bounded queue for all teams.
+ */
+export class FirstFitBaseline implements schedulingSubject.SchedulingSubject {
+  readonly workers: ReadonlyArray<worker.Worker>;
+  private waiting: request.Request[] = [];
+  private first = 0;
+  private attempt = 0;
+
+  constructor(
+    options: schedulingSubject.SubjectOptions,
+    private readonly queueLimit: number,
+  ) {
+    const made: worker.Worker[] = [];
+    for (let index = 0; index < options.workerCount; index += 1) {
+      const name = `worker-${index}`;
+      const created = new worker.Worker({name, zone: '', address: name});
+      const {capacity} = options;
+      const known = {worker: name, workerClock: 0, capacity, rack: ''};
+      created.update({...known, leaving: false, tasks: []}, 0);
+      made.push(created);
+    }
+    this.workers = made;
+  }
+
+  admit(admitted: request.Request): boolean {
+    if (this.waiting.length - this.first >= this.queueLimit) return false;
+    this.waiting.push(admitted);
+    return true;
+  }
+
+  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement> {
+    const placements: scheduler.Placement[] = [];
+    while (this.first < this.waiting.length) {
+      const placed = this.placeOne(this.waiting[this.first], now);
+      if (placed === undefined) break;
+      placements.push(placed);
+      this.first += 1;
+    }
+    if (this.first > 1_000) {
+      this.waiting = this.waiting.slice(this.first);
+      this.first = 0;
+    }
+    return placements;
+  }
+
+  takeCheckpoints(): ReadonlyArray<string> {
+    return [];
+  }
+
+  started(): void {}
+
+  ended(placement: scheduler.Placement): void {
+    placement.worker.release(placement.task);
+  }
+
+  requeue(returned: request.Request): void {
+    this.waiting.push(returned);
+  }
+
+  report(): void {}
+
+  private placeOne(
+    waiting: request.Request,
+    _now: clock.Milliseconds,
+  ): scheduler.Placement | undefined {
+    this.attempt += 1;
+    const task = `${waiting.identity}/0.${this.attempt}`;
+    const label = placementPolicy.labelOf(waiting);
+    const {size} = waiting;
+    const target = this.workers.find(candidate =>
+      candidate.reserve({task, label, size}),
+    );
+    if (target === undefined) return undefined;
+    return {request: waiting, task, worker: target, size};
+  }
+}
--- /dev/null
+++ b/bench/scheduling_subject.ts
@@ -0,0 +1,123 @@
+import * as scheduling from '../test/support/scheduling.js';
+import type * as clock from '../src/machines/clock.js';
+import type * as request from '../src/contracts/request.js';
+import type * as resources from '../src/machines/resources.js';
+import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as team from '../src/contracts/team.js';
+import type * as worker from '../src/machines/worker.js';
+import type * as workload from '../src/contracts/workload.js';
+
+/** What a benchmark drives: the scheduler or the plain baseline. */
+export interface SchedulingSubject {
+  readonly workers: ReadonlyArray<worker.Worker>;
+  /** Returns false when the request is refused. */
+  admit(admitted: request.Request, now: clock.Milliseconds): boolean;
+  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement>;
+  /** Tasks that the last calls of `place` want checkpointed. */
+  takeCheckpoints(): ReadonlyArray<string>;
+  started(placement: scheduler.Placement, now: clock.Milliseconds): void;
+  ended(placement: scheduler.Placement, now: clock.Milliseconds): void;
+  /** Takes a checkpointed request back. */
+  requeue(returned: request.Request): void;
+  /** Passes on what the tasks of one worker use. */
+  report(
+    of: worker.Worker,
+    usageOf: (task: string) => resources.Resources,
+    now: clock.Milliseconds,
+  ): void;
+}
+
+/** The world in which a subject decides. */
+export interface SubjectOptions {
+  readonly seed: number;
+  readonly workerCount: number;
+  readonly capacity: resources.Resources;
+  readonly teams: ReadonlyArray<team.Team>;
+}
+
+/** The real scheduler. */
+export class SchedulerSubject implements SchedulingSubject {
+  readonly workers: ReadonlyArray<worker.Worker>;
+  private readonly world: scheduling.SchedulingWorld;
+
+  constructor(options: SubjectOptions) {
+    this.world = new scheduling.SchedulingWorld(options.seed);
+    for (const described of options.teams) this.world.addTeam(described);
+    this.world.setPlan({
+      zones: [],
+      workerShapes: [{capacity: options.capacity, zones: ['kigali-a']}],
+    });
+    this.workers = this.world.addWorkers(options.workerCount, options.capacity);
+  }
+
+  admit(admitted: request.Request, now: clock.Milliseconds): boolean {
+    return this.world.scheduler.admit(admitted, now).isRight();
+  }
+
+  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement> {
+    return this.world.scheduler.place(now);
+  }
+
+  takeCheckpoints(): ReadonlyArray<string> {
+    return this.world.scheduler
+      .takeInterventions()
+      .filter(item => item.kind !== 'throttle')
+      .map(item => item.task);
+  }
+
+  started(placement: scheduler.Placement, now: clock.Milliseconds): void {
+    this.world.scheduler.taskStarted(placement, now);
+  }
+
+  ended(placement: scheduler.Placement, now: clock.Milliseconds): void {
+    placement.worker.release(placement.task);
+    this.world.scheduler.taskEnded(placement, false, now);
+  }
+
+  requeue(returned: request.Request): void {
+    this.world.scheduler.requeue(returned);
+  }
+
+  report(
+    of: worker.Worker,
+    usageOf: (task: string) => resources.Resources,
+    now: clock.Milliseconds,
+  ): void {
+    const tasks = [...of.held().values()].map(held => ({
+      task: held.task,
+      label: held.label,
+      state: 'running' as const,
+      size: held.size,
+      usage: usageOf(held.task),
+      leaseEnd: Infinity,
+    }));
+    const {capacity, rack} = of;
+    const known = {worker: of.name, workerClock: now, capacity, rack};
+    this.world.scheduler.observeReport({...known, leaving: false, tasks}, now);
+  }
+}
+
+/** Builds numbered requests. */
+export class RequestSource {
+  private sequence = 0;
+
+  /** Returns a request of a team that arrives now. */
+  next(
+    teamName: string,
+    described: workload.Workload,
+    now: clock.Milliseconds,
+  ): request.Request {
+    this.sequence += 1;
+    return {
+      identity: `${teamName}_${this.sequence}`,
+      client: teamName,
+      team: teamName,
+      workload: described,
+      payload: '',
+      size: described.size,
+      taskCount: described.taskCount,
+      arrivedAt: now,
+      startBy: Infinity,
+    };
+  }
+}
--- a/src/contracts/fair_share.ts
+++ b/src/contracts/fair_share.ts
@@ -110,17 +110,19 @@
     const whole = resources.scale(size, candidate.taskCount);
     const byRight = this.isWithinQuota(candidate.team, whole);
     if (!byRight && !mayBorrow(candidate.workload)) return false;
-    const {kind, urgency} = candidate.workload;
-    if (kind !== 'batch' || urgency === 'urgent') return true;
+    if (candidate.workload.kind !== 'batch') return true;
     return !this.exceedsLending(candidate.team, whole);
   }
 
   /** Whether room for a team above its fair level would use up the reserve. */
   private exceedsLending(name: string, more: resources.Resources): boolean {
     const sum = resources.add(this.use.heldSum, more);
-    const used = resources.dominantFraction(sum, this.use.capacity);
-    if (used <= 1 - LENDING_RESERVE) return false;
-    if (this.levelWith(name, more) <= this.fairLevelValue) return false;
+    const unused = 1 - resources.dominantFraction(sum, this.use.capacity);
+    if (unused >= LENDING_RESERVE) return false;
+    // The reserve grows with the excess: a team a little above its fair level
+    // must not be held back like one that holds twice as much.
+    const excess = this.levelWith(name, more) / this.fairLevelValue - 1;
+    if (unused >= LENDING_RESERVE * Math.min(1, excess)) return false;
     for (const other of this.arrivals.keys()) {
       if (other === name) continue;
       if (this.level(other) < this.fairLevelValue) return true;
