Keep a reserve from long lent tasks that covers demand

Cause: a flood of 30 s tasks left other teams a p99 wait of 383 ms, 96 times the usual one, because lent room came back only as tasks ended.

Change: the reserve kept back from tasks longer than 5 s covers three deviations of the demand within fair levels, from 5% up to 20% of the fleet, and is refilled by checkpoints of the least valuable long lent tasks.

--- a/src/contracts/fair_share.ts
+++ b/src/contracts/fair_share.ts
@@ -1,3 +1,4 @@
+import * as lendingReserve from './lending_reserve.js';
 import * as resources from '../machines/resources.js';
 import type * as clock from '../machines/clock.js';
 import type * as request from './request.js';
@@ -22,12 +23,6 @@
 /** Time after its last request for which a team counts in the fair level. */
 const ACTIVITY_WINDOW_MS = 600_000;
 
-/**
- * Fraction of the fleet that is not lent while a team below its fair level
- * may claim it; without it, each start of such a team waits for an end.
- */
-const LENDING_RESERVE = 0.05;
-
 /**
  * Compares teams by dominant resource fairness: the team whose weighted
  * largest fraction of the fleet is smallest goes next.
@@ -35,6 +30,7 @@
 export class FairShare {
   private cellFraction = 1;
   private fairLevelValue = Infinity;
+  private readonly reserve = new lendingReserve.LendingReserve();
   private readonly arrivals = new Map<string, clock.Milliseconds>();
 
   constructor(
@@ -70,6 +66,7 @@
       else weights += this.weight(name);
     }
     this.fairLevelValue = weights > 0 ? 1 / weights : Infinity;
+    this.reserve.note(this.fairDemand(), now);
   }
 
   /** Weighted dominant fraction that a team holds. */
@@ -105,26 +102,67 @@
     return this.levelOf(name, held) > this.fairLevelValue;
   }
 
+  /**
+   * Fraction of the fleet that is missing from the reserve kept back from
+   * long tasks, with `returning` counted as free; 0 while nobody is owed it.
+   */
+  missingReserve(returning: resources.Resources): number {
+    const held = resources.subtract(this.use.heldSum, returning);
+    const unused = 1 - resources.dominantFraction(held, this.use.capacity);
+    const kept = this.reserve.fractionFor(lendingReserve.LONG_RUN_MS);
+    if (unused >= kept || !this.isOwed('')) return 0;
+    return kept - unused;
+  }
+
+  /** Fraction of the fleet that a quantity takes. */
+  fractionOf(size: resources.Resources): number {
+    return resources.dominantFraction(size, this.use.capacity);
+  }
+
   /** Whether a request may take room now, by right or as a loan. */
-  mayHold(candidate: request.Request, size: resources.Resources): boolean {
+  mayHold(
+    candidate: request.Request,
+    size: resources.Resources,
+    expectedRunMs: clock.Milliseconds,
+  ): boolean {
     const whole = resources.scale(size, candidate.taskCount);
     const byRight = this.isWithinQuota(candidate.team, whole);
     if (!byRight && !mayBorrow(candidate.workload)) return false;
     if (candidate.workload.kind !== 'batch') return true;
-    return !this.exceedsLending(candidate.team, whole);
+    const reserve = this.reserve.fractionFor(expectedRunMs);
+    return !this.exceedsLending(candidate.team, whole, reserve);
   }
 
   /** Whether room for a team above its fair level would use up the reserve. */
-  private exceedsLending(name: string, more: resources.Resources): boolean {
+  private exceedsLending(
+    name: string,
+    more: resources.Resources,
+    reserve: number,
+  ): boolean {
     const sum = resources.add(this.use.heldSum, more);
     const unused = 1 - resources.dominantFraction(sum, this.use.capacity);
-    if (unused >= LENDING_RESERVE) return false;
+    if (unused >= reserve) return false;
     // The reserve grows with the excess: a team a little above its fair level
     // must not be held back like one that holds twice as much.
     const excess = this.levelWith(name, more) / this.fairLevelValue - 1;
-    if (unused >= LENDING_RESERVE * Math.min(1, excess)) return false;
+    if (unused >= reserve * Math.min(1, excess)) return false;
+    return this.isOwed(name);
+  }
+
+  /** Fraction of the fleet that active teams hold within their fair level. */
+  private fairDemand(): number {
+    let demand = 0;
+    for (const name of this.arrivals.keys()) {
+      const level = Math.min(this.level(name), this.fairLevelValue);
+      demand += level * this.weight(name);
+    }
+    return demand;
+  }
+
+  /** Whether an active team besides `except` is below its fair level. */
+  private isOwed(except: string): boolean {
     for (const other of this.arrivals.keys()) {
-      if (other === name) continue;
+      if (other === except) continue;
       if (this.level(other) < this.fairLevelValue) return true;
     }
     return false;
--- a/src/contracts/loan_book.ts
+++ b/src/contracts/loan_book.ts
@@ -1,4 +1,5 @@
 import * as resources from '../machines/resources.js';
+import type * as clock from '../machines/clock.js';
 import type * as fairShare from './fair_share.js';
 import type * as placementPolicy from './placement_policy.js';
 import type * as worker from '../machines/worker.js';
@@ -13,6 +14,7 @@
   readonly worth: number;
   readonly size: resources.Resources;
   readonly worker: worker.Worker;
+  readonly expectedRunMs: clock.Milliseconds;
 }
 
 /** The tasks to checkpoint so that a request fits onto a worker. */
@@ -35,6 +37,7 @@
   private readonly byTeam = new Map<string, Map<number, Set<Loan>>>();
   private readonly leaving = new Map<string, resources.Resources>();
   private readonly called = new Set<Loan>();
+  private leavingSumValue = resources.NONE;
 
   constructor(private readonly shares: fairShare.FairShare) {}
 
@@ -62,6 +65,7 @@
     if (!this.called.delete(loan)) return;
     const left = resources.subtract(this.leavingOf(loan.team), loan.size);
     this.leaving.set(loan.team, left);
+    this.leavingSumValue = resources.subtract(this.leavingSumValue, loan.size);
   }
 
   /** Marks loans whose tasks are being checkpointed. */
@@ -70,9 +74,29 @@
       this.called.add(loan);
       const sum = resources.add(this.leavingOf(loan.team), loan.size);
       this.leaving.set(loan.team, sum);
+      this.leavingSumValue = resources.add(this.leavingSumValue, loan.size);
     }
   }
 
+  /** Room that tasks being checkpointed are about to give back. */
+  get leavingSum(): resources.Resources {
+    return this.leavingSumValue;
+  }
+
+  /**
+   * Returns the least valuable loans of teams that keep more than `level`
+   * without them, in order of their worth.
+   */
+  leastValuable(level: number): ReadonlyArray<Loan> {
+    const found: Loan[] = [];
+    for (const [team, worths] of this.byTeam) {
+      const after = this.shares.levelWith(team, this.lostBy(team));
+      if (after > level) found.push(...this.cheapestOf(worths));
+    }
+    found.sort((left, right) => left.worth - right.worth);
+    return found.slice(0, LOANS_EXAMINED);
+  }
+
   /** Chooses the least valuable tasks whose end makes room for one task. */
   choose(need: Need): ReclaimChoice | undefined {
     let best: ReclaimChoice | undefined;
@@ -134,11 +158,11 @@
     if (team === need.job.request.team) return false;
     const lost = this.leavingOf(team);
     if (!this.shares.lends(team, lost)) return false;
-    const level = this.shares.levelWith(
-      team,
-      resources.subtract(resources.NONE, lost),
-    );
-    return level > need.level;
+    return this.shares.levelWith(team, this.lostBy(team)) > need.level;
+  }
+
+  private lostBy(team: string): resources.Resources {
+    return resources.subtract(resources.NONE, this.leavingOf(team));
   }
 
   private leavingOf(team: string): resources.Resources {
--- a/src/contracts/reclaimer.ts
+++ b/src/contracts/reclaimer.ts
@@ -1,4 +1,5 @@
 import * as fairShare from './fair_share.js';
+import * as lendingReserve from './lending_reserve.js';
 import * as placementPolicy from './placement_policy.js';
 import * as loanBook from './loan_book.js';
 import * as resources from '../machines/resources.js';
@@ -27,11 +28,18 @@
     job: placementPolicy.PendingJob,
     task: string,
     target: worker.Worker,
+    expectedRunMs: clock.Milliseconds,
   ): void {
     const {team, workload} = job.request;
     if (!fairShare.mayBorrow(workload)) return;
-    const {worth} = workload;
-    this.loans.add({task, team, worth, size: job.size, worker: target});
+    this.loans.add({
+      task,
+      team,
+      worth: workload.worth,
+      size: job.size,
+      worker: target,
+      expectedRunMs,
+    });
   }
 
   /** Notes the end of a task. */
@@ -58,6 +66,24 @@
     return interventions;
   }
 
+  /**
+   * Chooses long tasks to checkpoint so that the lending reserve is whole
+   * again. Tasks that soon end by themselves refill it without that.
+   */
+  refillReserve(): ReadonlyArray<overloadRelief.Intervention> {
+    let missing = this.shares.missingReserve(this.loans.leavingSum);
+    if (missing <= 0) return [];
+    const chosen: loanBook.Loan[] = [];
+    for (const loan of this.loans.leastValuable(this.shares.fairLevel)) {
+      if (missing <= 0) break;
+      if (loan.expectedRunMs < lendingReserve.LONG_RUN_MS) continue;
+      chosen.push(loan);
+      missing -= this.shares.fractionOf(loan.size);
+    }
+    this.loans.call(chosen);
+    return chosen.map(checkpoint);
+  }
+
   private choose(
     job: placementPolicy.PendingJob,
   ): loanBook.ReclaimChoice | undefined {
--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -276,6 +276,7 @@
     this.pool.refresh(now);
     this.shares.refresh(now);
     this.earmarks.expire(now);
+    this.interventions.push(...this.reclaimer.refillReserve());
   }
 
   /** Changes whenever requests that found no room may find it now. */
@@ -297,7 +298,8 @@
     waiting: request.Request,
     turn: Turn,
   ): void {
-    if (!this.shares.mayHold(waiting, kept.size)) return;
+    const runMs = this.expectedRunMs(waiting);
+    if (!this.shares.mayHold(waiting, kept.size, runMs)) return;
     this.earmarks.drop(kept.identity);
     const job = this.jobOf(waiting, kept.size);
     const attempt = new placementPolicy.Attempt(job);
@@ -364,7 +366,8 @@
 
   private tryPlace(job: placementPolicy.PendingJob, turn: Turn): Outcome {
     const {request: waiting, size} = job;
-    if (!this.shares.mayHold(waiting, size)) return 'notEntitled';
+    const runMs = this.expectedRunMs(waiting);
+    if (!this.shares.mayHold(waiting, size, runMs)) return 'notEntitled';
     if (turn.failed.some(failed => resources.fits(failed, size))) {
       return 'noRoom';
     }
@@ -387,11 +390,12 @@
     const {request: placed, size} = job;
     this.queueOf(placed.team).take(placed, turn.now);
     this.earmarks.drop(placed.identity);
+    const runTimeMs = this.expectedRunMs(placed);
     decision.workers.forEach((target, index) => {
       const name = placementPolicy.taskName(job, index);
       turn.placements.push({request: placed, task: name, worker: target, size});
       this.pool.placed(target, name, turn.now);
-      this.reclaimer.placed(job, name, target);
+      this.reclaimer.placed(job, name, target, runTimeMs);
     });
     return true;
   }
@@ -436,6 +440,11 @@
     return fits ? learned : waiting.size;
   }
 
+  private expectedRunMs(waiting: request.Request): clock.Milliseconds {
+    const {name, runTimeMs} = waiting.workload;
+    return this.estimator.runTimeMs(waiting.team, name) ?? runTimeMs;
+  }
+
   private isService(label: task.TaskLabel): boolean {
     const described = this.teamOf(label.team)?.workloads.find(
       item => item.name === label.workload,
