--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -62,9 +62,7 @@
     placement.worker.release(placement.task);
   }
 
-  requeue(returned: request.Request): void {
-    this.waiting.push(returned);
-  }
+  checkpointed(): void {}
 
   report(): void {}
 
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -169,8 +169,7 @@
       if (isFlood && now >= WARM_UP_MS) this.floodEnds += 1;
     }
     for (const {placement} of this.checkpoints.takeEnded(now)) {
-      this.subject.ended(placement, now);
-      this.subject.requeue(placement.request);
+      this.subject.checkpointed(placement, now);
     }
   }
 
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -141,8 +141,7 @@
       const stopped = this.clock.stop(task);
       if (stopped === undefined) continue;
       this.usage.delete(task);
-      this.subject.ended(stopped.placement, now);
-      this.subject.requeue(stopped.placement.request);
+      this.subject.checkpointed(stopped.placement, now);
       this.waiting += 1;
     }
   }
--- a/bench/scheduling_subject.ts
+++ b/bench/scheduling_subject.ts
@@ -17,8 +17,8 @@
   takeCheckpoints(): ReadonlyArray<string>;
   started(placement: scheduler.Placement, now: clock.Milliseconds): void;
   ended(placement: scheduler.Placement, now: clock.Milliseconds): void;
-  /** Takes a checkpointed request back. */
-  requeue(returned: request.Request): void;
+  /** Takes back the request of a task that was checkpointed. */
+  checkpointed(placement: scheduler.Placement, now: clock.Milliseconds): void;
   /** Passes on what the tasks of one worker use. */
   report(
     of: worker.Worker,
@@ -66,16 +66,16 @@
   }
 
   started(placement: scheduler.Placement, now: clock.Milliseconds): void {
-    this.world.scheduler.taskStarted(placement, now);
+    this.world.start(placement, now);
   }
 
   ended(placement: scheduler.Placement, now: clock.Milliseconds): void {
-    placement.worker.release(placement.task);
-    this.world.scheduler.taskEnded(placement, false, now);
+    this.world.end(placement, false, now);
   }
 
-  requeue(returned: request.Request): void {
-    this.world.scheduler.requeue(returned);
+  checkpointed(placement: scheduler.Placement, now: clock.Milliseconds): void {
+    this.world.checkpoint(placement, now);
+    this.world.scheduler.requeue(placement.request);
   }
 
   report(
--- a/src/contracts/earmark.ts
+++ b/src/contracts/earmark.ts
@@ -107,15 +107,6 @@
     }
   }
 
-  /** When an earmark expires next. */
-  nextDeadline(): clock.Milliseconds {
-    let due = Infinity;
-    for (const earmark of this.earmarks.values()) {
-      due = Math.min(due, earmark.until);
-    }
-    return due;
-  }
-
   /**
    * Works on a plan for a request that found no room. The oldest such request
    * is planned for; the plan is put in force once it covers all tasks.
--- a/src/contracts/queue.ts
+++ b/src/contracts/queue.ts
@@ -121,14 +121,22 @@
   push(added: request.Request, now: clock.Milliseconds): void {
     // An empty queue has no gaps to learn from.
     if (this.size === 0) this.lastStart = now;
+    this.remove(added.identity);
     const lane = this.laneOf(added.workload);
     this.note(added, {lane, entry: lane.push(added)});
   }
 
-  /** Puts a request back before the others of its workload. */
+  /**
+   * Puts a request back before the others of its workload. Tasks of a request
+   * that come back one by one wait as one request.
+   */
   putBack(returned: request.Request): void {
-    const lane = this.laneOf(returned.workload);
-    this.note(returned, {lane, entry: lane.putBack(returned)});
+    const waiting = this.get(returned.identity);
+    this.remove(returned.identity);
+    const taskCount = returned.taskCount + (waiting?.taskCount ?? 0);
+    const whole = waiting === undefined ? returned : {...returned, taskCount};
+    const lane = this.laneOf(whole.workload);
+    this.note(whole, {lane, entry: lane.putBack(whole)});
   }
 
   /** Returns a request that waits here. */
--- a/src/contracts/reclaimer.ts
+++ b/src/contracts/reclaimer.ts
@@ -6,6 +6,7 @@
 import type * as clock from '../machines/clock.js';
 import type * as earmark from './earmark.js';
 import type * as overloadRelief from './overload_relief.js';
+import type * as workload from './workload.js';
 import type * as worker from '../machines/worker.js';
 
 /** Time that checkpoints have to free the room they were made for. */
@@ -23,23 +24,13 @@
     this.loans = new loanBook.LoanBook(shares);
   }
 
-  /** Notes a placed task; its room can be taken back if it may be lent. */
-  placed(
-    job: placementPolicy.PendingJob,
-    task: string,
-    target: worker.Worker,
-    expectedRunMs: clock.Milliseconds,
+  /** Notes a task that has its room, which can be taken back if it is lent. */
+  started(
+    loan: Omit<loanBook.Loan, 'worth'>,
+    described: workload.Workload,
   ): void {
-    const {team, workload} = job.request;
-    if (!fairShare.mayBorrow(workload)) return;
-    this.loans.add({
-      task,
-      team,
-      worth: workload.worth,
-      size: job.size,
-      worker: target,
-      expectedRunMs,
-    });
+    if (!fairShare.mayBorrow(described)) return;
+    this.loans.add({...loan, worth: described.worth});
   }
 
   /** Notes the end of a task. */
--- a/src/contracts/retry_budget.ts
+++ b/src/contracts/retry_budget.ts
@@ -21,7 +21,7 @@
   }
 
   /** Pays for one retry; returns false when the budget is spent. */
-  spend(now: clock.Milliseconds): boolean {
+  take(now: clock.Milliseconds): boolean {
     const elapsed = Math.max(0, now - this.grantedAt) / 1_000;
     this.grantedAt = now;
     this.granted = Math.min(
--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -19,6 +19,7 @@
 import type * as request from './request.js';
 import type * as task from './task.js';
 import type * as team from './team.js';
+import type * as trackedTask from '../machines/tracked_task.js';
 import type * as worker from '../machines/worker.js';
 import type * as workload from './workload.js';
 
@@ -108,7 +109,7 @@
     this.earmarks = new earmark.EarmarkKeeper({
       all: () => workers.all(),
       mayPlace: candidate => this.pool.mayPlace(candidate),
-      isLasting: label => this.isService(label),
+      isLasting: label => this.workloadOf(label)?.kind === 'service',
     });
     this.reclaimer = new reclaimer.Reclaimer(
       this.shares,
@@ -157,6 +158,20 @@
     return false;
   }
 
+  /** Says why a waiting request waits. */
+  explain(waiting: request.Request): string {
+    const size = this.sizeOf(waiting);
+    const runMs = this.expectedRunMs(waiting);
+    if (this.earmarks.has(waiting.identity)) {
+      return 'room is kept for it and becomes free as other tasks end';
+    }
+    if (!this.shares.mayHold(waiting, size, runMs)) {
+      return `team ${waiting.team} holds its quota or all that may be lent`;
+    }
+    const queued = this.queueOf(waiting.team).size;
+    return `${queued} requests of team ${waiting.team} wait for room`;
+  }
+
   /** Requests that wait. */
   waitingCount(): number {
     let waiting = 0;
@@ -176,11 +191,10 @@
 
   /** When `place` or `takeExpired` is wanted next without other events. */
   nextDeadline(): clock.Milliseconds {
-    let due = Math.min(
-      this.pool.nextDeadline(),
-      this.earmarks.nextDeadline(),
-      this.waitingCount() > 0 ? this.nextRetry : Infinity,
-    );
+    const waits = this.waitingCount() > 0;
+    const readmission = this.pool.nextDeadline();
+    // Workers are readmitted only when the retry interval has passed.
+    let due = Math.max(this.nextRetry, waits ? 0 : readmission);
     for (const queued of this.queues.values()) {
       due = Math.min(due, queued.nextDeadline());
     }
@@ -225,30 +239,26 @@
     return this.workers.takeViolations();
   }
 
-  /** Notes that a worker acknowledged a start. */
-  taskStarted(started: Placement, now: clock.Milliseconds): void {
-    this.pool.started(started.worker, started.task, now);
-  }
-
-  /** Notes a start that is proved not to have taken place. */
-  taskNotRun(placement: Placement, now: clock.Milliseconds): void {
-    this.reclaimer.ended(placement.task);
-    this.estimator.forget(placement.task);
-    this.pool.notRun(placement.worker, placement.task, now);
-  }
-
-  /** Notes the end of a task; returns true when it suspended its worker. */
-  taskEnded(
-    ended: Placement,
-    failed: boolean,
-    now: clock.Milliseconds,
-  ): boolean {
-    this.reclaimer.ended(ended.task);
-    const label = placementPolicy.labelOf(ended.request);
-    const ranMs = this.pool.ranMs(ended.task, now);
-    if (failed) this.estimator.forget(ended.task);
-    else this.estimator.ended(ended.task, label, ranMs);
-    return this.pool.ended(ended.worker, ended.task, label, failed, now);
+  /** Learns what became of a task. */
+  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
+    const {task: name, label} = outcome.of;
+    switch (outcome.kind) {
+      case 'started':
+        this.pool.started(name, now);
+        return;
+      case 'adopted':
+        this.adopted(outcome.of);
+        return;
+      case 'unknown':
+        return;
+      case 'notRun':
+        this.reclaimer.ended(name);
+        this.estimator.forget(name);
+        this.pool.notRun(name, outcome.sent, now);
+        return;
+      case 'ended':
+        this.ended(name, label, outcome.end, now);
+    }
   }
 
   /**
@@ -268,6 +278,35 @@
     this.interventions.push(...this.relief.relieve(target, now));
   }
 
+  private adopted(of: trackedTask.TaskReference): void {
+    const target = this.workers.get(of.worker);
+    const held = target?.held().get(of.task);
+    const described = this.workloadOf(of.label);
+    if (target === undefined || held === undefined) return;
+    if (described === undefined) return;
+    const {team: name} = of.label;
+    const expectedRunMs =
+      this.estimator.runTimeMs(name, described.name) ?? described.runTimeMs;
+    const {task: taskName, size} = held;
+    const loan = {task: taskName, team: name, size, worker: target};
+    this.reclaimer.started({...loan, expectedRunMs}, described);
+  }
+
+  private ended(
+    name: string,
+    label: task.TaskLabel,
+    end: trackedTask.TaskEnd,
+    now: clock.Milliseconds,
+  ): void {
+    const ranMs = this.pool.ranMs(name, now);
+    this.reclaimer.ended(name);
+    if (end === 'finished') this.estimator.ended(name, label, ranMs);
+    else this.estimator.forget(name);
+    const byItself = end === 'finished' || end === 'failed';
+    if (byItself) this.pool.ended(name, end === 'failed', now);
+    else this.pool.notRun(name, false, now);
+  }
+
   private refresh(now: clock.Milliseconds): void {
     const isDue = now >= this.nextRetry;
     if (!isDue && !this.workers.unseen) return;
@@ -390,12 +429,14 @@
     const {request: placed, size} = job;
     this.queueOf(placed.team).take(placed, turn.now);
     this.earmarks.drop(placed.identity);
-    const runTimeMs = this.expectedRunMs(placed);
+    const expectedRunMs = this.expectedRunMs(placed);
+    const label = placementPolicy.labelOf(placed);
     decision.workers.forEach((target, index) => {
       const name = placementPolicy.taskName(job, index);
       turn.placements.push({request: placed, task: name, worker: target, size});
-      this.pool.placed(target, name, turn.now);
-      this.reclaimer.placed(job, name, target, runTimeMs);
+      this.pool.placed(target, name, label, turn.now);
+      const loan = {task: name, team: placed.team, size, worker: target};
+      this.reclaimer.started({...loan, expectedRunMs}, placed.workload);
     });
     return true;
   }
@@ -445,11 +486,10 @@
     return this.estimator.runTimeMs(waiting.team, name) ?? runTimeMs;
   }
 
-  private isService(label: task.TaskLabel): boolean {
-    const described = this.teamOf(label.team)?.workloads.find(
+  private workloadOf(label: task.TaskLabel): workload.Workload | undefined {
+    return this.teamOf(label.team)?.workloads.find(
       item => item.name === label.workload,
     );
-    return described?.kind === 'service';
   }
 
   private teamOf(name: string): team.Team | undefined {
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -1,7 +1,25 @@
 import * as effects from './effect.js';
+import type * as clock from '../machines/clock.js';
+import type * as event from './event.js';
 import type * as overloadRelief from './overload_relief.js';
+import type * as scheduler from './scheduler.js';
 import type * as worker from '../machines/worker.js';
 
+/** Lets the scheduler see a report and carries out what it asks of tasks. */
+export function afterEvent(
+  asking: scheduler.Scheduler,
+  handled: event.Event,
+  now: clock.Milliseconds,
+): ReadonlyArray<effects.Effect> {
+  if (handled.kind === 'reportArrived') {
+    asking.observeReport(handled.report, now);
+  }
+  return [
+    ...interventionEffects(asking.takeInterventions()),
+    ...violationEffects(asking.takeViolations()),
+  ];
+}
+
 /** Builds the effects that carry out what the scheduler asks of tasks. */
 export function interventionEffects(
   interventions: ReadonlyArray<overloadRelief.Intervention>,
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -9,7 +9,9 @@
 import type * as task from './task.js';
 import type * as worker from '../machines/worker.js';
 
-interface TaskTimes {
+interface PlacedTask {
+  readonly worker: worker.Worker;
+  readonly label: task.TaskLabel;
   readonly placedAt: clock.Milliseconds;
   readonly startedAt: clock.Milliseconds;
   /** Whether the start has been answered. */
@@ -23,7 +25,9 @@
 export class WorkerPool {
   private readonly health = new workerHealth.WorkerHealth();
   private readonly upstreams = new Map<string, upstream.Upstream>();
-  private readonly tasks = new Map<string, TaskTimes>();
+  private readonly tasks = new Map<string, PlacedTask>();
+  /** Placed tasks whose start has not been answered. */
+  private readonly unanswered = new Set<string>();
   private now: clock.Milliseconds = 0;
 
   constructor(
@@ -38,6 +42,7 @@
 
   /** Brings the choice of workers up to date. */
   refresh(now: clock.Milliseconds): void {
+    this.dropAbandoned(now);
     this.health.readmit(now);
     this.workers.refresh(candidate =>
       this.permission.mayPlace(candidate.name, now),
@@ -72,25 +77,41 @@
     };
   }
 
-  /** Notes a start that is sent now. */
-  placed(on: worker.Worker, name: string, now: clock.Milliseconds): void {
-    this.tasks.set(name, {placedAt: now, startedAt: now, answered: false});
+  /** Notes a placed task. */
+  placed(
+    on: worker.Worker,
+    name: string,
+    label: task.TaskLabel,
+    now: clock.Milliseconds,
+  ): void {
+    const times = {placedAt: now, startedAt: now, answered: false};
+    this.tasks.set(name, {worker: on, label, ...times});
+    this.unanswered.add(name);
     this.upstreamOf(on).sent();
     this.health.placed(on);
   }
 
-  /** Notes an acknowledged start. */
-  started(on: worker.Worker, name: string, now: clock.Milliseconds): void {
-    const times = this.tasks.get(name);
-    if (times === undefined || times.answered) return;
-    this.tasks.set(name, {...times, startedAt: now, answered: true});
-    this.upstreamOf(on).answered(now - times.placedAt, now);
+  /** Notes an acknowledged start; does nothing when the task is unknown. */
+  started(name: string, now: clock.Milliseconds): void {
+    const known = this.tasks.get(name);
+    if (known === undefined || known.answered) return;
+    this.tasks.set(name, {...known, startedAt: now, answered: true});
+    this.unanswered.delete(name);
+    const called = this.upstreamOf(known.worker);
+    // A start that was recorded first says nothing about the worker's speed.
+    if (known.label.idempotent) called.answered(now - known.placedAt, now);
+    else called.finished();
   }
 
-  /** Notes a start that did not take place. */
-  notRun(on: worker.Worker, name: string, now: clock.Milliseconds): void {
-    if (this.tasks.delete(name)) this.upstreamOf(on).lost(now);
-    this.health.notRun(on);
+  /** Notes a task that did not run; `sent` when its start was lost. */
+  notRun(name: string, sent: boolean, now: clock.Milliseconds): void {
+    const known = this.forget(name);
+    if (known === undefined) return;
+    if (!known.answered) {
+      if (sent) this.upstreamOf(known.worker).lost(now);
+      else this.upstreamOf(known.worker).finished();
+    }
+    this.health.notRun(known.worker);
   }
 
   /** Time since a task started. */
@@ -98,21 +119,32 @@
     return now - (this.tasks.get(name)?.startedAt ?? now);
   }
 
-  /** Notes the end of a task; returns true when it suspended the worker. */
-  ended(
-    on: worker.Worker,
-    name: string,
-    label: task.TaskLabel,
-    failed: boolean,
-    now: clock.Milliseconds,
-  ): boolean {
+  /** Notes a task that finished or failed by itself. */
+  ended(name: string, failed: boolean, now: clock.Milliseconds): void {
     const ranMs = this.ranMs(name, now);
-    const workload = `${label.team}/${label.workload}`;
-    const times = this.tasks.get(name);
-    this.tasks.delete(name);
+    const known = this.forget(name);
+    if (known === undefined) return;
     // The end also answers a start whose own answer was lost.
-    if (times?.answered === false) this.upstreamOf(on).lost(now);
-    return this.health.ended({worker: on, workload, failed, ranMs}, now);
+    if (!known.answered) this.upstreamOf(known.worker).lost(now);
+    const workload = `${known.label.team}/${known.label.workload}`;
+    const end = {worker: known.worker, workload, failed, ranMs};
+    this.health.ended(end, now);
+  }
+
+  private forget(name: string): PlacedTask | undefined {
+    const known = this.tasks.get(name);
+    this.tasks.delete(name);
+    this.unanswered.delete(name);
+    return known;
+  }
+
+  /** Drops tasks that were given up before their start was sent. */
+  private dropAbandoned(now: clock.Milliseconds): void {
+    for (const name of this.unanswered) {
+      const known = this.tasks.get(name);
+      if (known?.worker.held().has(name) === true) continue;
+      this.notRun(name, false, now);
+    }
   }
 
   private sample(
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -72,7 +72,8 @@
   remove(name: string): void {
     const removed = this.workers.get(name);
     if (removed === undefined) return;
-    for (const held of [...removed.held().keys()]) removed.release(held);
+    // The worker keeps its reservations, as it may return with its tasks.
+    for (const held of removed.held().values()) this.released(removed, held);
     this.workers.delete(name);
     this.list = undefined;
     this.parked.delete(removed);
@@ -95,7 +96,7 @@
     return this.index.sample(size, order, filter);
   }
 
-  /** Whether workers were added since the last `refresh`. */
+  /** Whether parked workers were added or changed since `refresh`. */
   get unseen(): boolean {
     return this.unseenValue;
   }
@@ -154,10 +155,12 @@
     }
     this.count(changed, changed.capacity);
     if (!this.parked.has(changed)) this.index.put(changed);
+    else if (grew) this.unseenValue = true;
     if (grew) this.roomVersionValue += 1;
   }
 
   held(holder: worker.Worker, held: worker.Reservation): void {
+    if (this.workers.get(holder.name) !== holder) return;
     const before = this.heldByTeam(held.label.team);
     this.teams.set(held.label.team, resources.add(before, held.size));
     this.heldSumValue = resources.add(this.heldSumValue, held.size);
@@ -165,6 +168,7 @@
   }
 
   released(holder: worker.Worker, held: worker.Reservation): void {
+    if (this.workers.get(holder.name) !== holder) return;
     const {team} = held.label;
     const left = resources.subtract(this.heldByTeam(team), held.size);
     if (resources.equal(left, resources.NONE)) this.teams.delete(team);
--- a/src/machines/upstream.ts
+++ b/src/machines/upstream.ts
@@ -61,7 +61,7 @@
   /** Notes an answer. */
   answered(latencyMs: clock.Milliseconds, now: clock.Milliseconds): void {
     const wasUsed = this.inFlight * 2 >= this.limit;
-    this.finish();
+    this.finished();
     this.losses = 0;
     const isSlow =
       this.usualMs > 0 &&
@@ -72,17 +72,18 @@
     else if (wasUsed) this.grow();
   }
 
+  /** Notes the end of a call that tells nothing about the upstream. */
+  finished(): void {
+    this.inFlight = Math.max(0, this.inFlight - 1);
+  }
+
   /** Notes a call whose answer did not come. */
   lost(now: clock.Milliseconds): void {
-    this.finish();
+    this.finished();
     this.losses += 1;
     this.backOff(now);
   }
 
-  private finish(): void {
-    this.inFlight = Math.max(0, this.inFlight - 1);
-  }
-
   private grow(): void {
     const grown = this.limitValue + 1 / this.limitValue;
     this.limitValue = Math.min(CONNECTION_LIMIT, grown);
--- a/src/result.ts
+++ b/src/result.ts
@@ -124,6 +124,14 @@
     'afterCorrection',
     'The client does not belong to the team.',
   ),
+  malformedCall: row(
+    1020,
+    'malformedCall',
+    400,
+    'notRun',
+    'afterCorrection',
+    'What was sent is not an HTTP/1.1 request.',
+  ),
   neverFits: row(
     2001,
     'neverFits',
@@ -180,6 +188,14 @@
     'later',
     'The start failed and the retry budget is spent.',
   ),
+  tooManyCalls: row(
+    2008,
+    'tooManyCalls',
+    503,
+    'notRun',
+    'later',
+    'This process has as many open calls as it may have.',
+  ),
   noConfiguration: row(
     3001,
     'noConfiguration',
@@ -212,6 +228,14 @@
     'later',
     'This process is shutting down; ask another.',
   ),
+  homeGone: row(
+    3005,
+    'homeGone',
+    503,
+    'notRun',
+    'later',
+    'The home of the identity is gone and did not run it; use a new identity.',
+  ),
   unknownOutcome: row(
     4001,
     'unknownOutcome',
@@ -300,3 +324,11 @@
 export function failure(result: ResultName, detail: string): Failure {
   return {result, detail};
 }
+
+/** Returns the row of a code that another process sent. */
+export function byCode(
+  code: number,
+): (ResultCode & {readonly name: ResultName}) | undefined {
+  return Object.values(RESULT_CODES).find(known => known.code === code) as
+    (ResultCode & {readonly name: ResultName}) | undefined;
+}
--- a/test/contracts/retry_budget_test.ts
+++ b/test/contracts/retry_budget_test.ts
@@ -4,7 +4,7 @@
 
 function spendAll(budget: retryBudget.RetryBudget, now: number): number {
   let spent = 0;
-  while (budget.spend(now)) spent += 1;
+  while (budget.take(now)) spent += 1;
   return spent;
 }
 
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -1,4 +1,5 @@
 import * as fleet from '../../src/machines/fleet.js';
+import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as scheduler from '../../src/contracts/scheduler.js';
 import type * as clock from '../../src/machines/clock.js';
@@ -6,6 +7,7 @@
 import type * as request from '../../src/contracts/request.js';
 import type * as resources from '../../src/machines/resources.js';
 import type * as team from '../../src/contracts/team.js';
+import type * as trackedTask from '../../src/machines/tracked_task.js';
 import type * as worker from '../../src/machines/worker.js';
 import type * as workload from '../../src/contracts/workload.js';
 
@@ -155,14 +157,45 @@
     return admitted;
   }
 
+  /** Notes that a start was acknowledged. */
+  start(started: scheduler.Placement, now: clock.Milliseconds): void {
+    this.scheduler.observe({kind: 'started', of: referenceOf(started)}, now);
+  }
+
   /** Ends a task as its worker would. */
-  end(ended: scheduler.Placement, failed: boolean, now: number): void {
-    this.scheduler.taskStarted(ended, now);
+  end(
+    ended: scheduler.Placement,
+    failed: boolean,
+    now: clock.Milliseconds,
+  ): void {
+    this.finish(ended, failed ? 'failed' : 'finished', now);
+  }
+
+  /** Ends a task because it was asked to make a checkpoint. */
+  checkpoint(ended: scheduler.Placement, now: clock.Milliseconds): void {
+    this.finish(ended, 'checkpointed', now);
+  }
+
+  private finish(
+    ended: scheduler.Placement,
+    end: trackedTask.TaskEnd,
+    now: clock.Milliseconds,
+  ): void {
+    this.start(ended, now);
     ended.worker.release(ended.task);
-    this.scheduler.taskEnded(ended, failed, now);
+    const of = referenceOf(ended);
+    this.scheduler.observe({kind: 'ended', of, end, answer: ''}, now);
   }
 
   private configuration(): configuration.Configuration {
     return {fleet: this.plan, teams: this.teams, versions: new Map()};
   }
 }
+
+function referenceOf(
+  placement: scheduler.Placement,
+): trackedTask.TaskReference {
+  const {task, worker: target} = placement;
+  const label = placementPolicy.labelOf(placement.request);
+  return {task, label, worker: target.name};
+}
