--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -168,8 +168,7 @@
     if (!this.shares.mayHold(waiting, size, runMs)) {
       return `team ${waiting.team} holds its quota or all that may be lent`;
     }
-    const queued = this.queueOf(waiting.team).size;
-    return `${queued} requests of team ${waiting.team} wait for room`;
+    return `${this.waitingCount()} requests wait for room`;
   }
 
   /** Requests that wait. */
--- a/src/contracts/service_keeper.ts
+++ b/src/contracts/service_keeper.ts
@@ -27,6 +27,8 @@
       readonly kind: 'request';
       readonly replica: Replica;
       readonly submission: request.Submission;
+      /** Tasks of the request: one replica, not the whole service. */
+      readonly taskCount: 1;
     }
   | {
       /** Stop a replica that was replaced or is no longer configured. */
@@ -90,7 +92,7 @@
       if (!needsStart(state, now)) continue;
       const {team: name, workload: described} = replica;
       const submission = {team: name, workload: described, payload: ''};
-      actions.push({kind: 'request', replica, submission});
+      actions.push({kind: 'request', replica, submission, taskCount: 1});
     }
     return actions;
   }
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -47,9 +47,7 @@
     this.workers.refresh(candidate =>
       this.permission.mayPlace(candidate.name, now),
     );
-    for (const name of this.upstreams.keys()) {
-      if (this.workers.get(name) === undefined) this.upstreams.delete(name);
-    }
+    if (this.upstreams.size > this.workers.all().length) this.dropUpstreams();
   }
 
   /** When a suspended worker may be probed next. */
@@ -138,6 +136,13 @@
     return known;
   }
 
+  /** Drops what is known of workers that left the fleet. */
+  private dropUpstreams(): void {
+    for (const name of this.upstreams.keys()) {
+      if (this.workers.get(name) === undefined) this.upstreams.delete(name);
+    }
+  }
+
   /** Drops tasks that were given up before their start was sent. */
   private dropAbandoned(now: clock.Milliseconds): void {
     for (const name of this.unanswered) {
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -6,6 +6,9 @@
 /** Seed of the sampling when the process gives no random source. */
 const DEFAULT_SEED = 1;
 
+/** Workers that one periodic refresh looks at; bounds the cost of a turn. */
+const REFRESH_STEP = 512;
+
 /** Violations kept until somebody takes them. */
 const VIOLATION_LIMIT = 1_000;
 
@@ -27,6 +30,7 @@
   private violations: worker.CapacityViolation[] = [];
   private roomVersionValue = 0;
   private unseenValue = false;
+  private refreshed = -1;
 
   constructor(
     random: randomSource.RandomSource = new randomSource.SeededRandom(
@@ -107,10 +111,17 @@
     this.index.remove(parked);
   }
 
-  /** Limits the samples to the workers that `admits` accepts. */
+  /**
+   * Limits the samples to the workers that `admits` accepts. Each call looks
+   * at a part of a large fleet, unless workers were added or changed.
+   */
   refresh(admits: freeRoomIndex.CandidateFilter): void {
+    const workers = this.all();
+    const count = this.unseenValue ? workers.length : REFRESH_STEP;
     this.unseenValue = false;
-    for (const candidate of this.all()) {
+    for (let step = 0; step < Math.min(count, workers.length); step += 1) {
+      this.refreshed = (this.refreshed + 1) % workers.length;
+      const candidate = workers[this.refreshed];
       const parked = this.parked.has(candidate);
       if (admits(candidate) !== parked) continue;
       if (!parked) {
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -37,7 +37,8 @@
     const request = samples.buildRequest('id', change);
     const label = samples.buildTaskReport(name, 'id').label;
     this.worker.reserve({task: name, label, size: request.size});
-    this.runner.hold({request, task: name, worker: this.worker});
+    const {size} = request;
+    this.runner.hold({request, task: name, worker: this.worker, size});
     return this.runner.start(name, Infinity, this.now);
   }
 
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -77,8 +77,7 @@
     const runner = new taskRunner.TaskRunner(workers, permits);
     const documents = {current: () => DOCUMENTS};
     const queue = new schedulerQueue.SchedulerQueue(
-      new scheduler.Scheduler(workers, runner),
-      documents,
+      new scheduler.Scheduler(workers, runner, documents),
     );
     this.desk = new requestDesk.RequestDesk({
       self,
