--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -2,7 +2,9 @@
 import * as fleet from './fleet.js';
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
+import * as retryBudget from '../contracts/retry_budget.js';
 import * as scheduler from '../contracts/scheduler.js';
+import * as schedulerEffects from '../contracts/scheduler_effects.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
 import * as zoneControl from '../zones/zone_control.js';
@@ -45,6 +47,7 @@
   private readonly zone: zoneControl.ZoneControl;
   private readonly documents: configurationKeeper.ConfigurationKeeper;
   private readonly directory: zoneDirectory.ZoneDirectory;
+  private readonly scheduler: scheduler.Scheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
   /** When the workers are handed over at the latest. */
@@ -65,10 +68,12 @@
     });
     this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
-    this.queue = new schedulerQueue.SchedulerQueue(
-      new scheduler.Scheduler(this.workers, runner),
+    this.scheduler = new scheduler.Scheduler(
+      this.workers,
+      runner,
       this.documents,
     );
+    this.queue = new schedulerQueue.SchedulerQueue(this.scheduler);
     this.desk = new requestDesk.RequestDesk({
       self: self.process,
       random,
@@ -79,8 +84,8 @@
       workers: {
         address: name => this.workers.get(name)?.description.address,
       },
-      retries: {take: () => true, succeeded: () => {}},
       isSuperseded: () => this.zone.isSuperseded(),
+      retries: new retryBudget.RetryBudget(),
     });
   }
 
@@ -99,6 +104,7 @@
       ...this.desk.handle(handled, now),
       ...this.handOver(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
+      ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
     return this.zone.guard(done);
   }
@@ -110,6 +116,7 @@
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
       this.handsOver ? Infinity : this.handOverBy,
+      this.scheduler.nextDeadline(),
     );
   }
 
