Show the last reply of requests that a randomised run leaves open

Cause: a count of open requests does not say why they are open. Change: the soak prints the first open request with its last reply.

--- a/bench/fakes/client.ts
+++ b/bench/fakes/client.ts
@@ -13,6 +13,8 @@
   identity: string;
   ended: boolean;
   code: number;
+  /** What the last reply said beside its code. */
+  detail: string;
 }
 
 /** What a client needs of its surroundings. */
@@ -53,6 +55,7 @@
       identity: '',
       ended: false,
       code: -1,
+      detail: 'no reply',
     };
     this.requests.push(request);
     this.reserve(team, request);
@@ -106,6 +109,7 @@
       return;
     }
     this.surroundings.checker.told(request, reply.code, reply.answer ?? '');
+    request.detail = `${reply.code} ${reply.state ?? ''} ${reply.detail ?? ''}`;
     const row = Object.values(result.RESULT_CODES).find(
       known => known.code === reply.code,
     );
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -45,6 +45,8 @@
   readonly injected: ReadonlyMap<Fault, number>;
   readonly codes: ReadonlyMap<number, number>;
   readonly unfinished: number;
+  /** Last replies of the requests that did not end. */
+  readonly pending: ReadonlyArray<string>;
   /** Broken invariants that the program itself reported. */
   readonly reported: ReadonlyArray<string>;
   readonly trace: ReadonlyArray<string>;
@@ -395,6 +397,9 @@
       injected: this.injected,
       codes,
       unfinished: requests.filter(request => !request.ended).length,
+      pending: requests
+        .filter(request => !request.ended)
+        .map(request => `${request.identity} ${request.detail}`),
       reported: this.reported,
       trace: this.trace,
     };
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -15,7 +15,7 @@
   const reported = result.reported[0] ?? '';
   return (
     `seed ${result.seed} violations ${result.violations.length}` +
-    ` unfinished ${result.unfinished}` +
+    ` unfinished ${result.unfinished} ${result.pending[0] ?? ''}` +
     ` reported ${result.reported.length} ${reported}${broken}`
   );
 }
