Tell apart outcomes that are still open and those that are lost

Cause: an outcome that no record or report can prove any more was answered with 4001 for ever, and a task on a VM that is gone stayed open for 10 min. Change: the rule says 'lost' (4002) when nothing that may still be read decides; a task whose worker's VM does not exist any more is given up.

--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -156,6 +156,11 @@
         return this.offered(call, question, finding.process, now);
       case 'foreign':
         return callReply.refuse(call.call, callReply.unknownIdentity(identity));
+      case 'lost': {
+        const detail = 'the records and reports that remain prove nothing';
+        const lost = result.failure('outcomeLost', detail);
+        return callReply.refuse(call.call, lost, identity);
+      }
       default:
         return unknown(call, identity, 'no proof has been found yet');
     }
--- a/src/contracts/outcome_rule.ts
+++ b/src/contracts/outcome_rule.ts
@@ -40,9 +40,12 @@
       readonly worker: string;
       readonly task: string;
     }
-  | {readonly kind: 'unknown'};
+  /** Further reports may decide. */
+  | {readonly kind: 'unknown'}
+  /** Nothing that may still be read decides. */
+  | {readonly kind: 'lost'};
 
-const UNKNOWN: Finding = {kind: 'unknown'};
+const LOST: Finding = {kind: 'lost'};
 
 /**
  * Decides the outcome of an identity whose home can't start anything any more.
@@ -106,7 +109,7 @@
 
 /** A later record may exist that was not read, unless all sources are whole. */
 function ifComplete(evidence: Evidence, finding: Finding): Finding {
-  return evidence.logComplete && evidence.witnessComplete ? finding : UNKNOWN;
+  return evidence.logComplete && evidence.witnessComplete ? finding : LOST;
 }
 
 type TaskFinding =
@@ -123,7 +126,8 @@
     first('askWorker') ??
     first('running') ??
     first('fetchAnswer') ??
-    first('unknown');
+    first('unknown') ??
+    first('lost');
   if (open !== undefined) return open as Finding;
   if (findings.every(finding => finding.kind === 'notRun')) {
     return ifComplete(evidence, {kind: 'notRun'});
@@ -154,10 +158,11 @@
   if (report === undefined) return {kind: 'askWorker', worker: start.worker};
   const listed = report.tasks.get(start.task);
   if (listed === undefined) {
+    if (report.workerClock <= start.leaseBound) return {kind: 'unknown'};
     const proved = lease.provesNotRun(start.leaseBound, report.workerClock);
-    return {kind: proved ? 'notRun' : 'unknown'};
+    return {kind: proved ? 'notRun' : 'lost'};
   }
-  if (listed.label.identity !== start.identity) return UNKNOWN as TaskFinding;
+  if (listed.label.identity !== start.identity) return LOST as TaskFinding;
   if (listed.state === 'running') {
     return {kind: 'running', worker: start.worker};
   }
--- a/src/contracts/recovery.ts
+++ b/src/contracts/recovery.ts
@@ -32,6 +32,8 @@
 /** Where workers listen. */
 export interface WorkerAddresses {
   address(worker: string): string | undefined;
+  /** Whether the worker's VM does not exist any more. */
+  isGone(worker: string): boolean;
 }
 
 /** An identity whose outcome is to be found. */
@@ -343,7 +345,11 @@
         this.answer(question, finding);
         return;
       case 'askWorker':
-        if (due) this.askWorker(finding.worker);
+        if (this.workers.isGone(finding.worker)) {
+          this.answer(question, {kind: 'lost'});
+        } else if (due) {
+          this.askWorker(finding.worker);
+        }
         return;
       case 'fetchAnswer':
         this.fetchAnswer(finding.worker, finding.task);
@@ -351,6 +357,7 @@
       case 'offered':
       case 'running':
       case 'unknown':
+      case 'lost':
         // An incomplete source may still show a later record.
         if (dossier.atTail && this.witnessesLeft(dossier).length === 0) {
           this.answer(question, finding);
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -419,11 +419,20 @@
     const {identity, process} = answer.question;
     if (identities.parseIdentity(identity)?.home !== this.parts.self) return [];
     const {finding} = answer;
-    if (finding.kind === 'notRun') {
-      return this.offers.resolve(identity, process, undefined, now).effects;
+    switch (finding.kind) {
+      case 'notRun':
+        return this.offers.resolve(identity, process, undefined, now).effects;
+      case 'ended':
+        return this.offers.resolve(identity, process, finding.ending, now)
+          .effects;
+      case 'lost': {
+        const detail = `${process} is gone and left no proof`;
+        const lost = {result: 'outcomeLost', detail, answer: ''} as const;
+        return this.offers.resolve(identity, process, lost, now).effects;
+      }
+      default:
+        return [];
     }
-    if (finding.kind !== 'ended') return [];
-    return this.offers.resolve(identity, process, finding.ending, now).effects;
   }
 
   private takeOffers(
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -57,6 +57,8 @@
       directory: this.directory,
       workers: {
         address: name => this.workers.get(name)?.description.address,
+        isGone: name =>
+          this.directory.hasVmList && this.workers.get(name) === undefined,
       },
       retries: {take: () => true, succeeded: () => {}},
       isSuperseded: () => this.zone.isSuperseded(),
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -498,13 +498,12 @@
   ): void {
     const reading = known.worker.clockReading;
     if (known.state === 'held' || reading === undefined) return;
+    const exists = this.workers.get(known.worker.name) !== undefined;
     if (known.state === 'unresolved') {
-      const limit = known.unresolvedAt + lease.ENDED_TASKS_LISTED_MS;
-      if (now >= limit) this.end(known, 'unresolved', '', now);
+      this.giveUp(known, exists, now);
       return;
     }
     if (now - reading.receivedAt < SILENT_MS) return;
-    const exists = this.workers.get(known.worker.name) !== undefined;
     if (exists && permitEnd <= now) return;
     if (now < lease.lapsedBy(reading, known.leaseEnd)) return;
     if (known.label.idempotent) {
@@ -516,6 +515,18 @@
     this.report('unknown', known);
   }
 
+  /** No report tells of the task any more. */
+  private giveUp(
+    known: trackedTask.TrackedTask,
+    exists: boolean,
+    now: clock.Milliseconds,
+  ): void {
+    const limit = known.unresolvedAt + lease.ENDED_TASKS_LISTED_MS;
+    if (exists && now < limit) return;
+    const started = known.startedAt !== undefined;
+    this.end(known, started ? 'answerLost' : 'unresolved', '', now);
+  }
+
   private fetch(
     tracked: trackedTask.TrackedTask,
     now: clock.Milliseconds,
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -9,6 +9,7 @@
  */
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
   private elsewhere: ReadonlyArray<event.ListedVm> = [];
+  private listRead = false;
 
   constructor(
     private readonly self: zoneControl.ProcessDescription,
@@ -17,11 +18,17 @@
 
   /** Takes the entry VMs of other zones from the VM list. */
   noteVms(vms: ReadonlyArray<event.ListedVm>): void {
+    this.listRead = true;
     this.elsewhere = vms.filter(
       listed => listed.role === 'entry' && listed.zone !== this.self.zone,
     );
   }
 
+  /** Whether the VM list has been read at all. */
+  get hasVmList(): boolean {
+    return this.listRead;
+  }
+
   members(): ReadonlyArray<processDirectory.Member> {
     return this.zone
       .members()
