End what waits at a superseded process, and accept a lost outcome of an offer

Cause: a superseded process kept its queue, and a home sent an offer again for ever when the other process had lost the outcome. Change: queued requests of a superseded process end with 3002; 4002 of an offer ends the request.

--- a/src/contracts/offers.ts
+++ b/src/contracts/offers.ts
@@ -288,7 +288,7 @@
     const row = result.byCode(answered.code);
     if (row?.execution === 'notRun') {
       this.refused(offer, now);
-    } else if (row?.execution === 'ran') {
+    } else if (row?.execution === 'ran' || row?.name === 'outcomeLost') {
       const {answer} = answered;
       this.finish(offer, {result: row.name, detail: '', answer}, now);
     } else {
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -470,13 +470,29 @@
       done.push(effects.count('refusal', {reason: ending.result}));
       done.push(...this.lifecycle.end(late.identity, ending, now));
     }
+    if (this.parts.isSuperseded()) done.push(...this.endWaiting(now));
     const turn = this.table.expire(now);
     for (const identity of turn.forgotten) this.parts.runner.forget(identity);
     this.offers.expire(turn.forgotten, now);
     return [...done, ...turn.effects];
   }
 
+  /** A superseded process can't start what waits, now or later. */
+  private endWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    const detail = 'another process has taken over from this one';
+    const ending = {result: 'noAuthority', detail, answer: ''} as const;
+    const {queue} = this.parts;
+    const done: effects.Effect[] = [];
+    for (const {identity} of queue.waiting(queue.waitingCount())) {
+      if (this.table.get(identity)?.state !== 'queued') continue;
+      queue.remove(identity);
+      done.push(...this.lifecycle.end(identity, ending, now));
+    }
+    return done;
+  }
+
   private offerWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    if (this.parts.isSuperseded()) return [];
     const waiting = this.parts.queue.waiting(OFFER_CANDIDATES);
     if (waiting.length === 0) return [];
     return this.takeOffers(this.offers.offerWaiting(waiting, now), now);
