--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -13,6 +13,7 @@
 import * as peerServer from '../links/peer_server.js';
 import * as platformLink from '../links/platform_link.js';
 import * as randomSource from '../machines/random_source.js';
+import * as result from '../result.js';
 import * as tomlDocumentReader from '../links/toml_document_reader.js';
 import * as workerLink from '../links/worker_link.js';
 import type * as connectionLimit from '../links/connection_limit.js';
@@ -48,6 +49,10 @@
   private readonly httpCallers: httpCaller.HttpCaller[] = [];
   private loop: loop.Loop | undefined;
   private ending: Promise<void> | undefined;
+  private noteSuccession: () => void = () => {};
+  private readonly succession = new Promise<void>(resolve => {
+    this.noteSuccession = resolve;
+  });
 
   constructor(
     private readonly settings: settings.Settings,
@@ -55,7 +60,7 @@
   ) {
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
-    this.metrics = sinks?.metrics ?? new metrics.DroppedMetrics();
+    this.metrics = sinks?.metrics ?? this.buildMetrics();
     this.logs =
       sinks?.logs ??
       new logger.Logger(line => process.stdout.write(`${line}\n`));
@@ -65,6 +70,10 @@
       post: this.post,
       metrics: this.metrics,
       bytes: this.bytes,
+      limits: {
+        bodyBytes: settings.bodyLimitBytes,
+        openCalls: settings.openCallLimit,
+      },
     });
     this.peerServer = new peerServer.PeerServer(
       this.incarnation,
@@ -88,11 +97,8 @@
     // Other processes learn the address from the log, so it has to be known
     // before the first decision.
     const realPeerPort = await this.peerServer.listen(host, peerPort);
-    this.loop = new loop.Loop(
-      this.buildCore(`${host}:${realPeerPort}`),
-      this.buildLinks(),
-      this.clock,
-    );
+    const core = this.buildCore(`${host}:${realPeerPort}`);
+    this.loop = new loop.Loop(core, this.buildLinks(), this.clock);
     const port = await this.callers.listen(host, callerPort);
     this.loop.post({kind: 'timePassed'});
     this.logs.log('info', 'serving', {
@@ -110,9 +116,26 @@
     return this.ending;
   }
 
+  /** Resolves when others took over what was here, as after a long pause. */
+  superseded(): Promise<void> {
+    return this.succession;
+  }
+
+  /** Closes everything at once; what callers wait for has to be asked again. */
+  async abandon(): Promise<void> {
+    const {code} = result.RESULT_CODES.unknownOutcome;
+    const detail = 'this process was succeeded; ask again';
+    await this.callers.abandon({code, detail});
+    await this.close();
+  }
+
   private async finish(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
     await this.callers.close();
+    await this.close();
+  }
+
+  private async close(): Promise<void> {
     this.loop?.stop();
     this.peers.close();
     this.peerServer.close();
@@ -129,13 +152,29 @@
 
   private buildCore(address: string): entryVm.EntryVm {
     const {vm, zone, region} = this.settings;
+    const {logRetentionMs, logStalenessMs, appendIntervalMs} = this.settings;
     return new entryVm.EntryVm({
       self: {process: this.incarnation, vm, zone, region, address},
       reader: new tomlDocumentReader.TomlDocumentReader(),
       random: this.random,
+      logTerms: {
+        retentionMs: logRetentionMs,
+        stalenessMs: logStalenessMs,
+        appendIntervalMs,
+      },
     });
   }
 
+  private buildMetrics(): Sink {
+    const {metricsHost, metricsPort} = this.settings;
+    if (metricsPort === 0) return new metrics.DroppedMetrics();
+    return new metrics.StatsdMetrics(
+      metricsHost,
+      metricsPort,
+      this.incarnation,
+    );
+  }
+
   private buildLinks(): entryLinks.EntryLinks {
     const {post, now, metrics: sink} = this;
     return new entryLinks.EntryLinks({
@@ -159,6 +198,7 @@
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
+      endProcess: () => this.noteSuccession(),
     });
   }
 
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -31,6 +31,8 @@
   place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement>;
   requeue(returned: request.Request): void;
   remove(identity: string): boolean;
+  /** Learns what became of a task. */
+  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void;
 }
 
 /** A task of a service that is to be replaced. */
@@ -342,6 +344,7 @@
     outcome: trackedTask.TaskOutcome,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
+    this.parts.queue.observe(outcome, now);
     const attempt = this.attempts.get(outcome.of.label.identity);
     if (attempt === undefined || !changeTask(attempt, outcome)) {
       this.orphans.push(outcome);
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -1,22 +1,21 @@
 import type * as clock from '../machines/clock.js';
 import type * as request from './request.js';
-import type * as requestBuilder from './request_builder.js';
 import type * as requestDesk from './request_desk.js';
 import type * as result from '../result.js';
 import type * as scheduler from './scheduler.js';
+import type * as trackedTask from '../machines/tracked_task.js';
 
 /** Shows the scheduler to the desk and keeps the order of what waits. */
 export class SchedulerQueue implements requestDesk.DeskQueue {
   private readonly queued = new Map<string, request.Request>();
 
-  constructor(
-    private readonly inner: scheduler.Scheduler,
-    private readonly documents: requestBuilder.ConfigurationSource,
-  ) {}
+  constructor(private readonly inner: scheduler.Scheduler) {}
 
-  admit(admitted: request.Request): result.Failure | undefined {
-    const team = this.documents.current().teams.get(admitted.team);
-    return this.inner.admit(admitted, team?.queueLimit ?? 0).caseOf({
+  admit(
+    admitted: request.Request,
+    now: clock.Milliseconds,
+  ): result.Failure | undefined {
+    return this.inner.admit(admitted, now).caseOf({
       Left: (refusal): result.Failure | undefined => refusal,
       Right: () => {
         this.queued.set(admitted.identity, admitted);
@@ -49,6 +48,10 @@
     return placements;
   }
 
+  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
+    this.inner.observe(outcome, now);
+  }
+
   waitingCount(): number {
     return this.inner.waitingCount();
   }
@@ -63,7 +66,7 @@
   }
 
   explain(identity: string): string {
-    if (!this.queued.has(identity)) return '';
-    return `${this.inner.waitingCount()} requests wait for room`;
+    const waiting = this.queued.get(identity);
+    return waiting === undefined ? '' : this.inner.explain(waiting);
   }
 }
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -110,7 +110,10 @@
         ),
     );
     // Another incarnation at the same address confirms nothing for this peer.
-    if (answer.from !== wanted.peer) return failed(wanted);
+    // A peer of another zone is named by zone and VM, without an incarnation.
+    const meant =
+      answer.from === wanted.peer || answer.from.startsWith(`${wanted.peer}.`);
+    if (!meant) return failed(wanted);
     return {
       kind: 'confirmAnswered',
       peer: wanted.peer,
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -109,7 +109,7 @@
       worth: request.workload.worth,
     },
     worker: placement.worker,
-    size: request.size,
+    size: placement.size,
     payload: request.payload,
     taskCount: request.taskCount,
   };
