--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -83,6 +83,8 @@
       directory: this.directory,
       workers: {
         address: name => this.workers.get(name)?.description.address,
+        isGone: name =>
+          this.directory.hasVmList && this.workers.get(name) === undefined,
       },
       isSuperseded: () => this.zone.isSuperseded(),
       retries: new retryBudget.RetryBudget(),
