--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -1,22 +1,23 @@
 import * as configurationKeeper from '../contracts/configuration_keeper.js';
 import * as fleet from './fleet.js';
-import * as processDirectory from '../contracts/process_directory.js';
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
 import * as scheduler from '../contracts/scheduler.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
 import * as zoneControl from '../zones/zone_control.js';
+import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
-import * as effects from '../contracts/effect.js';
+import type * as effects from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as loop from '../loop.js';
 import type * as randomSource from './random_source.js';
 
 /**
  * Time for the requests in progress to end before the workers are handed over
- * all the same; the rest of the 30 s of a shutdown is for the handover.
+ * all the same, because services do not end; the rest of the 30 s of a
+ * shutdown is for the handover.
  */
 const DRAIN_MS = 20_000;
 
@@ -37,11 +38,11 @@
   private readonly workers = new fleet.Fleet();
   private readonly zone: zoneControl.ZoneControl;
   private readonly documents: configurationKeeper.ConfigurationKeeper;
+  private readonly directory: zoneDirectory.ZoneDirectory;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
-  /** When the workers are handed over at the latest. */
-  private handOverBy = Infinity;
-  private handsOver = false;
+  /** When the workers are handed over at the latest during a drain. */
+  private handOverBy: clock.Milliseconds | undefined;
 
   constructor(private readonly parts: EntryVmParts) {
     const {self, random} = parts;
@@ -50,6 +51,7 @@
       random,
       ...parts.logTerms,
     });
+    this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
     this.queue = new schedulerQueue.SchedulerQueue(
       new scheduler.Scheduler(this.workers, runner),
@@ -61,11 +63,12 @@
       documents: this.documents,
       queue: this.queue,
       runner,
-      directory: new processDirectory.EmptyDirectory(),
+      directory: this.directory,
       workers: {
         address: name => this.workers.get(name)?.description.address,
       },
       retries: {take: () => true, succeeded: () => {}},
+      isSuperseded: () => this.zone.isSuperseded(),
     });
   }
 
@@ -74,16 +77,15 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const drains = handled.kind === 'drainArrived' && !handled.worker;
-    if (drains) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
-    return [
-      // The zone hands the workers over when the requests here have ended.
-      ...(drains ? [] : this.zone.handle(handled, now)),
+    if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
+    const done = [
+      ...(isOwnDrain(handled) ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
-      ...this.handOver(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
     ];
+    this.leaveWhenIdle(now);
+    return done;
   }
 
   /** When `timePassed` is wanted next. */
@@ -92,7 +94,6 @@
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
-      this.handsOver ? Infinity : this.handOverBy,
     );
   }
 
@@ -101,6 +102,14 @@
     return this.zone.isSuperseded();
   }
 
+  /** The workers are needed until the last request has ended. */
+  private leaveWhenIdle(now: clock.Milliseconds): void {
+    if (!this.desk.isDraining()) return;
+    this.handOverBy ??= now + DRAIN_MS;
+    this.zone.announceLeaving();
+    if (this.desk.isIdle() || now >= this.handOverBy) this.zone.drain();
+  }
+
   /** A zone whose workers have no owner yet would only let calls wait. */
   private isReady(): boolean {
     if (this.desk.isDraining() || this.isSuperseded()) return false;
@@ -110,14 +119,6 @@
       .some(item => this.zone.ownerOf(item.name) !== undefined);
   }
 
-  private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    if (this.handOverBy === Infinity || this.handsOver) return [];
-    if (!this.desk.isIdle() && now < this.handOverBy) return [];
-    this.handsOver = true;
-    this.zone.drain();
-    return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
-  }
-
   private status(call: event.CallNumber): effects.Effect {
     const owned = this.workers
       .all()
@@ -134,8 +135,14 @@
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
       ready: this.isReady(),
+      members: this.zone.members(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
   }
 }
+
+/** Whether an event drains this process, not one of its workers. */
+function isOwnDrain(handled: event.Event): boolean {
+  return handled.kind === 'drainArrived' && handled.worker === undefined;
+}
