--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -1,4 +1,3 @@
-import * as timers from 'node:timers/promises';
 import * as byteCounter from '../links/byte_counter.js';
 import * as callNumbers from '../links/call_numbers.js';
 import * as callerServer from '../links/caller_server.js';
@@ -27,9 +26,6 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
-/** Time between looks whether this process was succeeded. */
-const SUPERSEDED_INTERVAL_MS = 500;
-
 type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
 
 /** Receivers that replace those of the settings. */
@@ -52,8 +48,11 @@
   private readonly peers: peerLink.PeerLink;
   private readonly httpCallers: httpCaller.HttpCaller[] = [];
   private loop: loop.Loop | undefined;
-  private core: entryVm.EntryVm | undefined;
   private ending: Promise<void> | undefined;
+  private noteSuccession: () => void = () => {};
+  private readonly succession = new Promise<void>(resolve => {
+    this.noteSuccession = resolve;
+  });
 
   constructor(
     private readonly settings: settings.Settings,
@@ -61,7 +60,7 @@
   ) {
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
-    this.metrics = sinks?.metrics ?? new metrics.DroppedMetrics();
+    this.metrics = sinks?.metrics ?? this.buildMetrics();
     this.logs =
       sinks?.logs ??
       new logger.Logger(line => process.stdout.write(`${line}\n`));
@@ -71,6 +70,10 @@
       post: this.post,
       metrics: this.metrics,
       bytes: this.bytes,
+      limits: {
+        bodyBytes: settings.bodyLimitBytes,
+        openCalls: settings.openCallLimit,
+      },
     });
     this.peerServer = new peerServer.PeerServer(
       this.incarnation,
@@ -96,7 +99,6 @@
     const realPeerPort = await this.peerServer.listen(host, peerPort);
     const core = this.buildCore(`${host}:${realPeerPort}`);
     this.loop = new loop.Loop(core, this.buildLinks(), this.clock);
-    this.core = core;
     const port = await this.callers.listen(host, callerPort);
     this.loop.post({kind: 'timePassed'});
     this.logs.log('info', 'serving', {
@@ -115,10 +117,8 @@
   }
 
   /** Resolves when others took over what was here, as after a long pause. */
-  async superseded(): Promise<void> {
-    while (this.core?.isSuperseded() !== true) {
-      await timers.setTimeout(SUPERSEDED_INTERVAL_MS, undefined, {ref: false});
-    }
+  superseded(): Promise<void> {
+    return this.succession;
   }
 
   /** Closes everything at once; what callers wait for has to be asked again. */
@@ -152,13 +152,29 @@
 
   private buildCore(address: string): entryVm.EntryVm {
     const {vm, zone, region} = this.settings;
+    const {logRetentionMs, logStalenessMs, appendIntervalMs} = this.settings;
     return new entryVm.EntryVm({
       self: {process: this.incarnation, vm, zone, region, address},
       reader: new tomlDocumentReader.TomlDocumentReader(),
       random: this.random,
+      logTerms: {
+        retentionMs: logRetentionMs,
+        stalenessMs: logStalenessMs,
+        appendIntervalMs,
+      },
     });
   }
 
+  private buildMetrics(): Sink {
+    const {metricsHost, metricsPort} = this.settings;
+    if (metricsPort === 0) return new metrics.DroppedMetrics();
+    return new metrics.StatsdMetrics(
+      metricsHost,
+      metricsPort,
+      this.incarnation,
+    );
+  }
+
   private buildLinks(): entryLinks.EntryLinks {
     const {post, now, metrics: sink} = this;
     return new entryLinks.EntryLinks({
@@ -182,6 +198,7 @@
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
+      endProcess: () => this.noteSuccession(),
     });
   }
 
--- a/test/contracts/configuration_keeper_test.ts
+++ b/test/contracts/configuration_keeper_test.ts
@@ -152,6 +152,25 @@
     },
   );
 
+  nodeTest.test(
+    'large documents go in one append after another; guards against an ' +
+      'append that the log refuses for its size',
+    () => {
+      const {log, keeper, now} = start();
+      const sent: number[] = [];
+      for (const name of ['a', 'b', 'c']) {
+        const content = `${name} ${'x'.repeat(600_000)}`;
+        const document = `team/${name}`;
+        const change = {document, content, publication: `p-${name}`};
+        sent.push(appends(keeper.handle(publish(change), now)));
+      }
+      keeper.settle(now);
+      assert.deepEqual(sent, [1, 0, 0]);
+      assert.equal(log.appendCount, 3);
+      assert.equal(keeper.versions().size, 3);
+    },
+  );
+
   nodeTest.test(
     'an identity that was used for another change is refused; guards ' +
       'against telling an operator that an unseen change is in force',
@@ -208,15 +227,46 @@
       const log = new configurationCell.TrimmedLog();
       const keeper = new configurationCell.KeeperUnderTest(log);
       keeper.handle({kind: 'timePassed'}, 0);
-      assert.equal(keeper.keeper.isLoaded(), false);
-      const wanted = keeper.handle(confirmed(7), 100);
+      const early = keeper.handle(confirmed(7), 1_900);
+      assert.ok(!early.some(item => item.kind === 'fetchDocuments'));
+      const wanted = keeper.handle(confirmed(7), 2_100);
       assert.ok(wanted.some(item => item.kind === 'fetchDocuments'));
-      keeper.handle(arrived(7, 'a seventh'), 200);
+      assert.equal(keeper.keeper.isLoaded(), false);
+      keeper.handle(arrived(7, 'a seventh'), 2_200);
       assert.equal(keeper.keeper.isLoaded(), true);
       assert.equal(keeper.versions().get('team/a'), 7);
     },
   );
 
+  nodeTest.test(
+    'a process that knows no members asks the listed entry VMs in turn, its ' +
+      'own zone first; guards against a start that waits for the log',
+    () => {
+      const log = new configurationCell.TrimmedLog();
+      const keeper = new configurationCell.KeeperUnderTest(log);
+      const asked: string[] = [];
+      const pass = (now: number): void => {
+        for (const item of keeper.handle({kind: 'timePassed'}, now)) {
+          if (item.kind === 'fetchDocuments') asked.push(item.address);
+        }
+      };
+      const role = 'entry';
+      const state = 'live';
+      const vms: ReadonlyArray<event.ListedVm> = [
+        {vm: 'far', role, zone: 'z-2', address: 'far:1', state},
+        {vm: 'own', role, zone: 'z-1', address: 'own:1', state},
+        {vm: 'near', role, zone: 'z-1', address: 'near:1', state},
+      ];
+      pass(0);
+      keeper.handle({kind: 'vmListRead', sentAt: 0, vms}, 10);
+      for (const now of [1_000, 2_000, 3_000, 4_000]) pass(now);
+      assert.deepEqual(asked, ['near:1', 'far:1', 'near:1']);
+      keeper.handle(arrived(7, 'a seventh'), 4_100);
+      pass(5_100);
+      assert.equal(asked.length, 3);
+    },
+  );
+
   nodeTest.test(
     'a lower version is not taken, and the record of a higher one changes ' +
       'nothing when the log shows it; guards against a reverted change',
