--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -161,6 +161,7 @@
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
       ready: this.isReady(),
+      members: this.zone.members(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -21,6 +21,8 @@
   readonly vm: string;
   readonly address: string;
   readonly state: MemberState;
+  /** Whether it is known to count this process as a member. */
+  readonly knowsSelf: boolean;
 }
 
 interface Contact {
@@ -116,6 +118,7 @@
       vm,
       address,
       state: this.state(process, now),
+      knowsSelf: process === this.self || this.knowsSelf(process),
     }));
   }
 
