--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -13,6 +13,7 @@
 import * as peerServer from '../links/peer_server.js';
 import * as platformLink from '../links/platform_link.js';
 import * as randomSource from '../machines/random_source.js';
+import * as result from '../result.js';
 import * as tomlDocumentReader from '../links/toml_document_reader.js';
 import * as workerLink from '../links/worker_link.js';
 import type * as connectionLimit from '../links/connection_limit.js';
@@ -25,12 +26,6 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
-/**
- * Exit code when another process has succeeded this one. The platform starts
- * it again, under a new incarnation.
- */
-const EXIT_SUPERSEDED = 9;
-
 type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
 
 /** Receivers that replace those of the settings. */
@@ -54,6 +49,10 @@
   private readonly httpCallers: httpCaller.HttpCaller[] = [];
   private loop: loop.Loop | undefined;
   private ending: Promise<void> | undefined;
+  private noteSuccession: () => void = () => {};
+  private readonly succession = new Promise<void>(resolve => {
+    this.noteSuccession = resolve;
+  });
 
   constructor(
     private readonly settings: settings.Settings,
@@ -98,11 +97,8 @@
     // Other processes learn the address from the log, so it has to be known
     // before the first decision.
     const realPeerPort = await this.peerServer.listen(host, peerPort);
-    this.loop = new loop.Loop(
-      this.buildCore(`${host}:${realPeerPort}`),
-      this.buildLinks(),
-      this.clock,
-    );
+    const core = this.buildCore(`${host}:${realPeerPort}`);
+    this.loop = new loop.Loop(core, this.buildLinks(), this.clock);
     const port = await this.callers.listen(host, callerPort);
     this.loop.post({kind: 'timePassed'});
     this.logs.log('info', 'serving', {
@@ -120,9 +116,26 @@
     return this.ending;
   }
 
+  /** Resolves when others took over what was here, as after a long pause. */
+  superseded(): Promise<void> {
+    return this.succession;
+  }
+
+  /** Closes everything at once; what callers wait for has to be asked again. */
+  async abandon(): Promise<void> {
+    const {code} = result.RESULT_CODES.unknownOutcome;
+    const detail = 'this process was succeeded; ask again';
+    await this.callers.abandon({code, detail});
+    await this.close();
+  }
+
   private async finish(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
     await this.callers.close();
+    await this.close();
+  }
+
+  private async close(): Promise<void> {
     this.loop?.stop();
     this.peers.close();
     this.peerServer.close();
@@ -185,7 +198,7 @@
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
-      endProcess: () => process.exit(EXIT_SUPERSEDED),
+      endProcess: () => this.noteSuccession(),
     });
   }
 
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -2,18 +2,26 @@
 import * as fleet from './fleet.js';
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
+import * as retryBudget from '../contracts/retry_budget.js';
 import * as scheduler from '../contracts/scheduler.js';
+import * as schedulerEffects from '../contracts/scheduler_effects.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
 import * as zoneControl from '../zones/zone_control.js';
 import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
-import type * as effects from '../contracts/effect.js';
+import * as effects from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as loop from '../loop.js';
 import type * as randomSource from './random_source.js';
 
+/**
+ * Time for the requests in progress to end before the workers are handed over
+ * all the same; the rest of the 30 s of a shutdown is for the handover.
+ */
+const DRAIN_MS = 20_000;
+
 /** What an entry process is made with. */
 export interface EntryVmParts {
   readonly self: zoneControl.ProcessDescription;
@@ -39,8 +47,12 @@
   private readonly zone: zoneControl.ZoneControl;
   private readonly documents: configurationKeeper.ConfigurationKeeper;
   private readonly directory: zoneDirectory.ZoneDirectory;
+  private readonly scheduler: scheduler.Scheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
+  /** When the workers are handed over at the latest. */
+  private handOverBy = Infinity;
+  private handsOver = false;
 
   constructor(private readonly parts: EntryVmParts) {
     const {self, random, logTerms} = parts;
@@ -56,10 +68,12 @@
     });
     this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
-    this.queue = new schedulerQueue.SchedulerQueue(
-      new scheduler.Scheduler(this.workers, runner),
+    this.scheduler = new scheduler.Scheduler(
+      this.workers,
+      runner,
       this.documents,
     );
+    this.queue = new schedulerQueue.SchedulerQueue(this.scheduler);
     this.desk = new requestDesk.RequestDesk({
       self: self.process,
       random,
@@ -70,8 +84,8 @@
       workers: {
         address: name => this.workers.get(name)?.description.address,
       },
-      retries: {take: () => true, succeeded: () => {}},
       isSuperseded: () => this.zone.isSuperseded(),
+      retries: new retryBudget.RetryBudget(),
     });
   }
 
@@ -81,13 +95,17 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
+    const drains = isOwnDrain(handled);
+    if (drains) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
     const done = [
-      ...(isOwnDrain(handled) ? [] : this.zone.handle(handled, now)),
+      // The zone hands the workers over when the requests here have ended.
+      ...(drains ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
+      ...this.handOver(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
+      ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
-    this.leaveWhenIdle();
     return this.zone.guard(done);
   }
 
@@ -97,14 +115,32 @@
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
+      this.handsOver ? Infinity : this.handOverBy,
+      this.scheduler.nextDeadline(),
     );
   }
 
-  /** The workers are needed until the last request has ended. */
-  private leaveWhenIdle(): void {
-    if (!this.desk.isDraining()) return;
+  /** Whether others took over what was here; nothing more can be done. */
+  isSuperseded(): boolean {
+    return this.zone.isSuperseded();
+  }
+
+  /** A zone whose workers have no owner yet would only let calls wait. */
+  private isReady(): boolean {
+    if (this.desk.isDraining() || this.isSuperseded()) return false;
+    if (this.documents.current().versions.size === 0) return false;
+    return this.workers
+      .all()
+      .some(item => this.zone.ownerOf(item.name) !== undefined);
+  }
+
+  private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    if (this.handOverBy === Infinity || this.handsOver) return [];
     this.zone.announceLeaving();
-    if (this.desk.isIdle()) this.zone.drain();
+    if (!this.desk.isIdle() && now < this.handOverBy) return [];
+    this.handsOver = true;
+    this.zone.drain();
+    return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
   }
 
   private status(call: event.CallNumber): effects.Effect {
@@ -122,6 +158,7 @@
       draining: this.desk.isDraining(),
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
+      ready: this.isReady(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
