--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -4,13 +4,14 @@
 import * as either from 'purify-ts/Either';
 import * as fairShare from './fair_share.js';
 import * as gangPolicy from './gang_policy.js';
-import * as overloadRelief from './overload_relief.js';
+import type * as overloadRelief from './overload_relief.js';
 import * as placementPolicy from './placement_policy.js';
 import * as queue from './queue.js';
 import * as reclaimer from './reclaimer.js';
 import * as resources from '../machines/resources.js';
 import * as result from '../result.js';
 import * as servicePolicy from './service_policy.js';
+import * as taskObserver from './task_observer.js';
 import * as usageEstimator from './usage_estimator.js';
 import * as workerPool from './worker_pool.js';
 import type * as clock from '../machines/clock.js';
@@ -76,7 +77,7 @@
 export class Scheduler {
   private readonly queues = new Map<string, queue.TeamQueue>();
   private readonly estimator = new usageEstimator.UsageEstimator();
-  private readonly relief = new overloadRelief.OverloadRelief();
+  private readonly observer: taskObserver.TaskObserver;
   private readonly shares: fairShare.FairShare;
   private readonly pool: workerPool.WorkerPool;
   private readonly reclaimer: reclaimer.Reclaimer;
@@ -116,6 +117,23 @@
       this.earmarks,
       candidate => this.pool.mayPlace(candidate),
     );
+    this.observer = new taskObserver.TaskObserver({
+      workers,
+      pool: this.pool,
+      reclaimer: this.reclaimer,
+      estimator: this.estimator,
+      workloadOf: label => this.workloadOf(label),
+    });
+  }
+
+  /** Learns what became of a task. */
+  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
+    this.observer.observe(outcome, now);
+  }
+
+  /** Learns from a worker's report. */
+  observeReport(report: task.WorkerReport, now: clock.Milliseconds): void {
+    this.interventions.push(...this.observer.observeReport(report, now));
   }
 
   /** Queues a request, or refuses it with the reason. */
@@ -178,6 +196,15 @@
     return waiting;
   }
 
+  /** Longest wait that new work of any team is expected to have. */
+  expectedWaitMs(): clock.Milliseconds {
+    let longest = 0;
+    for (const queued of this.queues.values()) {
+      longest = Math.max(longest, queued.drainMs());
+    }
+    return longest;
+  }
+
   /** Takes out requests whose latest start has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
     const expired: request.Request[] = [];
@@ -238,74 +265,6 @@
     return this.workers.takeViolations();
   }
 
-  /** Learns what became of a task. */
-  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
-    const {task: name, label} = outcome.of;
-    switch (outcome.kind) {
-      case 'started':
-        this.pool.started(name, now);
-        return;
-      case 'adopted':
-        this.adopted(outcome.of);
-        return;
-      case 'unknown':
-        return;
-      case 'notRun':
-        this.reclaimer.ended(name);
-        this.estimator.forget(name);
-        this.pool.notRun(name, outcome.sent, now);
-        return;
-      case 'ended':
-        this.ended(name, label, outcome.end, now);
-    }
-  }
-
-  /**
-   * Learns from a worker's report. A task that uses more than its room gets
-   * the room at once; if the worker is then overcommitted, it is relieved.
-   */
-  observeReport(report: task.WorkerReport, now: clock.Milliseconds): void {
-    const target = this.workers.get(report.worker);
-    if (target === undefined) return;
-    for (const item of report.tasks) {
-      const held = target.held().get(item.task);
-      if (held === undefined || item.state !== 'running') continue;
-      this.estimator.observe(item);
-      if (resources.fits(item.usage, held.size)) continue;
-      target.resize(item.task, resources.wholeAbove(item.usage, held.size));
-    }
-    this.interventions.push(...this.relief.relieve(target, now));
-  }
-
-  private adopted(of: trackedTask.TaskReference): void {
-    const target = this.workers.get(of.worker);
-    const held = target?.held().get(of.task);
-    const described = this.workloadOf(of.label);
-    if (target === undefined || held === undefined) return;
-    if (described === undefined) return;
-    const {team: name} = of.label;
-    const expectedRunMs =
-      this.estimator.runTimeMs(name, described.name) ?? described.runTimeMs;
-    const {task: taskName, size} = held;
-    const loan = {task: taskName, team: name, size, worker: target};
-    this.reclaimer.started({...loan, expectedRunMs}, described);
-  }
-
-  private ended(
-    name: string,
-    label: task.TaskLabel,
-    end: trackedTask.TaskEnd,
-    now: clock.Milliseconds,
-  ): void {
-    const ranMs = this.pool.ranMs(name, now);
-    this.reclaimer.ended(name);
-    if (end === 'finished') this.estimator.ended(name, label, ranMs);
-    else this.estimator.forget(name);
-    const byItself = end === 'finished' || end === 'failed';
-    if (byItself) this.pool.ended(name, end === 'failed', now);
-    else this.pool.notRun(name, false, now);
-  }
-
   private refresh(now: clock.Milliseconds): void {
     const isDue = now >= this.nextRetry;
     if (!isDue && !this.workers.unseen) return;
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -110,7 +110,10 @@
         ),
     );
     // Another incarnation at the same address confirms nothing for this peer.
-    if (answer.from !== wanted.peer) return failed(wanted);
+    // A peer of another zone is named by zone and VM, without an incarnation.
+    const meant =
+      answer.from === wanted.peer || answer.from.startsWith(`${wanted.peer}.`);
+    if (!meant) return failed(wanted);
     return {
       kind: 'confirmAnswered',
       peer: wanted.peer,
@@ -141,13 +144,13 @@
   private async withdraw(
     wanted: EffectOf<'withdrawOffer'>,
   ): Promise<event.Event> {
-    const {peer, identity} = wanted;
+    const {peer, identity, attempt} = wanted;
+    const message = {from: this.parts.self, to: peer, identity, attempt};
     const answer = await this.connections.call(
       wanted.peer,
       wanted.address,
       CALL_DEADLINE_MS,
-      (client, options) =>
-        client.withdraw({from: this.parts.self, to: peer, identity}, options),
+      (client, options) => client.withdraw(message, options),
     );
     return {kind: 'withdrawAnswered', peer, identity, code: answer.code};
   }
--- a/src/zones/confirmations.ts
+++ b/src/zones/confirmations.ts
@@ -224,7 +224,7 @@
     this.sources.regions.update(news.summaries[0], now);
     return this.representatives().map(listed => ({
       kind: 'confirmPeer',
-      peer: listed.vm,
+      peer: zoneMember(listed),
       address: listed.address,
       zonePosition: 0,
       news,
@@ -242,18 +242,18 @@
       if (listed.role !== 'entry' || listed.zone <= self.zone) continue;
       if (listed.state === 'leaving') continue;
       const known = chosen.get(listed.zone);
-      if (known === undefined || this.precedes(listed.vm, known.vm)) {
+      if (known === undefined || this.precedes(listed, known)) {
         chosen.set(listed.zone, listed);
       }
     }
     return [...chosen.values()];
   }
 
-  private precedes(first: string, second: string): boolean {
-    const firstFailures = this.failures.get(first) ?? 0;
-    const secondFailures = this.failures.get(second) ?? 0;
+  private precedes(first: event.ListedVm, second: event.ListedVm): boolean {
+    const firstFailures = this.failures.get(zoneMember(first)) ?? 0;
+    const secondFailures = this.failures.get(zoneMember(second)) ?? 0;
     if (firstFailures !== secondFailures) return firstFailures < secondFailures;
-    return first < second;
+    return first.vm < second.vm;
   }
 
   private ownPart(): event.ZoneSummary {
@@ -286,6 +286,11 @@
   }
 }
 
+/** Name that any incarnation of the process on a VM of a zone answers to. */
+function zoneMember(listed: event.ListedVm): string {
+  return `${listed.zone}.${listed.vm}`;
+}
+
 function addSummaries(
   first: event.ZoneSummary,
   second: event.ZoneSummary,
--- a/test/zones/confirmations_test.ts
+++ b/test/zones/confirmations_test.ts
@@ -64,7 +64,9 @@
       const vms = [list('entry-7', 'musanze-a'), list('entry-8', 'musanze-a')];
       control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
       const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
-      const [summary, ...more] = sent.filter(({peer: to}) => to === 'entry-7');
+      const [summary, ...more] = sent.filter(
+        ({peer: to}) => to === 'musanze-a.entry-7',
+      );
       assert.equal(sent.length, 2);
       assert.equal(more.length, 0);
       const {documents, leavingWorkers, summaries, ...sender} = summary.news;
