--- a/src/contracts/queue.ts
+++ b/src/contracts/queue.ts
@@ -213,6 +213,11 @@
     return ahead * this.meanGap;
   }
 
+  /** Time in which what waits now is expected to start. */
+  drainMs(): clock.Milliseconds {
+    return this.size * this.meanGap;
+  }
+
   private note(added: request.Request, position: Position): void {
     this.positions.set(added.identity, position);
     this.deadlines.add(added.identity, added.startBy);
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -108,6 +108,7 @@
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
       ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
+    this.zone.setExpectedWait(this.scheduler.expectedWaitMs());
     return this.zone.guard(done);
   }
 
