--- a/src/contracts/offers.ts
+++ b/src/contracts/offers.ts
@@ -245,9 +245,7 @@
     const refusals = this.refusals.get(identity);
     if (refusals !== undefined && now < refusals.notBefore) return undefined;
     const {directory} = this.parts;
-    const live = directory
-      .members()
-      .filter(member => directory.liveAddress(member.process, now));
+    const live = directory.offerTakers();
     const others = live.filter(member => member.process !== refusals?.last);
     const candidates = others.length > 0 ? others : live;
     if (candidates.length === 0) return undefined;
@@ -290,7 +288,7 @@
     const row = result.byCode(answered.code);
     if (row?.execution === 'notRun') {
       this.refused(offer, now);
-    } else if (row?.execution === 'ran') {
+    } else if (row?.execution === 'ran' || row?.name === 'outcomeLost') {
       const {answer} = answered;
       this.finish(offer, {result: row.name, detail: '', answer}, now);
     } else {
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -38,6 +38,8 @@
   readonly directory: processDirectory.ProcessDirectory;
   readonly workers: recoveries.WorkerAddresses;
   readonly retries: requestLifecycle.RetryAllowance;
+  /** Whether this process has been taken for dead and can't act any more. */
+  readonly isSuperseded: () => boolean;
 }
 
 type CallOf<Kind extends event.CallEvent['kind']> = Extract<
@@ -81,6 +83,7 @@
       runner,
       journal,
       retries,
+      directory,
     });
     const {lifecycle} = this;
     this.offers = new offers.Offers({
@@ -220,11 +223,22 @@
     }
   }
 
+  /** Why no new requests are taken; undefined when they are. */
+  private closedReason(): result.Failure | undefined {
+    if (this.draining) {
+      return result.failure('draining', 'this process is shutting down');
+    }
+    if (!this.parts.isSuperseded()) return undefined;
+    const detail = 'another process has taken over from this one';
+    return result.failure('noAuthority', detail);
+  }
+
   private issueIdentities(
     call: CallOf<'identitiesArrived'>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    if (this.draining) return callReply.refuse(call.call, drainingFailure());
+    const closed = this.closedReason();
+    if (closed !== undefined) return callReply.refuse(call.call, closed);
     const count = Math.min(call.count, IDENTITIES_LIMIT);
     const issued: string[] = [];
     while (issued.length < count) {
@@ -264,7 +278,8 @@
       const check = this.issuer.check(reserved, call.client, now);
       if (check !== 'valid') return this.unknownIdentity(call, reserved);
     }
-    if (this.draining) return callReply.refuse(call.call, drainingFailure());
+    const closed = this.closedReason();
+    if (closed !== undefined) return callReply.refuse(call.call, closed);
     const identity = reserved ?? this.issuer.issue(call.client, now);
     const {client, submission} = call;
     const sender = {identity, client, reserved: reserved !== undefined};
@@ -404,11 +419,20 @@
     const {identity, process} = answer.question;
     if (identities.parseIdentity(identity)?.home !== this.parts.self) return [];
     const {finding} = answer;
-    if (finding.kind === 'notRun') {
-      return this.offers.resolve(identity, process, undefined, now).effects;
+    switch (finding.kind) {
+      case 'notRun':
+        return this.offers.resolve(identity, process, undefined, now).effects;
+      case 'ended':
+        return this.offers.resolve(identity, process, finding.ending, now)
+          .effects;
+      case 'lost': {
+        const detail = `${process} is gone and left no proof`;
+        const lost = {result: 'outcomeLost', detail, answer: ''} as const;
+        return this.offers.resolve(identity, process, lost, now).effects;
+      }
+      default:
+        return [];
     }
-    if (finding.kind !== 'ended') return [];
-    return this.offers.resolve(identity, process, finding.ending, now).effects;
   }
 
   private takeOffers(
@@ -446,13 +470,29 @@
       done.push(effects.count('refusal', {reason: ending.result}));
       done.push(...this.lifecycle.end(late.identity, ending, now));
     }
+    if (this.parts.isSuperseded()) done.push(...this.endWaiting(now));
     const turn = this.table.expire(now);
     for (const identity of turn.forgotten) this.parts.runner.forget(identity);
     this.offers.expire(turn.forgotten, now);
     return [...done, ...turn.effects];
   }
 
+  /** A superseded process can't start what waits, now or later. */
+  private endWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    const detail = 'another process has taken over from this one';
+    const ending = {result: 'noAuthority', detail, answer: ''} as const;
+    const {queue} = this.parts;
+    const done: effects.Effect[] = [];
+    for (const {identity} of queue.waiting(queue.waitingCount())) {
+      if (this.table.get(identity)?.state !== 'queued') continue;
+      queue.remove(identity);
+      done.push(...this.lifecycle.end(identity, ending, now));
+    }
+    return done;
+  }
+
   private offerWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    if (this.parts.isSuperseded()) return [];
     const waiting = this.parts.queue.waiting(OFFER_CANDIDATES);
     if (waiting.length === 0) return [];
     return this.takeOffers(this.offers.offerWaiting(waiting, now), now);
@@ -469,7 +509,3 @@
   if (entry.ending === undefined) return false;
   return result.RESULT_CODES[entry.ending.result].execution === 'ran';
 }
-
-function drainingFailure(): result.Failure {
-  return result.failure('draining', 'this process is shutting down');
-}
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -2,25 +2,40 @@
 import * as fleet from './fleet.js';
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
+import * as retryBudget from '../contracts/retry_budget.js';
 import * as scheduler from '../contracts/scheduler.js';
+import * as schedulerEffects from '../contracts/scheduler_effects.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
 import * as zoneControl from '../zones/zone_control.js';
 import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
-import type * as effects from '../contracts/effect.js';
+import * as effects from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as loop from '../loop.js';
 import type * as randomSource from './random_source.js';
 
+/**
+ * Time for the requests in progress to end before the workers are handed over
+ * all the same; the rest of the 30 s of a shutdown is for the handover.
+ */
+const DRAIN_MS = 20_000;
+
 /** What an entry process is made with. */
 export interface EntryVmParts {
   readonly self: zoneControl.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
-  /** Retention and append interval of the log. */
-  readonly logTerms?: configurationKeeper.KeeperOptions;
+  /** What the settings state of the log; defaults apply without it. */
+  readonly logTerms?: LogTerms;
+}
+
+/** Retention, lag and append interval of the log. */
+export interface LogTerms {
+  readonly retentionMs?: clock.Milliseconds;
+  readonly stalenessMs?: clock.Milliseconds;
+  readonly appendIntervalMs?: clock.Milliseconds;
 }
 
 /**
@@ -31,34 +46,48 @@
   private readonly workers = new fleet.Fleet();
   private readonly zone: zoneControl.ZoneControl;
   private readonly documents: configurationKeeper.ConfigurationKeeper;
+  private readonly directory: zoneDirectory.ZoneDirectory;
+  private readonly scheduler: scheduler.Scheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
+  /** When the workers are handed over at the latest. */
+  private handOverBy = Infinity;
+  private handsOver = false;
 
   constructor(private readonly parts: EntryVmParts) {
-    const {self, random} = parts;
-    this.zone = new zoneControl.ZoneControl(self, this.workers, {
-      documents: () => this.documents.news(),
-    });
+    const {self, random, logTerms} = parts;
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
       random,
-      ...parts.logTerms,
+      place: self,
+      retentionMs: logTerms?.retentionMs,
+      appendIntervalMs: logTerms?.appendIntervalMs,
+    });
+    this.zone = new zoneControl.ZoneControl(self, this.workers, {
+      logStalenessMs: logTerms?.stalenessMs,
+      documents: () => this.documents.news(),
     });
+    this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
-    this.queue = new schedulerQueue.SchedulerQueue(
-      new scheduler.Scheduler(this.workers, runner),
+    this.scheduler = new scheduler.Scheduler(
+      this.workers,
+      runner,
       this.documents,
     );
+    this.queue = new schedulerQueue.SchedulerQueue(this.scheduler);
     this.desk = new requestDesk.RequestDesk({
       self: self.process,
       random,
       documents: this.documents,
       queue: this.queue,
       runner,
-      directory: new zoneDirectory.ZoneDirectory(self.process, this.zone),
+      directory: this.directory,
       workers: {
         address: name => this.workers.get(name)?.description.address,
+        isGone: name =>
+          this.directory.hasVmList && this.workers.get(name) === undefined,
       },
-      retries: {take: () => true, succeeded: () => {}},
+      isSuperseded: () => this.zone.isSuperseded(),
+      retries: new retryBudget.RetryBudget(),
     });
   }
 
@@ -67,13 +96,19 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
+    if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
+    const drains = isOwnDrain(handled);
+    if (drains) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
     const done = [
-      ...this.zone.handle(handled, now),
+      // The zone hands the workers over when the requests here have ended.
+      ...(drains ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
+      ...this.handOver(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
+      ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
-    if (this.desk.isDraining() && this.desk.isIdle()) this.zone.drain();
+    this.zone.setExpectedWait(this.scheduler.expectedWaitMs());
     return this.zone.guard(done);
   }
 
@@ -83,9 +118,34 @@
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
+      this.handsOver ? Infinity : this.handOverBy,
+      this.scheduler.nextDeadline(),
     );
   }
 
+  /** Whether others took over what was here; nothing more can be done. */
+  isSuperseded(): boolean {
+    return this.zone.isSuperseded();
+  }
+
+  /** A zone whose workers have no owner yet would only let calls wait. */
+  private isReady(): boolean {
+    if (this.desk.isDraining() || this.isSuperseded()) return false;
+    if (this.documents.current().versions.size === 0) return false;
+    return this.workers
+      .all()
+      .some(item => this.zone.ownerOf(item.name) !== undefined);
+  }
+
+  private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    if (this.handOverBy === Infinity || this.handsOver) return [];
+    this.zone.announceLeaving();
+    if (!this.desk.isIdle() && now < this.handOverBy) return [];
+    this.handsOver = true;
+    this.zone.drain();
+    return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
+  }
+
   private status(call: event.CallNumber): effects.Effect {
     const owned = this.workers
       .all()
@@ -100,8 +160,16 @@
       unfinished: this.desk.unfinishedCount(),
       draining: this.desk.isDraining(),
       idle: this.desk.isIdle(),
+      left: this.zone.hasLeft(),
+      ready: this.isReady(),
+      members: this.zone.members(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
   }
 }
+
+/** Whether an event drains this process, not one of its workers. */
+function isOwnDrain(handled: event.Event): boolean {
+  return handled.kind === 'drainArrived' && handled.worker === undefined;
+}
--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -127,6 +127,15 @@
     return this.authority.isSucceeded(process, now);
   }
 
+  /** Whether this process has been a member since before another joined. */
+  joinedBefore(process: string): boolean {
+    const own = this.table.members().get(this.self.process);
+    const other =
+      this.table.members().get(process) ?? this.table.ended().get(process);
+    if (own === undefined || other === undefined) return false;
+    return own.joined < other.joined;
+  }
+
   /**
    * Whether this process was claimed by another. It cannot act any more and
    * has to be started again.
@@ -160,6 +169,11 @@
     this.plan.dropReplica(item);
   }
 
+  /** Tells the other members that this process takes no more work. */
+  announceLeaving(): void {
+    this.confirmations.beginLeaving();
+  }
+
   /**
    * Hands everything over to other members and leaves; to be called when the
    * requests in progress have ended.
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -1,38 +1,66 @@
 import type * as clock from '../machines/clock.js';
+import type * as event from '../contracts/event.js';
 import type * as processDirectory from '../contracts/process_directory.js';
 import type * as zoneControl from './zone_control.js';
 
-/** The processes of the own zone as requests and journals need them. */
+/**
+ * Other entry processes by the records of the own zone and, for other zones,
+ * by the VM list.
+ */
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
+  private elsewhere: ReadonlyArray<event.ListedVm> = [];
+  private listRead = false;
+
   constructor(
-    private readonly self: string,
+    private readonly self: zoneControl.ProcessDescription,
     private readonly zone: zoneControl.ZoneControl,
   ) {}
 
-  /** Other members, apart from those that the VM list proves to be gone. */
+  /** Takes the entry VMs of other zones from the VM list. */
+  noteVms(vms: ReadonlyArray<event.ListedVm>): void {
+    this.listRead = true;
+    this.elsewhere = vms.filter(
+      listed => listed.role === 'entry' && listed.zone !== this.self.zone,
+    );
+  }
+
+  /** Whether the VM list has been read at all. */
+  get hasVmList(): boolean {
+    return this.listRead;
+  }
+
   members(): ReadonlyArray<processDirectory.Member> {
     return this.zone
       .members()
-      .filter(({process, state}) => process !== this.self && state !== 'dead');
+      .filter(member => member.process !== this.self.process)
+      .filter(member => member.state !== 'dead');
+  }
+
+  offerTakers(): ReadonlyArray<processDirectory.Member> {
+    return this.zone
+      .members()
+      .filter(member => member.process !== this.self.process)
+      .filter(member => member.state === 'live');
+  }
+
+  isMember(process: string): boolean {
+    return this.members().some(member => member.process === process);
   }
 
-  /** Address of a member that was heard within the last seconds. */
-  liveAddress(process: string): string | undefined {
-    const member = this.zone.members().find(known => known.process === process);
-    if (member === undefined || process === this.self) return undefined;
-    const reachable = member.state === 'live' || member.state === 'leaving';
-    return reachable ? member.address : undefined;
+  address(process: string): string | undefined {
+    const member = this.members().find(known => known.process === process);
+    if (member !== undefined) return member.address;
+    // A process is named by its zone, its VM and a part of its own.
+    return this.elsewhere.find(({zone, vm}) =>
+      process.startsWith(`${zone}.${vm}.`),
+    )?.address;
   }
 
-  /** Whether a process has ended and its permits with it. */
   isSucceeded(process: string, now: clock.Milliseconds): boolean {
     return this.zone.isSucceeded(process, now);
   }
 
-  /** Whether this process joined before another by the order of the log. */
   joinedBefore(process: string): boolean {
-    const own = this.zone.joinedAt(this.self);
-    const other = this.zone.joinedAt(process);
-    return own !== undefined && other !== undefined && own < other;
+    return this.zone.joinedBefore(process);
   }
 }
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -77,8 +77,7 @@
     const runner = new taskRunner.TaskRunner(workers, permits);
     const documents = {current: () => DOCUMENTS};
     const queue = new schedulerQueue.SchedulerQueue(
-      new scheduler.Scheduler(workers, runner),
-      documents,
+      new scheduler.Scheduler(workers, runner, documents),
     );
     this.desk = new requestDesk.RequestDesk({
       self,
@@ -87,8 +86,12 @@
       queue,
       runner,
       directory: this.directory(),
-      workers: {address: name => workers.get(name)?.description.address},
+      workers: {
+        address: name => workers.get(name)?.description.address,
+        isGone: () => false,
+      },
       retries: {take: () => true, succeeded: () => {}},
+      isSuperseded: () => false,
     });
     if (!hasWorker) return;
     workers.ensure({name: 'worker-1', zone: 'kigali-a', address: 'w:1'});
@@ -201,10 +204,13 @@
   private directory(): processDirectory.ProcessDirectory {
     const isLive = (process: string): boolean =>
       this.peers.live.includes(process);
+    const members = (): ReadonlyArray<processDirectory.Member> =>
+      this.peers.live.map(process => ({process, address: process}));
     return {
-      members: () =>
-        this.peers.live.map(process => ({process, address: process})),
-      liveAddress: process => (isLive(process) ? process : undefined),
+      members,
+      offerTakers: members,
+      isMember: isLive,
+      address: process => (isLive(process) ? process : undefined),
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
     };
