--- a/src/contracts/invariant.ts
+++ b/src/contracts/invariant.ts
@@ -11,7 +11,11 @@
   /** Room is reserved only for a task that is followed. */
   | 'reservationHasTask'
   /** The version of a document in force never falls. */
-  | 'versionNeverFalls';
+  | 'versionNeverFalls'
+  /** A permit ends before a successor that this process knows may place. */
+  | 'permitEndsBeforeSuccession'
+  /** An owner acts on a worker only under a permit of the present epoch. */
+  | 'ownerHasPermit';
 
 /** Reports a broken invariant; the caller leaves out the unsafe action. */
 export function violation(
--- a/src/zones/authority.ts
+++ b/src/zones/authority.ts
@@ -1,7 +1,8 @@
 import * as clock from '../machines/clock.js';
-import * as effects from '../contracts/effect.js';
+import * as invariant from '../contracts/invariant.js';
 import * as lease from '../contracts/lease.js';
 import * as ownership from './ownership.js';
+import type * as effects from '../contracts/effect.js';
 import type * as membership from './membership.js';
 import type * as vmPresence from './vm_presence.js';
 import type * as zoneStream from './zone_stream.js';
@@ -53,7 +54,7 @@
   private readonly givenUp = new Map<string, number>();
   private readonly endings = new Map<string, clock.Milliseconds>();
   private leftValue = false;
-  private violations: string[] = [];
+  private violations: effects.Effect[] = [];
 
   constructor(private readonly sources: AuthoritySources) {}
 
@@ -100,7 +101,7 @@
     if (now < this.waitEnd(item, held)) return -Infinity;
     const seen = this.sightings.get(item);
     if (seen?.epoch !== held.epoch || seen.owner !== held.owner) {
-      this.violations.push(`permit for ${item} after a change of owner`);
+      this.violations.push(...invariant.violation('ownerHasPermit', {item}));
       return -Infinity;
     }
     return this.processPermitEnd(now);
@@ -153,10 +154,9 @@
 
   /** Takes the invariants found violated since the last call. */
   takeViolations(): ReadonlyArray<effects.Effect> {
-    if (this.violations.length === 0) return [];
     const found = this.violations;
-    this.violations = [];
-    return found.flatMap(violation);
+    if (found.length > 0) this.violations = [];
+    return found;
   }
 
   /**
@@ -229,7 +229,10 @@
     const earliest = now + this.claimWait() / (1 + clock.MAXIMUM_DRIFT);
     if (permitEnd <= earliest) return;
     this.violations.push(
-      `permit until ${permitEnd} outlives the wait of ${held.owner}`,
+      ...invariant.violation('permitEndsBeforeSuccession', {
+        successor: held.owner,
+        excessMs: permitEnd - earliest,
+      }),
     );
   }
 
@@ -248,11 +251,3 @@
     }
   }
 }
-
-/** Reports a violated invariant by a counter and a log line. */
-export function violation(evidence: string): ReadonlyArray<effects.Effect> {
-  return [
-    effects.count('invariant_violated', {invariant: 'permit'}),
-    effects.log('error', 'invariantViolated', {evidence}),
-  ];
-}
--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -1,6 +1,7 @@
 import * as authority from './authority.js';
 import * as confirmations from './confirmations.js';
 import * as effects from '../contracts/effect.js';
+import * as invariant from '../contracts/invariant.js';
 import * as membership from './membership.js';
 import * as ownership from './ownership.js';
 import * as recordPlan from './record_plan.js';
@@ -208,10 +209,11 @@
         return [item];
       }
       if (this.permitEnd(item.worker) > now) return [item];
-      const owner = this.ownerOf(item.worker) ?? 'nobody';
-      return authority.violation(
-        `${item.kind} on ${item.worker} of ${owner} without a permit`,
-      );
+      return invariant.violation('ownerHasPermit', {
+        effect: item.kind,
+        item: item.worker,
+        owner: this.ownerOf(item.worker) ?? ownership.NOBODY,
+      });
     });
   }
 
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -242,7 +242,7 @@
       case 'confirmPeer':
         return this.confirm(process, wanted);
       case 'count':
-        if (wanted.metric === 'invariant_violated') {
+        if (wanted.metric === 'invariant') {
           this.violations.push(`${this.now}: ${process.name} counted it`);
         }
     }
