Find the outcome of requests whose dead home was in another zone

Cause: calls about an identity of another zone went only to the VM of its home. Change: such a call goes to any entry VM of the home's zone, the home's own first and another after a failure; a process answers forwarded calls by their identity. A process at a dead home's address does not forward to itself.

--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -75,11 +75,7 @@
         openCalls: settings.openCallLimit,
       },
     });
-    this.peerServer = new peerServer.PeerServer(
-      this.incarnation,
-      this.numbers,
-      this.post,
-    );
+    this.peerServer = new peerServer.PeerServer(this.numbers, this.post);
     this.peers = new peerLink.PeerLink({
       self: this.incarnation,
       calls: this.callers,
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -32,6 +32,11 @@
   isIdempotent(call: IdentityCall): boolean | undefined;
 }
 
+interface ForwardedCall {
+  readonly identity: string;
+  readonly address: string;
+}
+
 interface HeldCall {
   readonly call: IdentityCall;
   readonly question: recoveries.Question;
@@ -44,7 +49,7 @@
  */
 export class CallRouter {
   private readonly held = new Map<event.CallNumber, HeldCall>();
-  private readonly forwarded = new Map<event.CallNumber, string>();
+  private readonly forwarded = new Map<event.CallNumber, ForwardedCall>();
 
   constructor(
     private readonly self: string,
@@ -62,7 +67,7 @@
   ): ReadonlyArray<effects.Effect> {
     const address = this.directory.address(home);
     if (address !== undefined) {
-      this.forwarded.set(call.call, identity);
+      this.forwarded.set(call.call, {identity, address});
       return [
         effects.count('forward', {reason: 'home'}),
         {kind: 'forwardCall', peer: home, address, call: call.call},
@@ -204,8 +209,10 @@
     answered: Extract<event.Event, {kind: 'forwardAnswered'}>,
   ): ReadonlyArray<effects.Effect> {
     const {call} = answered;
-    const identity = this.forwarded.get(call);
-    if (!this.forwarded.delete(call) || identity === undefined) return [];
+    const forwarded = this.forwarded.get(call);
+    if (forwarded === undefined) return [];
+    this.forwarded.delete(call);
+    const {identity} = forwarded;
     const reply = readReply(answered.code, answered.body);
     if (reply.identity !== undefined && reply.identity !== identity) {
       return [
@@ -217,8 +224,11 @@
   }
 
   private forwardFailed(call: event.CallNumber): ReadonlyArray<effects.Effect> {
-    const identity = this.forwarded.get(call);
-    if (!this.forwarded.delete(call) || identity === undefined) return [];
+    const forwarded = this.forwarded.get(call);
+    if (forwarded === undefined) return [];
+    this.forwarded.delete(call);
+    const {identity, address} = forwarded;
+    this.directory.noteUnreachable(address);
     return unknownFor(call, identity, 'the home gave no answer');
   }
 
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -16,6 +16,8 @@
   isMember(process: string): boolean;
   /** Address of a process that may be alive; undefined when it is unknown. */
   address(process: string): string | undefined;
+  /** Notes that an address gave no answer; another is named next time. */
+  noteUnreachable(address: string): void;
   /** Whether a process was succeeded and all its permits have ended. */
   isSucceeded(process: string, now: clock.Milliseconds): boolean;
   /** Whether this process has been a member since before `process` joined. */
--- a/src/contracts/request_builder.ts
+++ b/src/contracts/request_builder.ts
@@ -27,7 +27,11 @@
     sender: Sender,
     now: clock.Milliseconds,
   ): either.Either<result.Failure, request.Request> {
-    const team = this.documents.current().teams.get(submission.team);
+    const {teams, versions} = this.documents.current();
+    if (versions.size === 0) {
+      return refuse('noConfiguration', 'no document has been read yet');
+    }
+    const team = teams.get(submission.team);
     if (team === undefined) {
       return refuse(
         'unknownTeam',
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -33,7 +33,6 @@
   private readonly open = new Map<event.CallNumber, (answer: Answer) => void>();
 
   constructor(
-    private readonly self: string,
     private readonly numbers: callNumbers.CallNumbers,
     private readonly post: (event: event.Event) => void,
   ) {
@@ -151,12 +150,8 @@
     message: peerPb.ForwardRequest,
     gone: AbortSignal,
   ): Promise<Init<typeof peerPb.ForwardResponseSchema>> {
-    if (message.to !== this.self) {
-      throw new connect.ConnectError(
-        `to: ${message.to} is not the process at this address`,
-        connect.Code.FailedPrecondition,
-      );
-    }
+    // The identity tells whom it concerns; a call for a dead home comes to any
+    // process of its zone.
     const {reply} = await this.ask('answerCaller', gone, call =>
       forwardedEvent(message, call),
     );
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -10,6 +10,8 @@
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
   private elsewhere: ReadonlyArray<event.ListedVm> = [];
   private listRead = false;
+  /** Addresses that gave no answer since all of their zone did. */
+  private readonly unreachable = new Set<string>();
 
   constructor(
     private readonly self: zoneControl.ProcessDescription,
@@ -49,11 +51,13 @@
 
   address(process: string): string | undefined {
     const member = this.members().find(known => known.process === process);
-    if (member !== undefined) return member.address;
-    // A process is named by its zone, its VM and a part of its own.
-    return this.elsewhere.find(({zone, vm}) =>
-      process.startsWith(`${zone}.${vm}.`),
-    )?.address;
+    // A new process on the VM of a dead one listens at the same address.
+    if (member?.address === this.self.address) return undefined;
+    return member?.address ?? this.addressElsewhere(process);
+  }
+
+  noteUnreachable(address: string): void {
+    this.unreachable.add(address);
   }
 
   isSucceeded(process: string, now: clock.Milliseconds): boolean {
@@ -63,4 +67,27 @@
   joinedBefore(process: string): boolean {
     return this.zone.joinedBefore(process);
   }
+
+  /**
+   * The VM of a process of another zone, or any entry VM of that zone: it
+   * knows whether the process lives, and how to find out what it did.
+   */
+  private addressElsewhere(process: string): string | undefined {
+    const inZone = this.elsewhere.filter(({zone}) =>
+      process.startsWith(`${zone}.`),
+    );
+    // A process is named by its zone, its VM and a part of its own.
+    const isHost = ({zone, vm}: event.ListedVm): boolean =>
+      process.startsWith(`${zone}.${vm}.`);
+    const ordered = [
+      ...inZone.filter(isHost),
+      ...inZone.filter(listed => !isHost(listed)),
+    ];
+    const reachable = ordered.find(
+      ({address}) => !this.unreachable.has(address),
+    );
+    if (reachable !== undefined) return reachable.address;
+    for (const {address} of ordered) this.unreachable.delete(address);
+    return ordered[0]?.address;
+  }
 }
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -59,6 +59,7 @@
     address: process => process,
     isSucceeded: () => false,
     joinedBefore: () => true,
+    noteUnreachable: () => {},
   };
 }
 
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -213,6 +213,7 @@
       address: process => (isLive(process) ? process : undefined),
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
+      noteUnreachable: () => {},
     };
   }
 }
