Refuse with 3001 only while there is neither a team nor a version

Cause: the check looked at versions alone, which the tests' documents do not carry. Change: teams count as documents too.

--- a/src/contracts/request_builder.ts
+++ b/src/contracts/request_builder.ts
@@ -28,7 +28,7 @@
     now: clock.Milliseconds,
   ): either.Either<result.Failure, request.Request> {
     const {teams, versions} = this.documents.current();
-    if (versions.size === 0) {
+    if (teams.size === 0 && versions.size === 0) {
       return refuse('noConfiguration', 'no document has been read yet');
     }
     const team = teams.get(submission.team);
