--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_control.ts
@@ -26,6 +26,9 @@
 
 export type ProcessDescription = confirmations.ProcessDescription;
 
+/** How long a proof that nobody has claimed a worker lets its owner place. */
+export const {PERMIT_MS} = authority;
+
 /** Settings of `ZoneControl` that have defaults. */
 export interface ZoneControlOptions {
   /** Lag of the log's reads; added to the wait after a claim. */
--- /dev/null
+++ b/test/zones/zone_control_test.ts
@@ -0,0 +1,101 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as fleet from '../../src/machines/fleet.js';
+import * as ownership from '../../src/zones/ownership.js';
+import * as zoneControl from '../../src/zones/zone_control.js';
+
+const NEWS = {
+  from: 'b',
+  zone: 'z',
+  address: 'b:1',
+  documents: [],
+  leavingWorkers: [],
+  summaries: [],
+  leaving: false,
+};
+
+/** Member `a` that owns w1 and w2 beside `b`, by a read sent at 0. */
+function createOwner(): zoneControl.ZoneControl {
+  const self = {process: 'a', vm: 'a', zone: 'z', region: 'r', address: 'a:1'};
+  const control = new zoneControl.ZoneControl(self, new fleet.Fleet());
+  const items = ['w1', 'w2'].map(item => ({item, epoch: 0}));
+  const written: ReadonlyArray<ownership.ZoneRecord> = [
+    {kind: 'join', process: 'a', vm: 'a', address: 'a:1'},
+    {kind: 'join', process: 'b', vm: 'b', address: 'b:1'},
+    {kind: 'claim', claimant: 'a', items},
+  ];
+  const records = written.map((record, offset) => ({
+    offset,
+    data: JSON.stringify({...record, id: `a/${offset + 1}`}),
+  }));
+  // The join is sent after the first read and read back by the second.
+  const empty = {first: 0, next: 0, sentAt: 0, records: []};
+  control.handle({kind: 'recordsRead', stream: 'zone/z', ...empty}, 0);
+  const range = {first: 0, next: 3, sentAt: 0};
+  control.handle({kind: 'recordsRead', stream: 'zone/z', ...range, records}, 1);
+  return control;
+}
+
+function confirm(
+  control: zoneControl.ZoneControl,
+  at: number,
+  leaving = false,
+): boolean {
+  const news = {...NEWS, leaving};
+  const asked = {call: 1, to: 'a', zonePosition: 3, news};
+  const [answer] = control.handle({kind: 'confirmArrived', ...asked}, at);
+  assert.ok(answer.kind === 'answerConfirm');
+  return answer.confirmed;
+}
+
+nodeTest.describe('zone control', () => {
+  nodeTest.test(
+    'an owner has no permit from the turn in which it sends a transfer: ' +
+      'guards against placing beside the receiver',
+    () => {
+      const control = createOwner();
+      assert.equal(control.permitEnd('w2'), zoneControl.PERMIT_MS);
+      confirm(control, 10);
+      const sent = control.handle({kind: 'timePassed'}, 1_000);
+      const append = sent.find(wanted => wanted.kind === 'append');
+      assert.match(append?.records.join() ?? '', /"transfer".*"w2"/);
+      assert.equal(control.owns('w2'), true);
+      assert.equal(control.permitEnd('w2'), -Infinity);
+      assert.equal(control.permitEnd('w1'), zoneControl.PERMIT_MS);
+    },
+  );
+
+  nodeTest.test(
+    'without the log a permit lasts from the sending of a confirmation of ' +
+      'every member: guards against a permit by silence or by late answers',
+    () => {
+      const control = createOwner();
+      control.handle({kind: 'timePassed'}, 4_500);
+      assert.ok(control.permitEnd('w1') <= 4_500);
+      const answer = {peer: 'b', sentAt: 4_600, zoneRecords: [], news: NEWS};
+      const kind = 'confirmAnswered';
+      control.handle({kind, confirmed: false, ...answer}, 4_700);
+      assert.ok(control.permitEnd('w1') <= 4_700);
+      control.handle({kind, confirmed: true, ...answer}, 4_800);
+      assert.equal(control.permitEnd('w1'), 4_600 + zoneControl.PERMIT_MS);
+    },
+  );
+
+  nodeTest.test(
+    'a member with a claim that may still take effect promises nothing: ' +
+      'guards against an owner that is succeeded unnoticed',
+    () => {
+      const control = createOwner();
+      // A leaving member gets no workers, so that only the claim is written.
+      assert.equal(confirm(control, 10, true), true);
+      for (let at = 1_000; at <= 6_000; at += 1_000) {
+        const read = {first: 0, next: 3, sentAt: at, records: []};
+        const stream = 'zone/z';
+        const done = control.handle({kind: 'recordsRead', stream, ...read}, at);
+        const append = done.find(wanted => wanted.kind === 'append');
+        if (append?.records.join().includes('process:b')) break;
+      }
+      assert.equal(confirm(control, 6_100), false);
+    },
+  );
+});
