Relay calls about identities of other zones to any process of their zone

Cause: a client far from a dead home was told 4001 for ever, because only the home's zone knows of its succession. Change: a call about an identity of another zone goes to an entry VM of that zone from the VM list, the home's own VM first; such a call names no process.

--- a/bench/fakes/entry_host.ts
+++ b/bench/fakes/entry_host.ts
@@ -381,9 +381,9 @@
     wanted: Extract<effect.PeerEffect, {kind: 'forwardCall'}>,
   ): void {
     const original = this.callEvents.get(wanted.call);
-    const peer = this.around.hosts.get(wanted.peer);
+    const peer = this.around.hosts.get(wanted.address);
     if (original === undefined) return;
-    const place = {name: wanted.peer, zone: peer?.zone ?? this.zone};
+    const place = {name: wanted.address, zone: peer?.zone ?? this.zone};
     this.around.network.call<effect.Reply>(
       this,
       place,
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -62,12 +62,11 @@
   ): ReadonlyArray<effects.Effect> {
     const address = this.directory.address(home);
     if (address !== undefined) {
-      this.forwarded.set(call.call, identity);
-      return [
-        effects.count('forward', {reason: 'home'}),
-        {kind: 'forwardCall', peer: home, address, call: call.call},
-      ];
+      const member = {process: home, address};
+      return this.forward(call, identity, member, false);
     }
+    const relay = this.directory.relay(home);
+    if (relay !== undefined) return this.forward(call, identity, relay, true);
     if (!this.directory.isSucceeded(home, now)) {
       const detail = `the home ${home} can't be reached and may be alive`;
       return unknown(call, identity, detail);
@@ -121,6 +120,20 @@
     return due;
   }
 
+  private forward(
+    call: IdentityCall,
+    identity: string,
+    to: processDirectory.Member,
+    relayed: boolean,
+  ): ReadonlyArray<effects.Effect> {
+    this.forwarded.set(call.call, identity);
+    const {process: peer, address} = to;
+    return [
+      effects.count('forward', {reason: relayed ? 'otherZone' : 'home'}),
+      {kind: 'forwardCall', peer, address, relayed, call: call.call},
+    ];
+  }
+
   private askRecovery(
     call: IdentityCall,
     identity: string,
--- a/src/contracts/effect.ts
+++ b/src/contracts/effect.ts
@@ -102,7 +102,10 @@
   | {
       /** Passes a caller's call on to the home of its identity. */
       readonly kind: 'forwardCall';
+      /** The home, or the VM of any process of the home's zone. */
       readonly peer: string;
+      /** Whether any process at the address may take the call. */
+      readonly relayed: boolean;
       readonly address: string;
       readonly call: event.CallNumber;
     }
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -14,8 +14,10 @@
   offerTakers(): ReadonlyArray<Member>;
   /** Whether a process of the own zone has neither left nor been claimed. */
   isMember(process: string): boolean;
-  /** Address of a process that may be alive; undefined when it is unknown. */
+  /** Address of a process of the own zone that may be alive. */
   address(process: string): string | undefined;
+  /** A process of another zone that knows what became of `process`. */
+  relay(process: string): Member | undefined;
   /** Whether a process was succeeded and all its permits have ended. */
   isSucceeded(process: string, now: clock.Milliseconds): boolean;
   /** Whether this process has been a member since before `process` joined. */
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -165,7 +165,11 @@
       message.waitMs + CALL_DEADLINE_MS,
       (client, options) =>
         client.forward(
-          {...message, from: this.parts.self, to: wanted.peer},
+          {
+            ...message,
+            from: this.parts.self,
+            to: wanted.relayed ? '' : wanted.peer,
+          },
           options,
         ),
     );
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -151,7 +151,8 @@
     message: peerPb.ForwardRequest,
     gone: AbortSignal,
   ): Promise<Init<typeof peerPb.ForwardResponseSchema>> {
-    if (message.to !== this.self) {
+    // A relayed call names no process: any one of the zone may take it.
+    if (message.to !== '' && message.to !== this.self) {
       throw new connect.ConnectError(
         `to: ${message.to} is not the process at this address`,
         connect.Code.FailedPrecondition,
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -48,12 +48,22 @@
   }
 
   address(process: string): string | undefined {
-    const member = this.members().find(known => known.process === process);
-    if (member !== undefined) return member.address;
-    // A process is named by its zone, its VM and a part of its own.
-    return this.elsewhere.find(({zone, vm}) =>
+    return this.members().find(known => known.process === process)?.address;
+  }
+
+  /**
+   * A process is named by its zone, its VM and a part of its own. Any process
+   * of its zone passes a call on, or recovers the outcome if it is dead.
+   */
+  relay(process: string): processDirectory.Member | undefined {
+    const there = this.elsewhere.filter(
+      ({zone, state}) => state === 'live' && process.startsWith(`${zone}.`),
+    );
+    const home = there.find(({zone, vm}) =>
       process.startsWith(`${zone}.${vm}.`),
-    )?.address;
+    );
+    const chosen = home ?? there.at(0);
+    return chosen && {process: chosen.vm, address: chosen.address};
   }
 
   isSucceeded(process: string, now: clock.Milliseconds): boolean {
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -57,6 +57,7 @@
     offerTakers: () => [],
     isMember: () => true,
     address: process => process,
+    relay: () => undefined,
     isSucceeded: () => false,
     joinedBefore: () => true,
   };
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -92,7 +92,7 @@
       remainingMs: Infinity,
     },
     {kind: 'withdrawOffer', peer, address, identity: 'i', attempt: 2},
-    {kind: 'forwardCall', peer, address, call: 3},
+    {kind: 'forwardCall', peer, address, relayed: false, call: 3},
     {kind: 'fetchDocuments', peer, address, have: [{name: 'a', version: 1}]},
     {kind: 'sendWitness', peer, address, batch: 4, entries: ['one', 'two']},
     {kind: 'readWitness', peer, address, process: 'gone'},
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -211,6 +211,7 @@
       offerTakers: members,
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
+      relay: () => undefined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
     };
