--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -108,6 +108,7 @@
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
       ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
+    this.zone.setExpectedWait(this.scheduler.expectedWaitMs());
     return this.zone.guard(done);
   }
 
@@ -161,6 +162,7 @@
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
       ready: this.isReady(),
+      members: this.zone.members(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
--- a/test/processes/succession_test.ts
+++ b/test/processes/succession_test.ts
@@ -19,6 +19,7 @@
     await cell.untilOwner(home);
     const other = await cell.addEntry();
     await cell.untilReady(other);
+    await cell.untilKnown(other);
     await body({cell, home, other});
     await cell.assertNotOvercommitted();
   } finally {
