--- a/bench/fakes/entry_host.ts
+++ b/bench/fakes/entry_host.ts
@@ -387,7 +387,7 @@
     const peer = this.around.hosts.get(wanted.address);
     if (original === undefined) return;
     const waitMs = 'waitMs' in original ? original.waitMs : 0;
-    const place = {name: wanted.peer, zone: peer?.zone ?? this.zone};
+    const place = {name: wanted.address, zone: peer?.zone ?? this.zone};
     this.around.network.call<effect.Reply>(
       this,
       place,
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -57,9 +57,9 @@
     offerTakers: () => [],
     isMember: () => true,
     address: process => process,
+    relay: () => undefined,
     isSucceeded: () => false,
     joinedBefore: () => true,
-    noteUnreachable: () => {},
   };
 }
 
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -211,9 +211,9 @@
       offerTakers: members,
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
+      relay: () => undefined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
-      noteUnreachable: () => {},
     };
   }
 }
