Keep the process alive when a connection is refused

Cause: undici calls a connector back without a socket after a fault; the byte counter took it for one, and the first refused connection of a worker, the log or the list ended the process with a TypeError. Change: only made connections are watched. The tests of the caller watch connections too, and a process test starts against a closed port. The binary keeps short lines, because a fault prints the line it arose in.

--- a/src/links/http_caller.ts
+++ b/src/links/http_caller.ts
@@ -98,7 +98,9 @@
     const build = undici.buildConnector({timeout: CONNECT_DEADLINE_MS});
     this.connect = (target, callback) =>
       build(target, (...made) => {
-        if (made[1] !== null) options.onConnected?.(made[1]);
+        // After a fault there is no socket, not even a null.
+        const [fault, socket] = made;
+        if (fault === null && socket) options.onConnected?.(socket);
         callback(...made);
       });
   }
--- a/stand_ins/log_service.ts
+++ b/stand_ins/log_service.ts
@@ -65,6 +65,11 @@
     return this.appends;
   }
 
+  /** Reads that were answered. */
+  readCount(): number {
+    return this.reads;
+  }
+
   /** Records that a stream keeps. */
   records(name: string): ReadonlyArray<string> {
     return this.stream(name).records.map(record => record.data);
--- a/test/links/http_caller_test.ts
+++ b/test/links/http_caller_test.ts
@@ -48,6 +48,7 @@
     connections,
     probePath: '/probe',
     onSilent: address => silent.push(address),
+    onConnected: socket => assert.ok(socket.remotePort !== undefined),
   });
 }
 
--- a/test/processes/fault_test.ts
+++ b/test/processes/fault_test.ts
@@ -1,5 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as entryProcess from '../support/entry_process.js';
+import * as httpCall from '../support/http_call.js';
+import * as logService from '../../stand_ins/log_service.js';
 import * as processCell from '../support/process_cell.js';
 import * as wait from '../support/wait.js';
 
@@ -16,6 +19,32 @@
 }
 
 nodeTest.describe('faults of one process', () => {
+  // Guards against a process that ends because nothing answers it.
+  nodeTest.test('it outlives a platform that refuses connections', async () => {
+    const refusing = new logService.LogService();
+    const log = await refusing.listen();
+    refusing.close();
+    const entry = await entryProcess.EntryProcess.start({
+      vm: 'entry-1',
+      zone: 'kigali-a',
+      region: 'kigali',
+      log,
+      vmList: log,
+    });
+    const answering = new logService.LogService();
+    try {
+      const live = await httpCall.callJson(entry.address, 'GET', '/live');
+      assert.equal(live.status, 200);
+      await answering.listen(Number(log.split(':')[1]));
+      await wait.until('a read of the log', async () =>
+        answering.readCount() > 0 ? true : undefined,
+      );
+    } finally {
+      await entry.kill();
+      answering.close();
+    }
+  });
+
   // Guards against a planned stop that costs a request its answer.
   nodeTest.test('SIGTERM under load cuts off no request', () =>
     withCell(async cell => {
--- a/tools/build_binary.mjs
+++ b/tools/build_binary.mjs
@@ -32,7 +32,9 @@
     platform: 'node',
     format: 'cjs',
     target: 'node20',
-    minify: true,
+    // Lines stay short, because a fault prints the line in which it arose.
+    minifySyntax: true,
+    minifyIdentifiers: true,
     keepNames: true,
     legalComments: 'none',
     logLevel: 'warning',
