--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -18,7 +18,10 @@
  * Time for which one look at a request waits for its end while its events are
  * streamed; other changes of state are seen this much later at most.
  */
-const STREAM_INTERVAL_MS = 250;
+const FIRST_LOOK_MS = 250;
+
+/** Longest time of a look at a request whose state does not change. */
+const LAST_LOOK_MS = 5_000;
 
 /** Time for the loop to answer a readiness check. */
 const READY_DEADLINE_MS = 1_000;
@@ -252,9 +255,17 @@
           sendReply(response, reply);
           return;
         }
-        if (stream.take(reply)) return;
+        const progress = stream.take(reply);
+        if (progress === 'ended') return;
         current = this.parts.numbers.next();
-        look(STREAM_INTERVAL_MS);
+        // Looks at a request that stays as it is become rare: each one may
+        // cross regions.
+        const longer = Math.max(2 * waitMs, FIRST_LOOK_MS);
+        look(
+          progress === 'changed'
+            ? FIRST_LOOK_MS
+            : Math.min(longer, LAST_LOOK_MS),
+        );
       });
     };
     look(0);
--- a/src/links/event_stream.ts
+++ b/src/links/event_stream.ts
@@ -5,6 +5,9 @@
 /** Time between comments that keep an idle stream from being cut off. */
 const COMMENT_INTERVAL_MS = 15_000;
 
+/** What a look at a request showed. */
+export type Progress = 'ended' | 'changed' | 'same';
+
 /** Sends the states of one request as server-sent events until its end. */
 export class EventStream {
   private lastState = '';
@@ -20,15 +23,16 @@
     return this.open;
   }
 
-  /** Takes what was read of the request; true when it was the last event. */
-  take(reply: effect.Reply): boolean {
+  /** Takes what was read of the request and sends it when it is news. */
+  take(reply: effect.Reply): Progress {
     if (!this.open) this.begin();
     const ended = reply.code !== result.RESULT_CODES.accepted.code;
     const state = `${reply.state} ${reply.worker}`;
-    if (ended || state !== this.lastState) this.send(reply);
+    const changed = ended || state !== this.lastState;
+    if (changed) this.send(reply);
     this.lastState = state;
     if (ended) this.response.end();
-    return ended;
+    return ended ? 'ended' : changed ? 'changed' : 'same';
   }
 
   private begin(): void {
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 import * as connect from '@connectrpc/connect';
 import * as connectNode from '@connectrpc/connect-node';
+import * as peerMessages from './peer_messages.js';
 import * as peerPb from './generated/peer_pb.js';
 
 /** Deadline of a probe. */
@@ -94,6 +95,7 @@
       sessionManager: session,
       // Messages are a few hundred bytes; compression would only add headers.
       acceptCompression: [],
+      readMaxBytes: peerMessages.LARGEST_MESSAGE,
     });
     return {client: connect.createClient(peerPb.Peer, transport), session};
   }
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -7,6 +7,9 @@
 /** Largest value of a uint32; stands for no limit in `remaining_ms`. */
 const UINT32_MAX = 0xffffffff;
 
+/** Largest message that is read, in bytes; answers of tasks are the largest. */
+export const LARGEST_MESSAGE = 67_108_864;
+
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -41,6 +41,7 @@
       connectNode.connectNodeAdapter({
         routes: router => this.route(router),
         acceptCompression: [],
+        readMaxBytes: peerMessages.LARGEST_MESSAGE,
         grpc: false,
         grpcWeb: false,
       }),
