End a shutdown although callers keep calling

Cause: a shutdown waited until no call was open; with callers that kept sending calls of other homes it took its whole 30 s. The end is bounded: 25 s for requests and handover, 4 s for callers to read.

--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -131,7 +131,6 @@
 
   private async finish(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
-    await this.callers.close();
     await this.close();
   }
 
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -1,13 +1,23 @@
 import * as timers from 'node:timers/promises';
+import * as result from '../result.js';
 import type * as callerServer from '../links/caller_server.js';
 import type * as entryLinks from '../links/entry_links.js';
 
-/** Longest time from the signal to the end of the process. */
-const SHUTDOWN_DEADLINE_MS = 30_000;
+/**
+ * Longest time from the signal to the last calls, so that the process ends
+ * within 30 s.
+ */
+const SHUTDOWN_DEADLINE_MS = 25_000;
 
 /** Time for the balancer to see that the process is not ready any more. */
 const NOTICE_MS = 1_000;
 
+/** Time for calls that are still open once no request is left here. */
+const CALL_GRACE_MS = 2_000;
+
+/** Time for callers to read their answers; one may not read at all. */
+const CLOSE_LIMIT_MS = 4_000;
+
 /** Time between looks at what is left to do. */
 const LOOK_INTERVAL_MS = 50;
 
@@ -16,7 +26,6 @@
 
 interface Remaining {
   readonly unfinished: number;
-  readonly unanswered: number;
   /** Whether the zone has recorded that this process left. */
   readonly left: boolean;
 }
@@ -28,7 +37,7 @@
     private readonly logs: entryLinks.LogSink,
   ) {}
 
-  /** Turns readiness off and resolves when the process may end. */
+  /** Resolves when the callers' connections are closed and the process may end. */
   async run(): Promise<void> {
     const started = performance.now();
     const deadline = started + SHUTDOWN_DEADLINE_MS;
@@ -40,6 +49,13 @@
     );
     await timers.setTimeout(NOTICE_MS);
     const remaining = await this.finish(deadline);
+    // What is open now concerns requests of other homes.
+    const {code} = result.RESULT_CODES.unknownOutcome;
+    const detail = 'this process is shutting down; ask another';
+    await Promise.race([
+      this.callers.abandon({code, detail}, CALL_GRACE_MS),
+      timers.setTimeout(CLOSE_LIMIT_MS),
+    ]);
     const clean = remaining.left && remaining.unfinished === 0;
     this.logs.log(clean ? 'info' : 'warn', 'drained', {
       ...remaining,
@@ -51,7 +67,7 @@
   private async finish(deadline: number): Promise<Remaining> {
     for (;;) {
       const remaining = await this.look();
-      if (remaining.left && remaining.unanswered === 0) return remaining;
+      if (remaining.left) return remaining;
       if (performance.now() >= deadline) return remaining;
       await timers.setTimeout(LOOK_INTERVAL_MS);
     }
@@ -66,7 +82,6 @@
     return {
       // Without an answer nothing is known to be finished.
       unfinished: Number(content['unfinished'] ?? 1),
-      unanswered: this.callers.unansweredCount(),
       left: content['left'] === true,
     };
   }
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -115,11 +115,6 @@
     return this.open.get(call)?.event;
   }
 
-  /** Calls of callers that are not answered completely. */
-  unansweredCount(): number {
-    return this.unsent;
-  }
-
   /** Posts a call of this process itself and resolves with the reply. */
   ask(
     build: (call: event.CallNumber) => event.CallEvent,
@@ -160,11 +155,16 @@
     });
   }
 
-  /** Answers all open calls and closes every connection. */
-  async abandon(reply: effect.Reply): Promise<void> {
+  /** Closes; calls that are open after the grace get the reply. */
+  async abandon(reply: effect.Reply, graceMs = 0): Promise<void> {
     this.beginDrain();
-    for (const call of [...this.open.keys()]) this.answer(call, reply);
+    const graceEnd = performance.now() + graceMs;
+    const timer = setInterval(() => {
+      if (performance.now() < graceEnd) return;
+      for (const call of [...this.open.keys()]) this.answer(call, reply);
+    }, CLOSE_INTERVAL_MS);
     await this.close();
+    clearInterval(timer);
   }
 
   private async serve(
