--- /dev/null
+++ b/test/processes/operator_commands_test.ts
@@ -0,0 +1,141 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as command from '../support/command.js';
+import * as entryProcess from '../support/entry_process.js';
+import * as logService from '../../stand_ins/log_service.js';
+import * as vmList from '../../stand_ins/vm_list.js';
+import * as wait from '../support/wait.js';
+import * as worker from '../../stand_ins/worker.js';
+
+const DEPLOYMENT = 'deployments/go_stones';
+const TEAM_FILE = `${DEPLOYMENT}/team/dispatch.toml`;
+const FLEET_FILE = `${DEPLOYMENT}/fleet.toml`;
+
+const ZONE = 'kigali-a';
+
+type Printed = Readonly<Record<string, unknown>>;
+
+async function printed(...given: ReadonlyArray<string>): Promise<Printed> {
+  const {output} = await command.run('', ...given, '--json');
+  return JSON.parse(output) as Printed;
+}
+
+/** One worker and one entry process of the deployment's first zone. */
+class Cell {
+  readonly log = new logService.LogService();
+  readonly machine = new worker.StandInWorker({
+    name: 'worker-1',
+    rack: 'rack-1',
+    capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
+    runTimeMs: 10,
+  });
+  private readonly list = new vmList.VmList();
+  private readonly entries: entryProcess.EntryProcess[] = [];
+  private addresses = {log: '', vmList: ''};
+
+  async start(): Promise<string> {
+    this.addresses = {
+      log: await this.log.listen(),
+      vmList: await this.list.listen(),
+    };
+    const address = await this.machine.listen();
+    this.list.put({
+      vm: 'worker-1',
+      role: 'worker',
+      zone: ZONE,
+      address,
+      state: 'live',
+    });
+    return this.addEntry('entry-1');
+  }
+
+  /** Starts an entry process and returns its address for callers. */
+  async addEntry(vm: string): Promise<string> {
+    const entry = await entryProcess.EntryProcess.start({
+      vm,
+      zone: ZONE,
+      region: 'kigali',
+      ...this.addresses,
+    });
+    this.entries.push(entry);
+    const address = entry.peerAddress;
+    this.list.put({vm, role: 'entry', zone: ZONE, address, state: 'live'});
+    return entry.address;
+  }
+
+  async close(): Promise<void> {
+    for (const entry of this.entries) await entry.kill();
+    this.machine.close();
+    this.list.close();
+    this.log.close();
+  }
+}
+
+async function withCell(
+  check: (cell: Cell, address: string) => Promise<void>,
+): Promise<void> {
+  const cell = new Cell();
+  try {
+    await check(cell, await cell.start());
+  } finally {
+    await cell.close();
+  }
+}
+
+nodeTest.describe('commands against an entry process', () => {
+  nodeTest.test(
+    'documents of the questionnaire are published in spite of lost answers, ' +
+      'and a request of their team runs once; guards against commands and ' +
+      'server that disagree',
+    async () => {
+      await withCell(async ({log, machine}, address) => {
+        const entry = ['--entry', address];
+        const publish = ['publish', ...entry, '--document'];
+        const first = await printed(...publish, 'fleet', FLEET_FILE);
+        assert.equal(first['code'], 0);
+        const stale = [...publish, 'fleet', '--base=0', FLEET_FILE];
+        assert.equal((await printed(...stale))['code'], 6001);
+        const wrong = [...publish, 'team/dispatch', FLEET_FILE];
+        assert.equal((await printed(...wrong))['code'], 6002);
+        log.fail({losesAcknowledgements: true});
+        const lost = await printed(...publish, 'team/dispatch', TEAM_FILE);
+        assert.equal(lost['code'], 0);
+        log.fail({});
+        const submit = ['submit', ...entry, '--client=dispatch-service'];
+        const order = ['--team=dispatch', '--workload=polish-order'];
+        const ended = await wait.until('the request runs', async () => {
+          const reply = await printed(...submit, ...order);
+          return reply['code'] === 0 ? reply : undefined;
+        });
+        const identity = String(ended['identity']);
+        assert.equal(machine.runCounts().get(identity), 1);
+        const listed = await printed('workloads', ...entry);
+        assert.match(JSON.stringify(listed), /kiln-watch/);
+        const status = await printed('status', ...entry);
+        const version = String(lost['version']);
+        assert.ok(
+          JSON.stringify(status).includes(`"team/dispatch":${version}`),
+        );
+      });
+    },
+  );
+
+  nodeTest.test(
+    'an entry process that starts while the log is down gets the documents ' +
+      'of another one; guards against a replaced VM without configuration',
+    async () => {
+      await withCell(async (cell, address) => {
+        const fleet = ['--document', 'fleet', FLEET_FILE];
+        const first = await printed('publish', '--entry', address, ...fleet);
+        assert.equal(first['code'], 0);
+        cell.log.fail({down: true});
+        const second = await cell.addEntry('entry-2');
+        const shown = `"fleet":${String(first['version'])}`;
+        await wait.until('the document comes from the other', async () => {
+          const status = await printed('status', '--entry', second);
+          return JSON.stringify(status).includes(shown) ? true : undefined;
+        });
+      });
+    },
+  );
+});
