--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -83,6 +83,8 @@
       directory: this.directory,
       workers: {
         address: name => this.workers.get(name)?.description.address,
+        isGone: name =>
+          this.directory.hasVmList && this.workers.get(name) === undefined,
       },
       isSuperseded: () => this.zone.isSuperseded(),
       retries: new retryBudget.RetryBudget(),
@@ -160,6 +162,7 @@
       idle: this.desk.isIdle(),
       left: this.zone.hasLeft(),
       ready: this.isReady(),
+      members: this.zone.members(),
     };
     const {code} = result.RESULT_CODES.ok;
     return {kind: 'answerCaller', call, reply: {code, content}};
