Report overcommitted workers by their cause

Cause: a broken capacity invariant had a counter of its own, and a team that holds only adopted tasks did not count in the fair level, so its lent room could not be reclaimed.

Change: placements and adoptions beyond capacity count as the invariant withinCapacity; usage and shrunken capacity count as overcommitted; teams that hold room count as active; docs/metrics.md lists the counters.

--- a/src/contracts/fair_share.ts
+++ b/src/contracts/fair_share.ts
@@ -10,6 +10,8 @@
   readonly capacity: resources.Resources;
   readonly heldSum: resources.Resources;
   heldByTeam(team: string): resources.Resources;
+  /** Teams that hold room. */
+  holders(): Iterable<string>;
 }
 
 /** Source of the teams in force. */
@@ -58,9 +60,10 @@
     if (isNew) this.refresh(now);
   }
 
-  /** Recomputes the fair level from the teams that had work of late. */
+  /** Recomputes the fair level from the teams that have or had work. */
   refresh(now: clock.Milliseconds): void {
     let weights = 0;
+    for (const name of this.use.holders()) this.arrivals.set(name, now);
     for (const [name, arrivedAt] of this.arrivals) {
       if (now - arrivedAt > ACTIVITY_WINDOW_MS) this.arrivals.delete(name);
       else weights += this.weight(name);
--- a/src/contracts/invariant.ts
+++ b/src/contracts/invariant.ts
@@ -11,7 +11,9 @@
   /** Room is reserved only for a task that is followed. */
   | 'reservationHasTask'
   /** The version of a document in force never falls. */
-  | 'versionNeverFalls';
+  | 'versionNeverFalls'
+  /** Placed and adopted tasks never exceed a worker's capacity. */
+  | 'withinCapacity';
 
 /** Reports a broken invariant; the caller leaves out the unsafe action. */
 export function violation(
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -1,4 +1,5 @@
 import * as effects from './effect.js';
+import * as invariant from './invariant.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as overloadRelief from './overload_relief.js';
@@ -30,20 +31,29 @@
   ]);
 }
 
-/** Builds the evidence of broken capacity invariants. */
+/**
+ * Reports workers whose reservations exceed their capacity. Usage above the
+ * reservation and a capacity that shrinks break no rule of this process.
+ */
 export function violationEffects(
   violations: ReadonlyArray<worker.CapacityViolation>,
 ): ReadonlyArray<effects.Effect> {
-  return violations.flatMap(item => [
-    effects.count('violation', {invariant: 'capacity', cause: item.cause}),
-    effects.log('error', 'capacityExceeded', {
+  return violations.flatMap(item => {
+    const fields = {
       worker: item.worker,
       cause: item.cause,
       dimension: item.dimension,
       reserved: item.reserved[item.dimension],
       capacity: item.capacity[item.dimension],
-    }),
-  ]);
+    };
+    if (item.cause === 'reserve' || item.cause === 'adopt') {
+      return invariant.violation('withinCapacity', fields);
+    }
+    return [
+      effects.count('overcommitted', {cause: item.cause}),
+      effects.log('warn', 'overcommitted', fields),
+    ];
+  });
 }
 
 function interventionEffect(item: overloadRelief.Intervention): effects.Effect {
--- a/test/contracts/scheduler_test.ts
+++ b/test/contracts/scheduler_test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as fastCheck from 'fast-check';
 import * as nodeTest from 'node:test';
+import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as resources from '../../src/machines/resources.js';
 import * as scheduling from '../support/scheduling.js';
 import type * as scheduler from '../../src/contracts/scheduler.js';
@@ -286,3 +287,54 @@
     );
   }
 });
+
+nodeTest.describe('tasks that this process did not place', () => {
+  nodeTest.test('adopted work can be reclaimed like placed work', () => {
+    const world = new scheduling.SchedulingWorld();
+    const [machine] = world.addWorkers(1);
+    const described = scheduling.workloadOf({size: EIGHTH});
+    world.addTeam(scheduling.teamOf('flood', {workloads: [described]}));
+    world.addTeam(scheduling.teamOf('dispatch'));
+    for (let index = 0; index < 8; index += 1) {
+      const built = world.request('flood', described, 0);
+      const label = placementPolicy.labelOf(built);
+      const task = `${built.identity}/0.1`;
+      machine.adopt({task, label, size: EIGHTH});
+      const of = {task, label, worker: machine.name};
+      world.scheduler.observe({kind: 'adopted', of}, 0);
+    }
+    const urgent = {...described, urgency: 'urgent' as const};
+    world.admit('dispatch', urgent, 1, 1);
+    world.scheduler.place(1);
+    assert.equal(world.scheduler.takeInterventions()[0].kind, 'checkpoint');
+  });
+});
+
+nodeTest.describe('tasks that come back', () => {
+  nodeTest.test('tasks of one request wait together, each once', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(2);
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const watch = scheduling.workloadOf({kind: 'service', size: EIGHTH});
+    const lost = world.request('dispatch', watch, 0);
+    for (let task = 0; task < 3; task += 1) world.scheduler.requeue(lost);
+    assert.equal(world.scheduler.place(0).length, 3);
+    assert.equal(world.scheduler.waitingCount(), 0);
+  });
+
+  nodeTest.test('starts given up before they were sent free the worker', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(1);
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const described = scheduling.workloadOf({size: EIGHTH});
+    world.admit('dispatch', described, 8, 0);
+    for (let round = 0; round < 20; round += 1) {
+      const placed = world.scheduler.place(round * 200);
+      assert.equal(placed.length, 8, `round ${round}`);
+      for (const given of placed) {
+        given.worker.release(given.task);
+        world.scheduler.requeue(given.request);
+      }
+    }
+  });
+});
--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -94,6 +94,20 @@
   });
 });
 
+nodeTest.describe('workers that vanish', () => {
+  nodeTest.test('a late release does not lower the sums of the others', () => {
+    const world = new scheduling.SchedulingWorld();
+    const [gone, stays] = world.addWorkers(2);
+    const size = scheduling.size(1_000, 1_024);
+    gone.reserve({task: 'one', label: LABEL, size});
+    stays.reserve({task: 'two', label: LABEL, size});
+    world.workers.remove(gone.name);
+    assert.ok(gone.held().has('one'));
+    gone.release('one');
+    assert.deepEqual(world.workers.heldSum, size);
+  });
+});
+
 nodeTest.describe('capacity invariant', () => {
   nodeTest.test('a break is reported once with its evidence', () => {
     const world = new scheduling.SchedulingWorld();
