--- a/src/contracts/invariant.ts
+++ b/src/contracts/invariant.ts
@@ -15,7 +15,9 @@
   /** A permit ends before a successor that this process knows may place. */
   | 'permitEndsBeforeSuccession'
   /** An owner acts on a worker only under a permit of the present epoch. */
-  | 'ownerHasPermit';
+  | 'ownerHasPermit'
+  /** Placed and adopted tasks never exceed a worker's capacity. */
+  | 'withinCapacity';
 
 /** Reports a broken invariant; the caller leaves out the unsafe action. */
 export function violation(
