--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -222,7 +222,7 @@
     const reply = readReply(answered.code, answered.body);
     if (reply.identity !== undefined && reply.identity !== identity) {
       return [
-        effects.count('answerDropped', {reason: 'otherIdentity'}),
+        effects.count('answer_dropped', {reason: 'otherIdentity'}),
         ...unknownFor(call, identity, 'the home answered another request'),
       ];
     }
--- a/src/contracts/journal.ts
+++ b/src/contracts/journal.ts
@@ -287,7 +287,9 @@
 
   /** Drops entries that need no witness any more. */
   forget(numbers: ReadonlySet<number>): void {
-    this.waiting = this.waiting.filter(item => !numbers.has(item.number));
+    const isOpen = (item: JournalRecord): boolean => !numbers.has(item.number);
+    this.waiting = this.waiting.filter(isOpen);
+    this.batch = this.batch.filter(isOpen);
   }
 
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
--- a/src/contracts/journal_keeper.ts
+++ b/src/contracts/journal_keeper.ts
@@ -114,7 +114,7 @@
       this.witnesses.forget(new Set(waiting));
     }
     return [
-      effects.count('journalOutage', {state: outage ? 'begun' : 'over'}),
+      effects.count('journal_outage', {state: outage ? 'begun' : 'over'}),
       effects.log('warn', outage ? 'journalOutage' : 'journalRestored'),
     ];
   }
--- a/src/contracts/offers.ts
+++ b/src/contracts/offers.ts
@@ -282,7 +282,7 @@
   ): void {
     const offer = this.open.get(answered.identity);
     if (offer === undefined || offer.peer !== answered.peer) {
-      this.effects.push(effects.count('answerDropped', {reason: 'offer'}));
+      this.effects.push(effects.count('answer_dropped', {reason: 'offer'}));
       return;
     }
     const row = result.byCode(answered.code);
@@ -319,7 +319,7 @@
     this.parts.queue.requeue(entry.request);
     const reason = `not run by ${offer.peer}`;
     this.parts.table.change(identity, {state: 'queued', worker: '', reason});
-    this.effects.push(effects.count('placedAgain', {reason: 'offerRefused'}));
+    this.effects.push(effects.count('placed_again', {reason: 'offerRefused'}));
   }
 
   private finish(
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -8,6 +8,8 @@
 
 /** What this process knows of other entry processes. */
 export interface ProcessDirectory {
+  /** Whether this process is a member, so that it will be succeeded. */
+  hasJoined(): boolean;
   /** The other members of the own zone that may be alive. */
   members(): ReadonlyArray<Member>;
   /** Members that take offers. */
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -228,9 +228,13 @@
     if (this.draining) {
       return result.failure('draining', 'this process is shutting down');
     }
-    if (!this.parts.isSuperseded()) return undefined;
-    const detail = 'another process has taken over from this one';
-    return result.failure('noAuthority', detail);
+    if (this.parts.isSuperseded()) {
+      const detail = 'another process has taken over from this one';
+      return result.failure('noAuthority', detail);
+    }
+    if (this.parts.directory.hasJoined()) return undefined;
+    // Nobody would succeed to the identities of a process that is no member.
+    return result.failure('noAuthority', 'this process has not joined yet');
   }
 
   private issueIdentities(
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -276,7 +276,7 @@
     if (held.length < attempt.tasks().length) {
       for (const task of held) attempt.remove(task.task);
       this.requeueTasks(attempt, held.length);
-      return [effects.count('placedAgain', {reason: 'nothingSent'})];
+      return [effects.count('placed_again', {reason: 'nothingSent'})];
     }
     this.attempts.delete(identity);
     this.parts.queue.requeue(attempt.request);
@@ -286,7 +286,7 @@
       tasks: [],
       reason,
     });
-    return [effects.count('placedAgain', {reason: 'nothingSent'})];
+    return [effects.count('placed_again', {reason: 'nothingSent'})];
   }
 
   private abandon(attempt: attempts.Attempt): void {
@@ -477,7 +477,7 @@
       reason: `placed again: ${reason}`,
     });
     return [
-      effects.count(conclusion.spent ? 'retry' : 'placedAgain', {reason}),
+      effects.count(conclusion.spent ? 'retry' : 'placed_again', {reason}),
     ];
   }
 
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -553,7 +553,7 @@
 
   private mismatch(reason: string, name: string): void {
     this.effects.push(
-      effects.count('answerDropped', {reason}),
+      effects.count('answer_dropped', {reason}),
       effects.log('warn', 'answerDropped', {reason, task: name}),
     );
   }
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -29,6 +29,11 @@
     return this.listRead;
   }
 
+  hasJoined(): boolean {
+    const {process} = this.self;
+    return this.zone.members().some(member => member.process === process);
+  }
+
   members(): ReadonlyArray<processDirectory.Member> {
     return this.zone
       .members()
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -57,6 +57,7 @@
     offerTakers: () => [],
     isMember: () => true,
     address: process => process,
+    hasJoined: () => true,
     relay: () => undefined,
     isSucceeded: () => false,
     joinedBefore: () => true,
@@ -73,12 +74,15 @@
       assert.equal(appendsIn(log.flush(0)).length, 1);
       log.record(record(2));
       log.record(record(3));
-      assert.deepEqual(log.flush(50), []);
-      const turn = log.handle(appendAnswered(1, 'appended'), 60);
+      assert.deepEqual(log.flush(150), []);
+      const turn = log.handle(appendAnswered(1, 'appended'), 160);
       assert.deepEqual(turn.recorded, [1]);
-      assert.deepEqual(turn.effects, [], 'the spacing is kept');
-      const [next] = appendsIn(log.flush(100));
+      const [next] = appendsIn(turn.effects);
       assert.equal(next.records.length, 2);
+      log.record(record(4));
+      const early = log.handle(appendAnswered(2, 'appended'), 170);
+      assert.deepEqual(early.effects, [], 'the spacing is kept');
+      assert.equal(appendsIn(log.flush(260)).length, 1);
     },
   );
 
--- a/test/contracts/request_desk_test.ts
+++ b/test/contracts/request_desk_test.ts
@@ -92,6 +92,16 @@
     },
   );
 
+  nodeTest.test('needs a home that somebody succeeds to', () => {
+    const bench = new deskBench.DeskBench();
+    bench.joined = false;
+    assert.equal(bench.reserve(), '');
+    assert.equal(
+      bench.replyTo(bench.submit(undefined, 'inspection'))?.code,
+      3002,
+    );
+  });
+
   nodeTest.test('needs the client that the identity was issued to', () => {
     const bench = new deskBench.DeskBench();
     const call = bench.submit(bench.reserve('bob'), 'order', 'alice');
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -189,8 +189,10 @@
       assert.deepEqual(renewal.tasks, ['id/0.1', 'id/1.1']);
       assert.deepEqual(more, []);
       bench.permitEnd = 0;
-      bench.report(listed);
-      assert.deepEqual(effectsOf(bench.pass(11_000), 'renewLeases'), []);
+      for (let second = 0; second < 12; second += 1) {
+        bench.report(listed);
+        assert.deepEqual(effectsOf(bench.pass(1_000), 'renewLeases'), []);
+      }
       assert.ok(bench.runner.nextDeadline() > bench.now);
     },
   );
@@ -252,7 +254,7 @@
       bench.answer('other/0.1'),
     ]) {
       assert.deepEqual(kinds(turn), []);
-      assert.equal(effectsOf(turn, 'count')[0].metric, 'answerDropped');
+      assert.equal(effectsOf(turn, 'count')[0].metric, 'answer_dropped');
     }
   });
 
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -59,6 +59,7 @@
   now = 0;
   permitEnd = 4_000;
   logAnswers = true;
+  joined = true;
   peers: Peers = {live: [], succeeded: []};
   /** Every effect so far. */
   readonly effects: effect.Effect[] = [];
@@ -211,6 +212,7 @@
       offerTakers: members,
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
+      hasJoined: () => this.joined,
       relay: () => undefined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
