--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -168,7 +168,7 @@
           {
             ...message,
             from: this.parts.self,
-            to: wanted.relayed ? '' : wanted.peer,
+            to: wanted.peer,
           },
           options,
         ),
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -58,9 +58,9 @@
     isMember: () => true,
     address: process => process,
     hasJoined: () => true,
-    relay: () => undefined,
     isSucceeded: () => false,
     joinedBefore: () => true,
+    noteUnreachable: () => {},
   };
 }
 
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -213,9 +213,9 @@
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
       hasJoined: () => this.joined,
-      relay: () => undefined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
+      noteUnreachable: () => {},
     };
   }
 }
