Fetch an answer for recovery again when it does not come

Change: the fetch of an ended task's answer is sent again after 2 s. Without the change its test fails: 'after a loss', expected 2, actual 1.

--- a/src/contracts/recovery.ts
+++ b/src/contracts/recovery.ts
@@ -11,6 +11,9 @@
 /** Time between two attempts to get what a question lacks. */
 const ASK_INTERVAL_MS = 1_000;
 
+/** Time after which the fetch of an ended task's answer is sent again. */
+const FETCH_RETRY_MS = 2_000;
+
 /** Age up to which a report is used for a further question. */
 const REPORT_FRESH_MS = 3_000;
 
@@ -79,6 +82,11 @@
   readonly sentAt: clock.Milliseconds;
 }
 
+interface OpenFetch {
+  readonly worker: string;
+  readonly sentAt: clock.Milliseconds;
+}
+
 interface KnownEnding {
   readonly client: string;
   readonly ending: requestTable.Ending;
@@ -94,7 +102,7 @@
   private readonly reports = new Map<string, TimedReport>();
   private readonly answers = new Map<string, requestTable.Ending>();
   private readonly endings = new Map<string, KnownEnding>();
-  private readonly fetching = new Map<string, string>();
+  private readonly fetching = new Map<string, OpenFetch>();
   private effects: effects.Effect[] = [];
   private found: RecoveryAnswer[] = [];
 
@@ -274,7 +282,8 @@
   private answerArrived(
     arrived: Extract<event.Event, {kind: 'taskAnswerArrived'}>,
   ): boolean {
-    if (this.fetching.get(arrived.task) !== arrived.worker) return false;
+    if (this.fetching.get(arrived.task)?.worker !== arrived.worker)
+      {return false;}
     this.fetching.delete(arrived.task);
     keepNewest(this.answers, arrived.task, {
       result: ENDING_RESULTS[arrived.state],
@@ -352,7 +361,7 @@
         }
         return;
       case 'fetchAnswer':
-        this.fetchAnswer(finding.worker, finding.task);
+        this.fetchAnswer(finding.worker, finding.task, now);
         return;
       case 'offered':
       case 'running':
@@ -387,10 +396,16 @@
     this.effects.push({kind: 'readReport', worker, address});
   }
 
-  private fetchAnswer(worker: string, task: string): void {
+  private fetchAnswer(
+    worker: string,
+    task: string,
+    now: clock.Milliseconds,
+  ): void {
     const address = this.workers.address(worker);
-    if (address === undefined || this.fetching.has(task)) return;
-    this.fetching.set(task, worker);
+    const sentAt = this.fetching.get(task)?.sentAt ?? -Infinity;
+    // An ended task is answered at once, so a late answer is a lost one.
+    if (address === undefined || now - sentAt < FETCH_RETRY_MS) return;
+    this.fetching.set(task, {worker, sentAt: now});
     this.effects.push({kind: 'fetchTaskAnswer', worker, address, task});
   }
 
--- a/test/contracts/recovery_test.ts
+++ b/test/contracts/recovery_test.ts
@@ -130,6 +130,9 @@
       const state = 'finished';
       bench.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
       assert.equal(bench.all('fetchTaskAnswer').length, 1);
+      bench.now = 3_000;
+      bench.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+      assert.equal(bench.all('fetchTaskAnswer').length, 2, 'after a loss');
       bench.endTask(TASK);
       assert.equal(bench.replyTo(call)?.answer, 'done 0');
     },
