--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -32,11 +32,6 @@
   isIdempotent(call: IdentityCall): boolean | undefined;
 }
 
-interface ForwardedCall {
-  readonly identity: string;
-  readonly address: string;
-}
-
 interface HeldCall {
   readonly call: IdentityCall;
   readonly question: recoveries.Question;
@@ -49,7 +44,7 @@
  */
 export class CallRouter {
   private readonly held = new Map<event.CallNumber, HeldCall>();
-  private readonly forwarded = new Map<event.CallNumber, ForwardedCall>();
+  private readonly forwarded = new Map<event.CallNumber, string>();
 
   constructor(
     private readonly self: string,
@@ -67,12 +62,11 @@
   ): ReadonlyArray<effects.Effect> {
     const address = this.directory.address(home);
     if (address !== undefined) {
-      this.forwarded.set(call.call, {identity, address});
-      return [
-        effects.count('forward', {reason: 'home'}),
-        {kind: 'forwardCall', peer: home, address, call: call.call},
-      ];
+      const member = {process: home, address};
+      return this.forward(call, identity, member, false);
     }
+    const relay = this.directory.relay(home);
+    if (relay !== undefined) return this.forward(call, identity, relay, true);
     if (!this.directory.isSucceeded(home, now)) {
       const detail = `the home ${home} can't be reached and may be alive`;
       return unknown(call, identity, detail);
@@ -126,6 +120,20 @@
     return due;
   }
 
+  private forward(
+    call: IdentityCall,
+    identity: string,
+    to: processDirectory.Member,
+    relayed: boolean,
+  ): ReadonlyArray<effects.Effect> {
+    this.forwarded.set(call.call, identity);
+    const {process: peer, address} = to;
+    return [
+      effects.count('forward', {reason: relayed ? 'otherZone' : 'home'}),
+      {kind: 'forwardCall', peer, address, relayed, call: call.call},
+    ];
+  }
+
   private askRecovery(
     call: IdentityCall,
     identity: string,
@@ -209,10 +217,8 @@
     answered: Extract<event.Event, {kind: 'forwardAnswered'}>,
   ): ReadonlyArray<effects.Effect> {
     const {call} = answered;
-    const forwarded = this.forwarded.get(call);
-    if (forwarded === undefined) return [];
-    this.forwarded.delete(call);
-    const {identity} = forwarded;
+    const identity = this.forwarded.get(call);
+    if (!this.forwarded.delete(call) || identity === undefined) return [];
     const reply = readReply(answered.code, answered.body);
     if (reply.identity !== undefined && reply.identity !== identity) {
       return [
@@ -224,11 +230,8 @@
   }
 
   private forwardFailed(call: event.CallNumber): ReadonlyArray<effects.Effect> {
-    const forwarded = this.forwarded.get(call);
-    if (forwarded === undefined) return [];
-    this.forwarded.delete(call);
-    const {identity, address} = forwarded;
-    this.directory.noteUnreachable(address);
+    const identity = this.forwarded.get(call);
+    if (!this.forwarded.delete(call) || identity === undefined) return [];
     return unknownFor(call, identity, 'the home gave no answer');
   }
 
--- a/src/contracts/recovery.ts
+++ b/src/contracts/recovery.ts
@@ -282,8 +282,9 @@
   private answerArrived(
     arrived: Extract<event.Event, {kind: 'taskAnswerArrived'}>,
   ): boolean {
-    if (this.fetching.get(arrived.task)?.worker !== arrived.worker)
-      {return false;}
+    if (this.fetching.get(arrived.task)?.worker !== arrived.worker) {
+      return false;
+    }
     this.fetching.delete(arrived.task);
     keepNewest(this.answers, arrived.task, {
       result: ENDING_RESULTS[arrived.state],
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -18,7 +18,10 @@
  * Time for which one look at a request waits for its end while its events are
  * streamed; other changes of state are seen this much later at most.
  */
-const STREAM_INTERVAL_MS = 250;
+const FIRST_LOOK_MS = 250;
+
+/** Longest time of a look at a request whose state does not change. */
+const LAST_LOOK_MS = 5_000;
 
 /** Time for the loop to answer a readiness check. */
 const READY_DEADLINE_MS = 1_000;
@@ -112,11 +115,6 @@
     return this.open.get(call)?.event;
   }
 
-  /** Calls of callers that are not answered completely. */
-  unansweredCount(): number {
-    return this.unsent;
-  }
-
   /** Posts a call of this process itself and resolves with the reply. */
   ask(
     build: (call: event.CallNumber) => event.CallEvent,
@@ -157,11 +155,16 @@
     });
   }
 
-  /** Answers all open calls and closes every connection. */
-  async abandon(reply: effect.Reply): Promise<void> {
+  /** Closes; calls that are open after the grace get the reply. */
+  async abandon(reply: effect.Reply, graceMs = 0): Promise<void> {
     this.beginDrain();
-    for (const call of [...this.open.keys()]) this.answer(call, reply);
+    const graceEnd = performance.now() + graceMs;
+    const timer = setInterval(() => {
+      if (performance.now() < graceEnd) return;
+      for (const call of [...this.open.keys()]) this.answer(call, reply);
+    }, CLOSE_INTERVAL_MS);
     await this.close();
+    clearInterval(timer);
   }
 
   private async serve(
@@ -252,9 +255,17 @@
           sendReply(response, reply);
           return;
         }
-        if (stream.take(reply)) return;
+        const progress = stream.take(reply);
+        if (progress === 'ended') return;
         current = this.parts.numbers.next();
-        look(STREAM_INTERVAL_MS);
+        // Looks at a request that stays as it is become rare: each one may
+        // cross regions.
+        const longer = Math.max(2 * waitMs, FIRST_LOOK_MS);
+        look(
+          progress === 'changed'
+            ? FIRST_LOOK_MS
+            : Math.min(longer, LAST_LOOK_MS),
+        );
       });
     };
     look(0);
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -168,7 +168,7 @@
           {
             ...message,
             from: this.parts.self,
-            to: wanted.peer,
+            to: wanted.relayed ? '' : wanted.peer,
           },
           options,
         ),
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -57,10 +57,10 @@
     offerTakers: () => [],
     isMember: () => true,
     address: process => process,
+    relay: () => undefined,
     hasJoined: () => true,
     isSucceeded: () => false,
     joinedBefore: () => true,
-    noteUnreachable: () => {},
   };
 }
 
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -212,10 +212,10 @@
       offerTakers: members,
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
+      relay: () => undefined,
       hasJoined: () => this.joined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
-      noteUnreachable: () => {},
     };
   }
 }
