--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -33,6 +33,7 @@
   private readonly open = new Map<event.CallNumber, (answer: Answer) => void>();
 
   constructor(
+    private readonly self: string,
     private readonly numbers: callNumbers.CallNumbers,
     private readonly post: (event: event.Event) => void,
   ) {
@@ -151,8 +152,13 @@
     message: peerPb.ForwardRequest,
     gone: AbortSignal,
   ): Promise<Init<typeof peerPb.ForwardResponseSchema>> {
-    // The identity tells whom it concerns; a call for a dead home comes to any
-    // process of its zone.
+    // A relayed call names no process: any one of the zone may take it.
+    if (message.to !== '' && message.to !== this.self) {
+      throw new connect.ConnectError(
+        `to: ${message.to} is not the process at this address`,
+        connect.Code.FailedPrecondition,
+      );
+    }
     const {reply} = await this.ask('answerCaller', gone, call =>
       forwardedEvent(message, call),
     );
