Transfer the VM list only when it has changed

Cause: each process read the whole list every 2 s; with 36 rows that was most of its control traffic, and it grows with the cell. Change: the list is read with If-None-Match; an answer 304 stands for the list as it was. The stand-in sends entity tags. A platform without them is read as before.

--- a/src/links/http_caller.ts
+++ b/src/links/http_caller.ts
@@ -9,6 +9,8 @@
   readonly address: string;
   readonly path: string;
   readonly body?: unknown;
+  /** Entity tag of what is known already; an unchanged answer has status 304. */
+  readonly knownTag?: string;
   /** Time until the headers of the answer, the wait for a turn included. */
   readonly headersDeadlineMs: number;
   /** Time from the headers to the end of the answer. */
@@ -25,6 +27,8 @@
       readonly kind: 'answered';
       readonly status: number;
       readonly text: string;
+      /** Entity tag of the answer, when it has one. */
+      readonly tag?: string;
     }
   /** Proved not to have reached the other side. */
   | {readonly kind: 'notSent'; readonly detail: string}
@@ -253,8 +257,10 @@
     method: call.method,
     path: call.path,
     signal: abort.signal,
-    headers:
-      call.body === undefined ? {} : {'content-type': 'application/json'},
+    headers: {
+      ...(call.body === undefined ? {} : {'content-type': 'application/json'}),
+      ...(call.knownTag === undefined ? {} : {'if-none-match': call.knownTag}),
+    },
     body: call.body === undefined ? null : JSON.stringify(call.body),
   });
   clearTimeout(headersTimer);
@@ -263,7 +269,9 @@
   }, call.bodyDeadlineMs);
   try {
     const text = await readText(answer.body, call.largestAnswer);
-    return {kind: 'answered', status: answer.statusCode, text};
+    const {etag} = answer.headers;
+    const tag = typeof etag === 'string' ? etag : undefined;
+    return {kind: 'answered', status: answer.statusCode, text, tag};
   } finally {
     clearTimeout(timer);
   }
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -34,8 +34,15 @@
   'first' | 'next' | 'records'
 >;
 
+interface TaggedList {
+  readonly tag: string;
+  readonly vms: ReadonlyArray<event.ListedVm>;
+}
+
 /** Reads and appends to the log and reads the VM list over HTTP. */
 export class PlatformLink {
+  private lastList: TaggedList | undefined;
+
   constructor(private readonly parts: PlatformLinkParts) {}
 
   /** Performs one effect; the answer comes as an event. */
@@ -88,31 +95,42 @@
     this.parts.post({kind: 'recordsRead', stream, sentAt, ...read});
   }
 
+  /** Transfers the list only when it has changed; it has a row for each VM. */
   private async readVmList(): Promise<void> {
     const sentAt = this.parts.now();
-    const text = await this.get(this.parts.addresses.vmList, '/vms');
-    const vms = text === undefined ? undefined : readVms(text);
+    const known = this.lastList;
+    const outcome = await this.parts.caller.call({
+      ...getCall(this.parts.addresses.vmList, '/vms'),
+      knownTag: known?.tag,
+    });
+    const unchanged = outcome.kind === 'answered' && outcome.status === 304;
+    const vms = unchanged ? known?.vms : this.takeList(outcome);
     if (vms === undefined) {
-      const reason = text === undefined ? 'no_answer' : 'malformed';
-      this.countFailure('vm_list', reason);
+      const answered = outcome.kind === 'answered' && outcome.status === 200;
+      this.countFailure('vm_list', answered ? 'malformed' : 'no_answer');
       this.parts.post({kind: 'vmListFailed'});
       return;
     }
     this.parts.post({kind: 'vmListRead', sentAt, vms});
   }
 
+  private takeList(
+    outcome: httpCaller.HttpOutcome,
+  ): ReadonlyArray<event.ListedVm> | undefined {
+    if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
+    const vms = readVms(outcome.text);
+    const {tag} = outcome;
+    if (vms !== undefined) {
+      this.lastList = tag === undefined ? undefined : {tag, vms};
+    }
+    return vms;
+  }
+
   private async get(
     address: string,
     path: string,
   ): Promise<string | undefined> {
-    const outcome = await this.parts.caller.call({
-      method: 'GET',
-      address,
-      path,
-      headersDeadlineMs: CALL_DEADLINE_MS,
-      bodyDeadlineMs: CALL_DEADLINE_MS,
-      largestAnswer: LARGEST_ANSWER,
-    });
+    const outcome = await this.parts.caller.call(getCall(address, path));
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
     return outcome.text;
   }
@@ -122,6 +140,17 @@
   }
 }
 
+function getCall(address: string, path: string): httpCaller.HttpCall {
+  return {
+    method: 'GET',
+    address,
+    path,
+    headersDeadlineMs: CALL_DEADLINE_MS,
+    bodyDeadlineMs: CALL_DEADLINE_MS,
+    largestAnswer: LARGEST_ANSWER,
+  };
+}
+
 function recordsPath(stream: string): string {
   return `/streams/${encodeURIComponent(stream)}/records`;
 }
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -1,3 +1,4 @@
+import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as jsonBody from '../src/links/json_body.js';
 import type * as net from 'node:net';
@@ -15,6 +16,8 @@
   readonly body: string;
   /** Answers, unless the connection has gone silent. */
   readonly send: (status: number, body: unknown) => void;
+  /** Answers with an entity tag, or with 304 when the caller has it. */
+  readonly sendTagged: (body: unknown) => void;
   /** Ends the connection without an answer. */
   readonly drop: () => void;
 }
@@ -106,9 +109,17 @@
       if (this.silent.has(socket) || response.destroyed) return;
       jsonBody.sendJson(response, status, content);
     };
+    const sendTagged = (content: unknown): void => {
+      const text = JSON.stringify(content);
+      const tag = `"${crypto.createHash('sha1').update(text).digest('hex')}"`;
+      response.setHeader('etag', tag);
+      if (incoming.headers['if-none-match'] !== tag) send(200, content);
+      else if (!this.silent.has(socket)) response.writeHead(304).end();
+    };
     const drop = (): void => void response.destroy();
     const method = incoming.method ?? '';
-    await this.handler.serve({method, url, body: body.text, send, drop});
+    const call = {method, url, body: body.text, send, sendTagged, drop};
+    await this.handler.serve(call);
   }
 
   private serveControl(
--- a/stand_ins/vm_list.ts
+++ b/stand_ins/vm_list.ts
@@ -39,7 +39,7 @@
   serve(call: standInServer.StandInCall): void {
     if (this.down) call.drop();
     else if (call.url.pathname !== '/vms') call.send(404, {});
-    else call.send(200, {vms: [...this.vms.values()]});
+    else call.sendTagged({vms: [...this.vms.values()]});
   }
 
   /** Takes `put` (a VM), `remove` (its name) and `down`. */
--- a/test/links/platform_link_test.ts
+++ b/test/links/platform_link_test.ts
@@ -6,6 +6,7 @@
 import * as platformLink from '../../src/links/platform_link.js';
 import * as recordedMetrics from '../support/recorded_metrics.js';
 import * as standInServer from '../../stand_ins/stand_in_server.js';
+import * as vmList from '../../stand_ins/vm_list.js';
 import type * as event from '../../src/contracts/event.js';
 
 const VM = {
@@ -137,6 +138,24 @@
 });
 
 nodeTest.describe('the VM list', () => {
+  // Guards against a list that is taken for unchanged after a change.
+  nodeTest.test('a change shows in the next read', async () => {
+    const list = new vmList.VmList();
+    const bench = new Bench(await list.listen());
+    const row = {...VM, role: 'worker', state: 'live'} as const;
+    list.put(row);
+    const read = {kind: 'vmListRead', sentAt: 7, vms: [row]};
+    assert.deepEqual(await bench.readVms(), read);
+    assert.deepEqual(await bench.readVms(), read);
+    const leaving = {...row, state: 'leaving'} as const;
+    list.put(leaving);
+    assert.deepEqual(await bench.readVms(), {...read, vms: [leaving]});
+    list.setDown(true);
+    assert.deepEqual(await bench.readVms(), {kind: 'vmListFailed'});
+    await bench.close();
+    list.close();
+  });
+
   // A row that were left out would say that its VM no longer exists.
   nodeTest.test('one malformed row fails the whole list', async () => {
     let body: unknown = {vms: [VM]};
