Send SIGTERM in its test only when all requests have arrived

Cause: the test sent the signal when the first task ran; on a busy machine some of the 40 requests arrived later and were refused with 3004, as they should be, which the test took for a cut-off. Change: it waits until the entry process knows each request, and checks that tasks run at that moment. What it demands of the answers is unchanged.

--- a/test/processes/fault_test.ts
+++ b/test/processes/fault_test.ts
@@ -56,11 +56,18 @@
         identities.push(await cell.identity(entry));
       }
       const calls = identities.map((identity, index) =>
-        cell.put(entry, identity, {runTimeMs: 200, answer: `of ${index}`}),
-      );
-      await wait.until('a running task', async () =>
-        (await cell.workers[0].observe())['running'] ? true : undefined,
+        cell.put(entry, identity, {runTimeMs: 400, answer: `of ${index}`}),
       );
+      // A request that arrives after the signal is refused, and rightly so.
+      for (const identity of identities) {
+        await wait.until(`arrival of ${identity}`, async () => {
+          const path = `/v1/requests/${identity}`;
+          const seen = await httpCall.callJson(entry.address, 'GET', path);
+          return seen.body['state'] === undefined ? undefined : true;
+        });
+      }
+      const seen = await cell.workers[0].observe();
+      assert.ok(Number(seen['running']) > 0, 'requests are in progress');
       entry.signal('SIGTERM');
       const answers = await Promise.all(calls);
       answers.forEach((answer, index) => {
