Bound the failures of one turn with a full fleet

Change: a turn ends after 16 requests without room; the other lanes go on in the next turns, and a failed lane waits until all others have been tried.

--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -21,6 +21,12 @@
 /** Injected time between decisions: 610 starts a second. */
 const STEP_MS = 1_000 / 610;
 
+/** Requests of each team that wait in the run with a full fleet. */
+const BACKLOG_PER_TEAM = 20;
+
+/** Ends measured with a full fleet; each reopens every waiting lane. */
+const BACKLOG_ENDS = 300;
+
 const WARM_UP_DECISIONS = 5_000;
 
 const MEASURED_DECISIONS = 30_000;
@@ -54,7 +60,6 @@
 interface Figures {
   readonly perSecond: number;
   readonly p99Ms: number;
-  readonly meanMs: number;
   readonly running: number;
 }
 
@@ -72,6 +77,7 @@
   });
   private now = 0;
   private spentMs = 0;
+  private waiting = 0;
   private decisions = 0;
 
   constructor(
@@ -96,38 +102,70 @@
     this.spentMs = 0;
     this.decisions = 0;
     for (let index = 0; index < MEASURED_DECISIONS; index += 1) this.exchange();
+    return this.figures();
+  }
+
+  /** Fills the fleet, keeps a backlog, and measures what each end costs. */
+  measureBacklog(): Figures {
+    const backlog = BACKLOG_PER_TEAM * TEAM_COUNT;
+    for (let index = 0; index < this.target * 1.5; index += 1) {
+      this.step(this.pick());
+    }
+    this.histogram.reset();
+    this.spentMs = 0;
+    this.decisions = 0;
+    for (let index = 0; index < BACKLOG_ENDS; index += 1) {
+      this.endOne();
+      while (this.waiting < backlog) this.admit(this.pick());
+      this.place();
+    }
+    return this.figures();
+  }
+
+  private figures(): Figures {
     return {
       perSecond: this.decisions / (this.spentMs / 1_000),
       p99Ms: this.histogram.getValueAtPercentile(99) / 1_000,
-      meanMs: this.spentMs / this.decisions,
       running: this.running.length,
     };
   }
 
   private exchange(): void {
-    if (this.running.length >= this.target) {
-      const position = this.random.below(this.running.length);
-      const last = this.running.pop();
-      const ended = this.running[position] ?? last;
-      if (last !== undefined && position < this.running.length) {
-        this.running[position] = last;
-      }
-      if (ended !== undefined) this.subject.ended(ended, this.now);
-    }
+    if (this.running.length >= this.target) this.endOne();
     this.step(this.pick());
   }
 
+  private endOne(): void {
+    const position = this.random.below(this.running.length);
+    const ended = this.running[position];
+    const last = this.running.pop();
+    if (last !== undefined && last !== ended) this.running[position] = last;
+    this.subject.ended(ended, this.now);
+  }
+
   private step(described: workload.Workload): void {
-    this.now += STEP_MS;
+    const elapsed = this.admit(described);
+    this.place(elapsed);
+  }
+
+  /** Returns the time that the admission took. */
+  private admit(described: workload.Workload): number {
     const name = `team-${this.random.below(TEAM_COUNT)}`;
     const built = this.source.next(name, described, this.now);
     const before = performance.now();
-    this.subject.admit(built, this.now);
+    if (this.subject.admit(built, this.now)) this.waiting += 1;
+    return performance.now() - before;
+  }
+
+  private place(admissionMs = 0): void {
+    this.now += STEP_MS;
+    const before = performance.now();
     const placed = this.subject.place(this.now);
-    const elapsed = performance.now() - before;
+    const elapsed = performance.now() - before + admissionMs;
     this.histogram.recordValue(Math.max(1, Math.round(elapsed * 1_000)));
     this.spentMs += elapsed;
     this.decisions += placed.length;
+    this.waiting -= placed.length;
     for (const placement of placed) {
       this.subject.started(placement, this.now);
       this.running.push(placement);
@@ -163,6 +201,29 @@
   ];
 }
 
+function backlogRows(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
+  const target = Math.round(workerCount * TASKS_PER_WORKER);
+  const figures = new DecisionRun(workerCount, target).measureBacklog();
+  const where = `a full fleet of ${workerCount} workers and a backlog`;
+  const row = {seed: SEED, baseline: ''};
+  return [
+    {
+      ...row,
+      name: `decisions with ${where}, ${figures.running} tasks`,
+      figure: Math.round(figures.perSecond),
+      unit: 'per second',
+      goal: 'at least 5000',
+    },
+    {
+      ...row,
+      name: `p99 of a turn with ${where}`,
+      figure: figures.p99Ms,
+      unit: 'ms',
+      goal: 'under 2',
+    },
+  ];
+}
+
 /** Speed of decisions by size of the fleet. */
 export function measure(): ReadonlyArray<benchRow.BenchRow> {
   // The first run only lets the compiler finish, so that sizes compare.
@@ -178,5 +239,5 @@
     goal: 'under 2',
     baseline: '',
   };
-  return [...rows, grown];
+  return [...rows, grown, ...backlogRows(30)];
 }
--- a/src/contracts/queue.ts
+++ b/src/contracts/queue.ts
@@ -26,6 +26,8 @@
   private count = 0;
   /** Version of the fleet's room at which the head did not fit. */
   blockedAt = -1;
+  /** Round of attempts in which the head found no room. */
+  failedRound = -1;
 
   constructor(readonly workload: workload.Workload) {}
 
--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -33,6 +33,9 @@
 /** Added to the level of a team that asks for more than its quota. */
 const LOAN_PENALTY = 1_000_000;
 
+/** Requests without room in one turn; more lanes wait for the next turn. */
+const FAILURE_LIMIT = 16;
+
 /** Failed sizes that a turn remembers; bounds the cost of comparing. */
 const FAILED_SIZES = 8;
 
@@ -69,6 +72,7 @@
   readonly failed: resources.Resources[];
   /** Lanes whose head may not hold room at present. */
   readonly closed: Set<queue.Lane>;
+  failures: number;
 }
 
 type Outcome = 'placed' | 'noRoom' | 'notEntitled';
@@ -97,6 +101,7 @@
   private ownRises = 0;
   private placedAt = -1;
   private hasNews = false;
+  private round = 0;
 
   constructor(
     private readonly workers: fleet.Fleet,
@@ -244,10 +249,14 @@
       placements: [],
       failed: [],
       closed: new Set(),
+      failures: 0,
     };
     const before = this.workers.roomVersion;
     this.placeEarmarked(turn);
     this.placeInTurn(turn);
+    // A cut turn goes on with the other lanes; failed ones wait for a round.
+    if (turn.failures >= FAILURE_LIMIT) this.hasNews = true;
+    else this.round += 1;
     this.ownRises += this.workers.roomVersion - before;
     this.placedAt = turn.stamp;
     return turn.placements;
@@ -312,7 +321,7 @@
 
   private placeInTurn(turn: Turn): void {
     const contenders = this.contenders();
-    while (contenders.length > 0) {
+    while (contenders.length > 0 && turn.failures < FAILURE_LIMIT) {
       const position = lowest(contenders);
       const contender = contenders[position];
       const lane = contender.queue.next(
@@ -335,6 +344,7 @@
   }
 
   private isOpen(lane: queue.Lane, turn: Turn): boolean {
+    if (lane.failedRound === this.round) return false;
     return lane.blockedAt !== turn.stamp && !turn.closed.has(lane);
   }
 
@@ -405,6 +415,8 @@
     turn: Turn,
   ): void {
     lane.blockedAt = turn.stamp;
+    lane.failedRound = this.round;
+    turn.failures += 1;
     const {workload: described} = job.request;
     if (described.urgency === 'urgent' && job.request.taskCount === 1) {
       const waiting = lane.heads(RECLAIM_DEPTH);
--- a/test/contracts/scheduler_test.ts
+++ b/test/contracts/scheduler_test.ts
@@ -338,3 +338,25 @@
     }
   });
 });
+
+nodeTest.describe('many kinds of work without room', () => {
+  nodeTest.test('do not keep work that has room from its turn', () => {
+    const world = new scheduling.SchedulingWorld();
+    world.addWorkers(1);
+    world.addTeam(scheduling.teamOf('dispatch'));
+    const small = scheduling.workloadOf({worth: 0, size: EIGHTH});
+    world.admit('dispatch', small, 1, 0);
+    world.scheduler.place(0);
+    for (let kind = 0; kind < 100; kind += 1) {
+      const size = scheduling.size(15_900 - kind, 1_024);
+      const large = scheduling.workloadOf({name: `large-${kind}`, size});
+      world.admit('dispatch', large, 1, 1);
+    }
+    world.admit('dispatch', small, 1, 1);
+    let turns = 1;
+    while (world.scheduler.place(turns).length === 0) {
+      turns += 1;
+      assert.ok(turns < 20, 'the small task found no turn');
+    }
+  });
+});
