--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -75,7 +75,11 @@
         openCalls: settings.openCallLimit,
       },
     });
-    this.peerServer = new peerServer.PeerServer(this.numbers, this.post);
+    this.peerServer = new peerServer.PeerServer(
+      this.incarnation,
+      this.numbers,
+      this.post,
+    );
     this.peers = new peerLink.PeerLink({
       self: this.incarnation,
       calls: this.callers,
@@ -127,7 +131,6 @@
 
   private async finish(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
-    await this.callers.close();
     await this.close();
   }
 
--- a/src/contracts/invariant.ts
+++ b/src/contracts/invariant.ts
@@ -12,6 +12,10 @@
   | 'reservationHasTask'
   /** The version of a document in force never falls. */
   | 'versionNeverFalls'
+  /** A permit ends before a successor that this process knows may place. */
+  | 'permitEndsBeforeSuccession'
+  /** An owner acts on a worker only under a permit of the present epoch. */
+  | 'ownerHasPermit'
   /** Placed and adopted tasks never exceed a worker's capacity. */
   | 'withinCapacity';
 
