--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -239,5 +239,5 @@
     goal: 'under 2',
     baseline: '',
   };
-  return [...rows, grown, ...backlogRows(30)];
+  return [...rows, grown, ...backlogRows(30), ...backlogRows(2_700)];
 }
