--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -59,6 +59,7 @@
   now = 0;
   permitEnd = 4_000;
   logAnswers = true;
+  joined = true;
   peers: Peers = {live: [], succeeded: []};
   /** Every effect so far. */
   readonly effects: effect.Effect[] = [];
@@ -212,6 +213,7 @@
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
       relay: () => undefined,
+      hasJoined: () => this.joined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
     };
