Read quiet workers' reports every 5 s instead of every 1 to 2 s

Cause: at rest with 43 workers an entry process moved 15.1 KB a second over its sockets, most of it reports that changed nothing; the goal is 3 KB. Change: a report is read every second only while a task's start or end has to be settled by it, and every 5 s otherwise; renewals allow for the longer interval.

--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -15,7 +15,7 @@
  * Time without a report after which leases are left to end: a renewal that may
  * or may not arrive would put off the moment at which the task is given up.
  */
-const SILENT_MS = 5_000;
+const SILENT_MS = 7_000;
 
 /** Time after which a renewal has arrived unless it was lost. */
 const TRAVEL_MS = 200;
--- a/src/machines/report_schedule.ts
+++ b/src/machines/report_schedule.ts
@@ -1,10 +1,13 @@
 import type * as clock from './clock.js';
 
-/** Time between reads of a report while tasks are on the worker. */
-const BUSY_INTERVAL_MS = 1_000;
+/** Time between reads while the report has to settle what became of a task. */
+const URGENT_INTERVAL_MS = 1_000;
 
-/** Time between reads of the report of an idle worker. */
-const IDLE_INTERVAL_MS = 2_000;
+/**
+ * Time between reads otherwise. Reports are most of a process's traffic at
+ * rest; the longest that leaving workers may go unnoticed bounds the interval.
+ */
+const QUIET_INTERVAL_MS = 5_000;
 
 /** Time after which a read that was never answered is no longer awaited. */
 const READ_LIMIT_MS = 5_000;
@@ -24,10 +27,10 @@
   private readonly times = new Map<string, ReportTimes>();
 
   /** Tells whether a read is to be sent now, and notes that it is. */
-  take(worker: string, now: clock.Milliseconds, busy: boolean): boolean {
+  take(worker: string, now: clock.Milliseconds, urgent: boolean): boolean {
     const known = this.times.get(worker) ?? NEW;
     if (now < this.dueAt(known)) return false;
-    const interval = busy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS;
+    const interval = urgent ? URGENT_INTERVAL_MS : QUIET_INTERVAL_MS;
     this.times.set(worker, {...known, due: now + interval, openSince: now});
     return true;
   }
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -475,7 +475,9 @@
     if (!owned) this.adoptedOn.delete(target.name);
     const tasks = this.tasks.on(target.name);
     if (!owned && tasks.length === 0) return;
-    if (this.reports.take(target.name, now, tasks.length > 0)) {
+    if (
+      this.reports.take(target.name, now, tasks.some(trackedTask.awaitsReport))
+    ) {
       const address = target.description.address;
       this.effects.push({kind: 'readReport', worker: target.name, address});
     }
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -134,3 +134,8 @@
     startedAt: sentAt,
   };
 }
+
+/** Whether only a report can tell what became of a task. */
+export function awaitsReport(known: TrackedTask): boolean {
+  return known.state !== 'running' || known.fetchedAt === -Infinity;
+}
