Wait for a running task before SIGTERM in its test

Cause: all 40 requests can be known before the first task runs. Change: the test waits for both conditions. Result: compiled and linted only; not run after this change.

--- a/test/processes/fault_test.ts
+++ b/test/processes/fault_test.ts
@@ -66,8 +66,9 @@
           return seen.body['state'] === undefined ? undefined : true;
         });
       }
-      const seen = await cell.workers[0].observe();
-      assert.ok(Number(seen['running']) > 0, 'requests are in progress');
+      await wait.until('a running task', async () =>
+        (await cell.workers[0].observe())['running'] ? true : undefined,
+      );
       entry.signal('SIGTERM');
       const answers = await Promise.all(calls);
       answers.forEach((answer, index) => {
