Copy a task in a report only when its worker object changed

Cause: every report copied every task on its worker. Change: a task is replaced only when the fleet made a new worker object.

--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -311,13 +311,8 @@
     target.update(report, now);
     const listed = new Map(report.tasks.map(item => [item.task, item]));
     for (const known of this.tasks.on(target.name)) {
-      this.moveTo(target, known);
-      this.apply(
-        {...known, worker: target},
-        listed.get(known.task),
-        arrived,
-        now,
-      );
+      const current = this.moveTo(target, known);
+      this.apply(current, listed.get(known.task), arrived, now);
     }
     this.adoptListed(target, arrived, now);
     this.effects.push(...this.reservations.check(target));
@@ -326,11 +321,15 @@
   }
 
   /** The fleet makes a new object when a worker vanishes and returns. */
-  private moveTo(target: worker.Worker, known: trackedTask.TrackedTask): void {
-    if (known.worker === target) return;
+  private moveTo(
+    target: worker.Worker,
+    known: trackedTask.TrackedTask,
+  ): trackedTask.TrackedTask {
+    if (known.worker === target) return known;
     const moved = {...known, worker: target};
     this.tasks.put(moved);
     if (known.worker.held().has(known.task)) this.holdRoom(moved);
+    return moved;
   }
 
   private noteRestart(target: worker.Worker, report: task.WorkerReport): void {
