Suspend a worker that fails one or two workloads that work elsewhere

Cause: a worker was suspended after early failures of three different workloads. In a zone with two workloads that never happens, and packing sends everything to the failing worker: in try all 40 requests failed. Change: five early failures in a row suspend it too, if their workloads have finished before and failed on no other worker since. A workload that begins to fail everywhere suspends at most one worker that way. try breaks the busiest worker and lists entry VMs with their peer address.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import * as fs from 'node:fs';
 import * as capacityBench from './capacity_bench.js';
 import * as commandTypes from 'cmd-ts';
+import * as placementBench from './placement_bench.js';
 import * as processBench from './process_bench.js';
 import type * as benchRow from './bench_row.js';
 
@@ -10,6 +11,7 @@
 
 /** The parts of the bench, by name. */
 const PARTS: ReadonlyMap<string, Measure> = new Map<string, Measure>([
+  ['placement', async () => placementBench.measure()],
   ['capacity', async () => capacityBench.measureCapacity()],
   ['process', processBench.measureProcess],
 ]);
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -28,6 +28,12 @@
 
 type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
 
+/** Where an entry process listens. */
+export interface EntryAddresses {
+  readonly callers: string;
+  readonly peers: string;
+}
+
 /** Receivers that replace those of the settings. */
 export interface Sinks {
   readonly metrics: Sink;
@@ -91,8 +97,8 @@
     });
   }
 
-  /** Begins to decide and returns the address for callers. */
-  async start(): Promise<string> {
+  /** Begins to decide and returns where it listens. */
+  async start(): Promise<EntryAddresses> {
     const {host, callerPort, peerPort} = this.settings;
     // Other processes learn the address from the log, so it has to be known
     // before the first decision.
@@ -107,7 +113,7 @@
       port,
       peerPort: realPeerPort,
     });
-    return `${host}:${port}`;
+    return {callers: `${host}:${port}`, peers: `${host}:${realPeerPort}`};
   }
 
   /** Finishes what is in progress and closes everything. */
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -88,9 +88,12 @@
     return this.addressesOfZones;
   }
 
-  /** Lets one worker fail everything that it starts. */
+  /** Lets the worker that has run the most fail everything that it starts. */
   breakWorker(): void {
-    this.workers.at(-1)?.fail({failsEverything: true});
+    const [busiest] = [...this.workers.slice(WORKERS_PER_ZONE)].sort(
+      (left, right) => right.runCounts().size - left.runCounts().size,
+    );
+    busiest.fail({failsEverything: true});
   }
 
   /** Fraction of all slots that run a task now. */
@@ -172,11 +175,17 @@
       metrics: this.metrics,
       logs: {log: (level, event) => this.noteLine(vm, level, event)},
     });
-    const address = await entry.start();
+    const {callers, peers} = await entry.start();
     const known = this.addressesOfZones.get(zone) ?? [];
-    this.addressesOfZones.set(zone, [...known, address]);
+    this.addressesOfZones.set(zone, [...known, callers]);
     this.entries.push(entry);
-    this.list.put({vm, role: 'entry', zone, address, state: 'live'});
+    this.list.put({
+      vm,
+      role: 'entry',
+      zone,
+      address: peers,
+      state: 'live',
+    });
   }
 
   private noteLine(vm: string, level: string, event: string): void {
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -474,9 +474,8 @@
     if (!owned) this.adoptedOn.delete(target.name);
     const tasks = this.tasks.on(target.name);
     if (!owned && tasks.length === 0) return;
-    if (
-      this.reports.take(target.name, now, tasks.some(trackedTask.awaitsReport))
-    ) {
+    const urgent = tasks.some(trackedTask.awaitsReport);
+    if (this.reports.take(target.name, now, urgent)) {
       const address = target.description.address;
       this.effects.push({kind: 'readReport', worker: target.name, address});
     }
--- a/src/machines/worker_health.ts
+++ b/src/machines/worker_health.ts
@@ -4,6 +4,13 @@
 /** Different workloads that fail in a row before a worker is suspended. */
 const FAILURES_IN_A_ROW = 3;
 
+/**
+ * Failures in a row of workloads that are known to work elsewhere. A zone may
+ * run fewer than `FAILURES_IN_A_ROW` workloads, and would lose them all to one
+ * worker without this limit.
+ */
+const SOUND_FAILURES_IN_A_ROW = 5;
+
 /** A failure counts against the worker only this soon after the start. */
 const EARLY_FAILURE_MS = 5_000;
 
@@ -17,6 +24,8 @@
   readonly state: 'inService' | 'suspended' | 'probation' | 'probing';
   /** Workloads that failed early since the last task that did not. */
   readonly failed: ReadonlySet<string>;
+  /** Early failures of sound workloads since then. */
+  readonly soundFailures: number;
   readonly suspensionMs: clock.Milliseconds;
   readonly until: clock.Milliseconds;
 }
@@ -24,6 +33,7 @@
 const HEALTHY: Condition = {
   state: 'inService',
   failed: new Set(),
+  soundFailures: 0,
   suspensionMs: FIRST_SUSPENSION_MS,
   until: Infinity,
 };
@@ -43,6 +53,8 @@
  */
 export class WorkerHealth {
   private readonly conditions = new Map<worker.Worker, Condition>();
+  /** Workers that failed a workload since it last finished anywhere. */
+  private readonly failedOn = new Map<string, ReadonlySet<worker.Worker>>();
 
   /** Whether only a single probe task may be placed on the worker. */
   isOnProbation(candidate: worker.Worker): boolean {
@@ -72,14 +84,20 @@
     if (condition.state === 'probing') {
       return this.probeEnded(end, isEarly, condition, now);
     }
+    if (!end.failed) this.failedOn.set(end.workload, new Set());
     if (!isEarly) {
       if (condition.state === 'inService') this.conditions.delete(end.worker);
       return false;
     }
-    const failed = new Set(condition.failed).add(end.workload);
+    const sound = this.isSound(end);
     if (condition.state !== 'inService') return false;
-    if (failed.size < FAILURES_IN_A_ROW) {
-      this.conditions.set(end.worker, {...condition, failed});
+    const failed = new Set(condition.failed).add(end.workload);
+    const soundFailures = condition.soundFailures + (sound ? 1 : 0);
+    const few =
+      failed.size < FAILURES_IN_A_ROW &&
+      soundFailures < SOUND_FAILURES_IN_A_ROW;
+    if (few) {
+      this.conditions.set(end.worker, {...condition, failed, soundFailures});
       return false;
     }
     this.suspend(end.worker, condition.suspensionMs, now);
@@ -104,6 +122,15 @@
     return due;
   }
 
+  /** Whether a failing workload finished before and failed here alone. */
+  private isSound(end: TaskEnd): boolean {
+    const known = this.failedOn.get(end.workload);
+    if (known === undefined) return false;
+    const failedOn = new Set(known).add(end.worker);
+    this.failedOn.set(end.workload, failedOn);
+    return failedOn.size === 1;
+  }
+
   private probeEnded(
     end: TaskEnd,
     isEarly: boolean,
@@ -128,6 +155,7 @@
     this.conditions.set(suspended, {
       state: 'suspended',
       failed: new Set(),
+      soundFailures: 0,
       suspensionMs,
       until: now + suspensionMs,
     });
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -37,6 +37,35 @@
     assert.ok(machine.ready);
   });
 
+  nodeTest.test(
+    'a worker that fails only one or two workloads is suspended when they ' +
+      'work elsewhere, so that a zone with few workloads loses few requests',
+    () => {
+      const health = new workerHealth.WorkerHealth();
+      const [sound, hole] = new scheduling.SchedulingWorld().addWorkers(2);
+      const end = {worker: sound, workload: 'a', failed: false, ranMs: 200};
+      health.ended(end, 0);
+      assert.equal(failures(health, hole, ['a', 'a', 'a', 'a']), false);
+      assert.ok(failures(health, hole, ['a']));
+      assert.equal(hole.ready, false);
+    },
+  );
+
+  nodeTest.test(
+    'a workload that begins to fail everywhere suspends no second worker',
+    () => {
+      const health = new workerHealth.WorkerHealth();
+      const machines = new scheduling.SchedulingWorld().addWorkers(3);
+      const [first, second, third] = machines;
+      const end = {worker: first, workload: 'a', failed: false, ranMs: 200};
+      health.ended(end, 0);
+      const many = new Array<string>(20).fill('a');
+      failures(health, first, ['a']);
+      assert.equal(failures(health, second, many), false);
+      assert.equal(failures(health, third, many), false);
+    },
+  );
+
   nodeTest.test(
     'one probe at a time readmits, and failed ones wait longer',
     () => {
