Make a refusal final for its identity

A client's first submission waited in a paused process; its repetition was refused with 3003 (not run) at the home; the paused process woke up and passed the first one on, which then ran. Ruled out: a late start after a succession, since the start came from the home itself, 8.5 s after the refusal. Change: the home remembers refused identities (50,000 at most; past it the oldest expire) and refuses further submissions with the new code 1012. A cancellation that overtakes its submission refuses it as well. An expired identity is answered with 4002 and one that has not been used yet with 4001, because both were called not run without proof. Without the safeguard two of the new tests fail: they expect 1012 and get no refusal.

--- a/bench/fakes/checker.ts
+++ b/bench/fakes/checker.ts
@@ -28,7 +28,10 @@
   private readonly found: Violation[] = [];
   private checks = 0;
 
-  constructor(private readonly now: () => number) {}
+  constructor(
+    private readonly now: () => number,
+    private readonly note: (line: string) => void,
+  ) {}
 
   /** Broken promises so far. */
   violations(): ReadonlyArray<Violation> {
@@ -47,6 +50,7 @@
 
   taskStarted(on: worker.FakeWorker, start: task.TaskStart): void {
     const {identity, idempotent} = start.label;
+    this.note(`${on.name} starts ${start.task}`);
     this.check(resources.fits(on.used(), on.capacity), 'capacity', () =>
       JSON.stringify({worker: on.name, used: on.used(), task: start.task}),
     );
@@ -77,6 +81,7 @@
   /** Takes note of what a client was told of its own request. */
   told(request: ToldRequest, code: number, answer: string): void {
     const {identity} = request;
+    this.note(`client is told ${code} of ${identity}`);
     const row = Object.values(result.RESULT_CODES).find(
       known => known.code === code,
     );
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -32,6 +32,11 @@
   isIdempotent(call: IdentityCall): boolean | undefined;
 }
 
+interface ForwardedCall {
+  readonly identity: string;
+  readonly address: string;
+}
+
 interface HeldCall {
   readonly call: IdentityCall;
   readonly question: recoveries.Question;
@@ -44,7 +49,7 @@
  */
 export class CallRouter {
   private readonly held = new Map<event.CallNumber, HeldCall>();
-  private readonly forwarded = new Map<event.CallNumber, string>();
+  private readonly forwarded = new Map<event.CallNumber, ForwardedCall>();
 
   constructor(
     private readonly self: string,
@@ -126,8 +131,8 @@
     to: processDirectory.Member,
     relayed: boolean,
   ): ReadonlyArray<effects.Effect> {
-    this.forwarded.set(call.call, identity);
     const {process: peer, address} = to;
+    this.forwarded.set(call.call, {identity, address});
     return [
       effects.count('forward', {reason: relayed ? 'otherZone' : 'home'}),
       {kind: 'forwardCall', peer, address, relayed, call: call.call},
@@ -217,8 +222,10 @@
     answered: Extract<event.Event, {kind: 'forwardAnswered'}>,
   ): ReadonlyArray<effects.Effect> {
     const {call} = answered;
-    const identity = this.forwarded.get(call);
-    if (!this.forwarded.delete(call) || identity === undefined) return [];
+    const forwarded = this.forwarded.get(call);
+    if (forwarded === undefined) return [];
+    this.forwarded.delete(call);
+    const {identity} = forwarded;
     const reply = readReply(answered.code, answered.body);
     if (reply.identity !== undefined && reply.identity !== identity) {
       return [
@@ -230,8 +237,11 @@
   }
 
   private forwardFailed(call: event.CallNumber): ReadonlyArray<effects.Effect> {
-    const identity = this.forwarded.get(call);
-    if (!this.forwarded.delete(call) || identity === undefined) return [];
+    const forwarded = this.forwarded.get(call);
+    if (forwarded === undefined) return [];
+    this.forwarded.delete(call);
+    const {identity, address} = forwarded;
+    this.directory.noteUnreachable(address);
     return unknownFor(call, identity, 'the home gave no answer');
   }
 
--- a/src/contracts/identity.ts
+++ b/src/contracts/identity.ts
@@ -15,11 +15,19 @@
   /** Malformed, issued elsewhere or to another client. */
   | 'foreign'
   /** Issued so long ago that its outcome may have been forgotten. */
-  | 'expired';
+  | 'expired'
+  /** Its client was told that its request was not run. */
+  | 'refused';
 
 /** Time in which an identity has to be used for the first time. */
 export const IDENTITY_LIFETIME_MS = 3_600_000;
 
+/**
+ * Refused identities that are remembered, about 4 MB. Past it the oldest ones
+ * expire, with all that were issued before them.
+ */
+const REFUSED_LIMIT = 50_000;
+
 /** Hexadecimal digits of the part that nobody can guess: 96 bits. */
 const SECRET_LENGTH = 24;
 
@@ -49,6 +57,8 @@
   private sequence = 0;
   private expired = 0;
   private marks: ReadonlyArray<IssueMark> = [];
+  /** Sequence numbers of refused identities, in the order of refusal. */
+  private readonly refused = new Set<number>();
 
   constructor(
     private readonly home: string,
@@ -80,7 +90,22 @@
     const expected = Buffer.from(this.secret(parts.sequence, client));
     const presented = Buffer.from(parts.secret);
     if (!crypto.timingSafeEqual(expected, presented)) return 'foreign';
-    return parts.sequence <= this.expiredThrough(now) ? 'expired' : 'valid';
+    if (parts.sequence <= this.expiredThrough(now)) return 'expired';
+    return this.refused.has(parts.sequence) ? 'refused' : 'valid';
+  }
+
+  /**
+   * Makes sure that an identity is not used any more. An earlier call with it
+   * may still be on its way when its client is told that it was not run.
+   */
+  refuse(identity: string, now: clock.Milliseconds): void {
+    const parts = parseIdentity(identity);
+    if (parts === undefined || parts.home !== this.home) return;
+    this.refused.add(parts.sequence);
+    if (this.refused.size <= REFUSED_LIMIT) return;
+    const [oldest] = this.refused;
+    this.expired = Math.max(this.expired, oldest);
+    this.forgetRefused(this.expiredThrough(now));
   }
 
   private mark(now: clock.Milliseconds): void {
@@ -98,11 +123,18 @@
       now - known.since >= IDENTITY_LIFETIME_MS;
     const newestOld = this.marks.filter(isOld).at(-1);
     if (newestOld === undefined) return this.expired;
-    this.expired = newestOld.through;
+    this.expired = Math.max(this.expired, newestOld.through);
     this.marks = this.marks.filter(known => !isOld(known));
+    this.forgetRefused(this.expired);
     return this.expired;
   }
 
+  private forgetRefused(through: number): void {
+    for (const sequence of this.refused) {
+      if (sequence <= through) this.refused.delete(sequence);
+    }
+  }
+
   private secret(sequence: number, client: string): string {
     return crypto
       .createHmac('sha256', this.key)
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -20,6 +20,8 @@
   address(process: string): string | undefined;
   /** A process of another zone that knows what became of `process`. */
   relay(process: string): Member | undefined;
+  /** Notes that an address gave no answer; another one relays next. */
+  noteUnreachable(address: string): void;
   /** Whether a process was succeeded and all its permits have ended. */
   isSucceeded(process: string, now: clock.Milliseconds): boolean;
   /** Whether this process has been a member since before `process` joined. */
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -267,10 +267,63 @@
     if (home !== this.parts.self) {
       return this.router.route(call, identity, home, now);
     }
-    if (call.kind !== 'requestArrived') {
-      return this.unknownIdentity(call, identity);
+    const refusal = this.checkIdentity(call, identity, now);
+    if (refusal !== undefined) {
+      return callReply.refuse(call.call, refusal, identity);
     }
-    return this.requestArrived(call, identity, now);
+    if (call.kind === 'requestArrived') {
+      return this.requestArrived(call, identity, now);
+    }
+    return this.unusedIdentity(call, identity, now);
+  }
+
+  /** Why an identity that was issued here can't be used; undefined if it can. */
+  private checkIdentity(
+    call: callRouter.IdentityCall,
+    identity: string,
+    now: clock.Milliseconds,
+  ): result.Failure | undefined {
+    switch (this.issuer.check(identity, call.client, now)) {
+      case 'foreign':
+        return callReply.unknownIdentity(identity);
+      case 'expired': {
+        const detail = `identity: ${identity} was issued too long ago`;
+        return result.failure('outcomeLost', detail);
+      }
+      case 'refused': {
+        const detail = `identity: ${identity} was refused; use a new one`;
+        return result.failure('identityRefused', detail);
+      }
+      case 'valid':
+        return undefined;
+    }
+  }
+
+  /** The submission may be on its way; a cancellation stops it on arrival. */
+  private unusedIdentity(
+    call: callRouter.IdentityCall,
+    identity: string,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    if (call.kind === 'cancelArrived') {
+      const detail = 'cancelled before its submission arrived';
+      const cancelled = result.failure('cancelled', detail);
+      return this.refuseFinally(call.call, cancelled, identity, now);
+    }
+    const detail = 'no submission with this identity has arrived';
+    const unknown = result.failure('unknownOutcome', detail);
+    return callReply.refuse(call.call, unknown, identity);
+  }
+
+  /** Refuses a request for good: no later call may run it after all. */
+  private refuseFinally(
+    call: event.CallNumber,
+    refusal: result.Failure,
+    identity: string | undefined,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    if (identity !== undefined) this.issuer.refuse(identity, now);
+    return callReply.refuse(call, refusal, identity);
   }
 
   private requestArrived(
@@ -278,17 +331,15 @@
     reserved: string | undefined,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    if (reserved !== undefined) {
-      const check = this.issuer.check(reserved, call.client, now);
-      if (check !== 'valid') return this.unknownIdentity(call, reserved);
-    }
     const closed = this.closedReason();
-    if (closed !== undefined) return callReply.refuse(call.call, closed);
+    if (closed !== undefined) {
+      return this.refuseFinally(call.call, closed, reserved, now);
+    }
     const identity = reserved ?? this.issuer.issue(call.client, now);
     const {client, submission} = call;
     const sender = {identity, client, reserved: reserved !== undefined};
     return this.builder.build(submission, sender, now).caseOf({
-      Left: refusal => callReply.refuse(call.call, refusal, reserved),
+      Left: refusal => this.refuseFinally(call.call, refusal, reserved, now),
       Right: built => this.admit(call, built, now),
     });
   }
@@ -301,7 +352,7 @@
     const refusal =
       this.recordRefusal(built) ?? this.parts.queue.admit(built, now);
     if (refusal !== undefined) {
-      return callReply.refuse(call.call, refusal, built.identity);
+      return this.refuseFinally(call.call, refusal, built.identity, now);
     }
     this.table.add(built);
     return this.table.wait(built.identity, call, now + call.waitMs, now);
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -188,13 +188,10 @@
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
     } else if (this.unsent > this.limits.openCalls) {
-      this.refuse(
-        response,
-        result.failure(
-          'tooManyCalls',
-          `calls: ${this.unsent}: at most ${this.limits.openCalls} at once`,
-        ),
-      );
+      const detail = `calls: ${this.unsent}: at most ${this.limits.openCalls} at once`;
+      // A call about an identity may repeat one that ran.
+      const name = namesRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
+      this.refuse(response, result.failure(name, detail));
     } else {
       this.takeCall(incoming, response, body.text);
     }
@@ -398,3 +395,7 @@
 function httpStatus(code: number): number {
   return HTTP_STATUS.get(code) ?? 500;
 }
+
+function namesRequest(incoming: http.IncomingMessage): boolean {
+  return incoming.url?.startsWith('/v1/requests/') === true;
+}
--- a/src/result.ts
+++ b/src/result.ts
@@ -124,6 +124,14 @@
     'afterCorrection',
     'The client does not belong to the team.',
   ),
+  identityRefused: row(
+    1012,
+    'identityRefused',
+    409,
+    'notRun',
+    'afterCorrection',
+    'An earlier call with this identity was refused; use a new identity.',
+  ),
   malformedCall: row(
     1020,
     'malformedCall',
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -10,6 +10,8 @@
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
   private elsewhere: ReadonlyArray<event.ListedVm> = [];
   private listRead = false;
+  /** Addresses of other zones that gave no answer since others did. */
+  private readonly unreachable = new Set<string>();
 
   constructor(
     private readonly self: zoneControl.ProcessDescription,
@@ -64,13 +66,20 @@
     const there = this.elsewhere.filter(
       ({zone, state}) => state === 'live' && process.startsWith(`${zone}.`),
     );
-    const home = there.find(({zone, vm}) =>
-      process.startsWith(`${zone}.${vm}.`),
-    );
-    const chosen = home ?? there.at(0);
+    const isHome = ({zone, vm}: event.ListedVm): boolean =>
+      process.startsWith(`${zone}.${vm}.`);
+    const ordered = [
+      ...there.filter(isHome),
+      ...there.filter(listed => !isHome(listed)),
+    ];
+    const chosen = this.firstReachable(ordered);
     return chosen && {process: chosen.vm, address: chosen.address};
   }
 
+  noteUnreachable(address: string): void {
+    this.unreachable.add(address);
+  }
+
   isSucceeded(process: string, now: clock.Milliseconds): boolean {
     return this.zone.isSucceeded(process, now);
   }
@@ -78,4 +87,16 @@
   joinedBefore(process: string): boolean {
     return this.zone.joinedBefore(process);
   }
+
+  /** Begins anew when none of them answered. */
+  private firstReachable(
+    ordered: ReadonlyArray<event.ListedVm>,
+  ): event.ListedVm | undefined {
+    const reachable = ordered.find(
+      ({address}) => !this.unreachable.has(address),
+    );
+    if (reachable !== undefined) return reachable;
+    for (const {address} of ordered) this.unreachable.delete(address);
+    return ordered.at(0);
+  }
 }
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_test.ts
@@ -61,6 +61,7 @@
     hasJoined: () => true,
     isSucceeded: () => false,
     joinedBefore: () => true,
+    noteUnreachable: () => {},
   };
 }
 
--- a/test/contracts/request_desk_test.ts
+++ b/test/contracts/request_desk_test.ts
@@ -236,6 +236,41 @@
   });
 });
 
+nodeTest.describe('refusal', () => {
+  nodeTest.test(
+    'is final for its identity, so that an earlier submission that arrives ' +
+      'later does not run what its client was told was not run',
+    () => {
+      const bench = new deskBench.DeskBench();
+      const identity = bench.reserve();
+      assert.equal(bench.replyTo(bench.submit(identity, 'none'))?.code, 1006);
+      assert.equal(bench.replyTo(bench.submit(identity))?.code, 1012);
+      assert.equal(startedTasks(bench).length, 0);
+    },
+  );
+
+  nodeTest.test('of a submission that a cancellation overtook is final', () => {
+    const bench = new deskBench.DeskBench();
+    const identity = bench.reserve();
+    const cancelled = bench.ask('cancelArrived', identity);
+    assert.equal(bench.replyTo(cancelled)?.code, 2006);
+    assert.equal(bench.replyTo(bench.submit(identity))?.code, 1012);
+    assert.equal(startedTasks(bench).length, 0);
+  });
+
+  nodeTest.test(
+    'is never told of an identity whose use may be on its way',
+    () => {
+      const bench = new deskBench.DeskBench();
+      const identity = bench.reserve();
+      const fetched = bench.ask('fetchArrived', identity);
+      assert.equal(bench.replyTo(fetched)?.code, 4001);
+      bench.submit(identity);
+      assert.equal(startedTasks(bench).length, 1);
+    },
+  );
+});
+
 nodeTest.describe('shutdown', () => {
   nodeTest.test('refuses new requests and finishes what runs', () => {
     const bench = new deskBench.DeskBench();
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -216,6 +216,7 @@
       hasJoined: () => this.joined,
       isSucceeded: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
+      noteUnreachable: () => {},
     };
   }
 }
