--- a/bench/fakes/checker.ts
+++ b/bench/fakes/checker.ts
@@ -3,6 +3,9 @@
 import type * as task from '../../src/contracts/task.js';
 import type * as worker from './worker.js';
 
+/** A few seconds: after them a leaving worker gets no new task. */
+const LEAVING_LIMIT_MS = 7_000;
+
 /** A broken promise with its evidence. */
 export interface Violation {
   readonly at: number;
@@ -54,6 +57,10 @@
     this.check(resources.fits(on.used(), on.capacity), 'capacity', () =>
       JSON.stringify({worker: on.name, used: on.used(), task: start.task}),
     );
+    const leavingFor = this.now() - on.leavingSince;
+    this.check(leavingFor < LEAVING_LIMIT_MS, 'nothing new on leaving', () =>
+      JSON.stringify({worker: on.name, leavingFor, task: start.task}),
+    );
     // Tasks of one request are told apart by their index.
     const part = start.task.split('.').slice(0, -1).join('.');
     const places = this.places.get(part) ?? new Set();
--- a/bench/fakes/worker.ts
+++ b/bench/fakes/worker.ts
@@ -22,7 +22,8 @@
 export class FakeWorker {
   private readonly tasks = new Map<string, HeldTask>();
   private readonly waiting = new Map<string, Array<() => void>>();
-  leaving = false;
+  /** When the worker began to leave; Infinity while it stays. */
+  leavingSince = Infinity;
   failsEverything = false;
   dead = false;
 
@@ -94,7 +95,7 @@
       workerClock: this.clock.now(),
       capacity: this.capacity,
       rack: this.rack,
-      leaving: this.leaving,
+      leaving: this.leavingSince < Infinity,
       tasks: [...this.tasks.values()].map(held => ({
         task: held.start.task,
         label: held.start.label,
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -23,6 +23,7 @@
   'lateMessages',
   'blackHole',
   'flood',
+  'workerLeaves',
 ] as const;
 
 /** One of `FAULTS`. */
@@ -59,6 +60,9 @@
 const RECOVERY_MS = 180_000;
 const REQUEST_COUNT = 60;
 const GANG_SIZE = 3;
+/** How late the VM list says that a worker leaves. */
+const VM_LIST_LAG_MS = 20_000;
+
 const TRACE_LINES = 4_000;
 /** Time that the platform takes to start a process that ended itself. */
 const RESTART_MS = 500;
@@ -306,6 +310,8 @@
         return;
       case 'blackHole':
         return this.breakWorker(random, duration);
+      case 'workerLeaves':
+        return this.leaveWorker(random);
       case 'flood':
         for (let index = 0; index < 100; index += 1) {
           this.clients[0].begin('dispatch', 'inspection', `flood-${index}`);
@@ -348,6 +354,19 @@
     this.time.after(10_000, () => this.listed.delete(lost.name));
   }
 
+  private leaveWorker(random: randomSource.RandomSource): void {
+    const workers = [...this.workers.values()];
+    const leaving = workers[random.below(workers.length)];
+    if (leaving.leavingSince < Infinity) return;
+    leaving.leavingSince = this.time.now();
+    this.note(`${leaving.name} leaves`);
+    const known = this.listed.get(leaving.name);
+    this.time.after(VM_LIST_LAG_MS, () => {
+      if (known === undefined || leaving.dead) return;
+      this.listed.set(leaving.name, {...known, state: 'leaving'});
+    });
+  }
+
   private breakWorker(
     random: randomSource.RandomSource,
     duration: number,
