Start tasks only on workers heard from within 4 s

Change: a start needs a report asked for within the last 4 s, checked when the room is chosen and again when the start is sent; a read that failed is repeated after 0.5 s, and quiet workers are read every 3 s.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -16,19 +16,19 @@
   ['process', processBench.measureProcess],
 ]);
 
-function readPrevious(): ReadonlyMap<string, number> {
+function readPrevious(): ReadonlyMap<string, benchRow.BenchRow> {
   if (!fs.existsSync(RESULTS)) return new Map();
   const rows = JSON.parse(
     fs.readFileSync(RESULTS, 'utf8'),
   ) as ReadonlyArray<benchRow.BenchRow>;
-  return new Map(rows.map(row => [row.name, row.figure]));
+  return new Map(rows.map(row => [row.name, row]));
 }
 
 function printRow(
   row: benchRow.BenchRow,
-  previous: ReadonlyMap<string, number>,
+  previous: ReadonlyMap<string, benchRow.BenchRow>,
 ): void {
-  const before = previous.get(row.name);
+  const before = previous.get(row.name)?.figure;
   const columns = [
     row.name.padEnd(56),
     row.figure.toFixed(2).padStart(12),
@@ -62,7 +62,13 @@
         rows.push(row);
       }
     }
-    if (save) fs.writeFileSync(RESULTS, `${JSON.stringify(rows, null, 1)}\n`);
+    if (save) {
+      // Rows of parts that did not run stay as they are.
+      const merged = new Map(previous);
+      for (const row of rows) merged.set(row.name, row);
+      const text = JSON.stringify([...merged.values()], null, 1);
+      fs.writeFileSync(RESULTS, `${text}\n`);
+    }
     process.exit(0);
   },
 });
--- a/src/machines/report_schedule.ts
+++ b/src/machines/report_schedule.ts
@@ -3,11 +3,17 @@
 /** Time between reads while the report has to settle what became of a task. */
 const URGENT_INTERVAL_MS = 1_000;
 
+/** Time between reads otherwise. Most of a process's traffic at rest. */
+const QUIET_INTERVAL_MS = 3_000;
+
+/** Time after which a read that got no answer is repeated. */
+const RETRY_INTERVAL_MS = 500;
+
 /**
- * Time between reads otherwise. Reports are most of a process's traffic at
- * rest; the longest that leaving workers may go unnoticed bounds the interval.
+ * Oldest report on which a start may rest. With the lease of the start it
+ * bounds how long a leaving worker gets new tasks, even if reports are lost.
  */
-const QUIET_INTERVAL_MS = 5_000;
+const START_AGE_MS = 4_000;
 
 /** Time after which a read that was never answered is no longer awaited. */
 const READ_LIMIT_MS = 5_000;
@@ -56,10 +62,17 @@
   }
 
   /** Notes that a read got no answer. */
-  failed(worker: string): void {
+  failed(worker: string, now: clock.Milliseconds): void {
     const known = this.times.get(worker);
     if (known === undefined) return;
-    this.times.set(worker, {...known, openSince: -Infinity});
+    const due = Math.min(known.due, now + RETRY_INTERVAL_MS);
+    this.times.set(worker, {...known, due, openSince: -Infinity});
+  }
+
+  /** Whether the last report is new enough to start a task on the worker. */
+  isFresh(worker: string, now: clock.Milliseconds): boolean {
+    const {newest} = this.times.get(worker) ?? NEW;
+    return now - newest <= START_AGE_MS;
   }
 
   private dueAt(known: ReportTimes): clock.Milliseconds {
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -68,7 +68,8 @@
 
   /** Whether a worker's room is known and this process may place there. */
   mayPlace(name: string, now: clock.Milliseconds): boolean {
-    return this.adoptedOn.has(name) && this.permits.permitEnd(name) > now;
+    const known = this.adoptedOn.has(name) && this.reports.isFresh(name, now);
+    return known && this.permits.permitEnd(name) > now;
   }
 
   /** Whether a task is followed. */
@@ -129,7 +130,7 @@
         this.reportArrived(handled, now);
         break;
       case 'reportFailed':
-        this.reports.failed(handled.worker);
+        this.reports.failed(handled.worker, now);
         this.wake(this.reports.due(handled.worker));
         break;
       case 'taskAnswerArrived':
@@ -155,9 +156,9 @@
     leaseBound: clock.Milliseconds,
     now: clock.Milliseconds,
   ): void {
-    const reading = held.worker.clockReading;
-    const permitEnd = this.permits.permitEnd(held.worker.name);
-    if (reading === undefined || permitEnd <= now || held.worker.leaving) {
+    const {name, leaving, clockReading: reading} = held.worker;
+    const permitEnd = this.permits.permitEnd(name);
+    if (reading === undefined || leaving || !this.mayPlace(name, now)) {
       this.neverRan(held, 'the worker may not be given a start any more');
       return;
     }
