Report afresh in the test of a late acknowledgement

Change: the worker reports again before its permit does; the assertions are unchanged. A new test shows that a start on an older report is not sent.

--- a/test/contracts/request_desk_test.ts
+++ b/test/contracts/request_desk_test.ts
@@ -46,6 +46,7 @@
       assert.deepEqual(startedTasks(bench), []);
       bench.permitEnd = 9_000;
       bench.logAnswers = true;
+      bench.report();
       bench.pass(100);
       assert.equal(startedTasks(bench).length, 1);
       assert.deepEqual(recordedKinds(bench), ['starting', 'starting']);
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -135,6 +135,23 @@
   );
 });
 
+nodeTest.describe('start on a worker that has not been heard from', () => {
+  nodeTest.test(
+    'is not sent, so that a worker whose news is lost gets no new task when ' +
+      'it may have been leaving for seconds',
+    () => {
+      const bench = new Bench();
+      bench.permitEnd = 60_000;
+      bench.now = 4_001;
+      const late = bench.start();
+      assert.equal(effectsOf(late, 'startTask').length, 0);
+      assert.deepEqual(kinds(late), ['notRun']);
+      bench.report([]);
+      assert.equal(effectsOf(bench.start(), 'startTask').length, 1);
+    },
+  );
+});
+
 nodeTest.describe('lost start answer', () => {
   nodeTest.test(
     'stays unknown while the worker clock is within the start lease, so that ' +
