Read the change again: one failure table for peers, cheap refusals

Cause: past 50,000 remembered refusals, each further one walked the whole set, in just the flood for which the limit exists. The fakes of the randomised runs also held their own copy of what a missing answer of a peer becomes, which differed from the product's for a fetch of documents. Change: a refusal past the limit drops only the oldest one; those that have expired anyway go with the hourly marks. src/links/peer_failure.ts serves the peer link and the fakes. A new test floods the memory of refusals.

--- a/bench/fakes/entry_host.ts
+++ b/bench/fakes/entry_host.ts
@@ -1,4 +1,5 @@
 import * as entryVm from '../../src/machines/entry_vm.js';
+import * as peerFailure from '../../src/links/peer_failure.js';
 import * as peerMessages from './peer_messages.js';
 import type * as configuration from '../../src/contracts/configuration.js';
 import type * as effect from '../../src/contracts/effect.js';
@@ -372,10 +373,7 @@
         );
       },
       answer => this.post(answer),
-      () => {
-        const failed = peerMessages.toFailureEvent(wanted);
-        if (failed !== undefined) this.post(failed);
-      },
+      () => this.post(peerFailure.failureOf(wanted)),
       wanted.kind === 'offerRequest' ? OFFER_DEADLINE_MS : undefined,
     );
   }
--- a/bench/fakes/peer_messages.ts
+++ b/bench/fakes/peer_messages.ts
@@ -114,38 +114,3 @@
       return undefined;
   }
 }
-
-/** The event that a missing answer becomes at the caller. */
-export function toFailureEvent(wanted: PeerCall): event.Event | undefined {
-  const peer = wanted.peer;
-  switch (wanted.kind) {
-    case 'confirmPeer':
-      return {kind: 'confirmFailed', peer};
-    case 'offerRequest':
-      return {kind: 'offerLost', peer, identity: wanted.identity};
-    case 'withdrawOffer':
-      return {
-        kind: 'withdrawAnswered',
-        peer,
-        identity: wanted.identity,
-        code: 4001,
-      };
-    case 'sendWitness':
-      return {
-        kind: 'witnessAnswered',
-        peer,
-        batch: wanted.batch,
-        stored: false,
-      };
-    case 'readWitness':
-      return {
-        kind: 'readWitnessAnswered',
-        peer,
-        process: wanted.process,
-        complete: false,
-        entries: [],
-      };
-    case 'fetchDocuments':
-      return undefined;
-  }
-}
--- a/src/contracts/identity.ts
+++ b/src/contracts/identity.ts
@@ -98,14 +98,14 @@
    * Makes sure that an identity is not used any more. An earlier call with it
    * may still be on its way when its client is told that it was not run.
    */
-  refuse(identity: string, now: clock.Milliseconds): void {
+  refuse(identity: string): void {
     const parts = parseIdentity(identity);
     if (parts === undefined || parts.home !== this.home) return;
     this.refused.add(parts.sequence);
     if (this.refused.size <= REFUSED_LIMIT) return;
     const [oldest] = this.refused;
+    this.refused.delete(oldest);
     this.expired = Math.max(this.expired, oldest);
-    this.forgetRefused(this.expiredThrough(now));
   }
 
   private mark(now: clock.Milliseconds): void {
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -277,19 +277,18 @@
     if (call.kind === 'requestArrived') {
       return this.requestArrived(call, identity, now);
     }
-    return this.unusedIdentity(call, identity, now);
+    return this.unusedIdentity(call, identity);
   }
 
   /** The submission may be on its way; a cancellation stops it on arrival. */
   private unusedIdentity(
     call: callRouter.IdentityCall,
     identity: string,
-    now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (call.kind === 'cancelArrived') {
       const detail = 'cancelled before its submission arrived';
       const cancelled = result.failure('cancelled', detail);
-      return this.refuseFinally(call.call, cancelled, identity, now);
+      return this.refuseFinally(call.call, cancelled, identity);
     }
     const detail = 'no submission with this identity has arrived';
     const unknown = result.failure('unknownOutcome', detail);
@@ -301,9 +300,8 @@
     call: event.CallNumber,
     refusal: result.Failure,
     identity: string | undefined,
-    now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    if (identity !== undefined) this.issuer.refuse(identity, now);
+    if (identity !== undefined) this.issuer.refuse(identity);
     return callReply.refuse(call, refusal, identity);
   }
 
@@ -314,13 +312,13 @@
   ): ReadonlyArray<effects.Effect> {
     const closed = this.closedReason();
     if (closed !== undefined) {
-      return this.refuseFinally(call.call, closed, reserved, now);
+      return this.refuseFinally(call.call, closed, reserved);
     }
     const identity = reserved ?? this.issuer.issue(call.client, now);
     const {client, submission} = call;
     const sender = {identity, client, reserved: reserved !== undefined};
     return this.builder.build(submission, sender, now).caseOf({
-      Left: refusal => this.refuseFinally(call.call, refusal, reserved, now),
+      Left: refusal => this.refuseFinally(call.call, refusal, reserved),
       Right: built => this.admit(call, built, now),
     });
   }
@@ -333,7 +331,7 @@
     const refusal =
       this.recordRefusal(built) ?? this.parts.queue.admit(built, now);
     if (refusal !== undefined) {
-      return this.refuseFinally(call.call, refusal, built.identity, now);
+      return this.refuseFinally(call.call, refusal, built.identity);
     }
     this.table.add(built);
     return this.table.wait(built.identity, call, now + call.waitMs, now);
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -1,8 +1,7 @@
 import * as peerConnections from './peer_connections.js';
+import * as peerFailure from './peer_failure.js';
 import * as peerMessages from './peer_messages.js';
-import * as result from '../result.js';
 import type * as byteCounter from './byte_counter.js';
-import type * as effect from '../contracts/effect.js';
 import type * as entryLinks from './entry_links.js';
 import type * as event from '../contracts/event.js';
 
@@ -18,12 +17,6 @@
 /** Deadline of an offer, whose answer comes when the request has ended. */
 const OFFER_DEADLINE_MS = 3_600_000;
 
-/** The effects that ask something of a peer. */
-export type PeerCallEffect = Extract<
-  effect.PeerEffect,
-  {readonly peer: string}
->;
-
 /** Gives the calls of callers that are open, for passing them on. */
 export interface OpenCalls {
   openCall(call: event.CallNumber): event.CallEvent | undefined;
@@ -40,8 +33,8 @@
   readonly bytes?: byteCounter.ByteCounter;
 }
 
-type EffectOf<Kind extends PeerCallEffect['kind']> = Extract<
-  PeerCallEffect,
+type EffectOf<Kind extends peerFailure.PeerCallEffect['kind']> = Extract<
+  peerFailure.PeerCallEffect,
   {readonly kind: Kind}
 >;
 
@@ -65,8 +58,10 @@
   }
 
   /** Performs one effect; the answer comes as an event. */
-  async perform(wanted: PeerCallEffect): Promise<void> {
-    this.parts.post(await this.send(wanted).catch(() => failed(wanted)));
+  async perform(wanted: peerFailure.PeerCallEffect): Promise<void> {
+    this.parts.post(
+      await this.send(wanted).catch(() => peerFailure.failureOf(wanted)),
+    );
   }
 
   /** Closes all connections. */
@@ -74,7 +69,7 @@
     this.connections.close();
   }
 
-  private send(wanted: PeerCallEffect): Promise<event.Event> {
+  private send(wanted: peerFailure.PeerCallEffect): Promise<event.Event> {
     switch (wanted.kind) {
       case 'confirmPeer':
         return this.confirm(wanted);
@@ -113,7 +108,7 @@
     // A peer of another zone is named by zone and VM, without an incarnation.
     const meant =
       answer.from === wanted.peer || answer.from.startsWith(`${wanted.peer}.`);
-    if (!meant) return failed(wanted);
+    if (!meant) return peerFailure.failureOf(wanted);
     return {
       kind: 'confirmAnswered',
       peer: wanted.peer,
@@ -158,7 +153,7 @@
   private async forward(wanted: EffectOf<'forwardCall'>): Promise<event.Event> {
     const original = this.parts.calls.openCall(wanted.call);
     const message = original && forwardedCall(original);
-    if (message === undefined) return failed(wanted);
+    if (message === undefined) return peerFailure.failureOf(wanted);
     const answer = await this.connections.call(
       wanted.peer,
       wanted.address,
@@ -285,41 +280,3 @@
       return undefined;
   }
 }
-
-/** The event for a call that got no answer. */
-function failed(wanted: PeerCallEffect): event.Event {
-  const {peer} = wanted;
-  switch (wanted.kind) {
-    case 'confirmPeer':
-      return {kind: 'confirmFailed', peer};
-    case 'offerRequest':
-      return {kind: 'offerLost', peer, identity: wanted.identity};
-    case 'withdrawOffer':
-      return {
-        kind: 'withdrawAnswered',
-        peer,
-        identity: wanted.identity,
-        code: result.RESULT_CODES.unknownOutcome.code,
-      };
-    case 'forwardCall':
-      return {kind: 'forwardFailed', call: wanted.call};
-    case 'fetchDocuments':
-      // The next confirmation shows again which documents are missing.
-      return {kind: 'documentsArrived', documents: []};
-    case 'sendWitness':
-      return {
-        kind: 'witnessAnswered',
-        peer,
-        batch: wanted.batch,
-        stored: false,
-      };
-    case 'readWitness':
-      return {
-        kind: 'readWitnessAnswered',
-        peer,
-        process: wanted.process,
-        complete: false,
-        entries: [],
-      };
-  }
-}
--- a/test/contracts/identity_test.ts
+++ b/test/contracts/identity_test.ts
@@ -37,6 +37,21 @@
     },
   );
 
+  nodeTest.test(
+    'stays unusable after a refusal, even when a flood of refusals is more ' +
+      'than is remembered',
+    () => {
+      const issuer = buildIssuer();
+      const first = issuer.issue('alice', 0);
+      issuer.refuse(first);
+      assert.equal(issuer.check(first, 'alice', 1), 'refused');
+      for (let count = 0; count < 50_000; count += 1) {
+        issuer.refuse(`kigali-a.entry-1.0a_${count + 2}_${'0'.repeat(24)}`);
+      }
+      assert.equal(issuer.check(first, 'alice', 1), 'expired');
+    },
+  );
+
   nodeTest.test('that was never issued or was altered is foreign', () => {
     const issuer = buildIssuer();
     const issued = issuer.issue('alice', 0);
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -8,6 +8,7 @@
 import * as silentRelay from '../support/silent_relay.js';
 import * as wait from '../support/wait.js';
 import type * as effect from '../../src/contracts/effect.js';
+import type * as peerFailure from '../../src/links/peer_failure.js';
 import type * as event from '../../src/contracts/event.js';
 
 const NEWS: event.PeerNews = {
@@ -77,7 +78,7 @@
   }
 }
 
-function calls(address: string): ReadonlyArray<peerLink.PeerCallEffect> {
+function calls(address: string): ReadonlyArray<peerFailure.PeerCallEffect> {
   const peer = 'peer-2';
   return [
     {kind: 'confirmPeer', peer, address, zonePosition: 12, news: NEWS},
