Give the cell's configuration and the advice members modules of their own

Change: cell_configuration.ts holds the newest configuration and its age, advice_members.ts knows over which members advice is asked, and the registry's interface stands beside the entries that it lists. Behaviour is unchanged; the new tests fail when a late read brings an older configuration back.

--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -17,6 +17,14 @@
   readonly remainingMs?: number;
 }
 
+/** The registry of workers; followed only while this process schedules. */
+export interface WorkerRegistry {
+  /** Calls back with the whole list after each change, until closed. */
+  follow(onChange: (entries: ReadonlyArray<WorkerEntry>) => void): {
+    close(): void;
+  };
+}
+
 /** A run of a task on a worker. */
 export interface RunName {
   readonly task: string;
--- /dev/null
+++ b/src/zones/advice_members.ts
@@ -0,0 +1,49 @@
+import type * as adviceBook from '../jobs/advice_book.js';
+import type * as adviceSpread from '../jobs/advice_spread.js';
+import type * as cellMember from './cell_member.js';
+import type * as cellPeers from './cell_peers.js';
+import type * as clock from '../machines/clock.js';
+
+/** A member that was heard within this time can ask for advice. */
+const MEMBER_ALIVE_MS = 2_000;
+
+/** The members over whose VMs the advice service is asked. */
+export class AdviceMembers {
+  private readonly heardAt = new Map<string, clock.Milliseconds>();
+
+  constructor(
+    private readonly clock: clock.Clock,
+    /** Asks from the own VM. */
+    private readonly service: adviceBook.AdviceService,
+    private readonly peers: cellPeers.CellPeers,
+  ) {}
+
+  /** A ping of the member or its answer to one has arrived. */
+  heard(address: string): void {
+    this.heardAt.set(address, this.clock.now());
+  }
+
+  /** The living ones of `members`, and this process itself. */
+  sites(
+    members: ReadonlyArray<cellMember.CellMember>,
+  ): ReadonlyArray<adviceSpread.AdviceSite> {
+    const now = this.clock.now();
+    const alive = members.filter(({address}) => {
+      const heardAt = this.heardAt.get(address) ?? -Infinity;
+      return now - heardAt < MEMBER_ALIVE_MS;
+    });
+    return [...alive, {address: undefined}];
+  }
+
+  /** Asks over a member; `address` is undefined for this process. */
+  ask(
+    address: string | undefined,
+    step: string,
+    workerIds: ReadonlyArray<string>,
+    timeoutMs: number,
+  ): Promise<adviceBook.AdviceOutcome> {
+    return address === undefined
+      ? this.service.ask(step, workerIds, timeoutMs)
+      : this.peers.advise(address, step, workerIds, timeoutMs);
+  }
+}
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,4 +1,6 @@
+import * as adviceMembers from './advice_members.js';
 import * as adviceSpread from '../jobs/advice_spread.js';
+import * as cellConfiguration from './cell_configuration.js';
 import * as election from './election.js';
 import * as scheduler from '../jobs/scheduler.js';
 import type * as submissions from '../jobs/submissions.js';
@@ -12,14 +14,6 @@
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
-/** The registry of workers; followed only while this process schedules. */
-export interface WorkerRegistry {
-  /** Calls back with the whole list after each change, until closed. */
-  follow(
-    onChange: (entries: ReadonlyArray<remoteWorker.WorkerEntry>) => void,
-  ): {close(): void};
-}
-
 /** What a member of the cell works with. */
 export interface CellNodeOptions {
   readonly self: cellMember.CellMember;
@@ -28,7 +22,7 @@
   readonly bounds: schedulerOptions.Bounds;
   readonly cellLog: cellMember.CellLog;
   readonly journal: jobJournal.JournalStore;
-  readonly registry: WorkerRegistry;
+  readonly registry: remoteWorker.WorkerRegistry;
   readonly workers: workerCalls.WorkerCalls;
   /** Asks the advice service from this VM. */
   readonly advice: adviceBook.AdviceService;
@@ -51,12 +45,6 @@
 /** Ranks that ping often. */
 const SUCCESSORS = 3;
 
-/** A member that pinged within this time can ask for advice. */
-const PEER_ALIVE_MS = 2_000;
-
-/** Time for the answer to a question for the configuration. */
-const FETCH_TIMEOUT_MS = 600;
-
 /** A read of the log within this time shows that the store answers. */
 const FRESH_READ_MS = 300;
 
@@ -72,12 +60,11 @@
 /** One process of the cell: follows the claims and schedules when it won. */
 export class CellNode implements cellPeers.CellService {
   private readonly votes: election.Election;
-  private readonly peerHeardAt = new Map<string, clock.Milliseconds>();
+  private readonly held: cellConfiguration.CellConfiguration;
+  private readonly adviceMembers: adviceMembers.AdviceMembers;
   private readonly adviceCalls: adviceSpread.AdviceSpread;
   private current: scheduler.Scheduler | undefined;
   private registration: {close(): void} | undefined;
-  private held: job.CellConfiguration | undefined;
-  private configurationCheckedAt = -Infinity;
   private logReadAt = -Infinity;
   private joined = false;
   private joining = false;
@@ -87,27 +74,38 @@
   private pinging = false;
   private askOther = 0;
   private resigning = false;
-  private fetching = false;
 
   constructor(private readonly options: CellNodeOptions) {
     const now = options.clock.now();
     this.votes = new election.Election(options.self, now);
     this.lastTickAt = now;
+    this.held = new cellConfiguration.CellConfiguration({
+      clock: options.clock,
+      peers: options.peers,
+      log: options.log,
+      onTaken: configuration => this.current?.configure(configuration),
+    });
+    const members = new adviceMembers.AdviceMembers(
+      options.clock,
+      options.advice,
+      options.peers,
+    );
+    this.adviceMembers = members;
     this.adviceCalls = new adviceSpread.AdviceSpread(
-      () => this.adviceSites(),
+      () => members.sites(this.votes.peers),
       (address, step, workerIds, timeoutMs) =>
-        this.askOver(address, step, workerIds, timeoutMs),
+        members.ask(address, step, workerIds, timeoutMs),
       options.clock,
     );
   }
 
   get configuration(): job.CellConfiguration | undefined {
-    return this.held;
+    return this.held.newest;
   }
 
   /** Time since the configuration was last known to be the newest one. */
   get configurationAge(): number {
-    return this.options.clock.now() - this.configurationCheckedAt;
+    return this.held.ageMs;
   }
 
   /** The member that schedules, as far as this one knows. */
@@ -144,8 +142,7 @@
 
   /** The operator's newest configuration; undefined when none was written. */
   configurationRead(configuration: job.CellConfiguration | undefined): void {
-    this.configurationCheckedAt = this.options.clock.now();
-    if (configuration !== undefined) this.takeConfiguration(configuration);
+    this.held.read(configuration);
   }
 
   /** The process is to stop soon: another one takes over meanwhile. */
@@ -177,7 +174,7 @@
 
   pinged(greeting: cellPeers.Greeting): cellPeers.GreetingAnswer {
     const now = this.options.clock.now();
-    this.peerHeardAt.set(greeting.sender, now);
+    this.adviceMembers.heard(greeting.sender);
     if (greeting.newest !== undefined) this.takeClaim(greeting.newest, 'peer');
     if (this.votes.leads) this.provedAt = now;
     return {
@@ -186,8 +183,8 @@
       leading: this.serving !== undefined,
       resigning: this.resigning,
       storeSilentMs: this.current?.storeSilentFor(now) ?? 0,
-      configurationVersion: this.held?.version ?? 0,
-      configurationAgeMs: Math.round(this.configurationAge),
+      configurationVersion: this.held.version,
+      configurationAgeMs: Math.round(this.held.ageMs),
     };
   }
 
@@ -313,7 +310,8 @@
       defer: options.defer,
     });
     this.current = term;
-    if (this.held !== undefined) term.configure(this.held);
+    const {newest} = this.held;
+    if (newest !== undefined) term.configure(newest);
     this.registration = options.registry.follow(entries => {
       if (this.current === term) term.updateWorkers(entries);
     });
@@ -355,7 +353,7 @@
     this.pinging = true;
     const greeting = {
       newest: this.votes.claim,
-      configurationVersion: this.held?.version ?? 0,
+      configurationVersion: this.held.version,
       sender: this.options.self.address,
     };
     const reached = await this.options.peers.ping(
@@ -391,65 +389,11 @@
       return;
     }
     const {value} = reached;
-    this.peerHeardAt.set(address, now);
+    this.adviceMembers.heard(address);
     if (value.newest !== undefined) this.takeClaim(value.newest, 'peer');
     if (isLeader && address === this.votes.claim?.address) {
       this.votes.takePong(value, now);
     }
-    const version = this.held?.version ?? 0;
-    if (value.configurationVersion > version) {
-      void this.fetchConfiguration(address);
-    } else if (value.configurationVersion === version) {
-      const confirmedAt = now - value.configurationAgeMs;
-      this.configurationCheckedAt = Math.max(
-        this.configurationCheckedAt,
-        confirmedAt,
-      );
-    }
-  }
-
-  private async fetchConfiguration(address: string): Promise<void> {
-    if (this.fetching) return;
-    this.fetching = true;
-    const reached = await this.options.peers.fetchConfiguration(
-      address,
-      FETCH_TIMEOUT_MS,
-    );
-    this.fetching = false;
-    if (reached.kind === 'answered' && reached.value !== undefined) {
-      this.takeConfiguration(reached.value);
-    }
-  }
-
-  private takeConfiguration(configuration: job.CellConfiguration): void {
-    if (configuration.version <= (this.held?.version ?? -1)) return;
-    this.held = configuration;
-    this.current?.configure(configuration);
-    this.options.log.event('info', 'configurationTaken', {
-      version: configuration.version,
-      queues: configuration.queues.length,
-    });
-  }
-
-  // Advice.
-
-  private adviceSites(): ReadonlyArray<adviceSpread.AdviceSite> {
-    const now = this.options.clock.now();
-    const alive = this.votes.peers.filter(({address}) => {
-      const heardAt = this.peerHeardAt.get(address) ?? -Infinity;
-      return now - heardAt < PEER_ALIVE_MS;
-    });
-    return [...alive, {address: undefined}];
-  }
-
-  private askOver(
-    address: string | undefined,
-    step: string,
-    workerIds: ReadonlyArray<string>,
-    timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
-    const {advice, peers} = this.options;
-    if (address === undefined) return advice.ask(step, workerIds, timeoutMs);
-    return peers.advise(address, step, workerIds, timeoutMs);
+    this.held.compare(address, value);
   }
 }
--- /dev/null
+++ b/test/zones/cell_configuration_test.ts
@@ -0,0 +1,88 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as cellConfiguration from '../../src/zones/cell_configuration.js';
+import * as timeline from '../support/timeline.js';
+import type * as cellPeers from '../../src/zones/cell_peers.js';
+import type * as job from '../../src/jobs/job.js';
+
+const {describe, test} = nodeTest;
+
+function configurationOf(version: number): job.CellConfiguration {
+  return {
+    version,
+    queues: [],
+    bodyBytes: 1_024,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  };
+}
+
+function answerWith(version: number, ageMs: number): cellPeers.GreetingAnswer {
+  return {
+    newest: undefined,
+    incarnation: 'other-1',
+    leading: false,
+    resigning: false,
+    storeSilentMs: 0,
+    configurationVersion: version,
+    configurationAgeMs: ageMs,
+  };
+}
+
+/** A holder whose only other member holds `others`. */
+function holderBeside(
+  time: timeline.Timeline,
+  others: job.CellConfiguration,
+): {holder: cellConfiguration.CellConfiguration; taken: number[]} {
+  const taken: number[] = [];
+  const peers = {
+    fetchConfiguration: async () => ({kind: 'answered', value: others}),
+  } as unknown as cellPeers.CellPeers;
+  const holder = new cellConfiguration.CellConfiguration({
+    clock: time,
+    peers,
+    log: {event: () => undefined},
+    onTaken: configuration => void taken.push(configuration.version),
+  });
+  return {holder, taken};
+}
+
+describe('the configuration of a member', () => {
+  // Guards against an old configuration in force behind a cut from the store.
+  test('is fetched from another member that holds a newer one', async () => {
+    const time = new timeline.Timeline();
+    const {holder, taken} = holderBeside(time, configurationOf(7));
+    holder.read(configurationOf(6));
+    holder.compare('other:1', answerWith(7, 100));
+    await time.advance(1);
+    assert.equal(holder.version, 7);
+    assert.deepEqual(taken, [6, 7]);
+  });
+
+  // Guards against a return to an older configuration by a late read.
+  test('never goes back', () => {
+    const time = new timeline.Timeline();
+    const {holder, taken} = holderBeside(time, configurationOf(7));
+    holder.read(configurationOf(7));
+    holder.read(configurationOf(6));
+    assert.equal(holder.version, 7);
+    assert.deepEqual(taken, [7]);
+  });
+
+  // Guards against 503 from a member that others keep up to date, and against
+  // answers by a configuration of which nobody has heard for long.
+  test('is as old as the newest confirmation', async () => {
+    const time = new timeline.Timeline();
+    const {holder} = holderBeside(time, configurationOf(6));
+    assert.equal(holder.ageMs, Infinity);
+    holder.read(configurationOf(6));
+    await time.advance(5_000);
+    assert.equal(holder.ageMs, 5_000);
+    holder.compare('other:1', answerWith(6, 300));
+    assert.equal(holder.ageMs, 300);
+    holder.compare('other:1', answerWith(6, 900));
+    assert.equal(holder.ageMs, 300);
+    holder.compare('other:1', answerWith(5, 0));
+    assert.equal(holder.ageMs, 300);
+  });
+});
