--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import * as fs from 'node:fs';
 import * as capacityBench from './capacity_bench.js';
+import * as cellBench from './cell_bench.js';
 import * as commandTypes from 'cmd-ts';
 import * as placementBench from './placement_bench.js';
 import * as processBench from './process_bench.js';
@@ -14,6 +15,7 @@
   ['placement', async () => placementBench.measure()],
   ['capacity', async () => capacityBench.measureCapacity()],
   ['process', processBench.measureProcess],
+  ['cell', cellBench.measureCell],
 ]);
 
 function readPrevious(): ReadonlyMap<string, benchRow.BenchRow> {
--- a/test/support/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -4,9 +4,9 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as childProcess from './child_process.js';
-import * as platformStore from '../../stand_ins/platform_store.js';
-import * as platformWorker from '../../stand_ins/platform_worker.js';
-import type * as workerModel from '../../stand_ins/worker_model.js';
+import * as platformStore from './platform_store.js';
+import * as platformWorker from './platform_worker.js';
+import type * as workerModel from './worker_model.js';
 
 /** The queue of the tests. */
 export const HOST = 'orders.example';
@@ -28,6 +28,20 @@
   readonly body: Readonly<Record<string, unknown>>;
 }
 
+/** What a cell consists of. */
+export interface CellPlan {
+  readonly processes: number;
+  /** Workers; two when left out. */
+  readonly workers?: number;
+  /** How the tasks go. */
+  readonly runs: workerModel.RunPlan;
+  /** The program and what comes before its arguments; built code by default. */
+  readonly command?: ReadonlyArray<string>;
+}
+
+const DEFAULT_WORKERS = 2;
+const DEFAULT_COMMAND = [process.execPath, 'build/platform/main.js'];
+
 /** Real processes of the system over stand-ins for the platform. */
 export class PlatformCell {
   readonly store = new platformStore.PlatformStore();
@@ -36,17 +50,17 @@
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'cell-'));
   private storeAddress = '';
 
-  /** Starts the stand-ins and `count` processes; waits until all are ready. */
-  static async start(
-    count: number,
-    plan: workerModel.RunPlan,
-  ): Promise<PlatformCell> {
-    const cell = new PlatformCell();
+  private constructor(private readonly command: ReadonlyArray<string>) {}
+
+  /** Starts the stand-ins and the processes; waits until all are ready. */
+  static async start(plan: CellPlan): Promise<PlatformCell> {
+    const cell = new PlatformCell(plan.command ?? DEFAULT_COMMAND);
     cell.storeAddress = await cell.store.listen();
     cell.configure(1);
-    await cell.addWorker('worker-a', plan);
-    await cell.addWorker('worker-b', plan);
-    for (let index = 0; index < count; index += 1) {
+    for (let index = 0; index < (plan.workers ?? DEFAULT_WORKERS); index += 1) {
+      await cell.addWorker(`worker-${index}`, plan.runs);
+    }
+    for (let index = 0; index < plan.processes; index += 1) {
       await cell.startProcess(`node-${index}`);
     }
     return cell;
@@ -76,11 +90,10 @@
       platform: {address: this.storeAddress},
     };
     fs.writeFileSync(file, JSON.stringify(settings));
-    const child = new childProcess.ChildProcess(
-      process.execPath,
-      ['build/platform/main.js'],
-      {PARSLEYKNOT_SETTINGS: file},
-    );
+    const [program, ...programArguments] = this.command;
+    const child = new childProcess.ChildProcess(program, programArguments, {
+      PARSLEYKNOT_SETTINGS: file,
+    });
     const started = {
       child,
       front: `127.0.0.1:${front}`,
@@ -117,6 +130,15 @@
       .filter(event => event.kind === 'started' && event.task.startsWith(id));
   }
 
+  /** Starts that the workers carried out so far. */
+  startCount(): number {
+    let count = 0;
+    for (const {events} of this.workers) {
+      for (const event of events) if (event.kind === 'started') count += 1;
+    }
+    return count;
+  }
+
   async stop(): Promise<void> {
     for (const {child} of this.processes) await child.kill();
     for (const worker of this.workers) worker.close();
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as platformCell from '../support/platform_cell.js';
+import * as platformCell from '../../stand_ins/platform_cell.js';
 import * as wait from '../support/wait.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
@@ -47,7 +47,10 @@
 describe('processes on the platform', () => {
   // Guards against parts that work alone and not together.
   test('run a job that any of them takes', async () => {
-    const cell = await platformCell.PlatformCell.start(3, PLAN);
+    const cell = await platformCell.PlatformCell.start({
+      processes: 3,
+      runs: PLAN,
+    });
     try {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
       await completed(cell, 'aaaaaaaaaaaaaaa1');
@@ -63,7 +66,10 @@
 
   // Guards against jobs that are lost or run twice with their scheduler.
   test('go on when the one that schedules is killed', async () => {
-    const cell = await platformCell.PlatformCell.start(3, PLAN);
+    const cell = await platformCell.PlatformCell.start({
+      processes: 3,
+      runs: PLAN,
+    });
     try {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 2_500, 4);
       await submit(cell, 'aaaaaaaaaaaaaaa2', 300, 8);
@@ -83,7 +89,10 @@
 
   // Guards against a scheduler that comes back from a pause and goes on.
   test('ignore a scheduler that was paused and replaced', async () => {
-    const cell = await platformCell.PlatformCell.start(3, PLAN);
+    const cell = await platformCell.PlatformCell.start({
+      processes: 3,
+      runs: PLAN,
+    });
     try {
       const paused = cell.leader();
       paused.child.signal('SIGSTOP');
@@ -104,7 +113,10 @@
 
   // Guards against requests that are cut off by a planned stop.
   test('answer what is open and exit on SIGTERM', async () => {
-    const cell = await platformCell.PlatformCell.start(2, PLAN);
+    const cell = await platformCell.PlatformCell.start({
+      processes: 2,
+      runs: PLAN,
+    });
     try {
       const leader = cell.leader();
       const open = cell.call(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
@@ -124,7 +136,10 @@
   // Guards against a refusal for a job that is accepted all the same, and
   // against callers that are held while the store is away.
   test('say 504 or 503 while the store is silent, and keep running work', async () => {
-    const cell = await platformCell.PlatformCell.start(2, PLAN);
+    const cell = await platformCell.PlatformCell.start({
+      processes: 2,
+      runs: PLAN,
+    });
     try {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 3_000, 2);
       cell.store.silent = true;
@@ -145,7 +160,10 @@
 
   // Guards against a configuration that is not in force in every process.
   test('take a new configuration and drop its queues', async () => {
-    const cell = await platformCell.PlatformCell.start(2, PLAN);
+    const cell = await platformCell.PlatformCell.start({
+      processes: 2,
+      runs: PLAN,
+    });
     try {
       cell.configure(2, []);
       for (const target of cell.processes) {
--- a/test/support/entry_process.ts
+++ b/test/support/entry_process.ts
@@ -1,7 +1,7 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as childProcess from './child_process.js';
+import * as childProcess from '../../stand_ins/child_process.js';
 
 /** Settings of one entry process that a test starts. */
 export interface EntryOptions {
--- a/test/support/stand_in_process.ts
+++ b/test/support/stand_in_process.ts
@@ -1,4 +1,4 @@
-import * as childProcess from './child_process.js';
+import * as childProcess from '../../stand_ins/child_process.js';
 import * as httpCall from './http_call.js';
 
 /** A stand-in that runs as a process of its own. */
