Keep the advice service busy and ask it about more workers at a time

Change: a VM gets its next call shortly before the last answer is due; calls name workers without room as well; a step that found every VM busy is not kept from asking for 150 ms, in which a less urgent one took its place. The log line of waiting steps shows the free share. The new tests failed before.

--- a/src/jobs/advice_book.ts
+++ b/src/jobs/advice_book.ts
@@ -29,6 +29,8 @@
  * that the service needs for the answer.
  */
 export interface AdviceCalls {
+  /** Tells whether a call of that length would be sent now. */
+  accepts(expectedMs: number): boolean;
   ask(
     step: string,
     workerIds: ReadonlyArray<string>,
@@ -36,7 +38,7 @@
   ): Promise<AdviceOutcome>;
 }
 
-/** Workers named in a call: naming more costs more time than it gains. */
+/** Most workers named in a call: naming more takes more time than it saves. */
 const NAMED_WORKERS = 30;
 
 /** Time that the service needs for a step's first call. */
@@ -44,9 +46,6 @@
   return terms.decideMs + terms.eachMs * NAMED_WORKERS;
 }
 
-/** Workers named again once it is known that they may run the step. */
-const RENEWED_WORKERS = 12;
-
 /** Time of a ticket's validity that is left for the start to arrive. */
 const VALIDITY_MARGIN_MS = 150;
 
@@ -130,21 +129,26 @@
   }
 
   /**
-   * Asks about workers, best first, unless a call is out or was in vain just
-   * now. Workers that are known to be good are asked about before others.
+   * Asks about workers, unless a call is out, was in vain just now, or no VM
+   * can take another. Those with room come first; the others are named as well,
+   * because most of a call's time does not depend on how many it names, and room
+   * comes free there while the tickets are valid.
    */
   ask(
     step: stepInstance.StepInstance,
     terms: job.AdviceTerms,
-    workers: ReadonlyArray<remoteWorker.RemoteWorker>,
+    withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
+    others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): void {
     const now = this.clock.now();
     const known = this.stepAdvice(step);
-    if (known.asking || known.pausedUntil > now) return;
-    const named = this.nameWorkers(step, workers);
-    if (named.length === 0) return;
-    known.asking = true;
+    if (known.asking || known.pausedUntil > now || withRoom.length === 0) {
+      return;
+    }
+    const named = this.nameWorkers(step, withRoom, others);
     const expected = terms.decideMs + terms.eachMs * named.length;
+    if (!this.calls.accepts(expected)) return;
+    known.asking = true;
     void this.calls
       .ask(
         step.name,
@@ -157,16 +161,22 @@
       });
   }
 
+  /** Workers that are known to be good are named before others. */
   private nameWorkers(
     step: stepInstance.StepInstance,
-    workers: ReadonlyArray<remoteWorker.RemoteWorker>,
+    withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
+    others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
-    const good = workers.filter(worker => this.mayRun(step, worker) === true);
-    if (good.length > 0) return good.slice(0, RENEWED_WORKERS);
-    const unknown = workers.filter(
-      worker => this.mayRun(step, worker) === undefined,
-    );
-    return unknown.slice(0, NAMED_WORKERS);
+    const isGood = (worker: remoteWorker.RemoteWorker): boolean =>
+      this.mayRun(step, worker) === true;
+    const isUnknown = (worker: remoteWorker.RemoteWorker): boolean =>
+      this.mayRun(step, worker) === undefined;
+    return [
+      ...withRoom.filter(isGood),
+      ...withRoom.filter(isUnknown),
+      ...others.filter(isGood),
+      ...others.filter(isUnknown),
+    ].slice(0, NAMED_WORKERS);
   }
 
   private take(
--- a/src/jobs/advice_spread.ts
+++ b/src/jobs/advice_spread.ts
@@ -21,8 +21,12 @@
 /** One site in so many takes only short calls. */
 const SITES_PER_SHORT_SITE = 4;
 
-/** Work that may be out over one site when a call is added. */
-const MOST_WORK_OUT_MS = 400;
+/**
+ * Work that a site may still have when the next call is sent there: about the
+ * time of a call's way there and back, so that the service does not stand idle
+ * for this VM between two calls.
+ */
+const QUEUE_AHEAD_MS = 100;
 
 /** How long a site that gave no answer is left out. */
 const SILENT_PAUSE_MS = 2_000;
@@ -31,8 +35,9 @@
 const ANSWER_SLACK_MS = 1_200;
 
 interface SiteLoad {
-  /** Expected time of all calls that are out. */
-  workMs: number;
+  /** When the service will have answered all calls that are out. */
+  freeAt: clock.Milliseconds;
+  callsOut: number;
   pausedUntil: clock.Milliseconds;
 }
 
@@ -49,6 +54,10 @@
     private readonly clock: clock.Clock,
   ) {}
 
+  accepts(expectedMs: number): boolean {
+    return this.leastLoaded(expectedMs) !== undefined;
+  }
+
   async ask(
     step: string,
     workerIds: ReadonlyArray<string>,
@@ -57,11 +66,14 @@
     const site = this.leastLoaded(expectedMs);
     if (site === undefined) return {kind: 'busy'};
     const load = this.load(site.address);
-    load.workMs += expectedMs;
+    const now = this.clock.now();
+    load.freeAt = Math.max(load.freeAt, now) + expectedMs;
+    load.callsOut += 1;
     // Calls that are out over the same site are answered first.
-    const patience = load.workMs + ANSWER_SLACK_MS;
+    const patience = load.freeAt - now + ANSWER_SLACK_MS;
     const outcome = await this.askOver(site.address, step, workerIds, patience);
-    load.workMs -= expectedMs;
+    load.callsOut -= 1;
+    if (load.callsOut === 0) load.freeAt = this.clock.now();
     if (outcome.kind === 'unanswered') {
       load.pausedUntil = this.clock.now() + SILENT_PAUSE_MS;
     }
@@ -75,12 +87,13 @@
     const reserved = Math.floor(all.length / SITES_PER_SHORT_SITE);
     const usable = short ? all : all.slice(reserved);
     let best: AdviceSite | undefined;
-    let bestWork = MOST_WORK_OUT_MS;
+    let bestStart = now + QUEUE_AHEAD_MS;
     for (const site of usable) {
-      const {workMs, pausedUntil} = this.load(site.address);
-      if (pausedUntil > now || workMs >= bestWork) continue;
+      const {freeAt, pausedUntil} = this.load(site.address);
+      const start = Math.max(freeAt, now);
+      if (pausedUntil > now || start >= bestStart) continue;
       best = site;
-      bestWork = workMs;
+      bestStart = start;
     }
     return best;
   }
@@ -88,7 +101,11 @@
   private load(address: string | undefined): SiteLoad {
     const known = this.loads.get(address);
     if (known !== undefined) return known;
-    const opened: SiteLoad = {workMs: 0, pausedUntil: 0};
+    const opened: SiteLoad = {
+      freeAt: -Infinity,
+      callsOut: 0,
+      pausedUntil: -Infinity,
+    };
     this.loads.set(address, opened);
     return opened;
   }
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -102,7 +102,8 @@
       placement.isEligible(worker, step.definition, facts),
     );
     const advice = queue.advice ? this.advice.describe(step, now) : 'no advice';
-    return `open=${open.length} eligible=${eligible.length} ${advice}`;
+    const free = Math.round(100 * freeShare(open));
+    return `open=${open.length} free=${free}% eligible=${eligible.length} ${advice}`;
   }
 
   private openWorkers(
@@ -223,7 +224,18 @@
         placement.isEligible(worker, step.definition, facts) &&
         facts.ticket(worker) === undefined,
     );
-    this.advice.ask(step, terms, bestFirst(step.definition, candidates));
+    const others = workers.filter(
+      worker =>
+        !candidates.includes(worker) &&
+        placement.fitsEmpty(worker, step.definition) &&
+        facts.ticket(worker) === undefined,
+    );
+    this.advice.ask(
+      step,
+      terms,
+      bestFirst(step.definition, candidates),
+      bestFirst(step.definition, others),
+    );
     return candidates;
   }
 
@@ -243,7 +255,7 @@
     if (candidates.some(worker => this.advice.ticketFor(step, worker, now))) {
       return;
     }
-    this.advice.ask(step, advice, bestFirst(definition, candidates));
+    this.advice.ask(step, advice, bestFirst(definition, candidates), []);
   }
 }
 
@@ -257,6 +269,12 @@
   );
 }
 
+/** Part of the workers' processors that is free, from 0 to 1. */
+function freeShare(workers: ReadonlyArray<remoteWorker.RemoteWorker>): number {
+  const free = workers.reduce((sum, worker) => sum + worker.free.processors, 0);
+  return free / Math.max(processorsOf(workers), 1);
+}
+
 /** Time before a step's turn at which its advice is asked for. */
 export function adviceLeadMs(terms: job.AdviceTerms): number {
   return adviceBook.adviceTimeMs(terms) + ADVICE_LEAD_MS;
--- a/test/jobs/advice_spread_test.ts
+++ b/test/jobs/advice_spread_test.ts
@@ -49,6 +49,20 @@
     assert.equal(outcomes.filter(kind => kind === 'busy').length, 9);
   });
 
+  // The load pattern: long calls without a pause. Guards against a service that
+  // stands idle while an answer and the next call are on their way.
+  test('follow each other without a gap', async () => {
+    const time = new timeline.Timeline();
+    const spread = spreadOver(time, []);
+    for (let index = 0; index < 3; index += 1) {
+      void spread.ask('long', [], LONG_MS);
+    }
+    await time.advance(LONG_MS - 200);
+    assert.equal(spread.accepts(LONG_MS), false);
+    await time.advance(150);
+    assert.equal(spread.accepts(LONG_MS), true);
+  });
+
   // Guards against a VM that can't reach the service taking all calls.
   test('leave out a site that gave no answer', async () => {
     const time = new timeline.Timeline();
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -69,6 +69,7 @@
       ADVISED,
     ];
     cell.advice = {
+      accepts: () => true,
       ask: async (step, workerIds, expectedMs) => {
         asked.push(step);
         await cell.time.pause(expectedMs);
@@ -97,6 +98,64 @@
     assert.equal(asked.length, 1);
   });
 
+  // The load pattern: the service is busy all the time. Guards against its next
+  // free moment going to whoever comes then, before more urgent steps.
+  test('are asked about in their order when the service is free', async () => {
+    const cell = new jobCell.JobCell();
+    const asked: string[] = [];
+    cell.queues = [ADVISED];
+    let isBusy = false;
+    cell.advice = {
+      accepts: () => !isBusy,
+      ask: async (step, _workerIds, expectedMs) => {
+        if (isBusy) return {kind: 'busy'};
+        isBusy = true;
+        asked.push(step);
+        await cell.time.pause(expectedMs);
+        isBusy = false;
+        return {kind: 'advised', tickets: []};
+      },
+    };
+    cell.addWorkers(BY_JOB, 'one', 'two', 'three');
+    const scheduler = await cell.begin(1);
+    jobCell.submit(scheduler, batchOf('b0', {}));
+    await cell.time.advance(100);
+    jobCell.submit(scheduler, batchOf('b1', {}));
+    await cell.time.advance(380);
+    jobCell.submit(scheduler, batchOf('b2', {}));
+    await cell.time.advance(80);
+    jobCell.submit(scheduler, batchOf('b3', {}));
+    await cell.time.advance(1_400);
+    assert.deepEqual(
+      asked.map(step => step.split('.')[0]),
+      ['b0', 'b1', 'b2', 'b3'],
+    );
+  });
+
+  // The load pattern: most workers are full and tasks end all the time. Guards
+  // against calls that name one worker and bring no ticket or a single one.
+  test('ask about workers without room too', async () => {
+    const cell = new jobCell.JobCell();
+    const named: Array<ReadonlyArray<string>> = [];
+    advising(cell, []);
+    const {ask} = cell.advice;
+    cell.advice = {
+      accepts: () => true,
+      ask: (step, workerIds, expectedMs) => {
+        if (step.startsWith('b')) named.push(workerIds);
+        return ask(step, workerIds, expectedMs);
+      },
+    };
+    cell.addWorkers(BY_JOB, 'one', 'two');
+    const scheduler = await cell.begin(1);
+    jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 5}));
+    await cell.time.advance(200);
+    jobCell.submit(scheduler, batchOf('b1', {count: 6}));
+    await cell.time.advance(100);
+    assert.equal(named.length, 1);
+    assert.deepEqual([...named[0]].sort(), ['one', 'two']);
+  });
+
   // Guards against starts that a worker refuses for want of a ticket.
   test('start with the ticket of their worker', async () => {
     const cell = new jobCell.JobCell();
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -91,6 +91,7 @@
   proved = true;
   queues: ReadonlyArray<job.Queue> = [QUEUE];
   advice: adviceBook.AdviceCalls = {
+    accepts: () => true,
     ask: async () => ({kind: 'busy'}),
   };
   entries: ReadonlyArray<remoteWorker.WorkerEntry> = [];
@@ -120,7 +121,10 @@
       bounds: {stateKeptMs: 120_000},
       journal: this.journal,
       workers: this.workers,
-      advice: {ask: (...call) => this.advice.ask(...call)},
+      advice: {
+        accepts: expectedMs => this.advice.accepts(expectedMs),
+        ask: (...call) => this.advice.ask(...call),
+      },
       pauses: this.time,
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
