Wait out a short silence of the store and announce each new term

Jobs were refused at once all that time, so that callers used up their five tries. When the store was back, the scheduler's next append came up to a second later and another process claimed in between; the reads of all others hung in the store until 24.4 s, so that they passed calls on to the old scheduler for 1.5 s and noticed the death of the new one late.

Change: a job that is surely not accepted waits for the store for 45 % of its caller's time and is refused after that; at once when the store has been silent for 5 s. Repeated appends have 0.35 s instead of 0.9. After a read without an answer the next ones do not wait. The winner of a claim pings all members. calls_repeated counts calls that are made again. The new tests failed before.

--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -62,9 +62,16 @@
     term: number,
     sequence: number,
     changes: ReadonlyArray<JournalChange>,
+    timeoutMs: number,
   ): Promise<StoreOutcome>;
 }
 
+/** Time for the answer to the first call with a set of changes. */
+const APPEND_TIMEOUT_MS = 900;
+
+/** Time for later calls with it: they show when the store is back. */
+const REPEAT_TIMEOUT_MS = 350;
+
 /** Pause before a call that got no answer or a refusal is repeated. */
 const RETRY_PAUSE_MS = 120;
 
@@ -172,7 +179,12 @@
   ): Promise<'stored' | 'refused' | 'closed'> {
     let inDoubt = false;
     while (!this.closed) {
-      const outcome = await this.store.append(this.term, sequence, changes);
+      const outcome = await this.store.append(
+        this.term,
+        sequence,
+        changes,
+        inDoubt ? REPEAT_TIMEOUT_MS : APPEND_TIMEOUT_MS,
+      );
       if (outcome === 'stored') return 'stored';
       if (outcome === 'superseded') {
         this.closed = true;
--- a/src/jobs/submissions.ts
+++ b/src/jobs/submissions.ts
@@ -7,7 +7,13 @@
 
 /** Why a job was not accepted. */
 export type Refusal =
-  'storeSilent' | 'overloaded' | 'notReady' | 'unknownQueue';
+  /** The store does not answer at present. */
+  | 'storeSilent'
+  /** It has not answered for so long that waiting is of no use. */
+  | 'storeLost'
+  | 'overloaded'
+  | 'notReady'
+  | 'unknownQueue';
 
 /** What became of a job that was handed in. */
 export type SubmitOutcome =
@@ -27,6 +33,9 @@
 /** Silence of the store after which new jobs are refused at once. */
 const STORE_SILENCE_MS = 1_000;
 
+/** Silence of the store for which callers need not wait any more. */
+const STORE_LOSS_MS = 5_000;
+
 /** When callers are asked to come back after a refusal. */
 const RETRY_AFTER_SECONDS = 1;
 
@@ -65,7 +74,7 @@
       return;
     }
     if (silent) {
-      this.refuse('storeSilent', answer);
+      this.refuse(this.silenceReason(), answer);
       return;
     }
     this.waiting.set(id, [answer]);
@@ -81,7 +90,8 @@
     for (const [id, listeners] of [...this.waiting]) {
       if (this.book.withdraw(id)) {
         this.waiting.delete(id);
-        for (const answer of listeners) this.refuse('storeSilent', answer);
+        const reason = this.silenceReason();
+        for (const answer of listeners) this.refuse(reason, answer);
         continue;
       }
       this.waiting.set(id, []);
@@ -96,8 +106,15 @@
   }
 
   private isStoreSilent(): boolean {
-    const silentMs = this.journal.silentFor(this.options.clock.now());
-    return silentMs > STORE_SILENCE_MS;
+    return this.storeSilentMs() > STORE_SILENCE_MS;
+  }
+
+  private silenceReason(): Refusal {
+    return this.storeSilentMs() > STORE_LOSS_MS ? 'storeLost' : 'storeSilent';
+  }
+
+  private storeSilentMs(): number {
+    return this.journal.silentFor(this.options.clock.now());
   }
 
   private accepted(record: jobRecord.JobRecord): void {
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -25,6 +25,7 @@
 
 const REFUSALS: ReadonlySet<string> = new Set<submissions.Refusal>([
   'storeSilent',
+  'storeLost',
   'overloaded',
   'notReady',
   'unknownQueue',
--- a/src/links/journal_store.ts
+++ b/src/links/journal_store.ts
@@ -7,8 +7,8 @@
 /** All terms write as the same producer, so that a later one fences earlier. */
 const PRODUCER = 'scheduler';
 
-/** Time for the answer to an append. */
-const APPEND_TIMEOUT_MS = 900;
+/** Time for the answer to the call that fences earlier terms. */
+const OPEN_TIMEOUT_MS = 900;
 
 /** Keys in the topic. */
 const WORKERS_KEY = 'workers';
@@ -23,7 +23,7 @@
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
     // An append without records only raises the epoch.
-    return this.send([], term, 0);
+    return this.send([], term, 0, OPEN_TIMEOUT_MS);
   }
 
   async load(): Promise<jobJournal.JournalContent | undefined> {
@@ -58,21 +58,19 @@
     term: number,
     sequence: number,
     changes: ReadonlyArray<jobJournal.JournalChange>,
+    timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
-    return this.send(changes.flatMap(toRecords), term, sequence);
+    return this.send(changes.flatMap(toRecords), term, sequence, timeoutMs);
   }
 
   private async send(
     records: ReadonlyArray<keyedTopic.KeyedRecord>,
     term: number,
     sequence: number,
+    timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
     const producer = {name: PRODUCER, epoch: term, sequence};
-    const outcome = await this.topic.append(
-      records,
-      {producer},
-      APPEND_TIMEOUT_MS,
-    );
+    const outcome = await this.topic.append(records, {producer}, timeoutMs);
     switch (outcome.kind) {
       case 'appended':
         return 'stored';
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -30,6 +30,7 @@
 /** Keeps up with a keyed topic until closed. */
 export class TopicFollower {
   private closed = false;
+  private answered = true;
   private next: number | undefined;
 
   constructor(
@@ -44,10 +45,10 @@
   async run(): Promise<void> {
     while (!this.closed) {
       const startedAt = this.clock.now();
-      const answered = await this.step();
+      this.answered = await this.step();
       if (this.closed) return;
       const spent = this.clock.now() - startedAt;
-      const gap = answered ? this.options.gapMs - spent : RETRY_PAUSE_MS;
+      const gap = this.answered ? this.options.gapMs - spent : RETRY_PAUSE_MS;
       if (gap > 0) await this.pause(gap);
     }
   }
@@ -58,10 +59,13 @@
 
   private async step(): Promise<boolean> {
     const whole = this.next === undefined;
+    // A read that waits would hang in a silent store for all that time, also
+    // when the store is back meanwhile.
+    const waitMs = this.answered ? this.options.waitMs : 0;
     const outcome =
       this.next === undefined
         ? await this.topic.newest()
-        : await this.topic.read(this.next, this.options.waitMs);
+        : await this.topic.read(this.next, waitMs);
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'read':
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -5,6 +5,7 @@
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as scheduler from '../jobs/scheduler.js';
+import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** What the gateway asks its own process. */
 export interface LocalCell extends cellPeers.CellService {
@@ -32,6 +33,15 @@
  */
 const PATIENCE_MS = 2_000;
 
+/**
+ * Part of a caller's time for which a job waits for the store to answer again.
+ * The caller keeps enough of it to come back or to go elsewhere.
+ */
+const STORE_PATIENCE_SHARE = 0.45;
+
+/** Pause before the scheduler is asked again while the store is silent. */
+const STORE_PAUSE_MS = 200;
+
 /** Time that is kept for the answer's way back. */
 const RETURN_MS = 120;
 
@@ -42,20 +52,38 @@
     private readonly peers: cellPeers.CellPeers,
     private readonly clock: clock.Clock,
     private readonly pauses: jobJournal.Pauses,
+    private readonly counters: schedulerOptions.Counters,
   ) {}
 
-  /** Hands a job in. */
-  submit(
+  /** Hands a job in; waits out a short silence of the store. */
+  async submit(
     definition: job.JobDefinition,
     configurationVersion: number,
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<submissions.SubmitOutcome>> {
-    return this.ask(
-      deadline,
-      () => this.cell.submit(definition, configurationVersion),
-      (address, timeoutMs) =>
-        this.peers.submit(address, definition, configurationVersion, timeoutMs),
-    );
+    const startedAt = this.clock.now();
+    const patienceMs = STORE_PATIENCE_SHARE * (deadline - startedAt);
+    for (;;) {
+      const outcome = await this.ask(
+        deadline,
+        () => this.cell.submit(definition, configurationVersion),
+        (address, timeoutMs) =>
+          this.peers.submit(
+            address,
+            definition,
+            configurationVersion,
+            timeoutMs,
+          ),
+      );
+      const resumeAt = this.clock.now() + STORE_PAUSE_MS;
+      // Only what is surely not accepted may be handed in once more, or else a
+      // later refusal would be untrue.
+      if (!isStoreSilent(outcome) || resumeAt - startedAt > patienceMs) {
+        return outcome;
+      }
+      this.counters.count('calls_repeated', 'storeSilent');
+      await this.pauses.pause(STORE_PAUSE_MS);
+    }
   }
 
   /** Cancels a job. */
@@ -124,6 +152,7 @@
       );
       if (attempt.kind === 'answered') return attempt;
       if (attempt.kind === 'unanswered') inDoubt = true;
+      this.counters.count('calls_repeated', attempt.kind);
       await this.pauses.pause(ATTEMPT_PAUSE_MS);
     }
   }
@@ -154,3 +183,11 @@
     return Promise.race([answered, late]);
   }
 }
+
+function isStoreSilent(
+  outcome: GatewayOutcome<submissions.SubmitOutcome>,
+): boolean {
+  if (outcome.kind !== 'answered') return false;
+  const {value} = outcome;
+  return value.kind === 'refused' && value.reason === 'storeSilent';
+}
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -273,6 +273,12 @@
     if (outcome.kind !== 'won') return;
     const {node, incarnation, address} = self;
     this.takeClaim({term: outcome.term, node, incarnation, address}, 'won');
+    this.announce();
+  }
+
+  /** Tells all members of the term: a silent store may show it much later. */
+  private announce(): void {
+    for (const {address} of this.votes.peers) void this.ping(address);
   }
 
   private takeClaim(claim: cellMember.Claim, source: string): void {
@@ -351,6 +357,11 @@
     const address = this.addressToGreet(now);
     if (address === undefined) return;
     this.pinging = true;
+    await this.ping(address);
+    this.pinging = false;
+  }
+
+  private async ping(address: string): Promise<void> {
     const greeting = {
       newest: this.votes.claim,
       configurationVersion: this.held.version,
@@ -361,7 +372,6 @@
       greeting,
       PING_TIMEOUT_MS,
     );
-    this.pinging = false;
     this.takeAnswer(address, reached);
   }
 
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -109,4 +109,16 @@
     await time.advance(300);
     assert.equal(writer.withdraw('b'), false);
   });
+
+  // Guards against a second without starts and acceptances after the store is
+  // back, in which another process claims to schedule.
+  test('notices within half a second that the store is back', async () => {
+    const {time, store, writer} = scene();
+    store.down = true;
+    writer.put('a', () => ({kind: 'dropped', id: 'a'}));
+    await time.advance(3_950);
+    store.down = false;
+    await time.advance(500);
+    assert.equal(writer.silentFor(time.now()), 0);
+  });
 });
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -84,4 +84,34 @@
     follower.close();
     assert.ok(news.length >= 4 && news.length <= 6, `${news.length} tries`);
   });
+
+  // Guards against a read that hangs for its whole wait in a store which is
+  // back already, so that news of the outage comes seconds late.
+  test('is read without a wait until the store answers again', async () => {
+    const time = new timeline.Timeline();
+    const waits: number[] = [];
+    const isDown = (): boolean => time.now() > 100 && time.now() < 1_000;
+    const topic = {
+      append: async () => ({kind: 'refused', detail: ''}) as const,
+      newest: async () => ({kind: 'read', records: [], end: 0}) as const,
+      read: async (_from: number, waitMs: number) => {
+        waits.push(waitMs);
+        await time.pause(200);
+        return isDown()
+          ? ({kind: 'unavailable', detail: 'timeout'} as const)
+          : ({kind: 'read', records: [], end: 0} as const);
+      },
+    };
+    const follower = new topicFollower.TopicFollower(
+      topic,
+      {waitMs: 2_500, gapMs: 0},
+      {followed: () => {}, interrupted: () => {}},
+      time,
+      milliseconds => time.pause(milliseconds),
+    );
+    void follower.run();
+    await time.advance(1_500);
+    follower.close();
+    assert.deepEqual(waits.slice(0, 4), [2_500, 0, 0, 2_500]);
+  });
 });
--- a/test/support/fake_journal.ts
+++ b/test/support/fake_journal.ts
@@ -46,9 +46,13 @@
     term: number,
     sequence: number,
     changes: ReadonlyArray<jobJournal.JournalChange>,
+    timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
     await this.time.pause(ANSWER_MS);
-    if (this.down) return 'unanswered';
+    if (this.down) {
+      await this.time.pause(timeoutMs - ANSWER_MS);
+      return 'unanswered';
+    }
     if (this.refusing) return 'refused';
     if (term < this.epoch) return 'superseded';
     this.appends += 1;
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -24,16 +24,24 @@
   const peers = {
     submit: (address: string) => submit(address),
   } as unknown as cellPeers.CellPeers;
-  return new cellGateway.CellGateway(cell, peers, time, time);
+  const counters = {count: () => {}, observe: () => {}};
+  return new cellGateway.CellGateway(cell, peers, time, time, counters);
 }
 
-async function outcomeOf(
+interface Result {
+  kind: string;
+  value: submissions.SubmitOutcome | undefined;
+  at: number;
+}
+
+async function resultOf(
   time: timeline.Timeline,
   gateway: cellGateway.CellGateway,
-): Promise<{kind: string; at: number}> {
-  const result = {kind: 'none', at: 0};
+): Promise<Result> {
+  const result: Result = {kind: 'none', value: undefined, at: 0};
   void gateway.submit(jobCell.jobOf('aa', {}), 1, 3_000).then(outcome => {
     result.kind = outcome.kind;
+    if (outcome.kind === 'answered') result.value = outcome.value;
     result.at = time.now();
   });
   await time.advance(5_000);
@@ -49,7 +57,7 @@
         ? {kind: 'notLeading'}
         : {kind: 'answered', value: {kind: 'accepted'}},
     );
-    const outcome = await outcomeOf(time, gateway);
+    const outcome = await resultOf(time, gateway);
     assert.equal(outcome.kind, 'answered');
     assert.ok(outcome.at < 1_400);
   });
@@ -58,7 +66,7 @@
   test('is refused after two seconds when it reached nobody', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () => ({kind: 'refused'}));
-    const outcome = await outcomeOf(time, gateway);
+    const outcome = await resultOf(time, gateway);
     assert.equal(outcome.kind, 'noScheduler');
     assert.ok(outcome.at <= 2_200, `${outcome.at}`);
   });
@@ -72,8 +80,50 @@
         ? {kind: 'unanswered', detail: 'lost'}
         : {kind: 'notLeading'};
     });
-    const outcome = await outcomeOf(time, gateway);
+    const outcome = await resultOf(time, gateway);
     assert.equal(outcome.kind, 'unknown');
     assert.ok(outcome.at < 3_000, `${outcome.at}`);
   });
+
+  const SILENT: submissions.SubmitOutcome = {
+    kind: 'refused',
+    reason: 'storeSilent',
+    retryAfterSeconds: 1,
+  };
+
+  // The load pattern: the store is silent for a second and callers have three.
+  // Guards against refusals that use up their tries before it is back.
+  test('waits out a short silence of the store', async () => {
+    const time = new timeline.Timeline();
+    const gateway = gatewayWith(time, async () => ({
+      kind: 'answered',
+      value: time.now() < 1_000 ? SILENT : {kind: 'accepted'},
+    }));
+    const result = await resultOf(time, gateway);
+    assert.deepEqual(result.value, {kind: 'accepted'});
+    assert.ok(result.at < 1_300, `${result.at}`);
+  });
+
+  // Guards against callers that are held until they have no time left.
+  test('is refused with half of its time left while the store is silent', async () => {
+    const time = new timeline.Timeline();
+    const gateway = gatewayWith(time, async () => ({
+      kind: 'answered',
+      value: SILENT,
+    }));
+    const result = await resultOf(time, gateway);
+    assert.deepEqual(result.value, SILENT);
+    assert.ok(result.at > 1_000 && result.at < 1_500, `${result.at}`);
+  });
+
+  // Guards against calls that are held for a store which is gone for long.
+  test('is refused at once when the store has been silent for long', async () => {
+    const time = new timeline.Timeline();
+    const gateway = gatewayWith(time, async () => ({
+      kind: 'answered',
+      value: {...SILENT, reason: 'storeLost'},
+    }));
+    const result = await resultOf(time, gateway);
+    assert.equal(result.at, 0);
+  });
 });
