Ask the scheduler once more before a claim after an outage

During the outage each process wrote five lines a second for each topic that it follows.

Change: a member that doubts the scheduler for the store's silence alone pings it once more before it claims. feedLost and feedRegained are logged once each. The choice of whom to ping moves into the election. The new tests failed before.

--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -20,8 +20,10 @@
     end: number,
     whole: boolean,
   ): void;
-  /** The store did not answer. */
+  /** The store does not answer; said once until it does again. */
   interrupted(detail: string): void;
+  /** The store answers again. */
+  resumed(): void;
 }
 
 /** Pause after a read that brought no answer. */
@@ -45,8 +47,10 @@
   async run(): Promise<void> {
     while (!this.closed) {
       const startedAt = this.clock.now();
-      this.answered = await this.step();
+      const answered = await this.step();
       if (this.closed) return;
+      if (answered && !this.answered) this.listener.resumed();
+      this.answered = answered;
       const spent = this.clock.now() - startedAt;
       const gap = this.answered ? this.options.gapMs - spent : RETRY_PAUSE_MS;
       if (gap > 0) await this.pause(gap);
@@ -76,7 +80,7 @@
         this.next = undefined;
         return true;
       case 'unavailable':
-        this.listener.interrupted(outcome.detail);
+        if (this.answered) this.listener.interrupted(outcome.detail);
         return false;
     }
   }
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -72,7 +72,6 @@
   private lastTickAt: clock.Milliseconds;
   private nextPingAt = 0;
   private pinging = false;
-  private askOther = 0;
   private resigning = false;
 
   constructor(private readonly options: CellNodeOptions) {
@@ -259,6 +258,8 @@
     if (this.votes.doubtsOnlyStore(clock.now())) {
       // A store that has just come back answers the scheduler as well.
       await this.options.pauses.pause(STORE_BACK_PAUSE_MS);
+      const leader = this.votes.claim?.address;
+      if (leader !== undefined) await this.ping(leader);
     }
     if (!this.votes.isDoubted(clock.now())) return;
     const {end} = this.votes;
@@ -354,7 +355,7 @@
   private async greet(now: clock.Milliseconds): Promise<void> {
     const often = this.votes.rank < SUCCESSORS;
     this.nextPingAt = now + (often ? PING_MS : SLOW_PING_MS);
-    const address = this.addressToGreet(now);
+    const address = this.votes.nextToPing(now);
     if (address === undefined) return;
     this.pinging = true;
     await this.ping(address);
@@ -375,18 +376,6 @@
     this.takeAnswer(address, reached);
   }
 
-  /** The scheduler, or while it is in doubt every other time another member. */
-  private addressToGreet(now: clock.Milliseconds): string | undefined {
-    const claimed = this.votes.claim?.address;
-    const leader = claimed === this.options.self.address ? undefined : claimed;
-    if (this.votes.leads) return undefined;
-    if (leader !== undefined && !this.votes.isDoubted(now)) return leader;
-    const {peers} = this.votes;
-    this.askOther += 1;
-    if (peers.length === 0 || this.askOther % 2 === 0) return leader;
-    return peers[Math.floor(this.askOther / 2) % peers.length].address;
-  }
-
   private takeAnswer(
     address: string,
     reached: cellPeers.Reached<cellPeers.GreetingAnswer>,
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -40,6 +40,7 @@
   /** Since when there is a reason to replace the scheduler. */
   private reasonSince: clock.Milliseconds | undefined;
   private lastClaimAt = -Infinity;
+  private pingsInDoubt = 0;
   private storeIsDoubted = false;
   private logEnd = 0;
   /** Where the log ended in the view in which a claim came second. */
@@ -151,6 +152,21 @@
     return position < 0 ? candidates.length : position;
   }
 
+  /**
+   * Address to ping next: the scheduler's, or while it is in doubt every other
+   * time another member's, which may know a later claim.
+   */
+  nextToPing(now: clock.Milliseconds): string | undefined {
+    if (this.leads) return undefined;
+    const claimed = this.newest?.address;
+    const leader = claimed === this.self.address ? undefined : claimed;
+    if (leader !== undefined && !this.isDoubted(now)) return leader;
+    const {peers} = this;
+    this.pingsInDoubt += 1;
+    if (peers.length === 0 || this.pingsInDoubt % 2 === 0) return leader;
+    return peers[Math.floor(this.pingsInDoubt / 2) % peers.length].address;
+  }
+
   /** Tells whether to claim now, and notes that it was done. */
   takeTurn(now: clock.Milliseconds): boolean {
     if (this.leads || this.lostAtEnd === this.logEnd) return false;
