Never take a stale rejection for a start that did not happen

Their worker was mute: it carried out the first order, whose answer was lost, and ended the task within 0.25 s. The repeated order was rejected as stale, which counted as proof that nothing had run.

Change: once a copy of a start is without an answer, every rejection of a later copy leads to a stop, and only what the worker lists after it tells whether the run took place. The new test failed before (two starts).

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -20,14 +20,6 @@
 /** Pause before an order without an answer is repeated. */
 const REPEAT_MS = 400;
 
-/** Rejections that also hold for copies of the order that come later. */
-const FINAL: ReadonlySet<workerCalls.Rejection> = new Set([
-  'superseded',
-  'staleRun',
-  'late',
-  'otherLife',
-]);
-
 /** Repeats of a start that follow at once. */
 const PROMPT_REPEATS = 3;
 
@@ -149,8 +141,9 @@
   ): void {
     // An earlier copy of the order was carried out.
     if (assignment.seen) return;
-    const mayStillStart = assignment.unanswered > 0 && !FINAL.has(why);
-    if (mayStillStart) this.stop(assignment);
+    // An earlier copy without an answer may have run, even to its end, or may
+    // start later: what the worker lists after a stop tells.
+    if (assignment.unanswered > 0) this.stop(assignment);
     else this.listener.startRejected(assignment, why);
   }
 
--- a/test/jobs/scheduler_test.ts
+++ b/test/jobs/scheduler_test.ts
@@ -381,3 +381,30 @@
     assert.ok(worker.deadline <= 5_200, `${worker.deadline}`);
   });
 });
+
+describe('a start whose first answer was lost', () => {
+  // Guards against a second run of a task that was over before the repeated
+  // order came: the worker rejects it as stale, because the first one ran.
+  test('is not taken for one that never ran when its copy is stale', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runtimeMs: 100, how: 'done'}), 'one');
+    const scheduler = await cell.begin(1);
+    const [worker] = cell.workers.byAddress.values();
+    worker.mute = true;
+    jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
+    await cell.time.advance(500);
+    worker.mute = false;
+    // Orders are answered again; reports get lost for a second more.
+    const {workers} = cell;
+    const report = workers.hold.bind(workers);
+    workers.hold = async () => {
+      await cell.time.pause(1_000);
+      return {kind: 'unanswered', detail: 'lost'};
+    };
+    await cell.time.advance(1_000);
+    workers.hold = report;
+    await cell.time.advance(6_000);
+    assert.equal(cell.startsOf('a1').length, 1);
+    assert.equal(scheduler.stateOf('orders', 'a1'), 'completed');
+  });
+});
