--- /dev/null
+++ b/test/platform/platform_try_test.ts
@@ -0,0 +1,24 @@
+import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as nodeTest from 'node:test';
+
+const {describe, test} = nodeTest;
+
+function outputOf(file: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    childProcess.execFile(process.execPath, [file], (fault, output) => {
+      if (fault === null) resolve(output);
+      else reject(fault);
+    });
+  });
+}
+
+describe('the demonstration on the platform', () => {
+  // Guards against a command of the README that shows lost or repeated work.
+  test('completes all jobs although the scheduler is killed', async () => {
+    const output = await outputOf('build/stand_ins/platform_try.js');
+    assert.match(output, /calm +jobs 24 +completed 24 /);
+    assert.match(output, /scheduler killed +jobs 24 +completed 24 /);
+    assert.match(output, /tasks that were started +240\n/);
+  });
+});
