--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -3,7 +3,7 @@
 import * as scheduling from '../test/support/scheduling.js';
 import * as schedulingSubject from './scheduling_subject.js';
 import type * as benchRow from './bench_row.js';
-import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as placement from '../src/contracts/placement.js';
 import type * as workload from '../src/contracts/workload.js';
 
 const SEED = 101;
@@ -69,7 +69,7 @@
   private readonly workloads = batchWorkloads(this.random);
   private readonly source = new schedulingSubject.RequestSource();
   private readonly subject: schedulingSubject.SchedulerSubject;
-  private readonly running: scheduler.Placement[] = [];
+  private readonly running: placement.Placement[] = [];
   private readonly histogram = hdr.build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 10_000_000,
--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -2,7 +2,7 @@
 import * as worker from '../src/machines/worker.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
-import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as placement from '../src/contracts/placement.js';
 import type * as schedulingSubject from './scheduling_subject.js';
 
 /**
@@ -37,8 +37,8 @@
     return true;
   }
 
-  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement> {
-    const placements: scheduler.Placement[] = [];
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
+    const placements: placement.Placement[] = [];
     while (this.first < this.waiting.length) {
       const placed = this.placeOne(this.waiting[this.first], now);
       if (placed === undefined) break;
@@ -58,7 +58,7 @@
 
   started(): void {}
 
-  ended(placement: scheduler.Placement): void {
+  ended(placement: placement.Placement): void {
     placement.worker.release(placement.task);
   }
 
@@ -69,7 +69,7 @@
   private placeOne(
     waiting: request.Request,
     _now: clock.Milliseconds,
-  ): scheduler.Placement | undefined {
+  ): placement.Placement | undefined {
     this.attempt += 1;
     const task = `${waiting.identity}/0.${this.attempt}`;
     const label = placementPolicy.labelOf(waiting);
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -7,7 +7,7 @@
 import type * as benchRow from './bench_row.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
-import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as placement from '../src/contracts/placement.js';
 import type * as workload from '../src/contracts/workload.js';
 
 const SEED = 303;
@@ -194,7 +194,7 @@
     }
   }
 
-  private start(placement: scheduler.Placement, now: clock.Milliseconds): void {
+  private start(placement: placement.Placement, now: clock.Milliseconds): void {
     const {request} = placement;
     this.subject.started(placement, now);
     const runTimeMs = this.needed.get(request.identity) ?? 0;
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -5,7 +5,7 @@
 import * as schedulingSubject from './scheduling_subject.js';
 import * as taskClock from './task_clock.js';
 import type * as benchRow from './bench_row.js';
-import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as placement from '../src/contracts/placement.js';
 import type * as worker from '../src/machines/worker.js';
 import type * as workload from '../src/contracts/workload.js';
 
@@ -117,7 +117,7 @@
     if (now >= WARM_UP_MS) this.sample();
   }
 
-  private start(placement: scheduler.Placement, now: number): void {
+  private start(placement: placement.Placement, now: number): void {
     this.waiting -= 1;
     const {name} = placement.request.workload;
     const {used} = this.mixes.find(mix => mix.declared.name === name) as Mix;
--- a/bench/scheduling_subject.ts
+++ b/bench/scheduling_subject.ts
@@ -2,7 +2,7 @@
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
 import type * as resources from '../src/machines/resources.js';
-import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as placement from '../src/contracts/placement.js';
 import type * as team from '../src/contracts/team.js';
 import type * as worker from '../src/machines/worker.js';
 import type * as workload from '../src/contracts/workload.js';
@@ -12,13 +12,13 @@
   readonly workers: ReadonlyArray<worker.Worker>;
   /** Returns false when the request is refused. */
   admit(admitted: request.Request, now: clock.Milliseconds): boolean;
-  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement>;
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement>;
   /** Tasks that the last calls of `place` want checkpointed. */
   takeCheckpoints(): ReadonlyArray<string>;
-  started(placement: scheduler.Placement, now: clock.Milliseconds): void;
-  ended(placement: scheduler.Placement, now: clock.Milliseconds): void;
+  started(placement: placement.Placement, now: clock.Milliseconds): void;
+  ended(placement: placement.Placement, now: clock.Milliseconds): void;
   /** Takes back the request of a task that was checkpointed. */
-  checkpointed(placement: scheduler.Placement, now: clock.Milliseconds): void;
+  checkpointed(placement: placement.Placement, now: clock.Milliseconds): void;
   /** Passes on what the tasks of one worker use. */
   report(
     of: worker.Worker,
@@ -54,7 +54,7 @@
     return this.world.scheduler.admit(admitted, now).isRight();
   }
 
-  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement> {
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     return this.world.scheduler.place(now);
   }
 
@@ -65,15 +65,15 @@
       .map(item => item.task);
   }
 
-  started(placement: scheduler.Placement, now: clock.Milliseconds): void {
+  started(placement: placement.Placement, now: clock.Milliseconds): void {
     this.world.start(placement, now);
   }
 
-  ended(placement: scheduler.Placement, now: clock.Milliseconds): void {
+  ended(placement: placement.Placement, now: clock.Milliseconds): void {
     this.world.end(placement, false, now);
   }
 
-  checkpointed(placement: scheduler.Placement, now: clock.Milliseconds): void {
+  checkpointed(placement: placement.Placement, now: clock.Milliseconds): void {
     this.world.checkpoint(placement, now);
     this.world.scheduler.requeue(placement.request);
   }
--- a/bench/task_clock.ts
+++ b/bench/task_clock.ts
@@ -1,10 +1,10 @@
 import * as deadlineHeap from '../src/contracts/deadline_heap.js';
 import type * as clock from '../src/machines/clock.js';
-import type * as scheduler from '../src/contracts/scheduler.js';
+import type * as placement from '../src/contracts/placement.js';
 
 /** A task that runs in a benchmark. */
 export interface RunningTask {
-  readonly placement: scheduler.Placement;
+  readonly placement: placement.Placement;
   readonly startedAt: clock.Milliseconds;
   readonly endsAt: clock.Milliseconds;
 }
@@ -26,7 +26,7 @@
 
   /** Adds a task that starts now. */
   start(
-    placement: scheduler.Placement,
+    placement: placement.Placement,
     now: clock.Milliseconds,
     runTimeMs: clock.Milliseconds,
   ): void {
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -16,6 +16,7 @@
 import * as result from '../result.js';
 import * as tomlDocumentReader from '../links/toml_document_reader.js';
 import * as workerLink from '../links/worker_link.js';
+import type * as sinks from '../operations/sinks.js';
 import type * as connectionLimit from '../links/connection_limit.js';
 import type * as event from '../contracts/event.js';
 import type * as settings from '../operations/settings.js';
@@ -26,7 +27,7 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
-type Sink = entryLinks.MetricsSink & {close(): Promise<void>};
+type Sink = sinks.MetricsSink & {close(): Promise<void>};
 
 /** Where an entry process listens. */
 export interface EntryAddresses {
@@ -37,14 +38,14 @@
 /** Receivers that replace those of the settings. */
 export interface Sinks {
   readonly metrics: Sink;
-  readonly logs: entryLinks.LogSink;
+  readonly logs: sinks.LogSink;
 }
 
 /** One entry process: the decision core, its loop and its links. */
 export class EntryProcess {
   private readonly clock = new clock.SystemClock();
   private readonly numbers = new callNumbers.CallNumbers();
-  private readonly logs: entryLinks.LogSink;
+  private readonly logs: sinks.LogSink;
   private readonly incarnation: string;
   private readonly random = new randomSource.UnpredictableRandom();
   private readonly metrics: Sink;
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -1,7 +1,7 @@
 import * as timers from 'node:timers/promises';
 import * as result from '../result.js';
 import type * as callerServer from '../links/caller_server.js';
-import type * as entryLinks from '../links/entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 
 /**
  * Longest time from the signal to the last calls, so that the process ends
@@ -34,7 +34,7 @@
 export class GracefulShutdown {
   constructor(
     private readonly callers: callerServer.CallerServer,
-    private readonly logs: entryLinks.LogSink,
+    private readonly logs: sinks.LogSink,
   ) {}
 
   /** Resolves when the callers' connections are closed and the process may end. */
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -5,7 +5,7 @@
 import * as tryDocuments from './try_documents.js';
 import * as vmList from '../../stand_ins/vm_list.js';
 import * as worker from '../../stand_ins/worker.js';
-import type * as entryLinks from '../links/entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 
 const ZONES = ['kigali-a', 'caerdydd-a'] as const;
 const ENTRY_VMS_PER_ZONE = 2;
@@ -13,7 +13,7 @@
 const WORKER_SLOTS = 8;
 
 /** Keeps counts and durations in memory instead of sending them. */
-export class CollectedMetrics implements entryLinks.MetricsSink {
+export class CollectedMetrics implements sinks.MetricsSink {
   private readonly counts = new Map<string, number>();
   private readonly waits: number[] = [];
 
--- /dev/null
+++ b/src/contracts/placement.ts
@@ -0,0 +1,18 @@
+import type * as clock from '../machines/clock.js';
+import type * as request from './request.js';
+import type * as resources from '../machines/resources.js';
+import type * as worker from '../machines/worker.js';
+
+/** A task of a request and the worker on which its room is reserved. */
+export interface Placement {
+  readonly request: request.Request;
+  readonly task: string;
+  readonly worker: worker.Worker;
+  /** Reserved room; also the limit at which the worker throttles. */
+  readonly size: resources.Resources;
+}
+
+/** Tells whether this process may start tasks on a worker now. */
+export interface PlacementPermission {
+  mayPlace(worker: string, now: clock.Milliseconds): boolean;
+}
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -8,7 +8,7 @@
 import type * as processDirectory from './process_directory.js';
 import type * as request from './request.js';
 import type * as requestTable from './request_table.js';
-import type * as scheduler from './scheduler.js';
+import type * as placement from './placement.js';
 import type * as taskRunner from '../machines/task_runner.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
@@ -28,7 +28,7 @@
 
 /** The part of the scheduler that places waiting requests. */
 export interface RequestQueue {
-  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement>;
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement>;
   requeue(returned: request.Request): void;
   remove(identity: string): boolean;
   /** Learns what became of a task. */
@@ -161,7 +161,7 @@
   }
 
   private hold(
-    placement: scheduler.Placement,
+    placement: placement.Placement,
     now: clock.Milliseconds,
   ): attempts.Attempt {
     const {identity} = placement.request;
--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -23,6 +23,7 @@
 import type * as trackedTask from '../machines/tracked_task.js';
 import type * as worker from '../machines/worker.js';
 import type * as workload from './workload.js';
+import type * as placement from './placement.js';
 
 /** Time after which requests that found no room are tried again. */
 const RETRY_INTERVAL_MS = 100;
@@ -39,20 +40,6 @@
 /** Failed sizes that a turn remembers; bounds the cost of comparing. */
 const FAILED_SIZES = 8;
 
-/** A task of a request and the worker on which its room is reserved. */
-export interface Placement {
-  readonly request: request.Request;
-  readonly task: string;
-  readonly worker: worker.Worker;
-  /** Reserved room; also the limit at which the worker throttles. */
-  readonly size: resources.Resources;
-}
-
-/** Tells whether this process may start tasks on a worker now. */
-export interface PlacementPermission {
-  mayPlace(worker: string, now: clock.Milliseconds): boolean;
-}
-
 /** Source of the documents in force. */
 export interface ConfigurationSource {
   current(): configuration.Configuration;
@@ -67,7 +54,7 @@
 interface Turn {
   readonly now: clock.Milliseconds;
   readonly stamp: number;
-  readonly placements: Placement[];
+  readonly placements: placement.Placement[];
   /** Sizes without further constraints that found no room in this turn. */
   readonly failed: resources.Resources[];
   /** Lanes whose head may not hold room at present. */
@@ -105,7 +92,7 @@
 
   constructor(
     private readonly workers: fleet.Fleet,
-    permission: PlacementPermission,
+    permission: placement.PlacementPermission,
     private readonly documents: ConfigurationSource,
   ) {
     this.shares = new fairShare.FairShare(workers, {
@@ -238,7 +225,7 @@
   }
 
   /** Reserves room for waiting requests, all tasks of a request or none. */
-  place(now: clock.Milliseconds): ReadonlyArray<Placement> {
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     this.pool.setTime(now);
     this.refresh(now);
     if (!this.hasNews && this.placedAt === this.stamp()) return [];
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -3,6 +3,7 @@
 import type * as requestDesk from './request_desk.js';
 import type * as result from '../result.js';
 import type * as scheduler from './scheduler.js';
+import type * as placement from './placement.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
 /** Shows the scheduler to the desk and keeps the order of what waits. */
@@ -40,7 +41,7 @@
     return expired;
   }
 
-  place(now: clock.Milliseconds): ReadonlyArray<scheduler.Placement> {
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     const placements = this.inner.place(now);
     for (const placed of placements) {
       this.queued.delete(placed.request.identity);
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -5,7 +5,7 @@
 import type * as freeRoomIndex from '../machines/free_room_index.js';
 import type * as placementPolicy from './placement_policy.js';
 import type * as request from './request.js';
-import type * as scheduler from './scheduler.js';
+import type * as placement from './placement.js';
 import type * as task from './task.js';
 import type * as worker from '../machines/worker.js';
 
@@ -32,7 +32,7 @@
 
   constructor(
     private readonly workers: fleet.Fleet,
-    private readonly permission: scheduler.PlacementPermission,
+    private readonly permission: placement.PlacementPermission,
   ) {}
 
   /** Sets the time at which permits are judged. */
--- a/src/links/byte_counter.ts
+++ b/src/links/byte_counter.ts
@@ -1,4 +1,4 @@
-import type * as entryLinks from './entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 import type * as net from 'node:net';
 
 /** Time between counts of connections that stay open. */
@@ -15,7 +15,7 @@
   private readonly sockets = new Map<net.Socket, Counted>();
   private readonly timer: NodeJS.Timeout;
 
-  constructor(private readonly metrics: entryLinks.MetricsSink) {
+  constructor(private readonly metrics: sinks.MetricsSink) {
     this.timer = setInterval(() => this.countAll(), COUNT_INTERVAL_MS);
     this.timer.unref();
   }
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -8,7 +8,7 @@
 import type * as byteCounter from './byte_counter.js';
 import type * as callNumbers from './call_numbers.js';
 import type * as effect from '../contracts/effect.js';
-import type * as entryLinks from './entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 
 /** Time for the headers of a call to arrive. */
@@ -42,7 +42,7 @@
 export interface CallerServerParts {
   readonly numbers: callNumbers.CallNumbers;
   readonly post: (event: event.Event) => void;
-  readonly metrics: entryLinks.MetricsSink;
+  readonly metrics: sinks.MetricsSink;
   readonly limits?: Partial<CallerLimits>;
   readonly bytes?: byteCounter.ByteCounter;
 }
--- a/src/links/entry_links.ts
+++ b/src/links/entry_links.ts
@@ -5,29 +5,7 @@
 import type * as peerServer from './peer_server.js';
 import type * as platformLink from './platform_link.js';
 import type * as workerLink from './worker_link.js';
-
-/** Receives counters and durations. */
-export interface MetricsSink {
-  count(
-    metric: string,
-    labels: Readonly<Record<string, string>>,
-    value: number,
-  ): void;
-  observe(
-    metric: string,
-    labels: Readonly<Record<string, string>>,
-    milliseconds: number,
-  ): void;
-}
-
-/** Receives log events. */
-export interface LogSink {
-  log(
-    level: 'debug' | 'info' | 'warn' | 'error',
-    event: string,
-    fields: Readonly<Record<string, string | number | boolean>>,
-  ): void;
-}
+import type * as sinks from '../operations/sinks.js';
 
 /** The links of an entry process. */
 export interface Links {
@@ -36,8 +14,8 @@
   readonly platform: platformLink.PlatformLink;
   readonly peers: peerLink.PeerLink;
   readonly peerServer: peerServer.PeerServer;
-  readonly metrics: MetricsSink;
-  readonly logs: LogSink;
+  readonly metrics: sinks.MetricsSink;
+  readonly logs: sinks.LogSink;
   /** Ends the process. */
   readonly endProcess: (reason: string) => void;
 }
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -2,7 +2,7 @@
 import * as peerFailure from './peer_failure.js';
 import * as peerMessages from './peer_messages.js';
 import type * as byteCounter from './byte_counter.js';
-import type * as entryLinks from './entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 
 /** Deadline of confirmations; three of them fit into the time to suspect. */
@@ -28,8 +28,8 @@
   readonly calls: OpenCalls;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
-  readonly metrics: entryLinks.MetricsSink;
-  readonly logs?: entryLinks.LogSink;
+  readonly metrics: sinks.MetricsSink;
+  readonly logs?: sinks.LogSink;
   readonly bytes?: byteCounter.ByteCounter;
 }
 
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -1,7 +1,7 @@
 import * as jsonBody from './json_body.js';
 import * as shape from './shape.js';
 import type * as effect from '../contracts/effect.js';
-import type * as entryLinks from './entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 import type * as httpCaller from './http_caller.js';
 
@@ -26,7 +26,7 @@
   readonly caller: httpCaller.HttpCaller;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
-  readonly metrics: entryLinks.MetricsSink;
+  readonly metrics: sinks.MetricsSink;
 }
 
 type ReadRecords = Pick<
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -2,7 +2,7 @@
 import * as jsonBody from './json_body.js';
 import * as reportReader from './report_reader.js';
 import type * as effect from '../contracts/effect.js';
-import type * as entryLinks from './entry_links.js';
+import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 import type * as httpCaller from './http_caller.js';
 import type * as task from '../contracts/task.js';
@@ -37,7 +37,7 @@
   readonly answerCaller: httpCaller.HttpCaller;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
-  readonly metrics: entryLinks.MetricsSink;
+  readonly metrics: sinks.MetricsSink;
 }
 
 /** Sends effects to workers over HTTP and posts what they answer. */
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -12,7 +12,7 @@
 import type * as clock from './clock.js';
 import type * as event from '../contracts/event.js';
 import type * as fleet from './fleet.js';
-import type * as scheduler from '../contracts/scheduler.js';
+import type * as placement from '../contracts/placement.js';
 import type * as task from '../contracts/task.js';
 import type * as worker from './worker.js';
 
@@ -78,7 +78,7 @@
   }
 
   /** Follows a task whose room is reserved and whose start is not yet sent. */
-  hold(placement: scheduler.Placement): void {
+  hold(placement: placement.Placement): void {
     this.tasks.put(trackedTask.heldTask(placement));
   }
 
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -1,6 +1,6 @@
 import type * as clock from './clock.js';
 import type * as resources from './resources.js';
-import type * as scheduler from '../contracts/scheduler.js';
+import type * as placement from '../contracts/placement.js';
 import type * as task from '../contracts/task.js';
 import type * as worker from './worker.js';
 
@@ -95,7 +95,7 @@
 } as const;
 
 /** Builds a task whose room is reserved and whose start is not yet sent. */
-export function heldTask(placement: scheduler.Placement): TrackedTask {
+export function heldTask(placement: placement.Placement): TrackedTask {
   const {request} = placement;
   return {
     ...NOT_STARTED,
--- a/src/operations/logger.ts
+++ b/src/operations/logger.ts
@@ -1,9 +1,9 @@
 import './enable_roarr.js';
 import * as roarr from 'roarr';
-import type * as entryLinks from '../links/entry_links.js';
+import type * as sinks from './sinks.js';
 
 /** Writes one line of key=value pairs for each event through roarr. */
-export class Logger implements entryLinks.LogSink {
+export class Logger implements sinks.LogSink {
   constructor(write: (line: string) => void) {
     roarr.ROARR.write = message => write(toLine(message));
   }
--- a/src/operations/metrics.ts
+++ b/src/operations/metrics.ts
@@ -1,5 +1,5 @@
 import * as hotShots from 'hot-shots';
-import type * as entryLinks from '../links/entry_links.js';
+import type * as sinks from './sinks.js';
 
 /** Time for which datagrams are collected before they are sent. */
 const FLUSH_INTERVAL_MS = 1_000;
@@ -8,7 +8,7 @@
 const LARGEST_DATAGRAM = 1_400;
 
 /** Sends counters and durations as StatsD datagrams. */
-export class StatsdMetrics implements entryLinks.MetricsSink {
+export class StatsdMetrics implements sinks.MetricsSink {
   private readonly client: hotShots.StatsD;
 
   constructor(host: string, port: number, process: string) {
@@ -47,7 +47,7 @@
 }
 
 /** Drops everything, for a process without a receiver of metrics. */
-export class DroppedMetrics implements entryLinks.MetricsSink {
+export class DroppedMetrics implements sinks.MetricsSink {
   count(): void {}
 
   observe(): void {}
--- /dev/null
+++ b/src/operations/sinks.ts
@@ -0,0 +1,22 @@
+/** Receives counters and durations. */
+export interface MetricsSink {
+  count(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    value: number,
+  ): void;
+  observe(
+    metric: string,
+    labels: Readonly<Record<string, string>>,
+    milliseconds: number,
+  ): void;
+}
+
+/** Receives log events. */
+export interface LogSink {
+  log(
+    level: 'debug' | 'info' | 'warn' | 'error',
+    event: string,
+    fields: Readonly<Record<string, string | number | boolean>>,
+  ): void;
+}
--- a/test/contracts/policies_test.ts
+++ b/test/contracts/policies_test.ts
@@ -1,11 +1,11 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as scheduling from '../support/scheduling.js';
-import type * as scheduler from '../../src/contracts/scheduler.js';
+import type * as placement from '../../src/contracts/placement.js';
 
 function countBy(
-  placements: ReadonlyArray<scheduler.Placement>,
-  keyOf: (placement: scheduler.Placement) => string,
+  placements: ReadonlyArray<placement.Placement>,
+  keyOf: (placement: placement.Placement) => string,
 ): ReadonlyArray<number> {
   const counts = new Map<string, number>();
   for (const placement of placements) {
--- a/test/contracts/scheduler_test.ts
+++ b/test/contracts/scheduler_test.ts
@@ -4,7 +4,7 @@
 import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as resources from '../../src/machines/resources.js';
 import * as scheduling from '../support/scheduling.js';
-import type * as scheduler from '../../src/contracts/scheduler.js';
+import type * as placement from '../../src/contracts/placement.js';
 
 const SEED = 20_260_401;
 
@@ -12,7 +12,7 @@
 const EIGHTH = scheduling.size(2_000, 4_096);
 
 function countByTeam(
-  placements: ReadonlyArray<scheduler.Placement>,
+  placements: ReadonlyArray<placement.Placement>,
 ): ReadonlyMap<string, number> {
   const counts = new Map<string, number>();
   for (const placement of placements) {
@@ -149,7 +149,7 @@
         const workers = world.addWorkers(6);
         const names = ['one', 'two'];
         for (const name of names) world.addTeam(scheduling.teamOf(name));
-        const running: scheduler.Placement[] = [];
+        const running: placement.Placement[] = [];
         steps.forEach((item, index) => {
           const now = index * 150;
           const described = scheduling.workloadOf({
@@ -267,7 +267,7 @@
 
   function report(
     world: scheduling.SchedulingWorld,
-    placed: scheduler.Placement,
+    placed: placement.Placement,
     usage: resources.Resources,
     now: number,
   ): void {
--- a/test/support/recorded_metrics.ts
+++ b/test/support/recorded_metrics.ts
@@ -1,7 +1,7 @@
-import type * as entryLinks from '../../src/links/entry_links.js';
+import type * as sinks from '../../src/operations/sinks.js';
 
 /** Keeps counters for a test to look at. */
-export class RecordedMetrics implements entryLinks.MetricsSink {
+export class RecordedMetrics implements sinks.MetricsSink {
   private readonly totals = new Map<string, number>();
 
   count(
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -2,6 +2,7 @@
 import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as scheduler from '../../src/contracts/scheduler.js';
+import type * as placement from '../../src/contracts/placement.js';
 import type * as clock from '../../src/machines/clock.js';
 import type * as configuration from '../../src/contracts/configuration.js';
 import type * as request from '../../src/contracts/request.js';
@@ -158,13 +159,13 @@
   }
 
   /** Notes that a start was acknowledged. */
-  start(started: scheduler.Placement, now: clock.Milliseconds): void {
+  start(started: placement.Placement, now: clock.Milliseconds): void {
     this.scheduler.observe({kind: 'started', of: referenceOf(started)}, now);
   }
 
   /** Ends a task as its worker would. */
   end(
-    ended: scheduler.Placement,
+    ended: placement.Placement,
     failed: boolean,
     now: clock.Milliseconds,
   ): void {
@@ -172,12 +173,12 @@
   }
 
   /** Ends a task because it was asked to make a checkpoint. */
-  checkpoint(ended: scheduler.Placement, now: clock.Milliseconds): void {
+  checkpoint(ended: placement.Placement, now: clock.Milliseconds): void {
     this.finish(ended, 'checkpointed', now);
   }
 
   private finish(
-    ended: scheduler.Placement,
+    ended: placement.Placement,
     end: trackedTask.TaskEnd,
     now: clock.Milliseconds,
   ): void {
@@ -193,7 +194,7 @@
 }
 
 function referenceOf(
-  placement: scheduler.Placement,
+  placement: placement.Placement,
 ): trackedTask.TaskReference {
   const {task, worker: target} = placement;
   const label = placementPolicy.labelOf(placement.request);
