Keep a soak of the real processes under faults from outside

Cause: the users ask for a randomised soak of the real programs; the randomised run has one process and simulated time.

Ports that another program took in between are drawn again.

--- /dev/null
+++ b/bench/platform_soak_main.ts
@@ -0,0 +1,35 @@
+import * as commandTypes from 'cmd-ts';
+import * as platformSoak from './platform_soak.js';
+
+const soak = commandTypes.command({
+  name: 'platform-soak',
+  description: 'Runs the real processes over the stand-ins under faults',
+  args: {
+    seeds: commandTypes.option({
+      long: 'seeds',
+      type: commandTypes.number,
+      defaultValue: () => 50,
+    }),
+    from: commandTypes.option({
+      long: 'from',
+      type: commandTypes.number,
+      defaultValue: () => 1,
+    }),
+  },
+  handler: async ({seeds, from}) => {
+    let broken = 0;
+    for (let seed = from; seed < from + seeds; seed += 1) {
+      const outcome = await platformSoak.PlatformSoak.play(seed);
+      const {accepted, starts} = outcome;
+      console.log(
+        `seed ${seed} accepted ${accepted} starts ${starts}` +
+          ` broken ${outcome.broken.length} ${outcome.broken[0] ?? ''}`,
+      );
+      if (outcome.broken.length > 0) broken += 1;
+    }
+    console.log(`${seeds} seeds, ${broken} with a broken promise`);
+    process.exit(broken === 0 ? 0 : 1);
+  },
+});
+
+void commandTypes.run(soak, process.argv.slice(2));
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -4,6 +4,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as childProcess from './child_process.js';
+import * as faultRelay from './fault_relay.js';
 import * as platformStore from './platform_store.js';
 import * as platformWorker from './platform_worker.js';
 import type * as workerModel from './worker_model.js';
@@ -15,6 +16,9 @@
 
 /** One process of the cell. */
 export interface CellProcess {
+  readonly name: string;
+  /** Between the process and the store. */
+  readonly storeRelay: faultRelay.FaultRelay;
   readonly child: childProcess.ChildProcess;
   readonly front: string;
   readonly ready: string;
@@ -40,6 +44,10 @@
 }
 
 const DEFAULT_WORKERS = 2;
+
+/** Launches of a process whose ports another program may take. */
+const LAUNCH_ATTEMPTS = 3;
+
 const DEFAULT_COMMAND = [process.execPath, 'build/platform/main.js'];
 
 /** Real processes of the system over stand-ins for the platform. */
@@ -47,6 +55,8 @@
   readonly store = new platformStore.PlatformStore();
   readonly workers: platformWorker.PlatformWorker[] = [];
   readonly processes: CellProcess[] = [];
+  /** Between the processes and each worker. */
+  readonly workerRelays: faultRelay.FaultRelay[] = [];
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'cell-'));
   private storeAddress = '';
 
@@ -76,9 +86,26 @@
     });
   }
 
+  /** Starts a process and waits until it has read the configuration. */
   async startProcess(name: string): Promise<CellProcess> {
+    for (let attempt = 1; ; attempt += 1) {
+      const started = await this.launch(name);
+      try {
+        await started.child.line(/event=configurationTaken/);
+        this.processes.push(started);
+        return started;
+      } catch (fault) {
+        started.storeRelay.close();
+        // Another program may have taken a port since it was found free.
+        if (attempt === LAUNCH_ATTEMPTS) throw fault;
+      }
+    }
+  }
+
+  private async launch(name: string): Promise<CellProcess> {
     const [front, ready, range] = await freePorts(3);
     const file = path.join(this.folder, `${name}.json`);
+    const storeRelay = new faultRelay.FaultRelay(this.storeAddress);
     const settings = {
       node_name: name,
       ip: '127.0.0.1',
@@ -87,22 +114,28 @@
       port_range: [range, range + 1],
       limits: {cpu_share: 1, cpu_cores: 1},
       bounds: {grace_s: 4, status_s: 120, config_apply_ms: 2_500},
-      platform: {address: this.storeAddress},
+      platform: {address: await storeRelay.listen()},
     };
     fs.writeFileSync(file, JSON.stringify(settings));
     const [program, ...programArguments] = this.command;
     const child = new childProcess.ChildProcess(program, programArguments, {
       PARSLEYKNOT_SETTINGS: file,
     });
-    const started = {
+    return {
+      name,
+      storeRelay,
       child,
       front: `127.0.0.1:${front}`,
       ready: `127.0.0.1:${ready}`,
       metrics: `127.0.0.1:${range + 1}`,
     };
-    this.processes.push(started);
-    await child.line(/event=configurationTaken/);
-    return started;
+  }
+
+  /** Starts a process again that has ended; another life on other ports. */
+  async restart(ended: CellProcess): Promise<void> {
+    await this.startProcess(ended.name);
+    this.processes.splice(this.processes.indexOf(ended), 1);
+    ended.storeRelay.close();
   }
 
   /** The process that schedules, by the last claim that any process logged. */
@@ -140,7 +173,11 @@
   }
 
   async stop(): Promise<void> {
-    for (const {child} of this.processes) await child.kill();
+    for (const {child, storeRelay} of this.processes) {
+      await child.kill();
+      storeRelay.close();
+    }
+    for (const relay of this.workerRelays) relay.close();
     for (const worker of this.workers) worker.close();
     this.store.close();
     fs.rmSync(this.folder, {recursive: true});
@@ -152,7 +189,11 @@
   ): Promise<void> {
     const worker = new platformWorker.PlatformWorker(id, plan);
     this.workers.push(worker);
-    this.store.put('keyed.servers', id, await worker.listen(SERVICE));
+    const entry = await worker.listen(SERVICE);
+    const relay = new faultRelay.FaultRelay(String(entry.address));
+    this.workerRelays.push(relay);
+    const address = await relay.listen();
+    this.store.put('keyed.servers', id, {...entry, address});
   }
 }
 
@@ -175,20 +216,28 @@
 
 /** Ports that the system had free just now, each with the next one. */
 async function freePorts(count: number): Promise<ReadonlyArray<number>> {
-  const servers = await Promise.all(
-    Array.from({length: count}, () => listenAnywhere()),
-  );
-  const ports = servers.map(
-    server => (server.address() as net.AddressInfo).port,
-  );
+  const servers: net.Server[] = [];
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const first = await listen(0);
+    if (first === undefined) continue;
+    servers.push(first);
+    const {port} = first.address() as net.AddressInfo;
+    const second = await listen(port + 1);
+    if (second === undefined) continue;
+    servers.push(second);
+    ports.push(port);
+  }
   for (const server of servers) server.close();
   return ports;
 }
 
-function listenAnywhere(): Promise<net.Server> {
+/** Listens on a port; undefined when it is taken. */
+function listen(port: number): Promise<net.Server | undefined> {
   const server = net.createServer();
   return new Promise(resolve => {
-    server.listen(0, '127.0.0.1', () => resolve(server));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve(server));
   });
 }
 
