Use one relay for silent connections and one builder for pongs in the tests

Cause: duplicates showed the soak's relay beside test/support/silent_relay.ts, and the same answer to a ping twice in cell_node_test.ts.

No test is changed otherwise.

--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -70,7 +70,6 @@
   private draining = false;
   /** Responses that are not sent completely. */
   private unsent = 0;
-
   private readonly limits: CallerLimits;
 
   constructor(private readonly parts: CallerServerParts) {
--- a/stand_ins/fault_relay.ts
+++ b/stand_ins/fault_relay.ts
@@ -18,6 +18,7 @@
   mode: RelayMode = 'pass';
   private readonly server: net.Server;
   private readonly sockets = new Set<net.Socket>();
+  private readonly silenced = new WeakSet<net.Socket>();
 
   constructor(target: string) {
     const [host, port] = target.split(':');
@@ -47,6 +48,11 @@
     for (const socket of [...this.sockets]) socket.resetAndDestroy();
   }
 
+  /** Makes the open connections silent for good; new ones work. */
+  silenceConnections(): void {
+    for (const socket of this.sockets) this.silenced.add(socket);
+  }
+
   close(): void {
     for (const socket of [...this.sockets]) socket.destroy();
     this.server.close();
@@ -57,7 +63,7 @@
     this.sockets.add(from);
     from.on('data', bytes => {
       // Lost bytes would leave the rest of a connection without meaning.
-      if (drops()) from.pause();
+      if (this.silenced.has(from) || drops()) from.pause();
       else if (this.mode !== 'delay') to.write(bytes);
       else setTimeout(() => to.write(bytes), DELAY_MS);
     });
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -5,7 +5,7 @@
 import * as peerLink from '../../src/links/peer_link.js';
 import * as peerServer from '../../src/links/peer_server.js';
 import * as recordedMetrics from '../support/recorded_metrics.js';
-import * as silentRelay from '../support/silent_relay.js';
+import * as faultRelay from '../../stand_ins/fault_relay.js';
 import * as wait from '../support/wait.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as peerFailure from '../../src/links/peer_failure.js';
@@ -275,7 +275,7 @@
   nodeTest.test('a probe replaces one after a missed deadline', async () => {
     const pair = new Pair(answerAll);
     await pair.listen();
-    const relay = new silentRelay.SilentRelay(pair.address);
+    const relay = new faultRelay.FaultRelay(pair.address);
     const address = await relay.listen();
     const confirm = calls(address)[0];
     await pair.link.perform(confirm);
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -19,6 +19,25 @@
   };
 }
 
+/** What a scheduler answers that leads under its claim. */
+function pongOf(
+  claim: cellMember.Claim,
+  storeSilentMs: number,
+): cellPeers.Reached<cellPeers.GreetingAnswer> {
+  return {
+    kind: 'answered',
+    value: {
+      newest: claim,
+      incarnation: claim.incarnation,
+      leading: true,
+      resigning: false,
+      storeSilentMs,
+      configurationVersion: 0,
+      configurationAgeMs: 0,
+    },
+  };
+}
+
 /** How the other members answer pings, and what the node did. */
 interface Scene {
   readonly answer: (
@@ -102,18 +121,7 @@
     const claim = {term: 3, node, incarnation, address};
     const backAt = 3_350;
     const scene: Scene = {
-      answer: () => ({
-        kind: 'answered',
-        value: {
-          newest: claim,
-          incarnation,
-          leading: true,
-          resigning: false,
-          storeSilentMs: time.now() < backAt ? time.now() : 0,
-          configurationVersion: 0,
-          configurationAgeMs: 0,
-        },
-      }),
+      answer: () => pongOf(claim, time.now() < backAt ? time.now() : 0),
       storeAnswers: () => time.now() >= backAt,
       claims: 0,
     };
@@ -141,18 +149,7 @@
       answer: () =>
         time.now() > 800 && time.now() < 1_550
           ? {kind: 'unanswered', detail: 'lost'}
-          : {
-              kind: 'answered',
-              value: {
-                newest: claim,
-                incarnation,
-                leading: true,
-                resigning: false,
-                storeSilentMs: 0,
-                configurationVersion: 0,
-                configurationAgeMs: 0,
-              },
-            },
+          : pongOf(claim, 0),
       storeAnswers: () => true,
       claims: 0,
     };
