Have more patience with the scheduler of a large cell

Ruled out: the store (claims and appends are answered at once) and weak VMs alone (the first one replaced is the strongest).

Change: the times for silence, takeover and the answer to a ping grow with the members beyond 18. The new test failed before.

--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -372,7 +372,7 @@
     const reached = await this.options.peers.ping(
       address,
       greeting,
-      PING_TIMEOUT_MS,
+      PING_TIMEOUT_MS * this.votes.patience,
     );
     this.takeAnswer(address, reached);
   }
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -33,6 +33,13 @@
 /** Time for which weak members leave the claim to the others. */
 const WEAK_DELAY_MS = 1_000;
 
+/**
+ * Members up to which the times above hold. A scheduler of a larger cell is
+ * busy for longer at a time and gets as much more of it: each change of the
+ * scheduler stops all starts and makes the next one just as busy.
+ */
+const USUAL_MEMBERS = 18;
+
 /** Pause between claims of one process. */
 const CLAIM_PAUSE_MS = 600;
 
@@ -110,6 +117,11 @@
     this.reasonSince ??= now;
   }
 
+  /** Times the usual time that the scheduler has to answer or to take over. */
+  get patience(): number {
+    return Math.max(1, this.members.size / USUAL_MEMBERS);
+  }
+
   /** Tells whether there is a reason to replace the scheduler. */
   isDoubted(now: clock.Milliseconds): boolean {
     return this.reason(now) !== undefined;
@@ -143,7 +155,9 @@
 
   /** The scheduler is well but for the store's silence towards it. */
   doubtsOnlyStore(now: clock.Milliseconds): boolean {
-    return this.storeIsDoubted && now < this.lastPongAt + SILENCE_MS;
+    return (
+      this.storeIsDoubted && now < this.lastPongAt + SILENCE_MS * this.patience
+    );
   }
 
   /** Position of this process among those that may succeed. */
@@ -203,13 +217,14 @@
     // This process was the scheduler before it was started again.
     if (this.newest.address === this.self.address) return this.newestSince;
     if (this.reasonSince !== undefined) return this.reasonSince;
-    const silentSince = this.lastPongAt + SILENCE_MS;
+    const silentSince = this.lastPongAt + SILENCE_MS * this.patience;
     return now >= silentSince ? silentSince : undefined;
   }
 
   private reasonIn(pong: Pong, now: clock.Milliseconds): boolean {
     if (pong.incarnation !== this.newest?.incarnation) return true;
     if (pong.resigning) return true;
-    return !pong.leading && now - this.newestSince > TAKEOVER_MS;
+    const takeoverMs = TAKEOVER_MS * this.patience;
+    return !pong.leading && now - this.newestSince > takeoverMs;
   }
 }
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -79,6 +79,19 @@
     assert.equal(now, 900 + 200 + 1_000);
   });
 
+  // Guards against schedulers of a large cell that are replaced again and again
+  // because each is too busy at first to answer at once.
+  test('is left alone for longer in a larger cell', () => {
+    const view = new election.Election(member('m10'), 0);
+    for (let index = 10; index < 46; index += 1) {
+      view.listMember(member(`m${index}`));
+    }
+    view.takeClaim(claimOf('m11', 5), 0);
+    let now = 0;
+    while (!view.takeTurn(now)) now += 10;
+    assert.equal(now, 1_800);
+  });
+
   // Guards against waiting for a process that was started again.
   test('claims at once from another incarnation or a closed port', () => {
     const restarted = viewOf('three');
