Listen, send JSON and name jobs in one place each

Cause: reading the change again: four classes of the platform's process, three stand-ins and two tests each repeated the promise around server.listen that caller_server.ts and peer_server.ts had already; two stand-ins had a sendJson of their own beside json_body.ts; three programs spelled the ID of a job.

Change: src/links/listen.ts serves all of them, the stand-ins use jsonBody.sendJson, and platform_cell.ts gives jobIdOf. Behaviour is unchanged; no assertion is changed.

--- a/bench/cell_bench.ts
+++ b/bench/cell_bench.ts
@@ -47,7 +47,7 @@
     const start = performance.now();
     while (!this.stopped) {
       this.next += 1;
-      const id = this.next.toString(16).padStart(16, '0');
+      const id = platformCell.jobIdOf(this.next);
       void this.cell.call(entry, 'POST', id, JOB);
       const due = start + (1_000 * this.next) / this.jobsPerSecond;
       await timers.setTimeout(Math.max(0, due - performance.now()));
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -100,7 +100,7 @@
 
   private async handIn(): Promise<void> {
     for (let next = 1; !this.isOver; next += 1) {
-      const id = next.toString(16).padStart(16, '0');
+      const id = platformCell.jobIdOf(next);
       this.jobs.push(this.submit(id, this.draw(PROCESSES)));
       await timers.setTimeout(JOB_GAP_MS);
     }
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -4,6 +4,7 @@
 import * as jsonBody from './json_body.js';
 import * as result from '../result.js';
 import * as shape from './shape.js';
+import * as listen from './listen.js';
 import type * as net from 'node:net';
 import type * as byteCounter from './byte_counter.js';
 import type * as callNumbers from './call_numbers.js';
@@ -92,13 +93,7 @@
 
   /** Listens and returns the port, which the system chooses for port 0. */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        const address = this.server.address();
-        resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
-      });
-    });
+    return listen.listen(this.server, host, port);
   }
 
   /** Answers an open call; does nothing when its caller has gone. */
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -4,6 +4,7 @@
 import * as cellMessages from './cell_messages.js';
 import * as cellPb from './generated/cell_pb.js';
 import * as jsonDocument from './json_document.js';
+import * as listen from './listen.js';
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as cellPeers from '../zones/cell_peers.js';
 import type * as job from '../jobs/job.js';
@@ -38,12 +39,9 @@
     });
   }
 
-  /** Listens; rejects when the address can't be had. */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve());
-    });
+  /** Listens and returns the port, which the system chooses for port 0. */
+  listen(host: string, port: number): Promise<number> {
+    return listen.listen(this.server, host, port);
   }
 
   /** Closes all connections. */
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -4,6 +4,7 @@
 import * as callReader from './call_reader.js';
 import * as peerMessages from './peer_messages.js';
 import * as peerPb from './generated/peer_pb.js';
+import * as listen from './listen.js';
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as callNumbers from './call_numbers.js';
 import type * as effect from '../contracts/effect.js';
@@ -54,13 +55,7 @@
 
   /** Listens and returns the port, which the system chooses for port 0. */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        const address = this.server.address();
-        resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
-      });
-    });
+    return listen.listen(this.server, host, port);
   }
 
   /** Answers a peer's open call; does nothing when the peer has gone. */
--- a/src/operations/served_metrics.ts
+++ b/src/operations/served_metrics.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as promClient from 'prom-client';
+import * as listen from '../links/listen.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** Bounds of the histograms' buckets in milliseconds. */
@@ -24,17 +25,14 @@
   }
 
   /** Serves the present figures at every path. */
-  listen(host: string, port: number): Promise<void> {
+  listen(host: string, port: number): Promise<number> {
     const server = http.createServer((_request, response) => {
       void this.registry.metrics().then(text => {
         response.writeHead(200, {'content-type': this.registry.contentType});
         response.end(text);
       });
     });
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, () => resolve());
-    });
+    return listen.listen(server, host, port);
   }
 
   private openCounter(name: string): promClient.Counter<'reason'> {
--- a/stand_ins/fault_relay.ts
+++ b/stand_ins/fault_relay.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import * as listen from '../src/links/listen.js';
 
 /** What a relay does with the bytes of its connections. */
 export type RelayMode =
@@ -34,13 +35,9 @@
   }
 
   /** Listens and returns the address. */
-  listen(): Promise<string> {
-    return new Promise(resolve => {
-      this.server.listen(0, '127.0.0.1', () => {
-        const {port} = this.server.address() as net.AddressInfo;
-        resolve(`127.0.0.1:${port}`);
-      });
-    });
+  async listen(): Promise<string> {
+    const port = await listen.listen(this.server, '127.0.0.1', 0);
+    return `127.0.0.1:${port}`;
   }
 
   /** Resets the open connections; new ones work. */
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -5,6 +5,7 @@
 import * as path from 'node:path';
 import * as childProcess from './child_process.js';
 import * as faultRelay from './fault_relay.js';
+import * as listen from '../src/links/listen.js';
 import * as platformStore from './platform_store.js';
 import * as platformWorker from './platform_worker.js';
 import type * as workerModel from './worker_model.js';
@@ -14,6 +15,11 @@
 export const PREFIX = '/orders/';
 const SERVICE = 'dispatch';
 
+/** ID of the job with a number. */
+export function jobIdOf(number: number): string {
+  return number.toString(16).padStart(16, '0');
+}
+
 /** One process of the cell. */
 export interface CellProcess {
   readonly name: string;
@@ -219,28 +225,21 @@
   const servers: net.Server[] = [];
   const ports: number[] = [];
   while (ports.length < count) {
-    const first = await listen(0);
-    if (first === undefined) continue;
-    servers.push(first);
-    const {port} = first.address() as net.AddressInfo;
-    const second = await listen(port + 1);
-    if (second === undefined) continue;
-    servers.push(second);
-    ports.push(port);
+    const first = net.createServer();
+    const second = net.createServer();
+    servers.push(first, second);
+    try {
+      const port = await listen.listen(first, '127.0.0.1', 0);
+      await listen.listen(second, '127.0.0.1', port + 1);
+      ports.push(port);
+    } catch {
+      // Another program has the next port: another pair is tried.
+    }
   }
   for (const server of servers) server.close();
   return ports;
 }
 
-/** Listens on a port; undefined when it is taken. */
-function listen(port: number): Promise<net.Server | undefined> {
-  const server = net.createServer();
-  return new Promise(resolve => {
-    server.once('error', () => resolve(undefined));
-    server.listen(port, '127.0.0.1', () => resolve(server));
-  });
-}
-
 /** The host is the queue's, whatever address is called. */
 function callFront(
   address: string,
--- a/stand_ins/platform_store.ts
+++ b/stand_ins/platform_store.ts
@@ -1,4 +1,6 @@
 import * as http from 'node:http';
+import * as listen from '../src/links/listen.js';
+import * as jsonBody from '../src/links/json_body.js';
 
 interface StoredRecord {
   readonly key: string;
@@ -31,14 +33,9 @@
   }
 
   /** Listens and returns the address. */
-  listen(): Promise<string> {
-    return new Promise(resolve => {
-      this.server.listen(0, '127.0.0.1', () => {
-        const address = this.server.address();
-        const port = typeof address === 'object' ? address?.port : 0;
-        resolve(`127.0.0.1:${port}`);
-      });
-    });
+  async listen(): Promise<string> {
+    const port = await listen.listen(this.server, '127.0.0.1', 0);
+    return `127.0.0.1:${port}`;
   }
 
   close(): void {
@@ -82,7 +79,7 @@
         this.newest(topic, response);
         return;
       default:
-        sendJson(response, 404, {});
+        jsonBody.sendJson(response, 404, {});
     }
   }
 
@@ -95,7 +92,7 @@
     const end = topic.records.length;
     const at = query.get('at');
     if (at !== null && Number(at) !== end) {
-      sendJson(response, 412, {end});
+      jsonBody.sendJson(response, 412, {end});
       return;
     }
     const records = decode(body);
@@ -105,7 +102,7 @@
       const sequence = Number(query.get('seq'));
       const known = topic.producers.get(name) ?? {epoch: -1, sequence: 0};
       if (epoch < known.epoch) {
-        sendJson(response, 409, {reason: 'fenced'});
+        jsonBody.sendJson(response, 409, {reason: 'fenced'});
         return;
       }
       const repeated =
@@ -113,13 +110,13 @@
         sequence <= known.sequence &&
         records.length > 0;
       if (repeated) {
-        sendJson(response, 200, {offset: end, end});
+        jsonBody.sendJson(response, 200, {offset: end, end});
         return;
       }
       topic.producers.set(name, {epoch, sequence});
     }
     this.add(topic, records);
-    sendJson(response, 200, {offset: end, end: topic.records.length});
+    jsonBody.sendJson(response, 200, {offset: end, end: topic.records.length});
   }
 
   private async read(
@@ -148,7 +145,7 @@
       if (value.length === 0) continue;
       newest.set(key, {key, value: value.toString('base64'), offset});
     }
-    sendJson(response, 200, {
+    jsonBody.sendJson(response, 200, {
       items: [...newest.values()],
       more_pages: false,
       end: topic.records.length,
@@ -204,12 +201,3 @@
   }
   return records;
 }
-
-function sendJson(
-  response: http.ServerResponse,
-  status: number,
-  body: unknown,
-): void {
-  response.writeHead(status, {'content-type': 'application/json'});
-  response.end(JSON.stringify(body));
-}
--- a/stand_ins/platform_try.ts
+++ b/stand_ins/platform_try.ts
@@ -74,7 +74,7 @@
   }
 
   private async runJob(number: number): Promise<JobReport> {
-    const id = number.toString(16).padStart(16, '0');
+    const id = platformCell.jobIdOf(number);
     const startedAt = performance.now();
     let tries = 0;
     let status = 0;
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -1,6 +1,8 @@
 import * as http from 'node:http';
 import * as clock from '../src/machines/clock.js';
 import * as workerModel from './worker_model.js';
+import * as listen from '../src/links/listen.js';
+import * as jsonBody from '../src/links/json_body.js';
 import type * as workerCalls from '../src/machines/worker_calls.js';
 
 /** How often a report that waits looks for an end. */
@@ -32,14 +34,9 @@
   }
 
   /** Listens and returns what the worker says of itself in the registry. */
-  listen(service: string): Promise<Body> {
-    return new Promise(resolve => {
-      this.server.listen(0, '127.0.0.1', () => {
-        const address = this.server.address();
-        const port = typeof address === 'object' ? address?.port : 0;
-        resolve(this.describe(service, `127.0.0.1:${port}`));
-      });
-    });
+  async listen(service: string): Promise<Body> {
+    const port = await listen.listen(this.server, '127.0.0.1', 0);
+    return this.describe(service, `127.0.0.1:${port}`);
   }
 
   close(): void {
@@ -90,7 +87,7 @@
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const body = JSON.parse(Buffer.concat(chunks).toString()) as Body;
     if (request.headers['expect-instance'] !== this.id || !this.model) {
-      send(response, 421, {});
+      jsonBody.sendJson(response, 421, {});
       return;
     }
     const {model} = this;
@@ -105,7 +102,7 @@
         await this.hold(model, body, response);
         return;
       default:
-        send(response, 404, {});
+        jsonBody.sendJson(response, 404, {});
     }
   }
 
@@ -130,11 +127,11 @@
       outcome = model.hold({...order, deadlineMs: undefined});
     }
     if (outcome.kind !== 'reported') {
-      send(response, 409, {reason: 'fence'});
+      jsonBody.sendJson(response, 409, {reason: 'fence'});
       return;
     }
     const {clockMs, born, running, ended} = outcome.report;
-    send(response, 200, {
+    jsonBody.sendJson(response, 200, {
       clock_ms: clockMs,
       born,
       running: running.map(row => [
@@ -179,17 +176,12 @@
   outcome: workerCalls.OrderOutcome,
 ): void {
   const clockMs = performance.now();
-  if (outcome.kind === 'done') send(response, 200, {clock_ms: clockMs});
+  if (outcome.kind === 'done')
+    {jsonBody.sendJson(response, 200, {clock_ms: clockMs});}
   else if (outcome.kind === 'rejected') {
-    send(response, 409, {clock_ms: clockMs, reason: REASONS[outcome.why]});
+    jsonBody.sendJson(response, 409, {
+      clock_ms: clockMs,
+      reason: REASONS[outcome.why],
+    });
   }
 }
-
-function send(
-  response: http.ServerResponse,
-  status: number,
-  body: unknown,
-): void {
-  response.writeHead(status, {'content-type': 'application/json'});
-  response.end(JSON.stringify(body));
-}
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -1,6 +1,7 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as jsonBody from '../src/links/json_body.js';
+import * as listen from '../src/links/listen.js';
 import type * as net from 'node:net';
 
 /** Largest body that a stand-in takes, in bytes. */
@@ -49,15 +50,9 @@
   }
 
   /** Listens on a port that the system chooses when `port` is 0. */
-  listen(port: number): Promise<string> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, '127.0.0.1', () => {
-        const address = this.server.address();
-        const chosen = typeof address === 'object' ? address?.port : port;
-        resolve(`127.0.0.1:${chosen}`);
-      });
-    });
+  async listen(port: number): Promise<string> {
+    const chosen = await listen.listen(this.server, '127.0.0.1', port);
+    return `127.0.0.1:${chosen}`;
   }
 
   /** Refuses connections above the limit. */
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -1,8 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as httpClient from '../../platform/http_client.js';
+import * as listen from '../../src/links/listen.js';
 
 const {describe, test} = nodeTest;
 
@@ -22,8 +22,7 @@
     paths.push(path);
     request.resume().on('end', () => handler(path, response));
   });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as net.AddressInfo;
+  const port = await listen.listen(server, '127.0.0.1', 0);
   const close = (): void => {
     server.closeAllConnections();
     server.close();
--- a/test/support/command.ts
+++ b/test/support/command.ts
@@ -1,5 +1,6 @@
 import * as childProcess from 'node:child_process';
 import * as http from 'node:http';
+import * as listen from '../../src/links/listen.js';
 
 /** What a command printed and how it ended. */
 export interface CommandResult {
@@ -54,14 +55,9 @@
     });
   }
 
-  listen(): Promise<string> {
-    return new Promise(resolve => {
-      this.server.listen(0, '127.0.0.1', () => {
-        const address = this.server.address();
-        const port = typeof address === 'object' ? address?.port : 0;
-        resolve(`127.0.0.1:${port}`);
-      });
-    });
+  async listen(): Promise<string> {
+    const port = await listen.listen(this.server, '127.0.0.1', 0);
+    return `127.0.0.1:${port}`;
   }
 
   close(): void {
