--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -176,9 +176,9 @@
   outcome: workerCalls.OrderOutcome,
 ): void {
   const clockMs = performance.now();
-  if (outcome.kind === 'done')
-    {jsonBody.sendJson(response, 200, {clock_ms: clockMs});}
-  else if (outcome.kind === 'rejected') {
+  if (outcome.kind === 'done') {
+    jsonBody.sendJson(response, 200, {clock_ms: clockMs});
+  } else if (outcome.kind === 'rejected') {
     jsonBody.sendJson(response, 409, {
       clock_ms: clockMs,
       reason: REASONS[outcome.why],
