Set the scenes of three test files up in one place each

Cause: reading the change again: two tests of a successor shared fifteen lines of set-up, six tests of the platform's processes the same start and stop, and three tests of the election the same search for the time of a claim.

Change: afterLostWorker, inCell and claimTime. No assertion and no expectation is changed.

--- a/test/jobs/scheduler_test.ts
+++ b/test/jobs/scheduler_test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
+import type * as workerModel from '../../stand_ins/worker_model.js';
 
 const {describe, test} = nodeTest;
 
@@ -182,6 +183,24 @@
   });
 });
 
+/** A first term has ended; its worker, on which job `aa` runs, is cut off. */
+async function afterLostWorker(): Promise<{
+  cell: jobCell.JobCell;
+  cut: workerModel.WorkerModel;
+}> {
+  const cell = new jobCell.JobCell();
+  cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
+  const first = await cell.begin(1);
+  jobCell.submit(first, jobCell.jobOf('aa', {}));
+  await cell.time.advance(300);
+  first.retire();
+  const cut = cell.workers.byAddress.get('one:1');
+  assert.ok(cut);
+  cut.cut = true;
+  cell.addWorkers(jobCell.SECOND_LONG, 'two');
+  return {cell, cut};
+}
+
 describe('a successor', () => {
   // Guards against work done twice because the scheduler changed.
   test('takes over what runs and starts nothing twice', async () => {
@@ -199,16 +218,7 @@
 
   // Guards against a second run of a task on a worker that is cut off.
   test('waits for leases on a worker that it cannot reach', async () => {
-    const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
-    const first = await cell.begin(1);
-    jobCell.submit(first, jobCell.jobOf('aa', {}));
-    await cell.time.advance(300);
-    first.retire();
-    const cut = cell.workers.byAddress.get('one:1');
-    assert.ok(cut);
-    cut.cut = true;
-    cell.addWorkers(jobCell.SECOND_LONG, 'two');
+    const {cell, cut} = await afterLostWorker();
     await cell.begin(2);
     await cell.time.advance(3_000);
     assert.equal(cell.startsOf('aa').length, 1);
@@ -272,16 +282,7 @@
   // Guards against a second run of a task: a scheduler that never reached a
   // worker stored that nothing runs there, and the one after it believed that.
   test('passes on what it could not find out itself', async () => {
-    const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
-    const first = await cell.begin(1);
-    jobCell.submit(first, jobCell.jobOf('aa', {}));
-    await cell.time.advance(300);
-    first.retire();
-    const cut = cell.workers.byAddress.get('one:1');
-    assert.ok(cut);
-    cut.cut = true;
-    cell.addWorkers(jobCell.SECOND_LONG, 'two');
+    const {cell} = await afterLostWorker();
     const second = await cell.begin(2);
     await cell.time.advance(2_500);
     second.retire();
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -44,14 +44,26 @@
   });
 }
 
+/** A test body in a cell of its own. */
+function inCell(
+  processes: number,
+  body: (cell: platformCell.PlatformCell) => Promise<void>,
+): () => Promise<void> {
+  return async () => {
+    const cell = await platformCell.PlatformCell.start({processes, runs: PLAN});
+    try {
+      await body(cell);
+    } finally {
+      await cell.stop();
+    }
+  };
+}
+
 describe('processes on the platform', () => {
   // Guards against parts that work alone and not together.
-  test('run a job that any of them takes', async () => {
-    const cell = await platformCell.PlatformCell.start({
-      processes: 3,
-      runs: PLAN,
-    });
-    try {
+  test(
+    'run a job that any of them takes',
+    inCell(3, async cell => {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
       await completed(cell, 'aaaaaaaaaaaaaaa1');
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 6);
@@ -59,18 +71,13 @@
       assert.equal(unknown.status, 410);
       const pending = await cell.call(cell.processes[1], 'GET', '');
       assert.deepEqual(pending.body, {pending: 0});
-    } finally {
-      await cell.stop();
-    }
-  });
+    }),
+  );
 
   // Guards against jobs that are lost or run twice with their scheduler.
-  test('go on when the one that schedules is killed', async () => {
-    const cell = await platformCell.PlatformCell.start({
-      processes: 3,
-      runs: PLAN,
-    });
-    try {
+  test(
+    'go on when the one that schedules is killed',
+    inCell(3, async cell => {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 2_500, 4);
       await submit(cell, 'aaaaaaaaaaaaaaa2', 300, 8);
       const leader = cell.leader();
@@ -82,18 +89,13 @@
       }
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 4);
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa2').length, 8);
-    } finally {
-      await cell.stop();
-    }
-  });
+    }),
+  );
 
   // Guards against a scheduler that comes back from a pause and goes on.
-  test('ignore a scheduler that was paused and replaced', async () => {
-    const cell = await platformCell.PlatformCell.start({
-      processes: 3,
-      runs: PLAN,
-    });
-    try {
+  test(
+    'ignore a scheduler that was paused and replaced',
+    inCell(3, async cell => {
       const paused = cell.leader();
       paused.child.signal('SIGSTOP');
       const others = cell.processes.filter(item => item !== paused);
@@ -106,18 +108,13 @@
       await completed(cell, 'aaaaaaaaaaaaaaa1');
       await completed(cell, 'aaaaaaaaaaaaaaa2');
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa').length, 8);
-    } finally {
-      await cell.stop();
-    }
-  });
+    }),
+  );
 
   // Guards against requests that are cut off by a planned stop.
-  test('answer what is open and exit on SIGTERM', async () => {
-    const cell = await platformCell.PlatformCell.start({
-      processes: 2,
-      runs: PLAN,
-    });
-    try {
+  test(
+    'answer what is open and exit on SIGTERM',
+    inCell(2, async cell => {
       const leader = cell.leader();
       const open = cell.call(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
         spec: '100',
@@ -128,19 +125,14 @@
       assert.equal(await leader.child.ended(), 0);
       cell.processes.splice(cell.processes.indexOf(leader), 1);
       await completed(cell, 'aaaaaaaaaaaaaaa1');
-    } finally {
-      await cell.stop();
-    }
-  });
+    }),
+  );
 
   // Guards against a refusal for a job that is accepted all the same, and
   // against callers that are held while the store is away.
-  test('say 504 or 503 while the store is silent, and keep running work', async () => {
-    const cell = await platformCell.PlatformCell.start({
-      processes: 2,
-      runs: PLAN,
-    });
-    try {
+  test(
+    'say 504 or 503 while the store is silent, and keep running work',
+    inCell(2, async cell => {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 3_000, 2);
       cell.store.silent = true;
       const body = {spec: '100', steps: [{...TASK, count: 1}]};
@@ -153,18 +145,13 @@
       await completed(cell, 'aaaaaaaaaaaaaaa1');
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 2);
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa3').length, 0);
-    } finally {
-      await cell.stop();
-    }
-  });
+    }),
+  );
 
   // Guards against a configuration that is not in force in every process.
-  test('take a new configuration and drop its queues', async () => {
-    const cell = await platformCell.PlatformCell.start({
-      processes: 2,
-      runs: PLAN,
-    });
-    try {
+  test(
+    'take a new configuration and drop its queues',
+    inCell(2, async cell => {
       cell.configure(2, []);
       for (const target of cell.processes) {
         await wait.until('queue dropped', async () => {
@@ -172,8 +159,6 @@
           return status === 404 ? true : undefined;
         });
       }
-    } finally {
-      await cell.stop();
-    }
-  });
+    }),
+  );
 });
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -35,6 +35,13 @@
   return view;
 }
 
+/** When a member that hears nothing claims. */
+function claimTime(view: election.Election): number {
+  let now = 0;
+  while (!view.takeTurn(now)) now += 10;
+  return now;
+}
+
 describe('the choice of a scheduler', () => {
   // Guards against a cell without a scheduler after its first start.
   test('claims when there is none', () => {
@@ -57,12 +64,7 @@
   test('claims after 0.9 s of silence, by rank', () => {
     const second = viewOf('two');
     const third = viewOf('three');
-    const silent = (view: election.Election): number => {
-      let now = 0;
-      while (!view.takeTurn(now)) now += 10;
-      return now;
-    };
-    const times = [silent(second), silent(third)].sort((a, b) => a - b);
+    const times = [claimTime(second), claimTime(third)].sort((a, b) => a - b);
     assert.equal(times[0], 900);
     assert.equal(times[1], 1_100);
   });
@@ -74,9 +76,7 @@
     for (const other of ['one', 'two']) weak.listMember(member(other));
     weak.listMember(member('weak', 0.4));
     weak.takeClaim(claimOf('one', 5), 0);
-    let now = 0;
-    while (!weak.takeTurn(now)) now += 10;
-    assert.equal(now, 900 + 200 + 1_000);
+    assert.equal(claimTime(weak), 900 + 200 + 1_000);
   });
 
   // Guards against schedulers of a large cell that are replaced again and again
@@ -87,9 +87,7 @@
       view.listMember(member(`m${index}`));
     }
     view.takeClaim(claimOf('m11', 5), 0);
-    let now = 0;
-    while (!view.takeTurn(now)) now += 10;
-    assert.equal(now, 1_800);
+    assert.equal(claimTime(view), 1_800);
   });
 
   // Guards against waiting for a process that was started again.
