Do less for steps that cannot ask for advice, and hold room in one place

Cause: reading the change again: each pass sorted the workers twice for every waiting step and searched one list in the other, though most steps of a flood find the advice service busy; gang plans and pledges each set room aside under a name of their own; the comparison of machines stood twice, and pacing forgot a worker's calm time in three branches.

Change: AdviceBook.mayAsk is looked at before workers are sorted, in one walk over them; HeldRoom serves plans and pledges; onSameMachine; one branch in pacing. Decisions stay as they are, and no test is changed for it.

--- a/src/jobs/advice_book.ts
+++ b/src/jobs/advice_book.ts
@@ -29,7 +29,10 @@
  * that the service needs for the answer.
  */
 export interface AdviceCalls {
-  /** Tells whether a call of that length would be sent now. */
+  /**
+   * Tells whether a call of that length would be sent now. None is while a
+   * shorter one would not be.
+   */
   accepts(expectedMs: number): boolean;
   ask(
     step: string,
@@ -123,14 +126,18 @@
     return `${state} granted=${known.grants.size} valid=${valid.length} refused=${known.refused.size}`;
   }
 
-  /** Tells whether a call about the step is out. */
-  isAsking(step: stepInstance.StepInstance): boolean {
-    return this.steps.get(step)?.asking === true;
+  /**
+   * Tells whether a call about the step may be sent: none is out or was in vain
+   * just now, and a VM can take it. Most steps of a flood wait for that.
+   */
+  mayAsk(step: stepInstance.StepInstance, terms: job.AdviceTerms): boolean {
+    const {asking, pausedUntil} = this.stepAdvice(step);
+    if (asking || pausedUntil > this.clock.now()) return false;
+    return this.calls.accepts(terms.decideMs);
   }
 
   /**
-   * Asks about workers, unless a call is out, was in vain just now, or no VM
-   * can take another. Those with room come first; the others are named as well,
+   * Asks about workers, where that may be done. Those with room come first; the others are named as well,
    * because most of a call's time does not depend on how many it names, and room
    * comes free there while the tickets are valid.
    */
@@ -140,11 +147,9 @@
     withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): void {
+    if (withRoom.length === 0) return;
     const now = this.clock.now();
     const known = this.stepAdvice(step);
-    if (known.asking || known.pausedUntil > now || withRoom.length === 0) {
-      return;
-    }
     const named = this.nameWorkers(step, withRoom, others);
     const expected = terms.decideMs + terms.eachMs * named.length;
     if (!this.calls.accepts(expected)) return;
--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -1,10 +1,8 @@
+import * as heldRoom from './held_room.js';
 import * as placement from './placement.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Name under which room is taken while a plan is made. */
-const PLAN = 'plan';
-
 /**
  * Finds places for all tasks of a gang at once, or none. Tasks that suffer
  * from distance are kept on one rack where a rack has the room.
@@ -52,15 +50,14 @@
     suspicion: worker => facts.suspicion(worker),
   };
   const size = placement.chargedSize(step.definition);
-  for (const target of step.tasks) {
+  const room = new heldRoom.HeldRoom('plan');
+  while (plan.length < step.tasks.length) {
     const place = placement.pickWorker(step, workers, counting);
     if (place === undefined) break;
-    place.worker.reserve({task: PLAN, run: target.index}, size);
+    room.hold(place.worker, size);
     planned.set(place.worker, (planned.get(place.worker) ?? 0) + 1);
     plan.push(place);
   }
-  for (const [index, {worker}] of plan.entries()) {
-    worker.release({task: PLAN, run: index});
-  }
+  room.release();
   return plan.length === step.tasks.length ? plan : undefined;
 }
--- a/src/jobs/pacing.ts
+++ b/src/jobs/pacing.ts
@@ -39,19 +39,14 @@
     const fillers = runs.filter(
       run => run.target.step.definition.usesIdleCapacity,
     );
-    if (fillers.length === 0) {
-      this.calmSince.delete(worker);
-      return;
-    }
     const worst = Math.max(0, ...runs.map(shareOfTarget));
-    if (worst > HARMED_SHARE) {
-      this.calmSince.delete(worker);
-      for (const run of fillers) this.setPace(run, 0);
-    } else if (worst < CALM_SHARE) {
+    if (fillers.length > 0 && worst < CALM_SHARE) {
       this.raise(worker, fillers, now);
-    } else {
-      this.calmSince.delete(worker);
+      return;
     }
+    this.calmSince.delete(worker);
+    if (worst <= HARMED_SHARE) return;
+    for (const run of fillers) this.setPace(run, 0);
   }
 
   private raise(
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -209,8 +209,8 @@
   }
 
   /**
-   * Asks about workers that have room but no ticket, unless a call is out.
-   * Returns those on which the step may find its place.
+   * Asks about workers without a ticket, if that may be done. Returns those with
+   * room, on which the step may find its place.
    */
   private ask(
     step: stepInstance.StepInstance,
@@ -218,25 +218,25 @@
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: placement.WorkerFacts,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
-    const candidates = workers.filter(
-      worker =>
-        this.advice.mayRun(step, worker) !== false &&
-        placement.isEligible(worker, step.definition, facts) &&
-        facts.ticket(worker) === undefined,
-    );
-    const others = workers.filter(
-      worker =>
-        !candidates.includes(worker) &&
-        placement.fitsEmpty(worker, step.definition) &&
-        facts.ticket(worker) === undefined,
-    );
-    this.advice.ask(
-      step,
-      terms,
-      bestFirst(step.definition, candidates),
-      bestFirst(step.definition, others),
-    );
-    return candidates;
+    const {definition} = step;
+    const withRoom: remoteWorker.RemoteWorker[] = [];
+    const others: remoteWorker.RemoteWorker[] = [];
+    for (const worker of workers) {
+      if (this.advice.mayRun(step, worker) === false) continue;
+      if (!placement.fitsEmpty(worker, definition)) continue;
+      if (facts.ticket(worker) !== undefined) continue;
+      const eligible = placement.isEligible(worker, definition, facts);
+      (eligible ? withRoom : others).push(worker);
+    }
+    if (this.advice.mayAsk(step, terms)) {
+      this.advice.ask(
+        step,
+        terms,
+        bestFirst(definition, withRoom),
+        bestFirst(definition, others),
+      );
+    }
+    return withRoom;
   }
 
   /** Asks before the turn of a step comes, so that it need not wait. */
@@ -247,7 +247,7 @@
     now: clock.Milliseconds,
   ): void {
     const {advice} = queue;
-    if (advice === undefined || this.advice.isAsking(step)) return;
+    if (advice === undefined || !this.advice.mayAsk(step, advice)) return;
     const {definition} = step;
     const candidates = workers.filter(worker =>
       placement.fitsEmpty(worker, definition),
--- a/src/jobs/pledges.ts
+++ b/src/jobs/pledges.ts
@@ -1,17 +1,15 @@
+import * as heldRoom from './held_room.js';
 import * as placement from './placement.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Name under which room is set aside during a pass. */
-const PLEDGE = 'pledge';
-
 /**
  * Room that a pass sets aside for steps which wait for their tickets. Without
  * it, less urgent steps would take the room meanwhile, and ask for tickets that
  * they can't use.
  */
 export class Pledges {
-  private readonly workers: remoteWorker.RemoteWorker[] = [];
+  private readonly room = new heldRoom.HeldRoom('pledge');
 
   /** Sets room aside for `count` tasks where they would be placed. */
   pledge(
@@ -25,17 +23,12 @@
     for (let task = 0; task < count; task += 1) {
       const place = placement.pickWorker(step, workers, untested);
       if (place === undefined) return;
-      const run = this.workers.length;
-      place.worker.reserve({task: PLEDGE, run}, size);
-      this.workers.push(place.worker);
+      this.room.hold(place.worker, size);
     }
   }
 
   /** Frees all room at the end of the pass. */
   release(): void {
-    for (const [run, worker] of this.workers.entries()) {
-      worker.release({task: PLEDGE, run});
-    }
-    this.workers.length = 0;
+    this.room.release();
   }
 }
--- a/src/jobs/worker_book.ts
+++ b/src/jobs/worker_book.ts
@@ -27,9 +27,7 @@
   /** Tells whether a later life has begun under the id or on the machine. */
   isReplaced(entry: remoteWorker.WorkerEntry): boolean {
     return this.all().some(({entry: other}) => {
-      const sameMachine =
-        entry.machine !== '' && other.machine === entry.machine;
-      const same = other.id === entry.id || sameMachine;
+      const same = other.id === entry.id || onSameMachine(other, entry);
       return same && other.born > entry.born;
     });
   }
@@ -82,9 +80,7 @@
     const ended: remoteWorker.RemoteWorker[] = [];
     for (const later of joined) {
       for (const worker of this.lives.values()) {
-        const sameMachine = worker.entry.machine === later.entry.machine;
-        if (worker === later || !sameMachine) continue;
-        if (worker.entry.machine === '') continue;
+        if (!onSameMachine(worker.entry, later.entry)) continue;
         if (worker.entry.born >= later.entry.born) continue;
         this.lives.delete(worker.id);
         ended.push(worker);
@@ -93,3 +89,11 @@
     return ended;
   }
 }
+
+/** A worker that names no machine shares it with none. */
+function onSameMachine(
+  left: remoteWorker.WorkerEntry,
+  right: remoteWorker.WorkerEntry,
+): boolean {
+  return left.machine !== '' && left.machine === right.machine;
+}
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -84,16 +84,14 @@
       log: options.log,
       onTaken: configuration => this.current?.configure(configuration),
     });
-    const members = new adviceMembers.AdviceMembers(
+    this.adviceMembers = new adviceMembers.AdviceMembers(
       options.clock,
       options.advice,
       options.peers,
     );
-    this.adviceMembers = members;
     this.adviceCalls = new adviceSpread.AdviceSpread(
-      () => members.sites(this.votes.peers),
-      (address, step, workerIds, timeoutMs) =>
-        members.ask(address, step, workerIds, timeoutMs),
+      () => this.adviceMembers.sites(this.votes.peers),
+      (...call) => this.adviceMembers.ask(...call),
       options.clock,
     );
   }
