--- a/src/jobs/advice_book.ts
+++ b/src/jobs/advice_cache.ts
@@ -28,7 +28,7 @@
  * Asks which workers may run a step; does not reject. `expectedMs` is the time
  * that the service needs for the answer.
  */
-export interface AdviceCalls {
+export interface AdviceClient {
   /**
    * Tells whether a call of that length would be sent now. None is while a
    * shorter one would not be.
@@ -42,38 +42,38 @@
 }
 
 /** Most workers named in a call: naming more takes more time than it saves. */
-const NAMED_WORKERS = 30;
+const MAXIMUM_WORKERS_PER_CALL = 30;
 
 /** Time that the service needs for a step's first call. */
-export function adviceTimeMs(terms: job.AdviceTerms): number {
-  return terms.decideMs + terms.eachMs * NAMED_WORKERS;
+export function longestAdviceCallMs(timing: job.AdviceTiming): number {
+  return timing.decideMs + timing.eachMs * MAXIMUM_WORKERS_PER_CALL;
 }
 
 /** Time of a ticket's validity that is left for the start to arrive. */
-const VALIDITY_MARGIN_MS = 150;
+const TICKET_VALIDITY_MARGIN_MS = 150;
 
 /** Pause after a call that brought nothing. */
-const FAILED_PAUSE_MS = 150;
+const FAILED_CALL_BACKOFF_MS = 150;
 
-interface Grant {
+interface TicketGrant {
   readonly ticket: string;
-  readonly born: number;
+  readonly incarnation: number;
   readonly validUntil: clock.Milliseconds;
 }
 
 interface StepAdvice {
-  readonly grants: Map<string, Grant>;
-  readonly refused: Set<string>;
-  asking: boolean;
-  pausedUntil: clock.Milliseconds;
+  readonly grants: Map<string, TicketGrant>;
+  readonly refusedIncarnations: Set<string>;
+  callInFlight: boolean;
+  backoffUntil: clock.Milliseconds;
 }
 
 /** The tickets of steps whose queue lets only some workers run them. */
-export class AdviceBook {
+export class AdviceCache {
   private readonly steps = new Map<stepInstance.StepInstance, StepAdvice>();
 
   constructor(
-    private readonly calls: AdviceCalls,
+    private readonly client: AdviceClient,
     private readonly clock: clock.Clock,
     private readonly onAdvice: () => void,
   ) {}
@@ -85,7 +85,7 @@
     now: clock.Milliseconds,
   ): string | undefined {
     const grant = this.steps.get(step)?.grants.get(worker.id);
-    if (grant === undefined || grant.born !== worker.entry.born) {
+    if (grant === undefined || grant.incarnation !== worker.entry.born) {
       return undefined;
     }
     return grant.validUntil > now ? grant.ticket : undefined;
@@ -97,13 +97,13 @@
     worker: remoteWorker.RemoteWorker,
   ): boolean | undefined {
     const known = this.steps.get(step);
-    if (known?.refused.has(lifeOf(worker))) return false;
+    if (known?.refusedIncarnations.has(incarnationKey(worker))) return false;
     const grant = known?.grants.get(worker.id);
-    return grant?.born === worker.entry.born ? true : undefined;
+    return grant?.incarnation === worker.entry.born ? true : undefined;
   }
 
   /** A worker did not take a ticket. */
-  drop(
+  dropTicket(
     step: stepInstance.StepInstance,
     worker: remoteWorker.RemoteWorker,
   ): void {
@@ -122,18 +122,21 @@
     const valid = [...known.grants.values()].filter(
       grant => grant.validUntil > now,
     );
-    const state = known.asking ? 'asking' : 'idle';
-    return `${state} granted=${known.grants.size} valid=${valid.length} refused=${known.refused.size}`;
+    const state = known.callInFlight ? 'asking' : 'idle';
+    return `${state} granted=${known.grants.size} valid=${valid.length} refused=${known.refusedIncarnations.size}`;
   }
 
   /**
    * Tells whether a call about the step may be sent: none is out or was in vain
    * just now, and a VM can take it. Most steps of a flood wait for that.
    */
-  mayAsk(step: stepInstance.StepInstance, terms: job.AdviceTerms): boolean {
-    const {asking, pausedUntil} = this.stepAdvice(step);
-    if (asking || pausedUntil > this.clock.now()) return false;
-    return this.calls.accepts(terms.decideMs);
+  canRequest(
+    step: stepInstance.StepInstance,
+    timing: job.AdviceTiming,
+  ): boolean {
+    const {callInFlight, backoffUntil} = this.adviceOf(step);
+    if (callInFlight || backoffUntil > this.clock.now()) return false;
+    return this.client.accepts(timing.decideMs);
   }
 
   /**
@@ -141,33 +144,33 @@
    * because most of a call's time does not depend on how many it names, and room
    * comes free there while the tickets are valid.
    */
-  ask(
+  request(
     step: stepInstance.StepInstance,
-    terms: job.AdviceTerms,
+    timing: job.AdviceTiming,
     withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): void {
     if (withRoom.length === 0) return;
     const now = this.clock.now();
-    const known = this.stepAdvice(step);
-    const named = this.nameWorkers(step, withRoom, others);
-    const expected = terms.decideMs + terms.eachMs * named.length;
-    if (!this.calls.accepts(expected)) return;
-    known.asking = true;
-    void this.calls
+    const advice = this.adviceOf(step);
+    const named = this.selectWorkers(step, withRoom, others);
+    const expectedMs = timing.decideMs + timing.eachMs * named.length;
+    if (!this.client.accepts(expectedMs)) return;
+    advice.callInFlight = true;
+    void this.client
       .ask(
         step.name,
         named.map(worker => worker.id),
-        expected,
+        expectedMs,
       )
       .then(outcome => {
-        known.asking = false;
-        this.take(known, named, outcome, terms, now + expected);
+        advice.callInFlight = false;
+        this.handleOutcome(advice, named, outcome, timing, now + expectedMs);
       });
   }
 
   /** Workers that are known to be good are named before others. */
-  private nameWorkers(
+  private selectWorkers(
     step: stepInstance.StepInstance,
     withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
@@ -181,54 +184,54 @@
       ...withRoom.filter(isUnknown),
       ...others.filter(isGood),
       ...others.filter(isUnknown),
-    ].slice(0, NAMED_WORKERS);
+    ].slice(0, MAXIMUM_WORKERS_PER_CALL);
   }
 
-  private take(
-    known: StepAdvice,
+  private handleOutcome(
+    advice: StepAdvice,
     named: ReadonlyArray<remoteWorker.RemoteWorker>,
     outcome: AdviceOutcome,
-    terms: job.AdviceTerms,
-    givenAt: clock.Milliseconds,
+    timing: job.AdviceTiming,
+    expectedAnswerAt: clock.Milliseconds,
   ): void {
     const now = this.clock.now();
     if (outcome.kind !== 'advised') {
-      known.pausedUntil = now + FAILED_PAUSE_MS;
+      advice.backoffUntil = now + FAILED_CALL_BACKOFF_MS;
       return;
     }
     const tickets = new Map(
       outcome.tickets.map(({workerId, ticket}) => [workerId, ticket]),
     );
     // Validity counts from the service's answer, which is not later than now.
-    const from = Math.min(now, givenAt);
-    const validUntil = from + terms.validMs - VALIDITY_MARGIN_MS;
+    const validFrom = Math.min(now, expectedAnswerAt);
+    const validUntil = validFrom + timing.validMs - TICKET_VALIDITY_MARGIN_MS;
     for (const worker of named) {
       const ticket = tickets.get(worker.id);
       if (ticket === undefined) {
-        known.refused.add(lifeOf(worker));
-        known.grants.delete(worker.id);
+        advice.refusedIncarnations.add(incarnationKey(worker));
+        advice.grants.delete(worker.id);
         continue;
       }
       const {born} = worker.entry;
-      known.grants.set(worker.id, {ticket, born, validUntil});
+      advice.grants.set(worker.id, {ticket, incarnation: born, validUntil});
     }
     this.onAdvice();
   }
 
-  private stepAdvice(step: stepInstance.StepInstance): StepAdvice {
+  private adviceOf(step: stepInstance.StepInstance): StepAdvice {
     const known = this.steps.get(step);
     if (known !== undefined) return known;
     const opened: StepAdvice = {
       grants: new Map(),
-      refused: new Set(),
-      asking: false,
-      pausedUntil: 0,
+      refusedIncarnations: new Set(),
+      callInFlight: false,
+      backoffUntil: 0,
     };
     this.steps.set(step, opened);
     return opened;
   }
 }
 
-function lifeOf(worker: remoteWorker.RemoteWorker): string {
+function incarnationKey(worker: remoteWorker.RemoteWorker): string {
   return `${worker.id}/${worker.entry.born}`;
 }
--- a/src/jobs/assignment_index.ts
+++ b/src/jobs/assignment_index.ts
@@ -1,62 +1,62 @@
-import * as placement from './placement.js';
+import * as workerSelection from './worker_selection.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
-import type * as task from './task.js';
+import type * as jobTask from './job_task.js';
 
-const NO_ASSIGNMENTS: ReadonlySet<task.Assignment> = new Set();
+const NO_ASSIGNMENTS: ReadonlySet<jobTask.Assignment> = new Set();
 
 /** Which runs occupy room on which worker. */
 export class AssignmentIndex {
   private readonly byWorker = new Map<
     remoteWorker.RemoteWorker,
-    Set<task.Assignment>
+    Set<jobTask.Assignment>
   >();
 
   /** Takes the room of a run and notes it at its task. */
-  add(assignment: task.Assignment): void {
-    const {worker, target} = assignment;
-    const size = placement.chargedSize(target.step.definition);
+  add(assignment: jobTask.Assignment): void {
+    const {worker, jobTask: task} = assignment;
+    const size = workerSelection.reservedSize(task.step.definition);
     worker.reserve(assignment, size);
-    target.assignments.push(assignment);
-    const here = this.byWorker.get(worker);
-    if (here === undefined) this.byWorker.set(worker, new Set([assignment]));
-    else here.add(assignment);
+    task.assignments.push(assignment);
+    const runs = this.byWorker.get(worker);
+    if (runs === undefined) this.byWorker.set(worker, new Set([assignment]));
+    else runs.add(assignment);
   }
 
   /** Frees the room of a run. */
-  remove(assignment: task.Assignment): void {
-    const {worker, target} = assignment;
+  remove(assignment: jobTask.Assignment): void {
+    const {worker, jobTask: task} = assignment;
     worker.release(assignment);
-    target.remove(assignment);
-    const here = this.byWorker.get(worker);
-    here?.delete(assignment);
-    if (here?.size === 0) this.byWorker.delete(worker);
+    task.remove(assignment);
+    const runs = this.byWorker.get(worker);
+    runs?.delete(assignment);
+    if (runs?.size === 0) this.byWorker.delete(worker);
   }
 
   /** Runs on a worker. */
-  of(worker: remoteWorker.RemoteWorker): ReadonlySet<task.Assignment> {
+  runsOn(worker: remoteWorker.RemoteWorker): ReadonlySet<jobTask.Assignment> {
     return this.byWorker.get(worker) ?? NO_ASSIGNMENTS;
   }
 
   /** All runs. */
-  *all(): Iterable<task.Assignment> {
-    for (const here of this.byWorker.values()) yield* here;
+  *all(): Iterable<jobTask.Assignment> {
+    for (const runs of this.byWorker.values()) yield* runs;
   }
 
   /** Tasks of a step on a worker. */
-  countOfStep(
+  countTasksOfStep(
     worker: remoteWorker.RemoteWorker,
     step: stepInstance.StepInstance,
   ): number {
     let count = 0;
-    for (const {target} of this.of(worker)) {
-      if (target.step === step) count += 1;
+    for (const {jobTask: task} of this.runsOn(worker)) {
+      if (task.step === step) count += 1;
     }
     return count;
   }
 
   /** Serving tasks that have a target of response times. */
-  servingTasks(worker: remoteWorker.RemoteWorker): number {
+  countServingTasks(worker: remoteWorker.RemoteWorker): number {
     return this.countWhere(
       worker,
       step => step.definition.targetMs !== undefined,
@@ -64,7 +64,7 @@
   }
 
   /** Tasks that use idle capacity. */
-  idleCapacityTasks(worker: remoteWorker.RemoteWorker): number {
+  countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number {
     return this.countWhere(worker, step => step.definition.usesIdleCapacity);
   }
 
@@ -73,8 +73,8 @@
     matches: (step: stepInstance.StepInstance) => boolean,
   ): number {
     let count = 0;
-    for (const {target} of this.of(worker)) {
-      if (matches(target.step)) count += 1;
+    for (const {jobTask: task} of this.runsOn(worker)) {
+      if (matches(task.step)) count += 1;
     }
     return count;
   }
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,7 +1,7 @@
-import * as task from './task.js';
+import * as jobTask from './job_task.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
-import type * as placement from './placement.js';
+import type * as workerSelection from './worker_selection.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
@@ -10,21 +10,24 @@
   /** The worker obeys a later term. */
   superseded(): void;
   /** The worker at this address lives another life. */
-  lifeEnded(worker: remoteWorker.RemoteWorker): void;
+  incarnationEnded(worker: remoteWorker.RemoteWorker): void;
   /** A start was surely not carried out, so that the task waits again. */
-  startRejected(assignment: task.Assignment, why: workerCalls.Rejection): void;
+  startRejected(
+    assignment: jobTask.Assignment,
+    why: workerCalls.Rejection,
+  ): void;
   /** A run was confirmed by its worker. */
-  started(assignment: task.Assignment): void;
+  started(assignment: jobTask.Assignment): void;
 }
 
 /** Pause before an order without an answer is repeated. */
-const REPEAT_MS = 400;
+const ORDER_RETRY_INTERVAL_MS = 400;
 
 /** Repeats of a start that follow at once. */
-const PROMPT_REPEATS = 3;
+const FAST_RETRIES = 3;
 
 /** Starts without an answer after which the run is stopped instead. */
-const START_PATIENCE_MS = 2_000;
+const START_TIMEOUT_MS = 2_000;
 
 /** Orders starts and stops and follows each until its outcome is certain. */
 export class Dispatcher {
@@ -32,47 +35,47 @@
     private readonly calls: workerCalls.WorkerCalls,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
-    private readonly fence: number,
+    private readonly fencingToken: number,
     private readonly leaseMs: number,
     /** Tells whether leases may be granted; each start grants one. */
-    private readonly mayExtend: () => boolean,
+    private readonly mayGrantLeases: () => boolean,
     private readonly listener: DispatchListener,
   ) {}
 
   /** Starts a run of a task; its room is taken at once. */
   start(
-    target: task.Task,
-    place: placement.Place,
+    task: jobTask.JobTask,
+    selected: workerSelection.SelectedWorker,
     run: number,
-  ): task.Assignment {
+  ): jobTask.Assignment {
     const now = this.clock.now();
-    const {worker, ticket} = place;
-    const assignment = new task.Assignment(target, worker, run, ticket, now);
-    target.lastRun = Math.max(target.lastRun, run);
+    const {worker, ticket} = selected;
+    const assignment = new jobTask.Assignment(task, worker, run, ticket, now);
+    task.highestRun = Math.max(task.highestRun, run);
     this.index.add(assignment);
     this.sendStart(assignment);
     return assignment;
   }
 
   /** Stops a run; its room stays taken until the end is listed. */
-  stop(assignment: task.Assignment): void {
+  stop(assignment: jobTask.Assignment): void {
     if (assignment.phase === 'stopping') return;
     assignment.phase = 'stopping';
     this.sendStop(assignment);
   }
 
   /** Repeats orders that got no answer. */
-  repeatOrders(): void {
+  retryOrders(): void {
     const now = this.clock.now();
     for (const assignment of this.index.all()) {
       if (assignment.orderInFlight || assignment.worker.unreachable) continue;
-      if (now - assignment.orderedAt < REPEAT_MS) continue;
-      const settled = assignment.stopSettledAt < Infinity;
-      if (assignment.phase === 'stopping' && !settled) {
+      if (now - assignment.lastOrderAt < ORDER_RETRY_INTERVAL_MS) continue;
+      const stopConfirmed = assignment.stopConfirmedAt < Infinity;
+      if (assignment.phase === 'stopping' && !stopConfirmed) {
         this.sendStop(assignment);
       }
       if (assignment.phase !== 'starting') continue;
-      if (now - assignment.startedAt < START_PATIENCE_MS) {
+      if (now - assignment.startedAt < START_TIMEOUT_MS) {
         this.sendStart(assignment);
       } else {
         this.stop(assignment);
@@ -81,41 +84,43 @@
   }
 
   /** Sets the share of its processors at which a run works. */
-  pace(assignment: task.Assignment, percent: number): void {
-    assignment.pace = percent;
+  throttle(assignment: jobTask.Assignment, percent: number): void {
+    assignment.processorPercent = percent;
     const {worker} = assignment;
-    void this.calls.pace(worker.entry, assignment, percent, this.fence);
+    void this.calls.pace(worker.entry, assignment, percent, this.fencingToken);
   }
 
-  private sendStart(assignment: task.Assignment): void {
-    const {target, worker, run, ticket} = assignment;
+  private sendStart(assignment: jobTask.Assignment): void {
+    const {jobTask: task, worker, run, ticket} = assignment;
     // The run may have been given up since its last order.
-    if (!this.mayExtend() || !this.index.of(worker).has(assignment)) return;
+    if (!this.mayGrantLeases() || !this.index.runsOn(worker).has(assignment)) {
+      return;
+    }
     const now = this.clock.now();
     const deadlineMs = worker.extendDeadline(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     const order = {
-      task: target.name,
+      task: task.name,
       run,
-      payload: target.step.owner.definition.payload,
-      fence: this.fence,
+      payload: task.step.owner.definition.payload,
+      fence: this.fencingToken,
       deadlineMs,
-      checkpoint: target.checkpoint,
+      checkpoint: task.checkpoint,
       ticket,
     };
     void this.calls
       .start(worker.entry, order)
-      .then(outcome => this.startAnswered(assignment, outcome));
+      .then(outcome => this.handleStartOutcome(assignment, outcome));
   }
 
-  private startAnswered(
-    assignment: task.Assignment,
+  private handleStartOutcome(
+    assignment: jobTask.Assignment,
     outcome: workerCalls.OrderOutcome,
   ): void {
     assignment.orderInFlight = false;
     if (outcome.kind === 'unanswered') {
-      this.repeatStart(assignment);
+      this.retryStart(assignment);
       return;
     }
     if (outcome.kind === 'done') {
@@ -128,22 +133,22 @@
         this.listener.superseded();
         return;
       case 'otherLife':
-        this.listener.lifeEnded(assignment.worker);
+        this.listener.incarnationEnded(assignment.worker);
         return;
       default:
-        this.startRejected(assignment, outcome.why);
+        this.handleStartRejection(assignment, outcome.why);
     }
   }
 
-  private startRejected(
-    assignment: task.Assignment,
+  private handleStartRejection(
+    assignment: jobTask.Assignment,
     why: workerCalls.Rejection,
   ): void {
     // An earlier copy of the order was carried out.
-    if (assignment.seen) return;
+    if (assignment.reported) return;
     // An earlier copy without an answer may have run, even to its end, or may
     // start later: what the worker lists after a stop tells.
-    if (assignment.unanswered > 0) this.stop(assignment);
+    if (assignment.unansweredStarts > 0) this.stop(assignment);
     else this.listener.startRejected(assignment, why);
   }
 
@@ -151,29 +156,34 @@
    * The same start may be sent again: a worker that carried it out before says
    * so. Later repeats are left to the next look at all orders.
    */
-  private repeatStart(assignment: task.Assignment): void {
-    assignment.unanswered += 1;
-    const wanted = assignment.phase === 'starting' && !assignment.seen;
-    if (!wanted || assignment.worker.unreachable) return;
-    if (assignment.unanswered <= PROMPT_REPEATS) this.sendStart(assignment);
+  private retryStart(assignment: jobTask.Assignment): void {
+    assignment.unansweredStarts += 1;
+    const stillWanted = assignment.phase === 'starting' && !assignment.reported;
+    if (!stillWanted || assignment.worker.unreachable) return;
+    if (assignment.unansweredStarts <= FAST_RETRIES) this.sendStart(assignment);
   }
 
-  private sendStop(assignment: task.Assignment): void {
+  private sendStop(assignment: jobTask.Assignment): void {
     this.markSent(assignment, this.clock.now());
     const {worker} = assignment;
-    void this.calls.stop(worker.entry, assignment, this.fence).then(outcome => {
-      assignment.orderInFlight = false;
-      if (outcome.kind === 'done') {
-        assignment.stopSettledAt = this.clock.now();
-      }
-      if (outcome.kind !== 'rejected') return;
-      if (outcome.why === 'superseded') this.listener.superseded();
-      if (outcome.why === 'otherLife') this.listener.lifeEnded(worker);
-    });
+    void this.calls
+      .stop(worker.entry, assignment, this.fencingToken)
+      .then(outcome => {
+        assignment.orderInFlight = false;
+        if (outcome.kind === 'done') {
+          assignment.stopConfirmedAt = this.clock.now();
+        }
+        if (outcome.kind !== 'rejected') return;
+        if (outcome.why === 'superseded') this.listener.superseded();
+        if (outcome.why === 'otherLife') this.listener.incarnationEnded(worker);
+      });
   }
 
-  private markSent(assignment: task.Assignment, now: clock.Milliseconds): void {
+  private markSent(
+    assignment: jobTask.Assignment,
+    now: clock.Milliseconds,
+  ): void {
     assignment.orderInFlight = true;
-    assignment.orderedAt = now;
+    assignment.lastOrderAt = now;
   }
 }
--- a/src/jobs/evacuation.ts
+++ b/src/jobs/evacuator.ts
@@ -2,63 +2,69 @@
 import type * as clock from '../machines/clock.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
-import type * as task from './task.js';
-import type * as workerBook from './worker_book.js';
+import type * as jobTask from './job_task.js';
+import type * as workerTable from './worker_table.js';
 
 /** What an evacuation asks for and orders. */
-export interface EvacuationListener {
+export interface EvacuatorListener {
   /** Expected runtime of a step's tasks. */
-  predict(step: stepInstance.StepInstance): number;
+  predictMs(step: stepInstance.StepInstance): number;
   /**
    * Tells whether a task of the step could start elsewhere now, and prepares
    * that where it could not.
    */
-  prepare(step: stepInstance.StepInstance): boolean;
+  prepareStart(step: stepInstance.StepInstance): boolean;
   /** Stops a run so that its task starts elsewhere. */
-  move(run: task.Assignment): void;
+  move(assignment: jobTask.Assignment): void;
 }
 
 /** Time that a leaving worker is taken to have when it names none. */
-const USUAL_LEAVE_MS = 2_500;
+const DEFAULT_DRAIN_TIME_MS = 2_500;
 
 /** Progress above which work without checkpoints is left to its luck. */
-const KEPT_PERCENT = 50;
+const MINIMUM_KEPT_PROGRESS_PERCENT = 50;
 
 /** Moves runs off workers that will leave before they end. */
-export class Evacuation {
+export class Evacuator {
   constructor(
-    private readonly workers: workerBook.WorkerBook,
+    private readonly workers: workerTable.WorkerTable,
     private readonly index: assignmentIndex.AssignmentIndex,
-    private readonly listener: EvacuationListener,
+    private readonly listener: EvacuatorListener,
   ) {}
 
   /** Looks at all workers that are about to leave. */
   review(now: clock.Milliseconds): void {
     for (const worker of this.workers.all()) {
       if (worker.entry.state !== 'draining' || worker.unreachable) continue;
-      for (const run of [...this.index.of(worker)]) {
-        if (!this.shouldMove(run, worker, now)) continue;
-        if (this.listener.prepare(run.target.step)) this.listener.move(run);
+      for (const assignment of [...this.index.runsOn(worker)]) {
+        if (!this.shouldMove(assignment, worker, now)) continue;
+        if (this.listener.prepareStart(assignment.jobTask.step)) {
+          this.listener.move(assignment);
+        }
       }
     }
   }
 
   private shouldMove(
-    run: task.Assignment,
+    assignment: jobTask.Assignment,
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
   ): boolean {
-    if (run.phase !== 'running' || !run.seen) return false;
-    const {definition} = run.target.step;
+    if (assignment.phase !== 'running' || !assignment.reported) return false;
+    const {definition} = assignment.jobTask.step;
     // Members of a gang would all have to move at once.
     if (definition.gang) return false;
     if (definition.longRunning) return true;
     const leavesAt =
       (worker.drainingSince ?? now) +
-      (worker.entry.remainingMs ?? USUAL_LEAVE_MS);
-    const leftMs =
-      this.listener.predict(run.target.step) * (1 - run.percent / 100);
-    if (now + leftMs <= leavesAt) return false;
-    return definition.checkpointing || run.percent < KEPT_PERCENT;
+      (worker.entry.remainingMs ?? DEFAULT_DRAIN_TIME_MS);
+    const remainingRuntimeMs =
+      this.listener.predictMs(assignment.jobTask.step) *
+      (1 - assignment.progressPercent / 100);
+    if (now + remainingRuntimeMs <= leavesAt) return false;
+    return (
+      definition.checkpointing ||
+      assignment.progressPercent < MINIMUM_KEPT_PROGRESS_PERCENT
+    );
   }
 }
--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -1,5 +1,5 @@
-import * as heldRoom from './held_room.js';
-import * as placement from './placement.js';
+import * as temporaryReservation from './temporary_reservation.js';
+import * as workerSelection from './worker_selection.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
@@ -10,18 +10,18 @@
 export function planGang(
   step: stepInstance.StepInstance,
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
-  facts: placement.WorkerFacts,
-): ReadonlyArray<placement.Place> | undefined {
+  facts: workerSelection.WorkerFacts,
+): ReadonlyArray<workerSelection.SelectedWorker> | undefined {
   if (step.definition.sameRack) {
-    for (const onRack of byRack(workers)) {
-      const plan = planAll(step, onRack, facts);
+    for (const onRack of groupByRack(workers)) {
+      const plan = placeAllTasks(step, onRack, facts);
       if (plan !== undefined) return plan;
     }
   }
-  return planAll(step, workers, facts);
+  return placeAllTasks(step, workers, facts);
 }
 
-function byRack(
+function groupByRack(
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
 ): Iterable<ReadonlyArray<remoteWorker.RemoteWorker>> {
   const racks = new Map<string, remoteWorker.RemoteWorker[]>();
@@ -34,30 +34,33 @@
   return racks.values();
 }
 
-function planAll(
+function placeAllTasks(
   step: stepInstance.StepInstance,
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
-  facts: placement.WorkerFacts,
-): ReadonlyArray<placement.Place> | undefined {
-  const plan: placement.Place[] = [];
-  const planned = new Map<remoteWorker.RemoteWorker, number>();
-  const counting: placement.WorkerFacts = {
-    ticket: worker => facts.ticket(worker),
-    tasksOfStep: worker =>
-      facts.tasksOfStep(worker) + (planned.get(worker) ?? 0),
-    servingTasks: worker => facts.servingTasks(worker),
-    idleCapacityTasks: worker => facts.idleCapacityTasks(worker),
+  facts: workerSelection.WorkerFacts,
+): ReadonlyArray<workerSelection.SelectedWorker> | undefined {
+  const plan: workerSelection.SelectedWorker[] = [];
+  const plannedTaskCounts = new Map<remoteWorker.RemoteWorker, number>();
+  const factsWithPlan: workerSelection.WorkerFacts = {
+    ticketFor: worker => facts.ticketFor(worker),
+    countTasksOfStep: worker =>
+      facts.countTasksOfStep(worker) + (plannedTaskCounts.get(worker) ?? 0),
+    countServingTasks: worker => facts.countServingTasks(worker),
+    countIdleCapacityTasks: worker => facts.countIdleCapacityTasks(worker),
     suspicion: worker => facts.suspicion(worker),
   };
-  const size = placement.chargedSize(step.definition);
-  const room = new heldRoom.HeldRoom('plan');
+  const size = workerSelection.reservedSize(step.definition);
+  const reservation = new temporaryReservation.TemporaryReservation('plan');
   while (plan.length < step.tasks.length) {
-    const place = placement.pickWorker(step, workers, counting);
-    if (place === undefined) break;
-    room.hold(place.worker, size);
-    planned.set(place.worker, (planned.get(place.worker) ?? 0) + 1);
-    plan.push(place);
+    const selected = workerSelection.selectWorker(step, workers, factsWithPlan);
+    if (selected === undefined) break;
+    reservation.reserve(selected.worker, size);
+    plannedTaskCounts.set(
+      selected.worker,
+      (plannedTaskCounts.get(selected.worker) ?? 0) + 1,
+    );
+    plan.push(selected);
   }
-  room.release();
+  reservation.release();
   return plan.length === step.tasks.length ? plan : undefined;
 }
--- /dev/null
+++ b/src/jobs/idle_capacity_throttle.ts
@@ -0,0 +1,86 @@
+import type * as assignmentIndex from './assignment_index.js';
+import type * as clock from '../machines/clock.js';
+import type * as dispatcher from './dispatcher.js';
+import type * as remoteWorker from '../machines/remote_worker.js';
+import type * as jobTask from './job_task.js';
+
+/** Share of its target above which a serving task counts as harmed. */
+const THROTTLE_TARGET_SHARE = 0.8;
+
+/** Share of its target below which it counts as calm. */
+const RECOVERY_TARGET_SHARE = 0.5;
+
+/** How long all must be calm before the others get more again. */
+const RECOVERY_DELAY_MS = 2_000;
+
+/** Percent by which they get more at a time. */
+const RECOVERY_STEP_PERCENT = 25;
+
+const FULL_PERCENT = 100;
+
+/**
+ * Holds back tasks that use idle capacity on workers whose serving tasks come
+ * near their targets: to nothing at once, and back in steps.
+ */
+export class IdleCapacityThrottle {
+  private readonly belowTargetSince = new Map<
+    remoteWorker.RemoteWorker,
+    clock.Milliseconds
+  >();
+
+  constructor(
+    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly dispatcher: dispatcher.Dispatcher,
+  ) {}
+
+  /** Looks at a worker that has just reported. */
+  review(worker: remoteWorker.RemoteWorker, now: clock.Milliseconds): void {
+    const runs = [...this.index.runsOn(worker)];
+    const idleCapacityRuns = runs.filter(
+      assignment => assignment.jobTask.step.definition.usesIdleCapacity,
+    );
+    const highestShare = Math.max(0, ...runs.map(shareOfTarget));
+    if (idleCapacityRuns.length > 0 && highestShare < RECOVERY_TARGET_SHARE) {
+      this.raiseLimits(worker, idleCapacityRuns, now);
+      return;
+    }
+    this.belowTargetSince.delete(worker);
+    if (highestShare <= THROTTLE_TARGET_SHARE) return;
+    for (const assignment of idleCapacityRuns) this.throttle(assignment, 0);
+  }
+
+  private raiseLimits(
+    worker: remoteWorker.RemoteWorker,
+    idleCapacityRuns: ReadonlyArray<jobTask.Assignment>,
+    now: clock.Milliseconds,
+  ): void {
+    const since = this.belowTargetSince.get(worker) ?? now;
+    this.belowTargetSince.set(worker, since);
+    if (now - since < RECOVERY_DELAY_MS) return;
+    this.belowTargetSince.set(worker, now);
+    for (const assignment of idleCapacityRuns) {
+      this.throttle(
+        assignment,
+        Math.min(
+          FULL_PERCENT,
+          assignment.processorPercent + RECOVERY_STEP_PERCENT,
+        ),
+      );
+    }
+  }
+
+  private throttle(assignment: jobTask.Assignment, percent: number): void {
+    if (
+      assignment.phase === 'running' &&
+      assignment.processorPercent !== percent
+    ) {
+      this.dispatcher.throttle(assignment, percent);
+    }
+  }
+}
+
+/** Tail of response times against the target; 0 for tasks that serve none. */
+function shareOfTarget(assignment: jobTask.Assignment): number {
+  const {targetMs} = assignment.jobTask.step.definition;
+  return targetMs === undefined ? 0 : assignment.reportedUsage / targetMs;
+}
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -58,7 +58,7 @@
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
 /** Cost of asking which workers may run a step of a queue. */
-export interface AdviceTerms {
+export interface AdviceTiming {
   readonly decideMs: number;
   readonly eachMs: number;
   /** How long a ticket is valid. */
@@ -80,11 +80,11 @@
   /** Time that the objective allows beyond the chain of work. */
   readonly objectiveMs: number;
   readonly timeoutMs: number;
-  readonly advice?: AdviceTerms;
+  readonly advice?: AdviceTiming;
 }
 
 /** The operator's configuration of one version. */
-export interface CellConfiguration {
+export interface OperatorConfiguration {
   readonly version: number;
   readonly queues: ReadonlyArray<Queue>;
   /** Largest body of a request in bytes. */
@@ -95,7 +95,7 @@
 
 /** Returns the queue that serves a path on a host: the longest prefix wins. */
 export function queueFor(
-  configuration: CellConfiguration,
+  configuration: OperatorConfiguration,
   host: string,
   path: string,
 ): Queue | undefined {
--- a/src/jobs/submissions.ts
+++ b/src/jobs/job_admission.ts
@@ -1,4 +1,4 @@
-import type * as jobBook from './job_book.js';
+import type * as jobTable from './job_table.js';
 import type * as jobJournal from './job_journal.js';
 import type * as jobRecord from './job_record.js';
 import type * as job from './job.js';
@@ -6,7 +6,7 @@
 import type * as schedulerOptions from './scheduler_options.js';
 
 /** Why a job was not accepted. */
-export type Refusal =
+export type SubmitRefusal =
   /** The store does not answer at present. */
   | 'storeSilent'
   /** It has not answered for so long that waiting is of no use. */
@@ -23,7 +23,7 @@
   /** Surely not accepted. */
   | {
       readonly kind: 'refused';
-      readonly reason: Refusal;
+      readonly reason: SubmitRefusal;
       readonly retryAfterSeconds: number;
     };
 
@@ -31,22 +31,22 @@
 export type SubmitListener = (outcome: SubmitOutcome) => void;
 
 /** Silence of the store after which new jobs are refused at once. */
-const STORE_SILENCE_MS = 1_000;
+const STORE_SILENCE_LIMIT_MS = 1_000;
 
 /** Silence of the store for which callers need not wait any more. */
-const STORE_LOSS_MS = 5_000;
+const STORE_LOSS_LIMIT_MS = 5_000;
 
 /** When callers are asked to come back after a refusal. */
 const RETRY_AFTER_SECONDS = 1;
 
 /** Accepts jobs, which takes the store, and answers those who hand them in. */
-export class Submissions {
-  private readonly waiting = new Map<string, SubmitListener[]>();
+export class JobAdmission {
+  private readonly waitingListeners = new Map<string, SubmitListener[]>();
 
   constructor(
     private readonly options: schedulerOptions.SchedulerOptions,
-    private readonly journal: jobJournal.JournalWriter,
-    private readonly book: jobBook.JobBook,
+    private readonly journal: jobJournal.JobJournal,
+    private readonly jobTable: jobTable.JobTable,
     private readonly queues: queueTable.QueueTable,
     private readonly onAccepted: (record: jobRecord.JobRecord) => void,
   ) {}
@@ -58,7 +58,7 @@
     answer: SubmitListener,
   ): void {
     const {id} = definition;
-    const known = this.book.get(id);
+    const known = this.jobTable.get(id);
     if (known?.accepted) {
       answer({kind: 'accepted'});
       return;
@@ -66,10 +66,10 @@
     const silent = this.isStoreSilent();
     if (known !== undefined) {
       if (silent) answer({kind: 'undecided'});
-      else this.waiting.get(id)?.push(answer);
+      else this.waitingListeners.get(id)?.push(answer);
       return;
     }
-    if (this.queues.isDropped(definition.queue, configurationVersion)) {
+    if (this.queues.isRemoved(definition.queue, configurationVersion)) {
       answer({kind: 'refused', reason: 'unknownQueue', retryAfterSeconds: 0});
       return;
     }
@@ -77,50 +77,52 @@
       this.refuse(this.silenceReason(), answer);
       return;
     }
-    this.waiting.set(id, [answer]);
-    this.book.accept(definition, record => this.accepted(record));
+    this.waitingListeners.set(id, [answer]);
+    this.jobTable.accept(definition, record => this.accepted(record));
   }
 
   /**
    * Answers the callers whose jobs the silent store has not taken: refused
    * where that is sure, and otherwise open.
    */
-  releaseWaiting(): void {
+  answerWaiting(): void {
     if (!this.isStoreSilent()) return;
-    for (const [id, listeners] of [...this.waiting]) {
-      if (this.book.withdraw(id)) {
-        this.waiting.delete(id);
+    for (const [id, listeners] of [...this.waitingListeners]) {
+      if (this.jobTable.withdraw(id)) {
+        this.waitingListeners.delete(id);
         const reason = this.silenceReason();
         for (const answer of listeners) this.refuse(reason, answer);
         continue;
       }
-      this.waiting.set(id, []);
+      this.waitingListeners.set(id, []);
       for (const answer of listeners) answer({kind: 'undecided'});
     }
   }
 
-  private refuse(reason: Refusal, answer: SubmitListener): void {
+  private refuse(reason: SubmitRefusal, answer: SubmitListener): void {
     this.options.counters.count('jobs_refused', reason);
     const retryAfterSeconds = RETRY_AFTER_SECONDS;
     answer({kind: 'refused', reason, retryAfterSeconds});
   }
 
   private isStoreSilent(): boolean {
-    return this.storeSilentMs() > STORE_SILENCE_MS;
+    return this.storeSilentMs() > STORE_SILENCE_LIMIT_MS;
   }
 
-  private silenceReason(): Refusal {
-    return this.storeSilentMs() > STORE_LOSS_MS ? 'storeLost' : 'storeSilent';
+  private silenceReason(): SubmitRefusal {
+    return this.storeSilentMs() > STORE_LOSS_LIMIT_MS
+      ? 'storeLost'
+      : 'storeSilent';
   }
 
   private storeSilentMs(): number {
-    return this.journal.silentFor(this.options.clock.now());
+    return this.journal.unansweredMs(this.options.clock.now());
   }
 
   private accepted(record: jobRecord.JobRecord): void {
     const {id, queue} = record.definition;
-    const listeners = this.waiting.get(id) ?? [];
-    this.waiting.delete(id);
+    const listeners = this.waitingListeners.get(id) ?? [];
+    this.waitingListeners.delete(id);
     for (const answer of listeners) answer({kind: 'accepted'});
     this.options.counters.count('jobs_accepted', 'stored');
     this.options.log.event('info', 'jobAccepted', {job: id, queue});
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -16,11 +16,11 @@
   /** The workers on which anything may run. */
   | {
       readonly kind: 'workers';
-      readonly workers: ReadonlyArray<KnownWorker>;
+      readonly workers: ReadonlyArray<StoredWorker>;
     };
 
 /** A worker that a successor has to find, or else wait for its leases. */
-export interface KnownWorker {
+export interface StoredWorker {
   readonly entry: remoteWorker.WorkerEntry;
   /**
    * The jobs that have runs there, when nothing more is started there. While
@@ -35,7 +35,7 @@
     readonly definition: job.JobDefinition;
     readonly progress: jobRecord.JobProgress | undefined;
   }>;
-  readonly workers: ReadonlyArray<KnownWorker>;
+  readonly workers: ReadonlyArray<StoredWorker>;
 }
 
 /** What came of storing changes. */
@@ -49,7 +49,7 @@
   | 'superseded';
 
 /** The journal of all jobs in the platform's store, open to one term. */
-export interface JournalStore {
+export interface JobJournalStore {
   /** Closes the journal to earlier terms. */
   open(term: number): Promise<StoreOutcome>;
   /** Reads all that is stored; undefined when it can't be read now. */
@@ -70,10 +70,10 @@
 const APPEND_TIMEOUT_MS = 900;
 
 /** Time for later calls with it: they show when the store is back. */
-const REPEAT_TIMEOUT_MS = 350;
+const RETRY_TIMEOUT_MS = 350;
 
 /** Pause before a call that got no answer or a refusal is repeated. */
-const RETRY_PAUSE_MS = 120;
+const RETRY_DELAY_MS = 120;
 
 /** Waits between attempts; tests replace it. */
 export interface Pauses {
@@ -87,16 +87,16 @@
  * Writes changes in order, one call at a time. Changes that gather while a
  * call is out go into the next one; of one job only the newest progress goes.
  */
-export class JournalWriter {
-  private readonly waiting = new Map<string, () => JournalChange>();
-  private listeners: StoredListener[] = [];
+export class JobJournal {
+  private readonly pending = new Map<string, () => JournalChange>();
+  private storedListeners: StoredListener[] = [];
   private writing = false;
   private closed = false;
   private sequence = 0;
-  private silentAt: clock.Milliseconds | undefined;
+  private unansweredSince: clock.Milliseconds | undefined;
 
   constructor(
-    private readonly store: JournalStore,
+    private readonly store: JobJournalStore,
     private readonly term: number,
     private readonly clock: clock.Clock,
     private readonly pauses: Pauses,
@@ -104,26 +104,26 @@
   ) {}
 
   /** How long the store has left a change unanswered; 0 when none is out. */
-  silentFor(now: clock.Milliseconds): number {
-    return this.silentAt === undefined ? 0 : now - this.silentAt;
+  unansweredMs(now: clock.Milliseconds): number {
+    return this.unansweredSince === undefined ? 0 : now - this.unansweredSince;
   }
 
   /** The store was last silent, and nothing waits that would show a change. */
   get needsProbe(): boolean {
-    return this.silentAt !== undefined && !this.writing;
+    return this.unansweredSince !== undefined && !this.writing;
   }
 
   /** Queues a change under a key; `read` is called when it is sent. */
   put(key: string, read: () => JournalChange, onStored?: StoredListener): void {
-    this.waiting.delete(key);
-    this.waiting.set(key, read);
-    if (onStored !== undefined) this.listeners.push(onStored);
-    if (!this.writing) void this.write();
+    this.pending.delete(key);
+    this.pending.set(key, read);
+    if (onStored !== undefined) this.storedListeners.push(onStored);
+    if (!this.writing) void this.writePending();
   }
 
   /** Withdraws a change that has not been sent; false when it may be. */
   withdraw(key: string): boolean {
-    return this.waiting.delete(key);
+    return this.pending.delete(key);
   }
 
   /** Sends nothing more. */
@@ -131,59 +131,59 @@
     this.closed = true;
   }
 
-  private async write(): Promise<void> {
+  private async writePending(): Promise<void> {
     this.writing = true;
     // Changes of the same turn share a call.
     await Promise.resolve();
-    while (this.waiting.size > 0 && !this.closed) await this.writeSet();
+    while (this.pending.size > 0 && !this.closed) await this.appendBatch();
     this.writing = false;
   }
 
   /** Sends all that waits until it is stored, or surely is not. */
-  private async writeSet(): Promise<void> {
-    const sent = new Map(this.waiting);
-    const {listeners} = this;
+  private async appendBatch(): Promise<void> {
+    const sent = new Map(this.pending);
+    const {storedListeners: listeners} = this;
     const changes = [...sent.values()].map(read => read());
-    this.waiting.clear();
-    this.listeners = [];
-    this.silentAt ??= this.clock.now();
-    const outcome = await this.storeSet(this.sequence + 1, changes);
+    this.pending.clear();
+    this.storedListeners = [];
+    this.unansweredSince ??= this.clock.now();
+    const outcome = await this.appendUntilCertain(this.sequence + 1, changes);
     if (outcome === 'refused') {
-      this.takeBack(sent, listeners);
-      await this.pauses.pause(RETRY_PAUSE_MS);
+      this.requeue(sent, listeners);
+      await this.pauses.pause(RETRY_DELAY_MS);
     }
     if (outcome !== 'stored') return;
     this.sequence += 1;
-    this.silentAt = undefined;
+    this.unansweredSince = undefined;
     for (const listener of listeners) listener();
   }
 
   /** The set was surely not stored: its changes wait as if never sent. */
-  private takeBack(
+  private requeue(
     sent: ReadonlyMap<string, () => JournalChange>,
     listeners: ReadonlyArray<StoredListener>,
   ): void {
-    const newer = [...this.waiting];
-    this.waiting.clear();
-    for (const [key, read] of [...sent, ...newer]) this.waiting.set(key, read);
-    this.listeners = [...listeners, ...this.listeners];
+    const newer = [...this.pending];
+    this.pending.clear();
+    for (const [key, read] of [...sent, ...newer]) this.pending.set(key, read);
+    this.storedListeners = [...listeners, ...this.storedListeners];
   }
 
   /**
    * Repeats a call that got no answer until its outcome is certain: such a
    * call may take effect later.
    */
-  private async storeSet(
+  private async appendUntilCertain(
     sequence: number,
     changes: ReadonlyArray<JournalChange>,
   ): Promise<'stored' | 'refused' | 'closed'> {
-    let inDoubt = false;
+    let outcomeUnknown = false;
     while (!this.closed) {
       const outcome = await this.store.append(
         this.term,
         sequence,
         changes,
-        inDoubt ? REPEAT_TIMEOUT_MS : APPEND_TIMEOUT_MS,
+        outcomeUnknown ? RETRY_TIMEOUT_MS : APPEND_TIMEOUT_MS,
       );
       if (outcome === 'stored') return 'stored';
       if (outcome === 'superseded') {
@@ -191,9 +191,9 @@
         this.onSuperseded();
         return 'closed';
       }
-      if (outcome === 'unanswered') inDoubt = true;
-      if (outcome === 'refused' && !inDoubt) return 'refused';
-      await this.pauses.pause(RETRY_PAUSE_MS);
+      if (outcome === 'unanswered') outcomeUnknown = true;
+      if (outcome === 'refused' && !outcomeUnknown) return 'refused';
+      await this.pauses.pause(RETRY_DELAY_MS);
     }
     return 'closed';
   }
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -1,6 +1,6 @@
-import type * as adviceBook from './advice_book.js';
+import type * as adviceCache from './advice_cache.js';
 import type * as dispatcher from './dispatcher.js';
-import type * as jobBook from './job_book.js';
+import type * as jobTable from './job_table.js';
 import type * as jobRecord from './job_record.js';
 import type * as openSteps from './open_steps.js';
 import type * as queueTable from './queue_table.js';
@@ -9,59 +9,59 @@
 import type * as runtimeModel from './runtime_model.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as stepInstance from './step_instance.js';
-import type * as task from './task.js';
+import type * as jobTask from './job_task.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
 /** What the life of a job touches. */
-export interface LifecycleParts {
+export interface JobLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
-  readonly book: jobBook.JobBook;
+  readonly jobTable: jobTable.JobTable;
   readonly queues: queueTable.QueueTable;
   readonly openSteps: openSteps.OpenSteps;
-  readonly advice: adviceBook.AdviceBook;
-  readonly orders: dispatcher.Dispatcher;
+  readonly adviceCache: adviceCache.AdviceCache;
+  readonly dispatcher: dispatcher.Dispatcher;
   readonly trust: workerTrust.WorkerTrust;
-  readonly runtimes: runtimeModel.RuntimeModel;
+  readonly runtimeModel: runtimeModel.RuntimeModel;
   readonly requestPass: () => void;
 }
 
 /** Takes jobs from their acceptance through their steps to their outcome. */
 export class JobLifecycle implements runTracker.RunListener {
-  constructor(private readonly parts: LifecycleParts) {}
+  constructor(private readonly dependencies: JobLifecycleDependencies) {}
 
   /** Opens the first steps of an accepted job. */
   begin(record: jobRecord.JobRecord): void {
     if (record.outcome === 'open') this.openReadySteps(record);
-    this.parts.requestPass();
+    this.dependencies.requestPass();
   }
 
   /** Opens the occurrences that are due by now. */
   openDueOccurrences(): void {
-    const wallTime = this.parts.options.wallClock();
-    for (const record of this.parts.book.all()) {
+    const nowUnixMs = this.dependencies.options.wallClock();
+    for (const record of this.dependencies.jobTable.all()) {
       if (record.outcome !== 'open' || !record.accepted) continue;
-      if (record.nextDueAtMs > wallTime) continue;
-      while (record.nextDueAtMs <= wallTime) record.openOccurrence();
+      if (record.nextDueUnixMs > nowUnixMs) continue;
+      while (record.nextDueUnixMs <= nowUnixMs) record.openOccurrence();
       this.openReadySteps(record);
     }
   }
 
-  ended(
-    target: task.Task,
+  runEnded(
+    task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
     run: number,
-    how: string,
+    endKind: string,
   ): void {
-    const {step} = target;
+    const {step} = task;
     const record = step.owner;
     record.started = true;
-    this.parts.options.counters.count('runs_ended', how);
-    if (how === 'done') this.taskDone(target, worker);
-    if (how === 'failed') this.taskFailed(target, worker, run);
+    this.dependencies.options.counters.count('runs_ended', endKind);
+    if (endKind === 'done') this.taskDone(task, worker);
+    if (endKind === 'failed') this.taskFailed(task, worker, run);
     if (record.outcome === 'open' && !step.done) {
-      this.parts.openSteps.open(step);
+      this.dependencies.openSteps.open(step);
     }
-    this.parts.requestPass();
+    this.dependencies.requestPass();
   }
 
   /** Gives a job its outcome, stops what still runs, and stores it. */
@@ -69,11 +69,11 @@
     record: jobRecord.JobRecord,
     outcome: jobRecord.JobProgress['outcome'],
   ): void {
-    const {options, book, orders} = this.parts;
+    const {options, jobTable, dispatcher} = this.dependencies;
     record.outcome = outcome;
     for (const step of record.steps) this.closeStep(step);
     for (const assignment of [...record.assignments()]) {
-      orders.stop(assignment);
+      dispatcher.stop(assignment);
     }
     options.counters.count('jobs_settled', outcome);
     options.log.event('info', 'jobSettled', {
@@ -82,20 +82,25 @@
       outcome,
       afterMs: Math.round(options.clock.now() - record.arrivedAt),
     });
-    book.store(record);
+    jobTable.store(record);
   }
 
-  private taskDone(target: task.Task, worker: remoteWorker.RemoteWorker): void {
-    this.parts.trust.succeeded(worker);
-    const {step} = target;
+  private taskDone(
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+  ): void {
+    this.dependencies.trust.succeeded(worker);
+    const {step} = task;
     const {gang, longRunning} = step.definition;
     if (longRunning) return;
     if (gang) {
       // The members end together; one end stands for all of them.
-      for (const member of step.tasks) step.finish(member);
+      for (const member of step.tasks) step.markDone(member);
     } else {
-      step.finish(target);
-      for (const copy of target.assignments) this.parts.orders.stop(copy);
+      step.markDone(task);
+      for (const copy of task.assignments) {
+        this.dependencies.dispatcher.stop(copy);
+      }
     }
     if (step.owner.outcome === 'open' && step.done) this.stepDone(step);
   }
@@ -103,32 +108,36 @@
   private stepDone(step: stepInstance.StepInstance): void {
     this.closeStep(step);
     const record = step.owner;
-    const usualMs = step.usualDurationMs(0);
-    if (usualMs !== undefined) {
+    const medianMs = step.medianDurationMs(0);
+    if (medianMs !== undefined) {
       const {queue} = record.definition;
       const {estimatedRuntimeMs} = step.definition;
-      this.parts.runtimes.observe(queue, estimatedRuntimeMs, usualMs);
+      this.dependencies.runtimeModel.observe(
+        queue,
+        estimatedRuntimeMs,
+        medianMs,
+      );
     }
     this.openReadySteps(record);
     if (record.allDone) this.settle(record, 'completed');
   }
 
   private taskFailed(
-    target: task.Task,
+    task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
     run: number,
   ): void {
-    const {options, queues} = this.parts;
-    const {step} = target;
+    const {options, queues} = this.dependencies;
+    const {step} = task;
     const record = step.owner;
-    this.distrust(worker, record.definition.id);
-    if (!target.addFailure(run) || target.done) return;
+    this.recordFailure(worker, record.definition.id);
+    if (!task.addFailure(run) || task.done) return;
     if (step.definition.longRunning || record.outcome !== 'open') return;
     const attempts = queues.ofStep(step)?.attempts;
-    if (attempts === undefined || failuresOf(step, target) < attempts) return;
+    if (attempts === undefined || countFailures(step, task) < attempts) return;
     options.log.event('info', 'jobFailed', {
       job: record.definition.id,
-      task: target.name,
+      task: task.name,
       run,
       worker: worker.id,
       attempts,
@@ -136,29 +145,32 @@
     this.settle(record, 'failed');
   }
 
-  private distrust(worker: remoteWorker.RemoteWorker, job: string): void {
-    const {options, trust} = this.parts;
+  private recordFailure(worker: remoteWorker.RemoteWorker, job: string): void {
+    const {options, trust} = this.dependencies;
     if (!trust.failed(worker, job, options.clock.now())) return;
     options.counters.count('workers_suspected', 'failures');
     options.log.event('warn', 'workerSuspected', {worker: worker.id});
   }
 
   private openReadySteps(record: jobRecord.JobRecord): void {
-    this.parts.openSteps.openReady(record, this.parts.options.clock.now());
+    this.dependencies.openSteps.openReady(
+      record,
+      this.dependencies.options.clock.now(),
+    );
   }
 
   private closeStep(step: stepInstance.StepInstance): void {
-    this.parts.openSteps.close(step);
-    this.parts.advice.forget(step);
+    this.dependencies.openSteps.close(step);
+    this.dependencies.adviceCache.forget(step);
   }
 }
 
 /** Failed runs that count against a task; a gang fails as one. */
-function failuresOf(
+function countFailures(
   step: stepInstance.StepInstance,
-  target: task.Task,
+  task: jobTask.JobTask,
 ): number {
-  if (!step.definition.gang) return target.failedRuns.size;
+  if (!step.definition.gang) return task.failedRuns.size;
   const runs = new Set<number>();
   for (const member of step.tasks) {
     for (const run of member.failedRuns) runs.add(run);
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -1,7 +1,7 @@
 import * as stepInstance from './step_instance.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
-import type * as task from './task.js';
+import type * as jobTask from './job_task.js';
 
 /** How far one step of a job has come. */
 export interface StepProgress {
@@ -53,7 +53,7 @@
   }
 
   /** Unix time at which the next occurrence is due; Infinity without one. */
-  get nextDueAtMs(): number {
+  get nextDueUnixMs(): number {
     const {schedule} = this.definition;
     if (!schedule || this.nextOccurrence >= schedule.occurrences) {
       return Infinity;
@@ -72,16 +72,16 @@
     this.steps.push(...opened);
   }
 
-  step(
+  stepAt(
     occurrence: number,
     position: number,
   ): stepInstance.StepInstance | undefined {
-    const width = this.definition.steps.length;
-    return this.steps[occurrence * width + position];
+    const stepCount = this.definition.steps.length;
+    return this.steps[occurrence * stepCount + position];
   }
 
   /** Steps of the same occurrence that wait for a step. */
-  followers(
+  dependents(
     instance: stepInstance.StepInstance,
   ): ReadonlyArray<stepInstance.StepInstance> {
     return this.steps.filter(
@@ -94,7 +94,7 @@
   /** Tells whether all steps that a step waits for are done. */
   isReady(instance: stepInstance.StepInstance): boolean {
     return instance.definition.after.every(
-      position => this.step(instance.occurrence, position)?.done === true,
+      position => this.stepAt(instance.occurrence, position)?.done === true,
     );
   }
 
@@ -111,9 +111,9 @@
     return this.started ? 'running' : 'queued';
   }
 
-  *assignments(): Iterable<task.Assignment> {
+  *assignments(): Iterable<jobTask.Assignment> {
     for (const instance of this.steps) {
-      for (const target of instance.tasks) yield* target.assignments;
+      for (const task of instance.tasks) yield* task.assignments;
     }
   }
 
@@ -137,7 +137,7 @@
     this.started = progress.started;
     for (const stored of progress.steps) {
       while (this.nextOccurrence <= stored.occurrence) this.openOccurrence();
-      const instance = this.step(stored.occurrence, stored.position);
+      const instance = this.stepAt(stored.occurrence, stored.position);
       if (instance !== undefined) restoreStep(instance, stored);
     }
   }
@@ -147,11 +147,11 @@
   const done: number[] = [];
   const failed: Array<readonly [number, number]> = [];
   const checkpoints: Array<readonly [number, string]> = [];
-  for (const target of instance.tasks) {
-    if (target.done) done.push(target.index);
-    for (const run of target.failedRuns) failed.push([target.index, run]);
-    if (target.checkpoint !== '' && !target.done) {
-      checkpoints.push([target.index, target.checkpoint]);
+  for (const task of instance.tasks) {
+    if (task.done) done.push(task.index);
+    for (const run of task.failedRuns) failed.push([task.index, run]);
+    if (task.checkpoint !== '' && !task.done) {
+      checkpoints.push([task.index, task.checkpoint]);
     }
   }
   const {occurrence, position} = instance;
@@ -163,16 +163,16 @@
   stored: StepProgress,
 ): void {
   for (const index of stored.done) {
-    const target = instance.tasks[index];
-    if (target !== undefined) instance.finish(target);
+    const task = instance.tasks[index];
+    if (task !== undefined) instance.markDone(task);
   }
   for (const [index, run] of stored.failed) {
-    const target = instance.tasks[index];
-    target?.addFailure(run);
-    if (target !== undefined) target.lastRun = Math.max(target.lastRun, run);
+    const task = instance.tasks[index];
+    task?.addFailure(run);
+    if (task !== undefined) task.highestRun = Math.max(task.highestRun, run);
   }
   for (const [index, checkpoint] of stored.checkpoints) {
-    const target = instance.tasks[index];
-    if (target !== undefined) target.checkpoint = checkpoint;
+    const task = instance.tasks[index];
+    if (task !== undefined) task.checkpoint = checkpoint;
   }
 }
--- a/src/jobs/scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -1,44 +1,45 @@
-import * as adviceBook from './advice_book.js';
+import * as adviceCache from './advice_cache.js';
 import * as assignmentIndex from './assignment_index.js';
 import * as dispatcher from './dispatcher.js';
-import * as earlierRuns from './earlier_runs.js';
-import * as evacuation from './evacuation.js';
-import * as jobBook from './job_book.js';
+import * as runRecovery from './run_recovery.js';
+import * as evacuator from './evacuator.js';
+import * as jobTable from './job_table.js';
 import * as jobJournal from './job_journal.js';
 import * as jobLifecycle from './job_lifecycle.js';
 import * as openSteps from './open_steps.js';
-import * as pacing from './pacing.js';
+import * as idleCapacityThrottle from './idle_capacity_throttle.js';
 import * as placementPass from './placement_pass.js';
 import * as queueTable from './queue_table.js';
 import * as runTracker from './run_tracker.js';
-import * as runWatch from './run_watch.js';
+import * as runHealth from './run_health.js';
 import * as runtimeModel from './runtime_model.js';
-import * as submissions from './submissions.js';
-import * as workerBook from './worker_book.js';
-import * as workerLives from './worker_lives.js';
+import * as jobAdmission from './job_admission.js';
+import * as workerTable from './worker_table.js';
+import * as workerLifecycle from './worker_lifecycle.js';
 import * as workerTrust from '../machines/worker_trust.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from './scheduler_options.js';
-import type * as task from './task.js';
+import type * as jobTask from './job_task.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
 /** Length of the leases that this scheduler grants. */
-export const LEASE_MS = 5_000;
+export const LEASE_DURATION_MS = 5_000;
 
 /**
  * How long an earlier scheduler may go on granting leases after it lost touch
  * with the cell; see `SchedulerOptions.mayExtend`.
  */
-export const PROOF_LIFETIME_MS = 2_000;
+export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
 
 /** After this time no run of an earlier term that was not found is left. */
-const EARLIER_RUNS_OVER_MS = PROOF_LIFETIME_MS + LEASE_MS * 1.03 + 300;
+const EARLIER_LEASES_EXPIRY_MS =
+  LEADERSHIP_PROOF_LIFETIME_MS + LEASE_DURATION_MS * 1.03 + 300;
 
 /** Pause between attempts to open and read the journal. */
-const JOURNAL_RETRY_MS = 100;
+const JOURNAL_RETRY_DELAY_MS = 100;
 
 /** What became of a cancellation. */
 export type CancelOutcome = 'cancelled' | 'unknown';
@@ -48,24 +49,24 @@
  * workers, follows the runs to their ends and stores what must last. A term
  * ends when a later one begins; the object is then of no use any more.
  */
-export class Scheduler implements dispatcher.DispatchListener {
-  private readonly journal: jobJournal.JournalWriter;
-  private readonly book: jobBook.JobBook;
+export class JobScheduler implements dispatcher.DispatchListener {
+  private readonly journal: jobJournal.JobJournal;
+  private readonly jobTable: jobTable.JobTable;
   private readonly queues = new queueTable.QueueTable();
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly index = new assignmentIndex.AssignmentIndex();
   private readonly trust = new workerTrust.WorkerTrust();
-  private readonly advice: adviceBook.AdviceBook;
-  private readonly orders: dispatcher.Dispatcher;
+  private readonly adviceCache: adviceCache.AdviceCache;
+  private readonly dispatcher: dispatcher.Dispatcher;
   private readonly tracker: runTracker.RunTracker;
-  private readonly jobs: jobLifecycle.JobLifecycle;
-  private readonly submissions: submissions.Submissions;
-  private readonly lives: workerLives.WorkerLives;
-  private readonly passes: placementPass.PlacementPass;
-  private readonly evacuation: evacuation.Evacuation;
-  private readonly pacing: pacing.Pacing;
-  private earlier: earlierRuns.EarlierRuns | undefined;
-  private readonly earlierRunsOverAt: clock.Milliseconds;
+  private readonly jobLifecycle: jobLifecycle.JobLifecycle;
+  private readonly admission: jobAdmission.JobAdmission;
+  private readonly workerLifecycle: workerLifecycle.WorkerLifecycle;
+  private readonly placementPass: placementPass.PlacementPass;
+  private readonly evacuator: evacuator.Evacuator;
+  private readonly idleCapacityThrottle: idleCapacityThrottle.IdleCapacityThrottle;
+  private runRecovery: runRecovery.RunRecovery | undefined;
+  private readonly earlierLeasesExpireAt: clock.Milliseconds;
   private active = true;
   private serving = false;
 
@@ -73,79 +74,90 @@
     const {clock, term, pauses} = options;
     const {queues, index, trust} = this;
     const requestPass = (): void => this.requestPass();
-    const workers = new workerBook.WorkerBook();
+    const workers = new workerTable.WorkerTable();
     const runtimes = new runtimeModel.RuntimeModel();
-    this.earlierRunsOverAt = clock.now() + EARLIER_RUNS_OVER_MS;
-    this.journal = new jobJournal.JournalWriter(
-      options.journal,
+    this.earlierLeasesExpireAt = clock.now() + EARLIER_LEASES_EXPIRY_MS;
+    this.journal = new jobJournal.JobJournal(
+      options.journalStore,
       term,
       clock,
       pauses,
       () => options.onSuperseded('journal'),
     );
-    this.book = new jobBook.JobBook(this.journal, clock);
-    this.advice = new adviceBook.AdviceBook(options.advice, clock, requestPass);
-    this.orders = new dispatcher.Dispatcher(
-      options.workers,
+    this.jobTable = new jobTable.JobTable(this.journal, clock);
+    this.adviceCache = new adviceCache.AdviceCache(
+      options.adviceClient,
+      clock,
+      requestPass,
+    );
+    this.dispatcher = new dispatcher.Dispatcher(
+      options.workerCalls,
       index,
       clock,
       term,
-      LEASE_MS,
-      () => this.active && options.mayExtend(),
+      LEASE_DURATION_MS,
+      () => this.active && options.mayGrantLeases(),
       this,
     );
-    this.jobs = new jobLifecycle.JobLifecycle({
+    this.jobLifecycle = new jobLifecycle.JobLifecycle({
       options,
-      book: this.book,
+      jobTable: this.jobTable,
       queues,
       openSteps: this.openSteps,
-      advice: this.advice,
-      orders: this.orders,
+      adviceCache: this.adviceCache,
+      dispatcher: this.dispatcher,
       trust,
-      runtimes,
+      runtimeModel: runtimes,
       requestPass,
     });
     this.tracker = new runTracker.RunTracker(
-      this.book,
+      this.jobTable,
       index,
-      this.orders,
-      this.jobs,
+      this.dispatcher,
+      this.jobLifecycle,
     );
-    this.submissions = new submissions.Submissions(
+    this.admission = new jobAdmission.JobAdmission(
       options,
       this.journal,
-      this.book,
+      this.jobTable,
       queues,
-      record => this.jobs.begin(record),
+      record => this.jobLifecycle.begin(record),
     );
-    this.lives = new workerLives.WorkerLives({
+    this.workerLifecycle = new workerLifecycle.WorkerLifecycle({
       options,
       workers,
       index,
       journal: this.journal,
       tracker: this.tracker,
       trust,
-      leaseMs: LEASE_MS,
-      earlierRunsOverAt: this.earlierRunsOverAt,
+      leaseMs: LEASE_DURATION_MS,
+      earlierLeasesExpireAt: this.earlierLeasesExpireAt,
       requestPass,
       onReport: worker => this.workerReported(worker),
-      onEnded: worker => this.earlier?.ended(worker),
+      onEnded: worker => this.runRecovery?.removeWorker(worker),
     });
-    this.passes = new placementPass.PlacementPass({
+    this.placementPass = new placementPass.PlacementPass({
       options,
       workers,
       index,
-      advice: this.advice,
+      adviceCache: this.adviceCache,
       trust,
-      orders: this.orders,
+      dispatcher: this.dispatcher,
       queues,
       openSteps: this.openSteps,
-      runtimes,
-      isBlocked: record => this.earlier?.blocks(record) === true,
-      mayStart: () => this.isServing && options.mayExtend(),
+      runtimeModel: runtimes,
+      isBlocked: record => this.runRecovery?.blocks(record) === true,
+      mayStart: () => this.isServing && options.mayGrantLeases(),
     });
-    this.evacuation = new evacuation.Evacuation(workers, index, this.passes);
-    this.pacing = new pacing.Pacing(index, this.orders);
+    this.evacuator = new evacuator.Evacuator(
+      workers,
+      index,
+      this.placementPass,
+    );
+    this.idleCapacityThrottle = new idleCapacityThrottle.IdleCapacityThrottle(
+      index,
+      this.dispatcher,
+    );
   }
 
   /** Jobs are known, so that questions about them can be answered. */
@@ -154,26 +166,26 @@
   }
 
   /** How long the store has left a change unanswered; 0 when none is out. */
-  storeSilentFor(now: clock.Milliseconds): number {
-    return this.journal.silentFor(now);
+  storeUnansweredMs(now: clock.Milliseconds): number {
+    return this.journal.unansweredMs(now);
   }
 
   /** Takes over from earlier terms; true once jobs are served. */
   async begin(): Promise<boolean> {
     const {options} = this;
     while (this.active) {
-      const opened = await options.journal.open(options.term);
+      const opened = await options.journalStore.open(options.term);
       if (opened === 'superseded') {
         options.onSuperseded('journal');
         return false;
       }
       const content =
-        opened === 'stored' ? await options.journal.load() : undefined;
+        opened === 'stored' ? await options.journalStore.load() : undefined;
       if (content !== undefined && this.active) {
         this.takeOver(content);
         return true;
       }
-      await options.pauses.pause(JOURNAL_RETRY_MS);
+      await options.pauses.pause(JOURNAL_RETRY_DELAY_MS);
     }
     return false;
   }
@@ -182,26 +194,26 @@
   retire(): void {
     this.active = false;
     this.journal.close();
-    this.lives.stop();
+    this.workerLifecycle.stop();
   }
 
   /** Takes a newer configuration. */
-  configure(configuration: job.CellConfiguration): void {
+  configure(configuration: job.OperatorConfiguration): void {
     if (this.queues.update(configuration)) this.requestPass();
   }
 
   /** Takes the registry's present list of workers. */
   updateWorkers(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
-    this.lives.update(entries);
+    this.workerLifecycle.update(entries);
   }
 
   /** Accepts a job; `answer` is called once its fate is known or open. */
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
-    answer: submissions.SubmitListener,
+    answer: jobAdmission.SubmitListener,
   ): void {
-    this.submissions.submit(definition, configurationVersion, answer);
+    this.admission.submit(definition, configurationVersion, answer);
   }
 
   /** Cancels a job; `answer` is called once that is stored. */
@@ -210,7 +222,7 @@
     id: string,
     answer: (outcome: CancelOutcome) => void,
   ): void {
-    const record = this.find(queue, id);
+    const record = this.findRecord(queue, id);
     if (record === undefined) {
       answer('unknown');
       return;
@@ -219,49 +231,54 @@
       answer('cancelled');
       return;
     }
-    if (record.outcome === 'open') this.jobs.settle(record, 'cancelled');
-    this.book.store(record, () => answer('cancelled'));
+    if (record.outcome === 'open') {
+      this.jobLifecycle.settle(record, 'cancelled');
+    }
+    this.jobTable.store(record, () => answer('cancelled'));
   }
 
   /** What callers are told about a job; undefined when there is none. */
   stateOf(queue: string, id: string): job.JobState | undefined {
-    return this.find(queue, id)?.state;
+    return this.findRecord(queue, id)?.state;
   }
 
   /** Accepted jobs of a queue of which no task has started. */
-  pendingOf(queue: string): number {
-    return this.book.pendingOf(queue);
+  countPending(queue: string): number {
+    return this.jobTable.countPending(queue);
   }
 
   /** Does what is due by now; called several times a second. */
   tick(): void {
     if (!this.isServing) return;
     const now = this.options.clock.now();
-    this.orders.repeatOrders();
-    this.lives.review(now);
-    this.jobs.openDueOccurrences();
-    this.book.dropSettled(now, this.options.bounds.stateKeptMs);
-    this.submissions.releaseWaiting();
-    this.replaceHinderedRuns(now);
-    this.evacuation.review(now);
-    this.reviewEarlierRuns();
-    this.passes.reportWaiting(now);
+    this.dispatcher.retryOrders();
+    this.workerLifecycle.review(now);
+    this.jobLifecycle.openDueOccurrences();
+    this.jobTable.dropSettled(now, this.options.retentionTimes.stateKeptMs);
+    this.admission.answerWaiting();
+    this.replaceFaultyRuns(now);
+    this.evacuator.review(now);
+    this.unblockRecoveredJobs();
+    this.placementPass.reportWaiting(now);
     this.requestPass();
   }
 
   // What becomes of orders.
 
-  lifeEnded(worker: remoteWorker.RemoteWorker): void {
-    this.lives.lifeEnded(worker);
+  incarnationEnded(worker: remoteWorker.RemoteWorker): void {
+    this.workerLifecycle.lifeEnded(worker);
   }
 
   superseded(): void {
     if (this.active) this.options.onSuperseded('worker');
   }
 
-  startRejected(assignment: task.Assignment, why: workerCalls.Rejection): void {
+  startRejected(
+    assignment: jobTask.Assignment,
+    why: workerCalls.Rejection,
+  ): void {
     if (!this.active) return;
-    const {worker, target} = assignment;
+    const {worker, jobTask: task} = assignment;
     this.options.counters.count('starts_rejected', why);
     this.options.log.event('warn', 'startRejected', {
       task: assignment.task,
@@ -269,83 +286,86 @@
       worker: worker.id,
       why,
     });
-    this.tracker.drop(assignment);
-    if (why === 'ticket') this.advice.drop(target.step, worker);
+    this.tracker.release(assignment);
+    if (why === 'ticket') this.adviceCache.dropTicket(task.step, worker);
     else this.trust.refused(worker, this.options.clock.now());
     this.requestPass();
   }
 
-  started(assignment: task.Assignment): void {
-    assignment.target.step.owner.started = true;
+  started(assignment: jobTask.Assignment): void {
+    assignment.jobTask.step.owner.started = true;
     this.options.counters.count('starts', 'confirmed');
   }
 
   private workerReported(worker: remoteWorker.RemoteWorker): void {
-    this.pacing.review(worker, this.options.clock.now());
-    this.reviewEarlierRuns();
+    this.idleCapacityThrottle.review(worker, this.options.clock.now());
+    this.unblockRecoveredJobs();
   }
 
-  private find(queue: string, id: string): jobRecord.JobRecord | undefined {
-    const record = this.book.get(id);
+  private findRecord(
+    queue: string,
+    id: string,
+  ): jobRecord.JobRecord | undefined {
+    const record = this.jobTable.get(id);
     return record?.definition.queue === queue ? record : undefined;
   }
 
   private requestPass(): void {
-    if (this.isServing) this.passes.request();
+    if (this.isServing) this.placementPass.request();
   }
 
   private takeOver(content: jobJournal.JournalContent): void {
     const restored = new Set<jobRecord.JobRecord>();
     for (const {definition, progress} of content.jobs) {
-      const record = this.book.restore(definition, progress);
+      const record = this.jobTable.restore(definition, progress);
       if (record.outcome === 'open') restored.add(record);
     }
     this.serving = true;
-    this.earlier = new earlierRuns.EarlierRuns(
+    this.runRecovery = new runRecovery.RunRecovery(
       restored,
-      this.lives.start(content.workers),
-      this.earlierRunsOverAt,
+      this.workerLifecycle.start(content.workers),
+      this.earlierLeasesExpireAt,
     );
-    for (const record of restored) this.jobs.begin(record);
+    for (const record of restored) this.jobLifecycle.begin(record);
     this.options.log.event('info', 'termBegun', {
       term: this.options.term,
       jobs: content.jobs.length,
       open: restored.size,
       workers: content.workers.length,
     });
-    this.reviewEarlierRuns();
+    this.unblockRecoveredJobs();
   }
 
   /** Lets tasks start whose runs of earlier terms are all known now. */
-  private reviewEarlierRuns(): void {
-    const {earlier} = this;
-    if (earlier === undefined || earlier.settled) return;
-    if (!earlier.review(this.options.clock.now())) return;
+  private unblockRecoveredJobs(): void {
+    const {runRecovery: recovery} = this;
+    if (recovery === undefined || recovery.complete) return;
+    if (!recovery.unblockJobs(this.options.clock.now())) return;
     this.options.log.event('info', 'earlierRunsKnown', {
       term: this.options.term,
-      missingWorkers: earlier.missingWorkers,
-      settled: earlier.settled,
+      missingWorkers: recovery.unreportedWorkerCount,
+      settled: recovery.complete,
     });
     this.requestPass();
   }
 
   /** Stops runs that a start on another worker would overtake. */
-  private replaceHinderedRuns(now: clock.Milliseconds): void {
-    for (const run of this.index.all()) {
-      const fault = runWatch.judgeRun(run, now);
+  private replaceFaultyRuns(now: clock.Milliseconds): void {
+    for (const assignment of this.index.all()) {
+      const fault = runHealth.detectFault(assignment, now);
       if (fault === undefined) continue;
       this.options.counters.count('runs_replaced', fault);
       this.options.log.event('warn', 'runReplaced', {
-        task: run.task,
-        run: run.run,
-        worker: run.worker.id,
+        task: assignment.task,
+        run: assignment.run,
+        worker: assignment.worker.id,
         fault,
-        percent: run.percent,
-        ageMs: Math.round(now - run.startedAt),
+        percent: assignment.progressPercent,
+        ageMs: Math.round(now - assignment.startedAt),
       });
-      run.target.replacements += 1;
-      this.trust.hindered(run.worker, now);
-      this.orders.stop(run);
+      assignment.jobTask.replacementCount += 1;
+      this.trust.hindered(assignment.worker, now);
+      this.dispatcher.stop(assignment);
     }
   }
 }
--- a/src/jobs/job_book.ts
+++ b/src/jobs/job_table.ts
@@ -4,11 +4,11 @@
 import type * as jobJournal from './job_journal.js';
 
 /** All jobs of the cell and what is stored of them. */
-export class JobBook {
+export class JobTable {
   private readonly jobs = new Map<string, jobRecord.JobRecord>();
 
   constructor(
-    private readonly journal: jobJournal.JournalWriter,
+    private readonly journal: jobJournal.JobJournal,
     private readonly clock: clock.Clock,
   ) {}
 
@@ -83,17 +83,17 @@
   }
 
   /** Drops jobs that were settled `ageMs` ago. */
-  dropSettled(now: clock.Milliseconds, ageMs: number): void {
+  dropSettled(now: clock.Milliseconds, retentionMs: number): void {
     for (const [id, record] of this.jobs) {
       if (record.settledAt === undefined) continue;
-      if (now - record.settledAt < ageMs) continue;
+      if (now - record.settledAt < retentionMs) continue;
       this.jobs.delete(id);
       this.journal.put(progressKey(id), () => ({kind: 'dropped', id}));
     }
   }
 
   /** Accepted jobs of a queue of which no task has started. */
-  pendingOf(queue: string): number {
+  countPending(queue: string): number {
     let count = 0;
     for (const record of this.jobs.values()) {
       const counted =
--- a/src/jobs/task.ts
+++ b/src/jobs/job_task.ts
@@ -9,46 +9,46 @@
 export class Assignment implements remoteWorker.RunName {
   phase: AssignmentPhase = 'starting';
   /** The worker has listed the run. */
-  seen = false;
+  reported = false;
   /** When a stop was answered: a start that comes later is refused. */
-  stopSettledAt: clock.Milliseconds = Infinity;
+  stopConfirmedAt: clock.Milliseconds = Infinity;
   /** When the last order about this run was sent. */
-  orderedAt: clock.Milliseconds;
+  lastOrderAt: clock.Milliseconds;
   orderInFlight = false;
   /** Starts that got no answer. */
-  unanswered = 0;
-  percent = 0;
+  unansweredStarts = 0;
+  progressPercent = 0;
   /** When the percentage last rose. */
-  progressAt: clock.Milliseconds;
+  progressedAt: clock.Milliseconds;
   /** Share of the processors that the task was last told to use. */
-  pace = 100;
+  processorPercent = 100;
   /** Last usage that the worker reported. */
-  usage = 0;
+  reportedUsage = 0;
 
   constructor(
-    readonly target: Task,
+    readonly jobTask: JobTask,
     readonly worker: remoteWorker.RemoteWorker,
     readonly run: number,
     readonly ticket: string | undefined,
     readonly startedAt: clock.Milliseconds,
   ) {
-    this.orderedAt = startedAt;
-    this.progressAt = startedAt;
+    this.lastOrderAt = startedAt;
+    this.progressedAt = startedAt;
   }
 
   get task(): string {
-    return this.target.name;
+    return this.jobTask.name;
   }
 }
 
 /** One task of a step. */
-export class Task {
+export class JobTask {
   done = false;
   /** Highest run number that was ever used. */
-  lastRun = 0;
+  highestRun = 0;
   checkpoint = '';
   /** Runs that were stopped because they stood still or were slow. */
-  replacements = 0;
+  replacementCount = 0;
   readonly assignments: Assignment[] = [];
   private readonly failed = new Set<number>();
 
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -1,17 +1,17 @@
-import * as adviceBook from './advice_book.js';
+import * as adviceCache from './advice_cache.js';
 import * as gangPlan from './gang_plan.js';
-import * as placement from './placement.js';
-import * as pledges from './pledges.js';
-import * as preemption from './preemption.js';
-import * as workOrder from './work_order.js';
+import * as workerSelection from './worker_selection.js';
+import * as ticketWaitReservation from './ticket_wait_reservation.js';
+import * as preemptionPlanner from './preemption_planner.js';
+import * as stepOrdering from './step_ordering.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as dispatcher from './dispatcher.js';
 import type * as job from './job.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
-import type * as task from './task.js';
-import type * as workerBook from './worker_book.js';
+import type * as jobTask from './job_task.js';
+import type * as workerTable from './worker_table.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
 /** Lead time with which advice for a later step is asked for. */
@@ -19,56 +19,63 @@
 
 /** What a pass works on. */
 export interface PassInput {
-  readonly waiting: ReadonlyArray<workOrder.WaitingStep>;
+  readonly waiting: ReadonlyArray<stepOrdering.WaitingStep>;
   /** Steps whose turn comes soon. */
-  readonly upcoming: ReadonlyArray<workOrder.WaitingStep>;
+  readonly upcoming: ReadonlyArray<stepOrdering.WaitingStep>;
   readonly now: clock.Milliseconds;
 }
 
 /** Answers what a placer must know of tasks, and hears what it does. */
 export interface PlacerListener {
   /** Number of a task's next run. */
-  nextRun(target: task.Task): number;
+  nextRun(task: jobTask.JobTask): number;
   /** Expected runtime of a step's tasks. */
-  predict(step: stepInstance.StepInstance): number;
+  predictMs(step: stepInstance.StepInstance): number;
   /** Priority of a step's queue; 0 is the most urgent. */
   priorityOf(step: stepInstance.StepInstance): number;
   /** Stops a run, which resumes from its checkpoint, for a more urgent task. */
-  interrupt(victim: task.Assignment, urgent: stepInstance.StepInstance): void;
+  interrupt(
+    victim: jobTask.Assignment,
+    urgent: stepInstance.StepInstance,
+  ): void;
   /** Tasks of a step were started; `left` of them still wait. */
-  placed(step: stepInstance.StepInstance, count: number, left: number): void;
+  tasksPlaced(
+    step: stepInstance.StepInstance,
+    count: number,
+    left: number,
+  ): void;
 }
 
 /** Gives waiting tasks their workers. */
 export class Placer {
   constructor(
-    private readonly workers: workerBook.WorkerBook,
+    private readonly workers: workerTable.WorkerTable,
     private readonly index: assignmentIndex.AssignmentIndex,
-    private readonly advice: adviceBook.AdviceBook,
+    private readonly adviceCache: adviceCache.AdviceCache,
     private readonly trust: workerTrust.WorkerTrust,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: PlacerListener,
   ) {}
 
   /** Places what has room now, most urgent first. */
-  pass(input: PassInput): void {
+  runPass(input: PassInput): void {
     const open = this.openWorkers(input.now);
-    const interrupting = new preemption.Preemption(input.now);
-    const pledged = new pledges.Pledges();
-    for (const rated of workOrder.orderSteps(
+    const preemptions = new preemptionPlanner.PreemptionPlanner(input.now);
+    const ticketReservation = new ticketWaitReservation.TicketWaitReservation();
+    for (const rated of stepOrdering.sortByUrgency(
       input.waiting,
       input.now,
-      step => this.listener.predict(step),
+      step => this.listener.predictMs(step),
       service => processorsOf(open.get(service) ?? []),
     )) {
       const workers = open.get(rated.queue.service) ?? [];
       if (workers.length === 0) continue;
-      this.placeStep(rated, workers, interrupting, pledged, input.now);
+      this.placeStep(rated, workers, preemptions, ticketReservation, input.now);
     }
-    pledged.release();
+    ticketReservation.release();
     for (const {step, queue} of input.upcoming) {
       const workers = open.get(queue.service) ?? [];
-      this.askAhead(step, queue, workers, input.now);
+      this.prefetchAdvice(step, queue, workers, input.now);
     }
   }
 
@@ -76,16 +83,18 @@
    * Tells whether a task of a step could be started now; where a ticket is
    * missing, asks for one.
    */
-  prepare(
+  prepareStart(
     step: stepInstance.StepInstance,
     queue: job.Queue,
     now: clock.Milliseconds,
   ): boolean {
     const workers = this.openWorkers(now).get(queue.service) ?? [];
     const facts = this.factsFor(step, queue, now);
-    if (placement.pickWorker(step, workers, facts) !== undefined) return true;
+    if (workerSelection.selectWorker(step, workers, facts) !== undefined) {
+      return true;
+    }
     if (queue.advice !== undefined) {
-      this.ask(step, queue.advice, workers, facts);
+      this.requestAdvice(step, queue.advice, workers, facts);
     }
     return false;
   }
@@ -99,10 +108,12 @@
     const open = this.openWorkers(now).get(queue.service) ?? [];
     const facts = this.factsFor(step, queue, now);
     const eligible = open.filter(worker =>
-      placement.isEligible(worker, step.definition, facts),
+      workerSelection.isEligible(worker, step.definition, facts),
     );
-    const advice = queue.advice ? this.advice.describe(step, now) : 'no advice';
-    const free = Math.round(100 * freeShare(open));
+    const advice = queue.advice
+      ? this.adviceCache.describe(step, now)
+      : 'no advice';
+    const free = Math.round(100 * freeProcessorShare(open));
     return `open=${open.length} free=${free}% eligible=${eligible.length} ${advice}`;
   }
 
@@ -111,7 +122,7 @@
   ): ReadonlyMap<string, ReadonlyArray<remoteWorker.RemoteWorker>> {
     const open = new Map<string, remoteWorker.RemoteWorker[]>();
     for (const worker of this.workers.all()) {
-      if (!placement.isOpen(worker, now)) continue;
+      if (!workerSelection.isSchedulable(worker, now)) continue;
       const {service} = worker.entry;
       const ofService = open.get(service);
       if (ofService === undefined) open.set(service, [worker]);
@@ -121,10 +132,10 @@
   }
 
   private placeStep(
-    {step, queue, urgency}: workOrder.RatedStep,
+    {step, queue, urgency}: stepOrdering.PrioritizedStep,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
-    interrupting: preemption.Preemption,
-    pledged: pledges.Pledges,
+    preemptions: preemptionPlanner.PreemptionPlanner,
+    ticketReservation: ticketWaitReservation.TicketWaitReservation,
     now: clock.Milliseconds,
   ): void {
     const facts = this.factsFor(step, queue, now);
@@ -132,9 +143,9 @@
       ? this.placeGang(step, workers, facts)
       : this.placeTasks(step, workers, facts);
     if (placed) return;
-    const count = step.tasks.filter(target => target.waiting).length;
+    const count = step.tasks.filter(task => task.waiting).length;
     if (urgency.onTime && !step.definition.gang) {
-      const victims = interrupting.planVictims(
+      const victims = preemptions.planVictims(
         step,
         queue,
         count,
@@ -144,8 +155,8 @@
       for (const victim of victims) this.listener.interrupt(victim, step);
     }
     if (queue.advice !== undefined) {
-      const candidates = this.ask(step, queue.advice, workers, facts);
-      pledged.pledge(step, count, candidates, facts);
+      const candidates = this.requestAdvice(step, queue.advice, workers, facts);
+      ticketReservation.reserve(step, count, candidates, facts);
     }
   }
 
@@ -153,41 +164,43 @@
   private placeTasks(
     step: stepInstance.StepInstance,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
-    facts: placement.WorkerFacts,
+    facts: workerSelection.WorkerFacts,
   ): boolean {
     let placed = 0;
     let left = 0;
-    for (const target of step.tasks) {
-      if (!target.waiting) continue;
-      const place =
-        left === 0 ? placement.pickWorker(step, workers, facts) : undefined;
-      if (place === undefined) {
+    for (const task of step.tasks) {
+      if (!task.waiting) continue;
+      const selected =
+        left === 0
+          ? workerSelection.selectWorker(step, workers, facts)
+          : undefined;
+      if (selected === undefined) {
         left += 1;
         continue;
       }
-      this.dispatcher.start(target, place, this.listener.nextRun(target));
+      this.dispatcher.start(task, selected, this.listener.nextRun(task));
       placed += 1;
     }
-    if (placed > 0) this.listener.placed(step, placed, left);
+    if (placed > 0) this.listener.tasksPlaced(step, placed, left);
     return left === 0;
   }
 
   private placeGang(
     step: stepInstance.StepInstance,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
-    facts: placement.WorkerFacts,
+    facts: workerSelection.WorkerFacts,
   ): boolean {
     // Members of an earlier run must be gone before the next run starts.
-    if (!step.tasks.every(target => target.waiting)) return true;
+    if (!step.tasks.every(task => task.waiting)) return true;
     const plan = gangPlan.planGang(step, workers, facts);
     if (plan === undefined) return false;
     const run = Math.max(
-      ...step.tasks.map(target => this.listener.nextRun(target)),
+      ...step.tasks.map(task => this.listener.nextRun(task)),
     );
-    for (const [index, place] of plan.entries()) {
-      this.dispatcher.start(step.tasks[index], place, run);
+    for (const [index, selected] of plan.entries()) {
+      this.dispatcher.start(step.tasks[index], selected, run);
     }
-    this.listener.placed(step, plan.length, 0);
+    this.listener.tasksPlaced(step, plan.length, 0);
     return true;
   }
 
@@ -195,15 +208,16 @@
     step: stepInstance.StepInstance,
     queue: job.Queue,
     now: clock.Milliseconds,
-  ): preemption.PreemptionFacts {
+  ): preemptionPlanner.PreemptionFacts {
     return {
-      ticket: worker =>
-        queue.advice ? this.advice.ticketFor(step, worker, now) : '',
-      tasksOfStep: worker => this.index.countOfStep(worker, step),
-      servingTasks: worker => this.index.servingTasks(worker),
-      idleCapacityTasks: worker => this.index.idleCapacityTasks(worker),
+      ticketFor: worker =>
+        queue.advice ? this.adviceCache.ticketFor(step, worker, now) : '',
+      countTasksOfStep: worker => this.index.countTasksOfStep(worker, step),
+      countServingTasks: worker => this.index.countServingTasks(worker),
+      countIdleCapacityTasks: worker =>
+        this.index.countIdleCapacityTasks(worker),
       suspicion: worker => this.trust.suspicion(worker),
-      runsOn: worker => this.index.of(worker),
+      runsOn: worker => this.index.runsOn(worker),
       priorityOf: other => this.listener.priorityOf(other),
     };
   }
@@ -212,50 +226,59 @@
    * Asks about workers without a ticket, if that may be done. Returns those with
    * room, on which the step may find its place.
    */
-  private ask(
+  private requestAdvice(
     step: stepInstance.StepInstance,
-    terms: job.AdviceTerms,
+    timing: job.AdviceTiming,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
-    facts: placement.WorkerFacts,
+    facts: workerSelection.WorkerFacts,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
     const {definition} = step;
     const withRoom: remoteWorker.RemoteWorker[] = [];
     const others: remoteWorker.RemoteWorker[] = [];
     for (const worker of workers) {
-      if (this.advice.mayRun(step, worker) === false) continue;
-      if (!placement.fitsEmpty(worker, definition)) continue;
-      if (facts.ticket(worker) !== undefined) continue;
-      const eligible = placement.isEligible(worker, definition, facts);
+      if (this.adviceCache.mayRun(step, worker) === false) continue;
+      if (!workerSelection.fitsTotalCapacity(worker, definition)) continue;
+      if (facts.ticketFor(worker) !== undefined) continue;
+      const eligible = workerSelection.isEligible(worker, definition, facts);
       (eligible ? withRoom : others).push(worker);
     }
-    if (this.advice.mayAsk(step, terms)) {
-      this.advice.ask(
+    if (this.adviceCache.canRequest(step, timing)) {
+      this.adviceCache.request(
         step,
-        terms,
-        bestFirst(definition, withRoom),
-        bestFirst(definition, others),
+        timing,
+        sortByPreference(definition, withRoom),
+        sortByPreference(definition, others),
       );
     }
     return withRoom;
   }
 
   /** Asks before the turn of a step comes, so that it need not wait. */
-  private askAhead(
+  private prefetchAdvice(
     step: stepInstance.StepInstance,
     queue: job.Queue,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     now: clock.Milliseconds,
   ): void {
     const {advice} = queue;
-    if (advice === undefined || !this.advice.mayAsk(step, advice)) return;
+    if (advice === undefined || !this.adviceCache.canRequest(step, advice)) {
+      return;
+    }
     const {definition} = step;
     const candidates = workers.filter(worker =>
-      placement.fitsEmpty(worker, definition),
+      workerSelection.fitsTotalCapacity(worker, definition),
     );
-    if (candidates.some(worker => this.advice.ticketFor(step, worker, now))) {
+    if (
+      candidates.some(worker => this.adviceCache.ticketFor(step, worker, now))
+    ) {
       return;
     }
-    this.advice.ask(step, advice, bestFirst(definition, candidates), []);
+    this.adviceCache.request(
+      step,
+      advice,
+      sortByPreference(definition, candidates),
+      [],
+    );
   }
 }
 
@@ -270,25 +293,28 @@
 }
 
 /** Part of the workers' processors that is free, from 0 to 1. */
-function freeShare(workers: ReadonlyArray<remoteWorker.RemoteWorker>): number {
+function freeProcessorShare(
+  workers: ReadonlyArray<remoteWorker.RemoteWorker>,
+): number {
   const free = workers.reduce((sum, worker) => sum + worker.free.processors, 0);
   return free / Math.max(processorsOf(workers), 1);
 }
 
 /** Time before a step's turn at which its advice is asked for. */
-export function adviceLeadMs(terms: job.AdviceTerms): number {
-  return adviceBook.adviceTimeMs(terms) + ADVICE_LEAD_MS;
+export function adviceLeadMs(timing: job.AdviceTiming): number {
+  return adviceCache.longestAdviceCallMs(timing) + ADVICE_LEAD_MS;
 }
 
 /** Workers near the data first, then those with the most room. */
-function bestFirst(
+function sortByPreference(
   step: job.Step,
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
 ): ReadonlyArray<remoteWorker.RemoteWorker> {
-  const near = (worker: remoteWorker.RemoteWorker): number =>
+  const dataLocality = (worker: remoteWorker.RemoteWorker): number =>
     step.dataRack !== undefined && worker.rack === step.dataRack ? 1 : 0;
   return [...workers].sort(
     (left, right) =>
-      near(right) - near(left) || right.free.processors - left.free.processors,
+      dataLocality(right) - dataLocality(left) ||
+      right.free.processors - left.free.processors,
   );
 }
--- a/src/jobs/preemption.ts
+++ b/src/jobs/preemption_planner.ts
@@ -1,17 +1,17 @@
-import * as placement from './placement.js';
+import * as workerSelection from './worker_selection.js';
 import * as resources from '../machines/resources.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
-import type * as task from './task.js';
+import type * as jobTask from './job_task.js';
 
 /** Age from which a run may be interrupted, so that it makes some progress. */
-const LEAST_AGE_MS = 1_000;
+const MINIMUM_RUN_AGE_MS = 1_000;
 
 /** What a plan must know of the runs on workers. */
-export interface PreemptionFacts extends placement.WorkerFacts {
-  runsOn(worker: remoteWorker.RemoteWorker): Iterable<task.Assignment>;
+export interface PreemptionFacts extends workerSelection.WorkerFacts {
+  runsOn(worker: remoteWorker.RemoteWorker): Iterable<jobTask.Assignment>;
   priorityOf(step: stepInstance.StepInstance): number;
 }
 
@@ -19,8 +19,8 @@
  * Room that becomes free for urgent tasks during one pass, so that the same
  * room is not counted on twice.
  */
-export class Preemption {
-  private readonly promised = new Map<
+export class PreemptionPlanner {
+  private readonly claimedRoom = new Map<
     remoteWorker.RemoteWorker,
     resources.Resources
   >();
@@ -38,110 +38,114 @@
     count: number,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: PreemptionFacts,
-  ): ReadonlyArray<task.Assignment> {
-    const victims: task.Assignment[] = [];
+  ): ReadonlyArray<jobTask.Assignment> {
+    const victims: jobTask.Assignment[] = [];
     let left = count;
     for (const worker of workers) {
       if (left === 0) break;
-      if (!mayTake(worker, step.definition, facts)) continue;
-      const plan = this.planOn(worker, step, queue, left, facts);
+      if (!couldRunTask(worker, step.definition, facts)) continue;
+      const plan = this.planOnWorker(worker, step, queue, left, facts);
       victims.push(...plan.victims);
       left -= plan.tasks;
     }
     return victims;
   }
 
-  private planOn(
+  private planOnWorker(
     worker: remoteWorker.RemoteWorker,
     step: stepInstance.StepInstance,
     queue: job.Queue,
     wanted: number,
     facts: PreemptionFacts,
-  ): {tasks: number; victims: ReadonlyArray<task.Assignment>} {
-    const size = placement.chargedSize(step.definition);
+  ): {tasks: number; victims: ReadonlyArray<jobTask.Assignment>} {
+    const size = workerSelection.reservedSize(step.definition);
     const runs = [...facts.runsOn(worker)];
-    let room = this.futureRoom(worker, runs);
+    let room = this.roomAfterStops(worker, runs);
     const candidates = runs
-      .filter(run => this.mayInterrupt(run, queue, facts))
+      .filter(assignment => this.mayInterrupt(assignment, queue, facts))
       .sort(
         (left, right) => sizeOf(left).processors - sizeOf(right).processors,
       );
-    const here = facts.tasksOfStep(worker);
-    const most = (step.definition.maximumPerWorker ?? Infinity) - here;
-    const victims: task.Assignment[] = [];
+    const tasksOnWorker = facts.countTasksOfStep(worker);
+    const taskLimit =
+      (step.definition.maximumPerWorker ?? Infinity) - tasksOnWorker;
+    const victims: jobTask.Assignment[] = [];
     let tasks = 0;
-    while (tasks < Math.min(wanted, most)) {
-      const needed = victimsFor(size, room, candidates);
+    while (tasks < Math.min(wanted, taskLimit)) {
+      const needed = selectVictims(size, room, candidates);
       if (needed === undefined) break;
       for (const victim of needed) room = resources.add(room, sizeOf(victim));
       candidates.splice(0, needed.length);
       victims.push(...needed);
       room = resources.subtract(room, size);
-      this.promise(worker, size);
+      this.claimRoom(worker, size);
       tasks += 1;
     }
     return {tasks, victims};
   }
 
   /** Room once all that is being stopped has ended. */
-  private futureRoom(
+  private roomAfterStops(
     worker: remoteWorker.RemoteWorker,
-    runs: ReadonlyArray<task.Assignment>,
+    runs: ReadonlyArray<jobTask.Assignment>,
   ): resources.Resources {
     let room = worker.free;
-    for (const run of runs) {
-      if (run.phase === 'stopping') room = resources.add(room, sizeOf(run));
+    for (const assignment of runs) {
+      if (assignment.phase === 'stopping') {
+        room = resources.add(room, sizeOf(assignment));
+      }
     }
-    const promised = this.promised.get(worker);
+    const promised = this.claimedRoom.get(worker);
     return promised ? resources.subtract(room, promised) : room;
   }
 
-  private promise(
+  private claimRoom(
     worker: remoteWorker.RemoteWorker,
     size: resources.Resources,
   ): void {
-    const before = this.promised.get(worker) ?? resources.NONE;
-    this.promised.set(worker, resources.add(before, size));
+    const before = this.claimedRoom.get(worker) ?? resources.NONE;
+    this.claimedRoom.set(worker, resources.add(before, size));
   }
 
   private mayInterrupt(
-    run: task.Assignment,
+    assignment: jobTask.Assignment,
     queue: job.Queue,
     facts: PreemptionFacts,
   ): boolean {
-    const {definition} = run.target.step;
+    const {definition} = assignment.jobTask.step;
     return (
-      run.phase === 'running' &&
-      run.seen &&
+      assignment.phase === 'running' &&
+      assignment.reported &&
       definition.checkpointing &&
       !definition.gang &&
       !definition.longRunning &&
-      facts.priorityOf(run.target.step) > queue.priority &&
-      this.now - run.startedAt >= LEAST_AGE_MS
+      facts.priorityOf(assignment.jobTask.step) > queue.priority &&
+      this.now - assignment.startedAt >= MINIMUM_RUN_AGE_MS
     );
   }
 }
 
-function mayTake(
+function couldRunTask(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
   facts: PreemptionFacts,
 ): boolean {
   return (
-    placement.fitsEmpty(worker, step) && facts.ticket(worker) !== undefined
+    workerSelection.fitsTotalCapacity(worker, step) &&
+    facts.ticketFor(worker) !== undefined
   );
 }
 
-function sizeOf(run: task.Assignment): resources.Resources {
-  return placement.chargedSize(run.target.step.definition);
+function sizeOf(assignment: jobTask.Assignment): resources.Resources {
+  return workerSelection.reservedSize(assignment.jobTask.step.definition);
 }
 
 /** The first runs whose end makes room; undefined when all would not do. */
-function victimsFor(
+function selectVictims(
   size: resources.Resources,
   room: resources.Resources,
-  candidates: ReadonlyArray<task.Assignment>,
-): ReadonlyArray<task.Assignment> | undefined {
+  candidates: ReadonlyArray<jobTask.Assignment>,
+): ReadonlyArray<jobTask.Assignment> | undefined {
   let free = room;
   let count = 0;
   while (!resources.fits(size, free)) {
--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -3,11 +3,11 @@
 
 /** The queues of the newest configuration, and of those before it. */
 export class QueueTable {
-  private configuration: job.CellConfiguration | undefined;
+  private configuration: job.OperatorConfiguration | undefined;
   private readonly byName = new Map<string, job.Queue>();
 
   /** Takes a configuration; false when it is not newer. */
-  update(configuration: job.CellConfiguration): boolean {
+  update(configuration: job.OperatorConfiguration): boolean {
     if (configuration.version <= (this.configuration?.version ?? -1)) {
       return false;
     }
@@ -25,7 +25,7 @@
   }
 
   /** Tells whether a configuration newer than the sender's has no such queue. */
-  isDropped(name: string, senderVersion: number): boolean {
+  isRemoved(name: string, senderVersion: number): boolean {
     const {configuration} = this;
     if (configuration === undefined) return false;
     if (configuration.version <= senderVersion) return false;
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -1,24 +1,24 @@
-import * as task from './task.js';
+import * as jobTask from './job_task.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as dispatcher from './dispatcher.js';
-import type * as jobBook from './job_book.js';
+import type * as jobTable from './job_table.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
 /** Hears how runs end. */
 export interface RunListener {
   /** A run ended for good or ill; its room is free. */
-  ended(
-    target: task.Task,
+  runEnded(
+    task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
     run: number,
-    how: string,
+    endKind: string,
   ): void;
 }
 
 /** Position of a task: its job, occurrence, step and index. */
-function parseName(
+function parseTaskName(
   name: string,
 ): {id: string; occurrence: number; step: number; index: number} | undefined {
   const match = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/.exec(name);
@@ -35,22 +35,23 @@
 /** Brings the book of jobs in line with what workers report. */
 export class RunTracker {
   constructor(
-    private readonly book: jobBook.JobBook,
+    private readonly jobTable: jobTable.JobTable,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: RunListener,
   ) {}
 
   /** Finds a task by its name. */
-  find(name: string): task.Task | undefined {
-    const parsed = parseName(name);
+  findTask(name: string): jobTask.JobTask | undefined {
+    const parsed = parseTaskName(name);
     if (parsed === undefined) return undefined;
-    const record = this.book.get(parsed.id);
+    const record = this.jobTable.get(parsed.id);
     if (record === undefined) return undefined;
     let instance: stepInstance.StepInstance | undefined;
     while (
-      (instance = record.step(parsed.occurrence, parsed.step)) === undefined &&
-      record.nextDueAtMs !== Infinity
+      (instance = record.stepAt(parsed.occurrence, parsed.step)) ===
+        undefined &&
+      record.nextDueUnixMs !== Infinity
     ) {
       record.openOccurrence();
     }
@@ -58,64 +59,68 @@
   }
 
   /** Takes a report that was asked for at `sentAt`. */
-  take(
+  applyReport(
     worker: remoteWorker.RemoteWorker,
     report: remoteWorker.WorkerReport,
     sentAt: clock.Milliseconds,
     now: clock.Milliseconds,
   ): void {
-    for (const row of report.running) this.takeRunning(worker, row, now);
-    this.takeEnds(worker, report.ended, now);
-    this.settleStops(worker, report, sentAt);
+    for (const row of report.running) this.applyRunning(worker, row, now);
+    this.applyEnded(worker, report.ended, now);
+    this.confirmStops(worker, report, sentAt);
   }
 
   /** Everything that ran on a worker is over. */
-  loseAll(worker: remoteWorker.RemoteWorker, how: 'lapsed' | 'lost'): void {
-    for (const assignment of [...this.index.of(worker)]) {
-      this.end(assignment, how);
+  endAll(worker: remoteWorker.RemoteWorker, endKind: 'lapsed' | 'lost'): void {
+    for (const assignment of [...this.index.runsOn(worker)]) {
+      this.end(assignment, endKind);
     }
   }
 
   /** Frees a run that surely did not start. */
-  drop(assignment: task.Assignment): void {
+  release(assignment: jobTask.Assignment): void {
     this.index.remove(assignment);
   }
 
-  private takeRunning(
+  private applyRunning(
     worker: remoteWorker.RemoteWorker,
     row: remoteWorker.RunningRow,
     now: clock.Milliseconds,
   ): void {
-    const target = this.find(row.task);
+    const task = this.findTask(row.task);
     // The job was dropped, or another system's task: the lease ends it.
-    if (target === undefined) return;
+    if (task === undefined) return;
     const assignment =
-      target.find(worker, row.run) ?? this.adopt(target, worker, row.run, now);
-    assignment.seen = true;
+      task.find(worker, row.run) ?? this.adopt(task, worker, row.run, now);
+    assignment.reported = true;
     if (assignment.phase === 'starting') assignment.phase = 'running';
-    if (row.percent > assignment.percent) assignment.progressAt = now;
-    assignment.percent = row.percent;
-    assignment.usage = row.usage;
-    if (row.checkpoint !== '') target.checkpoint = row.checkpoint;
-    if (target.done || target.step.owner.outcome !== 'open') {
+    if (row.percent > assignment.progressPercent) assignment.progressedAt = now;
+    assignment.progressPercent = row.percent;
+    assignment.reportedUsage = row.usage;
+    if (row.checkpoint !== '') task.checkpoint = row.checkpoint;
+    if (task.done || task.step.owner.outcome !== 'open') {
       this.dispatcher.stop(assignment);
     }
   }
 
   /** Takes over a run that an earlier term started. */
   private adopt(
-    target: task.Task,
+    task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
     run: number,
     now: clock.Milliseconds,
-  ): task.Assignment {
-    const {step} = target;
-    const assignment = new task.Assignment(target, worker, run, undefined, now);
-    assignment.phase = 'running';
-    target.lastRun = Math.max(target.lastRun, run);
-    const running = target.assignments.some(
-      other => other.phase !== 'stopping',
+  ): jobTask.Assignment {
+    const {step} = task;
+    const assignment = new jobTask.Assignment(
+      task,
+      worker,
+      run,
+      undefined,
+      now,
     );
+    assignment.phase = 'running';
+    task.highestRun = Math.max(task.highestRun, run);
+    const running = task.assignments.some(other => other.phase !== 'stopping');
     this.index.add(assignment);
     step.owner.started = true;
     if (running && !step.definition.duplicatesAllowed) {
@@ -124,52 +129,52 @@
     return assignment;
   }
 
-  private takeEnds(
+  private applyEnded(
     worker: remoteWorker.RemoteWorker,
     ended: ReadonlyArray<remoteWorker.EndedRow>,
     now: clock.Milliseconds,
   ): void {
-    const touched = new Set<task.Task>();
+    const affectedTasks = new Set<jobTask.JobTask>();
     let highest = worker.endsHandled;
     for (const row of ended) {
       if (row.number <= worker.endsHandled) continue;
       highest = Math.max(highest, row.number);
-      const target = this.find(row.task);
-      if (target === undefined) continue;
-      touched.add(target);
-      if (row.checkpoint !== '' && !target.done) {
-        target.checkpoint = row.checkpoint;
+      const task = this.findTask(row.task);
+      if (task === undefined) continue;
+      affectedTasks.add(task);
+      if (row.checkpoint !== '' && !task.done) {
+        task.checkpoint = row.checkpoint;
       }
-      target.lastRun = Math.max(target.lastRun, row.run);
-      const assignment = target.find(worker, row.run);
+      task.highestRun = Math.max(task.highestRun, row.run);
+      const assignment = task.find(worker, row.run);
       if (assignment !== undefined) {
         const tookMs = now - assignment.startedAt;
-        if (row.how === 'done') target.step.noteDuration(tookMs);
-        this.drop(assignment);
+        if (row.how === 'done') task.step.recordDuration(tookMs);
+        this.release(assignment);
       }
-      this.listener.ended(target, worker, row.run, row.how);
+      this.listener.runEnded(task, worker, row.run, row.how);
     }
     if (highest === worker.endsHandled) return;
     worker.endsHandled = highest;
-    this.storeEnds(worker, highest, touched);
+    this.storeEnds(worker, highest, affectedTasks);
   }
 
   /** A worker may forget its ends once all of their jobs are stored. */
   private storeEnds(
     worker: remoteWorker.RemoteWorker,
     highest: number,
-    touched: ReadonlySet<task.Task>,
+    affectedTasks: ReadonlySet<jobTask.JobTask>,
   ): void {
-    const records = new Set([...touched].map(target => target.step.owner));
-    let open = records.size;
+    const records = new Set([...affectedTasks].map(task => task.step.owner));
+    let unstoredCount = records.size;
     const stored = (): void => {
       worker.endsStored = Math.max(worker.endsStored, highest);
     };
-    if (open === 0) stored();
+    if (unstoredCount === 0) stored();
     for (const record of records) {
-      this.book.store(record, () => {
-        open -= 1;
-        if (open === 0) stored();
+      this.jobTable.store(record, () => {
+        unstoredCount -= 1;
+        if (unstoredCount === 0) stored();
       });
     }
   }
@@ -178,7 +183,7 @@
    * A stop that was answered while the run was not listed rules the run out:
    * a later start of it is refused. A report asked for after that shows it.
    */
-  private settleStops(
+  private confirmStops(
     worker: remoteWorker.RemoteWorker,
     report: remoteWorker.WorkerReport,
     sentAt: clock.Milliseconds,
@@ -186,18 +191,18 @@
     const listed = new Set(
       [...report.running, ...report.ended].map(row => `${row.task}/${row.run}`),
     );
-    for (const assignment of [...this.index.of(worker)]) {
+    for (const assignment of [...this.index.runsOn(worker)]) {
       const ruledOut =
         assignment.phase === 'stopping' &&
-        assignment.stopSettledAt <= sentAt &&
+        assignment.stopConfirmedAt <= sentAt &&
         !listed.has(`${assignment.task}/${assignment.run}`);
       if (ruledOut) this.end(assignment, 'stopped');
     }
   }
 
-  private end(assignment: task.Assignment, how: string): void {
-    this.drop(assignment);
-    const {target, worker, run} = assignment;
-    this.listener.ended(target, worker, run, how);
+  private end(assignment: jobTask.Assignment, endKind: string): void {
+    this.release(assignment);
+    const {jobTask: task, worker, run} = assignment;
+    this.listener.runEnded(task, worker, run, endKind);
   }
 }
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -1,4 +1,4 @@
-import type * as adviceBook from './advice_book.js';
+import type * as adviceCache from './advice_cache.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
 import type * as workerCalls from '../machines/worker_calls.js';
@@ -19,7 +19,7 @@
 }
 
 /** Times that the platform promises or asks for. */
-export interface Bounds {
+export interface RetentionTimes {
   /** States are kept for this long after the end of a job. */
   readonly stateKeptMs: number;
 }
@@ -30,15 +30,15 @@
   readonly term: number;
   readonly clock: clock.Clock;
   readonly wallClock: () => number;
-  readonly bounds: Bounds;
-  readonly journal: jobJournal.JournalStore;
-  readonly workers: workerCalls.WorkerCalls;
-  readonly advice: adviceBook.AdviceCalls;
+  readonly retentionTimes: RetentionTimes;
+  readonly journalStore: jobJournal.JobJournalStore;
+  readonly workerCalls: workerCalls.WorkerCalls;
+  readonly adviceClient: adviceCache.AdviceClient;
   readonly pauses: jobJournal.Pauses;
   readonly log: EventLog;
   readonly counters: Counters;
   /** Tells whether this process still has proof that it may lead. */
-  readonly mayExtend: () => boolean;
+  readonly mayGrantLeases: () => boolean;
   /** A later term exists. */
   readonly onSuperseded: (reason: string) => void;
   /** Runs a placement pass after the present turn. */
--- a/src/jobs/step_instance.ts
+++ b/src/jobs/step_instance.ts
@@ -1,14 +1,14 @@
-import * as task from './task.js';
+import * as jobTask from './job_task.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
 
 /** One step of one occurrence of a job. */
 export class StepInstance {
-  readonly tasks: ReadonlyArray<task.Task>;
+  readonly tasks: ReadonlyArray<jobTask.JobTask>;
   /** When the step's turn came, once it has. */
   readyAt: clock.Milliseconds | undefined;
-  private doneTasks = 0;
+  private doneTaskCount = 0;
   private readonly durationsMs: number[] = [];
 
   constructor(
@@ -19,7 +19,8 @@
   ) {
     this.tasks = Array.from(
       {length: definition.count},
-      (_unused, index) => new task.Task(this, index, `${this.name}.${index}`),
+      (_unused, index) =>
+        new jobTask.JobTask(this, index, `${this.name}.${index}`),
     );
   }
 
@@ -29,27 +30,27 @@
   }
 
   get done(): boolean {
-    return this.doneTasks === this.tasks.length;
+    return this.doneTaskCount === this.tasks.length;
   }
 
   get doneCount(): number {
-    return this.doneTasks;
+    return this.doneTaskCount;
   }
 
   /** Marks one task as done; a second call for it does nothing. */
-  finish(target: task.Task): void {
-    if (target.done) return;
-    target.done = true;
-    this.doneTasks += 1;
+  markDone(task: jobTask.JobTask): void {
+    if (task.done) return;
+    task.done = true;
+    this.doneTaskCount += 1;
   }
 
   /** Notes how long a task took that succeeded. */
-  noteDuration(milliseconds: number): void {
+  recordDuration(milliseconds: number): void {
     this.durationsMs.push(milliseconds);
   }
 
   /** Median duration once a share of the tasks is done; undefined before. */
-  usualDurationMs(doneShare: number): number | undefined {
+  medianDurationMs(doneShare: number): number | undefined {
     const {length} = this.durationsMs;
     if (length === 0 || length < doneShare * this.tasks.length) {
       return undefined;
@@ -59,13 +60,13 @@
   }
 
   /** Part of the work that its least advanced task has left, 0 to 1. */
-  shareLeft(): number {
+  remainingShare(): number {
     let left = 0;
-    for (const target of this.tasks) {
-      if (target.done) continue;
+    for (const task of this.tasks) {
+      if (task.done) continue;
       const percent = Math.max(
         0,
-        ...target.assignments.map(run => run.percent),
+        ...task.assignments.map(assignment => assignment.progressPercent),
       );
       left = Math.max(left, 1 - percent / 100);
     }
@@ -73,12 +74,12 @@
   }
 
   /** When the last task ends if all take so long; Infinity while one waits. */
-  expectedEnd(runtimeMs: number): clock.Milliseconds {
+  expectedEndAt(runtimeMs: number): clock.Milliseconds {
     let latest = -Infinity;
-    for (const target of this.tasks) {
-      if (target.done) continue;
-      if (target.assignments.length === 0) return Infinity;
-      const [first] = target.assignments;
+    for (const task of this.tasks) {
+      if (task.done) continue;
+      if (task.assignments.length === 0) return Infinity;
+      const [first] = task.assignments;
       const end = first.startedAt + runtimeMs;
       latest = Math.max(latest, end);
     }
--- a/src/jobs/work_order.ts
+++ b/src/jobs/step_ordering.ts
@@ -1,4 +1,4 @@
-import * as adviceBook from './advice_book.js';
+import * as adviceCache from './advice_cache.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
@@ -11,33 +11,33 @@
 }
 
 /** Times the objective until which a job still earns part of its worth. */
-const LATE_FACTOR = 3;
+const WORTHLESS_OBJECTIVE_FACTOR = 3;
 
 /** Predicts the runtime of a step's tasks. */
-export type Predict = (step: stepInstance.StepInstance) => number;
+export type RuntimePredictor = (step: stepInstance.StepInstance) => number;
 
 /** Part of the objective by which a prediction may be off. */
-const TOLERANCE = 0.2;
+const PREDICTION_TOLERANCE_SHARE = 0.2;
 
 /** How long a job may take to count as on time. */
-export function objectiveOf(
+export function objectiveMsOf(
   record: jobRecord.JobRecord,
   queue: job.Queue,
-  predict: Predict,
+  predict: RuntimePredictor,
 ): number {
-  const chain = longestChain(record, queue, predict);
+  const chain = criticalPathMs(record, queue, predict);
   return queue.stretch * chain + queue.objectiveMs;
 }
 
 /** Longest chain of work through the steps of the first occurrence. */
-function longestChain(
+function criticalPathMs(
   record: jobRecord.JobRecord,
   queue: job.Queue,
-  durationOf: Predict,
+  durationOf: RuntimePredictor,
 ): number {
   const ends: number[] = [];
   const {advice} = queue;
-  const adviceMs = advice ? adviceBook.adviceTimeMs(advice) : 0;
+  const adviceMs = advice ? adviceCache.longestAdviceCallMs(advice) : 0;
   for (const step of record.steps.slice(0, record.definition.steps.length)) {
     const {after} = step.definition;
     const start = Math.max(0, ...after.map(before => ends[before] ?? 0));
@@ -48,18 +48,21 @@
 }
 
 /** What is left of the longest chain when all that waits started now. */
-function remainingMs(
+function remainingCriticalPathMs(
   record: jobRecord.JobRecord,
   queue: job.Queue,
-  predict: Predict,
+  predict: RuntimePredictor,
 ): number {
   const left = (step: stepInstance.StepInstance): number =>
-    step.done ? 0 : predict(step) * step.shareLeft();
-  return longestChain(record, {...queue, advice: undefined}, left);
+    step.done ? 0 : predict(step) * step.remainingShare();
+  return criticalPathMs(record, {...queue, advice: undefined}, left);
 }
 
 /** Processor time that a job still needs, in thousandths of a core-ms. */
-function workLeft(record: jobRecord.JobRecord, predict: Predict): number {
+function remainingWork(
+  record: jobRecord.JobRecord,
+  predict: RuntimePredictor,
+): number {
   let work = 0;
   for (const step of record.steps) {
     const tasks = step.tasks.length - step.doneCount;
@@ -73,7 +76,7 @@
   /** The queue's priority, raised for jobs that have missed their time. */
   readonly rank: number;
   /** Due time, put off by the room that the job needs. */
-  readonly turn: clock.Milliseconds;
+  readonly effectiveDueAt: clock.Milliseconds;
   readonly onTime: boolean;
 }
 
@@ -88,48 +91,49 @@
  * A late job earns a fraction of its worth: it goes behind the next queue's
  * jobs that are on time, but before those of the queue after that.
  */
-const LATE_RANKS = 1.5;
+const LATE_RANK_PENALTY = 1.5;
 
 /** Ranks by which a job that earns nothing any more goes behind the others. */
-const WORTHLESS_RANKS = 100;
+const WORTHLESS_RANK_PENALTY = 100;
 
 /** Rates a job by its queue and by the time that it has left. */
 export function urgencyOf(
   record: jobRecord.JobRecord,
   queue: job.Queue,
   now: clock.Milliseconds,
-  predict: Predict,
+  predict: RuntimePredictor,
   processors: number,
 ): Urgency {
   const {priority} = queue;
   if (record.longRunning) {
-    return {rank: priority, turn: record.arrivedAt, onTime: true};
+    return {rank: priority, effectiveDueAt: record.arrivedAt, onTime: true};
   }
-  const objective = objectiveOf(record, queue, predict);
+  const objective = objectiveMsOf(record, queue, predict);
   const dueAt = record.arrivedAt + objective;
-  const spanMs = workLeft(record, predict) / Math.max(processors, 1);
+  const spanMs = remainingWork(record, predict) / Math.max(processors, 1);
   const turn = dueAt + SIZE_WEIGHT * spanMs;
-  const endsAt = now + remainingMs(record, queue, predict);
-  if (endsAt <= dueAt + TOLERANCE * objective) {
-    return {rank: priority, turn, onTime: true};
+  const endsAt = now + remainingCriticalPathMs(record, queue, predict);
+  if (endsAt <= dueAt + PREDICTION_TOLERANCE_SHARE * objective) {
+    return {rank: priority, effectiveDueAt: turn, onTime: true};
   }
-  const worthless = endsAt - record.arrivedAt > objective * LATE_FACTOR;
-  const ranks = worthless ? WORTHLESS_RANKS : LATE_RANKS;
-  return {rank: priority + ranks, turn, onTime: false};
+  const worthless =
+    endsAt - record.arrivedAt > objective * WORTHLESS_OBJECTIVE_FACTOR;
+  const ranks = worthless ? WORTHLESS_RANK_PENALTY : LATE_RANK_PENALTY;
+  return {rank: priority + ranks, effectiveDueAt: turn, onTime: false};
 }
 
 /** A step and how urgent its job is. */
-export interface RatedStep extends WaitingStep {
+export interface PrioritizedStep extends WaitingStep {
   readonly urgency: Urgency;
 }
 
 /** Sorts steps by the urgency of their jobs. */
-export function orderSteps(
+export function sortByUrgency(
   waiting: ReadonlyArray<WaitingStep>,
   now: clock.Milliseconds,
-  predict: Predict,
+  predict: RuntimePredictor,
   processorsOf: (service: string) => number,
-): ReadonlyArray<RatedStep> {
+): ReadonlyArray<PrioritizedStep> {
   const rated = waiting.map(({step, queue}) => ({
     step,
     queue,
@@ -144,6 +148,6 @@
   return rated.sort(
     (left, right) =>
       left.urgency.rank - right.urgency.rank ||
-      left.urgency.turn - right.urgency.turn,
+      left.urgency.effectiveDueAt - right.urgency.effectiveDueAt,
   );
 }
--- a/src/jobs/worker_roll.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -1,17 +1,17 @@
 import type * as assignmentIndex from './assignment_index.js';
-import type * as earlierRuns from './earlier_runs.js';
+import type * as runRecovery from './run_recovery.js';
 import type * as jobJournal from './job_journal.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerTable from './worker_table.js';
 
 /**
  * Keeps the stored list of workers true: a worker is stored as open before
  * anything starts there, and with the jobs that it runs once nothing more
  * does. A successor that can't find it then knows which jobs have to wait.
  */
-export class WorkerRoll {
+export class StoredWorkerList {
   /** Workers that the store holds as closed, or that are being closed. */
-  private readonly closed = new Set<remoteWorker.RemoteWorker>();
+  private readonly closedWorkers = new Set<remoteWorker.RemoteWorker>();
   /** What earlier terms stored of workers that have not reported to this. */
   private inherited: ReadonlyMap<
     remoteWorker.RemoteWorker,
@@ -20,14 +20,14 @@
   private writing = false;
 
   constructor(
-    private readonly workers: workerBook.WorkerBook,
+    private readonly workers: workerTable.WorkerTable,
     private readonly index: assignmentIndex.AssignmentIndex,
-    private readonly journal: jobJournal.JournalWriter,
-    private readonly onOpened: () => void,
+    private readonly journal: jobJournal.JobJournal,
+    private readonly onStored: () => void,
   ) {}
 
   /** Takes over what earlier terms stored. */
-  inherit(earlier: ReadonlyArray<earlierRuns.EarlierWorker>): void {
+  inherit(earlier: ReadonlyArray<runRecovery.InheritedWorker>): void {
     this.inherited = new Map(
       earlier.map(({worker, closedJobs}) => [worker, closedJobs]),
     );
@@ -54,37 +54,39 @@
       () => {
         const all = this.workers.all();
         opened = all.filter(worker => worker.takesTasks);
-        for (const worker of all) this.mark(worker);
+        for (const worker of all) this.markAsSent(worker);
         return {
           kind: 'workers',
-          workers: all.map(worker => this.known(worker)),
+          workers: all.map(worker => this.storedWorker(worker)),
         };
       },
       () => {
         this.writing = false;
         for (const worker of opened) {
-          worker.recorded = !this.closed.has(worker);
+          worker.recorded = !this.closedWorkers.has(worker);
         }
-        this.onOpened();
+        this.onStored();
       },
     );
   }
 
   private isClosed(worker: remoteWorker.RemoteWorker): boolean {
-    return !worker.takesTasks && this.closed.has(worker);
+    return !worker.takesTasks && this.closedWorkers.has(worker);
   }
 
   /** From the moment a worker is sent as closed, nothing starts there. */
-  private mark(worker: remoteWorker.RemoteWorker): void {
+  private markAsSent(worker: remoteWorker.RemoteWorker): void {
     if (worker.takesTasks) {
-      this.closed.delete(worker);
+      this.closedWorkers.delete(worker);
       return;
     }
-    this.closed.add(worker);
+    this.closedWorkers.add(worker);
     worker.recorded = false;
   }
 
-  private known(worker: remoteWorker.RemoteWorker): jobJournal.KnownWorker {
+  private storedWorker(
+    worker: remoteWorker.RemoteWorker,
+  ): jobJournal.StoredWorker {
     const {entry} = worker;
     if (worker.takesTasks) return {entry};
     // Only a report shows which runs of earlier terms are there.
@@ -92,8 +94,8 @@
       return {entry, closedJobs: this.inherited.get(worker)};
     }
     const jobs = new Set<string>();
-    for (const {target} of this.index.of(worker)) {
-      jobs.add(target.step.owner.definition.id);
+    for (const {jobTask: task} of this.index.runsOn(worker)) {
+      jobs.add(task.step.owner.definition.id);
     }
     return {entry, closedJobs: [...jobs]};
   }
--- a/src/jobs/worker_lives.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -1,26 +1,26 @@
-import * as workerRoll from './worker_roll.js';
+import * as storedWorkerList from './stored_worker_list.js';
 import * as workerSession from '../machines/worker_session.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
-import type * as earlierRuns from './earlier_runs.js';
+import type * as runRecovery from './run_recovery.js';
 import type * as jobJournal from './job_journal.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as runTracker from './run_tracker.js';
 import type * as schedulerOptions from './scheduler_options.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerTable from './worker_table.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
 /** What the lives of workers touch. */
-export interface LivesParts {
+export interface WorkerLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
-  readonly workers: workerBook.WorkerBook;
+  readonly workers: workerTable.WorkerTable;
   readonly index: assignmentIndex.AssignmentIndex;
-  readonly journal: jobJournal.JournalWriter;
+  readonly journal: jobJournal.JobJournal;
   readonly tracker: runTracker.RunTracker;
   readonly trust: workerTrust.WorkerTrust;
   readonly leaseMs: number;
   /** After this time no run of an earlier term that was not found is left. */
-  readonly earlierRunsOverAt: clock.Milliseconds;
+  readonly earlierLeasesExpireAt: clock.Milliseconds;
   readonly requestPass: () => void;
   /** A worker reported; what runs there is known. */
   readonly onReport: (worker: remoteWorker.RemoteWorker) => void;
@@ -32,17 +32,22 @@
 type EndReason = 'replaced' | 'otherLife' | 'gone';
 
 /** Follows each worker from its first listing to its end. */
-export class WorkerLives implements workerSession.SessionListener {
+export class WorkerLifecycle implements workerSession.SessionListener {
   private readonly sessions = new Map<
     remoteWorker.RemoteWorker,
     workerSession.WorkerSession
   >();
-  private readonly roll: workerRoll.WorkerRoll;
+  private readonly storedList: storedWorkerList.StoredWorkerList;
   private started = false;
 
-  constructor(private readonly parts: LivesParts) {
-    const {workers, index, journal, requestPass} = parts;
-    this.roll = new workerRoll.WorkerRoll(workers, index, journal, requestPass);
+  constructor(private readonly dependencies: WorkerLifecycleDependencies) {
+    const {workers, index, journal, requestPass} = dependencies;
+    this.storedList = new storedWorkerList.StoredWorkerList(
+      workers,
+      index,
+      journal,
+      requestPass,
+    );
   }
 
   /**
@@ -50,20 +55,20 @@
    * which makes sense only once the jobs are known.
    */
   start(
-    stored: ReadonlyArray<jobJournal.KnownWorker>,
-  ): ReadonlyArray<earlierRuns.EarlierWorker> {
-    const {workers, options} = this.parts;
+    stored: ReadonlyArray<jobJournal.StoredWorker>,
+  ): ReadonlyArray<runRecovery.InheritedWorker> {
+    const {workers, options} = this.dependencies;
     const now = options.clock.now();
     const earlier = stored
       .filter(({entry}) => !workers.isReplaced(entry))
       .map(({entry, closedJobs}) => ({
-        worker: workers.addKnown(entry, now),
+        worker: workers.addInherited(entry, now),
         closedJobs,
       }));
     this.started = true;
-    this.roll.inherit(earlier);
-    for (const worker of workers.all()) this.follow(worker);
-    this.roll.store();
+    this.storedList.inherit(earlier);
+    for (const worker of workers.all()) this.openSession(worker);
+    this.storedList.store();
     return earlier;
   }
 
@@ -76,26 +81,29 @@
 
   /** Takes the registry's present list. */
   update(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
-    const {workers, options, requestPass} = this.parts;
-    const {joined, replaced} = workers.apply(entries, options.clock.now());
-    for (const worker of replaced) this.endLife(worker, 'replaced');
-    for (const worker of joined) this.follow(worker);
-    if (this.started && joined.length > 0) this.roll.store();
+    const {workers, options, requestPass} = this.dependencies;
+    const {joined, replaced} = workers.applyRegistryList(
+      entries,
+      options.clock.now(),
+    );
+    for (const worker of replaced) this.endIncarnation(worker, 'replaced');
+    for (const worker of joined) this.openSession(worker);
+    if (this.started && joined.length > 0) this.storedList.store();
     requestPass();
   }
 
   /** Ends leases and lives that are over by now, and keeps the roll true. */
   review(now: clock.Milliseconds): void {
-    for (const worker of this.parts.workers.all()) {
-      if (worker.unreachable) this.reviewSilent(worker, now);
+    for (const worker of this.dependencies.workers.all()) {
+      if (worker.unreachable) this.reviewUnreachable(worker, now);
     }
     // Any change shows whether the store is back; this one does no harm.
-    if (this.parts.journal.needsProbe) this.roll.store();
-    this.roll.update();
+    if (this.dependencies.journal.needsProbe) this.storedList.store();
+    this.storedList.update();
   }
 
   mayExtend(): boolean {
-    return this.started && this.parts.options.mayExtend();
+    return this.started && this.dependencies.options.mayGrantLeases();
   }
 
   reported(
@@ -104,29 +112,32 @@
     sentAt: clock.Milliseconds,
   ): void {
     if (!this.started) return;
-    const now = this.parts.options.clock.now();
-    this.parts.tracker.take(worker, report, sentAt, now);
-    this.parts.onReport(worker);
+    const now = this.dependencies.options.clock.now();
+    this.dependencies.tracker.applyReport(worker, report, sentAt, now);
+    this.dependencies.onReport(worker);
   }
 
   silent(worker: remoteWorker.RemoteWorker): void {
-    this.parts.options.counters.count('worker_silent', worker.entry.zone);
+    this.dependencies.options.counters.count(
+      'worker_silent',
+      worker.entry.zone,
+    );
   }
 
   lifeEnded(worker: remoteWorker.RemoteWorker): void {
-    if (this.started) this.endLife(worker, 'otherLife');
+    if (this.started) this.endIncarnation(worker, 'otherLife');
   }
 
   superseded(): void {
-    if (this.started) this.parts.options.onSuperseded('worker');
+    if (this.started) this.dependencies.options.onSuperseded('worker');
   }
 
-  private follow(worker: remoteWorker.RemoteWorker): void {
+  private openSession(worker: remoteWorker.RemoteWorker): void {
     if (!this.started || this.sessions.has(worker)) return;
-    const {options, leaseMs} = this.parts;
+    const {options, leaseMs} = this.dependencies;
     const session = new workerSession.WorkerSession(
       worker,
-      options.workers,
+      options.workerCalls,
       this,
       options.clock,
       options.term,
@@ -137,14 +148,14 @@
     void session.run();
   }
 
-  private reviewSilent(
+  private reviewUnreachable(
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
   ): void {
-    const {options, tracker, earlierRunsOverAt} = this.parts;
+    const {options, tracker, earlierLeasesExpireAt} = this.dependencies;
     const emptied = worker.adopted && !worker.listed && worker.runCount === 0;
     if (emptied) {
-      this.endLife(worker, 'gone');
+      this.endIncarnation(worker, 'gone');
       return;
     }
     if (worker.leaseOverAt() > now) return;
@@ -153,14 +164,17 @@
         worker: worker.id,
         runs: worker.runCount,
       });
-      tracker.loseAll(worker, 'lapsed');
+      tracker.endAll(worker, 'lapsed');
     }
-    const neverReached = !worker.adopted && now < earlierRunsOverAt;
-    if (!worker.listed && !neverReached) this.endLife(worker, 'gone');
+    const neverReached = !worker.adopted && now < earlierLeasesExpireAt;
+    if (!worker.listed && !neverReached) this.endIncarnation(worker, 'gone');
   }
 
-  private endLife(worker: remoteWorker.RemoteWorker, reason: EndReason): void {
-    const {options, workers, trust, tracker, onEnded} = this.parts;
+  private endIncarnation(
+    worker: remoteWorker.RemoteWorker,
+    reason: EndReason,
+  ): void {
+    const {options, workers, trust, tracker, onEnded} = this.dependencies;
     this.sessions.get(worker)?.close();
     this.sessions.delete(worker);
     workers.remove(worker);
@@ -170,9 +184,9 @@
       reason,
       runs: worker.runCount,
     });
-    tracker.loseAll(worker, 'lost');
+    tracker.endAll(worker, 'lost');
     onEnded(worker);
     // A successor would wait for the leases of a worker that it can't find.
-    if (this.started) this.roll.store();
+    if (this.started) this.storedList.store();
   }
 }
--- a/src/jobs/placement.ts
+++ b/src/jobs/worker_selection.ts
@@ -5,7 +5,7 @@
 import type * as stepInstance from './step_instance.js';
 
 /** Cost of a rack without the step's data, in shares of a worker. */
-const FAR_RACK_COST = 2;
+const REMOTE_RACK_COST = 2;
 
 /** Cost of a worker that surely fails what it runs. */
 const SUSPICION_COST = 4;
@@ -13,31 +13,31 @@
 /** Answers what placement must know of a worker beside its room. */
 export interface WorkerFacts {
   /** A ticket, or the empty string where none is needed. */
-  ticket(worker: remoteWorker.RemoteWorker): string | undefined;
+  ticketFor(worker: remoteWorker.RemoteWorker): string | undefined;
   /** Tasks of the step that run on the worker. */
-  tasksOfStep(worker: remoteWorker.RemoteWorker): number;
+  countTasksOfStep(worker: remoteWorker.RemoteWorker): number;
   /** Serving tasks with a target of response times on the worker. */
-  servingTasks(worker: remoteWorker.RemoteWorker): number;
+  countServingTasks(worker: remoteWorker.RemoteWorker): number;
   /** Tasks on the worker that use idle capacity. */
-  idleCapacityTasks(worker: remoteWorker.RemoteWorker): number;
+  countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number;
   /** How likely the worker is to fail what it runs, from 0 to 1. */
   suspicion(worker: remoteWorker.RemoteWorker): number;
 }
 
 /** A place for one task. */
-export interface Place {
+export interface SelectedWorker {
   readonly worker: remoteWorker.RemoteWorker;
   readonly ticket: string | undefined;
 }
 
 /** What a task of a step counts against a worker's room. */
-export function chargedSize(step: job.Step): resources.Resources {
+export function reservedSize(step: job.Step): resources.Resources {
   if (!step.usesIdleCapacity) return step.size;
   return {...step.size, processors: 0};
 }
 
 /** Tells whether a worker takes new tasks at all. */
-export function isOpen(
+export function isSchedulable(
   worker: remoteWorker.RemoteWorker,
   now: clock.Milliseconds,
 ): boolean {
@@ -56,12 +56,12 @@
 }
 
 /** Tells whether a worker could run a task of the step with the room it has. */
-export function hasRoom(
+export function hasFreeCapacity(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
 ): boolean {
   return (
-    hasLabel(worker, step) && resources.fits(chargedSize(step), worker.free)
+    hasLabel(worker, step) && resources.fits(reservedSize(step), worker.free)
   );
 }
 
@@ -71,17 +71,19 @@
   step: job.Step,
   facts: WorkerFacts,
 ): boolean {
-  return hasRoom(worker, step) && costOf(step, worker, facts) < Infinity;
+  return (
+    hasFreeCapacity(worker, step) && costOf(step, worker, facts) < Infinity
+  );
 }
 
 /** Tells whether a step's task would fit an empty worker. */
-export function fitsEmpty(
+export function fitsTotalCapacity(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
 ): boolean {
   return (
     hasLabel(worker, step) &&
-    resources.fits(chargedSize(step), worker.entry.capacity)
+    resources.fits(reservedSize(step), worker.entry.capacity)
   );
 }
 
@@ -89,18 +91,18 @@
  * Picks the worker for one task: near its data, and otherwise the one that is
  * filled best, so that large tasks find room on the others.
  */
-export function pickWorker(
+export function selectWorker(
   step: stepInstance.StepInstance,
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
   facts: WorkerFacts,
-): Place | undefined {
-  let best: Place | undefined;
+): SelectedWorker | undefined {
+  let best: SelectedWorker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
-    if (!hasRoom(worker, step.definition)) continue;
+    if (!hasFreeCapacity(worker, step.definition)) continue;
     const cost = costOf(step.definition, worker, facts);
     if (cost >= bestCost) continue;
-    const ticket = facts.ticket(worker);
+    const ticket = facts.ticketFor(worker);
     if (ticket === undefined) continue;
     best = {worker, ticket: ticket === '' ? undefined : ticket};
     bestCost = cost;
@@ -113,25 +115,33 @@
   worker: remoteWorker.RemoteWorker,
   facts: WorkerFacts,
 ): number {
-  const here = facts.tasksOfStep(worker);
-  if (step.maximumPerWorker !== undefined && here >= step.maximumPerWorker) {
+  const tasksOnWorker = facts.countTasksOfStep(worker);
+  if (
+    step.maximumPerWorker !== undefined &&
+    tasksOnWorker >= step.maximumPerWorker
+  ) {
     return Infinity;
   }
-  const far = step.dataRack !== undefined && worker.rack !== step.dataRack;
-  let cost = far ? FAR_RACK_COST : 0;
+  const isRemote = step.dataRack !== undefined && worker.rack !== step.dataRack;
+  let cost = isRemote ? REMOTE_RACK_COST : 0;
   cost += SUSPICION_COST * facts.suspicion(worker);
   if (step.usesIdleCapacity) {
-    if (facts.servingTasks(worker) > 0) return Infinity;
+    if (facts.countServingTasks(worker) > 0) return Infinity;
     // Idle processors are what these tasks live on.
     return (
       cost +
       resources.dominantFraction(worker.used, worker.entry.capacity) +
-      facts.idleCapacityTasks(worker)
+      facts.countIdleCapacityTasks(worker)
     );
   }
   if (step.targetMs !== undefined) {
-    cost += FAR_RACK_COST * facts.idleCapacityTasks(worker);
+    cost += REMOTE_RACK_COST * facts.countIdleCapacityTasks(worker);
   }
-  const left = resources.subtract(worker.free, chargedSize(step));
-  return cost + resources.dominantFraction(left, worker.entry.capacity);
+  const freeAfterPlacement = resources.subtract(
+    worker.free,
+    reservedSize(step),
+  );
+  return (
+    cost + resources.dominantFraction(freeAfterPlacement, worker.entry.capacity)
+  );
 }
--- a/src/jobs/worker_book.ts
+++ b/src/jobs/worker_table.ts
@@ -9,19 +9,19 @@
 }
 
 /** All lives of workers on which something may run. */
-export class WorkerBook {
-  private readonly lives = new Map<string, remoteWorker.RemoteWorker>();
+export class WorkerTable {
+  private readonly workers = new Map<string, remoteWorker.RemoteWorker>();
 
   all(): ReadonlyArray<remoteWorker.RemoteWorker> {
-    return [...this.lives.values()];
+    return [...this.workers.values()];
   }
 
   get(id: string): remoteWorker.RemoteWorker | undefined {
-    return this.lives.get(id);
+    return this.workers.get(id);
   }
 
   remove(worker: remoteWorker.RemoteWorker): void {
-    if (this.lives.get(worker.id) === worker) this.lives.delete(worker.id);
+    if (this.workers.get(worker.id) === worker) this.workers.delete(worker.id);
   }
 
   /** Tells whether a later life has begun under the id or on the machine. */
@@ -33,31 +33,31 @@
   }
 
   /** Adds a worker that an earlier term knew, if the registry did not. */
-  addKnown(
+  addInherited(
     entry: remoteWorker.WorkerEntry,
     now: clock.Milliseconds,
   ): remoteWorker.RemoteWorker {
-    const known = this.lives.get(entry.id);
+    const known = this.workers.get(entry.id);
     if (known !== undefined) return known;
     const worker = new remoteWorker.RemoteWorker(entry, now);
     worker.listed = false;
-    this.lives.set(entry.id, worker);
+    this.workers.set(entry.id, worker);
     return worker;
   }
 
   /** Compares with the registry's present list. */
-  apply(
+  applyRegistryList(
     entries: ReadonlyArray<remoteWorker.WorkerEntry>,
     now: clock.Milliseconds,
   ): WorkerChanges {
     const joined: remoteWorker.RemoteWorker[] = [];
     const replaced: remoteWorker.RemoteWorker[] = [];
     const listed = new Set(entries.map(entry => entry.id));
-    for (const worker of this.lives.values()) {
+    for (const worker of this.workers.values()) {
       if (!listed.has(worker.id)) worker.listed = false;
     }
     for (const entry of entries) {
-      const known = this.lives.get(entry.id);
+      const known = this.workers.get(entry.id);
       if (known?.sameLife(entry)) {
         known.update(entry, now);
         continue;
@@ -66,23 +66,23 @@
       if (known && known.entry.born > entry.born) continue;
       if (known) replaced.push(known);
       const worker = new remoteWorker.RemoteWorker(entry, now);
-      this.lives.set(entry.id, worker);
+      this.workers.set(entry.id, worker);
       joined.push(worker);
     }
-    replaced.push(...this.endedOnMachines(joined));
+    replaced.push(...this.removeReplacedOnMachines(joined));
     return {joined, replaced};
   }
 
   /** Earlier lives on machines on which a later one has begun. */
-  private endedOnMachines(
+  private removeReplacedOnMachines(
     joined: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
     const ended: remoteWorker.RemoteWorker[] = [];
     for (const later of joined) {
-      for (const worker of this.lives.values()) {
+      for (const worker of this.workers.values()) {
         if (!onSameMachine(worker.entry, later.entry)) continue;
         if (worker.entry.born >= later.entry.born) continue;
-        this.lives.delete(worker.id);
+        this.workers.delete(worker.id);
         ended.push(worker);
       }
     }
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -3,12 +3,12 @@
 import * as cellMessages from './cell_messages.js';
 import * as cellPb from './generated/cell_pb.js';
 import * as jsonDocument from './json_document.js';
-import type * as submissions from '../jobs/submissions.js';
-import type * as adviceBook from '../jobs/advice_book.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellPeers from '../zones/cell_peers.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from '../jobs/job.js';
-import type * as scheduler from '../jobs/scheduler.js';
+import type * as jobScheduler from '../jobs/job_scheduler.js';
 
 /** Time without calls after which a connection is closed. */
 const IDLE_LIMIT_MS = 30_000;
@@ -58,12 +58,12 @@
   async fetchConfiguration(
     address: string,
     timeoutMs: number,
-  ): Promise<cellPeers.Reached<job.CellConfiguration | undefined>> {
+  ): Promise<cellPeers.Reached<job.OperatorConfiguration | undefined>> {
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.fetchConfiguration({}, options),
     );
     return mapReached(reached, ({document}) =>
-      jsonDocument.decode<job.CellConfiguration>(document).extract(),
+      jsonDocument.decode<job.OperatorConfiguration>(document).extract(),
     );
   }
 
@@ -72,7 +72,7 @@
     definition: job.JobDefinition,
     configurationVersion: number,
     timeoutMs: number,
-  ): Promise<cellPeers.Led<submissions.SubmitOutcome>> {
+  ): Promise<cellPeers.Led<jobAdmission.SubmitOutcome>> {
     const request = {
       definition: jsonDocument.encode(definition),
       configurationVersion: BigInt(configurationVersion),
@@ -88,7 +88,7 @@
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<cellPeers.Led<scheduler.CancelOutcome>> {
+  ): Promise<cellPeers.Led<jobScheduler.CancelOutcome>> {
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.cancel({queue, id}, options),
     );
@@ -125,7 +125,7 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
+  ): Promise<adviceCache.AdviceOutcome> {
     const request = {
       step,
       workerIds: [...workerIds],
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -1,4 +1,4 @@
-import type * as submissions from '../jobs/submissions.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as cellPb from './generated/cell_pb.js';
@@ -23,7 +23,7 @@
   return {term: Number(claim.term), node, incarnation, address};
 }
 
-const REFUSALS: ReadonlySet<string> = new Set<submissions.Refusal>([
+const REFUSALS: ReadonlySet<string> = new Set<jobAdmission.SubmitRefusal>([
   'storeSilent',
   'storeLost',
   'overloaded',
@@ -34,10 +34,10 @@
 /** Decodes the fate of a job that was handed in. */
 export function fromSubmit(
   response: cellPb.SubmitResponse,
-): submissions.SubmitOutcome {
+): jobAdmission.SubmitOutcome {
   if (response.accepted) return {kind: 'accepted'};
   if (response.undecided) return {kind: 'undecided'};
-  const reason = response.refusalReason as submissions.Refusal;
+  const reason = response.refusalReason as jobAdmission.SubmitRefusal;
   return {
     kind: 'refused',
     reason: REFUSALS.has(reason) ? reason : 'notReady',
--- a/src/links/journal_store.ts
+++ b/src/links/journal_store.ts
@@ -18,7 +18,7 @@
 const NOTHING = new Uint8Array(0);
 
 /** Keeps the journal in a keyed topic: two keys a job and one for workers. */
-export class JournalStore implements jobJournal.JournalStore {
+export class JournalStore implements jobJournal.JobJournalStore {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
@@ -31,12 +31,12 @@
     if (outcome.kind !== 'read') return undefined;
     const definitions = new Map<string, job.JobDefinition>();
     const progress = new Map<string, jobRecord.JobProgress>();
-    let workers: ReadonlyArray<jobJournal.KnownWorker> = [];
+    let workers: ReadonlyArray<jobJournal.StoredWorker> = [];
     for (const {key, value} of outcome.records) {
       if (value.length === 0) continue;
       if (key === WORKERS_KEY) {
         workers = jsonDocument
-          .decode<ReadonlyArray<jobJournal.KnownWorker>>(value)
+          .decode<ReadonlyArray<jobJournal.StoredWorker>>(value)
           .orDefault([]);
       } else if (key.startsWith(DEFINITION_PREFIX)) {
         const decoded = jsonDocument.decode<job.JobDefinition>(value);
--- a/src/zones/advice_members.ts
+++ b/src/zones/advice_members.ts
@@ -1,5 +1,5 @@
-import type * as adviceBook from '../jobs/advice_book.js';
-import type * as adviceSpread from '../jobs/advice_spread.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
+import type * as adviceBalancer from '../jobs/advice_balancer.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
@@ -14,7 +14,7 @@
   constructor(
     private readonly clock: clock.Clock,
     /** Asks from the own VM. */
-    private readonly service: adviceBook.AdviceService,
+    private readonly service: adviceCache.AdviceService,
     private readonly peers: cellPeers.CellPeers,
   ) {}
 
@@ -26,7 +26,7 @@
   /** The living ones of `members`, and this process itself. */
   sites(
     members: ReadonlyArray<cellMember.CellMember>,
-  ): ReadonlyArray<adviceSpread.AdviceSite> {
+  ): ReadonlyArray<adviceBalancer.AdviceEndpoint> {
     const now = this.clock.now();
     const alive = members.filter(({address}) => {
       const heardAt = this.heardAt.get(address) ?? -Infinity;
@@ -41,7 +41,7 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
+  ): Promise<adviceCache.AdviceOutcome> {
     return address === undefined
       ? this.service.ask(step, workerIds, timeoutMs)
       : this.peers.advise(address, step, workerIds, timeoutMs);
--- a/src/zones/cell_configuration.ts
+++ b/src/zones/cell_configuration.ts
@@ -12,7 +12,7 @@
   readonly peers: cellPeers.CellPeers;
   readonly log: schedulerOptions.EventLog;
   /** Called with each newer configuration. */
-  readonly onTaken: (configuration: job.CellConfiguration) => void;
+  readonly onTaken: (configuration: job.OperatorConfiguration) => void;
 }
 
 /**
@@ -20,13 +20,13 @@
  * the store gets newer ones, and the proof that there is none, from others.
  */
 export class CellConfiguration {
-  private held: job.CellConfiguration | undefined;
+  private held: job.OperatorConfiguration | undefined;
   private checkedAt: clock.Milliseconds = -Infinity;
   private fetching = false;
 
   constructor(private readonly options: CellConfigurationOptions) {}
 
-  get newest(): job.CellConfiguration | undefined {
+  get newest(): job.OperatorConfiguration | undefined {
     return this.held;
   }
 
@@ -41,7 +41,7 @@
   }
 
   /** The store was read; undefined when the operator has written none. */
-  read(configuration: job.CellConfiguration | undefined): void {
+  read(configuration: job.OperatorConfiguration | undefined): void {
     this.checkedAt = this.options.clock.now();
     if (configuration !== undefined) this.take(configuration);
   }
@@ -69,7 +69,7 @@
     }
   }
 
-  private take(configuration: job.CellConfiguration): void {
+  private take(configuration: job.OperatorConfiguration): void {
     if (configuration.version <= (this.held?.version ?? -1)) return;
     this.held = configuration;
     this.options.onTaken(configuration);
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -1,10 +1,10 @@
-import type * as submissions from '../jobs/submissions.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
-import type * as scheduler from '../jobs/scheduler.js';
+import type * as jobScheduler from '../jobs/job_scheduler.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** What the gateway asks its own process. */
@@ -60,7 +60,7 @@
     definition: job.JobDefinition,
     configurationVersion: number,
     deadline: clock.Milliseconds,
-  ): Promise<GatewayOutcome<submissions.SubmitOutcome>> {
+  ): Promise<GatewayOutcome<jobAdmission.SubmitOutcome>> {
     const startedAt = this.clock.now();
     const patienceMs = STORE_PATIENCE_SHARE * (deadline - startedAt);
     for (;;) {
@@ -91,7 +91,7 @@
     queue: string,
     id: string,
     deadline: clock.Milliseconds,
-  ): Promise<GatewayOutcome<scheduler.CancelOutcome>> {
+  ): Promise<GatewayOutcome<jobScheduler.CancelOutcome>> {
     return this.ask(
       deadline,
       () => this.cell.cancel(queue, id),
@@ -185,7 +185,7 @@
 }
 
 function isStoreSilent(
-  outcome: GatewayOutcome<submissions.SubmitOutcome>,
+  outcome: GatewayOutcome<jobAdmission.SubmitOutcome>,
 ): boolean {
   if (outcome.kind !== 'answered') return false;
   const {value} = outcome;
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,10 +1,10 @@
 import * as adviceMembers from './advice_members.js';
-import * as adviceSpread from '../jobs/advice_spread.js';
+import * as adviceBalancer from '../jobs/advice_balancer.js';
 import * as cellConfiguration from './cell_configuration.js';
 import * as election from './election.js';
-import * as scheduler from '../jobs/scheduler.js';
-import type * as submissions from '../jobs/submissions.js';
-import type * as adviceBook from '../jobs/advice_book.js';
+import * as jobScheduler from '../jobs/job_scheduler.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
@@ -19,13 +19,13 @@
   readonly self: cellMember.CellMember;
   readonly clock: clock.Clock;
   readonly wallClock: () => number;
-  readonly bounds: schedulerOptions.Bounds;
+  readonly bounds: schedulerOptions.RetentionTimes;
   readonly cellLog: cellMember.CellLog;
-  readonly journal: jobJournal.JournalStore;
+  readonly journal: jobJournal.JobJournalStore;
   readonly registry: remoteWorker.WorkerRegistry;
   readonly workers: workerCalls.WorkerCalls;
   /** Asks the advice service from this VM. */
-  readonly advice: adviceBook.AdviceService;
+  readonly advice: adviceCache.AdviceService;
   readonly peers: cellPeers.CellPeers;
   readonly pauses: jobJournal.Pauses;
   readonly log: schedulerOptions.EventLog;
@@ -62,8 +62,8 @@
   private readonly votes: election.Election;
   private readonly held: cellConfiguration.CellConfiguration;
   private readonly adviceMembers: adviceMembers.AdviceMembers;
-  private readonly adviceCalls: adviceSpread.AdviceSpread;
-  private current: scheduler.Scheduler | undefined;
+  private readonly adviceCalls: adviceBalancer.AdviceBalancer;
+  private current: jobScheduler.JobScheduler | undefined;
   private registration: {close(): void} | undefined;
   private logReadAt = -Infinity;
   private joined = false;
@@ -89,14 +89,14 @@
       options.advice,
       options.peers,
     );
-    this.adviceCalls = new adviceSpread.AdviceSpread(
+    this.adviceCalls = new adviceBalancer.AdviceBalancer(
       () => this.adviceMembers.sites(this.votes.peers),
       (...call) => this.adviceMembers.ask(...call),
       options.clock,
     );
   }
 
-  get configuration(): job.CellConfiguration | undefined {
+  get configuration(): job.OperatorConfiguration | undefined {
     return this.held.newest;
   }
 
@@ -115,7 +115,7 @@
   }
 
   /** The scheduler of this process while it leads and knows the jobs. */
-  private get serving(): scheduler.Scheduler | undefined {
+  private get serving(): jobScheduler.JobScheduler | undefined {
     return this.current?.isServing ? this.current : undefined;
   }
 
@@ -138,7 +138,9 @@
   }
 
   /** The operator's newest configuration; undefined when none was written. */
-  configurationRead(configuration: job.CellConfiguration | undefined): void {
+  configurationRead(
+    configuration: job.OperatorConfiguration | undefined,
+  ): void {
     this.held.read(configuration);
   }
 
@@ -179,7 +181,7 @@
       incarnation: this.options.self.incarnation,
       leading: this.serving !== undefined,
       resigning: this.resigning,
-      storeSilentMs: this.current?.storeSilentFor(now) ?? 0,
+      storeSilentMs: this.current?.storeUnansweredMs(now) ?? 0,
       configurationVersion: this.held.version,
       configurationAgeMs: Math.round(this.held.ageMs),
     };
@@ -188,7 +190,7 @@
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
-  ): Promise<submissions.SubmitOutcome> | undefined {
+  ): Promise<jobAdmission.SubmitOutcome> | undefined {
     const {serving} = this;
     if (serving === undefined) return undefined;
     return new Promise(resolve =>
@@ -199,7 +201,7 @@
   cancel(
     queue: string,
     id: string,
-  ): Promise<scheduler.CancelOutcome> | undefined {
+  ): Promise<jobScheduler.CancelOutcome> | undefined {
     const {serving} = this;
     if (serving === undefined) return undefined;
     return new Promise(resolve => serving.cancel(queue, id, resolve));
@@ -215,14 +217,14 @@
   }
 
   countPending(queue: string): number | undefined {
-    return this.serving?.pendingOf(queue);
+    return this.serving?.countPending(queue);
   }
 
   advise(
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
+  ): Promise<adviceCache.AdviceOutcome> {
     return this.options.advice.ask(step, workerIds, timeoutMs);
   }
 
@@ -300,18 +302,18 @@
   private async begin(claim: cellMember.Claim): Promise<void> {
     if (this.current !== undefined) return;
     const {options} = this;
-    const term = new scheduler.Scheduler({
+    const term = new jobScheduler.JobScheduler({
       term: claim.term,
       clock: options.clock,
       wallClock: options.wallClock,
-      bounds: options.bounds,
-      journal: options.journal,
-      workers: options.workers,
-      advice: this.adviceCalls,
+      retentionTimes: options.bounds,
+      journalStore: options.journal,
+      workerCalls: options.workers,
+      adviceClient: this.adviceCalls,
       pauses: options.pauses,
       log: options.log,
       counters: options.counters,
-      mayExtend: () => this.isProved(),
+      mayGrantLeases: () => this.isProved(),
       onSuperseded: reason => this.superseded(term, reason),
       defer: options.defer,
     });
@@ -325,7 +327,7 @@
   }
 
   /** The term is over, though the claim that ended it is not known yet. */
-  private superseded(term: scheduler.Scheduler, reason: string): void {
+  private superseded(term: jobScheduler.JobScheduler, reason: string): void {
     if (this.current !== term) return;
     this.endTerm(reason);
     this.votes.disown();
@@ -346,7 +348,7 @@
    */
   private isProved(): boolean {
     const age = this.options.clock.now() - this.provedAt;
-    return this.votes.leads && age < scheduler.PROOF_LIFETIME_MS;
+    return this.votes.leads && age < jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
   }
 
   // Pings.
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -1,9 +1,9 @@
-import type * as submissions from '../jobs/submissions.js';
-import type * as adviceBook from '../jobs/advice_book.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
 import type * as election from './election.js';
 import type * as job from '../jobs/job.js';
-import type * as scheduler from '../jobs/scheduler.js';
+import type * as jobScheduler from '../jobs/job_scheduler.js';
 
 /** What members tell each other with each ping. */
 interface News {
@@ -49,19 +49,19 @@
   fetchConfiguration(
     address: string,
     timeoutMs: number,
-  ): Promise<Reached<job.CellConfiguration | undefined>>;
+  ): Promise<Reached<job.OperatorConfiguration | undefined>>;
   submit(
     address: string,
     definition: job.JobDefinition,
     configurationVersion: number,
     timeoutMs: number,
-  ): Promise<Led<submissions.SubmitOutcome>>;
+  ): Promise<Led<jobAdmission.SubmitOutcome>>;
   cancel(
     address: string,
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<Led<scheduler.CancelOutcome>>;
+  ): Promise<Led<jobScheduler.CancelOutcome>>;
   readState(
     address: string,
     queue: string,
@@ -78,21 +78,21 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome>;
+  ): Promise<adviceCache.AdviceOutcome>;
 }
 
 /** What a member answers when others call it. */
 export interface CellService {
   pinged(greeting: Greeting): GreetingAnswer;
-  readonly configuration: job.CellConfiguration | undefined;
+  readonly configuration: job.OperatorConfiguration | undefined;
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
-  ): Promise<submissions.SubmitOutcome> | undefined;
+  ): Promise<jobAdmission.SubmitOutcome> | undefined;
   cancel(
     queue: string,
     id: string,
-  ): Promise<scheduler.CancelOutcome> | undefined;
+  ): Promise<jobScheduler.CancelOutcome> | undefined;
   /** The state within an object, so that "no such job" is an answer too. */
   readState(
     queue: string,
@@ -103,5 +103,5 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome>;
+  ): Promise<adviceCache.AdviceOutcome>;
 }
--- a/test/jobs/advice_spread_test.ts
+++ b/test/jobs/advice_balancer_test.ts
@@ -1,8 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as adviceSpread from '../../src/jobs/advice_spread.js';
+import * as adviceBalancer from '../../src/jobs/advice_balancer.js';
 import * as timeline from '../support/timeline.js';
-import type * as adviceBook from '../../src/jobs/advice_book.js';
+import type * as adviceCache from '../../src/jobs/advice_cache.js';
 
 const {describe, test} = nodeTest;
 
@@ -13,12 +13,12 @@
 function spreadOver(
   time: timeline.Timeline,
   asked: string[],
-  answer: (address: string) => adviceBook.AdviceOutcome = () => ({
+  answer: (address: string) => adviceCache.AdviceOutcome = () => ({
     kind: 'advised',
     tickets: [],
   }),
-): adviceSpread.AdviceSpread {
-  return new adviceSpread.AdviceSpread(
+): adviceBalancer.AdviceBalancer {
+  return new adviceBalancer.AdviceBalancer(
     () => SITES,
     async (address, step) => {
       asked.push(`${address}:${step}`);
--- a/test/jobs/pacing_test.ts
+++ b/test/jobs/idle_capacity_throttle_test.ts
@@ -3,9 +3,9 @@
 import * as assignmentIndex from '../../src/jobs/assignment_index.js';
 import * as jobCell from '../support/job_cell.js';
 import * as jobRecord from '../../src/jobs/job_record.js';
-import * as pacing from '../../src/jobs/pacing.js';
+import * as idleCapacityThrottle from '../../src/jobs/idle_capacity_throttle.js';
 import * as remoteWorker from '../../src/machines/remote_worker.js';
-import * as task from '../../src/jobs/task.js';
+import * as jobTask from '../../src/jobs/job_task.js';
 import type * as dispatcher from '../../src/jobs/dispatcher.js';
 import type * as job from '../../src/jobs/job.js';
 
@@ -16,10 +16,10 @@
   worker: remoteWorker.RemoteWorker,
   id: string,
   step: Partial<job.Step>,
-): task.Assignment {
+): jobTask.Assignment {
   const record = new jobRecord.JobRecord(jobCell.jobOf(id, step), 0);
-  const target = record.steps[0].tasks[0];
-  const run = new task.Assignment(target, worker, 1, undefined, 0);
+  const task = record.steps[0].tasks[0];
+  const run = new jobTask.Assignment(task, worker, 1, undefined, 0);
   run.phase = 'running';
   index.add(run);
   return run;
@@ -27,8 +27,8 @@
 
 describe('tasks that use idle capacity', () => {
   function scene(): {
-    serving: task.Assignment;
-    filler: task.Assignment;
+    serving: jobTask.Assignment;
+    filler: jobTask.Assignment;
     review: (now: number) => void;
   } {
     const index = new assignmentIndex.AssignmentIndex();
@@ -39,35 +39,35 @@
     });
     const filler = place(index, worker, 'bb', {usesIdleCapacity: true});
     const orders = {
-      pace: (run: task.Assignment, percent: number) => {
-        run.pace = percent;
+      throttle: (run: jobTask.Assignment, percent: number) => {
+        run.processorPercent = percent;
       },
     } as unknown as dispatcher.Dispatcher;
-    const rules = new pacing.Pacing(index, orders);
+    const rules = new idleCapacityThrottle.IdleCapacityThrottle(index, orders);
     return {serving, filler, review: now => rules.review(worker, now)};
   }
 
   // Guards against users of a service that wait because of work beside it.
   test('stand still as soon as a service comes near its target', () => {
     const {serving, filler, review} = scene();
-    serving.usage = 85;
+    serving.reportedUsage = 85;
     review(0);
-    assert.equal(filler.pace, 0);
+    assert.equal(filler.processorPercent, 0);
   });
 
   // Guards against work that stands still for good, and against a return that
   // harms the service at once again.
   test('come back in steps while the service is calm', () => {
     const {serving, filler, review} = scene();
-    serving.usage = 85;
+    serving.reportedUsage = 85;
     review(0);
-    serving.usage = 30;
+    serving.reportedUsage = 30;
     review(500);
-    assert.equal(filler.pace, 0);
+    assert.equal(filler.processorPercent, 0);
     review(2_600);
-    assert.equal(filler.pace, 25);
-    serving.usage = 60;
+    assert.equal(filler.processorPercent, 25);
+    serving.reportedUsage = 60;
     review(9_000);
-    assert.equal(filler.pace, 25);
+    assert.equal(filler.processorPercent, 25);
   });
 });
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as fakeJournal from '../support/fake_journal.js';
+import * as fakeJournalStore from '../support/fake_journal_store.js';
 import * as jobJournal from '../../src/jobs/job_journal.js';
 import * as timeline from '../support/timeline.js';
 import type * as jobRecord from '../../src/jobs/job_record.js';
@@ -9,16 +9,16 @@
 
 interface Scene {
   readonly time: timeline.Timeline;
-  readonly store: fakeJournal.FakeJournal;
-  readonly writer: jobJournal.JournalWriter;
+  readonly store: fakeJournalStore.FakeJournalStore;
+  readonly writer: jobJournal.JobJournal;
   readonly superseded: () => number;
 }
 
 function scene(term = 1): Scene {
   const time = new timeline.Timeline();
-  const store = new fakeJournal.FakeJournal(time);
+  const store = new fakeJournalStore.FakeJournalStore(time);
   let superseded = 0;
-  const writer = new jobJournal.JournalWriter(store, term, time, time, () => {
+  const writer = new jobJournal.JobJournal(store, term, time, time, () => {
     superseded += 1;
   });
   return {time, store, writer, superseded: () => superseded};
@@ -79,10 +79,10 @@
     );
     await time.advance(300);
     assert.equal(stored, false);
-    assert.ok(writer.silentFor(time.now()) >= 300);
+    assert.ok(writer.unansweredMs(time.now()) >= 300);
     await time.advance(300);
     assert.equal(stored, true);
-    assert.equal(writer.silentFor(time.now()), 0);
+    assert.equal(writer.unansweredMs(time.now()), 0);
   });
 
   // Guards against writes after a later term has begun.
@@ -119,6 +119,6 @@
     await time.advance(3_950);
     store.down = false;
     await time.advance(500);
-    assert.equal(writer.silentFor(time.now()), 0);
+    assert.equal(writer.unansweredMs(time.now()), 0);
   });
 });
--- a/test/jobs/scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -9,8 +9,8 @@
   // Guards against a job that is accepted and then forgotten.
   test('runs every task once and completes', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
+    const scheduler = await cell.startTerm(1);
     const handed = jobCell.submit(
       scheduler,
       jobCell.jobOf('aa', {count: 6}, {count: 2, after: [0]}),
@@ -27,8 +27,8 @@
   // Guards against two jobs where a caller asked for one.
   test('is the same job when it is handed in again', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     const again = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(3_000);
@@ -39,8 +39,8 @@
   // Guards against workers that carry more than they hold.
   test('waits while no worker has room', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {count: 9}));
     await cell.time.advance(500);
     assert.equal(cell.startsOf('aa').length, 4);
@@ -51,8 +51,8 @@
   // Guards against a step that starts before what it builds on is done.
   test('starts a step only after the steps before it', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(
       scheduler,
       jobCell.jobOf('aa', {count: 3}, {count: 1, after: [0]}),
@@ -72,7 +72,7 @@
       'two',
       'three',
     );
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(5_000);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'failed');
@@ -83,7 +83,7 @@
   test('stops its tasks when it is cancelled', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {count: 3}));
     await cell.time.advance(500);
     let answer: string | undefined;
@@ -101,8 +101,8 @@
   // Guards against an answer that the next scheduler knows nothing of.
   test('accepts no job before it is stored', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     cell.journal.down = true;
     const handed = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(900);
@@ -116,8 +116,8 @@
   // Guards against callers that wait for an answer that can't come.
   test('refuses new jobs at once after a second', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     cell.journal.down = true;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(1_500);
@@ -133,8 +133,8 @@
   // can be said about its job any more.
   test('says after a second that the fate of a job is open', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     cell.journal.down = true;
     const first = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(1_300);
@@ -151,8 +151,8 @@
   // fate of their job is open, though the store has surely not taken it.
   test('refuses a job that the store turned away, and never runs it', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     cell.journal.refusing = true;
     const turnedAway = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(1_500);
@@ -170,7 +170,7 @@
   test('lets running work go on and ends it once it answers', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 8_000, how: 'done'}), 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(200);
     cell.journal.down = true;
@@ -190,14 +190,14 @@
 }> {
   const cell = new jobCell.JobCell();
   cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
-  const first = await cell.begin(1);
+  const first = await cell.startTerm(1);
   jobCell.submit(first, jobCell.jobOf('aa', {}));
   await cell.time.advance(300);
   first.retire();
   const cut = cell.workers.byAddress.get('one:1');
   assert.ok(cut);
   cut.cut = true;
-  cell.addWorkers(jobCell.SECOND_LONG, 'two');
+  cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
   return {cell, cut};
 }
 
@@ -205,12 +205,12 @@
   // Guards against work done twice because the scheduler changed.
   test('takes over what runs and starts nothing twice', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two');
-    const first = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
+    const first = await cell.startTerm(1);
     jobCell.submit(first, jobCell.jobOf('aa', {count: 6}));
     await cell.time.advance(300);
     first.retire();
-    const second = await cell.begin(2);
+    const second = await cell.startTerm(2);
     await cell.time.advance(2_000);
     assert.equal(second.stateOf('orders', 'aa'), 'completed');
     assert.equal(cell.startsOf('aa').length, 6);
@@ -219,7 +219,7 @@
   // Guards against a second run of a task on a worker that is cut off.
   test('waits for leases on a worker that it cannot reach', async () => {
     const {cell, cut} = await afterLostWorker();
-    await cell.begin(2);
+    await cell.startTerm(2);
     await cell.time.advance(3_000);
     assert.equal(cell.startsOf('aa').length, 1);
     await cell.time.advance(9_000);
@@ -231,8 +231,8 @@
   // before it stayed on the list of those that a successor has to find.
   test('does not look for workers that had left before', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two');
-    const first = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
+    const first = await cell.startTerm(1);
     await cell.time.advance(300);
     const left = cell.workers.byAddress.get('two:1');
     assert.ok(left);
@@ -242,11 +242,11 @@
     await cell.time.advance(20_000);
     first.retire();
     jobCell.submit(first, jobCell.jobOf('aa', {}));
-    const second = await cell.begin(2);
+    const second = await cell.startTerm(2);
     jobCell.submit(second, jobCell.jobOf('bb', {}));
     await cell.time.advance(50);
     second.retire();
-    await cell.begin(3);
+    await cell.startTerm(3);
     await cell.time.advance(1_000);
     assert.equal(cell.journal.workers.length, 1);
     assert.ok(cell.startsOf('bb').length >= 1);
@@ -257,7 +257,7 @@
   test('holds back only the jobs that ran on a worker which left', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
-    const first = await cell.begin(1);
+    const first = await cell.startTerm(1);
     jobCell.submit(first, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
@@ -270,8 +270,8 @@
     assert.ok(left);
     left.cut = true;
     cell.entries = [];
-    cell.addWorkers(jobCell.SECOND_LONG, 'two');
-    await cell.begin(2);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
+    await cell.startTerm(2);
     await cell.time.advance(1_000);
     assert.equal(cell.startsOf('bb').length, 1);
     assert.equal(cell.startsOf('aa').length, 1);
@@ -283,10 +283,10 @@
   // worker stored that nothing runs there, and the one after it believed that.
   test('passes on what it could not find out itself', async () => {
     const {cell} = await afterLostWorker();
-    const second = await cell.begin(2);
+    const second = await cell.startTerm(2);
     await cell.time.advance(2_500);
     second.retire();
-    await cell.begin(3);
+    await cell.startTerm(3);
     await cell.time.advance(500);
     assert.equal(cell.startsOf('aa').length, 1);
   });
@@ -294,9 +294,9 @@
   // Guards against writes of a scheduler that has been replaced.
   test('closes the journal to the term before it', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const first = await cell.begin(1);
-    await cell.begin(2);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const first = await cell.startTerm(1);
+    await cell.startTerm(2);
     const handed = jobCell.submit(first, jobCell.jobOf('aa', {}));
     await cell.time.advance(500);
     assert.equal(handed.outcome, undefined);
@@ -311,13 +311,13 @@
   test('loses its tasks to another once its lease is over', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 20_000, how: 'done'}), 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
     const gone = cell.workers.byAddress.get('one:1');
     assert.ok(gone);
     gone.cut = true;
-    cell.addWorkers(jobCell.SECOND_LONG, 'two');
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(4_000);
     assert.equal(cell.startsOf('aa').length, 1);
@@ -332,7 +332,7 @@
     const cell = new jobCell.JobCell();
     const entry = jobCell.workerEntry('one');
     const worker = cell.addWorker(entry);
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     cell.workers.delayOrder = () => 3_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {count: 4}));
     await cell.time.advance(100);
@@ -351,7 +351,7 @@
   test('is not believed to have refused what it may still carry out', async () => {
     const cell = new jobCell.JobCell();
     const first = cell.addWorker(jobCell.workerEntry('one'));
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     cell.workers.delayOrder = () => 2_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
@@ -371,11 +371,11 @@
   test('is sent no start again without proof of leading', async () => {
     const cell = new jobCell.JobCell();
     const worker = cell.addWorker(jobCell.workerEntry('one'));
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     cell.workers.delayOrder = () => 60_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
-    cell.proved = false;
+    cell.hasLeadershipProof = false;
     cell.workers.delayOrder = () => 0;
     await cell.time.advance(2_000);
     assert.equal(cell.startsOf('aa').length, 0);
@@ -389,7 +389,7 @@
   test('is not taken for one that never ran when its copy is stale', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 100, how: 'done'}), 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     const [worker] = cell.workers.byAddress.values();
     worker.mute = true;
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
-import type * as adviceBook from '../../src/jobs/advice_book.js';
+import type * as adviceCache from '../../src/jobs/advice_cache.js';
 import type * as job from '../../src/jobs/job.js';
 
 const {describe, test} = nodeTest;
@@ -31,7 +31,7 @@
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8, checkpointing: true}));
     await cell.time.advance(1_900);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 3}));
@@ -48,7 +48,7 @@
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8}));
     await cell.time.advance(1_900);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 3}));
@@ -73,7 +73,7 @@
       ask: async (step, workerIds, expectedMs) => {
         asked.push(step);
         await cell.time.pause(expectedMs);
-        const tickets: adviceBook.Ticket[] = workerIds.map(workerId => ({
+        const tickets: adviceCache.Ticket[] = workerIds.map(workerId => ({
           workerId,
           ticket: `ticket-${workerId}`,
         }));
@@ -89,7 +89,7 @@
     const asked: string[] = [];
     advising(cell, asked);
     cell.addWorkers(BY_JOB, 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     for (let index = 0; index < 6; index += 1) {
       jobCell.submit(scheduler, batchOf(`b${index}`, {count: 4}));
     }
@@ -117,7 +117,7 @@
       },
     };
     cell.addWorkers(BY_JOB, 'one', 'two', 'three');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b0', {}));
     await cell.time.advance(100);
     jobCell.submit(scheduler, batchOf('b1', {}));
@@ -147,7 +147,7 @@
       },
     };
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 5}));
     await cell.time.advance(200);
     jobCell.submit(scheduler, batchOf('b1', {count: 6}));
@@ -161,7 +161,7 @@
     const cell = new jobCell.JobCell();
     advising(cell, []);
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 6}));
     await cell.time.advance(200);
     assert.equal(cell.startsOf('a1').length, 6);
@@ -175,8 +175,8 @@
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
     cell.addWorkers(() => ({runtimeMs: 20, how: 'failed'}), 'hole');
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two', 'three');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two', 'three');
+    const scheduler = await cell.startTerm(1);
     for (let index = 0; index < 8; index += 1) {
       jobCell.submit(scheduler, jobCell.jobOf(`a${index}`, {}));
     }
@@ -195,8 +195,8 @@
   // Guards against members that wait for others which have no room.
   test('starts when all of its tasks have room, with one run number', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 3}));
     await cell.time.advance(100);
     jobCell.submit(scheduler, jobCell.jobOf('g1', {count: 7, gang: true}));
@@ -215,7 +215,7 @@
   test('is started again however it ends', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 400, how: 'failed'}), 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(12_000);
     assert.ok(cell.startsOf('a1').length >= 4);
@@ -228,7 +228,7 @@
   test('gives its lasting tasks to others while it is still there', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(1_500);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
@@ -245,12 +245,12 @@
   // Guards against work that is thrown away though it would be done in time.
   test('ends what it can end before', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(200);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
-    cell.addWorkers(jobCell.SECOND_LONG, 'two');
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(2_000);
     assert.equal(cell.startsOf('a1').length, 1);
--- a/test/jobs/random_cell_replacement_test.ts
+++ b/test/jobs/random_cell_replacement_test.ts
@@ -4,5 +4,5 @@
 nodeTest.describe('a cell whose tasks differ in length', () => {
   // Seeds that once failed: a task that took longer than the others of its step
   // was stopped as slow and started over for ever.
-  randomSeeds.playSeeds([1048, 1072]);
+  randomSeeds.testSeeds([1048, 1072]);
 });
--- a/test/jobs/random_cell_short_tasks_test.ts
+++ b/test/jobs/random_cell_short_tasks_test.ts
@@ -8,7 +8,7 @@
 nodeTest.describe('a cell whose tasks are shorter than a lost answer', () => {
   // Guards against a second run of a task that was over before the scheduler
   // heard that it had started.
-  randomSeeds.playSeeds(
+  randomSeeds.testSeeds(
     Array.from({length: SEEDS}, (_, index) => FIRST_SEED + index),
     randomCell.SHORT_RUNTIMES,
   );
--- a/test/jobs/random_cell_test.ts
+++ b/test/jobs/random_cell_test.ts
@@ -9,5 +9,5 @@
   // Guards against workers over their capacity, tasks that run twice, accepted
   // jobs that are lost, and ends that are forgotten.
   const indexes = Array.from({length: SEEDS}, (_unused, index) => index);
-  randomSeeds.playSeeds(indexes.map(index => FIRST_SEED + index));
+  randomSeeds.testSeeds(indexes.map(index => FIRST_SEED + index));
 });
--- a/test/jobs/work_order_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -3,7 +3,7 @@
 import * as jobCell from '../support/job_cell.js';
 import * as jobRecord from '../../src/jobs/job_record.js';
 import * as runtimeModel from '../../src/jobs/runtime_model.js';
-import * as workOrder from '../../src/jobs/work_order.js';
+import * as stepOrdering from '../../src/jobs/step_ordering.js';
 import type * as job from '../../src/jobs/job.js';
 
 const {describe, test} = nodeTest;
@@ -16,7 +16,7 @@
   queue: job.Queue,
   arrivedAt: number,
   step: Partial<job.Step> = {},
-): workOrder.WaitingStep {
+): stepOrdering.WaitingStep {
   const definition = {...jobCell.jobOf(id, step), queue: queue.name};
   const record = new jobRecord.JobRecord(definition, arrivedAt);
   return {step: record.steps[0], queue};
@@ -24,10 +24,10 @@
 
 function orderAt(
   now: number,
-  ...steps: ReadonlyArray<workOrder.WaitingStep>
+  ...steps: ReadonlyArray<stepOrdering.WaitingStep>
 ): ReadonlyArray<string> {
-  return workOrder
-    .orderSteps(
+  return stepOrdering
+    .sortByUrgency(
       steps,
       now,
       step => step.definition.estimatedRuntimeMs,
--- a/test/support/fake_journal.ts
+++ b/test/support/fake_journal_store.ts
@@ -7,10 +7,10 @@
 const ANSWER_MS = 4;
 
 /** The platform's store as far as the journal uses it. */
-export class FakeJournal implements jobJournal.JournalStore {
+export class FakeJournalStore implements jobJournal.JobJournalStore {
   readonly definitions = new Map<string, job.JobDefinition>();
   readonly progress = new Map<string, jobRecord.JobProgress>();
-  workers: ReadonlyArray<jobJournal.KnownWorker> = [];
+  workers: ReadonlyArray<jobJournal.StoredWorker> = [];
   /** The store gives no answer and does nothing. */
   down = false;
   /** The store turns every append away and does nothing. */
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -1,10 +1,10 @@
-import * as fakeJournal from './fake_journal.js';
+import * as fakeJournalStore from './fake_journal_store.js';
 import * as fakeWorkers from './fake_workers.js';
-import * as scheduler from '../../src/jobs/scheduler.js';
+import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import * as timeline from './timeline.js';
-import type * as submissions from '../../src/jobs/submissions.js';
+import type * as jobAdmission from '../../src/jobs/job_admission.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
-import type * as adviceBook from '../../src/jobs/advice_book.js';
+import type * as adviceCache from '../../src/jobs/advice_cache.js';
 import type * as schedulerOptions from '../../src/jobs/scheduler_options.js';
 import type * as job from '../../src/jobs/job.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
@@ -74,7 +74,7 @@
 }
 
 /** All runs take a second and succeed. */
-export const SECOND_LONG: workerModel.RunPlan = () => ({
+export const ONE_SECOND_RUNS: workerModel.RunPlan = () => ({
   runtimeMs: 1_000,
   how: 'done',
 });
@@ -83,14 +83,14 @@
 export class JobCell {
   readonly time = new timeline.Timeline();
   readonly workers = new fakeWorkers.FakeWorkers(this.time);
-  readonly journal = new fakeJournal.FakeJournal(this.time);
+  readonly journal = new fakeJournalStore.FakeJournalStore(this.time);
   readonly superseded: string[] = [];
   /** Receives what schedulers log. */
   log: schedulerOptions.EventLog = {event: () => {}};
   /** Whether the scheduler has proof that it may lead. */
-  proved = true;
+  hasLeadershipProof = true;
   queues: ReadonlyArray<job.Queue> = [QUEUE];
-  advice: adviceBook.AdviceCalls = {
+  advice: adviceCache.AdviceClient = {
     accepts: () => true,
     ask: async () => ({kind: 'busy'}),
   };
@@ -103,32 +103,32 @@
 
   addWorker(
     entry: remoteWorker.WorkerEntry,
-    plan: workerModel.RunPlan = SECOND_LONG,
+    plan: workerModel.RunPlan = ONE_SECOND_RUNS,
   ): workerModel.WorkerModel {
     this.entries = [...this.entries, entry];
     return this.workers.add(entry, plan);
   }
 
   /** Begins a term and lets it take over. */
-  async begin(
+  async startTerm(
     term: number,
-    mayExtend: () => boolean = () => this.proved,
-  ): Promise<scheduler.Scheduler> {
-    const started = new scheduler.Scheduler({
+    mayExtend: () => boolean = () => this.hasLeadershipProof,
+  ): Promise<jobScheduler.JobScheduler> {
+    const started = new jobScheduler.JobScheduler({
       term,
       clock: this.time,
       wallClock: () => this.time.now(),
-      bounds: {stateKeptMs: 120_000},
-      journal: this.journal,
-      workers: this.workers,
-      advice: {
+      retentionTimes: {stateKeptMs: 120_000},
+      journalStore: this.journal,
+      workerCalls: this.workers,
+      adviceClient: {
         accepts: expectedMs => this.advice.accepts(expectedMs),
         ask: (...call) => this.advice.ask(...call),
       },
       pauses: this.time,
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
-      mayExtend,
+      mayGrantLeases: mayExtend,
       onSuperseded: reason => {
         this.superseded.push(reason);
         started.retire();
@@ -159,10 +159,10 @@
 
 /** Hands a job in and returns what became of it, once it is known. */
 export function submit(
-  to: scheduler.Scheduler,
+  to: jobScheduler.JobScheduler,
   definition: job.JobDefinition,
-): {outcome: submissions.SubmitOutcome | undefined} {
-  const result: {outcome: submissions.SubmitOutcome | undefined} = {
+): {outcome: jobAdmission.SubmitOutcome | undefined} {
+  const result: {outcome: jobAdmission.SubmitOutcome | undefined} = {
     outcome: undefined,
   };
   to.submit(definition, 1, outcome => {
