--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -1,47 +1,47 @@
 import * as jobCell from './job_cell.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as resources from '../../src/machines/resources.js';
-import * as scheduler from '../../src/jobs/scheduler.js';
+import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as job from '../../src/jobs/job.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
 /** Time with jobs and faults, and time after them. */
-const EVENTFUL_MS = 30_000;
-const CALM_MS = 45_000;
+const FAULT_PHASE_MS = 30_000;
+const QUIET_PHASE_MS = 45_000;
 
 /** How often the invariants are looked at. */
-const LOOK_MS = 50;
+const CHECK_INTERVAL_MS = 50;
 
 /** How often workers look at their leases; below the scheduler's margin. */
-const EXPIRY_MS = 10;
+const LEASE_CHECK_INTERVAL_MS = 10;
 
-const WORKERS = 5;
+const WORKER_COUNT = 5;
 
 interface Leader {
-  readonly scheduler: scheduler.Scheduler;
+  readonly scheduler: jobScheduler.JobScheduler;
   readonly proof: {until: number};
 }
 
 /** Range of the tasks' runtimes. */
 export interface RuntimeRange {
-  readonly leastMs: number;
-  readonly spreadMs: number;
+  readonly minimumMs: number;
+  readonly rangeMs: number;
 }
 
-const USUAL_RUNTIMES: RuntimeRange = {leastMs: 300, spreadMs: 4_000};
+const USUAL_RUNTIMES: RuntimeRange = {minimumMs: 300, rangeMs: 4_000};
 
 /**
  * Many tasks are over before an answer counts as lost, none before the checks
  * have seen its start.
  */
 export const SHORT_RUNTIMES: RuntimeRange = {
-  leastMs: 2 * LOOK_MS,
-  spreadMs: 400,
+  minimumMs: 2 * CHECK_INTERVAL_MS,
+  rangeMs: 400,
 };
 
 /** What one run showed. */
 export interface RandomOutcome {
-  readonly broken: ReadonlyArray<string>;
+  readonly violations: ReadonlyArray<string>;
   readonly jobs: number;
   readonly starts: number;
   readonly terms: number;
@@ -55,14 +55,14 @@
 export class RandomCell {
   private readonly cell = new jobCell.JobCell();
   private readonly random: randomSource.SeededRandom;
-  private readonly broken: string[] = [];
+  private readonly violations: string[] = [];
   private readonly definitions = new Map<string, job.JobDefinition>();
   private readonly models: workerModel.WorkerModel[] = [];
   private leader: Leader | undefined;
   private term = 0;
-  private lives = 0;
+  private incarnations = 0;
   private eventsSeen = 0;
-  private readonly active = new Map<string, Set<string>>();
+  private readonly activeRuns = new Map<string, Set<string>>();
 
   constructor(
     seed: number,
@@ -73,26 +73,26 @@
 
   /** Plays the run to its end. */
   async run(): Promise<RandomOutcome> {
-    for (let index = 0; index < WORKERS; index += 1) this.addWorker(index);
+    for (let index = 0; index < WORKER_COUNT; index += 1) this.addWorker(index);
     // Workers end what is over without being asked.
-    this.cell.time.every(EXPIRY_MS, () => {
+    this.cell.time.every(LEASE_CHECK_INTERVAL_MS, () => {
       for (const model of this.models) model.expire();
     });
-    await this.succeed();
-    while (this.cell.time.now() < EVENTFUL_MS) {
+    await this.startSuccessor();
+    while (this.cell.time.now() < FAULT_PHASE_MS) {
       await this.step();
-      await this.cell.time.advance(LOOK_MS);
-      this.look();
+      await this.cell.time.advance(CHECK_INTERVAL_MS);
+      this.checkInvariants();
     }
-    await this.heal();
-    const end = this.cell.time.now() + CALM_MS;
+    await this.endFaults();
+    const end = this.cell.time.now() + QUIET_PHASE_MS;
     while (this.cell.time.now() < end) {
-      await this.cell.time.advance(LOOK_MS);
-      this.look();
+      await this.cell.time.advance(CHECK_INTERVAL_MS);
+      this.checkInvariants();
     }
     this.checkCompleted();
     return {
-      broken: this.broken,
+      violations: this.violations,
       jobs: this.definitions.size,
       starts: this.cell.startsOf('').length,
       terms: this.term,
@@ -106,7 +106,7 @@
   private async step(): Promise<void> {
     const {cell} = this;
     if (this.chance(6)) this.submit();
-    if (this.chance(90)) await this.succeed();
+    if (this.chance(90)) await this.startSuccessor();
     if (this.chance(60)) this.cutWorker();
     if (this.chance(150)) this.crashWorker();
     if (this.chance(100)) {
@@ -135,15 +135,15 @@
   }
 
   /** Another scheduler begins while the one before may go on for a while. */
-  private async succeed(): Promise<void> {
+  private async startSuccessor(): Promise<void> {
     const now = this.cell.time.now();
     if (this.leader !== undefined) {
-      const longest = scheduler.PROOF_LIFETIME_MS;
+      const longest = jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
       this.leader.proof.until = now + this.random.below(longest);
     }
     this.term += 1;
     const proof = {until: Infinity};
-    const begun = await this.cell.begin(
+    const begun = await this.cell.startTerm(
       this.term,
       () => this.cell.time.now() < proof.until,
     );
@@ -152,15 +152,15 @@
   }
 
   private addWorker(index: number): void {
-    this.lives += 1;
+    this.incarnations += 1;
     const entry = jobCell.workerEntry(`w${index}`, {
-      born: this.lives,
-      address: `w${index}:${this.lives}`,
+      born: this.incarnations,
+      address: `w${index}:${this.incarnations}`,
     });
     const entries = this.cell.entries.filter(({id}) => id !== entry.id);
     this.cell.entries = entries;
-    const {leastMs, spreadMs} = this.runtimes;
-    const runtimeMs = (): number => leastMs + this.random.below(spreadMs);
+    const {minimumMs, rangeMs: rangeMs} = this.runtimes;
+    const runtimeMs = (): number => minimumMs + this.random.below(rangeMs);
     const model = this.cell.addWorker(entry, () => ({
       runtimeMs: runtimeMs(),
       how: this.chance(60) ? 'failed' : 'done',
@@ -170,7 +170,7 @@
   }
 
   private cutWorker(): void {
-    const model = this.models[this.random.below(WORKERS)];
+    const model = this.models[this.random.below(WORKER_COUNT)];
     const mute = this.chance(2);
     if (mute) model.mute = true;
     else model.cut = true;
@@ -183,13 +183,13 @@
 
   /** The worker loses all that it runs and starts again as another life. */
   private crashWorker(): void {
-    const index = this.random.below(WORKERS);
+    const index = this.random.below(WORKER_COUNT);
     const model = this.models[index];
     model.crash();
     this.addWorker(index);
   }
 
-  private async heal(): Promise<void> {
+  private async endFaults(): Promise<void> {
     this.cell.journal.down = false;
     this.cell.journal.lostAnswers = 0;
     this.cell.workers.delayOrder = () => 0;
@@ -197,10 +197,10 @@
       model.cut = false;
       model.mute = false;
     }
-    await this.succeed();
+    await this.startSuccessor();
   }
 
-  private look(): void {
+  private checkInvariants(): void {
     for (const model of this.models) this.checkCapacity(model);
     const {events} = this.cell.workers;
     for (; this.eventsSeen < events.length; this.eventsSeen += 1) {
@@ -212,7 +212,7 @@
     const used = model.used(task => this.sizeOf(task));
     if (resources.fits(used, model.entry.capacity)) return;
     const at = Math.round(this.cell.time.now());
-    this.broken.push(`over capacity: ${model.entry.id} at ${at}`);
+    this.violations.push(`over capacity: ${model.entry.id} at ${at}`);
   }
 
   private sizeOf(task: string): resources.Resources {
@@ -222,8 +222,8 @@
   }
 
   private checkEvent(event: workerModel.WorkerEvent): void {
-    const running = this.active.get(event.task) ?? new Set<string>();
-    this.active.set(event.task, running);
+    const running = this.activeRuns.get(event.task) ?? new Set<string>();
+    this.activeRuns.set(event.task, running);
     const run = `${event.worker}/${event.run}`;
     if (event.kind === 'ended') {
       running.delete(run);
@@ -231,10 +231,10 @@
     }
     const at = `${event.task} run ${event.run} on ${event.worker} at ${Math.round(event.at)}`;
     if (running.size > 0) {
-      this.broken.push(`twice: ${at}, beside ${[...running].join(' ')}`);
+      this.violations.push(`twice: ${at}, beside ${[...running].join(' ')}`);
     }
     if (this.isStoredAsDone(event.task)) {
-      this.broken.push(`started after its end was stored: ${at}`);
+      this.violations.push(`started after its end was stored: ${at}`);
     }
     running.add(run);
   }
@@ -254,7 +254,7 @@
     for (const id of this.definitions.keys()) {
       const state = this.leader?.scheduler.stateOf('orders', id);
       if (state === 'completed' || state === 'failed') continue;
-      this.broken.push(`accepted and not finished: ${id} is ${state}`);
+      this.violations.push(`accepted and not finished: ${id} is ${state}`);
     }
   }
 }
--- a/test/support/random_seeds.ts
+++ b/test/support/random_seeds.ts
@@ -3,14 +3,14 @@
 import * as randomCell from './random_cell.js';
 
 /** Declares one test for each seed. */
-export function playSeeds(
+export function testSeeds(
   seeds: ReadonlyArray<number>,
   runtimes?: randomCell.RuntimeRange,
 ): void {
   for (const seed of seeds) {
     nodeTest.test(`keeps its promises with seed ${seed}`, async () => {
       const outcome = await new randomCell.RandomCell(seed, runtimes).run();
-      assert.deepEqual(outcome.broken, []);
+      assert.deepEqual(outcome.violations, []);
       assert.ok(outcome.starts > 20);
     });
   }
--- a/test/zones/cell_configuration_test.ts
+++ b/test/zones/cell_configuration_test.ts
@@ -7,7 +7,7 @@
 
 const {describe, test} = nodeTest;
 
-function configurationOf(version: number): job.CellConfiguration {
+function configurationOf(version: number): job.OperatorConfiguration {
   return {
     version,
     queues: [],
@@ -32,7 +32,7 @@
 /** A holder whose only other member holds `others`. */
 function holderBeside(
   time: timeline.Timeline,
-  others: job.CellConfiguration,
+  others: job.OperatorConfiguration,
 ): {holder: cellConfiguration.CellConfiguration; taken: number[]} {
   const taken: number[] = [];
   const peers = {
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -4,11 +4,11 @@
 import * as jobCell from '../support/job_cell.js';
 import * as timeline from '../support/timeline.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
-import type * as submissions from '../../src/jobs/submissions.js';
+import type * as jobAdmission from '../../src/jobs/job_admission.js';
 
 const {describe, test} = nodeTest;
 
-type Answer = cellPeers.Led<submissions.SubmitOutcome>;
+type Answer = cellPeers.Led<jobAdmission.SubmitOutcome>;
 
 /** A member that leads nothing and passes calls on to one that does. */
 function gatewayWith(
@@ -30,7 +30,7 @@
 
 interface Result {
   kind: string;
-  value: submissions.SubmitOutcome | undefined;
+  value: jobAdmission.SubmitOutcome | undefined;
   at: number;
 }
 
@@ -85,7 +85,7 @@
     assert.ok(outcome.at < 3_000, `${outcome.at}`);
   });
 
-  const SILENT: submissions.SubmitOutcome = {
+  const SILENT: jobAdmission.SubmitOutcome = {
     kind: 'refused',
     reason: 'storeSilent',
     retryAfterSeconds: 1,
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as cellNode from '../../src/zones/cell_node.js';
-import * as fakeJournal from '../support/fake_journal.js';
+import * as fakeJournalStore from '../support/fake_journal_store.js';
 import * as fakeWorkers from '../support/fake_workers.js';
 import * as timeline from '../support/timeline.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
@@ -72,7 +72,7 @@
         return {kind: 'won', term: 7};
       },
     },
-    journal: new fakeJournal.FakeJournal(time),
+    journal: new fakeJournalStore.FakeJournalStore(time),
     registry: {follow: () => ({close: () => {}})},
     workers: new fakeWorkers.FakeWorkers(time),
     advice: {ask: async () => ({kind: 'busy'})},
