Reword advice, dispatch, recovery and reservation comments

Comments of the advice cache and balancer, the dispatcher, run recovery, the evacuator, gang placement and reservations, and a few local names. Behaviour is unchanged; the key of ticket wait reservations is internal.

--- a/src/jobs/advice_balancer.ts
+++ b/src/jobs/advice_balancer.ts
@@ -1,13 +1,13 @@
 import type * as adviceCache from './advice_cache.js';
 import type * as clock from '../machines/clock.js';
 
-/** A VM from which the advice service can be asked. */
+/** A VM through which the advice service can be called. */
 export interface AdviceEndpoint {
-  /** Undefined for this process itself. */
+  /** Undefined for the VM of this process. */
   readonly address: string | undefined;
 }
 
-/** Asks over one site. */
+/** Calls the advice service through the VM at `address`. */
 export type AskThroughEndpoint = (
   address: string | undefined,
   step: string,
@@ -15,35 +15,36 @@
   timeoutMs: number,
 ) => Promise<adviceCache.AdviceOutcome>;
 
-/** Calls that take longer are kept off the sites for short ones. */
+/** Calls that take longer are not sent to endpoints reserved for short ones. */
 const SHORT_CALL_LIMIT_MS = 150;
 
-/** One site in so many takes only short calls. */
+/** One of this many endpoints is reserved for short calls. */
 const ENDPOINTS_PER_RESERVED_ENDPOINT = 4;
 
 /**
- * Work that a site may still have when the next call is sent there: about the
- * time of a call's way there and back, so that the service does not stand idle
- * for this VM between two calls.
+ * Service time that may still be outstanding at an endpoint when the next call
+ * is sent there. It is about a round trip, so that the service is not idle for
+ * this VM between two calls.
  */
 const MAXIMUM_QUEUED_MS = 100;
 
-/** How long a site that gave no answer is left out. */
+/** How long an endpoint that did not answer is skipped. */
 const UNANSWERED_BACKOFF_MS = 2_000;
 
-/** Time beyond the expected answer after which a call is given up. */
+/** Time after the expected answer at which a call times out. */
 const ANSWER_TIMEOUT_MARGIN_MS = 1_200;
 
 interface EndpointLoad {
-  /** When the service will have answered all calls that are out. */
+  /** When the service is expected to have answered all calls in flight. */
   idleAt: clock.Milliseconds;
   callsInFlight: number;
   backoffUntil: clock.Milliseconds;
 }
 
 /**
- * Spreads calls for advice over VMs, because the service handles one call at a
- * time for each VM. A short call never waits behind many long ones.
+ * Balances calls to the advice service over VMs, because the service handles
+ * one call at a time for each VM. Some VMs are reserved for short calls, so
+ * that these do not queue behind long ones.
  */
 export class AdviceBalancer implements adviceCache.AdviceClient {
   private readonly loads = new Map<string | undefined, EndpointLoad>();
@@ -69,7 +70,7 @@
     const now = this.clock.now();
     load.idleAt = Math.max(load.idleAt, now) + expectedMs;
     load.callsInFlight += 1;
-    // Calls that are out over the same site are answered first.
+    // Calls already in flight through this endpoint are answered first.
     const timeoutMs = load.idleAt - now + ANSWER_TIMEOUT_MARGIN_MS;
     const outcome = await this.askThroughEndpoint(
       endpoint.address,
--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -3,19 +3,19 @@
 import type * as stepInstance from './step_instance.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 
-/** A worker that may run a step, and what proves it. */
+/** Permission for one worker to run a step, checked by that worker. */
 export interface Ticket {
   readonly workerId: string;
   readonly ticket: string;
 }
 
-/** What the advice service said. */
+/** Outcome of a call to the advice service. */
 export type AdviceOutcome =
   | {readonly kind: 'advised'; readonly tickets: ReadonlyArray<Ticket>}
   | {readonly kind: 'busy'}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** The advice service as one VM reaches it; does not reject. */
+/** Client of the advice service for one VM; its promises do not reject. */
 export interface AdviceService {
   ask(
     step: string,
@@ -25,13 +25,13 @@
 }
 
 /**
- * Asks which workers may run a step; does not reject. `expectedMs` is the time
- * that the service needs for the answer.
+ * Asks the advice service which workers may run a step; its promises do not
+ * reject. `expectedMs` is the time that the service needs for the answer.
  */
 export interface AdviceClient {
   /**
-   * Tells whether a call of that length would be sent now. None is while a
-   * shorter one would not be.
+   * Returns whether a call of that duration would be sent now. If it would not,
+   * neither would a longer one.
    */
   accepts(expectedMs: number): boolean;
   ask(
@@ -41,18 +41,18 @@
   ): Promise<AdviceOutcome>;
 }
 
-/** Most workers named in a call: naming more takes more time than it saves. */
+/** Naming more workers takes the service longer than it saves. */
 const MAXIMUM_WORKERS_PER_CALL = 30;
 
-/** Time that the service needs for a step's first call. */
+/** Returns the service time of a call that names the most workers. */
 export function longestAdviceCallMs(timing: job.AdviceTiming): number {
   return timing.decideMs + timing.eachMs * MAXIMUM_WORKERS_PER_CALL;
 }
 
-/** Time of a ticket's validity that is left for the start to arrive. */
+/** Part of a ticket's validity kept for the start order to arrive. */
 const TICKET_VALIDITY_MARGIN_MS = 150;
 
-/** Pause after a call that brought nothing. */
+/** Pause for a step after a call that returned no advice. */
 const FAILED_CALL_BACKOFF_MS = 150;
 
 interface TicketGrant {
@@ -68,7 +68,10 @@
   backoffUntil: clock.Milliseconds;
 }
 
-/** The tickets of steps whose queue lets only some workers run them. */
+/**
+ * Requests and caches tickets for steps of queues that require advice about
+ * which workers may run them.
+ */
 export class AdviceCache {
   private readonly steps = new Map<stepInstance.StepInstance, StepAdvice>();
 
@@ -78,7 +81,7 @@
     private readonly onAdvice: () => void,
   ) {}
 
-  /** Returns the ticket for a start now, if there is one. */
+  /** Returns a ticket that is valid now; undefined if there is none. */
   ticketFor(
     step: stepInstance.StepInstance,
     worker: remoteWorker.RemoteWorker,
@@ -91,18 +94,18 @@
     return grant.validUntil > now ? grant.ticket : undefined;
   }
 
-  /** Tells whether a worker may run a step, as far as it is known. */
+  /** Returns whether a worker may run a step; undefined while unknown. */
   mayRun(
     step: stepInstance.StepInstance,
     worker: remoteWorker.RemoteWorker,
   ): boolean | undefined {
-    const known = this.steps.get(step);
-    if (known?.refusedIncarnations.has(incarnationKey(worker))) return false;
-    const grant = known?.grants.get(worker.id);
+    const advice = this.steps.get(step);
+    if (advice?.refusedIncarnations.has(incarnationKey(worker))) return false;
+    const grant = advice?.grants.get(worker.id);
     return grant?.incarnation === worker.entry.born ? true : undefined;
   }
 
-  /** A worker did not take a ticket. */
+  /** Removes a ticket that the worker rejected. */
   dropTicket(
     step: stepInstance.StepInstance,
     worker: remoteWorker.RemoteWorker,
@@ -110,25 +113,26 @@
     this.steps.get(step)?.grants.delete(worker.id);
   }
 
-  /** Forgets a step that needs no tickets any more. */
+  /** Removes a step that needs no more tickets. */
   forget(step: stepInstance.StepInstance): void {
     this.steps.delete(step);
   }
 
-  /** Says in a few words what is known about a step. */
+  /** Returns a log summary of a step's advice. */
   describe(step: stepInstance.StepInstance, now: clock.Milliseconds): string {
-    const known = this.steps.get(step);
-    if (known === undefined) return 'never asked';
-    const valid = [...known.grants.values()].filter(
+    const advice = this.steps.get(step);
+    if (advice === undefined) return 'never asked';
+    const valid = [...advice.grants.values()].filter(
       grant => grant.validUntil > now,
     );
-    const state = known.callInFlight ? 'asking' : 'idle';
-    return `${state} granted=${known.grants.size} valid=${valid.length} refused=${known.refusedIncarnations.size}`;
+    const state = advice.callInFlight ? 'asking' : 'idle';
+    return `${state} granted=${advice.grants.size} valid=${valid.length} refused=${advice.refusedIncarnations.size}`;
   }
 
   /**
-   * Tells whether a call about the step may be sent: none is out or was in vain
-   * just now, and a VM can take it. Most steps of a flood wait for that.
+   * Returns whether a call about the step may be sent: none is in flight, none
+   * has just failed, and a VM has capacity for one. Under overload most steps
+   * wait here.
    */
   canRequest(
     step: stepInstance.StepInstance,
@@ -140,9 +144,10 @@
   }
 
   /**
-   * Asks about workers, where that may be done. Those with room come first; the others are named as well,
-   * because most of a call's time does not depend on how many it names, and room
-   * comes free there while the tickets are valid.
+   * Requests tickets if the client has capacity. Workers with room are named
+   * first. The others are named as well, because most of a call's time does not
+   * depend on how many it names, and they may get room while the tickets are
+   * valid.
    */
   request(
     step: stepInstance.StepInstance,
@@ -169,20 +174,20 @@
       });
   }
 
-  /** Workers that are known to be good are named before others. */
+  /** Returns the workers to name, those known to be permitted first. */
   private selectWorkers(
     step: stepInstance.StepInstance,
     withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
-    const isGood = (worker: remoteWorker.RemoteWorker): boolean =>
+    const isPermitted = (worker: remoteWorker.RemoteWorker): boolean =>
       this.mayRun(step, worker) === true;
     const isUnknown = (worker: remoteWorker.RemoteWorker): boolean =>
       this.mayRun(step, worker) === undefined;
     return [
-      ...withRoom.filter(isGood),
+      ...withRoom.filter(isPermitted),
       ...withRoom.filter(isUnknown),
-      ...others.filter(isGood),
+      ...others.filter(isPermitted),
       ...others.filter(isUnknown),
     ].slice(0, MAXIMUM_WORKERS_PER_CALL);
   }
@@ -202,7 +207,7 @@
     const tickets = new Map(
       outcome.tickets.map(({workerId, ticket}) => [workerId, ticket]),
     );
-    // Validity counts from the service's answer, which is not later than now.
+    // Validity starts at the service's answer, which is no later than now.
     const validFrom = Math.min(now, expectedAnswerAt);
     const validUntil = validFrom + timing.validMs - TICKET_VALIDITY_MARGIN_MS;
     for (const worker of named) {
--- a/src/jobs/assignment_index.ts
+++ b/src/jobs/assignment_index.ts
@@ -5,14 +5,14 @@
 
 const NO_ASSIGNMENTS: ReadonlySet<jobTask.Assignment> = new Set();
 
-/** Which runs occupy room on which worker. */
+/** Runs by worker; adding one reserves its resources there. */
 export class AssignmentIndex {
   private readonly byWorker = new Map<
     remoteWorker.RemoteWorker,
     Set<jobTask.Assignment>
   >();
 
-  /** Takes the room of a run and notes it at its task. */
+  /** Reserves resources for a run and adds it to its task. */
   add(assignment: jobTask.Assignment): void {
     const {worker, jobTask: task} = assignment;
     const size = workerSelection.reservedSize(task.step.definition);
@@ -23,7 +23,7 @@
     else runs.add(assignment);
   }
 
-  /** Frees the room of a run. */
+  /** Releases the resources of a run and removes it from its task. */
   remove(assignment: jobTask.Assignment): void {
     const {worker, jobTask: task} = assignment;
     worker.release(assignment);
@@ -33,17 +33,16 @@
     if (runs?.size === 0) this.byWorker.delete(worker);
   }
 
-  /** Runs on a worker. */
+  /** Returns the runs that occupy resources on a worker. */
   runsOn(worker: remoteWorker.RemoteWorker): ReadonlySet<jobTask.Assignment> {
     return this.byWorker.get(worker) ?? NO_ASSIGNMENTS;
   }
 
-  /** All runs. */
   *all(): Iterable<jobTask.Assignment> {
     for (const runs of this.byWorker.values()) yield* runs;
   }
 
-  /** Tasks of a step on a worker. */
+  /** Counts the runs of a step on a worker. */
   countTasksOfStep(
     worker: remoteWorker.RemoteWorker,
     step: stepInstance.StepInstance,
@@ -55,7 +54,7 @@
     return count;
   }
 
-  /** Serving tasks that have a target of response times. */
+  /** Counts runs of tasks with a response time target on a worker. */
   countServingTasks(worker: remoteWorker.RemoteWorker): number {
     return this.countWhere(
       worker,
@@ -63,7 +62,7 @@
     );
   }
 
-  /** Tasks that use idle capacity. */
+  /** Counts runs of tasks that use idle capacity on a worker. */
   countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number {
     return this.countWhere(worker, step => step.definition.usesIdleCapacity);
   }
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -5,31 +5,31 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
-/** Hears what became of orders. */
+/** Receives the outcomes of orders. */
 export interface DispatchListener {
-  /** The worker obeys a later term. */
+  /** A worker rejected an order because it follows a later term. */
   superseded(): void;
-  /** The worker at this address lives another life. */
+  /** Another incarnation answered at the worker's address. */
   incarnationEnded(worker: remoteWorker.RemoteWorker): void;
-  /** A start was surely not carried out, so that the task waits again. */
+  /** A start was definitely not carried out; the task waits again. */
   startRejected(
     assignment: jobTask.Assignment,
     why: workerCalls.Rejection,
   ): void;
-  /** A run was confirmed by its worker. */
+  /** The worker confirmed a start. */
   started(assignment: jobTask.Assignment): void;
 }
 
-/** Pause before an order without an answer is repeated. */
+/** Time after which an unanswered order is sent again. */
 const ORDER_RETRY_INTERVAL_MS = 400;
 
-/** Repeats of a start that follow at once. */
+/** Retries of a start that are sent without a delay. */
 const FAST_RETRIES = 3;
 
-/** Starts without an answer after which the run is stopped instead. */
+/** Age at which an unanswered start is no longer retried but stopped. */
 const START_TIMEOUT_MS = 2_000;
 
-/** Orders starts and stops and follows each until its outcome is certain. */
+/** Sends start and stop orders and retries each until its outcome is known. */
 export class Dispatcher {
   constructor(
     private readonly calls: workerCalls.WorkerCalls,
@@ -37,12 +37,12 @@
     private readonly clock: clock.Clock,
     private readonly fencingToken: number,
     private readonly leaseMs: number,
-    /** Tells whether leases may be granted; each start grants one. */
+    /** Returns whether leases may be granted; each start grants one. */
     private readonly mayGrantLeases: () => boolean,
     private readonly listener: DispatchListener,
   ) {}
 
-  /** Starts a run of a task; its room is taken at once. */
+  /** Starts a run of a task and reserves its resources at once. */
   start(
     task: jobTask.JobTask,
     selected: workerSelection.SelectedWorker,
@@ -57,14 +57,14 @@
     return assignment;
   }
 
-  /** Stops a run; its room stays taken until the end is listed. */
+  /** Stops a run; its resources stay reserved until its end is reported. */
   stop(assignment: jobTask.Assignment): void {
     if (assignment.phase === 'stopping') return;
     assignment.phase = 'stopping';
     this.sendStop(assignment);
   }
 
-  /** Repeats orders that got no answer. */
+  /** Retries unanswered orders that are due. */
   retryOrders(): void {
     const now = this.clock.now();
     for (const assignment of this.index.all()) {
@@ -83,7 +83,7 @@
     }
   }
 
-  /** Sets the share of its processors at which a run works. */
+  /** Limits a run to a percentage of its processors. */
   throttle(assignment: jobTask.Assignment, percent: number): void {
     assignment.processorPercent = percent;
     const {worker} = assignment;
@@ -92,7 +92,7 @@
 
   private sendStart(assignment: jobTask.Assignment): void {
     const {jobTask: task, worker, run, ticket} = assignment;
-    // The run may have been given up since its last order.
+    // The run may have been released since its last order.
     if (!this.mayGrantLeases() || !this.index.runsOn(worker).has(assignment)) {
       return;
     }
@@ -144,17 +144,17 @@
     assignment: jobTask.Assignment,
     why: workerCalls.Rejection,
   ): void {
-    // An earlier copy of the order was carried out.
+    // The worker carried out an earlier copy of the order.
     if (assignment.reported) return;
-    // An earlier copy without an answer may have run, even to its end, or may
-    // start later: what the worker lists after a stop tells.
+    // An unanswered earlier copy may have run, even to its end, or may still be
+    // carried out. The worker's report after a stop shows which.
     if (assignment.unansweredStarts > 0) this.stop(assignment);
     else this.listener.startRejected(assignment, why);
   }
 
   /**
-   * The same start may be sent again: a worker that carried it out before says
-   * so. Later repeats are left to the next look at all orders.
+   * Retries a start, which is idempotent: a worker that has carried it out
+   * confirms it again. After `FAST_RETRIES`, `retryOrders` takes over.
    */
   private retryStart(assignment: jobTask.Assignment): void {
     assignment.unansweredStarts += 1;
--- a/src/jobs/evacuator.ts
+++ b/src/jobs/evacuator.ts
@@ -5,26 +5,26 @@
 import type * as jobTask from './job_task.js';
 import type * as workerTable from './worker_table.js';
 
-/** What an evacuation asks for and orders. */
+/** Answers the evacuator's queries and carries out its moves. */
 export interface EvacuatorListener {
-  /** Expected runtime of a step's tasks. */
+  /** Returns the expected runtime of a step's tasks. */
   predictMs(step: stepInstance.StepInstance): number;
   /**
-   * Tells whether a task of the step could start elsewhere now, and prepares
-   * that where it could not.
+   * Returns whether a task of the step could start on another worker now. If
+   * only a ticket is missing, requests it.
    */
   prepareStart(step: stepInstance.StepInstance): boolean;
-  /** Stops a run so that its task starts elsewhere. */
+  /** Stops a run so that its task starts on another worker. */
   move(assignment: jobTask.Assignment): void;
 }
 
-/** Time that a leaving worker is taken to have when it names none. */
+/** Assumed drain time of a worker that reports none. */
 const DEFAULT_DRAIN_TIME_MS = 2_500;
 
-/** Progress above which work without checkpoints is left to its luck. */
+/** Progress from which a run without checkpoints is not moved. */
 const MINIMUM_KEPT_PROGRESS_PERCENT = 50;
 
-/** Moves runs off workers that will leave before they end. */
+/** Moves runs off draining workers that will leave before the runs end. */
 export class Evacuator {
   constructor(
     private readonly workers: workerTable.WorkerTable,
@@ -32,7 +32,7 @@
     private readonly listener: EvacuatorListener,
   ) {}
 
-  /** Looks at all workers that are about to leave. */
+  /** Moves runs that would not end in time off all draining workers. */
   review(now: clock.Milliseconds): void {
     for (const worker of this.workers.all()) {
       if (worker.entry.state !== 'draining' || worker.unreachable) continue;
@@ -52,7 +52,7 @@
   ): boolean {
     if (assignment.phase !== 'running' || !assignment.reported) return false;
     const {definition} = assignment.jobTask.step;
-    // Members of a gang would all have to move at once.
+    // All members of a gang would have to move at once.
     if (definition.gang) return false;
     if (definition.longRunning) return true;
     const leavesAt =
--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -4,8 +4,8 @@
 import type * as stepInstance from './step_instance.js';
 
 /**
- * Finds places for all tasks of a gang at once, or none. Tasks that suffer
- * from distance are kept on one rack where a rack has the room.
+ * Selects workers for all tasks of a gang; undefined unless all fit. A step
+ * with `sameRack` is placed on one rack if a rack has room for all its tasks.
  */
 export function planGang(
   step: stepInstance.StepInstance,
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -2,17 +2,17 @@
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 
-/** A worker that an earlier term knew. */
+/** A worker on the list that earlier terms stored. */
 export interface InheritedWorker {
   readonly worker: remoteWorker.RemoteWorker;
-  /** The only jobs that may have runs there; undefined for any job. */
+  /** The only jobs that may have runs there; undefined if any job may. */
   readonly closedJobs: ReadonlyArray<string> | undefined;
 }
 
 /**
- * Tells which jobs may have runs of an earlier term that are not known yet: no
- * task of theirs is started until each worker that may run it has reported, or
- * until its last lease is surely over.
+ * Tracks the jobs that may still have unreported runs of an earlier term. Their
+ * tasks are not started until each worker that may run them has reported, or
+ * until the last lease of an earlier term has certainly expired.
  */
 export class RunRecovery {
   private unreportedWorkers: ReadonlyArray<InheritedWorker>;
@@ -25,29 +25,29 @@
     this.unreportedWorkers = workers;
   }
 
-  /** Tells whether nothing is uncertain any more. */
+  /** Whether no job is blocked any more. */
   get complete(): boolean {
     return this.blockedJobs.size === 0;
   }
 
-  /** Workers that have not reported. */
+  /** Number of workers that have not reported. */
   get unreportedWorkerCount(): number {
     return this.unreportedWorkers.length;
   }
 
-  /** Tells whether tasks of a job may not be started yet. */
+  /** Returns whether tasks of a job may not be started yet. */
   blocks(record: jobRecord.JobRecord): boolean {
     return this.blockedJobs.has(record);
   }
 
-  /** A worker has ended for good. */
+  /** Stops waiting for a worker that has ended. */
   removeWorker(worker: remoteWorker.RemoteWorker): void {
     this.unreportedWorkers = this.unreportedWorkers.filter(
-      earlier => earlier.worker !== worker,
+      inherited => inherited.worker !== worker,
     );
   }
 
-  /** Frees the jobs whose runs are all known; true when any was freed. */
+  /** Unblocks jobs whose runs are all known; returns whether there were any. */
   unblockJobs(now: clock.Milliseconds): boolean {
     if (this.complete) return false;
     const countBefore = this.blockedJobs.size;
--- a/src/jobs/ticket_wait_reservation.ts
+++ b/src/jobs/ticket_wait_reservation.ts
@@ -4,16 +4,16 @@
 import type * as stepInstance from './step_instance.js';
 
 /**
- * Room that a pass sets aside for steps which wait for their tickets. Without
- * it, less urgent steps would take the room meanwhile, and ask for tickets that
- * they can't use.
+ * Resources that a placement pass reserves for steps which wait for tickets.
+ * Otherwise less urgent steps would take the room in the meantime, and request
+ * tickets that they can't use.
  */
 export class TicketWaitReservation {
   private readonly reservation = new temporaryReservation.TemporaryReservation(
-    'pledge',
+    'ticketWait',
   );
 
-  /** Sets room aside for `count` tasks where they would be placed. */
+  /** Reserves resources for `count` tasks where they would be placed. */
   reserve(
     step: stepInstance.StepInstance,
     count: number,
@@ -36,7 +36,7 @@
     }
   }
 
-  /** Frees all room at the end of the pass. */
+  /** Releases all resources at the end of the pass. */
   release(): void {
     this.reservation.release();
   }
