--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -1,15 +1,15 @@
 import type * as resources from '../machines/resources.js';
 
-/** One step of a job: a number of equal tasks. */
+/** One step of a job: a number of identical tasks. */
 export interface Step {
   readonly count: number;
-  /** What each task occupies on its worker. */
+  /** Resources that each task occupies on its worker. */
   readonly size: resources.Resources;
   /** The submitter's rough estimate of a task's duration. */
   readonly estimatedRuntimeMs: number;
-  /** Positions of the steps that must be done first. */
+  /** Positions of the steps that must complete first. */
   readonly after: ReadonlyArray<number>;
-  /** Tasks run only together and end together. */
+  /** All tasks start together and end together. */
   readonly gang: boolean;
   /** Tasks run slower when they are spread over racks. */
   readonly sameRack: boolean;
@@ -24,9 +24,9 @@
   readonly dataRack?: string;
   readonly maximumPerWorker?: number;
   readonly image?: string;
-  /** Bound of the tail of response times of tasks that serve users. */
+  /** Target for tail response times; set for tasks that serve users. */
   readonly targetMs?: number;
-  /** Tasks that may be away at once through the scheduler's own actions. */
+  /** Most tasks that the scheduler's own actions may interrupt at a time. */
   readonly maximumUnavailable?: number;
 }
 
@@ -38,18 +38,18 @@
   readonly intervalMs: number;
 }
 
-/** A job as its submitter described it. */
+/** A job as its caller submitted it. */
 export interface JobDefinition {
-  /** Chosen by the submitter; the same id is the same job. */
+  /** Chosen by the caller as an idempotency key: same id, same job. */
   readonly id: string;
   readonly queue: string;
-  /** Text handed to each task unchanged. */
+  /** Text passed to each task unchanged. */
   readonly payload: string;
   readonly steps: ReadonlyArray<Step>;
   readonly schedule?: Schedule;
 }
 
-/** What callers are told about a job. */
+/** State of a job as reported to callers. */
 export type JobState =
   'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
@@ -57,15 +57,17 @@
 export type EndKind =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
-/** Cost of asking which workers may run a step of a queue. */
+/** Durations of the advice service's calls and tickets for a queue. */
 export interface AdviceTiming {
+  /** Service time of each call. */
   readonly decideMs: number;
+  /** Additional service time for each worker named in a call. */
   readonly eachMs: number;
   /** How long a ticket is valid. */
   readonly validMs: number;
 }
 
-/** A queue of jobs and the rules of its tasks. */
+/** A queue of jobs and the policy for its tasks. */
 export interface Queue {
   readonly name: string;
   readonly host: string;
@@ -73,11 +75,11 @@
   readonly service: string;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Failed runs of a task after which its job has failed. */
+  /** Failed runs of a task after which its job fails. */
   readonly attempts: number;
-  /** Factor on a job's longest chain of work that its objective allows. */
+  /** Factor on a job's critical path in its objective. */
   readonly stretch: number;
-  /** Time that the objective allows beyond the chain of work. */
+  /** Time that the objective allows in addition to the critical path. */
   readonly objectiveMs: number;
   readonly timeoutMs: number;
   readonly advice?: AdviceTiming;
@@ -87,7 +89,7 @@
 export interface OperatorConfiguration {
   readonly version: number;
   readonly queues: ReadonlyArray<Queue>;
-  /** Largest body of a request in bytes. */
+  /** Largest request body, in bytes. */
   readonly bodyBytes: number;
   readonly headerTimeoutMs: number;
   readonly idleTimeoutMs: number;
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -3,7 +3,7 @@
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 
-/** A change that has to outlive this process. */
+/** A change that has to survive this process. */
 export type JournalChange =
   | {readonly kind: 'definition'; readonly definition: job.JobDefinition}
   | {
@@ -11,25 +11,28 @@
       readonly id: string;
       readonly progress: jobRecord.JobProgress;
     }
-  /** The job is done with. */
+  /** The job has settled and its retention time is over. */
   | {readonly kind: 'dropped'; readonly id: string}
-  /** The workers on which anything may run. */
+  /** All workers on which tasks may run. */
   | {
       readonly kind: 'workers';
       readonly workers: ReadonlyArray<StoredWorker>;
     };
 
-/** A worker that a successor has to find, or else wait for its leases. */
+/**
+ * A worker that the next scheduler has to reach; if it can't, it waits for the
+ * worker's leases to expire.
+ */
 export interface StoredWorker {
   readonly entry: remoteWorker.WorkerEntry;
   /**
-   * The jobs that have runs there, when nothing more is started there. While
-   * it is undefined, a run of any job may be there.
+   * The jobs that have runs there, once no more tasks are started there. While
+   * undefined, any job may have runs there.
    */
   readonly closedJobs?: ReadonlyArray<string>;
 }
 
-/** What an earlier term stored. */
+/** Content of the journal as earlier terms stored it. */
 export interface JournalContent {
   readonly jobs: ReadonlyArray<{
     readonly definition: job.JobDefinition;
@@ -38,25 +41,25 @@
   readonly workers: ReadonlyArray<StoredWorker>;
 }
 
-/** What came of storing changes. */
+/** Outcome of a call to the journal's store. */
 export type StoreOutcome =
   | 'stored'
-  /** Surely not stored; may be tried again. */
+  /** Definitely not stored; safe to retry. */
   | 'refused'
-  /** May be stored now or later; the same call may be repeated. */
+  /** May be stored now or later; the same call is safe to repeat. */
   | 'unanswered'
-  /** A later term has closed the journal to this one. */
+  /** A later term has opened the journal, which fences off this one. */
   | 'superseded';
 
-/** The journal of all jobs in the platform's store, open to one term. */
+/** The platform's store for the job journal; only the newest term may write. */
 export interface JobJournalStore {
-  /** Closes the journal to earlier terms. */
+  /** Opens the journal for a term and fences off earlier ones. */
   open(term: number): Promise<StoreOutcome>;
-  /** Reads all that is stored; undefined when it can't be read now. */
+  /** Reads the whole journal; undefined if the store can't be read now. */
   load(): Promise<JournalContent | undefined>;
   /**
-   * Stores changes all or nothing. `sequence` rises by one with each new set;
-   * the same number repeats the same set without storing it twice.
+   * Stores a batch of changes atomically. `sequence` rises by one with each new
+   * batch; a call with the same number repeats the batch idempotently.
    */
   append(
     term: number,
@@ -66,26 +69,26 @@
   ): Promise<StoreOutcome>;
 }
 
-/** Time for the answer to the first call with a set of changes. */
+/** Time-out of the first call with a batch. */
 const APPEND_TIMEOUT_MS = 900;
 
-/** Time for later calls with it: they show when the store is back. */
+/** Time-out of retries: short, to notice soon that the store is back. */
 const RETRY_TIMEOUT_MS = 350;
 
-/** Pause before a call that got no answer or a refusal is repeated. */
+/** Delay before an unanswered or refused call is repeated. */
 const RETRY_DELAY_MS = 120;
 
-/** Waits between attempts; tests replace it. */
+/** Delays between attempts; tests use simulated time. */
 export interface Pauses {
   pause(milliseconds: number): Promise<void>;
 }
 
-/** Called when the change it was given with is stored. */
+/** Called when the change that it was passed with is stored. */
 export type StoredListener = () => void;
 
 /**
- * Writes changes in order, one call at a time. Changes that gather while a
- * call is out go into the next one; of one job only the newest progress goes.
+ * Writes changes in order, one call at a time. Changes that arrive during a
+ * call are batched into the next one; of those with one key, the last is sent.
  */
 export class JobJournal {
   private readonly pending = new Map<string, () => JournalChange>();
@@ -103,17 +106,17 @@
     private readonly onSuperseded: () => void,
   ) {}
 
-  /** How long the store has left a change unanswered; 0 when none is out. */
+  /** Returns how long the store has not answered; 0 if no answer is due. */
   unansweredMs(now: clock.Milliseconds): number {
     return this.unansweredSince === undefined ? 0 : now - this.unansweredSince;
   }
 
-  /** The store was last silent, and nothing waits that would show a change. */
+  /** Whether the store was last silent and no write would show its return. */
   get needsProbe(): boolean {
     return this.unansweredSince !== undefined && !this.writing;
   }
 
-  /** Queues a change under a key; `read` is called when it is sent. */
+  /** Queues a change and replaces one with its key; `read` runs on sending. */
   put(key: string, read: () => JournalChange, onStored?: StoredListener): void {
     this.pending.delete(key);
     this.pending.set(key, read);
@@ -121,44 +124,44 @@
     if (!this.writing) void this.writePending();
   }
 
-  /** Withdraws a change that has not been sent; false when it may be. */
+  /** Removes a change that has not been sent; false if it may have been. */
   withdraw(key: string): boolean {
     return this.pending.delete(key);
   }
 
-  /** Sends nothing more. */
+  /** Stops writing; changes that were not sent are dropped. */
   close(): void {
     this.closed = true;
   }
 
   private async writePending(): Promise<void> {
     this.writing = true;
-    // Changes of the same turn share a call.
+    // Changes of the same event loop turn share a call.
     await Promise.resolve();
     while (this.pending.size > 0 && !this.closed) await this.appendBatch();
     this.writing = false;
   }
 
-  /** Sends all that waits until it is stored, or surely is not. */
+  /** Sends all pending changes until they are stored or definitely are not. */
   private async appendBatch(): Promise<void> {
     const sent = new Map(this.pending);
-    const {storedListeners: listeners} = this;
+    const {storedListeners} = this;
     const changes = [...sent.values()].map(read => read());
     this.pending.clear();
     this.storedListeners = [];
     this.unansweredSince ??= this.clock.now();
     const outcome = await this.appendUntilCertain(this.sequence + 1, changes);
     if (outcome === 'refused') {
-      this.requeue(sent, listeners);
+      this.requeue(sent, storedListeners);
       await this.pauses.pause(RETRY_DELAY_MS);
     }
     if (outcome !== 'stored') return;
     this.sequence += 1;
     this.unansweredSince = undefined;
-    for (const listener of listeners) listener();
+    for (const listener of storedListeners) listener();
   }
 
-  /** The set was surely not stored: its changes wait as if never sent. */
+  /** Queues a refused batch again, before the changes that came later. */
   private requeue(
     sent: ReadonlyMap<string, () => JournalChange>,
     listeners: ReadonlyArray<StoredListener>,
@@ -170,8 +173,8 @@
   }
 
   /**
-   * Repeats a call that got no answer until its outcome is certain: such a
-   * call may take effect later.
+   * Repeats an unanswered call until its outcome is known, because it may still
+   * take effect.
    */
   private async appendUntilCertain(
     sequence: number,
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -12,7 +12,7 @@
 import type * as jobTask from './job_task.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
-/** What the life of a job touches. */
+/** Objects that a `JobLifecycle` works with. */
 export interface JobLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly jobTable: jobTable.JobTable;
@@ -25,17 +25,17 @@
   readonly requestPass: () => void;
 }
 
-/** Takes jobs from their acceptance through their steps to their outcome. */
+/** Advances jobs from acceptance through their steps to their outcome. */
 export class JobLifecycle implements runTracker.RunListener {
   constructor(private readonly dependencies: JobLifecycleDependencies) {}
 
-  /** Opens the first steps of an accepted job. */
+  /** Opens the steps of an accepted job that are ready. */
   begin(record: jobRecord.JobRecord): void {
     if (record.outcome === 'open') this.openReadySteps(record);
     this.dependencies.requestPass();
   }
 
-  /** Opens the occurrences that are due by now. */
+  /** Opens the occurrences of scheduled jobs that are due. */
   openDueOccurrences(): void {
     const nowUnixMs = this.dependencies.options.wallClock();
     for (const record of this.dependencies.jobTable.all()) {
@@ -64,7 +64,7 @@
     this.dependencies.requestPass();
   }
 
-  /** Gives a job its outcome, stops what still runs, and stores it. */
+  /** Sets the outcome of a job, stops its remaining runs, and stores it. */
   settle(
     record: jobRecord.JobRecord,
     outcome: jobRecord.JobProgress['outcome'],
@@ -94,7 +94,7 @@
     const {gang, longRunning} = step.definition;
     if (longRunning) return;
     if (gang) {
-      // The members end together; one end stands for all of them.
+      // The members end together, so the end of one completes all of them.
       for (const member of step.tasks) step.markDone(member);
     } else {
       step.markDone(task);
@@ -165,7 +165,7 @@
   }
 }
 
-/** Failed runs that count against a task; a gang fails as one. */
+/** Counts the failed runs of a task; a gang's runs count for all members. */
 function countFailures(
   step: stepInstance.StepInstance,
   task: jobTask.JobTask,
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -3,37 +3,37 @@
 import type * as job from './job.js';
 import type * as jobTask from './job_task.js';
 
-/** How far one step of a job has come. */
+/** Progress of one step of a job. */
 export interface StepProgress {
   readonly occurrence: number;
   readonly position: number;
-  /** Indexes of the tasks that are done. */
+  /** Indexes of the completed tasks. */
   readonly done: ReadonlyArray<number>;
-  /** Index and run of each run that failed. */
+  /** Task index and run number of each failed run. */
   readonly failed: ReadonlyArray<readonly [number, number]>;
-  /** Index and checkpoint of tasks that can resume. */
+  /** Task index and checkpoint of tasks that can resume. */
   readonly checkpoints: ReadonlyArray<readonly [number, string]>;
 }
 
-/** What is stored of a job besides its definition. */
+/** Stored state of a job apart from its definition. */
 export interface JobProgress {
   readonly outcome: 'open' | 'completed' | 'failed' | 'cancelled';
   readonly started: boolean;
   readonly steps: ReadonlyArray<StepProgress>;
 }
 
-/** One accepted job: its steps, its tasks and its outcome. */
+/** A job with its steps, tasks and outcome. */
 export class JobRecord {
   readonly steps: stepInstance.StepInstance[] = [];
   outcome: JobProgress['outcome'] = 'open';
-  /** The outcome as the platform's store holds it. */
+  /** The outcome that the platform's store has confirmed. */
   storedOutcome: JobProgress['outcome'] = 'open';
-  /** The definition is stored, so that the job is accepted. */
+  /** Whether the definition is stored; only then is the job accepted. */
   accepted = false;
   started = false;
-  /** An earlier term may have started runs of it that are not known. */
+  /** Whether an earlier term may have started runs that are not known. */
   fromEarlierTerm = false;
-  /** When the job was stored in its final state. */
+  /** When the final outcome was stored. */
   settledAt: clock.Milliseconds | undefined;
   private nextOccurrence = 0;
 
@@ -52,7 +52,7 @@
     return this.definition.schedule?.occurrences ?? 1;
   }
 
-  /** Unix time at which the next occurrence is due; Infinity without one. */
+  /** Unix time at which the next occurrence is due; Infinity if none is. */
   get nextDueUnixMs(): number {
     const {schedule} = this.definition;
     if (!schedule || this.nextOccurrence >= schedule.occurrences) {
@@ -80,7 +80,7 @@
     return this.steps[occurrence * stepCount + position];
   }
 
-  /** Steps of the same occurrence that wait for a step. */
+  /** Returns the steps of the same occurrence that depend on a step. */
   dependents(
     instance: stepInstance.StepInstance,
   ): ReadonlyArray<stepInstance.StepInstance> {
@@ -91,7 +91,7 @@
     );
   }
 
-  /** Tells whether all steps that a step waits for are done. */
+  /** Returns whether all steps that a step depends on are done. */
   isReady(instance: stepInstance.StepInstance): boolean {
     return instance.definition.after.every(
       position => this.stepAt(instance.occurrence, position)?.done === true,
@@ -105,7 +105,7 @@
     );
   }
 
-  /** What callers are told; an outcome shows once it is stored. */
+  /** State as reported to callers; an outcome counts once it is stored. */
   get state(): job.JobState {
     if (this.storedOutcome !== 'open') return this.storedOutcome;
     return this.started ? 'running' : 'queued';
@@ -130,7 +130,7 @@
     };
   }
 
-  /** Restores what an earlier term stored. */
+  /** Restores progress that an earlier term stored. */
   restore(progress: JobProgress): void {
     this.outcome = progress.outcome;
     this.storedOutcome = progress.outcome;
--- a/src/jobs/job_table.ts
+++ b/src/jobs/job_table.ts
@@ -3,7 +3,7 @@
 import type * as job from './job.js';
 import type * as jobJournal from './job_journal.js';
 
-/** All jobs of the cell and what is stored of them. */
+/** All jobs of the cell, kept in step with the journal. */
 export class JobTable {
   private readonly jobs = new Map<string, jobRecord.JobRecord>();
 
@@ -20,7 +20,7 @@
     return this.jobs.get(id);
   }
 
-  /** Takes over a job that an earlier term stored. */
+  /** Restores a job that an earlier term stored. */
   restore(
     definition: job.JobDefinition,
     progress: jobRecord.JobProgress | undefined,
@@ -34,7 +34,7 @@
     return record;
   }
 
-  /** Stores a new job; it may start and is reported once it is stored. */
+  /** Adds and stores a new job; calls `onStored` when it may start. */
   accept(
     definition: job.JobDefinition,
     onStored: (record: jobRecord.JobRecord) => void,
@@ -45,7 +45,7 @@
       definitionKey(definition.id),
       () => ({kind: 'definition', definition}),
       () => {
-        // The job may have been withdrawn while the store turned it away.
+        // The job may have been withdrawn while the store refused it.
         if (this.jobs.get(definition.id) !== record) return;
         record.accepted = true;
         onStored(record);
@@ -54,14 +54,14 @@
     return record;
   }
 
-  /** Forgets a job that is surely not stored; false when it may be. */
+  /** Removes a job that is definitely not stored; false if it may be. */
   withdraw(id: string): boolean {
     if (!this.journal.withdraw(definitionKey(id))) return false;
     this.jobs.delete(id);
     return true;
   }
 
-  /** Stores how far a job has come. */
+  /** Stores the progress of a job. */
   store(record: jobRecord.JobRecord, onStored?: () => void): void {
     const {id} = record.definition;
     let sent = record.outcome;
@@ -72,7 +72,7 @@
         return {kind: 'progress', id, progress: record.progress()};
       },
       () => {
-        // The outcome may have changed after this set was sent.
+        // The outcome may have changed after this batch was sent.
         if (sent !== 'open' && record.storedOutcome === 'open') {
           record.storedOutcome = sent;
           record.settledAt = this.clock.now();
@@ -82,7 +82,7 @@
     );
   }
 
-  /** Drops jobs that were settled `ageMs` ago. */
+  /** Removes jobs that settled at least `retentionMs` ago. */
   dropSettled(now: clock.Milliseconds, retentionMs: number): void {
     for (const [id, record] of this.jobs) {
       if (record.settledAt === undefined) continue;
@@ -92,7 +92,7 @@
     }
   }
 
-  /** Accepted jobs of a queue of which no task has started. */
+  /** Counts accepted jobs of a queue of which no task has started. */
   countPending(queue: string): number {
     let count = 0;
     for (const record of this.jobs.values()) {
--- a/src/jobs/open_steps.ts
+++ b/src/jobs/open_steps.ts
@@ -2,7 +2,7 @@
 import type * as jobRecord from './job_record.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Steps whose turn has come and that are not done. */
+/** The steps that are ready to run and not done. */
 export class OpenSteps {
   private readonly steps = new Set<stepInstance.StepInstance>();
 
@@ -10,7 +10,7 @@
     return this.steps.values();
   }
 
-  /** Opens the steps of a job that wait for no other step any more. */
+  /** Opens the steps of a job whose dependencies are all done. */
   openReady(record: jobRecord.JobRecord, now: clock.Milliseconds): void {
     for (const step of record.steps) {
       if (step.done || step.readyAt !== undefined) continue;
@@ -20,7 +20,7 @@
     }
   }
 
-  /** Opens a step of which a run of an earlier term was found. */
+  /** Opens a step for which a run of an earlier term was found. */
   open(step: stepInstance.StepInstance): void {
     this.steps.add(step);
   }
