Reword comments of placement, preemption and throttling

Comments and a few local names of the placer, worker selection, preemption planner, idle capacity throttle and queue table. Behaviour is unchanged.

--- a/src/jobs/idle_capacity_throttle.ts
+++ b/src/jobs/idle_capacity_throttle.ts
@@ -4,23 +4,23 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as jobTask from './job_task.js';
 
-/** Share of its target above which a serving task counts as harmed. */
+/** Share of a response time target above which idle-capacity runs pause. */
 const THROTTLE_TARGET_SHARE = 0.8;
 
-/** Share of its target below which it counts as calm. */
+/** Share of a response time target below which their limits may rise. */
 const RECOVERY_TARGET_SHARE = 0.5;
 
-/** How long all must be calm before the others get more again. */
+/** Time that all services must stay below that before limits rise. */
 const RECOVERY_DELAY_MS = 2_000;
 
-/** Percent by which they get more at a time. */
+/** Percentage points by which limits rise at a time. */
 const RECOVERY_STEP_PERCENT = 25;
 
 const FULL_PERCENT = 100;
 
 /**
- * Holds back tasks that use idle capacity on workers whose serving tasks come
- * near their targets: to nothing at once, and back in steps.
+ * Throttles idle-capacity runs on workers whose serving tasks come near their
+ * response time targets: pauses them at once and raises their limits in steps.
  */
 export class IdleCapacityThrottle {
   private readonly belowTargetSince = new Map<
@@ -33,7 +33,7 @@
     private readonly dispatcher: dispatcher.Dispatcher,
   ) {}
 
-  /** Looks at a worker that has just reported. */
+  /** Adjusts the limits on a worker that has just reported. */
   review(worker: remoteWorker.RemoteWorker, now: clock.Milliseconds): void {
     const runs = [...this.index.runsOn(worker)];
     const idleCapacityRuns = runs.filter(
@@ -79,7 +79,7 @@
   }
 }
 
-/** Tail of response times against the target; 0 for tasks that serve none. */
+/** Returns tail response time divided by its target; 0 without a target. */
 function shareOfTarget(assignment: jobTask.Assignment): number {
   const {targetMs} = assignment.jobTask.step.definition;
   return targetMs === undefined ? 0 : assignment.reportedUsage / targetMs;
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -15,7 +15,7 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
-/** What a pass works on. */
+/** Objects that a `PlacementPass` works with. */
 export interface PlacementPassDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
@@ -26,22 +26,22 @@
   readonly queues: queueTable.QueueTable;
   readonly openSteps: openSteps.OpenSteps;
   readonly runtimeModel: runtimeModel.RuntimeModel;
-  /** Tells whether runs of a job may be unknown. */
+  /** Returns whether a job may have runs that are not known yet. */
   readonly isBlocked: (record: jobRecord.JobRecord) => boolean;
-  /** Tells whether anything may be started now. */
+  /** Returns whether tasks may be started now. */
   readonly mayStart: () => boolean;
 }
 
-/** How often steps that wait are logged, and how long they have waited. */
+/** Interval of logging waiting steps, and their minimum wait. */
 const WAITING_REPORT_INTERVAL_MS = 2_000;
 
-/** Steps logged at a time. */
+/** Most waiting steps logged at a time. */
 const MAXIMUM_REPORTED_STEPS = 3;
 
-/** Distance between the first run numbers of terms. */
+/** Run numbers set aside for each term. */
 const RUN_NUMBERS_PER_TERM = 64;
 
-/** Collects what waits and has it placed, once for all news of a turn. */
+/** Collects waiting steps and places their tasks, once per event loop turn. */
 export class PlacementPass
   implements placer.PlacerListener, evacuator.EvacuatorListener
 {
@@ -61,7 +61,7 @@
     );
   }
 
-  /** Has a pass run after the present turn. */
+  /** Schedules a pass after the current event loop turn. */
   request(): void {
     if (this.passRequested) return;
     this.passRequested = true;
@@ -71,7 +71,7 @@
     });
   }
 
-  /** Logs why the steps that have waited longest still wait. */
+  /** Logs why the steps that have waited longest wait, once per interval. */
   reportWaiting(now: clock.Milliseconds): void {
     if (now < this.nextReportAt) return;
     this.nextReportAt = now + WAITING_REPORT_INTERVAL_MS;
@@ -178,7 +178,7 @@
     }
   }
 
-  /** Steps that wait only for tasks which are expected to end soon. */
+  /** Returns steps whose dependencies are expected to end soon. */
   private *upcomingSteps(
     now: clock.Milliseconds,
   ): Iterable<stepOrdering.WaitingStep> {
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -14,39 +14,39 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
-/** Lead time with which advice for a later step is asked for. */
+/** Additional lead time of advice requests for upcoming steps. */
 const ADVICE_LEAD_MS = 300;
 
-/** What a pass works on. */
+/** Input of one placement pass. */
 export interface PassInput {
   readonly waiting: ReadonlyArray<stepOrdering.WaitingStep>;
-  /** Steps whose turn comes soon. */
+  /** Steps that are expected to become ready soon. */
   readonly upcoming: ReadonlyArray<stepOrdering.WaitingStep>;
   readonly now: clock.Milliseconds;
 }
 
-/** Answers what a placer must know of tasks, and hears what it does. */
+/** Answers a placer's queries about tasks, and receives its decisions. */
 export interface PlacerListener {
-  /** Number of a task's next run. */
+  /** Returns the number of a task's next run. */
   nextRun(task: jobTask.JobTask): number;
-  /** Expected runtime of a step's tasks. */
+  /** Returns the expected runtime of a step's tasks. */
   predictMs(step: stepInstance.StepInstance): number;
-  /** Priority of a step's queue; 0 is the most urgent. */
+  /** Returns the priority of a step's queue; 0 is the most urgent. */
   priorityOf(step: stepInstance.StepInstance): number;
-  /** Stops a run, which resumes from its checkpoint, for a more urgent task. */
+  /** Preempts a run for a more urgent step; it resumes from its checkpoint. */
   interrupt(
     victim: jobTask.Assignment,
     urgent: stepInstance.StepInstance,
   ): void;
-  /** Tasks of a step were started; `left` of them still wait. */
+  /** Receives how many tasks of a step were started and how many still wait. */
   tasksPlaced(
     step: stepInstance.StepInstance,
     count: number,
-    left: number,
+    waitingCount: number,
   ): void;
 }
 
-/** Gives waiting tasks their workers. */
+/** Places waiting tasks on workers. */
 export class Placer {
   constructor(
     private readonly workers: workerTable.WorkerTable,
@@ -57,7 +57,7 @@
     private readonly listener: PlacerListener,
   ) {}
 
-  /** Places what has room now, most urgent first. */
+  /** Places the tasks that fit now, most urgent first. */
   runPass(input: PassInput): void {
     const open = this.openWorkers(input.now);
     const preemptions = new preemptionPlanner.PreemptionPlanner(input.now);
@@ -80,8 +80,8 @@
   }
 
   /**
-   * Tells whether a task of a step could be started now; where a ticket is
-   * missing, asks for one.
+   * Returns whether a task of a step could be started now. If it could not and
+   * the queue needs tickets, requests some.
    */
   prepareStart(
     step: stepInstance.StepInstance,
@@ -99,7 +99,7 @@
     return false;
   }
 
-  /** Says why tasks of a step still wait. */
+  /** Returns a log summary of why tasks of a step still wait. */
   explain(
     step: stepInstance.StepInstance,
     queue: job.Queue,
@@ -160,29 +160,29 @@
     }
   }
 
-  /** Returns whether no task of the step waits any more. */
+  /** Starts the tasks that fit; returns whether none is left waiting. */
   private placeTasks(
     step: stepInstance.StepInstance,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: workerSelection.WorkerFacts,
   ): boolean {
     let placed = 0;
-    let left = 0;
+    let waitingCount = 0;
     for (const task of step.tasks) {
       if (!task.waiting) continue;
       const selected =
-        left === 0
+        waitingCount === 0
           ? workerSelection.selectWorker(step, workers, facts)
           : undefined;
       if (selected === undefined) {
-        left += 1;
+        waitingCount += 1;
         continue;
       }
       this.dispatcher.start(task, selected, this.listener.nextRun(task));
       placed += 1;
     }
-    if (placed > 0) this.listener.tasksPlaced(step, placed, left);
-    return left === 0;
+    if (placed > 0) this.listener.tasksPlaced(step, placed, waitingCount);
+    return waitingCount === 0;
   }
 
   private placeGang(
@@ -190,7 +190,7 @@
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: workerSelection.WorkerFacts,
   ): boolean {
-    // Members of an earlier run must be gone before the next run starts.
+    // Members of an earlier run must have ended before the next run starts.
     if (!step.tasks.every(task => task.waiting)) return true;
     const plan = gangPlan.planGang(step, workers, facts);
     if (plan === undefined) return false;
@@ -223,8 +223,8 @@
   }
 
   /**
-   * Asks about workers without a ticket, if that may be done. Returns those with
-   * room, on which the step may find its place.
+   * Requests tickets for workers that lack one, if a call may be sent. Returns
+   * those of them that are eligible apart from the ticket.
    */
   private requestAdvice(
     step: stepInstance.StepInstance,
@@ -253,7 +253,7 @@
     return withRoom;
   }
 
-  /** Asks before the turn of a step comes, so that it need not wait. */
+  /** Requests tickets before a step is ready, so that it need not wait. */
   private prefetchAdvice(
     step: stepInstance.StepInstance,
     queue: job.Queue,
@@ -282,7 +282,7 @@
   }
 }
 
-/** Thousandths of cores of all workers together. */
+/** Returns the capacity of all workers, in thousandths of a core. */
 function processorsOf(
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
 ): number {
@@ -292,7 +292,7 @@
   );
 }
 
-/** Part of the workers' processors that is free, from 0 to 1. */
+/** Returns the free share of the workers' processors, from 0 to 1. */
 function freeProcessorShare(
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
 ): number {
@@ -300,12 +300,12 @@
   return free / Math.max(processorsOf(workers), 1);
 }
 
-/** Time before a step's turn at which its advice is asked for. */
+/** Returns how long before a step is ready its advice is requested. */
 export function adviceLeadMs(timing: job.AdviceTiming): number {
   return adviceCache.longestAdviceCallMs(timing) + ADVICE_LEAD_MS;
 }
 
-/** Workers near the data first, then those with the most room. */
+/** Sorts workers: those near the data first, then by free processors. */
 function sortByPreference(
   step: job.Step,
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
--- a/src/jobs/preemption_planner.ts
+++ b/src/jobs/preemption_planner.ts
@@ -6,18 +6,18 @@
 import type * as stepInstance from './step_instance.js';
 import type * as jobTask from './job_task.js';
 
-/** Age from which a run may be interrupted, so that it makes some progress. */
+/** Runs younger than this are not preempted, so that each makes progress. */
 const MINIMUM_RUN_AGE_MS = 1_000;
 
-/** What a plan must know of the runs on workers. */
+/** Facts that planning needs about the runs on workers. */
 export interface PreemptionFacts extends workerSelection.WorkerFacts {
   runsOn(worker: remoteWorker.RemoteWorker): Iterable<jobTask.Assignment>;
   priorityOf(step: stepInstance.StepInstance): number;
 }
 
 /**
- * Room that becomes free for urgent tasks during one pass, so that the same
- * room is not counted on twice.
+ * Plans preemptions for one placement pass. Tracks the room that earlier plans
+ * of the pass claim, so that it is not used twice.
  */
 export class PreemptionPlanner {
   private readonly claimedRoom = new Map<
@@ -28,9 +28,9 @@
   constructor(private readonly now: clock.Milliseconds) {}
 
   /**
-   * Returns runs to interrupt so that `count` tasks of a step find room. Only
-   * less urgent work that resumes from a checkpoint is interrupted, and no
-   * more of it than the tasks need.
+   * Returns runs to preempt so that `count` tasks of a step get room. Only less
+   * urgent runs that can resume from a checkpoint are preempted, and no more of
+   * them than the tasks need.
    */
   planVictims(
     step: stepInstance.StepInstance,
@@ -40,13 +40,19 @@
     facts: PreemptionFacts,
   ): ReadonlyArray<jobTask.Assignment> {
     const victims: jobTask.Assignment[] = [];
-    let left = count;
+    let unplannedCount = count;
     for (const worker of workers) {
-      if (left === 0) break;
+      if (unplannedCount === 0) break;
       if (!couldRunTask(worker, step.definition, facts)) continue;
-      const plan = this.planOnWorker(worker, step, queue, left, facts);
+      const plan = this.planOnWorker(
+        worker,
+        step,
+        queue,
+        unplannedCount,
+        facts,
+      );
       victims.push(...plan.victims);
-      left -= plan.tasks;
+      unplannedCount -= plan.tasks;
     }
     return victims;
   }
@@ -84,7 +90,7 @@
     return {tasks, victims};
   }
 
-  /** Room once all that is being stopped has ended. */
+  /** Returns the unclaimed room on a worker once stopping runs have ended. */
   private roomAfterStops(
     worker: remoteWorker.RemoteWorker,
     runs: ReadonlyArray<jobTask.Assignment>,
@@ -140,7 +146,7 @@
   return workerSelection.reservedSize(assignment.jobTask.step.definition);
 }
 
-/** The first runs whose end makes room; undefined when all would not do. */
+/** Returns the first candidates whose end makes room; undefined if none do. */
 function selectVictims(
   size: resources.Resources,
   room: resources.Resources,
--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -1,30 +1,30 @@
 import type * as job from './job.js';
 import type * as stepInstance from './step_instance.js';
 
-/** The queues of the newest configuration, and of those before it. */
+/** Queues of the newest configuration and those removed from earlier ones. */
 export class QueueTable {
   private configuration: job.OperatorConfiguration | undefined;
   private readonly byName = new Map<string, job.Queue>();
 
-  /** Takes a configuration; false when it is not newer. */
+  /** Applies a configuration; returns false if it is not newer. */
   update(configuration: job.OperatorConfiguration): boolean {
     if (configuration.version <= (this.configuration?.version ?? -1)) {
       return false;
     }
     this.configuration = configuration;
-    // Jobs of a queue that is removed run on under its last rules.
+    // Jobs of a removed queue continue under its last definition.
     for (const queue of configuration.queues) {
       this.byName.set(queue.name, queue);
     }
     return true;
   }
 
-  /** The queue of a step's job. */
+  /** Returns the queue of a step's job. */
   ofStep(step: stepInstance.StepInstance): job.Queue | undefined {
     return this.byName.get(step.owner.definition.queue);
   }
 
-  /** Tells whether a configuration newer than the sender's has no such queue. */
+  /** Returns whether a configuration newer than the sender's lacks a queue. */
   isRemoved(name: string, senderVersion: number): boolean {
     const {configuration} = this;
     if (configuration === undefined) return false;
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -4,39 +4,42 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Cost of a rack without the step's data, in shares of a worker. */
+/** Cost of a rack without the step's data, in fractions of a worker. */
 const REMOTE_RACK_COST = 2;
 
-/** Cost of a worker that surely fails what it runs. */
+/** Cost of a worker whose suspicion is 1. */
 const SUSPICION_COST = 4;
 
-/** Answers what placement must know of a worker beside its room. */
+/** Facts that selection needs about a worker besides its free resources. */
 export interface WorkerFacts {
-  /** A ticket, or the empty string where none is needed. */
+  /** Returns a ticket, or an empty string where none is needed. */
   ticketFor(worker: remoteWorker.RemoteWorker): string | undefined;
-  /** Tasks of the step that run on the worker. */
+  /** Counts the step's tasks on the worker. */
   countTasksOfStep(worker: remoteWorker.RemoteWorker): number;
-  /** Serving tasks with a target of response times on the worker. */
+  /** Counts tasks with a response time target on the worker. */
   countServingTasks(worker: remoteWorker.RemoteWorker): number;
-  /** Tasks on the worker that use idle capacity. */
+  /** Counts tasks that use idle capacity on the worker. */
   countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number;
-  /** How likely the worker is to fail what it runs, from 0 to 1. */
+  /** Returns how likely the worker is to fail its runs, from 0 to 1. */
   suspicion(worker: remoteWorker.RemoteWorker): number;
 }
 
-/** A place for one task. */
+/** A worker selected for one task, with the ticket for the start. */
 export interface SelectedWorker {
   readonly worker: remoteWorker.RemoteWorker;
   readonly ticket: string | undefined;
 }
 
-/** What a task of a step counts against a worker's room. */
+/**
+ * Returns the resources that a task reserves on its worker. A task that uses
+ * idle capacity reserves no processors.
+ */
 export function reservedSize(step: job.Step): resources.Resources {
   if (!step.usesIdleCapacity) return step.size;
   return {...step.size, processors: 0};
 }
 
-/** Tells whether a worker takes new tasks at all. */
+/** Returns whether new tasks may be placed on a worker. */
 export function isSchedulable(
   worker: remoteWorker.RemoteWorker,
   now: clock.Milliseconds,
@@ -55,7 +58,7 @@
   return worker.entry.labels.includes(requiredLabel);
 }
 
-/** Tells whether a worker could run a task of the step with the room it has. */
+/** Returns whether a task of the step fits the worker's free resources. */
 export function hasFreeCapacity(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
@@ -65,7 +68,7 @@
   );
 }
 
-/** Tells whether a worker could take a task now, but for a ticket. */
+/** Returns whether a worker could run a task now, tickets aside. */
 export function isEligible(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
@@ -76,7 +79,7 @@
   );
 }
 
-/** Tells whether a step's task would fit an empty worker. */
+/** Returns whether a task of the step would fit the worker if it were empty. */
 export function fitsTotalCapacity(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
@@ -88,8 +91,8 @@
 }
 
 /**
- * Picks the worker for one task: near its data, and otherwise the one that is
- * filled best, so that large tasks find room on the others.
+ * Selects the worker with the lowest cost for one task: close to its data, then
+ * best fit, which leaves room for large tasks on other workers.
  */
 export function selectWorker(
   step: stepInstance.StepInstance,
@@ -127,7 +130,7 @@
   cost += SUSPICION_COST * facts.suspicion(worker);
   if (step.usesIdleCapacity) {
     if (facts.countServingTasks(worker) > 0) return Infinity;
-    // Idle processors are what these tasks live on.
+    // These tasks run on idle processors: prefer the least loaded worker.
     return (
       cost +
       resources.dominantFraction(worker.used, worker.entry.capacity) +
