Reword comments of run tracking, step ordering and workers

Comments and local names of the run tracker, run health, runtime model, step ordering and the worker table, lifecycle and stored list. Behaviour is unchanged.

--- a/src/jobs/run_health.ts
+++ b/src/jobs/run_health.ts
@@ -2,44 +2,44 @@
 import type * as stepInstance from './step_instance.js';
 import type * as jobTask from './job_task.js';
 
-/** What is wrong with a run. */
+/** Fault for which a run is replaced. */
 export type RunFault =
-  /** It makes no progress. */
+  /** The run makes no progress. */
   | 'stalled'
-  /** It takes much longer than other tasks of its step. */
+  /** The run takes much longer than other tasks of its step did. */
   | 'slow';
 
-/** Time without progress that may come from the rate of reports. */
+/** Minimum stall: shorter times may come from the rate of reports. */
 const MINIMUM_STALL_MS = 1_500;
 
-/** Part of the estimated runtime in which the percentage must have risen. */
+/** Share of the estimated runtime that is added to the minimum. */
 const STALL_RUNTIME_SHARE = 0.03;
 
-/** Time without progress of a gang, whose members wait for each other. */
+/** Minimum stall of a gang, whose members wait for each other. */
 const MINIMUM_GANG_STALL_MS = 4_000;
 
-/** Times the usual duration after which a run counts as slow. */
+/** Multiple of the median duration from which a run may be slow. */
 const SLOW_FACTOR = 2;
 
-/** Difference in duration that is too small to act on. */
+/** Differences in duration below this are too small to act on. */
 const SLOW_MARGIN_MS = 400;
 
-/** Part of a step's tasks that must be done before others count as slow. */
+/** Share of a step's tasks that must be done before others may be slow. */
 const MINIMUM_DONE_SHARE = 0.5;
 
-/** Judges a run by its reported progress; undefined while it goes well. */
+/** Returns the fault that a run's progress reports show; undefined if none. */
 export function detectFault(
   assignment: jobTask.Assignment,
   now: clock.Milliseconds,
 ): RunFault | undefined {
   const {definition} = assignment.jobTask.step;
   if (assignment.phase !== 'running' || !assignment.reported) return undefined;
-  // These make no progress of their own, or only at times.
+  // These runs report no progress of their own, or make it only at times.
   if (definition.longRunning || definition.usesIdleCapacity) return undefined;
-  // What was reported is judged, not the silence of the worker.
+  // Counts up to the last report: a worker's silence is not the run's fault.
   const withoutProgressMs =
     assignment.worker.lastAnswerAt - assignment.progressedAt;
-  // A task that may just be like that gets twice the time at each start.
+  // The task itself may progress slowly, so each replacement doubles the limit.
   const stallFactor = 2 ** assignment.jobTask.replacementCount;
   if (withoutProgressMs > stallFactor * stallLimitMs(assignment.jobTask.step)) {
     return 'stalled';
@@ -53,7 +53,7 @@
   return minimumMs + STALL_RUNTIME_SHARE * estimatedRuntimeMs;
 }
 
-/** Tells whether a fresh start elsewhere would probably end sooner. */
+/** Returns whether a new run on another worker would probably end sooner. */
 function isSlow(
   assignment: jobTask.Assignment,
   now: clock.Milliseconds,
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -6,9 +6,9 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Hears how runs end. */
+/** Receives the ends of runs. */
 export interface RunListener {
-  /** A run ended for good or ill; its room is free. */
+  /** A run ended, whether it succeeded or not; its resources are released. */
   runEnded(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
@@ -17,7 +17,7 @@
   ): void;
 }
 
-/** Position of a task: its job, occurrence, step and index. */
+/** Parses a task name; undefined unless it has the form of this scheduler's. */
 function parseTaskName(
   name: string,
 ): {id: string; occurrence: number; step: number; index: number} | undefined {
@@ -32,7 +32,7 @@
   };
 }
 
-/** Brings the book of jobs in line with what workers report. */
+/** Applies worker reports to the jobs and their runs. */
 export class RunTracker {
   constructor(
     private readonly jobTable: jobTable.JobTable,
@@ -41,7 +41,7 @@
     private readonly listener: RunListener,
   ) {}
 
-  /** Finds a task by its name. */
+  /** Finds a task by its name; opens its job's occurrences up to that task. */
   findTask(name: string): jobTask.JobTask | undefined {
     const parsed = parseTaskName(name);
     if (parsed === undefined) return undefined;
@@ -58,7 +58,7 @@
     return instance?.tasks[parsed.index];
   }
 
-  /** Takes a report that was asked for at `sentAt`. */
+  /** Applies a report that was requested at `sentAt`. */
   applyReport(
     worker: remoteWorker.RemoteWorker,
     report: remoteWorker.WorkerReport,
@@ -70,14 +70,14 @@
     this.confirmStops(worker, report, sentAt);
   }
 
-  /** Everything that ran on a worker is over. */
+  /** Ends all runs on a worker. */
   endAll(worker: remoteWorker.RemoteWorker, endKind: 'lapsed' | 'lost'): void {
     for (const assignment of [...this.index.runsOn(worker)]) {
       this.end(assignment, endKind);
     }
   }
 
-  /** Frees a run that surely did not start. */
+  /** Releases a run that has ended or definitely did not start. */
   release(assignment: jobTask.Assignment): void {
     this.index.remove(assignment);
   }
@@ -88,7 +88,7 @@
     now: clock.Milliseconds,
   ): void {
     const task = this.findTask(row.task);
-    // The job was dropped, or another system's task: the lease ends it.
+    // The job was dropped, or the task is not ours: its lease will expire.
     if (task === undefined) return;
     const assignment =
       task.find(worker, row.run) ?? this.adopt(task, worker, row.run, now);
@@ -103,7 +103,7 @@
     }
   }
 
-  /** Takes over a run that an earlier term started. */
+  /** Adopts a run that an earlier term started. */
   private adopt(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
@@ -135,10 +135,10 @@
     now: clock.Milliseconds,
   ): void {
     const affectedTasks = new Set<jobTask.JobTask>();
-    let highest = worker.endsHandled;
+    let highestNumber = worker.endsHandled;
     for (const row of ended) {
       if (row.number <= worker.endsHandled) continue;
-      highest = Math.max(highest, row.number);
+      highestNumber = Math.max(highestNumber, row.number);
       const task = this.findTask(row.task);
       if (task === undefined) continue;
       affectedTasks.add(task);
@@ -148,40 +148,41 @@
       task.highestRun = Math.max(task.highestRun, row.run);
       const assignment = task.find(worker, row.run);
       if (assignment !== undefined) {
-        const tookMs = now - assignment.startedAt;
-        if (row.how === 'done') task.step.recordDuration(tookMs);
+        const durationMs = now - assignment.startedAt;
+        if (row.how === 'done') task.step.recordDuration(durationMs);
         this.release(assignment);
       }
       this.listener.runEnded(task, worker, row.run, row.how);
     }
-    if (highest === worker.endsHandled) return;
-    worker.endsHandled = highest;
-    this.storeEnds(worker, highest, affectedTasks);
+    if (highestNumber === worker.endsHandled) return;
+    worker.endsHandled = highestNumber;
+    this.storeEnds(worker, highestNumber, affectedTasks);
   }
 
-  /** A worker may forget its ends once all of their jobs are stored. */
+  /** Lets a worker forget its ended runs once all their jobs are stored. */
   private storeEnds(
     worker: remoteWorker.RemoteWorker,
-    highest: number,
+    highestNumber: number,
     affectedTasks: ReadonlySet<jobTask.JobTask>,
   ): void {
     const records = new Set([...affectedTasks].map(task => task.step.owner));
     let unstoredCount = records.size;
-    const stored = (): void => {
-      worker.endsStored = Math.max(worker.endsStored, highest);
+    const markStored = (): void => {
+      worker.endsStored = Math.max(worker.endsStored, highestNumber);
     };
-    if (unstoredCount === 0) stored();
+    if (unstoredCount === 0) markStored();
     for (const record of records) {
       this.jobTable.store(record, () => {
         unstoredCount -= 1;
-        if (unstoredCount === 0) stored();
+        if (unstoredCount === 0) markStored();
       });
     }
   }
 
   /**
-   * A stop that was answered while the run was not listed rules the run out:
-   * a later start of it is refused. A report asked for after that shows it.
+   * Ends stopped runs that a report does not list. Once a worker has confirmed
+   * a stop, it refuses later starts of that run, so a report requested after
+   * the confirmation is conclusive.
    */
   private confirmStops(
     worker: remoteWorker.RemoteWorker,
--- a/src/jobs/runtime_model.ts
+++ b/src/jobs/runtime_model.ts
@@ -1,10 +1,10 @@
-/** Steps after which a queue's own experience counts. */
+/** Completed steps of a queue from which its own statistics are used. */
 const MINIMUM_SAMPLES = 8;
 
-/** Estimates below this are noise; the logarithm needs a positive number. */
+/** Shorter times are noise; also keeps the logarithm's argument positive. */
 const MINIMUM_RUNTIME_MS = 10;
 
-/** Sums of a linear regression. */
+/** Running sums of a linear regression. */
 interface RegressionSums {
   count: number;
   sumX: number;
@@ -14,14 +14,14 @@
 }
 
 /**
- * Predicts how long tasks take from their submitters' estimates and from how
- * long earlier tasks of the queue took. Logarithms are regressed, so that an
- * estimate counts as much as the queue's estimates have proved to be worth.
+ * Predicts task runtimes with a linear regression of actual on estimated
+ * runtimes for each queue. The regression uses logarithms, so that an estimate
+ * weighs as much as the queue's estimates have proved to be accurate.
  */
 export class RuntimeModel {
   private readonly queues = new Map<string, RegressionSums>();
 
-  /** A task took `actualMs` where `estimatedMs` was estimated. */
+  /** Records an actual runtime and the estimate for it. */
   observe(queue: string, estimatedMs: number, actualMs: number): void {
     const sums = this.queues.get(queue) ?? emptySums();
     this.queues.set(queue, sums);
@@ -34,7 +34,7 @@
     sums.sumXY += x * y;
   }
 
-  /** Returns the expected runtime; the estimate while little is known. */
+  /** Returns the expected runtime; the estimate while samples are too few. */
   predict(queue: string, estimatedMs: number): number {
     const sums = this.queues.get(queue);
     if (sums === undefined || sums.count < MINIMUM_SAMPLES) return estimatedMs;
@@ -55,7 +55,10 @@
   return Math.log(Math.max(milliseconds, MINIMUM_RUNTIME_MS));
 }
 
-/** A longer estimate never means a shorter task, nor more than its share. */
+/**
+ * Limits the slope so that a longer estimate neither shortens the prediction
+ * nor lengthens it more than in proportion.
+ */
 function clampSlope(slope: number): number {
   return Math.min(1, Math.max(0, slope));
 }
--- a/src/jobs/step_instance.ts
+++ b/src/jobs/step_instance.ts
@@ -6,7 +6,7 @@
 /** One step of one occurrence of a job. */
 export class StepInstance {
   readonly tasks: ReadonlyArray<jobTask.JobTask>;
-  /** When the step's turn came, once it has. */
+  /** When the step became ready; undefined before. */
   readyAt: clock.Milliseconds | undefined;
   private doneTaskCount = 0;
   private readonly durationsMs: number[] = [];
@@ -24,7 +24,7 @@
     );
   }
 
-  /** Job, occurrence and position, as the platform spells them. */
+  /** Job, occurrence and position in the platform's notation. */
   get name(): string {
     return `${this.owner.definition.id}.${this.occurrence}.${this.position}`;
   }
@@ -37,19 +37,19 @@
     return this.doneTaskCount;
   }
 
-  /** Marks one task as done; a second call for it does nothing. */
+  /** Marks a task as done; repeated calls do nothing. */
   markDone(task: jobTask.JobTask): void {
     if (task.done) return;
     task.done = true;
     this.doneTaskCount += 1;
   }
 
-  /** Notes how long a task took that succeeded. */
+  /** Records the duration of a successful run. */
   recordDuration(milliseconds: number): void {
     this.durationsMs.push(milliseconds);
   }
 
-  /** Median duration once a share of the tasks is done; undefined before. */
+  /** Returns the median duration; undefined until `doneShare` has succeeded. */
   medianDurationMs(doneShare: number): number | undefined {
     const {length} = this.durationsMs;
     if (length === 0 || length < doneShare * this.tasks.length) {
@@ -59,30 +59,30 @@
     return sorted[Math.floor(length / 2)];
   }
 
-  /** Part of the work that its least advanced task has left, 0 to 1. */
+  /** Returns the share of work left for the least advanced task, 0 to 1. */
   remainingShare(): number {
-    let left = 0;
+    let largestShare = 0;
     for (const task of this.tasks) {
       if (task.done) continue;
-      const percent = Math.max(
+      const progressPercent = Math.max(
         0,
         ...task.assignments.map(assignment => assignment.progressPercent),
       );
-      left = Math.max(left, 1 - percent / 100);
+      largestShare = Math.max(largestShare, 1 - progressPercent / 100);
     }
-    return left;
+    return largestShare;
   }
 
-  /** When the last task ends if all take so long; Infinity while one waits. */
+  /** Returns when the last task should end; Infinity while any task waits. */
   expectedEndAt(runtimeMs: number): clock.Milliseconds {
-    let latest = -Infinity;
+    let latestEndAt = -Infinity;
     for (const task of this.tasks) {
       if (task.done) continue;
       if (task.assignments.length === 0) return Infinity;
       const [first] = task.assignments;
-      const end = first.startedAt + runtimeMs;
-      latest = Math.max(latest, end);
+      const endAt = first.startedAt + runtimeMs;
+      latestEndAt = Math.max(latestEndAt, endAt);
     }
-    return latest;
+    return latestEndAt;
   }
 }
--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -4,61 +4,61 @@
 import type * as jobRecord from './job_record.js';
 import type * as stepInstance from './step_instance.js';
 
-/** A step with tasks that wait for a worker. */
+/** A step with tasks that wait for a worker, and its queue. */
 export interface WaitingStep {
   readonly step: stepInstance.StepInstance;
   readonly queue: job.Queue;
 }
 
-/** Times the objective until which a job still earns part of its worth. */
+/** Multiple of the objective until which a late job still has value. */
 const WORTHLESS_OBJECTIVE_FACTOR = 3;
 
-/** Predicts the runtime of a step's tasks. */
+/** Returns the predicted runtime of a step's tasks, in milliseconds. */
 export type RuntimePredictor = (step: stepInstance.StepInstance) => number;
 
-/** Part of the objective by which a prediction may be off. */
+/** Share of the objective allowed for errors of the prediction. */
 const PREDICTION_TOLERANCE_SHARE = 0.2;
 
-/** How long a job may take to count as on time. */
+/** Returns the longest duration for which a job counts as on time. */
 export function objectiveMsOf(
   record: jobRecord.JobRecord,
   queue: job.Queue,
   predict: RuntimePredictor,
 ): number {
-  const chain = criticalPathMs(record, queue, predict);
-  return queue.stretch * chain + queue.objectiveMs;
+  const pathMs = criticalPathMs(record, queue, predict);
+  return queue.stretch * pathMs + queue.objectiveMs;
 }
 
-/** Longest chain of work through the steps of the first occurrence. */
+/** Returns the critical path through the steps of the first occurrence. */
 function criticalPathMs(
   record: jobRecord.JobRecord,
   queue: job.Queue,
   durationOf: RuntimePredictor,
 ): number {
-  const ends: number[] = [];
+  const endsMs: number[] = [];
   const {advice} = queue;
   const adviceMs = advice ? adviceCache.longestAdviceCallMs(advice) : 0;
   for (const step of record.steps.slice(0, record.definition.steps.length)) {
     const {after} = step.definition;
-    const start = Math.max(0, ...after.map(before => ends[before] ?? 0));
-    const own = durationOf(step);
-    ends.push(start + (own > 0 ? own + adviceMs : 0));
+    const startMs = Math.max(0, ...after.map(before => endsMs[before] ?? 0));
+    const durationMs = durationOf(step);
+    endsMs.push(startMs + (durationMs > 0 ? durationMs + adviceMs : 0));
   }
-  return Math.max(0, ...ends);
+  return Math.max(0, ...endsMs);
 }
 
-/** What is left of the longest chain when all that waits started now. */
+/** Returns the critical path that remains if all waiting tasks start now. */
 function remainingCriticalPathMs(
   record: jobRecord.JobRecord,
   queue: job.Queue,
   predict: RuntimePredictor,
 ): number {
-  const left = (step: stepInstance.StepInstance): number =>
+  const remainingMsOf = (step: stepInstance.StepInstance): number =>
     step.done ? 0 : predict(step) * step.remainingShare();
-  return criticalPathMs(record, {...queue, advice: undefined}, left);
+  return criticalPathMs(record, {...queue, advice: undefined}, remainingMsOf);
 }
 
-/** Processor time that a job still needs, in thousandths of a core-ms. */
+/** Returns the processor time a job still needs, in millicore-milliseconds. */
 function remainingWork(
   record: jobRecord.JobRecord,
   predict: RuntimePredictor,
@@ -71,63 +71,67 @@
   return work;
 }
 
-/** How urgent a job is: smaller goes first. */
+/** Sort key of a job; smaller values are scheduled first. */
 export interface Urgency {
-  /** The queue's priority, raised for jobs that have missed their time. */
+  /** The queue's priority, plus a penalty for jobs that will be late. */
   readonly rank: number;
-  /** Due time, put off by the room that the job needs. */
+  /** Due time, deferred in proportion to the job's remaining work. */
   readonly effectiveDueAt: clock.Milliseconds;
   readonly onTime: boolean;
 }
 
 /**
- * Times the span in which the whole service would do a job's work by which its
- * turn is put off. When not all can be on time, small jobs first let more of
- * them be; a large one gets its turn once it has waited for as long.
+ * Deferral of a job's due time, as a multiple of the time in which the whole
+ * service would do its work. Under overload more jobs are on time when small
+ * ones go first; a large one goes first once it has waited for its deferral.
  */
 const SIZE_WEIGHT = 8;
 
 /**
- * A late job earns a fraction of its worth: it goes behind the next queue's
- * jobs that are on time, but before those of the queue after that.
+ * Penalty of a late job, which keeps only part of its value. It goes behind
+ * on-time jobs of the next queue, but ahead of those of the queue after that.
  */
 const LATE_RANK_PENALTY = 1.5;
 
-/** Ranks by which a job that earns nothing any more goes behind the others. */
+/** Penalty of a job without value; puts it behind all others. */
 const WORTHLESS_RANK_PENALTY = 100;
 
-/** Rates a job by its queue and by the time that it has left. */
+/** Returns the urgency of a job from its queue and its remaining time. */
 export function urgencyOf(
   record: jobRecord.JobRecord,
   queue: job.Queue,
   now: clock.Milliseconds,
   predict: RuntimePredictor,
-  processors: number,
+  totalProcessors: number,
 ): Urgency {
   const {priority} = queue;
   if (record.longRunning) {
     return {rank: priority, effectiveDueAt: record.arrivedAt, onTime: true};
   }
-  const objective = objectiveMsOf(record, queue, predict);
-  const dueAt = record.arrivedAt + objective;
-  const spanMs = remainingWork(record, predict) / Math.max(processors, 1);
-  const turn = dueAt + SIZE_WEIGHT * spanMs;
+  const objectiveMs = objectiveMsOf(record, queue, predict);
+  const dueAt = record.arrivedAt + objectiveMs;
+  const spanMs = remainingWork(record, predict) / Math.max(totalProcessors, 1);
+  const effectiveDueAt = dueAt + SIZE_WEIGHT * spanMs;
   const endsAt = now + remainingCriticalPathMs(record, queue, predict);
-  if (endsAt <= dueAt + PREDICTION_TOLERANCE_SHARE * objective) {
-    return {rank: priority, effectiveDueAt: turn, onTime: true};
+  if (endsAt <= dueAt + PREDICTION_TOLERANCE_SHARE * objectiveMs) {
+    return {rank: priority, effectiveDueAt, onTime: true};
   }
   const worthless =
-    endsAt - record.arrivedAt > objective * WORTHLESS_OBJECTIVE_FACTOR;
+    endsAt - record.arrivedAt > objectiveMs * WORTHLESS_OBJECTIVE_FACTOR;
   const ranks = worthless ? WORTHLESS_RANK_PENALTY : LATE_RANK_PENALTY;
-  return {rank: priority + ranks, effectiveDueAt: turn, onTime: false};
+  return {
+    rank: priority + ranks,
+    effectiveDueAt,
+    onTime: false,
+  };
 }
 
-/** A step and how urgent its job is. */
+/** A waiting step with the urgency of its job. */
 export interface PrioritizedStep extends WaitingStep {
   readonly urgency: Urgency;
 }
 
-/** Sorts steps by the urgency of their jobs. */
+/** Sorts steps by the urgency of their jobs, most urgent first. */
 export function sortByUrgency(
   waiting: ReadonlyArray<WaitingStep>,
   now: clock.Milliseconds,
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -5,19 +5,20 @@
 import type * as workerTable from './worker_table.js';
 
 /**
- * Keeps the stored list of workers true: a worker is stored as open before
- * anything starts there, and with the jobs that it runs once nothing more
- * does. A successor that can't find it then knows which jobs have to wait.
+ * Keeps the stored list of workers up to date. A worker is stored as open
+ * before tasks start there. Once no more tasks start, it is stored as closed,
+ * with the jobs that have runs there. If the next scheduler can't reach a
+ * worker, the list shows which jobs have to wait.
  */
 export class StoredWorkerList {
-  /** Workers that the store holds as closed, or that are being closed. */
+  /** Workers that are stored, or being stored, as closed. */
   private readonly closedWorkers = new Set<remoteWorker.RemoteWorker>();
-  /** What earlier terms stored of workers that have not reported to this. */
+  /** Jobs by worker as earlier terms stored them; see `closedJobs`. */
   private inherited: ReadonlyMap<
     remoteWorker.RemoteWorker,
     ReadonlyArray<string> | undefined
   > = new Map();
-  private writing = false;
+  private writeInFlight = false;
 
   constructor(
     private readonly workers: workerTable.WorkerTable,
@@ -26,16 +27,16 @@
     private readonly onStored: () => void,
   ) {}
 
-  /** Takes over what earlier terms stored. */
+  /** Takes over the list that earlier terms stored. */
   inherit(earlier: ReadonlyArray<runRecovery.InheritedWorker>): void {
     this.inherited = new Map(
       earlier.map(({worker, closedJobs}) => [worker, closedJobs]),
     );
   }
 
-  /** Stores the list if a worker opened or closed since it was stored. */
+  /** Stores the list if a worker has opened or closed since the last write. */
   update(): void {
-    if (this.writing) return;
+    if (this.writeInFlight) return;
     const changed = this.workers
       .all()
       .some(
@@ -45,15 +46,15 @@
     if (changed) this.store();
   }
 
-  /** Stores the list now: a worker joined or left it. */
+  /** Stores the list now, for example after a worker joined or left. */
   store(): void {
-    this.writing = true;
-    let opened: ReadonlyArray<remoteWorker.RemoteWorker> = [];
+    this.writeInFlight = true;
+    let openWorkers: ReadonlyArray<remoteWorker.RemoteWorker> = [];
     this.journal.put(
       'workers',
       () => {
         const all = this.workers.all();
-        opened = all.filter(worker => worker.takesTasks);
+        openWorkers = all.filter(worker => worker.takesTasks);
         for (const worker of all) this.markAsSent(worker);
         return {
           kind: 'workers',
@@ -61,8 +62,8 @@
         };
       },
       () => {
-        this.writing = false;
-        for (const worker of opened) {
+        this.writeInFlight = false;
+        for (const worker of openWorkers) {
           worker.recorded = !this.closedWorkers.has(worker);
         }
         this.onStored();
@@ -74,7 +75,7 @@
     return !worker.takesTasks && this.closedWorkers.has(worker);
   }
 
-  /** From the moment a worker is sent as closed, nothing starts there. */
+  /** Marks a worker as sent: from now on, a closed one gets no more tasks. */
   private markAsSent(worker: remoteWorker.RemoteWorker): void {
     if (worker.takesTasks) {
       this.closedWorkers.delete(worker);
@@ -89,7 +90,7 @@
   ): jobJournal.StoredWorker {
     const {entry} = worker;
     if (worker.takesTasks) return {entry};
-    // Only a report shows which runs of earlier terms are there.
+    // Runs of earlier terms are known only after the worker's first report.
     if (!worker.adopted && this.inherited.has(worker)) {
       return {entry, closedJobs: this.inherited.get(worker)};
     }
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -10,7 +10,7 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
-/** What the lives of workers touch. */
+/** Dependencies of a `WorkerLifecycle`. */
 export interface WorkerLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
@@ -19,26 +19,26 @@
   readonly tracker: runTracker.RunTracker;
   readonly trust: workerTrust.WorkerTrust;
   readonly leaseMs: number;
-  /** After this time no run of an earlier term that was not found is left. */
+  /** When all leases granted by earlier terms have expired. */
   readonly earlierLeasesExpireAt: clock.Milliseconds;
   readonly requestPass: () => void;
-  /** A worker reported; what runs there is known. */
+  /** Called after a worker's report was applied. */
   readonly onReport: (worker: remoteWorker.RemoteWorker) => void;
-  /** A life is over. */
+  /** Called after a worker incarnation has ended. */
   readonly onEnded: (worker: remoteWorker.RemoteWorker) => void;
 }
 
-/** Why a life of a worker counts as over. */
+/** Why a worker incarnation ended. */
 type EndReason = 'replaced' | 'otherLife' | 'gone';
 
-/** Follows each worker from its first listing to its end. */
+/** Tracks each worker incarnation from its first listing to its end. */
 export class WorkerLifecycle implements workerSession.SessionListener {
   private readonly sessions = new Map<
     remoteWorker.RemoteWorker,
     workerSession.WorkerSession
   >();
   private readonly storedList: storedWorkerList.StoredWorkerList;
-  private started = false;
+  private sessionsOpen = false;
 
   constructor(private readonly dependencies: WorkerLifecycleDependencies) {
     const {workers, index, journal, requestPass} = dependencies;
@@ -51,8 +51,8 @@
   }
 
   /**
-   * Takes over the workers of earlier terms and begins to call all workers,
-   * which makes sense only once the jobs are known.
+   * Takes over the workers of earlier terms and opens sessions with all
+   * workers. The jobs must be loaded, because reports are applied to them.
    */
   start(
     stored: ReadonlyArray<jobJournal.StoredWorker>,
@@ -65,21 +65,21 @@
         worker: workers.addInherited(entry, now),
         closedJobs,
       }));
-    this.started = true;
+    this.sessionsOpen = true;
     this.storedList.inherit(earlier);
     for (const worker of workers.all()) this.openSession(worker);
     this.storedList.store();
     return earlier;
   }
 
-  /** Calls no worker any more. */
+  /** Closes all sessions. */
   stop(): void {
-    this.started = false;
+    this.sessionsOpen = false;
     for (const session of this.sessions.values()) session.close();
     this.sessions.clear();
   }
 
-  /** Takes the registry's present list. */
+  /** Applies the registry's current list. */
   update(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
     const {workers, options, requestPass} = this.dependencies;
     const {joined, replaced} = workers.applyRegistryList(
@@ -88,22 +88,22 @@
     );
     for (const worker of replaced) this.endIncarnation(worker, 'replaced');
     for (const worker of joined) this.openSession(worker);
-    if (this.started && joined.length > 0) this.storedList.store();
+    if (this.sessionsOpen && joined.length > 0) this.storedList.store();
     requestPass();
   }
 
-  /** Ends leases and lives that are over by now, and keeps the roll true. */
+  /** Handles expired leases, and updates the stored list of workers. */
   review(now: clock.Milliseconds): void {
     for (const worker of this.dependencies.workers.all()) {
       if (worker.unreachable) this.reviewUnreachable(worker, now);
     }
-    // Any change shows whether the store is back; this one does no harm.
+    // Any write shows whether the store is back; this one changes nothing.
     if (this.dependencies.journal.needsProbe) this.storedList.store();
     this.storedList.update();
   }
 
   mayExtend(): boolean {
-    return this.started && this.dependencies.options.mayGrantLeases();
+    return this.sessionsOpen && this.dependencies.options.mayGrantLeases();
   }
 
   reported(
@@ -111,7 +111,7 @@
     report: remoteWorker.WorkerReport,
     sentAt: clock.Milliseconds,
   ): void {
-    if (!this.started) return;
+    if (!this.sessionsOpen) return;
     const now = this.dependencies.options.clock.now();
     this.dependencies.tracker.applyReport(worker, report, sentAt, now);
     this.dependencies.onReport(worker);
@@ -125,15 +125,15 @@
   }
 
   lifeEnded(worker: remoteWorker.RemoteWorker): void {
-    if (this.started) this.endIncarnation(worker, 'otherLife');
+    if (this.sessionsOpen) this.endIncarnation(worker, 'otherLife');
   }
 
   superseded(): void {
-    if (this.started) this.dependencies.options.onSuperseded('worker');
+    if (this.sessionsOpen) this.dependencies.options.onSuperseded('worker');
   }
 
   private openSession(worker: remoteWorker.RemoteWorker): void {
-    if (!this.started || this.sessions.has(worker)) return;
+    if (!this.sessionsOpen || this.sessions.has(worker)) return;
     const {options, leaseMs} = this.dependencies;
     const session = new workerSession.WorkerSession(
       worker,
@@ -153,8 +153,8 @@
     now: clock.Milliseconds,
   ): void {
     const {options, tracker, earlierLeasesExpireAt} = this.dependencies;
-    const emptied = worker.adopted && !worker.listed && worker.runCount === 0;
-    if (emptied) {
+    const isEmptied = worker.adopted && !worker.listed && worker.runCount === 0;
+    if (isEmptied) {
       this.endIncarnation(worker, 'gone');
       return;
     }
@@ -186,7 +186,7 @@
     });
     tracker.endAll(worker, 'lost');
     onEnded(worker);
-    // A successor would wait for the leases of a worker that it can't find.
-    if (this.started) this.storedList.store();
+    // Otherwise the next scheduler would wait for this worker's leases.
+    if (this.sessionsOpen) this.storedList.store();
   }
 }
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -1,14 +1,14 @@
 import * as remoteWorker from '../machines/remote_worker.js';
 import type * as clock from '../machines/clock.js';
 
-/** What a new list of workers changed. */
+/** Changes that a new registry list brought. */
 export interface WorkerChanges {
   readonly joined: ReadonlyArray<remoteWorker.RemoteWorker>;
-  /** Lives that another life on the same machine has ended. */
+  /** Incarnations that a later one has replaced. */
   readonly replaced: ReadonlyArray<remoteWorker.RemoteWorker>;
 }
 
-/** All lives of workers on which something may run. */
+/** All worker incarnations on which tasks may run, by worker id. */
 export class WorkerTable {
   private readonly workers = new Map<string, remoteWorker.RemoteWorker>();
 
@@ -24,7 +24,7 @@
     if (this.workers.get(worker.id) === worker) this.workers.delete(worker.id);
   }
 
-  /** Tells whether a later life has begun under the id or on the machine. */
+  /** Returns whether a later incarnation has the same id or machine. */
   isReplaced(entry: remoteWorker.WorkerEntry): boolean {
     return this.all().some(({entry: other}) => {
       const same = other.id === entry.id || onSameMachine(other, entry);
@@ -32,7 +32,7 @@
     });
   }
 
-  /** Adds a worker that an earlier term knew, if the registry did not. */
+  /** Adds a worker that an earlier term stored, unless it is known. */
   addInherited(
     entry: remoteWorker.WorkerEntry,
     now: clock.Milliseconds,
@@ -45,7 +45,7 @@
     return worker;
   }
 
-  /** Compares with the registry's present list. */
+  /** Applies the registry's current list and returns the changes. */
   applyRegistryList(
     entries: ReadonlyArray<remoteWorker.WorkerEntry>,
     now: clock.Milliseconds,
@@ -62,7 +62,7 @@
         known.update(entry, now);
         continue;
       }
-      // An entry that is older than the life known under this id is stale.
+      // An entry older than the known incarnation of this id is stale.
       if (known && known.entry.born > entry.born) continue;
       if (known) replaced.push(known);
       const worker = new remoteWorker.RemoteWorker(entry, now);
@@ -73,7 +73,7 @@
     return {joined, replaced};
   }
 
-  /** Earlier lives on machines on which a later one has begun. */
+  /** Removes incarnations whose machine runs a later one and returns them. */
   private removeReplacedOnMachines(
     joined: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
@@ -90,7 +90,7 @@
   }
 }
 
-/** A worker that names no machine shares it with none. */
+/** Returns whether both run on one machine; one without a name never does. */
 function onSameMachine(
   left: remoteWorker.WorkerEntry,
   right: remoteWorker.WorkerEntry,
