--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -7,39 +7,42 @@
 
 /** Why a job was not accepted. */
 export type SubmitRefusal =
-  /** The store does not answer at present. */
+  /** The store does not answer at the moment. */
   | 'storeSilent'
-  /** It has not answered for so long that waiting is of no use. */
+  /** The store has not answered for so long that waiting is useless. */
   | 'storeLost'
   | 'overloaded'
   | 'notReady'
   | 'unknownQueue';
 
-/** What became of a job that was handed in. */
+/** Outcome of a job submission. */
 export type SubmitOutcome =
   | {readonly kind: 'accepted'}
-  /** May be accepted: the store has not answered. */
+  /** Unknown: the store has not answered, so the job may be accepted. */
   | {readonly kind: 'undecided'}
-  /** Surely not accepted. */
+  /** Definitely not accepted. */
   | {
       readonly kind: 'refused';
       readonly reason: SubmitRefusal;
       readonly retryAfterSeconds: number;
     };
 
-/** Hears what became of a job; called once. */
+/** Receives the outcome of a submission; called once. */
 export type SubmitListener = (outcome: SubmitOutcome) => void;
 
-/** Silence of the store after which new jobs are refused at once. */
+/** Time without an answer of the store from which new jobs are refused. */
 const STORE_SILENCE_LIMIT_MS = 1_000;
 
-/** Silence of the store for which callers need not wait any more. */
+/** Time without an answer of the store from which waiting is useless. */
 const STORE_LOSS_LIMIT_MS = 5_000;
 
-/** When callers are asked to come back after a refusal. */
+/** Delay after which refused callers are asked to retry. */
 const RETRY_AFTER_SECONDS = 1;
 
-/** Accepts jobs, which takes the store, and answers those who hand them in. */
+/**
+ * Admits submitted jobs and answers their callers. A job is accepted once its
+ * definition is stored.
+ */
 export class JobAdmission {
   private readonly waitingListeners = new Map<string, SubmitListener[]>();
 
@@ -51,7 +54,7 @@
     private readonly onAccepted: (record: jobRecord.JobRecord) => void,
   ) {}
 
-  /** Accepts a job; `answer` is called once its fate is known or open. */
+  /** Submits a job; `answer` is called with the outcome. */
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
@@ -63,9 +66,9 @@
       answer({kind: 'accepted'});
       return;
     }
-    const silent = this.isStoreSilent();
+    const storeIsSilent = this.isStoreSilent();
     if (known !== undefined) {
-      if (silent) answer({kind: 'undecided'});
+      if (storeIsSilent) answer({kind: 'undecided'});
       else this.waitingListeners.get(id)?.push(answer);
       return;
     }
@@ -73,17 +76,17 @@
       answer({kind: 'refused', reason: 'unknownQueue', retryAfterSeconds: 0});
       return;
     }
-    if (silent) {
+    if (storeIsSilent) {
       this.refuse(this.silenceReason(), answer);
       return;
     }
     this.waitingListeners.set(id, [answer]);
-    this.jobTable.accept(definition, record => this.accepted(record));
+    this.jobTable.accept(definition, record => this.handleStored(record));
   }
 
   /**
-   * Answers the callers whose jobs the silent store has not taken: refused
-   * where that is sure, and otherwise open.
+   * Answers callers that wait for a store which does not answer: `refused` if
+   * their job is definitely not stored, else `undecided`.
    */
   answerWaiting(): void {
     if (!this.isStoreSilent()) return;
@@ -119,7 +122,7 @@
     return this.journal.unansweredMs(this.options.clock.now());
   }
 
-  private accepted(record: jobRecord.JobRecord): void {
+  private handleStored(record: jobRecord.JobRecord): void {
     const {id, queue} = record.definition;
     const listeners = this.waitingListeners.get(id) ?? [];
     this.waitingListeners.delete(id);
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -69,10 +69,10 @@
   ): Promise<StoreOutcome>;
 }
 
-/** Time-out of the first call with a batch. */
+/** Timeout of the first call with a batch. */
 const APPEND_TIMEOUT_MS = 900;
 
-/** Time-out of retries: short, to notice soon that the store is back. */
+/** Timeout of retries: short, to notice soon that the store is back. */
 const RETRY_TIMEOUT_MS = 350;
 
 /** Delay before an unanswered or refused call is repeated. */
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -12,7 +12,7 @@
 import type * as jobTask from './job_task.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
-/** Objects that a `JobLifecycle` works with. */
+/** Dependencies of a `JobLifecycle`. */
 export interface JobLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly jobTable: jobTable.JobTable;
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -48,7 +48,7 @@
     return this.definition.steps.some(step => step.longRunning);
   }
 
-  get occurrences(): number {
+  get occurrenceCount(): number {
     return this.definition.schedule?.occurrences ?? 1;
   }
 
@@ -100,7 +100,7 @@
 
   get allDone(): boolean {
     return (
-      this.nextOccurrence === this.occurrences &&
+      this.nextOccurrence === this.occurrenceCount &&
       this.steps.every(instance => instance.done)
     );
   }
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -25,29 +25,32 @@
 import type * as jobTask from './job_task.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
-/** Length of the leases that this scheduler grants. */
+/** Duration of the leases that a scheduler grants. */
 export const LEASE_DURATION_MS = 5_000;
 
 /**
- * How long an earlier scheduler may go on granting leases after it lost touch
- * with the cell; see `SchedulerOptions.mayExtend`.
+ * How long an earlier scheduler may go on granting leases after it has lost
+ * contact with the cell; see `SchedulerOptions.mayGrantLeases`.
  */
 export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
 
-/** After this time no run of an earlier term that was not found is left. */
+/**
+ * Time from the start of a term until no unreported run of an earlier term can
+ * be left: proof lifetime plus lease, with a margin for drift and late timers.
+ */
 const EARLIER_LEASES_EXPIRY_MS =
   LEADERSHIP_PROOF_LIFETIME_MS + LEASE_DURATION_MS * 1.03 + 300;
 
 /** Pause between attempts to open and read the journal. */
 const JOURNAL_RETRY_DELAY_MS = 100;
 
-/** What became of a cancellation. */
+/** Outcome of a cancellation. */
 export type CancelOutcome = 'cancelled' | 'unknown';
 
 /**
- * Schedules all jobs of the cell for one term: accepts them, gives their tasks
- * workers, follows the runs to their ends and stores what must last. A term
- * ends when a later one begins; the object is then of no use any more.
+ * Schedules all jobs of the cell for one term: accepts jobs, places their tasks
+ * on workers, tracks the runs and stores progress in the journal. A term ends
+ * when a later one begins; the object must not be used after that.
  */
 export class JobScheduler implements dispatcher.DispatchListener {
   private readonly journal: jobJournal.JobJournal;
@@ -160,17 +163,17 @@
     );
   }
 
-  /** Jobs are known, so that questions about them can be answered. */
+  /** Whether the journal is loaded, so that jobs can be served. */
   get isServing(): boolean {
     return this.serving && this.active;
   }
 
-  /** How long the store has left a change unanswered; 0 when none is out. */
+  /** Returns how long the store has not answered; 0 if no answer is due. */
   storeUnansweredMs(now: clock.Milliseconds): number {
     return this.journal.unansweredMs(now);
   }
 
-  /** Takes over from earlier terms; true once jobs are served. */
+  /** Takes over from earlier terms; resolves to true once jobs are served. */
   async begin(): Promise<boolean> {
     const {options} = this;
     while (this.active) {
@@ -190,24 +193,24 @@
     return false;
   }
 
-  /** Ends the term: nothing is ordered or stored any more. */
+  /** Ends the term: sends no more orders and stores no more changes. */
   retire(): void {
     this.active = false;
     this.journal.close();
     this.workerLifecycle.stop();
   }
 
-  /** Takes a newer configuration. */
+  /** Applies a configuration if it is newer. */
   configure(configuration: job.OperatorConfiguration): void {
     if (this.queues.update(configuration)) this.requestPass();
   }
 
-  /** Takes the registry's present list of workers. */
+  /** Applies the registry's current list of workers. */
   updateWorkers(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
     this.workerLifecycle.update(entries);
   }
 
-  /** Accepts a job; `answer` is called once its fate is known or open. */
+  /** Submits a job; `answer` is called with the outcome. */
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
@@ -216,7 +219,7 @@
     this.admission.submit(definition, configurationVersion, answer);
   }
 
-  /** Cancels a job; `answer` is called once that is stored. */
+  /** Cancels a job; `answer` is called once the cancellation is stored. */
   cancel(
     queue: string,
     id: string,
@@ -237,17 +240,17 @@
     this.jobTable.store(record, () => answer('cancelled'));
   }
 
-  /** What callers are told about a job; undefined when there is none. */
+  /** Returns a job's state as reported to callers; undefined if unknown. */
   stateOf(queue: string, id: string): job.JobState | undefined {
     return this.findRecord(queue, id)?.state;
   }
 
-  /** Accepted jobs of a queue of which no task has started. */
+  /** Counts accepted jobs of a queue of which no task has started. */
   countPending(queue: string): number {
     return this.jobTable.countPending(queue);
   }
 
-  /** Does what is due by now; called several times a second. */
+  /** Runs the periodic work; called several times a second. */
   tick(): void {
     if (!this.isServing) return;
     const now = this.options.clock.now();
@@ -263,7 +266,7 @@
     this.requestPass();
   }
 
-  // What becomes of orders.
+  // Implementation of `DispatchListener`.
 
   incarnationEnded(worker: remoteWorker.RemoteWorker): void {
     this.workerLifecycle.lifeEnded(worker);
@@ -315,28 +318,28 @@
   }
 
   private takeOver(content: jobJournal.JournalContent): void {
-    const restored = new Set<jobRecord.JobRecord>();
+    const openRecords = new Set<jobRecord.JobRecord>();
     for (const {definition, progress} of content.jobs) {
       const record = this.jobTable.restore(definition, progress);
-      if (record.outcome === 'open') restored.add(record);
+      if (record.outcome === 'open') openRecords.add(record);
     }
     this.serving = true;
     this.runRecovery = new runRecovery.RunRecovery(
-      restored,
+      openRecords,
       this.workerLifecycle.start(content.workers),
       this.earlierLeasesExpireAt,
     );
-    for (const record of restored) this.jobLifecycle.begin(record);
+    for (const record of openRecords) this.jobLifecycle.begin(record);
     this.options.log.event('info', 'termBegun', {
       term: this.options.term,
       jobs: content.jobs.length,
-      open: restored.size,
+      open: openRecords.size,
       workers: content.workers.length,
     });
     this.unblockRecoveredJobs();
   }
 
-  /** Lets tasks start whose runs of earlier terms are all known now. */
+  /** Unblocks jobs whose runs of earlier terms are all known. */
   private unblockRecoveredJobs(): void {
     const {runRecovery: recovery} = this;
     if (recovery === undefined || recovery.complete) return;
@@ -349,7 +352,7 @@
     this.requestPass();
   }
 
-  /** Stops runs that a start on another worker would overtake. */
+  /** Stops stalled and slow runs, so that their tasks start elsewhere. */
   private replaceFaultyRuns(now: clock.Milliseconds): void {
     for (const assignment of this.index.all()) {
       const fault = runHealth.detectFault(assignment, now);
--- a/src/jobs/job_table.ts
+++ b/src/jobs/job_table.ts
@@ -64,17 +64,17 @@
   /** Stores the progress of a job. */
   store(record: jobRecord.JobRecord, onStored?: () => void): void {
     const {id} = record.definition;
-    let sent = record.outcome;
+    let sentOutcome = record.outcome;
     this.journal.put(
       progressKey(id),
       () => {
-        sent = record.outcome;
+        sentOutcome = record.outcome;
         return {kind: 'progress', id, progress: record.progress()};
       },
       () => {
         // The outcome may have changed after this batch was sent.
-        if (sent !== 'open' && record.storedOutcome === 'open') {
-          record.storedOutcome = sent;
+        if (sentOutcome !== 'open' && record.storedOutcome === 'open') {
+          record.storedOutcome = sentOutcome;
           record.settledAt = this.clock.now();
         }
         onStored?.();
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -2,27 +2,30 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Where a run stands between its order and its end. */
+/** Phase of a run between its start order and its end. */
 export type AssignmentPhase = 'starting' | 'running' | 'stopping';
 
 /** One run of a task on one worker. */
 export class Assignment implements remoteWorker.RunName {
   phase: AssignmentPhase = 'starting';
-  /** The worker has listed the run. */
+  /** Whether the worker has reported the run. */
   reported = false;
-  /** When a stop was answered: a start that comes later is refused. */
+  /** When the worker confirmed a stop; it refuses starts that arrive later. */
   stopConfirmedAt: clock.Milliseconds = Infinity;
-  /** When the last order about this run was sent. */
+  /** When the last order for this run was sent. */
   lastOrderAt: clock.Milliseconds;
   orderInFlight = false;
-  /** Starts that got no answer. */
+  /** Number of start orders that got no answer. */
   unansweredStarts = 0;
   progressPercent = 0;
-  /** When the percentage last rose. */
+  /** When the progress last rose. */
   progressedAt: clock.Milliseconds;
-  /** Share of the processors that the task was last told to use. */
+  /** Percentage of its processors that the run may use. */
   processorPercent = 100;
-  /** Last usage that the worker reported. */
+  /**
+   * Last usage that the worker reported: tail response time in ms for serving
+   * tasks, thousandths of a core for others.
+   */
   reportedUsage = 0;
 
   constructor(
@@ -41,13 +44,13 @@
   }
 }
 
-/** One task of a step. */
+/** One task of a step, with its runs. */
 export class JobTask {
   done = false;
-  /** Highest run number that was ever used. */
+  /** Highest run number used so far. */
   highestRun = 0;
   checkpoint = '';
-  /** Runs that were stopped because they stood still or were slow. */
+  /** Number of runs stopped because they stalled or were slow. */
   replacementCount = 0;
   readonly assignments: Assignment[] = [];
   private readonly failed = new Set<number>();
@@ -58,12 +61,12 @@
     readonly name: string,
   ) {}
 
-  /** Numbers of the runs that ended `failed`. */
+  /** Numbers of the runs that ended as `failed`. */
   get failedRuns(): ReadonlySet<number> {
     return this.failed;
   }
 
-  /** Counts a failed run once; false when it was counted before. */
+  /** Records a failed run; returns false if it was recorded before. */
   addFailure(run: number): boolean {
     if (this.failed.has(run)) return false;
     this.failed.add(run);
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -15,7 +15,7 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerTrust from '../machines/worker_trust.js';
 
-/** Objects that a `PlacementPass` works with. */
+/** Dependencies of a `PlacementPass`. */
 export interface PlacementPassDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -3,7 +3,7 @@
 import type * as jobJournal from './job_journal.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
-/** Receives one event a decision. */
+/** Log of structured events, one for each decision. */
 export interface EventLog {
   event(
     level: 'info' | 'warn' | 'error',
@@ -12,21 +12,21 @@
   ): void;
 }
 
-/** Counts refusals, retries and other outcomes by reason. */
+/** Metrics: counts outcomes by reason and records durations. */
 export interface Counters {
   count(name: string, reason: string): void;
   observe(name: string, milliseconds: number): void;
 }
 
-/** Times that the platform promises or asks for. */
+/** Retention times that the platform configures. */
 export interface RetentionTimes {
-  /** States are kept for this long after the end of a job. */
+  /** How long a job's state stays available after the job has settled. */
   readonly stateKeptMs: number;
 }
 
-/** What a scheduler works with; tests pass fakes. */
+/** Dependencies and settings of a scheduler; tests pass fakes. */
 export interface SchedulerOptions {
-  /** Position of the claim in the cell's log: the fencing token. */
+  /** Position of this term's claim in the cell's log; the fencing token. */
   readonly term: number;
   readonly clock: clock.Clock;
   readonly wallClock: () => number;
@@ -37,10 +37,13 @@
   readonly pauses: jobJournal.Pauses;
   readonly log: EventLog;
   readonly counters: Counters;
-  /** Tells whether this process still has proof that it may lead. */
+  /**
+   * Returns whether leases may be granted: whether this process still has proof
+   * that it leads.
+   */
   readonly mayGrantLeases: () => boolean;
-  /** A later term exists. */
+  /** Called when a later term is found to exist. */
   readonly onSuperseded: (reason: string) => void;
-  /** Runs a placement pass after the present turn. */
+  /** Runs a placement pass after the current event loop turn. */
   readonly defer: (pass: () => void) => void;
 }
