--- a/test/jobs/advice_balancer_test.ts
+++ b/test/jobs/advice_balancer_test.ts
@@ -6,11 +6,11 @@
 
 const {describe, test} = nodeTest;
 
-const SITES = ['a', 'b', 'c', 'd'].map(address => ({address}));
+const ENDPOINTS = ['a', 'b', 'c', 'd'].map(address => ({address}));
 const LONG_MS = 700;
 const SHORT_MS = 50;
 
-function spreadOver(
+function createBalancer(
   time: timeline.Timeline,
   asked: string[],
   answer: (address: string) => adviceCache.AdviceOutcome = () => ({
@@ -19,7 +19,7 @@
   }),
 ): adviceBalancer.AdviceBalancer {
   return new adviceBalancer.AdviceBalancer(
-    () => SITES,
+    () => ENDPOINTS,
     async (address, step) => {
       asked.push(`${address}:${step}`);
       await time.pause(step === 'short' ? SHORT_MS : LONG_MS);
@@ -29,51 +29,52 @@
   );
 }
 
-describe('calls for advice', () => {
-  // The load pattern: more long calls than the service can take. Guards against
-  // short calls that wait behind them.
-  test('keep a site free for short ones', async () => {
+describe('the advice balancer', () => {
+  // Load: more long calls than the service can handle. Guards against short
+  // calls that queue behind them.
+  test('reserves an endpoint for short calls', async () => {
     const time = new timeline.Timeline();
     const asked: string[] = [];
-    const spread = spreadOver(time, asked);
+    const balancer = createBalancer(time, asked);
     const outcomes: string[] = [];
     for (let index = 0; index < 12; index += 1) {
-      void spread
+      void balancer
         .ask('long', [], LONG_MS)
         .then(({kind}) => outcomes.push(kind));
     }
-    void spread.ask('short', [], SHORT_MS);
+    void balancer.ask('short', [], SHORT_MS);
     await time.advance(10);
     assert.equal(asked.filter(call => call.endsWith('long')).length, 3);
     assert.ok(asked.includes('a:short'));
     assert.equal(outcomes.filter(kind => kind === 'busy').length, 9);
   });
 
-  // The load pattern: long calls without a pause. Guards against a service that
-  // stands idle while an answer and the next call are on their way.
-  test('follow each other without a gap', async () => {
+  // Load: back-to-back long calls. Guards against a service that is idle for a
+  // round trip between an answer and the next call.
+  test('sends the next call shortly before an endpoint is idle', async () => {
     const time = new timeline.Timeline();
-    const spread = spreadOver(time, []);
+    const balancer = createBalancer(time, []);
     for (let index = 0; index < 3; index += 1) {
-      void spread.ask('long', [], LONG_MS);
+      void balancer.ask('long', [], LONG_MS);
     }
     await time.advance(LONG_MS - 200);
-    assert.equal(spread.accepts(LONG_MS), false);
+    assert.equal(balancer.accepts(LONG_MS), false);
     await time.advance(150);
-    assert.equal(spread.accepts(LONG_MS), true);
+    assert.equal(balancer.accepts(LONG_MS), true);
   });
 
-  // Guards against a VM that can't reach the service taking all calls.
-  test('leave out a site that gave no answer', async () => {
+  // Guards against sending all calls to a VM that can't reach the service:
+  // after its calls have failed it looks idle.
+  test('skips an endpoint that did not answer', async () => {
     const time = new timeline.Timeline();
     const asked: string[] = [];
-    const spread = spreadOver(time, asked, address =>
+    const balancer = createBalancer(time, asked, address =>
       address === 'a'
         ? {kind: 'unanswered', detail: 'lost'}
         : {kind: 'advised', tickets: []},
     );
     for (let index = 0; index < 6; index += 1) {
-      void spread.ask('short', [], SHORT_MS);
+      void balancer.ask('short', [], SHORT_MS);
       await time.advance(100);
     }
     assert.equal(asked.filter(call => call.startsWith('a:')).length, 1);
--- a/test/jobs/idle_capacity_throttle_test.ts
+++ b/test/jobs/idle_capacity_throttle_test.ts
@@ -25,10 +25,10 @@
   return run;
 }
 
-describe('tasks that use idle capacity', () => {
-  function scene(): {
+describe('the idle capacity throttle', () => {
+  function createFixture(): {
     serving: jobTask.Assignment;
-    filler: jobTask.Assignment;
+    idleCapacityRun: jobTask.Assignment;
     review: (now: number) => void;
   } {
     const index = new assignmentIndex.AssignmentIndex();
@@ -37,37 +37,47 @@
       longRunning: true,
       targetMs: 100,
     });
-    const filler = place(index, worker, 'bb', {usesIdleCapacity: true});
-    const orders = {
+    const idleCapacityRun = place(index, worker, 'bb', {
+      usesIdleCapacity: true,
+    });
+    const fakeDispatcher = {
       throttle: (run: jobTask.Assignment, percent: number) => {
         run.processorPercent = percent;
       },
     } as unknown as dispatcher.Dispatcher;
-    const rules = new idleCapacityThrottle.IdleCapacityThrottle(index, orders);
-    return {serving, filler, review: now => rules.review(worker, now)};
+    const throttle = new idleCapacityThrottle.IdleCapacityThrottle(
+      index,
+      fakeDispatcher,
+    );
+    return {
+      serving,
+      idleCapacityRun,
+      review: now => throttle.review(worker, now),
+    };
   }
 
-  // Guards against users of a service that wait because of work beside it.
-  test('stand still as soon as a service comes near its target', () => {
-    const {serving, filler, review} = scene();
+  // Guards against a service that becomes slow because of idle-capacity runs on
+  // its worker.
+  test('pauses runs as soon as a service comes near its target', () => {
+    const {serving, idleCapacityRun, review} = createFixture();
     serving.reportedUsage = 85;
     review(0);
-    assert.equal(filler.processorPercent, 0);
+    assert.equal(idleCapacityRun.processorPercent, 0);
   });
 
-  // Guards against work that stands still for good, and against a return that
-  // harms the service at once again.
-  test('come back in steps while the service is calm', () => {
-    const {serving, filler, review} = scene();
+  // Guards against runs that stay paused for good, and against full-speed
+  // resumption that makes the service slow again.
+  test('raises limits in steps while the service is well below its target', () => {
+    const {serving, idleCapacityRun, review} = createFixture();
     serving.reportedUsage = 85;
     review(0);
     serving.reportedUsage = 30;
     review(500);
-    assert.equal(filler.processorPercent, 0);
+    assert.equal(idleCapacityRun.processorPercent, 0);
     review(2_600);
-    assert.equal(filler.processorPercent, 25);
+    assert.equal(idleCapacityRun.processorPercent, 25);
     serving.reportedUsage = 60;
     review(9_000);
-    assert.equal(filler.processorPercent, 25);
+    assert.equal(idleCapacityRun.processorPercent, 25);
   });
 });
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -7,14 +7,14 @@
 
 const {describe, test} = nodeTest;
 
-interface Scene {
+interface Fixture {
   readonly time: timeline.Timeline;
   readonly store: fakeJournalStore.FakeJournalStore;
   readonly writer: jobJournal.JobJournal;
   readonly superseded: () => number;
 }
 
-function scene(term = 1): Scene {
+function createFixture(term = 1): Fixture {
   const time = new timeline.Timeline();
   const store = new fakeJournalStore.FakeJournalStore(time);
   let superseded = 0;
@@ -28,10 +28,10 @@
   return {outcome: 'open', started, steps: []};
 }
 
-describe('the journal', () => {
-  // Guards against a call to the store for each change.
-  test('sends what gathers during a call in the next one', async () => {
-    const {time, store, writer} = scene();
+describe('the job journal', () => {
+  // Guards against one call to the store for each change under load.
+  test('batches changes that arrive during a call into the next one', async () => {
+    const {time, store, writer} = createFixture();
     let stored = 0;
     for (let index = 0; index < 20; index += 1) {
       const id = `job${index}`;
@@ -49,9 +49,9 @@
     assert.ok(store.appends <= 6, `${store.appends} calls`);
   });
 
-  // Guards against stale progress that overwrites newer.
-  test('reads a change when it sends it', async () => {
-    const {time, store, writer} = scene();
+  // Guards against storing progress that is stale when the call is sent.
+  test('reads a change when it is sent', async () => {
+    const {time, store, writer} = createFixture();
     let started = false;
     const put = (): void =>
       writer.put('a', () => ({
@@ -65,9 +65,10 @@
     assert.equal(store.progress.get('a')?.started, true);
   });
 
-  // Guards against an acknowledgement for what is not stored.
+  // Guards against acknowledging a change that is not stored: the first answers
+  // are lost.
   test('reports a change only once it is stored', async () => {
-    const {time, store, writer} = scene();
+    const {time, store, writer} = createFixture();
     store.lostAnswers = 3;
     let stored = false;
     writer.put(
@@ -85,9 +86,9 @@
     assert.equal(writer.unansweredMs(time.now()), 0);
   });
 
-  // Guards against writes after a later term has begun.
-  test('ends with a later term', async () => {
-    const {time, store, writer, superseded} = scene(1);
+  // Guards against writes of a scheduler after a later term has begun.
+  test('stops writing once a later term has opened the journal', async () => {
+    const {time, store, writer, superseded} = createFixture(1);
     await Promise.all([store.open(2), time.advance(50)]);
     writer.put('a', () => ({kind: 'dropped', id: 'a'}));
     writer.put('b', () => ({kind: 'dropped', id: 'b'}));
@@ -96,9 +97,10 @@
     assert.equal(store.appends, 0);
   });
 
-  // Guards against "not stored" for a change that may still be.
-  test('lets a change be withdrawn only while it surely is not stored', async () => {
-    const {time, store, writer} = scene();
+  // Guards against reporting "not stored" for a change that may still be
+  // stored, because a call without an answer may take effect later.
+  test('withdraws a change only while it is definitely not stored', async () => {
+    const {time, store, writer} = createFixture();
     store.refusing = true;
     writer.put('a', () => ({kind: 'dropped', id: 'a'}));
     await time.advance(60);
@@ -110,10 +112,11 @@
     assert.equal(writer.withdraw('b'), false);
   });
 
-  // Guards against a second without starts and acceptances after the store is
-  // back, in which another process claims to schedule.
-  test('notices within half a second that the store is back', async () => {
-    const {time, store, writer} = scene();
+  // Guards against slow detection of a recovered store: for a second, no task
+  // was started, no job accepted, and another process claimed to be the
+  // scheduler.
+  test('detects within half a second that the store is back', async () => {
+    const {time, store, writer} = createFixture();
     store.down = true;
     writer.put('a', () => ({kind: 'dropped', id: 'a'}));
     await time.advance(3_950);
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -5,18 +5,18 @@
 
 const {describe, test} = nodeTest;
 
-describe('a job from hand-in to its end', () => {
-  // Guards against a job that is accepted and then forgotten.
+describe('a submitted job', () => {
+  // Guards against a job that is accepted but never completes.
   test('runs every task once and completes', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const scheduler = await cell.startTerm(1);
-    const handed = jobCell.submit(
+    const submission = jobCell.submit(
       scheduler,
       jobCell.jobOf('aa', {count: 6}, {count: 2, after: [0]}),
     );
     await cell.time.advance(500);
-    assert.deepEqual(handed.outcome, {kind: 'accepted'});
+    assert.deepEqual(submission.outcome, {kind: 'accepted'});
     assert.equal(scheduler.stateOf('orders', 'aa'), 'running');
     await cell.time.advance(4_000);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
@@ -24,8 +24,8 @@
     assert.equal(cell.journal.progress.get('aa')?.outcome, 'completed');
   });
 
-  // Guards against two jobs where a caller asked for one.
-  test('is the same job when it is handed in again', async () => {
+  // Guards against two jobs when a caller retries a submission.
+  test('is the same job when it is submitted again', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const scheduler = await cell.startTerm(1);
@@ -36,7 +36,7 @@
     assert.equal(cell.startsOf('aa').length, 1);
   });
 
-  // Guards against workers that carry more than they hold.
+  // Guards against workers that run more than their capacity.
   test('waits while no worker has room', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
@@ -48,8 +48,8 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against a step that starts before what it builds on is done.
-  test('starts a step only after the steps before it', async () => {
+  // Guards against a step that starts before the steps it depends on are done.
+  test('starts a step only after its dependencies', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const scheduler = await cell.startTerm(1);
@@ -63,7 +63,7 @@
     assert.equal(cell.startsOf('aa.0.1').length, 1);
   });
 
-  // Guards against more attempts than the queue allows.
+  // Guards against more runs of a task than its queue allows.
   test('fails once a task has used up its attempts', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(
@@ -79,7 +79,7 @@
     assert.equal(cell.startsOf('aa').length, 2);
   });
 
-  // Guards against a cancelled job whose tasks run on.
+  // Guards against a cancelled job whose tasks keep running.
   test('stops its tasks when it is cancelled', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
@@ -97,20 +97,20 @@
   });
 });
 
-describe('a store that gives no answers', () => {
-  // Guards against an answer that the next scheduler knows nothing of.
+describe('the scheduler while the store does not answer', () => {
+  // Guards against accepting a job that the next scheduler would not find.
   test('accepts no job before it is stored', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const scheduler = await cell.startTerm(1);
     cell.journal.down = true;
-    const handed = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    const submission = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(900);
-    assert.equal(handed.outcome, undefined);
+    assert.equal(submission.outcome, undefined);
     assert.equal(cell.startsOf('aa').length, 0);
     cell.journal.down = false;
     await cell.time.advance(500);
-    assert.deepEqual(handed.outcome, {kind: 'accepted'});
+    assert.deepEqual(submission.outcome, {kind: 'accepted'});
   });
 
   // Guards against callers that wait for an answer that can't come.
@@ -129,9 +129,9 @@
     assert.equal(scheduler.stateOf('orders', 'bb'), undefined);
   });
 
-  // Guards against a caller that is kept until its deadline although nothing
-  // can be said about its job any more.
-  test('says after a second that the fate of a job is open', async () => {
+  // Guards against a caller that waits until its deadline although the outcome
+  // of its submission stays unknown.
+  test('answers after a second that the outcome is undecided', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const scheduler = await cell.startTerm(1);
@@ -147,16 +147,16 @@
     assert.deepEqual(last.outcome, {kind: 'accepted'});
   });
 
-  // Guards against callers that can't come back because they are told that the
-  // fate of their job is open, though the store has surely not taken it.
-  test('refuses a job that the store turned away, and never runs it', async () => {
+  // Guards against callers that can't retry because they get an undecided
+  // outcome although the store has definitely refused their job.
+  test('refuses a job that the store refused, and never runs it', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const scheduler = await cell.startTerm(1);
     cell.journal.refusing = true;
-    const turnedAway = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    const refused = jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(1_500);
-    assert.equal(turnedAway.outcome?.kind, 'refused');
+    assert.equal(refused.outcome?.kind, 'refused');
     cell.journal.refusing = false;
     await cell.time.advance(3_000);
     assert.equal(scheduler.stateOf('orders', 'aa'), undefined);
@@ -166,8 +166,8 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against work that is thrown away because the store is silent.
-  test('lets running work go on and ends it once it answers', async () => {
+  // Guards against losing the work of runs because the store is unavailable.
+  test('keeps runs going and completes them once the store answers', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 8_000, how: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
@@ -183,10 +183,10 @@
   });
 });
 
-/** A first term has ended; its worker, on which job `aa` runs, is cut off. */
-async function afterLostWorker(): Promise<{
+/** Ends a first term whose only worker, which runs job `aa`, is unreachable. */
+async function setUpUnreachableWorker(): Promise<{
   cell: jobCell.JobCell;
-  cut: workerModel.WorkerModel;
+  unreachable: workerModel.WorkerModel;
 }> {
   const cell = new jobCell.JobCell();
   cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
@@ -194,16 +194,16 @@
   jobCell.submit(first, jobCell.jobOf('aa', {}));
   await cell.time.advance(300);
   first.retire();
-  const cut = cell.workers.byAddress.get('one:1');
-  assert.ok(cut);
-  cut.cut = true;
+  const unreachable = cell.workers.byAddress.get('one:1');
+  assert.ok(unreachable);
+  unreachable.cut = true;
   cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
-  return {cell, cut};
+  return {cell, unreachable};
 }
 
-describe('a successor', () => {
-  // Guards against work done twice because the scheduler changed.
-  test('takes over what runs and starts nothing twice', async () => {
+describe('the scheduler of the next term', () => {
+  // Guards against tasks that run twice because of a failover.
+  test('adopts all runs and starts nothing twice', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const first = await cell.startTerm(1);
@@ -216,20 +216,21 @@
     assert.equal(cell.startsOf('aa').length, 6);
   });
 
-  // Guards against a second run of a task on a worker that is cut off.
-  test('waits for leases on a worker that it cannot reach', async () => {
-    const {cell, cut} = await afterLostWorker();
+  // Guards against a second run of a task that still runs on an unreachable
+  // worker.
+  test('waits until the leases of an unreachable worker expire', async () => {
+    const {cell, unreachable} = await setUpUnreachableWorker();
     await cell.startTerm(2);
     await cell.time.advance(3_000);
     assert.equal(cell.startsOf('aa').length, 1);
     await cell.time.advance(9_000);
     assert.equal(cell.startsOf('aa').length, 2);
-    assert.equal(cut.runningCount, 0);
+    assert.equal(unreachable.runningCount, 0);
   });
 
-  // Guards against a standstill after each succession: a worker that had left
-  // before it stayed on the list of those that a successor has to find.
-  test('does not look for workers that had left before', async () => {
+  // Guards against a delay after each failover: a worker that had left earlier
+  // stayed on the list of workers that the next scheduler has to reach.
+  test('does not wait for workers that had left earlier', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const first = await cell.startTerm(1);
@@ -252,9 +253,9 @@
     assert.ok(cell.startsOf('bb').length >= 1);
   });
 
-  // Guards against a standstill of all jobs because one worker that was about
-  // to leave can't be found: only what ran there has to wait.
-  test('holds back only the jobs that ran on a worker which left', async () => {
+  // Guards against a delay of all jobs because one worker that was draining
+  // can't be reached: only the jobs that ran there have to wait.
+  test('blocks only the jobs that ran on a drained worker', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
     const first = await cell.startTerm(1);
@@ -280,9 +281,9 @@
   });
 
   // Guards against a second run of a task: a scheduler that never reached a
-  // worker stored that nothing runs there, and the one after it believed that.
-  test('passes on what it could not find out itself', async () => {
-    const {cell} = await afterLostWorker();
+  // worker stored that nothing runs there, and the next one relied on that.
+  test('keeps the stored jobs of a worker that it has not reached', async () => {
+    const {cell} = await setUpUnreachableWorker();
     const second = await cell.startTerm(2);
     await cell.time.advance(2_500);
     second.retire();
@@ -291,24 +292,24 @@
     assert.equal(cell.startsOf('aa').length, 1);
   });
 
-  // Guards against writes of a scheduler that has been replaced.
-  test('closes the journal to the term before it', async () => {
+  // Guards against writes of a superseded scheduler.
+  test('fences the earlier term off the journal', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const first = await cell.startTerm(1);
     await cell.startTerm(2);
-    const handed = jobCell.submit(first, jobCell.jobOf('aa', {}));
+    const submission = jobCell.submit(first, jobCell.jobOf('aa', {}));
     await cell.time.advance(500);
-    assert.equal(handed.outcome, undefined);
+    assert.equal(submission.outcome, undefined);
     assert.equal(cell.journal.definitions.has('aa'), false);
     assert.ok(cell.superseded.length > 0);
   });
 });
 
-describe('a worker that gives no answers', () => {
-  // Guards against tasks that wait for ever for a worker that is gone: every
-  // renewal that was tried in vain put the end of its lease off.
-  test('loses its tasks to another once its lease is over', async () => {
+describe('a worker that does not answer', () => {
+  // Guards against tasks that wait forever for a worker that is gone: every
+  // failed renewal extended the assumed end of its lease.
+  test('loses its tasks to another worker once its lease has expired', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 20_000, how: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
@@ -326,9 +327,9 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against a worker over its capacity: an order without an answer may
-  // be carried out late.
-  test('keeps the room of a start until its fate is certain', async () => {
+  // Guards against a worker over capacity: an unanswered start may be carried
+  // out late.
+  test('keeps the resources of a start reserved until its outcome is known', async () => {
     const cell = new jobCell.JobCell();
     const entry = jobCell.workerEntry('one');
     const worker = cell.addWorker(entry);
@@ -346,9 +347,9 @@
     assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
   });
 
-  // Guards against two runs of a task: the first copy of a start is carried
-  // out late, after the worker turned the second one away.
-  test('is not believed to have refused what it may still carry out', async () => {
+  // Guards against two runs of a task: the first copy of a start is carried out
+  // late, after the worker has rejected the second one.
+  test('may still carry out a start after it has rejected a copy', async () => {
     const cell = new jobCell.JobCell();
     const first = cell.addWorker(jobCell.workerEntry('one'));
     const scheduler = await cell.startTerm(1);
@@ -366,9 +367,9 @@
     assert.equal(cell.startsOf('aa').length, 1);
   });
 
-  // Guards against a lease that a replaced scheduler grants with a repeated
-  // start after its proof of leading has run out.
-  test('is sent no start again without proof of leading', async () => {
+  // Guards against a lease that a superseded scheduler grants by retrying a
+  // start after its proof of leadership has expired.
+  test('gets no retried start without proof of leadership', async () => {
     const cell = new jobCell.JobCell();
     const worker = cell.addWorker(jobCell.workerEntry('one'));
     const scheduler = await cell.startTerm(1);
@@ -384,9 +385,9 @@
 });
 
 describe('a start whose first answer was lost', () => {
-  // Guards against a second run of a task that was over before the repeated
-  // order came: the worker rejects it as stale, because the first one ran.
-  test('is not taken for one that never ran when its copy is stale', async () => {
+  // Guards against a second run of a task that ended before the retried order
+  // arrived: the worker rejects the retry as stale, because the first one ran.
+  test('counts as carried out when its retry is rejected as stale', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 100, how: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
@@ -395,7 +396,7 @@
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(500);
     worker.mute = false;
-    // Orders are answered again; reports get lost for a second more.
+    // Orders are answered again; reports are lost for one more second.
     const {workers} = cell;
     const report = workers.hold.bind(workers);
     workers.hold = async () => {
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -18,19 +18,21 @@
   return {...jobCell.jobOf(id, step), queue: BATCH.name};
 }
 
-/** Runs last as long as their payload's step says: here by the job's id. */
-const BY_JOB = (order: {task: string}): {runtimeMs: number; how: 'done'} => ({
+/** Six seconds for jobs whose id starts with `b`, else one second. */
+const RUNTIME_BY_JOB = (order: {
+  task: string;
+}): {runtimeMs: number; how: 'done'} => ({
   runtimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
   how: 'done',
 });
 
-describe('a flood of batches before urgent work', () => {
-  // The load pattern: batches of six seconds hold all room when work with half
-  // a second of slack comes. Guards against urgent work that waits for them.
-  test('gives way where it resumes from a checkpoint', async () => {
+describe('preemption', () => {
+  // Load: batch runs of six seconds occupy all room when urgent work with half
+  // a second of slack arrives. Guards against urgent work that waits for them.
+  test('stops checkpointing batch runs for urgent work', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
-    cell.addWorkers(BY_JOB, 'one', 'two');
+    cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8, checkpointing: true}));
     await cell.time.advance(1_900);
@@ -43,11 +45,11 @@
     assert.equal(stopped.length, 3, 'no more runs than the tasks need');
   });
 
-  // Guards against work that is thrown away: it could not resume.
-  test('is left alone where it has no checkpoints', async () => {
+  // Guards against lost work: without a checkpoint a run starts from scratch.
+  test('spares batch runs without checkpoints', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
-    cell.addWorkers(BY_JOB, 'one', 'two');
+    cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8}));
     await cell.time.advance(1_900);
@@ -57,13 +59,13 @@
   });
 });
 
-describe('steps that wait for advice', () => {
+describe('advice requests', () => {
   const ADVISED: job.Queue = {
     ...BATCH,
     advice: {decideMs: 500, eachMs: 10, validMs: 2_500},
   };
 
-  function advising(cell: jobCell.JobCell, asked: string[]): void {
+  function provideAdvice(cell: jobCell.JobCell, asked: string[]): void {
     cell.queues = [
       {...jobCell.QUEUE, advice: {decideMs: 20, eachMs: 0, validMs: 2_500}},
       ADVISED,
@@ -82,13 +84,13 @@
     };
   }
 
-  // The load pattern: many batches wait, room for one. Guards against calls for
-  // tickets that run out unused and keep others waiting at the service.
-  test('ask only when there is room that no other is about to take', async () => {
+  // Load: many batch jobs wait, and there is room for one. Guards against
+  // requests for tickets that expire unused and delay others at the service.
+  test('are sent only if room is left that no other step will take', async () => {
     const cell = new jobCell.JobCell();
     const asked: string[] = [];
-    advising(cell, asked);
-    cell.addWorkers(BY_JOB, 'one');
+    provideAdvice(cell, asked);
+    cell.addWorkers(RUNTIME_BY_JOB, 'one');
     const scheduler = await cell.startTerm(1);
     for (let index = 0; index < 6; index += 1) {
       jobCell.submit(scheduler, batchOf(`b${index}`, {count: 4}));
@@ -98,9 +100,9 @@
     assert.equal(asked.length, 1);
   });
 
-  // The load pattern: the service is busy all the time. Guards against its next
-  // free moment going to whoever comes then, before more urgent steps.
-  test('are asked about in their order when the service is free', async () => {
+  // Load: the service is always busy. Guards against a call for the step that
+  // happens to ask when the service becomes free, ahead of more urgent steps.
+  test('are sent in order of urgency when the service becomes free', async () => {
     const cell = new jobCell.JobCell();
     const asked: string[] = [];
     cell.queues = [ADVISED];
@@ -116,7 +118,7 @@
         return {kind: 'advised', tickets: []};
       },
     };
-    cell.addWorkers(BY_JOB, 'one', 'two', 'three');
+    cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two', 'three');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b0', {}));
     await cell.time.advance(100);
@@ -132,12 +134,12 @@
     );
   });
 
-  // The load pattern: most workers are full and tasks end all the time. Guards
-  // against calls that name one worker and bring no ticket or a single one.
-  test('ask about workers without room too', async () => {
+  // Load: most workers are full, and tasks end all the time. Guards against
+  // calls that name only one worker and return at most one ticket.
+  test('name workers without room as well', async () => {
     const cell = new jobCell.JobCell();
     const named: Array<ReadonlyArray<string>> = [];
-    advising(cell, []);
+    provideAdvice(cell, []);
     const {ask} = cell.advice;
     cell.advice = {
       accepts: () => true,
@@ -146,7 +148,7 @@
         return ask(step, workerIds, expectedMs);
       },
     };
-    cell.addWorkers(BY_JOB, 'one', 'two');
+    cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 5}));
     await cell.time.advance(200);
@@ -156,11 +158,11 @@
     assert.deepEqual([...named[0]].sort(), ['one', 'two']);
   });
 
-  // Guards against starts that a worker refuses for want of a ticket.
-  test('start with the ticket of their worker', async () => {
+  // Guards against starts that a worker rejects because its ticket is missing.
+  test('provide each start with the ticket of its worker', async () => {
     const cell = new jobCell.JobCell();
-    advising(cell, []);
-    cell.addWorkers(BY_JOB, 'one', 'two');
+    provideAdvice(cell, []);
+    cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 6}));
     await cell.time.advance(200);
@@ -168,9 +170,9 @@
   });
 });
 
-describe('a worker that fails all that it starts', () => {
-  // The load pattern: a black hole ends runs at once and so attracts more.
-  // Guards against jobs that lose all their attempts there.
+describe('a worker that fails all of its runs', () => {
+  // Load: a black hole worker fails runs at once, so it always has room for
+  // more. Guards against jobs that use up all their attempts there.
   test('gets no more work after two jobs failed on it', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
@@ -192,8 +194,9 @@
 });
 
 describe('a gang', () => {
-  // Guards against members that wait for others which have no room.
-  test('starts when all of its tasks have room, with one run number', async () => {
+  // Guards against members that hold room while others have none: the gang has
+  // to wait for seven free cores.
+  test('starts once all of its tasks have room, with one run number', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const scheduler = await cell.startTerm(1);
@@ -209,10 +212,10 @@
   });
 });
 
-describe('a task that lasts', () => {
-  // Guards against a service that is not started again, and against a limit of
-  // attempts where there is none.
-  test('is started again however it ends', async () => {
+describe('a long-running task', () => {
+  // Guards against a service that stays down after its run failed: the limit of
+  // attempts must not apply to it.
+  test('is restarted after every failure', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 400, how: 'failed'}), 'one', 'two');
     const scheduler = await cell.startTerm(1);
@@ -223,9 +226,10 @@
   });
 });
 
-describe('a worker that is about to leave', () => {
-  // Guards against a service that is away until the worker's lease is over.
-  test('gives its lasting tasks to others while it is still there', async () => {
+describe('a draining worker', () => {
+  // Guards against a service that is down until the lease of the worker that
+  // left has expired.
+  test('hands over its long-running tasks before it leaves', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
@@ -242,8 +246,8 @@
     );
   });
 
-  // Guards against work that is thrown away though it would be done in time.
-  test('ends what it can end before', async () => {
+  // Guards against moving a run that would have ended before the worker leaves.
+  test('keeps runs that end before it leaves', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const scheduler = await cell.startTerm(1);
--- a/test/jobs/random_cell_replacement_test.ts
+++ b/test/jobs/random_cell_replacement_test.ts
@@ -1,8 +1,8 @@
 import * as nodeTest from 'node:test';
 import * as randomSeeds from '../support/random_seeds.js';
 
-nodeTest.describe('a cell whose tasks differ in length', () => {
-  // Seeds that once failed: a task that took longer than the others of its step
-  // was stopped as slow and started over for ever.
+nodeTest.describe('a cell whose tasks differ in duration', () => {
+  // These seeds failed when a task that took longer than the others of its step
+  // was stopped as slow and restarted again and again.
   randomSeeds.testSeeds([1048, 1072]);
 });
--- a/test/jobs/run_health_test.ts
+++ b/test/jobs/run_health_test.ts
@@ -23,9 +23,9 @@
   return {run, record, worker};
 }
 
-describe('a run that is watched', () => {
-  // Guards against a job that waits for a task which stands still.
-  test('is stalled when its worker reports no progress', () => {
+describe('fault detection of runs', () => {
+  // Guards against a job that waits for a task without progress.
+  test('reports a stall if the worker reports no progress', () => {
     const {run, worker} = runOf({});
     worker.readClock(1_000, 1_000);
     assert.equal(runHealth.detectFault(run, 1_000), undefined);
@@ -33,22 +33,23 @@
     assert.equal(runHealth.detectFault(run, 1_600), 'stalled');
   });
 
-  // Guards against work thrown away because a worker is out of reach.
-  test('is not judged by the silence of its worker', () => {
+  // Guards against losing the work of a run because its worker is unreachable.
+  test('does not count the silence of a worker as a stall', () => {
     const {run, worker} = runOf({});
     worker.readClock(1_000, 1_000);
     assert.equal(runHealth.detectFault(run, 60_000), undefined);
   });
 
-  // Guards against restarts of tasks that only last.
-  test('is left alone when it runs until it is cancelled', () => {
+  // Guards against restarts of services, which run until they are cancelled and
+  // report no progress.
+  test('ignores long-running tasks', () => {
     const {run, worker} = runOf({longRunning: true});
     worker.readClock(9_000, 9_000);
     assert.equal(runHealth.detectFault(run, 9_000), undefined);
   });
 
-  // Guards against a job that waits for its one task on a slow worker.
-  test('is slow when the others of its step were done long before', () => {
+  // Guards against a job that waits for one task on a slow worker.
+  test('reports a slow run if the others of its step took far less time', () => {
     const {run, record, worker} = runOf({count: 4});
     for (let index = 0; index < 3; index += 1) {
       record.steps[0].recordDuration(1_000);
@@ -62,9 +63,9 @@
     assert.equal(runHealth.detectFault(run, 2_500), undefined);
   });
 
-  // Guards against a task that is by nature longer than the others of its step
-  // and is started over for ever.
-  test('is called slow once at most, and stalled ever later', () => {
+  // Guards against endless restarts of a task that inherently takes longer than
+  // the others of its step.
+  test('reports a task as slow only once, and doubles its stall limit', () => {
     const {run, record, worker} = runOf({count: 4});
     for (let index = 0; index < 3; index += 1) {
       record.steps[0].recordDuration(300);
--- a/test/jobs/step_ordering_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -8,7 +8,7 @@
 
 const {describe, test} = nodeTest;
 
-const CORES = 8_000;
+const PROCESSORS = 8_000;
 const BATCH: job.Queue = {...jobCell.QUEUE, name: 'batch', priority: 2};
 
 function waiting(
@@ -31,14 +31,14 @@
       steps,
       now,
       step => step.definition.estimatedRuntimeMs,
-      () => CORES,
+      () => PROCESSORS,
     )
     .map(({step}) => step.owner.definition.id);
 }
 
-describe('the order of waiting work', () => {
-  // Guards against urgent work behind a flood of batches.
-  test('puts the urgent queue first', () => {
+describe('the order of waiting steps', () => {
+  // Guards against urgent jobs that wait behind many batch jobs.
+  test('puts the more urgent queue first', () => {
     const order = orderAt(
       100,
       waiting('batch', BATCH, 0),
@@ -47,9 +47,9 @@
     assert.deepEqual(order, ['urgent', 'batch']);
   });
 
-  // Guards against room for work that is late anyway while work that could be
-  // on time becomes late too: a burst of urgent jobs that was not all served.
-  test('puts jobs that are late already behind the next queue', () => {
+  // Guards against late jobs that take room from jobs which could still be on
+  // time, so that these become late too: after a burst of urgent jobs.
+  test('puts late jobs behind on-time jobs of the next queue', () => {
     const nextQueue = {...BATCH, priority: 1};
     const order = orderAt(
       3_000,
@@ -61,8 +61,8 @@
     assert.deepEqual(order, ['fresh', 'next', 'late', 'batch']);
   });
 
-  // Guards against a job that earns nothing any more before all that does.
-  test('puts jobs last that have passed three times their objective', () => {
+  // Guards against a job without value that goes ahead of jobs with value.
+  test('puts jobs last that have exceeded three times their objective', () => {
     const order = orderAt(
       10_000,
       waiting('worthless', jobCell.QUEUE, 0),
@@ -72,7 +72,7 @@
   });
 
   // Guards against a few large jobs that make many small ones late.
-  test('lets a small job pass a large one that came before it', () => {
+  test('puts a small job ahead of a large one that came before it', () => {
     const order = orderAt(
       200,
       waiting('large', BATCH, 0, {count: 40}),
@@ -81,8 +81,8 @@
     assert.deepEqual(order, ['small', 'large']);
   });
 
-  // Guards against large jobs that never get their turn.
-  test('lets a large job go first once it has waited for long', () => {
+  // Guards against starvation of large jobs.
+  test('puts a large job first once it has waited for its deferral', () => {
     const long = {count: 10, estimatedRuntimeMs: 20_000};
     const order = orderAt(
       9_500,
@@ -101,9 +101,9 @@
   });
 });
 
-describe('the prediction of runtimes', () => {
-  // Guards against decisions by estimates that say nothing.
-  test('goes by experience where estimates are worthless', () => {
+describe('the runtime model', () => {
+  // Guards against relying on estimates that do not correlate with runtimes.
+  test('predicts the usual runtime where estimates are worthless', () => {
     const model = new runtimeModel.RuntimeModel();
     for (let index = 0; index < 20; index += 1) {
       model.observe('orders', index % 2 === 0 ? 100 : 4_000, 1_000);
@@ -112,8 +112,8 @@
     assert.ok(Math.abs(model.predict('orders', 4_000) - 1_000) < 1);
   });
 
-  // Guards against estimates that are thrown away though they are good.
-  test('goes by estimates where they have proved good', () => {
+  // Guards against ignoring estimates that correlate with runtimes.
+  test('scales estimates where they have proved accurate', () => {
     const model = new runtimeModel.RuntimeModel();
     for (let index = 1; index <= 20; index += 1) {
       model.observe('orders', index * 100, index * 200);
@@ -121,8 +121,8 @@
     assert.ok(Math.abs(model.predict('orders', 1_500) - 3_000) < 1);
   });
 
-  // Guards against a guess from one or two tasks.
-  test('is the estimate while little is known', () => {
+  // Guards against predictions from one or two samples.
+  test('returns the estimate while samples are too few', () => {
     const model = new runtimeModel.RuntimeModel();
     model.observe('orders', 100, 9_000);
     assert.equal(model.predict('orders', 300), 300);
