--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -46,7 +46,7 @@
     }
     await time.advance(100);
     assert.equal(stored, 20);
-    assert.ok(store.appends <= 6, `${store.appends} calls`);
+    assert.ok(store.appendCount <= 6, `${store.appendCount} calls`);
   });
 
   // Guards against storing progress that is stale when the call is sent.
@@ -69,7 +69,7 @@
   // are lost.
   test('reports a change only once it is stored', async () => {
     const {time, store, writer} = createFixture();
-    store.lostAnswers = 3;
+    store.lostAnswerCount = 3;
     let stored = false;
     writer.put(
       'a',
@@ -94,7 +94,7 @@
     writer.put('b', () => ({kind: 'dropped', id: 'b'}));
     await time.advance(500);
     assert.equal(superseded(), 1);
-    assert.equal(store.appends, 0);
+    assert.equal(store.appendCount, 0);
   });
 
   // Guards against reporting "not stored" for a change that may still be
--- a/test/support/fake_journal_store.ts
+++ b/test/support/fake_journal_store.ts
@@ -3,37 +3,37 @@
 import type * as jobRecord from '../../src/jobs/job_record.js';
 import type * as timeline from './timeline.js';
 
-/** Time for an answer of the store. */
-const ANSWER_MS = 4;
+/** Response time of the store. */
+const RESPONSE_TIME_MS = 4;
 
-/** The platform's store as far as the journal uses it. */
+/** In-memory journal store with injectable faults. */
 export class FakeJournalStore implements jobJournal.JobJournalStore {
   readonly definitions = new Map<string, job.JobDefinition>();
   readonly progress = new Map<string, jobRecord.JobProgress>();
   workers: ReadonlyArray<jobJournal.StoredWorker> = [];
-  /** The store gives no answer and does nothing. */
+  /** Whether the store neither stores nor answers anything. */
   down = false;
-  /** The store turns every append away and does nothing. */
+  /** Whether the store refuses every append. */
   refusing = false;
-  /** The next appends take effect and their answers are lost. */
-  lostAnswers = 0;
-  appends = 0;
-  private epoch = 0;
+  /** Number of coming appends that are stored but not answered. */
+  lostAnswerCount = 0;
+  appendCount = 0;
+  private openTerm = 0;
   private sequence = 0;
 
   constructor(private readonly time: timeline.Timeline) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
-    await this.time.pause(ANSWER_MS);
+    await this.time.pause(RESPONSE_TIME_MS);
     if (this.down) return 'unanswered';
-    if (term < this.epoch) return 'superseded';
-    this.epoch = term;
+    if (term < this.openTerm) return 'superseded';
+    this.openTerm = term;
     this.sequence = 0;
     return 'stored';
   }
 
   async load(): Promise<jobJournal.JournalContent | undefined> {
-    await this.time.pause(ANSWER_MS);
+    await this.time.pause(RESPONSE_TIME_MS);
     if (this.down) return undefined;
     const jobs = [...this.definitions.values()].map(definition => ({
       definition,
@@ -48,20 +48,20 @@
     changes: ReadonlyArray<jobJournal.JournalChange>,
     timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
-    await this.time.pause(ANSWER_MS);
+    await this.time.pause(RESPONSE_TIME_MS);
     if (this.down) {
-      await this.time.pause(timeoutMs - ANSWER_MS);
+      await this.time.pause(timeoutMs - RESPONSE_TIME_MS);
       return 'unanswered';
     }
     if (this.refusing) return 'refused';
-    if (term < this.epoch) return 'superseded';
-    this.appends += 1;
+    if (term < this.openTerm) return 'superseded';
+    this.appendCount += 1;
     if (sequence > this.sequence) {
       this.sequence = sequence;
       for (const change of changes) this.apply(change);
     }
-    if (this.lostAnswers > 0) {
-      this.lostAnswers -= 1;
+    if (this.lostAnswerCount > 0) {
+      this.lostAnswerCount -= 1;
       return 'unanswered';
     }
     return 'stored';
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -3,25 +3,25 @@
 import type * as timeline from './timeline.js';
 import type * as workerCalls from '../../src/machines/worker_calls.js';
 
-/** Time from a call to its arrival, and back. */
-const ONE_WAY_MS = 1;
+/** Network delay of each direction. */
+const ONE_WAY_DELAY_MS = 1;
 
-/** Time after which a call without an answer is given up. */
-const TIMEOUT_MS = 600;
+/** Timeout of a call without an answer. */
+const CALL_TIMEOUT_MS = 600;
 
-/** How often a waiting report looks for an end. */
-const POLL_MS = 10;
+/** Interval at which a waiting report checks for ended runs. */
+const POLL_INTERVAL_MS = 10;
 
-/** Carries calls to fake workers in simulated time. */
+/** Delivers calls to fake workers in simulated time. */
 export class FakeWorkers implements workerCalls.WorkerCalls {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.WorkerEvent[] = [];
-  /** Delays one order: returns the time after which it arrives. */
-  delayOrder: (address: string) => number = () => 0;
+  /** Returns the delay of an order; the answer of a delayed one is lost. */
+  orderDelayMs: (address: string) => number = () => 0;
 
   constructor(private readonly time: timeline.Timeline) {}
 
-  /** Adds a worker whose runs go as planned. */
+  /** Adds a worker whose runs follow `plan`. */
   add(
     entry: remoteWorker.WorkerEntry,
     plan: workerModel.RunPlan,
@@ -59,41 +59,41 @@
     entry: remoteWorker.WorkerEntry,
     order: workerCalls.HoldOrder,
   ): Promise<workerCalls.HoldOutcome> {
-    await this.time.pause(ONE_WAY_MS);
+    await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
-    if (worker === undefined) return this.lose(order.waitMs);
+    if (worker === undefined) return this.timeOut(order.waitMs);
     const answer = worker.hold(order);
     if (answer.kind === 'rejected' || worker.hasEnds) {
-      await this.time.pause(ONE_WAY_MS);
-      return this.answered(entry, worker) ? answer : this.lose(0);
+      await this.time.pause(ONE_WAY_DELAY_MS);
+      return this.canAnswer(entry, worker) ? answer : this.timeOut(0);
     }
     const until = this.time.now() + order.waitMs;
     while (this.time.now() < until && !worker.hasEnds) {
-      await this.time.pause(POLL_MS);
+      await this.time.pause(POLL_INTERVAL_MS);
     }
-    await this.time.pause(ONE_WAY_MS);
-    if (!this.answered(entry, worker)) return this.lose(0);
+    await this.time.pause(ONE_WAY_DELAY_MS);
+    if (!this.canAnswer(entry, worker)) return this.timeOut(0);
     return worker.hold({...order, deadlineMs: undefined});
   }
 
   private async order(
     entry: remoteWorker.WorkerEntry,
-    obey: (worker: workerModel.WorkerModel) => workerCalls.OrderOutcome,
+    handle: (worker: workerModel.WorkerModel) => workerCalls.OrderOutcome,
   ): Promise<workerCalls.OrderOutcome> {
-    const delay = this.delayOrder(entry.address);
-    if (delay > 0) {
-      this.time.at(this.time.now() + delay, () => {
+    const delayMs = this.orderDelayMs(entry.address);
+    if (delayMs > 0) {
+      this.time.at(this.time.now() + delayMs, () => {
         const late = this.byAddress.get(entry.address);
-        if (late?.crashed === false) obey(late);
+        if (late?.crashed === false) handle(late);
       });
-      return this.lose(0);
+      return this.timeOut(0);
     }
-    await this.time.pause(ONE_WAY_MS);
+    await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
-    if (worker === undefined) return this.lose(0);
-    const outcome = obey(worker);
-    await this.time.pause(ONE_WAY_MS);
-    return this.answered(entry, worker) ? outcome : this.lose(0);
+    if (worker === undefined) return this.timeOut(0);
+    const outcome = handle(worker);
+    await this.time.pause(ONE_WAY_DELAY_MS);
+    return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
   }
 
   private reachable(
@@ -103,17 +103,17 @@
     return worker?.cut === false ? worker : undefined;
   }
 
-  private answered(
+  private canAnswer(
     entry: remoteWorker.WorkerEntry,
     worker: workerModel.WorkerModel,
   ): boolean {
     return this.reachable(entry) === worker && !worker.mute;
   }
 
-  private async lose(
+  private async timeOut(
     waitMs: number,
   ): Promise<{kind: 'unanswered'; detail: string}> {
-    await this.time.pause(waitMs + TIMEOUT_MS);
+    await this.time.pause(waitMs + CALL_TIMEOUT_MS);
     return {kind: 'unanswered', detail: 'lost'};
   }
 }
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -9,7 +9,7 @@
 import type * as job from '../../src/jobs/job.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 
-/** The queue of most tests. */
+/** Queue that tests use by default. */
 export const QUEUE: job.Queue = {
   name: 'orders',
   host: 'orders.example',
@@ -22,7 +22,7 @@
   timeoutMs: 3_000,
 };
 
-/** A step of one task that needs a core for a second. */
+/** Step of one task that needs a core for a second. */
 export const STEP: job.Step = {
   count: 1,
   size: {processors: 1_000, memory: 1_024, accelerators: 0, slots: 1},
@@ -36,7 +36,7 @@
   usesIdleCapacity: false,
 };
 
-/** A job of the given steps. */
+/** Returns a job of the given steps, each completed with `STEP`. */
 export function jobOf(
   id: string,
   ...steps: ReadonlyArray<Partial<job.Step>>
@@ -49,7 +49,7 @@
   };
 }
 
-/** A worker of four cores. */
+/** Returns the registry entry of a worker with four cores. */
 export function workerEntry(
   name: string,
   changes: Partial<remoteWorker.WorkerEntry> = {},
@@ -73,21 +73,21 @@
   };
 }
 
-/** All runs take a second and succeed. */
+/** Plan by which each run takes a second and succeeds. */
 export const ONE_SECOND_RUNS: workerModel.RunPlan = () => ({
   runtimeMs: 1_000,
   how: 'done',
 });
 
-/** Schedulers over fakes of all that is around them, in simulated time. */
+/** Job schedulers with fakes of their dependencies, in simulated time. */
 export class JobCell {
   readonly time = new timeline.Timeline();
   readonly workers = new fakeWorkers.FakeWorkers(this.time);
   readonly journal = new fakeJournalStore.FakeJournalStore(this.time);
   readonly superseded: string[] = [];
-  /** Receives what schedulers log. */
+  /** Receives the schedulers' log events. */
   log: schedulerOptions.EventLog = {event: () => {}};
-  /** Whether the scheduler has proof that it may lead. */
+  /** Whether schedulers have proof of leadership. */
   hasLeadershipProof = true;
   queues: ReadonlyArray<job.Queue> = [QUEUE];
   advice: adviceCache.AdviceClient = {
@@ -96,7 +96,7 @@
   };
   entries: ReadonlyArray<remoteWorker.WorkerEntry> = [];
 
-  /** Adds workers with the same plan. */
+  /** Adds workers whose runs follow the same plan. */
   addWorkers(plan: workerModel.RunPlan, ...names: string[]): void {
     for (const name of names) this.addWorker(workerEntry(name), plan);
   }
@@ -109,12 +109,12 @@
     return this.workers.add(entry, plan);
   }
 
-  /** Begins a term and lets it take over. */
+  /** Starts a scheduler for a term and lets it take over. */
   async startTerm(
     term: number,
-    mayExtend: () => boolean = () => this.hasLeadershipProof,
+    mayGrantLeases: () => boolean = () => this.hasLeadershipProof,
   ): Promise<jobScheduler.JobScheduler> {
-    const started = new jobScheduler.JobScheduler({
+    const newScheduler = new jobScheduler.JobScheduler({
       term,
       clock: this.time,
       wallClock: () => this.time.now(),
@@ -128,28 +128,28 @@
       pauses: this.time,
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
-      mayGrantLeases: mayExtend,
+      mayGrantLeases,
       onSuperseded: reason => {
         this.superseded.push(reason);
-        started.retire();
+        newScheduler.retire();
       },
       defer: pass => this.time.at(this.time.now(), pass),
     });
-    started.configure({
+    newScheduler.configure({
       version: 1,
       queues: this.queues,
       bodyBytes: 1_000,
       headerTimeoutMs: 1_000,
       idleTimeoutMs: 1_000,
     });
-    started.updateWorkers(this.entries);
-    this.time.every(100, () => started.tick());
-    void started.begin();
+    newScheduler.updateWorkers(this.entries);
+    this.time.every(100, () => newScheduler.tick());
+    void newScheduler.begin();
     await this.time.advance(50);
-    return started;
+    return newScheduler;
   }
 
-  /** Starts of tasks whose name begins with a text. */
+  /** Returns the starts of tasks whose name begins with `prefix`. */
   startsOf(prefix: string): ReadonlyArray<workerModel.WorkerEvent> {
     return this.workers.events.filter(
       event => event.kind === 'started' && event.task.startsWith(prefix),
@@ -157,15 +157,15 @@
   }
 }
 
-/** Hands a job in and returns what became of it, once it is known. */
+/** Submits a job; the returned object gets the outcome once it is known. */
 export function submit(
-  to: jobScheduler.JobScheduler,
+  scheduler: jobScheduler.JobScheduler,
   definition: job.JobDefinition,
 ): {outcome: jobAdmission.SubmitOutcome | undefined} {
   const result: {outcome: jobAdmission.SubmitOutcome | undefined} = {
     outcome: undefined,
   };
-  to.submit(definition, 1, outcome => {
+  scheduler.submit(definition, 1, outcome => {
     result.outcome = outcome;
   });
   return result;
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -5,14 +5,16 @@
 import type * as job from '../../src/jobs/job.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
-/** Time with jobs and faults, and time after them. */
+/** Duration of the phase with jobs and faults. */
 const FAULT_PHASE_MS = 30_000;
+
+/** Duration of the phase after it, in which all jobs have to finish. */
 const QUIET_PHASE_MS = 45_000;
 
-/** How often the invariants are looked at. */
+/** Interval of invariant checks. */
 const CHECK_INTERVAL_MS = 50;
 
-/** How often workers look at their leases; below the scheduler's margin. */
+/** Interval of workers' lease checks; below the scheduler's margin. */
 const LEASE_CHECK_INTERVAL_MS = 10;
 
 const WORKER_COUNT = 5;
@@ -22,7 +24,7 @@
   readonly proof: {until: number};
 }
 
-/** Range of the tasks' runtimes. */
+/** Range of task runtimes: uniform from `minimumMs`, `rangeMs` wide. */
 export interface RuntimeRange {
   readonly minimumMs: number;
   readonly rangeMs: number;
@@ -31,26 +33,27 @@
 const USUAL_RUNTIMES: RuntimeRange = {minimumMs: 300, rangeMs: 4_000};
 
 /**
- * Many tasks are over before an answer counts as lost, none before the checks
- * have seen its start.
+ * Many tasks end before an unanswered call times out, but none before an
+ * invariant check has seen its start.
  */
 export const SHORT_RUNTIMES: RuntimeRange = {
   minimumMs: 2 * CHECK_INTERVAL_MS,
   rangeMs: 400,
 };
 
-/** What one run showed. */
+/** Result of one simulation. */
 export interface RandomOutcome {
   readonly violations: ReadonlyArray<string>;
-  readonly jobs: number;
-  readonly starts: number;
-  readonly terms: number;
+  readonly jobCount: number;
+  readonly startCount: number;
+  readonly termCount: number;
 }
 
 /**
- * One cell with random jobs and faults: successions while the scheduler before
- * goes on for up to two seconds, workers that are cut off and run on, crash, or
- * carry orders out late, and a store that is silent or loses its answers.
+ * Simulates a cell with random jobs and faults: failovers in which the previous
+ * scheduler continues for up to two seconds; workers that are unreachable but
+ * keep running, crash, or carry out orders late; and a store that is down or
+ * whose answers are lost.
  */
 export class RandomCell {
   private readonly cell = new jobCell.JobCell();
@@ -61,7 +64,7 @@
   private leader: Leader | undefined;
   private term = 0;
   private incarnations = 0;
-  private eventsSeen = 0;
+  private checkedEvents = 0;
   private readonly activeRuns = new Map<string, Set<string>>();
 
   constructor(
@@ -71,16 +74,16 @@
     this.random = new randomSource.SeededRandom(seed);
   }
 
-  /** Plays the run to its end. */
+  /** Runs the simulation to its end. */
   async run(): Promise<RandomOutcome> {
     for (let index = 0; index < WORKER_COUNT; index += 1) this.addWorker(index);
-    // Workers end what is over without being asked.
+    // Workers end runs with expired leases on their own.
     this.cell.time.every(LEASE_CHECK_INTERVAL_MS, () => {
       for (const model of this.models) model.expire();
     });
     await this.startSuccessor();
     while (this.cell.time.now() < FAULT_PHASE_MS) {
-      await this.step();
+      await this.injectEvents();
       await this.cell.time.advance(CHECK_INTERVAL_MS);
       this.checkInvariants();
     }
@@ -93,9 +96,9 @@
     this.checkCompleted();
     return {
       violations: this.violations,
-      jobs: this.definitions.size,
-      starts: this.cell.startsOf('').length,
-      terms: this.term,
+      jobCount: this.definitions.size,
+      startCount: this.cell.startsOf('').length,
+      termCount: this.term,
     };
   }
 
@@ -103,11 +106,11 @@
     return this.random.below(oneIn) === 0;
   }
 
-  private async step(): Promise<void> {
+  private async injectEvents(): Promise<void> {
     const {cell} = this;
     if (this.chance(6)) this.submit();
     if (this.chance(90)) await this.startSuccessor();
-    if (this.chance(60)) this.cutWorker();
+    if (this.chance(60)) this.disconnectWorker();
     if (this.chance(150)) this.crashWorker();
     if (this.chance(100)) {
       cell.journal.down = true;
@@ -115,10 +118,10 @@
         cell.journal.down = false;
       });
     }
-    if (this.chance(40)) cell.journal.lostAnswers += 1;
-    const late = this.chance(4);
-    cell.workers.delayOrder = () =>
-      late && this.chance(8) ? 2_000 + this.random.below(10_000) : 0;
+    if (this.chance(40)) cell.journal.lostAnswerCount += 1;
+    const delaysOrders = this.chance(4);
+    cell.workers.orderDelayMs = () =>
+      delaysOrders && this.chance(8) ? 2_000 + this.random.below(10_000) : 0;
   }
 
   private submit(): void {
@@ -127,27 +130,27 @@
     const steps: Array<Partial<job.Step>> = [{count}];
     if (this.chance(3)) steps.push({count: 2, after: [0]});
     const definition = jobCell.jobOf(id, ...steps);
-    // A process that does not know the jobs yet passes no job on.
+    // A process that has not loaded the jobs yet does not submit any.
     if (!this.leader?.scheduler.isServing) return;
     this.leader.scheduler.submit(definition, 1, outcome => {
       if (outcome.kind === 'accepted') this.definitions.set(id, definition);
     });
   }
 
-  /** Another scheduler begins while the one before may go on for a while. */
+  /** Starts the next scheduler while the previous one may continue. */
   private async startSuccessor(): Promise<void> {
     const now = this.cell.time.now();
     if (this.leader !== undefined) {
-      const longest = jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
-      this.leader.proof.until = now + this.random.below(longest);
+      const longestMs = jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
+      this.leader.proof.until = now + this.random.below(longestMs);
     }
     this.term += 1;
     const proof = {until: Infinity};
-    const begun = await this.cell.startTerm(
+    const successor = await this.cell.startTerm(
       this.term,
       () => this.cell.time.now() < proof.until,
     );
-    const leader = {scheduler: begun, proof};
+    const leader = {scheduler: successor, proof};
     this.leader = leader;
   }
 
@@ -159,7 +162,7 @@
     });
     const entries = this.cell.entries.filter(({id}) => id !== entry.id);
     this.cell.entries = entries;
-    const {minimumMs, rangeMs: rangeMs} = this.runtimes;
+    const {minimumMs, rangeMs} = this.runtimes;
     const runtimeMs = (): number => minimumMs + this.random.below(rangeMs);
     const model = this.cell.addWorker(entry, () => ({
       runtimeMs: runtimeMs(),
@@ -169,7 +172,7 @@
     this.leader?.scheduler.updateWorkers(this.cell.entries);
   }
 
-  private cutWorker(): void {
+  private disconnectWorker(): void {
     const model = this.models[this.random.below(WORKER_COUNT)];
     const mute = this.chance(2);
     if (mute) model.mute = true;
@@ -181,7 +184,7 @@
     });
   }
 
-  /** The worker loses all that it runs and starts again as another life. */
+  /** Crashes a worker with its runs and starts a new incarnation. */
   private crashWorker(): void {
     const index = this.random.below(WORKER_COUNT);
     const model = this.models[index];
@@ -191,8 +194,8 @@
 
   private async endFaults(): Promise<void> {
     this.cell.journal.down = false;
-    this.cell.journal.lostAnswers = 0;
-    this.cell.workers.delayOrder = () => 0;
+    this.cell.journal.lostAnswerCount = 0;
+    this.cell.workers.orderDelayMs = () => 0;
     for (const model of this.models) {
       model.cut = false;
       model.mute = false;
@@ -203,8 +206,8 @@
   private checkInvariants(): void {
     for (const model of this.models) this.checkCapacity(model);
     const {events} = this.cell.workers;
-    for (; this.eventsSeen < events.length; this.eventsSeen += 1) {
-      this.checkEvent(events[this.eventsSeen]);
+    for (; this.checkedEvents < events.length; this.checkedEvents += 1) {
+      this.checkEvent(events[this.checkedEvents]);
     }
   }
 
@@ -212,7 +215,7 @@
     const used = model.used(task => this.sizeOf(task));
     if (resources.fits(used, model.entry.capacity)) return;
     const at = Math.round(this.cell.time.now());
-    this.violations.push(`over capacity: ${model.entry.id} at ${at}`);
+    this.violations.push(`worker over capacity: ${model.entry.id} at ${at} ms`);
   }
 
   private sizeOf(task: string): resources.Resources {
@@ -229,12 +232,14 @@
       running.delete(run);
       return;
     }
-    const at = `${event.task} run ${event.run} on ${event.worker} at ${Math.round(event.at)}`;
+    const at = `${event.task} run ${event.run} on ${event.worker} at ${Math.round(event.at)} ms`;
     if (running.size > 0) {
-      this.violations.push(`twice: ${at}, beside ${[...running].join(' ')}`);
+      this.violations.push(
+        `task runs twice: ${at}, beside ${[...running].join(' ')}`,
+      );
     }
     if (this.isStoredAsDone(event.task)) {
-      this.violations.push(`started after its end was stored: ${at}`);
+      this.violations.push(`task started after its end was stored: ${at}`);
     }
     running.add(run);
   }
@@ -254,7 +259,7 @@
     for (const id of this.definitions.keys()) {
       const state = this.leader?.scheduler.stateOf('orders', id);
       if (state === 'completed' || state === 'failed') continue;
-      this.violations.push(`accepted and not finished: ${id} is ${state}`);
+      this.violations.push(`accepted job did not finish: ${id} is ${state}`);
     }
   }
 }
--- a/test/support/random_seeds.ts
+++ b/test/support/random_seeds.ts
@@ -2,16 +2,16 @@
 import * as nodeTest from 'node:test';
 import * as randomCell from './random_cell.js';
 
-/** Declares one test for each seed. */
+/** Declares one simulation test for each seed. */
 export function testSeeds(
   seeds: ReadonlyArray<number>,
   runtimes?: randomCell.RuntimeRange,
 ): void {
   for (const seed of seeds) {
-    nodeTest.test(`keeps its promises with seed ${seed}`, async () => {
+    nodeTest.test(`violates no invariant with seed ${seed}`, async () => {
       const outcome = await new randomCell.RandomCell(seed, runtimes).run();
       assert.deepEqual(outcome.violations, []);
-      assert.ok(outcome.starts > 20);
+      assert.ok(outcome.startCount > 20);
     });
   }
 }
