--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -33,9 +33,9 @@
 
   async ping(
     address: string,
-    greeting: cellPeers.Greeting,
+    greeting: cellPeers.PingMessage,
     timeoutMs: number,
-  ): Promise<cellPeers.Reached<cellPeers.GreetingAnswer>> {
+  ): Promise<cellPeers.PeerCallOutcome<cellPeers.PingReply>> {
     const request = {
       newest: cellMessages.toClaim(greeting.newest),
       configurationVersion: BigInt(greeting.configurationVersion),
@@ -58,7 +58,7 @@
   async fetchConfiguration(
     address: string,
     timeoutMs: number,
-  ): Promise<cellPeers.Reached<job.CellConfiguration | undefined>> {
+  ): Promise<cellPeers.PeerCallOutcome<job.CellConfiguration | undefined>> {
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.fetchConfiguration({}, options),
     );
@@ -72,7 +72,7 @@
     definition: job.JobDefinition,
     configurationVersion: number,
     timeoutMs: number,
-  ): Promise<cellPeers.Led<submissions.SubmitOutcome>> {
+  ): Promise<cellPeers.LeaderCallOutcome<submissions.SubmitOutcome>> {
     const request = {
       definition: jsonDocument.encode(definition),
       configurationVersion: BigInt(configurationVersion),
@@ -88,7 +88,7 @@
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<cellPeers.Led<scheduler.CancelOutcome>> {
+  ): Promise<cellPeers.LeaderCallOutcome<scheduler.CancelOutcome>> {
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.cancel({queue, id}, options),
     );
@@ -100,7 +100,7 @@
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<cellPeers.Led<job.JobState | undefined>> {
+  ): Promise<cellPeers.LeaderCallOutcome<job.JobState | undefined>> {
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.readState({queue, id}, options),
     );
@@ -113,7 +113,7 @@
     address: string,
     queue: string,
     timeoutMs: number,
-  ): Promise<cellPeers.Led<number>> {
+  ): Promise<cellPeers.LeaderCallOutcome<number>> {
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.countPending({queue}, options),
     );
@@ -154,7 +154,7 @@
     address: string,
     timeoutMs: number,
     send: (client: Client, options: CallOptions) => Promise<Response>,
-  ): Promise<cellPeers.Reached<Response>> {
+  ): Promise<cellPeers.PeerCallOutcome<Response>> {
     const connection = this.connection(address);
     const sentAt = this.clock.now();
     const abort = new AbortController();
@@ -214,17 +214,17 @@
 }
 
 function mapReached<From, To>(
-  reached: cellPeers.Reached<From>,
+  reached: cellPeers.PeerCallOutcome<From>,
   map: (value: From) => To,
-): cellPeers.Reached<To> {
+): cellPeers.PeerCallOutcome<To> {
   if (reached.kind !== 'answered') return reached;
   return {kind: 'answered', value: map(reached.value)};
 }
 
 function toLed<Response extends {readonly leading: cellPb.Leading}, Value>(
-  reached: cellPeers.Reached<Response>,
+  reached: cellPeers.PeerCallOutcome<Response>,
   map: (response: Response) => Value,
-): cellPeers.Led<Value> {
+): cellPeers.LeaderCallOutcome<Value> {
   if (reached.kind !== 'answered') return reached;
   if (reached.value.leading !== cellPb.Leading.YES) {
     return {kind: 'notLeading'};
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -65,7 +65,7 @@
   private ping(
     request: cellPb.PingRequest,
   ): Init<typeof cellPb.PingResponseSchema> {
-    const answer = this.service.pinged({
+    const answer = this.service.answerPing({
       newest: cellMessages.fromClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
       sender: request.sender,
--- a/src/zones/advice_members.ts
+++ b/src/zones/advice_relays.ts
@@ -5,32 +5,32 @@
 import type * as clock from '../machines/clock.js';
 
 /** A member that was heard within this time can ask for advice. */
-const MEMBER_ALIVE_MS = 2_000;
+const MEMBER_LIVENESS_TIMEOUT_MS = 2_000;
 
 /** The members over whose VMs the advice service is asked. */
-export class AdviceMembers {
-  private readonly heardAt = new Map<string, clock.Milliseconds>();
+export class AdviceRelays {
+  private readonly lastContactAt = new Map<string, clock.Milliseconds>();
 
   constructor(
     private readonly clock: clock.Clock,
     /** Asks from the own VM. */
-    private readonly service: adviceBook.AdviceService,
+    private readonly localService: adviceBook.AdviceService,
     private readonly peers: cellPeers.CellPeers,
   ) {}
 
   /** A ping of the member or its answer to one has arrived. */
-  heard(address: string): void {
-    this.heardAt.set(address, this.clock.now());
+  recordContact(address: string): void {
+    this.lastContactAt.set(address, this.clock.now());
   }
 
   /** The living ones of `members`, and this process itself. */
-  sites(
+  availableSites(
     members: ReadonlyArray<cellMember.CellMember>,
   ): ReadonlyArray<adviceSpread.AdviceSite> {
     const now = this.clock.now();
     const alive = members.filter(({address}) => {
-      const heardAt = this.heardAt.get(address) ?? -Infinity;
-      return now - heardAt < MEMBER_ALIVE_MS;
+      const lastContactAt = this.lastContactAt.get(address) ?? -Infinity;
+      return now - lastContactAt < MEMBER_LIVENESS_TIMEOUT_MS;
     });
     return [...alive, {address: undefined}];
   }
@@ -43,7 +43,7 @@
     timeoutMs: number,
   ): Promise<adviceBook.AdviceOutcome> {
     return address === undefined
-      ? this.service.ask(step, workerIds, timeoutMs)
+      ? this.localService.ask(step, workerIds, timeoutMs)
       : this.peers.advise(address, step, workerIds, timeoutMs);
   }
 }
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -8,9 +8,9 @@
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** What the gateway asks its own process. */
-export interface LocalCell extends cellPeers.CellService {
+export interface LocalMember extends cellPeers.CellService {
   readonly leader: cellMember.Claim | undefined;
-  readonly leadsItself: boolean;
+  readonly runsScheduler: boolean;
 }
 
 /** Fate of a call that only the scheduler can answer. */
@@ -22,33 +22,33 @@
   | {readonly kind: 'unknown'};
 
 /** Time for one attempt; the scheduler is asked again after it. */
-const ATTEMPT_MS = 1_000;
+const ATTEMPT_TIMEOUT_MS = 1_000;
 
 /** Pause before another attempt. */
-const ATTEMPT_PAUSE_MS = 60;
+const RETRY_DELAY_MS = 60;
 
 /**
  * How long a call waits for a scheduler. A succession is over by then; a
  * caller that waits longer does better to come back.
  */
-const PATIENCE_MS = 2_000;
+const SCHEDULER_WAIT_LIMIT_MS = 2_000;
 
 /**
  * Part of a caller's time for which a job waits for the store to answer again.
  * The caller keeps enough of it to come back or to go elsewhere.
  */
-const STORE_PATIENCE_SHARE = 0.45;
+const STORE_WAIT_SHARE = 0.45;
 
 /** Pause before the scheduler is asked again while the store is silent. */
-const STORE_PAUSE_MS = 200;
+const STORE_RETRY_DELAY_MS = 200;
 
 /** Time that is kept for the answer's way back. */
-const RETURN_MS = 120;
+const RESPONSE_RESERVE_MS = 120;
 
 /** Passes calls on to the scheduler, wherever it is, through a succession. */
 export class CellGateway {
   constructor(
-    private readonly cell: LocalCell,
+    private readonly localMember: LocalMember,
     private readonly peers: cellPeers.CellPeers,
     private readonly clock: clock.Clock,
     private readonly pauses: jobJournal.Pauses,
@@ -62,11 +62,11 @@
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<submissions.SubmitOutcome>> {
     const startedAt = this.clock.now();
-    const patienceMs = STORE_PATIENCE_SHARE * (deadline - startedAt);
+    const storeWaitLimitMs = STORE_WAIT_SHARE * (deadline - startedAt);
     for (;;) {
-      const outcome = await this.ask(
+      const outcome = await this.callScheduler(
         deadline,
-        () => this.cell.submit(definition, configurationVersion),
+        () => this.localMember.submit(definition, configurationVersion),
         (address, timeoutMs) =>
           this.peers.submit(
             address,
@@ -75,14 +75,17 @@
             timeoutMs,
           ),
       );
-      const resumeAt = this.clock.now() + STORE_PAUSE_MS;
+      const nextAttemptAt = this.clock.now() + STORE_RETRY_DELAY_MS;
       // Only what is surely not accepted may be handed in once more, or else a
       // later refusal would be untrue.
-      if (!isStoreSilent(outcome) || resumeAt - startedAt > patienceMs) {
+      if (
+        !isStoreSilent(outcome) ||
+        nextAttemptAt - startedAt > storeWaitLimitMs
+      ) {
         return outcome;
       }
       this.counters.count('calls_repeated', 'storeSilent');
-      await this.pauses.pause(STORE_PAUSE_MS);
+      await this.pauses.pause(STORE_RETRY_DELAY_MS);
     }
   }
 
@@ -92,9 +95,9 @@
     id: string,
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<scheduler.CancelOutcome>> {
-    return this.ask(
+    return this.callScheduler(
       deadline,
-      () => this.cell.cancel(queue, id),
+      () => this.localMember.cancel(queue, id),
       (address, timeoutMs) => this.peers.cancel(address, queue, id, timeoutMs),
     );
   }
@@ -106,10 +109,10 @@
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<job.JobState | undefined>> {
     const local = (): Promise<job.JobState | undefined> | undefined => {
-      const found = this.cell.readState(queue, id);
+      const found = this.localMember.readState(queue, id);
       return found && Promise.resolve(found.state);
     };
-    return this.ask(deadline, local, (address, timeoutMs) =>
+    return this.callScheduler(deadline, local, (address, timeoutMs) =>
       this.peers.readState(address, queue, id, timeoutMs),
     );
   }
@@ -120,40 +123,40 @@
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<number>> {
     const local = (): Promise<number> | undefined => {
-      const count = this.cell.countPending(queue);
+      const count = this.localMember.countPending(queue);
       return count === undefined ? undefined : Promise.resolve(count);
     };
-    return this.ask(deadline, local, (address, timeoutMs) =>
+    return this.callScheduler(deadline, local, (address, timeoutMs) =>
       this.peers.countPending(address, queue, timeoutMs),
     );
   }
 
-  private async ask<Value>(
+  private async callScheduler<Value>(
     deadline: clock.Milliseconds,
     local: () => Promise<Value> | undefined,
     remote: (
       address: string,
       timeoutMs: number,
-    ) => Promise<cellPeers.Led<Value>>,
+    ) => Promise<cellPeers.LeaderCallOutcome<Value>>,
   ): Promise<GatewayOutcome<Value>> {
     const startedAt = this.clock.now();
-    let inDoubt = false;
+    let uncertain = false;
     for (;;) {
       const now = this.clock.now();
-      const left = deadline - RETURN_MS - ATTEMPT_PAUSE_MS - now;
-      if (left <= 0) return {kind: inDoubt ? 'unknown' : 'noScheduler'};
-      if (!inDoubt && now - startedAt > PATIENCE_MS) {
+      const budgetMs = deadline - RESPONSE_RESERVE_MS - RETRY_DELAY_MS - now;
+      if (budgetMs <= 0) return {kind: uncertain ? 'unknown' : 'noScheduler'};
+      if (!uncertain && now - startedAt > SCHEDULER_WAIT_LIMIT_MS) {
         return {kind: 'noScheduler'};
       }
       const attempt = await this.attempt(
-        Math.min(left, ATTEMPT_MS),
+        Math.min(budgetMs, ATTEMPT_TIMEOUT_MS),
         local,
         remote,
       );
       if (attempt.kind === 'answered') return attempt;
-      if (attempt.kind === 'unanswered') inDoubt = true;
+      if (attempt.kind === 'unanswered') uncertain = true;
       this.counters.count('calls_repeated', attempt.kind);
-      await this.pauses.pause(ATTEMPT_PAUSE_MS);
+      await this.pauses.pause(RETRY_DELAY_MS);
     }
   }
 
@@ -163,24 +166,24 @@
     remote: (
       address: string,
       timeoutMs: number,
-    ) => Promise<cellPeers.Led<Value>>,
-  ): Promise<cellPeers.Led<Value>> {
+    ) => Promise<cellPeers.LeaderCallOutcome<Value>>,
+  ): Promise<cellPeers.LeaderCallOutcome<Value>> {
     const answer = local();
-    if (answer !== undefined) return this.within(timeoutMs, answer);
-    const {leader, leadsItself} = this.cell;
-    if (leader === undefined || leadsItself) return {kind: 'notLeading'};
+    if (answer !== undefined) return this.withTimeout(timeoutMs, answer);
+    const {leader, runsScheduler} = this.localMember;
+    if (leader === undefined || runsScheduler) return {kind: 'notLeading'};
     return remote(leader.address, timeoutMs);
   }
 
-  private within<Value>(
+  private withTimeout<Value>(
     timeoutMs: number,
     answer: Promise<Value>,
-  ): Promise<cellPeers.Led<Value>> {
+  ): Promise<cellPeers.LeaderCallOutcome<Value>> {
     const answered = answer.then(value => ({kind: 'answered', value}) as const);
-    const late = this.pauses
+    const timedOut = this.pauses
       .pause(timeoutMs)
       .then(() => ({kind: 'unanswered', detail: 'store'}) as const);
-    return Promise.race([answered, late]);
+    return Promise.race([answered, timedOut]);
   }
 }
 
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -34,5 +34,5 @@
   /** Tells whether the store answers this process at present. */
   probe(): Promise<boolean>;
   /** Claims the next term if the log ends at `end`. */
-  claim(member: CellMember, end: number): Promise<ClaimOutcome>;
+  claim(member: CellMember, expectedEnd: number): Promise<ClaimOutcome>;
 }
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,6 +1,6 @@
-import * as adviceMembers from './advice_members.js';
+import * as adviceRelays from './advice_relays.js';
 import * as adviceSpread from '../jobs/advice_spread.js';
-import * as cellConfiguration from './cell_configuration.js';
+import * as configurationCache from './configuration_cache.js';
 import * as election from './election.js';
 import * as scheduler from '../jobs/scheduler.js';
 import type * as submissions from '../jobs/submissions.js';
@@ -37,38 +37,38 @@
 const PING_TIMEOUT_MS = 600;
 
 /** Pause between pings of the members that succeed first. */
-const PING_MS = 220;
+const SUCCESSOR_PING_INTERVAL_MS = 220;
 
 /** Pause between pings of all others. */
-const SLOW_PING_MS = 800;
+const PING_INTERVAL_MS = 800;
 
 /** Ranks that ping often. */
-const SUCCESSORS = 3;
+const SUCCESSOR_COUNT = 3;
 
 /** A read of the log within this time shows that the store answers. */
-const FRESH_READ_MS = 300;
+const RECENT_READ_MS = 300;
 
 /** Time for a scheduler to show that the store answers it again. */
-const STORE_BACK_PAUSE_MS = 450;
+const STORE_RECOVERY_MS = 450;
 
 /** Pause before a claim that lost to another record is repeated. */
-const LOST_PAUSE_MS = 15;
+const LOST_CLAIM_RETRY_DELAY_MS = 15;
 
 /** Pause that shows that this process did not run for a while. */
-const FROZEN_MS = 1_000;
+const PROCESS_PAUSE_LIMIT_MS = 1_000;
 
 /** One process of the cell: follows the claims and schedules when it won. */
 export class CellNode implements cellPeers.CellService {
-  private readonly votes: election.Election;
-  private readonly held: cellConfiguration.CellConfiguration;
-  private readonly adviceMembers: adviceMembers.AdviceMembers;
+  private readonly election: election.Election;
+  private readonly configurationCache: configurationCache.ConfigurationCache;
+  private readonly adviceRelays: adviceRelays.AdviceRelays;
   private readonly adviceCalls: adviceSpread.AdviceSpread;
-  private current: scheduler.Scheduler | undefined;
-  private registration: {close(): void} | undefined;
+  private scheduler: scheduler.Scheduler | undefined;
+  private registrySubscription: {close(): void} | undefined;
   private logReadAt = -Infinity;
   private joined = false;
   private joining = false;
-  private provedAt = -Infinity;
+  private leadershipProvedAt = -Infinity;
   private lastTickAt: clock.Milliseconds;
   private nextPingAt = 0;
   private pinging = false;
@@ -76,70 +76,70 @@
 
   constructor(private readonly options: CellNodeOptions) {
     const now = options.clock.now();
-    this.votes = new election.Election(options.self, now);
+    this.election = new election.Election(options.self, now);
     this.lastTickAt = now;
-    this.held = new cellConfiguration.CellConfiguration({
+    this.configurationCache = new configurationCache.ConfigurationCache({
       clock: options.clock,
       peers: options.peers,
       log: options.log,
-      onTaken: configuration => this.current?.configure(configuration),
+      onUpdated: configuration => this.scheduler?.configure(configuration),
     });
-    this.adviceMembers = new adviceMembers.AdviceMembers(
+    this.adviceRelays = new adviceRelays.AdviceRelays(
       options.clock,
       options.advice,
       options.peers,
     );
     this.adviceCalls = new adviceSpread.AdviceSpread(
-      () => this.adviceMembers.sites(this.votes.peers),
-      (...call) => this.adviceMembers.ask(...call),
+      () => this.adviceRelays.availableSites(this.election.peers),
+      (...call) => this.adviceRelays.ask(...call),
       options.clock,
     );
   }
 
   get configuration(): job.CellConfiguration | undefined {
-    return this.held.newest;
+    return this.configurationCache.newest;
   }
 
   /** Time since the configuration was last known to be the newest one. */
-  get configurationAge(): number {
-    return this.held.ageMs;
+  get configurationAgeMs(): number {
+    return this.configurationCache.ageMs;
   }
 
   /** The member that schedules, as far as this one knows. */
   get leader(): cellMember.Claim | undefined {
-    return this.votes.claim;
+    return this.election.newestClaim;
   }
 
-  get leadsItself(): boolean {
-    return this.current !== undefined;
+  get runsScheduler(): boolean {
+    return this.scheduler !== undefined;
   }
 
   /** The scheduler of this process while it leads and knows the jobs. */
-  private get serving(): scheduler.Scheduler | undefined {
-    return this.current?.isServing ? this.current : undefined;
+  private get servingScheduler(): scheduler.Scheduler | undefined {
+    return this.scheduler?.isServing ? this.scheduler : undefined;
   }
 
   // News.
 
   /** The cell's log was read up to `end`. */
-  logRead(
+  applyCellLog(
     members: ReadonlyArray<cellMember.CellMember>,
     claim: cellMember.Claim | undefined,
     end: number,
   ): void {
     const now = this.options.clock.now();
-    for (const member of members) this.votes.listMember(member);
-    this.votes.logEndsAt(end);
+    for (const member of members) this.election.addMember(member);
+    this.election.recordLogEnd(end);
     this.logReadAt = now;
-    this.provedAt = now;
-    if (claim !== undefined) this.takeClaim(claim, 'log');
+    this.leadershipProvedAt = now;
+    if (claim !== undefined) this.adoptClaim(claim, 'log');
     if (!this.joined && !this.joining) void this.join();
-    this.considerClaim();
+    this.claimIfDue();
   }
 
   /** The operator's newest configuration; undefined when none was written. */
-  configurationRead(configuration: job.CellConfiguration | undefined): void {
-    this.held.read(configuration);
+  applyConfiguration(configuration: job.CellConfiguration | undefined): void {
+    this.configurationCache.recordStoreRead(configuration);
   }
 
   /** The process is to stop soon: another one takes over meanwhile. */
@@ -151,37 +151,37 @@
   tick(): void {
     const {clock, log} = this.options;
     const now = clock.now();
-    const pause = now - this.lastTickAt;
+    const elapsedMs = now - this.lastTickAt;
     this.lastTickAt = now;
-    if (pause > FROZEN_MS) {
+    if (elapsedMs > PROCESS_PAUSE_LIMIT_MS) {
       // Whatever proved that this process may schedule is out of date.
-      this.provedAt = -Infinity;
-      log.event('warn', 'processPaused', {pauseMs: Math.round(pause)});
+      this.leadershipProvedAt = -Infinity;
+      log.event('warn', 'processPaused', {pauseMs: Math.round(elapsedMs)});
     }
-    this.current?.tick();
-    if (this.votes.leads && this.current === undefined) {
+    this.scheduler?.tick();
+    if (this.election.isLeader && this.scheduler === undefined) {
       // A claim of an earlier moment took effect late.
-      void this.begin(this.votes.claim as cellMember.Claim);
+      void this.startScheduler(this.election.newestClaim as cellMember.Claim);
     }
-    if (!this.pinging && now >= this.nextPingAt) void this.greet(now);
-    this.considerClaim();
+    if (!this.pinging && now >= this.nextPingAt) void this.pingNext(now);
+    this.claimIfDue();
   }
 
   // Calls of other members.
 
-  pinged(greeting: cellPeers.Greeting): cellPeers.GreetingAnswer {
+  answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
     const now = this.options.clock.now();
-    this.adviceMembers.heard(greeting.sender);
-    if (greeting.newest !== undefined) this.takeClaim(greeting.newest, 'peer');
-    if (this.votes.leads) this.provedAt = now;
+    this.adviceRelays.recordContact(message.sender);
+    if (message.newest !== undefined) this.adoptClaim(message.newest, 'peer');
+    if (this.election.isLeader) this.leadershipProvedAt = now;
     return {
-      newest: this.votes.claim,
+      newest: this.election.newestClaim,
       incarnation: this.options.self.incarnation,
-      leading: this.serving !== undefined,
+      leading: this.servingScheduler !== undefined,
       resigning: this.resigning,
-      storeSilentMs: this.current?.storeSilentFor(now) ?? 0,
-      configurationVersion: this.held.version,
-      configurationAgeMs: Math.round(this.held.ageMs),
+      storeSilentMs: this.scheduler?.storeSilentFor(now) ?? 0,
+      configurationVersion: this.configurationCache.version,
+      configurationAgeMs: Math.round(this.configurationCache.ageMs),
     };
   }
 
@@ -189,10 +189,10 @@
     definition: job.JobDefinition,
     configurationVersion: number,
   ): Promise<submissions.SubmitOutcome> | undefined {
-    const {serving} = this;
-    if (serving === undefined) return undefined;
+    const {servingScheduler} = this;
+    if (servingScheduler === undefined) return undefined;
     return new Promise(resolve =>
-      serving.submit(definition, configurationVersion, resolve),
+      servingScheduler.submit(definition, configurationVersion, resolve),
     );
   }
 
@@ -200,22 +200,22 @@
     queue: string,
     id: string,
   ): Promise<scheduler.CancelOutcome> | undefined {
-    const {serving} = this;
-    if (serving === undefined) return undefined;
-    return new Promise(resolve => serving.cancel(queue, id, resolve));
+    const {servingScheduler} = this;
+    if (servingScheduler === undefined) return undefined;
+    return new Promise(resolve => servingScheduler.cancel(queue, id, resolve));
   }
 
   readState(
     queue: string,
     id: string,
   ): {readonly state: job.JobState | undefined} | undefined {
-    const {serving} = this;
-    if (serving === undefined) return undefined;
-    return {state: serving.stateOf(queue, id)};
+    const {servingScheduler} = this;
+    if (servingScheduler === undefined) return undefined;
+    return {state: servingScheduler.stateOf(queue, id)};
   }
 
   countPending(queue: string): number | undefined {
-    return this.serving?.pendingOf(queue);
+    return this.servingScheduler?.pendingOf(queue);
   }
 
   advise(
@@ -234,9 +234,9 @@
     this.joining = false;
   }
 
-  private considerClaim(): void {
+  private claimIfDue(): void {
     const now = this.options.clock.now();
-    if (this.mayClaim() && this.votes.takeTurn(now)) void this.claim();
+    if (this.mayClaim() && this.election.tryBeginClaim(now)) void this.claim();
   }
 
   /** A member joins once it has read the log, and may claim from then on. */
@@ -248,42 +248,44 @@
     const {cellLog, self, log, counters, clock} = this.options;
     // A claim that gets no answer may take effect much later, when nobody wants
     // another scheduler any more.
-    const answered = clock.now() - this.logReadAt < FRESH_READ_MS;
-    if (!answered && !(await cellLog.probe())) {
+    const storeAnsweredRecently = clock.now() - this.logReadAt < RECENT_READ_MS;
+    if (!storeAnsweredRecently && !(await cellLog.probe())) {
       counters.count('claims', 'storeSilent');
       return;
     }
-    const storeOnly = this.votes.doubtsOnlyStore(clock.now());
+    const suspectsStoreOnly = this.election.suspectsStoreOnly(clock.now());
     // A store that has just come back answers the scheduler as well.
-    if (storeOnly) await this.options.pauses.pause(STORE_BACK_PAUSE_MS);
+    if (suspectsStoreOnly) await this.options.pauses.pause(STORE_RECOVERY_MS);
     // Members that ping rarely doubt by what they heard some time ago.
-    const leader = this.votes.claim?.address;
-    const rarely = this.votes.rank >= SUCCESSORS;
-    if (leader !== undefined && (storeOnly || rarely)) await this.ping(leader);
-    if (!this.votes.isDoubted(clock.now())) return;
-    const {end} = this.votes;
-    const outcome = await cellLog.claim(self, end);
+    const leaderAddress = this.election.newestClaim?.address;
+    const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
+    if (leaderAddress !== undefined && (suspectsStoreOnly || pingsRarely)) {
+      await this.ping(leaderAddress);
+    }
+    if (!this.election.isLeaderSuspected(clock.now())) return;
+    const {logEnd} = this.election;
+    const outcome = await cellLog.claim(self, logEnd);
     counters.count('claims', outcome.kind);
-    log.event('info', 'claimed', {outcome: outcome.kind, end});
+    log.event('info', 'claimed', {outcome: outcome.kind, end: logEnd});
     if (outcome.kind === 'lost') {
-      this.votes.claimLost(end);
-      await this.options.pauses.pause(LOST_PAUSE_MS);
-      this.considerClaim();
+      this.election.recordLostClaim(logEnd);
+      await this.options.pauses.pause(LOST_CLAIM_RETRY_DELAY_MS);
+      this.claimIfDue();
     }
     if (outcome.kind !== 'won') return;
     const {node, incarnation, address} = self;
-    this.takeClaim({term: outcome.term, node, incarnation, address}, 'won');
-    this.announce();
+    this.adoptClaim({term: outcome.term, node, incarnation, address}, 'won');
+    this.announceTerm();
   }
 
   /** Tells all members of the term: a silent store may show it much later. */
-  private announce(): void {
-    for (const {address} of this.votes.peers) void this.ping(address);
+  private announceTerm(): void {
+    for (const {address} of this.election.peers) void this.ping(address);
   }
 
-  private takeClaim(claim: cellMember.Claim, source: string): void {
+  private adoptClaim(claim: cellMember.Claim, source: string): void {
     const now = this.options.clock.now();
-    if (!this.votes.takeClaim(claim, now)) return;
+    if (!this.election.recordClaim(claim, now)) return;
     this.options.log.event('info', 'schedulerChanged', {
       term: claim.term,
       node: claim.node,
@@ -291,16 +293,16 @@
     });
     this.nextPingAt = now;
     this.endTerm('newerClaim');
-    if (this.votes.leads) {
-      this.provedAt = now;
-      void this.begin(claim);
+    if (this.election.isLeader) {
+      this.leadershipProvedAt = now;
+      void this.startScheduler(claim);
     }
   }
 
-  private async begin(claim: cellMember.Claim): Promise<void> {
-    if (this.current !== undefined) return;
+  private async startScheduler(claim: cellMember.Claim): Promise<void> {
+    if (this.scheduler !== undefined) return;
     const {options} = this;
-    const term = new scheduler.Scheduler({
+    const newScheduler = new scheduler.Scheduler({
       term: claim.term,
       clock: options.clock,
       wallClock: options.wallClock,
@@ -311,50 +313,54 @@
       pauses: options.pauses,
       log: options.log,
       counters: options.counters,
-      mayExtend: () => this.isProved(),
-      onSuperseded: reason => this.superseded(term, reason),
+      mayExtend: () => this.hasLeadershipProof(),
+      onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
       defer: options.defer,
     });
-    this.current = term;
-    const {newest} = this.held;
-    if (newest !== undefined) term.configure(newest);
-    this.registration = options.registry.follow(entries => {
-      if (this.current === term) term.updateWorkers(entries);
+    this.scheduler = newScheduler;
+    const {newest} = this.configurationCache;
+    if (newest !== undefined) newScheduler.configure(newest);
+    this.registrySubscription = options.registry.follow(entries => {
+      if (this.scheduler === newScheduler) newScheduler.updateWorkers(entries);
     });
-    await term.begin();
+    await newScheduler.begin();
   }
 
   /** The term is over, though the claim that ended it is not known yet. */
-  private superseded(term: scheduler.Scheduler, reason: string): void {
-    if (this.current !== term) return;
+  private handleSuperseded(
+    supersededScheduler: scheduler.Scheduler,
+    reason: string,
+  ): void {
+    if (this.scheduler !== supersededScheduler) return;
     this.endTerm(reason);
-    this.votes.disown();
+    this.election.invalidateOwnClaim();
   }
 
   private endTerm(reason: string): void {
-    if (this.current === undefined) return;
+    if (this.scheduler === undefined) return;
     this.options.log.event('warn', 'termEnded', {reason});
-    this.current.retire();
-    this.current = undefined;
-    this.registration?.close();
-    this.registration = undefined;
+    this.scheduler.retire();
+    this.scheduler = undefined;
+    this.registrySubscription?.close();
+    this.registrySubscription = undefined;
   }
 
   /**
    * Tells whether something heard lately shows that no later term is known. A
    * successor waits for this time before it counts on the old term's silence.
    */
-  private isProved(): boolean {
-    const age = this.options.clock.now() - this.provedAt;
-    return this.votes.leads && age < scheduler.PROOF_LIFETIME_MS;
+  private hasLeadershipProof(): boolean {
+    const proofAgeMs = this.options.clock.now() - this.leadershipProvedAt;
+    return this.election.isLeader && proofAgeMs < scheduler.PROOF_LIFETIME_MS;
   }
 
   // Pings.
 
-  private async greet(now: clock.Milliseconds): Promise<void> {
-    const often = this.votes.rank < SUCCESSORS;
-    this.nextPingAt = now + (often ? PING_MS : SLOW_PING_MS);
-    const address = this.votes.nextToPing(now);
+  private async pingNext(now: clock.Milliseconds): Promise<void> {
+    const isSuccessor = this.election.rank < SUCCESSOR_COUNT;
+    this.nextPingAt =
+      now + (isSuccessor ? SUCCESSOR_PING_INTERVAL_MS : PING_INTERVAL_MS);
+    const address = this.election.nextPingAddress(now);
     if (address === undefined) return;
     this.pinging = true;
     await this.ping(address);
@@ -362,36 +368,36 @@
   }
 
   private async ping(address: string): Promise<void> {
-    const greeting = {
-      newest: this.votes.claim,
-      configurationVersion: this.held.version,
+    const message = {
+      newest: this.election.newestClaim,
+      configurationVersion: this.configurationCache.version,
       sender: this.options.self.address,
     };
-    const reached = await this.options.peers.ping(
+    const outcome = await this.options.peers.ping(
       address,
-      greeting,
-      PING_TIMEOUT_MS * this.votes.patience,
+      message,
+      PING_TIMEOUT_MS * this.election.timeoutScale,
     );
-    this.takeAnswer(address, reached);
+    this.handlePingOutcome(address, outcome);
   }
 
-  private takeAnswer(
+  private handlePingOutcome(
     address: string,
-    reached: cellPeers.Reached<cellPeers.GreetingAnswer>,
+    outcome: cellPeers.PeerCallOutcome<cellPeers.PingReply>,
   ): void {
     const now = this.options.clock.now();
-    const isLeader = address === this.votes.claim?.address;
-    if (reached.kind === 'refused' && isLeader) this.votes.takeRefusal(now);
-    if (reached.kind !== 'answered') {
-      this.considerClaim();
+    const isLeader = address === this.election.newestClaim?.address;
+    if (outcome.kind === 'refused' && isLeader) this.election.markRefused(now);
+    if (outcome.kind !== 'answered') {
+      this.claimIfDue();
       return;
     }
-    const {value} = reached;
-    this.adviceMembers.heard(address);
-    if (value.newest !== undefined) this.takeClaim(value.newest, 'peer');
-    if (isLeader && address === this.votes.claim?.address) {
-      this.votes.takePong(value, now);
+    const {value} = outcome;
+    this.adviceRelays.recordContact(address);
+    if (value.newest !== undefined) this.adoptClaim(value.newest, 'peer');
+    if (isLeader && address === this.election.newestClaim?.address) {
+      this.election.recordStatus(value, now);
     }
-    this.held.compare(address, value);
+    this.configurationCache.compareWithPeer(address, value);
   }
 }
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -6,25 +6,25 @@
 import type * as scheduler from '../jobs/scheduler.js';
 
 /** What members tell each other with each ping. */
-interface News {
+interface GossipState {
   readonly newest: cellMember.Claim | undefined;
   readonly configurationVersion: number;
 }
 
 /** A ping. */
-export interface Greeting extends News {
+export interface PingMessage extends GossipState {
   /** Address of the member that pings. */
   readonly sender: string;
 }
 
 /** Answer to a ping. */
-export interface GreetingAnswer extends News, election.Pong {
+export interface PingReply extends GossipState, election.LeadershipStatus {
   /** Time since the store last confirmed that version as the newest one. */
   readonly configurationAgeMs: number;
 }
 
 /** An answer that only the scheduler can give. */
-export type Led<Value> =
+export type LeaderCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
   /** The member does not lead, or does not know the jobs yet. */
   | {readonly kind: 'notLeading'}
@@ -34,7 +34,7 @@
   | {readonly kind: 'unanswered'; readonly detail: string};
 
 /** What a call without a led answer brought. */
-export type Reached<Value> =
+export type PeerCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
   | {readonly kind: 'refused'}
   | {readonly kind: 'unanswered'; readonly detail: string};
@@ -43,36 +43,36 @@
 export interface CellPeers {
   ping(
     address: string,
-    greeting: Greeting,
+    message: PingMessage,
     timeoutMs: number,
-  ): Promise<Reached<GreetingAnswer>>;
+  ): Promise<PeerCallOutcome<PingReply>>;
   fetchConfiguration(
     address: string,
     timeoutMs: number,
-  ): Promise<Reached<job.CellConfiguration | undefined>>;
+  ): Promise<PeerCallOutcome<job.CellConfiguration | undefined>>;
   submit(
     address: string,
     definition: job.JobDefinition,
     configurationVersion: number,
     timeoutMs: number,
-  ): Promise<Led<submissions.SubmitOutcome>>;
+  ): Promise<LeaderCallOutcome<submissions.SubmitOutcome>>;
   cancel(
     address: string,
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<Led<scheduler.CancelOutcome>>;
+  ): Promise<LeaderCallOutcome<scheduler.CancelOutcome>>;
   readState(
     address: string,
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<Led<job.JobState | undefined>>;
+  ): Promise<LeaderCallOutcome<job.JobState | undefined>>;
   countPending(
     address: string,
     queue: string,
     timeoutMs: number,
-  ): Promise<Led<number>>;
+  ): Promise<LeaderCallOutcome<number>>;
   advise(
     address: string,
     step: string,
@@ -83,7 +83,7 @@
 
 /** What a member answers when others call it. */
 export interface CellService {
-  pinged(greeting: Greeting): GreetingAnswer;
+  answerPing(message: PingMessage): PingReply;
   readonly configuration: job.CellConfiguration | undefined;
   submit(
     definition: job.JobDefinition,
--- a/src/zones/cell_configuration.ts
+++ b/src/zones/configuration_cache.ts
@@ -7,72 +7,73 @@
 const FETCH_TIMEOUT_MS = 600;
 
 /** What the holder of the configuration works with. */
-export interface CellConfigurationOptions {
+export interface ConfigurationCacheOptions {
   readonly clock: clock.Clock;
   readonly peers: cellPeers.CellPeers;
   readonly log: schedulerOptions.EventLog;
   /** Called with each newer configuration. */
-  readonly onTaken: (configuration: job.CellConfiguration) => void;
+  readonly onUpdated: (configuration: job.CellConfiguration) => void;
 }
 
 /**
  * The newest configuration that this member knows. A member that cannot reach
  * the store gets newer ones, and the proof that there is none, from others.
  */
-export class CellConfiguration {
-  private held: job.CellConfiguration | undefined;
-  private checkedAt: clock.Milliseconds = -Infinity;
+export class ConfigurationCache {
+  private current: job.CellConfiguration | undefined;
+  private confirmedAt: clock.Milliseconds = -Infinity;
   private fetching = false;
 
-  constructor(private readonly options: CellConfigurationOptions) {}
+  constructor(private readonly options: ConfigurationCacheOptions) {}
 
   get newest(): job.CellConfiguration | undefined {
-    return this.held;
+    return this.current;
   }
 
   /** Version of the newest one; 0 without any. */
   get version(): number {
-    return this.held?.version ?? 0;
+    return this.current?.version ?? 0;
   }
 
   /** Time since the configuration was last known to be the newest one. */
   get ageMs(): number {
-    return this.options.clock.now() - this.checkedAt;
+    return this.options.clock.now() - this.confirmedAt;
   }
 
   /** The store was read; undefined when the operator has written none. */
-  read(configuration: job.CellConfiguration | undefined): void {
-    this.checkedAt = this.options.clock.now();
-    if (configuration !== undefined) this.take(configuration);
+  recordStoreRead(configuration: job.CellConfiguration | undefined): void {
+    this.confirmedAt = this.options.clock.now();
+    if (configuration !== undefined) this.adopt(configuration);
   }
 
   /** Compares with what another member holds and fetches what is newer. */
-  compare(address: string, other: cellPeers.GreetingAnswer): void {
-    if (other.configurationVersion > this.version) {
+  compareWithPeer(address: string, reply: cellPeers.PingReply): void {
+    if (reply.configurationVersion > this.version) {
       void this.fetch(address);
-    } else if (other.configurationVersion === this.version) {
-      const confirmedAt = this.options.clock.now() - other.configurationAgeMs;
-      this.checkedAt = Math.max(this.checkedAt, confirmedAt);
+    } else if (reply.configurationVersion === this.version) {
+      const peerConfirmedAt =
+        this.options.clock.now() - reply.configurationAgeMs;
+      this.confirmedAt = Math.max(this.confirmedAt, peerConfirmedAt);
     }
   }
 
   private async fetch(address: string): Promise<void> {
     if (this.fetching) return;
     this.fetching = true;
-    const reached = await this.options.peers.fetchConfiguration(
+    const outcome = await this.options.peers.fetchConfiguration(
       address,
       FETCH_TIMEOUT_MS,
     );
     this.fetching = false;
-    if (reached.kind === 'answered' && reached.value !== undefined) {
-      this.take(reached.value);
+    if (outcome.kind === 'answered' && outcome.value !== undefined) {
+      this.adopt(outcome.value);
     }
   }
 
-  private take(configuration: job.CellConfiguration): void {
-    if (configuration.version <= (this.held?.version ?? -1)) return;
-    this.held = configuration;
-    this.options.onTaken(configuration);
+  private adopt(configuration: job.CellConfiguration): void {
+    if (configuration.version <= (this.current?.version ?? -1)) return;
+    this.current = configuration;
+    this.options.onUpdated(configuration);
     this.options.log.event('info', 'configurationTaken', {
       version: configuration.version,
       queues: configuration.queues.length,
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -2,7 +2,7 @@
 import type * as clock from '../machines/clock.js';
 
 /** What a ping to the scheduler brought. */
-export interface Pong {
+export interface LeadershipStatus {
   readonly incarnation: string;
   readonly leading: boolean;
   readonly resigning: boolean;
@@ -10,25 +10,25 @@
 }
 
 /** Silence of the scheduler after which it counts as lost. */
-const SILENCE_MS = 900;
+const LEADER_SILENCE_TIMEOUT_MS = 900;
 
 /** Time that a scheduler has to take over before it is replaced. */
-const TAKEOVER_MS = 2_500;
+const TAKEOVER_TIMEOUT_MS = 2_500;
 
 /** Silence of the store at the scheduler after which another one tries. */
-const STORE_SILENCE_MS = 1_000;
+const STORE_SILENCE_LIMIT_MS = 1_000;
 
 /** Head start of each rank over the next. */
-const RANK_STEP_MS = 200;
+const RANK_DELAY_MS = 200;
 
 /** Ranks from this one on claim at the same time. */
-const LAST_RANK = 4;
+const MAXIMUM_DELAYED_RANK = 4;
 
 /**
  * A member with less than this part of the strongest one's processors is weak:
  * it takes seconds to take over and does not keep up after that.
  */
-const WEAK_SHARE = 0.5;
+const WEAK_PROCESSOR_SHARE = 0.5;
 
 /** Time for which weak members leave the claim to the others. */
 const WEAK_DELAY_MS = 1_000;
@@ -38,10 +38,10 @@
  * busy for longer at a time and gets as much more of it: each change of the
  * scheduler stops all starts and makes the next one just as busy.
  */
-const USUAL_MEMBERS = 18;
+const REFERENCE_MEMBER_COUNT = 18;
 
 /** Pause between claims of one process. */
-const CLAIM_PAUSE_MS = 600;
+const CLAIM_RETRY_INTERVAL_MS = 600;
 
 /**
  * Decides when this process claims to be the scheduler. The log's order makes
@@ -50,32 +50,32 @@
  */
 export class Election {
   private readonly members = new Map<string, cellMember.CellMember>();
-  private newest: cellMember.Claim | undefined;
-  private newestSince: clock.Milliseconds;
-  private lastPongAt: clock.Milliseconds;
+  private knownClaim: cellMember.Claim | undefined;
+  private knownClaimAt: clock.Milliseconds;
+  private lastReplyAt: clock.Milliseconds;
   /** Since when there is a reason to replace the scheduler. */
-  private reasonSince: clock.Milliseconds | undefined;
-  private lastClaimAt = -Infinity;
-  private pingsInDoubt = 0;
-  private storeIsDoubted = false;
-  private logEnd = 0;
+  private suspicionAt: clock.Milliseconds | undefined;
+  private lastAttemptAt = -Infinity;
+  private suspicionPingCount = 0;
+  private isStoreOnlySuspect = false;
+  private knownLogEnd = 0;
   /** Where the log ended in the view in which a claim came second. */
-  private lostAtEnd: number | undefined;
+  private lostClaimEnd: number | undefined;
 
   constructor(
     private readonly self: cellMember.CellMember,
     now: clock.Milliseconds,
   ) {
-    this.newestSince = now;
-    this.lastPongAt = now;
+    this.knownClaimAt = now;
+    this.lastReplyAt = now;
   }
 
-  get claim(): cellMember.Claim | undefined {
-    return this.newest;
+  get newestClaim(): cellMember.Claim | undefined {
+    return this.knownClaim;
   }
 
-  get leads(): boolean {
-    return this.newest?.incarnation === this.self.incarnation;
+  get isLeader(): boolean {
+    return this.knownClaim?.incarnation === this.self.incarnation;
   }
 
   /** All other members that are listed. */
@@ -86,84 +86,85 @@
   }
 
   /** The log lists a member; a later entry of the same address replaces it. */
-  listMember(member: cellMember.CellMember): void {
+  addMember(member: cellMember.CellMember): void {
     this.members.set(member.address, member);
   }
 
   /** Takes a claim from the log or a peer; true when it is the newest. */
-  takeClaim(claim: cellMember.Claim, now: clock.Milliseconds): boolean {
-    if (this.newest !== undefined && claim.term <= this.newest.term) {
+  recordClaim(claim: cellMember.Claim, now: clock.Milliseconds): boolean {
+    if (this.knownClaim !== undefined && claim.term <= this.knownClaim.term) {
       return false;
     }
-    this.newest = claim;
-    this.newestSince = now;
-    this.lastPongAt = now;
-    this.reasonSince = undefined;
+    this.knownClaim = claim;
+    this.knownClaimAt = now;
+    this.lastReplyAt = now;
+    this.suspicionAt = undefined;
     return true;
   }
 
   /** The scheduler answered a ping. */
-  takePong(pong: Pong, now: clock.Milliseconds): void {
-    this.lastPongAt = now;
-    const other = this.reasonIn(pong, now);
-    const silent = pong.storeSilentMs > STORE_SILENCE_MS;
-    this.storeIsDoubted = silent && !other;
-    if (other || silent) this.reasonSince ??= now;
-    else this.reasonSince = undefined;
+  recordStatus(status: LeadershipStatus, now: clock.Milliseconds): void {
+    this.lastReplyAt = now;
+    const isReplaceable = this.requiresLeaderChange(status, now);
+    const isStoreSilent = status.storeSilentMs > STORE_SILENCE_LIMIT_MS;
+    this.isStoreOnlySuspect = isStoreSilent && !isReplaceable;
+    if (isReplaceable || isStoreSilent) this.suspicionAt ??= now;
+    else this.suspicionAt = undefined;
   }
 
   /** Nothing listens where the scheduler was. */
-  takeRefusal(now: clock.Milliseconds): void {
-    this.reasonSince ??= now;
+  markRefused(now: clock.Milliseconds): void {
+    this.suspicionAt ??= now;
   }
 
   /** Times the usual time that the scheduler has to answer or to take over. */
-  get patience(): number {
-    return Math.max(1, this.members.size / USUAL_MEMBERS);
+  get timeoutScale(): number {
+    return Math.max(1, this.members.size / REFERENCE_MEMBER_COUNT);
   }
 
   /** Tells whether there is a reason to replace the scheduler. */
-  isDoubted(now: clock.Milliseconds): boolean {
-    return this.reason(now) !== undefined;
+  isLeaderSuspected(now: clock.Milliseconds): boolean {
+    return this.suspectedSince(now) !== undefined;
   }
 
   /** A later claim exists that is not known yet: this one counts no more. */
-  disown(): void {
-    if (this.leads && this.newest !== undefined) {
-      this.newest = {...this.newest, incarnation: ''};
+  invalidateOwnClaim(): void {
+    if (this.isLeader && this.knownClaim !== undefined) {
+      this.knownClaim = {...this.knownClaim, incarnation: ''};
     }
   }
 
   /** Where the log ended when it was last read. */
-  get end(): number {
-    return this.logEnd;
+  get logEnd(): number {
+    return this.knownLogEnd;
   }
 
   /** The log was read up to `end`. */
-  logEndsAt(end: number): void {
-    this.logEnd = end;
+  recordLogEnd(end: number): void {
+    this.knownLogEnd = end;
   }
 
   /**
    * Another record came before a claim made at `end`: it may be tried again as
    * soon as that record is read.
    */
-  claimLost(end: number): void {
-    this.lastClaimAt = -Infinity;
-    this.lostAtEnd = end;
+  recordLostClaim(end: number): void {
+    this.lastAttemptAt = -Infinity;
+    this.lostClaimEnd = end;
   }
 
   /** The scheduler is well but for the store's silence towards it. */
-  doubtsOnlyStore(now: clock.Milliseconds): boolean {
+  suspectsStoreOnly(now: clock.Milliseconds): boolean {
     return (
-      this.storeIsDoubted && now < this.lastPongAt + SILENCE_MS * this.patience
+      this.isStoreOnlySuspect &&
+      now < this.lastReplyAt + LEADER_SILENCE_TIMEOUT_MS * this.timeoutScale
     );
   }
 
   /** Position of this process among those that may succeed. */
   get rank(): number {
     const candidates = [...this.members.values()]
-      .filter(member => member.incarnation !== this.newest?.incarnation)
+      .filter(member => member.incarnation !== this.knownClaim?.incarnation)
       .sort(
         (left, right) =>
           right.processors - left.processors ||
@@ -179,52 +180,61 @@
    * Address to ping next: the scheduler's, or while it is in doubt every other
    * time another member's, which may know a later claim.
    */
-  nextToPing(now: clock.Milliseconds): string | undefined {
-    if (this.leads) return undefined;
-    const claimed = this.newest?.address;
-    const leader = claimed === this.self.address ? undefined : claimed;
-    if (leader !== undefined && !this.isDoubted(now)) return leader;
+  nextPingAddress(now: clock.Milliseconds): string | undefined {
+    if (this.isLeader) return undefined;
+    const claimedAddress = this.knownClaim?.address;
+    const address =
+      claimedAddress === this.self.address ? undefined : claimedAddress;
+    if (address !== undefined && !this.isLeaderSuspected(now)) return address;
     const {peers} = this;
-    this.pingsInDoubt += 1;
-    if (peers.length === 0 || this.pingsInDoubt % 2 === 0) return leader;
-    return peers[Math.floor(this.pingsInDoubt / 2) % peers.length].address;
+    this.suspicionPingCount += 1;
+    if (peers.length === 0 || this.suspicionPingCount % 2 === 0) return address;
+    return peers[Math.floor(this.suspicionPingCount / 2) % peers.length]
+      .address;
   }
 
   /** Tells whether to claim now, and notes that it was done. */
-  takeTurn(now: clock.Milliseconds): boolean {
-    if (this.leads || this.lostAtEnd === this.logEnd) return false;
-    const since = this.reason(now);
-    if (since === undefined) return false;
-    const delay = Math.min(this.rank, LAST_RANK) * RANK_STEP_MS;
-    const weakDelay = this.isWeak() ? WEAK_DELAY_MS : 0;
-    if (now < since + delay + weakDelay) return false;
-    if (now < this.lastClaimAt + CLAIM_PAUSE_MS) return false;
-    this.lastClaimAt = now;
+  tryBeginClaim(now: clock.Milliseconds): boolean {
+    if (this.isLeader || this.lostClaimEnd === this.knownLogEnd) return false;
+    const suspectedAt = this.suspectedSince(now);
+    if (suspectedAt === undefined) return false;
+    const rankDelayMs =
+      Math.min(this.rank, MAXIMUM_DELAYED_RANK) * RANK_DELAY_MS;
+    const weakDelayMs = this.isWeak() ? WEAK_DELAY_MS : 0;
+    if (now < suspectedAt + rankDelayMs + weakDelayMs) return false;
+    if (now < this.lastAttemptAt + CLAIM_RETRY_INTERVAL_MS) return false;
+    this.lastAttemptAt = now;
     return true;
   }
 
   private isWeak(): boolean {
-    let most = 0;
+    let maximumProcessors = 0;
     for (const {processors} of this.members.values()) {
-      most = Math.max(most, processors);
+      maximumProcessors = Math.max(maximumProcessors, processors);
     }
-    return this.self.processors < WEAK_SHARE * most;
+    return this.self.processors < WEAK_PROCESSOR_SHARE * maximumProcessors;
   }
 
   /** Since when a new scheduler is needed; undefined while none is. */
-  private reason(now: clock.Milliseconds): clock.Milliseconds | undefined {
-    if (this.newest === undefined) return this.newestSince;
+  private suspectedSince(
+    now: clock.Milliseconds,
+  ): clock.Milliseconds | undefined {
+    if (this.knownClaim === undefined) return this.knownClaimAt;
     // This process was the scheduler before it was started again.
-    if (this.newest.address === this.self.address) return this.newestSince;
-    if (this.reasonSince !== undefined) return this.reasonSince;
-    const silentSince = this.lastPongAt + SILENCE_MS * this.patience;
-    return now >= silentSince ? silentSince : undefined;
+    if (this.knownClaim.address === this.self.address) return this.knownClaimAt;
+    if (this.suspicionAt !== undefined) return this.suspicionAt;
+    const timeoutAt =
+      this.lastReplyAt + LEADER_SILENCE_TIMEOUT_MS * this.timeoutScale;
+    return now >= timeoutAt ? timeoutAt : undefined;
   }
 
-  private reasonIn(pong: Pong, now: clock.Milliseconds): boolean {
-    if (pong.incarnation !== this.newest?.incarnation) return true;
-    if (pong.resigning) return true;
-    const takeoverMs = TAKEOVER_MS * this.patience;
-    return !pong.leading && now - this.newestSince > takeoverMs;
+  private requiresLeaderChange(
+    status: LeadershipStatus,
+    now: clock.Milliseconds,
+  ): boolean {
+    if (status.incarnation !== this.knownClaim?.incarnation) return true;
+    if (status.resigning) return true;
+    const takeoverTimeoutMs = TAKEOVER_TIMEOUT_MS * this.timeoutScale;
+    return !status.leading && now - this.knownClaimAt > takeoverTimeoutMs;
   }
 }
--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -1,10 +1,10 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as fastCheck from 'fast-check';
-import * as configuration from '../../platform/configuration.js';
-import * as jobBody from '../../platform/job_body.js';
+import * as configurationDecoder from '../../platform/configuration_decoder.js';
+import * as jobDecoder from '../../platform/job_decoder.js';
 import * as platformSettings from '../../platform/platform_settings.js';
-import * as workerEntry from '../../platform/worker_entry.js';
+import * as workerEntryDecoder from '../../platform/worker_entry_decoder.js';
 
 const {describe, test} = nodeTest;
 
@@ -25,7 +25,7 @@
 
 describe('an entry of the registry', () => {
   test('names a worker and what it holds', () => {
-    const entry = workerEntry.decodeWorkerEntry('i-1', bytes(ENTRY));
+    const entry = workerEntryDecoder.decodeWorkerEntry('i-1', bytes(ENTRY));
     assert.equal(entry?.capacity.processors, 16_000);
     assert.equal(entry?.capacity.accelerators, 1);
     assert.equal(entry?.machine, 'm-1');
@@ -41,7 +41,7 @@
       {capacity: {cpu: '16000', mem_mb: 1}},
       {capacity: null},
     ]) {
-      const entry = workerEntry.decodeWorkerEntry(
+      const entry = workerEntryDecoder.decodeWorkerEntry(
         'i-1',
         bytes({...ENTRY, ...change}),
       );
@@ -53,9 +53,9 @@
   test('may be any bytes', () => {
     fastCheck.assert(
       fastCheck.property(fastCheck.uint8Array(), value => {
-        workerEntry.decodeWorkerEntry('i-1', value);
-        configuration.decodeConfiguration(value);
-        jobBody.decodeJob('a', 'q', value);
+        workerEntryDecoder.decodeWorkerEntry('i-1', value);
+        configurationDecoder.decodeConfiguration(value);
+        jobDecoder.decodeJob('a', 'q', value);
         platformSettings.parseSettings(value);
       }),
       {seed: 20_261_204, numRuns: 200},
@@ -67,7 +67,7 @@
   const STEP = {count: 2, cpu: 500, mem_mb: 64, est_runtime_ms: 900};
 
   test('keeps all that is said of its steps', () => {
-    const decoded = jobBody.decodeJob(
+    const decoded = jobDecoder.decodeJob(
       'ab',
       'orders',
       bytes({
@@ -103,7 +103,7 @@
   // Guards against jobs that can't be run being accepted without a word.
   test('is refused with the field and the rule that it breaks', () => {
     const faultOf = (body: unknown): string =>
-      jobBody.decodeJob('ab', 'q', bytes(body)).swap().unsafeCoerce().field;
+      jobDecoder.decodeJob('ab', 'q', bytes(body)).swap().unsafeCoerce().field;
     assert.equal(faultOf([]), 'body');
     assert.equal(faultOf({}), 'steps');
     assert.equal(faultOf({steps: [{...STEP, count: 0}]}), 'steps[0].count');
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -8,7 +8,7 @@
 
 const {describe, test} = nodeTest;
 
-type Answer = cellPeers.Led<submissions.SubmitOutcome>;
+type Answer = cellPeers.LeaderCallOutcome<submissions.SubmitOutcome>;
 
 /** A member that leads nothing and passes calls on to one that does. */
 function gatewayWith(
@@ -18,9 +18,9 @@
 ): cellGateway.CellGateway {
   const cell = {
     leader: {term: 1, node: 'one', incarnation: 'one-1', address: leader},
-    leadsItself: false,
+    runsScheduler: false,
     submit: () => undefined,
-  } as unknown as cellGateway.LocalCell;
+  } as unknown as cellGateway.LocalMember;
   const peers = {
     submit: (address: string) => submit(address),
   } as unknown as cellPeers.CellPeers;
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -23,7 +23,7 @@
 function pongOf(
   claim: cellMember.Claim,
   storeSilentMs: number,
-): cellPeers.Reached<cellPeers.GreetingAnswer> {
+): cellPeers.PeerCallOutcome<cellPeers.PingReply> {
   return {
     kind: 'answered',
     value: {
@@ -42,8 +42,8 @@
 interface Scene {
   readonly answer: (
     address: string,
-    greeting: cellPeers.Greeting,
-  ) => cellPeers.Reached<cellPeers.GreetingAnswer>;
+    greeting: cellPeers.PingMessage,
+  ) => cellPeers.PeerCallOutcome<cellPeers.PingReply>;
   /** Whether the store answers this member. */
   readonly storeAnswers: () => boolean;
   claims: number;
@@ -56,7 +56,7 @@
   name: string,
 ): cellNode.CellNode {
   const peers = {
-    ping: async (address: string, greeting: cellPeers.Greeting) =>
+    ping: async (address: string, greeting: cellPeers.PingMessage) =>
       scene.answer(address, greeting),
   } as unknown as cellPeers.CellPeers;
   return new cellNode.CellNode({
@@ -100,7 +100,7 @@
     };
     const node = nodeIn(scene, time, 'one');
     const members = ['one', 'two', 'three', 'four'].map(memberOf);
-    node.logRead(members, undefined, 6);
+    node.applyCellLog(members, undefined, 6);
     await time.advance(10);
     node.tick();
     await time.advance(1_000);
@@ -127,11 +127,11 @@
     };
     const last = nodeIn(scene, time, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
-    last.logRead(members, claim, 3);
+    last.applyCellLog(members, claim, 3);
     time.every(100, () => {
       last.tick();
       // The store answers this member again, with nothing new.
-      if (time.now() >= backAt) last.logRead([], undefined, 3);
+      if (time.now() >= backAt) last.applyCellLog([], undefined, 3);
     });
     await time.advance(6_000);
     assert.equal(scene.claims, 0);
@@ -154,7 +154,7 @@
       claims: 0,
     };
     const last = nodeIn(scene, time, 'zed');
-    last.logRead(members, claim, 3);
+    last.applyCellLog(members, claim, 3);
     time.every(100, () => last.tick());
     await time.advance(4_000);
     assert.equal(scene.claims, 0);
--- a/test/zones/cell_configuration_test.ts
+++ b/test/zones/configuration_cache_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as cellConfiguration from '../../src/zones/cell_configuration.js';
+import * as configurationCache from '../../src/zones/configuration_cache.js';
 import * as timeline from '../support/timeline.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 import type * as job from '../../src/jobs/job.js';
@@ -17,7 +17,7 @@
   };
 }
 
-function answerWith(version: number, ageMs: number): cellPeers.GreetingAnswer {
+function answerWith(version: number, ageMs: number): cellPeers.PingReply {
   return {
     newest: undefined,
     incarnation: 'other-1',
@@ -33,16 +33,16 @@
 function holderBeside(
   time: timeline.Timeline,
   others: job.CellConfiguration,
-): {holder: cellConfiguration.CellConfiguration; taken: number[]} {
+): {holder: configurationCache.ConfigurationCache; taken: number[]} {
   const taken: number[] = [];
   const peers = {
     fetchConfiguration: async () => ({kind: 'answered', value: others}),
   } as unknown as cellPeers.CellPeers;
-  const holder = new cellConfiguration.CellConfiguration({
+  const holder = new configurationCache.ConfigurationCache({
     clock: time,
     peers,
     log: {event: () => undefined},
-    onTaken: configuration => void taken.push(configuration.version),
+    onUpdated: configuration => void taken.push(configuration.version),
   });
   return {holder, taken};
 }
@@ -52,8 +52,8 @@
   test('is fetched from another member that holds a newer one', async () => {
     const time = new timeline.Timeline();
     const {holder, taken} = holderBeside(time, configurationOf(7));
-    holder.read(configurationOf(6));
-    holder.compare('other:1', answerWith(7, 100));
+    holder.recordStoreRead(configurationOf(6));
+    holder.compareWithPeer('other:1', answerWith(7, 100));
     await time.advance(1);
     assert.equal(holder.version, 7);
     assert.deepEqual(taken, [6, 7]);
@@ -63,8 +63,8 @@
   test('never goes back', () => {
     const time = new timeline.Timeline();
     const {holder, taken} = holderBeside(time, configurationOf(7));
-    holder.read(configurationOf(7));
-    holder.read(configurationOf(6));
+    holder.recordStoreRead(configurationOf(7));
+    holder.recordStoreRead(configurationOf(6));
     assert.equal(holder.version, 7);
     assert.deepEqual(taken, [7]);
   });
@@ -75,14 +75,14 @@
     const time = new timeline.Timeline();
     const {holder} = holderBeside(time, configurationOf(6));
     assert.equal(holder.ageMs, Infinity);
-    holder.read(configurationOf(6));
+    holder.recordStoreRead(configurationOf(6));
     await time.advance(5_000);
     assert.equal(holder.ageMs, 5_000);
-    holder.compare('other:1', answerWith(6, 300));
+    holder.compareWithPeer('other:1', answerWith(6, 300));
     assert.equal(holder.ageMs, 300);
-    holder.compare('other:1', answerWith(6, 900));
+    holder.compareWithPeer('other:1', answerWith(6, 900));
     assert.equal(holder.ageMs, 300);
-    holder.compare('other:1', answerWith(5, 0));
+    holder.compareWithPeer('other:1', answerWith(5, 0));
     assert.equal(holder.ageMs, 300);
   });
 });
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -20,7 +20,7 @@
   return {term, node, incarnation, address};
 }
 
-const ALIVE: election.Pong = {
+const ALIVE: election.LeadershipStatus = {
   incarnation: 'one-1',
   leading: true,
   resigning: false,
@@ -30,15 +30,15 @@
 /** The view of a member of three, in a cell that the first one leads. */
 function viewOf(name: string): election.Election {
   const view = new election.Election(member(name), 0);
-  for (const other of ['one', 'two', 'three']) view.listMember(member(other));
-  view.takeClaim(claimOf('one', 5), 0);
+  for (const other of ['one', 'two', 'three']) view.addMember(member(other));
+  view.recordClaim(claimOf('one', 5), 0);
   return view;
 }
 
 /** When a member that hears nothing claims. */
 function claimTime(view: election.Election): number {
   let now = 0;
-  while (!view.takeTurn(now)) now += 10;
+  while (!view.tryBeginClaim(now)) now += 10;
   return now;
 }
 
@@ -46,17 +46,17 @@
   // Guards against a cell without a scheduler after its first start.
   test('claims when there is none', () => {
     const view = new election.Election(member('one'), 0);
-    view.listMember(member('one'));
-    assert.equal(view.takeTurn(0), true);
-    assert.equal(view.takeTurn(100), false, 'one claim at a time');
+    view.addMember(member('one'));
+    assert.equal(view.tryBeginClaim(0), true);
+    assert.equal(view.tryBeginClaim(100), false, 'one claim at a time');
   });
 
   // Guards against successions without need.
   test('leaves one alone that answers', () => {
     const view = viewOf('two');
     for (let now = 0; now < 5_000; now += 200) {
-      view.takePong(ALIVE, now);
-      assert.equal(view.takeTurn(now), false);
+      view.recordStatus(ALIVE, now);
+      assert.equal(view.tryBeginClaim(now), false);
     }
   });
 
@@ -73,9 +73,9 @@
   // stronger ones would have claimed a moment later.
   test('is left to the strong by a weak member for a second', () => {
     const weak = new election.Election(member('weak', 0.4), 0);
-    for (const other of ['one', 'two']) weak.listMember(member(other));
-    weak.listMember(member('weak', 0.4));
-    weak.takeClaim(claimOf('one', 5), 0);
+    for (const other of ['one', 'two']) weak.addMember(member(other));
+    weak.addMember(member('weak', 0.4));
+    weak.recordClaim(claimOf('one', 5), 0);
     assert.equal(claimTime(weak), 900 + 200 + 1_000);
   });
 
@@ -84,68 +84,68 @@
   test('is left alone for longer in a larger cell', () => {
     const view = new election.Election(member('m10'), 0);
     for (let index = 10; index < 46; index += 1) {
-      view.listMember(member(`m${index}`));
+      view.addMember(member(`m${index}`));
     }
-    view.takeClaim(claimOf('m11', 5), 0);
+    view.recordClaim(claimOf('m11', 5), 0);
     assert.equal(claimTime(view), 1_800);
   });
 
   // Guards against waiting for a process that was started again.
   test('claims at once from another incarnation or a closed port', () => {
     const restarted = viewOf('three');
-    restarted.takePong({...ALIVE, incarnation: 'one-2'}, 100);
-    assert.equal(restarted.takeTurn(100), true);
+    restarted.recordStatus({...ALIVE, incarnation: 'one-2'}, 100);
+    assert.equal(restarted.tryBeginClaim(100), true);
     const closed = viewOf('three');
-    closed.takeRefusal(100);
-    assert.equal(closed.takeTurn(100), true);
+    closed.markRefused(100);
+    assert.equal(closed.tryBeginClaim(100), true);
   });
 
   // Guards against a scheduler that can store nothing while others can.
   test('replaces one that the store has not answered for a second', () => {
     const view = viewOf('three');
-    view.takePong({...ALIVE, storeSilentMs: 900}, 100);
-    assert.equal(view.takeTurn(400), false);
-    view.takePong({...ALIVE, storeSilentMs: 1_100}, 500);
-    assert.equal(view.takeTurn(700), true);
+    view.recordStatus({...ALIVE, storeSilentMs: 900}, 100);
+    assert.equal(view.tryBeginClaim(400), false);
+    view.recordStatus({...ALIVE, storeSilentMs: 1_100}, 500);
+    assert.equal(view.tryBeginClaim(700), true);
   });
 
   // Guards against a storm of claims by a process whose view of the log is old.
   test('waits for news of the log after a claim that came second', () => {
     const view = viewOf('three');
-    view.takeRefusal(100);
-    assert.equal(view.takeTurn(100), true);
-    view.claimLost(12);
-    view.logEndsAt(12);
-    assert.equal(view.takeTurn(150), false);
-    view.logEndsAt(13);
-    assert.equal(view.takeTurn(160), true);
+    view.markRefused(100);
+    assert.equal(view.tryBeginClaim(100), true);
+    view.recordLostClaim(12);
+    view.recordLogEnd(12);
+    assert.equal(view.tryBeginClaim(150), false);
+    view.recordLogEnd(13);
+    assert.equal(view.tryBeginClaim(160), true);
   });
 
   // Guards against a succession when the store comes back: the scheduler will
   // reach it too.
   test('knows a doubt that only concerns the store', () => {
     const view = viewOf('three');
-    view.takePong({...ALIVE, storeSilentMs: 1_100}, 500);
-    assert.equal(view.doubtsOnlyStore(700), true);
-    view.takePong({...ALIVE, resigning: true}, 900);
-    assert.equal(view.doubtsOnlyStore(900), false);
+    view.recordStatus({...ALIVE, storeSilentMs: 1_100}, 500);
+    assert.equal(view.suspectsStoreOnly(700), true);
+    view.recordStatus({...ALIVE, resigning: true}, 900);
+    assert.equal(view.suspectsStoreOnly(900), false);
   });
 
   // Guards against old news that undoes a succession.
   test('keeps the newest claim', () => {
     const view = viewOf('two');
-    assert.equal(view.takeClaim(claimOf('three', 9), 10), true);
-    assert.equal(view.takeClaim(claimOf('one', 7), 20), false);
-    assert.equal(view.claim?.node, 'three');
+    assert.equal(view.recordClaim(claimOf('three', 9), 10), true);
+    assert.equal(view.recordClaim(claimOf('one', 7), 20), false);
+    assert.equal(view.newestClaim?.node, 'three');
   });
 
   // Guards against a process that takes its own old claim for a present one.
   test('claims for a process that led before it was started again', () => {
     const self = {...member('one'), incarnation: 'one-2'};
     const view = new election.Election(self, 0);
-    view.listMember(self);
-    view.takeClaim(claimOf('one', 5), 0);
-    assert.equal(view.leads, false);
-    assert.equal(view.takeTurn(0), true);
+    view.addMember(self);
+    view.recordClaim(claimOf('one', 5), 0);
+    assert.equal(view.isLeader, false);
+    assert.equal(view.tryBeginClaim(0), true);
   });
 });
