--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -157,7 +157,7 @@
 
   private usageOn(target: worker.Worker): resources.Resources {
     let sum = resources.NONE;
-    for (const task of target.held().keys()) {
+    for (const task of target.reservations().keys()) {
       sum = resources.add(sum, this.usageOf(task));
     }
     return sum;
--- a/bench/scheduling_subject.ts
+++ b/bench/scheduling_subject.ts
@@ -83,7 +83,7 @@
     usageOf: (task: string) => resources.Resources,
     now: clock.Milliseconds,
   ): void {
-    const tasks = [...of.held().values()].map(held => ({
+    const tasks = [...of.reservations().values()].map(held => ({
       task: held.task,
       label: held.label,
       state: 'running' as const,
--- a/src/commands/call_arguments.ts
+++ b/src/commands/call_arguments.ts
@@ -68,7 +68,7 @@
 }
 
 /** Makes a client of the named entry processes. */
-export function connect(
+export function createClient(
   given: CallArguments,
 ): either.Either<string, entryClient.EntryClient> {
   if (given.entries.length === 0) {
--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -68,7 +68,7 @@
     .read(file)
     .mapLeft(fault => [fault])
     .chain(text =>
-      settings.readSettings(text).mapLeft(found => found.map(describe)),
+      settings.parseSettings(text).mapLeft(found => found.map(describe)),
     )
     .swap()
     .orDefault([]);
--- a/src/commands/command_report.ts
+++ b/src/commands/command_report.ts
@@ -17,7 +17,7 @@
 export type ExitKind = keyof typeof EXIT_CODES;
 
 /** Exit kinds by the thousands of a result code. */
-const KINDS: ReadonlyArray<ExitKind> = [
+const EXIT_KINDS: ReadonlyArray<ExitKind> = [
   'done',
   'badInput',
   'refused',
@@ -33,7 +33,7 @@
   if (reply.code === result.RESULT_CODES.accepted.code) {
     return EXIT_CODES.pending;
   }
-  const kind = KINDS[Math.floor(reply.code / 1_000)] ?? 'failed';
+  const kind = EXIT_KINDS[Math.floor(reply.code / 1_000)] ?? 'failed';
   return EXIT_CODES[kind];
 }
 
--- a/src/commands/entry_command.ts
+++ b/src/commands/entry_command.ts
@@ -1,10 +1,10 @@
 import * as callArguments from './call_arguments.js';
 import * as commandReport from './command_report.js';
-import * as patientCaller from './patient_caller.js';
+import * as retryingCaller from './retrying_caller.js';
 import type * as effect from '../contracts/effect.js';
 
 /** What a command prints at its end. */
-export interface Outcome {
+export interface CommandResult {
   readonly reply: effect.Reply | undefined;
   /** Fields that the reply itself does not state. */
   readonly further?: Readonly<Record<string, string | number>>;
@@ -14,14 +14,14 @@
 export async function run(
   given: callArguments.CallArguments,
   output: commandReport.Output,
-  perform: (caller: patientCaller.PatientCaller) => Promise<Outcome>,
+  perform: (caller: retryingCaller.RetryingCaller) => Promise<CommandResult>,
 ): Promise<void> {
-  await callArguments.connect(given).caseOf({
+  await callArguments.createClient(given).caseOf({
     Left: async fault => {
       commandReport.reportFaults(output, 'arguments', [fault], given.json);
     },
     Right: async client => {
-      const caller = new patientCaller.PatientCaller(client, given.timeout);
+      const caller = new retryingCaller.RetryingCaller(client, given.timeout);
       const {reply, further} = await perform(caller);
       commandReport.reportReply(output, reply, given.json, further);
       await client.close();
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -27,7 +27,7 @@
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
-type Sink = sinks.MetricsSink & {close(): Promise<void>};
+type ClosableMetricsSink = sinks.MetricsSink & {close(): Promise<void>};
 
 /** Where an entry process listens. */
 export interface EntryAddresses {
@@ -36,8 +36,8 @@
 }
 
 /** Receivers that replace those of the settings. */
-export interface Sinks {
-  readonly metrics: Sink;
+export interface SinkOverrides {
+  readonly metrics: ClosableMetricsSink;
   readonly logs: sinks.LogSink;
 }
 
@@ -47,23 +47,23 @@
   private readonly numbers = new callNumbers.CallNumbers();
   private readonly logs: sinks.LogSink;
   private readonly incarnation: string;
-  private readonly random = new randomSource.UnpredictableRandom();
-  private readonly metrics: Sink;
+  private readonly random = new randomSource.SecureRandom();
+  private readonly metrics: ClosableMetricsSink;
   private readonly bytes: byteCounter.ByteCounter;
   private readonly callers: callerServer.CallerServer;
   private readonly peerServer: peerServer.PeerServer;
   private readonly peers: peerLink.PeerLink;
   private readonly httpCallers: httpCaller.HttpCaller[] = [];
   private loop: loop.Loop | undefined;
-  private ending: Promise<void> | undefined;
-  private noteSuccession: () => void = () => {};
-  private readonly succession = new Promise<void>(resolve => {
-    this.noteSuccession = resolve;
+  private shutdownResult: Promise<void> | undefined;
+  private signalSuperseded: () => void = () => {};
+  private readonly supersededSignal = new Promise<void>(resolve => {
+    this.signalSuperseded = resolve;
   });
 
   constructor(
     private readonly settings: settings.Settings,
-    sinks?: Sinks,
+    sinks?: SinkOverrides,
   ) {
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
@@ -118,25 +118,25 @@
   }
 
   /** Finishes what is in progress and closes everything. */
-  end(): Promise<void> {
-    this.ending ??= this.finish();
-    return this.ending;
+  shutDown(): Promise<void> {
+    this.shutdownResult ??= this.drainAndClose();
+    return this.shutdownResult;
   }
 
   /** Resolves when others took over what was here, as after a long pause. */
   superseded(): Promise<void> {
-    return this.succession;
+    return this.supersededSignal;
   }
 
   /** Closes everything at once; what callers wait for has to be asked again. */
-  async abandon(): Promise<void> {
+  async closeNow(): Promise<void> {
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process was succeeded; ask again';
     await this.callers.abandon({code, detail});
     await this.close();
   }
 
-  private async finish(): Promise<void> {
+  private async drainAndClose(): Promise<void> {
     await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
     await this.close();
   }
@@ -163,7 +163,7 @@
       self: {process: this.incarnation, vm, zone, region, address},
       reader: new tomlDocumentReader.TomlDocumentReader(),
       random: this.random,
-      logTerms: {
+      logOptions: {
         retentionMs: logRetentionMs,
         stalenessMs: logStalenessMs,
         appendIntervalMs,
@@ -171,9 +171,9 @@
     });
   }
 
-  private buildMetrics(): Sink {
+  private buildMetrics(): ClosableMetricsSink {
     const {metricsHost, metricsPort} = this.settings;
-    if (metricsPort === 0) return new metrics.DroppedMetrics();
+    if (metricsPort === 0) return new metrics.NullMetrics();
     return new metrics.StatsdMetrics(
       metricsHost,
       metricsPort,
@@ -204,7 +204,7 @@
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
-      endProcess: () => this.noteSuccession(),
+      endProcess: () => this.signalSuperseded(),
     });
   }
 
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -10,19 +10,19 @@
 const SHUTDOWN_DEADLINE_MS = 25_000;
 
 /** Time for the balancer to see that the process is not ready any more. */
-const NOTICE_MS = 1_000;
+const READINESS_NOTICE_MS = 1_000;
 
 /** Time for calls that are still open once no request is left here. */
 const CALL_GRACE_MS = 2_000;
 
 /** Time for callers to read their answers; one may not read at all. */
-const CLOSE_LIMIT_MS = 4_000;
+const CLOSE_TIMEOUT_MS = 4_000;
 
 /** Time between looks at what is left to do. */
-const LOOK_INTERVAL_MS = 50;
+const STATUS_POLL_INTERVAL_MS = 50;
 
 /** Time for the loop to answer a look. */
-const LOOK_DEADLINE_MS = 1_000;
+const STATUS_TIMEOUT_MS = 1_000;
 
 interface Remaining {
   readonly unfinished: number;
@@ -47,14 +47,14 @@
       call => ({kind: 'drainArrived', call}),
       SHUTDOWN_DEADLINE_MS,
     );
-    await timers.setTimeout(NOTICE_MS);
-    const remaining = await this.finish(deadline);
+    await timers.setTimeout(READINESS_NOTICE_MS);
+    const remaining = await this.waitUntilLeft(deadline);
     // What is open now concerns requests of other homes.
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process is shutting down; ask another';
     await Promise.race([
       this.callers.abandon({code, detail}, CALL_GRACE_MS),
-      timers.setTimeout(CLOSE_LIMIT_MS),
+      timers.setTimeout(CLOSE_TIMEOUT_MS),
     ]);
     const clean = remaining.left && remaining.unfinished === 0;
     this.logs.log(clean ? 'info' : 'warn', 'drained', {
@@ -64,19 +64,19 @@
   }
 
   /** Returns what is left when all is done, or at the deadline. */
-  private async finish(deadline: number): Promise<Remaining> {
+  private async waitUntilLeft(deadline: number): Promise<Remaining> {
     for (;;) {
-      const remaining = await this.look();
+      const remaining = await this.readRemaining();
       if (remaining.left) return remaining;
       if (performance.now() >= deadline) return remaining;
-      await timers.setTimeout(LOOK_INTERVAL_MS);
+      await timers.setTimeout(STATUS_POLL_INTERVAL_MS);
     }
   }
 
-  private async look(): Promise<Remaining> {
+  private async readRemaining(): Promise<Remaining> {
     const reply = await this.callers.ask(
       call => ({kind: 'statusArrived', call}),
-      LOOK_DEADLINE_MS,
+      STATUS_TIMEOUT_MS,
     );
     const content = (reply?.content ?? {}) as Readonly<Record<string, unknown>>;
     return {
--- a/src/commands/interviewer.ts
+++ b/src/commands/interviewer.ts
@@ -73,9 +73,9 @@
 
 function question(key: tomlSchema.SchemaKey, path: string): string {
   const unit = key.unit === undefined ? '' : `, in ${key.unit}`;
-  const standard =
+  const defaultNote =
     key.default === undefined
       ? ''
       : `; empty means ${JSON.stringify(key.default)}`;
-  return `${path}: ${key.meaning} (${key.rule.text}${unit}${standard}) `;
+  return `${path}: ${key.meaning} (${key.rule.text}${unit}${defaultNote}) `;
 }
--- a/src/commands/publish.ts
+++ b/src/commands/publish.ts
@@ -4,7 +4,7 @@
 import * as commandReport from './command_report.js';
 import * as entryCommand from './entry_command.js';
 import * as inputFile from './input_file.js';
-import * as patientCaller from './patient_caller.js';
+import * as retryingCaller from './retrying_caller.js';
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
@@ -73,9 +73,9 @@
 });
 
 async function publishDocument(
-  caller: patientCaller.PatientCaller,
+  caller: retryingCaller.RetryingCaller,
   wanted: Publication,
-): Promise<entryCommand.Outcome> {
+): Promise<entryCommand.CommandResult> {
   const path = `/v1/configuration/${encodeURIComponent(wanted.document)}`;
   const {publication} = wanted;
   const base = wanted.base ?? (await fetchVersion(caller, path));
@@ -101,7 +101,7 @@
 
 /** Returns the version in force, or the reply that gives none. */
 async function fetchVersion(
-  caller: patientCaller.PatientCaller,
+  caller: retryingCaller.RetryingCaller,
   path: string,
 ): Promise<number | effect.Reply | undefined> {
   const reply = await caller.call(() => ({method: 'GET', path}));
--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -58,7 +58,7 @@
     generated.caseOf({
       Left: faults =>
         commandReport.reportFaults(output, answers ?? 'answers', faults, json),
-      Right: documents => deliver(output, documents, out, json),
+      Right: documents => outputDocuments(output, documents, out, json),
     });
   },
 });
@@ -84,14 +84,14 @@
     if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
     return documentGenerator.generateFromAnswers(raw);
   } catch (fault) {
-    if (!(fault instanceof terminalPrompter.InputEnded)) throw fault;
+    if (!(fault instanceof terminalPrompter.InputEndedError)) throw fault;
     return either.Left([fault.message]);
   } finally {
     prompter.close();
   }
 }
 
-function deliver(
+function outputDocuments(
   output: commandReport.Output,
   documents: ReadonlyArray<documentGenerator.GeneratedDocument>,
   folder: string | undefined,
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -3,7 +3,7 @@
 import * as settings from '../operations/settings.js';
 
 /** Exit code when the settings are wrong. */
-const EXIT_SETTINGS = 2;
+const INVALID_SETTINGS_EXIT_CODE = 2;
 
 /** The command `serve`: runs one entry process until it is told to stop. */
 export const serve = commandTypes.command({
@@ -14,12 +14,12 @@
   },
   handler: async ({config}) => {
     const text = fs.readFileSync(config, 'utf8');
-    await settings.readSettings(text).caseOf({
+    await settings.parseSettings(text).caseOf({
       Left: async faults => {
         for (const fault of faults) {
           console.error(`${config}: ${fault.key}: ${fault.rule}`);
         }
-        process.exitCode = EXIT_SETTINGS;
+        process.exitCode = INVALID_SETTINGS_EXIT_CODE;
       },
       Right: run,
     });
@@ -30,7 +30,7 @@
   // Loaded here, so that the other commands do without the servers' memory.
   const entryProcess = await import('./entry_process.js');
   let entry: InstanceType<typeof entryProcess.EntryProcess>;
-  const end = (): void => void entry.end().then(() => process.exit(0));
+  const end = (): void => void entry.shutDown().then(() => process.exit(0));
   process.on('SIGTERM', end);
   process.on('SIGINT', end);
   // A succeeded process has lost its identities and workers for good, so that
@@ -39,6 +39,6 @@
     entry = new entryProcess.EntryProcess(read);
     await entry.start();
     await entry.superseded();
-    await entry.abandon();
+    await entry.closeNow();
   }
 }
--- a/src/commands/submit.ts
+++ b/src/commands/submit.ts
@@ -4,7 +4,7 @@
 import * as commandReport from './command_report.js';
 import * as entryCommand from './entry_command.js';
 import * as inputFile from './input_file.js';
-import * as patientCaller from './patient_caller.js';
+import * as retryingCaller from './retrying_caller.js';
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
@@ -74,7 +74,7 @@
         entryCommand.run(given, output, caller => {
           const {team, workload, startDeadlineMs, identity} = given;
           const submission = {team, workload, payload, startDeadlineMs};
-          return send(caller, submission, identity);
+          return submitRequest(caller, submission, identity);
         }),
     });
   },
@@ -87,12 +87,12 @@
   return file === undefined ? either.Right(text) : inputFile.read(file);
 }
 
-async function send(
-  caller: patientCaller.PatientCaller,
+async function submitRequest(
+  caller: retryingCaller.RetryingCaller,
   submission: Submission,
   known: string | undefined,
-): Promise<entryCommand.Outcome> {
-  const identity = known ?? (await reserve(caller));
+): Promise<entryCommand.CommandResult> {
+  const identity = known ?? (await reserveIdentity(caller));
   if (typeof identity !== 'string') return {reply: identity};
   const path = `/v1/requests/${encodeURIComponent(identity)}`;
   const body = JSON.stringify(submission);
@@ -112,8 +112,8 @@
 }
 
 /** Returns a new identity, or the reply that gives none. */
-async function reserve(
-  caller: patientCaller.PatientCaller,
+async function reserveIdentity(
+  caller: retryingCaller.RetryingCaller,
 ): Promise<string | effect.Reply | undefined> {
   const reply = await caller.call(() => ({
     method: 'POST',
--- a/src/commands/terminal_prompter.ts
+++ b/src/commands/terminal_prompter.ts
@@ -2,7 +2,7 @@
 import type * as interviewer from './interviewer.js';
 
 /** Says that the input ended before a question was answered. */
-export class InputEnded extends Error {
+export class InputEndedError extends Error {
   constructor() {
     super('the input ended before all questions were answered');
   }
@@ -27,7 +27,7 @@
   async ask(question: string): Promise<string> {
     this.output.write(question);
     const line = await this.lines.next();
-    if (line.done === true) throw new InputEnded();
+    if (line.done === true) throw new InputEndedError();
     return line.value;
   }
 
--- a/src/commands/try.ts
+++ b/src/commands/try.ts
@@ -13,7 +13,7 @@
 /** Requests of the flood: several times what the cell can hold at once. */
 const FLOOD_SIZE = 150;
 
-interface Sent {
+interface SentRequest {
   readonly team: string;
   readonly workload: string;
   readonly phase: string;
@@ -21,41 +21,45 @@
   readonly milliseconds: number;
 }
 
-interface Source {
+interface RequestSource {
   readonly team: string;
   readonly client: string;
   readonly workload: string;
 }
 
-const ORDERS: Source = {
+const ORDERS: RequestSource = {
   team: 'dispatch',
   client: 'workshop',
   workload: 'polish-order',
 };
-const INSPECTIONS: Source = {...ORDERS, workload: 'inspection-run'};
-const CERTIFICATES: Source = {
+const INSPECTIONS: RequestSource = {...ORDERS, workload: 'inspection-run'};
+const CERTIFICATES: RequestSource = {
   team: 'office',
   client: 'solicitor-desk',
   workload: 'certificate-batch',
 };
-const ROUTES: Source = {...CERTIFICATES, workload: 'route-plan'};
+const ROUTES: RequestSource = {...CERTIFICATES, workload: 'route-plan'};
 
 /** Runs the main job on an embedded cell and prints what happened. */
 class TryRun {
-  private readonly sent: Sent[] = [];
-  private readonly used: number[] = [];
-  private next = 0;
+  private readonly sent: SentRequest[] = [];
+  private readonly usedFractions: number[] = [];
+  private nextAddressIndex = 0;
 
   constructor(private readonly cell: tryCell.TryCell) {}
 
   async run(): Promise<void> {
     await this.waitUntilReady();
-    await this.phase('calm', [ORDERS, INSPECTIONS, CERTIFICATES, ROUTES], 40);
-    await this.flood();
+    await this.runPhase(
+      'calm',
+      [ORDERS, INSPECTIONS, CERTIFICATES, ROUTES],
+      40,
+    );
+    await this.runFlood();
     this.cell.breakWorker();
     console.log('one worker now fails everything that it starts');
-    await this.phase('broken worker', [CERTIFICATES, ROUTES], 40);
-    this.report();
+    await this.runPhase('broken worker', [CERTIFICATES, ROUTES], 40);
+    this.printReport();
   }
 
   private async waitUntilReady(): Promise<void> {
@@ -79,34 +83,34 @@
     }
   }
 
-  private async phase(
+  private async runPhase(
     name: string,
-    sources: ReadonlyArray<Source>,
+    sources: ReadonlyArray<RequestSource>,
     count: number,
   ): Promise<void> {
     const pending: Array<Promise<void>> = [];
     for (let index = 0; index < count; index += 1) {
       pending.push(this.send(sources[index % sources.length], name));
-      this.used.push(this.cell.usedFraction());
+      this.usedFractions.push(this.cell.usedFraction());
       await timers.setTimeout(40);
     }
     await Promise.all(pending);
     this.printPhase(name);
   }
 
-  private async flood(): Promise<void> {
+  private async runFlood(): Promise<void> {
     const flood: Array<Promise<void>> = [];
     for (let index = 0; index < FLOOD_SIZE; index += 1) {
       flood.push(this.send(ORDERS, 'flood'));
     }
-    await this.phase('during the flood', [CERTIFICATES, ROUTES], 40);
+    await this.runPhase('during the flood', [CERTIFICATES, ROUTES], 40);
     await Promise.all(flood);
     this.printPhase('flood');
   }
 
-  private async send(source: Source, phase: string): Promise<void> {
+  private async send(source: RequestSource, phase: string): Promise<void> {
     const started = performance.now();
-    const identity = await this.reserve(source);
+    const identity = await this.reserveIdentity(source);
     const reply = await this.call(
       source,
       'PUT',
@@ -118,21 +122,21 @@
     this.sent.push({team, workload, phase, code: reply.code, milliseconds});
   }
 
-  private async reserve(source: Source): Promise<string> {
+  private async reserveIdentity(source: RequestSource): Promise<string> {
     const reply = await this.call(source, 'POST', '/v1/identities', {count: 1});
     return reply.identities?.[0] ?? '';
   }
 
   private async call(
-    source: Source,
+    source: RequestSource,
     method: 'POST' | 'PUT',
     path: string,
     body: unknown,
   ): Promise<effect.Reply> {
     const zone = source.team === 'dispatch' ? 'kigali-a' : 'caerdydd-a';
     const addresses = this.cell.addresses().get(zone) ?? [];
-    this.next += 1;
-    const address = addresses[this.next % addresses.length];
+    this.nextAddressIndex += 1;
+    const address = addresses[this.nextAddressIndex % addresses.length];
     const answer = await undici.request(`http://${address}${path}`, {
       method,
       headers: {'x-client': source.client},
@@ -151,7 +155,7 @@
     );
   }
 
-  private report(): void {
+  private printReport(): void {
     const {metrics} = this.cell;
     const calm = this.sent.filter(
       item => item.phase === 'calm' && item.team === 'office',
@@ -159,7 +163,7 @@
     const flooded = this.sent.filter(item => item.phase === 'during the flood');
     const kept = flooded.filter(item => item.code === 0).length;
     const bytes = metrics.total('bytes_sent') + metrics.total('bytes_received');
-    const usedPeak = Math.max(...this.used);
+    const usedPeak = Math.max(...this.usedFractions);
     console.log('\nmeasure                                  figure');
     printFigure('wait to start, median', `${metrics.wait(0.5).toFixed(1)} ms`);
     printFigure('wait to start, p99', `${metrics.wait(0.99).toFixed(1)} ms`);
@@ -172,10 +176,10 @@
       'its median before and during',
       `${median(calm).toFixed(0)} and ${median(flooded).toFixed(0)} ms`,
     );
-    this.reportOutcomes();
+    this.printOutcomes();
   }
 
-  private reportOutcomes(): void {
+  private printOutcomes(): void {
     console.log('\nworkload             code  requests');
     const outcomes = new Map<string, number>();
     for (const item of this.sent) {
@@ -192,7 +196,7 @@
   }
 }
 
-function median(sent: ReadonlyArray<Sent>): number {
+function median(sent: ReadonlyArray<SentRequest>): number {
   const sorted = sent
     .map(item => item.milliseconds)
     .sort((left, right) => left - right);
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -64,7 +64,7 @@
   private readonly list = new vmList.VmList();
   private readonly workers: worker.StandInWorker[] = [];
   private readonly entries: entryProcess.EntryProcess[] = [];
-  private readonly addressesOfZones = new Map<string, string[]>();
+  private readonly addressesByZone = new Map<string, string[]>();
 
   /** Starts everything and publishes the documents. */
   async start(): Promise<void> {
@@ -85,7 +85,7 @@
 
   /** Addresses for callers, by zone. */
   addresses(): ReadonlyMap<string, ReadonlyArray<string>> {
-    return this.addressesOfZones;
+    return this.addressesByZone;
   }
 
   /** Lets the worker that has run the most fail everything that it starts. */
@@ -117,7 +117,7 @@
 
   /** Ends everything; requests in progress are finished first. */
   async stop(): Promise<void> {
-    const ended = Promise.all(this.entries.map(entry => entry.end()));
+    const ended = Promise.all(this.entries.map(entry => entry.shutDown()));
     await Promise.race([ended, timers.setTimeout(10_000)]);
     for (const item of this.workers) item.close();
     this.list.close();
@@ -170,14 +170,14 @@
       `log = "${log}"`,
       `vmList = "${list}"`,
     ].join('\n');
-    const read = settings.readSettings(text).unsafeCoerce();
+    const read = settings.parseSettings(text).unsafeCoerce();
     const entry = new entryProcess.EntryProcess(read, {
       metrics: this.metrics,
-      logs: {log: (level, event) => this.noteLine(vm, level, event)},
+      logs: {log: (level, event) => this.recordWarning(vm, level, event)},
     });
     const {callers, peers} = await entry.start();
-    const known = this.addressesOfZones.get(zone) ?? [];
-    this.addressesOfZones.set(zone, [...known, callers]);
+    const known = this.addressesByZone.get(zone) ?? [];
+    this.addressesByZone.set(zone, [...known, callers]);
     this.entries.push(entry);
     this.list.put({
       vm,
@@ -188,7 +188,7 @@
     });
   }
 
-  private noteLine(vm: string, level: string, event: string): void {
+  private recordWarning(vm: string, level: string, event: string): void {
     if (level === 'warn' || level === 'error') {
       this.warnings.push(`${vm} ${event}`);
     }
--- a/src/commands/try_documents.ts
+++ b/src/commands/try_documents.ts
@@ -4,7 +4,7 @@
   readonly content: string;
 }
 
-interface Work {
+interface WorkloadTemplate {
   readonly name: string;
   readonly kind: string;
   readonly urgency: string;
@@ -12,7 +12,7 @@
   readonly taskCount: number;
 }
 
-function workload(work: Work): string {
+function workload(work: WorkloadTemplate): string {
   return `
 [[workloads]]
 name = "${work.name}"
@@ -32,7 +32,7 @@
 function team(
   name: string,
   client: string,
-  works: ReadonlyArray<Work>,
+  works: ReadonlyArray<WorkloadTemplate>,
 ): TryDocument {
   const content = `
 name = "${name}"
--- a/src/contracts/attempt.ts
+++ b/src/contracts/attempt.ts
@@ -13,7 +13,7 @@
   readonly leaseBound: clock.Milliseconds;
   /** Whether a start was sent. */
   readonly sent: boolean;
-  readonly end?: trackedTask.TaskEnd;
+  readonly end?: trackedTask.TaskEndState;
   readonly answer: string;
   readonly detail: string;
 }
--- a/src/contracts/earmark.ts
+++ b/src/contracts/earmark.ts
@@ -162,7 +162,7 @@
     const count = Math.min(
       plan.missing,
       rackRoom,
-      resources.countIn(plan.job.size, this.eventualRoom(candidate)),
+      resources.fitCount(plan.job.size, this.eventualRoom(candidate)),
     );
     if (count <= 0) return;
     plan.rooms.set(candidate, count);
@@ -173,7 +173,7 @@
   /** Room that is free once all tasks that end by themselves have ended. */
   private eventualRoom(candidate: worker.Worker): resources.Resources {
     let room = candidate.capacity;
-    for (const held of candidate.held().values()) {
+    for (const held of candidate.reservations().values()) {
       if (!this.view.isLasting(held.label)) continue;
       room = resources.subtract(room, held.size);
     }
@@ -185,7 +185,7 @@
 export function isReady(earmark: Earmark): boolean {
   for (const [target, count] of earmark.rooms) {
     if (!target.ready) return false;
-    if (resources.countIn(earmark.size, target.free) < count) return false;
+    if (resources.fitCount(earmark.size, target.free) < count) return false;
   }
   return true;
 }
--- a/src/contracts/fair_share.ts
+++ b/src/contracts/fair_share.ts
@@ -111,7 +111,7 @@
    */
   missingReserve(returning: resources.Resources): number {
     const held = resources.subtract(this.use.heldSum, returning);
-    const unused = 1 - resources.dominantFraction(held, this.use.capacity);
+    const unused = 1 - resources.dominantShare(held, this.use.capacity);
     const kept = this.reserve.fractionFor(lendingReserve.LONG_RUN_MS);
     if (unused >= kept || !this.isOwed('')) return 0;
     return kept - unused;
@@ -119,7 +119,7 @@
 
   /** Fraction of the fleet that a quantity takes. */
   fractionOf(size: resources.Resources): number {
-    return resources.dominantFraction(size, this.use.capacity);
+    return resources.dominantShare(size, this.use.capacity);
   }
 
   /** Whether a request may take room now, by right or as a loan. */
@@ -143,7 +143,7 @@
     reserve: number,
   ): boolean {
     const sum = resources.add(this.use.heldSum, more);
-    const unused = 1 - resources.dominantFraction(sum, this.use.capacity);
+    const unused = 1 - resources.dominantShare(sum, this.use.capacity);
     if (unused >= reserve) return false;
     // The reserve grows with the excess: a team a little above its fair level
     // must not be held back like one that holds twice as much.
@@ -172,7 +172,7 @@
   }
 
   private levelOf(name: string, held: resources.Resources): number {
-    const fraction = resources.dominantFraction(held, this.use.capacity);
+    const fraction = resources.dominantShare(held, this.use.capacity);
     return fraction / this.weight(name);
   }
 
--- a/src/contracts/overload_relief.ts
+++ b/src/contracts/overload_relief.ts
@@ -45,7 +45,8 @@
     const current = this.reliefs.get(target);
     if (current !== undefined && now < current.next) return [];
     const task = this.taskOf(current, target);
-    const held = task === undefined ? undefined : target.held().get(task);
+    const held =
+      task === undefined ? undefined : target.reservations().get(task);
     if (held === undefined) return [];
     const sameTask = current?.task === held.task;
     const step = sameTask ? Math.min(current.step + 1, STEPS.length - 1) : 0;
@@ -57,7 +58,7 @@
     current: Relief | undefined,
     target: worker.Worker,
   ): string | undefined {
-    if (current !== undefined && target.held().has(current.task)) {
+    if (current !== undefined && target.reservations().has(current.task)) {
       return current.task;
     }
     return leastValuable(target)?.task;
@@ -78,7 +79,7 @@
 /** Tasks that may run again go first, and among them the least worth. */
 function leastValuable(target: worker.Worker): worker.Reservation | undefined {
   let least: worker.Reservation | undefined;
-  for (const held of target.held().values()) {
+  for (const held of target.reservations().values()) {
     if (least === undefined || isLess(held, least)) least = held;
   }
   return least;
--- a/src/contracts/placement_policy.ts
+++ b/src/contracts/placement_policy.ts
@@ -1,6 +1,6 @@
 import * as resources from '../machines/resources.js';
 import type * as clock from '../machines/clock.js';
-import type * as freeRoomIndex from '../machines/free_room_index.js';
+import type * as freeCapacityIndex from '../machines/free_capacity_index.js';
 import type * as request from './request.js';
 import type * as task from './task.js';
 import type * as worker from '../machines/worker.js';
@@ -19,8 +19,8 @@
   /** Samples workers with room that this process may place on. */
   sample(
     size: resources.Resources,
-    order: freeRoomIndex.SearchOrder,
-    filter: freeRoomIndex.CandidateFilter,
+    order: freeCapacityIndex.SearchOrder,
+    filter: freeCapacityIndex.CandidateFilter,
   ): ReadonlyArray<worker.Worker>;
   /** Tasks of a workload on a rack. */
   countOnRack(team: string, workload: string, rack: string): number;
--- a/src/contracts/recovery.ts
+++ b/src/contracts/recovery.ts
@@ -135,11 +135,11 @@
   /** Keeps how an adopted task ended; its journal may ask for it later. */
   noteOutcome(outcome: trackedTask.TaskOutcome): void {
     if (outcome.kind !== 'ended') return;
-    const {end, answer, of} = outcome;
+    const {end, answer, reference} = outcome;
     if (end === 'unresolved') return;
-    keepNewest(this.answers, of.task, {
+    keepNewest(this.answers, reference.task, {
       result: ENDING_RESULTS[end],
-      detail: `task ${of.task}: ${end}`,
+      detail: `task ${reference.task}: ${end}`,
       answer,
     });
   }
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_desk.ts
@@ -437,7 +437,7 @@
   /** Whether an answer was fetched for recovery and not for a runner's task. */
   private isForRecovery(handled: event.Event): boolean {
     if (handled.kind !== 'taskAnswerArrived') return false;
-    if (this.parts.runner.follows(handled.task)) return false;
+    if (this.parts.runner.isTracked(handled.task)) return false;
     return this.recovery.expects(handled.task);
   }
 
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -174,7 +174,7 @@
       this.attempts.set(identity, attempt);
       this.parts.table.change(identity, {attempts: number});
     }
-    this.parts.runner.hold(placement);
+    this.parts.runner.trackHeld(placement);
     const reading = placement.worker.clockReading;
     attempt.put({
       task: placement.task,
@@ -290,7 +290,7 @@
   }
 
   private abandon(attempt: attempts.Attempt): void {
-    for (const task of attempt.tasks()) this.parts.runner.abandon(task.task);
+    for (const task of attempt.tasks()) this.parts.runner.dropHeld(task.task);
     for (const [number, waiting] of this.recording) {
       if (waiting === attempt) this.recording.delete(number);
     }
@@ -330,7 +330,7 @@
   }
 
   private take(
-    turn: taskRunner.RunnerTurn,
+    turn: taskRunner.RunnerOutput,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const done = [...turn.effects];
@@ -345,7 +345,7 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     this.parts.queue.observe(outcome, now);
-    const attempt = this.attempts.get(outcome.of.label.identity);
+    const attempt = this.attempts.get(outcome.reference.label.identity);
     if (attempt === undefined || !changeTask(attempt, outcome)) {
       this.orphans.push(outcome);
       return [];
@@ -358,7 +358,7 @@
         return [];
       case 'notRun':
       case 'ended':
-        return this.taskOver(attempt, outcome.of.task, now);
+        return this.taskOver(attempt, outcome.reference.task, now);
       case 'adopted':
         return [];
     }
@@ -530,7 +530,7 @@
   attempt: attempts.Attempt,
   outcome: trackedTask.TaskOutcome,
 ): boolean {
-  const name = outcome.of.task;
+  const name = outcome.reference.task;
   switch (outcome.kind) {
     case 'started':
       return attempt.change(name, {state: 'running'});
--- a/src/contracts/scheduler.ts
+++ b/src/contracts/scheduler.ts
@@ -238,13 +238,13 @@
       closed: new Set(),
       failures: 0,
     };
-    const before = this.workers.roomVersion;
+    const before = this.workers.availabilityVersion;
     this.placeEarmarked(turn);
     this.placeInTurn(turn);
     // A cut turn goes on with the other lanes; failed ones wait for a round.
     if (turn.failures >= FAILURE_LIMIT) this.hasNews = true;
     else this.round += 1;
-    this.ownRises += this.workers.roomVersion - before;
+    this.ownRises += this.workers.availabilityVersion - before;
     this.placedAt = turn.stamp;
     return turn.placements;
   }
@@ -263,7 +263,7 @@
 
   private refresh(now: clock.Milliseconds): void {
     const isDue = now >= this.nextRetry;
-    if (!isDue && !this.workers.unseen) return;
+    if (!isDue && !this.workers.needsRefresh) return;
     this.nextRetry = now + RETRY_INTERVAL_MS;
     this.retries += 1;
     this.pool.refresh(now);
@@ -274,7 +274,7 @@
 
   /** Changes whenever requests that found no room may find it now. */
   private stamp(): number {
-    return this.workers.roomVersion - this.ownRises + this.retries;
+    return this.workers.availabilityVersion - this.ownRises + this.retries;
   }
 
   private placeEarmarked(turn: Turn): void {
--- a/src/contracts/task_observer.ts
+++ b/src/contracts/task_observer.ts
@@ -26,13 +26,13 @@
 
   /** Learns what became of a task. */
   observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
-    const {task: name, label} = outcome.of;
+    const {task: name, label} = outcome.reference;
     switch (outcome.kind) {
       case 'started':
         this.parts.pool.started(name, now);
         return;
       case 'adopted':
-        this.adopted(outcome.of);
+        this.adopted(outcome.reference);
         return;
       case 'unknown':
         return;
@@ -57,18 +57,21 @@
     const target = this.parts.workers.get(report.worker);
     if (target === undefined) return [];
     for (const item of report.tasks) {
-      const held = target.held().get(item.task);
+      const held = target.reservations().get(item.task);
       if (held === undefined || item.state !== 'running') continue;
       this.parts.estimator.observe(item);
       if (resources.fits(item.usage, held.size)) continue;
-      target.resize(item.task, resources.wholeAbove(item.usage, held.size));
+      target.resize(
+        item.task,
+        resources.roundedUpMaximum(item.usage, held.size),
+      );
     }
     return this.relief.relieve(target, now);
   }
 
   private adopted(of: trackedTask.TaskReference): void {
     const target = this.parts.workers.get(of.worker);
-    const held = target?.held().get(of.task);
+    const held = target?.reservations().get(of.task);
     const described = this.parts.workloadOf(of.label);
     if (target === undefined || held === undefined) return;
     if (described === undefined) return;
@@ -84,7 +87,7 @@
   private ended(
     name: string,
     label: task.TaskLabel,
-    end: trackedTask.TaskEnd,
+    end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
     const ranMs = this.parts.pool.ranMs(name, now);
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -2,7 +2,7 @@
 import * as workerHealth from '../machines/worker_health.js';
 import type * as clock from '../machines/clock.js';
 import type * as fleet from '../machines/fleet.js';
-import type * as freeRoomIndex from '../machines/free_room_index.js';
+import type * as freeCapacityIndex from '../machines/free_capacity_index.js';
 import type * as placementPolicy from './placement_policy.js';
 import type * as request from './request.js';
 import type * as placement from './placement.js';
@@ -59,7 +59,7 @@
   mayPlace(candidate: worker.Worker): boolean {
     return (
       this.permission.mayPlace(candidate.name, this.now) &&
-      (this.upstreams.get(candidate.name)?.isOpen ?? true)
+      (this.upstreams.get(candidate.name)?.acceptsCalls ?? true)
     );
   }
 
@@ -85,8 +85,8 @@
     const times = {placedAt: now, startedAt: now, answered: false};
     this.tasks.set(name, {worker: on, label, ...times});
     this.unanswered.add(name);
-    this.upstreamOf(on).sent();
-    this.health.placed(on);
+    this.upstreamOf(on).onSend();
+    this.health.recordPlacement(on);
   }
 
   /** Notes an acknowledged start; does nothing when the task is unknown. */
@@ -97,8 +97,8 @@
     this.unanswered.delete(name);
     const called = this.upstreamOf(known.worker);
     // A start that was recorded first says nothing about the worker's speed.
-    if (known.label.idempotent) called.answered(now - known.placedAt, now);
-    else called.finished();
+    if (known.label.idempotent) called.onAnswer(now - known.placedAt, now);
+    else called.onNeutralEnd();
   }
 
   /** Notes a task that did not run; `sent` when its start was lost. */
@@ -106,10 +106,10 @@
     const known = this.forget(name);
     if (known === undefined) return;
     if (!known.answered) {
-      if (sent) this.upstreamOf(known.worker).lost(now);
-      else this.upstreamOf(known.worker).finished();
+      if (sent) this.upstreamOf(known.worker).onLoss(now);
+      else this.upstreamOf(known.worker).onNeutralEnd();
     }
-    this.health.notRun(known.worker);
+    this.health.recordNotRun(known.worker);
   }
 
   /** Time since a task started. */
@@ -123,10 +123,10 @@
     const known = this.forget(name);
     if (known === undefined) return;
     // The end also answers a start whose own answer was lost.
-    if (!known.answered) this.upstreamOf(known.worker).lost(now);
+    if (!known.answered) this.upstreamOf(known.worker).onLoss(now);
     const workload = `${known.label.team}/${known.label.workload}`;
     const end = {worker: known.worker, workload, failed, ranMs};
-    this.health.ended(end, now);
+    this.health.recordEnd(end, now);
   }
 
   private forget(name: string): PlacedTask | undefined {
@@ -147,15 +147,15 @@
   private dropAbandoned(now: clock.Milliseconds): void {
     for (const name of this.unanswered) {
       const known = this.tasks.get(name);
-      if (known?.worker.held().has(name) === true) continue;
+      if (known?.worker.reservations().has(name) === true) continue;
       this.notRun(name, false, now);
     }
   }
 
   private sample(
     size: worker.Reservation['size'],
-    order: freeRoomIndex.SearchOrder,
-    filter: freeRoomIndex.CandidateFilter,
+    order: freeCapacityIndex.SearchOrder,
+    filter: freeCapacityIndex.CandidateFilter,
     mayProbe: boolean,
   ): ReadonlyArray<worker.Worker> {
     return this.workers.sample(
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -3,7 +3,7 @@
 import type * as clock from '../machines/clock.js';
 import type * as placement from './placement.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Hears what became of orders. */
 export interface DispatchListener {
@@ -12,7 +12,10 @@
   /** The worker at this address lives another life. */
   lifeEnded(worker: remoteWorker.RemoteWorker): void;
   /** A start was surely not carried out, so that the task waits again. */
-  startRejected(assignment: task.Assignment, why: workerCalls.Rejection): void;
+  startRejected(
+    assignment: task.Assignment,
+    why: workerClient.RejectionReason,
+  ): void;
   /** A run was confirmed by its worker. */
   started(assignment: task.Assignment): void;
 }
@@ -29,7 +32,7 @@
 /** Orders starts and stops and follows each until its outcome is certain. */
 export class Dispatcher {
   constructor(
-    private readonly calls: workerCalls.WorkerCalls,
+    private readonly calls: workerClient.WorkerClient,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
     private readonly fence: number,
@@ -84,7 +87,7 @@
   pace(assignment: task.Assignment, percent: number): void {
     assignment.pace = percent;
     const {worker} = assignment;
-    void this.calls.pace(worker.entry, assignment, percent, this.fence);
+    void this.calls.throttle(worker.entry, assignment, percent, this.fence);
   }
 
   private sendStart(assignment: task.Assignment): void {
@@ -92,7 +95,7 @@
     // The run may have been given up since its last order.
     if (!this.mayExtend() || !this.index.of(worker).has(assignment)) return;
     const now = this.clock.now();
-    const deadlineMs = worker.extendDeadline(now, this.leaseMs);
+    const deadlineMs = worker.extendLease(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     const order = {
@@ -111,7 +114,7 @@
 
   private startAnswered(
     assignment: task.Assignment,
-    outcome: workerCalls.OrderOutcome,
+    outcome: workerClient.CommandOutcome,
   ): void {
     assignment.orderInFlight = false;
     if (outcome.kind === 'unanswered') {
@@ -123,7 +126,7 @@
       this.listener.started(assignment);
       return;
     }
-    switch (outcome.why) {
+    switch (outcome.reason) {
       case 'superseded':
         this.listener.superseded();
         return;
@@ -131,13 +134,13 @@
         this.listener.lifeEnded(assignment.worker);
         return;
       default:
-        this.startRejected(assignment, outcome.why);
+        this.startRejected(assignment, outcome.reason);
     }
   }
 
   private startRejected(
     assignment: task.Assignment,
-    why: workerCalls.Rejection,
+    why: workerClient.RejectionReason,
   ): void {
     // An earlier copy of the order was carried out.
     if (assignment.seen) return;
@@ -167,8 +170,8 @@
         assignment.stopSettledAt = this.clock.now();
       }
       if (outcome.kind !== 'rejected') return;
-      if (outcome.why === 'superseded') this.listener.superseded();
-      if (outcome.why === 'otherLife') this.listener.lifeEnded(worker);
+      if (outcome.reason === 'superseded') this.listener.superseded();
+      if (outcome.reason === 'otherLife') this.listener.lifeEnded(worker);
     });
   }
 
--- a/src/jobs/earlier_runs.ts
+++ b/src/jobs/earlier_runs.ts
@@ -49,7 +49,7 @@
   review(now: clock.Milliseconds): boolean {
     if (this.settled) return false;
     const before = this.jobs.size;
-    this.missing = this.missing.filter(({worker}) => !worker.adopted);
+    this.missing = this.missing.filter(({worker}) => !worker.fenceAccepted);
     if (now >= this.overAt) this.missing = [];
     const anyJob = this.missing.some(
       ({closedJobs}) => closedJobs === undefined,
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -21,7 +21,7 @@
 
 /** A worker that a successor has to find, or else wait for its leases. */
 export interface KnownWorker {
-  readonly entry: remoteWorker.WorkerEntry;
+  readonly entry: remoteWorker.RegistryEntry;
   /**
    * The jobs that have runs there, when nothing more is started there. While
    * it is undefined, a run of any job may be there.
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -10,7 +10,7 @@
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as stepInstance from './step_instance.js';
 import type * as task from './task.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** What the life of a job touches. */
 export interface LifecycleParts {
@@ -20,7 +20,7 @@
   readonly openSteps: openSteps.OpenSteps;
   readonly advice: adviceBook.AdviceBook;
   readonly orders: dispatcher.Dispatcher;
-  readonly trust: workerTrust.WorkerTrust;
+  readonly trust: workerReliability.WorkerReliability;
   readonly runtimes: runtimeModel.RuntimeModel;
   readonly requestPass: () => void;
 }
@@ -86,7 +86,7 @@
   }
 
   private taskDone(target: task.Task, worker: remoteWorker.RemoteWorker): void {
-    this.parts.trust.succeeded(worker);
+    this.parts.trust.recordSuccess(worker);
     const {step} = target;
     const {gang, longRunning} = step.definition;
     if (longRunning) return;
@@ -138,7 +138,7 @@
 
   private distrust(worker: remoteWorker.RemoteWorker, job: string): void {
     const {options, trust} = this.parts;
-    if (!trust.failed(worker, job, options.clock.now())) return;
+    if (!trust.recordFailure(worker, job, options.clock.now())) return;
     options.counters.count('workers_suspected', 'failures');
     options.log.event('warn', 'workerSuspected', {worker: worker.id});
   }
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -42,10 +42,10 @@
   now: clock.Milliseconds,
 ): boolean {
   return (
-    worker.adopted &&
+    worker.fenceAccepted &&
     worker.recorded &&
-    worker.takesTasks &&
-    worker.avoidedUntil <= now
+    worker.acceptsTasks &&
+    worker.excludedUntil <= now
   );
 }
 
@@ -125,7 +125,7 @@
     // Idle processors are what these tasks live on.
     return (
       cost +
-      resources.dominantFraction(worker.used, worker.entry.capacity) +
+      resources.dominantShare(worker.used, worker.entry.capacity) +
       facts.idleCapacityTasks(worker)
     );
   }
@@ -133,5 +133,5 @@
     cost += FAR_RACK_COST * facts.idleCapacityTasks(worker);
   }
   const left = resources.subtract(worker.free, chargedSize(step));
-  return cost + resources.dominantFraction(left, worker.entry.capacity);
+  return cost + resources.dominantShare(left, worker.entry.capacity);
 }
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -13,7 +13,7 @@
 import type * as task from './task.js';
 import type * as workOrder from './work_order.js';
 import type * as workerBook from './worker_book.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** What a pass works on. */
 export interface PassParts {
@@ -21,7 +21,7 @@
   readonly workers: workerBook.WorkerBook;
   readonly index: assignmentIndex.AssignmentIndex;
   readonly advice: adviceBook.AdviceBook;
-  readonly trust: workerTrust.WorkerTrust;
+  readonly trust: workerReliability.WorkerReliability;
   readonly orders: dispatcher.Dispatcher;
   readonly queues: queueTable.QueueTable;
   readonly openSteps: openSteps.OpenSteps;
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -12,7 +12,7 @@
 import type * as stepInstance from './step_instance.js';
 import type * as task from './task.js';
 import type * as workerBook from './worker_book.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** Lead time with which advice for a later step is asked for. */
 const ADVICE_LEAD_MS = 300;
@@ -45,7 +45,7 @@
     private readonly workers: workerBook.WorkerBook,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly advice: adviceBook.AdviceBook,
-    private readonly trust: workerTrust.WorkerTrust,
+    private readonly trust: workerReliability.WorkerReliability,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: PlacerListener,
   ) {}
@@ -202,7 +202,7 @@
       tasksOfStep: worker => this.index.countOfStep(worker, step),
       servingTasks: worker => this.index.servingTasks(worker),
       idleCapacityTasks: worker => this.index.idleCapacityTasks(worker),
-      suspicion: worker => this.trust.suspicion(worker),
+      suspicion: worker => this.trust.failureProbability(worker),
       runsOn: worker => this.index.of(worker),
       priorityOf: other => this.listener.priorityOf(other),
     };
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -60,7 +60,7 @@
   /** Takes a report that was asked for at `sentAt`. */
   take(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
     now: clock.Milliseconds,
   ): void {
@@ -83,7 +83,7 @@
 
   private takeRunning(
     worker: remoteWorker.RemoteWorker,
-    row: remoteWorker.RunningRow,
+    row: remoteWorker.ReportedRun,
     now: clock.Milliseconds,
   ): void {
     const target = this.find(row.task);
@@ -126,14 +126,14 @@
 
   private takeEnds(
     worker: remoteWorker.RemoteWorker,
-    ended: ReadonlyArray<remoteWorker.EndedRow>,
+    ended: ReadonlyArray<remoteWorker.ReportedRunEnd>,
     now: clock.Milliseconds,
   ): void {
     const touched = new Set<task.Task>();
-    let highest = worker.endsHandled;
+    let highest = worker.handledEndNumber;
     for (const row of ended) {
-      if (row.number <= worker.endsHandled) continue;
-      highest = Math.max(highest, row.number);
+      if (row.sequenceNumber <= worker.handledEndNumber) continue;
+      highest = Math.max(highest, row.sequenceNumber);
       const target = this.find(row.task);
       if (target === undefined) continue;
       touched.add(target);
@@ -149,8 +149,8 @@
       }
       this.listener.ended(target, worker, row.run, row.how);
     }
-    if (highest === worker.endsHandled) return;
-    worker.endsHandled = highest;
+    if (highest === worker.handledEndNumber) return;
+    worker.handledEndNumber = highest;
     this.storeEnds(worker, highest, touched);
   }
 
@@ -163,7 +163,7 @@
     const records = new Set([...touched].map(target => target.step.owner));
     let open = records.size;
     const stored = (): void => {
-      worker.endsStored = Math.max(worker.endsStored, highest);
+      worker.storedEndNumber = Math.max(worker.storedEndNumber, highest);
     };
     if (open === 0) stored();
     for (const record of records) {
@@ -180,7 +180,7 @@
    */
   private settleStops(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void {
     const listed = new Set(
--- a/src/jobs/scheduler.ts
+++ b/src/jobs/scheduler.ts
@@ -16,14 +16,14 @@
 import * as submissions from './submissions.js';
 import * as workerBook from './worker_book.js';
 import * as workerLives from './worker_lives.js';
-import * as workerTrust from '../machines/worker_trust.js';
+import * as workerReliability from '../machines/worker_reliability.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as task from './task.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Length of the leases that this scheduler grants. */
 export const LEASE_MS = 5_000;
@@ -54,7 +54,7 @@
   private readonly queues = new queueTable.QueueTable();
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly index = new assignmentIndex.AssignmentIndex();
-  private readonly trust = new workerTrust.WorkerTrust();
+  private readonly trust = new workerReliability.WorkerReliability();
   private readonly advice: adviceBook.AdviceBook;
   private readonly orders: dispatcher.Dispatcher;
   private readonly tracker: runTracker.RunTracker;
@@ -191,7 +191,7 @@
   }
 
   /** Takes the registry's present list of workers. */
-  updateWorkers(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
+  updateWorkers(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
     this.lives.update(entries);
   }
 
@@ -252,14 +252,17 @@
   // What becomes of orders.
 
   lifeEnded(worker: remoteWorker.RemoteWorker): void {
-    this.lives.lifeEnded(worker);
+    this.lives.replaced(worker);
   }
 
   superseded(): void {
     if (this.active) this.options.onSuperseded('worker');
   }
 
-  startRejected(assignment: task.Assignment, why: workerCalls.Rejection): void {
+  startRejected(
+    assignment: task.Assignment,
+    why: workerClient.RejectionReason,
+  ): void {
     if (!this.active) return;
     const {worker, target} = assignment;
     this.options.counters.count('starts_rejected', why);
@@ -271,7 +274,7 @@
     });
     this.tracker.drop(assignment);
     if (why === 'ticket') this.advice.drop(target.step, worker);
-    else this.trust.refused(worker, this.options.clock.now());
+    else this.trust.recordRefusal(worker, this.options.clock.now());
     this.requestPass();
   }
 
@@ -344,7 +347,7 @@
         ageMs: Math.round(now - run.startedAt),
       });
       run.target.replacements += 1;
-      this.trust.hindered(run.worker, now);
+      this.trust.recordSlowRun(run.worker, now);
       this.orders.stop(run);
     }
   }
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -1,7 +1,7 @@
 import type * as adviceBook from './advice_book.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Receives one event a decision. */
 export interface EventLog {
@@ -32,7 +32,7 @@
   readonly wallClock: () => number;
   readonly bounds: Bounds;
   readonly journal: jobJournal.JournalStore;
-  readonly workers: workerCalls.WorkerCalls;
+  readonly workers: workerClient.WorkerClient;
   readonly advice: adviceBook.AdviceCalls;
   readonly pauses: jobJournal.Pauses;
   readonly log: EventLog;
--- a/src/jobs/task.ts
+++ b/src/jobs/task.ts
@@ -6,7 +6,7 @@
 export type AssignmentPhase = 'starting' | 'running' | 'stopping';
 
 /** One run of a task on one worker. */
-export class Assignment implements remoteWorker.RunName {
+export class Assignment implements remoteWorker.RunId {
   phase: AssignmentPhase = 'starting';
   /** The worker has listed the run. */
   seen = false;
--- a/src/jobs/worker_book.ts
+++ b/src/jobs/worker_book.ts
@@ -25,7 +25,7 @@
   }
 
   /** Tells whether a later life has begun under the id or on the machine. */
-  isReplaced(entry: remoteWorker.WorkerEntry): boolean {
+  isReplaced(entry: remoteWorker.RegistryEntry): boolean {
     return this.all().some(({entry: other}) => {
       const same = other.id === entry.id || onSameMachine(other, entry);
       return same && other.born > entry.born;
@@ -34,7 +34,7 @@
 
   /** Adds a worker that an earlier term knew, if the registry did not. */
   addKnown(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     now: clock.Milliseconds,
   ): remoteWorker.RemoteWorker {
     const known = this.lives.get(entry.id);
@@ -47,7 +47,7 @@
 
   /** Compares with the registry's present list. */
   apply(
-    entries: ReadonlyArray<remoteWorker.WorkerEntry>,
+    entries: ReadonlyArray<remoteWorker.RegistryEntry>,
     now: clock.Milliseconds,
   ): WorkerChanges {
     const joined: remoteWorker.RemoteWorker[] = [];
@@ -58,7 +58,7 @@
     }
     for (const entry of entries) {
       const known = this.lives.get(entry.id);
-      if (known?.sameLife(entry)) {
+      if (known?.isSameIncarnation(entry)) {
         known.update(entry, now);
         continue;
       }
@@ -92,8 +92,8 @@
 
 /** A worker that names no machine shares it with none. */
 function onSameMachine(
-  left: remoteWorker.WorkerEntry,
-  right: remoteWorker.WorkerEntry,
+  left: remoteWorker.RegistryEntry,
+  right: remoteWorker.RegistryEntry,
 ): boolean {
   return left.machine !== '' && left.machine === right.machine;
 }
--- a/src/jobs/worker_lives.ts
+++ b/src/jobs/worker_lives.ts
@@ -8,7 +8,7 @@
 import type * as runTracker from './run_tracker.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as workerBook from './worker_book.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** What the lives of workers touch. */
 export interface LivesParts {
@@ -17,7 +17,7 @@
   readonly index: assignmentIndex.AssignmentIndex;
   readonly journal: jobJournal.JournalWriter;
   readonly tracker: runTracker.RunTracker;
-  readonly trust: workerTrust.WorkerTrust;
+  readonly trust: workerReliability.WorkerReliability;
   readonly leaseMs: number;
   /** After this time no run of an earlier term that was not found is left. */
   readonly earlierRunsOverAt: clock.Milliseconds;
@@ -75,7 +75,7 @@
   }
 
   /** Takes the registry's present list. */
-  update(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
+  update(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
     const {workers, options, requestPass} = this.parts;
     const {joined, replaced} = workers.apply(entries, options.clock.now());
     for (const worker of replaced) this.endLife(worker, 'replaced');
@@ -94,13 +94,13 @@
     this.roll.update();
   }
 
-  mayExtend(): boolean {
+  mayExtendLeases(): boolean {
     return this.started && this.parts.options.mayExtend();
   }
 
-  reported(
+  reportReceived(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void {
     if (!this.started) return;
@@ -109,15 +109,15 @@
     this.parts.onReport(worker);
   }
 
-  silent(worker: remoteWorker.RemoteWorker): void {
+  answerMissing(worker: remoteWorker.RemoteWorker): void {
     this.parts.options.counters.count('worker_silent', worker.entry.zone);
   }
 
-  lifeEnded(worker: remoteWorker.RemoteWorker): void {
+  replaced(worker: remoteWorker.RemoteWorker): void {
     if (this.started) this.endLife(worker, 'otherLife');
   }
 
-  superseded(): void {
+  termSuperseded(): void {
     if (this.started) this.parts.options.onSuperseded('worker');
   }
 
@@ -142,12 +142,13 @@
     now: clock.Milliseconds,
   ): void {
     const {options, tracker, earlierRunsOverAt} = this.parts;
-    const emptied = worker.adopted && !worker.listed && worker.runCount === 0;
+    const emptied =
+      worker.fenceAccepted && !worker.listed && worker.runCount === 0;
     if (emptied) {
       this.endLife(worker, 'gone');
       return;
     }
-    if (worker.leaseOverAt() > now) return;
+    if (worker.lastLeaseExpiry() > now) return;
     if (worker.runCount > 0) {
       options.log.event('warn', 'leaseLapsed', {
         worker: worker.id,
@@ -155,7 +156,7 @@
       });
       tracker.loseAll(worker, 'lapsed');
     }
-    const neverReached = !worker.adopted && now < earlierRunsOverAt;
+    const neverReached = !worker.fenceAccepted && now < earlierRunsOverAt;
     if (!worker.listed && !neverReached) this.endLife(worker, 'gone');
   }
 
--- a/src/jobs/worker_roll.ts
+++ b/src/jobs/worker_roll.ts
@@ -40,7 +40,7 @@
       .all()
       .some(
         worker =>
-          worker.takesTasks !== worker.recorded && !this.isClosed(worker),
+          worker.acceptsTasks !== worker.recorded && !this.isClosed(worker),
       );
     if (changed) this.store();
   }
@@ -53,7 +53,7 @@
       'workers',
       () => {
         const all = this.workers.all();
-        opened = all.filter(worker => worker.takesTasks);
+        opened = all.filter(worker => worker.acceptsTasks);
         for (const worker of all) this.mark(worker);
         return {
           kind: 'workers',
@@ -71,12 +71,12 @@
   }
 
   private isClosed(worker: remoteWorker.RemoteWorker): boolean {
-    return !worker.takesTasks && this.closed.has(worker);
+    return !worker.acceptsTasks && this.closed.has(worker);
   }
 
   /** From the moment a worker is sent as closed, nothing starts there. */
   private mark(worker: remoteWorker.RemoteWorker): void {
-    if (worker.takesTasks) {
+    if (worker.acceptsTasks) {
       this.closed.delete(worker);
       return;
     }
@@ -86,9 +86,9 @@
 
   private known(worker: remoteWorker.RemoteWorker): jobJournal.KnownWorker {
     const {entry} = worker;
-    if (worker.takesTasks) return {entry};
+    if (worker.acceptsTasks) return {entry};
     // Only a report shows which runs of earlier terms are there.
-    if (!worker.adopted && this.inherited.has(worker)) {
+    if (!worker.fenceAccepted && this.inherited.has(worker)) {
       return {entry, closedJobs: this.inherited.get(worker)};
     }
     const jobs = new Set<string>();
--- a/src/loop.ts
+++ b/src/loop.ts
@@ -24,9 +24,9 @@
  */
 export class Loop {
   private readonly queue: event.Event[] = [];
-  private turning = false;
+  private turnScheduled = false;
   private timer: NodeJS.Timeout | undefined;
-  private timerDue = Infinity;
+  private timerDueAt = Infinity;
   private stopped = false;
 
   constructor(
@@ -39,8 +39,8 @@
   post(posted: event.Event): void {
     if (this.stopped) return;
     this.queue.push(posted);
-    if (this.turning) return;
-    this.turning = true;
+    if (this.turnScheduled) return;
+    this.turnScheduled = true;
     queueMicrotask(() => this.turn());
   }
 
@@ -59,7 +59,7 @@
       this.handle(next);
     }
     this.queue.length = 0;
-    this.turning = false;
+    this.turnScheduled = false;
     this.armTimer();
   }
 
@@ -84,10 +84,10 @@
     if (this.stopped) return;
     const now = this.clock.now();
     const due = this.handler.nextDeadline(now);
-    if (due === this.timerDue && this.timer !== undefined) return;
+    if (due === this.timerDueAt && this.timer !== undefined) return;
     clearTimeout(this.timer);
     this.timer = undefined;
-    this.timerDue = due;
+    this.timerDueAt = due;
     if (due === Infinity) return;
     this.timer = setTimeout(
       () => {
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -23,16 +23,16 @@
 const DRAIN_MS = 20_000;
 
 /** What an entry process is made with. */
-export interface EntryVmParts {
+export interface EntryVmOptions {
   readonly self: zoneControl.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
   /** What the settings state of the log; defaults apply without it. */
-  readonly logTerms?: LogTerms;
+  readonly logOptions?: LogOptions;
 }
 
 /** Retention, lag and append interval of the log. */
-export interface LogTerms {
+export interface LogOptions {
   readonly retentionMs?: clock.Milliseconds;
   readonly stalenessMs?: clock.Milliseconds;
   readonly appendIntervalMs?: clock.Milliseconds;
@@ -52,18 +52,18 @@
   private readonly desk: requestDesk.RequestDesk;
   /** When the workers are handed over at the latest. */
   private handOverBy = Infinity;
-  private handsOver = false;
+  private handoverBegun = false;
 
-  constructor(private readonly parts: EntryVmParts) {
-    const {self, random, logTerms} = parts;
+  constructor(private readonly parts: EntryVmOptions) {
+    const {self, random, logOptions} = parts;
     this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
       random,
       place: self,
-      retentionMs: logTerms?.retentionMs,
-      appendIntervalMs: logTerms?.appendIntervalMs,
+      retentionMs: logOptions?.retentionMs,
+      appendIntervalMs: logOptions?.appendIntervalMs,
     });
     this.zone = new zoneControl.ZoneControl(self, this.workers, {
-      logStalenessMs: logTerms?.stalenessMs,
+      logStalenessMs: logOptions?.stalenessMs,
       documents: () => this.documents.news(),
     });
     this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
@@ -97,19 +97,19 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
-    const drains = isOwnDrain(handled);
-    if (drains) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
-    const done = [
+    const isDrain = isOwnDrain(handled);
+    if (isDrain) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
+    const produced = [
       // The zone hands the workers over when the requests here have ended.
-      ...(drains ? [] : this.zone.handle(handled, now)),
+      ...(isDrain ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
-      ...this.handOver(now),
+      ...this.handOverWhenIdle(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
       ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
     this.zone.setExpectedWait(this.scheduler.expectedWaitMs());
-    return this.zone.guard(done);
+    return this.zone.guard(produced);
   }
 
   /** When `timePassed` is wanted next. */
@@ -118,7 +118,7 @@
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
       this.desk.nextDeadline(),
-      this.handsOver ? Infinity : this.handOverBy,
+      this.handoverBegun ? Infinity : this.handOverBy,
       this.scheduler.nextDeadline(),
     );
   }
@@ -137,11 +137,13 @@
       .some(item => this.zone.ownerOf(item.name) !== undefined);
   }
 
-  private handOver(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    if (this.handOverBy === Infinity || this.handsOver) return [];
+  private handOverWhenIdle(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    if (this.handOverBy === Infinity || this.handoverBegun) return [];
     this.zone.announceLeaving();
     if (!this.desk.isIdle() && now < this.handOverBy) return [];
-    this.handsOver = true;
+    this.handoverBegun = true;
     this.zone.drain();
     return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
   }
--- a/src/machines/free_room_index.ts
+++ b/src/machines/free_capacity_index.ts
@@ -15,24 +15,26 @@
  * Workers that a search examines at most in buckets that may hold too little
  * room, so that half of the sample is left for buckets that surely hold it.
  */
-const UNCERTAIN_LIMIT = 8;
+const UNCERTAIN_SAMPLE_LIMIT = 8;
 
 /** Lower bounds of the levels above 0; doubling keeps the index small. */
-const LEVELS: Readonly<Record<resources.Dimension, ReadonlyArray<number>>> = {
+const LEVEL_BOUNDS: Readonly<
+  Record<resources.Dimension, ReadonlyArray<number>>
+> = {
   processors: [250, 500, 1_000, 2_000, 4_000, 8_000, 16_000, 32_000],
   memory: [256, 512, 1_024, 2_048, 4_096, 8_192, 16_384, 32_768, 65_536],
   accelerators: [1, 2, 4, 8],
   slots: [1, 2, 4, 8],
 };
 
-const WIDTHS = {
-  processors: LEVELS.processors.length + 1,
-  memory: LEVELS.memory.length + 1,
-  accelerators: LEVELS.accelerators.length + 1,
-  slots: LEVELS.slots.length + 1,
+const LEVEL_COUNTS = {
+  processors: LEVEL_BOUNDS.processors.length + 1,
+  memory: LEVEL_BOUNDS.memory.length + 1,
+  accelerators: LEVEL_BOUNDS.accelerators.length + 1,
+  slots: LEVEL_BOUNDS.slots.length + 1,
 } as const;
 
-interface Place {
+interface BucketPosition {
   readonly bucket: number;
   /** Position in the bucket; changes when another worker leaves it. */
   position: number;
@@ -51,42 +53,42 @@
  * Workers in buckets by free room, one level per dimension. The number of
  * buckets is fixed, so a search costs the same whatever the number of workers.
  */
-export class FreeRoomIndex {
+export class FreeCapacityIndex {
   private readonly buckets: worker.Worker[][] = [];
-  private readonly places = new Map<worker.Worker, Place>();
+  private readonly positions = new Map<worker.Worker, BucketPosition>();
   /** Workers per pair of levels of accelerators and processors. */
-  private readonly rows: number[] = [];
+  private readonly workersPerRow: number[] = [];
 
   constructor(private readonly random: randomSource.RandomSource) {
-    const rowCount = WIDTHS.accelerators * WIDTHS.processors;
-    const bucketCount = rowCount * WIDTHS.memory * WIDTHS.slots;
-    for (let row = 0; row < rowCount; row += 1) this.rows.push(0);
+    const rowCount = LEVEL_COUNTS.accelerators * LEVEL_COUNTS.processors;
+    const bucketCount = rowCount * LEVEL_COUNTS.memory * LEVEL_COUNTS.slots;
+    for (let row = 0; row < rowCount; row += 1) this.workersPerRow.push(0);
     for (let index = 0; index < bucketCount; index += 1) this.buckets.push([]);
   }
 
   /** Adds a worker or moves it to the bucket of its available room. */
   put(moved: worker.Worker): void {
     const bucket = bucketOf(moved.available);
-    const place = this.places.get(moved);
+    const place = this.positions.get(moved);
     if (place?.bucket === bucket) return;
     if (place !== undefined) this.remove(moved);
     const members = this.buckets[bucket];
-    this.places.set(moved, {bucket, position: members.length});
+    this.positions.set(moved, {bucket, position: members.length});
     members.push(moved);
-    this.rows[rowOf(bucket)] += 1;
+    this.workersPerRow[rowOf(bucket)] += 1;
   }
 
   /** Takes a worker out; does nothing when it is not in the index. */
   remove(removed: worker.Worker): void {
-    const place = this.places.get(removed);
+    const place = this.positions.get(removed);
     if (place === undefined) return;
-    this.places.delete(removed);
-    this.rows[rowOf(place.bucket)] -= 1;
+    this.positions.delete(removed);
+    this.workersPerRow[rowOf(place.bucket)] -= 1;
     const members = this.buckets[place.bucket];
     const last = members.pop();
     if (last === undefined || last === removed) return;
     members[place.position] = last;
-    const moved = this.places.get(last);
+    const moved = this.positions.get(last);
     if (moved !== undefined) moved.position = place.position;
   }
 
@@ -97,21 +99,25 @@
     filter: CandidateFilter,
   ): ReadonlyArray<worker.Worker> {
     const search: Search = {size, filter, found: [], examined: 0, uncertain: 0};
-    const firstAccelerators = level('accelerators', size.accelerators);
-    const firstProcessors = level('processors', size.processors);
+    const firstAccelerators = levelOf('accelerators', size.accelerators);
+    const firstProcessors = levelOf('processors', size.processors);
     for (
       let accelerators = firstAccelerators;
-      accelerators < WIDTHS.accelerators;
+      accelerators < LEVEL_COUNTS.accelerators;
       accelerators += 1
     ) {
       // Tasks that need no accelerator fill workers without one first.
-      for (let step = firstProcessors; step < WIDTHS.processors; step += 1) {
+      for (
+        let step = firstProcessors;
+        step < LEVEL_COUNTS.processors;
+        step += 1
+      ) {
         const processors =
           order === 'tightest'
             ? step
-            : WIDTHS.processors - 1 - (step - firstProcessors);
-        const row = accelerators * WIDTHS.processors + processors;
-        if (this.rows[row] > 0) this.searchRow(search, row, order);
+            : LEVEL_COUNTS.processors - 1 - (step - firstProcessors);
+        const row = accelerators * LEVEL_COUNTS.processors + processors;
+        if (this.workersPerRow[row] > 0) this.searchRow(search, row, order);
         if (search.examined >= SAMPLE_LIMIT) return search.found;
       }
     }
@@ -119,13 +125,16 @@
   }
 
   private searchRow(search: Search, row: number, order: SearchOrder): void {
-    const firstMemory = level('memory', search.size.memory);
-    const firstSlots = level('slots', search.size.slots);
-    for (let step = firstMemory; step < WIDTHS.memory; step += 1) {
+    const firstMemory = levelOf('memory', search.size.memory);
+    const firstSlots = levelOf('slots', search.size.slots);
+    for (let step = firstMemory; step < LEVEL_COUNTS.memory; step += 1) {
       const memory =
-        order === 'tightest' ? step : WIDTHS.memory - 1 - (step - firstMemory);
-      for (let slots = firstSlots; slots < WIDTHS.slots; slots += 1) {
-        const bucket = (row * WIDTHS.memory + memory) * WIDTHS.slots + slots;
+        order === 'tightest'
+          ? step
+          : LEVEL_COUNTS.memory - 1 - (step - firstMemory);
+      for (let slots = firstSlots; slots < LEVEL_COUNTS.slots; slots += 1) {
+        const bucket =
+          (row * LEVEL_COUNTS.memory + memory) * LEVEL_COUNTS.slots + slots;
         this.searchBucket(search, this.buckets[bucket]);
         if (search.examined >= SAMPLE_LIMIT) return;
       }
@@ -142,7 +151,7 @@
       const offset = Math.floor((step * count) / visited);
       const candidate = members[(start + offset) % count];
       if (!resources.fits(search.size, candidate.available)) {
-        if (search.uncertain >= UNCERTAIN_LIMIT) return;
+        if (search.uncertain >= UNCERTAIN_SAMPLE_LIMIT) return;
         search.uncertain += 1;
       } else if (search.filter(candidate)) {
         search.found.push(candidate);
@@ -152,23 +161,24 @@
   }
 }
 
-function level(dimension: resources.Dimension, amount: number): number {
-  const bounds = LEVELS[dimension];
+function levelOf(dimension: resources.Dimension, amount: number): number {
+  const bounds = LEVEL_BOUNDS[dimension];
   let found = 0;
   while (found < bounds.length && bounds[found] <= amount) found += 1;
   return found;
 }
 
-function bucketOf(room: resources.Resources): number {
+function bucketOf(available: resources.Resources): number {
   const row =
-    level('accelerators', room.accelerators) * WIDTHS.processors +
-    level('processors', room.processors);
-  const memory = level('memory', room.memory);
+    levelOf('accelerators', available.accelerators) * LEVEL_COUNTS.processors +
+    levelOf('processors', available.processors);
+  const memory = levelOf('memory', available.memory);
   return (
-    (row * WIDTHS.memory + memory) * WIDTHS.slots + level('slots', room.slots)
+    (row * LEVEL_COUNTS.memory + memory) * LEVEL_COUNTS.slots +
+    levelOf('slots', available.slots)
   );
 }
 
 function rowOf(bucket: number): number {
-  return Math.floor(bucket / (WIDTHS.memory * WIDTHS.slots));
+  return Math.floor(bucket / (LEVEL_COUNTS.memory * LEVEL_COUNTS.slots));
 }
--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -6,40 +6,43 @@
 import type * as worker from './worker.js';
 
 /** Longest wait for further starts that share the first renewal. */
-const FIRST_RENEWAL_MS = 500;
+const FIRST_RENEWAL_DELAY_MS = 500;
 
 /** Time after which a renewal that may not be sent is considered again. */
-const RETRY_MS = 500;
+const RENEWAL_RETRY_MS = 500;
 
 /**
  * Time without a report after which leases are left to end: a renewal that may
  * or may not arrive would put off the moment at which the task is given up.
  */
-const SILENT_MS = 7_000;
+const REPORT_STALENESS_LIMIT_MS = 7_000;
 
 /** Time after which a renewal has arrived unless it was lost. */
-const TRAVEL_MS = 200;
+const DELIVERY_LIMIT_MS = 200;
 
 /** Renews the leases of running tasks, one message a worker at a time. */
 export class LeaseRenewer {
   private readonly renewedAt = new Map<string, clock.Milliseconds>();
-  private readonly due = new Map<string, clock.Milliseconds>();
+  private readonly nextRenewals = new Map<string, clock.Milliseconds>();
 
   constructor(private readonly tasks: taskSet.TaskSet) {}
 
   /** Plans the first renewal of a task; tasks that start together share it. */
-  plan(started: trackedTask.TrackedTask, now: clock.Milliseconds): void {
+  scheduleFirst(
+    started: trackedTask.TrackedTask,
+    now: clock.Milliseconds,
+  ): void {
     const name = started.worker.name;
     const reading = started.worker.clockReading;
     if (reading === undefined) return;
     const left = lease.lapsedBy(reading, started.leaseEnd) - now;
     // A third of the lease leaves time for a second attempt.
-    const wait = Math.min(FIRST_RENEWAL_MS, Math.max(0, left / 3));
-    this.due.set(name, Math.min(this.dueAt(name), now + wait));
+    const wait = Math.min(FIRST_RENEWAL_DELAY_MS, Math.max(0, left / 3));
+    this.nextRenewals.set(name, Math.min(this.nextRenewalAt(name), now + wait));
   }
 
   /** Renews soon when a report shows that the last renewal was lost. */
-  check(
+  retryIfLost(
     tracked: trackedTask.TrackedTask,
     listedLeaseEnd: clock.Milliseconds,
     sentAt: clock.Milliseconds,
@@ -47,14 +50,14 @@
   ): void {
     const name = tracked.worker.name;
     const renewedAt = this.renewedAt.get(name) ?? Infinity;
-    if (sentAt < renewedAt + TRAVEL_MS) return;
+    if (sentAt < renewedAt + DELIVERY_LIMIT_MS) return;
     if (listedLeaseEnd >= tracked.leaseEnd) return;
-    this.due.set(name, Math.min(this.dueAt(name), now));
+    this.nextRenewals.set(name, Math.min(this.nextRenewalAt(name), now));
   }
 
   /** When the next renewal for a worker is due; Infinity without tasks. */
-  dueAt(name: string): clock.Milliseconds {
-    return this.due.get(name) ?? Infinity;
+  nextRenewalAt(name: string): clock.Milliseconds {
+    return this.nextRenewals.get(name) ?? Infinity;
   }
 
   /** Renews a worker's tasks when that is due and the permit allows it. */
@@ -63,23 +66,24 @@
     permitEnd: clock.Milliseconds,
     now: clock.Milliseconds,
   ): ReadonlyArray<effect.Effect> {
-    if (now < this.dueAt(target.name)) return [];
+    if (now < this.nextRenewalAt(target.name)) return [];
     const running = this.tasks
-      .on(target.name)
+      .onWorker(target.name)
       .filter(tracked => tracked.state === 'running');
     if (running.length === 0) {
-      this.due.delete(target.name);
+      this.nextRenewals.delete(target.name);
       this.renewedAt.delete(target.name);
       return [];
     }
     const reading = target.clockReading;
     const silent =
-      reading === undefined || now - reading.receivedAt > SILENT_MS;
+      reading === undefined ||
+      now - reading.receivedAt > REPORT_STALENESS_LIMIT_MS;
     if (silent || permitEnd <= now) {
-      this.due.set(target.name, now + RETRY_MS);
+      this.nextRenewals.set(target.name, now + RENEWAL_RETRY_MS);
       return [];
     }
-    this.due.set(target.name, now + lease.RENEWAL_INTERVAL_MS);
+    this.nextRenewals.set(target.name, now + lease.RENEWAL_INTERVAL_MS);
     this.renewedAt.set(target.name, now);
     const leaseEnd = lease.renewedLeaseEnd(reading, now);
     for (const tracked of running) {
--- a/src/machines/random_source.ts
+++ b/src/machines/random_source.ts
@@ -30,7 +30,7 @@
 }
 
 /** Numbers that nobody can predict, for the secrets of identities. */
-export class UnpredictableRandom implements RandomSource {
+export class SecureRandom implements RandomSource {
   below(limit: number): number {
     const values = crypto.getRandomValues(new Uint32Array(1));
     return Math.floor((values[0] / 2 ** 32) * limit);
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -2,7 +2,7 @@
 import type * as clock from './clock.js';
 
 /** A worker as the platform's registry lists it. */
-export interface WorkerEntry {
+export interface RegistryEntry {
   readonly id: string;
   /** Unix time of the worker's start; another value is another life. */
   readonly born: number;
@@ -20,19 +20,19 @@
 /** The registry of workers; followed only while this process schedules. */
 export interface WorkerRegistry {
   /** Calls back with the whole list after each change, until closed. */
-  follow(onChange: (entries: ReadonlyArray<WorkerEntry>) => void): {
+  follow(onChange: (entries: ReadonlyArray<RegistryEntry>) => void): {
     close(): void;
   };
 }
 
 /** A run of a task on a worker. */
-export interface RunName {
+export interface RunId {
   readonly task: string;
   readonly run: number;
 }
 
 /** One row of a worker's list of running tasks. */
-export interface RunningRow extends RunName {
+export interface ReportedRun extends RunId {
   readonly checkpoint: string;
   /** Part of the work that is done, or the share at which a service works. */
   readonly percent: number;
@@ -41,28 +41,28 @@
 }
 
 /** One row of a worker's list of ended runs. */
-export interface EndedRow extends RunName {
-  readonly number: number;
+export interface ReportedRunEnd extends RunId {
+  readonly sequenceNumber: number;
   readonly how: string;
   readonly checkpoint: string;
 }
 
 /** What a worker reports when its lease is renewed. */
-export interface WorkerReport {
+export interface RenewalReport {
   readonly clockMs: number;
   readonly born: number | undefined;
-  readonly running: ReadonlyArray<RunningRow>;
-  readonly ended: ReadonlyArray<EndedRow>;
+  readonly running: ReadonlyArray<ReportedRun>;
+  readonly ended: ReadonlyArray<ReportedRunEnd>;
 }
 
 /** Largest rate by which a worker's clock may be slow. */
 const CLOCK_DRIFT = 0.02;
 
 /** Calls without an answer after which a worker counts as unreachable. */
-const UNREACHABLE_MISSES = 2;
+const UNREACHABLE_CALL_COUNT = 2;
 
 /** Allowance for timers that fire late, in milliseconds. */
-const LAPSE_MARGIN_MS = 150;
+const TIMER_MARGIN_MS = 150;
 
 /**
  * The scheduler's view of one life of a worker: its room, its clock and how
@@ -70,54 +70,54 @@
  */
 export class RemoteWorker {
   /** Highest number of an end that was dealt with. */
-  endsHandled = 0;
+  handledEndNumber = 0;
   /** Highest number of an end that is stored, so that it may be forgotten. */
-  endsStored = 0;
+  storedEndNumber = 0;
   /** This term's fencing token has been taken by the worker. */
-  adopted = false;
+  fenceAccepted = false;
   /** The life is stored, so that a successor would find it. */
   recorded = false;
   /** Calls in a row that got no answer. */
-  misses = 0;
+  unansweredCalls = 0;
   /** The registry lists the worker. */
   listed = true;
   /** Nothing is placed here before this time. */
-  avoidedUntil = 0;
+  excludedUntil = 0;
   /** When the drain notice was first seen. */
   drainingSince: clock.Milliseconds | undefined;
   lastAnswerAt: clock.Milliseconds;
 
   private readonly reservations = new Map<string, resources.Resources>();
-  private usedRoom = resources.NONE;
+  private usedResources = resources.NONE;
   private reading: {clockMs: number; receivedAt: number} | undefined;
-  private latestDeadline = 0;
-  private description: WorkerEntry;
+  private latestLeaseEndMs = 0;
+  private registryEntry: RegistryEntry;
 
-  constructor(entry: WorkerEntry, now: clock.Milliseconds) {
-    this.description = entry;
+  constructor(entry: RegistryEntry, now: clock.Milliseconds) {
+    this.registryEntry = entry;
     this.lastAnswerAt = now;
     this.update(entry, now);
   }
 
-  get entry(): WorkerEntry {
-    return this.description;
+  get entry(): RegistryEntry {
+    return this.registryEntry;
   }
 
   get id(): string {
-    return this.description.id;
+    return this.registryEntry.id;
   }
 
   get rack(): string | undefined {
-    return this.description.labels[1];
+    return this.registryEntry.labels[1];
   }
 
   /** Occupied room, stopping and unconfirmed runs included. */
   get used(): resources.Resources {
-    return this.usedRoom;
+    return this.usedResources;
   }
 
   get free(): resources.Resources {
-    return resources.subtract(this.description.capacity, this.usedRoom);
+    return resources.subtract(this.registryEntry.capacity, this.usedResources);
   }
 
   get runCount(): number {
@@ -126,61 +126,61 @@
 
   /** The worker gives no answers: one lost answer does not show that. */
   get unreachable(): boolean {
-    return this.misses >= UNREACHABLE_MISSES;
+    return this.unansweredCalls >= UNREACHABLE_CALL_COUNT;
   }
 
   /** Tasks may be started here, room and trust aside. */
-  get takesTasks(): boolean {
-    const ready = this.description.state === 'ready';
+  get acceptsTasks(): boolean {
+    const ready = this.registryEntry.state === 'ready';
     return this.listed && !this.unreachable && ready;
   }
 
   /** Takes over a newer description of the same life. */
-  update(entry: WorkerEntry, now: clock.Milliseconds): void {
-    this.description = entry;
+  update(entry: RegistryEntry, now: clock.Milliseconds): void {
+    this.registryEntry = entry;
     this.listed = true;
     if (entry.state === 'draining') this.drainingSince ??= now;
     else this.drainingSince = undefined;
   }
 
   /** Tells whether another entry describes the same life. */
-  sameLife(entry: WorkerEntry): boolean {
-    return entry.id === this.id && entry.born === this.description.born;
+  isSameIncarnation(entry: RegistryEntry): boolean {
+    return entry.id === this.id && entry.born === this.registryEntry.born;
   }
 
   /** Occupies room for a run; a second call for the same run does nothing. */
-  reserve(name: RunName, size: resources.Resources): void {
-    const key = keyOf(name);
+  reserve(name: RunId, size: resources.Resources): void {
+    const key = runKey(name);
     if (this.reservations.has(key)) return;
     this.reservations.set(key, size);
-    this.usedRoom = resources.add(this.usedRoom, size);
+    this.usedResources = resources.add(this.usedResources, size);
   }
 
   /** Frees the room of a run. */
-  release(name: RunName): void {
-    const key = keyOf(name);
+  release(name: RunId): void {
+    const key = runKey(name);
     const held = this.reservations.get(key);
     if (held === undefined) return;
     this.reservations.delete(key);
-    this.usedRoom = resources.subtract(this.usedRoom, held);
+    this.usedResources = resources.subtract(this.usedResources, held);
   }
 
   /** Takes a reading of the worker's clock from an answer. */
-  readClock(clockMs: number, now: clock.Milliseconds): void {
+  recordClockReading(clockMs: number, now: clock.Milliseconds): void {
     this.reading = {clockMs, receivedAt: now};
     this.lastAnswerAt = now;
-    this.misses = 0;
+    this.unansweredCalls = 0;
   }
 
   /**
    * Returns a deadline on the worker's clock `leaseMs` from now and remembers
    * it; undefined while the clock is not known.
    */
-  extendDeadline(now: clock.Milliseconds, leaseMs: number): number | undefined {
+  extendLease(now: clock.Milliseconds, leaseMs: number): number | undefined {
     if (this.reading === undefined) return undefined;
     const elapsed = now - this.reading.receivedAt;
     const deadline = Math.floor(this.reading.clockMs + elapsed + leaseMs);
-    this.latestDeadline = Math.max(this.latestDeadline, deadline);
+    this.latestLeaseEndMs = Math.max(this.latestLeaseEndMs, deadline);
     return deadline;
   }
 
@@ -188,14 +188,14 @@
    * When the last lease that was ever sent has surely ended, on the local
    * clock. A worker whose clock was never read has been sent no lease.
    */
-  leaseOverAt(): clock.Milliseconds {
+  lastLeaseExpiry(): clock.Milliseconds {
     if (this.reading === undefined) return -Infinity;
-    const left = this.latestDeadline - this.reading.clockMs;
+    const left = this.latestLeaseEndMs - this.reading.clockMs;
     if (left <= 0) return this.reading.receivedAt;
-    return this.reading.receivedAt + left / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS;
+    return this.reading.receivedAt + left / (1 - CLOCK_DRIFT) + TIMER_MARGIN_MS;
   }
 }
 
-function keyOf(name: RunName): string {
+function runKey(name: RunId): string {
   return `${name.task}/${name.run}`;
 }
--- a/src/machines/report_judgement.ts
+++ b/src/machines/report_finding.ts
@@ -4,12 +4,12 @@
 import type * as trackedTask from './tracked_task.js';
 
 /** What a report proves of one task. */
-export type Judgement =
+export type ReportFinding =
   | {readonly kind: 'nothing'}
   | {readonly kind: 'running'}
   /** Ended with an answer that is still to be fetched. */
   | {readonly kind: 'collect'}
-  | {readonly kind: 'ended'; readonly end: trackedTask.TaskEnd}
+  | {readonly kind: 'ended'; readonly end: trackedTask.TaskEndState}
   | {readonly kind: 'notRun'}
   /** It should have been listed; one such report may be a race. */
   | {readonly kind: 'missing'}
@@ -19,17 +19,17 @@
 /** Reports in a row that must lack a started task before it counts as gone. */
 const MISSING_REPORTS = 2;
 
-const NOTHING: Judgement = {kind: 'nothing'};
+const NO_FINDING: ReportFinding = {kind: 'nothing'};
 
 /** Judges a task by a report that was requested at local time `sentAt`. */
-export function judge(
+export function evaluateReport(
   tracked: trackedTask.TrackedTask,
   listed: task.TaskReport | undefined,
   workerClock: clock.Milliseconds,
   sentAt: clock.Milliseconds,
-): Judgement {
-  if (tracked.state === 'held') return NOTHING;
-  if (listed === undefined) return judgeUnlisted(tracked, workerClock, sentAt);
+): ReportFinding {
+  if (tracked.state === 'held') return NO_FINDING;
+  if (listed === undefined) return checkUnlisted(tracked, workerClock, sentAt);
   if (listed.label.identity !== tracked.label.identity) {
     return {kind: 'mismatch'};
   }
@@ -40,17 +40,17 @@
   return {kind: 'ended', end: listed.state};
 }
 
-function judgeUnlisted(
+function checkUnlisted(
   tracked: trackedTask.TrackedTask,
   workerClock: clock.Milliseconds,
   sentAt: clock.Milliseconds,
-): Judgement {
+): ReportFinding {
   if (tracked.startedAt !== undefined) {
-    if (sentAt < tracked.startedAt) return NOTHING;
+    if (sentAt < tracked.startedAt) return NO_FINDING;
     if (tracked.missingReports + 1 < MISSING_REPORTS) return {kind: 'missing'};
     return {kind: 'ended', end: 'answerLost'};
   }
   const proved =
-    tracked.provable && lease.provesNotRun(tracked.leaseEnd, workerClock);
-  return proved ? {kind: 'notRun'} : NOTHING;
+    tracked.leaseEndValid && lease.provesNotRun(tracked.leaseEnd, workerClock);
+  return proved ? {kind: 'notRun'} : NO_FINDING;
 }
--- a/src/machines/reservation_check.ts
+++ b/src/machines/reservation_check.ts
@@ -16,7 +16,7 @@
   /** Checks the reservations on one worker. */
   check(target: worker.Worker): ReadonlyArray<effect.Effect> {
     const violations: effect.Effect[] = [];
-    for (const name of target.held().keys()) {
+    for (const name of target.reservations().keys()) {
       if (this.tasks.get(name) !== undefined) {
         this.suspects.delete(name);
       } else if (!this.suspects.has(name)) {
--- a/src/machines/resources.ts
+++ b/src/machines/resources.ts
@@ -50,21 +50,21 @@
 }
 
 /** Tells whether `size` is at most `room` in every dimension. */
-export function fits(size: Resources, room: Resources): boolean {
+export function fits(size: Resources, available: Resources): boolean {
   return (
-    size.processors <= room.processors &&
-    size.memory <= room.memory &&
-    size.accelerators <= room.accelerators &&
-    size.slots <= room.slots
+    size.processors <= available.processors &&
+    size.memory <= available.memory &&
+    size.accelerators <= available.accelerators &&
+    size.slots <= available.slots
   );
 }
 
 /** Returns the first dimension in which `size` exceeds `room`. */
 export function exceededDimension(
   size: Resources,
-  room: Resources,
+  available: Resources,
 ): Dimension | undefined {
-  return DIMENSIONS.find(dimension => size[dimension] > room[dimension]);
+  return DIMENSIONS.find(dimension => size[dimension] > available[dimension]);
 }
 
 /** Returns the larger of both quantities in every dimension. */
@@ -103,17 +103,17 @@
 }
 
 /** Returns how many whole times `size` goes into `room`. */
-export function countIn(size: Resources, room: Resources): number {
+export function fitCount(size: Resources, available: Resources): number {
   let count = Infinity;
   for (const dimension of DIMENSIONS) {
     if (size[dimension] <= 0) continue;
-    count = Math.min(count, Math.floor(room[dimension] / size[dimension]));
+    count = Math.min(count, Math.floor(available[dimension] / size[dimension]));
   }
   return Math.max(0, count);
 }
 
 /** Returns the largest fraction that `part` takes of `whole`. */
-export function dominantFraction(part: Resources, whole: Resources): number {
+export function dominantShare(part: Resources, whole: Resources): number {
   let fraction = 0;
   for (const dimension of DIMENSIONS) {
     if (part[dimension] <= 0) continue;
@@ -124,7 +124,7 @@
 }
 
 /** Returns the larger of both quantities, rounded up to whole units. */
-export function wholeAbove(left: Resources, right: Resources): Resources {
+export function roundedUpMaximum(left: Resources, right: Resources): Resources {
   const larger = maximum(left, right);
   return {
     processors: Math.ceil(larger.processors),
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -3,7 +3,7 @@
 import * as invariant from '../contracts/invariant.js';
 import * as lease from '../contracts/lease.js';
 import * as leaseRenewer from './lease_renewer.js';
-import * as reportJudgement from './report_judgement.js';
+import * as reportFinding from './report_finding.js';
 import * as reportSchedule from './report_schedule.js';
 import * as reservationCheck from './reservation_check.js';
 import * as startLedger from './start_ledger.js';
@@ -17,13 +17,13 @@
 import type * as worker from './worker.js';
 
 /** Time without a report after which a worker counts as silent. */
-const SILENT_MS = 3_000;
+const WORKER_SILENCE_MS = 3_000;
 
 /** Time after which the fetch of an ended task's answer is sent again. */
-const FETCH_RETRY_MS = 2_000;
+const ANSWER_FETCH_RETRY_MS = 2_000;
 
 /** Time for which the end of a task is remembered against older reports. */
-const ENDED_MEMORY_MS = 30_000;
+const ENDED_TASK_RETENTION_MS = 30_000;
 
 /** Until when this process may place on a worker. */
 export interface PermitSource {
@@ -32,7 +32,7 @@
 }
 
 /** The outcomes and effects of one event. */
-export interface RunnerTurn {
+export interface RunnerOutput {
   readonly outcomes: ReadonlyArray<trackedTask.TaskOutcome>;
   readonly effects: ReadonlyArray<effects.Effect>;
 }
@@ -51,13 +51,13 @@
   private readonly ledger = new startLedger.StartLedger();
   private readonly reports = new reportSchedule.ReportSchedule();
   private readonly renewer = new leaseRenewer.LeaseRenewer(this.tasks);
-  private readonly reservations = new reservationCheck.ReservationCheck(
+  private readonly reservationCheck = new reservationCheck.ReservationCheck(
     this.tasks,
   );
-  private readonly endedAt = new Map<string, clock.Milliseconds>();
+  private readonly endTimes = new Map<string, clock.Milliseconds>();
   /** Owned workers whose tasks have been adopted under the present permit. */
-  private readonly adoptedOn = new Set<string>();
-  private nextDue: clock.Milliseconds = 0;
+  private readonly adoptedFrom = new Set<string>();
+  private nextDeadlineAt: clock.Milliseconds = 0;
   private outcomes: trackedTask.TaskOutcome[] = [];
   private effects: effects.Effect[] = [];
 
@@ -68,17 +68,17 @@
 
   /** Whether a worker's room is known and this process may place there. */
   mayPlace(name: string, now: clock.Milliseconds): boolean {
-    const known = this.adoptedOn.has(name) && this.reports.isFresh(name, now);
+    const known = this.adoptedFrom.has(name) && this.reports.isFresh(name, now);
     return known && this.permits.permitEnd(name) > now;
   }
 
   /** Whether a task is followed. */
-  follows(name: string): boolean {
+  isTracked(name: string): boolean {
     return this.tasks.get(name) !== undefined;
   }
 
   /** Follows a task whose room is reserved and whose start is not yet sent. */
-  hold(placement: placement.Placement): void {
+  trackHeld(placement: placement.Placement): void {
     this.tasks.put(trackedTask.heldTask(placement));
   }
 
@@ -90,14 +90,14 @@
     name: string,
     leaseBound: clock.Milliseconds,
     now: clock.Milliseconds,
-  ): RunnerTurn {
+  ): RunnerOutput {
     const held = this.tasks.get(name);
     if (held?.state === 'held') this.sendStart(held, leaseBound, now);
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** Gives up a held task; false when its start has been sent. */
-  abandon(name: string): boolean {
+  dropHeld(name: string): boolean {
     const held = this.tasks.get(name);
     if (held?.state !== 'held') return false;
     this.tasks.remove(held);
@@ -105,14 +105,14 @@
   }
 
   /** Stops a task as soon as it is known to run. */
-  stop(name: string): RunnerTurn {
+  stop(name: string): RunnerOutput {
     const tracked = this.tasks.get(name);
     const waits = tracked !== undefined && !tracked.stopping;
     if (waits && tracked.state !== 'held') {
       this.tasks.put({...tracked, stopping: true});
       if (tracked.state === 'running') this.sendStop(tracked);
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** Forgets the starts of an identity that is no longer answered. */
@@ -121,34 +121,34 @@
   }
 
   /** Handles what workers answer; ignores other events. */
-  handle(handled: event.Event, now: clock.Milliseconds): RunnerTurn {
+  handle(handled: event.Event, now: clock.Milliseconds): RunnerOutput {
     switch (handled.kind) {
       case 'startAnswered':
-        this.startAnswered(handled, now);
+        this.handleStartAnswer(handled, now);
         break;
       case 'reportArrived':
-        this.reportArrived(handled, now);
+        this.handleReport(handled, now);
         break;
       case 'reportFailed':
-        this.reports.failed(handled.worker, now);
-        this.wake(this.reports.due(handled.worker));
+        this.reports.recordFailure(handled.worker, now);
+        this.wakeBy(this.reports.nextReadAt(handled.worker));
         break;
       case 'taskAnswerArrived':
-        this.answerArrived(handled, now);
+        this.handleAnswer(handled, now);
         break;
       case 'taskAnswerLost':
-        this.answerLost(handled, now);
+        this.handleAnswerLost(handled, now);
         break;
       case 'timePassed':
-        this.timePassed(now);
+        this.handleTimePassed(now);
         break;
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** When `timePassed` is wanted next. */
   nextDeadline(): clock.Milliseconds {
-    return this.nextDue;
+    return this.nextDeadlineAt;
   }
 
   private sendStart(
@@ -159,7 +159,7 @@
     const {name, leaving, clockReading: reading} = held.worker;
     const permitEnd = this.permits.permitEnd(name);
     if (reading === undefined || leaving || !this.mayPlace(name, now)) {
-      this.neverRan(held, 'the worker may not be given a start any more');
+      this.settleNotRun(held, 'the worker may not be given a start any more');
       return;
     }
     const leaseEnd = Math.min(
@@ -167,7 +167,7 @@
       leaseBound,
     );
     if (leaseEnd <= clocks.toWorkerClock(reading, now)) {
-      this.neverRan(held, 'the recorded lease bound has passed');
+      this.settleNotRun(held, 'the recorded lease bound has passed');
       return;
     }
     if (!this.allowStart(held, now)) return;
@@ -192,38 +192,38 @@
   ): boolean {
     const {identity, idempotent} = held.label;
     if (idempotent) return true;
-    if (this.ledger.allows(identity, held.taskCount)) {
-      this.ledger.sent(identity, held.task);
+    if (this.ledger.allowsStart(identity, held.taskCount)) {
+      this.ledger.recordStart(identity, held.task);
       return true;
     }
     this.effects.push(
       ...invariant.violation('startedOnce', {identity, task: held.task}),
     );
-    this.end(held, 'unresolved', '', now);
+    this.settleEnded(held, 'unresolved', '', now);
     return false;
   }
 
-  private startAnswered(
+  private handleStartAnswer(
     answered: EventOf<'startAnswered'>,
     now: clock.Milliseconds,
   ): void {
     const known = this.tasks.get(answered.task);
     if (known?.state !== 'starting') return;
     if (known.worker.name !== answered.worker) {
-      this.mismatch('startFromOtherWorker', answered.task);
+      this.dropAnswer('startFromOtherWorker', answered.task);
     } else if (answered.answer === 'started') {
-      this.started(known, now);
+      this.markRunning(known, now);
     } else if (answered.answer === 'refused') {
-      this.neverRan(known, answered.detail);
+      this.settleNotRun(known, answered.detail);
     } else {
       this.tasks.put({...known, state: 'unknown'});
-      this.report('unknown', known);
-      this.reports.hurry(known.worker.name, now);
-      this.wake(now);
+      this.recordOutcome('unknown', known);
+      this.reports.expedite(known.worker.name, now);
+      this.wakeBy(now);
     }
   }
 
-  private started(
+  private markRunning(
     known: trackedTask.TrackedTask,
     now: clock.Milliseconds,
   ): void {
@@ -235,47 +235,47 @@
       unresolvedAt: Infinity,
     };
     this.tasks.put(running);
-    if (known.state === 'unresolved') this.holdRoom(running);
-    this.report('started', running);
-    this.renewer.plan(running, now);
-    this.wake(this.renewer.dueAt(running.worker.name));
-    this.fetch(running, now);
+    if (known.state === 'unresolved') this.addReservation(running);
+    this.recordOutcome('started', running);
+    this.renewer.scheduleFirst(running, now);
+    this.wakeBy(this.renewer.nextRenewalAt(running.worker.name));
+    this.fetchAnswer(running, now);
     if (running.stopping) this.sendStop(running);
   }
 
-  private holdRoom(tracked: trackedTask.TrackedTask): void {
+  private addReservation(tracked: trackedTask.TrackedTask): void {
     const {task: name, label, size} = tracked;
     tracked.worker.adopt({task: name, label, size});
   }
 
-  private neverRan(known: trackedTask.TrackedTask, detail: string): void {
+  private settleNotRun(known: trackedTask.TrackedTask, detail: string): void {
     this.tasks.remove(known);
-    this.ledger.notRun(known.label.identity, known.task);
+    this.ledger.removeStart(known.label.identity, known.task);
     this.outcomes.push({
       kind: 'notRun',
-      of: trackedTask.reference(known),
+      reference: trackedTask.reference(known),
       detail,
       sent: known.state !== 'held',
     });
   }
 
-  private answerArrived(
+  private handleAnswer(
     arrived: EventOf<'taskAnswerArrived'>,
     now: clock.Milliseconds,
   ): void {
     const known = this.tasks.get(arrived.task);
     if (known === undefined) {
-      this.mismatch('unknownTask', arrived.task);
+      this.dropAnswer('unknownTask', arrived.task);
     } else if (known.worker.name !== arrived.worker) {
-      this.mismatch('otherWorker', arrived.task);
+      this.dropAnswer('otherWorker', arrived.task);
     } else if (known.startedAt === undefined) {
-      this.mismatch('notStarted', arrived.task);
+      this.dropAnswer('notStarted', arrived.task);
     } else {
-      this.end(known, arrived.state, arrived.answer, now);
+      this.settleEnded(known, arrived.state, arrived.answer, now);
     }
   }
 
-  private answerLost(
+  private handleAnswerLost(
     lost: EventOf<'taskAnswerLost'>,
     now: clock.Milliseconds,
   ): void {
@@ -284,56 +284,56 @@
     this.effects.push(effects.count('retry', {reason: 'answerLost'}));
     // The next report says whether the task has ended; it sends a new fetch.
     this.tasks.put({...known, fetchedAt: -Infinity});
-    this.reports.hurry(lost.worker, now);
-    this.wake(this.reports.due(lost.worker));
+    this.reports.expedite(lost.worker, now);
+    this.wakeBy(this.reports.nextReadAt(lost.worker));
   }
 
-  private end(
+  private settleEnded(
     known: trackedTask.TrackedTask,
-    end: trackedTask.TaskEnd,
+    end: trackedTask.TaskEndState,
     answer: string,
     now: clock.Milliseconds,
   ): void {
     this.tasks.remove(known);
-    this.endedAt.set(known.task, now);
-    const of = trackedTask.reference(known);
-    this.outcomes.push({kind: 'ended', of, end, answer});
+    this.endTimes.set(known.task, now);
+    const reference = trackedTask.reference(known);
+    this.outcomes.push({kind: 'ended', reference, end, answer});
   }
 
-  private reportArrived(
+  private handleReport(
     arrived: EventOf<'reportArrived'>,
     now: clock.Milliseconds,
   ): void {
     const {report, sentAt} = arrived;
     const target = this.workers.get(report.worker);
     if (target === undefined) return;
-    if (!this.reports.arrived(target.name, sentAt)) return;
-    this.noteRestart(target, report);
+    if (!this.reports.recordReport(target.name, sentAt)) return;
+    this.checkRestart(target, report);
     target.update(report, now);
     const listed = new Map(report.tasks.map(item => [item.task, item]));
-    for (const known of this.tasks.on(target.name)) {
-      const current = this.moveTo(target, known);
-      this.apply(current, listed.get(known.task), arrived, now);
+    for (const known of this.tasks.onWorker(target.name)) {
+      const current = this.rebindWorker(target, known);
+      this.applyReport(current, listed.get(known.task), arrived, now);
     }
-    this.adoptListed(target, arrived, now);
-    this.effects.push(...this.reservations.check(target));
-    this.wake(this.renewer.dueAt(target.name));
-    this.wake(this.reports.due(target.name));
+    this.adoptReportedTasks(target, arrived, now);
+    this.effects.push(...this.reservationCheck.check(target));
+    this.wakeBy(this.renewer.nextRenewalAt(target.name));
+    this.wakeBy(this.reports.nextReadAt(target.name));
   }
 
   /** The fleet makes a new object when a worker vanishes and returns. */
-  private moveTo(
+  private rebindWorker(
     target: worker.Worker,
     known: trackedTask.TrackedTask,
   ): trackedTask.TrackedTask {
     if (known.worker === target) return known;
     const moved = {...known, worker: target};
     this.tasks.put(moved);
-    if (known.worker.held().has(known.task)) this.holdRoom(moved);
+    if (known.worker.reservations().has(known.task)) this.addReservation(moved);
     return moved;
   }
 
-  private noteRestart(target: worker.Worker, report: task.WorkerReport): void {
+  private checkRestart(target: worker.Worker, report: task.WorkerReport): void {
     const before = target.clockReading;
     if (before === undefined || report.workerClock >= before.workerClock) {
       return;
@@ -341,20 +341,20 @@
     this.effects.push(
       effects.log('warn', 'workerRestarted', {worker: target.name}),
     );
-    for (const known of this.tasks.on(target.name)) {
+    for (const known of this.tasks.onWorker(target.name)) {
       // Lease ends refer to the old clock and never prove anything again.
-      this.tasks.put({...known, provable: false});
+      this.tasks.put({...known, leaseEndValid: false});
     }
   }
 
-  private apply(
+  private applyReport(
     known: trackedTask.TrackedTask,
     listed: task.TaskReport | undefined,
     arrived: EventOf<'reportArrived'>,
     now: clock.Milliseconds,
   ): void {
     const {workerClock} = arrived.report;
-    const judged = reportJudgement.judge(
+    const judged = reportFinding.evaluateReport(
       known,
       listed,
       workerClock,
@@ -365,29 +365,29 @@
         return;
       case 'running':
         if (listed !== undefined) {
-          this.renewer.check(known, listed.leaseEnd, arrived.sentAt, now);
-          this.listedRunning(known, listed.leaseEnd, now);
+          this.renewer.retryIfLost(known, listed.leaseEnd, arrived.sentAt, now);
+          this.confirmRunning(known, listed.leaseEnd, now);
         }
         return;
       case 'collect':
-        this.collect(known, now);
+        this.collectAnswer(known, now);
         return;
       case 'ended':
-        this.end(known, judged.end, '', now);
+        this.settleEnded(known, judged.end, '', now);
         return;
       case 'notRun':
-        this.neverRan(known, 'the start lapsed before it arrived');
+        this.settleNotRun(known, 'the start lapsed before it arrived');
         return;
       case 'missing':
         this.tasks.put({...known, missingReports: known.missingReports + 1});
         return;
       case 'mismatch':
-        this.mismatch('otherIdentity', known.task);
+        this.dropAnswer('otherIdentity', known.task);
         return;
     }
   }
 
-  private listedRunning(
+  private confirmRunning(
     known: trackedTask.TrackedTask,
     leaseEnd: clock.Milliseconds,
     now: clock.Milliseconds,
@@ -399,14 +399,14 @@
     };
     this.tasks.put(current);
     if (known.state !== 'running') {
-      this.started(current, now);
+      this.markRunning(current, now);
       return;
     }
-    if (known.fetchedAt === -Infinity) this.fetch(current, now);
+    if (known.fetchedAt === -Infinity) this.fetchAnswer(current, now);
     if (known.stopping) this.sendStop(current);
   }
 
-  private collect(
+  private collectAnswer(
     known: trackedTask.TrackedTask,
     now: clock.Milliseconds,
   ): void {
@@ -420,11 +420,11 @@
     known.worker.release(known.task);
     const first = known.state !== 'collecting';
     if (first && known.fetchedAt !== -Infinity) return;
-    if (now - known.fetchedAt < FETCH_RETRY_MS) return;
-    this.fetch(ended, now);
+    if (now - known.fetchedAt < ANSWER_FETCH_RETRY_MS) return;
+    this.fetchAnswer(ended, now);
   }
 
-  private adoptListed(
+  private adoptReportedTasks(
     target: worker.Worker,
     arrived: EventOf<'reportArrived'>,
     now: clock.Milliseconds,
@@ -432,12 +432,12 @@
     if (this.permits.permitEnd(target.name) <= arrived.sentAt) return;
     if (!this.permits.owns(target.name)) return;
     for (const item of arrived.report.tasks) {
-      if (item.state === 'running') this.adopt(target, item, arrived, now);
+      if (item.state === 'running') this.adoptTask(target, item, arrived, now);
     }
-    this.adoptedOn.add(target.name);
+    this.adoptedFrom.add(target.name);
   }
 
-  private adopt(
+  private adoptTask(
     target: worker.Worker,
     item: task.TaskReport,
     arrived: EventOf<'reportArrived'>,
@@ -445,46 +445,46 @@
   ): void {
     if (this.tasks.get(item.task) !== undefined) return;
     // A report that is older than the end of the task still lists it.
-    if ((this.endedAt.get(item.task) ?? -Infinity) >= arrived.sentAt) return;
+    if ((this.endTimes.get(item.task) ?? -Infinity) >= arrived.sentAt) return;
     const adopted = trackedTask.adoptedTask(target, item, arrived.sentAt);
     this.tasks.put(adopted);
-    this.holdRoom(adopted);
+    this.addReservation(adopted);
     this.effects.push(effects.count('adopted', {team: item.label.team}));
-    this.report('adopted', adopted);
-    this.renewer.plan(adopted, now);
-    this.wake(this.renewer.dueAt(target.name));
-    this.fetch(adopted, now);
+    this.recordOutcome('adopted', adopted);
+    this.renewer.scheduleFirst(adopted, now);
+    this.wakeBy(this.renewer.nextRenewalAt(target.name));
+    this.fetchAnswer(adopted, now);
   }
 
-  private timePassed(now: clock.Milliseconds): void {
-    this.nextDue = Infinity;
-    for (const target of this.workers.all()) this.attend(target, now);
-    for (const name of this.tasks.workers()) {
+  private handleTimePassed(now: clock.Milliseconds): void {
+    this.nextDeadlineAt = Infinity;
+    for (const target of this.workers.all()) this.maintainWorker(target, now);
+    for (const name of this.tasks.workerNames()) {
       if (this.workers.get(name) !== undefined) continue;
       // The VM list no longer names the worker.
-      this.attend(this.tasks.on(name)[0].worker, now);
+      this.maintainWorker(this.tasks.onWorker(name)[0].worker, now);
     }
-    for (const [name, endedAt] of this.endedAt) {
-      if (now - endedAt < ENDED_MEMORY_MS) break;
-      this.endedAt.delete(name);
+    for (const [name, endedAt] of this.endTimes) {
+      if (now - endedAt < ENDED_TASK_RETENTION_MS) break;
+      this.endTimes.delete(name);
     }
   }
 
-  private attend(target: worker.Worker, now: clock.Milliseconds): void {
+  private maintainWorker(target: worker.Worker, now: clock.Milliseconds): void {
     const owned = this.permits.owns(target.name);
-    if (!owned) this.adoptedOn.delete(target.name);
-    const tasks = this.tasks.on(target.name);
+    if (!owned) this.adoptedFrom.delete(target.name);
+    const tasks = this.tasks.onWorker(target.name);
     if (!owned && tasks.length === 0) return;
     const urgent = tasks.some(trackedTask.awaitsReport);
-    if (this.reports.take(target.name, now, urgent)) {
+    if (this.reports.startReadIfDue(target.name, now, urgent)) {
       const address = target.description.address;
       this.effects.push({kind: 'readReport', worker: target.name, address});
     }
     const permitEnd = this.permits.permitEnd(target.name);
-    for (const known of tasks) this.lapse(known, permitEnd, now);
+    for (const known of tasks) this.settleLapsed(known, permitEnd, now);
     this.effects.push(...this.renewer.renew(target, permitEnd, now));
-    this.wake(this.reports.due(target.name));
-    this.wake(this.renewer.dueAt(target.name));
+    this.wakeBy(this.reports.nextReadAt(target.name));
+    this.wakeBy(this.renewer.nextRenewalAt(target.name));
   }
 
   /**
@@ -492,7 +492,7 @@
    * Without a permit, another owner may have renewed the lease, unless the
    * worker's VM does not exist any more.
    */
-  private lapse(
+  private settleLapsed(
     known: trackedTask.TrackedTask,
     permitEnd: clock.Milliseconds,
     now: clock.Milliseconds,
@@ -501,23 +501,23 @@
     if (known.state === 'held' || reading === undefined) return;
     const exists = this.workers.get(known.worker.name) !== undefined;
     if (known.state === 'unresolved') {
-      this.giveUp(known, exists, now);
+      this.settleUnresolved(known, exists, now);
       return;
     }
-    if (now - reading.receivedAt < SILENT_MS) return;
+    if (now - reading.receivedAt < WORKER_SILENCE_MS) return;
     if (exists && permitEnd <= now) return;
     if (now < lease.lapsedBy(reading, known.leaseEnd)) return;
     if (known.label.idempotent) {
-      this.end(known, 'lapsed', '', now);
+      this.settleEnded(known, 'lapsed', '', now);
       return;
     }
     known.worker.release(known.task);
     this.tasks.put({...known, state: 'unresolved', unresolvedAt: now});
-    this.report('unknown', known);
+    this.recordOutcome('unknown', known);
   }
 
   /** No report tells of the task any more. */
-  private giveUp(
+  private settleUnresolved(
     known: trackedTask.TrackedTask,
     exists: boolean,
     now: clock.Milliseconds,
@@ -525,10 +525,10 @@
     const limit = known.unresolvedAt + lease.ENDED_TASKS_LISTED_MS;
     if (exists && now < limit) return;
     const started = known.startedAt !== undefined;
-    this.end(known, started ? 'answerLost' : 'unresolved', '', now);
+    this.settleEnded(known, started ? 'answerLost' : 'unresolved', '', now);
   }
 
-  private fetch(
+  private fetchAnswer(
     tracked: trackedTask.TrackedTask,
     now: clock.Milliseconds,
   ): void {
@@ -552,25 +552,25 @@
     });
   }
 
-  private mismatch(reason: string, name: string): void {
+  private dropAnswer(reason: string, name: string): void {
     this.effects.push(
       effects.count('answer_dropped', {reason}),
       effects.log('warn', 'answerDropped', {reason, task: name}),
     );
   }
 
-  private report(
+  private recordOutcome(
     kind: 'started' | 'adopted' | 'unknown',
     tracked: trackedTask.TrackedTask,
   ): void {
-    this.outcomes.push({kind, of: trackedTask.reference(tracked)});
+    this.outcomes.push({kind, reference: trackedTask.reference(tracked)});
   }
 
-  private wake(due: clock.Milliseconds): void {
-    this.nextDue = Math.min(this.nextDue, due);
+  private wakeBy(due: clock.Milliseconds): void {
+    this.nextDeadlineAt = Math.min(this.nextDeadlineAt, due);
   }
 
-  private finishTurn(): RunnerTurn {
+  private takeOutput(): RunnerOutput {
     const turn = {outcomes: this.outcomes, effects: this.effects};
     this.outcomes = [];
     this.effects = [];
--- a/src/machines/task_set.ts
+++ b/src/machines/task_set.ts
@@ -27,7 +27,7 @@
   }
 
   /** Tasks on a worker, as a copy that may be changed while it is walked. */
-  on(worker: string): ReadonlyArray<trackedTask.TrackedTask> {
+  onWorker(worker: string): ReadonlyArray<trackedTask.TrackedTask> {
     const found: trackedTask.TrackedTask[] = [];
     for (const name of this.byWorker.get(worker) ?? []) {
       const tracked = this.tasks.get(name);
@@ -37,7 +37,7 @@
   }
 
   /** Names of the workers with tasks. */
-  workers(): ReadonlyArray<string> {
+  workerNames(): ReadonlyArray<string> {
     return [...this.byWorker.keys()];
   }
 }
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -13,7 +13,7 @@
   'held' | 'starting' | 'unknown' | 'running' | 'collecting' | 'unresolved';
 
 /** How a task ended, as far as it is known. */
-export type TaskEnd =
+export type TaskEndState =
   | Exclude<task.TaskState, 'running'>
   /** It ran, and its answer is gone. */
   | 'answerLost'
@@ -43,7 +43,7 @@
   /** Since when the task is unresolved; Infinity otherwise. */
   readonly unresolvedAt: clock.Milliseconds;
   /** False after a restart of the worker: reports prove nothing of it. */
-  readonly provable: boolean;
+  readonly leaseEndValid: boolean;
 }
 
 /** The part of a task that outcomes name. */
@@ -57,20 +57,20 @@
 export type TaskOutcome =
   | {
       readonly kind: 'started' | 'adopted' | 'unknown';
-      readonly of: TaskReference;
+      readonly reference: TaskReference;
     }
   | {
       /** Proved not to run now or later. */
       readonly kind: 'notRun';
-      readonly of: TaskReference;
+      readonly reference: TaskReference;
       readonly detail: string;
       /** Whether a start was sent. */
       readonly sent: boolean;
     }
   | {
       readonly kind: 'ended';
-      readonly of: TaskReference;
-      readonly end: TaskEnd;
+      readonly reference: TaskReference;
+      readonly end: TaskEndState;
       readonly answer: string;
     };
 
@@ -91,7 +91,7 @@
   fetchedAt: -Infinity,
   missingReports: 0,
   unresolvedAt: Infinity,
-  provable: true,
+  leaseEndValid: true,
 } as const;
 
 /** Builds a task whose room is reserved and whose start is not yet sent. */
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -31,19 +31,19 @@
 /** Learns of every change that matters to an index over workers. */
 export interface WorkerObserver {
   /** Room, capacity or readiness changed; `grew` when there may be more room. */
-  changed(worker: Worker, grew: boolean): void;
-  held(worker: Worker, reservation: Reservation): void;
-  released(worker: Worker, reservation: Reservation): void;
+  availabilityChanged(worker: Worker, grew: boolean): void;
+  reservationAdded(worker: Worker, reservation: Reservation): void;
+  reservationRemoved(worker: Worker, reservation: Reservation): void;
   /** Reservations exceed the capacity; called once per break. */
-  violated(violation: CapacityViolation): void;
+  capacityViolated(violation: CapacityViolation): void;
 }
 
 /** Observer of a worker that belongs to no fleet. */
-const UNOBSERVED: WorkerObserver = {
-  changed: () => {},
-  held: () => {},
-  released: () => {},
-  violated: () => {},
+const NULL_OBSERVER: WorkerObserver = {
+  availabilityChanged: () => {},
+  reservationAdded: () => {},
+  reservationRemoved: () => {},
+  capacityViolated: () => {},
 };
 
 /**
@@ -51,7 +51,7 @@
  * refuses a reservation that its capacity does not hold.
  */
 export class Worker {
-  private readonly reservations = new Map<string, Reservation>();
+  private readonly reservationsByTask = new Map<string, Reservation>();
   private reserved = resources.NONE;
   private earmarked = resources.NONE;
   private availableValue = resources.NONE;
@@ -60,11 +60,11 @@
   private clockReadingValue: clock.WorkerClockReading | undefined;
   private leavingValue = false;
   private suspendedValue = false;
-  private violating = false;
+  private overcommittedValue = false;
 
   constructor(
     readonly description: WorkerDescription,
-    private readonly observer: WorkerObserver = UNOBSERVED,
+    private readonly observer: WorkerObserver = NULL_OBSERVER,
   ) {}
 
   /** Name in the VM list. */
@@ -118,7 +118,7 @@
 
   /** Whether reservations exceed the capacity at present. */
   get overcommitted(): boolean {
-    return this.violating;
+    return this.overcommittedValue;
   }
 
   /** Takes over what the worker says of itself. */
@@ -130,42 +130,42 @@
     const resized = !resources.equal(report.capacity, this.capacityValue);
     if (!resized && wasReady === this.ready) return;
     this.capacityValue = report.capacity;
-    this.afterChange('capacity', true);
+    this.publishChange('capacity', true);
   }
 
   /** Stops new reservations for good. */
   markLeaving(): void {
     if (this.leavingValue) return;
     this.leavingValue = true;
-    this.observer.changed(this, false);
+    this.observer.availabilityChanged(this, false);
   }
 
   /** Takes the worker out of service or back into it. */
   setSuspended(suspended: boolean): void {
     if (this.suspendedValue === suspended) return;
     this.suspendedValue = suspended;
-    this.observer.changed(this, !suspended);
+    this.observer.availabilityChanged(this, !suspended);
   }
 
   /** Keeps more room free for requests that wait for it. */
   earmark(size: resources.Resources): void {
     this.earmarked = resources.add(this.earmarked, size);
-    this.recompute();
-    this.observer.changed(this, false);
+    this.updateAvailable();
+    this.observer.availabilityChanged(this, false);
   }
 
   /** Gives earmarked room back. */
   withdrawEarmark(size: resources.Resources): void {
     this.earmarked = resources.subtract(this.earmarked, size);
-    this.recompute();
-    this.observer.changed(this, true);
+    this.updateAvailable();
+    this.observer.availabilityChanged(this, true);
   }
 
   /** Holds room for a task; returns false when it does not fit. */
   reserve(reservation: Reservation): boolean {
-    if (this.reservations.has(reservation.task)) return false;
+    if (this.reservationsByTask.has(reservation.task)) return false;
     if (!resources.fits(reservation.size, this.availableValue)) return false;
-    this.hold(reservation, 'reserve');
+    this.addReservation(reservation, 'reserve');
     return true;
   }
 
@@ -175,50 +175,53 @@
    */
   adopt(reservation: Reservation): void {
     this.release(reservation.task);
-    this.hold(reservation, 'adopt');
+    this.addReservation(reservation, 'adopt');
   }
 
   /** Changes the room of a task to what it was found to use. */
   resize(taskName: string, size: resources.Resources): void {
-    const held = this.reservations.get(taskName);
+    const held = this.reservationsByTask.get(taskName);
     if (held === undefined) return;
     this.release(taskName);
-    this.hold({...held, size}, 'resize');
+    this.addReservation({...held, size}, 'resize');
   }
 
   /** Gives back the room of a task; does nothing when it holds none. */
   release(taskName: string): void {
-    const held = this.reservations.get(taskName);
+    const held = this.reservationsByTask.get(taskName);
     if (held === undefined) return;
-    this.reservations.delete(taskName);
+    this.reservationsByTask.delete(taskName);
     this.reserved = resources.subtract(this.reserved, held.size);
-    this.observer.released(this, held);
-    this.afterChange('reserve', true);
+    this.observer.reservationRemoved(this, held);
+    this.publishChange('reserve', true);
   }
 
   /** The room that tasks hold. */
-  held(): ReadonlyMap<string, Reservation> {
-    return this.reservations;
+  reservations(): ReadonlyMap<string, Reservation> {
+    return this.reservationsByTask;
   }
 
-  private hold(reservation: Reservation, cause: ViolationCause): void {
-    this.reservations.set(reservation.task, reservation);
+  private addReservation(
+    reservation: Reservation,
+    cause: ViolationCause,
+  ): void {
+    this.reservationsByTask.set(reservation.task, reservation);
     this.reserved = resources.add(this.reserved, reservation.size);
-    this.observer.held(this, reservation);
-    this.afterChange(cause, false);
+    this.observer.reservationAdded(this, reservation);
+    this.publishChange(cause, false);
   }
 
   private moveToRack(rack: string): void {
-    for (const held of this.reservations.values()) {
-      this.observer.released(this, held);
+    for (const held of this.reservationsByTask.values()) {
+      this.observer.reservationRemoved(this, held);
     }
     this.rackValue = rack;
-    for (const held of this.reservations.values()) {
-      this.observer.held(this, held);
+    for (const held of this.reservationsByTask.values()) {
+      this.observer.reservationAdded(this, held);
     }
   }
 
-  private recompute(): void {
+  private updateAvailable(): void {
     const {free, earmarked} = this;
     // Room that is earmarked before it is free must not exclude tasks that
     // need none of it, hence nothing below zero because of an earmark.
@@ -227,22 +230,22 @@
     this.availableValue = resources.maximum(left, floor);
   }
 
-  private afterChange(cause: ViolationCause, grew: boolean): void {
-    this.recompute();
-    this.assertCapacity(cause);
-    this.observer.changed(this, grew);
+  private publishChange(cause: ViolationCause, grew: boolean): void {
+    this.updateAvailable();
+    this.checkCapacity(cause);
+    this.observer.availabilityChanged(this, grew);
   }
 
   /** The sum of reservations never exceeds a capacity that is known. */
-  private assertCapacity(cause: ViolationCause): void {
+  private checkCapacity(cause: ViolationCause): void {
     const dimension =
       this.clockReadingValue === undefined
         ? undefined
         : resources.exceededDimension(this.reserved, this.capacityValue);
-    const before = this.violating;
-    this.violating = dimension !== undefined;
+    const before = this.overcommittedValue;
+    this.overcommittedValue = dimension !== undefined;
     if (dimension === undefined || before) return;
-    this.observer.violated({
+    this.observer.capacityViolated({
       worker: this.name,
       cause,
       dimension,
--- a/src/machines/worker_calls.ts
+++ b/src/machines/worker_client.ts
@@ -1,7 +1,7 @@
 import type * as remoteWorker from './remote_worker.js';
 
 /** An order to start a run. */
-export interface StartOrder extends remoteWorker.RunName {
+export interface StartCommand extends remoteWorker.RunId {
   readonly payload: string;
   readonly fence: number;
   /** End of the lease on the worker's clock. */
@@ -11,10 +11,10 @@
 }
 
 /** An order to renew the lease of all that runs and to report. */
-export interface HoldOrder {
+export interface RenewalCommand {
   readonly fence: number;
   /** Ends up to this number are stored. */
-  readonly endsStored: number;
+  readonly storedEndNumber: number;
   /** End of the lease on the worker's clock, when it is known. */
   readonly deadlineMs?: number;
   /** How long the worker may wait for an end before it answers. */
@@ -22,7 +22,7 @@
 }
 
 /** Why a worker surely did not carry out an order. */
-export type Rejection =
+export type RejectionReason =
   | 'superseded'
   | 'staleRun'
   | 'late'
@@ -33,42 +33,42 @@
   | 'otherLife';
 
 /** What came of an order. */
-export type OrderOutcome =
+export type CommandOutcome =
   | {readonly kind: 'done'; readonly clockMs: number | undefined}
   | {
       readonly kind: 'rejected';
-      readonly why: Rejection;
+      readonly reason: RejectionReason;
       readonly clockMs: number | undefined;
     }
   /** May have been carried out, or may be later. */
   | {readonly kind: 'unanswered'; readonly detail: string};
 
 /** What came of a renewal. */
-export type HoldOutcome =
-  | {readonly kind: 'reported'; readonly report: remoteWorker.WorkerReport}
-  | {readonly kind: 'rejected'; readonly why: Rejection}
+export type RenewalOutcome =
+  | {readonly kind: 'reported'; readonly report: remoteWorker.RenewalReport}
+  | {readonly kind: 'rejected'; readonly reason: RejectionReason}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
 /** Calls to workers; none of them rejects. */
-export interface WorkerCalls {
+export interface WorkerClient {
   start(
-    worker: remoteWorker.WorkerEntry,
-    order: StartOrder,
-  ): Promise<OrderOutcome>;
+    worker: remoteWorker.RegistryEntry,
+    order: StartCommand,
+  ): Promise<CommandOutcome>;
   stop(
-    worker: remoteWorker.WorkerEntry,
-    name: remoteWorker.RunName,
+    worker: remoteWorker.RegistryEntry,
+    name: remoteWorker.RunId,
     fence: number,
-  ): Promise<OrderOutcome>;
+  ): Promise<CommandOutcome>;
   /** Sets the share of its processors at which a task works, 0 to 100. */
-  pace(
-    worker: remoteWorker.WorkerEntry,
-    name: remoteWorker.RunName,
+  throttle(
+    worker: remoteWorker.RegistryEntry,
+    name: remoteWorker.RunId,
     percent: number,
     fence: number,
-  ): Promise<OrderOutcome>;
-  hold(
-    worker: remoteWorker.WorkerEntry,
-    order: HoldOrder,
-  ): Promise<HoldOutcome>;
+  ): Promise<CommandOutcome>;
+  renewLeases(
+    worker: remoteWorker.RegistryEntry,
+    order: RenewalCommand,
+  ): Promise<RenewalOutcome>;
 }
--- a/src/machines/worker_health.ts
+++ b/src/machines/worker_health.ts
@@ -2,44 +2,44 @@
 import type * as worker from './worker.js';
 
 /** Different workloads that fail in a row before a worker is suspended. */
-const FAILURES_IN_A_ROW = 3;
+const DISTINCT_FAILURE_LIMIT = 3;
 
 /**
  * Failures in a row of workloads that are known to work elsewhere. A zone may
  * run fewer than `FAILURES_IN_A_ROW` workloads, and would lose them all to one
  * worker without this limit.
  */
-const SOUND_FAILURES_IN_A_ROW = 5;
+const KNOWN_GOOD_FAILURE_LIMIT = 5;
 
 /** A failure counts against the worker only this soon after the start. */
 const EARLY_FAILURE_MS = 5_000;
 
 /** First time out of service; doubles with every failed probe. */
-const FIRST_SUSPENSION_MS = 30_000;
+const INITIAL_SUSPENSION_MS = 30_000;
 
 /** Longest time out of service between two probes. */
-const LONGEST_SUSPENSION_MS = 600_000;
+const MAXIMUM_SUSPENSION_MS = 600_000;
 
-interface Condition {
+interface HealthCondition {
   readonly state: 'inService' | 'suspended' | 'probation' | 'probing';
   /** Workloads that failed early since the last task that did not. */
-  readonly failed: ReadonlySet<string>;
+  readonly failedWorkloads: ReadonlySet<string>;
   /** Early failures of sound workloads since then. */
-  readonly soundFailures: number;
+  readonly knownGoodFailures: number;
   readonly suspensionMs: clock.Milliseconds;
   readonly until: clock.Milliseconds;
 }
 
-const HEALTHY: Condition = {
+const HEALTHY: HealthCondition = {
   state: 'inService',
-  failed: new Set(),
-  soundFailures: 0,
-  suspensionMs: FIRST_SUSPENSION_MS,
+  failedWorkloads: new Set(),
+  knownGoodFailures: 0,
+  suspensionMs: INITIAL_SUSPENSION_MS,
   until: Infinity,
 };
 
 /** How a task ended, as far as it tells about its worker. */
-export interface TaskEnd {
+export interface EndedTask {
   readonly worker: worker.Worker;
   /** Team and workload. */
   readonly workload: string;
@@ -52,9 +52,12 @@
  * would draw all work; it is suspended and readmitted by one probe at a time.
  */
 export class WorkerHealth {
-  private readonly conditions = new Map<worker.Worker, Condition>();
+  private readonly conditions = new Map<worker.Worker, HealthCondition>();
   /** Workers that failed a workload since it last finished anywhere. */
-  private readonly failedOn = new Map<string, ReadonlySet<worker.Worker>>();
+  private readonly workersByFailedWorkload = new Map<
+    string,
+    ReadonlySet<worker.Worker>
+  >();
 
   /** Whether only a single probe task may be placed on the worker. */
   isOnProbation(candidate: worker.Worker): boolean {
@@ -62,7 +65,7 @@
   }
 
   /** Notes a task placed on a worker; a worker on probation takes no second. */
-  placed(on: worker.Worker): void {
+  recordPlacement(on: worker.Worker): void {
     const condition = this.conditions.get(on);
     if (condition?.state !== 'probation') return;
     this.conditions.set(on, {...condition, state: 'probing'});
@@ -70,7 +73,7 @@
   }
 
   /** Notes a probe that did not run, so that another one can be placed. */
-  notRun(on: worker.Worker): void {
+  recordNotRun(on: worker.Worker): void {
     const condition = this.conditions.get(on);
     if (condition?.state !== 'probing') return;
     this.conditions.set(on, {...condition, state: 'probation'});
@@ -78,26 +81,32 @@
   }
 
   /** Notes the end of a task; returns true when it suspends the worker. */
-  ended(end: TaskEnd, now: clock.Milliseconds): boolean {
+  recordEnd(end: EndedTask, now: clock.Milliseconds): boolean {
     const condition = this.conditions.get(end.worker) ?? HEALTHY;
     const isEarly = end.failed && end.ranMs <= EARLY_FAILURE_MS;
     if (condition.state === 'probing') {
       return this.probeEnded(end, isEarly, condition, now);
     }
-    if (!end.failed) this.failedOn.set(end.workload, new Set());
+    if (!end.failed) this.workersByFailedWorkload.set(end.workload, new Set());
     if (!isEarly) {
       if (condition.state === 'inService') this.conditions.delete(end.worker);
       return false;
     }
-    const sound = this.isSound(end);
+    const knownGood = this.isKnownGood(end);
     if (condition.state !== 'inService') return false;
-    const failed = new Set(condition.failed).add(end.workload);
-    const soundFailures = condition.soundFailures + (sound ? 1 : 0);
-    const few =
-      failed.size < FAILURES_IN_A_ROW &&
-      soundFailures < SOUND_FAILURES_IN_A_ROW;
-    if (few) {
-      this.conditions.set(end.worker, {...condition, failed, soundFailures});
+    const failedWorkloads = new Set(condition.failedWorkloads).add(
+      end.workload,
+    );
+    const knownGoodFailures = condition.knownGoodFailures + (knownGood ? 1 : 0);
+    const belowLimits =
+      failedWorkloads.size < DISTINCT_FAILURE_LIMIT &&
+      knownGoodFailures < KNOWN_GOOD_FAILURE_LIMIT;
+    if (belowLimits) {
+      this.conditions.set(end.worker, {
+        ...condition,
+        failedWorkloads,
+        knownGoodFailures,
+      });
       return false;
     }
     this.suspend(end.worker, condition.suspensionMs, now);
@@ -123,18 +132,18 @@
   }
 
   /** Whether a failing workload finished before and failed here alone. */
-  private isSound(end: TaskEnd): boolean {
-    const known = this.failedOn.get(end.workload);
+  private isKnownGood(end: EndedTask): boolean {
+    const known = this.workersByFailedWorkload.get(end.workload);
     if (known === undefined) return false;
     const failedOn = new Set(known).add(end.worker);
-    this.failedOn.set(end.workload, failedOn);
+    this.workersByFailedWorkload.set(end.workload, failedOn);
     return failedOn.size === 1;
   }
 
   private probeEnded(
-    end: TaskEnd,
+    end: EndedTask,
     isEarly: boolean,
-    condition: Condition,
+    condition: HealthCondition,
     now: clock.Milliseconds,
   ): boolean {
     if (!isEarly) {
@@ -142,7 +151,7 @@
       end.worker.setSuspended(false);
       return false;
     }
-    const doubled = Math.min(LONGEST_SUSPENSION_MS, 2 * condition.suspensionMs);
+    const doubled = Math.min(MAXIMUM_SUSPENSION_MS, 2 * condition.suspensionMs);
     this.suspend(end.worker, doubled, now);
     return true;
   }
@@ -154,8 +163,8 @@
   ): void {
     this.conditions.set(suspended, {
       state: 'suspended',
-      failed: new Set(),
-      soundFailures: 0,
+      failedWorkloads: new Set(),
+      knownGoodFailures: 0,
       suspensionMs,
       until: now + suspensionMs,
     });
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -1,36 +1,36 @@
 import type * as clock from './clock.js';
 import type * as remoteWorker from './remote_worker.js';
-import type * as workerCalls from './worker_calls.js';
+import type * as workerClient from './worker_client.js';
 
 /** Hears what a worker reports. */
 export interface SessionListener {
   /** A report came; `sentAt` is when it was asked for. */
-  reported(
+  reportReceived(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void;
   /** No answer came. */
-  silent(worker: remoteWorker.RemoteWorker): void;
+  answerMissing(worker: remoteWorker.RemoteWorker): void;
   /** Another life answered at the address. */
-  lifeEnded(worker: remoteWorker.RemoteWorker): void;
+  replaced(worker: remoteWorker.RemoteWorker): void;
   /** The worker obeys a later term. */
-  superseded(worker: remoteWorker.RemoteWorker): void;
+  termSuperseded(worker: remoteWorker.RemoteWorker): void;
   /** Tells whether this term may still extend leases. */
-  mayExtend(): boolean;
+  mayExtendLeases(): boolean;
 }
 
 /** How long a worker may hold an answer back until something ends there. */
-const REPORT_WAIT_MS = 800;
+const LONG_POLL_WAIT_MS = 800;
 
 /**
  * How long a report waits until the ends of the last one are stored: the worker
  * would list them again at once.
  */
-const STORE_WAIT_MS = 200;
+const STORE_WAIT_LIMIT_MS = 200;
 
 /** How often that is looked for. */
-const STORE_POLL_MS = 10;
+const STORE_POLL_INTERVAL_MS = 10;
 
 /** Pause before a silent worker is asked again. */
 const RETRY_PAUSE_MS = 250;
@@ -41,7 +41,7 @@
 
   constructor(
     private readonly worker: remoteWorker.RemoteWorker,
-    private readonly calls: workerCalls.WorkerCalls,
+    private readonly client: workerClient.WorkerClient,
     private readonly listener: SessionListener,
     private readonly clock: clock.Clock,
     private readonly fence: number,
@@ -52,8 +52,8 @@
   /** Renews until the session is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
-      const fruitful = await this.renew();
-      if (fruitful) await this.awaitStored();
+      const answered = await this.renewLeases();
+      if (answered) await this.waitUntilEndsStored();
       else if (!this.closed) await this.pause(RETRY_PAUSE_MS);
     }
   }
@@ -62,69 +62,70 @@
     this.closed = true;
   }
 
-  private async awaitStored(): Promise<void> {
+  private async waitUntilEndsStored(): Promise<void> {
     const {worker} = this;
-    const until = this.clock.now() + STORE_WAIT_MS;
-    while (worker.endsStored < worker.endsHandled && !this.closed) {
+    const until = this.clock.now() + STORE_WAIT_LIMIT_MS;
+    while (worker.storedEndNumber < worker.handledEndNumber && !this.closed) {
       if (this.clock.now() >= until) return;
-      await this.pause(STORE_POLL_MS);
+      await this.pause(STORE_POLL_INTERVAL_MS);
     }
   }
 
-  private async renew(): Promise<boolean> {
+  private async renewLeases(): Promise<boolean> {
     const {worker} = this;
     const sentAt = this.clock.now();
     // A renewal that gets no answer may have arrived. To a silent worker none is
     // sent, so that there is a time at which its last lease is surely over.
-    const mayExtend = this.listener.mayExtend() && worker.misses === 0;
+    const mayExtend =
+      this.listener.mayExtendLeases() && worker.unansweredCalls === 0;
     const deadlineMs = mayExtend
-      ? worker.extendDeadline(sentAt, this.leaseMs)
+      ? worker.extendLease(sentAt, this.leaseMs)
       : undefined;
     // The first report is wanted at once: it says what runs there and shows
     // the worker's clock.
     const waitMs =
-      worker.adopted && deadlineMs !== undefined ? REPORT_WAIT_MS : 0;
-    const outcome = await this.calls.hold(worker.entry, {
+      worker.fenceAccepted && deadlineMs !== undefined ? LONG_POLL_WAIT_MS : 0;
+    const outcome = await this.client.renewLeases(worker.entry, {
       fence: this.fence,
-      endsStored: worker.endsStored,
+      storedEndNumber: worker.storedEndNumber,
       deadlineMs,
       waitMs,
     });
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'reported':
-        return this.take(outcome.report, sentAt);
+        return this.acceptReport(outcome.report, sentAt);
       case 'rejected':
-        this.reject(outcome.why);
+        this.handleRejection(outcome.reason);
         return false;
       case 'unanswered':
-        worker.misses += 1;
-        this.listener.silent(worker);
+        worker.unansweredCalls += 1;
+        this.listener.answerMissing(worker);
         // One answer may get lost: the next call shows whether the worker does.
         return !worker.unreachable;
     }
   }
 
-  private take(
-    report: remoteWorker.WorkerReport,
+  private acceptReport(
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): boolean {
     const {worker} = this;
     if (report.born !== undefined && report.born !== worker.entry.born) {
-      this.listener.lifeEnded(worker);
+      this.listener.replaced(worker);
       return false;
     }
-    const first = !worker.adopted;
-    worker.readClock(report.clockMs, this.clock.now());
-    worker.adopted = true;
-    this.listener.reported(worker, report, sentAt);
+    const first = !worker.fenceAccepted;
+    worker.recordClockReading(report.clockMs, this.clock.now());
+    worker.fenceAccepted = true;
+    this.listener.reportReceived(worker, report, sentAt);
     // Without permission to extend, the calls would follow without a pause.
-    return first || this.listener.mayExtend();
+    return first || this.listener.mayExtendLeases();
   }
 
-  private reject(why: workerCalls.Rejection): void {
-    if (why === 'superseded') this.listener.superseded(this.worker);
-    else if (why === 'otherLife') this.listener.lifeEnded(this.worker);
-    else this.listener.silent(this.worker);
+  private handleRejection(reason: workerClient.RejectionReason): void {
+    if (reason === 'superseded') this.listener.termSuperseded(this.worker);
+    else if (reason === 'otherLife') this.listener.replaced(this.worker);
+    else this.listener.answerMissing(this.worker);
   }
 }
--- a/src/operations/event_lines.ts
+++ b/src/operations/event_log_writer.ts
@@ -2,7 +2,7 @@
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** Bytes waiting for the reader of the output beyond which lines are dropped. */
-const LARGEST_BACKLOG_BYTES = 262_144;
+const MAXIMUM_BACKLOG_BYTES = 262_144;
 
 /** A stream that tells how much its reader has not taken yet. */
 export interface LineOutput {
@@ -11,12 +11,12 @@
 }
 
 /** Writes one line an event, and never waits for a reader that lags. */
-export class EventLines implements schedulerOptions.EventLog {
-  private readonly lines: logger.Logger;
-  private dropped = 0;
+export class EventLogWriter implements schedulerOptions.EventLog {
+  private readonly logger: logger.Logger;
+  private droppedLineCount = 0;
 
   constructor(private readonly output: LineOutput) {
-    this.lines = new logger.Logger(line => this.write(line));
+    this.logger = new logger.Logger(line => this.write(line));
   }
 
   event(
@@ -28,17 +28,17 @@
       (pair): pair is [string, string | number | boolean] =>
         pair[1] !== undefined,
     );
-    this.lines.log(level, name, Object.fromEntries(present));
+    this.logger.log(level, name, Object.fromEntries(present));
   }
 
   private write(line: string): void {
-    if (this.output.writableLength > LARGEST_BACKLOG_BYTES) {
-      this.dropped += 1;
+    if (this.output.writableLength > MAXIMUM_BACKLOG_BYTES) {
+      this.droppedLineCount += 1;
       return;
     }
-    if (this.dropped > 0) {
-      this.output.write(`event=linesDropped count=${this.dropped}\n`);
-      this.dropped = 0;
+    if (this.droppedLineCount > 0) {
+      this.output.write(`event=linesDropped count=${this.droppedLineCount}\n`);
+      this.droppedLineCount = 0;
     }
     this.output.write(`${line}\n`);
   }
--- a/src/operations/metrics.ts
+++ b/src/operations/metrics.ts
@@ -5,7 +5,7 @@
 const FLUSH_INTERVAL_MS = 1_000;
 
 /** Largest datagram that no usual network splits, in bytes. */
-const LARGEST_DATAGRAM = 1_400;
+const MAXIMUM_DATAGRAM_BYTES = 1_400;
 
 /** Sends counters and durations as StatsD datagrams. */
 export class StatsdMetrics implements sinks.MetricsSink {
@@ -17,7 +17,7 @@
       port,
       prefix: 'parsleyknot.',
       globalTags: {process},
-      maxBufferSize: LARGEST_DATAGRAM,
+      maxBufferSize: MAXIMUM_DATAGRAM_BYTES,
       bufferFlushInterval: FLUSH_INTERVAL_MS,
       // A lost datagram costs a figure; it must not disturb the process.
       errorHandler: () => {},
@@ -47,7 +47,7 @@
 }
 
 /** Drops everything, for a process without a receiver of metrics. */
-export class DroppedMetrics implements sinks.MetricsSink {
+export class NullMetrics implements sinks.MetricsSink {
   count(): void {}
 
   observe(): void {}
--- a/src/operations/served_metrics.ts
+++ b/src/operations/prometheus_metrics.ts
@@ -9,18 +9,18 @@
 ];
 
 /** Counters and latency histograms, served as text over HTTP. */
-export class ServedMetrics implements schedulerOptions.Counters {
+export class PrometheusMetrics implements schedulerOptions.Counters {
   private readonly registry = new promClient.Registry();
   private readonly counters = new Map<string, promClient.Counter<'reason'>>();
   private readonly histograms = new Map<string, promClient.Histogram>();
 
   count(name: string, reason: string): void {
-    const known = this.counters.get(name) ?? this.openCounter(name);
+    const known = this.counters.get(name) ?? this.createCounter(name);
     known.inc({reason});
   }
 
   observe(name: string, milliseconds: number): void {
-    const known = this.histograms.get(name) ?? this.openHistogram(name);
+    const known = this.histograms.get(name) ?? this.createHistogram(name);
     known.observe(milliseconds);
   }
 
@@ -35,7 +35,7 @@
     return listen.listen(server, host, port);
   }
 
-  private openCounter(name: string): promClient.Counter<'reason'> {
+  private createCounter(name: string): promClient.Counter<'reason'> {
     const opened = new promClient.Counter({
       name: `parsleyknot_${name}_total`,
       help: `Count of ${name} by reason`,
@@ -46,7 +46,7 @@
     return opened;
   }
 
-  private openHistogram(name: string): promClient.Histogram {
+  private createHistogram(name: string): promClient.Histogram {
     const opened = new promClient.Histogram({
       name: `parsleyknot_${name}_milliseconds`,
       help: `Duration of ${name}`,
--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -37,10 +37,10 @@
  * Least retention of the log. Outcomes are answered for 1 h after the end of
  * a request, and a snapshot has to be readable for half of the retention.
  */
-const LEAST_RETENTION_MS = 7_200_001;
+const MINIMUM_RETENTION_MS = 7_200_001;
 
 /** Most retention that can be stated: a year. */
-const MOST_RETENTION_MS = 31_536_000_000;
+const MAXIMUM_RETENTION_MS = 31_536_000_000;
 
 const name = new tomlSchema.NameRule();
 const host = new tomlSchema.HostRule();
@@ -83,7 +83,7 @@
   },
   {
     key: 'logRetentionMs',
-    rule: new tomlSchema.WholeRule(LEAST_RETENTION_MS, MOST_RETENTION_MS),
+    rule: new tomlSchema.WholeRule(MINIMUM_RETENTION_MS, MAXIMUM_RETENTION_MS),
     default: 86_400_000,
     unit: 'ms',
     meaning: 'How long the log keeps a record; longer than 2 h.',
@@ -133,7 +133,7 @@
 ]);
 
 /** Reads settings and returns every fault at once. */
-export function readSettings(
+export function parseSettings(
   text: string,
 ): either.Either<ReadonlyArray<SettingsFault>, Settings> {
   return either.Either.encase(() => toml.parse(text))
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -12,7 +12,7 @@
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** What a member of the cell works with. */
 export interface CellNodeOptions {
@@ -23,7 +23,7 @@
   readonly cellLog: cellMember.CellLog;
   readonly journal: jobJournal.JournalStore;
   readonly registry: remoteWorker.WorkerRegistry;
-  readonly workers: workerCalls.WorkerCalls;
+  readonly workers: workerClient.WorkerClient;
   /** Asks the advice service from this VM. */
   readonly advice: adviceBook.AdviceService;
   readonly peers: cellPeers.CellPeers;
--- a/src/zones/record_plan.ts
+++ b/src/zones/record_plan.ts
@@ -169,7 +169,7 @@
       this.sources.process,
       this.sources.table,
       this.sources.members.live(now),
-      worker => this.sources.workers.get(worker)?.held().size ?? 0,
+      worker => this.sources.workers.get(worker)?.reservations().size ?? 0,
     );
     const records = plan.flatMap(({to, workers}) =>
       this.transfer(to, workers, now),
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -3,7 +3,7 @@
 import * as workerModel from './worker_model.js';
 import * as listen from '../src/links/listen.js';
 import * as jsonBody from '../src/links/json_body.js';
-import type * as workerCalls from '../src/machines/worker_calls.js';
+import type * as workerClient from '../src/machines/worker_client.js';
 
 /** How often a report that waits looks for an end. */
 const POLL_MS = 10;
@@ -111,9 +111,9 @@
     body: Body,
     response: http.ServerResponse,
   ): Promise<void> {
-    const order: workerCalls.HoldOrder = {
+    const order: workerClient.RenewalCommand = {
       fence: fenceOf(body),
-      endsStored: Number(body.ack_cursor),
+      storedEndNumber: Number(body.ack_cursor),
       deadlineMs:
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
       waitMs: Number(body.wait_ms),
@@ -142,7 +142,7 @@
         row.usage,
       ]),
       finished: ended.map(row => [
-        row.number,
+        row.sequenceNumber,
         row.task,
         row.run,
         row.how,
@@ -152,7 +152,7 @@
   }
 }
 
-function startOrder(body: Body): workerCalls.StartOrder {
+function startOrder(body: Body): workerClient.StartCommand {
   return {
     ...runName(body),
     payload: String(body.spec),
@@ -173,7 +173,7 @@
 
 function answer(
   response: http.ServerResponse,
-  outcome: workerCalls.OrderOutcome,
+  outcome: workerClient.CommandOutcome,
 ): void {
   const clockMs = performance.now();
   if (outcome.kind === 'done') {
@@ -181,7 +181,7 @@
   } else if (outcome.kind === 'rejected') {
     jsonBody.sendJson(response, 409, {
       clock_ms: clockMs,
-      reason: REASONS[outcome.why],
+      reason: REASONS[outcome.reason],
     });
   }
 }
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -1,16 +1,16 @@
 import * as resources from '../src/machines/resources.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as remoteWorker from '../src/machines/remote_worker.js';
-import type * as workerCalls from '../src/machines/worker_calls.js';
+import type * as workerClient from '../src/machines/worker_client.js';
 
 /** How a run goes: its duration and its end. */
-export type RunPlan = (order: workerCalls.StartOrder) => {
+export type RunPlan = (order: workerClient.StartCommand) => {
   readonly runtimeMs: number;
   readonly how: 'done' | 'failed';
 };
 
 interface Run {
-  readonly order: workerCalls.StartOrder;
+  readonly order: workerClient.StartCommand;
   readonly startedAt: number;
   readonly endsAt: number;
   readonly how: string;
@@ -38,14 +38,14 @@
   deadline = 0;
   highestFence = 0;
   /** Why starts are turned away at present. */
-  refuses: workerCalls.Rejection | undefined;
+  refuses: workerClient.RejectionReason | undefined;
   private readonly running = new Map<string, Run>();
   private readonly stopped = new Map<string, number>();
-  private ended: remoteWorker.EndedRow[] = [];
+  private ended: remoteWorker.ReportedRunEnd[] = [];
   private nextEnd = 1;
 
   constructor(
-    readonly entry: remoteWorker.WorkerEntry,
+    readonly entry: remoteWorker.RegistryEntry,
     private readonly time: clock.Clock,
     private readonly plan: RunPlan,
     private readonly events: WorkerEvent[],
@@ -56,7 +56,7 @@
     return this.running.size;
   }
 
-  start(order: workerCalls.StartOrder): workerCalls.OrderOutcome {
+  start(order: workerClient.StartCommand): workerClient.CommandOutcome {
     this.expire();
     if (order.fence < this.highestFence) return this.reject('superseded');
     if (this.refuses !== undefined) return this.reject(this.refuses);
@@ -76,7 +76,7 @@
     return this.done();
   }
 
-  stop(name: remoteWorker.RunName, fence: number): workerCalls.OrderOutcome {
+  stop(name: remoteWorker.RunId, fence: number): workerClient.CommandOutcome {
     this.expire();
     if (fence < this.highestFence) return this.reject('superseded');
     this.takeFence(fence, 0);
@@ -88,13 +88,15 @@
     return this.done();
   }
 
-  hold(order: workerCalls.HoldOrder): workerCalls.HoldOutcome {
+  hold(order: workerClient.RenewalCommand): workerClient.RenewalOutcome {
     this.expire();
     if (order.fence < this.highestFence) {
-      return {kind: 'rejected', why: 'superseded'};
+      return {kind: 'rejected', reason: 'superseded'};
     }
     this.takeFence(order.fence, order.deadlineMs ?? 0);
-    this.ended = this.ended.filter(row => row.number > order.endsStored);
+    this.ended = this.ended.filter(
+      row => row.sequenceNumber > order.storedEndNumber,
+    );
     return {
       kind: 'reported',
       report: {
@@ -130,7 +132,7 @@
     return used;
   }
 
-  private row(run: Run): remoteWorker.RunningRow {
+  private row(run: Run): remoteWorker.ReportedRun {
     const {task, run: number, checkpoint} = run.order;
     const elapsed = this.time.now() - run.startedAt;
     const percent = (100 * elapsed) / (run.endsAt - run.startedAt);
@@ -157,9 +159,12 @@
     this.running.delete(task);
     const highest = this.stopped.get(task) ?? 0;
     this.stopped.set(task, Math.max(highest, run));
-    const number = this.nextEnd;
+    const sequenceNumber = this.nextEnd;
     this.nextEnd += 1;
-    this.ended = [...this.ended, {number, task, run, how, checkpoint: ''}];
+    this.ended = [
+      ...this.ended,
+      {sequenceNumber, task, run, how, checkpoint: ''},
+    ];
     this.note('ended', task, run, how);
   }
 
@@ -173,11 +178,13 @@
     this.events.push({at, worker: this.entry.id, kind, task, run, how});
   }
 
-  private done(): workerCalls.OrderOutcome {
+  private done(): workerClient.CommandOutcome {
     return {kind: 'done', clockMs: this.time.now()};
   }
 
-  private reject(why: workerCalls.Rejection): workerCalls.OrderOutcome {
-    return {kind: 'rejected', why, clockMs: this.time.now()};
+  private reject(
+    reason: workerClient.RejectionReason,
+  ): workerClient.CommandOutcome {
+    return {kind: 'rejected', reason, clockMs: this.time.now()};
   }
 }
--- a/test/contracts/admission_test.ts
+++ b/test/contracts/admission_test.ts
@@ -94,7 +94,9 @@
     const described = scheduling.workloadOf();
     world.admit('dispatch', described, 40, 0);
     for (let now = 0; now < 20_000; now += 1_000) {
-      for (const task of [...machine.held().keys()]) machine.release(task);
+      for (const task of [...machine.reservations().keys()]) {
+        machine.release(task);
+      }
       world.scheduler.place(now);
     }
     const hasty = world.request('dispatch', described, 20_000, {
--- a/test/contracts/policies_test.ts
+++ b/test/contracts/policies_test.ts
@@ -84,7 +84,7 @@
     const world = worldWith(1);
     world.admit('dispatch', GANG, 1, 0);
     assert.equal(world.scheduler.place(0).length, 0);
-    assert.equal(world.workers.all()[0].held().size, 0);
+    assert.equal(world.workers.all()[0].reservations().size, 0);
   });
 
   nodeTest.test('respect the limit per rack', () => {
--- a/test/contracts/scheduler_test.ts
+++ b/test/contracts/scheduler_test.ts
@@ -272,7 +272,7 @@
     now: number,
   ): void {
     const {worker: target, task, size} = placed;
-    const label = target.held().get(task)?.label;
+    const label = target.reservations().get(task)?.label;
     assert.ok(label !== undefined);
     world.scheduler.observeReport(
       {
@@ -300,8 +300,8 @@
       const label = placementPolicy.labelOf(built);
       const task = `${built.identity}/0.1`;
       machine.adopt({task, label, size: EIGHTH});
-      const of = {task, label, worker: machine.name};
-      world.scheduler.observe({kind: 'adopted', of}, 0);
+      const reference = {task, label, worker: machine.name};
+      world.scheduler.observe({kind: 'adopted', reference}, 0);
     }
     const urgent = {...described, urgency: 'urgent' as const};
     world.admit('dispatch', urgent, 1, 1);
--- a/test/jobs/run_watch_test.ts
+++ b/test/jobs/run_watch_test.ts
@@ -27,23 +27,23 @@
   // Guards against a job that waits for a task which stands still.
   test('is stalled when its worker reports no progress', () => {
     const {run, worker} = runOf({});
-    worker.readClock(1_000, 1_000);
+    worker.recordClockReading(1_000, 1_000);
     assert.equal(runWatch.judgeRun(run, 1_000), undefined);
-    worker.readClock(1_600, 1_600);
+    worker.recordClockReading(1_600, 1_600);
     assert.equal(runWatch.judgeRun(run, 1_600), 'stalled');
   });
 
   // Guards against work thrown away because a worker is out of reach.
   test('is not judged by the silence of its worker', () => {
     const {run, worker} = runOf({});
-    worker.readClock(1_000, 1_000);
+    worker.recordClockReading(1_000, 1_000);
     assert.equal(runWatch.judgeRun(run, 60_000), undefined);
   });
 
   // Guards against restarts of tasks that only last.
   test('is left alone when it runs until it is cancelled', () => {
     const {run, worker} = runOf({longRunning: true});
-    worker.readClock(9_000, 9_000);
+    worker.recordClockReading(9_000, 9_000);
     assert.equal(runWatch.judgeRun(run, 9_000), undefined);
   });
 
@@ -55,7 +55,7 @@
     }
     run.percent = 40;
     run.progressAt = 2_500;
-    worker.readClock(2_500, 2_500);
+    worker.recordClockReading(2_500, 2_500);
     assert.equal(runWatch.judgeRun(run, 2_300), undefined);
     assert.equal(runWatch.judgeRun(run, 2_500), 'slow');
     run.percent = 90;
@@ -71,13 +71,13 @@
     }
     run.percent = 30;
     run.progressAt = 2_500;
-    worker.readClock(2_500, 2_500);
+    worker.recordClockReading(2_500, 2_500);
     assert.equal(runWatch.judgeRun(run, 2_500), 'slow');
     run.target.replacements = 1;
     assert.equal(runWatch.judgeRun(run, 2_500), undefined);
-    worker.readClock(5_400, 5_400);
+    worker.recordClockReading(5_400, 5_400);
     assert.equal(runWatch.judgeRun(run, 5_400), undefined);
-    worker.readClock(5_600, 5_600);
+    worker.recordClockReading(5_600, 5_600);
     assert.equal(runWatch.judgeRun(run, 5_600), 'stalled');
   });
 });
--- a/test/jobs/scheduler_test.ts
+++ b/test/jobs/scheduler_test.ts
@@ -397,13 +397,13 @@
     worker.mute = false;
     // Orders are answered again; reports get lost for a second more.
     const {workers} = cell;
-    const report = workers.hold.bind(workers);
-    workers.hold = async () => {
+    const report = workers.renewLeases.bind(workers);
+    workers.renewLeases = async () => {
       await cell.time.pause(1_000);
       return {kind: 'unanswered', detail: 'lost'};
     };
     await cell.time.advance(1_000);
-    workers.hold = report;
+    workers.renewLeases = report;
     await cell.time.advance(6_000);
     assert.equal(cell.startsOf('a1').length, 1);
     assert.equal(scheduler.stateOf('orders', 'a1'), 'completed');
--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as fastCheck from 'fast-check';
-import * as freeRoomIndex from '../../src/machines/free_room_index.js';
+import * as freeCapacityIndex from '../../src/machines/free_capacity_index.js';
 import * as nodeTest from 'node:test';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as resources from '../../src/machines/resources.js';
@@ -40,7 +40,7 @@
           });
           world.workers.refresh(() => true);
           const found = world.workers.sample(wanted, order, () => true);
-          assert.ok(found.length <= freeRoomIndex.SAMPLE_LIMIT);
+          assert.ok(found.length <= freeCapacityIndex.SAMPLE_LIMIT);
           for (const target of found) {
             assert.ok(resources.fits(wanted, target.available));
           }
@@ -102,7 +102,7 @@
     gone.reserve({task: 'one', label: LABEL, size});
     stays.reserve({task: 'two', label: LABEL, size});
     world.workers.remove(gone.name);
-    assert.ok(gone.held().has('one'));
+    assert.ok(gone.reservations().has('one'));
     gone.release('one');
     assert.deepEqual(world.workers.heldSum, size);
   });
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -33,16 +33,16 @@
   start(
     change: Partial<workload.Workload> = {},
     name = 'id/0.1',
-  ): taskRunner.RunnerTurn {
+  ): taskRunner.RunnerOutput {
     const request = samples.buildRequest('id', change);
     const label = samples.buildTaskReport(name, 'id').label;
     this.worker.reserve({task: name, label, size: request.size});
     const {size} = request;
-    this.runner.hold({request, task: name, worker: this.worker, size});
+    this.runner.trackHeld({request, task: name, worker: this.worker, size});
     return this.runner.start(name, Infinity, this.now);
   }
 
-  answerStart(answer: 'started' | 'refused' | 'lost'): taskRunner.RunnerTurn {
+  answerStart(answer: 'started' | 'refused' | 'lost'): taskRunner.RunnerOutput {
     return this.handle({
       kind: 'startAnswered',
       worker: 'worker-1',
@@ -55,12 +55,12 @@
   report(
     tasks: ReadonlyArray<task.TaskReport>,
     sentAt = this.now,
-  ): taskRunner.RunnerTurn {
+  ): taskRunner.RunnerOutput {
     const report = samples.buildReport(this.now + OFFSET, tasks);
     return this.handle({kind: 'reportArrived', report, sentAt});
   }
 
-  answer(name: string, worker = 'worker-1'): taskRunner.RunnerTurn {
+  answer(name: string, worker = 'worker-1'): taskRunner.RunnerOutput {
     const state = 'finished';
     const answer = 'polished';
     return this.handle({
@@ -72,22 +72,22 @@
     });
   }
 
-  pass(milliseconds: number): taskRunner.RunnerTurn {
+  pass(milliseconds: number): taskRunner.RunnerOutput {
     this.now += milliseconds;
     return this.handle({kind: 'timePassed'});
   }
 
-  handle(handled: event.Event): taskRunner.RunnerTurn {
+  handle(handled: event.Event): taskRunner.RunnerOutput {
     return this.runner.handle(handled, this.now);
   }
 }
 
-function kinds(turn: taskRunner.RunnerTurn): ReadonlyArray<string> {
+function kinds(turn: taskRunner.RunnerOutput): ReadonlyArray<string> {
   return turn.outcomes.map(outcome => outcome.kind);
 }
 
 function effectsOf<Kind extends effect.Effect['kind']>(
-  turn: taskRunner.RunnerTurn,
+  turn: taskRunner.RunnerOutput,
   kind: Kind,
 ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
   return turn.effects.filter(
@@ -117,7 +117,7 @@
       const turn = bench.start();
       assert.deepEqual(kinds(turn), ['notRun']);
       assert.deepEqual(effectsOf(turn, 'startTask'), []);
-      assert.equal(bench.worker.held().size, 0);
+      assert.equal(bench.worker.reservations().size, 0);
     },
   );
 
@@ -164,7 +164,7 @@
       assert.deepEqual(kinds(bench.report([])), []);
       bench.now = 3_100;
       assert.deepEqual(kinds(bench.report([])), ['notRun']);
-      assert.equal(bench.worker.held().size, 0);
+      assert.equal(bench.worker.reservations().size, 0);
     },
   );
 
@@ -226,10 +226,10 @@
       bench.pass(600);
       bench.permitEnd = Infinity;
       assert.deepEqual(kinds(bench.pass(29_900)), []);
-      assert.equal(bench.worker.held().size, 1);
+      assert.equal(bench.worker.reservations().size, 1);
       const turn = bench.pass(200);
       assert.deepEqual(kinds(turn), ['ended']);
-      assert.equal(bench.worker.held().size, 0);
+      assert.equal(bench.worker.reservations().size, 0);
     },
   );
 
@@ -251,7 +251,7 @@
       bench.answerStart('lost');
       bench.permitEnd = Infinity;
       assert.deepEqual(kinds(bench.pass(5_000)), ['unknown']);
-      assert.equal(bench.worker.held().size, 0);
+      assert.equal(bench.worker.reservations().size, 0);
       const state = 'finished';
       const listed = samples.buildTaskReport('id/0.1', 'id', {state});
       const turn = bench.report([listed]);
@@ -314,11 +314,11 @@
       const found = samples.buildTaskReport('old/0.1', 'old');
       const turn = bench.report([found]);
       assert.deepEqual(kinds(turn), ['adopted']);
-      assert.equal(bench.worker.held().size, 1);
+      assert.equal(bench.worker.reservations().size, 1);
       assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
       bench.now = 500;
       assert.deepEqual(kinds(bench.answer('old/0.1')), ['ended']);
-      assert.equal(bench.worker.held().size, 0);
+      assert.equal(bench.worker.reservations().size, 0);
       const late = bench.report([found], 400);
       assert.deepEqual(kinds(late), [], 'an older report adopts nothing');
     },
@@ -347,7 +347,7 @@
     assert.deepEqual(effectsOf(bench.report([]), 'count'), []);
     const [violated] = effectsOf(bench.report([]), 'count');
     assert.deepEqual(violated.labels, {name: 'reservationHasTask'});
-    assert.equal(bench.worker.held().size, 0);
+    assert.equal(bench.worker.reservations().size, 0);
   });
 });
 
--- a/test/machines/upstream_test.ts
+++ b/test/machines/upstream_test.ts
@@ -8,8 +8,8 @@
   now: number,
 ): void {
   const calls = called.limit;
-  for (let call = 0; call < calls; call += 1) called.sent();
-  for (let call = 0; call < calls; call += 1) called.answered(latencyMs, now);
+  for (let call = 0; call < calls; call += 1) called.onSend();
+  for (let call = 0; call < calls; call += 1) called.onAnswer(latencyMs, now);
 }
 
 nodeTest.describe('adaptive limit', () => {
@@ -23,8 +23,8 @@
     const called = new upstream.Upstream();
     const before = called.limit;
     for (let round = 0; round < 200; round += 1) {
-      called.sent();
-      called.answered(5, round);
+      called.onSend();
+      called.onAnswer(5, round);
     }
     assert.equal(called.limit, before);
   });
@@ -32,32 +32,32 @@
   nodeTest.test('shrinks once a second on lost answers, never to zero', () => {
     const called = new upstream.Upstream();
     const before = called.limit;
-    for (let call = 0; call < 10; call += 1) called.lost(0);
+    for (let call = 0; call < 10; call += 1) called.onLoss(0);
     assert.equal(called.limit, Math.floor(before * 0.7));
-    for (let round = 1; round < 50; round += 1) called.lost(round * 1_000);
+    for (let round = 1; round < 50; round += 1) called.onLoss(round * 1_000);
     assert.equal(called.limit, 1);
-    assert.ok(called.isOpen);
+    assert.ok(called.acceptsCalls);
   });
 
   nodeTest.test('slow answers shrink it before calls are lost', () => {
     const called = new upstream.Upstream();
     callAll(called, 10, 0);
     const before = called.limit;
-    called.sent();
-    called.answered(500, 5_000);
+    called.onSend();
+    called.onAnswer(500, 5_000);
     assert.ok(called.limit < before);
   });
 
   nodeTest.test('losses in a row without any answer count as silence', () => {
     const called = new upstream.Upstream();
-    called.lost(0);
-    called.lost(1);
-    called.sent();
-    called.answered(5, 2);
-    called.lost(3);
+    called.onLoss(0);
+    called.onLoss(1);
+    called.onSend();
+    called.onAnswer(5, 2);
+    called.onLoss(3);
     assert.equal(called.isSilent, false);
-    called.lost(4);
-    called.lost(5);
+    called.onLoss(4);
+    called.onLoss(5);
     assert.equal(called.isSilent, true);
   });
 });
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -12,7 +12,7 @@
 ): boolean {
   return workloads
     .map(workload =>
-      health.ended({worker: on, workload, failed: true, ranMs}, 0),
+      health.recordEnd({worker: on, workload, failed: true, ranMs}, 0),
     )
     .includes(true);
 }
@@ -44,7 +44,7 @@
       const health = new workerHealth.WorkerHealth();
       const [sound, hole] = new scheduling.SchedulingWorld().addWorkers(2);
       const end = {worker: sound, workload: 'a', failed: false, ranMs: 200};
-      health.ended(end, 0);
+      health.recordEnd(end, 0);
       assert.equal(failures(health, hole, ['a', 'a', 'a', 'a']), false);
       assert.ok(failures(health, hole, ['a']));
       assert.equal(hole.ready, false);
@@ -58,7 +58,7 @@
       const machines = new scheduling.SchedulingWorld().addWorkers(3);
       const [first, second, third] = machines;
       const end = {worker: first, workload: 'a', failed: false, ranMs: 200};
-      health.ended(end, 0);
+      health.recordEnd(end, 0);
       const many = new Array<string>(20).fill('a');
       failures(health, first, ['a']);
       assert.equal(failures(health, second, many), false);
@@ -76,14 +76,14 @@
       assert.equal(machine.ready, false);
       health.readmit(30_000);
       assert.ok(health.isOnProbation(machine));
-      health.placed(machine);
+      health.recordPlacement(machine);
       assert.equal(machine.ready, false);
       const probe = {worker: machine, workload: 'a', ranMs: 10};
-      health.ended({...probe, failed: true}, 31_000);
+      health.recordEnd({...probe, failed: true}, 31_000);
       assert.equal(health.nextDeadline(), 91_000);
       health.readmit(91_000);
-      health.placed(machine);
-      health.ended({...probe, failed: false}, 92_000);
+      health.recordPlacement(machine);
+      health.recordEnd({...probe, failed: false}, 92_000);
       assert.ok(machine.ready);
       assert.equal(health.isOnProbation(machine), false);
     },
--- a/test/operations/served_metrics_test.ts
+++ b/test/operations/prometheus_metrics_test.ts
@@ -1,8 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
-import * as eventLines from '../../src/operations/event_lines.js';
-import * as servedMetrics from '../../src/operations/served_metrics.js';
+import * as eventLogWriter from '../../src/operations/event_log_writer.js';
+import * as prometheusMetrics from '../../src/operations/prometheus_metrics.js';
 
 const {describe, test} = nodeTest;
 
@@ -17,7 +17,7 @@
 describe('figures of a process', () => {
   // Guards against refusals and delays that nobody can see.
   test('are served as text with their reasons', async () => {
-    const metrics = new servedMetrics.ServedMetrics();
+    const metrics = new prometheusMetrics.PrometheusMetrics();
     const port = await freePort();
     await metrics.listen('127.0.0.1', port);
     metrics.count('jobs_refused', 'storeSilent');
@@ -41,7 +41,7 @@
       writableLength: 0,
       write: (text: string) => written.push(text),
     };
-    const lines = new eventLines.EventLines(output);
+    const lines = new eventLogWriter.EventLogWriter(output);
     lines.event('info', 'first', {job: 'a', missing: undefined});
     output.writableLength = 1_000_000;
     lines.event('info', 'second', {});
--- a/test/operations/settings_test.ts
+++ b/test/operations/settings_test.ts
@@ -13,7 +13,7 @@
 `;
 
 function faultsOf(text: string): ReadonlyArray<settings.SettingsFault> {
-  return settings.readSettings(text).swap().orDefault([]);
+  return settings.parseSettings(text).swap().orDefault([]);
 }
 
 nodeTest.describe('settings', () => {
@@ -21,7 +21,7 @@
     'missing optional keys get their defaults; guards against settings of an ' +
       'earlier version that stop working',
     () => {
-      const read = settings.readSettings(VALID).unsafeCoerce();
+      const read = settings.parseSettings(VALID).unsafeCoerce();
       assert.equal(read.logRetentionMs, 86_400_000);
       assert.equal(read.logStalenessMs, 0);
       assert.equal(read.callerPort, 7000);
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -1,7 +1,7 @@
 import * as workerModel from '../../stand_ins/worker_model.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as timeline from './timeline.js';
-import type * as workerCalls from '../../src/machines/worker_calls.js';
+import type * as workerClient from '../../src/machines/worker_client.js';
 
 /** Time from a call to its arrival, and back. */
 const ONE_WAY_MS = 1;
@@ -13,7 +13,7 @@
 const POLL_MS = 10;
 
 /** Carries calls to fake workers in simulated time. */
-export class FakeWorkers implements workerCalls.WorkerCalls {
+export class FakeWorkers implements workerClient.WorkerClient {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.WorkerEvent[] = [];
   /** Delays one order: returns the time after which it arrives. */
@@ -23,7 +23,7 @@
 
   /** Adds a worker whose runs go as planned. */
   add(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     plan: workerModel.RunPlan,
   ): workerModel.WorkerModel {
     const worker = new workerModel.WorkerModel(
@@ -37,28 +37,28 @@
   }
 
   start(
-    entry: remoteWorker.WorkerEntry,
-    order: workerCalls.StartOrder,
-  ): Promise<workerCalls.OrderOutcome> {
+    entry: remoteWorker.RegistryEntry,
+    order: workerClient.StartCommand,
+  ): Promise<workerClient.CommandOutcome> {
     return this.order(entry, worker => worker.start(order));
   }
 
   stop(
-    entry: remoteWorker.WorkerEntry,
-    name: remoteWorker.RunName,
+    entry: remoteWorker.RegistryEntry,
+    name: remoteWorker.RunId,
     fence: number,
-  ): Promise<workerCalls.OrderOutcome> {
+  ): Promise<workerClient.CommandOutcome> {
     return this.order(entry, worker => worker.stop(name, fence));
   }
 
-  async pace(): Promise<workerCalls.OrderOutcome> {
+  async throttle(): Promise<workerClient.CommandOutcome> {
     return {kind: 'done', clockMs: undefined};
   }
 
-  async hold(
-    entry: remoteWorker.WorkerEntry,
-    order: workerCalls.HoldOrder,
-  ): Promise<workerCalls.HoldOutcome> {
+  async renewLeases(
+    entry: remoteWorker.RegistryEntry,
+    order: workerClient.RenewalCommand,
+  ): Promise<workerClient.RenewalOutcome> {
     await this.time.pause(ONE_WAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.lose(order.waitMs);
@@ -77,9 +77,9 @@
   }
 
   private async order(
-    entry: remoteWorker.WorkerEntry,
-    obey: (worker: workerModel.WorkerModel) => workerCalls.OrderOutcome,
-  ): Promise<workerCalls.OrderOutcome> {
+    entry: remoteWorker.RegistryEntry,
+    obey: (worker: workerModel.WorkerModel) => workerClient.CommandOutcome,
+  ): Promise<workerClient.CommandOutcome> {
     const delay = this.delayOrder(entry.address);
     if (delay > 0) {
       this.time.at(this.time.now() + delay, () => {
@@ -97,14 +97,14 @@
   }
 
   private reachable(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
   ): workerModel.WorkerModel | undefined {
     const worker = this.byAddress.get(entry.address);
     return worker?.cut === false ? worker : undefined;
   }
 
   private answered(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     worker: workerModel.WorkerModel,
   ): boolean {
     return this.reachable(entry) === worker && !worker.mute;
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -52,8 +52,8 @@
 /** A worker of four cores. */
 export function workerEntry(
   name: string,
-  changes: Partial<remoteWorker.WorkerEntry> = {},
-): remoteWorker.WorkerEntry {
+  changes: Partial<remoteWorker.RegistryEntry> = {},
+): remoteWorker.RegistryEntry {
   return {
     id: name,
     born: 1,
@@ -94,7 +94,7 @@
     accepts: () => true,
     ask: async () => ({kind: 'busy'}),
   };
-  entries: ReadonlyArray<remoteWorker.WorkerEntry> = [];
+  entries: ReadonlyArray<remoteWorker.RegistryEntry> = [];
 
   /** Adds workers with the same plan. */
   addWorkers(plan: workerModel.RunPlan, ...names: string[]): void {
@@ -102,7 +102,7 @@
   }
 
   addWorker(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     plan: workerModel.RunPlan = SECOND_LONG,
   ): workerModel.WorkerModel {
     this.entries = [...this.entries, entry];
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -160,7 +160,10 @@
 
   /** Notes that a start was acknowledged. */
   start(started: placement.Placement, now: clock.Milliseconds): void {
-    this.scheduler.observe({kind: 'started', of: referenceOf(started)}, now);
+    this.scheduler.observe(
+      {kind: 'started', reference: referenceOf(started)},
+      now,
+    );
   }
 
   /** Ends a task as its worker would. */
@@ -179,13 +182,13 @@
 
   private finish(
     ended: placement.Placement,
-    end: trackedTask.TaskEnd,
+    end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
     this.start(ended, now);
     ended.worker.release(ended.task);
-    const of = referenceOf(ended);
-    this.scheduler.observe({kind: 'ended', of, end, answer: ''}, now);
+    const reference = referenceOf(ended);
+    this.scheduler.observe({kind: 'ended', reference, end, answer: ''}, now);
   }
 
   private configuration(): configuration.Configuration {
