--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -3,7 +3,7 @@
 import type * as clock from '../machines/clock.js';
 import type * as workerSelection from './worker_selection.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Hears what became of orders. */
 export interface DispatchListener {
@@ -14,7 +14,7 @@
   /** A start was surely not carried out, so that the task waits again. */
   startRejected(
     assignment: jobTask.Assignment,
-    why: workerCalls.Rejection,
+    why: workerClient.RejectionReason,
   ): void;
   /** A run was confirmed by its worker. */
   started(assignment: jobTask.Assignment): void;
@@ -32,7 +32,7 @@
 /** Orders starts and stops and follows each until its outcome is certain. */
 export class Dispatcher {
   constructor(
-    private readonly calls: workerCalls.WorkerCalls,
+    private readonly calls: workerClient.WorkerClient,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
     private readonly fencingToken: number,
@@ -87,7 +87,12 @@
   throttle(assignment: jobTask.Assignment, percent: number): void {
     assignment.processorPercent = percent;
     const {worker} = assignment;
-    void this.calls.pace(worker.entry, assignment, percent, this.fencingToken);
+    void this.calls.throttle(
+      worker.entry,
+      assignment,
+      percent,
+      this.fencingToken,
+    );
   }
 
   private sendStart(assignment: jobTask.Assignment): void {
@@ -97,7 +102,7 @@
       return;
     }
     const now = this.clock.now();
-    const deadlineMs = worker.extendDeadline(now, this.leaseMs);
+    const deadlineMs = worker.extendLease(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     const order = {
@@ -116,7 +121,7 @@
 
   private handleStartOutcome(
     assignment: jobTask.Assignment,
-    outcome: workerCalls.OrderOutcome,
+    outcome: workerClient.CommandOutcome,
   ): void {
     assignment.orderInFlight = false;
     if (outcome.kind === 'unanswered') {
@@ -128,7 +133,7 @@
       this.listener.started(assignment);
       return;
     }
-    switch (outcome.why) {
+    switch (outcome.reason) {
       case 'superseded':
         this.listener.superseded();
         return;
@@ -136,13 +141,13 @@
         this.listener.incarnationEnded(assignment.worker);
         return;
       default:
-        this.handleStartRejection(assignment, outcome.why);
+        this.handleStartRejection(assignment, outcome.reason);
     }
   }
 
   private handleStartRejection(
     assignment: jobTask.Assignment,
-    why: workerCalls.Rejection,
+    why: workerClient.RejectionReason,
   ): void {
     // An earlier copy of the order was carried out.
     if (assignment.reported) return;
@@ -174,8 +179,9 @@
           assignment.stopConfirmedAt = this.clock.now();
         }
         if (outcome.kind !== 'rejected') return;
-        if (outcome.why === 'superseded') this.listener.superseded();
-        if (outcome.why === 'otherLife') this.listener.incarnationEnded(worker);
+        if (outcome.reason === 'superseded') this.listener.superseded();
+        if (outcome.reason === 'otherLife')
+          this.listener.incarnationEnded(worker);
       });
   }
 
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -10,7 +10,7 @@
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as stepInstance from './step_instance.js';
 import type * as jobTask from './job_task.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** What the life of a job touches. */
 export interface JobLifecycleDependencies {
@@ -20,7 +20,7 @@
   readonly openSteps: openSteps.OpenSteps;
   readonly adviceCache: adviceCache.AdviceCache;
   readonly dispatcher: dispatcher.Dispatcher;
-  readonly trust: workerTrust.WorkerTrust;
+  readonly trust: workerReliability.WorkerReliability;
   readonly runtimeModel: runtimeModel.RuntimeModel;
   readonly requestPass: () => void;
 }
@@ -89,7 +89,7 @@
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
   ): void {
-    this.dependencies.trust.succeeded(worker);
+    this.dependencies.trust.recordSuccess(worker);
     const {step} = task;
     const {gang, longRunning} = step.definition;
     if (longRunning) return;
@@ -147,7 +147,7 @@
 
   private recordFailure(worker: remoteWorker.RemoteWorker, job: string): void {
     const {options, trust} = this.dependencies;
-    if (!trust.failed(worker, job, options.clock.now())) return;
+    if (!trust.recordFailure(worker, job, options.clock.now())) return;
     options.counters.count('workers_suspected', 'failures');
     options.log.event('warn', 'workerSuspected', {worker: worker.id});
   }
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -16,14 +16,14 @@
 import * as jobAdmission from './job_admission.js';
 import * as workerTable from './worker_table.js';
 import * as workerLifecycle from './worker_lifecycle.js';
-import * as workerTrust from '../machines/worker_trust.js';
+import * as workerReliability from '../machines/worker_reliability.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as jobTask from './job_task.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Length of the leases that this scheduler grants. */
 export const LEASE_DURATION_MS = 5_000;
@@ -55,7 +55,7 @@
   private readonly queues = new queueTable.QueueTable();
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly index = new assignmentIndex.AssignmentIndex();
-  private readonly trust = new workerTrust.WorkerTrust();
+  private readonly trust = new workerReliability.WorkerReliability();
   private readonly adviceCache: adviceCache.AdviceCache;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly tracker: runTracker.RunTracker;
@@ -203,7 +203,7 @@
   }
 
   /** Takes the registry's present list of workers. */
-  updateWorkers(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
+  updateWorkers(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
     this.workerLifecycle.update(entries);
   }
 
@@ -266,7 +266,7 @@
   // What becomes of orders.
 
   incarnationEnded(worker: remoteWorker.RemoteWorker): void {
-    this.workerLifecycle.lifeEnded(worker);
+    this.workerLifecycle.replaced(worker);
   }
 
   superseded(): void {
@@ -275,7 +275,7 @@
 
   startRejected(
     assignment: jobTask.Assignment,
-    why: workerCalls.Rejection,
+    why: workerClient.RejectionReason,
   ): void {
     if (!this.active) return;
     const {worker, jobTask: task} = assignment;
@@ -288,7 +288,7 @@
     });
     this.tracker.release(assignment);
     if (why === 'ticket') this.adviceCache.dropTicket(task.step, worker);
-    else this.trust.refused(worker, this.options.clock.now());
+    else this.trust.recordRefusal(worker, this.options.clock.now());
     this.requestPass();
   }
 
@@ -364,7 +364,7 @@
         ageMs: Math.round(now - assignment.startedAt),
       });
       assignment.jobTask.replacementCount += 1;
-      this.trust.hindered(assignment.worker, now);
+      this.trust.recordSlowRun(assignment.worker, now);
       this.dispatcher.stop(assignment);
     }
   }
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -13,7 +13,7 @@
 import type * as jobTask from './job_task.js';
 import type * as stepOrdering from './step_ordering.js';
 import type * as workerTable from './worker_table.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** What a pass works on. */
 export interface PlacementPassDependencies {
@@ -21,7 +21,7 @@
   readonly workers: workerTable.WorkerTable;
   readonly index: assignmentIndex.AssignmentIndex;
   readonly adviceCache: adviceCache.AdviceCache;
-  readonly trust: workerTrust.WorkerTrust;
+  readonly trust: workerReliability.WorkerReliability;
   readonly dispatcher: dispatcher.Dispatcher;
   readonly queues: queueTable.QueueTable;
   readonly openSteps: openSteps.OpenSteps;
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -1,7 +1,7 @@
 import type * as adviceCache from './advice_cache.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Receives one event a decision. */
 export interface EventLog {
@@ -32,7 +32,7 @@
   readonly wallClock: () => number;
   readonly retentionTimes: RetentionTimes;
   readonly journalStore: jobJournal.JobJournalStore;
-  readonly workerCalls: workerCalls.WorkerCalls;
+  readonly workerCalls: workerClient.WorkerClient;
   readonly adviceClient: adviceCache.AdviceClient;
   readonly pauses: jobJournal.Pauses;
   readonly log: EventLog;
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -40,7 +40,7 @@
       .all()
       .some(
         worker =>
-          worker.takesTasks !== worker.recorded && !this.isClosed(worker),
+          worker.acceptsTasks !== worker.recorded && !this.isClosed(worker),
       );
     if (changed) this.store();
   }
@@ -53,7 +53,7 @@
       'workers',
       () => {
         const all = this.workers.all();
-        opened = all.filter(worker => worker.takesTasks);
+        opened = all.filter(worker => worker.acceptsTasks);
         for (const worker of all) this.markAsSent(worker);
         return {
           kind: 'workers',
@@ -71,12 +71,12 @@
   }
 
   private isClosed(worker: remoteWorker.RemoteWorker): boolean {
-    return !worker.takesTasks && this.closedWorkers.has(worker);
+    return !worker.acceptsTasks && this.closedWorkers.has(worker);
   }
 
   /** From the moment a worker is sent as closed, nothing starts there. */
   private markAsSent(worker: remoteWorker.RemoteWorker): void {
-    if (worker.takesTasks) {
+    if (worker.acceptsTasks) {
       this.closedWorkers.delete(worker);
       return;
     }
@@ -88,9 +88,9 @@
     worker: remoteWorker.RemoteWorker,
   ): jobJournal.StoredWorker {
     const {entry} = worker;
-    if (worker.takesTasks) return {entry};
+    if (worker.acceptsTasks) return {entry};
     // Only a report shows which runs of earlier terms are there.
-    if (!worker.adopted && this.inherited.has(worker)) {
+    if (!worker.fenceAccepted && this.inherited.has(worker)) {
       return {entry, closedJobs: this.inherited.get(worker)};
     }
     const jobs = new Set<string>();
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -8,7 +8,7 @@
 import type * as runTracker from './run_tracker.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as workerTable from './worker_table.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** What the lives of workers touch. */
 export interface WorkerLifecycleDependencies {
@@ -17,7 +17,7 @@
   readonly index: assignmentIndex.AssignmentIndex;
   readonly journal: jobJournal.JobJournal;
   readonly tracker: runTracker.RunTracker;
-  readonly trust: workerTrust.WorkerTrust;
+  readonly trust: workerReliability.WorkerReliability;
   readonly leaseMs: number;
   /** After this time no run of an earlier term that was not found is left. */
   readonly earlierLeasesExpireAt: clock.Milliseconds;
@@ -80,7 +80,7 @@
   }
 
   /** Takes the registry's present list. */
-  update(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
+  update(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
     const {workers, options, requestPass} = this.dependencies;
     const {joined, replaced} = workers.applyRegistryList(
       entries,
@@ -102,13 +102,13 @@
     this.storedList.update();
   }
 
-  mayExtend(): boolean {
+  mayExtendLeases(): boolean {
     return this.started && this.dependencies.options.mayGrantLeases();
   }
 
-  reported(
+  reportReceived(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void {
     if (!this.started) return;
@@ -117,18 +117,18 @@
     this.dependencies.onReport(worker);
   }
 
-  silent(worker: remoteWorker.RemoteWorker): void {
+  answerMissing(worker: remoteWorker.RemoteWorker): void {
     this.dependencies.options.counters.count(
       'worker_silent',
       worker.entry.zone,
     );
   }
 
-  lifeEnded(worker: remoteWorker.RemoteWorker): void {
+  replaced(worker: remoteWorker.RemoteWorker): void {
     if (this.started) this.endIncarnation(worker, 'otherLife');
   }
 
-  superseded(): void {
+  termSuperseded(): void {
     if (this.started) this.dependencies.options.onSuperseded('worker');
   }
 
@@ -153,12 +153,13 @@
     now: clock.Milliseconds,
   ): void {
     const {options, tracker, earlierLeasesExpireAt} = this.dependencies;
-    const emptied = worker.adopted && !worker.listed && worker.runCount === 0;
+    const emptied =
+      worker.fenceAccepted && !worker.listed && worker.runCount === 0;
     if (emptied) {
       this.endIncarnation(worker, 'gone');
       return;
     }
-    if (worker.leaseOverAt() > now) return;
+    if (worker.lastLeaseExpiry() > now) return;
     if (worker.runCount > 0) {
       options.log.event('warn', 'leaseLapsed', {
         worker: worker.id,
@@ -166,7 +167,7 @@
       });
       tracker.endAll(worker, 'lapsed');
     }
-    const neverReached = !worker.adopted && now < earlierLeasesExpireAt;
+    const neverReached = !worker.fenceAccepted && now < earlierLeasesExpireAt;
     if (!worker.listed && !neverReached) this.endIncarnation(worker, 'gone');
   }
 
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -42,10 +42,10 @@
   now: clock.Milliseconds,
 ): boolean {
   return (
-    worker.adopted &&
+    worker.fenceAccepted &&
     worker.recorded &&
-    worker.takesTasks &&
-    worker.avoidedUntil <= now
+    worker.acceptsTasks &&
+    worker.excludedUntil <= now
   );
 }
 
@@ -130,7 +130,7 @@
     // Idle processors are what these tasks live on.
     return (
       cost +
-      resources.dominantFraction(worker.used, worker.entry.capacity) +
+      resources.dominantShare(worker.used, worker.entry.capacity) +
       facts.countIdleCapacityTasks(worker)
     );
   }
@@ -142,6 +142,6 @@
     reservedSize(step),
   );
   return (
-    cost + resources.dominantFraction(freeAfterPlacement, worker.entry.capacity)
+    cost + resources.dominantShare(freeAfterPlacement, worker.entry.capacity)
   );
 }
