--- a/bench/fakes/entry_host.ts
+++ b/bench/fakes/entry_host.ts
@@ -373,7 +373,7 @@
         );
       },
       answer => this.post(answer),
-      () => this.post(peerFailure.failureOf(wanted)),
+      () => this.post(peerFailure.toFailureEvent(wanted)),
       wanted.kind === 'offerRequest' ? OFFER_DEADLINE_MS : undefined,
     );
   }
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -1,11 +1,11 @@
 import * as byteCounter from '../links/byte_counter.js';
-import * as callNumbers from '../links/call_numbers.js';
+import * as callNumberAllocator from '../links/call_number_allocator.js';
 import * as callerServer from '../links/caller_server.js';
 import * as clock from '../machines/clock.js';
-import * as entryLinks from '../links/entry_links.js';
+import * as entryEffectPerformer from '../links/entry_effect_performer.js';
 import * as entryVm from '../machines/entry_vm.js';
 import * as gracefulShutdown from './graceful_shutdown.js';
-import * as httpCaller from '../links/http_caller.js';
+import * as pooledHttpClient from '../links/pooled_http_client.js';
 import * as logger from '../operations/logger.js';
 import * as loop from '../loop.js';
 import * as metrics from '../operations/metrics.js';
@@ -17,15 +17,15 @@
 import * as tomlDocumentReader from '../links/toml_document_reader.js';
 import * as workerLink from '../links/worker_link.js';
 import type * as sinks from '../operations/sinks.js';
-import type * as connectionLimit from '../links/connection_limit.js';
+import type * as connectionLimiter from '../links/connection_limiter.js';
 import type * as event from '../contracts/event.js';
 import type * as settings from '../operations/settings.js';
 
 // A worker has about 60 connections: 12 for short calls and 40 that wait for
 // answers leave some to a second owner and to the platform.
-const WORKER_CONNECTIONS = {least: 2, first: 4, greatest: 12};
-const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
-const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
+const WORKER_CONNECTIONS = {minimum: 2, initial: 4, maximum: 12};
+const ANSWER_CONNECTIONS = {minimum: 4, initial: 16, maximum: 40};
+const PLATFORM_CONNECTIONS = {minimum: 2, initial: 4, maximum: 8};
 
 type Sink = sinks.MetricsSink & {close(): Promise<void>};
 
@@ -44,7 +44,7 @@
 /** One entry process: the decision core, its loop and its links. */
 export class EntryProcess {
   private readonly clock = new clock.SystemClock();
-  private readonly numbers = new callNumbers.CallNumbers();
+  private readonly numbers = new callNumberAllocator.CallNumberAllocator();
   private readonly logs: sinks.LogSink;
   private readonly incarnation: string;
   private readonly random = new randomSource.UnpredictableRandom();
@@ -53,7 +53,7 @@
   private readonly callers: callerServer.CallerServer;
   private readonly peerServer: peerServer.PeerServer;
   private readonly peers: peerLink.PeerLink;
-  private readonly httpCallers: httpCaller.HttpCaller[] = [];
+  private readonly httpCallers: pooledHttpClient.PooledHttpClient[] = [];
   private loop: loop.Loop | undefined;
   private ending: Promise<void> | undefined;
   private noteSuccession: () => void = () => {};
@@ -73,13 +73,13 @@
       new logger.Logger(line => process.stdout.write(`${line}\n`));
     this.bytes = new byteCounter.ByteCounter(this.metrics);
     this.callers = new callerServer.CallerServer({
-      numbers: this.numbers,
+      callNumbers: this.numbers,
       post: this.post,
       metrics: this.metrics,
-      bytes: this.bytes,
+      byteCounter: this.bytes,
       limits: {
-        bodyBytes: settings.bodyLimitBytes,
-        openCalls: settings.openCallLimit,
+        maxBodyBytes: settings.bodyLimitBytes,
+        maxOpenCalls: settings.openCallLimit,
       },
     });
     this.peerServer = new peerServer.PeerServer(
@@ -88,13 +88,13 @@
       this.post,
     );
     this.peers = new peerLink.PeerLink({
-      self: this.incarnation,
-      calls: this.callers,
+      processName: this.incarnation,
+      openCalls: this.callers,
       post: this.post,
       now: this.now,
       metrics: this.metrics,
       logs: this.logs,
-      bytes: this.bytes,
+      byteCounter: this.bytes,
     });
   }
 
@@ -132,7 +132,7 @@
   async abandon(): Promise<void> {
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process was succeeded; ask again';
-    await this.callers.abandon({code, detail});
+    await this.callers.closeWithReply({code, detail});
     await this.close();
   }
 
@@ -181,26 +181,26 @@
     );
   }
 
-  private buildLinks(): entryLinks.EntryLinks {
+  private buildLinks(): entryEffectPerformer.EntryEffectPerformer {
     const {post, now, metrics: sink} = this;
-    return new entryLinks.EntryLinks({
-      callers: this.callers,
-      workers: new workerLink.WorkerLink({
-        caller: this.buildCaller('worker', WORKER_CONNECTIONS, '/report'),
-        answerCaller: this.buildCaller('answer', ANSWER_CONNECTIONS, '/report'),
+    return new entryEffectPerformer.EntryEffectPerformer({
+      callerServer: this.callers,
+      workerLink: new workerLink.WorkerLink({
+        client: this.buildCaller('worker', WORKER_CONNECTIONS, '/report'),
+        answerClient: this.buildCaller('answer', ANSWER_CONNECTIONS, '/report'),
         post,
         now,
         metrics: sink,
       }),
-      platform: new platformLink.PlatformLink({
+      platformLink: new platformLink.PlatformLink({
         addresses: this.settings,
         // Any answer shows that a connection works, so the path may be unknown.
-        caller: this.buildCaller('platform', PLATFORM_CONNECTIONS, '/'),
+        client: this.buildCaller('platform', PLATFORM_CONNECTIONS, '/'),
         post,
         now,
         metrics: sink,
       }),
-      peers: this.peers,
+      peerLink: this.peers,
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
@@ -210,10 +210,10 @@
 
   private buildCaller(
     link: string,
-    connections: connectionLimit.LimitBounds,
+    connections: connectionLimiter.ConnectionBounds,
     probePath: string,
-  ): httpCaller.HttpCaller {
-    const caller = new httpCaller.HttpCaller({
+  ): pooledHttpClient.PooledHttpClient {
+    const caller = new pooledHttpClient.PooledHttpClient({
       connections,
       probePath,
       onSilent: address => {
@@ -222,7 +222,7 @@
         this.logs.log('warn', 'silentConnection', {...labels, address});
       },
       // Workers are of the own zone; the platform answers from there too.
-      onConnected: socket => this.bytes.watch(socket, link, this.settings.zone),
+      onConnected: socket => this.bytes.track(socket, link, this.settings.zone),
     });
     this.httpCallers.push(caller);
     return caller;
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -43,7 +43,7 @@
     const deadline = started + SHUTDOWN_DEADLINE_MS;
     this.logs.log('info', 'draining', {});
     this.callers.beginDrain();
-    void this.callers.ask(
+    void this.callers.postAndWait(
       call => ({kind: 'drainArrived', call}),
       SHUTDOWN_DEADLINE_MS,
     );
@@ -53,7 +53,7 @@
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process is shutting down; ask another';
     await Promise.race([
-      this.callers.abandon({code, detail}, CALL_GRACE_MS),
+      this.callers.closeWithReply({code, detail}, CALL_GRACE_MS),
       timers.setTimeout(CLOSE_LIMIT_MS),
     ]);
     const clean = remaining.left && remaining.unfinished === 0;
@@ -74,7 +74,7 @@
   }
 
   private async look(): Promise<Remaining> {
-    const reply = await this.callers.ask(
+    const reply = await this.callers.postAndWait(
       call => ({kind: 'statusArrived', call}),
       LOOK_DEADLINE_MS,
     );
--- a/src/commands/interviewer.ts
+++ b/src/commands/interviewer.ts
@@ -63,7 +63,7 @@
     for (;;) {
       const text = (await this.prompter.ask(question(key, path))).trim();
       if (text === '' && key.default !== undefined) return key.default;
-      const value = key.rule.fromText(text);
+      const value = key.rule.parseInput(text);
       const faults = key.rule.check(value, path);
       if (faults.length === 0) return value;
       for (const fault of faults) this.print(tomlSchema.formatFault(fault));
@@ -77,5 +77,5 @@
     key.default === undefined
       ? ''
       : `; empty means ${JSON.stringify(key.default)}`;
-  return `${path}: ${key.meaning} (${key.rule.text}${unit}${standard}) `;
+  return `${path}: ${key.meaning} (${key.rule.requirement}${unit}${standard}) `;
 }
--- a/src/commands/patient_caller.ts
+++ b/src/commands/patient_caller.ts
@@ -33,7 +33,7 @@
    * earlier try may have taken effect.
    */
   async call(
-    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'deadlineMs'>,
+    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
     unknown?: effect.Reply,
   ): Promise<effect.Reply | undefined> {
     let last: effect.Reply | undefined;
@@ -48,18 +48,18 @@
         const claimsNothingDone = last === undefined || !isOpen(last);
         return mayHaveActed && claimsNothingDone ? (unknown ?? last) : last;
       }
-      if (needsOther(reply)) this.client.useNext();
+      if (needsOther(reply)) this.client.failOver();
       await timers.setTimeout(PAUSE_MS);
     }
   }
 
   private next(
-    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'deadlineMs'>,
+    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
   ): entryClient.EntryCall {
     const left = Math.max(0, (this.end - performance.now()) / 1_000);
     const wait = Math.floor(Math.min(left, LONGEST_WAIT_SECONDS));
     // The last call gets time for its reply even when the time is over.
-    return {...build(wait), deadlineMs: wait * 1_000 + REPLY_DEADLINE_MS};
+    return {...build(wait), timeoutMs: wait * 1_000 + REPLY_DEADLINE_MS};
   }
 }
 
--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -3,7 +3,7 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as toml from 'smol-toml';
-import * as answersSchema from '../links/answers_schema.js';
+import * as questionnaireSchema from '../links/questionnaire_schema.js';
 import * as callArguments from './call_arguments.js';
 import * as commandReport from './command_report.js';
 import * as documentGenerator from '../links/document_generator.js';
@@ -80,7 +80,10 @@
   };
   const asked = new interviewer.Interviewer(prompter, print);
   try {
-    const raw = await asked.askTable(answersSchema.ANSWERS_SCHEMA, '');
+    const raw = await asked.askTable(
+      questionnaireSchema.QUESTIONNAIRE_SCHEMA,
+      '',
+    );
     if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
     return documentGenerator.generateFromAnswers(raw);
   } catch (fault) {
--- a/src/links/byte_counter.ts
+++ b/src/links/byte_counter.ts
@@ -21,7 +21,7 @@
   }
 
   /** Counts a connection until it is closed. */
-  watch(socket: net.Socket, link: string, zone: string): void {
+  track(socket: net.Socket, link: string, zone: string): void {
     this.sockets.set(socket, {labels: {link, zone}, received: 0, sent: 0});
     socket.once('close', () => {
       this.count(socket);
--- a/src/links/call_reader.ts
+++ b/src/links/call_parser.ts
@@ -1,5 +1,5 @@
 import * as either from 'purify-ts/Either';
-import * as fieldRules from './field_rules.js';
+import * as fieldChecks from './field_checks.js';
 import * as jsonBody from './json_body.js';
 import * as result from '../result.js';
 import type * as event from '../contracts/event.js';
@@ -7,10 +7,10 @@
 import type * as resources from '../machines/resources.js';
 
 /** Longest wait that a caller may ask for, in seconds. */
-export const LONGEST_WAIT_SECONDS = 300;
+export const MAX_WAIT_SECONDS = 300;
 
 /** Most identities that one call issues. */
-export const MOST_IDENTITIES = 100;
+export const MAX_IDENTITIES_PER_CALL = 100;
 
 /** Longest name of a client, team, workload, worker or publication. */
 const LONGEST_NAME = 80;
@@ -25,7 +25,7 @@
 const LARGEST_SIZE = 1_000_000_000;
 
 /** A call as it came over HTTP, its body included. */
-export interface HttpCall {
+export interface RawCall {
   readonly method: string;
   /** Path and query. */
   readonly target: string;
@@ -36,21 +36,21 @@
 }
 
 /** How a call is answered: a JSON reply, the raw answer or an event stream. */
-export type AnswerForm = 'reply' | 'rawAnswer' | 'events';
+export type ResponseFormat = 'reply' | 'rawAnswer' | 'events';
 
 /** A checked call. */
-export interface ReadCall {
-  readonly form: AnswerForm;
+export interface ParsedCall {
+  readonly form: ResponseFormat;
   readonly event: event.CallEvent;
 }
 
-type Checked<Value> = fieldRules.Checked<Value>;
+type Checked<Value> = fieldChecks.Checked<Value>;
 
 /** Checks a call and translates it; changes nothing. */
-export function readCall(
-  incoming: HttpCall,
+export function parseCall(
+  incoming: RawCall,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   const [path, query = ''] = splitTarget(incoming.target);
   const parameters = new URLSearchParams(query);
   const route = `${incoming.method} ${path}`;
@@ -66,23 +66,23 @@
 }
 
 /** Checks the JSON body of a submission. */
-export function readSubmission(body: string): Checked<request.Submission> {
+export function parseSubmission(body: string): Checked<request.Submission> {
   const known = ['team', 'workload', 'payload', 'size', 'startDeadlineMs'];
   return readJson(body)
-    .chain(raw => fieldRules.rejectUnknown(raw, known))
+    .chain(raw => fieldChecks.rejectUnknown(raw, known))
     .chain(raw =>
-      fieldRules
-        .readText('team', raw['team'], 1, LONGEST_NAME)
+      fieldChecks
+        .checkText('team', raw['team'], 1, LONGEST_NAME)
         .chain(() =>
-          fieldRules.readText('workload', raw['workload'], 1, LONGEST_NAME),
+          fieldChecks.checkText('workload', raw['workload'], 1, LONGEST_NAME),
         )
         .chain(() =>
-          fieldRules.readText('payload', raw['payload'], 0, LONGEST_PAYLOAD),
+          fieldChecks.checkText('payload', raw['payload'], 0, LONGEST_PAYLOAD),
         )
         .chain(() => readOptional(raw['size'], readSize))
         .chain(() =>
           readOptional(raw['startDeadlineMs'], value =>
-            fieldRules.readInteger('startDeadlineMs', value, 0, LARGEST_SIZE),
+            fieldChecks.checkInteger('startDeadlineMs', value, 0, LARGEST_SIZE),
           ),
         )
         .map(() => raw as unknown as request.Submission),
@@ -92,10 +92,10 @@
 function readNamed(
   route: string,
   name: string,
-  incoming: HttpCall,
+  incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   const part = /^([^/]+)\/(answer|events)$/.exec(name);
   if (route === 'GET requests' && part !== null) {
     return readFetch(part[1], incoming, parameters, call).map(event => ({
@@ -130,10 +130,10 @@
 
 function readUnnamed(
   route: string,
-  incoming: HttpCall,
+  incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   switch (route) {
     case 'POST /v1/identities':
       return readIdentities(incoming, call);
@@ -151,16 +151,21 @@
 }
 
 function readIdentities(
-  incoming: HttpCall,
+  incoming: RawCall,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   // A call without a body asks for one identity.
   const body = incoming.body === '' ? '{"count": 1}' : incoming.body;
   return readClient(incoming).chain(client =>
     readJson(body)
-      .chain(raw => fieldRules.rejectUnknown(raw, ['count']))
+      .chain(raw => fieldChecks.rejectUnknown(raw, ['count']))
       .chain(raw =>
-        fieldRules.readInteger('count', raw['count'], 1, MOST_IDENTITIES),
+        fieldChecks.checkInteger(
+          'count',
+          raw['count'],
+          1,
+          MAX_IDENTITIES_PER_CALL,
+        ),
       )
       .map(count => reply({kind: 'identitiesArrived', call, client, count})),
   );
@@ -168,14 +173,14 @@
 
 function readRequest(
   name: string | undefined,
-  incoming: HttpCall,
+  incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   return readClient(incoming).chain(client =>
     readOptional(name, readIdentity).chain(identity =>
       readWait(parameters).chain(waitMs =>
-        readSubmission(incoming.body).map(submission =>
+        parseSubmission(incoming.body).map(submission =>
           reply({
             kind: 'requestArrived',
             call,
@@ -192,7 +197,7 @@
 
 function readFetch(
   name: string,
-  incoming: HttpCall,
+  incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<event.CallEvent> {
@@ -208,7 +213,7 @@
 
 function readOwner(
   name: string,
-  incoming: HttpCall,
+  incoming: RawCall,
   parameters: URLSearchParams,
 ): Checked<{readonly client: string; readonly identity: string}> {
   return readClient(incoming).chain(client =>
@@ -220,9 +225,9 @@
 
 function readPublication(
   name: string,
-  incoming: HttpCall,
+  incoming: RawCall,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   return readDocumentName(name).chain(document =>
     readBaseVersion(incoming.ifMatch).chain(baseVersion =>
       readHeaderName('x-publication', incoming.publication).map(publication =>
@@ -240,14 +245,14 @@
 }
 
 function readDrain(
-  incoming: HttpCall,
+  incoming: RawCall,
   call: event.CallNumber,
-): Checked<ReadCall> {
+): Checked<ParsedCall> {
   return readJson(incoming.body === '' ? '{}' : incoming.body)
-    .chain(raw => fieldRules.rejectUnknown(raw, ['worker']))
+    .chain(raw => fieldChecks.rejectUnknown(raw, ['worker']))
     .chain(raw =>
       readOptional(raw['worker'], value =>
-        fieldRules.readText('worker', value, 1, LONGEST_NAME),
+        fieldChecks.checkText('worker', value, 1, LONGEST_NAME),
       ),
     )
     .map(worker =>
@@ -259,7 +264,7 @@
     );
 }
 
-function readClient(incoming: HttpCall): Checked<string> {
+function readClient(incoming: RawCall): Checked<string> {
   return readHeaderName('x-client', incoming.client);
 }
 
@@ -267,14 +272,14 @@
   header: string,
   value: string | undefined,
 ): Checked<string> {
-  return fieldRules.readText(header, value, 1, LONGEST_NAME);
+  return fieldChecks.checkText(header, value, 1, LONGEST_NAME);
 }
 
 function readBaseVersion(ifMatch: string | undefined): Checked<number> {
   if (ifMatch === undefined) return either.Right(0);
   const match = /^"?(\d{1,15})"?$/.exec(ifMatch);
   if (match !== null) return either.Right(Number(match[1]));
-  return fieldRules.fieldFault(
+  return fieldChecks.fieldFailure(
     'if-match',
     ifMatch,
     'must be the version of the document, or 0 for a new one',
@@ -285,23 +290,23 @@
   const text = parameters.get('wait');
   if (text === null) return either.Right(0);
   const seconds = Number(text);
-  const valid = /^\d+(\.\d+)?$/.test(text) && seconds <= LONGEST_WAIT_SECONDS;
+  const valid = /^\d+(\.\d+)?$/.test(text) && seconds <= MAX_WAIT_SECONDS;
   if (valid) return either.Right(seconds * 1_000);
-  return fieldRules.fieldFault(
+  return fieldChecks.fieldFailure(
     'wait',
     text,
-    `must be a number of seconds from 0 to ${LONGEST_WAIT_SECONDS}`,
+    `must be a number of seconds from 0 to ${MAX_WAIT_SECONDS}`,
   );
 }
 
 function readSize(value: unknown): Checked<resources.Resources> {
   const known = ['processors', 'memory', 'accelerators', 'slots'];
-  return fieldRules
-    .readObject('size', value)
-    .chain(raw => fieldRules.rejectUnknown(raw, known, 'size.'))
+  return fieldChecks
+    .checkObject('size', value)
+    .chain(raw => fieldChecks.rejectUnknown(raw, known, 'size.'))
     .chain(raw => {
       for (const key of known) {
-        const checked = fieldRules.readInteger(
+        const checked = fieldChecks.checkInteger(
           `size.${key}`,
           raw[key],
           0,
@@ -316,7 +321,11 @@
 function readName(field: string, encoded: string): Checked<string> {
   const decoded = either.Either.encase(() => decodeURIComponent(encoded));
   if (decoded.isRight()) return either.Right(decoded.extract());
-  return fieldRules.fieldFault(field, encoded, 'is not valid percent-encoding');
+  return fieldChecks.fieldFailure(
+    field,
+    encoded,
+    'is not valid percent-encoding',
+  );
 }
 
 function readIdentity(name: string): Checked<string> {
@@ -333,15 +342,15 @@
 
 function readDocumentName(name: string): Checked<string> {
   if (/^[a-z0-9][a-z0-9/-]{0,99}$/.test(name)) return either.Right(name);
-  return fieldRules.fieldFault(
+  return fieldChecks.fieldFailure(
     'document',
     name,
     'must be 1 to 100 small letters, digits, hyphens and slashes',
   );
 }
 
-function readJson(body: string): Checked<fieldRules.RawObject> {
-  const parsed = jsonBody.parseObject(body);
+function readJson(body: string): Checked<fieldChecks.RawObject> {
+  const parsed = jsonBody.parseJsonObject(body);
   if (parsed !== undefined) return either.Right(parsed);
   return either.Left(
     result.failure('invalidBody', 'body: must be a JSON object'),
@@ -355,14 +364,14 @@
   return value === undefined ? either.Right(undefined) : read(value);
 }
 
-function unknownPath(incoming: HttpCall): Checked<ReadCall> {
+function unknownPath(incoming: RawCall): Checked<ParsedCall> {
   const shown = `${incoming.method} ${incoming.target}`.slice(0, 120);
   return either.Left(
     result.failure('unknownPath', `path: ${shown}: no such call`),
   );
 }
 
-function reply(read: event.CallEvent): ReadCall {
+function reply(read: event.CallEvent): ParsedCall {
   return {form: 'reply', event: read};
 }
 
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -1,13 +1,13 @@
 import * as http from 'node:http';
-import * as callReader from './call_reader.js';
+import * as callParser from './call_parser.js';
 import * as eventStream from './event_stream.js';
 import * as jsonBody from './json_body.js';
 import * as result from '../result.js';
-import * as shape from './shape.js';
+import * as typeGuards from './type_guards.js';
 import * as listen from './listen.js';
 import type * as net from 'node:net';
 import type * as byteCounter from './byte_counter.js';
-import type * as callNumbers from './call_numbers.js';
+import type * as callNumberAllocator from './call_number_allocator.js';
 import type * as effect from '../contracts/effect.js';
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
@@ -40,28 +40,28 @@
 }
 
 /** What a caller server is made with. */
-export interface CallerServerParts {
-  readonly numbers: callNumbers.CallNumbers;
+export interface CallerServerOptions {
+  readonly callNumbers: callNumberAllocator.CallNumberAllocator;
   readonly post: (event: event.Event) => void;
   readonly metrics: sinks.MetricsSink;
   readonly limits?: Partial<CallerLimits>;
-  readonly bytes?: byteCounter.ByteCounter;
+  readonly byteCounter?: byteCounter.ByteCounter;
 }
 
 /** Bounds of what callers may occupy. */
 export interface CallerLimits {
   /** Time for a body to arrive. */
-  readonly bodyDeadlineMs: number;
+  readonly bodyTimeoutMs: number;
   /** Largest body. */
-  readonly bodyBytes: number;
+  readonly maxBodyBytes: number;
   /** Most calls that are open at once. */
-  readonly openCalls: number;
+  readonly maxOpenCalls: number;
 }
 
 const DEFAULT_LIMITS: CallerLimits = {
-  bodyDeadlineMs: 10_000,
-  bodyBytes: jsonBody.LARGEST_BODY_BYTES,
-  openCalls: 10_000,
+  bodyTimeoutMs: 10_000,
+  maxBodyBytes: jsonBody.MAX_BODY_BYTES,
+  maxOpenCalls: 10_000,
 };
 
 /** HTTP front end for callers and operators. */
@@ -73,7 +73,7 @@
   private unsent = 0;
   private readonly limits: CallerLimits;
 
-  constructor(private readonly parts: CallerServerParts) {
+  constructor(private readonly parts: CallerServerOptions) {
     this.limits = {...DEFAULT_LIMITS, ...parts.limits};
     this.server = http.createServer(
       {
@@ -84,7 +84,7 @@
       (incoming, response) => void this.serve(incoming, response),
     );
     this.server.on('connection', socket =>
-      parts.bytes?.watch(socket, 'caller', 'outside'),
+      parts.byteCounter?.track(socket, 'caller', 'outside'),
     );
     this.server.on('clientError', (fault: NodeJS.ErrnoException, socket) =>
       this.refuseMalformed(fault, socket as net.Socket),
@@ -105,16 +105,16 @@
   }
 
   /** Returns an open call as it was posted. */
-  openCall(call: event.CallNumber): event.CallEvent | undefined {
+  findOpenCall(call: event.CallNumber): event.CallEvent | undefined {
     return this.open.get(call)?.event;
   }
 
   /** Posts a call of this process itself and resolves with the reply. */
-  ask(
+  postAndWait(
     build: (call: event.CallNumber) => event.CallEvent,
     deadlineMs: number,
   ): Promise<effect.Reply | undefined> {
-    const call = this.parts.numbers.next();
+    const call = this.parts.callNumbers.allocate();
     return new Promise(resolve => {
       const timer = setTimeout(() => {
         this.end(call);
@@ -150,7 +150,7 @@
   }
 
   /** Closes; calls that are open after the grace get the reply. */
-  async abandon(reply: effect.Reply, graceMs = 0): Promise<void> {
+  async closeWithReply(reply: effect.Reply, graceMs = 0): Promise<void> {
     this.beginDrain();
     const graceEnd = performance.now() + graceMs;
     const timer = setInterval(() => {
@@ -170,8 +170,8 @@
     if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
-      this.limits.bodyBytes,
-      this.limits.bodyDeadlineMs,
+      this.limits.maxBodyBytes,
+      this.limits.bodyTimeoutMs,
     );
     if (body.kind !== 'body') {
       this.refuseBody(body.kind, response);
@@ -181,8 +181,8 @@
       jsonBody.sendJson(response, 200, {live: true});
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
-    } else if (this.unsent > this.limits.openCalls) {
-      const detail = `calls: ${this.unsent}: at most ${this.limits.openCalls} at once`;
+    } else if (this.unsent > this.limits.maxOpenCalls) {
+      const detail = `calls: ${this.unsent}: at most ${this.limits.maxOpenCalls} at once`;
       // A call about an identity may repeat one that ran.
       const name = namesRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
       this.refuse(response, result.failure(name, detail));
@@ -196,10 +196,10 @@
     response: http.ServerResponse,
     body: string,
   ): void {
-    const call = this.parts.numbers.next();
+    const call = this.parts.callNumbers.allocate();
     const {headers} = incoming;
-    callReader
-      .readCall(
+    callParser
+      .parseCall(
         {
           method: incoming.method ?? '',
           target: incoming.url ?? '',
@@ -216,7 +216,10 @@
       });
   }
 
-  private post(read: callReader.ReadCall, response: http.ServerResponse): void {
+  private post(
+    read: callParser.ParsedCall,
+    response: http.ServerResponse,
+  ): void {
     if (read.form === 'events') {
       const stream = new eventStream.EventStream(response);
       this.stream(stream, read.event, response);
@@ -248,7 +251,7 @@
         }
         const progress = stream.take(reply);
         if (progress === 'ended') return;
-        current = this.parts.numbers.next();
+        current = this.parts.callNumbers.allocate();
         // Looks at a request that stays as it is become rare: each one may
         // cross regions.
         const longer = Math.max(2 * waitMs, FIRST_LOOK_MS);
@@ -283,7 +286,7 @@
   private async answerReady(response: http.ServerResponse): Promise<void> {
     const reply = this.draining
       ? undefined
-      : await this.ask(
+      : await this.postAndWait(
           call => ({kind: 'statusArrived', call}),
           READY_DEADLINE_MS,
         );
@@ -292,7 +295,7 @@
   }
 
   private refuseBody(
-    fault: jsonBody.BodyFault,
+    fault: jsonBody.BodyError,
     response: http.ServerResponse,
   ): void {
     // What is left of the body cannot be told from a following call.
@@ -303,7 +306,7 @@
         response,
         result.failure(
           'bodyTooLarge',
-          `body: must have at most ${this.limits.bodyBytes} bytes`,
+          `body: must have at most ${this.limits.maxBodyBytes} bytes`,
         ),
       );
     } else {
@@ -311,7 +314,7 @@
         response,
         result.failure(
           'bodyTooSlow',
-          `body: must arrive within ${this.limits.bodyDeadlineMs} ms`,
+          `body: must arrive within ${this.limits.bodyTimeoutMs} ms`,
         ),
       );
     }
@@ -362,8 +365,8 @@
   jsonBody.sendJson(response, httpStatus(reply.code), reply);
 }
 
-function isReady(status: effect.Reply): boolean {
-  return shape.isObject(status.content) && status.content['ready'] === true;
+function isReady(reply: effect.Reply): boolean {
+  return typeGuards.isObject(reply.content) && reply.content['ready'] === true;
 }
 
 /** Sends the whole answer as it came; anything else as a reply. */
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -37,7 +37,7 @@
     timeoutMs: number,
   ): Promise<cellPeers.Reached<cellPeers.GreetingAnswer>> {
     const request = {
-      newest: cellMessages.toClaim(greeting.newest),
+      newest: cellMessages.encodeClaim(greeting.newest),
       configurationVersion: BigInt(greeting.configurationVersion),
       sender: greeting.sender,
     };
@@ -45,7 +45,7 @@
       client.ping(request, options),
     );
     return mapReached(reached, response => ({
-      newest: cellMessages.fromClaim(response.newest),
+      newest: cellMessages.decodeClaim(response.newest),
       incarnation: response.incarnation,
       leading: response.leading,
       resigning: response.resigning,
@@ -80,7 +80,7 @@
     const reached = await this.call(address, timeoutMs, (client, options) =>
       client.submit(request, options),
     );
-    return toLed(reached, cellMessages.fromSubmit);
+    return toLed(reached, cellMessages.decodeSubmitResponse);
   }
 
   async cancel(
@@ -204,7 +204,7 @@
       sessionManager: session,
       // Messages are a few hundred bytes; compression would only add headers.
       acceptCompression: [],
-      readMaxBytes: cellMessages.LARGEST_MESSAGE,
+      readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
     });
     const client = connect.createClient(cellPb.Cell, transport);
     const opened = {client, session, lastAnswerAt: -Infinity};
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -22,7 +22,7 @@
   }
 
   async probe(): Promise<boolean> {
-    const outcome = await this.topic.newest();
+    const outcome = await this.topic.readNewest();
     return outcome.kind === 'read';
   }
 
@@ -33,7 +33,7 @@
     const record = {key: CLAIM_KEY, value: jsonDocument.encode(member)};
     const outcome = await this.topic.append(
       [record],
-      {at: end},
+      {ifEnd: end},
       APPEND_TIMEOUT_MS,
     );
     switch (outcome.kind) {
@@ -54,7 +54,7 @@
 
 /** Decodes a record; undefined for one that this version does not know. */
 export function decodeCellRecord(
-  record: keyedTopic.PlacedRecord,
+  record: keyedTopic.TopicRecord,
 ): CellRecord | undefined {
   const member = jsonDocument
     .decode<cellMember.CellMember>(record.value)
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -4,10 +4,10 @@
 import type * as cellPb from './generated/cell_pb.js';
 
 /** Largest message between members in bytes. */
-export const LARGEST_MESSAGE = 1_048_576;
+export const MAX_MESSAGE_BYTES = 1_048_576;
 
 /** Encodes a claim. */
-export function toClaim(
+export function encodeClaim(
   claim: cellMember.Claim | undefined,
 ): protobuf.MessageInitShape<typeof cellPb.ClaimSchema> | undefined {
   if (claim === undefined) return undefined;
@@ -15,7 +15,7 @@
 }
 
 /** Decodes a claim. */
-export function fromClaim(
+export function decodeClaim(
   claim: cellPb.Claim | undefined,
 ): cellMember.Claim | undefined {
   if (claim === undefined) return undefined;
@@ -32,7 +32,7 @@
 ]);
 
 /** Decodes the fate of a job that was handed in. */
-export function fromSubmit(
+export function decodeSubmitResponse(
   response: cellPb.SubmitResponse,
 ): submissions.SubmitOutcome {
   if (response.accepted) return {kind: 'accepted'};
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -28,7 +28,7 @@
       connectNode.connectNodeAdapter({
         routes: router => this.route(router),
         acceptCompression: [],
-        readMaxBytes: cellMessages.LARGEST_MESSAGE,
+        readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
         grpc: false,
         grpcWeb: false,
       }),
@@ -66,13 +66,13 @@
     request: cellPb.PingRequest,
   ): Init<typeof cellPb.PingResponseSchema> {
     const answer = this.service.pinged({
-      newest: cellMessages.fromClaim(request.newest),
+      newest: cellMessages.decodeClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
       sender: request.sender,
     });
     return {
       ...answer,
-      newest: cellMessages.toClaim(answer.newest),
+      newest: cellMessages.encodeClaim(answer.newest),
       storeSilentMs: Math.round(answer.storeSilentMs),
       configurationVersion: BigInt(answer.configurationVersion),
       configurationAgeMs: Math.min(answer.configurationAgeMs, LONGEST_AGE_MS),
--- a/src/links/connection_limit.ts
+++ b/src/links/connection_limiter.ts
@@ -1,8 +1,8 @@
 /** Bounds of an adaptive limit. */
-export interface LimitBounds {
-  readonly least: number;
-  readonly first: number;
-  readonly greatest: number;
+export interface ConnectionBounds {
+  readonly minimum: number;
+  readonly initial: number;
+  readonly maximum: number;
 }
 
 /**
@@ -10,14 +10,14 @@
  * connections. It grows by one when a full limit's calls went well and
  * halves when a connection is refused or reset, as a crowded worker does.
  */
-export class ConnectionLimit {
+export class ConnectionLimiter {
   private limit: number;
   private used = 0;
   private successes = 0;
   private readonly waiting: Array<() => void> = [];
 
-  constructor(private readonly bounds: LimitBounds) {
-    this.limit = bounds.first;
+  constructor(private readonly bounds: ConnectionBounds) {
+    this.limit = bounds.initial;
   }
 
   /** Calls that may be open at once at present. */
@@ -62,11 +62,11 @@
     const needed = this.waiting.length > 0;
     if (!needed || this.successes < this.limit) return;
     this.successes = 0;
-    this.limit = Math.min(this.limit + 1, this.bounds.greatest);
+    this.limit = Math.min(this.limit + 1, this.bounds.maximum);
   }
 
   private shrink(): void {
     this.successes = 0;
-    this.limit = Math.max(Math.floor(this.limit / 2), this.bounds.least);
+    this.limit = Math.max(Math.floor(this.limit / 2), this.bounds.minimum);
   }
 }
--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -1,6 +1,6 @@
 import * as either from 'purify-ts/Either';
 import * as toml from 'smol-toml';
-import * as answersSchema from './answers_schema.js';
+import * as questionnaireSchema from './questionnaire_schema.js';
 import * as configurationDocuments from '../contracts/configuration_documents.js';
 import * as questionnaire from '../contracts/questionnaire.js';
 import * as tomlDocumentReader from './toml_document_reader.js';
@@ -13,23 +13,23 @@
   readonly content: string;
 }
 
-type Generated = either.Either<
+type GenerationResult = either.Either<
   ReadonlyArray<string>,
   ReadonlyArray<GeneratedDocument>
 >;
 
 /** Generates the documents from a TOML file of answers, or names all faults. */
-export function generateDocuments(text: string): Generated {
+export function generateDocuments(text: string): GenerationResult {
   return either.Either.encase(() => toml.parse(text))
-    .mapLeft(fault => [tomlSchema.describeSyntaxFault(fault)])
+    .mapLeft(fault => [tomlSchema.describeSyntaxError(fault)])
     .chain(generateFromAnswers);
 }
 
 /** Generates the documents from answers that were not checked yet. */
-export function generateFromAnswers(raw: unknown): Generated {
-  const faults = answersSchema.ANSWERS_SCHEMA.check(raw, '');
+export function generateFromAnswers(raw: unknown): GenerationResult {
+  const faults = questionnaireSchema.QUESTIONNAIRE_SCHEMA.check(raw, '');
   if (faults.length > 0) return either.Left(faults.map(tomlSchema.formatFault));
-  const completed = answersSchema.ANSWERS_SCHEMA.complete(raw);
+  const completed = questionnaireSchema.QUESTIONNAIRE_SCHEMA.applyDefaults(raw);
   const answers = completed as questionnaire.Answers;
   const contradictions = questionnaire.findContradictions(answers);
   if (contradictions.length > 0) return either.Left(contradictions);
@@ -56,7 +56,7 @@
 /** Checks the documents as a publication would, the fleet first. */
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
-): Generated {
+): GenerationResult {
   const set = new configurationDocuments.DocumentSet(
     new tomlDocumentReader.TomlDocumentReader(),
   );
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -28,25 +28,25 @@
   return new tomlSchema.TableRule([
     {
       key: 'processors',
-      rule: new tomlSchema.WholeRule(leastProcessors, PROCESSORS_LIMIT),
+      rule: new tomlSchema.IntegerRule(leastProcessors, PROCESSORS_LIMIT),
       unit: 'thousandths of a processor',
       meaning: 'Processors.',
     },
     {
       key: 'memory',
-      rule: new tomlSchema.WholeRule(leastMemory, MEMORY_LIMIT),
+      rule: new tomlSchema.IntegerRule(leastMemory, MEMORY_LIMIT),
       unit: 'MiB',
       meaning: 'Memory.',
     },
     {
       key: 'accelerators',
-      rule: new tomlSchema.WholeRule(0, COUNT_LIMIT),
+      rule: new tomlSchema.IntegerRule(0, COUNT_LIMIT),
       default: 0,
       meaning: 'Whole accelerators.',
     },
     {
       key: 'slots',
-      rule: new tomlSchema.WholeRule(leastSlots, COUNT_LIMIT),
+      rule: new tomlSchema.IntegerRule(leastSlots, COUNT_LIMIT),
       default: 1,
       meaning: 'Concurrent tasks that are held at once.',
     },
@@ -73,7 +73,7 @@
   },
   {
     key: 'connections',
-    rule: new tomlSchema.WholeRule(1, 65_535),
+    rule: new tomlSchema.IntegerRule(1, 65_535),
     default: DEFAULT_CONNECTIONS,
     meaning: 'Connections that one worker accepts.',
   },
@@ -113,7 +113,7 @@
   },
   {
     key: 'worth',
-    rule: new tomlSchema.WholeRule(0, 1_000_000_000),
+    rule: new tomlSchema.IntegerRule(0, 1_000_000_000),
     default: 1,
     meaning: 'Value of one request; orders requests of one urgency.',
   },
@@ -129,20 +129,20 @@
   },
   {
     key: 'runTimeMs',
-    rule: new tomlSchema.WholeRule(0, TIME_LIMIT_MS),
+    rule: new tomlSchema.IntegerRule(0, TIME_LIMIT_MS),
     default: 0,
     unit: 'ms',
     meaning: 'Declared run time of one task; 0 for services.',
   },
   {
     key: 'taskCount',
-    rule: new tomlSchema.WholeRule(1, 10_000),
+    rule: new tomlSchema.IntegerRule(1, 10_000),
     default: 1,
     meaning: 'Tasks of one request; the replicas of a service.',
   },
   {
     key: 'startDeadlineMs',
-    rule: new tomlSchema.WholeRule(0, TIME_LIMIT_MS),
+    rule: new tomlSchema.IntegerRule(0, TIME_LIMIT_MS),
     default: 0,
     unit: 'ms',
     meaning: 'Longest wait for a start; 0 means no deadline.',
@@ -155,7 +155,7 @@
   },
   {
     key: 'maximumPerRack',
-    rule: new tomlSchema.WholeRule(0, 10_000),
+    rule: new tomlSchema.IntegerRule(0, 10_000),
     default: 0,
     meaning: 'Most tasks of one request on a rack; 0 means no limit.',
   },
@@ -186,7 +186,7 @@
   },
   {
     key: 'queueLimit',
-    rule: new tomlSchema.WholeRule(1, 1_000_000),
+    rule: new tomlSchema.IntegerRule(1, 1_000_000),
     default: 1_000,
     meaning: 'Requests that may wait; more are refused.',
   },
--- a/src/links/entry_client.ts
+++ b/src/links/entry_client.ts
@@ -9,11 +9,11 @@
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
   /** Time for the whole reply; a silent connection ends here. */
-  readonly deadlineMs: number;
+  readonly timeoutMs: number;
 }
 
 /** What came of a call. */
-export type EntryAnswer =
+export type EntryCallOutcome =
   | {readonly kind: 'reply'; readonly reply: effect.Reply}
   /** No connection was made, so nothing was sent. */
   | {readonly kind: 'notSent'}
@@ -47,19 +47,19 @@
   }
 
   /** Sends the following calls to the next entry process. */
-  useNext(): void {
+  failOver(): void {
     this.position += 1;
   }
 
   /** Returns the reply, or whether the call may have been received. */
-  async call(call: EntryCall): Promise<EntryAnswer> {
+  async call(call: EntryCall): Promise<EntryCallOutcome> {
     try {
       const answer = await undici.request(
         `http://${this.address}${call.path}`,
         {
           method: call.method,
           dispatcher: this.agent,
-          signal: AbortSignal.timeout(call.deadlineMs),
+          signal: AbortSignal.timeout(call.timeoutMs),
           headers: {'x-client': this.client, ...call.headers},
           body: call.body ?? null,
         },
@@ -77,8 +77,8 @@
   }
 }
 
-function readReply(text: string): EntryAnswer {
-  const parsed = jsonBody.parseObject(text);
+function readReply(text: string): EntryCallOutcome {
+  const parsed = jsonBody.parseJsonObject(text);
   if (typeof parsed?.['code'] !== 'number') return {kind: 'lost'};
   return {kind: 'reply', reply: parsed as unknown as effect.Reply};
 }
--- a/src/links/entry_links.ts
+++ b/src/links/entry_effect_performer.ts
@@ -8,11 +8,11 @@
 import type * as sinks from '../operations/sinks.js';
 
 /** The links of an entry process. */
-export interface Links {
-  readonly callers: callerServer.CallerServer;
-  readonly workers: workerLink.WorkerLink;
-  readonly platform: platformLink.PlatformLink;
-  readonly peers: peerLink.PeerLink;
+export interface EntryLinks {
+  readonly callerServer: callerServer.CallerServer;
+  readonly workerLink: workerLink.WorkerLink;
+  readonly platformLink: platformLink.PlatformLink;
+  readonly peerLink: peerLink.PeerLink;
   readonly peerServer: peerServer.PeerServer;
   readonly metrics: sinks.MetricsSink;
   readonly logs: sinks.LogSink;
@@ -21,8 +21,8 @@
 }
 
 /** Hands each effect to the link that performs it. */
-export class EntryLinks implements loop.EffectPerformer {
-  constructor(private readonly links: Links) {}
+export class EntryEffectPerformer implements loop.EffectPerformer {
+  constructor(private readonly links: EntryLinks) {}
 
   perform(wanted: effect.Effect): void {
     switch (wanted.kind) {
@@ -33,12 +33,12 @@
       case 'fetchTaskAnswer':
       case 'throttleTask':
       case 'readReport':
-        void this.links.workers.perform(wanted);
+        void this.links.workerLink.perform(wanted);
         return;
       case 'append':
       case 'readStream':
       case 'readVmList':
-        void this.links.platform.perform(wanted);
+        void this.links.platformLink.perform(wanted);
         return;
       case 'confirmPeer':
       case 'offerRequest':
@@ -47,7 +47,7 @@
       case 'fetchDocuments':
       case 'sendWitness':
       case 'readWitness':
-        void this.links.peers.perform(wanted);
+        void this.links.peerLink.perform(wanted);
         return;
       case 'answerConfirm':
       case 'answerOffer':
@@ -84,7 +84,7 @@
   /** Answers the caller, who may be a caller of another process. */
   private answerCaller(call: number, reply: effect.Reply): void {
     if (this.links.peerServer.answerForwarded(call, reply)) return;
-    this.links.callers.answer(call, reply);
+    this.links.callerServer.answer(call, reply);
   }
 }
 
--- a/src/links/event_stream.ts
+++ b/src/links/event_stream.ts
@@ -6,7 +6,7 @@
 const COMMENT_INTERVAL_MS = 15_000;
 
 /** What a look at a request showed. */
-export type Progress = 'ended' | 'changed' | 'same';
+export type StateChange = 'ended' | 'changed' | 'same';
 
 /** Sends the states of one request as server-sent events until its end. */
 export class EventStream {
@@ -24,7 +24,7 @@
   }
 
   /** Takes what was read of the request and sends it when it is news. */
-  take(reply: effect.Reply): Progress {
+  take(reply: effect.Reply): StateChange {
     if (!this.open) this.begin();
     const ended = reply.code !== result.RESULT_CODES.accepted.code;
     const state = `${reply.state} ${reply.worker}`;
--- a/src/links/field_rules.ts
+++ b/src/links/field_checks.ts
@@ -11,7 +11,7 @@
 const QUOTED_LENGTH = 60;
 
 /** Builds the error that names a field, its value and the rule. */
-export function fieldFault<Value>(
+export function fieldFailure<Value>(
   field: string,
   value: unknown,
   rule: string,
@@ -30,7 +30,7 @@
 ): Checked<RawObject> {
   const extra = Object.keys(raw).find(key => !known.includes(key));
   if (extra === undefined) return either.Right(raw);
-  return fieldFault(
+  return fieldFailure(
     prefix + quoteKey(extra),
     raw[extra],
     `is not a known field; known are ${known.join(', ')}`,
@@ -38,7 +38,7 @@
 }
 
 /** Checks a string whose length lies between both bounds. */
-export function readText(
+export function checkText(
   field: string,
   value: unknown,
   shortest: number,
@@ -49,7 +49,7 @@
     value.length >= shortest &&
     value.length <= longest;
   if (valid) return either.Right(value);
-  return fieldFault(
+  return fieldFailure(
     field,
     value,
     `must be a string of ${shortest} to ${longest} characters`,
@@ -57,7 +57,7 @@
 }
 
 /** Checks a whole number that lies between both bounds. */
-export function readInteger(
+export function checkInteger(
   field: string,
   value: unknown,
   least: number,
@@ -68,7 +68,7 @@
     (value as number) >= least &&
     (value as number) <= greatest;
   if (valid) return either.Right(value as number);
-  return fieldFault(
+  return fieldFailure(
     field,
     value,
     `must be a whole number from ${least} to ${greatest}`,
@@ -76,11 +76,11 @@
 }
 
 /** Checks that a value is an object. */
-export function readObject(field: string, value: unknown): Checked<RawObject> {
+export function checkObject(field: string, value: unknown): Checked<RawObject> {
   const valid =
     typeof value === 'object' && value !== null && !Array.isArray(value);
   if (valid) return either.Right(value as RawObject);
-  return fieldFault(field, value, 'must be an object');
+  return fieldFailure(field, value, 'must be an object');
 }
 
 function quote(value: unknown): string {
--- a/src/links/json_body.ts
+++ b/src/links/json_body.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 
 /** Largest body of a caller's call in bytes. */
-export const LARGEST_BODY_BYTES = 1_048_576;
+export const MAX_BODY_BYTES = 1_048_576;
 
 /**
  * How much of a too large body is read and dropped, in multiples of the limit,
@@ -10,22 +10,22 @@
 const DISCARD_FACTOR = 16;
 
 /** Why a body could not be read. */
-export type BodyFault = 'tooLarge' | 'tooSlow' | 'aborted';
+export type BodyError = 'tooLarge' | 'tooSlow' | 'aborted';
 
 /** A body or the reason why there is none. */
-export type Body =
-  {readonly kind: 'body'; readonly text: string} | {readonly kind: BodyFault};
+export type BodyOutcome =
+  {readonly kind: 'body'; readonly text: string} | {readonly kind: BodyError};
 
 /** Reads a body of at most `limit` bytes within `deadlineMs`. */
 export function readBody(
   incoming: http.IncomingMessage,
   limit: number,
   deadlineMs: number,
-): Promise<Body> {
+): Promise<BodyOutcome> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let length = 0;
-    const finish = (body: Body): void => {
+    const finish = (body: BodyOutcome): void => {
       clearTimeout(timer);
       incoming.removeAllListeners('data');
       resolve(body);
@@ -47,7 +47,7 @@
 }
 
 /** Parses JSON; undefined when the text is not a JSON object. */
-export function parseObject(
+export function parseJsonObject(
   text: string,
 ): Readonly<Record<string, unknown>> | undefined {
   try {
--- a/src/links/keyed_topic.ts
+++ b/src/links/keyed_topic.ts
@@ -6,14 +6,14 @@
 }
 
 /** A record and its position. */
-export interface PlacedRecord extends KeyedRecord {
+export interface TopicRecord extends KeyedRecord {
   readonly offset: number;
 }
 
 /** Conditions of an append. */
 export interface AppendOptions {
   /** The append takes effect only when the topic ends at this offset. */
-  readonly at?: number;
+  readonly ifEnd?: number;
   /** Fences off writers of lower epochs and makes repeats idempotent. */
   readonly producer?: {
     readonly name: string;
@@ -40,7 +40,7 @@
 export type ReadOutcome =
   | {
       readonly kind: 'read';
-      readonly records: ReadonlyArray<PlacedRecord>;
+      readonly records: ReadonlyArray<TopicRecord>;
       readonly end: number;
     }
   /** The records from this offset on are no longer kept. */
@@ -57,5 +57,5 @@
   /** Reads records from an offset on, waiting for one up to `waitMs`. */
   read(from: number, waitMs: number): Promise<ReadOutcome>;
   /** Reads the newest record of each key. */
-  newest(): Promise<ReadOutcome>;
+  readNewest(): Promise<ReadOutcome>;
 }
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -95,7 +95,7 @@
       sessionManager: session,
       // Messages are a few hundred bytes; compression would only add headers.
       acceptCompression: [],
-      readMaxBytes: peerMessages.LARGEST_MESSAGE,
+      readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
     });
     return {client: connect.createClient(peerPb.Peer, transport), session};
   }
--- a/src/links/peer_failure.ts
+++ b/src/links/peer_failure.ts
@@ -9,7 +9,7 @@
 >;
 
 /** The event for a call that got no answer. */
-export function failureOf(wanted: PeerCallEffect): event.Event {
+export function toFailureEvent(wanted: PeerCallEffect): event.Event {
   const {peer} = wanted;
   switch (wanted.kind) {
     case 'confirmPeer':
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -18,19 +18,19 @@
 const OFFER_DEADLINE_MS = 3_600_000;
 
 /** Gives the calls of callers that are open, for passing them on. */
-export interface OpenCalls {
-  openCall(call: event.CallNumber): event.CallEvent | undefined;
+export interface OpenCallLookup {
+  findOpenCall(call: event.CallNumber): event.CallEvent | undefined;
 }
 
 /** What a peer link is made with. */
-export interface PeerLinkParts {
-  readonly self: string;
-  readonly calls: OpenCalls;
+export interface PeerLinkOptions {
+  readonly processName: string;
+  readonly openCalls: OpenCallLookup;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
   readonly metrics: sinks.MetricsSink;
   readonly logs?: sinks.LogSink;
-  readonly bytes?: byteCounter.ByteCounter;
+  readonly byteCounter?: byteCounter.ByteCounter;
 }
 
 type EffectOf<Kind extends peerFailure.PeerCallEffect['kind']> = Extract<
@@ -45,10 +45,10 @@
 export class PeerLink {
   private readonly connections: peerConnections.PeerConnections;
 
-  constructor(private readonly parts: PeerLinkParts) {
+  constructor(private readonly parts: PeerLinkOptions) {
     this.connections = new peerConnections.PeerConnections({
       connected: (socket, peer) =>
-        parts.bytes?.watch(socket, 'peer', zoneOf(peer)),
+        parts.byteCounter?.track(socket, 'peer', zoneOf(peer)),
       silent: peer => {
         const labels = {link: 'peer', reason: 'deadline'};
         parts.metrics.count('silent_connection', labels, 1);
@@ -60,7 +60,7 @@
   /** Performs one effect; the answer comes as an event. */
   async perform(wanted: peerFailure.PeerCallEffect): Promise<void> {
     this.parts.post(
-      await this.send(wanted).catch(() => peerFailure.failureOf(wanted)),
+      await this.send(wanted).catch(() => peerFailure.toFailureEvent(wanted)),
     );
   }
 
@@ -97,7 +97,7 @@
       (client, options) =>
         client.confirm(
           {
-            ...peerMessages.toNews(wanted.news),
+            ...peerMessages.encodeNews(wanted.news),
             to: wanted.peer,
             zonePosition: peerMessages.toUint64(wanted.zonePosition),
           },
@@ -108,14 +108,14 @@
     // A peer of another zone is named by zone and VM, without an incarnation.
     const meant =
       answer.from === wanted.peer || answer.from.startsWith(`${wanted.peer}.`);
-    if (!meant) return peerFailure.failureOf(wanted);
+    if (!meant) return peerFailure.toFailureEvent(wanted);
     return {
       kind: 'confirmAnswered',
       peer: wanted.peer,
       sentAt,
       confirmed: answer.confirmed,
-      zoneRecords: peerMessages.fromRecords(answer.zoneRecords),
-      news: peerMessages.fromNews(answer),
+      zoneRecords: peerMessages.decodeRecords(answer.zoneRecords),
+      news: peerMessages.decodeNews(answer),
     };
   }
 
@@ -125,14 +125,17 @@
       wanted.address,
       OFFER_DEADLINE_MS,
       (client, options) =>
-        client.offer(peerMessages.toOffer(wanted, this.parts.self), options),
+        client.offer(
+          peerMessages.encodeOffer(wanted, this.parts.processName),
+          options,
+        ),
     );
     return {
       kind: 'offerAnswered',
       peer: wanted.peer,
       identity: wanted.identity,
       code: answer.code,
-      answer: peerMessages.toText(answer.answer),
+      answer: peerMessages.decodeText(answer.answer),
     };
   }
 
@@ -140,7 +143,7 @@
     wanted: EffectOf<'withdrawOffer'>,
   ): Promise<event.Event> {
     const {peer, identity, attempt} = wanted;
-    const message = {from: this.parts.self, to: peer, identity, attempt};
+    const message = {from: this.parts.processName, to: peer, identity, attempt};
     const answer = await this.connections.call(
       wanted.peer,
       wanted.address,
@@ -151,9 +154,9 @@
   }
 
   private async forward(wanted: EffectOf<'forwardCall'>): Promise<event.Event> {
-    const original = this.parts.calls.openCall(wanted.call);
+    const original = this.parts.openCalls.findOpenCall(wanted.call);
     const message = original && forwardedCall(original);
-    if (message === undefined) return peerFailure.failureOf(wanted);
+    if (message === undefined) return peerFailure.toFailureEvent(wanted);
     const answer = await this.connections.call(
       wanted.peer,
       wanted.address,
@@ -162,7 +165,7 @@
         client.forward(
           {
             ...message,
-            from: this.parts.self,
+            from: this.parts.processName,
             to: wanted.relayed ? '' : wanted.peer,
           },
           options,
@@ -172,7 +175,7 @@
       kind: 'forwardAnswered',
       call: wanted.call,
       code: answer.code,
-      body: peerMessages.toText(answer.body),
+      body: peerMessages.decodeText(answer.body),
     };
   }
 
@@ -185,7 +188,7 @@
       TRANSFER_DEADLINE_MS,
       (client, options) =>
         client.fetchDocuments(
-          {have: peerMessages.toVersions(wanted.have)},
+          {have: peerMessages.encodeVersions(wanted.have)},
           options,
         ),
     );
@@ -203,13 +206,16 @@
     wanted: EffectOf<'sendWitness'>,
   ): Promise<event.Event> {
     const {peer, batch} = wanted;
-    const entries = wanted.entries.map(peerMessages.toBytes);
+    const entries = wanted.entries.map(peerMessages.encodeText);
     const answer = await this.connections.call(
       wanted.peer,
       wanted.address,
       CALL_DEADLINE_MS,
       (client, options) =>
-        client.witness({from: this.parts.self, to: peer, entries}, options),
+        client.witness(
+          {from: this.parts.processName, to: peer, entries},
+          options,
+        ),
     );
     return {kind: 'witnessAnswered', peer, batch, stored: answer.stored};
   }
@@ -229,7 +235,7 @@
       peer,
       process,
       complete: answer.complete,
-      entries: answer.entries.map(peerMessages.toText),
+      entries: answer.entries.map(peerMessages.decodeText),
     };
   }
 }
@@ -249,14 +255,14 @@
 
 /** The message of a call that may be passed on; undefined for other calls. */
 function forwardedCall(call: event.CallEvent): ForwardedCall | undefined {
-  const nothing = peerMessages.toBytes('');
+  const nothing = peerMessages.encodeText('');
   switch (call.kind) {
     case 'requestArrived':
       return {
         operation: 'submit',
         identity: call.identity ?? '',
         client: call.client,
-        body: peerMessages.toBytes(JSON.stringify(call.submission)),
+        body: peerMessages.encodeText(JSON.stringify(call.submission)),
         waitMs: peerMessages.toUint32(call.waitMs),
       };
     case 'fetchArrived':
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -8,18 +8,18 @@
 const UINT32_MAX = 0xffffffff;
 
 /** Largest message that is read, in bytes; answers of tasks are the largest. */
-export const LARGEST_MESSAGE = 67_108_864;
+export const MAX_MESSAGE_BYTES = 67_108_864;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
 /** Text as the bytes of a message. */
-export function toBytes(text: string): Uint8Array {
+export function encodeText(text: string): Uint8Array {
   return encoder.encode(text);
 }
 
 /** Bytes of a message as text. */
-export function toText(bytes: Uint8Array): string {
+export function decodeText(bytes: Uint8Array): string {
   return decoder.decode(bytes);
 }
 
@@ -36,12 +36,12 @@
 }
 
 /** The time left of a request; Infinity when there is no limit. */
-export function toRemaining(value: number): number {
+export function decodeRemainingMs(value: number): number {
   return value === UINT32_MAX ? Infinity : value;
 }
 
 /** Versions of documents as a message carries them. */
-export function toVersions(
+export function encodeVersions(
   versions: ReadonlyArray<event.DocumentVersion>,
 ): peerPb.DocumentVersion[] {
   return versions.map(item =>
@@ -53,7 +53,7 @@
 }
 
 /** Versions of documents that a message carries. */
-export function fromVersions(
+export function decodeVersions(
   versions: ReadonlyArray<peerPb.DocumentVersion>,
 ): ReadonlyArray<event.DocumentVersion> {
   return versions.map(item => ({
@@ -63,29 +63,29 @@
 }
 
 /** Zone records as a message carries them. */
-export function toRecords(
+export function encodeRecords(
   records: ReadonlyArray<event.StreamRecord>,
 ): peerPb.StreamRecord[] {
   return records.map(item =>
     protobuf.create(peerPb.StreamRecordSchema, {
       offset: toUint64(item.offset),
-      data: toBytes(item.data),
+      data: encodeText(item.data),
     }),
   );
 }
 
 /** Zone records that a message carries. */
-export function fromRecords(
+export function decodeRecords(
   records: ReadonlyArray<peerPb.StreamRecord>,
 ): ReadonlyArray<event.StreamRecord> {
   return records.map(item => ({
     offset: Number(item.offset),
-    data: toText(item.data),
+    data: decodeText(item.data),
   }));
 }
 
 /** The fields that both messages of a confirmation share. */
-export interface NewsFields {
+export interface EncodedNews {
   readonly from: string;
   readonly zone: string;
   readonly address: string;
@@ -96,20 +96,20 @@
 }
 
 /** News as either message of a confirmation carries them. */
-export function toNews(news: event.PeerNews): NewsFields {
+export function encodeNews(news: event.PeerNews): EncodedNews {
   return {
     from: news.from,
     zone: news.zone,
     address: news.address,
     leaving: news.leaving,
-    documents: toVersions(news.documents),
+    documents: encodeVersions(news.documents),
     leavingWorkers: [...news.leavingWorkers],
-    summaries: news.summaries.map(toSummary),
+    summaries: news.summaries.map(encodeSummary),
   };
 }
 
 /** The news in either message of a confirmation. */
-export function fromNews(
+export function decodeNews(
   message: peerPb.ConfirmRequest | peerPb.ConfirmResponse,
 ): event.PeerNews {
   return {
@@ -117,14 +117,14 @@
     zone: message.zone,
     address: message.address,
     leaving: message.leaving,
-    documents: fromVersions(message.documents),
+    documents: decodeVersions(message.documents),
     leavingWorkers: message.leavingWorkers,
-    summaries: message.summaries.map(fromSummary),
+    summaries: message.summaries.map(decodeSummary),
   };
 }
 
 /** Configuration documents as a message carries them. */
-export function toDocuments(
+export function encodeDocuments(
   documents: ReadonlyArray<event.Document>,
 ): peerPb.Document[] {
   return documents.map(item =>
@@ -137,7 +137,7 @@
 }
 
 /** An offer as a message. */
-export function toOffer(
+export function encodeOffer(
   wanted: Extract<effect.PeerEffect, {kind: 'offerRequest'}>,
   from: string,
 ): peerPb.OfferRequest {
@@ -150,7 +150,7 @@
     client: wanted.client,
     team: submission.team,
     workload: submission.workload,
-    payload: toBytes(submission.payload),
+    payload: encodeText(submission.payload),
     remainingMs: toUint32(wanted.remainingMs),
     size: submission.size,
     startDeadlineMs: submission.startDeadlineMs,
@@ -158,12 +158,12 @@
 }
 
 /** The submission in an offer. */
-export function fromOffer(message: peerPb.OfferRequest): request.Submission {
+export function decodeOffer(message: peerPb.OfferRequest): request.Submission {
   const {size} = message;
   return {
     team: message.team,
     workload: message.workload,
-    payload: toText(message.payload),
+    payload: decodeText(message.payload),
     ...(size === undefined
       ? {}
       : {
@@ -180,7 +180,7 @@
   };
 }
 
-function toSummary(summary: event.ZoneSummary): peerPb.ZoneSummary {
+function encodeSummary(summary: event.ZoneSummary): peerPb.ZoneSummary {
   return protobuf.create(peerPb.ZoneSummarySchema, {
     zone: summary.zone,
     freeProcessors: toUint64(summary.freeProcessors),
@@ -191,7 +191,7 @@
   });
 }
 
-function fromSummary(message: peerPb.ZoneSummary): event.ZoneSummary {
+function decodeSummary(message: peerPb.ZoneSummary): event.ZoneSummary {
   return {
     zone: message.zone,
     freeProcessors: Number(message.freeProcessors),
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -1,12 +1,12 @@
 import * as http2 from 'node:http2';
 import * as connect from '@connectrpc/connect';
 import * as connectNode from '@connectrpc/connect-node';
-import * as callReader from './call_reader.js';
+import * as callParser from './call_parser.js';
 import * as peerMessages from './peer_messages.js';
 import * as peerPb from './generated/peer_pb.js';
 import * as listen from './listen.js';
 import type * as protobuf from '@bufbuild/protobuf';
-import type * as callNumbers from './call_numbers.js';
+import type * as callNumberAllocator from './call_number_allocator.js';
 import type * as effect from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 
@@ -35,14 +35,14 @@
 
   constructor(
     private readonly self: string,
-    private readonly numbers: callNumbers.CallNumbers,
+    private readonly numbers: callNumberAllocator.CallNumberAllocator,
     private readonly post: (event: event.Event) => void,
   ) {
     this.server = http2.createServer(
       connectNode.connectNodeAdapter({
         routes: router => this.route(router),
         acceptCompression: [],
-        readMaxBytes: peerMessages.LARGEST_MESSAGE,
+        readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
         grpc: false,
         grpcWeb: false,
       }),
@@ -100,12 +100,12 @@
       call,
       to: message.to,
       zonePosition: Number(message.zonePosition),
-      news: peerMessages.fromNews(message),
+      news: peerMessages.decodeNews(message),
     }));
     return {
-      ...peerMessages.toNews(answer.news),
+      ...peerMessages.encodeNews(answer.news),
       confirmed: answer.confirmed,
-      zoneRecords: peerMessages.toRecords(answer.zoneRecords),
+      zoneRecords: peerMessages.encodeRecords(answer.zoneRecords),
     };
   }
 
@@ -121,10 +121,10 @@
       identity: message.identity,
       attempt: message.attempt,
       client: message.client,
-      submission: peerMessages.fromOffer(message),
-      remainingMs: peerMessages.toRemaining(message.remainingMs),
+      submission: peerMessages.decodeOffer(message),
+      remainingMs: peerMessages.decodeRemainingMs(message.remainingMs),
     }));
-    return {code: answer.code, answer: peerMessages.toBytes(answer.answer)};
+    return {code: answer.code, answer: peerMessages.encodeText(answer.answer)};
   }
 
   private async withdraw(
@@ -159,7 +159,7 @@
     );
     return {
       code: reply.code,
-      body: peerMessages.toBytes(JSON.stringify(reply)),
+      body: peerMessages.encodeText(JSON.stringify(reply)),
     };
   }
 
@@ -170,9 +170,9 @@
     const answer = await this.ask('answerDocuments', gone, call => ({
       kind: 'fetchDocumentsArrived',
       call,
-      have: peerMessages.fromVersions(message.have),
+      have: peerMessages.decodeVersions(message.have),
     }));
-    return {documents: peerMessages.toDocuments(answer.documents)};
+    return {documents: peerMessages.encodeDocuments(answer.documents)};
   }
 
   private async witness(
@@ -184,7 +184,7 @@
       call,
       from: message.from,
       to: message.to,
-      entries: message.entries.map(peerMessages.toText),
+      entries: message.entries.map(peerMessages.decodeText),
     }));
     return {stored: answer.stored};
   }
@@ -200,7 +200,7 @@
     }));
     return {
       complete: answer.complete,
-      entries: answer.entries.map(peerMessages.toBytes),
+      entries: answer.entries.map(peerMessages.encodeText),
     };
   }
 
@@ -210,7 +210,7 @@
     gone: AbortSignal,
     build: (call: event.CallNumber) => event.Event,
   ): Promise<AnswerOf<Kind>> {
-    const call = this.numbers.next();
+    const call = this.numbers.allocate();
     const arrived = build(call);
     return new Promise((resolve, reject) => {
       const end = (): void => {
@@ -243,8 +243,8 @@
     case 'explain':
       return {kind: 'explainArrived', call, client, identity};
     case 'submit':
-      return callReader
-        .readSubmission(peerMessages.toText(message.body))
+      return callParser
+        .parseSubmission(peerMessages.decodeText(message.body))
         .map(submission => ({
           kind: 'requestArrived' as const,
           call,
--- a/src/links/answer_watch.ts
+++ b/src/links/pending_answer_tracker.ts
@@ -4,9 +4,9 @@
  * Time for which a worker may list a task as ended while its answer is still
  * awaited; after it, the connection counts as silent.
  */
-const OVERDUE_MS = 2_000;
+const OVERDUE_TIMEOUT_MS = 2_000;
 
-interface OpenFetch {
+interface PendingAnswer {
   readonly abort: AbortController;
   /** When a report first listed the task as ended. */
   endedAt: number | undefined;
@@ -17,13 +17,17 @@
  * may be as long as the task, so no deadline can tell; the worker's reports
  * can, without any call of their own.
  */
-export class AnswerWatch {
-  private readonly fetches = new Map<string, Map<string, OpenFetch>>();
+export class PendingAnswerTracker {
+  private readonly fetches = new Map<string, Map<string, PendingAnswer>>();
 
   /** Begins to watch; the signal ends the call when it is overdue. */
   begin(worker: string, taskName: string): AbortSignal {
-    const open: OpenFetch = {abort: new AbortController(), endedAt: undefined};
-    const ofWorker = this.fetches.get(worker) ?? new Map<string, OpenFetch>();
+    const open: PendingAnswer = {
+      abort: new AbortController(),
+      endedAt: undefined,
+    };
+    const ofWorker =
+      this.fetches.get(worker) ?? new Map<string, PendingAnswer>();
     ofWorker.set(taskName, open);
     this.fetches.set(worker, ofWorker);
     return open.abort.signal;
@@ -46,7 +50,7 @@
       const open = ofWorker.get(listed.task);
       if (open === undefined || listed.state === 'running') continue;
       open.endedAt ??= now;
-      if (now - open.endedAt < OVERDUE_MS) continue;
+      if (now - open.endedAt < OVERDUE_TIMEOUT_MS) continue;
       open.abort.abort(new Error('the answer is overdue'));
       ended += 1;
     }
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -1,9 +1,9 @@
 import * as jsonBody from './json_body.js';
-import * as shape from './shape.js';
+import * as typeGuards from './type_guards.js';
 import type * as effect from '../contracts/effect.js';
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
-import type * as httpCaller from './http_caller.js';
+import type * as pooledHttpClient from './pooled_http_client.js';
 
 /** Deadline of calls to the log and the VM list. */
 const CALL_DEADLINE_MS = 2_000;
@@ -21,9 +21,9 @@
 }
 
 /** What a platform link is made with. */
-export interface PlatformLinkParts {
+export interface PlatformLinkOptions {
   readonly addresses: PlatformAddresses;
-  readonly caller: httpCaller.HttpCaller;
+  readonly client: pooledHttpClient.PooledHttpClient;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
   readonly metrics: sinks.MetricsSink;
@@ -43,7 +43,7 @@
 export class PlatformLink {
   private lastList: TaggedList | undefined;
 
-  constructor(private readonly parts: PlatformLinkParts) {}
+  constructor(private readonly parts: PlatformLinkOptions) {}
 
   /** Performs one effect; the answer comes as an event. */
   async perform(wanted: effect.PlatformEffect): Promise<void> {
@@ -60,14 +60,14 @@
   private async append(
     wanted: Extract<effect.PlatformEffect, {kind: 'append'}>,
   ): Promise<void> {
-    const outcome = await this.parts.caller.call({
+    const outcome = await this.parts.client.call({
       method: 'POST',
       address: this.parts.addresses.log,
       path: recordsPath(wanted.stream),
       body: {records: wanted.records},
-      headersDeadlineMs: CALL_DEADLINE_MS,
-      bodyDeadlineMs: CALL_DEADLINE_MS,
-      largestAnswer: LARGEST_ANSWER,
+      headersTimeoutMs: CALL_DEADLINE_MS,
+      bodyTimeoutMs: CALL_DEADLINE_MS,
+      maxResponseBytes: LARGEST_ANSWER,
     });
     const appended = outcome.kind === 'answered' && outcome.status === 200;
     if (!appended) this.countFailure('append', 'no_answer');
@@ -99,9 +99,9 @@
   private async readVmList(): Promise<void> {
     const sentAt = this.parts.now();
     const known = this.lastList;
-    const outcome = await this.parts.caller.call({
+    const outcome = await this.parts.client.call({
       ...getCall(this.parts.addresses.vmList, '/vms'),
-      knownTag: known?.tag,
+      knownEntityTag: known?.tag,
     });
     const unchanged = outcome.kind === 'answered' && outcome.status === 304;
     const vms = unchanged ? known?.vms : this.takeList(outcome);
@@ -115,7 +115,7 @@
   }
 
   private takeList(
-    outcome: httpCaller.HttpOutcome,
+    outcome: pooledHttpClient.PooledHttpOutcome,
   ): ReadonlyArray<event.ListedVm> | undefined {
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
     const vms = readVms(outcome.text);
@@ -130,7 +130,7 @@
     address: string,
     path: string,
   ): Promise<string | undefined> {
-    const outcome = await this.parts.caller.call(getCall(address, path));
+    const outcome = await this.parts.client.call(getCall(address, path));
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
     return outcome.text;
   }
@@ -140,14 +140,17 @@
   }
 }
 
-function getCall(address: string, path: string): httpCaller.HttpCall {
+function getCall(
+  address: string,
+  path: string,
+): pooledHttpClient.PooledHttpRequest {
   return {
     method: 'GET',
     address,
     path,
-    headersDeadlineMs: CALL_DEADLINE_MS,
-    bodyDeadlineMs: CALL_DEADLINE_MS,
-    largestAnswer: LARGEST_ANSWER,
+    headersTimeoutMs: CALL_DEADLINE_MS,
+    bodyTimeoutMs: CALL_DEADLINE_MS,
+    maxResponseBytes: LARGEST_ANSWER,
   };
 }
 
@@ -157,10 +160,14 @@
 
 /** Reads records; undefined unless they are in order and within the bounds. */
 function readRecords(text: string): ReadRecords | undefined {
-  const raw = jsonBody.parseObject(text);
+  const raw = jsonBody.parseJsonObject(text);
   if (raw === undefined) return undefined;
   const {first, next, records} = raw;
-  if (!shape.isCount(first) || !shape.isCount(next) || first > next) {
+  if (
+    !typeGuards.isNonNegativeInteger(first) ||
+    !typeGuards.isNonNegativeInteger(next) ||
+    first > next
+  ) {
     return undefined;
   }
   if (!Array.isArray(records) || !records.every(isRecord)) return undefined;
@@ -174,8 +181,8 @@
 
 function isRecord(value: unknown): value is event.StreamRecord {
   return (
-    shape.isObject(value) &&
-    shape.isCount(value['offset']) &&
+    typeGuards.isObject(value) &&
+    typeGuards.isNonNegativeInteger(value['offset']) &&
     typeof value['data'] === 'string'
   );
 }
@@ -185,17 +192,17 @@
  * were left out would say that its VM no longer exists.
  */
 function readVms(text: string): ReadonlyArray<event.ListedVm> | undefined {
-  const vms = jsonBody.parseObject(text)?.['vms'];
+  const vms = jsonBody.parseJsonObject(text)?.['vms'];
   if (!Array.isArray(vms) || !vms.every(isListedVm)) return undefined;
   return vms;
 }
 
 function isListedVm(value: unknown): value is event.ListedVm {
   return (
-    shape.isObject(value) &&
-    shape.isName(value['vm']) &&
+    typeGuards.isObject(value) &&
+    typeGuards.isNonEmptyString(value['vm']) &&
     (value['role'] === 'entry' || value['role'] === 'worker') &&
-    shape.isName(value['zone']) &&
+    typeGuards.isNonEmptyString(value['zone']) &&
     typeof value['address'] === 'string' &&
     (value['state'] === 'live' || value['state'] === 'leaving')
   );
--- a/src/links/http_caller.ts
+++ b/src/links/pooled_http_client.ts
@@ -1,28 +1,28 @@
 import * as undici from 'undici';
-import * as connectionLimit from './connection_limit.js';
+import * as connectionLimiter from './connection_limiter.js';
 import type * as net from 'node:net';
 
 /** One HTTP call. */
-export interface HttpCall {
+export interface PooledHttpRequest {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Host and port. */
   readonly address: string;
   readonly path: string;
   readonly body?: unknown;
   /** Entity tag of what is known already; an unchanged answer has status 304. */
-  readonly knownTag?: string;
+  readonly knownEntityTag?: string;
   /** Time until the headers of the answer, the wait for a turn included. */
-  readonly headersDeadlineMs: number;
+  readonly headersTimeoutMs: number;
   /** Time from the headers to the end of the answer. */
-  readonly bodyDeadlineMs: number;
+  readonly bodyTimeoutMs: number;
   /** Largest answer in bytes. */
-  readonly largestAnswer: number;
+  readonly maxResponseBytes: number;
   /** Ends the call early. */
   readonly signal?: AbortSignal;
 }
 
 /** What came of a call. */
-export type HttpOutcome =
+export type PooledHttpOutcome =
   | {
       readonly kind: 'answered';
       readonly status: number;
@@ -36,8 +36,8 @@
   | {readonly kind: 'lost'; readonly detail: string};
 
 /** Options of a caller. */
-export interface HttpCallerOptions {
-  readonly connections: connectionLimit.LimitBounds;
+export interface PooledHttpClientOptions {
+  readonly connections: connectionLimiter.ConnectionBounds;
   /** Path without side effects for probes of silent connections. */
   readonly probePath: string;
   /** Hears of each address whose connections went silent. */
@@ -72,7 +72,7 @@
 
 interface Origin {
   pool: undici.Pool;
-  readonly limit: connectionLimit.ConnectionLimit;
+  readonly limit: connectionLimiter.ConnectionLimiter;
   probing: boolean;
   lastUsed: number;
 }
@@ -92,13 +92,13 @@
  * headers miss their deadline causes a probe over a new connection; when the
  * probe is answered, the old connections of that address take no more calls.
  */
-export class HttpCaller {
+export class PooledHttpClient {
   private readonly origins = new Map<string, Origin>();
   private lastSweep = 0;
 
   private readonly connect: undici.buildConnector.connector;
 
-  constructor(private readonly options: HttpCallerOptions) {
+  constructor(private readonly options: PooledHttpClientOptions) {
     const build = undici.buildConnector({timeout: CONNECT_DEADLINE_MS});
     this.connect = (target, callback) =>
       build(target, (...made) => {
@@ -110,14 +110,14 @@
   }
 
   /** Sends one call; never rejects. */
-  async call(call: HttpCall): Promise<HttpOutcome> {
+  async call(call: PooledHttpRequest): Promise<PooledHttpOutcome> {
     const origin = this.origin(call.address);
     const abort = new AbortController();
     const forward = (): void => abort.abort(call.signal?.reason);
     call.signal?.addEventListener('abort', forward, {once: true});
     const timer = setTimeout(() => {
       abort.abort(new CallFault('HEADERS', 'no answer within the deadline'));
-    }, call.headersDeadlineMs);
+    }, call.headersTimeoutMs);
     try {
       if (!(await takeTurn(origin.limit, abort.signal))) {
         return {kind: 'notSent', detail: 'no connection was free in time'};
@@ -143,12 +143,12 @@
 
   private async sendInTurn(
     origin: Origin,
-    call: HttpCall,
+    call: PooledHttpRequest,
     abort: AbortController,
     timer: NodeJS.Timeout,
-  ): Promise<HttpOutcome> {
+  ): Promise<PooledHttpOutcome> {
     const {pool} = origin;
-    let outcome: HttpOutcome;
+    let outcome: PooledHttpOutcome;
     let refused = false;
     try {
       outcome = await send(pool, call, abort, timer);
@@ -173,7 +173,7 @@
     }
     const opened: Origin = {
       pool: this.openPool(address),
-      limit: new connectionLimit.ConnectionLimit(this.options.connections),
+      limit: new connectionLimiter.ConnectionLimiter(this.options.connections),
       probing: false,
       lastUsed: now,
     };
@@ -195,7 +195,7 @@
 
   private openPool(address: string): undici.Pool {
     return new undici.Pool(`http://${address}`, {
-      connections: this.options.connections.greatest,
+      connections: this.options.connections.maximum,
       pipelining: 1,
       connect: this.connect,
       // The deadlines of each call replace the pool's own.
@@ -227,7 +227,7 @@
 
 /** Waits for a turn below the limit; false when the call ends before it. */
 function takeTurn(
-  limit: connectionLimit.ConnectionLimit,
+  limit: connectionLimiter.ConnectionLimiter,
   signal: AbortSignal,
 ): Promise<boolean> {
   return new Promise(resolve => {
@@ -249,26 +249,28 @@
 
 async function send(
   pool: undici.Pool,
-  call: HttpCall,
+  call: PooledHttpRequest,
   abort: AbortController,
   headersTimer: NodeJS.Timeout,
-): Promise<HttpOutcome> {
+): Promise<PooledHttpOutcome> {
   const answer = await pool.request({
     method: call.method,
     path: call.path,
     signal: abort.signal,
     headers: {
       ...(call.body === undefined ? {} : {'content-type': 'application/json'}),
-      ...(call.knownTag === undefined ? {} : {'if-none-match': call.knownTag}),
+      ...(call.knownEntityTag === undefined
+        ? {}
+        : {'if-none-match': call.knownEntityTag}),
     },
     body: call.body === undefined ? null : JSON.stringify(call.body),
   });
   clearTimeout(headersTimer);
   const timer = setTimeout(() => {
     abort.abort(new CallFault('BODY', 'the answer did not end in time'));
-  }, call.bodyDeadlineMs);
+  }, call.bodyTimeoutMs);
   try {
-    const text = await readText(answer.body, call.largestAnswer);
+    const text = await readText(answer.body, call.maxResponseBytes);
     const {etag} = answer.headers;
     const tag = typeof etag === 'string' ? etag : undefined;
     return {kind: 'answered', status: answer.statusCode, text, tag};
@@ -307,7 +309,7 @@
   }
 }
 
-function outcomeOf(fault: unknown): HttpOutcome {
+function outcomeOf(fault: unknown): PooledHttpOutcome {
   const code = codeOf(fault);
   const detail = `${code}: ${fault instanceof Error ? fault.message : ''}`;
   return {kind: NOT_SENT_CODES.has(code) ? 'notSent' : 'lost', detail};
--- a/src/links/answers_schema.ts
+++ b/src/links/questionnaire_schema.ts
@@ -6,7 +6,7 @@
 const yesOrNo = new tomlSchema.BooleanRule();
 const processors = new tomlSchema.NumberRule(0.001, 10_000);
 const memory = new tomlSchema.NumberRule(0.001, 1_000_000);
-const accelerators = new tomlSchema.WholeRule(0, 1_000);
+const accelerators = new tomlSchema.IntegerRule(0, 1_000);
 
 function nameOf(value: unknown): unknown {
   if (typeof value !== 'object' || value === null) return undefined;
@@ -26,7 +26,7 @@
   },
   {
     key: 'countPerZone',
-    rule: new tomlSchema.WholeRule(1, 100_000),
+    rule: new tomlSchema.IntegerRule(1, 100_000),
     meaning: 'How many of them are in each of these zones?',
   },
   {
@@ -48,12 +48,12 @@
   },
   {
     key: 'slots',
-    rule: new tomlSchema.WholeRule(1, 100_000),
+    rule: new tomlSchema.IntegerRule(1, 100_000),
     meaning: 'How many tasks does one hold at once?',
   },
   {
     key: 'connections',
-    rule: new tomlSchema.WholeRule(1, 65_535),
+    rule: new tomlSchema.IntegerRule(1, 65_535),
     default: 60,
     meaning: 'How many connections does one accept?',
   },
@@ -73,7 +73,7 @@
   },
   {
     key: 'machinesAtOnce',
-    rule: new tomlSchema.WholeRule(1, 10_000),
+    rule: new tomlSchema.IntegerRule(1, 10_000),
     default: 1,
     meaning: 'On how many machines does one piece run at once?',
   },
@@ -84,7 +84,7 @@
   },
   {
     key: 'valueOfOne',
-    rule: new tomlSchema.WholeRule(0, 1_000_000_000),
+    rule: new tomlSchema.IntegerRule(0, 1_000_000_000),
     default: 1,
     meaning: 'What is one piece worth, compared with your other work?',
   },
@@ -133,7 +133,7 @@
   },
   {
     key: 'perBusyHour',
-    rule: new tomlSchema.WholeRule(0, 10_000_000),
+    rule: new tomlSchema.IntegerRule(0, 10_000_000),
     meaning: 'How many pieces come in your busiest hour?',
   },
 ]);
@@ -171,7 +171,7 @@
 ]);
 
 /** The questions; the meaning of a key is its question. */
-export const ANSWERS_SCHEMA = new tomlSchema.TableRule([
+export const QUESTIONNAIRE_SCHEMA = new tomlSchema.TableRule([
   {key: 'operator', rule: text, meaning: 'Who operates the cell?'},
   {
     key: 'zones',
--- a/src/links/toml_document_reader.ts
+++ b/src/links/toml_document_reader.ts
@@ -31,7 +31,7 @@
   return parse(content).chain(document => {
     const faults = schema.check(document, '');
     if (faults.length > 0) return either.Left(invalid(faults));
-    const completed = schema.complete(document) as Content;
+    const completed = schema.applyDefaults(document) as Content;
     const further = findFurther(completed);
     if (further.length > 0) return either.Left(invalid(further));
     return either.Right(completed);
@@ -40,7 +40,7 @@
 
 function parse(content: string): either.Either<result.Failure, toml.TomlTable> {
   return either.Either.encase(() => toml.parse(content)).mapLeft(fault =>
-    result.failure('invalidDocument', tomlSchema.describeSyntaxFault(fault)),
+    result.failure('invalidDocument', tomlSchema.describeSyntaxError(fault)),
   );
 }
 
@@ -57,7 +57,7 @@
     shape.zones
       .filter(zone => !known.has(zone))
       .map(zone =>
-        tomlSchema.fault(
+        tomlSchema.toFault(
           `workerShapes[${position}].zones`,
           zone,
           'the name of one of the zones',
@@ -72,7 +72,7 @@
     const faults: tomlSchema.Fault[] = [];
     if (workload.kind === 'service' && workload.runTimeMs !== 0) {
       faults.push(
-        tomlSchema.fault(
+        tomlSchema.toFault(
           `${field}.runTimeMs`,
           workload.runTimeMs,
           '0, because a service does not end',
@@ -81,7 +81,7 @@
     }
     if (workload.kind === 'gang' && workload.taskCount < 2) {
       faults.push(
-        tomlSchema.fault(
+        tomlSchema.toFault(
           `${field}.taskCount`,
           workload.taskCount,
           '2 or more, because a gang starts several tasks at once',
--- a/src/links/toml_schema.ts
+++ b/src/links/toml_schema.ts
@@ -14,13 +14,13 @@
 /** Decides whether a value is allowed. */
 export interface ValueRule {
   /** Completes the sentence "the value must be ...". */
-  readonly text: string;
+  readonly requirement: string;
   /** Returns every fault of the value found at `field`. */
   check(value: unknown, field: string): ReadonlyArray<Fault>;
   /** Returns the value that a typed answer stands for, not checked yet. */
-  fromText(text: string): unknown;
+  parseInput(text: string): unknown;
   /** Returns a checked value with defaults in place of missing keys. */
-  complete(value: unknown): unknown;
+  applyDefaults(value: unknown): unknown;
 }
 
 /** One key of a table. */
@@ -34,7 +34,7 @@
 }
 
 /** Says on which line TOML could not be read, without the quoted lines. */
-export function describeSyntaxFault(syntax: Error): string {
+export function describeSyntaxError(syntax: Error): string {
   const [first] = syntax.message.split('\n');
   if (!(syntax instanceof toml.TomlError)) return first;
   return `line ${syntax.line}, column ${syntax.column}: ${first}`;
@@ -49,25 +49,25 @@
 const SHOWN_LENGTH = 120;
 
 /** Builds the fault of a value that breaks `rule`. */
-export function fault(field: string, value: unknown, rule: string): Fault {
+export function toFault(field: string, value: unknown, rule: string): Fault {
   const text = value === undefined ? 'missing' : JSON.stringify(value);
   const shown =
     text.length > SHOWN_LENGTH ? `${text.slice(0, SHOWN_LENGTH)}...` : text;
   return {field, value: shown, rule};
 }
 
-abstract class PlainRule implements ValueRule {
-  abstract readonly text: string;
+abstract class ScalarRule implements ValueRule {
+  abstract readonly requirement: string;
 
   check(value: unknown, field: string): ReadonlyArray<Fault> {
-    return this.allows(value) ? [] : [fault(field, value, this.text)];
+    return this.allows(value) ? [] : [toFault(field, value, this.requirement)];
   }
 
-  fromText(text: string): unknown {
+  parseInput(text: string): unknown {
     return text;
   }
 
-  complete(value: unknown): unknown {
+  applyDefaults(value: unknown): unknown {
     return value;
   }
 
@@ -75,12 +75,12 @@
 }
 
 /** Text of a limited length without control characters. */
-export class TextRule extends PlainRule {
-  readonly text: string;
+export class TextRule extends ScalarRule {
+  readonly requirement: string;
 
   constructor(private readonly limit: number) {
     super();
-    this.text = `text of 1 to ${limit} printable characters`;
+    this.requirement = `text of 1 to ${limit} printable characters`;
   }
 
   protected allows(value: unknown): boolean {
@@ -91,8 +91,8 @@
 }
 
 /** A name of the configured world. */
-export class NameRule extends PlainRule {
-  readonly text =
+export class NameRule extends ScalarRule {
+  readonly requirement =
     'a name of at most 32 lower-case letters, digits and hyphens that ' +
     'starts with a letter';
 
@@ -103,8 +103,8 @@
 }
 
 /** An IP number. */
-export class HostRule extends PlainRule {
-  readonly text = 'an IP number';
+export class IpAddressRule extends ScalarRule {
+  readonly requirement = 'an IP number';
 
   protected allows(value: unknown): boolean {
     return typeof value === 'string' && net.isIP(value) !== 0;
@@ -112,8 +112,8 @@
 }
 
 /** An IP number with a port. */
-export class AddressRule extends PlainRule {
-  readonly text = 'an IP number and a port, as in 10.0.0.5:7000';
+export class AddressRule extends ScalarRule {
+  readonly requirement = 'an IP number and a port, as in 10.0.0.5:7000';
 
   protected allows(value: unknown): boolean {
     if (typeof value !== 'string') return false;
@@ -125,18 +125,18 @@
 }
 
 /** A whole number in a range, both ends included. */
-export class WholeRule extends PlainRule {
-  readonly text: string;
+export class IntegerRule extends ScalarRule {
+  readonly requirement: string;
 
   constructor(
     private readonly minimum: number,
     private readonly maximum: number,
   ) {
     super();
-    this.text = `a whole number from ${minimum} to ${maximum}`;
+    this.requirement = `a whole number from ${minimum} to ${maximum}`;
   }
 
-  override fromText(text: string): unknown {
+  override parseInput(text: string): unknown {
     return text === '' ? undefined : Number(text);
   }
 
@@ -147,18 +147,18 @@
 }
 
 /** A number in a range, both ends included. */
-export class NumberRule extends PlainRule {
-  readonly text: string;
+export class NumberRule extends ScalarRule {
+  readonly requirement: string;
 
   constructor(
     private readonly minimum: number,
     private readonly maximum: number,
   ) {
     super();
-    this.text = `a number from ${minimum} to ${maximum}`;
+    this.requirement = `a number from ${minimum} to ${maximum}`;
   }
 
-  override fromText(text: string): unknown {
+  override parseInput(text: string): unknown {
     return text === '' ? undefined : Number(text);
   }
 
@@ -169,10 +169,10 @@
 }
 
 /** true or false. */
-export class BooleanRule extends PlainRule {
-  readonly text = 'true or false';
+export class BooleanRule extends ScalarRule {
+  readonly requirement = 'true or false';
 
-  override fromText(text: string): unknown {
+  override parseInput(text: string): unknown {
     if (['true', 'yes', 'y'].includes(text)) return true;
     return ['false', 'no', 'n'].includes(text) ? false : text;
   }
@@ -183,12 +183,12 @@
 }
 
 /** One of some words. */
-export class ChoiceRule extends PlainRule {
-  readonly text: string;
+export class ChoiceRule extends ScalarRule {
+  readonly requirement: string;
 
   constructor(private readonly choices: ReadonlyArray<string>) {
     super();
-    this.text = `one of ${choices.join(', ')}`;
+    this.requirement = `one of ${choices.join(', ')}`;
   }
 
   protected allows(value: unknown): boolean {
@@ -198,7 +198,7 @@
 
 /** A list in which every item obeys one rule. */
 export class ListRule implements ValueRule {
-  readonly text: string;
+  readonly requirement: string;
 
   /** `identify` returns what must differ between the items. */
   constructor(
@@ -207,13 +207,13 @@
     private readonly maximum: number,
     private readonly identify: (value: unknown) => unknown = value => value,
   ) {
-    this.text =
+    this.requirement =
       `a list of ${minimum} to ${maximum} different items, ` +
-      `each ${item.text}`;
+      `each ${item.requirement}`;
   }
 
   check(value: unknown, field: string): ReadonlyArray<Fault> {
-    if (!Array.isArray(value)) return [fault(field, value, this.text)];
+    if (!Array.isArray(value)) return [toFault(field, value, this.requirement)];
     const items = value as ReadonlyArray<unknown>;
     const faults = items.flatMap((item, position) =>
       this.item.check(item, `${field}[${position}]`),
@@ -226,14 +226,14 @@
     return [...faults, ...this.repeated(items, field)];
   }
 
-  fromText(text: string): unknown {
+  parseInput(text: string): unknown {
     if (text === '') return [];
-    return text.split(',').map(item => this.item.fromText(item.trim()));
+    return text.split(',').map(item => this.item.parseInput(item.trim()));
   }
 
-  complete(value: unknown): unknown {
+  applyDefaults(value: unknown): unknown {
     const items = value as ReadonlyArray<unknown>;
-    return items.map(item => this.item.complete(item));
+    return items.map(item => this.item.applyDefaults(item));
   }
 
   private repeated(
@@ -249,21 +249,21 @@
         return [];
       }
       const rule = 'different from the items before it';
-      return [fault(`${field}[${position}]`, identity, rule)];
+      return [toFault(`${field}[${position}]`, identity, rule)];
     });
   }
 }
 
 /** A table with known keys. */
 export class TableRule implements ValueRule {
-  readonly text: string;
+  readonly requirement: string;
 
   constructor(readonly keys: ReadonlyArray<SchemaKey>) {
-    this.text = `a table with ${keys.map(item => item.key).join(', ')}`;
+    this.requirement = `a table with ${keys.map(item => item.key).join(', ')}`;
   }
 
   check(value: unknown, field: string): ReadonlyArray<Fault> {
-    if (!isTable(value)) return [fault(field, value, this.text)];
+    if (!isTable(value)) return [toFault(field, value, this.requirement)];
     const prefix = field === '' ? '' : `${field}.`;
     const known = this.keys.flatMap(item => {
       const present = value[item.key];
@@ -273,21 +273,21 @@
     const names = this.keys.map(item => item.key);
     const unknown = Object.keys(value)
       .filter(key => !names.includes(key))
-      .map(key => fault(`${prefix}${key}`, value[key], unknownRule(names)));
+      .map(key => toFault(`${prefix}${key}`, value[key], unknownRule(names)));
     return [...known, ...unknown];
   }
 
-  fromText(text: string): unknown {
+  parseInput(text: string): unknown {
     return text;
   }
 
-  complete(value: unknown): unknown {
+  applyDefaults(value: unknown): unknown {
     const table = value as Readonly<Record<string, unknown>>;
     return Object.fromEntries(
       this.keys.map(item => {
         const present = table[item.key];
         if (present === undefined) return [item.key, item.default];
-        return [item.key, item.rule.complete(present)];
+        return [item.key, item.rule.applyDefaults(present)];
       }),
     );
   }
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -2,21 +2,21 @@
 import type * as keyedTopic from './keyed_topic.js';
 
 /** How a topic is followed. */
-export interface FollowOptions {
+export interface TopicFollowerOptions {
   /** How long a read may wait for a record. */
-  readonly waitMs: number;
+  readonly maxWaitMs: number;
   /** Least time between two reads; records that come meanwhile share one. */
-  readonly gapMs: number;
+  readonly minReadIntervalMs: number;
 }
 
 /** Hears of a followed topic. */
-export interface FollowListener {
+export interface TopicListener {
   /**
    * The store answered. `changes` are the newest records of their keys, in the
    * order of their offsets; `whole` tells that keys not among them are gone.
    */
-  followed(
-    changes: ReadonlyArray<keyedTopic.PlacedRecord>,
+  received(
+    changes: ReadonlyArray<keyedTopic.TopicRecord>,
     end: number,
     whole: boolean,
   ): void;
@@ -37,8 +37,8 @@
 
   constructor(
     private readonly topic: keyedTopic.KeyedTopic,
-    private readonly options: FollowOptions,
-    private readonly listener: FollowListener,
+    private readonly options: TopicFollowerOptions,
+    private readonly listener: TopicListener,
     private readonly clock: clock.Clock,
     private readonly pause: (milliseconds: number) => Promise<void>,
   ) {}
@@ -52,7 +52,9 @@
       if (answered && !this.answered) this.listener.resumed();
       this.answered = answered;
       const spent = this.clock.now() - startedAt;
-      const gap = this.answered ? this.options.gapMs - spent : RETRY_PAUSE_MS;
+      const gap = this.answered
+        ? this.options.minReadIntervalMs - spent
+        : RETRY_PAUSE_MS;
       if (gap > 0) await this.pause(gap);
     }
   }
@@ -65,16 +67,16 @@
     const whole = this.next === undefined;
     // A read that waits would hang in a silent store for all that time, also
     // when the store is back meanwhile.
-    const waitMs = this.answered ? this.options.waitMs : 0;
+    const waitMs = this.answered ? this.options.maxWaitMs : 0;
     const outcome =
       this.next === undefined
-        ? await this.topic.newest()
+        ? await this.topic.readNewest()
         : await this.topic.read(this.next, waitMs);
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'read':
         this.next = outcome.end;
-        this.listener.followed(outcome.records, outcome.end, whole);
+        this.listener.received(outcome.records, outcome.end, whole);
         return true;
       case 'expired':
         this.next = undefined;
--- a/src/links/journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -18,7 +18,7 @@
 const NOTHING = new Uint8Array(0);
 
 /** Keeps the journal in a keyed topic: two keys a job and one for workers. */
-export class JournalStore implements jobJournal.JournalStore {
+export class TopicJournalStore implements jobJournal.JournalStore {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
@@ -27,7 +27,7 @@
   }
 
   async load(): Promise<jobJournal.JournalContent | undefined> {
-    const outcome = await this.topic.newest();
+    const outcome = await this.topic.readNewest();
     if (outcome.kind !== 'read') return undefined;
     const definitions = new Map<string, job.JobDefinition>();
     const progress = new Map<string, jobRecord.JobProgress>();
--- a/src/links/shape.ts
+++ b/src/links/type_guards.ts
@@ -8,17 +8,17 @@
 }
 
 /** Tells whether a value is a number that is finite and not negative. */
-export function isQuantity(value: unknown): value is number {
+export function isNonNegativeNumber(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
 /** Tells whether a value is a whole number that is not negative. */
-export function isCount(value: unknown): value is number {
+export function isNonNegativeInteger(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
 /** Tells whether a value is a string with at least one character. */
-export function isName(value: unknown): value is string {
+export function isNonEmptyString(value: unknown): value is string {
   return typeof value === 'string' && value !== '';
 }
 
@@ -26,9 +26,9 @@
 export function isResources(value: unknown): value is resources.Resources {
   return (
     isObject(value) &&
-    isQuantity(value['processors']) &&
-    isQuantity(value['memory']) &&
-    isQuantity(value['accelerators']) &&
-    isQuantity(value['slots'])
+    isNonNegativeNumber(value['processors']) &&
+    isNonNegativeNumber(value['memory']) &&
+    isNonNegativeNumber(value['accelerators']) &&
+    isNonNegativeNumber(value['slots'])
   );
 }
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -1,10 +1,10 @@
-import * as answerWatch from './answer_watch.js';
+import * as pendingAnswerTracker from './pending_answer_tracker.js';
 import * as jsonBody from './json_body.js';
-import * as reportReader from './report_reader.js';
+import * as workerReportParser from './worker_report_parser.js';
 import type * as effect from '../contracts/effect.js';
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
-import type * as httpCaller from './http_caller.js';
+import type * as pooledHttpClient from './pooled_http_client.js';
 import type * as task from '../contracts/task.js';
 
 /** Deadline of short calls to a worker. */
@@ -30,11 +30,11 @@
 >;
 
 /** What a worker link is made with. */
-export interface WorkerLinkParts {
+export interface WorkerLinkOptions {
   /** Connections for short calls. */
-  readonly caller: httpCaller.HttpCaller;
+  readonly client: pooledHttpClient.PooledHttpClient;
   /** Connections that wait for answers, so that they hold up no other call. */
-  readonly answerCaller: httpCaller.HttpCaller;
+  readonly answerClient: pooledHttpClient.PooledHttpClient;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
   readonly metrics: sinks.MetricsSink;
@@ -42,9 +42,9 @@
 
 /** Sends effects to workers over HTTP and posts what they answer. */
 export class WorkerLink {
-  private readonly watch = new answerWatch.AnswerWatch();
+  private readonly watch = new pendingAnswerTracker.PendingAnswerTracker();
 
-  constructor(private readonly parts: WorkerLinkParts) {}
+  constructor(private readonly parts: WorkerLinkOptions) {}
 
   /** Performs one effect; the answer comes as an event. */
   async perform(wanted: effect.WorkerEffect): Promise<void> {
@@ -93,7 +93,7 @@
     const sentAt = this.parts.now();
     const outcome = await this.send(wanted, 'GET', '/report');
     const report = isOk(outcome)
-      ? reportReader.readReport(worker, outcome.text)
+      ? workerReportParser.parseWorkerReport(worker, outcome.text)
       : undefined;
     if (report === undefined) {
       if (isOk(outcome)) this.count('malformed_report', {worker});
@@ -114,13 +114,13 @@
     name: string,
   ): Promise<void> {
     const signal = this.watch.begin(worker, name);
-    const outcome = await this.parts.answerCaller.call({
+    const outcome = await this.parts.answerClient.call({
       method: 'GET',
       address,
       path: taskPath(name, 'answer'),
-      headersDeadlineMs: ANSWER_DEADLINE_MS,
-      bodyDeadlineMs: TRANSFER_DEADLINE_MS,
-      largestAnswer: LARGEST_ANSWER,
+      headersTimeoutMs: ANSWER_DEADLINE_MS,
+      bodyTimeoutMs: TRANSFER_DEADLINE_MS,
+      maxResponseBytes: LARGEST_ANSWER,
       signal,
     });
     this.watch.end(worker, name, signal);
@@ -147,15 +147,15 @@
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body?: unknown,
-  ): Promise<httpCaller.HttpOutcome> {
-    const outcome = await this.parts.caller.call({
+  ): Promise<pooledHttpClient.PooledHttpOutcome> {
+    const outcome = await this.parts.client.call({
       method,
       address: wanted.address,
       path,
       body,
-      headersDeadlineMs: CALL_DEADLINE_MS,
-      bodyDeadlineMs: CALL_DEADLINE_MS,
-      largestAnswer: LARGEST_REPORT,
+      headersTimeoutMs: CALL_DEADLINE_MS,
+      bodyTimeoutMs: CALL_DEADLINE_MS,
+      maxResponseBytes: LARGEST_REPORT,
     });
     if (outcome.kind !== 'answered') {
       const labels = {call: wanted.kind, outcome: outcome.kind};
@@ -188,7 +188,7 @@
 
 /** Reads an answer; undefined unless it names the task that was asked for. */
 function readAnswer(text: string, name: string): TaskAnswer | undefined {
-  const parsed = jsonBody.parseObject(text);
+  const parsed = jsonBody.parseJsonObject(text);
   if (parsed === undefined || parsed['task'] !== name) return undefined;
   const {state, answer} = parsed;
   if (typeof answer !== 'string' || !ENDED_STATES.has(state)) return undefined;
@@ -201,8 +201,8 @@
 }
 
 function isOk(
-  outcome: httpCaller.HttpOutcome,
-): outcome is Extract<httpCaller.HttpOutcome, {kind: 'answered'}> {
+  outcome: pooledHttpClient.PooledHttpOutcome,
+): outcome is Extract<pooledHttpClient.PooledHttpOutcome, {kind: 'answered'}> {
   return (
     outcome.kind === 'answered' && outcome.status >= 200 && outcome.status < 300
   );
@@ -210,7 +210,7 @@
 
 /** A start that was not sent, or was answered by a refusal, never runs. */
 function startAnswer(
-  outcome: httpCaller.HttpOutcome,
+  outcome: pooledHttpClient.PooledHttpOutcome,
 ): 'started' | 'refused' | 'lost' {
   if (outcome.kind === 'notSent') return 'refused';
   if (outcome.kind === 'lost') return 'lost';
@@ -218,7 +218,7 @@
   return outcome.status >= 400 && outcome.status < 500 ? 'refused' : 'lost';
 }
 
-function detailOf(outcome: httpCaller.HttpOutcome): string {
+function detailOf(outcome: pooledHttpClient.PooledHttpOutcome): string {
   if (outcome.kind !== 'answered') return outcome.detail;
   return `status ${outcome.status}: ${outcome.text.slice(0, 200)}`;
 }
--- a/src/links/report_reader.ts
+++ b/src/links/worker_report_parser.ts
@@ -1,5 +1,5 @@
 import * as jsonBody from './json_body.js';
-import * as shape from './shape.js';
+import * as typeGuards from './type_guards.js';
 import type * as task from '../contracts/task.js';
 
 const TASK_STATES: ReadonlySet<unknown> = new Set<task.TaskState>([
@@ -12,11 +12,11 @@
 ]);
 
 /** Reads a worker's report; undefined when any part of it is malformed. */
-export function readReport(
+export function parseWorkerReport(
   worker: string,
   text: string,
 ): task.WorkerReport | undefined {
-  const raw = jsonBody.parseObject(text);
+  const raw = jsonBody.parseJsonObject(text);
   if (raw === undefined || !isReport(raw)) return undefined;
   return {...raw, worker};
 }
@@ -26,8 +26,8 @@
 ): raw is Readonly<Record<string, unknown>> &
   Omit<task.WorkerReport, 'worker'> {
   return (
-    shape.isQuantity(raw['workerClock']) &&
-    shape.isResources(raw['capacity']) &&
+    typeGuards.isNonNegativeNumber(raw['workerClock']) &&
+    typeGuards.isResources(raw['capacity']) &&
     typeof raw['rack'] === 'string' &&
     typeof raw['leaving'] === 'boolean' &&
     Array.isArray(raw['tasks']) &&
@@ -38,20 +38,20 @@
 
 function isTask(value: unknown): value is task.TaskReport {
   return (
-    shape.isObject(value) &&
-    shape.isName(value['task']) &&
+    typeGuards.isObject(value) &&
+    typeGuards.isNonEmptyString(value['task']) &&
     isLabel(value['label']) &&
     TASK_STATES.has(value['state']) &&
-    shape.isResources(value['size']) &&
-    shape.isResources(value['usage']) &&
-    shape.isQuantity(value['leaseEnd'])
+    typeGuards.isResources(value['size']) &&
+    typeGuards.isResources(value['usage']) &&
+    typeGuards.isNonNegativeNumber(value['leaseEnd'])
   );
 }
 
 function isLabel(value: unknown): value is task.TaskLabel {
   return (
-    shape.isObject(value) &&
-    shape.isName(value['identity']) &&
+    typeGuards.isObject(value) &&
+    typeGuards.isNonEmptyString(value['identity']) &&
     typeof value['client'] === 'string' &&
     typeof value['team'] === 'string' &&
     typeof value['workload'] === 'string' &&
--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -43,9 +43,9 @@
 const MOST_RETENTION_MS = 31_536_000_000;
 
 const name = new tomlSchema.NameRule();
-const host = new tomlSchema.HostRule();
+const host = new tomlSchema.IpAddressRule();
 const address = new tomlSchema.AddressRule();
-const port = new tomlSchema.WholeRule(0, 65_535);
+const port = new tomlSchema.IntegerRule(0, 65_535);
 
 /** Every key of the settings with its rule, default and unit. */
 export const SETTINGS_SCHEMA = new tomlSchema.TableRule([
@@ -83,21 +83,21 @@
   },
   {
     key: 'logRetentionMs',
-    rule: new tomlSchema.WholeRule(LEAST_RETENTION_MS, MOST_RETENTION_MS),
+    rule: new tomlSchema.IntegerRule(LEAST_RETENTION_MS, MOST_RETENTION_MS),
     default: 86_400_000,
     unit: 'ms',
     meaning: 'How long the log keeps a record; longer than 2 h.',
   },
   {
     key: 'logStalenessMs',
-    rule: new tomlSchema.WholeRule(0, 60_000),
+    rule: new tomlSchema.IntegerRule(0, 60_000),
     default: 0,
     unit: 'ms',
     meaning: 'Lag of reads of the log; added to the wait after a claim.',
   },
   {
     key: 'appendIntervalMs',
-    rule: new tomlSchema.WholeRule(0, 60_000),
+    rule: new tomlSchema.IntegerRule(0, 60_000),
     default: 30,
     unit: 'ms',
     meaning:
@@ -119,14 +119,14 @@
   },
   {
     key: 'bodyLimitBytes',
-    rule: new tomlSchema.WholeRule(1_024, 67_108_864),
+    rule: new tomlSchema.IntegerRule(1_024, 67_108_864),
     default: 1_048_576,
     unit: 'bytes',
     meaning: 'Largest body of a call; bounds the memory of one call.',
   },
   {
     key: 'openCallLimit',
-    rule: new tomlSchema.WholeRule(1, 1_000_000),
+    rule: new tomlSchema.IntegerRule(1, 1_000_000),
     default: 10_000,
     meaning: 'Most calls that are open at once; bounds the memory of all.',
   },
@@ -141,7 +141,7 @@
     .chain(table => {
       const faults = findFaults(table);
       if (faults.length === 0) {
-        return either.Right(SETTINGS_SCHEMA.complete(table) as Settings);
+        return either.Right(SETTINGS_SCHEMA.applyDefaults(table) as Settings);
       }
       return either.Left(faults.map(fault => locate(fault, text)));
     });
@@ -149,7 +149,7 @@
 
 function syntaxFault(fault: Error): ReadonlyArray<SettingsFault> {
   const line = fault instanceof toml.TomlError ? fault.line : 0;
-  const rule = tomlSchema.describeSyntaxFault(fault);
+  const rule = tomlSchema.describeSyntaxError(fault);
   return [{key: '', line, value: '', rule}];
 }
 
@@ -158,7 +158,7 @@
   const {callerPort, peerPort} = table;
   if (callerPort !== peerPort || !callerPort) return faults;
   const rule = 'different from callerPort';
-  return [...faults, tomlSchema.fault('peerPort', peerPort, rule)];
+  return [...faults, tomlSchema.toFault('peerPort', peerPort, rule)];
 }
 
 function locate(fault: tomlSchema.Fault, text: string): SettingsFault {
--- a/stand_ins/log_service.ts
+++ b/stand_ins/log_service.ts
@@ -115,7 +115,7 @@
       call.send(200, shown);
       return;
     }
-    const parsed = jsonBody.parseObject(call.body);
+    const parsed = jsonBody.parseJsonObject(call.body);
     const records = (parsed?.['records'] ?? []) as ReadonlyArray<string>;
     const offset = this.append(name, records);
     if (delayMs > 0) await timers.setTimeout(delayMs);
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -123,7 +123,7 @@
     response: http.ServerResponse,
   ): void {
     if (method === 'POST') {
-      const change = jsonBody.parseObject(body);
+      const change = jsonBody.parseJsonObject(body);
       if (change === undefined) {
         const detail = 'body: must be a JSON object';
         jsonBody.sendJson(response, 400, {detail});
--- a/stand_ins/worker.ts
+++ b/stand_ins/worker.ts
@@ -156,7 +156,7 @@
   }
 
   private async takeStart(call: standInServer.StandInCall): Promise<void> {
-    const start = jsonBody.parseObject(call.body);
+    const start = jsonBody.parseJsonObject(call.body);
     if (start === undefined) {
       call.send(400, {detail: 'body: must be a JSON object'});
       return;
@@ -205,14 +205,14 @@
     if (call.method === 'DELETE') known.end('stopped', '');
     else if (part === 'checkpoint') known.end('checkpointed', '');
     else if (part === 'throttle') {
-      const limit = jsonBody.parseObject(call.body);
+      const limit = jsonBody.parseJsonObject(call.body);
       known.throttle(limit as unknown as resources.Resources);
     }
     call.send(200, {});
   }
 
   private renew(call: standInServer.StandInCall): void {
-    const body = jsonBody.parseObject(call.body) ?? {};
+    const body = jsonBody.parseJsonObject(call.body) ?? {};
     for (const name of (body['tasks'] ?? []) as ReadonlyArray<string>) {
       this.tasks.get(name)?.renew(Number(body['leaseEnd']));
     }
--- a/stand_ins/worker_task.ts
+++ b/stand_ins/worker_task.ts
@@ -139,5 +139,5 @@
 }
 
 function readPayload(payload: string): TaskPayload {
-  return (jsonBody.parseObject(payload) ?? {}) as TaskPayload;
+  return (jsonBody.parseJsonObject(payload) ?? {}) as TaskPayload;
 }
--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -4,7 +4,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as command from '../support/command.js';
-import * as answersSchema from '../../src/links/answers_schema.js';
+import * as questionnaireSchema from '../../src/links/questionnaire_schema.js';
 import * as documentGenerator from '../../src/links/document_generator.js';
 import * as interviewer from '../../src/commands/interviewer.js';
 import * as tomlSchema from '../../src/links/toml_schema.js';
@@ -179,8 +179,8 @@
       };
       const raw = await new interviewer.Interviewer(prompter, text =>
         printed.push(text),
-      ).askTable(answersSchema.ANSWERS_SCHEMA, '');
-      const rule = new tomlSchema.NameRule().text;
+      ).askTable(questionnaireSchema.QUESTIONNAIRE_SCHEMA, '');
+      const rule = new tomlSchema.NameRule().requirement;
       const fault = `zones[0].name: "North" must be ${rule}`;
       assert.ok(printed.includes(fault));
       const documents = documentGenerator
--- a/test/links/call_reader_test.ts
+++ b/test/links/call_parser_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as fastCheck from 'fast-check';
-import * as callReader from '../../src/links/call_reader.js';
+import * as callParser from '../../src/links/call_parser.js';
 import type * as result from '../../src/result.js';
 
 const SUBMISSION = {team: 'dispatch', workload: 'polish', payload: 'x'};
@@ -12,8 +12,8 @@
   method: string,
   target: string,
   body: unknown = '',
-  more: Partial<callReader.HttpCall> = {},
-): callReader.HttpCall {
+  more: Partial<callParser.RawCall> = {},
+): callParser.RawCall {
   return {
     method,
     target,
@@ -25,17 +25,17 @@
   };
 }
 
-function refusal(incoming: callReader.HttpCall): result.Failure {
-  return callReader.readCall(incoming, 1).swap().unsafeCoerce();
+function refusal(incoming: callParser.RawCall): result.Failure {
+  return callParser.parseCall(incoming, 1).swap().unsafeCoerce();
 }
 
-function accepted(incoming: callReader.HttpCall): callReader.ReadCall {
-  return callReader.readCall(incoming, 1).unsafeCoerce();
+function accepted(incoming: callParser.RawCall): callParser.ParsedCall {
+  return callParser.parseCall(incoming, 1).unsafeCoerce();
 }
 
 nodeTest.describe('good calls', () => {
   nodeTest.test('each path becomes its event', () => {
-    const calls: ReadonlyArray<readonly [callReader.HttpCall, string]> = [
+    const calls: ReadonlyArray<readonly [callParser.RawCall, string]> = [
       [call('POST', '/v1/identities', {count: 100}), 'identitiesArrived'],
       [call('POST', '/v1/identities'), 'identitiesArrived'],
       [call('POST', '/v1/requests?wait=300', SUBMISSION), 'requestArrived'],
@@ -77,7 +77,7 @@
   // not expect; an error without field and rule leaves the caller guessing.
   nodeTest.test('the error names field, value and rule', () => {
     const put = '/v1/requests/a';
-    const bad: ReadonlyArray<readonly [callReader.HttpCall, RegExp]> = [
+    const bad: ReadonlyArray<readonly [callParser.RawCall, RegExp]> = [
       [call('PUT', put, {...SUBMISSION, team: 7}), /^team: 7: must be/],
       [call('PUT', put, {...SUBMISSION, team: undefined}), /^team: missing: /],
       [
@@ -166,7 +166,7 @@
       body: fastCheck.oneof(fastCheck.string(), fastCheck.json()),
     });
     const check = fastCheck.property(anyCall, incoming => {
-      callReader.readCall(incoming, 1).caseOf({
+      callParser.parseCall(incoming, 1).caseOf({
         Left: failure => assert.notEqual(failure.detail, ''),
         Right: read => assert.equal(read.event.kind.endsWith('Arrived'), true),
       });
@@ -190,7 +190,7 @@
         {requiredKeys: []},
       );
       const check = fastCheck.property(raw, sent => {
-        const read = callReader.readSubmission(JSON.stringify(sent));
+        const read = callParser.parseSubmission(JSON.stringify(sent));
         if (read.isLeft()) return;
         const submission = read.unsafeCoerce();
         assert.equal('other' in sent, false);
--- a/test/links/caller_server_test.ts
+++ b/test/links/caller_server_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
-import * as callNumbers from '../../src/links/call_numbers.js';
+import * as callNumberAllocator from '../../src/links/call_number_allocator.js';
 import * as callerServer from '../../src/links/caller_server.js';
 import * as httpCall from '../support/http_call.js';
 import * as recordedMetrics from '../support/recorded_metrics.js';
@@ -25,7 +25,7 @@
 
   constructor(respond: Respond, limits?: Partial<callerServer.CallerLimits>) {
     this.server = new callerServer.CallerServer({
-      numbers: new callNumbers.CallNumbers(),
+      callNumbers: new callNumberAllocator.CallNumberAllocator(),
       metrics: this.metrics,
       limits,
       post: posted => {
@@ -111,7 +111,7 @@
     await wait.until('its end', async () =>
       front.kinds().includes('callEnded') ? true : undefined,
     );
-    assert.equal(front.server.openCall(1), undefined);
+    assert.equal(front.server.findOpenCall(1), undefined);
     await front.server.close();
   });
 
@@ -176,7 +176,7 @@
   });
 
   nodeTest.test('a body that is too slow gets its code', async () => {
-    const front = new Front(() => {}, {bodyDeadlineMs: 50});
+    const front = new Front(() => {}, {bodyTimeoutMs: 50});
     const address = await front.listen();
     const text = await sendRaw(
       address,
@@ -201,7 +201,7 @@
   // A call about an identity may repeat one that ran, so it is never told
   // that its request was not run.
   nodeTest.test('calls above the limit are refused truthfully', async () => {
-    const front = new Front(() => {}, {openCalls: 2});
+    const front = new Front(() => {}, {maxOpenCalls: 2});
     const address = await front.listen();
     const open = ['a', 'b'].map(name =>
       httpCall.callJson(address, 'GET', `/v1/requests/${name}?wait=9`),
@@ -230,7 +230,7 @@
     const path = '/v1/requests/a?wait=60';
     const call = httpCall.callJson(address, 'GET', path);
     await wait.until('the call', async () => front.posted[0]);
-    await front.server.abandon({code: 4001});
+    await front.server.closeWithReply({code: 4001});
     assert.equal((await call).body['code'], 4001);
   });
 });
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
-import * as callNumbers from '../../src/links/call_numbers.js';
+import * as callNumberAllocator from '../../src/links/call_number_allocator.js';
 import * as peerLink from '../../src/links/peer_link.js';
 import * as peerServer from '../../src/links/peer_server.js';
 import * as recordedMetrics from '../support/recorded_metrics.js';
@@ -53,15 +53,15 @@
   constructor(respond: Respond) {
     this.server = new peerServer.PeerServer(
       'peer-2',
-      new callNumbers.CallNumbers(),
+      new callNumberAllocator.CallNumberAllocator(),
       posted => {
         this.served.push(posted);
         respond(posted, this);
       },
     );
     this.link = new peerLink.PeerLink({
-      self: 'peer-1',
-      calls: {openCall: () => this.forwarded},
+      processName: 'peer-1',
+      openCalls: {findOpenCall: () => this.forwarded},
       post: posted => void this.posted.push(posted),
       now: () => 5,
       metrics: this.metrics,
--- a/test/links/platform_link_test.ts
+++ b/test/links/platform_link_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as fastCheck from 'fast-check';
-import * as httpCaller from '../../src/links/http_caller.js';
+import * as pooledHttpClient from '../../src/links/pooled_http_client.js';
 import * as logService from '../../stand_ins/log_service.js';
 import * as platformLink from '../../src/links/platform_link.js';
 import * as recordedMetrics from '../support/recorded_metrics.js';
@@ -21,8 +21,8 @@
 class Bench {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
-  private readonly caller = new httpCaller.HttpCaller({
-    connections: {least: 1, first: 2, greatest: 2},
+  private readonly caller = new pooledHttpClient.PooledHttpClient({
+    connections: {minimum: 1, initial: 2, maximum: 2},
     probePath: '/',
     onSilent: () => {},
   });
@@ -31,7 +31,7 @@
   constructor(address: string) {
     this.link = new platformLink.PlatformLink({
       addresses: {log: address, vmList: address},
-      caller: this.caller,
+      client: this.caller,
       post: posted => void this.posted.push(posted),
       now: () => 7,
       metrics: this.metrics,
--- a/test/links/http_caller_test.ts
+++ b/test/links/pooled_http_client_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as httpCaller from '../../src/links/http_caller.js';
+import * as pooledHttpClient from '../../src/links/pooled_http_client.js';
 import * as standInServer from '../../stand_ins/stand_in_server.js';
 import * as wait from '../support/wait.js';
 
@@ -28,23 +28,23 @@
 function get(
   address: string,
   path: string,
-  headersDeadlineMs = 300,
-): httpCaller.HttpCall {
+  headersTimeoutMs = 300,
+): pooledHttpClient.PooledHttpRequest {
   return {
     method: 'GET',
     address,
     path,
-    headersDeadlineMs,
-    bodyDeadlineMs: 300,
-    largestAnswer: 1_000,
+    headersTimeoutMs,
+    bodyTimeoutMs: 300,
+    maxResponseBytes: 1_000,
   };
 }
 
 function buildCaller(
   silent: string[] = [],
-  connections = {least: 1, first: 2, greatest: 4},
-): httpCaller.HttpCaller {
-  return new httpCaller.HttpCaller({
+  connections = {minimum: 1, initial: 2, maximum: 4},
+): pooledHttpClient.PooledHttpClient {
+  return new pooledHttpClient.PooledHttpClient({
     connections,
     probePath: '/probe',
     onSilent: address => silent.push(address),
@@ -79,7 +79,7 @@
     const target = new Target();
     const address = await target.server.listen(0);
     const silent: string[] = [];
-    const caller = buildCaller(silent, {least: 1, first: 1, greatest: 1});
+    const caller = buildCaller(silent, {minimum: 1, initial: 1, maximum: 1});
     await caller.call(get(address, '/first'));
     target.server.silenceConnections();
     const lost = await caller.call(get(address, '/second'));
@@ -112,7 +112,7 @@
   nodeTest.test('they stay below the limit, which adapts', async () => {
     const target = new Target();
     const address = await target.server.listen(0);
-    const caller = buildCaller([], {least: 1, first: 1, greatest: 3});
+    const caller = buildCaller([], {minimum: 1, initial: 1, maximum: 3});
     const calls = Array.from({length: 50}, () =>
       caller.call(get(address, '/', 5_000)),
     );
@@ -129,7 +129,7 @@
   nodeTest.test('a call that gets no turn in time is not sent', async () => {
     const target = new Target();
     const address = await target.server.listen(0);
-    const caller = buildCaller([], {least: 1, first: 1, greatest: 1});
+    const caller = buildCaller([], {minimum: 1, initial: 1, maximum: 1});
     const held = caller.call(get(address, '/hold', 10_000));
     const queued = await caller.call(get(address, '/queued', 50));
     assert.equal(queued.kind, 'notSent');
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -6,7 +6,7 @@
 
 const {describe, test} = nodeTest;
 
-function record(key: string, offset: number): keyedTopic.PlacedRecord {
+function record(key: string, offset: number): keyedTopic.TopicRecord {
   return {key, offset, value: Buffer.from('1')};
 }
 
@@ -19,7 +19,7 @@
   const news: string[] = [];
   const topic = {
     append: async () => ({kind: 'refused', detail: ''}) as const,
-    newest: async () => {
+    readNewest: async () => {
       await time.pause(5);
       return newest();
     },
@@ -30,9 +30,9 @@
   };
   const follower = new topicFollower.TopicFollower(
     topic,
-    {waitMs: 50, gapMs: 0},
+    {maxWaitMs: 50, minReadIntervalMs: 0},
     {
-      followed: (changes, end, whole) => {
+      received: (changes, end, whole) => {
         const keys = changes.map(({key}) => key).join(',');
         news.push(`${whole ? 'whole' : 'more'} ${keys} to ${end}`);
       },
@@ -104,7 +104,7 @@
     const isDown = (): boolean => time.now() > 100 && time.now() < 1_000;
     const topic = {
       append: async () => ({kind: 'refused', detail: ''}) as const,
-      newest: async () => ({kind: 'read', records: [], end: 0}) as const,
+      readNewest: async () => ({kind: 'read', records: [], end: 0}) as const,
       read: async (_from: number, waitMs: number) => {
         waits.push(waitMs);
         await time.pause(200);
@@ -115,8 +115,8 @@
     };
     const follower = new topicFollower.TopicFollower(
       topic,
-      {waitMs: 2_500, gapMs: 0},
-      {followed: () => {}, interrupted: () => {}, resumed: () => {}},
+      {maxWaitMs: 2_500, minReadIntervalMs: 0},
+      {received: () => {}, interrupted: () => {}, resumed: () => {}},
       time,
       milliseconds => time.pause(milliseconds),
     );
--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -1,8 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as httpCaller from '../../src/links/http_caller.js';
+import * as pooledHttpClient from '../../src/links/pooled_http_client.js';
 import * as recordedMetrics from '../support/recorded_metrics.js';
-import * as reportReader from '../../src/links/report_reader.js';
+import * as workerReportParser from '../../src/links/worker_report_parser.js';
 import * as standInServer from '../../stand_ins/stand_in_server.js';
 import * as wait from '../support/wait.js';
 import * as worker from '../../stand_ins/worker.js';
@@ -39,20 +39,20 @@
 class Bench {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
-  private readonly callers: ReadonlyArray<httpCaller.HttpCaller>;
+  private readonly callers: ReadonlyArray<pooledHttpClient.PooledHttpClient>;
   readonly link: workerLink.WorkerLink;
 
   constructor(private readonly address: string) {
-    const caller = (): httpCaller.HttpCaller =>
-      new httpCaller.HttpCaller({
-        connections: {least: 1, first: 4, greatest: 8},
+    const caller = (): pooledHttpClient.PooledHttpClient =>
+      new pooledHttpClient.PooledHttpClient({
+        connections: {minimum: 1, initial: 4, maximum: 8},
         probePath: '/report',
         onSilent: () => this.metrics.count('silent', {}, 1),
       });
     this.callers = [caller(), caller()];
     this.link = new workerLink.WorkerLink({
-      caller: this.callers[0],
-      answerCaller: this.callers[1],
+      client: this.callers[0],
+      answerClient: this.callers[1],
       post: posted => void this.posted.push(posted),
       now: () => performance.now(),
       metrics: this.metrics,
@@ -197,7 +197,10 @@
   };
 
   nodeTest.test('a good report passes', () => {
-    const read = reportReader.readReport('w', JSON.stringify(good));
+    const read = workerReportParser.parseWorkerReport(
+      'w',
+      JSON.stringify(good),
+    );
     assert.deepEqual(read, {...good, worker: 'w'});
   });
 
@@ -216,7 +219,10 @@
       [],
     ];
     for (const raw of bad) {
-      const read = reportReader.readReport('w', JSON.stringify(raw));
+      const read = workerReportParser.parseWorkerReport(
+        'w',
+        JSON.stringify(raw),
+      );
       assert.equal(read, undefined, JSON.stringify(raw));
     }
   });
--- a/test/platform/store_topic_test.ts
+++ b/test/platform/store_topic_test.ts
@@ -52,7 +52,7 @@
           ['a', '3', 2],
         ],
       );
-      const newest = await topic.newest();
+      const newest = await topic.readNewest();
       assert.ok(newest.kind === 'read');
       assert.equal(newest.end, 3);
       assert.deepEqual(newest.records.map(({key}) => key).sort(), ['a', 'b']);
@@ -62,9 +62,13 @@
   test('appends under a condition only at that end', () =>
     withTopic(async topic => {
       await topic.append([record('a', '1')], {}, TIMEOUT_MS);
-      const lost = await topic.append([record('b', '')], {at: 0}, TIMEOUT_MS);
+      const lost = await topic.append(
+        [record('b', '')],
+        {ifEnd: 0},
+        TIMEOUT_MS,
+      );
       assert.deepEqual(lost, {kind: 'conditionFailed', end: 1});
-      const won = await topic.append([record('b', '')], {at: 1}, TIMEOUT_MS);
+      const won = await topic.append([record('b', '')], {ifEnd: 1}, TIMEOUT_MS);
       assert.equal(won.kind, 'appended');
     }));
 
--- a/test/support/configuration_page.ts
+++ b/test/support/configuration_page.ts
@@ -6,7 +6,7 @@
     key.default === undefined
       ? 'required'
       : `\`${JSON.stringify(key.default)}\``;
-  return `| \`${path}\` | ${key.rule.text} | ${standard} | ${key.unit ?? ''} | ${key.meaning} |`;
+  return `| \`${path}\` | ${key.rule.requirement} | ${standard} | ${key.unit ?? ''} | ${key.meaning} |`;
 }
 
 /** Returns the rows of a table's keys, those of tables within it as well. */
