--- a/src/commands/retrying_caller.ts
+++ b/src/commands/retrying_caller.ts
@@ -33,7 +33,7 @@
    * earlier try may have taken effect.
    */
   async call(
-    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'deadlineMs'>,
+    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
     unknown?: effect.Reply,
   ): Promise<effect.Reply | undefined> {
     let last: effect.Reply | undefined;
@@ -50,18 +50,18 @@
           ? (unknown ?? last)
           : last;
       }
-      if (needsOtherProcess(reply)) this.client.useNext();
+      if (needsOtherProcess(reply)) this.client.failOver();
       await timers.setTimeout(RETRY_PAUSE_MS);
     }
   }
 
   private buildCall(
-    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'deadlineMs'>,
+    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
   ): entryClient.EntryCall {
     const left = Math.max(0, (this.deadline - performance.now()) / 1_000);
     const wait = Math.floor(Math.min(left, MAXIMUM_WAIT_SECONDS));
     // The last call gets time for its reply even when the time is over.
-    return {...build(wait), deadlineMs: wait * 1_000 + REPLY_ALLOWANCE_MS};
+    return {...build(wait), timeoutMs: wait * 1_000 + REPLY_ALLOWANCE_MS};
   }
 }
 
