--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -24,7 +24,7 @@
  * worker's leases to expire.
  */
 export interface StoredWorker {
-  readonly entry: remoteWorker.WorkerEntry;
+  readonly entry: remoteWorker.RegistryEntry;
   /**
    * The jobs that have runs there, once no more tasks are started there. While
    * undefined, any job may have runs there.
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -16,14 +16,14 @@
 import * as jobAdmission from './job_admission.js';
 import * as workerTable from './worker_table.js';
 import * as workerLifecycle from './worker_lifecycle.js';
-import * as workerTrust from '../machines/worker_trust.js';
+import * as workerReliability from '../machines/worker_reliability.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as jobTask from './job_task.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Duration of the leases that a scheduler grants. */
 export const LEASE_DURATION_MS = 5_000;
@@ -58,7 +58,7 @@
   private readonly queues = new queueTable.QueueTable();
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly index = new assignmentIndex.AssignmentIndex();
-  private readonly trust = new workerTrust.WorkerTrust();
+  private readonly trust = new workerReliability.WorkerReliability();
   private readonly adviceCache: adviceCache.AdviceCache;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly tracker: runTracker.RunTracker;
@@ -206,7 +206,7 @@
   }
 
   /** Applies the registry's current list of workers. */
-  updateWorkers(entries: ReadonlyArray<remoteWorker.WorkerEntry>): void {
+  updateWorkers(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
     this.workerLifecycle.update(entries);
   }
 
@@ -269,7 +269,7 @@
   // Implementation of `DispatchListener`.
 
   incarnationEnded(worker: remoteWorker.RemoteWorker): void {
-    this.workerLifecycle.lifeEnded(worker);
+    this.workerLifecycle.replaced(worker);
   }
 
   superseded(): void {
@@ -278,7 +278,7 @@
 
   startRejected(
     assignment: jobTask.Assignment,
-    why: workerCalls.Rejection,
+    why: workerClient.RejectionReason,
   ): void {
     if (!this.active) return;
     const {worker, jobTask: task} = assignment;
@@ -291,7 +291,7 @@
     });
     this.tracker.release(assignment);
     if (why === 'ticket') this.adviceCache.dropTicket(task.step, worker);
-    else this.trust.refused(worker, this.options.clock.now());
+    else this.trust.recordRefusal(worker, this.options.clock.now());
     this.requestPass();
   }
 
@@ -367,7 +367,7 @@
         ageMs: Math.round(now - assignment.startedAt),
       });
       assignment.jobTask.replacementCount += 1;
-      this.trust.hindered(assignment.worker, now);
+      this.trust.recordSlowRun(assignment.worker, now);
       this.dispatcher.stop(assignment);
     }
   }
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -12,7 +12,7 @@
 import type * as stepInstance from './step_instance.js';
 import type * as jobTask from './job_task.js';
 import type * as workerTable from './worker_table.js';
-import type * as workerTrust from '../machines/worker_trust.js';
+import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** Additional lead time of advice requests for upcoming steps. */
 const ADVICE_LEAD_MS = 300;
@@ -52,7 +52,7 @@
     private readonly workers: workerTable.WorkerTable,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly adviceCache: adviceCache.AdviceCache,
-    private readonly trust: workerTrust.WorkerTrust,
+    private readonly trust: workerReliability.WorkerReliability,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: PlacerListener,
   ) {}
@@ -216,7 +216,7 @@
       countServingTasks: worker => this.index.countServingTasks(worker),
       countIdleCapacityTasks: worker =>
         this.index.countIdleCapacityTasks(worker),
-      suspicion: worker => this.trust.suspicion(worker),
+      suspicion: worker => this.trust.failureProbability(worker),
       runsOn: worker => this.index.runsOn(worker),
       priorityOf: other => this.listener.priorityOf(other),
     };
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -61,7 +61,7 @@
   /** Applies a report that was requested at `sentAt`. */
   applyReport(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
     now: clock.Milliseconds,
   ): void {
@@ -84,7 +84,7 @@
 
   private applyRunning(
     worker: remoteWorker.RemoteWorker,
-    row: remoteWorker.RunningRow,
+    row: remoteWorker.ReportedRun,
     now: clock.Milliseconds,
   ): void {
     const task = this.findTask(row.task);
@@ -131,14 +131,14 @@
 
   private applyEnded(
     worker: remoteWorker.RemoteWorker,
-    ended: ReadonlyArray<remoteWorker.EndedRow>,
+    ended: ReadonlyArray<remoteWorker.ReportedRunEnd>,
     now: clock.Milliseconds,
   ): void {
     const affectedTasks = new Set<jobTask.JobTask>();
-    let highestNumber = worker.endsHandled;
+    let highestNumber = worker.handledEndNumber;
     for (const row of ended) {
-      if (row.number <= worker.endsHandled) continue;
-      highestNumber = Math.max(highestNumber, row.number);
+      if (row.sequenceNumber <= worker.handledEndNumber) continue;
+      highestNumber = Math.max(highestNumber, row.sequenceNumber);
       const task = this.findTask(row.task);
       if (task === undefined) continue;
       affectedTasks.add(task);
@@ -154,8 +154,8 @@
       }
       this.listener.runEnded(task, worker, row.run, row.how);
     }
-    if (highestNumber === worker.endsHandled) return;
-    worker.endsHandled = highestNumber;
+    if (highestNumber === worker.handledEndNumber) return;
+    worker.handledEndNumber = highestNumber;
     this.storeEnds(worker, highestNumber, affectedTasks);
   }
 
@@ -168,7 +168,7 @@
     const records = new Set([...affectedTasks].map(task => task.step.owner));
     let unstoredCount = records.size;
     const markStored = (): void => {
-      worker.endsStored = Math.max(worker.endsStored, highestNumber);
+      worker.storedEndNumber = Math.max(worker.storedEndNumber, highestNumber);
     };
     if (unstoredCount === 0) markStored();
     for (const record of records) {
@@ -186,7 +186,7 @@
    */
   private confirmStops(
     worker: remoteWorker.RemoteWorker,
-    report: remoteWorker.WorkerReport,
+    report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void {
     const listed = new Set(
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -41,7 +41,7 @@
       .all()
       .some(
         worker =>
-          worker.takesTasks !== worker.recorded && !this.isClosed(worker),
+          worker.acceptsTasks !== worker.recorded && !this.isClosed(worker),
       );
     if (changed) this.store();
   }
@@ -54,7 +54,7 @@
       'workers',
       () => {
         const all = this.workers.all();
-        openWorkers = all.filter(worker => worker.takesTasks);
+        openWorkers = all.filter(worker => worker.acceptsTasks);
         for (const worker of all) this.markAsSent(worker);
         return {
           kind: 'workers',
@@ -72,12 +72,12 @@
   }
 
   private isClosed(worker: remoteWorker.RemoteWorker): boolean {
-    return !worker.takesTasks && this.closedWorkers.has(worker);
+    return !worker.acceptsTasks && this.closedWorkers.has(worker);
   }
 
   /** Marks a worker as sent: from now on, a closed one gets no more tasks. */
   private markAsSent(worker: remoteWorker.RemoteWorker): void {
-    if (worker.takesTasks) {
+    if (worker.acceptsTasks) {
       this.closedWorkers.delete(worker);
       return;
     }
@@ -89,9 +89,9 @@
     worker: remoteWorker.RemoteWorker,
   ): jobJournal.StoredWorker {
     const {entry} = worker;
-    if (worker.takesTasks) return {entry};
+    if (worker.acceptsTasks) return {entry};
     // Runs of earlier terms are known only after the worker's first report.
-    if (!worker.adopted && this.inherited.has(worker)) {
+    if (!worker.fenceAccepted && this.inherited.has(worker)) {
       return {entry, closedJobs: this.inherited.get(worker)};
     }
     const jobs = new Set<string>();
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -45,10 +45,10 @@
   now: clock.Milliseconds,
 ): boolean {
   return (
-    worker.adopted &&
+    worker.fenceAccepted &&
     worker.recorded &&
-    worker.takesTasks &&
-    worker.avoidedUntil <= now
+    worker.acceptsTasks &&
+    worker.excludedUntil <= now
   );
 }
 
@@ -133,7 +133,7 @@
     // These tasks run on idle processors: prefer the least loaded worker.
     return (
       cost +
-      resources.dominantFraction(worker.used, worker.entry.capacity) +
+      resources.dominantShare(worker.used, worker.entry.capacity) +
       facts.countIdleCapacityTasks(worker)
     );
   }
@@ -145,6 +145,6 @@
     reservedSize(step),
   );
   return (
-    cost + resources.dominantFraction(freeAfterPlacement, worker.entry.capacity)
+    cost + resources.dominantShare(freeAfterPlacement, worker.entry.capacity)
   );
 }
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -25,7 +25,7 @@
   }
 
   /** Returns whether a later incarnation has the same id or machine. */
-  isReplaced(entry: remoteWorker.WorkerEntry): boolean {
+  isReplaced(entry: remoteWorker.RegistryEntry): boolean {
     return this.all().some(({entry: other}) => {
       const same = other.id === entry.id || onSameMachine(other, entry);
       return same && other.born > entry.born;
@@ -34,7 +34,7 @@
 
   /** Adds a worker that an earlier term stored, unless it is known. */
   addInherited(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     now: clock.Milliseconds,
   ): remoteWorker.RemoteWorker {
     const known = this.workers.get(entry.id);
@@ -47,7 +47,7 @@
 
   /** Applies the registry's current list and returns the changes. */
   applyRegistryList(
-    entries: ReadonlyArray<remoteWorker.WorkerEntry>,
+    entries: ReadonlyArray<remoteWorker.RegistryEntry>,
     now: clock.Milliseconds,
   ): WorkerChanges {
     const joined: remoteWorker.RemoteWorker[] = [];
@@ -58,7 +58,7 @@
     }
     for (const entry of entries) {
       const known = this.workers.get(entry.id);
-      if (known?.sameLife(entry)) {
+      if (known?.isSameIncarnation(entry)) {
         known.update(entry, now);
         continue;
       }
@@ -92,8 +92,8 @@
 
 /** Returns whether both run on one machine; one without a name never does. */
 function onSameMachine(
-  left: remoteWorker.WorkerEntry,
-  right: remoteWorker.WorkerEntry,
+  left: remoteWorker.RegistryEntry,
+  right: remoteWorker.RegistryEntry,
 ): boolean {
   return left.machine !== '' && left.machine === right.machine;
 }
--- a/test/jobs/run_health_test.ts
+++ b/test/jobs/run_health_test.ts
@@ -27,16 +27,16 @@
   // Guards against a job that waits for a task without progress.
   test('reports a stall if the worker reports no progress', () => {
     const {run, worker} = runOf({});
-    worker.readClock(1_000, 1_000);
+    worker.recordClockReading(1_000, 1_000);
     assert.equal(runHealth.detectFault(run, 1_000), undefined);
-    worker.readClock(1_600, 1_600);
+    worker.recordClockReading(1_600, 1_600);
     assert.equal(runHealth.detectFault(run, 1_600), 'stalled');
   });
 
   // Guards against losing the work of a run because its worker is unreachable.
   test('does not count the silence of a worker as a stall', () => {
     const {run, worker} = runOf({});
-    worker.readClock(1_000, 1_000);
+    worker.recordClockReading(1_000, 1_000);
     assert.equal(runHealth.detectFault(run, 60_000), undefined);
   });
 
@@ -44,7 +44,7 @@
   // report no progress.
   test('ignores long-running tasks', () => {
     const {run, worker} = runOf({longRunning: true});
-    worker.readClock(9_000, 9_000);
+    worker.recordClockReading(9_000, 9_000);
     assert.equal(runHealth.detectFault(run, 9_000), undefined);
   });
 
@@ -56,7 +56,7 @@
     }
     run.progressPercent = 40;
     run.progressedAt = 2_500;
-    worker.readClock(2_500, 2_500);
+    worker.recordClockReading(2_500, 2_500);
     assert.equal(runHealth.detectFault(run, 2_300), undefined);
     assert.equal(runHealth.detectFault(run, 2_500), 'slow');
     run.progressPercent = 90;
@@ -72,13 +72,13 @@
     }
     run.progressPercent = 30;
     run.progressedAt = 2_500;
-    worker.readClock(2_500, 2_500);
+    worker.recordClockReading(2_500, 2_500);
     assert.equal(runHealth.detectFault(run, 2_500), 'slow');
     run.jobTask.replacementCount = 1;
     assert.equal(runHealth.detectFault(run, 2_500), undefined);
-    worker.readClock(5_400, 5_400);
+    worker.recordClockReading(5_400, 5_400);
     assert.equal(runHealth.detectFault(run, 5_400), undefined);
-    worker.readClock(5_600, 5_600);
+    worker.recordClockReading(5_600, 5_600);
     assert.equal(runHealth.detectFault(run, 5_600), 'stalled');
   });
 });
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -52,8 +52,8 @@
 /** Returns the registry entry of a worker with four cores. */
 export function workerEntry(
   name: string,
-  changes: Partial<remoteWorker.WorkerEntry> = {},
-): remoteWorker.WorkerEntry {
+  changes: Partial<remoteWorker.RegistryEntry> = {},
+): remoteWorker.RegistryEntry {
   return {
     id: name,
     born: 1,
@@ -94,7 +94,7 @@
     accepts: () => true,
     ask: async () => ({kind: 'busy'}),
   };
-  entries: ReadonlyArray<remoteWorker.WorkerEntry> = [];
+  entries: ReadonlyArray<remoteWorker.RegistryEntry> = [];
 
   /** Adds workers whose runs follow the same plan. */
   addWorkers(plan: workerModel.RunPlan, ...names: string[]): void {
@@ -102,7 +102,7 @@
   }
 
   addWorker(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     plan: workerModel.RunPlan = ONE_SECOND_RUNS,
   ): workerModel.WorkerModel {
     this.entries = [...this.entries, entry];
