Rename the scheduler's dependencies to match the machines' names

SchedulerOptions.workerCalls -> workerClient SchedulerOptions.pauses -> timer Pauses -> DelayTimer DispatchListener.superseded -> termSuperseded DispatchListener.incarnationEnded -> workerReplaced orders -> commands, trust -> reliability, suspicion -> failureProbability, why -> reason in members and locals of the job scheduler and its fakes

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -8,20 +8,20 @@
 /** Receives the outcomes of orders. */
 export interface DispatchListener {
   /** A worker rejected an order because it follows a later term. */
-  superseded(): void;
+  termSuperseded(): void;
   /** Another incarnation answered at the worker's address. */
-  incarnationEnded(worker: remoteWorker.RemoteWorker): void;
+  workerReplaced(worker: remoteWorker.RemoteWorker): void;
   /** A start was definitely not carried out; the task waits again. */
   startRejected(
     assignment: jobTask.Assignment,
-    why: workerClient.RejectionReason,
+    reason: workerClient.RejectionReason,
   ): void;
   /** The worker confirmed a start. */
   started(assignment: jobTask.Assignment): void;
 }
 
 /** Time after which an unanswered order is sent again. */
-const ORDER_RETRY_INTERVAL_MS = 400;
+const COMMAND_RETRY_INTERVAL_MS = 400;
 
 /** Retries of a start that are sent without a delay. */
 const FAST_RETRIES = 3;
@@ -32,7 +32,7 @@
 /** Sends start and stop orders and retries each until its outcome is known. */
 export class Dispatcher {
   constructor(
-    private readonly calls: workerClient.WorkerClient,
+    private readonly workerClient: workerClient.WorkerClient,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
     private readonly fencingToken: number,
@@ -65,11 +65,11 @@
   }
 
   /** Retries unanswered orders that are due. */
-  retryOrders(): void {
+  retryCommands(): void {
     const now = this.clock.now();
     for (const assignment of this.index.all()) {
-      if (assignment.orderInFlight || assignment.worker.unreachable) continue;
-      if (now - assignment.lastOrderAt < ORDER_RETRY_INTERVAL_MS) continue;
+      if (assignment.commandInFlight || assignment.worker.unreachable) continue;
+      if (now - assignment.lastCommandAt < COMMAND_RETRY_INTERVAL_MS) continue;
       const stopConfirmed = assignment.stopConfirmedAt < Infinity;
       if (assignment.phase === 'stopping' && !stopConfirmed) {
         this.sendStop(assignment);
@@ -87,7 +87,7 @@
   throttle(assignment: jobTask.Assignment, percent: number): void {
     assignment.processorPercent = percent;
     const {worker} = assignment;
-    void this.calls.throttle(
+    void this.workerClient.throttle(
       worker.entry,
       assignment,
       percent,
@@ -105,7 +105,7 @@
     const deadlineMs = worker.extendLease(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
-    const order = {
+    const command = {
       task: task.name,
       run,
       payload: task.step.owner.definition.payload,
@@ -114,8 +114,8 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    void this.calls
-      .start(worker.entry, order)
+    void this.workerClient
+      .start(worker.entry, command)
       .then(outcome => this.handleStartOutcome(assignment, outcome));
   }
 
@@ -123,7 +123,7 @@
     assignment: jobTask.Assignment,
     outcome: workerClient.CommandOutcome,
   ): void {
-    assignment.orderInFlight = false;
+    assignment.commandInFlight = false;
     if (outcome.kind === 'unanswered') {
       this.retryStart(assignment);
       return;
@@ -135,10 +135,10 @@
     }
     switch (outcome.reason) {
       case 'superseded':
-        this.listener.superseded();
+        this.listener.termSuperseded();
         return;
       case 'otherLife':
-        this.listener.incarnationEnded(assignment.worker);
+        this.listener.workerReplaced(assignment.worker);
         return;
       default:
         this.handleStartRejection(assignment, outcome.reason);
@@ -147,14 +147,14 @@
 
   private handleStartRejection(
     assignment: jobTask.Assignment,
-    why: workerClient.RejectionReason,
+    reason: workerClient.RejectionReason,
   ): void {
     // The worker carried out an earlier copy of the order.
     if (assignment.reported) return;
     // An unanswered earlier copy may have run, even to its end, or may still be
     // carried out. The worker's report after a stop shows which.
     if (assignment.unansweredStarts > 0) this.stop(assignment);
-    else this.listener.startRejected(assignment, why);
+    else this.listener.startRejected(assignment, reason);
   }
 
   /**
@@ -171,17 +171,18 @@
   private sendStop(assignment: jobTask.Assignment): void {
     this.markSent(assignment, this.clock.now());
     const {worker} = assignment;
-    void this.calls
+    void this.workerClient
       .stop(worker.entry, assignment, this.fencingToken)
       .then(outcome => {
-        assignment.orderInFlight = false;
+        assignment.commandInFlight = false;
         if (outcome.kind === 'done') {
           assignment.stopConfirmedAt = this.clock.now();
         }
         if (outcome.kind !== 'rejected') return;
-        if (outcome.reason === 'superseded') this.listener.superseded();
-        if (outcome.reason === 'otherLife')
-          this.listener.incarnationEnded(worker);
+        if (outcome.reason === 'superseded') this.listener.termSuperseded();
+        if (outcome.reason === 'otherLife') {
+          this.listener.workerReplaced(worker);
+        }
       });
   }
 
@@ -189,7 +190,7 @@
     assignment: jobTask.Assignment,
     now: clock.Milliseconds,
   ): void {
-    assignment.orderInFlight = true;
-    assignment.lastOrderAt = now;
+    assignment.commandInFlight = true;
+    assignment.lastCommandAt = now;
   }
 }
--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -47,7 +47,7 @@
       facts.countTasksOfStep(worker) + (plannedTaskCounts.get(worker) ?? 0),
     countServingTasks: worker => facts.countServingTasks(worker),
     countIdleCapacityTasks: worker => facts.countIdleCapacityTasks(worker),
-    suspicion: worker => facts.suspicion(worker),
+    failureProbability: worker => facts.failureProbability(worker),
   };
   const size = workerSelection.reservedSize(step.definition);
   const reservation = new temporaryReservation.TemporaryReservation('plan');
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -79,7 +79,7 @@
 const RETRY_DELAY_MS = 120;
 
 /** Delays between attempts; tests use simulated time. */
-export interface Pauses {
+export interface DelayTimer {
   pause(milliseconds: number): Promise<void>;
 }
 
@@ -102,7 +102,7 @@
     private readonly store: JobJournalStore,
     private readonly term: number,
     private readonly clock: clock.Clock,
-    private readonly pauses: Pauses,
+    private readonly timer: DelayTimer,
     private readonly onSuperseded: () => void,
   ) {}
 
@@ -153,7 +153,7 @@
     const outcome = await this.appendUntilCertain(this.sequence + 1, changes);
     if (outcome === 'refused') {
       this.requeue(sent, storedListeners);
-      await this.pauses.pause(RETRY_DELAY_MS);
+      await this.timer.pause(RETRY_DELAY_MS);
     }
     if (outcome !== 'stored') return;
     this.sequence += 1;
@@ -196,7 +196,7 @@
       }
       if (outcome === 'unanswered') outcomeUnknown = true;
       if (outcome === 'refused' && !outcomeUnknown) return 'refused';
-      await this.pauses.pause(RETRY_DELAY_MS);
+      await this.timer.pause(RETRY_DELAY_MS);
     }
     return 'closed';
   }
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -20,7 +20,7 @@
   readonly openSteps: openSteps.OpenSteps;
   readonly adviceCache: adviceCache.AdviceCache;
   readonly dispatcher: dispatcher.Dispatcher;
-  readonly trust: workerReliability.WorkerReliability;
+  readonly reliability: workerReliability.WorkerReliability;
   readonly runtimeModel: runtimeModel.RuntimeModel;
   readonly requestPass: () => void;
 }
@@ -89,7 +89,7 @@
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
   ): void {
-    this.dependencies.trust.recordSuccess(worker);
+    this.dependencies.reliability.recordSuccess(worker);
     const {step} = task;
     const {gang, longRunning} = step.definition;
     if (longRunning) return;
@@ -146,8 +146,8 @@
   }
 
   private recordFailure(worker: remoteWorker.RemoteWorker, job: string): void {
-    const {options, trust} = this.dependencies;
-    if (!trust.recordFailure(worker, job, options.clock.now())) return;
+    const {options, reliability} = this.dependencies;
+    if (!reliability.recordFailure(worker, job, options.clock.now())) return;
     options.counters.count('workers_suspected', 'failures');
     options.log.event('warn', 'workerSuspected', {worker: worker.id});
   }
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -58,7 +58,7 @@
   private readonly queues = new queueTable.QueueTable();
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly index = new assignmentIndex.AssignmentIndex();
-  private readonly trust = new workerReliability.WorkerReliability();
+  private readonly reliability = new workerReliability.WorkerReliability();
   private readonly adviceCache: adviceCache.AdviceCache;
   private readonly dispatcher: dispatcher.Dispatcher;
   private readonly tracker: runTracker.RunTracker;
@@ -74,8 +74,8 @@
   private serving = false;
 
   constructor(private readonly options: schedulerOptions.SchedulerOptions) {
-    const {clock, term, pauses} = options;
-    const {queues, index, trust} = this;
+    const {clock, term, timer} = options;
+    const {queues, index, reliability} = this;
     const requestPass = (): void => this.requestPass();
     const workers = new workerTable.WorkerTable();
     const runtimes = new runtimeModel.RuntimeModel();
@@ -84,7 +84,7 @@
       options.journalStore,
       term,
       clock,
-      pauses,
+      timer,
       () => options.onSuperseded('journal'),
     );
     this.jobTable = new jobTable.JobTable(this.journal, clock);
@@ -94,7 +94,7 @@
       requestPass,
     );
     this.dispatcher = new dispatcher.Dispatcher(
-      options.workerCalls,
+      options.workerClient,
       index,
       clock,
       term,
@@ -109,7 +109,7 @@
       openSteps: this.openSteps,
       adviceCache: this.adviceCache,
       dispatcher: this.dispatcher,
-      trust,
+      reliability,
       runtimeModel: runtimes,
       requestPass,
     });
@@ -132,7 +132,7 @@
       index,
       journal: this.journal,
       tracker: this.tracker,
-      trust,
+      reliability,
       leaseMs: LEASE_DURATION_MS,
       earlierLeasesExpireAt: this.earlierLeasesExpireAt,
       requestPass,
@@ -144,7 +144,7 @@
       workers,
       index,
       adviceCache: this.adviceCache,
-      trust,
+      reliability,
       dispatcher: this.dispatcher,
       queues,
       openSteps: this.openSteps,
@@ -188,7 +188,7 @@
         this.takeOver(content);
         return true;
       }
-      await options.pauses.pause(JOURNAL_RETRY_DELAY_MS);
+      await options.timer.pause(JOURNAL_RETRY_DELAY_MS);
     }
     return false;
   }
@@ -254,7 +254,7 @@
   tick(): void {
     if (!this.isServing) return;
     const now = this.options.clock.now();
-    this.dispatcher.retryOrders();
+    this.dispatcher.retryCommands();
     this.workerLifecycle.review(now);
     this.jobLifecycle.openDueOccurrences();
     this.jobTable.dropSettled(now, this.options.retentionTimes.stateKeptMs);
@@ -268,30 +268,30 @@
 
   // Implementation of `DispatchListener`.
 
-  incarnationEnded(worker: remoteWorker.RemoteWorker): void {
+  workerReplaced(worker: remoteWorker.RemoteWorker): void {
     this.workerLifecycle.replaced(worker);
   }
 
-  superseded(): void {
+  termSuperseded(): void {
     if (this.active) this.options.onSuperseded('worker');
   }
 
   startRejected(
     assignment: jobTask.Assignment,
-    why: workerClient.RejectionReason,
+    reason: workerClient.RejectionReason,
   ): void {
     if (!this.active) return;
     const {worker, jobTask: task} = assignment;
-    this.options.counters.count('starts_rejected', why);
+    this.options.counters.count('starts_rejected', reason);
     this.options.log.event('warn', 'startRejected', {
       task: assignment.task,
       run: assignment.run,
       worker: worker.id,
-      why,
+      why: reason,
     });
     this.tracker.release(assignment);
-    if (why === 'ticket') this.adviceCache.dropTicket(task.step, worker);
-    else this.trust.recordRefusal(worker, this.options.clock.now());
+    if (reason === 'ticket') this.adviceCache.dropTicket(task.step, worker);
+    else this.reliability.recordRefusal(worker, this.options.clock.now());
     this.requestPass();
   }
 
@@ -367,7 +367,7 @@
         ageMs: Math.round(now - assignment.startedAt),
       });
       assignment.jobTask.replacementCount += 1;
-      this.trust.recordSlowRun(assignment.worker, now);
+      this.reliability.recordSlowRun(assignment.worker, now);
       this.dispatcher.stop(assignment);
     }
   }
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -13,8 +13,8 @@
   /** When the worker confirmed a stop; it refuses starts that arrive later. */
   stopConfirmedAt: clock.Milliseconds = Infinity;
   /** When the last order for this run was sent. */
-  lastOrderAt: clock.Milliseconds;
-  orderInFlight = false;
+  lastCommandAt: clock.Milliseconds;
+  commandInFlight = false;
   /** Number of start orders that got no answer. */
   unansweredStarts = 0;
   progressPercent = 0;
@@ -35,7 +35,7 @@
     readonly ticket: string | undefined,
     readonly startedAt: clock.Milliseconds,
   ) {
-    this.lastOrderAt = startedAt;
+    this.lastCommandAt = startedAt;
     this.progressedAt = startedAt;
   }
 
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -21,7 +21,7 @@
   readonly workers: workerTable.WorkerTable;
   readonly index: assignmentIndex.AssignmentIndex;
   readonly adviceCache: adviceCache.AdviceCache;
-  readonly trust: workerReliability.WorkerReliability;
+  readonly reliability: workerReliability.WorkerReliability;
   readonly dispatcher: dispatcher.Dispatcher;
   readonly queues: queueTable.QueueTable;
   readonly openSteps: openSteps.OpenSteps;
@@ -50,12 +50,12 @@
   private nextReportAt = 0;
 
   constructor(private readonly dependencies: PlacementPassDependencies) {
-    const {workers, index, adviceCache, trust, dispatcher} = dependencies;
+    const {workers, index, adviceCache, reliability, dispatcher} = dependencies;
     this.placer = new placer.Placer(
       workers,
       index,
       adviceCache,
-      trust,
+      reliability,
       dispatcher,
       this,
     );
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -52,7 +52,7 @@
     private readonly workers: workerTable.WorkerTable,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly adviceCache: adviceCache.AdviceCache,
-    private readonly trust: workerReliability.WorkerReliability,
+    private readonly reliability: workerReliability.WorkerReliability,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: PlacerListener,
   ) {}
@@ -216,7 +216,7 @@
       countServingTasks: worker => this.index.countServingTasks(worker),
       countIdleCapacityTasks: worker =>
         this.index.countIdleCapacityTasks(worker),
-      suspicion: worker => this.trust.failureProbability(worker),
+      failureProbability: worker => this.reliability.failureProbability(worker),
       runsOn: worker => this.index.runsOn(worker),
       priorityOf: other => this.listener.priorityOf(other),
     };
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -32,9 +32,9 @@
   readonly wallClock: () => number;
   readonly retentionTimes: RetentionTimes;
   readonly journalStore: jobJournal.JobJournalStore;
-  readonly workerCalls: workerClient.WorkerClient;
+  readonly workerClient: workerClient.WorkerClient;
   readonly adviceClient: adviceCache.AdviceClient;
-  readonly pauses: jobJournal.Pauses;
+  readonly timer: jobJournal.DelayTimer;
   readonly log: EventLog;
   readonly counters: Counters;
   /**
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -17,7 +17,7 @@
   readonly index: assignmentIndex.AssignmentIndex;
   readonly journal: jobJournal.JobJournal;
   readonly tracker: runTracker.RunTracker;
-  readonly trust: workerReliability.WorkerReliability;
+  readonly reliability: workerReliability.WorkerReliability;
   readonly leaseMs: number;
   /** When all leases granted by earlier terms have expired. */
   readonly earlierLeasesExpireAt: clock.Milliseconds;
@@ -137,12 +137,12 @@
     const {options, leaseMs} = this.dependencies;
     const session = new workerSession.WorkerSession(
       worker,
-      options.workerCalls,
+      options.workerClient,
       this,
       options.clock,
       options.term,
       leaseMs,
-      milliseconds => options.pauses.pause(milliseconds),
+      milliseconds => options.timer.pause(milliseconds),
     );
     this.sessions.set(worker, session);
     void session.run();
@@ -175,11 +175,11 @@
     worker: remoteWorker.RemoteWorker,
     reason: EndReason,
   ): void {
-    const {options, workers, trust, tracker, onEnded} = this.dependencies;
+    const {options, workers, reliability, tracker, onEnded} = this.dependencies;
     this.sessions.get(worker)?.close();
     this.sessions.delete(worker);
     workers.remove(worker);
-    trust.forget(worker);
+    reliability.forget(worker);
     options.log.event('info', 'workerEnded', {
       worker: worker.id,
       reason,
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -8,7 +8,7 @@
 const REMOTE_RACK_COST = 2;
 
 /** Cost of a worker whose suspicion is 1. */
-const SUSPICION_COST = 4;
+const FAILURE_COST = 4;
 
 /** Facts that selection needs about a worker besides its free resources. */
 export interface WorkerFacts {
@@ -21,7 +21,7 @@
   /** Counts tasks that use idle capacity on the worker. */
   countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number;
   /** Returns how likely the worker is to fail its runs, from 0 to 1. */
-  suspicion(worker: remoteWorker.RemoteWorker): number;
+  failureProbability(worker: remoteWorker.RemoteWorker): number;
 }
 
 /** A worker selected for one task, with the ticket for the start. */
@@ -127,7 +127,7 @@
   }
   const isRemote = step.dataRack !== undefined && worker.rack !== step.dataRack;
   let cost = isRemote ? REMOTE_RACK_COST : 0;
-  cost += SUSPICION_COST * facts.suspicion(worker);
+  cost += FAILURE_COST * facts.failureProbability(worker);
   if (step.usesIdleCapacity) {
     if (facts.countServingTasks(worker) > 0) return Infinity;
     // These tasks run on idle processors: prefer the least loaded worker.
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -51,7 +51,7 @@
     private readonly localMember: LocalMember,
     private readonly peers: cellPeers.CellPeers,
     private readonly clock: clock.Clock,
-    private readonly pauses: jobJournal.Pauses,
+    private readonly pauses: jobJournal.DelayTimer,
     private readonly counters: schedulerOptions.Counters,
   ) {}
 
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -27,7 +27,7 @@
   /** Asks the advice service from this VM. */
   readonly advice: adviceCache.AdviceService;
   readonly peers: cellPeers.CellPeers;
-  readonly pauses: jobJournal.Pauses;
+  readonly pauses: jobJournal.DelayTimer;
   readonly log: schedulerOptions.EventLog;
   readonly counters: schedulerOptions.Counters;
   readonly defer: (pass: () => void) => void;
@@ -310,9 +310,9 @@
       wallClock: options.wallClock,
       retentionTimes: options.bounds,
       journalStore: options.journal,
-      workerCalls: options.workers,
+      workerClient: options.workers,
       adviceClient: this.adviceCalls,
-      pauses: options.pauses,
+      timer: options.pauses,
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -334,10 +334,10 @@
     const entry = jobCell.workerEntry('one');
     const worker = cell.addWorker(entry);
     const scheduler = await cell.startTerm(1);
-    cell.workers.orderDelayMs = () => 3_000;
+    cell.workers.commandDelayMs = () => 3_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {count: 4}));
     await cell.time.advance(100);
-    cell.workers.orderDelayMs = () => 0;
+    cell.workers.commandDelayMs = () => 0;
     jobCell.submit(scheduler, jobCell.jobOf('bb', {count: 4}));
     for (let step = 0; step < 80; step += 1) {
       await cell.time.advance(100);
@@ -353,10 +353,10 @@
     const cell = new jobCell.JobCell();
     const first = cell.addWorker(jobCell.workerEntry('one'));
     const scheduler = await cell.startTerm(1);
-    cell.workers.orderDelayMs = () => 2_000;
+    cell.workers.commandDelayMs = () => 2_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
-    cell.workers.orderDelayMs = () => 0;
+    cell.workers.commandDelayMs = () => 0;
     first.refuses = 'unhealthy';
     cell.addWorker(jobCell.workerEntry('two'));
     scheduler.updateWorkers(cell.entries);
@@ -373,11 +373,11 @@
     const cell = new jobCell.JobCell();
     const worker = cell.addWorker(jobCell.workerEntry('one'));
     const scheduler = await cell.startTerm(1);
-    cell.workers.orderDelayMs = () => 60_000;
+    cell.workers.commandDelayMs = () => 60_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
     cell.hasLeadershipProof = false;
-    cell.workers.orderDelayMs = () => 0;
+    cell.workers.commandDelayMs = () => 0;
     await cell.time.advance(2_000);
     assert.equal(cell.startsOf('aa').length, 0);
     assert.ok(worker.deadline <= 5_200, `${worker.deadline}`);
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -17,7 +17,7 @@
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.WorkerEvent[] = [];
   /** Returns the delay of an order; the answer of a delayed one is lost. */
-  orderDelayMs: (address: string) => number = () => 0;
+  commandDelayMs: (address: string) => number = () => 0;
 
   constructor(private readonly time: timeline.Timeline) {}
 
@@ -40,7 +40,7 @@
     entry: remoteWorker.RegistryEntry,
     order: workerClient.StartCommand,
   ): Promise<workerClient.CommandOutcome> {
-    return this.order(entry, worker => worker.start(order));
+    return this.deliver(entry, worker => worker.start(order));
   }
 
   stop(
@@ -48,7 +48,7 @@
     name: remoteWorker.RunId,
     fence: number,
   ): Promise<workerClient.CommandOutcome> {
-    return this.order(entry, worker => worker.stop(name, fence));
+    return this.deliver(entry, worker => worker.stop(name, fence));
   }
 
   async throttle(): Promise<workerClient.CommandOutcome> {
@@ -76,11 +76,11 @@
     return worker.hold({...order, deadlineMs: undefined});
   }
 
-  private async order(
+  private async deliver(
     entry: remoteWorker.RegistryEntry,
     handle: (worker: workerModel.WorkerModel) => workerClient.CommandOutcome,
   ): Promise<workerClient.CommandOutcome> {
-    const delayMs = this.orderDelayMs(entry.address);
+    const delayMs = this.commandDelayMs(entry.address);
     if (delayMs > 0) {
       this.time.at(this.time.now() + delayMs, () => {
         const late = this.byAddress.get(entry.address);
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -119,9 +119,9 @@
       });
     }
     if (this.chance(40)) cell.journal.lostAnswerCount += 1;
-    const delaysOrders = this.chance(4);
-    cell.workers.orderDelayMs = () =>
-      delaysOrders && this.chance(8) ? 2_000 + this.random.below(10_000) : 0;
+    const delaysCommands = this.chance(4);
+    cell.workers.commandDelayMs = () =>
+      delaysCommands && this.chance(8) ? 2_000 + this.random.below(10_000) : 0;
   }
 
   private submit(): void {
@@ -195,7 +195,7 @@
   private async endFaults(): Promise<void> {
     this.cell.journal.down = false;
     this.cell.journal.lostAnswerCount = 0;
-    this.cell.workers.orderDelayMs = () => 0;
+    this.cell.workers.commandDelayMs = () => 0;
     for (const model of this.models) {
       model.cut = false;
       model.mute = false;
--- a/test/support/timeline.ts
+++ b/test/support/timeline.ts
@@ -10,7 +10,7 @@
 const TURNS = 40;
 
 /** Simulated time: pauses end in order when a test advances it. */
-export class Timeline implements clock.Clock, jobJournal.Pauses {
+export class Timeline implements clock.Clock, jobJournal.DelayTimer {
   private time = 0;
   private timers: Timer[] = [];
 
