--- a/bench/capacity_bench.ts
+++ b/bench/capacity_bench.ts
@@ -1,4 +1,4 @@
-import * as directDriver from './direct_driver.js';
+import * as coreDriver from './core_driver.js';
 import type * as benchRow from './bench_row.js';
 
 /** Tasks a worker runs at the target: 25,000 on 2,700. */
@@ -7,7 +7,7 @@
 const SEED = 11;
 
 /** Injected time over which rates are taken. */
-const REST_MS = 60_000;
+const IDLE_PERIOD_MS = 60_000;
 
 /** Sizes of the owned part of the fleet at which the slopes are measured. */
 const WORKER_COUNTS = [20, 43, 86, 172] as const;
@@ -43,7 +43,7 @@
 zones = ["zone-a"]
 `;
 
-function documents(teams: number): ReadonlyMap<string, string> {
+function configurationDocuments(teams: number): ReadonlyMap<string, string> {
   const made = new Map([['fleet', FLEET]]);
   for (let index = 0; index < teams; index += 1) {
     made.set(`team/team-${index}`, teamDocument(index));
@@ -57,23 +57,26 @@
   return process.memoryUsage().heapUsed;
 }
 
-function build(workerCount: number, teams: number): directDriver.DirectDriver {
-  const driver = new directDriver.DirectDriver({
+function startDriver(
+  workerCount: number,
+  teams: number,
+): coreDriver.CoreDriver {
+  const driver = new coreDriver.CoreDriver({
     seed: SEED,
     workerCount,
     capacity: {processors: 16000, memory: 32768, accelerators: 2, slots: 16},
-    documents: documents(teams),
+    documents: configurationDocuments(teams),
   });
-  driver.pass(30_000);
+  driver.advance(30_000);
   return driver;
 }
 
-function fill(driver: directDriver.DirectDriver, tasks: number): void {
+function startTasks(driver: coreDriver.CoreDriver, tasks: number): void {
   for (let index = 0; index < tasks; index += 1) {
     driver.submit(`team-${index % 4}`, 'order', `payload ${index}`);
-    if (index % 20 === 19) driver.pass(100);
+    if (index % 20 === 19) driver.advance(100);
   }
-  driver.pass(2_000);
+  driver.advance(2_000);
 }
 
 function sum(values: Iterable<number>): number {
@@ -82,29 +85,29 @@
   return total;
 }
 
-function totalMilliseconds(driver: directDriver.DirectDriver): number {
+function totalMilliseconds(driver: coreDriver.CoreDriver): number {
   return sum([...driver.eventCosts().values()].map(cost => cost.milliseconds));
 }
 
-function measureSize(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
+function measureFleet(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
   const tasks = workerCount * TASKS_PER_WORKER;
   const before = heapBytes();
-  const driver = build(workerCount, 72);
+  const driver = startDriver(workerCount, 72);
   const empty = heapBytes();
-  fill(driver, tasks);
+  startTasks(driver, tasks);
   const full = heapBytes();
   const running = driver.runningCount();
-  driver.reset();
-  driver.pass(REST_MS);
+  driver.resetCosts();
+  driver.advance(IDLE_PERIOD_MS);
   const restMilliseconds = totalMilliseconds(driver);
   const messages = sum(
-    [...driver.effects()]
+    [...driver.effectCounts()]
       .filter(([kind]) => !['count', 'observe', 'log'].includes(kind))
       .map(([, count]) => count),
   );
-  driver.reset();
-  driver.finish(running / 2);
-  fill(driver, running / 2);
+  driver.resetCosts();
+  driver.finishTasks(running / 2);
+  startTasks(driver, running / 2);
   const startMilliseconds = totalMilliseconds(driver);
   const name = `capacity/${workerCount} workers`;
   return [
@@ -113,10 +116,14 @@
     row(`${name}/heap per task`, (full - empty) / Math.max(1, running), 'B'),
     row(
       `${name}/core at rest`,
-      restMilliseconds / (REST_MS / 1_000) / 10,
+      restMilliseconds / (IDLE_PERIOD_MS / 1_000) / 10,
       '% of a core',
     ),
-    row(`${name}/messages at rest`, messages / (REST_MS / 1_000), 'a second'),
+    row(
+      `${name}/messages at rest`,
+      messages / (IDLE_PERIOD_MS / 1_000),
+      'a second',
+    ),
     row(
       `${name}/core per start and end`,
       (1_000 * startMilliseconds) / (running / 2),
@@ -132,6 +139,6 @@
 /** Measures the slopes of the decision core that docs/CAPACITY.md uses. */
 export function measureCapacity(): ReadonlyArray<benchRow.BenchRow> {
   // The first run pays for compiling; its figures are dropped.
-  measureSize(WORKER_COUNTS[0]);
-  return WORKER_COUNTS.flatMap(measureSize);
+  measureFleet(WORKER_COUNTS[0]);
+  return WORKER_COUNTS.flatMap(measureFleet);
 }
--- a/bench/cell_bench.ts
+++ b/bench/cell_bench.ts
@@ -7,34 +7,34 @@
 const WORKER_COUNTS = [33, 100, 300];
 
 /** Jobs handed in a second, each with `TASKS` tasks. */
-const JOB_RATES = [0, 2, 8];
-const TASKS = 10;
+const JOBS_PER_SECOND = [0, 2, 8];
+const TASKS_PER_JOB = 10;
 
 /** Time of a task. */
-const RUNTIME_MS = 1_000;
+const TASK_RUN_TIME_MS = 1_000;
 
 /** Time for the code to be compiled and for the backlog to be even. */
-const SETTLE_MS = 6_000;
+const WARM_UP_MS = 6_000;
 
 /** Time over which rates are taken. */
-const MEASURE_MS = 10_000;
+const MEASUREMENT_MS = 10_000;
 
-const PROCESSES = 2;
+const PROCESS_COUNT = 2;
 
 /** Milliseconds of processor in a second at 1 %. */
-const MS_PER_PERCENT = 10;
+const CPU_MS_PER_SECOND_PERCENT = 10;
 
 /** Uses of the two processes during a measurement. */
-interface CellUse {
-  readonly scheduler: processMeter.ProcessUse;
-  readonly other: processMeter.ProcessUse;
+interface CellUsage {
+  readonly scheduler: processMeter.ProcessUsage;
+  readonly other: processMeter.ProcessUsage;
   readonly startsPerSecond: number;
 }
 
 /** Hands jobs in at a rate until it is stopped. */
-class Load {
+class JobLoad {
   private stopped = false;
-  private next = 0;
+  private lastJobNumber = 0;
 
   constructor(
     private readonly cell: platformCell.PlatformCell,
@@ -46,10 +46,10 @@
     const entry = this.cell.processes[1];
     const start = performance.now();
     while (!this.stopped) {
-      this.next += 1;
-      const id = platformCell.jobIdOf(this.next);
-      void this.cell.call(entry, 'POST', id, JOB);
-      const due = start + (1_000 * this.next) / this.jobsPerSecond;
+      this.lastJobNumber += 1;
+      const id = platformCell.jobIdOf(this.lastJobNumber);
+      void this.cell.callFront(entry, 'POST', id, JOB);
+      const due = start + (1_000 * this.lastJobNumber) / this.jobsPerSecond;
       await timers.setTimeout(Math.max(0, due - performance.now()));
     }
   }
@@ -61,54 +61,66 @@
 
 const JOB = {
   spec: '{}',
-  steps: [{count: TASKS, cpu: 1_000, mem_mb: 512, est_runtime_ms: RUNTIME_MS}],
+  steps: [
+    {
+      count: TASKS_PER_JOB,
+      cpu: 1_000,
+      mem_mb: 512,
+      est_runtime_ms: TASK_RUN_TIME_MS,
+    },
+  ],
 };
 
 /** Measures the platform's processes from outside, over stand-ins. */
 export async function measureCell(): Promise<ReadonlyArray<benchRow.BenchRow>> {
   const rows: benchRow.BenchRow[] = [];
-  for (const workers of WORKER_COUNTS) {
-    for (const rate of JOB_RATES) {
-      rows.push(...rowsOf(workers, await measureAt(workers, rate)));
+  for (const workerCount of WORKER_COUNTS) {
+    for (const rate of JOBS_PER_SECOND) {
+      rows.push(...rowsOf(workerCount, await measureAt(workerCount, rate)));
     }
   }
   return rows;
 }
 
-async function measureAt(workers: number, rate: number): Promise<CellUse> {
+async function measureAt(
+  workerCount: number,
+  rate: number,
+): Promise<CellUsage> {
   const cell = await platformCell.PlatformCell.start({
-    processes: PROCESSES,
-    workers,
-    runs: () => ({runtimeMs: RUNTIME_MS, how: 'done'}),
+    processCount: PROCESS_COUNT,
+    workerCount,
+    runPlan: () => ({runTimeMs: TASK_RUN_TIME_MS, outcome: 'done'}),
     command: [process.execPath, 'target/parsleyknot.cjs'],
   });
-  const load = new Load(cell, rate);
+  const load = new JobLoad(cell, rate);
   void load.run();
-  await timers.setTimeout(SETTLE_MS);
+  await timers.setTimeout(WARM_UP_MS);
   const leader = cell.leader();
   const others = cell.processes.filter(item => item !== leader);
   const startsBefore = cell.startCount();
-  const earlier = [leader, ...others].map(readUse);
-  await timers.setTimeout(MEASURE_MS);
-  const later = [leader, ...others].map(readUse);
+  const earlier = [leader, ...others].map(readUsage);
+  await timers.setTimeout(MEASUREMENT_MS);
+  const later = [leader, ...others].map(readUsage);
   const [scheduler, other] = later.map((reading, index) =>
-    processMeter.useBetween(earlier[index], reading),
+    processMeter.usageBetween(earlier[index], reading),
   );
   const starts = cell.startCount() - startsBefore;
   load.stop();
   await cell.stop();
-  return {scheduler, other, startsPerSecond: (starts * 1_000) / MEASURE_MS};
+  return {scheduler, other, startsPerSecond: (starts * 1_000) / MEASUREMENT_MS};
 }
 
-function readUse(item: platformCell.CellProcess): processMeter.ProcessReading {
+function readUsage(
+  item: platformCell.CellProcess,
+): processMeter.ProcessReading {
   return processMeter.readProcess(item.child.pid);
 }
 
 function rowsOf(
-  workers: number,
-  {scheduler, other, startsPerSecond}: CellUse,
+  workerCount: number,
+  {scheduler, other, startsPerSecond}: CellUsage,
 ): ReadonlyArray<benchRow.BenchRow> {
-  const where = `cell, ${workers} workers, ${startsPerSecond.toFixed(0)} starts/s`;
+  const where = `cell, ${workerCount} workers, ${startsPerSecond.toFixed(0)} starts/s`;
   const rows: benchRow.BenchRow[] = [
     row(`${where}: scheduler`, scheduler.processorPercent, '% of a core'),
     row(`${where}: scheduler`, scheduler.residentMebibytes, 'MiB'),
@@ -118,7 +130,7 @@
     row(`${where}: other process`, other.bytesPerSecond / 1_000, 'KB/s'),
   ];
   if (startsPerSecond === 0) return rows;
-  const milliseconds = scheduler.processorPercent * MS_PER_PERCENT;
+  const milliseconds = scheduler.processorPercent * CPU_MS_PER_SECOND_PERCENT;
   const perStart = milliseconds / startsPerSecond;
   return [...rows, row(`${where}: scheduler, a start`, perStart, 'ms')];
 }
--- a/bench/direct_driver.ts
+++ b/bench/core_driver.ts
@@ -1,5 +1,5 @@
 import * as entryVm from '../src/machines/entry_vm.js';
-import * as platform from './fakes/platform.js';
+import * as fakeLog from './fakes/fake_log.js';
 import * as randomSource from '../src/machines/random_source.js';
 import * as tomlDocumentReader from '../src/links/toml_document_reader.js';
 import type * as effect from '../src/contracts/effect.js';
@@ -9,7 +9,7 @@
 import type * as task from '../src/contracts/task.js';
 
 /** What the driven process has around it. */
-export interface DriverOptions {
+export interface CoreDriverOptions {
   readonly seed: number;
   readonly workerCount: number;
   readonly capacity: resources.Resources;
@@ -22,7 +22,7 @@
   readonly milliseconds: number;
 }
 
-interface DrivenTask {
+interface RunningTask {
   readonly worker: string;
   readonly start: task.TaskStart;
 }
@@ -31,19 +31,19 @@
  * Drives one decision core with injected time and answers every effect at
  * once, so that only the core's own cost is measured.
  */
-export class DirectDriver {
+export class CoreDriver {
   private readonly core: loop.EventHandler;
-  private readonly log = new platform.FakeLog(1_000_000);
-  private readonly queue: event.Event[] = [];
-  private readonly running = new Map<string, Map<string, DrivenTask>>();
-  private readonly costs = new Map<string, EventCost>();
-  private readonly effectCounts = new Map<string, number>();
-  private readonly effectBytes = new Map<string, number>();
+  private readonly log = new fakeLog.FakeLog(1_000_000);
+  private readonly eventQueue: event.Event[] = [];
+  private readonly running = new Map<string, Map<string, RunningTask>>();
+  private readonly costsByKind = new Map<string, EventCost>();
+  private readonly effectCountsByKind = new Map<string, number>();
+  private readonly effectBytesByKind = new Map<string, number>();
   private readonly replies = new Map<event.CallNumber, effect.Reply>();
-  private time = 0;
+  private timeMs = 0;
   private nextCall = 1;
 
-  constructor(private readonly options: DriverOptions) {
+  constructor(private readonly options: CoreDriverOptions) {
     this.core = new entryVm.EntryVm({
       self: {
         process: 'zone-a.entry-1.1',
@@ -69,27 +69,27 @@
 
   /** Current injected time in milliseconds. */
   now(): number {
-    return this.time;
+    return this.timeMs;
   }
 
   /** Lets injected time pass, with a turn whenever one is due. */
-  pass(duration: number): void {
-    const end = this.time + duration;
+  advance(duration: number): void {
+    const end = this.timeMs + duration;
     for (;;) {
       this.drain();
-      const due = this.core.nextDeadline(this.time);
+      const due = this.core.nextDeadline(this.timeMs);
       if (due > end) break;
-      this.time = Math.max(this.time + 1, due);
-      this.queue.push({kind: 'timePassed'});
+      this.timeMs = Math.max(this.timeMs + 1, due);
+      this.eventQueue.push({kind: 'timePassed'});
     }
-    this.time = end;
+    this.timeMs = end;
   }
 
   /** Sends a request with a reserved identity and returns the identity. */
   submit(team: string, workload: string, payload: string): string {
     const client = 'client';
-    const reserve = this.call();
-    this.queue.push({
+    const reserve = this.allocateCall();
+    this.eventQueue.push({
       kind: 'identitiesArrived',
       call: reserve,
       client,
@@ -98,9 +98,9 @@
     this.drain();
     const identity = this.replies.get(reserve)?.identities?.[0] ?? '';
     this.replies.clear();
-    this.queue.push({
+    this.eventQueue.push({
       kind: 'requestArrived',
-      call: this.call(),
+      call: this.allocateCall(),
       client,
       identity,
       submission: {team, workload, payload},
@@ -111,14 +111,14 @@
   }
 
   /** Lets the oldest `count` running tasks finish. */
-  finish(count: number): void {
+  finishTasks(count: number): void {
     let left = count;
     for (const tasks of this.running.values()) {
       for (const [name, driven] of tasks) {
         if (left === 0) break;
         left -= 1;
         tasks.delete(name);
-        this.queue.push({
+        this.eventQueue.push({
           kind: 'taskAnswerArrived',
           worker: driven.worker,
           task: name,
@@ -139,40 +139,40 @@
 
   /** Cost by event kind since the last reset. */
   eventCosts(): ReadonlyMap<string, EventCost> {
-    return this.costs;
+    return this.costsByKind;
   }
 
   /** Effects by kind since the last reset. */
-  effects(): ReadonlyMap<string, number> {
-    return this.effectCounts;
+  effectCounts(): ReadonlyMap<string, number> {
+    return this.effectCountsByKind;
   }
 
   /** Bytes of the JSON of the effects by kind since the last reset. */
-  bytes(): ReadonlyMap<string, number> {
-    return this.effectBytes;
+  effectBytes(): ReadonlyMap<string, number> {
+    return this.effectBytesByKind;
   }
 
   /** Forgets costs and counts. */
-  reset(): void {
-    this.costs.clear();
-    this.effectCounts.clear();
-    this.effectBytes.clear();
+  resetCosts(): void {
+    this.costsByKind.clear();
+    this.effectCountsByKind.clear();
+    this.effectBytesByKind.clear();
   }
 
-  private call(): event.CallNumber {
+  private allocateCall(): event.CallNumber {
     this.nextCall += 1;
     return this.nextCall;
   }
 
   private drain(): void {
     for (;;) {
-      const next = this.queue.shift();
+      const next = this.eventQueue.shift();
       if (next === undefined) return;
       const before = performance.now();
-      const effects = this.core.handle(next, this.time);
+      const effects = this.core.handle(next, this.timeMs);
       const spent = performance.now() - before;
-      const known = this.costs.get(next.kind);
-      this.costs.set(next.kind, {
+      const known = this.costsByKind.get(next.kind);
+      this.costsByKind.set(next.kind, {
         count: (known?.count ?? 0) + 1,
         milliseconds: (known?.milliseconds ?? 0) + spent,
       });
@@ -181,20 +181,23 @@
   }
 
   private perform(wanted: effect.Effect): void {
-    const count = this.effectCounts.get(wanted.kind) ?? 0;
-    this.effectCounts.set(wanted.kind, count + 1);
-    const bytes = this.effectBytes.get(wanted.kind) ?? 0;
-    this.effectBytes.set(wanted.kind, bytes + JSON.stringify(wanted).length);
+    const count = this.effectCountsByKind.get(wanted.kind) ?? 0;
+    this.effectCountsByKind.set(wanted.kind, count + 1);
+    const bytes = this.effectBytesByKind.get(wanted.kind) ?? 0;
+    this.effectBytesByKind.set(
+      wanted.kind,
+      bytes + JSON.stringify(wanted).length,
+    );
     switch (wanted.kind) {
       case 'startTask':
-        this.started(wanted.worker, wanted.start);
+        this.startTask(wanted.worker, wanted.start);
         return;
       case 'readReport':
-        this.queue.push(this.report(wanted.worker));
+        this.eventQueue.push(this.report(wanted.worker));
         return;
       case 'append':
         this.log.append(wanted.stream, wanted.records);
-        this.queue.push({
+        this.eventQueue.push({
           kind: 'appendAnswered',
           stream: wanted.stream,
           append: wanted.append,
@@ -202,12 +205,14 @@
         });
         return;
       case 'readStream':
-        this.queue.push(this.log.read(wanted.stream, wanted.from, this.time));
+        this.eventQueue.push(
+          this.log.read(wanted.stream, wanted.from, this.timeMs),
+        );
         return;
       case 'readVmList':
-        this.queue.push({
+        this.eventQueue.push({
           kind: 'vmListRead',
-          sentAt: this.time,
+          sentAt: this.timeMs,
           vms: this.listVms(),
         });
         return;
@@ -217,11 +222,11 @@
     }
   }
 
-  private started(worker: string, start: task.TaskStart): void {
-    const tasks = this.running.get(worker) ?? new Map<string, DrivenTask>();
+  private startTask(worker: string, start: task.TaskStart): void {
+    const tasks = this.running.get(worker) ?? new Map<string, RunningTask>();
     tasks.set(start.task, {worker, start});
     this.running.set(worker, tasks);
-    this.queue.push({
+    this.eventQueue.push({
       kind: 'startAnswered',
       worker,
       task: start.task,
@@ -234,10 +239,10 @@
     const tasks = [...(this.running.get(worker)?.values() ?? [])];
     return {
       kind: 'reportArrived',
-      sentAt: this.time,
+      sentAt: this.timeMs,
       report: {
         worker,
-        workerClock: this.time,
+        workerClock: this.timeMs,
         capacity: this.options.capacity,
         rack: `rack-${Number(worker.split('-')[1]) >> 3}`,
         leaving: false,
@@ -247,7 +252,7 @@
           state: 'running',
           size: driven.start.size,
           usage: driven.start.size,
-          leaseEnd: this.time + 30_000,
+          leaseEnd: this.timeMs + 30_000,
         })),
       },
     };
--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -1,7 +1,7 @@
 import * as hdr from 'hdr-histogram-js';
 import * as randomSource from '../src/machines/random_source.js';
 import * as scheduling from '../test/support/scheduling.js';
-import * as schedulingSubject from './scheduling_subject.js';
+import * as schedulerUnderTest from './scheduler_under_test.js';
 import type * as benchRow from './bench_row.js';
 import type * as placement from '../src/contracts/placement.js';
 import type * as workload from '../src/contracts/workload.js';
@@ -19,22 +19,22 @@
 const CAPACITY = scheduling.size(16_000, 32_768, 2, 16);
 
 /** Injected time between decisions: 610 starts a second. */
-const STEP_MS = 1_000 / 610;
+const DECISION_INTERVAL_MS = 1_000 / 610;
 
 /** Requests of each team that wait in the run with a full fleet. */
 const BACKLOG_PER_TEAM = 20;
 
 /** Ends measured with a full fleet; each reopens every waiting lane. */
-const BACKLOG_ENDS = 300;
+const MEASURED_BACKLOG_ENDS = 300;
 
 const WARM_UP_DECISIONS = 5_000;
 
 const MEASURED_DECISIONS = 30_000;
 
 /** Every fifth running task at the target belongs to a service. */
-const SERVICE_EVERY = 5;
+const TASKS_PER_SERVICE_TASK = 5;
 
-const SERVICE = scheduling.workloadOf({
+const SERVICE_WORKLOAD = scheduling.workloadOf({
   name: 'watch',
   kind: 'service',
   size: scheduling.size(500, 1_024),
@@ -57,82 +57,86 @@
   );
 }
 
-interface Figures {
+interface DecisionFigures {
   readonly perSecond: number;
   readonly p99Ms: number;
-  readonly running: number;
+  readonly runningCount: number;
 }
 
 /** Ends one task and starts one, again and again, and times the decisions. */
 class DecisionRun {
   private readonly random = new randomSource.SeededRandom(SEED);
   private readonly workloads = batchWorkloads(this.random);
-  private readonly source = new schedulingSubject.RequestSource();
-  private readonly subject: schedulingSubject.SchedulerSubject;
+  private readonly requests = new schedulerUnderTest.RequestFactory();
+  private readonly scheduler: schedulerUnderTest.ProductionScheduler;
   private readonly running: placement.Placement[] = [];
   private readonly histogram = hdr.build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 10_000_000,
     numberOfSignificantValueDigits: 3,
   });
-  private now = 0;
+  private nowMs = 0;
   private spentMs = 0;
-  private waiting = 0;
-  private decisions = 0;
+  private waitingCount = 0;
+  private decisionCount = 0;
 
   constructor(
     workerCount: number,
-    private readonly target: number,
+    private readonly targetRunning: number,
   ) {
     const teams = Array.from({length: TEAM_COUNT}, (_, index) =>
       scheduling.teamOf(`team-${index}`),
     );
     const capacity = CAPACITY;
     const options = {seed: SEED, workerCount, capacity, teams};
-    this.subject = new schedulingSubject.SchedulerSubject(options);
+    this.scheduler = new schedulerUnderTest.ProductionScheduler(options);
   }
 
   /** Fills the fleet, warms up, and measures. */
-  measure(): Figures {
-    for (let index = 0; index < this.target; index += 1) {
-      this.step(index % SERVICE_EVERY === 0 ? SERVICE : this.pick());
+  measure(): DecisionFigures {
+    for (let index = 0; index < this.targetRunning; index += 1) {
+      this.admitAndPlace(
+        index % TASKS_PER_SERVICE_TASK === 0
+          ? SERVICE_WORKLOAD
+          : this.pickWorkload(),
+      );
     }
-    for (let index = 0; index < WARM_UP_DECISIONS; index += 1) this.exchange();
+    for (let index = 0; index < WARM_UP_DECISIONS; index += 1) this.swapTask();
     this.histogram.reset();
     this.spentMs = 0;
-    this.decisions = 0;
-    for (let index = 0; index < MEASURED_DECISIONS; index += 1) this.exchange();
+    this.decisionCount = 0;
+    for (let index = 0; index < MEASURED_DECISIONS; index += 1) this.swapTask();
     return this.figures();
   }
 
   /** Fills the fleet, keeps a backlog, and measures what each end costs. */
-  measureBacklog(): Figures {
+  measureBacklog(): DecisionFigures {
     const backlog = BACKLOG_PER_TEAM * TEAM_COUNT;
-    for (let index = 0; index < this.target * 1.5; index += 1) {
-      this.step(this.pick());
+    for (let index = 0; index < this.targetRunning * 1.5; index += 1) {
+      this.admitAndPlace(this.pickWorkload());
     }
     this.histogram.reset();
     this.spentMs = 0;
-    this.decisions = 0;
-    for (let index = 0; index < BACKLOG_ENDS; index += 1) {
+    this.decisionCount = 0;
+    for (let index = 0; index < MEASURED_BACKLOG_ENDS; index += 1) {
       this.endOne();
-      while (this.waiting < backlog) this.admit(this.pick());
+      while (this.waitingCount < backlog) this.admit(this.pickWorkload());
       this.place();
     }
     return this.figures();
   }
 
-  private figures(): Figures {
+  private figures(): DecisionFigures {
     return {
-      perSecond: this.decisions / (this.spentMs / 1_000),
+      perSecond: this.decisionCount / (this.spentMs / 1_000),
       p99Ms: this.histogram.getValueAtPercentile(99) / 1_000,
-      running: this.running.length,
+      runningCount: this.running.length,
     };
   }
 
-  private exchange(): void {
-    if (this.running.length >= this.target) this.endOne();
-    this.step(this.pick());
+  private swapTask(): void {
+    if (this.running.length >= this.targetRunning) this.endOne();
+    this.admitAndPlace(this.pickWorkload());
   }
 
   private endOne(): void {
@@ -140,10 +144,10 @@
     const ended = this.running[position];
     const last = this.running.pop();
     if (last !== undefined && last !== ended) this.running[position] = last;
-    this.subject.ended(ended, this.now);
+    this.scheduler.ended(ended, this.nowMs);
   }
 
-  private step(described: workload.Workload): void {
+  private admitAndPlace(described: workload.Workload): void {
     const elapsed = this.admit(described);
     this.place(elapsed);
   }
@@ -151,29 +155,29 @@
   /** Returns the time that the admission took. */
   private admit(described: workload.Workload): number {
     const name = `team-${this.random.below(TEAM_COUNT)}`;
-    const built = this.source.next(name, described, this.now);
+    const built = this.requests.next(name, described, this.nowMs);
     const before = performance.now();
-    if (this.subject.admit(built, this.now)) this.waiting += 1;
+    if (this.scheduler.admit(built, this.nowMs)) this.waitingCount += 1;
     return performance.now() - before;
   }
 
   private place(admissionMs = 0): void {
-    this.now += STEP_MS;
+    this.nowMs += DECISION_INTERVAL_MS;
     const before = performance.now();
-    const placed = this.subject.place(this.now);
+    const placed = this.scheduler.place(this.nowMs);
     const elapsed = performance.now() - before + admissionMs;
     this.histogram.recordValue(Math.max(1, Math.round(elapsed * 1_000)));
     this.spentMs += elapsed;
-    this.decisions += placed.length;
-    this.waiting -= placed.length;
+    this.decisionCount += placed.length;
+    this.waitingCount -= placed.length;
     for (const placement of placed) {
-      this.subject.started(placement, this.now);
+      this.scheduler.started(placement, this.nowMs);
       this.running.push(placement);
     }
-    this.subject.takeCheckpoints();
+    this.scheduler.takeCheckpoints();
   }
 
-  private pick(): workload.Workload {
+  private pickWorkload(): workload.Workload {
     return this.workloads[this.random.below(this.workloads.length)];
   }
 }
@@ -181,7 +185,7 @@
 function figureRows(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
   const target = Math.round(workerCount * TASKS_PER_WORKER);
   const figures = new DecisionRun(workerCount, target).measure();
-  const name = `decisions at ${workerCount} workers, ${figures.running} tasks`;
+  const name = `decisions at ${workerCount} workers, ${figures.runningCount} tasks`;
   const row = {seed: SEED, baseline: ''};
   return [
     {
@@ -209,7 +213,7 @@
   return [
     {
       ...row,
-      name: `decisions with ${where}, ${figures.running} tasks`,
+      name: `decisions with ${where}, ${figures.runningCount} tasks`,
       figure: Math.round(figures.perSecond),
       unit: 'per second',
       goal: 'at least 5000',
--- a/bench/fakes/client.ts
+++ b/bench/fakes/fake_client.ts
@@ -1,8 +1,8 @@
 import * as result from '../../src/result.js';
-import type * as checker from './checker.js';
+import type * as invariantChecker from './invariant_checker.js';
 import type * as effect from '../../src/contracts/effect.js';
-import type * as entryHost from './entry_host.js';
-import type * as network from './network.js';
+import type * as simulatedEntryProcess from './simulated_entry_process.js';
+import type * as fakeNetwork from './fake_network.js';
 import type * as randomSource from '../../src/machines/random_source.js';
 
 /** Where a client's request stands, as the client knows. */
@@ -14,40 +14,45 @@
   ended: boolean;
   code: number;
   /** What the last reply said beside its code. */
-  detail: string;
+  lastReply: string;
 }
 
 /** What a client needs of its surroundings. */
-export interface ClientSurroundings {
-  readonly around: entryHost.Surroundings;
-  readonly checker: checker.Checker;
+export interface ClientEnvironment {
+  readonly simulation: simulatedEntryProcess.Simulation;
+  readonly checker: invariantChecker.InvariantChecker;
   readonly random: randomSource.RandomSource;
 }
 
 /** Time between a lost or unclear answer and the next try. */
-const RETRY_MS = 1_500;
+const RETRY_DELAY_MS = 1_500;
 
 /** Deadline of one call. */
-const CALL_DEADLINE_MS = 12_000;
+const CALL_TIMEOUT_MS = 12_000;
 
 /** How long one call lets the system wait for the end. */
-const WAIT_MS = 10_000;
+const LONG_POLL_MS = 10_000;
 
 /**
  * A client that sends requests to any entry process of its zone or another
  * one, loses answers, and asks again with the same identity.
  */
-export class FakeClient implements network.Place {
+export class FakeClient implements fakeNetwork.Endpoint {
   readonly requests: ClientRequest[] = [];
 
   constructor(
     readonly name: string,
     readonly zone: string,
-    private readonly surroundings: ClientSurroundings,
+    private readonly environment: ClientEnvironment,
   ) {}
 
   /** Sends one request and sees it through. */
-  begin(team: string, workload: string, payload: string, taskCount = 1): void {
+  sendRequest(
+    team: string,
+    workload: string,
+    payload: string,
+    taskCount = 1,
+  ): void {
     const request = {
       workload,
       payload,
@@ -55,13 +60,13 @@
       identity: '',
       ended: false,
       code: -1,
-      detail: 'no reply',
+      lastReply: 'no reply',
     };
     this.requests.push(request);
-    this.reserve(team, request);
+    this.reserveIdentity(team, request);
   }
 
-  private reserve(team: string, request: ClientRequest): void {
+  private reserveIdentity(team: string, request: ClientRequest): void {
     this.call(
       call => ({
         kind: 'identitiesArrived',
@@ -72,7 +77,7 @@
       reply => {
         const identity = reply?.identities?.[0];
         if (identity === undefined) {
-          this.later(() => this.reserve(team, request));
+          this.retryLater(() => this.reserveIdentity(team, request));
           return;
         }
         request.identity = identity;
@@ -93,29 +98,33 @@
           workload: request.workload,
           payload: request.payload,
         },
-        waitMs: WAIT_MS,
+        waitMs: LONG_POLL_MS,
       }),
-      reply => this.replied(team, request, reply),
+      reply => this.handleReply(team, request, reply),
     );
   }
 
-  private replied(
+  private handleReply(
     team: string,
     request: ClientRequest,
     reply: effect.Reply | undefined,
   ): void {
     if (reply === undefined) {
-      this.later(() => this.submit(team, request));
+      this.retryLater(() => this.submit(team, request));
       return;
     }
-    this.surroundings.checker.told(request, reply.code, reply.answer ?? '');
-    request.detail = `${reply.code} ${reply.state ?? ''} ${reply.detail ?? ''}`;
+    this.environment.checker.replyReceived(
+      request,
+      reply.code,
+      reply.answer ?? '',
+    );
+    request.lastReply = `${reply.code} ${reply.state ?? ''} ${reply.detail ?? ''}`;
     const row = Object.values(result.RESULT_CODES).find(
       known => known.code === reply.code,
     );
     const open = row?.execution === 'pending' || row?.retry === 'sameIdentity';
     if (open) {
-      this.later(() => this.submit(team, request));
+      this.retryLater(() => this.submit(team, request));
       return;
     }
     request.ended = true;
@@ -123,15 +132,17 @@
   }
 
   private call(
-    build: Parameters<entryHost.EntryHost['receive']>[0],
+    build: Parameters<
+      simulatedEntryProcess.SimulatedEntryProcess['receive']
+    >[0],
     answered: (reply: effect.Reply | undefined) => void,
   ): void {
-    const {around, random} = this.surroundings;
+    const {simulation: around, random} = this.environment;
     const hosts = [...around.hosts.values()];
     const near = hosts.filter(host => host.zone === this.zone);
     const choice = near.length > 0 && random.below(5) > 0 ? near : hosts;
     if (choice.length === 0) {
-      this.later(() => answered(undefined));
+      this.retryLater(() => answered(undefined));
       return;
     }
     const host = choice[random.below(choice.length)];
@@ -141,11 +152,11 @@
       respond => host.receive(build, respond),
       answered,
       () => answered(undefined),
-      CALL_DEADLINE_MS,
+      CALL_TIMEOUT_MS,
     );
   }
 
-  private later(action: () => void): void {
-    this.surroundings.around.time.after(RETRY_MS, action);
+  private retryLater(action: () => void): void {
+    this.environment.simulation.time.after(RETRY_DELAY_MS, action);
   }
 }
--- a/bench/fakes/worker.ts
+++ b/bench/fakes/fake_worker.ts
@@ -1,6 +1,6 @@
 import * as resources from '../../src/machines/resources.js';
 import type * as task from '../../src/contracts/task.js';
-import type * as timeline from './timeline.js';
+import type * as virtualTime from './virtual_time.js';
 
 /** What an observer hears of the tasks of a worker. */
 export interface WorkerObserver {
@@ -8,7 +8,7 @@
   taskEnded(worker: FakeWorker, start: task.TaskStart): void;
 }
 
-interface HeldTask {
+interface TrackedTask {
   readonly start: task.TaskStart;
   readonly leaseEnd: number;
   readonly state: task.TaskState;
@@ -16,14 +16,14 @@
 }
 
 /** Longest time for which ended tasks stay in reports. */
-const ENDED_KEPT_MS = 600_000;
+const ENDED_RETENTION_MS = 600_000;
 
 /** In-memory worker: runs what it is told under leases, checks nothing else. */
 export class FakeWorker {
-  private readonly tasks = new Map<string, HeldTask>();
-  private readonly waiting = new Map<string, Array<() => void>>();
+  private readonly tasks = new Map<string, TrackedTask>();
+  private readonly answerListeners = new Map<string, Array<() => void>>();
   /** When the worker began to leave; Infinity while it stays. */
-  leavingSince = Infinity;
+  leavingSinceMs = Infinity;
   failsEverything = false;
   dead = false;
 
@@ -32,8 +32,8 @@
     readonly zone: string,
     private readonly rack: string,
     readonly capacity: resources.Resources,
-    private readonly clock: timeline.DriftingClock,
-    private readonly time: timeline.Timeline,
+    private readonly clock: virtualTime.DriftingClock,
+    private readonly time: virtualTime.VirtualTime,
     private readonly observer: WorkerObserver,
   ) {}
 
@@ -71,21 +71,21 @@
     const answer = state === 'finished' ? `done ${held.start.payload}` : '';
     this.tasks.set(name, {...held, state, answer});
     this.observer.taskEnded(this, held.start);
-    for (const answerNow of this.waiting.get(name) ?? []) answerNow();
-    this.waiting.delete(name);
-    this.time.after(ENDED_KEPT_MS, () => this.tasks.delete(name));
+    for (const answerNow of this.answerListeners.get(name) ?? []) answerNow();
+    this.answerListeners.delete(name);
+    this.time.after(ENDED_RETENTION_MS, () => this.tasks.delete(name));
   }
 
   /** Calls back with the ended task; with undefined when it is unknown. */
-  answer(name: string, respond: (ended?: HeldTask) => void): void {
+  awaitAnswer(name: string, respond: (ended?: TrackedTask) => void): void {
     const held = this.tasks.get(name);
     if (held?.state !== 'running') {
       respond(held);
       return;
     }
-    const waiting = this.waiting.get(name) ?? [];
+    const waiting = this.answerListeners.get(name) ?? [];
     waiting.push(() => respond(this.tasks.get(name)));
-    this.waiting.set(name, waiting);
+    this.answerListeners.set(name, waiting);
   }
 
   /** What the worker says of itself. */
@@ -95,7 +95,7 @@
       workerClock: this.clock.now(),
       capacity: this.capacity,
       rack: this.rack,
-      leaving: this.leavingSince < Infinity,
+      leaving: this.leavingSinceMs < Infinity,
       tasks: [...this.tasks.values()].map(held => ({
         task: held.start.task,
         label: held.start.label,
@@ -108,7 +108,7 @@
   }
 
   /** Ends everything at once, as the loss of the machine does. */
-  lose(): void {
+  crash(): void {
     for (const held of this.tasks.values()) {
       if (held.state === 'running') this.observer.taskEnded(this, held.start);
     }
@@ -117,7 +117,7 @@
   }
 
   /** Sum of what the running tasks hold. */
-  used(): resources.Resources {
+  reservedCapacity(): resources.Resources {
     let used = resources.NONE;
     for (const held of this.tasks.values()) {
       if (held.state === 'running') used = resources.add(used, held.start.size);
--- a/bench/fakes/entry_host.ts
+++ b/bench/fakes/simulated_entry_process.ts
@@ -5,56 +5,56 @@
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 import type * as loop from '../../src/loop.js';
-import type * as network from './network.js';
-import type * as platform from './platform.js';
+import type * as fakeNetwork from './fake_network.js';
+import type * as fakeLog from './fake_log.js';
 import type * as randomSource from '../../src/machines/random_source.js';
-import type * as timeline from './timeline.js';
-import type * as worker from './worker.js';
+import type * as virtualTime from './virtual_time.js';
+import type * as fakeWorker from './fake_worker.js';
 
 /** What every entry process of a run shares. */
-export interface Surroundings {
-  readonly time: timeline.Timeline;
-  readonly network: network.FakeNetwork;
-  readonly log: platform.FakeLog;
-  readonly workers: ReadonlyMap<string, worker.FakeWorker>;
-  readonly hosts: Map<string, EntryHost>;
+export interface Simulation {
+  readonly time: virtualTime.VirtualTime;
+  readonly network: fakeNetwork.FakeNetwork;
+  readonly log: fakeLog.FakeLog;
+  readonly workers: ReadonlyMap<string, fakeWorker.FakeWorker>;
+  readonly hosts: Map<string, SimulatedEntryProcess>;
   readonly random: randomSource.RandomSource;
   readonly reader: configuration.DocumentReader;
   listVms(): ReadonlyArray<event.ListedVm>;
   runTimeMs(payload: string): number;
-  logged(host: EntryHost, effect: effect.Effect): void;
+  effectLogged(host: SimulatedEntryProcess, effect: effect.Effect): void;
   /** Takes note of a process that has to be started again. */
-  ended(host: EntryHost): void;
+  processEnded(host: SimulatedEntryProcess): void;
 }
 
-const PLATFORM: network.Place = {name: 'platform', zone: ''};
+const PLATFORM_ENDPOINT: fakeNetwork.Endpoint = {name: 'platform', zone: ''};
 
 /** Longest wait for the answer of a running task. */
-const ANSWER_DEADLINE_MS = 600_000;
+const TASK_ANSWER_TIMEOUT_MS = 600_000;
 
 /** Longest wait of a call that another process holds open. */
-const OFFER_DEADLINE_MS = 30_000;
+const OFFER_TIMEOUT_MS = 30_000;
 
 /** Time beyond the caller's wait that a forwarded call may take. */
 const FORWARD_MARGIN_MS = 1_500;
 
-type Reply = (reply: effect.Reply) => void;
+type ReplyCallback = (reply: effect.Reply) => void;
 
 /**
  * One incarnation of an entry process: the real decision core between fakes,
  * on its own drifting clock, which can be paused or killed.
  */
-export class EntryHost implements network.Place {
+export class SimulatedEntryProcess implements fakeNetwork.Endpoint {
   private readonly core: loop.EventHandler;
-  private readonly open = new Map<event.CallNumber, Reply>();
-  private readonly peerCalls = new Map<
+  private readonly openCalls = new Map<event.CallNumber, ReplyCallback>();
+  private readonly openPeerCalls = new Map<
     event.CallNumber,
     (answer: effect.Effect) => void
   >();
   private readonly callEvents = new Map<event.CallNumber, event.CallEvent>();
-  private readonly held: Array<() => void> = [];
+  private readonly deferredActions: Array<() => void> = [];
   private nextCall = 1;
-  private timerDue = Infinity;
+  private timerDueMs = Infinity;
   private paused = false;
   alive = true;
 
@@ -62,26 +62,26 @@
     readonly name: string,
     readonly vm: string,
     readonly zone: string,
-    private readonly clock: timeline.DriftingClock,
-    private readonly around: Surroundings,
+    private readonly clock: virtualTime.DriftingClock,
+    private readonly simulation: Simulation,
   ) {
     this.core = new entryVm.EntryVm({
       self: {process: name, vm, zone, region: zone, address: vm},
-      reader: around.reader,
-      random: around.random,
+      reader: simulation.reader,
+      random: simulation.random,
     });
   }
 
   /** Begins to work. */
   boot(): void {
-    this.post({kind: 'timePassed'});
+    this.handleEvent({kind: 'timePassed'});
   }
 
   /** Ends the process at once; nothing of it remains. */
   kill(): void {
     this.alive = false;
-    this.held.length = 0;
-    this.around.hosts.delete(this.name);
+    this.deferredActions.length = 0;
+    this.simulation.hosts.delete(this.name);
   }
 
   /** Stops the process; what it was about to do is done when it resumes. */
@@ -92,21 +92,21 @@
   /** Lets a paused process go on. */
   resume(): void {
     this.paused = false;
-    const actions = this.held.splice(0);
+    const actions = this.deferredActions.splice(0);
     for (const action of actions) this.whenRunning(action);
   }
 
   /** Hands in a caller's call. */
   receive(
     build: (call: event.CallNumber) => event.CallEvent,
-    reply: Reply,
+    reply: ReplyCallback,
   ): void {
     this.whenRunning(() => {
-      const call = this.register();
+      const call = this.allocateCall();
       const arrived = build(call);
-      this.open.set(call, reply);
+      this.openCalls.set(call, reply);
       this.callEvents.set(call, arrived);
-      this.turn(arrived);
+      this.runTurn(arrived);
     });
   }
 
@@ -116,29 +116,29 @@
     reply: (answer: effect.Effect) => void,
   ): void {
     this.whenRunning(() => {
-      const call = this.register();
-      this.peerCalls.set(call, reply);
-      this.turn(build(call));
+      const call = this.allocateCall();
+      this.openPeerCalls.set(call, reply);
+      this.runTurn(build(call));
     });
   }
 
-  private register(): event.CallNumber {
+  private allocateCall(): event.CallNumber {
     const call = this.nextCall;
     this.nextCall += 1;
     return call;
   }
 
-  private post(posted: event.Event): void {
-    this.whenRunning(() => this.turn(posted));
+  private handleEvent(posted: event.Event): void {
+    this.whenRunning(() => this.runTurn(posted));
   }
 
   private whenRunning(action: () => void): void {
     if (!this.alive) return;
-    if (this.paused) this.held.push(action);
+    if (this.paused) this.deferredActions.push(action);
     else action();
   }
 
-  private turn(handled: event.Event): void {
+  private runTurn(handled: event.Event): void {
     const effects = this.core.handle(handled, this.clock.now());
     // A pause may fall between a decision and the messages it sends.
     for (const wanted of effects) this.whenRunning(() => this.perform(wanted));
@@ -147,13 +147,13 @@
 
   private armTimer(): void {
     const due = this.core.nextDeadline(this.clock.now());
-    if (due === Infinity || due === this.timerDue) return;
-    this.timerDue = due;
+    if (due === Infinity || due === this.timerDueMs) return;
+    this.timerDueMs = due;
     const wait = Math.max(1, this.clock.until(due));
-    this.around.time.after(wait, () => {
-      if (this.timerDue !== due) return;
-      this.timerDue = Infinity;
-      this.post({kind: 'timePassed'});
+    this.simulation.time.after(wait, () => {
+      if (this.timerDueMs !== due) return;
+      this.timerDueMs = Infinity;
+      this.handleEvent({kind: 'timePassed'});
     });
   }
 
@@ -174,8 +174,8 @@
         this.performAtPlatform(wanted);
         return;
       case 'answerCaller':
-        this.open.get(wanted.call)?.(wanted.reply);
-        this.open.delete(wanted.call);
+        this.openCalls.get(wanted.call)?.(wanted.reply);
+        this.openCalls.delete(wanted.call);
         this.callEvents.delete(wanted.call);
         return;
       case 'answerConfirm':
@@ -184,16 +184,16 @@
       case 'answerDocuments':
       case 'answerWitness':
       case 'answerReadWitness':
-        this.peerCalls.get(wanted.call)?.(wanted);
-        this.peerCalls.delete(wanted.call);
+        this.openPeerCalls.get(wanted.call)?.(wanted);
+        this.openPeerCalls.delete(wanted.call);
         return;
       case 'count':
       case 'observe':
       case 'log':
-        this.around.logged(this, wanted);
+        this.simulation.effectLogged(this, wanted);
         return;
       case 'endProcess':
-        this.around.ended(this);
+        this.simulation.processEnded(this);
         return;
       default:
         this.performAtPeer(wanted);
@@ -201,12 +201,12 @@
   }
 
   private performAtWorker(wanted: effect.WorkerEffect): void {
-    const target = this.around.workers.get(wanted.worker);
+    const target = this.simulation.workers.get(wanted.worker);
     const lost = (): void => this.workerAnswerLost(wanted);
     const place = {name: wanted.worker, zone: target?.zone ?? this.zone};
     const deadline =
-      wanted.kind === 'fetchTaskAnswer' ? ANSWER_DEADLINE_MS : undefined;
-    this.around.network.call<event.Event | undefined>(
+      wanted.kind === 'fetchTaskAnswer' ? TASK_ANSWER_TIMEOUT_MS : undefined;
+    this.simulation.network.call<event.Event | undefined>(
       this,
       place,
       respond => {
@@ -214,7 +214,7 @@
         this.serveAtWorker(wanted, target, respond);
       },
       answer => {
-        if (answer !== undefined) this.post(answer);
+        if (answer !== undefined) this.handleEvent(answer);
       },
       lost,
       deadline,
@@ -223,13 +223,13 @@
 
   private serveAtWorker(
     wanted: effect.WorkerEffect,
-    target: worker.FakeWorker,
+    target: fakeWorker.FakeWorker,
     respond: (answer: event.Event | undefined) => void,
   ): void {
     const name = target.name;
     switch (wanted.kind) {
       case 'startTask': {
-        const runTime = this.around.runTimeMs(wanted.start.payload);
+        const runTime = this.simulation.runTimeMs(wanted.start.payload);
         const started = target.start(wanted.start, runTime);
         respond({
           kind: 'startAnswered',
@@ -252,7 +252,7 @@
         });
         return;
       case 'fetchTaskAnswer':
-        target.answer(wanted.task, ended => {
+        target.awaitAnswer(wanted.task, ended => {
           if (ended === undefined) {
             respond({kind: 'taskAnswerLost', worker: name, task: wanted.task});
             return;
@@ -289,7 +289,7 @@
   private workerAnswerLost(wanted: effect.WorkerEffect): void {
     const worker = wanted.worker;
     if (wanted.kind === 'startTask') {
-      this.post({
+      this.handleEvent({
         kind: 'startAnswered',
         worker,
         task: wanted.start.task,
@@ -297,25 +297,25 @@
         detail: 'no answer',
       });
     } else if (wanted.kind === 'readReport') {
-      this.post({kind: 'reportFailed', worker});
+      this.handleEvent({kind: 'reportFailed', worker});
     } else if (wanted.kind === 'fetchTaskAnswer') {
-      this.post({kind: 'taskAnswerLost', worker, task: wanted.task});
+      this.handleEvent({kind: 'taskAnswerLost', worker, task: wanted.task});
     } else if (wanted.kind === 'stopTask') {
       const {task} = wanted;
-      this.post({kind: 'stopAnswered', worker, task, done: false});
+      this.handleEvent({kind: 'stopAnswered', worker, task, done: false});
     }
   }
 
   private performAtPlatform(wanted: effect.PlatformEffect): void {
     const sentAt = this.clock.now();
-    this.around.network.call<event.Event>(
+    this.simulation.network.call<event.Event>(
       this,
-      PLATFORM,
+      PLATFORM_ENDPOINT,
       respond => {
-        if (this.around.log.down && wanted.kind !== 'readVmList') return;
+        if (this.simulation.log.down && wanted.kind !== 'readVmList') return;
         respond(this.serveAtPlatform(wanted, sentAt));
       },
-      answer => this.post(answer),
+      answer => this.handleEvent(answer),
       () => this.platformAnswerLost(wanted),
     );
   }
@@ -326,7 +326,7 @@
   ): event.Event {
     switch (wanted.kind) {
       case 'append':
-        this.around.log.append(wanted.stream, wanted.records);
+        this.simulation.log.append(wanted.stream, wanted.records);
         return {
           kind: 'appendAnswered',
           stream: wanted.stream,
@@ -334,20 +334,25 @@
           answer: 'appended',
         };
       case 'readStream':
-        return this.around.log.read(wanted.stream, wanted.from, sentAt);
+        return this.simulation.log.read(wanted.stream, wanted.from, sentAt);
       case 'readVmList':
-        return {kind: 'vmListRead', sentAt, vms: this.around.listVms()};
+        return {kind: 'vmListRead', sentAt, vms: this.simulation.listVms()};
     }
   }
 
   private platformAnswerLost(wanted: effect.PlatformEffect): void {
     if (wanted.kind === 'append') {
       const {stream, append} = wanted;
-      this.post({kind: 'appendAnswered', stream, append, answer: 'lost'});
+      this.handleEvent({
+        kind: 'appendAnswered',
+        stream,
+        append,
+        answer: 'lost',
+      });
     } else if (wanted.kind === 'readStream') {
-      this.post({kind: 'readFailed', stream: wanted.stream});
+      this.handleEvent({kind: 'readFailed', stream: wanted.stream});
     } else {
-      this.post({kind: 'vmListFailed'});
+      this.handleEvent({kind: 'vmListFailed'});
     }
   }
 
@@ -360,7 +365,7 @@
     const sentAt = this.clock.now();
     const peer = this.hostAt(wanted.address);
     const place = {name: wanted.peer, zone: peer?.zone ?? this.zone};
-    this.around.network.call<event.Event>(
+    this.simulation.network.call<event.Event>(
       this,
       place,
       respond => {
@@ -372,15 +377,17 @@
           },
         );
       },
-      answer => this.post(answer),
-      () => this.post(peerFailure.failureOf(wanted)),
-      wanted.kind === 'offerRequest' ? OFFER_DEADLINE_MS : undefined,
+      answer => this.handleEvent(answer),
+      () => this.handleEvent(peerFailure.failureOf(wanted)),
+      wanted.kind === 'offerRequest' ? OFFER_TIMEOUT_MS : undefined,
     );
   }
 
   /** A VM keeps its address when its process is started again. */
-  private hostAt(address: string): EntryHost | undefined {
-    return [...this.around.hosts.values()].find(host => host.vm === address);
+  private hostAt(address: string): SimulatedEntryProcess | undefined {
+    return [...this.simulation.hosts.values()].find(
+      host => host.vm === address,
+    );
   }
 
   private forward(
@@ -391,18 +398,18 @@
     if (original === undefined) return;
     const waitMs = 'waitMs' in original ? original.waitMs : 0;
     const place = {name: wanted.address, zone: peer?.zone ?? this.zone};
-    this.around.network.call<effect.Reply>(
+    this.simulation.network.call<effect.Reply>(
       this,
       place,
       respond => peer?.receive(call => ({...original, call}), respond),
       reply =>
-        this.post({
+        this.handleEvent({
           kind: 'forwardAnswered',
           call: wanted.call,
           code: reply.code,
           body: JSON.stringify(reply),
         }),
-      () => this.post({kind: 'forwardFailed', call: wanted.call}),
+      () => this.handleEvent({kind: 'forwardFailed', call: wanted.call}),
       waitMs + FORWARD_MARGIN_MS,
     );
   }
--- a/bench/fakes/timeline.ts
+++ b/bench/fakes/virtual_time.ts
@@ -1,19 +1,19 @@
 /** Injected time: runs actions in order of their time, without waiting. */
-export class Timeline {
+export class VirtualTime {
   private readonly pending: Array<{
     readonly at: number;
     readonly action: () => void;
   }> = [];
-  private time = 0;
+  private timeMs = 0;
 
   /** Milliseconds of real time since the start of the run. */
   now(): number {
-    return this.time;
+    return this.timeMs;
   }
 
   /** Runs `action` after a delay; equal times keep their order. */
   after(delay: number, action: () => void): void {
-    const at = this.time + Math.max(0, delay);
+    const at = this.timeMs + Math.max(0, delay);
     let low = 0;
     let high = this.pending.length;
     // The list is in descending order, so that the next action is the last.
@@ -31,17 +31,17 @@
       const next = this.pending.at(-1);
       if (next === undefined || next.at > end) break;
       this.pending.pop();
-      this.time = next.at;
+      this.timeMs = next.at;
       next.action();
     }
-    this.time = end;
+    this.timeMs = end;
   }
 }
 
 /** A clock that starts anywhere and runs a little fast or slow. */
 export class DriftingClock {
   constructor(
-    private readonly timeline: Timeline,
+    private readonly timeline: VirtualTime,
     private readonly offset: number,
     private readonly rate: number,
   ) {}
--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -3,20 +3,20 @@
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
 import type * as placement from '../src/contracts/placement.js';
-import type * as schedulingSubject from './scheduling_subject.js';
+import type * as schedulerUnderTest from './scheduler_under_test.js';
 
 /**
  * Plain baseline: first come, first served onto the first worker that fits,
  * with declared sizes and one bounded queue for all teams.
  */
-export class FirstFitBaseline implements schedulingSubject.SchedulingSubject {
+export class FirstFitBaseline implements schedulerUnderTest.SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
   private waiting: request.Request[] = [];
-  private first = 0;
-  private attempt = 0;
+  private head = 0;
+  private placementAttempts = 0;
 
   constructor(
-    options: schedulingSubject.SubjectOptions,
+    options: schedulerUnderTest.SchedulerUnderTestOptions,
     private readonly queueLimit: number,
   ) {
     const made: worker.Worker[] = [];
@@ -32,22 +32,22 @@
   }
 
   admit(admitted: request.Request): boolean {
-    if (this.waiting.length - this.first >= this.queueLimit) return false;
+    if (this.waiting.length - this.head >= this.queueLimit) return false;
     this.waiting.push(admitted);
     return true;
   }
 
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     const placements: placement.Placement[] = [];
-    while (this.first < this.waiting.length) {
-      const placed = this.placeOne(this.waiting[this.first], now);
+    while (this.head < this.waiting.length) {
+      const placed = this.placeOne(this.waiting[this.head], now);
       if (placed === undefined) break;
       placements.push(placed);
-      this.first += 1;
+      this.head += 1;
     }
-    if (this.first > 1_000) {
-      this.waiting = this.waiting.slice(this.first);
-      this.first = 0;
+    if (this.head > 1_000) {
+      this.waiting = this.waiting.slice(this.head);
+      this.head = 0;
     }
     return placements;
   }
@@ -70,8 +70,8 @@
     waiting: request.Request,
     _now: clock.Milliseconds,
   ): placement.Placement | undefined {
-    this.attempt += 1;
-    const task = `${waiting.identity}/0.${this.attempt}`;
+    this.placementAttempts += 1;
+    const task = `${waiting.identity}/0.${this.placementAttempts}`;
     const label = placementPolicy.labelOf(waiting);
     const {size} = waiting;
     const target = this.workers.find(candidate =>
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -2,8 +2,8 @@
 import * as firstFitBaseline from './first_fit_baseline.js';
 import * as randomSource from '../src/machines/random_source.js';
 import * as scheduling from '../test/support/scheduling.js';
-import * as schedulingSubject from './scheduling_subject.js';
-import * as taskClock from './task_clock.js';
+import * as schedulerUnderTest from './scheduler_under_test.js';
+import * as runningTasks from './running_tasks.js';
 import type * as benchRow from './bench_row.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
@@ -26,7 +26,7 @@
 const FLOOD_TEAM = 'flood';
 
 /** Load of the four teams together without the flood. */
-const USUAL_LOAD = 0.6;
+const BASE_LOAD = 0.6;
 
 /** Load of the flood alone. */
 const FLOOD_LOAD = 10;
@@ -37,10 +37,10 @@
 const QUEUE_LIMIT = 1_000;
 
 /** Network time that every start has besides its wait for room. */
-const NETWORK_MS = 4;
+const NETWORK_DELAY_MS = 4;
 
 /** Time that a checkpoint takes to free its room. */
-const CHECKPOINT_MS = 500;
+const CHECKPOINT_DURATION_MS = 500;
 
 const WARM_UP_MS = 60_000;
 
@@ -52,56 +52,71 @@
   readonly runTimeMs: clock.Milliseconds;
 }
 
-interface Figures {
+interface FloodFigures {
   /** Starts of the other teams in the measured time. */
-  readonly starts: number;
+  readonly otherStarts: number;
   readonly p99Ms: number;
   /** Tasks of the flood that ended in the measured time. */
   readonly floodEnds: number;
-  readonly urgentWorstMs: number;
+  readonly longestUrgentWaitMs: number;
 }
 
-interface Source {
+interface RequestStream {
   readonly team: string;
   readonly described: workload.Workload;
   readonly meanGapMs: clock.Milliseconds;
   /** Each source has its own, so that a flood changes no other arrival. */
   readonly random: randomSource.RandomSource;
-  next: clock.Milliseconds;
+  nextArrivalMs: clock.Milliseconds;
 }
 
-const USUAL = scheduling.workloadOf({
+const BASE_WORKLOAD = scheduling.workloadOf({
   name: 'order',
   size: TASK_SIZE,
   runTimeMs: RUN_TIME_MS,
 });
 
-const URGENT: workload.Workload = {...USUAL, name: 'alarm', urgency: 'urgent'};
+const URGENT_WORKLOAD: workload.Workload = {
+  ...BASE_WORKLOAD,
+  name: 'alarm',
+  urgency: 'urgent',
+};
 
 /** Every tenth request of the other teams is urgent. */
 const URGENT_SHARE = 0.1;
 
-function sources(flood: Flood | undefined): ReadonlyArray<Source> {
-  const perTeam = (RUN_TIME_MS * TEAMS.length) / (USUAL_LOAD * SLOTS);
+function requestStreams(
+  flood: Flood | undefined,
+): ReadonlyArray<RequestStream> {
+  const perTeam = (RUN_TIME_MS * TEAMS.length) / (BASE_LOAD * SLOTS);
   const made = TEAMS.flatMap((team, index) => [
-    source(team, USUAL, perTeam / (1 - URGENT_SHARE), 2 * index),
-    source(team, URGENT, perTeam / URGENT_SHARE, 2 * index + 1),
+    requestStream(team, BASE_WORKLOAD, perTeam / (1 - URGENT_SHARE), 2 * index),
+    requestStream(team, URGENT_WORKLOAD, perTeam / URGENT_SHARE, 2 * index + 1),
   ]);
   if (flood === undefined) return made;
   const {urgency, runTimeMs} = flood;
-  const described = {...USUAL, name: 'flood', worth: 0, urgency, runTimeMs};
+  const described = {
+    ...BASE_WORKLOAD,
+    name: 'flood',
+    worth: 0,
+    urgency,
+    runTimeMs,
+  };
   const meanGapMs = runTimeMs / (FLOOD_LOAD * SLOTS);
-  return [...made, source(FLOOD_TEAM, described, meanGapMs, made.length)];
+  return [
+    ...made,
+    requestStream(FLOOD_TEAM, described, meanGapMs, made.length),
+  ];
 }
 
-function source(
+function requestStream(
   team: string,
   described: workload.Workload,
   meanGapMs: clock.Milliseconds,
   index: number,
-): Source {
+): RequestStream {
   const random = new randomSource.SeededRandom(SEED + index);
-  return {team, described, meanGapMs, random, next: 0};
+  return {team, described, meanGapMs, random, nextArrivalMs: 0};
 }
 
 function exponential(random: randomSource.RandomSource, mean: number): number {
@@ -112,64 +127,71 @@
 /** Runs the usual load, with or without a flood of one kind of work. */
 class FloodRun {
   /** Run time that each waiting or running request still needs. */
-  private readonly needed = new Map<string, clock.Milliseconds>();
-  private readonly requests = new schedulingSubject.RequestSource();
-  private readonly tasks = new taskClock.TaskClock();
-  private readonly checkpoints = new taskClock.TaskClock();
-  private readonly waits = hdr.build({
+  private readonly remainingRunTimesMs = new Map<string, clock.Milliseconds>();
+  private readonly requests = new schedulerUnderTest.RequestFactory();
+  private readonly tasks = new runningTasks.RunningTasks();
+  private readonly checkpoints = new runningTasks.RunningTasks();
+  private readonly waitHistogram = hdr.build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 1_000_000_000,
     numberOfSignificantValueDigits: 3,
   });
-  private starts = 0;
+  private otherStarts = 0;
   private floodEnds = 0;
-  private urgentWorstMs = 0;
+  private longestUrgentWaitMs = 0;
 
   constructor(
-    private readonly subject: schedulingSubject.SchedulingSubject,
-    private readonly sources: ReadonlyArray<Source>,
+    private readonly scheduler: schedulerUnderTest.SchedulerUnderTest,
+    private readonly streams: ReadonlyArray<RequestStream>,
   ) {}
 
-  run(): Figures {
-    for (const source of this.sources) this.schedule(source, 0);
+  run(): FloodFigures {
+    for (const source of this.streams) this.scheduleNextArrival(source, 0);
     let now = 0;
     while (now < WARM_UP_MS + MEASURED_MS) {
       now = this.nextTime();
       this.endTasks(now);
       this.admitArrivals(now);
-      for (const placement of this.subject.place(now)) {
+      for (const placement of this.scheduler.place(now)) {
         this.start(placement, now);
       }
-      for (const task of this.subject.takeCheckpoints()) {
+      for (const task of this.scheduler.takeCheckpoints()) {
         this.checkpoint(task, now);
       }
     }
     return {
-      starts: this.starts,
-      p99Ms: this.waits.getValueAtPercentile(99) / 1_000,
+      otherStarts: this.otherStarts,
+      p99Ms: this.waitHistogram.getValueAtPercentile(99) / 1_000,
       floodEnds: this.floodEnds,
-      urgentWorstMs: this.urgentWorstMs,
+      longestUrgentWaitMs: this.longestUrgentWaitMs,
     };
   }
 
   private nextTime(): clock.Milliseconds {
-    const arrivals = this.sources.map(source => source.next);
-    return Math.min(this.tasks.next(), this.checkpoints.next(), ...arrivals);
+    const arrivals = this.streams.map(source => source.nextArrivalMs);
+    return Math.min(
+      this.tasks.nextEndMs(),
+      this.checkpoints.nextEndMs(),
+      ...arrivals,
+    );
   }
 
-  private schedule(source: Source, now: clock.Milliseconds): void {
-    source.next = now + exponential(source.random, source.meanGapMs);
+  private scheduleNextArrival(
+    source: RequestStream,
+    now: clock.Milliseconds,
+  ): void {
+    source.nextArrivalMs = now + exponential(source.random, source.meanGapMs);
   }
 
   private endTasks(now: clock.Milliseconds): void {
     for (const {placement} of this.tasks.takeEnded(now)) {
-      this.subject.ended(placement, now);
-      this.needed.delete(placement.request.identity);
+      this.scheduler.ended(placement, now);
+      this.remainingRunTimesMs.delete(placement.request.identity);
       const isFlood = placement.request.team === FLOOD_TEAM;
       if (isFlood && now >= WARM_UP_MS) this.floodEnds += 1;
     }
     for (const {placement} of this.checkpoints.takeEnded(now)) {
-      this.subject.checkpointed(placement, now);
+      this.scheduler.checkpointed(placement, now);
     }
   }
 
@@ -177,49 +199,49 @@
     const running = this.tasks.stop(task);
     if (running === undefined) return;
     const {identity} = running.placement.request;
-    this.needed.set(identity, running.endsAt - now);
-    this.checkpoints.start(running.placement, now, CHECKPOINT_MS);
+    this.remainingRunTimesMs.set(identity, running.endsAtMs - now);
+    this.checkpoints.start(running.placement, now, CHECKPOINT_DURATION_MS);
   }
 
   private admitArrivals(now: clock.Milliseconds): void {
-    for (const source of this.sources) {
-      if (source.next > now) continue;
+    for (const source of this.streams) {
+      if (source.nextArrivalMs > now) continue;
       const {team, described, random} = source;
       const built = this.requests.next(team, described, now);
       const runTimeMs = exponential(random, described.runTimeMs);
-      if (this.subject.admit(built, now)) {
-        this.needed.set(built.identity, runTimeMs);
+      if (this.scheduler.admit(built, now)) {
+        this.remainingRunTimesMs.set(built.identity, runTimeMs);
       }
-      this.schedule(source, now);
+      this.scheduleNextArrival(source, now);
     }
   }
 
   private start(placement: placement.Placement, now: clock.Milliseconds): void {
     const {request} = placement;
-    this.subject.started(placement, now);
-    const runTimeMs = this.needed.get(request.identity) ?? 0;
+    this.scheduler.started(placement, now);
+    const runTimeMs = this.remainingRunTimesMs.get(request.identity) ?? 0;
     this.tasks.start(placement, now, runTimeMs);
-    if (now >= WARM_UP_MS) this.count(request, now);
+    if (now >= WARM_UP_MS) this.recordWait(request, now);
   }
 
-  private count(started: request.Request, now: clock.Milliseconds): void {
+  private recordWait(started: request.Request, now: clock.Milliseconds): void {
     if (started.team === FLOOD_TEAM) return;
-    this.starts += 1;
-    const wait = now - started.arrivedAt + NETWORK_MS;
-    this.waits.recordValue(Math.round(wait * 1_000));
+    this.otherStarts += 1;
+    const wait = now - started.arrivedAt + NETWORK_DELAY_MS;
+    this.waitHistogram.recordValue(Math.round(wait * 1_000));
     if (started.workload.urgency === 'urgent') {
-      this.urgentWorstMs = Math.max(this.urgentWorstMs, wait);
+      this.longestUrgentWaitMs = Math.max(this.longestUrgentWaitMs, wait);
     }
   }
 }
 
-type SubjectKind = 'scheduler' | 'baseline';
+type SchedulerKind = 'scheduler' | 'baseline';
 
-function run(kind: SubjectKind, flood: Flood | undefined): Figures {
+function run(kind: SchedulerKind, flood: Flood | undefined): FloodFigures {
   const teams = [...TEAMS, FLOOD_TEAM].map(name =>
     scheduling.teamOf(name, {queueLimit: QUEUE_LIMIT}),
   );
-  const options: schedulingSubject.SubjectOptions = {
+  const options: schedulerUnderTest.SchedulerUnderTestOptions = {
     seed: SEED,
     workerCount: WORKER_COUNT,
     capacity: scheduling.AUTHORITY_WORKER,
@@ -227,16 +249,16 @@
   };
   const subject =
     kind === 'scheduler'
-      ? new schedulingSubject.SchedulerSubject(options)
+      ? new schedulerUnderTest.ProductionScheduler(options)
       : new firstFitBaseline.FirstFitBaseline(
           options,
           teams.length * QUEUE_LIMIT,
         );
-  return new FloodRun(subject, sources(flood)).run();
+  return new FloodRun(subject, requestStreams(flood)).run();
 }
 
 /** Tasks of the flood that some part of the fleet's slots allows. */
-function floodTasks(flood: Flood, part: number): number {
+function floodTaskCapacity(flood: Flood, part: number): number {
   return (part * SLOTS * MEASURED_MS) / flood.runTimeMs;
 }
 
@@ -249,7 +271,7 @@
     what: string,
     unit: string,
     goal: string,
-    figureOf: (flooded: Figures, usual: Figures) => number,
+    figureOf: (flooded: FloodFigures, usual: FloodFigures) => number,
   ): benchRow.BenchRow => ({
     name: `${flood.name}: ${what}`,
     figure: Number(figureOf(real, calm).toFixed(3)),
@@ -263,7 +285,7 @@
       'throughput that other teams keep',
       'fraction',
       'at least 0.95',
-      (flooded, usual) => flooded.starts / usual.starts,
+      (flooded, usual) => flooded.otherStarts / usual.otherStarts,
     ),
     row(
       'p99 wait of other teams against no flood',
@@ -276,19 +298,20 @@
       'longest wait of urgent work of other teams',
       'ms',
       'at most 3500',
-      flooded => flooded.urgentWorstMs,
+      flooded => flooded.longestUrgentWaitMs,
     ),
     row(
       'goodput of the flood, part of its fair share',
       'fraction',
       'above 0.9',
-      flooded => flooded.floodEnds / floodTasks(flood, 1 / (TEAMS.length + 1)),
+      flooded =>
+        flooded.floodEnds / floodTaskCapacity(flood, 1 / (TEAMS.length + 1)),
     ),
     row(
       'goodput of the flood, part of the room left to it',
       'fraction',
       '',
-      flooded => flooded.floodEnds / floodTasks(flood, 1 - USUAL_LOAD),
+      flooded => flooded.floodEnds / floodTaskCapacity(flood, 1 - BASE_LOAD),
     ),
   ];
 }
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -2,8 +2,8 @@
 import * as randomSource from '../src/machines/random_source.js';
 import * as resources from '../src/machines/resources.js';
 import * as scheduling from '../test/support/scheduling.js';
-import * as schedulingSubject from './scheduling_subject.js';
-import * as taskClock from './task_clock.js';
+import * as schedulerUnderTest from './scheduler_under_test.js';
+import * as runningTasks from './running_tasks.js';
 import type * as benchRow from './bench_row.js';
 import type * as placement from '../src/contracts/placement.js';
 import type * as worker from '../src/machines/worker.js';
@@ -19,39 +19,41 @@
 const WORKLOAD_COUNT = 20;
 
 /** Requests kept waiting, so that room is never empty for lack of work. */
-const BACKLOG = 400;
+const BACKLOG_REQUESTS = 400;
 
 const STEP_MS = 100;
 
 /** Workers report once a second. */
-const REPORT_STEPS = 10;
+const STEPS_PER_REPORT = 10;
 
 /** Time in which sizes are learned, before the measurement. */
 const WARM_UP_MS = 240_000;
 
 const MEASURED_MS = 600_000;
 
-const SHORTEST_RUN_MS = 20_000;
+const MIN_RUN_TIME_MS = 20_000;
 
-const LONGEST_RUN_MS = 60_000;
+const MAX_RUN_TIME_MS = 60_000;
 
-interface Mix {
+interface MisdeclaredWorkload {
   readonly declared: workload.Workload;
   readonly used: resources.Resources;
 }
 
-function fraction(random: randomSource.RandomSource): number {
+function randomFraction(random: randomSource.RandomSource): number {
   return random.below(1_000_000) / 1_000_000;
 }
 
 /** Workloads whose declared sizes are a tenth to ten times what they use. */
-function mixes(random: randomSource.RandomSource): ReadonlyArray<Mix> {
+function misdeclaredWorkloads(
+  random: randomSource.RandomSource,
+): ReadonlyArray<MisdeclaredWorkload> {
   return Array.from({length: WORKLOAD_COUNT}, (_, index) => {
     const used = scheduling.size(
       200 + random.below(1_300),
       400 + random.below(2_600),
     );
-    const error = 10 ** (2 * fraction(random) - 1);
+    const error = 10 ** (2 * randomFraction(random) - 1);
     const size = scheduling.size(
       Math.min(CAPACITY.processors, Math.ceil(used.processors * error)),
       Math.min(CAPACITY.memory, Math.ceil(used.memory * error)),
@@ -61,97 +63,103 @@
   });
 }
 
-interface Figures {
+interface PackingFigures {
   /** Fraction of the bound that was reached. */
   readonly packing: number;
   /** Fraction of worker time in which tasks used more than the capacity. */
-  readonly overLimit: number;
+  readonly overCapacity: number;
 }
 
 /** Keeps a backlog and measures what the workers' capacity is used for. */
 class PackingRun {
   private readonly random = new randomSource.SeededRandom(SEED);
-  private readonly mixes = mixes(this.random);
-  private readonly source = new schedulingSubject.RequestSource();
-  private readonly clock = new taskClock.TaskClock();
-  private readonly usage = new Map<string, resources.Resources>();
-  private used = resources.NONE;
-  private samples = 0;
-  private overLimit = 0;
-  private waiting = 0;
+  private readonly workloads = misdeclaredWorkloads(this.random);
+  private readonly requests = new schedulerUnderTest.RequestFactory();
+  private readonly running = new runningTasks.RunningTasks();
+  private readonly usageByTask = new Map<string, resources.Resources>();
+  private usedTotal = resources.NONE;
+  private sampleCount = 0;
+  private overCapacitySamples = 0;
+  private waitingCount = 0;
 
   constructor(
-    private readonly subject: schedulingSubject.SchedulingSubject,
+    private readonly scheduler: schedulerUnderTest.SchedulerUnderTest,
     /** Largest relative difference between tasks of one workload. */
     private readonly variation: number,
   ) {}
 
-  run(): Figures {
+  run(): PackingFigures {
     const end = WARM_UP_MS + MEASURED_MS;
     for (let step = 0; step * STEP_MS < end; step += 1) {
       this.step(step * STEP_MS, step);
     }
-    const total = resources.scale(CAPACITY, WORKER_COUNT * this.samples);
+    const total = resources.scale(CAPACITY, WORKER_COUNT * this.sampleCount);
     return {
       packing: Math.max(
-        this.used.processors / total.processors,
-        this.used.memory / total.memory,
+        this.usedTotal.processors / total.processors,
+        this.usedTotal.memory / total.memory,
       ),
-      overLimit: this.overLimit / (this.samples * WORKER_COUNT),
+      overCapacity:
+        this.overCapacitySamples / (this.sampleCount * WORKER_COUNT),
     };
   }
 
   private step(now: number, step: number): void {
-    for (const ended of this.clock.takeEnded(now)) {
-      this.usage.delete(ended.placement.task);
-      this.subject.ended(ended.placement, now);
+    for (const ended of this.running.takeEnded(now)) {
+      this.usageByTask.delete(ended.placement.task);
+      this.scheduler.ended(ended.placement, now);
     }
-    if (step % REPORT_STEPS === 0) this.report(now);
-    for (; this.waiting < BACKLOG; this.waiting += 1) {
-      const {declared} = this.mixes[this.random.below(WORKLOAD_COUNT)];
-      this.subject.admit(this.source.next('team', declared, now), now);
+    if (step % STEPS_PER_REPORT === 0) this.report(now);
+    for (; this.waitingCount < BACKLOG_REQUESTS; this.waitingCount += 1) {
+      const {declared} = this.workloads[this.random.below(WORKLOAD_COUNT)];
+      this.scheduler.admit(this.requests.next('team', declared, now), now);
     }
-    for (const placement of this.subject.place(now)) {
+    for (const placement of this.scheduler.place(now)) {
       this.start(placement, now);
     }
     if (now >= WARM_UP_MS) this.sample();
   }
 
   private start(placement: placement.Placement, now: number): void {
-    this.waiting -= 1;
+    this.waitingCount -= 1;
     const {name} = placement.request.workload;
-    const {used} = this.mixes.find(mix => mix.declared.name === name) as Mix;
-    const spread = 1 + this.variation * (2 * fraction(this.random) - 1);
-    this.usage.set(placement.task, {
+    const {used} = this.workloads.find(
+      mix => mix.declared.name === name,
+    ) as MisdeclaredWorkload;
+    const spread = 1 + this.variation * (2 * randomFraction(this.random) - 1);
+    this.usageByTask.set(placement.task, {
       ...used,
       processors: Math.round(used.processors * spread),
       memory: Math.round(used.memory * spread),
     });
     const runTimeMs =
-      SHORTEST_RUN_MS + this.random.below(LONGEST_RUN_MS - SHORTEST_RUN_MS);
-    this.clock.start(placement, now, runTimeMs);
-    this.subject.started(placement, now);
+      MIN_RUN_TIME_MS + this.random.below(MAX_RUN_TIME_MS - MIN_RUN_TIME_MS);
+    this.running.start(placement, now, runTimeMs);
+    this.scheduler.started(placement, now);
   }
 
   private report(now: number): void {
-    for (const target of this.subject.workers) {
-      this.subject.report(target, task => this.usageOf(task), now);
+    for (const target of this.scheduler.workers) {
+      this.scheduler.report(target, task => this.usageOf(task), now);
     }
-    for (const task of this.subject.takeCheckpoints()) {
-      const stopped = this.clock.stop(task);
+    for (const task of this.scheduler.takeCheckpoints()) {
+      const stopped = this.running.stop(task);
       if (stopped === undefined) continue;
-      this.usage.delete(task);
-      this.subject.checkpointed(stopped.placement, now);
-      this.waiting += 1;
+      this.usageByTask.delete(task);
+      this.scheduler.checkpointed(stopped.placement, now);
+      this.waitingCount += 1;
     }
   }
 
   private sample(): void {
-    this.samples += 1;
-    for (const target of this.subject.workers) {
+    this.sampleCount += 1;
+    for (const target of this.scheduler.workers) {
       const sum = this.usageOn(target);
-      if (!resources.fits(sum, CAPACITY)) this.overLimit += 1;
-      this.used = resources.add(this.used, resources.minimum(sum, CAPACITY));
+      if (!resources.fits(sum, CAPACITY)) this.overCapacitySamples += 1;
+      this.usedTotal = resources.add(
+        this.usedTotal,
+        resources.minimum(sum, CAPACITY),
+      );
     }
   }
 
@@ -164,11 +172,11 @@
   }
 
   private usageOf(task: string): resources.Resources {
-    return this.usage.get(task) ?? resources.NONE;
+    return this.usageByTask.get(task) ?? resources.NONE;
   }
 }
 
-function options(): schedulingSubject.SubjectOptions {
+function schedulerOptions(): schedulerUnderTest.SchedulerUnderTestOptions {
   return {
     seed: SEED,
     workerCount: WORKER_COUNT,
@@ -178,8 +186,8 @@
 }
 
 function rowsAt(variation: number): ReadonlyArray<benchRow.BenchRow> {
-  const real = new schedulingSubject.SchedulerSubject(options());
-  const plain = new firstFitBaseline.FirstFitBaseline(options(), 1e6);
+  const real = new schedulerUnderTest.ProductionScheduler(schedulerOptions());
+  const plain = new firstFitBaseline.FirstFitBaseline(schedulerOptions(), 1e6);
   const figures = new PackingRun(real, variation).run();
   const baseline = new PackingRun(plain, variation).run();
   const which = `tasks of a workload within ${variation * 100}%`;
@@ -194,11 +202,11 @@
     },
     {
       name: `worker time over capacity, ${which}`,
-      figure: Number(figures.overLimit.toFixed(5)),
+      figure: Number(figures.overCapacity.toFixed(5)),
       unit: 'fraction',
       seed: SEED,
       goal: '0',
-      baseline: baseline.overLimit.toFixed(5),
+      baseline: baseline.overCapacity.toFixed(5),
     },
   ];
 }
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -1,45 +1,45 @@
 import * as timers from 'node:timers/promises';
 import * as platformCell from '../stand_ins/platform_cell.js';
-import * as promiseCheck from './promise_check.js';
+import * as guaranteeChecker from './guarantee_checker.js';
 import * as randomSource from '../src/machines/random_source.js';
 import type * as faultRelay from '../stand_ins/fault_relay.js';
 
-const PROCESSES = 3;
-const WORKERS = 4;
+const PROCESS_COUNT = 3;
+const WORKER_COUNT = 4;
 
 /** Time with faults, and the longest time that everything may take after it. */
-const EVENTFUL_MS = 9_000;
-const RECOVERY_MS = 40_000;
+const FAULT_PERIOD_MS = 9_000;
+const RECOVERY_TIMEOUT_MS = 40_000;
 
 /** Time between two faults, and how long one lasts at least and at most. */
-const FAULT_GAP_MS = 500;
-const LEAST_FAULT_MS = 200;
-const FAULT_SPREAD_MS = 2_500;
+const FAULT_INTERVAL_MS = 500;
+const MIN_FAULT_DURATION_MS = 200;
+const FAULT_DURATION_SPREAD_MS = 2_500;
 
 /** Time between two jobs. */
-const JOB_GAP_MS = 120;
+const JOB_INTERVAL_MS = 120;
 
 /** Tries of a job, and the pause between them. */
-const TRIES = 10;
-const TRY_PAUSE_MS = 300;
+const MAX_ATTEMPTS = 10;
+const RETRY_DELAY_MS = 300;
 
 /** Time between two looks at the jobs that are not done. */
-const LOOK_MS = 100;
+const POLL_INTERVAL_MS = 100;
 
 /** Longest time of a task. */
-const LONGEST_MS = 700;
+const RUN_TIME_SPREAD_MS = 700;
 
 /** Status of a call that ended without an answer. */
-const CUT = 0;
+const NO_ANSWER_STATUS = 0;
 
 /** Answers that say that the job was not accepted. */
-const REFUSED: ReadonlySet<number> = new Set([429, 503]);
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 /** What one run showed. */
 export interface SoakOutcome {
-  readonly broken: ReadonlyArray<string>;
-  readonly accepted: number;
-  readonly starts: number;
+  readonly breaches: ReadonlyArray<string>;
+  readonly acceptedCount: number;
+  readonly startCount: number;
 }
 
 /**
@@ -49,27 +49,30 @@
  */
 export class PlatformSoak {
   private readonly random: randomSource.SeededRandom;
-  private readonly check: promiseCheck.PromiseCheck;
-  private readonly faults: Array<Promise<void>> = [];
-  private readonly busy = new Set<platformCell.CellProcess>();
-  private readonly jobs: Array<Promise<void>> = [];
-  private isOver = false;
+  private readonly checker: guaranteeChecker.GuaranteeChecker;
+  private readonly activeFaults: Array<Promise<void>> = [];
+  private readonly disturbedProcesses = new Set<platformCell.CellProcess>();
+  private readonly submissions: Array<Promise<void>> = [];
+  private faultsEnded = false;
 
   private constructor(
     private readonly cell: platformCell.PlatformCell,
     seed: number,
   ) {
     this.random = new randomSource.SeededRandom(seed);
-    this.check = new promiseCheck.PromiseCheck(cell);
+    this.checker = new guaranteeChecker.GuaranteeChecker(cell);
   }
 
   /** Plays one seed. */
-  static async play(seed: number): Promise<SoakOutcome> {
+  static async runSeed(seed: number): Promise<SoakOutcome> {
     const durations = new randomSource.SeededRandom(seed + 1);
     const cell = await platformCell.PlatformCell.start({
-      processes: PROCESSES,
-      workers: WORKERS,
-      runs: () => ({runtimeMs: 20 + durations.below(LONGEST_MS), how: 'done'}),
+      processCount: PROCESS_COUNT,
+      workerCount: WORKER_COUNT,
+      runPlan: () => ({
+        runTimeMs: 20 + durations.below(RUN_TIME_SPREAD_MS),
+        outcome: 'done',
+      }),
     });
     try {
       return await new PlatformSoak(cell, seed).run();
@@ -79,77 +82,81 @@
   }
 
   private async run(): Promise<SoakOutcome> {
-    const load = this.handIn();
-    const until = performance.now() + EVENTFUL_MS;
+    const load = this.submitJobs();
+    const until = performance.now() + FAULT_PERIOD_MS;
     while (performance.now() < until) {
-      this.faults.push(this.fault());
-      await timers.setTimeout(FAULT_GAP_MS);
+      this.activeFaults.push(this.injectFault());
+      await timers.setTimeout(FAULT_INTERVAL_MS);
     }
-    this.isOver = true;
+    this.faultsEnded = true;
     await load;
-    await Promise.all(this.faults);
-    await Promise.all(this.jobs);
+    await Promise.all(this.activeFaults);
+    await Promise.all(this.submissions);
     await this.awaitCompletion();
-    this.check.checkRuns();
+    this.checker.checkRuns();
     return {
-      broken: this.check.broken,
-      accepted: this.check.acceptedCount,
-      starts: this.cell.startCount(),
+      breaches: this.checker.breaches,
+      acceptedCount: this.checker.acceptedCount,
+      startCount: this.cell.startCount(),
     };
   }
 
-  private async handIn(): Promise<void> {
-    for (let next = 1; !this.isOver; next += 1) {
+  private async submitJobs(): Promise<void> {
+    for (let next = 1; !this.faultsEnded; next += 1) {
       const id = platformCell.jobIdOf(next);
-      this.jobs.push(this.submit(id, this.draw(PROCESSES)));
-      await timers.setTimeout(JOB_GAP_MS);
+      this.submissions.push(this.submit(id, this.randomBelow(PROCESS_COUNT)));
+      await timers.setTimeout(JOB_INTERVAL_MS);
     }
   }
 
   private async submit(id: string, first: number): Promise<void> {
-    const count = 1 + this.draw(4);
+    const count = 1 + this.randomBelow(4);
     const step = {count, cpu: 1_000, mem_mb: 512, est_runtime_ms: 300};
     const steps = [step, {...step, count: 1, after: [0]}];
-    this.check.handedIn(id);
+    this.checker.jobSubmitted(id);
     let mayRun = false;
-    for (let attempt = 0; attempt < TRIES; attempt += 1) {
-      if (attempt > 0) await timers.setTimeout(TRY_PAUSE_MS);
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      if (attempt > 0) await timers.setTimeout(RETRY_DELAY_MS);
       const {processes} = this.cell;
       const entry = processes[(first + attempt) % processes.length];
       const body = {spec: '{}', steps};
-      const {status} = await this.cell.call(entry, 'POST', id, body);
+      const {status} = await this.cell.callFront(entry, 'POST', id, body);
       if (status === 200) {
-        this.check.accepted(id);
+        this.checker.jobAccepted(id);
         return;
       }
-      if (!REFUSED.has(status)) mayRun = true;
+      if (!REFUSAL_STATUSES.has(status)) mayRun = true;
     }
-    if (!mayRun) this.check.refused(id);
+    if (!mayRun) this.checker.jobRefused(id);
   }
 
   // Faults.
 
-  private async fault(): Promise<void> {
-    const lastsMs = LEAST_FAULT_MS + this.draw(FAULT_SPREAD_MS);
-    switch (this.draw(8)) {
+  private async injectFault(): Promise<void> {
+    const lastsMs =
+      MIN_FAULT_DURATION_MS + this.randomBelow(FAULT_DURATION_SPREAD_MS);
+    switch (this.randomBelow(8)) {
       case 0:
         return this.endProcess(process => process.child.kill(), lastsMs);
       case 1:
         return this.endProcess(process => {
           process.child.signal('SIGTERM');
-          return process.child.ended();
+          return process.child.waitForExit();
         }, lastsMs);
       case 2:
         return this.pauseProcess(lastsMs);
       case 3:
         return this.silenceStore(lastsMs);
       case 4:
-        return this.disturb(this.pick(this.cell.workerRelays), lastsMs);
+        return this.disturbRelay(this.pick(this.cell.workerRelays), lastsMs);
       case 5:
         this.pick(this.cell.workerRelays).reset();
         return;
       case 6:
-        return this.disturb(this.pick(this.cell.processes).storeRelay, lastsMs);
+        return this.disturbRelay(
+          this.pick(this.cell.processes).storeRelay,
+          lastsMs,
+        );
       default:
         this.pick(this.cell.processes).storeRelay.reset();
     }
@@ -160,8 +167,8 @@
     pauseMs: number,
   ): Promise<void> {
     const process = this.pick(this.cell.processes);
-    if (this.busy.has(process)) return;
-    this.busy.add(process);
+    if (this.disturbedProcesses.has(process)) return;
+    this.disturbedProcesses.add(process);
     await end(process);
     await timers.setTimeout(pauseMs);
     await this.cell.restart(process);
@@ -169,12 +176,12 @@
 
   private async pauseProcess(lastsMs: number): Promise<void> {
     const process = this.pick(this.cell.processes);
-    if (this.busy.has(process)) return;
-    this.busy.add(process);
+    if (this.disturbedProcesses.has(process)) return;
+    this.disturbedProcesses.add(process);
     process.child.signal('SIGSTOP');
     await timers.setTimeout(lastsMs);
     process.child.signal('SIGCONT');
-    this.busy.delete(process);
+    this.disturbedProcesses.delete(process);
   }
 
   private async silenceStore(lastsMs: number): Promise<void> {
@@ -183,7 +190,7 @@
     this.cell.store.silent = false;
   }
 
-  private async disturb(
+  private async disturbRelay(
     relay: faultRelay.FaultRelay,
     lastsMs: number,
   ): Promise<void> {
@@ -200,28 +207,31 @@
   }
 
   private async awaitCompletion(): Promise<void> {
-    const until = performance.now() + RECOVERY_MS;
-    for (const id of this.check.acceptedJobs()) {
+    const until = performance.now() + RECOVERY_TIMEOUT_MS;
+    for (const id of this.checker.acceptedJobs()) {
       for (let look = 0; ; look += 1) {
-        const entry = this.cell.processes[look % PROCESSES];
-        const {status, body} = await this.cell.call(entry, 'GET', id);
+        const entry = this.cell.processes[look % PROCESS_COUNT];
+        const {status, body} = await this.cell.callFront(entry, 'GET', id);
         if (status === 200 && body.state === 'completed') break;
-        const isLost = status !== CUT && !REFUSED.has(status) && status !== 200;
-        if (isLost && status !== 504) this.check.lost(id, status);
+        const isLost =
+          status !== NO_ANSWER_STATUS &&
+          !REFUSAL_STATUSES.has(status) &&
+          status !== 200;
+        if (isLost && status !== 504) this.checker.jobLost(id, status);
         if (performance.now() > until) {
-          this.check.unfinished(id, status, String(body.state));
+          this.checker.jobUnfinished(id, status, String(body.state));
           break;
         }
-        await timers.setTimeout(LOOK_MS);
+        await timers.setTimeout(POLL_INTERVAL_MS);
       }
     }
   }
 
-  private draw(bound: number): number {
+  private randomBelow(bound: number): number {
     return this.random.below(bound);
   }
 
   private pick<Item>(items: ReadonlyArray<Item>): Item {
-    return items[this.draw(items.length)];
+    return items[this.randomBelow(items.length)];
   }
 }
--- a/bench/platform_soak_main.ts
+++ b/bench/platform_soak_main.ts
@@ -19,13 +19,13 @@
   handler: async ({seeds, from}) => {
     let broken = 0;
     for (let seed = from; seed < from + seeds; seed += 1) {
-      const outcome = await platformSoak.PlatformSoak.play(seed);
-      const {accepted, starts} = outcome;
+      const outcome = await platformSoak.PlatformSoak.runSeed(seed);
+      const {acceptedCount: accepted, startCount: starts} = outcome;
       console.log(
         `seed ${seed} accepted ${accepted} starts ${starts}` +
-          ` broken ${outcome.broken.length} ${outcome.broken[0] ?? ''}`,
+          ` broken ${outcome.breaches.length} ${outcome.breaches[0] ?? ''}`,
       );
-      if (outcome.broken.length > 0) broken += 1;
+      if (outcome.breaches.length > 0) broken += 1;
     }
     console.log(`${seeds} seeds, ${broken} with a broken promise`);
     process.exit(broken === 0 ? 0 : 1);
--- a/bench/process_bench.ts
+++ b/bench/process_bench.ts
@@ -7,17 +7,17 @@
 import * as logService from '../stand_ins/log_service.js';
 import * as processMeter from './process_meter.js';
 import * as vmList from '../stand_ins/vm_list.js';
-import * as worker from '../stand_ins/worker.js';
+import * as standInWorker from '../stand_ins/stand_in_worker.js';
 import type * as benchRow from './bench_row.js';
 
 /** Time over which rates are taken. */
-const MEASURE_MS = 15_000;
+const MEASUREMENT_MS = 15_000;
 
 /**
  * Time for a process to join, claim and read reports, and for its code to be
  * compiled: 8 to 18 s after the start it took 3.5 % of a core, later 1.5 %.
  */
-const SETTLE_MS = 30_000;
+const WARM_UP_MS = 30_000;
 
 const BINARY = 'dist/parsleyknot';
 
@@ -52,17 +52,17 @@
 
 /** One entry process between stand-ins in this process, over loopback. */
 class MeasuredCell {
-  private readonly log = new logService.LogService();
-  private readonly list = new vmList.VmList();
-  private readonly workers: worker.StandInWorker[] = [];
+  private readonly logService = new logService.LogService();
+  private readonly vmList = new vmList.VmList();
+  private readonly workers: standInWorker.StandInWorker[] = [];
   private child: childProcess.ChildProcess | undefined;
   private address = '';
   private folder = '';
 
   /** Starts the stand-ins and the entry process. */
   async start(workerCount: number): Promise<void> {
-    const log = await this.log.listen();
-    const list = await this.list.listen();
+    const log = await this.logService.listen();
+    const list = await this.vmList.listen();
     for (let index = 0; index < workerCount; index += 1) {
       await this.addWorker(index);
     }
@@ -89,21 +89,21 @@
       {stdio: ['ignore', 'pipe', 'inherit']},
     );
     this.address = await this.waitForAddress();
-    await timers.setTimeout(SETTLE_MS);
+    await timers.setTimeout(WARM_UP_MS);
   }
 
   /** Measures at a steady rate of requests a second; 0 measures at rest. */
-  async measure(rate: number): Promise<processMeter.ProcessUse> {
+  async measure(rate: number): Promise<processMeter.ProcessUsage> {
     const pid = this.child?.pid ?? 0;
     const sending = new AbortController();
-    const load = rate > 0 ? this.load(rate, sending.signal) : undefined;
+    const load = rate > 0 ? this.sendRequests(rate, sending.signal) : undefined;
     await timers.setTimeout(1_000);
     const before = processMeter.readProcess(pid);
-    await timers.setTimeout(MEASURE_MS);
+    await timers.setTimeout(MEASUREMENT_MS);
     const after = processMeter.readProcess(pid);
     sending.abort();
     await load;
-    return processMeter.useBetween(before, after);
+    return processMeter.usageBetween(before, after);
   }
 
   /** Ends the process and the stand-ins. */
@@ -115,20 +115,20 @@
       await ended;
     }
     for (const item of this.workers) item.close();
-    this.list.close();
-    this.log.close();
+    this.vmList.close();
+    this.logService.close();
     fs.rmSync(this.folder, {recursive: true, force: true});
   }
 
   private async addWorker(index: number): Promise<void> {
-    const item = new worker.StandInWorker({
+    const item = new standInWorker.StandInWorker({
       name: `worker-${index}`,
       rack: `rack-${index >> 3}`,
       capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
       runTimeMs: 50,
     });
     this.workers.push(item);
-    this.list.put({
+    this.vmList.put({
       vm: `worker-${index}`,
       role: 'worker',
       zone: 'kigali-a',
@@ -145,7 +145,7 @@
       content,
       publication: document,
     };
-    this.log.append('configuration', [JSON.stringify(record)]);
+    this.logService.append('configuration', [JSON.stringify(record)]);
   }
 
   private waitForAddress(): Promise<string> {
@@ -160,7 +160,7 @@
     });
   }
 
-  private async load(rate: number, signal: AbortSignal): Promise<void> {
+  private async sendRequests(rate: number, signal: AbortSignal): Promise<void> {
     const pending: Array<Promise<void>> = [];
     while (!signal.aborted) {
       pending.push(this.sendOne());
--- a/bench/process_meter.ts
+++ b/bench/process_meter.ts
@@ -5,15 +5,15 @@
 
 /** Use of resources by a process at one moment, seen from outside. */
 export interface ProcessReading {
-  readonly at: number;
+  readonly atMs: number;
   readonly processorSeconds: number;
   readonly residentBytes: number;
   /** Bytes that the process read and wrote, over sockets and its output. */
-  readonly bytes: number;
+  readonly ioBytes: number;
 }
 
 /** Use of resources between two readings. */
-export interface ProcessUse {
+export interface ProcessUsage {
   readonly processorPercent: number;
   readonly residentMebibytes: number;
   readonly bytesPerSecond: number;
@@ -30,23 +30,23 @@
   const read = Number(/rchar: (\d+)/.exec(io)?.[1] ?? 0);
   const written = Number(/wchar: (\d+)/.exec(io)?.[1] ?? 0);
   return {
-    at: performance.now(),
+    atMs: performance.now(),
     processorSeconds: ticks / TICKS_PER_SECOND,
     residentBytes: resident * 1_024,
-    bytes: read + written,
+    ioBytes: read + written,
   };
 }
 
 /** Returns the use between two readings. */
-export function useBetween(
+export function usageBetween(
   earlier: ProcessReading,
   later: ProcessReading,
-): ProcessUse {
-  const seconds = (later.at - earlier.at) / 1_000;
+): ProcessUsage {
+  const seconds = (later.atMs - earlier.atMs) / 1_000;
   const processor = later.processorSeconds - earlier.processorSeconds;
   return {
     processorPercent: (100 * processor) / seconds,
     residentMebibytes: later.residentBytes / 1_048_576,
-    bytesPerSecond: (later.bytes - earlier.bytes) / seconds,
+    bytesPerSecond: (later.ioBytes - earlier.ioBytes) / seconds,
   };
 }
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -1,12 +1,12 @@
-import * as checker from './fakes/checker.js';
-import * as client from './fakes/client.js';
-import * as entryHost from './fakes/entry_host.js';
-import * as network from './fakes/network.js';
-import * as platform from './fakes/platform.js';
+import * as invariantChecker from './fakes/invariant_checker.js';
+import * as fakeClient from './fakes/fake_client.js';
+import * as simulatedEntryProcess from './fakes/simulated_entry_process.js';
+import * as fakeNetwork from './fakes/fake_network.js';
+import * as fakeLog from './fakes/fake_log.js';
 import * as randomSource from '../src/machines/random_source.js';
-import * as timeline from './fakes/timeline.js';
+import * as virtualTime from './fakes/virtual_time.js';
 import * as tomlDocumentReader from '../src/links/toml_document_reader.js';
-import * as worker from './fakes/worker.js';
+import * as fakeWorker from './fakes/fake_worker.js';
 import type * as effect from '../src/contracts/effect.js';
 import type * as event from '../src/contracts/event.js';
 
@@ -41,35 +41,35 @@
 /** What a run showed. */
 export interface RunResult {
   readonly seed: number;
-  readonly violations: ReadonlyArray<checker.Violation>;
-  readonly checks: number;
-  readonly injected: ReadonlyMap<Fault, number>;
-  readonly codes: ReadonlyMap<number, number>;
-  readonly unfinished: number;
+  readonly violations: ReadonlyArray<invariantChecker.Violation>;
+  readonly checkCount: number;
+  readonly faultCounts: ReadonlyMap<Fault, number>;
+  readonly codeCounts: ReadonlyMap<number, number>;
+  readonly unfinishedCount: number;
   /** Last replies of the requests that did not end. */
-  readonly pending: ReadonlyArray<string>;
+  readonly unfinishedRequests: ReadonlyArray<string>;
   /** Broken invariants that the program itself reported. */
-  readonly reported: ReadonlyArray<string>;
+  readonly reportedViolations: ReadonlyArray<string>;
   readonly trace: ReadonlyArray<string>;
 }
 
 const ZONES = ['north-a', 'south-a'] as const;
 const ENTRY_VMS_PER_ZONE = 3;
 const WORKERS_PER_ZONE = 4;
-const FAULTY_MS = 120_000;
-const RECOVERY_MS = 180_000;
+const FAULT_PERIOD_MS = 120_000;
+const RECOVERY_PERIOD_MS = 180_000;
 const REQUEST_COUNT = 60;
 const GANG_SIZE = 3;
 /** How late the VM list says that a worker leaves. */
 const VM_LIST_LAG_MS = 20_000;
 
-const TRACE_LINES = 4_000;
+const MAX_TRACE_LINES = 4_000;
 /** Time that the platform takes to start a process that ended itself. */
-const RESTART_MS = 500;
-const MOST_CLOCK_OFFSET_MS = 1_000_000;
+const RESTART_DELAY_MS = 500;
+const MAX_CLOCK_OFFSET_MS = 1_000_000;
 
 /** Half of the allowed drift on either side of real time, in thousandths. */
-const DRIFT_THOUSANDTHS = 5;
+const MAX_DRIFT_THOUSANDTHS = 5;
 
 function workloadText(
   name: string,
@@ -114,32 +114,35 @@
 
 /** One randomised run of entry processes between fakes, with injected time. */
 class RandomizedRun {
-  private readonly time = new timeline.Timeline();
+  private readonly time = new virtualTime.VirtualTime();
   private readonly random: randomSource.SeededRandom;
-  private readonly network: network.FakeNetwork;
-  private readonly log = new platform.FakeLog(20_000);
-  private readonly checker: checker.Checker;
-  private readonly workers = new Map<string, worker.FakeWorker>();
-  private readonly hosts = new Map<string, entryHost.EntryHost>();
-  private readonly listed = new Map<string, event.ListedVm>();
-  private readonly clients: client.FakeClient[] = [];
-  private readonly injected = new Map<Fault, number>();
-  private readonly reported: string[] = [];
-  private readonly trace: string[] = [];
-  private readonly around: entryHost.Surroundings;
-  private incarnations = 0;
+  private readonly network: fakeNetwork.FakeNetwork;
+  private readonly log = new fakeLog.FakeLog(20_000);
+  private readonly checker: invariantChecker.InvariantChecker;
+  private readonly workers = new Map<string, fakeWorker.FakeWorker>();
+  private readonly hosts = new Map<
+    string,
+    simulatedEntryProcess.SimulatedEntryProcess
+  >();
+  private readonly listedVms = new Map<string, event.ListedVm>();
+  private readonly clients: fakeClient.FakeClient[] = [];
+  private readonly faultCounts = new Map<Fault, number>();
+  private readonly reportedViolations: string[] = [];
+  private readonly traceLines: string[] = [];
+  private readonly simulation: simulatedEntryProcess.Simulation;
+  private incarnationCount = 0;
 
   constructor(private readonly options: RunOptions) {
     this.random = new randomSource.SeededRandom(options.seed);
-    this.network = new network.FakeNetwork(
+    this.network = new fakeNetwork.FakeNetwork(
       this.time,
       new randomSource.SeededRandom(options.seed + 1),
     );
-    this.checker = new checker.Checker(
+    this.checker = new invariantChecker.InvariantChecker(
       () => this.time.now(),
-      line => this.note(line),
+      line => this.trace(line),
     );
-    this.around = {
+    this.simulation = {
       time: this.time,
       network: this.network,
       log: this.log,
@@ -147,25 +150,27 @@
       hosts: this.hosts,
       random: new randomSource.SeededRandom(options.seed + 2),
       reader: new tomlDocumentReader.TomlDocumentReader(),
-      listVms: () => [...this.listed.values()],
+      listVms: () => [...this.listedVms.values()],
       runTimeMs: payload => 200 + (payload.length % 7) * 700,
-      logged: (host, wanted) => this.logged(host, wanted),
-      ended: host => this.ended(host),
+      effectLogged: (host, wanted) => this.recordEffect(host, wanted),
+      processEnded: host => this.restartEntry(host),
     };
   }
 
   run(): RunResult {
-    this.build();
+    this.createFleet();
     this.scheduleRequests();
-    this.options.faults.forEach((fault, index) => this.schedule(fault, index));
-    this.time.runUntil(FAULTY_MS);
+    this.options.faults.forEach((fault, index) =>
+      this.scheduleFault(fault, index),
+    );
+    this.time.runUntil(FAULT_PERIOD_MS);
     this.network.heal();
     this.log.down = false;
-    this.time.runUntil(FAULTY_MS + RECOVERY_MS);
+    this.time.runUntil(FAULT_PERIOD_MS + RECOVERY_PERIOD_MS);
     return this.result();
   }
 
-  private build(): void {
+  private createFleet(): void {
     for (const zone of ZONES) {
       for (let index = 0; index < WORKERS_PER_ZONE; index += 1) {
         this.addWorker(zone, index);
@@ -174,8 +179,8 @@
         this.startEntry(`${zone}-entry-${index}`, zone);
       }
       this.clients.push(
-        new client.FakeClient(`client-${zone}`, zone, {
-          around: this.around,
+        new fakeClient.FakeClient(`client-${zone}`, zone, {
+          simulation: this.simulation,
           checker: this.checker,
           random: new randomSource.SeededRandom(this.options.seed + 3),
         }),
@@ -200,7 +205,7 @@
     const name = `${zone}-worker-${index}`;
     this.workers.set(
       name,
-      new worker.FakeWorker(
+      new fakeWorker.FakeWorker(
         name,
         zone,
         `${zone}-rack-${index % 2}`,
@@ -210,7 +215,7 @@
         this.checker,
       ),
     );
-    this.listed.set(name, {
+    this.listedVms.set(name, {
       vm: name,
       role: 'worker',
       zone,
@@ -220,17 +225,17 @@
   }
 
   private startEntry(vm: string, zone: string): void {
-    this.incarnations += 1;
-    const name = `${zone}.${vm}.${this.incarnations}`;
-    const host = new entryHost.EntryHost(
+    this.incarnationCount += 1;
+    const name = `${zone}.${vm}.${this.incarnationCount}`;
+    const host = new simulatedEntryProcess.SimulatedEntryProcess(
       name,
       vm,
       zone,
       this.driftingClock(),
-      this.around,
+      this.simulation,
     );
     this.hosts.set(name, host);
-    this.listed.set(vm, {
+    this.listedVms.set(vm, {
       vm,
       role: 'entry',
       zone,
@@ -240,11 +245,11 @@
     host.boot();
   }
 
-  private driftingClock(): timeline.DriftingClock {
-    const drift = this.random.below(2 * DRIFT_THOUSANDTHS + 1);
-    const rate = 1 + (drift - DRIFT_THOUSANDTHS) / 1_000;
-    const offset = this.random.below(MOST_CLOCK_OFFSET_MS);
-    return new timeline.DriftingClock(this.time, offset, rate);
+  private driftingClock(): virtualTime.DriftingClock {
+    const drift = this.random.below(2 * MAX_DRIFT_THOUSANDTHS + 1);
+    const rate = 1 + (drift - MAX_DRIFT_THOUSANDTHS) / 1_000;
+    const offset = this.random.below(MAX_CLOCK_OFFSET_MS);
+    return new virtualTime.DriftingClock(this.time, offset, rate);
   }
 
   private scheduleRequests(): void {
@@ -253,8 +258,8 @@
       const chosen = this.clients[this.random.below(this.clients.length)];
       const workload = workloads[this.random.below(workloads.length)];
       const payload = `${workload}-${index}-${'x'.repeat(this.random.below(7))}`;
-      this.time.after(this.random.below(FAULTY_MS), () =>
-        chosen.begin(
+      this.time.after(this.random.below(FAULT_PERIOD_MS), () =>
+        chosen.sendRequest(
           'dispatch',
           workload,
           payload,
@@ -264,16 +269,16 @@
     }
   }
 
-  private schedule(fault: Fault, index: number): void {
+  private scheduleFault(fault: Fault, index: number): void {
     const stream = new randomSource.SeededRandom(
       this.options.seed * 100 + index,
     );
     const times = stream.below(3);
     for (let occurrence = 0; occurrence < times; occurrence += 1) {
-      const at = 10_000 + stream.below(FAULTY_MS - 20_000);
+      const at = 10_000 + stream.below(FAULT_PERIOD_MS - 20_000);
       this.time.after(at, () => {
-        this.injected.set(fault, (this.injected.get(fault) ?? 0) + 1);
-        this.note(`fault ${fault}`);
+        this.faultCounts.set(fault, (this.faultCounts.get(fault) ?? 0) + 1);
+        this.trace(`fault ${fault}`);
         this.inject(fault, stream);
       });
     }
@@ -284,17 +289,17 @@
     const duration = 1_000 + random.below(40_000);
     switch (fault) {
       case 'kill':
-        return this.killOne(random, vm => vm, duration);
+        return this.killEntry(random, vm => vm, duration);
       case 'replaceVm':
-        return this.killOne(random, vm => `${vm}-next`, duration);
+        return this.killEntry(random, vm => `${vm}-next`, duration);
       case 'pause':
-        return this.pauseOne(random, duration);
+        return this.pauseEntry(random, duration);
       case 'workerLoss':
-        return this.loseWorker(random);
+        return this.crashWorker(random);
       case 'zoneCut':
-        return this.cut(ZONES[0], ZONES[1], duration);
+        return this.partition(ZONES[0], ZONES[1], duration);
       case 'platformCut':
-        return this.cut(zone, '', duration);
+        return this.partition(zone, '', duration);
       case 'logOutage':
         this.log.down = true;
         this.time.after(duration, () => (this.log.down = false));
@@ -305,22 +310,26 @@
         return;
       case 'lateMessages':
         this.network.latePerThousand = 200;
-        this.network.longestDelayMs = 20_000;
+        this.network.maxExtraDelayMs = 20_000;
         this.time.after(duration, () => (this.network.latePerThousand = 0));
         return;
       case 'blackHole':
         return this.breakWorker(random, duration);
       case 'workerLeaves':
-        return this.leaveWorker(random);
+        return this.drainWorker(random);
       case 'flood':
         for (let index = 0; index < 100; index += 1) {
-          this.clients[0].begin('dispatch', 'inspection', `flood-${index}`);
+          this.clients[0].sendRequest(
+            'dispatch',
+            'inspection',
+            `flood-${index}`,
+          );
         }
         return;
     }
   }
 
-  private killOne(
+  private killEntry(
     random: randomSource.RandomSource,
     nextVm: (vm: string) => string,
     duration: number,
@@ -329,41 +338,44 @@
     if (hosts.length === 0) return;
     const host = hosts[random.below(hosts.length)];
     host.kill();
-    this.note(`killed ${host.name}`);
+    this.trace(`killed ${host.name}`);
     const vm = nextVm(host.vm);
     if (vm !== host.vm) {
-      this.time.after(5_000, () => this.listed.delete(host.vm));
+      this.time.after(5_000, () => this.listedVms.delete(host.vm));
     }
     this.time.after(duration, () => this.startEntry(vm, host.zone));
   }
 
-  private pauseOne(random: randomSource.RandomSource, duration: number): void {
+  private pauseEntry(
+    random: randomSource.RandomSource,
+    duration: number,
+  ): void {
     const hosts = [...this.hosts.values()];
     if (hosts.length === 0) return;
     const host = hosts[random.below(hosts.length)];
     host.pause();
-    this.note(`paused ${host.name}`);
+    this.trace(`paused ${host.name}`);
     this.time.after(duration, () => host.resume());
   }
 
-  private loseWorker(random: randomSource.RandomSource): void {
+  private crashWorker(random: randomSource.RandomSource): void {
     const workers = [...this.workers.values()];
     const lost = workers[random.below(workers.length)];
-    lost.lose();
-    this.note(`lost ${lost.name}`);
-    this.time.after(10_000, () => this.listed.delete(lost.name));
+    lost.crash();
+    this.trace(`lost ${lost.name}`);
+    this.time.after(10_000, () => this.listedVms.delete(lost.name));
   }
 
-  private leaveWorker(random: randomSource.RandomSource): void {
+  private drainWorker(random: randomSource.RandomSource): void {
     const workers = [...this.workers.values()];
     const leaving = workers[random.below(workers.length)];
-    if (leaving.leavingSince < Infinity) return;
-    leaving.leavingSince = this.time.now();
-    this.note(`${leaving.name} leaves`);
-    const known = this.listed.get(leaving.name);
+    if (leaving.leavingSinceMs < Infinity) return;
+    leaving.leavingSinceMs = this.time.now();
+    this.trace(`${leaving.name} leaves`);
+    const known = this.listedVms.get(leaving.name);
     this.time.after(VM_LIST_LAG_MS, () => {
       if (known === undefined || leaving.dead) return;
-      this.listed.set(leaving.name, {...known, state: 'leaving'});
+      this.listedVms.set(leaving.name, {...known, state: 'leaving'});
     });
   }
 
@@ -377,33 +389,44 @@
     this.time.after(duration, () => (broken.failsEverything = false));
   }
 
-  private cut(left: string, right: string, duration: number): void {
-    this.network.setCut(left, right, true);
-    this.time.after(duration, () => this.network.setCut(left, right, false));
+  private partition(left: string, right: string, duration: number): void {
+    this.network.setPartitioned(left, right, true);
+    this.time.after(duration, () =>
+      this.network.setPartitioned(left, right, false),
+    );
   }
 
-  private logged(host: entryHost.EntryHost, wanted: effect.Effect): void {
+  private recordEffect(
+    host: simulatedEntryProcess.SimulatedEntryProcess,
+    wanted: effect.Effect,
+  ): void {
     if (wanted.kind === 'log') {
-      this.note(
+      this.trace(
         `${host.name} ${wanted.event} ${JSON.stringify(wanted.fields)}`,
       );
     }
     if (wanted.kind !== 'count' || !wanted.metric.startsWith('invariant')) {
       return;
     }
-    this.reported.push(`${host.name} ${JSON.stringify(wanted.labels)}`);
+    this.reportedViolations.push(
+      `${host.name} ${JSON.stringify(wanted.labels)}`,
+    );
   }
 
   /** Starts a process again that ended itself, as the platform does. */
-  private ended(host: entryHost.EntryHost): void {
+  private restartEntry(
+    host: simulatedEntryProcess.SimulatedEntryProcess,
+  ): void {
     host.kill();
-    this.time.after(RESTART_MS, () => this.startEntry(host.vm, host.zone));
+    this.time.after(RESTART_DELAY_MS, () =>
+      this.startEntry(host.vm, host.zone),
+    );
   }
 
-  private note(line: string): void {
+  private trace(line: string): void {
     if (!this.options.trace) return;
-    this.trace.push(`${this.time.now().toFixed(1)} ${line}`);
-    if (this.trace.length > TRACE_LINES) this.trace.shift();
+    this.traceLines.push(`${this.time.now().toFixed(1)} ${line}`);
+    if (this.traceLines.length > MAX_TRACE_LINES) this.traceLines.shift();
   }
 
   private result(): RunResult {
@@ -415,15 +438,15 @@
     return {
       seed: this.options.seed,
       violations: this.checker.violations(),
-      checks: this.checker.checkCount(),
-      injected: this.injected,
-      codes,
-      unfinished: requests.filter(request => !request.ended).length,
-      pending: requests
+      checkCount: this.checker.checkCount(),
+      faultCounts: this.faultCounts,
+      codeCounts: codes,
+      unfinishedCount: requests.filter(request => !request.ended).length,
+      unfinishedRequests: requests
         .filter(request => !request.ended)
-        .map(request => `${request.identity} ${request.detail}`),
-      reported: this.reported,
-      trace: this.trace,
+        .map(request => `${request.identity} ${request.lastReply}`),
+      reportedViolations: this.reportedViolations,
+      trace: this.traceLines,
     };
   }
 }
--- a/bench/task_clock.ts
+++ b/bench/running_tasks.ts
@@ -5,12 +5,12 @@
 /** A task that runs in a benchmark. */
 export interface RunningTask {
   readonly placement: placement.Placement;
-  readonly startedAt: clock.Milliseconds;
-  readonly endsAt: clock.Milliseconds;
+  readonly startedAtMs: clock.Milliseconds;
+  readonly endsAtMs: clock.Milliseconds;
 }
 
 /** Running tasks in order of their end, in injected time. */
-export class TaskClock {
+export class RunningTasks {
   private readonly heap = new deadlineHeap.DeadlineHeap();
   private readonly tasks = new Map<string, RunningTask>();
 
@@ -20,7 +20,7 @@
   }
 
   /** When the next task ends. */
-  next(): clock.Milliseconds {
+  nextEndMs(): clock.Milliseconds {
     return this.heap.earliest();
   }
 
@@ -31,7 +31,11 @@
     runTimeMs: clock.Milliseconds,
   ): void {
     const endsAt = now + runTimeMs;
-    this.tasks.set(placement.task, {placement, startedAt: now, endsAt});
+    this.tasks.set(placement.task, {
+      placement,
+      startedAtMs: now,
+      endsAtMs: endsAt,
+    });
     this.heap.add(placement.task, endsAt);
   }
 
--- a/bench/scheduling_subject.ts
+++ b/bench/scheduler_under_test.ts
@@ -8,7 +8,7 @@
 import type * as workload from '../src/contracts/workload.js';
 
 /** What a benchmark drives: the scheduler or the plain baseline. */
-export interface SchedulingSubject {
+export interface SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
   /** Returns false when the request is refused. */
   admit(admitted: request.Request, now: clock.Milliseconds): boolean;
@@ -28,7 +28,7 @@
 }
 
 /** The world in which a subject decides. */
-export interface SubjectOptions {
+export interface SchedulerUnderTestOptions {
   readonly seed: number;
   readonly workerCount: number;
   readonly capacity: resources.Resources;
@@ -36,11 +36,11 @@
 }
 
 /** The real scheduler. */
-export class SchedulerSubject implements SchedulingSubject {
+export class ProductionScheduler implements SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
   private readonly world: scheduling.SchedulingWorld;
 
-  constructor(options: SubjectOptions) {
+  constructor(options: SchedulerUnderTestOptions) {
     this.world = new scheduling.SchedulingWorld(options.seed);
     for (const described of options.teams) this.world.addTeam(described);
     this.world.setPlan({
@@ -98,8 +98,8 @@
 }
 
 /** Builds numbered requests. */
-export class RequestSource {
-  private sequence = 0;
+export class RequestFactory {
+  private lastNumber = 0;
 
   /** Returns a request of a team that arrives now. */
   next(
@@ -107,9 +107,9 @@
     described: workload.Workload,
     now: clock.Milliseconds,
   ): request.Request {
-    this.sequence += 1;
+    this.lastNumber += 1;
     return {
-      identity: `${teamName}_${this.sequence}`,
+      identity: `${teamName}_${this.lastNumber}`,
       client: teamName,
       team: teamName,
       workload: described,
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -12,11 +12,11 @@
 function describe(result: randomizedRun.RunResult): string {
   const first = result.violations[0];
   const broken = first === undefined ? '' : ` ${JSON.stringify(first)}`;
-  const reported = result.reported[0] ?? '';
+  const reported = result.reportedViolations[0] ?? '';
   return (
     `seed ${result.seed} violations ${result.violations.length}` +
-    ` unfinished ${result.unfinished} ${result.pending[0] ?? ''}` +
-    ` reported ${result.reported.length} ${reported}${broken}`
+    ` unfinished ${result.unfinishedCount} ${result.unfinishedRequests[0] ?? ''}` +
+    ` reported ${result.reportedViolations.length} ${reported}${broken}`
   );
 }
 
@@ -62,13 +62,13 @@
         faults,
         trace: options.trace,
       });
-      addAll(injected, result.injected);
-      addAll(codes, result.codes);
-      checks += result.checks;
+      addAll(injected, result.faultCounts);
+      addAll(codes, result.codeCounts);
+      checks += result.checkCount;
       const bad =
         result.violations.length > 0 ||
-        result.reported.length > 0 ||
-        result.unfinished > 0;
+        result.reportedViolations.length > 0 ||
+        result.unfinishedCount > 0;
       if (!bad) continue;
       failed += 1;
       console.log(describe(result));
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -4,7 +4,7 @@
 import * as timers from 'node:timers/promises';
 import * as tryDocuments from './try_documents.js';
 import * as vmList from '../../stand_ins/vm_list.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 import type * as sinks from '../operations/sinks.js';
 
 const ZONES = ['kigali-a', 'caerdydd-a'] as const;
@@ -62,7 +62,7 @@
   readonly warnings: string[] = [];
   private readonly log = new logService.LogService();
   private readonly list = new vmList.VmList();
-  private readonly workers: worker.StandInWorker[] = [];
+  private readonly workers: standInWorker.StandInWorker[] = [];
   private readonly entries: entryProcess.EntryProcess[] = [];
   private readonly addressesOfZones = new Map<string, string[]>();
 
@@ -93,7 +93,7 @@
     const [busiest] = [...this.workers.slice(WORKERS_PER_ZONE)].sort(
       (left, right) => right.runCounts().size - left.runCounts().size,
     );
-    busiest.fail({failsEverything: true});
+    busiest.updateFailures({failsEverything: true});
   }
 
   /** Fraction of all slots that run a task now. */
@@ -137,7 +137,7 @@
 
   private async addWorker(zone: string, index: number): Promise<void> {
     const name = `${zone}-worker-${index}`;
-    const item = new worker.StandInWorker({
+    const item = new standInWorker.StandInWorker({
       name,
       rack: `${zone}-rack-${index % 2}`,
       capacity: {
--- a/stand_ins/announce.ts
+++ b/stand_ins/announce.ts
@@ -1,4 +1,4 @@
 /** Prints where a stand-in listens, in the form that tests wait for. */
-export function announce(kind: string, address: string): void {
+export function announceListening(kind: string, address: string): void {
   console.log(`event=listening standIn=${kind} address=${address}`);
 }
--- a/stand_ins/fault_relay.ts
+++ b/stand_ins/fault_relay.ts
@@ -19,14 +19,14 @@
   mode: RelayMode = 'pass';
   private readonly server: net.Server;
   private readonly sockets = new Set<net.Socket>();
-  private readonly silenced = new WeakSet<net.Socket>();
+  private readonly silencedSockets = new WeakSet<net.Socket>();
 
   constructor(target: string) {
     const [host, port] = target.split(':');
     this.server = net.createServer(incoming => {
       const outgoing = net.connect(Number(port), host);
-      this.join(incoming, outgoing, () => this.mode === 'silent');
-      this.join(
+      this.forward(incoming, outgoing, () => this.mode === 'silent');
+      this.forward(
         outgoing,
         incoming,
         () => this.mode === 'silent' || this.mode === 'loseAnswers',
@@ -47,7 +47,7 @@
 
   /** Makes the open connections silent for good; new ones work. */
   silenceConnections(): void {
-    for (const socket of this.sockets) this.silenced.add(socket);
+    for (const socket of this.sockets) this.silencedSockets.add(socket);
   }
 
   close(): void {
@@ -56,11 +56,15 @@
   }
 
   /** Passes on what `from` sends. */
-  private join(from: net.Socket, to: net.Socket, drops: () => boolean): void {
+  private forward(
+    from: net.Socket,
+    to: net.Socket,
+    drops: () => boolean,
+  ): void {
     this.sockets.add(from);
     from.on('data', bytes => {
       // Lost bytes would leave the rest of a connection without meaning.
-      if (this.silenced.has(from) || drops()) from.pause();
+      if (this.silencedSockets.has(from) || drops()) from.pause();
       else if (this.mode !== 'delay') to.write(bytes);
       else setTimeout(() => to.write(bytes), DELAY_MS);
     });
--- a/stand_ins/log_service.ts
+++ b/stand_ins/log_service.ts
@@ -8,7 +8,7 @@
 }
 
 interface Stream {
-  next: number;
+  nextOffset: number;
   records: StoredRecord[];
 }
 
@@ -26,7 +26,7 @@
   readonly staleRecords: number;
 }
 
-const HEALTHY: LogFailures = {
+const NO_FAILURES: LogFailures = {
   down: false,
   hangs: false,
   losesAcknowledgements: false,
@@ -38,9 +38,9 @@
 export class LogService implements standInServer.StandInHandler {
   private readonly streams = new Map<string, Stream>();
   private readonly server = new standInServer.StandInServer(this);
-  private failures = HEALTHY;
-  private appends = 0;
-  private reads = 0;
+  private failures = NO_FAILURES;
+  private appliedAppends = 0;
+  private answeredReads = 0;
 
   /** Keeps at most `retention` records of each stream. */
   constructor(private readonly retention = Infinity) {}
@@ -51,8 +51,8 @@
   }
 
   /** Sets the failures; those that are not named are switched off. */
-  fail(failures: Partial<LogFailures>): void {
-    this.failures = {...HEALTHY, ...failures};
+  setFailures(failures: Partial<LogFailures>): void {
+    this.failures = {...NO_FAILURES, ...failures};
   }
 
   /** Makes the open connections silent; new ones work. */
@@ -62,12 +62,12 @@
 
   /** Appends that took effect. */
   appendCount(): number {
-    return this.appends;
+    return this.appliedAppends;
   }
 
   /** Reads that were answered. */
   readCount(): number {
-    return this.reads;
+    return this.answeredReads;
   }
 
   /** Records that a stream keeps. */
@@ -78,15 +78,15 @@
   /** Appends as an operator's own tool would; returns the first offset. */
   append(name: string, records: ReadonlyArray<string>): number {
     const stream = this.stream(name);
-    const first = stream.next;
+    const first = stream.nextOffset;
     for (const data of records) {
-      stream.records.push({offset: stream.next, data});
-      stream.next += 1;
+      stream.records.push({offset: stream.nextOffset, data});
+      stream.nextOffset += 1;
     }
     if (stream.records.length > this.retention) {
       stream.records = stream.records.slice(-this.retention);
     }
-    this.appends += 1;
+    this.appliedAppends += 1;
     return first;
   }
 
@@ -137,17 +137,17 @@
       this.append(stream, records);
     }
     if (silenceConnections === true) this.silenceConnections();
-    if (Object.keys(failures).length > 0) this.fail(failures);
+    if (Object.keys(failures).length > 0) this.setFailures(failures);
   }
 
   /** Counts and the failures that are switched on. */
   observe(): unknown {
     return {
-      appends: this.appends,
-      reads: this.reads,
+      appends: this.appliedAppends,
+      reads: this.answeredReads,
       failures: this.failures,
       streams: Object.fromEntries(
-        [...this.streams].map(([name, stream]) => [name, stream.next]),
+        [...this.streams].map(([name, stream]) => [name, stream.nextOffset]),
       ),
     };
   }
@@ -155,18 +155,21 @@
   private stream(name: string): Stream {
     const known = this.streams.get(name);
     if (known !== undefined) return known;
-    const created: Stream = {next: 0, records: []};
+    const created: Stream = {nextOffset: 0, records: []};
     this.streams.set(name, created);
     return created;
   }
 
   private read(name: string, url: URL): unknown {
-    this.reads += 1;
+    this.answeredReads += 1;
     const stream = this.stream(name);
     const from = Number(url.searchParams.get('from') ?? 0);
     const limit = Number(url.searchParams.get('limit') ?? 500);
-    const first = stream.records[0]?.offset ?? stream.next;
-    const next = Math.max(first, stream.next - this.failures.staleRecords);
+    const first = stream.records[0]?.offset ?? stream.nextOffset;
+    const next = Math.max(
+      first,
+      stream.nextOffset - this.failures.staleRecords,
+    );
     const start = Math.max(0, from - first);
     const end = Math.min(start + limit, next - first);
     return {first, next, records: stream.records.slice(start, end)};
--- a/stand_ins/log_service_main.ts
+++ b/stand_ins/log_service_main.ts
@@ -20,7 +20,7 @@
   },
   handler: async ({port, retention}) => {
     const service = new logService.LogService(retention);
-    announce.announce('log', await service.listen(port));
+    announce.announceListening('log', await service.listen(port));
   },
 });
 
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -3,7 +3,7 @@
 import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as childProcess from './child_process.js';
+import * as spawnedProcess from './spawned_process.js';
 import * as faultRelay from './fault_relay.js';
 import * as listen from '../src/links/listen.js';
 import * as platformStore from './platform_store.js';
@@ -11,9 +11,9 @@
 import type * as workerModel from './worker_model.js';
 
 /** The queue of the tests. */
-export const HOST = 'orders.example';
-export const PREFIX = '/orders/';
-const SERVICE = 'dispatch';
+export const QUEUE_HOST = 'orders.example';
+export const QUEUE_PATH_PREFIX = '/orders/';
+const SERVICE_NAME = 'dispatch';
 
 /** ID of the job with a number. */
 export function jobIdOf(number: number): string {
@@ -25,34 +25,34 @@
   readonly name: string;
   /** Between the process and the store. */
   readonly storeRelay: faultRelay.FaultRelay;
-  readonly child: childProcess.ChildProcess;
-  readonly front: string;
-  readonly ready: string;
-  readonly metrics: string;
+  readonly child: spawnedProcess.SpawnedProcess;
+  readonly frontAddress: string;
+  readonly readyAddress: string;
+  readonly metricsAddress: string;
 }
 
 /** An answer of a front. */
-export interface FrontAnswer {
+export interface FrontResponse {
   /** 0 when the connection ended without an answer. */
   readonly status: number;
   readonly body: Readonly<Record<string, unknown>>;
 }
 
 /** What a cell consists of. */
-export interface CellPlan {
-  readonly processes: number;
+export interface CellOptions {
+  readonly processCount: number;
   /** Workers; two when left out. */
-  readonly workers?: number;
+  readonly workerCount?: number;
   /** How the tasks go. */
-  readonly runs: workerModel.RunPlan;
+  readonly runPlan: workerModel.RunPlan;
   /** The program and what comes before its arguments; built code by default. */
   readonly command?: ReadonlyArray<string>;
 }
 
-const DEFAULT_WORKERS = 2;
+const DEFAULT_WORKER_COUNT = 2;
 
 /** Launches of a process whose ports another program may take. */
-const LAUNCH_ATTEMPTS = 3;
+const MAX_LAUNCH_ATTEMPTS = 3;
 
 const DEFAULT_COMMAND = [process.execPath, 'build/platform/main.js'];
 
@@ -69,25 +69,32 @@
   private constructor(private readonly command: ReadonlyArray<string>) {}
 
   /** Starts the stand-ins and the processes; waits until all are ready. */
-  static async start(plan: CellPlan): Promise<PlatformCell> {
-    const cell = new PlatformCell(plan.command ?? DEFAULT_COMMAND);
+  static async start(options: CellOptions): Promise<PlatformCell> {
+    const cell = new PlatformCell(options.command ?? DEFAULT_COMMAND);
     cell.storeAddress = await cell.store.listen();
-    cell.configure(1);
-    for (let index = 0; index < (plan.workers ?? DEFAULT_WORKERS); index += 1) {
-      await cell.addWorker(`worker-${index}`, plan.runs);
+    cell.publishConfiguration(1);
+    for (
+      let index = 0;
+      index < (options.workerCount ?? DEFAULT_WORKER_COUNT);
+      index += 1
+    ) {
+      await cell.addWorker(`worker-${index}`, options.runPlan);
     }
-    for (let index = 0; index < plan.processes; index += 1) {
+    for (let index = 0; index < options.processCount; index += 1) {
       await cell.startProcess(`node-${index}`);
     }
     return cell;
   }
 
   /** Publishes a configuration as the operator does. */
-  configure(version: number, routes: ReadonlyArray<unknown> = [ROUTE]): void {
+  publishConfiguration(
+    version: number,
+    routes: ReadonlyArray<unknown> = [QUEUE_ROUTE],
+  ): void {
     this.store.put('keyed.op', 'config', {
       version,
       routes,
-      services: [{name: SERVICE, admission_check: false}],
+      services: [{name: SERVICE_NAME, admission_check: false}],
       limits: {max_body_bytes: 65_536},
     });
   }
@@ -97,19 +104,19 @@
     for (let attempt = 1; ; attempt += 1) {
       const started = await this.launch(name);
       try {
-        await started.child.line(/event=configurationTaken/);
+        await started.child.waitForLine(/event=configurationTaken/);
         this.processes.push(started);
         return started;
       } catch (fault) {
         started.storeRelay.close();
         // Another program may have taken a port since it was found free.
-        if (attempt === LAUNCH_ATTEMPTS) throw fault;
+        if (attempt === MAX_LAUNCH_ATTEMPTS) throw fault;
       }
     }
   }
 
   private async launch(name: string): Promise<CellProcess> {
-    const [front, ready, range] = await freePorts(3);
+    const [front, ready, range] = await findFreePorts(3);
     const file = path.join(this.folder, `${name}.json`);
     const storeRelay = new faultRelay.FaultRelay(this.storeAddress);
     const settings = {
@@ -124,16 +131,16 @@
     };
     fs.writeFileSync(file, JSON.stringify(settings));
     const [program, ...programArguments] = this.command;
-    const child = new childProcess.ChildProcess(program, programArguments, {
+    const child = new spawnedProcess.SpawnedProcess(program, programArguments, {
       PARSLEYKNOT_SETTINGS: file,
     });
     return {
       name,
       storeRelay,
       child,
-      front: `127.0.0.1:${front}`,
-      ready: `127.0.0.1:${ready}`,
-      metrics: `127.0.0.1:${range + 1}`,
+      frontAddress: `127.0.0.1:${front}`,
+      readyAddress: `127.0.0.1:${ready}`,
+      metricsAddress: `127.0.0.1:${range + 1}`,
     };
   }
 
@@ -147,23 +154,23 @@
   /** The process that schedules, by the last claim that any process logged. */
   leader(): CellProcess {
     const [leading] = this.processes
-      .map(item => ({item, term: lastTerm(item)}))
+      .map(item => ({item, term: lastLoggedTerm(item)}))
       .sort((left, right) => right.term - left.term);
     return leading.item;
   }
 
   /** Calls a process's front as a requester does. */
-  call(
+  callFront(
     target: CellProcess,
     method: string,
     id: string,
     body?: unknown,
-  ): Promise<FrontAnswer> {
-    return callFront(target.front, method, PREFIX + id, body);
+  ): Promise<FrontResponse> {
+    return callFront(target.frontAddress, method, QUEUE_PATH_PREFIX + id, body);
   }
 
   /** Starts that the workers carried out for a job. */
-  startsOf(id: string): ReadonlyArray<workerModel.WorkerEvent> {
+  startEventsOf(id: string): ReadonlyArray<workerModel.WorkerEvent> {
     return this.workers
       .flatMap(worker => worker.events)
       .filter(event => event.kind === 'started' && event.task.startsWith(id));
@@ -195,7 +202,7 @@
   ): Promise<void> {
     const worker = new platformWorker.PlatformWorker(id, plan);
     this.workers.push(worker);
-    const entry = await worker.listen(SERVICE);
+    const entry = await worker.listen(SERVICE_NAME);
     const relay = new faultRelay.FaultRelay(String(entry.address));
     this.workerRelays.push(relay);
     const address = await relay.listen();
@@ -203,11 +210,11 @@
   }
 }
 
-const ROUTE = {
+const QUEUE_ROUTE = {
   name: 'orders',
-  host: HOST,
-  path_prefix: PREFIX,
-  service_name: SERVICE,
+  host: QUEUE_HOST,
+  path_prefix: QUEUE_PATH_PREFIX,
+  service_name: SERVICE_NAME,
   priority: 0,
   attempts: 2,
   stretch: 1.5,
@@ -215,13 +222,13 @@
   timeout_ms: 3_000,
 };
 
-function lastTerm({child}: CellProcess): number {
+function lastLoggedTerm({child}: CellProcess): number {
   const begun = child.lines.filter(line => line.includes('event=termBegun'));
   return Number(/term=(\d+)/.exec(begun.at(-1) ?? '')?.[1] ?? -1);
 }
 
 /** Ports that the system had free just now, each with the next one. */
-async function freePorts(count: number): Promise<ReadonlyArray<number>> {
+async function findFreePorts(count: number): Promise<ReadonlyArray<number>> {
   const servers: net.Server[] = [];
   const ports: number[] = [];
   while (ports.length < count) {
@@ -246,11 +253,17 @@
   method: string,
   path: string,
   body: unknown,
-): Promise<FrontAnswer> {
+): Promise<FrontResponse> {
   const [host, port] = address.split(':');
   return new Promise(resolve => {
     const request = http.request(
-      {host, port, method, path, headers: {host: HOST, 'deadline-ms': '3000'}},
+      {
+        host,
+        port,
+        method,
+        path,
+        headers: {host: QUEUE_HOST, 'deadline-ms': '3000'},
+      },
       response => {
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/stand_ins/platform_store.ts
+++ b/stand_ins/platform_store.ts
@@ -2,18 +2,18 @@
 import * as listen from '../src/links/listen.js';
 import * as jsonBody from '../src/links/json_body.js';
 
-interface StoredRecord {
+interface KeyedRecord {
   readonly key: string;
   readonly value: Buffer;
 }
 
 interface Topic {
-  readonly records: StoredRecord[];
+  readonly records: KeyedRecord[];
   readonly producers: Map<string, {epoch: number; sequence: number}>;
-  waiting: Array<() => void>;
+  waitingReaders: Array<() => void>;
 }
 
-const LENGTH_BYTES = 4;
+const LENGTH_PREFIX_BYTES = 4;
 const OFFSET_BYTES = 8;
 
 /**
@@ -46,11 +46,11 @@
   /** Writes a record as the operator or a worker does. */
   put(topic: string, key: string, value: unknown): void {
     const bytes = value === undefined ? '' : JSON.stringify(value);
-    this.add(this.topic(topic), [{key, value: Buffer.from(bytes)}]);
+    this.addRecords(this.topic(topic), [{key, value: Buffer.from(bytes)}]);
   }
 
   /** The newest value of each key that is not dropped. */
-  newestOf(topic: string): ReadonlyMap<string, Buffer> {
+  newestValues(topic: string): ReadonlyMap<string, Buffer> {
     const newest = new Map<string, Buffer>();
     for (const {key, value} of this.topic(topic).records) {
       if (value.length > 0) newest.set(key, value);
@@ -76,7 +76,7 @@
         await this.read(topic, url.searchParams, response);
         return;
       case '/log-newest':
-        this.newest(topic, response);
+        this.sendNewest(topic, response);
         return;
       default:
         jsonBody.sendJson(response, 404, {});
@@ -95,7 +95,7 @@
       jsonBody.sendJson(response, 412, {end});
       return;
     }
-    const records = decode(body);
+    const records = decodeRecords(body);
     const name = query.get('producer');
     if (name !== null) {
       const epoch = Number(query.get('epoch'));
@@ -115,7 +115,7 @@
       }
       topic.producers.set(name, {epoch, sequence});
     }
-    this.add(topic, records);
+    this.addRecords(topic, records);
     jsonBody.sendJson(response, 200, {offset: end, end: topic.records.length});
   }
 
@@ -126,16 +126,16 @@
   ): Promise<void> {
     const from = Number(query.get('from'));
     const waitMs = Number(query.get('wait_ms'));
-    if (topic.records.length <= from) await waitFor(topic, waitMs);
+    if (topic.records.length <= from) await waitForRecords(topic, waitMs);
     if (this.silent) return;
     const head = Buffer.alloc(2 * OFFSET_BYTES);
     head.writeBigUInt64BE(BigInt(topic.records.length), 0);
-    const records = topic.records.slice(from).map(encode);
+    const records = topic.records.slice(from).map(encodeRecord);
     response.writeHead(200);
     response.end(Buffer.concat([head, ...records]));
   }
 
-  private newest(topic: Topic, response: http.ServerResponse): void {
+  private sendNewest(topic: Topic, response: http.ServerResponse): void {
     const newest = new Map<
       string,
       {key: string; value: string; offset: number}
@@ -152,46 +152,50 @@
     });
   }
 
-  private add(topic: Topic, records: ReadonlyArray<StoredRecord>): void {
+  private addRecords(topic: Topic, records: ReadonlyArray<KeyedRecord>): void {
     topic.records.push(...records);
-    const {waiting} = topic;
-    topic.waiting = [];
-    for (const wake of waiting) wake();
+    const {waitingReaders} = topic;
+    topic.waitingReaders = [];
+    for (const wake of waitingReaders) wake();
   }
 
   private topic(name: string): Topic {
     const known = this.topics.get(name);
     if (known !== undefined) return known;
-    const opened: Topic = {records: [], producers: new Map(), waiting: []};
+    const opened: Topic = {
+      records: [],
+      producers: new Map(),
+      waitingReaders: [],
+    };
     this.topics.set(name, opened);
     return opened;
   }
 }
 
-function waitFor(topic: Topic, milliseconds: number): Promise<void> {
+function waitForRecords(topic: Topic, milliseconds: number): Promise<void> {
   return new Promise(resolve => {
     const timer = setTimeout(resolve, milliseconds);
-    topic.waiting.push(() => {
+    topic.waitingReaders.push(() => {
       clearTimeout(timer);
       resolve();
     });
   });
 }
 
-function encode({key, value}: StoredRecord): Buffer {
+function encodeRecord({key, value}: KeyedRecord): Buffer {
   const keyBytes = Buffer.from(key);
-  const head = Buffer.alloc(LENGTH_BYTES + 1);
+  const head = Buffer.alloc(LENGTH_PREFIX_BYTES + 1);
   head.writeUInt32BE(1 + keyBytes.length + value.length, 0);
-  head.writeUInt8(keyBytes.length, LENGTH_BYTES);
+  head.writeUInt8(keyBytes.length, LENGTH_PREFIX_BYTES);
   return Buffer.concat([head, keyBytes, value]);
 }
 
-function decode(body: Buffer): ReadonlyArray<StoredRecord> {
-  const records: StoredRecord[] = [];
+function decodeRecords(body: Buffer): ReadonlyArray<KeyedRecord> {
+  const records: KeyedRecord[] = [];
   let position = 0;
   while (position < body.length) {
-    const end = position + LENGTH_BYTES + body.readUInt32BE(position);
-    const keyStart = position + LENGTH_BYTES + 1;
+    const end = position + LENGTH_PREFIX_BYTES + body.readUInt32BE(position);
+    const keyStart = position + LENGTH_PREFIX_BYTES + 1;
     const keyEnd = keyStart + body.readUInt8(keyStart - 1);
     records.push({
       key: body.toString('utf8', keyStart, keyEnd),
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -6,17 +6,17 @@
 import type * as workerCalls from '../src/machines/worker_calls.js';
 
 /** How often a report that waits looks for an end. */
-const POLL_MS = 10;
+const POLL_INTERVAL_MS = 10;
 
 /** The platform's words for what a worker rejects. */
-const REASONS: Readonly<Record<string, string>> = {
+const REJECTION_REASONS: Readonly<Record<string, string>> = {
   superseded: 'fence',
   staleRun: 'old',
   late: 'late',
   noRoom: 'room',
 };
 
-type Body = Readonly<Record<string, unknown>>;
+type JsonObject = Readonly<Record<string, unknown>>;
 
 /** A worker of the platform that is called over HTTP. */
 export class PlatformWorker {
@@ -34,9 +34,9 @@
   }
 
   /** Listens and returns what the worker says of itself in the registry. */
-  async listen(service: string): Promise<Body> {
+  async listen(service: string): Promise<JsonObject> {
     const port = await listen.listen(this.server, '127.0.0.1', 0);
-    return this.describe(service, `127.0.0.1:${port}`);
+    return this.register(service, `127.0.0.1:${port}`);
   }
 
   close(): void {
@@ -44,7 +44,7 @@
     this.server.close();
   }
 
-  private describe(service: string, address: string): Body {
+  private register(service: string, address: string): JsonObject {
     const capacity = {processors: 4_000, memory: 16_384, accelerators: 0};
     const entry = {
       id: this.id,
@@ -85,7 +85,7 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
-    const body = JSON.parse(Buffer.concat(chunks).toString()) as Body;
+    const body = JSON.parse(Buffer.concat(chunks).toString()) as JsonObject;
     if (request.headers['expect-instance'] !== this.id || !this.model) {
       jsonBody.sendJson(response, 421, {});
       return;
@@ -93,38 +93,38 @@
     const {model} = this;
     switch (request.url) {
       case '/run-start':
-        answer(response, model.start(startOrder(body)));
+        sendOutcome(response, model.start(parseStartOrder(body)));
         return;
       case '/run-stop':
-        answer(response, model.stop(runName(body), fenceOf(body)));
+        sendOutcome(response, model.stop(parseRunName(body), parseFence(body)));
         return;
       case '/hold':
-        await this.hold(model, body, response);
+        await this.serveRenewal(model, body, response);
         return;
       default:
         jsonBody.sendJson(response, 404, {});
     }
   }
 
-  private async hold(
+  private async serveRenewal(
     model: workerModel.WorkerModel,
-    body: Body,
+    body: JsonObject,
     response: http.ServerResponse,
   ): Promise<void> {
     const order: workerCalls.HoldOrder = {
-      fence: fenceOf(body),
+      fence: parseFence(body),
       endsStored: Number(body.ack_cursor),
       deadlineMs:
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
       waitMs: Number(body.wait_ms),
     };
-    let outcome = model.hold(order);
+    let outcome = model.renewLease(order);
     const until = performance.now() + order.waitMs;
-    while (!model.hasEnds && performance.now() < until) {
-      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    while (!model.hasEndedRuns && performance.now() < until) {
+      await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
     }
     if (outcome.kind === 'reported') {
-      outcome = model.hold({...order, deadlineMs: undefined});
+      outcome = model.renewLease({...order, deadlineMs: undefined});
     }
     if (outcome.kind !== 'reported') {
       jsonBody.sendJson(response, 409, {reason: 'fence'});
@@ -152,26 +152,26 @@
   }
 }
 
-function startOrder(body: Body): workerCalls.StartOrder {
+function parseStartOrder(body: JsonObject): workerCalls.StartOrder {
   return {
-    ...runName(body),
+    ...parseRunName(body),
     payload: String(body.spec),
-    fence: fenceOf(body),
+    fence: parseFence(body),
     deadlineMs: Number(body.deadline_ms),
     checkpoint: typeof body.checkpoint === 'string' ? body.checkpoint : '',
     ticket: typeof body.ticket === 'string' ? body.ticket : undefined,
   };
 }
 
-function runName(body: Body): {task: string; run: number} {
+function parseRunName(body: JsonObject): {task: string; run: number} {
   return {task: String(body.task), run: Number(body.run)};
 }
 
-function fenceOf(body: Body): number {
+function parseFence(body: JsonObject): number {
   return Number(body.fencing_token ?? 0);
 }
 
-function answer(
+function sendOutcome(
   response: http.ServerResponse,
   outcome: workerCalls.OrderOutcome,
 ): void {
@@ -181,7 +181,7 @@
   } else if (outcome.kind === 'rejected') {
     jsonBody.sendJson(response, 409, {
       clock_ms: clockMs,
-      reason: REASONS[outcome.why],
+      reason: REJECTION_REASONS[outcome.why],
     });
   }
 }
--- a/stand_ins/child_process.ts
+++ b/stand_ins/spawned_process.ts
@@ -1,13 +1,13 @@
 import * as childProcess from 'node:child_process';
 
 /** Time for a process to say that it is ready. */
-const START_LIMIT_MS = 20_000;
+const READY_TIMEOUT_MS = 20_000;
 
 /** A process that a test starts, with the lines that it prints. */
-export class ChildProcess {
+export class SpawnedProcess {
   readonly lines: string[] = [];
   private readonly child: childProcess.ChildProcess;
-  private readonly exit: Promise<number | null>;
+  private readonly exitCode: Promise<number | null>;
 
   constructor(
     command: string,
@@ -18,7 +18,7 @@
       stdio: ['ignore', 'pipe', 'inherit'],
       env: {...process.env, ...environment},
     });
-    this.exit = new Promise(resolve =>
+    this.exitCode = new Promise(resolve =>
       this.child.once('exit', code => resolve(code)),
     );
     let rest = '';
@@ -35,11 +35,11 @@
   }
 
   /** Waits for a line; fails when the process ends before it. */
-  async line(pattern: RegExp): Promise<string> {
+  async waitForLine(pattern: RegExp): Promise<string> {
     let exited = false;
-    void this.exit.then(() => (exited = true));
+    void this.exitCode.then(() => (exited = true));
     const started = performance.now();
-    while (performance.now() - started < START_LIMIT_MS) {
+    while (performance.now() - started < READY_TIMEOUT_MS) {
       const found = this.lines.find(item => pattern.test(item));
       if (found !== undefined) return found;
       if (exited) break;
@@ -55,13 +55,13 @@
   }
 
   /** Resolves with the exit code; null when a signal ended the process. */
-  ended(): Promise<number | null> {
-    return this.exit;
+  waitForExit(): Promise<number | null> {
+    return this.exitCode;
   }
 
   /** Ends the process at once. */
   async kill(): Promise<void> {
     this.child.kill('SIGKILL');
-    await this.exit;
+    await this.exitCode;
   }
 }
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -5,10 +5,10 @@
 import type * as net from 'node:net';
 
 /** Largest body that a stand-in takes, in bytes. */
-const LARGEST_BODY = 67_108_864;
+const MAX_BODY_BYTES = 67_108_864;
 
 /** Time for a body to arrive. */
-const BODY_DEADLINE_MS = 10_000;
+const BODY_TIMEOUT_MS = 10_000;
 
 /** A call with its whole body. */
 export interface StandInCall {
@@ -37,7 +37,7 @@
 export class StandInServer {
   private readonly server: http.Server;
   private readonly sockets = new Set<net.Socket>();
-  private readonly silent = new WeakSet<net.Socket>();
+  private readonly silencedSockets = new WeakSet<net.Socket>();
 
   constructor(private readonly handler: StandInHandler) {
     this.server = http.createServer((incoming, response) => {
@@ -68,7 +68,7 @@
   /** Makes the open connections silent for good; new ones work. */
   silenceConnections(): void {
     for (const socket of this.sockets) {
-      this.silent.add(socket);
+      this.silencedSockets.add(socket);
       socket.setTimeout(0);
     }
   }
@@ -86,8 +86,8 @@
     const {socket} = incoming;
     const body = await jsonBody.readBody(
       incoming,
-      LARGEST_BODY,
-      BODY_DEADLINE_MS,
+      MAX_BODY_BYTES,
+      BODY_TIMEOUT_MS,
     );
     if (body.kind !== 'body') {
       response.destroy();
@@ -99,9 +99,9 @@
       this.serveControl(incoming.method, body.text, response);
       return;
     }
-    if (this.silent.has(socket)) return;
+    if (this.silencedSockets.has(socket)) return;
     const send = (status: number, content: unknown): void => {
-      if (this.silent.has(socket) || response.destroyed) return;
+      if (this.silencedSockets.has(socket) || response.destroyed) return;
       jsonBody.sendJson(response, status, content);
     };
     const sendTagged = (content: unknown): void => {
@@ -109,7 +109,7 @@
       const tag = `"${crypto.createHash('sha1').update(text).digest('hex')}"`;
       response.setHeader('etag', tag);
       if (incoming.headers['if-none-match'] !== tag) send(200, content);
-      else if (!this.silent.has(socket)) response.writeHead(304).end();
+      else if (!this.silencedSockets.has(socket)) response.writeHead(304).end();
     };
     const drop = (): void => void response.destroy();
     const method = incoming.method ?? '';
--- a/stand_ins/worker.ts
+++ b/stand_ins/stand_in_worker.ts
@@ -6,7 +6,7 @@
 import type * as task from '../src/contracts/task.js';
 
 /** What a stand-in worker is made with. */
-export interface WorkerOptions {
+export interface StandInWorkerOptions {
   readonly name: string;
   readonly rack: string;
   readonly capacity: resources.Resources;
@@ -15,7 +15,7 @@
   /** Time until a report shows what a task uses; 0 by default. */
   readonly usageLagMs?: number;
   /** Time for which ended tasks are listed; 10 minutes by default. */
-  readonly keepEndedMs?: number;
+  readonly endedRetentionMs?: number;
   /** Rate of the worker's clock; 1 by default. */
   readonly clockRate?: number;
   /** Reading of the worker's clock at its start; 0 by default. */
@@ -36,7 +36,7 @@
   readonly hangs: boolean;
 }
 
-const HEALTHY: WorkerFailures = {
+const NO_FAILURES: WorkerFailures = {
   failsEverything: false,
   losesStartAnswers: false,
   startDelayMs: 0,
@@ -47,7 +47,7 @@
 const CHECK_INTERVAL_MS = 20;
 
 /** Time for which an ended task is listed. */
-const KEEP_ENDED_MS = 600_000;
+const DEFAULT_ENDED_RETENTION_MS = 600_000;
 
 /**
  * Stand-in for a platform worker. It runs what it is told under leases and
@@ -57,19 +57,19 @@
   private readonly tasks = new Map<string, workerTask.WorkerTask>();
   private readonly server = new standInServer.StandInServer(this);
   private readonly checkTimer: NodeJS.Timeout;
-  private failures = HEALTHY;
+  private failures = NO_FAILURES;
   private leaving = false;
-  private readonly runs = new Map<string, number>();
+  private readonly runsByIdentity = new Map<string, number>();
   private overcommitments = 0;
   private overuses = 0;
   private lapsedStarts = 0;
   private mostConnections = 0;
 
-  constructor(private readonly options: WorkerOptions) {
+  constructor(private readonly options: StandInWorkerOptions) {
     if (options.connectionLimit !== undefined) {
       this.server.limitConnections(options.connectionLimit);
     }
-    this.checkTimer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    this.checkTimer = setInterval(() => this.checkTasks(), CHECK_INTERVAL_MS);
     this.checkTimer.unref();
   }
 
@@ -79,7 +79,7 @@
   }
 
   /** Changes the failures that are named. */
-  fail(failures: Partial<WorkerFailures>): void {
+  updateFailures(failures: Partial<WorkerFailures>): void {
     this.failures = {...this.failures, ...failures};
   }
 
@@ -89,13 +89,13 @@
   }
 
   /** Says in reports that the worker leaves. */
-  leave(): void {
+  startLeaving(): void {
     this.leaving = true;
   }
 
   /** How often tasks of each request were run. */
   runCounts(): ReadonlyMap<string, number> {
-    return this.runs;
+    return this.runsByIdentity;
   }
 
   /** Tasks that run now. */
@@ -126,25 +126,25 @@
     if (this.failures.hangs) return;
     const [, first, name, part] = call.url.pathname.split('/');
     if (first === 'report') call.send(200, this.report());
-    else if (first === 'renewals') this.renew(call);
+    else if (first === 'renewals') this.renewLeases(call);
     else if (first !== 'tasks') call.send(404, {detail: 'no such path'});
-    else if (name === undefined) await this.takeStart(call);
+    else if (name === undefined) await this.serveStart(call);
     else this.serveTask(decodeURIComponent(name), part, call);
   }
 
   /** Sets failures by their names; takes `leave` and `silenceConnections`. */
   control(change: Readonly<Record<string, unknown>>): void {
     const {leave, silenceConnections, ...failures} = change;
-    if (leave === true) this.leave();
+    if (leave === true) this.startLeaving();
     if (silenceConnections === true) this.silenceConnections();
-    this.fail(failures);
+    this.updateFailures(failures);
   }
 
   /** What the worker has seen. */
   observe(): unknown {
     return {
       name: this.options.name,
-      runs: Object.fromEntries(this.runs),
+      runs: Object.fromEntries(this.runsByIdentity),
       running: this.runningCount(),
       overcommitments: this.overcommitments,
       overuses: this.overuses,
@@ -155,7 +155,7 @@
     };
   }
 
-  private async takeStart(call: standInServer.StandInCall): Promise<void> {
+  private async serveStart(call: standInServer.StandInCall): Promise<void> {
     const start = jsonBody.parseObject(call.body);
     if (start === undefined) {
       call.send(400, {detail: 'body: must be a JSON object'});
@@ -163,29 +163,35 @@
     }
     const {startDelayMs} = this.failures;
     if (startDelayMs > 0) await timers.setTimeout(startDelayMs);
-    this.start(start as unknown as task.TaskStart, call);
+    this.startTask(start as unknown as task.TaskStart, call);
   }
 
-  private start(start: task.TaskStart, call: standInServer.StandInCall): void {
-    if (start.leaseEnd <= this.clock()) {
+  private startTask(
+    start: task.TaskStart,
+    call: standInServer.StandInCall,
+  ): void {
+    if (start.leaseEnd <= this.clockMs()) {
       this.lapsedStarts += 1;
       call.send(410, {detail: 'the lease has lapsed'});
       return;
     }
     const {identity} = start.label;
-    this.runs.set(identity, (this.runs.get(identity) ?? 0) + 1);
+    this.runsByIdentity.set(
+      identity,
+      (this.runsByIdentity.get(identity) ?? 0) + 1,
+    );
     const created = new workerTask.WorkerTask(start, {
       runTimeMs: this.options.runTimeMs,
       usageLagMs: this.options.usageLagMs ?? 0,
       failsEverything: this.failures.failsEverything,
     });
     this.tasks.set(start.task, created);
-    const reserved = this.sum(item => item.size);
+    const reserved = this.sumRunning(item => item.size);
     if (!resources.fits(reserved, this.options.capacity)) {
       this.overcommitments += 1;
     }
     if (this.failures.losesStartAnswers) call.drop();
-    else call.send(201, {workerClock: this.clock()});
+    else call.send(201, {workerClock: this.clockMs()});
   }
 
   private serveTask(
@@ -211,7 +217,7 @@
     call.send(200, {});
   }
 
-  private renew(call: standInServer.StandInCall): void {
+  private renewLeases(call: standInServer.StandInCall): void {
     const body = jsonBody.parseObject(call.body) ?? {};
     for (const name of (body['tasks'] ?? []) as ReadonlyArray<string>) {
       this.tasks.get(name)?.renew(Number(body['leaseEnd']));
@@ -219,15 +225,16 @@
     call.send(200, {});
   }
 
-  private check(): void {
-    const keepEnded = this.options.keepEndedMs ?? KEEP_ENDED_MS;
+  private checkTasks(): void {
+    const keepEnded =
+      this.options.endedRetentionMs ?? DEFAULT_ENDED_RETENTION_MS;
     const now = performance.now();
     for (const [name, known] of this.tasks) {
-      known.lapse(this.clock());
+      known.endIfLeaseLapsed(this.clockMs());
       const kept = known.state === 'running' || now - known.endedAt < keepEnded;
       if (!kept) this.tasks.delete(name);
     }
-    const used = this.sum(item => item.usage());
+    const used = this.sumRunning(item => item.usage());
     if (!resources.fits(used, this.options.capacity)) this.overuses += 1;
     this.mostConnections = Math.max(
       this.mostConnections,
@@ -235,7 +242,7 @@
     );
   }
 
-  private sum(
+  private sumRunning(
     quantity: (item: workerTask.WorkerTask) => resources.Resources,
   ): resources.Resources {
     let total = resources.NONE;
@@ -246,14 +253,14 @@
     return total;
   }
 
-  private clock(): number {
+  private clockMs(): number {
     const {clockRate = 1, clockOffsetMs = 0} = this.options;
     return clockOffsetMs + performance.now() * clockRate;
   }
 
   private report(): Omit<task.WorkerReport, 'worker'> {
     return {
-      workerClock: this.clock(),
+      workerClock: this.clockMs(),
       capacity: this.options.capacity,
       rack: this.options.rack,
       leaving: this.leaving,
--- a/stand_ins/vm_list.ts
+++ b/stand_ins/vm_list.ts
@@ -17,12 +17,12 @@
 
   /** Adds or changes a VM after the lag. */
   put(vm: event.ListedVm): void {
-    this.afterLag(() => this.vms.set(vm.vm, vm));
+    this.applyAfterLag(() => this.vms.set(vm.vm, vm));
   }
 
   /** Removes a VM after the lag. */
   remove(vm: string): void {
-    this.afterLag(() => this.vms.delete(vm));
+    this.applyAfterLag(() => this.vms.delete(vm));
   }
 
   /** Switches an outage on or off. */
@@ -55,7 +55,7 @@
     return {vms: [...this.vms.values()], down: this.down};
   }
 
-  private afterLag(change: () => void): void {
+  private applyAfterLag(change: () => void): void {
     if (this.lagMs === 0) change();
     else setTimeout(change, this.lagMs).unref();
   }
--- a/stand_ins/vm_list_main.ts
+++ b/stand_ins/vm_list_main.ts
@@ -20,7 +20,7 @@
   },
   handler: async ({port, lagMs}) => {
     const list = new vmList.VmList(lagMs);
-    announce.announce('vmList', await list.listen(port));
+    announce.announceListening('vmList', await list.listen(port));
   },
 });
 
--- a/stand_ins/worker_main.ts
+++ b/stand_ins/worker_main.ts
@@ -1,6 +1,6 @@
 import * as commandTypes from 'cmd-ts';
 import * as announce from './announce.js';
-import * as worker from './worker.js';
+import * as standInWorker from './stand_in_worker.js';
 
 function numberOption(
   long: string,
@@ -38,8 +38,8 @@
   },
   handler: async ({port, processors, memory, accelerators, slots, ...rest}) => {
     const capacity = {processors, memory, accelerators, slots};
-    const machine = new worker.StandInWorker({...rest, capacity});
-    announce.announce('worker', await machine.listen(port));
+    const machine = new standInWorker.StandInWorker({...rest, capacity});
+    announce.announceListening('worker', await machine.listen(port));
   },
 });
 
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -5,102 +5,107 @@
 
 /** How a run goes: its duration and its end. */
 export type RunPlan = (order: workerCalls.StartOrder) => {
-  readonly runtimeMs: number;
-  readonly how: 'done' | 'failed';
+  readonly runTimeMs: number;
+  readonly outcome: 'done' | 'failed';
 };
 
-interface Run {
+interface ActiveRun {
   readonly order: workerCalls.StartOrder;
-  readonly startedAt: number;
-  readonly endsAt: number;
-  readonly how: string;
+  readonly startedAtMs: number;
+  readonly endsAtMs: number;
+  readonly outcome: string;
 }
 
 /** What a worker noted, for assertions. */
 export interface WorkerEvent {
-  readonly at: number;
+  readonly atMs: number;
   readonly worker: string;
   readonly kind: 'started' | 'ended';
   readonly task: string;
   readonly run: number;
-  readonly how: string;
+  readonly outcome: string;
 }
 
 /** One life of a worker that keeps to the platform's rules for workers. */
 export class WorkerModel {
   /** No call reaches the worker and no answer leaves it. */
-  cut = false;
+  partitioned = false;
   /** The life is over; nothing reaches it any more. */
   crashed = false;
   /** Orders arrive, answers are lost. */
-  mute = false;
+  losesAnswers = false;
   /** Latest deadline that any call named. */
-  deadline = 0;
+  leaseEndMs = 0;
   highestFence = 0;
   /** Why starts are turned away at present. */
-  refuses: workerCalls.Rejection | undefined;
-  private readonly running = new Map<string, Run>();
-  private readonly stopped = new Map<string, number>();
+  rejectReason: workerCalls.Rejection | undefined;
+  private readonly running = new Map<string, ActiveRun>();
+  private readonly highestEndedRuns = new Map<string, number>();
   private ended: remoteWorker.EndedRow[] = [];
-  private nextEnd = 1;
+  private nextEndNumber = 1;
 
   constructor(
     readonly entry: remoteWorker.WorkerEntry,
-    private readonly time: clock.Clock,
+    private readonly clock: clock.Clock,
     private readonly plan: RunPlan,
     private readonly events: WorkerEvent[],
   ) {}
 
   get runningCount(): number {
-    this.expire();
+    this.endDueRuns();
     return this.running.size;
   }
 
   start(order: workerCalls.StartOrder): workerCalls.OrderOutcome {
-    this.expire();
+    this.endDueRuns();
     if (order.fence < this.highestFence) return this.reject('superseded');
-    if (this.refuses !== undefined) return this.reject(this.refuses);
-    this.takeFence(order.fence, order.deadlineMs);
-    if (order.deadlineMs <= this.time.now()) return this.reject('late');
+    if (this.rejectReason !== undefined) return this.reject(this.rejectReason);
+    this.raiseFenceAndLease(order.fence, order.deadlineMs);
+    if (order.deadlineMs <= this.clock.now()) return this.reject('late');
     const known = this.running.get(order.task);
     if (known?.order.run === order.run) return this.done();
-    const highest = this.stopped.get(order.task) ?? 0;
+    const highest = this.highestEndedRuns.get(order.task) ?? 0;
     if (known !== undefined || order.run <= highest) {
       return this.reject('staleRun');
     }
-    const {runtimeMs, how} = this.plan(order);
-    const endsAt = this.time.now() + runtimeMs;
-    const startedAt = this.time.now();
-    this.running.set(order.task, {order, startedAt, endsAt, how});
-    this.note('started', order.task, order.run, '');
+    const {runTimeMs, outcome} = this.plan(order);
+    const endsAtMs = this.clock.now() + runTimeMs;
+    const startedAtMs = this.clock.now();
+    this.running.set(order.task, {
+      order,
+      startedAtMs,
+      endsAtMs,
+      outcome,
+    });
+    this.recordEvent('started', order.task, order.run, '');
     return this.done();
   }
 
   stop(name: remoteWorker.RunName, fence: number): workerCalls.OrderOutcome {
-    this.expire();
+    this.endDueRuns();
     if (fence < this.highestFence) return this.reject('superseded');
-    this.takeFence(fence, 0);
-    const highest = this.stopped.get(name.task) ?? 0;
-    this.stopped.set(name.task, Math.max(highest, name.run));
+    this.raiseFenceAndLease(fence, 0);
+    const highest = this.highestEndedRuns.get(name.task) ?? 0;
+    this.highestEndedRuns.set(name.task, Math.max(highest, name.run));
     if (this.running.get(name.task)?.order.run === name.run) {
-      this.end(name.task, 'stopped');
+      this.endRun(name.task, 'stopped');
     }
     return this.done();
   }
 
-  hold(order: workerCalls.HoldOrder): workerCalls.HoldOutcome {
-    this.expire();
+  renewLease(order: workerCalls.HoldOrder): workerCalls.HoldOutcome {
+    this.endDueRuns();
     if (order.fence < this.highestFence) {
       return {kind: 'rejected', why: 'superseded'};
     }
-    this.takeFence(order.fence, order.deadlineMs ?? 0);
+    this.raiseFenceAndLease(order.fence, order.deadlineMs ?? 0);
     this.ended = this.ended.filter(row => row.number > order.endsStored);
     return {
       kind: 'reported',
       report: {
-        clockMs: this.time.now(),
+        clockMs: this.clock.now(),
         born: this.entry.born,
-        running: [...this.running.values()].map(run => this.row(run)),
+        running: [...this.running.values()].map(run => this.runningRow(run)),
         ended: this.ended,
       },
     };
@@ -109,20 +114,22 @@
   /** Everything that ran is gone, and no call is answered any more. */
   crash(): void {
     for (const [task, {order}] of this.running) {
-      this.note('ended', task, order.run, 'lost');
+      this.recordEvent('ended', task, order.run, 'lost');
     }
     this.running.clear();
-    this.cut = true;
+    this.partitioned = true;
     this.crashed = true;
   }
 
-  get hasEnds(): boolean {
-    this.expire();
+  get hasEndedRuns(): boolean {
+    this.endDueRuns();
     return this.ended.length > 0;
   }
 
   /** Room that is occupied. */
-  used(sizeOf: (task: string) => resources.Resources): resources.Resources {
+  usedCapacity(
+    sizeOf: (task: string) => resources.Resources,
+  ): resources.Resources {
     let used = resources.NONE;
     for (const task of this.running.keys()) {
       used = resources.add(used, sizeOf(task));
@@ -130,54 +137,66 @@
     return used;
   }
 
-  private row(run: Run): remoteWorker.RunningRow {
+  private runningRow(run: ActiveRun): remoteWorker.RunningRow {
     const {task, run: number, checkpoint} = run.order;
-    const elapsed = this.time.now() - run.startedAt;
-    const percent = (100 * elapsed) / (run.endsAt - run.startedAt);
+    const elapsed = this.clock.now() - run.startedAtMs;
+    const percent = (100 * elapsed) / (run.endsAtMs - run.startedAtMs);
     return {task, run: number, checkpoint, percent, usage: 0};
   }
 
-  private takeFence(fence: number, deadline: number): void {
+  private raiseFenceAndLease(fence: number, leaseEndMs: number): void {
     this.highestFence = Math.max(this.highestFence, fence);
-    this.deadline = Math.max(this.deadline, deadline);
+    this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
   }
 
   /** Ends what is over by now: finished work, and all when the lease is. */
-  expire(): void {
-    const now = this.time.now();
+  endDueRuns(): void {
+    const now = this.clock.now();
     for (const [task, run] of [...this.running]) {
-      if (run.endsAt <= Math.min(now, this.deadline)) this.end(task, run.how);
+      if (run.endsAtMs <= Math.min(now, this.leaseEndMs)) {
+        this.endRun(task, run.outcome);
+      }
     }
-    if (this.deadline > now) return;
-    for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
+    if (this.leaseEndMs > now) return;
+    for (const task of [...this.running.keys()]) this.endRun(task, 'lapsed');
   }
 
-  private end(task: string, how: string): void {
+  private endRun(task: string, outcome: string): void {
     const run = this.running.get(task)?.order.run ?? 0;
     this.running.delete(task);
-    const highest = this.stopped.get(task) ?? 0;
-    this.stopped.set(task, Math.max(highest, run));
-    const number = this.nextEnd;
-    this.nextEnd += 1;
-    this.ended = [...this.ended, {number, task, run, how, checkpoint: ''}];
-    this.note('ended', task, run, how);
+    const highest = this.highestEndedRuns.get(task) ?? 0;
+    this.highestEndedRuns.set(task, Math.max(highest, run));
+    const number = this.nextEndNumber;
+    this.nextEndNumber += 1;
+    this.ended = [
+      ...this.ended,
+      {number, task, run, how: outcome, checkpoint: ''},
+    ];
+    this.recordEvent('ended', task, run, outcome);
   }
 
-  private note(
+  private recordEvent(
     kind: WorkerEvent['kind'],
     task: string,
     run: number,
-    how: string,
+    outcome: string,
   ): void {
-    const at = this.time.now();
-    this.events.push({at, worker: this.entry.id, kind, task, run, how});
+    const atMs = this.clock.now();
+    this.events.push({
+      atMs,
+      worker: this.entry.id,
+      kind,
+      task,
+      run,
+      outcome,
+    });
   }
 
   private done(): workerCalls.OrderOutcome {
-    return {kind: 'done', clockMs: this.time.now()};
+    return {kind: 'done', clockMs: this.clock.now()};
   }
 
   private reject(why: workerCalls.Rejection): workerCalls.OrderOutcome {
-    return {kind: 'rejected', why, clockMs: this.time.now()};
+    return {kind: 'rejected', why, clockMs: this.clock.now()};
   }
 }
--- a/stand_ins/worker_task.ts
+++ b/stand_ins/worker_task.ts
@@ -15,7 +15,7 @@
 }
 
 /** How a stand-in worker runs tasks. */
-export interface TaskRules {
+export interface TaskSettings {
   /** Run time of a task whose payload does not name one. */
   readonly runTimeMs: number;
   /** Time until a report shows what a task uses. */
@@ -28,31 +28,33 @@
 export class WorkerTask {
   private readonly payload: TaskPayload;
   private readonly timer: NodeJS.Timeout;
-  private readonly startedAt = performance.now();
-  private readonly waiting: Array<(answer: unknown) => void> = [];
-  private current: task.TaskState = 'running';
+  private readonly startedAtMs = performance.now();
+  private readonly answerListeners: Array<(answer: unknown) => void> = [];
+  private currentState: task.TaskState = 'running';
   private answer = '';
   private leaseEnd: number;
   private limit: resources.Resources;
-  private ended = 0;
+  private endedAtMs = 0;
 
   constructor(
     private readonly start: task.TaskStart,
-    private readonly rules: TaskRules,
+    private readonly settings: TaskSettings,
   ) {
     this.payload = readPayload(start.payload);
     this.leaseEnd = start.leaseEnd;
     this.limit = start.size;
-    const failing = rules.failsEverything || this.payload.fails === true;
+    const failing = settings.failsEverything || this.payload.fails === true;
     this.timer = setTimeout(
       () => this.end(failing ? 'failed' : 'finished', this.result()),
-      rules.failsEverything ? 0 : (this.payload.runTimeMs ?? rules.runTimeMs),
+      settings.failsEverything
+        ? 0
+        : (this.payload.runTimeMs ?? settings.runTimeMs),
     );
   }
 
   /** State of the task. */
   get state(): task.TaskState {
-    return this.current;
+    return this.currentState;
   }
 
   /** Reservation that the start named. */
@@ -62,12 +64,12 @@
 
   /** When the task ended on the process's clock; 0 while it runs. */
   get endedAt(): number {
-    return this.ended;
+    return this.endedAtMs;
   }
 
   /** What the task uses now: its real need, throttled to the limit. */
   usage(): resources.Resources {
-    if (this.current !== 'running') return resources.NONE;
+    if (this.currentState !== 'running') return resources.NONE;
     const need = this.payload.usage ?? this.start.size;
     return {
       // A throttled task computes more slowly; its memory is not taken back.
@@ -89,34 +91,35 @@
   }
 
   /** Ends the task when its lease has expired on the worker's clock. */
-  lapse(workerClock: number): void {
+  endIfLeaseLapsed(workerClock: number): void {
     if (this.leaseEnd <= workerClock) this.end('lapsed', '');
   }
 
   /** Ends the task and answers those that wait for it. */
   end(state: task.TaskState, answer: string): void {
-    if (this.current !== 'running') return;
+    if (this.currentState !== 'running') return;
     clearTimeout(this.timer);
-    this.current = state;
+    this.currentState = state;
     this.answer = answer;
-    this.ended = performance.now();
-    for (const send of this.waiting) send(this.answerBody());
-    this.waiting.length = 0;
+    this.endedAtMs = performance.now();
+    for (const send of this.answerListeners) send(this.answerBody());
+    this.answerListeners.length = 0;
   }
 
   /** Sends the answer when the task has ended. */
   whenEnded(send: (answer: unknown) => void): void {
-    if (this.current === 'running') this.waiting.push(send);
+    if (this.currentState === 'running') this.answerListeners.push(send);
     else send(this.answerBody());
   }
 
   /** The task as a report lists it. */
   report(): task.TaskReport {
-    const shown = performance.now() - this.startedAt >= this.rules.usageLagMs;
+    const shown =
+      performance.now() - this.startedAtMs >= this.settings.usageLagMs;
     return {
       task: this.start.task,
       label: this.start.label,
-      state: this.current,
+      state: this.currentState,
       size: this.start.size,
       usage: shown ? this.usage() : resources.NONE,
       leaseEnd: this.leaseEnd,
@@ -132,7 +135,7 @@
   private answerBody(): unknown {
     return {
       task: this.start.task,
-      state: this.current,
+      state: this.currentState,
       answer: this.answer,
     };
   }
--- a/test/bench/platform_soak_test.ts
+++ b/test/bench/platform_soak_test.ts
@@ -10,9 +10,12 @@
   // jobs that run, and workers over their capacity.
   for (const seed of SEEDS) {
     nodeTest.test(`keep their promises with seed ${seed}`, async () => {
-      const outcome = await platformSoak.PlatformSoak.play(seed);
-      assert.deepEqual(outcome.broken, []);
-      assert.ok(outcome.accepted > 20, `${outcome.accepted} accepted`);
+      const outcome = await platformSoak.PlatformSoak.runSeed(seed);
+      assert.deepEqual(outcome.breaches, []);
+      assert.ok(
+        outcome.acceptedCount > 20,
+        `${outcome.acceptedCount} accepted`,
+      );
     });
   }
 });
--- a/test/bench/randomized_run_test.ts
+++ b/test/bench/randomized_run_test.ts
@@ -9,8 +9,8 @@
   return JSON.stringify({
     command: `node build/bench/soak.js --seeds 1 --from ${run.seed} --trace`,
     violation: run.violations[0],
-    reported: run.reported[0],
-    unfinished: run.unfinished,
+    reported: run.reportedViolations[0],
+    unfinished: run.unfinishedCount,
   });
 }
 
@@ -27,12 +27,12 @@
           faults: randomizedRun.FAULTS,
           trace: false,
         });
-        for (const fault of run.injected.keys()) injected.add(fault);
-        checks += run.checks;
+        for (const fault of run.faultCounts.keys()) injected.add(fault);
+        checks += run.checkCount;
         const sound =
           run.violations.length === 0 &&
-          run.reported.length === 0 &&
-          run.unfinished === 0;
+          run.reportedViolations.length === 0 &&
+          run.unfinishedCount === 0;
         assert.ok(sound, describeRun(run));
       }
       // A run that injects or checks nothing proves nothing.
@@ -47,7 +47,7 @@
       faults: [],
       trace: false,
     });
-    assert.deepEqual([...run.codes.keys()], [0], describeRun(run));
-    assert.equal(run.unfinished, 0);
+    assert.deepEqual([...run.codeCounts.keys()], [0], describeRun(run));
+    assert.equal(run.unfinishedCount, 0);
   });
 });
--- a/test/commands/entry_commands_test.ts
+++ b/test/commands/entry_commands_test.ts
@@ -6,13 +6,13 @@
 const DOCUMENT_PATH = '/v1/configuration/team%2Fdispatch';
 
 async function withEntry(
-  answer: (call: command.SeenCall, earlier: number) => unknown,
+  answer: (call: command.RecordedCall, earlier: number) => unknown,
   check: (
-    entry: command.AnsweringEntry,
+    entry: command.StubEntryServer,
     ...given: ReadonlyArray<string>
   ) => Promise<void>,
 ): Promise<void> {
-  const entry = new command.AnsweringEntry(answer);
+  const entry = new command.StubEntryServer(answer);
   try {
     await check(entry, '--entry', await entry.listen(), '--json');
   } finally {
@@ -24,7 +24,7 @@
   ...given: ReadonlyArray<string>
 ): Promise<command.CommandResult> {
   const document = ['--document', 'team/dispatch', TEAM_FILE];
-  return command.run('', 'publish', ...given, ...document);
+  return command.runCommand('', 'publish', ...given, ...document);
 }
 
 nodeTest.describe('publish', () => {
@@ -40,7 +40,7 @@
         async (entry, ...given) => {
           const result = await publish(...given);
           assert.equal(result.exitCode, 0);
-          const puts = entry.seen.filter(
+          const puts = entry.calls.filter(
             call => call.route === `PUT ${DOCUMENT_PATH}`,
           );
           const identities = puts.map(call => call.headers['x-publication']);
@@ -81,7 +81,7 @@
         async (entry, ...given) => {
           const result = await publish(...given, '--base=0');
           assert.equal(result.exitCode, 7);
-          assert.equal(entry.seen.length, 1);
+          assert.equal(entry.calls.length, 1);
         },
       );
     },
@@ -104,17 +104,22 @@
         },
         async (entry, ...given) => {
           const work = ['--team', 'dispatch', '--workload', 'polish-order'];
-          const result = await command.run('', 'submit', ...given, ...work);
+          const result = await command.runCommand(
+            '',
+            'submit',
+            ...given,
+            ...work,
+          );
           assert.equal(result.exitCode, 0);
           assert.equal(JSON.parse(result.output).answer, 'polished');
-          const routes = entry.seen.map(call => call.route);
+          const routes = entry.calls.map(call => call.route);
           assert.deepEqual(routes, [
             'POST /v1/identities',
             'PUT /v1/requests/id-1',
             'PUT /v1/requests/id-1',
             'PUT /v1/requests/id-1',
           ]);
-          assert.deepEqual(JSON.parse(entry.seen[1].body), {
+          assert.deepEqual(JSON.parse(entry.calls[1].body), {
             team: 'dispatch',
             workload: 'polish-order',
             payload: '',
@@ -143,9 +148,9 @@
         await withEntry(
           () => ({code}),
           async (entry, ...given) => {
-            const result = await command.run('', ...words, ...given);
+            const result = await command.runCommand('', ...words, ...given);
             assert.equal(result.exitCode, exitCode, words[0]);
-            assert.equal(entry.seen[0].route, route);
+            assert.equal(entry.calls[0].route, route);
           },
         );
       }
@@ -161,9 +166,9 @@
         () => ({code: 0}),
         async (_entry, ...given) => {
           const dead = ['status', '--entry', '127.0.0.1:9'];
-          const reached = await command.run('', ...dead, ...given);
+          const reached = await command.runCommand('', ...dead, ...given);
           assert.equal(reached.exitCode, 0);
-          const none = await command.run('', ...dead, '--timeout=0');
+          const none = await command.runCommand('', ...dead, '--timeout=0');
           assert.equal(none.exitCode, 4);
         },
       );
--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -29,7 +29,7 @@
       const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'check-'));
       const file = path.join(folder, 'settings.toml');
       fs.writeFileSync(file, 'vm = "entry-1"\ncallerPort = -1\n');
-      const result = await command.run('', 'check', '--config', file);
+      const result = await command.runCommand('', 'check', '--config', file);
       fs.rmSync(folder, {recursive: true});
       assert.equal(result.exitCode, 2);
       assert.ok(
@@ -47,7 +47,7 @@
     async () => {
       const stones = 'deployments/go_stones';
       const shred = 'deployments/secure_shred';
-      const right = await command.run(
+      const right = await command.runCommand(
         '',
         'check',
         `--fleet=${shred}/fleet.toml`,
@@ -56,7 +56,7 @@
       );
       assert.equal(right.exitCode, 0);
       const wrong = ['check', `--team=${stones}/fleet.toml`, '--json'];
-      const result = await command.run('', ...wrong);
+      const result = await command.runCommand('', ...wrong);
       assert.equal(result.exitCode, 2);
       assert.ok(JSON.parse(result.output).faults.length > 1);
     },
@@ -69,7 +69,7 @@
       'scripts cannot use',
     async () => {
       const results = await Promise.all(
-        COMMANDS.map(name => command.run('', name, '--help')),
+        COMMANDS.map(name => command.runCommand('', name, '--help')),
       );
       results.forEach(({output}, position) => {
         const name = COMMANDS[position];
@@ -135,7 +135,7 @@
     'an input that ends early is a fault; guards against an interview that ' +
       'reports success without documents',
     async () => {
-      const result = await command.run('Stones\n', 'questionnaire');
+      const result = await command.runCommand('Stones\n', 'questionnaire');
       assert.equal(result.exitCode, 2);
       assert.match(result.output, /the input ended/);
     },
--- a/test/jobs/advice_spread_test.ts
+++ b/test/jobs/advice_spread_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as adviceSpread from '../../src/jobs/advice_spread.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as adviceBook from '../../src/jobs/advice_book.js';
 
 const {describe, test} = nodeTest;
@@ -11,7 +11,7 @@
 const SHORT_MS = 50;
 
 function spreadOver(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   asked: string[],
   answer: (address: string) => adviceBook.AdviceOutcome = () => ({
     kind: 'advised',
@@ -33,7 +33,7 @@
   // The load pattern: more long calls than the service can take. Guards against
   // short calls that wait behind them.
   test('keep a site free for short ones', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const asked: string[] = [];
     const spread = spreadOver(time, asked);
     const outcomes: string[] = [];
@@ -52,7 +52,7 @@
   // The load pattern: long calls without a pause. Guards against a service that
   // stands idle while an answer and the next call are on their way.
   test('follow each other without a gap', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const spread = spreadOver(time, []);
     for (let index = 0; index < 3; index += 1) {
       void spread.ask('long', [], LONG_MS);
@@ -65,7 +65,7 @@
 
   // Guards against a VM that can't reach the service taking all calls.
   test('leave out a site that gave no answer', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const asked: string[] = [];
     const spread = spreadOver(time, asked, address =>
       address === 'a'
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -2,20 +2,20 @@
 import * as nodeTest from 'node:test';
 import * as fakeJournal from '../support/fake_journal.js';
 import * as jobJournal from '../../src/jobs/job_journal.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as jobRecord from '../../src/jobs/job_record.js';
 
 const {describe, test} = nodeTest;
 
 interface Scene {
-  readonly time: timeline.Timeline;
+  readonly time: simulatedClock.SimulatedClock;
   readonly store: fakeJournal.FakeJournal;
   readonly writer: jobJournal.JournalWriter;
   readonly superseded: () => number;
 }
 
 function scene(term = 1): Scene {
-  const time = new timeline.Timeline();
+  const time = new simulatedClock.SimulatedClock();
   const store = new fakeJournal.FakeJournal(time);
   let superseded = 0;
   const writer = new jobJournal.JournalWriter(store, term, time, time, () => {
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -19,9 +19,9 @@
 }
 
 /** Runs last as long as their payload's step says: here by the job's id. */
-const BY_JOB = (order: {task: string}): {runtimeMs: number; how: 'done'} => ({
-  runtimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
-  how: 'done',
+const BY_JOB = (order: {task: string}): {runTimeMs: number; outcome: 'done'} => ({
+  runTimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
+  outcome: 'done',
 });
 
 describe('a flood of batches before urgent work', () => {
@@ -38,7 +38,7 @@
     await cell.time.advance(500);
     assert.equal(cell.startsOf('a1').length, 3);
     const stopped = cell.workers.events.filter(
-      event => event.kind === 'ended' && event.how === 'stopped',
+      event => event.kind === 'ended' && event.outcome === 'stopped',
     );
     assert.equal(stopped.length, 3, 'no more runs than the tasks need');
   });
@@ -174,7 +174,7 @@
   test('gets no more work after two jobs failed on it', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
-    cell.addWorkers(() => ({runtimeMs: 20, how: 'failed'}), 'hole');
+    cell.addWorkers(() => ({runTimeMs: 20, outcome: 'failed'}), 'hole');
     cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two', 'three');
     const scheduler = await cell.begin(1);
     for (let index = 0; index < 8; index += 1) {
@@ -185,7 +185,7 @@
       assert.equal(scheduler.stateOf('orders', `a${index}`), 'completed');
     }
     const failures = cell.workers.events.filter(
-      event => event.how === 'failed',
+      event => event.outcome === 'failed',
     );
     assert.ok(failures.length <= 6, `${failures.length} runs failed`);
   });
@@ -214,7 +214,7 @@
   // attempts where there is none.
   test('is started again however it ends', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 400, how: 'failed'}), 'one', 'two');
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'failed'}), 'one', 'two');
     const scheduler = await cell.begin(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(12_000);
@@ -227,12 +227,12 @@
   // Guards against a service that is away until the worker's lease is over.
   test('gives its lasting tasks to others while it is still there', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'one');
     const scheduler = await cell.begin(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(1_500);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'two');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(600);
     const starts = cell.startsOf('a1');
--- a/test/jobs/scheduler_test.ts
+++ b/test/jobs/scheduler_test.ts
@@ -67,7 +67,7 @@
   test('fails once a task has used up its attempts', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(
-      () => ({runtimeMs: 100, how: 'failed'}),
+      () => ({runTimeMs: 100, outcome: 'failed'}),
       'one',
       'two',
       'three',
@@ -82,7 +82,7 @@
   // Guards against a cancelled job whose tasks run on.
   test('stops its tasks when it is cancelled', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'one');
     const scheduler = await cell.begin(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {count: 3}));
     await cell.time.advance(500);
@@ -169,7 +169,7 @@
   // Guards against work that is thrown away because the store is silent.
   test('lets running work go on and ends it once it answers', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 8_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 8_000, outcome: 'done'}), 'one');
     const scheduler = await cell.begin(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(200);
@@ -189,14 +189,14 @@
   cut: workerModel.WorkerModel;
 }> {
   const cell = new jobCell.JobCell();
-  cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
+  cell.addWorkers(() => ({runTimeMs: 30_000, outcome: 'done'}), 'one');
   const first = await cell.begin(1);
   jobCell.submit(first, jobCell.jobOf('aa', {}));
   await cell.time.advance(300);
   first.retire();
   const cut = cell.workers.byAddress.get('one:1');
   assert.ok(cut);
-  cut.cut = true;
+  cut.partitioned = true;
   cell.addWorkers(jobCell.SECOND_LONG, 'two');
   return {cell, cut};
 }
@@ -236,7 +236,7 @@
     await cell.time.advance(300);
     const left = cell.workers.byAddress.get('two:1');
     assert.ok(left);
-    left.cut = true;
+    left.partitioned = true;
     cell.entries = cell.entries.slice(0, 1);
     first.updateWorkers(cell.entries);
     await cell.time.advance(20_000);
@@ -256,7 +256,7 @@
   // to leave can't be found: only what ran there has to wait.
   test('holds back only the jobs that ran on a worker which left', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 30_000, outcome: 'done'}), 'one');
     const first = await cell.begin(1);
     jobCell.submit(first, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
@@ -268,7 +268,7 @@
     first.retire();
     const left = cell.workers.byAddress.get('one:1');
     assert.ok(left);
-    left.cut = true;
+    left.partitioned = true;
     cell.entries = [];
     cell.addWorkers(jobCell.SECOND_LONG, 'two');
     await cell.begin(2);
@@ -310,13 +310,13 @@
   // renewal that was tried in vain put the end of its lease off.
   test('loses its tasks to another once its lease is over', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 20_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 20_000, outcome: 'done'}), 'one');
     const scheduler = await cell.begin(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
     const gone = cell.workers.byAddress.get('one:1');
     assert.ok(gone);
-    gone.cut = true;
+    gone.partitioned = true;
     cell.addWorkers(jobCell.SECOND_LONG, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(4_000);
@@ -356,11 +356,11 @@
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
     cell.workers.delayOrder = () => 0;
-    first.refuses = 'unhealthy';
+    first.rejectReason = 'unhealthy';
     cell.addWorker(jobCell.workerEntry('two'));
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(1_000);
-    first.refuses = undefined;
+    first.rejectReason = undefined;
     await cell.time.advance(8_000);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
     assert.equal(cell.startsOf('aa').length, 1);
@@ -379,7 +379,7 @@
     cell.workers.delayOrder = () => 0;
     await cell.time.advance(2_000);
     assert.equal(cell.startsOf('aa').length, 0);
-    assert.ok(worker.deadline <= 5_200, `${worker.deadline}`);
+    assert.ok(worker.leaseEndMs <= 5_200, `${worker.leaseEndMs}`);
   });
 });
 
@@ -388,13 +388,13 @@
   // order came: the worker rejects it as stale, because the first one ran.
   test('is not taken for one that never ran when its copy is stale', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 100, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 100, outcome: 'done'}), 'one');
     const scheduler = await cell.begin(1);
     const [worker] = cell.workers.byAddress.values();
-    worker.mute = true;
+    worker.losesAnswers = true;
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(500);
-    worker.mute = false;
+    worker.losesAnswers = false;
     // Orders are answered again; reports get lost for a second more.
     const {workers} = cell;
     const report = workers.hold.bind(workers);
--- a/test/links/platform_link_test.ts
+++ b/test/links/platform_link_test.ts
@@ -95,10 +95,10 @@
       append: 4,
       answer: 'lost',
     };
-    log.fail({losesAcknowledgements: true});
+    log.setFailures({losesAcknowledgements: true});
     assert.deepEqual(await bench.append(), lost);
     assert.equal(log.appendCount(), 1);
-    log.fail({down: true});
+    log.setFailures({down: true});
     assert.deepEqual(await bench.append(), lost);
     assert.equal(log.appendCount(), 1);
     assert.deepEqual(await bench.read(), {kind: 'readFailed', stream: 'a/b'});
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import * as topicFollower from '../../src/links/topic_follower.js';
 import type * as keyedTopic from '../../src/links/keyed_topic.js';
 
@@ -12,7 +12,7 @@
 
 /** Follows a topic that answers as told; notes what is passed on. */
 function following(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
 ): {news: string[]; follower: topicFollower.TopicFollower} {
@@ -49,7 +49,7 @@
 describe('a topic that is followed', () => {
   // Guards against changes that are missed between the first look and the rest.
   test('is read on from where the first look ended', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {news, follower} = following(
       time,
       () => ({kind: 'read', records: [record('a', 3)], end: 4}),
@@ -62,7 +62,7 @@
 
   // Guards against a process that lags for good once history was dropped.
   test('is read anew when its history is gone', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {news, follower} = following(
       time,
       () => ({kind: 'read', records: [], end: 9}),
@@ -76,7 +76,7 @@
   // Guards against a loop without a pause while the store turns reads away, and
   // against a line of log for each of them.
   test('is tried again after a pause when it can not be read', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     let tries = 0;
     const {news, follower} = following(
       time,
@@ -99,7 +99,7 @@
   // Guards against a read that hangs for its whole wait in a store which is
   // back already, so that news of the outage comes seconds late.
   test('is read without a wait until the store answers again', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const waits: number[] = [];
     const isDown = (): boolean => time.now() > 100 && time.now() < 1_000;
     const topic = {
--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -5,7 +5,7 @@
 import * as reportReader from '../../src/links/report_reader.js';
 import * as standInServer from '../../stand_ins/stand_in_server.js';
 import * as wait from '../support/wait.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 import * as workerLink from '../../src/links/worker_link.js';
 import type * as event from '../../src/contracts/event.js';
 import type * as task from '../../src/contracts/task.js';
@@ -85,8 +85,8 @@
   }
 }
 
-function standIn(): worker.StandInWorker {
-  return new worker.StandInWorker({
+function standIn(): standInWorker.StandInWorker {
+  return new standInWorker.StandInWorker({
     name: 'w',
     rack: 'r',
     capacity: CAPACITY,
@@ -100,7 +100,7 @@
     const bench = new Bench(await machine.listen());
     await bench.start('t1', '');
     assert.equal(answerOf(bench), 'started');
-    machine.fail({losesStartAnswers: true});
+    machine.updateFailures({losesStartAnswers: true});
     await bench.start('t2', '');
     assert.equal(answerOf(bench), 'lost');
     machine.close();
--- a/test/operations/configuration_page_test.ts
+++ b/test/operations/configuration_page_test.ts
@@ -29,7 +29,7 @@
       `${heading} lists exactly the keys of the schema; guards against a ` +
         'page that promises other rules or defaults than the program has',
       () => {
-        const expected = configurationPage.rows(schema);
+        const expected = configurationPage.tableRows(schema);
         assert.deepEqual(section(heading), expected);
       },
     );
