--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -10,8 +10,8 @@
 
 /** Tasks take as long as their payload says. */
 const PLAN: workerModel.RunPlan = order => ({
-  runtimeMs: Number(order.payload),
-  how: 'done',
+  runTimeMs: Number(order.payload),
+  outcome: 'done',
 });
 
 /** Hands a job in until it is accepted, as a requester with retries does. */
@@ -26,7 +26,7 @@
   await wait.until(`${id} accepted`, async () => {
     const target = cell.processes[turn % cell.processes.length];
     turn += 1;
-    const {status} = await cell.call(target, 'POST', id, body);
+    const {status} = await cell.callFront(target, 'POST', id, body);
     return status === 200 ? true : undefined;
   });
 }
@@ -39,7 +39,7 @@
   await wait.until(`${id} completed`, async () => {
     const target = cell.processes[turn % cell.processes.length];
     turn += 1;
-    const {body} = await cell.call(target, 'GET', id);
+    const {body} = await cell.callFront(target, 'GET', id);
     return body.state === 'completed' ? true : undefined;
   });
 }
@@ -50,7 +50,10 @@
   body: (cell: platformCell.PlatformCell) => Promise<void>,
 ): () => Promise<void> {
   return async () => {
-    const cell = await platformCell.PlatformCell.start({processes, runs: PLAN});
+    const cell = await platformCell.PlatformCell.start({
+      processCount: processes,
+      runPlan: PLAN,
+    });
     try {
       await body(cell);
     } finally {
@@ -66,10 +69,10 @@
     inCell(3, async cell => {
       await submit(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
       await completed(cell, 'aaaaaaaaaaaaaaa1');
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 6);
-      const unknown = await cell.call(cell.processes[0], 'GET', 'ff');
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 6);
+      const unknown = await cell.callFront(cell.processes[0], 'GET', 'ff');
       assert.equal(unknown.status, 410);
-      const pending = await cell.call(cell.processes[1], 'GET', '');
+      const pending = await cell.callFront(cell.processes[1], 'GET', '');
       assert.deepEqual(pending.body, {pending: 0});
     }),
   );
@@ -87,8 +90,8 @@
       for (const digit of [1, 2, 3]) {
         await completed(cell, `aaaaaaaaaaaaaaa${digit}`);
       }
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 4);
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa2').length, 8);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 4);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa2').length, 8);
     }),
   );
 
@@ -103,11 +106,11 @@
       await submit(cell, 'aaaaaaaaaaaaaaa1', 200, 4);
       paused.child.signal('SIGCONT');
       cell.processes.push(paused);
-      await paused.child.line(/event=termEnded/);
+      await paused.child.waitForLine(/event=termEnded/);
       await submit(cell, 'aaaaaaaaaaaaaaa2', 200, 4);
       await completed(cell, 'aaaaaaaaaaaaaaa1');
       await completed(cell, 'aaaaaaaaaaaaaaa2');
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa').length, 8);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa').length, 8);
     }),
   );
 
@@ -116,13 +119,13 @@
     'answer what is open and exit on SIGTERM',
     inCell(2, async cell => {
       const leader = cell.leader();
-      const open = cell.call(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
+      const open = cell.callFront(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
         spec: '100',
         steps: [{...TASK, count: 1}],
       });
       leader.child.signal('SIGTERM');
       assert.equal((await open).status, 200);
-      assert.equal(await leader.child.ended(), 0);
+      assert.equal(await leader.child.waitForExit(), 0);
       cell.processes.splice(cell.processes.indexOf(leader), 1);
       await completed(cell, 'aaaaaaaaaaaaaaa1');
     }),
@@ -137,14 +140,24 @@
       cell.store.silent = true;
       const body = {spec: '100', steps: [{...TASK, count: 1}]};
       const [first] = cell.processes;
-      const doubtful = await cell.call(first, 'POST', 'aaaaaaaaaaaaaaa2', body);
+      const doubtful = await cell.callFront(
+        first,
+        'POST',
+        'aaaaaaaaaaaaaaa2',
+        body,
+      );
       assert.equal(doubtful.status, 504);
-      const refused = await cell.call(first, 'POST', 'aaaaaaaaaaaaaaa3', body);
+      const refused = await cell.callFront(
+        first,
+        'POST',
+        'aaaaaaaaaaaaaaa3',
+        body,
+      );
       assert.equal(refused.status, 503);
       cell.store.silent = false;
       await completed(cell, 'aaaaaaaaaaaaaaa1');
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 2);
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa3').length, 0);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 2);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa3').length, 0);
     }),
   );
 
@@ -152,10 +165,10 @@
   test(
     'take a new configuration and drop its queues',
     inCell(2, async cell => {
-      cell.configure(2, []);
+      cell.publishConfiguration(2, []);
       for (const target of cell.processes) {
         await wait.until('queue dropped', async () => {
-          const {status} = await cell.call(target, 'GET', '');
+          const {status} = await cell.callFront(target, 'GET', '');
           return status === 404 ? true : undefined;
         });
       }
--- a/test/processes/binary_test.ts
+++ b/test/processes/binary_test.ts
@@ -16,12 +16,14 @@
     try {
       await cell.addWorker();
       const entry = await cell.addEntry(['dist/parsleyknot']);
-      await cell.untilOwner(entry);
-      const identity = await cell.identity(entry);
-      const answer = await cell.untilFinal(entry, identity, {answer: 'cut'});
+      await cell.waitForOwnership(entry);
+      const identity = await cell.reserveIdentity(entry);
+      const answer = await cell.repeatUntilFinal(entry, identity, {
+        answer: 'cut',
+      });
       assert.equal(answer.body['answer'], 'cut', answer.text);
       entry.signal('SIGTERM');
-      assert.equal(await entry.ended(), 0);
+      assert.equal(await entry.waitForExit(), 0);
     } finally {
       await cell.close();
     }
--- a/test/processes/fault_test.ts
+++ b/test/processes/fault_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as entryProcess from '../support/entry_process.js';
+import * as spawnedEntryProcess from '../support/spawned_entry_process.js';
 import * as httpCall from '../support/http_call.js';
 import * as logService from '../../stand_ins/log_service.js';
 import * as processCell from '../support/process_cell.js';
@@ -24,7 +24,7 @@
     const refusing = new logService.LogService();
     const log = await refusing.listen();
     refusing.close();
-    const entry = await entryProcess.EntryProcess.start({
+    const entry = await spawnedEntryProcess.SpawnedEntryProcess.start({
       vm: 'entry-1',
       zone: 'kigali-a',
       region: 'kigali',
@@ -50,13 +50,16 @@
     withCell(async cell => {
       await cell.addWorker();
       const entry = await cell.addEntry();
-      await cell.untilOwner(entry);
+      await cell.waitForOwnership(entry);
       const identities: string[] = [];
       for (let index = 0; index < 40; index += 1) {
-        identities.push(await cell.identity(entry));
+        identities.push(await cell.reserveIdentity(entry));
       }
       const calls = identities.map((identity, index) =>
-        cell.put(entry, identity, {runTimeMs: 400, answer: `of ${index}`}),
+        cell.putRequest(entry, identity, {
+          runTimeMs: 400,
+          answer: `of ${index}`,
+        }),
       );
       // A request that arrives after the signal is refused, and rightly so.
       for (const identity of identities) {
@@ -75,8 +78,8 @@
         assert.equal(answer.body['code'], 0, answer.text);
         assert.equal(answer.body['answer'], `of ${index}`);
       });
-      assert.equal(await entry.ended(), 0);
-      const runs = await cell.runs();
+      assert.equal(await entry.waitForExit(), 0);
+      const runs = await cell.runCounts();
       assert.deepEqual(
         identities.map(identity => runs.get(identity)),
         identities.map(() => 1),
@@ -89,10 +92,10 @@
     withCell(async cell => {
       const machine = await cell.addWorker();
       const entry = await cell.addEntry();
-      await cell.untilOwner(entry);
-      const identity = await cell.identity(entry);
+      await cell.waitForOwnership(entry);
+      const identity = await cell.reserveIdentity(entry);
       const payload = {runTimeMs: 1_000, answer: 'polished'};
-      const call = cell.untilFinal(entry, identity, payload);
+      const call = cell.repeatUntilFinal(entry, identity, payload);
       await wait.until('the task', async () =>
         (await machine.observe())['running'] === 1 ? true : undefined,
       );
@@ -100,7 +103,7 @@
       const answer = await call;
       assert.equal(answer.body['code'], 0, answer.text);
       assert.equal(answer.body['answer'], 'polished');
-      assert.equal((await cell.runs()).get(identity), 1);
+      assert.equal((await cell.runCounts()).get(identity), 1);
     }),
   );
 
@@ -108,13 +111,15 @@
   nodeTest.test('lost answers of the log lose and repeat nothing', () =>
     withCell(async cell => {
       await cell.addWorker();
-      await cell.log.control({losesAcknowledgements: true});
+      await cell.logService.control({losesAcknowledgements: true});
       const entry = await cell.addEntry();
-      await cell.untilOwner(entry);
-      const identity = await cell.identity(entry);
-      const answer = await cell.untilFinal(entry, identity, {answer: 'done'});
+      await cell.waitForOwnership(entry);
+      const identity = await cell.reserveIdentity(entry);
+      const answer = await cell.repeatUntilFinal(entry, identity, {
+        answer: 'done',
+      });
       assert.equal(answer.body['code'], 0, answer.text);
-      assert.equal((await cell.runs()).get(identity), 1);
+      assert.equal((await cell.runCounts()).get(identity), 1);
     }),
   );
 });
--- a/test/processes/operator_commands_test.ts
+++ b/test/processes/operator_commands_test.ts
@@ -1,11 +1,11 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as command from '../support/command.js';
-import * as entryProcess from '../support/entry_process.js';
+import * as spawnedEntryProcess from '../support/spawned_entry_process.js';
 import * as logService from '../../stand_ins/log_service.js';
 import * as vmList from '../../stand_ins/vm_list.js';
 import * as wait from '../support/wait.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 
 const DEPLOYMENT = 'deployments/go_stones';
 const TEAM_FILE = `${DEPLOYMENT}/team/dispatch.toml`;
@@ -16,21 +16,21 @@
 type Printed = Readonly<Record<string, unknown>>;
 
 async function printed(...given: ReadonlyArray<string>): Promise<Printed> {
-  const {output} = await command.run('', ...given, '--json');
+  const {output} = await command.runCommand('', ...given, '--json');
   return JSON.parse(output) as Printed;
 }
 
 /** One worker and one entry process of the deployment's first zone. */
 class Cell {
   readonly log = new logService.LogService();
-  readonly machine = new worker.StandInWorker({
+  readonly machine = new standInWorker.StandInWorker({
     name: 'worker-1',
     rack: 'rack-1',
     capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
     runTimeMs: 10,
   });
   private readonly list = new vmList.VmList();
-  private readonly entries: entryProcess.EntryProcess[] = [];
+  private readonly entries: spawnedEntryProcess.SpawnedEntryProcess[] = [];
   private addresses = {log: '', vmList: ''};
 
   async start(): Promise<string> {
@@ -51,7 +51,7 @@
 
   /** Starts an entry process and returns its address for callers. */
   async addEntry(vm: string): Promise<string> {
-    const entry = await entryProcess.EntryProcess.start({
+    const entry = await spawnedEntryProcess.SpawnedEntryProcess.start({
       vm,
       zone: ZONE,
       region: 'kigali',
@@ -97,10 +97,10 @@
         assert.equal((await printed(...stale))['code'], 6001);
         const wrong = [...publish, 'team/dispatch', FLEET_FILE];
         assert.equal((await printed(...wrong))['code'], 6002);
-        log.fail({losesAcknowledgements: true});
+        log.setFailures({losesAcknowledgements: true});
         const lost = await printed(...publish, 'team/dispatch', TEAM_FILE);
         assert.equal(lost['code'], 0);
-        log.fail({});
+        log.setFailures({});
         const submit = ['submit', ...entry, '--client=dispatch-service'];
         const order = ['--team=dispatch', '--workload=polish-order'];
         const ended = await wait.until('the request runs', async () => {
@@ -128,7 +128,7 @@
         const fleet = ['--document', 'fleet', FLEET_FILE];
         const first = await printed('publish', '--entry', address, ...fleet);
         assert.equal(first['code'], 0);
-        cell.log.fail({down: true});
+        cell.log.setFailures({down: true});
         const second = await cell.addEntry('entry-2');
         const shown = `"fleet":${String(first['version'])}`;
         await wait.until('the document comes from the other', async () => {
--- a/test/processes/succession_test.ts
+++ b/test/processes/succession_test.ts
@@ -2,13 +2,13 @@
 import * as nodeTest from 'node:test';
 import * as processCell from '../support/process_cell.js';
 import * as wait from '../support/wait.js';
-import type * as entryProcess from '../support/entry_process.js';
+import type * as spawnedEntryProcess from '../support/spawned_entry_process.js';
 
 interface Pair {
   readonly cell: processCell.ProcessCell;
   /** Home of the request; fails while the request is in progress. */
-  readonly home: entryProcess.EntryProcess;
-  readonly other: entryProcess.EntryProcess;
+  readonly home: spawnedEntryProcess.SpawnedEntryProcess;
+  readonly other: spawnedEntryProcess.SpawnedEntryProcess;
 }
 
 async function withPair(body: (pair: Pair) => Promise<void>): Promise<void> {
@@ -16,10 +16,10 @@
   try {
     await cell.addWorker();
     const home = await cell.addEntry();
-    await cell.untilOwner(home);
+    await cell.waitForOwnership(home);
     const other = await cell.addEntry();
-    await cell.untilReady(other);
-    await cell.untilKnown(other);
+    await cell.waitForReadiness(other);
+    await cell.waitForMembership(other);
     await body({cell, home, other});
     await cell.assertNotOvercommitted();
   } finally {
@@ -30,8 +30,8 @@
 /** Sends a request to its home and waits until its task runs. */
 async function begin(pair: Pair, payload: unknown): Promise<string> {
   const {cell, home} = pair;
-  const identity = await cell.identity(home);
-  void cell.put(home, identity, payload).catch(() => undefined);
+  const identity = await cell.reserveIdentity(home);
+  void cell.putRequest(home, identity, payload).catch(() => undefined);
   await wait.until('the task', async () =>
     (await cell.workers[0].observe())['running'] === 1 ? true : undefined,
   );
@@ -46,10 +46,10 @@
       const payload = {runTimeMs: 2_000, answer: 'polished'};
       const identity = await begin(pair, payload);
       await home.kill();
-      const answer = await cell.untilFinal(other, identity, payload);
+      const answer = await cell.repeatUntilFinal(other, identity, payload);
       assert.equal(answer.body['code'], 0, answer.text);
       assert.equal(answer.body['answer'], 'polished');
-      assert.equal((await cell.runs()).get(identity), 1);
+      assert.equal((await cell.runCounts()).get(identity), 1);
     }),
   );
 
@@ -60,19 +60,19 @@
       const payload = {runTimeMs: 1_000, answer: 'polished'};
       const identity = await begin(pair, payload);
       home.signal('SIGSTOP');
-      await cell.untilOwner(other);
+      await cell.waitForOwnership(other);
       home.signal('SIGCONT');
-      const answer = await cell.untilFinal(other, identity, payload);
+      const answer = await cell.repeatUntilFinal(other, identity, payload);
       assert.equal(answer.body['code'], 0, answer.text);
       await wait.until(
         'the new incarnation',
         async () => home.lines.filter(line => /event=serving/.test(line))[1],
       );
-      const next = await cell.identity(other);
-      const second = await cell.untilFinal(other, next, {answer: 'next'});
+      const next = await cell.reserveIdentity(other);
+      const second = await cell.repeatUntilFinal(other, next, {answer: 'next'});
       assert.equal(second.body['answer'], 'next', second.text);
-      assert.equal((await cell.runs()).get(identity), 1);
-      assert.equal((await cell.runs()).get(next), 1);
+      assert.equal((await cell.runCounts()).get(identity), 1);
+      assert.equal((await cell.runCounts()).get(next), 1);
     }),
   );
 });
--- a/test/processes/whole_path_test.ts
+++ b/test/processes/whole_path_test.ts
@@ -1,10 +1,10 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as entryProcess from '../support/entry_process.js';
+import * as spawnedEntryProcess from '../support/spawned_entry_process.js';
 import * as logService from '../../stand_ins/log_service.js';
 import * as vmList from '../../stand_ins/vm_list.js';
 import * as wait from '../support/wait.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 
 const TEAM = `
 name = "dispatch"
@@ -48,7 +48,7 @@
     async () => {
       const log = new logService.LogService();
       const list = new vmList.VmList();
-      const machine = new worker.StandInWorker({
+      const machine = new standInWorker.StandInWorker({
         name: 'worker-1',
         rack: 'rack-1',
         capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
@@ -72,7 +72,7 @@
           publication: 'first',
         }),
       ]);
-      const entry = await entryProcess.EntryProcess.start({
+      const entry = await spawnedEntryProcess.SpawnedEntryProcess.start({
         vm: 'entry-1',
         zone: 'kigali-a',
         region: 'kigali',
--- a/test/support/command.ts
+++ b/test/support/command.ts
@@ -9,7 +9,7 @@
 }
 
 /** Runs the program with arguments and a text as its input. */
-export function run(
+export function runCommand(
   input: string,
   ...given: ReadonlyArray<string>
 ): Promise<CommandResult> {
@@ -27,27 +27,27 @@
 }
 
 /** A call that a command made. */
-export interface SeenCall {
+export interface RecordedCall {
   readonly route: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
 }
 
 /** Answers calls in the place of an entry process. */
-export class AnsweringEntry {
-  readonly seen: SeenCall[] = [];
+export class StubEntryServer {
+  readonly calls: RecordedCall[] = [];
   private readonly server: http.Server;
 
   /** `answer` returns the reply, or undefined to close the connection. */
-  constructor(answer: (call: SeenCall, earlier: number) => unknown) {
+  constructor(answer: (call: RecordedCall, earlier: number) => unknown) {
     this.server = http.createServer((incoming, response) => {
       let body = '';
       incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
       incoming.on('end', () => {
         const route = `${incoming.method} ${incoming.url?.split('?')[0]}`;
         const call = {route, headers: incoming.headers, body};
-        const earlier = this.countOf(route);
-        this.seen.push(call);
+        const earlier = this.countCalls(route);
+        this.calls.push(call);
         const reply = answer(call, earlier);
         if (reply === undefined) response.destroy();
         else response.end(JSON.stringify(reply));
@@ -65,7 +65,7 @@
     this.server.closeAllConnections();
   }
 
-  private countOf(route: string): number {
-    return this.seen.filter(call => call.route === route).length;
+  private countCalls(route: string): number {
+    return this.calls.filter(call => call.route === route).length;
   }
 }
--- a/test/support/configuration_page.ts
+++ b/test/support/configuration_page.ts
@@ -1,7 +1,7 @@
 import type * as tomlSchema from '../../src/links/toml_schema.js';
 
 /** Returns the row that docs/configuration.md holds for a key. */
-export function row(path: string, key: tomlSchema.SchemaKey): string {
+export function tableRow(path: string, key: tomlSchema.SchemaKey): string {
   const standard =
     key.default === undefined
       ? 'required'
@@ -10,7 +10,7 @@
 }
 
 /** Returns the rows of a table's keys, those of tables within it as well. */
-export function rows(
+export function tableRows(
   table: tomlSchema.TableRule,
   prefix = '',
 ): ReadonlyArray<string> {
@@ -21,9 +21,9 @@
     const suffix = 'item' in rule ? '[]' : '';
     const nested =
       inner !== undefined && isTable(inner)
-        ? rows(inner, `${path}${suffix}.`)
+        ? tableRows(inner, `${path}${suffix}.`)
         : [];
-    return [row(path, key), ...nested];
+    return [tableRow(path, key), ...nested];
   });
 }
 
--- a/test/support/fake_journal.ts
+++ b/test/support/fake_journal.ts
@@ -1,7 +1,7 @@
 import type * as job from '../../src/jobs/job.js';
 import type * as jobJournal from '../../src/jobs/job_journal.js';
 import type * as jobRecord from '../../src/jobs/job_record.js';
-import type * as timeline from './timeline.js';
+import type * as simulatedClock from './simulated_clock.js';
 
 /** Time for an answer of the store. */
 const ANSWER_MS = 4;
@@ -21,7 +21,7 @@
   private epoch = 0;
   private sequence = 0;
 
-  constructor(private readonly time: timeline.Timeline) {}
+  constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
     await this.time.pause(ANSWER_MS);
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -1,6 +1,6 @@
 import * as workerModel from '../../stand_ins/worker_model.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
-import type * as timeline from './timeline.js';
+import type * as simulatedClock from './simulated_clock.js';
 import type * as workerCalls from '../../src/machines/worker_calls.js';
 
 /** Time from a call to its arrival, and back. */
@@ -19,7 +19,7 @@
   /** Delays one order: returns the time after which it arrives. */
   delayOrder: (address: string) => number = () => 0;
 
-  constructor(private readonly time: timeline.Timeline) {}
+  constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
   /** Adds a worker whose runs go as planned. */
   add(
@@ -62,18 +62,18 @@
     await this.time.pause(ONE_WAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.lose(order.waitMs);
-    const answer = worker.hold(order);
-    if (answer.kind === 'rejected' || worker.hasEnds) {
+    const answer = worker.renewLease(order);
+    if (answer.kind === 'rejected' || worker.hasEndedRuns) {
       await this.time.pause(ONE_WAY_MS);
       return this.answered(entry, worker) ? answer : this.lose(0);
     }
     const until = this.time.now() + order.waitMs;
-    while (this.time.now() < until && !worker.hasEnds) {
+    while (this.time.now() < until && !worker.hasEndedRuns) {
       await this.time.pause(POLL_MS);
     }
     await this.time.pause(ONE_WAY_MS);
     if (!this.answered(entry, worker)) return this.lose(0);
-    return worker.hold({...order, deadlineMs: undefined});
+    return worker.renewLease({...order, deadlineMs: undefined});
   }
 
   private async order(
@@ -82,7 +82,7 @@
   ): Promise<workerCalls.OrderOutcome> {
     const delay = this.delayOrder(entry.address);
     if (delay > 0) {
-      this.time.at(this.time.now() + delay, () => {
+      this.time.runAt(this.time.now() + delay, () => {
         const late = this.byAddress.get(entry.address);
         if (late?.crashed === false) obey(late);
       });
@@ -100,14 +100,14 @@
     entry: remoteWorker.WorkerEntry,
   ): workerModel.WorkerModel | undefined {
     const worker = this.byAddress.get(entry.address);
-    return worker?.cut === false ? worker : undefined;
+    return worker?.partitioned === false ? worker : undefined;
   }
 
   private answered(
     entry: remoteWorker.WorkerEntry,
     worker: workerModel.WorkerModel,
   ): boolean {
-    return this.reachable(entry) === worker && !worker.mute;
+    return this.reachable(entry) === worker && !worker.losesAnswers;
   }
 
   private async lose(
--- a/test/support/http_call.ts
+++ b/test/support/http_call.ts
@@ -1,5 +1,5 @@
 /** An answer with its parsed body. */
-export interface JsonAnswer {
+export interface JsonResponse {
   readonly status: number;
   readonly headers: Headers;
   readonly text: string;
@@ -13,26 +13,26 @@
   path: string,
   body?: unknown,
   headers: Readonly<Record<string, string>> = {},
-): Promise<JsonAnswer> {
+): Promise<JsonResponse> {
   const answer = await fetch(`http://${address}${path}`, {
     method,
     headers: {'x-client': 'workshop-1', ...headers},
-    body: body === undefined ? undefined : asText(body),
+    body: body === undefined ? undefined : toText(body),
   });
   const text = await answer.text();
   return {
     status: answer.status,
     headers: answer.headers,
     text,
-    body: parse(text),
+    body: parseObject(text),
   };
 }
 
-function asText(body: unknown): string {
+function toText(body: unknown): string {
   return typeof body === 'string' ? body : JSON.stringify(body);
 }
 
-function parse(text: string): Readonly<Record<string, unknown>> {
+function parseObject(text: string): Readonly<Record<string, unknown>> {
   try {
     return JSON.parse(text) as Readonly<Record<string, unknown>>;
   } catch {
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -1,7 +1,7 @@
 import * as fakeJournal from './fake_journal.js';
 import * as fakeWorkers from './fake_workers.js';
 import * as scheduler from '../../src/jobs/scheduler.js';
-import * as timeline from './timeline.js';
+import * as simulatedClock from './simulated_clock.js';
 import type * as submissions from '../../src/jobs/submissions.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 import type * as adviceBook from '../../src/jobs/advice_book.js';
@@ -75,13 +75,13 @@
 
 /** All runs take a second and succeed. */
 export const SECOND_LONG: workerModel.RunPlan = () => ({
-  runtimeMs: 1_000,
-  how: 'done',
+  runTimeMs: 1_000,
+  outcome: 'done',
 });
 
 /** Schedulers over fakes of all that is around them, in simulated time. */
 export class JobCell {
-  readonly time = new timeline.Timeline();
+  readonly time = new simulatedClock.SimulatedClock();
   readonly workers = new fakeWorkers.FakeWorkers(this.time);
   readonly journal = new fakeJournal.FakeJournal(this.time);
   readonly superseded: string[] = [];
@@ -133,7 +133,7 @@
         this.superseded.push(reason);
         started.retire();
       },
-      defer: pass => this.time.at(this.time.now(), pass),
+      defer: pass => this.time.runAt(this.time.now(), pass),
     });
     started.configure({
       version: 1,
@@ -143,7 +143,7 @@
       idleTimeoutMs: 1_000,
     });
     started.updateWorkers(this.entries);
-    this.time.every(100, () => started.tick());
+    this.time.runEvery(100, () => started.tick());
     void started.begin();
     await this.time.advance(50);
     return started;
--- a/test/support/process_cell.ts
+++ b/test/support/process_cell.ts
@@ -1,5 +1,5 @@
 import * as assert from 'node:assert/strict';
-import * as entryProcess from './entry_process.js';
+import * as spawnedEntryProcess from './spawned_entry_process.js';
 import * as httpCall from './http_call.js';
 import * as standInProcess from './stand_in_process.js';
 import * as wait from './wait.js';
@@ -39,16 +39,16 @@
 `;
 }
 
-type Answer = httpCall.JsonAnswer;
+type Answer = httpCall.JsonResponse;
 
 /** One availability zone of entry processes and stand-ins, all processes. */
 export class ProcessCell {
   readonly workers: standInProcess.StandInProcess[] = [];
-  readonly entries: entryProcess.EntryProcess[] = [];
+  readonly entries: spawnedEntryProcess.SpawnedEntryProcess[] = [];
 
   private constructor(
-    readonly log: standInProcess.StandInProcess,
-    readonly list: standInProcess.StandInProcess,
+    readonly logService: standInProcess.StandInProcess,
+    readonly vmList: standInProcess.StandInProcess,
   ) {}
 
   /** Starts the log and the list and publishes a team. */
@@ -77,34 +77,36 @@
     ]);
     this.workers.push(added);
     const row = {vm: name, role: 'worker', zone: ZONE, state: 'live'};
-    await this.list.control({put: {...row, address: added.address}});
+    await this.vmList.control({put: {...row, address: added.address}});
     return added;
   }
 
   /** Starts an entry process and lists its VM. */
   async addEntry(
     program?: ReadonlyArray<string>,
-  ): Promise<entryProcess.EntryProcess> {
+  ): Promise<spawnedEntryProcess.SpawnedEntryProcess> {
     const vm = `entry-${this.entries.length + 1}`;
-    const added = await entryProcess.EntryProcess.start(
+    const added = await spawnedEntryProcess.SpawnedEntryProcess.start(
       {
         vm,
         zone: ZONE,
         region: 'kigali',
-        log: this.log.address,
-        vmList: this.list.address,
+        log: this.logService.address,
+        vmList: this.vmList.address,
       },
       program,
     );
     this.entries.push(added);
     const row = {vm, role: 'entry', zone: ZONE, state: 'live'};
-    await this.list.control({put: {...row, address: added.peerAddress}});
+    await this.vmList.control({put: {...row, address: added.peerAddress}});
     return added;
   }
 
   /** Waits until an entry process is ready and owns workers. */
-  async untilOwner(entry: entryProcess.EntryProcess): Promise<void> {
-    await wait.until(`workers of ${entry.process}`, async () => {
+  async waitForOwnership(
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
+  ): Promise<void> {
+    await wait.until(`workers of ${entry.incarnation}`, async () => {
       const content = await this.status(entry);
       const owned = content['ownedWorkers'] as ReadonlyArray<string>;
       return owned.length > 0 && content['ready'] === true ? true : undefined;
@@ -112,8 +114,10 @@
   }
 
   /** Waits until one process knows that others count it as a member. */
-  async untilKnown(entry: entryProcess.EntryProcess): Promise<void> {
-    await wait.until(`members know ${entry.process}`, async () => {
+  async waitForMembership(
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
+  ): Promise<void> {
+    await wait.until(`members know ${entry.incarnation}`, async () => {
       const content = await this.status(entry);
       const members = content['members'] as ReadonlyArray<{
         readonly knowsSelf: boolean;
@@ -124,15 +128,19 @@
   }
 
   /** Waits until an entry process says that it is ready. */
-  async untilReady(entry: entryProcess.EntryProcess): Promise<void> {
-    await wait.until(`readiness of ${entry.process}`, async () => {
+  async waitForReadiness(
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
+  ): Promise<void> {
+    await wait.until(`readiness of ${entry.incarnation}`, async () => {
       const answer = await httpCall.callJson(entry.address, 'GET', '/ready');
       return answer.status === 200 ? true : undefined;
     });
   }
 
   /** Reserves an identity. */
-  async identity(entry: entryProcess.EntryProcess): Promise<string> {
+  async reserveIdentity(
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
+  ): Promise<string> {
     const answer = await httpCall.callJson(
       entry.address,
       'POST',
@@ -144,8 +152,8 @@
   }
 
   /** Sends a request under its identity; may be repeated. */
-  put(
-    entry: entryProcess.EntryProcess,
+  putRequest(
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
     identity: string,
     payload: unknown,
     waitSeconds = 20,
@@ -163,13 +171,13 @@
   }
 
   /** Repeats a request as a careful client would, until its final code. */
-  untilFinal(
-    entry: entryProcess.EntryProcess,
+  repeatUntilFinal(
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
     identity: string,
     payload: unknown,
   ): Promise<Answer> {
     return wait.until(`the end of ${identity}`, async () => {
-      const answer = await this.put(entry, identity, payload, 5).catch(
+      const answer = await this.putRequest(entry, identity, payload, 5).catch(
         () => undefined,
       );
       const code = answer?.body['code'];
@@ -179,7 +187,7 @@
   }
 
   /** How often each request ran, over all workers. */
-  async runs(): Promise<ReadonlyMap<string, number>> {
+  async runCounts(): Promise<ReadonlyMap<string, number>> {
     const runs = new Map<string, number>();
     for (const machine of this.workers) {
       const seen = (await machine.observe())['runs'] as Record<string, number>;
@@ -199,12 +207,17 @@
 
   /** Ends all processes. */
   async close(): Promise<void> {
-    const all = [...this.entries, ...this.workers, this.list, this.log];
+    const all = [
+      ...this.entries,
+      ...this.workers,
+      this.vmList,
+      this.logService,
+    ];
     await Promise.all(all.map(item => item.kill()));
   }
 
   private async status(
-    entry: entryProcess.EntryProcess,
+    entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<Readonly<Record<string, unknown>>> {
     const {address} = entry;
     const answer = await httpCall.callJson(address, 'GET', '/v1/status');
@@ -221,6 +234,8 @@
       publication,
     };
     const records = [JSON.stringify(record)];
-    return this.log.control({append: {stream: 'configuration', records}});
+    return this.logService.control({
+      append: {stream: 'configuration', records},
+    });
   }
 }
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -75,8 +75,8 @@
   async run(): Promise<RandomOutcome> {
     for (let index = 0; index < WORKERS; index += 1) this.addWorker(index);
     // Workers end what is over without being asked.
-    this.cell.time.every(EXPIRY_MS, () => {
-      for (const model of this.models) model.expire();
+    this.cell.time.runEvery(EXPIRY_MS, () => {
+      for (const model of this.models) model.endDueRuns();
     });
     await this.succeed();
     while (this.cell.time.now() < EVENTFUL_MS) {
@@ -111,7 +111,7 @@
     if (this.chance(150)) this.crashWorker();
     if (this.chance(100)) {
       cell.journal.down = true;
-      cell.time.at(cell.time.now() + this.random.below(3_000), () => {
+      cell.time.runAt(cell.time.now() + this.random.below(3_000), () => {
         cell.journal.down = false;
       });
     }
@@ -162,8 +162,8 @@
     const {leastMs, spreadMs} = this.runtimes;
     const runtimeMs = (): number => leastMs + this.random.below(spreadMs);
     const model = this.cell.addWorker(entry, () => ({
-      runtimeMs: runtimeMs(),
-      how: this.chance(60) ? 'failed' : 'done',
+      runTimeMs: runtimeMs(),
+      outcome: this.chance(60) ? 'failed' : 'done',
     }));
     this.models[index] = model;
     this.leader?.scheduler.updateWorkers(this.cell.entries);
@@ -172,12 +172,12 @@
   private cutWorker(): void {
     const model = this.models[this.random.below(WORKERS)];
     const mute = this.chance(2);
-    if (mute) model.mute = true;
-    else model.cut = true;
+    if (mute) model.losesAnswers = true;
+    else model.partitioned = true;
     const {time} = this.cell;
-    time.at(time.now() + this.random.below(9_000), () => {
-      model.cut = model.crashed;
-      model.mute = false;
+    time.runAt(time.now() + this.random.below(9_000), () => {
+      model.partitioned = model.crashed;
+      model.losesAnswers = false;
     });
   }
 
@@ -194,8 +194,8 @@
     this.cell.journal.lostAnswers = 0;
     this.cell.workers.delayOrder = () => 0;
     for (const model of this.models) {
-      model.cut = false;
-      model.mute = false;
+      model.partitioned = false;
+      model.losesAnswers = false;
     }
     await this.succeed();
   }
@@ -209,7 +209,7 @@
   }
 
   private checkCapacity(model: workerModel.WorkerModel): void {
-    const used = model.used(task => this.sizeOf(task));
+    const used = model.usedCapacity(task => this.sizeOf(task));
     if (resources.fits(used, model.entry.capacity)) return;
     const at = Math.round(this.cell.time.now());
     this.broken.push(`over capacity: ${model.entry.id} at ${at}`);
@@ -229,7 +229,7 @@
       running.delete(run);
       return;
     }
-    const at = `${event.task} run ${event.run} on ${event.worker} at ${Math.round(event.at)}`;
+    const at = `${event.task} run ${event.run} on ${event.worker} at ${Math.round(event.atMs)}`;
     if (running.size > 0) {
       this.broken.push(`twice: ${at}, beside ${[...running].join(' ')}`);
     }
--- a/test/support/entry_process.ts
+++ b/test/support/spawned_entry_process.ts
@@ -1,7 +1,7 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as childProcess from '../../stand_ins/child_process.js';
+import * as spawnedProcess from '../../stand_ins/spawned_process.js';
 
 /** Settings of one entry process that a test starts. */
 export interface EntryOptions {
@@ -13,26 +13,29 @@
 }
 
 /** The program as the compiler leaves it. */
-const COMPILED: ReadonlyArray<string> = [process.execPath, 'build/src/main.js'];
+const COMPILED_PROGRAM: ReadonlyArray<string> = [
+  process.execPath,
+  'build/src/main.js',
+];
 
 /** An entry process that runs apart from the test. */
-export class EntryProcess {
+export class SpawnedEntryProcess {
   private constructor(
-    private readonly child: childProcess.ChildProcess,
+    private readonly child: spawnedProcess.SpawnedProcess,
     private readonly folder: string,
     /** Address for callers. */
     readonly address: string,
     /** Address for other entry processes. */
     readonly peerAddress: string,
     /** Name of this incarnation. */
-    readonly process: string,
+    readonly incarnation: string,
   ) {}
 
   /** Starts a process and waits until it says that it serves. */
   static async start(
     options: EntryOptions,
-    program = COMPILED,
-  ): Promise<EntryProcess> {
+    program = COMPILED_PROGRAM,
+  ): Promise<SpawnedEntryProcess> {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'entry-'));
     const config = path.join(folder, 'settings.toml');
     const settings = {...options, host: '127.0.0.1'};
@@ -42,17 +45,17 @@
     lines.push('callerPort = 0', 'peerPort = 0');
     fs.writeFileSync(config, `${lines.join('\n')}\n`);
     const [command, ...before] = program;
-    const child = new childProcess.ChildProcess(command, [
+    const child = new spawnedProcess.SpawnedProcess(command, [
       ...before,
       'serve',
       '--config',
       config,
     ]);
-    const line = await child.line(/event=serving/);
+    const line = await child.waitForLine(/event=serving/);
     const port = /\bport=(\d+)/.exec(line)?.[1] ?? '';
     const peerPort = /\bpeerPort=(\d+)/.exec(line)?.[1] ?? '';
     const name = /process=(\S+)/.exec(line)?.[1] ?? '';
-    return new EntryProcess(
+    return new SpawnedEntryProcess(
       child,
       folder,
       `127.0.0.1:${port}`,
@@ -77,8 +80,8 @@
   }
 
   /** Resolves with the exit code. */
-  ended(): Promise<number | null> {
-    return this.child.ended();
+  waitForExit(): Promise<number | null> {
+    return this.child.waitForExit();
   }
 
   /** Ends the process at once. */
--- a/test/support/stand_in_process.ts
+++ b/test/support/stand_in_process.ts
@@ -1,10 +1,10 @@
-import * as childProcess from '../../stand_ins/child_process.js';
+import * as spawnedProcess from '../../stand_ins/spawned_process.js';
 import * as httpCall from './http_call.js';
 
 /** A stand-in that runs as a process of its own. */
 export class StandInProcess {
   private constructor(
-    private readonly child: childProcess.ChildProcess,
+    private readonly child: spawnedProcess.SpawnedProcess,
     /** Where it listens. */
     readonly address: string,
   ) {}
@@ -14,11 +14,11 @@
     name: string,
     commandArguments: ReadonlyArray<string> = [],
   ): Promise<StandInProcess> {
-    const child = new childProcess.ChildProcess(process.execPath, [
+    const child = new spawnedProcess.SpawnedProcess(process.execPath, [
       `build/stand_ins/${name}_main.js`,
       ...commandArguments,
     ]);
-    const line = await child.line(/event=listening/);
+    const line = await child.waitForLine(/event=listening/);
     const address = /address=(\S+)/.exec(line)?.[1] ?? '';
     return new StandInProcess(child, address);
   }
--- a/test/zones/cell_configuration_test.ts
+++ b/test/zones/cell_configuration_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as cellConfiguration from '../../src/zones/cell_configuration.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 import type * as job from '../../src/jobs/job.js';
 
@@ -31,7 +31,7 @@
 
 /** A holder whose only other member holds `others`. */
 function holderBeside(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   others: job.CellConfiguration,
 ): {holder: cellConfiguration.CellConfiguration; taken: number[]} {
   const taken: number[] = [];
@@ -50,7 +50,7 @@
 describe('the configuration of a member', () => {
   // Guards against an old configuration in force behind a cut from the store.
   test('is fetched from another member that holds a newer one', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {holder, taken} = holderBeside(time, configurationOf(7));
     holder.read(configurationOf(6));
     holder.compare('other:1', answerWith(7, 100));
@@ -61,7 +61,7 @@
 
   // Guards against a return to an older configuration by a late read.
   test('never goes back', () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {holder, taken} = holderBeside(time, configurationOf(7));
     holder.read(configurationOf(7));
     holder.read(configurationOf(6));
@@ -72,7 +72,7 @@
   // Guards against 503 from a member that others keep up to date, and against
   // answers by a configuration of which nobody has heard for long.
   test('is as old as the newest confirmation', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {holder} = holderBeside(time, configurationOf(6));
     assert.equal(holder.ageMs, Infinity);
     holder.read(configurationOf(6));
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as cellGateway from '../../src/zones/cell_gateway.js';
 import * as jobCell from '../support/job_cell.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 import type * as submissions from '../../src/jobs/submissions.js';
 
@@ -12,7 +12,7 @@
 
 /** A member that leads nothing and passes calls on to one that does. */
 function gatewayWith(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   submit: (address: string) => Promise<Answer>,
   leader = 'leader:1',
 ): cellGateway.CellGateway {
@@ -35,7 +35,7 @@
 }
 
 async function resultOf(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   gateway: cellGateway.CellGateway,
 ): Promise<Result> {
   const result: Result = {kind: 'none', value: undefined, at: 0};
@@ -51,7 +51,7 @@
 describe('a call that only the scheduler can answer', () => {
   // Guards against refusals during a succession that is over in a second.
   test('waits for the next scheduler', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () =>
       time.now() < 1_200
         ? {kind: 'notLeading'}
@@ -64,7 +64,7 @@
 
   // Guards against callers that are held until their deadline in vain.
   test('is refused after two seconds when it reached nobody', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({kind: 'refused'}));
     const outcome = await resultOf(time, gateway);
     assert.equal(outcome.kind, 'noScheduler');
@@ -73,7 +73,7 @@
 
   // Guards against "not accepted" for a job that may be accepted.
   test('is never refused once it may have arrived', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => {
       await time.pause(300);
       return time.now() < 500
@@ -94,7 +94,7 @@
   // The load pattern: the store is silent for a second and callers have three.
   // Guards against refusals that use up their tries before it is back.
   test('waits out a short silence of the store', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: time.now() < 1_000 ? SILENT : {kind: 'accepted'},
@@ -106,7 +106,7 @@
 
   // Guards against callers that are held until they have no time left.
   test('is refused with half of its time left while the store is silent', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: SILENT,
@@ -118,7 +118,7 @@
 
   // Guards against calls that are held for a store which is gone for long.
   test('is refused at once when the store has been silent for long', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: {...SILENT, reason: 'storeLost'},
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -3,7 +3,7 @@
 import * as cellNode from '../../src/zones/cell_node.js';
 import * as fakeJournal from '../support/fake_journal.js';
 import * as fakeWorkers from '../support/fake_workers.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 
@@ -52,7 +52,7 @@
 /** A member whose claims win. */
 function nodeIn(
   scene: Scene,
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   name: string,
 ): cellNode.CellNode {
   const peers = {
@@ -80,7 +80,7 @@
     pauses: time,
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
-    defer: pass => time.at(time.now(), pass),
+    defer: pass => time.runAt(time.now(), pass),
   });
 }
 
@@ -88,7 +88,7 @@
   // Guards against members whose reads of the log hang in a store that has just
   // come back: they would pass calls on to the old scheduler for seconds.
   test('tells all others at once', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const shown = new Map<string, number | undefined>();
     const scene: Scene = {
       answer: (address, greeting) => {
@@ -115,7 +115,7 @@
   // Guards against a change of the scheduler just after an outage by a member
   // that pings rarely: what it heard last is from before the store was back.
   test('asks the scheduler once more before it claims', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const [leader] = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = leader;
     const claim = {term: 3, node, incarnation, address};
@@ -128,7 +128,7 @@
     const last = nodeIn(scene, time, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     last.logRead(members, claim, 3);
-    time.every(100, () => {
+    time.runEvery(100, () => {
       last.tick();
       // The store answers this member again, with nothing new.
       if (time.now() >= backAt) last.logRead([], undefined, 3);
@@ -141,7 +141,7 @@
 describe('a member that pings the scheduler rarely', () => {
   // Guards against a change of the scheduler after one lost ping.
   test('asks it once more before it claims', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = members[0];
     const claim = {term: 3, node, incarnation, address};
@@ -155,7 +155,7 @@
     };
     const last = nodeIn(scene, time, 'zed');
     last.logRead(members, claim, 3);
-    time.every(100, () => last.tick());
+    time.runEvery(100, () => last.tick());
     await time.advance(4_000);
     assert.equal(scene.claims, 0);
   });
