--- a/test/jobs/advice_balancer_test.ts
+++ b/test/jobs/advice_balancer_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as adviceBalancer from '../../src/jobs/advice_balancer.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as adviceCache from '../../src/jobs/advice_cache.js';
 
 const {describe, test} = nodeTest;
@@ -11,7 +11,7 @@
 const SHORT_MS = 50;
 
 function createBalancer(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   asked: string[],
   answer: (address: string) => adviceCache.AdviceOutcome = () => ({
     kind: 'advised',
@@ -33,7 +33,7 @@
   // Load: more long calls than the service can handle. Guards against short
   // calls that queue behind them.
   test('reserves an endpoint for short calls', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const asked: string[] = [];
     const balancer = createBalancer(time, asked);
     const outcomes: string[] = [];
@@ -52,7 +52,7 @@
   // Load: back-to-back long calls. Guards against a service that is idle for a
   // round trip between an answer and the next call.
   test('sends the next call shortly before an endpoint is idle', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const balancer = createBalancer(time, []);
     for (let index = 0; index < 3; index += 1) {
       void balancer.ask('long', [], LONG_MS);
@@ -66,7 +66,7 @@
   // Guards against sending all calls to a VM that can't reach the service:
   // after its calls have failed it looks idle.
   test('skips an endpoint that did not answer', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const asked: string[] = [];
     const balancer = createBalancer(time, asked, address =>
       address === 'a'
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -67,7 +67,7 @@
   test('fails once a task has used up its attempts', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(
-      () => ({runtimeMs: 100, how: 'failed'}),
+      () => ({runTimeMs: 100, outcome: 'failed'}),
       'one',
       'two',
       'three',
@@ -82,7 +82,7 @@
   // Guards against a cancelled job whose tasks keep running.
   test('stops its tasks when it is cancelled', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {count: 3}));
     await cell.time.advance(500);
@@ -169,7 +169,7 @@
   // Guards against losing the work of runs because the store is unavailable.
   test('keeps runs going and completes them once the store answers', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 8_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 8_000, outcome: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(200);
@@ -189,14 +189,14 @@
   unreachable: workerModel.WorkerModel;
 }> {
   const cell = new jobCell.JobCell();
-  cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
+  cell.addWorkers(() => ({runTimeMs: 30_000, outcome: 'done'}), 'one');
   const first = await cell.startTerm(1);
   jobCell.submit(first, jobCell.jobOf('aa', {}));
   await cell.time.advance(300);
   first.retire();
   const unreachable = cell.workers.byAddress.get('one:1');
   assert.ok(unreachable);
-  unreachable.cut = true;
+  unreachable.partitioned = true;
   cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
   return {cell, unreachable};
 }
@@ -237,7 +237,7 @@
     await cell.time.advance(300);
     const left = cell.workers.byAddress.get('two:1');
     assert.ok(left);
-    left.cut = true;
+    left.partitioned = true;
     cell.entries = cell.entries.slice(0, 1);
     first.updateWorkers(cell.entries);
     await cell.time.advance(20_000);
@@ -257,7 +257,7 @@
   // can't be reached: only the jobs that ran there have to wait.
   test('blocks only the jobs that ran on a drained worker', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 30_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 30_000, outcome: 'done'}), 'one');
     const first = await cell.startTerm(1);
     jobCell.submit(first, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
@@ -269,7 +269,7 @@
     first.retire();
     const left = cell.workers.byAddress.get('one:1');
     assert.ok(left);
-    left.cut = true;
+    left.partitioned = true;
     cell.entries = [];
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     await cell.startTerm(2);
@@ -311,13 +311,13 @@
   // failed renewal extended the assumed end of its lease.
   test('loses its tasks to another worker once its lease has expired', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 20_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 20_000, outcome: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
     const gone = cell.workers.byAddress.get('one:1');
     assert.ok(gone);
-    gone.cut = true;
+    gone.partitioned = true;
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(4_000);
@@ -357,11 +357,11 @@
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
     cell.workers.commandDelayMs = () => 0;
-    first.refuses = 'unhealthy';
+    first.rejectReason = 'unhealthy';
     cell.addWorker(jobCell.workerEntry('two'));
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(1_000);
-    first.refuses = undefined;
+    first.rejectReason = undefined;
     await cell.time.advance(8_000);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
     assert.equal(cell.startsOf('aa').length, 1);
@@ -380,7 +380,7 @@
     cell.workers.commandDelayMs = () => 0;
     await cell.time.advance(2_000);
     assert.equal(cell.startsOf('aa').length, 0);
-    assert.ok(worker.deadline <= 5_200, `${worker.deadline}`);
+    assert.ok(worker.leaseEndMs <= 5_200, `${worker.leaseEndMs}`);
   });
 });
 
@@ -389,13 +389,13 @@
   // arrived: the worker rejects the retry as stale, because the first one ran.
   test('counts as carried out when its retry is rejected as stale', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 100, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 100, outcome: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
     const [worker] = cell.workers.byAddress.values();
-    worker.mute = true;
+    worker.losesAnswers = true;
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(500);
-    worker.mute = false;
+    worker.losesAnswers = false;
     // Orders are answered again; reports are lost for one more second.
     const {workers} = cell;
     const report = workers.renewLeases.bind(workers);
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -21,9 +21,9 @@
 /** Six seconds for jobs whose id starts with `b`, else one second. */
 const RUNTIME_BY_JOB = (order: {
   task: string;
-}): {runtimeMs: number; how: 'done'} => ({
-  runtimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
-  how: 'done',
+}): {runTimeMs: number; outcome: 'done'} => ({
+  runTimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
+  outcome: 'done',
 });
 
 describe('preemption', () => {
@@ -40,7 +40,7 @@
     await cell.time.advance(500);
     assert.equal(cell.startsOf('a1').length, 3);
     const stopped = cell.workers.events.filter(
-      event => event.kind === 'ended' && event.how === 'stopped',
+      event => event.kind === 'ended' && event.outcome === 'stopped',
     );
     assert.equal(stopped.length, 3, 'no more runs than the tasks need');
   });
@@ -176,7 +176,7 @@
   test('gets no more work after two jobs failed on it', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
-    cell.addWorkers(() => ({runtimeMs: 20, how: 'failed'}), 'hole');
+    cell.addWorkers(() => ({runTimeMs: 20, outcome: 'failed'}), 'hole');
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two', 'three');
     const scheduler = await cell.startTerm(1);
     for (let index = 0; index < 8; index += 1) {
@@ -187,7 +187,7 @@
       assert.equal(scheduler.stateOf('orders', `a${index}`), 'completed');
     }
     const failures = cell.workers.events.filter(
-      event => event.how === 'failed',
+      event => event.outcome === 'failed',
     );
     assert.ok(failures.length <= 6, `${failures.length} runs failed`);
   });
@@ -217,7 +217,7 @@
   // attempts must not apply to it.
   test('is restarted after every failure', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 400, how: 'failed'}), 'one', 'two');
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'failed'}), 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(12_000);
@@ -231,12 +231,12 @@
   // left has expired.
   test('hands over its long-running tasks before it leaves', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'one');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(1_500);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'two');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(600);
     const starts = cell.startsOf('a1');
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -1,6 +1,6 @@
 import * as workerModel from '../../stand_ins/worker_model.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
-import type * as timeline from './timeline.js';
+import type * as simulatedClock from './simulated_clock.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 
 /** Network delay of each direction. */
@@ -19,7 +19,7 @@
   /** Returns the delay of an order; the answer of a delayed one is lost. */
   commandDelayMs: (address: string) => number = () => 0;
 
-  constructor(private readonly time: timeline.Timeline) {}
+  constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
   /** Adds a worker whose runs follow `plan`. */
   add(
@@ -62,18 +62,18 @@
     await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.timeOut(order.waitMs);
-    const answer = worker.hold(order);
-    if (answer.kind === 'rejected' || worker.hasEnds) {
+    const answer = worker.renewLease(order);
+    if (answer.kind === 'rejected' || worker.hasEndedRuns) {
       await this.time.pause(ONE_WAY_DELAY_MS);
       return this.canAnswer(entry, worker) ? answer : this.timeOut(0);
     }
     const until = this.time.now() + order.waitMs;
-    while (this.time.now() < until && !worker.hasEnds) {
+    while (this.time.now() < until && !worker.hasEndedRuns) {
       await this.time.pause(POLL_INTERVAL_MS);
     }
     await this.time.pause(ONE_WAY_DELAY_MS);
     if (!this.canAnswer(entry, worker)) return this.timeOut(0);
-    return worker.hold({...order, deadlineMs: undefined});
+    return worker.renewLease({...order, deadlineMs: undefined});
   }
 
   private async deliver(
@@ -82,7 +82,7 @@
   ): Promise<workerClient.CommandOutcome> {
     const delayMs = this.commandDelayMs(entry.address);
     if (delayMs > 0) {
-      this.time.at(this.time.now() + delayMs, () => {
+      this.time.runAt(this.time.now() + delayMs, () => {
         const late = this.byAddress.get(entry.address);
         if (late?.crashed === false) handle(late);
       });
@@ -100,14 +100,14 @@
     entry: remoteWorker.RegistryEntry,
   ): workerModel.WorkerModel | undefined {
     const worker = this.byAddress.get(entry.address);
-    return worker?.cut === false ? worker : undefined;
+    return worker?.partitioned === false ? worker : undefined;
   }
 
   private canAnswer(
     entry: remoteWorker.RegistryEntry,
     worker: workerModel.WorkerModel,
   ): boolean {
-    return this.reachable(entry) === worker && !worker.mute;
+    return this.reachable(entry) === worker && !worker.losesAnswers;
   }
 
   private async timeOut(
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -1,7 +1,7 @@
 import * as fakeJournalStore from './fake_journal_store.js';
 import * as fakeWorkers from './fake_workers.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
-import * as timeline from './timeline.js';
+import * as simulatedClock from './simulated_clock.js';
 import type * as jobAdmission from '../../src/jobs/job_admission.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 import type * as adviceCache from '../../src/jobs/advice_cache.js';
@@ -75,13 +75,13 @@
 
 /** Plan by which each run takes a second and succeeds. */
 export const ONE_SECOND_RUNS: workerModel.RunPlan = () => ({
-  runtimeMs: 1_000,
-  how: 'done',
+  runTimeMs: 1_000,
+  outcome: 'done',
 });
 
 /** Job schedulers with fakes of their dependencies, in simulated time. */
 export class JobCell {
-  readonly time = new timeline.Timeline();
+  readonly time = new simulatedClock.SimulatedClock();
   readonly workers = new fakeWorkers.FakeWorkers(this.time);
   readonly journal = new fakeJournalStore.FakeJournalStore(this.time);
   readonly superseded: string[] = [];
@@ -133,7 +133,7 @@
         this.superseded.push(reason);
         newScheduler.retire();
       },
-      defer: pass => this.time.at(this.time.now(), pass),
+      defer: pass => this.time.runAt(this.time.now(), pass),
     });
     newScheduler.configure({
       version: 1,
@@ -143,7 +143,7 @@
       idleTimeoutMs: 1_000,
     });
     newScheduler.updateWorkers(this.entries);
-    this.time.every(100, () => newScheduler.tick());
+    this.time.runEvery(100, () => newScheduler.tick());
     void newScheduler.begin();
     await this.time.advance(50);
     return newScheduler;
