--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -49,7 +49,7 @@
   return timing.decideMs + timing.eachMs * MAXIMUM_WORKERS_PER_CALL;
 }
 
-/** Part of a ticket's validity kept for the start order to arrive. */
+/** Part of a ticket's validity kept for the start command to arrive. */
 const TICKET_VALIDITY_MARGIN_MS = 150;
 
 /** Pause for a step after a call that returned no advice. */
@@ -144,21 +144,21 @@
   }
 
   /**
-   * Requests tickets if the client has capacity. Workers with room are named
+   * Requests tickets if the client has capacity. Eligible workers are named
    * first. The others are named as well, because most of a call's time does not
-   * depend on how many it names, and they may get room while the tickets are
-   * valid.
+   * depend on how many it names, and they may get free capacity while the
+   * tickets are valid.
    */
   request(
     step: stepInstance.StepInstance,
     timing: job.AdviceTiming,
-    withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
+    eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): void {
-    if (withRoom.length === 0) return;
+    if (eligible.length === 0) return;
     const now = this.clock.now();
     const advice = this.adviceOf(step);
-    const named = this.selectWorkers(step, withRoom, others);
+    const named = this.selectWorkers(step, eligible, others);
     const expectedMs = timing.decideMs + timing.eachMs * named.length;
     if (!this.client.accepts(expectedMs)) return;
     advice.callInFlight = true;
@@ -177,7 +177,7 @@
   /** Returns the workers to name, those known to be permitted first. */
   private selectWorkers(
     step: stepInstance.StepInstance,
-    withRoom: ReadonlyArray<remoteWorker.RemoteWorker>,
+    eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
     const isPermitted = (worker: remoteWorker.RemoteWorker): boolean =>
@@ -185,8 +185,8 @@
     const isUnknown = (worker: remoteWorker.RemoteWorker): boolean =>
       this.mayRun(step, worker) === undefined;
     return [
-      ...withRoom.filter(isPermitted),
-      ...withRoom.filter(isUnknown),
+      ...eligible.filter(isPermitted),
+      ...eligible.filter(isUnknown),
       ...others.filter(isPermitted),
       ...others.filter(isUnknown),
     ].slice(0, MAXIMUM_WORKERS_PER_CALL);
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -5,9 +5,9 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerClient from '../machines/worker_client.js';
 
-/** Receives the outcomes of orders. */
+/** Receives the outcomes of commands. */
 export interface DispatchListener {
-  /** A worker rejected an order because it follows a later term. */
+  /** A worker rejected a command because it follows a later term. */
   termSuperseded(): void;
   /** Another incarnation answered at the worker's address. */
   workerReplaced(worker: remoteWorker.RemoteWorker): void;
@@ -17,10 +17,10 @@
     reason: workerClient.RejectionReason,
   ): void;
   /** The worker confirmed a start. */
-  started(assignment: jobTask.Assignment): void;
+  startConfirmed(assignment: jobTask.Assignment): void;
 }
 
-/** Time after which an unanswered order is sent again. */
+/** Time after which an unanswered command is sent again. */
 const COMMAND_RETRY_INTERVAL_MS = 400;
 
 /** Retries of a start that are sent without a delay. */
@@ -29,7 +29,7 @@
 /** Age at which an unanswered start is no longer retried but stopped. */
 const START_TIMEOUT_MS = 2_000;
 
-/** Sends start and stop orders and retries each until its outcome is known. */
+/** Sends start and stop commands, each until its outcome is known. */
 export class Dispatcher {
   constructor(
     private readonly workerClient: workerClient.WorkerClient,
@@ -64,7 +64,7 @@
     this.sendStop(assignment);
   }
 
-  /** Retries unanswered orders that are due. */
+  /** Retries unanswered commands that are due. */
   retryCommands(): void {
     const now = this.clock.now();
     for (const assignment of this.index.all()) {
@@ -97,7 +97,7 @@
 
   private sendStart(assignment: jobTask.Assignment): void {
     const {jobTask: task, worker, run, ticket} = assignment;
-    // The run may have been released since its last order.
+    // The run may have been released since its last command.
     if (!this.mayGrantLeases() || !this.index.runsOn(worker).has(assignment)) {
       return;
     }
@@ -130,7 +130,7 @@
     }
     if (outcome.kind === 'done') {
       if (assignment.phase === 'starting') assignment.phase = 'running';
-      this.listener.started(assignment);
+      this.listener.startConfirmed(assignment);
       return;
     }
     switch (outcome.reason) {
@@ -149,7 +149,7 @@
     assignment: jobTask.Assignment,
     reason: workerClient.RejectionReason,
   ): void {
-    // The worker carried out an earlier copy of the order.
+    // The worker carried out an earlier copy of the command.
     if (assignment.reported) return;
     // An unanswered earlier copy may have run, even to its end, or may still be
     // carried out. The worker's report after a stop shows which.
--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -5,7 +5,7 @@
 
 /**
  * Selects workers for all tasks of a gang; undefined unless all fit. A step
- * with `sameRack` is placed on one rack if a rack has room for all its tasks.
+ * with `sameRack` is placed on one rack if all its tasks fit on one.
  */
 export function planGang(
   step: stepInstance.StepInstance,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -193,7 +193,7 @@
     return false;
   }
 
-  /** Ends the term: sends no more orders and stores no more changes. */
+  /** Ends the term: sends no more commands and stores no more changes. */
   retire(): void {
     this.active = false;
     this.journal.close();
@@ -295,7 +295,7 @@
     this.requestPass();
   }
 
-  started(assignment: jobTask.Assignment): void {
+  startConfirmed(assignment: jobTask.Assignment): void {
     assignment.jobTask.step.owner.started = true;
     this.options.counters.count('starts', 'confirmed');
   }
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -2,7 +2,7 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Phase of a run between its start order and its end. */
+/** Phase of a run between its start command and its end. */
 export type AssignmentPhase = 'starting' | 'running' | 'stopping';
 
 /** One run of a task on one worker. */
@@ -12,10 +12,10 @@
   reported = false;
   /** When the worker confirmed a stop; it refuses starts that arrive later. */
   stopConfirmedAt: clock.Milliseconds = Infinity;
-  /** When the last order for this run was sent. */
+  /** When the last command for this run was sent. */
   lastCommandAt: clock.Milliseconds;
   commandInFlight = false;
-  /** Number of start orders that got no answer. */
+  /** Number of start commands that got no answer. */
   unansweredStarts = 0;
   progressPercent = 0;
   /** When the progress last rose. */
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -75,8 +75,8 @@
   reportWaiting(now: clock.Milliseconds): void {
     if (now < this.nextReportAt) return;
     this.nextReportAt = now + WAITING_REPORT_INTERVAL_MS;
-    let reported = 0;
-    for (const {step, queue} of this.waitingSteps()) {
+    let reportedCount = 0;
+    for (const {step, queue} of this.findWaitingSteps()) {
       const waitedMs = now - (step.readyAt ?? now);
       if (waitedMs < WAITING_REPORT_INTERVAL_MS) continue;
       this.dependencies.options.log.event('info', 'stepWaits', {
@@ -84,8 +84,8 @@
         waitedMs: Math.round(waitedMs),
         reason: this.placer.explain(step, queue, now),
       });
-      reported += 1;
-      if (reported === MAXIMUM_REPORTED_STEPS) return;
+      reportedCount += 1;
+      if (reportedCount === MAXIMUM_REPORTED_STEPS) return;
     }
   }
 
@@ -106,10 +106,7 @@
     return this.dependencies.queues.ofStep(step)?.priority ?? -Infinity;
   }
 
-  interrupt(
-    victim: jobTask.Assignment,
-    urgent: stepInstance.StepInstance,
-  ): void {
+  preempt(victim: jobTask.Assignment, urgent: stepInstance.StepInstance): void {
     const {options, dispatcher} = this.dependencies;
     options.counters.count('runs_interrupted', 'moreUrgent');
     options.log.event('info', 'runInterrupted', {
@@ -146,7 +143,7 @@
   tasksPlaced(
     step: stepInstance.StepInstance,
     count: number,
-    left: number,
+    waitingCount: number,
   ): void {
     const {options} = this.dependencies;
     const now = options.clock.now();
@@ -155,7 +152,7 @@
     options.log.event('info', 'stepPlaced', {
       step: step.name,
       placed: count,
-      left,
+      left: waitingCount,
       waitedMs,
     });
   }
@@ -163,13 +160,13 @@
   private run(): void {
     const now = this.dependencies.options.clock.now();
     this.placer.runPass({
-      waiting: [...this.waitingSteps()],
-      upcoming: [...this.upcomingSteps(now)],
+      waiting: [...this.findWaitingSteps()],
+      upcoming: [...this.findUpcomingSteps(now)],
       now,
     });
   }
 
-  private *waitingSteps(): Iterable<stepOrdering.WaitingStep> {
+  private *findWaitingSteps(): Iterable<stepOrdering.WaitingStep> {
     const {openSteps, queues, isBlocked} = this.dependencies;
     for (const step of openSteps) {
       const queue = queues.ofStep(step);
@@ -179,7 +176,7 @@
   }
 
   /** Returns steps whose dependencies are expected to end soon. */
-  private *upcomingSteps(
+  private *findUpcomingSteps(
     now: clock.Milliseconds,
   ): Iterable<stepOrdering.WaitingStep> {
     for (const step of this.dependencies.openSteps) {
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -15,7 +15,7 @@
 import type * as workerReliability from '../machines/worker_reliability.js';
 
 /** Additional lead time of advice requests for upcoming steps. */
-const ADVICE_LEAD_MS = 300;
+const ADVICE_LEAD_MARGIN_MS = 300;
 
 /** Input of one placement pass. */
 export interface PassInput {
@@ -34,10 +34,7 @@
   /** Returns the priority of a step's queue; 0 is the most urgent. */
   priorityOf(step: stepInstance.StepInstance): number;
   /** Preempts a run for a more urgent step; it resumes from its checkpoint. */
-  interrupt(
-    victim: jobTask.Assignment,
-    urgent: stepInstance.StepInstance,
-  ): void;
+  preempt(victim: jobTask.Assignment, urgent: stepInstance.StepInstance): void;
   /** Receives how many tasks of a step were started and how many still wait. */
   tasksPlaced(
     step: stepInstance.StepInstance,
@@ -59,22 +56,28 @@
 
   /** Places the tasks that fit now, most urgent first. */
   runPass(input: PassInput): void {
-    const open = this.openWorkers(input.now);
+    const schedulable = this.schedulableWorkers(input.now);
     const preemptions = new preemptionPlanner.PreemptionPlanner(input.now);
     const ticketReservation = new ticketWaitReservation.TicketWaitReservation();
-    for (const rated of stepOrdering.sortByUrgency(
+    for (const prioritized of stepOrdering.sortByUrgency(
       input.waiting,
       input.now,
       step => this.listener.predictMs(step),
-      service => processorsOf(open.get(service) ?? []),
+      service => processorsOf(schedulable.get(service) ?? []),
     )) {
-      const workers = open.get(rated.queue.service) ?? [];
+      const workers = schedulable.get(prioritized.queue.service) ?? [];
       if (workers.length === 0) continue;
-      this.placeStep(rated, workers, preemptions, ticketReservation, input.now);
+      this.placeStep(
+        prioritized,
+        workers,
+        preemptions,
+        ticketReservation,
+        input.now,
+      );
     }
     ticketReservation.release();
     for (const {step, queue} of input.upcoming) {
-      const workers = open.get(queue.service) ?? [];
+      const workers = schedulable.get(queue.service) ?? [];
       this.prefetchAdvice(step, queue, workers, input.now);
     }
   }
@@ -88,7 +91,7 @@
     queue: job.Queue,
     now: clock.Milliseconds,
   ): boolean {
-    const workers = this.openWorkers(now).get(queue.service) ?? [];
+    const workers = this.schedulableWorkers(now).get(queue.service) ?? [];
     const facts = this.factsFor(step, queue, now);
     if (workerSelection.selectWorker(step, workers, facts) !== undefined) {
       return true;
@@ -105,30 +108,30 @@
     queue: job.Queue,
     now: clock.Milliseconds,
   ): string {
-    const open = this.openWorkers(now).get(queue.service) ?? [];
+    const schedulable = this.schedulableWorkers(now).get(queue.service) ?? [];
     const facts = this.factsFor(step, queue, now);
-    const eligible = open.filter(worker =>
+    const eligible = schedulable.filter(worker =>
       workerSelection.isEligible(worker, step.definition, facts),
     );
     const advice = queue.advice
       ? this.adviceCache.describe(step, now)
       : 'no advice';
-    const free = Math.round(100 * freeProcessorShare(open));
-    return `open=${open.length} free=${free}% eligible=${eligible.length} ${advice}`;
+    const free = Math.round(100 * freeProcessorShare(schedulable));
+    return `open=${schedulable.length} free=${free}% eligible=${eligible.length} ${advice}`;
   }
 
-  private openWorkers(
+  private schedulableWorkers(
     now: clock.Milliseconds,
   ): ReadonlyMap<string, ReadonlyArray<remoteWorker.RemoteWorker>> {
-    const open = new Map<string, remoteWorker.RemoteWorker[]>();
+    const byService = new Map<string, remoteWorker.RemoteWorker[]>();
     for (const worker of this.workers.all()) {
       if (!workerSelection.isSchedulable(worker, now)) continue;
       const {service} = worker.entry;
-      const ofService = open.get(service);
-      if (ofService === undefined) open.set(service, [worker]);
+      const ofService = byService.get(service);
+      if (ofService === undefined) byService.set(service, [worker]);
       else ofService.push(worker);
     }
-    return open;
+    return byService;
   }
 
   private placeStep(
@@ -139,24 +142,24 @@
     now: clock.Milliseconds,
   ): void {
     const facts = this.factsFor(step, queue, now);
-    const placed = step.definition.gang
+    const allPlaced = step.definition.gang
       ? this.placeGang(step, workers, facts)
       : this.placeTasks(step, workers, facts);
-    if (placed) return;
-    const count = step.tasks.filter(task => task.waiting).length;
+    if (allPlaced) return;
+    const waitingCount = step.tasks.filter(task => task.waiting).length;
     if (urgency.onTime && !step.definition.gang) {
       const victims = preemptions.planVictims(
         step,
         queue,
-        count,
+        waitingCount,
         workers,
         facts,
       );
-      for (const victim of victims) this.listener.interrupt(victim, step);
+      for (const victim of victims) this.listener.preempt(victim, step);
     }
     if (queue.advice !== undefined) {
       const candidates = this.requestAdvice(step, queue.advice, workers, facts);
-      ticketReservation.reserve(step, count, candidates, facts);
+      ticketReservation.reserve(step, waitingCount, candidates, facts);
     }
   }
 
@@ -166,7 +169,7 @@
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: workerSelection.WorkerFacts,
   ): boolean {
-    let placed = 0;
+    let placedCount = 0;
     let waitingCount = 0;
     for (const task of step.tasks) {
       if (!task.waiting) continue;
@@ -179,9 +182,11 @@
         continue;
       }
       this.dispatcher.start(task, selected, this.listener.nextRun(task));
-      placed += 1;
+      placedCount += 1;
+    }
+    if (placedCount > 0) {
+      this.listener.tasksPlaced(step, placedCount, waitingCount);
     }
-    if (placed > 0) this.listener.tasksPlaced(step, placed, waitingCount);
     return waitingCount === 0;
   }
 
@@ -233,24 +238,24 @@
     facts: workerSelection.WorkerFacts,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
     const {definition} = step;
-    const withRoom: remoteWorker.RemoteWorker[] = [];
+    const eligible: remoteWorker.RemoteWorker[] = [];
     const others: remoteWorker.RemoteWorker[] = [];
     for (const worker of workers) {
       if (this.adviceCache.mayRun(step, worker) === false) continue;
       if (!workerSelection.fitsTotalCapacity(worker, definition)) continue;
       if (facts.ticketFor(worker) !== undefined) continue;
-      const eligible = workerSelection.isEligible(worker, definition, facts);
-      (eligible ? withRoom : others).push(worker);
+      const isEligible = workerSelection.isEligible(worker, definition, facts);
+      (isEligible ? eligible : others).push(worker);
     }
     if (this.adviceCache.canRequest(step, timing)) {
       this.adviceCache.request(
         step,
         timing,
-        sortByPreference(definition, withRoom),
+        sortByPreference(definition, eligible),
         sortByPreference(definition, others),
       );
     }
-    return withRoom;
+    return eligible;
   }
 
   /** Requests tickets before a step is ready, so that it need not wait. */
@@ -302,7 +307,7 @@
 
 /** Returns how long before a step is ready its advice is requested. */
 export function adviceLeadMs(timing: job.AdviceTiming): number {
-  return adviceCache.longestAdviceCallMs(timing) + ADVICE_LEAD_MS;
+  return adviceCache.longestAdviceCallMs(timing) + ADVICE_LEAD_MARGIN_MS;
 }
 
 /** Sorts workers: those near the data first, then by free processors. */
--- a/src/jobs/preemption_planner.ts
+++ b/src/jobs/preemption_planner.ts
@@ -16,11 +16,11 @@
 }
 
 /**
- * Plans preemptions for one placement pass. Tracks the room that earlier plans
- * of the pass claim, so that it is not used twice.
+ * Plans preemptions for one placement pass. Tracks the capacity that earlier
+ * plans of the pass claim, so that it is not used twice.
  */
 export class PreemptionPlanner {
-  private readonly claimedRoom = new Map<
+  private readonly claimedCapacity = new Map<
     remoteWorker.RemoteWorker,
     resources.Resources
   >();
@@ -28,7 +28,7 @@
   constructor(private readonly now: clock.Milliseconds) {}
 
   /**
-   * Returns runs to preempt so that `count` tasks of a step get room. Only less
+   * Returns runs to preempt so that `count` tasks of a step fit. Only less
    * urgent runs that can resume from a checkpoint are preempted, and no more of
    * them than the tasks need.
    */
@@ -61,14 +61,14 @@
     worker: remoteWorker.RemoteWorker,
     step: stepInstance.StepInstance,
     queue: job.Queue,
-    wanted: number,
+    wantedCount: number,
     facts: PreemptionFacts,
   ): {tasks: number; victims: ReadonlyArray<jobTask.Assignment>} {
     const size = workerSelection.reservedSize(step.definition);
     const runs = [...facts.runsOn(worker)];
-    let room = this.roomAfterStops(worker, runs);
+    let free = this.freeAfterStops(worker, runs);
     const candidates = runs
-      .filter(assignment => this.mayInterrupt(assignment, queue, facts))
+      .filter(assignment => this.canPreempt(assignment, queue, facts))
       .sort(
         (left, right) => sizeOf(left).processors - sizeOf(right).processors,
       );
@@ -77,43 +77,43 @@
       (step.definition.maximumPerWorker ?? Infinity) - tasksOnWorker;
     const victims: jobTask.Assignment[] = [];
     let tasks = 0;
-    while (tasks < Math.min(wanted, taskLimit)) {
-      const needed = selectVictims(size, room, candidates);
+    while (tasks < Math.min(wantedCount, taskLimit)) {
+      const needed = selectVictims(size, free, candidates);
       if (needed === undefined) break;
-      for (const victim of needed) room = resources.add(room, sizeOf(victim));
+      for (const victim of needed) free = resources.add(free, sizeOf(victim));
       candidates.splice(0, needed.length);
       victims.push(...needed);
-      room = resources.subtract(room, size);
-      this.claimRoom(worker, size);
+      free = resources.subtract(free, size);
+      this.claimCapacity(worker, size);
       tasks += 1;
     }
     return {tasks, victims};
   }
 
-  /** Returns the unclaimed room on a worker once stopping runs have ended. */
-  private roomAfterStops(
+  /** Returns a worker's unclaimed capacity once stopping runs have ended. */
+  private freeAfterStops(
     worker: remoteWorker.RemoteWorker,
     runs: ReadonlyArray<jobTask.Assignment>,
   ): resources.Resources {
-    let room = worker.free;
+    let free = worker.free;
     for (const assignment of runs) {
       if (assignment.phase === 'stopping') {
-        room = resources.add(room, sizeOf(assignment));
+        free = resources.add(free, sizeOf(assignment));
       }
     }
-    const promised = this.claimedRoom.get(worker);
-    return promised ? resources.subtract(room, promised) : room;
+    const claimed = this.claimedCapacity.get(worker);
+    return claimed ? resources.subtract(free, claimed) : free;
   }
 
-  private claimRoom(
+  private claimCapacity(
     worker: remoteWorker.RemoteWorker,
     size: resources.Resources,
   ): void {
-    const before = this.claimedRoom.get(worker) ?? resources.NONE;
-    this.claimedRoom.set(worker, resources.add(before, size));
+    const claimedBefore = this.claimedCapacity.get(worker) ?? resources.NONE;
+    this.claimedCapacity.set(worker, resources.add(claimedBefore, size));
   }
 
-  private mayInterrupt(
+  private canPreempt(
     assignment: jobTask.Assignment,
     queue: job.Queue,
     facts: PreemptionFacts,
@@ -146,18 +146,18 @@
   return workerSelection.reservedSize(assignment.jobTask.step.definition);
 }
 
-/** Returns the first candidates whose end makes room; undefined if none do. */
+/** Returns the first candidates needed to fit `size`; undefined if all fail. */
 function selectVictims(
   size: resources.Resources,
-  room: resources.Resources,
+  free: resources.Resources,
   candidates: ReadonlyArray<jobTask.Assignment>,
 ): ReadonlyArray<jobTask.Assignment> | undefined {
-  let free = room;
+  let freeAfterEnds = free;
   let count = 0;
-  while (!resources.fits(size, free)) {
+  while (!resources.fits(size, freeAfterEnds)) {
     const victim = candidates[count];
     if (victim === undefined) return undefined;
-    free = resources.add(free, sizeOf(victim));
+    freeAfterEnds = resources.add(freeAfterEnds, sizeOf(victim));
     count += 1;
   }
   return candidates.slice(0, count);
--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -65,8 +65,8 @@
 ): number {
   let work = 0;
   for (const step of record.steps) {
-    const tasks = step.tasks.length - step.doneCount;
-    work += tasks * predict(step) * step.definition.size.processors;
+    const taskCount = step.tasks.length - step.doneCount;
+    work += taskCount * predict(step) * step.definition.size.processors;
   }
   return work;
 }
@@ -138,7 +138,7 @@
   predict: RuntimePredictor,
   processorsOf: (service: string) => number,
 ): ReadonlyArray<PrioritizedStep> {
-  const rated = waiting.map(({step, queue}) => ({
+  const prioritized = waiting.map(({step, queue}) => ({
     step,
     queue,
     urgency: urgencyOf(
@@ -149,7 +149,7 @@
       processorsOf(queue.service),
     ),
   }));
-  return rated.sort(
+  return prioritized.sort(
     (left, right) =>
       left.urgency.rank - right.urgency.rank ||
       left.urgency.effectiveDueAt - right.urgency.effectiveDueAt,
--- a/src/jobs/ticket_wait_reservation.ts
+++ b/src/jobs/ticket_wait_reservation.ts
@@ -5,7 +5,7 @@
 
 /**
  * Resources that a placement pass reserves for steps which wait for tickets.
- * Otherwise less urgent steps would take the room in the meantime, and request
+ * Otherwise less urgent steps would take them in the meantime, and request
  * tickets that they can't use.
  */
 export class TicketWaitReservation {
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -7,7 +7,7 @@
 /** Cost of a rack without the step's data, in fractions of a worker. */
 const REMOTE_RACK_COST = 2;
 
-/** Cost of a worker whose suspicion is 1. */
+/** Cost of a worker that is certain to fail its runs. */
 const FAILURE_COST = 4;
 
 /** Facts that selection needs about a worker besides its free resources. */
@@ -92,7 +92,7 @@
 
 /**
  * Selects the worker with the lowest cost for one task: close to its data, then
- * best fit, which leaves room for large tasks on other workers.
+ * best fit, which leaves free capacity for large tasks on other workers.
  */
 export function selectWorker(
   step: stepInstance.StepInstance,
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -235,9 +235,9 @@
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const first = await cell.startTerm(1);
     await cell.time.advance(300);
-    const left = cell.workers.byAddress.get('two:1');
-    assert.ok(left);
-    left.partitioned = true;
+    const leftWorker = cell.workers.byAddress.get('two:1');
+    assert.ok(leftWorker);
+    leftWorker.partitioned = true;
     cell.entries = cell.entries.slice(0, 1);
     first.updateWorkers(cell.entries);
     await cell.time.advance(20_000);
@@ -267,9 +267,9 @@
     jobCell.submit(first, jobCell.jobOf('bb', {}));
     await cell.time.advance(50);
     first.retire();
-    const left = cell.workers.byAddress.get('one:1');
-    assert.ok(left);
-    left.partitioned = true;
+    const leftWorker = cell.workers.byAddress.get('one:1');
+    assert.ok(leftWorker);
+    leftWorker.partitioned = true;
     cell.entries = [];
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     await cell.startTerm(2);
@@ -302,7 +302,7 @@
     await cell.time.advance(500);
     assert.equal(submission.outcome, undefined);
     assert.equal(cell.journal.definitions.has('aa'), false);
-    assert.ok(cell.superseded.length > 0);
+    assert.ok(cell.supersededReasons.length > 0);
   });
 });
 
@@ -315,9 +315,9 @@
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
-    const gone = cell.workers.byAddress.get('one:1');
-    assert.ok(gone);
-    gone.partitioned = true;
+    const unreachable = cell.workers.byAddress.get('one:1');
+    assert.ok(unreachable);
+    unreachable.partitioned = true;
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(4_000);
@@ -385,7 +385,7 @@
 });
 
 describe('a start whose first answer was lost', () => {
-  // Guards against a second run of a task that ended before the retried order
+  // Guards against a second run of a task that ended before the retried command
   // arrived: the worker rejects the retry as stale, because the first one ran.
   test('counts as carried out when its retry is rejected as stale', async () => {
     const cell = new jobCell.JobCell();
@@ -396,7 +396,7 @@
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(500);
     worker.losesAnswers = false;
-    // Orders are answered again; reports are lost for one more second.
+    // Commands are answered again; reports are lost for one more second.
     const {workers} = cell;
     const report = workers.renewLeases.bind(workers);
     workers.renewLeases = async () => {
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -19,10 +19,10 @@
 }
 
 /** Six seconds for jobs whose id starts with `b`, else one second. */
-const RUNTIME_BY_JOB = (order: {
+const RUNTIME_BY_JOB = (command: {
   task: string;
 }): {runTimeMs: number; outcome: 'done'} => ({
-  runTimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
+  runTimeMs: command.task.startsWith('b') ? 6_000 : 1_000,
   outcome: 'done',
 });
 
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -16,7 +16,7 @@
 export class FakeWorkers implements workerClient.WorkerClient {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.WorkerEvent[] = [];
-  /** Returns the delay of an order; the answer of a delayed one is lost. */
+  /** Returns the delay of a command; the answer of a delayed one is lost. */
   commandDelayMs: (address: string) => number = () => 0;
 
   constructor(private readonly time: simulatedClock.SimulatedClock) {}
@@ -38,9 +38,9 @@
 
   start(
     entry: remoteWorker.RegistryEntry,
-    order: workerClient.StartCommand,
+    command: workerClient.StartCommand,
   ): Promise<workerClient.CommandOutcome> {
-    return this.deliver(entry, worker => worker.start(order));
+    return this.deliver(entry, worker => worker.start(command));
   }
 
   stop(
@@ -57,23 +57,23 @@
 
   async renewLeases(
     entry: remoteWorker.RegistryEntry,
-    order: workerClient.RenewalCommand,
+    command: workerClient.RenewalCommand,
   ): Promise<workerClient.RenewalOutcome> {
     await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
-    if (worker === undefined) return this.timeOut(order.waitMs);
-    const answer = worker.renewLease(order);
-    if (answer.kind === 'rejected' || worker.hasEndedRuns) {
+    if (worker === undefined) return this.timeOut(command.waitMs);
+    const outcome = worker.renewLease(command);
+    if (outcome.kind === 'rejected' || worker.hasEndedRuns) {
       await this.time.pause(ONE_WAY_DELAY_MS);
-      return this.canAnswer(entry, worker) ? answer : this.timeOut(0);
+      return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
     }
-    const until = this.time.now() + order.waitMs;
-    while (this.time.now() < until && !worker.hasEndedRuns) {
+    const untilMs = this.time.now() + command.waitMs;
+    while (this.time.now() < untilMs && !worker.hasEndedRuns) {
       await this.time.pause(POLL_INTERVAL_MS);
     }
     await this.time.pause(ONE_WAY_DELAY_MS);
     if (!this.canAnswer(entry, worker)) return this.timeOut(0);
-    return worker.renewLease({...order, deadlineMs: undefined});
+    return worker.renewLease({...command, deadlineMs: undefined});
   }
 
   private async deliver(
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -84,7 +84,7 @@
   readonly time = new simulatedClock.SimulatedClock();
   readonly workers = new fakeWorkers.FakeWorkers(this.time);
   readonly journal = new fakeJournalStore.FakeJournalStore(this.time);
-  readonly superseded: string[] = [];
+  readonly supersededReasons: string[] = [];
   /** Receives the schedulers' log events. */
   log: schedulerOptions.EventLog = {event: () => {}};
   /** Whether schedulers have proof of leadership. */
@@ -130,7 +130,7 @@
       counters: {count: () => {}, observe: () => {}},
       mayGrantLeases,
       onSuperseded: reason => {
-        this.superseded.push(reason);
+        this.supersededReasons.push(reason);
         newScheduler.retire();
       },
       defer: pass => this.time.runAt(this.time.now(), pass),
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -52,7 +52,7 @@
 /**
  * Simulates a cell with random jobs and faults: failovers in which the previous
  * scheduler continues for up to two seconds; workers that are unreachable but
- * keep running, crash, or carry out orders late; and a store that is down or
+ * keep running, crash, or carry out commands late; and a store that is down or
  * whose answers are lost.
  */
 export class RandomCell {
@@ -174,8 +174,8 @@
 
   private disconnectWorker(): void {
     const model = this.models[this.random.below(WORKER_COUNT)];
-    const mute = this.chance(2);
-    if (mute) model.losesAnswers = true;
+    const losesAnswers = this.chance(2);
+    if (losesAnswers) model.losesAnswers = true;
     else model.partitioned = true;
     const {time} = this.cell;
     time.runAt(time.now() + this.random.below(9_000), () => {
