--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -5,7 +5,7 @@
   readonly count: number;
   /** Resources that each task occupies on its worker. */
   readonly size: resources.Resources;
-  /** The submitter's rough estimate of a task's duration. */
+  /** The caller's rough estimate of a task's duration. */
   readonly estimatedRuntimeMs: number;
   /** Positions of the steps that must complete first. */
   readonly after: ReadonlyArray<number>;
--- a/src/jobs/preemption_planner.ts
+++ b/src/jobs/preemption_planner.ts
@@ -146,7 +146,7 @@
   return workerSelection.reservedSize(assignment.jobTask.step.definition);
 }
 
-/** Returns the first candidates needed to fit `size`; undefined if all fail. */
+/** Returns the first candidates needed to fit `size`; undefined if too few. */
 function selectVictims(
   size: resources.Resources,
   free: resources.Resources,
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -29,6 +29,7 @@
   /** Position of this term's claim in the cell's log; the fencing token. */
   readonly term: number;
   readonly clock: clock.Clock;
+  /** Returns Unix time in milliseconds. */
   readonly wallClock: () => number;
   readonly retentionTimes: RetentionTimes;
   readonly journalStore: jobJournal.JobJournalStore;
