--- a/src/machines/clock.ts
+++ b/src/machines/clock.ts
@@ -4,19 +4,19 @@
 /** Largest relative difference between the rates of two clocks. */
 export const MAXIMUM_DRIFT = 0.01;
 
-/** Source of monotonic time; decisions receive its readings, never the clock. */
+/** Source of monotonic time. Decision code gets readings, never the clock. */
 export interface Clock {
   now(): Milliseconds;
 }
 
-/** The monotonic clock of this process. */
+/** Clock that reads the monotonic time of this process. */
 export class SystemClock implements Clock {
   now(): Milliseconds {
     return performance.now();
   }
 }
 
-/** A clock that tests advance by hand. */
+/** Clock for tests; its time changes only through `advance`. */
 export class ManualClock implements Clock {
   constructor(private time: Milliseconds = 0) {}
 
@@ -31,7 +31,7 @@
 
 /**
  * One reading of a worker's clock, taken from an answer that this process
- * received at `receivedAt`.
+ * received at local time `receivedAt`.
  */
 export interface WorkerClockReading {
   readonly workerClock: Milliseconds;
@@ -39,8 +39,8 @@
 }
 
 /**
- * Returns a time on the worker's clock that is not later than `time` on the
- * local clock, whatever the drift within `MAXIMUM_DRIFT`.
+ * Converts a local time to the worker's clock. The result is never later than
+ * `time`, as long as the clocks drift by at most `MAXIMUM_DRIFT`.
  */
 export function toWorkerClock(
   reading: WorkerClockReading,
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -17,21 +17,21 @@
 import type * as randomSource from './random_source.js';
 
 /**
- * Time for the requests in progress to end before the workers are handed over
- * all the same; the rest of the 30 s of a shutdown is for the handover.
+ * Time limit for the requests in progress to end before the workers are handed
+ * over regardless. A shutdown has 30 s; the remainder is for the handover.
  */
 const DRAIN_MS = 20_000;
 
-/** What an entry process is made with. */
+/** Identity, dependencies and log options of an entry process. */
 export interface EntryVmOptions {
   readonly self: zoneControl.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
-  /** What the settings state of the log; defaults apply without it. */
+  /** Log options from the settings; defaults apply when omitted. */
   readonly logOptions?: LogOptions;
 }
 
-/** Retention, lag and append interval of the log. */
+/** Retention, read lag and append interval of the log. */
 export interface LogOptions {
   readonly retentionMs?: clock.Milliseconds;
   readonly stalenessMs?: clock.Milliseconds;
@@ -39,8 +39,8 @@
 }
 
 /**
- * The decisions of one entry process: takes one event a turn and returns the
- * effects. It reads no clock and performs no input or output.
+ * Decision logic of one entry process: handles one event per turn and returns
+ * the resulting effects. It reads no clock and performs no input or output.
  */
 export class EntryVm implements loop.EventHandler {
   private readonly workers = new fleet.Fleet();
@@ -50,7 +50,7 @@
   private readonly scheduler: scheduler.Scheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
-  /** When the workers are handed over at the latest. */
+  /** Latest time at which the workers are handed over. */
   private handOverBy = Infinity;
   private handoverBegun = false;
 
@@ -91,7 +91,7 @@
     });
   }
 
-  /** Handles one event at local time `now`. */
+  /** Handles one event at local time `now` and returns the effects. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -100,7 +100,8 @@
     const isDrain = isOwnDrain(handled);
     if (isDrain) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
     const produced = [
-      // The zone hands the workers over when the requests here have ended.
+      // The zone is drained later, in `handOverWhenIdle`, once the requests of
+      // this process have ended.
       ...(isDrain ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
       ...this.desk.handle(handled, now),
@@ -112,7 +113,7 @@
     return this.zone.guard(produced);
   }
 
-  /** When `timePassed` is wanted next. */
+  /** Returns the time at which the next `timePassed` event is due. */
   nextDeadline(): clock.Milliseconds {
     return Math.min(
       this.zone.nextDeadline(),
@@ -123,12 +124,18 @@
     );
   }
 
-  /** Whether others took over what was here; nothing more can be done. */
+  /**
+   * Returns whether other processes have taken over this process's workers and
+   * identities, so that it can make no further decisions.
+   */
   isSuperseded(): boolean {
     return this.zone.isSuperseded();
   }
 
-  /** A zone whose workers have no owner yet would only let calls wait. */
+  /**
+   * Returns whether calls can be served. While no worker of the zone has an
+   * owner, calls would only wait.
+   */
   private isReady(): boolean {
     if (this.desk.isDraining() || this.isSuperseded()) return false;
     if (this.documents.current().versions.size === 0) return false;
@@ -171,7 +178,7 @@
   }
 }
 
-/** Whether an event drains this process, not one of its workers. */
+/** Returns whether an event drains this process rather than a worker. */
 function isOwnDrain(handled: event.Event): boolean {
   return handled.kind === 'drainArrived' && handled.worker === undefined;
 }
--- a/src/machines/random_source.ts
+++ b/src/machines/random_source.ts
@@ -2,7 +2,7 @@
 import * as generator from 'pure-rand/generator/xoroshiro128plus';
 import type * as randomGenerator from 'pure-rand/types/RandomGenerator';
 
-/** Source of randomness; decisions receive it, so that tests can seed it. */
+/** Source of randomness, injected so that tests can use a fixed seed. */
 export interface RandomSource {
   /** Returns a whole number from 0 to `limit` - 1. */
   below(limit: number): number;
@@ -10,7 +10,7 @@
   hexadecimal(length: number): string;
 }
 
-/** Repeats the same numbers for the same seed. */
+/** Pseudorandom source that yields the same sequence for the same seed. */
 export class SeededRandom implements RandomSource {
   private readonly generator: randomGenerator.RandomGenerator;
 
@@ -29,7 +29,7 @@
   }
 }
 
-/** Numbers that nobody can predict, for the secrets of identities. */
+/** Cryptographically secure source, for the secrets of identities. */
 export class SecureRandom implements RandomSource {
   below(limit: number): number {
     const values = crypto.getRandomValues(new Uint32Array(1));
