--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -3,19 +3,19 @@
 import * as resources from './resources.js';
 import * as worker from './worker.js';
 
-/** Seed of the sampling when the process gives no random source. */
+/** Seed for sampling when no random source is given. */
 const DEFAULT_SEED = 1;
 
-/** Workers that one periodic refresh looks at; bounds the cost of a turn. */
+/** Workers examined per periodic refresh; bounds the cost of a turn. */
 const REFRESH_BATCH_SIZE = 512;
 
-/** Violations kept until somebody takes them. */
+/** Maximum number of violations kept; further ones are dropped. */
 const KEPT_VIOLATION_LIMIT = 1_000;
 
 /**
- * The workers that a process knows, with the sums over them that decisions
- * need. Every sum is kept up to date by the workers' changes, so that reading
- * it does not depend on the number of workers.
+ * The workers known to a process and the totals over them that decisions need.
+ * The totals are updated incrementally on each change of a worker, so the cost
+ * of reading one does not depend on the number of workers.
  */
 export class Fleet implements worker.WorkerObserver {
   private readonly workers = new Map<string, worker.Worker>();
@@ -26,7 +26,10 @@
     resources.Resources
   >();
   private readonly reservedByTeam = new Map<string, resources.Resources>();
-  private readonly taskCountsByRack = new Map<string, Map<string, number>>();
+  private readonly rackCountsByWorkload = new Map<
+    string,
+    Map<string, number>
+  >();
   private workerList: ReadonlyArray<worker.Worker> | undefined;
   private capacitySum = resources.NONE;
   private heldSumValue = resources.NONE;
@@ -43,22 +46,22 @@
     this.index = new freeCapacityIndex.FreeCapacityIndex(random);
   }
 
-  /** Rises whenever room may have become available. */
+  /** Version that increases whenever capacity may have become available. */
   get availabilityVersion(): number {
     return this.availabilityVersionValue;
   }
 
-  /** Capacity of all workers that take tasks. */
+  /** Total capacity of the workers that accept tasks. */
   get capacity(): resources.Resources {
     return this.capacitySum;
   }
 
-  /** What tasks hold on all known workers. */
+  /** Total size of the reservations on all known workers. */
   get heldSum(): resources.Resources {
     return this.heldSumValue;
   }
 
-  /** Returns the worker, which is created when it is new. */
+  /** Returns the worker of this name, created if it is not known yet. */
   ensure(description: worker.WorkerDescription): worker.Worker {
     const known = this.workers.get(description.name);
     if (known !== undefined) return known;
@@ -70,16 +73,17 @@
     return created;
   }
 
-  /** Returns a known worker. */
+  /** Returns the worker of this name, if it is known. */
   get(name: string): worker.Worker | undefined {
     return this.workers.get(name);
   }
 
-  /** Forgets a worker that the VM list no longer names. */
+  /** Removes a worker that is no longer in the VM list. */
   remove(name: string): void {
     const removed = this.workers.get(name);
     if (removed === undefined) return;
-    // The worker keeps its reservations, as it may return with its tasks.
+    // Only the totals drop the reservations. The worker object keeps them,
+    // because the worker may return with its tasks.
     for (const held of removed.reservations().values()) {
       this.reservationRemoved(removed, held);
     }
@@ -90,13 +94,13 @@
     this.updateCapacity(removed, resources.NONE);
   }
 
-  /** All known workers. */
+  /** Returns all known workers. */
   all(): ReadonlyArray<worker.Worker> {
     this.workerList ??= [...this.workers.values()];
     return this.workerList;
   }
 
-  /** Samples workers with room for `size`. */
+  /** Returns a sample of the workers that have capacity for `size`. */
   sample(
     size: resources.Resources,
     order: freeCapacityIndex.SearchOrder,
@@ -105,20 +109,21 @@
     return this.index.sample(size, order, filter);
   }
 
-  /** Whether parked workers were added or changed since `refresh`. */
+  /** Whether excluded workers were added or improved since `refresh`. */
   get needsRefresh(): boolean {
     return this.needsRefreshValue;
   }
 
-  /** Keeps a worker out of the samples until `refresh` admits it. */
+  /** Excludes a worker from the samples until `refresh` admits it. */
   exclude(parked: worker.Worker): void {
     this.excluded.add(parked);
     this.index.remove(parked);
   }
 
   /**
-   * Limits the samples to the workers that `admits` accepts. Each call looks
-   * at a part of a large fleet, unless workers were added or changed.
+   * Restricts the samples to the workers that `admits` accepts. In a large
+   * fleet each call examines only a part of the workers, unless excluded
+   * workers were added or gained capacity.
    */
   refresh(admits: freeCapacityIndex.CandidateFilter): void {
     const workers = this.all();
@@ -138,22 +143,22 @@
     }
   }
 
-  /** What the tasks of a team hold on all workers. */
+  /** Returns the total size of a team's reservations on all workers. */
   heldByTeam(team: string): resources.Resources {
     return this.reservedByTeam.get(team) ?? resources.NONE;
   }
 
-  /** Teams that hold room. */
+  /** Returns the teams that have reservations. */
   holders(): Iterable<string> {
     return this.reservedByTeam.keys();
   }
 
-  /** Tasks of a workload on a rack. */
+  /** Returns the number of tasks of a workload on a rack. */
   countOnRack(team: string, workload: string, rack: string): number {
-    return this.taskCountsByRack.get(`${team}/${workload}`)?.get(rack) ?? 0;
+    return this.rackCountsByWorkload.get(`${team}/${workload}`)?.get(rack) ?? 0;
   }
 
-  /** Takes the violations noted since the last call. */
+  /** Returns the violations since the last call and clears them. */
   takeViolations(): ReadonlyArray<worker.CapacityViolation> {
     if (this.violations.length === 0) return this.violations;
     const taken = this.violations;
@@ -162,7 +167,7 @@
   }
 
   availabilityChanged(changed: worker.Worker, grew: boolean): void {
-    // A worker that was removed may still be released by its tasks' owner.
+    // Tasks may still release reservations on a worker that was removed.
     if (this.workers.get(changed.name) !== changed) return;
     if (!changed.ready) {
       this.index.remove(changed);
@@ -218,11 +223,12 @@
     change: 1 | -1,
   ): void {
     const key = `${held.label.team}/${held.label.workload}`;
-    const racks = this.taskCountsByRack.get(key) ?? new Map<string, number>();
+    const racks =
+      this.rackCountsByWorkload.get(key) ?? new Map<string, number>();
     const count = (racks.get(holder.rack) ?? 0) + change;
     if (count === 0) racks.delete(holder.rack);
     else racks.set(holder.rack, count);
-    if (racks.size === 0) this.taskCountsByRack.delete(key);
-    else this.taskCountsByRack.set(key, racks);
+    if (racks.size === 0) this.rackCountsByWorkload.delete(key);
+    else this.rackCountsByWorkload.set(key, racks);
   }
 }
--- a/src/machines/free_capacity_index.ts
+++ b/src/machines/free_capacity_index.ts
@@ -2,22 +2,23 @@
 import type * as randomSource from './random_source.js';
 import type * as worker from './worker.js';
 
-/** Which workers a search visits first. */
+/** Whether a search starts with the least or the most available capacity. */
 export type SearchOrder = 'tightest' | 'loosest';
 
-/** Decides whether a worker with enough room may be a candidate. */
+/** Returns whether a worker with enough free capacity may be a candidate. */
 export type CandidateFilter = (candidate: worker.Worker) => boolean;
 
-/** Workers that one search examines at most. */
+/** Maximum number of workers that one search examines. */
 export const SAMPLE_LIMIT = 16;
 
 /**
- * Workers that a search examines at most in buckets that may hold too little
- * room, so that half of the sample is left for buckets that surely hold it.
+ * Maximum number of workers without enough capacity that a search examines.
+ * The lowest matching buckets also contain such workers; this limit keeps half
+ * of the sample for buckets in which every worker has enough.
  */
 const UNCERTAIN_SAMPLE_LIMIT = 8;
 
-/** Lower bounds of the levels above 0; doubling keeps the index small. */
+/** Lower bounds of the levels above 0. Doubling keeps the index small. */
 const LEVEL_BOUNDS: Readonly<
   Record<resources.Dimension, ReadonlyArray<number>>
 > = {
@@ -36,7 +37,7 @@
 
 interface BucketPosition {
   readonly bucket: number;
-  /** Position in the bucket; changes when another worker leaves it. */
+  /** Index in the bucket; changes when another worker is removed from it. */
   position: number;
 }
 
@@ -45,18 +46,19 @@
   readonly filter: CandidateFilter;
   readonly found: worker.Worker[];
   examined: number;
-  /** Examined in buckets that may hold too little room. */
+  /** Number of examined workers that lacked capacity. */
   uncertain: number;
 }
 
 /**
- * Workers in buckets by free room, one level per dimension. The number of
- * buckets is fixed, so a search costs the same whatever the number of workers.
+ * Index of workers by available capacity: one bucket per combination of levels,
+ * with one level per dimension. The number of buckets is fixed, so the cost of
+ * a search does not depend on the number of workers.
  */
 export class FreeCapacityIndex {
   private readonly buckets: worker.Worker[][] = [];
   private readonly positions = new Map<worker.Worker, BucketPosition>();
-  /** Workers per pair of levels of accelerators and processors. */
+  /** Number of workers per pair of accelerator and processor levels. */
   private readonly workersPerRow: number[] = [];
 
   constructor(private readonly random: randomSource.RandomSource) {
@@ -66,7 +68,7 @@
     for (let index = 0; index < bucketCount; index += 1) this.buckets.push([]);
   }
 
-  /** Adds a worker or moves it to the bucket of its available room. */
+  /** Adds a worker or moves it to the bucket of its available capacity. */
   put(moved: worker.Worker): void {
     const bucket = bucketOf(moved.available);
     const place = this.positions.get(moved);
@@ -78,7 +80,7 @@
     this.workersPerRow[rowOf(bucket)] += 1;
   }
 
-  /** Takes a worker out; does nothing when it is not in the index. */
+  /** Removes a worker; does nothing when it is not in the index. */
   remove(removed: worker.Worker): void {
     const place = this.positions.get(removed);
     if (place === undefined) return;
@@ -92,7 +94,7 @@
     if (moved !== undefined) moved.position = place.position;
   }
 
-  /** Returns at most `SAMPLE_LIMIT` workers that have room for `size`. */
+  /** Returns at most `SAMPLE_LIMIT` workers with capacity for `size`. */
   sample(
     size: resources.Resources,
     order: SearchOrder,
@@ -106,7 +108,8 @@
       accelerators < LEVEL_COUNTS.accelerators;
       accelerators += 1
     ) {
-      // Tasks that need no accelerator fill workers without one first.
+      // Low accelerator levels come first, so that tasks without accelerators
+      // are placed on workers without accelerators as long as possible.
       for (
         let step = firstProcessors;
         step < LEVEL_COUNTS.processors;
@@ -147,7 +150,8 @@
     const start = count === 1 ? 0 : this.random.below(count);
     const visited = Math.min(count, SAMPLE_LIMIT - search.examined);
     for (let step = 0; step < visited; step += 1) {
-      // Spread over the bucket, as neighbours often share a rack.
+      // Spread the sample over the bucket, because adjacent workers often share
+      // a rack.
       const offset = Math.floor((step * count) / visited);
       const candidate = members[(start + offset) % count];
       if (!resources.fits(search.size, candidate.available)) {
--- a/src/machines/resources.ts
+++ b/src/machines/resources.ts
@@ -1,4 +1,4 @@
-/** Quantities that a worker offers and a task occupies. */
+/** Quantities of resources: the capacity of a worker or the size of a task. */
 export interface Resources {
   /** Thousandths of a processor. */
   readonly processors: number;
@@ -10,7 +10,7 @@
   readonly slots: number;
 }
 
-/** The names of all dimensions, for code that treats them alike. */
+/** Names of all dimensions, for code that treats them uniformly. */
 export const DIMENSIONS = [
   'processors',
   'memory',
@@ -21,7 +21,7 @@
 /** One dimension of `Resources`. */
 export type Dimension = (typeof DIMENSIONS)[number];
 
-/** No resources at all. */
+/** Zero in every dimension. */
 export const NONE: Resources = {
   processors: 0,
   memory: 0,
@@ -49,7 +49,7 @@
   };
 }
 
-/** Tells whether `size` is at most `room` in every dimension. */
+/** Returns whether `size` is at most `available` in every dimension. */
 export function fits(size: Resources, available: Resources): boolean {
   return (
     size.processors <= available.processors &&
@@ -59,7 +59,7 @@
   );
 }
 
-/** Returns the first dimension in which `size` exceeds `room`. */
+/** Returns the first dimension in which `size` exceeds `available`, if any. */
 export function exceededDimension(
   size: Resources,
   available: Resources,
@@ -67,7 +67,7 @@
   return DIMENSIONS.find(dimension => size[dimension] > available[dimension]);
 }
 
-/** Returns the larger of both quantities in every dimension. */
+/** Returns the maximum of both quantities per dimension. */
 export function maximum(left: Resources, right: Resources): Resources {
   return {
     processors: Math.max(left.processors, right.processors),
@@ -77,7 +77,7 @@
   };
 }
 
-/** Returns the smaller of both quantities in every dimension. */
+/** Returns the minimum of both quantities per dimension. */
 export function minimum(left: Resources, right: Resources): Resources {
   return {
     processors: Math.min(left.processors, right.processors),
@@ -87,12 +87,12 @@
   };
 }
 
-/** Tells whether both quantities are the same. */
+/** Returns whether both quantities are equal in every dimension. */
 export function equal(left: Resources, right: Resources): boolean {
   return fits(left, right) && fits(right, left);
 }
 
-/** Returns the quantity taken `factor` times. */
+/** Returns `size` multiplied by `factor` in every dimension. */
 export function scale(size: Resources, factor: number): Resources {
   return {
     processors: size.processors * factor,
@@ -102,7 +102,7 @@
   };
 }
 
-/** Returns how many whole times `size` goes into `room`. */
+/** Returns how many times `size` fits into `available`. */
 export function fitCount(size: Resources, available: Resources): number {
   let count = Infinity;
   for (const dimension of DIMENSIONS) {
@@ -112,7 +112,7 @@
   return Math.max(0, count);
 }
 
-/** Returns the largest fraction that `part` takes of `whole`. */
+/** Returns the largest share of `whole` that `part` takes in any dimension. */
 export function dominantShare(part: Resources, whole: Resources): number {
   let fraction = 0;
   for (const dimension of DIMENSIONS) {
@@ -123,7 +123,7 @@
   return fraction;
 }
 
-/** Returns the larger of both quantities, rounded up to whole units. */
+/** Returns the maximum per dimension, rounded up to whole units. */
 export function roundedUpMaximum(left: Resources, right: Resources): Resources {
   const larger = maximum(left, right);
   return {
