--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -1,10 +1,10 @@
 import * as resources from './resources.js';
 import type * as clock from './clock.js';
 
-/** A worker as the platform's registry lists it. */
+/** Entry of a worker in the platform's registry. */
 export interface RegistryEntry {
   readonly id: string;
-  /** Unix time of the worker's start; another value is another life. */
+  /** Unix time of the worker's start; identifies its incarnation. */
   readonly born: number;
   readonly machine: string;
   readonly address: string;
@@ -13,41 +13,41 @@
   readonly state: 'ready' | 'draining';
   readonly capacity: resources.Resources;
   readonly labels: ReadonlyArray<string>;
-  /** Time that a draining worker still has at least. */
+  /** Minimum time until a draining worker ends. */
   readonly remainingMs?: number;
 }
 
-/** The registry of workers; followed only while this process schedules. */
+/** Client of the worker registry, used only while this process schedules. */
 export interface WorkerRegistry {
-  /** Calls back with the whole list after each change, until closed. */
+  /** Calls `onChange` with the whole list after each change, until closed. */
   follow(onChange: (entries: ReadonlyArray<RegistryEntry>) => void): {
     close(): void;
   };
 }
 
-/** A run of a task on a worker. */
+/** Identifies one run of a task. */
 export interface RunId {
   readonly task: string;
   readonly run: number;
 }
 
-/** One row of a worker's list of running tasks. */
+/** Entry for a running task in a worker's report. */
 export interface ReportedRun extends RunId {
   readonly checkpoint: string;
-  /** Part of the work that is done, or the share at which a service works. */
+  /** Progress of the work, or the processor share of a throttled service. */
   readonly percent: number;
-  /** Tail of response times of a serving task, or thousandths of a core. */
+  /** Tail latency of a serving task, or thousandths of a core in use. */
   readonly usage: number;
 }
 
-/** One row of a worker's list of ended runs. */
+/** Entry for an ended run in a worker's report. */
 export interface ReportedRunEnd extends RunId {
   readonly sequenceNumber: number;
   readonly how: string;
   readonly checkpoint: string;
 }
 
-/** What a worker reports when its lease is renewed. */
+/** Report of a worker in answer to a lease renewal. */
 export interface RenewalReport {
   readonly clockMs: number;
   readonly born: number | undefined;
@@ -55,33 +55,33 @@
   readonly ended: ReadonlyArray<ReportedRunEnd>;
 }
 
-/** Largest rate by which a worker's clock may be slow. */
+/** Maximum relative rate by which a worker's clock may run slow. */
 const CLOCK_DRIFT = 0.02;
 
-/** Calls without an answer after which a worker counts as unreachable. */
+/** Consecutive unanswered calls after which a worker counts as unreachable. */
 const UNREACHABLE_CALL_COUNT = 2;
 
-/** Allowance for timers that fire late, in milliseconds. */
+/** Allowance for a worker's lease timer that fires late. */
 const TIMER_MARGIN_MS = 150;
 
 /**
- * The scheduler's view of one life of a worker: its room, its clock and how
- * long anything that was started there can go on.
+ * The scheduler's view of one incarnation of a worker: its reservations, its
+ * clock and the latest time until which its tasks may run.
  */
 export class RemoteWorker {
-  /** Highest number of an end that was dealt with. */
+  /** Sequence number of the last run end that was handled. */
   handledEndNumber = 0;
-  /** Highest number of an end that is stored, so that it may be forgotten. */
+  /** Sequence number of the last stored run end; the worker may drop it. */
   storedEndNumber = 0;
-  /** This term's fencing token has been taken by the worker. */
+  /** Whether the worker has accepted the fencing token of this term. */
   fenceAccepted = false;
-  /** The life is stored, so that a successor would find it. */
+  /** Whether the incarnation is stored, so that a successor finds it. */
   recorded = false;
-  /** Calls in a row that got no answer. */
+  /** Number of consecutive calls without an answer. */
   unansweredCalls = 0;
-  /** The registry lists the worker. */
+  /** Whether the registry lists the worker. */
   listed = true;
-  /** Nothing is placed here before this time. */
+  /** Time until which placement skips the worker. */
   excludedUntil = 0;
   /** When the drain notice was first seen. */
   drainingSince: clock.Milliseconds | undefined;
@@ -111,7 +111,7 @@
     return this.registryEntry.labels[1];
   }
 
-  /** Occupied room, stopping and unconfirmed runs included. */
+  /** Reserved capacity, including that of stopping and unconfirmed runs. */
   get used(): resources.Resources {
     return this.usedResources;
   }
@@ -124,18 +124,18 @@
     return this.reservations.size;
   }
 
-  /** The worker gives no answers: one lost answer does not show that. */
+  /** Whether the worker does not answer. One lost answer is not enough. */
   get unreachable(): boolean {
     return this.unansweredCalls >= UNREACHABLE_CALL_COUNT;
   }
 
-  /** Tasks may be started here, room and trust aside. */
+  /** Whether tasks may be started here, regardless of capacity and failures. */
   get acceptsTasks(): boolean {
     const ready = this.registryEntry.state === 'ready';
     return this.listed && !this.unreachable && ready;
   }
 
-  /** Takes over a newer description of the same life. */
+  /** Updates the registry entry of the same incarnation. */
   update(entry: RegistryEntry, now: clock.Milliseconds): void {
     this.registryEntry = entry;
     this.listed = true;
@@ -143,12 +143,12 @@
     else this.drainingSince = undefined;
   }
 
-  /** Tells whether another entry describes the same life. */
+  /** Returns whether a registry entry describes the same incarnation. */
   isSameIncarnation(entry: RegistryEntry): boolean {
     return entry.id === this.id && entry.born === this.registryEntry.born;
   }
 
-  /** Occupies room for a run; a second call for the same run does nothing. */
+  /** Reserves capacity for a run; has no effect if the run already has some. */
   reserve(name: RunId, size: resources.Resources): void {
     const key = runKey(name);
     if (this.reservations.has(key)) return;
@@ -156,7 +156,7 @@
     this.usedResources = resources.add(this.usedResources, size);
   }
 
-  /** Frees the room of a run. */
+  /** Releases the reservation of a run; has no effect if it has none. */
   release(name: RunId): void {
     const key = runKey(name);
     const held = this.reservations.get(key);
@@ -165,7 +165,7 @@
     this.usedResources = resources.subtract(this.usedResources, held);
   }
 
-  /** Takes a reading of the worker's clock from an answer. */
+  /** Records the worker's clock from an answer received at `now`. */
   recordClockReading(clockMs: number, now: clock.Milliseconds): void {
     this.reading = {clockMs, receivedAt: now};
     this.lastAnswerAt = now;
@@ -173,8 +173,8 @@
   }
 
   /**
-   * Returns a deadline on the worker's clock `leaseMs` from now and remembers
-   * it; undefined while the clock is not known.
+   * Returns a lease end on the worker's clock, `leaseMs` from now, and records
+   * it as possibly granted. Returns undefined while the clock is unknown.
    */
   extendLease(now: clock.Milliseconds, leaseMs: number): number | undefined {
     if (this.reading === undefined) return undefined;
@@ -185,8 +185,8 @@
   }
 
   /**
-   * When the last lease that was ever sent has surely ended, on the local
-   * clock. A worker whose clock was never read has been sent no lease.
+   * Returns the local time at which every lease sent to the worker has
+   * certainly ended. A worker whose clock is unknown has been sent no lease.
    */
   lastLeaseExpiry(): clock.Milliseconds {
     if (this.reading === undefined) return -Infinity;
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -2,21 +2,21 @@
 import type * as clock from './clock.js';
 import type * as task from '../contracts/task.js';
 
-/** What the platform's VM list says of a worker. */
+/** Entry of a worker in the platform's VM list. */
 export interface WorkerDescription {
   readonly name: string;
   readonly zone: string;
   readonly address: string;
 }
 
-/** Room that a task holds on a worker. */
+/** Capacity reserved for a task on a worker. */
 export interface Reservation {
   readonly task: string;
   readonly label: task.TaskLabel;
   readonly size: resources.Resources;
 }
 
-/** What took the reservations of a worker over its capacity. */
+/** Operation that took the reservations of a worker over its capacity. */
 export type ViolationCause = 'reserve' | 'adopt' | 'resize' | 'capacity';
 
 /** Evidence that a worker's reservations exceed its capacity. */
@@ -28,17 +28,20 @@
   readonly capacity: resources.Resources;
 }
 
-/** Learns of every change that matters to an index over workers. */
+/** Observer of all changes that affect indexes and totals over workers. */
 export interface WorkerObserver {
-  /** Room, capacity or readiness changed; `grew` when there may be more room. */
+  /**
+   * Called when available capacity or readiness has changed; `grew` is true
+   * when more capacity may be available.
+   */
   availabilityChanged(worker: Worker, grew: boolean): void;
   reservationAdded(worker: Worker, reservation: Reservation): void;
   reservationRemoved(worker: Worker, reservation: Reservation): void;
-  /** Reservations exceed the capacity; called once per break. */
+  /** Called once when the reservations begin to exceed the capacity. */
   capacityViolated(violation: CapacityViolation): void;
 }
 
-/** Observer of a worker that belongs to no fleet. */
+/** Observer of a worker that does not belong to a fleet. */
 const NULL_OBSERVER: WorkerObserver = {
   availabilityChanged: () => {},
   reservationAdded: () => {},
@@ -47,8 +50,8 @@
 };
 
 /**
- * A machine that runs tasks. It keeps what is reserved on the machine and
- * refuses a reservation that its capacity does not hold.
+ * A machine that runs tasks. It tracks the reservations on the machine and
+ * rejects a reservation that exceeds the available capacity.
  */
 export class Worker {
   private readonly reservationsByTask = new Map<string, Reservation>();
@@ -72,32 +75,32 @@
     return this.description.name;
   }
 
-  /** Rack that the worker reports; empty before its first report. */
+  /** Rack reported by the worker; empty before the first report. */
   get rack(): string {
     return this.rackValue;
   }
 
-  /** Capacity that the worker reports; nothing before its first report. */
+  /** Capacity reported by the worker; zero before the first report. */
   get capacity(): resources.Resources {
     return this.capacityValue;
   }
 
-  /** Capacity that no reservation holds. */
+  /** Capacity minus reservations; negative when overcommitted. */
   get free(): resources.Resources {
     return resources.subtract(this.capacityValue, this.reserved);
   }
 
-  /** Free room that is not earmarked for a request that waits for more. */
+  /** Free capacity that is not earmarked for a waiting request. */
   get available(): resources.Resources {
     return this.availableValue;
   }
 
-  /** Last reading of the worker's clock. */
+  /** Last reading of the worker's clock; undefined before the first report. */
   get clockReading(): clock.WorkerClockReading | undefined {
     return this.clockReadingValue;
   }
 
-  /** Whether the worker takes no new tasks because it leaves. */
+  /** Whether the worker accepts no new tasks because it is leaving. */
   get leaving(): boolean {
     return this.leavingValue;
   }
@@ -107,7 +110,7 @@
     return this.suspendedValue;
   }
 
-  /** Whether the worker has reported and takes new tasks. */
+  /** Whether the worker has reported and accepts new tasks. */
   get ready(): boolean {
     return (
       this.clockReadingValue !== undefined &&
@@ -121,7 +124,7 @@
     return this.overcommittedValue;
   }
 
-  /** Takes over what the worker says of itself. */
+  /** Applies a report of the worker that was received at `receivedAt`. */
   update(report: task.WorkerReport, receivedAt: clock.Milliseconds): void {
     const wasReady = this.ready;
     this.clockReadingValue = {workerClock: report.workerClock, receivedAt};
@@ -133,35 +136,38 @@
     this.publishChange('capacity', true);
   }
 
-  /** Stops new reservations for good. */
+  /** Marks the worker as leaving; it accepts no further tasks. */
   markLeaving(): void {
     if (this.leavingValue) return;
     this.leavingValue = true;
     this.observer.availabilityChanged(this, false);
   }
 
-  /** Takes the worker out of service or back into it. */
+  /** Takes the worker out of service or puts it back. */
   setSuspended(suspended: boolean): void {
     if (this.suspendedValue === suspended) return;
     this.suspendedValue = suspended;
     this.observer.availabilityChanged(this, !suspended);
   }
 
-  /** Keeps more room free for requests that wait for it. */
+  /** Earmarks more capacity for waiting requests. */
   earmark(size: resources.Resources): void {
     this.earmarked = resources.add(this.earmarked, size);
     this.updateAvailable();
     this.observer.availabilityChanged(this, false);
   }
 
-  /** Gives earmarked room back. */
+  /** Withdraws earmarked capacity. */
   withdrawEarmark(size: resources.Resources): void {
     this.earmarked = resources.subtract(this.earmarked, size);
     this.updateAvailable();
     this.observer.availabilityChanged(this, true);
   }
 
-  /** Holds room for a task; returns false when it does not fit. */
+  /**
+   * Reserves capacity for a task. Returns false when it does not fit or the
+   * task already has a reservation.
+   */
   reserve(reservation: Reservation): boolean {
     if (this.reservationsByTask.has(reservation.task)) return false;
     if (!resources.fits(reservation.size, this.availableValue)) return false;
@@ -170,15 +176,15 @@
   }
 
   /**
-   * Holds room for a task that already runs, whether it fits or not: what a
-   * predecessor started is there and has to be counted.
+   * Reserves capacity for a task that already runs, even if it does not fit:
+   * tasks started by a predecessor occupy the machine and have to be counted.
    */
   adopt(reservation: Reservation): void {
     this.release(reservation.task);
     this.addReservation(reservation, 'adopt');
   }
 
-  /** Changes the room of a task to what it was found to use. */
+  /** Changes the reservation of a task to its measured usage. */
   resize(taskName: string, size: resources.Resources): void {
     const held = this.reservationsByTask.get(taskName);
     if (held === undefined) return;
@@ -186,7 +192,7 @@
     this.addReservation({...held, size}, 'resize');
   }
 
-  /** Gives back the room of a task; does nothing when it holds none. */
+  /** Releases the reservation of a task; does nothing when it has none. */
   release(taskName: string): void {
     const held = this.reservationsByTask.get(taskName);
     if (held === undefined) return;
@@ -196,7 +202,7 @@
     this.publishChange('reserve', true);
   }
 
-  /** The room that tasks hold. */
+  /** Returns the reservations by task name. */
   reservations(): ReadonlyMap<string, Reservation> {
     return this.reservationsByTask;
   }
@@ -223,8 +229,9 @@
 
   private updateAvailable(): void {
     const {free, earmarked} = this;
-    // Room that is earmarked before it is free must not exclude tasks that
-    // need none of it, hence nothing below zero because of an earmark.
+    // Capacity may be earmarked before it is free. An earmark therefore never
+    // makes a dimension negative, because that would exclude even tasks that
+    // need nothing in this dimension.
     const floor = resources.minimum(free, resources.NONE);
     const left = resources.subtract(free, earmarked);
     this.availableValue = resources.maximum(left, floor);
@@ -236,7 +243,7 @@
     this.observer.availabilityChanged(this, grew);
   }
 
-  /** The sum of reservations never exceeds a capacity that is known. */
+  /** Reports a violation when reservations begin to exceed a known capacity. */
   private checkCapacity(cause: ViolationCause): void {
     const dimension =
       this.clockReadingValue === undefined
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -1,6 +1,6 @@
 import type * as remoteWorker from './remote_worker.js';
 
-/** An order to start a run. */
+/** Command to start a run. */
 export interface StartCommand extends remoteWorker.RunId {
   readonly payload: string;
   readonly fence: number;
@@ -10,18 +10,18 @@
   readonly ticket?: string;
 }
 
-/** An order to renew the lease of all that runs and to report. */
+/** Command to renew the leases of all running tasks and to report. */
 export interface RenewalCommand {
   readonly fence: number;
-  /** Ends up to this number are stored. */
+  /** Run ends up to this sequence number are stored. */
   readonly storedEndNumber: number;
-  /** End of the lease on the worker's clock, when it is known. */
+  /** End of the lease on the worker's clock; omitted to renew no lease. */
   readonly deadlineMs?: number;
-  /** How long the worker may wait for an end before it answers. */
+  /** How long the worker may delay its answer until a run ends. */
   readonly waitMs: number;
 }
 
-/** Why a worker surely did not carry out an order. */
+/** Reason for which a worker has definitely not executed a command. */
 export type RejectionReason =
   | 'superseded'
   | 'staleRun'
@@ -32,7 +32,7 @@
   | 'invalid'
   | 'otherLife';
 
-/** What came of an order. */
+/** Outcome of a start, stop or throttle command. */
 export type CommandOutcome =
   | {readonly kind: 'done'; readonly clockMs: number | undefined}
   | {
@@ -40,16 +40,16 @@
       readonly reason: RejectionReason;
       readonly clockMs: number | undefined;
     }
-  /** May have been carried out, or may be later. */
+  /** The command may have been executed, or may still be. */
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** What came of a renewal. */
+/** Outcome of a lease renewal. */
 export type RenewalOutcome =
   | {readonly kind: 'reported'; readonly report: remoteWorker.RenewalReport}
   | {readonly kind: 'rejected'; readonly reason: RejectionReason}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** Calls to workers; none of them rejects. */
+/** Client for calls to workers. The returned promises never reject. */
 export interface WorkerClient {
   start(
     worker: remoteWorker.RegistryEntry,
@@ -60,7 +60,7 @@
     name: remoteWorker.RunId,
     fence: number,
   ): Promise<CommandOutcome>;
-  /** Sets the share of its processors at which a task works, 0 to 100. */
+  /** Limits a task to a share of its processors, from 0 to 100 percent. */
   throttle(
     worker: remoteWorker.RegistryEntry,
     name: remoteWorker.RunId,
