--- a/src/machines/worker_health.ts
+++ b/src/machines/worker_health.ts
@@ -1,30 +1,30 @@
 import type * as clock from './clock.js';
 import type * as worker from './worker.js';
 
-/** Different workloads that fail in a row before a worker is suspended. */
+/** Different workloads failing consecutively that suspend a worker. */
 const DISTINCT_FAILURE_LIMIT = 3;
 
 /**
- * Failures in a row of workloads that are known to work elsewhere. A zone may
- * run fewer than `FAILURES_IN_A_ROW` workloads, and would lose them all to one
- * worker without this limit.
+ * Consecutive failures of workloads known to succeed elsewhere that suspend a
+ * worker. A zone may run fewer workloads than `DISTINCT_FAILURE_LIMIT`; without
+ * this limit one faulty worker there could fail all of them without end.
  */
 const KNOWN_GOOD_FAILURE_LIMIT = 5;
 
-/** A failure counts against the worker only this soon after the start. */
+/** Maximum run time at which a failure counts against the worker. */
 const EARLY_FAILURE_MS = 5_000;
 
-/** First time out of service; doubles with every failed probe. */
+/** Duration of the first suspension; doubles with every failed probe. */
 const INITIAL_SUSPENSION_MS = 30_000;
 
-/** Longest time out of service between two probes. */
+/** Maximum duration of a suspension between two probes. */
 const MAXIMUM_SUSPENSION_MS = 600_000;
 
 interface HealthCondition {
   readonly state: 'inService' | 'suspended' | 'probation' | 'probing';
   /** Workloads that failed early since the last task that did not. */
   readonly failedWorkloads: ReadonlySet<string>;
-  /** Early failures of sound workloads since then. */
+  /** Early failures of known good workloads in the same period. */
   readonly knownGoodFailures: number;
   readonly suspensionMs: clock.Milliseconds;
   readonly until: clock.Milliseconds;
@@ -38,33 +38,34 @@
   until: Infinity,
 };
 
-/** How a task ended, as far as it tells about its worker. */
+/** The facts about an ended task that indicate the health of its worker. */
 export interface EndedTask {
   readonly worker: worker.Worker;
-  /** Team and workload. */
+  /** Key of the workload, made of team and workload name. */
   readonly workload: string;
   readonly failed: boolean;
   readonly ranMs: clock.Milliseconds;
 }
 
 /**
- * Finds workers that fail everything they start. Such a worker looks idle and
- * would draw all work; it is suspended and readmitted by one probe at a time.
+ * Detects workers that fail every task (black holes). Such a worker appears
+ * idle and would attract all work. It is suspended, and readmitted through one
+ * probe task at a time.
  */
 export class WorkerHealth {
   private readonly conditions = new Map<worker.Worker, HealthCondition>();
-  /** Workers that failed a workload since it last finished anywhere. */
+  /** Workers on which a workload failed since it last finished anywhere. */
   private readonly workersByFailedWorkload = new Map<
     string,
     ReadonlySet<worker.Worker>
   >();
 
-  /** Whether only a single probe task may be placed on the worker. */
+  /** Returns whether only a single probe task may be placed on the worker. */
   isOnProbation(candidate: worker.Worker): boolean {
     return this.conditions.get(candidate)?.state === 'probation';
   }
 
-  /** Notes a task placed on a worker; a worker on probation takes no second. */
+  /** Records a placement; a worker on probation accepts no second task. */
   recordPlacement(on: worker.Worker): void {
     const condition = this.conditions.get(on);
     if (condition?.state !== 'probation') return;
@@ -72,7 +73,7 @@
     on.setSuspended(true);
   }
 
-  /** Notes a probe that did not run, so that another one can be placed. */
+  /** Records that a probe did not run, so that another one can be placed. */
   recordNotRun(on: worker.Worker): void {
     const condition = this.conditions.get(on);
     if (condition?.state !== 'probing') return;
@@ -80,7 +81,7 @@
     on.setSuspended(false);
   }
 
-  /** Notes the end of a task; returns true when it suspends the worker. */
+  /** Records the end of a task; returns true when it suspends the worker. */
   recordEnd(end: EndedTask, now: clock.Milliseconds): boolean {
     const condition = this.conditions.get(end.worker) ?? HEALTHY;
     const isEarly = end.failed && end.ranMs <= EARLY_FAILURE_MS;
@@ -113,7 +114,7 @@
     return true;
   }
 
-  /** Puts suspended workers on probation whose time is over. */
+  /** Puts workers on probation whose suspension has expired. */
   readmit(now: clock.Milliseconds): void {
     for (const [known, condition] of this.conditions) {
       if (condition.state !== 'suspended' || condition.until > now) continue;
@@ -122,7 +123,7 @@
     }
   }
 
-  /** When a worker goes on probation next. */
+  /** Returns when the next suspension expires; Infinity for none. */
   nextDeadline(): clock.Milliseconds {
     let due = Infinity;
     for (const condition of this.conditions.values()) {
@@ -131,7 +132,10 @@
     return due;
   }
 
-  /** Whether a failing workload finished before and failed here alone. */
+  /**
+   * Records a failure and returns whether the workload is known good: it has
+   * finished before and has since failed only on this worker.
+   */
   private isKnownGood(end: EndedTask): boolean {
     const known = this.workersByFailedWorkload.get(end.workload);
     if (known === undefined) return false;
--- a/src/machines/worker_reliability.ts
+++ b/src/machines/worker_reliability.ts
@@ -1,34 +1,35 @@
 import type * as clock from './clock.js';
 import type * as remoteWorker from './remote_worker.js';
 
-/** Failures in a row, of different jobs, that make a worker suspect. */
+/** Different jobs failing consecutively that make a worker suspect. */
 const SUSPICION_FAILURE_COUNT = 2;
 
-/** How long a suspect worker gets no work at first. */
+/** Duration of the first exclusion of a suspect worker. */
 const INITIAL_EXCLUSION_MS = 1_500;
 
-/** Longest time for which a suspect worker gets no work. */
+/** Maximum duration of an exclusion of a suspect worker. */
 const MAXIMUM_EXCLUSION_MS = 6_000;
 
-/** How long a worker that turns orders away gets none. */
+/** Exclusion per consecutive rejected command, up to 5 times this duration. */
 const REFUSAL_EXCLUSION_MS = 300;
 
-/** How long a worker gets no work on which a run stood still. */
+/** Duration of the exclusion after a stalled or very slow run. */
 const SLOW_RUN_EXCLUSION_MS = 3_000;
 
-/** Suspicion after one failure, which may be the job's own fault. */
+/** Failure probability per failed job; a failure may be the job's own fault. */
 const PROBABILITY_PER_FAILURE = 0.25;
 
 interface ReliabilityRecord {
-  /** Jobs whose runs failed since the last that succeeded. */
+  /** Jobs whose runs failed since the last run that succeeded. */
   readonly failedJobs: Set<string>;
   exclusionMs: number;
   refusals: number;
 }
 
 /**
- * Judges workers by how runs end on them. A job that fails everywhere must not
- * cost workers their trust, so that only failures of different jobs count.
+ * Tracks the reliability of workers by the outcomes of their runs. Only the
+ * failures of different jobs count, so that a job that fails everywhere does
+ * not make workers suspect.
  */
 export class WorkerReliability {
   private readonly records = new Map<
@@ -36,7 +37,7 @@
     ReliabilityRecord
   >();
 
-  /** A run succeeded. */
+  /** Records that a run succeeded and ends the exclusion of the worker. */
   recordSuccess(worker: remoteWorker.RemoteWorker): void {
     const record = this.records.get(worker);
     if (record === undefined) return;
@@ -46,7 +47,7 @@
     worker.excludedUntil = 0;
   }
 
-  /** A run failed; true when the worker is suspected now. */
+  /** Records a failed run; returns true when the worker becomes suspect. */
   recordFailure(
     worker: remoteWorker.RemoteWorker,
     job: string,
@@ -60,7 +61,7 @@
     return true;
   }
 
-  /** The worker turned an order away. */
+  /** Records that the worker rejected a command. */
   recordRefusal(
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
@@ -71,7 +72,7 @@
     worker.excludedUntil = Math.max(worker.excludedUntil, now + exclusionMs);
   }
 
-  /** A run on the worker stood still or took much longer than elsewhere. */
+  /** Records a run that stalled or took much longer than on other workers. */
   recordSlowRun(
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
@@ -80,7 +81,7 @@
     worker.excludedUntil = Math.max(worker.excludedUntil, until);
   }
 
-  /** How likely the worker is to fail what it runs, from 0 to 1. */
+  /** Returns the estimated probability that a run fails here, from 0 to 1. */
   failureProbability(worker: remoteWorker.RemoteWorker): number {
     const failures = this.records.get(worker)?.failedJobs.size ?? 0;
     return Math.min(1, failures * PROBABILITY_PER_FAILURE);
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -2,40 +2,40 @@
 import type * as remoteWorker from './remote_worker.js';
 import type * as workerClient from './worker_client.js';
 
-/** Hears what a worker reports. */
+/** Listener for the reports of a worker and the loss of its session. */
 export interface SessionListener {
-  /** A report came; `sentAt` is when it was asked for. */
+  /** A report that was requested at `sentAt` has arrived. */
   reportReceived(
     worker: remoteWorker.RemoteWorker,
     report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void;
-  /** No answer came. */
+  /** A call was not answered, or was rejected without a report. */
   answerMissing(worker: remoteWorker.RemoteWorker): void;
-  /** Another life answered at the address. */
+  /** Another incarnation has answered at the worker's address. */
   replaced(worker: remoteWorker.RemoteWorker): void;
-  /** The worker obeys a later term. */
+  /** The worker has accepted the fencing token of a later term. */
   termSuperseded(worker: remoteWorker.RemoteWorker): void;
-  /** Tells whether this term may still extend leases. */
+  /** Returns whether this term may still extend leases. */
   mayExtendLeases(): boolean;
 }
 
-/** How long a worker may hold an answer back until something ends there. */
+/** Maximum time for which a worker may delay its answer until a run ends. */
 const LONG_POLL_WAIT_MS = 800;
 
 /**
- * How long a report waits until the ends of the last one are stored: the worker
- * would list them again at once.
+ * Maximum delay of a renewal until the run ends of the last report are stored.
+ * Without the delay, the worker would answer at once with the same ends.
  */
 const STORE_WAIT_LIMIT_MS = 200;
 
-/** How often that is looked for. */
+/** Interval at which the stored run ends are checked. */
 const STORE_POLL_INTERVAL_MS = 10;
 
-/** Pause before a silent worker is asked again. */
+/** Delay before the next call to a worker that does not answer. */
 const RETRY_PAUSE_MS = 250;
 
-/** Renews the leases of one worker and passes its reports on, until closed. */
+/** Renews the leases of one worker and forwards its reports, until closed. */
 export class WorkerSession {
   private closed = false;
 
@@ -49,7 +49,7 @@
     private readonly pause: (milliseconds: number) => Promise<void>,
   ) {}
 
-  /** Renews until the session is closed. */
+  /** Renews leases in a loop until the session is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
       const answered = await this.renewLeases();
@@ -74,15 +74,15 @@
   private async renewLeases(): Promise<boolean> {
     const {worker} = this;
     const sentAt = this.clock.now();
-    // A renewal that gets no answer may have arrived. To a silent worker none is
-    // sent, so that there is a time at which its last lease is surely over.
+    // A renewal without an answer may still have arrived. None is sent to a
+    // worker that does not answer, so that its last lease certainly expires.
     const mayExtend =
       this.listener.mayExtendLeases() && worker.unansweredCalls === 0;
     const deadlineMs = mayExtend
       ? worker.extendLease(sentAt, this.leaseMs)
       : undefined;
-    // The first report is wanted at once: it says what runs there and shows
-    // the worker's clock.
+    // The first report must not be delayed: it lists the running tasks and
+    // gives the worker's clock.
     const waitMs =
       worker.fenceAccepted && deadlineMs !== undefined ? LONG_POLL_WAIT_MS : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
@@ -101,7 +101,8 @@
       case 'unanswered':
         worker.unansweredCalls += 1;
         this.listener.answerMissing(worker);
-        // One answer may get lost: the next call shows whether the worker does.
+        // A single answer may get lost. The next call follows without a pause
+        // and shows whether the worker is reachable.
         return !worker.unreachable;
     }
   }
@@ -119,7 +120,8 @@
     worker.recordClockReading(report.clockMs, this.clock.now());
     worker.fenceAccepted = true;
     this.listener.reportReceived(worker, report, sentAt);
-    // Without permission to extend, the calls would follow without a pause.
+    // When leases may not be extended, the worker answers at once; returning
+    // false makes the loop pause between the calls.
     return first || this.listener.mayExtendLeases();
   }
 
