--- a/src/machines/report_finding.ts
+++ b/src/machines/report_finding.ts
@@ -3,25 +3,25 @@
 import type * as task from '../contracts/task.js';
 import type * as trackedTask from './tracked_task.js';
 
-/** What a report proves of one task. */
+/** Conclusion that a worker's report allows about one task. */
 export type ReportFinding =
   | {readonly kind: 'nothing'}
   | {readonly kind: 'running'}
-  /** Ended with an answer that is still to be fetched. */
+  /** The task has ended and its answer has to be fetched. */
   | {readonly kind: 'collect'}
   | {readonly kind: 'ended'; readonly end: trackedTask.TaskEndState}
   | {readonly kind: 'notRun'}
-  /** It should have been listed; one such report may be a race. */
+  /** The report should list the task; a single such report may be a race. */
   | {readonly kind: 'missing'}
-  /** The report gives the task to another request. */
+  /** The report lists the task under the identity of another request. */
   | {readonly kind: 'mismatch'};
 
-/** Reports in a row that must lack a started task before it counts as gone. */
+/** Consecutive reports without a started task after which it counts as lost. */
 const MISSING_REPORTS = 2;
 
 const NO_FINDING: ReportFinding = {kind: 'nothing'};
 
-/** Judges a task by a report that was requested at local time `sentAt`. */
+/** Evaluates a task against a report that was requested at `sentAt`. */
 export function evaluateReport(
   tracked: trackedTask.TrackedTask,
   listed: task.TaskReport | undefined,
--- a/src/machines/report_schedule.ts
+++ b/src/machines/report_schedule.ts
@@ -1,28 +1,28 @@
 import type * as clock from './clock.js';
 
-/** Time between reads while the report has to settle what became of a task. */
+/** Interval between reads while the state of a task depends on the report. */
 const URGENT_INTERVAL_MS = 1_000;
 
-/** Time between reads otherwise. Most of a process's traffic at rest. */
+/** Interval between reads otherwise; most of the traffic of an idle process. */
 const QUIET_INTERVAL_MS = 3_000;
 
-/** Time after which a read that got no answer is repeated. */
+/** Delay before a failed read is repeated. */
 const READ_RETRY_MS = 500;
 
 /**
- * Oldest report on which a start may rest. With the lease of the start it
- * bounds how long a leaving worker gets new tasks, even if reports are lost.
+ * Maximum age of the last report for starting a task. Together with the start
+ * lease it bounds how long a leaving worker gets new tasks if reports are lost.
  */
 const START_REPORT_AGE_LIMIT_MS = 4_000;
 
-/** Time after which a read that was never answered is no longer awaited. */
+/** Time after which a read without any answer counts as lost. */
 const READ_TIMEOUT_MS = 5_000;
 
 interface ReadTimes {
   readonly due: clock.Milliseconds;
-  /** When the open read was sent; -Infinity when none is open. */
+  /** When the pending read was sent; -Infinity when none is pending. */
   readonly pendingSince: clock.Milliseconds;
-  /** Send time of the newest report that was used. */
+  /** Request time of the newest report that was used. */
   readonly newestSentAt: clock.Milliseconds;
 }
 
@@ -32,11 +32,11 @@
   newestSentAt: -Infinity,
 };
 
-/** When each worker's report is read; at most one read is open a worker. */
+/** Schedules the reads of worker reports, at most one pending per worker. */
 export class ReportSchedule {
   private readonly times = new Map<string, ReadTimes>();
 
-  /** Tells whether a read is to be sent now, and notes that it is. */
+  /** Returns whether a read is due and, if so, records it as sent. */
   startReadIfDue(
     worker: string,
     now: clock.Milliseconds,
@@ -49,18 +49,18 @@
     return true;
   }
 
-  /** Returns when `take` is wanted next for a worker. */
+  /** Returns when the next read of a worker's report is due. */
   nextReadAt(worker: string): clock.Milliseconds {
     return this.dueTime(this.times.get(worker) ?? NEVER_READ);
   }
 
-  /** Moves the next read forward. */
+  /** Makes the next read due now. */
   expedite(worker: string, now: clock.Milliseconds): void {
     const known = this.times.get(worker) ?? NEVER_READ;
     this.times.set(worker, {...known, due: Math.min(known.due, now)});
   }
 
-  /** Notes a report; false when a newer one has been used already. */
+  /** Records a report; returns false when a newer one has been used already. */
   recordReport(worker: string, sentAt: clock.Milliseconds): boolean {
     const known = this.times.get(worker) ?? NEVER_READ;
     const newer = sentAt >= known.newestSentAt;
@@ -73,7 +73,7 @@
     return newer;
   }
 
-  /** Notes that a read got no answer. */
+  /** Records that a read failed and schedules a retry. */
   recordFailure(worker: string, now: clock.Milliseconds): void {
     const known = this.times.get(worker);
     if (known === undefined) return;
@@ -81,7 +81,7 @@
     this.times.set(worker, {...known, due, pendingSince: -Infinity});
   }
 
-  /** Whether the last report is new enough to start a task on the worker. */
+  /** Returns whether the last report is recent enough to start a task. */
   isFresh(worker: string, now: clock.Milliseconds): boolean {
     const {newestSentAt} = this.times.get(worker) ?? NEVER_READ;
     return now - newestSentAt <= START_REPORT_AGE_LIMIT_MS;
--- a/src/machines/reservation_check.ts
+++ b/src/machines/reservation_check.ts
@@ -3,17 +3,18 @@
 import type * as taskSet from './task_set.js';
 import type * as worker from './worker.js';
 
-/** Finds reservations whose task nobody follows, and gives them back. */
+/** Finds reservations without a tracked task and releases them. */
 export class ReservationCheck {
   /**
-   * Reservations without a task that one check has met already: a group may
-   * reserve room over several turns before it starts.
+   * Reservations that had no task in the last check. They are released only by
+   * the second check, because a gang may reserve capacity over several turns
+   * before its tasks are tracked.
    */
   private readonly suspects = new Set<string>();
 
   constructor(private readonly tasks: taskSet.TaskSet) {}
 
-  /** Checks the reservations on one worker. */
+  /** Checks the reservations on one worker and returns violations found. */
   check(target: worker.Worker): ReadonlyArray<effect.Effect> {
     const violations: effect.Effect[] = [];
     for (const name of target.reservations().keys()) {
--- a/src/machines/start_ledger.ts
+++ b/src/machines/start_ledger.ts
@@ -1,23 +1,23 @@
 /**
- * Starts of non-idempotent requests that are not proved not run. It is kept
- * apart from the tasks, so that it checks their bookkeeping.
+ * Starts of non-idempotent requests that ran or may have run. It is kept
+ * separately from the tasks, so that it detects errors in their bookkeeping.
  */
 export class StartLedger {
   private readonly starts = new Map<string, Set<string>>();
 
-  /** Tells whether one more start would be one too many. */
+  /** Returns whether another start keeps within `taskCount` starts. */
   allowsStart(identity: string, taskCount: number): boolean {
     return (this.starts.get(identity)?.size ?? 0) < taskCount;
   }
 
-  /** Notes a start that is about to be sent. */
+  /** Records a start that is about to be sent. */
   recordStart(identity: string, task: string): void {
     const tasks = this.starts.get(identity);
     if (tasks === undefined) this.starts.set(identity, new Set([task]));
     else tasks.add(task);
   }
 
-  /** Takes back a start that is proved not to have run. */
+  /** Removes a start that is proved not to have run. */
   removeStart(identity: string, task: string): void {
     const tasks = this.starts.get(identity);
     if (tasks === undefined) return;
@@ -25,7 +25,7 @@
     if (tasks.size === 0) this.starts.delete(identity);
   }
 
-  /** Forgets an identity that is no longer answered. */
+  /** Removes an identity whose requests are no longer answered. */
   forget(identity: string): void {
     this.starts.delete(identity);
   }
