--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -5,29 +5,30 @@
 import type * as trackedTask from './tracked_task.js';
 import type * as worker from './worker.js';
 
-/** Longest wait for further starts that share the first renewal. */
+/** Maximum delay of a first renewal; tasks started meanwhile share it. */
 const FIRST_RENEWAL_DELAY_MS = 500;
 
-/** Time after which a renewal that may not be sent is considered again. */
+/** Delay before a renewal that could not be sent is tried again. */
 const RENEWAL_RETRY_MS = 500;
 
 /**
- * Time without a report after which leases are left to end: a renewal that may
- * or may not arrive would put off the moment at which the task is given up.
+ * Age of the last report from which on leases are no longer renewed. A renewal
+ * to an unreachable worker may still arrive, which would delay the time at
+ * which the task is known to have ended.
  */
 const REPORT_STALENESS_LIMIT_MS = 7_000;
 
-/** Time after which a renewal has arrived unless it was lost. */
+/** Time after which a renewal has either arrived or been lost. */
 const DELIVERY_LIMIT_MS = 200;
 
-/** Renews the leases of running tasks, one message a worker at a time. */
+/** Renews the leases of running tasks with one message per worker. */
 export class LeaseRenewer {
   private readonly renewedAt = new Map<string, clock.Milliseconds>();
   private readonly nextRenewals = new Map<string, clock.Milliseconds>();
 
   constructor(private readonly tasks: taskSet.TaskSet) {}
 
-  /** Plans the first renewal of a task; tasks that start together share it. */
+  /** Schedules the first renewal of a task; tasks started together share it. */
   scheduleFirst(
     started: trackedTask.TrackedTask,
     now: clock.Milliseconds,
@@ -41,7 +42,7 @@
     this.nextRenewals.set(name, Math.min(this.nextRenewalAt(name), now + wait));
   }
 
-  /** Renews soon when a report shows that the last renewal was lost. */
+  /** Makes a renewal due now if a report shows that the last one was lost. */
   retryIfLost(
     tracked: trackedTask.TrackedTask,
     listedLeaseEnd: clock.Milliseconds,
@@ -55,12 +56,12 @@
     this.nextRenewals.set(name, Math.min(this.nextRenewalAt(name), now));
   }
 
-  /** When the next renewal for a worker is due; Infinity without tasks. */
+  /** Returns when the next renewal for a worker is due; Infinity for none. */
   nextRenewalAt(name: string): clock.Milliseconds {
     return this.nextRenewals.get(name) ?? Infinity;
   }
 
-  /** Renews a worker's tasks when that is due and the permit allows it. */
+  /** Renews the leases on a worker if that is due and the permit is valid. */
   renew(
     target: worker.Worker,
     permitEnd: clock.Milliseconds,
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -16,22 +16,22 @@
 import type * as task from '../contracts/task.js';
 import type * as worker from './worker.js';
 
-/** Time without a report after which a worker counts as silent. */
+/** Time since the last report after which a worker counts as silent. */
 const WORKER_SILENCE_MS = 3_000;
 
-/** Time after which the fetch of an ended task's answer is sent again. */
+/** Delay before the fetch of an ended task's answer is sent again. */
 const ANSWER_FETCH_RETRY_MS = 2_000;
 
-/** Time for which the end of a task is remembered against older reports. */
+/** Retention of ended tasks, so that older reports do not adopt them again. */
 const ENDED_TASK_RETENTION_MS = 30_000;
 
-/** Until when this process may place on a worker. */
+/** Source of the permits under which this process may place on workers. */
 export interface PermitSource {
   permitEnd(worker: string): clock.Milliseconds;
   owns(worker: string): boolean;
 }
 
-/** The outcomes and effects of one event. */
+/** Task outcomes and effects that result from one event. */
 export interface RunnerOutput {
   readonly outcomes: ReadonlyArray<trackedTask.TaskOutcome>;
   readonly effects: ReadonlyArray<effects.Effect>;
@@ -43,8 +43,9 @@
 >;
 
 /**
- * Starts placed tasks, keeps their leases, and finds out how they end. A task
- * is given up only when it is proved that it does not run any more.
+ * Starts placed tasks, renews their leases and determines how they end. The
+ * reservation of a task is released only when it is proved that the task no
+ * longer runs.
  */
 export class TaskRunner {
   private readonly tasks = new taskSet.TaskSet();
@@ -55,7 +56,7 @@
     this.tasks,
   );
   private readonly endTimes = new Map<string, clock.Milliseconds>();
-  /** Owned workers whose tasks have been adopted under the present permit. */
+  /** Owned workers whose tasks were adopted under the present permit. */
   private readonly adoptedFrom = new Set<string>();
   private nextDeadlineAt: clock.Milliseconds = 0;
   private outcomes: trackedTask.TaskOutcome[] = [];
@@ -66,25 +67,28 @@
     private readonly permits: PermitSource,
   ) {}
 
-  /** Whether a worker's room is known and this process may place there. */
+  /**
+   * Returns whether this process may place on a worker: it holds a permit and a
+   * recent report, and has adopted the tasks that run there.
+   */
   mayPlace(name: string, now: clock.Milliseconds): boolean {
     const known = this.adoptedFrom.has(name) && this.reports.isFresh(name, now);
     return known && this.permits.permitEnd(name) > now;
   }
 
-  /** Whether a task is followed. */
+  /** Returns whether the task is tracked. */
   isTracked(name: string): boolean {
     return this.tasks.get(name) !== undefined;
   }
 
-  /** Follows a task whose room is reserved and whose start is not yet sent. */
+  /** Tracks a task with reserved capacity whose start is not yet sent. */
   trackHeld(placement: placement.Placement): void {
     this.tasks.put(trackedTask.heldTask(placement));
   }
 
   /**
-   * Sends the start of a held task, unless the permit has ended by now. The
-   * lease ends at `leaseBound` at the latest.
+   * Sends the start of a held task, unless the permit has ended. The lease of
+   * the start ends no later than `leaseBound`.
    */
   start(
     name: string,
@@ -96,7 +100,7 @@
     return this.takeOutput();
   }
 
-  /** Gives up a held task; false when its start has been sent. */
+  /** Drops a held task; returns false when its start has been sent. */
   dropHeld(name: string): boolean {
     const held = this.tasks.get(name);
     if (held?.state !== 'held') return false;
@@ -104,23 +108,23 @@
     return true;
   }
 
-  /** Stops a task as soon as it is known to run. */
+  /** Stops a task, now or as soon as it is known to run. */
   stop(name: string): RunnerOutput {
     const tracked = this.tasks.get(name);
-    const waits = tracked !== undefined && !tracked.stopping;
-    if (waits && tracked.state !== 'held') {
+    const canStop = tracked !== undefined && !tracked.stopping;
+    if (canStop && tracked.state !== 'held') {
       this.tasks.put({...tracked, stopping: true});
       if (tracked.state === 'running') this.sendStop(tracked);
     }
     return this.takeOutput();
   }
 
-  /** Forgets the starts of an identity that is no longer answered. */
+  /** Removes the recorded starts of an identity that is no longer answered. */
   forget(identity: string): void {
     this.ledger.forget(identity);
   }
 
-  /** Handles what workers answer; ignores other events. */
+  /** Handles worker answers and passing time; ignores other events. */
   handle(handled: event.Event, now: clock.Milliseconds): RunnerOutput {
     switch (handled.kind) {
       case 'startAnswered':
@@ -146,7 +150,7 @@
     return this.takeOutput();
   }
 
-  /** When `timePassed` is wanted next. */
+  /** Returns the time at which the next `timePassed` event is due. */
   nextDeadline(): clock.Milliseconds {
     return this.nextDeadlineAt;
   }
@@ -159,7 +163,7 @@
     const {name, leaving, clockReading: reading} = held.worker;
     const permitEnd = this.permits.permitEnd(name);
     if (reading === undefined || leaving || !this.mayPlace(name, now)) {
-      this.settleNotRun(held, 'the worker may not be given a start any more');
+      this.settleNotRun(held, 'worker leaving, report stale or permit ended');
       return;
     }
     const leaseEnd = Math.min(
@@ -167,7 +171,7 @@
       leaseBound,
     );
     if (leaseEnd <= clocks.toWorkerClock(reading, now)) {
-      this.settleNotRun(held, 'the recorded lease bound has passed');
+      this.settleNotRun(held, 'lease bound passed before the start was sent');
       return;
     }
     if (!this.allowStart(held, now)) return;
@@ -282,7 +286,7 @@
     const known = this.tasks.get(lost.task);
     if (known === undefined || known.worker.name !== lost.worker) return;
     this.effects.push(effects.count('retry', {reason: 'answerLost'}));
-    // The next report says whether the task has ended; it sends a new fetch.
+    // The next report lists the state of the task and triggers a new fetch.
     this.tasks.put({...known, fetchedAt: -Infinity});
     this.reports.expedite(lost.worker, now);
     this.wakeBy(this.reports.nextReadAt(lost.worker));
@@ -321,7 +325,10 @@
     this.wakeBy(this.reports.nextReadAt(target.name));
   }
 
-  /** The fleet makes a new object when a worker vanishes and returns. */
+  /**
+   * Moves a task to the present object of its worker. The fleet creates a new
+   * object when a worker leaves the VM list and returns.
+   */
   private rebindWorker(
     target: worker.Worker,
     known: trackedTask.TrackedTask,
@@ -342,7 +349,8 @@
       effects.log('warn', 'workerRestarted', {worker: target.name}),
     );
     for (const known of this.tasks.onWorker(target.name)) {
-      // Lease ends refer to the old clock and never prove anything again.
+      // Lease ends refer to the clock before the restart, so they cannot be
+      // compared with later reports.
       this.tasks.put({...known, leaseEndValid: false});
     }
   }
@@ -376,7 +384,7 @@
         this.settleEnded(known, judged.end, '', now);
         return;
       case 'notRun':
-        this.settleNotRun(known, 'the start lapsed before it arrived');
+        this.settleNotRun(known, 'start lease ended before the start arrived');
         return;
       case 'missing':
         this.tasks.put({...known, missingReports: known.missingReports + 1});
@@ -416,7 +424,7 @@
       startedAt: known.startedAt ?? now,
     };
     this.tasks.put(ended);
-    // An ended task occupies nothing, even while its answer is on the way.
+    // An ended task needs no capacity, even while its answer is being fetched.
     known.worker.release(known.task);
     const first = known.state !== 'collecting';
     if (first && known.fetchedAt !== -Infinity) return;
@@ -444,7 +452,7 @@
     now: clock.Milliseconds,
   ): void {
     if (this.tasks.get(item.task) !== undefined) return;
-    // A report that is older than the end of the task still lists it.
+    // A report requested before the task ended may still list it.
     if ((this.endTimes.get(item.task) ?? -Infinity) >= arrived.sentAt) return;
     const adopted = trackedTask.adoptedTask(target, item, arrived.sentAt);
     this.tasks.put(adopted);
@@ -461,7 +469,7 @@
     for (const target of this.workers.all()) this.maintainWorker(target, now);
     for (const name of this.tasks.workerNames()) {
       if (this.workers.get(name) !== undefined) continue;
-      // The VM list no longer names the worker.
+      // The worker is no longer in the VM list but still has tasks.
       this.maintainWorker(this.tasks.onWorker(name)[0].worker, now);
     }
     for (const [name, endedAt] of this.endTimes) {
@@ -489,8 +497,8 @@
 
   /**
    * Releases a task on a silent worker once its lease has certainly ended.
-   * Without a permit, another owner may have renewed the lease, unless the
-   * worker's VM does not exist any more.
+   * Without a permit nothing is released, because another owner may have
+   * renewed the lease, unless the worker's VM no longer exists.
    */
   private settleLapsed(
     known: trackedTask.TrackedTask,
@@ -516,7 +524,7 @@
     this.recordOutcome('unknown', known);
   }
 
-  /** No report tells of the task any more. */
+  /** Ends an unresolved task once no report can list it any more. */
   private settleUnresolved(
     known: trackedTask.TrackedTask,
     exists: boolean,
--- a/src/machines/task_set.ts
+++ b/src/machines/task_set.ts
@@ -1,6 +1,6 @@
 import type * as trackedTask from './tracked_task.js';
 
-/** The tasks that a process follows, by name and by worker. */
+/** Tracked tasks, indexed by name and by worker. */
 export class TaskSet {
   private readonly tasks = new Map<string, trackedTask.TrackedTask>();
   private readonly byWorker = new Map<string, Set<string>>();
@@ -9,7 +9,7 @@
     return this.tasks.get(name);
   }
 
-  /** Adds a task or replaces what is known of it. */
+  /** Adds a task or replaces its record. */
   put(tracked: trackedTask.TrackedTask): void {
     this.tasks.set(tracked.task, tracked);
     const names = this.byWorker.get(tracked.worker.name);
@@ -17,7 +17,7 @@
     else this.byWorker.set(tracked.worker.name, new Set([tracked.task]));
   }
 
-  /** Forgets a task and gives back its room. */
+  /** Removes a task and releases its reservation. */
   remove(tracked: trackedTask.TrackedTask): void {
     this.tasks.delete(tracked.task);
     tracked.worker.release(tracked.task);
@@ -26,7 +26,7 @@
     if (names?.size === 0) this.byWorker.delete(tracked.worker.name);
   }
 
-  /** Tasks on a worker, as a copy that may be changed while it is walked. */
+  /** Returns a copy of the tasks on a worker; the set may change meanwhile. */
   onWorker(worker: string): ReadonlyArray<trackedTask.TrackedTask> {
     const found: trackedTask.TrackedTask[] = [];
     for (const name of this.byWorker.get(worker) ?? []) {
@@ -36,7 +36,7 @@
     return found;
   }
 
-  /** Names of the workers with tasks. */
+  /** Returns the names of the workers that have tasks. */
   workerNames(): ReadonlyArray<string> {
     return [...this.byWorker.keys()];
   }
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -5,22 +5,23 @@
 import type * as worker from './worker.js';
 
 /**
- * Where a task stands: `held` has room but no start was sent; `starting` has
- * no start answer; `unknown` lost it; `collecting` ended and its answer is
- * fetched; `unresolved` may have run on a worker that has fallen silent.
+ * State of a tracked task. `held`: capacity is reserved, no start was sent.
+ * `starting`: the start is not answered yet. `unknown`: the answer to the start
+ * was lost. `collecting`: the task ended and its answer is being fetched.
+ * `unresolved`: it may have run on a worker that no longer reports.
  */
 export type TrackedState =
   'held' | 'starting' | 'unknown' | 'running' | 'collecting' | 'unresolved';
 
-/** How a task ended, as far as it is known. */
+/** Final state of a task, as far as it is known. */
 export type TaskEndState =
   | Exclude<task.TaskState, 'running'>
-  /** It ran, and its answer is gone. */
+  /** The task ran, but its answer is lost. */
   | 'answerLost'
-  /** Whether it ran cannot be found out any more. */
+  /** It can no longer be determined whether the task ran. */
   | 'unresolved';
 
-/** What the runner knows of a task; replaced as a whole on each change. */
+/** Record of a task in the runner; replaced as a whole on each change. */
 export interface TrackedTask {
   readonly task: string;
   readonly label: task.TaskLabel;
@@ -28,43 +29,46 @@
   readonly state: TrackedState;
   readonly size: resources.Resources;
   readonly payload: string;
-  /** Tasks of its request; 0 for an adopted task. */
+  /** Number of tasks of its request; 0 for an adopted task. */
   readonly taskCount: number;
-  /** Latest lease end that the worker may hold, on the worker's clock. */
+  /** Latest lease end that the worker may have been given, on its clock. */
   readonly leaseEnd: clock.Milliseconds;
-  /** Local time since which the task is known to have started. */
+  /** Local time at which the start became known. */
   readonly startedAt: clock.Milliseconds | undefined;
   /** Whether the task is to be stopped as soon as it runs. */
   readonly stopping: boolean;
-  /** When the last fetch of the answer was sent; -Infinity for none open. */
+  /** When the last fetch of the answer was sent; -Infinity if none pends. */
   readonly fetchedAt: clock.Milliseconds;
-  /** Reports in a row that should have listed the task and did not. */
+  /** Consecutive reports that should have listed the task but did not. */
   readonly missingReports: number;
-  /** Since when the task is unresolved; Infinity otherwise. */
+  /** Local time at which the task became unresolved; Infinity otherwise. */
   readonly unresolvedAt: clock.Milliseconds;
-  /** False after a restart of the worker: reports prove nothing of it. */
+  /**
+   * Whether `leaseEnd` refers to the worker's present clock. After a restart of
+   * the worker it does not, and a report cannot prove that the task never ran.
+   */
   readonly leaseEndValid: boolean;
 }
 
-/** The part of a task that outcomes name. */
+/** Name, label and worker of a task, as given in its outcomes. */
 export interface TaskReference {
   readonly task: string;
   readonly label: task.TaskLabel;
   readonly worker: string;
 }
 
-/** What became of a task; the caller of the runner acts on it. */
+/** Change in the state of a task, on which the caller of the runner acts. */
 export type TaskOutcome =
   | {
       readonly kind: 'started' | 'adopted' | 'unknown';
       readonly reference: TaskReference;
     }
   | {
-      /** Proved not to run now or later. */
+      /** The task is proved neither to run now nor to start later. */
       readonly kind: 'notRun';
       readonly reference: TaskReference;
       readonly detail: string;
-      /** Whether a start was sent. */
+      /** Whether a start had been sent. */
       readonly sent: boolean;
     }
   | {
@@ -74,7 +78,7 @@
       readonly answer: string;
     };
 
-/** Returns the part of a task that outcomes name. */
+/** Returns the reference of a task for its outcomes. */
 export function reference(tracked: TrackedTask): TaskReference {
   return {
     task: tracked.task,
@@ -94,7 +98,7 @@
   leaseEndValid: true,
 } as const;
 
-/** Builds a task whose room is reserved and whose start is not yet sent. */
+/** Builds a task whose capacity is reserved and whose start is not yet sent. */
 export function heldTask(placement: placement.Placement): TrackedTask {
   const {request} = placement;
   return {
@@ -115,7 +119,7 @@
   };
 }
 
-/** Builds a task that a report from `sentAt` shows running. */
+/** Builds a task that a report requested at `sentAt` lists as running. */
 export function adoptedTask(
   target: worker.Worker,
   listed: task.TaskReport,
@@ -135,7 +139,7 @@
   };
 }
 
-/** Whether only a report can tell what became of a task. */
+/** Returns whether the next report determines the state of a task. */
 export function awaitsReport(known: TrackedTask): boolean {
   return known.state !== 'running' || known.fetchedAt === -Infinity;
 }
--- a/src/machines/upstream.ts
+++ b/src/machines/upstream.ts
@@ -1,35 +1,35 @@
 import type * as clock from './clock.js';
 
-/** Connections that one upstream accepts; the fleets have about 60 each. */
+/** Connections that one upstream accepts; workers have about 60 each. */
 const CONNECTION_LIMIT = 60;
 
-/** Calls in flight at first, before any answer is known. */
+/** Limit of calls in flight before any answer has arrived. */
 const INITIAL_LIMIT = 16;
 
-/** Smallest limit; a single call keeps probing an upstream in trouble. */
+/** Minimum limit: a single call keeps probing an overloaded upstream. */
 const MINIMUM_LIMIT = 1;
 
-/** Factor by which the limit shrinks after a lost or slow answer. */
+/** Factor applied to the limit after a lost or slow answer. */
 const BACKOFF_FACTOR = 0.7;
 
-/** An answer this many times slower than usual counts as overload. */
+/** Multiple of the average latency above which an answer counts as slow. */
 const SLOW_FACTOR = 4;
 
-/** Answers below this time are never slow, whatever is usual. */
+/** Latency up to which an answer never counts as slow. */
 const SLOW_ANSWER_MINIMUM_MS = 50;
 
-/** Weight of the newest answer in the usual answer time. */
+/** Weight of the newest answer in the moving average of the latency. */
 const LATENCY_SMOOTHING = 0.05;
 
-/** The limit shrinks at most once in this time, as answers come in groups. */
+/** Minimum time between two reductions, because answers arrive in groups. */
 const BACKOFF_INTERVAL_MS = 1_000;
 
-/** Lost answers in a row, with none in between, that count as silence. */
+/** Consecutive lost answers after which an upstream counts as silent. */
 const SILENCE_LOSS_COUNT = 3;
 
 /**
- * Calls that one upstream gets at once. The limit grows by one per round of
- * good answers while it is used, and shrinks when answers are lost or slow.
+ * Adaptive limit of the calls in flight to one upstream. It grows by one per
+ * round of good answers while it is used, and shrinks on lost or slow answers.
  */
 export class Upstream {
   private limitValue = INITIAL_LIMIT;
@@ -38,27 +38,27 @@
   private backedOffAt = -Infinity;
   private consecutiveLosses = 0;
 
-  /** Calls that the upstream may have in flight. */
+  /** Maximum number of calls in flight. */
   get limit(): number {
     return Math.floor(this.limitValue);
   }
 
-  /** Whether the upstream may get another call. */
+  /** Whether another call may be sent to the upstream. */
   get acceptsCalls(): boolean {
     return this.inFlight < this.limit;
   }
 
-  /** Whether the upstream lost its last answers without giving any. */
+  /** Whether the last calls to the upstream all went unanswered. */
   get isSilent(): boolean {
     return this.consecutiveLosses >= SILENCE_LOSS_COUNT;
   }
 
-  /** Notes a call that is sent now. */
+  /** Records that a call is being sent. */
   onSend(): void {
     this.inFlight += 1;
   }
 
-  /** Notes an answer. */
+  /** Records an answer and adjusts the limit to its latency. */
   onAnswer(latencyMs: clock.Milliseconds, now: clock.Milliseconds): void {
     const wasUsed = this.inFlight * 2 >= this.limit;
     this.onNeutralEnd();
@@ -73,12 +73,12 @@
     else if (wasUsed) this.increaseLimit();
   }
 
-  /** Notes the end of a call that tells nothing about the upstream. */
+  /** Records the end of a call that says nothing about the upstream's load. */
   onNeutralEnd(): void {
     this.inFlight = Math.max(0, this.inFlight - 1);
   }
 
-  /** Notes a call whose answer did not come. */
+  /** Records a call without an answer and reduces the limit. */
   onLoss(now: clock.Milliseconds): void {
     this.onNeutralEnd();
     this.consecutiveLosses += 1;
