--- a/src/loop.ts
+++ b/src/loop.ts
@@ -2,25 +2,26 @@
 import type * as clock from './machines/clock.js';
 import type * as event from './contracts/event.js';
 
-/** Takes one event a turn and returns what is to be done about it. */
+/** Decision logic: handles one event per turn and returns its effects. */
 export interface EventHandler {
   handle(
     event: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect>;
-  /** When `timePassed` is wanted next; Infinity when nothing is due. */
+  /** Returns when the next `timePassed` event is due; Infinity for none. */
   nextDeadline(now: clock.Milliseconds): clock.Milliseconds;
 }
 
-/** Performs effects and posts what comes of them to the loop. */
+/** Performs effects and posts their results to the loop as events. */
 export interface EffectPerformer {
   perform(effect: effects.Effect): void;
 }
 
 /**
  * The only event queue of a process. Links and timers post events; each turn
- * hands one event to the handler and its effects to the performer. The loop
- * runs on Node's thread and sleeps in its poll while the queue is empty.
+ * passes one event to the handler and the resulting effects to the performer.
+ * The loop runs on Node's single thread, which blocks in Node's own poll while
+ * the queue is empty.
  */
 export class Loop {
   private readonly queue: event.Event[] = [];
@@ -35,7 +36,7 @@
     private readonly clock: clock.Clock,
   ) {}
 
-  /** Queues an event; returns before it is handled. */
+  /** Queues an event and returns before it is handled. */
   post(posted: event.Event): void {
     if (this.stopped) return;
     this.queue.push(posted);
@@ -44,7 +45,7 @@
     queueMicrotask(() => this.turn());
   }
 
-  /** Discards queued events and takes no more. */
+  /** Discards the queued events and ignores any further ones. */
   stop(): void {
     this.stopped = true;
     this.queue.length = 0;
@@ -63,7 +64,10 @@
     this.armTimer();
   }
 
-  /** A fault in one turn is reported and does not end the following turns. */
+  /**
+   * Handles one event. An exception is counted and logged, so that it does not
+   * prevent the following turns.
+   */
   private handle(taken: event.Event): void {
     try {
       for (const wanted of this.handler.handle(taken, this.clock.now())) {
--- a/src/operations/enable_roarr.ts
+++ b/src/operations/enable_roarr.ts
@@ -1,3 +1,3 @@
-// roarr drops every message unless this variable is set when it is loaded, so
-// this module has to be imported before roarr.
+// roarr discards all messages unless this variable is set when it is loaded.
+// This module must therefore be imported before roarr.
 process.env['ROARR_LOG'] = 'true';
--- a/src/operations/event_log_writer.ts
+++ b/src/operations/event_log_writer.ts
@@ -1,16 +1,16 @@
 import * as logger from './logger.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Bytes waiting for the reader of the output beyond which lines are dropped. */
+/** Unread output above which lines are dropped. */
 const MAXIMUM_BACKLOG_BYTES = 262_144;
 
-/** A stream that tells how much its reader has not taken yet. */
+/** Writable stream that exposes its number of buffered bytes. */
 export interface LineOutput {
   readonly writableLength: number;
   write(text: string): unknown;
 }
 
-/** Writes one line an event, and never waits for a reader that lags. */
+/** Writes one line per event; drops lines when the reader is too slow. */
 export class EventLogWriter implements schedulerOptions.EventLog {
   private readonly logger: logger.Logger;
   private droppedLineCount = 0;
--- a/src/operations/logger.ts
+++ b/src/operations/logger.ts
@@ -2,7 +2,7 @@
 import * as roarr from 'roarr';
 import type * as sinks from './sinks.js';
 
-/** Writes one line of key=value pairs for each event through roarr. */
+/** Log sink that writes each event as one line of key=value pairs. */
 export class Logger implements sinks.LogSink {
   constructor(write: (line: string) => void) {
     roarr.ROARR.write = message => write(toLine(message));
--- a/src/operations/metrics.ts
+++ b/src/operations/metrics.ts
@@ -1,10 +1,10 @@
 import * as hotShots from 'hot-shots';
 import type * as sinks from './sinks.js';
 
-/** Time for which datagrams are collected before they are sent. */
+/** Interval at which collected metrics are sent. */
 const FLUSH_INTERVAL_MS = 1_000;
 
-/** Largest datagram that no usual network splits, in bytes. */
+/** Maximum datagram size that common networks do not fragment. */
 const MAXIMUM_DATAGRAM_BYTES = 1_400;
 
 /** Sends counters and durations as StatsD datagrams. */
@@ -19,7 +19,7 @@
       globalTags: {process},
       maxBufferSize: MAXIMUM_DATAGRAM_BYTES,
       bufferFlushInterval: FLUSH_INTERVAL_MS,
-      // A lost datagram costs a figure; it must not disturb the process.
+      // A lost datagram only loses samples, so send errors are ignored.
       errorHandler: () => {},
     });
   }
@@ -40,18 +40,18 @@
     this.client.distribution(metric, milliseconds, {...labels});
   }
 
-  /** Sends what is collected. */
+  /** Sends the collected metrics and closes the socket. */
   close(): Promise<void> {
     return new Promise(resolve => this.client.close(() => resolve()));
   }
 }
 
-/** Drops everything, for a process without a receiver of metrics. */
+/** Metrics sink that discards everything, used when no receiver is set. */
 export class NullMetrics implements sinks.MetricsSink {
   count(): void {}
 
   observe(): void {}
 
-  /** Does nothing. */
+  /** Returns at once, because nothing is buffered. */
   async close(): Promise<void> {}
 }
--- a/src/operations/prometheus_metrics.ts
+++ b/src/operations/prometheus_metrics.ts
@@ -3,12 +3,12 @@
 import * as listen from '../links/listen.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Bounds of the histograms' buckets in milliseconds. */
+/** Upper bounds of the histogram buckets in milliseconds. */
 const LATENCY_BUCKETS_MS = [
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 30_000,
 ];
 
-/** Counters and latency histograms, served as text over HTTP. */
+/** Counters and latency histograms in Prometheus text format over HTTP. */
 export class PrometheusMetrics implements schedulerOptions.Counters {
   private readonly registry = new promClient.Registry();
   private readonly counters = new Map<string, promClient.Counter<'reason'>>();
@@ -24,7 +24,7 @@
     known.observe(milliseconds);
   }
 
-  /** Serves the present figures at every path. */
+  /** Serves the current metrics at every path and returns the port. */
   listen(host: string, port: number): Promise<number> {
     const server = http.createServer((_request, response) => {
       void this.registry.metrics().then(text => {
--- a/src/operations/sinks.ts
+++ b/src/operations/sinks.ts
@@ -1,4 +1,4 @@
-/** Receives counters and durations. */
+/** Receiver of counters and durations, labelled by name. */
 export interface MetricsSink {
   count(
     metric: string,
@@ -12,7 +12,7 @@
   ): void;
 }
 
-/** Receives log events. */
+/** Receiver of structured log events. */
 export interface LogSink {
   log(
     level: 'debug' | 'info' | 'warn' | 'error',
