--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -2,15 +2,15 @@
 import * as toml from 'smol-toml';
 import * as tomlSchema from '../links/toml_schema.js';
 
-/** Settings of one entry process. */
+/** Parsed settings of one entry process. */
 export interface Settings {
   readonly vm: string;
   readonly zone: string;
   readonly region: string;
   readonly host: string;
-  /** Port for callers; 0 lets the system choose. */
+  /** Port for callers; 0 selects a free port. */
   readonly callerPort: number;
-  /** Port for other entry processes; 0 lets the system choose. */
+  /** Port for other entry processes; 0 selects a free port. */
   readonly peerPort: number;
   readonly log: string;
   readonly vmList: string;
@@ -18,13 +18,13 @@
   readonly logStalenessMs: number;
   readonly appendIntervalMs: number;
   readonly metricsHost: string;
-  /** Port of the StatsD receiver; 0 sends nothing. */
+  /** Port of the StatsD receiver; 0 disables metrics. */
   readonly metricsPort: number;
   readonly bodyLimitBytes: number;
   readonly openCallLimit: number;
 }
 
-/** A fault in the settings, by key. */
+/** Validation error of one key in the settings. */
 export interface SettingsFault {
   readonly key: string;
   /** Line of the key; 0 when the key is missing. */
@@ -34,12 +34,13 @@
 }
 
 /**
- * Least retention of the log. Outcomes are answered for 1 h after the end of
- * a request, and a snapshot has to be readable for half of the retention.
+ * Minimum retention of the log: more than 2 h. Outcomes are answered for 1 h
+ * after the end of a request, and a snapshot has to stay readable for half of
+ * the retention.
  */
 const MINIMUM_RETENTION_MS = 7_200_001;
 
-/** Most retention that can be stated: a year. */
+/** Maximum retention of the log: one year. */
 const MAXIMUM_RETENTION_MS = 31_536_000_000;
 
 const name = new tomlSchema.NameRule();
@@ -47,7 +48,7 @@
 const address = new tomlSchema.AddressRule();
 const port = new tomlSchema.WholeRule(0, 65_535);
 
-/** Every key of the settings with its rule, default and unit. */
+/** Schema of the settings: the rule, default, unit and meaning of each key. */
 export const SETTINGS_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'vm',
@@ -63,7 +64,7 @@
   {
     key: 'host',
     rule: host,
-    meaning: 'IP number on which callers and other entry processes connect.',
+    meaning: 'IP address on which callers and other entry processes connect.',
   },
   {
     key: 'callerPort',
@@ -101,7 +102,7 @@
     default: 30,
     unit: 'ms',
     meaning:
-      'Least time between two appends of this process. Set it to the number ' +
+      'Minimum time between appends of this process. Set it to the number ' +
       'of entry processes of the cell times 1000/300, so that all together ' +
       'stay under 300 appends a second; the default suits 9 processes.',
   },
@@ -109,7 +110,7 @@
     key: 'metricsHost',
     rule: host,
     default: '127.0.0.1',
-    meaning: 'IP number of the StatsD receiver.',
+    meaning: 'IP address of the StatsD receiver.',
   },
   {
     key: 'metricsPort',
@@ -122,17 +123,17 @@
     rule: new tomlSchema.WholeRule(1_024, 67_108_864),
     default: 1_048_576,
     unit: 'bytes',
-    meaning: 'Largest body of a call; bounds the memory of one call.',
+    meaning: 'Maximum body size of a call; bounds the memory of one call.',
   },
   {
     key: 'openCallLimit',
     rule: new tomlSchema.WholeRule(1, 1_000_000),
     default: 10_000,
-    meaning: 'Most calls that are open at once; bounds the memory of all.',
+    meaning: 'Maximum number of open calls; bounds the memory of all calls.',
   },
 ]);
 
-/** Reads settings and returns every fault at once. */
+/** Parses settings and returns either all faults at once or the settings. */
 export function parseSettings(
   text: string,
 ): either.Either<ReadonlyArray<SettingsFault>, Settings> {
@@ -167,7 +168,10 @@
   return {key: field, line, value, rule: `must be ${fault.rule}`};
 }
 
-/** Settings have no sub-tables, so a key stands at the start of its line. */
+/**
+ * Returns the line number of a key, or 0 if it is missing. Settings have no
+ * sub-tables, so a key always stands at the start of its line.
+ */
 function findLine(field: string, text: string): number {
   const lines = text.split('\n');
   return 1 + lines.findIndex(line => keyOfLine(line) === field);
