--- a/src/result.ts
+++ b/src/result.ts
@@ -1,7 +1,7 @@
-/** What is known of a request's execution. */
+/** What a result states about the execution of the request. */
 export type Execution = 'notRun' | 'ran' | 'unknown' | 'pending';
 
-/** Whether the caller may send the request again, and under which identity. */
+/** Whether and how the caller may send the request again. */
 export type RetryAdvice = 'no' | 'sameIdentity' | 'afterCorrection' | 'later';
 
 /** One row of the table of result codes. */
@@ -146,7 +146,7 @@
     410,
     'notRun',
     'no',
-    'The queue has no job of this identity, or forgot it after its end.',
+    'The queue has no job of this identity, or removed it after its end.',
   ),
   malformedCall: row(
     1020,
@@ -154,7 +154,7 @@
     400,
     'notRun',
     'afterCorrection',
-    'What was sent is not an HTTP/1.1 request.',
+    'The bytes received are not an HTTP/1.1 request.',
   ),
   neverFits: row(
     2001,
@@ -218,7 +218,7 @@
     503,
     'notRun',
     'later',
-    'This process has as many open calls as it may have.',
+    'This process has reached its limit of open calls.',
   ),
   noConfiguration: row(
     3001,
@@ -242,7 +242,7 @@
     503,
     'notRun',
     'later',
-    'What must be recorded before the action could not be recorded.',
+    'A record that has to precede the action could not be stored.',
   ),
   draining: row(
     3004,
@@ -258,7 +258,7 @@
     503,
     'notRun',
     'later',
-    'The home of the identity is gone and did not run it; use a new identity.',
+    'The issuing process is gone and ran nothing; use a new identity.',
   ),
   unknownOutcome: row(
     4001,
@@ -266,7 +266,7 @@
     504,
     'unknown',
     'sameIdentity',
-    'Whether the request ran is not known yet; ask again.',
+    'It is not known yet whether the request ran; ask again.',
   ),
   outcomeLost: row(
     4002,
@@ -274,7 +274,7 @@
     502,
     'unknown',
     'no',
-    'The request may have run; its outcome cannot be found any more.',
+    'The request may have run; its outcome can no longer be determined.',
   ),
   taskFailed: row(
     5001,
@@ -298,7 +298,7 @@
     502,
     'ran',
     'no',
-    'The request ran; its answer is no longer kept.',
+    'The request ran; its answer is no longer stored.',
   ),
   versionConflict: row(
     6001,
@@ -330,26 +330,26 @@
     504,
     'unknown',
     'sameIdentity',
-    'The log has not shown yet whether the publication was accepted.',
+    'The log does not show yet whether the publication was accepted.',
   ),
 } as const satisfies Record<string, ResultCode>;
 
 /** The name of a result code. */
 export type ResultName = keyof typeof RESULT_CODES;
 
-/** A result with the details that a caller needs to act on it. */
+/** A result code with the detail that a caller needs to act on it. */
 export interface Failure {
   readonly result: ResultName;
   /** Names the field, the value and the rule. */
   readonly detail: string;
 }
 
-/** Builds a failure. */
+/** Returns a failure with a detail for the caller. */
 export function failure(result: ResultName, detail: string): Failure {
   return {result, detail};
 }
 
-/** Returns the row of a code that another process sent. */
+/** Returns the table row of a code received from another process, if known. */
 export function byCode(
   code: number,
 ): (ResultCode & {readonly name: ResultName}) | undefined {
