--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -21,27 +21,27 @@
 import type * as event from '../contracts/event.js';
 import type * as settings from '../operations/settings.js';
 
-// A worker has about 60 connections: 12 for short calls and 40 that wait for
-// answers leave some to a second owner and to the platform.
+// A worker accepts about 60 connections. Using 12 for short calls and 40 for
+// pending answers leaves some for a second owner and for the platform.
 const WORKER_CONNECTIONS = {least: 2, first: 4, greatest: 12};
 const ANSWER_CONNECTIONS = {least: 4, first: 16, greatest: 40};
 const PLATFORM_CONNECTIONS = {least: 2, first: 4, greatest: 8};
 
 type ClosableMetricsSink = sinks.MetricsSink & {close(): Promise<void>};
 
-/** Where an entry process listens. */
+/** Addresses on which an entry process listens. */
 export interface EntryAddresses {
   readonly callers: string;
   readonly peers: string;
 }
 
-/** Receivers that replace those of the settings. */
+/** Metrics and log sinks that replace those of the settings. */
 export interface SinkOverrides {
   readonly metrics: ClosableMetricsSink;
   readonly logs: sinks.LogSink;
 }
 
-/** One entry process: the decision core, its loop and its links. */
+/** Entry process: the decision core, its event loop and its links. */
 export class EntryProcess {
   private readonly clock = new clock.SystemClock();
   private readonly numbers = new callNumbers.CallNumbers();
@@ -98,10 +98,10 @@
     });
   }
 
-  /** Begins to decide and returns where it listens. */
+  /** Starts the servers and the loop, and returns the addresses. */
   async start(): Promise<EntryAddresses> {
     const {host, callerPort, peerPort} = this.settings;
-    // Other processes learn the address from the log, so it has to be known
+    // The core publishes the peer address in the log, so the port must be known
     // before the first decision.
     const realPeerPort = await this.peerServer.listen(host, peerPort);
     const core = this.buildCore(`${host}:${realPeerPort}`);
@@ -117,21 +117,21 @@
     return {callers: `${host}:${port}`, peers: `${host}:${realPeerPort}`};
   }
 
-  /** Finishes what is in progress and closes everything. */
+  /** Drains the requests in progress and closes all links. */
   shutDown(): Promise<void> {
     this.shutdownResult ??= this.drainAndClose();
     return this.shutdownResult;
   }
 
-  /** Resolves when others took over what was here, as after a long pause. */
+  /** Resolves when other processes have taken over, e.g. after a long pause. */
   superseded(): Promise<void> {
     return this.supersededSignal;
   }
 
-  /** Closes everything at once; what callers wait for has to be asked again. */
+  /** Closes all links without draining; callers have to repeat open calls. */
   async closeNow(): Promise<void> {
     const {code} = result.RESULT_CODES.unknownOutcome;
-    const detail = 'this process was succeeded; ask again';
+    const detail = 'another process took over from this one; ask again';
     await this.callers.abandon({code, detail});
     await this.close();
   }
@@ -194,7 +194,7 @@
       }),
       platform: new platformLink.PlatformLink({
         addresses: this.settings,
-        // Any answer shows that a connection works, so the path may be unknown.
+        // Any answer, even for an unknown path, shows that a connection works.
         caller: this.buildCaller('platform', PLATFORM_CONNECTIONS, '/'),
         post,
         now,
@@ -221,7 +221,7 @@
         this.metrics.count('silent_connection', labels, 1);
         this.logs.log('warn', 'silentConnection', {...labels, address});
       },
-      // Workers are of the own zone; the platform answers from there too.
+      // Workers and the platform's endpoints are in the same zone as this VM.
       onConnected: socket => this.bytes.watch(socket, link, this.settings.zone),
     });
     this.httpCallers.push(caller);
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -4,40 +4,40 @@
 import type * as sinks from '../operations/sinks.js';
 
 /**
- * Longest time from the signal to the last calls, so that the process ends
- * within 30 s.
+ * Time limit from the signal until the requests have ended; the process must
+ * end within 30 s.
  */
 const SHUTDOWN_DEADLINE_MS = 25_000;
 
-/** Time for the balancer to see that the process is not ready any more. */
+/** Time for the load balancer to notice that the process is not ready. */
 const READINESS_NOTICE_MS = 1_000;
 
-/** Time for calls that are still open once no request is left here. */
+/** Time for calls that are still open after the local requests have ended. */
 const CALL_GRACE_MS = 2_000;
 
-/** Time for callers to read their answers; one may not read at all. */
+/** Time limit for callers to read their answers; a caller may never read. */
 const CLOSE_TIMEOUT_MS = 4_000;
 
-/** Time between looks at what is left to do. */
+/** Interval between reads of the status. */
 const STATUS_POLL_INTERVAL_MS = 50;
 
-/** Time for the loop to answer a look. */
+/** Time limit for the loop to answer a status request. */
 const STATUS_TIMEOUT_MS = 1_000;
 
 interface Remaining {
   readonly unfinished: number;
-  /** Whether the zone has recorded that this process left. */
+  /** Whether the zone has recorded that this process has left. */
   readonly left: boolean;
 }
 
-/** Ends a process without cutting off a request in progress. */
+/** Shuts a process down without interrupting requests in progress. */
 export class GracefulShutdown {
   constructor(
     private readonly callers: callerServer.CallerServer,
     private readonly logs: sinks.LogSink,
   ) {}
 
-  /** Resolves when the callers' connections are closed and the process may end. */
+  /** Drains the process; resolves when all caller connections are closed. */
   async run(): Promise<void> {
     const started = performance.now();
     const deadline = started + SHUTDOWN_DEADLINE_MS;
@@ -49,7 +49,7 @@
     );
     await timers.setTimeout(READINESS_NOTICE_MS);
     const remaining = await this.waitUntilLeft(deadline);
-    // What is open now concerns requests of other homes.
+    // The calls still open concern requests that other processes handle.
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process is shutting down; ask another';
     await Promise.race([
@@ -63,7 +63,7 @@
     });
   }
 
-  /** Returns what is left when all is done, or at the deadline. */
+  /** Polls until the process has left or the deadline has passed. */
   private async waitUntilLeft(deadline: number): Promise<Remaining> {
     for (;;) {
       const remaining = await this.readRemaining();
@@ -80,7 +80,7 @@
     );
     const content = (reply?.content ?? {}) as Readonly<Record<string, unknown>>;
     return {
-      // Without an answer nothing is known to be finished.
+      // Without an answer, assume that a request is still unfinished.
       unfinished: Number(content['unfinished'] ?? 1),
       left: content['left'] === true,
     };
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -2,10 +2,10 @@
 import * as commandTypes from 'cmd-ts';
 import * as settings from '../operations/settings.js';
 
-/** Exit code when the settings are wrong. */
+/** Exit code for faulty settings. */
 const INVALID_SETTINGS_EXIT_CODE = 2;
 
-/** The command `serve`: runs one entry process until it is told to stop. */
+/** The command `serve`: runs one entry process until SIGTERM or SIGINT. */
 export const serve = commandTypes.command({
   name: 'serve',
   description: 'Runs the entry process of one VM',
@@ -27,14 +27,14 @@
 });
 
 async function run(read: settings.Settings): Promise<void> {
-  // Loaded here, so that the other commands do without the servers' memory.
+  // Imported lazily, so that other commands do not load the servers.
   const entryProcess = await import('./entry_process.js');
   let entry: InstanceType<typeof entryProcess.EntryProcess>;
   const end = (): void => void entry.shutDown().then(() => process.exit(0));
   process.on('SIGTERM', end);
   process.on('SIGINT', end);
-  // A succeeded process has lost its identities and workers for good, so that
-  // a new incarnation takes its place on this VM.
+  // A superseded process has permanently lost its identities and workers, so a
+  // new incarnation replaces it on this VM.
   for (;;) {
     entry = new entryProcess.EntryProcess(read);
     await entry.start();
