--- a/src/commands/call_arguments.ts
+++ b/src/commands/call_arguments.ts
@@ -3,14 +3,14 @@
 import * as entryClient from '../links/entry_client.js';
 import * as tomlSchema from '../links/toml_schema.js';
 
-/** Client in whose name operators call when they name none. */
+/** Client name of calls when the option --client is not given. */
 const OPERATOR_CLIENT = 'operator';
 
-/** Time after which a command stops asking, in seconds. */
+/** Default of --timeout. */
 const DEFAULT_TIMEOUT_SECONDS = 60;
 
 const address: commandTypes.Type<string, string> = {
-  description: 'IP number and port for callers',
+  description: 'IP address and port for callers',
   displayName: 'address',
   async from(text) {
     const rule = new tomlSchema.AddressRule();
@@ -31,7 +31,7 @@
   },
 };
 
-/** Prints JSON instead of text. */
+/** The option --json, which prints JSON instead of text. */
 export const json = commandTypes.flag({
   long: 'json',
   description: 'Print one JSON object a line',
@@ -42,24 +42,24 @@
   entries: commandTypes.multioption({
     long: 'entry',
     type: commandTypes.array(address),
-    description: 'Entry process to ask; repeat it to name others to fall back',
+    description: 'Entry process to call; repeat it to add fallbacks',
   }),
   client: commandTypes.option({
     long: 'client',
     type: commandTypes.string,
     defaultValue: () => OPERATOR_CLIENT,
-    description: 'Client in whose name the call is made',
+    description: 'Client on whose behalf the call is made',
   }),
   timeout: commandTypes.option({
     long: 'timeout',
     type: timeout,
     defaultValue: () => DEFAULT_TIMEOUT_SECONDS,
-    description: 'Time after which the command stops asking, in seconds',
+    description: 'Time after which the command stops retrying, in seconds',
   }),
   json,
 };
 
-/** Values of `callArguments`. */
+/** Parsed values of `callArguments`. */
 export interface CallArguments {
   readonly entries: ReadonlyArray<string>;
   readonly client: string;
@@ -67,12 +67,12 @@
   readonly json: boolean;
 }
 
-/** Makes a client of the named entry processes. */
+/** Returns a client of the given entry processes, or a fault without any. */
 export function createClient(
   given: CallArguments,
 ): either.Either<string, entryClient.EntryClient> {
   if (given.entries.length === 0) {
-    return either.Left('--entry: missing must be the address of one or more');
+    return either.Left('--entry: missing; name at least one entry process');
   }
   return either.Right(new entryClient.EntryClient(given.entries, given.client));
 }
--- a/src/commands/cell_commands.ts
+++ b/src/commands/cell_commands.ts
@@ -3,7 +3,7 @@
 import * as commandReport from './command_report.js';
 import * as entryCommand from './entry_command.js';
 
-/** The command `status`: shows what one entry process knows. */
+/** The command `status`: shows the state of one entry process. */
 export const status = commandTypes.command({
   name: 'status',
   description: 'Shows the members, workers, documents and queues of a process',
@@ -31,18 +31,18 @@
   handler: given => get(given, '/v1/workloads'),
 });
 
-/** The command `drain`: empties a worker or an entry process. */
+/** The command `drain`: drains a worker or an entry process. */
 export const drain = commandTypes.command({
   name: 'drain',
   description:
-    'Empties a worker, or without --worker the entry process itself, without ' +
+    'Drains a worker, or without --worker the entry process itself, without ' +
     'interrupting a request',
   args: {
     ...callArguments.callArguments,
     worker: commandTypes.option({
       long: 'worker',
       type: commandTypes.optional(commandTypes.string),
-      description: 'Worker to drain; without it the entry process drains',
+      description: 'Worker to drain; without it the entry process is drained',
     }),
   },
   examples: [
@@ -55,8 +55,8 @@
     const output = new commandReport.ProcessOutput();
     const {worker, entries, json} = given;
     if (worker === undefined && entries.length > 1) {
-      // A fallback to another process would drain that one as well.
-      const fault = '--entry: must be given once to drain an entry process';
+      // A retry against a fallback would drain that process as well.
+      const fault = '--entry: give exactly one to drain an entry process';
       commandReport.reportFaults(output, 'arguments', [fault], json);
       return;
     }
--- a/src/commands/command_report.ts
+++ b/src/commands/command_report.ts
@@ -1,7 +1,7 @@
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
-/** Exit codes of the commands, by kind of result code. */
+/** Exit codes of the commands, by category of the result. */
 export const EXIT_CODES = {
   done: 0,
   badInput: 2,
@@ -13,10 +13,10 @@
   pending: 8,
 } as const;
 
-/** A kind of `EXIT_CODES`. */
+/** Category of a result that determines the exit code. */
 export type ExitKind = keyof typeof EXIT_CODES;
 
-/** Exit kinds by the thousands of a result code. */
+/** Exit kinds, indexed by the thousands digit of a result code. */
 const EXIT_KINDS: ReadonlyArray<ExitKind> = [
   'done',
   'badInput',
@@ -27,7 +27,7 @@
   'configuration',
 ];
 
-/** Returns the exit code for a reply; no reply counts as unavailable. */
+/** Returns the exit code for a reply; a missing reply means unavailable. */
 export function exitCodeOf(reply: effect.Reply | undefined): number {
   if (reply === undefined) return EXIT_CODES.unavailable;
   if (reply.code === result.RESULT_CODES.accepted.code) {
@@ -37,7 +37,7 @@
   return EXIT_CODES[kind];
 }
 
-/** Returns the row of a result code. */
+/** Returns the table row of a numeric result code, if known. */
 export function rowOf(code: number): result.ResultCode | undefined {
   const rows: ReadonlyArray<result.ResultCode> = Object.values(
     result.RESULT_CODES,
@@ -45,13 +45,13 @@
   return rows.find(row => row.code === code);
 }
 
-/** Receives what a command prints. */
+/** Destination of a command's output lines and exit code. */
 export interface Output {
   line(text: string): void;
   exit(code: number): void;
 }
 
-/** Prints to the standard output and sets the exit code of this process. */
+/** Output to the standard output and the exit code of this process. */
 export class ProcessOutput implements Output {
   line(text: string): void {
     process.stdout.write(`${text}\n`);
@@ -62,7 +62,7 @@
   }
 }
 
-/** Prints a reply with further fields and sets the exit code. */
+/** Prints a reply with additional fields and sets the exit code. */
 export function reportReply(
   output: Output,
   reply: effect.Reply | undefined,
@@ -70,13 +70,13 @@
   further: Readonly<Record<string, string | number>> = {},
 ): void {
   output.exit(exitCodeOf(reply));
-  const shown = reply ?? {detail: 'no entry process answered in time'};
+  const shown = reply ?? {detail: 'no entry process answered within --timeout'};
   const fields = {...further, ...shown};
   if (json) output.line(JSON.stringify(fields));
   else for (const text of describe(fields)) output.line(text);
 }
 
-/** Prints the faults of a file and sets the exit code. */
+/** Prints the faults of a file; sets the exit code if there are any. */
 export function reportFaults(
   output: Output,
   file: string,
--- a/src/commands/entry_command.ts
+++ b/src/commands/entry_command.ts
@@ -3,14 +3,14 @@
 import * as retryingCaller from './retrying_caller.js';
 import type * as effect from '../contracts/effect.js';
 
-/** What a command prints at its end. */
+/** Reply and additional fields that a command prints when it ends. */
 export interface CommandResult {
   readonly reply: effect.Reply | undefined;
-  /** Fields that the reply itself does not state. */
+  /** Additional fields that are not part of the reply. */
   readonly further?: Readonly<Record<string, string | number>>;
 }
 
-/** Connects, lets a command make its calls, and prints the outcome. */
+/** Creates a client, runs the calls of a command and prints the result. */
 export async function run(
   given: callArguments.CallArguments,
   output: commandReport.Output,
--- a/src/commands/publish.ts
+++ b/src/commands/publish.ts
@@ -11,7 +11,7 @@
 interface Publication {
   readonly document: string;
   readonly content: string;
-  /** Undefined means the version in force when the command starts. */
+  /** Base version; undefined for the one in force when the command starts. */
   readonly base: number | undefined;
   readonly publication: string;
 }
@@ -41,8 +41,8 @@
       type: commandTypes.string,
       defaultValue: () => crypto.randomUUID(),
       description:
-        'Identity of an earlier try whose outcome is unknown; with it, give ' +
-        'the base of that try as well',
+        'Identity of an earlier attempt whose outcome is unknown; with it, ' +
+        'give the base of that attempt as well',
     }),
     file: commandTypes.positional({
       displayName: 'FILE',
@@ -99,7 +99,7 @@
   return {reply, further: {publication, base}};
 }
 
-/** Returns the version in force, or the reply that gives none. */
+/** Returns the version in force, or the reply if it contains none. */
 async function fetchVersion(
   caller: retryingCaller.RetryingCaller,
   path: string,
--- a/src/commands/request_commands.ts
+++ b/src/commands/request_commands.ts
@@ -9,10 +9,10 @@
   description: 'Identity of the request',
 });
 
-/** The command `explain`: tells why a request waits or where it runs. */
+/** The command `explain`: shows why a request waits or where it runs. */
 export const explain = commandTypes.command({
   name: 'explain',
-  description: 'Tells why a request waits, where it runs or how it ended',
+  description: 'Shows why a request waits, where it runs or how it ended',
   args: {...callArguments.callArguments, identity: identityArgument},
   examples: [
     {
@@ -29,7 +29,7 @@
     }),
 });
 
-/** The command `cancel`: cancels a request. */
+/** The command `cancel`: cancels a waiting request or stops a running one. */
 export const cancel = commandTypes.command({
   name: 'cancel',
   description:
--- a/src/commands/retrying_caller.ts
+++ b/src/commands/retrying_caller.ts
@@ -3,19 +3,18 @@
 import type * as effect from '../contracts/effect.js';
 import type * as entryClient from '../links/entry_client.js';
 
-/** Pause before a call is repeated. */
+/** Delay before a call is repeated. */
 const RETRY_PAUSE_MS = 500;
 
-/** Longest time that one call waits for the end of a request. */
+/** Maximum time for which one call waits for the end of a request. */
 const MAXIMUM_WAIT_SECONDS = 20;
 
-/** Time for a reply beyond the wait that the call asks for. */
+/** Time allowed for a reply in addition to the wait that the call requests. */
 const REPLY_ALLOWANCE_MS = 15_000;
 
 /**
- * Repeats a call until its reply is final or the time is over. Only calls
- * that may be repeated are made with it: each carries an identity or changes
- * nothing.
+ * Repeats a call until its reply is final or the timeout has passed. Use it
+ * only for idempotent calls: each must carry an identity or change nothing.
  */
 export class RetryingCaller {
   private readonly deadline: number;
@@ -28,9 +27,9 @@
   }
 
   /**
-   * Returns the final reply, or the last one when the time is over. `unknown`
-   * is returned instead of a reply that claims that nothing was done while an
-   * earlier try may have taken effect.
+   * Returns the final reply, or the last one at the timeout. Returns `unknown`
+   * instead of a reply that states that nothing was done if an earlier attempt
+   * may have taken effect.
    */
   async call(
     build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'deadlineMs'>,
@@ -60,25 +59,25 @@
   ): entryClient.EntryCall {
     const left = Math.max(0, (this.deadline - performance.now()) / 1_000);
     const wait = Math.floor(Math.min(left, MAXIMUM_WAIT_SECONDS));
-    // The last call gets time for its reply even when the time is over.
+    // The last call gets time for its reply even after the timeout.
     return {...build(wait), deadlineMs: wait * 1_000 + REPLY_ALLOWANCE_MS};
   }
 }
 
-/** Whether asking again under the same identity cannot change the reply. */
+/** Returns whether a repeated call with the same identity gives this reply. */
 function isFinal(reply: effect.Reply): boolean {
   if (needsOtherProcess(reply)) return false;
   return commandReport.rowOf(reply.code)?.retry !== 'sameIdentity';
 }
 
-/** Whether the reply says that something is, or may be, going on. */
+/** Returns whether the request is, or may be, still in progress. */
 function isUnsettled(reply: effect.Reply | undefined): boolean {
   if (reply === undefined) return false;
   const execution = commandReport.rowOf(reply.code)?.execution;
   return execution === 'pending' || execution === 'unknown';
 }
 
-/** Whether another entry process may do better. */
+/** Returns whether to try another entry process: this one is unavailable. */
 function needsOtherProcess(reply: effect.Reply | undefined): boolean {
   if (reply === undefined) return true;
   return Math.floor(reply.code / 1_000) === 3;
--- a/src/commands/submit.ts
+++ b/src/commands/submit.ts
@@ -19,40 +19,40 @@
 export const submit = commandTypes.command({
   name: 'submit',
   description:
-    'Reserves an identity, sends a request under it and waits for the end; ' +
-    'repeats are safe, because an identity runs at most once',
+    'Reserves an identity, submits a request with it and waits for the end; ' +
+    'retries are safe, because an identity runs at most once',
   args: {
     ...callArguments.callArguments,
     team: commandTypes.option({
       long: 'team',
       type: commandTypes.string,
-      description: 'Team whose work it is',
+      description: 'Team that owns the workload',
     }),
     workload: commandTypes.option({
       long: 'workload',
       type: commandTypes.string,
-      description: 'Kind of work',
+      description: 'Workload to run',
     }),
     payload: commandTypes.option({
       long: 'payload',
       type: commandTypes.string,
       defaultValue: () => '',
-      description: 'Text that is passed to the tasks',
+      description: 'Text passed to the tasks',
     }),
     payloadFile: commandTypes.option({
       long: 'payload-file',
       type: commandTypes.optional(commandTypes.string),
-      description: 'File whose text is passed to the tasks instead',
+      description: 'File with the text, instead of --payload',
     }),
     startDeadlineMs: commandTypes.option({
       long: 'start-deadline',
       type: commandTypes.optional(commandTypes.number),
-      description: "Longest wait for a start in ms; overrides the workload's",
+      description: "Maximum wait for a start in ms; overrides the workload's",
     }),
     identity: commandTypes.option({
       long: 'identity',
       type: commandTypes.optional(commandTypes.string),
-      description: 'Identity of an earlier try, to ask for its outcome',
+      description: 'Identity of an earlier attempt, to fetch its outcome',
     }),
   },
   examples: [
@@ -111,7 +111,7 @@
   return {reply, further: {identity}};
 }
 
-/** Returns a new identity, or the reply that gives none. */
+/** Returns a new identity, or the reply if it contains none. */
 async function reserveIdentity(
   caller: retryingCaller.RetryingCaller,
 ): Promise<string | effect.Reply | undefined> {
