--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -13,10 +13,10 @@
 
 const fileOption = commandTypes.optional(commandTypes.string);
 
-/** The command `check`: checks settings and documents without a process. */
+/** The command `check`: validates settings and documents offline. */
 export const check = commandTypes.command({
   name: 'check',
-  description: 'Prints every fault of a settings file and of documents',
+  description: 'Prints all faults in a settings file and in documents',
   args: {
     config: commandTypes.option({
       long: 'config',
@@ -54,7 +54,7 @@
       ...checkDocuments(fleet, teams),
     ];
     if (checked.length === 0) {
-      const fault = 'name a file with --config, --fleet or --team';
+      const fault = 'no file given; use --config, --fleet or --team';
       commandReport.reportFaults(output, 'arguments', [fault], json);
     }
     for (const {file, faults} of checked) {
@@ -108,7 +108,7 @@
   });
 }
 
-/** The name of a team's document by the name of its file. */
+/** Returns the name of a team's document from the name of its file. */
 function teamDocumentOf(file: string): string {
   const base = file.split('/').at(-1) ?? '';
   return `${configurationDocuments.TEAM_PREFIX}${base.replace(/\.toml$/, '')}`;
--- a/src/commands/interviewer.ts
+++ b/src/commands/interviewer.ts
@@ -1,18 +1,18 @@
 import * as tomlSchema from '../links/toml_schema.js';
 
-/** Puts a question to a person and returns the typed line. */
+/** Prompts a user and returns the typed line. */
 export interface Prompter {
   ask(question: string): Promise<string>;
 }
 
-/** Asks a person for the values of a table, one question a key. */
+/** Prompts a user for the values of a table, with one question per key. */
 export class Interviewer {
   constructor(
     private readonly prompter: Prompter,
     private readonly print: (text: string) => void,
   ) {}
 
-  /** Asks for all keys of a table; every returned value obeys its rule. */
+  /** Prompts for all keys of a table; returned values satisfy their rules. */
   async askTable(
     table: tomlSchema.TableRule,
     path: string,
--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -18,12 +18,12 @@
 
 const optionalText = commandTypes.optional(commandTypes.string);
 
-/** The command `questionnaire`: generates documents from answers. */
+/** The command `questionnaire`: generates configuration documents. */
 export const questionnaire = commandTypes.command({
   name: 'questionnaire',
   description:
-    'Generates the documents fleet and team/NAME from answers, which it asks ' +
-    'for when no file is given',
+    'Generates the documents fleet and team/NAME from answers; prompts for ' +
+    'the answers when no file is given',
   args: {
     answers: commandTypes.option({
       long: 'answers',
@@ -39,7 +39,7 @@
       long: 'out',
       type: optionalText,
       description:
-        'Folder for one file a document; without it they are printed',
+        'Folder for one file per document; without it they are printed',
     }),
     json: callArguments.json,
   },
@@ -104,7 +104,7 @@
   }
 }
 
-/** Writes a document below the folder, under its name. */
+/** Writes a document to a file of its name below the folder. */
 function writeFile(
   folder: string,
   document: documentGenerator.GeneratedDocument,
--- a/src/commands/terminal_prompter.ts
+++ b/src/commands/terminal_prompter.ts
@@ -1,7 +1,7 @@
 import * as readline from 'node:readline';
 import type * as interviewer from './interviewer.js';
 
-/** Says that the input ended before a question was answered. */
+/** Error thrown when the input ends before a question is answered. */
 export class InputEndedError extends Error {
   constructor() {
     super('the input ended before all questions were answered');
@@ -9,8 +9,8 @@
 }
 
 /**
- * Asks on a terminal or reads typed lines from a file. Questions go to the
- * error output, so that the documents on the standard output can be redirected.
+ * Prompts on a terminal or reads prepared lines from a file. Questions go to
+ * the standard error, so that the standard output can be redirected.
  */
 export class TerminalPrompter implements interviewer.Prompter {
   private readonly lines: AsyncIterator<string>;
@@ -31,7 +31,7 @@
     return line.value;
   }
 
-  /** Stops reading. */
+  /** Stops reading and closes the terminal interface. */
   close(): void {
     this.terminal.close();
   }
