--- a/src/commands/try.ts
+++ b/src/commands/try.ts
@@ -4,13 +4,13 @@
 import type * as effect from '../contracts/effect.js';
 import type * as tryCell from './try_cell.js';
 
-/** Time for the processes to join, claim workers and read the documents. */
+/** Time limit for the processes to join, claim workers and read documents. */
 const READY_LIMIT_MS = 20_000;
 
-/** How long one call waits for the end of its request, in seconds. */
+/** Time for which one call waits for the end of its request. */
 const WAIT_SECONDS = 20;
 
-/** Requests of the flood: several times what the cell can hold at once. */
+/** Requests of the flood phase: several times the capacity of the cell. */
 const FLOOD_SIZE = 150;
 
 interface SentRequest {
@@ -40,7 +40,7 @@
 };
 const ROUTES: RequestSource = {...CERTIFICATES, workload: 'route-plan'};
 
-/** Runs the main job on an embedded cell and prints what happened. */
+/** Runs sample workloads on an embedded cell and prints the results. */
 class TryRun {
   private readonly sent: SentRequest[] = [];
   private readonly usedFractions: number[] = [];
@@ -57,7 +57,7 @@
     );
     await this.runFlood();
     this.cell.breakWorker();
-    console.log('one worker now fails everything that it starts');
+    console.log('one worker now fails every task');
     await this.runPhase('broken worker', [CERTIFICATES, ROUTES], 40);
     this.printReport();
   }
@@ -161,19 +161,22 @@
       item => item.phase === 'calm' && item.team === 'office',
     );
     const flooded = this.sent.filter(item => item.phase === 'during the flood');
-    const kept = flooded.filter(item => item.code === 0).length;
+    const finished = flooded.filter(item => item.code === 0).length;
     const bytes = metrics.total('bytes_sent') + metrics.total('bytes_received');
     const usedPeak = Math.max(...this.usedFractions);
-    console.log('\nmeasure                                  figure');
-    printFigure('wait to start, median', `${metrics.wait(0.5).toFixed(1)} ms`);
-    printFigure('wait to start, p99', `${metrics.wait(0.99).toFixed(1)} ms`);
-    printFigure('slots in use, highest', `${(usedPeak * 100).toFixed(0)} %`);
-    printFigure('workers over capacity', `${this.cell.overcommitments()}`);
-    printFigure('log appends', `${this.cell.appends()}`);
-    printFigure('bytes of closed and counted links', `${bytes}`);
-    printFigure('other work kept in the flood', `${kept} of ${flooded.length}`);
-    printFigure(
-      'its median before and during',
+    console.log('\nmeasurement                              value');
+    printValue('wait to start, median', `${metrics.wait(0.5).toFixed(1)} ms`);
+    printValue('wait to start, p99', `${metrics.wait(0.99).toFixed(1)} ms`);
+    printValue('slots in use, peak', `${(usedPeak * 100).toFixed(0)} %`);
+    printValue('starts over capacity', `${this.cell.overcommitments()}`);
+    printValue('log appends', `${this.cell.appends()}`);
+    printValue('bytes sent and received', `${bytes}`);
+    printValue(
+      'others finished in the flood',
+      `${finished} of ${flooded.length}`,
+    );
+    printValue(
+      'their median before and during it',
       `${median(calm).toFixed(0)} and ${median(flooded).toFixed(0)} ms`,
     );
     this.printOutcomes();
@@ -203,17 +206,17 @@
   return sorted[sorted.length >> 1] ?? 0;
 }
 
-function printFigure(name: string, figure: string): void {
+function printValue(name: string, figure: string): void {
   console.log(`${name.padEnd(40)} ${figure}`);
 }
 
-/** The command `try`: the main job on an embedded cell, in under a minute. */
+/** The command `try`: a demonstration on an embedded cell, under a minute. */
 export const tryCommand = commandTypes.command({
   name: 'try',
-  description: 'Runs a small cell in this process and prints what happened',
+  description: 'Runs a small cell in this process and prints measurements',
   args: {},
   handler: async () => {
-    // Loaded here, so that the other commands do without the stand-ins.
+    // Imported lazily, so that other commands do not load the stand-ins.
     const {TryCell} = await import('./try_cell.js');
     const cell = new TryCell();
     await cell.start();
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -12,7 +12,7 @@
 const WORKERS_PER_ZONE = 3;
 const WORKER_SLOTS = 8;
 
-/** Keeps counts and durations in memory instead of sending them. */
+/** Metrics sink that keeps counts and waits in memory. */
 export class CollectedMetrics implements sinks.MetricsSink {
   private readonly counts = new Map<string, number>();
   private readonly waits: number[] = [];
@@ -35,20 +35,20 @@
     if (metric === 'wait') this.waits.push(milliseconds);
   }
 
-  /** Does nothing; nothing is buffered. */
+  /** Returns at once, because nothing is buffered. */
   async close(): Promise<void> {}
 
-  /** Sum of a counter. */
+  /** Returns the total of a counter. */
   total(key: string): number {
     return this.counts.get(key) ?? 0;
   }
 
-  /** Counters whose name begins with `prefix`. */
+  /** Returns the counters whose name begins with `prefix`. */
   matching(prefix: string): ReadonlyMap<string, number> {
     return new Map([...this.counts].filter(([key]) => key.startsWith(prefix)));
   }
 
-  /** A quantile of the time from request to start, in milliseconds. */
+  /** Returns a quantile of the wait from request to start, in milliseconds. */
   wait(quantile: number): number {
     const sorted = [...this.waits].sort((left, right) => left - right);
     const position = Math.floor(quantile * (sorted.length - 1));
@@ -56,7 +56,7 @@
   }
 }
 
-/** Entry processes of two zones between stand-ins, all in this process. */
+/** Cell of two zones with entry processes and stand-ins in this process. */
 export class TryCell {
   readonly metrics = new CollectedMetrics();
   readonly warnings: string[] = [];
@@ -66,7 +66,7 @@
   private readonly entries: entryProcess.EntryProcess[] = [];
   private readonly addressesByZone = new Map<string, string[]>();
 
-  /** Starts everything and publishes the documents. */
+  /** Starts all stand-ins and entry processes and publishes the documents. */
   async start(): Promise<void> {
     const log = await this.log.listen();
     const list = await this.list.listen();
@@ -83,12 +83,12 @@
     }
   }
 
-  /** Addresses for callers, by zone. */
+  /** Returns the addresses for callers, by zone. */
   addresses(): ReadonlyMap<string, ReadonlyArray<string>> {
     return this.addressesByZone;
   }
 
-  /** Lets the worker that has run the most fail everything that it starts. */
+  /** Makes the busiest worker of the second zone fail every task. */
   breakWorker(): void {
     const [busiest] = [...this.workers.slice(WORKERS_PER_ZONE)].sort(
       (left, right) => right.runCounts().size - left.runCounts().size,
@@ -96,26 +96,26 @@
     busiest.fail({failsEverything: true});
   }
 
-  /** Fraction of all slots that run a task now. */
+  /** Returns the fraction of all slots that currently run a task. */
   usedFraction(): number {
     let running = 0;
     for (const item of this.workers) running += item.runningCount();
     return running / (this.workers.length * WORKER_SLOTS);
   }
 
-  /** Starts that took a worker over its capacity. */
+  /** Returns the number of starts that took a worker over its capacity. */
   overcommitments(): number {
     let total = 0;
     for (const item of this.workers) total += item.overcommitmentCount();
     return total;
   }
 
-  /** Appends to the log so far. */
+  /** Returns the number of appends to the log. */
   appends(): number {
     return this.log.appendCount();
   }
 
-  /** Ends everything; requests in progress are finished first. */
+  /** Drains the entry processes, then closes the stand-ins. */
   async stop(): Promise<void> {
     const ended = Promise.all(this.entries.map(entry => entry.shutDown()));
     await Promise.race([ended, timers.setTimeout(10_000)]);
--- a/src/commands/try_documents.ts
+++ b/src/commands/try_documents.ts
@@ -1,4 +1,4 @@
-/** A document that `try` publishes. */
+/** Configuration document that the command `try` publishes. */
 export interface TryDocument {
   readonly name: string;
   readonly content: string;
@@ -55,7 +55,7 @@
 zones = ["kigali-a", "caerdydd-a"]
 `;
 
-/** The documents of both deployments, small enough for one machine. */
+/** Configuration of both deployments, scaled down to one machine. */
 export const TRY_DOCUMENTS: ReadonlyArray<TryDocument> = [
   {name: 'fleet', content: FLEET},
   team('dispatch', 'workshop', [
