--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -17,7 +17,7 @@
   worth: 1,
 };
 
-nodeTest.describe('search for room', () => {
+nodeTest.describe('search for free capacity', () => {
   nodeTest.test('finds only workers that have it, in either order', () => {
     const sizes = fastCheck.record({
       processors: fastCheck.integer({min: 0, max: 16_000}),
@@ -47,7 +47,8 @@
           const fitting = workers.filter(target =>
             resources.fits(wanted, target.available),
           );
-          // A sample that covers every worker must find each that fits.
+          // With at most 8 workers the sample covers all of them and must
+          // contain every worker that fits.
           if (workers.length <= 8) assert.equal(found.length, fitting.length);
         },
       ),
@@ -55,7 +56,7 @@
     );
   });
 
-  nodeTest.test('tasks without accelerators leave accelerators free', () => {
+  nodeTest.test('tasks without accelerators avoid accelerated workers', () => {
     const world = new scheduling.SchedulingWorld();
     world.addWorkers(4, scheduling.size(16_000, 32_768, 4, 8));
     const [plain] = world.addWorkers(1);
@@ -66,8 +67,8 @@
   });
 });
 
-nodeTest.describe('sums', () => {
-  nodeTest.test('follow every change of the workers', () => {
+nodeTest.describe('totals of the fleet', () => {
+  nodeTest.test('equal the sums over the workers after any changes', () => {
     const random = new randomSource.SeededRandom(SEED);
     const world = new scheduling.SchedulingWorld();
     const workers = world.addWorkers(10);
@@ -94,8 +95,8 @@
   });
 });
 
-nodeTest.describe('workers that vanish', () => {
-  nodeTest.test('a late release does not lower the sums of the others', () => {
+nodeTest.describe('removed workers', () => {
+  nodeTest.test('a release after the removal leaves the totals alone', () => {
     const world = new scheduling.SchedulingWorld();
     const [gone, stays] = world.addWorkers(2);
     const size = scheduling.size(1_000, 1_024);
@@ -109,7 +110,7 @@
 });
 
 nodeTest.describe('capacity invariant', () => {
-  nodeTest.test('a break is reported once with its evidence', () => {
+  nodeTest.test('a violation is reported once with cause and dimension', () => {
     const world = new scheduling.SchedulingWorld();
     const [machine] = world.addWorkers(1);
     const size = scheduling.size(12_000, 1_024);
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -8,11 +8,11 @@
 import type * as task from '../../src/contracts/task.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-/** The worker's clock is this far ahead of the local one. */
-const OFFSET = 50_000;
+/** Offset of the worker's clock from the local clock, in milliseconds. */
+const CLOCK_OFFSET_MS = 50_000;
 
-/** A runner with one worker, whose time and permit the test sets. */
-class Bench {
+/** Task runner with one worker; the test sets the time and the permit. */
+class RunnerFixture {
   now = 0;
   permitEnd = 4_000;
   readonly workers = new fleet.Fleet();
@@ -56,7 +56,7 @@
     tasks: ReadonlyArray<task.TaskReport>,
     sentAt = this.now,
   ): taskRunner.RunnerOutput {
-    const report = samples.buildReport(this.now + OFFSET, tasks);
+    const report = samples.buildReport(this.now + CLOCK_OFFSET_MS, tasks);
     return this.handle({kind: 'reportArrived', report, sentAt});
   }
 
@@ -82,7 +82,7 @@
   }
 }
 
-function kinds(turn: taskRunner.RunnerOutput): ReadonlyArray<string> {
+function outcomeKinds(turn: taskRunner.RunnerOutput): ReadonlyArray<string> {
   return turn.outcomes.map(outcome => outcome.kind);
 }
 
@@ -97,37 +97,37 @@
 
 nodeTest.describe('start of a task', () => {
   nodeTest.test(
-    'carries a lease that ends with the permit on the worker clock, so that ' +
-      'a delayed start of a succeeded owner does not run',
+    'carries a lease that ends with the permit; guards against a start of a ' +
+      'former owner that arrives late and runs',
     () => {
-      const bench = new Bench();
-      bench.permitEnd = 2_000;
-      const [sent] = effectsOf(bench.start(), 'startTask');
-      assert.ok(sent.start.leaseEnd <= 2_000 + OFFSET);
-      assert.ok(sent.start.leaseEnd > 1_900 + OFFSET);
+      const fixture = new RunnerFixture();
+      fixture.permitEnd = 2_000;
+      const [sent] = effectsOf(fixture.start(), 'startTask');
+      assert.ok(sent.start.leaseEnd <= 2_000 + CLOCK_OFFSET_MS);
+      assert.ok(sent.start.leaseEnd > 1_900 + CLOCK_OFFSET_MS);
     },
   );
 
   nodeTest.test(
-    'is not sent when the permit ended after the placement, so that no start ' +
-      'comes from a process that has been succeeded',
+    'is not sent when the permit ended after the placement; guards against ' +
+      'starts from a former owner of the worker',
     () => {
-      const bench = new Bench();
-      bench.now = 4_000;
-      const turn = bench.start();
-      assert.deepEqual(kinds(turn), ['notRun']);
+      const fixture = new RunnerFixture();
+      fixture.now = 4_000;
+      const turn = fixture.start();
+      assert.deepEqual(outcomeKinds(turn), ['notRun']);
       assert.deepEqual(effectsOf(turn, 'startTask'), []);
-      assert.equal(bench.worker.reservations().size, 0);
+      assert.equal(fixture.worker.reservations().size, 0);
     },
   );
 
   nodeTest.test(
-    'is refused and reported when an earlier start of a non-idempotent ' +
-      'request is not proved not run',
+    'is refused and reported while an earlier start may have run; guards ' +
+      'against a second run of a non-idempotent request',
     () => {
-      const bench = new Bench();
-      bench.start();
-      const again = bench.start({}, 'id/0.2');
+      const fixture = new RunnerFixture();
+      fixture.start();
+      const again = fixture.start({}, 'id/0.2');
       assert.deepEqual(effectsOf(again, 'startTask'), []);
       const [violated] = effectsOf(again, 'count');
       assert.deepEqual(violated.labels, {name: 'startedOnce'});
@@ -135,171 +135,168 @@
   );
 });
 
-nodeTest.describe('start on a worker that has not been heard from', () => {
+nodeTest.describe('start on a worker without a recent report', () => {
   nodeTest.test(
-    'is not sent, so that a worker whose news is lost gets no new task when ' +
-      'it may have been leaving for seconds',
+    'is not sent; guards against new tasks on a worker that has been leaving ' +
+      'for seconds while its reports were lost',
     () => {
-      const bench = new Bench();
-      bench.permitEnd = 60_000;
-      bench.now = 4_001;
-      const late = bench.start();
+      const fixture = new RunnerFixture();
+      fixture.permitEnd = 60_000;
+      fixture.now = 4_001;
+      const late = fixture.start();
       assert.equal(effectsOf(late, 'startTask').length, 0);
-      assert.deepEqual(kinds(late), ['notRun']);
-      bench.report([]);
-      assert.equal(effectsOf(bench.start(), 'startTask').length, 1);
+      assert.deepEqual(outcomeKinds(late), ['notRun']);
+      fixture.report([]);
+      assert.equal(effectsOf(fixture.start(), 'startTask').length, 1);
     },
   );
 });
 
 nodeTest.describe('lost start answer', () => {
   nodeTest.test(
-    'stays unknown while the worker clock is within the start lease, so that ' +
-      'a start that is still on its way is not repeated',
+    'leaves the task unknown until the start lease has ended; guards against ' +
+      'repeating a start that is still in transit',
     () => {
-      const bench = new Bench();
-      bench.start();
-      assert.deepEqual(kinds(bench.answerStart('lost')), ['unknown']);
-      bench.now = 2_900;
-      assert.deepEqual(kinds(bench.report([])), []);
-      bench.now = 3_100;
-      assert.deepEqual(kinds(bench.report([])), ['notRun']);
-      assert.equal(bench.worker.reservations().size, 0);
+      const fixture = new RunnerFixture();
+      fixture.start();
+      assert.deepEqual(outcomeKinds(fixture.answerStart('lost')), ['unknown']);
+      fixture.now = 2_900;
+      assert.deepEqual(outcomeKinds(fixture.report([])), []);
+      fixture.now = 3_100;
+      assert.deepEqual(outcomeKinds(fixture.report([])), ['notRun']);
+      assert.equal(fixture.worker.reservations().size, 0);
     },
   );
 
-  nodeTest.test(
-    'is never taken for "not run" once ended tasks may have left the report',
-    () => {
-      const bench = new Bench();
-      bench.start();
-      bench.answerStart('lost');
-      bench.now = 600_000;
-      assert.deepEqual(kinds(bench.report([])), []);
-    },
-  );
+  nodeTest.test('is never "not run" once reports may omit ended tasks', () => {
+    const fixture = new RunnerFixture();
+    fixture.start();
+    fixture.answerStart('lost');
+    fixture.now = 600_000;
+    assert.deepEqual(outcomeKinds(fixture.report([])), []);
+  });
 
-  nodeTest.test('of a listed task counts as a start', () => {
-    const bench = new Bench();
-    bench.start();
-    bench.answerStart('lost');
-    bench.now = 500;
-    const turn = bench.report([samples.buildTaskReport('id/0.1', 'id')]);
-    assert.deepEqual(kinds(turn), ['started']);
+  nodeTest.test('counts as a start when a report lists the task', () => {
+    const fixture = new RunnerFixture();
+    fixture.start();
+    fixture.answerStart('lost');
+    fixture.now = 500;
+    const turn = fixture.report([samples.buildTaskReport('id/0.1', 'id')]);
+    assert.deepEqual(outcomeKinds(turn), ['started']);
     assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
   });
 });
 
 nodeTest.describe('renewal', () => {
   nodeTest.test(
-    'is one message a worker and is left out without a permit, so that no ' +
-      'renewal comes from a process that has been succeeded',
+    'is one message per worker and none without a permit; guards against ' +
+      'renewals from a former owner of the worker',
     () => {
-      const bench = new Bench();
-      bench.start({idempotent: true});
-      bench.start({idempotent: true}, 'id/1.1');
+      const fixture = new RunnerFixture();
+      fixture.start({idempotent: true});
+      fixture.start({idempotent: true}, 'id/1.1');
       const listed = ['id/0.1', 'id/1.1'].map(name =>
         samples.buildTaskReport(name, 'id'),
       );
-      bench.report(listed);
-      const [renewal, ...more] = effectsOf(bench.pass(600), 'renewLeases');
+      fixture.report(listed);
+      const [renewal, ...more] = effectsOf(fixture.pass(600), 'renewLeases');
       assert.deepEqual(renewal.tasks, ['id/0.1', 'id/1.1']);
       assert.deepEqual(more, []);
-      bench.permitEnd = 0;
+      fixture.permitEnd = 0;
       for (let second = 0; second < 12; second += 1) {
-        bench.report(listed);
-        assert.deepEqual(effectsOf(bench.pass(1_000), 'renewLeases'), []);
+        fixture.report(listed);
+        assert.deepEqual(effectsOf(fixture.pass(1_000), 'renewLeases'), []);
       }
-      assert.ok(bench.runner.nextDeadline() > bench.now);
+      assert.ok(fixture.runner.nextDeadline() > fixture.now);
     },
   );
 });
 
 nodeTest.describe('task on a silent worker', () => {
   nodeTest.test(
-    'keeps its room until its lease has ended by the slowest worker clock, ' +
-      'so that it does not run in two places',
+    'keeps its reservation until its lease has ended by the slowest worker ' +
+      'clock; guards against a task that runs in two places',
     () => {
-      const bench = new Bench();
-      bench.start({idempotent: true});
-      bench.answerStart('started');
-      bench.pass(600);
-      bench.permitEnd = Infinity;
-      assert.deepEqual(kinds(bench.pass(29_900)), []);
-      assert.equal(bench.worker.reservations().size, 1);
-      const turn = bench.pass(200);
-      assert.deepEqual(kinds(turn), ['ended']);
-      assert.equal(bench.worker.reservations().size, 0);
+      const fixture = new RunnerFixture();
+      fixture.start({idempotent: true});
+      fixture.answerStart('started');
+      fixture.pass(600);
+      fixture.permitEnd = Infinity;
+      assert.deepEqual(outcomeKinds(fixture.pass(29_900)), []);
+      assert.equal(fixture.worker.reservations().size, 1);
+      const turn = fixture.pass(200);
+      assert.deepEqual(outcomeKinds(turn), ['ended']);
+      assert.equal(fixture.worker.reservations().size, 0);
     },
   );
 
   nodeTest.test(
-    'is not given up without a permit, because a new owner may renew it',
+    'is not released without a permit, as a new owner may have renewed it',
     () => {
-      const bench = new Bench();
-      bench.start({idempotent: true});
-      bench.answerStart('started');
-      assert.deepEqual(kinds(bench.pass(120_000)), []);
+      const fixture = new RunnerFixture();
+      fixture.start({idempotent: true});
+      fixture.answerStart('started');
+      assert.deepEqual(outcomeKinds(fixture.pass(120_000)), []);
     },
   );
 
   nodeTest.test(
-    'stays unknown when it is not idempotent, and a later report decides',
+    'becomes unknown if not idempotent, until a later report decides',
     () => {
-      const bench = new Bench();
-      bench.start();
-      bench.answerStart('lost');
-      bench.permitEnd = Infinity;
-      assert.deepEqual(kinds(bench.pass(5_000)), ['unknown']);
-      assert.equal(bench.worker.reservations().size, 0);
+      const fixture = new RunnerFixture();
+      fixture.start();
+      fixture.answerStart('lost');
+      fixture.permitEnd = Infinity;
+      assert.deepEqual(outcomeKinds(fixture.pass(5_000)), ['unknown']);
+      assert.equal(fixture.worker.reservations().size, 0);
       const state = 'finished';
       const listed = samples.buildTaskReport('id/0.1', 'id', {state});
-      const turn = bench.report([listed]);
+      const turn = fixture.report([listed]);
       assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
-      assert.deepEqual(kinds(bench.answer('id/0.1')), ['ended']);
+      assert.deepEqual(outcomeKinds(fixture.answer('id/0.1')), ['ended']);
     },
   );
 });
 
 nodeTest.describe('answer of a task', () => {
-  nodeTest.test('is dropped and counted when it comes from elsewhere', () => {
-    const bench = new Bench();
-    bench.start();
-    bench.answerStart('started');
+  nodeTest.test('is dropped and counted if worker or task is wrong', () => {
+    const fixture = new RunnerFixture();
+    fixture.start();
+    fixture.answerStart('started');
     for (const turn of [
-      bench.answer('id/0.1', 'worker-2'),
-      bench.answer('other/0.1'),
+      fixture.answer('id/0.1', 'worker-2'),
+      fixture.answer('other/0.1'),
     ]) {
-      assert.deepEqual(kinds(turn), []);
+      assert.deepEqual(outcomeKinds(turn), []);
       assert.equal(effectsOf(turn, 'count')[0].metric, 'answer_dropped');
     }
   });
 
-  nodeTest.test('is fetched again on a new call after it was lost', () => {
-    const bench = new Bench();
-    bench.start();
-    bench.answerStart('started');
+  nodeTest.test('is fetched again after the first fetch was lost', () => {
+    const fixture = new RunnerFixture();
+    fixture.start();
+    fixture.answerStart('started');
     const lost = {kind: 'taskAnswerLost', worker: 'worker-1'} as const;
-    bench.handle({...lost, task: 'id/0.1'});
-    bench.now = 1_000;
+    fixture.handle({...lost, task: 'id/0.1'});
+    fixture.now = 1_000;
     const state = 'finished';
     const listed = samples.buildTaskReport('id/0.1', 'id', {state});
-    const turn = bench.report([listed]);
+    const turn = fixture.report([listed]);
     assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
-    const [ended] = bench.answer('id/0.1').outcomes;
+    const [ended] = fixture.answer('id/0.1').outcomes;
     assert.equal(ended.kind === 'ended' && ended.answer, 'polished');
   });
 
   nodeTest.test(
-    'counts as lost, and the task as run, when two reports lack the task',
+    'counts as lost when two consecutive reports omit the running task',
     () => {
-      const bench = new Bench();
-      bench.start();
-      bench.answerStart('started');
-      bench.now = 1_000;
-      assert.deepEqual(kinds(bench.report([])), []);
-      bench.now = 2_000;
-      const [ended] = bench.report([]).outcomes;
+      const fixture = new RunnerFixture();
+      fixture.start();
+      fixture.answerStart('started');
+      fixture.now = 1_000;
+      assert.deepEqual(outcomeKinds(fixture.report([])), []);
+      fixture.now = 2_000;
+      const [ended] = fixture.report([]).outcomes;
       assert.equal(ended.kind === 'ended' && ended.end, 'answerLost');
     },
   );
@@ -307,58 +304,62 @@
 
 nodeTest.describe('adoption', () => {
   nodeTest.test(
-    'reserves the room of found tasks at once and gives it back at their ' +
-      'end, so that a worker that was taken over is not overcommitted',
+    'reserves capacity for running tasks at once and releases it at their ' +
+      'end; guards against overcommitment of a worker after a takeover',
     () => {
-      const bench = new Bench();
+      const fixture = new RunnerFixture();
       const found = samples.buildTaskReport('old/0.1', 'old');
-      const turn = bench.report([found]);
-      assert.deepEqual(kinds(turn), ['adopted']);
-      assert.equal(bench.worker.reservations().size, 1);
+      const turn = fixture.report([found]);
+      assert.deepEqual(outcomeKinds(turn), ['adopted']);
+      assert.equal(fixture.worker.reservations().size, 1);
       assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
-      bench.now = 500;
-      assert.deepEqual(kinds(bench.answer('old/0.1')), ['ended']);
-      assert.equal(bench.worker.reservations().size, 0);
-      const late = bench.report([found], 400);
-      assert.deepEqual(kinds(late), [], 'an older report adopts nothing');
+      fixture.now = 500;
+      assert.deepEqual(outcomeKinds(fixture.answer('old/0.1')), ['ended']);
+      assert.equal(fixture.worker.reservations().size, 0);
+      const late = fixture.report([found], 400);
+      assert.deepEqual(
+        outcomeKinds(late),
+        [],
+        'an older report must adopt nothing',
+      );
     },
   );
 
-  nodeTest.test('precedes every placement on a worker', () => {
-    const bench = new Bench();
+  nodeTest.test('is required before any placement on a worker', () => {
+    const fixture = new RunnerFixture();
     const workers = new fleet.Fleet();
     workers.ensure({name: 'worker-1', zone: 'kigali-a', address: ''});
     const runner = new taskRunner.TaskRunner(workers, {
-      permitEnd: () => bench.permitEnd,
+      permitEnd: () => fixture.permitEnd,
       owns: () => true,
     });
     assert.equal(runner.mayPlace('worker-1', 0), false);
-    const report = samples.buildReport(OFFSET);
+    const report = samples.buildReport(CLOCK_OFFSET_MS);
     runner.handle({kind: 'reportArrived', report, sentAt: 0}, 0);
     assert.equal(runner.mayPlace('worker-1', 0), true);
   });
 });
 
 nodeTest.describe('reservation', () => {
-  nodeTest.test('without a task is reported and given back', () => {
-    const bench = new Bench();
+  nodeTest.test('without a task is reported and released', () => {
+    const fixture = new RunnerFixture();
     const {label, size} = samples.buildTaskReport('stray', 'stray');
-    bench.worker.reserve({task: 'stray', label, size});
-    assert.deepEqual(effectsOf(bench.report([]), 'count'), []);
-    const [violated] = effectsOf(bench.report([]), 'count');
+    fixture.worker.reserve({task: 'stray', label, size});
+    assert.deepEqual(effectsOf(fixture.report([]), 'count'), []);
+    const [violated] = effectsOf(fixture.report([]), 'count');
     assert.deepEqual(violated.labels, {name: 'reservationHasTask'});
-    assert.equal(bench.worker.reservations().size, 0);
+    assert.equal(fixture.worker.reservations().size, 0);
   });
 });
 
 nodeTest.describe('stop', () => {
   nodeTest.test(
-    'that meets a start in flight is sent when the start is answered',
+    'requested before the start is answered is sent after the answer',
     () => {
-      const bench = new Bench();
-      bench.start();
-      assert.deepEqual(bench.runner.stop('id/0.1').effects, []);
-      const turn = bench.answerStart('started');
+      const fixture = new RunnerFixture();
+      fixture.start();
+      assert.deepEqual(fixture.runner.stop('id/0.1').effects, []);
+      const turn = fixture.answerStart('started');
       assert.equal(effectsOf(turn, 'stopTask').length, 1);
     },
   );
--- a/test/machines/upstream_test.ts
+++ b/test/machines/upstream_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as upstream from '../../src/machines/upstream.js';
 
-function callAll(
+function answerAll(
   called: upstream.Upstream,
   latencyMs: number,
   now: number,
@@ -13,13 +13,13 @@
 }
 
 nodeTest.describe('adaptive limit', () => {
-  nodeTest.test('grows to the connection limit while answers are good', () => {
+  nodeTest.test('grows to the connection limit while answers are fast', () => {
     const called = new upstream.Upstream();
-    for (let round = 0; round < 200; round += 1) callAll(called, 5, round);
+    for (let round = 0; round < 200; round += 1) answerAll(called, 5, round);
     assert.equal(called.limit, 60);
   });
 
-  nodeTest.test('does not grow while it is not used', () => {
+  nodeTest.test('does not grow while few calls are in flight', () => {
     const called = new upstream.Upstream();
     const before = called.limit;
     for (let round = 0; round < 200; round += 1) {
@@ -29,7 +29,7 @@
     assert.equal(called.limit, before);
   });
 
-  nodeTest.test('shrinks once a second on lost answers, never to zero', () => {
+  nodeTest.test('shrinks once a second on lost answers, not below 1', () => {
     const called = new upstream.Upstream();
     const before = called.limit;
     for (let call = 0; call < 10; call += 1) called.onLoss(0);
@@ -39,16 +39,16 @@
     assert.ok(called.acceptsCalls);
   });
 
-  nodeTest.test('slow answers shrink it before calls are lost', () => {
+  nodeTest.test('shrinks on slow answers before calls are lost', () => {
     const called = new upstream.Upstream();
-    callAll(called, 10, 0);
+    answerAll(called, 10, 0);
     const before = called.limit;
     called.onSend();
     called.onAnswer(500, 5_000);
     assert.ok(called.limit < before);
   });
 
-  nodeTest.test('losses in a row without any answer count as silence', () => {
+  nodeTest.test('consecutive losses without an answer count as silence', () => {
     const called = new upstream.Upstream();
     called.onLoss(0);
     called.onLoss(1);
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -4,7 +4,7 @@
 import * as workerHealth from '../../src/machines/worker_health.js';
 import type * as worker from '../../src/machines/worker.js';
 
-function failures(
+function recordFailures(
   health: workerHealth.WorkerHealth,
   on: worker.Worker,
   workloads: ReadonlyArray<string>,
@@ -21,38 +21,38 @@
   return new scheduling.SchedulingWorld().addWorkers(1)[0];
 }
 
-nodeTest.describe('black holes', () => {
-  nodeTest.test('three early failures of different workloads suspend', () => {
+nodeTest.describe('workers that fail every task', () => {
+  nodeTest.test('early failures of three workloads suspend a worker', () => {
     const health = new workerHealth.WorkerHealth();
     const machine = oneWorker();
-    assert.ok(failures(health, machine, ['a', 'b', 'c']));
+    assert.ok(recordFailures(health, machine, ['a', 'b', 'c']));
     assert.equal(machine.ready, false);
   });
 
-  nodeTest.test('a workload that always fails does not suspend workers', () => {
+  nodeTest.test('one workload that always fails suspends no worker', () => {
     const health = new workerHealth.WorkerHealth();
     const machine = oneWorker();
-    assert.equal(failures(health, machine, ['a', 'a', 'a', 'a']), false);
-    assert.equal(failures(health, machine, ['b', 'c'], 60_000), false);
+    assert.equal(recordFailures(health, machine, ['a', 'a', 'a', 'a']), false);
+    assert.equal(recordFailures(health, machine, ['b', 'c'], 60_000), false);
     assert.ok(machine.ready);
   });
 
   nodeTest.test(
-    'a worker that fails only one or two workloads is suspended when they ' +
-      'work elsewhere, so that a zone with few workloads loses few requests',
+    'a worker that fails one or two workloads is suspended if they succeed ' +
+      'elsewhere; guards against lost requests in zones with few workloads',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const [sound, hole] = new scheduling.SchedulingWorld().addWorkers(2);
-      const end = {worker: sound, workload: 'a', failed: false, ranMs: 200};
+      const [healthy, faulty] = new scheduling.SchedulingWorld().addWorkers(2);
+      const end = {worker: healthy, workload: 'a', failed: false, ranMs: 200};
       health.recordEnd(end, 0);
-      assert.equal(failures(health, hole, ['a', 'a', 'a', 'a']), false);
-      assert.ok(failures(health, hole, ['a']));
-      assert.equal(hole.ready, false);
+      assert.equal(recordFailures(health, faulty, ['a', 'a', 'a', 'a']), false);
+      assert.ok(recordFailures(health, faulty, ['a']));
+      assert.equal(faulty.ready, false);
     },
   );
 
   nodeTest.test(
-    'a workload that begins to fail everywhere suspends no second worker',
+    'a workload that starts to fail everywhere suspends no further worker',
     () => {
       const health = new workerHealth.WorkerHealth();
       const machines = new scheduling.SchedulingWorld().addWorkers(3);
@@ -60,18 +60,18 @@
       const end = {worker: first, workload: 'a', failed: false, ranMs: 200};
       health.recordEnd(end, 0);
       const many = new Array<string>(20).fill('a');
-      failures(health, first, ['a']);
-      assert.equal(failures(health, second, many), false);
-      assert.equal(failures(health, third, many), false);
+      recordFailures(health, first, ['a']);
+      assert.equal(recordFailures(health, second, many), false);
+      assert.equal(recordFailures(health, third, many), false);
     },
   );
 
   nodeTest.test(
-    'one probe at a time readmits, and failed ones wait longer',
+    'readmission takes one probe, and each failed probe doubles the wait',
     () => {
       const health = new workerHealth.WorkerHealth();
       const machine = oneWorker();
-      failures(health, machine, ['a', 'b', 'c']);
+      recordFailures(health, machine, ['a', 'b', 'c']);
       health.readmit(29_999);
       assert.equal(machine.ready, false);
       health.readmit(30_000);
@@ -89,21 +89,21 @@
     },
   );
 
-  nodeTest.test('a black hole does not swallow a queue', () => {
+  nodeTest.test('a worker that fails every task gets few tasks', () => {
     const world = new scheduling.SchedulingWorld();
-    const [hole] = world.addWorkers(2);
+    const [faulty] = world.addWorkers(2);
     world.addTeam(scheduling.teamOf('dispatch'));
     const kinds = ['a', 'b', 'c', 'd'].map(name =>
       scheduling.workloadOf({name, size: scheduling.size(2_000, 4_096)}),
     );
-    let swallowed = 0;
+    let failed = 0;
     for (let now = 0; now < 5_000; now += 100) {
       for (const kind of kinds) world.admit('dispatch', kind, 1, now);
       for (const placed of world.scheduler.place(now)) {
-        if (placed.worker === hole) swallowed += 1;
-        world.end(placed, placed.worker === hole, now);
+        if (placed.worker === faulty) failed += 1;
+        world.end(placed, placed.worker === faulty, now);
       }
     }
-    assert.ok(swallowed >= 3 && swallowed <= 8, `${swallowed} were swallowed`);
+    assert.ok(failed >= 3 && failed <= 8, `${failed} tasks failed`);
   });
 });
