--- a/test/commands/entry_commands_test.ts
+++ b/test/commands/entry_commands_test.ts
@@ -29,8 +29,8 @@
 
 nodeTest.describe('publish', () => {
   nodeTest.test(
-    'it is based on the version in force and keeps its identity across ' +
-      'retries; guards against a second publication after a lost reply',
+    'retries keep the base version and the identity of the publication; ' +
+      'guards against a second publication after a lost reply',
     async () => {
       await withEntry(
         (call, earlier) => {
@@ -58,7 +58,7 @@
 
   nodeTest.test(
     'a refusal after a lost reply is reported as unknown; guards against ' +
-      'telling an operator that nothing was published',
+      'reporting that nothing was published although it may have been',
     async () => {
       await withEntry(
         (_call, earlier) =>
@@ -73,8 +73,8 @@
   );
 
   nodeTest.test(
-    'a conflict ends it with its own exit code; guards against publishing ' +
-      'over the change of another operator',
+    'a version conflict is not retried and has its own exit code; guards ' +
+      'against overwriting the change of another operator',
     async () => {
       await withEntry(
         () => ({code: 6001, detail: 'baseVersion'}),
@@ -90,8 +90,8 @@
 
 nodeTest.describe('submit', () => {
   nodeTest.test(
-    'it reserves an identity and repeats only under it; guards against a ' +
-      'second run of work that is not idempotent',
+    'all retries use one reserved identity; guards against a second run of ' +
+      'work that is not idempotent',
     async () => {
       await withEntry(
         (call, earlier) => {
@@ -127,8 +127,8 @@
 
 nodeTest.describe('other calls', () => {
   nodeTest.test(
-    'each goes to its path and ends with the exit code of its result; ' +
-      'guards against scripts that take a refusal for success',
+    'each calls its path and returns the exit code of its result; guards ' +
+      'against scripts that mistake a refusal for success',
     async () => {
       const cases: ReadonlyArray<
         readonly [ReadonlyArray<string>, string, number, number]
@@ -153,9 +153,9 @@
   );
 
   nodeTest.test(
-    'the next entry process is asked when one cannot be reached, and none ' +
-      'has its own exit code; guards against one dead process that stops ' +
-      'an operator',
+    'an unreachable entry process is skipped, and no reachable one has its ' +
+      'own exit code; guards against commands that fail with one dead ' +
+      'process',
     async () => {
       await withEntry(
         () => ({code: 0}),
--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -23,8 +23,8 @@
 
 nodeTest.describe('check', () => {
   nodeTest.test(
-    'it prints each fault with line, field, value and rule and ends with ' +
-      'the exit code for bad input; guards against a silent start failure',
+    'it prints each fault with line, field, value and rule and returns the ' +
+      'exit code for bad input; guards against faults found only at start',
     async () => {
       const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'check-'));
       const file = path.join(folder, 'settings.toml');
@@ -42,8 +42,8 @@
   );
 
   nodeTest.test(
-    'the documents of both deployments have no faults, and a team under a ' +
-      'foreign fleet does; guards against faults that only a publication shows',
+    'the documents of both deployments have no faults, and a fleet passed as ' +
+      'a team has; guards against faults found only by a publication',
     async () => {
       const stones = 'deployments/go_stones';
       const shred = 'deployments/secure_shred';
@@ -65,8 +65,8 @@
 
 nodeTest.describe('help', () => {
   nodeTest.test(
-    'every command has an example and --json; guards against commands that ' +
-      'scripts cannot use',
+    'every command shows an example and --json; guards against commands ' +
+      'that scripts cannot use',
     async () => {
       const results = await Promise.all(
         COMMANDS.map(name => command.run('', name, '--help')),
@@ -83,8 +83,8 @@
 nodeTest.describe('questionnaire', () => {
   for (const deployment of ['go_stones', 'secure_shred']) {
     nodeTest.test(
-      `the documents of ${deployment} are what its answers give; guards ` +
-        'against policy that was edited by hand',
+      `the documents of ${deployment} match its answers; guards against ` +
+        'documents edited by hand',
       () => {
         const folder = path.join('deployments', deployment);
         const answers = fs.readFileSync(
@@ -107,8 +107,8 @@
   }
 
   nodeTest.test(
-    'contradictions between answers are named; guards against generated ' +
-      'work that can never run',
+    'contradictory answers are reported by field; guards against generated ' +
+      'workloads that can never run',
     () => {
       const answers = fs
         .readFileSync('deployments/go_stones/answers.toml', 'utf8')
@@ -132,8 +132,8 @@
   );
 
   nodeTest.test(
-    'an input that ends early is a fault; guards against an interview that ' +
-      'reports success without documents',
+    'an input that ends early is a fault; guards against reporting success ' +
+      'without documents',
     async () => {
       const result = await command.run('Stones\n', 'questionnaire');
       assert.equal(result.exitCode, 2);
@@ -142,8 +142,8 @@
   );
 
   nodeTest.test(
-    'typed answers are checked one by one and asked again when faulty; ' +
-      'guards against an interview that ends in a list of faults',
+    'each typed answer is checked at once and asked again when faulty; ' +
+      'guards against faults that are reported only at the end',
     async () => {
       const printed: string[] = [];
       const typed = new Map([
--- a/test/operations/configuration_page_test.ts
+++ b/test/operations/configuration_page_test.ts
@@ -23,11 +23,11 @@
   ['Documents `team/<name>`', documentSchema.TEAM_SCHEMA],
 ];
 
-nodeTest.describe('page of the configuration', () => {
+nodeTest.describe('configuration page', () => {
   for (const [heading, schema] of SECTIONS) {
     nodeTest.test(
       `${heading} lists exactly the keys of the schema; guards against a ` +
-        'page that promises other rules or defaults than the program has',
+        'page whose rules or defaults differ from the program',
       () => {
         const expected = configurationPage.rows(schema);
         assert.deepEqual(section(heading), expected);
--- a/test/operations/logger_test.ts
+++ b/test/operations/logger_test.ts
@@ -3,7 +3,8 @@
 import * as logger from '../../src/operations/logger.js';
 
 nodeTest.describe('log lines', () => {
-  // Guards against a value that breaks the line in two or forges a key.
+  // Guards against a value with a line break or quotes that splits the line or
+  // injects a key.
   nodeTest.test('an event is one line of key=value pairs', () => {
     const lines: string[] = [];
     const logs = new logger.Logger(line => lines.push(line));
--- a/test/operations/metrics_test.ts
+++ b/test/operations/metrics_test.ts
@@ -13,8 +13,8 @@
 }
 
 nodeTest.describe('metrics', () => {
-  // Guards against a counter that operators can't look up.
-  nodeTest.test('docs/metrics.md names each one that the code counts', () => {
+  // Guards against counters that are missing from the operators' page.
+  nodeTest.test('docs/metrics.md names each counter in the code', () => {
     const page = fs.readFileSync('docs/metrics.md', 'utf8');
     const named = new Set([...page.matchAll(/`(\w+)`/g)].map(item => item[1]));
     const pattern = /\bcount\(\s*'(\w+)'|metric: '(\w+)'/g;
--- a/test/operations/prometheus_metrics_test.ts
+++ b/test/operations/prometheus_metrics_test.ts
@@ -14,8 +14,8 @@
   return port;
 }
 
-describe('figures of a process', () => {
-  // Guards against refusals and delays that nobody can see.
+describe('metrics of a process', () => {
+  // Guards against refusals and delays that do not show in the metrics.
   test('are served as text with their reasons', async () => {
     const metrics = new prometheusMetrics.PrometheusMetrics();
     const port = await freePort();
@@ -33,8 +33,8 @@
   });
 });
 
-describe('lines of events', () => {
-  // Guards against a process that waits for the reader of its output.
+describe('event log lines', () => {
+  // Guards against a process that blocks on a slow reader of its output.
   test('are dropped and counted while the reader lags', () => {
     const written: string[] = [];
     const output = {
--- a/test/operations/settings_test.ts
+++ b/test/operations/settings_test.ts
@@ -18,8 +18,8 @@
 
 nodeTest.describe('settings', () => {
   nodeTest.test(
-    'missing optional keys get their defaults; guards against settings of an ' +
-      'earlier version that stop working',
+    'missing optional keys get their defaults; guards against rejecting ' +
+      'settings that were written for an earlier version',
     () => {
       const read = settings.parseSettings(VALID).unsafeCoerce();
       assert.equal(read.logRetentionMs, 86_400_000);
@@ -30,7 +30,7 @@
 
   nodeTest.test(
     'all faults are reported at once with line, key, value and rule; guards ' +
-      'against one correction per attempt',
+      'against reports that stop at the first fault',
     () => {
       const text =
         VALID.replace('7000', '70000').replace('10.0.0.1', 'entry.example') +
@@ -49,8 +49,8 @@
   );
 
   nodeTest.test(
-    'a syntax fault names its line, and equal ports are refused; guards ' +
-      'against a process that fails only when it listens',
+    'a syntax fault names its line, and equal ports are rejected; guards ' +
+      'against a process that fails only when it opens its ports',
     () => {
       assert.equal(faultsOf(`${VALID}zone == 3\n`)[0].line, 9);
       const faults = faultsOf(VALID.replace('7001', '7000'));
