--- a/src/main.ts
+++ b/src/main.ts
@@ -10,7 +10,7 @@
 
 const program = commandTypes.subcommands({
   name: 'parsleyknot',
-  description: 'Schedules services, batch work and all-at-once jobs',
+  description: 'Schedules services, batch work and gangs of tasks',
   cmds: {
     serve: serve.serve,
     check: check.check,
--- a/test/loop_test.ts
+++ b/test/loop_test.ts
@@ -6,7 +6,7 @@
 import * as wait from './support/wait.js';
 import type * as event from '../src/contracts/event.js';
 
-/** Notes what it is handed and returns what the test says. */
+/** Records events and effects, and responds as the test defines. */
 class Recorder implements loop.EventHandler, loop.EffectPerformer {
   readonly handled: event.Event[] = [];
   readonly performed: effects.Effect[] = [];
@@ -31,8 +31,8 @@
   return {kind: 'reportFailed', worker};
 }
 
-nodeTest.describe('the loop', () => {
-  nodeTest.test('events are handled in order, one a turn', async () => {
+nodeTest.describe('event loop', () => {
+  nodeTest.test('events are handled in order, one per turn', async () => {
     const recorder = new Recorder();
     const running = new loop.Loop(recorder, recorder, new clock.SystemClock());
     recorder.respond = taken => {
@@ -48,8 +48,8 @@
     running.stop();
   });
 
-  // Guards against one bad event that stops all decisions for good.
-  nodeTest.test('a fault in one turn is reported, the next go on', async () => {
+  // Guards against an event whose exception stops the loop permanently.
+  nodeTest.test('an exception is reported and later turns run', async () => {
     const recorder = new Recorder();
     const running = new loop.Loop(recorder, recorder, new clock.SystemClock());
     recorder.respond = () => {
@@ -68,7 +68,7 @@
     running.stop();
   });
 
-  nodeTest.test('time passes when the handler wants it', async () => {
+  nodeTest.test('timePassed is posted at the handler deadline', async () => {
     const recorder = new Recorder();
     const time = new clock.SystemClock();
     const running = new loop.Loop(recorder, recorder, time);
--- a/test/result_test.ts
+++ b/test/result_test.ts
@@ -13,7 +13,7 @@
 }
 
 nodeTest.describe('result codes', () => {
-  // Guards against callers that act on a page that the code left behind.
+  // Guards against a documentation page that differs from the code.
   nodeTest.test('docs/errors.md has the same table', () => {
     const rows = Object.values(result.RESULT_CODES).map(row => [
       String(row.code),
