--- a/src/machines/worker_reliability.ts
+++ b/src/machines/worker_reliability.ts
@@ -4,10 +4,10 @@
 /** Different jobs failing consecutively that make a worker suspect. */
 const SUSPICION_FAILURE_COUNT = 2;
 
-/** Duration of the first exclusion of a suspect worker. */
+/** Time for which a suspect worker gets no work at first. */
 const INITIAL_EXCLUSION_MS = 1_500;
 
-/** Maximum duration of an exclusion of a suspect worker. */
+/** Longest time for which a suspect worker gets no work. */
 const MAXIMUM_EXCLUSION_MS = 6_000;
 
 /** Exclusion per consecutive rejected command, up to 5 times this duration. */
@@ -20,7 +20,7 @@
 const PROBABILITY_PER_FAILURE = 0.25;
 
 interface ReliabilityRecord {
-  /** Jobs whose runs failed since the last run that succeeded. */
+  /** Jobs whose runs failed since the last that succeeded. */
   readonly failedJobs: Set<string>;
   exclusionMs: number;
   refusals: number;
