Rename the interviewer and parameters of worker calls

Renames only, used within this part: Interviewer -> SchemaPrompter (schema_prompter.ts), interview -> promptForAnswers, name -> runId, order -> command. Behaviour is unchanged.

--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -8,7 +8,7 @@
 import * as commandReport from './command_report.js';
 import * as documentGenerator from '../links/document_generator.js';
 import * as inputFile from './input_file.js';
-import * as interviewer from './interviewer.js';
+import * as schemaPrompter from './schema_prompter.js';
 import * as terminalPrompter from './terminal_prompter.js';
 
 type Generated = either.Either<
@@ -54,7 +54,7 @@
   handler: async ({answers, save, out, json}) => {
     const output = new commandReport.ProcessOutput();
     const generated =
-      answers === undefined ? await interview(save) : fromFile(answers);
+      answers === undefined ? await promptForAnswers(save) : fromFile(answers);
     generated.caseOf({
       Left: faults =>
         commandReport.reportFaults(output, answers ?? 'answers', faults, json),
@@ -70,7 +70,7 @@
     .chain(documentGenerator.generateDocuments);
 }
 
-async function interview(save: string | undefined): Promise<Generated> {
+async function promptForAnswers(save: string | undefined): Promise<Generated> {
   const prompter = new terminalPrompter.TerminalPrompter(
     process.stdin,
     process.stderr,
@@ -78,9 +78,9 @@
   const print = (text: string): void => {
     process.stderr.write(`${text}\n`);
   };
-  const asked = new interviewer.Interviewer(prompter, print);
+  const schemaPrompt = new schemaPrompter.SchemaPrompter(prompter, print);
   try {
-    const raw = await asked.askTable(answersSchema.ANSWERS_SCHEMA, '');
+    const raw = await schemaPrompt.askTable(answersSchema.ANSWERS_SCHEMA, '');
     if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
     return documentGenerator.generateFromAnswers(raw);
   } catch (fault) {
--- a/src/commands/interviewer.ts
+++ b/src/commands/schema_prompter.ts
@@ -6,7 +6,7 @@
 }
 
 /** Prompts a user for the values of a table, with one question per key. */
-export class Interviewer {
+export class SchemaPrompter {
   constructor(
     private readonly prompter: Prompter,
     private readonly print: (text: string) => void,
--- a/src/commands/terminal_prompter.ts
+++ b/src/commands/terminal_prompter.ts
@@ -1,5 +1,5 @@
 import * as readline from 'node:readline';
-import type * as interviewer from './interviewer.js';
+import type * as schemaPrompter from './schema_prompter.js';
 
 /** Error thrown when the input ends before a question is answered. */
 export class InputEndedError extends Error {
@@ -12,7 +12,7 @@
  * Prompts on a terminal or reads prepared lines from a file. Questions go to
  * the standard error, so that the standard output can be redirected.
  */
-export class TerminalPrompter implements interviewer.Prompter {
+export class TerminalPrompter implements schemaPrompter.Prompter {
   private readonly lines: AsyncIterator<string>;
   private readonly terminal: readline.Interface;
 
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -149,20 +149,20 @@
   }
 
   /** Reserves capacity for a run; has no effect if the run already has some. */
-  reserve(name: RunId, size: resources.Resources): void {
-    const key = runKey(name);
+  reserve(runId: RunId, size: resources.Resources): void {
+    const key = runKey(runId);
     if (this.reservations.has(key)) return;
     this.reservations.set(key, size);
     this.usedResources = resources.add(this.usedResources, size);
   }
 
   /** Releases the reservation of a run; has no effect if it has none. */
-  release(name: RunId): void {
-    const key = runKey(name);
-    const held = this.reservations.get(key);
-    if (held === undefined) return;
+  release(runId: RunId): void {
+    const key = runKey(runId);
+    const size = this.reservations.get(key);
+    if (size === undefined) return;
     this.reservations.delete(key);
-    this.usedResources = resources.subtract(this.usedResources, held);
+    this.usedResources = resources.subtract(this.usedResources, size);
   }
 
   /** Records the worker's clock from an answer received at `now`. */
@@ -179,9 +179,9 @@
   extendLease(now: clock.Milliseconds, leaseMs: number): number | undefined {
     if (this.reading === undefined) return undefined;
     const elapsed = now - this.reading.receivedAt;
-    const deadline = Math.floor(this.reading.clockMs + elapsed + leaseMs);
-    this.latestLeaseEndMs = Math.max(this.latestLeaseEndMs, deadline);
-    return deadline;
+    const leaseEndMs = Math.floor(this.reading.clockMs + elapsed + leaseMs);
+    this.latestLeaseEndMs = Math.max(this.latestLeaseEndMs, leaseEndMs);
+    return leaseEndMs;
   }
 
   /**
@@ -196,6 +196,6 @@
   }
 }
 
-function runKey(name: RunId): string {
-  return `${name.task}/${name.run}`;
+function runKey(runId: RunId): string {
+  return `${runId.task}/${runId.run}`;
 }
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -53,22 +53,22 @@
 export interface WorkerClient {
   start(
     worker: remoteWorker.RegistryEntry,
-    order: StartCommand,
+    command: StartCommand,
   ): Promise<CommandOutcome>;
   stop(
     worker: remoteWorker.RegistryEntry,
-    name: remoteWorker.RunId,
+    runId: remoteWorker.RunId,
     fence: number,
   ): Promise<CommandOutcome>;
   /** Limits a task to a share of its processors, from 0 to 100 percent. */
   throttle(
     worker: remoteWorker.RegistryEntry,
-    name: remoteWorker.RunId,
+    runId: remoteWorker.RunId,
     percent: number,
     fence: number,
   ): Promise<CommandOutcome>;
   renewLeases(
     worker: remoteWorker.RegistryEntry,
-    order: RenewalCommand,
+    command: RenewalCommand,
   ): Promise<RenewalOutcome>;
 }
--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -6,7 +6,7 @@
 import * as command from '../support/command.js';
 import * as answersSchema from '../../src/links/answers_schema.js';
 import * as documentGenerator from '../../src/links/document_generator.js';
-import * as interviewer from '../../src/commands/interviewer.js';
+import * as schemaPrompter from '../../src/commands/schema_prompter.js';
 import * as tomlSchema from '../../src/links/toml_schema.js';
 
 const COMMANDS = [
@@ -177,7 +177,7 @@
           return text;
         },
       };
-      const raw = await new interviewer.Interviewer(prompter, text =>
+      const raw = await new schemaPrompter.SchemaPrompter(prompter, text =>
         printed.push(text),
       ).askTable(answersSchema.ANSWERS_SCHEMA, '');
       const rule = new tomlSchema.NameRule().text;
