--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -52,8 +52,8 @@
   /** Renews leases in a loop until the session is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
-      const answered = await this.renewLeases();
-      if (answered) await this.waitUntilEndsStored();
+      const mayContinue = await this.renewLeases();
+      if (mayContinue) await this.waitUntilEndsStored();
       else if (!this.closed) await this.pause(RETRY_PAUSE_MS);
     }
   }
