--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -4,7 +4,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as command from '../support/command.js';
-import * as answersSchema from '../../src/links/answers_schema.js';
+import * as questionnaireSchema from '../../src/links/questionnaire_schema.js';
 import * as documentGenerator from '../../src/links/document_generator.js';
 import * as schemaPrompter from '../../src/commands/schema_prompter.js';
 import * as tomlSchema from '../../src/links/toml_schema.js';
@@ -29,7 +29,7 @@
       const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'check-'));
       const file = path.join(folder, 'settings.toml');
       fs.writeFileSync(file, 'vm = "entry-1"\ncallerPort = -1\n');
-      const result = await command.run('', 'check', '--config', file);
+      const result = await command.runCommand('', 'check', '--config', file);
       fs.rmSync(folder, {recursive: true});
       assert.equal(result.exitCode, 2);
       assert.ok(
@@ -47,7 +47,7 @@
     async () => {
       const stones = 'deployments/go_stones';
       const shred = 'deployments/secure_shred';
-      const right = await command.run(
+      const right = await command.runCommand(
         '',
         'check',
         `--fleet=${shred}/fleet.toml`,
@@ -56,7 +56,7 @@
       );
       assert.equal(right.exitCode, 0);
       const wrong = ['check', `--team=${stones}/fleet.toml`, '--json'];
-      const result = await command.run('', ...wrong);
+      const result = await command.runCommand('', ...wrong);
       assert.equal(result.exitCode, 2);
       assert.ok(JSON.parse(result.output).faults.length > 1);
     },
@@ -69,7 +69,7 @@
       'that scripts cannot use',
     async () => {
       const results = await Promise.all(
-        COMMANDS.map(name => command.run('', name, '--help')),
+        COMMANDS.map(name => command.runCommand('', name, '--help')),
       );
       results.forEach(({output}, position) => {
         const name = COMMANDS[position];
@@ -135,7 +135,7 @@
     'an input that ends early is a fault; guards against reporting success ' +
       'without documents',
     async () => {
-      const result = await command.run('Stones\n', 'questionnaire');
+      const result = await command.runCommand('Stones\n', 'questionnaire');
       assert.equal(result.exitCode, 2);
       assert.match(result.output, /the input ended/);
     },
@@ -179,8 +179,8 @@
       };
       const raw = await new schemaPrompter.SchemaPrompter(prompter, text =>
         printed.push(text),
-      ).askTable(answersSchema.ANSWERS_SCHEMA, '');
-      const rule = new tomlSchema.NameRule().text;
+      ).askTable(questionnaireSchema.QUESTIONNAIRE_SCHEMA, '');
+      const rule = new tomlSchema.NameRule().requirement;
       const fault = `zones[0].name: "North" must be ${rule}`;
       assert.ok(printed.includes(fault));
       const documents = documentGenerator
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -1,25 +1,25 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import * as topicFollower from '../../src/links/topic_follower.js';
 import type * as keyedTopic from '../../src/links/keyed_topic.js';
 
 const {describe, test} = nodeTest;
 
-function record(key: string, offset: number): keyedTopic.PlacedRecord {
+function record(key: string, offset: number): keyedTopic.TopicRecord {
   return {key, offset, value: Buffer.from('1')};
 }
 
 /** Follows a topic that answers as told; notes what is passed on. */
 function following(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
 ): {news: string[]; follower: topicFollower.TopicFollower} {
   const news: string[] = [];
   const topic = {
     append: async () => ({kind: 'refused', detail: ''}) as const,
-    newest: async () => {
+    readNewest: async () => {
       await time.pause(5);
       return newest();
     },
@@ -30,9 +30,9 @@
   };
   const follower = new topicFollower.TopicFollower(
     topic,
-    {waitMs: 50, gapMs: 0},
+    {maxWaitMs: 50, minReadIntervalMs: 0},
     {
-      followed: (changes, end, whole) => {
+      received: (changes, end, whole) => {
         const keys = changes.map(({key}) => key).join(',');
         news.push(`${whole ? 'whole' : 'more'} ${keys} to ${end}`);
       },
@@ -49,7 +49,7 @@
 describe('a topic that is followed', () => {
   // Guards against changes that are missed between the first look and the rest.
   test('is read on from where the first look ended', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {news, follower} = following(
       time,
       () => ({kind: 'read', records: [record('a', 3)], end: 4}),
@@ -62,7 +62,7 @@
 
   // Guards against a process that lags for good once history was dropped.
   test('is read anew when its history is gone', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {news, follower} = following(
       time,
       () => ({kind: 'read', records: [], end: 9}),
@@ -76,7 +76,7 @@
   // Guards against a loop without a pause while the store turns reads away, and
   // against a line of log for each of them.
   test('is tried again after a pause when it can not be read', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     let tries = 0;
     const {news, follower} = following(
       time,
@@ -99,12 +99,12 @@
   // Guards against a read that hangs for its whole wait in a store which is
   // back already, so that news of the outage comes seconds late.
   test('is read without a wait until the store answers again', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const waits: number[] = [];
     const isDown = (): boolean => time.now() > 100 && time.now() < 1_000;
     const topic = {
       append: async () => ({kind: 'refused', detail: ''}) as const,
-      newest: async () => ({kind: 'read', records: [], end: 0}) as const,
+      readNewest: async () => ({kind: 'read', records: [], end: 0}) as const,
       read: async (_from: number, waitMs: number) => {
         waits.push(waitMs);
         await time.pause(200);
@@ -115,8 +115,8 @@
     };
     const follower = new topicFollower.TopicFollower(
       topic,
-      {waitMs: 2_500, gapMs: 0},
-      {followed: () => {}, interrupted: () => {}, resumed: () => {}},
+      {maxWaitMs: 2_500, minReadIntervalMs: 0},
+      {received: () => {}, interrupted: () => {}, resumed: () => {}},
       time,
       milliseconds => time.pause(milliseconds),
     );
--- a/test/operations/configuration_page_test.ts
+++ b/test/operations/configuration_page_test.ts
@@ -29,7 +29,7 @@
       `${heading} lists exactly the keys of the schema; guards against a ` +
         'page whose rules or defaults differ from the program',
       () => {
-        const expected = configurationPage.rows(schema);
+        const expected = configurationPage.tableRows(schema);
         assert.deepEqual(section(heading), expected);
       },
     );
