--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -44,16 +44,16 @@
 /** Entry process: the decision core, its event loop and its links. */
 export class EntryProcess {
   private readonly clock = new clock.SystemClock();
-  private readonly numbers = new callNumberAllocator.CallNumberAllocator();
+  private readonly callNumbers = new callNumberAllocator.CallNumberAllocator();
   private readonly logs: sinks.LogSink;
   private readonly incarnation: string;
   private readonly random = new randomSource.SecureRandom();
   private readonly metrics: ClosableMetricsSink;
-  private readonly bytes: byteCounter.ByteCounter;
-  private readonly callers: callerServer.CallerServer;
+  private readonly byteCounter: byteCounter.ByteCounter;
+  private readonly callerServer: callerServer.CallerServer;
   private readonly peerServer: peerServer.PeerServer;
-  private readonly peers: peerLink.PeerLink;
-  private readonly httpCallers: pooledHttpClient.PooledHttpClient[] = [];
+  private readonly peerLink: peerLink.PeerLink;
+  private readonly httpClients: pooledHttpClient.PooledHttpClient[] = [];
   private loop: loop.Loop | undefined;
   private shutdownResult: Promise<void> | undefined;
   private signalSuperseded: () => void = () => {};
@@ -71,12 +71,12 @@
     this.logs =
       sinks?.logs ??
       new logger.Logger(line => process.stdout.write(`${line}\n`));
-    this.bytes = new byteCounter.ByteCounter(this.metrics);
-    this.callers = new callerServer.CallerServer({
-      callNumbers: this.numbers,
+    this.byteCounter = new byteCounter.ByteCounter(this.metrics);
+    this.callerServer = new callerServer.CallerServer({
+      callNumbers: this.callNumbers,
       post: this.post,
       metrics: this.metrics,
-      byteCounter: this.bytes,
+      byteCounter: this.byteCounter,
       limits: {
         maxBodyBytes: settings.bodyLimitBytes,
         maxOpenCalls: settings.openCallLimit,
@@ -84,17 +84,17 @@
     });
     this.peerServer = new peerServer.PeerServer(
       this.incarnation,
-      this.numbers,
+      this.callNumbers,
       this.post,
     );
-    this.peers = new peerLink.PeerLink({
+    this.peerLink = new peerLink.PeerLink({
       processName: this.incarnation,
-      openCalls: this.callers,
+      openCalls: this.callerServer,
       post: this.post,
       now: this.now,
       metrics: this.metrics,
       logs: this.logs,
-      byteCounter: this.bytes,
+      byteCounter: this.byteCounter,
     });
   }
 
@@ -103,18 +103,18 @@
     const {host, callerPort, peerPort} = this.settings;
     // The core publishes the peer address in the log, so the port must be known
     // before the first decision.
-    const realPeerPort = await this.peerServer.listen(host, peerPort);
-    const core = this.buildCore(`${host}:${realPeerPort}`);
+    const boundPeerPort = await this.peerServer.listen(host, peerPort);
+    const core = this.buildCore(`${host}:${boundPeerPort}`);
     this.loop = new loop.Loop(core, this.buildLinks(), this.clock);
-    const port = await this.callers.listen(host, callerPort);
+    const port = await this.callerServer.listen(host, callerPort);
     this.loop.post({kind: 'timePassed'});
     this.logs.log('info', 'serving', {
       process: this.incarnation,
       host,
       port,
-      peerPort: realPeerPort,
+      peerPort: boundPeerPort,
     });
-    return {callers: `${host}:${port}`, peers: `${host}:${realPeerPort}`};
+    return {callers: `${host}:${port}`, peers: `${host}:${boundPeerPort}`};
   }
 
   /** Drains the requests in progress and closes all links. */
@@ -132,21 +132,24 @@
   async closeNow(): Promise<void> {
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'another process took over from this one; ask again';
-    await this.callers.closeWithReply({code, detail});
+    await this.callerServer.closeWithReply({code, detail});
     await this.close();
   }
 
   private async drainAndClose(): Promise<void> {
-    await new gracefulShutdown.GracefulShutdown(this.callers, this.logs).run();
+    await new gracefulShutdown.GracefulShutdown(
+      this.callerServer,
+      this.logs,
+    ).run();
     await this.close();
   }
 
   private async close(): Promise<void> {
     this.loop?.stop();
-    this.peers.close();
+    this.peerLink.close();
     this.peerServer.close();
-    await Promise.all(this.httpCallers.map(caller => caller.close()));
-    this.bytes.close();
+    await Promise.all(this.httpClients.map(client => client.close()));
+    this.byteCounter.close();
     await this.metrics.close();
   }
 
@@ -184,10 +187,10 @@
   private buildLinks(): entryEffectPerformer.EntryEffectPerformer {
     const {post, now, metrics: sink} = this;
     return new entryEffectPerformer.EntryEffectPerformer({
-      callerServer: this.callers,
+      callerServer: this.callerServer,
       workerLink: new workerLink.WorkerLink({
-        client: this.buildCaller('worker', WORKER_CONNECTIONS, '/report'),
-        answerClient: this.buildCaller('answer', ANSWER_CONNECTIONS, '/report'),
+        client: this.buildClient('worker', WORKER_CONNECTIONS, '/report'),
+        answerClient: this.buildClient('answer', ANSWER_CONNECTIONS, '/report'),
         post,
         now,
         metrics: sink,
@@ -195,12 +198,12 @@
       platformLink: new platformLink.PlatformLink({
         addresses: this.settings,
         // Any answer, even for an unknown path, shows that a connection works.
-        client: this.buildCaller('platform', PLATFORM_CONNECTIONS, '/'),
+        client: this.buildClient('platform', PLATFORM_CONNECTIONS, '/'),
         post,
         now,
         metrics: sink,
       }),
-      peerLink: this.peers,
+      peerLink: this.peerLink,
       peerServer: this.peerServer,
       metrics: sink,
       logs: this.logs,
@@ -208,12 +211,12 @@
     });
   }
 
-  private buildCaller(
+  private buildClient(
     link: string,
     connections: connectionLimiter.ConnectionBounds,
     probePath: string,
   ): pooledHttpClient.PooledHttpClient {
-    const caller = new pooledHttpClient.PooledHttpClient({
+    const client = new pooledHttpClient.PooledHttpClient({
       connections,
       probePath,
       onSilent: address => {
@@ -222,9 +225,10 @@
         this.logs.log('warn', 'silentConnection', {...labels, address});
       },
       // Workers and the platform's endpoints are in the same zone as this VM.
-      onConnected: socket => this.bytes.track(socket, link, this.settings.zone),
+      onConnected: socket =>
+        this.byteCounter.track(socket, link, this.settings.zone),
     });
-    this.httpCallers.push(caller);
-    return caller;
+    this.httpClients.push(client);
+    return client;
   }
 }
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -33,7 +33,7 @@
 /** Shuts a process down without interrupting requests in progress. */
 export class GracefulShutdown {
   constructor(
-    private readonly callers: callerServer.CallerServer,
+    private readonly callerServer: callerServer.CallerServer,
     private readonly logs: sinks.LogSink,
   ) {}
 
@@ -42,8 +42,8 @@
     const started = performance.now();
     const deadline = started + SHUTDOWN_DEADLINE_MS;
     this.logs.log('info', 'draining', {});
-    this.callers.beginDrain();
-    void this.callers.postAndWait(
+    this.callerServer.beginDrain();
+    void this.callerServer.postAndWait(
       call => ({kind: 'drainArrived', call}),
       SHUTDOWN_DEADLINE_MS,
     );
@@ -53,7 +53,7 @@
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process is shutting down; ask another';
     await Promise.race([
-      this.callers.closeWithReply({code, detail}, CALL_GRACE_MS),
+      this.callerServer.closeWithReply({code, detail}, CALL_GRACE_MS),
       timers.setTimeout(CLOSE_TIMEOUT_MS),
     ]);
     const clean = remaining.left && remaining.unfinished === 0;
@@ -74,7 +74,7 @@
   }
 
   private async readRemaining(): Promise<Remaining> {
-    const reply = await this.callers.postAndWait(
+    const reply = await this.callerServer.postAndWait(
       call => ({kind: 'statusArrived', call}),
       STATUS_TIMEOUT_MS,
     );
--- a/src/commands/retrying_caller.ts
+++ b/src/commands/retrying_caller.ts
@@ -35,19 +35,20 @@
     build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
     unknown?: effect.Reply,
   ): Promise<effect.Reply | undefined> {
-    let last: effect.Reply | undefined;
+    let lastReply: effect.Reply | undefined;
     let mayHaveTakenEffect = false;
     for (;;) {
       const answer = await this.client.call(this.buildCall(build));
       const reply = answer.kind === 'reply' ? answer.reply : undefined;
       if (reply !== undefined && isFinal(reply)) return reply;
-      last = reply ?? last;
+      lastReply = reply ?? lastReply;
       mayHaveTakenEffect ||= answer.kind === 'lost' || isUnsettled(reply);
       if (performance.now() + RETRY_PAUSE_MS >= this.deadline) {
-        const claimsNothingDone = last === undefined || !isUnsettled(last);
+        const claimsNothingDone =
+          lastReply === undefined || !isUnsettled(lastReply);
         return mayHaveTakenEffect && claimsNothingDone
-          ? (unknown ?? last)
-          : last;
+          ? (unknown ?? lastReply)
+          : lastReply;
       }
       if (needsOtherProcess(reply)) this.client.failOver();
       await timers.setTimeout(RETRY_PAUSE_MS);
@@ -57,10 +58,16 @@
   private buildCall(
     build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
   ): entryClient.EntryCall {
-    const left = Math.max(0, (this.deadline - performance.now()) / 1_000);
-    const wait = Math.floor(Math.min(left, MAXIMUM_WAIT_SECONDS));
+    const secondsLeft = Math.max(
+      0,
+      (this.deadline - performance.now()) / 1_000,
+    );
+    const waitSeconds = Math.floor(Math.min(secondsLeft, MAXIMUM_WAIT_SECONDS));
     // The last call gets time for its reply even after the timeout.
-    return {...build(wait), timeoutMs: wait * 1_000 + REPLY_ALLOWANCE_MS};
+    return {
+      ...build(waitSeconds),
+      timeoutMs: waitSeconds * 1_000 + REPLY_ALLOWANCE_MS,
+    };
   }
 }
 
--- a/src/commands/try.ts
+++ b/src/commands/try.ts
@@ -42,7 +42,7 @@
 
 /** Runs sample workloads on an embedded cell and prints the results. */
 class TryRun {
-  private readonly sent: SentRequest[] = [];
+  private readonly sentRequests: SentRequest[] = [];
   private readonly usedFractions: number[] = [];
   private nextAddressIndex = 0;
 
@@ -119,7 +119,13 @@
     );
     const milliseconds = performance.now() - started;
     const {team, workload} = source;
-    this.sent.push({team, workload, phase, code: reply.code, milliseconds});
+    this.sentRequests.push({
+      team,
+      workload,
+      phase,
+      code: reply.code,
+      milliseconds,
+    });
   }
 
   private async reserveIdentity(source: RequestSource): Promise<string> {
@@ -146,7 +152,7 @@
   }
 
   private printPhase(phase: string): void {
-    const sent = this.sent.filter(item => item.phase === phase);
+    const sent = this.sentRequests.filter(item => item.phase === phase);
     const finished = sent.filter(item => item.code === 0).length;
     console.log(
       `${phase.padEnd(18)} sent ${String(sent.length).padStart(3)}` +
@@ -157,10 +163,12 @@
 
   private printReport(): void {
     const {metrics} = this.cell;
-    const calm = this.sent.filter(
+    const calm = this.sentRequests.filter(
       item => item.phase === 'calm' && item.team === 'office',
     );
-    const flooded = this.sent.filter(item => item.phase === 'during the flood');
+    const flooded = this.sentRequests.filter(
+      item => item.phase === 'during the flood',
+    );
     const finished = flooded.filter(item => item.code === 0).length;
     const bytes = metrics.total('bytes_sent') + metrics.total('bytes_received');
     const usedPeak = Math.max(...this.usedFractions);
@@ -168,8 +176,8 @@
     printValue('wait to start, median', `${metrics.wait(0.5).toFixed(1)} ms`);
     printValue('wait to start, p99', `${metrics.wait(0.99).toFixed(1)} ms`);
     printValue('slots in use, peak', `${(usedPeak * 100).toFixed(0)} %`);
-    printValue('starts over capacity', `${this.cell.overcommitments()}`);
-    printValue('log appends', `${this.cell.appends()}`);
+    printValue('starts over capacity', `${this.cell.overcommitmentCount()}`);
+    printValue('log appends', `${this.cell.appendCount()}`);
     printValue('bytes sent and received', `${bytes}`);
     printValue(
       'others finished in the flood',
@@ -185,7 +193,7 @@
   private printOutcomes(): void {
     console.log('\nworkload             code  requests');
     const outcomes = new Map<string, number>();
-    for (const item of this.sent) {
+    for (const item of this.sentRequests) {
       const key = `${item.workload.padEnd(18)}  ${String(item.code).padStart(5)}`;
       outcomes.set(key, (outcomes.get(key) ?? 0) + 1);
     }
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -60,16 +60,16 @@
 export class TryCell {
   readonly metrics = new CollectedMetrics();
   readonly warnings: string[] = [];
-  private readonly log = new logService.LogService();
-  private readonly list = new vmList.VmList();
+  private readonly logService = new logService.LogService();
+  private readonly vmList = new vmList.VmList();
   private readonly workers: standInWorker.StandInWorker[] = [];
   private readonly entries: entryProcess.EntryProcess[] = [];
   private readonly addressesByZone = new Map<string, string[]>();
 
   /** Starts all stand-ins and entry processes and publishes the documents. */
   async start(): Promise<void> {
-    const log = await this.log.listen();
-    const list = await this.list.listen();
+    const logAddress = await this.logService.listen();
+    const vmListAddress = await this.vmList.listen();
     for (const document of tryDocuments.TRY_DOCUMENTS) {
       this.publish(document);
     }
@@ -78,7 +78,7 @@
         await this.addWorker(zone, index);
       }
       for (let index = 0; index < ENTRY_VMS_PER_ZONE; index += 1) {
-        await this.addEntry(zone, index, log, list);
+        await this.addEntry(zone, index, logAddress, vmListAddress);
       }
     }
   }
@@ -104,15 +104,15 @@
   }
 
   /** Returns the number of starts that took a worker over its capacity. */
-  overcommitments(): number {
+  overcommitmentCount(): number {
     let total = 0;
     for (const item of this.workers) total += item.overcommitmentCount();
     return total;
   }
 
   /** Returns the number of appends to the log. */
-  appends(): number {
-    return this.log.appendCount();
+  appendCount(): number {
+    return this.logService.appendCount();
   }
 
   /** Drains the entry processes, then closes the stand-ins. */
@@ -120,8 +120,8 @@
     const ended = Promise.all(this.entries.map(entry => entry.shutDown()));
     await Promise.race([ended, timers.setTimeout(10_000)]);
     for (const item of this.workers) item.close();
-    this.list.close();
-    this.log.close();
+    this.vmList.close();
+    this.logService.close();
   }
 
   private publish(document: tryDocuments.TryDocument): void {
@@ -132,12 +132,12 @@
       content: document.content,
       publication: `try ${document.name}`,
     };
-    this.log.append('configuration', [JSON.stringify(record)]);
+    this.logService.append('configuration', [JSON.stringify(record)]);
   }
 
   private async addWorker(zone: string, index: number): Promise<void> {
     const name = `${zone}-worker-${index}`;
-    const item = new standInWorker.StandInWorker({
+    const standIn = new standInWorker.StandInWorker({
       name,
       rack: `${zone}-rack-${index % 2}`,
       capacity: {
@@ -148,16 +148,16 @@
       },
       runTimeMs: 200,
     });
-    this.workers.push(item);
-    const address = await item.listen();
-    this.list.put({vm: name, role: 'worker', zone, address, state: 'live'});
+    this.workers.push(standIn);
+    const address = await standIn.listen();
+    this.vmList.put({vm: name, role: 'worker', zone, address, state: 'live'});
   }
 
   private async addEntry(
     zone: string,
     index: number,
-    log: string,
-    list: string,
+    logAddress: string,
+    vmListAddress: string,
   ): Promise<void> {
     const vm = `${zone}-entry-${index}`;
     const text = [
@@ -167,8 +167,8 @@
       'host = "127.0.0.1"',
       'callerPort = 0',
       'peerPort = 0',
-      `log = "${log}"`,
-      `vmList = "${list}"`,
+      `log = "${logAddress}"`,
+      `vmList = "${vmListAddress}"`,
     ].join('\n');
     const read = settings.parseSettings(text).unsafeCoerce();
     const entry = new entryProcess.EntryProcess(read, {
@@ -179,7 +179,7 @@
     const known = this.addressesByZone.get(zone) ?? [];
     this.addressesByZone.set(zone, [...known, callers]);
     this.entries.push(entry);
-    this.list.put({
+    this.vmList.put({
       vm,
       role: 'entry',
       zone,
