--- a/test/commands/entry_commands_test.ts
+++ b/test/commands/entry_commands_test.ts
@@ -29,7 +29,7 @@
 
 nodeTest.describe('publish', () => {
   nodeTest.test(
-    'retries keep the base version and the identity of the publication; ' +
+    'it is based on the version in force and retries with one identity; ' +
       'guards against a second publication after a lost reply',
     async () => {
       await withEntry(
