--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -180,8 +180,9 @@
         }
         if (outcome.kind !== 'rejected') return;
         if (outcome.reason === 'superseded') this.listener.superseded();
-        if (outcome.reason === 'otherLife')
+        if (outcome.reason === 'otherLife') {
           this.listener.incarnationEnded(worker);
+        }
       });
   }
 
