Reword the comments of the cell's election, gateway and member

Comments use the terms of leader election, failover and timeouts, and name their subject. One internal detail text is reworded; behaviour is unchanged.

--- a/src/zones/advice_relays.ts
+++ b/src/zones/advice_relays.ts
@@ -4,26 +4,26 @@
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
 
-/** A member that was heard within this time can ask for advice. */
+/** A member counts as alive for this long after its last ping or reply. */
 const MEMBER_LIVENESS_TIMEOUT_MS = 2_000;
 
-/** The members over whose VMs the advice service is asked. */
+/** Members of the cell that can relay a call to the advice service. */
 export class AdviceRelays {
   private readonly lastContactAt = new Map<string, clock.Milliseconds>();
 
   constructor(
     private readonly clock: clock.Clock,
-    /** Asks from the own VM. */
+    /** Calls the advice service from the VM of this process. */
     private readonly localService: adviceBook.AdviceService,
     private readonly peers: cellPeers.CellPeers,
   ) {}
 
-  /** A ping of the member or its answer to one has arrived. */
+  /** Records that a ping from the member, or its reply to one, arrived. */
   recordContact(address: string): void {
     this.lastContactAt.set(address, this.clock.now());
   }
 
-  /** The living ones of `members`, and this process itself. */
+  /** Returns those of `members` that are alive, and this process itself. */
   availableSites(
     members: ReadonlyArray<cellMember.CellMember>,
   ): ReadonlyArray<adviceSpread.AdviceSite> {
@@ -35,7 +35,7 @@
     return [...alive, {address: undefined}];
   }
 
-  /** Asks over a member; `address` is undefined for this process. */
+  /** Calls the service through a member, or directly without an `address`. */
   ask(
     address: string | undefined,
     step: string,
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -7,45 +7,45 @@
 import type * as scheduler from '../jobs/scheduler.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** What the gateway asks its own process. */
+/** Member of this process, which the gateway calls without the network. */
 export interface LocalMember extends cellPeers.CellService {
   readonly leader: cellMember.Claim | undefined;
   readonly runsScheduler: boolean;
 }
 
-/** Fate of a call that only the scheduler can answer. */
+/** Outcome of a call that only the scheduler can answer. */
 export type GatewayOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
-  /** No scheduler could be asked; nothing was done. */
+  /** No scheduler was reached; the call had no effect. */
   | {readonly kind: 'noScheduler'}
   /** The call may have taken effect. */
   | {readonly kind: 'unknown'};
 
-/** Time for one attempt; the scheduler is asked again after it. */
+/** Timeout of one attempt; the call is then sent again. */
 const ATTEMPT_TIMEOUT_MS = 1_000;
 
-/** Pause before another attempt. */
+/** Delay before the next attempt. */
 const RETRY_DELAY_MS = 60;
 
 /**
- * How long a call waits for a scheduler. A succession is over by then; a
- * caller that waits longer does better to come back.
+ * Longest time that a call waits for a scheduler. A failover takes less time
+ * than this; after it, a retry by the caller is better than a longer wait.
  */
 const SCHEDULER_WAIT_LIMIT_MS = 2_000;
 
 /**
- * Part of a caller's time for which a job waits for the store to answer again.
- * The caller keeps enough of it to come back or to go elsewhere.
+ * Share of the caller's time during which a submission waits for a silent store
+ * to answer again. The rest lets the caller retry or go elsewhere.
  */
 const STORE_WAIT_SHARE = 0.45;
 
-/** Pause before the scheduler is asked again while the store is silent. */
+/** Delay before a submission is repeated while the store is silent. */
 const STORE_RETRY_DELAY_MS = 200;
 
-/** Time that is kept for the answer's way back. */
+/** Part of the caller's time reserved for sending the response. */
 const RESPONSE_RESERVE_MS = 120;
 
-/** Passes calls on to the scheduler, wherever it is, through a succession. */
+/** Forwards calls to the current scheduler and retries during a failover. */
 export class CellGateway {
   constructor(
     private readonly localMember: LocalMember,
@@ -55,7 +55,7 @@
     private readonly counters: schedulerOptions.Counters,
   ) {}
 
-  /** Hands a job in; waits out a short silence of the store. */
+  /** Submits a job; retries while the store is silent for a short time. */
   async submit(
     definition: job.JobDefinition,
     configurationVersion: number,
@@ -76,8 +76,8 @@
           ),
       );
       const nextAttemptAt = this.clock.now() + STORE_RETRY_DELAY_MS;
-      // Only what is surely not accepted may be handed in once more, or else a
-      // later refusal would be untrue.
+      // Retry only a submission that was definitely not accepted. If the first
+      // one may have been accepted, a refusal of the second could be wrong.
       if (
         !isStoreSilent(outcome) ||
         nextAttemptAt - startedAt > storeWaitLimitMs
@@ -89,7 +89,7 @@
     }
   }
 
-  /** Cancels a job. */
+  /** Cancels a job through the scheduler. */
   cancel(
     queue: string,
     id: string,
@@ -102,7 +102,7 @@
     );
   }
 
-  /** Returns the state of a job; undefined within the answer for none. */
+  /** Reads the state of a job; the value is undefined for an unknown job. */
   readState(
     queue: string,
     id: string,
@@ -117,7 +117,7 @@
     );
   }
 
-  /** Counts the jobs of a queue of which nothing has started. */
+  /** Counts the jobs of a queue that have no started task. */
   countPending(
     queue: string,
     deadline: clock.Milliseconds,
@@ -182,7 +182,10 @@
     const answered = answer.then(value => ({kind: 'answered', value}) as const);
     const timedOut = this.pauses
       .pause(timeoutMs)
-      .then(() => ({kind: 'unanswered', detail: 'store'}) as const);
+      .then(
+        () =>
+          ({kind: 'unanswered', detail: 'no answer from the store'}) as const,
+      );
     return Promise.race([answered, timedOut]);
   }
 }
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -14,7 +14,7 @@
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 import type * as workerCalls from '../machines/worker_calls.js';
 
-/** What a member of the cell works with. */
+/** Dependencies of a cell node. */
 export interface CellNodeOptions {
   readonly self: cellMember.CellMember;
   readonly clock: clock.Clock;
@@ -24,7 +24,7 @@
   readonly journal: jobJournal.JournalStore;
   readonly registry: remoteWorker.WorkerRegistry;
   readonly workers: workerCalls.WorkerCalls;
-  /** Asks the advice service from this VM. */
+  /** Calls the advice service from the VM of this process. */
   readonly advice: adviceBook.AdviceService;
   readonly peers: cellPeers.CellPeers;
   readonly pauses: jobJournal.Pauses;
@@ -33,31 +33,31 @@
   readonly defer: (pass: () => void) => void;
 }
 
-/** Time for the answer to a ping. */
+/** Timeout of a ping, before scaling by the size of the cell. */
 const PING_TIMEOUT_MS = 600;
 
-/** Pause between pings of the members that succeed first. */
+/** Interval between pings by the members that are first in succession. */
 const SUCCESSOR_PING_INTERVAL_MS = 220;
 
-/** Pause between pings of all others. */
+/** Interval between pings by all other members. */
 const PING_INTERVAL_MS = 800;
 
-/** Ranks that ping often. */
+/** Number of ranks that ping at the short interval. */
 const SUCCESSOR_COUNT = 3;
 
-/** A read of the log within this time shows that the store answers. */
+/** A read of the log this recently proves that the store answers. */
 const RECENT_READ_MS = 300;
 
-/** Time for a scheduler to show that the store answers it again. */
+/** Time given to the leader to report that the store answers it again. */
 const STORE_RECOVERY_MS = 450;
 
-/** Pause before a claim that lost to another record is repeated. */
+/** Delay before a claim that lost to another record is retried. */
 const LOST_CLAIM_RETRY_DELAY_MS = 15;
 
-/** Pause that shows that this process did not run for a while. */
+/** Time between two ticks above which the process counts as paused. */
 const PROCESS_PAUSE_LIMIT_MS = 1_000;
 
-/** One process of the cell: follows the claims and schedules when it won. */
+/** Process of the cell: takes part in elections and schedules as leader. */
 export class CellNode implements cellPeers.CellService {
   private readonly election: election.Election;
   private readonly configurationCache: configurationCache.ConfigurationCache;
@@ -100,12 +100,12 @@
     return this.configurationCache.newest;
   }
 
-  /** Time since the configuration was last known to be the newest one. */
+  /** Time since the configuration was last confirmed to be the newest. */
   get configurationAgeMs(): number {
     return this.configurationCache.ageMs;
   }
 
-  /** The member that schedules, as far as this one knows. */
+  /** Newest claim that this member knows; its owner is the leader. */
   get leader(): cellMember.Claim | undefined {
     return this.election.newestClaim;
   }
@@ -114,14 +114,14 @@
     return this.scheduler !== undefined;
   }
 
-  /** The scheduler of this process while it leads and knows the jobs. */
+  /** Scheduler of this process while it leads and has loaded the jobs. */
   private get servingScheduler(): scheduler.Scheduler | undefined {
     return this.scheduler?.isServing ? this.scheduler : undefined;
   }
 
-  // News.
+  // Input from the feeds and the process.
 
-  /** The cell's log was read up to `end`. */
+  /** Applies records of the cell's log, which was read up to `end`. */
   applyCellLog(
     members: ReadonlyArray<cellMember.CellMember>,
     claim: cellMember.Claim | undefined,
@@ -137,37 +137,37 @@
     this.claimIfDue();
   }
 
-  /** The operator's newest configuration; undefined when none was written. */
+  /** Applies the operator's configuration; undefined if none was written. */
   applyConfiguration(configuration: job.CellConfiguration | undefined): void {
     this.configurationCache.recordStoreRead(configuration);
   }
 
-  /** The process is to stop soon: another one takes over meanwhile. */
+  /** Stops claiming and asks for a successor, before the process stops. */
   resign(): void {
     this.resigning = true;
   }
 
-  /** Does what is due; called several times a second. */
+  /** Runs periodic work; called several times per second. */
   tick(): void {
     const {clock, log} = this.options;
     const now = clock.now();
     const elapsedMs = now - this.lastTickAt;
     this.lastTickAt = now;
     if (elapsedMs > PROCESS_PAUSE_LIMIT_MS) {
-      // Whatever proved that this process may schedule is out of date.
+      // Proof of leadership from before the pause is out of date.
       this.leadershipProvedAt = -Infinity;
       log.event('warn', 'processPaused', {pauseMs: Math.round(elapsedMs)});
     }
     this.scheduler?.tick();
     if (this.election.isLeader && this.scheduler === undefined) {
-      // A claim of an earlier moment took effect late.
+      // An earlier claim of this process took effect late.
       void this.startScheduler(this.election.newestClaim as cellMember.Claim);
     }
     if (!this.pinging && now >= this.nextPingAt) void this.pingNext(now);
     this.claimIfDue();
   }
 
-  // Calls of other members.
+  // Calls from other members.
 
   answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
     const now = this.options.clock.now();
@@ -239,24 +239,27 @@
     if (this.mayClaim() && this.election.tryBeginClaim(now)) void this.claim();
   }
 
-  /** A member joins once it has read the log, and may claim from then on. */
+  /**
+   * Returns whether this member may claim. It joins after it has read the log,
+   * and may claim from then on until it resigns.
+   */
   private mayClaim(): boolean {
     return this.joined && !this.resigning;
   }
 
   private async claim(): Promise<void> {
     const {cellLog, self, log, counters, clock} = this.options;
-    // A claim that gets no answer may take effect much later, when nobody wants
-    // another scheduler any more.
+    // A claim without an answer may take effect much later, when the cell does
+    // not need a new leader any more, so the store must answer first.
     const storeAnsweredRecently = clock.now() - this.logReadAt < RECENT_READ_MS;
     if (!storeAnsweredRecently && !(await cellLog.probe())) {
       counters.count('claims', 'storeSilent');
       return;
     }
     const suspectsStoreOnly = this.election.suspectsStoreOnly(clock.now());
-    // A store that has just come back answers the scheduler as well.
+    // A store that has just recovered answers the leader as well: wait for it.
     if (suspectsStoreOnly) await this.options.pauses.pause(STORE_RECOVERY_MS);
-    // Members that ping rarely doubt by what they heard some time ago.
+    // A member that pings rarely may suspect the leader on outdated replies.
     const leaderAddress = this.election.newestClaim?.address;
     const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
     if (leaderAddress !== undefined && (suspectsStoreOnly || pingsRarely)) {
@@ -278,7 +281,7 @@
     this.announceTerm();
   }
 
-  /** Tells all members of the term: a silent store may show it much later. */
+  /** Announces the term to all members; a silent store may delay the log. */
   private announceTerm(): void {
     for (const {address} of this.election.peers) void this.ping(address);
   }
@@ -326,7 +329,7 @@
     await newScheduler.begin();
   }
 
-  /** The term is over, though the claim that ended it is not known yet. */
+  /** Ends a term that a claim which is not known here yet has superseded. */
   private handleSuperseded(
     supersededScheduler: scheduler.Scheduler,
     reason: string,
@@ -346,8 +349,9 @@
   }
 
   /**
-   * Tells whether something heard lately shows that no later term is known. A
-   * successor waits for this time before it counts on the old term's silence.
+   * Returns whether recent messages prove that no later term is known. A
+   * successor waits for the lifetime of this proof before it relies on the old
+   * leader having stopped.
    */
   private hasLeadershipProof(): boolean {
     const proofAgeMs = this.options.clock.now() - this.leadershipProvedAt;
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -5,41 +5,41 @@
 import type * as job from '../jobs/job.js';
 import type * as scheduler from '../jobs/scheduler.js';
 
-/** What members tell each other with each ping. */
+/** State that members exchange with each ping and reply. */
 interface GossipState {
   readonly newest: cellMember.Claim | undefined;
   readonly configurationVersion: number;
 }
 
-/** A ping. */
+/** Ping that tells another member the newest state known to the sender. */
 export interface PingMessage extends GossipState {
-  /** Address of the member that pings. */
+  /** Address of the member that sent the ping. */
   readonly sender: string;
 }
 
-/** Answer to a ping. */
+/** Reply to a ping, with the leadership status of the replying member. */
 export interface PingReply extends GossipState, election.LeadershipStatus {
-  /** Time since the store last confirmed that version as the newest one. */
+  /** Time since the store last confirmed that version as the newest. */
   readonly configurationAgeMs: number;
 }
 
-/** An answer that only the scheduler can give. */
+/** Outcome of a call that only the leader can answer. */
 export type LeaderCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
-  /** The member does not lead, or does not know the jobs yet. */
+  /** The member is not the leader, or has not loaded the jobs yet. */
   | {readonly kind: 'notLeading'}
-  /** Nothing listens there: the call did not arrive. */
+  /** Connection refused: the call did not arrive. */
   | {readonly kind: 'refused'}
   /** The call may have arrived. */
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** What a call without a led answer brought. */
+/** Outcome of a call that every member can answer. */
 export type PeerCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
   | {readonly kind: 'refused'}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** Calls to other members by their addresses; none of them rejects. */
+/** Client for calls to other members by address; no call rejects. */
 export interface CellPeers {
   ping(
     address: string,
@@ -81,7 +81,10 @@
   ): Promise<adviceBook.AdviceOutcome>;
 }
 
-/** What a member answers when others call it. */
+/**
+ * Handlers for calls from other members. Those that only the leader can answer
+ * return undefined on any other member.
+ */
 export interface CellService {
   answerPing(message: PingMessage): PingReply;
   readonly configuration: job.CellConfiguration | undefined;
@@ -93,7 +96,7 @@
     queue: string,
     id: string,
   ): Promise<scheduler.CancelOutcome> | undefined;
-  /** The state within an object, so that "no such job" is an answer too. */
+  /** Wraps the state, so that "no such job" differs from "not the leader". */
   readState(
     queue: string,
     id: string,
--- a/src/zones/configuration_cache.ts
+++ b/src/zones/configuration_cache.ts
@@ -3,10 +3,10 @@
 import type * as job from '../jobs/job.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Time for the answer to a question for the configuration. */
+/** Timeout for fetching the configuration from another member. */
 const FETCH_TIMEOUT_MS = 600;
 
-/** What the holder of the configuration works with. */
+/** Dependencies of the configuration cache. */
 export interface ConfigurationCacheOptions {
   readonly clock: clock.Clock;
   readonly peers: cellPeers.CellPeers;
@@ -16,8 +16,9 @@
 }
 
 /**
- * The newest configuration that this member knows. A member that cannot reach
- * the store gets newer ones, and the proof that there is none, from others.
+ * Newest configuration that this member knows. A member that cannot reach the
+ * store gets newer versions from other members, or their confirmation that its
+ * version is still the newest.
  */
 export class ConfigurationCache {
   private current: job.CellConfiguration | undefined;
@@ -30,23 +31,26 @@
     return this.current;
   }
 
-  /** Version of the newest one; 0 without any. */
+  /** Version of the newest configuration; 0 while none is known. */
   get version(): number {
     return this.current?.version ?? 0;
   }
 
-  /** Time since the configuration was last known to be the newest one. */
+  /** Time since the configuration was last confirmed to be the newest. */
   get ageMs(): number {
     return this.options.clock.now() - this.confirmedAt;
   }
 
-  /** The store was read; undefined when the operator has written none. */
+  /** Records a read of the store; undefined if the operator wrote none. */
   recordStoreRead(configuration: job.CellConfiguration | undefined): void {
     this.confirmedAt = this.options.clock.now();
     if (configuration !== undefined) this.adopt(configuration);
   }
 
-  /** Compares with what another member holds and fetches what is newer. */
+  /**
+   * Compares versions with another member. Fetches its configuration if that is
+   * newer, and takes over its confirmation time if the versions are equal.
+   */
   compareWithPeer(address: string, reply: cellPeers.PingReply): void {
     if (reply.configurationVersion > this.version) {
       void this.fetch(address);
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -1,7 +1,7 @@
 import type * as cellMember from './cell_member.js';
 import type * as clock from '../machines/clock.js';
 
-/** What a ping to the scheduler brought. */
+/** Leadership status that a member reports in its reply to a ping. */
 export interface LeadershipStatus {
   readonly incarnation: string;
   readonly leading: boolean;
@@ -9,57 +9,58 @@
   readonly storeSilentMs: number;
 }
 
-/** Silence of the scheduler after which it counts as lost. */
+/** Time without a reply after which the leader counts as lost. */
 const LEADER_SILENCE_TIMEOUT_MS = 900;
 
-/** Time that a scheduler has to take over before it is replaced. */
+/** Time that a new leader has to take over before it is replaced. */
 const TAKEOVER_TIMEOUT_MS = 2_500;
 
-/** Silence of the store at the scheduler after which another one tries. */
+/** Silence of the store towards the leader after which others claim. */
 const STORE_SILENCE_LIMIT_MS = 1_000;
 
-/** Head start of each rank over the next. */
+/** Delay between the claims of successive ranks. */
 const RANK_DELAY_MS = 200;
 
-/** Ranks from this one on claim at the same time. */
+/** All ranks from this one on claim at the same time. */
 const MAXIMUM_DELAYED_RANK = 4;
 
 /**
- * A member with less than this part of the strongest one's processors is weak:
- * it takes seconds to take over and does not keep up after that.
+ * A member with less than this share of the largest member's processors is
+ * weak: it takes seconds to take over and cannot keep up afterwards.
  */
 const WEAK_PROCESSOR_SHARE = 0.5;
 
-/** Time for which weak members leave the claim to the others. */
+/** Additional delay before a weak member claims. */
 const WEAK_DELAY_MS = 1_000;
 
 /**
- * Members up to which the times above hold. A scheduler of a larger cell is
- * busy for longer at a time and gets as much more of it: each change of the
- * scheduler stops all starts and makes the next one just as busy.
+ * Largest cell for which the times above hold unscaled. The leader of a larger
+ * cell is busy for longer at a time, so its timeouts grow in proportion: each
+ * change of the leader stops all starts and leaves the next one just as busy.
  */
 const REFERENCE_MEMBER_COUNT = 18;
 
-/** Pause between claims of one process. */
+/** Shortest time between two claims of one process. */
 const CLAIM_RETRY_INTERVAL_MS = 600;
 
 /**
- * Decides when this process claims to be the scheduler. The log's order makes
- * two schedulers of one term impossible, so that a claim too many costs only a
- * takeover; what counts here is to claim soon after a loss and not without one.
+ * Decides when this member claims to be the leader, which runs the scheduler.
+ * The order of the log rules out two leaders in one term, so an unnecessary
+ * claim costs only a takeover. The aim is to claim soon after the leader is
+ * lost, and only then.
  */
 export class Election {
   private readonly members = new Map<string, cellMember.CellMember>();
   private knownClaim: cellMember.Claim | undefined;
   private knownClaimAt: clock.Milliseconds;
   private lastReplyAt: clock.Milliseconds;
-  /** Since when there is a reason to replace the scheduler. */
+  /** When a reply or a refused connection gave reason to replace the leader. */
   private suspicionAt: clock.Milliseconds | undefined;
   private lastAttemptAt = -Infinity;
   private suspicionPingCount = 0;
   private isStoreOnlySuspect = false;
   private knownLogEnd = 0;
-  /** Where the log ended in the view in which a claim came second. */
+  /** End of the log that the last lost claim was based on. */
   private lostClaimEnd: number | undefined;
 
   constructor(
@@ -78,19 +79,19 @@
     return this.knownClaim?.incarnation === this.self.incarnation;
   }
 
-  /** All other members that are listed. */
+  /** All registered members except this one. */
   get peers(): ReadonlyArray<cellMember.CellMember> {
     return [...this.members.values()].filter(
       member => member.address !== this.self.address,
     );
   }
 
-  /** The log lists a member; a later entry of the same address replaces it. */
+  /** Adds a member from the log; replaces an earlier one of that address. */
   addMember(member: cellMember.CellMember): void {
     this.members.set(member.address, member);
   }
 
-  /** Takes a claim from the log or a peer; true when it is the newest. */
+  /** Records a claim from the log or a peer; returns true if it is newer. */
   recordClaim(claim: cellMember.Claim, now: clock.Milliseconds): boolean {
     if (this.knownClaim !== undefined && claim.term <= this.knownClaim.term) {
       return false;
@@ -102,7 +103,7 @@
     return true;
   }
 
-  /** The scheduler answered a ping. */
+  /** Records the status that the leader sent in reply to a ping. */
   recordStatus(status: LeadershipStatus, now: clock.Milliseconds): void {
     this.lastReplyAt = now;
     const isReplaceable = this.requiresLeaderChange(status, now);
@@ -112,48 +113,48 @@
     else this.suspicionAt = undefined;
   }
 
-  /** Nothing listens where the scheduler was. */
+  /** Records that the leader's address refused a connection. */
   markRefused(now: clock.Milliseconds): void {
     this.suspicionAt ??= now;
   }
 
-  /** Times the usual time that the scheduler has to answer or to take over. */
+  /** Factor on the time that the leader has to answer or to take over. */
   get timeoutScale(): number {
     return Math.max(1, this.members.size / REFERENCE_MEMBER_COUNT);
   }
 
-  /** Tells whether there is a reason to replace the scheduler. */
+  /** Returns whether there is a reason to replace the leader. */
   isLeaderSuspected(now: clock.Milliseconds): boolean {
     return this.suspectedSince(now) !== undefined;
   }
 
-  /** A later claim exists that is not known yet: this one counts no more. */
+  /** Invalidates this member's claim, because a later one exists in the log. */
   invalidateOwnClaim(): void {
     if (this.isLeader && this.knownClaim !== undefined) {
       this.knownClaim = {...this.knownClaim, incarnation: ''};
     }
   }
 
-  /** Where the log ended when it was last read. */
+  /** End of the log at its last read. */
   get logEnd(): number {
     return this.knownLogEnd;
   }
 
-  /** The log was read up to `end`. */
+  /** Records that the log was read up to `end`. */
   recordLogEnd(end: number): void {
     this.knownLogEnd = end;
   }
 
   /**
-   * Another record came before a claim made at `end`: it may be tried again as
-   * soon as that record is read.
+   * Records that another record preceded a claim made at `end`. The claim may
+   * be retried as soon as that record has been read.
    */
   recordLostClaim(end: number): void {
     this.lastAttemptAt = -Infinity;
     this.lostClaimEnd = end;
   }
 
-  /** The scheduler is well but for the store's silence towards it. */
+  /** Returns whether the leader is suspected only because of a silent store. */
   suspectsStoreOnly(now: clock.Milliseconds): boolean {
     return (
       this.isStoreOnlySuspect &&
@@ -161,7 +162,7 @@
     );
   }
 
-  /** Position of this process among those that may succeed. */
+  /** Position of this member in the order of succession; 0 claims first. */
   get rank(): number {
     const candidates = [...this.members.values()]
       .filter(member => member.incarnation !== this.knownClaim?.incarnation)
@@ -177,8 +178,9 @@
   }
 
   /**
-   * Address to ping next: the scheduler's, or while it is in doubt every other
-   * time another member's, which may know a later claim.
+   * Returns the address to ping next: the leader's. While the leader is
+   * suspected, every other call returns that of another member, which may know
+   * a later claim.
    */
   nextPingAddress(now: clock.Milliseconds): string | undefined {
     if (this.isLeader) return undefined;
@@ -193,7 +195,7 @@
       .address;
   }
 
-  /** Tells whether to claim now, and notes that it was done. */
+  /** Returns whether to claim now; if so, records the attempt. */
   tryBeginClaim(now: clock.Milliseconds): boolean {
     if (this.isLeader || this.lostClaimEnd === this.knownLogEnd) return false;
     const suspectedAt = this.suspectedSince(now);
@@ -215,12 +217,12 @@
     return this.self.processors < WEAK_PROCESSOR_SHARE * maximumProcessors;
   }
 
-  /** Since when a new scheduler is needed; undefined while none is. */
+  /** Returns since when a new leader is needed; undefined if none is. */
   private suspectedSince(
     now: clock.Milliseconds,
   ): clock.Milliseconds | undefined {
     if (this.knownClaim === undefined) return this.knownClaimAt;
-    // This process was the scheduler before it was started again.
+    // This process was the leader before it was restarted.
     if (this.knownClaim.address === this.self.address) return this.knownClaimAt;
     if (this.suspicionAt !== undefined) return this.suspicionAt;
     const timeoutAt =
