--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -8,7 +8,7 @@
 
 const {describe, test} = nodeTest;
 
-function bytes(value: unknown): Buffer {
+function encode(value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
 
@@ -23,16 +23,17 @@
   machine: 'm-1',
 };
 
-describe('an entry of the registry', () => {
-  test('names a worker and what it holds', () => {
-    const entry = workerEntryDecoder.decodeWorkerEntry('i-1', bytes(ENTRY));
+describe('worker entry decoder', () => {
+  test('decodes a worker, its machine and its capacity', () => {
+    const entry = workerEntryDecoder.decodeWorkerEntry('i-1', encode(ENTRY));
     assert.equal(entry?.capacity.processors, 16_000);
     assert.equal(entry?.capacity.accelerators, 1);
     assert.equal(entry?.machine, 'm-1');
   });
 
-  // Guards against starts on a worker that another writer made up.
-  test('names none when a field is missing or of another type', () => {
+  // Guards against starts on a worker that does not exist: another writer may
+  // add malformed entries to the registry.
+  test('rejects an entry with a missing field or one of the wrong type', () => {
     for (const change of [
       {state: 'sleeping'},
       {service_name: 7},
@@ -43,14 +44,15 @@
     ]) {
       const entry = workerEntryDecoder.decodeWorkerEntry(
         'i-1',
-        bytes({...ENTRY, ...change}),
+        encode({...ENTRY, ...change}),
       );
       assert.equal(entry, undefined, JSON.stringify(change));
     }
   });
 
-  // Guards against a process that ends over bytes that it can't read.
-  test('may be any bytes', () => {
+  // Guards against a crash of the process on malformed bytes, here and in the
+  // other decoders.
+  test('does not throw on arbitrary bytes', () => {
     fastCheck.assert(
       fastCheck.property(fastCheck.uint8Array(), value => {
         workerEntryDecoder.decodeWorkerEntry('i-1', value);
@@ -63,14 +65,14 @@
   });
 });
 
-describe('a job that is handed in', () => {
+describe('job decoder', () => {
   const STEP = {count: 2, cpu: 500, mem_mb: 64, est_runtime_ms: 900};
 
-  test('keeps all that is said of its steps', () => {
+  test('decodes all fields of steps and the schedule', () => {
     const decoded = jobDecoder.decodeJob(
       'ab',
       'orders',
-      bytes({
+      encode({
         spec: 'text',
         steps: [
           STEP,
@@ -100,10 +102,10 @@
     });
   });
 
-  // Guards against jobs that can't be run being accepted without a word.
-  test('is refused with the field and the rule that it breaks', () => {
+  // Guards against accepting a job whose steps cannot be run.
+  test('rejects an invalid job and names the field', () => {
     const faultOf = (body: unknown): string =>
-      jobDecoder.decodeJob('ab', 'q', bytes(body)).swap().unsafeCoerce().field;
+      jobDecoder.decodeJob('ab', 'q', encode(body)).swap().unsafeCoerce().field;
     assert.equal(faultOf([]), 'body');
     assert.equal(faultOf({}), 'steps');
     assert.equal(faultOf({steps: [{...STEP, count: 0}]}), 'steps[0].count');
@@ -111,7 +113,7 @@
   });
 });
 
-describe('the settings of a process', () => {
+describe('settings parser', () => {
   const FILE = {
     ip: '10.1.0.1',
     listen: {front: '10.1.0.1:1', ready: '10.1.0.1:2'},
@@ -119,16 +121,16 @@
     platform: {address: '10.2.0.1:3'},
   };
 
-  test('need an address, ports and the store', () => {
-    const read = platformSettings.parseSettings(bytes(FILE)).unsafeCoerce();
+  test('accepts a file with an address, ports and the store', () => {
+    const read = platformSettings.parseSettings(encode(FILE)).unsafeCoerce();
     assert.equal(read.cellPort, 7_000);
     assert.deepEqual(read.front, {host: '10.1.0.1', port: 1});
   });
 
-  // Guards against a process that starts on settings it can't work with.
-  test('are refused with the key and the rule', () => {
+  // Guards against a process that starts with unusable settings.
+  test('rejects invalid settings and names the key', () => {
     const keyOf = (file: unknown): string =>
-      platformSettings.parseSettings(bytes(file)).swap().unsafeCoerce().key;
+      platformSettings.parseSettings(encode(file)).swap().unsafeCoerce().key;
     assert.equal(keyOf({...FILE, ip: 4}), 'ip');
     assert.equal(keyOf({...FILE, listen: {}}), 'listen.front');
     assert.equal(keyOf({...FILE, port_range: []}), 'port_range');
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -8,14 +8,14 @@
 
 type Handler = (path: string, response: http.ServerResponse) => void;
 
-interface Served {
+interface TestServer {
   readonly address: string;
   readonly paths: string[];
   readonly close: () => void;
 }
 
-/** A server that notes the paths of the calls that arrive. */
-async function serve(handler: Handler): Promise<Served> {
+/** Starts a server that records the paths of the calls it receives. */
+async function startServer(handler: Handler): Promise<TestServer> {
   const paths: string[] = [];
   const server = http.createServer((request, response) => {
     const path = request.url ?? '';
@@ -39,10 +39,10 @@
   return client.call({method: 'GET', address, path, timeoutMs});
 }
 
-describe('a call to an outside system', () => {
-  // Guards against answers that are cut where they come in several pieces.
-  test('brings the whole body', async () => {
-    const server = await serve((_path, response) => {
+describe('HTTP client', () => {
+  // Guards against truncated bodies when a response arrives in several chunks.
+  test('returns the whole body', async () => {
+    const server = await startServer((_path, response) => {
       response.write('first ');
       setTimeout(() => response.end('second'), 20);
     });
@@ -55,10 +55,10 @@
     server.close();
   });
 
-  // Guards against an order that is sent after its caller counted it as lost:
-  // it would be carried out long after the decision behind it.
-  test('is not sent any more once it waited for too long', async () => {
-    const server = await serve((path, response) => {
+  // Guards against an order that is sent after its caller has given it up: the
+  // decision behind it is outdated after the wait for a connection.
+  test('does not send a call that timed out in the queue', async () => {
+    const server = await startServer((path, response) => {
       if (path === '/slow') setTimeout(() => response.end('slow'), 300);
       else response.end('done');
     });
@@ -73,9 +73,10 @@
     server.close();
   });
 
-  // Guards against a silent connection that takes the next call as well.
-  test('gives up its connection without an answer in time', async () => {
-    const server = await serve((path, response) => {
+  // Guards against reuse of a silent connection, on which the next call would
+  // time out as well.
+  test('closes the connection of a call that timed out', async () => {
+    const server = await startServer((path, response) => {
       if (path !== '/silent') response.end('done');
     });
     const client = new httpClient.HttpClient(1);
@@ -86,17 +87,18 @@
     server.close();
   });
 
-  // Guards against "may have been carried out" for what reached nobody.
-  test('is refused where nothing listens', async () => {
-    const server = await serve(() => {});
+  // Guards against an uncertain outcome for a call that reached no server.
+  test('reports a refused connection as refused', async () => {
+    const server = await startServer(() => {});
     server.close();
     const client = new httpClient.HttpClient(1);
     assert.deepEqual(await get(client, server.address, '/'), {kind: 'refused'});
     client.close();
   });
 
-  // Guards against a process that ends by an address that the registry lists.
-  test('does not reject for an address that is none', async () => {
+  // Guards against a crash of the process on an invalid address, which the
+  // registry may contain.
+  test('does not reject for an invalid address', async () => {
     const client = new httpClient.HttpClient(1);
     assert.equal((await get(client, 'no address', '/')).kind, 'unanswered');
     client.close();
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -6,51 +6,54 @@
 
 const {describe, test} = nodeTest;
 
-const TASK = {cpu: 500, mem_mb: 256, est_runtime_ms: 200};
+const STEP = {cpu: 500, mem_mb: 256, est_runtime_ms: 200};
 
-/** Tasks take as long as their payload says. */
-const PLAN: workerModel.RunPlan = order => ({
+/** Tasks run for the number of milliseconds in their payload. */
+const RUN_PLAN: workerModel.RunPlan = order => ({
   runtimeMs: Number(order.payload),
   how: 'done',
 });
 
-/** Hands a job in until it is accepted, as a requester with retries does. */
-async function submit(
+/** Submits a job until it is accepted, like a caller that retries. */
+async function submitUntilAccepted(
   cell: platformCell.PlatformCell,
   id: string,
   runtimeMs: number,
   count: number,
 ): Promise<void> {
-  const body = {spec: String(runtimeMs), steps: [{...TASK, count}]};
-  let turn = 0;
+  const body = {spec: String(runtimeMs), steps: [{...STEP, count}]};
+  let attempt = 0;
   await wait.until(`${id} accepted`, async () => {
-    const target = cell.processes[turn % cell.processes.length];
-    turn += 1;
+    const target = cell.processes[attempt % cell.processes.length];
+    attempt += 1;
     const {status} = await cell.call(target, 'POST', id, body);
     return status === 200 ? true : undefined;
   });
 }
 
-async function completed(
+async function waitUntilCompleted(
   cell: platformCell.PlatformCell,
   id: string,
 ): Promise<void> {
-  let turn = 0;
+  let attempt = 0;
   await wait.until(`${id} completed`, async () => {
-    const target = cell.processes[turn % cell.processes.length];
-    turn += 1;
+    const target = cell.processes[attempt % cell.processes.length];
+    attempt += 1;
     const {body} = await cell.call(target, 'GET', id);
     return body.state === 'completed' ? true : undefined;
   });
 }
 
-/** A test body in a cell of its own. */
-function inCell(
+/** Returns a test body that runs in a cell of its own. */
+function withCell(
   processes: number,
   body: (cell: platformCell.PlatformCell) => Promise<void>,
 ): () => Promise<void> {
   return async () => {
-    const cell = await platformCell.PlatformCell.start({processes, runs: PLAN});
+    const cell = await platformCell.PlatformCell.start({
+      processes,
+      runs: RUN_PLAN,
+    });
     try {
       await body(cell);
     } finally {
@@ -59,13 +62,13 @@
   };
 }
 
-describe('processes on the platform', () => {
-  // Guards against parts that work alone and not together.
+describe('cell of platform processes', () => {
+  // Guards against parts that pass their own tests and fail in combination.
   test(
-    'run a job that any of them takes',
-    inCell(3, async cell => {
-      await submit(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
-      await completed(cell, 'aaaaaaaaaaaaaaa1');
+    'runs a job that any of its processes accepts',
+    withCell(3, async cell => {
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
+      await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 6);
       const unknown = await cell.call(cell.processes[0], 'GET', 'ff');
       assert.equal(unknown.status, 410);
@@ -74,84 +77,90 @@
     }),
   );
 
-  // Guards against jobs that are lost or run twice with their scheduler.
+  // Guards against jobs lost or run twice when their scheduler is killed.
   test(
-    'go on when the one that schedules is killed',
-    inCell(3, async cell => {
-      await submit(cell, 'aaaaaaaaaaaaaaa1', 2_500, 4);
-      await submit(cell, 'aaaaaaaaaaaaaaa2', 300, 8);
+    'completes all jobs after its scheduler is killed',
+    withCell(3, async cell => {
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 2_500, 4);
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa2', 300, 8);
       const leader = cell.leader();
       await leader.child.kill();
       cell.processes.splice(cell.processes.indexOf(leader), 1);
-      await submit(cell, 'aaaaaaaaaaaaaaa3', 300, 3);
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa3', 300, 3);
       for (const digit of [1, 2, 3]) {
-        await completed(cell, `aaaaaaaaaaaaaaa${digit}`);
+        await waitUntilCompleted(cell, `aaaaaaaaaaaaaaa${digit}`);
       }
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 4);
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa2').length, 8);
     }),
   );
 
-  // Guards against a scheduler that comes back from a pause and goes on.
+  // Guards against duplicate starts by a scheduler that continues after a pause
+  // during which it was replaced.
   test(
-    'ignore a scheduler that was paused and replaced',
-    inCell(3, async cell => {
+    'ignores a scheduler that was paused and replaced',
+    withCell(3, async cell => {
       const paused = cell.leader();
       paused.child.signal('SIGSTOP');
       const others = cell.processes.filter(item => item !== paused);
       cell.processes.splice(0, cell.processes.length, ...others);
-      await submit(cell, 'aaaaaaaaaaaaaaa1', 200, 4);
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 200, 4);
       paused.child.signal('SIGCONT');
       cell.processes.push(paused);
       await paused.child.line(/event=termEnded/);
-      await submit(cell, 'aaaaaaaaaaaaaaa2', 200, 4);
-      await completed(cell, 'aaaaaaaaaaaaaaa1');
-      await completed(cell, 'aaaaaaaaaaaaaaa2');
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa2', 200, 4);
+      await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
+      await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa2');
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa').length, 8);
     }),
   );
 
-  // Guards against requests that are cut off by a planned stop.
+  // Guards against requests that are cut off when a process stops as planned.
   test(
-    'answer what is open and exit on SIGTERM',
-    inCell(2, async cell => {
+    'answers open requests and exits on SIGTERM',
+    withCell(2, async cell => {
       const leader = cell.leader();
-      const open = cell.call(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
+      const openCall = cell.call(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
         spec: '100',
-        steps: [{...TASK, count: 1}],
+        steps: [{...STEP, count: 1}],
       });
       leader.child.signal('SIGTERM');
-      assert.equal((await open).status, 200);
+      assert.equal((await openCall).status, 200);
       assert.equal(await leader.child.ended(), 0);
       cell.processes.splice(cell.processes.indexOf(leader), 1);
-      await completed(cell, 'aaaaaaaaaaaaaaa1');
+      await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
     }),
   );
 
-  // Guards against a refusal for a job that is accepted all the same, and
-  // against callers that are held while the store is away.
+  // Guards against refusing a job that the store may still accept, and against
+  // callers that are held for as long as the store is silent.
   test(
-    'say 504 or 503 while the store is silent, and keep running work',
-    inCell(2, async cell => {
-      await submit(cell, 'aaaaaaaaaaaaaaa1', 3_000, 2);
+    'returns 504, then 503 while the store is silent, and keeps tasks running',
+    withCell(2, async cell => {
+      await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 3_000, 2);
       cell.store.silent = true;
-      const body = {spec: '100', steps: [{...TASK, count: 1}]};
+      const body = {spec: '100', steps: [{...STEP, count: 1}]};
       const [first] = cell.processes;
-      const doubtful = await cell.call(first, 'POST', 'aaaaaaaaaaaaaaa2', body);
-      assert.equal(doubtful.status, 504);
+      const undecided = await cell.call(
+        first,
+        'POST',
+        'aaaaaaaaaaaaaaa2',
+        body,
+      );
+      assert.equal(undecided.status, 504);
       const refused = await cell.call(first, 'POST', 'aaaaaaaaaaaaaaa3', body);
       assert.equal(refused.status, 503);
       cell.store.silent = false;
-      await completed(cell, 'aaaaaaaaaaaaaaa1');
+      await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 2);
       assert.equal(cell.startsOf('aaaaaaaaaaaaaaa3').length, 0);
     }),
   );
 
-  // Guards against a configuration that is not in force in every process.
+  // Guards against a process that keeps serving an older configuration.
   test(
-    'take a new configuration and drop its queues',
-    inCell(2, async cell => {
+    'applies a new configuration and drops the removed queues',
+    withCell(2, async cell => {
       cell.configure(2, []);
       for (const target of cell.processes) {
         await wait.until('queue dropped', async () => {
--- a/test/platform/platform_try_test.ts
+++ b/test/platform/platform_try_test.ts
@@ -13,8 +13,8 @@
   });
 }
 
-describe('the demonstration on the platform', () => {
-  // Guards against a command of the README that shows lost or repeated work.
+describe('platform demonstration', () => {
+  // Guards against lost or repeated tasks in the demonstration of the README.
   test('completes all jobs although the scheduler is killed', async () => {
     const output = await outputOf('build/stand_ins/platform_try.js');
     assert.match(output, /calm +jobs 24 +completed 24 /);
--- a/test/platform/store_topic_test.ts
+++ b/test/platform/store_topic_test.ts
@@ -29,9 +29,9 @@
   }
 }
 
-describe('a topic of the platform store', () => {
-  // Guards against records that come back other than they were written.
-  test('returns what was appended, in order and by newest key', () =>
+describe('store topic', () => {
+  // Guards against records that are changed or reordered by their encoding.
+  test('returns appended records in order, and the newest of each key', () =>
     withTopic(async topic => {
       const first = await topic.append(
         [record('a', '1'), record('b', '2'), record('a', '3')],
@@ -58,8 +58,8 @@
       assert.deepEqual(newest.records.map(({key}) => key).sort(), ['a', 'b']);
     }));
 
-  // Guards against two schedulers that both believe to have won a term.
-  test('appends under a condition only at that end', () =>
+  // Guards against two schedulers that both believe that they won a term.
+  test('appends conditionally only at the expected end', () =>
     withTopic(async topic => {
       await topic.append([record('a', '1')], {}, TIMEOUT_MS);
       const lost = await topic.append([record('b', '')], {at: 0}, TIMEOUT_MS);
@@ -68,9 +68,9 @@
       assert.equal(won.kind, 'appended');
     }));
 
-  // Guards against writes of a scheduler that has been replaced, and against a
-  // set that is stored twice because its answer was lost.
-  test('fences lower epochs and repeats no sequence number', () =>
+  // Guards against writes by a scheduler that has been replaced, and against a
+  // batch that is stored twice because it was repeated after a lost response.
+  test('fences lower epochs and ignores repeated sequence numbers', () =>
     withTopic(async topic => {
       const at = (epoch: number, sequence: number): object => ({
         producer: {name: 'p', epoch, sequence},
@@ -84,17 +84,17 @@
       assert.deepEqual(fenced, {kind: 'fenced'});
     }));
 
-  // Guards against a caller that waits for ever, and against a claim that
-  // nothing was stored.
-  test('leaves open what a silent store did', () =>
+  // Guards against a caller that waits forever for a silent store, and against
+  // reporting that nothing was stored.
+  test('reports an append to a silent store as unanswered', () =>
     withTopic(async (topic, store) => {
       store.silent = true;
       const outcome = await topic.append([record('a', '1')], {}, TIMEOUT_MS);
       assert.equal(outcome.kind, 'unanswered');
     }));
 
-  // Guards against news that arrives only with the next look.
-  test('answers a read that waits as soon as there is a record', () =>
+  // Guards against records that are delivered only by the next read.
+  test('completes a waiting read as soon as a record is appended', () =>
     withTopic(async topic => {
       const waiting = topic.read(0, 2_000);
       await topic.append([record('a', '1')], {}, TIMEOUT_MS);
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -8,16 +8,21 @@
 
 const {describe, test} = nodeTest;
 
-type Answer = cellPeers.LeaderCallOutcome<submissions.SubmitOutcome>;
+type SubmitReply = cellPeers.LeaderCallOutcome<submissions.SubmitOutcome>;
 
-/** A member that leads nothing and passes calls on to one that does. */
+/** Creates the gateway of a member that is not the leader. */
 function gatewayWith(
   time: timeline.Timeline,
-  submit: (address: string) => Promise<Answer>,
-  leader = 'leader:1',
+  submit: (address: string) => Promise<SubmitReply>,
+  leaderAddress = 'leader:1',
 ): cellGateway.CellGateway {
-  const cell = {
-    leader: {term: 1, node: 'one', incarnation: 'one-1', address: leader},
+  const localMember = {
+    leader: {
+      term: 1,
+      node: 'one',
+      incarnation: 'one-1',
+      address: leaderAddress,
+    },
     runsScheduler: false,
     submit: () => undefined,
   } as unknown as cellGateway.LocalMember;
@@ -25,31 +30,31 @@
     submit: (address: string) => submit(address),
   } as unknown as cellPeers.CellPeers;
   const counters = {count: () => {}, observe: () => {}};
-  return new cellGateway.CellGateway(cell, peers, time, time, counters);
+  return new cellGateway.CellGateway(localMember, peers, time, time, counters);
 }
 
 interface Result {
   kind: string;
   value: submissions.SubmitOutcome | undefined;
-  at: number;
+  settledAtMs: number;
 }
 
-async function resultOf(
+async function submitAndWait(
   time: timeline.Timeline,
   gateway: cellGateway.CellGateway,
 ): Promise<Result> {
-  const result: Result = {kind: 'none', value: undefined, at: 0};
+  const result: Result = {kind: 'none', value: undefined, settledAtMs: 0};
   void gateway.submit(jobCell.jobOf('aa', {}), 1, 3_000).then(outcome => {
     result.kind = outcome.kind;
     if (outcome.kind === 'answered') result.value = outcome.value;
-    result.at = time.now();
+    result.settledAtMs = time.now();
   });
   await time.advance(5_000);
   return result;
 }
 
-describe('a call that only the scheduler can answer', () => {
-  // Guards against refusals during a succession that is over in a second.
+describe('cell gateway', () => {
+  // Guards against refusals during a failover, which takes about a second.
   test('waits for the next scheduler', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () =>
@@ -57,22 +62,24 @@
         ? {kind: 'notLeading'}
         : {kind: 'answered', value: {kind: 'accepted'}},
     );
-    const outcome = await resultOf(time, gateway);
+    const outcome = await submitAndWait(time, gateway);
     assert.equal(outcome.kind, 'answered');
-    assert.ok(outcome.at < 1_400);
+    assert.ok(outcome.settledAtMs < 1_400);
   });
 
-  // Guards against callers that are held until their deadline in vain.
-  test('is refused after two seconds when it reached nobody', async () => {
+  // Guards against calls that are held until their deadline while no scheduler
+  // can be reached.
+  test('refuses after two seconds if no scheduler was reached', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () => ({kind: 'refused'}));
-    const outcome = await resultOf(time, gateway);
+    const outcome = await submitAndWait(time, gateway);
     assert.equal(outcome.kind, 'noScheduler');
-    assert.ok(outcome.at <= 2_200, `${outcome.at}`);
+    assert.ok(outcome.settledAtMs <= 2_200, `${outcome.settledAtMs}`);
   });
 
-  // Guards against "not accepted" for a job that may be accepted.
-  test('is never refused once it may have arrived', async () => {
+  // Guards against refusing a job that may have been accepted: an attempt that
+  // got no answer can still take effect.
+  test('does not refuse a call that may have arrived', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () => {
       await time.pause(300);
@@ -80,9 +87,9 @@
         ? {kind: 'unanswered', detail: 'lost'}
         : {kind: 'notLeading'};
     });
-    const outcome = await resultOf(time, gateway);
+    const outcome = await submitAndWait(time, gateway);
     assert.equal(outcome.kind, 'unknown');
-    assert.ok(outcome.at < 3_000, `${outcome.at}`);
+    assert.ok(outcome.settledAtMs < 3_000, `${outcome.settledAtMs}`);
   });
 
   const SILENT: submissions.SubmitOutcome = {
@@ -91,39 +98,44 @@
     retryAfterSeconds: 1,
   };
 
-  // The load pattern: the store is silent for a second and callers have three.
-  // Guards against refusals that use up their tries before it is back.
-  test('waits out a short silence of the store', async () => {
+  // Guards against callers that use up their retries on refusals before the
+  // store is back: it is silent for one second, and callers have three.
+  test('retries a submission during a short silence of the store', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: time.now() < 1_000 ? SILENT : {kind: 'accepted'},
     }));
-    const result = await resultOf(time, gateway);
+    const result = await submitAndWait(time, gateway);
     assert.deepEqual(result.value, {kind: 'accepted'});
-    assert.ok(result.at < 1_300, `${result.at}`);
+    assert.ok(result.settledAtMs < 1_300, `${result.settledAtMs}`);
   });
 
-  // Guards against callers that are held until they have no time left.
-  test('is refused with half of its time left while the store is silent', async () => {
+  // Guards against calls that are held during a silence of the store until the
+  // caller has no time left for a retry.
+  test('refuses with half the time left if the store is silent', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: SILENT,
     }));
-    const result = await resultOf(time, gateway);
+    const result = await submitAndWait(time, gateway);
     assert.deepEqual(result.value, SILENT);
-    assert.ok(result.at > 1_000 && result.at < 1_500, `${result.at}`);
+    assert.ok(
+      result.settledAtMs > 1_000 && result.settledAtMs < 1_500,
+      `${result.settledAtMs}`,
+    );
   });
 
-  // Guards against calls that are held for a store which is gone for long.
-  test('is refused at once when the store has been silent for long', async () => {
+  // Guards against calls that are held although the store has been silent for
+  // so long that waiting is useless.
+  test('refuses at once if the store is lost', async () => {
     const time = new timeline.Timeline();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: {...SILENT, reason: 'storeLost'},
     }));
-    const result = await resultOf(time, gateway);
-    assert.equal(result.at, 0);
+    const result = await submitAndWait(time, gateway);
+    assert.equal(result.settledAtMs, 0);
   });
 });
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -19,8 +19,8 @@
   };
 }
 
-/** What a scheduler answers that leads under its claim. */
-function pongOf(
+/** Returns the ping reply of a leader that serves under its claim. */
+function pingReplyOf(
   claim: cellMember.Claim,
   storeSilentMs: number,
 ): cellPeers.PeerCallOutcome<cellPeers.PingReply> {
@@ -38,26 +38,26 @@
   };
 }
 
-/** How the other members answer pings, and what the node did. */
-interface Scene {
-  readonly answer: (
+/** Behaviour of the other members and the store; counts the node's claims. */
+interface TestCell {
+  readonly answerPing: (
     address: string,
-    greeting: cellPeers.PingMessage,
+    message: cellPeers.PingMessage,
   ) => cellPeers.PeerCallOutcome<cellPeers.PingReply>;
-  /** Whether the store answers this member. */
+  /** Returns whether the store answers the node. */
   readonly storeAnswers: () => boolean;
-  claims: number;
+  claimCount: number;
 }
 
-/** A member whose claims win. */
-function nodeIn(
-  scene: Scene,
+/** Creates a node whose claims always win. */
+function createNode(
+  cell: TestCell,
   time: timeline.Timeline,
   name: string,
 ): cellNode.CellNode {
   const peers = {
-    ping: async (address: string, greeting: cellPeers.PingMessage) =>
-      scene.answer(address, greeting),
+    ping: async (address: string, message: cellPeers.PingMessage) =>
+      cell.answerPing(address, message),
   } as unknown as cellPeers.CellPeers;
   return new cellNode.CellNode({
     self: memberOf(name),
@@ -66,9 +66,9 @@
     bounds: {stateKeptMs: 120_000},
     cellLog: {
       join: async () => true,
-      probe: async () => scene.storeAnswers(),
+      probe: async () => cell.storeAnswers(),
       claim: async () => {
-        scene.claims += 1;
+        cell.claimCount += 1;
         return {kind: 'won', term: 7};
       },
     },
@@ -84,21 +84,21 @@
   });
 }
 
-describe('a member that has won the claim', () => {
-  // Guards against members whose reads of the log hang in a store that has just
-  // come back: they would pass calls on to the old scheduler for seconds.
-  test('tells all others at once', async () => {
+describe('cell node that won a claim', () => {
+  // Guards against members that forward calls to the old scheduler for seconds,
+  // because their reads of the log hang in a store that has just recovered.
+  test('announces its term to all other members at once', async () => {
     const time = new timeline.Timeline();
-    const shown = new Map<string, number | undefined>();
-    const scene: Scene = {
-      answer: (address, greeting) => {
-        shown.set(address, greeting.newest?.term);
+    const announcedTerms = new Map<string, number | undefined>();
+    const cell: TestCell = {
+      answerPing: (address, message) => {
+        announcedTerms.set(address, message.newest?.term);
         return {kind: 'unanswered', detail: 'silent'};
       },
       storeAnswers: () => true,
-      claims: 0,
+      claimCount: 0,
     };
-    const node = nodeIn(scene, time, 'one');
+    const node = createNode(cell, time, 'one');
     const members = ['one', 'two', 'three', 'four'].map(memberOf);
     node.applyCellLog(members, undefined, 6);
     await time.advance(10);
@@ -106,57 +106,62 @@
     await time.advance(1_000);
     node.tick();
     await time.advance(50);
-    assert.deepEqual([...shown.values()], [7, 7, 7]);
-    assert.deepEqual([...shown.keys()].sort(), ['four:1', 'three:1', 'two:1']);
+    assert.deepEqual([...announcedTerms.values()], [7, 7, 7]);
+    assert.deepEqual([...announcedTerms.keys()].sort(), [
+      'four:1',
+      'three:1',
+      'two:1',
+    ]);
   });
 });
 
-describe('a member that knows of a store that was silent', () => {
-  // Guards against a change of the scheduler just after an outage by a member
-  // that pings rarely: what it heard last is from before the store was back.
-  test('asks the scheduler once more before it claims', async () => {
+describe('cell node after a silence of the store', () => {
+  // Guards against an unnecessary failover just after an outage of the store by
+  // a member that pings rarely: its last reply is from before the recovery.
+  test('pings the leader once more before it claims', async () => {
     const time = new timeline.Timeline();
     const [leader] = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = leader;
     const claim = {term: 3, node, incarnation, address};
-    const backAt = 3_350;
-    const scene: Scene = {
-      answer: () => pongOf(claim, time.now() < backAt ? time.now() : 0),
-      storeAnswers: () => time.now() >= backAt,
-      claims: 0,
+    const recoveryAt = 3_350;
+    const cell: TestCell = {
+      answerPing: () =>
+        pingReplyOf(claim, time.now() < recoveryAt ? time.now() : 0),
+      storeAnswers: () => time.now() >= recoveryAt,
+      claimCount: 0,
     };
-    const last = nodeIn(scene, time, 'zed');
+    const lowestRanked = createNode(cell, time, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
-    last.applyCellLog(members, claim, 3);
+    lowestRanked.applyCellLog(members, claim, 3);
     time.every(100, () => {
-      last.tick();
+      lowestRanked.tick();
       // The store answers this member again, with nothing new.
-      if (time.now() >= backAt) last.applyCellLog([], undefined, 3);
+      if (time.now() >= recoveryAt) lowestRanked.applyCellLog([], undefined, 3);
     });
     await time.advance(6_000);
-    assert.equal(scene.claims, 0);
+    assert.equal(cell.claimCount, 0);
   });
 });
 
-describe('a member that pings the scheduler rarely', () => {
-  // Guards against a change of the scheduler after one lost ping.
-  test('asks it once more before it claims', async () => {
+describe('cell node that pings the leader rarely', () => {
+  // Guards against an unnecessary failover after a single lost ping.
+  test('pings the leader once more before it claims', async () => {
     const time = new timeline.Timeline();
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = members[0];
     const claim = {term: 3, node, incarnation, address};
-    const scene: Scene = {
-      answer: () =>
+    const cell: TestCell = {
+      answerPing: () =>
         time.now() > 800 && time.now() < 1_550
           ? {kind: 'unanswered', detail: 'lost'}
-          : pongOf(claim, 0),
+          : pingReplyOf(claim, 0),
       storeAnswers: () => true,
-      claims: 0,
+      claimCount: 0,
     };
-    const last = nodeIn(scene, time, 'zed');
-    last.applyCellLog(members, claim, 3);
-    time.every(100, () => last.tick());
+    const lowestRanked = createNode(cell, time, 'zed');
+    lowestRanked.applyCellLog(members, claim, 3);
+    time.every(100, () => lowestRanked.tick());
     await time.advance(4_000);
-    assert.equal(scene.claims, 0);
+    assert.equal(cell.claimCount, 0);
   });
 });
--- a/test/zones/configuration_cache_test.ts
+++ b/test/zones/configuration_cache_test.ts
@@ -17,7 +17,7 @@
   };
 }
 
-function answerWith(version: number, ageMs: number): cellPeers.PingReply {
+function replyWith(version: number, ageMs: number): cellPeers.PingReply {
   return {
     newest: undefined,
     incarnation: 'other-1',
@@ -29,60 +29,64 @@
   };
 }
 
-/** A holder whose only other member holds `others`. */
-function holderBeside(
+/** Creates the cache of a member whose only peer has `peerConfiguration`. */
+function cacheWithPeer(
   time: timeline.Timeline,
-  others: job.CellConfiguration,
-): {holder: configurationCache.ConfigurationCache; taken: number[]} {
-  const taken: number[] = [];
+  peerConfiguration: job.CellConfiguration,
+): {cache: configurationCache.ConfigurationCache; updates: number[]} {
+  const updates: number[] = [];
   const peers = {
-    fetchConfiguration: async () => ({kind: 'answered', value: others}),
+    fetchConfiguration: async () => ({
+      kind: 'answered',
+      value: peerConfiguration,
+    }),
   } as unknown as cellPeers.CellPeers;
-  const holder = new configurationCache.ConfigurationCache({
+  const cache = new configurationCache.ConfigurationCache({
     clock: time,
     peers,
     log: {event: () => undefined},
-    onUpdated: configuration => void taken.push(configuration.version),
+    onUpdated: configuration => void updates.push(configuration.version),
   });
-  return {holder, taken};
+  return {cache, updates};
 }
 
-describe('the configuration of a member', () => {
-  // Guards against an old configuration in force behind a cut from the store.
-  test('is fetched from another member that holds a newer one', async () => {
+describe('configuration cache', () => {
+  // Guards against an outdated configuration on a member without access to the
+  // store.
+  test('fetches a newer configuration from another member', async () => {
     const time = new timeline.Timeline();
-    const {holder, taken} = holderBeside(time, configurationOf(7));
-    holder.recordStoreRead(configurationOf(6));
-    holder.compareWithPeer('other:1', answerWith(7, 100));
+    const {cache, updates} = cacheWithPeer(time, configurationOf(7));
+    cache.recordStoreRead(configurationOf(6));
+    cache.compareWithPeer('other:1', replyWith(7, 100));
     await time.advance(1);
-    assert.equal(holder.version, 7);
-    assert.deepEqual(taken, [6, 7]);
+    assert.equal(cache.version, 7);
+    assert.deepEqual(updates, [6, 7]);
   });
 
-  // Guards against a return to an older configuration by a late read.
-  test('never goes back', () => {
+  // Guards against a late read that restores an older configuration.
+  test('keeps the newest configuration', () => {
     const time = new timeline.Timeline();
-    const {holder, taken} = holderBeside(time, configurationOf(7));
-    holder.recordStoreRead(configurationOf(7));
-    holder.recordStoreRead(configurationOf(6));
-    assert.equal(holder.version, 7);
-    assert.deepEqual(taken, [7]);
+    const {cache, updates} = cacheWithPeer(time, configurationOf(7));
+    cache.recordStoreRead(configurationOf(7));
+    cache.recordStoreRead(configurationOf(6));
+    assert.equal(cache.version, 7);
+    assert.deepEqual(updates, [7]);
   });
 
-  // Guards against 503 from a member that others keep up to date, and against
-  // answers by a configuration of which nobody has heard for long.
-  test('is as old as the newest confirmation', async () => {
+  // Guards against a 503 from a member that others keep up to date, and against
+  // replies based on a configuration that nobody has confirmed for long.
+  test('derives its age from the newest confirmation', async () => {
     const time = new timeline.Timeline();
-    const {holder} = holderBeside(time, configurationOf(6));
-    assert.equal(holder.ageMs, Infinity);
-    holder.recordStoreRead(configurationOf(6));
+    const {cache} = cacheWithPeer(time, configurationOf(6));
+    assert.equal(cache.ageMs, Infinity);
+    cache.recordStoreRead(configurationOf(6));
     await time.advance(5_000);
-    assert.equal(holder.ageMs, 5_000);
-    holder.compareWithPeer('other:1', answerWith(6, 300));
-    assert.equal(holder.ageMs, 300);
-    holder.compareWithPeer('other:1', answerWith(6, 900));
-    assert.equal(holder.ageMs, 300);
-    holder.compareWithPeer('other:1', answerWith(5, 0));
-    assert.equal(holder.ageMs, 300);
+    assert.equal(cache.ageMs, 5_000);
+    cache.compareWithPeer('other:1', replyWith(6, 300));
+    assert.equal(cache.ageMs, 300);
+    cache.compareWithPeer('other:1', replyWith(6, 900));
+    assert.equal(cache.ageMs, 300);
+    cache.compareWithPeer('other:1', replyWith(5, 0));
+    assert.equal(cache.ageMs, 300);
   });
 });
