--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -7,6 +7,7 @@
 
 /** State that members exchange with each ping and reply. */
 interface GossipState {
+  /** Newest claim that the sender knows. */
   readonly newest: cellMember.Claim | undefined;
   readonly configurationVersion: number;
 }
