--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -3,7 +3,7 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as toml from 'smol-toml';
-import * as answersSchema from '../links/answers_schema.js';
+import * as questionnaireSchema from '../links/questionnaire_schema.js';
 import * as callArguments from './call_arguments.js';
 import * as commandReport from './command_report.js';
 import * as documentGenerator from '../links/document_generator.js';
@@ -58,7 +58,7 @@
     generated.caseOf({
       Left: faults =>
         commandReport.reportFaults(output, answers ?? 'answers', faults, json),
-      Right: documents => deliver(output, documents, out, json),
+      Right: documents => outputDocuments(output, documents, out, json),
     });
   },
 });
@@ -80,18 +80,21 @@
   };
   const asked = new interviewer.Interviewer(prompter, print);
   try {
-    const raw = await asked.askTable(answersSchema.ANSWERS_SCHEMA, '');
+    const raw = await asked.askTable(
+      questionnaireSchema.QUESTIONNAIRE_SCHEMA,
+      '',
+    );
     if (save !== undefined) fs.writeFileSync(save, toml.stringify(raw));
     return documentGenerator.generateFromAnswers(raw);
   } catch (fault) {
-    if (!(fault instanceof terminalPrompter.InputEnded)) throw fault;
+    if (!(fault instanceof terminalPrompter.InputEndedError)) throw fault;
     return either.Left([fault.message]);
   } finally {
     prompter.close();
   }
 }
 
-function deliver(
+function outputDocuments(
   output: commandReport.Output,
   documents: ReadonlyArray<documentGenerator.GeneratedDocument>,
   folder: string | undefined,
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -4,7 +4,7 @@
 import * as timers from 'node:timers/promises';
 import * as tryDocuments from './try_documents.js';
 import * as vmList from '../../stand_ins/vm_list.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 import type * as sinks from '../operations/sinks.js';
 
 const ZONES = ['kigali-a', 'caerdydd-a'] as const;
@@ -62,9 +62,9 @@
   readonly warnings: string[] = [];
   private readonly log = new logService.LogService();
   private readonly list = new vmList.VmList();
-  private readonly workers: worker.StandInWorker[] = [];
+  private readonly workers: standInWorker.StandInWorker[] = [];
   private readonly entries: entryProcess.EntryProcess[] = [];
-  private readonly addressesOfZones = new Map<string, string[]>();
+  private readonly addressesByZone = new Map<string, string[]>();
 
   /** Starts everything and publishes the documents. */
   async start(): Promise<void> {
@@ -85,7 +85,7 @@
 
   /** Addresses for callers, by zone. */
   addresses(): ReadonlyMap<string, ReadonlyArray<string>> {
-    return this.addressesOfZones;
+    return this.addressesByZone;
   }
 
   /** Lets the worker that has run the most fail everything that it starts. */
@@ -93,7 +93,7 @@
     const [busiest] = [...this.workers.slice(WORKERS_PER_ZONE)].sort(
       (left, right) => right.runCounts().size - left.runCounts().size,
     );
-    busiest.fail({failsEverything: true});
+    busiest.updateFailures({failsEverything: true});
   }
 
   /** Fraction of all slots that run a task now. */
@@ -117,7 +117,7 @@
 
   /** Ends everything; requests in progress are finished first. */
   async stop(): Promise<void> {
-    const ended = Promise.all(this.entries.map(entry => entry.end()));
+    const ended = Promise.all(this.entries.map(entry => entry.shutDown()));
     await Promise.race([ended, timers.setTimeout(10_000)]);
     for (const item of this.workers) item.close();
     this.list.close();
@@ -137,7 +137,7 @@
 
   private async addWorker(zone: string, index: number): Promise<void> {
     const name = `${zone}-worker-${index}`;
-    const item = new worker.StandInWorker({
+    const item = new standInWorker.StandInWorker({
       name,
       rack: `${zone}-rack-${index % 2}`,
       capacity: {
@@ -170,14 +170,14 @@
       `log = "${log}"`,
       `vmList = "${list}"`,
     ].join('\n');
-    const read = settings.readSettings(text).unsafeCoerce();
+    const read = settings.parseSettings(text).unsafeCoerce();
     const entry = new entryProcess.EntryProcess(read, {
       metrics: this.metrics,
-      logs: {log: (level, event) => this.noteLine(vm, level, event)},
+      logs: {log: (level, event) => this.recordWarning(vm, level, event)},
     });
     const {callers, peers} = await entry.start();
-    const known = this.addressesOfZones.get(zone) ?? [];
-    this.addressesOfZones.set(zone, [...known, callers]);
+    const known = this.addressesByZone.get(zone) ?? [];
+    this.addressesByZone.set(zone, [...known, callers]);
     this.entries.push(entry);
     this.list.put({
       vm,
@@ -188,7 +188,7 @@
     });
   }
 
-  private noteLine(vm: string, level: string, event: string): void {
+  private recordWarning(vm: string, level: string, event: string): void {
     if (level === 'warn' || level === 'error') {
       this.warnings.push(`${vm} ${event}`);
     }
--- /dev/null
+++ b/src/jobs/job_scheduler.ts
@@ -0,0 +1,371 @@
+import * as adviceCache from './advice_cache.js';
+import * as assignmentIndex from './assignment_index.js';
+import * as dispatcher from './dispatcher.js';
+import * as runRecovery from './run_recovery.js';
+import * as evacuator from './evacuator.js';
+import * as jobTable from './job_table.js';
+import * as jobJournal from './job_journal.js';
+import * as jobLifecycle from './job_lifecycle.js';
+import * as openSteps from './open_steps.js';
+import * as idleCapacityThrottle from './idle_capacity_throttle.js';
+import * as placementPass from './placement_pass.js';
+import * as queueTable from './queue_table.js';
+import * as runTracker from './run_tracker.js';
+import * as runHealth from './run_health.js';
+import * as runtimeModel from './runtime_model.js';
+import * as jobAdmission from './job_admission.js';
+import * as workerTable from './worker_table.js';
+import * as workerLifecycle from './worker_lifecycle.js';
+import * as workerReliability from '../machines/worker_reliability.js';
+import type * as clock from '../machines/clock.js';
+import type * as job from './job.js';
+import type * as jobRecord from './job_record.js';
+import type * as remoteWorker from '../machines/remote_worker.js';
+import type * as schedulerOptions from './scheduler_options.js';
+import type * as jobTask from './job_task.js';
+import type * as workerClient from '../machines/worker_client.js';
+
+/** Length of the leases that this scheduler grants. */
+export const LEASE_DURATION_MS = 5_000;
+
+/**
+ * How long an earlier scheduler may go on granting leases after it lost touch
+ * with the cell; see `SchedulerOptions.mayExtend`.
+ */
+export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
+
+/** After this time no run of an earlier term that was not found is left. */
+const EARLIER_LEASES_EXPIRY_MS =
+  LEADERSHIP_PROOF_LIFETIME_MS + LEASE_DURATION_MS * 1.03 + 300;
+
+/** Pause between attempts to open and read the journal. */
+const JOURNAL_RETRY_DELAY_MS = 100;
+
+/** What became of a cancellation. */
+export type CancelOutcome = 'cancelled' | 'unknown';
+
+/**
+ * Schedules all jobs of the cell for one term: accepts them, gives their tasks
+ * workers, follows the runs to their ends and stores what must last. A term
+ * ends when a later one begins; the object is then of no use any more.
+ */
+export class JobScheduler implements dispatcher.DispatchListener {
+  private readonly journal: jobJournal.JobJournal;
+  private readonly jobTable: jobTable.JobTable;
+  private readonly queues = new queueTable.QueueTable();
+  private readonly openSteps = new openSteps.OpenSteps();
+  private readonly index = new assignmentIndex.AssignmentIndex();
+  private readonly trust = new workerReliability.WorkerReliability();
+  private readonly adviceCache: adviceCache.AdviceCache;
+  private readonly dispatcher: dispatcher.Dispatcher;
+  private readonly tracker: runTracker.RunTracker;
+  private readonly jobLifecycle: jobLifecycle.JobLifecycle;
+  private readonly admission: jobAdmission.JobAdmission;
+  private readonly workerLifecycle: workerLifecycle.WorkerLifecycle;
+  private readonly placementPass: placementPass.PlacementPass;
+  private readonly evacuator: evacuator.Evacuator;
+  private readonly idleCapacityThrottle: idleCapacityThrottle.IdleCapacityThrottle;
+  private runRecovery: runRecovery.RunRecovery | undefined;
+  private readonly earlierLeasesExpireAt: clock.Milliseconds;
+  private active = true;
+  private serving = false;
+
+  constructor(private readonly options: schedulerOptions.SchedulerOptions) {
+    const {clock, term, pauses} = options;
+    const {queues, index, trust} = this;
+    const requestPass = (): void => this.requestPass();
+    const workers = new workerTable.WorkerTable();
+    const runtimes = new runtimeModel.RuntimeModel();
+    this.earlierLeasesExpireAt = clock.now() + EARLIER_LEASES_EXPIRY_MS;
+    this.journal = new jobJournal.JobJournal(
+      options.journalStore,
+      term,
+      clock,
+      pauses,
+      () => options.onSuperseded('journal'),
+    );
+    this.jobTable = new jobTable.JobTable(this.journal, clock);
+    this.adviceCache = new adviceCache.AdviceCache(
+      options.adviceClient,
+      clock,
+      requestPass,
+    );
+    this.dispatcher = new dispatcher.Dispatcher(
+      options.workerCalls,
+      index,
+      clock,
+      term,
+      LEASE_DURATION_MS,
+      () => this.active && options.mayGrantLeases(),
+      this,
+    );
+    this.jobLifecycle = new jobLifecycle.JobLifecycle({
+      options,
+      jobTable: this.jobTable,
+      queues,
+      openSteps: this.openSteps,
+      adviceCache: this.adviceCache,
+      dispatcher: this.dispatcher,
+      trust,
+      runtimeModel: runtimes,
+      requestPass,
+    });
+    this.tracker = new runTracker.RunTracker(
+      this.jobTable,
+      index,
+      this.dispatcher,
+      this.jobLifecycle,
+    );
+    this.admission = new jobAdmission.JobAdmission(
+      options,
+      this.journal,
+      this.jobTable,
+      queues,
+      record => this.jobLifecycle.begin(record),
+    );
+    this.workerLifecycle = new workerLifecycle.WorkerLifecycle({
+      options,
+      workers,
+      index,
+      journal: this.journal,
+      tracker: this.tracker,
+      trust,
+      leaseMs: LEASE_DURATION_MS,
+      earlierLeasesExpireAt: this.earlierLeasesExpireAt,
+      requestPass,
+      onReport: worker => this.workerReported(worker),
+      onEnded: worker => this.runRecovery?.removeWorker(worker),
+    });
+    this.placementPass = new placementPass.PlacementPass({
+      options,
+      workers,
+      index,
+      adviceCache: this.adviceCache,
+      trust,
+      dispatcher: this.dispatcher,
+      queues,
+      openSteps: this.openSteps,
+      runtimeModel: runtimes,
+      isBlocked: record => this.runRecovery?.blocks(record) === true,
+      mayStart: () => this.isServing && options.mayGrantLeases(),
+    });
+    this.evacuator = new evacuator.Evacuator(
+      workers,
+      index,
+      this.placementPass,
+    );
+    this.idleCapacityThrottle = new idleCapacityThrottle.IdleCapacityThrottle(
+      index,
+      this.dispatcher,
+    );
+  }
+
+  /** Jobs are known, so that questions about them can be answered. */
+  get isServing(): boolean {
+    return this.serving && this.active;
+  }
+
+  /** How long the store has left a change unanswered; 0 when none is out. */
+  storeUnansweredMs(now: clock.Milliseconds): number {
+    return this.journal.unansweredMs(now);
+  }
+
+  /** Takes over from earlier terms; true once jobs are served. */
+  async begin(): Promise<boolean> {
+    const {options} = this;
+    while (this.active) {
+      const opened = await options.journalStore.open(options.term);
+      if (opened === 'superseded') {
+        options.onSuperseded('journal');
+        return false;
+      }
+      const content =
+        opened === 'stored' ? await options.journalStore.load() : undefined;
+      if (content !== undefined && this.active) {
+        this.takeOver(content);
+        return true;
+      }
+      await options.pauses.pause(JOURNAL_RETRY_DELAY_MS);
+    }
+    return false;
+  }
+
+  /** Ends the term: nothing is ordered or stored any more. */
+  retire(): void {
+    this.active = false;
+    this.journal.close();
+    this.workerLifecycle.stop();
+  }
+
+  /** Takes a newer configuration. */
+  configure(configuration: job.OperatorConfiguration): void {
+    if (this.queues.update(configuration)) this.requestPass();
+  }
+
+  /** Takes the registry's present list of workers. */
+  updateWorkers(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
+    this.workerLifecycle.update(entries);
+  }
+
+  /** Accepts a job; `answer` is called once its fate is known or open. */
+  submit(
+    definition: job.JobDefinition,
+    configurationVersion: number,
+    answer: jobAdmission.SubmitListener,
+  ): void {
+    this.admission.submit(definition, configurationVersion, answer);
+  }
+
+  /** Cancels a job; `answer` is called once that is stored. */
+  cancel(
+    queue: string,
+    id: string,
+    answer: (outcome: CancelOutcome) => void,
+  ): void {
+    const record = this.findRecord(queue, id);
+    if (record === undefined) {
+      answer('unknown');
+      return;
+    }
+    if (record.storedOutcome !== 'open') {
+      answer('cancelled');
+      return;
+    }
+    if (record.outcome === 'open') {
+      this.jobLifecycle.settle(record, 'cancelled');
+    }
+    this.jobTable.store(record, () => answer('cancelled'));
+  }
+
+  /** What callers are told about a job; undefined when there is none. */
+  stateOf(queue: string, id: string): job.JobState | undefined {
+    return this.findRecord(queue, id)?.state;
+  }
+
+  /** Accepted jobs of a queue of which no task has started. */
+  countPending(queue: string): number {
+    return this.jobTable.countPending(queue);
+  }
+
+  /** Does what is due by now; called several times a second. */
+  tick(): void {
+    if (!this.isServing) return;
+    const now = this.options.clock.now();
+    this.dispatcher.retryOrders();
+    this.workerLifecycle.review(now);
+    this.jobLifecycle.openDueOccurrences();
+    this.jobTable.dropSettled(now, this.options.retentionTimes.stateKeptMs);
+    this.admission.answerWaiting();
+    this.replaceFaultyRuns(now);
+    this.evacuator.review(now);
+    this.unblockRecoveredJobs();
+    this.placementPass.reportWaiting(now);
+    this.requestPass();
+  }
+
+  // What becomes of orders.
+
+  incarnationEnded(worker: remoteWorker.RemoteWorker): void {
+    this.workerLifecycle.replaced(worker);
+  }
+
+  superseded(): void {
+    if (this.active) this.options.onSuperseded('worker');
+  }
+
+  startRejected(
+    assignment: jobTask.Assignment,
+    why: workerClient.RejectionReason,
+  ): void {
+    if (!this.active) return;
+    const {worker, jobTask: task} = assignment;
+    this.options.counters.count('starts_rejected', why);
+    this.options.log.event('warn', 'startRejected', {
+      task: assignment.task,
+      run: assignment.run,
+      worker: worker.id,
+      why,
+    });
+    this.tracker.release(assignment);
+    if (why === 'ticket') this.adviceCache.dropTicket(task.step, worker);
+    else this.trust.recordRefusal(worker, this.options.clock.now());
+    this.requestPass();
+  }
+
+  started(assignment: jobTask.Assignment): void {
+    assignment.jobTask.step.owner.started = true;
+    this.options.counters.count('starts', 'confirmed');
+  }
+
+  private workerReported(worker: remoteWorker.RemoteWorker): void {
+    this.idleCapacityThrottle.review(worker, this.options.clock.now());
+    this.unblockRecoveredJobs();
+  }
+
+  private findRecord(
+    queue: string,
+    id: string,
+  ): jobRecord.JobRecord | undefined {
+    const record = this.jobTable.get(id);
+    return record?.definition.queue === queue ? record : undefined;
+  }
+
+  private requestPass(): void {
+    if (this.isServing) this.placementPass.request();
+  }
+
+  private takeOver(content: jobJournal.JournalContent): void {
+    const restored = new Set<jobRecord.JobRecord>();
+    for (const {definition, progress} of content.jobs) {
+      const record = this.jobTable.restore(definition, progress);
+      if (record.outcome === 'open') restored.add(record);
+    }
+    this.serving = true;
+    this.runRecovery = new runRecovery.RunRecovery(
+      restored,
+      this.workerLifecycle.start(content.workers),
+      this.earlierLeasesExpireAt,
+    );
+    for (const record of restored) this.jobLifecycle.begin(record);
+    this.options.log.event('info', 'termBegun', {
+      term: this.options.term,
+      jobs: content.jobs.length,
+      open: restored.size,
+      workers: content.workers.length,
+    });
+    this.unblockRecoveredJobs();
+  }
+
+  /** Lets tasks start whose runs of earlier terms are all known now. */
+  private unblockRecoveredJobs(): void {
+    const {runRecovery: recovery} = this;
+    if (recovery === undefined || recovery.complete) return;
+    if (!recovery.unblockJobs(this.options.clock.now())) return;
+    this.options.log.event('info', 'earlierRunsKnown', {
+      term: this.options.term,
+      missingWorkers: recovery.unreportedWorkerCount,
+      settled: recovery.complete,
+    });
+    this.requestPass();
+  }
+
+  /** Stops runs that a start on another worker would overtake. */
+  private replaceFaultyRuns(now: clock.Milliseconds): void {
+    for (const assignment of this.index.all()) {
+      const fault = runHealth.detectFault(assignment, now);
+      if (fault === undefined) continue;
+      this.options.counters.count('runs_replaced', fault);
+      this.options.log.event('warn', 'runReplaced', {
+        task: assignment.task,
+        run: assignment.run,
+        worker: assignment.worker.id,
+        fault,
+        percent: assignment.progressPercent,
+        ageMs: Math.round(now - assignment.startedAt),
+      });
+      assignment.jobTask.replacementCount += 1;
+      this.trust.recordSlowRun(assignment.worker, now);
+      this.dispatcher.stop(assignment);
+    }
+  }
+}
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -1,13 +1,13 @@
-import type * as submissions from '../jobs/submissions.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as cellPb from './generated/cell_pb.js';
 
 /** Largest message between members in bytes. */
-export const LARGEST_MESSAGE = 1_048_576;
+export const MAX_MESSAGE_BYTES = 1_048_576;
 
 /** Encodes a claim. */
-export function toClaim(
+export function encodeClaim(
   claim: cellMember.Claim | undefined,
 ): protobuf.MessageInitShape<typeof cellPb.ClaimSchema> | undefined {
   if (claim === undefined) return undefined;
@@ -15,7 +15,7 @@
 }
 
 /** Decodes a claim. */
-export function fromClaim(
+export function decodeClaim(
   claim: cellPb.Claim | undefined,
 ): cellMember.Claim | undefined {
   if (claim === undefined) return undefined;
@@ -23,7 +23,7 @@
   return {term: Number(claim.term), node, incarnation, address};
 }
 
-const REFUSALS: ReadonlySet<string> = new Set<submissions.Refusal>([
+const REFUSALS: ReadonlySet<string> = new Set<jobAdmission.SubmitRefusal>([
   'storeSilent',
   'storeLost',
   'overloaded',
@@ -32,12 +32,12 @@
 ]);
 
 /** Decodes the fate of a job that was handed in. */
-export function fromSubmit(
+export function decodeSubmitResponse(
   response: cellPb.SubmitResponse,
-): submissions.SubmitOutcome {
+): jobAdmission.SubmitOutcome {
   if (response.accepted) return {kind: 'accepted'};
   if (response.undecided) return {kind: 'undecided'};
-  const reason = response.refusalReason as submissions.Refusal;
+  const reason = response.refusalReason as jobAdmission.SubmitRefusal;
   return {
     kind: 'refused',
     reason: REFUSALS.has(reason) ? reason : 'notReady',
--- a/src/zones/advice_relays.ts
+++ b/src/zones/advice_relays.ts
@@ -1,5 +1,5 @@
-import type * as adviceBook from '../jobs/advice_book.js';
-import type * as adviceSpread from '../jobs/advice_spread.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
+import type * as adviceBalancer from '../jobs/advice_balancer.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
@@ -14,7 +14,7 @@
   constructor(
     private readonly clock: clock.Clock,
     /** Calls the advice service from the VM of this process. */
-    private readonly localService: adviceBook.AdviceService,
+    private readonly localService: adviceCache.AdviceService,
     private readonly peers: cellPeers.CellPeers,
   ) {}
 
@@ -26,7 +26,7 @@
   /** Returns those of `members` that are alive, and this process itself. */
   availableSites(
     members: ReadonlyArray<cellMember.CellMember>,
-  ): ReadonlyArray<adviceSpread.AdviceSite> {
+  ): ReadonlyArray<adviceBalancer.AdviceEndpoint> {
     const now = this.clock.now();
     const alive = members.filter(({address}) => {
       const lastContactAt = this.lastContactAt.get(address) ?? -Infinity;
@@ -41,7 +41,7 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
+  ): Promise<adviceCache.AdviceOutcome> {
     return address === undefined
       ? this.localService.ask(step, workerIds, timeoutMs)
       : this.peers.advise(address, step, workerIds, timeoutMs);
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,10 +1,10 @@
 import * as adviceRelays from './advice_relays.js';
-import * as adviceSpread from '../jobs/advice_spread.js';
+import * as adviceBalancer from '../jobs/advice_balancer.js';
 import * as configurationCache from './configuration_cache.js';
 import * as election from './election.js';
-import * as scheduler from '../jobs/scheduler.js';
-import type * as submissions from '../jobs/submissions.js';
-import type * as adviceBook from '../jobs/advice_book.js';
+import * as jobScheduler from '../jobs/job_scheduler.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
@@ -12,20 +12,20 @@
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
-import type * as workerCalls from '../machines/worker_calls.js';
+import type * as workerClient from '../machines/worker_client.js';
 
 /** Dependencies of a cell node. */
 export interface CellNodeOptions {
   readonly self: cellMember.CellMember;
   readonly clock: clock.Clock;
   readonly wallClock: () => number;
-  readonly bounds: schedulerOptions.Bounds;
+  readonly bounds: schedulerOptions.RetentionTimes;
   readonly cellLog: cellMember.CellLog;
-  readonly journal: jobJournal.JournalStore;
+  readonly journal: jobJournal.JobJournalStore;
   readonly registry: remoteWorker.WorkerRegistry;
-  readonly workers: workerCalls.WorkerCalls;
+  readonly workers: workerClient.WorkerClient;
   /** Calls the advice service from the VM of this process. */
-  readonly advice: adviceBook.AdviceService;
+  readonly advice: adviceCache.AdviceService;
   readonly peers: cellPeers.CellPeers;
   readonly pauses: jobJournal.Pauses;
   readonly log: schedulerOptions.EventLog;
@@ -62,8 +62,8 @@
   private readonly election: election.Election;
   private readonly configurationCache: configurationCache.ConfigurationCache;
   private readonly adviceRelays: adviceRelays.AdviceRelays;
-  private readonly adviceCalls: adviceSpread.AdviceSpread;
-  private scheduler: scheduler.Scheduler | undefined;
+  private readonly adviceCalls: adviceBalancer.AdviceBalancer;
+  private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
   private logReadAt = -Infinity;
   private joined = false;
@@ -89,14 +89,14 @@
       options.advice,
       options.peers,
     );
-    this.adviceCalls = new adviceSpread.AdviceSpread(
+    this.adviceCalls = new adviceBalancer.AdviceBalancer(
       () => this.adviceRelays.availableSites(this.election.peers),
       (...call) => this.adviceRelays.ask(...call),
       options.clock,
     );
   }
 
-  get configuration(): job.CellConfiguration | undefined {
+  get configuration(): job.OperatorConfiguration | undefined {
     return this.configurationCache.newest;
   }
 
@@ -115,7 +115,7 @@
   }
 
   /** Scheduler of this process while it leads and has loaded the jobs. */
-  private get servingScheduler(): scheduler.Scheduler | undefined {
+  private get servingScheduler(): jobScheduler.JobScheduler | undefined {
     return this.scheduler?.isServing ? this.scheduler : undefined;
   }
 
@@ -138,7 +138,9 @@
   }
 
   /** Applies the operator's configuration; undefined if none was written. */
-  applyConfiguration(configuration: job.CellConfiguration | undefined): void {
+  applyConfiguration(
+    configuration: job.OperatorConfiguration | undefined,
+  ): void {
     this.configurationCache.recordStoreRead(configuration);
   }
 
@@ -179,7 +181,7 @@
       incarnation: this.options.self.incarnation,
       leading: this.servingScheduler !== undefined,
       resigning: this.resigning,
-      storeSilentMs: this.scheduler?.storeSilentFor(now) ?? 0,
+      storeSilentMs: this.scheduler?.storeUnansweredMs(now) ?? 0,
       configurationVersion: this.configurationCache.version,
       configurationAgeMs: Math.round(this.configurationCache.ageMs),
     };
@@ -188,7 +190,7 @@
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
-  ): Promise<submissions.SubmitOutcome> | undefined {
+  ): Promise<jobAdmission.SubmitOutcome> | undefined {
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
     return new Promise(resolve =>
@@ -199,7 +201,7 @@
   cancel(
     queue: string,
     id: string,
-  ): Promise<scheduler.CancelOutcome> | undefined {
+  ): Promise<jobScheduler.CancelOutcome> | undefined {
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
     return new Promise(resolve => servingScheduler.cancel(queue, id, resolve));
@@ -215,14 +217,14 @@
   }
 
   countPending(queue: string): number | undefined {
-    return this.servingScheduler?.pendingOf(queue);
+    return this.servingScheduler?.countPending(queue);
   }
 
   advise(
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
+  ): Promise<adviceCache.AdviceOutcome> {
     return this.options.advice.ask(step, workerIds, timeoutMs);
   }
 
@@ -305,18 +307,18 @@
   private async startScheduler(claim: cellMember.Claim): Promise<void> {
     if (this.scheduler !== undefined) return;
     const {options} = this;
-    const newScheduler = new scheduler.Scheduler({
+    const newScheduler = new jobScheduler.JobScheduler({
       term: claim.term,
       clock: options.clock,
       wallClock: options.wallClock,
-      bounds: options.bounds,
-      journal: options.journal,
-      workers: options.workers,
-      advice: this.adviceCalls,
+      retentionTimes: options.bounds,
+      journalStore: options.journal,
+      workerCalls: options.workers,
+      adviceClient: this.adviceCalls,
       pauses: options.pauses,
       log: options.log,
       counters: options.counters,
-      mayExtend: () => this.hasLeadershipProof(),
+      mayGrantLeases: () => this.hasLeadershipProof(),
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
       defer: options.defer,
     });
@@ -331,7 +333,7 @@
 
   /** Ends a term that a claim which is not known here yet has superseded. */
   private handleSuperseded(
-    supersededScheduler: scheduler.Scheduler,
+    supersededScheduler: jobScheduler.JobScheduler,
     reason: string,
   ): void {
     if (this.scheduler !== supersededScheduler) return;
@@ -355,7 +357,10 @@
    */
   private hasLeadershipProof(): boolean {
     const proofAgeMs = this.options.clock.now() - this.leadershipProvedAt;
-    return this.election.isLeader && proofAgeMs < scheduler.PROOF_LIFETIME_MS;
+    return (
+      this.election.isLeader &&
+      proofAgeMs < jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS
+    );
   }
 
   // Pings.
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -1,9 +1,9 @@
-import type * as submissions from '../jobs/submissions.js';
-import type * as adviceBook from '../jobs/advice_book.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
 import type * as election from './election.js';
 import type * as job from '../jobs/job.js';
-import type * as scheduler from '../jobs/scheduler.js';
+import type * as jobScheduler from '../jobs/job_scheduler.js';
 
 /** State that members exchange with each ping and reply. */
 interface GossipState {
@@ -50,19 +50,19 @@
   fetchConfiguration(
     address: string,
     timeoutMs: number,
-  ): Promise<PeerCallOutcome<job.CellConfiguration | undefined>>;
+  ): Promise<PeerCallOutcome<job.OperatorConfiguration | undefined>>;
   submit(
     address: string,
     definition: job.JobDefinition,
     configurationVersion: number,
     timeoutMs: number,
-  ): Promise<LeaderCallOutcome<submissions.SubmitOutcome>>;
+  ): Promise<LeaderCallOutcome<jobAdmission.SubmitOutcome>>;
   cancel(
     address: string,
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<LeaderCallOutcome<scheduler.CancelOutcome>>;
+  ): Promise<LeaderCallOutcome<jobScheduler.CancelOutcome>>;
   readState(
     address: string,
     queue: string,
@@ -79,7 +79,7 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome>;
+  ): Promise<adviceCache.AdviceOutcome>;
 }
 
 /**
@@ -88,15 +88,15 @@
  */
 export interface CellService {
   answerPing(message: PingMessage): PingReply;
-  readonly configuration: job.CellConfiguration | undefined;
+  readonly configuration: job.OperatorConfiguration | undefined;
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
-  ): Promise<submissions.SubmitOutcome> | undefined;
+  ): Promise<jobAdmission.SubmitOutcome> | undefined;
   cancel(
     queue: string,
     id: string,
-  ): Promise<scheduler.CancelOutcome> | undefined;
+  ): Promise<jobScheduler.CancelOutcome> | undefined;
   /** Wraps the state, so that "no such job" differs from "not the leader". */
   readState(
     queue: string,
@@ -107,5 +107,5 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome>;
+  ): Promise<adviceCache.AdviceOutcome>;
 }
--- a/src/zones/configuration_cache.ts
+++ b/src/zones/configuration_cache.ts
@@ -12,7 +12,7 @@
   readonly peers: cellPeers.CellPeers;
   readonly log: schedulerOptions.EventLog;
   /** Called with each newer configuration. */
-  readonly onUpdated: (configuration: job.CellConfiguration) => void;
+  readonly onUpdated: (configuration: job.OperatorConfiguration) => void;
 }
 
 /**
@@ -21,13 +21,13 @@
  * version is still the newest.
  */
 export class ConfigurationCache {
-  private current: job.CellConfiguration | undefined;
+  private current: job.OperatorConfiguration | undefined;
   private confirmedAt: clock.Milliseconds = -Infinity;
   private fetching = false;
 
   constructor(private readonly options: ConfigurationCacheOptions) {}
 
-  get newest(): job.CellConfiguration | undefined {
+  get newest(): job.OperatorConfiguration | undefined {
     return this.current;
   }
 
@@ -42,7 +42,7 @@
   }
 
   /** Records a read of the store; undefined if the operator wrote none. */
-  recordStoreRead(configuration: job.CellConfiguration | undefined): void {
+  recordStoreRead(configuration: job.OperatorConfiguration | undefined): void {
     this.confirmedAt = this.options.clock.now();
     if (configuration !== undefined) this.adopt(configuration);
   }
@@ -74,7 +74,7 @@
     }
   }
 
-  private adopt(configuration: job.CellConfiguration): void {
+  private adopt(configuration: job.OperatorConfiguration): void {
     if (configuration.version <= (this.current?.version ?? -1)) return;
     this.current = configuration;
     this.options.onUpdated(configuration);
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
-import type * as adviceBook from '../../src/jobs/advice_book.js';
+import type * as adviceCache from '../../src/jobs/advice_cache.js';
 import type * as job from '../../src/jobs/job.js';
 
 const {describe, test} = nodeTest;
@@ -19,9 +19,11 @@
 }
 
 /** Runs last as long as their payload's step says: here by the job's id. */
-const BY_JOB = (order: {task: string}): {runtimeMs: number; how: 'done'} => ({
-  runtimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
-  how: 'done',
+const BY_JOB = (order: {
+  task: string;
+}): {runTimeMs: number; outcome: 'done'} => ({
+  runTimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
+  outcome: 'done',
 });
 
 describe('a flood of batches before urgent work', () => {
@@ -31,14 +33,14 @@
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8, checkpointing: true}));
     await cell.time.advance(1_900);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 3}));
     await cell.time.advance(500);
     assert.equal(cell.startsOf('a1').length, 3);
     const stopped = cell.workers.events.filter(
-      event => event.kind === 'ended' && event.how === 'stopped',
+      event => event.kind === 'ended' && event.outcome === 'stopped',
     );
     assert.equal(stopped.length, 3, 'no more runs than the tasks need');
   });
@@ -48,7 +50,7 @@
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8}));
     await cell.time.advance(1_900);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 3}));
@@ -73,7 +75,7 @@
       ask: async (step, workerIds, expectedMs) => {
         asked.push(step);
         await cell.time.pause(expectedMs);
-        const tickets: adviceBook.Ticket[] = workerIds.map(workerId => ({
+        const tickets: adviceCache.Ticket[] = workerIds.map(workerId => ({
           workerId,
           ticket: `ticket-${workerId}`,
         }));
@@ -89,7 +91,7 @@
     const asked: string[] = [];
     advising(cell, asked);
     cell.addWorkers(BY_JOB, 'one');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     for (let index = 0; index < 6; index += 1) {
       jobCell.submit(scheduler, batchOf(`b${index}`, {count: 4}));
     }
@@ -117,7 +119,7 @@
       },
     };
     cell.addWorkers(BY_JOB, 'one', 'two', 'three');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b0', {}));
     await cell.time.advance(100);
     jobCell.submit(scheduler, batchOf('b1', {}));
@@ -147,7 +149,7 @@
       },
     };
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 5}));
     await cell.time.advance(200);
     jobCell.submit(scheduler, batchOf('b1', {count: 6}));
@@ -161,7 +163,7 @@
     const cell = new jobCell.JobCell();
     advising(cell, []);
     cell.addWorkers(BY_JOB, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 6}));
     await cell.time.advance(200);
     assert.equal(cell.startsOf('a1').length, 6);
@@ -174,9 +176,9 @@
   test('gets no more work after two jobs failed on it', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
-    cell.addWorkers(() => ({runtimeMs: 20, how: 'failed'}), 'hole');
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two', 'three');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(() => ({runTimeMs: 20, outcome: 'failed'}), 'hole');
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two', 'three');
+    const scheduler = await cell.startTerm(1);
     for (let index = 0; index < 8; index += 1) {
       jobCell.submit(scheduler, jobCell.jobOf(`a${index}`, {}));
     }
@@ -185,7 +187,7 @@
       assert.equal(scheduler.stateOf('orders', `a${index}`), 'completed');
     }
     const failures = cell.workers.events.filter(
-      event => event.how === 'failed',
+      event => event.outcome === 'failed',
     );
     assert.ok(failures.length <= 6, `${failures.length} runs failed`);
   });
@@ -195,8 +197,8 @@
   // Guards against members that wait for others which have no room.
   test('starts when all of its tasks have room, with one run number', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one', 'two');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {count: 3}));
     await cell.time.advance(100);
     jobCell.submit(scheduler, jobCell.jobOf('g1', {count: 7, gang: true}));
@@ -214,8 +216,8 @@
   // attempts where there is none.
   test('is started again however it ends', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 400, how: 'failed'}), 'one', 'two');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'failed'}), 'one', 'two');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(12_000);
     assert.ok(cell.startsOf('a1').length >= 4);
@@ -227,12 +229,12 @@
   // Guards against a service that is away until the worker's lease is over.
   test('gives its lasting tasks to others while it is still there', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(1_500);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
-    cell.addWorkers(() => ({runtimeMs: 60_000, how: 'done'}), 'two');
+    cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(600);
     const starts = cell.startsOf('a1');
@@ -245,12 +247,12 @@
   // Guards against work that is thrown away though it would be done in time.
   test('ends what it can end before', async () => {
     const cell = new jobCell.JobCell();
-    cell.addWorkers(jobCell.SECOND_LONG, 'one');
-    const scheduler = await cell.begin(1);
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(200);
     cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
-    cell.addWorkers(jobCell.SECOND_LONG, 'two');
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(2_000);
     assert.equal(cell.startsOf('a1').length, 1);
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -10,8 +10,8 @@
 
 /** Tasks run for the number of milliseconds in their payload. */
 const RUN_PLAN: workerModel.RunPlan = order => ({
-  runtimeMs: Number(order.payload),
-  how: 'done',
+  runTimeMs: Number(order.payload),
+  outcome: 'done',
 });
 
 /** Submits a job until it is accepted, like a caller that retries. */
@@ -26,7 +26,7 @@
   await wait.until(`${id} accepted`, async () => {
     const target = cell.processes[attempt % cell.processes.length];
     attempt += 1;
-    const {status} = await cell.call(target, 'POST', id, body);
+    const {status} = await cell.callFront(target, 'POST', id, body);
     return status === 200 ? true : undefined;
   });
 }
@@ -39,20 +39,20 @@
   await wait.until(`${id} completed`, async () => {
     const target = cell.processes[attempt % cell.processes.length];
     attempt += 1;
-    const {body} = await cell.call(target, 'GET', id);
+    const {body} = await cell.callFront(target, 'GET', id);
     return body.state === 'completed' ? true : undefined;
   });
 }
 
 /** Returns a test body that runs in a cell of its own. */
 function withCell(
-  processes: number,
+  processCount: number,
   body: (cell: platformCell.PlatformCell) => Promise<void>,
 ): () => Promise<void> {
   return async () => {
     const cell = await platformCell.PlatformCell.start({
-      processes,
-      runs: RUN_PLAN,
+      processCount,
+      runPlan: RUN_PLAN,
     });
     try {
       await body(cell);
@@ -69,10 +69,10 @@
     withCell(3, async cell => {
       await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
       await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 6);
-      const unknown = await cell.call(cell.processes[0], 'GET', 'ff');
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 6);
+      const unknown = await cell.callFront(cell.processes[0], 'GET', 'ff');
       assert.equal(unknown.status, 410);
-      const pending = await cell.call(cell.processes[1], 'GET', '');
+      const pending = await cell.callFront(cell.processes[1], 'GET', '');
       assert.deepEqual(pending.body, {pending: 0});
     }),
   );
@@ -90,8 +90,8 @@
       for (const digit of [1, 2, 3]) {
         await waitUntilCompleted(cell, `aaaaaaaaaaaaaaa${digit}`);
       }
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 4);
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa2').length, 8);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 4);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa2').length, 8);
     }),
   );
 
@@ -107,11 +107,11 @@
       await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 200, 4);
       paused.child.signal('SIGCONT');
       cell.processes.push(paused);
-      await paused.child.line(/event=termEnded/);
+      await paused.child.waitForLine(/event=termEnded/);
       await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa2', 200, 4);
       await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
       await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa2');
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa').length, 8);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa').length, 8);
     }),
   );
 
@@ -120,13 +120,13 @@
     'answers open requests and exits on SIGTERM',
     withCell(2, async cell => {
       const leader = cell.leader();
-      const openCall = cell.call(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
+      const openCall = cell.callFront(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
         spec: '100',
         steps: [{...STEP, count: 1}],
       });
       leader.child.signal('SIGTERM');
       assert.equal((await openCall).status, 200);
-      assert.equal(await leader.child.ended(), 0);
+      assert.equal(await leader.child.waitForExit(), 0);
       cell.processes.splice(cell.processes.indexOf(leader), 1);
       await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
     }),
@@ -141,19 +141,24 @@
       cell.store.silent = true;
       const body = {spec: '100', steps: [{...STEP, count: 1}]};
       const [first] = cell.processes;
-      const undecided = await cell.call(
+      const undecided = await cell.callFront(
         first,
         'POST',
         'aaaaaaaaaaaaaaa2',
         body,
       );
       assert.equal(undecided.status, 504);
-      const refused = await cell.call(first, 'POST', 'aaaaaaaaaaaaaaa3', body);
+      const refused = await cell.callFront(
+        first,
+        'POST',
+        'aaaaaaaaaaaaaaa3',
+        body,
+      );
       assert.equal(refused.status, 503);
       cell.store.silent = false;
       await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa1').length, 2);
-      assert.equal(cell.startsOf('aaaaaaaaaaaaaaa3').length, 0);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 2);
+      assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa3').length, 0);
     }),
   );
 
@@ -161,10 +166,10 @@
   test(
     'applies a new configuration and drops the removed queues',
     withCell(2, async cell => {
-      cell.configure(2, []);
+      cell.publishConfiguration(2, []);
       for (const target of cell.processes) {
         await wait.until('queue dropped', async () => {
-          const {status} = await cell.call(target, 'GET', '');
+          const {status} = await cell.callFront(target, 'GET', '');
           return status === 404 ? true : undefined;
         });
       }
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -1,7 +1,7 @@
 import * as workerModel from '../../stand_ins/worker_model.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
-import type * as timeline from './timeline.js';
-import type * as workerCalls from '../../src/machines/worker_calls.js';
+import type * as simulatedClock from './simulated_clock.js';
+import type * as workerClient from '../../src/machines/worker_client.js';
 
 /** Time from a call to its arrival, and back. */
 const ONE_WAY_MS = 1;
@@ -13,17 +13,17 @@
 const POLL_MS = 10;
 
 /** Carries calls to fake workers in simulated time. */
-export class FakeWorkers implements workerCalls.WorkerCalls {
+export class FakeWorkers implements workerClient.WorkerClient {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.WorkerEvent[] = [];
   /** Delays one order: returns the time after which it arrives. */
   delayOrder: (address: string) => number = () => 0;
 
-  constructor(private readonly time: timeline.Timeline) {}
+  constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
   /** Adds a worker whose runs go as planned. */
   add(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     plan: workerModel.RunPlan,
   ): workerModel.WorkerModel {
     const worker = new workerModel.WorkerModel(
@@ -37,52 +37,52 @@
   }
 
   start(
-    entry: remoteWorker.WorkerEntry,
-    order: workerCalls.StartOrder,
-  ): Promise<workerCalls.OrderOutcome> {
+    entry: remoteWorker.RegistryEntry,
+    order: workerClient.StartCommand,
+  ): Promise<workerClient.CommandOutcome> {
     return this.order(entry, worker => worker.start(order));
   }
 
   stop(
-    entry: remoteWorker.WorkerEntry,
-    name: remoteWorker.RunName,
+    entry: remoteWorker.RegistryEntry,
+    name: remoteWorker.RunId,
     fence: number,
-  ): Promise<workerCalls.OrderOutcome> {
+  ): Promise<workerClient.CommandOutcome> {
     return this.order(entry, worker => worker.stop(name, fence));
   }
 
-  async pace(): Promise<workerCalls.OrderOutcome> {
+  async throttle(): Promise<workerClient.CommandOutcome> {
     return {kind: 'done', clockMs: undefined};
   }
 
-  async hold(
-    entry: remoteWorker.WorkerEntry,
-    order: workerCalls.HoldOrder,
-  ): Promise<workerCalls.HoldOutcome> {
+  async renewLeases(
+    entry: remoteWorker.RegistryEntry,
+    order: workerClient.RenewalCommand,
+  ): Promise<workerClient.RenewalOutcome> {
     await this.time.pause(ONE_WAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.lose(order.waitMs);
-    const answer = worker.hold(order);
-    if (answer.kind === 'rejected' || worker.hasEnds) {
+    const answer = worker.renewLease(order);
+    if (answer.kind === 'rejected' || worker.hasEndedRuns) {
       await this.time.pause(ONE_WAY_MS);
       return this.answered(entry, worker) ? answer : this.lose(0);
     }
     const until = this.time.now() + order.waitMs;
-    while (this.time.now() < until && !worker.hasEnds) {
+    while (this.time.now() < until && !worker.hasEndedRuns) {
       await this.time.pause(POLL_MS);
     }
     await this.time.pause(ONE_WAY_MS);
     if (!this.answered(entry, worker)) return this.lose(0);
-    return worker.hold({...order, deadlineMs: undefined});
+    return worker.renewLease({...order, deadlineMs: undefined});
   }
 
   private async order(
-    entry: remoteWorker.WorkerEntry,
-    obey: (worker: workerModel.WorkerModel) => workerCalls.OrderOutcome,
-  ): Promise<workerCalls.OrderOutcome> {
+    entry: remoteWorker.RegistryEntry,
+    obey: (worker: workerModel.WorkerModel) => workerClient.CommandOutcome,
+  ): Promise<workerClient.CommandOutcome> {
     const delay = this.delayOrder(entry.address);
     if (delay > 0) {
-      this.time.at(this.time.now() + delay, () => {
+      this.time.runAt(this.time.now() + delay, () => {
         const late = this.byAddress.get(entry.address);
         if (late?.crashed === false) obey(late);
       });
@@ -97,17 +97,17 @@
   }
 
   private reachable(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
   ): workerModel.WorkerModel | undefined {
     const worker = this.byAddress.get(entry.address);
-    return worker?.cut === false ? worker : undefined;
+    return worker?.partitioned === false ? worker : undefined;
   }
 
   private answered(
-    entry: remoteWorker.WorkerEntry,
+    entry: remoteWorker.RegistryEntry,
     worker: workerModel.WorkerModel,
   ): boolean {
-    return this.reachable(entry) === worker && !worker.mute;
+    return this.reachable(entry) === worker && !worker.losesAnswers;
   }
 
   private async lose(
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -2,17 +2,17 @@
 import * as nodeTest from 'node:test';
 import * as cellGateway from '../../src/zones/cell_gateway.js';
 import * as jobCell from '../support/job_cell.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
-import type * as submissions from '../../src/jobs/submissions.js';
+import type * as jobAdmission from '../../src/jobs/job_admission.js';
 
 const {describe, test} = nodeTest;
 
-type SubmitReply = cellPeers.LeaderCallOutcome<submissions.SubmitOutcome>;
+type SubmitReply = cellPeers.LeaderCallOutcome<jobAdmission.SubmitOutcome>;
 
 /** Creates the gateway of a member that is not the leader. */
 function gatewayWith(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   submit: (address: string) => Promise<SubmitReply>,
   leaderAddress = 'leader:1',
 ): cellGateway.CellGateway {
@@ -35,12 +35,12 @@
 
 interface Result {
   kind: string;
-  value: submissions.SubmitOutcome | undefined;
+  value: jobAdmission.SubmitOutcome | undefined;
   settledAtMs: number;
 }
 
 async function submitAndWait(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   gateway: cellGateway.CellGateway,
 ): Promise<Result> {
   const result: Result = {kind: 'none', value: undefined, settledAtMs: 0};
@@ -56,7 +56,7 @@
 describe('cell gateway', () => {
   // Guards against refusals during a failover, which takes about a second.
   test('waits for the next scheduler', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () =>
       time.now() < 1_200
         ? {kind: 'notLeading'}
@@ -70,7 +70,7 @@
   // Guards against calls that are held until their deadline while no scheduler
   // can be reached.
   test('refuses after two seconds if no scheduler was reached', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({kind: 'refused'}));
     const outcome = await submitAndWait(time, gateway);
     assert.equal(outcome.kind, 'noScheduler');
@@ -80,7 +80,7 @@
   // Guards against refusing a job that may have been accepted: an attempt that
   // got no answer can still take effect.
   test('does not refuse a call that may have arrived', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => {
       await time.pause(300);
       return time.now() < 500
@@ -92,7 +92,7 @@
     assert.ok(outcome.settledAtMs < 3_000, `${outcome.settledAtMs}`);
   });
 
-  const SILENT: submissions.SubmitOutcome = {
+  const SILENT: jobAdmission.SubmitOutcome = {
     kind: 'refused',
     reason: 'storeSilent',
     retryAfterSeconds: 1,
@@ -101,7 +101,7 @@
   // Guards against callers that use up their retries on refusals before the
   // store is back: it is silent for one second, and callers have three.
   test('retries a submission during a short silence of the store', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: time.now() < 1_000 ? SILENT : {kind: 'accepted'},
@@ -114,7 +114,7 @@
   // Guards against calls that are held during a silence of the store until the
   // caller has no time left for a retry.
   test('refuses with half the time left if the store is silent', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: SILENT,
@@ -130,7 +130,7 @@
   // Guards against calls that are held although the store has been silent for
   // so long that waiting is useless.
   test('refuses at once if the store is lost', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(time, async () => ({
       kind: 'answered',
       value: {...SILENT, reason: 'storeLost'},
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -1,9 +1,9 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as cellNode from '../../src/zones/cell_node.js';
-import * as fakeJournal from '../support/fake_journal.js';
+import * as fakeJournalStore from '../support/fake_journal_store.js';
 import * as fakeWorkers from '../support/fake_workers.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 
@@ -52,7 +52,7 @@
 /** Creates a node whose claims always win. */
 function createNode(
   cell: TestCell,
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   name: string,
 ): cellNode.CellNode {
   const peers = {
@@ -72,7 +72,7 @@
         return {kind: 'won', term: 7};
       },
     },
-    journal: new fakeJournal.FakeJournal(time),
+    journal: new fakeJournalStore.FakeJournalStore(time),
     registry: {follow: () => ({close: () => {}})},
     workers: new fakeWorkers.FakeWorkers(time),
     advice: {ask: async () => ({kind: 'busy'})},
@@ -80,7 +80,7 @@
     pauses: time,
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
-    defer: pass => time.at(time.now(), pass),
+    defer: pass => time.runAt(time.now(), pass),
   });
 }
 
@@ -88,7 +88,7 @@
   // Guards against members that forward calls to the old scheduler for seconds,
   // because their reads of the log hang in a store that has just recovered.
   test('announces its term to all other members at once', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const announcedTerms = new Map<string, number | undefined>();
     const cell: TestCell = {
       answerPing: (address, message) => {
@@ -119,7 +119,7 @@
   // Guards against an unnecessary failover just after an outage of the store by
   // a member that pings rarely: its last reply is from before the recovery.
   test('pings the leader once more before it claims', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const [leader] = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = leader;
     const claim = {term: 3, node, incarnation, address};
@@ -133,7 +133,7 @@
     const lowestRanked = createNode(cell, time, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     lowestRanked.applyCellLog(members, claim, 3);
-    time.every(100, () => {
+    time.runEvery(100, () => {
       lowestRanked.tick();
       // The store answers this member again, with nothing new.
       if (time.now() >= recoveryAt) lowestRanked.applyCellLog([], undefined, 3);
@@ -146,7 +146,7 @@
 describe('cell node that pings the leader rarely', () => {
   // Guards against an unnecessary failover after a single lost ping.
   test('pings the leader once more before it claims', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = members[0];
     const claim = {term: 3, node, incarnation, address};
@@ -160,7 +160,7 @@
     };
     const lowestRanked = createNode(cell, time, 'zed');
     lowestRanked.applyCellLog(members, claim, 3);
-    time.every(100, () => lowestRanked.tick());
+    time.runEvery(100, () => lowestRanked.tick());
     await time.advance(4_000);
     assert.equal(cell.claimCount, 0);
   });
--- a/test/zones/configuration_cache_test.ts
+++ b/test/zones/configuration_cache_test.ts
@@ -1,13 +1,13 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as configurationCache from '../../src/zones/configuration_cache.js';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 import type * as job from '../../src/jobs/job.js';
 
 const {describe, test} = nodeTest;
 
-function configurationOf(version: number): job.CellConfiguration {
+function configurationOf(version: number): job.OperatorConfiguration {
   return {
     version,
     queues: [],
@@ -31,8 +31,8 @@
 
 /** Creates the cache of a member whose only peer has `peerConfiguration`. */
 function cacheWithPeer(
-  time: timeline.Timeline,
-  peerConfiguration: job.CellConfiguration,
+  time: simulatedClock.SimulatedClock,
+  peerConfiguration: job.OperatorConfiguration,
 ): {cache: configurationCache.ConfigurationCache; updates: number[]} {
   const updates: number[] = [];
   const peers = {
@@ -54,7 +54,7 @@
   // Guards against an outdated configuration on a member without access to the
   // store.
   test('fetches a newer configuration from another member', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {cache, updates} = cacheWithPeer(time, configurationOf(7));
     cache.recordStoreRead(configurationOf(6));
     cache.compareWithPeer('other:1', replyWith(7, 100));
@@ -65,7 +65,7 @@
 
   // Guards against a late read that restores an older configuration.
   test('keeps the newest configuration', () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {cache, updates} = cacheWithPeer(time, configurationOf(7));
     cache.recordStoreRead(configurationOf(7));
     cache.recordStoreRead(configurationOf(6));
@@ -76,7 +76,7 @@
   // Guards against a 503 from a member that others keep up to date, and against
   // replies based on a configuration that nobody has confirmed for long.
   test('derives its age from the newest confirmation', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {cache} = cacheWithPeer(time, configurationOf(6));
     assert.equal(cache.ageMs, Infinity);
     cache.recordStoreRead(configurationOf(6));
