--- a/src/zones/advice_relays.ts
+++ b/src/zones/advice_relays.ts
@@ -24,7 +24,7 @@
   }
 
   /** Returns those of `members` that are alive, and this process itself. */
-  availableSites(
+  availableEndpoints(
     members: ReadonlyArray<cellMember.CellMember>,
   ): ReadonlyArray<adviceBalancer.AdviceEndpoint> {
     const now = this.clock.now();
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -19,13 +19,13 @@
   readonly self: cellMember.CellMember;
   readonly clock: clock.Clock;
   readonly wallClock: () => number;
-  readonly bounds: schedulerOptions.RetentionTimes;
+  readonly retentionTimes: schedulerOptions.RetentionTimes;
   readonly cellLog: cellMember.CellLog;
-  readonly journal: jobJournal.JobJournalStore;
+  readonly journalStore: jobJournal.JobJournalStore;
   readonly registry: remoteWorker.WorkerRegistry;
-  readonly workers: workerClient.WorkerClient;
+  readonly workerClient: workerClient.WorkerClient;
   /** Calls the advice service from the VM of this process. */
-  readonly advice: adviceCache.AdviceService;
+  readonly adviceService: adviceCache.AdviceService;
   readonly peers: cellPeers.CellPeers;
   readonly pauses: jobJournal.Pauses;
   readonly log: schedulerOptions.EventLog;
@@ -62,7 +62,7 @@
   private readonly election: election.Election;
   private readonly configurationCache: configurationCache.ConfigurationCache;
   private readonly adviceRelays: adviceRelays.AdviceRelays;
-  private readonly adviceCalls: adviceBalancer.AdviceBalancer;
+  private readonly adviceBalancer: adviceBalancer.AdviceBalancer;
   private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
   private logReadAt = -Infinity;
@@ -86,11 +86,11 @@
     });
     this.adviceRelays = new adviceRelays.AdviceRelays(
       options.clock,
-      options.advice,
+      options.adviceService,
       options.peers,
     );
-    this.adviceCalls = new adviceBalancer.AdviceBalancer(
-      () => this.adviceRelays.availableSites(this.election.peers),
+    this.adviceBalancer = new adviceBalancer.AdviceBalancer(
+      () => this.adviceRelays.availableEndpoints(this.election.peers),
       (...call) => this.adviceRelays.ask(...call),
       options.clock,
     );
@@ -225,7 +225,7 @@
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
   ): Promise<adviceCache.AdviceOutcome> {
-    return this.options.advice.ask(step, workerIds, timeoutMs);
+    return this.options.adviceService.ask(step, workerIds, timeoutMs);
   }
 
   // Claims and terms.
@@ -311,10 +311,10 @@
       term: claim.term,
       clock: options.clock,
       wallClock: options.wallClock,
-      retentionTimes: options.bounds,
-      journalStore: options.journal,
-      workerCalls: options.workers,
-      adviceClient: this.adviceCalls,
+      retentionTimes: options.retentionTimes,
+      journalStore: options.journalStore,
+      workerCalls: options.workerClient,
+      adviceClient: this.adviceBalancer,
       pauses: options.pauses,
       log: options.log,
       counters: options.counters,
--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -4,7 +4,7 @@
 import * as configurationDecoder from '../../platform/configuration_decoder.js';
 import * as jobDecoder from '../../platform/job_decoder.js';
 import * as platformSettings from '../../platform/platform_settings.js';
-import * as workerEntryDecoder from '../../platform/worker_entry_decoder.js';
+import * as registryEntryDecoder from '../../platform/registry_entry_decoder.js';
 
 const {describe, test} = nodeTest;
 
@@ -23,9 +23,12 @@
   machine: 'm-1',
 };
 
-describe('worker entry decoder', () => {
+describe('registry entry decoder', () => {
   test('decodes a worker, its machine and its capacity', () => {
-    const entry = workerEntryDecoder.decodeWorkerEntry('i-1', encode(ENTRY));
+    const entry = registryEntryDecoder.decodeRegistryEntry(
+      'i-1',
+      encode(ENTRY),
+    );
     assert.equal(entry?.capacity.processors, 16_000);
     assert.equal(entry?.capacity.accelerators, 1);
     assert.equal(entry?.machine, 'm-1');
@@ -42,7 +45,7 @@
       {capacity: {cpu: '16000', mem_mb: 1}},
       {capacity: null},
     ]) {
-      const entry = workerEntryDecoder.decodeWorkerEntry(
+      const entry = registryEntryDecoder.decodeRegistryEntry(
         'i-1',
         encode({...ENTRY, ...change}),
       );
@@ -55,7 +58,7 @@
   test('does not throw on arbitrary bytes', () => {
     fastCheck.assert(
       fastCheck.property(fastCheck.uint8Array(), value => {
-        workerEntryDecoder.decodeWorkerEntry('i-1', value);
+        registryEntryDecoder.decodeRegistryEntry('i-1', value);
         configurationDecoder.decodeConfiguration(value);
         jobDecoder.decodeJob('a', 'q', value);
         platformSettings.parseSettings(value);
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -55,7 +55,7 @@
     server.close();
   });
 
-  // Guards against an order that is sent after its caller has given it up: the
+  // Guards against a command that is sent after its caller has given it up: the
   // decision behind it is outdated after the wait for a connection.
   test('does not send a call that timed out in the queue', async () => {
     const server = await startServer((path, response) => {
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -18,10 +18,10 @@
 async function submitUntilAccepted(
   cell: platformCell.PlatformCell,
   id: string,
-  runtimeMs: number,
+  runTimeMs: number,
   count: number,
 ): Promise<void> {
-  const body = {spec: String(runtimeMs), steps: [{...STEP, count}]};
+  const body = {spec: String(runTimeMs), steps: [{...STEP, count}]};
   let attempt = 0;
   await wait.until(`${id} accepted`, async () => {
     const target = cell.processes[attempt % cell.processes.length];
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -12,7 +12,7 @@
 
 /** Creates the gateway of a member that is not the leader. */
 function gatewayWith(
-  time: simulatedClock.SimulatedClock,
+  clock: simulatedClock.SimulatedClock,
   submit: (address: string) => Promise<SubmitReply>,
   leaderAddress = 'leader:1',
 ): cellGateway.CellGateway {
@@ -30,7 +30,13 @@
     submit: (address: string) => submit(address),
   } as unknown as cellPeers.CellPeers;
   const counters = {count: () => {}, observe: () => {}};
-  return new cellGateway.CellGateway(localMember, peers, time, time, counters);
+  return new cellGateway.CellGateway(
+    localMember,
+    peers,
+    clock,
+    clock,
+    counters,
+  );
 }
 
 interface Result {
@@ -40,29 +46,29 @@
 }
 
 async function submitAndWait(
-  time: simulatedClock.SimulatedClock,
+  clock: simulatedClock.SimulatedClock,
   gateway: cellGateway.CellGateway,
 ): Promise<Result> {
   const result: Result = {kind: 'none', value: undefined, settledAtMs: 0};
   void gateway.submit(jobCell.jobOf('aa', {}), 1, 3_000).then(outcome => {
     result.kind = outcome.kind;
     if (outcome.kind === 'answered') result.value = outcome.value;
-    result.settledAtMs = time.now();
+    result.settledAtMs = clock.now();
   });
-  await time.advance(5_000);
+  await clock.advance(5_000);
   return result;
 }
 
 describe('cell gateway', () => {
   // Guards against refusals during a failover, which takes about a second.
   test('waits for the next scheduler', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () =>
-      time.now() < 1_200
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () =>
+      clock.now() < 1_200
         ? {kind: 'notLeading'}
         : {kind: 'answered', value: {kind: 'accepted'}},
     );
-    const outcome = await submitAndWait(time, gateway);
+    const outcome = await submitAndWait(clock, gateway);
     assert.equal(outcome.kind, 'answered');
     assert.ok(outcome.settledAtMs < 1_400);
   });
@@ -70,9 +76,9 @@
   // Guards against calls that are held until their deadline while no scheduler
   // can be reached.
   test('refuses after two seconds if no scheduler was reached', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({kind: 'refused'}));
-    const outcome = await submitAndWait(time, gateway);
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({kind: 'refused'}));
+    const outcome = await submitAndWait(clock, gateway);
     assert.equal(outcome.kind, 'noScheduler');
     assert.ok(outcome.settledAtMs <= 2_200, `${outcome.settledAtMs}`);
   });
@@ -80,14 +86,14 @@
   // Guards against refusing a job that may have been accepted: an attempt that
   // got no answer can still take effect.
   test('does not refuse a call that may have arrived', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => {
-      await time.pause(300);
-      return time.now() < 500
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => {
+      await clock.pause(300);
+      return clock.now() < 500
         ? {kind: 'unanswered', detail: 'lost'}
         : {kind: 'notLeading'};
     });
-    const outcome = await submitAndWait(time, gateway);
+    const outcome = await submitAndWait(clock, gateway);
     assert.equal(outcome.kind, 'unknown');
     assert.ok(outcome.settledAtMs < 3_000, `${outcome.settledAtMs}`);
   });
@@ -101,12 +107,12 @@
   // Guards against callers that use up their retries on refusals before the
   // store is back: it is silent for one second, and callers have three.
   test('retries a submission during a short silence of the store', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({
       kind: 'answered',
-      value: time.now() < 1_000 ? SILENT : {kind: 'accepted'},
+      value: clock.now() < 1_000 ? SILENT : {kind: 'accepted'},
     }));
-    const result = await submitAndWait(time, gateway);
+    const result = await submitAndWait(clock, gateway);
     assert.deepEqual(result.value, {kind: 'accepted'});
     assert.ok(result.settledAtMs < 1_300, `${result.settledAtMs}`);
   });
@@ -114,12 +120,12 @@
   // Guards against calls that are held during a silence of the store until the
   // caller has no time left for a retry.
   test('refuses with half the time left if the store is silent', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({
       kind: 'answered',
       value: SILENT,
     }));
-    const result = await submitAndWait(time, gateway);
+    const result = await submitAndWait(clock, gateway);
     assert.deepEqual(result.value, SILENT);
     assert.ok(
       result.settledAtMs > 1_000 && result.settledAtMs < 1_500,
@@ -130,12 +136,12 @@
   // Guards against calls that are held although the store has been silent for
   // so long that waiting is useless.
   test('refuses at once if the store is lost', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({
       kind: 'answered',
       value: {...SILENT, reason: 'storeLost'},
     }));
-    const result = await submitAndWait(time, gateway);
+    const result = await submitAndWait(clock, gateway);
     assert.equal(result.settledAtMs, 0);
   });
 });
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -52,7 +52,7 @@
 /** Creates a node whose claims always win. */
 function createNode(
   cell: TestCell,
-  time: simulatedClock.SimulatedClock,
+  clock: simulatedClock.SimulatedClock,
   name: string,
 ): cellNode.CellNode {
   const peers = {
@@ -61,9 +61,9 @@
   } as unknown as cellPeers.CellPeers;
   return new cellNode.CellNode({
     self: memberOf(name),
-    clock: time,
-    wallClock: () => time.now(),
-    bounds: {stateKeptMs: 120_000},
+    clock,
+    wallClock: () => clock.now(),
+    retentionTimes: {stateKeptMs: 120_000},
     cellLog: {
       join: async () => true,
       probe: async () => cell.storeAnswers(),
@@ -72,15 +72,15 @@
         return {kind: 'won', term: 7};
       },
     },
-    journal: new fakeJournalStore.FakeJournalStore(time),
+    journalStore: new fakeJournalStore.FakeJournalStore(clock),
     registry: {follow: () => ({close: () => {}})},
-    workers: new fakeWorkers.FakeWorkers(time),
-    advice: {ask: async () => ({kind: 'busy'})},
+    workerClient: new fakeWorkers.FakeWorkers(clock),
+    adviceService: {ask: async () => ({kind: 'busy'})},
     peers,
-    pauses: time,
+    pauses: clock,
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
-    defer: pass => time.runAt(time.now(), pass),
+    defer: pass => clock.runAt(clock.now(), pass),
   });
 }
 
@@ -88,7 +88,7 @@
   // Guards against members that forward calls to the old scheduler for seconds,
   // because their reads of the log hang in a store that has just recovered.
   test('announces its term to all other members at once', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     const announcedTerms = new Map<string, number | undefined>();
     const cell: TestCell = {
       answerPing: (address, message) => {
@@ -98,14 +98,14 @@
       storeAnswers: () => true,
       claimCount: 0,
     };
-    const node = createNode(cell, time, 'one');
+    const node = createNode(cell, clock, 'one');
     const members = ['one', 'two', 'three', 'four'].map(memberOf);
     node.applyCellLog(members, undefined, 6);
-    await time.advance(10);
+    await clock.advance(10);
     node.tick();
-    await time.advance(1_000);
+    await clock.advance(1_000);
     node.tick();
-    await time.advance(50);
+    await clock.advance(50);
     assert.deepEqual([...announcedTerms.values()], [7, 7, 7]);
     assert.deepEqual([...announcedTerms.keys()].sort(), [
       'four:1',
@@ -119,26 +119,26 @@
   // Guards against an unnecessary failover just after an outage of the store by
   // a member that pings rarely: its last reply is from before the recovery.
   test('pings the leader once more before it claims', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     const [leader] = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = leader;
     const claim = {term: 3, node, incarnation, address};
     const recoveryAt = 3_350;
     const cell: TestCell = {
       answerPing: () =>
-        pingReplyOf(claim, time.now() < recoveryAt ? time.now() : 0),
-      storeAnswers: () => time.now() >= recoveryAt,
+        pingReplyOf(claim, clock.now() < recoveryAt ? clock.now() : 0),
+      storeAnswers: () => clock.now() >= recoveryAt,
       claimCount: 0,
     };
-    const lowestRanked = createNode(cell, time, 'zed');
+    const lastMember = createNode(cell, clock, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
-    lowestRanked.applyCellLog(members, claim, 3);
-    time.runEvery(100, () => {
-      lowestRanked.tick();
+    lastMember.applyCellLog(members, claim, 3);
+    clock.runEvery(100, () => {
+      lastMember.tick();
       // The store answers this member again, with nothing new.
-      if (time.now() >= recoveryAt) lowestRanked.applyCellLog([], undefined, 3);
+      if (clock.now() >= recoveryAt) lastMember.applyCellLog([], undefined, 3);
     });
-    await time.advance(6_000);
+    await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
   });
 });
@@ -146,22 +146,22 @@
 describe('cell node that pings the leader rarely', () => {
   // Guards against an unnecessary failover after a single lost ping.
   test('pings the leader once more before it claims', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     const {node, incarnation, address} = members[0];
     const claim = {term: 3, node, incarnation, address};
     const cell: TestCell = {
       answerPing: () =>
-        time.now() > 800 && time.now() < 1_550
+        clock.now() > 800 && clock.now() < 1_550
           ? {kind: 'unanswered', detail: 'lost'}
           : pingReplyOf(claim, 0),
       storeAnswers: () => true,
       claimCount: 0,
     };
-    const lowestRanked = createNode(cell, time, 'zed');
-    lowestRanked.applyCellLog(members, claim, 3);
-    time.runEvery(100, () => lowestRanked.tick());
-    await time.advance(4_000);
+    const lastMember = createNode(cell, clock, 'zed');
+    lastMember.applyCellLog(members, claim, 3);
+    clock.runEvery(100, () => lastMember.tick());
+    await clock.advance(4_000);
     assert.equal(cell.claimCount, 0);
   });
 });
--- a/test/zones/configuration_cache_test.ts
+++ b/test/zones/configuration_cache_test.ts
@@ -31,7 +31,7 @@
 
 /** Creates the cache of a member whose only peer has `peerConfiguration`. */
 function cacheWithPeer(
-  time: simulatedClock.SimulatedClock,
+  clock: simulatedClock.SimulatedClock,
   peerConfiguration: job.OperatorConfiguration,
 ): {cache: configurationCache.ConfigurationCache; updates: number[]} {
   const updates: number[] = [];
@@ -42,7 +42,7 @@
     }),
   } as unknown as cellPeers.CellPeers;
   const cache = new configurationCache.ConfigurationCache({
-    clock: time,
+    clock,
     peers,
     log: {event: () => undefined},
     onUpdated: configuration => void updates.push(configuration.version),
@@ -54,19 +54,19 @@
   // Guards against an outdated configuration on a member without access to the
   // store.
   test('fetches a newer configuration from another member', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const {cache, updates} = cacheWithPeer(time, configurationOf(7));
+    const clock = new simulatedClock.SimulatedClock();
+    const {cache, updates} = cacheWithPeer(clock, configurationOf(7));
     cache.recordStoreRead(configurationOf(6));
     cache.compareWithPeer('other:1', replyWith(7, 100));
-    await time.advance(1);
+    await clock.advance(1);
     assert.equal(cache.version, 7);
     assert.deepEqual(updates, [6, 7]);
   });
 
   // Guards against a late read that restores an older configuration.
   test('keeps the newest configuration', () => {
-    const time = new simulatedClock.SimulatedClock();
-    const {cache, updates} = cacheWithPeer(time, configurationOf(7));
+    const clock = new simulatedClock.SimulatedClock();
+    const {cache, updates} = cacheWithPeer(clock, configurationOf(7));
     cache.recordStoreRead(configurationOf(7));
     cache.recordStoreRead(configurationOf(6));
     assert.equal(cache.version, 7);
@@ -76,11 +76,11 @@
   // Guards against a 503 from a member that others keep up to date, and against
   // replies based on a configuration that nobody has confirmed for long.
   test('derives its age from the newest confirmation', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const {cache} = cacheWithPeer(time, configurationOf(6));
+    const clock = new simulatedClock.SimulatedClock();
+    const {cache} = cacheWithPeer(clock, configurationOf(6));
     assert.equal(cache.ageMs, Infinity);
     cache.recordStoreRead(configurationOf(6));
-    await time.advance(5_000);
+    await clock.advance(5_000);
     assert.equal(cache.ageMs, 5_000);
     cache.compareWithPeer('other:1', replyWith(6, 300));
     assert.equal(cache.ageMs, 300);
