--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -8,16 +8,21 @@
 
 const {describe, test} = nodeTest;
 
-type Answer = cellPeers.LeaderCallOutcome<jobAdmission.SubmitOutcome>;
+type SubmitReply = cellPeers.LeaderCallOutcome<jobAdmission.SubmitOutcome>;
 
-/** A member that leads nothing and passes calls on to one that does. */
+/** Creates the gateway of a member that is not the leader. */
 function gatewayWith(
-  time: simulatedClock.SimulatedClock,
-  submit: (address: string) => Promise<Answer>,
-  leader = 'leader:1',
+  clock: simulatedClock.SimulatedClock,
+  submit: (address: string) => Promise<SubmitReply>,
+  leaderAddress = 'leader:1',
 ): cellGateway.CellGateway {
-  const cell = {
-    leader: {term: 1, node: 'one', incarnation: 'one-1', address: leader},
+  const localMember = {
+    leader: {
+      term: 1,
+      node: 'one',
+      incarnation: 'one-1',
+      address: leaderAddress,
+    },
     runsScheduler: false,
     submit: () => undefined,
   } as unknown as cellGateway.LocalMember;
@@ -25,64 +30,72 @@
     submit: (address: string) => submit(address),
   } as unknown as cellPeers.CellPeers;
   const counters = {count: () => {}, observe: () => {}};
-  return new cellGateway.CellGateway(cell, peers, time, time, counters);
+  return new cellGateway.CellGateway(
+    localMember,
+    peers,
+    clock,
+    clock,
+    counters,
+  );
 }
 
 interface Result {
   kind: string;
   value: jobAdmission.SubmitOutcome | undefined;
-  at: number;
+  settledAtMs: number;
 }
 
-async function resultOf(
-  time: simulatedClock.SimulatedClock,
+async function submitAndWait(
+  clock: simulatedClock.SimulatedClock,
   gateway: cellGateway.CellGateway,
 ): Promise<Result> {
-  const result: Result = {kind: 'none', value: undefined, at: 0};
+  const result: Result = {kind: 'none', value: undefined, settledAtMs: 0};
   void gateway.submit(jobCell.jobOf('aa', {}), 1, 3_000).then(outcome => {
     result.kind = outcome.kind;
     if (outcome.kind === 'answered') result.value = outcome.value;
-    result.at = time.now();
+    result.settledAtMs = clock.now();
   });
-  await time.advance(5_000);
+  await clock.advance(5_000);
   return result;
 }
 
-describe('a call that only the scheduler can answer', () => {
-  // Guards against refusals during a succession that is over in a second.
+describe('cell gateway', () => {
+  // Guards against refusals during a failover, which takes about a second.
   test('waits for the next scheduler', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () =>
-      time.now() < 1_200
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () =>
+      clock.now() < 1_200
         ? {kind: 'notLeading'}
         : {kind: 'answered', value: {kind: 'accepted'}},
     );
-    const outcome = await resultOf(time, gateway);
+    const outcome = await submitAndWait(clock, gateway);
     assert.equal(outcome.kind, 'answered');
-    assert.ok(outcome.at < 1_400);
+    assert.ok(outcome.settledAtMs < 1_400);
   });
 
-  // Guards against callers that are held until their deadline in vain.
-  test('is refused after two seconds when it reached nobody', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({kind: 'refused'}));
-    const outcome = await resultOf(time, gateway);
+  // Guards against calls that are held until their deadline while no scheduler
+  // can be reached.
+  test('refuses after two seconds if no scheduler was reached', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({kind: 'refused'}));
+    const outcome = await submitAndWait(clock, gateway);
     assert.equal(outcome.kind, 'noScheduler');
-    assert.ok(outcome.at <= 2_200, `${outcome.at}`);
+    assert.ok(outcome.settledAtMs <= 2_200, `${outcome.settledAtMs}`);
   });
 
-  // Guards against "not accepted" for a job that may be accepted.
-  test('is never refused once it may have arrived', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => {
-      await time.pause(300);
-      return time.now() < 500
+  // Guards against refusing a job that may have been accepted: an attempt that
+  // got no answer can still take effect.
+  test('does not refuse a call that may have arrived', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => {
+      await clock.pause(300);
+      return clock.now() < 500
         ? {kind: 'unanswered', detail: 'lost'}
         : {kind: 'notLeading'};
     });
-    const outcome = await resultOf(time, gateway);
+    const outcome = await submitAndWait(clock, gateway);
     assert.equal(outcome.kind, 'unknown');
-    assert.ok(outcome.at < 3_000, `${outcome.at}`);
+    assert.ok(outcome.settledAtMs < 3_000, `${outcome.settledAtMs}`);
   });
 
   const SILENT: jobAdmission.SubmitOutcome = {
@@ -91,39 +104,44 @@
     retryAfterSeconds: 1,
   };
 
-  // The load pattern: the store is silent for a second and callers have three.
-  // Guards against refusals that use up their tries before it is back.
-  test('waits out a short silence of the store', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({
+  // Guards against callers that use up their retries on refusals before the
+  // store is back: it is silent for one second, and callers have three.
+  test('retries a submission during a short silence of the store', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({
       kind: 'answered',
-      value: time.now() < 1_000 ? SILENT : {kind: 'accepted'},
+      value: clock.now() < 1_000 ? SILENT : {kind: 'accepted'},
     }));
-    const result = await resultOf(time, gateway);
+    const result = await submitAndWait(clock, gateway);
     assert.deepEqual(result.value, {kind: 'accepted'});
-    assert.ok(result.at < 1_300, `${result.at}`);
+    assert.ok(result.settledAtMs < 1_300, `${result.settledAtMs}`);
   });
 
-  // Guards against callers that are held until they have no time left.
-  test('is refused with half of its time left while the store is silent', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({
+  // Guards against calls that are held during a silence of the store until the
+  // caller has no time left for a retry.
+  test('refuses with half the time left if the store is silent', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({
       kind: 'answered',
       value: SILENT,
     }));
-    const result = await resultOf(time, gateway);
+    const result = await submitAndWait(clock, gateway);
     assert.deepEqual(result.value, SILENT);
-    assert.ok(result.at > 1_000 && result.at < 1_500, `${result.at}`);
+    assert.ok(
+      result.settledAtMs > 1_000 && result.settledAtMs < 1_500,
+      `${result.settledAtMs}`,
+    );
   });
 
-  // Guards against calls that are held for a store which is gone for long.
-  test('is refused at once when the store has been silent for long', async () => {
-    const time = new simulatedClock.SimulatedClock();
-    const gateway = gatewayWith(time, async () => ({
+  // Guards against calls that are held although the store has been silent for
+  // so long that waiting is useless.
+  test('refuses at once if the store is lost', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const gateway = gatewayWith(clock, async () => ({
       kind: 'answered',
       value: {...SILENT, reason: 'storeLost'},
     }));
-    const result = await resultOf(time, gateway);
-    assert.equal(result.at, 0);
+    const result = await submitAndWait(clock, gateway);
+    assert.equal(result.settledAtMs, 0);
   });
 });
