--- a/src/jobs/advice_balancer.ts
+++ b/src/jobs/advice_balancer.ts
@@ -66,7 +66,7 @@
   ): Promise<adviceCache.AdviceOutcome> {
     const endpoint = this.leastLoaded(expectedMs);
     if (endpoint === undefined) return {kind: 'busy'};
-    const load = this.load(endpoint.address);
+    const load = this.loadOf(endpoint.address);
     const now = this.clock.now();
     load.idleAt = Math.max(load.idleAt, now) + expectedMs;
     load.callsInFlight += 1;
@@ -97,7 +97,7 @@
     let best: AdviceEndpoint | undefined;
     let bestStartAt = now + MAXIMUM_QUEUED_MS;
     for (const endpoint of usable) {
-      const {idleAt, backoffUntil} = this.load(endpoint.address);
+      const {idleAt, backoffUntil} = this.loadOf(endpoint.address);
       const startAt = Math.max(idleAt, now);
       if (backoffUntil > now || startAt >= bestStartAt) continue;
       best = endpoint;
@@ -106,15 +106,15 @@
     return best;
   }
 
-  private load(address: string | undefined): EndpointLoad {
-    const known = this.loads.get(address);
-    if (known !== undefined) return known;
-    const opened: EndpointLoad = {
+  private loadOf(address: string | undefined): EndpointLoad {
+    const existing = this.loads.get(address);
+    if (existing !== undefined) return existing;
+    const created: EndpointLoad = {
       idleAt: -Infinity,
       callsInFlight: 0,
       backoffUntil: -Infinity,
     };
-    this.loads.set(address, opened);
-    return opened;
+    this.loads.set(address, created);
+    return created;
   }
 }
--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -224,16 +224,16 @@
   }
 
   private adviceOf(step: stepInstance.StepInstance): StepAdvice {
-    const known = this.steps.get(step);
-    if (known !== undefined) return known;
-    const opened: StepAdvice = {
+    const existing = this.steps.get(step);
+    if (existing !== undefined) return existing;
+    const created: StepAdvice = {
       grants: new Map(),
       refusedIncarnations: new Set(),
       callInFlight: false,
       backoffUntil: 0,
     };
-    this.steps.set(step, opened);
-    return opened;
+    this.steps.set(step, created);
+    return created;
   }
 }
 
--- a/src/jobs/idle_capacity_throttle.ts
+++ b/src/jobs/idle_capacity_throttle.ts
@@ -54,9 +54,9 @@
     idleCapacityRuns: ReadonlyArray<jobTask.Assignment>,
     now: clock.Milliseconds,
   ): void {
-    const since = this.belowTargetSince.get(worker) ?? now;
-    this.belowTargetSince.set(worker, since);
-    if (now - since < RECOVERY_DELAY_MS) return;
+    const belowSince = this.belowTargetSince.get(worker) ?? now;
+    this.belowTargetSince.set(worker, belowSince);
+    if (now - belowSince < RECOVERY_DELAY_MS) return;
     this.belowTargetSince.set(worker, now);
     for (const assignment of idleCapacityRuns) {
       this.throttle(
--- a/src/jobs/job_table.ts
+++ b/src/jobs/job_table.ts
@@ -96,12 +96,12 @@
   countPending(queue: string): number {
     let count = 0;
     for (const record of this.jobs.values()) {
-      const counted =
+      const isPending =
         record.definition.queue === queue &&
         record.accepted &&
         !record.started &&
         record.outcome === 'open';
-      if (counted) count += 1;
+      if (isPending) count += 1;
     }
     return count;
   }
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -193,11 +193,11 @@
       [...report.running, ...report.ended].map(row => `${row.task}/${row.run}`),
     );
     for (const assignment of [...this.index.runsOn(worker)]) {
-      const ruledOut =
+      const hasEnded =
         assignment.phase === 'stopping' &&
         assignment.stopConfirmedAt <= sentAt &&
         !listed.has(`${assignment.task}/${assignment.run}`);
-      if (ruledOut) this.end(assignment, 'stopped');
+      if (hasEnded) this.end(assignment, 'stopped');
     }
   }
 
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -28,9 +28,9 @@
   ) {}
 
   /** Takes over the list that earlier terms stored. */
-  inherit(earlier: ReadonlyArray<runRecovery.InheritedWorker>): void {
+  inherit(workers: ReadonlyArray<runRecovery.InheritedWorker>): void {
     this.inherited = new Map(
-      earlier.map(({worker, closedJobs}) => [worker, closedJobs]),
+      workers.map(({worker, closedJobs}) => [worker, closedJobs]),
     );
   }
 
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -59,17 +59,17 @@
   ): ReadonlyArray<runRecovery.InheritedWorker> {
     const {workers, options} = this.dependencies;
     const now = options.clock.now();
-    const earlier = stored
+    const inherited = stored
       .filter(({entry}) => !workers.isReplaced(entry))
       .map(({entry, closedJobs}) => ({
         worker: workers.addInherited(entry, now),
         closedJobs,
       }));
     this.sessionsOpen = true;
-    this.storedList.inherit(earlier);
+    this.storedList.inherit(inherited);
     for (const worker of workers.all()) this.openSession(worker);
     this.storedList.store();
-    return earlier;
+    return inherited;
   }
 
   /** Closes all sessions. */
