--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -15,33 +15,33 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerReliability from '../machines/worker_reliability.js';
 
-/** What a pass works on. */
+/** Dependencies of a `PlacementPass`. */
 export interface PlacementPassDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
   readonly index: assignmentIndex.AssignmentIndex;
   readonly adviceCache: adviceCache.AdviceCache;
-  readonly trust: workerReliability.WorkerReliability;
+  readonly reliability: workerReliability.WorkerReliability;
   readonly dispatcher: dispatcher.Dispatcher;
   readonly queues: queueTable.QueueTable;
   readonly openSteps: openSteps.OpenSteps;
   readonly runtimeModel: runtimeModel.RuntimeModel;
-  /** Tells whether runs of a job may be unknown. */
+  /** Returns whether a job may have runs that are not known yet. */
   readonly isBlocked: (record: jobRecord.JobRecord) => boolean;
-  /** Tells whether anything may be started now. */
+  /** Returns whether tasks may be started now. */
   readonly mayStart: () => boolean;
 }
 
-/** How often steps that wait are logged, and how long they have waited. */
+/** Interval of logging waiting steps, and their minimum wait. */
 const WAITING_REPORT_INTERVAL_MS = 2_000;
 
-/** Steps logged at a time. */
+/** Most waiting steps logged at a time. */
 const MAXIMUM_REPORTED_STEPS = 3;
 
-/** Distance between the first run numbers of terms. */
+/** Run numbers set aside for each term. */
 const RUN_NUMBERS_PER_TERM = 64;
 
-/** Collects what waits and has it placed, once for all news of a turn. */
+/** Collects waiting steps and places their tasks, once per event loop turn. */
 export class PlacementPass
   implements placer.PlacerListener, evacuator.EvacuatorListener
 {
@@ -50,18 +50,18 @@
   private nextReportAt = 0;
 
   constructor(private readonly dependencies: PlacementPassDependencies) {
-    const {workers, index, adviceCache, trust, dispatcher} = dependencies;
+    const {workers, index, adviceCache, reliability, dispatcher} = dependencies;
     this.placer = new placer.Placer(
       workers,
       index,
       adviceCache,
-      trust,
+      reliability,
       dispatcher,
       this,
     );
   }
 
-  /** Has a pass run after the present turn. */
+  /** Schedules a pass after the current event loop turn. */
   request(): void {
     if (this.passRequested) return;
     this.passRequested = true;
@@ -71,12 +71,12 @@
     });
   }
 
-  /** Logs why the steps that have waited longest still wait. */
+  /** Logs why the steps that have waited longest wait, once per interval. */
   reportWaiting(now: clock.Milliseconds): void {
     if (now < this.nextReportAt) return;
     this.nextReportAt = now + WAITING_REPORT_INTERVAL_MS;
-    let reported = 0;
-    for (const {step, queue} of this.waitingSteps()) {
+    let reportedCount = 0;
+    for (const {step, queue} of this.findWaitingSteps()) {
       const waitedMs = now - (step.readyAt ?? now);
       if (waitedMs < WAITING_REPORT_INTERVAL_MS) continue;
       this.dependencies.options.log.event('info', 'stepWaits', {
@@ -84,8 +84,8 @@
         waitedMs: Math.round(waitedMs),
         reason: this.placer.explain(step, queue, now),
       });
-      reported += 1;
-      if (reported === MAXIMUM_REPORTED_STEPS) return;
+      reportedCount += 1;
+      if (reportedCount === MAXIMUM_REPORTED_STEPS) return;
     }
   }
 
@@ -106,10 +106,7 @@
     return this.dependencies.queues.ofStep(step)?.priority ?? -Infinity;
   }
 
-  interrupt(
-    victim: jobTask.Assignment,
-    urgent: stepInstance.StepInstance,
-  ): void {
+  preempt(victim: jobTask.Assignment, urgent: stepInstance.StepInstance): void {
     const {options, dispatcher} = this.dependencies;
     options.counters.count('runs_interrupted', 'moreUrgent');
     options.log.event('info', 'runInterrupted', {
@@ -146,7 +143,7 @@
   tasksPlaced(
     step: stepInstance.StepInstance,
     count: number,
-    left: number,
+    waitingCount: number,
   ): void {
     const {options} = this.dependencies;
     const now = options.clock.now();
@@ -155,7 +152,7 @@
     options.log.event('info', 'stepPlaced', {
       step: step.name,
       placed: count,
-      left,
+      left: waitingCount,
       waitedMs,
     });
   }
@@ -163,13 +160,13 @@
   private run(): void {
     const now = this.dependencies.options.clock.now();
     this.placer.runPass({
-      waiting: [...this.waitingSteps()],
-      upcoming: [...this.upcomingSteps(now)],
+      waiting: [...this.findWaitingSteps()],
+      upcoming: [...this.findUpcomingSteps(now)],
       now,
     });
   }
 
-  private *waitingSteps(): Iterable<stepOrdering.WaitingStep> {
+  private *findWaitingSteps(): Iterable<stepOrdering.WaitingStep> {
     const {openSteps, queues, isBlocked} = this.dependencies;
     for (const step of openSteps) {
       const queue = queues.ofStep(step);
@@ -178,8 +175,8 @@
     }
   }
 
-  /** Steps that wait only for tasks which are expected to end soon. */
-  private *upcomingSteps(
+  /** Returns steps whose dependencies are expected to end soon. */
+  private *findUpcomingSteps(
     now: clock.Milliseconds,
   ): Iterable<stepOrdering.WaitingStep> {
     for (const step of this.dependencies.openSteps) {
--- a/test/support/simulated_clock.ts
+++ b/test/support/simulated_clock.ts
@@ -10,7 +10,7 @@
 const MICROTASK_TURNS = 40;
 
 /** Simulated time: pauses end in order when a test advances it. */
-export class SimulatedClock implements clock.Clock, jobJournal.Pauses {
+export class SimulatedClock implements clock.Clock, jobJournal.DelayTimer {
   private timeMs = 0;
   private timers: Timer[] = [];
 
