--- a/src/links/byte_counter.ts
+++ b/src/links/byte_counter.ts
@@ -4,27 +4,34 @@
 /** Time between counts of connections that stay open. */
 const COUNT_INTERVAL_MS = 10_000;
 
-interface Counted {
+interface CountedBytes {
   readonly labels: Readonly<Record<string, string>>;
-  received: number;
-  sent: number;
+  receivedBytes: number;
+  sentBytes: number;
 }
 
 /** Counts the bytes of connections by link and by the zone at the other end. */
 export class ByteCounter {
-  private readonly sockets = new Map<net.Socket, Counted>();
+  private readonly sockets = new Map<net.Socket, CountedBytes>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(private readonly metrics: sinks.MetricsSink) {
-    this.timer = setInterval(() => this.countAll(), COUNT_INTERVAL_MS);
+    this.timer = setInterval(
+      () => this.countAllConnections(),
+      COUNT_INTERVAL_MS,
+    );
     this.timer.unref();
   }
 
   /** Counts a connection until it is closed. */
   track(socket: net.Socket, link: string, zone: string): void {
-    this.sockets.set(socket, {labels: {link, zone}, received: 0, sent: 0});
+    this.sockets.set(socket, {
+      labels: {link, zone},
+      receivedBytes: 0,
+      sentBytes: 0,
+    });
     socket.once('close', () => {
-      this.count(socket);
+      this.countConnection(socket);
       this.sockets.delete(socket);
     });
   }
@@ -32,25 +39,29 @@
   /** Counts what has not been counted and ends. */
   close(): void {
     clearInterval(this.timer);
-    this.countAll();
+    this.countAllConnections();
   }
 
-  private countAll(): void {
-    for (const socket of this.sockets.keys()) this.count(socket);
+  private countAllConnections(): void {
+    for (const socket of this.sockets.keys()) this.countConnection(socket);
   }
 
-  private count(socket: net.Socket): void {
-    const counted = this.sockets.get(socket);
-    if (counted === undefined) return;
-    const received = socket.bytesRead;
-    const sent = socket.bytesWritten;
-    this.add('bytes_received', counted.labels, received - counted.received);
-    this.add('bytes_sent', counted.labels, sent - counted.sent);
-    counted.received = received;
-    counted.sent = sent;
+  private countConnection(socket: net.Socket): void {
+    const totals = this.sockets.get(socket);
+    if (totals === undefined) return;
+    const receivedBytes = socket.bytesRead;
+    const sentBytes = socket.bytesWritten;
+    this.addToMetric(
+      'bytes_received',
+      totals.labels,
+      receivedBytes - totals.receivedBytes,
+    );
+    this.addToMetric('bytes_sent', totals.labels, sentBytes - totals.sentBytes);
+    totals.receivedBytes = receivedBytes;
+    totals.sentBytes = sentBytes;
   }
 
-  private add(
+  private addToMetric(
     metric: string,
     labels: Readonly<Record<string, string>>,
     bytes: number,
--- a/src/links/call_parser.ts
+++ b/src/links/call_parser.ts
@@ -13,16 +13,16 @@
 export const MAX_IDENTITIES_PER_CALL = 100;
 
 /** Longest name of a client, team, workload, worker or publication. */
-const LONGEST_NAME = 80;
+const MAX_NAME_LENGTH = 80;
 
 /** Longest identity; the ones that are issued are shorter. */
-const LONGEST_IDENTITY = 200;
+const MAX_IDENTITY_LENGTH = 200;
 
 /** Longest payload; the limit of bodies is lower unless it is raised. */
-const LONGEST_PAYLOAD = 67_108_864;
+const MAX_PAYLOAD_LENGTH = 67_108_864;
 
 /** Largest quantity of a size. */
-const LARGEST_SIZE = 1_000_000_000;
+const MAX_QUANTITY = 1_000_000_000;
 
 /** A call as it came over HTTP, its body included. */
 export interface RawCall {
@@ -58,77 +58,95 @@
     route,
   );
   if (match !== null) {
-    return readName(match[2], match[3]).chain(name =>
-      readNamed(`${match[1]} ${match[2]}`, name, incoming, parameters, call),
+    return decodePathName(match[2], match[3]).chain(name =>
+      parseResourceCall(
+        `${match[1]} ${match[2]}`,
+        name,
+        incoming,
+        parameters,
+        call,
+      ),
     );
   }
-  return readUnnamed(route, incoming, parameters, call);
+  return parseCollectionCall(route, incoming, parameters, call);
 }
 
 /** Checks the JSON body of a submission. */
 export function parseSubmission(body: string): Checked<request.Submission> {
   const known = ['team', 'workload', 'payload', 'size', 'startDeadlineMs'];
-  return readJson(body)
-    .chain(raw => fieldChecks.rejectUnknown(raw, known))
+  return parseJsonBody(body)
+    .chain(raw => fieldChecks.rejectUnknownFields(raw, known))
     .chain(raw =>
       fieldChecks
-        .checkText('team', raw['team'], 1, LONGEST_NAME)
+        .checkText('team', raw['team'], 1, MAX_NAME_LENGTH)
         .chain(() =>
-          fieldChecks.checkText('workload', raw['workload'], 1, LONGEST_NAME),
+          fieldChecks.checkText(
+            'workload',
+            raw['workload'],
+            1,
+            MAX_NAME_LENGTH,
+          ),
         )
         .chain(() =>
-          fieldChecks.checkText('payload', raw['payload'], 0, LONGEST_PAYLOAD),
+          fieldChecks.checkText(
+            'payload',
+            raw['payload'],
+            0,
+            MAX_PAYLOAD_LENGTH,
+          ),
         )
-        .chain(() => readOptional(raw['size'], readSize))
+        .chain(() => parseOptional(raw['size'], parseSize))
         .chain(() =>
-          readOptional(raw['startDeadlineMs'], value =>
-            fieldChecks.checkInteger('startDeadlineMs', value, 0, LARGEST_SIZE),
+          parseOptional(raw['startDeadlineMs'], value =>
+            fieldChecks.checkInteger('startDeadlineMs', value, 0, MAX_QUANTITY),
           ),
         )
         .map(() => raw as unknown as request.Submission),
     );
 }
 
-function readNamed(
+function parseResourceCall(
   route: string,
   name: string,
   incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  const part = /^([^/]+)\/(answer|events)$/.exec(name);
-  if (route === 'GET requests' && part !== null) {
-    return readFetch(part[1], incoming, parameters, call).map(event => ({
-      form: part[2] === 'answer' ? 'rawAnswer' : 'events',
-      event,
-    }));
+  const subresource = /^([^/]+)\/(answer|events)$/.exec(name);
+  if (route === 'GET requests' && subresource !== null) {
+    return parseFetchCall(subresource[1], incoming, parameters, call).map(
+      event => ({
+        form: subresource[2] === 'answer' ? 'rawAnswer' : 'events',
+        event,
+      }),
+    );
   }
   switch (route) {
     case 'PUT requests':
-      return readRequest(name, incoming, parameters, call);
+      return parseRequestCall(name, incoming, parameters, call);
     case 'GET requests':
-      return readFetch(name, incoming, parameters, call).map(reply);
+      return parseFetchCall(name, incoming, parameters, call).map(toReplyCall);
     case 'DELETE requests':
     case 'GET explain':
-      return readOwner(name, incoming, parameters).map(owner =>
-        reply({
+      return parseRequestOwner(name, incoming, parameters).map(owner =>
+        toReplyCall({
           kind: route === 'GET explain' ? 'explainArrived' : 'cancelArrived',
           call,
           ...owner,
         }),
       );
     case 'GET configuration':
-      return readDocumentName(name).map(document =>
-        reply({kind: 'documentFetchArrived', call, document}),
+      return parseDocumentName(name).map(document =>
+        toReplyCall({kind: 'documentFetchArrived', call, document}),
       );
     case 'PUT configuration':
-      return readPublication(name, incoming, call);
+      return parsePublicationCall(name, incoming, call);
     default:
-      return unknownPath(incoming);
+      return unknownPathFailure(incoming);
   }
 }
 
-function readUnnamed(
+function parseCollectionCall(
   route: string,
   incoming: RawCall,
   parameters: URLSearchParams,
@@ -136,29 +154,29 @@
 ): Checked<ParsedCall> {
   switch (route) {
     case 'POST /v1/identities':
-      return readIdentities(incoming, call);
+      return parseIdentitiesCall(incoming, call);
     case 'POST /v1/requests':
-      return readRequest(undefined, incoming, parameters, call);
+      return parseRequestCall(undefined, incoming, parameters, call);
     case 'GET /v1/status':
-      return either.Right(reply({kind: 'statusArrived', call}));
+      return either.Right(toReplyCall({kind: 'statusArrived', call}));
     case 'GET /v1/workloads':
-      return either.Right(reply({kind: 'workloadsArrived', call}));
+      return either.Right(toReplyCall({kind: 'workloadsArrived', call}));
     case 'POST /v1/drain':
-      return readDrain(incoming, call);
+      return parseDrainCall(incoming, call);
     default:
-      return unknownPath(incoming);
+      return unknownPathFailure(incoming);
   }
 }
 
-function readIdentities(
+function parseIdentitiesCall(
   incoming: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
   // A call without a body asks for one identity.
   const body = incoming.body === '' ? '{"count": 1}' : incoming.body;
-  return readClient(incoming).chain(client =>
-    readJson(body)
-      .chain(raw => fieldChecks.rejectUnknown(raw, ['count']))
+  return parseClient(incoming).chain(client =>
+    parseJsonBody(body)
+      .chain(raw => fieldChecks.rejectUnknownFields(raw, ['count']))
       .chain(raw =>
         fieldChecks.checkInteger(
           'count',
@@ -167,21 +185,23 @@
           MAX_IDENTITIES_PER_CALL,
         ),
       )
-      .map(count => reply({kind: 'identitiesArrived', call, client, count})),
+      .map(count =>
+        toReplyCall({kind: 'identitiesArrived', call, client, count}),
+      ),
   );
 }
 
-function readRequest(
+function parseRequestCall(
   name: string | undefined,
   incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  return readClient(incoming).chain(client =>
-    readOptional(name, readIdentity).chain(identity =>
-      readWait(parameters).chain(waitMs =>
+  return parseClient(incoming).chain(client =>
+    parseOptional(name, parseIdentity).chain(identity =>
+      parseWaitMs(parameters).chain(waitMs =>
         parseSubmission(incoming.body).map(submission =>
-          reply({
+          toReplyCall({
             kind: 'requestArrived',
             call,
             client,
@@ -195,14 +215,14 @@
   );
 }
 
-function readFetch(
+function parseFetchCall(
   name: string,
   incoming: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<event.CallEvent> {
-  return readOwner(name, incoming, parameters).chain(owner =>
-    readWait(parameters).map(waitMs => ({
+  return parseRequestOwner(name, incoming, parameters).chain(owner =>
+    parseWaitMs(parameters).map(waitMs => ({
       kind: 'fetchArrived' as const,
       call,
       ...owner,
@@ -211,27 +231,27 @@
   );
 }
 
-function readOwner(
+function parseRequestOwner(
   name: string,
   incoming: RawCall,
   parameters: URLSearchParams,
 ): Checked<{readonly client: string; readonly identity: string}> {
-  return readClient(incoming).chain(client =>
-    readWait(parameters).chain(() =>
-      readIdentity(name).map(identity => ({client, identity})),
+  return parseClient(incoming).chain(client =>
+    parseWaitMs(parameters).chain(() =>
+      parseIdentity(name).map(identity => ({client, identity})),
     ),
   );
 }
 
-function readPublication(
+function parsePublicationCall(
   name: string,
   incoming: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  return readDocumentName(name).chain(document =>
-    readBaseVersion(incoming.ifMatch).chain(baseVersion =>
-      readHeaderName('x-publication', incoming.publication).map(publication =>
-        reply({
+  return parseDocumentName(name).chain(document =>
+    parseBaseVersion(incoming.ifMatch).chain(baseVersion =>
+      parseNameHeader('x-publication', incoming.publication).map(publication =>
+        toReplyCall({
           kind: 'publishArrived',
           call,
           document,
@@ -244,19 +264,19 @@
   );
 }
 
-function readDrain(
+function parseDrainCall(
   incoming: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  return readJson(incoming.body === '' ? '{}' : incoming.body)
-    .chain(raw => fieldChecks.rejectUnknown(raw, ['worker']))
+  return parseJsonBody(incoming.body === '' ? '{}' : incoming.body)
+    .chain(raw => fieldChecks.rejectUnknownFields(raw, ['worker']))
     .chain(raw =>
-      readOptional(raw['worker'], value =>
-        fieldChecks.checkText('worker', value, 1, LONGEST_NAME),
+      parseOptional(raw['worker'], value =>
+        fieldChecks.checkText('worker', value, 1, MAX_NAME_LENGTH),
       ),
     )
     .map(worker =>
-      reply({
+      toReplyCall({
         kind: 'drainArrived',
         call,
         ...(worker === undefined ? {} : {worker}),
@@ -264,18 +284,18 @@
     );
 }
 
-function readClient(incoming: RawCall): Checked<string> {
-  return readHeaderName('x-client', incoming.client);
+function parseClient(incoming: RawCall): Checked<string> {
+  return parseNameHeader('x-client', incoming.client);
 }
 
-function readHeaderName(
+function parseNameHeader(
   header: string,
   value: string | undefined,
 ): Checked<string> {
-  return fieldChecks.checkText(header, value, 1, LONGEST_NAME);
+  return fieldChecks.checkText(header, value, 1, MAX_NAME_LENGTH);
 }
 
-function readBaseVersion(ifMatch: string | undefined): Checked<number> {
+function parseBaseVersion(ifMatch: string | undefined): Checked<number> {
   if (ifMatch === undefined) return either.Right(0);
   const match = /^"?(\d{1,15})"?$/.exec(ifMatch);
   if (match !== null) return either.Right(Number(match[1]));
@@ -286,7 +306,7 @@
   );
 }
 
-function readWait(parameters: URLSearchParams): Checked<number> {
+function parseWaitMs(parameters: URLSearchParams): Checked<number> {
   const text = parameters.get('wait');
   if (text === null) return either.Right(0);
   const seconds = Number(text);
@@ -299,18 +319,18 @@
   );
 }
 
-function readSize(value: unknown): Checked<resources.Resources> {
+function parseSize(value: unknown): Checked<resources.Resources> {
   const known = ['processors', 'memory', 'accelerators', 'slots'];
   return fieldChecks
     .checkObject('size', value)
-    .chain(raw => fieldChecks.rejectUnknown(raw, known, 'size.'))
+    .chain(raw => fieldChecks.rejectUnknownFields(raw, known, 'size.'))
     .chain(raw => {
       for (const key of known) {
         const checked = fieldChecks.checkInteger(
           `size.${key}`,
           raw[key],
           0,
-          LARGEST_SIZE,
+          MAX_QUANTITY,
         );
         if (checked.isLeft()) return either.Left(checked.extract());
       }
@@ -318,7 +338,7 @@
     });
 }
 
-function readName(field: string, encoded: string): Checked<string> {
+function decodePathName(field: string, encoded: string): Checked<string> {
   const decoded = either.Either.encase(() => decodeURIComponent(encoded));
   if (decoded.isRight()) return either.Right(decoded.extract());
   return fieldChecks.fieldFailure(
@@ -328,8 +348,8 @@
   );
 }
 
-function readIdentity(name: string): Checked<string> {
-  if (/^[\w.-]+$/.test(name) && name.length <= LONGEST_IDENTITY) {
+function parseIdentity(name: string): Checked<string> {
+  if (/^[\w.-]+$/.test(name) && name.length <= MAX_IDENTITY_LENGTH) {
     return either.Right(name);
   }
   return either.Left(
@@ -340,7 +360,7 @@
   );
 }
 
-function readDocumentName(name: string): Checked<string> {
+function parseDocumentName(name: string): Checked<string> {
   if (/^[a-z0-9][a-z0-9/-]{0,99}$/.test(name)) return either.Right(name);
   return fieldChecks.fieldFailure(
     'document',
@@ -349,7 +369,7 @@
   );
 }
 
-function readJson(body: string): Checked<fieldChecks.RawObject> {
+function parseJsonBody(body: string): Checked<fieldChecks.RawObject> {
   const parsed = jsonBody.parseJsonObject(body);
   if (parsed !== undefined) return either.Right(parsed);
   return either.Left(
@@ -357,22 +377,22 @@
   );
 }
 
-function readOptional<Raw, Value>(
+function parseOptional<Raw, Value>(
   value: Raw | undefined,
-  read: (value: Raw) => Checked<Value>,
+  parse: (value: Raw) => Checked<Value>,
 ): Checked<Value | undefined> {
-  return value === undefined ? either.Right(undefined) : read(value);
+  return value === undefined ? either.Right(undefined) : parse(value);
 }
 
-function unknownPath(incoming: RawCall): Checked<ParsedCall> {
+function unknownPathFailure(incoming: RawCall): Checked<ParsedCall> {
   const shown = `${incoming.method} ${incoming.target}`.slice(0, 120);
   return either.Left(
     result.failure('unknownPath', `path: ${shown}: no such call`),
   );
 }
 
-function reply(read: event.CallEvent): ParsedCall {
-  return {form: 'reply', event: read};
+function toReplyCall(callEvent: event.CallEvent): ParsedCall {
+  return {form: 'reply', event: callEvent};
 }
 
 function splitTarget(target: string): ReadonlyArray<string> {
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -13,25 +13,25 @@
 import type * as event from '../contracts/event.js';
 
 /** Time for the headers of a call to arrive. */
-const HEADERS_DEADLINE_MS = 10_000;
+const HEADERS_TIMEOUT_MS = 10_000;
 
 /**
  * Time for which one look at a request waits for its end while its events are
  * streamed; other changes of state are seen this much later at most.
  */
-const FIRST_LOOK_MS = 250;
+const MIN_POLL_MS = 250;
 
 /** Longest time of a look at a request whose state does not change. */
-const LAST_LOOK_MS = 5_000;
+const MAX_POLL_MS = 5_000;
 
 /** Time for the loop to answer a readiness check. */
-const READY_DEADLINE_MS = 1_000;
+const READY_TIMEOUT_MS = 1_000;
 
 /** Time between looks for connections that have become idle at the end. */
-const CLOSE_INTERVAL_MS = 20;
+const CLOSE_CHECK_INTERVAL_MS = 20;
 
 /** Time after which connections without a call are closed at the end. */
-const IDLE_CLOSE_MS = 500;
+const IDLE_CONNECTION_GRACE_MS = 500;
 
 interface OpenCall {
   readonly event: event.CallEvent;
@@ -67,24 +67,24 @@
 /** HTTP front end for callers and operators. */
 export class CallerServer {
   private readonly server: http.Server;
-  private readonly open = new Map<event.CallNumber, OpenCall>();
+  private readonly calls = new Map<event.CallNumber, OpenCall>();
   private draining = false;
   /** Responses that are not sent completely. */
-  private unsent = 0;
+  private unfinished = 0;
   private readonly limits: CallerLimits;
 
-  constructor(private readonly parts: CallerServerOptions) {
-    this.limits = {...DEFAULT_LIMITS, ...parts.limits};
+  constructor(private readonly options: CallerServerOptions) {
+    this.limits = {...DEFAULT_LIMITS, ...options.limits};
     this.server = http.createServer(
       {
-        headersTimeout: HEADERS_DEADLINE_MS,
+        headersTimeout: HEADERS_TIMEOUT_MS,
         // The body has a deadline of its own that answers with a code.
         requestTimeout: 0,
       },
       (incoming, response) => void this.serve(incoming, response),
     );
     this.server.on('connection', socket =>
-      parts.byteCounter?.track(socket, 'caller', 'outside'),
+      options.byteCounter?.track(socket, 'caller', 'outside'),
     );
     this.server.on('clientError', (fault: NodeJS.ErrnoException, socket) =>
       this.refuseMalformed(fault, socket as net.Socket),
@@ -98,28 +98,28 @@
 
   /** Answers an open call; does nothing when its caller has gone. */
   answer(call: event.CallNumber, reply: effect.Reply): void {
-    const known = this.open.get(call);
-    if (known === undefined) return;
-    this.open.delete(call);
-    known.answer(reply);
+    const openCall = this.calls.get(call);
+    if (openCall === undefined) return;
+    this.calls.delete(call);
+    openCall.answer(reply);
   }
 
   /** Returns an open call as it was posted. */
   findOpenCall(call: event.CallNumber): event.CallEvent | undefined {
-    return this.open.get(call)?.event;
+    return this.calls.get(call)?.event;
   }
 
   /** Posts a call of this process itself and resolves with the reply. */
   postAndWait(
     build: (call: event.CallNumber) => event.CallEvent,
-    deadlineMs: number,
+    timeoutMs: number,
   ): Promise<effect.Reply | undefined> {
-    const call = this.parts.callNumbers.allocate();
+    const call = this.options.callNumbers.allocate();
     return new Promise(resolve => {
       const timer = setTimeout(() => {
-        this.end(call);
+        this.endCall(call);
         resolve(undefined);
-      }, deadlineMs);
+      }, timeoutMs);
       this.postCall(build(call), reply => {
         clearTimeout(timer);
         resolve(reply);
@@ -134,14 +134,15 @@
 
   /** Takes no new connections and resolves when the open ones have ended. */
   close(): Promise<void> {
-    const started = performance.now();
+    const startedMs = performance.now();
     return new Promise(resolve => {
       const timer = setInterval(() => {
         this.server.closeIdleConnections();
         // A connection on which no call has begun does not count as idle.
-        const late = performance.now() - started >= IDLE_CLOSE_MS;
-        if (late && this.unsent === 0) this.server.closeAllConnections();
-      }, CLOSE_INTERVAL_MS);
+        const expired =
+          performance.now() - startedMs >= IDLE_CONNECTION_GRACE_MS;
+        if (expired && this.unfinished === 0) this.server.closeAllConnections();
+      }, CLOSE_CHECK_INTERVAL_MS);
       this.server.close(() => {
         clearInterval(timer);
         resolve();
@@ -152,11 +153,11 @@
   /** Closes; calls that are open after the grace get the reply. */
   async closeWithReply(reply: effect.Reply, graceMs = 0): Promise<void> {
     this.beginDrain();
-    const graceEnd = performance.now() + graceMs;
+    const graceEndMs = performance.now() + graceMs;
     const timer = setInterval(() => {
-      if (performance.now() < graceEnd) return;
-      for (const call of [...this.open.keys()]) this.answer(call, reply);
-    }, CLOSE_INTERVAL_MS);
+      if (performance.now() < graceEndMs) return;
+      for (const call of [...this.calls.keys()]) this.answer(call, reply);
+    }, CLOSE_CHECK_INTERVAL_MS);
     await this.close();
     clearInterval(timer);
   }
@@ -165,8 +166,8 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    this.unsent += 1;
-    response.once('close', () => (this.unsent -= 1));
+    this.unfinished += 1;
+    response.once('close', () => (this.unfinished -= 1));
     if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
@@ -181,22 +182,22 @@
       jsonBody.sendJson(response, 200, {live: true});
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
-    } else if (this.unsent > this.limits.maxOpenCalls) {
-      const detail = `calls: ${this.unsent}: at most ${this.limits.maxOpenCalls} at once`;
+    } else if (this.unfinished > this.limits.maxOpenCalls) {
+      const detail = `calls: ${this.unfinished}: at most ${this.limits.maxOpenCalls} at once`;
       // A call about an identity may repeat one that ran.
-      const name = namesRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
+      const name = targetsRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
       this.refuse(response, result.failure(name, detail));
     } else {
-      this.takeCall(incoming, response, body.text);
+      this.handleCall(incoming, response, body.text);
     }
   }
 
-  private takeCall(
+  private handleCall(
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
     body: string,
   ): void {
-    const call = this.parts.callNumbers.allocate();
+    const call = this.options.callNumbers.allocate();
     const {headers} = incoming;
     callParser
       .parseCall(
@@ -212,74 +213,77 @@
       )
       .caseOf({
         Left: failure => this.refuse(response, failure),
-        Right: read => this.post(read, response),
+        Right: read => this.dispatch(read, response),
       });
   }
 
-  private post(
-    read: callParser.ParsedCall,
+  private dispatch(
+    parsed: callParser.ParsedCall,
     response: http.ServerResponse,
   ): void {
-    if (read.form === 'events') {
+    if (parsed.form === 'events') {
       const stream = new eventStream.EventStream(response);
-      this.stream(stream, read.event, response);
+      this.streamEvents(stream, parsed.event, response);
       return;
     }
-    response.once('close', () => this.end(read.event.call));
-    this.postCall(read.event, reply => {
-      this.noteDrain(read.event, reply);
-      if (read.form === 'rawAnswer') sendAnswer(response, reply);
+    response.once('close', () => this.endCall(parsed.event.call));
+    this.postCall(parsed.event, reply => {
+      this.beginDrainIfAccepted(parsed.event, reply);
+      if (parsed.form === 'rawAnswer') sendRawAnswer(response, reply);
       else sendReply(response, reply);
     });
   }
 
   /** Looks at a request again and again until it has ended. */
-  private stream(
+  private streamEvents(
     stream: eventStream.EventStream,
     first: event.CallEvent,
     response: http.ServerResponse,
   ): void {
     if (first.kind !== 'fetchArrived') return;
-    let current = first.call;
-    response.once('close', () => this.end(current));
-    const look = (waitMs: number): void => {
-      this.postCall({...first, call: current, waitMs}, reply => {
+    let currentCall = first.call;
+    response.once('close', () => this.endCall(currentCall));
+    const poll = (waitMs: number): void => {
+      this.postCall({...first, call: currentCall, waitMs}, reply => {
         if (response.destroyed) return;
-        if (!stream.started && reply.state === undefined) {
+        if (!stream.hasStarted && reply.state === undefined) {
           sendReply(response, reply);
           return;
         }
-        const progress = stream.take(reply);
-        if (progress === 'ended') return;
-        current = this.parts.callNumbers.allocate();
+        const change = stream.update(reply);
+        if (change === 'ended') return;
+        currentCall = this.options.callNumbers.allocate();
         // Looks at a request that stays as it is become rare: each one may
         // cross regions.
-        const longer = Math.max(2 * waitMs, FIRST_LOOK_MS);
-        look(
-          progress === 'changed'
-            ? FIRST_LOOK_MS
-            : Math.min(longer, LAST_LOOK_MS),
+        const doubledWaitMs = Math.max(2 * waitMs, MIN_POLL_MS);
+        poll(
+          change === 'changed'
+            ? MIN_POLL_MS
+            : Math.min(doubledWaitMs, MAX_POLL_MS),
         );
       });
     };
-    look(0);
+    poll(0);
   }
 
   private postCall(
     posted: event.CallEvent,
     answer: (reply: effect.Reply) => void,
   ): void {
-    this.open.set(posted.call, {event: posted, answer});
-    this.parts.post(posted);
+    this.calls.set(posted.call, {event: posted, answer});
+    this.options.post(posted);
   }
 
   /** Ends a call whose caller has gone. */
-  private end(call: event.CallNumber): void {
-    if (this.open.delete(call)) this.parts.post({kind: 'callEnded', call});
+  private endCall(call: event.CallNumber): void {
+    if (this.calls.delete(call)) this.options.post({kind: 'callEnded', call});
   }
 
-  private noteDrain(asked: event.CallEvent, reply: effect.Reply): void {
-    if (asked.kind !== 'drainArrived' || asked.worker !== undefined) return;
+  private beginDrainIfAccepted(
+    event: event.CallEvent,
+    reply: effect.Reply,
+  ): void {
+    if (event.kind !== 'drainArrived' || event.worker !== undefined) return;
     if (reply.code === result.RESULT_CODES.ok.code) this.beginDrain();
   }
 
@@ -288,20 +292,20 @@
       ? undefined
       : await this.postAndWait(
           call => ({kind: 'statusArrived', call}),
-          READY_DEADLINE_MS,
+          READY_TIMEOUT_MS,
         );
     const ready = reply !== undefined && isReady(reply);
     jsonBody.sendJson(response, ready ? 200 : 503, {ready});
   }
 
   private refuseBody(
-    fault: jsonBody.BodyError,
+    error: jsonBody.BodyError,
     response: http.ServerResponse,
   ): void {
     // What is left of the body cannot be told from a following call.
     response.setHeader('connection', 'close');
-    if (fault === 'aborted') response.destroy();
-    else if (fault === 'tooLarge') {
+    if (error === 'aborted') response.destroy();
+    else if (error === 'tooLarge') {
       this.refuse(
         response,
         result.failure(
@@ -321,33 +325,33 @@
   }
 
   private refuse(response: http.ServerResponse, failure: result.Failure): void {
-    this.parts.metrics.count('refusal', {reason: failure.result}, 1);
-    const row = result.RESULT_CODES[failure.result];
-    jsonBody.sendJson(response, row.httpStatus, {
-      code: row.code,
+    this.options.metrics.count('refusal', {reason: failure.result}, 1);
+    const resultCode = result.RESULT_CODES[failure.result];
+    jsonBody.sendJson(response, resultCode.httpStatus, {
+      code: resultCode.code,
       detail: failure.detail,
     });
   }
 
   /** Answers what is not HTTP, or whose headers are too slow or too large. */
   private refuseMalformed(
-    fault: NodeJS.ErrnoException,
+    error: NodeJS.ErrnoException,
     socket: net.Socket,
   ): void {
-    if (fault.code === 'ECONNRESET' || !socket.writable) {
+    if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
     }
-    const slow = fault.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    const slow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
     const name = slow ? 'bodyTooSlow' : 'malformedCall';
-    this.parts.metrics.count('refusal', {reason: name}, 1);
-    const row = result.RESULT_CODES[name];
+    this.options.metrics.count('refusal', {reason: name}, 1);
+    const resultCode = result.RESULT_CODES[name];
     const text = JSON.stringify({
-      code: row.code,
-      detail: `call: ${fault.code}: must be a complete HTTP/1.1 request`,
+      code: resultCode.code,
+      detail: `call: ${error.code}: must be a complete HTTP/1.1 request`,
     });
     socket.end(
-      `HTTP/1.1 ${row.httpStatus} ${http.STATUS_CODES[row.httpStatus]}\r\n` +
+      `HTTP/1.1 ${resultCode.httpStatus} ${http.STATUS_CODES[resultCode.httpStatus]}\r\n` +
         'content-type: application/json\r\nconnection: close\r\n' +
         `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
     );
@@ -362,7 +366,7 @@
   if (reply.version !== undefined) {
     response.setHeader('etag', `"${reply.version}"`);
   }
-  jsonBody.sendJson(response, httpStatus(reply.code), reply);
+  jsonBody.sendJson(response, toHttpStatus(reply.code), reply);
 }
 
 function isReady(reply: effect.Reply): boolean {
@@ -370,10 +374,13 @@
 }
 
 /** Sends the whole answer as it came; anything else as a reply. */
-function sendAnswer(response: http.ServerResponse, reply: effect.Reply): void {
-  const whole =
+function sendRawAnswer(
+  response: http.ServerResponse,
+  reply: effect.Reply,
+): void {
+  const hasAnswer =
     reply.code === result.RESULT_CODES.ok.code && reply.answer !== undefined;
-  if (!whole) {
+  if (!hasAnswer) {
     sendReply(response, reply);
     return;
   }
@@ -385,14 +392,14 @@
   );
 }
 
-const HTTP_STATUS: ReadonlyMap<number, number> = new Map(
+const HTTP_STATUS_BY_CODE: ReadonlyMap<number, number> = new Map(
   Object.values(result.RESULT_CODES).map(row => [row.code, row.httpStatus]),
 );
 
-function httpStatus(code: number): number {
-  return HTTP_STATUS.get(code) ?? 500;
+function toHttpStatus(code: number): number {
+  return HTTP_STATUS_BY_CODE.get(code) ?? 500;
 }
 
-function namesRequest(incoming: http.IncomingMessage): boolean {
+function targetsRequest(incoming: http.IncomingMessage): boolean {
   return incoming.url?.startsWith('/v1/requests/') === true;
 }
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -11,14 +11,14 @@
 import type * as scheduler from '../jobs/scheduler.js';
 
 /** Time without calls after which a connection is closed. */
-const IDLE_LIMIT_MS = 30_000;
+const IDLE_TIMEOUT_MS = 30_000;
 
 type Client = connect.Client<typeof cellPb.Cell>;
 
 interface Connection {
   readonly client: Client;
   readonly session: connectNode.Http2SessionManager;
-  lastAnswerAt: clock.Milliseconds;
+  lastAnswerAtMs: clock.Milliseconds;
 }
 
 interface CallOptions {
@@ -155,48 +155,51 @@
     timeoutMs: number,
     send: (client: Client, options: CallOptions) => Promise<Response>,
   ): Promise<cellPeers.Reached<Response>> {
-    const connection = this.connection(address);
-    const sentAt = this.clock.now();
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(), timeoutMs);
+    const connection = this.connectionTo(address);
+    const sentAtMs = this.clock.now();
+    const abortController = new AbortController();
+    const timer = setTimeout(() => abortController.abort(), timeoutMs);
     try {
-      const value = await send(connection.client, {signal: abort.signal});
-      connection.lastAnswerAt = this.clock.now();
+      const value = await send(connection.client, {
+        signal: abortController.signal,
+      });
+      connection.lastAnswerAtMs = this.clock.now();
       return {kind: 'answered', value};
-    } catch (fault) {
-      return this.explain(address, connection, sentAt, fault);
+    } catch (error) {
+      return this.classifyFailure(address, connection, sentAtMs, error);
     } finally {
       clearTimeout(timer);
     }
   }
 
-  private explain(
+  private classifyFailure(
     address: string,
     connection: Connection,
-    sentAt: clock.Milliseconds,
-    fault: unknown,
+    sentAtMs: clock.Milliseconds,
+    error: unknown,
   ): {kind: 'refused'} | {kind: 'unanswered'; detail: string} {
-    const error = connect.ConnectError.from(fault);
+    const connectError = connect.ConnectError.from(error);
     // Nothing came over the connection since the call was sent: it may have
     // gone silent, while a new one would work.
-    if (connection.lastAnswerAt <= sentAt) this.drop(address, connection);
-    const cause = error.cause as {readonly code?: unknown} | undefined;
+    if (connection.lastAnswerAtMs <= sentAtMs)
+      this.discard(address, connection);
+    const cause = connectError.cause as {readonly code?: unknown} | undefined;
     if (cause?.code === 'ECONNREFUSED') return {kind: 'refused'};
-    return {kind: 'unanswered', detail: error.message};
+    return {kind: 'unanswered', detail: connectError.message};
   }
 
-  private drop(address: string, connection: Connection): void {
+  private discard(address: string, connection: Connection): void {
     if (this.connections.get(address) !== connection) return;
     this.connections.delete(address);
     connection.session.abort();
   }
 
-  private connection(address: string): Connection {
+  private connectionTo(address: string): Connection {
     const known = this.connections.get(address);
     if (known !== undefined) return known;
     const baseUrl = `http://${address}`;
     const session = new connectNode.Http2SessionManager(baseUrl, {
-      idleConnectionTimeoutMs: IDLE_LIMIT_MS,
+      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
     });
     const transport = connectNode.createConnectTransport({
       baseUrl,
@@ -207,7 +210,7 @@
       readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
     });
     const client = connect.createClient(cellPb.Cell, transport);
-    const opened = {client, session, lastAnswerAt: -Infinity};
+    const opened = {client, session, lastAnswerAtMs: -Infinity};
     this.connections.set(address, opened);
     return opened;
   }
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -23,7 +23,7 @@
   return {term: Number(claim.term), node, incarnation, address};
 }
 
-const REFUSALS: ReadonlySet<string> = new Set<submissions.Refusal>([
+const KNOWN_REFUSALS: ReadonlySet<string> = new Set<submissions.Refusal>([
   'storeSilent',
   'storeLost',
   'overloaded',
@@ -40,7 +40,7 @@
   const reason = response.refusalReason as submissions.Refusal;
   return {
     kind: 'refused',
-    reason: REFUSALS.has(reason) ? reason : 'notReady',
+    reason: KNOWN_REFUSALS.has(reason) ? reason : 'notReady',
     retryAfterSeconds: response.retryAfterSeconds,
   };
 }
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -9,11 +9,11 @@
 import type * as cellPeers from '../zones/cell_peers.js';
 import type * as job from '../jobs/job.js';
 
-type Init<Schema extends protobuf.DescMessage> =
+type MessageInit<Schema extends protobuf.DescMessage> =
   protobuf.MessageInitShape<Schema>;
 
 /** Ages beyond this are all the same to a receiver. */
-const LONGEST_AGE_MS = 3_600_000;
+const MAX_REPORTED_AGE_MS = 3_600_000;
 
 const NOT_LEADING = {leading: cellPb.Leading.NO} as const;
 const NO_DOCUMENT = new Uint8Array(0);
@@ -26,7 +26,7 @@
   constructor(private readonly service: cellPeers.CellService) {
     this.server = http2.createServer(
       connectNode.connectNodeAdapter({
-        routes: router => this.route(router),
+        routes: router => this.registerRoutes(router),
         acceptCompression: [],
         readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
         grpc: false,
@@ -50,7 +50,7 @@
     for (const session of this.sessions) session.destroy();
   }
 
-  private route(router: connect.ConnectRouter): void {
+  private registerRoutes(router: connect.ConnectRouter): void {
     router.service(cellPb.Cell, {
       ping: request => this.ping(request),
       fetchConfiguration: () => this.fetchConfiguration(),
@@ -64,7 +64,7 @@
 
   private ping(
     request: cellPb.PingRequest,
-  ): Init<typeof cellPb.PingResponseSchema> {
+  ): MessageInit<typeof cellPb.PingResponseSchema> {
     const answer = this.service.pinged({
       newest: cellMessages.decodeClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
@@ -75,11 +75,14 @@
       newest: cellMessages.encodeClaim(answer.newest),
       storeSilentMs: Math.round(answer.storeSilentMs),
       configurationVersion: BigInt(answer.configurationVersion),
-      configurationAgeMs: Math.min(answer.configurationAgeMs, LONGEST_AGE_MS),
+      configurationAgeMs: Math.min(
+        answer.configurationAgeMs,
+        MAX_REPORTED_AGE_MS,
+      ),
     };
   }
 
-  private fetchConfiguration(): Init<
+  private fetchConfiguration(): MessageInit<
     typeof cellPb.FetchConfigurationResponseSchema
   > {
     const {configuration} = this.service;
@@ -91,7 +94,7 @@
 
   private async submit(
     request: cellPb.SubmitRequest,
-  ): Promise<Init<typeof cellPb.SubmitResponseSchema>> {
+  ): Promise<MessageInit<typeof cellPb.SubmitResponseSchema>> {
     const definition = jsonDocument
       .decode<job.JobDefinition>(request.definition)
       .extract();
@@ -116,7 +119,7 @@
 
   private async cancel(
     request: cellPb.JobRequest,
-  ): Promise<Init<typeof cellPb.CancelResponseSchema>> {
+  ): Promise<MessageInit<typeof cellPb.CancelResponseSchema>> {
     const outcome = await this.service.cancel(request.queue, request.id);
     if (outcome === undefined) return NOT_LEADING;
     return {leading: cellPb.Leading.YES, known: outcome === 'cancelled'};
@@ -124,7 +127,7 @@
 
   private readState(
     request: cellPb.JobRequest,
-  ): Init<typeof cellPb.ReadStateResponseSchema> {
+  ): MessageInit<typeof cellPb.ReadStateResponseSchema> {
     const found = this.service.readState(request.queue, request.id);
     if (found === undefined) return NOT_LEADING;
     return {leading: cellPb.Leading.YES, state: found.state ?? ''};
@@ -132,7 +135,7 @@
 
   private countPending(
     request: cellPb.CountPendingRequest,
-  ): Init<typeof cellPb.CountPendingResponseSchema> {
+  ): MessageInit<typeof cellPb.CountPendingResponseSchema> {
     const pending = this.service.countPending(request.queue);
     if (pending === undefined) return NOT_LEADING;
     return {leading: cellPb.Leading.YES, pending};
@@ -140,7 +143,7 @@
 
   private async advise(
     request: cellPb.AdviseRequest,
-  ): Promise<Init<typeof cellPb.AdviseResponseSchema>> {
+  ): Promise<MessageInit<typeof cellPb.AdviseResponseSchema>> {
     const {step, workerIds, timeoutMs} = request;
     const outcome = await this.service.advise(step, workerIds, timeoutMs);
     if (outcome.kind === 'advised') {
--- a/src/links/connection_limiter.ts
+++ b/src/links/connection_limiter.ts
@@ -12,61 +12,61 @@
  */
 export class ConnectionLimiter {
   private limit: number;
-  private used = 0;
-  private successes = 0;
-  private readonly waiting: Array<() => void> = [];
+  private usedSlots = 0;
+  private successCount = 0;
+  private readonly waitingCallbacks: Array<() => void> = [];
 
   constructor(private readonly bounds: ConnectionBounds) {
     this.limit = bounds.initial;
   }
 
   /** Calls that may be open at once at present. */
-  get current(): number {
+  get currentLimit(): number {
     return this.limit;
   }
 
   /** Calls that are open. */
-  get open(): number {
-    return this.used;
+  get openCallCount(): number {
+    return this.usedSlots;
   }
 
   /** Runs `granted` now or when a call ends; returns how to withdraw it. */
-  acquire(granted: () => void): () => void {
-    if (this.used < this.limit) {
-      this.used += 1;
-      granted();
+  acquire(onGranted: () => void): () => void {
+    if (this.usedSlots < this.limit) {
+      this.usedSlots += 1;
+      onGranted();
       return () => {};
     }
-    this.waiting.push(granted);
+    this.waitingCallbacks.push(onGranted);
     return () => {
-      const position = this.waiting.indexOf(granted);
-      if (position >= 0) this.waiting.splice(position, 1);
+      const position = this.waitingCallbacks.indexOf(onGranted);
+      if (position >= 0) this.waitingCallbacks.splice(position, 1);
     };
   }
 
   /** Ends a call; `refused` when its connection was refused or reset. */
-  release(refused: boolean): void {
-    this.used -= 1;
-    if (refused) this.shrink();
+  release(overloaded: boolean): void {
+    this.usedSlots -= 1;
+    if (overloaded) this.shrink();
     else this.grow();
-    while (this.used < this.limit) {
-      const next = this.waiting.shift();
+    while (this.usedSlots < this.limit) {
+      const next = this.waitingCallbacks.shift();
       if (next === undefined) return;
-      this.used += 1;
+      this.usedSlots += 1;
       next();
     }
   }
 
   private grow(): void {
-    this.successes += 1;
-    const needed = this.waiting.length > 0;
-    if (!needed || this.successes < this.limit) return;
-    this.successes = 0;
+    this.successCount += 1;
+    const hasWaitingCalls = this.waitingCallbacks.length > 0;
+    if (!hasWaitingCalls || this.successCount < this.limit) return;
+    this.successCount = 0;
     this.limit = Math.min(this.limit + 1, this.bounds.maximum);
   }
 
   private shrink(): void {
-    this.successes = 0;
+    this.successCount = 0;
     this.limit = Math.max(Math.floor(this.limit / 2), this.bounds.minimum);
   }
 }
--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -38,14 +38,14 @@
     content: tomlDocumentWriter.writeDocument(
       document,
       answers.operator,
-      answer => valueAt(raw, answer) !== undefined,
+      answer => readValueAt(raw, answer) !== undefined,
     ),
   }));
   return checkGenerated(documents);
 }
 
 /** Returns the value at a path such as `teams[0].work[1].minutes`. */
-function valueAt(raw: unknown, path: string): unknown {
+function readValueAt(raw: unknown, path: string): unknown {
   let value = raw;
   for (const part of path.split(/[.[\]]+/)) {
     value = (value as Readonly<Record<string, unknown>> | undefined)?.[part];
@@ -57,16 +57,16 @@
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
 ): GenerationResult {
-  const set = new configurationDocuments.DocumentSet(
+  const documentSet = new configurationDocuments.DocumentSet(
     new tomlDocumentReader.TomlDocumentReader(),
   );
   const faults: string[] = [];
   documents.forEach(({name, content}, position) => {
-    set
+    documentSet
       .check(name, content)
       .ifLeft(fault => faults.push(`${name}: ${fault.detail}`))
       .ifRight(parsed => {
-        set.put({name, version: position + 1, content}, parsed);
+        documentSet.put({name, version: position + 1, content}, parsed);
       });
   });
   return faults.length > 0 ? either.Left(faults) : either.Right(documents);
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -5,67 +5,70 @@
 const DEFAULT_CONNECTIONS = 60;
 
 /** Largest count of processors in thousandths, of a worker or a quota. */
-const PROCESSORS_LIMIT = 100_000_000;
+const MAX_PROCESSOR_THOUSANDTHS = 100_000_000;
 
 /** Largest memory in MiB, of a worker or a quota. */
-const MEMORY_LIMIT = 10_000_000_000;
+const MAX_MEMORY_MIB = 10_000_000_000;
 
 /** Largest count of accelerators or slots, of a worker or a quota. */
-const COUNT_LIMIT = 1_000_000;
+const MAX_COUNT = 1_000_000;
 
 /** Longest time in milliseconds: 30 days. */
-const TIME_LIMIT_MS = 2_592_000_000;
+const MAX_DURATION_MS = 2_592_000_000;
 
-const name = new tomlSchema.NameRule();
+const nameRule = new tomlSchema.NameRule();
 
-const zoneNames = new tomlSchema.ListRule(name, 0, 1_000);
+const zoneNamesRule = new tomlSchema.ListRule(nameRule, 0, 1_000);
 
 function resourcesRule(
-  leastProcessors: number,
-  leastMemory: number,
-  leastSlots: number,
+  minProcessors: number,
+  minMemory: number,
+  minSlots: number,
 ): tomlSchema.TableRule {
   return new tomlSchema.TableRule([
     {
       key: 'processors',
-      rule: new tomlSchema.IntegerRule(leastProcessors, PROCESSORS_LIMIT),
+      rule: new tomlSchema.IntegerRule(
+        minProcessors,
+        MAX_PROCESSOR_THOUSANDTHS,
+      ),
       unit: 'thousandths of a processor',
       meaning: 'Processors.',
     },
     {
       key: 'memory',
-      rule: new tomlSchema.IntegerRule(leastMemory, MEMORY_LIMIT),
+      rule: new tomlSchema.IntegerRule(minMemory, MAX_MEMORY_MIB),
       unit: 'MiB',
       meaning: 'Memory.',
     },
     {
       key: 'accelerators',
-      rule: new tomlSchema.IntegerRule(0, COUNT_LIMIT),
+      rule: new tomlSchema.IntegerRule(0, MAX_COUNT),
       default: 0,
       meaning: 'Whole accelerators.',
     },
     {
       key: 'slots',
-      rule: new tomlSchema.IntegerRule(leastSlots, COUNT_LIMIT),
+      rule: new tomlSchema.IntegerRule(minSlots, MAX_COUNT),
       default: 1,
       meaning: 'Concurrent tasks that are held at once.',
     },
   ]);
 }
 
-function keyOf(key: string): (value: unknown) => unknown {
+function readKey(key: string): (value: unknown) => unknown {
   return value =>
     typeof value === 'object' && value !== null
       ? (value as Readonly<Record<string, unknown>>)[key]
       : undefined;
 }
 
-const zonePlan = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'Name of the availability zone.'},
-  {key: 'region', rule: name, meaning: 'Region in which the zone is.'},
+const zoneTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'Name of the availability zone.'},
+  {key: 'region', rule: nameRule, meaning: 'Region in which the zone is.'},
 ]);
 
-const workerShape = new tomlSchema.TableRule([
+const workerShapeTable = new tomlSchema.TableRule([
   {
     key: 'capacity',
     rule: resourcesRule(1, 1, 1),
@@ -79,7 +82,7 @@
   },
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(name, 1, 1_000),
+    rule: new tomlSchema.ListRule(nameRule, 1, 1_000),
     meaning: 'Zones with workers of this shape.',
   },
 ]);
@@ -88,18 +91,18 @@
 export const FLEET_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(zonePlan, 1, 1_000, keyOf('name')),
+    rule: new tomlSchema.ListRule(zoneTable, 1, 1_000, readKey('name')),
     meaning: 'The availability zones of the cell.',
   },
   {
     key: 'workerShapes',
-    rule: new tomlSchema.ListRule(workerShape, 0, 1_000, () => undefined),
+    rule: new tomlSchema.ListRule(workerShapeTable, 0, 1_000, () => undefined),
     meaning: 'The shapes of workers. A job that fits none is refused.',
   },
 ]);
 
 const workloadTable = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'Name, unique within the team.'},
+  {key: 'name', rule: nameRule, meaning: 'Name, unique within the team.'},
   {
     key: 'kind',
     rule: new tomlSchema.ChoiceRule(['service', 'batch', 'gang']),
@@ -129,7 +132,7 @@
   },
   {
     key: 'runTimeMs',
-    rule: new tomlSchema.IntegerRule(0, TIME_LIMIT_MS),
+    rule: new tomlSchema.IntegerRule(0, MAX_DURATION_MS),
     default: 0,
     unit: 'ms',
     meaning: 'Declared run time of one task; 0 for services.',
@@ -142,14 +145,14 @@
   },
   {
     key: 'startDeadlineMs',
-    rule: new tomlSchema.IntegerRule(0, TIME_LIMIT_MS),
+    rule: new tomlSchema.IntegerRule(0, MAX_DURATION_MS),
     default: 0,
     unit: 'ms',
     meaning: 'Longest wait for a start; 0 means no deadline.',
   },
   {
     key: 'zones',
-    rule: zoneNames,
+    rule: zoneNamesRule,
     default: [],
     meaning: 'Zones of `fleet` in which tasks may run; empty means all.',
   },
@@ -165,7 +168,7 @@
 export const TEAM_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'name',
-    rule: name,
+    rule: nameRule,
     meaning: "The team's name, as in the document's name.",
   },
   {
@@ -192,7 +195,7 @@
   },
   {
     key: 'workloads',
-    rule: new tomlSchema.ListRule(workloadTable, 1, 1_000, keyOf('name')),
+    rule: new tomlSchema.ListRule(workloadTable, 1, 1_000, readKey('name')),
     meaning: "The kinds of the team's work.",
   },
 ]);
--- a/src/links/entry_client.ts
+++ b/src/links/entry_client.ts
@@ -21,7 +21,7 @@
   | {readonly kind: 'lost'};
 
 /** Faults that occur before anything is sent. */
-const CONNECT_FAULTS: ReadonlyArray<unknown> = [
+const CONNECT_ERROR_CODES: ReadonlyArray<unknown> = [
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -34,7 +34,7 @@
  */
 export class EntryClient {
   private readonly agent = new undici.Agent({connect: {timeout: 2_000}});
-  private position = 0;
+  private addressIndex = 0;
 
   constructor(
     private readonly addresses: ReadonlyArray<string>,
@@ -43,18 +43,18 @@
 
   /** Address of the entry process that gets the next call. */
   get address(): string {
-    return this.addresses[this.position % this.addresses.length];
+    return this.addresses[this.addressIndex % this.addresses.length];
   }
 
   /** Sends the following calls to the next entry process. */
   failOver(): void {
-    this.position += 1;
+    this.addressIndex += 1;
   }
 
   /** Returns the reply, or whether the call may have been received. */
   async call(call: EntryCall): Promise<EntryCallOutcome> {
     try {
-      const answer = await undici.request(
+      const response = await undici.request(
         `http://${this.address}${call.path}`,
         {
           method: call.method,
@@ -64,10 +64,10 @@
           body: call.body ?? null,
         },
       );
-      return readReply(await answer.body.text());
-    } catch (fault) {
-      const {code} = fault as NodeJS.ErrnoException;
-      return {kind: CONNECT_FAULTS.includes(code) ? 'notSent' : 'lost'};
+      return parseReply(await response.body.text());
+    } catch (error) {
+      const {code} = error as NodeJS.ErrnoException;
+      return {kind: CONNECT_ERROR_CODES.includes(code) ? 'notSent' : 'lost'};
     }
   }
 
@@ -77,7 +77,7 @@
   }
 }
 
-function readReply(text: string): EntryCallOutcome {
+function parseReply(text: string): EntryCallOutcome {
   const parsed = jsonBody.parseJsonObject(text);
   if (typeof parsed?.['code'] !== 'number') return {kind: 'lost'};
   return {kind: 'reply', reply: parsed as unknown as effect.Reply};
--- a/src/links/entry_effect_performer.ts
+++ b/src/links/entry_effect_performer.ts
@@ -24,8 +24,8 @@
 export class EntryEffectPerformer implements loop.EffectPerformer {
   constructor(private readonly links: EntryLinks) {}
 
-  perform(wanted: effect.Effect): void {
-    switch (wanted.kind) {
+  perform(entryEffect: effect.Effect): void {
+    switch (entryEffect.kind) {
       case 'startTask':
       case 'renewLeases':
       case 'stopTask':
@@ -33,12 +33,12 @@
       case 'fetchTaskAnswer':
       case 'throttleTask':
       case 'readReport':
-        void this.links.workerLink.perform(wanted);
+        void this.links.workerLink.perform(entryEffect);
         return;
       case 'append':
       case 'readStream':
       case 'readVmList':
-        void this.links.platformLink.perform(wanted);
+        void this.links.platformLink.perform(entryEffect);
         return;
       case 'confirmPeer':
       case 'offerRequest':
@@ -47,7 +47,7 @@
       case 'fetchDocuments':
       case 'sendWitness':
       case 'readWitness':
-        void this.links.peerLink.perform(wanted);
+        void this.links.peerLink.perform(entryEffect);
         return;
       case 'answerConfirm':
       case 'answerOffer':
@@ -55,29 +55,37 @@
       case 'answerDocuments':
       case 'answerWitness':
       case 'answerReadWitness':
-        this.links.peerServer.answer(wanted);
+        this.links.peerServer.answer(entryEffect);
         return;
       case 'answerCaller':
-        this.answerCaller(wanted.call, wanted.reply);
+        this.answerCaller(entryEffect.call, entryEffect.reply);
         return;
       case 'count':
-        this.links.metrics.count(wanted.metric, wanted.labels, wanted.value);
+        this.links.metrics.count(
+          entryEffect.metric,
+          entryEffect.labels,
+          entryEffect.value,
+        );
         return;
       case 'observe':
         this.links.metrics.observe(
-          wanted.metric,
-          wanted.labels,
-          wanted.milliseconds,
+          entryEffect.metric,
+          entryEffect.labels,
+          entryEffect.milliseconds,
         );
         return;
       case 'log':
-        this.links.logs.log(wanted.level, wanted.event, wanted.fields);
+        this.links.logs.log(
+          entryEffect.level,
+          entryEffect.event,
+          entryEffect.fields,
+        );
         return;
       case 'endProcess':
-        this.links.endProcess(wanted.reason);
+        this.links.endProcess(entryEffect.reason);
         return;
       default:
-        rejectUnperformed(wanted);
+        throwUnhandledEffect(entryEffect);
     }
   }
 
@@ -89,6 +97,6 @@
 }
 
 /** Fails to compile when a kind of effect has no link. */
-function rejectUnperformed(wanted: never): never {
-  throw new Error(`no link performs ${JSON.stringify(wanted)}`);
+function throwUnhandledEffect(unhandledEffect: never): never {
+  throw new Error(`no link performs ${JSON.stringify(unhandledEffect)}`);
 }
--- a/src/links/field_checks.ts
+++ b/src/links/field_checks.ts
@@ -8,7 +8,7 @@
 export type Checked<Value> = either.Either<result.Failure, Value>;
 
 /** Longest part of a wrong value that an error quotes. */
-const QUOTED_LENGTH = 60;
+const MAX_QUOTED_LENGTH = 60;
 
 /** Builds the error that names a field, its value and the rule. */
 export function fieldFailure<Value>(
@@ -23,16 +23,16 @@
 }
 
 /** Refuses an object with a field that is not in `known`. */
-export function rejectUnknown(
+export function rejectUnknownFields(
   raw: RawObject,
   known: ReadonlyArray<string>,
   prefix = '',
 ): Checked<RawObject> {
-  const extra = Object.keys(raw).find(key => !known.includes(key));
-  if (extra === undefined) return either.Right(raw);
+  const unknownKey = Object.keys(raw).find(key => !known.includes(key));
+  if (unknownKey === undefined) return either.Right(raw);
   return fieldFailure(
-    prefix + quoteKey(extra),
-    raw[extra],
+    prefix + quoteKey(unknownKey),
+    raw[unknownKey],
     `is not a known field; known are ${known.join(', ')}`,
   );
 }
@@ -41,18 +41,18 @@
 export function checkText(
   field: string,
   value: unknown,
-  shortest: number,
-  longest: number,
+  minLength: number,
+  maxLength: number,
 ): Checked<string> {
   const valid =
     typeof value === 'string' &&
-    value.length >= shortest &&
-    value.length <= longest;
+    value.length >= minLength &&
+    value.length <= maxLength;
   if (valid) return either.Right(value);
   return fieldFailure(
     field,
     value,
-    `must be a string of ${shortest} to ${longest} characters`,
+    `must be a string of ${minLength} to ${maxLength} characters`,
   );
 }
 
@@ -60,18 +60,18 @@
 export function checkInteger(
   field: string,
   value: unknown,
-  least: number,
-  greatest: number,
+  minimum: number,
+  maximum: number,
 ): Checked<number> {
   const valid =
     Number.isInteger(value) &&
-    (value as number) >= least &&
-    (value as number) <= greatest;
+    (value as number) >= minimum &&
+    (value as number) <= maximum;
   if (valid) return either.Right(value as number);
   return fieldFailure(
     field,
     value,
-    `must be a whole number from ${least} to ${greatest}`,
+    `must be a whole number from ${minimum} to ${maximum}`,
   );
 }
 
@@ -85,8 +85,8 @@
 
 function quote(value: unknown): string {
   const text = JSON.stringify(value) ?? String(value);
-  if (text.length <= QUOTED_LENGTH) return text;
-  return `${text.slice(0, QUOTED_LENGTH)}...`;
+  if (text.length <= MAX_QUOTED_LENGTH) return text;
+  return `${text.slice(0, MAX_QUOTED_LENGTH)}...`;
 }
 
 function quoteKey(key: string): string {
--- a/src/links/json_body.ts
+++ b/src/links/json_body.ts
@@ -19,26 +19,26 @@
 /** Reads a body of at most `limit` bytes within `deadlineMs`. */
 export function readBody(
   incoming: http.IncomingMessage,
-  limit: number,
-  deadlineMs: number,
+  maxBytes: number,
+  timeoutMs: number,
 ): Promise<BodyOutcome> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
-    let length = 0;
+    let receivedBytes = 0;
     const finish = (body: BodyOutcome): void => {
       clearTimeout(timer);
       incoming.removeAllListeners('data');
       resolve(body);
     };
-    const timer = setTimeout(() => finish({kind: 'tooSlow'}), deadlineMs);
+    const timer = setTimeout(() => finish({kind: 'tooSlow'}), timeoutMs);
     incoming.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length <= limit) chunks.push(chunk);
+      receivedBytes += chunk.length;
+      if (receivedBytes <= maxBytes) chunks.push(chunk);
       else chunks.length = 0;
-      if (length > limit * DISCARD_FACTOR) finish({kind: 'tooLarge'});
+      if (receivedBytes > maxBytes * DISCARD_FACTOR) finish({kind: 'tooLarge'});
     });
     incoming.once('end', () => {
-      if (length > limit) finish({kind: 'tooLarge'});
+      if (receivedBytes > maxBytes) finish({kind: 'tooLarge'});
       else finish({kind: 'body', text: Buffer.concat(chunks).toString('utf8')});
     });
     incoming.once('close', () => finish({kind: 'aborted'}));
@@ -73,11 +73,11 @@
 export function sendText(
   response: http.ServerResponse,
   status: number,
-  type: string,
+  contentType: string,
   text: string,
 ): void {
   response.writeHead(status, {
-    'content-type': type,
+    'content-type': contentType,
     'content-length': Buffer.byteLength(text),
   });
   response.end(text);
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -5,10 +5,10 @@
 import * as peerPb from './generated/peer_pb.js';
 
 /** Deadline of a probe. */
-const PROBE_DEADLINE_MS = 1_000;
+const PROBE_TIMEOUT_MS = 1_000;
 
 /** Time without calls after which a connection is closed. */
-const IDLE_LIMIT_MS = 60_000;
+const IDLE_TIMEOUT_MS = 60_000;
 
 /** A client of the peer service. */
 export type PeerClient = connect.Client<typeof peerPb.Peer>;
@@ -22,9 +22,9 @@
 /** Hears of connections to peers. */
 export interface ConnectionListener {
   /** A connection was made. */
-  connected(socket: net.Socket, peer: string): void;
+  onConnected(socket: net.Socket, peer: string): void;
   /** A connection went silent while a new one worked. */
-  silent(peer: string): void;
+  onSilent(peer: string): void;
 }
 
 interface Connection {
@@ -39,7 +39,7 @@
  */
 export class PeerConnections {
   private readonly connections = new Map<string, Connection>();
-  private readonly probing = new Set<string>();
+  private readonly probedAddresses = new Set<string>();
 
   constructor(private readonly listener: ConnectionListener) {}
 
@@ -47,18 +47,18 @@
   async call<Answer>(
     peer: string,
     address: string,
-    deadlineMs: number,
+    timeoutMs: number,
     send: (client: PeerClient, options: PeerCallOptions) => Promise<Answer>,
   ): Promise<Answer> {
-    const connection = this.connection(peer, address);
+    const connection = this.connectionTo(peer, address);
     try {
-      return await sendWithin(connection.client, deadlineMs, send);
-    } catch (fault) {
-      const {code} = connect.ConnectError.from(fault);
+      return await sendWithTimeout(connection.client, timeoutMs, send);
+    } catch (error) {
+      const {code} = connect.ConnectError.from(error);
       if (code === connect.Code.DeadlineExceeded) {
         void this.probe(peer, address, connection);
       }
-      throw fault;
+      throw error;
     }
   }
 
@@ -68,23 +68,23 @@
     this.connections.clear();
   }
 
-  private connection(peer: string, address: string): Connection {
+  private connectionTo(peer: string, address: string): Connection {
     const known = this.connections.get(address);
     if (known !== undefined) return known;
-    const opened = this.open(peer, address);
+    const opened = this.openConnection(peer, address);
     this.connections.set(address, opened);
     return opened;
   }
 
-  private open(peer: string, address: string): Connection {
+  private openConnection(peer: string, address: string): Connection {
     const baseUrl = `http://${address}`;
     const session = new connectNode.Http2SessionManager(
       baseUrl,
-      {idleConnectionTimeoutMs: IDLE_LIMIT_MS},
+      {idleConnectionTimeoutMs: IDLE_TIMEOUT_MS},
       {
         createConnection: url => {
           const socket = net.connect(Number(url.port), url.hostname);
-          this.listener.connected(socket, peer);
+          this.listener.onConnected(socket, peer);
           return socket;
         },
       },
@@ -103,32 +103,34 @@
   private async probe(
     peer: string,
     address: string,
-    old: Connection,
+    oldConnection: Connection,
   ): Promise<void> {
-    if (this.probing.has(address)) return;
-    this.probing.add(address);
-    const fresh = this.open(peer, address);
-    const [freshWorks, oldWorks] = await Promise.all([
-      answersProbe(fresh),
-      answersProbe(old),
+    if (this.probedAddresses.has(address)) return;
+    this.probedAddresses.add(address);
+    const newConnection = this.openConnection(peer, address);
+    const [newWorks, oldWorks] = await Promise.all([
+      respondsToProbe(newConnection),
+      respondsToProbe(oldConnection),
     ]);
-    this.probing.delete(address);
-    const silent =
-      freshWorks && !oldWorks && this.connections.get(address) === old;
-    if (!silent) {
-      fresh.session.abort();
+    this.probedAddresses.delete(address);
+    const isSilent =
+      newWorks && !oldWorks && this.connections.get(address) === oldConnection;
+    if (!isSilent) {
+      newConnection.session.abort();
       return;
     }
-    this.connections.set(address, fresh);
-    old.session.abort();
-    this.listener.silent(peer);
+    this.connections.set(address, newConnection);
+    oldConnection.session.abort();
+    this.listener.onSilent(peer);
   }
 }
 
-async function answersProbe(connection: Connection): Promise<boolean> {
+async function respondsToProbe(connection: Connection): Promise<boolean> {
   try {
-    await sendWithin(connection.client, PROBE_DEADLINE_MS, (client, options) =>
-      client.probe({}, options),
+    await sendWithTimeout(
+      connection.client,
+      PROBE_TIMEOUT_MS,
+      (client, options) => client.probe({}, options),
     );
     return true;
   } catch {
@@ -136,21 +138,21 @@
   }
 }
 
-function sendWithin<Answer>(
+function sendWithTimeout<Answer>(
   client: PeerClient,
-  deadlineMs: number,
+  callTimeoutMs: number,
   send: (client: PeerClient, options: PeerCallOptions) => Promise<Answer>,
 ): Promise<Answer> {
-  const deadline = new AbortController();
+  const abortController = new AbortController();
   const timer = setTimeout(() => {
-    const late = new connect.ConnectError(
-      `no answer within ${deadlineMs} ms`,
+    const timeoutError = new connect.ConnectError(
+      `no answer within ${callTimeoutMs} ms`,
       connect.Code.DeadlineExceeded,
     );
-    deadline.abort(late);
-  }, deadlineMs);
+    abortController.abort(timeoutError);
+  }, callTimeoutMs);
   return send(client, {
-    timeoutMs: deadlineMs,
-    signal: deadline.signal,
+    timeoutMs: callTimeoutMs,
+    signal: abortController.signal,
   }).finally(() => clearTimeout(timer));
 }
--- a/src/links/peer_failure.ts
+++ b/src/links/peer_failure.ts
@@ -9,22 +9,22 @@
 >;
 
 /** The event for a call that got no answer. */
-export function toFailureEvent(wanted: PeerCallEffect): event.Event {
-  const {peer} = wanted;
-  switch (wanted.kind) {
+export function toFailureEvent(peerEffect: PeerCallEffect): event.Event {
+  const {peer} = peerEffect;
+  switch (peerEffect.kind) {
     case 'confirmPeer':
       return {kind: 'confirmFailed', peer};
     case 'offerRequest':
-      return {kind: 'offerLost', peer, identity: wanted.identity};
+      return {kind: 'offerLost', peer, identity: peerEffect.identity};
     case 'withdrawOffer':
       return {
         kind: 'withdrawAnswered',
         peer,
-        identity: wanted.identity,
+        identity: peerEffect.identity,
         code: result.RESULT_CODES.unknownOutcome.code,
       };
     case 'forwardCall':
-      return {kind: 'forwardFailed', call: wanted.call};
+      return {kind: 'forwardFailed', call: peerEffect.call};
     case 'fetchDocuments':
       // The next confirmation shows again which documents are missing.
       return {kind: 'documentsArrived', documents: []};
@@ -32,14 +32,14 @@
       return {
         kind: 'witnessAnswered',
         peer,
-        batch: wanted.batch,
+        batch: peerEffect.batch,
         stored: false,
       };
     case 'readWitness':
       return {
         kind: 'readWitnessAnswered',
         peer,
-        process: wanted.process,
+        process: peerEffect.process,
         complete: false,
         entries: [],
       };
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -6,16 +6,16 @@
 import type * as event from '../contracts/event.js';
 
 /** Deadline of confirmations; three of them fit into the time to suspect. */
-const CONFIRM_DEADLINE_MS = 1_000;
+const CONFIRM_TIMEOUT_MS = 1_000;
 
 /** Deadline of short calls other than confirmations. */
-const CALL_DEADLINE_MS = 2_000;
+const CALL_TIMEOUT_MS = 2_000;
 
 /** Deadline of calls whose answer may be large. */
-const TRANSFER_DEADLINE_MS = 5_000;
+const TRANSFER_TIMEOUT_MS = 5_000;
 
 /** Deadline of an offer, whose answer comes when the request has ended. */
-const OFFER_DEADLINE_MS = 3_600_000;
+const OFFER_TIMEOUT_MS = 3_600_000;
 
 /** Gives the calls of callers that are open, for passing them on. */
 export interface OpenCallLookup {
@@ -45,22 +45,24 @@
 export class PeerLink {
   private readonly connections: peerConnections.PeerConnections;
 
-  constructor(private readonly parts: PeerLinkOptions) {
+  constructor(private readonly options: PeerLinkOptions) {
     this.connections = new peerConnections.PeerConnections({
-      connected: (socket, peer) =>
-        parts.byteCounter?.track(socket, 'peer', zoneOf(peer)),
-      silent: peer => {
+      onConnected: (socket, peer) =>
+        options.byteCounter?.track(socket, 'peer', zoneOfPeer(peer)),
+      onSilent: peer => {
         const labels = {link: 'peer', reason: 'deadline'};
-        parts.metrics.count('silent_connection', labels, 1);
-        parts.logs?.log('warn', 'silentConnection', {...labels, peer});
+        options.metrics.count('silent_connection', labels, 1);
+        options.logs?.log('warn', 'silentConnection', {...labels, peer});
       },
     });
   }
 
   /** Performs one effect; the answer comes as an event. */
-  async perform(wanted: peerFailure.PeerCallEffect): Promise<void> {
-    this.parts.post(
-      await this.send(wanted).catch(() => peerFailure.toFailureEvent(wanted)),
+  async perform(peerEffect: peerFailure.PeerCallEffect): Promise<void> {
+    this.options.post(
+      await this.send(peerEffect).catch(() =>
+        peerFailure.toFailureEvent(peerEffect),
+      ),
     );
   }
 
@@ -69,49 +71,52 @@
     this.connections.close();
   }
 
-  private send(wanted: peerFailure.PeerCallEffect): Promise<event.Event> {
-    switch (wanted.kind) {
+  private send(peerEffect: peerFailure.PeerCallEffect): Promise<event.Event> {
+    switch (peerEffect.kind) {
       case 'confirmPeer':
-        return this.confirm(wanted);
+        return this.confirm(peerEffect);
       case 'offerRequest':
-        return this.offer(wanted);
+        return this.offer(peerEffect);
       case 'withdrawOffer':
-        return this.withdraw(wanted);
+        return this.withdraw(peerEffect);
       case 'forwardCall':
-        return this.forward(wanted);
+        return this.forward(peerEffect);
       case 'fetchDocuments':
-        return this.fetchDocuments(wanted);
+        return this.fetchDocuments(peerEffect);
       case 'sendWitness':
-        return this.sendWitness(wanted);
+        return this.sendWitness(peerEffect);
       case 'readWitness':
-        return this.readWitness(wanted);
+        return this.readWitness(peerEffect);
     }
   }
 
-  private async confirm(wanted: EffectOf<'confirmPeer'>): Promise<event.Event> {
-    const sentAt = this.parts.now();
+  private async confirm(
+    peerEffect: EffectOf<'confirmPeer'>,
+  ): Promise<event.Event> {
+    const sentAt = this.options.now();
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      CONFIRM_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      CONFIRM_TIMEOUT_MS,
       (client, options) =>
         client.confirm(
           {
-            ...peerMessages.encodeNews(wanted.news),
-            to: wanted.peer,
-            zonePosition: peerMessages.toUint64(wanted.zonePosition),
+            ...peerMessages.encodeNews(peerEffect.news),
+            to: peerEffect.peer,
+            zonePosition: peerMessages.toUint64(peerEffect.zonePosition),
           },
           options,
         ),
     );
     // Another incarnation at the same address confirms nothing for this peer.
     // A peer of another zone is named by zone and VM, without an incarnation.
-    const meant =
-      answer.from === wanted.peer || answer.from.startsWith(`${wanted.peer}.`);
-    if (!meant) return peerFailure.toFailureEvent(wanted);
+    const isFromPeer =
+      answer.from === peerEffect.peer ||
+      answer.from.startsWith(`${peerEffect.peer}.`);
+    if (!isFromPeer) return peerFailure.toFailureEvent(peerEffect);
     return {
       kind: 'confirmAnswered',
-      peer: wanted.peer,
+      peer: peerEffect.peer,
       sentAt,
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.decodeRecords(answer.zoneRecords),
@@ -119,76 +124,85 @@
     };
   }
 
-  private async offer(wanted: EffectOf<'offerRequest'>): Promise<event.Event> {
+  private async offer(
+    peerEffect: EffectOf<'offerRequest'>,
+  ): Promise<event.Event> {
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      OFFER_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      OFFER_TIMEOUT_MS,
       (client, options) =>
         client.offer(
-          peerMessages.encodeOffer(wanted, this.parts.processName),
+          peerMessages.encodeOffer(peerEffect, this.options.processName),
           options,
         ),
     );
     return {
       kind: 'offerAnswered',
-      peer: wanted.peer,
-      identity: wanted.identity,
+      peer: peerEffect.peer,
+      identity: peerEffect.identity,
       code: answer.code,
       answer: peerMessages.decodeText(answer.answer),
     };
   }
 
   private async withdraw(
-    wanted: EffectOf<'withdrawOffer'>,
+    peerEffect: EffectOf<'withdrawOffer'>,
   ): Promise<event.Event> {
-    const {peer, identity, attempt} = wanted;
-    const message = {from: this.parts.processName, to: peer, identity, attempt};
+    const {peer, identity, attempt} = peerEffect;
+    const message = {
+      from: this.options.processName,
+      to: peer,
+      identity,
+      attempt,
+    };
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      CALL_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      CALL_TIMEOUT_MS,
       (client, options) => client.withdraw(message, options),
     );
     return {kind: 'withdrawAnswered', peer, identity, code: answer.code};
   }
 
-  private async forward(wanted: EffectOf<'forwardCall'>): Promise<event.Event> {
-    const original = this.parts.openCalls.findOpenCall(wanted.call);
-    const message = original && forwardedCall(original);
-    if (message === undefined) return peerFailure.toFailureEvent(wanted);
+  private async forward(
+    peerEffect: EffectOf<'forwardCall'>,
+  ): Promise<event.Event> {
+    const openCall = this.options.openCalls.findOpenCall(peerEffect.call);
+    const message = openCall && toForwardedCall(openCall);
+    if (message === undefined) return peerFailure.toFailureEvent(peerEffect);
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      message.waitMs + CALL_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      message.waitMs + CALL_TIMEOUT_MS,
       (client, options) =>
         client.forward(
           {
             ...message,
-            from: this.parts.processName,
-            to: wanted.relayed ? '' : wanted.peer,
+            from: this.options.processName,
+            to: peerEffect.relayed ? '' : peerEffect.peer,
           },
           options,
         ),
     );
     return {
       kind: 'forwardAnswered',
-      call: wanted.call,
+      call: peerEffect.call,
       code: answer.code,
       body: peerMessages.decodeText(answer.body),
     };
   }
 
   private async fetchDocuments(
-    wanted: EffectOf<'fetchDocuments'>,
+    peerEffect: EffectOf<'fetchDocuments'>,
   ): Promise<event.Event> {
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      TRANSFER_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      TRANSFER_TIMEOUT_MS,
       (client, options) =>
         client.fetchDocuments(
-          {have: peerMessages.encodeVersions(wanted.have)},
+          {have: peerMessages.encodeVersions(peerEffect.have)},
           options,
         ),
     );
@@ -203,17 +217,17 @@
   }
 
   private async sendWitness(
-    wanted: EffectOf<'sendWitness'>,
+    peerEffect: EffectOf<'sendWitness'>,
   ): Promise<event.Event> {
-    const {peer, batch} = wanted;
-    const entries = wanted.entries.map(peerMessages.encodeText);
+    const {peer, batch} = peerEffect;
+    const entries = peerEffect.entries.map(peerMessages.encodeText);
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      CALL_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      CALL_TIMEOUT_MS,
       (client, options) =>
         client.witness(
-          {from: this.parts.processName, to: peer, entries},
+          {from: this.options.processName, to: peer, entries},
           options,
         ),
     );
@@ -221,13 +235,13 @@
   }
 
   private async readWitness(
-    wanted: EffectOf<'readWitness'>,
+    peerEffect: EffectOf<'readWitness'>,
   ): Promise<event.Event> {
-    const {peer, process} = wanted;
+    const {peer, process} = peerEffect;
     const answer = await this.connections.call(
-      wanted.peer,
-      wanted.address,
-      TRANSFER_DEADLINE_MS,
+      peerEffect.peer,
+      peerEffect.address,
+      TRANSFER_TIMEOUT_MS,
       (client, options) => client.readWitness({process}, options),
     );
     return {
@@ -241,7 +255,7 @@
 }
 
 /** The zone in the name of an incarnation, which begins with it. */
-function zoneOf(peer: string): string {
+function zoneOfPeer(peer: string): string {
   return peer.split('.')[0];
 }
 
@@ -254,8 +268,8 @@
 }
 
 /** The message of a call that may be passed on; undefined for other calls. */
-function forwardedCall(call: event.CallEvent): ForwardedCall | undefined {
-  const nothing = peerMessages.encodeText('');
+function toForwardedCall(call: event.CallEvent): ForwardedCall | undefined {
+  const emptyBody = peerMessages.encodeText('');
   switch (call.kind) {
     case 'requestArrived':
       return {
@@ -270,7 +284,7 @@
         operation: 'fetch',
         identity: call.identity,
         client: call.client,
-        body: nothing,
+        body: emptyBody,
         waitMs: peerMessages.toUint32(call.waitMs),
       };
     case 'cancelArrived':
@@ -279,7 +293,7 @@
         operation: call.kind === 'cancelArrived' ? 'cancel' : 'explain',
         identity: call.identity,
         client: call.client,
-        body: nothing,
+        body: emptyBody,
         waitMs: 0,
       };
     default:
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -138,20 +138,20 @@
 
 /** An offer as a message. */
 export function encodeOffer(
-  wanted: Extract<effect.PeerEffect, {kind: 'offerRequest'}>,
+  offer: Extract<effect.PeerEffect, {kind: 'offerRequest'}>,
   from: string,
 ): peerPb.OfferRequest {
-  const {submission} = wanted;
+  const {submission} = offer;
   return protobuf.create(peerPb.OfferRequestSchema, {
     from,
-    to: wanted.peer,
-    identity: wanted.identity,
-    attempt: wanted.attempt,
-    client: wanted.client,
+    to: offer.peer,
+    identity: offer.identity,
+    attempt: offer.attempt,
+    client: offer.client,
     team: submission.team,
     workload: submission.workload,
     payload: encodeText(submission.payload),
-    remainingMs: toUint32(wanted.remainingMs),
+    remainingMs: toUint32(offer.remainingMs),
     size: submission.size,
     startDeadlineMs: submission.startDeadlineMs,
   });
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -16,14 +16,14 @@
   {readonly peer: string}
 >;
 
-type Answer =
+type AnswerEffect =
   PeerAnswerEffect | Extract<effect.Effect, {readonly kind: 'answerCaller'}>;
 
-type Init<Schema extends protobuf.DescMessage> =
+type MessageInit<Schema extends protobuf.DescMessage> =
   protobuf.MessageInitShape<Schema>;
 
-type AnswerOf<Kind extends Answer['kind']> = Extract<
-  Answer,
+type AnswerOf<Kind extends AnswerEffect['kind']> = Extract<
+  AnswerEffect,
   {readonly kind: Kind}
 >;
 
@@ -31,16 +31,19 @@
 export class PeerServer {
   private readonly server: http2.Http2Server;
   private readonly sessions = new Set<http2.ServerHttp2Session>();
-  private readonly open = new Map<event.CallNumber, (answer: Answer) => void>();
+  private readonly openCalls = new Map<
+    event.CallNumber,
+    (answer: AnswerEffect) => void
+  >();
 
   constructor(
-    private readonly self: string,
-    private readonly numbers: callNumberAllocator.CallNumberAllocator,
+    private readonly processName: string,
+    private readonly callNumbers: callNumberAllocator.CallNumberAllocator,
     private readonly post: (event: event.Event) => void,
   ) {
     this.server = http2.createServer(
       connectNode.connectNodeAdapter({
-        routes: router => this.route(router),
+        routes: router => this.registerRoutes(router),
         acceptCompression: [],
         readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
         grpc: false,
@@ -59,15 +62,15 @@
   }
 
   /** Answers a peer's open call; does nothing when the peer has gone. */
-  answer(given: PeerAnswerEffect): void {
-    this.open.get(given.call)?.(given);
+  answer(answerEffect: PeerAnswerEffect): void {
+    this.openCalls.get(answerEffect.call)?.(answerEffect);
   }
 
   /** Answers a call that a peer passed on; false when it is not one. */
   answerForwarded(call: event.CallNumber, reply: effect.Reply): boolean {
-    const waiting = this.open.get(call);
-    waiting?.({kind: 'answerCaller', call, reply});
-    return waiting !== undefined;
+    const resolveCall = this.openCalls.get(call);
+    resolveCall?.({kind: 'answerCaller', call, reply});
+    return resolveCall !== undefined;
   }
 
   /** Closes all connections. */
@@ -76,7 +79,7 @@
     for (const session of this.sessions) session.destroy();
   }
 
-  private route(router: connect.ConnectRouter): void {
+  private registerRoutes(router: connect.ConnectRouter): void {
     router.service(peerPb.Peer, {
       confirm: (message, context) => this.confirm(message, context.signal),
       offer: (message, context) => this.offer(message, context.signal),
@@ -93,15 +96,19 @@
 
   private async confirm(
     message: peerPb.ConfirmRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.ConfirmResponseSchema>> {
-    const answer = await this.ask('answerConfirm', gone, call => ({
-      kind: 'confirmArrived',
-      call,
-      to: message.to,
-      zonePosition: Number(message.zonePosition),
-      news: peerMessages.decodeNews(message),
-    }));
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.ConfirmResponseSchema>> {
+    const answer = await this.postAndWait(
+      'answerConfirm',
+      cancelSignal,
+      call => ({
+        kind: 'confirmArrived',
+        call,
+        to: message.to,
+        zonePosition: Number(message.zonePosition),
+        news: peerMessages.decodeNews(message),
+      }),
+    );
     return {
       ...peerMessages.encodeNews(answer.news),
       confirmed: answer.confirmed,
@@ -111,51 +118,59 @@
 
   private async offer(
     message: peerPb.OfferRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.OfferResponseSchema>> {
-    const answer = await this.ask('answerOffer', gone, call => ({
-      kind: 'offerArrived',
-      call,
-      from: message.from,
-      to: message.to,
-      identity: message.identity,
-      attempt: message.attempt,
-      client: message.client,
-      submission: peerMessages.decodeOffer(message),
-      remainingMs: peerMessages.decodeRemainingMs(message.remainingMs),
-    }));
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.OfferResponseSchema>> {
+    const answer = await this.postAndWait(
+      'answerOffer',
+      cancelSignal,
+      call => ({
+        kind: 'offerArrived',
+        call,
+        from: message.from,
+        to: message.to,
+        identity: message.identity,
+        attempt: message.attempt,
+        client: message.client,
+        submission: peerMessages.decodeOffer(message),
+        remainingMs: peerMessages.decodeRemainingMs(message.remainingMs),
+      }),
+    );
     return {code: answer.code, answer: peerMessages.encodeText(answer.answer)};
   }
 
   private async withdraw(
     message: peerPb.WithdrawRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.WithdrawResponseSchema>> {
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.WithdrawResponseSchema>> {
     const {from, to, identity, attempt} = message;
-    const answer = await this.ask('answerWithdraw', gone, call => ({
-      kind: 'withdrawArrived',
-      call,
-      from,
-      to,
-      identity,
-      attempt,
-    }));
+    const answer = await this.postAndWait(
+      'answerWithdraw',
+      cancelSignal,
+      call => ({
+        kind: 'withdrawArrived',
+        call,
+        from,
+        to,
+        identity,
+        attempt,
+      }),
+    );
     return {code: answer.code};
   }
 
   private async forward(
     message: peerPb.ForwardRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.ForwardResponseSchema>> {
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.ForwardResponseSchema>> {
     // A relayed call names no process: any one of the zone may take it.
-    if (message.to !== '' && message.to !== this.self) {
+    if (message.to !== '' && message.to !== this.processName) {
       throw new connect.ConnectError(
         `to: ${message.to} is not the process at this address`,
         connect.Code.FailedPrecondition,
       );
     }
-    const {reply} = await this.ask('answerCaller', gone, call =>
-      forwardedEvent(message, call),
+    const {reply} = await this.postAndWait('answerCaller', cancelSignal, call =>
+      toForwardedEvent(message, call),
     );
     return {
       code: reply.code,
@@ -165,39 +180,51 @@
 
   private async fetchDocuments(
     message: peerPb.FetchDocumentsRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.FetchDocumentsResponseSchema>> {
-    const answer = await this.ask('answerDocuments', gone, call => ({
-      kind: 'fetchDocumentsArrived',
-      call,
-      have: peerMessages.decodeVersions(message.have),
-    }));
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.FetchDocumentsResponseSchema>> {
+    const answer = await this.postAndWait(
+      'answerDocuments',
+      cancelSignal,
+      call => ({
+        kind: 'fetchDocumentsArrived',
+        call,
+        have: peerMessages.decodeVersions(message.have),
+      }),
+    );
     return {documents: peerMessages.encodeDocuments(answer.documents)};
   }
 
   private async witness(
     message: peerPb.WitnessRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.WitnessResponseSchema>> {
-    const answer = await this.ask('answerWitness', gone, call => ({
-      kind: 'witnessArrived',
-      call,
-      from: message.from,
-      to: message.to,
-      entries: message.entries.map(peerMessages.decodeText),
-    }));
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.WitnessResponseSchema>> {
+    const answer = await this.postAndWait(
+      'answerWitness',
+      cancelSignal,
+      call => ({
+        kind: 'witnessArrived',
+        call,
+        from: message.from,
+        to: message.to,
+        entries: message.entries.map(peerMessages.decodeText),
+      }),
+    );
     return {stored: answer.stored};
   }
 
   private async readWitness(
     message: peerPb.ReadWitnessRequest,
-    gone: AbortSignal,
-  ): Promise<Init<typeof peerPb.ReadWitnessResponseSchema>> {
-    const answer = await this.ask('answerReadWitness', gone, call => ({
-      kind: 'readWitnessArrived',
-      call,
-      process: message.process,
-    }));
+    cancelSignal: AbortSignal,
+  ): Promise<MessageInit<typeof peerPb.ReadWitnessResponseSchema>> {
+    const answer = await this.postAndWait(
+      'answerReadWitness',
+      cancelSignal,
+      call => ({
+        kind: 'readWitnessArrived',
+        call,
+        process: message.process,
+      }),
+    );
     return {
       complete: answer.complete,
       entries: answer.entries.map(peerMessages.encodeText),
@@ -205,32 +232,34 @@
   }
 
   /** Posts an event and resolves with the effect that answers it. */
-  private ask<Kind extends Answer['kind']>(
+  private postAndWait<Kind extends AnswerEffect['kind']>(
     kind: Kind,
-    gone: AbortSignal,
-    build: (call: event.CallNumber) => event.Event,
+    cancelSignal: AbortSignal,
+    buildEvent: (call: event.CallNumber) => event.Event,
   ): Promise<AnswerOf<Kind>> {
-    const call = this.numbers.allocate();
-    const arrived = build(call);
+    const call = this.callNumbers.allocate();
+    const callEvent = buildEvent(call);
     return new Promise((resolve, reject) => {
-      const end = (): void => {
-        this.open.delete(call);
+      const cancel = (): void => {
+        this.openCalls.delete(call);
         this.post({kind: 'callEnded', call});
-        reject(connect.ConnectError.from(gone.reason, connect.Code.Canceled));
+        reject(
+          connect.ConnectError.from(cancelSignal.reason, connect.Code.Canceled),
+        );
       };
-      this.open.set(call, answer => {
-        this.open.delete(call);
-        gone.removeEventListener('abort', end);
+      this.openCalls.set(call, answer => {
+        this.openCalls.delete(call);
+        cancelSignal.removeEventListener('abort', cancel);
         if (answer.kind === kind) resolve(answer as AnswerOf<Kind>);
         else reject(new connect.ConnectError(`answered by ${answer.kind}`));
       });
-      gone.addEventListener('abort', end, {once: true});
-      this.post(arrived);
+      cancelSignal.addEventListener('abort', cancel, {once: true});
+      this.post(callEvent);
     });
   }
 }
 
-function forwardedEvent(
+function toForwardedEvent(
   message: peerPb.ForwardRequest,
   call: event.CallNumber,
 ): event.CallEvent {
@@ -253,13 +282,13 @@
           submission,
           waitMs,
         }))
-        .mapLeft(failure => invalid(failure.detail))
+        .mapLeft(failure => invalidArgument(failure.detail))
         .unsafeCoerce();
     default:
-      throw invalid(`operation: ${message.operation} is not known`);
+      throw invalidArgument(`operation: ${message.operation} is not known`);
   }
 }
 
-function invalid(detail: string): connect.ConnectError {
+function invalidArgument(detail: string): connect.ConnectError {
   return new connect.ConnectError(detail, connect.Code.InvalidArgument);
 }
--- a/src/links/pending_answer_tracker.ts
+++ b/src/links/pending_answer_tracker.ts
@@ -7,9 +7,9 @@
 const OVERDUE_TIMEOUT_MS = 2_000;
 
 interface PendingAnswer {
-  readonly abort: AbortController;
+  readonly abortController: AbortController;
   /** When a report first listed the task as ended. */
-  endedAt: number | undefined;
+  reportedEndedAtMs: number | undefined;
 }
 
 /**
@@ -18,42 +18,45 @@
  * can, without any call of their own.
  */
 export class PendingAnswerTracker {
-  private readonly fetches = new Map<string, Map<string, PendingAnswer>>();
+  private readonly pendingByWorker = new Map<
+    string,
+    Map<string, PendingAnswer>
+  >();
 
   /** Begins to watch; the signal ends the call when it is overdue. */
-  begin(worker: string, taskName: string): AbortSignal {
-    const open: PendingAnswer = {
-      abort: new AbortController(),
-      endedAt: undefined,
+  track(worker: string, taskName: string): AbortSignal {
+    const pending: PendingAnswer = {
+      abortController: new AbortController(),
+      reportedEndedAtMs: undefined,
     };
-    const ofWorker =
-      this.fetches.get(worker) ?? new Map<string, PendingAnswer>();
-    ofWorker.set(taskName, open);
-    this.fetches.set(worker, ofWorker);
-    return open.abort.signal;
+    const pendingByTask =
+      this.pendingByWorker.get(worker) ?? new Map<string, PendingAnswer>();
+    pendingByTask.set(taskName, pending);
+    this.pendingByWorker.set(worker, pendingByTask);
+    return pending.abortController.signal;
   }
 
   /** Ends the watch of one call. */
-  end(worker: string, taskName: string, signal: AbortSignal): void {
-    const ofWorker = this.fetches.get(worker);
-    if (ofWorker?.get(taskName)?.abort.signal !== signal) return;
-    ofWorker.delete(taskName);
-    if (ofWorker.size === 0) this.fetches.delete(worker);
+  untrack(worker: string, taskName: string, signal: AbortSignal): void {
+    const pendingByTask = this.pendingByWorker.get(worker);
+    if (pendingByTask?.get(taskName)?.abortController.signal !== signal) return;
+    pendingByTask.delete(taskName);
+    if (pendingByTask.size === 0) this.pendingByWorker.delete(worker);
   }
 
   /** Compares a report with the open calls; returns how many it ended. */
-  compare(report: task.WorkerReport, now: number): number {
-    const ofWorker = this.fetches.get(report.worker);
-    if (ofWorker === undefined) return 0;
-    let ended = 0;
-    for (const listed of report.tasks) {
-      const open = ofWorker.get(listed.task);
-      if (open === undefined || listed.state === 'running') continue;
-      open.endedAt ??= now;
-      if (now - open.endedAt < OVERDUE_TIMEOUT_MS) continue;
-      open.abort.abort(new Error('the answer is overdue'));
-      ended += 1;
+  abortOverdue(report: task.WorkerReport, nowMs: number): number {
+    const pendingByTask = this.pendingByWorker.get(report.worker);
+    if (pendingByTask === undefined) return 0;
+    let abortedCount = 0;
+    for (const taskReport of report.tasks) {
+      const pending = pendingByTask.get(taskReport.task);
+      if (pending === undefined || taskReport.state === 'running') continue;
+      pending.reportedEndedAtMs ??= nowMs;
+      if (nowMs - pending.reportedEndedAtMs < OVERDUE_TIMEOUT_MS) continue;
+      pending.abortController.abort(new Error('the answer is overdue'));
+      abortedCount += 1;
     }
-    return ended;
+    return abortedCount;
   }
 }
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -6,13 +6,13 @@
 import type * as pooledHttpClient from './pooled_http_client.js';
 
 /** Deadline of calls to the log and the VM list. */
-const CALL_DEADLINE_MS = 2_000;
+const CALL_TIMEOUT_MS = 2_000;
 
 /** Most records that one read returns. */
-const READ_LIMIT = 500;
+const MAX_RECORDS_PER_READ = 500;
 
 /** Largest answer, in bytes. */
-const LARGEST_ANSWER = 67_108_864;
+const MAX_RESPONSE_BYTES = 67_108_864;
 
 /** Where the platform's services are. */
 export interface PlatformAddresses {
@@ -29,118 +29,119 @@
   readonly metrics: sinks.MetricsSink;
 }
 
-type ReadRecords = Pick<
+type RecordBatch = Pick<
   Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
   'first' | 'next' | 'records'
 >;
 
-interface TaggedList {
-  readonly tag: string;
+interface CachedVmList {
+  readonly entityTag: string;
   readonly vms: ReadonlyArray<event.ListedVm>;
 }
 
 /** Reads and appends to the log and reads the VM list over HTTP. */
 export class PlatformLink {
-  private lastList: TaggedList | undefined;
+  private cachedList: CachedVmList | undefined;
 
-  constructor(private readonly parts: PlatformLinkOptions) {}
+  constructor(private readonly options: PlatformLinkOptions) {}
 
   /** Performs one effect; the answer comes as an event. */
-  async perform(wanted: effect.PlatformEffect): Promise<void> {
-    switch (wanted.kind) {
+  async perform(platformEffect: effect.PlatformEffect): Promise<void> {
+    switch (platformEffect.kind) {
       case 'append':
-        return this.append(wanted);
+        return this.append(platformEffect);
       case 'readStream':
-        return this.readStream(wanted.stream, wanted.from);
+        return this.readStream(platformEffect.stream, platformEffect.from);
       case 'readVmList':
         return this.readVmList();
     }
   }
 
   private async append(
-    wanted: Extract<effect.PlatformEffect, {kind: 'append'}>,
+    platformEffect: Extract<effect.PlatformEffect, {kind: 'append'}>,
   ): Promise<void> {
-    const outcome = await this.parts.client.call({
+    const outcome = await this.options.client.call({
       method: 'POST',
-      address: this.parts.addresses.log,
-      path: recordsPath(wanted.stream),
-      body: {records: wanted.records},
-      headersTimeoutMs: CALL_DEADLINE_MS,
-      bodyTimeoutMs: CALL_DEADLINE_MS,
-      maxResponseBytes: LARGEST_ANSWER,
+      address: this.options.addresses.log,
+      path: recordsPath(platformEffect.stream),
+      body: {records: platformEffect.records},
+      headersTimeoutMs: CALL_TIMEOUT_MS,
+      bodyTimeoutMs: CALL_TIMEOUT_MS,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     const appended = outcome.kind === 'answered' && outcome.status === 200;
     if (!appended) this.countFailure('append', 'no_answer');
-    this.parts.post({
+    this.options.post({
       kind: 'appendAnswered',
-      stream: wanted.stream,
-      append: wanted.append,
+      stream: platformEffect.stream,
+      append: platformEffect.append,
       answer: appended ? 'appended' : 'lost',
     });
   }
 
   private async readStream(stream: string, from: number): Promise<void> {
-    const sentAt = this.parts.now();
-    const text = await this.get(
-      this.parts.addresses.log,
-      `${recordsPath(stream)}?from=${from}&limit=${READ_LIMIT}`,
+    const sentAt = this.options.now();
+    const text = await this.fetchText(
+      this.options.addresses.log,
+      `${recordsPath(stream)}?from=${from}&limit=${MAX_RECORDS_PER_READ}`,
     );
-    const read = text === undefined ? undefined : readRecords(text);
+    const read = text === undefined ? undefined : parseRecords(text);
     if (read === undefined) {
       const reason = text === undefined ? 'no_answer' : 'malformed';
       this.countFailure('read', reason);
-      this.parts.post({kind: 'readFailed', stream});
+      this.options.post({kind: 'readFailed', stream});
       return;
     }
-    this.parts.post({kind: 'recordsRead', stream, sentAt, ...read});
+    this.options.post({kind: 'recordsRead', stream, sentAt, ...read});
   }
 
   /** Transfers the list only when it has changed; it has a row for each VM. */
   private async readVmList(): Promise<void> {
-    const sentAt = this.parts.now();
-    const known = this.lastList;
-    const outcome = await this.parts.client.call({
-      ...getCall(this.parts.addresses.vmList, '/vms'),
-      knownEntityTag: known?.tag,
+    const sentAt = this.options.now();
+    const cached = this.cachedList;
+    const outcome = await this.options.client.call({
+      ...toGetRequest(this.options.addresses.vmList, '/vms'),
+      knownEntityTag: cached?.entityTag,
     });
     const unchanged = outcome.kind === 'answered' && outcome.status === 304;
-    const vms = unchanged ? known?.vms : this.takeList(outcome);
+    const vms = unchanged ? cached?.vms : this.parseAndCacheList(outcome);
     if (vms === undefined) {
       const answered = outcome.kind === 'answered' && outcome.status === 200;
       this.countFailure('vm_list', answered ? 'malformed' : 'no_answer');
-      this.parts.post({kind: 'vmListFailed'});
+      this.options.post({kind: 'vmListFailed'});
       return;
     }
-    this.parts.post({kind: 'vmListRead', sentAt, vms});
+    this.options.post({kind: 'vmListRead', sentAt, vms});
   }
 
-  private takeList(
+  private parseAndCacheList(
     outcome: pooledHttpClient.PooledHttpOutcome,
   ): ReadonlyArray<event.ListedVm> | undefined {
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
-    const vms = readVms(outcome.text);
-    const {tag} = outcome;
+    const vms = parseVms(outcome.text);
+    const {entityTag: entityTag} = outcome;
     if (vms !== undefined) {
-      this.lastList = tag === undefined ? undefined : {tag, vms};
+      this.cachedList =
+        entityTag === undefined ? undefined : {entityTag: entityTag, vms};
     }
     return vms;
   }
 
-  private async get(
+  private async fetchText(
     address: string,
     path: string,
   ): Promise<string | undefined> {
-    const outcome = await this.parts.client.call(getCall(address, path));
+    const outcome = await this.options.client.call(toGetRequest(address, path));
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
     return outcome.text;
   }
 
   private countFailure(call: string, reason: string): void {
-    this.parts.metrics.count('platform_call_failed', {call, reason}, 1);
+    this.options.metrics.count('platform_call_failed', {call, reason}, 1);
   }
 }
 
-function getCall(
+function toGetRequest(
   address: string,
   path: string,
 ): pooledHttpClient.PooledHttpRequest {
@@ -148,9 +149,9 @@
     method: 'GET',
     address,
     path,
-    headersTimeoutMs: CALL_DEADLINE_MS,
-    bodyTimeoutMs: CALL_DEADLINE_MS,
-    maxResponseBytes: LARGEST_ANSWER,
+    headersTimeoutMs: CALL_TIMEOUT_MS,
+    bodyTimeoutMs: CALL_TIMEOUT_MS,
+    maxResponseBytes: MAX_RESPONSE_BYTES,
   };
 }
 
@@ -159,7 +160,7 @@
 }
 
 /** Reads records; undefined unless they are in order and within the bounds. */
-function readRecords(text: string): ReadRecords | undefined {
+function parseRecords(text: string): RecordBatch | undefined {
   const raw = jsonBody.parseJsonObject(text);
   if (raw === undefined) return undefined;
   const {first, next, records} = raw;
@@ -171,10 +172,10 @@
     return undefined;
   }
   if (!Array.isArray(records) || !records.every(isRecord)) return undefined;
-  let least = first;
+  let minOffset = first;
   for (const record of records) {
-    if (record.offset < least || record.offset >= next) return undefined;
-    least = record.offset + 1;
+    if (record.offset < minOffset || record.offset >= next) return undefined;
+    minOffset = record.offset + 1;
   }
   return {first, next, records};
 }
@@ -191,7 +192,7 @@
  * Reads the VM list; undefined when any row is malformed, because a row that
  * were left out would say that its VM no longer exists.
  */
-function readVms(text: string): ReadonlyArray<event.ListedVm> | undefined {
+function parseVms(text: string): ReadonlyArray<event.ListedVm> | undefined {
   const vms = jsonBody.parseJsonObject(text)?.['vms'];
   if (!Array.isArray(vms) || !vms.every(isListedVm)) return undefined;
   return vms;
--- a/src/links/pooled_http_client.ts
+++ b/src/links/pooled_http_client.ts
@@ -28,7 +28,7 @@
       readonly status: number;
       readonly text: string;
       /** Entity tag of the answer, when it has one. */
-      readonly tag?: string;
+      readonly entityTag?: string;
     }
   /** Proved not to have reached the other side. */
   | {readonly kind: 'notSent'; readonly detail: string}
@@ -47,16 +47,16 @@
 }
 
 /** Time for a connection to be made; shorter than any deadline for headers. */
-const CONNECT_DEADLINE_MS = 1_000;
+const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Deadline of a probe over a new connection. */
-const PROBE_DEADLINE_MS = 1_000;
+const PROBE_TIMEOUT_MS = 1_000;
 
 /** Time without calls after which the connections of an address are closed. */
-const IDLE_LIMIT_MS = 60_000;
+const IDLE_TIMEOUT_MS = 60_000;
 
 /** Codes of faults that arise only before anything was sent. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+const NOT_SENT_ERROR_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -64,21 +64,21 @@
 ]);
 
 /** Codes of faults by which an origin shows that it is crowded. */
-const CROWDED_CODES: ReadonlySet<string> = new Set([
-  ...NOT_SENT_CODES,
+const OVERLOAD_ERROR_CODES: ReadonlySet<string> = new Set([
+  ...NOT_SENT_ERROR_CODES,
   'ECONNRESET',
   'UND_ERR_SOCKET',
 ]);
 
 interface Origin {
   pool: undici.Pool;
-  readonly limit: connectionLimiter.ConnectionLimiter;
+  readonly limiter: connectionLimiter.ConnectionLimiter;
   probing: boolean;
-  lastUsed: number;
+  lastUsedMs: number;
 }
 
 /** A deadline that passed or a bound that was exceeded. */
-class CallFault extends Error {
+class CallError extends Error {
   constructor(
     readonly code: 'QUEUED' | 'HEADERS' | 'BODY' | 'TOO_LARGE',
     message: string,
@@ -94,44 +94,47 @@
  */
 export class PooledHttpClient {
   private readonly origins = new Map<string, Origin>();
-  private lastSweep = 0;
+  private lastCleanupMs = 0;
 
-  private readonly connect: undici.buildConnector.connector;
+  private readonly connector: undici.buildConnector.connector;
 
   constructor(private readonly options: PooledHttpClientOptions) {
-    const build = undici.buildConnector({timeout: CONNECT_DEADLINE_MS});
-    this.connect = (target, callback) =>
-      build(target, (...made) => {
+    const openSocket = undici.buildConnector({timeout: CONNECT_TIMEOUT_MS});
+    this.connector = (target, callback) =>
+      openSocket(target, (...opened) => {
         // After a fault there is no socket, not even a null.
-        const [fault, socket] = made;
-        if (fault === null && socket) options.onConnected?.(socket);
-        callback(...made);
+        const [error, socket] = opened;
+        if (error === null && socket) options.onConnected?.(socket);
+        callback(...opened);
       });
   }
 
   /** Sends one call; never rejects. */
-  async call(call: PooledHttpRequest): Promise<PooledHttpOutcome> {
-    const origin = this.origin(call.address);
-    const abort = new AbortController();
-    const forward = (): void => abort.abort(call.signal?.reason);
-    call.signal?.addEventListener('abort', forward, {once: true});
+  async call(request: PooledHttpRequest): Promise<PooledHttpOutcome> {
+    const origin = this.originOf(request.address);
+    const abortController = new AbortController();
+    const forwardAbort = (): void =>
+      abortController.abort(request.signal?.reason);
+    request.signal?.addEventListener('abort', forwardAbort, {once: true});
     const timer = setTimeout(() => {
-      abort.abort(new CallFault('HEADERS', 'no answer within the deadline'));
-    }, call.headersTimeoutMs);
+      abortController.abort(
+        new CallError('HEADERS', 'no answer within the deadline'),
+      );
+    }, request.headersTimeoutMs);
     try {
-      if (!(await takeTurn(origin.limit, abort.signal))) {
+      if (!(await acquireSlot(origin.limiter, abortController.signal))) {
         return {kind: 'notSent', detail: 'no connection was free in time'};
       }
-      return await this.sendInTurn(origin, call, abort, timer);
+      return await this.sendWithSlot(origin, request, abortController, timer);
     } finally {
       clearTimeout(timer);
-      call.signal?.removeEventListener('abort', forward);
+      request.signal?.removeEventListener('abort', forwardAbort);
     }
   }
 
   /** Connections that may be open to an address at present. */
   connectionLimit(address: string): number {
-    return this.origins.get(address)?.limit.current ?? 0;
+    return this.origins.get(address)?.limiter.currentLimit ?? 0;
   }
 
   /** Closes all connections at once. */
@@ -141,53 +144,55 @@
     await Promise.all(pools);
   }
 
-  private async sendInTurn(
+  private async sendWithSlot(
     origin: Origin,
-    call: PooledHttpRequest,
-    abort: AbortController,
+    request: PooledHttpRequest,
+    abortController: AbortController,
     timer: NodeJS.Timeout,
   ): Promise<PooledHttpOutcome> {
     const {pool} = origin;
     let outcome: PooledHttpOutcome;
-    let refused = false;
+    let overloaded = false;
     try {
-      outcome = await send(pool, call, abort, timer);
-    } catch (fault) {
-      outcome = outcomeOf(fault);
-      refused = CROWDED_CODES.has(codeOf(fault));
-      if (fault instanceof CallFault && fault.code === 'HEADERS') {
-        void this.probe(call.address, origin, pool);
+      outcome = await send(pool, request, abortController, timer);
+    } catch (error) {
+      outcome = toOutcome(error);
+      overloaded = OVERLOAD_ERROR_CODES.has(errorCodeOf(error));
+      if (error instanceof CallError && error.code === 'HEADERS') {
+        void this.probe(request.address, origin, pool);
       }
     }
-    origin.limit.release(refused);
+    origin.limiter.release(overloaded);
     return outcome;
   }
 
-  private origin(address: string): Origin {
-    const now = performance.now();
-    this.sweep(now);
+  private originOf(address: string): Origin {
+    const nowMs = performance.now();
+    this.removeIdleOrigins(nowMs);
     const known = this.origins.get(address);
     if (known !== undefined) {
-      known.lastUsed = now;
+      known.lastUsedMs = nowMs;
       return known;
     }
     const opened: Origin = {
       pool: this.openPool(address),
-      limit: new connectionLimiter.ConnectionLimiter(this.options.connections),
+      limiter: new connectionLimiter.ConnectionLimiter(
+        this.options.connections,
+      ),
       probing: false,
-      lastUsed: now,
+      lastUsedMs: nowMs,
     };
     this.origins.set(address, opened);
     return opened;
   }
 
   /** Forgets addresses that are not called any more. */
-  private sweep(now: number): void {
-    if (now - this.lastSweep < IDLE_LIMIT_MS) return;
-    this.lastSweep = now;
+  private removeIdleOrigins(nowMs: number): void {
+    if (nowMs - this.lastCleanupMs < IDLE_TIMEOUT_MS) return;
+    this.lastCleanupMs = nowMs;
     for (const [address, origin] of this.origins) {
-      const idle = now - origin.lastUsed >= IDLE_LIMIT_MS;
-      if (!idle || origin.limit.open > 0) continue;
+      const idle = nowMs - origin.lastUsedMs >= IDLE_TIMEOUT_MS;
+      if (!idle || origin.limiter.openCallCount > 0) continue;
       this.origins.delete(address);
       void origin.pool.destroy();
     }
@@ -197,7 +202,7 @@
     return new undici.Pool(`http://${address}`, {
       connections: this.options.connections.maximum,
       pipelining: 1,
-      connect: this.connect,
+      connect: this.connector,
       // The deadlines of each call replace the pool's own.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -207,27 +212,27 @@
   private async probe(
     address: string,
     origin: Origin,
-    silent: undici.Pool,
+    oldPool: undici.Pool,
   ): Promise<void> {
-    if (origin.probing || origin.pool !== silent) return;
+    if (origin.probing || origin.pool !== oldPool) return;
     origin.probing = true;
-    const fresh = this.openPool(address);
-    const answered = await answersProbe(fresh, this.options.probePath);
+    const newPool = this.openPool(address);
+    const answered = await respondsToProbe(newPool, this.options.probePath);
     origin.probing = false;
     if (!answered || this.origins.get(address) !== origin) {
-      void fresh.destroy();
+      void newPool.destroy();
       return;
     }
-    origin.pool = fresh;
+    origin.pool = newPool;
     // Calls that the old connections still answer are not cut off.
-    void silent.close();
+    void oldPool.close();
     this.options.onSilent(address);
   }
 }
 
 /** Waits for a turn below the limit; false when the call ends before it. */
-function takeTurn(
-  limit: connectionLimiter.ConnectionLimiter,
+function acquireSlot(
+  limiter: connectionLimiter.ConnectionLimiter,
   signal: AbortSignal,
 ): Promise<boolean> {
   return new Promise(resolve => {
@@ -235,86 +240,98 @@
       resolve(false);
       return;
     }
-    const withdraw = limit.acquire(() => {
-      signal.removeEventListener('abort', leave);
+    const withdraw = limiter.acquire(() => {
+      signal.removeEventListener('abort', onAbort);
       resolve(true);
     });
-    function leave(): void {
+    function onAbort(): void {
       withdraw();
       resolve(false);
     }
-    signal.addEventListener('abort', leave, {once: true});
+    signal.addEventListener('abort', onAbort, {once: true});
   });
 }
 
 async function send(
   pool: undici.Pool,
-  call: PooledHttpRequest,
-  abort: AbortController,
+  request: PooledHttpRequest,
+  abortController: AbortController,
   headersTimer: NodeJS.Timeout,
 ): Promise<PooledHttpOutcome> {
-  const answer = await pool.request({
-    method: call.method,
-    path: call.path,
-    signal: abort.signal,
+  const response = await pool.request({
+    method: request.method,
+    path: request.path,
+    signal: abortController.signal,
     headers: {
-      ...(call.body === undefined ? {} : {'content-type': 'application/json'}),
-      ...(call.knownEntityTag === undefined
+      ...(request.body === undefined
         ? {}
-        : {'if-none-match': call.knownEntityTag}),
+        : {'content-type': 'application/json'}),
+      ...(request.knownEntityTag === undefined
+        ? {}
+        : {'if-none-match': request.knownEntityTag}),
     },
-    body: call.body === undefined ? null : JSON.stringify(call.body),
+    body: request.body === undefined ? null : JSON.stringify(request.body),
   });
   clearTimeout(headersTimer);
-  const timer = setTimeout(() => {
-    abort.abort(new CallFault('BODY', 'the answer did not end in time'));
-  }, call.bodyTimeoutMs);
+  const bodyTimer = setTimeout(() => {
+    abortController.abort(
+      new CallError('BODY', 'the answer did not end in time'),
+    );
+  }, request.bodyTimeoutMs);
   try {
-    const text = await readText(answer.body, call.maxResponseBytes);
-    const {etag} = answer.headers;
-    const tag = typeof etag === 'string' ? etag : undefined;
-    return {kind: 'answered', status: answer.statusCode, text, tag};
+    const text = await readBodyText(response.body, request.maxResponseBytes);
+    const {etag} = response.headers;
+    const entityTag = typeof etag === 'string' ? etag : undefined;
+    return {
+      kind: 'answered',
+      status: response.statusCode,
+      text,
+      entityTag,
+    };
   } finally {
-    clearTimeout(timer);
+    clearTimeout(bodyTimer);
   }
 }
 
-async function readText(
+async function readBodyText(
   body: AsyncIterable<Buffer>,
-  largest: number,
+  maxBytes: number,
 ): Promise<string> {
   const chunks: Buffer[] = [];
-  let length = 0;
+  let receivedBytes = 0;
   for await (const chunk of body) {
-    length += chunk.length;
-    if (length > largest) {
-      throw new CallFault('TOO_LARGE', `the answer exceeds ${largest} bytes`);
+    receivedBytes += chunk.length;
+    if (receivedBytes > maxBytes) {
+      throw new CallError('TOO_LARGE', `the answer exceeds ${maxBytes} bytes`);
     }
     chunks.push(chunk);
   }
   return Buffer.concat(chunks).toString('utf8');
 }
 
-async function answersProbe(pool: undici.Pool, path: string): Promise<boolean> {
+async function respondsToProbe(
+  pool: undici.Pool,
+  path: string,
+): Promise<boolean> {
   try {
-    const answer = await pool.request({
+    const response = await pool.request({
       method: 'GET',
       path,
-      signal: AbortSignal.timeout(PROBE_DEADLINE_MS),
+      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
     });
-    await answer.body.dump();
+    await response.body.dump();
     return true;
   } catch {
     return false;
   }
 }
 
-function outcomeOf(fault: unknown): PooledHttpOutcome {
-  const code = codeOf(fault);
-  const detail = `${code}: ${fault instanceof Error ? fault.message : ''}`;
-  return {kind: NOT_SENT_CODES.has(code) ? 'notSent' : 'lost', detail};
+function toOutcome(error: unknown): PooledHttpOutcome {
+  const code = errorCodeOf(error);
+  const detail = `${code}: ${error instanceof Error ? error.message : ''}`;
+  return {kind: NOT_SENT_ERROR_CODES.has(code) ? 'notSent' : 'lost', detail};
 }
 
-function codeOf(fault: unknown): string {
-  return String((fault as {readonly code?: unknown} | undefined)?.code);
+function errorCodeOf(error: unknown): string {
+  return String((error as {readonly code?: unknown} | undefined)?.code);
 }
--- a/src/links/questionnaire_schema.ts
+++ b/src/links/questionnaire_schema.ts
@@ -1,27 +1,27 @@
 import * as questionnaire from '../contracts/questionnaire.js';
 import * as tomlSchema from './toml_schema.js';
 
-const name = new tomlSchema.NameRule();
-const text = new tomlSchema.TextRule(100);
-const yesOrNo = new tomlSchema.BooleanRule();
-const processors = new tomlSchema.NumberRule(0.001, 10_000);
-const memory = new tomlSchema.NumberRule(0.001, 1_000_000);
-const accelerators = new tomlSchema.IntegerRule(0, 1_000);
+const nameRule = new tomlSchema.NameRule();
+const textRule = new tomlSchema.TextRule(100);
+const booleanRule = new tomlSchema.BooleanRule();
+const processorsRule = new tomlSchema.NumberRule(0.001, 10_000);
+const memoryRule = new tomlSchema.NumberRule(0.001, 1_000_000);
+const acceleratorsRule = new tomlSchema.IntegerRule(0, 1_000);
 
-function nameOf(value: unknown): unknown {
+function readName(value: unknown): unknown {
   if (typeof value !== 'object' || value === null) return undefined;
   return (value as Readonly<Record<string, unknown>>)['name'];
 }
 
-const zone = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'What is the zone called?'},
-  {key: 'region', rule: name, meaning: 'In which region is it?'},
+const zoneTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'What is the zone called?'},
+  {key: 'region', rule: nameRule, meaning: 'In which region is it?'},
 ]);
 
-const worker = new tomlSchema.TableRule([
+const workerTable = new tomlSchema.TableRule([
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(name, 1, 1_000),
+    rule: new tomlSchema.ListRule(nameRule, 1, 1_000),
     meaning: 'In which zones do such workers run?',
   },
   {
@@ -31,18 +31,18 @@
   },
   {
     key: 'processors',
-    rule: processors,
+    rule: processorsRule,
     meaning: 'How many processors has one?',
   },
   {
     key: 'memoryGiB',
-    rule: memory,
+    rule: memoryRule,
     unit: 'GiB',
     meaning: 'How much memory has one?',
   },
   {
     key: 'accelerators',
-    rule: accelerators,
+    rule: acceleratorsRule,
     default: 0,
     meaning: 'How many accelerators has one?',
   },
@@ -59,16 +59,16 @@
   },
 ]);
 
-const work = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'What is this kind of work called?'},
+const workTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'What is this kind of work called?'},
   {
     key: 'endsByItself',
-    rule: yesOrNo,
+    rule: booleanRule,
     meaning: 'Does a piece of this work end by itself?',
   },
   {
     key: 'mayRunTwice',
-    rule: yesOrNo,
+    rule: booleanRule,
     meaning: 'Does it do no harm if a piece runs a second time?',
   },
   {
@@ -90,18 +90,18 @@
   },
   {
     key: 'processors',
-    rule: processors,
+    rule: processorsRule,
     meaning: 'How many processors does it use on a machine?',
   },
   {
     key: 'memoryGiB',
-    rule: memory,
+    rule: memoryRule,
     unit: 'GiB',
     meaning: 'How much memory does it use on a machine?',
   },
   {
     key: 'accelerators',
-    rule: accelerators,
+    rule: acceleratorsRule,
     default: 0,
     meaning: 'How many accelerators does it use on a machine?',
   },
@@ -121,13 +121,13 @@
   },
   {
     key: 'onlyInZones',
-    rule: new tomlSchema.ListRule(name, 0, 1_000),
+    rule: new tomlSchema.ListRule(nameRule, 0, 1_000),
     default: [],
     meaning: 'In which zones alone may it run? An empty list means all.',
   },
   {
     key: 'survivesRackLoss',
-    rule: yesOrNo,
+    rule: booleanRule,
     default: false,
     meaning: 'Does half of its machines have to survive the loss of a rack?',
   },
@@ -138,11 +138,11 @@
   },
 ]);
 
-const team = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'What is the team called?'},
+const teamTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'What is the team called?'},
   {
     key: 'clients',
-    rule: new tomlSchema.ListRule(text, 1, 10_000),
+    rule: new tomlSchema.ListRule(textRule, 1, 10_000),
     meaning: 'Which clients send its requests?',
   },
   {
@@ -165,27 +165,27 @@
   },
   {
     key: 'work',
-    rule: new tomlSchema.ListRule(work, 1, 1_000, nameOf),
+    rule: new tomlSchema.ListRule(workTable, 1, 1_000, readName),
     meaning: 'Which kinds of work does the team have?',
   },
 ]);
 
 /** The questions; the meaning of a key is its question. */
 export const QUESTIONNAIRE_SCHEMA = new tomlSchema.TableRule([
-  {key: 'operator', rule: text, meaning: 'Who operates the cell?'},
+  {key: 'operator', rule: textRule, meaning: 'Who operates the cell?'},
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(zone, 1, 1_000, nameOf),
+    rule: new tomlSchema.ListRule(zoneTable, 1, 1_000, readName),
     meaning: 'Which availability zones are there?',
   },
   {
     key: 'workers',
-    rule: new tomlSchema.ListRule(worker, 1, 1_000, () => undefined),
+    rule: new tomlSchema.ListRule(workerTable, 1, 1_000, () => undefined),
     meaning: 'Which shapes of workers are there?',
   },
   {
     key: 'teams',
-    rule: new tomlSchema.ListRule(team, 1, 10_000, nameOf),
+    rule: new tomlSchema.ListRule(teamTable, 1, 10_000, readName),
     meaning: 'Which teams are there?',
   },
 ]);
--- a/src/links/toml_document_reader.ts
+++ b/src/links/toml_document_reader.ts
@@ -11,45 +11,51 @@
   readFleet(
     content: string,
   ): either.Either<result.Failure, configuration.FleetPlan> {
-    return read<configuration.FleetPlan>(
+    return parseDocument<configuration.FleetPlan>(
       content,
       documentSchema.FLEET_SCHEMA,
-      fleetFaults,
+      findFleetFaults,
     );
   }
 
   readTeam(content: string): either.Either<result.Failure, team.Team> {
-    return read<team.Team>(content, documentSchema.TEAM_SCHEMA, teamFaults);
+    return parseDocument<team.Team>(
+      content,
+      documentSchema.TEAM_SCHEMA,
+      findTeamFaults,
+    );
   }
 }
 
-function read<Content>(
+function parseDocument<Content>(
   content: string,
   schema: tomlSchema.TableRule,
-  findFurther: (document: Content) => ReadonlyArray<tomlSchema.Fault>,
+  findConflicts: (document: Content) => ReadonlyArray<tomlSchema.Fault>,
 ): either.Either<result.Failure, Content> {
-  return parse(content).chain(document => {
+  return parseToml(content).chain(document => {
     const faults = schema.check(document, '');
-    if (faults.length > 0) return either.Left(invalid(faults));
+    if (faults.length > 0) return either.Left(toFailure(faults));
     const completed = schema.applyDefaults(document) as Content;
-    const further = findFurther(completed);
-    if (further.length > 0) return either.Left(invalid(further));
+    const conflicts = findConflicts(completed);
+    if (conflicts.length > 0) return either.Left(toFailure(conflicts));
     return either.Right(completed);
   });
 }
 
-function parse(content: string): either.Either<result.Failure, toml.TomlTable> {
-  return either.Either.encase(() => toml.parse(content)).mapLeft(fault =>
-    result.failure('invalidDocument', tomlSchema.describeSyntaxError(fault)),
+function parseToml(
+  content: string,
+): either.Either<result.Failure, toml.TomlTable> {
+  return either.Either.encase(() => toml.parse(content)).mapLeft(error =>
+    result.failure('invalidDocument', tomlSchema.describeSyntaxError(error)),
   );
 }
 
-function invalid(faults: ReadonlyArray<tomlSchema.Fault>): result.Failure {
+function toFailure(faults: ReadonlyArray<tomlSchema.Fault>): result.Failure {
   const detail = faults.map(tomlSchema.formatFault).join('; ');
   return result.failure('invalidDocument', detail);
 }
 
-function fleetFaults(
+function findFleetFaults(
   fleet: configuration.FleetPlan,
 ): ReadonlyArray<tomlSchema.Fault> {
   const known = new Set(fleet.zones.map(zone => zone.name));
@@ -66,8 +72,10 @@
   );
 }
 
-function teamFaults(read: team.Team): ReadonlyArray<tomlSchema.Fault> {
-  return read.workloads.flatMap((workload, position) => {
+function findTeamFaults(
+  parsedTeam: team.Team,
+): ReadonlyArray<tomlSchema.Fault> {
+  return parsedTeam.workloads.flatMap((workload, position) => {
     const field = `workloads[${position}]`;
     const faults: tomlSchema.Fault[] = [];
     if (workload.kind === 'service' && workload.runTimeMs !== 0) {
--- a/src/links/toml_document_writer.ts
+++ b/src/links/toml_document_writer.ts
@@ -25,10 +25,10 @@
     const origin = [answer, leftOut, note].filter(part => part !== '');
     return `${key} = ${writeValue(value)} # ${origin.join(' ')}\n`;
   });
-  return [header(table), ...lines].join('');
+  return [writeTableHeader(table), ...lines].join('');
 }
 
-function header(table: questionnaire.DerivedTable): string {
+function writeTableHeader(table: questionnaire.DerivedTable): string {
   if (table.path === '') return '';
   return table.repeated ? `[[${table.path}]]\n` : `[${table.path}]\n`;
 }
--- a/src/links/toml_schema.ts
+++ b/src/links/toml_schema.ts
@@ -34,10 +34,10 @@
 }
 
 /** Says on which line TOML could not be read, without the quoted lines. */
-export function describeSyntaxError(syntax: Error): string {
-  const [first] = syntax.message.split('\n');
-  if (!(syntax instanceof toml.TomlError)) return first;
-  return `line ${syntax.line}, column ${syntax.column}: ${first}`;
+export function describeSyntaxError(error: Error): string {
+  const [first] = error.message.split('\n');
+  if (!(error instanceof toml.TomlError)) return first;
+  return `line ${error.line}, column ${error.column}: ${first}`;
 }
 
 /** Formats a fault as "field: value must be rule". */
@@ -46,13 +46,15 @@
 }
 
 /** Longest value that a fault shows in full. */
-const SHOWN_LENGTH = 120;
+const MAX_SHOWN_LENGTH = 120;
 
 /** Builds the fault of a value that breaks `rule`. */
 export function toFault(field: string, value: unknown, rule: string): Fault {
   const text = value === undefined ? 'missing' : JSON.stringify(value);
   const shown =
-    text.length > SHOWN_LENGTH ? `${text.slice(0, SHOWN_LENGTH)}...` : text;
+    text.length > MAX_SHOWN_LENGTH
+      ? `${text.slice(0, MAX_SHOWN_LENGTH)}...`
+      : text;
   return {field, value: shown, rule};
 }
 
@@ -78,14 +80,14 @@
 export class TextRule extends ScalarRule {
   readonly requirement: string;
 
-  constructor(private readonly limit: number) {
+  constructor(private readonly maxLength: number) {
     super();
-    this.requirement = `text of 1 to ${limit} printable characters`;
+    this.requirement = `text of 1 to ${maxLength} printable characters`;
   }
 
   protected allows(value: unknown): boolean {
     if (typeof value !== 'string') return false;
-    if (value.length === 0 || value.length > this.limit) return false;
+    if (value.length === 0 || value.length > this.maxLength) return false;
     return /^[^\p{Cc}]+$/u.test(value);
   }
 }
@@ -223,7 +225,7 @@
       const rule = `a list of ${this.minimum} to ${this.maximum} items`;
       faults.unshift({field, value: counted, rule});
     }
-    return [...faults, ...this.repeated(items, field)];
+    return [...faults, ...this.findRepeated(items, field)];
   }
 
   parseInput(text: string): unknown {
@@ -236,7 +238,7 @@
     return items.map(item => this.item.applyDefaults(item));
   }
 
-  private repeated(
+  private findRepeated(
     items: ReadonlyArray<unknown>,
     field: string,
   ): ReadonlyArray<Fault> {
@@ -273,7 +275,9 @@
     const names = this.keys.map(item => item.key);
     const unknown = Object.keys(value)
       .filter(key => !names.includes(key))
-      .map(key => toFault(`${prefix}${key}`, value[key], unknownRule(names)));
+      .map(key =>
+        toFault(`${prefix}${key}`, value[key], unknownKeyRule(names)),
+      );
     return [...known, ...unknown];
   }
 
@@ -293,7 +297,7 @@
   }
 }
 
-function unknownRule(names: ReadonlyArray<string>): string {
+function unknownKeyRule(names: ReadonlyArray<string>): string {
   return `left out; the keys here are ${names.join(', ')}`;
 }
 
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -18,7 +18,7 @@
   received(
     changes: ReadonlyArray<keyedTopic.TopicRecord>,
     end: number,
-    whole: boolean,
+    isSnapshot: boolean,
   ): void;
   /** The store does not answer; said once until it does again. */
   interrupted(detail: string): void;
@@ -32,8 +32,8 @@
 /** Keeps up with a keyed topic until closed. */
 export class TopicFollower {
   private closed = false;
-  private answered = true;
-  private next: number | undefined;
+  private isAvailable = true;
+  private nextOffset: number | undefined;
 
   constructor(
     private readonly topic: keyedTopic.KeyedTopic,
@@ -46,16 +46,16 @@
   /** Follows until the follower is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
-      const startedAt = this.clock.now();
-      const answered = await this.step();
+      const startedAtMs = this.clock.now();
+      const answered = await this.readOnce();
       if (this.closed) return;
-      if (answered && !this.answered) this.listener.resumed();
-      this.answered = answered;
-      const spent = this.clock.now() - startedAt;
-      const gap = this.answered
-        ? this.options.minReadIntervalMs - spent
+      if (answered && !this.isAvailable) this.listener.resumed();
+      this.isAvailable = answered;
+      const elapsedMs = this.clock.now() - startedAtMs;
+      const pauseMs = this.isAvailable
+        ? this.options.minReadIntervalMs - elapsedMs
         : RETRY_PAUSE_MS;
-      if (gap > 0) await this.pause(gap);
+      if (pauseMs > 0) await this.pause(pauseMs);
     }
   }
 
@@ -63,26 +63,26 @@
     this.closed = true;
   }
 
-  private async step(): Promise<boolean> {
-    const whole = this.next === undefined;
+  private async readOnce(): Promise<boolean> {
+    const isSnapshot = this.nextOffset === undefined;
     // A read that waits would hang in a silent store for all that time, also
     // when the store is back meanwhile.
-    const waitMs = this.answered ? this.options.maxWaitMs : 0;
+    const waitMs = this.isAvailable ? this.options.maxWaitMs : 0;
     const outcome =
-      this.next === undefined
+      this.nextOffset === undefined
         ? await this.topic.readNewest()
-        : await this.topic.read(this.next, waitMs);
+        : await this.topic.read(this.nextOffset, waitMs);
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'read':
-        this.next = outcome.end;
-        this.listener.received(outcome.records, outcome.end, whole);
+        this.nextOffset = outcome.end;
+        this.listener.received(outcome.records, outcome.end, isSnapshot);
         return true;
       case 'expired':
-        this.next = undefined;
+        this.nextOffset = undefined;
         return true;
       case 'unavailable':
-        if (this.answered) this.listener.interrupted(outcome.detail);
+        if (this.isAvailable) this.listener.interrupted(outcome.detail);
         return false;
     }
   }
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -5,17 +5,17 @@
 import type * as keyedTopic from './keyed_topic.js';
 
 /** All terms write as the same producer, so that a later one fences earlier. */
-const PRODUCER = 'scheduler';
+const PRODUCER_NAME = 'scheduler';
 
 /** Time for the answer to the call that fences earlier terms. */
-const OPEN_TIMEOUT_MS = 900;
+const FENCE_TIMEOUT_MS = 900;
 
 /** Keys in the topic. */
 const WORKERS_KEY = 'workers';
 const DEFINITION_PREFIX = 'd/';
 const PROGRESS_PREFIX = 'p/';
 
-const NOTHING = new Uint8Array(0);
+const TOMBSTONE = new Uint8Array(0);
 
 /** Keeps the journal in a keyed topic: two keys a job and one for workers. */
 export class TopicJournalStore implements jobJournal.JournalStore {
@@ -23,7 +23,7 @@
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
     // An append without records only raises the epoch.
-    return this.send([], term, 0, OPEN_TIMEOUT_MS);
+    return this.send([], term, 0, FENCE_TIMEOUT_MS);
   }
 
   async load(): Promise<jobJournal.JournalContent | undefined> {
@@ -69,7 +69,7 @@
     sequence: number,
     timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
-    const producer = {name: PRODUCER, epoch: term, sequence};
+    const producer = {name: PRODUCER_NAME, epoch: term, sequence};
     const outcome = await this.topic.append(records, {producer}, timeoutMs);
     switch (outcome.kind) {
       case 'appended':
@@ -108,8 +108,8 @@
       ];
     case 'dropped':
       return [
-        {key: DEFINITION_PREFIX + change.id, value: NOTHING},
-        {key: PROGRESS_PREFIX + change.id, value: NOTHING},
+        {key: DEFINITION_PREFIX + change.id, value: TOMBSTONE},
+        {key: PROGRESS_PREFIX + change.id, value: TOMBSTONE},
       ];
     case 'workers':
       return [{key: WORKERS_KEY, value: jsonDocument.encode(change.workers)}];
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -8,19 +8,19 @@
 import type * as task from '../contracts/task.js';
 
 /** Deadline of short calls to a worker. */
-const CALL_DEADLINE_MS = 2_000;
+const CALL_TIMEOUT_MS = 2_000;
 
 /** Longest wait for a task to end over one connection. */
-const ANSWER_DEADLINE_MS = 3_600_000;
+const ANSWER_WAIT_TIMEOUT_MS = 3_600_000;
 
 /** Time for a large answer to be transferred. */
-const TRANSFER_DEADLINE_MS = 60_000;
+const TRANSFER_TIMEOUT_MS = 60_000;
 
 /** Largest report, in bytes: some 10,000 tasks. */
-const LARGEST_REPORT = 8_388_608;
+const MAX_REPORT_BYTES = 8_388_608;
 
 /** Largest answer of a task, in bytes. */
-const LARGEST_ANSWER = 67_108_864;
+const MAX_ANSWER_BYTES = 67_108_864;
 
 type WorkerCall = Pick<effect.WorkerEffect, 'kind' | 'worker' | 'address'>;
 
@@ -42,123 +42,152 @@
 
 /** Sends effects to workers over HTTP and posts what they answer. */
 export class WorkerLink {
-  private readonly watch = new pendingAnswerTracker.PendingAnswerTracker();
+  private readonly pendingAnswers =
+    new pendingAnswerTracker.PendingAnswerTracker();
 
-  constructor(private readonly parts: WorkerLinkOptions) {}
+  constructor(private readonly options: WorkerLinkOptions) {}
 
   /** Performs one effect; the answer comes as an event. */
-  async perform(wanted: effect.WorkerEffect): Promise<void> {
-    switch (wanted.kind) {
+  async perform(workerEffect: effect.WorkerEffect): Promise<void> {
+    switch (workerEffect.kind) {
       case 'startTask':
-        return this.start(wanted);
+        return this.start(workerEffect);
       case 'renewLeases':
-        await this.send(wanted, 'POST', '/renewals', {
-          tasks: wanted.tasks,
-          leaseEnd: wanted.leaseEnd,
+        await this.send(workerEffect, 'POST', '/renewals', {
+          tasks: workerEffect.tasks,
+          leaseEnd: workerEffect.leaseEnd,
         });
         return;
       case 'readReport':
-        return this.readReport(wanted);
+        return this.readReport(workerEffect);
       case 'fetchTaskAnswer':
-        return this.fetchAnswer(wanted.worker, wanted.address, wanted.task);
+        return this.fetchAnswer(
+          workerEffect.worker,
+          workerEffect.address,
+          workerEffect.task,
+        );
       case 'stopTask':
-        return this.stop(wanted, wanted.task);
+        return this.stop(workerEffect, workerEffect.task);
       case 'checkpointTask':
-        await this.send(wanted, 'POST', taskPath(wanted.task, 'checkpoint'));
+        await this.send(
+          workerEffect,
+          'POST',
+          taskPath(workerEffect.task, 'checkpoint'),
+        );
         return;
       case 'throttleTask':
         await this.send(
-          wanted,
+          workerEffect,
           'POST',
-          taskPath(wanted.task, 'throttle'),
-          wanted.limit,
+          taskPath(workerEffect.task, 'throttle'),
+          workerEffect.limit,
         );
         return;
     }
   }
 
-  private async start(wanted: EffectOf<'startTask'>): Promise<void> {
-    const outcome = await this.send(wanted, 'POST', '/tasks', wanted.start);
-    this.parts.post({
+  private async start(workerEffect: EffectOf<'startTask'>): Promise<void> {
+    const outcome = await this.send(
+      workerEffect,
+      'POST',
+      '/tasks',
+      workerEffect.start,
+    );
+    this.options.post({
       kind: 'startAnswered',
-      worker: wanted.worker,
-      task: wanted.start.task,
-      answer: startAnswer(outcome),
-      detail: detailOf(outcome),
+      worker: workerEffect.worker,
+      task: workerEffect.start.task,
+      answer: classifyStart(outcome),
+      detail: describeOutcome(outcome),
     });
   }
 
-  private async readReport(wanted: EffectOf<'readReport'>): Promise<void> {
-    const {worker} = wanted;
-    const sentAt = this.parts.now();
-    const outcome = await this.send(wanted, 'GET', '/report');
-    const report = isOk(outcome)
+  private async readReport(
+    workerEffect: EffectOf<'readReport'>,
+  ): Promise<void> {
+    const {worker} = workerEffect;
+    const sentAt = this.options.now();
+    const outcome = await this.send(workerEffect, 'GET', '/report');
+    const report = isSuccess(outcome)
       ? workerReportParser.parseWorkerReport(worker, outcome.text)
       : undefined;
     if (report === undefined) {
-      if (isOk(outcome)) this.count('malformed_report', {worker});
-      this.parts.post({kind: 'reportFailed', worker});
+      if (isSuccess(outcome)) this.count('malformed_report', {worker});
+      this.options.post({kind: 'reportFailed', worker});
       return;
     }
-    const overdue = this.watch.compare(report, this.parts.now());
-    if (overdue > 0) {
+    const overdueCount = this.pendingAnswers.abortOverdue(
+      report,
+      this.options.now(),
+    );
+    if (overdueCount > 0) {
       const labels = {link: 'worker', reason: 'answer_overdue'};
-      this.count('silent_connection', labels, overdue);
+      this.count('silent_connection', labels, overdueCount);
     }
-    this.parts.post({kind: 'reportArrived', report, sentAt});
+    this.options.post({kind: 'reportArrived', report, sentAt});
   }
 
   private async fetchAnswer(
     worker: string,
     address: string,
-    name: string,
+    taskName: string,
   ): Promise<void> {
-    const signal = this.watch.begin(worker, name);
-    const outcome = await this.parts.answerClient.call({
+    const signal = this.pendingAnswers.track(worker, taskName);
+    const outcome = await this.options.answerClient.call({
       method: 'GET',
       address,
-      path: taskPath(name, 'answer'),
-      headersTimeoutMs: ANSWER_DEADLINE_MS,
-      bodyTimeoutMs: TRANSFER_DEADLINE_MS,
-      maxResponseBytes: LARGEST_ANSWER,
+      path: taskPath(taskName, 'answer'),
+      headersTimeoutMs: ANSWER_WAIT_TIMEOUT_MS,
+      bodyTimeoutMs: TRANSFER_TIMEOUT_MS,
+      maxResponseBytes: MAX_ANSWER_BYTES,
       signal,
     });
-    this.watch.end(worker, name, signal);
-    const read = isOk(outcome) ? readAnswer(outcome.text, name) : undefined;
-    if (read === undefined) {
-      this.parts.post({kind: 'taskAnswerLost', worker, task: name});
+    this.pendingAnswers.untrack(worker, taskName, signal);
+    const taskAnswer = isSuccess(outcome)
+      ? parseAnswer(outcome.text, taskName)
+      : undefined;
+    if (taskAnswer === undefined) {
+      this.options.post({kind: 'taskAnswerLost', worker, task: taskName});
       return;
     }
-    this.parts.post({kind: 'taskAnswerArrived', worker, task: name, ...read});
+    this.options.post({
+      kind: 'taskAnswerArrived',
+      worker,
+      task: taskName,
+      ...taskAnswer,
+    });
   }
 
-  private async stop(wanted: WorkerCall, name: string): Promise<void> {
-    const outcome = await this.send(wanted, 'DELETE', taskPath(name));
-    this.parts.post({
+  private async stop(
+    workerEffect: WorkerCall,
+    taskName: string,
+  ): Promise<void> {
+    const outcome = await this.send(workerEffect, 'DELETE', taskPath(taskName));
+    this.options.post({
       kind: 'stopAnswered',
-      worker: wanted.worker,
-      task: name,
-      done: isOk(outcome),
+      worker: workerEffect.worker,
+      task: taskName,
+      done: isSuccess(outcome),
     });
   }
 
   private async send(
-    wanted: WorkerCall,
+    workerEffect: WorkerCall,
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body?: unknown,
   ): Promise<pooledHttpClient.PooledHttpOutcome> {
-    const outcome = await this.parts.client.call({
+    const outcome = await this.options.client.call({
       method,
-      address: wanted.address,
+      address: workerEffect.address,
       path,
       body,
-      headersTimeoutMs: CALL_DEADLINE_MS,
-      bodyTimeoutMs: CALL_DEADLINE_MS,
-      maxResponseBytes: LARGEST_REPORT,
+      headersTimeoutMs: CALL_TIMEOUT_MS,
+      bodyTimeoutMs: CALL_TIMEOUT_MS,
+      maxResponseBytes: MAX_REPORT_BYTES,
     });
     if (outcome.kind !== 'answered') {
-      const labels = {call: wanted.kind, outcome: outcome.kind};
+      const labels = {call: workerEffect.kind, outcome: outcome.kind};
       this.count('worker_call_failed', labels);
     }
     return outcome;
@@ -169,7 +198,7 @@
     labels: Readonly<Record<string, string>>,
     value = 1,
   ): void {
-    this.parts.metrics.count(metric, labels, value);
+    this.options.metrics.count(metric, labels, value);
   }
 }
 
@@ -187,9 +216,9 @@
 ]);
 
 /** Reads an answer; undefined unless it names the task that was asked for. */
-function readAnswer(text: string, name: string): TaskAnswer | undefined {
+function parseAnswer(text: string, taskName: string): TaskAnswer | undefined {
   const parsed = jsonBody.parseJsonObject(text);
-  if (parsed === undefined || parsed['task'] !== name) return undefined;
+  if (parsed === undefined || parsed['task'] !== taskName) return undefined;
   const {state, answer} = parsed;
   if (typeof answer !== 'string' || !ENDED_STATES.has(state)) return undefined;
   return {state: state as TaskAnswer['state'], answer};
@@ -200,7 +229,7 @@
   return part === undefined ? path : `${path}/${part}`;
 }
 
-function isOk(
+function isSuccess(
   outcome: pooledHttpClient.PooledHttpOutcome,
 ): outcome is Extract<pooledHttpClient.PooledHttpOutcome, {kind: 'answered'}> {
   return (
@@ -209,7 +238,7 @@
 }
 
 /** A start that was not sent, or was answered by a refusal, never runs. */
-function startAnswer(
+function classifyStart(
   outcome: pooledHttpClient.PooledHttpOutcome,
 ): 'started' | 'refused' | 'lost' {
   if (outcome.kind === 'notSent') return 'refused';
@@ -218,7 +247,7 @@
   return outcome.status >= 400 && outcome.status < 500 ? 'refused' : 'lost';
 }
 
-function detailOf(outcome: pooledHttpClient.PooledHttpOutcome): string {
+function describeOutcome(outcome: pooledHttpClient.PooledHttpOutcome): string {
   if (outcome.kind !== 'answered') return outcome.detail;
   return `status ${outcome.status}: ${outcome.text.slice(0, 200)}`;
 }
--- a/src/links/worker_report_parser.ts
+++ b/src/links/worker_report_parser.ts
@@ -31,16 +31,16 @@
     typeof raw['rack'] === 'string' &&
     typeof raw['leaving'] === 'boolean' &&
     Array.isArray(raw['tasks']) &&
-    raw['tasks'].every(isTask) &&
+    raw['tasks'].every(isTaskReport) &&
     hasDistinctTasks(raw['tasks'])
   );
 }
 
-function isTask(value: unknown): value is task.TaskReport {
+function isTaskReport(value: unknown): value is task.TaskReport {
   return (
     typeGuards.isObject(value) &&
     typeGuards.isNonEmptyString(value['task']) &&
-    isLabel(value['label']) &&
+    isTaskLabel(value['label']) &&
     TASK_STATES.has(value['state']) &&
     typeGuards.isResources(value['size']) &&
     typeGuards.isResources(value['usage']) &&
@@ -48,7 +48,7 @@
   );
 }
 
-function isLabel(value: unknown): value is task.TaskLabel {
+function isTaskLabel(value: unknown): value is task.TaskLabel {
   return (
     typeGuards.isObject(value) &&
     typeGuards.isNonEmptyString(value['identity']) &&
--- a/test/links/call_parser_test.ts
+++ b/test/links/call_parser_test.ts
@@ -8,7 +8,7 @@
 
 const SIZE = {processors: 1, memory: 2, accelerators: 0, slots: 1};
 
-function call(
+function rawCall(
   method: string,
   target: string,
   body: unknown = '',
@@ -25,49 +25,54 @@
   };
 }
 
-function refusal(incoming: callParser.RawCall): result.Failure {
+function expectFailure(incoming: callParser.RawCall): result.Failure {
   return callParser.parseCall(incoming, 1).swap().unsafeCoerce();
 }
 
-function accepted(incoming: callParser.RawCall): callParser.ParsedCall {
+function expectParsed(incoming: callParser.RawCall): callParser.ParsedCall {
   return callParser.parseCall(incoming, 1).unsafeCoerce();
 }
 
 nodeTest.describe('good calls', () => {
   nodeTest.test('each path becomes its event', () => {
     const calls: ReadonlyArray<readonly [callParser.RawCall, string]> = [
-      [call('POST', '/v1/identities', {count: 100}), 'identitiesArrived'],
-      [call('POST', '/v1/identities'), 'identitiesArrived'],
-      [call('POST', '/v1/requests?wait=300', SUBMISSION), 'requestArrived'],
-      [call('PUT', '/v1/requests/a.b_1_c', SUBMISSION), 'requestArrived'],
-      [call('GET', '/v1/requests/a?wait=0.5'), 'fetchArrived'],
-      [call('GET', '/v1/requests/a/answer'), 'fetchArrived'],
-      [call('GET', '/v1/requests/a/events'), 'fetchArrived'],
-      [call('DELETE', '/v1/requests/a'), 'cancelArrived'],
-      [call('GET', '/v1/explain/a'), 'explainArrived'],
-      [call('GET', '/v1/status'), 'statusArrived'],
-      [call('GET', '/v1/workloads'), 'workloadsArrived'],
-      [call('GET', '/v1/configuration/team/a'), 'documentFetchArrived'],
-      [call('POST', '/v1/drain', {worker: 'w'}), 'drainArrived'],
-      [call('POST', '/v1/drain'), 'drainArrived'],
+      [rawCall('POST', '/v1/identities', {count: 100}), 'identitiesArrived'],
+      [rawCall('POST', '/v1/identities'), 'identitiesArrived'],
+      [rawCall('POST', '/v1/requests?wait=300', SUBMISSION), 'requestArrived'],
+      [rawCall('PUT', '/v1/requests/a.b_1_c', SUBMISSION), 'requestArrived'],
+      [rawCall('GET', '/v1/requests/a?wait=0.5'), 'fetchArrived'],
+      [rawCall('GET', '/v1/requests/a/answer'), 'fetchArrived'],
+      [rawCall('GET', '/v1/requests/a/events'), 'fetchArrived'],
+      [rawCall('DELETE', '/v1/requests/a'), 'cancelArrived'],
+      [rawCall('GET', '/v1/explain/a'), 'explainArrived'],
+      [rawCall('GET', '/v1/status'), 'statusArrived'],
+      [rawCall('GET', '/v1/workloads'), 'workloadsArrived'],
+      [rawCall('GET', '/v1/configuration/team/a'), 'documentFetchArrived'],
+      [rawCall('POST', '/v1/drain', {worker: 'w'}), 'drainArrived'],
+      [rawCall('POST', '/v1/drain'), 'drainArrived'],
     ];
     for (const [incoming, kind] of calls) {
-      assert.equal(accepted(incoming).event.kind, kind, incoming.target);
+      assert.equal(expectParsed(incoming).event.kind, kind, incoming.target);
     }
   });
 
   nodeTest.test('a publication takes its base from If-Match', () => {
     const path = '/v1/configuration/team%2Fdispatch';
     const headers = {publication: 'p1', ifMatch: '"12"'};
-    assert.deepEqual(accepted(call('PUT', path, 'text', headers)).event, {
-      kind: 'publishArrived',
-      call: 1,
-      document: 'team/dispatch',
-      baseVersion: 12,
-      content: 'text',
-      publication: 'p1',
-    });
-    const fresh = accepted(call('PUT', path, 'text', {publication: 'p1'}));
+    assert.deepEqual(
+      expectParsed(rawCall('PUT', path, 'text', headers)).event,
+      {
+        kind: 'publishArrived',
+        call: 1,
+        document: 'team/dispatch',
+        baseVersion: 12,
+        content: 'text',
+        publication: 'p1',
+      },
+    );
+    const fresh = expectParsed(
+      rawCall('PUT', path, 'text', {publication: 'p1'}),
+    );
     assert.equal('baseVersion' in fresh.event && fresh.event.baseVersion, 0);
   });
 });
@@ -78,56 +83,65 @@
   nodeTest.test('the error names field, value and rule', () => {
     const put = '/v1/requests/a';
     const bad: ReadonlyArray<readonly [callParser.RawCall, RegExp]> = [
-      [call('PUT', put, {...SUBMISSION, team: 7}), /^team: 7: must be/],
-      [call('PUT', put, {...SUBMISSION, team: undefined}), /^team: missing: /],
+      [rawCall('PUT', put, {...SUBMISSION, team: 7}), /^team: 7: must be/],
+      [
+        rawCall('PUT', put, {...SUBMISSION, team: undefined}),
+        /^team: missing: /,
+      ],
       [
-        call('PUT', put, {...SUBMISSION, color: 1}),
+        rawCall('PUT', put, {...SUBMISSION, color: 1}),
         /^color: 1: is not a known/,
       ],
       [
-        call('PUT', put, {...SUBMISSION, size: {...SIZE, memory: -1}}),
+        rawCall('PUT', put, {...SUBMISSION, size: {...SIZE, memory: -1}}),
         /^size\.memory: -1: must be a whole number from 0 to 1000000000$/,
       ],
       [
-        call('PUT', put, {...SUBMISSION, size: {...SIZE, slots: 1e9 + 1}}),
+        rawCall('PUT', put, {...SUBMISSION, size: {...SIZE, slots: 1e9 + 1}}),
         /^size\.slots: 1000000001: must be/,
       ],
       [
-        call('PUT', put, {...SUBMISSION, size: {...SIZE, disks: 1}}),
+        rawCall('PUT', put, {...SUBMISSION, size: {...SIZE, disks: 1}}),
         /^size\.disks: 1: is not a known/,
       ],
-      [call('PUT', put, {...SUBMISSION, size: null}), /^size: null: must be/],
       [
-        call('PUT', put, {...SUBMISSION, startDeadlineMs: 0.5}),
+        rawCall('PUT', put, {...SUBMISSION, size: null}),
+        /^size: null: must be/,
+      ],
+      [
+        rawCall('PUT', put, {...SUBMISSION, startDeadlineMs: 0.5}),
         /^startDeadlineMs: 0.5: must be a whole/,
       ],
-      [call('GET', '/v1/requests/a?wait=301'), /^wait: "301": must be/],
-      [call('GET', '/v1/requests/a?wait=-1'), /^wait: "-1": must be/],
-      [call('GET', '/v1/requests/a?wait='), /^wait: "": must be/],
-      [call('GET', '/v1/requests/%ff'), /^requests: "%ff": is not valid/],
-      [call('POST', '/v1/identities', {count: 0}), /^count: 0: must be/],
-      [call('POST', '/v1/identities', {count: 101}), /^count: 101: must be/],
-      [call('POST', '/v1/identities', {}), /^count: missing: must be/],
-      [call('POST', '/v1/drain', {worker: ''}), /^worker: "": must be/],
-      [call('PUT', '/v1/configuration/fleet', 'x'), /^x-publication: missing/],
+      [rawCall('GET', '/v1/requests/a?wait=301'), /^wait: "301": must be/],
+      [rawCall('GET', '/v1/requests/a?wait=-1'), /^wait: "-1": must be/],
+      [rawCall('GET', '/v1/requests/a?wait='), /^wait: "": must be/],
+      [rawCall('GET', '/v1/requests/%ff'), /^requests: "%ff": is not valid/],
+      [rawCall('POST', '/v1/identities', {count: 0}), /^count: 0: must be/],
+      [rawCall('POST', '/v1/identities', {count: 101}), /^count: 101: must be/],
+      [rawCall('POST', '/v1/identities', {}), /^count: missing: must be/],
+      [rawCall('POST', '/v1/drain', {worker: ''}), /^worker: "": must be/],
+      [
+        rawCall('PUT', '/v1/configuration/fleet', 'x'),
+        /^x-publication: missing/,
+      ],
       [
-        call('PUT', '/v1/configuration/fleet', 'x', {
+        rawCall('PUT', '/v1/configuration/fleet', 'x', {
           publication: 'p',
           ifMatch: 'new',
         }),
         /^if-match: "new": must be/,
       ],
       [
-        call('GET', '/v1/requests/a', '', {client: 'c'.repeat(81)}),
+        rawCall('GET', '/v1/requests/a', '', {client: 'c'.repeat(81)}),
         /^x-client: .*: must be a string of 1 to 80/,
       ],
       [
-        call('GET', '/v1/requests/a', '', {client: undefined}),
+        rawCall('GET', '/v1/requests/a', '', {client: undefined}),
         /^x-client: missing/,
       ],
     ];
     for (const [incoming, pattern] of bad) {
-      const failure = refusal(incoming);
+      const failure = expectFailure(incoming);
       assert.equal(failure.result, 'invalidField', failure.detail);
       assert.match(failure.detail, pattern);
     }
@@ -135,14 +149,14 @@
 
   nodeTest.test('a body that is no object and an unknown path are told', () => {
     for (const body of ['', '[]', 'null', '{"team":', '7']) {
-      const failure = refusal(call('PUT', '/v1/requests/a', body));
+      const failure = expectFailure(rawCall('PUT', '/v1/requests/a', body));
       assert.equal(failure.result, 'invalidBody', body);
     }
     for (const target of ['/', '/v1/nothing', '/v1/requests', '/v1/status/x']) {
-      assert.equal(refusal(call('GET', target)).result, 'unknownPath');
+      assert.equal(expectFailure(rawCall('GET', target)).result, 'unknownPath');
     }
     assert.equal(
-      refusal(call('GET', '/v1/requests/a b')).result,
+      expectFailure(rawCall('GET', '/v1/requests/a b')).result,
       'unknownIdentity',
     );
   });
--- a/test/links/caller_server_test.ts
+++ b/test/links/caller_server_test.ts
@@ -17,7 +17,7 @@
 ) => void;
 
 /** A server whose core is a function of the test. */
-class Front {
+class ServerFixture {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
   readonly server: callerServer.CallerServer;
@@ -62,7 +62,7 @@
   // Guards against an answer that reaches the caller of another request.
   nodeTest.test('answers out of order reach their own callers', async () => {
     const open: Array<() => void> = [];
-    const front = new Front((posted, answer) => {
+    const front = new ServerFixture((posted, answer) => {
       if (posted.kind !== 'fetchArrived') return;
       open.push(() => answer({code: 0, answer: `for ${posted.identity}`}));
       if (open.length < 20) return;
@@ -84,7 +84,7 @@
 
   nodeTest.test('a large answer arrives whole', async () => {
     const large = 'é'.repeat(8_000_000);
-    const front = new Front((_posted, answer) =>
+    const front = new ServerFixture((_posted, answer) =>
       answer({code: 0, answer: large}),
     );
     const address = await front.listen();
@@ -98,7 +98,7 @@
   });
 
   nodeTest.test('a call whose caller goes is ended', async () => {
-    const front = new Front(() => {});
+    const front = new ServerFixture(() => {});
     const address = await front.listen();
     const gone = new AbortController();
     const call = fetch(`http://${address}/v1/requests/a?wait=60`, {
@@ -118,7 +118,7 @@
   nodeTest.test('events show each state once, until the end', async () => {
     const states = ['queued', 'queued', 'running', 'ended'];
     let looks = 0;
-    const front = new Front((_posted, answer) => {
+    const front = new ServerFixture((_posted, answer) => {
       const state = states[Math.min(looks, states.length - 1)];
       looks += 1;
       answer({code: state === 'ended' ? 0 : 1, state, answer: 'done'});
@@ -139,7 +139,7 @@
   });
 
   nodeTest.test('events of an unknown request are refused', async () => {
-    const front = new Front((_posted, answer) => answer({code: 1008}));
+    const front = new ServerFixture((_posted, answer) => answer({code: 1008}));
     const address = await front.listen();
     const path = '/v1/requests/a/events';
     const refused = await httpCall.callJson(address, 'GET', path);
@@ -150,7 +150,7 @@
 
 nodeTest.describe('bad input over HTTP', () => {
   nodeTest.test('it posts nothing and is counted', async () => {
-    const front = new Front(() => {});
+    const front = new ServerFixture(() => {});
     const address = await front.listen();
     const bad = await httpCall.callJson(address, 'PUT', '/v1/requests/a', {
       ...SUBMISSION,
@@ -164,7 +164,7 @@
   });
 
   nodeTest.test('a body that is too large gets its code', async () => {
-    const front = new Front(() => {});
+    const front = new ServerFixture(() => {});
     const address = await front.listen();
     const body = 'x'.repeat(2_000_000);
     const path = '/v1/requests/a';
@@ -176,7 +176,7 @@
   });
 
   nodeTest.test('a body that is too slow gets its code', async () => {
-    const front = new Front(() => {}, {bodyTimeoutMs: 50});
+    const front = new ServerFixture(() => {}, {bodyTimeoutMs: 50});
     const address = await front.listen();
     const text = await sendRaw(
       address,
@@ -188,7 +188,7 @@
   });
 
   nodeTest.test('what is not HTTP gets its code', async () => {
-    const front = new Front(() => {});
+    const front = new ServerFixture(() => {});
     const address = await front.listen();
     const text = await sendRaw(address, 'polish these stones\r\n\r\n');
     assert.match(text, /^HTTP\/1\.1 400 .*"code":1020/s);
@@ -201,7 +201,7 @@
   // A call about an identity may repeat one that ran, so it is never told
   // that its request was not run.
   nodeTest.test('calls above the limit are refused truthfully', async () => {
-    const front = new Front(() => {}, {maxOpenCalls: 2});
+    const front = new ServerFixture(() => {}, {maxOpenCalls: 2});
     const address = await front.listen();
     const open = ['a', 'b'].map(name =>
       httpCall.callJson(address, 'GET', `/v1/requests/${name}?wait=9`),
@@ -225,7 +225,7 @@
 nodeTest.describe('the end of a process', () => {
   // Guards against callers that wait for a process that is gone.
   nodeTest.test('open calls are answered when it is abandoned', async () => {
-    const front = new Front(() => {});
+    const front = new ServerFixture(() => {});
     const address = await front.listen();
     const path = '/v1/requests/a?wait=60';
     const call = httpCall.callJson(address, 'GET', path);
@@ -238,7 +238,7 @@
 nodeTest.describe('readiness', () => {
   nodeTest.test('a process is ready when its status says so', async () => {
     let ready = false;
-    const front = new Front((_posted, answer) =>
+    const front = new ServerFixture((_posted, answer) =>
       answer({code: 0, content: {ready}}),
     );
     const address = await front.listen();
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -78,7 +78,9 @@
   }
 }
 
-function calls(address: string): ReadonlyArray<peerFailure.PeerCallEffect> {
+function peerEffects(
+  address: string,
+): ReadonlyArray<peerFailure.PeerCallEffect> {
   const peer = 'peer-2';
   return [
     {kind: 'confirmPeer', peer, address, zonePosition: 12, news: NEWS},
@@ -100,7 +102,7 @@
   ];
 }
 
-function answerOf(posted: event.Event): effect.PeerEffect | undefined {
+function answerEffectFor(posted: event.Event): effect.PeerEffect | undefined {
   switch (posted.kind) {
     case 'confirmArrived':
       return {
@@ -134,8 +136,8 @@
   }
 }
 
-function answerAll(posted: event.Event, pair: Pair): void {
-  const answer = answerOf(posted);
+function answerEveryCall(posted: event.Event, pair: Pair): void {
+  const answer = answerEffectFor(posted);
   if (answer !== undefined && !('peer' in answer)) pair.server.answer(answer);
   if (posted.kind === 'fetchArrived') {
     pair.server.answerForwarded(posted.call, {code: 0, answer: 'whole'});
@@ -144,7 +146,7 @@
 
 nodeTest.describe('calls between entry processes', () => {
   nodeTest.test('each becomes its event, and its answer another', async () => {
-    const pair = new Pair(answerAll);
+    const pair = new Pair(answerEveryCall);
     await pair.listen();
     pair.forwarded = {
       kind: 'fetchArrived',
@@ -153,7 +155,7 @@
       identity: 'i',
       waitMs: 10,
     };
-    for (const call of calls(pair.address)) await pair.link.perform(call);
+    for (const call of peerEffects(pair.address)) await pair.link.perform(call);
     const withoutCalls = pair.served.map(item => ({...item, call: 0}));
     const from = 'peer-1';
     const to = 'peer-2';
@@ -216,7 +218,7 @@
   nodeTest.test('a call without an answer becomes a failure', async () => {
     const pair = new Pair(() => {});
     const nobody = '127.0.0.1:1';
-    for (const call of calls(nobody)) await pair.link.perform(call);
+    for (const call of peerEffects(nobody)) await pair.link.perform(call);
     assert.deepEqual(
       pair.posted.map(item => item.kind),
       [
@@ -245,12 +247,12 @@
     async () => {
       const pair = new Pair((posted, self) => {
         if (posted.kind !== 'confirmArrived') return;
-        const answer = answerOf(posted);
+        const answer = answerEffectFor(posted);
         if (answer?.kind !== 'answerConfirm') return;
         self.server.answer({...answer, news: {...NEWS, from: 'peer-3'}});
       });
       await pair.listen();
-      await pair.link.perform(calls(pair.address)[0]);
+      await pair.link.perform(peerEffects(pair.address)[0]);
       assert.deepEqual(pair.posted, [{kind: 'confirmFailed', peer: 'peer-2'}]);
       pair.close();
     },
@@ -259,7 +261,7 @@
   nodeTest.test('a call whose sender goes is ended', async () => {
     const pair = new Pair(() => {});
     await pair.listen();
-    const offer = pair.link.perform(calls(pair.address)[1]);
+    const offer = pair.link.perform(peerEffects(pair.address)[1]);
     await wait.until('the offer', async () => pair.served[0]);
     pair.link.close();
     await offer;
@@ -273,11 +275,11 @@
 
 nodeTest.describe('silent connections between entry processes', () => {
   nodeTest.test('a probe replaces one after a missed deadline', async () => {
-    const pair = new Pair(answerAll);
+    const pair = new Pair(answerEveryCall);
     await pair.listen();
     const relay = new faultRelay.FaultRelay(pair.address);
     const address = await relay.listen();
-    const confirm = calls(address)[0];
+    const confirm = peerEffects(address)[0];
     await pair.link.perform(confirm);
     relay.silenceConnections();
     await pair.link.perform(confirm);
@@ -304,7 +306,7 @@
       );
       const address = silent.address() as net.AddressInfo;
       const pair = new Pair(() => {});
-      const [confirm] = calls(`127.0.0.1:${address.port}`);
+      const [confirm] = peerEffects(`127.0.0.1:${address.port}`);
       await pair.link.perform(confirm);
       await pair.link.perform(confirm);
       assert.equal(pair.metrics.total('silent_connection peer deadline'), 0);
--- a/test/links/platform_link_test.ts
+++ b/test/links/platform_link_test.ts
@@ -18,7 +18,7 @@
 };
 
 /** A link to a log and a VM list at one address. */
-class Bench {
+class PlatformLinkFixture {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
   private readonly caller = new pooledHttpClient.PooledHttpClient({
@@ -67,7 +67,7 @@
 nodeTest.describe('the log', () => {
   nodeTest.test('what was appended is read with its offsets', async () => {
     const log = new logService.LogService(2);
-    const bench = new Bench(await log.listen());
+    const bench = new PlatformLinkFixture(await log.listen());
     log.append('a/b', ['trimmed']);
     const answered = {kind: 'appendAnswered', stream: 'a/b', append: 4};
     assert.deepEqual(await bench.append(), {...answered, answer: 'appended'});
@@ -88,7 +88,7 @@
 
   nodeTest.test('a lost acknowledgement and an outage are told', async () => {
     const log = new logService.LogService();
-    const bench = new Bench(await log.listen());
+    const bench = new PlatformLinkFixture(await log.listen());
     const lost = {
       kind: 'appendAnswered',
       stream: 'a/b',
@@ -114,7 +114,7 @@
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new Bench(await server.listen(0));
+    const bench = new PlatformLinkFixture(await server.listen(0));
     const record = (offset: number): unknown => ({offset, data: 'x'});
     const bad: ReadonlyArray<unknown> = [
       {first: 0, next: 1},
@@ -141,7 +141,7 @@
   // Guards against a list that is taken for unchanged after a change.
   nodeTest.test('a change shows in the next read', async () => {
     const list = new vmList.VmList();
-    const bench = new Bench(await list.listen());
+    const bench = new PlatformLinkFixture(await list.listen());
     const row = {...VM, role: 'worker', state: 'live'} as const;
     list.put(row);
     const read = {kind: 'vmListRead', sentAt: 7, vms: [row]};
@@ -164,7 +164,7 @@
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new Bench(await server.listen(0));
+    const bench = new PlatformLinkFixture(await server.listen(0));
     const good = {kind: 'vmListRead', sentAt: 7, vms: [VM]};
     assert.deepEqual(await bench.readVms(), good);
     for (const wrong of [{role: 'rack'}, {state: ''}, {vm: 3}, {zone: null}]) {
--- a/test/links/pooled_http_client_test.ts
+++ b/test/links/pooled_http_client_test.ts
@@ -5,7 +5,7 @@
 import * as wait from '../support/wait.js';
 
 /** A server that answers, holds or drops calls by their paths. */
-class Target implements standInServer.StandInHandler {
+class TargetServer implements standInServer.StandInHandler {
   readonly server = new standInServer.StandInServer(this);
   readonly paths: string[] = [];
   readonly held: Array<() => void> = [];
@@ -25,7 +25,7 @@
   }
 }
 
-function get(
+function getRequest(
   address: string,
   path: string,
   headersTimeoutMs = 300,
@@ -40,7 +40,7 @@
   };
 }
 
-function buildCaller(
+function buildClient(
   silent: string[] = [],
   connections = {minimum: 1, initial: 2, maximum: 4},
 ): pooledHttpClient.PooledHttpClient {
@@ -54,20 +54,20 @@
 
 nodeTest.describe('outcomes of a call', () => {
   nodeTest.test('a refused connection is proved not sent', async () => {
-    const caller = buildCaller();
-    const outcome = await caller.call(get('127.0.0.1:1', '/'));
+    const caller = buildClient();
+    const outcome = await caller.call(getRequest('127.0.0.1:1', '/'));
     assert.equal(outcome.kind, 'notSent');
     await caller.close();
   });
 
   // Guards against a start that is sent twice because a library retries.
   nodeTest.test('a dropped call is lost and is not repeated', async () => {
-    const target = new Target();
+    const target = new TargetServer();
     const address = await target.server.listen(0);
-    const caller = buildCaller();
-    const outcome = await caller.call(get(address, '/drop'));
+    const caller = buildClient();
+    const outcome = await caller.call(getRequest(address, '/drop'));
     assert.equal(outcome.kind, 'lost');
-    await caller.call(get(address, '/after'));
+    await caller.call(getRequest(address, '/after'));
     assert.deepEqual(target.paths, ['/drop', '/after']);
     await caller.close();
     target.server.close();
@@ -76,16 +76,16 @@
 
 nodeTest.describe('silent connections', () => {
   nodeTest.test('a probe replaces them and later calls work', async () => {
-    const target = new Target();
+    const target = new TargetServer();
     const address = await target.server.listen(0);
     const silent: string[] = [];
-    const caller = buildCaller(silent, {minimum: 1, initial: 1, maximum: 1});
-    await caller.call(get(address, '/first'));
+    const caller = buildClient(silent, {minimum: 1, initial: 1, maximum: 1});
+    await caller.call(getRequest(address, '/first'));
     target.server.silenceConnections();
-    const lost = await caller.call(get(address, '/second'));
+    const lost = await caller.call(getRequest(address, '/second'));
     assert.equal(lost.kind, 'lost');
     await wait.until('the probe', async () => silent[0]);
-    const after = await caller.call(get(address, '/third'));
+    const after = await caller.call(getRequest(address, '/third'));
     assert.equal(after.kind, 'answered');
     assert.deepEqual(target.paths, ['/first', '/probe', '/third']);
     await caller.close();
@@ -94,12 +94,12 @@
 
   // Guards against cutting off calls on connections that still work.
   nodeTest.test('calls in progress go on over the old ones', async () => {
-    const target = new Target();
+    const target = new TargetServer();
     const address = await target.server.listen(0);
     const silent: string[] = [];
-    const caller = buildCaller(silent);
-    const held = caller.call(get(address, '/hold', 10_000));
-    await caller.call(get(address, '/never'));
+    const caller = buildClient(silent);
+    const held = caller.call(getRequest(address, '/hold', 10_000));
+    await caller.call(getRequest(address, '/never'));
     await wait.until('the probe', async () => silent[0]);
     target.held[0]();
     assert.equal((await held).kind, 'answered');
@@ -110,28 +110,28 @@
 
 nodeTest.describe('connections of one address', () => {
   nodeTest.test('they stay below the limit, which adapts', async () => {
-    const target = new Target();
+    const target = new TargetServer();
     const address = await target.server.listen(0);
-    const caller = buildCaller([], {minimum: 1, initial: 1, maximum: 3});
+    const caller = buildClient([], {minimum: 1, initial: 1, maximum: 3});
     const calls = Array.from({length: 50}, () =>
-      caller.call(get(address, '/', 5_000)),
+      caller.call(getRequest(address, '/', 5_000)),
     );
     const outcomes = await Promise.all(calls);
     assert.ok(outcomes.every(item => item.kind === 'answered'));
     assert.equal(caller.connectionLimit(address), 3);
     assert.ok(target.server.connectionCount() <= 3);
     target.server.close();
-    await caller.call(get(address, '/'));
+    await caller.call(getRequest(address, '/'));
     assert.equal(caller.connectionLimit(address), 1);
     await caller.close();
   });
 
   nodeTest.test('a call that gets no turn in time is not sent', async () => {
-    const target = new Target();
+    const target = new TargetServer();
     const address = await target.server.listen(0);
-    const caller = buildCaller([], {minimum: 1, initial: 1, maximum: 1});
-    const held = caller.call(get(address, '/hold', 10_000));
-    const queued = await caller.call(get(address, '/queued', 50));
+    const caller = buildClient([], {minimum: 1, initial: 1, maximum: 1});
+    const held = caller.call(getRequest(address, '/hold', 10_000));
+    const queued = await caller.call(getRequest(address, '/queued', 50));
     assert.equal(queued.kind, 'notSent');
     target.held[0]();
     await held;
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -11,7 +11,7 @@
 }
 
 /** Follows a topic that answers as told; notes what is passed on. */
-function following(
+function startFollower(
   time: timeline.Timeline,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
@@ -50,7 +50,7 @@
   // Guards against changes that are missed between the first look and the rest.
   test('is read on from where the first look ended', async () => {
     const time = new timeline.Timeline();
-    const {news, follower} = following(
+    const {news, follower} = startFollower(
       time,
       () => ({kind: 'read', records: [record('a', 3)], end: 4}),
       from => ({kind: 'read', records: [record('b', from)], end: from + 1}),
@@ -63,7 +63,7 @@
   // Guards against a process that lags for good once history was dropped.
   test('is read anew when its history is gone', async () => {
     const time = new timeline.Timeline();
-    const {news, follower} = following(
+    const {news, follower} = startFollower(
       time,
       () => ({kind: 'read', records: [], end: 9}),
       () => ({kind: 'expired'}),
@@ -78,7 +78,7 @@
   test('is tried again after a pause when it can not be read', async () => {
     const time = new timeline.Timeline();
     let tries = 0;
-    const {news, follower} = following(
+    const {news, follower} = startFollower(
       time,
       () => {
         tries += 1;
--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -36,7 +36,7 @@
 }
 
 /** A link to one worker, with what it posts. */
-class Bench {
+class WorkerLinkFixture {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
   private readonly callers: ReadonlyArray<pooledHttpClient.PooledHttpClient>;
@@ -85,7 +85,7 @@
   }
 }
 
-function standIn(): worker.StandInWorker {
+function createStandInWorker(): worker.StandInWorker {
   return new worker.StandInWorker({
     name: 'w',
     rack: 'r',
@@ -96,29 +96,29 @@
 
 nodeTest.describe('starts', () => {
   nodeTest.test('each answer tells what is proved', async () => {
-    const machine = standIn();
-    const bench = new Bench(await machine.listen());
+    const machine = createStandInWorker();
+    const bench = new WorkerLinkFixture(await machine.listen());
     await bench.start('t1', '');
-    assert.equal(answerOf(bench), 'started');
+    assert.equal(startAnswerOf(bench), 'started');
     machine.fail({losesStartAnswers: true});
     await bench.start('t2', '');
-    assert.equal(answerOf(bench), 'lost');
+    assert.equal(startAnswerOf(bench), 'lost');
     machine.close();
     await bench.start('t3', '');
-    assert.equal(answerOf(bench), 'refused');
+    assert.equal(startAnswerOf(bench), 'refused');
     await bench.close();
   });
 });
 
-function answerOf(bench: Bench): string | undefined {
+function startAnswerOf(bench: WorkerLinkFixture): string | undefined {
   const last = bench.last();
   return last?.kind === 'startAnswered' ? last.answer : undefined;
 }
 
 nodeTest.describe('answers of tasks', () => {
   nodeTest.test('a task gets its own answer', async () => {
-    const machine = standIn();
-    const bench = new Bench(await machine.listen());
+    const machine = createStandInWorker();
+    const bench = new WorkerLinkFixture(await machine.listen());
     await Promise.all(
       ['a', 'b', 'c'].map(name => bench.start(name, `{"answer":"of ${name}"}`)),
     );
@@ -144,7 +144,7 @@
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new Bench(await server.listen(0));
+    const bench = new WorkerLinkFixture(await server.listen(0));
     await bench.fetch('mine');
     assert.equal(bench.last()?.kind, 'taskAnswerLost');
     await bench.close();
@@ -153,8 +153,8 @@
 
   // Guards against a wait without end for an answer that can't arrive.
   nodeTest.test('a silent wait ends when reports show the end', async () => {
-    const machine = standIn();
-    const bench = new Bench(await machine.listen());
+    const machine = createStandInWorker();
+    const bench = new WorkerLinkFixture(await machine.listen());
     await bench.start('t', '{"runTimeMs": 300}');
     const fetched = bench.fetch('t');
     await wait.until('the call', async () =>
@@ -233,7 +233,7 @@
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new Bench(await server.listen(0));
+    const bench = new WorkerLinkFixture(await server.listen(0));
     await bench.readReport();
     assert.deepEqual(bench.last(), {kind: 'reportFailed', worker: 'w'});
     assert.equal(bench.metrics.total('malformed_report w'), 1);
