--- a/src/links/byte_counter.ts
+++ b/src/links/byte_counter.ts
@@ -1,7 +1,7 @@
 import type * as sinks from '../operations/sinks.js';
 import type * as net from 'node:net';
 
-/** Time between counts of connections that stay open. */
+/** Interval at which the bytes of open connections are counted. */
 const COUNT_INTERVAL_MS = 10_000;
 
 interface CountedBytes {
@@ -10,7 +10,7 @@
   sentBytes: number;
 }
 
-/** Counts the bytes of connections by link and by the zone at the other end. */
+/** Counts the bytes of connections by link and by the zone of the remote end. */
 export class ByteCounter {
   private readonly sockets = new Map<net.Socket, CountedBytes>();
   private readonly timer: NodeJS.Timeout;
@@ -23,7 +23,7 @@
     this.timer.unref();
   }
 
-  /** Counts a connection until it is closed. */
+  /** Counts the bytes of a connection until it is closed. */
   track(socket: net.Socket, link: string, zone: string): void {
     this.sockets.set(socket, {
       labels: {link, zone},
@@ -36,7 +36,7 @@
     });
   }
 
-  /** Counts what has not been counted and ends. */
+  /** Counts the bytes since the last count and stops the timer. */
   close(): void {
     clearInterval(this.timer);
     this.countAllConnections();
--- a/src/links/call_number_allocator.ts
+++ b/src/links/call_number_allocator.ts
@@ -1,10 +1,10 @@
 import type * as event from '../contracts/event.js';
 
-/** Issues call numbers that are unique over all servers of a process. */
+/** Allocates call numbers that are unique across all servers of a process. */
 export class CallNumberAllocator {
   private lastNumber = 0;
 
-  /** Returns a number that was not returned before. */
+  /** Returns the next unused number. */
   allocate(): event.CallNumber {
     this.lastNumber += 1;
     return this.lastNumber;
--- a/src/links/call_parser.ts
+++ b/src/links/call_parser.ts
@@ -9,22 +9,22 @@
 /** Longest wait that a caller may ask for, in seconds. */
 export const MAX_WAIT_SECONDS = 300;
 
-/** Most identities that one call issues. */
+/** Largest number of identities that one call may request. */
 export const MAX_IDENTITIES_PER_CALL = 100;
 
-/** Longest name of a client, team, workload, worker or publication. */
+/** Maximum characters of a client, team, workload, worker or publication name. */
 const MAX_NAME_LENGTH = 80;
 
-/** Longest identity; the ones that are issued are shorter. */
+/** Maximum characters of an identity; issued identities are shorter. */
 const MAX_IDENTITY_LENGTH = 200;
 
-/** Longest payload; the limit of bodies is lower unless it is raised. */
+/** Maximum characters of a payload; the default body limit is lower. */
 const MAX_PAYLOAD_LENGTH = 67_108_864;
 
-/** Largest quantity of a size. */
+/** Largest quantity of a size, and longest start deadline in milliseconds. */
 const MAX_QUANTITY = 1_000_000_000;
 
-/** A call as it came over HTTP, its body included. */
+/** An HTTP call with its body, before any check. */
 export interface RawCall {
   readonly method: string;
   /** Path and query. */
@@ -35,10 +35,10 @@
   readonly body: string;
 }
 
-/** How a call is answered: a JSON reply, the raw answer or an event stream. */
+/** Format of the response: a JSON reply, the raw answer or an event stream. */
 export type ResponseFormat = 'reply' | 'rawAnswer' | 'events';
 
-/** A checked call. */
+/** A call that passed all checks, as the event to post. */
 export interface ParsedCall {
   readonly form: ResponseFormat;
   readonly event: event.CallEvent;
@@ -46,7 +46,7 @@
 
 type Checked<Value> = fieldChecks.Checked<Value>;
 
-/** Checks a call and translates it; changes nothing. */
+/** Parses an HTTP call into its event, or returns the first failed check. */
 export function parseCall(
   incoming: RawCall,
   call: event.CallNumber,
@@ -71,7 +71,7 @@
   return parseCollectionCall(route, incoming, parameters, call);
 }
 
-/** Checks the JSON body of a submission. */
+/** Parses the JSON body of a submission. */
 export function parseSubmission(body: string): Checked<request.Submission> {
   const known = ['team', 'workload', 'payload', 'size', 'startDeadlineMs'];
   return parseJsonBody(body)
@@ -172,7 +172,7 @@
   incoming: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  // A call without a body asks for one identity.
+  // A call without a body requests one identity.
   const body = incoming.body === '' ? '{"count": 1}' : incoming.body;
   return parseClient(incoming).chain(client =>
     parseJsonBody(body)
@@ -355,7 +355,7 @@
   return either.Left(
     result.failure(
       'unknownIdentity',
-      `identity: ${JSON.stringify(name.slice(0, 60))}: must be one that was issued`,
+      `identity: ${JSON.stringify(name.slice(0, 60))}: must be an identity issued by POST /v1/identities`,
     ),
   );
 }
@@ -365,7 +365,8 @@
   return fieldChecks.fieldFailure(
     'document',
     name,
-    'must be 1 to 100 small letters, digits, hyphens and slashes',
+    'must be 1 to 100 lower-case letters, digits, hyphens and slashes, ' +
+      'beginning with a letter or digit',
   );
 }
 
@@ -387,7 +388,7 @@
 function unknownPathFailure(incoming: RawCall): Checked<ParsedCall> {
   const shown = `${incoming.method} ${incoming.target}`.slice(0, 120);
   return either.Left(
-    result.failure('unknownPath', `path: ${shown}: no such call`),
+    result.failure('unknownPath', `path: ${shown}: is not a path of this API`),
   );
 }
 
--- a/src/links/pending_answer_tracker.ts
+++ b/src/links/pending_answer_tracker.ts
@@ -1,21 +1,22 @@
 import type * as task from '../contracts/task.js';
 
 /**
- * Time for which a worker may list a task as ended while its answer is still
- * awaited; after it, the connection counts as silent.
+ * Time between the first report that lists a task as ended and the abort of a
+ * call that still waits for its answer; the connection then counts as silent.
  */
 const OVERDUE_TIMEOUT_MS = 2_000;
 
 interface PendingAnswer {
   readonly abortController: AbortController;
-  /** When a report first listed the task as ended. */
+  /** Time of the first report that lists the task as ended. */
   reportedEndedAtMs: number | undefined;
 }
 
 /**
- * Finds connections that went silent while an answer was awaited. Such a wait
- * may be as long as the task, so no deadline can tell; the worker's reports
- * can, without any call of their own.
+ * Tracks the calls that wait for the answer of a task and aborts those on
+ * silent connections. Such a call may take as long as the task, so no timeout
+ * can detect a silent connection; the reports of the worker can, at the cost
+ * of no further call.
  */
 export class PendingAnswerTracker {
   private readonly pendingByWorker = new Map<
@@ -23,7 +24,7 @@
     Map<string, PendingAnswer>
   >();
 
-  /** Begins to watch; the signal ends the call when it is overdue. */
+  /** Tracks a call; the returned signal aborts it when it is overdue. */
   track(worker: string, taskName: string): AbortSignal {
     const pending: PendingAnswer = {
       abortController: new AbortController(),
@@ -36,7 +37,7 @@
     return pending.abortController.signal;
   }
 
-  /** Ends the watch of one call. */
+  /** Stops tracking a call, unless a later call for the task replaced it. */
   untrack(worker: string, taskName: string, signal: AbortSignal): void {
     const pendingByTask = this.pendingByWorker.get(worker);
     if (pendingByTask?.get(taskName)?.abortController.signal !== signal) return;
@@ -44,7 +45,7 @@
     if (pendingByTask.size === 0) this.pendingByWorker.delete(worker);
   }
 
-  /** Compares a report with the open calls; returns how many it ended. */
+  /** Aborts calls for tasks that ended too long ago; returns their number. */
   abortOverdue(report: task.WorkerReport, nowMs: number): number {
     const pendingByTask = this.pendingByWorker.get(report.worker);
     if (pendingByTask === undefined) return 0;
@@ -54,7 +55,9 @@
       if (pending === undefined || taskReport.state === 'running') continue;
       pending.reportedEndedAtMs ??= nowMs;
       if (nowMs - pending.reportedEndedAtMs < OVERDUE_TIMEOUT_MS) continue;
-      pending.abortController.abort(new Error('the answer is overdue'));
+      pending.abortController.abort(
+        new Error('no answer although the worker reports the task as ended'),
+      );
       abortedCount += 1;
     }
     return abortedCount;
