--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -12,34 +12,35 @@
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 
-/** Time for the headers of a call to arrive. */
+/** Time within which the headers of a call must arrive. */
 const HEADERS_TIMEOUT_MS = 10_000;
 
 /**
- * Time for which one look at a request waits for its end while its events are
- * streamed; other changes of state are seen this much later at most.
+ * Shortest wait of a poll while the events of a request are streamed. A poll
+ * returns early only when the request ends, so other changes of state are
+ * reported with up to this delay.
  */
 const MIN_POLL_MS = 250;
 
-/** Longest time of a look at a request whose state does not change. */
+/** Longest wait of a poll while the state of the request does not change. */
 const MAX_POLL_MS = 5_000;
 
-/** Time for the loop to answer a readiness check. */
+/** Time within which the loop must answer a readiness check. */
 const READY_TIMEOUT_MS = 1_000;
 
-/** Time between looks for connections that have become idle at the end. */
+/** Interval of checks for idle connections while the server closes. */
 const CLOSE_CHECK_INTERVAL_MS = 20;
 
-/** Time after which connections without a call are closed at the end. */
+/** Time after which a closing server closes connections without a call. */
 const IDLE_CONNECTION_GRACE_MS = 500;
 
 interface OpenCall {
   readonly event: event.CallEvent;
-  /** Gets the reply. */
+  /** Sends the reply to the caller. */
   readonly answer: (reply: effect.Reply) => void;
 }
 
-/** What a caller server is made with. */
+/** Dependencies and limits of a caller server. */
 export interface CallerServerOptions {
   readonly callNumbers: callNumberAllocator.CallNumberAllocator;
   readonly post: (event: event.Event) => void;
@@ -48,13 +49,13 @@
   readonly byteCounter?: byteCounter.ByteCounter;
 }
 
-/** Bounds of what callers may occupy. */
+/** Limits on the resources that callers may occupy. */
 export interface CallerLimits {
-  /** Time for a body to arrive. */
+  /** Time within which a body must arrive. */
   readonly bodyTimeoutMs: number;
-  /** Largest body. */
+  /** Largest size of a body. */
   readonly maxBodyBytes: number;
-  /** Most calls that are open at once. */
+  /** Largest number of calls that are open at once. */
   readonly maxOpenCalls: number;
 }
 
@@ -64,12 +65,12 @@
   maxOpenCalls: 10_000,
 };
 
-/** HTTP front end for callers and operators. */
+/** HTTP server for callers and operators; posts their calls as events. */
 export class CallerServer {
   private readonly server: http.Server;
   private readonly calls = new Map<event.CallNumber, OpenCall>();
   private draining = false;
-  /** Responses that are not sent completely. */
+  /** Number of responses that are not yet sent completely. */
   private unfinished = 0;
   private readonly limits: CallerLimits;
 
@@ -78,7 +79,7 @@
     this.server = http.createServer(
       {
         headersTimeout: HEADERS_TIMEOUT_MS,
-        // The body has a deadline of its own that answers with a code.
+        // readBody applies its own timeout, which is answered with a result code.
         requestTimeout: 0,
       },
       (incoming, response) => void this.serve(incoming, response),
@@ -91,12 +92,12 @@
     );
   }
 
-  /** Listens and returns the port, which the system chooses for port 0. */
+  /** Starts listening; returns the port, chosen by the system for port 0. */
   listen(host: string, port: number): Promise<number> {
     return listen.listen(this.server, host, port);
   }
 
-  /** Answers an open call; does nothing when its caller has gone. */
+  /** Answers an open call; has no effect when the caller has disconnected. */
   answer(call: event.CallNumber, reply: effect.Reply): void {
     const openCall = this.calls.get(call);
     if (openCall === undefined) return;
@@ -104,12 +105,15 @@
     openCall.answer(reply);
   }
 
-  /** Returns an open call as it was posted. */
+  /** Returns the event of an open call. */
   findOpenCall(call: event.CallNumber): event.CallEvent | undefined {
     return this.calls.get(call)?.event;
   }
 
-  /** Posts a call of this process itself and resolves with the reply. */
+  /**
+   * Posts a call on behalf of this process. Resolves with the reply, or with
+   * undefined when there is none within the timeout.
+   */
   postAndWait(
     build: (call: event.CallNumber) => event.CallEvent,
     timeoutMs: number,
@@ -127,18 +131,18 @@
     });
   }
 
-  /** Turns readiness off and asks callers to use other connections. */
+  /** Reports not ready and closes each connection after its next response. */
   beginDrain(): void {
     this.draining = true;
   }
 
-  /** Takes no new connections and resolves when the open ones have ended. */
+  /** Accepts no new connections; resolves when the open ones are closed. */
   close(): Promise<void> {
     const startedMs = performance.now();
     return new Promise(resolve => {
       const timer = setInterval(() => {
         this.server.closeIdleConnections();
-        // A connection on which no call has begun does not count as idle.
+        // Node does not count a connection without any call as idle.
         const expired =
           performance.now() - startedMs >= IDLE_CONNECTION_GRACE_MS;
         if (expired && this.unfinished === 0) this.server.closeAllConnections();
@@ -150,7 +154,7 @@
     });
   }
 
-  /** Closes; calls that are open after the grace get the reply. */
+  /** Closes the server; calls still open after `graceMs` get the reply. */
   async closeWithReply(reply: effect.Reply, graceMs = 0): Promise<void> {
     this.beginDrain();
     const graceEndMs = performance.now() + graceMs;
@@ -184,7 +188,7 @@
       await this.answerReady(response);
     } else if (this.unfinished > this.limits.maxOpenCalls) {
       const detail = `calls: ${this.unfinished}: at most ${this.limits.maxOpenCalls} at once`;
-      // A call about an identity may repeat one that ran.
+      // A call that names an identity may repeat a request that already ran.
       const name = targetsRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
       this.refuse(response, result.failure(name, detail));
     } else {
@@ -234,7 +238,7 @@
     });
   }
 
-  /** Looks at a request again and again until it has ended. */
+  /** Polls a request and streams its state changes until it ends. */
   private streamEvents(
     stream: eventStream.EventStream,
     first: event.CallEvent,
@@ -253,8 +257,8 @@
         const change = stream.update(reply);
         if (change === 'ended') return;
         currentCall = this.options.callNumbers.allocate();
-        // Looks at a request that stays as it is become rare: each one may
-        // cross regions.
+        // Each poll may cross regions, so the wait doubles while the state
+        // does not change.
         const doubledWaitMs = Math.max(2 * waitMs, MIN_POLL_MS);
         poll(
           change === 'changed'
@@ -274,7 +278,7 @@
     this.options.post(posted);
   }
 
-  /** Ends a call whose caller has gone. */
+  /** Removes a call whose caller has disconnected, and posts its end. */
   private endCall(call: event.CallNumber): void {
     if (this.calls.delete(call)) this.options.post({kind: 'callEnded', call});
   }
@@ -302,7 +306,7 @@
     error: jsonBody.BodyError,
     response: http.ServerResponse,
   ): void {
-    // What is left of the body cannot be told from a following call.
+    // The rest of the body cannot be distinguished from a following call.
     response.setHeader('connection', 'close');
     if (error === 'aborted') response.destroy();
     else if (error === 'tooLarge') {
@@ -333,7 +337,7 @@
     });
   }
 
-  /** Answers what is not HTTP, or whose headers are too slow or too large. */
+  /** Answers malformed HTTP, and headers that are too slow or too large. */
   private refuseMalformed(
     error: NodeJS.ErrnoException,
     socket: net.Socket,
@@ -373,7 +377,7 @@
   return typeGuards.isObject(reply.content) && reply.content['ready'] === true;
 }
 
-/** Sends the whole answer as it came; anything else as a reply. */
+/** Sends the raw answer of a finished request, or else the JSON reply. */
 function sendRawAnswer(
   response: http.ServerResponse,
   reply: effect.Reply,
--- a/src/links/connection_limiter.ts
+++ b/src/links/connection_limiter.ts
@@ -1,4 +1,4 @@
-/** Bounds of an adaptive limit. */
+/** Bounds and initial value of an adaptive connection limit. */
 export interface ConnectionBounds {
   readonly minimum: number;
   readonly initial: number;
@@ -6,9 +6,10 @@
 }
 
 /**
- * Adaptive limit of the calls that are open to one origin, and so of the
- * connections. It grows by one when a full limit's calls went well and
- * halves when a connection is refused or reset, as a crowded worker does.
+ * Adaptive limit of the open calls, and so of the connections, to one origin.
+ * The limit grows by one after as many successful calls as the limit allows,
+ * if calls are waiting, and halves when a connection is refused or reset,
+ * which is how an overloaded worker responds.
  */
 export class ConnectionLimiter {
   private limit: number;
@@ -20,17 +21,20 @@
     this.limit = bounds.initial;
   }
 
-  /** Calls that may be open at once at present. */
+  /** Number of calls that may currently be open at once. */
   get currentLimit(): number {
     return this.limit;
   }
 
-  /** Calls that are open. */
+  /** Number of calls that are open. */
   get openCallCount(): number {
     return this.usedSlots;
   }
 
-  /** Runs `granted` now or when a call ends; returns how to withdraw it. */
+  /**
+   * Acquires a slot and runs `onGranted`, at once or when a call ends. Returns a
+   * function that withdraws a waiting acquisition.
+   */
   acquire(onGranted: () => void): () => void {
     if (this.usedSlots < this.limit) {
       this.usedSlots += 1;
@@ -44,7 +48,7 @@
     };
   }
 
-  /** Ends a call; `refused` when its connection was refused or reset. */
+  /** Releases a slot; `overloaded` if the connection was refused or reset. */
   release(overloaded: boolean): void {
     this.usedSlots -= 1;
     if (overloaded) this.shrink();
