--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -10,7 +10,7 @@
 import type * as job from '../jobs/job.js';
 import type * as scheduler from '../jobs/scheduler.js';
 
-/** Time without calls after which a connection is closed. */
+/** Time after which a connection without calls is closed. */
 const IDLE_TIMEOUT_MS = 30_000;
 
 type Client = connect.Client<typeof cellPb.Cell>;
@@ -25,7 +25,7 @@
   readonly signal: AbortSignal;
 }
 
-/** Calls other members over one HTTP/2 connection to each. */
+/** Calls other cell members over one HTTP/2 connection per member. */
 export class CellClient implements cellPeers.CellPeers {
   private readonly connections = new Map<string, Connection>();
 
@@ -179,16 +179,15 @@
     error: unknown,
   ): {kind: 'refused'} | {kind: 'unanswered'; detail: string} {
     const connectError = connect.ConnectError.from(error);
-    // Nothing came over the connection since the call was sent: it may have
-    // gone silent, while a new one would work.
-    if (connection.lastAnswerAtMs <= sentAtMs)
-      this.discard(address, connection);
+    // No answer arrived over the connection since the call was sent: it may be
+    // silent while a new connection would work.
+    if (connection.lastAnswerAtMs <= sentAtMs) this.evict(address, connection);
     const cause = connectError.cause as {readonly code?: unknown} | undefined;
     if (cause?.code === 'ECONNREFUSED') return {kind: 'refused'};
     return {kind: 'unanswered', detail: connectError.message};
   }
 
-  private discard(address: string, connection: Connection): void {
+  private evict(address: string, connection: Connection): void {
     if (this.connections.get(address) !== connection) return;
     this.connections.delete(address);
     connection.session.abort();
@@ -205,7 +204,7 @@
       baseUrl,
       httpVersion: '2',
       sessionManager: session,
-      // Messages are a few hundred bytes; compression would only add headers.
+      // Messages have a few hundred bytes; compression would only add headers.
       acceptCompression: [],
       readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
     });
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -5,10 +5,10 @@
 const CLAIM_KEY = 'claim';
 const MEMBER_PREFIX = 'member/';
 
-/** Time for the answer to an append. */
+/** Time within which an append must be answered. */
 const APPEND_TIMEOUT_MS = 700;
 
-/** Keeps members and claims in a keyed topic. */
+/** Stores cell members and scheduler claims in a keyed topic. */
 export class CellLogStore implements cellMember.CellLog {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
@@ -47,12 +47,12 @@
   }
 }
 
-/** What one record of the cell's log says. */
+/** Decoded record of the cell's log. */
 export type CellRecord =
   | {readonly kind: 'member'; readonly member: cellMember.CellMember}
   | {readonly kind: 'claim'; readonly claim: cellMember.Claim};
 
-/** Decodes a record; undefined for one that this version does not know. */
+/** Decodes a record; returns undefined for an unknown kind of record. */
 export function decodeCellRecord(
   record: keyedTopic.TopicRecord,
 ): CellRecord | undefined {
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -3,10 +3,10 @@
 import type * as cellMember from '../zones/cell_member.js';
 import type * as cellPb from './generated/cell_pb.js';
 
-/** Largest message between members in bytes. */
+/** Largest message between cell members, in bytes. */
 export const MAX_MESSAGE_BYTES = 1_048_576;
 
-/** Encodes a claim. */
+/** Encodes a claim, whose term is a bigint in the message. */
 export function encodeClaim(
   claim: cellMember.Claim | undefined,
 ): protobuf.MessageInitShape<typeof cellPb.ClaimSchema> | undefined {
@@ -14,7 +14,7 @@
   return {...claim, term: BigInt(claim.term)};
 }
 
-/** Decodes a claim. */
+/** Decodes a claim; returns undefined when the message has none. */
 export function decodeClaim(
   claim: cellPb.Claim | undefined,
 ): cellMember.Claim | undefined {
@@ -31,7 +31,7 @@
   'unknownQueue',
 ]);
 
-/** Decodes the fate of a job that was handed in. */
+/** Decodes the outcome of a job submission; unknown refusals mean not ready. */
 export function decodeSubmitResponse(
   response: cellPb.SubmitResponse,
 ): submissions.SubmitOutcome {
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -12,13 +12,13 @@
 type MessageInit<Schema extends protobuf.DescMessage> =
   protobuf.MessageInitShape<Schema>;
 
-/** Ages beyond this are all the same to a receiver. */
+/** Upper bound of a reported age; receivers treat larger ages alike. */
 const MAX_REPORTED_AGE_MS = 3_600_000;
 
 const NOT_LEADING = {leading: cellPb.Leading.NO} as const;
 const NO_DOCUMENT = new Uint8Array(0);
 
-/** Answers the calls of other members. */
+/** HTTP/2 server for the calls of other cell members. */
 export class CellServer {
   private readonly server: http2.Http2Server;
   private readonly sessions = new Set<http2.ServerHttp2Session>();
@@ -39,7 +39,7 @@
     });
   }
 
-  /** Listens and returns the port, which the system chooses for port 0. */
+  /** Starts listening; returns the port, chosen by the system for port 0. */
   listen(host: string, port: number): Promise<number> {
     return listen.listen(this.server, host, port);
   }
@@ -99,7 +99,10 @@
       .decode<job.JobDefinition>(request.definition)
       .extract();
     if (definition === undefined) {
-      throw new connect.ConnectError('not JSON', connect.Code.InvalidArgument);
+      throw new connect.ConnectError(
+        'definition: must be a job definition in JSON',
+        connect.Code.InvalidArgument,
+      );
     }
     const outcome = await this.service.submit(
       definition,
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -119,10 +119,9 @@
   ): ReadonlyArray<event.ListedVm> | undefined {
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
     const vms = parseVms(outcome.text);
-    const {entityTag: entityTag} = outcome;
+    const {entityTag} = outcome;
     if (vms !== undefined) {
-      this.cachedList =
-        entityTag === undefined ? undefined : {entityTag: entityTag, vms};
+      this.cachedList = entityTag === undefined ? undefined : {entityTag, vms};
     }
     return vms;
   }
