--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -7,7 +7,7 @@
 import * as tomlDocumentWriter from './toml_document_writer.js';
 import * as tomlSchema from './toml_schema.js';
 
-/** A document as it can be published. */
+/** A generated configuration document, ready to be published. */
 export interface GeneratedDocument {
   readonly name: string;
   readonly content: string;
@@ -18,14 +18,14 @@
   ReadonlyArray<GeneratedDocument>
 >;
 
-/** Generates the documents from a TOML file of answers, or names all faults. */
+/** Generates documents from answers in TOML, or returns all faults. */
 export function generateDocuments(text: string): GenerationResult {
   return either.Either.encase(() => toml.parse(text))
     .mapLeft(fault => [tomlSchema.describeSyntaxError(fault)])
     .chain(generateFromAnswers);
 }
 
-/** Generates the documents from answers that were not checked yet. */
+/** Generates documents from unchecked answers, or returns all faults. */
 export function generateFromAnswers(raw: unknown): GenerationResult {
   const faults = questionnaireSchema.QUESTIONNAIRE_SCHEMA.check(raw, '');
   if (faults.length > 0) return either.Left(faults.map(tomlSchema.formatFault));
@@ -53,7 +53,7 @@
   return value;
 }
 
-/** Checks the documents as a publication would, the fleet first. */
+/** Checks documents in their order, as a publication would. */
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
 ): GenerationResult {
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -1,19 +1,19 @@
 import * as tomlSchema from './toml_schema.js';
 import * as workload from '../contracts/workload.js';
 
-/** Connections that a worker accepts when its shape states none. */
+/** Connections that a worker accepts unless its shape says otherwise. */
 const DEFAULT_CONNECTIONS = 60;
 
-/** Largest count of processors in thousandths, of a worker or a quota. */
+/** Largest processor capacity of a worker or quota, in thousandths. */
 const MAX_PROCESSOR_THOUSANDTHS = 100_000_000;
 
-/** Largest memory in MiB, of a worker or a quota. */
+/** Largest memory of a worker or quota, in MiB. */
 const MAX_MEMORY_MIB = 10_000_000_000;
 
-/** Largest count of accelerators or slots, of a worker or a quota. */
+/** Largest number of accelerators or slots of a worker or quota. */
 const MAX_COUNT = 1_000_000;
 
-/** Longest time in milliseconds: 30 days. */
+/** Longest duration: 30 days. */
 const MAX_DURATION_MS = 2_592_000_000;
 
 const nameRule = new tomlSchema.NameRule();
@@ -51,7 +51,7 @@
       key: 'slots',
       rule: new tomlSchema.IntegerRule(minSlots, MAX_COUNT),
       default: 1,
-      meaning: 'Concurrent tasks that are held at once.',
+      meaning: 'Tasks that may run at the same time.',
     },
   ]);
 }
@@ -72,7 +72,7 @@
   {
     key: 'capacity',
     rule: resourcesRule(1, 1, 1),
-    meaning: 'What one empty worker of this shape offers.',
+    meaning: 'Capacity of one empty worker of this shape.',
   },
   {
     key: 'connections',
@@ -87,7 +87,7 @@
   },
 ]);
 
-/** Keys of the document `fleet`. */
+/** Schema of the document `fleet`. */
 export const FLEET_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'zones',
@@ -106,24 +106,24 @@
   {
     key: 'kind',
     rule: new tomlSchema.ChoiceRule(['service', 'batch', 'gang']),
-    meaning: 'Long-running, ending, or starting all tasks at once.',
+    meaning: 'Long-running, ending, or starting all tasks together.',
   },
   {
     key: 'urgency',
     rule: new tomlSchema.ChoiceRule(workload.URGENCIES),
     default: 'normal',
-    meaning: "Order inside the team's share.",
+    meaning: "Order within the team's share.",
   },
   {
     key: 'worth',
     rule: new tomlSchema.IntegerRule(0, 1_000_000_000),
     default: 1,
-    meaning: 'Value of one request; orders requests of one urgency.',
+    meaning: 'Value of one request; orders requests of equal urgency.',
   },
   {
     key: 'idempotent',
     rule: new tomlSchema.BooleanRule(),
-    meaning: 'Whether running twice does no harm.',
+    meaning: 'Whether a task may safely run twice.',
   },
   {
     key: 'size',
@@ -160,11 +160,11 @@
     key: 'maximumPerRack',
     rule: new tomlSchema.IntegerRule(0, 10_000),
     default: 0,
-    meaning: 'Most tasks of one request on a rack; 0 means no limit.',
+    meaning: 'Maximum tasks of one request per rack; 0 means no limit.',
   },
 ]);
 
-/** Keys of the documents `team/<name>`. */
+/** Schema of the documents `team/<name>`. */
 export const TEAM_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'name',
@@ -179,13 +179,13 @@
   {
     key: 'quota',
     rule: resourcesRule(0, 0, 0),
-    meaning: "Upper limit of what the team's tasks reserve at once.",
+    meaning: "Upper limit of the capacity that the team's tasks reserve.",
   },
   {
     key: 'share',
     rule: new tomlSchema.NumberRule(0.001, 1_000),
     default: 1,
-    meaning: 'Weight among teams that compete for the same room.',
+    meaning: 'Weight among teams that compete for the same capacity.',
   },
   {
     key: 'queueLimit',
@@ -196,6 +196,6 @@
   {
     key: 'workloads',
     rule: new tomlSchema.ListRule(workloadTable, 1, 1_000, readKey('name')),
-    meaning: "The kinds of the team's work.",
+    meaning: 'Workloads of the team.',
   },
 ]);
--- a/src/links/questionnaire_schema.ts
+++ b/src/links/questionnaire_schema.ts
@@ -49,7 +49,7 @@
   {
     key: 'slots',
     rule: new tomlSchema.IntegerRule(1, 100_000),
-    meaning: 'How many tasks does one hold at once?',
+    meaning: 'How many tasks can one run at the same time?',
   },
   {
     key: 'connections',
@@ -69,7 +69,7 @@
   {
     key: 'mayRunTwice',
     rule: booleanRule,
-    meaning: 'Does it do no harm if a piece runs a second time?',
+    meaning: 'May a piece safely run a second time?',
   },
   {
     key: 'machinesAtOnce',
@@ -123,13 +123,13 @@
     key: 'onlyInZones',
     rule: new tomlSchema.ListRule(nameRule, 0, 1_000),
     default: [],
-    meaning: 'In which zones alone may it run? An empty list means all.',
+    meaning: 'To which zones is it restricted? An empty list means all.',
   },
   {
     key: 'survivesRackLoss',
     rule: booleanRule,
     default: false,
-    meaning: 'Does half of its machines have to survive the loss of a rack?',
+    meaning: 'Must half of its machines survive the loss of a rack?',
   },
   {
     key: 'perBusyHour',
@@ -155,13 +155,13 @@
     key: 'weight',
     rule: new tomlSchema.NumberRule(0.001, 1_000),
     default: 1,
-    meaning: 'How much does it count when teams compete for the same room?',
+    meaning: 'What weight has it when teams compete for the same capacity?',
   },
   {
     key: 'backlogMinutes',
     rule: new tomlSchema.NumberRule(0, 10_080),
     unit: 'minutes',
-    meaning: 'For how long may work of the busiest hour pile up?',
+    meaning: 'How long a backlog may the busiest hour build up?',
   },
   {
     key: 'work',
@@ -170,7 +170,7 @@
   },
 ]);
 
-/** The questions; the meaning of a key is its question. */
+/** Schema of the answers; the meaning of a key is the question to ask. */
 export const QUESTIONNAIRE_SCHEMA = new tomlSchema.TableRule([
   {key: 'operator', rule: textRule, meaning: 'Who operates the cell?'},
   {
