--- a/src/links/entry_client.ts
+++ b/src/links/entry_client.ts
@@ -2,25 +2,25 @@
 import * as jsonBody from './json_body.js';
 import type * as effect from '../contracts/effect.js';
 
-/** A call of an operator or a client to an entry process. */
+/** A call from an operator or a client to an entry process. */
 export interface EntryCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
-  /** Time for the whole reply; a silent connection ends here. */
+  /** Timeout of the whole call; also bounds a silent connection. */
   readonly timeoutMs: number;
 }
 
-/** What came of a call. */
+/** Outcome of a call to an entry process. */
 export type EntryCallOutcome =
   | {readonly kind: 'reply'; readonly reply: effect.Reply}
-  /** No connection was made, so nothing was sent. */
+  /** No connection was established, so the call was not sent. */
   | {readonly kind: 'notSent'}
   /** The call was sent and may have taken effect. */
   | {readonly kind: 'lost'};
 
-/** Faults that occur before anything is sent. */
+/** Codes of errors that occur only before anything is sent. */
 const CONNECT_ERROR_CODES: ReadonlyArray<unknown> = [
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -29,8 +29,8 @@
 ];
 
 /**
- * Calls the caller interface of one of several entry processes. It stays with
- * a process until `useNext`, and never repeats a call by itself.
+ * HTTP client for the caller interface of several entry processes. All calls
+ * go to one process until `failOver`; the client itself never retries a call.
  */
 export class EntryClient {
   private readonly agent = new undici.Agent({connect: {timeout: 2_000}});
@@ -41,17 +41,17 @@
     private readonly client: string,
   ) {}
 
-  /** Address of the entry process that gets the next call. */
+  /** Address of the entry process that receives the next call. */
   get address(): string {
     return this.addresses[this.addressIndex % this.addresses.length];
   }
 
-  /** Sends the following calls to the next entry process. */
+  /** Directs the following calls to the next entry process. */
   failOver(): void {
     this.addressIndex += 1;
   }
 
-  /** Returns the reply, or whether the call may have been received. */
+  /** Sends one call; without a reply, the outcome tells whether it was sent. */
   async call(call: EntryCall): Promise<EntryCallOutcome> {
     try {
       const response = await undici.request(
--- a/src/links/entry_effect_performer.ts
+++ b/src/links/entry_effect_performer.ts
@@ -7,7 +7,7 @@
 import type * as workerLink from './worker_link.js';
 import type * as sinks from '../operations/sinks.js';
 
-/** The links of an entry process. */
+/** Links and sinks of an entry process. */
 export interface EntryLinks {
   readonly callerServer: callerServer.CallerServer;
   readonly workerLink: workerLink.WorkerLink;
@@ -16,11 +16,11 @@
   readonly peerServer: peerServer.PeerServer;
   readonly metrics: sinks.MetricsSink;
   readonly logs: sinks.LogSink;
-  /** Ends the process. */
+  /** Terminates the process. */
   readonly endProcess: (reason: string) => void;
 }
 
-/** Hands each effect to the link that performs it. */
+/** Routes each effect to the link or sink that performs it. */
 export class EntryEffectPerformer implements loop.EffectPerformer {
   constructor(private readonly links: EntryLinks) {}
 
@@ -89,14 +89,16 @@
     }
   }
 
-  /** Answers the caller, who may be a caller of another process. */
+  /** Answers a caller of this process, or one whose call a peer forwarded. */
   private answerCaller(call: number, reply: effect.Reply): void {
     if (this.links.peerServer.answerForwarded(call, reply)) return;
     this.links.callerServer.answer(call, reply);
   }
 }
 
-/** Fails to compile when a kind of effect has no link. */
+/** Makes the compiler reject a kind of effect without a link. */
 function throwUnhandledEffect(unhandledEffect: never): never {
-  throw new Error(`no link performs ${JSON.stringify(unhandledEffect)}`);
+  throw new Error(
+    `no link performs the effect ${JSON.stringify(unhandledEffect)}`,
+  );
 }
--- a/src/links/event_stream.ts
+++ b/src/links/event_stream.ts
@@ -2,13 +2,13 @@
 import type * as effect from '../contracts/effect.js';
 import * as result from '../result.js';
 
-/** Time between comments that keep an idle stream from being cut off. */
+/** Interval of comments, so that proxies do not close an idle stream. */
 const KEEP_ALIVE_INTERVAL_MS = 15_000;
 
-/** What a look at a request showed. */
+/** Change of a request since the previous update. */
 export type StateChange = 'ended' | 'changed' | 'same';
 
-/** Sends the states of one request as server-sent events until its end. */
+/** Streams the states of one request as server-sent events until it ends. */
 export class EventStream {
   private lastState = '';
   private headersSent = false;
@@ -18,12 +18,12 @@
     response.once('close', () => this.close());
   }
 
-  /** Whether the caller already has the beginning of the stream. */
+  /** Whether the response headers of the stream were sent. */
   get hasStarted(): boolean {
     return this.headersSent;
   }
 
-  /** Takes what was read of the request and sends it when it is news. */
+  /** Sends the state of the request if it changed, and closes at its end. */
   update(reply: effect.Reply): StateChange {
     if (!this.headersSent) this.begin();
     const ended = reply.code !== result.RESULT_CODES.accepted.code;
