--- a/src/links/field_checks.ts
+++ b/src/links/field_checks.ts
@@ -1,16 +1,16 @@
 import * as either from 'purify-ts/Either';
 import * as result from '../result.js';
 
-/** What a caller sent, before any check. */
+/** An object sent by a caller, before any check. */
 export type RawObject = Readonly<Record<string, unknown>>;
 
-/** A checked value or the numbered error. */
+/** A checked value, or the failure with its result code. */
 export type Checked<Value> = either.Either<result.Failure, Value>;
 
-/** Longest part of a wrong value that an error quotes. */
+/** Maximum characters of an invalid value that an error quotes. */
 const MAX_QUOTED_LENGTH = 60;
 
-/** Builds the error that names a field, its value and the rule. */
+/** Returns the failure that names a field, its value and the broken rule. */
 export function fieldFailure<Value>(
   field: string,
   value: unknown,
@@ -22,7 +22,7 @@
   );
 }
 
-/** Refuses an object with a field that is not in `known`. */
+/** Rejects an object with a field that is not in `known`. */
 export function rejectUnknownFields(
   raw: RawObject,
   known: ReadonlyArray<string>,
@@ -37,7 +37,7 @@
   );
 }
 
-/** Checks a string whose length lies between both bounds. */
+/** Checks that a value is a string within the length bounds, inclusive. */
 export function checkText(
   field: string,
   value: unknown,
@@ -56,7 +56,7 @@
   );
 }
 
-/** Checks a whole number that lies between both bounds. */
+/** Checks that a value is an integer within the bounds, inclusive. */
 export function checkInteger(
   field: string,
   value: unknown,
@@ -75,7 +75,7 @@
   );
 }
 
-/** Checks that a value is an object. */
+/** Checks that a value is an object, not an array or null. */
 export function checkObject(field: string, value: unknown): Checked<RawObject> {
   const valid =
     typeof value === 'object' && value !== null && !Array.isArray(value);
--- a/src/links/json_body.ts
+++ b/src/links/json_body.ts
@@ -1,22 +1,23 @@
 import type * as http from 'node:http';
 
-/** Largest body of a caller's call in bytes. */
+/** Default limit of the size of a caller's body. */
 export const MAX_BODY_BYTES = 1_048_576;
 
 /**
- * How much of a too large body is read and dropped, in multiples of the limit,
- * so that the sender can finish and read the error instead of a reset.
+ * Multiple of the size limit up to which an oversized body is read and
+ * discarded, so that the sender can finish and read the error instead of a
+ * connection reset.
  */
 const DISCARD_FACTOR = 16;
 
-/** Why a body could not be read. */
+/** Reason why a body could not be read. */
 export type BodyError = 'tooLarge' | 'tooSlow' | 'aborted';
 
-/** A body or the reason why there is none. */
+/** Outcome of reading a body. */
 export type BodyOutcome =
   {readonly kind: 'body'; readonly text: string} | {readonly kind: BodyError};
 
-/** Reads a body of at most `limit` bytes within `deadlineMs`. */
+/** Reads a body of at most `maxBytes` bytes within `timeoutMs`. */
 export function readBody(
   incoming: http.IncomingMessage,
   maxBytes: number,
@@ -46,7 +47,7 @@
   });
 }
 
-/** Parses JSON; undefined when the text is not a JSON object. */
+/** Parses a JSON object; returns undefined for any other text. */
 export function parseJsonObject(
   text: string,
 ): Readonly<Record<string, unknown>> | undefined {
@@ -60,7 +61,7 @@
   }
 }
 
-/** Answers with a JSON body. */
+/** Sends a response with a JSON body. */
 export function sendJson(
   response: http.ServerResponse,
   status: number,
@@ -69,7 +70,7 @@
   sendText(response, status, 'application/json', JSON.stringify(body));
 }
 
-/** Answers with text. */
+/** Sends a response with a text body. */
 export function sendText(
   response: http.ServerResponse,
   status: number,
--- a/src/links/keyed_topic.ts
+++ b/src/links/keyed_topic.ts
@@ -1,20 +1,20 @@
-/** A record of a topic that keeps the newest value of each key. */
+/** Record of a compacted topic, which keeps the newest value of each key. */
 export interface KeyedRecord {
   readonly key: string;
-  /** Empty when the key was dropped. */
+  /** An empty value is a tombstone: the key was deleted. */
   readonly value: Uint8Array;
 }
 
-/** A record and its position. */
+/** Record with its offset in the topic. */
 export interface TopicRecord extends KeyedRecord {
   readonly offset: number;
 }
 
-/** Conditions of an append. */
+/** Conditions and producer of an append. */
 export interface AppendOptions {
-  /** The append takes effect only when the topic ends at this offset. */
+  /** Appends only if the topic ends at this offset. */
   readonly ifEnd?: number;
-  /** Fences off writers of lower epochs and makes repeats idempotent. */
+  /** Fences writers of lower epochs and makes retries idempotent. */
   readonly producer?: {
     readonly name: string;
     readonly epoch: number;
@@ -22,39 +22,39 @@
   };
 }
 
-/** What came of an append. */
+/** Outcome of an append. */
 export type AppendOutcome =
   | {readonly kind: 'appended'; readonly offset: number}
-  /** The topic ends elsewhere. */
+  /** The topic ends at another offset. */
   | {readonly kind: 'conditionFailed'; readonly end: number}
   /** A writer of a higher epoch has written. */
   | {readonly kind: 'fenced'}
-  /** The sequence number does not follow the last one. */
+  /** The sequence number does not follow the last stored one. */
   | {readonly kind: 'outOfSequence'; readonly expected: number | undefined}
-  /** Surely not appended; may be tried again. */
+  /** Definitely not appended; safe to retry. */
   | {readonly kind: 'refused'; readonly detail: string}
-  /** May be appended now or later. */
+  /** May have been appended, or may still be. */
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** What came of a read. */
+/** Outcome of a read; `end` is the offset after the last record. */
 export type ReadOutcome =
   | {
       readonly kind: 'read';
       readonly records: ReadonlyArray<TopicRecord>;
       readonly end: number;
     }
-  /** The records from this offset on are no longer kept. */
+  /** The records at this offset are no longer retained. */
   | {readonly kind: 'expired'}
   | {readonly kind: 'unavailable'; readonly detail: string};
 
-/** One keyed topic in the platform's store; no call rejects. */
+/** One keyed topic in the platform's store; no call rejects its promise. */
 export interface KeyedTopic {
   append(
     records: ReadonlyArray<KeyedRecord>,
     options: AppendOptions,
     timeoutMs: number,
   ): Promise<AppendOutcome>;
-  /** Reads records from an offset on, waiting for one up to `waitMs`. */
+  /** Reads records from an offset on; waits up to `waitMs` for the first. */
   read(from: number, waitMs: number): Promise<ReadOutcome>;
   /** Reads the newest record of each key. */
   readNewest(): Promise<ReadOutcome>;
--- a/src/links/listen.ts
+++ b/src/links/listen.ts
@@ -2,7 +2,7 @@
 
 /**
  * Makes a server listen. Resolves with its port, which the system chooses for
- * port 0; rejects when the address can't be had.
+ * port 0; rejects when the address is not available.
  */
 export function listen(
   server: net.Server,
