--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -4,26 +4,26 @@
 import * as peerMessages from './peer_messages.js';
 import * as peerPb from './generated/peer_pb.js';
 
-/** Deadline of a probe. */
+/** Timeout of a probe. */
 const PROBE_TIMEOUT_MS = 1_000;
 
-/** Time without calls after which a connection is closed. */
+/** Time after which a connection without calls is closed. */
 const IDLE_TIMEOUT_MS = 60_000;
 
-/** A client of the peer service. */
+/** Generated client of the peer service. */
 export type PeerClient = connect.Client<typeof peerPb.Peer>;
 
-/** Options of one call. */
+/** Timeout and abort signal of one call. */
 export interface PeerCallOptions {
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
 }
 
-/** Hears of connections to peers. */
+/** Listener for the connections to peers. */
 export interface ConnectionListener {
-  /** A connection was made. */
+  /** A socket was opened. */
   onConnected(socket: net.Socket, peer: string): void;
-  /** A connection went silent while a new one worked. */
+  /** A silent connection was replaced by a new one that works. */
   onSilent(peer: string): void;
 }
 
@@ -33,9 +33,9 @@
 }
 
 /**
- * One HTTP/2 connection to each peer. A call that misses its deadline causes a
- * probe over the connection and over a new one; the old one is closed when
- * only the new one works.
+ * Keeps one HTTP/2 connection per peer. After a call has timed out, the
+ * connection and a new one are probed; when only the new one answers, it
+ * replaces the old one.
  */
 export class PeerConnections {
   private readonly connections = new Map<string, Connection>();
@@ -43,7 +43,7 @@
 
   constructor(private readonly listener: ConnectionListener) {}
 
-  /** Sends one call; rejects when no answer came within the deadline. */
+  /** Sends one call; rejects when it fails or is not answered in time. */
   async call<Answer>(
     peer: string,
     address: string,
@@ -93,7 +93,7 @@
       baseUrl,
       httpVersion: '2',
       sessionManager: session,
-      // Messages are a few hundred bytes; compression would only add headers.
+      // Messages have a few hundred bytes; compression would only add headers.
       acceptCompression: [],
       readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
     });
--- a/src/links/peer_failure.ts
+++ b/src/links/peer_failure.ts
@@ -2,13 +2,13 @@
 import type * as effect from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 
-/** The effects that ask something of a peer. */
+/** Effects that call a peer. */
 export type PeerCallEffect = Extract<
   effect.PeerEffect,
   {readonly peer: string}
 >;
 
-/** The event for a call that got no answer. */
+/** Returns the event that reports a call without an answer. */
 export function toFailureEvent(peerEffect: PeerCallEffect): event.Event {
   const {peer} = peerEffect;
   switch (peerEffect.kind) {
@@ -26,7 +26,7 @@
     case 'forwardCall':
       return {kind: 'forwardFailed', call: peerEffect.call};
     case 'fetchDocuments':
-      // The next confirmation shows again which documents are missing.
+      // The next confirmation reports again which documents are missing.
       return {kind: 'documentsArrived', documents: []};
     case 'sendWitness':
       return {
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -5,24 +5,24 @@
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 
-/** Deadline of confirmations; three of them fit into the time to suspect. */
+/** Timeout of confirmations; three fit into the suspicion timeout of a peer. */
 const CONFIRM_TIMEOUT_MS = 1_000;
 
-/** Deadline of short calls other than confirmations. */
+/** Timeout of short calls other than confirmations. */
 const CALL_TIMEOUT_MS = 2_000;
 
-/** Deadline of calls whose answer may be large. */
+/** Timeout of calls whose answer may be large. */
 const TRANSFER_TIMEOUT_MS = 5_000;
 
-/** Deadline of an offer, whose answer comes when the request has ended. */
+/** Timeout of an offer, which is answered when the request has ended. */
 const OFFER_TIMEOUT_MS = 3_600_000;
 
-/** Gives the calls of callers that are open, for passing them on. */
+/** Looks up open calls of callers, which may be forwarded to peers. */
 export interface OpenCallLookup {
   findOpenCall(call: event.CallNumber): event.CallEvent | undefined;
 }
 
-/** What a peer link is made with. */
+/** Dependencies of a peer link. */
 export interface PeerLinkOptions {
   readonly processName: string;
   readonly openCalls: OpenCallLookup;
@@ -39,8 +39,8 @@
 >;
 
 /**
- * Calls other entry processes and posts their answers, or that none came. It
- * never repeats a call.
+ * Calls other entry processes and posts the answer or the failure of each call
+ * as an event. Never retries a call.
  */
 export class PeerLink {
   private readonly connections: peerConnections.PeerConnections;
@@ -57,7 +57,7 @@
     });
   }
 
-  /** Performs one effect; the answer comes as an event. */
+  /** Performs one effect and posts its outcome as an event. */
   async perform(peerEffect: peerFailure.PeerCallEffect): Promise<void> {
     this.options.post(
       await this.send(peerEffect).catch(() =>
@@ -108,8 +108,9 @@
           options,
         ),
     );
-    // Another incarnation at the same address confirms nothing for this peer.
-    // A peer of another zone is named by zone and VM, without an incarnation.
+    // An answer of another incarnation at the same address does not confirm
+    // this peer. Peers of other zones are named without an incarnation, by zone
+    // and VM alone.
     const isFromPeer =
       answer.from === peerEffect.peer ||
       answer.from.startsWith(`${peerEffect.peer}.`);
@@ -254,7 +255,7 @@
   }
 }
 
-/** The zone in the name of an incarnation, which begins with it. */
+/** Returns the zone of a peer, which is the first part of its name. */
 function zoneOfPeer(peer: string): string {
   return peer.split('.')[0];
 }
@@ -267,7 +268,7 @@
   readonly waitMs: number;
 }
 
-/** The message of a call that may be passed on; undefined for other calls. */
+/** Returns the message that forwards a call; undefined for other calls. */
 function toForwardedCall(call: event.CallEvent): ForwardedCall | undefined {
   const emptyBody = peerMessages.encodeText('');
   switch (call.kind) {
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -4,43 +4,43 @@
 import type * as event from '../contracts/event.js';
 import type * as request from '../contracts/request.js';
 
-/** Largest value of a uint32; stands for no limit in `remaining_ms`. */
+/** Largest value of a uint32; means no limit in `remaining_ms`. */
 const UINT32_MAX = 0xffffffff;
 
-/** Largest message that is read, in bytes; answers of tasks are the largest. */
+/** Largest message that is accepted; answers of tasks are the largest. */
 export const MAX_MESSAGE_BYTES = 67_108_864;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
-/** Text as the bytes of a message. */
+/** Encodes text as UTF-8. */
 export function encodeText(text: string): Uint8Array {
   return encoder.encode(text);
 }
 
-/** Bytes of a message as text. */
+/** Decodes UTF-8 text. */
 export function decodeText(bytes: Uint8Array): string {
   return decoder.decode(bytes);
 }
 
-/** A number as an unsigned 64-bit integer; clamped to what both can hold. */
+/** Rounds to a uint64, clamped to 0 and the largest safe integer. */
 export function toUint64(value: number): bigint {
   if (!(value > 0)) return 0n;
   return BigInt(Math.min(Math.round(value), Number.MAX_SAFE_INTEGER));
 }
 
-/** A duration as an unsigned 32-bit integer; endless when it does not fit. */
+/** Rounds to a uint32, clamped to its range; infinity becomes the maximum. */
 export function toUint32(value: number): number {
   if (!(value > 0)) return 0;
   return Math.min(Math.round(value), UINT32_MAX);
 }
 
-/** The time left of a request; Infinity when there is no limit. */
+/** Decodes the remaining time of a request; Infinity means no limit. */
 export function decodeRemainingMs(value: number): number {
   return value === UINT32_MAX ? Infinity : value;
 }
 
-/** Versions of documents as a message carries them. */
+/** Encodes document versions. */
 export function encodeVersions(
   versions: ReadonlyArray<event.DocumentVersion>,
 ): peerPb.DocumentVersion[] {
@@ -52,7 +52,7 @@
   );
 }
 
-/** Versions of documents that a message carries. */
+/** Decodes document versions. */
 export function decodeVersions(
   versions: ReadonlyArray<peerPb.DocumentVersion>,
 ): ReadonlyArray<event.DocumentVersion> {
@@ -62,7 +62,7 @@
   }));
 }
 
-/** Zone records as a message carries them. */
+/** Encodes records of the zone stream. */
 export function encodeRecords(
   records: ReadonlyArray<event.StreamRecord>,
 ): peerPb.StreamRecord[] {
@@ -74,7 +74,7 @@
   );
 }
 
-/** Zone records that a message carries. */
+/** Decodes records of the zone stream. */
 export function decodeRecords(
   records: ReadonlyArray<peerPb.StreamRecord>,
 ): ReadonlyArray<event.StreamRecord> {
@@ -84,7 +84,7 @@
   }));
 }
 
-/** The fields that both messages of a confirmation share. */
+/** Fields that the request and the response of a confirmation share. */
 export interface EncodedNews {
   readonly from: string;
   readonly zone: string;
@@ -95,7 +95,7 @@
   readonly summaries: peerPb.ZoneSummary[];
 }
 
-/** News as either message of a confirmation carries them. */
+/** Encodes the shared fields of a confirmation request or response. */
 export function encodeNews(news: event.PeerNews): EncodedNews {
   return {
     from: news.from,
@@ -108,7 +108,7 @@
   };
 }
 
-/** The news in either message of a confirmation. */
+/** Decodes the shared fields of a confirmation request or response. */
 export function decodeNews(
   message: peerPb.ConfirmRequest | peerPb.ConfirmResponse,
 ): event.PeerNews {
@@ -123,7 +123,7 @@
   };
 }
 
-/** Configuration documents as a message carries them. */
+/** Encodes configuration documents. */
 export function encodeDocuments(
   documents: ReadonlyArray<event.Document>,
 ): peerPb.Document[] {
@@ -136,7 +136,7 @@
   );
 }
 
-/** An offer as a message. */
+/** Encodes an offer of a request to a peer. */
 export function encodeOffer(
   offer: Extract<effect.PeerEffect, {kind: 'offerRequest'}>,
   from: string,
@@ -157,7 +157,7 @@
   });
 }
 
-/** The submission in an offer. */
+/** Decodes the submission of an offer. */
 export function decodeOffer(message: peerPb.OfferRequest): request.Submission {
   const {size} = message;
   return {
