--- a/src/links/call_parser.ts
+++ b/src/links/call_parser.ts
@@ -365,8 +365,7 @@
   return fieldChecks.fieldFailure(
     'document',
     name,
-    'must be 1 to 100 lower-case letters, digits, hyphens and slashes, ' +
-      'beginning with a letter or digit',
+    'must be 1 to 100 lower-case letters, digits, hyphens and slashes',
   );
 }
 
@@ -388,7 +387,7 @@
 function unknownPathFailure(incoming: RawCall): Checked<ParsedCall> {
   const shown = `${incoming.method} ${incoming.target}`.slice(0, 120);
   return either.Left(
-    result.failure('unknownPath', `path: ${shown}: is not a path of this API`),
+    result.failure('unknownPath', `path: ${shown}: no such call`),
   );
 }
 
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -10,7 +10,7 @@
 import type * as effect from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 
-/** The effects that answer a peer. */
+/** Effects that answer a call of a peer. */
 export type PeerAnswerEffect = Exclude<
   effect.PeerEffect,
   {readonly peer: string}
@@ -27,7 +27,7 @@
   {readonly kind: Kind}
 >;
 
-/** Serves other entry processes and posts what they ask as events. */
+/** HTTP/2 server for other entry processes; posts their calls as events. */
 export class PeerServer {
   private readonly server: http2.Http2Server;
   private readonly sessions = new Set<http2.ServerHttp2Session>();
@@ -56,17 +56,17 @@
     });
   }
 
-  /** Listens and returns the port, which the system chooses for port 0. */
+  /** Starts listening; returns the port, chosen by the system for port 0. */
   listen(host: string, port: number): Promise<number> {
     return listen.listen(this.server, host, port);
   }
 
-  /** Answers a peer's open call; does nothing when the peer has gone. */
+  /** Answers an open call; has no effect when the peer has disconnected. */
   answer(answerEffect: PeerAnswerEffect): void {
     this.openCalls.get(answerEffect.call)?.(answerEffect);
   }
 
-  /** Answers a call that a peer passed on; false when it is not one. */
+  /** Answers a call that a peer forwarded; returns false for other calls. */
   answerForwarded(call: event.CallNumber, reply: effect.Reply): boolean {
     const resolveCall = this.openCalls.get(call);
     resolveCall?.({kind: 'answerCaller', call, reply});
@@ -162,7 +162,7 @@
     message: peerPb.ForwardRequest,
     cancelSignal: AbortSignal,
   ): Promise<MessageInit<typeof peerPb.ForwardResponseSchema>> {
-    // A relayed call names no process: any one of the zone may take it.
+    // A relayed call names no process: any process of the zone may handle it.
     if (message.to !== '' && message.to !== this.processName) {
       throw new connect.ConnectError(
         `to: ${message.to} is not the process at this address`,
@@ -231,7 +231,7 @@
     };
   }
 
-  /** Posts an event and resolves with the effect that answers it. */
+  /** Posts a call as an event; resolves with the effect that answers it. */
   private postAndWait<Kind extends AnswerEffect['kind']>(
     kind: Kind,
     cancelSignal: AbortSignal,
@@ -285,7 +285,9 @@
         .mapLeft(failure => invalidArgument(failure.detail))
         .unsafeCoerce();
     default:
-      throw invalidArgument(`operation: ${message.operation} is not known`);
+      throw invalidArgument(
+        `operation: ${message.operation}: must be submit, fetch, cancel or explain`,
+      );
   }
 }
 
