--- a/src/links/entry_effect_performer.ts
+++ b/src/links/entry_effect_performer.ts
@@ -98,7 +98,5 @@
 
 /** Makes the compiler reject a kind of effect without a link. */
 function throwUnhandledEffect(unhandledEffect: never): never {
-  throw new Error(
-    `no link performs the effect ${JSON.stringify(unhandledEffect)}`,
-  );
+  throw new Error(`no link performs ${JSON.stringify(unhandledEffect)}`);
 }
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -5,22 +5,22 @@
 import type * as event from '../contracts/event.js';
 import type * as pooledHttpClient from './pooled_http_client.js';
 
-/** Deadline of calls to the log and the VM list. */
+/** Timeout of calls to the log and the VM list. */
 const CALL_TIMEOUT_MS = 2_000;
 
-/** Most records that one read returns. */
+/** Largest number of records that one read returns. */
 const MAX_RECORDS_PER_READ = 500;
 
-/** Largest answer, in bytes. */
+/** Largest response that is accepted. */
 const MAX_RESPONSE_BYTES = 67_108_864;
 
-/** Where the platform's services are. */
+/** Addresses of the platform's log service and VM list. */
 export interface PlatformAddresses {
   readonly log: string;
   readonly vmList: string;
 }
 
-/** What a platform link is made with. */
+/** Dependencies of a platform link. */
 export interface PlatformLinkOptions {
   readonly addresses: PlatformAddresses;
   readonly client: pooledHttpClient.PooledHttpClient;
@@ -39,13 +39,13 @@
   readonly vms: ReadonlyArray<event.ListedVm>;
 }
 
-/** Reads and appends to the log and reads the VM list over HTTP. */
+/** Reads the log, appends to it, and reads the VM list over HTTP. */
 export class PlatformLink {
   private cachedList: CachedVmList | undefined;
 
   constructor(private readonly options: PlatformLinkOptions) {}
 
-  /** Performs one effect; the answer comes as an event. */
+  /** Performs one effect and posts its outcome as an event. */
   async perform(platformEffect: effect.PlatformEffect): Promise<void> {
     switch (platformEffect.kind) {
       case 'append':
@@ -95,7 +95,7 @@
     this.options.post({kind: 'recordsRead', stream, sentAt, ...read});
   }
 
-  /** Transfers the list only when it has changed; it has a row for each VM. */
+  /** Transfers the list only when it has changed, as it has a row per VM. */
   private async readVmList(): Promise<void> {
     const sentAt = this.options.now();
     const cached = this.cachedList;
@@ -158,7 +158,7 @@
   return `/streams/${encodeURIComponent(stream)}/records`;
 }
 
-/** Reads records; undefined unless they are in order and within the bounds. */
+/** Parses records; returns undefined if out of order or out of bounds. */
 function parseRecords(text: string): RecordBatch | undefined {
   const raw = jsonBody.parseJsonObject(text);
   if (raw === undefined) return undefined;
@@ -188,8 +188,8 @@
 }
 
 /**
- * Reads the VM list; undefined when any row is malformed, because a row that
- * were left out would say that its VM no longer exists.
+ * Parses the VM list. Returns undefined when any row is malformed, because
+ * skipping a row would mean that its VM no longer exists.
  */
 function parseVms(text: string): ReadonlyArray<event.ListedVm> | undefined {
   const vms = jsonBody.parseJsonObject(text)?.['vms'];
--- a/src/links/pooled_http_client.ts
+++ b/src/links/pooled_http_client.ts
@@ -2,60 +2,60 @@
 import * as connectionLimiter from './connection_limiter.js';
 import type * as net from 'node:net';
 
-/** One HTTP call. */
+/** One HTTP request with its timeouts and size limit. */
 export interface PooledHttpRequest {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Host and port. */
   readonly address: string;
   readonly path: string;
   readonly body?: unknown;
-  /** Entity tag of what is known already; an unchanged answer has status 304. */
+  /** Entity tag of the known version; the status is 304 when it is current. */
   readonly knownEntityTag?: string;
-  /** Time until the headers of the answer, the wait for a turn included. */
+  /** Timeout of the response headers, including the wait for a slot. */
   readonly headersTimeoutMs: number;
-  /** Time from the headers to the end of the answer. */
+  /** Timeout from the headers to the end of the response. */
   readonly bodyTimeoutMs: number;
-  /** Largest answer in bytes. */
+  /** Largest response body. */
   readonly maxResponseBytes: number;
-  /** Ends the call early. */
+  /** Aborts the request early. */
   readonly signal?: AbortSignal;
 }
 
-/** What came of a call. */
+/** Outcome of an HTTP request. */
 export type PooledHttpOutcome =
   | {
       readonly kind: 'answered';
       readonly status: number;
       readonly text: string;
-      /** Entity tag of the answer, when it has one. */
+      /** Entity tag of the response, if any. */
       readonly entityTag?: string;
     }
-  /** Proved not to have reached the other side. */
+  /** Definitely not received by the server; safe to retry. */
   | {readonly kind: 'notSent'; readonly detail: string}
-  /** May have taken effect. */
+  /** May have taken effect on the server. */
   | {readonly kind: 'lost'; readonly detail: string};
 
-/** Options of a caller. */
+/** Options of a pooled HTTP client. */
 export interface PooledHttpClientOptions {
   readonly connections: connectionLimiter.ConnectionBounds;
-  /** Path without side effects for probes of silent connections. */
+  /** Path without side effects, for probes after a timeout. */
   readonly probePath: string;
-  /** Hears of each address whose connections went silent. */
+  /** Called with each address whose connections were silent and replaced. */
   readonly onSilent: (address: string) => void;
-  /** Hears of each connection that is made. */
+  /** Called with the socket of each new connection. */
   readonly onConnected?: (socket: net.Socket) => void;
 }
 
-/** Time for a connection to be made; shorter than any deadline for headers. */
+/** Timeout of connecting; shorter than any timeout of response headers. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Deadline of a probe over a new connection. */
+/** Timeout of a probe over a new connection. */
 const PROBE_TIMEOUT_MS = 1_000;
 
-/** Time without calls after which the connections of an address are closed. */
+/** Time after which the connections of an unused address are closed. */
 const IDLE_TIMEOUT_MS = 60_000;
 
-/** Codes of faults that arise only before anything was sent. */
+/** Codes of errors that occur only before anything is sent. */
 const NOT_SENT_ERROR_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -63,7 +63,7 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** Codes of faults by which an origin shows that it is crowded. */
+/** Codes of errors that indicate an overloaded origin. */
 const OVERLOAD_ERROR_CODES: ReadonlySet<string> = new Set([
   ...NOT_SENT_ERROR_CODES,
   'ECONNRESET',
@@ -77,7 +77,7 @@
   lastUsedMs: number;
 }
 
-/** A deadline that passed or a bound that was exceeded. */
+/** Error of a request that exceeded a timeout or a limit. */
 class CallError extends Error {
   constructor(
     readonly code: 'QUEUED' | 'HEADERS' | 'BODY' | 'TOO_LARGE',
@@ -88,9 +88,10 @@
 }
 
 /**
- * Sends HTTP calls over kept connections and never repeats one. A call whose
- * headers miss their deadline causes a probe over a new connection; when the
- * probe is answered, the old connections of that address take no more calls.
+ * HTTP client with one connection pool and one adaptive connection limit per
+ * address. Never retries a request. A request whose response headers time out
+ * causes a probe over a new connection; when the probe is answered, the old
+ * connections of that address get no more requests.
  */
 export class PooledHttpClient {
   private readonly origins = new Map<string, Origin>();
@@ -102,14 +103,14 @@
     const openSocket = undici.buildConnector({timeout: CONNECT_TIMEOUT_MS});
     this.connector = (target, callback) =>
       openSocket(target, (...opened) => {
-        // After a fault there is no socket, not even a null.
+        // After an error the socket is missing altogether, not null.
         const [error, socket] = opened;
         if (error === null && socket) options.onConnected?.(socket);
         callback(...opened);
       });
   }
 
-  /** Sends one call; never rejects. */
+  /** Sends one request; never rejects its promise. */
   async call(request: PooledHttpRequest): Promise<PooledHttpOutcome> {
     const origin = this.originOf(request.address);
     const abortController = new AbortController();
@@ -118,12 +119,15 @@
     request.signal?.addEventListener('abort', forwardAbort, {once: true});
     const timer = setTimeout(() => {
       abortController.abort(
-        new CallError('HEADERS', 'no answer within the deadline'),
+        new CallError('HEADERS', 'no response headers within the timeout'),
       );
     }, request.headersTimeoutMs);
     try {
       if (!(await acquireSlot(origin.limiter, abortController.signal))) {
-        return {kind: 'notSent', detail: 'no connection was free in time'};
+        return {
+          kind: 'notSent',
+          detail: 'no connection became free within the timeout',
+        };
       }
       return await this.sendWithSlot(origin, request, abortController, timer);
     } finally {
@@ -132,12 +136,12 @@
     }
   }
 
-  /** Connections that may be open to an address at present. */
+  /** Returns how many connections may currently be open to an address. */
   connectionLimit(address: string): number {
     return this.origins.get(address)?.limiter.currentLimit ?? 0;
   }
 
-  /** Closes all connections at once. */
+  /** Closes all connections immediately. */
   async close(): Promise<void> {
     const pools = [...this.origins.values()].map(({pool}) => pool.destroy());
     this.origins.clear();
@@ -186,7 +190,7 @@
     return opened;
   }
 
-  /** Forgets addresses that are not called any more. */
+  /** Removes addresses that are no longer called, and their connections. */
   private removeIdleOrigins(nowMs: number): void {
     if (nowMs - this.lastCleanupMs < IDLE_TIMEOUT_MS) return;
     this.lastCleanupMs = nowMs;
@@ -203,7 +207,7 @@
       connections: this.options.connections.maximum,
       pipelining: 1,
       connect: this.connector,
-      // The deadlines of each call replace the pool's own.
+      // Each request has its own timeouts, which replace those of the pool.
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -224,13 +228,13 @@
       return;
     }
     origin.pool = newPool;
-    // Calls that the old connections still answer are not cut off.
+    // A graceful close lets the old pool finish its open requests.
     void oldPool.close();
     this.options.onSilent(address);
   }
 }
 
-/** Waits for a turn below the limit; false when the call ends before it. */
+/** Waits for a slot; resolves with false when the request is aborted first. */
 function acquireSlot(
   limiter: connectionLimiter.ConnectionLimiter,
   signal: AbortSignal,
@@ -275,7 +279,7 @@
   clearTimeout(headersTimer);
   const bodyTimer = setTimeout(() => {
     abortController.abort(
-      new CallError('BODY', 'the answer did not end in time'),
+      new CallError('BODY', 'the response body did not end within the timeout'),
     );
   }, request.bodyTimeoutMs);
   try {
@@ -302,7 +306,10 @@
   for await (const chunk of body) {
     receivedBytes += chunk.length;
     if (receivedBytes > maxBytes) {
-      throw new CallError('TOO_LARGE', `the answer exceeds ${maxBytes} bytes`);
+      throw new CallError(
+        'TOO_LARGE',
+        `the response body exceeds ${maxBytes} bytes`,
+      );
     }
     chunks.push(chunk);
   }
