--- a/src/links/toml_document_reader.ts
+++ b/src/links/toml_document_reader.ts
@@ -6,7 +6,7 @@
 import type * as configuration from '../contracts/configuration.js';
 import type * as team from '../contracts/team.js';
 
-/** Reads configuration documents written in TOML. */
+/** Parses and checks configuration documents written in TOML. */
 export class TomlDocumentReader implements configuration.DocumentReader {
   readFleet(
     content: string,
--- a/src/links/toml_document_writer.ts
+++ b/src/links/toml_document_writer.ts
@@ -1,8 +1,8 @@
 import type * as questionnaire from '../contracts/questionnaire.js';
 
 /**
- * Writes a derived document with the answer of each value beside it; `isGiven`
- * tells whether an answer was given or left out.
+ * Returns a derived document in TOML, with a comment beside each value that
+ * names the answer behind it; `isGiven` tells answers from defaults.
  */
 export function writeDocument(
   document: questionnaire.DerivedDocument,
--- a/src/links/toml_schema.ts
+++ b/src/links/toml_schema.ts
@@ -2,38 +2,38 @@
 import * as toml from 'smol-toml';
 import * as configurationDocuments from '../contracts/configuration_documents.js';
 
-/** A value that breaks a rule. */
+/** Violation of a rule by one value. */
 export interface Fault {
   /** Path of the key, such as `workloads[0].size.memory`. */
   readonly field: string;
-  /** The value as JSON; `missing` when there is none. */
+  /** The value as JSON, or `missing`. */
   readonly value: string;
   readonly rule: string;
 }
 
-/** Decides whether a value is allowed. */
+/** Rule that decides which values are allowed. */
 export interface ValueRule {
-  /** Completes the sentence "the value must be ...". */
+  /** Completes the sentence "The value must be ...". */
   readonly requirement: string;
-  /** Returns every fault of the value found at `field`. */
+  /** Returns all faults of the value at the path `field`. */
   check(value: unknown, field: string): ReadonlyArray<Fault>;
-  /** Returns the value that a typed answer stands for, not checked yet. */
+  /** Parses an answer typed by a user; the result is not checked yet. */
   parseInput(text: string): unknown;
-  /** Returns a checked value with defaults in place of missing keys. */
+  /** Returns a checked value with defaults filled in for missing keys. */
   applyDefaults(value: unknown): unknown;
 }
 
-/** One key of a table. */
+/** Key of a table with its rule and documentation. */
 export interface SchemaKey {
   readonly key: string;
   readonly rule: ValueRule;
-  /** Used when the key is missing; a key without a default is required. */
+  /** Value of a missing key; a key without a default is required. */
   readonly default?: unknown;
   readonly unit?: string;
   readonly meaning: string;
 }
 
-/** Says on which line TOML could not be read, without the quoted lines. */
+/** Returns position and message of a syntax error, without quoted lines. */
 export function describeSyntaxError(error: Error): string {
   const [first] = error.message.split('\n');
   if (!(error instanceof toml.TomlError)) return first;
@@ -45,10 +45,10 @@
   return `${fault.field}: ${fault.value} must be ${fault.rule}`;
 }
 
-/** Longest value that a fault shows in full. */
+/** Maximum characters of a value that a fault shows in full. */
 const MAX_SHOWN_LENGTH = 120;
 
-/** Builds the fault of a value that breaks `rule`. */
+/** Returns the fault of a value that violates `rule`. */
 export function toFault(field: string, value: unknown, rule: string): Fault {
   const text = value === undefined ? 'missing' : JSON.stringify(value);
   const shown =
@@ -76,7 +76,7 @@
   protected abstract allows(value: unknown): boolean;
 }
 
-/** Text of a limited length without control characters. */
+/** Accepts text of limited length without control characters. */
 export class TextRule extends ScalarRule {
   readonly requirement: string;
 
@@ -92,7 +92,7 @@
   }
 }
 
-/** A name of the configured world. */
+/** Accepts names, such as those of zones, teams and workloads. */
 export class NameRule extends ScalarRule {
   readonly requirement =
     'a name of at most 32 lower-case letters, digits and hyphens that ' +
@@ -104,18 +104,18 @@
   }
 }
 
-/** An IP number. */
+/** Accepts IP addresses. */
 export class IpAddressRule extends ScalarRule {
-  readonly requirement = 'an IP number';
+  readonly requirement = 'an IP address';
 
   protected allows(value: unknown): boolean {
     return typeof value === 'string' && net.isIP(value) !== 0;
   }
 }
 
-/** An IP number with a port. */
+/** Accepts IP addresses with a port from 1 to 65535. */
 export class AddressRule extends ScalarRule {
-  readonly requirement = 'an IP number and a port, as in 10.0.0.5:7000';
+  readonly requirement = 'an IP address and a port, as in 10.0.0.5:7000';
 
   protected allows(value: unknown): boolean {
     if (typeof value !== 'string') return false;
@@ -126,7 +126,7 @@
   }
 }
 
-/** A whole number in a range, both ends included. */
+/** Accepts whole numbers in an inclusive range. */
 export class IntegerRule extends ScalarRule {
   readonly requirement: string;
 
@@ -148,7 +148,7 @@
   }
 }
 
-/** A number in a range, both ends included. */
+/** Accepts finite numbers in an inclusive range. */
 export class NumberRule extends ScalarRule {
   readonly requirement: string;
 
@@ -170,7 +170,7 @@
   }
 }
 
-/** true or false. */
+/** Accepts booleans; answers of users may also be yes or no. */
 export class BooleanRule extends ScalarRule {
   readonly requirement = 'true or false';
 
@@ -184,7 +184,7 @@
   }
 }
 
-/** One of some words. */
+/** Accepts a fixed set of strings. */
 export class ChoiceRule extends ScalarRule {
   readonly requirement: string;
 
@@ -198,11 +198,11 @@
   }
 }
 
-/** A list in which every item obeys one rule. */
+/** Accepts lists of limited length whose items satisfy one rule and differ. */
 export class ListRule implements ValueRule {
   readonly requirement: string;
 
-  /** `identify` returns what must differ between the items. */
+  /** `identify` returns the part of an item that must be unique. */
   constructor(
     readonly item: ValueRule,
     private readonly minimum: number,
@@ -256,7 +256,7 @@
   }
 }
 
-/** A table with known keys. */
+/** Accepts tables whose keys are all known and valid. */
 export class TableRule implements ValueRule {
   readonly requirement: string;
 
