--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -1,35 +1,36 @@
 import type * as clock from '../machines/clock.js';
 import type * as keyedTopic from './keyed_topic.js';
 
-/** How a topic is followed. */
+/** Timing of the reads of a followed topic. */
 export interface TopicFollowerOptions {
-  /** How long a read may wait for a record. */
+  /** Longest time that a read waits for a record. */
   readonly maxWaitMs: number;
-  /** Least time between two reads; records that come meanwhile share one. */
+  /** Shortest time between two reads; batches the records in between. */
   readonly minReadIntervalMs: number;
 }
 
-/** Hears of a followed topic. */
+/** Receives the records of a followed topic and its availability. */
 export interface TopicListener {
   /**
-   * The store answered. `changes` are the newest records of their keys, in the
-   * order of their offsets; `whole` tells that keys not among them are gone.
+   * Called after each successful read. `changes` are the newest records of
+   * their keys, in the order of their offsets. In a snapshot, keys that are not
+   * among them no longer exist.
    */
   received(
     changes: ReadonlyArray<keyedTopic.TopicRecord>,
     end: number,
     isSnapshot: boolean,
   ): void;
-  /** The store does not answer; said once until it does again. */
+  /** Called once when the store stops answering. */
   interrupted(detail: string): void;
-  /** The store answers again. */
+  /** Called when the store answers again. */
   resumed(): void;
 }
 
-/** Pause after a read that brought no answer. */
+/** Backoff after a read that failed. */
 const RETRY_PAUSE_MS = 200;
 
-/** Keeps up with a keyed topic until closed. */
+/** Reads a keyed topic in a loop: one snapshot, then its changes. */
 export class TopicFollower {
   private closed = false;
   private isAvailable = true;
@@ -43,7 +44,7 @@
     private readonly pause: (milliseconds: number) => Promise<void>,
   ) {}
 
-  /** Follows until the follower is closed. */
+  /** Reads until the follower is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
       const startedAtMs = this.clock.now();
@@ -65,8 +66,8 @@
 
   private async readOnce(): Promise<boolean> {
     const isSnapshot = this.nextOffset === undefined;
-    // A read that waits would hang in a silent store for all that time, also
-    // when the store is back meanwhile.
+    // While the store is unavailable, a read with a wait would block for the
+    // whole wait in a silent store, even if the store recovers meanwhile.
     const waitMs = this.isAvailable ? this.options.maxWaitMs : 0;
     const outcome =
       this.nextOffset === undefined
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -4,25 +4,25 @@
 import type * as jobRecord from '../jobs/job_record.js';
 import type * as keyedTopic from './keyed_topic.js';
 
-/** All terms write as the same producer, so that a later one fences earlier. */
+/** Producer of all terms, so that a later term fences earlier ones. */
 const PRODUCER_NAME = 'scheduler';
 
-/** Time for the answer to the call that fences earlier terms. */
+/** Timeout of the append that fences earlier terms. */
 const FENCE_TIMEOUT_MS = 900;
 
-/** Keys in the topic. */
+/** Keys and key prefixes of the topic. */
 const WORKERS_KEY = 'workers';
 const DEFINITION_PREFIX = 'd/';
 const PROGRESS_PREFIX = 'p/';
 
 const TOMBSTONE = new Uint8Array(0);
 
-/** Keeps the journal in a keyed topic: two keys a job and one for workers. */
+/** Journal in a keyed topic: two keys per job and one for all workers. */
 export class TopicJournalStore implements jobJournal.JournalStore {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
-    // An append without records only raises the epoch.
+    // An append without records raises the epoch and writes nothing.
     return this.send([], term, 0, FENCE_TIMEOUT_MS);
   }
 
@@ -77,7 +77,7 @@
       case 'fenced':
         return 'superseded';
       case 'outOfSequence':
-        // The set was stored by an earlier call whose answer was lost.
+        // An earlier append of this sequence was stored but its answer was lost.
         return outcome.expected === sequence + 1 ? 'stored' : 'refused';
       case 'conditionFailed':
       case 'refused':
--- a/src/links/type_guards.ts
+++ b/src/links/type_guards.ts
@@ -1,28 +1,28 @@
 import type * as resources from '../machines/resources.js';
 
-/** Tells whether a value is an object with fields. */
+/** Returns whether a value is an object, but not an array or null. */
 export function isObject(
   value: unknown,
 ): value is Readonly<Record<string, unknown>> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
-/** Tells whether a value is a number that is finite and not negative. */
+/** Returns whether a value is a finite number of at least 0. */
 export function isNonNegativeNumber(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
-/** Tells whether a value is a whole number that is not negative. */
+/** Returns whether a value is a safe integer of at least 0. */
 export function isNonNegativeInteger(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
-/** Tells whether a value is a string with at least one character. */
+/** Returns whether a value is a string of at least one character. */
 export function isNonEmptyString(value: unknown): value is string {
   return typeof value === 'string' && value !== '';
 }
 
-/** Tells whether a value is a quantity in every dimension. */
+/** Returns whether a value has a valid quantity of each resource. */
 export function isResources(value: unknown): value is resources.Resources {
   return (
     isObject(value) &&
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -7,19 +7,19 @@
 import type * as pooledHttpClient from './pooled_http_client.js';
 import type * as task from '../contracts/task.js';
 
-/** Deadline of short calls to a worker. */
+/** Timeout of short calls to a worker. */
 const CALL_TIMEOUT_MS = 2_000;
 
-/** Longest wait for a task to end over one connection. */
+/** Longest wait for the end of a task in one call. */
 const ANSWER_WAIT_TIMEOUT_MS = 3_600_000;
 
-/** Time for a large answer to be transferred. */
+/** Timeout of the transfer of an answer, which may be large. */
 const TRANSFER_TIMEOUT_MS = 60_000;
 
-/** Largest report, in bytes: some 10,000 tasks. */
+/** Largest report that is accepted; enough for about 10,000 tasks. */
 const MAX_REPORT_BYTES = 8_388_608;
 
-/** Largest answer of a task, in bytes. */
+/** Largest answer of a task that is accepted. */
 const MAX_ANSWER_BYTES = 67_108_864;
 
 type WorkerCall = Pick<effect.WorkerEffect, 'kind' | 'worker' | 'address'>;
@@ -29,25 +29,25 @@
   {readonly kind: Kind}
 >;
 
-/** What a worker link is made with. */
+/** Dependencies of a worker link. */
 export interface WorkerLinkOptions {
-  /** Connections for short calls. */
+  /** Client for short calls. */
   readonly client: pooledHttpClient.PooledHttpClient;
-  /** Connections that wait for answers, so that they hold up no other call. */
+  /** Client for long waits for answers, which must not delay short calls. */
   readonly answerClient: pooledHttpClient.PooledHttpClient;
   readonly post: (event: event.Event) => void;
   readonly now: () => number;
   readonly metrics: sinks.MetricsSink;
 }
 
-/** Sends effects to workers over HTTP and posts what they answer. */
+/** Sends effects to workers over HTTP and posts their answers as events. */
 export class WorkerLink {
   private readonly pendingAnswers =
     new pendingAnswerTracker.PendingAnswerTracker();
 
   constructor(private readonly options: WorkerLinkOptions) {}
 
-  /** Performs one effect; the answer comes as an event. */
+  /** Performs one effect and posts its outcome, if it has one, as an event. */
   async perform(workerEffect: effect.WorkerEffect): Promise<void> {
     switch (workerEffect.kind) {
       case 'startTask':
@@ -215,7 +215,7 @@
   'lapsed',
 ]);
 
-/** Reads an answer; undefined unless it names the task that was asked for. */
+/** Parses an answer; returns undefined if it is of another task. */
 function parseAnswer(text: string, taskName: string): TaskAnswer | undefined {
   const parsed = jsonBody.parseJsonObject(text);
   if (parsed === undefined || parsed['task'] !== taskName) return undefined;
@@ -237,7 +237,10 @@
   );
 }
 
-/** A start that was not sent, or was answered by a refusal, never runs. */
+/**
+ * Classifies the outcome of a start. A task whose start was not sent, or was
+ * refused with a 4xx status, never runs; after any other failure it may run.
+ */
 function classifyStart(
   outcome: pooledHttpClient.PooledHttpOutcome,
 ): 'started' | 'refused' | 'lost' {
--- a/src/links/worker_report_parser.ts
+++ b/src/links/worker_report_parser.ts
@@ -11,7 +11,7 @@
   'lapsed',
 ]);
 
-/** Reads a worker's report; undefined when any part of it is malformed. */
+/** Parses a worker's report; returns undefined if any part is malformed. */
 export function parseWorkerReport(
   worker: string,
   text: string,
