--- a/src/links/call_parser.ts
+++ b/src/links/call_parser.ts
@@ -40,7 +40,7 @@
 
 /** A call that passed all checks, as the event to post. */
 export interface ParsedCall {
-  readonly form: ResponseFormat;
+  readonly responseFormat: ResponseFormat;
   readonly event: event.CallEvent;
 }
 
@@ -48,12 +48,12 @@
 
 /** Parses an HTTP call into its event, or returns the first failed check. */
 export function parseCall(
-  incoming: RawCall,
+  rawCall: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  const [path, query = ''] = splitTarget(incoming.target);
+  const [path, query = ''] = splitTarget(rawCall.target);
   const parameters = new URLSearchParams(query);
-  const route = `${incoming.method} ${path}`;
+  const route = `${rawCall.method} ${path}`;
   const match = /^(\w+) \/v1\/(requests|explain|configuration)\/(.+)$/.exec(
     route,
   );
@@ -62,13 +62,13 @@
       parseResourceCall(
         `${match[1]} ${match[2]}`,
         name,
-        incoming,
+        rawCall,
         parameters,
         call,
       ),
     );
   }
-  return parseCollectionCall(route, incoming, parameters, call);
+  return parseCollectionCall(route, rawCall, parameters, call);
 }
 
 /** Parses the JSON body of a submission. */
@@ -108,27 +108,27 @@
 function parseResourceCall(
   route: string,
   name: string,
-  incoming: RawCall,
+  rawCall: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
   const subresource = /^([^/]+)\/(answer|events)$/.exec(name);
   if (route === 'GET requests' && subresource !== null) {
-    return parseFetchCall(subresource[1], incoming, parameters, call).map(
+    return parseFetchCall(subresource[1], rawCall, parameters, call).map(
       event => ({
-        form: subresource[2] === 'answer' ? 'rawAnswer' : 'events',
+        responseFormat: subresource[2] === 'answer' ? 'rawAnswer' : 'events',
         event,
       }),
     );
   }
   switch (route) {
     case 'PUT requests':
-      return parseRequestCall(name, incoming, parameters, call);
+      return parseRequestCall(name, rawCall, parameters, call);
     case 'GET requests':
-      return parseFetchCall(name, incoming, parameters, call).map(toReplyCall);
+      return parseFetchCall(name, rawCall, parameters, call).map(toReplyCall);
     case 'DELETE requests':
     case 'GET explain':
-      return parseRequestOwner(name, incoming, parameters).map(owner =>
+      return parseRequestOwner(name, rawCall, parameters).map(owner =>
         toReplyCall({
           kind: route === 'GET explain' ? 'explainArrived' : 'cancelArrived',
           call,
@@ -140,41 +140,41 @@
         toReplyCall({kind: 'documentFetchArrived', call, document}),
       );
     case 'PUT configuration':
-      return parsePublicationCall(name, incoming, call);
+      return parsePublicationCall(name, rawCall, call);
     default:
-      return unknownPathFailure(incoming);
+      return unknownPathFailure(rawCall);
   }
 }
 
 function parseCollectionCall(
   route: string,
-  incoming: RawCall,
+  rawCall: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
   switch (route) {
     case 'POST /v1/identities':
-      return parseIdentitiesCall(incoming, call);
+      return parseIdentitiesCall(rawCall, call);
     case 'POST /v1/requests':
-      return parseRequestCall(undefined, incoming, parameters, call);
+      return parseRequestCall(undefined, rawCall, parameters, call);
     case 'GET /v1/status':
       return either.Right(toReplyCall({kind: 'statusArrived', call}));
     case 'GET /v1/workloads':
       return either.Right(toReplyCall({kind: 'workloadsArrived', call}));
     case 'POST /v1/drain':
-      return parseDrainCall(incoming, call);
+      return parseDrainCall(rawCall, call);
     default:
-      return unknownPathFailure(incoming);
+      return unknownPathFailure(rawCall);
   }
 }
 
 function parseIdentitiesCall(
-  incoming: RawCall,
+  rawCall: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
   // A call without a body requests one identity.
-  const body = incoming.body === '' ? '{"count": 1}' : incoming.body;
-  return parseClient(incoming).chain(client =>
+  const body = rawCall.body === '' ? '{"count": 1}' : rawCall.body;
+  return parseClient(rawCall).chain(client =>
     parseJsonBody(body)
       .chain(raw => fieldChecks.rejectUnknownFields(raw, ['count']))
       .chain(raw =>
@@ -193,14 +193,14 @@
 
 function parseRequestCall(
   name: string | undefined,
-  incoming: RawCall,
+  rawCall: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  return parseClient(incoming).chain(client =>
+  return parseClient(rawCall).chain(client =>
     parseOptional(name, parseIdentity).chain(identity =>
       parseWaitMs(parameters).chain(waitMs =>
-        parseSubmission(incoming.body).map(submission =>
+        parseSubmission(rawCall.body).map(submission =>
           toReplyCall({
             kind: 'requestArrived',
             call,
@@ -217,11 +217,11 @@
 
 function parseFetchCall(
   name: string,
-  incoming: RawCall,
+  rawCall: RawCall,
   parameters: URLSearchParams,
   call: event.CallNumber,
 ): Checked<event.CallEvent> {
-  return parseRequestOwner(name, incoming, parameters).chain(owner =>
+  return parseRequestOwner(name, rawCall, parameters).chain(owner =>
     parseWaitMs(parameters).map(waitMs => ({
       kind: 'fetchArrived' as const,
       call,
@@ -233,10 +233,10 @@
 
 function parseRequestOwner(
   name: string,
-  incoming: RawCall,
+  rawCall: RawCall,
   parameters: URLSearchParams,
 ): Checked<{readonly client: string; readonly identity: string}> {
-  return parseClient(incoming).chain(client =>
+  return parseClient(rawCall).chain(client =>
     parseWaitMs(parameters).chain(() =>
       parseIdentity(name).map(identity => ({client, identity})),
     ),
@@ -245,18 +245,18 @@
 
 function parsePublicationCall(
   name: string,
-  incoming: RawCall,
+  rawCall: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
   return parseDocumentName(name).chain(document =>
-    parseBaseVersion(incoming.ifMatch).chain(baseVersion =>
-      parseNameHeader('x-publication', incoming.publication).map(publication =>
+    parseBaseVersion(rawCall.ifMatch).chain(baseVersion =>
+      parseNameHeader('x-publication', rawCall.publication).map(publication =>
         toReplyCall({
           kind: 'publishArrived',
           call,
           document,
           baseVersion,
-          content: incoming.body,
+          content: rawCall.body,
           publication,
         }),
       ),
@@ -265,10 +265,10 @@
 }
 
 function parseDrainCall(
-  incoming: RawCall,
+  rawCall: RawCall,
   call: event.CallNumber,
 ): Checked<ParsedCall> {
-  return parseJsonBody(incoming.body === '' ? '{}' : incoming.body)
+  return parseJsonBody(rawCall.body === '' ? '{}' : rawCall.body)
     .chain(raw => fieldChecks.rejectUnknownFields(raw, ['worker']))
     .chain(raw =>
       parseOptional(raw['worker'], value =>
@@ -284,8 +284,8 @@
     );
 }
 
-function parseClient(incoming: RawCall): Checked<string> {
-  return parseNameHeader('x-client', incoming.client);
+function parseClient(rawCall: RawCall): Checked<string> {
+  return parseNameHeader('x-client', rawCall.client);
 }
 
 function parseNameHeader(
@@ -384,15 +384,15 @@
   return value === undefined ? either.Right(undefined) : parse(value);
 }
 
-function unknownPathFailure(incoming: RawCall): Checked<ParsedCall> {
-  const shown = `${incoming.method} ${incoming.target}`.slice(0, 120);
+function unknownPathFailure(rawCall: RawCall): Checked<ParsedCall> {
+  const shown = `${rawCall.method} ${rawCall.target}`.slice(0, 120);
   return either.Left(
     result.failure('unknownPath', `path: ${shown}: no such call`),
   );
 }
 
 function toReplyCall(callEvent: event.CallEvent): ParsedCall {
-  return {form: 'reply', event: callEvent};
+  return {responseFormat: 'reply', event: callEvent};
 }
 
 function splitTarget(target: string): ReadonlyArray<string> {
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -87,8 +87,8 @@
     this.server.on('connection', socket =>
       options.byteCounter?.track(socket, 'caller', 'outside'),
     );
-    this.server.on('clientError', (fault: NodeJS.ErrnoException, socket) =>
-      this.refuseMalformed(fault, socket as net.Socket),
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.refuseMalformed(error, socket as net.Socket),
     );
   }
 
@@ -217,7 +217,7 @@
       )
       .caseOf({
         Left: failure => this.refuse(response, failure),
-        Right: read => this.dispatch(read, response),
+        Right: parsed => this.dispatch(parsed, response),
       });
   }
 
@@ -225,7 +225,7 @@
     parsed: callParser.ParsedCall,
     response: http.ServerResponse,
   ): void {
-    if (parsed.form === 'events') {
+    if (parsed.responseFormat === 'events') {
       const stream = new eventStream.EventStream(response);
       this.streamEvents(stream, parsed.event, response);
       return;
@@ -233,7 +233,7 @@
     response.once('close', () => this.endCall(parsed.event.call));
     this.postCall(parsed.event, reply => {
       this.beginDrainIfAccepted(parsed.event, reply);
-      if (parsed.form === 'rawAnswer') sendRawAnswer(response, reply);
+      if (parsed.responseFormat === 'rawAnswer') sendRawAnswer(response, reply);
       else sendReply(response, reply);
     });
   }
@@ -271,11 +271,11 @@
   }
 
   private postCall(
-    posted: event.CallEvent,
+    callEvent: event.CallEvent,
     answer: (reply: effect.Reply) => void,
   ): void {
-    this.calls.set(posted.call, {event: posted, answer});
-    this.options.post(posted);
+    this.calls.set(callEvent.call, {event: callEvent, answer});
+    this.options.post(callEvent);
   }
 
   /** Removes a call whose caller has disconnected, and posts its end. */
--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -21,7 +21,7 @@
 /** Generates documents from answers in TOML, or returns all faults. */
 export function generateDocuments(text: string): GenerationResult {
   return either.Either.encase(() => toml.parse(text))
-    .mapLeft(fault => [tomlSchema.describeSyntaxError(fault)])
+    .mapLeft(error => [tomlSchema.describeSyntaxError(error)])
     .chain(generateFromAnswers);
 }
 
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -39,7 +39,7 @@
  */
 export class PeerConnections {
   private readonly connections = new Map<string, Connection>();
-  private readonly probedAddresses = new Set<string>();
+  private readonly probingAddresses = new Set<string>();
 
   constructor(private readonly listener: ConnectionListener) {}
 
@@ -105,14 +105,14 @@
     address: string,
     oldConnection: Connection,
   ): Promise<void> {
-    if (this.probedAddresses.has(address)) return;
-    this.probedAddresses.add(address);
+    if (this.probingAddresses.has(address)) return;
+    this.probingAddresses.add(address);
     const newConnection = this.openConnection(peer, address);
     const [newWorks, oldWorks] = await Promise.all([
       respondsToProbe(newConnection),
       respondsToProbe(oldConnection),
     ]);
-    this.probedAddresses.delete(address);
+    this.probingAddresses.delete(address);
     const isSilent =
       newWorks && !oldWorks && this.connections.get(address) === oldConnection;
     if (!isSilent) {
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -85,14 +85,14 @@
       this.options.addresses.log,
       `${recordsPath(stream)}?from=${from}&limit=${MAX_RECORDS_PER_READ}`,
     );
-    const read = text === undefined ? undefined : parseRecords(text);
-    if (read === undefined) {
+    const batch = text === undefined ? undefined : parseRecords(text);
+    if (batch === undefined) {
       const reason = text === undefined ? 'no_answer' : 'malformed';
       this.countFailure('read', reason);
       this.options.post({kind: 'readFailed', stream});
       return;
     }
-    this.options.post({kind: 'recordsRead', stream, sentAt, ...read});
+    this.options.post({kind: 'recordsRead', stream, sentAt, ...batch});
   }
 
   /** Transfers the list only when it has changed, as it has a row per VM. */
--- a/src/links/pooled_http_client.ts
+++ b/src/links/pooled_http_client.ts
@@ -73,7 +73,7 @@
 interface Origin {
   pool: undici.Pool;
   readonly limiter: connectionLimiter.ConnectionLimiter;
-  probing: boolean;
+  isProbing: boolean;
   lastUsedMs: number;
 }
 
@@ -183,7 +183,7 @@
       limiter: new connectionLimiter.ConnectionLimiter(
         this.options.connections,
       ),
-      probing: false,
+      isProbing: false,
       lastUsedMs: nowMs,
     };
     this.origins.set(address, opened);
@@ -218,11 +218,11 @@
     origin: Origin,
     oldPool: undici.Pool,
   ): Promise<void> {
-    if (origin.probing || origin.pool !== oldPool) return;
-    origin.probing = true;
+    if (origin.isProbing || origin.pool !== oldPool) return;
+    origin.isProbing = true;
     const newPool = this.openPool(address);
     const answered = await respondsToProbe(newPool, this.options.probePath);
-    origin.probing = false;
+    origin.isProbing = false;
     if (!answered || this.origins.get(address) !== origin) {
       void newPool.destroy();
       return;
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -40,11 +40,13 @@
           .orDefault([]);
       } else if (key.startsWith(DEFINITION_PREFIX)) {
         const decoded = jsonDocument.decode<job.JobDefinition>(value);
-        decoded.ifJust(read => definitions.set(read.id, read));
+        decoded.ifJust(definition =>
+          definitions.set(definition.id, definition),
+        );
       } else if (key.startsWith(PROGRESS_PREFIX)) {
         const id = key.slice(PROGRESS_PREFIX.length);
         const decoded = jsonDocument.decode<jobRecord.JobProgress>(value);
-        decoded.ifJust(read => progress.set(id, read));
+        decoded.ifJust(jobProgress => progress.set(id, jobProgress));
       }
     }
     const jobs = [...definitions.values()].map(definition => ({
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -224,9 +224,9 @@
   return {state: state as TaskAnswer['state'], answer};
 }
 
-function taskPath(taskName: string, part?: string): string {
+function taskPath(taskName: string, subresource?: string): string {
   const path = `/tasks/${encodeURIComponent(taskName)}`;
-  return part === undefined ? path : `${path}/${part}`;
+  return subresource === undefined ? path : `${path}/${subresource}`;
 }
 
 function isSuccess(
