--- a/test/links/call_parser_test.ts
+++ b/test/links/call_parser_test.ts
@@ -33,8 +33,9 @@
   return callParser.parseCall(incoming, 1).unsafeCoerce();
 }
 
-nodeTest.describe('good calls', () => {
-  nodeTest.test('each path becomes its event', () => {
+nodeTest.describe('valid calls', () => {
+  // Guards against a route that is missing or posts the event of another.
+  nodeTest.test('each route is parsed into its event', () => {
     const calls: ReadonlyArray<readonly [callParser.RawCall, string]> = [
       [rawCall('POST', '/v1/identities', {count: 100}), 'identitiesArrived'],
       [rawCall('POST', '/v1/identities'), 'identitiesArrived'],
@@ -56,7 +57,9 @@
     }
   });
 
-  nodeTest.test('a publication takes its base from If-Match', () => {
+  // Guards against a publication that overwrites a newer version because its
+  // base version was not read.
+  nodeTest.test('a publication takes its base version from If-Match', () => {
     const path = '/v1/configuration/team%2Fdispatch';
     const headers = {publication: 'p1', ifMatch: '"12"'};
     assert.deepEqual(
@@ -77,10 +80,11 @@
   });
 });
 
-nodeTest.describe('bad calls', () => {
-  // A check that is missing lets a value into the decision core that it does
-  // not expect; an error without field and rule leaves the caller guessing.
-  nodeTest.test('the error names field, value and rule', () => {
+nodeTest.describe('invalid calls', () => {
+  // Guards against a missing check, which passes an unexpected value on to the
+  // decision core, and against an error that does not tell the caller which
+  // field to correct and how.
+  nodeTest.test('the error names the field, the value and the rule', () => {
     const put = '/v1/requests/a';
     const bad: ReadonlyArray<readonly [callParser.RawCall, RegExp]> = [
       [rawCall('PUT', put, {...SUBMISSION, team: 7}), /^team: 7: must be/],
@@ -147,7 +151,9 @@
     }
   });
 
-  nodeTest.test('a body that is no object and an unknown path are told', () => {
+  // Guards against a malformed body or an unknown path that gets the error of
+  // another fault, or none.
+  nodeTest.test('a malformed body and an unknown path get their codes', () => {
     for (const body of ['', '[]', 'null', '{"team":', '7']) {
       const failure = expectFailure(rawCall('PUT', '/v1/requests/a', body));
       assert.equal(failure.result, 'invalidBody', body);
@@ -161,7 +167,8 @@
     );
   });
 
-  nodeTest.test('generated input gives a good call or a numbered error', () => {
+  // Guards against input that makes the parser throw, or fail without a detail.
+  nodeTest.test('any input gives an event or an error with a detail', () => {
     const anyCall = fastCheck.record({
       method: fastCheck.constantFrom('GET', 'PUT', 'POST', 'DELETE', 'PATCH'),
       target: fastCheck.oneof(
@@ -188,8 +195,9 @@
     fastCheck.assert(check, {seed: 20261204, numRuns: 2_000});
   });
 
+  // Guards against a field of a wrong type that reaches the decision core.
   nodeTest.test(
-    'a generated submission passes only with its exact types',
+    'a generated submission passes only if all types are exact',
     () => {
       const value = fastCheck.jsonValue() as fastCheck.Arbitrary<unknown>;
       const raw = fastCheck.record(
--- a/test/links/caller_server_test.ts
+++ b/test/links/caller_server_test.ts
@@ -16,7 +16,7 @@
   answer: (reply: effect.Reply) => void,
 ) => void;
 
-/** A server whose core is a function of the test. */
+/** A caller server whose posted events are answered by a test function. */
 class ServerFixture {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
@@ -58,17 +58,18 @@
   });
 }
 
-nodeTest.describe('answers to callers', () => {
-  // Guards against an answer that reaches the caller of another request.
+nodeTest.describe('responses to callers', () => {
+  // Guards against an answer that reaches the caller of another request when
+  // calls are answered in another order than they arrived.
   nodeTest.test('answers out of order reach their own callers', async () => {
     const open: Array<() => void> = [];
-    const front = new ServerFixture((posted, answer) => {
+    const fixture = new ServerFixture((posted, answer) => {
       if (posted.kind !== 'fetchArrived') return;
       open.push(() => answer({code: 0, answer: `for ${posted.identity}`}));
       if (open.length < 20) return;
       for (const send of open.reverse()) send();
     });
-    const address = await front.listen();
+    const address = await fixture.listen();
     const names = Array.from({length: 20}, (_, index) => `id${index}`);
     const answers = await Promise.all(
       names.map(name =>
@@ -79,177 +80,208 @@
       answers.map(item => item.text),
       names.map(name => `for ${name}`),
     );
-    await front.server.close();
+    await fixture.server.close();
   });
 
-  nodeTest.test('a large answer arrives whole', async () => {
+  // Guards against a content length in characters, which truncates UTF-8 text.
+  nodeTest.test('a large answer arrives complete', async () => {
     const large = 'é'.repeat(8_000_000);
-    const front = new ServerFixture((_posted, answer) =>
+    const fixture = new ServerFixture((_posted, answer) =>
       answer({code: 0, answer: large}),
     );
-    const address = await front.listen();
+    const address = await fixture.listen();
     const answer = await httpCall.callJson(
       address,
       'GET',
       '/v1/requests/a/answer',
     );
     assert.equal(answer.text === large, true);
-    await front.server.close();
+    await fixture.server.close();
   });
 
-  nodeTest.test('a call whose caller goes is ended', async () => {
-    const front = new ServerFixture(() => {});
-    const address = await front.listen();
-    const gone = new AbortController();
+  // Guards against open calls that pile up when callers disconnect.
+  nodeTest.test('a call ends when its caller disconnects', async () => {
+    const fixture = new ServerFixture(() => {});
+    const address = await fixture.listen();
+    const abortController = new AbortController();
     const call = fetch(`http://${address}/v1/requests/a?wait=60`, {
       headers: {'x-client': 'c'},
-      signal: gone.signal,
+      signal: abortController.signal,
     }).catch(() => undefined);
-    await wait.until('the call', async () => front.posted[0]);
-    gone.abort();
+    await wait.until('the call', async () => fixture.posted[0]);
+    abortController.abort();
     await call;
     await wait.until('its end', async () =>
-      front.kinds().includes('callEnded') ? true : undefined,
+      fixture.kinds().includes('callEnded') ? true : undefined,
     );
-    assert.equal(front.server.findOpenCall(1), undefined);
-    await front.server.close();
+    assert.equal(fixture.server.findOpenCall(1), undefined);
+    await fixture.server.close();
   });
 
-  nodeTest.test('events show each state once, until the end', async () => {
-    const states = ['queued', 'queued', 'running', 'ended'];
-    let looks = 0;
-    const front = new ServerFixture((_posted, answer) => {
-      const state = states[Math.min(looks, states.length - 1)];
-      looks += 1;
-      answer({code: state === 'ended' ? 0 : 1, state, answer: 'done'});
-    });
-    const address = await front.listen();
-    const stream = await httpCall.callJson(
-      address,
-      'GET',
-      '/v1/requests/a/events',
-    );
-    assert.equal(stream.headers.get('content-type'), 'text/event-stream');
-    assert.deepEqual(stream.text.match(/event: \w+/g), [
-      'event: queued',
-      'event: running',
-      'event: ended',
-    ]);
-    await front.server.close();
-  });
+  // Guards against repeated events for an unchanged state, and against a stream
+  // that stays open after the request has ended.
+  nodeTest.test(
+    'the stream has one event per state until the end',
+    async () => {
+      const states = ['queued', 'queued', 'running', 'ended'];
+      let pollCount = 0;
+      const fixture = new ServerFixture((_posted, answer) => {
+        const state = states[Math.min(pollCount, states.length - 1)];
+        pollCount += 1;
+        answer({code: state === 'ended' ? 0 : 1, state, answer: 'done'});
+      });
+      const address = await fixture.listen();
+      const stream = await httpCall.callJson(
+        address,
+        'GET',
+        '/v1/requests/a/events',
+      );
+      assert.equal(stream.headers.get('content-type'), 'text/event-stream');
+      assert.deepEqual(stream.text.match(/event: \w+/g), [
+        'event: queued',
+        'event: running',
+        'event: ended',
+      ]);
+      await fixture.server.close();
+    },
+  );
 
-  nodeTest.test('events of an unknown request are refused', async () => {
-    const front = new ServerFixture((_posted, answer) => answer({code: 1008}));
-    const address = await front.listen();
+  // Guards against an empty stream with status 200 for an unknown request.
+  nodeTest.test('a stream of an unknown request is refused', async () => {
+    const fixture = new ServerFixture((_posted, answer) =>
+      answer({code: 1008}),
+    );
+    const address = await fixture.listen();
     const path = '/v1/requests/a/events';
     const refused = await httpCall.callJson(address, 'GET', path);
     assert.equal(refused.status, 404);
-    await front.server.close();
+    await fixture.server.close();
   });
 });
 
-nodeTest.describe('bad input over HTTP', () => {
-  nodeTest.test('it posts nothing and is counted', async () => {
-    const front = new ServerFixture(() => {});
-    const address = await front.listen();
+nodeTest.describe('invalid input over HTTP', () => {
+  // Guards against an invalid call that reaches the decision core.
+  nodeTest.test('an invalid call posts nothing and is counted', async () => {
+    const fixture = new ServerFixture(() => {});
+    const address = await fixture.listen();
     const bad = await httpCall.callJson(address, 'PUT', '/v1/requests/a', {
       ...SUBMISSION,
       extra: 1,
     });
     assert.equal(bad.status, 400);
     assert.equal(bad.body['code'], 1004);
-    assert.deepEqual(front.posted, []);
-    assert.equal(front.metrics.total('refusal invalidField'), 1);
-    await front.server.close();
+    assert.deepEqual(fixture.posted, []);
+    assert.equal(fixture.metrics.total('refusal invalidField'), 1);
+    await fixture.server.close();
   });
 
-  nodeTest.test('a body that is too large gets its code', async () => {
-    const front = new ServerFixture(() => {});
-    const address = await front.listen();
+  // Guards against a connection reset in place of an error that the sender can
+  // read.
+  nodeTest.test('an oversized body gets its result code', async () => {
+    const fixture = new ServerFixture(() => {});
+    const address = await fixture.listen();
     const body = 'x'.repeat(2_000_000);
     const path = '/v1/requests/a';
     const refused = await httpCall.callJson(address, 'PUT', path, body);
     assert.equal(refused.status, 413);
     assert.equal(refused.body['code'], 1002);
-    assert.deepEqual(front.posted, []);
-    await front.server.close();
+    assert.deepEqual(fixture.posted, []);
+    await fixture.server.close();
   });
 
-  nodeTest.test('a body that is too slow gets its code', async () => {
-    const front = new ServerFixture(() => {}, {bodyTimeoutMs: 50});
-    const address = await front.listen();
+  // Guards against senders that occupy a call by never ending its body.
+  nodeTest.test('a slow body gets its result code', async () => {
+    const fixture = new ServerFixture(() => {}, {bodyTimeoutMs: 50});
+    const address = await fixture.listen();
     const text = await sendRaw(
       address,
       'PUT /v1/requests/a HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf',
     );
     assert.match(text, /^HTTP\/1\.1 408 .*"code":1003/s);
-    assert.deepEqual(front.posted, []);
-    await front.server.close();
+    assert.deepEqual(fixture.posted, []);
+    await fixture.server.close();
   });
 
-  nodeTest.test('what is not HTTP gets its code', async () => {
-    const front = new ServerFixture(() => {});
-    const address = await front.listen();
+  // Guards against malformed HTTP that closes the connection without an error.
+  nodeTest.test('malformed HTTP gets its result code', async () => {
+    const fixture = new ServerFixture(() => {});
+    const address = await fixture.listen();
     const text = await sendRaw(address, 'polish these stones\r\n\r\n');
     assert.match(text, /^HTTP\/1\.1 400 .*"code":1020/s);
-    await front.server.close();
+    await fixture.server.close();
   });
 });
 
 nodeTest.describe('many calls', () => {
-  // Guards against callers that occupy all memory.
-  // A call about an identity may repeat one that ran, so it is never told
-  // that its request was not run.
-  nodeTest.test('calls above the limit are refused truthfully', async () => {
-    const front = new ServerFixture(() => {}, {maxOpenCalls: 2});
-    const address = await front.listen();
-    const open = ['a', 'b'].map(name =>
-      httpCall.callJson(address, 'GET', `/v1/requests/${name}?wait=9`),
-    );
-    await wait.until('both calls', async () => front.posted[1]);
-    const repeated = await httpCall.callJson(address, 'GET', '/v1/requests/c');
-    assert.equal(repeated.body['code'], 4001);
-    const refused = await httpCall.callJson(address, 'POST', '/v1/identities');
-    assert.equal(refused.body['code'], 2008);
-    assert.equal(front.posted.length, 2);
-    for (const posted of front.posted) {
-      if ('call' in posted) front.server.answer(posted.call, {code: 1});
-    }
-    for (const answer of await Promise.all(open)) {
-      assert.equal(answer.status, 202);
-    }
-    await front.server.close();
-  });
+  // Guards against callers that occupy all memory, and against the reply that a
+  // request was not run when a call that names an identity may repeat one that
+  // ran.
+  nodeTest.test(
+    'calls above the limit are refused with a safe code',
+    async () => {
+      const fixture = new ServerFixture(() => {}, {maxOpenCalls: 2});
+      const address = await fixture.listen();
+      const open = ['a', 'b'].map(name =>
+        httpCall.callJson(address, 'GET', `/v1/requests/${name}?wait=9`),
+      );
+      await wait.until('both calls', async () => fixture.posted[1]);
+      const repeated = await httpCall.callJson(
+        address,
+        'GET',
+        '/v1/requests/c',
+      );
+      assert.equal(repeated.body['code'], 4001);
+      const refused = await httpCall.callJson(
+        address,
+        'POST',
+        '/v1/identities',
+      );
+      assert.equal(refused.body['code'], 2008);
+      assert.equal(fixture.posted.length, 2);
+      for (const posted of fixture.posted) {
+        if ('call' in posted) fixture.server.answer(posted.call, {code: 1});
+      }
+      for (const answer of await Promise.all(open)) {
+        assert.equal(answer.status, 202);
+      }
+      await fixture.server.close();
+    },
+  );
 });
 
-nodeTest.describe('the end of a process', () => {
-  // Guards against callers that wait for a process that is gone.
-  nodeTest.test('open calls are answered when it is abandoned', async () => {
-    const front = new ServerFixture(() => {});
-    const address = await front.listen();
+nodeTest.describe('shutdown of a process', () => {
+  // Guards against callers that wait for a process that has exited.
+  nodeTest.test('open calls get the reply given at the close', async () => {
+    const fixture = new ServerFixture(() => {});
+    const address = await fixture.listen();
     const path = '/v1/requests/a?wait=60';
     const call = httpCall.callJson(address, 'GET', path);
-    await wait.until('the call', async () => front.posted[0]);
-    await front.server.closeWithReply({code: 4001});
+    await wait.until('the call', async () => fixture.posted[0]);
+    await fixture.server.closeWithReply({code: 4001});
     assert.equal((await call).body['code'], 4001);
   });
 });
 
 nodeTest.describe('readiness', () => {
-  nodeTest.test('a process is ready when its status says so', async () => {
-    let ready = false;
-    const front = new ServerFixture((_posted, answer) =>
-      answer({code: 0, content: {ready}}),
-    );
-    const address = await front.listen();
-    const status = async (path: string): Promise<number> =>
-      (await httpCall.callJson(address, 'GET', path)).status;
-    assert.equal(await status('/ready'), 503);
-    ready = true;
-    assert.equal(await status('/ready'), 200);
-    front.server.beginDrain();
-    assert.equal(await status('/ready'), 503);
-    assert.equal(await status('/live'), 200);
-    await front.server.close();
-  });
+  // Guards against a load balancer that sends calls to a process which is not
+  // ready yet, or is draining.
+  nodeTest.test(
+    'readiness follows the status and ends at a drain',
+    async () => {
+      let ready = false;
+      const fixture = new ServerFixture((_posted, answer) =>
+        answer({code: 0, content: {ready}}),
+      );
+      const address = await fixture.listen();
+      const status = async (path: string): Promise<number> =>
+        (await httpCall.callJson(address, 'GET', path)).status;
+      assert.equal(await status('/ready'), 503);
+      ready = true;
+      assert.equal(await status('/ready'), 200);
+      fixture.server.beginDrain();
+      assert.equal(await status('/ready'), 503);
+      assert.equal(await status('/live'), 200);
+      await fixture.server.close();
+    },
+  );
 });
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -40,7 +40,7 @@
 
 type Respond = (posted: event.Event, pair: Pair) => void;
 
-/** A server of one process and the link of another. */
+/** The peer server of one process and the peer link of another. */
 class Pair {
   readonly served: event.Event[] = [];
   readonly posted: event.Event[] = [];
@@ -145,7 +145,8 @@
 }
 
 nodeTest.describe('calls between entry processes', () => {
-  nodeTest.test('each becomes its event, and its answer another', async () => {
+  // Guards against a field that is lost or altered on the way to a peer or back.
+  nodeTest.test('calls and answers become events with all fields', async () => {
     const pair = new Pair(answerEveryCall);
     await pair.listen();
     pair.forwarded = {
@@ -215,35 +216,43 @@
     pair.close();
   });
 
-  nodeTest.test('a call without an answer becomes a failure', async () => {
-    const pair = new Pair(() => {});
-    const nobody = '127.0.0.1:1';
-    for (const call of peerEffects(nobody)) await pair.link.perform(call);
-    assert.deepEqual(
-      pair.posted.map(item => item.kind),
-      [
-        'confirmFailed',
-        'offerLost',
-        'withdrawAnswered',
-        'forwardFailed',
-        'documentsArrived',
-        'witnessAnswered',
-        'readWitnessAnswered',
-      ],
-    );
-    const [, , withdrawn, , , witness, entries] = pair.posted;
-    assert.equal(withdrawn.kind === 'withdrawAnswered' && withdrawn.code, 4001);
-    assert.equal(witness.kind === 'witnessAnswered' && witness.stored, false);
-    assert.equal(
-      entries.kind === 'readWitnessAnswered' && entries.complete,
-      false,
-    );
-    pair.close();
-  });
+  // Guards against a decision that waits forever for an unreachable peer.
+  nodeTest.test(
+    'a call without an answer becomes a failure event',
+    async () => {
+      const pair = new Pair(() => {});
+      const nobody = '127.0.0.1:1';
+      for (const call of peerEffects(nobody)) await pair.link.perform(call);
+      assert.deepEqual(
+        pair.posted.map(item => item.kind),
+        [
+          'confirmFailed',
+          'offerLost',
+          'withdrawAnswered',
+          'forwardFailed',
+          'documentsArrived',
+          'witnessAnswered',
+          'readWitnessAnswered',
+        ],
+      );
+      const [, , withdrawn, , , witness, entries] = pair.posted;
+      assert.equal(
+        withdrawn.kind === 'withdrawAnswered' && withdrawn.code,
+        4001,
+      );
+      assert.equal(witness.kind === 'witnessAnswered' && witness.stored, false);
+      assert.equal(
+        entries.kind === 'readWitnessAnswered' && entries.complete,
+        false,
+      );
+      pair.close();
+    },
+  );
 
-  // Guards against a permit that rests on another incarnation's word.
+  // Guards against a permit that is based on the confirmation of a restarted
+  // process at the same address.
   nodeTest.test(
-    'an answer of another incarnation confirms nothing',
+    'an answer of another incarnation does not confirm a peer',
     async () => {
       const pair = new Pair((posted, self) => {
         if (posted.kind !== 'confirmArrived') return;
@@ -258,7 +267,8 @@
     },
   );
 
-  nodeTest.test('a call whose sender goes is ended', async () => {
+  // Guards against open calls that pile up when a peer disconnects.
+  nodeTest.test('a call ends when its sender disconnects', async () => {
     const pair = new Pair(() => {});
     await pair.listen();
     const offer = pair.link.perform(peerEffects(pair.address)[1]);
@@ -274,7 +284,9 @@
 });
 
 nodeTest.describe('silent connections between entry processes', () => {
-  nodeTest.test('a probe replaces one after a missed deadline', async () => {
+  // Guards against a peer that counts as dead because only the connection to it
+  // is silent.
+  nodeTest.test('a probe replaces one after a timeout', async () => {
     const pair = new Pair(answerEveryCall);
     await pair.listen();
     const relay = new faultRelay.FaultRelay(pair.address);
@@ -297,8 +309,9 @@
     relay.close();
   });
 
+  // Guards against replacing connections to a peer that answers on none.
   nodeTest.test(
-    'a dead peer is not taken for a silent connection',
+    'a dead peer is not counted as a silent connection',
     async () => {
       const silent = net.createServer(() => {});
       await new Promise<void>(resolve =>
--- a/test/links/platform_link_test.ts
+++ b/test/links/platform_link_test.ts
@@ -17,11 +17,11 @@
   state: 'live',
 };
 
-/** A link to a log and a VM list at one address. */
+/** A platform link with the log and the VM list at one address. */
 class PlatformLinkFixture {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
-  private readonly caller = new pooledHttpClient.PooledHttpClient({
+  private readonly client = new pooledHttpClient.PooledHttpClient({
     connections: {minimum: 1, initial: 2, maximum: 2},
     probePath: '/',
     onSilent: () => {},
@@ -31,7 +31,7 @@
   constructor(address: string) {
     this.link = new platformLink.PlatformLink({
       addresses: {log: address, vmList: address},
-      client: this.caller,
+      client: this.client,
       post: posted => void this.posted.push(posted),
       now: () => 7,
       metrics: this.metrics,
@@ -60,18 +60,19 @@
   }
 
   close(): Promise<void> {
-    return this.caller.close();
+    return this.client.close();
   }
 }
 
 nodeTest.describe('the log', () => {
-  nodeTest.test('what was appended is read with its offsets', async () => {
+  // Guards against offsets that are wrong after old records were trimmed.
+  nodeTest.test('appended records are read with their offsets', async () => {
     const log = new logService.LogService(2);
-    const bench = new PlatformLinkFixture(await log.listen());
+    const fixture = new PlatformLinkFixture(await log.listen());
     log.append('a/b', ['trimmed']);
     const answered = {kind: 'appendAnswered', stream: 'a/b', append: 4};
-    assert.deepEqual(await bench.append(), {...answered, answer: 'appended'});
-    assert.deepEqual(await bench.read(), {
+    assert.deepEqual(await fixture.append(), {...answered, answer: 'appended'});
+    assert.deepEqual(await fixture.read(), {
       kind: 'recordsRead',
       stream: 'a/b',
       sentAt: 7,
@@ -82,39 +83,48 @@
         {offset: 2, data: 'two'},
       ],
     });
-    await bench.close();
+    await fixture.close();
     log.close();
   });
 
-  nodeTest.test('a lost acknowledgement and an outage are told', async () => {
-    const log = new logService.LogService();
-    const bench = new PlatformLinkFixture(await log.listen());
-    const lost = {
-      kind: 'appendAnswered',
-      stream: 'a/b',
-      append: 4,
-      answer: 'lost',
-    };
-    log.fail({losesAcknowledgements: true});
-    assert.deepEqual(await bench.append(), lost);
-    assert.equal(log.appendCount(), 1);
-    log.fail({down: true});
-    assert.deepEqual(await bench.append(), lost);
-    assert.equal(log.appendCount(), 1);
-    assert.deepEqual(await bench.read(), {kind: 'readFailed', stream: 'a/b'});
-    await bench.close();
-    log.close();
-  });
+  // Guards against an append that counts as failed, or as stored, when its
+  // acknowledgement is missing.
+  nodeTest.test(
+    'a lost acknowledgement and an outage are reported',
+    async () => {
+      const log = new logService.LogService();
+      const fixture = new PlatformLinkFixture(await log.listen());
+      const lost = {
+        kind: 'appendAnswered',
+        stream: 'a/b',
+        append: 4,
+        answer: 'lost',
+      };
+      log.fail({losesAcknowledgements: true});
+      assert.deepEqual(await fixture.append(), lost);
+      assert.equal(log.appendCount(), 1);
+      log.fail({down: true});
+      assert.deepEqual(await fixture.append(), lost);
+      assert.equal(log.appendCount(), 1);
+      assert.deepEqual(await fixture.read(), {
+        kind: 'readFailed',
+        stream: 'a/b',
+      });
+      await fixture.close();
+      log.close();
+    },
+  );
 
-  // Guards against a replica that skips records because of a bad answer.
-  nodeTest.test('a malformed read fails', async () => {
+  // Guards against a replica that skips records because the log answered with
+  // records out of order, out of bounds or of wrong types.
+  nodeTest.test('a malformed answer fails the read', async () => {
     let body: unknown = {};
     const server = new standInServer.StandInServer({
       serve: call => call.send(200, body),
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new PlatformLinkFixture(await server.listen(0));
+    const fixture = new PlatformLinkFixture(await server.listen(0));
     const record = (offset: number): unknown => ({offset, data: 'x'});
     const bad: ReadonlyArray<unknown> = [
       {first: 0, next: 1},
@@ -127,60 +137,63 @@
       {first: 0, next: 2, records: [record(0), record(0)]},
     ];
     for (body of bad) {
-      const read = await bench.read();
+      const read = await fixture.read();
       assert.equal(read?.kind, 'readFailed', JSON.stringify(body));
     }
-    const failures = bench.metrics.total('platform_call_failed read malformed');
+    const failures = fixture.metrics.total(
+      'platform_call_failed read malformed',
+    );
     assert.equal(failures, bad.length);
-    await bench.close();
+    await fixture.close();
     server.close();
   });
 });
 
 nodeTest.describe('the VM list', () => {
-  // Guards against a list that is taken for unchanged after a change.
-  nodeTest.test('a change shows in the next read', async () => {
+  // Guards against a cached list that is returned after a change or an outage.
+  nodeTest.test('a change is visible in the next read', async () => {
     const list = new vmList.VmList();
-    const bench = new PlatformLinkFixture(await list.listen());
+    const fixture = new PlatformLinkFixture(await list.listen());
     const row = {...VM, role: 'worker', state: 'live'} as const;
     list.put(row);
     const read = {kind: 'vmListRead', sentAt: 7, vms: [row]};
-    assert.deepEqual(await bench.readVms(), read);
-    assert.deepEqual(await bench.readVms(), read);
+    assert.deepEqual(await fixture.readVms(), read);
+    assert.deepEqual(await fixture.readVms(), read);
     const leaving = {...row, state: 'leaving'} as const;
     list.put(leaving);
-    assert.deepEqual(await bench.readVms(), {...read, vms: [leaving]});
+    assert.deepEqual(await fixture.readVms(), {...read, vms: [leaving]});
     list.setDown(true);
-    assert.deepEqual(await bench.readVms(), {kind: 'vmListFailed'});
-    await bench.close();
+    assert.deepEqual(await fixture.readVms(), {kind: 'vmListFailed'});
+    await fixture.close();
     list.close();
   });
 
-  // A row that were left out would say that its VM no longer exists.
-  nodeTest.test('one malformed row fails the whole list', async () => {
+  // Guards against skipping a malformed row, which would mean that its VM no
+  // longer exists.
+  nodeTest.test('one malformed row fails the entire list', async () => {
     let body: unknown = {vms: [VM]};
     const server = new standInServer.StandInServer({
       serve: call => call.send(200, body),
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new PlatformLinkFixture(await server.listen(0));
+    const fixture = new PlatformLinkFixture(await server.listen(0));
     const good = {kind: 'vmListRead', sentAt: 7, vms: [VM]};
-    assert.deepEqual(await bench.readVms(), good);
+    assert.deepEqual(await fixture.readVms(), good);
     for (const wrong of [{role: 'rack'}, {state: ''}, {vm: 3}, {zone: null}]) {
       body = {vms: [VM, {...VM, ...wrong}]};
-      assert.deepEqual(await bench.readVms(), {kind: 'vmListFailed'});
+      assert.deepEqual(await fixture.readVms(), {kind: 'vmListFailed'});
     }
     const anything = fastCheck.asyncProperty(
       fastCheck.jsonValue(),
       async raw => {
         body = raw;
-        const read = await bench.readVms();
+        const read = await fixture.readVms();
         assert.equal(read?.kind, 'vmListFailed');
       },
     );
     await fastCheck.assert(anything, {seed: 20261204, numRuns: 50});
-    await bench.close();
+    await fixture.close();
     server.close();
   });
 });
--- a/test/links/pooled_http_client_test.ts
+++ b/test/links/pooled_http_client_test.ts
@@ -4,7 +4,7 @@
 import * as standInServer from '../../stand_ins/stand_in_server.js';
 import * as wait from '../support/wait.js';
 
-/** A server that answers, holds or drops calls by their paths. */
+/** A server that answers, holds, drops or ignores calls by their path. */
 class TargetServer implements standInServer.StandInHandler {
   readonly server = new standInServer.StandInServer(this);
   readonly paths: string[] = [];
@@ -41,102 +41,115 @@
 }
 
 function buildClient(
-  silent: string[] = [],
+  silentAddresses: string[] = [],
   connections = {minimum: 1, initial: 2, maximum: 4},
 ): pooledHttpClient.PooledHttpClient {
   return new pooledHttpClient.PooledHttpClient({
     connections,
     probePath: '/probe',
-    onSilent: address => silent.push(address),
+    onSilent: address => silentAddresses.push(address),
     onConnected: socket => assert.ok(socket.remotePort !== undefined),
   });
 }
 
-nodeTest.describe('outcomes of a call', () => {
-  nodeTest.test('a refused connection is proved not sent', async () => {
-    const caller = buildClient();
-    const outcome = await caller.call(getRequest('127.0.0.1:1', '/'));
+nodeTest.describe('outcomes of a request', () => {
+  // Guards against a request that is treated as possibly run, and so not
+  // retried, although no connection was made.
+  nodeTest.test('a refused connection counts as not sent', async () => {
+    const client = buildClient();
+    const outcome = await client.call(getRequest('127.0.0.1:1', '/'));
     assert.equal(outcome.kind, 'notSent');
-    await caller.close();
+    await client.close();
   });
 
-  // Guards against a start that is sent twice because a library retries.
-  nodeTest.test('a dropped call is lost and is not repeated', async () => {
+  // Guards against a start that is sent twice because the HTTP library retries
+  // a request whose connection was closed.
+  nodeTest.test('a dropped request is lost and is not retried', async () => {
     const target = new TargetServer();
     const address = await target.server.listen(0);
-    const caller = buildClient();
-    const outcome = await caller.call(getRequest(address, '/drop'));
+    const client = buildClient();
+    const outcome = await client.call(getRequest(address, '/drop'));
     assert.equal(outcome.kind, 'lost');
-    await caller.call(getRequest(address, '/after'));
+    await client.call(getRequest(address, '/after'));
     assert.deepEqual(target.paths, ['/drop', '/after']);
-    await caller.close();
+    await client.close();
     target.server.close();
   });
 });
 
 nodeTest.describe('silent connections', () => {
-  nodeTest.test('a probe replaces them and later calls work', async () => {
+  // Guards against an address that stays unreachable because requests keep
+  // using a connection that silently lost its packets.
+  nodeTest.test('a probe replaces them and later requests work', async () => {
     const target = new TargetServer();
     const address = await target.server.listen(0);
-    const silent: string[] = [];
-    const caller = buildClient(silent, {minimum: 1, initial: 1, maximum: 1});
-    await caller.call(getRequest(address, '/first'));
+    const silentAddresses: string[] = [];
+    const client = buildClient(silentAddresses, {
+      minimum: 1,
+      initial: 1,
+      maximum: 1,
+    });
+    await client.call(getRequest(address, '/first'));
     target.server.silenceConnections();
-    const lost = await caller.call(getRequest(address, '/second'));
+    const lost = await client.call(getRequest(address, '/second'));
     assert.equal(lost.kind, 'lost');
-    await wait.until('the probe', async () => silent[0]);
-    const after = await caller.call(getRequest(address, '/third'));
+    await wait.until('the probe', async () => silentAddresses[0]);
+    const after = await client.call(getRequest(address, '/third'));
     assert.equal(after.kind, 'answered');
     assert.deepEqual(target.paths, ['/first', '/probe', '/third']);
-    await caller.close();
+    await client.close();
     target.server.close();
   });
 
-  // Guards against cutting off calls on connections that still work.
-  nodeTest.test('calls in progress go on over the old ones', async () => {
+  // Guards against aborting requests on connections that still work when
+  // another request to the address has timed out.
+  nodeTest.test('open requests continue over the old ones', async () => {
     const target = new TargetServer();
     const address = await target.server.listen(0);
-    const silent: string[] = [];
-    const caller = buildClient(silent);
-    const held = caller.call(getRequest(address, '/hold', 10_000));
-    await caller.call(getRequest(address, '/never'));
-    await wait.until('the probe', async () => silent[0]);
+    const silentAddresses: string[] = [];
+    const client = buildClient(silentAddresses);
+    const held = client.call(getRequest(address, '/hold', 10_000));
+    await client.call(getRequest(address, '/never'));
+    await wait.until('the probe', async () => silentAddresses[0]);
     target.held[0]();
     assert.equal((await held).kind, 'answered');
-    await caller.close();
+    await client.close();
     target.server.close();
   });
 });
 
 nodeTest.describe('connections of one address', () => {
-  nodeTest.test('they stay below the limit, which adapts', async () => {
+  // Guards against overloading a worker with connections: the limit must grow
+  // with successes and shrink when connections are refused.
+  nodeTest.test('their number stays within the adaptive limit', async () => {
     const target = new TargetServer();
     const address = await target.server.listen(0);
-    const caller = buildClient([], {minimum: 1, initial: 1, maximum: 3});
+    const client = buildClient([], {minimum: 1, initial: 1, maximum: 3});
     const calls = Array.from({length: 50}, () =>
-      caller.call(getRequest(address, '/', 5_000)),
+      client.call(getRequest(address, '/', 5_000)),
     );
     const outcomes = await Promise.all(calls);
     assert.ok(outcomes.every(item => item.kind === 'answered'));
-    assert.equal(caller.connectionLimit(address), 3);
+    assert.equal(client.connectionLimit(address), 3);
     assert.ok(target.server.connectionCount() <= 3);
     target.server.close();
-    await caller.call(getRequest(address, '/'));
-    assert.equal(caller.connectionLimit(address), 1);
-    await caller.close();
+    await client.call(getRequest(address, '/'));
+    assert.equal(client.connectionLimit(address), 1);
+    await client.close();
   });
 
-  nodeTest.test('a call that gets no turn in time is not sent', async () => {
+  // Guards against a request that is sent after its caller has given up.
+  nodeTest.test('a request without a slot in time is not sent', async () => {
     const target = new TargetServer();
     const address = await target.server.listen(0);
-    const caller = buildClient([], {minimum: 1, initial: 1, maximum: 1});
-    const held = caller.call(getRequest(address, '/hold', 10_000));
-    const queued = await caller.call(getRequest(address, '/queued', 50));
+    const client = buildClient([], {minimum: 1, initial: 1, maximum: 1});
+    const held = client.call(getRequest(address, '/hold', 10_000));
+    const queued = await client.call(getRequest(address, '/queued', 50));
     assert.equal(queued.kind, 'notSent');
     target.held[0]();
     await held;
     assert.deepEqual(target.paths, ['/hold']);
-    await caller.close();
+    await client.close();
     target.server.close();
   });
 });
--- a/test/links/toml_document_reader_test.ts
+++ b/test/links/toml_document_reader_test.ts
@@ -40,8 +40,8 @@
 
 nodeTest.describe('documents', () => {
   nodeTest.test(
-    'missing optional keys are filled in; guards against undefined sizes in ' +
-      'a decision',
+    'missing optional keys get their defaults; guards against undefined ' +
+      'sizes in a decision',
     () => {
       const fleet = reader.readFleet(FLEET).unsafeCoerce();
       assert.equal(fleet.workerShapes[0].capacity.accelerators, 0);
@@ -54,8 +54,8 @@
   );
 
   nodeTest.test(
-    'every fault is reported at once with field, value and rule; guards ' +
-      'against one correction per publication',
+    'all faults are reported together with field, value and rule; guards ' +
+      'against one publication per corrected fault',
     () => {
       const faults = faultsOfTeam(
         team(
@@ -85,7 +85,7 @@
 
   nodeTest.test(
     'a gang of one task and a service with a run time are refused; guards ' +
-      'against workloads that no policy can place',
+      'against workloads that no placement policy supports',
     () => {
       const gang = workload('g').replace('batch', 'gang');
       const service = workload('s', 'runTimeMs = 5').replace(
@@ -103,8 +103,8 @@
   );
 
   nodeTest.test(
-    'a worker shape in an unknown zone and TOML that cannot be read are ' +
-      'refused; guards against a fleet that exists nowhere',
+    'a worker shape in an unknown zone and invalid TOML are refused; ' +
+      'guards against workers in zones that do not exist',
     () => {
       const fleet = FLEET.replace('["north-a"]', '["south-a"]');
       const {detail} = reader.readFleet(fleet).swap().unsafeCoerce();
@@ -125,7 +125,7 @@
 
   nodeTest.test(
     'a team with an unknown zone or under another name is refused; guards ' +
-      'against work that can run nowhere',
+      'against workloads that cannot run in any zone',
     () => {
       const set = withFleet();
       const content = team('a', workload('w', 'zones = ["south-a"]'));
@@ -137,8 +137,8 @@
   );
 
   nodeTest.test(
-    'a fleet without a zone that a team names is refused; guards against ' +
-      'removing a zone under a team',
+    'a fleet without a zone that a team refers to is refused; guards ' +
+      'against the removal of a zone in use',
     () => {
       const set = withFleet();
       const content = team('a', workload('w', 'zones = ["north-a"]'));
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -10,13 +10,13 @@
   return {key, offset, value: Buffer.from('1')};
 }
 
-/** Follows a topic that answers as told; notes what is passed on. */
+/** Follows a topic with scripted answers; records the listener's calls. */
 function startFollower(
   time: timeline.Timeline,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
-): {news: string[]; follower: topicFollower.TopicFollower} {
-  const news: string[] = [];
+): {notifications: string[]; follower: topicFollower.TopicFollower} {
+  const notifications: string[] = [];
   const topic = {
     append: async () => ({kind: 'refused', detail: ''}) as const,
     readNewest: async () => {
@@ -32,53 +32,61 @@
     topic,
     {maxWaitMs: 50, minReadIntervalMs: 0},
     {
-      received: (changes, end, whole) => {
+      received: (changes, end, isSnapshot) => {
         const keys = changes.map(({key}) => key).join(',');
-        news.push(`${whole ? 'whole' : 'more'} ${keys} to ${end}`);
+        notifications.push(
+          `${isSnapshot ? 'whole' : 'more'} ${keys} to ${end}`,
+        );
       },
-      interrupted: detail => news.push(`interrupted ${detail}`),
-      resumed: () => news.push('resumed'),
+      interrupted: detail => notifications.push(`interrupted ${detail}`),
+      resumed: () => notifications.push('resumed'),
     },
     time,
     milliseconds => time.pause(milliseconds),
   );
   void follower.run();
-  return {news, follower};
+  return {notifications, follower};
 }
 
-describe('a topic that is followed', () => {
-  // Guards against changes that are missed between the first look and the rest.
-  test('is read on from where the first look ended', async () => {
+describe('a followed topic', () => {
+  // Guards against changes that are missed between the snapshot and the first
+  // read of changes.
+  test('is read from the end of the snapshot', async () => {
     const time = new timeline.Timeline();
-    const {news, follower} = startFollower(
+    const {notifications, follower} = startFollower(
       time,
       () => ({kind: 'read', records: [record('a', 3)], end: 4}),
       from => ({kind: 'read', records: [record('b', from)], end: from + 1}),
     );
     await time.advance(120);
     follower.close();
-    assert.deepEqual(news, ['whole a to 4', 'more b to 5', 'more b to 6']);
+    assert.deepEqual(notifications, [
+      'whole a to 4',
+      'more b to 5',
+      'more b to 6',
+    ]);
   });
 
-  // Guards against a process that lags for good once history was dropped.
-  test('is read anew when its history is gone', async () => {
+  // Guards against a process that stops following once the records at its
+  // offset have expired.
+  test('is read from a new snapshot after its records expired', async () => {
     const time = new timeline.Timeline();
-    const {news, follower} = startFollower(
+    const {notifications, follower} = startFollower(
       time,
       () => ({kind: 'read', records: [], end: 9}),
       () => ({kind: 'expired'}),
     );
     await time.advance(130);
     follower.close();
-    assert.deepEqual(news.slice(0, 2), ['whole  to 9', 'whole  to 9']);
+    assert.deepEqual(notifications.slice(0, 2), ['whole  to 9', 'whole  to 9']);
   });
 
-  // Guards against a loop without a pause while the store turns reads away, and
-  // against a line of log for each of them.
-  test('is tried again after a pause when it can not be read', async () => {
+  // Guards against a busy loop while the store rejects reads, and against one
+  // log line per rejected read.
+  test('is retried with a pause while it is unavailable', async () => {
     const time = new timeline.Timeline();
     let tries = 0;
-    const {news, follower} = startFollower(
+    const {notifications, follower} = startFollower(
       time,
       () => {
         tries += 1;
@@ -90,14 +98,14 @@
     );
     await time.advance(990);
     assert.ok(tries >= 4 && tries <= 6, `${tries} tries`);
-    assert.deepEqual(news, ['interrupted status 503']);
+    assert.deepEqual(notifications, ['interrupted status 503']);
     await time.advance(60);
     follower.close();
-    assert.deepEqual(news.slice(1), ['whole  to 0', 'resumed']);
+    assert.deepEqual(notifications.slice(1), ['whole  to 0', 'resumed']);
   });
 
-  // Guards against a read that hangs for its whole wait in a store which is
-  // back already, so that news of the outage comes seconds late.
+  // Guards against a read that blocks for its whole wait although the store has
+  // recovered, which delays changes by seconds.
   test('is read without a wait until the store answers again', async () => {
     const time = new timeline.Timeline();
     const waits: number[] = [];
--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -35,24 +35,24 @@
   };
 }
 
-/** A link to one worker, with what it posts. */
+/** A link to one worker that records the posted events. */
 class WorkerLinkFixture {
   readonly posted: event.Event[] = [];
   readonly metrics = new recordedMetrics.RecordedMetrics();
-  private readonly callers: ReadonlyArray<pooledHttpClient.PooledHttpClient>;
+  private readonly clients: ReadonlyArray<pooledHttpClient.PooledHttpClient>;
   readonly link: workerLink.WorkerLink;
 
   constructor(private readonly address: string) {
-    const caller = (): pooledHttpClient.PooledHttpClient =>
+    const buildClient = (): pooledHttpClient.PooledHttpClient =>
       new pooledHttpClient.PooledHttpClient({
         connections: {minimum: 1, initial: 4, maximum: 8},
         probePath: '/report',
         onSilent: () => this.metrics.count('silent', {}, 1),
       });
-    this.callers = [caller(), caller()];
+    this.clients = [buildClient(), buildClient()];
     this.link = new workerLink.WorkerLink({
-      client: this.callers[0],
-      answerClient: this.callers[1],
+      client: this.clients[0],
+      answerClient: this.clients[1],
       post: posted => void this.posted.push(posted),
       now: () => performance.now(),
       metrics: this.metrics,
@@ -81,7 +81,7 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all(this.callers.map(caller => caller.close()));
+    await Promise.all(this.clients.map(client => client.close()));
   }
 }
 
@@ -94,37 +94,42 @@
   });
 }
 
-nodeTest.describe('starts', () => {
-  nodeTest.test('each answer tells what is proved', async () => {
-    const machine = createStandInWorker();
-    const bench = new WorkerLinkFixture(await machine.listen());
-    await bench.start('t1', '');
-    assert.equal(startAnswerOf(bench), 'started');
-    machine.fail({losesStartAnswers: true});
-    await bench.start('t2', '');
-    assert.equal(startAnswerOf(bench), 'lost');
-    machine.close();
-    await bench.start('t3', '');
-    assert.equal(startAnswerOf(bench), 'refused');
-    await bench.close();
+nodeTest.describe('starts of tasks', () => {
+  // Guards against a start that counts as refused, and is sent to another
+  // worker, although the task may run.
+  nodeTest.test('a start is refused only if it never ran', async () => {
+    const standIn = createStandInWorker();
+    const fixture = new WorkerLinkFixture(await standIn.listen());
+    await fixture.start('t1', '');
+    assert.equal(startAnswerOf(fixture), 'started');
+    standIn.fail({losesStartAnswers: true});
+    await fixture.start('t2', '');
+    assert.equal(startAnswerOf(fixture), 'lost');
+    standIn.close();
+    await fixture.start('t3', '');
+    assert.equal(startAnswerOf(fixture), 'refused');
+    await fixture.close();
   });
 });
 
-function startAnswerOf(bench: WorkerLinkFixture): string | undefined {
-  const last = bench.last();
+function startAnswerOf(fixture: WorkerLinkFixture): string | undefined {
+  const last = fixture.last();
   return last?.kind === 'startAnswered' ? last.answer : undefined;
 }
 
 nodeTest.describe('answers of tasks', () => {
-  nodeTest.test('a task gets its own answer', async () => {
-    const machine = createStandInWorker();
-    const bench = new WorkerLinkFixture(await machine.listen());
+  // Guards against answers that are mixed up between concurrent fetches.
+  nodeTest.test('each fetch gets the answer of its task', async () => {
+    const standIn = createStandInWorker();
+    const fixture = new WorkerLinkFixture(await standIn.listen());
     await Promise.all(
-      ['a', 'b', 'c'].map(name => bench.start(name, `{"answer":"of ${name}"}`)),
+      ['a', 'b', 'c'].map(name =>
+        fixture.start(name, `{"answer":"of ${name}"}`),
+      ),
     );
-    await Promise.all(['c', 'a', 'b'].map(name => bench.fetch(name)));
+    await Promise.all(['c', 'a', 'b'].map(name => fixture.fetch(name)));
     for (const name of ['a', 'b', 'c']) {
-      const arrived = bench.posted.find(
+      const arrived = fixture.posted.find(
         item => item.kind === 'taskAnswerArrived' && item.task === name,
       );
       assert.equal(
@@ -132,49 +137,51 @@
         `of ${name}`,
       );
     }
-    await bench.close();
-    machine.close();
+    await fixture.close();
+    standIn.close();
   });
 
-  // Guards against a client that gets the answer of another task.
-  nodeTest.test('an answer that names another task is lost', async () => {
+  // Guards against a caller that gets the answer of another task because the
+  // worker confused them.
+  nodeTest.test('an answer that names another task is rejected', async () => {
     const server = new standInServer.StandInServer({
       serve: call =>
         call.send(200, {task: 'other', state: 'finished', answer: 'x'}),
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new WorkerLinkFixture(await server.listen(0));
-    await bench.fetch('mine');
-    assert.equal(bench.last()?.kind, 'taskAnswerLost');
-    await bench.close();
+    const fixture = new WorkerLinkFixture(await server.listen(0));
+    await fixture.fetch('mine');
+    assert.equal(fixture.last()?.kind, 'taskAnswerLost');
+    await fixture.close();
     server.close();
   });
 
-  // Guards against a wait without end for an answer that can't arrive.
-  nodeTest.test('a silent wait ends when reports show the end', async () => {
-    const machine = createStandInWorker();
-    const bench = new WorkerLinkFixture(await machine.listen());
-    await bench.start('t', '{"runTimeMs": 300}');
-    const fetched = bench.fetch('t');
+  // Guards against an endless wait for an answer on a silent connection: the
+  // reports of the worker show that the task has ended.
+  nodeTest.test('an overdue fetch is aborted and can be retried', async () => {
+    const standIn = createStandInWorker();
+    const fixture = new WorkerLinkFixture(await standIn.listen());
+    await fixture.start('t', '{"runTimeMs": 300}');
+    const fetched = fixture.fetch('t');
     await wait.until('the call', async () =>
-      machine.connectionCount() >= 2 ? true : undefined,
+      standIn.connectionCount() >= 2 ? true : undefined,
     );
-    machine.silenceConnections();
+    standIn.silenceConnections();
     const reports = wait.until('the overdue answer', async () => {
-      await bench.readReport();
+      await fixture.readReport();
       const key = 'silent_connection worker answer_overdue';
-      return bench.metrics.total(key) > 0 ? true : undefined;
+      return fixture.metrics.total(key) > 0 ? true : undefined;
     });
     await Promise.all([fetched, reports]);
     assert.equal(
-      bench.posted.some(item => item.kind === 'taskAnswerLost'),
+      fixture.posted.some(item => item.kind === 'taskAnswerLost'),
       true,
     );
-    await bench.fetch('t');
-    assert.equal(bench.last()?.kind, 'taskAnswerArrived');
-    await bench.close();
-    machine.close();
+    await fixture.fetch('t');
+    assert.equal(fixture.last()?.kind, 'taskAnswerArrived');
+    await fixture.close();
+    standIn.close();
   });
 });
 
@@ -196,7 +203,8 @@
     ],
   };
 
-  nodeTest.test('a good report passes', () => {
+  // Guards against a check that rejects valid reports.
+  nodeTest.test('a valid report is accepted', () => {
     const read = workerReportParser.parseWorkerReport(
       'w',
       JSON.stringify(good),
@@ -204,7 +212,8 @@
     assert.deepEqual(read, {...good, worker: 'w'});
   });
 
-  nodeTest.test('no report with a malformed part passes', () => {
+  // Guards against a malformed field that reaches the decision core.
+  nodeTest.test('a report with any malformed part is rejected', () => {
     const [first] = good.tasks;
     const bad: ReadonlyArray<unknown> = [
       {...good, workerClock: null},
@@ -227,17 +236,18 @@
     }
   });
 
-  nodeTest.test('a malformed report is counted as failed', async () => {
+  // Guards against a malformed report that counts as a sign of life.
+  nodeTest.test('a malformed report counts as failed', async () => {
     const server = new standInServer.StandInServer({
       serve: call => call.send(200, {...good, tasks: [{}]}),
       control: () => {},
       observe: () => ({}),
     });
-    const bench = new WorkerLinkFixture(await server.listen(0));
-    await bench.readReport();
-    assert.deepEqual(bench.last(), {kind: 'reportFailed', worker: 'w'});
-    assert.equal(bench.metrics.total('malformed_report w'), 1);
-    await bench.close();
+    const fixture = new WorkerLinkFixture(await server.listen(0));
+    await fixture.readReport();
+    assert.deepEqual(fixture.last(), {kind: 'reportFailed', worker: 'w'});
+    assert.equal(fixture.metrics.total('malformed_report w'), 1);
+    await fixture.close();
     server.close();
   });
 });
