--- a/src/links/byte_counter.ts
+++ b/src/links/byte_counter.ts
@@ -10,7 +10,7 @@
   sentBytes: number;
 }
 
-/** Counts the bytes of connections by link and by the zone of the remote end. */
+/** Counts the bytes of connections by link and by the zone of the peer. */
 export class ByteCounter {
   private readonly sockets = new Map<net.Socket, CountedBytes>();
   private readonly timer: NodeJS.Timeout;
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -79,7 +79,7 @@
     this.server = http.createServer(
       {
         headersTimeout: HEADERS_TIMEOUT_MS,
-        // readBody applies its own timeout, which is answered with a result code.
+        // readBody has its own timeout, which is answered with a result code.
         requestTimeout: 0,
       },
       (incoming, response) => void this.serve(incoming, response),
--- a/src/links/connection_limiter.ts
+++ b/src/links/connection_limiter.ts
@@ -32,8 +32,8 @@
   }
 
   /**
-   * Acquires a slot and runs `onGranted`, at once or when a call ends. Returns a
-   * function that withdraws a waiting acquisition.
+   * Acquires a slot and runs `onGranted`, at once or when a call ends. Returns
+   * a function that withdraws a waiting acquisition.
    */
   acquire(onGranted: () => void): () => void {
     if (this.usedSlots < this.limit) {
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -79,7 +79,7 @@
       case 'fenced':
         return 'superseded';
       case 'outOfSequence':
-        // An earlier append of this sequence was stored but its answer was lost.
+        // An earlier call stored this sequence, but its answer was lost.
         return outcome.expected === sequence + 1 ? 'stored' : 'refused';
       case 'conditionFailed':
       case 'refused':
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -145,7 +145,7 @@
 }
 
 nodeTest.describe('calls between entry processes', () => {
-  // Guards against a field that is lost or altered on the way to a peer or back.
+  // Guards against a field that is lost or altered between two processes.
   nodeTest.test('calls and answers become events with all fields', async () => {
     const pair = new Pair(answerEveryCall);
     await pair.listen();
