--- a/src/links/call_parser.ts
+++ b/src/links/call_parser.ts
@@ -12,7 +12,10 @@
 /** Largest number of identities that one call may request. */
 export const MAX_IDENTITIES_PER_CALL = 100;
 
-/** Maximum characters of a name: client, team, workload, worker, publication. */
+/**
+ * Maximum characters of the name of a client, team, workload, worker or
+ * publication.
+ */
 const MAX_NAME_LENGTH = 80;
 
 /** Maximum characters of an identity; issued identities are shorter. */
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -56,7 +56,7 @@
   ]);
 }
 
-function readKey(key: string): (value: unknown) => unknown {
+function keyReader(key: string): (value: unknown) => unknown {
   return value =>
     typeof value === 'object' && value !== null
       ? (value as Readonly<Record<string, unknown>>)[key]
@@ -91,7 +91,7 @@
 export const FLEET_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(zoneTable, 1, 1_000, readKey('name')),
+    rule: new tomlSchema.ListRule(zoneTable, 1, 1_000, keyReader('name')),
     meaning: 'The availability zones of the cell.',
   },
   {
@@ -106,7 +106,8 @@
   {
     key: 'kind',
     rule: new tomlSchema.ChoiceRule(['service', 'batch', 'gang']),
-    meaning: 'Long-running, ending, or starting all tasks together.',
+    meaning:
+      'A service is long-running, a batch ends, a gang starts as a whole.',
   },
   {
     key: 'urgency',
@@ -195,7 +196,7 @@
   },
   {
     key: 'workloads',
-    rule: new tomlSchema.ListRule(workloadTable, 1, 1_000, readKey('name')),
+    rule: new tomlSchema.ListRule(workloadTable, 1, 1_000, keyReader('name')),
     meaning: 'Workloads of the team.',
   },
 ]);
--- a/src/links/questionnaire_schema.ts
+++ b/src/links/questionnaire_schema.ts
@@ -32,19 +32,19 @@
   {
     key: 'processors',
     rule: processorsRule,
-    meaning: 'How many processors has one?',
+    meaning: 'How many processors does one have?',
   },
   {
     key: 'memoryGiB',
     rule: memoryRule,
     unit: 'GiB',
-    meaning: 'How much memory has one?',
+    meaning: 'How much memory does one have?',
   },
   {
     key: 'accelerators',
     rule: acceleratorsRule,
     default: 0,
-    meaning: 'How many accelerators has one?',
+    meaning: 'How many accelerators does one have?',
   },
   {
     key: 'slots',
@@ -69,7 +69,7 @@
   {
     key: 'mayRunTwice',
     rule: booleanRule,
-    meaning: 'May a piece safely run a second time?',
+    meaning: 'Can a piece safely run a second time?',
   },
   {
     key: 'machinesAtOnce',
@@ -155,7 +155,7 @@
     key: 'weight',
     rule: new tomlSchema.NumberRule(0.001, 1_000),
     default: 1,
-    meaning: 'What weight has it when teams compete for the same capacity?',
+    meaning: 'What weight does it have when teams compete for capacity?',
   },
   {
     key: 'backlogMinutes',
