--- a/src/commands/publish.ts
+++ b/src/commands/publish.ts
@@ -4,14 +4,14 @@
 import * as commandReport from './command_report.js';
 import * as entryCommand from './entry_command.js';
 import * as inputFile from './input_file.js';
-import * as patientCaller from './patient_caller.js';
+import * as retryingCaller from './retrying_caller.js';
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
 interface Publication {
   readonly document: string;
   readonly content: string;
-  /** Undefined means the version in force when the command starts. */
+  /** Base version; undefined for the one in force when the command starts. */
   readonly base: number | undefined;
   readonly publication: string;
 }
@@ -41,8 +41,8 @@
       type: commandTypes.string,
       defaultValue: () => crypto.randomUUID(),
       description:
-        'Identity of an earlier try whose outcome is unknown; with it, give ' +
-        'the base of that try as well',
+        'Identity of an earlier attempt whose outcome is unknown; with it, ' +
+        'give the base of that attempt as well',
     }),
     file: commandTypes.positional({
       displayName: 'FILE',
@@ -73,9 +73,9 @@
 });
 
 async function publishDocument(
-  caller: patientCaller.PatientCaller,
+  caller: retryingCaller.RetryingCaller,
   wanted: Publication,
-): Promise<entryCommand.Outcome> {
+): Promise<entryCommand.CommandResult> {
   const path = `/v1/configuration/${encodeURIComponent(wanted.document)}`;
   const {publication} = wanted;
   const base = wanted.base ?? (await fetchVersion(caller, path));
@@ -99,9 +99,9 @@
   return {reply, further: {publication, base}};
 }
 
-/** Returns the version in force, or the reply that gives none. */
+/** Returns the version in force, or the reply if it contains none. */
 async function fetchVersion(
-  caller: patientCaller.PatientCaller,
+  caller: retryingCaller.RetryingCaller,
   path: string,
 ): Promise<number | effect.Reply | undefined> {
   const reply = await caller.call(() => ({method: 'GET', path}));
--- /dev/null
+++ b/src/commands/retrying_caller.ts
@@ -0,0 +1,91 @@
+import * as timers from 'node:timers/promises';
+import * as commandReport from './command_report.js';
+import type * as effect from '../contracts/effect.js';
+import type * as entryClient from '../links/entry_client.js';
+
+/** Delay before a call is repeated. */
+const RETRY_PAUSE_MS = 500;
+
+/** Maximum time for which one call waits for the end of a request. */
+const MAXIMUM_WAIT_SECONDS = 20;
+
+/** Time allowed for a reply in addition to the wait that the call requests. */
+const REPLY_ALLOWANCE_MS = 15_000;
+
+/**
+ * Repeats a call until its reply is final or the timeout has passed. Use it
+ * only for idempotent calls: each must carry an identity or change nothing.
+ */
+export class RetryingCaller {
+  private readonly deadline: number;
+
+  constructor(
+    private readonly client: entryClient.EntryClient,
+    timeoutSeconds: number,
+  ) {
+    this.deadline = performance.now() + timeoutSeconds * 1_000;
+  }
+
+  /**
+   * Returns the final reply, or the last one at the timeout. Returns `unknown`
+   * instead of a reply that states that nothing was done if an earlier attempt
+   * may have taken effect.
+   */
+  async call(
+    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
+    unknown?: effect.Reply,
+  ): Promise<effect.Reply | undefined> {
+    let lastReply: effect.Reply | undefined;
+    let mayHaveTakenEffect = false;
+    for (;;) {
+      const answer = await this.client.call(this.buildCall(build));
+      const reply = answer.kind === 'reply' ? answer.reply : undefined;
+      if (reply !== undefined && isFinal(reply)) return reply;
+      lastReply = reply ?? lastReply;
+      mayHaveTakenEffect ||= answer.kind === 'lost' || isUnsettled(reply);
+      if (performance.now() + RETRY_PAUSE_MS >= this.deadline) {
+        const claimsNothingDone =
+          lastReply === undefined || !isUnsettled(lastReply);
+        return mayHaveTakenEffect && claimsNothingDone
+          ? (unknown ?? lastReply)
+          : lastReply;
+      }
+      if (needsOtherProcess(reply)) this.client.failOver();
+      await timers.setTimeout(RETRY_PAUSE_MS);
+    }
+  }
+
+  private buildCall(
+    build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
+  ): entryClient.EntryCall {
+    const secondsLeft = Math.max(
+      0,
+      (this.deadline - performance.now()) / 1_000,
+    );
+    const waitSeconds = Math.floor(Math.min(secondsLeft, MAXIMUM_WAIT_SECONDS));
+    // The last call gets time for its reply even after the timeout.
+    return {
+      ...build(waitSeconds),
+      timeoutMs: waitSeconds * 1_000 + REPLY_ALLOWANCE_MS,
+    };
+  }
+}
+
+/** Returns whether a repeated call with the same identity gives this reply. */
+function isFinal(reply: effect.Reply): boolean {
+  if (needsOtherProcess(reply)) return false;
+  return commandReport.rowOf(reply.code)?.retry !== 'sameIdentity';
+}
+
+/** Returns whether the request is, or may be, still in progress. */
+function isUnsettled(reply: effect.Reply | undefined): boolean {
+  if (reply === undefined) return false;
+  const execution = commandReport.rowOf(reply.code)?.execution;
+  return execution === 'pending' || execution === 'unknown';
+}
+
+/** Returns whether to try another entry process: this one is unavailable. */
+function needsOtherProcess(reply: effect.Reply | undefined): boolean {
+  if (reply === undefined) return true;
+  return Math.floor(reply.code / 1_000) === 3;
+}
--- a/src/commands/interviewer.ts
+++ b/src/commands/schema_prompter.ts
@@ -1,18 +1,18 @@
 import * as tomlSchema from '../links/toml_schema.js';
 
-/** Puts a question to a person and returns the typed line. */
+/** Prompts a user and returns the typed line. */
 export interface Prompter {
   ask(question: string): Promise<string>;
 }
 
-/** Asks a person for the values of a table, one question a key. */
-export class Interviewer {
+/** Prompts a user for the values of a table, with one question per key. */
+export class SchemaPrompter {
   constructor(
     private readonly prompter: Prompter,
     private readonly print: (text: string) => void,
   ) {}
 
-  /** Asks for all keys of a table; every returned value obeys its rule. */
+  /** Prompts for all keys of a table; returned values satisfy their rules. */
   async askTable(
     table: tomlSchema.TableRule,
     path: string,
@@ -73,9 +73,9 @@
 
 function question(key: tomlSchema.SchemaKey, path: string): string {
   const unit = key.unit === undefined ? '' : `, in ${key.unit}`;
-  const standard =
+  const defaultNote =
     key.default === undefined
       ? ''
       : `; empty means ${JSON.stringify(key.default)}`;
-  return `${path}: ${key.meaning} (${key.rule.requirement}${unit}${standard}) `;
+  return `${path}: ${key.meaning} (${key.rule.requirement}${unit}${defaultNote}) `;
 }
--- a/src/commands/submit.ts
+++ b/src/commands/submit.ts
@@ -4,7 +4,7 @@
 import * as commandReport from './command_report.js';
 import * as entryCommand from './entry_command.js';
 import * as inputFile from './input_file.js';
-import * as patientCaller from './patient_caller.js';
+import * as retryingCaller from './retrying_caller.js';
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
@@ -19,40 +19,40 @@
 export const submit = commandTypes.command({
   name: 'submit',
   description:
-    'Reserves an identity, sends a request under it and waits for the end; ' +
-    'repeats are safe, because an identity runs at most once',
+    'Reserves an identity, submits a request with it and waits for the end; ' +
+    'retries are safe, because an identity runs at most once',
   args: {
     ...callArguments.callArguments,
     team: commandTypes.option({
       long: 'team',
       type: commandTypes.string,
-      description: 'Team whose work it is',
+      description: 'Team that owns the workload',
     }),
     workload: commandTypes.option({
       long: 'workload',
       type: commandTypes.string,
-      description: 'Kind of work',
+      description: 'Workload to run',
     }),
     payload: commandTypes.option({
       long: 'payload',
       type: commandTypes.string,
       defaultValue: () => '',
-      description: 'Text that is passed to the tasks',
+      description: 'Text passed to the tasks',
     }),
     payloadFile: commandTypes.option({
       long: 'payload-file',
       type: commandTypes.optional(commandTypes.string),
-      description: 'File whose text is passed to the tasks instead',
+      description: 'File with the text, instead of --payload',
     }),
     startDeadlineMs: commandTypes.option({
       long: 'start-deadline',
       type: commandTypes.optional(commandTypes.number),
-      description: "Longest wait for a start in ms; overrides the workload's",
+      description: "Maximum wait for a start in ms; overrides the workload's",
     }),
     identity: commandTypes.option({
       long: 'identity',
       type: commandTypes.optional(commandTypes.string),
-      description: 'Identity of an earlier try, to ask for its outcome',
+      description: 'Identity of an earlier attempt, to fetch its outcome',
     }),
   },
   examples: [
@@ -74,7 +74,7 @@
         entryCommand.run(given, output, caller => {
           const {team, workload, startDeadlineMs, identity} = given;
           const submission = {team, workload, payload, startDeadlineMs};
-          return send(caller, submission, identity);
+          return submitRequest(caller, submission, identity);
         }),
     });
   },
@@ -87,12 +87,12 @@
   return file === undefined ? either.Right(text) : inputFile.read(file);
 }
 
-async function send(
-  caller: patientCaller.PatientCaller,
+async function submitRequest(
+  caller: retryingCaller.RetryingCaller,
   submission: Submission,
   known: string | undefined,
-): Promise<entryCommand.Outcome> {
-  const identity = known ?? (await reserve(caller));
+): Promise<entryCommand.CommandResult> {
+  const identity = known ?? (await reserveIdentity(caller));
   if (typeof identity !== 'string') return {reply: identity};
   const path = `/v1/requests/${encodeURIComponent(identity)}`;
   const body = JSON.stringify(submission);
@@ -111,9 +111,9 @@
   return {reply, further: {identity}};
 }
 
-/** Returns a new identity, or the reply that gives none. */
-async function reserve(
-  caller: patientCaller.PatientCaller,
+/** Returns a new identity, or the reply if it contains none. */
+async function reserveIdentity(
+  caller: retryingCaller.RetryingCaller,
 ): Promise<string | effect.Reply | undefined> {
   const reply = await caller.call(() => ({
     method: 'POST',
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -4,7 +4,7 @@
 import * as timers from 'node:timers/promises';
 import * as tryDocuments from './try_documents.js';
 import * as vmList from '../../stand_ins/vm_list.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 import type * as sinks from '../operations/sinks.js';
 
 const ZONES = ['kigali-a', 'caerdydd-a'] as const;
@@ -12,7 +12,7 @@
 const WORKERS_PER_ZONE = 3;
 const WORKER_SLOTS = 8;
 
-/** Keeps counts and durations in memory instead of sending them. */
+/** Metrics sink that keeps counts and waits in memory. */
 export class CollectedMetrics implements sinks.MetricsSink {
   private readonly counts = new Map<string, number>();
   private readonly waits: number[] = [];
@@ -35,20 +35,20 @@
     if (metric === 'wait') this.waits.push(milliseconds);
   }
 
-  /** Does nothing; nothing is buffered. */
+  /** Returns at once, because nothing is buffered. */
   async close(): Promise<void> {}
 
-  /** Sum of a counter. */
+  /** Returns the total of a counter. */
   total(key: string): number {
     return this.counts.get(key) ?? 0;
   }
 
-  /** Counters whose name begins with `prefix`. */
+  /** Returns the counters whose name begins with `prefix`. */
   matching(prefix: string): ReadonlyMap<string, number> {
     return new Map([...this.counts].filter(([key]) => key.startsWith(prefix)));
   }
 
-  /** A quantile of the time from request to start, in milliseconds. */
+  /** Returns a quantile of the wait from request to start, in milliseconds. */
   wait(quantile: number): number {
     const sorted = [...this.waits].sort((left, right) => left - right);
     const position = Math.floor(quantile * (sorted.length - 1));
@@ -56,20 +56,20 @@
   }
 }
 
-/** Entry processes of two zones between stand-ins, all in this process. */
+/** Cell of two zones with entry processes and stand-ins in this process. */
 export class TryCell {
   readonly metrics = new CollectedMetrics();
   readonly warnings: string[] = [];
-  private readonly log = new logService.LogService();
-  private readonly list = new vmList.VmList();
-  private readonly workers: worker.StandInWorker[] = [];
+  private readonly logService = new logService.LogService();
+  private readonly vmList = new vmList.VmList();
+  private readonly workers: standInWorker.StandInWorker[] = [];
   private readonly entries: entryProcess.EntryProcess[] = [];
-  private readonly addressesOfZones = new Map<string, string[]>();
+  private readonly addressesByZone = new Map<string, string[]>();
 
-  /** Starts everything and publishes the documents. */
+  /** Starts all stand-ins and entry processes and publishes the documents. */
   async start(): Promise<void> {
-    const log = await this.log.listen();
-    const list = await this.list.listen();
+    const logAddress = await this.logService.listen();
+    const vmListAddress = await this.vmList.listen();
     for (const document of tryDocuments.TRY_DOCUMENTS) {
       this.publish(document);
     }
@@ -78,50 +78,50 @@
         await this.addWorker(zone, index);
       }
       for (let index = 0; index < ENTRY_VMS_PER_ZONE; index += 1) {
-        await this.addEntry(zone, index, log, list);
+        await this.addEntry(zone, index, logAddress, vmListAddress);
       }
     }
   }
 
-  /** Addresses for callers, by zone. */
+  /** Returns the addresses for callers, by zone. */
   addresses(): ReadonlyMap<string, ReadonlyArray<string>> {
-    return this.addressesOfZones;
+    return this.addressesByZone;
   }
 
-  /** Lets the worker that has run the most fail everything that it starts. */
+  /** Makes the busiest worker of the second zone fail every task. */
   breakWorker(): void {
     const [busiest] = [...this.workers.slice(WORKERS_PER_ZONE)].sort(
       (left, right) => right.runCounts().size - left.runCounts().size,
     );
-    busiest.fail({failsEverything: true});
+    busiest.updateFailures({failsEverything: true});
   }
 
-  /** Fraction of all slots that run a task now. */
+  /** Returns the fraction of all slots that currently run a task. */
   usedFraction(): number {
     let running = 0;
     for (const item of this.workers) running += item.runningCount();
     return running / (this.workers.length * WORKER_SLOTS);
   }
 
-  /** Starts that took a worker over its capacity. */
-  overcommitments(): number {
+  /** Returns the number of starts that took a worker over its capacity. */
+  overcommitmentCount(): number {
     let total = 0;
     for (const item of this.workers) total += item.overcommitmentCount();
     return total;
   }
 
-  /** Appends to the log so far. */
-  appends(): number {
-    return this.log.appendCount();
+  /** Returns the number of appends to the log. */
+  appendCount(): number {
+    return this.logService.appendCount();
   }
 
-  /** Ends everything; requests in progress are finished first. */
+  /** Drains the entry processes, then closes the stand-ins. */
   async stop(): Promise<void> {
-    const ended = Promise.all(this.entries.map(entry => entry.end()));
+    const ended = Promise.all(this.entries.map(entry => entry.shutDown()));
     await Promise.race([ended, timers.setTimeout(10_000)]);
     for (const item of this.workers) item.close();
-    this.list.close();
-    this.log.close();
+    this.vmList.close();
+    this.logService.close();
   }
 
   private publish(document: tryDocuments.TryDocument): void {
@@ -132,12 +132,12 @@
       content: document.content,
       publication: `try ${document.name}`,
     };
-    this.log.append('configuration', [JSON.stringify(record)]);
+    this.logService.append('configuration', [JSON.stringify(record)]);
   }
 
   private async addWorker(zone: string, index: number): Promise<void> {
     const name = `${zone}-worker-${index}`;
-    const item = new worker.StandInWorker({
+    const standIn = new standInWorker.StandInWorker({
       name,
       rack: `${zone}-rack-${index % 2}`,
       capacity: {
@@ -148,16 +148,16 @@
       },
       runTimeMs: 200,
     });
-    this.workers.push(item);
-    const address = await item.listen();
-    this.list.put({vm: name, role: 'worker', zone, address, state: 'live'});
+    this.workers.push(standIn);
+    const address = await standIn.listen();
+    this.vmList.put({vm: name, role: 'worker', zone, address, state: 'live'});
   }
 
   private async addEntry(
     zone: string,
     index: number,
-    log: string,
-    list: string,
+    logAddress: string,
+    vmListAddress: string,
   ): Promise<void> {
     const vm = `${zone}-entry-${index}`;
     const text = [
@@ -167,19 +167,19 @@
       'host = "127.0.0.1"',
       'callerPort = 0',
       'peerPort = 0',
-      `log = "${log}"`,
-      `vmList = "${list}"`,
+      `log = "${logAddress}"`,
+      `vmList = "${vmListAddress}"`,
     ].join('\n');
-    const read = settings.readSettings(text).unsafeCoerce();
+    const read = settings.parseSettings(text).unsafeCoerce();
     const entry = new entryProcess.EntryProcess(read, {
       metrics: this.metrics,
-      logs: {log: (level, event) => this.noteLine(vm, level, event)},
+      logs: {log: (level, event) => this.recordWarning(vm, level, event)},
     });
     const {callers, peers} = await entry.start();
-    const known = this.addressesOfZones.get(zone) ?? [];
-    this.addressesOfZones.set(zone, [...known, callers]);
+    const known = this.addressesByZone.get(zone) ?? [];
+    this.addressesByZone.set(zone, [...known, callers]);
     this.entries.push(entry);
-    this.list.put({
+    this.vmList.put({
       vm,
       role: 'entry',
       zone,
@@ -188,7 +188,7 @@
     });
   }
 
-  private noteLine(vm: string, level: string, event: string): void {
+  private recordWarning(vm: string, level: string, event: string): void {
     if (level === 'warn' || level === 'error') {
       this.warnings.push(`${vm} ${event}`);
     }
--- a/src/commands/try_documents.ts
+++ b/src/commands/try_documents.ts
@@ -1,10 +1,10 @@
-/** A document that `try` publishes. */
+/** Configuration document that the command `try` publishes. */
 export interface TryDocument {
   readonly name: string;
   readonly content: string;
 }
 
-interface Work {
+interface WorkloadTemplate {
   readonly name: string;
   readonly kind: string;
   readonly urgency: string;
@@ -12,7 +12,7 @@
   readonly taskCount: number;
 }
 
-function workload(work: Work): string {
+function workload(work: WorkloadTemplate): string {
   return `
 [[workloads]]
 name = "${work.name}"
@@ -32,7 +32,7 @@
 function team(
   name: string,
   client: string,
-  works: ReadonlyArray<Work>,
+  works: ReadonlyArray<WorkloadTemplate>,
 ): TryDocument {
   const content = `
 name = "${name}"
@@ -55,7 +55,7 @@
 zones = ["kigali-a", "caerdydd-a"]
 `;
 
-/** The documents of both deployments, small enough for one machine. */
+/** Configuration of both deployments, scaled down to one machine. */
 export const TRY_DOCUMENTS: ReadonlyArray<TryDocument> = [
   {name: 'fleet', content: FLEET},
   team('dispatch', 'workshop', [
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -1,4 +1,4 @@
-import type * as submissions from '../jobs/submissions.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as cellPb from './generated/cell_pb.js';
@@ -23,21 +23,17 @@
   return {term: Number(claim.term), node, incarnation, address};
 }
 
-const KNOWN_REFUSALS: ReadonlySet<string> = new Set<submissions.Refusal>([
-  'storeSilent',
-  'storeLost',
-  'overloaded',
-  'notReady',
-  'unknownQueue',
-]);
+const KNOWN_REFUSALS: ReadonlySet<string> = new Set<jobAdmission.SubmitRefusal>(
+  ['storeSilent', 'storeLost', 'overloaded', 'notReady', 'unknownQueue'],
+);
 
 /** Decodes the outcome of a job submission; unknown refusals mean not ready. */
 export function decodeSubmitResponse(
   response: cellPb.SubmitResponse,
-): submissions.SubmitOutcome {
+): jobAdmission.SubmitOutcome {
   if (response.accepted) return {kind: 'accepted'};
   if (response.undecided) return {kind: 'undecided'};
-  const reason = response.refusalReason as submissions.Refusal;
+  const reason = response.refusalReason as jobAdmission.SubmitRefusal;
   return {
     kind: 'refused',
     reason: KNOWN_REFUSALS.has(reason) ? reason : 'notReady',
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -65,7 +65,7 @@
   private ping(
     request: cellPb.PingRequest,
   ): MessageInit<typeof cellPb.PingResponseSchema> {
-    const answer = this.service.pinged({
+    const answer = this.service.answerPing({
       newest: cellMessages.decodeClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
       sender: request.sender,
--- a/src/machines/report_judgement.ts
+++ b/src/machines/report_finding.ts
@@ -3,33 +3,33 @@
 import type * as task from '../contracts/task.js';
 import type * as trackedTask from './tracked_task.js';
 
-/** What a report proves of one task. */
-export type Judgement =
+/** Conclusion that a worker's report allows about one task. */
+export type ReportFinding =
   | {readonly kind: 'nothing'}
   | {readonly kind: 'running'}
-  /** Ended with an answer that is still to be fetched. */
+  /** The task has ended and its answer has to be fetched. */
   | {readonly kind: 'collect'}
-  | {readonly kind: 'ended'; readonly end: trackedTask.TaskEnd}
+  | {readonly kind: 'ended'; readonly end: trackedTask.TaskEndState}
   | {readonly kind: 'notRun'}
-  /** It should have been listed; one such report may be a race. */
+  /** The report should list the task; a single such report may be a race. */
   | {readonly kind: 'missing'}
-  /** The report gives the task to another request. */
+  /** The report lists the task under the identity of another request. */
   | {readonly kind: 'mismatch'};
 
-/** Reports in a row that must lack a started task before it counts as gone. */
+/** Consecutive reports without a started task after which it counts as lost. */
 const MISSING_REPORTS = 2;
 
-const NOTHING: Judgement = {kind: 'nothing'};
+const NO_FINDING: ReportFinding = {kind: 'nothing'};
 
-/** Judges a task by a report that was requested at local time `sentAt`. */
-export function judge(
+/** Evaluates a task against a report that was requested at `sentAt`. */
+export function evaluateReport(
   tracked: trackedTask.TrackedTask,
   listed: task.TaskReport | undefined,
   workerClock: clock.Milliseconds,
   sentAt: clock.Milliseconds,
-): Judgement {
-  if (tracked.state === 'held') return NOTHING;
-  if (listed === undefined) return judgeUnlisted(tracked, workerClock, sentAt);
+): ReportFinding {
+  if (tracked.state === 'held') return NO_FINDING;
+  if (listed === undefined) return checkUnlisted(tracked, workerClock, sentAt);
   if (listed.label.identity !== tracked.label.identity) {
     return {kind: 'mismatch'};
   }
@@ -40,17 +40,17 @@
   return {kind: 'ended', end: listed.state};
 }
 
-function judgeUnlisted(
+function checkUnlisted(
   tracked: trackedTask.TrackedTask,
   workerClock: clock.Milliseconds,
   sentAt: clock.Milliseconds,
-): Judgement {
+): ReportFinding {
   if (tracked.startedAt !== undefined) {
-    if (sentAt < tracked.startedAt) return NOTHING;
+    if (sentAt < tracked.startedAt) return NO_FINDING;
     if (tracked.missingReports + 1 < MISSING_REPORTS) return {kind: 'missing'};
     return {kind: 'ended', end: 'answerLost'};
   }
   const proved =
-    tracked.provable && lease.provesNotRun(tracked.leaseEnd, workerClock);
-  return proved ? {kind: 'notRun'} : NOTHING;
+    tracked.leaseEndValid && lease.provesNotRun(tracked.leaseEnd, workerClock);
+  return proved ? {kind: 'notRun'} : NO_FINDING;
 }
--- /dev/null
+++ b/src/machines/worker_client.ts
@@ -0,0 +1,74 @@
+import type * as remoteWorker from './remote_worker.js';
+
+/** Command to start a run. */
+export interface StartCommand extends remoteWorker.RunId {
+  readonly payload: string;
+  readonly fence: number;
+  /** End of the lease on the worker's clock. */
+  readonly deadlineMs: number;
+  readonly checkpoint: string;
+  readonly ticket?: string;
+}
+
+/** Command to renew the leases of all running tasks and to report. */
+export interface RenewalCommand {
+  readonly fence: number;
+  /** Run ends up to this sequence number are stored. */
+  readonly storedEndNumber: number;
+  /** End of the lease on the worker's clock; omitted to renew no lease. */
+  readonly deadlineMs?: number;
+  /** How long the worker may delay its answer until a run ends. */
+  readonly waitMs: number;
+}
+
+/** Reason for which a worker has definitely not executed a command. */
+export type RejectionReason =
+  | 'superseded'
+  | 'staleRun'
+  | 'late'
+  | 'noRoom'
+  | 'ticket'
+  | 'unhealthy'
+  | 'invalid'
+  | 'otherLife';
+
+/** Outcome of a start, stop or throttle command. */
+export type CommandOutcome =
+  | {readonly kind: 'done'; readonly clockMs: number | undefined}
+  | {
+      readonly kind: 'rejected';
+      readonly reason: RejectionReason;
+      readonly clockMs: number | undefined;
+    }
+  /** The command may have been executed, or may still be. */
+  | {readonly kind: 'unanswered'; readonly detail: string};
+
+/** Outcome of a lease renewal. */
+export type RenewalOutcome =
+  | {readonly kind: 'reported'; readonly report: remoteWorker.RenewalReport}
+  | {readonly kind: 'rejected'; readonly reason: RejectionReason}
+  | {readonly kind: 'unanswered'; readonly detail: string};
+
+/** Client for calls to workers. The returned promises never reject. */
+export interface WorkerClient {
+  start(
+    worker: remoteWorker.RegistryEntry,
+    command: StartCommand,
+  ): Promise<CommandOutcome>;
+  stop(
+    worker: remoteWorker.RegistryEntry,
+    runId: remoteWorker.RunId,
+    fence: number,
+  ): Promise<CommandOutcome>;
+  /** Limits a task to a share of its processors, from 0 to 100 percent. */
+  throttle(
+    worker: remoteWorker.RegistryEntry,
+    runId: remoteWorker.RunId,
+    percent: number,
+    fence: number,
+  ): Promise<CommandOutcome>;
+  renewLeases(
+    worker: remoteWorker.RegistryEntry,
+    command: RenewalCommand,
+  ): Promise<RenewalOutcome>;
+}
--- a/src/operations/served_metrics.ts
+++ b/src/operations/prometheus_metrics.ts
@@ -3,28 +3,28 @@
 import * as listen from '../links/listen.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Bounds of the histograms' buckets in milliseconds. */
+/** Upper bounds of the histogram buckets in milliseconds. */
 const LATENCY_BUCKETS_MS = [
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 30_000,
 ];
 
-/** Counters and latency histograms, served as text over HTTP. */
-export class ServedMetrics implements schedulerOptions.Counters {
+/** Counters and latency histograms in Prometheus text format over HTTP. */
+export class PrometheusMetrics implements schedulerOptions.Counters {
   private readonly registry = new promClient.Registry();
   private readonly counters = new Map<string, promClient.Counter<'reason'>>();
   private readonly histograms = new Map<string, promClient.Histogram>();
 
   count(name: string, reason: string): void {
-    const known = this.counters.get(name) ?? this.openCounter(name);
+    const known = this.counters.get(name) ?? this.createCounter(name);
     known.inc({reason});
   }
 
   observe(name: string, milliseconds: number): void {
-    const known = this.histograms.get(name) ?? this.openHistogram(name);
+    const known = this.histograms.get(name) ?? this.createHistogram(name);
     known.observe(milliseconds);
   }
 
-  /** Serves the present figures at every path. */
+  /** Serves the current metrics at every path and returns the port. */
   listen(host: string, port: number): Promise<number> {
     const server = http.createServer((_request, response) => {
       void this.registry.metrics().then(text => {
@@ -35,7 +35,7 @@
     return listen.listen(server, host, port);
   }
 
-  private openCounter(name: string): promClient.Counter<'reason'> {
+  private createCounter(name: string): promClient.Counter<'reason'> {
     const opened = new promClient.Counter({
       name: `parsleyknot_${name}_total`,
       help: `Count of ${name} by reason`,
@@ -46,7 +46,7 @@
     return opened;
   }
 
-  private openHistogram(name: string): promClient.Histogram {
+  private createHistogram(name: string): promClient.Histogram {
     const opened = new promClient.Histogram({
       name: `parsleyknot_${name}_milliseconds`,
       help: `Duration of ${name}`,
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -1,72 +1,72 @@
-import type * as submissions from '../jobs/submissions.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
-import type * as scheduler from '../jobs/scheduler.js';
+import type * as jobScheduler from '../jobs/job_scheduler.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** What the gateway asks its own process. */
-export interface LocalCell extends cellPeers.CellService {
+/** Member of this process, which the gateway calls without the network. */
+export interface LocalMember extends cellPeers.CellService {
   readonly leader: cellMember.Claim | undefined;
-  readonly leadsItself: boolean;
+  readonly runsScheduler: boolean;
 }
 
-/** Fate of a call that only the scheduler can answer. */
+/** Outcome of a call that only the scheduler can answer. */
 export type GatewayOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
-  /** No scheduler could be asked; nothing was done. */
+  /** No scheduler was reached; the call had no effect. */
   | {readonly kind: 'noScheduler'}
   /** The call may have taken effect. */
   | {readonly kind: 'unknown'};
 
-/** Time for one attempt; the scheduler is asked again after it. */
-const ATTEMPT_MS = 1_000;
+/** Timeout of one attempt; the call is then sent again. */
+const ATTEMPT_TIMEOUT_MS = 1_000;
 
-/** Pause before another attempt. */
-const ATTEMPT_PAUSE_MS = 60;
+/** Delay before the next attempt. */
+const RETRY_DELAY_MS = 60;
 
 /**
- * How long a call waits for a scheduler. A succession is over by then; a
- * caller that waits longer does better to come back.
+ * Longest time that a call waits for a scheduler. A failover takes less time
+ * than this; after it, a retry by the caller is better than a longer wait.
  */
-const PATIENCE_MS = 2_000;
+const SCHEDULER_WAIT_LIMIT_MS = 2_000;
 
 /**
- * Part of a caller's time for which a job waits for the store to answer again.
- * The caller keeps enough of it to come back or to go elsewhere.
+ * Share of the caller's time during which a submission waits for a silent store
+ * to answer again. The rest lets the caller retry or go elsewhere.
  */
-const STORE_PATIENCE_SHARE = 0.45;
+const STORE_WAIT_SHARE = 0.45;
 
-/** Pause before the scheduler is asked again while the store is silent. */
-const STORE_PAUSE_MS = 200;
+/** Delay before a submission is repeated while the store is silent. */
+const STORE_RETRY_DELAY_MS = 200;
 
-/** Time that is kept for the answer's way back. */
-const RETURN_MS = 120;
+/** Part of the caller's time reserved for sending the response. */
+const RESPONSE_RESERVE_MS = 120;
 
-/** Passes calls on to the scheduler, wherever it is, through a succession. */
+/** Forwards calls to the current scheduler and retries during a failover. */
 export class CellGateway {
   constructor(
-    private readonly cell: LocalCell,
+    private readonly localMember: LocalMember,
     private readonly peers: cellPeers.CellPeers,
     private readonly clock: clock.Clock,
     private readonly pauses: jobJournal.Pauses,
     private readonly counters: schedulerOptions.Counters,
   ) {}
 
-  /** Hands a job in; waits out a short silence of the store. */
+  /** Submits a job; retries while the store is silent for a short time. */
   async submit(
     definition: job.JobDefinition,
     configurationVersion: number,
     deadline: clock.Milliseconds,
-  ): Promise<GatewayOutcome<submissions.SubmitOutcome>> {
+  ): Promise<GatewayOutcome<jobAdmission.SubmitOutcome>> {
     const startedAt = this.clock.now();
-    const patienceMs = STORE_PATIENCE_SHARE * (deadline - startedAt);
+    const storeWaitLimitMs = STORE_WAIT_SHARE * (deadline - startedAt);
     for (;;) {
-      const outcome = await this.ask(
+      const outcome = await this.callScheduler(
         deadline,
-        () => this.cell.submit(definition, configurationVersion),
+        () => this.localMember.submit(definition, configurationVersion),
         (address, timeoutMs) =>
           this.peers.submit(
             address,
@@ -75,85 +75,88 @@
             timeoutMs,
           ),
       );
-      const resumeAt = this.clock.now() + STORE_PAUSE_MS;
-      // Only what is surely not accepted may be handed in once more, or else a
-      // later refusal would be untrue.
-      if (!isStoreSilent(outcome) || resumeAt - startedAt > patienceMs) {
+      const nextAttemptAt = this.clock.now() + STORE_RETRY_DELAY_MS;
+      // Retry only a submission that was definitely not accepted. If the first
+      // one may have been accepted, a refusal of the second could be wrong.
+      if (
+        !isStoreSilent(outcome) ||
+        nextAttemptAt - startedAt > storeWaitLimitMs
+      ) {
         return outcome;
       }
       this.counters.count('calls_repeated', 'storeSilent');
-      await this.pauses.pause(STORE_PAUSE_MS);
+      await this.pauses.pause(STORE_RETRY_DELAY_MS);
     }
   }
 
-  /** Cancels a job. */
+  /** Cancels a job through the scheduler. */
   cancel(
     queue: string,
     id: string,
     deadline: clock.Milliseconds,
-  ): Promise<GatewayOutcome<scheduler.CancelOutcome>> {
-    return this.ask(
+  ): Promise<GatewayOutcome<jobScheduler.CancelOutcome>> {
+    return this.callScheduler(
       deadline,
-      () => this.cell.cancel(queue, id),
+      () => this.localMember.cancel(queue, id),
       (address, timeoutMs) => this.peers.cancel(address, queue, id, timeoutMs),
     );
   }
 
-  /** Returns the state of a job; undefined within the answer for none. */
+  /** Reads the state of a job; the value is undefined for an unknown job. */
   readState(
     queue: string,
     id: string,
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<job.JobState | undefined>> {
     const local = (): Promise<job.JobState | undefined> | undefined => {
-      const found = this.cell.readState(queue, id);
+      const found = this.localMember.readState(queue, id);
       return found && Promise.resolve(found.state);
     };
-    return this.ask(deadline, local, (address, timeoutMs) =>
+    return this.callScheduler(deadline, local, (address, timeoutMs) =>
       this.peers.readState(address, queue, id, timeoutMs),
     );
   }
 
-  /** Counts the jobs of a queue of which nothing has started. */
+  /** Counts the jobs of a queue that have no started task. */
   countPending(
     queue: string,
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<number>> {
     const local = (): Promise<number> | undefined => {
-      const count = this.cell.countPending(queue);
+      const count = this.localMember.countPending(queue);
       return count === undefined ? undefined : Promise.resolve(count);
     };
-    return this.ask(deadline, local, (address, timeoutMs) =>
+    return this.callScheduler(deadline, local, (address, timeoutMs) =>
       this.peers.countPending(address, queue, timeoutMs),
     );
   }
 
-  private async ask<Value>(
+  private async callScheduler<Value>(
     deadline: clock.Milliseconds,
     local: () => Promise<Value> | undefined,
     remote: (
       address: string,
       timeoutMs: number,
-    ) => Promise<cellPeers.Led<Value>>,
+    ) => Promise<cellPeers.LeaderCallOutcome<Value>>,
   ): Promise<GatewayOutcome<Value>> {
     const startedAt = this.clock.now();
-    let inDoubt = false;
+    let uncertain = false;
     for (;;) {
       const now = this.clock.now();
-      const left = deadline - RETURN_MS - ATTEMPT_PAUSE_MS - now;
-      if (left <= 0) return {kind: inDoubt ? 'unknown' : 'noScheduler'};
-      if (!inDoubt && now - startedAt > PATIENCE_MS) {
+      const budgetMs = deadline - RESPONSE_RESERVE_MS - RETRY_DELAY_MS - now;
+      if (budgetMs <= 0) return {kind: uncertain ? 'unknown' : 'noScheduler'};
+      if (!uncertain && now - startedAt > SCHEDULER_WAIT_LIMIT_MS) {
         return {kind: 'noScheduler'};
       }
       const attempt = await this.attempt(
-        Math.min(left, ATTEMPT_MS),
+        Math.min(budgetMs, ATTEMPT_TIMEOUT_MS),
         local,
         remote,
       );
       if (attempt.kind === 'answered') return attempt;
-      if (attempt.kind === 'unanswered') inDoubt = true;
+      if (attempt.kind === 'unanswered') uncertain = true;
       this.counters.count('calls_repeated', attempt.kind);
-      await this.pauses.pause(ATTEMPT_PAUSE_MS);
+      await this.pauses.pause(RETRY_DELAY_MS);
     }
   }
 
@@ -163,29 +166,32 @@
     remote: (
       address: string,
       timeoutMs: number,
-    ) => Promise<cellPeers.Led<Value>>,
-  ): Promise<cellPeers.Led<Value>> {
+    ) => Promise<cellPeers.LeaderCallOutcome<Value>>,
+  ): Promise<cellPeers.LeaderCallOutcome<Value>> {
     const answer = local();
-    if (answer !== undefined) return this.within(timeoutMs, answer);
-    const {leader, leadsItself} = this.cell;
-    if (leader === undefined || leadsItself) return {kind: 'notLeading'};
+    if (answer !== undefined) return this.withTimeout(timeoutMs, answer);
+    const {leader, runsScheduler} = this.localMember;
+    if (leader === undefined || runsScheduler) return {kind: 'notLeading'};
     return remote(leader.address, timeoutMs);
   }
 
-  private within<Value>(
+  private withTimeout<Value>(
     timeoutMs: number,
     answer: Promise<Value>,
-  ): Promise<cellPeers.Led<Value>> {
+  ): Promise<cellPeers.LeaderCallOutcome<Value>> {
     const answered = answer.then(value => ({kind: 'answered', value}) as const);
-    const late = this.pauses
+    const timedOut = this.pauses
       .pause(timeoutMs)
-      .then(() => ({kind: 'unanswered', detail: 'store'}) as const);
-    return Promise.race([answered, late]);
+      .then(
+        () =>
+          ({kind: 'unanswered', detail: 'no answer from the store'}) as const,
+      );
+    return Promise.race([answered, timedOut]);
   }
 }
 
 function isStoreSilent(
-  outcome: GatewayOutcome<submissions.SubmitOutcome>,
+  outcome: GatewayOutcome<jobAdmission.SubmitOutcome>,
 ): boolean {
   if (outcome.kind !== 'answered') return false;
   const {value} = outcome;
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -1,99 +1,103 @@
-import type * as submissions from '../jobs/submissions.js';
-import type * as adviceBook from '../jobs/advice_book.js';
+import type * as jobAdmission from '../jobs/job_admission.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
 import type * as election from './election.js';
 import type * as job from '../jobs/job.js';
-import type * as scheduler from '../jobs/scheduler.js';
+import type * as jobScheduler from '../jobs/job_scheduler.js';
 
-/** What members tell each other with each ping. */
-interface News {
+/** State that members exchange with each ping and reply. */
+interface GossipState {
+  /** Newest claim that the sender knows. */
   readonly newest: cellMember.Claim | undefined;
   readonly configurationVersion: number;
 }
 
-/** A ping. */
-export interface Greeting extends News {
-  /** Address of the member that pings. */
+/** Ping that tells another member the newest state known to the sender. */
+export interface PingMessage extends GossipState {
+  /** Address of the member that sent the ping. */
   readonly sender: string;
 }
 
-/** Answer to a ping. */
-export interface GreetingAnswer extends News, election.Pong {
-  /** Time since the store last confirmed that version as the newest one. */
+/** Reply to a ping, with the leadership status of the replying member. */
+export interface PingReply extends GossipState, election.LeadershipStatus {
+  /** Time since the store last confirmed that version as the newest. */
   readonly configurationAgeMs: number;
 }
 
-/** An answer that only the scheduler can give. */
-export type Led<Value> =
+/** Outcome of a call that only the leader can answer. */
+export type LeaderCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
-  /** The member does not lead, or does not know the jobs yet. */
+  /** The member is not the leader, or has not loaded the jobs yet. */
   | {readonly kind: 'notLeading'}
-  /** Nothing listens there: the call did not arrive. */
+  /** Connection refused: the call did not arrive. */
   | {readonly kind: 'refused'}
   /** The call may have arrived. */
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** What a call without a led answer brought. */
-export type Reached<Value> =
+/** Outcome of a call that every member can answer. */
+export type PeerCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
   | {readonly kind: 'refused'}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** Calls to other members by their addresses; none of them rejects. */
+/** Client for calls to other members by address; no call rejects. */
 export interface CellPeers {
   ping(
     address: string,
-    greeting: Greeting,
+    message: PingMessage,
     timeoutMs: number,
-  ): Promise<Reached<GreetingAnswer>>;
+  ): Promise<PeerCallOutcome<PingReply>>;
   fetchConfiguration(
     address: string,
     timeoutMs: number,
-  ): Promise<Reached<job.CellConfiguration | undefined>>;
+  ): Promise<PeerCallOutcome<job.OperatorConfiguration | undefined>>;
   submit(
     address: string,
     definition: job.JobDefinition,
     configurationVersion: number,
     timeoutMs: number,
-  ): Promise<Led<submissions.SubmitOutcome>>;
+  ): Promise<LeaderCallOutcome<jobAdmission.SubmitOutcome>>;
   cancel(
     address: string,
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<Led<scheduler.CancelOutcome>>;
+  ): Promise<LeaderCallOutcome<jobScheduler.CancelOutcome>>;
   readState(
     address: string,
     queue: string,
     id: string,
     timeoutMs: number,
-  ): Promise<Led<job.JobState | undefined>>;
+  ): Promise<LeaderCallOutcome<job.JobState | undefined>>;
   countPending(
     address: string,
     queue: string,
     timeoutMs: number,
-  ): Promise<Led<number>>;
+  ): Promise<LeaderCallOutcome<number>>;
   advise(
     address: string,
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome>;
+  ): Promise<adviceCache.AdviceOutcome>;
 }
 
-/** What a member answers when others call it. */
+/**
+ * Handlers for calls from other members. Those that only the leader can answer
+ * return undefined on any other member.
+ */
 export interface CellService {
-  pinged(greeting: Greeting): GreetingAnswer;
-  readonly configuration: job.CellConfiguration | undefined;
+  answerPing(message: PingMessage): PingReply;
+  readonly configuration: job.OperatorConfiguration | undefined;
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
-  ): Promise<submissions.SubmitOutcome> | undefined;
+  ): Promise<jobAdmission.SubmitOutcome> | undefined;
   cancel(
     queue: string,
     id: string,
-  ): Promise<scheduler.CancelOutcome> | undefined;
-  /** The state within an object, so that "no such job" is an answer too. */
+  ): Promise<jobScheduler.CancelOutcome> | undefined;
+  /** Wraps the state, so that "no such job" differs from "not the leader". */
   readState(
     queue: string,
     id: string,
@@ -103,5 +107,5 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome>;
+  ): Promise<adviceCache.AdviceOutcome>;
 }
--- a/test/links/platform_link_test.ts
+++ b/test/links/platform_link_test.ts
@@ -100,10 +100,10 @@
         append: 4,
         answer: 'lost',
       };
-      log.fail({losesAcknowledgements: true});
+      log.setFailures({losesAcknowledgements: true});
       assert.deepEqual(await fixture.append(), lost);
       assert.equal(log.appendCount(), 1);
-      log.fail({down: true});
+      log.setFailures({down: true});
       assert.deepEqual(await fixture.append(), lost);
       assert.equal(log.appendCount(), 1);
       assert.deepEqual(await fixture.read(), {
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as timeline from '../support/timeline.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import * as topicFollower from '../../src/links/topic_follower.js';
 import type * as keyedTopic from '../../src/links/keyed_topic.js';
 
@@ -12,7 +12,7 @@
 
 /** Follows a topic with scripted answers; records the listener's calls. */
 function startFollower(
-  time: timeline.Timeline,
+  time: simulatedClock.SimulatedClock,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
 ): {notifications: string[]; follower: topicFollower.TopicFollower} {
@@ -52,7 +52,7 @@
   // Guards against changes that are missed between the snapshot and the first
   // read of changes.
   test('is read from the end of the snapshot', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {notifications, follower} = startFollower(
       time,
       () => ({kind: 'read', records: [record('a', 3)], end: 4}),
@@ -70,7 +70,7 @@
   // Guards against a process that stops following once the records at its
   // offset have expired.
   test('is read from a new snapshot after its records expired', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const {notifications, follower} = startFollower(
       time,
       () => ({kind: 'read', records: [], end: 9}),
@@ -84,7 +84,7 @@
   // Guards against a busy loop while the store rejects reads, and against one
   // log line per rejected read.
   test('is retried with a pause while it is unavailable', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     let tries = 0;
     const {notifications, follower} = startFollower(
       time,
@@ -107,7 +107,7 @@
   // Guards against a read that blocks for its whole wait although the store has
   // recovered, which delays changes by seconds.
   test('is read without a wait until the store answers again', async () => {
-    const time = new timeline.Timeline();
+    const time = new simulatedClock.SimulatedClock();
     const waits: number[] = [];
     const isDown = (): boolean => time.now() > 100 && time.now() < 1_000;
     const topic = {
--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -5,7 +5,7 @@
 import * as workerReportParser from '../../src/links/worker_report_parser.js';
 import * as standInServer from '../../stand_ins/stand_in_server.js';
 import * as wait from '../support/wait.js';
-import * as worker from '../../stand_ins/worker.js';
+import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 import * as workerLink from '../../src/links/worker_link.js';
 import type * as event from '../../src/contracts/event.js';
 import type * as task from '../../src/contracts/task.js';
@@ -85,8 +85,8 @@
   }
 }
 
-function createStandInWorker(): worker.StandInWorker {
-  return new worker.StandInWorker({
+function createStandInWorker(): standInWorker.StandInWorker {
+  return new standInWorker.StandInWorker({
     name: 'w',
     rack: 'r',
     capacity: CAPACITY,
@@ -102,7 +102,7 @@
     const fixture = new WorkerLinkFixture(await standIn.listen());
     await fixture.start('t1', '');
     assert.equal(startAnswerOf(fixture), 'started');
-    standIn.fail({losesStartAnswers: true});
+    standIn.updateFailures({losesStartAnswers: true});
     await fixture.start('t2', '');
     assert.equal(startAnswerOf(fixture), 'lost');
     standIn.close();
--- a/test/operations/served_metrics_test.ts
+++ b/test/operations/prometheus_metrics_test.ts
@@ -1,8 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
-import * as eventLines from '../../src/operations/event_lines.js';
-import * as servedMetrics from '../../src/operations/served_metrics.js';
+import * as eventLogWriter from '../../src/operations/event_log_writer.js';
+import * as prometheusMetrics from '../../src/operations/prometheus_metrics.js';
 
 const {describe, test} = nodeTest;
 
@@ -14,10 +14,10 @@
   return port;
 }
 
-describe('figures of a process', () => {
-  // Guards against refusals and delays that nobody can see.
+describe('metrics of a process', () => {
+  // Guards against refusals and delays that do not show in the metrics.
   test('are served as text with their reasons', async () => {
-    const metrics = new servedMetrics.ServedMetrics();
+    const metrics = new prometheusMetrics.PrometheusMetrics();
     const port = await freePort();
     await metrics.listen('127.0.0.1', port);
     metrics.count('jobs_refused', 'storeSilent');
@@ -33,15 +33,15 @@
   });
 });
 
-describe('lines of events', () => {
-  // Guards against a process that waits for the reader of its output.
+describe('event log lines', () => {
+  // Guards against a process that blocks on a slow reader of its output.
   test('are dropped and counted while the reader lags', () => {
     const written: string[] = [];
     const output = {
       writableLength: 0,
       write: (text: string) => written.push(text),
     };
-    const lines = new eventLines.EventLines(output);
+    const lines = new eventLogWriter.EventLogWriter(output);
     lines.event('info', 'first', {job: 'a', missing: undefined});
     output.writableLength = 1_000_000;
     lines.event('info', 'second', {});
