--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -33,18 +33,18 @@
 
   async ping(
     address: string,
-    greeting: cellPeers.PingMessage,
+    pingMessage: cellPeers.PingMessage,
     timeoutMs: number,
   ): Promise<cellPeers.PeerCallOutcome<cellPeers.PingReply>> {
     const request = {
-      newest: cellMessages.encodeClaim(greeting.newest),
-      configurationVersion: BigInt(greeting.configurationVersion),
-      sender: greeting.sender,
+      newest: cellMessages.encodeClaim(pingMessage.newest),
+      configurationVersion: BigInt(pingMessage.configurationVersion),
+      sender: pingMessage.sender,
     };
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.ping(request, options),
     );
-    return mapReached(reached, response => ({
+    return mapPeerCallOutcome(callOutcome, response => ({
       newest: cellMessages.decodeClaim(response.newest),
       incarnation: response.incarnation,
       leading: response.leading,
@@ -59,10 +59,10 @@
     address: string,
     timeoutMs: number,
   ): Promise<cellPeers.PeerCallOutcome<job.OperatorConfiguration | undefined>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.fetchConfiguration({}, options),
     );
-    return mapReached(reached, ({document}) =>
+    return mapPeerCallOutcome(callOutcome, ({document}) =>
       jsonDocument.decode<job.OperatorConfiguration>(document).extract(),
     );
   }
@@ -77,10 +77,10 @@
       definition: jsonDocument.encode(definition),
       configurationVersion: BigInt(configurationVersion),
     };
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.submit(request, options),
     );
-    return toLed(reached, cellMessages.decodeSubmitResponse);
+    return toLeaderCallOutcome(callOutcome, cellMessages.decodeSubmitResponse);
   }
 
   async cancel(
@@ -89,10 +89,12 @@
     id: string,
     timeoutMs: number,
   ): Promise<cellPeers.LeaderCallOutcome<jobScheduler.CancelOutcome>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.cancel({queue, id}, options),
     );
-    return toLed(reached, ({known}) => (known ? 'cancelled' : 'unknown'));
+    return toLeaderCallOutcome(callOutcome, ({known}) =>
+      known ? 'cancelled' : 'unknown',
+    );
   }
 
   async readState(
@@ -101,10 +103,10 @@
     id: string,
     timeoutMs: number,
   ): Promise<cellPeers.LeaderCallOutcome<job.JobState | undefined>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.readState({queue, id}, options),
     );
-    return toLed(reached, ({state}) =>
+    return toLeaderCallOutcome(callOutcome, ({state}) =>
       state === '' ? undefined : (state as job.JobState),
     );
   }
@@ -114,10 +116,10 @@
     queue: string,
     timeoutMs: number,
   ): Promise<cellPeers.LeaderCallOutcome<number>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.countPending({queue}, options),
     );
-    return toLed(reached, ({pending}) => pending);
+    return toLeaderCallOutcome(callOutcome, ({pending}) => pending);
   }
 
   async advise(
@@ -131,14 +133,15 @@
       workerIds: [...workerIds],
       timeoutMs: Math.ceil(timeoutMs),
     };
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.advise(request, options),
     );
-    if (reached.kind !== 'answered') {
-      const detail = reached.kind === 'unanswered' ? reached.detail : 'refused';
+    if (callOutcome.kind !== 'answered') {
+      const detail =
+        callOutcome.kind === 'unanswered' ? callOutcome.detail : 'refused';
       return {kind: 'unanswered', detail};
     }
-    const {outcome, tickets, detail} = reached.value;
+    const {outcome, tickets, detail} = callOutcome.value;
     if (outcome === 'advised') return {kind: 'advised', tickets};
     if (outcome === 'busy') return {kind: 'busy'};
     return {kind: 'unanswered', detail};
@@ -215,21 +218,24 @@
   }
 }
 
-function mapReached<From, To>(
-  reached: cellPeers.PeerCallOutcome<From>,
+function mapPeerCallOutcome<From, To>(
+  callOutcome: cellPeers.PeerCallOutcome<From>,
   map: (value: From) => To,
 ): cellPeers.PeerCallOutcome<To> {
-  if (reached.kind !== 'answered') return reached;
-  return {kind: 'answered', value: map(reached.value)};
+  if (callOutcome.kind !== 'answered') return callOutcome;
+  return {kind: 'answered', value: map(callOutcome.value)};
 }
 
-function toLed<Response extends {readonly leading: cellPb.Leading}, Value>(
-  reached: cellPeers.PeerCallOutcome<Response>,
+function toLeaderCallOutcome<
+  Response extends {readonly leading: cellPb.Leading},
+  Value,
+>(
+  callOutcome: cellPeers.PeerCallOutcome<Response>,
   map: (response: Response) => Value,
 ): cellPeers.LeaderCallOutcome<Value> {
-  if (reached.kind !== 'answered') return reached;
-  if (reached.value.leading !== cellPb.Leading.YES) {
+  if (callOutcome.kind !== 'answered') return callOutcome;
+  if (callOutcome.value.leading !== cellPb.Leading.YES) {
     return {kind: 'notLeading'};
   }
-  return {kind: 'answered', value: map(reached.value)};
+  return {kind: 'answered', value: map(callOutcome.value)};
 }
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -12,7 +12,7 @@
 
 /** Follows a topic with scripted answers; records the listener's calls. */
 function startFollower(
-  time: simulatedClock.SimulatedClock,
+  clock: simulatedClock.SimulatedClock,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
 ): {notifications: string[]; follower: topicFollower.TopicFollower} {
@@ -20,11 +20,11 @@
   const topic = {
     append: async () => ({kind: 'refused', detail: ''}) as const,
     readNewest: async () => {
-      await time.pause(5);
+      await clock.pause(5);
       return newest();
     },
     read: async (from: number) => {
-      await time.pause(50);
+      await clock.pause(50);
       return read(from);
     },
   };
@@ -41,8 +41,8 @@
       interrupted: detail => notifications.push(`interrupted ${detail}`),
       resumed: () => notifications.push('resumed'),
     },
-    time,
-    milliseconds => time.pause(milliseconds),
+    clock,
+    milliseconds => clock.pause(milliseconds),
   );
   void follower.run();
   return {notifications, follower};
@@ -52,13 +52,13 @@
   // Guards against changes that are missed between the snapshot and the first
   // read of changes.
   test('is read from the end of the snapshot', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     const {notifications, follower} = startFollower(
-      time,
+      clock,
       () => ({kind: 'read', records: [record('a', 3)], end: 4}),
       from => ({kind: 'read', records: [record('b', from)], end: from + 1}),
     );
-    await time.advance(120);
+    await clock.advance(120);
     follower.close();
     assert.deepEqual(notifications, [
       'whole a to 4',
@@ -70,13 +70,13 @@
   // Guards against a process that stops following once the records at its
   // offset have expired.
   test('is read from a new snapshot after its records expired', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     const {notifications, follower} = startFollower(
-      time,
+      clock,
       () => ({kind: 'read', records: [], end: 9}),
       () => ({kind: 'expired'}),
     );
-    await time.advance(130);
+    await clock.advance(130);
     follower.close();
     assert.deepEqual(notifications.slice(0, 2), ['whole  to 9', 'whole  to 9']);
   });
@@ -84,22 +84,22 @@
   // Guards against a busy loop while the store rejects reads, and against one
   // log line per rejected read.
   test('is retried with a pause while it is unavailable', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     let tries = 0;
     const {notifications, follower} = startFollower(
-      time,
+      clock,
       () => {
         tries += 1;
-        return time.now() < 1_000
+        return clock.now() < 1_000
           ? {kind: 'unavailable', detail: 'status 503'}
           : {kind: 'read', records: [], end: 0};
       },
       () => ({kind: 'read', records: [], end: 0}),
     );
-    await time.advance(990);
+    await clock.advance(990);
     assert.ok(tries >= 4 && tries <= 6, `${tries} tries`);
     assert.deepEqual(notifications, ['interrupted status 503']);
-    await time.advance(60);
+    await clock.advance(60);
     follower.close();
     assert.deepEqual(notifications.slice(1), ['whole  to 0', 'resumed']);
   });
@@ -107,15 +107,15 @@
   // Guards against a read that blocks for its whole wait although the store has
   // recovered, which delays changes by seconds.
   test('is read without a wait until the store answers again', async () => {
-    const time = new simulatedClock.SimulatedClock();
+    const clock = new simulatedClock.SimulatedClock();
     const waits: number[] = [];
-    const isDown = (): boolean => time.now() > 100 && time.now() < 1_000;
+    const isDown = (): boolean => clock.now() > 100 && clock.now() < 1_000;
     const topic = {
       append: async () => ({kind: 'refused', detail: ''}) as const,
       readNewest: async () => ({kind: 'read', records: [], end: 0}) as const,
       read: async (_from: number, waitMs: number) => {
         waits.push(waitMs);
-        await time.pause(200);
+        await clock.pause(200);
         return isDown()
           ? ({kind: 'unavailable', detail: 'timeout'} as const)
           : ({kind: 'read', records: [], end: 0} as const);
@@ -125,11 +125,11 @@
       topic,
       {maxWaitMs: 2_500, minReadIntervalMs: 0},
       {received: () => {}, interrupted: () => {}, resumed: () => {}},
-      time,
-      milliseconds => time.pause(milliseconds),
+      clock,
+      milliseconds => clock.pause(milliseconds),
     );
     void follower.run();
-    await time.advance(1_500);
+    await clock.advance(1_500);
     follower.close();
     assert.deepEqual(waits.slice(0, 4), [2_500, 0, 0, 2_500]);
   });
