--- a/src/links/entry_client.ts
+++ b/src/links/entry_client.ts
@@ -2,26 +2,26 @@
 import * as jsonBody from './json_body.js';
 import type * as effect from '../contracts/effect.js';
 
-/** A call of an operator or a client to an entry process. */
+/** A call from an operator or a client to an entry process. */
 export interface EntryCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
-  /** Time for the whole reply; a silent connection ends here. */
+  /** Timeout of the whole call; also bounds a silent connection. */
   readonly timeoutMs: number;
 }
 
-/** What came of a call. */
+/** Outcome of a call to an entry process. */
 export type EntryCallOutcome =
   | {readonly kind: 'reply'; readonly reply: effect.Reply}
-  /** No connection was made, so nothing was sent. */
+  /** No connection was established, so the call was not sent. */
   | {readonly kind: 'notSent'}
   /** The call was sent and may have taken effect. */
   | {readonly kind: 'lost'};
 
-/** Faults that occur before anything is sent. */
-const CONNECT_FAULTS: ReadonlyArray<unknown> = [
+/** Codes of errors that occur only before anything is sent. */
+const CONNECT_ERROR_CODES: ReadonlyArray<unknown> = [
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -29,32 +29,32 @@
 ];
 
 /**
- * Calls the caller interface of one of several entry processes. It stays with
- * a process until `useNext`, and never repeats a call by itself.
+ * HTTP client for the caller interface of several entry processes. All calls
+ * go to one process until `failOver`; the client itself never retries a call.
  */
 export class EntryClient {
   private readonly agent = new undici.Agent({connect: {timeout: 2_000}});
-  private position = 0;
+  private addressIndex = 0;
 
   constructor(
     private readonly addresses: ReadonlyArray<string>,
     private readonly client: string,
   ) {}
 
-  /** Address of the entry process that gets the next call. */
+  /** Address of the entry process that receives the next call. */
   get address(): string {
-    return this.addresses[this.position % this.addresses.length];
+    return this.addresses[this.addressIndex % this.addresses.length];
   }
 
-  /** Sends the following calls to the next entry process. */
+  /** Directs the following calls to the next entry process. */
   failOver(): void {
-    this.position += 1;
+    this.addressIndex += 1;
   }
 
-  /** Returns the reply, or whether the call may have been received. */
+  /** Sends one call; without a reply, the outcome tells whether it was sent. */
   async call(call: EntryCall): Promise<EntryCallOutcome> {
     try {
-      const answer = await undici.request(
+      const response = await undici.request(
         `http://${this.address}${call.path}`,
         {
           method: call.method,
@@ -64,10 +64,10 @@
           body: call.body ?? null,
         },
       );
-      return readReply(await answer.body.text());
-    } catch (fault) {
-      const {code} = fault as NodeJS.ErrnoException;
-      return {kind: CONNECT_FAULTS.includes(code) ? 'notSent' : 'lost'};
+      return parseReply(await response.body.text());
+    } catch (error) {
+      const {code} = error as NodeJS.ErrnoException;
+      return {kind: CONNECT_ERROR_CODES.includes(code) ? 'notSent' : 'lost'};
     }
   }
 
@@ -77,7 +77,7 @@
   }
 }
 
-function readReply(text: string): EntryCallOutcome {
+function parseReply(text: string): EntryCallOutcome {
   const parsed = jsonBody.parseJsonObject(text);
   if (typeof parsed?.['code'] !== 'number') return {kind: 'lost'};
   return {kind: 'reply', reply: parsed as unknown as effect.Reply};
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -1,39 +1,40 @@
 import type * as clock from '../machines/clock.js';
 import type * as keyedTopic from './keyed_topic.js';
 
-/** How a topic is followed. */
+/** Timing of the reads of a followed topic. */
 export interface TopicFollowerOptions {
-  /** How long a read may wait for a record. */
+  /** Longest time that a read waits for a record. */
   readonly maxWaitMs: number;
-  /** Least time between two reads; records that come meanwhile share one. */
+  /** Shortest time between two reads; batches the records in between. */
   readonly minReadIntervalMs: number;
 }
 
-/** Hears of a followed topic. */
+/** Receives the records of a followed topic and its availability. */
 export interface TopicListener {
   /**
-   * The store answered. `changes` are the newest records of their keys, in the
-   * order of their offsets; `whole` tells that keys not among them are gone.
+   * Called after each successful read. `changes` are the newest records of
+   * their keys, in the order of their offsets. In a snapshot, keys that are not
+   * among them no longer exist.
    */
   received(
     changes: ReadonlyArray<keyedTopic.TopicRecord>,
     end: number,
-    whole: boolean,
+    isSnapshot: boolean,
   ): void;
-  /** The store does not answer; said once until it does again. */
+  /** Called once when the store stops answering. */
   interrupted(detail: string): void;
-  /** The store answers again. */
+  /** Called when the store answers again. */
   resumed(): void;
 }
 
-/** Pause after a read that brought no answer. */
+/** Backoff after a read that failed. */
 const RETRY_PAUSE_MS = 200;
 
-/** Keeps up with a keyed topic until closed. */
+/** Reads a keyed topic in a loop: one snapshot, then its changes. */
 export class TopicFollower {
   private closed = false;
-  private answered = true;
-  private next: number | undefined;
+  private isAvailable = true;
+  private nextOffset: number | undefined;
 
   constructor(
     private readonly topic: keyedTopic.KeyedTopic,
@@ -43,19 +44,19 @@
     private readonly pause: (milliseconds: number) => Promise<void>,
   ) {}
 
-  /** Follows until the follower is closed. */
+  /** Reads until the follower is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
-      const startedAt = this.clock.now();
-      const answered = await this.step();
+      const startedAtMs = this.clock.now();
+      const answered = await this.readOnce();
       if (this.closed) return;
-      if (answered && !this.answered) this.listener.resumed();
-      this.answered = answered;
-      const spent = this.clock.now() - startedAt;
-      const gap = this.answered
-        ? this.options.minReadIntervalMs - spent
+      if (answered && !this.isAvailable) this.listener.resumed();
+      this.isAvailable = answered;
+      const elapsedMs = this.clock.now() - startedAtMs;
+      const pauseMs = this.isAvailable
+        ? this.options.minReadIntervalMs - elapsedMs
         : RETRY_PAUSE_MS;
-      if (gap > 0) await this.pause(gap);
+      if (pauseMs > 0) await this.pause(pauseMs);
     }
   }
 
@@ -63,26 +64,26 @@
     this.closed = true;
   }
 
-  private async step(): Promise<boolean> {
-    const whole = this.next === undefined;
-    // A read that waits would hang in a silent store for all that time, also
-    // when the store is back meanwhile.
-    const waitMs = this.answered ? this.options.maxWaitMs : 0;
+  private async readOnce(): Promise<boolean> {
+    const isSnapshot = this.nextOffset === undefined;
+    // While the store is unavailable, a read with a wait would block for the
+    // whole wait in a silent store, even if the store recovers meanwhile.
+    const waitMs = this.isAvailable ? this.options.maxWaitMs : 0;
     const outcome =
-      this.next === undefined
+      this.nextOffset === undefined
         ? await this.topic.readNewest()
-        : await this.topic.read(this.next, waitMs);
+        : await this.topic.read(this.nextOffset, waitMs);
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'read':
-        this.next = outcome.end;
-        this.listener.received(outcome.records, outcome.end, whole);
+        this.nextOffset = outcome.end;
+        this.listener.received(outcome.records, outcome.end, isSnapshot);
         return true;
       case 'expired':
-        this.next = undefined;
+        this.nextOffset = undefined;
         return true;
       case 'unavailable':
-        if (this.answered) this.listener.interrupted(outcome.detail);
+        if (this.isAvailable) this.listener.interrupted(outcome.detail);
         return false;
     }
   }
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -4,26 +4,26 @@
 import type * as jobRecord from '../jobs/job_record.js';
 import type * as keyedTopic from './keyed_topic.js';
 
-/** All terms write as the same producer, so that a later one fences earlier. */
-const PRODUCER = 'scheduler';
+/** Producer of all terms, so that a later term fences earlier ones. */
+const PRODUCER_NAME = 'scheduler';
 
-/** Time for the answer to the call that fences earlier terms. */
-const OPEN_TIMEOUT_MS = 900;
+/** Timeout of the append that fences earlier terms. */
+const FENCE_TIMEOUT_MS = 900;
 
-/** Keys in the topic. */
+/** Keys and key prefixes of the topic. */
 const WORKERS_KEY = 'workers';
 const DEFINITION_PREFIX = 'd/';
 const PROGRESS_PREFIX = 'p/';
 
-const NOTHING = new Uint8Array(0);
+const TOMBSTONE = new Uint8Array(0);
 
-/** Keeps the journal in a keyed topic: two keys a job and one for workers. */
+/** Journal in a keyed topic: two keys per job and one for all workers. */
 export class TopicJournalStore implements jobJournal.JobJournalStore {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
-    // An append without records only raises the epoch.
-    return this.send([], term, 0, OPEN_TIMEOUT_MS);
+    // An append without records raises the epoch and writes nothing.
+    return this.send([], term, 0, FENCE_TIMEOUT_MS);
   }
 
   async load(): Promise<jobJournal.JournalContent | undefined> {
@@ -40,11 +40,13 @@
           .orDefault([]);
       } else if (key.startsWith(DEFINITION_PREFIX)) {
         const decoded = jsonDocument.decode<job.JobDefinition>(value);
-        decoded.ifJust(read => definitions.set(read.id, read));
+        decoded.ifJust(definition =>
+          definitions.set(definition.id, definition),
+        );
       } else if (key.startsWith(PROGRESS_PREFIX)) {
         const id = key.slice(PROGRESS_PREFIX.length);
         const decoded = jsonDocument.decode<jobRecord.JobProgress>(value);
-        decoded.ifJust(read => progress.set(id, read));
+        decoded.ifJust(jobProgress => progress.set(id, jobProgress));
       }
     }
     const jobs = [...definitions.values()].map(definition => ({
@@ -69,7 +71,7 @@
     sequence: number,
     timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
-    const producer = {name: PRODUCER, epoch: term, sequence};
+    const producer = {name: PRODUCER_NAME, epoch: term, sequence};
     const outcome = await this.topic.append(records, {producer}, timeoutMs);
     switch (outcome.kind) {
       case 'appended':
@@ -77,7 +79,7 @@
       case 'fenced':
         return 'superseded';
       case 'outOfSequence':
-        // The set was stored by an earlier call whose answer was lost.
+        // An earlier call stored this sequence, but its answer was lost.
         return outcome.expected === sequence + 1 ? 'stored' : 'refused';
       case 'conditionFailed':
       case 'refused':
@@ -108,8 +110,8 @@
       ];
     case 'dropped':
       return [
-        {key: DEFINITION_PREFIX + change.id, value: NOTHING},
-        {key: PROGRESS_PREFIX + change.id, value: NOTHING},
+        {key: DEFINITION_PREFIX + change.id, value: TOMBSTONE},
+        {key: PROGRESS_PREFIX + change.id, value: TOMBSTONE},
       ];
     case 'workers':
       return [{key: WORKERS_KEY, value: jsonDocument.encode(change.workers)}];
