--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -119,10 +119,12 @@
       reply.answer ?? '',
     );
     request.lastReply = `${reply.code} ${reply.state ?? ''} ${reply.detail ?? ''}`;
-    const row = Object.values(result.RESULT_CODES).find(
+    const resultCode = Object.values(result.RESULT_CODES).find(
       known => known.code === reply.code,
     );
-    const open = row?.execution === 'pending' || row?.retry === 'sameIdentity';
+    const open =
+      resultCode?.execution === 'pending' ||
+      resultCode?.retry === 'sameIdentity';
     if (open) {
       this.retryLater(() => this.submit(team, request));
       return;
@@ -137,8 +139,8 @@
     >[0],
     answered: (reply: effect.Reply | undefined) => void,
   ): void {
-    const {simulation: around, random} = this.environment;
-    const hosts = [...around.hosts.values()];
+    const {simulation, random} = this.environment;
+    const hosts = [...simulation.hosts.values()];
     const near = hosts.filter(host => host.zone === this.zone);
     const choice = near.length > 0 && random.below(5) > 0 ? near : hosts;
     if (choice.length === 0) {
@@ -146,7 +148,7 @@
       return;
     }
     const host = choice[random.below(choice.length)];
-    around.network.call<effect.Reply>(
+    simulation.network.call<effect.Reply>(
       this,
       host,
       respond => host.receive(build, respond),
--- a/bench/platform_soak_main.ts
+++ b/bench/platform_soak_main.ts
@@ -20,9 +20,9 @@
     let broken = 0;
     for (let seed = from; seed < from + seeds; seed += 1) {
       const outcome = await platformSoak.PlatformSoak.runSeed(seed);
-      const {acceptedCount: accepted, startCount: starts} = outcome;
+      const {acceptedCount, startCount} = outcome;
       console.log(
-        `seed ${seed} accepted ${accepted} starts ${starts}` +
+        `seed ${seed} accepted ${acceptedCount} starts ${startCount}` +
           ` broken ${outcome.breaches.length} ${outcome.breaches[0] ?? ''}`,
       );
       if (outcome.breaches.length > 0) broken += 1;
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -431,16 +431,16 @@
 
   private result(): RunResult {
     const requests = this.clients.flatMap(item => item.requests);
-    const codes = new Map<number, number>();
+    const codeCounts = new Map<number, number>();
     for (const request of requests) {
-      codes.set(request.code, (codes.get(request.code) ?? 0) + 1);
+      codeCounts.set(request.code, (codeCounts.get(request.code) ?? 0) + 1);
     }
     return {
       seed: this.options.seed,
       violations: this.checker.violations(),
       checkCount: this.checker.checkCount(),
       faultCounts: this.faultCounts,
-      codeCounts: codes,
+      codeCounts,
       unfinishedCount: requests.filter(request => !request.ended).length,
       unfinishedRequests: requests
         .filter(request => !request.ended)
--- a/bench/running_tasks.ts
+++ b/bench/running_tasks.ts
@@ -30,13 +30,13 @@
     now: clock.Milliseconds,
     runTimeMs: clock.Milliseconds,
   ): void {
-    const endsAt = now + runTimeMs;
+    const endsAtMs = now + runTimeMs;
     this.tasks.set(placement.task, {
       placement,
       startedAtMs: now,
-      endsAtMs: endsAt,
+      endsAtMs,
     });
-    this.heap.add(placement.task, endsAt);
+    this.heap.add(placement.task, endsAtMs);
   }
 
   /** Returns a running task. */
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -19,7 +19,9 @@
 }
 
 /** Runs last as long as their payload's step says: here by the job's id. */
-const BY_JOB = (order: {task: string}): {runTimeMs: number; outcome: 'done'} => ({
+const BY_JOB = (order: {
+  task: string;
+}): {runTimeMs: number; outcome: 'done'} => ({
   runTimeMs: order.task.startsWith('b') ? 6_000 : 1_000,
   outcome: 'done',
 });
