--- a/stand_ins/fault_relay.ts
+++ b/stand_ins/fault_relay.ts
@@ -1,20 +1,20 @@
 import * as net from 'node:net';
 import * as listen from '../src/links/listen.js';
 
-/** What a relay does with the bytes of its connections. */
+/** How a relay treats the bytes of its connections. */
 export type RelayMode =
   | 'pass'
-  /** Each way takes longer. */
+  /** Both directions are delayed. */
   | 'delay'
-  /** What the target sends does not arrive. */
+  /** Bytes from the target are not forwarded. */
   | 'loseAnswers'
-  /** Nothing arrives on either way. */
+  /** Nothing is forwarded in either direction. */
   | 'silent';
 
-/** Time by which a delaying relay holds bytes back. */
+/** Delay of each chunk of bytes in mode `delay`. */
 const DELAY_MS = 120;
 
-/** A TCP relay on the loopback interface that misbehaves on demand. */
+/** TCP relay on the loopback interface that injects network faults. */
 export class FaultRelay {
   mode: RelayMode = 'pass';
   private readonly server: net.Server;
@@ -34,18 +34,18 @@
     });
   }
 
-  /** Listens and returns the address. */
+  /** Starts listening on a free port and returns the address. */
   async listen(): Promise<string> {
     const port = await listen.listen(this.server, '127.0.0.1', 0);
     return `127.0.0.1:${port}`;
   }
 
-  /** Resets the open connections; new ones work. */
+  /** Resets the open connections; later connections work. */
   reset(): void {
     for (const socket of [...this.sockets]) socket.resetAndDestroy();
   }
 
-  /** Makes the open connections silent for good; new ones work. */
+  /** Stops forwarding on the open connections; later connections work. */
   silenceConnections(): void {
     for (const socket of this.sockets) this.silencedSockets.add(socket);
   }
@@ -55,7 +55,7 @@
     this.server.close();
   }
 
-  /** Passes on what `from` sends. */
+  /** Forwards what `from` sends to `to`. */
   private forward(
     from: net.Socket,
     to: net.Socket,
@@ -63,7 +63,8 @@
   ): void {
     this.sockets.add(from);
     from.on('data', bytes => {
-      // Lost bytes would leave the rest of a connection without meaning.
+      // The connection stays paused from here on: bytes after a gap could not
+      // be interpreted.
       if (this.silencedSockets.has(from) || drops()) from.pause();
       else if (this.mode !== 'delay') to.write(bytes);
       else setTimeout(() => to.write(bytes), DELAY_MS);
--- a/stand_ins/log_service.ts
+++ b/stand_ins/log_service.ts
@@ -12,7 +12,7 @@
   records: StoredRecord[];
 }
 
-/** Failures that a test switches on. */
+/** Failures that a test can inject. */
 export interface LogFailures {
   /** Every call fails. */
   readonly down: boolean;
@@ -20,9 +20,9 @@
   readonly hangs: boolean;
   /** Appends take effect but are not acknowledged. */
   readonly losesAcknowledgements: boolean;
-  /** Delay of every answer in milliseconds. */
+  /** Delay of every answer. */
   readonly delayMs: number;
-  /** Latest records that reads do not show. */
+  /** Number of the newest records that reads leave out. */
   readonly staleRecords: number;
 }
 
@@ -34,7 +34,7 @@
   staleRecords: 0,
 };
 
-/** Stand-in for the platform's append-only log service. */
+/** Stand-in for the append-only log service of the platform. */
 export class LogService implements standInServer.StandInHandler {
   private readonly streams = new Map<string, Stream>();
   private readonly server = new standInServer.StandInServer(this);
@@ -42,40 +42,40 @@
   private appliedAppends = 0;
   private answeredReads = 0;
 
-  /** Keeps at most `retention` records of each stream. */
+  /** Creates a log that keeps at most `retention` records of each stream. */
   constructor(private readonly retention = Infinity) {}
 
-  /** Listens on a port that the system chooses when `port` is 0. */
+  /** Starts listening and returns the address; port 0 selects a free port. */
   listen(port = 0): Promise<string> {
     return this.server.listen(port);
   }
 
-  /** Sets the failures; those that are not named are switched off. */
+  /** Replaces the injected failures; those not given are switched off. */
   setFailures(failures: Partial<LogFailures>): void {
     this.failures = {...NO_FAILURES, ...failures};
   }
 
-  /** Makes the open connections silent; new ones work. */
+  /** Stops answering on the open connections; later connections work. */
   silenceConnections(): void {
     this.server.silenceConnections();
   }
 
-  /** Appends that took effect. */
+  /** Returns the number of appends that took effect. */
   appendCount(): number {
     return this.appliedAppends;
   }
 
-  /** Reads that were answered. */
+  /** Returns the number of reads that were answered. */
   readCount(): number {
     return this.answeredReads;
   }
 
-  /** Records that a stream keeps. */
+  /** Returns the retained records of a stream. */
   records(name: string): ReadonlyArray<string> {
     return this.stream(name).records.map(record => record.data);
   }
 
-  /** Appends as an operator's own tool would; returns the first offset. */
+  /** Appends records without HTTP and returns the offset of the first one. */
   append(name: string, records: ReadonlyArray<string>): number {
     const stream = this.stream(name);
     const first = stream.nextOffset;
@@ -90,7 +90,7 @@
     return first;
   }
 
-  /** Stops the service. */
+  /** Closes the server and its connections. */
   close(): void {
     this.server.close();
   }
@@ -110,9 +110,9 @@
     }
     const name = decodeURIComponent(match[1]);
     if (call.method === 'GET') {
-      const shown = this.read(name, call.url);
+      const content = this.read(name, call.url);
       if (delayMs > 0) await timers.setTimeout(delayMs);
-      call.send(200, shown);
+      call.send(200, content);
       return;
     }
     const parsed = jsonBody.parseObject(call.body);
@@ -124,8 +124,8 @@
   }
 
   /**
-   * Sets failures by their names; `append` with `stream` and `records` appends
-   * and `silenceConnections` makes the open connections silent.
+   * Applies a change that a test posted. Its keys are names of failures,
+   * `append` with `stream` and `records`, and `silenceConnections`.
    */
   control(change: Readonly<Record<string, unknown>>): void {
     const {append, silenceConnections, ...failures} = change;
@@ -140,7 +140,7 @@
     if (Object.keys(failures).length > 0) this.setFailures(failures);
   }
 
-  /** Counts and the failures that are switched on. */
+  /** Returns counters, injected failures and the next offset of each stream. */
   observe(): unknown {
     return {
       appends: this.appliedAppends,
--- a/stand_ins/log_service_main.ts
+++ b/stand_ins/log_service_main.ts
@@ -4,7 +4,8 @@
 
 const command = commandTypes.command({
   name: 'log-service',
-  description: 'Runs a stand-in for the log service; control is at /control',
+  description:
+    'Runs a stand-in for the log service that tests control at /control',
   args: {
     port: commandTypes.option({
       long: 'port',
@@ -13,7 +14,7 @@
     }),
     retention: commandTypes.option({
       long: 'retention',
-      description: 'records that each stream keeps',
+      description: 'records kept per stream',
       type: commandTypes.number,
       defaultValue: () => Infinity,
     }),
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -10,20 +10,21 @@
 import * as platformWorker from './platform_worker.js';
 import type * as workerModel from './worker_model.js';
 
-/** The queue of the tests. */
+/** Host name of the configured queue. */
 export const QUEUE_HOST = 'orders.example';
+/** Path prefix of the configured queue. */
 export const QUEUE_PATH_PREFIX = '/orders/';
 const SERVICE_NAME = 'dispatch';
 
-/** ID of the job with a number. */
+/** Returns the job ID for a number: 16 hexadecimal digits. */
 export function jobIdOf(number: number): string {
   return number.toString(16).padStart(16, '0');
 }
 
-/** One process of the cell. */
+/** One running process of the cell with its addresses. */
 export interface CellProcess {
   readonly name: string;
-  /** Between the process and the store. */
+  /** Relay between the process and the store. */
   readonly storeRelay: faultRelay.FaultRelay;
   readonly child: spawnedProcess.SpawnedProcess;
   readonly frontAddress: string;
@@ -31,44 +32,44 @@
   readonly metricsAddress: string;
 }
 
-/** An answer of a front. */
+/** HTTP response of a process to a caller. */
 export interface FrontResponse {
   /** 0 when the connection ended without an answer. */
   readonly status: number;
   readonly body: Readonly<Record<string, unknown>>;
 }
 
-/** What a cell consists of. */
+/** Size, work load and program of a cell. */
 export interface CellOptions {
   readonly processCount: number;
-  /** Workers; two when left out. */
+  /** Defaults to `DEFAULT_WORKER_COUNT`. */
   readonly workerCount?: number;
-  /** How the tasks go. */
+  /** Duration and outcome of each task run. */
   readonly runPlan: workerModel.RunPlan;
-  /** The program and what comes before its arguments; built code by default. */
+  /** Program and leading arguments; defaults to the compiled code. */
   readonly command?: ReadonlyArray<string>;
 }
 
 const DEFAULT_WORKER_COUNT = 2;
 
-/** Launches of a process whose ports another program may take. */
+/** A launch is repeated because another program may take a chosen port. */
 const MAX_LAUNCH_ATTEMPTS = 3;
 
 const DEFAULT_COMMAND = [process.execPath, 'build/platform/main.js'];
 
-/** Real processes of the system over stand-ins for the platform. */
+/** Real scheduler processes with stand-ins for the store and the workers. */
 export class PlatformCell {
   readonly store = new platformStore.PlatformStore();
   readonly workers: platformWorker.PlatformWorker[] = [];
   readonly processes: CellProcess[] = [];
-  /** Between the processes and each worker. */
+  /** One relay per worker, between it and the processes. */
   readonly workerRelays: faultRelay.FaultRelay[] = [];
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'cell-'));
   private storeAddress = '';
 
   private constructor(private readonly command: ReadonlyArray<string>) {}
 
-  /** Starts the stand-ins and the processes; waits until all are ready. */
+  /** Starts the stand-ins and the processes and waits until all are ready. */
   static async start(options: CellOptions): Promise<PlatformCell> {
     const cell = new PlatformCell(options.command ?? DEFAULT_COMMAND);
     cell.storeAddress = await cell.store.listen();
@@ -86,7 +87,7 @@
     return cell;
   }
 
-  /** Publishes a configuration as the operator does. */
+  /** Publishes a configuration record to the store as an operator does. */
   publishConfiguration(
     version: number,
     routes: ReadonlyArray<unknown> = [QUEUE_ROUTE],
@@ -99,7 +100,7 @@
     });
   }
 
-  /** Starts a process and waits until it has read the configuration. */
+  /** Starts a process and waits until it has applied the configuration. */
   async startProcess(name: string): Promise<CellProcess> {
     for (let attempt = 1; ; attempt += 1) {
       const started = await this.launch(name);
@@ -109,30 +110,30 @@
         return started;
       } catch (fault) {
         started.storeRelay.close();
-        // Another program may have taken a port since it was found free.
+        // Another program may have bound a port that `findFreePorts` released.
         if (attempt === MAX_LAUNCH_ATTEMPTS) throw fault;
       }
     }
   }
 
   private async launch(name: string): Promise<CellProcess> {
-    const [front, ready, range] = await findFreePorts(3);
-    const file = path.join(this.folder, `${name}.json`);
+    const [front, ready, rangeStart] = await findFreePorts(3);
+    const settingsFile = path.join(this.folder, `${name}.json`);
     const storeRelay = new faultRelay.FaultRelay(this.storeAddress);
     const settings = {
       node_name: name,
       ip: '127.0.0.1',
       zone: 'zone-a',
       listen: {front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`},
-      port_range: [range, range + 1],
+      port_range: [rangeStart, rangeStart + 1],
       limits: {cpu_share: 1, cpu_cores: 1},
       bounds: {grace_s: 4, status_s: 120, config_apply_ms: 2_500},
       platform: {address: await storeRelay.listen()},
     };
-    fs.writeFileSync(file, JSON.stringify(settings));
+    fs.writeFileSync(settingsFile, JSON.stringify(settings));
     const [program, ...programArguments] = this.command;
     const child = new spawnedProcess.SpawnedProcess(program, programArguments, {
-      PARSLEYKNOT_SETTINGS: file,
+      PARSLEYKNOT_SETTINGS: settingsFile,
     });
     return {
       name,
@@ -140,18 +141,18 @@
       child,
       frontAddress: `127.0.0.1:${front}`,
       readyAddress: `127.0.0.1:${ready}`,
-      metricsAddress: `127.0.0.1:${range + 1}`,
+      metricsAddress: `127.0.0.1:${rangeStart + 1}`,
     };
   }
 
-  /** Starts a process again that has ended; another life on other ports. */
+  /** Replaces an ended process by a new incarnation on other ports. */
   async restart(ended: CellProcess): Promise<void> {
     await this.startProcess(ended.name);
     this.processes.splice(this.processes.indexOf(ended), 1);
     ended.storeRelay.close();
   }
 
-  /** The process that schedules, by the last claim that any process logged. */
+  /** Returns the process that logged the highest term that began. */
   leader(): CellProcess {
     const [leading] = this.processes
       .map(item => ({item, term: lastLoggedTerm(item)}))
@@ -159,7 +160,7 @@
     return leading.item;
   }
 
-  /** Calls a process's front as a requester does. */
+  /** Calls a process as a client of the queue does. */
   callFront(
     target: CellProcess,
     method: string,
@@ -169,14 +170,14 @@
     return callFront(target.frontAddress, method, QUEUE_PATH_PREFIX + id, body);
   }
 
-  /** Starts that the workers carried out for a job. */
+  /** Returns the task starts on all workers that belong to a job. */
   startEventsOf(id: string): ReadonlyArray<workerModel.WorkerEvent> {
     return this.workers
       .flatMap(worker => worker.events)
       .filter(event => event.kind === 'started' && event.task.startsWith(id));
   }
 
-  /** Starts that the workers carried out so far. */
+  /** Returns the number of task starts on all workers. */
   startCount(): number {
     let count = 0;
     for (const {events} of this.workers) {
@@ -227,7 +228,7 @@
   return Number(/term=(\d+)/.exec(begun.at(-1) ?? '')?.[1] ?? -1);
 }
 
-/** Ports that the system had free just now, each with the next one. */
+/** Returns free ports whose following port is free as well. */
 async function findFreePorts(count: number): Promise<ReadonlyArray<number>> {
   const servers: net.Server[] = [];
   const ports: number[] = [];
@@ -240,14 +241,14 @@
       await listen.listen(second, '127.0.0.1', port + 1);
       ports.push(port);
     } catch {
-      // Another program has the next port: another pair is tried.
+      // The following port is in use: try another pair.
     }
   }
   for (const server of servers) server.close();
   return ports;
 }
 
-/** The host is the queue's, whatever address is called. */
+/** Sends a request with the queue's host header to any address. */
 function callFront(
   address: string,
   method: string,
--- a/stand_ins/platform_store.ts
+++ b/stand_ins/platform_store.ts
@@ -17,11 +17,12 @@
 const OFFSET_BYTES = 8;
 
 /**
- * The part of the platform's store that this system uses: keyed topics with
- * appends under conditions, reads that wait, and the newest record of each key.
+ * Stand-in for the platform's store with the calls that the scheduler uses:
+ * conditional appends to keyed topics, long-polling reads, and the newest
+ * record of each key.
  */
 export class PlatformStore {
-  /** Calls get no answer and have no effect. */
+  /** When set, calls have no effect and get no answer. */
   silent = false;
   private readonly topics = new Map<string, Topic>();
   private readonly server: http.Server;
@@ -32,7 +33,7 @@
     });
   }
 
-  /** Listens and returns the address. */
+  /** Starts listening on a free port and returns the address. */
   async listen(): Promise<string> {
     const port = await listen.listen(this.server, '127.0.0.1', 0);
     return `127.0.0.1:${port}`;
@@ -43,13 +44,13 @@
     this.server.close();
   }
 
-  /** Writes a record as the operator or a worker does. */
+  /** Appends a record without HTTP; an undefined value deletes the key. */
   put(topic: string, key: string, value: unknown): void {
     const bytes = value === undefined ? '' : JSON.stringify(value);
     this.addRecords(this.topic(topic), [{key, value: Buffer.from(bytes)}]);
   }
 
-  /** The newest value of each key that is not dropped. */
+  /** Returns the newest value of each key that is not deleted. */
   newestValues(topic: string): ReadonlyMap<string, Buffer> {
     const newest = new Map<string, Buffer>();
     for (const {key, value} of this.topic(topic).records) {
@@ -90,30 +91,33 @@
     response: http.ServerResponse,
   ): void {
     const end = topic.records.length;
-    const at = query.get('at');
-    if (at !== null && Number(at) !== end) {
+    const expectedEnd = query.get('at');
+    if (expectedEnd !== null && Number(expectedEnd) !== end) {
       jsonBody.sendJson(response, 412, {end});
       return;
     }
     const records = decodeRecords(body);
-    const name = query.get('producer');
-    if (name !== null) {
+    const producer = query.get('producer');
+    if (producer !== null) {
       const epoch = Number(query.get('epoch'));
       const sequence = Number(query.get('seq'));
-      const known = topic.producers.get(name) ?? {epoch: -1, sequence: 0};
-      if (epoch < known.epoch) {
+      const lastAppend = topic.producers.get(producer) ?? {
+        epoch: -1,
+        sequence: 0,
+      };
+      if (epoch < lastAppend.epoch) {
         jsonBody.sendJson(response, 409, {reason: 'fenced'});
         return;
       }
       const repeated =
-        epoch === known.epoch &&
-        sequence <= known.sequence &&
+        epoch === lastAppend.epoch &&
+        sequence <= lastAppend.sequence &&
         records.length > 0;
       if (repeated) {
         jsonBody.sendJson(response, 200, {offset: end, end});
         return;
       }
-      topic.producers.set(name, {epoch, sequence});
+      topic.producers.set(producer, {epoch, sequence});
     }
     this.addRecords(topic, records);
     jsonBody.sendJson(response, 200, {offset: end, end: topic.records.length});
@@ -128,11 +132,11 @@
     const waitMs = Number(query.get('wait_ms'));
     if (topic.records.length <= from) await waitForRecords(topic, waitMs);
     if (this.silent) return;
-    const head = Buffer.alloc(2 * OFFSET_BYTES);
-    head.writeBigUInt64BE(BigInt(topic.records.length), 0);
+    const header = Buffer.alloc(2 * OFFSET_BYTES);
+    header.writeBigUInt64BE(BigInt(topic.records.length), 0);
     const records = topic.records.slice(from).map(encodeRecord);
     response.writeHead(200);
-    response.end(Buffer.concat([head, ...records]));
+    response.end(Buffer.concat([header, ...records]));
   }
 
   private sendNewest(topic: Topic, response: http.ServerResponse): void {
@@ -162,19 +166,19 @@
   private topic(name: string): Topic {
     const known = this.topics.get(name);
     if (known !== undefined) return known;
-    const opened: Topic = {
+    const created: Topic = {
       records: [],
       producers: new Map(),
       waitingReaders: [],
     };
-    this.topics.set(name, opened);
-    return opened;
+    this.topics.set(name, created);
+    return created;
   }
 }
 
-function waitForRecords(topic: Topic, milliseconds: number): Promise<void> {
+function waitForRecords(topic: Topic, timeoutMs: number): Promise<void> {
   return new Promise(resolve => {
-    const timer = setTimeout(resolve, milliseconds);
+    const timer = setTimeout(resolve, timeoutMs);
     topic.waitingReaders.push(() => {
       clearTimeout(timer);
       resolve();
@@ -184,10 +188,10 @@
 
 function encodeRecord({key, value}: KeyedRecord): Buffer {
   const keyBytes = Buffer.from(key);
-  const head = Buffer.alloc(LENGTH_PREFIX_BYTES + 1);
-  head.writeUInt32BE(1 + keyBytes.length + value.length, 0);
-  head.writeUInt8(keyBytes.length, LENGTH_PREFIX_BYTES);
-  return Buffer.concat([head, keyBytes, value]);
+  const header = Buffer.alloc(LENGTH_PREFIX_BYTES + 1);
+  header.writeUInt32BE(1 + keyBytes.length + value.length, 0);
+  header.writeUInt8(keyBytes.length, LENGTH_PREFIX_BYTES);
+  return Buffer.concat([header, keyBytes, value]);
 }
 
 function decodeRecords(body: Buffer): ReadonlyArray<KeyedRecord> {
--- a/stand_ins/platform_try.ts
+++ b/stand_ins/platform_try.ts
@@ -1,5 +1,5 @@
-// Runs the platform's processes over the stand-ins, kills the one that
-// schedules in the middle of work, and prints what happened.
+// Demonstration: runs jobs on three scheduler processes with stand-ins for the
+// platform, kills the leader during the second phase, and prints the outcome.
 import * as timers from 'node:timers/promises';
 import * as platformCell from './platform_cell.js';
 
@@ -7,26 +7,26 @@
 const WORKER_COUNT = 6;
 const TASK_RUN_TIME_MS = 300;
 const JOBS_PER_PHASE = 24;
-const TASKS_PER_JOB = 4;
+const FIRST_STEP_TASKS = 4;
 
-/** Time between two jobs. */
+/** Time between two submissions. */
 const JOB_INTERVAL_MS = 60;
 
-/** Time between two looks at a job. */
+/** Time between two status calls for a job. */
 const POLL_INTERVAL_MS = 50;
 
-/** Time after which a job counts as not finished. */
+/** Time within which an accepted job has to end. */
 const JOB_TIMEOUT_MS = 20_000;
 
-/** Tries of a job that is told to come back, and the pause before each. */
+/** Attempts to submit a job, and the delay before each repetition. */
 const MAX_ATTEMPTS = 8;
 const RETRY_DELAY_MS = 250;
 
-const JOB = {
+const JOB_REQUEST = {
   spec: '{}',
   steps: [
     {
-      count: TASKS_PER_JOB,
+      count: FIRST_STEP_TASKS,
       cpu: 1_000,
       mem_mb: 512,
       est_runtime_ms: TASK_RUN_TIME_MS,
@@ -41,14 +41,14 @@
   ],
 };
 
-/** What became of one job. */
+/** Final state of one job and the effort that it took. */
 interface JobOutcome {
   readonly state: string;
   readonly attempts: number;
   readonly durationMs: number;
 }
 
-/** One run of the demonstration. */
+/** Submits the jobs of both phases and reports on them. */
 class PlatformDemonstration {
   private submittedJobs = 0;
 
@@ -56,25 +56,25 @@
 
   async run(): Promise<void> {
     const calm = await this.runPhase('calm', () => {});
-    const loss = await this.runPhase('scheduler killed', index => {
+    const failover = await this.runPhase('scheduler killed', index => {
       if (index === JOBS_PER_PHASE / 2) void this.cell.leader().child.kill();
     });
-    this.printTotals([...calm, ...loss]);
+    this.printTotals([...calm, ...failover]);
   }
 
   private async runPhase(
     name: string,
-    atJob: (index: number) => void,
+    beforeJob: (index: number) => void,
   ): Promise<ReadonlyArray<JobOutcome>> {
     const jobs: Array<Promise<JobOutcome>> = [];
     for (let index = 0; index < JOBS_PER_PHASE; index += 1) {
-      atJob(index);
+      beforeJob(index);
       this.submittedJobs += 1;
       jobs.push(this.runJob(this.submittedJobs));
       await timers.setTimeout(JOB_INTERVAL_MS);
     }
-    const reports = await Promise.all(jobs);
-    const completed = reports.filter(({state}) => state === 'completed');
+    const outcomes = await Promise.all(jobs);
+    const completed = outcomes.filter(({state}) => state === 'completed');
     const durationsMs = completed
       .map(({durationMs}) => durationMs)
       .sort(ascending);
@@ -83,32 +83,32 @@
         `  median ${Math.round(durationsMs[durationsMs.length >> 1] ?? 0)} ms` +
         `  longest ${Math.round(durationsMs.at(-1) ?? 0)} ms`,
     );
-    return reports;
+    return outcomes;
   }
 
-  private async runJob(number: number): Promise<JobOutcome> {
-    const id = platformCell.jobIdOf(number);
-    const startedAt = performance.now();
+  private async runJob(jobNumber: number): Promise<JobOutcome> {
+    const id = platformCell.jobIdOf(jobNumber);
+    const startedAtMs = performance.now();
     let attempts = 0;
     let status = 0;
     while (status !== 200 && attempts < MAX_ATTEMPTS) {
       if (attempts > 0) await timers.setTimeout(RETRY_DELAY_MS);
-      const entry = this.cell.processes[(number + attempts) % PROCESS_COUNT];
-      ({status} = await this.cell.callFront(entry, 'POST', id, JOB));
+      const entry = this.cell.processes[(jobNumber + attempts) % PROCESS_COUNT];
+      ({status} = await this.cell.callFront(entry, 'POST', id, JOB_REQUEST));
       attempts += 1;
     }
-    const state = status === 200 ? await this.awaitEnd(id) : 'not accepted';
+    const state = status === 200 ? await this.waitForEnd(id) : 'not accepted';
     return {
       state,
       attempts,
-      durationMs: performance.now() - startedAt,
+      durationMs: performance.now() - startedAtMs,
     };
   }
 
-  private async awaitEnd(id: string): Promise<string> {
-    const until = performance.now() + JOB_TIMEOUT_MS;
-    for (let look = 0; performance.now() < until; look += 1) {
-      const entry = this.cell.processes[look % PROCESS_COUNT];
+  private async waitForEnd(id: string): Promise<string> {
+    const deadlineMs = performance.now() + JOB_TIMEOUT_MS;
+    for (let poll = 0; performance.now() < deadlineMs; poll += 1) {
+      const entry = this.cell.processes[poll % PROCESS_COUNT];
       const {status, body} = await this.cell.callFront(entry, 'GET', id);
       const ended = body.state === 'completed' || body.state === 'failed';
       if (status === 200 && ended) return String(body.state);
@@ -117,20 +117,20 @@
     return 'not finished';
   }
 
-  private printTotals(reports: ReadonlyArray<JobOutcome>): void {
-    const attempts = reports.reduce((sum, job) => sum + job.attempts, 0);
-    const starts = new Set<string>();
-    let again = 0;
+  private printTotals(outcomes: ReadonlyArray<JobOutcome>): void {
+    const attempts = outcomes.reduce((sum, job) => sum + job.attempts, 0);
+    const startedTasks = new Set<string>();
+    let restartCount = 0;
     for (const {events} of this.cell.workers) {
       for (const {kind, task} of events) {
         if (kind !== 'started') continue;
-        if (starts.has(task)) again += 1;
-        starts.add(task);
+        if (startedTasks.has(task)) restartCount += 1;
+        startedTasks.add(task);
       }
     }
     console.log(`calls that handed a job in     ${attempts}`);
-    console.log(`tasks that were started        ${starts.size}`);
-    console.log(`of them started again          ${again}`);
+    console.log(`tasks that were started        ${startedTasks.size}`);
+    console.log(`of them started again          ${restartCount}`);
   }
 }
 
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -5,10 +5,10 @@
 import * as jsonBody from '../src/links/json_body.js';
 import type * as workerCalls from '../src/machines/worker_calls.js';
 
-/** How often a report that waits looks for an end. */
+/** Interval at which a waiting lease renewal checks for ended runs. */
 const POLL_INTERVAL_MS = 10;
 
-/** The platform's words for what a worker rejects. */
+/** Rejection reasons as the platform's worker protocol spells them. */
 const REJECTION_REASONS: Readonly<Record<string, string>> = {
   superseded: 'fence',
   staleRun: 'old',
@@ -18,7 +18,7 @@
 
 type JsonObject = Readonly<Record<string, unknown>>;
 
-/** A worker of the platform that is called over HTTP. */
+/** Stand-in for a worker of the platform, called over HTTP. */
 export class PlatformWorker {
   readonly events: workerModel.WorkerEvent[] = [];
   private readonly server: http.Server;
@@ -33,10 +33,10 @@
     });
   }
 
-  /** Listens and returns what the worker says of itself in the registry. */
+  /** Starts listening and returns the worker's entry for the registry. */
   async listen(service: string): Promise<JsonObject> {
     const port = await listen.listen(this.server, '127.0.0.1', 0);
-    return this.register(service, `127.0.0.1:${port}`);
+    return this.createModelAndEntry(service, `127.0.0.1:${port}`);
   }
 
   close(): void {
@@ -44,7 +44,7 @@
     this.server.close();
   }
 
-  private register(service: string, address: string): JsonObject {
+  private createModelAndEntry(service: string, address: string): JsonObject {
     const capacity = {processors: 4_000, memory: 16_384, accelerators: 0};
     const entry = {
       id: this.id,
@@ -119,8 +119,8 @@
       waitMs: Number(body.wait_ms),
     };
     let outcome = model.renewLease(order);
-    const until = performance.now() + order.waitMs;
-    while (!model.hasEndedRuns && performance.now() < until) {
+    const deadlineMs = performance.now() + order.waitMs;
+    while (!model.hasEndedRuns && performance.now() < deadlineMs) {
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
     }
     if (outcome.kind === 'reported') {
--- a/stand_ins/spawned_process.ts
+++ b/stand_ins/spawned_process.ts
@@ -1,9 +1,9 @@
 import * as childProcess from 'node:child_process';
 
-/** Time for a process to say that it is ready. */
-const READY_TIMEOUT_MS = 20_000;
+/** Time within which an expected line has to appear. */
+const LINE_TIMEOUT_MS = 20_000;
 
-/** A process that a test starts, with the lines that it prints. */
+/** A child process of a test and the lines it has printed. */
 export class SpawnedProcess {
   readonly lines: string[] = [];
   private readonly child: childProcess.ChildProcess;
@@ -21,45 +21,52 @@
     this.exitCode = new Promise(resolve =>
       this.child.once('exit', code => resolve(code)),
     );
-    let rest = '';
+    let partialLine = '';
     this.child.stdout?.on('data', (chunk: Buffer) => {
-      const parts = (rest + chunk.toString()).split('\n');
-      rest = parts.pop() ?? '';
-      this.lines.push(...parts);
+      const lines = (partialLine + chunk.toString()).split('\n');
+      partialLine = lines.pop() ?? '';
+      this.lines.push(...lines);
     });
   }
 
-  /** Number of the process. */
+  /** Process ID; 0 when the process could not be started. */
   get pid(): number {
     return this.child.pid ?? 0;
   }
 
-  /** Waits for a line; fails when the process ends before it. */
+  /**
+   * Waits for a line that matches `pattern`. Kills the process and throws when
+   * it exits first or prints no such line in time.
+   */
   async waitForLine(pattern: RegExp): Promise<string> {
     let exited = false;
     void this.exitCode.then(() => (exited = true));
-    const started = performance.now();
-    while (performance.now() - started < READY_TIMEOUT_MS) {
+    const startedAtMs = performance.now();
+    while (performance.now() - startedAtMs < LINE_TIMEOUT_MS) {
       const found = this.lines.find(item => pattern.test(item));
       if (found !== undefined) return found;
       if (exited) break;
       await new Promise(resolve => setTimeout(resolve, 10));
     }
     await this.kill();
-    throw new Error(`no line with ${pattern}; ${this.lines.length} lines`);
+    throw new Error(
+      `process ${this.pid} printed no line matching ${pattern} before it ` +
+        `exited or within ${LINE_TIMEOUT_MS} ms; it printed ` +
+        `${this.lines.length} lines`,
+    );
   }
 
-  /** Sends a signal, such as SIGSTOP. */
+  /** Sends a signal such as SIGSTOP to the process. */
   signal(name: NodeJS.Signals): void {
     this.child.kill(name);
   }
 
-  /** Resolves with the exit code; null when a signal ended the process. */
+  /** Resolves to the exit code, or to null if a signal ended the process. */
   waitForExit(): Promise<number | null> {
     return this.exitCode;
   }
 
-  /** Ends the process at once. */
+  /** Sends SIGKILL and waits for the process to exit. */
   async kill(): Promise<void> {
     this.child.kill('SIGKILL');
     await this.exitCode;
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -4,36 +4,36 @@
 import * as listen from '../src/links/listen.js';
 import type * as net from 'node:net';
 
-/** Largest body that a stand-in takes, in bytes. */
+/** Largest request body that a stand-in accepts: 64 MiB. */
 const MAX_BODY_BYTES = 67_108_864;
 
-/** Time for a body to arrive. */
+/** Time within which a whole request body has to arrive. */
 const BODY_TIMEOUT_MS = 10_000;
 
-/** A call with its whole body. */
+/** An HTTP call with its whole body and the ways to end it. */
 export interface StandInCall {
   readonly method: string;
   readonly url: URL;
   readonly body: string;
-  /** Answers, unless the connection has gone silent. */
+  /** Sends a JSON response, unless the connection is silenced. */
   readonly send: (status: number, body: unknown) => void;
-  /** Answers with an entity tag, or with 304 when the caller has it. */
+  /** Sends a response with an ETag, or 304 if the caller sent the same one. */
   readonly sendTagged: (body: unknown) => void;
-  /** Ends the connection without an answer. */
+  /** Closes the connection without a response. */
   readonly drop: () => void;
 }
 
-/** What a stand-in does with calls. */
+/** Implements the calls of one kind of stand-in. */
 export interface StandInHandler {
   /** Serves a call that is not under /control. */
   serve(call: StandInCall): void | Promise<void>;
-  /** Carries out what a test posts to /control. */
+  /** Applies a change that a test posts to /control. */
   control(change: Readonly<Record<string, unknown>>): void;
-  /** What a test reads from /control. */
+  /** Returns the state that a test reads from /control. */
   observe(): unknown;
 }
 
-/** HTTP server of a stand-in, with connections that can be made silent. */
+/** HTTP server of a stand-in whose open connections can be silenced. */
 export class StandInServer {
   private readonly server: http.Server;
   private readonly sockets = new Set<net.Socket>();
@@ -49,23 +49,23 @@
     });
   }
 
-  /** Listens on a port that the system chooses when `port` is 0. */
+  /** Starts listening and returns the address; port 0 selects a free port. */
   async listen(port: number): Promise<string> {
     const chosen = await listen.listen(this.server, '127.0.0.1', port);
     return `127.0.0.1:${chosen}`;
   }
 
-  /** Refuses connections above the limit. */
-  limitConnections(limit: number): void {
-    this.server.maxConnections = limit;
+  /** Sets the number of connections above which new ones are refused. */
+  limitConnections(maxConnections: number): void {
+    this.server.maxConnections = maxConnections;
   }
 
-  /** Open connections, silent ones included. */
+  /** Returns the number of open connections, silenced ones included. */
   connectionCount(): number {
     return this.sockets.size;
   }
 
-  /** Makes the open connections silent for good; new ones work. */
+  /** Stops answering on the open connections; later connections work. */
   silenceConnections(): void {
     for (const socket of this.sockets) {
       this.silencedSockets.add(socket);
@@ -73,7 +73,7 @@
     }
   }
 
-  /** Stops the service. */
+  /** Closes the server and its connections. */
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
@@ -95,7 +95,7 @@
     }
     const url = new URL(incoming.url ?? '/', 'http://stand-in');
     if (url.pathname === '/control') {
-      // Tests keep their control, also over a connection that is silent.
+      // /control answers on silenced connections too.
       this.serveControl(incoming.method, body.text, response);
       return;
     }
--- a/stand_ins/stand_in_worker.ts
+++ b/stand_ins/stand_in_worker.ts
@@ -5,32 +5,32 @@
 import * as workerTask from './worker_task.js';
 import type * as task from '../src/contracts/task.js';
 
-/** What a stand-in worker is made with. */
+/** Size, timing and clock of a stand-in worker. */
 export interface StandInWorkerOptions {
   readonly name: string;
   readonly rack: string;
   readonly capacity: resources.Resources;
-  /** Run time of a task whose payload does not name one. */
+  /** Default run time, for tasks whose payload sets none. */
   readonly runTimeMs: number;
-  /** Time until a report shows what a task uses; 0 by default. */
+  /** Time until reports include the usage of a task; 0 by default. */
   readonly usageLagMs?: number;
-  /** Time for which ended tasks are listed; 10 minutes by default. */
+  /** Time for which ended tasks stay in reports; 10 minutes by default. */
   readonly endedRetentionMs?: number;
-  /** Rate of the worker's clock; 1 by default. */
+  /** Rate of the worker's clock relative to real time; 1 by default. */
   readonly clockRate?: number;
   /** Reading of the worker's clock at its start; 0 by default. */
   readonly clockOffsetMs?: number;
-  /** Most connections; no limit by default. */
+  /** Largest number of connections; unlimited by default. */
   readonly connectionLimit?: number;
 }
 
-/** Failures that a test switches on. */
+/** Failures that a test can inject. */
 export interface WorkerFailures {
   /** Every task fails at once. */
   readonly failsEverything: boolean;
-  /** Starts take effect but their answers are lost. */
+  /** Starts take effect but are not answered. */
   readonly losesStartAnswers: boolean;
-  /** Time by which starts are late when they reach the worker. */
+  /** Delay before a start takes effect. */
   readonly startDelayMs: number;
   /** No call is answered; connections stay open. */
   readonly hangs: boolean;
@@ -43,15 +43,15 @@
   hangs: false,
 };
 
-/** How often leases, kept tasks and usage are checked. */
+/** Interval of the check of leases, ended tasks, usage and connections. */
 const CHECK_INTERVAL_MS = 20;
 
-/** Time for which an ended task is listed. */
+/** Ten minutes. */
 const DEFAULT_ENDED_RETENTION_MS = 600_000;
 
 /**
- * Stand-in for a platform worker. It runs what it is told under leases and
- * checks nothing else; it notes when it was overcommitted.
+ * Stand-in for a worker of the platform. It enforces leases but not its
+ * capacity, and counts how often it was overcommitted.
  */
 export class StandInWorker implements standInServer.StandInHandler {
   private readonly tasks = new Map<string, workerTask.WorkerTask>();
@@ -73,55 +73,55 @@
     this.checkTimer.unref();
   }
 
-  /** Listens on a port that the system chooses when `port` is 0. */
+  /** Starts listening and returns the address; port 0 selects a free port. */
   listen(port = 0): Promise<string> {
     return this.server.listen(port);
   }
 
-  /** Changes the failures that are named. */
+  /** Updates the given failures; the others stay as they are. */
   updateFailures(failures: Partial<WorkerFailures>): void {
     this.failures = {...this.failures, ...failures};
   }
 
-  /** Makes the open connections silent; new ones work. */
+  /** Stops answering on the open connections; later connections work. */
   silenceConnections(): void {
     this.server.silenceConnections();
   }
 
-  /** Says in reports that the worker leaves. */
+  /** Reports the worker as leaving from now on. */
   startLeaving(): void {
     this.leaving = true;
   }
 
-  /** How often tasks of each request were run. */
+  /** Returns the number of task starts by request identity. */
   runCounts(): ReadonlyMap<string, number> {
     return this.runsByIdentity;
   }
 
-  /** Tasks that run now. */
+  /** Returns the number of running tasks. */
   runningCount(): number {
     return [...this.tasks.values()].filter(item => item.state === 'running')
       .length;
   }
 
-  /** Open connections, silent ones included. */
+  /** Returns the number of open connections, silenced ones included. */
   connectionCount(): number {
     return this.server.connectionCount();
   }
 
-  /** Starts whose reservations took the worker over its capacity. */
+  /** Returns the number of starts that exceeded the worker's capacity. */
   overcommitmentCount(): number {
     return this.overcommitments;
   }
 
-  /** Stops the worker with everything on it. */
+  /** Stops all tasks and closes the server. */
   close(): void {
     clearInterval(this.checkTimer);
     for (const known of this.tasks.values()) known.end('stopped', '');
     this.server.close();
   }
 
-  /** Serves the calls of the owner. */
+  /** Serves the calls of the entry process that owns the worker. */
   async serve(call: standInServer.StandInCall): Promise<void> {
     if (this.failures.hangs) return;
     const [, first, name, part] = call.url.pathname.split('/');
@@ -132,7 +132,7 @@
     else this.serveTask(decodeURIComponent(name), part, call);
   }
 
-  /** Sets failures by their names; takes `leave` and `silenceConnections`. */
+  /** Applies `leave`, `silenceConnections` and failures by their names. */
   control(change: Readonly<Record<string, unknown>>): void {
     const {leave, silenceConnections, ...failures} = change;
     if (leave === true) this.startLeaving();
@@ -140,7 +140,7 @@
     this.updateFailures(failures);
   }
 
-  /** What the worker has seen. */
+  /** Returns counters and the injected failures. */
   observe(): unknown {
     return {
       name: this.options.name,
--- a/stand_ins/vm_list_main.ts
+++ b/stand_ins/vm_list_main.ts
@@ -4,7 +4,7 @@
 
 const command = commandTypes.command({
   name: 'vm-list',
-  description: 'Runs a stand-in for the VM list; control is at /control',
+  description: 'Runs a stand-in for the VM list that tests control at /control',
   args: {
     port: commandTypes.option({
       long: 'port',
@@ -13,7 +13,7 @@
     }),
     lagMs: commandTypes.option({
       long: 'lag-ms',
-      description: 'time until a change shows',
+      description: 'milliseconds until a change appears',
       type: commandTypes.number,
       defaultValue: () => 0,
     }),
--- a/stand_ins/worker_main.ts
+++ b/stand_ins/worker_main.ts
@@ -17,7 +17,7 @@
 
 const command = commandTypes.command({
   name: 'worker',
-  description: 'Runs a stand-in for a worker; control is at /control',
+  description: 'Runs a stand-in for a worker that tests control at /control',
   args: {
     name: commandTypes.option({long: 'name', type: commandTypes.string}),
     rack: commandTypes.option({
@@ -25,16 +25,16 @@
       type: commandTypes.string,
       defaultValue: () => 'rack-1',
     }),
-    port: numberOption('port', '0 lets the system choose', 0),
-    processors: numberOption('processors', 'thousandths', 16_000),
+    port: numberOption('port', '0 selects a free port', 0),
+    processors: numberOption('processors', 'thousandths of a core', 16_000),
     memory: numberOption('memory', 'MiB', 32_768),
-    accelerators: numberOption('accelerators', 'whole ones', 0),
-    slots: numberOption('slots', 'tasks at once', 8),
-    runTimeMs: numberOption('run-time-ms', 'of a task by default', 100),
-    usageLagMs: numberOption('usage-lag-ms', 'until usage shows', 0),
-    connectionLimit: numberOption('connections', 'most at once', 60),
-    clockRate: numberOption('clock-rate', 'of the own clock', 1),
-    clockOffsetMs: numberOption('clock-offset-ms', 'of the own clock', 0),
+    accelerators: numberOption('accelerators', 'whole accelerators', 0),
+    slots: numberOption('slots', 'concurrent tasks', 8),
+    runTimeMs: numberOption('run-time-ms', 'default for a task', 100),
+    usageLagMs: numberOption('usage-lag-ms', 'delay of reported usage', 0),
+    connectionLimit: numberOption('connections', 'concurrent connections', 60),
+    clockRate: numberOption('clock-rate', "rate of the worker's clock", 1),
+    clockOffsetMs: numberOption('clock-offset-ms', 'clock reading at start', 0),
   },
   handler: async ({port, processors, memory, accelerators, slots, ...rest}) => {
     const capacity = {processors, memory, accelerators, slots};
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -3,7 +3,7 @@
 import type * as remoteWorker from '../src/machines/remote_worker.js';
 import type * as workerCalls from '../src/machines/worker_calls.js';
 
-/** How a run goes: its duration and its end. */
+/** Returns the duration and the outcome of a run. */
 export type RunPlan = (order: workerCalls.StartOrder) => {
   readonly runTimeMs: number;
   readonly outcome: 'done' | 'failed';
@@ -16,7 +16,7 @@
   readonly outcome: string;
 }
 
-/** What a worker noted, for assertions. */
+/** A start or end of a run on a worker, for assertions. */
 export interface WorkerEvent {
   readonly atMs: number;
   readonly worker: string;
@@ -26,18 +26,18 @@
   readonly outcome: string;
 }
 
-/** One life of a worker that keeps to the platform's rules for workers. */
+/** Model of one incarnation of a worker under the platform's protocol. */
 export class WorkerModel {
-  /** No call reaches the worker and no answer leaves it. */
+  /** Calls do not reach the worker and answers do not leave it. */
   partitioned = false;
-  /** The life is over; nothing reaches it any more. */
+  /** The incarnation has ended; no call reaches it again. */
   crashed = false;
-  /** Orders arrive, answers are lost. */
+  /** Calls take effect but their answers are lost. */
   losesAnswers = false;
-  /** Latest deadline that any call named. */
+  /** Latest lease end that any call has set. */
   leaseEndMs = 0;
   highestFence = 0;
-  /** Why starts are turned away at present. */
+  /** Reason for which all starts are rejected, if they are. */
   rejectReason: workerCalls.Rejection | undefined;
   private readonly running = new Map<string, ActiveRun>();
   private readonly highestEndedRuns = new Map<string, number>();
@@ -111,7 +111,7 @@
     };
   }
 
-  /** Everything that ran is gone, and no call is answered any more. */
+  /** Ends the incarnation: all runs are lost and no call is answered again. */
   crash(): void {
     for (const [task, {order}] of this.running) {
       this.recordEvent('ended', task, order.run, 'lost');
@@ -126,7 +126,7 @@
     return this.ended.length > 0;
   }
 
-  /** Room that is occupied. */
+  /** Returns the sum of the sizes of the running tasks. */
   usedCapacity(
     sizeOf: (task: string) => resources.Resources,
   ): resources.Resources {
@@ -149,7 +149,7 @@
     this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
   }
 
-  /** Ends what is over by now: finished work, and all when the lease is. */
+  /** Ends the runs that have finished, and all runs if the lease has ended. */
   endDueRuns(): void {
     const now = this.clock.now();
     for (const [task, run] of [...this.running]) {
@@ -196,7 +196,7 @@
     return {kind: 'done', clockMs: this.clock.now()};
   }
 
-  private reject(why: workerCalls.Rejection): workerCalls.OrderOutcome {
-    return {kind: 'rejected', why, clockMs: this.clock.now()};
+  private reject(reason: workerCalls.Rejection): workerCalls.OrderOutcome {
+    return {kind: 'rejected', why: reason, clockMs: this.clock.now()};
   }
 }
--- a/stand_ins/worker_task.ts
+++ b/stand_ins/worker_task.ts
@@ -2,25 +2,25 @@
 import * as resources from '../src/machines/resources.js';
 import type * as task from '../src/contracts/task.js';
 
-/** What the payload of a task may say to a stand-in worker. */
+/** Instructions to a stand-in worker in the payload of a task. */
 export interface TaskPayload {
   readonly runTimeMs?: number;
   readonly answer?: string;
-  /** Length of a generated answer, for tests of large ones. */
+  /** Number of characters of a generated answer, for large answers. */
   readonly answerLength?: number;
-  /** What the task really uses; may exceed its declared size. */
+  /** Actual usage; may exceed the declared size. */
   readonly usage?: resources.Resources;
-  /** The task fails at its end. */
+  /** The task fails when its run time has passed. */
   readonly fails?: boolean;
 }
 
-/** How a stand-in worker runs tasks. */
+/** Settings with which a stand-in worker runs a task. */
 export interface TaskSettings {
-  /** Run time of a task whose payload does not name one. */
+  /** Default run time, for tasks whose payload sets none. */
   readonly runTimeMs: number;
-  /** Time until a report shows what a task uses. */
+  /** Time until reports include the usage of a task. */
   readonly usageLagMs: number;
-  /** Every task fails at once. */
+  /** Every task fails immediately. */
   readonly failsEverything: boolean;
 }
 
@@ -52,27 +52,27 @@
     );
   }
 
-  /** State of the task. */
+  /** Current state, which changes once: from `running` to a final state. */
   get state(): task.TaskState {
     return this.currentState;
   }
 
-  /** Reservation that the start named. */
+  /** Size that the start reserved. */
   get size(): resources.Resources {
     return this.start.size;
   }
 
-  /** When the task ended on the process's clock; 0 while it runs. */
+  /** End of the task on the clock of the process; 0 while it runs. */
   get endedAt(): number {
     return this.endedAtMs;
   }
 
-  /** What the task uses now: its real need, throttled to the limit. */
+  /** Returns the current usage: the actual need, throttled to the limit. */
   usage(): resources.Resources {
     if (this.currentState !== 'running') return resources.NONE;
     const need = this.payload.usage ?? this.start.size;
     return {
-      // A throttled task computes more slowly; its memory is not taken back.
+      // Throttling slows a task down but does not reclaim its memory.
       processors: Math.min(need.processors, this.limit.processors),
       memory: need.memory,
       accelerators: need.accelerators,
@@ -80,7 +80,7 @@
     };
   }
 
-  /** Sets the limit at which the task is throttled. */
+  /** Sets the usage to which the task is throttled. */
   throttle(limit: resources.Resources): void {
     this.limit = limit;
   }
@@ -90,12 +90,12 @@
     this.leaseEnd = Math.max(this.leaseEnd, leaseEnd);
   }
 
-  /** Ends the task when its lease has expired on the worker's clock. */
+  /** Ends the task if its lease has lapsed on the worker's clock. */
   endIfLeaseLapsed(workerClock: number): void {
     if (this.leaseEnd <= workerClock) this.end('lapsed', '');
   }
 
-  /** Ends the task and answers those that wait for it. */
+  /** Ends the task and sends its answer to the waiting callers. */
   end(state: task.TaskState, answer: string): void {
     if (this.currentState !== 'running') return;
     clearTimeout(this.timer);
@@ -106,13 +106,13 @@
     this.answerListeners.length = 0;
   }
 
-  /** Sends the answer when the task has ended. */
+  /** Calls `send` with the answer once the task has ended. */
   whenEnded(send: (answer: unknown) => void): void {
     if (this.currentState === 'running') this.answerListeners.push(send);
     else send(this.answerBody());
   }
 
-  /** The task as a report lists it. */
+  /** Returns the entry of the task in the worker's report. */
   report(): task.TaskReport {
     const shown =
       performance.now() - this.startedAtMs >= this.settings.usageLagMs;
