Reword the process tests and their support

Test titles, head comments, doc comments and one time-out message are reworded, and local variables renamed; assertions and behaviour are unchanged.

--- a/test/bench/randomized_run_test.ts
+++ b/test/bench/randomized_run_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as randomizedRun from '../../bench/randomized_run.js';
 
-/** Fixed seeds, so that every run gives the same verdict. */
+/** Fixed seeds make the result reproducible. */
 const SEEDS = Array.from({length: 40}, (_, index) => index + 1);
 
 function describeRun(run: randomizedRun.RunResult): string {
@@ -16,8 +16,8 @@
 
 nodeTest.describe('randomised runs', () => {
   nodeTest.test(
-    'no promise is broken whatever faults occur together, and every request ' +
-      'is in a final state after they end',
+    'no invariant is violated under any combination of faults, and every ' +
+      'request reaches a final state after they end',
     () => {
       const injected = new Set<randomizedRun.Fault>();
       let checks = 0;
@@ -35,13 +35,13 @@
           run.unfinishedCount === 0;
         assert.ok(sound, describeRun(run));
       }
-      // A run that injects or checks nothing proves nothing.
+      // Runs that inject no faults or check nothing would prove nothing.
       assert.equal(injected.size, randomizedRun.FAULTS.length);
       assert.ok(checks > SEEDS.length * 100, `${checks} checks`);
     },
   );
 
-  nodeTest.test('without faults every request runs and ends', () => {
+  nodeTest.test('every request succeeds in a run without faults', () => {
     const run = randomizedRun.runRandomized({
       seed: 1,
       faults: [],
--- a/test/processes/binary_test.ts
+++ b/test/processes/binary_test.ts
@@ -4,8 +4,9 @@
 import * as processCell from '../support/process_cell.js';
 
 nodeTest.describe('the single executable', () => {
-  // Guards against code that works in the source tree only.
-  nodeTest.test('it serves a request against other processes', async () => {
+  // Guards against code that works in the source tree only, because it reads
+  // files or modules that the executable does not contain.
+  nodeTest.test('serves a request among other processes', async () => {
     const built = childProcess.spawnSync(
       process.execPath,
       ['tools/build_binary.mjs'],
--- a/test/processes/fault_test.ts
+++ b/test/processes/fault_test.ts
@@ -19,23 +19,24 @@
 }
 
 nodeTest.describe('faults of one process', () => {
-  // Guards against a process that ends because nothing answers it.
-  nodeTest.test('it outlives a platform that refuses connections', async () => {
+  // Guards against an entry process that exits at its start because the log
+  // service and the VM list refuse connections.
+  nodeTest.test('an unreachable platform does not end a process', async () => {
     const refusing = new logService.LogService();
-    const log = await refusing.listen();
+    const logAddress = await refusing.listen();
     refusing.close();
     const entry = await spawnedEntryProcess.SpawnedEntryProcess.start({
       vm: 'entry-1',
       zone: 'kigali-a',
       region: 'kigali',
-      log,
-      vmList: log,
+      log: logAddress,
+      vmList: logAddress,
     });
     const answering = new logService.LogService();
     try {
       const live = await httpCall.callJson(entry.address, 'GET', '/live');
       assert.equal(live.status, 200);
-      await answering.listen(Number(log.split(':')[1]));
+      await answering.listen(Number(logAddress.split(':')[1]));
       await wait.until('a read of the log', async () =>
         answering.readCount() > 0 ? true : undefined,
       );
@@ -45,8 +46,9 @@
     }
   });
 
-  // Guards against a planned stop that costs a request its answer.
-  nodeTest.test('SIGTERM under load cuts off no request', () =>
+  // Guards against a graceful shutdown that drops requests whose tasks are
+  // queued or running.
+  nodeTest.test('SIGTERM under load leaves no request unanswered', () =>
     withCell(async cell => {
       await cell.addWorker();
       const entry = await cell.addEntry();
@@ -61,7 +63,7 @@
           answer: `of ${index}`,
         }),
       );
-      // A request that arrives after the signal is refused, and rightly so.
+      // Waits for all requests: one that arrives after the signal is refused.
       for (const identity of identities) {
         await wait.until(`arrival of ${identity}`, async () => {
           const path = `/v1/requests/${identity}`;
@@ -87,19 +89,20 @@
     }),
   );
 
-  // Guards against a request that waits forever on a dead connection.
+  // Guards against a request that waits forever on a connection over which the
+  // worker no longer answers.
   nodeTest.test('silent connections to a worker lose no request', () =>
     withCell(async cell => {
-      const machine = await cell.addWorker();
+      const worker = await cell.addWorker();
       const entry = await cell.addEntry();
       await cell.waitForOwnership(entry);
       const identity = await cell.reserveIdentity(entry);
       const payload = {runTimeMs: 1_000, answer: 'polished'};
       const call = cell.repeatUntilFinal(entry, identity, payload);
       await wait.until('the task', async () =>
-        (await machine.observe())['running'] === 1 ? true : undefined,
+        (await worker.observe())['running'] === 1 ? true : undefined,
       );
-      await machine.control({silenceConnections: true});
+      await worker.control({silenceConnections: true});
       const answer = await call;
       assert.equal(answer.body['code'], 0, answer.text);
       assert.equal(answer.body['answer'], 'polished');
@@ -107,8 +110,9 @@
     }),
   );
 
-  // Guards against a second run after an append that was not acknowledged.
-  nodeTest.test('lost answers of the log lose and repeat nothing', () =>
+  // Guards against a second run after an append that took effect but was not
+  // acknowledged.
+  nodeTest.test('lost acknowledgements of the log cause no second run', () =>
     withCell(async cell => {
       await cell.addWorker();
       await cell.logService.control({losesAcknowledgements: true});
--- a/test/processes/operator_commands_test.ts
+++ b/test/processes/operator_commands_test.ts
@@ -13,33 +13,35 @@
 
 const ZONE = 'kigali-a';
 
-type Printed = Readonly<Record<string, unknown>>;
+type PrintedObject = Readonly<Record<string, unknown>>;
 
-async function printed(...given: ReadonlyArray<string>): Promise<Printed> {
+async function runWithJson(
+  ...given: ReadonlyArray<string>
+): Promise<PrintedObject> {
   const {output} = await command.runCommand('', ...given, '--json');
-  return JSON.parse(output) as Printed;
+  return JSON.parse(output) as PrintedObject;
 }
 
 /** One worker and one entry process of the deployment's first zone. */
-class Cell {
+class CommandCell {
   readonly log = new logService.LogService();
-  readonly machine = new standInWorker.StandInWorker({
+  readonly worker = new standInWorker.StandInWorker({
     name: 'worker-1',
     rack: 'rack-1',
     capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
     runTimeMs: 10,
   });
-  private readonly list = new vmList.VmList();
+  private readonly vmList = new vmList.VmList();
   private readonly entries: spawnedEntryProcess.SpawnedEntryProcess[] = [];
   private addresses = {log: '', vmList: ''};
 
   async start(): Promise<string> {
     this.addresses = {
       log: await this.log.listen(),
-      vmList: await this.list.listen(),
+      vmList: await this.vmList.listen(),
     };
-    const address = await this.machine.listen();
-    this.list.put({
+    const address = await this.worker.listen();
+    this.vmList.put({
       vm: 'worker-1',
       role: 'worker',
       zone: ZONE,
@@ -59,24 +61,24 @@
     });
     this.entries.push(entry);
     const address = entry.peerAddress;
-    this.list.put({vm, role: 'entry', zone: ZONE, address, state: 'live'});
+    this.vmList.put({vm, role: 'entry', zone: ZONE, address, state: 'live'});
     return entry.address;
   }
 
   async close(): Promise<void> {
     for (const entry of this.entries) await entry.kill();
-    this.machine.close();
-    this.list.close();
+    this.worker.close();
+    this.vmList.close();
     this.log.close();
   }
 }
 
 async function withCell(
-  check: (cell: Cell, address: string) => Promise<void>,
+  body: (cell: CommandCell, address: string) => Promise<void>,
 ): Promise<void> {
-  const cell = new Cell();
+  const cell = new CommandCell();
   try {
-    await check(cell, await cell.start());
+    await body(cell, await cell.start());
   } finally {
     await cell.close();
   }
@@ -84,34 +86,34 @@
 
 nodeTest.describe('commands against an entry process', () => {
   nodeTest.test(
-    'documents of the questionnaire are published in spite of lost answers, ' +
-      'and a request of their team runs once; guards against commands and ' +
-      'server that disagree',
+    'documents of the questionnaire are published although the log loses ' +
+      'acknowledgements, and a request of their team runs once; guards ' +
+      'against commands and server that disagree on the protocol',
     async () => {
-      await withCell(async ({log, machine}, address) => {
+      await withCell(async ({log, worker}, address) => {
         const entry = ['--entry', address];
         const publish = ['publish', ...entry, '--document'];
-        const first = await printed(...publish, 'fleet', FLEET_FILE);
+        const first = await runWithJson(...publish, 'fleet', FLEET_FILE);
         assert.equal(first['code'], 0);
         const stale = [...publish, 'fleet', '--base=0', FLEET_FILE];
-        assert.equal((await printed(...stale))['code'], 6001);
+        assert.equal((await runWithJson(...stale))['code'], 6001);
         const wrong = [...publish, 'team/dispatch', FLEET_FILE];
-        assert.equal((await printed(...wrong))['code'], 6002);
+        assert.equal((await runWithJson(...wrong))['code'], 6002);
         log.setFailures({losesAcknowledgements: true});
-        const lost = await printed(...publish, 'team/dispatch', TEAM_FILE);
+        const lost = await runWithJson(...publish, 'team/dispatch', TEAM_FILE);
         assert.equal(lost['code'], 0);
         log.setFailures({});
         const submit = ['submit', ...entry, '--client=dispatch-service'];
         const order = ['--team=dispatch', '--workload=polish-order'];
         const ended = await wait.until('the request runs', async () => {
-          const reply = await printed(...submit, ...order);
+          const reply = await runWithJson(...submit, ...order);
           return reply['code'] === 0 ? reply : undefined;
         });
         const identity = String(ended['identity']);
-        assert.equal(machine.runCounts().get(identity), 1);
-        const listed = await printed('workloads', ...entry);
+        assert.equal(worker.runCounts().get(identity), 1);
+        const listed = await runWithJson('workloads', ...entry);
         assert.match(JSON.stringify(listed), /kiln-watch/);
-        const status = await printed('status', ...entry);
+        const status = await runWithJson('status', ...entry);
         const version = String(lost['version']);
         assert.ok(
           JSON.stringify(status).includes(`"team/dispatch":${version}`),
@@ -121,18 +123,24 @@
   );
 
   nodeTest.test(
-    'an entry process that starts while the log is down gets the documents ' +
-      'of another one; guards against a replaced VM without configuration',
+    'an entry process that starts while the log is down fetches the ' +
+      'documents from another one; guards against a replaced VM that has no ' +
+      'configuration during a log outage',
     async () => {
       await withCell(async (cell, address) => {
         const fleet = ['--document', 'fleet', FLEET_FILE];
-        const first = await printed('publish', '--entry', address, ...fleet);
+        const first = await runWithJson(
+          'publish',
+          '--entry',
+          address,
+          ...fleet,
+        );
         assert.equal(first['code'], 0);
         cell.log.setFailures({down: true});
         const second = await cell.addEntry('entry-2');
         const shown = `"fleet":${String(first['version'])}`;
         await wait.until('the document comes from the other', async () => {
-          const status = await printed('status', '--entry', second);
+          const status = await runWithJson('status', '--entry', second);
           return JSON.stringify(status).includes(shown) ? true : undefined;
         });
       });
--- a/test/processes/whole_path_test.ts
+++ b/test/processes/whole_path_test.ts
@@ -6,7 +6,7 @@
 import * as wait from '../support/wait.js';
 import * as standInWorker from '../../stand_ins/stand_in_worker.js';
 
-const TEAM = `
+const TEAM_DOCUMENT = `
 name = "dispatch"
 clients = ["workshop-1"]
 share = 1
@@ -27,7 +27,7 @@
 maximumPerRack = 0
 `;
 
-async function call(
+async function callJson(
   address: string,
   method: string,
   path: string,
@@ -48,7 +48,7 @@
     async () => {
       const log = new logService.LogService();
       const list = new vmList.VmList();
-      const machine = new standInWorker.StandInWorker({
+      const worker = new standInWorker.StandInWorker({
         name: 'worker-1',
         rack: 'rack-1',
         capacity: {processors: 16000, memory: 32768, accelerators: 0, slots: 8},
@@ -60,7 +60,7 @@
         vm: 'worker-1',
         role: 'worker',
         zone: 'kigali-a',
-        address: await machine.listen(),
+        address: await worker.listen(),
         state: 'live',
       });
       log.append('configuration', [
@@ -68,7 +68,7 @@
           kind: 'publish',
           document: 'team/dispatch',
           baseVersion: 0,
-          content: TEAM,
+          content: TEAM_DOCUMENT,
           publication: 'first',
         }),
       ]);
@@ -86,23 +86,23 @@
           payload: '{"answer": "polished"}',
         };
         const identity = await wait.until('an identity', async () => {
-          const reply = await call(entry.address, 'POST', '/v1/identities');
-          // A process that has not joined yet refuses with 3002.
+          const reply = await callJson(entry.address, 'POST', '/v1/identities');
+          // An entry process refuses with 3002 until it has joined its zone.
           return (
             reply['identities'] as ReadonlyArray<string> | undefined
           )?.[0];
         });
         const path = `/v1/requests/${identity}?wait=20`;
         const reply = await wait.until('the request is admitted', async () => {
-          const put = await call(entry.address, 'PUT', path, submission);
+          const put = await callJson(entry.address, 'PUT', path, submission);
           return put['code'] === 1005 ? undefined : put;
         });
         assert.equal(reply['code'], 0);
         assert.equal(reply['answer'], 'polished');
-        assert.equal(machine.runCounts().get(identity), 1);
+        assert.equal(worker.runCounts().get(identity), 1);
       } finally {
         await entry.kill();
-        machine.close();
+        worker.close();
         list.close();
         log.close();
       }
--- a/test/support/command.ts
+++ b/test/support/command.ts
@@ -2,21 +2,21 @@
 import * as http from 'node:http';
 import * as listen from '../../src/links/listen.js';
 
-/** What a command printed and how it ended. */
+/** Standard output and exit code of a command. */
 export interface CommandResult {
   readonly exitCode: number | null;
   readonly output: string;
 }
 
-/** Runs the program with arguments and a text as its input. */
+/** Runs the compiled program with the given standard input and arguments. */
 export function runCommand(
   input: string,
-  ...given: ReadonlyArray<string>
+  ...commandArguments: ReadonlyArray<string>
 ): Promise<CommandResult> {
   return new Promise(resolve => {
     const child = childProcess.spawn(
       process.execPath,
-      ['build/src/main.js', ...given],
+      ['build/src/main.js', ...commandArguments],
       {stdio: ['pipe', 'pipe', 'ignore']},
     );
     let output = '';
@@ -26,29 +26,32 @@
   });
 }
 
-/** A call that a command made. */
+/** HTTP call that a command has made. */
 export interface RecordedCall {
   readonly route: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
 }
 
-/** Answers calls in the place of an entry process. */
+/** HTTP server that replaces an entry process and records the calls to it. */
 export class StubEntryServer {
   readonly calls: RecordedCall[] = [];
   private readonly server: http.Server;
 
-  /** `answer` returns the reply, or undefined to close the connection. */
-  constructor(answer: (call: RecordedCall, earlier: number) => unknown) {
+  /**
+   * Creates a server. `answer` receives a call and the number of earlier calls
+   * on its route, and returns the reply or undefined to close the connection.
+   */
+  constructor(answer: (call: RecordedCall, earlierCount: number) => unknown) {
     this.server = http.createServer((incoming, response) => {
       let body = '';
       incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
       incoming.on('end', () => {
         const route = `${incoming.method} ${incoming.url?.split('?')[0]}`;
         const call = {route, headers: incoming.headers, body};
-        const earlier = this.countCalls(route);
+        const earlierCount = this.countCalls(route);
         this.calls.push(call);
-        const reply = answer(call, earlier);
+        const reply = answer(call, earlierCount);
         if (reply === undefined) response.destroy();
         else response.end(JSON.stringify(reply));
       });
--- a/test/support/configuration_page.ts
+++ b/test/support/configuration_page.ts
@@ -1,15 +1,15 @@
 import type * as tomlSchema from '../../src/links/toml_schema.js';
 
-/** Returns the row that docs/configuration.md holds for a key. */
+/** Returns the table row that documents a key in docs/configuration.md. */
 export function tableRow(path: string, key: tomlSchema.SchemaKey): string {
-  const standard =
+  const defaultValue =
     key.default === undefined
       ? 'required'
       : `\`${JSON.stringify(key.default)}\``;
-  return `| \`${path}\` | ${key.rule.text} | ${standard} | ${key.unit ?? ''} | ${key.meaning} |`;
+  return `| \`${path}\` | ${key.rule.text} | ${defaultValue} | ${key.unit ?? ''} | ${key.meaning} |`;
 }
 
-/** Returns the rows of a table's keys, those of tables within it as well. */
+/** Returns the rows of all keys of a table, nested tables included. */
 export function tableRows(
   table: tomlSchema.TableRule,
   prefix = '',
--- a/test/support/http_call.ts
+++ b/test/support/http_call.ts
@@ -1,4 +1,4 @@
-/** An answer with its parsed body. */
+/** HTTP response with its parsed body; `body` is empty if it is no JSON. */
 export interface JsonResponse {
   readonly status: number;
   readonly headers: Headers;
@@ -6,7 +6,7 @@
   readonly body: Readonly<Record<string, unknown>>;
 }
 
-/** Sends one call as a client and reads the JSON answer. */
+/** Sends an HTTP call as client `workshop-1` and reads the JSON response. */
 export async function callJson(
   address: string,
   method: string,
@@ -14,15 +14,15 @@
   body?: unknown,
   headers: Readonly<Record<string, string>> = {},
 ): Promise<JsonResponse> {
-  const answer = await fetch(`http://${address}${path}`, {
+  const response = await fetch(`http://${address}${path}`, {
     method,
     headers: {'x-client': 'workshop-1', ...headers},
     body: body === undefined ? undefined : toText(body),
   });
-  const text = await answer.text();
+  const text = await response.text();
   return {
-    status: answer.status,
-    headers: answer.headers,
+    status: response.status,
+    headers: response.headers,
     text,
     body: parseObject(text),
   };
--- a/test/support/process_cell.ts
+++ b/test/support/process_cell.ts
@@ -6,7 +6,7 @@
 
 const ZONE = 'kigali-a';
 
-const TEAM = `
+const TEAM_DOCUMENT = `
 name = "dispatch"
 clients = ["workshop-1"]
 share = 1
@@ -14,7 +14,7 @@
 quota = {processors = 100000, memory = 100000, accelerators = 10, slots = 100}
 `;
 
-const FLEET = `
+const FLEET_DOCUMENT = `
 zones = [{name = "kigali-a", region = "kigali"}]
 
 [[workerShapes]]
@@ -22,7 +22,7 @@
 zones = ["kigali-a"]
 `;
 
-function workload(name: string, idempotent: boolean): string {
+function workloadTable(name: string, idempotent: boolean): string {
   return `
 [[workloads]]
 name = "${name}"
@@ -41,7 +41,7 @@
 
 type Answer = httpCall.JsonResponse;
 
-/** One availability zone of entry processes and stand-ins, all processes. */
+/** Entry processes and stand-ins of one availability zone, as OS processes. */
 export class ProcessCell {
   readonly workers: standInProcess.StandInProcess[] = [];
   readonly entries: spawnedEntryProcess.SpawnedEntryProcess[] = [];
@@ -51,42 +51,44 @@
     readonly vmList: standInProcess.StandInProcess,
   ) {}
 
-  /** Starts the log and the list and publishes a team. */
+  /** Starts the log service and the VM list and publishes the documents. */
   static async start(): Promise<ProcessCell> {
     const [log, list] = await Promise.all([
       standInProcess.StandInProcess.start('log_service'),
       standInProcess.StandInProcess.start('vm_list'),
     ]);
     const cell = new ProcessCell(log, list);
-    const team =
-      TEAM + workload('polish-order', false) + workload('inspection', true);
-    await cell.publish('fleet', FLEET);
-    await cell.publish('team/dispatch', team);
+    const teamDocument =
+      TEAM_DOCUMENT +
+      workloadTable('polish-order', false) +
+      workloadTable('inspection', true);
+    await cell.publish('fleet', FLEET_DOCUMENT);
+    await cell.publish('team/dispatch', teamDocument);
     return cell;
   }
 
-  /** Starts a worker and lists it. */
+  /** Starts a worker and adds it to the VM list. */
   async addWorker(
     commandArguments: ReadonlyArray<string> = [],
   ): Promise<standInProcess.StandInProcess> {
     const name = `worker-${this.workers.length + 1}`;
-    const added = await standInProcess.StandInProcess.start('worker', [
+    const worker = await standInProcess.StandInProcess.start('worker', [
       '--name',
       name,
       ...commandArguments,
     ]);
-    this.workers.push(added);
-    const row = {vm: name, role: 'worker', zone: ZONE, state: 'live'};
-    await this.vmList.control({put: {...row, address: added.address}});
-    return added;
+    this.workers.push(worker);
+    const listedVm = {vm: name, role: 'worker', zone: ZONE, state: 'live'};
+    await this.vmList.control({put: {...listedVm, address: worker.address}});
+    return worker;
   }
 
-  /** Starts an entry process and lists its VM. */
+  /** Starts an entry process and adds its VM to the VM list. */
   async addEntry(
     program?: ReadonlyArray<string>,
   ): Promise<spawnedEntryProcess.SpawnedEntryProcess> {
     const vm = `entry-${this.entries.length + 1}`;
-    const added = await spawnedEntryProcess.SpawnedEntryProcess.start(
+    const entry = await spawnedEntryProcess.SpawnedEntryProcess.start(
       {
         vm,
         zone: ZONE,
@@ -96,10 +98,10 @@
       },
       program,
     );
-    this.entries.push(added);
-    const row = {vm, role: 'entry', zone: ZONE, state: 'live'};
-    await this.vmList.control({put: {...row, address: added.peerAddress}});
-    return added;
+    this.entries.push(entry);
+    const listedVm = {vm, role: 'entry', zone: ZONE, state: 'live'};
+    await this.vmList.control({put: {...listedVm, address: entry.peerAddress}});
+    return entry;
   }
 
   /** Waits until an entry process is ready and owns workers. */
@@ -113,7 +115,7 @@
     });
   }
 
-  /** Waits until one process knows that others count it as a member. */
+  /** Waits until a process knows that all others count it as a member. */
   async waitForMembership(
     entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<void> {
@@ -127,7 +129,7 @@
     });
   }
 
-  /** Waits until an entry process says that it is ready. */
+  /** Waits until /ready of an entry process answers 200. */
   async waitForReadiness(
     entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<void> {
@@ -137,7 +139,7 @@
     });
   }
 
-  /** Reserves an identity. */
+  /** Reserves and returns a request identity. */
   async reserveIdentity(
     entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<string> {
@@ -151,7 +153,7 @@
     return first;
   }
 
-  /** Sends a request under its identity; may be repeated. */
+  /** Sends a request under its identity, which makes it safe to repeat. */
   putRequest(
     entry: spawnedEntryProcess.SpawnedEntryProcess,
     identity: string,
@@ -170,7 +172,10 @@
     );
   }
 
-  /** Repeats a request as a careful client would, until its final code. */
+  /**
+   * Repeats a request until it has a final code, across lost answers and the
+   * codes 1 (accepted) and 4001 (unknown outcome).
+   */
   repeatUntilFinal(
     entry: spawnedEntryProcess.SpawnedEntryProcess,
     identity: string,
@@ -181,31 +186,34 @@
         () => undefined,
       );
       const code = answer?.body['code'];
-      const open = code === undefined || code === 1 || code === 4001;
-      return open ? undefined : answer;
+      const pending = code === undefined || code === 1 || code === 4001;
+      return pending ? undefined : answer;
     });
   }
 
-  /** How often each request ran, over all workers. */
+  /** Returns the number of runs of each request over all workers. */
   async runCounts(): Promise<ReadonlyMap<string, number>> {
     const runs = new Map<string, number>();
-    for (const machine of this.workers) {
-      const seen = (await machine.observe())['runs'] as Record<string, number>;
-      for (const [identity, count] of Object.entries(seen)) {
+    for (const worker of this.workers) {
+      const workerRuns = (await worker.observe())['runs'] as Record<
+        string,
+        number
+      >;
+      for (const [identity, count] of Object.entries(workerRuns)) {
         runs.set(identity, (runs.get(identity) ?? 0) + count);
       }
     }
     return runs;
   }
 
-  /** Fails when a worker ever held more than its capacity. */
+  /** Throws if a worker has ever been overcommitted. */
   async assertNotOvercommitted(): Promise<void> {
-    for (const machine of this.workers) {
-      assert.equal((await machine.observe())['overcommitments'], 0);
+    for (const worker of this.workers) {
+      assert.equal((await worker.observe())['overcommitments'], 0);
     }
   }
 
-  /** Ends all processes. */
+  /** Kills all processes. */
   async close(): Promise<void> {
     const all = [
       ...this.entries,
--- a/test/support/recorded_metrics.ts
+++ b/test/support/recorded_metrics.ts
@@ -1,6 +1,6 @@
 import type * as sinks from '../../src/operations/sinks.js';
 
-/** Keeps counters for a test to look at. */
+/** Metrics sink that keeps the totals of counters for assertions. */
 export class RecordedMetrics implements sinks.MetricsSink {
   private readonly totals = new Map<string, number>();
 
@@ -15,7 +15,7 @@
 
   observe(): void {}
 
-  /** Total of a metric with the values of its labels, joined by spaces. */
+  /** Returns the total for a metric name and label values joined by spaces. */
   total(key: string): number {
     return this.totals.get(key) ?? 0;
   }
--- a/test/support/simulated_clock.ts
+++ b/test/support/simulated_clock.ts
@@ -6,10 +6,10 @@
   readonly run: () => void;
 }
 
-/** Microtask turns after which the code under test has come to rest. */
+/** Microtask turns after which all promise callbacks under test have run. */
 const MICROTASK_TURNS = 40;
 
-/** Simulated time: pauses end in order when a test advances it. */
+/** Simulated time, in which pauses end in order as a test advances it. */
 export class SimulatedClock implements clock.Clock, jobJournal.Pauses {
   private timeMs = 0;
   private timers: Timer[] = [];
@@ -24,7 +24,7 @@
     );
   }
 
-  /** Runs a callback at a time. */
+  /** Schedules a callback; callbacks of the same time keep their order. */
   runAt(dueAtMs: number, run: () => void): void {
     const position = this.timers.findIndex(timer => timer.dueAtMs > dueAtMs);
     const timer = {dueAtMs, run};
@@ -32,7 +32,7 @@
     else this.timers.splice(position, 0, timer);
   }
 
-  /** Runs a callback again and again. */
+  /** Schedules a callback at a fixed interval, without end. */
   runEvery(milliseconds: number, run: () => void): void {
     this.runAt(this.timeMs + milliseconds, () => {
       run();
@@ -40,19 +40,19 @@
     });
   }
 
-  /** Lets time pass and everything happen that is due meanwhile. */
+  /** Advances time and runs the callbacks that fall due, in order. */
   async advance(milliseconds: number): Promise<void> {
-    const until = this.timeMs + milliseconds;
+    const endMs = this.timeMs + milliseconds;
     await drainMicrotasks();
     for (;;) {
       const next = this.timers[0];
-      if (next === undefined || next.dueAtMs > until) break;
+      if (next === undefined || next.dueAtMs > endMs) break;
       this.timers.shift();
       this.timeMs = Math.max(this.timeMs, next.dueAtMs);
       next.run();
       await drainMicrotasks();
     }
-    this.timeMs = until;
+    this.timeMs = endMs;
   }
 }
 
--- a/test/support/stand_in_process.ts
+++ b/test/support/stand_in_process.ts
@@ -1,11 +1,11 @@
 import * as spawnedProcess from '../../stand_ins/spawned_process.js';
 import * as httpCall from './http_call.js';
 
-/** A stand-in that runs as a process of its own. */
+/** Stand-in that runs as a child process of the test. */
 export class StandInProcess {
   private constructor(
     private readonly child: spawnedProcess.SpawnedProcess,
-    /** Where it listens. */
+    /** Address on which it listens. */
     readonly address: string,
   ) {}
 
@@ -23,18 +23,18 @@
     return new StandInProcess(child, address);
   }
 
-  /** Changes the stand-in, for example its failures. */
+  /** Posts a change, such as injected failures, to /control. */
   async control(change: unknown): Promise<void> {
     await httpCall.callJson(this.address, 'POST', '/control', change);
   }
 
-  /** What the stand-in has seen. */
+  /** Returns the state that the stand-in shows at /control. */
   async observe(): Promise<Readonly<Record<string, unknown>>> {
     const answer = await httpCall.callJson(this.address, 'GET', '/control');
     return answer.body;
   }
 
-  /** Ends the process at once. */
+  /** Sends SIGKILL and waits for the process to exit. */
   kill(): Promise<void> {
     return this.child.kill();
   }
--- a/test/support/wait.ts
+++ b/test/support/wait.ts
@@ -1,18 +1,18 @@
 import * as timers from 'node:timers/promises';
 
-/** Time after which a condition counts as never met. */
+/** Time within which a condition has to be met. */
 const TIMEOUT_MS = 30_000;
 
-/** Waits until `read` returns a value that is not undefined. */
+/** Polls `read` until it returns a value other than undefined. */
 export async function until<Value>(
-  what: string,
+  condition: string,
   read: () => Promise<Value | undefined>,
 ): Promise<Value> {
-  const started = performance.now();
-  while (performance.now() - started < TIMEOUT_MS) {
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < TIMEOUT_MS) {
     const value = await read();
     if (value !== undefined) return value;
     await timers.setTimeout(20);
   }
-  throw new Error(`not met within ${TIMEOUT_MS} ms: ${what}`);
+  throw new Error(`condition not met within ${TIMEOUT_MS} ms: ${condition}`);
 }
