--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -5,7 +5,7 @@
 import type * as fakeNetwork from './fake_network.js';
 import type * as randomSource from '../../src/machines/random_source.js';
 
-/** Where a client's request stands, as the client knows. */
+/** State of a request as its client knows it. */
 export interface ClientRequest {
   readonly workload: string;
   readonly payload: string;
@@ -13,29 +13,29 @@
   identity: string;
   ended: boolean;
   code: number;
-  /** What the last reply said beside its code. */
+  /** Code, state and detail of the last reply. */
   lastReply: string;
 }
 
-/** What a client needs of its surroundings. */
+/** Simulation, checker and random source of a client. */
 export interface ClientEnvironment {
   readonly simulation: simulatedEntryProcess.Simulation;
   readonly checker: invariantChecker.InvariantChecker;
   readonly random: randomSource.RandomSource;
 }
 
-/** Time between a lost or unclear answer and the next try. */
+/** Delay before a call is repeated whose reply was lost or not final. */
 const RETRY_DELAY_MS = 1_500;
 
-/** Deadline of one call. */
+/** Time after which a client gives up on one call. */
 const CALL_TIMEOUT_MS = 12_000;
 
-/** How long one call lets the system wait for the end. */
+/** Time for which a call may wait for the end of the request. */
 const LONG_POLL_MS = 10_000;
 
 /**
- * A client that sends requests to any entry process of its zone or another
- * one, loses answers, and asks again with the same identity.
+ * Client that sends requests to entry processes, mostly of its own zone, and
+ * repeats a call under the same identity until the reply is final.
  */
 export class FakeClient implements fakeNetwork.Endpoint {
   readonly requests: ClientRequest[] = [];
@@ -46,7 +46,7 @@
     private readonly environment: ClientEnvironment,
   ) {}
 
-  /** Sends one request and sees it through. */
+  /** Sends one request and repeats calls until its reply is final. */
   sendRequest(
     team: string,
     workload: string,
@@ -122,10 +122,10 @@
     const resultCode = Object.values(result.RESULT_CODES).find(
       known => known.code === reply.code,
     );
-    const open =
+    const pending =
       resultCode?.execution === 'pending' ||
       resultCode?.retry === 'sameIdentity';
-    if (open) {
+    if (pending) {
       this.retryLater(() => this.submit(team, request));
       return;
     }
@@ -134,26 +134,31 @@
   }
 
   private call(
-    build: Parameters<
+    buildEvent: Parameters<
       simulatedEntryProcess.SimulatedEntryProcess['receive']
     >[0],
-    answered: (reply: effect.Reply | undefined) => void,
+    onReply: (reply: effect.Reply | undefined) => void,
   ): void {
     const {simulation, random} = this.environment;
-    const hosts = [...simulation.hosts.values()];
-    const near = hosts.filter(host => host.zone === this.zone);
-    const choice = near.length > 0 && random.below(5) > 0 ? near : hosts;
-    if (choice.length === 0) {
-      this.retryLater(() => answered(undefined));
+    const processes = [...simulation.processes.values()];
+    const ownZoneProcesses = processes.filter(
+      process => process.zone === this.zone,
+    );
+    const candidates =
+      ownZoneProcesses.length > 0 && random.below(5) > 0
+        ? ownZoneProcesses
+        : processes;
+    if (candidates.length === 0) {
+      this.retryLater(() => onReply(undefined));
       return;
     }
-    const host = choice[random.below(choice.length)];
+    const process = candidates[random.below(candidates.length)];
     simulation.network.call<effect.Reply>(
       this,
-      host,
-      respond => host.receive(build, respond),
-      answered,
-      () => answered(undefined),
+      process,
+      respond => process.receive(buildEvent, respond),
+      onReply,
+      () => onReply(undefined),
       CALL_TIMEOUT_MS,
     );
   }
--- a/bench/fakes/fake_network.ts
+++ b/bench/fakes/fake_network.ts
@@ -1,26 +1,26 @@
 import type * as randomSource from '../../src/machines/random_source.js';
 import type * as virtualTime from './virtual_time.js';
 
-/** Where an end of a message stands. */
+/** Sender or receiver of messages. */
 export interface Endpoint {
   readonly name: string;
-  /** Empty for the platform, which stands in no zone. */
+  /** Empty for the platform, which is outside all zones. */
   readonly zone: string;
 }
 
-/** Latencies in milliseconds, one way. */
+/** One-way latencies, to which up to 0.9 ms of jitter are added. */
 const IN_ZONE_LATENCY_MS = 0.2;
 const CROSS_ZONE_LATENCY_MS = 0.5;
 
-/** Time after which a caller gives an answer up. */
+/** Time after which a caller stops waiting for an answer. */
 const DEFAULT_CALL_TIMEOUT_MS = 2_000;
 
-/** Delivers messages late, or not at all, over links that can be cut. */
+/** Network between simulated endpoints that delays, loses and partitions. */
 export class FakeNetwork {
   private readonly partitions = new Set<string>();
   /** Messages lost per thousand. */
   lossPerThousand = 0;
-  /** Answers that come late per thousand, by up to `longestDelayMs`. */
+  /** Messages delayed per thousand, by up to `maxExtraDelayMs`. */
   latePerThousand = 0;
   maxExtraDelayMs = 0;
 
@@ -29,21 +29,21 @@
     private readonly random: randomSource.RandomSource,
   ) {}
 
-  /** Cuts or joins two zones; the empty name is the platform. */
-  setPartitioned(left: string, right: string, cut: boolean): void {
+  /** Cuts or restores the link of two zones; '' stands for the platform. */
+  setPartitioned(left: string, right: string, partitioned: boolean): void {
     const key = [left, right].sort().join('|');
-    if (cut) this.partitions.add(key);
+    if (partitioned) this.partitions.add(key);
     else this.partitions.delete(key);
   }
 
-  /** Joins everything and loses nothing from now on. */
+  /** Restores all links and stops losing and delaying messages. */
   heal(): void {
     this.partitions.clear();
     this.lossPerThousand = 0;
     this.latePerThousand = 0;
   }
 
-  /** Delivers a one-way message. */
+  /** Delivers a one-way message unless it is lost or its link is cut. */
   send(from: Endpoint, to: Endpoint, deliver: () => void): void {
     const key = [from.zone, to.zone].sort().join('|');
     if (this.partitions.has(key)) return;
@@ -52,22 +52,22 @@
   }
 
   /**
-   * Sends a call and its answer; `failed` is called once when no answer came
-   * within the deadline, whether or not the call took effect.
+   * Sends a call and its answer. Calls `timedOut` once if no answer arrives in
+   * time, whether or not the call took effect.
    */
   call<Answer>(
     from: Endpoint,
     to: Endpoint,
     serve: (respond: (answer: Answer) => void) => void,
     answered: (answer: Answer) => void,
-    failed: () => void,
-    deadlineMs = DEFAULT_CALL_TIMEOUT_MS,
+    timedOut: () => void,
+    timeoutMs = DEFAULT_CALL_TIMEOUT_MS,
   ): void {
     let settled = false;
-    this.time.after(deadlineMs, () => {
+    this.time.after(timeoutMs, () => {
       if (settled) return;
       settled = true;
-      failed();
+      timedOut();
     });
     this.send(from, to, () =>
       serve(answer =>
@@ -81,10 +81,10 @@
   }
 
   private latencyMs(from: Endpoint, to: Endpoint): number {
-    const base =
+    const baseMs =
       from.zone === to.zone ? IN_ZONE_LATENCY_MS : CROSS_ZONE_LATENCY_MS;
     const late = this.random.below(1_000) < this.latePerThousand;
-    const extra = late ? this.random.below(this.maxExtraDelayMs + 1) : 0;
-    return base + this.random.below(10) / 10 + extra;
+    const extraMs = late ? this.random.below(this.maxExtraDelayMs + 1) : 0;
+    return baseMs + this.random.below(10) / 10 + extraMs;
   }
 }
--- a/bench/fakes/fake_worker.ts
+++ b/bench/fakes/fake_worker.ts
@@ -2,7 +2,7 @@
 import type * as task from '../../src/contracts/task.js';
 import type * as virtualTime from './virtual_time.js';
 
-/** What an observer hears of the tasks of a worker. */
+/** Observer of the starts and ends of tasks on workers. */
 export interface WorkerObserver {
   taskStarted(worker: FakeWorker, start: task.TaskStart): void;
   taskEnded(worker: FakeWorker, start: task.TaskStart): void;
@@ -15,14 +15,14 @@
   readonly answer: string;
 }
 
-/** Longest time for which ended tasks stay in reports. */
+/** Time for which ended tasks stay in reports. */
 const ENDED_RETENTION_MS = 600_000;
 
-/** In-memory worker: runs what it is told under leases, checks nothing else. */
+/** In-memory worker that enforces leases but not its capacity. */
 export class FakeWorker {
   private readonly tasks = new Map<string, TrackedTask>();
   private readonly answerListeners = new Map<string, Array<() => void>>();
-  /** When the worker began to leave; Infinity while it stays. */
+  /** Time at which the worker began to leave; Infinity if it does not leave. */
   leavingSinceMs = Infinity;
   failsEverything = false;
   dead = false;
@@ -55,7 +55,7 @@
     return true;
   }
 
-  /** Extends leases of running tasks. */
+  /** Extends the leases of tasks; never shortens them. */
   renew(names: ReadonlyArray<string>, leaseEnd: number): void {
     for (const name of names) {
       const held = this.tasks.get(name);
@@ -64,7 +64,7 @@
     }
   }
 
-  /** Ends a running task and answers those that wait for it. */
+  /** Ends a running task and notifies the callers that wait for its answer. */
   end(name: string, state: task.TaskState): void {
     const held = this.tasks.get(name);
     if (held === undefined || held.state !== 'running' || this.dead) return;
@@ -76,7 +76,7 @@
     this.time.after(ENDED_RETENTION_MS, () => this.tasks.delete(name));
   }
 
-  /** Calls back with the ended task; with undefined when it is unknown. */
+  /** Calls back with the task once it has ended, or undefined if unknown. */
   awaitAnswer(name: string, respond: (ended?: TrackedTask) => void): void {
     const held = this.tasks.get(name);
     if (held?.state !== 'running') {
@@ -88,7 +88,7 @@
     this.answerListeners.set(name, waiting);
   }
 
-  /** What the worker says of itself. */
+  /** Returns the worker's report of itself and its tasks. */
   report(): task.WorkerReport {
     return {
       worker: this.name,
@@ -107,7 +107,7 @@
     };
   }
 
-  /** Ends everything at once, as the loss of the machine does. */
+  /** Ends all tasks without notice, as the loss of the machine does. */
   crash(): void {
     for (const held of this.tasks.values()) {
       if (held.state === 'running') this.observer.taskEnded(this, held.start);
@@ -116,7 +116,7 @@
     this.dead = true;
   }
 
-  /** Sum of what the running tasks hold. */
+  /** Returns the sum of the sizes of the running tasks. */
   reservedCapacity(): resources.Resources {
     let used = resources.NONE;
     for (const held of this.tasks.values()) {
@@ -128,8 +128,8 @@
   private watchLease(name: string): void {
     const held = this.tasks.get(name);
     if (held === undefined || held.state !== 'running') return;
-    const remaining = this.clock.until(held.leaseEnd);
-    if (remaining <= 0) this.end(name, 'lapsed');
-    else this.time.after(remaining + 0.001, () => this.watchLease(name));
+    const remainingMs = this.clock.until(held.leaseEnd);
+    if (remainingMs <= 0) this.end(name, 'lapsed');
+    else this.time.after(remainingMs + 0.001, () => this.watchLease(name));
   }
 }
--- a/bench/fakes/invariant_checker.ts
+++ b/bench/fakes/invariant_checker.ts
@@ -3,118 +3,135 @@
 import type * as task from '../../src/contracts/task.js';
 import type * as fakeWorker from './fake_worker.js';
 
-/** A few seconds: after them a leaving worker gets no new task. */
+/** Time after which a leaving worker must not start a task: a few seconds. */
 const LEAVING_GRACE_MS = 7_000;
 
-/** A broken promise with its evidence. */
+/** Violated invariant with its evidence. */
 export interface Violation {
   readonly atMs: number;
   readonly invariant: string;
   readonly evidence: string;
 }
 
-/** A request as its client knows it. */
-export interface ClientView {
+/** What the checker needs to know of a request: identity, payload and size. */
+export interface CheckedRequest {
   readonly identity: string;
   readonly payload: string;
   readonly taskCount: number;
 }
 
 /**
- * Checks what must always hold from outside: it sees what the workers run and
- * what the clients are told, and nothing that the system believes.
+ * Checks invariants from outside: it sees the starts and ends of tasks on the
+ * workers and the replies to clients, but no state of the system itself.
  */
 export class InvariantChecker implements fakeWorker.WorkerObserver {
   private readonly startCounts = new Map<string, number>();
-  private readonly runningTasks = new Map<string, Set<string>>();
-  private readonly reportedNotRunAtMs = new Map<string, number>();
+  private readonly runningAttempts = new Map<string, Set<string>>();
+  private readonly notRunReportsMs = new Map<string, number>();
   private readonly violationsFound: Violation[] = [];
   private checks = 0;
 
   constructor(
-    private readonly now: () => number,
+    private readonly nowMs: () => number,
     private readonly trace: (line: string) => void,
   ) {}
 
-  /** Broken promises so far. */
+  /** Returns the violations found so far. */
   violations(): ReadonlyArray<Violation> {
     return this.violationsFound;
   }
 
-  /** How often a promise was checked. */
+  /** Returns the number of checks made so far. */
   checkCount(): number {
     return this.checks;
   }
 
-  /** How often the tasks of an identity were started. */
+  /** Returns how often tasks of a request were started. */
   runCount(identity: string): number {
     return this.startCounts.get(identity) ?? 0;
   }
 
-  taskStarted(on: fakeWorker.FakeWorker, start: task.TaskStart): void {
+  taskStarted(worker: fakeWorker.FakeWorker, start: task.TaskStart): void {
     const {identity, idempotent} = start.label;
-    this.trace(`${on.name} starts ${start.task}`);
+    this.trace(`${worker.name} starts ${start.task}`);
     this.check(
-      resources.fits(on.reservedCapacity(), on.capacity),
-      'capacity',
+      resources.fits(worker.reservedCapacity(), worker.capacity),
+      'reservations fit the worker',
       () =>
         JSON.stringify({
-          worker: on.name,
-          used: on.reservedCapacity(),
+          worker: worker.name,
+          used: worker.reservedCapacity(),
           task: start.task,
         }),
     );
-    const leavingFor = this.now() - on.leavingSinceMs;
-    this.check(leavingFor < LEAVING_GRACE_MS, 'nothing new on leaving', () =>
-      JSON.stringify({worker: on.name, leavingFor, task: start.task}),
+    const leavingForMs = this.nowMs() - worker.leavingSinceMs;
+    this.check(
+      leavingForMs < LEAVING_GRACE_MS,
+      'no start on a leaving worker',
+      () =>
+        JSON.stringify({
+          worker: worker.name,
+          leavingForMs,
+          task: start.task,
+        }),
     );
-    // Tasks of one request are told apart by their index.
-    const part = start.task.split('.').slice(0, -1).join('.');
-    const places = this.runningTasks.get(part) ?? new Set();
-    this.check(places.size === 0, 'one place', () =>
-      JSON.stringify({part, running: [...places], also: on.name}),
+    // The name of a start is the identity, the task's index and, after the last
+    // dot, the attempt, which is cut off here.
+    const taskName = start.task.split('.').slice(0, -1).join('.');
+    const attempts = this.runningAttempts.get(taskName) ?? new Set();
+    this.check(attempts.size === 0, 'one attempt at a time', () =>
+      JSON.stringify({
+        taskName,
+        running: [...attempts],
+        startedOn: worker.name,
+      }),
     );
-    places.add(`${on.name} ${start.task}`);
-    this.runningTasks.set(part, places);
-    const runs = (this.startCounts.get(part) ?? 0) + 1;
-    this.startCounts.set(part, runs);
+    attempts.add(`${worker.name} ${start.task}`);
+    this.runningAttempts.set(taskName, attempts);
+    const startCount = (this.startCounts.get(taskName) ?? 0) + 1;
+    this.startCounts.set(taskName, startCount);
     this.startCounts.set(identity, (this.startCounts.get(identity) ?? 0) + 1);
-    this.check(idempotent || runs === 1, 'at most once', () =>
-      JSON.stringify({part, runs, worker: on.name}),
+    this.check(idempotent || startCount === 1, 'at most once', () =>
+      JSON.stringify({taskName, startCount, worker: worker.name}),
     );
     this.check(
-      !this.reportedNotRunAtMs.has(identity),
-      'not run is the truth',
+      !this.notRunReportsMs.has(identity),
+      'no start of a request reported as not run',
       () =>
         JSON.stringify({
           identity,
-          toldAt: this.reportedNotRunAtMs.get(identity),
+          reportedAtMs: this.notRunReportsMs.get(identity),
         }),
     );
   }
 
-  taskEnded(on: fakeWorker.FakeWorker, start: task.TaskStart): void {
-    const part = start.task.split('.').slice(0, -1).join('.');
-    this.runningTasks.get(part)?.delete(`${on.name} ${start.task}`);
+  taskEnded(worker: fakeWorker.FakeWorker, start: task.TaskStart): void {
+    const taskName = start.task.split('.').slice(0, -1).join('.');
+    this.runningAttempts.get(taskName)?.delete(`${worker.name} ${start.task}`);
   }
 
-  /** Takes note of what a client was told of its own request. */
-  replyReceived(request: ClientView, code: number, answer: string): void {
+  /** Checks a reply that a client has received for its own request. */
+  replyReceived(request: CheckedRequest, code: number, answer: string): void {
     const {identity} = request;
-    this.trace(`client is told ${code} of ${identity}`);
-    const row = Object.values(result.RESULT_CODES).find(
+    this.trace(`client receives code ${code} for ${identity}`);
+    const resultCode = Object.values(result.RESULT_CODES).find(
       known => known.code === code,
     );
-    if (row === undefined) return;
-    if (row.execution === 'notRun') {
-      this.reportedNotRunAtMs.set(identity, this.now());
-      this.check(this.runCount(identity) === 0, 'not run is the truth', () =>
-        JSON.stringify({identity, code, runs: this.runCount(identity)}),
+    if (resultCode === undefined) return;
+    if (resultCode.execution === 'notRun') {
+      this.notRunReportsMs.set(identity, this.nowMs());
+      this.check(
+        this.runCount(identity) === 0,
+        'no start of a request reported as not run',
+        () =>
+          JSON.stringify({identity, code, startCount: this.runCount(identity)}),
       );
     }
     if (code === result.RESULT_CODES.ok.code) {
-      this.check(answer === expectedAnswer(request), 'own whole answer', () =>
-        JSON.stringify({answer, ...request}),
+      this.check(
+        answer === expectedAnswer(request),
+        "complete answer of the client's own request",
+        () => JSON.stringify({answer, ...request}),
       );
     }
   }
@@ -127,15 +144,15 @@
     this.checks += 1;
     if (holds) return;
     this.violationsFound.push({
-      atMs: this.now(),
+      atMs: this.nowMs(),
       invariant,
       evidence: evidence(),
     });
   }
 }
 
-/** The answers of several tasks come as one JSON list. */
-function expectedAnswer(request: ClientView): string {
+/** Returns the answer to a request; several tasks answer as a JSON array. */
+function expectedAnswer(request: CheckedRequest): string {
   const answer = `done ${request.payload}`;
   if (request.taskCount === 1) return answer;
   return JSON.stringify(new Array(request.taskCount).fill(answer));
--- a/bench/fakes/peer_messages.ts
+++ b/bench/fakes/peer_messages.ts
@@ -1,13 +1,13 @@
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
-/** Calls between processes that the fakes translate. */
+/** Effects that are calls to another process, except forwarded calls. */
 export type PeerCall = Exclude<
   Extract<effect.PeerEffect, {readonly peer: string}>,
   {kind: 'forwardCall'}
 >;
 
-/** The event that a call becomes at its receiver. */
+/** Returns the event that a call causes at its receiver. */
 export function toPeerEvent(
   from: string,
   wanted: PeerCall,
@@ -55,7 +55,7 @@
   }
 }
 
-/** The event that an answer becomes at the caller. */
+/** Returns the event that an answer causes at the caller. */
 export function toAnswerEvent(
   wanted: PeerCall,
   answer: effect.Effect,
--- a/bench/fakes/simulated_entry_process.ts
+++ b/bench/fakes/simulated_entry_process.ts
@@ -11,41 +11,41 @@
 import type * as virtualTime from './virtual_time.js';
 import type * as fakeWorker from './fake_worker.js';
 
-/** What every entry process of a run shares. */
+/** Environment that all entry processes of a run share. */
 export interface Simulation {
   readonly time: virtualTime.VirtualTime;
   readonly network: fakeNetwork.FakeNetwork;
   readonly log: fakeLog.FakeLog;
   readonly workers: ReadonlyMap<string, fakeWorker.FakeWorker>;
-  readonly hosts: Map<string, SimulatedEntryProcess>;
+  readonly processes: Map<string, SimulatedEntryProcess>;
   readonly random: randomSource.RandomSource;
   readonly reader: configuration.DocumentReader;
   listVms(): ReadonlyArray<event.ListedVm>;
   runTimeMs(payload: string): number;
-  effectLogged(host: SimulatedEntryProcess, effect: effect.Effect): void;
-  /** Takes note of a process that has to be started again. */
-  processEnded(host: SimulatedEntryProcess): void;
+  recordEffect(process: SimulatedEntryProcess, effect: effect.Effect): void;
+  /** Called when a process ends itself and has to be restarted. */
+  processEnded(process: SimulatedEntryProcess): void;
 }
 
 const PLATFORM_ENDPOINT: fakeNetwork.Endpoint = {name: 'platform', zone: ''};
 
-/** Longest wait for the answer of a running task. */
+/** Time-out of a call that waits for the end of a task. */
 const TASK_ANSWER_TIMEOUT_MS = 600_000;
 
-/** Longest wait of a call that another process holds open. */
+/** Time-out of an offer, which the other process keeps open. */
 const OFFER_TIMEOUT_MS = 30_000;
 
-/** Time beyond the caller's wait that a forwarded call may take. */
+/** Time that a forwarded call may take beyond the wait of its caller. */
 const FORWARD_MARGIN_MS = 1_500;
 
 type ReplyCallback = (reply: effect.Reply) => void;
 
 /**
- * One incarnation of an entry process: the real decision core between fakes,
- * on its own drifting clock, which can be paused or killed.
+ * One incarnation of an entry process: the real decision core with fakes around
+ * it and a drifting clock. It can be paused and killed.
  */
 export class SimulatedEntryProcess implements fakeNetwork.Endpoint {
-  private readonly core: loop.EventHandler;
+  private readonly decisionCore: loop.EventHandler;
   private readonly openCalls = new Map<event.CallNumber, ReplyCallback>();
   private readonly openPeerCalls = new Map<
     event.CallNumber,
@@ -65,60 +65,60 @@
     private readonly clock: virtualTime.DriftingClock,
     private readonly simulation: Simulation,
   ) {
-    this.core = new entryVm.EntryVm({
+    this.decisionCore = new entryVm.EntryVm({
       self: {process: name, vm, zone, region: zone, address: vm},
       reader: simulation.reader,
       random: simulation.random,
     });
   }
 
-  /** Begins to work. */
+  /** Runs the first turn of the decision core. */
   boot(): void {
     this.handleEvent({kind: 'timePassed'});
   }
 
-  /** Ends the process at once; nothing of it remains. */
+  /** Ends the process at once and drops its deferred actions. */
   kill(): void {
     this.alive = false;
     this.deferredActions.length = 0;
-    this.simulation.hosts.delete(this.name);
+    this.simulation.processes.delete(this.name);
   }
 
-  /** Stops the process; what it was about to do is done when it resumes. */
+  /** Pauses the process; its actions are deferred until it resumes. */
   pause(): void {
     this.paused = true;
   }
 
-  /** Lets a paused process go on. */
+  /** Resumes a paused process and runs its deferred actions. */
   resume(): void {
     this.paused = false;
     const actions = this.deferredActions.splice(0);
     for (const action of actions) this.whenRunning(action);
   }
 
-  /** Hands in a caller's call. */
+  /** Delivers a call of a client. */
   receive(
-    build: (call: event.CallNumber) => event.CallEvent,
+    buildEvent: (call: event.CallNumber) => event.CallEvent,
     reply: ReplyCallback,
   ): void {
     this.whenRunning(() => {
       const call = this.allocateCall();
-      const arrived = build(call);
+      const callEvent = buildEvent(call);
       this.openCalls.set(call, reply);
-      this.callEvents.set(call, arrived);
-      this.runTurn(arrived);
+      this.callEvents.set(call, callEvent);
+      this.runTurn(callEvent);
     });
   }
 
-  /** Hands in another process's call. */
+  /** Delivers a call of another process. */
   receivePeer(
-    build: (call: event.CallNumber) => event.PeerEvent,
+    buildEvent: (call: event.CallNumber) => event.PeerEvent,
     reply: (answer: effect.Effect) => void,
   ): void {
     this.whenRunning(() => {
       const call = this.allocateCall();
       this.openPeerCalls.set(call, reply);
-      this.runTurn(build(call));
+      this.runTurn(buildEvent(call));
     });
   }
 
@@ -139,19 +139,19 @@
   }
 
   private runTurn(handled: event.Event): void {
-    const effects = this.core.handle(handled, this.clock.now());
-    // A pause may fall between a decision and the messages it sends.
+    const effects = this.decisionCore.handle(handled, this.clock.now());
+    // The process may be paused between a decision and its messages.
     for (const wanted of effects) this.whenRunning(() => this.perform(wanted));
     this.armTimer();
   }
 
   private armTimer(): void {
-    const due = this.core.nextDeadline(this.clock.now());
-    if (due === Infinity || due === this.timerDueMs) return;
-    this.timerDueMs = due;
-    const wait = Math.max(1, this.clock.until(due));
-    this.simulation.time.after(wait, () => {
-      if (this.timerDueMs !== due) return;
+    const dueMs = this.decisionCore.nextDeadline(this.clock.now());
+    if (dueMs === Infinity || dueMs === this.timerDueMs) return;
+    this.timerDueMs = dueMs;
+    const waitMs = Math.max(1, this.clock.until(dueMs));
+    this.simulation.time.after(waitMs, () => {
+      if (this.timerDueMs !== dueMs) return;
       this.timerDueMs = Infinity;
       this.handleEvent({kind: 'timePassed'});
     });
@@ -166,12 +166,12 @@
       case 'fetchTaskAnswer':
       case 'throttleTask':
       case 'readReport':
-        this.performAtWorker(wanted);
+        this.performOnWorker(wanted);
         return;
       case 'append':
       case 'readStream':
       case 'readVmList':
-        this.performAtPlatform(wanted);
+        this.performOnPlatform(wanted);
         return;
       case 'answerCaller':
         this.openCalls.get(wanted.call)?.(wanted.reply);
@@ -190,38 +190,38 @@
       case 'count':
       case 'observe':
       case 'log':
-        this.simulation.effectLogged(this, wanted);
+        this.simulation.recordEffect(this, wanted);
         return;
       case 'endProcess':
         this.simulation.processEnded(this);
         return;
       default:
-        this.performAtPeer(wanted);
+        this.performOnPeer(wanted);
     }
   }
 
-  private performAtWorker(wanted: effect.WorkerEffect): void {
+  private performOnWorker(wanted: effect.WorkerEffect): void {
     const target = this.simulation.workers.get(wanted.worker);
-    const lost = (): void => this.workerAnswerLost(wanted);
-    const place = {name: wanted.worker, zone: target?.zone ?? this.zone};
-    const deadline =
+    const onLost = (): void => this.handleLostWorkerAnswer(wanted);
+    const endpoint = {name: wanted.worker, zone: target?.zone ?? this.zone};
+    const timeoutMs =
       wanted.kind === 'fetchTaskAnswer' ? TASK_ANSWER_TIMEOUT_MS : undefined;
     this.simulation.network.call<event.Event | undefined>(
       this,
-      place,
+      endpoint,
       respond => {
         if (target === undefined || target.dead) return;
-        this.serveAtWorker(wanted, target, respond);
+        this.serveOnWorker(wanted, target, respond);
       },
       answer => {
         if (answer !== undefined) this.handleEvent(answer);
       },
-      lost,
-      deadline,
+      onLost,
+      timeoutMs,
     );
   }
 
-  private serveAtWorker(
+  private serveOnWorker(
     wanted: effect.WorkerEffect,
     target: fakeWorker.FakeWorker,
     respond: (answer: event.Event | undefined) => void,
@@ -229,8 +229,8 @@
     const name = target.name;
     switch (wanted.kind) {
       case 'startTask': {
-        const runTime = this.simulation.runTimeMs(wanted.start.payload);
-        const started = target.start(wanted.start, runTime);
+        const runTimeMs = this.simulation.runTimeMs(wanted.start.payload);
+        const started = target.start(wanted.start, runTimeMs);
         respond({
           kind: 'startAnswered',
           worker: name,
@@ -257,12 +257,15 @@
             respond({kind: 'taskAnswerLost', worker: name, task: wanted.task});
             return;
           }
-          const ran = ended.state === 'finished' || ended.state === 'failed';
+          const ranToEnd =
+            ended.state === 'finished' || ended.state === 'failed';
           respond({
             kind: 'taskAnswerArrived',
             worker: name,
             task: wanted.task,
-            state: ran ? (ended.state as 'finished' | 'failed') : 'stopped',
+            state: ranToEnd
+              ? (ended.state as 'finished' | 'failed')
+              : 'stopped',
             answer: ended.answer,
           });
         });
@@ -286,7 +289,7 @@
     }
   }
 
-  private workerAnswerLost(wanted: effect.WorkerEffect): void {
+  private handleLostWorkerAnswer(wanted: effect.WorkerEffect): void {
     const worker = wanted.worker;
     if (wanted.kind === 'startTask') {
       this.handleEvent({
@@ -306,21 +309,21 @@
     }
   }
 
-  private performAtPlatform(wanted: effect.PlatformEffect): void {
+  private performOnPlatform(wanted: effect.PlatformEffect): void {
     const sentAt = this.clock.now();
     this.simulation.network.call<event.Event>(
       this,
       PLATFORM_ENDPOINT,
       respond => {
         if (this.simulation.log.down && wanted.kind !== 'readVmList') return;
-        respond(this.serveAtPlatform(wanted, sentAt));
+        respond(this.serveOnPlatform(wanted, sentAt));
       },
       answer => this.handleEvent(answer),
-      () => this.platformAnswerLost(wanted),
+      () => this.handleLostPlatformAnswer(wanted),
     );
   }
 
-  private serveAtPlatform(
+  private serveOnPlatform(
     wanted: effect.PlatformEffect,
     sentAt: number,
   ): event.Event {
@@ -340,7 +343,7 @@
     }
   }
 
-  private platformAnswerLost(wanted: effect.PlatformEffect): void {
+  private handleLostPlatformAnswer(wanted: effect.PlatformEffect): void {
     if (wanted.kind === 'append') {
       const {stream, append} = wanted;
       this.handleEvent({
@@ -356,18 +359,18 @@
     }
   }
 
-  private performAtPeer(wanted: effect.PeerEffect): void {
+  private performOnPeer(wanted: effect.PeerEffect): void {
     if (!('peer' in wanted)) return;
     if (wanted.kind === 'forwardCall') {
       this.forward(wanted);
       return;
     }
     const sentAt = this.clock.now();
-    const peer = this.hostAt(wanted.address);
-    const place = {name: wanted.peer, zone: peer?.zone ?? this.zone};
+    const peer = this.processAt(wanted.address);
+    const endpoint = {name: wanted.peer, zone: peer?.zone ?? this.zone};
     this.simulation.network.call<event.Event>(
       this,
-      place,
+      endpoint,
       respond => {
         peer?.receivePeer(
           call => peerMessages.toPeerEvent(this.name, wanted, call),
@@ -383,10 +386,10 @@
     );
   }
 
-  /** A VM keeps its address when its process is started again. */
-  private hostAt(address: string): SimulatedEntryProcess | undefined {
-    return [...this.simulation.hosts.values()].find(
-      host => host.vm === address,
+  /** Returns the process on a VM, whose address survives restarts. */
+  private processAt(address: string): SimulatedEntryProcess | undefined {
+    return [...this.simulation.processes.values()].find(
+      process => process.vm === address,
     );
   }
 
@@ -394,13 +397,13 @@
     wanted: Extract<effect.PeerEffect, {kind: 'forwardCall'}>,
   ): void {
     const original = this.callEvents.get(wanted.call);
-    const peer = this.hostAt(wanted.address);
+    const peer = this.processAt(wanted.address);
     if (original === undefined) return;
     const waitMs = 'waitMs' in original ? original.waitMs : 0;
-    const place = {name: wanted.address, zone: peer?.zone ?? this.zone};
+    const endpoint = {name: wanted.address, zone: peer?.zone ?? this.zone};
     this.simulation.network.call<effect.Reply>(
       this,
-      place,
+      endpoint,
       respond => peer?.receive(call => ({...original, call}), respond),
       reply =>
         this.handleEvent({
--- a/bench/fakes/virtual_time.ts
+++ b/bench/fakes/virtual_time.ts
@@ -1,57 +1,57 @@
-/** Injected time: runs actions in order of their time, without waiting. */
+/** Virtual time, in which scheduled actions run in order without waiting. */
 export class VirtualTime {
-  private readonly pending: Array<{
-    readonly at: number;
+  private readonly pendingActions: Array<{
+    readonly dueMs: number;
     readonly action: () => void;
   }> = [];
   private timeMs = 0;
 
-  /** Milliseconds of real time since the start of the run. */
+  /** Returns the virtual milliseconds since the start of the run. */
   now(): number {
     return this.timeMs;
   }
 
-  /** Runs `action` after a delay; equal times keep their order. */
-  after(delay: number, action: () => void): void {
-    const at = this.timeMs + Math.max(0, delay);
+  /** Schedules `action`; actions of the same time keep their order. */
+  after(delayMs: number, action: () => void): void {
+    const dueMs = this.timeMs + Math.max(0, delayMs);
     let low = 0;
-    let high = this.pending.length;
-    // The list is in descending order, so that the next action is the last.
+    let high = this.pendingActions.length;
+    // Descending order, so that the next action is removed from the end.
     while (low < high) {
       const middle = (low + high) >>> 1;
-      if (this.pending[middle].at > at) low = middle + 1;
+      if (this.pendingActions[middle].dueMs > dueMs) low = middle + 1;
       else high = middle;
     }
-    this.pending.splice(low, 0, {at, action});
+    this.pendingActions.splice(low, 0, {dueMs, action});
   }
 
-  /** Runs everything that is due before `end`. */
-  runUntil(end: number): void {
+  /** Advances time to `endMs` and runs the actions due until then. */
+  runUntil(endMs: number): void {
     for (;;) {
-      const next = this.pending.at(-1);
-      if (next === undefined || next.at > end) break;
-      this.pending.pop();
-      this.timeMs = next.at;
+      const next = this.pendingActions.at(-1);
+      if (next === undefined || next.dueMs > endMs) break;
+      this.pendingActions.pop();
+      this.timeMs = next.dueMs;
       next.action();
     }
-    this.timeMs = end;
+    this.timeMs = endMs;
   }
 }
 
-/** A clock that starts anywhere and runs a little fast or slow. */
+/** Clock with its own offset and rate relative to virtual time. */
 export class DriftingClock {
   constructor(
-    private readonly timeline: VirtualTime,
-    private readonly offset: number,
+    private readonly time: VirtualTime,
+    private readonly offsetMs: number,
     private readonly rate: number,
   ) {}
 
-  /** The reading of this clock. */
+  /** Returns the reading of this clock in milliseconds. */
   now(): number {
-    return this.offset + this.timeline.now() * this.rate;
+    return this.offsetMs + this.time.now() * this.rate;
   }
 
-  /** Real time until this clock shows `reading`. */
+  /** Returns the virtual time until this clock reads `reading`. */
   until(reading: number): number {
     return (reading - this.now()) / this.rate;
   }
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -120,7 +120,7 @@
   private readonly log = new fakeLog.FakeLog(20_000);
   private readonly checker: invariantChecker.InvariantChecker;
   private readonly workers = new Map<string, fakeWorker.FakeWorker>();
-  private readonly hosts = new Map<
+  private readonly processes = new Map<
     string,
     simulatedEntryProcess.SimulatedEntryProcess
   >();
@@ -147,12 +147,12 @@
       network: this.network,
       log: this.log,
       workers: this.workers,
-      hosts: this.hosts,
+      processes: this.processes,
       random: new randomSource.SeededRandom(options.seed + 2),
       reader: new tomlDocumentReader.TomlDocumentReader(),
       listVms: () => [...this.listedVms.values()],
       runTimeMs: payload => 200 + (payload.length % 7) * 700,
-      effectLogged: (host, wanted) => this.recordEffect(host, wanted),
+      recordEffect: (host, wanted) => this.recordEffect(host, wanted),
       processEnded: host => this.restartEntry(host),
     };
   }
@@ -234,7 +234,7 @@
       this.driftingClock(),
       this.simulation,
     );
-    this.hosts.set(name, host);
+    this.processes.set(name, host);
     this.listedVms.set(vm, {
       vm,
       role: 'entry',
@@ -334,7 +334,7 @@
     nextVm: (vm: string) => string,
     duration: number,
   ): void {
-    const hosts = [...this.hosts.values()];
+    const hosts = [...this.processes.values()];
     if (hosts.length === 0) return;
     const host = hosts[random.below(hosts.length)];
     host.kill();
@@ -350,7 +350,7 @@
     random: randomSource.RandomSource,
     duration: number,
   ): void {
-    const hosts = [...this.hosts.values()];
+    const hosts = [...this.processes.values()];
     if (hosts.length === 0) return;
     const host = hosts[random.below(hosts.length)];
     host.pause();
