--- a/bench/bench_row.ts
+++ b/bench/bench_row.ts
@@ -1,11 +1,11 @@
-/** One measured figure. */
+/** One measured figure, as the results file stores it. */
 export interface BenchRow {
   readonly name: string;
   readonly figure: number;
   readonly unit: string;
   readonly seed: number;
-  /** Empty where no goal is stated. */
+  /** Empty if there is no goal. */
   readonly goal: string;
-  /** Figure of the plain baseline; empty where there is none. */
+  /** Figure of the baseline scheduler; empty if there is none. */
   readonly baseline: string;
 }
--- a/bench/capacity_bench.ts
+++ b/bench/capacity_bench.ts
@@ -1,15 +1,15 @@
 import * as coreDriver from './core_driver.js';
 import type * as benchRow from './bench_row.js';
 
-/** Tasks a worker runs at the target: 25,000 on 2,700. */
-const TASKS_PER_WORKER = 9;
+/** Running tasks per worker at the scale target: 25,000 on 2,700 workers. */
+const TARGET_TASKS_PER_WORKER = 9;
 
 const SEED = 11;
 
-/** Injected time over which rates are taken. */
+/** Virtual time over which the rates of an idle core are measured. */
 const IDLE_PERIOD_MS = 60_000;
 
-/** Sizes of the owned part of the fleet at which the slopes are measured. */
+/** Numbers of owned workers at which the slopes are measured. */
 const WORKER_COUNTS = [20, 43, 86, 172] as const;
 
 function teamDocument(index: number): string {
@@ -35,7 +35,7 @@
 `;
 }
 
-const FLEET = `
+const FLEET_DOCUMENT = `
 zones = [{name = "zone-a", region = "region-a"}]
 
 [[workerShapes]]
@@ -44,11 +44,11 @@
 `;
 
 function configurationDocuments(teams: number): ReadonlyMap<string, string> {
-  const made = new Map([['fleet', FLEET]]);
+  const documents = new Map([['fleet', FLEET_DOCUMENT]]);
   for (let index = 0; index < teams; index += 1) {
-    made.set(`team/team-${index}`, teamDocument(index));
+    documents.set(`team/team-${index}`, teamDocument(index));
   }
-  return made;
+  return documents;
 }
 
 function heapBytes(): number {
@@ -57,10 +57,7 @@
   return process.memoryUsage().heapUsed;
 }
 
-function startDriver(
-  workerCount: number,
-  teams: number,
-): coreDriver.CoreDriver {
+function startCore(workerCount: number, teams: number): coreDriver.CoreDriver {
   const driver = new coreDriver.CoreDriver({
     seed: SEED,
     workerCount,
@@ -71,8 +68,8 @@
   return driver;
 }
 
-function startTasks(driver: coreDriver.CoreDriver, tasks: number): void {
-  for (let index = 0; index < tasks; index += 1) {
+function startTasks(driver: coreDriver.CoreDriver, count: number): void {
+  for (let index = 0; index < count; index += 1) {
     driver.submit(`team-${index % 4}`, 'order', `payload ${index}`);
     if (index % 20 === 19) driver.advance(100);
   }
@@ -85,38 +82,46 @@
   return total;
 }
 
-function totalMilliseconds(driver: coreDriver.CoreDriver): number {
-  return sum([...driver.eventCosts().values()].map(cost => cost.milliseconds));
+function totalCostMs(driver: coreDriver.CoreDriver): number {
+  return sum([...driver.eventCosts().values()].map(cost => cost.totalMs));
 }
 
 function measureFleet(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
-  const tasks = workerCount * TASKS_PER_WORKER;
-  const before = heapBytes();
-  const driver = startDriver(workerCount, 72);
-  const empty = heapBytes();
-  startTasks(driver, tasks);
-  const full = heapBytes();
-  const running = driver.runningCount();
+  const taskCount = workerCount * TARGET_TASKS_PER_WORKER;
+  const baseHeapBytes = heapBytes();
+  const driver = startCore(workerCount, 72);
+  const idleHeapBytes = heapBytes();
+  startTasks(driver, taskCount);
+  const loadedHeapBytes = heapBytes();
+  const runningCount = driver.runningCount();
   driver.resetCosts();
   driver.advance(IDLE_PERIOD_MS);
-  const restMilliseconds = totalMilliseconds(driver);
+  const idleCostMs = totalCostMs(driver);
   const messages = sum(
     [...driver.effectCounts()]
       .filter(([kind]) => !['count', 'observe', 'log'].includes(kind))
       .map(([, count]) => count),
   );
   driver.resetCosts();
-  driver.finishTasks(running / 2);
-  startTasks(driver, running / 2);
-  const startMilliseconds = totalMilliseconds(driver);
+  driver.finishTasks(runningCount / 2);
+  startTasks(driver, runningCount / 2);
+  const startCostMs = totalCostMs(driver);
   const name = `capacity/${workerCount} workers`;
   return [
-    row(`${name}/tasks running`, running, 'tasks'),
-    row(`${name}/heap of workers and 72 teams`, (empty - before) / 1024, 'KiB'),
-    row(`${name}/heap per task`, (full - empty) / Math.max(1, running), 'B'),
+    row(`${name}/tasks running`, runningCount, 'tasks'),
+    row(
+      `${name}/heap of workers and 72 teams`,
+      (idleHeapBytes - baseHeapBytes) / 1024,
+      'KiB',
+    ),
+    row(
+      `${name}/heap per task`,
+      (loadedHeapBytes - idleHeapBytes) / Math.max(1, runningCount),
+      'B',
+    ),
     row(
       `${name}/core at rest`,
-      restMilliseconds / (IDLE_PERIOD_MS / 1_000) / 10,
+      idleCostMs / (IDLE_PERIOD_MS / 1_000) / 10,
       '% of a core',
     ),
     row(
@@ -126,7 +131,7 @@
     ),
     row(
       `${name}/core per start and end`,
-      (1_000 * startMilliseconds) / (running / 2),
+      (1_000 * startCostMs) / (runningCount / 2),
       'µs',
     ),
   ];
@@ -136,9 +141,9 @@
   return {name, figure, unit, seed: SEED, goal: '', baseline: ''};
 }
 
-/** Measures the slopes of the decision core that docs/CAPACITY.md uses. */
+/** Measures how the cost of the decision core grows, for docs/CAPACITY.md. */
 export function measureCapacity(): ReadonlyArray<benchRow.BenchRow> {
-  // The first run pays for compiling; its figures are dropped.
+  // The first run includes JIT compilation, so its figures are dropped.
   measureFleet(WORKER_COUNTS[0]);
   return WORKER_COUNTS.flatMap(measureFleet);
 }
--- a/bench/cell_bench.ts
+++ b/bench/cell_bench.ts
@@ -3,35 +3,35 @@
 import * as processMeter from './process_meter.js';
 import type * as benchRow from './bench_row.js';
 
-/** Sizes of the cell. */
+/** Numbers of workers of the measured cells. */
 const WORKER_COUNTS = [33, 100, 300];
 
-/** Jobs handed in a second, each with `TASKS` tasks. */
+/** Rates at which jobs are submitted, each with `TASKS_PER_JOB` tasks. */
 const JOBS_PER_SECOND = [0, 2, 8];
 const TASKS_PER_JOB = 10;
 
-/** Time of a task. */
+/** Run time of each task. */
 const TASK_RUN_TIME_MS = 1_000;
 
-/** Time for the code to be compiled and for the backlog to be even. */
+/** Time for JIT compilation and for the backlog to become steady. */
 const WARM_UP_MS = 6_000;
 
-/** Time over which rates are taken. */
+/** Time over which usage and rates are measured. */
 const MEASUREMENT_MS = 10_000;
 
 const PROCESS_COUNT = 2;
 
-/** Milliseconds of processor in a second at 1 %. */
+/** CPU time per second, in milliseconds, of 1 % of a core. */
 const CPU_MS_PER_SECOND_PERCENT = 10;
 
-/** Uses of the two processes during a measurement. */
+/** Usage of the leader and the other process during a measurement. */
 interface CellUsage {
   readonly scheduler: processMeter.ProcessUsage;
   readonly other: processMeter.ProcessUsage;
   readonly startsPerSecond: number;
 }
 
-/** Hands jobs in at a rate until it is stopped. */
+/** Submits jobs at a constant rate until it is stopped. */
 class JobLoad {
   private stopped = false;
   private lastJobNumber = 0;
@@ -44,13 +44,14 @@
   async run(): Promise<void> {
     if (this.jobsPerSecond === 0) return;
     const entry = this.cell.processes[1];
-    const start = performance.now();
+    const startedAtMs = performance.now();
     while (!this.stopped) {
       this.lastJobNumber += 1;
       const id = platformCell.jobIdOf(this.lastJobNumber);
-      void this.cell.callFront(entry, 'POST', id, JOB);
-      const due = start + (1_000 * this.lastJobNumber) / this.jobsPerSecond;
-      await timers.setTimeout(Math.max(0, due - performance.now()));
+      void this.cell.callFront(entry, 'POST', id, JOB_REQUEST);
+      const dueMs =
+        startedAtMs + (1_000 * this.lastJobNumber) / this.jobsPerSecond;
+      await timers.setTimeout(Math.max(0, dueMs - performance.now()));
     }
   }
 
@@ -59,7 +60,7 @@
   }
 }
 
-const JOB = {
+const JOB_REQUEST = {
   spec: '{}',
   steps: [
     {
@@ -71,12 +72,14 @@
   ],
 };
 
-/** Measures the platform's processes from outside, over stand-ins. */
+/** Measures the resource usage of scheduler processes over stand-ins. */
 export async function measureCell(): Promise<ReadonlyArray<benchRow.BenchRow>> {
   const rows: benchRow.BenchRow[] = [];
   for (const workerCount of WORKER_COUNTS) {
-    for (const rate of JOBS_PER_SECOND) {
-      rows.push(...rowsOf(workerCount, await measureAt(workerCount, rate)));
+    for (const jobsPerSecond of JOBS_PER_SECOND) {
+      rows.push(
+        ...rowsOf(workerCount, await measureAt(workerCount, jobsPerSecond)),
+      );
     }
   }
   return rows;
@@ -84,7 +87,7 @@
 
 async function measureAt(
   workerCount: number,
-  rate: number,
+  jobsPerSecond: number,
 ): Promise<CellUsage> {
   const cell = await platformCell.PlatformCell.start({
     processCount: PROCESS_COUNT,
@@ -92,15 +95,15 @@
     runPlan: () => ({runTimeMs: TASK_RUN_TIME_MS, outcome: 'done'}),
     command: [process.execPath, 'target/parsleyknot.cjs'],
   });
-  const load = new JobLoad(cell, rate);
+  const load = new JobLoad(cell, jobsPerSecond);
   void load.run();
   await timers.setTimeout(WARM_UP_MS);
   const leader = cell.leader();
   const others = cell.processes.filter(item => item !== leader);
   const startsBefore = cell.startCount();
-  const earlier = [leader, ...others].map(readUsage);
+  const earlier = [leader, ...others].map(readProcess);
   await timers.setTimeout(MEASUREMENT_MS);
-  const later = [leader, ...others].map(readUsage);
+  const later = [leader, ...others].map(readProcess);
   const [scheduler, other] = later.map((reading, index) =>
     processMeter.usageBetween(earlier[index], reading),
   );
@@ -110,7 +113,7 @@
   return {scheduler, other, startsPerSecond: (starts * 1_000) / MEASUREMENT_MS};
 }
 
-function readUsage(
+function readProcess(
   item: platformCell.CellProcess,
 ): processMeter.ProcessReading {
   return processMeter.readProcess(item.child.pid);
@@ -120,19 +123,19 @@
   workerCount: number,
   {scheduler, other, startsPerSecond}: CellUsage,
 ): ReadonlyArray<benchRow.BenchRow> {
-  const where = `cell, ${workerCount} workers, ${startsPerSecond.toFixed(0)} starts/s`;
+  const scenario = `cell, ${workerCount} workers, ${startsPerSecond.toFixed(0)} starts/s`;
   const rows: benchRow.BenchRow[] = [
-    row(`${where}: scheduler`, scheduler.processorPercent, '% of a core'),
-    row(`${where}: scheduler`, scheduler.residentMebibytes, 'MiB'),
-    row(`${where}: scheduler`, scheduler.bytesPerSecond / 1_000, 'KB/s'),
-    row(`${where}: other process`, other.processorPercent, '% of a core'),
-    row(`${where}: other process`, other.residentMebibytes, 'MiB'),
-    row(`${where}: other process`, other.bytesPerSecond / 1_000, 'KB/s'),
+    row(`${scenario}: scheduler`, scheduler.processorPercent, '% of a core'),
+    row(`${scenario}: scheduler`, scheduler.residentMebibytes, 'MiB'),
+    row(`${scenario}: scheduler`, scheduler.bytesPerSecond / 1_000, 'KB/s'),
+    row(`${scenario}: other process`, other.processorPercent, '% of a core'),
+    row(`${scenario}: other process`, other.residentMebibytes, 'MiB'),
+    row(`${scenario}: other process`, other.bytesPerSecond / 1_000, 'KB/s'),
   ];
   if (startsPerSecond === 0) return rows;
-  const milliseconds = scheduler.processorPercent * CPU_MS_PER_SECOND_PERCENT;
-  const perStart = milliseconds / startsPerSecond;
-  return [...rows, row(`${where}: scheduler, a start`, perStart, 'ms')];
+  const cpuMsPerSecond = scheduler.processorPercent * CPU_MS_PER_SECOND_PERCENT;
+  const cpuMsPerStart = cpuMsPerSecond / startsPerSecond;
+  return [...rows, row(`${scenario}: scheduler, a start`, cpuMsPerStart, 'ms')];
 }
 
 function row(name: string, figure: number, unit: string): benchRow.BenchRow {
--- a/bench/core_driver.ts
+++ b/bench/core_driver.ts
@@ -8,7 +8,7 @@
 import type * as resources from '../src/machines/resources.js';
 import type * as task from '../src/contracts/task.js';
 
-/** What the driven process has around it. */
+/** Fleet, documents and seed of a driven decision core. */
 export interface CoreDriverOptions {
   readonly seed: number;
   readonly workerCount: number;
@@ -16,10 +16,10 @@
   readonly documents: ReadonlyMap<string, string>;
 }
 
-/** Time that the core spent on events of one kind. */
+/** Number of events of one kind and the time that the core spent on them. */
 export interface EventCost {
   readonly count: number;
-  readonly milliseconds: number;
+  readonly totalMs: number;
 }
 
 interface RunningTask {
@@ -28,11 +28,11 @@
 }
 
 /**
- * Drives one decision core with injected time and answers every effect at
- * once, so that only the core's own cost is measured.
+ * Drives one decision core in virtual time and answers every effect at once, so
+ * that only the cost of the core itself is measured.
  */
 export class CoreDriver {
-  private readonly core: loop.EventHandler;
+  private readonly decisionCore: loop.EventHandler;
   private readonly log = new fakeLog.FakeLog(1_000_000);
   private readonly eventQueue: event.Event[] = [];
   private readonly running = new Map<string, Map<string, RunningTask>>();
@@ -44,7 +44,7 @@
   private nextCall = 1;
 
   constructor(private readonly options: CoreDriverOptions) {
-    this.core = new entryVm.EntryVm({
+    this.decisionCore = new entryVm.EntryVm({
       self: {
         process: 'zone-a.entry-1.1',
         vm: 'entry-1',
@@ -67,25 +67,25 @@
     }
   }
 
-  /** Current injected time in milliseconds. */
+  /** Returns the virtual time in milliseconds. */
   now(): number {
     return this.timeMs;
   }
 
-  /** Lets injected time pass, with a turn whenever one is due. */
-  advance(duration: number): void {
-    const end = this.timeMs + duration;
+  /** Advances virtual time and runs a turn whenever a deadline is due. */
+  advance(durationMs: number): void {
+    const endMs = this.timeMs + durationMs;
     for (;;) {
-      this.drain();
-      const due = this.core.nextDeadline(this.timeMs);
-      if (due > end) break;
-      this.timeMs = Math.max(this.timeMs + 1, due);
+      this.handleQueuedEvents();
+      const dueMs = this.decisionCore.nextDeadline(this.timeMs);
+      if (dueMs > endMs) break;
+      this.timeMs = Math.max(this.timeMs + 1, dueMs);
       this.eventQueue.push({kind: 'timePassed'});
     }
-    this.timeMs = end;
+    this.timeMs = endMs;
   }
 
-  /** Sends a request with a reserved identity and returns the identity. */
+  /** Reserves an identity, submits a request under it and returns it. */
   submit(team: string, workload: string, payload: string): string {
     const client = 'client';
     const reserve = this.allocateCall();
@@ -95,7 +95,7 @@
       client,
       count: 1,
     });
-    this.drain();
+    this.handleQueuedEvents();
     const identity = this.replies.get(reserve)?.identities?.[0] ?? '';
     this.replies.clear();
     this.eventQueue.push({
@@ -106,53 +106,53 @@
       submission: {team, workload, payload},
       waitMs: 0,
     });
-    this.drain();
+    this.handleQueuedEvents();
     return identity;
   }
 
-  /** Lets the oldest `count` running tasks finish. */
+  /** Finishes the first `count` running tasks, worker by worker. */
   finishTasks(count: number): void {
     let left = count;
     for (const tasks of this.running.values()) {
-      for (const [name, driven] of tasks) {
+      for (const [name, runningTask] of tasks) {
         if (left === 0) break;
         left -= 1;
         tasks.delete(name);
         this.eventQueue.push({
           kind: 'taskAnswerArrived',
-          worker: driven.worker,
+          worker: runningTask.worker,
           task: name,
           state: 'finished',
           answer: 'done',
         });
       }
     }
-    this.drain();
+    this.handleQueuedEvents();
   }
 
-  /** Tasks that run now. */
+  /** Returns the number of running tasks. */
   runningCount(): number {
     let count = 0;
     for (const tasks of this.running.values()) count += tasks.size;
     return count;
   }
 
-  /** Cost by event kind since the last reset. */
+  /** Returns the costs since the last reset by event kind. */
   eventCosts(): ReadonlyMap<string, EventCost> {
     return this.costsByKind;
   }
 
-  /** Effects by kind since the last reset. */
+  /** Returns the number of effects since the last reset by kind. */
   effectCounts(): ReadonlyMap<string, number> {
     return this.effectCountsByKind;
   }
 
-  /** Bytes of the JSON of the effects by kind since the last reset. */
+  /** Returns the JSON size of the effects since the last reset by kind. */
   effectBytes(): ReadonlyMap<string, number> {
     return this.effectBytesByKind;
   }
 
-  /** Forgets costs and counts. */
+  /** Resets costs, counts and sizes to zero. */
   resetCosts(): void {
     this.costsByKind.clear();
     this.effectCountsByKind.clear();
@@ -164,17 +164,17 @@
     return this.nextCall;
   }
 
-  private drain(): void {
+  private handleQueuedEvents(): void {
     for (;;) {
       const next = this.eventQueue.shift();
       if (next === undefined) return;
-      const before = performance.now();
-      const effects = this.core.handle(next, this.timeMs);
-      const spent = performance.now() - before;
+      const startedAtMs = performance.now();
+      const effects = this.decisionCore.handle(next, this.timeMs);
+      const spentMs = performance.now() - startedAtMs;
       const known = this.costsByKind.get(next.kind);
       this.costsByKind.set(next.kind, {
         count: (known?.count ?? 0) + 1,
-        milliseconds: (known?.milliseconds ?? 0) + spent,
+        totalMs: (known?.totalMs ?? 0) + spentMs,
       });
       for (const wanted of effects) this.perform(wanted);
     }
--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -8,31 +8,31 @@
 
 const SEED = 101;
 
-/** Sizes of the fleet; the last one is the scale target. */
+/** Numbers of workers of the measured fleets; the last is the scale target. */
 const WORKER_COUNTS = [30, 300, 900, 2_700] as const;
 
-/** Tasks a worker runs at the target: 25,000 on 2,700. */
-const TASKS_PER_WORKER = 25_000 / 2_700;
+/** Running tasks per worker at the scale target: 25,000 on 2,700 workers. */
+const TARGET_TASKS_PER_WORKER = 25_000 / 2_700;
 
 const TEAM_COUNT = 72;
 
-const CAPACITY = scheduling.size(16_000, 32_768, 2, 16);
+const WORKER_CAPACITY = scheduling.size(16_000, 32_768, 2, 16);
 
-/** Injected time between decisions: 610 starts a second. */
+/** Virtual time between decisions: 610 starts a second. */
 const DECISION_INTERVAL_MS = 1_000 / 610;
 
-/** Requests of each team that wait in the run with a full fleet. */
+/** Waiting requests of each team in the run with a full fleet. */
 const BACKLOG_PER_TEAM = 20;
 
-/** Ends measured with a full fleet; each reopens every waiting lane. */
+/** Task ends measured with a full fleet; each reopens every waiting lane. */
 const MEASURED_BACKLOG_ENDS = 300;
 
 const WARM_UP_DECISIONS = 5_000;
 
 const MEASURED_DECISIONS = 30_000;
 
-/** Every fifth running task at the target belongs to a service. */
-const TASKS_PER_SERVICE_TASK = 5;
+/** Every fifth task that fills the fleet belongs to a service. */
+const SERVICE_TASK_INTERVAL = 5;
 
 const SERVICE_WORKLOAD = scheduling.workloadOf({
   name: 'watch',
@@ -58,25 +58,25 @@
 }
 
 interface DecisionFigures {
-  readonly perSecond: number;
+  readonly decisionsPerSecond: number;
   readonly p99Ms: number;
   readonly runningCount: number;
 }
 
-/** Ends one task and starts one, again and again, and times the decisions. */
+/** Ends and starts tasks on a fleet and measures the cost of the decisions. */
 class DecisionRun {
   private readonly random = new randomSource.SeededRandom(SEED);
   private readonly workloads = batchWorkloads(this.random);
   private readonly requests = new schedulerUnderTest.RequestFactory();
   private readonly scheduler: schedulerUnderTest.ProductionScheduler;
   private readonly running: placement.Placement[] = [];
-  private readonly histogram = hdr.build({
+  private readonly costHistogram = hdr.build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 10_000_000,
     numberOfSignificantValueDigits: 3,
   });
   private nowMs = 0;
-  private spentMs = 0;
+  private totalCostMs = 0;
   private waitingCount = 0;
   private decisionCount = 0;
 
@@ -87,36 +87,36 @@
     const teams = Array.from({length: TEAM_COUNT}, (_, index) =>
       scheduling.teamOf(`team-${index}`),
     );
-    const capacity = CAPACITY;
+    const capacity = WORKER_CAPACITY;
     const options = {seed: SEED, workerCount, capacity, teams};
     this.scheduler = new schedulerUnderTest.ProductionScheduler(options);
   }
 
-  /** Fills the fleet, warms up, and measures. */
+  /** Fills the fleet, warms up, and measures decisions that find free room. */
   measure(): DecisionFigures {
     for (let index = 0; index < this.targetRunning; index += 1) {
       this.admitAndPlace(
-        index % TASKS_PER_SERVICE_TASK === 0
+        index % SERVICE_TASK_INTERVAL === 0
           ? SERVICE_WORKLOAD
           : this.pickWorkload(),
       );
     }
     for (let index = 0; index < WARM_UP_DECISIONS; index += 1) this.swapTask();
-    this.histogram.reset();
-    this.spentMs = 0;
+    this.costHistogram.reset();
+    this.totalCostMs = 0;
     this.decisionCount = 0;
     for (let index = 0; index < MEASURED_DECISIONS; index += 1) this.swapTask();
     return this.figures();
   }
 
-  /** Fills the fleet, keeps a backlog, and measures what each end costs. */
+  /** Fills the fleet, keeps a backlog, and measures the turn of each end. */
   measureBacklog(): DecisionFigures {
     const backlog = BACKLOG_PER_TEAM * TEAM_COUNT;
     for (let index = 0; index < this.targetRunning * 1.5; index += 1) {
       this.admitAndPlace(this.pickWorkload());
     }
-    this.histogram.reset();
-    this.spentMs = 0;
+    this.costHistogram.reset();
+    this.totalCostMs = 0;
     this.decisionCount = 0;
     for (let index = 0; index < MEASURED_BACKLOG_ENDS; index += 1) {
       this.endOne();
@@ -128,8 +128,8 @@
 
   private figures(): DecisionFigures {
     return {
-      perSecond: this.decisionCount / (this.spentMs / 1_000),
-      p99Ms: this.histogram.getValueAtPercentile(99) / 1_000,
+      decisionsPerSecond: this.decisionCount / (this.totalCostMs / 1_000),
+      p99Ms: this.costHistogram.getValueAtPercentile(99) / 1_000,
       runningCount: this.running.length,
     };
   }
@@ -144,34 +144,34 @@
     const ended = this.running[position];
     const last = this.running.pop();
     if (last !== undefined && last !== ended) this.running[position] = last;
-    this.scheduler.ended(ended, this.nowMs);
+    this.scheduler.taskEnded(ended, this.nowMs);
   }
 
-  private admitAndPlace(described: workload.Workload): void {
-    const elapsed = this.admit(described);
-    this.place(elapsed);
+  private admitAndPlace(definition: workload.Workload): void {
+    const admissionMs = this.admit(definition);
+    this.place(admissionMs);
   }
 
-  /** Returns the time that the admission took. */
-  private admit(described: workload.Workload): number {
-    const name = `team-${this.random.below(TEAM_COUNT)}`;
-    const built = this.requests.next(name, described, this.nowMs);
-    const before = performance.now();
-    if (this.scheduler.admit(built, this.nowMs)) this.waitingCount += 1;
-    return performance.now() - before;
+  /** Admits a request and returns the time that it took in milliseconds. */
+  private admit(definition: workload.Workload): number {
+    const teamName = `team-${this.random.below(TEAM_COUNT)}`;
+    const request = this.requests.create(teamName, definition, this.nowMs);
+    const startedAtMs = performance.now();
+    if (this.scheduler.admit(request, this.nowMs)) this.waitingCount += 1;
+    return performance.now() - startedAtMs;
   }
 
   private place(admissionMs = 0): void {
     this.nowMs += DECISION_INTERVAL_MS;
-    const before = performance.now();
+    const startedAtMs = performance.now();
     const placed = this.scheduler.place(this.nowMs);
-    const elapsed = performance.now() - before + admissionMs;
-    this.histogram.recordValue(Math.max(1, Math.round(elapsed * 1_000)));
-    this.spentMs += elapsed;
+    const elapsedMs = performance.now() - startedAtMs + admissionMs;
+    this.costHistogram.recordValue(Math.max(1, Math.round(elapsedMs * 1_000)));
+    this.totalCostMs += elapsedMs;
     this.decisionCount += placed.length;
     this.waitingCount -= placed.length;
     for (const placement of placed) {
-      this.scheduler.started(placement, this.nowMs);
+      this.scheduler.taskStarted(placement, this.nowMs);
       this.running.push(placement);
     }
     this.scheduler.takeCheckpoints();
@@ -183,15 +183,15 @@
 }
 
 function figureRows(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
-  const target = Math.round(workerCount * TASKS_PER_WORKER);
-  const figures = new DecisionRun(workerCount, target).measure();
+  const targetRunning = Math.round(workerCount * TARGET_TASKS_PER_WORKER);
+  const figures = new DecisionRun(workerCount, targetRunning).measure();
   const name = `decisions at ${workerCount} workers, ${figures.runningCount} tasks`;
   const row = {seed: SEED, baseline: ''};
   return [
     {
       ...row,
       name,
-      figure: Math.round(figures.perSecond),
+      figure: Math.round(figures.decisionsPerSecond),
       unit: 'per second',
       goal: 'at least 5000',
     },
@@ -206,21 +206,21 @@
 }
 
 function backlogRows(workerCount: number): ReadonlyArray<benchRow.BenchRow> {
-  const target = Math.round(workerCount * TASKS_PER_WORKER);
-  const figures = new DecisionRun(workerCount, target).measureBacklog();
-  const where = `a full fleet of ${workerCount} workers and a backlog`;
+  const targetRunning = Math.round(workerCount * TARGET_TASKS_PER_WORKER);
+  const figures = new DecisionRun(workerCount, targetRunning).measureBacklog();
+  const scenario = `a full fleet of ${workerCount} workers and a backlog`;
   const row = {seed: SEED, baseline: ''};
   return [
     {
       ...row,
-      name: `decisions with ${where}, ${figures.runningCount} tasks`,
-      figure: Math.round(figures.perSecond),
+      name: `decisions with ${scenario}, ${figures.runningCount} tasks`,
+      figure: Math.round(figures.decisionsPerSecond),
       unit: 'per second',
       goal: 'at least 5000',
     },
     {
       ...row,
-      name: `p99 of a turn with ${where}`,
+      name: `p99 of a turn with ${scenario}`,
       figure: figures.p99Ms,
       unit: 'ms',
       goal: 'under 2',
@@ -228,20 +228,20 @@
   ];
 }
 
-/** Speed of decisions by size of the fleet. */
+/** Measures the rate and latency of decisions by the size of the fleet. */
 export function measure(): ReadonlyArray<benchRow.BenchRow> {
-  // The first run only lets the compiler finish, so that sizes compare.
+  // Warms up the JIT compiler, so that the fleet sizes are comparable.
   new DecisionRun(300, 2_000).measure();
   const rows = WORKER_COUNTS.flatMap(figureRows);
   const rates = rows.filter(row => row.unit === 'per second');
-  const growth = rates[0].figure / rates[rates.length - 1].figure;
-  const grown: benchRow.BenchRow = {
+  const growthFactor = rates[0].figure / rates[rates.length - 1].figure;
+  const growthRow: benchRow.BenchRow = {
     name: 'growth of the cost of a decision from 30 to 2,700 workers',
-    figure: Number(growth.toFixed(2)),
+    figure: Number(growthFactor.toFixed(2)),
     unit: 'times',
     seed: SEED,
     goal: 'under 2',
     baseline: '',
   };
-  return [...rows, grown, ...backlogRows(30), ...backlogRows(2_700)];
+  return [...rows, growthRow, ...backlogRows(30), ...backlogRows(2_700)];
 }
--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -142,7 +142,7 @@
     const {simulation, random} = this.environment;
     const processes = [...simulation.processes.values()];
     const ownZoneProcesses = processes.filter(
-      process => process.zone === this.zone,
+      entry => entry.zone === this.zone,
     );
     const candidates =
       ownZoneProcesses.length > 0 && random.below(5) > 0
@@ -152,11 +152,11 @@
       this.retryLater(() => onReply(undefined));
       return;
     }
-    const process = candidates[random.below(candidates.length)];
+    const entry = candidates[random.below(candidates.length)];
     simulation.network.call<effect.Reply>(
       this,
-      process,
-      respond => process.receive(buildEvent, respond),
+      entry,
+      respond => entry.receive(buildEvent, respond),
       onReply,
       () => onReply(undefined),
       CALL_TIMEOUT_MS,
--- a/bench/fakes/simulated_entry_process.ts
+++ b/bench/fakes/simulated_entry_process.ts
@@ -22,9 +22,9 @@
   readonly reader: configuration.DocumentReader;
   listVms(): ReadonlyArray<event.ListedVm>;
   runTimeMs(payload: string): number;
-  recordEffect(process: SimulatedEntryProcess, effect: effect.Effect): void;
+  recordEffect(entry: SimulatedEntryProcess, effect: effect.Effect): void;
   /** Called when a process ends itself and has to be restarted. */
-  processEnded(process: SimulatedEntryProcess): void;
+  processEnded(entry: SimulatedEntryProcess): void;
 }
 
 const PLATFORM_ENDPOINT: fakeNetwork.Endpoint = {name: 'platform', zone: ''};
@@ -389,7 +389,7 @@
   /** Returns the process on a VM, whose address survives restarts. */
   private processAt(address: string): SimulatedEntryProcess | undefined {
     return [...this.simulation.processes.values()].find(
-      process => process.vm === address,
+      entry => entry.vm === address,
     );
   }
 
--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -6,7 +6,7 @@
 import type * as schedulerUnderTest from './scheduler_under_test.js';
 
 /**
- * Plain baseline: first come, first served onto the first worker that fits,
+ * Baseline scheduler: first come, first served onto the first worker that fits,
  * with declared sizes and one bounded queue for all teams.
  */
 export class FirstFitBaseline implements schedulerUnderTest.SchedulerUnderTest {
@@ -19,16 +19,16 @@
     options: schedulerUnderTest.SchedulerUnderTestOptions,
     private readonly queueLimit: number,
   ) {
-    const made: worker.Worker[] = [];
+    const workers: worker.Worker[] = [];
     for (let index = 0; index < options.workerCount; index += 1) {
       const name = `worker-${index}`;
-      const created = new worker.Worker({name, zone: '', address: name});
+      const added = new worker.Worker({name, zone: '', address: name});
       const {capacity} = options;
       const known = {worker: name, workerClock: 0, capacity, rack: ''};
-      created.update({...known, leaving: false, tasks: []}, 0);
-      made.push(created);
+      added.update({...known, leaving: false, tasks: []}, 0);
+      workers.push(added);
     }
-    this.workers = made;
+    this.workers = workers;
   }
 
   admit(admitted: request.Request): boolean {
@@ -56,28 +56,28 @@
     return [];
   }
 
-  started(): void {}
+  taskStarted(): void {}
 
-  ended(placement: placement.Placement): void {
+  taskEnded(placement: placement.Placement): void {
     placement.worker.release(placement.task);
   }
 
-  checkpointed(): void {}
+  taskCheckpointed(): void {}
 
-  report(): void {}
+  reportUsage(): void {}
 
   private placeOne(
-    waiting: request.Request,
-    _now: clock.Milliseconds,
+    pending: request.Request,
+    _nowMs: clock.Milliseconds,
   ): placement.Placement | undefined {
     this.placementAttempts += 1;
-    const task = `${waiting.identity}/0.${this.placementAttempts}`;
-    const label = placementPolicy.labelOf(waiting);
-    const {size} = waiting;
+    const task = `${pending.identity}/0.${this.placementAttempts}`;
+    const label = placementPolicy.labelOf(pending);
+    const {size} = pending;
     const target = this.workers.find(candidate =>
       candidate.reserve({task, label, size}),
     );
     if (target === undefined) return undefined;
-    return {request: waiting, task, worker: target, size};
+    return {request: pending, task, worker: target, size};
   }
 }
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -16,30 +16,30 @@
 
 const SLOTS_PER_WORKER = 8;
 
-const SLOTS = WORKER_COUNT * SLOTS_PER_WORKER;
+const FLEET_SLOTS = WORKER_COUNT * SLOTS_PER_WORKER;
 
-/** Eight tasks of this size fill a worker. */
+/** A worker has room for eight tasks of this size. */
 const TASK_SIZE = scheduling.size(2_000, 4_096);
 
-const TEAMS = ['one', 'two', 'three', 'four'] as const;
+const OTHER_TEAMS = ['one', 'two', 'three', 'four'] as const;
 
 const FLOOD_TEAM = 'flood';
 
-/** Load of the four teams together without the flood. */
+/** Load of the four other teams together, as a fraction of the fleet. */
 const BASE_LOAD = 0.6;
 
-/** Load of the flood alone. */
+/** Load of the flood, as a multiple of the fleet. */
 const FLOOD_LOAD = 10;
 
 const RUN_TIME_MS = 1_000;
 
-/** Requests that a team may have waiting. */
+/** Largest number of waiting requests of a team. */
 const QUEUE_LIMIT = 1_000;
 
-/** Network time that every start has besides its wait for room. */
+/** Network delay of every start, in addition to the wait for room. */
 const NETWORK_DELAY_MS = 4;
 
-/** Time that a checkpoint takes to free its room. */
+/** Time from the request of a checkpoint until its room is free. */
 const CHECKPOINT_DURATION_MS = 500;
 
 const WARM_UP_MS = 60_000;
@@ -53,19 +53,19 @@
 }
 
 interface FloodFigures {
-  /** Starts of the other teams in the measured time. */
+  /** Starts of the other teams during the measurement. */
   readonly otherStarts: number;
   readonly p99Ms: number;
-  /** Tasks of the flood that ended in the measured time. */
+  /** Tasks of the flood that ended during the measurement. */
   readonly floodEnds: number;
   readonly longestUrgentWaitMs: number;
 }
 
 interface RequestStream {
   readonly team: string;
-  readonly described: workload.Workload;
+  readonly definition: workload.Workload;
   readonly meanGapMs: clock.Milliseconds;
-  /** Each source has its own, so that a flood changes no other arrival. */
+  /** One per stream, so that a flood does not change other arrivals. */
   readonly random: randomSource.RandomSource;
   nextArrivalMs: clock.Milliseconds;
 }
@@ -82,55 +82,69 @@
   urgency: 'urgent',
 };
 
-/** Every tenth request of the other teams is urgent. */
+/** Fraction of the other teams' requests that are urgent. */
 const URGENT_SHARE = 0.1;
 
 function requestStreams(
   flood: Flood | undefined,
 ): ReadonlyArray<RequestStream> {
-  const perTeam = (RUN_TIME_MS * TEAMS.length) / (BASE_LOAD * SLOTS);
-  const made = TEAMS.flatMap((team, index) => [
-    requestStream(team, BASE_WORKLOAD, perTeam / (1 - URGENT_SHARE), 2 * index),
-    requestStream(team, URGENT_WORKLOAD, perTeam / URGENT_SHARE, 2 * index + 1),
+  const teamGapMs =
+    (RUN_TIME_MS * OTHER_TEAMS.length) / (BASE_LOAD * FLEET_SLOTS);
+  const streams = OTHER_TEAMS.flatMap((team, index) => [
+    requestStream(
+      team,
+      BASE_WORKLOAD,
+      teamGapMs / (1 - URGENT_SHARE),
+      2 * index,
+    ),
+    requestStream(
+      team,
+      URGENT_WORKLOAD,
+      teamGapMs / URGENT_SHARE,
+      2 * index + 1,
+    ),
   ]);
-  if (flood === undefined) return made;
+  if (flood === undefined) return streams;
   const {urgency, runTimeMs} = flood;
-  const described = {
+  const definition = {
     ...BASE_WORKLOAD,
     name: 'flood',
     worth: 0,
     urgency,
     runTimeMs,
   };
-  const meanGapMs = runTimeMs / (FLOOD_LOAD * SLOTS);
+  const meanGapMs = runTimeMs / (FLOOD_LOAD * FLEET_SLOTS);
   return [
-    ...made,
-    requestStream(FLOOD_TEAM, described, meanGapMs, made.length),
+    ...streams,
+    requestStream(FLOOD_TEAM, definition, meanGapMs, streams.length),
   ];
 }
 
 function requestStream(
   team: string,
-  described: workload.Workload,
+  definition: workload.Workload,
   meanGapMs: clock.Milliseconds,
   index: number,
 ): RequestStream {
   const random = new randomSource.SeededRandom(SEED + index);
-  return {team, described, meanGapMs, random, nextArrivalMs: 0};
+  return {team, definition, meanGapMs, random, nextArrivalMs: 0};
 }
 
-function exponential(random: randomSource.RandomSource, mean: number): number {
+function drawExponential(
+  random: randomSource.RandomSource,
+  mean: number,
+): number {
   const uniform = (random.below(1_000_000) + 1) / 1_000_001;
   return -Math.log(uniform) * mean;
 }
 
-/** Runs the usual load, with or without a flood of one kind of work. */
+/** Runs the base load in virtual time, with or without a flood. */
 class FloodRun {
-  /** Run time that each waiting or running request still needs. */
+  /** Remaining run time of each waiting or running request, by identity. */
   private readonly remainingRunTimesMs = new Map<string, clock.Milliseconds>();
   private readonly requests = new schedulerUnderTest.RequestFactory();
-  private readonly tasks = new runningTasks.RunningTasks();
-  private readonly checkpoints = new runningTasks.RunningTasks();
+  private readonly runningTasks = new runningTasks.RunningTasks();
+  private readonly runningCheckpoints = new runningTasks.RunningTasks();
   private readonly waitHistogram = hdr.build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 1_000_000_000,
@@ -146,17 +160,17 @@
   ) {}
 
   run(): FloodFigures {
-    for (const source of this.streams) this.scheduleNextArrival(source, 0);
+    for (const stream of this.streams) this.scheduleNextArrival(stream, 0);
     let now = 0;
     while (now < WARM_UP_MS + MEASURED_MS) {
-      now = this.nextTime();
+      now = this.nextEventMs();
       this.endTasks(now);
       this.admitArrivals(now);
       for (const placement of this.scheduler.place(now)) {
-        this.start(placement, now);
+        this.startTask(placement, now);
       }
       for (const task of this.scheduler.takeCheckpoints()) {
-        this.checkpoint(task, now);
+        this.checkpointTask(task, now);
       }
     }
     return {
@@ -167,78 +181,82 @@
     };
   }
 
-  private nextTime(): clock.Milliseconds {
-    const arrivals = this.streams.map(source => source.nextArrivalMs);
+  private nextEventMs(): clock.Milliseconds {
+    const arrivals = this.streams.map(stream => stream.nextArrivalMs);
     return Math.min(
-      this.tasks.nextEndMs(),
-      this.checkpoints.nextEndMs(),
+      this.runningTasks.nextEndMs(),
+      this.runningCheckpoints.nextEndMs(),
       ...arrivals,
     );
   }
 
   private scheduleNextArrival(
-    source: RequestStream,
+    stream: RequestStream,
     now: clock.Milliseconds,
   ): void {
-    source.nextArrivalMs = now + exponential(source.random, source.meanGapMs);
+    stream.nextArrivalMs =
+      now + drawExponential(stream.random, stream.meanGapMs);
   }
 
   private endTasks(now: clock.Milliseconds): void {
-    for (const {placement} of this.tasks.takeEnded(now)) {
-      this.scheduler.ended(placement, now);
+    for (const {placement} of this.runningTasks.takeEnded(now)) {
+      this.scheduler.taskEnded(placement, now);
       this.remainingRunTimesMs.delete(placement.request.identity);
       const isFlood = placement.request.team === FLOOD_TEAM;
       if (isFlood && now >= WARM_UP_MS) this.floodEnds += 1;
     }
-    for (const {placement} of this.checkpoints.takeEnded(now)) {
-      this.scheduler.checkpointed(placement, now);
+    for (const {placement} of this.runningCheckpoints.takeEnded(now)) {
+      this.scheduler.taskCheckpointed(placement, now);
     }
   }
 
-  private checkpoint(task: string, now: clock.Milliseconds): void {
-    const running = this.tasks.stop(task);
+  private checkpointTask(task: string, now: clock.Milliseconds): void {
+    const running = this.runningTasks.remove(task);
     if (running === undefined) return;
     const {identity} = running.placement.request;
     this.remainingRunTimesMs.set(identity, running.endsAtMs - now);
-    this.checkpoints.start(running.placement, now, CHECKPOINT_DURATION_MS);
+    this.runningCheckpoints.add(running.placement, now, CHECKPOINT_DURATION_MS);
   }
 
   private admitArrivals(now: clock.Milliseconds): void {
-    for (const source of this.streams) {
-      if (source.nextArrivalMs > now) continue;
-      const {team, described, random} = source;
-      const built = this.requests.next(team, described, now);
-      const runTimeMs = exponential(random, described.runTimeMs);
-      if (this.scheduler.admit(built, now)) {
-        this.remainingRunTimesMs.set(built.identity, runTimeMs);
+    for (const stream of this.streams) {
+      if (stream.nextArrivalMs > now) continue;
+      const {team, definition, random} = stream;
+      const request = this.requests.create(team, definition, now);
+      const runTimeMs = drawExponential(random, definition.runTimeMs);
+      if (this.scheduler.admit(request, now)) {
+        this.remainingRunTimesMs.set(request.identity, runTimeMs);
       }
-      this.scheduleNextArrival(source, now);
+      this.scheduleNextArrival(stream, now);
     }
   }
 
-  private start(placement: placement.Placement, now: clock.Milliseconds): void {
+  private startTask(
+    placement: placement.Placement,
+    now: clock.Milliseconds,
+  ): void {
     const {request} = placement;
-    this.scheduler.started(placement, now);
+    this.scheduler.taskStarted(placement, now);
     const runTimeMs = this.remainingRunTimesMs.get(request.identity) ?? 0;
-    this.tasks.start(placement, now, runTimeMs);
+    this.runningTasks.add(placement, now, runTimeMs);
     if (now >= WARM_UP_MS) this.recordWait(request, now);
   }
 
   private recordWait(started: request.Request, now: clock.Milliseconds): void {
     if (started.team === FLOOD_TEAM) return;
     this.otherStarts += 1;
-    const wait = now - started.arrivedAt + NETWORK_DELAY_MS;
-    this.waitHistogram.recordValue(Math.round(wait * 1_000));
+    const waitMs = now - started.arrivedAt + NETWORK_DELAY_MS;
+    this.waitHistogram.recordValue(Math.round(waitMs * 1_000));
     if (started.workload.urgency === 'urgent') {
-      this.longestUrgentWaitMs = Math.max(this.longestUrgentWaitMs, wait);
+      this.longestUrgentWaitMs = Math.max(this.longestUrgentWaitMs, waitMs);
     }
   }
 }
 
 type SchedulerKind = 'scheduler' | 'baseline';
 
-function run(kind: SchedulerKind, flood: Flood | undefined): FloodFigures {
-  const teams = [...TEAMS, FLOOD_TEAM].map(name =>
+function runFlood(kind: SchedulerKind, flood: Flood | undefined): FloodFigures {
+  const teams = [...OTHER_TEAMS, FLOOD_TEAM].map(name =>
     scheduling.teamOf(name, {queueLimit: QUEUE_LIMIT}),
   );
   const options: schedulerUnderTest.SchedulerUnderTestOptions = {
@@ -247,26 +265,26 @@
     capacity: scheduling.AUTHORITY_WORKER,
     teams,
   };
-  const subject =
+  const scheduler =
     kind === 'scheduler'
       ? new schedulerUnderTest.ProductionScheduler(options)
       : new firstFitBaseline.FirstFitBaseline(
           options,
           teams.length * QUEUE_LIMIT,
         );
-  return new FloodRun(subject, requestStreams(flood)).run();
+  return new FloodRun(scheduler, requestStreams(flood)).run();
 }
 
-/** Tasks of the flood that some part of the fleet's slots allows. */
-function floodTaskCapacity(flood: Flood, part: number): number {
-  return (part * SLOTS * MEASURED_MS) / flood.runTimeMs;
+/** Returns how many flood tasks a fraction of the fleet can run. */
+function floodTaskCapacity(flood: Flood, fraction: number): number {
+  return (fraction * FLEET_SLOTS * MEASURED_MS) / flood.runTimeMs;
 }
 
 function rowsOf(flood: Flood): ReadonlyArray<benchRow.BenchRow> {
-  const calm = run('scheduler', undefined);
-  const real = run('scheduler', flood);
-  const plainCalm = run('baseline', undefined);
-  const plain = run('baseline', flood);
+  const schedulerWithoutFlood = runFlood('scheduler', undefined);
+  const schedulerWithFlood = runFlood('scheduler', flood);
+  const baselineWithoutFlood = runFlood('baseline', undefined);
+  const baselineWithFlood = runFlood('baseline', flood);
   const row = (
     what: string,
     unit: string,
@@ -274,11 +292,13 @@
     figureOf: (flooded: FloodFigures, usual: FloodFigures) => number,
   ): benchRow.BenchRow => ({
     name: `${flood.name}: ${what}`,
-    figure: Number(figureOf(real, calm).toFixed(3)),
+    figure: Number(
+      figureOf(schedulerWithFlood, schedulerWithoutFlood).toFixed(3),
+    ),
     unit,
     seed: SEED,
     goal,
-    baseline: figureOf(plain, plainCalm).toFixed(3),
+    baseline: figureOf(baselineWithFlood, baselineWithoutFlood).toFixed(3),
   });
   return [
     row(
@@ -305,7 +325,8 @@
       'fraction',
       'above 0.9',
       flooded =>
-        flooded.floodEnds / floodTaskCapacity(flood, 1 / (TEAMS.length + 1)),
+        flooded.floodEnds /
+        floodTaskCapacity(flood, 1 / (OTHER_TEAMS.length + 1)),
     ),
     row(
       'goodput of the flood, part of the room left to it',
@@ -316,7 +337,7 @@
   ];
 }
 
-/** What other teams keep while one team floods the fleet. */
+/** Measures the throughput and waits of other teams during floods. */
 export function measure(): ReadonlyArray<benchRow.BenchRow> {
   const floods: ReadonlyArray<Flood> = [
     {name: 'deferrable flood', urgency: 'deferrable', runTimeMs: RUN_TIME_MS},
--- a/bench/guarantee_checker.ts
+++ b/bench/guarantee_checker.ts
@@ -1,13 +1,13 @@
 import type * as platformCell from '../stand_ins/platform_cell.js';
 import type * as workerModel from '../stand_ins/worker_model.js';
 
-/** Room of a task of the soak's jobs. */
+/** CPU that each task of the soak's jobs reserves, in thousandths of a core. */
 const TASK_CPU_THOUSANDTHS = 1_000;
 
-/** Room of a stand-in worker. */
+/** CPU of a stand-in worker, in thousandths of a core. */
 const WORKER_CPU_THOUSANDTHS = 4_000;
 
-/** Checks what callers and workers saw against the promises of the pages. */
+/** Checks the replies to callers and the runs on workers for breaches. */
 export class GuaranteeChecker {
   readonly breaches: string[] = [];
   private readonly submittedIds = new Set<string>();
@@ -24,32 +24,32 @@
     return [...this.acceptedIds];
   }
 
-  /** A job is about to be handed in. */
+  /** Records that a job is about to be submitted. */
   jobSubmitted(id: string): void {
     this.submittedIds.add(id);
   }
 
-  /** A caller heard that the job was accepted. */
+  /** Records that a caller was told that the job is accepted. */
   jobAccepted(id: string): void {
     this.acceptedIds.add(id);
   }
 
-  /** Every answer about the job said that it was not accepted. */
+  /** Records that all attempts to submit the job were definitely refused. */
   jobRefused(id: string): void {
     this.refusedIds.add(id);
   }
 
-  /** An accepted job is not known any more. */
+  /** Records that an accepted job is no longer known. */
   jobLost(id: string, status: number): void {
     this.breaches.push(`accepted job ${id} is answered with ${status}`);
   }
 
-  /** An accepted job did not complete in time. */
+  /** Records that an accepted job did not complete in time. */
   jobUnfinished(id: string, status: number, state: string): void {
     this.breaches.push(`accepted job ${id} is ${status} ${state} at the end`);
   }
 
-  /** Checks what all workers carried out. */
+  /** Checks the starts and ends of runs on all workers. */
   checkRuns(): void {
     const events = this.cell.workers
       .flatMap(worker => worker.events)
@@ -79,14 +79,14 @@
     runs: ReadonlySet<string>,
     done: ReadonlySet<string>,
   ): void {
-    const what = `${event.task} run ${event.run} on ${event.worker}`;
+    const run = `${event.task} run ${event.run} on ${event.worker}`;
     const [id] = event.task.split('.');
-    if (runs.size > 0) this.breaches.push(`${what} beside ${[...runs].join()}`);
-    if (done.has(event.task)) this.breaches.push(`${what} after its end`);
+    if (runs.size > 0) this.breaches.push(`${run} beside ${[...runs].join()}`);
+    if (done.has(event.task)) this.breaches.push(`${run} after its end`);
     if (!this.submittedIds.has(id)) {
-      this.breaches.push(`${what} was never handed in`);
+      this.breaches.push(`${run} was never submitted`);
     }
-    if (this.refusedIds.has(id)) this.breaches.push(`${what} was refused`);
+    if (this.refusedIds.has(id)) this.breaches.push(`${run} was refused`);
   }
 }
 
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,12 +6,15 @@
 import * as processBench from './process_bench.js';
 import type * as benchRow from './bench_row.js';
 
-const RESULTS = 'bench/results/latest.json';
+const RESULTS_FILE = 'bench/results/latest.json';
 
-type Measure = () => Promise<ReadonlyArray<benchRow.BenchRow>>;
+type MeasurePart = () => Promise<ReadonlyArray<benchRow.BenchRow>>;
 
-/** The parts of the bench, by name. */
-const PARTS: ReadonlyMap<string, Measure> = new Map<string, Measure>([
+/** Parts of the benchmark by the name that --part selects. */
+const BENCH_PARTS: ReadonlyMap<string, MeasurePart> = new Map<
+  string,
+  MeasurePart
+>([
   ['placement', async () => placementBench.measure()],
   ['capacity', async () => capacityBench.measureCapacity()],
   ['process', processBench.measureProcess],
@@ -19,9 +22,9 @@
 ]);
 
 function readPrevious(): ReadonlyMap<string, benchRow.BenchRow> {
-  if (!fs.existsSync(RESULTS)) return new Map();
+  if (!fs.existsSync(RESULTS_FILE)) return new Map();
   const rows = JSON.parse(
-    fs.readFileSync(RESULTS, 'utf8'),
+    fs.readFileSync(RESULTS_FILE, 'utf8'),
   ) as ReadonlyArray<benchRow.BenchRow>;
   return new Map(rows.map(row => [row.name, row]));
 }
@@ -57,7 +60,7 @@
   handler: async ({part, save}) => {
     const previous = readPrevious();
     const rows: benchRow.BenchRow[] = [];
-    for (const [name, measure] of PARTS) {
+    for (const [name, measure] of BENCH_PARTS) {
       if (part !== 'all' && part !== name) continue;
       for (const row of await measure()) {
         printRow(row, previous);
@@ -65,11 +68,11 @@
       }
     }
     if (save) {
-      // Rows of parts that did not run stay as they are.
+      // Keeps the previous rows of parts that did not run.
       const merged = new Map(previous);
       for (const row of rows) merged.set(row.name, row);
       const text = JSON.stringify([...merged.values()], null, 1);
-      fs.writeFileSync(RESULTS, `${text}\n`);
+      fs.writeFileSync(RESULTS_FILE, `${text}\n`);
     }
     process.exit(0);
   },
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -14,19 +14,19 @@
 const WORKER_COUNT = 40;
 
 /** Slots are plentiful, so that processors and memory limit the packing. */
-const CAPACITY = scheduling.size(16_000, 32_768, 0, 64);
+const WORKER_CAPACITY = scheduling.size(16_000, 32_768, 0, 64);
 
 const WORKLOAD_COUNT = 20;
 
-/** Requests kept waiting, so that room is never empty for lack of work. */
+/** Waiting requests, enough that no room is idle for lack of work. */
 const BACKLOG_REQUESTS = 400;
 
 const STEP_MS = 100;
 
-/** Workers report once a second. */
+/** Makes each worker report once a second. */
 const STEPS_PER_REPORT = 10;
 
-/** Time in which sizes are learned, before the measurement. */
+/** Time in which the scheduler learns task sizes before the measurement. */
 const WARM_UP_MS = 240_000;
 
 const MEASURED_MS = 600_000;
@@ -36,46 +36,49 @@
 const MAX_RUN_TIME_MS = 60_000;
 
 interface MisdeclaredWorkload {
-  readonly declared: workload.Workload;
-  readonly used: resources.Resources;
+  readonly definition: workload.Workload;
+  readonly actualUsage: resources.Resources;
 }
 
 function randomFraction(random: randomSource.RandomSource): number {
   return random.below(1_000_000) / 1_000_000;
 }
 
-/** Workloads whose declared sizes are a tenth to ten times what they use. */
+/** Returns workloads that declare a tenth to ten times their actual usage. */
 function misdeclaredWorkloads(
   random: randomSource.RandomSource,
 ): ReadonlyArray<MisdeclaredWorkload> {
   return Array.from({length: WORKLOAD_COUNT}, (_, index) => {
-    const used = scheduling.size(
+    const actualUsage = scheduling.size(
       200 + random.below(1_300),
       400 + random.below(2_600),
     );
     const error = 10 ** (2 * randomFraction(random) - 1);
     const size = scheduling.size(
-      Math.min(CAPACITY.processors, Math.ceil(used.processors * error)),
-      Math.min(CAPACITY.memory, Math.ceil(used.memory * error)),
+      Math.min(
+        WORKER_CAPACITY.processors,
+        Math.ceil(actualUsage.processors * error),
+      ),
+      Math.min(WORKER_CAPACITY.memory, Math.ceil(actualUsage.memory * error)),
     );
-    const declared = scheduling.workloadOf({name: `mix-${index}`, size});
-    return {declared, used};
+    const definition = scheduling.workloadOf({name: `mix-${index}`, size});
+    return {definition, actualUsage};
   });
 }
 
 interface PackingFigures {
-  /** Fraction of the bound that was reached. */
+  /** Used fraction of the offline bound. */
   readonly packing: number;
-  /** Fraction of worker time in which tasks used more than the capacity. */
+  /** Fraction of worker time in which usage exceeded the capacity. */
   readonly overCapacity: number;
 }
 
-/** Keeps a backlog and measures what the workers' capacity is used for. */
+/** Keeps a backlog and measures how much of the workers' capacity is used. */
 class PackingRun {
   private readonly random = new randomSource.SeededRandom(SEED);
   private readonly workloads = misdeclaredWorkloads(this.random);
   private readonly requests = new schedulerUnderTest.RequestFactory();
-  private readonly running = new runningTasks.RunningTasks();
+  private readonly runningTasks = new runningTasks.RunningTasks();
   private readonly usageByTask = new Map<string, resources.Resources>();
   private usedTotal = resources.NONE;
   private sampleCount = 0;
@@ -84,16 +87,19 @@
 
   constructor(
     private readonly scheduler: schedulerUnderTest.SchedulerUnderTest,
-    /** Largest relative difference between tasks of one workload. */
+    /** Largest relative deviation of a task's usage from its workload's. */
     private readonly variation: number,
   ) {}
 
   run(): PackingFigures {
     const end = WARM_UP_MS + MEASURED_MS;
     for (let step = 0; step * STEP_MS < end; step += 1) {
-      this.step(step * STEP_MS, step);
+      this.runStep(step * STEP_MS, step);
     }
-    const total = resources.scale(CAPACITY, WORKER_COUNT * this.sampleCount);
+    const total = resources.scale(
+      WORKER_CAPACITY,
+      WORKER_COUNT * this.sampleCount,
+    );
     return {
       packing: Math.max(
         this.usedTotal.processors / total.processors,
@@ -104,61 +110,62 @@
     };
   }
 
-  private step(now: number, step: number): void {
-    for (const ended of this.running.takeEnded(now)) {
+  private runStep(now: number, step: number): void {
+    for (const ended of this.runningTasks.takeEnded(now)) {
       this.usageByTask.delete(ended.placement.task);
-      this.scheduler.ended(ended.placement, now);
+      this.scheduler.taskEnded(ended.placement, now);
     }
-    if (step % STEPS_PER_REPORT === 0) this.report(now);
+    if (step % STEPS_PER_REPORT === 0) this.reportUsage(now);
     for (; this.waitingCount < BACKLOG_REQUESTS; this.waitingCount += 1) {
-      const {declared} = this.workloads[this.random.below(WORKLOAD_COUNT)];
-      this.scheduler.admit(this.requests.next('team', declared, now), now);
+      const {definition} = this.workloads[this.random.below(WORKLOAD_COUNT)];
+      this.scheduler.admit(this.requests.create('team', definition, now), now);
     }
     for (const placement of this.scheduler.place(now)) {
-      this.start(placement, now);
+      this.startTask(placement, now);
     }
-    if (now >= WARM_UP_MS) this.sample();
+    if (now >= WARM_UP_MS) this.sampleUsage();
   }
 
-  private start(placement: placement.Placement, now: number): void {
+  private startTask(placement: placement.Placement, now: number): void {
     this.waitingCount -= 1;
     const {name} = placement.request.workload;
-    const {used} = this.workloads.find(
-      mix => mix.declared.name === name,
+    const {actualUsage} = this.workloads.find(
+      mix => mix.definition.name === name,
     ) as MisdeclaredWorkload;
-    const spread = 1 + this.variation * (2 * randomFraction(this.random) - 1);
+    const usageFactor =
+      1 + this.variation * (2 * randomFraction(this.random) - 1);
     this.usageByTask.set(placement.task, {
-      ...used,
-      processors: Math.round(used.processors * spread),
-      memory: Math.round(used.memory * spread),
+      ...actualUsage,
+      processors: Math.round(actualUsage.processors * usageFactor),
+      memory: Math.round(actualUsage.memory * usageFactor),
     });
     const runTimeMs =
       MIN_RUN_TIME_MS + this.random.below(MAX_RUN_TIME_MS - MIN_RUN_TIME_MS);
-    this.running.start(placement, now, runTimeMs);
-    this.scheduler.started(placement, now);
+    this.runningTasks.add(placement, now, runTimeMs);
+    this.scheduler.taskStarted(placement, now);
   }
 
-  private report(now: number): void {
+  private reportUsage(now: number): void {
     for (const target of this.scheduler.workers) {
-      this.scheduler.report(target, task => this.usageOf(task), now);
+      this.scheduler.reportUsage(target, task => this.usageOf(task), now);
     }
     for (const task of this.scheduler.takeCheckpoints()) {
-      const stopped = this.running.stop(task);
+      const stopped = this.runningTasks.remove(task);
       if (stopped === undefined) continue;
       this.usageByTask.delete(task);
-      this.scheduler.checkpointed(stopped.placement, now);
+      this.scheduler.taskCheckpointed(stopped.placement, now);
       this.waitingCount += 1;
     }
   }
 
-  private sample(): void {
+  private sampleUsage(): void {
     this.sampleCount += 1;
     for (const target of this.scheduler.workers) {
       const sum = this.usageOn(target);
-      if (!resources.fits(sum, CAPACITY)) this.overCapacitySamples += 1;
+      if (!resources.fits(sum, WORKER_CAPACITY)) this.overCapacitySamples += 1;
       this.usedTotal = resources.add(
         this.usedTotal,
-        resources.minimum(sum, CAPACITY),
+        resources.minimum(sum, WORKER_CAPACITY),
       );
     }
   }
@@ -180,20 +187,25 @@
   return {
     seed: SEED,
     workerCount: WORKER_COUNT,
-    capacity: CAPACITY,
+    capacity: WORKER_CAPACITY,
     teams: [scheduling.teamOf('team')],
   };
 }
 
 function rowsAt(variation: number): ReadonlyArray<benchRow.BenchRow> {
-  const real = new schedulerUnderTest.ProductionScheduler(schedulerOptions());
-  const plain = new firstFitBaseline.FirstFitBaseline(schedulerOptions(), 1e6);
-  const figures = new PackingRun(real, variation).run();
-  const baseline = new PackingRun(plain, variation).run();
-  const which = `tasks of a workload within ${variation * 100}%`;
+  const schedulerRun = new schedulerUnderTest.ProductionScheduler(
+    schedulerOptions(),
+  );
+  const baselineScheduler = new firstFitBaseline.FirstFitBaseline(
+    schedulerOptions(),
+    1e6,
+  );
+  const figures = new PackingRun(schedulerRun, variation).run();
+  const baseline = new PackingRun(baselineScheduler, variation).run();
+  const scenario = `tasks of a workload within ${variation * 100}%`;
   return [
     {
-      name: `packing, share of the offline bound, ${which}`,
+      name: `packing, share of the offline bound, ${scenario}`,
       figure: Number(figures.packing.toFixed(3)),
       unit: 'fraction',
       seed: SEED,
@@ -201,7 +213,7 @@
       baseline: baseline.packing.toFixed(3),
     },
     {
-      name: `worker time over capacity, ${which}`,
+      name: `worker time over capacity, ${scenario}`,
       figure: Number(figures.overCapacity.toFixed(5)),
       unit: 'fraction',
       seed: SEED,
@@ -212,9 +224,9 @@
 }
 
 /**
- * Packing with declared sizes wrong by up to a factor of ten. The bound fills
- * the scarcer of processors and memory of every worker at every moment with
- * the tasks that ran.
+ * Measures packing with declared sizes wrong by up to a factor of ten. The
+ * offline bound uses the scarcer of processors and memory of all workers in
+ * full at all times.
  */
 export function measure(): ReadonlyArray<benchRow.BenchRow> {
   return [0, 0.05].flatMap(rowsAt);
--- a/bench/placement_bench.ts
+++ b/bench/placement_bench.ts
@@ -4,7 +4,7 @@
 import * as packingBench from './packing_bench.js';
 import type * as benchRow from './bench_row.js';
 
-/** All figures of admission, shares and placement. */
+/** Measures decisions, packing and floods. */
 export function measure(): ReadonlyArray<benchRow.BenchRow> {
   return [
     ...decisionBench.measure(),
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -7,35 +7,35 @@
 const PROCESS_COUNT = 3;
 const WORKER_COUNT = 4;
 
-/** Time with faults, and the longest time that everything may take after it. */
+/** Time with faults, and the time within which all jobs complete after it. */
 const FAULT_PERIOD_MS = 9_000;
 const RECOVERY_TIMEOUT_MS = 40_000;
 
-/** Time between two faults, and how long one lasts at least and at most. */
+/** Time between two faults, and the range of their durations. */
 const FAULT_INTERVAL_MS = 500;
 const MIN_FAULT_DURATION_MS = 200;
 const FAULT_DURATION_SPREAD_MS = 2_500;
 
-/** Time between two jobs. */
+/** Time between two submissions. */
 const JOB_INTERVAL_MS = 120;
 
-/** Tries of a job, and the pause between them. */
+/** Attempts to submit a job, and the delay before each repetition. */
 const MAX_ATTEMPTS = 10;
 const RETRY_DELAY_MS = 300;
 
-/** Time between two looks at the jobs that are not done. */
+/** Time between two status calls for a job. */
 const POLL_INTERVAL_MS = 100;
 
-/** Longest time of a task. */
+/** Range of the random part of a task's run time. */
 const RUN_TIME_SPREAD_MS = 700;
 
 /** Status of a call that ended without an answer. */
 const NO_ANSWER_STATUS = 0;
 
-/** Answers that say that the job was not accepted. */
+/** HTTP statuses that say that a job was definitely not accepted. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
-/** What one run showed. */
+/** Result of a run with one seed. */
 export interface SoakOutcome {
   readonly breaches: ReadonlyArray<string>;
   readonly acceptedCount: number;
@@ -43,9 +43,9 @@
 }
 
 /**
- * Real processes over the stand-ins under random faults from outside: processes
- * that are killed, paused or told to stop and started again, connections that
- * are reset, delayed or silent in one way or both, and a store that is silent.
+ * Runs real processes over the stand-ins and injects random faults: processes
+ * are killed, paused, or stopped and restarted; connections are reset, delayed
+ * or silent in one or both directions; the store stops answering.
  */
 export class PlatformSoak {
   private readonly random: randomSource.SeededRandom;
@@ -63,7 +63,7 @@
     this.checker = new guaranteeChecker.GuaranteeChecker(cell);
   }
 
-  /** Plays one seed. */
+  /** Runs one seed and returns the breaches of guarantees that it caused. */
   static async runSeed(seed: number): Promise<SoakOutcome> {
     const durations = new randomSource.SeededRandom(seed + 1);
     const cell = await platformCell.PlatformCell.start({
@@ -83,8 +83,8 @@
 
   private async run(): Promise<SoakOutcome> {
     const load = this.submitJobs();
-    const until = performance.now() + FAULT_PERIOD_MS;
-    while (performance.now() < until) {
+    const faultsEndMs = performance.now() + FAULT_PERIOD_MS;
+    while (performance.now() < faultsEndMs) {
       this.activeFaults.push(this.injectFault());
       await timers.setTimeout(FAULT_INTERVAL_MS);
     }
@@ -92,7 +92,7 @@
     await load;
     await Promise.all(this.activeFaults);
     await Promise.all(this.submissions);
-    await this.awaitCompletion();
+    await this.waitForCompletion();
     this.checker.checkRuns();
     return {
       breaches: this.checker.breaches,
@@ -109,7 +109,7 @@
     }
   }
 
-  private async submit(id: string, first: number): Promise<void> {
+  private async submit(id: string, firstProcess: number): Promise<void> {
     const count = 1 + this.randomBelow(4);
     const step = {count, cpu: 1_000, mem_mb: 512, est_runtime_ms: 300};
     const steps = [step, {...step, count: 1, after: [0]}];
@@ -118,7 +118,7 @@
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       if (attempt > 0) await timers.setTimeout(RETRY_DELAY_MS);
       const {processes} = this.cell;
-      const entry = processes[(first + attempt) % processes.length];
+      const entry = processes[(firstProcess + attempt) % processes.length];
       const body = {spec: '{}', steps};
       const {status} = await this.cell.callFront(entry, 'POST', id, body);
       if (status === 200) {
@@ -130,32 +130,30 @@
     if (!mayRun) this.checker.jobRefused(id);
   }
 
-  // Faults.
-
   private async injectFault(): Promise<void> {
-    const lastsMs =
+    const durationMs =
       MIN_FAULT_DURATION_MS + this.randomBelow(FAULT_DURATION_SPREAD_MS);
     switch (this.randomBelow(8)) {
       case 0:
-        return this.endProcess(process => process.child.kill(), lastsMs);
+        return this.endProcess(target => target.child.kill(), durationMs);
       case 1:
-        return this.endProcess(process => {
-          process.child.signal('SIGTERM');
-          return process.child.waitForExit();
-        }, lastsMs);
+        return this.endProcess(target => {
+          target.child.signal('SIGTERM');
+          return target.child.waitForExit();
+        }, durationMs);
       case 2:
-        return this.pauseProcess(lastsMs);
+        return this.pauseProcess(durationMs);
       case 3:
-        return this.silenceStore(lastsMs);
+        return this.silenceStore(durationMs);
       case 4:
-        return this.disturbRelay(this.pick(this.cell.workerRelays), lastsMs);
+        return this.disturbRelay(this.pick(this.cell.workerRelays), durationMs);
       case 5:
         this.pick(this.cell.workerRelays).reset();
         return;
       case 6:
         return this.disturbRelay(
           this.pick(this.cell.processes).storeRelay,
-          lastsMs,
+          durationMs,
         );
       default:
         this.pick(this.cell.processes).storeRelay.reset();
@@ -163,36 +161,36 @@
   }
 
   private async endProcess(
-    end: (process: platformCell.CellProcess) => Promise<unknown>,
-    pauseMs: number,
+    end: (target: platformCell.CellProcess) => Promise<unknown>,
+    downTimeMs: number,
   ): Promise<void> {
-    const process = this.pick(this.cell.processes);
-    if (this.disturbedProcesses.has(process)) return;
-    this.disturbedProcesses.add(process);
-    await end(process);
-    await timers.setTimeout(pauseMs);
-    await this.cell.restart(process);
+    const target = this.pick(this.cell.processes);
+    if (this.disturbedProcesses.has(target)) return;
+    this.disturbedProcesses.add(target);
+    await end(target);
+    await timers.setTimeout(downTimeMs);
+    await this.cell.restart(target);
   }
 
-  private async pauseProcess(lastsMs: number): Promise<void> {
-    const process = this.pick(this.cell.processes);
-    if (this.disturbedProcesses.has(process)) return;
-    this.disturbedProcesses.add(process);
-    process.child.signal('SIGSTOP');
-    await timers.setTimeout(lastsMs);
-    process.child.signal('SIGCONT');
-    this.disturbedProcesses.delete(process);
+  private async pauseProcess(durationMs: number): Promise<void> {
+    const target = this.pick(this.cell.processes);
+    if (this.disturbedProcesses.has(target)) return;
+    this.disturbedProcesses.add(target);
+    target.child.signal('SIGSTOP');
+    await timers.setTimeout(durationMs);
+    target.child.signal('SIGCONT');
+    this.disturbedProcesses.delete(target);
   }
 
-  private async silenceStore(lastsMs: number): Promise<void> {
+  private async silenceStore(durationMs: number): Promise<void> {
     this.cell.store.silent = true;
-    await timers.setTimeout(lastsMs);
+    await timers.setTimeout(durationMs);
     this.cell.store.silent = false;
   }
 
   private async disturbRelay(
     relay: faultRelay.FaultRelay,
-    lastsMs: number,
+    durationMs: number,
   ): Promise<void> {
     const modes: ReadonlyArray<faultRelay.RelayMode> = [
       'delay',
@@ -200,17 +198,17 @@
       'silent',
     ];
     relay.mode = this.pick(modes);
-    await timers.setTimeout(lastsMs);
+    await timers.setTimeout(durationMs);
     relay.mode = 'pass';
-    // Connections that lost bytes are of no use any more.
+    // Connections that lost bytes cannot be used again.
     relay.reset();
   }
 
-  private async awaitCompletion(): Promise<void> {
-    const until = performance.now() + RECOVERY_TIMEOUT_MS;
+  private async waitForCompletion(): Promise<void> {
+    const deadlineMs = performance.now() + RECOVERY_TIMEOUT_MS;
     for (const id of this.checker.acceptedJobs()) {
-      for (let look = 0; ; look += 1) {
-        const entry = this.cell.processes[look % PROCESS_COUNT];
+      for (let poll = 0; ; poll += 1) {
+        const entry = this.cell.processes[poll % PROCESS_COUNT];
         const {status, body} = await this.cell.callFront(entry, 'GET', id);
         if (status === 200 && body.state === 'completed') break;
         const isLost =
@@ -218,7 +216,7 @@
           !REFUSAL_STATUSES.has(status) &&
           status !== 200;
         if (isLost && status !== 504) this.checker.jobLost(id, status);
-        if (performance.now() > until) {
+        if (performance.now() > deadlineMs) {
           this.checker.jobUnfinished(id, status, String(body.state));
           break;
         }
--- a/bench/platform_soak_main.ts
+++ b/bench/platform_soak_main.ts
@@ -3,7 +3,7 @@
 
 const soak = commandTypes.command({
   name: 'platform-soak',
-  description: 'Runs the real processes over the stand-ins under faults',
+  description: 'Runs scheduler processes over stand-ins with injected faults',
   args: {
     seeds: commandTypes.option({
       long: 'seeds',
@@ -17,7 +17,7 @@
     }),
   },
   handler: async ({seeds, from}) => {
-    let broken = 0;
+    let failedSeeds = 0;
     for (let seed = from; seed < from + seeds; seed += 1) {
       const outcome = await platformSoak.PlatformSoak.runSeed(seed);
       const {acceptedCount, startCount} = outcome;
@@ -25,10 +25,10 @@
         `seed ${seed} accepted ${acceptedCount} starts ${startCount}` +
           ` broken ${outcome.breaches.length} ${outcome.breaches[0] ?? ''}`,
       );
-      if (outcome.breaches.length > 0) broken += 1;
+      if (outcome.breaches.length > 0) failedSeeds += 1;
     }
-    console.log(`${seeds} seeds, ${broken} with a broken promise`);
-    process.exit(broken === 0 ? 0 : 1);
+    console.log(`${seeds} seeds, ${failedSeeds} with a broken promise`);
+    process.exit(failedSeeds === 0 ? 0 : 1);
   },
 });
 
--- a/bench/process_bench.ts
+++ b/bench/process_bench.ts
@@ -10,18 +10,19 @@
 import * as standInWorker from '../stand_ins/stand_in_worker.js';
 import type * as benchRow from './bench_row.js';
 
-/** Time over which rates are taken. */
+/** Time over which usage and rates are measured. */
 const MEASUREMENT_MS = 15_000;
 
 /**
- * Time for a process to join, claim and read reports, and for its code to be
- * compiled: 8 to 18 s after the start it took 3.5 % of a core, later 1.5 %.
+ * Time for the process to join, claim workers and read reports, and for JIT
+ * compilation. The process used 3.5 % of a core from 8 to 18 s after its start
+ * and 1.5 % later.
  */
 const WARM_UP_MS = 30_000;
 
 const BINARY = 'dist/parsleyknot';
 
-const TEAM = `
+const TEAM_DOCUMENT = `
 name = "dispatch"
 clients = ["workshop-1"]
 share = 1
@@ -42,7 +43,7 @@
 maximumPerRack = 0
 `;
 
-const FLEET = `
+const FLEET_DOCUMENT = `
 zones = [{name = "kigali-a", region = "kigali"}]
 
 [[workerShapes]]
@@ -50,7 +51,7 @@
 zones = ["kigali-a"]
 `;
 
-/** One entry process between stand-ins in this process, over loopback. */
+/** One entry process and the stand-ins around it, connected over loopback. */
 class MeasuredCell {
   private readonly logService = new logService.LogService();
   private readonly vmList = new vmList.VmList();
@@ -59,15 +60,15 @@
   private address = '';
   private folder = '';
 
-  /** Starts the stand-ins and the entry process. */
+  /** Starts the stand-ins and the entry process, and waits for the warm-up. */
   async start(workerCount: number): Promise<void> {
     const log = await this.logService.listen();
     const list = await this.vmList.listen();
     for (let index = 0; index < workerCount; index += 1) {
       await this.addWorker(index);
     }
-    this.publish('fleet', FLEET);
-    this.publish('team/dispatch', TEAM);
+    this.publish('fleet', FLEET_DOCUMENT);
+    this.publish('team/dispatch', TEAM_DOCUMENT);
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bench-'));
     const config = path.join(this.folder, 'settings.toml');
     const lines = [
@@ -92,11 +93,14 @@
     await timers.setTimeout(WARM_UP_MS);
   }
 
-  /** Measures at a steady rate of requests a second; 0 measures at rest. */
-  async measure(rate: number): Promise<processMeter.ProcessUsage> {
+  /** Measures at a constant request rate; 0 measures an idle process. */
+  async measure(requestsPerSecond: number): Promise<processMeter.ProcessUsage> {
     const pid = this.child?.pid ?? 0;
     const sending = new AbortController();
-    const load = rate > 0 ? this.sendRequests(rate, sending.signal) : undefined;
+    const load =
+      requestsPerSecond > 0
+        ? this.sendRequests(requestsPerSecond, sending.signal)
+        : undefined;
     await timers.setTimeout(1_000);
     const before = processMeter.readProcess(pid);
     await timers.setTimeout(MEASUREMENT_MS);
@@ -106,7 +110,7 @@
     return processMeter.usageBetween(before, after);
   }
 
-  /** Ends the process and the stand-ins. */
+  /** Kills the entry process and closes the stand-ins. */
   async stop(): Promise<void> {
     const child = this.child;
     if (child !== undefined && child.exitCode === null) {
@@ -150,7 +154,9 @@
 
   private waitForAddress(): Promise<string> {
     return new Promise((resolve, reject) => {
-      this.child?.once('exit', () => reject(new Error('the process ended')));
+      this.child?.once('exit', () =>
+        reject(new Error('the entry process exited before it served')),
+      );
       let output = '';
       this.child?.stdout?.on('data', (chunk: Buffer) => {
         output = (output + chunk.toString()).slice(-10_000);
@@ -160,16 +166,19 @@
     });
   }
 
-  private async sendRequests(rate: number, signal: AbortSignal): Promise<void> {
+  private async sendRequests(
+    requestsPerSecond: number,
+    signal: AbortSignal,
+  ): Promise<void> {
     const pending: Array<Promise<void>> = [];
     while (!signal.aborted) {
-      pending.push(this.sendOne());
-      await timers.setTimeout(1_000 / rate);
+      pending.push(this.sendRequest());
+      await timers.setTimeout(1_000 / requestsPerSecond);
     }
     await Promise.allSettled(pending);
   }
 
-  private async sendOne(): Promise<void> {
+  private async sendRequest(): Promise<void> {
     const headers = {'x-client': 'workshop-1'};
     const base = `http://${this.address}/v1`;
     const reserved = await undici.request(`${base}/identities`, {
@@ -196,7 +205,7 @@
   }
 }
 
-/** Measures one entry process from outside, at rest and under load. */
+/** Measures the resource usage of one entry process, idle and under load. */
 export async function measureProcess(): Promise<
   ReadonlyArray<benchRow.BenchRow>
 > {
--- a/bench/process_meter.ts
+++ b/bench/process_meter.ts
@@ -1,25 +1,25 @@
 import * as fs from 'node:fs';
 
-/** Clock ticks a second that Linux reports processor time in. */
+/** Unit of the CPU times in /proc: Linux reports 100 clock ticks a second. */
 const TICKS_PER_SECOND = 100;
 
-/** Use of resources by a process at one moment, seen from outside. */
+/** Cumulative resource usage of a process at one moment, read from /proc. */
 export interface ProcessReading {
   readonly atMs: number;
   readonly processorSeconds: number;
   readonly residentBytes: number;
-  /** Bytes that the process read and wrote, over sockets and its output. */
+  /** Bytes that the process has read and written, on sockets and files. */
   readonly ioBytes: number;
 }
 
-/** Use of resources between two readings. */
+/** Resource usage of a process between two readings. */
 export interface ProcessUsage {
   readonly processorPercent: number;
   readonly residentMebibytes: number;
   readonly bytesPerSecond: number;
 }
 
-/** Reads what the system knows of a process. */
+/** Reads the resource usage of a process from /proc. */
 export function readProcess(pid: number): ProcessReading {
   const stat = fs.readFileSync(`/proc/${pid}/stat`, 'utf8');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
@@ -37,7 +37,7 @@
   };
 }
 
-/** Returns the use between two readings. */
+/** Returns the usage between two readings of a process. */
 export function usageBetween(
   earlier: ProcessReading,
   later: ProcessReading,
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -10,7 +10,7 @@
 import type * as effect from '../src/contracts/effect.js';
 import type * as event from '../src/contracts/event.js';
 
-/** The faults that a run injects, each from its own seed stream. */
+/** Faults that a run injects, each from its own random stream. */
 export const FAULTS = [
   'kill',
   'pause',
@@ -26,19 +26,19 @@
   'workerLeaves',
 ] as const;
 
-/** One of `FAULTS`. */
+/** Kind of fault; one of `FAULTS`. */
 export type Fault = (typeof FAULTS)[number];
 
-/** What a run is made with. */
+/** Options of a randomised run. */
 export interface RunOptions {
   readonly seed: number;
-  /** Faults that may occur; an empty list gives a run without faults. */
+  /** Faults that may occur; none if empty. */
   readonly faults: ReadonlyArray<Fault>;
-  /** Keeps the last lines of what happened. */
+  /** Whether to keep the last lines of the trace. */
   readonly trace: boolean;
 }
 
-/** What a run showed. */
+/** Result of a randomised run. */
 export interface RunResult {
   readonly seed: number;
   readonly violations: ReadonlyArray<invariantChecker.Violation>;
@@ -46,9 +46,9 @@
   readonly faultCounts: ReadonlyMap<Fault, number>;
   readonly codeCounts: ReadonlyMap<number, number>;
   readonly unfinishedCount: number;
-  /** Last replies of the requests that did not end. */
+  /** Identities and last replies of the requests that did not end. */
   readonly unfinishedRequests: ReadonlyArray<string>;
-  /** Broken invariants that the program itself reported. */
+  /** Violated invariants that the system itself reported. */
   readonly reportedViolations: ReadonlyArray<string>;
   readonly trace: ReadonlyArray<string>;
 }
@@ -60,18 +60,18 @@
 const RECOVERY_PERIOD_MS = 180_000;
 const REQUEST_COUNT = 60;
 const GANG_SIZE = 3;
-/** How late the VM list says that a worker leaves. */
+/** Delay after which the VM list shows that a worker leaves. */
 const VM_LIST_LAG_MS = 20_000;
 
 const MAX_TRACE_LINES = 4_000;
-/** Time that the platform takes to start a process that ended itself. */
+/** Time after which the platform restarts a process that ended itself. */
 const RESTART_DELAY_MS = 500;
 const MAX_CLOCK_OFFSET_MS = 1_000_000;
 
-/** Half of the allowed drift on either side of real time, in thousandths. */
+/** Drift of a clock to either side: half of the allowed drift, in thousandths. */
 const MAX_DRIFT_THOUSANDTHS = 5;
 
-function workloadText(
+function workloadTable(
   name: string,
   idempotent: boolean,
   tasks: number,
@@ -93,18 +93,18 @@
 `;
 }
 
-const TEAM = `
+const TEAM_DOCUMENT = `
 name = "dispatch"
 clients = ["client-north-a", "client-south-a"]
 share = 1
 queueLimit = 1000
 quota = {processors = 1000000, memory = 1000000, accelerators = 100, slots = 1000}
-${workloadText('order', false, 1)}
-${workloadText('inspection', true, 1)}
-${workloadText('together', true, GANG_SIZE)}
+${workloadTable('order', false, 1)}
+${workloadTable('inspection', true, 1)}
+${workloadTable('together', true, GANG_SIZE)}
 `;
 
-const FLEET = `
+const FLEET_DOCUMENT = `
 zones = [{name = "north-a", region = "north"}, {name = "south-a", region = "south"}]
 
 [[workerShapes]]
@@ -112,7 +112,7 @@
 zones = ["north-a", "south-a"]
 `;
 
-/** One randomised run of entry processes between fakes, with injected time. */
+/** One randomised run of entry processes over fakes in virtual time. */
 class RandomizedRun {
   private readonly time = new virtualTime.VirtualTime();
   private readonly random: randomSource.SeededRandom;
@@ -152,8 +152,8 @@
       reader: new tomlDocumentReader.TomlDocumentReader(),
       listVms: () => [...this.listedVms.values()],
       runTimeMs: payload => 200 + (payload.length % 7) * 700,
-      recordEffect: (host, wanted) => this.recordEffect(host, wanted),
-      processEnded: host => this.restartEntry(host),
+      recordEffect: (entry, wanted) => this.recordEffect(entry, wanted),
+      processEnded: entry => this.restartEntry(entry),
     };
   }
 
@@ -186,8 +186,8 @@
         }),
       );
     }
-    this.publish('fleet', FLEET);
-    this.publish('team/dispatch', TEAM);
+    this.publish('fleet', FLEET_DOCUMENT);
+    this.publish('team/dispatch', TEAM_DOCUMENT);
   }
 
   private publish(document: string, content: string): void {
@@ -210,7 +210,7 @@
         zone,
         `${zone}-rack-${index % 2}`,
         {processors: 4000, memory: 8192, accelerators: 1, slots: 4},
-        this.driftingClock(),
+        this.createClock(),
         this.time,
         this.checker,
       ),
@@ -227,14 +227,14 @@
   private startEntry(vm: string, zone: string): void {
     this.incarnationCount += 1;
     const name = `${zone}.${vm}.${this.incarnationCount}`;
-    const host = new simulatedEntryProcess.SimulatedEntryProcess(
+    const entry = new simulatedEntryProcess.SimulatedEntryProcess(
       name,
       vm,
       zone,
-      this.driftingClock(),
+      this.createClock(),
       this.simulation,
     );
-    this.processes.set(name, host);
+    this.processes.set(name, entry);
     this.listedVms.set(vm, {
       vm,
       role: 'entry',
@@ -242,14 +242,14 @@
       address: vm,
       state: 'live',
     });
-    host.boot();
+    entry.boot();
   }
 
-  private driftingClock(): virtualTime.DriftingClock {
-    const drift = this.random.below(2 * MAX_DRIFT_THOUSANDTHS + 1);
-    const rate = 1 + (drift - MAX_DRIFT_THOUSANDTHS) / 1_000;
-    const offset = this.random.below(MAX_CLOCK_OFFSET_MS);
-    return new virtualTime.DriftingClock(this.time, offset, rate);
+  private createClock(): virtualTime.DriftingClock {
+    const driftThousandths = this.random.below(2 * MAX_DRIFT_THOUSANDTHS + 1);
+    const rate = 1 + (driftThousandths - MAX_DRIFT_THOUSANDTHS) / 1_000;
+    const offsetMs = this.random.below(MAX_CLOCK_OFFSET_MS);
+    return new virtualTime.DriftingClock(this.time, offsetMs, rate);
   }
 
   private scheduleRequests(): void {
@@ -270,51 +270,51 @@
   }
 
   private scheduleFault(fault: Fault, index: number): void {
-    const stream = new randomSource.SeededRandom(
+    const random = new randomSource.SeededRandom(
       this.options.seed * 100 + index,
     );
-    const times = stream.below(3);
-    for (let occurrence = 0; occurrence < times; occurrence += 1) {
-      const at = 10_000 + stream.below(FAULT_PERIOD_MS - 20_000);
-      this.time.after(at, () => {
+    const occurrences = random.below(3);
+    for (let occurrence = 0; occurrence < occurrences; occurrence += 1) {
+      const atMs = 10_000 + random.below(FAULT_PERIOD_MS - 20_000);
+      this.time.after(atMs, () => {
         this.faultCounts.set(fault, (this.faultCounts.get(fault) ?? 0) + 1);
         this.trace(`fault ${fault}`);
-        this.inject(fault, stream);
+        this.inject(fault, random);
       });
     }
   }
 
   private inject(fault: Fault, random: randomSource.RandomSource): void {
     const zone = ZONES[random.below(ZONES.length)];
-    const duration = 1_000 + random.below(40_000);
+    const durationMs = 1_000 + random.below(40_000);
     switch (fault) {
       case 'kill':
-        return this.killEntry(random, vm => vm, duration);
+        return this.killEntry(random, vm => vm, durationMs);
       case 'replaceVm':
-        return this.killEntry(random, vm => `${vm}-next`, duration);
+        return this.killEntry(random, vm => `${vm}-next`, durationMs);
       case 'pause':
-        return this.pauseEntry(random, duration);
+        return this.pauseEntry(random, durationMs);
       case 'workerLoss':
         return this.crashWorker(random);
       case 'zoneCut':
-        return this.partition(ZONES[0], ZONES[1], duration);
+        return this.partition(ZONES[0], ZONES[1], durationMs);
       case 'platformCut':
-        return this.partition(zone, '', duration);
+        return this.partition(zone, '', durationMs);
       case 'logOutage':
         this.log.down = true;
-        this.time.after(duration, () => (this.log.down = false));
+        this.time.after(durationMs, () => (this.log.down = false));
         return;
       case 'lostMessages':
         this.network.lossPerThousand = 100;
-        this.time.after(duration, () => (this.network.lossPerThousand = 0));
+        this.time.after(durationMs, () => (this.network.lossPerThousand = 0));
         return;
       case 'lateMessages':
         this.network.latePerThousand = 200;
         this.network.maxExtraDelayMs = 20_000;
-        this.time.after(duration, () => (this.network.latePerThousand = 0));
+        this.time.after(durationMs, () => (this.network.latePerThousand = 0));
         return;
       case 'blackHole':
-        return this.breakWorker(random, duration);
+        return this.breakWorker(random, durationMs);
       case 'workerLeaves':
         return this.drainWorker(random);
       case 'flood':
@@ -332,30 +332,30 @@
   private killEntry(
     random: randomSource.RandomSource,
     nextVm: (vm: string) => string,
-    duration: number,
+    downTimeMs: number,
   ): void {
-    const hosts = [...this.processes.values()];
-    if (hosts.length === 0) return;
-    const host = hosts[random.below(hosts.length)];
-    host.kill();
-    this.trace(`killed ${host.name}`);
-    const vm = nextVm(host.vm);
-    if (vm !== host.vm) {
-      this.time.after(5_000, () => this.listedVms.delete(host.vm));
+    const processes = [...this.processes.values()];
+    if (processes.length === 0) return;
+    const entry = processes[random.below(processes.length)];
+    entry.kill();
+    this.trace(`killed ${entry.name}`);
+    const vm = nextVm(entry.vm);
+    if (vm !== entry.vm) {
+      this.time.after(5_000, () => this.listedVms.delete(entry.vm));
     }
-    this.time.after(duration, () => this.startEntry(vm, host.zone));
+    this.time.after(downTimeMs, () => this.startEntry(vm, entry.zone));
   }
 
   private pauseEntry(
     random: randomSource.RandomSource,
-    duration: number,
+    durationMs: number,
   ): void {
-    const hosts = [...this.processes.values()];
-    if (hosts.length === 0) return;
-    const host = hosts[random.below(hosts.length)];
-    host.pause();
-    this.trace(`paused ${host.name}`);
-    this.time.after(duration, () => host.resume());
+    const processes = [...this.processes.values()];
+    if (processes.length === 0) return;
+    const entry = processes[random.below(processes.length)];
+    entry.pause();
+    this.trace(`paused ${entry.name}`);
+    this.time.after(durationMs, () => entry.resume());
   }
 
   private crashWorker(random: randomSource.RandomSource): void {
@@ -381,45 +381,45 @@
 
   private breakWorker(
     random: randomSource.RandomSource,
-    duration: number,
+    durationMs: number,
   ): void {
     const workers = [...this.workers.values()];
     const broken = workers[random.below(workers.length)];
     broken.failsEverything = true;
-    this.time.after(duration, () => (broken.failsEverything = false));
+    this.time.after(durationMs, () => (broken.failsEverything = false));
   }
 
-  private partition(left: string, right: string, duration: number): void {
+  private partition(left: string, right: string, durationMs: number): void {
     this.network.setPartitioned(left, right, true);
-    this.time.after(duration, () =>
+    this.time.after(durationMs, () =>
       this.network.setPartitioned(left, right, false),
     );
   }
 
   private recordEffect(
-    host: simulatedEntryProcess.SimulatedEntryProcess,
+    entry: simulatedEntryProcess.SimulatedEntryProcess,
     wanted: effect.Effect,
   ): void {
     if (wanted.kind === 'log') {
       this.trace(
-        `${host.name} ${wanted.event} ${JSON.stringify(wanted.fields)}`,
+        `${entry.name} ${wanted.event} ${JSON.stringify(wanted.fields)}`,
       );
     }
     if (wanted.kind !== 'count' || !wanted.metric.startsWith('invariant')) {
       return;
     }
     this.reportedViolations.push(
-      `${host.name} ${JSON.stringify(wanted.labels)}`,
+      `${entry.name} ${JSON.stringify(wanted.labels)}`,
     );
   }
 
-  /** Starts a process again that ended itself, as the platform does. */
+  /** Restarts a process that ended itself, as the platform does. */
   private restartEntry(
-    host: simulatedEntryProcess.SimulatedEntryProcess,
+    entry: simulatedEntryProcess.SimulatedEntryProcess,
   ): void {
-    host.kill();
+    entry.kill();
     this.time.after(RESTART_DELAY_MS, () =>
-      this.startEntry(host.vm, host.zone),
+      this.startEntry(entry.vm, entry.zone),
     );
   }
 
@@ -451,7 +451,7 @@
   }
 }
 
-/** Performs one randomised run; the same options give the same run. */
+/** Performs a randomised run; the same options always give the same result. */
 export function runRandomized(options: RunOptions): RunResult {
   return new RandomizedRun(options).run();
 }
--- a/bench/running_tasks.ts
+++ b/bench/running_tasks.ts
@@ -2,30 +2,30 @@
 import type * as clock from '../src/machines/clock.js';
 import type * as placement from '../src/contracts/placement.js';
 
-/** A task that runs in a benchmark. */
+/** Running task of a benchmark with its start and planned end. */
 export interface RunningTask {
   readonly placement: placement.Placement;
   readonly startedAtMs: clock.Milliseconds;
   readonly endsAtMs: clock.Milliseconds;
 }
 
-/** Running tasks in order of their end, in injected time. */
+/** Running tasks of a benchmark, ordered by their end in virtual time. */
 export class RunningTasks {
-  private readonly heap = new deadlineHeap.DeadlineHeap();
+  private readonly endHeap = new deadlineHeap.DeadlineHeap();
   private readonly tasks = new Map<string, RunningTask>();
 
-  /** Tasks that run. */
+  /** Number of running tasks. */
   get size(): number {
     return this.tasks.size;
   }
 
-  /** When the next task ends. */
+  /** Returns the earliest end of a task; Infinity if none runs. */
   nextEndMs(): clock.Milliseconds {
-    return this.heap.earliest();
+    return this.endHeap.earliest();
   }
 
-  /** Adds a task that starts now. */
-  start(
+  /** Adds a task that starts at `now`. */
+  add(
     placement: placement.Placement,
     now: clock.Milliseconds,
     runTimeMs: clock.Milliseconds,
@@ -36,26 +36,26 @@
       startedAtMs: now,
       endsAtMs,
     });
-    this.heap.add(placement.task, endsAtMs);
+    this.endHeap.add(placement.task, endsAtMs);
   }
 
-  /** Returns a running task. */
+  /** Returns a running task by its name. */
   get(task: string): RunningTask | undefined {
     return this.tasks.get(task);
   }
 
-  /** Takes one task out before its end. */
-  stop(task: string): RunningTask | undefined {
+  /** Removes a task before its end and returns it. */
+  remove(task: string): RunningTask | undefined {
     const stopped = this.tasks.get(task);
     this.tasks.delete(task);
     return stopped;
   }
 
-  /** Takes out the tasks that have ended. */
+  /** Removes and returns the tasks that have ended by `now`. */
   takeEnded(now: clock.Milliseconds): ReadonlyArray<RunningTask> {
     const ended: RunningTask[] = [];
-    for (const task of this.heap.takeDue(now)) {
-      const stopped = this.stop(task);
+    for (const task of this.endHeap.takeDue(now)) {
+      const stopped = this.remove(task);
       if (stopped !== undefined) ended.push(stopped);
     }
     return ended;
--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -7,27 +7,30 @@
 import type * as worker from '../src/machines/worker.js';
 import type * as workload from '../src/contracts/workload.js';
 
-/** What a benchmark drives: the scheduler or the plain baseline. */
+/** Scheduler that a benchmark drives: the real one or the baseline. */
 export interface SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
-  /** Returns false when the request is refused. */
+  /** Returns false if the request is refused. */
   admit(admitted: request.Request, now: clock.Milliseconds): boolean;
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement>;
-  /** Tasks that the last calls of `place` want checkpointed. */
+  /** Returns and clears the tasks that `place` has asked to checkpoint. */
   takeCheckpoints(): ReadonlyArray<string>;
-  started(placement: placement.Placement, now: clock.Milliseconds): void;
-  ended(placement: placement.Placement, now: clock.Milliseconds): void;
-  /** Takes back the request of a task that was checkpointed. */
-  checkpointed(placement: placement.Placement, now: clock.Milliseconds): void;
-  /** Passes on what the tasks of one worker use. */
-  report(
-    of: worker.Worker,
+  taskStarted(placement: placement.Placement, now: clock.Milliseconds): void;
+  taskEnded(placement: placement.Placement, now: clock.Milliseconds): void;
+  /** Releases a checkpointed task and queues its request again. */
+  taskCheckpointed(
+    placement: placement.Placement,
+    now: clock.Milliseconds,
+  ): void;
+  /** Reports the usage of the tasks on one worker. */
+  reportUsage(
+    worker: worker.Worker,
     usageOf: (task: string) => resources.Resources,
     now: clock.Milliseconds,
   ): void;
 }
 
-/** The world in which a subject decides. */
+/** Fleet, teams and seed of a benchmarked scheduler. */
 export interface SchedulerUnderTestOptions {
   readonly seed: number;
   readonly workerCount: number;
@@ -35,55 +38,61 @@
   readonly teams: ReadonlyArray<team.Team>;
 }
 
-/** The real scheduler. */
+/** The real scheduler on a simulated fleet. */
 export class ProductionScheduler implements SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
-  private readonly world: scheduling.SchedulingWorld;
+  private readonly simulation: scheduling.SchedulingWorld;
 
   constructor(options: SchedulerUnderTestOptions) {
-    this.world = new scheduling.SchedulingWorld(options.seed);
-    for (const described of options.teams) this.world.addTeam(described);
-    this.world.setPlan({
+    this.simulation = new scheduling.SchedulingWorld(options.seed);
+    for (const described of options.teams) this.simulation.addTeam(described);
+    this.simulation.setPlan({
       zones: [],
       workerShapes: [{capacity: options.capacity, zones: ['kigali-a']}],
     });
-    this.workers = this.world.addWorkers(options.workerCount, options.capacity);
+    this.workers = this.simulation.addWorkers(
+      options.workerCount,
+      options.capacity,
+    );
   }
 
   admit(admitted: request.Request, now: clock.Milliseconds): boolean {
-    return this.world.scheduler.admit(admitted, now).isRight();
+    return this.simulation.scheduler.admit(admitted, now).isRight();
   }
 
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
-    return this.world.scheduler.place(now);
+    return this.simulation.scheduler.place(now);
   }
 
   takeCheckpoints(): ReadonlyArray<string> {
-    return this.world.scheduler
+    return this.simulation.scheduler
       .takeInterventions()
       .filter(item => item.kind !== 'throttle')
       .map(item => item.task);
   }
 
-  started(placement: placement.Placement, now: clock.Milliseconds): void {
-    this.world.start(placement, now);
+  taskStarted(placement: placement.Placement, now: clock.Milliseconds): void {
+    this.simulation.start(placement, now);
   }
 
-  ended(placement: placement.Placement, now: clock.Milliseconds): void {
-    this.world.end(placement, false, now);
+  taskEnded(placement: placement.Placement, now: clock.Milliseconds): void {
+    this.simulation.end(placement, false, now);
   }
 
-  checkpointed(placement: placement.Placement, now: clock.Milliseconds): void {
-    this.world.checkpoint(placement, now);
-    this.world.scheduler.requeue(placement.request);
+  taskCheckpointed(
+    placement: placement.Placement,
+    now: clock.Milliseconds,
+  ): void {
+    this.simulation.checkpoint(placement, now);
+    this.simulation.scheduler.requeue(placement.request);
   }
 
-  report(
-    of: worker.Worker,
+  reportUsage(
+    worker: worker.Worker,
     usageOf: (task: string) => resources.Resources,
     now: clock.Milliseconds,
   ): void {
-    const tasks = [...of.held().values()].map(held => ({
+    const tasks = [...worker.held().values()].map(held => ({
       task: held.task,
       label: held.label,
       state: 'running' as const,
@@ -91,20 +100,23 @@
       usage: usageOf(held.task),
       leaseEnd: Infinity,
     }));
-    const {capacity, rack} = of;
-    const known = {worker: of.name, workerClock: now, capacity, rack};
-    this.world.scheduler.observeReport({...known, leaving: false, tasks}, now);
+    const {capacity, rack} = worker;
+    const known = {worker: worker.name, workerClock: now, capacity, rack};
+    this.simulation.scheduler.observeReport(
+      {...known, leaving: false, tasks},
+      now,
+    );
   }
 }
 
-/** Builds numbered requests. */
+/** Creates requests with numbered identities. */
 export class RequestFactory {
   private lastNumber = 0;
 
-  /** Returns a request of a team that arrives now. */
-  next(
+  /** Returns a request of a team that arrives at `now`. */
+  create(
     teamName: string,
-    described: workload.Workload,
+    definition: workload.Workload,
     now: clock.Milliseconds,
   ): request.Request {
     this.lastNumber += 1;
@@ -112,10 +124,10 @@
       identity: `${teamName}_${this.lastNumber}`,
       client: teamName,
       team: teamName,
-      workload: described,
+      workload: definition,
       payload: '',
-      size: described.size,
-      taskCount: described.taskCount,
+      size: definition.size,
+      taskCount: definition.taskCount,
       arrivedAt: now,
       startBy: Infinity,
     };
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -1,8 +1,8 @@
 import * as commandTypes from 'cmd-ts';
 import * as randomizedRun from './randomized_run.js';
 
-/** Reads the list of faults; `all` and `none` stand for themselves. */
-function readFaults(text: string): ReadonlyArray<randomizedRun.Fault> {
+/** Parses a comma-separated list of faults, `all` or `none`. */
+function parseFaults(text: string): ReadonlyArray<randomizedRun.Fault> {
   if (text === 'all') return randomizedRun.FAULTS;
   if (text === 'none') return [];
   const names: ReadonlyArray<string> = text.split(',');
@@ -20,7 +20,7 @@
   );
 }
 
-function addAll<Key>(
+function addCounts<Key>(
   totals: Map<Key, number>,
   more: ReadonlyMap<Key, number>,
 ): void {
@@ -31,7 +31,7 @@
 
 const soak = commandTypes.command({
   name: 'soak',
-  description: 'Runs randomised runs of entry processes between fakes',
+  description: 'Performs randomised runs of entry processes over fakes',
   args: {
     seeds: commandTypes.option({
       long: 'seeds',
@@ -51,35 +51,38 @@
     trace: commandTypes.flag({long: 'trace'}),
   },
   handler: options => {
-    const faults = readFaults(options.faults);
-    const injected = new Map<randomizedRun.Fault, number>();
-    const codes = new Map<number, number>();
-    let checks = 0;
-    let failed = 0;
+    const faults = parseFaults(options.faults);
+    const faultCounts = new Map<randomizedRun.Fault, number>();
+    const codeCounts = new Map<number, number>();
+    let checkCount = 0;
+    let failedCount = 0;
     for (let index = 0; index < options.seeds; index += 1) {
       const result = randomizedRun.runRandomized({
         seed: options.from + index,
         faults,
         trace: options.trace,
       });
-      addAll(injected, result.faultCounts);
-      addAll(codes, result.codeCounts);
-      checks += result.checkCount;
-      const bad =
+      addCounts(faultCounts, result.faultCounts);
+      addCounts(codeCounts, result.codeCounts);
+      checkCount += result.checkCount;
+      const runFailed =
         result.violations.length > 0 ||
         result.reportedViolations.length > 0 ||
         result.unfinishedCount > 0;
-      if (!bad) continue;
-      failed += 1;
+      if (!runFailed) continue;
+      failedCount += 1;
       console.log(describe(result));
       if (options.trace) console.log(result.trace.join('\n'));
     }
-    console.log(`seeds ${options.seeds} from ${options.from} failed ${failed}`);
-    console.log(`faults ${JSON.stringify(Object.fromEntries(injected))}`);
-    console.log(`codes ${JSON.stringify(Object.fromEntries(codes))}`);
-    console.log(`checks ${checks}`);
-    const idle = checks === 0 || (faults.length > 0 && injected.size === 0);
-    if (failed > 0 || idle) process.exitCode = 1;
+    console.log(
+      `seeds ${options.seeds} from ${options.from} failed ${failedCount}`,
+    );
+    console.log(`faults ${JSON.stringify(Object.fromEntries(faultCounts))}`);
+    console.log(`codes ${JSON.stringify(Object.fromEntries(codeCounts))}`);
+    console.log(`checks ${checkCount}`);
+    const nothingTested =
+      checkCount === 0 || (faults.length > 0 && faultCounts.size === 0);
+    if (failedCount > 0 || nothingTested) process.exitCode = 1;
   },
 });
 
