--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -68,7 +68,7 @@
 const RESTART_DELAY_MS = 500;
 const MAX_CLOCK_OFFSET_MS = 1_000_000;
 
-/** Drift of a clock to either side: half of the allowed drift, in thousandths. */
+/** Drift of a clock to either side, in thousandths: half of the allowed drift. */
 const MAX_DRIFT_THOUSANDTHS = 5;
 
 function workloadTable(
