--- a/bench/fakes/simulated_entry_process.ts
+++ b/bench/fakes/simulated_entry_process.ts
@@ -381,7 +381,7 @@
         );
       },
       answer => this.handleEvent(answer),
-      () => this.handleEvent(peerFailure.failureOf(wanted)),
+      () => this.handleEvent(peerFailure.toFailureEvent(wanted)),
       wanted.kind === 'offerRequest' ? OFFER_TIMEOUT_MS : undefined,
     );
   }
--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -92,7 +92,7 @@
     usageOf: (task: string) => resources.Resources,
     now: clock.Milliseconds,
   ): void {
-    const tasks = [...worker.held().values()].map(held => ({
+    const tasks = [...worker.reservations().values()].map(held => ({
       task: held.task,
       label: held.label,
       state: 'running' as const,
--- a/src/zones/advice_members.ts
+++ b/src/zones/advice_relays.ts
@@ -1,36 +1,36 @@
-import type * as adviceBook from '../jobs/advice_book.js';
-import type * as adviceSpread from '../jobs/advice_spread.js';
+import type * as adviceCache from '../jobs/advice_cache.js';
+import type * as adviceBalancer from '../jobs/advice_balancer.js';
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
 
 /** A member that was heard within this time can ask for advice. */
-const MEMBER_ALIVE_MS = 2_000;
+const MEMBER_LIVENESS_TIMEOUT_MS = 2_000;
 
 /** The members over whose VMs the advice service is asked. */
-export class AdviceMembers {
-  private readonly heardAt = new Map<string, clock.Milliseconds>();
+export class AdviceRelays {
+  private readonly lastContactAt = new Map<string, clock.Milliseconds>();
 
   constructor(
     private readonly clock: clock.Clock,
     /** Asks from the own VM. */
-    private readonly service: adviceBook.AdviceService,
+    private readonly localService: adviceCache.AdviceService,
     private readonly peers: cellPeers.CellPeers,
   ) {}
 
   /** A ping of the member or its answer to one has arrived. */
-  heard(address: string): void {
-    this.heardAt.set(address, this.clock.now());
+  recordContact(address: string): void {
+    this.lastContactAt.set(address, this.clock.now());
   }
 
   /** The living ones of `members`, and this process itself. */
-  sites(
+  availableSites(
     members: ReadonlyArray<cellMember.CellMember>,
-  ): ReadonlyArray<adviceSpread.AdviceSite> {
+  ): ReadonlyArray<adviceBalancer.AdviceEndpoint> {
     const now = this.clock.now();
     const alive = members.filter(({address}) => {
-      const heardAt = this.heardAt.get(address) ?? -Infinity;
-      return now - heardAt < MEMBER_ALIVE_MS;
+      const lastContactAt = this.lastContactAt.get(address) ?? -Infinity;
+      return now - lastContactAt < MEMBER_LIVENESS_TIMEOUT_MS;
     });
     return [...alive, {address: undefined}];
   }
@@ -41,9 +41,9 @@
     step: string,
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
-  ): Promise<adviceBook.AdviceOutcome> {
+  ): Promise<adviceCache.AdviceOutcome> {
     return address === undefined
-      ? this.service.ask(step, workerIds, timeoutMs)
+      ? this.localService.ask(step, workerIds, timeoutMs)
       : this.peers.advise(address, step, workerIds, timeoutMs);
   }
 }
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -3,7 +3,7 @@
 import * as workerModel from './worker_model.js';
 import * as listen from '../src/links/listen.js';
 import * as jsonBody from '../src/links/json_body.js';
-import type * as workerCalls from '../src/machines/worker_calls.js';
+import type * as workerClient from '../src/machines/worker_client.js';
 
 /** Interval at which a waiting lease renewal checks for ended runs. */
 const POLL_INTERVAL_MS = 10;
@@ -111,9 +111,9 @@
     body: JsonObject,
     response: http.ServerResponse,
   ): Promise<void> {
-    const order: workerCalls.HoldOrder = {
+    const order: workerClient.RenewalCommand = {
       fence: parseFence(body),
-      endsStored: Number(body.ack_cursor),
+      storedEndNumber: Number(body.ack_cursor),
       deadlineMs:
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
       waitMs: Number(body.wait_ms),
@@ -142,7 +142,7 @@
         row.usage,
       ]),
       finished: ended.map(row => [
-        row.number,
+        row.sequenceNumber,
         row.task,
         row.run,
         row.how,
@@ -152,7 +152,7 @@
   }
 }
 
-function parseStartOrder(body: JsonObject): workerCalls.StartOrder {
+function parseStartOrder(body: JsonObject): workerClient.StartCommand {
   return {
     ...parseRunName(body),
     payload: String(body.spec),
@@ -173,7 +173,7 @@
 
 function sendOutcome(
   response: http.ServerResponse,
-  outcome: workerCalls.OrderOutcome,
+  outcome: workerClient.CommandOutcome,
 ): void {
   const clockMs = performance.now();
   if (outcome.kind === 'done') {
@@ -181,7 +181,7 @@
   } else if (outcome.kind === 'rejected') {
     jsonBody.sendJson(response, 409, {
       clock_ms: clockMs,
-      reason: REJECTION_REASONS[outcome.why],
+      reason: REJECTION_REASONS[outcome.reason],
     });
   }
 }
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -1,16 +1,16 @@
 import * as resources from '../src/machines/resources.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as remoteWorker from '../src/machines/remote_worker.js';
-import type * as workerCalls from '../src/machines/worker_calls.js';
+import type * as workerClient from '../src/machines/worker_client.js';
 
 /** Returns the duration and the outcome of a run. */
-export type RunPlan = (order: workerCalls.StartOrder) => {
+export type RunPlan = (order: workerClient.StartCommand) => {
   readonly runTimeMs: number;
   readonly outcome: 'done' | 'failed';
 };
 
 interface ActiveRun {
-  readonly order: workerCalls.StartOrder;
+  readonly order: workerClient.StartCommand;
   readonly startedAtMs: number;
   readonly endsAtMs: number;
   readonly outcome: string;
@@ -38,14 +38,14 @@
   leaseEndMs = 0;
   highestFence = 0;
   /** Reason for which all starts are rejected, if they are. */
-  rejectReason: workerCalls.Rejection | undefined;
+  rejectReason: workerClient.RejectionReason | undefined;
   private readonly running = new Map<string, ActiveRun>();
   private readonly highestEndedRuns = new Map<string, number>();
-  private ended: remoteWorker.EndedRow[] = [];
+  private ended: remoteWorker.ReportedRunEnd[] = [];
   private nextEndNumber = 1;
 
   constructor(
-    readonly entry: remoteWorker.WorkerEntry,
+    readonly entry: remoteWorker.RegistryEntry,
     private readonly clock: clock.Clock,
     private readonly plan: RunPlan,
     private readonly events: WorkerEvent[],
@@ -56,7 +56,7 @@
     return this.running.size;
   }
 
-  start(order: workerCalls.StartOrder): workerCalls.OrderOutcome {
+  start(order: workerClient.StartCommand): workerClient.CommandOutcome {
     this.endDueRuns();
     if (order.fence < this.highestFence) return this.reject('superseded');
     if (this.rejectReason !== undefined) return this.reject(this.rejectReason);
@@ -81,7 +81,7 @@
     return this.done();
   }
 
-  stop(name: remoteWorker.RunName, fence: number): workerCalls.OrderOutcome {
+  stop(name: remoteWorker.RunId, fence: number): workerClient.CommandOutcome {
     this.endDueRuns();
     if (fence < this.highestFence) return this.reject('superseded');
     this.raiseFenceAndLease(fence, 0);
@@ -93,13 +93,15 @@
     return this.done();
   }
 
-  renewLease(order: workerCalls.HoldOrder): workerCalls.HoldOutcome {
+  renewLease(order: workerClient.RenewalCommand): workerClient.RenewalOutcome {
     this.endDueRuns();
     if (order.fence < this.highestFence) {
-      return {kind: 'rejected', why: 'superseded'};
+      return {kind: 'rejected', reason: 'superseded'};
     }
     this.raiseFenceAndLease(order.fence, order.deadlineMs ?? 0);
-    this.ended = this.ended.filter(row => row.number > order.endsStored);
+    this.ended = this.ended.filter(
+      row => row.sequenceNumber > order.storedEndNumber,
+    );
     return {
       kind: 'reported',
       report: {
@@ -137,7 +139,7 @@
     return used;
   }
 
-  private runningRow(run: ActiveRun): remoteWorker.RunningRow {
+  private runningRow(run: ActiveRun): remoteWorker.ReportedRun {
     const {task, run: number, checkpoint} = run.order;
     const elapsed = this.clock.now() - run.startedAtMs;
     const percent = (100 * elapsed) / (run.endsAtMs - run.startedAtMs);
@@ -166,11 +168,11 @@
     this.running.delete(task);
     const highest = this.highestEndedRuns.get(task) ?? 0;
     this.highestEndedRuns.set(task, Math.max(highest, run));
-    const number = this.nextEndNumber;
+    const sequenceNumber = this.nextEndNumber;
     this.nextEndNumber += 1;
     this.ended = [
       ...this.ended,
-      {number, task, run, how: outcome, checkpoint: ''},
+      {sequenceNumber, task, run, how: outcome, checkpoint: ''},
     ];
     this.recordEvent('ended', task, run, outcome);
   }
@@ -192,11 +194,13 @@
     });
   }
 
-  private done(): workerCalls.OrderOutcome {
+  private done(): workerClient.CommandOutcome {
     return {kind: 'done', clockMs: this.clock.now()};
   }
 
-  private reject(reason: workerCalls.Rejection): workerCalls.OrderOutcome {
-    return {kind: 'rejected', why: reason, clockMs: this.clock.now()};
+  private reject(
+    reason: workerClient.RejectionReason,
+  ): workerClient.CommandOutcome {
+    return {kind: 'rejected', reason, clockMs: this.clock.now()};
   }
 }
--- a/test/support/configuration_page.ts
+++ b/test/support/configuration_page.ts
@@ -6,7 +6,7 @@
     key.default === undefined
       ? 'required'
       : `\`${JSON.stringify(key.default)}\``;
-  return `| \`${path}\` | ${key.rule.text} | ${defaultValue} | ${key.unit ?? ''} | ${key.meaning} |`;
+  return `| \`${path}\` | ${key.rule.requirement} | ${defaultValue} | ${key.unit ?? ''} | ${key.meaning} |`;
 }
 
 /** Returns the rows of all keys of a table, nested tables included. */
