--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -93,10 +93,10 @@
     const {model} = this;
     switch (request.url) {
       case '/run-start':
-        sendOutcome(response, model.start(parseStartOrder(body)));
+        sendOutcome(response, model.start(parseStartCommand(body)));
         return;
       case '/run-stop':
-        sendOutcome(response, model.stop(parseRunName(body), parseFence(body)));
+        sendOutcome(response, model.stop(parseRunId(body), parseFence(body)));
         return;
       case '/hold':
         await this.serveRenewal(model, body, response);
@@ -111,20 +111,20 @@
     body: JsonObject,
     response: http.ServerResponse,
   ): Promise<void> {
-    const order: workerClient.RenewalCommand = {
+    const command: workerClient.RenewalCommand = {
       fence: parseFence(body),
       storedEndNumber: Number(body.ack_cursor),
       deadlineMs:
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
       waitMs: Number(body.wait_ms),
     };
-    let outcome = model.renewLease(order);
-    const deadlineMs = performance.now() + order.waitMs;
-    while (!model.hasEndedRuns && performance.now() < deadlineMs) {
+    let outcome = model.renewLease(command);
+    const waitEndMs = performance.now() + command.waitMs;
+    while (!model.hasEndedRuns && performance.now() < waitEndMs) {
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
     }
     if (outcome.kind === 'reported') {
-      outcome = model.renewLease({...order, deadlineMs: undefined});
+      outcome = model.renewLease({...command, deadlineMs: undefined});
     }
     if (outcome.kind !== 'reported') {
       jsonBody.sendJson(response, 409, {reason: 'fence'});
@@ -152,9 +152,9 @@
   }
 }
 
-function parseStartOrder(body: JsonObject): workerClient.StartCommand {
+function parseStartCommand(body: JsonObject): workerClient.StartCommand {
   return {
-    ...parseRunName(body),
+    ...parseRunId(body),
     payload: String(body.spec),
     fence: parseFence(body),
     deadlineMs: Number(body.deadline_ms),
@@ -163,7 +163,7 @@
   };
 }
 
-function parseRunName(body: JsonObject): {task: string; run: number} {
+function parseRunId(body: JsonObject): {task: string; run: number} {
   return {task: String(body.task), run: Number(body.run)};
 }
 
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -4,13 +4,13 @@
 import type * as workerClient from '../src/machines/worker_client.js';
 
 /** Returns the duration and the outcome of a run. */
-export type RunPlan = (order: workerClient.StartCommand) => {
+export type RunPlan = (command: workerClient.StartCommand) => {
   readonly runTimeMs: number;
   readonly outcome: 'done' | 'failed';
 };
 
 interface ActiveRun {
-  readonly order: workerClient.StartCommand;
+  readonly command: workerClient.StartCommand;
   readonly startedAtMs: number;
   readonly endsAtMs: number;
   readonly outcome: string;
@@ -56,51 +56,53 @@
     return this.running.size;
   }
 
-  start(order: workerClient.StartCommand): workerClient.CommandOutcome {
+  start(command: workerClient.StartCommand): workerClient.CommandOutcome {
     this.endDueRuns();
-    if (order.fence < this.highestFence) return this.reject('superseded');
+    if (command.fence < this.highestFence) return this.reject('superseded');
     if (this.rejectReason !== undefined) return this.reject(this.rejectReason);
-    this.raiseFenceAndLease(order.fence, order.deadlineMs);
-    if (order.deadlineMs <= this.clock.now()) return this.reject('late');
-    const known = this.running.get(order.task);
-    if (known?.order.run === order.run) return this.done();
-    const highest = this.highestEndedRuns.get(order.task) ?? 0;
-    if (known !== undefined || order.run <= highest) {
+    this.raiseFenceAndLease(command.fence, command.deadlineMs);
+    if (command.deadlineMs <= this.clock.now()) return this.reject('late');
+    const activeRun = this.running.get(command.task);
+    if (activeRun?.command.run === command.run) return this.done();
+    const highestEndedRun = this.highestEndedRuns.get(command.task) ?? 0;
+    if (activeRun !== undefined || command.run <= highestEndedRun) {
       return this.reject('staleRun');
     }
-    const {runTimeMs, outcome} = this.plan(order);
+    const {runTimeMs, outcome} = this.plan(command);
     const endsAtMs = this.clock.now() + runTimeMs;
     const startedAtMs = this.clock.now();
-    this.running.set(order.task, {
-      order,
+    this.running.set(command.task, {
+      command,
       startedAtMs,
       endsAtMs,
       outcome,
     });
-    this.recordEvent('started', order.task, order.run, '');
+    this.recordEvent('started', command.task, command.run, '');
     return this.done();
   }
 
-  stop(name: remoteWorker.RunId, fence: number): workerClient.CommandOutcome {
+  stop(runId: remoteWorker.RunId, fence: number): workerClient.CommandOutcome {
     this.endDueRuns();
     if (fence < this.highestFence) return this.reject('superseded');
     this.raiseFenceAndLease(fence, 0);
-    const highest = this.highestEndedRuns.get(name.task) ?? 0;
-    this.highestEndedRuns.set(name.task, Math.max(highest, name.run));
-    if (this.running.get(name.task)?.order.run === name.run) {
-      this.endRun(name.task, 'stopped');
+    const highestEndedRun = this.highestEndedRuns.get(runId.task) ?? 0;
+    this.highestEndedRuns.set(runId.task, Math.max(highestEndedRun, runId.run));
+    if (this.running.get(runId.task)?.command.run === runId.run) {
+      this.endRun(runId.task, 'stopped');
     }
     return this.done();
   }
 
-  renewLease(order: workerClient.RenewalCommand): workerClient.RenewalOutcome {
+  renewLease(
+    command: workerClient.RenewalCommand,
+  ): workerClient.RenewalOutcome {
     this.endDueRuns();
-    if (order.fence < this.highestFence) {
+    if (command.fence < this.highestFence) {
       return {kind: 'rejected', reason: 'superseded'};
     }
-    this.raiseFenceAndLease(order.fence, order.deadlineMs ?? 0);
+    this.raiseFenceAndLease(command.fence, command.deadlineMs ?? 0);
     this.ended = this.ended.filter(
-      row => row.sequenceNumber > order.storedEndNumber,
+      row => row.sequenceNumber > command.storedEndNumber,
     );
     return {
       kind: 'reported',
@@ -115,8 +117,8 @@
 
   /** Ends the incarnation: all runs are lost and no call is answered again. */
   crash(): void {
-    for (const [task, {order}] of this.running) {
-      this.recordEvent('ended', task, order.run, 'lost');
+    for (const [task, {command}] of this.running) {
+      this.recordEvent('ended', task, command.run, 'lost');
     }
     this.running.clear();
     this.partitioned = true;
@@ -140,7 +142,7 @@
   }
 
   private runningRow(run: ActiveRun): remoteWorker.ReportedRun {
-    const {task, run: number, checkpoint} = run.order;
+    const {task, run: number, checkpoint} = run.command;
     const elapsed = this.clock.now() - run.startedAtMs;
     const percent = (100 * elapsed) / (run.endsAtMs - run.startedAtMs);
     return {task, run: number, checkpoint, percent, usage: 0};
@@ -164,10 +166,10 @@
   }
 
   private endRun(task: string, outcome: string): void {
-    const run = this.running.get(task)?.order.run ?? 0;
+    const run = this.running.get(task)?.command.run ?? 0;
     this.running.delete(task);
-    const highest = this.highestEndedRuns.get(task) ?? 0;
-    this.highestEndedRuns.set(task, Math.max(highest, run));
+    const highestEndedRun = this.highestEndedRuns.get(task) ?? 0;
+    this.highestEndedRuns.set(task, Math.max(highestEndedRun, run));
     const sequenceNumber = this.nextEndNumber;
     this.nextEndNumber += 1;
     this.ended = [
--- a/tools/build_binary.mjs
+++ b/tools/build_binary.mjs
@@ -1,25 +1,29 @@
-// Builds dist/parsleyknot: one bundle of all code inside a copy of the node
-// binary, as a Node single executable.
+// Builds dist/parsleyknot, a Node single executable application: a copy of the
+// node binary that contains a bundle of all code.
 import * as childProcess from 'node:child_process';
 import * as esbuild from 'esbuild';
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 
-const FOLDER = 'dist';
-const BUNDLE = path.join(FOLDER, 'parsleyknot.cjs');
-const BLOB = path.join(FOLDER, 'parsleyknot.blob');
-const CONFIG = path.join(FOLDER, 'sea_config.json');
-const BINARY = path.join(FOLDER, 'parsleyknot');
+const OUTPUT_FOLDER = 'dist';
+const BUNDLE = path.join(OUTPUT_FOLDER, 'parsleyknot.cjs');
+const BLOB = path.join(OUTPUT_FOLDER, 'parsleyknot.blob');
+const CONFIG = path.join(OUTPUT_FOLDER, 'sea_config.json');
+const BINARY = path.join(OUTPUT_FOLDER, 'parsleyknot');
 
-// Marks the place in the node binary; fixed by Node's documentation.
-const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+// Marks the place in the node binary at which postject sets the blob; the value
+// is prescribed by Node's documentation.
+const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 function run(command, commandArguments) {
   const result = childProcess.spawnSync(command, commandArguments, {
     stdio: ['ignore', 'ignore', 'inherit'],
   });
   if (result.status !== 0) {
-    console.error(`${command} ${commandArguments.join(' ')} failed`);
+    console.error(
+      `${command} ${commandArguments.join(' ')} failed ` +
+        `with status ${result.status}`,
+    );
     process.exit(1);
   }
 }
@@ -32,7 +36,8 @@
     platform: 'node',
     format: 'cjs',
     target: 'node20',
-    // Lines stay short, because a fault prints the line in which it arose.
+    // Whitespace is not minified, which keeps lines short: an uncaught error
+    // prints the source line that threw it.
     minifySyntax: true,
     minifyIdentifiers: true,
     keepNames: true,
@@ -61,11 +66,11 @@
     'NODE_SEA_BLOB',
     BLOB,
     '--sentinel-fuse',
-    FUSE,
+    SENTINEL_FUSE,
   ]);
 }
 
-fs.mkdirSync(FOLDER, {recursive: true});
+fs.mkdirSync(OUTPUT_FOLDER, {recursive: true});
 await bundle();
 makeBlob();
 injectBlob();
--- a/tools/build_platform.mjs
+++ b/tools/build_platform.mjs
@@ -1,5 +1,5 @@
 // Builds target/parsleyknot.cjs: the process that runs on the users' platform,
-// in one file that holds only the modules which it uses.
+// bundled into one file with only the modules that it uses.
 import * as esbuild from 'esbuild';
 
 await esbuild.build({
--- a/tools/ensure_ready.mjs
+++ b/tools/ensure_ready.mjs
@@ -1,5 +1,6 @@
-// Installs what is missing from the lock file and compiles, so that each
-// command of the README works on a fresh clone.
+// Installs the locked dependencies if they are missing or older than the lock
+// file, and compiles the code, so that each command of the README works on a
+// fresh clone.
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
 
@@ -11,10 +12,11 @@
 }
 
 function isInstalled() {
-  const marker = 'node_modules/.package-lock.json';
-  if (!fs.existsSync(marker)) return false;
+  const installedLock = 'node_modules/.package-lock.json';
+  if (!fs.existsSync(installedLock)) return false;
   return (
-    fs.statSync(marker).mtimeMs >= fs.statSync('package-lock.json').mtimeMs
+    fs.statSync(installedLock).mtimeMs >=
+    fs.statSync('package-lock.json').mtimeMs
   );
 }
 
--- a/tools/run_tests.mjs
+++ b/tools/run_tests.mjs
@@ -4,12 +4,12 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 
-function findTests(folder) {
+function findTestFiles(folder) {
   return fs
     .readdirSync(folder, {withFileTypes: true})
     .flatMap(entry => {
       const name = path.join(folder, entry.name);
-      if (entry.isDirectory()) return findTests(name);
+      if (entry.isDirectory()) return findTestFiles(name);
       return name.endsWith('_test.js') ? [name] : [];
     })
     .filter(name => {
@@ -19,7 +19,7 @@
     .sort();
 }
 
-function knownRedFiles() {
+function readKnownRedFiles() {
   if (!fs.existsSync('KNOWN-RED.txt')) return [];
   return fs
     .readFileSync('KNOWN-RED.txt', 'utf8')
@@ -46,13 +46,13 @@
 }
 
 const requested = process.argv.slice(2);
-const red = knownRedFiles();
+const knownRed = readKnownRedFiles();
 const files = (
-  requested.length > 0 ? requested : findTests('build/test')
-).filter(name => !red.includes(name));
+  requested.length > 0 ? requested : findTestFiles('build/test')
+).filter(name => !knownRed.includes(name));
 const status = runFiles(files);
-if (red.length > 0 && requested.length === 0) {
+if (knownRed.length > 0 && requested.length === 0) {
   console.log('Known red tests (KNOWN-RED.txt); failures are tolerated:');
-  runFiles(red);
+  runFiles(knownRed);
 }
 process.exit(status);
