--- a/stand_ins/log_service.ts
+++ b/stand_ins/log_service.ts
@@ -14,7 +14,7 @@
 
 /** Failures that a test can inject. */
 export interface LogFailures {
-  /** Every call fails. */
+  /** Connections close without a response. */
   readonly down: boolean;
   /** No call is answered; connections stay open. */
   readonly hangs: boolean;
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -167,7 +167,12 @@
     id: string,
     body?: unknown,
   ): Promise<FrontResponse> {
-    return callFront(target.frontAddress, method, QUEUE_PATH_PREFIX + id, body);
+    return sendToFront(
+      target.frontAddress,
+      method,
+      QUEUE_PATH_PREFIX + id,
+      body,
+    );
   }
 
   /** Returns the task starts on all workers that belong to a job. */
@@ -249,7 +254,7 @@
 }
 
 /** Sends a request with the queue's host header to any address. */
-function callFront(
+function sendToFront(
   address: string,
   method: string,
   path: string,
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -134,19 +134,19 @@
     jsonBody.sendJson(response, 200, {
       clock_ms: clockMs,
       born,
-      running: running.map(row => [
-        row.task,
-        row.run,
-        row.checkpoint,
-        row.percent,
-        row.usage,
+      running: running.map(run => [
+        run.task,
+        run.run,
+        run.checkpoint,
+        run.percent,
+        run.usage,
       ]),
-      finished: ended.map(row => [
-        row.sequenceNumber,
-        row.task,
-        row.run,
-        row.how,
-        row.checkpoint,
+      finished: ended.map(runEnd => [
+        runEnd.sequenceNumber,
+        runEnd.task,
+        runEnd.run,
+        runEnd.how,
+        runEnd.checkpoint,
       ]),
     });
   }
--- a/stand_ins/spawned_process.ts
+++ b/stand_ins/spawned_process.ts
@@ -43,8 +43,8 @@
     void this.exitCode.then(() => (exited = true));
     const startedAtMs = performance.now();
     while (performance.now() - startedAtMs < LINE_TIMEOUT_MS) {
-      const found = this.lines.find(item => pattern.test(item));
-      if (found !== undefined) return found;
+      const matchingLine = this.lines.find(item => pattern.test(item));
+      if (matchingLine !== undefined) return matchingLine;
       if (exited) break;
       await new Promise(resolve => setTimeout(resolve, 10));
     }
--- a/stand_ins/stand_in_worker.ts
+++ b/stand_ins/stand_in_worker.ts
@@ -46,7 +46,7 @@
 /** Interval of the check of leases, ended tasks, usage and connections. */
 const CHECK_INTERVAL_MS = 20;
 
-/** Ten minutes. */
+/** Default time for which ended tasks stay in reports: ten minutes. */
 const DEFAULT_ENDED_RETENTION_MS = 600_000;
 
 /**
@@ -124,12 +124,12 @@
   /** Serves the calls of the entry process that owns the worker. */
   async serve(call: standInServer.StandInCall): Promise<void> {
     if (this.failures.hangs) return;
-    const [, first, name, part] = call.url.pathname.split('/');
-    if (first === 'report') call.send(200, this.report());
-    else if (first === 'renewals') this.renewLeases(call);
-    else if (first !== 'tasks') call.send(404, {detail: 'no such path'});
+    const [, collection, name, action] = call.url.pathname.split('/');
+    if (collection === 'report') call.send(200, this.report());
+    else if (collection === 'renewals') this.renewLeases(call);
+    else if (collection !== 'tasks') call.send(404, {detail: 'no such path'});
     else if (name === undefined) await this.serveStart(call);
-    else this.serveTask(decodeURIComponent(name), part, call);
+    else this.serveTask(decodeURIComponent(name), action, call);
   }
 
   /** Applies `leave`, `silenceConnections` and failures by their names. */
@@ -196,7 +196,7 @@
 
   private serveTask(
     name: string,
-    part: string | undefined,
+    action: string | undefined,
     call: standInServer.StandInCall,
   ): void {
     const known = this.tasks.get(name);
@@ -204,13 +204,13 @@
       call.send(404, {detail: 'no such task'});
       return;
     }
-    if (part === 'answer') {
+    if (action === 'answer') {
       known.whenEnded(answer => call.send(200, answer));
       return;
     }
     if (call.method === 'DELETE') known.end('stopped', '');
-    else if (part === 'checkpoint') known.end('checkpointed', '');
-    else if (part === 'throttle') {
+    else if (action === 'checkpoint') known.end('checkpointed', '');
+    else if (action === 'throttle') {
       const limit = jsonBody.parseJsonObject(call.body);
       known.throttle(limit as unknown as resources.Resources);
     }
@@ -226,13 +226,14 @@
   }
 
   private checkTasks(): void {
-    const keepEnded =
+    const retentionMs =
       this.options.endedRetentionMs ?? DEFAULT_ENDED_RETENTION_MS;
     const now = performance.now();
     for (const [name, known] of this.tasks) {
       known.endIfLeaseLapsed(this.clockMs());
-      const kept = known.state === 'running' || now - known.endedAt < keepEnded;
-      if (!kept) this.tasks.delete(name);
+      const retained =
+        known.state === 'running' || now - known.endedAt < retentionMs;
+      if (!retained) this.tasks.delete(name);
     }
     const used = this.sumRunning(item => item.usage());
     if (!resources.fits(used, this.options.capacity)) this.overuses += 1;
@@ -243,12 +244,12 @@
   }
 
   private sumRunning(
-    quantity: (item: workerTask.WorkerTask) => resources.Resources,
+    measure: (item: workerTask.WorkerTask) => resources.Resources,
   ): resources.Resources {
     let total = resources.NONE;
     for (const known of this.tasks.values()) {
       if (known.state !== 'running') continue;
-      total = resources.add(total, quantity(known));
+      total = resources.add(total, measure(known));
     }
     return total;
   }
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -36,6 +36,7 @@
   losesAnswers = false;
   /** Latest lease end that any call has set. */
   leaseEndMs = 0;
+  /** Highest accepted fencing token; calls with a lower one are rejected. */
   highestFence = 0;
   /** Reason for which all starts are rejected, if they are. */
   rejectReason: workerClient.RejectionReason | undefined;
@@ -102,14 +103,14 @@
     }
     this.raiseFenceAndLease(command.fence, command.deadlineMs ?? 0);
     this.ended = this.ended.filter(
-      row => row.sequenceNumber > command.storedEndNumber,
+      runEnd => runEnd.sequenceNumber > command.storedEndNumber,
     );
     return {
       kind: 'reported',
       report: {
         clockMs: this.clock.now(),
         born: this.entry.born,
-        running: [...this.running.values()].map(run => this.runningRow(run)),
+        running: [...this.running.values()].map(run => this.toReportedRun(run)),
         ended: this.ended,
       },
     };
@@ -141,10 +142,10 @@
     return used;
   }
 
-  private runningRow(run: ActiveRun): remoteWorker.ReportedRun {
+  private toReportedRun(run: ActiveRun): remoteWorker.ReportedRun {
     const {task, run: number, checkpoint} = run.command;
-    const elapsed = this.clock.now() - run.startedAtMs;
-    const percent = (100 * elapsed) / (run.endsAtMs - run.startedAtMs);
+    const elapsedMs = this.clock.now() - run.startedAtMs;
+    const percent = (100 * elapsedMs) / (run.endsAtMs - run.startedAtMs);
     return {task, run: number, checkpoint, percent, usage: 0};
   }
 
