--- a/bench/fakes/fake_log.ts
+++ b/bench/fakes/fake_log.ts
@@ -1,23 +1,23 @@
 import type * as event from '../../src/contracts/event.js';
 
-/** In-memory log service with limited retention. */
+/** In-memory log service that retains a limited number of records. */
 export class FakeLog {
   private readonly streams = new Map<string, event.StreamRecord[]>();
   private readonly trimmedCounts = new Map<string, number>();
   down = false;
 
-  constructor(private readonly retention: number) {}
+  constructor(private readonly maxRecords: number) {}
 
   /** Appends records in order. */
   append(stream: string, records: ReadonlyArray<string>): void {
-    const kept = this.streams.get(stream) ?? [];
+    const retained = this.streams.get(stream) ?? [];
     for (const data of records) {
-      kept.push({offset: this.nextOffset(stream), data});
-      this.streams.set(stream, kept);
+      retained.push({offset: this.nextOffset(stream), data});
+      this.streams.set(stream, retained);
     }
-    const excess = kept.length - this.retention;
+    const excess = retained.length - this.maxRecords;
     if (excess <= 0) return;
-    kept.splice(0, excess);
+    retained.splice(0, excess);
     this.trimmedCounts.set(
       stream,
       (this.trimmedCounts.get(stream) ?? 0) + excess,
@@ -30,7 +30,7 @@
     from: number,
     sentAt: number,
   ): Extract<event.PlatformEvent, {kind: 'recordsRead'}> {
-    const kept = this.streams.get(stream) ?? [];
+    const retained = this.streams.get(stream) ?? [];
     const first = this.trimmedCounts.get(stream) ?? 0;
     return {
       kind: 'recordsRead',
@@ -38,12 +38,12 @@
       sentAt,
       first,
       next: this.nextOffset(stream),
-      records: kept.filter(record => record.offset >= from).slice(0, 500),
+      records: retained.filter(record => record.offset >= from).slice(0, 500),
     };
   }
 
   private nextOffset(stream: string): number {
-    const kept = this.streams.get(stream) ?? [];
-    return (this.trimmedCounts.get(stream) ?? 0) + kept.length;
+    const retained = this.streams.get(stream) ?? [];
+    return (this.trimmedCounts.get(stream) ?? 0) + retained.length;
   }
 }
--- a/bench/guarantee_checker.ts
+++ b/bench/guarantee_checker.ts
@@ -54,35 +54,35 @@
     const events = this.cell.workers
       .flatMap(worker => worker.events)
       .sort((left, right) => left.atMs - right.atMs);
-    const running = new Map<string, Set<string>>();
-    const done = new Set<string>();
-    const load = new Map<string, number>();
+    const activeRunsByTask = new Map<string, Set<string>>();
+    const completed = new Set<string>();
+    const usedByWorker = new Map<string, number>();
     for (const event of events) {
-      const runs = running.get(event.task) ?? new Set<string>();
-      running.set(event.task, runs);
-      if (event.kind === 'started') this.checkStart(event, runs, done);
-      else if (event.outcome === 'done') done.add(event.task);
+      const active = activeRunsByTask.get(event.task) ?? new Set<string>();
+      activeRunsByTask.set(event.task, active);
+      if (event.kind === 'started') this.checkStart(event, active, completed);
+      else if (event.outcome === 'done') completed.add(event.task);
       const change = event.kind === 'started' ? 1 : -1;
       const used =
-        (load.get(event.worker) ?? 0) + change * TASK_CPU_THOUSANDTHS;
-      load.set(event.worker, used);
+        (usedByWorker.get(event.worker) ?? 0) + change * TASK_CPU_THOUSANDTHS;
+      usedByWorker.set(event.worker, used);
       if (used > WORKER_CPU_THOUSANDTHS) {
         this.breaches.push(`${event.worker} is over its capacity: ${used}`);
       }
-      if (event.kind === 'started') runs.add(nameOf(event));
-      else runs.delete(nameOf(event));
+      if (event.kind === 'started') active.add(runName(event));
+      else active.delete(runName(event));
     }
   }
 
   private checkStart(
     event: workerModel.WorkerEvent,
     runs: ReadonlySet<string>,
-    done: ReadonlySet<string>,
+    completed: ReadonlySet<string>,
   ): void {
     const run = `${event.task} run ${event.run} on ${event.worker}`;
     const [id] = event.task.split('.');
     if (runs.size > 0) this.breaches.push(`${run} beside ${[...runs].join()}`);
-    if (done.has(event.task)) this.breaches.push(`${run} after its end`);
+    if (completed.has(event.task)) this.breaches.push(`${run} after its end`);
     if (!this.submittedIds.has(id)) {
       this.breaches.push(`${run} was never submitted`);
     }
@@ -90,6 +90,6 @@
   }
 }
 
-function nameOf(event: workerModel.WorkerEvent): string {
+function runName(event: workerModel.WorkerEvent): string {
   return `${event.worker}/${event.run}`;
 }
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -130,7 +130,7 @@
     this.waitingCount -= 1;
     const {name} = placement.request.workload;
     const {actualUsage} = this.workloads.find(
-      mix => mix.definition.name === name,
+      workload => workload.definition.name === name,
     ) as MisdeclaredWorkload;
     const usageFactor =
       1 + this.variation * (2 * randomFraction(this.random) - 1);
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -102,8 +102,8 @@
   }
 
   private async submitJobs(): Promise<void> {
-    for (let next = 1; !this.faultsEnded; next += 1) {
-      const id = platformCell.jobIdOf(next);
+    for (let jobNumber = 1; !this.faultsEnded; jobNumber += 1) {
+      const id = platformCell.jobIdOf(jobNumber);
       this.submissions.push(this.submit(id, this.randomBelow(PROCESS_COUNT)));
       await timers.setTimeout(JOB_INTERVAL_MS);
     }
--- a/bench/platform_soak_main.ts
+++ b/bench/platform_soak_main.ts
@@ -27,7 +27,7 @@
       );
       if (outcome.breaches.length > 0) failedSeeds += 1;
     }
-    console.log(`${seeds} seeds, ${failedSeeds} with a broken promise`);
+    console.log(`${seeds} seeds, ${failedSeeds} with breached guarantees`);
     process.exit(failedSeeds === 0 ? 0 : 1);
   },
 });
--- a/bench/process_bench.ts
+++ b/bench/process_bench.ts
@@ -62,15 +62,15 @@
 
   /** Starts the stand-ins and the entry process, and waits for the warm-up. */
   async start(workerCount: number): Promise<void> {
-    const log = await this.logService.listen();
-    const list = await this.vmList.listen();
+    const logAddress = await this.logService.listen();
+    const vmListAddress = await this.vmList.listen();
     for (let index = 0; index < workerCount; index += 1) {
       await this.addWorker(index);
     }
     this.publish('fleet', FLEET_DOCUMENT);
     this.publish('team/dispatch', TEAM_DOCUMENT);
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bench-'));
-    const config = path.join(this.folder, 'settings.toml');
+    const settingsFile = path.join(this.folder, 'settings.toml');
     const lines = [
       'vm = "entry-1"',
       'zone = "kigali-a"',
@@ -78,15 +78,15 @@
       'host = "127.0.0.1"',
       'callerPort = 0',
       'peerPort = 0',
-      `log = "${log}"`,
-      `vmList = "${list}"`,
+      `log = "${logAddress}"`,
+      `vmList = "${vmListAddress}"`,
     ];
-    fs.writeFileSync(config, lines.join('\n'));
-    const serve = ['serve', '--config', config];
-    const binary = fs.existsSync(BINARY);
+    fs.writeFileSync(settingsFile, lines.join('\n'));
+    const serve = ['serve', '--config', settingsFile];
+    const hasBinary = fs.existsSync(BINARY);
     this.child = childProcess.spawn(
-      binary ? BINARY : process.execPath,
-      binary ? serve : ['build/src/main.js', ...serve],
+      hasBinary ? BINARY : process.execPath,
+      hasBinary ? serve : ['build/src/main.js', ...serve],
       {stdio: ['ignore', 'pipe', 'inherit']},
     );
     this.address = await this.waitForAddress();
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -384,9 +384,9 @@
     durationMs: number,
   ): void {
     const workers = [...this.workers.values()];
-    const broken = workers[random.below(workers.length)];
-    broken.failsEverything = true;
-    this.time.after(durationMs, () => (broken.failsEverything = false));
+    const failing = workers[random.below(workers.length)];
+    failing.failsEverything = true;
+    this.time.after(durationMs, () => (failing.failsEverything = false));
   }
 
   private partition(left: string, right: string, durationMs: number): void {
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -9,14 +9,14 @@
   return randomizedRun.FAULTS.filter(fault => names.includes(fault));
 }
 
-function describe(result: randomizedRun.RunResult): string {
+function describeResult(result: randomizedRun.RunResult): string {
   const first = result.violations[0];
-  const broken = first === undefined ? '' : ` ${JSON.stringify(first)}`;
+  const violation = first === undefined ? '' : ` ${JSON.stringify(first)}`;
   const reported = result.reportedViolations[0] ?? '';
   return (
     `seed ${result.seed} violations ${result.violations.length}` +
     ` unfinished ${result.unfinishedCount} ${result.unfinishedRequests[0] ?? ''}` +
-    ` reported ${result.reportedViolations.length} ${reported}${broken}`
+    ` reported ${result.reportedViolations.length} ${reported}${violation}`
   );
 }
 
@@ -71,7 +71,7 @@
         result.unfinishedCount > 0;
       if (!runFailed) continue;
       failedCount += 1;
-      console.log(describe(result));
+      console.log(describeResult(result));
       if (options.trace) console.log(result.trace.join('\n'));
     }
     console.log(
