--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -286,12 +286,12 @@
   const baselineWithoutFlood = runFlood('baseline', undefined);
   const baselineWithFlood = runFlood('baseline', flood);
   const row = (
-    what: string,
+    metric: string,
     unit: string,
     goal: string,
-    figureOf: (flooded: FloodFigures, usual: FloodFigures) => number,
+    figureOf: (withFlood: FloodFigures, withoutFlood: FloodFigures) => number,
   ): benchRow.BenchRow => ({
-    name: `${flood.name}: ${what}`,
+    name: `${flood.name}: ${metric}`,
     figure: Number(
       figureOf(schedulerWithFlood, schedulerWithoutFlood).toFixed(3),
     ),
@@ -305,34 +305,36 @@
       'throughput that other teams keep',
       'fraction',
       'at least 0.95',
-      (flooded, usual) => flooded.otherStarts / usual.otherStarts,
+      (withFlood, withoutFlood) =>
+        withFlood.otherStarts / withoutFlood.otherStarts,
     ),
     row(
       'p99 wait of other teams against no flood',
       'times',
       'at most 2',
-      (flooded, usual) => flooded.p99Ms / usual.p99Ms,
+      (withFlood, withoutFlood) => withFlood.p99Ms / withoutFlood.p99Ms,
     ),
-    row('p99 wait of other teams', 'ms', '', flooded => flooded.p99Ms),
+    row('p99 wait of other teams', 'ms', '', withFlood => withFlood.p99Ms),
     row(
       'longest wait of urgent work of other teams',
       'ms',
       'at most 3500',
-      flooded => flooded.longestUrgentWaitMs,
+      withFlood => withFlood.longestUrgentWaitMs,
     ),
     row(
       'goodput of the flood, part of its fair share',
       'fraction',
       'above 0.9',
-      flooded =>
-        flooded.floodEnds /
+      withFlood =>
+        withFlood.floodEnds /
         floodTaskCapacity(flood, 1 / (OTHER_TEAMS.length + 1)),
     ),
     row(
       'goodput of the flood, part of the room left to it',
       'fraction',
       '',
-      flooded => flooded.floodEnds / floodTaskCapacity(flood, 1 - BASE_LOAD),
+      withFlood =>
+        withFlood.floodEnds / floodTaskCapacity(flood, 1 - BASE_LOAD),
     ),
   ];
 }
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -68,7 +68,7 @@
 
 interface PackingFigures {
   /** Used fraction of the offline bound. */
-  readonly packing: number;
+  readonly boundFraction: number;
   /** Fraction of worker time in which usage exceeded the capacity. */
   readonly overCapacity: number;
 }
@@ -101,7 +101,7 @@
       WORKER_COUNT * this.sampleCount,
     );
     return {
-      packing: Math.max(
+      boundFraction: Math.max(
         this.usedTotal.processors / total.processors,
         this.usedTotal.memory / total.memory,
       ),
@@ -206,11 +206,11 @@
   return [
     {
       name: `packing, share of the offline bound, ${scenario}`,
-      figure: Number(figures.packing.toFixed(3)),
+      figure: Number(figures.boundFraction.toFixed(3)),
       unit: 'fraction',
       seed: SEED,
       goal: 'at least 0.95',
-      baseline: baseline.packing.toFixed(3),
+      baseline: baseline.boundFraction.toFixed(3),
     },
     {
       name: `worker time over capacity, ${scenario}`,
