--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -4,8 +4,8 @@
 import type * as stepInstance from './step_instance.js';
 
 /**
- * Finds places for all tasks of a gang at once, or none. Tasks that suffer
- * from distance are kept on one rack where a rack has the room.
+ * Selects workers for all tasks of a gang; undefined unless all fit. A step
+ * with `sameRack` is placed on one rack if all its tasks fit on one.
  */
 export function planGang(
   step: stepInstance.StepInstance,
@@ -47,7 +47,7 @@
       facts.countTasksOfStep(worker) + (plannedTaskCounts.get(worker) ?? 0),
     countServingTasks: worker => facts.countServingTasks(worker),
     countIdleCapacityTasks: worker => facts.countIdleCapacityTasks(worker),
-    suspicion: worker => facts.suspicion(worker),
+    failureProbability: worker => facts.failureProbability(worker),
   };
   const size = workerSelection.reservedSize(step.definition);
   const reservation = new temporaryReservation.TemporaryReservation('plan');
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -14,81 +14,84 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerReliability from '../machines/worker_reliability.js';
 
-/** Lead time with which advice for a later step is asked for. */
-const ADVICE_LEAD_MS = 300;
+/** Additional lead time of advice requests for upcoming steps. */
+const ADVICE_LEAD_MARGIN_MS = 300;
 
-/** What a pass works on. */
+/** Input of one placement pass. */
 export interface PassInput {
   readonly waiting: ReadonlyArray<stepOrdering.WaitingStep>;
-  /** Steps whose turn comes soon. */
+  /** Steps that are expected to become ready soon. */
   readonly upcoming: ReadonlyArray<stepOrdering.WaitingStep>;
   readonly now: clock.Milliseconds;
 }
 
-/** Answers what a placer must know of tasks, and hears what it does. */
+/** Answers a placer's queries about tasks, and receives its decisions. */
 export interface PlacerListener {
-  /** Number of a task's next run. */
+  /** Returns the number of a task's next run. */
   nextRun(task: jobTask.JobTask): number;
-  /** Expected runtime of a step's tasks. */
+  /** Returns the expected runtime of a step's tasks. */
   predictMs(step: stepInstance.StepInstance): number;
-  /** Priority of a step's queue; 0 is the most urgent. */
+  /** Returns the priority of a step's queue; 0 is the most urgent. */
   priorityOf(step: stepInstance.StepInstance): number;
-  /** Stops a run, which resumes from its checkpoint, for a more urgent task. */
-  interrupt(
-    victim: jobTask.Assignment,
-    urgent: stepInstance.StepInstance,
-  ): void;
-  /** Tasks of a step were started; `left` of them still wait. */
+  /** Preempts a run for a more urgent step; it resumes from its checkpoint. */
+  preempt(victim: jobTask.Assignment, urgent: stepInstance.StepInstance): void;
+  /** Receives how many tasks of a step were started and how many still wait. */
   tasksPlaced(
     step: stepInstance.StepInstance,
     count: number,
-    left: number,
+    waitingCount: number,
   ): void;
 }
 
-/** Gives waiting tasks their workers. */
+/** Places waiting tasks on workers. */
 export class Placer {
   constructor(
     private readonly workers: workerTable.WorkerTable,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly adviceCache: adviceCache.AdviceCache,
-    private readonly trust: workerReliability.WorkerReliability,
+    private readonly reliability: workerReliability.WorkerReliability,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: PlacerListener,
   ) {}
 
-  /** Places what has room now, most urgent first. */
+  /** Places the tasks that fit now, most urgent first. */
   runPass(input: PassInput): void {
-    const open = this.openWorkers(input.now);
+    const schedulable = this.schedulableWorkers(input.now);
     const preemptions = new preemptionPlanner.PreemptionPlanner(input.now);
     const ticketReservation = new ticketWaitReservation.TicketWaitReservation();
-    for (const rated of stepOrdering.sortByUrgency(
+    for (const prioritized of stepOrdering.sortByUrgency(
       input.waiting,
       input.now,
       step => this.listener.predictMs(step),
-      service => processorsOf(open.get(service) ?? []),
+      service => processorsOf(schedulable.get(service) ?? []),
     )) {
-      const workers = open.get(rated.queue.service) ?? [];
+      const workers = schedulable.get(prioritized.queue.service) ?? [];
       if (workers.length === 0) continue;
-      this.placeStep(rated, workers, preemptions, ticketReservation, input.now);
+      this.placeStep(
+        prioritized,
+        workers,
+        preemptions,
+        ticketReservation,
+        input.now,
+      );
     }
     ticketReservation.release();
     for (const {step, queue} of input.upcoming) {
-      const workers = open.get(queue.service) ?? [];
+      const workers = schedulable.get(queue.service) ?? [];
       this.prefetchAdvice(step, queue, workers, input.now);
     }
   }
 
   /**
-   * Tells whether a task of a step could be started now; where a ticket is
-   * missing, asks for one.
+   * Returns whether a task of a step could be started now. If it could not and
+   * the queue needs tickets, requests some.
    */
   prepareStart(
     step: stepInstance.StepInstance,
     queue: job.Queue,
     now: clock.Milliseconds,
   ): boolean {
-    const workers = this.openWorkers(now).get(queue.service) ?? [];
+    const workers = this.schedulableWorkers(now).get(queue.service) ?? [];
     const facts = this.factsFor(step, queue, now);
     if (workerSelection.selectWorker(step, workers, facts) !== undefined) {
       return true;
@@ -99,36 +102,36 @@
     return false;
   }
 
-  /** Says why tasks of a step still wait. */
+  /** Returns a log summary of why tasks of a step still wait. */
   explain(
     step: stepInstance.StepInstance,
     queue: job.Queue,
     now: clock.Milliseconds,
   ): string {
-    const open = this.openWorkers(now).get(queue.service) ?? [];
+    const schedulable = this.schedulableWorkers(now).get(queue.service) ?? [];
     const facts = this.factsFor(step, queue, now);
-    const eligible = open.filter(worker =>
+    const eligible = schedulable.filter(worker =>
       workerSelection.isEligible(worker, step.definition, facts),
     );
     const advice = queue.advice
       ? this.adviceCache.describe(step, now)
       : 'no advice';
-    const free = Math.round(100 * freeProcessorShare(open));
-    return `open=${open.length} free=${free}% eligible=${eligible.length} ${advice}`;
+    const free = Math.round(100 * freeProcessorShare(schedulable));
+    return `open=${schedulable.length} free=${free}% eligible=${eligible.length} ${advice}`;
   }
 
-  private openWorkers(
+  private schedulableWorkers(
     now: clock.Milliseconds,
   ): ReadonlyMap<string, ReadonlyArray<remoteWorker.RemoteWorker>> {
-    const open = new Map<string, remoteWorker.RemoteWorker[]>();
+    const byService = new Map<string, remoteWorker.RemoteWorker[]>();
     for (const worker of this.workers.all()) {
       if (!workerSelection.isSchedulable(worker, now)) continue;
       const {service} = worker.entry;
-      const ofService = open.get(service);
-      if (ofService === undefined) open.set(service, [worker]);
+      const ofService = byService.get(service);
+      if (ofService === undefined) byService.set(service, [worker]);
       else ofService.push(worker);
     }
-    return open;
+    return byService;
   }
 
   private placeStep(
@@ -139,50 +142,52 @@
     now: clock.Milliseconds,
   ): void {
     const facts = this.factsFor(step, queue, now);
-    const placed = step.definition.gang
+    const allPlaced = step.definition.gang
       ? this.placeGang(step, workers, facts)
       : this.placeTasks(step, workers, facts);
-    if (placed) return;
-    const count = step.tasks.filter(task => task.waiting).length;
+    if (allPlaced) return;
+    const waitingCount = step.tasks.filter(task => task.waiting).length;
     if (urgency.onTime && !step.definition.gang) {
       const victims = preemptions.planVictims(
         step,
         queue,
-        count,
+        waitingCount,
         workers,
         facts,
       );
-      for (const victim of victims) this.listener.interrupt(victim, step);
+      for (const victim of victims) this.listener.preempt(victim, step);
     }
     if (queue.advice !== undefined) {
       const candidates = this.requestAdvice(step, queue.advice, workers, facts);
-      ticketReservation.reserve(step, count, candidates, facts);
+      ticketReservation.reserve(step, waitingCount, candidates, facts);
     }
   }
 
-  /** Returns whether no task of the step waits any more. */
+  /** Starts the tasks that fit; returns whether none is left waiting. */
   private placeTasks(
     step: stepInstance.StepInstance,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: workerSelection.WorkerFacts,
   ): boolean {
-    let placed = 0;
-    let left = 0;
+    let placedCount = 0;
+    let waitingCount = 0;
     for (const task of step.tasks) {
       if (!task.waiting) continue;
       const selected =
-        left === 0
+        waitingCount === 0
           ? workerSelection.selectWorker(step, workers, facts)
           : undefined;
       if (selected === undefined) {
-        left += 1;
+        waitingCount += 1;
         continue;
       }
       this.dispatcher.start(task, selected, this.listener.nextRun(task));
-      placed += 1;
+      placedCount += 1;
+    }
+    if (placedCount > 0) {
+      this.listener.tasksPlaced(step, placedCount, waitingCount);
     }
-    if (placed > 0) this.listener.tasksPlaced(step, placed, left);
-    return left === 0;
+    return waitingCount === 0;
   }
 
   private placeGang(
@@ -190,7 +195,7 @@
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: workerSelection.WorkerFacts,
   ): boolean {
-    // Members of an earlier run must be gone before the next run starts.
+    // Members of an earlier run must have ended before the next run starts.
     if (!step.tasks.every(task => task.waiting)) return true;
     const plan = gangPlan.planGang(step, workers, facts);
     if (plan === undefined) return false;
@@ -216,15 +221,15 @@
       countServingTasks: worker => this.index.countServingTasks(worker),
       countIdleCapacityTasks: worker =>
         this.index.countIdleCapacityTasks(worker),
-      suspicion: worker => this.trust.failureProbability(worker),
+      failureProbability: worker => this.reliability.failureProbability(worker),
       runsOn: worker => this.index.runsOn(worker),
       priorityOf: other => this.listener.priorityOf(other),
     };
   }
 
   /**
-   * Asks about workers without a ticket, if that may be done. Returns those with
-   * room, on which the step may find its place.
+   * Requests tickets for workers that lack one, if a call may be sent. Returns
+   * those of them that are eligible apart from the ticket.
    */
   private requestAdvice(
     step: stepInstance.StepInstance,
@@ -233,27 +238,27 @@
     facts: workerSelection.WorkerFacts,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
     const {definition} = step;
-    const withRoom: remoteWorker.RemoteWorker[] = [];
+    const eligible: remoteWorker.RemoteWorker[] = [];
     const others: remoteWorker.RemoteWorker[] = [];
     for (const worker of workers) {
       if (this.adviceCache.mayRun(step, worker) === false) continue;
       if (!workerSelection.fitsTotalCapacity(worker, definition)) continue;
       if (facts.ticketFor(worker) !== undefined) continue;
-      const eligible = workerSelection.isEligible(worker, definition, facts);
-      (eligible ? withRoom : others).push(worker);
+      const isEligible = workerSelection.isEligible(worker, definition, facts);
+      (isEligible ? eligible : others).push(worker);
     }
     if (this.adviceCache.canRequest(step, timing)) {
       this.adviceCache.request(
         step,
         timing,
-        sortByPreference(definition, withRoom),
+        sortByPreference(definition, eligible),
         sortByPreference(definition, others),
       );
     }
-    return withRoom;
+    return eligible;
   }
 
-  /** Asks before the turn of a step comes, so that it need not wait. */
+  /** Requests tickets before a step is ready, so that it need not wait. */
   private prefetchAdvice(
     step: stepInstance.StepInstance,
     queue: job.Queue,
@@ -282,7 +287,7 @@
   }
 }
 
-/** Thousandths of cores of all workers together. */
+/** Returns the capacity of all workers, in thousandths of a core. */
 function processorsOf(
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
 ): number {
@@ -292,7 +297,7 @@
   );
 }
 
-/** Part of the workers' processors that is free, from 0 to 1. */
+/** Returns the free share of the workers' processors, from 0 to 1. */
 function freeProcessorShare(
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
 ): number {
@@ -300,12 +305,12 @@
   return free / Math.max(processorsOf(workers), 1);
 }
 
-/** Time before a step's turn at which its advice is asked for. */
+/** Returns how long before a step is ready its advice is requested. */
 export function adviceLeadMs(timing: job.AdviceTiming): number {
-  return adviceCache.longestAdviceCallMs(timing) + ADVICE_LEAD_MS;
+  return adviceCache.longestAdviceCallMs(timing) + ADVICE_LEAD_MARGIN_MS;
 }
 
-/** Workers near the data first, then those with the most room. */
+/** Sorts workers: those near the data first, then by free processors. */
 function sortByPreference(
   step: job.Step,
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -10,22 +10,22 @@
 import type * as job from '../jobs/job.js';
 import type * as jobScheduler from '../jobs/job_scheduler.js';
 
-/** Time without calls after which a connection is closed. */
-const IDLE_LIMIT_MS = 30_000;
+/** Time after which a connection without calls is closed. */
+const IDLE_TIMEOUT_MS = 30_000;
 
 type Client = connect.Client<typeof cellPb.Cell>;
 
 interface Connection {
   readonly client: Client;
   readonly session: connectNode.Http2SessionManager;
-  lastAnswerAt: clock.Milliseconds;
+  lastAnswerAtMs: clock.Milliseconds;
 }
 
 interface CallOptions {
   readonly signal: AbortSignal;
 }
 
-/** Calls other members over one HTTP/2 connection to each. */
+/** Calls other cell members over one HTTP/2 connection per member. */
 export class CellClient implements cellPeers.CellPeers {
   private readonly connections = new Map<string, Connection>();
 
@@ -33,18 +33,18 @@
 
   async ping(
     address: string,
-    greeting: cellPeers.PingMessage,
+    pingMessage: cellPeers.PingMessage,
     timeoutMs: number,
   ): Promise<cellPeers.PeerCallOutcome<cellPeers.PingReply>> {
     const request = {
-      newest: cellMessages.encodeClaim(greeting.newest),
-      configurationVersion: BigInt(greeting.configurationVersion),
-      sender: greeting.sender,
+      newest: cellMessages.encodeClaim(pingMessage.newest),
+      configurationVersion: BigInt(pingMessage.configurationVersion),
+      sender: pingMessage.sender,
     };
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.ping(request, options),
     );
-    return mapReached(reached, response => ({
+    return mapPeerCallOutcome(callOutcome, response => ({
       newest: cellMessages.decodeClaim(response.newest),
       incarnation: response.incarnation,
       leading: response.leading,
@@ -59,10 +59,10 @@
     address: string,
     timeoutMs: number,
   ): Promise<cellPeers.PeerCallOutcome<job.OperatorConfiguration | undefined>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.fetchConfiguration({}, options),
     );
-    return mapReached(reached, ({document}) =>
+    return mapPeerCallOutcome(callOutcome, ({document}) =>
       jsonDocument.decode<job.OperatorConfiguration>(document).extract(),
     );
   }
@@ -77,10 +77,10 @@
       definition: jsonDocument.encode(definition),
       configurationVersion: BigInt(configurationVersion),
     };
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.submit(request, options),
     );
-    return toLed(reached, cellMessages.decodeSubmitResponse);
+    return toLeaderCallOutcome(callOutcome, cellMessages.decodeSubmitResponse);
   }
 
   async cancel(
@@ -89,10 +89,12 @@
     id: string,
     timeoutMs: number,
   ): Promise<cellPeers.LeaderCallOutcome<jobScheduler.CancelOutcome>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.cancel({queue, id}, options),
     );
-    return toLed(reached, ({known}) => (known ? 'cancelled' : 'unknown'));
+    return toLeaderCallOutcome(callOutcome, ({known}) =>
+      known ? 'cancelled' : 'unknown',
+    );
   }
 
   async readState(
@@ -101,10 +103,10 @@
     id: string,
     timeoutMs: number,
   ): Promise<cellPeers.LeaderCallOutcome<job.JobState | undefined>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.readState({queue, id}, options),
     );
-    return toLed(reached, ({state}) =>
+    return toLeaderCallOutcome(callOutcome, ({state}) =>
       state === '' ? undefined : (state as job.JobState),
     );
   }
@@ -114,10 +116,10 @@
     queue: string,
     timeoutMs: number,
   ): Promise<cellPeers.LeaderCallOutcome<number>> {
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.countPending({queue}, options),
     );
-    return toLed(reached, ({pending}) => pending);
+    return toLeaderCallOutcome(callOutcome, ({pending}) => pending);
   }
 
   async advise(
@@ -131,14 +133,15 @@
       workerIds: [...workerIds],
       timeoutMs: Math.ceil(timeoutMs),
     };
-    const reached = await this.call(address, timeoutMs, (client, options) =>
+    const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.advise(request, options),
     );
-    if (reached.kind !== 'answered') {
-      const detail = reached.kind === 'unanswered' ? reached.detail : 'refused';
+    if (callOutcome.kind !== 'answered') {
+      const detail =
+        callOutcome.kind === 'unanswered' ? callOutcome.detail : 'refused';
       return {kind: 'unanswered', detail};
     }
-    const {outcome, tickets, detail} = reached.value;
+    const {outcome, tickets, detail} = callOutcome.value;
     if (outcome === 'advised') return {kind: 'advised', tickets};
     if (outcome === 'busy') return {kind: 'busy'};
     return {kind: 'unanswered', detail};
@@ -155,79 +158,84 @@
     timeoutMs: number,
     send: (client: Client, options: CallOptions) => Promise<Response>,
   ): Promise<cellPeers.PeerCallOutcome<Response>> {
-    const connection = this.connection(address);
-    const sentAt = this.clock.now();
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(), timeoutMs);
+    const connection = this.connectionTo(address);
+    const sentAtMs = this.clock.now();
+    const abortController = new AbortController();
+    const timer = setTimeout(() => abortController.abort(), timeoutMs);
     try {
-      const value = await send(connection.client, {signal: abort.signal});
-      connection.lastAnswerAt = this.clock.now();
+      const value = await send(connection.client, {
+        signal: abortController.signal,
+      });
+      connection.lastAnswerAtMs = this.clock.now();
       return {kind: 'answered', value};
-    } catch (fault) {
-      return this.explain(address, connection, sentAt, fault);
+    } catch (error) {
+      return this.classifyFailure(address, connection, sentAtMs, error);
     } finally {
       clearTimeout(timer);
     }
   }
 
-  private explain(
+  private classifyFailure(
     address: string,
     connection: Connection,
-    sentAt: clock.Milliseconds,
-    fault: unknown,
+    sentAtMs: clock.Milliseconds,
+    error: unknown,
   ): {kind: 'refused'} | {kind: 'unanswered'; detail: string} {
-    const error = connect.ConnectError.from(fault);
-    // Nothing came over the connection since the call was sent: it may have
-    // gone silent, while a new one would work.
-    if (connection.lastAnswerAt <= sentAt) this.drop(address, connection);
-    const cause = error.cause as {readonly code?: unknown} | undefined;
+    const connectError = connect.ConnectError.from(error);
+    // No answer arrived over the connection since the call was sent: it may be
+    // silent while a new connection would work.
+    if (connection.lastAnswerAtMs <= sentAtMs) this.evict(address, connection);
+    const cause = connectError.cause as {readonly code?: unknown} | undefined;
     if (cause?.code === 'ECONNREFUSED') return {kind: 'refused'};
-    return {kind: 'unanswered', detail: error.message};
+    return {kind: 'unanswered', detail: connectError.message};
   }
 
-  private drop(address: string, connection: Connection): void {
+  private evict(address: string, connection: Connection): void {
     if (this.connections.get(address) !== connection) return;
     this.connections.delete(address);
     connection.session.abort();
   }
 
-  private connection(address: string): Connection {
+  private connectionTo(address: string): Connection {
     const known = this.connections.get(address);
     if (known !== undefined) return known;
     const baseUrl = `http://${address}`;
     const session = new connectNode.Http2SessionManager(baseUrl, {
-      idleConnectionTimeoutMs: IDLE_LIMIT_MS,
+      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
     });
     const transport = connectNode.createConnectTransport({
       baseUrl,
       httpVersion: '2',
       sessionManager: session,
-      // Messages are a few hundred bytes; compression would only add headers.
+      // Messages have a few hundred bytes; compression would only add headers.
       acceptCompression: [],
       readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
     });
     const client = connect.createClient(cellPb.Cell, transport);
-    const opened = {client, session, lastAnswerAt: -Infinity};
+    const opened = {client, session, lastAnswerAtMs: -Infinity};
     this.connections.set(address, opened);
     return opened;
   }
 }
 
-function mapReached<From, To>(
-  reached: cellPeers.PeerCallOutcome<From>,
+function mapPeerCallOutcome<From, To>(
+  callOutcome: cellPeers.PeerCallOutcome<From>,
   map: (value: From) => To,
 ): cellPeers.PeerCallOutcome<To> {
-  if (reached.kind !== 'answered') return reached;
-  return {kind: 'answered', value: map(reached.value)};
+  if (callOutcome.kind !== 'answered') return callOutcome;
+  return {kind: 'answered', value: map(callOutcome.value)};
 }
 
-function toLed<Response extends {readonly leading: cellPb.Leading}, Value>(
-  reached: cellPeers.PeerCallOutcome<Response>,
+function toLeaderCallOutcome<
+  Response extends {readonly leading: cellPb.Leading},
+  Value,
+>(
+  callOutcome: cellPeers.PeerCallOutcome<Response>,
   map: (response: Response) => Value,
 ): cellPeers.LeaderCallOutcome<Value> {
-  if (reached.kind !== 'answered') return reached;
-  if (reached.value.leading !== cellPb.Leading.YES) {
+  if (callOutcome.kind !== 'answered') return callOutcome;
+  if (callOutcome.value.leading !== cellPb.Leading.YES) {
     return {kind: 'notLeading'};
   }
-  return {kind: 'answered', value: map(reached.value)};
+  return {kind: 'answered', value: map(callOutcome.value)};
 }
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -9,16 +9,16 @@
 import type * as cellPeers from '../zones/cell_peers.js';
 import type * as job from '../jobs/job.js';
 
-type Init<Schema extends protobuf.DescMessage> =
+type MessageInit<Schema extends protobuf.DescMessage> =
   protobuf.MessageInitShape<Schema>;
 
-/** Ages beyond this are all the same to a receiver. */
-const LONGEST_AGE_MS = 3_600_000;
+/** Upper bound of a reported age; receivers treat larger ages alike. */
+const MAX_REPORTED_AGE_MS = 3_600_000;
 
 const NOT_LEADING = {leading: cellPb.Leading.NO} as const;
 const NO_DOCUMENT = new Uint8Array(0);
 
-/** Answers the calls of other members. */
+/** HTTP/2 server for the calls of other cell members. */
 export class CellServer {
   private readonly server: http2.Http2Server;
   private readonly sessions = new Set<http2.ServerHttp2Session>();
@@ -26,7 +26,7 @@
   constructor(private readonly service: cellPeers.CellService) {
     this.server = http2.createServer(
       connectNode.connectNodeAdapter({
-        routes: router => this.route(router),
+        routes: router => this.registerRoutes(router),
         acceptCompression: [],
         readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
         grpc: false,
@@ -39,7 +39,7 @@
     });
   }
 
-  /** Listens and returns the port, which the system chooses for port 0. */
+  /** Starts listening; returns the port, chosen by the system for port 0. */
   listen(host: string, port: number): Promise<number> {
     return listen.listen(this.server, host, port);
   }
@@ -50,7 +50,7 @@
     for (const session of this.sessions) session.destroy();
   }
 
-  private route(router: connect.ConnectRouter): void {
+  private registerRoutes(router: connect.ConnectRouter): void {
     router.service(cellPb.Cell, {
       ping: request => this.ping(request),
       fetchConfiguration: () => this.fetchConfiguration(),
@@ -64,7 +64,7 @@
 
   private ping(
     request: cellPb.PingRequest,
-  ): Init<typeof cellPb.PingResponseSchema> {
+  ): MessageInit<typeof cellPb.PingResponseSchema> {
     const answer = this.service.answerPing({
       newest: cellMessages.decodeClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
@@ -75,11 +75,14 @@
       newest: cellMessages.encodeClaim(answer.newest),
       storeSilentMs: Math.round(answer.storeSilentMs),
       configurationVersion: BigInt(answer.configurationVersion),
-      configurationAgeMs: Math.min(answer.configurationAgeMs, LONGEST_AGE_MS),
+      configurationAgeMs: Math.min(
+        answer.configurationAgeMs,
+        MAX_REPORTED_AGE_MS,
+      ),
     };
   }
 
-  private fetchConfiguration(): Init<
+  private fetchConfiguration(): MessageInit<
     typeof cellPb.FetchConfigurationResponseSchema
   > {
     const {configuration} = this.service;
@@ -91,12 +94,15 @@
 
   private async submit(
     request: cellPb.SubmitRequest,
-  ): Promise<Init<typeof cellPb.SubmitResponseSchema>> {
+  ): Promise<MessageInit<typeof cellPb.SubmitResponseSchema>> {
     const definition = jsonDocument
       .decode<job.JobDefinition>(request.definition)
       .extract();
     if (definition === undefined) {
-      throw new connect.ConnectError('not JSON', connect.Code.InvalidArgument);
+      throw new connect.ConnectError(
+        'definition: must be a job definition in JSON',
+        connect.Code.InvalidArgument,
+      );
     }
     const outcome = await this.service.submit(
       definition,
@@ -116,7 +122,7 @@
 
   private async cancel(
     request: cellPb.JobRequest,
-  ): Promise<Init<typeof cellPb.CancelResponseSchema>> {
+  ): Promise<MessageInit<typeof cellPb.CancelResponseSchema>> {
     const outcome = await this.service.cancel(request.queue, request.id);
     if (outcome === undefined) return NOT_LEADING;
     return {leading: cellPb.Leading.YES, known: outcome === 'cancelled'};
@@ -124,7 +130,7 @@
 
   private readState(
     request: cellPb.JobRequest,
-  ): Init<typeof cellPb.ReadStateResponseSchema> {
+  ): MessageInit<typeof cellPb.ReadStateResponseSchema> {
     const found = this.service.readState(request.queue, request.id);
     if (found === undefined) return NOT_LEADING;
     return {leading: cellPb.Leading.YES, state: found.state ?? ''};
@@ -132,7 +138,7 @@
 
   private countPending(
     request: cellPb.CountPendingRequest,
-  ): Init<typeof cellPb.CountPendingResponseSchema> {
+  ): MessageInit<typeof cellPb.CountPendingResponseSchema> {
     const pending = this.service.countPending(request.queue);
     if (pending === undefined) return NOT_LEADING;
     return {leading: cellPb.Leading.YES, pending};
@@ -140,7 +146,7 @@
 
   private async advise(
     request: cellPb.AdviseRequest,
-  ): Promise<Init<typeof cellPb.AdviseResponseSchema>> {
+  ): Promise<MessageInit<typeof cellPb.AdviseResponseSchema>> {
     const {step, workerIds, timeoutMs} = request;
     const outcome = await this.service.advise(step, workerIds, timeoutMs);
     if (outcome.kind === 'advised') {
--- a/src/links/questionnaire_schema.ts
+++ b/src/links/questionnaire_schema.ts
@@ -1,27 +1,27 @@
 import * as questionnaire from '../contracts/questionnaire.js';
 import * as tomlSchema from './toml_schema.js';
 
-const name = new tomlSchema.NameRule();
-const text = new tomlSchema.TextRule(100);
-const yesOrNo = new tomlSchema.BooleanRule();
-const processors = new tomlSchema.NumberRule(0.001, 10_000);
-const memory = new tomlSchema.NumberRule(0.001, 1_000_000);
-const accelerators = new tomlSchema.IntegerRule(0, 1_000);
+const nameRule = new tomlSchema.NameRule();
+const textRule = new tomlSchema.TextRule(100);
+const booleanRule = new tomlSchema.BooleanRule();
+const processorsRule = new tomlSchema.NumberRule(0.001, 10_000);
+const memoryRule = new tomlSchema.NumberRule(0.001, 1_000_000);
+const acceleratorsRule = new tomlSchema.IntegerRule(0, 1_000);
 
-function nameOf(value: unknown): unknown {
+function readName(value: unknown): unknown {
   if (typeof value !== 'object' || value === null) return undefined;
   return (value as Readonly<Record<string, unknown>>)['name'];
 }
 
-const zone = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'What is the zone called?'},
-  {key: 'region', rule: name, meaning: 'In which region is it?'},
+const zoneTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'What is the zone called?'},
+  {key: 'region', rule: nameRule, meaning: 'In which region is it?'},
 ]);
 
-const worker = new tomlSchema.TableRule([
+const workerTable = new tomlSchema.TableRule([
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(name, 1, 1_000),
+    rule: new tomlSchema.ListRule(nameRule, 1, 1_000),
     meaning: 'In which zones do such workers run?',
   },
   {
@@ -31,25 +31,25 @@
   },
   {
     key: 'processors',
-    rule: processors,
-    meaning: 'How many processors has one?',
+    rule: processorsRule,
+    meaning: 'How many processors does one have?',
   },
   {
     key: 'memoryGiB',
-    rule: memory,
+    rule: memoryRule,
     unit: 'GiB',
-    meaning: 'How much memory has one?',
+    meaning: 'How much memory does one have?',
   },
   {
     key: 'accelerators',
-    rule: accelerators,
+    rule: acceleratorsRule,
     default: 0,
-    meaning: 'How many accelerators has one?',
+    meaning: 'How many accelerators does one have?',
   },
   {
     key: 'slots',
     rule: new tomlSchema.IntegerRule(1, 100_000),
-    meaning: 'How many tasks does one hold at once?',
+    meaning: 'How many tasks can one run at the same time?',
   },
   {
     key: 'connections',
@@ -59,17 +59,17 @@
   },
 ]);
 
-const work = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'What is this kind of work called?'},
+const workTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'What is this kind of work called?'},
   {
     key: 'endsByItself',
-    rule: yesOrNo,
+    rule: booleanRule,
     meaning: 'Does a piece of this work end by itself?',
   },
   {
     key: 'mayRunTwice',
-    rule: yesOrNo,
-    meaning: 'Does it do no harm if a piece runs a second time?',
+    rule: booleanRule,
+    meaning: 'Can a piece safely run a second time?',
   },
   {
     key: 'machinesAtOnce',
@@ -90,18 +90,18 @@
   },
   {
     key: 'processors',
-    rule: processors,
+    rule: processorsRule,
     meaning: 'How many processors does it use on a machine?',
   },
   {
     key: 'memoryGiB',
-    rule: memory,
+    rule: memoryRule,
     unit: 'GiB',
     meaning: 'How much memory does it use on a machine?',
   },
   {
     key: 'accelerators',
-    rule: accelerators,
+    rule: acceleratorsRule,
     default: 0,
     meaning: 'How many accelerators does it use on a machine?',
   },
@@ -121,15 +121,15 @@
   },
   {
     key: 'onlyInZones',
-    rule: new tomlSchema.ListRule(name, 0, 1_000),
+    rule: new tomlSchema.ListRule(nameRule, 0, 1_000),
     default: [],
-    meaning: 'In which zones alone may it run? An empty list means all.',
+    meaning: 'To which zones is it restricted? An empty list means all.',
   },
   {
     key: 'survivesRackLoss',
-    rule: yesOrNo,
+    rule: booleanRule,
     default: false,
-    meaning: 'Does half of its machines have to survive the loss of a rack?',
+    meaning: 'Must half of its machines survive the loss of a rack?',
   },
   {
     key: 'perBusyHour',
@@ -138,11 +138,11 @@
   },
 ]);
 
-const team = new tomlSchema.TableRule([
-  {key: 'name', rule: name, meaning: 'What is the team called?'},
+const teamTable = new tomlSchema.TableRule([
+  {key: 'name', rule: nameRule, meaning: 'What is the team called?'},
   {
     key: 'clients',
-    rule: new tomlSchema.ListRule(text, 1, 10_000),
+    rule: new tomlSchema.ListRule(textRule, 1, 10_000),
     meaning: 'Which clients send its requests?',
   },
   {
@@ -155,37 +155,37 @@
     key: 'weight',
     rule: new tomlSchema.NumberRule(0.001, 1_000),
     default: 1,
-    meaning: 'How much does it count when teams compete for the same room?',
+    meaning: 'What weight does it have when teams compete for capacity?',
   },
   {
     key: 'backlogMinutes',
     rule: new tomlSchema.NumberRule(0, 10_080),
     unit: 'minutes',
-    meaning: 'For how long may work of the busiest hour pile up?',
+    meaning: 'How long a backlog may the busiest hour build up?',
   },
   {
     key: 'work',
-    rule: new tomlSchema.ListRule(work, 1, 1_000, nameOf),
+    rule: new tomlSchema.ListRule(workTable, 1, 1_000, readName),
     meaning: 'Which kinds of work does the team have?',
   },
 ]);
 
-/** The questions; the meaning of a key is its question. */
+/** Schema of the answers; the meaning of a key is the question to ask. */
 export const QUESTIONNAIRE_SCHEMA = new tomlSchema.TableRule([
-  {key: 'operator', rule: text, meaning: 'Who operates the cell?'},
+  {key: 'operator', rule: textRule, meaning: 'Who operates the cell?'},
   {
     key: 'zones',
-    rule: new tomlSchema.ListRule(zone, 1, 1_000, nameOf),
+    rule: new tomlSchema.ListRule(zoneTable, 1, 1_000, readName),
     meaning: 'Which availability zones are there?',
   },
   {
     key: 'workers',
-    rule: new tomlSchema.ListRule(worker, 1, 1_000, () => undefined),
+    rule: new tomlSchema.ListRule(workerTable, 1, 1_000, () => undefined),
     meaning: 'Which shapes of workers are there?',
   },
   {
     key: 'teams',
-    rule: new tomlSchema.ListRule(team, 1, 10_000, nameOf),
+    rule: new tomlSchema.ListRule(teamTable, 1, 10_000, readName),
     meaning: 'Which teams are there?',
   },
 ]);
