--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -5,10 +5,10 @@
 import * as jsonBody from '../src/links/json_body.js';
 import type * as workerClient from '../src/machines/worker_client.js';
 
-/** How often a report that waits looks for an end. */
+/** Interval at which a waiting lease renewal checks for ended runs. */
 const POLL_INTERVAL_MS = 10;
 
-/** The platform's words for what a worker rejects. */
+/** Rejection reasons as the platform's worker protocol spells them. */
 const REJECTION_REASONS: Readonly<Record<string, string>> = {
   superseded: 'fence',
   staleRun: 'old',
@@ -18,7 +18,7 @@
 
 type JsonObject = Readonly<Record<string, unknown>>;
 
-/** A worker of the platform that is called over HTTP. */
+/** Stand-in for a worker of the platform, called over HTTP. */
 export class PlatformWorker {
   readonly events: workerModel.WorkerEvent[] = [];
   private readonly server: http.Server;
@@ -33,10 +33,10 @@
     });
   }
 
-  /** Listens and returns what the worker says of itself in the registry. */
+  /** Starts listening and returns the worker's entry for the registry. */
   async listen(service: string): Promise<JsonObject> {
     const port = await listen.listen(this.server, '127.0.0.1', 0);
-    return this.register(service, `127.0.0.1:${port}`);
+    return this.createModelAndEntry(service, `127.0.0.1:${port}`);
   }
 
   close(): void {
@@ -44,7 +44,7 @@
     this.server.close();
   }
 
-  private register(service: string, address: string): JsonObject {
+  private createModelAndEntry(service: string, address: string): JsonObject {
     const capacity = {processors: 4_000, memory: 16_384, accelerators: 0};
     const entry = {
       id: this.id,
@@ -93,10 +93,10 @@
     const {model} = this;
     switch (request.url) {
       case '/run-start':
-        sendOutcome(response, model.start(parseStartOrder(body)));
+        sendOutcome(response, model.start(parseStartCommand(body)));
         return;
       case '/run-stop':
-        sendOutcome(response, model.stop(parseRunName(body), parseFence(body)));
+        sendOutcome(response, model.stop(parseRunId(body), parseFence(body)));
         return;
       case '/hold':
         await this.serveRenewal(model, body, response);
@@ -111,20 +111,20 @@
     body: JsonObject,
     response: http.ServerResponse,
   ): Promise<void> {
-    const order: workerClient.RenewalCommand = {
+    const command: workerClient.RenewalCommand = {
       fence: parseFence(body),
       storedEndNumber: Number(body.ack_cursor),
       deadlineMs:
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
       waitMs: Number(body.wait_ms),
     };
-    let outcome = model.renewLease(order);
-    const until = performance.now() + order.waitMs;
-    while (!model.hasEndedRuns && performance.now() < until) {
+    let outcome = model.renewLease(command);
+    const waitEndMs = performance.now() + command.waitMs;
+    while (!model.hasEndedRuns && performance.now() < waitEndMs) {
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
     }
     if (outcome.kind === 'reported') {
-      outcome = model.renewLease({...order, deadlineMs: undefined});
+      outcome = model.renewLease({...command, deadlineMs: undefined});
     }
     if (outcome.kind !== 'reported') {
       jsonBody.sendJson(response, 409, {reason: 'fence'});
@@ -134,27 +134,27 @@
     jsonBody.sendJson(response, 200, {
       clock_ms: clockMs,
       born,
-      running: running.map(row => [
-        row.task,
-        row.run,
-        row.checkpoint,
-        row.percent,
-        row.usage,
+      running: running.map(run => [
+        run.task,
+        run.run,
+        run.checkpoint,
+        run.percent,
+        run.usage,
       ]),
-      finished: ended.map(row => [
-        row.sequenceNumber,
-        row.task,
-        row.run,
-        row.how,
-        row.checkpoint,
+      finished: ended.map(runEnd => [
+        runEnd.sequenceNumber,
+        runEnd.task,
+        runEnd.run,
+        runEnd.how,
+        runEnd.checkpoint,
       ]),
     });
   }
 }
 
-function parseStartOrder(body: JsonObject): workerClient.StartCommand {
+function parseStartCommand(body: JsonObject): workerClient.StartCommand {
   return {
-    ...parseRunName(body),
+    ...parseRunId(body),
     payload: String(body.spec),
     fence: parseFence(body),
     deadlineMs: Number(body.deadline_ms),
@@ -163,7 +163,7 @@
   };
 }
 
-function parseRunName(body: JsonObject): {task: string; run: number} {
+function parseRunId(body: JsonObject): {task: string; run: number} {
   return {task: String(body.task), run: Number(body.run)};
 }
 
