--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -1,6 +1,6 @@
 import * as hdr from 'hdr-histogram-js';
 import * as randomSource from '../src/machines/random_source.js';
-import * as scheduling from '../test/support/scheduling.js';
+import * as schedulingHarness from '../test/support/scheduling_harness.js';
 import * as schedulerUnderTest from './scheduler_under_test.js';
 import type * as benchRow from './bench_row.js';
 import type * as placement from '../src/contracts/placement.js';
@@ -16,7 +16,7 @@
 
 const TEAM_COUNT = 72;
 
-const CAPACITY = scheduling.size(16_000, 32_768, 2, 16);
+const CAPACITY = schedulingHarness.buildResources(16_000, 32_768, 2, 16);
 
 /** Injected time between decisions: 610 starts a second. */
 const DECISION_INTERVAL_MS = 1_000 / 610;
@@ -34,21 +34,21 @@
 /** Every fifth running task at the target belongs to a service. */
 const TASKS_PER_SERVICE_TASK = 5;
 
-const SERVICE_WORKLOAD = scheduling.workloadOf({
+const SERVICE_WORKLOAD = schedulingHarness.buildWorkload({
   name: 'watch',
   kind: 'service',
-  size: scheduling.size(500, 1_024),
+  size: schedulingHarness.buildResources(500, 1_024),
 });
 
 function batchWorkloads(
   random: randomSource.RandomSource,
 ): ReadonlyArray<workload.Workload> {
   return Array.from({length: 40}, (_, index) =>
-    scheduling.workloadOf({
+    schedulingHarness.buildWorkload({
       name: `batch-${index}`,
       urgency: index % 8 === 0 ? 'urgent' : 'normal',
       worth: random.below(10),
-      size: scheduling.size(
+      size: schedulingHarness.buildResources(
         200 + random.below(2_000),
         256 + random.below(4_000),
         index % 10 === 0 ? 1 : 0,
@@ -85,7 +85,7 @@
     private readonly targetRunning: number,
   ) {
     const teams = Array.from({length: TEAM_COUNT}, (_, index) =>
-      scheduling.teamOf(`team-${index}`),
+      schedulingHarness.buildTeam(`team-${index}`),
     );
     const capacity = CAPACITY;
     const options = {seed: SEED, workerCount, capacity, teams};
--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -72,7 +72,7 @@
   ): placement.Placement | undefined {
     this.placementAttempts += 1;
     const task = `${waiting.identity}/0.${this.placementAttempts}`;
-    const label = placementPolicy.labelOf(waiting);
+    const label = placementPolicy.buildTaskLabel(waiting);
     const {size} = waiting;
     const target = this.workers.find(candidate =>
       candidate.reserve({task, label, size}),
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -1,7 +1,7 @@
 import * as hdr from 'hdr-histogram-js';
 import * as firstFitBaseline from './first_fit_baseline.js';
 import * as randomSource from '../src/machines/random_source.js';
-import * as scheduling from '../test/support/scheduling.js';
+import * as schedulingHarness from '../test/support/scheduling_harness.js';
 import * as schedulerUnderTest from './scheduler_under_test.js';
 import * as runningTasks from './running_tasks.js';
 import type * as benchRow from './bench_row.js';
@@ -19,7 +19,7 @@
 const SLOTS = WORKER_COUNT * SLOTS_PER_WORKER;
 
 /** Eight tasks of this size fill a worker. */
-const TASK_SIZE = scheduling.size(2_000, 4_096);
+const TASK_SIZE = schedulingHarness.buildResources(2_000, 4_096);
 
 const TEAMS = ['one', 'two', 'three', 'four'] as const;
 
@@ -48,7 +48,7 @@
 
 interface Flood {
   readonly name: string;
-  readonly urgency: workload.Urgency;
+  readonly urgency: workload.UrgencyLevel;
   readonly runTimeMs: clock.Milliseconds;
 }
 
@@ -70,7 +70,7 @@
   nextArrivalMs: clock.Milliseconds;
 }
 
-const BASE_WORKLOAD = scheduling.workloadOf({
+const BASE_WORKLOAD = schedulingHarness.buildWorkload({
   name: 'order',
   size: TASK_SIZE,
   runTimeMs: RUN_TIME_MS,
@@ -239,12 +239,12 @@
 
 function run(kind: SchedulerKind, flood: Flood | undefined): FloodFigures {
   const teams = [...TEAMS, FLOOD_TEAM].map(name =>
-    scheduling.teamOf(name, {queueLimit: QUEUE_LIMIT}),
+    schedulingHarness.buildTeam(name, {queueLimit: QUEUE_LIMIT}),
   );
   const options: schedulerUnderTest.SchedulerUnderTestOptions = {
     seed: SEED,
     workerCount: WORKER_COUNT,
-    capacity: scheduling.AUTHORITY_WORKER,
+    capacity: schedulingHarness.STANDARD_WORKER_CAPACITY,
     teams,
   };
   const subject =
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -1,7 +1,7 @@
 import * as firstFitBaseline from './first_fit_baseline.js';
 import * as randomSource from '../src/machines/random_source.js';
 import * as resources from '../src/machines/resources.js';
-import * as scheduling from '../test/support/scheduling.js';
+import * as schedulingHarness from '../test/support/scheduling_harness.js';
 import * as schedulerUnderTest from './scheduler_under_test.js';
 import * as runningTasks from './running_tasks.js';
 import type * as benchRow from './bench_row.js';
@@ -14,7 +14,7 @@
 const WORKER_COUNT = 40;
 
 /** Slots are plentiful, so that processors and memory limit the packing. */
-const CAPACITY = scheduling.size(16_000, 32_768, 0, 64);
+const CAPACITY = schedulingHarness.buildResources(16_000, 32_768, 0, 64);
 
 const WORKLOAD_COUNT = 20;
 
@@ -49,16 +49,19 @@
   random: randomSource.RandomSource,
 ): ReadonlyArray<MisdeclaredWorkload> {
   return Array.from({length: WORKLOAD_COUNT}, (_, index) => {
-    const used = scheduling.size(
+    const used = schedulingHarness.buildResources(
       200 + random.below(1_300),
       400 + random.below(2_600),
     );
     const error = 10 ** (2 * randomFraction(random) - 1);
-    const size = scheduling.size(
+    const size = schedulingHarness.buildResources(
       Math.min(CAPACITY.processors, Math.ceil(used.processors * error)),
       Math.min(CAPACITY.memory, Math.ceil(used.memory * error)),
     );
-    const declared = scheduling.workloadOf({name: `mix-${index}`, size});
+    const declared = schedulingHarness.buildWorkload({
+      name: `mix-${index}`,
+      size,
+    });
     return {declared, used};
   });
 }
@@ -181,7 +184,7 @@
     seed: SEED,
     workerCount: WORKER_COUNT,
     capacity: CAPACITY,
-    teams: [scheduling.teamOf('team')],
+    teams: [schedulingHarness.buildTeam('team')],
   };
 }
 
--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -1,4 +1,4 @@
-import * as scheduling from '../test/support/scheduling.js';
+import * as schedulingHarness from '../test/support/scheduling_harness.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
 import type * as resources from '../src/machines/resources.js';
@@ -38,10 +38,10 @@
 /** The real scheduler. */
 export class ProductionScheduler implements SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
-  private readonly world: scheduling.SchedulingWorld;
+  private readonly world: schedulingHarness.SchedulingHarness;
 
   constructor(options: SchedulerUnderTestOptions) {
-    this.world = new scheduling.SchedulingWorld(options.seed);
+    this.world = new schedulingHarness.SchedulingHarness(options.seed);
     for (const described of options.teams) this.world.addTeam(described);
     this.world.setPlan({
       zones: [],
--- a/src/contracts/batch_policy.ts
+++ b/src/contracts/batch_policy.ts
@@ -2,7 +2,7 @@
 import type * as worker from '../machines/worker.js';
 
 /** Weight of the mean remainder, which decides between equal tightest ones. */
-const MEAN_WEIGHT = 0.01;
+const TIE_BREAK_WEIGHT = 0.01;
 
 /**
  * Packs batch work: each task goes to the sampled worker whose tightest
@@ -10,12 +10,12 @@
  */
 export class BatchPolicy implements placementPolicy.PlacementPolicy {
   place(
-    job: placementPolicy.PendingJob,
+    pending: placementPolicy.PendingPlacement,
     fleet: placementPolicy.FleetView,
   ): placementPolicy.PlacementDecision {
-    const attempt = new placementPolicy.Attempt(job);
-    while (attempt.missing > 0) {
-      const chosen = choosePacked(attempt, fleet);
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    while (attempt.unplacedTaskCount > 0) {
+      const chosen = chooseBestFit(attempt, fleet);
       if (chosen === undefined || !attempt.reserve(chosen)) break;
     }
     return attempt.finish();
@@ -23,19 +23,19 @@
 }
 
 /** Returns the sampled worker that packs a task most tightly. */
-export function choosePacked(
-  attempt: placementPolicy.Attempt,
+export function chooseBestFit(
+  attempt: placementPolicy.PlacementAttempt,
   fleet: placementPolicy.FleetView,
 ): worker.Worker | undefined {
-  const {size} = attempt.job;
+  const {size} = attempt.pending;
   const candidates = fleet.sample(size, 'tightest', candidate =>
     attempt.allows(candidate),
   );
-  return placementPolicy.cheapest(
+  return placementPolicy.selectLowestCost(
     candidates,
     candidate =>
-      placementPolicy.tightestRemainder(size, candidate) +
-      MEAN_WEIGHT * processorRemainder(candidate),
+      placementPolicy.smallestRemainingFraction(size, candidate) +
+      TIE_BREAK_WEIGHT * processorRemainder(candidate),
   );
 }
 
--- /dev/null
+++ b/src/contracts/capacity_reservation_table.ts
@@ -0,0 +1,203 @@
+import * as resources from '../machines/resources.js';
+import type * as clock from '../machines/clock.js';
+import type * as placementPolicy from './placement_policy.js';
+import type * as task from './task.js';
+import type * as worker from '../machines/worker.js';
+
+/** Workers that one step of a plan looks at; bounds the cost of a turn. */
+const WORKERS_PER_PLANNING_STEP = 64;
+
+/** Time after which a plan for waiting work is made anew. */
+const REPLANNING_INTERVAL_MS = 30_000;
+
+/** Room kept for one waiting request until all of it is free. */
+export interface CapacityReservation {
+  readonly identity: string;
+  readonly team: string;
+  /** Room of one task. */
+  readonly size: resources.Resources;
+  /** Tasks that each worker is to take. */
+  readonly taskCounts: ReadonlyMap<worker.Worker, number>;
+  readonly expiresAt: clock.Milliseconds;
+}
+
+interface ReservationPlan {
+  readonly pending: placementPolicy.PendingPlacement;
+  readonly taskCounts: Map<worker.Worker, number>;
+  readonly taskCountsByRack: Map<string, number>;
+  uncoveredTaskCount: number;
+  nextWorkerIndex: number;
+}
+
+/** What planning needs to know of workers and their tasks. */
+export interface ReservationPlanningView {
+  workers(): ReadonlyArray<worker.Worker>;
+  mayPlace(candidate: worker.Worker): boolean;
+  /** Whether a task runs until somebody stops it. */
+  runsUntilStopped(label: task.TaskLabel): boolean;
+}
+
+/**
+ * Keeps room for requests that need more than is free at once, so that
+ * smaller work cannot take each piece as it becomes free. One waiting request
+ * at a time is planned for; reclaimed room is earmarked besides.
+ */
+export class CapacityReservationTable {
+  private readonly reservations = new Map<string, CapacityReservation>();
+  private plan: ReservationPlan | undefined;
+  private plannedHolder: placementPolicy.PendingPlacement | undefined;
+  private nextPlanningAt = 0;
+
+  constructor(private readonly view: ReservationPlanningView) {}
+
+  /** All earmarks. */
+  all(): Iterable<CapacityReservation> {
+    return this.reservations.values();
+  }
+
+  /** Earmarks in force. */
+  get size(): number {
+    return this.reservations.size;
+  }
+
+  /** Whether room is earmarked for a request. */
+  has(identity: string): boolean {
+    return this.reservations.has(identity);
+  }
+
+  /** Earmarks of a team. */
+  countForTeam(team: string): number {
+    let count = 0;
+    for (const reservation of this.reservations.values()) {
+      if (reservation.team === team) count += 1;
+    }
+    return count;
+  }
+
+  /** Puts an earmark in force. */
+  set(reservation: CapacityReservation): void {
+    this.release(reservation.identity);
+    this.reservations.set(reservation.identity, reservation);
+    for (const [target, count] of reservation.taskCounts) {
+      target.earmark(resources.scale(reservation.size, count));
+    }
+  }
+
+  /** Gives the earmarked room of a request back. */
+  release(identity: string): void {
+    if (this.plan?.pending.request.identity === identity) this.plan = undefined;
+    if (this.plannedHolder?.request.identity === identity) {
+      this.plannedHolder = undefined;
+    }
+    const reservation = this.reservations.get(identity);
+    if (reservation === undefined) return;
+    this.reservations.delete(identity);
+    for (const [target, count] of reservation.taskCounts) {
+      target.withdrawEarmark(resources.scale(reservation.size, count));
+    }
+  }
+
+  /** Gives back what was not used in time or is on unusable workers. */
+  expire(now: clock.Milliseconds): void {
+    for (const reservation of [...this.reservations.values()]) {
+      const usable = [...reservation.taskCounts.keys()].every(
+        target => target.ready && this.view.mayPlace(target),
+      );
+      if (now >= reservation.expiresAt || !usable) {
+        this.release(reservation.identity);
+      }
+    }
+  }
+
+  /**
+   * Works on a plan for a request that found no room. The oldest such request
+   * is planned for; the plan is put in force once it covers all tasks.
+   */
+  planFor(
+    pending: placementPolicy.PendingPlacement,
+    now: clock.Milliseconds,
+  ): void {
+    const {identity} = pending.request;
+    if (this.reservations.has(identity)) return;
+    const current = this.plannedHolder ?? this.plan?.pending;
+    if (current !== undefined && current.request.identity !== identity) {
+      if (current.request.arrivedAt <= pending.request.arrivedAt) return;
+      this.release(current.request.identity);
+      this.nextPlanningAt = 0;
+    }
+    if (now < this.nextPlanningAt) return;
+    this.plan ??= {
+      pending,
+      taskCounts: new Map(),
+      taskCountsByRack: new Map(),
+      uncoveredTaskCount: pending.request.taskCount,
+      nextWorkerIndex: 0,
+    };
+    this.continuePlan(this.plan, now);
+  }
+
+  private continuePlan(plan: ReservationPlan, now: clock.Milliseconds): void {
+    const workers = this.view.workers();
+    const end = Math.min(
+      workers.length,
+      plan.nextWorkerIndex + WORKERS_PER_PLANNING_STEP,
+    );
+    while (plan.nextWorkerIndex < end && plan.uncoveredTaskCount > 0) {
+      this.addWorker(plan, workers[plan.nextWorkerIndex]);
+      plan.nextWorkerIndex += 1;
+    }
+    if (plan.uncoveredTaskCount > 0 && plan.nextWorkerIndex < workers.length) {
+      return;
+    }
+    this.plan = undefined;
+    this.nextPlanningAt =
+      plan.uncoveredTaskCount > 0 ? now + REPLANNING_INTERVAL_MS : now;
+    if (plan.uncoveredTaskCount > 0) return;
+    const {request, size} = plan.pending;
+    this.set({
+      identity: request.identity,
+      team: request.team,
+      size,
+      taskCounts: plan.taskCounts,
+      expiresAt: now + REPLANNING_INTERVAL_MS,
+    });
+    this.plannedHolder = plan.pending;
+  }
+
+  private addWorker(plan: ReservationPlan, candidate: worker.Worker): void {
+    if (!candidate.ready || !this.view.mayPlace(candidate)) return;
+    const {zones, maximumPerRack} = plan.pending.request.workload;
+    if (zones.length > 0 && !zones.includes(candidate.description.zone)) return;
+    const countOnRack = plan.taskCountsByRack.get(candidate.rack) ?? 0;
+    const rackAllowance =
+      maximumPerRack > 0 ? maximumPerRack - countOnRack : Infinity;
+    const count = Math.min(
+      plan.uncoveredTaskCount,
+      rackAllowance,
+      resources.fitCount(plan.pending.size, this.eventuallyFree(candidate)),
+    );
+    if (count <= 0) return;
+    plan.taskCounts.set(candidate, count);
+    plan.taskCountsByRack.set(candidate.rack, countOnRack + count);
+    plan.uncoveredTaskCount -= count;
+  }
+
+  /** Room that is free once all tasks that end by themselves have ended. */
+  private eventuallyFree(candidate: worker.Worker): resources.Resources {
+    let free = candidate.capacity;
+    for (const held of candidate.reservations().values()) {
+      if (!this.view.runsUntilStopped(held.label)) continue;
+      free = resources.subtract(free, held.size);
+    }
+    return free;
+  }
+}
+
+/** Whether all earmarked room is free by now. */
+export function isAvailable(reservation: CapacityReservation): boolean {
+  for (const [target, count] of reservation.taskCounts) {
+    if (!target.ready) return false;
+    if (resources.fitCount(reservation.size, target.free) < count) return false;
+  }
+  return true;
+}
--- a/src/contracts/attempt.ts
+++ b/src/contracts/execution_attempt.ts
@@ -12,84 +12,86 @@
   /** Latest lease end of the start, on the worker's clock. */
   readonly leaseBound: clock.Milliseconds;
   /** Whether a start was sent. */
-  readonly sent: boolean;
+  readonly startSent: boolean;
   readonly end?: trackedTask.TaskEndState;
   readonly answer: string;
   readonly detail: string;
 }
 
 /** What follows from the end of all tasks of an attempt. */
-export type Conclusion =
+export type AttemptOutcome =
   | {
       /** Nothing runs any more, and the request may be placed again. */
       readonly kind: 'again';
       /** Whether a start was spent, which the retry budget has to cover. */
-      readonly spent: boolean;
+      readonly consumesRetry: boolean;
       readonly reason: string;
       /** The end when it may not be placed again. */
-      readonly otherwise: requestTable.Ending;
+      readonly finalEnding: requestTable.Ending;
     }
   | {readonly kind: 'ended'; readonly ending: requestTable.Ending};
 
 /** The tasks of one placement of a request; they start together. */
-export class Attempt {
-  private readonly byName = new Map<string, AttemptTask>();
+export class ExecutionAttempt {
+  private readonly tasksByName = new Map<string, AttemptTask>();
   /** Numbers of journal entries that are not yet recorded. */
-  private readonly unrecorded = new Set<number>();
+  private readonly unrecordedEntries = new Set<number>();
   private hasRun = false;
 
   constructor(
     readonly request: request.Request,
-    readonly number: number,
-    readonly begunAt: clock.Milliseconds,
+    readonly attemptNumber: number,
+    readonly createdAt: clock.Milliseconds,
   ) {}
 
   /** All tasks in the order of their placement. */
   tasks(): ReadonlyArray<AttemptTask> {
-    return [...this.byName.values()];
+    return [...this.tasksByName.values()];
   }
 
-  put(task: AttemptTask): void {
-    this.byName.set(task.task, task);
+  putTask(task: AttemptTask): void {
+    this.tasksByName.set(task.task, task);
   }
 
   /** Changes a task; returns whether it was found. */
-  change(name: string, change: Partial<AttemptTask>): boolean {
-    const known = this.byName.get(name);
+  updateTask(name: string, change: Partial<AttemptTask>): boolean {
+    const known = this.tasksByName.get(name);
     if (known === undefined) return false;
-    this.byName.set(name, {...known, ...change});
+    this.tasksByName.set(name, {...known, ...change});
     return true;
   }
 
   /** Takes a task out that is replaced by another. */
-  remove(name: string): void {
-    this.byName.delete(name);
+  removeTask(name: string): void {
+    this.tasksByName.delete(name);
   }
 
   /** Notes a journal entry that has to be recorded before the start. */
-  awaitRecord(number: number): void {
-    this.unrecorded.add(number);
+  addUnrecordedEntry(number: number): void {
+    this.unrecordedEntries.add(number);
   }
 
   /** Notes a recorded entry; true when it was the last one. */
-  recorded(number: number): boolean {
-    return this.unrecorded.delete(number) && this.unrecorded.size === 0;
+  markRecorded(number: number): boolean {
+    return (
+      this.unrecordedEntries.delete(number) && this.unrecordedEntries.size === 0
+    );
   }
 
   /** Whether an entry is still unrecorded. */
-  get recording(): boolean {
-    return this.unrecorded.size > 0;
+  get isRecording(): boolean {
+    return this.unrecordedEntries.size > 0;
   }
 
   /** Notes that all tasks run; true the first time. */
-  noteRunning(): boolean {
+  markRunning(): boolean {
     const first = !this.hasRun;
     this.hasRun = true;
     return first;
   }
 
   /** Whether no task runs or may run. */
-  get over(): boolean {
+  get isSettled(): boolean {
     return this.tasks().every(
       task => task.state === 'ended' || task.state === 'notRun',
     );
@@ -97,62 +99,64 @@
 }
 
 /** Concludes from the ends of all tasks what becomes of the request. */
-export function conclude(
+export function determineOutcome(
   tasks: ReadonlyArray<AttemptTask>,
   idempotent: boolean,
   cancelled: boolean,
-): Conclusion {
+): AttemptOutcome {
   if (tasks.every(task => task.state === 'notRun')) {
-    return concludeNotRun(tasks, cancelled);
+    return determineNotRunOutcome(tasks, cancelled);
   }
   if (tasks.every(task => task.end === 'finished')) {
-    return {kind: 'ended', ending: ending('ok', '', joinAnswers(tasks))};
+    return {kind: 'ended', ending: buildEnding('ok', '', joinAnswers(tasks))};
   }
-  const worst = worstEnding(tasks);
+  const worst = determineWorstEnding(tasks);
   if (cancelled || !idempotent || worst.result === 'outcomeLost') {
     return {kind: 'ended', ending: worst};
   }
   const unfinished = tasks.filter(task => task.end !== 'finished');
   return {
     kind: 'again',
-    spent: !unfinished.every(task => task.end === 'checkpointed'),
+    consumesRetry: !unfinished.every(task => task.end === 'checkpointed'),
     reason: unfinished[0].end ?? 'startNotRun',
-    otherwise: worst,
+    finalEnding: worst,
   };
 }
 
-function concludeNotRun(
+function determineNotRunOutcome(
   tasks: ReadonlyArray<AttemptTask>,
   cancelled: boolean,
-): Conclusion {
+): AttemptOutcome {
   if (cancelled) {
-    return {kind: 'ended', ending: ending('cancelled', '', '')};
+    return {kind: 'ended', ending: buildEnding('cancelled', '', '')};
   }
   const detail = tasks.find(task => task.detail !== '')?.detail ?? '';
   return {
     kind: 'again',
-    spent: tasks.some(task => task.sent),
+    consumesRetry: tasks.some(task => task.startSent),
     reason: 'startNotRun',
-    otherwise: ending('retryBudgetSpent', detail, ''),
+    finalEnding: buildEnding('retryBudgetSpent', detail, ''),
   };
 }
 
-function worstEnding(tasks: ReadonlyArray<AttemptTask>): requestTable.Ending {
+function determineWorstEnding(
+  tasks: ReadonlyArray<AttemptTask>,
+): requestTable.Ending {
   const unresolved = tasks.find(task => task.end === 'unresolved');
   if (unresolved !== undefined) {
-    return ending('outcomeLost', `task ${unresolved.task}`, '');
+    return buildEnding('outcomeLost', `task ${unresolved.task}`, '');
   }
   const failed = tasks.find(task => task.end === 'failed');
   if (failed !== undefined) {
-    return ending('taskFailed', `task ${failed.task}`, failed.answer);
+    return buildEnding('taskFailed', `task ${failed.task}`, failed.answer);
   }
   const answerLost = tasks.find(task => task.end === 'answerLost');
   if (answerLost !== undefined) {
-    return ending('answerLost', `task ${answerLost.task}`, '');
+    return buildEnding('answerLost', `task ${answerLost.task}`, '');
   }
   const stopped = tasks.find(task => task.end !== 'finished');
   const end = stopped?.end ?? 'not run';
-  return ending('taskStopped', `task ${stopped?.task}: ${end}`, '');
+  return buildEnding('taskStopped', `task ${stopped?.task}: ${end}`, '');
 }
 
 /** Several answers are joined as a JSON array in the order of the tasks. */
@@ -161,7 +165,7 @@
   return JSON.stringify(tasks.map(task => task.answer));
 }
 
-function ending(
+function buildEnding(
   result: requestTable.Ending['result'],
   detail: string,
   answer: string,
--- a/src/contracts/fair_share.ts
+++ b/src/contracts/fair_share_calculator.ts
@@ -6,7 +6,7 @@
 import type * as workload from './workload.js';
 
 /** What teams hold of the fleet at present. */
-export interface FleetUse {
+export interface FleetUsage {
   readonly capacity: resources.Resources;
   readonly heldSum: resources.Resources;
   heldByTeam(team: string): resources.Resources;
@@ -20,7 +20,7 @@
 }
 
 /** Weight of a team that configures none. */
-const DEFAULT_SHARE = 1;
+const DEFAULT_WEIGHT = 1;
 
 /** Time after its last request for which a team counts in the fair level. */
 const ACTIVITY_WINDOW_MS = 600_000;
@@ -29,14 +29,14 @@
  * Compares teams by dominant resource fairness: the team whose weighted
  * largest fraction of the fleet is smallest goes next.
  */
-export class FairShare {
+export class FairShareCalculator {
   private cellFraction = 1;
-  private fairLevelValue = Infinity;
+  private currentFairShare = Infinity;
   private readonly reserve = new lendingReserve.LendingReserve();
-  private readonly arrivals = new Map<string, clock.Milliseconds>();
+  private readonly lastArrivals = new Map<string, clock.Milliseconds>();
 
   constructor(
-    private readonly use: FleetUse,
+    private readonly usage: FleetUsage,
     private readonly teams: TeamSource,
   ) {}
 
@@ -49,136 +49,147 @@
   }
 
   /** The level at which all active teams together would fill the fleet. */
-  get fairLevel(): number {
-    return this.fairLevelValue;
+  get fairShare(): number {
+    return this.currentFairShare;
   }
 
   /** Notes that a team has work. */
-  noteArrival(name: string, now: clock.Milliseconds): void {
-    const isNew = !this.arrivals.has(name);
-    this.arrivals.set(name, now);
+  recordArrival(name: string, now: clock.Milliseconds): void {
+    const isNew = !this.lastArrivals.has(name);
+    this.lastArrivals.set(name, now);
     if (isNew) this.refresh(now);
   }
 
   /** Recomputes the fair level from the teams that have or had work. */
   refresh(now: clock.Milliseconds): void {
-    let weights = 0;
-    for (const name of this.use.holders()) this.arrivals.set(name, now);
-    for (const [name, arrivedAt] of this.arrivals) {
-      if (now - arrivedAt > ACTIVITY_WINDOW_MS) this.arrivals.delete(name);
-      else weights += this.weight(name);
+    let totalWeight = 0;
+    for (const name of this.usage.holders()) this.lastArrivals.set(name, now);
+    for (const [name, arrivedAt] of this.lastArrivals) {
+      if (now - arrivedAt > ACTIVITY_WINDOW_MS) this.lastArrivals.delete(name);
+      else totalWeight += this.weight(name);
     }
-    this.fairLevelValue = weights > 0 ? 1 / weights : Infinity;
-    this.reserve.note(this.fairDemand(), now);
+    this.currentFairShare = totalWeight > 0 ? 1 / totalWeight : Infinity;
+    this.reserve.recordDemand(this.demandWithinFairShare(), now);
   }
 
   /** Weighted dominant fraction that a team holds. */
-  level(name: string): number {
-    return this.levelOf(name, this.use.heldByTeam(name));
+  weightedShare(name: string): number {
+    return this.weightedShareOf(name, this.usage.heldByTeam(name));
   }
 
   /** Weighted dominant fraction that a team would hold with `more`. */
-  levelWith(name: string, more: resources.Resources): number {
-    return this.levelOf(name, resources.add(this.use.heldByTeam(name), more));
+  weightedShareWith(name: string, additional: resources.Resources): number {
+    return this.weightedShareOf(
+      name,
+      resources.add(this.usage.heldByTeam(name), additional),
+    );
   }
 
   /** Whether a team would stay within its quota with `more`. */
-  isWithinQuota(name: string, more: resources.Resources): boolean {
+  isWithinQuota(name: string, additional: resources.Resources): boolean {
     const quota = this.teams.team(name)?.quota;
     if (quota === undefined) return false;
-    const held = this.use.heldByTeam(name);
+    const held = this.usage.heldByTeam(name);
     const granted = resources.scale(quota, this.cellFraction);
-    if (resources.fits(resources.add(held, more), granted)) return true;
+    if (resources.fits(resources.add(held, additional), granted)) return true;
     // A fraction smaller than one request must not shut the team out.
-    return resources.equal(held, resources.NONE) && resources.fits(more, quota);
+    return (
+      resources.equal(held, resources.NONE) && resources.fits(additional, quota)
+    );
   }
 
   /**
    * Whether a team holds room that others may take back: more than its quota,
    * or more than its fair level, once `lost` is gone.
    */
-  lends(name: string, lost: resources.Resources): boolean {
-    const held = resources.subtract(this.use.heldByTeam(name), lost);
+  hasReclaimableCapacity(
+    name: string,
+    releasing: resources.Resources,
+  ): boolean {
+    const held = resources.subtract(this.usage.heldByTeam(name), releasing);
     const quota = this.teams.team(name)?.quota ?? resources.NONE;
     const granted = resources.scale(quota, this.cellFraction);
     if (!resources.fits(held, granted)) return true;
-    return this.levelOf(name, held) > this.fairLevelValue;
+    return this.weightedShareOf(name, held) > this.currentFairShare;
   }
 
   /**
    * Fraction of the fleet that is missing from the reserve kept back from
    * long tasks, with `returning` counted as free; 0 while nobody is owed it.
    */
-  missingReserve(returning: resources.Resources): number {
-    const held = resources.subtract(this.use.heldSum, returning);
-    const unused = 1 - resources.dominantShare(held, this.use.capacity);
-    const kept = this.reserve.fractionFor(lendingReserve.LONG_RUN_MS);
-    if (unused >= kept || !this.isOwed('')) return 0;
-    return kept - unused;
+  reserveShortfall(releasing: resources.Resources): number {
+    const held = resources.subtract(this.usage.heldSum, releasing);
+    const unused = 1 - resources.dominantShare(held, this.usage.capacity);
+    const required = this.reserve.fractionFor(
+      lendingReserve.LONG_TASK_RUN_TIME_MS,
+    );
+    if (unused >= required || !this.isAnyBelowFairShare('')) return 0;
+    return required - unused;
   }
 
   /** Fraction of the fleet that a quantity takes. */
-  fractionOf(size: resources.Resources): number {
-    return resources.dominantShare(size, this.use.capacity);
+  fleetFractionOf(size: resources.Resources): number {
+    return resources.dominantShare(size, this.usage.capacity);
   }
 
   /** Whether a request may take room now, by right or as a loan. */
-  mayHold(
+  isEntitled(
     candidate: request.Request,
     size: resources.Resources,
     expectedRunMs: clock.Milliseconds,
   ): boolean {
-    const whole = resources.scale(size, candidate.taskCount);
-    const byRight = this.isWithinQuota(candidate.team, whole);
-    if (!byRight && !mayBorrow(candidate.workload)) return false;
+    const totalSize = resources.scale(size, candidate.taskCount);
+    const withinQuota = this.isWithinQuota(candidate.team, totalSize);
+    if (!withinQuota && !mayBorrow(candidate.workload)) return false;
     if (candidate.workload.kind !== 'batch') return true;
     const reserve = this.reserve.fractionFor(expectedRunMs);
-    return !this.exceedsLending(candidate.team, whole, reserve);
+    return !this.depletesReserve(candidate.team, totalSize, reserve);
   }
 
   /** Whether room for a team above its fair level would use up the reserve. */
-  private exceedsLending(
+  private depletesReserve(
     name: string,
-    more: resources.Resources,
+    additional: resources.Resources,
     reserve: number,
   ): boolean {
-    const sum = resources.add(this.use.heldSum, more);
-    const unused = 1 - resources.dominantShare(sum, this.use.capacity);
+    const sum = resources.add(this.usage.heldSum, additional);
+    const unused = 1 - resources.dominantShare(sum, this.usage.capacity);
     if (unused >= reserve) return false;
     // The reserve grows with the excess: a team a little above its fair level
     // must not be held back like one that holds twice as much.
-    const excess = this.levelWith(name, more) / this.fairLevelValue - 1;
+    const excess =
+      this.weightedShareWith(name, additional) / this.currentFairShare - 1;
     if (unused >= reserve * Math.min(1, excess)) return false;
-    return this.isOwed(name);
+    return this.isAnyBelowFairShare(name);
   }
 
   /** Fraction of the fleet that active teams hold within their fair level. */
-  private fairDemand(): number {
+  private demandWithinFairShare(): number {
     let demand = 0;
-    for (const name of this.arrivals.keys()) {
-      const level = Math.min(this.level(name), this.fairLevelValue);
-      demand += level * this.weight(name);
+    for (const name of this.lastArrivals.keys()) {
+      const share = Math.min(this.weightedShare(name), this.currentFairShare);
+      demand += share * this.weight(name);
     }
     return demand;
   }
 
   /** Whether an active team besides `except` is below its fair level. */
-  private isOwed(except: string): boolean {
-    for (const other of this.arrivals.keys()) {
+  private isAnyBelowFairShare(except: string): boolean {
+    for (const other of this.lastArrivals.keys()) {
       if (other === except) continue;
-      if (this.level(other) < this.fairLevelValue) return true;
+      if (this.weightedShare(other) < this.currentFairShare) return true;
     }
     return false;
   }
 
-  private levelOf(name: string, held: resources.Resources): number {
-    const fraction = resources.dominantShare(held, this.use.capacity);
+  private weightedShareOf(name: string, held: resources.Resources): number {
+    const fraction = resources.dominantShare(held, this.usage.capacity);
     return fraction / this.weight(name);
   }
 
   private weight(name: string): number {
-    const share = this.teams.team(name)?.share ?? DEFAULT_SHARE;
-    return share > 0 ? share : DEFAULT_SHARE;
+    const share = this.teams.team(name)?.share ?? DEFAULT_WEIGHT;
+    return share > 0 ? share : DEFAULT_WEIGHT;
   }
 }
 
@@ -186,10 +197,10 @@
  * Whether work may run in room beyond its team's quota. Only work that can be
  * checkpointed and placed again may, because lent room is taken back.
  */
-export function mayBorrow(described: workload.Workload): boolean {
+export function mayBorrow(definition: workload.Workload): boolean {
   return (
-    described.kind === 'batch' &&
-    described.idempotent &&
-    described.urgency !== 'urgent'
+    definition.kind === 'batch' &&
+    definition.idempotent &&
+    definition.urgency !== 'urgent'
   );
 }
--- a/src/contracts/gang_policy.ts
+++ b/src/contracts/gang_policy.ts
@@ -9,24 +9,24 @@
  */
 export class GangPolicy implements placementPolicy.PlacementPolicy {
   place(
-    job: placementPolicy.PendingJob,
+    pending: placementPolicy.PendingPlacement,
     fleet: placementPolicy.FleetView,
   ): placementPolicy.PlacementDecision {
-    const attempt = new placementPolicy.Attempt(job);
-    while (attempt.missing > 0) {
-      const chosen = batchPolicy.choosePacked(attempt, fleet);
-      if (chosen === undefined || !fill(attempt, chosen)) break;
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    while (attempt.unplacedTaskCount > 0) {
+      const chosen = batchPolicy.chooseBestFit(attempt, fleet);
+      if (chosen === undefined || !fillWorker(attempt, chosen)) break;
     }
     return attempt.finish();
   }
 }
 
-function fill(
-  attempt: placementPolicy.Attempt,
+function fillWorker(
+  attempt: placementPolicy.PlacementAttempt,
   chosen: worker.Worker,
 ): boolean {
   if (!attempt.reserve(chosen)) return false;
-  while (attempt.missing > 0 && attempt.allows(chosen)) {
+  while (attempt.unplacedTaskCount > 0 && attempt.allows(chosen)) {
     if (!attempt.reserve(chosen)) break;
   }
   return true;
--- a/src/contracts/lease.ts
+++ b/src/contracts/lease.ts
@@ -16,7 +16,7 @@
 export const RECORDED_LEASE_MS = 10_000;
 
 /** Time for which a worker's reports list a task after its end. */
-export const ENDED_TASKS_LISTED_MS = 600_000;
+export const ENDED_TASK_RETENTION_MS = 600_000;
 
 /**
  * Returns the lease end on the worker's clock for a start sent under a permit
@@ -54,12 +54,12 @@
  * Returns the local time at which a lease has certainly ended, even if the
  * worker's clock is as slow as `MAXIMUM_DRIFT` allows.
  */
-export function lapsedBy(
+export function latestLeaseEnd(
   reading: clock.WorkerClockReading,
   leaseEnd: clock.Milliseconds,
 ): clock.Milliseconds {
-  const left = Math.max(0, leaseEnd - reading.workerClock);
-  return reading.receivedAt + left / (1 - clock.MAXIMUM_DRIFT);
+  const remainingMs = Math.max(0, leaseEnd - reading.workerClock);
+  return reading.receivedAt + remainingMs / (1 - clock.MAXIMUM_DRIFT);
 }
 
 /**
@@ -72,6 +72,6 @@
   workerClock: clock.Milliseconds,
 ): boolean {
   const listedUntil =
-    leaseBound + ENDED_TASKS_LISTED_MS - 2 * RECORDED_LEASE_MS;
+    leaseBound + ENDED_TASK_RETENTION_MS - 2 * RECORDED_LEASE_MS;
   return workerClock > leaseBound && workerClock < listedUntil;
 }
--- a/src/contracts/lending_reserve.ts
+++ b/src/contracts/lending_reserve.ts
@@ -4,27 +4,27 @@
  * Fraction of the fleet that is not lent while a team below its fair level
  * may claim it; without it, each start of such a team waits for an end.
  */
-const LEAST_RESERVE = 0.05;
+const MINIMUM_RESERVE_FRACTION = 0.05;
 
 /** Largest fraction kept back, however much the demand varies. */
-const LARGEST_RESERVE = 0.2;
+const MAXIMUM_RESERVE_FRACTION = 0.2;
 
 /** Deviations of the demand that the reserve for long tasks covers. */
-const DEVIATIONS = 3;
+const COVERED_STANDARD_DEVIATIONS = 3;
 
 /** Time over which demand is compared: about that of a checkpoint. */
-const LAG_MS = 500;
+const DEMAND_COMPARISON_MS = 500;
 
 /** Weight of the newest difference in the running variance. */
-const VARIANCE_WEIGHT = 0.01;
+const VARIANCE_SMOOTHING_FACTOR = 0.01;
 
 /**
  * Expected run time from which lent tasks count as long. Shorter ones end
  * about as fast as they could be checkpointed, and refill the reserve.
  */
-export const LONG_RUN_MS = 5_000;
+export const LONG_TASK_RUN_TIME_MS = 5_000;
 
-interface Sample {
+interface DemandSample {
   readonly at: clock.Milliseconds;
   readonly demand: number;
 }
@@ -35,24 +35,30 @@
  * within their fair level varies by in the meantime.
  */
 export class LendingReserve {
-  private readonly samples: Sample[] = [];
+  private readonly samples: DemandSample[] = [];
   private variance = 0;
 
   /** Notes the fraction of the fleet that teams hold within their level. */
-  note(demand: number, now: clock.Milliseconds): void {
+  recordDemand(demand: number, now: clock.Milliseconds): void {
     this.samples.push({at: now, demand});
-    while (this.samples.length > 0 && this.samples[0].at <= now - LAG_MS) {
+    while (
+      this.samples.length > 0 &&
+      this.samples[0].at <= now - DEMAND_COMPARISON_MS
+    ) {
       const difference = demand - this.samples[0].demand;
       const change = difference ** 2 - this.variance;
-      this.variance += VARIANCE_WEIGHT * change;
+      this.variance += VARIANCE_SMOOTHING_FACTOR * change;
       this.samples.shift();
     }
   }
 
   /** Fraction of the fleet to keep back from tasks of a run time. */
   fractionFor(runTimeMs: clock.Milliseconds): number {
-    if (runTimeMs < LONG_RUN_MS) return LEAST_RESERVE;
-    const covered = DEVIATIONS * Math.sqrt(this.variance);
-    return Math.min(LARGEST_RESERVE, Math.max(LEAST_RESERVE, covered));
+    if (runTimeMs < LONG_TASK_RUN_TIME_MS) return MINIMUM_RESERVE_FRACTION;
+    const covered = COVERED_STANDARD_DEVIATIONS * Math.sqrt(this.variance);
+    return Math.min(
+      MAXIMUM_RESERVE_FRACTION,
+      Math.max(MINIMUM_RESERVE_FRACTION, covered),
+    );
   }
 }
--- a/src/contracts/overload_relief.ts
+++ b/src/contracts/overload_mitigator.ts
@@ -3,10 +3,10 @@
 import type * as worker from '../machines/worker.js';
 
 /** Time that each step has to take effect before the next one. */
-const STEP_MS = 5_000;
+const MITIGATION_STEP_INTERVAL_MS = 5_000;
 
 /** Fraction of its processors that a throttled task keeps at least. */
-const THROTTLE_FLOOR = 0.5;
+const MINIMUM_THROTTLED_FRACTION = 0.5;
 
 /** What is asked of a task, and why. */
 export interface Intervention {
@@ -18,44 +18,50 @@
   readonly limit: resources.Resources;
 }
 
-const STEPS = ['throttle', 'checkpoint', 'stop'] as const;
+const MITIGATION_STEPS = ['throttle', 'checkpoint', 'stop'] as const;
 
-interface Relief {
+interface Mitigation {
   readonly task: string;
-  readonly step: number;
-  readonly next: clock.Milliseconds;
+  readonly stepIndex: number;
+  readonly nextStepAt: clock.Milliseconds;
 }
 
 /**
  * Brings an overcommitted worker back within its capacity: its least valuable
  * task is throttled, then checkpointed, then stopped.
  */
-export class OverloadRelief {
-  private readonly reliefs = new Map<worker.Worker, Relief>();
+export class OverloadMitigator {
+  private readonly mitigations = new Map<worker.Worker, Mitigation>();
 
   /** Returns the next step for a worker that has just reported. */
-  relieve(
+  mitigate(
     target: worker.Worker,
     now: clock.Milliseconds,
   ): ReadonlyArray<Intervention> {
     if (!target.overcommitted) {
-      this.reliefs.delete(target);
+      this.mitigations.delete(target);
       return [];
     }
-    const current = this.reliefs.get(target);
-    if (current !== undefined && now < current.next) return [];
-    const task = this.taskOf(current, target);
-    const held =
+    const current = this.mitigations.get(target);
+    if (current !== undefined && now < current.nextStepAt) return [];
+    const task = this.chooseTask(current, target);
+    const reservation =
       task === undefined ? undefined : target.reservations().get(task);
-    if (held === undefined) return [];
-    const sameTask = current?.task === held.task;
-    const step = sameTask ? Math.min(current.step + 1, STEPS.length - 1) : 0;
-    this.reliefs.set(target, {task: held.task, step, next: now + STEP_MS});
-    return [this.intervene(target, held, STEPS[step])];
+    if (reservation === undefined) return [];
+    const sameTask = current?.task === reservation.task;
+    const stepIndex = sameTask
+      ? Math.min(current.stepIndex + 1, MITIGATION_STEPS.length - 1)
+      : 0;
+    this.mitigations.set(target, {
+      task: reservation.task,
+      stepIndex,
+      nextStepAt: now + MITIGATION_STEP_INTERVAL_MS,
+    });
+    return [this.intervene(target, reservation, MITIGATION_STEPS[stepIndex])];
   }
 
-  private taskOf(
-    current: Relief | undefined,
+  private chooseTask(
+    current: Mitigation | undefined,
     target: worker.Worker,
   ): string | undefined {
     if (current !== undefined && target.reservations().has(current.task)) {
@@ -66,26 +72,40 @@
 
   private intervene(
     target: worker.Worker,
-    held: worker.Reservation,
+    reservation: worker.Reservation,
     kind: Intervention['kind'],
   ): Intervention {
-    const limit = kind === 'throttle' ? throttled(target, held) : held.size;
+    const limit =
+      kind === 'throttle'
+        ? throttledSize(target, reservation)
+        : reservation.size;
     // The worker enforces the limit, so the reservation shrinks with it.
-    if (kind === 'throttle') target.resize(held.task, limit);
-    return {kind, reason: 'overload', worker: target, task: held.task, limit};
+    if (kind === 'throttle') target.resize(reservation.task, limit);
+    return {
+      kind,
+      reason: 'overload',
+      worker: target,
+      task: reservation.task,
+      limit,
+    };
   }
 }
 
 /** Tasks that may run again go first, and among them the least worth. */
 function leastValuable(target: worker.Worker): worker.Reservation | undefined {
   let least: worker.Reservation | undefined;
-  for (const held of target.reservations().values()) {
-    if (least === undefined || isLess(held, least)) least = held;
+  for (const reservation of target.reservations().values()) {
+    if (least === undefined || isLessValuable(reservation, least)) {
+      least = reservation;
+    }
   }
   return least;
 }
 
-function isLess(left: worker.Reservation, right: worker.Reservation): boolean {
+function isLessValuable(
+  left: worker.Reservation,
+  right: worker.Reservation,
+): boolean {
   if (left.label.idempotent !== right.label.idempotent) {
     return left.label.idempotent;
   }
@@ -93,12 +113,14 @@
 }
 
 /** Only processors can be throttled; memory that is in use stays in use. */
-function throttled(
+function throttledSize(
   target: worker.Worker,
-  held: worker.Reservation,
+  reservation: worker.Reservation,
 ): resources.Resources {
   const excess = Math.max(0, -target.free.processors);
-  const floor = Math.ceil(held.size.processors * THROTTLE_FLOOR);
-  const processors = Math.max(floor, held.size.processors - excess);
-  return {...held.size, processors};
+  const floor = Math.ceil(
+    reservation.size.processors * MINIMUM_THROTTLED_FRACTION,
+  );
+  const processors = Math.max(floor, reservation.size.processors - excess);
+  return {...reservation.size, processors};
 }
--- a/src/contracts/placement_policy.ts
+++ b/src/contracts/placement_policy.ts
@@ -6,12 +6,12 @@
 import type * as worker from '../machines/worker.js';
 
 /** A waiting request with what each of its tasks is to reserve. */
-export interface PendingJob {
+export interface PendingPlacement {
   readonly request: request.Request;
   /** Room of one task: the declared size, or the learned one. */
   readonly size: resources.Resources;
   /** Tells apart the attempts to place the same request. */
-  readonly attempt: number;
+  readonly attemptNumber: number;
 }
 
 /** What a policy sees of the fleet. */
@@ -34,32 +34,32 @@
 /** Chooses workers for one kind of workload and reserves room on them. */
 export interface PlacementPolicy {
   place(
-    job: PendingJob,
+    pending: PendingPlacement,
     fleet: FleetView,
     now: clock.Milliseconds,
   ): PlacementDecision;
 }
 
 /** A request's tasks that got room so far; undone unless all of them do. */
-export class Attempt {
-  private readonly chosen: worker.Worker[] = [];
-  private readonly racks = new Map<string, number>();
+export class PlacementAttempt {
+  private readonly reservedWorkers: worker.Worker[] = [];
+  private readonly taskCountsByRack = new Map<string, number>();
 
-  constructor(readonly job: PendingJob) {}
+  constructor(readonly pending: PendingPlacement) {}
 
   /** Tasks that have no room yet. */
-  get missing(): number {
-    return this.job.request.taskCount - this.chosen.length;
+  get unplacedTaskCount(): number {
+    return this.pending.request.taskCount - this.reservedWorkers.length;
   }
 
   /** Tasks of this attempt on a rack. */
   countOnRack(rack: string): number {
-    return this.racks.get(rack) ?? 0;
+    return this.taskCountsByRack.get(rack) ?? 0;
   }
 
   /** Whether the workload allows one more task on a worker. */
   allows(candidate: worker.Worker): boolean {
-    const {zones, maximumPerRack} = this.job.request.workload;
+    const {zones, maximumPerRack} = this.pending.request.workload;
     if (zones.length > 0 && !zones.includes(candidate.description.zone)) {
       return false;
     }
@@ -69,44 +69,46 @@
 
   /** Reserves room for the next task. */
   reserve(chosen: worker.Worker): boolean {
-    const name = taskName(this.job, this.chosen.length);
-    const label = labelOf(this.job.request);
-    const {size} = this.job;
+    const name = taskName(this.pending, this.reservedWorkers.length);
+    const label = buildTaskLabel(this.pending.request);
+    const {size} = this.pending;
     if (!chosen.reserve({task: name, label, size})) return false;
-    this.chosen.push(chosen);
-    this.racks.set(chosen.rack, this.countOnRack(chosen.rack) + 1);
+    this.reservedWorkers.push(chosen);
+    this.taskCountsByRack.set(chosen.rack, this.countOnRack(chosen.rack) + 1);
     return true;
   }
 
   /** Returns the decision; gives all room back when a task has none. */
   finish(): PlacementDecision {
-    if (this.missing === 0) return {kind: 'placed', workers: this.chosen};
-    this.chosen.forEach((chosen, index) => {
-      chosen.release(taskName(this.job, index));
+    if (this.unplacedTaskCount === 0) {
+      return {kind: 'placed', workers: this.reservedWorkers};
+    }
+    this.reservedWorkers.forEach((chosen, index) => {
+      chosen.release(taskName(this.pending, index));
     });
     return {kind: 'noRoom'};
   }
 }
 
 /** Name of a task of an attempt. */
-export function taskName(job: PendingJob, index: number): string {
-  return `${job.request.identity}/${index}.${job.attempt}`;
+export function taskName(pending: PendingPlacement, index: number): string {
+  return `${pending.request.identity}/${index}.${pending.attemptNumber}`;
 }
 
 /** Label of the tasks of a request. */
-export function labelOf(labelled: request.Request): task.TaskLabel {
+export function buildTaskLabel(source: request.Request): task.TaskLabel {
   return {
-    identity: labelled.identity,
-    client: labelled.client,
-    team: labelled.team,
-    workload: labelled.workload.name,
-    idempotent: labelled.workload.idempotent,
-    worth: labelled.workload.worth,
+    identity: source.identity,
+    client: source.client,
+    team: source.team,
+    workload: source.workload.name,
+    idempotent: source.workload.idempotent,
+    worth: source.workload.worth,
   };
 }
 
 /** Returns the candidate with the smallest cost; the first one on a tie. */
-export function cheapest(
+export function selectLowestCost(
   candidates: ReadonlyArray<worker.Worker>,
   costOf: (candidate: worker.Worker) => number,
 ): worker.Worker | undefined {
@@ -122,7 +124,7 @@
 }
 
 /** Fraction left in the dimension that a task would fill most. */
-export function tightestRemainder(
+export function smallestRemainingFraction(
   size: resources.Resources,
   candidate: worker.Worker,
 ): number {
--- a/src/contracts/reclaimer.ts
+++ b/src/contracts/reclaimer.ts
@@ -1,41 +1,41 @@
-import * as fairShare from './fair_share.js';
+import * as fairShareCalculator from './fair_share_calculator.js';
 import * as lendingReserve from './lending_reserve.js';
 import * as placementPolicy from './placement_policy.js';
-import * as loanBook from './loan_book.js';
+import * as reclaimableTaskTable from './reclaimable_task_table.js';
 import * as resources from '../machines/resources.js';
 import type * as clock from '../machines/clock.js';
-import type * as earmark from './earmark.js';
-import type * as overloadRelief from './overload_relief.js';
+import type * as capacityReservationTable from './capacity_reservation_table.js';
+import type * as overloadMitigator from './overload_mitigator.js';
 import type * as workload from './workload.js';
 import type * as worker from '../machines/worker.js';
 
 /** Time that checkpoints have to free the room they were made for. */
-const RECLAIM_MS = 2_000;
+const RECLAIMED_RESERVATION_MS = 2_000;
 
 /** Takes lent room back for urgent work of teams within their quota. */
 export class Reclaimer {
-  private readonly loans: loanBook.LoanBook;
+  private readonly tasks: reclaimableTaskTable.ReclaimableTaskTable;
 
   constructor(
-    private readonly shares: fairShare.FairShare,
-    private readonly earmarks: earmark.EarmarkKeeper,
+    private readonly shares: fairShareCalculator.FairShareCalculator,
+    private readonly reservations: capacityReservationTable.CapacityReservationTable,
     private readonly mayPlace: (candidate: worker.Worker) => boolean,
   ) {
-    this.loans = new loanBook.LoanBook(shares);
+    this.tasks = new reclaimableTaskTable.ReclaimableTaskTable(shares);
   }
 
   /** Notes a task that has its room, which can be taken back if it is lent. */
-  started(
-    loan: Omit<loanBook.Loan, 'worth'>,
-    described: workload.Workload,
+  recordStart(
+    reclaimable: Omit<reclaimableTaskTable.ReclaimableTask, 'worth'>,
+    definition: workload.Workload,
   ): void {
-    if (!fairShare.mayBorrow(described)) return;
-    this.loans.add({...loan, worth: described.worth});
+    if (!fairShareCalculator.mayBorrow(definition)) return;
+    this.tasks.add({...reclaimable, worth: definition.worth});
   }
 
   /** Notes the end of a task. */
-  ended(task: string): void {
-    this.loans.remove(task);
+  recordEnd(taskName: string): void {
+    this.tasks.remove(taskName);
   }
 
   /**
@@ -43,16 +43,16 @@
    * the room for the job that it was taken back for.
    */
   reclaimFor(
-    jobs: ReadonlyArray<placementPolicy.PendingJob>,
+    pendingPlacements: ReadonlyArray<placementPolicy.PendingPlacement>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<overloadRelief.Intervention> {
-    const interventions: overloadRelief.Intervention[] = [];
-    for (const job of jobs) {
-      if (this.earmarks.has(job.request.identity)) continue;
-      const choice = this.choose(job);
+  ): ReadonlyArray<overloadMitigator.Intervention> {
+    const interventions: overloadMitigator.Intervention[] = [];
+    for (const pending of pendingPlacements) {
+      if (this.reservations.has(pending.request.identity)) continue;
+      const choice = this.choose(pending);
       if (choice === undefined) break;
-      this.claim(job, choice, now);
-      interventions.push(...choice.loans.map(checkpoint));
+      this.reserveReclaimed(pending, choice, now);
+      interventions.push(...choice.tasks.map(checkpointIntervention));
     }
     return interventions;
   }
@@ -61,54 +61,58 @@
    * Chooses long tasks to checkpoint so that the lending reserve is whole
    * again. Tasks that soon end by themselves refill it without that.
    */
-  refillReserve(): ReadonlyArray<overloadRelief.Intervention> {
-    let missing = this.shares.missingReserve(this.loans.leavingSum);
-    if (missing <= 0) return [];
-    const chosen: loanBook.Loan[] = [];
-    for (const loan of this.loans.leastValuable(this.shares.fairLevel)) {
-      if (missing <= 0) break;
-      if (loan.expectedRunMs < lendingReserve.LONG_RUN_MS) continue;
-      chosen.push(loan);
-      missing -= this.shares.fractionOf(loan.size);
+  refillReserve(): ReadonlyArray<overloadMitigator.Intervention> {
+    let shortfall = this.shares.reserveShortfall(this.tasks.totalReleasing);
+    if (shortfall <= 0) return [];
+    const chosen: reclaimableTaskTable.ReclaimableTask[] = [];
+    for (const candidate of this.tasks.leastValuable(this.shares.fairShare)) {
+      if (shortfall <= 0) break;
+      if (candidate.expectedRunMs < lendingReserve.LONG_TASK_RUN_TIME_MS) {
+        continue;
+      }
+      chosen.push(candidate);
+      shortfall -= this.shares.fleetFractionOf(candidate.size);
     }
-    this.loans.call(chosen);
-    return chosen.map(checkpoint);
+    this.tasks.markCheckpointing(chosen);
+    return chosen.map(checkpointIntervention);
   }
 
   private choose(
-    job: placementPolicy.PendingJob,
-  ): loanBook.ReclaimChoice | undefined {
-    const {team} = job.request;
-    const claims = this.earmarks.countOf(team) + 1;
-    const claimed = resources.scale(job.size, claims);
+    pending: placementPolicy.PendingPlacement,
+  ): reclaimableTaskTable.ReclaimChoice | undefined {
+    const {team} = pending.request;
+    const claims = this.reservations.countForTeam(team) + 1;
+    const claimed = resources.scale(pending.size, claims);
     if (!this.shares.isWithinQuota(team, claimed)) return undefined;
-    const attempt = new placementPolicy.Attempt(job);
-    return this.loans.choose({
-      job,
-      level: this.shares.levelWith(team, claimed),
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    return this.tasks.choose({
+      pending,
+      claimantShare: this.shares.weightedShareWith(team, claimed),
       mayUse: candidate =>
         attempt.allows(candidate) && this.mayPlace(candidate),
     });
   }
 
-  private claim(
-    job: placementPolicy.PendingJob,
-    choice: loanBook.ReclaimChoice,
+  private reserveReclaimed(
+    pending: placementPolicy.PendingPlacement,
+    choice: reclaimableTaskTable.ReclaimChoice,
     now: clock.Milliseconds,
   ): void {
-    this.loans.call(choice.loans);
-    this.earmarks.set({
-      identity: job.request.identity,
-      team: job.request.team,
-      size: job.size,
-      rooms: new Map([[choice.worker, 1]]),
-      until: now + RECLAIM_MS,
+    this.tasks.markCheckpointing(choice.tasks);
+    this.reservations.set({
+      identity: pending.request.identity,
+      team: pending.request.team,
+      size: pending.size,
+      taskCounts: new Map([[choice.worker, 1]]),
+      expiresAt: now + RECLAIMED_RESERVATION_MS,
     });
   }
 }
 
-function checkpoint(loan: loanBook.Loan): overloadRelief.Intervention {
-  const {worker: target, task, size} = loan;
+function checkpointIntervention(
+  reclaimable: reclaimableTaskTable.ReclaimableTask,
+): overloadMitigator.Intervention {
+  const {worker: target, task, size} = reclaimable;
   return {
     kind: 'checkpoint',
     reason: 'reclaim',
--- a/src/contracts/service_keeper.ts
+++ b/src/contracts/replica_controller.ts
@@ -5,13 +5,13 @@
 import type * as workload from './workload.js';
 
 /** First wait before a replica that ended by itself is started again. */
-const FIRST_BACKOFF_MS = 1_000;
+const INITIAL_BACKOFF_MS = 1_000;
 
 /** Longest wait between starts of a replica that keeps ending. */
-const LONGEST_BACKOFF_MS = 60_000;
+const MAXIMUM_BACKOFF_MS = 60_000;
 
 /** A replica that ran this long starts again after the first wait. */
-const STABLE_MS = 60_000;
+const STABLE_RUN_TIME_MS = 60_000;
 
 /** One of the numbered tasks that a service consists of. */
 export interface Replica {
@@ -21,7 +21,7 @@
 }
 
 /** What the keeper wants done. */
-export type KeeperAction =
+export type ReplicaAction =
   | {
       /** Start a replica; answered by `requested` with the identity used. */
       readonly kind: 'request';
@@ -37,12 +37,12 @@
     };
 
 /** Tells which replicas of the zone this process looks after. */
-export interface ReplicaDuty {
-  keeps(item: string): boolean;
+export interface ReplicaOwnership {
+  owns(ownershipKey: string): boolean;
 }
 
 /** Source of the documents in force. */
-export interface DocumentSource {
+export interface ConfigurationSource {
   current(): configuration.Configuration;
 }
 
@@ -52,10 +52,10 @@
   readonly identity: string;
   readonly startedAt: clock.Milliseconds | undefined;
   /** Identity of the task that is to take over; empty without a move. */
-  readonly successor: string;
+  readonly successorIdentity: string;
   readonly isMoving: boolean;
   /** No start before this time. */
-  readonly notBefore: clock.Milliseconds;
+  readonly nextStartAt: clock.Milliseconds;
   readonly backoffMs: clock.Milliseconds;
 }
 
@@ -65,7 +65,7 @@
 }
 
 /** Name of the item whose owner looks after a replica. */
-export function itemOf(replica: Replica): string {
+export function ownershipKeyOf(replica: Replica): string {
   return `replica:${replica.team}/${replica.workload}/${replica.number}`;
 }
 
@@ -73,21 +73,21 @@
  * Keeps the services of one availability zone at their configured number of
  * replicas. The numbers are dealt to the allowed zones in turn.
  */
-export class ServiceKeeper {
+export class ReplicaController {
   private readonly states = new Map<string, ReplicaState>();
-  private readonly items = new Map<string, string>();
+  private readonly ownershipKeys = new Map<string, string>();
 
   constructor(
     private readonly zone: string,
-    private readonly documents: DocumentSource,
-    private readonly duty: ReplicaDuty,
+    private readonly documents: ConfigurationSource,
+    private readonly ownership: ReplicaOwnership,
   ) {}
 
   /** Returns the starts and stops that are wanted now. */
-  update(now: clock.Milliseconds): ReadonlyArray<KeeperAction> {
-    const wanted = this.wanted();
-    const actions = this.dropUnwanted(wanted);
-    for (const replica of wanted.values()) {
+  update(now: clock.Milliseconds): ReadonlyArray<ReplicaAction> {
+    const desired = this.desiredReplicas();
+    const actions = this.removeUndesired(desired);
+    for (const replica of desired.values()) {
       const state = this.stateOf(replica);
       if (!needsStart(state, now)) continue;
       const {team: name, workload: described} = replica;
@@ -101,37 +101,37 @@
   nextDeadline(now: clock.Milliseconds): clock.Milliseconds {
     let due = Infinity;
     for (const state of this.states.values()) {
-      if (state.identity !== '' || state.notBefore <= now) continue;
-      due = Math.min(due, state.notBefore);
+      if (state.identity !== '' || state.nextStartAt <= now) continue;
+      due = Math.min(due, state.nextStartAt);
     }
     return due;
   }
 
   /** Notes the identity under which a replica was requested or adopted. */
-  requested(replica: Replica, identity: string): void {
+  recordRequest(replica: Replica, identity: string): void {
     const state = this.stateOf(replica);
-    this.items.set(identity, itemOf(replica));
-    if (state.identity === '') this.put({...state, identity});
-    else this.put({...state, successor: identity});
+    this.ownershipKeys.set(identity, ownershipKeyOf(replica));
+    if (state.identity === '') this.saveState({...state, identity});
+    else this.saveState({...state, successorIdentity: identity});
   }
 
   /** Notes a start; returns the identity that is to stop after a move. */
-  started(
+  recordStart(
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<KeeperAction> {
-    const state = this.find(identity);
+  ): ReadonlyArray<ReplicaAction> {
+    const state = this.findState(identity);
     if (state === undefined) return [];
     if (state.identity === identity) {
-      this.put({...state, startedAt: now});
+      this.saveState({...state, startedAt: now});
       return [];
     }
-    this.items.delete(state.identity);
-    this.put({
+    this.ownershipKeys.delete(state.identity);
+    this.saveState({
       ...state,
       identity,
       startedAt: now,
-      successor: '',
+      successorIdentity: '',
       isMoving: false,
     });
     return [{kind: 'stop', identity: state.identity}];
@@ -141,29 +141,30 @@
    * Notes that a task has ended, or will have by `leaseEnd` at the latest
    * when it is only known to be lost. Its successor never starts earlier.
    */
-  ended(
+  recordEnd(
     identity: string,
     now: clock.Milliseconds,
     leaseEnd: clock.Milliseconds = now,
   ): void {
-    const state = this.find(identity);
+    const state = this.findState(identity);
     if (state === undefined) return;
-    this.items.delete(identity);
-    if (state.successor === identity) {
-      this.put({...state, successor: '', isMoving: false});
+    this.ownershipKeys.delete(identity);
+    if (state.successorIdentity === identity) {
+      this.saveState({...state, successorIdentity: '', isMoving: false});
       return;
     }
     const ranMs = now - (state.startedAt ?? now);
-    const isStable = state.startedAt !== undefined && ranMs >= STABLE_MS;
-    const backoffMs = isStable ? FIRST_BACKOFF_MS : state.backoffMs;
-    this.put({
+    const isStable =
+      state.startedAt !== undefined && ranMs >= STABLE_RUN_TIME_MS;
+    const backoffMs = isStable ? INITIAL_BACKOFF_MS : state.backoffMs;
+    this.saveState({
       ...state,
-      identity: state.successor,
+      identity: state.successorIdentity,
       startedAt: undefined,
-      successor: '',
+      successorIdentity: '',
       isMoving: false,
-      notBefore: Math.max(leaseEnd, now + backoffMs),
-      backoffMs: Math.min(LONGEST_BACKOFF_MS, 2 * backoffMs),
+      nextStartAt: Math.max(leaseEnd, now + backoffMs),
+      backoffMs: Math.min(MAXIMUM_BACKOFF_MS, 2 * backoffMs),
     });
   }
 
@@ -171,8 +172,8 @@
    * Asks for a replica to be replaced elsewhere before it stops. Returns false
    * while another replica of the service moves or does not run.
    */
-  move(identity: string): boolean {
-    const state = this.find(identity);
+  requestMove(identity: string): boolean {
+    const state = this.findState(identity);
     if (state === undefined || state.identity !== identity) return false;
     const {replica} = state;
     for (const other of this.states.values()) {
@@ -182,36 +183,40 @@
       if (!isSibling) continue;
       if (other.isMoving || other.startedAt === undefined) return false;
     }
-    this.put({...state, isMoving: true});
+    this.saveState({...state, isMoving: true});
     return true;
   }
 
-  private wanted(): ReadonlyMap<string, Replica> {
-    const wanted = new Map<string, Replica>();
+  private desiredReplicas(): ReadonlyMap<string, Replica> {
+    const desired = new Map<string, Replica>();
     for (const service of this.services()) {
-      for (const number of this.numbersHere(service.workload)) {
+      for (const number of this.replicaNumbersInZone(service.workload)) {
         const {name} = service.workload;
         const replica = {team: service.team.name, workload: name, number};
-        const item = itemOf(replica);
-        if (this.duty.keeps(item)) wanted.set(item, replica);
+        const ownershipKey = ownershipKeyOf(replica);
+        if (this.ownership.owns(ownershipKey)) {
+          desired.set(ownershipKey, replica);
+        }
       }
     }
-    return wanted;
+    return desired;
   }
 
   private services(): ReadonlyArray<Service> {
     const found: Service[] = [];
-    for (const described of this.documents.current().teams.values()) {
-      for (const item of described.workloads) {
+    for (const configuredTeam of this.documents.current().teams.values()) {
+      for (const item of configuredTeam.workloads) {
         if (item.kind === 'service') {
-          found.push({team: described, workload: item});
+          found.push({team: configuredTeam, workload: item});
         }
       }
     }
     return found;
   }
 
-  private numbersHere(service: workload.Workload): ReadonlyArray<number> {
+  private replicaNumbersInZone(
+    service: workload.Workload,
+  ): ReadonlyArray<number> {
     const planned = this.documents.current().fleet?.zones ?? [];
     const names = planned.map(zone => zone.name);
     const zones = [...(service.zones.length > 0 ? service.zones : names)];
@@ -228,14 +233,16 @@
     return numbers;
   }
 
-  private dropUnwanted(wanted: ReadonlyMap<string, Replica>): KeeperAction[] {
-    const actions: KeeperAction[] = [];
-    for (const [item, state] of this.states) {
-      if (wanted.has(item)) continue;
-      this.states.delete(item);
-      for (const identity of [state.identity, state.successor]) {
+  private removeUndesired(
+    desired: ReadonlyMap<string, Replica>,
+  ): ReplicaAction[] {
+    const actions: ReplicaAction[] = [];
+    for (const [ownershipKey, state] of this.states) {
+      if (desired.has(ownershipKey)) continue;
+      this.states.delete(ownershipKey);
+      for (const identity of [state.identity, state.successorIdentity]) {
         if (identity === '') continue;
-        this.items.delete(identity);
+        this.ownershipKeys.delete(identity);
         // Whoever has taken the item over keeps the replica running.
         if (this.isConfigured(state.replica)) continue;
         actions.push({kind: 'stop', identity});
@@ -245,41 +252,43 @@
   }
 
   private isConfigured(replica: Replica): boolean {
-    const described = this.documents.current().teams.get(replica.team);
-    const service = described?.workloads.find(
+    const configuredTeam = this.documents.current().teams.get(replica.team);
+    const service = configuredTeam?.workloads.find(
       item => item.name === replica.workload && item.kind === 'service',
     );
     if (service === undefined) return false;
-    return this.numbersHere(service).includes(replica.number);
+    return this.replicaNumbersInZone(service).includes(replica.number);
   }
 
   private stateOf(replica: Replica): ReplicaState {
-    const known = this.states.get(itemOf(replica));
+    const known = this.states.get(ownershipKeyOf(replica));
     if (known !== undefined) return known;
     const created: ReplicaState = {
       replica,
       identity: '',
       startedAt: undefined,
-      successor: '',
+      successorIdentity: '',
       isMoving: false,
-      notBefore: -Infinity,
-      backoffMs: FIRST_BACKOFF_MS,
+      nextStartAt: -Infinity,
+      backoffMs: INITIAL_BACKOFF_MS,
     };
-    this.put(created);
+    this.saveState(created);
     return created;
   }
 
-  private find(identity: string): ReplicaState | undefined {
-    const item = this.items.get(identity);
-    return item === undefined ? undefined : this.states.get(item);
+  private findState(identity: string): ReplicaState | undefined {
+    const ownershipKey = this.ownershipKeys.get(identity);
+    return ownershipKey === undefined
+      ? undefined
+      : this.states.get(ownershipKey);
   }
 
-  private put(state: ReplicaState): void {
-    this.states.set(itemOf(state.replica), state);
+  private saveState(state: ReplicaState): void {
+    this.states.set(ownershipKeyOf(state.replica), state);
   }
 }
 
 function needsStart(state: ReplicaState, now: clock.Milliseconds): boolean {
-  if (state.isMoving) return state.successor === '';
-  return state.identity === '' && now >= state.notBefore;
+  if (state.isMoving) return state.successorIdentity === '';
+  return state.identity === '' && now >= state.nextStartAt;
 }
--- a/src/contracts/admission.ts
+++ b/src/contracts/request_admission.ts
@@ -1,28 +1,28 @@
 import * as either from 'purify-ts/Either';
-import * as fairShare from './fair_share.js';
+import * as fairShareCalculator from './fair_share_calculator.js';
 import * as resources from '../machines/resources.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as configuration from './configuration.js';
-import type * as queue from './queue.js';
+import type * as teamQueue from './team_queue.js';
 import type * as request from './request.js';
 import type * as team from './team.js';
 
 /** What admission knows of the team of a request. */
-export interface AdmissionView {
+export interface AdmissionContext {
   readonly team: team.Team;
-  readonly queue: queue.TeamQueue;
+  readonly queue: teamQueue.TeamQueue;
   readonly fleet: configuration.FleetPlan | undefined;
 }
 
-type Check = (
+type AdmissionCheck = (
   candidate: request.Request,
-  view: AdmissionView,
+  view: AdmissionContext,
   now: clock.Milliseconds,
 ) => result.Failure | undefined;
 
 /** The cheapest checks come first. */
-const CHECKS: ReadonlyArray<Check> = [
+const CHECKS: ReadonlyArray<AdmissionCheck> = [
   checkQueueLimit,
   checkShapes,
   checkQuota,
@@ -32,11 +32,11 @@
 /** Refuses a request that should not wait, with the reason. */
 export function check(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
   now: clock.Milliseconds,
 ): either.Either<result.Failure, null> {
-  for (const refuse of CHECKS) {
-    const refusal = refuse(candidate, view, now);
+  for (const runCheck of CHECKS) {
+    const refusal = runCheck(candidate, context, now);
     if (refusal !== undefined) return either.Left(refusal);
   }
   return either.Right(null);
@@ -44,10 +44,10 @@
 
 function checkQueueLimit(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
 ): result.Failure | undefined {
-  const waiting = view.queue.size;
-  const limit = view.team.queueLimit;
+  const waiting = context.queue.size;
+  const limit = context.team.queueLimit;
   if (waiting < limit) return undefined;
   return result.failure(
     'queueFull',
@@ -57,37 +57,37 @@
 
 function checkShapes(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
 ): result.Failure | undefined {
-  if (view.fleet === undefined) return undefined;
-  const constraint = excludingConstraint(candidate, view.fleet);
+  if (context.fleet === undefined) return undefined;
+  const constraint = excludingConstraint(candidate, context.fleet);
   if (constraint === undefined) return undefined;
   return result.failure('neverFits', constraint);
 }
 
 function checkQuota(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
 ): result.Failure | undefined {
-  const {quota} = view.team;
-  const whole = resources.scale(candidate.size, candidate.taskCount);
-  const exceeded = resources.exceededDimension(whole, quota);
+  const {quota} = context.team;
+  const totalSize = resources.scale(candidate.size, candidate.taskCount);
+  const exceeded = resources.exceededDimension(totalSize, quota);
   if (exceeded === undefined) return undefined;
-  if (fairShare.mayBorrow(candidate.workload)) return undefined;
+  if (fairShareCalculator.mayBorrow(candidate.workload)) return undefined;
   return result.failure(
     'quotaExceeded',
-    `${exceeded}: ${whole[exceeded]} for ${candidate.taskCount} tasks ` +
+    `${exceeded}: ${totalSize[exceeded]} for ${candidate.taskCount} tasks ` +
       `exceeds the quota ${quota[exceeded]} of team ${candidate.team}`,
   );
 }
 
 function checkDeadline(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
   now: clock.Milliseconds,
 ): result.Failure | undefined {
   if (candidate.startBy === Infinity) return undefined;
-  const wait = view.queue.expectedWait(candidate);
+  const wait = context.queue.expectedWaitMs(candidate);
   const remaining = candidate.startBy - now;
   if (remaining > 0 && wait <= remaining) return undefined;
   return result.failure(
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -1,4 +1,4 @@
-import * as attempts from './attempt.js';
+import * as attempts from './execution_attempt.js';
 import * as effects from './effect.js';
 import * as lease from './lease.js';
 import * as results from '../result.js';
@@ -37,7 +37,7 @@
 
 /** A task of a service that is to be replaced. */
 interface LostReplica {
-  readonly attempt: attempts.Attempt;
+  readonly attempt: attempts.ExecutionAttempt;
   readonly task: string;
 }
 
@@ -64,8 +64,8 @@
  * is placed again before every earlier task is proved not to run any more.
  */
 export class RequestLifecycle {
-  private readonly attempts = new Map<string, attempts.Attempt>();
-  private readonly recording = new Map<number, attempts.Attempt>();
+  private readonly attempts = new Map<string, attempts.ExecutionAttempt>();
+  private readonly recording = new Map<number, attempts.ExecutionAttempt>();
   /** Lost tasks of services that wait for the retry budget. */
   private postponed: LostReplica[] = [];
   private orphans: trackedTask.TaskOutcome[] = [];
@@ -74,7 +74,7 @@
 
   /** Places what waits and records or starts it. */
   placeWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const begun = new Set<attempts.Attempt>();
+    const begun = new Set<attempts.ExecutionAttempt>();
     for (const placement of this.parts.queue.place(now)) {
       begun.add(this.hold(placement, now));
     }
@@ -145,7 +145,7 @@
     if (attempt === undefined) {
       return queued ? this.end(identity, cancelled, now) : [];
     }
-    if (attempt.recording) {
+    if (attempt.isRecording) {
       this.abandon(attempt);
       return this.end(identity, cancelled, now);
     }
@@ -156,27 +156,27 @@
   nextDeadline(): clock.Milliseconds {
     const oldest = this.recording.values().next();
     if (oldest.done === true) return Infinity;
-    const {begunAt, request: concerned} = oldest.value;
+    const {createdAt: begunAt, request: concerned} = oldest.value;
     return Math.min(begunAt + RECORD_LIMIT_MS, concerned.startBy);
   }
 
   private hold(
     placement: placement.Placement,
     now: clock.Milliseconds,
-  ): attempts.Attempt {
+  ): attempts.ExecutionAttempt {
     const {identity} = placement.request;
     const entry = this.parts.table.get(identity);
     let attempt = this.attempts.get(identity);
     if (attempt === undefined) {
       const number = (entry?.attempts ?? 0) + 1;
       const whole = entry?.request ?? placement.request;
-      attempt = new attempts.Attempt(whole, number, now);
+      attempt = new attempts.ExecutionAttempt(whole, number, now);
       this.attempts.set(identity, attempt);
       this.parts.table.change(identity, {attempts: number});
     }
     this.parts.runner.trackHeld(placement);
     const reading = placement.worker.clockReading;
-    attempt.put({
+    attempt.putTask({
       task: placement.task,
       worker: placement.worker.name,
       state: 'held',
@@ -184,7 +184,7 @@
         reading === undefined
           ? -Infinity
           : lease.recordedLeaseBound(reading, now),
-      sent: false,
+      startSent: false,
       answer: '',
       detail: '',
     });
@@ -192,7 +192,7 @@
   }
 
   private begin(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity, client, workload} = attempt.request;
@@ -206,11 +206,11 @@
         client,
         task: held.task,
         taskCount: attempt.request.taskCount,
-        attempt: attempt.number,
+        attempt: attempt.attemptNumber,
         worker: held.worker,
         leaseBound: held.leaseBound,
       });
-      attempt.awaitRecord(number);
+      attempt.addUnrecordedEntry(number);
       this.recording.set(number, attempt);
     }
     this.parts.table.change(identity, {recorded: true});
@@ -224,13 +224,13 @@
   ): ReadonlyArray<effects.Effect> {
     const attempt = this.recording.get(number);
     this.recording.delete(number);
-    if (attempt === undefined || !attempt.recorded(number)) return [];
+    if (attempt === undefined || !attempt.markRecorded(number)) return [];
     const current = this.attempts.get(attempt.request.identity);
     return current === attempt ? this.startHeld(attempt, now) : [];
   }
 
   private startHeld(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const held = attempt.tasks().filter(task => task.state === 'held');
@@ -246,7 +246,7 @@
     }
     const done: effects.Effect[] = [];
     for (const task of held) {
-      attempt.change(task.task, {state: 'starting', sent: true});
+      attempt.updateTask(task.task, {state: 'starting', startSent: true});
     }
     this.show(attempt, 'starting', 'the start is on its way');
     for (const task of held) {
@@ -258,7 +258,7 @@
 
   /** Releases an attempt of which nothing was sent, and queues it again. */
   private giveBack(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     reason: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
@@ -274,7 +274,7 @@
       return this.end(identity, ending, now);
     }
     if (held.length < attempt.tasks().length) {
-      for (const task of held) attempt.remove(task.task);
+      for (const task of held) attempt.removeTask(task.task);
       this.requeueTasks(attempt, held.length);
       return [effects.count('placed_again', {reason: 'nothingSent'})];
     }
@@ -289,7 +289,7 @@
     return [effects.count('placed_again', {reason: 'nothingSent'})];
   }
 
-  private abandon(attempt: attempts.Attempt): void {
+  private abandon(attempt: attempts.ExecutionAttempt): void {
     for (const task of attempt.tasks()) this.parts.runner.dropHeld(task.task);
     for (const [number, waiting] of this.recording) {
       if (waiting === attempt) this.recording.delete(number);
@@ -307,12 +307,12 @@
   }
 
   private checkRecord(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity, startBy} = attempt.request;
     const {journal} = this.parts;
-    const tooLate = now >= attempt.begunAt + RECORD_LIMIT_MS;
+    const tooLate = now >= attempt.createdAt + RECORD_LIMIT_MS;
     if (startBy <= now) {
       this.abandon(attempt);
       const detail = 'the start could not be recorded in time';
@@ -365,7 +365,7 @@
   }
 
   private started(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity, team, arrivedAt} = attempt.request;
@@ -374,20 +374,20 @@
     if (this.parts.table.get(identity)?.cancelled === true) {
       return this.stopTasks(attempt, now);
     }
-    if (!running || !attempt.noteRunning()) return [];
+    if (!running || !attempt.markRunning()) return [];
     const milliseconds = now - arrivedAt;
     return [{kind: 'observe', metric: 'wait', labels: {team}, milliseconds}];
   }
 
   private taskOver(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     name: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const entry = this.parts.table.get(attempt.request.identity);
     const over = attempt.tasks().find(task => task.task === name);
     const early = over?.end !== 'finished';
-    if (attempt.over) return this.conclude(attempt, now);
+    if (attempt.isSettled) return this.conclude(attempt, now);
     this.show(attempt, entry?.state ?? 'running', `task ${name} is over`);
     if (!early || entry?.cancelled === true) return [];
     if (attempt.request.workload.kind === 'service') {
@@ -398,7 +398,7 @@
 
   /** Replaces one task of a service while the others go on. */
   private replace(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     name: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
@@ -407,12 +407,15 @@
       this.postponed.push({attempt, task: name});
       return [];
     }
-    attempt.remove(name);
+    attempt.removeTask(name);
     this.requeueTasks(attempt, 1);
     return [effects.count('retry', {reason: 'replica'})];
   }
 
-  private requeueTasks(attempt: attempts.Attempt, taskCount: number): void {
+  private requeueTasks(
+    attempt: attempts.ExecutionAttempt,
+    taskCount: number,
+  ): void {
     const whole = attempt.request;
     this.parts.queue.requeue({...whole, taskCount, startBy: Infinity});
   }
@@ -430,7 +433,7 @@
   }
 
   private stopTasks(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const done: effects.Effect[] = [];
@@ -442,14 +445,14 @@
   }
 
   private conclude(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {request: concerned} = attempt;
     const {identity, workload} = concerned;
     const entry = this.parts.table.get(identity);
     const cancelled = entry?.cancelled === true;
-    const conclusion = attempts.conclude(
+    const conclusion = attempts.determineOutcome(
       attempt.tasks(),
       workload.idempotent,
       cancelled,
@@ -459,7 +462,7 @@
       return this.end(identity, conclusion.ending, now);
     }
     if (!this.mayPlaceAgain(attempt, conclusion, entry, now)) {
-      return this.end(identity, conclusion.otherwise, now);
+      return this.end(identity, conclusion.finalEnding, now);
     }
     const {reason} = conclusion;
     const hasRun =
@@ -477,27 +480,31 @@
       reason: `placed again: ${reason}`,
     });
     return [
-      effects.count(conclusion.spent ? 'retry' : 'placed_again', {reason}),
+      effects.count(conclusion.consumesRetry ? 'retry' : 'placed_again', {
+        reason,
+      }),
     ];
   }
 
   private mayPlaceAgain(
-    attempt: attempts.Attempt,
-    conclusion: Extract<attempts.Conclusion, {kind: 'again'}>,
+    attempt: attempts.ExecutionAttempt,
+    conclusion: Extract<attempts.AttemptOutcome, {kind: 'again'}>,
     entry: requestTable.RequestEntry | undefined,
     now: clock.Milliseconds,
   ): boolean {
     // Only the home places a request again.
     if (entry === undefined || entry.offeredBy !== '') return false;
-    if (!conclusion.spent) return true;
+    if (!conclusion.consumesRetry) return true;
     const failed = attempt.tasks().some(task => task.end === 'failed');
     const limited = attempt.request.workload.kind !== 'service';
-    if (failed && limited && attempt.number >= ATTEMPT_LIMIT) return false;
+    if (failed && limited && attempt.attemptNumber >= ATTEMPT_LIMIT) {
+      return false;
+    }
     return this.parts.retries.take(now);
   }
 
   private show(
-    attempt: attempts.Attempt,
+    attempt: attempts.ExecutionAttempt,
     state: requestTable.RequestState,
     reason: string,
   ): void {
@@ -527,24 +534,24 @@
 }
 
 function changeTask(
-  attempt: attempts.Attempt,
+  attempt: attempts.ExecutionAttempt,
   outcome: trackedTask.TaskOutcome,
 ): boolean {
   const name = outcome.reference.task;
   switch (outcome.kind) {
     case 'started':
-      return attempt.change(name, {state: 'running'});
+      return attempt.updateTask(name, {state: 'running'});
     case 'unknown':
-      return attempt.change(name, {state: 'unknown'});
+      return attempt.updateTask(name, {state: 'unknown'});
     case 'notRun':
-      return attempt.change(name, {
+      return attempt.updateTask(name, {
         state: 'notRun',
         detail: outcome.detail,
-        sent: outcome.sent,
+        startSent: outcome.sent,
       });
     case 'ended': {
       const {end, answer} = outcome;
-      return attempt.change(name, {state: 'ended', end, answer});
+      return attempt.updateTask(name, {state: 'ended', end, answer});
     }
     case 'adopted':
       return true;
--- /dev/null
+++ b/src/contracts/request_scheduler.ts
@@ -0,0 +1,533 @@
+import * as requestAdmission from './request_admission.js';
+import * as batchPolicy from './batch_policy.js';
+import * as capacityReservationTable from './capacity_reservation_table.js';
+import * as either from 'purify-ts/Either';
+import * as fairShareCalculator from './fair_share_calculator.js';
+import * as gangPolicy from './gang_policy.js';
+import type * as overloadMitigator from './overload_mitigator.js';
+import * as placementPolicy from './placement_policy.js';
+import * as teamQueue from './team_queue.js';
+import * as reclaimer from './reclaimer.js';
+import * as resources from '../machines/resources.js';
+import * as result from '../result.js';
+import * as servicePolicy from './service_policy.js';
+import * as taskObserver from './task_observer.js';
+import * as usageEstimator from './usage_estimator.js';
+import * as workerPool from './worker_pool.js';
+import type * as clock from '../machines/clock.js';
+import type * as configuration from './configuration.js';
+import type * as fleet from '../machines/fleet.js';
+import type * as request from './request.js';
+import type * as task from './task.js';
+import type * as team from './team.js';
+import type * as trackedTask from '../machines/tracked_task.js';
+import type * as worker from '../machines/worker.js';
+import type * as workload from './workload.js';
+import type * as placement from './placement.js';
+
+/** Time after which requests that found no room are tried again. */
+const PLACEMENT_RETRY_INTERVAL_MS = 100;
+
+/** Requests of one lane that may have reclaimed room earmarked at once. */
+const RECLAIMING_REQUEST_LIMIT = 32;
+
+/** Added to the level of a team that asks for more than its quota. */
+const BORROWING_PENALTY = 1_000_000;
+
+/** Requests without room in one turn; more lanes wait for the next turn. */
+const FAILED_PLACEMENT_LIMIT = 16;
+
+/** Failed sizes that a turn remembers; bounds the cost of comparing. */
+const FAILED_SIZE_LIMIT = 8;
+
+/** Source of the documents in force. */
+export interface ConfigurationSource {
+  current(): configuration.Configuration;
+}
+
+interface TeamCandidate {
+  readonly queue: teamQueue.TeamQueue;
+  weightedShare: number;
+  isBorrowing: boolean;
+}
+
+interface SchedulingCycle {
+  readonly now: clock.Milliseconds;
+  readonly retryVersion: number;
+  readonly placements: placement.Placement[];
+  /** Sizes without further constraints that found no room in this turn. */
+  readonly failedSizes: resources.Resources[];
+  /** Lanes whose head may not hold room at present. */
+  readonly notEntitled: Set<teamQueue.WorkloadQueue>;
+  failureCount: number;
+}
+
+type PlacementOutcome = 'placed' | 'noRoom' | 'notEntitled';
+
+/** Requests that wait, and the choice of workers for them. */
+export class RequestScheduler {
+  private readonly queues = new Map<string, teamQueue.TeamQueue>();
+  private readonly estimator = new usageEstimator.UsageEstimator();
+  private readonly observer: taskObserver.TaskObserver;
+  private readonly shares: fairShareCalculator.FairShareCalculator;
+  private readonly pool: workerPool.WorkerPool;
+  private readonly reclaimer: reclaimer.Reclaimer;
+  private readonly reservations: capacityReservationTable.CapacityReservationTable;
+  private readonly policies: Readonly<
+    Record<workload.WorkloadKind, placementPolicy.PlacementPolicy>
+  > = {
+    service: new servicePolicy.ServicePolicy(),
+    batch: new batchPolicy.BatchPolicy(),
+    gang: new gangPolicy.GangPolicy(),
+  };
+  private interventions: overloadMitigator.Intervention[] = [];
+  private lastAttemptNumber = 0;
+  private retryCount = 0;
+  private nextRetryAt = 0;
+  /** Rises of the fleet's room version that this object itself caused. */
+  private ownAvailabilityChanges = 0;
+  private lastCycleVersion = -1;
+  private hasNewRequests = false;
+  private retryRound = 0;
+
+  constructor(
+    private readonly workers: fleet.Fleet,
+    permission: placement.PlacementPermission,
+    private readonly documents: ConfigurationSource,
+  ) {
+    this.shares = new fairShareCalculator.FairShareCalculator(workers, {
+      team: name => this.teamOf(name),
+    });
+    this.pool = new workerPool.WorkerPool(workers, permission);
+    this.reservations = new capacityReservationTable.CapacityReservationTable({
+      workers: () => workers.all(),
+      mayPlace: candidate => this.pool.mayPlace(candidate),
+      runsUntilStopped: label => this.workloadOf(label)?.kind === 'service',
+    });
+    this.reclaimer = new reclaimer.Reclaimer(
+      this.shares,
+      this.reservations,
+      candidate => this.pool.mayPlace(candidate),
+    );
+    this.observer = new taskObserver.TaskObserver({
+      workers,
+      pool: this.pool,
+      reclaimer: this.reclaimer,
+      estimator: this.estimator,
+      workloadOf: label => this.workloadOf(label),
+    });
+  }
+
+  /** Learns what became of a task. */
+  observeOutcome(
+    outcome: trackedTask.TaskOutcome,
+    now: clock.Milliseconds,
+  ): void {
+    this.observer.observeOutcome(outcome, now);
+  }
+
+  /** Learns from a worker's report. */
+  observeReport(report: task.WorkerReport, now: clock.Milliseconds): void {
+    this.interventions.push(...this.observer.observeReport(report, now));
+  }
+
+  /** Queues a request, or refuses it with the reason. */
+  admit(
+    admitted: request.Request,
+    now: clock.Milliseconds,
+  ): either.Either<result.Failure, null> {
+    const configuredTeam = this.teamOf(admitted.team);
+    if (configuredTeam === undefined) {
+      return either.Left(
+        result.failure(
+          'unknownTeam',
+          `team: ${admitted.team} is not configured`,
+        ),
+      );
+    }
+    const queued = this.queueOf(admitted.team);
+    const fleetPlan = this.documents.current().fleet;
+    const context = {team: configuredTeam, queue: queued, fleet: fleetPlan};
+    return requestAdmission.check(admitted, context, now).ifRight(() => {
+      queued.push(admitted, now);
+      this.shares.recordArrival(admitted.team, now);
+      this.hasNewRequests = true;
+    });
+  }
+
+  /** Puts a request back whose start is proved not to have taken place. */
+  requeue(returned: request.Request): void {
+    this.queueOf(returned.team).putBack(returned);
+    this.hasNewRequests = true;
+  }
+
+  /** Takes a waiting request out; returns false when it does not wait. */
+  remove(identity: string): boolean {
+    for (const queued of this.queues.values()) {
+      if (!queued.remove(identity)) continue;
+      this.reservations.release(identity);
+      return true;
+    }
+    return false;
+  }
+
+  /** Says why a waiting request waits. */
+  explain(waiting: request.Request): string {
+    const size = this.reservationSizeOf(waiting);
+    const runMs = this.expectedRunMs(waiting);
+    if (this.reservations.has(waiting.identity)) {
+      return 'room is kept for it and becomes free as other tasks end';
+    }
+    if (!this.shares.isEntitled(waiting, size, runMs)) {
+      return `team ${waiting.team} holds its quota or all that may be lent`;
+    }
+    return `${this.waitingCount()} requests wait for room`;
+  }
+
+  /** Requests that wait. */
+  waitingCount(): number {
+    let waiting = 0;
+    for (const queued of this.queues.values()) waiting += queued.size;
+    return waiting;
+  }
+
+  /** Longest wait that new work of any team is expected to have. */
+  expectedWaitMs(): clock.Milliseconds {
+    let longest = 0;
+    for (const queued of this.queues.values()) {
+      longest = Math.max(longest, queued.expectedDrainMs());
+    }
+    return longest;
+  }
+
+  /** Takes out requests whose latest start has passed. */
+  takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
+    const expired: request.Request[] = [];
+    for (const queued of this.queues.values()) {
+      expired.push(...queued.takeExpired(now));
+    }
+    for (const late of expired) this.reservations.release(late.identity);
+    return expired;
+  }
+
+  /** When `place` or `takeExpired` is wanted next without other events. */
+  nextDeadline(): clock.Milliseconds {
+    const waits = this.waitingCount() > 0;
+    const readmission = this.pool.nextDeadline();
+    // Workers are readmitted only when the retry interval has passed.
+    let due = Math.max(this.nextRetryAt, waits ? 0 : readmission);
+    for (const queued of this.queues.values()) {
+      due = Math.min(due, queued.nextDeadline());
+    }
+    return due;
+  }
+
+  /** Sets which fraction of the cell's capacity this process places on. */
+  setCellFraction(fraction: number): void {
+    this.shares.setCellFraction(fraction);
+  }
+
+  /** Reserves room for waiting requests, all tasks of a request or none. */
+  place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
+    this.pool.setTime(now);
+    this.refresh(now);
+    if (!this.hasNewRequests && this.lastCycleVersion === this.retryVersion()) {
+      return [];
+    }
+    this.hasNewRequests = false;
+    const cycle: SchedulingCycle = {
+      now,
+      retryVersion: this.retryVersion(),
+      placements: [],
+      failedSizes: [],
+      notEntitled: new Set(),
+      failureCount: 0,
+    };
+    const before = this.workers.availabilityVersion;
+    this.placeReserved(cycle);
+    this.placeInFairOrder(cycle);
+    // A cut turn goes on with the other lanes; failed ones wait for a round.
+    if (cycle.failureCount >= FAILED_PLACEMENT_LIMIT) {
+      this.hasNewRequests = true;
+    } else this.retryRound += 1;
+    this.ownAvailabilityChanges += this.workers.availabilityVersion - before;
+    this.lastCycleVersion = cycle.retryVersion;
+    return cycle.placements;
+  }
+
+  /** Takes what is to be asked of running tasks. */
+  takeInterventions(): ReadonlyArray<overloadMitigator.Intervention> {
+    const taken = this.interventions;
+    this.interventions = [];
+    return taken;
+  }
+
+  /** Takes the capacity violations noted since the last call. */
+  takeViolations(): ReadonlyArray<worker.CapacityViolation> {
+    return this.workers.takeViolations();
+  }
+
+  private refresh(now: clock.Milliseconds): void {
+    const isDue = now >= this.nextRetryAt;
+    if (!isDue && !this.workers.needsRefresh) return;
+    this.nextRetryAt = now + PLACEMENT_RETRY_INTERVAL_MS;
+    this.retryCount += 1;
+    this.pool.refresh(now);
+    this.shares.refresh(now);
+    this.reservations.expire(now);
+    this.interventions.push(...this.reclaimer.refillReserve());
+  }
+
+  /** Changes whenever requests that found no room may find it now. */
+  private retryVersion(): number {
+    return (
+      this.workers.availabilityVersion -
+      this.ownAvailabilityChanges +
+      this.retryCount
+    );
+  }
+
+  private placeReserved(cycle: SchedulingCycle): void {
+    if (this.reservations.size === 0) return;
+    for (const reservation of [...this.reservations.all()]) {
+      const waiting = this.queues
+        .get(reservation.team)
+        ?.get(reservation.identity);
+      if (waiting === undefined) {
+        this.reservations.release(reservation.identity);
+      } else if (capacityReservationTable.isAvailable(reservation)) {
+        this.consumeReservation(reservation, waiting, cycle);
+      }
+    }
+  }
+
+  private consumeReservation(
+    reservation: capacityReservationTable.CapacityReservation,
+    waiting: request.Request,
+    cycle: SchedulingCycle,
+  ): void {
+    const runMs = this.expectedRunMs(waiting);
+    if (!this.shares.isEntitled(waiting, reservation.size, runMs)) return;
+    this.reservations.release(reservation.identity);
+    const pending = this.pendingPlacementOf(waiting, reservation.size);
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    const ascending = [...reservation.taskCounts.keys()].sort((left, right) =>
+      left.name < right.name ? -1 : 1,
+    );
+    for (const target of ascending) {
+      const count = reservation.taskCounts.get(target) ?? 0;
+      for (let index = 0; index < count; index += 1) attempt.reserve(target);
+    }
+    this.commit(pending, attempt.finish(), cycle);
+  }
+
+  private placeInFairOrder(cycle: SchedulingCycle): void {
+    const candidates = this.teamCandidates();
+    while (
+      candidates.length > 0 &&
+      cycle.failureCount < FAILED_PLACEMENT_LIMIT
+    ) {
+      const position = lowestShareIndex(candidates);
+      const candidate = candidates[position];
+      const workloadQueue = candidate.queue.next(
+        queued => this.isEligible(queued, cycle),
+        cycle.now,
+      );
+      if (workloadQueue === undefined) candidates.splice(position, 1);
+      else this.placeHead(candidate, workloadQueue, cycle);
+    }
+  }
+
+  private teamCandidates(): TeamCandidate[] {
+    const candidates: TeamCandidate[] = [];
+    for (const queued of this.queues.values()) {
+      if (queued.size === 0) continue;
+      const weightedShare = this.shares.weightedShare(queued.team);
+      candidates.push({
+        queue: queued,
+        weightedShare,
+        isBorrowing: false,
+      });
+    }
+    return candidates;
+  }
+
+  private isEligible(
+    workloadQueue: teamQueue.WorkloadQueue,
+    cycle: SchedulingCycle,
+  ): boolean {
+    if (workloadQueue.failedRetryRound === this.retryRound) return false;
+    return (
+      workloadQueue.blockedAtVersion !== cycle.retryVersion &&
+      !cycle.notEntitled.has(workloadQueue)
+    );
+  }
+
+  private placeHead(
+    candidate: TeamCandidate,
+    workloadQueue: teamQueue.WorkloadQueue,
+    cycle: SchedulingCycle,
+  ): void {
+    const head = workloadQueue.head();
+    if (head === undefined) return;
+    const pending = this.pendingPlacementOf(head, this.reservationSizeOf(head));
+    if (!candidate.isBorrowing && this.exceedsQuota(pending)) {
+      // Teams within their quota choose first; this one comes back after them.
+      candidate.isBorrowing = true;
+      candidate.weightedShare += BORROWING_PENALTY;
+      return;
+    }
+    const outcome = this.tryPlace(pending, cycle);
+    if (outcome === 'noRoom') {
+      this.handlePlacementFailure(pending, workloadQueue, cycle);
+    }
+    if (outcome === 'notEntitled') cycle.notEntitled.add(workloadQueue);
+    candidate.weightedShare = this.shares.weightedShare(candidate.queue.team);
+    candidate.isBorrowing = false;
+  }
+
+  private exceedsQuota(pending: placementPolicy.PendingPlacement): boolean {
+    const {team: name, taskCount} = pending.request;
+    const totalSize = resources.scale(pending.size, taskCount);
+    return !this.shares.isWithinQuota(name, totalSize);
+  }
+
+  private tryPlace(
+    pending: placementPolicy.PendingPlacement,
+    cycle: SchedulingCycle,
+  ): PlacementOutcome {
+    const {request: waiting, size} = pending;
+    const runMs = this.expectedRunMs(waiting);
+    if (!this.shares.isEntitled(waiting, size, runMs)) return 'notEntitled';
+    if (cycle.failedSizes.some(failed => resources.fits(failed, size))) {
+      return 'noRoom';
+    }
+    const view = this.pool.viewFor(waiting);
+    const policy = this.policies[waiting.workload.kind];
+    const decision = policy.place(pending, view, cycle.now);
+    if (this.commit(pending, decision, cycle)) return 'placed';
+    if (
+      isUnconstrained(waiting) &&
+      cycle.failedSizes.length < FAILED_SIZE_LIMIT
+    ) {
+      cycle.failedSizes.push(size);
+    }
+    return 'noRoom';
+  }
+
+  private commit(
+    pending: placementPolicy.PendingPlacement,
+    decision: placementPolicy.PlacementDecision,
+    cycle: SchedulingCycle,
+  ): boolean {
+    if (decision.kind === 'noRoom') return false;
+    const {request: placed, size} = pending;
+    this.queueOf(placed.team).take(placed, cycle.now);
+    this.reservations.release(placed.identity);
+    const expectedRunMs = this.expectedRunMs(placed);
+    const label = placementPolicy.buildTaskLabel(placed);
+    decision.workers.forEach((target, index) => {
+      const name = placementPolicy.taskName(pending, index);
+      cycle.placements.push({
+        request: placed,
+        task: name,
+        worker: target,
+        size,
+      });
+      this.pool.recordPlacement(target, name, label, cycle.now);
+      const started = {task: name, team: placed.team, size, worker: target};
+      this.reclaimer.recordStart({...started, expectedRunMs}, placed.workload);
+    });
+    return true;
+  }
+
+  private handlePlacementFailure(
+    pending: placementPolicy.PendingPlacement,
+    workloadQueue: teamQueue.WorkloadQueue,
+    cycle: SchedulingCycle,
+  ): void {
+    workloadQueue.blockedAtVersion = cycle.retryVersion;
+    workloadQueue.failedRetryRound = this.retryRound;
+    cycle.failureCount += 1;
+    const {workload: described} = pending.request;
+    if (described.urgency === 'urgent' && pending.request.taskCount === 1) {
+      const waiting = workloadQueue.firstRequests(RECLAIMING_REQUEST_LIMIT);
+      const pendingPlacements = waiting.map(item =>
+        this.pendingPlacementOf(item, this.reservationSizeOf(item)),
+      );
+      this.interventions.push(
+        ...this.reclaimer.reclaimFor(pendingPlacements, cycle.now),
+      );
+    }
+    const isStarving = teamQueue.isStarving(pending.request, cycle.now);
+    if (described.kind === 'gang' || isStarving) {
+      this.reservations.planFor(pending, cycle.now);
+    }
+  }
+
+  private pendingPlacementOf(
+    waiting: request.Request,
+    size: resources.Resources,
+  ): placementPolicy.PendingPlacement {
+    this.lastAttemptNumber += 1;
+    return {request: waiting, size, attemptNumber: this.lastAttemptNumber};
+  }
+
+  /** The learned size, or the declared one if no worker could hold it. */
+  private reservationSizeOf(waiting: request.Request): resources.Resources {
+    const learned = this.estimator.reservation(
+      waiting.team,
+      waiting.workload.name,
+      waiting.size,
+    );
+    const plan = this.documents.current().fleet;
+    if (learned === waiting.size || plan === undefined) return learned;
+    const resized = {...waiting, size: learned};
+    const fits =
+      requestAdmission.excludingConstraint(resized, plan) === undefined;
+    return fits ? learned : waiting.size;
+  }
+
+  private expectedRunMs(waiting: request.Request): clock.Milliseconds {
+    const {name, runTimeMs} = waiting.workload;
+    return this.estimator.runTimeMs(waiting.team, name) ?? runTimeMs;
+  }
+
+  private workloadOf(label: task.TaskLabel): workload.Workload | undefined {
+    return this.teamOf(label.team)?.workloads.find(
+      item => item.name === label.workload,
+    );
+  }
+
+  private teamOf(name: string): team.Team | undefined {
+    return this.documents.current().teams.get(name);
+  }
+
+  private queueOf(name: string): teamQueue.TeamQueue {
+    const known = this.queues.get(name);
+    if (known !== undefined) return known;
+    const created = new teamQueue.TeamQueue(name);
+    this.queues.set(name, created);
+    return created;
+  }
+}
+
+function lowestShareIndex(candidates: ReadonlyArray<TeamCandidate>): number {
+  let best = 0;
+  for (let index = 1; index < candidates.length; index += 1) {
+    if (candidates[index].weightedShare < candidates[best].weightedShare) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+/** Whether nothing but its size restricts where a request may run. */
+function isUnconstrained(waiting: request.Request): boolean {
+  const {workload: described, taskCount} = waiting;
+  return (
+    taskCount === 1 &&
+    described.zones.length === 0 &&
+    described.maximumPerRack === 0
+  );
+}
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -2,28 +2,28 @@
 import * as invariant from './invariant.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
-import type * as overloadRelief from './overload_relief.js';
-import type * as scheduler from './scheduler.js';
+import type * as overloadMitigator from './overload_mitigator.js';
+import type * as requestScheduler from './request_scheduler.js';
 import type * as worker from '../machines/worker.js';
 
 /** Lets the scheduler see a report and carries out what it asks of tasks. */
-export function afterEvent(
-  asking: scheduler.Scheduler,
+export function handleEvent(
+  target: requestScheduler.RequestScheduler,
   handled: event.Event,
   now: clock.Milliseconds,
 ): ReadonlyArray<effects.Effect> {
   if (handled.kind === 'reportArrived') {
-    asking.observeReport(handled.report, now);
+    target.observeReport(handled.report, now);
   }
   return [
-    ...interventionEffects(asking.takeInterventions()),
-    ...violationEffects(asking.takeViolations()),
+    ...interventionEffects(target.takeInterventions()),
+    ...violationEffects(target.takeViolations()),
   ];
 }
 
 /** Builds the effects that carry out what the scheduler asks of tasks. */
 export function interventionEffects(
-  interventions: ReadonlyArray<overloadRelief.Intervention>,
+  interventions: ReadonlyArray<overloadMitigator.Intervention>,
 ): ReadonlyArray<effects.Effect> {
   return interventions.flatMap(item => [
     effects.count('intervention', {kind: item.kind, reason: item.reason}),
@@ -56,7 +56,9 @@
   });
 }
 
-function interventionEffect(item: overloadRelief.Intervention): effects.Effect {
+function interventionEffect(
+  item: overloadMitigator.Intervention,
+): effects.Effect {
   const target = {
     worker: item.worker.name,
     address: item.worker.description.address,
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -2,64 +2,64 @@
 import type * as request from './request.js';
 import type * as requestDesk from './request_desk.js';
 import type * as result from '../result.js';
-import type * as scheduler from './scheduler.js';
+import type * as requestScheduler from './request_scheduler.js';
 import type * as placement from './placement.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
 /** Shows the scheduler to the desk and keeps the order of what waits. */
 export class SchedulerQueue implements requestDesk.DeskQueue {
-  private readonly queued = new Map<string, request.Request>();
+  private readonly waitingRequests = new Map<string, request.Request>();
 
-  constructor(private readonly inner: scheduler.Scheduler) {}
+  constructor(private readonly scheduler: requestScheduler.RequestScheduler) {}
 
   admit(
     admitted: request.Request,
     now: clock.Milliseconds,
   ): result.Failure | undefined {
-    return this.inner.admit(admitted, now).caseOf({
+    return this.scheduler.admit(admitted, now).caseOf({
       Left: (refusal): result.Failure | undefined => refusal,
       Right: () => {
-        this.queued.set(admitted.identity, admitted);
+        this.waitingRequests.set(admitted.identity, admitted);
         return undefined;
       },
     });
   }
 
   requeue(returned: request.Request): void {
-    this.queued.set(returned.identity, returned);
-    this.inner.requeue(returned);
+    this.waitingRequests.set(returned.identity, returned);
+    this.scheduler.requeue(returned);
   }
 
   remove(identity: string): boolean {
-    this.queued.delete(identity);
-    return this.inner.remove(identity);
+    this.waitingRequests.delete(identity);
+    return this.scheduler.remove(identity);
   }
 
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
-    const expired = this.inner.takeExpired(now);
-    for (const late of expired) this.queued.delete(late.identity);
+    const expired = this.scheduler.takeExpired(now);
+    for (const late of expired) this.waitingRequests.delete(late.identity);
     return expired;
   }
 
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
-    const placements = this.inner.place(now);
+    const placements = this.scheduler.place(now);
     for (const placed of placements) {
-      this.queued.delete(placed.request.identity);
+      this.waitingRequests.delete(placed.request.identity);
     }
     return placements;
   }
 
   observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
-    this.inner.observe(outcome, now);
+    this.scheduler.observeOutcome(outcome, now);
   }
 
   waitingCount(): number {
-    return this.inner.waitingCount();
+    return this.scheduler.waitingCount();
   }
 
   waiting(limit: number): ReadonlyArray<request.Request> {
     const first: request.Request[] = [];
-    for (const waiting of this.queued.values()) {
+    for (const waiting of this.waitingRequests.values()) {
       if (first.length >= limit) break;
       first.push(waiting);
     }
@@ -67,7 +67,7 @@
   }
 
   explain(identity: string): string {
-    const waiting = this.queued.get(identity);
-    return waiting === undefined ? '' : this.inner.explain(waiting);
+    const waiting = this.waitingRequests.get(identity);
+    return waiting === undefined ? '' : this.scheduler.explain(waiting);
   }
 }
--- a/src/contracts/service_policy.ts
+++ b/src/contracts/service_policy.ts
@@ -7,23 +7,23 @@
  */
 export class ServicePolicy implements placementPolicy.PlacementPolicy {
   place(
-    job: placementPolicy.PendingJob,
+    pending: placementPolicy.PendingPlacement,
     fleet: placementPolicy.FleetView,
   ): placementPolicy.PlacementDecision {
-    const attempt = new placementPolicy.Attempt(job);
-    while (attempt.missing > 0) {
-      const chosen = choose(attempt, fleet);
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    while (attempt.unplacedTaskCount > 0) {
+      const chosen = chooseWorker(attempt, fleet);
       if (chosen === undefined || !attempt.reserve(chosen)) break;
     }
     return attempt.finish();
   }
 }
 
-function choose(
-  attempt: placementPolicy.Attempt,
+function chooseWorker(
+  attempt: placementPolicy.PlacementAttempt,
   fleet: placementPolicy.FleetView,
 ): worker.Worker | undefined {
-  const {request, size} = attempt.job;
+  const {request, size} = attempt.pending;
   const {maximumPerRack, name} = request.workload;
   // Replicas are placed one at a time, so the fleet's count includes them all.
   const onRack = (rack: string): number =>
@@ -36,10 +36,10 @@
       (maximumPerRack === 0 || onRack(candidate.rack) < maximumPerRack),
   );
   // A remainder is at most 1, so the count on the rack always comes first.
-  return placementPolicy.cheapest(
+  return placementPolicy.selectLowestCost(
     candidates,
     candidate =>
       2 * onRack(candidate.rack) -
-      placementPolicy.tightestRemainder(size, candidate),
+      placementPolicy.smallestRemainingFraction(size, candidate),
   );
 }
--- a/src/contracts/task_observer.ts
+++ b/src/contracts/task_observer.ts
@@ -1,4 +1,4 @@
-import * as overloadRelief from './overload_relief.js';
+import * as overloadMitigator from './overload_mitigator.js';
 import * as resources from '../machines/resources.js';
 import type * as clock from '../machines/clock.js';
 import type * as fleet from '../machines/fleet.js';
@@ -10,7 +10,7 @@
 import type * as workload from './workload.js';
 
 /** The objects that learn from tasks. */
-export interface ObserverParts {
+export interface TaskObserverDependencies {
   readonly workers: fleet.Fleet;
   readonly pool: workerPool.WorkerPool;
   readonly reclaimer: reclaimer.Reclaimer;
@@ -20,29 +20,33 @@
 
 /** Passes on what becomes of tasks to those that decide by it. */
 export class TaskObserver {
-  private readonly relief = new overloadRelief.OverloadRelief();
+  private readonly overloadMitigator =
+    new overloadMitigator.OverloadMitigator();
 
-  constructor(private readonly parts: ObserverParts) {}
+  constructor(private readonly dependencies: TaskObserverDependencies) {}
 
   /** Learns what became of a task. */
-  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
+  observeOutcome(
+    outcome: trackedTask.TaskOutcome,
+    now: clock.Milliseconds,
+  ): void {
     const {task: name, label} = outcome.reference;
     switch (outcome.kind) {
       case 'started':
-        this.parts.pool.started(name, now);
+        this.dependencies.pool.recordStart(name, now);
         return;
       case 'adopted':
-        this.adopted(outcome.reference);
+        this.recordAdoption(outcome.reference);
         return;
       case 'unknown':
         return;
       case 'notRun':
-        this.parts.reclaimer.ended(name);
-        this.parts.estimator.forget(name);
-        this.parts.pool.notRun(name, outcome.sent, now);
+        this.dependencies.reclaimer.recordEnd(name);
+        this.dependencies.estimator.forget(name);
+        this.dependencies.pool.recordNotRun(name, outcome.sent, now);
         return;
       case 'ended':
-        this.ended(name, label, outcome.end, now);
+        this.recordEnd(name, label, outcome.end, now);
     }
   }
 
@@ -53,49 +57,53 @@
   observeReport(
     report: task.WorkerReport,
     now: clock.Milliseconds,
-  ): ReadonlyArray<overloadRelief.Intervention> {
-    const target = this.parts.workers.get(report.worker);
+  ): ReadonlyArray<overloadMitigator.Intervention> {
+    const target = this.dependencies.workers.get(report.worker);
     if (target === undefined) return [];
     for (const item of report.tasks) {
       const held = target.reservations().get(item.task);
       if (held === undefined || item.state !== 'running') continue;
-      this.parts.estimator.observe(item);
+      this.dependencies.estimator.recordUsage(item);
       if (resources.fits(item.usage, held.size)) continue;
       target.resize(
         item.task,
         resources.roundedUpMaximum(item.usage, held.size),
       );
     }
-    return this.relief.relieve(target, now);
+    return this.overloadMitigator.mitigate(target, now);
   }
 
-  private adopted(of: trackedTask.TaskReference): void {
-    const target = this.parts.workers.get(of.worker);
-    const held = target?.reservations().get(of.task);
-    const described = this.parts.workloadOf(of.label);
+  private recordAdoption(reference: trackedTask.TaskReference): void {
+    const target = this.dependencies.workers.get(reference.worker);
+    const held = target?.reservations().get(reference.task);
+    const definition = this.dependencies.workloadOf(reference.label);
     if (target === undefined || held === undefined) return;
-    if (described === undefined) return;
-    const {team: name} = of.label;
+    if (definition === undefined) return;
+    const {team: name} = reference.label;
     const expectedRunMs =
-      this.parts.estimator.runTimeMs(name, described.name) ??
-      described.runTimeMs;
+      this.dependencies.estimator.runTimeMs(name, definition.name) ??
+      definition.runTimeMs;
     const {task: taskName, size} = held;
-    const loan = {task: taskName, team: name, size, worker: target};
-    this.parts.reclaimer.started({...loan, expectedRunMs}, described);
+    const adopted = {task: taskName, team: name, size, worker: target};
+    this.dependencies.reclaimer.recordStart(
+      {...adopted, expectedRunMs},
+      definition,
+    );
   }
 
-  private ended(
+  private recordEnd(
     name: string,
     label: task.TaskLabel,
     end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
-    const ranMs = this.parts.pool.ranMs(name, now);
-    this.parts.reclaimer.ended(name);
-    if (end === 'finished') this.parts.estimator.ended(name, label, ranMs);
-    else this.parts.estimator.forget(name);
+    const ranMs = this.dependencies.pool.ranMs(name, now);
+    this.dependencies.reclaimer.recordEnd(name);
+    if (end === 'finished') {
+      this.dependencies.estimator.recordEnd(name, label, ranMs);
+    } else this.dependencies.estimator.forget(name);
     const byItself = end === 'finished' || end === 'failed';
-    if (byItself) this.parts.pool.ended(name, end === 'failed', now);
-    else this.parts.pool.notRun(name, false, now);
+    if (byItself) this.dependencies.pool.recordEnd(name, end === 'failed', now);
+    else this.dependencies.pool.recordNotRun(name, false, now);
   }
 }
--- a/src/contracts/queue.ts
+++ b/src/contracts/team_queue.ts
@@ -7,110 +7,116 @@
 export const STARVATION_BOUND_MS = 60_000;
 
 /** Weight of the newest gap between starts in their running mean. */
-const GAP_WEIGHT = 0.2;
+const START_INTERVAL_WEIGHT = 0.2;
 
 /** Removed entries that a lane carries before it is compacted. */
-const COMPACTION_MINIMUM = 256;
+const COMPACTION_THRESHOLD_ENTRIES = 256;
 
-interface Entry {
+interface QueueEntry {
   readonly request: request.Request;
   /** Set when the entry left the lane; the slot is skipped later. */
-  gone: boolean;
+  isRemoved: boolean;
 }
 
 /** Waiting requests of one workload in order of arrival. */
-export class Lane {
-  private readonly returned: Entry[] = [];
-  private waiting: Entry[] = [];
-  private first = 0;
-  private count = 0;
+export class WorkloadQueue {
+  private readonly returnedEntries: QueueEntry[] = [];
+  private waitingEntries: QueueEntry[] = [];
+  private firstWaitingIndex = 0;
+  private waitingCount = 0;
   /** Version of the fleet's room at which the head did not fit. */
-  blockedAt = -1;
+  blockedAtVersion = -1;
   /** Round of attempts in which the head found no room. */
-  failedRound = -1;
+  failedRetryRound = -1;
 
   constructor(readonly workload: workload.Workload) {}
 
   /** Requests that wait in the lane. */
   get size(): number {
-    return this.count;
+    return this.waitingCount;
   }
 
   /** Adds a new request at the end. */
-  push(added: request.Request): Entry {
-    const entry: Entry = {request: added, gone: false};
-    this.waiting.push(entry);
-    this.count += 1;
+  push(added: request.Request): QueueEntry {
+    const entry: QueueEntry = {request: added, isRemoved: false};
+    this.waitingEntries.push(entry);
+    this.waitingCount += 1;
     return entry;
   }
 
   /** Puts a request back before all others. */
-  putBack(added: request.Request): Entry {
-    const entry: Entry = {request: added, gone: false};
-    this.returned.push(entry);
-    this.count += 1;
-    this.blockedAt = -1;
+  putBack(added: request.Request): QueueEntry {
+    const entry: QueueEntry = {request: added, isRemoved: false};
+    this.returnedEntries.push(entry);
+    this.waitingCount += 1;
+    this.blockedAtVersion = -1;
     return entry;
   }
 
   /** The request that goes next. */
   head(): request.Request | undefined {
-    let last = this.returned.at(-1);
-    while (last?.gone === true) {
-      this.returned.pop();
-      last = this.returned.at(-1);
+    let last = this.returnedEntries.at(-1);
+    while (last?.isRemoved === true) {
+      this.returnedEntries.pop();
+      last = this.returnedEntries.at(-1);
     }
     if (last !== undefined) return last.request;
-    while (this.waiting[this.first]?.gone === true) this.first += 1;
+    while (this.waitingEntries[this.firstWaitingIndex]?.isRemoved === true) {
+      this.firstWaitingIndex += 1;
+    }
     this.compact();
-    return this.waiting[this.first]?.request;
+    return this.waitingEntries[this.firstWaitingIndex]?.request;
   }
 
   /** The first requests of the lane, at most `limit`. */
-  heads(limit: number): ReadonlyArray<request.Request> {
+  firstRequests(limit: number): ReadonlyArray<request.Request> {
     const found: request.Request[] = [];
-    for (let index = this.returned.length - 1; index >= 0; index -= 1) {
+    for (let index = this.returnedEntries.length - 1; index >= 0; index -= 1) {
       if (found.length >= limit) return found;
-      const entry = this.returned[index];
-      if (!entry.gone) found.push(entry.request);
+      const entry = this.returnedEntries[index];
+      if (!entry.isRemoved) found.push(entry.request);
     }
-    for (let index = this.first; index < this.waiting.length; index += 1) {
+    for (
+      let index = this.firstWaitingIndex;
+      index < this.waitingEntries.length;
+      index += 1
+    ) {
       if (found.length >= limit) return found;
-      const entry = this.waiting[index];
-      if (!entry.gone) found.push(entry.request);
+      const entry = this.waitingEntries[index];
+      if (!entry.isRemoved) found.push(entry.request);
     }
     return found;
   }
 
   /** Takes an entry out. */
-  drop(entry: Entry): void {
-    if (entry.gone) return;
-    entry.gone = true;
-    this.count -= 1;
-    this.blockedAt = -1;
+  remove(entry: QueueEntry): void {
+    if (entry.isRemoved) return;
+    entry.isRemoved = true;
+    this.waitingCount -= 1;
+    this.blockedAtVersion = -1;
   }
 
   private compact(): void {
-    if (this.first < COMPACTION_MINIMUM) return;
-    if (this.first * 2 < this.waiting.length) return;
-    this.waiting = this.waiting.slice(this.first);
-    this.first = 0;
+    if (this.firstWaitingIndex < COMPACTION_THRESHOLD_ENTRIES) return;
+    if (this.firstWaitingIndex * 2 < this.waitingEntries.length) return;
+    this.waitingEntries = this.waitingEntries.slice(this.firstWaitingIndex);
+    this.firstWaitingIndex = 0;
   }
 }
 
-interface Position {
-  readonly lane: Lane;
-  readonly entry: Entry;
+interface QueuePosition {
+  readonly workloadQueue: WorkloadQueue;
+  readonly entry: QueueEntry;
 }
 
 /** Requests of one team that wait, with a lane for each workload. */
 export class TeamQueue {
-  private readonly lanes = new Map<string, Lane>();
-  private readonly positions = new Map<string, Position>();
+  private readonly workloadQueues = new Map<string, WorkloadQueue>();
+  private readonly positions = new Map<string, QueuePosition>();
   private readonly deadlines = new deadlineHeap.DeadlineHeap();
-  private meanGap = 0;
-  private lastStart = Infinity;
-  private servedStarving = false;
+  private meanStartIntervalMs = 0;
+  private lastStartAt = Infinity;
+  private lastTakenWasStarving = false;
 
   constructor(readonly team: string) {}
 
@@ -122,10 +128,13 @@
   /** Adds a new request. */
   push(added: request.Request, now: clock.Milliseconds): void {
     // An empty queue has no gaps to learn from.
-    if (this.size === 0) this.lastStart = now;
+    if (this.size === 0) this.lastStartAt = now;
     this.remove(added.identity);
-    const lane = this.laneOf(added.workload);
-    this.note(added, {lane, entry: lane.push(added)});
+    const workloadQueue = this.queueFor(added.workload);
+    this.index(added, {
+      workloadQueue,
+      entry: workloadQueue.push(added),
+    });
   }
 
   /**
@@ -136,9 +145,12 @@
     const waiting = this.get(returned.identity);
     this.remove(returned.identity);
     const taskCount = returned.taskCount + (waiting?.taskCount ?? 0);
-    const whole = waiting === undefined ? returned : {...returned, taskCount};
-    const lane = this.laneOf(whole.workload);
-    this.note(whole, {lane, entry: lane.putBack(whole)});
+    const merged = waiting === undefined ? returned : {...returned, taskCount};
+    const workloadQueue = this.queueFor(merged.workload);
+    this.index(merged, {
+      workloadQueue,
+      entry: workloadQueue.putBack(merged),
+    });
   }
 
   /** Returns a request that waits here. */
@@ -150,7 +162,7 @@
   remove(identity: string): boolean {
     const position = this.positions.get(identity);
     if (position === undefined) return false;
-    position.lane.drop(position.entry);
+    position.workloadQueue.remove(position.entry);
     this.positions.delete(identity);
     return true;
   }
@@ -158,10 +170,12 @@
   /** Takes a request out that gets its room now. */
   take(taken: request.Request, now: clock.Milliseconds): void {
     if (!this.remove(taken.identity)) return;
-    this.servedStarving = isStarving(taken, now) && !this.servedStarving;
-    const gap = Math.max(0, now - this.lastStart);
-    this.lastStart = now;
-    this.meanGap += GAP_WEIGHT * (gap - this.meanGap);
+    this.lastTakenWasStarving =
+      isStarving(taken, now) && !this.lastTakenWasStarving;
+    const intervalMs = Math.max(0, now - this.lastStartAt);
+    this.lastStartAt = now;
+    this.meanStartIntervalMs +=
+      START_INTERVAL_WEIGHT * (intervalMs - this.meanStartIntervalMs);
   }
 
   /** Takes out the requests whose latest start has passed. */
@@ -188,50 +202,52 @@
    * starvation bound, so that neither old nor urgent work starves the other.
    */
   next(
-    isOpen: (lane: Lane) => boolean,
+    isOpen: (workloadQueue: WorkloadQueue) => boolean,
     now: clock.Milliseconds,
-  ): Lane | undefined {
-    let ranked: Lane | undefined;
-    let starving: Lane | undefined;
-    for (const lane of this.lanes.values()) {
+  ): WorkloadQueue | undefined {
+    let ranked: WorkloadQueue | undefined;
+    let starving: WorkloadQueue | undefined;
+    for (const lane of this.workloadQueues.values()) {
       if (lane.size === 0 || !isOpen(lane)) continue;
-      if (ranked === undefined || goesBefore(lane, ranked)) ranked = lane;
+      if (ranked === undefined || precedes(lane, ranked)) ranked = lane;
       const head = lane.head();
       if (head === undefined || !isStarving(head, now)) continue;
       if (starving === undefined || isOlder(lane, starving)) starving = lane;
     }
-    return this.servedStarving ? ranked : (starving ?? ranked);
+    return this.lastTakenWasStarving ? ranked : (starving ?? ranked);
   }
 
   /**
    * Estimates the wait of a new request from the requests that go before it
    * and the pace of the latest starts.
    */
-  expectedWait(newcomer: request.Request): clock.Milliseconds {
+  expectedWaitMs(newcomer: request.Request): clock.Milliseconds {
     let ahead = 0;
-    for (const lane of this.lanes.values()) {
-      if (ranksAtLeast(lane.workload, newcomer.workload)) ahead += lane.size;
+    for (const workloadQueue of this.workloadQueues.values()) {
+      if (ranksAtLeast(workloadQueue.workload, newcomer.workload)) {
+        ahead += workloadQueue.size;
+      }
     }
-    return ahead * this.meanGap;
+    return ahead * this.meanStartIntervalMs;
   }
 
   /** Time in which what waits now is expected to start. */
-  drainMs(): clock.Milliseconds {
-    return this.size * this.meanGap;
+  expectedDrainMs(): clock.Milliseconds {
+    return this.size * this.meanStartIntervalMs;
   }
 
-  private note(added: request.Request, position: Position): void {
+  private index(added: request.Request, position: QueuePosition): void {
     this.positions.set(added.identity, position);
     this.deadlines.add(added.identity, added.startBy);
   }
 
-  private laneOf(described: workload.Workload): Lane {
-    const known = this.lanes.get(described.name);
+  private queueFor(definition: workload.Workload): WorkloadQueue {
+    const known = this.workloadQueues.get(definition.name);
     // A changed description gets a new lane once the old one is empty.
-    const isCurrent = known?.workload === described;
+    const isCurrent = known?.workload === definition;
     if (known !== undefined && (isCurrent || known.size > 0)) return known;
-    const created = new Lane(described);
-    this.lanes.set(described.name, created);
+    const created = new WorkloadQueue(definition);
+    this.workloadQueues.set(definition.name, created);
     return created;
   }
 }
@@ -244,25 +260,27 @@
   return now - waiting.arrivedAt >= STARVATION_BOUND_MS;
 }
 
-function rank(described: workload.Workload): number {
-  return workload.URGENCIES.indexOf(described.urgency);
+function urgencyRank(definition: workload.Workload): number {
+  return workload.URGENCY_LEVELS.indexOf(definition.urgency);
 }
 
 function ranksAtLeast(
   left: workload.Workload,
   right: workload.Workload,
 ): boolean {
-  if (rank(left) !== rank(right)) return rank(left) > rank(right);
+  if (urgencyRank(left) !== urgencyRank(right)) {
+    return urgencyRank(left) > urgencyRank(right);
+  }
   return left.worth >= right.worth;
 }
 
-function isOlder(left: Lane, right: Lane): boolean {
+function isOlder(left: WorkloadQueue, right: WorkloadQueue): boolean {
   const leftArrival = left.head()?.arrivedAt ?? Infinity;
   return leftArrival < (right.head()?.arrivedAt ?? Infinity);
 }
 
-function goesBefore(left: Lane, right: Lane): boolean {
-  const difference = rank(left.workload) - rank(right.workload);
+function precedes(left: WorkloadQueue, right: WorkloadQueue): boolean {
+  const difference = urgencyRank(left.workload) - urgencyRank(right.workload);
   if (difference !== 0) return difference > 0;
   const worth = left.workload.worth - right.workload.worth;
   if (worth !== 0) return worth > 0;
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -42,12 +42,14 @@
 
   /** Brings the choice of workers up to date. */
   refresh(now: clock.Milliseconds): void {
-    this.dropAbandoned(now);
+    this.removeAbandonedTasks(now);
     this.health.readmit(now);
     this.workers.refresh(candidate =>
       this.permission.mayPlace(candidate.name, now),
     );
-    if (this.upstreams.size > this.workers.all().length) this.dropUpstreams();
+    if (this.upstreams.size > this.workers.all().length) {
+      this.removeUnusedUpstreams();
+    }
   }
 
   /** When a suspended worker may be probed next. */
@@ -76,21 +78,21 @@
   }
 
   /** Notes a placed task. */
-  placed(
-    on: worker.Worker,
+  recordPlacement(
+    target: worker.Worker,
     name: string,
     label: task.TaskLabel,
     now: clock.Milliseconds,
   ): void {
     const times = {placedAt: now, startedAt: now, answered: false};
-    this.tasks.set(name, {worker: on, label, ...times});
+    this.tasks.set(name, {worker: target, label, ...times});
     this.unanswered.add(name);
-    this.upstreamOf(on).onSend();
-    this.health.recordPlacement(on);
+    this.upstreamOf(target).onSend();
+    this.health.recordPlacement(target);
   }
 
   /** Notes an acknowledged start; does nothing when the task is unknown. */
-  started(name: string, now: clock.Milliseconds): void {
+  recordStart(name: string, now: clock.Milliseconds): void {
     const known = this.tasks.get(name);
     if (known === undefined || known.answered) return;
     this.tasks.set(name, {...known, startedAt: now, answered: true});
@@ -102,8 +104,8 @@
   }
 
   /** Notes a task that did not run; `sent` when its start was lost. */
-  notRun(name: string, sent: boolean, now: clock.Milliseconds): void {
-    const known = this.forget(name);
+  recordNotRun(name: string, sent: boolean, now: clock.Milliseconds): void {
+    const known = this.removeTask(name);
     if (known === undefined) return;
     if (!known.answered) {
       if (sent) this.upstreamOf(known.worker).onLoss(now);
@@ -118,9 +120,9 @@
   }
 
   /** Notes a task that finished or failed by itself. */
-  ended(name: string, failed: boolean, now: clock.Milliseconds): void {
+  recordEnd(name: string, failed: boolean, now: clock.Milliseconds): void {
     const ranMs = this.ranMs(name, now);
-    const known = this.forget(name);
+    const known = this.removeTask(name);
     if (known === undefined) return;
     // The end also answers a start whose own answer was lost.
     if (!known.answered) this.upstreamOf(known.worker).onLoss(now);
@@ -129,7 +131,7 @@
     this.health.recordEnd(end, now);
   }
 
-  private forget(name: string): PlacedTask | undefined {
+  private removeTask(name: string): PlacedTask | undefined {
     const known = this.tasks.get(name);
     this.tasks.delete(name);
     this.unanswered.delete(name);
@@ -137,18 +139,18 @@
   }
 
   /** Drops what is known of workers that left the fleet. */
-  private dropUpstreams(): void {
+  private removeUnusedUpstreams(): void {
     for (const name of this.upstreams.keys()) {
       if (this.workers.get(name) === undefined) this.upstreams.delete(name);
     }
   }
 
   /** Drops tasks that were given up before their start was sent. */
-  private dropAbandoned(now: clock.Milliseconds): void {
+  private removeAbandonedTasks(now: clock.Milliseconds): void {
     for (const name of this.unanswered) {
       const known = this.tasks.get(name);
       if (known?.worker.reservations().has(name) === true) continue;
-      this.notRun(name, false, now);
+      this.recordNotRun(name, false, now);
     }
   }
 
@@ -168,11 +170,11 @@
     );
   }
 
-  private upstreamOf(on: worker.Worker): upstream.Upstream {
-    const known = this.upstreams.get(on.name);
+  private upstreamOf(target: worker.Worker): upstream.Upstream {
+    const known = this.upstreams.get(target.name);
     if (known !== undefined) return known;
     const created = new upstream.Upstream();
-    this.upstreams.set(on.name, created);
+    this.upstreams.set(target.name, created);
     return created;
   }
 }
--- a/src/contracts/workload.ts
+++ b/src/contracts/workload.ts
@@ -4,16 +4,16 @@
 export type WorkloadKind = 'service' | 'batch' | 'gang';
 
 /** How urgent a workload is; later entries go first. */
-export const URGENCIES = ['deferrable', 'normal', 'urgent'] as const;
+export const URGENCY_LEVELS = ['deferrable', 'normal', 'urgent'] as const;
 
 /** One of `URGENCIES`. */
-export type Urgency = (typeof URGENCIES)[number];
+export type UrgencyLevel = (typeof URGENCY_LEVELS)[number];
 
 /** What a team states about one kind of its work. */
 export interface Workload {
   readonly name: string;
   readonly kind: WorkloadKind;
-  readonly urgency: Urgency;
+  readonly urgency: UrgencyLevel;
   /** Value of one request in the currency of the cell; breaks ties. */
   readonly worth: number;
   /** Whether running twice does no harm. */
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -107,7 +107,7 @@
   },
   {
     key: 'urgency',
-    rule: new tomlSchema.ChoiceRule(workload.URGENCIES),
+    rule: new tomlSchema.ChoiceRule(workload.URGENCY_LEVELS),
     default: 'normal',
     meaning: "Order inside the team's share.",
   },
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -3,7 +3,7 @@
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
 import * as retryBudget from '../contracts/retry_budget.js';
-import * as scheduler from '../contracts/scheduler.js';
+import * as requestScheduler from '../contracts/request_scheduler.js';
 import * as schedulerEffects from '../contracts/scheduler_effects.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
@@ -47,7 +47,7 @@
   private readonly zone: zoneControl.ZoneControl;
   private readonly documents: configurationKeeper.ConfigurationKeeper;
   private readonly directory: zoneDirectory.ZoneDirectory;
-  private readonly scheduler: scheduler.Scheduler;
+  private readonly scheduler: requestScheduler.RequestScheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
   private readonly desk: requestDesk.RequestDesk;
   /** When the workers are handed over at the latest. */
@@ -68,7 +68,7 @@
     });
     this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
-    this.scheduler = new scheduler.Scheduler(
+    this.scheduler = new requestScheduler.RequestScheduler(
       this.workers,
       runner,
       this.documents,
@@ -106,7 +106,7 @@
       ...this.desk.handle(handled, now),
       ...this.handOverWhenIdle(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
-      ...schedulerEffects.afterEvent(this.scheduler, handled, now),
+      ...schedulerEffects.handleEvent(this.scheduler, handled, now),
     ];
     this.zone.setExpectedWait(this.scheduler.expectedWaitMs());
     return this.zone.guard(produced);
--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -35,7 +35,7 @@
     const name = started.worker.name;
     const reading = started.worker.clockReading;
     if (reading === undefined) return;
-    const left = lease.lapsedBy(reading, started.leaseEnd) - now;
+    const left = lease.latestLeaseEnd(reading, started.leaseEnd) - now;
     // A third of the lease leaves time for a second attempt.
     const wait = Math.min(FIRST_RENEWAL_DELAY_MS, Math.max(0, left / 3));
     this.nextRenewals.set(name, Math.min(this.nextRenewalAt(name), now + wait));
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -506,7 +506,7 @@
     }
     if (now - reading.receivedAt < WORKER_SILENCE_MS) return;
     if (exists && permitEnd <= now) return;
-    if (now < lease.lapsedBy(reading, known.leaseEnd)) return;
+    if (now < lease.latestLeaseEnd(reading, known.leaseEnd)) return;
     if (known.label.idempotent) {
       this.settleEnded(known, 'lapsed', '', now);
       return;
@@ -522,7 +522,7 @@
     exists: boolean,
     now: clock.Milliseconds,
   ): void {
-    const limit = known.unresolvedAt + lease.ENDED_TASKS_LISTED_MS;
+    const limit = known.unresolvedAt + lease.ENDED_TASK_RETENTION_MS;
     if (exists && now < limit) return;
     const started = known.startedAt !== undefined;
     this.settleEnded(known, started ? 'answerLost' : 'unresolved', '', now);
--- a/test/contracts/lending_reserve_test.ts
+++ b/test/contracts/lending_reserve_test.ts
@@ -3,14 +3,14 @@
 import * as nodeTest from 'node:test';
 import * as randomSource from '../../src/machines/random_source.js';
 
-const LONG = lendingReserve.LONG_RUN_MS;
+const LONG_RUN_TIME_MS = lendingReserve.LONG_TASK_RUN_TIME_MS;
 
 function reserveAfter(
   demandAt: (step: number) => number,
 ): lendingReserve.LendingReserve {
   const reserve = new lendingReserve.LendingReserve();
   for (let step = 0; step < 2_000; step += 1) {
-    reserve.note(demandAt(step), step * 100);
+    reserve.recordDemand(demandAt(step), step * 100);
   }
   return reserve;
 }
@@ -18,19 +18,19 @@
 nodeTest.describe('lending reserve', () => {
   nodeTest.test('steady demand keeps only the least reserve idle', () => {
     const reserve = reserveAfter(() => 0.6);
-    assert.equal(reserve.fractionFor(LONG), 0.05);
+    assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS), 0.05);
   });
 
   nodeTest.test('varying demand keeps more back, from long tasks only', () => {
     const random = new randomSource.SeededRandom(5);
     const reserve = reserveAfter(() => 0.5 + random.below(100) / 1_000);
-    const kept = reserve.fractionFor(LONG);
+    const kept = reserve.fractionFor(LONG_RUN_TIME_MS);
     assert.ok(kept > 0.1 && kept < 0.15, `${kept} is kept`);
-    assert.equal(reserve.fractionFor(LONG - 1), 0.05);
+    assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS - 1), 0.05);
   });
 
   nodeTest.test('demand out of all bounds never idles most of a fleet', () => {
     const reserve = reserveAfter(step => (step % 10 < 5 ? 0 : 1));
-    assert.equal(reserve.fractionFor(LONG), 0.2);
+    assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS), 0.2);
   });
 });
--- a/test/contracts/outcome_rule_test.ts
+++ b/test/contracts/outcome_rule_test.ts
@@ -2,7 +2,7 @@
 import * as fastCheck from 'fast-check';
 import * as nodeTest from 'node:test';
 import * as outcomeRule from '../../src/contracts/outcome_rule.js';
-import * as samples from '../support/samples.js';
+import * as contractSamples from '../support/contract_samples.js';
 import type * as journal from '../../src/contracts/journal.js';
 import type * as requestTable from '../../src/contracts/request_table.js';
 import type * as task from '../../src/contracts/task.js';
@@ -104,7 +104,7 @@
     const ran = last !== 'none' && last !== 'lapsedStart';
     if (ran && attempt === count) {
       const state = shown;
-      tasks.set(name, samples.buildTaskReport(name, IDENTITY, {state}));
+      tasks.set(name, contractSamples.buildTaskReport(name, IDENTITY, {state}));
     }
     reports.set(`worker-${attempt}`, {workerClock, tasks});
   }
--- a/test/contracts/policies_test.ts
+++ b/test/contracts/policies_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import type * as placement from '../../src/contracts/placement.js';
 
 function countBy(
@@ -15,19 +15,24 @@
   return [...counts.values()];
 }
 
-function worldWith(workers: number): scheduling.SchedulingWorld {
-  const world = new scheduling.SchedulingWorld();
+function harnessWith(workers: number): schedulingHarness.SchedulingHarness {
+  const world = new schedulingHarness.SchedulingHarness();
   world.addWorkers(workers);
-  world.addTeam(scheduling.teamOf('dispatch'));
+  world.addTeam(schedulingHarness.buildTeam('dispatch'));
   return world;
 }
 
-const EIGHTH = scheduling.size(2_000, 4_096);
+const EIGHTH_OF_WORKER = schedulingHarness.buildResources(2_000, 4_096);
 
 nodeTest.describe('batch work', () => {
   nodeTest.test('fills a worker before it opens another one', () => {
-    const world = worldWith(8);
-    world.admit('dispatch', scheduling.workloadOf({size: EIGHTH}), 16, 0);
+    const world = harnessWith(8);
+    world.admit(
+      'dispatch',
+      schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER}),
+      16,
+      0,
+    );
     const placed = world.scheduler.place(0);
     assert.deepEqual(
       countBy(placed, item => item.worker.name),
@@ -38,8 +43,11 @@
 
 nodeTest.describe('services', () => {
   nodeTest.test('are spread evenly over racks', () => {
-    const world = worldWith(32);
-    const watch = scheduling.workloadOf({kind: 'service', size: EIGHTH});
+    const world = harnessWith(32);
+    const watch = schedulingHarness.buildWorkload({
+      kind: 'service',
+      size: EIGHTH_OF_WORKER,
+    });
     world.admit('dispatch', watch, 8, 0);
     const counts = countBy(world.scheduler.place(0), item => item.worker.rack);
     assert.deepEqual(counts, [2, 2, 2, 2]);
@@ -48,10 +56,10 @@
   nodeTest.test(
     'never exceed the limit per rack, even when room is left',
     () => {
-      const world = worldWith(16);
-      const watch = scheduling.workloadOf({
+      const world = harnessWith(16);
+      const watch = schedulingHarness.buildWorkload({
         kind: 'service',
-        size: EIGHTH,
+        size: EIGHTH_OF_WORKER,
         maximumPerRack: 1,
       });
       world.admit('dispatch', watch, 5, 0);
@@ -62,9 +70,12 @@
 
 nodeTest.describe('constraints', () => {
   nodeTest.test('tasks stay in the zones that their workload allows', () => {
-    const world = worldWith(4);
-    world.addWorkers(1, scheduling.AUTHORITY_WORKER, 'huye-a');
-    const bound = scheduling.workloadOf({size: EIGHTH, zones: ['huye-a']});
+    const world = harnessWith(4);
+    world.addWorkers(1, schedulingHarness.STANDARD_WORKER_CAPACITY, 'huye-a');
+    const bound = schedulingHarness.buildWorkload({
+      size: EIGHTH_OF_WORKER,
+      zones: ['huye-a'],
+    });
     world.admit('dispatch', bound, 10, 0);
     const placed = world.scheduler.place(0);
     assert.equal(placed.length, 8);
@@ -73,31 +84,31 @@
 });
 
 nodeTest.describe('gangs', () => {
-  const GANG = scheduling.workloadOf({
+  const GANG = schedulingHarness.buildWorkload({
     name: 'gang',
     kind: 'gang',
-    size: EIGHTH,
+    size: EIGHTH_OF_WORKER,
     taskCount: 16,
   });
 
   nodeTest.test('hold nothing unless all of their tasks have room', () => {
-    const world = worldWith(1);
+    const world = harnessWith(1);
     world.admit('dispatch', GANG, 1, 0);
     assert.equal(world.scheduler.place(0).length, 0);
-    assert.equal(world.workers.all()[0].reservations().size, 0);
+    assert.equal(world.fleet.all()[0].reservations().size, 0);
   });
 
   nodeTest.test('respect the limit per rack', () => {
-    const world = worldWith(32);
+    const world = harnessWith(32);
     world.admit('dispatch', {...GANG, maximumPerRack: 4}, 1, 0);
     const counts = countBy(world.scheduler.place(0), item => item.worker.rack);
     assert.deepEqual(counts, [4, 4, 4, 4]);
   });
 
   nodeTest.test('are not starved by a stream of small work', () => {
-    const world = worldWith(2);
-    world.addTeam(scheduling.teamOf('other'));
-    const small = scheduling.workloadOf({size: EIGHTH});
+    const world = harnessWith(2);
+    world.addTeam(schedulingHarness.buildTeam('other'));
+    const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
     world.admit('other', small, 200, 0);
     const running = [...world.scheduler.place(0)];
     world.admit('dispatch', GANG, 1, 0);
@@ -115,8 +126,11 @@
   });
 
   nodeTest.test('free earmarked room when they are cancelled', () => {
-    const world = worldWith(2);
-    const small = scheduling.workloadOf({name: 'small', size: EIGHTH});
+    const world = harnessWith(2);
+    const small = schedulingHarness.buildWorkload({
+      name: 'small',
+      size: EIGHTH_OF_WORKER,
+    });
     world.admit('dispatch', small, 1, 0);
     world.scheduler.place(0);
     const [gang] = world.admit('dispatch', GANG, 1, 1);
--- a/test/contracts/recovery_test.ts
+++ b/test/contracts/recovery_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as deskBench from '../support/desk_bench.js';
 import * as journal from '../../src/contracts/journal.js';
-import * as samples from '../support/samples.js';
+import * as contractSamples from '../support/contract_samples.js';
 
 const IDENTITY = `dead_1_${'a'.repeat(24)}`;
 const TASK = `${IDENTITY}/0.1`;
@@ -128,10 +128,10 @@
       assert.equal(bench.replyTo(call), undefined);
       bench.now = 500;
       const state = 'finished';
-      bench.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+      bench.report([contractSamples.buildTaskReport(TASK, IDENTITY, {state})]);
       assert.equal(bench.all('fetchTaskAnswer').length, 1);
       bench.now = 3_000;
-      bench.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+      bench.report([contractSamples.buildTaskReport(TASK, IDENTITY, {state})]);
       assert.equal(bench.all('fetchTaskAnswer').length, 2, 'after a loss');
       bench.endTask(TASK);
       assert.equal(bench.replyTo(call)?.answer, 'done 0');
--- a/test/contracts/admission_test.ts
+++ b/test/contracts/request_admission_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import type * as request from '../../src/contracts/request.js';
 import type * as result from '../../src/result.js';
 import type * as team from '../../src/contracts/team.js';
@@ -12,8 +12,14 @@
     {name: 'huye-a', region: 'huye'},
   ],
   workerShapes: [
-    {capacity: scheduling.size(16_000, 32_768, 0, 8), zones: ['kigali-a']},
-    {capacity: scheduling.size(8_000, 131_072, 4, 8), zones: ['huye-a']},
+    {
+      capacity: schedulingHarness.buildResources(16_000, 32_768, 0, 8),
+      zones: ['kigali-a'],
+    },
+    {
+      capacity: schedulingHarness.buildResources(8_000, 131_072, 4, 8),
+      zones: ['huye-a'],
+    },
   ],
 };
 
@@ -22,12 +28,12 @@
   changes: Partial<request.Request> = {},
   teamChanges: Partial<team.Team> = {},
 ): result.Failure | undefined {
-  const world = new scheduling.SchedulingWorld();
+  const world = new schedulingHarness.SchedulingHarness();
   world.setPlan(PLAN);
-  world.addTeam(scheduling.teamOf('dispatch', teamChanges));
-  const built = world.request(
+  world.addTeam(schedulingHarness.buildTeam('dispatch', teamChanges));
+  const built = world.buildRequest(
     'dispatch',
-    scheduling.workloadOf(described),
+    schedulingHarness.buildWorkload(described),
     0,
     changes,
   );
@@ -36,19 +42,23 @@
 
 nodeTest.describe('impossible requests', () => {
   nodeTest.test('the refusal names the dimension that no worker has', () => {
-    const refused = refusal({size: scheduling.size(1_000, 200_000)});
+    const refused = refusal({
+      size: schedulingHarness.buildResources(1_000, 200_000),
+    });
     assert.equal(refused?.result, 'neverFits');
     assert.match(refused?.detail ?? '', /^memory: 200000 exceeds 131072/);
   });
 
   nodeTest.test('dimensions that only different workers have are named', () => {
-    const refused = refusal({size: scheduling.size(12_000, 65_536)});
+    const refused = refusal({
+      size: schedulingHarness.buildResources(12_000, 65_536),
+    });
     assert.equal(refused?.result, 'neverFits');
     assert.match(refused?.detail ?? '', /lacks memory on .*; processors on/);
   });
 
   nodeTest.test('only the shapes of the allowed zones count', () => {
-    const size = scheduling.size(1_000, 1_024, 1);
+    const size = schedulingHarness.buildResources(1_000, 1_024, 1);
     assert.equal(refusal({size}), undefined);
     const refused = refusal({size, zones: ['kigali-a']});
     assert.match(refused?.detail ?? '', /^accelerators: 1 exceeds 0/);
@@ -61,10 +71,10 @@
   nodeTest.test(
     'a full queue refuses more without touching other teams',
     () => {
-      const world = new scheduling.SchedulingWorld();
-      world.addTeam(scheduling.teamOf('flood', {queueLimit: 10}));
-      world.addTeam(scheduling.teamOf('dispatch'));
-      const described = scheduling.workloadOf();
+      const world = new schedulingHarness.SchedulingHarness();
+      world.addTeam(schedulingHarness.buildTeam('flood', {queueLimit: 10}));
+      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const described = schedulingHarness.buildWorkload();
       assert.equal(world.admit('flood', described, 50, 0).length, 10);
       assert.equal(world.admit('dispatch', described, 50, 0).length, 50);
     },
@@ -72,9 +82,13 @@
 
   nodeTest.test('a gang above the quota is refused, not queued forever', () => {
     const refused = refusal(
-      {kind: 'gang', taskCount: 4, size: scheduling.size(4_000, 1_024)},
+      {
+        kind: 'gang',
+        taskCount: 4,
+        size: schedulingHarness.buildResources(4_000, 1_024),
+      },
       {},
-      {quota: scheduling.size(12_000, 1e6, 0, 100)},
+      {quota: schedulingHarness.buildResources(12_000, 1e6, 0, 100)},
     );
     assert.equal(refused?.result, 'quotaExceeded');
     assert.match(refused?.detail ?? '', /^processors: 16000 for 4 tasks/);
@@ -88,10 +102,13 @@
   });
 
   nodeTest.test('a deadline before the expected start is refused', () => {
-    const world = new scheduling.SchedulingWorld();
-    const machine = world.addWorkers(1, scheduling.size(1_000, 1_024))[0];
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const described = scheduling.workloadOf();
+    const world = new schedulingHarness.SchedulingHarness();
+    const machine = world.addWorkers(
+      1,
+      schedulingHarness.buildResources(1_000, 1_024),
+    )[0];
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const described = schedulingHarness.buildWorkload();
     world.admit('dispatch', described, 40, 0);
     for (let now = 0; now < 20_000; now += 1_000) {
       for (const task of [...machine.reservations().keys()]) {
@@ -99,11 +116,11 @@
       }
       world.scheduler.place(now);
     }
-    const hasty = world.request('dispatch', described, 20_000, {
+    const hasty = world.buildRequest('dispatch', described, 20_000, {
       startBy: 22_000,
     });
     assert.ok(world.scheduler.admit(hasty, 20_000).isLeft());
-    const patient = world.request('dispatch', described, 20_000, {
+    const patient = world.buildRequest('dispatch', described, 20_000, {
       startBy: 80_000,
     });
     assert.ok(world.scheduler.admit(patient, 20_000).isRight());
--- a/test/contracts/scheduler_test.ts
+++ b/test/contracts/request_scheduler_test.ts
@@ -3,13 +3,13 @@
 import * as nodeTest from 'node:test';
 import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as resources from '../../src/machines/resources.js';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import type * as placement from '../../src/contracts/placement.js';
 
 const SEED = 20_260_401;
 
 /** One slot's share of a worker, so that eight tasks fill it. */
-const EIGHTH = scheduling.size(2_000, 4_096);
+const EIGHTH_OF_WORKER = schedulingHarness.buildResources(2_000, 4_096);
 
 function countByTeam(
   placements: ReadonlyArray<placement.Placement>,
@@ -24,11 +24,11 @@
 
 nodeTest.describe('shares', () => {
   nodeTest.test('a flood of one team does not keep room from another', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(4);
-    world.addTeam(scheduling.teamOf('flood'));
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const described = scheduling.workloadOf({size: EIGHTH});
+    world.addTeam(schedulingHarness.buildTeam('flood'));
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
     world.admit('flood', described, 1_000, 0);
     world.admit('dispatch', described, 16, 0);
     const counts = countByTeam(world.scheduler.place(0));
@@ -44,11 +44,15 @@
           maxLength: 5,
         }),
         weights => {
-          const world = new scheduling.SchedulingWorld();
+          const world = new schedulingHarness.SchedulingHarness();
           world.addWorkers(20);
-          const described = scheduling.workloadOf({size: EIGHTH});
+          const described = schedulingHarness.buildWorkload({
+            size: EIGHTH_OF_WORKER,
+          });
           weights.forEach((share, index) => {
-            world.addTeam(scheduling.teamOf(`team-${index}`, {share}));
+            world.addTeam(
+              schedulingHarness.buildTeam(`team-${index}`, {share}),
+            );
             world.admit(`team-${index}`, described, 200, 0);
           });
           const counts = countByTeam(world.scheduler.place(0));
@@ -65,21 +69,24 @@
   });
 
   nodeTest.test('work that cannot be lent room stays within its quota', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(2);
-    const quota = scheduling.size(6_000, 1e6, 0, 100);
-    world.addTeam(scheduling.teamOf('dispatch', {quota}));
-    const order = scheduling.workloadOf({size: EIGHTH, idempotent: false});
+    const quota = schedulingHarness.buildResources(6_000, 1e6, 0, 100);
+    world.addTeam(schedulingHarness.buildTeam('dispatch', {quota}));
+    const order = schedulingHarness.buildWorkload({
+      size: EIGHTH_OF_WORKER,
+      idempotent: false,
+    });
     world.admit('dispatch', order, 8, 0);
     assert.equal(world.scheduler.place(0).length, 3);
   });
 
   nodeTest.test('lent room is kept back for a team below its share', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(5);
-    world.addTeam(scheduling.teamOf('flood'));
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const described = scheduling.workloadOf({size: EIGHTH});
+    world.addTeam(schedulingHarness.buildTeam('flood'));
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
     world.admit('dispatch', described, 1, 0);
     world.admit('flood', described, 100, 0);
     assert.equal(world.scheduler.place(0).length, 38);
@@ -89,12 +96,12 @@
 });
 
 nodeTest.describe('reclaiming', () => {
-  function floodedWorld(): scheduling.SchedulingWorld {
-    const world = new scheduling.SchedulingWorld();
+  function floodedHarness(): schedulingHarness.SchedulingHarness {
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(2);
-    world.addTeam(scheduling.teamOf('flood'));
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const described = scheduling.workloadOf({size: EIGHTH});
+    world.addTeam(schedulingHarness.buildTeam('flood'));
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
     world.admit('flood', described, 100, 0);
     world.scheduler.place(0);
     return world;
@@ -104,11 +111,11 @@
     'urgent work within its quota names a lent task to checkpoint and gets ' +
       'the room of that task',
     () => {
-      const world = floodedWorld();
-      const urgent = scheduling.workloadOf({
+      const world = floodedHarness();
+      const urgent = schedulingHarness.buildWorkload({
         name: 'kiln',
         urgency: 'urgent',
-        size: EIGHTH,
+        size: EIGHTH_OF_WORKER,
       });
       world.admit('dispatch', urgent, 1, 10);
       assert.equal(world.scheduler.place(10).length, 0);
@@ -123,8 +130,11 @@
   );
 
   nodeTest.test('an urgent flood does not take more than its share', () => {
-    const world = floodedWorld();
-    const urgent = scheduling.workloadOf({urgency: 'urgent', size: EIGHTH});
+    const world = floodedHarness();
+    const urgent = schedulingHarness.buildWorkload({
+      urgency: 'urgent',
+      size: EIGHTH_OF_WORKER,
+    });
     world.admit('dispatch', urgent, 100, 10);
     world.scheduler.place(10);
     const asked = world.scheduler.takeInterventions();
@@ -145,17 +155,22 @@
     });
     fastCheck.assert(
       fastCheck.property(fastCheck.array(step, {maxLength: 40}), steps => {
-        const world = new scheduling.SchedulingWorld();
+        const world = new schedulingHarness.SchedulingHarness();
         const workers = world.addWorkers(6);
         const names = ['one', 'two'];
-        for (const name of names) world.addTeam(scheduling.teamOf(name));
+        for (const name of names) {
+          world.addTeam(schedulingHarness.buildTeam(name));
+        }
         const running: placement.Placement[] = [];
         steps.forEach((item, index) => {
           const now = index * 150;
-          const described = scheduling.workloadOf({
+          const described = schedulingHarness.buildWorkload({
             kind: item.kind,
             urgency: item.urgent ? 'urgent' : 'normal',
-            size: scheduling.size(item.processors, item.memory),
+            size: schedulingHarness.buildResources(
+              item.processors,
+              item.memory,
+            ),
             taskCount: item.count,
           });
           world.admit(names[index % 2], described, 2, now);
@@ -178,15 +193,15 @@
   });
 
   nodeTest.test('large work at the head does not block small work', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(1);
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const large = scheduling.workloadOf({
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const large = schedulingHarness.buildWorkload({
       name: 'large',
       worth: 9,
-      size: scheduling.size(15_000, 1_024),
+      size: schedulingHarness.buildResources(15_000, 1_024),
     });
-    const small = scheduling.workloadOf({size: EIGHTH});
+    const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
     world.admit('dispatch', small, 1, 0);
     world.scheduler.place(0);
     world.admit('dispatch', large, 1, 1);
@@ -201,12 +216,17 @@
   nodeTest.test(
     'a worker without a permit or on its way out is avoided',
     () => {
-      const world = new scheduling.SchedulingWorld();
+      const world = new schedulingHarness.SchedulingHarness();
       const [forbidden, leaving, good] = world.addWorkers(3);
-      world.forbid(forbidden.name);
+      world.denyPlacement(forbidden.name);
       leaving.markLeaving();
-      world.addTeam(scheduling.teamOf('dispatch'));
-      world.admit('dispatch', scheduling.workloadOf({size: EIGHTH}), 20, 0);
+      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      world.admit(
+        'dispatch',
+        schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER}),
+        20,
+        0,
+      );
       const placed = world.scheduler.place(0);
       assert.equal(placed.length, 8);
       assert.ok(placed.every(item => item.worker === good));
@@ -218,20 +238,25 @@
   nodeTest.test(
     'sizes declared ten times too large stop wasting room after five tasks',
     () => {
-      const world = new scheduling.SchedulingWorld();
+      const world = new schedulingHarness.SchedulingHarness();
       const [machine] = world.addWorkers(
         1,
-        scheduling.size(16_000, 32_768, 0, 64),
+        schedulingHarness.buildResources(16_000, 32_768, 0, 64),
       );
-      world.addTeam(scheduling.teamOf('dispatch'));
-      const described = scheduling.workloadOf({
-        size: scheduling.size(10_000, 20_480),
+      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const described = schedulingHarness.buildWorkload({
+        size: schedulingHarness.buildResources(10_000, 20_480),
       });
       for (let index = 0; index < 5; index += 1) {
         const now = index * 1_000;
         world.admit('dispatch', described, 1, now);
         const [placed] = world.scheduler.place(now);
-        report(world, placed, scheduling.size(1_000, 2_048), now);
+        report(
+          world,
+          placed,
+          schedulingHarness.buildResources(1_000, 2_048),
+          now,
+        );
         world.end(placed, false, now + 500);
       }
       world.admit('dispatch', described, 20, 9_000);
@@ -244,17 +269,22 @@
     'usage above the reservation is reserved at once, and the excess of an ' +
       'overcommitted worker is relieved step by step',
     () => {
-      const world = new scheduling.SchedulingWorld();
+      const world = new schedulingHarness.SchedulingHarness();
       const [machine] = world.addWorkers(1);
-      world.addTeam(scheduling.teamOf('dispatch'));
-      const described = scheduling.workloadOf({
-        size: scheduling.size(8_000, 8_192),
+      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const described = schedulingHarness.buildWorkload({
+        size: schedulingHarness.buildResources(8_000, 8_192),
       });
       world.admit('dispatch', described, 2, 0);
       const [first] = world.scheduler.place(0);
       const kinds: string[] = [];
       for (const now of [1_000, 7_000, 13_000]) {
-        report(world, first, scheduling.size(8_000, 30_000), now);
+        report(
+          world,
+          first,
+          schedulingHarness.buildResources(8_000, 30_000),
+          now,
+        );
         for (const asked of world.scheduler.takeInterventions()) {
           kinds.push(asked.kind);
         }
@@ -266,7 +296,7 @@
   );
 
   function report(
-    world: scheduling.SchedulingWorld,
+    world: schedulingHarness.SchedulingHarness,
     placed: placement.Placement,
     usage: resources.Resources,
     now: number,
@@ -290,18 +320,20 @@
 
 nodeTest.describe('tasks that this process did not place', () => {
   nodeTest.test('adopted work can be reclaimed like placed work', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     const [machine] = world.addWorkers(1);
-    const described = scheduling.workloadOf({size: EIGHTH});
-    world.addTeam(scheduling.teamOf('flood', {workloads: [described]}));
-    world.addTeam(scheduling.teamOf('dispatch'));
+    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
+    world.addTeam(
+      schedulingHarness.buildTeam('flood', {workloads: [described]}),
+    );
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
     for (let index = 0; index < 8; index += 1) {
-      const built = world.request('flood', described, 0);
-      const label = placementPolicy.labelOf(built);
+      const built = world.buildRequest('flood', described, 0);
+      const label = placementPolicy.buildTaskLabel(built);
       const task = `${built.identity}/0.1`;
-      machine.adopt({task, label, size: EIGHTH});
+      machine.adopt({task, label, size: EIGHTH_OF_WORKER});
       const reference = {task, label, worker: machine.name};
-      world.scheduler.observe({kind: 'adopted', reference}, 0);
+      world.scheduler.observeOutcome({kind: 'adopted', reference}, 0);
     }
     const urgent = {...described, urgency: 'urgent' as const};
     world.admit('dispatch', urgent, 1, 1);
@@ -312,21 +344,24 @@
 
 nodeTest.describe('tasks that come back', () => {
   nodeTest.test('tasks of one request wait together, each once', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(2);
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const watch = scheduling.workloadOf({kind: 'service', size: EIGHTH});
-    const lost = world.request('dispatch', watch, 0);
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const watch = schedulingHarness.buildWorkload({
+      kind: 'service',
+      size: EIGHTH_OF_WORKER,
+    });
+    const lost = world.buildRequest('dispatch', watch, 0);
     for (let task = 0; task < 3; task += 1) world.scheduler.requeue(lost);
     assert.equal(world.scheduler.place(0).length, 3);
     assert.equal(world.scheduler.waitingCount(), 0);
   });
 
   nodeTest.test('starts given up before they were sent free the worker', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(1);
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const described = scheduling.workloadOf({size: EIGHTH});
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
     world.admit('dispatch', described, 8, 0);
     for (let round = 0; round < 20; round += 1) {
       const placed = world.scheduler.place(round * 200);
@@ -341,15 +376,21 @@
 
 nodeTest.describe('many kinds of work without room', () => {
   nodeTest.test('do not keep work that has room from its turn', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     world.addWorkers(1);
-    world.addTeam(scheduling.teamOf('dispatch'));
-    const small = scheduling.workloadOf({worth: 0, size: EIGHTH});
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const small = schedulingHarness.buildWorkload({
+      worth: 0,
+      size: EIGHTH_OF_WORKER,
+    });
     world.admit('dispatch', small, 1, 0);
     world.scheduler.place(0);
     for (let kind = 0; kind < 100; kind += 1) {
-      const size = scheduling.size(15_900 - kind, 1_024);
-      const large = scheduling.workloadOf({name: `large-${kind}`, size});
+      const size = schedulingHarness.buildResources(15_900 - kind, 1_024);
+      const large = schedulingHarness.buildWorkload({
+        name: `large-${kind}`,
+        size,
+      });
       world.admit('dispatch', large, 1, 1);
     }
     world.admit('dispatch', small, 1, 1);
--- a/test/contracts/queue_test.ts
+++ b/test/contracts/team_queue_test.ts
@@ -1,36 +1,42 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as queue from '../../src/contracts/queue.js';
-import * as scheduling from '../support/scheduling.js';
+import * as teamQueue from '../../src/contracts/team_queue.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import type * as request from '../../src/contracts/request.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-const world = new scheduling.SchedulingWorld();
+const world = new schedulingHarness.SchedulingHarness();
 
 function add(
-  queued: queue.TeamQueue,
+  queued: teamQueue.TeamQueue,
   described: workload.Workload,
   now: number,
   changes: Partial<request.Request> = {},
 ): request.Request {
-  const built = world.request('dispatch', described, now, changes);
+  const built = world.buildRequest('dispatch', described, now, changes);
   queued.push(built, now);
   return built;
 }
 
-function takeNext(queued: queue.TeamQueue, now: number): string | undefined {
+function takeNext(
+  queued: teamQueue.TeamQueue,
+  now: number,
+): string | undefined {
   const head = queued.next(() => true, now)?.head();
   if (head !== undefined) queued.take(head, now);
   return head?.identity;
 }
 
-const NORMAL = scheduling.workloadOf({name: 'normal'});
-const WORTHY = scheduling.workloadOf({name: 'worthy', worth: 5});
-const URGENT = scheduling.workloadOf({name: 'urgent', urgency: 'urgent'});
+const NORMAL = schedulingHarness.buildWorkload({name: 'normal'});
+const WORTHY = schedulingHarness.buildWorkload({name: 'worthy', worth: 5});
+const URGENT = schedulingHarness.buildWorkload({
+  name: 'urgent',
+  urgency: 'urgent',
+});
 
 nodeTest.describe('order in a team', () => {
   nodeTest.test('urgency goes before worth, and worth before arrival', () => {
-    const queued = new queue.TeamQueue('dispatch');
+    const queued = new teamQueue.TeamQueue('dispatch');
     const first = add(queued, NORMAL, 0);
     const second = add(queued, WORTHY, 1);
     const third = add(queued, URGENT, 2);
@@ -45,9 +51,9 @@
     'a request past the starvation bound goes first, yet urgent work still ' +
       'gets every second place',
     () => {
-      const queued = new queue.TeamQueue('dispatch');
+      const queued = new teamQueue.TeamQueue('dispatch');
       const old = [0, 1, 2].map(now => add(queued, NORMAL, now));
-      const now = queue.STARVATION_BOUND_MS + 10;
+      const now = teamQueue.STARVATION_BOUND_MS + 10;
       const urgent = [add(queued, URGENT, now), add(queued, URGENT, now)];
       const order = [0, 1, 2, 3].map(() => takeNext(queued, now));
       assert.deepEqual(
@@ -58,7 +64,7 @@
   );
 
   nodeTest.test('a request put back keeps its place before later ones', () => {
-    const queued = new queue.TeamQueue('dispatch');
+    const queued = new teamQueue.TeamQueue('dispatch');
     const first = add(queued, NORMAL, 0);
     add(queued, NORMAL, 1);
     takeNext(queued, 2);
@@ -69,7 +75,7 @@
 
 nodeTest.describe('leaving a queue', () => {
   nodeTest.test('a wave of cancellations leaves the others in order', () => {
-    const queued = new queue.TeamQueue('dispatch');
+    const queued = new teamQueue.TeamQueue('dispatch');
     const all = Array.from({length: 2_000}, (_, now) =>
       add(queued, NORMAL, now),
     );
@@ -83,7 +89,7 @@
   });
 
   nodeTest.test('only requests whose latest start has passed expire', () => {
-    const queued = new queue.TeamQueue('dispatch');
+    const queued = new teamQueue.TeamQueue('dispatch');
     const late = add(queued, NORMAL, 0, {startBy: 50});
     add(queued, NORMAL, 0, {startBy: 150});
     const gone = add(queued, NORMAL, 0, {startBy: 40});
--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -4,7 +4,7 @@
 import * as nodeTest from 'node:test';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as resources from '../../src/machines/resources.js';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 
 const SEED = 20_260_402;
 
@@ -31,15 +31,15 @@
         sizes,
         fastCheck.constantFrom('tightest' as const, 'loosest' as const),
         (held, wanted, order) => {
-          const world = new scheduling.SchedulingWorld();
-          const whole = scheduling.size(16_000, 32_768, 4, 8);
+          const world = new schedulingHarness.SchedulingHarness();
+          const whole = schedulingHarness.buildResources(16_000, 32_768, 4, 8);
           const workers = world.addWorkers(held.length, whole);
           workers.forEach((target, index) => {
             const task = `task-${index}`;
             target.reserve({task, label: LABEL, size: held[index]});
           });
-          world.workers.refresh(() => true);
-          const found = world.workers.sample(wanted, order, () => true);
+          world.fleet.refresh(() => true);
+          const found = world.fleet.sample(wanted, order, () => true);
           assert.ok(found.length <= freeCapacityIndex.SAMPLE_LIMIT);
           for (const target of found) {
             assert.ok(resources.fits(wanted, target.available));
@@ -56,12 +56,12 @@
   });
 
   nodeTest.test('tasks without accelerators leave accelerators free', () => {
-    const world = new scheduling.SchedulingWorld();
-    world.addWorkers(4, scheduling.size(16_000, 32_768, 4, 8));
+    const world = new schedulingHarness.SchedulingHarness();
+    world.addWorkers(4, schedulingHarness.buildResources(16_000, 32_768, 4, 8));
     const [plain] = world.addWorkers(1);
-    world.workers.refresh(() => true);
-    const wanted = scheduling.size(1_000, 1_024);
-    const [first] = world.workers.sample(wanted, 'tightest', () => true);
+    world.fleet.refresh(() => true);
+    const wanted = schedulingHarness.buildResources(1_000, 1_024);
+    const [first] = world.fleet.sample(wanted, 'tightest', () => true);
     assert.equal(first, plain);
   });
 });
@@ -69,12 +69,15 @@
 nodeTest.describe('sums', () => {
   nodeTest.test('follow every change of the workers', () => {
     const random = new randomSource.SeededRandom(SEED);
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     const workers = world.addWorkers(10);
     for (let step = 0; step < 2_000; step += 1) {
       const target = workers[random.below(10)];
       const task = `task-${random.below(40)}`;
-      const amount = scheduling.size(random.below(4_000), random.below(9_000));
+      const amount = schedulingHarness.buildResources(
+        random.below(4_000),
+        random.below(9_000),
+      );
       if (random.below(3) === 0) target.release(task);
       else if (random.below(4) === 0) target.resize(task, amount);
       else target.reserve({task, label: LABEL, size: amount});
@@ -86,39 +89,39 @@
         resources.subtract(target.capacity, target.free),
       );
     }
-    assert.deepEqual(world.workers.heldSum, held);
-    assert.deepEqual(world.workers.heldByTeam('dispatch'), held);
-    for (const target of workers) world.workers.remove(target.name);
-    assert.deepEqual(world.workers.heldSum, resources.NONE);
-    assert.deepEqual(world.workers.capacity, resources.NONE);
+    assert.deepEqual(world.fleet.heldSum, held);
+    assert.deepEqual(world.fleet.heldByTeam('dispatch'), held);
+    for (const target of workers) world.fleet.remove(target.name);
+    assert.deepEqual(world.fleet.heldSum, resources.NONE);
+    assert.deepEqual(world.fleet.capacity, resources.NONE);
   });
 });
 
 nodeTest.describe('workers that vanish', () => {
   nodeTest.test('a late release does not lower the sums of the others', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     const [gone, stays] = world.addWorkers(2);
-    const size = scheduling.size(1_000, 1_024);
+    const size = schedulingHarness.buildResources(1_000, 1_024);
     gone.reserve({task: 'one', label: LABEL, size});
     stays.reserve({task: 'two', label: LABEL, size});
-    world.workers.remove(gone.name);
+    world.fleet.remove(gone.name);
     assert.ok(gone.reservations().has('one'));
     gone.release('one');
-    assert.deepEqual(world.workers.heldSum, size);
+    assert.deepEqual(world.fleet.heldSum, size);
   });
 });
 
 nodeTest.describe('capacity invariant', () => {
   nodeTest.test('a break is reported once with its evidence', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     const [machine] = world.addWorkers(1);
-    const size = scheduling.size(12_000, 1_024);
+    const size = schedulingHarness.buildResources(12_000, 1_024);
     assert.ok(machine.reserve({task: 'one', label: LABEL, size}));
     assert.equal(machine.reserve({task: 'two', label: LABEL, size}), false);
-    assert.deepEqual(world.workers.takeViolations(), []);
+    assert.deepEqual(world.fleet.takeViolations(), []);
     machine.adopt({task: 'two', label: LABEL, size});
     machine.adopt({task: 'three', label: LABEL, size});
-    const [violation, ...more] = world.workers.takeViolations();
+    const [violation, ...more] = world.fleet.takeViolations();
     assert.equal(violation.cause, 'adopt');
     assert.equal(violation.dimension, 'processors');
     assert.equal(more.length, 0);
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as fleet from '../../src/machines/fleet.js';
-import * as samples from '../support/samples.js';
+import * as contractSamples from '../support/contract_samples.js';
 import * as taskRunner from '../../src/machines/task_runner.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
@@ -34,8 +34,8 @@
     change: Partial<workload.Workload> = {},
     name = 'id/0.1',
   ): taskRunner.RunnerOutput {
-    const request = samples.buildRequest('id', change);
-    const label = samples.buildTaskReport(name, 'id').label;
+    const request = contractSamples.buildRequest('id', change);
+    const label = contractSamples.buildTaskReport(name, 'id').label;
     this.worker.reserve({task: name, label, size: request.size});
     const {size} = request;
     this.runner.trackHeld({request, task: name, worker: this.worker, size});
@@ -56,7 +56,7 @@
     tasks: ReadonlyArray<task.TaskReport>,
     sentAt = this.now,
   ): taskRunner.RunnerOutput {
-    const report = samples.buildReport(this.now + OFFSET, tasks);
+    const report = contractSamples.buildReport(this.now + OFFSET, tasks);
     return this.handle({kind: 'reportArrived', report, sentAt});
   }
 
@@ -184,7 +184,9 @@
     bench.start();
     bench.answerStart('lost');
     bench.now = 500;
-    const turn = bench.report([samples.buildTaskReport('id/0.1', 'id')]);
+    const turn = bench.report([
+      contractSamples.buildTaskReport('id/0.1', 'id'),
+    ]);
     assert.deepEqual(kinds(turn), ['started']);
     assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
   });
@@ -199,7 +201,7 @@
       bench.start({idempotent: true});
       bench.start({idempotent: true}, 'id/1.1');
       const listed = ['id/0.1', 'id/1.1'].map(name =>
-        samples.buildTaskReport(name, 'id'),
+        contractSamples.buildTaskReport(name, 'id'),
       );
       bench.report(listed);
       const [renewal, ...more] = effectsOf(bench.pass(600), 'renewLeases');
@@ -253,7 +255,7 @@
       assert.deepEqual(kinds(bench.pass(5_000)), ['unknown']);
       assert.equal(bench.worker.reservations().size, 0);
       const state = 'finished';
-      const listed = samples.buildTaskReport('id/0.1', 'id', {state});
+      const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
       const turn = bench.report([listed]);
       assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
       assert.deepEqual(kinds(bench.answer('id/0.1')), ['ended']);
@@ -283,7 +285,7 @@
     bench.handle({...lost, task: 'id/0.1'});
     bench.now = 1_000;
     const state = 'finished';
-    const listed = samples.buildTaskReport('id/0.1', 'id', {state});
+    const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
     const turn = bench.report([listed]);
     assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
     const [ended] = bench.answer('id/0.1').outcomes;
@@ -311,7 +313,7 @@
       'end, so that a worker that was taken over is not overcommitted',
     () => {
       const bench = new Bench();
-      const found = samples.buildTaskReport('old/0.1', 'old');
+      const found = contractSamples.buildTaskReport('old/0.1', 'old');
       const turn = bench.report([found]);
       assert.deepEqual(kinds(turn), ['adopted']);
       assert.equal(bench.worker.reservations().size, 1);
@@ -333,7 +335,7 @@
       owns: () => true,
     });
     assert.equal(runner.mayPlace('worker-1', 0), false);
-    const report = samples.buildReport(OFFSET);
+    const report = contractSamples.buildReport(OFFSET);
     runner.handle({kind: 'reportArrived', report, sentAt: 0}, 0);
     assert.equal(runner.mayPlace('worker-1', 0), true);
   });
@@ -342,7 +344,7 @@
 nodeTest.describe('reservation', () => {
   nodeTest.test('without a task is reported and given back', () => {
     const bench = new Bench();
-    const {label, size} = samples.buildTaskReport('stray', 'stray');
+    const {label, size} = contractSamples.buildTaskReport('stray', 'stray');
     bench.worker.reserve({task: 'stray', label, size});
     assert.deepEqual(effectsOf(bench.report([]), 'count'), []);
     const [violated] = effectsOf(bench.report([]), 'count');
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import * as workerHealth from '../../src/machines/worker_health.js';
 import type * as worker from '../../src/machines/worker.js';
 
@@ -18,7 +18,7 @@
 }
 
 function oneWorker(): worker.Worker {
-  return new scheduling.SchedulingWorld().addWorkers(1)[0];
+  return new schedulingHarness.SchedulingHarness().addWorkers(1)[0];
 }
 
 nodeTest.describe('black holes', () => {
@@ -42,7 +42,8 @@
       'work elsewhere, so that a zone with few workloads loses few requests',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const [sound, hole] = new scheduling.SchedulingWorld().addWorkers(2);
+      const [sound, hole] =
+        new schedulingHarness.SchedulingHarness().addWorkers(2);
       const end = {worker: sound, workload: 'a', failed: false, ranMs: 200};
       health.recordEnd(end, 0);
       assert.equal(failures(health, hole, ['a', 'a', 'a', 'a']), false);
@@ -55,7 +56,7 @@
     'a workload that begins to fail everywhere suspends no second worker',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const machines = new scheduling.SchedulingWorld().addWorkers(3);
+      const machines = new schedulingHarness.SchedulingHarness().addWorkers(3);
       const [first, second, third] = machines;
       const end = {worker: first, workload: 'a', failed: false, ranMs: 200};
       health.recordEnd(end, 0);
@@ -90,11 +91,14 @@
   );
 
   nodeTest.test('a black hole does not swallow a queue', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     const [hole] = world.addWorkers(2);
-    world.addTeam(scheduling.teamOf('dispatch'));
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
     const kinds = ['a', 'b', 'c', 'd'].map(name =>
-      scheduling.workloadOf({name, size: scheduling.size(2_000, 4_096)}),
+      schedulingHarness.buildWorkload({
+        name,
+        size: schedulingHarness.buildResources(2_000, 4_096),
+      }),
     );
     let swallowed = 0;
     for (let now = 0; now < 5_000; now += 100) {
--- a/test/support/samples.ts
+++ b/test/support/contract_samples.ts
@@ -4,7 +4,7 @@
 import type * as workload from '../../src/contracts/workload.js';
 
 /** Size of one sample task. */
-export const SIZE: resources.Resources = {
+export const SAMPLE_TASK_SIZE: resources.Resources = {
   processors: 1000,
   memory: 1024,
   accelerators: 0,
@@ -21,7 +21,7 @@
     urgency: 'normal',
     worth: 1,
     idempotent: false,
-    size: SIZE,
+    size: SAMPLE_TASK_SIZE,
     runTimeMs: 100,
     taskCount: 1,
     startDeadlineMs: 0,
@@ -67,8 +67,8 @@
       worth: 1,
     },
     state: 'running',
-    size: SIZE,
-    usage: SIZE,
+    size: SAMPLE_TASK_SIZE,
+    usage: SAMPLE_TASK_SIZE,
     leaseEnd: 0,
     ...change,
   };
--- a/test/support/desk_bench.ts
+++ b/test/support/desk_bench.ts
@@ -1,8 +1,8 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as requestDesk from '../../src/contracts/request_desk.js';
-import * as samples from './samples.js';
-import * as scheduler from '../../src/contracts/scheduler.js';
+import * as contractSamples from './contract_samples.js';
+import * as requestScheduler from '../../src/contracts/request_scheduler.js';
 import * as schedulerQueue from '../../src/contracts/scheduler_queue.js';
 import * as taskRunner from '../../src/machines/task_runner.js';
 import type * as configuration from '../../src/contracts/configuration.js';
@@ -22,9 +22,9 @@
 };
 
 const WORKLOADS = [
-  samples.buildWorkload(),
-  samples.buildWorkload({name: 'inspection', idempotent: true}),
-  samples.buildWorkload({name: 'pair', taskCount: 2}),
+  contractSamples.buildWorkload(),
+  contractSamples.buildWorkload({name: 'inspection', idempotent: true}),
+  contractSamples.buildWorkload({name: 'pair', taskCount: 2}),
 ];
 
 const DOCUMENTS: configuration.Configuration = {
@@ -78,7 +78,7 @@
     const runner = new taskRunner.TaskRunner(workers, permits);
     const documents = {current: () => DOCUMENTS};
     const queue = new schedulerQueue.SchedulerQueue(
-      new scheduler.Scheduler(workers, runner, documents),
+      new requestScheduler.RequestScheduler(workers, runner, documents),
     );
     this.desk = new requestDesk.RequestDesk({
       self,
@@ -186,7 +186,7 @@
   }
 
   report(tasks: ReadonlyArray<task.TaskReport> = []): void {
-    const report = samples.buildReport(this.now + OFFSET, tasks);
+    const report = contractSamples.buildReport(this.now + OFFSET, tasks);
     this.handle({kind: 'reportArrived', report, sentAt: this.now});
   }
 
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling_harness.ts
@@ -1,7 +1,7 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as randomSource from '../../src/machines/random_source.js';
-import * as scheduler from '../../src/contracts/scheduler.js';
+import * as requestScheduler from '../../src/contracts/request_scheduler.js';
 import type * as placement from '../../src/contracts/placement.js';
 import type * as clock from '../../src/machines/clock.js';
 import type * as configuration from '../../src/contracts/configuration.js';
@@ -13,7 +13,7 @@
 import type * as workload from '../../src/contracts/workload.js';
 
 /** Builds a quantity; one slot unless stated. */
-export function size(
+export function buildResources(
   processors: number,
   memory: number,
   accelerators = 0,
@@ -23,10 +23,10 @@
 }
 
 /** A worker of the Authority: 16 cores, 32 GB, 8 slots. */
-export const AUTHORITY_WORKER = size(16_000, 32_768, 0, 8);
+export const STANDARD_WORKER_CAPACITY = buildResources(16_000, 32_768, 0, 8);
 
 /** Builds a workload that differs from a plain batch one in `changes`. */
-export function workloadOf(
+export function buildWorkload(
   changes: Partial<workload.Workload> = {},
 ): workload.Workload {
   return {
@@ -35,7 +35,7 @@
     urgency: 'normal',
     worth: 1,
     idempotent: true,
-    size: size(1_000, 1_024),
+    size: buildResources(1_000, 1_024),
     runTimeMs: 1_000,
     taskCount: 1,
     startDeadlineMs: 0,
@@ -46,14 +46,14 @@
 }
 
 /** Builds a team whose quota is far above what tests use. */
-export function teamOf(
+export function buildTeam(
   name: string,
   changes: Partial<team.Team> = {},
 ): team.Team {
   return {
     name,
     clients: [],
-    quota: size(1e9, 1e9, 1e6, 1e6),
+    quota: buildResources(1e9, 1e9, 1e6, 1e6),
     share: 1,
     queueLimit: 1e6,
     workloads: [],
@@ -62,19 +62,19 @@
 }
 
 /** A scheduler with its fleet and configuration, driven by hand. */
-export class SchedulingWorld {
-  readonly workers: fleet.Fleet;
-  readonly scheduler: scheduler.Scheduler;
+export class SchedulingHarness {
+  readonly fleet: fleet.Fleet;
+  readonly scheduler: requestScheduler.RequestScheduler;
   private readonly teams = new Map<string, team.Team>();
   private plan: configuration.FleetPlan | undefined;
-  private forbidden = new Set<string>();
+  private forbiddenWorkers = new Set<string>();
   private sequence = 0;
 
   constructor(seed = 1) {
-    this.workers = new fleet.Fleet(new randomSource.SeededRandom(seed));
-    this.scheduler = new scheduler.Scheduler(
-      this.workers,
-      {mayPlace: name => !this.forbidden.has(name)},
+    this.fleet = new fleet.Fleet(new randomSource.SeededRandom(seed));
+    this.scheduler = new requestScheduler.RequestScheduler(
+      this.fleet,
+      {mayPlace: name => !this.forbiddenWorkers.has(name)},
       {current: () => this.configuration()},
     );
   }
@@ -90,21 +90,21 @@
   }
 
   /** Takes the permit for a worker away. */
-  forbid(name: string): void {
-    this.forbidden.add(name);
+  denyPlacement(name: string): void {
+    this.forbiddenWorkers.add(name);
   }
 
   /** Adds workers of one capacity, eight to a rack. */
   addWorkers(
     count: number,
-    capacity: resources.Resources = AUTHORITY_WORKER,
+    capacity: resources.Resources = STANDARD_WORKER_CAPACITY,
     zone = 'kigali-a',
   ): ReadonlyArray<worker.Worker> {
     const added: worker.Worker[] = [];
     for (let index = 0; index < count; index += 1) {
-      const name = `${zone}-worker-${this.workers.all().length}`;
+      const name = `${zone}-worker-${this.fleet.all().length}`;
       const rack = `${zone}-rack-${Math.floor(index / 8)}`;
-      const created = this.workers.ensure({name, zone, address: name});
+      const created = this.fleet.ensure({name, zone, address: name});
       created.update(
         {
           worker: name,
@@ -122,7 +122,7 @@
   }
 
   /** Builds a request of a team. */
-  request(
+  buildRequest(
     teamName: string,
     described: workload.Workload,
     arrivedAt: clock.Milliseconds,
@@ -152,7 +152,7 @@
   ): ReadonlyArray<request.Request> {
     const admitted: request.Request[] = [];
     for (let index = 0; index < count; index += 1) {
-      const built = this.request(teamName, described, now);
+      const built = this.buildRequest(teamName, described, now);
       this.scheduler.admit(built, now).ifRight(() => admitted.push(built));
     }
     return admitted;
@@ -160,7 +160,7 @@
 
   /** Notes that a start was acknowledged. */
   start(started: placement.Placement, now: clock.Milliseconds): void {
-    this.scheduler.observe(
+    this.scheduler.observeOutcome(
       {kind: 'started', reference: referenceOf(started)},
       now,
     );
@@ -188,7 +188,10 @@
     this.start(ended, now);
     ended.worker.release(ended.task);
     const reference = referenceOf(ended);
-    this.scheduler.observe({kind: 'ended', reference, end, answer: ''}, now);
+    this.scheduler.observeOutcome(
+      {kind: 'ended', reference, end, answer: ''},
+      now,
+    );
   }
 
   private configuration(): configuration.Configuration {
@@ -200,6 +203,6 @@
   placement: placement.Placement,
 ): trackedTask.TaskReference {
   const {task, worker: target} = placement;
-  const label = placementPolicy.labelOf(placement.request);
+  const label = placementPolicy.buildTaskLabel(placement.request);
   return {task, label, worker: target.name};
 }
