--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -156,8 +156,8 @@
   nextDeadline(): clock.Milliseconds {
     const oldest = this.recording.values().next();
     if (oldest.done === true) return Infinity;
-    const {createdAt: begunAt, request: concerned} = oldest.value;
-    return Math.min(begunAt + RECORD_LIMIT_MS, concerned.startBy);
+    const {createdAt, request: concerned} = oldest.value;
+    return Math.min(createdAt + RECORD_LIMIT_MS, concerned.startBy);
   }
 
   private hold(
