--- a/src/contracts/capacity_reservation_table.ts
+++ b/src/contracts/capacity_reservation_table.ts
@@ -185,9 +185,9 @@
   /** Room that is free once all tasks that end by themselves have ended. */
   private eventuallyFree(candidate: worker.Worker): resources.Resources {
     let free = candidate.capacity;
-    for (const held of candidate.reservations().values()) {
-      if (!this.view.runsUntilStopped(held.label)) continue;
-      free = resources.subtract(free, held.size);
+    for (const reservation of candidate.reservations().values()) {
+      if (!this.view.runsUntilStopped(reservation.label)) continue;
+      free = resources.subtract(free, reservation.size);
     }
     return free;
   }
--- a/src/contracts/deadline_heap.ts
+++ b/src/contracts/deadline_heap.ts
@@ -68,8 +68,8 @@
   }
 
   private swap(left: number, right: number): void {
-    const entry = this.entries[left];
+    const temporary = this.entries[left];
     this.entries[left] = this.entries[right];
-    this.entries[right] = entry;
+    this.entries[right] = temporary;
   }
 }
--- a/src/contracts/execution_attempt.ts
+++ b/src/contracts/execution_attempt.ts
@@ -55,9 +55,9 @@
 
   /** Changes a task; returns whether it was found. */
   updateTask(name: string, change: Partial<AttemptTask>): boolean {
-    const known = this.tasksByName.get(name);
-    if (known === undefined) return false;
-    this.tasksByName.set(name, {...known, ...change});
+    const existing = this.tasksByName.get(name);
+    if (existing === undefined) return false;
+    this.tasksByName.set(name, {...existing, ...change});
     return true;
   }
 
@@ -110,16 +110,16 @@
   if (tasks.every(task => task.end === 'finished')) {
     return {kind: 'ended', ending: buildEnding('ok', '', joinAnswers(tasks))};
   }
-  const worst = determineWorstEnding(tasks);
-  if (cancelled || !idempotent || worst.result === 'outcomeLost') {
-    return {kind: 'ended', ending: worst};
+  const worstEnding = determineWorstEnding(tasks);
+  if (cancelled || !idempotent || worstEnding.result === 'outcomeLost') {
+    return {kind: 'ended', ending: worstEnding};
   }
   const unfinished = tasks.filter(task => task.end !== 'finished');
   return {
     kind: 'again',
     consumesRetry: !unfinished.every(task => task.end === 'checkpointed'),
     reason: unfinished[0].end ?? 'startNotRun',
-    finalEnding: worst,
+    finalEnding: worstEnding,
   };
 }
 
@@ -155,8 +155,8 @@
     return buildEnding('answerLost', `task ${answerLost.task}`, '');
   }
   const stopped = tasks.find(task => task.end !== 'finished');
-  const end = stopped?.end ?? 'not run';
-  return buildEnding('taskStopped', `task ${stopped?.task}: ${end}`, '');
+  const endState = stopped?.end ?? 'not run';
+  return buildEnding('taskStopped', `task ${stopped?.task}: ${endState}`, '');
 }
 
 /** Several answers are joined as a JSON array in the order of the tasks. */
--- a/src/contracts/fair_share_calculator.ts
+++ b/src/contracts/fair_share_calculator.ts
@@ -106,11 +106,14 @@
     name: string,
     releasing: resources.Resources,
   ): boolean {
-    const held = resources.subtract(this.usage.heldByTeam(name), releasing);
+    const heldAfter = resources.subtract(
+      this.usage.heldByTeam(name),
+      releasing,
+    );
     const quota = this.teams.team(name)?.quota ?? resources.NONE;
     const granted = resources.scale(quota, this.cellFraction);
-    if (!resources.fits(held, granted)) return true;
-    return this.weightedShareOf(name, held) > this.currentFairShare;
+    if (!resources.fits(heldAfter, granted)) return true;
+    return this.weightedShareOf(name, heldAfter) > this.currentFairShare;
   }
 
   /**
@@ -118,13 +121,16 @@
    * long tasks, with `returning` counted as free; 0 while nobody is owed it.
    */
   reserveShortfall(releasing: resources.Resources): number {
-    const held = resources.subtract(this.usage.heldSum, releasing);
-    const unused = 1 - resources.dominantShare(held, this.usage.capacity);
-    const required = this.reserve.fractionFor(
+    const heldAfter = resources.subtract(this.usage.heldSum, releasing);
+    const unusedFraction =
+      1 - resources.dominantShare(heldAfter, this.usage.capacity);
+    const reserveFraction = this.reserve.fractionFor(
       lendingReserve.LONG_TASK_RUN_TIME_MS,
     );
-    if (unused >= required || !this.isAnyBelowFairShare('')) return 0;
-    return required - unused;
+    if (unusedFraction >= reserveFraction || !this.isAnyBelowFairShare('')) {
+      return 0;
+    }
+    return reserveFraction - unusedFraction;
   }
 
   /** Fraction of the fleet that a quantity takes. */
@@ -142,24 +148,25 @@
     const withinQuota = this.isWithinQuota(candidate.team, totalSize);
     if (!withinQuota && !mayBorrow(candidate.workload)) return false;
     if (candidate.workload.kind !== 'batch') return true;
-    const reserve = this.reserve.fractionFor(expectedRunMs);
-    return !this.depletesReserve(candidate.team, totalSize, reserve);
+    const reserveFraction = this.reserve.fractionFor(expectedRunMs);
+    return !this.depletesReserve(candidate.team, totalSize, reserveFraction);
   }
 
   /** Whether room for a team above its fair level would use up the reserve. */
   private depletesReserve(
     name: string,
     additional: resources.Resources,
-    reserve: number,
+    reserveFraction: number,
   ): boolean {
-    const sum = resources.add(this.usage.heldSum, additional);
-    const unused = 1 - resources.dominantShare(sum, this.usage.capacity);
-    if (unused >= reserve) return false;
+    const heldWith = resources.add(this.usage.heldSum, additional);
+    const unusedFraction =
+      1 - resources.dominantShare(heldWith, this.usage.capacity);
+    if (unusedFraction >= reserveFraction) return false;
     // The reserve grows with the excess: a team a little above its fair level
     // must not be held back like one that holds twice as much.
     const excess =
       this.weightedShareWith(name, additional) / this.currentFairShare - 1;
-    if (unused >= reserve * Math.min(1, excess)) return false;
+    if (unusedFraction >= reserveFraction * Math.min(1, excess)) return false;
     return this.isAnyBelowFairShare(name);
   }
 
@@ -174,9 +181,9 @@
   }
 
   /** Whether an active team besides `except` is below its fair level. */
-  private isAnyBelowFairShare(except: string): boolean {
+  private isAnyBelowFairShare(excludedTeam: string): boolean {
     for (const other of this.lastArrivals.keys()) {
-      if (other === except) continue;
+      if (other === excludedTeam) continue;
       if (this.weightedShare(other) < this.currentFairShare) return true;
     }
     return false;
--- a/src/contracts/lending_reserve.ts
+++ b/src/contracts/lending_reserve.ts
@@ -55,10 +55,11 @@
   /** Fraction of the fleet to keep back from tasks of a run time. */
   fractionFor(runTimeMs: clock.Milliseconds): number {
     if (runTimeMs < LONG_TASK_RUN_TIME_MS) return MINIMUM_RESERVE_FRACTION;
-    const covered = COVERED_STANDARD_DEVIATIONS * Math.sqrt(this.variance);
+    const coveredVariation =
+      COVERED_STANDARD_DEVIATIONS * Math.sqrt(this.variance);
     return Math.min(
       MAXIMUM_RESERVE_FRACTION,
-      Math.max(MINIMUM_RESERVE_FRACTION, covered),
+      Math.max(MINIMUM_RESERVE_FRACTION, coveredVariation),
     );
   }
 }
--- a/src/contracts/replica_controller.ts
+++ b/src/contracts/replica_controller.ts
@@ -90,8 +90,8 @@
     for (const replica of desired.values()) {
       const state = this.stateOf(replica);
       if (!needsStart(state, now)) continue;
-      const {team: name, workload: described} = replica;
-      const submission = {team: name, workload: described, payload: ''};
+      const {team: name, workload: definition} = replica;
+      const submission = {team: name, workload: definition, payload: ''};
       actions.push({kind: 'request', replica, submission, taskCount: 1});
     }
     return actions;
@@ -99,12 +99,12 @@
 
   /** When a replica may be started next. */
   nextDeadline(now: clock.Milliseconds): clock.Milliseconds {
-    let due = Infinity;
+    let deadline = Infinity;
     for (const state of this.states.values()) {
       if (state.identity !== '' || state.nextStartAt <= now) continue;
-      due = Math.min(due, state.nextStartAt);
+      deadline = Math.min(deadline, state.nextStartAt);
     }
-    return due;
+    return deadline;
   }
 
   /** Notes the identity under which a replica was requested or adopted. */
@@ -217,9 +217,9 @@
   private replicaNumbersInZone(
     service: workload.Workload,
   ): ReadonlyArray<number> {
-    const planned = this.documents.current().fleet?.zones ?? [];
-    const names = planned.map(zone => zone.name);
-    const zones = [...(service.zones.length > 0 ? service.zones : names)];
+    const configuredZones = this.documents.current().fleet?.zones ?? [];
+    const zoneNames = configuredZones.map(zone => zone.name);
+    const zones = [...(service.zones.length > 0 ? service.zones : zoneNames)];
     const position = zones.sort().indexOf(this.zone);
     const numbers: number[] = [];
     if (position < 0) return numbers;
@@ -261,8 +261,8 @@
   }
 
   private stateOf(replica: Replica): ReplicaState {
-    const known = this.states.get(ownershipKeyOf(replica));
-    if (known !== undefined) return known;
+    const existing = this.states.get(ownershipKeyOf(replica));
+    if (existing !== undefined) return existing;
     const created: ReplicaState = {
       replica,
       identity: '',
--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -145,11 +145,11 @@
         ),
       );
     }
-    const queued = this.queueOf(admitted.team);
+    const queue = this.queueOf(admitted.team);
     const fleetPlan = this.documents.current().fleet;
-    const context = {team: configuredTeam, queue: queued, fleet: fleetPlan};
+    const context = {team: configuredTeam, queue, fleet: fleetPlan};
     return requestAdmission.check(admitted, context, now).ifRight(() => {
-      queued.push(admitted, now);
+      queue.push(admitted, now);
       this.shares.recordArrival(admitted.team, now);
       this.hasNewRequests = true;
     });
@@ -163,8 +163,8 @@
 
   /** Takes a waiting request out; returns false when it does not wait. */
   remove(identity: string): boolean {
-    for (const queued of this.queues.values()) {
-      if (!queued.remove(identity)) continue;
+    for (const queue of this.queues.values()) {
+      if (!queue.remove(identity)) continue;
       this.reservations.release(identity);
       return true;
     }
@@ -186,40 +186,45 @@
 
   /** Requests that wait. */
   waitingCount(): number {
-    let waiting = 0;
-    for (const queued of this.queues.values()) waiting += queued.size;
-    return waiting;
+    let count = 0;
+    for (const queue of this.queues.values()) count += queue.size;
+    return count;
   }
 
   /** Longest wait that new work of any team is expected to have. */
   expectedWaitMs(): clock.Milliseconds {
-    let longest = 0;
-    for (const queued of this.queues.values()) {
-      longest = Math.max(longest, queued.expectedDrainMs());
+    let longestMs = 0;
+    for (const queue of this.queues.values()) {
+      longestMs = Math.max(longestMs, queue.expectedDrainMs());
     }
-    return longest;
+    return longestMs;
   }
 
   /** Takes out requests whose latest start has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
     const expired: request.Request[] = [];
-    for (const queued of this.queues.values()) {
-      expired.push(...queued.takeExpired(now));
+    for (const queue of this.queues.values()) {
+      expired.push(...queue.takeExpired(now));
+    }
+    for (const expiredRequest of expired) {
+      this.reservations.release(expiredRequest.identity);
     }
-    for (const late of expired) this.reservations.release(late.identity);
     return expired;
   }
 
   /** When `place` or `takeExpired` is wanted next without other events. */
   nextDeadline(): clock.Milliseconds {
-    const waits = this.waitingCount() > 0;
-    const readmission = this.pool.nextDeadline();
+    const hasWaitingRequests = this.waitingCount() > 0;
+    const readmissionAt = this.pool.nextDeadline();
     // Workers are readmitted only when the retry interval has passed.
-    let due = Math.max(this.nextRetryAt, waits ? 0 : readmission);
-    for (const queued of this.queues.values()) {
-      due = Math.min(due, queued.nextDeadline());
+    let deadline = Math.max(
+      this.nextRetryAt,
+      hasWaitingRequests ? 0 : readmissionAt,
+    );
+    for (const queue of this.queues.values()) {
+      deadline = Math.min(deadline, queue.nextDeadline());
     }
-    return due;
+    return deadline;
   }
 
   /** Sets which fraction of the cell's capacity this process places on. */
@@ -243,14 +248,15 @@
       notEntitled: new Set(),
       failureCount: 0,
     };
-    const before = this.workers.availabilityVersion;
+    const versionBefore = this.workers.availabilityVersion;
     this.placeReserved(cycle);
     this.placeInFairOrder(cycle);
     // A cut turn goes on with the other lanes; failed ones wait for a round.
     if (cycle.failureCount >= FAILED_PLACEMENT_LIMIT) {
       this.hasNewRequests = true;
     } else this.retryRound += 1;
-    this.ownAvailabilityChanges += this.workers.availabilityVersion - before;
+    this.ownAvailabilityChanges +=
+      this.workers.availabilityVersion - versionBefore;
     this.lastCycleVersion = cycle.retryVersion;
     return cycle.placements;
   }
@@ -327,24 +333,24 @@
       candidates.length > 0 &&
       cycle.failureCount < FAILED_PLACEMENT_LIMIT
     ) {
-      const position = lowestShareIndex(candidates);
-      const candidate = candidates[position];
+      const index = lowestShareIndex(candidates);
+      const candidate = candidates[index];
       const workloadQueue = candidate.queue.next(
-        queued => this.isEligible(queued, cycle),
+        queue => this.isEligible(queue, cycle),
         cycle.now,
       );
-      if (workloadQueue === undefined) candidates.splice(position, 1);
+      if (workloadQueue === undefined) candidates.splice(index, 1);
       else this.placeHead(candidate, workloadQueue, cycle);
     }
   }
 
   private teamCandidates(): TeamCandidate[] {
     const candidates: TeamCandidate[] = [];
-    for (const queued of this.queues.values()) {
-      if (queued.size === 0) continue;
-      const weightedShare = this.shares.weightedShare(queued.team);
+    for (const queue of this.queues.values()) {
+      if (queue.size === 0) continue;
+      const weightedShare = this.shares.weightedShare(queue.team);
       candidates.push({
-        queue: queued,
+        queue,
         weightedShare,
         isBorrowing: false,
       });
@@ -399,7 +405,9 @@
     const {request: waiting, size} = pending;
     const runMs = this.expectedRunMs(waiting);
     if (!this.shares.isEntitled(waiting, size, runMs)) return 'notEntitled';
-    if (cycle.failedSizes.some(failed => resources.fits(failed, size))) {
+    if (
+      cycle.failedSizes.some(failedSize => resources.fits(failedSize, size))
+    ) {
       return 'noRoom';
     }
     const view = this.pool.viewFor(waiting);
@@ -449,8 +457,8 @@
     workloadQueue.blockedAtVersion = cycle.retryVersion;
     workloadQueue.failedRetryRound = this.retryRound;
     cycle.failureCount += 1;
-    const {workload: described} = pending.request;
-    if (described.urgency === 'urgent' && pending.request.taskCount === 1) {
+    const {workload: definition} = pending.request;
+    if (definition.urgency === 'urgent' && pending.request.taskCount === 1) {
       const waiting = workloadQueue.firstRequests(RECLAIMING_REQUEST_LIMIT);
       const pendingPlacements = waiting.map(item =>
         this.pendingPlacementOf(item, this.reservationSizeOf(item)),
@@ -460,7 +468,7 @@
       );
     }
     const isStarving = teamQueue.isStarving(pending.request, cycle.now);
-    if (described.kind === 'gang' || isStarving) {
+    if (definition.kind === 'gang' || isStarving) {
       this.reservations.planFor(pending, cycle.now);
     }
   }
@@ -504,8 +512,8 @@
   }
 
   private queueOf(name: string): teamQueue.TeamQueue {
-    const known = this.queues.get(name);
-    if (known !== undefined) return known;
+    const existing = this.queues.get(name);
+    if (existing !== undefined) return existing;
     const created = new teamQueue.TeamQueue(name);
     this.queues.set(name, created);
     return created;
@@ -524,10 +532,10 @@
 
 /** Whether nothing but its size restricts where a request may run. */
 function isUnconstrained(waiting: request.Request): boolean {
-  const {workload: described, taskCount} = waiting;
+  const {workload: definition, taskCount} = waiting;
   return (
     taskCount === 1 &&
-    described.zones.length === 0 &&
-    described.maximumPerRack === 0
+    definition.zones.length === 0 &&
+    definition.maximumPerRack === 0
   );
 }
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -8,16 +8,16 @@
 
 /** Lets the scheduler see a report and carries out what it asks of tasks. */
 export function handleEvent(
-  target: requestScheduler.RequestScheduler,
+  scheduler: requestScheduler.RequestScheduler,
   handled: event.Event,
   now: clock.Milliseconds,
 ): ReadonlyArray<effects.Effect> {
   if (handled.kind === 'reportArrived') {
-    target.observeReport(handled.report, now);
+    scheduler.observeReport(handled.report, now);
   }
   return [
-    ...interventionEffects(target.takeInterventions()),
-    ...violationEffects(target.takeViolations()),
+    ...interventionEffects(scheduler.takeInterventions()),
+    ...violationEffects(scheduler.takeViolations()),
   ];
 }
 
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -37,7 +37,9 @@
 
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
     const expired = this.scheduler.takeExpired(now);
-    for (const late of expired) this.waitingRequests.delete(late.identity);
+    for (const expiredRequest of expired) {
+      this.waitingRequests.delete(expiredRequest.identity);
+    }
     return expired;
   }
 
--- a/src/contracts/task_observer.ts
+++ b/src/contracts/task_observer.ts
@@ -61,13 +61,13 @@
     const target = this.dependencies.workers.get(report.worker);
     if (target === undefined) return [];
     for (const item of report.tasks) {
-      const held = target.reservations().get(item.task);
-      if (held === undefined || item.state !== 'running') continue;
+      const reservation = target.reservations().get(item.task);
+      if (reservation === undefined || item.state !== 'running') continue;
       this.dependencies.estimator.recordUsage(item);
-      if (resources.fits(item.usage, held.size)) continue;
+      if (resources.fits(item.usage, reservation.size)) continue;
       target.resize(
         item.task,
-        resources.roundedUpMaximum(item.usage, held.size),
+        resources.roundedUpMaximum(item.usage, reservation.size),
       );
     }
     return this.overloadMitigator.mitigate(target, now);
@@ -75,15 +75,15 @@
 
   private recordAdoption(reference: trackedTask.TaskReference): void {
     const target = this.dependencies.workers.get(reference.worker);
-    const held = target?.reservations().get(reference.task);
+    const reservation = target?.reservations().get(reference.task);
     const definition = this.dependencies.workloadOf(reference.label);
-    if (target === undefined || held === undefined) return;
+    if (target === undefined || reservation === undefined) return;
     if (definition === undefined) return;
     const {team: name} = reference.label;
     const expectedRunMs =
       this.dependencies.estimator.runTimeMs(name, definition.name) ??
       definition.runTimeMs;
-    const {task: taskName, size} = held;
+    const {task: taskName, size} = reservation;
     const adopted = {task: taskName, team: name, size, worker: target};
     this.dependencies.reclaimer.recordStart(
       {...adopted, expectedRunMs},
--- a/src/contracts/team_queue.ts
+++ b/src/contracts/team_queue.ts
@@ -142,10 +142,10 @@
    * that come back one by one wait as one request.
    */
   putBack(returned: request.Request): void {
-    const waiting = this.get(returned.identity);
+    const existing = this.get(returned.identity);
     this.remove(returned.identity);
-    const taskCount = returned.taskCount + (waiting?.taskCount ?? 0);
-    const merged = waiting === undefined ? returned : {...returned, taskCount};
+    const taskCount = returned.taskCount + (existing?.taskCount ?? 0);
+    const merged = existing === undefined ? returned : {...returned, taskCount};
     const workloadQueue = this.queueFor(merged.workload);
     this.index(merged, {
       workloadQueue,
@@ -202,19 +202,25 @@
    * starvation bound, so that neither old nor urgent work starves the other.
    */
   next(
-    isOpen: (workloadQueue: WorkloadQueue) => boolean,
+    isEligible: (workloadQueue: WorkloadQueue) => boolean,
     now: clock.Milliseconds,
   ): WorkloadQueue | undefined {
-    let ranked: WorkloadQueue | undefined;
-    let starving: WorkloadQueue | undefined;
+    let highestPriority: WorkloadQueue | undefined;
+    let oldestStarving: WorkloadQueue | undefined;
     for (const lane of this.workloadQueues.values()) {
-      if (lane.size === 0 || !isOpen(lane)) continue;
-      if (ranked === undefined || precedes(lane, ranked)) ranked = lane;
+      if (lane.size === 0 || !isEligible(lane)) continue;
+      if (highestPriority === undefined || precedes(lane, highestPriority)) {
+        highestPriority = lane;
+      }
       const head = lane.head();
       if (head === undefined || !isStarving(head, now)) continue;
-      if (starving === undefined || isOlder(lane, starving)) starving = lane;
+      if (oldestStarving === undefined || isOlder(lane, oldestStarving)) {
+        oldestStarving = lane;
+      }
     }
-    return this.lastTakenWasStarving ? ranked : (starving ?? ranked);
+    return this.lastTakenWasStarving
+      ? highestPriority
+      : (oldestStarving ?? highestPriority);
   }
 
   /**
@@ -222,13 +228,13 @@
    * and the pace of the latest starts.
    */
   expectedWaitMs(newcomer: request.Request): clock.Milliseconds {
-    let ahead = 0;
+    let requestsAhead = 0;
     for (const workloadQueue of this.workloadQueues.values()) {
       if (ranksAtLeast(workloadQueue.workload, newcomer.workload)) {
-        ahead += workloadQueue.size;
+        requestsAhead += workloadQueue.size;
       }
     }
-    return ahead * this.meanStartIntervalMs;
+    return requestsAhead * this.meanStartIntervalMs;
   }
 
   /** Time in which what waits now is expected to start. */
@@ -242,10 +248,12 @@
   }
 
   private queueFor(definition: workload.Workload): WorkloadQueue {
-    const known = this.workloadQueues.get(definition.name);
+    const existing = this.workloadQueues.get(definition.name);
     // A changed description gets a new lane once the old one is empty.
-    const isCurrent = known?.workload === definition;
-    if (known !== undefined && (isCurrent || known.size > 0)) return known;
+    const isCurrent = existing?.workload === definition;
+    if (existing !== undefined && (isCurrent || existing.size > 0)) {
+      return existing;
+    }
     const created = new WorkloadQueue(definition);
     this.workloadQueues.set(definition.name, created);
     return created;
--- a/src/contracts/usage_estimator.ts
+++ b/src/contracts/usage_estimator.ts
@@ -42,8 +42,10 @@
     const deviation = Math.sqrt(
       this.squaredDeviationSum / Math.max(1, this.count - 1),
     );
-    const margin = this.mean + COVERED_STANDARD_DEVIATIONS * deviation;
-    this.reservationValue = Math.ceil(Math.max(margin, ...this.recentPeaks));
+    const upperEstimate = this.mean + COVERED_STANDARD_DEVIATIONS * deviation;
+    this.reservationValue = Math.ceil(
+      Math.max(upperEstimate, ...this.recentPeaks),
+    );
   }
 }
 
@@ -115,8 +117,8 @@
 
   private statisticsOf(team: string, workload: string): WorkloadStatistics {
     const key = `${team}/${workload}`;
-    const known = this.workloads.get(key);
-    if (known !== undefined) return known;
+    const existing = this.workloads.get(key);
+    if (existing !== undefined) return existing;
     const created: WorkloadStatistics = {
       peaks: {processors: new PeakStatistics(), memory: new PeakStatistics()},
       sampleCount: 0,
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -97,10 +97,11 @@
     if (known === undefined || known.answered) return;
     this.tasks.set(name, {...known, startedAt: now, answered: true});
     this.unanswered.delete(name);
-    const called = this.upstreamOf(known.worker);
+    const upstreamOfWorker = this.upstreamOf(known.worker);
     // A start that was recorded first says nothing about the worker's speed.
-    if (known.label.idempotent) called.onAnswer(now - known.placedAt, now);
-    else called.onNeutralEnd();
+    if (known.label.idempotent) {
+      upstreamOfWorker.onAnswer(now - known.placedAt, now);
+    } else upstreamOfWorker.onNeutralEnd();
   }
 
   /** Notes a task that did not run; `sent` when its start was lost. */
@@ -171,8 +172,8 @@
   }
 
   private upstreamOf(target: worker.Worker): upstream.Upstream {
-    const known = this.upstreams.get(target.name);
-    if (known !== undefined) return known;
+    const existing = this.upstreams.get(target.name);
+    if (existing !== undefined) return existing;
     const created = new upstream.Upstream();
     this.upstreams.set(target.name, created);
     return created;
--- a/test/contracts/replica_controller_test.ts
+++ b/test/contracts/replica_controller_test.ts
@@ -37,10 +37,10 @@
       kind: 'service',
       taskCount: replicas,
     });
-    const described = schedulingHarness.buildTeam('dispatch', {
+    const configuredTeam = schedulingHarness.buildTeam('dispatch', {
       workloads: [watch],
     });
-    this.teams.set('dispatch', described);
+    this.teams.set('dispatch', configuredTeam);
   }
 
   /** Carries out what the keeper asks for; returns the identities used. */
@@ -76,17 +76,17 @@
   nodeTest.test(
     'a replica is requested once, however often it is asked',
     () => {
-      const world = new ReplicaControllerHarness(6);
-      assert.equal(world.request(0).length, 2);
-      assert.equal(world.request(1).length, 0);
+      const harness = new ReplicaControllerHarness(6);
+      assert.equal(harness.request(0).length, 2);
+      assert.equal(harness.request(1).length, 0);
     },
   );
 
   nodeTest.test('fewer configured replicas stop the highest numbers', () => {
-    const world = new ReplicaControllerHarness(6);
-    const [, last] = world.start(0);
-    world.configure(3);
-    assert.deepEqual(world.controller.update(1), [
+    const harness = new ReplicaControllerHarness(6);
+    const [, last] = harness.start(0);
+    harness.configure(3);
+    assert.deepEqual(harness.controller.update(1), [
       {kind: 'stop', identity: last},
     ]);
   });
@@ -94,21 +94,21 @@
 
 nodeTest.describe('replacement', () => {
   nodeTest.test('a lost replica is replaced only after its lease', () => {
-    const world = new ReplicaControllerHarness(3);
-    const [lost] = world.start(0);
-    world.controller.recordEnd(lost, 100_000, 130_000);
-    assert.equal(world.request(129_999).length, 0);
-    assert.equal(world.controller.nextDeadline(129_999), 130_000);
-    assert.equal(world.request(130_000).length, 1);
+    const harness = new ReplicaControllerHarness(3);
+    const [lost] = harness.start(0);
+    harness.controller.recordEnd(lost, 100_000, 130_000);
+    assert.equal(harness.request(129_999).length, 0);
+    assert.equal(harness.controller.nextDeadline(129_999), 130_000);
+    assert.equal(harness.request(130_000).length, 1);
   });
 
   nodeTest.test('a replica that keeps ending is started less and less', () => {
-    const world = new ReplicaControllerHarness(3);
+    const harness = new ReplicaControllerHarness(3);
     let starts = 0;
     for (let now = 0; now < 300_000; now += 100) {
-      for (const identity of world.start(now)) {
+      for (const identity of harness.start(now)) {
         starts += 1;
-        world.controller.recordEnd(identity, now);
+        harness.controller.recordEnd(identity, now);
       }
     }
     assert.ok(starts >= 8 && starts <= 12, `${starts} starts in 5 min`);
@@ -117,24 +117,24 @@
 
 nodeTest.describe('moves', () => {
   nodeTest.test('the old replica stops only once the new one runs', () => {
-    const world = new ReplicaControllerHarness(3);
-    const [old] = world.start(0);
-    assert.ok(world.controller.requestMove(old));
-    const [successor] = world.request(1);
-    assert.deepEqual(world.controller.recordStart(successor, 2), [
+    const harness = new ReplicaControllerHarness(3);
+    const [old] = harness.start(0);
+    assert.ok(harness.controller.requestMove(old));
+    const [successor] = harness.request(1);
+    assert.deepEqual(harness.controller.recordStart(successor, 2), [
       {kind: 'stop', identity: old},
     ]);
-    world.controller.recordEnd(old, 3);
-    assert.equal(world.request(4).length, 0);
+    harness.controller.recordEnd(old, 3);
+    assert.equal(harness.request(4).length, 0);
   });
 
   nodeTest.test('the replicas of a service move one at a time', () => {
-    const world = new ReplicaControllerHarness(6);
-    const [first, second] = world.start(0);
-    assert.ok(world.controller.requestMove(first));
-    assert.equal(world.controller.requestMove(second), false);
-    const [successor] = world.request(1);
-    world.controller.recordStart(successor, 2);
-    assert.ok(world.controller.requestMove(second));
+    const harness = new ReplicaControllerHarness(6);
+    const [first, second] = harness.start(0);
+    assert.ok(harness.controller.requestMove(first));
+    assert.equal(harness.controller.requestMove(second), false);
+    const [successor] = harness.request(1);
+    harness.controller.recordStart(successor, 2);
+    assert.ok(harness.controller.requestMove(second));
   });
 });
--- a/test/contracts/request_admission_test.ts
+++ b/test/contracts/request_admission_test.ts
@@ -24,20 +24,20 @@
 };
 
 function refusal(
-  described: Partial<workload.Workload>,
+  definition: Partial<workload.Workload>,
   changes: Partial<request.Request> = {},
   teamChanges: Partial<team.Team> = {},
 ): result.Failure | undefined {
-  const world = new schedulingHarness.SchedulingHarness();
-  world.setPlan(PLAN);
-  world.addTeam(schedulingHarness.buildTeam('dispatch', teamChanges));
-  const built = world.buildRequest(
+  const harness = new schedulingHarness.SchedulingHarness();
+  harness.setPlan(PLAN);
+  harness.addTeam(schedulingHarness.buildTeam('dispatch', teamChanges));
+  const built = harness.buildRequest(
     'dispatch',
-    schedulingHarness.buildWorkload(described),
+    schedulingHarness.buildWorkload(definition),
     0,
     changes,
   );
-  return world.scheduler.admit(built, 0).swap().toMaybe().extract();
+  return harness.scheduler.admit(built, 0).swap().toMaybe().extract();
 }
 
 nodeTest.describe('impossible requests', () => {
@@ -71,12 +71,12 @@
   nodeTest.test(
     'a full queue refuses more without touching other teams',
     () => {
-      const world = new schedulingHarness.SchedulingHarness();
-      world.addTeam(schedulingHarness.buildTeam('flood', {queueLimit: 10}));
-      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const harness = new schedulingHarness.SchedulingHarness();
+      harness.addTeam(schedulingHarness.buildTeam('flood', {queueLimit: 10}));
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
       const described = schedulingHarness.buildWorkload();
-      assert.equal(world.admit('flood', described, 50, 0).length, 10);
-      assert.equal(world.admit('dispatch', described, 50, 0).length, 50);
+      assert.equal(harness.admit('flood', described, 50, 0).length, 10);
+      assert.equal(harness.admit('dispatch', described, 50, 0).length, 50);
     },
   );
 
@@ -102,27 +102,27 @@
   });
 
   nodeTest.test('a deadline before the expected start is refused', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    const machine = world.addWorkers(
+    const harness = new schedulingHarness.SchedulingHarness();
+    const machine = harness.addWorkers(
       1,
       schedulingHarness.buildResources(1_000, 1_024),
     )[0];
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const described = schedulingHarness.buildWorkload();
-    world.admit('dispatch', described, 40, 0);
+    harness.admit('dispatch', described, 40, 0);
     for (let now = 0; now < 20_000; now += 1_000) {
       for (const task of [...machine.reservations().keys()]) {
         machine.release(task);
       }
-      world.scheduler.place(now);
+      harness.scheduler.place(now);
     }
-    const hasty = world.buildRequest('dispatch', described, 20_000, {
+    const hasty = harness.buildRequest('dispatch', described, 20_000, {
       startBy: 22_000,
     });
-    assert.ok(world.scheduler.admit(hasty, 20_000).isLeft());
-    const patient = world.buildRequest('dispatch', described, 20_000, {
+    assert.ok(harness.scheduler.admit(hasty, 20_000).isLeft());
+    const patient = harness.buildRequest('dispatch', described, 20_000, {
       startBy: 80_000,
     });
-    assert.ok(world.scheduler.admit(patient, 20_000).isRight());
+    assert.ok(harness.scheduler.admit(patient, 20_000).isRight());
   });
 });
--- a/test/contracts/request_scheduler_test.ts
+++ b/test/contracts/request_scheduler_test.ts
@@ -24,14 +24,14 @@
 
 nodeTest.describe('shares', () => {
   nodeTest.test('a flood of one team does not keep room from another', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(4);
-    world.addTeam(schedulingHarness.buildTeam('flood'));
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(4);
+    harness.addTeam(schedulingHarness.buildTeam('flood'));
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    world.admit('flood', described, 1_000, 0);
-    world.admit('dispatch', described, 16, 0);
-    const counts = countByTeam(world.scheduler.place(0));
+    harness.admit('flood', described, 1_000, 0);
+    harness.admit('dispatch', described, 16, 0);
+    const counts = countByTeam(harness.scheduler.place(0));
     assert.equal(counts.get('dispatch'), 16);
     assert.equal(counts.get('flood'), 16);
   });
@@ -44,18 +44,18 @@
           maxLength: 5,
         }),
         weights => {
-          const world = new schedulingHarness.SchedulingHarness();
-          world.addWorkers(20);
+          const harness = new schedulingHarness.SchedulingHarness();
+          harness.addWorkers(20);
           const described = schedulingHarness.buildWorkload({
             size: EIGHTH_OF_WORKER,
           });
           weights.forEach((share, index) => {
-            world.addTeam(
+            harness.addTeam(
               schedulingHarness.buildTeam(`team-${index}`, {share}),
             );
-            world.admit(`team-${index}`, described, 200, 0);
+            harness.admit(`team-${index}`, described, 200, 0);
           });
-          const counts = countByTeam(world.scheduler.place(0));
+          const counts = countByTeam(harness.scheduler.place(0));
           const sum = weights.reduce((left, right) => left + right, 0);
           weights.forEach((share, index) => {
             const due = (160 * share) / sum;
@@ -69,75 +69,75 @@
   });
 
   nodeTest.test('work that cannot be lent room stays within its quota', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(2);
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(2);
     const quota = schedulingHarness.buildResources(6_000, 1e6, 0, 100);
-    world.addTeam(schedulingHarness.buildTeam('dispatch', {quota}));
+    harness.addTeam(schedulingHarness.buildTeam('dispatch', {quota}));
     const order = schedulingHarness.buildWorkload({
       size: EIGHTH_OF_WORKER,
       idempotent: false,
     });
-    world.admit('dispatch', order, 8, 0);
-    assert.equal(world.scheduler.place(0).length, 3);
+    harness.admit('dispatch', order, 8, 0);
+    assert.equal(harness.scheduler.place(0).length, 3);
   });
 
   nodeTest.test('lent room is kept back for a team below its share', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(5);
-    world.addTeam(schedulingHarness.buildTeam('flood'));
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(5);
+    harness.addTeam(schedulingHarness.buildTeam('flood'));
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    world.admit('dispatch', described, 1, 0);
-    world.admit('flood', described, 100, 0);
-    assert.equal(world.scheduler.place(0).length, 38);
-    world.admit('dispatch', described, 2, 1);
-    assert.equal(world.scheduler.place(1).length, 2);
+    harness.admit('dispatch', described, 1, 0);
+    harness.admit('flood', described, 100, 0);
+    assert.equal(harness.scheduler.place(0).length, 38);
+    harness.admit('dispatch', described, 2, 1);
+    assert.equal(harness.scheduler.place(1).length, 2);
   });
 });
 
 nodeTest.describe('reclaiming', () => {
   function floodedHarness(): schedulingHarness.SchedulingHarness {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(2);
-    world.addTeam(schedulingHarness.buildTeam('flood'));
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(2);
+    harness.addTeam(schedulingHarness.buildTeam('flood'));
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    world.admit('flood', described, 100, 0);
-    world.scheduler.place(0);
-    return world;
+    harness.admit('flood', described, 100, 0);
+    harness.scheduler.place(0);
+    return harness;
   }
 
   nodeTest.test(
     'urgent work within its quota names a lent task to checkpoint and gets ' +
       'the room of that task',
     () => {
-      const world = floodedHarness();
+      const harness = floodedHarness();
       const urgent = schedulingHarness.buildWorkload({
         name: 'kiln',
         urgency: 'urgent',
         size: EIGHTH_OF_WORKER,
       });
-      world.admit('dispatch', urgent, 1, 10);
-      assert.equal(world.scheduler.place(10).length, 0);
-      const [asked, ...more] = world.scheduler.takeInterventions();
+      harness.admit('dispatch', urgent, 1, 10);
+      assert.equal(harness.scheduler.place(10).length, 0);
+      const [asked, ...more] = harness.scheduler.takeInterventions();
       assert.equal(asked.kind, 'checkpoint');
       assert.equal(more.length, 0);
       asked.worker.release(asked.task);
-      const [placed] = world.scheduler.place(20);
+      const [placed] = harness.scheduler.place(20);
       assert.equal(placed.request.team, 'dispatch');
       assert.equal(placed.worker, asked.worker);
     },
   );
 
   nodeTest.test('an urgent flood does not take more than its share', () => {
-    const world = floodedHarness();
+    const harness = floodedHarness();
     const urgent = schedulingHarness.buildWorkload({
       urgency: 'urgent',
       size: EIGHTH_OF_WORKER,
     });
-    world.admit('dispatch', urgent, 100, 10);
-    world.scheduler.place(10);
-    const asked = world.scheduler.takeInterventions();
+    harness.admit('dispatch', urgent, 100, 10);
+    harness.scheduler.place(10);
+    const asked = harness.scheduler.takeInterventions();
     assert.ok(asked.length <= 8, `${asked.length} tasks of 16 were named`);
     assert.ok(asked.length >= 6, `${asked.length} tasks of 16 were named`);
   });
@@ -155,11 +155,11 @@
     });
     fastCheck.assert(
       fastCheck.property(fastCheck.array(step, {maxLength: 40}), steps => {
-        const world = new schedulingHarness.SchedulingHarness();
-        const workers = world.addWorkers(6);
+        const harness = new schedulingHarness.SchedulingHarness();
+        const workers = harness.addWorkers(6);
         const names = ['one', 'two'];
         for (const name of names) {
-          world.addTeam(schedulingHarness.buildTeam(name));
+          harness.addTeam(schedulingHarness.buildTeam(name));
         }
         const running: placement.Placement[] = [];
         steps.forEach((item, index) => {
@@ -173,40 +173,40 @@
             ),
             taskCount: item.count,
           });
-          world.admit(names[index % 2], described, 2, now);
-          running.push(...world.scheduler.place(now));
-          for (const asked of world.scheduler.takeInterventions()) {
+          harness.admit(names[index % 2], described, 2, now);
+          running.push(...harness.scheduler.place(now));
+          for (const asked of harness.scheduler.takeInterventions()) {
             const found = running.findIndex(task => task.task === asked.task);
-            world.end(running.splice(found, 1)[0], false, now);
+            harness.end(running.splice(found, 1)[0], false, now);
           }
           for (const ended of running.splice(0, item.ends)) {
-            world.end(ended, false, now);
+            harness.end(ended, false, now);
           }
           for (const target of workers) {
             assert.ok(resources.fits(resources.NONE, target.free));
           }
         });
-        assert.deepEqual(world.scheduler.takeViolations(), []);
+        assert.deepEqual(harness.scheduler.takeViolations(), []);
       }),
       {seed: SEED, numRuns: 60},
     );
   });
 
   nodeTest.test('large work at the head does not block small work', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(1);
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(1);
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const large = schedulingHarness.buildWorkload({
       name: 'large',
       worth: 9,
       size: schedulingHarness.buildResources(15_000, 1_024),
     });
     const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    world.admit('dispatch', small, 1, 0);
-    world.scheduler.place(0);
-    world.admit('dispatch', large, 1, 1);
-    world.admit('dispatch', small, 2, 1);
-    const placed = world.scheduler.place(1);
+    harness.admit('dispatch', small, 1, 0);
+    harness.scheduler.place(0);
+    harness.admit('dispatch', large, 1, 1);
+    harness.admit('dispatch', small, 2, 1);
+    const placed = harness.scheduler.place(1);
     assert.deepEqual(
       placed.map(item => item.request.workload.name),
       ['inspection', 'inspection'],
@@ -216,18 +216,18 @@
   nodeTest.test(
     'a worker without a permit or on its way out is avoided',
     () => {
-      const world = new schedulingHarness.SchedulingHarness();
-      const [forbidden, leaving, good] = world.addWorkers(3);
-      world.denyPlacement(forbidden.name);
+      const harness = new schedulingHarness.SchedulingHarness();
+      const [forbidden, leaving, good] = harness.addWorkers(3);
+      harness.denyPlacement(forbidden.name);
       leaving.markLeaving();
-      world.addTeam(schedulingHarness.buildTeam('dispatch'));
-      world.admit(
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+      harness.admit(
         'dispatch',
         schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER}),
         20,
         0,
       );
-      const placed = world.scheduler.place(0);
+      const placed = harness.scheduler.place(0);
       assert.equal(placed.length, 8);
       assert.ok(placed.every(item => item.worker === good));
     },
@@ -238,29 +238,29 @@
   nodeTest.test(
     'sizes declared ten times too large stop wasting room after five tasks',
     () => {
-      const world = new schedulingHarness.SchedulingHarness();
-      const [machine] = world.addWorkers(
+      const harness = new schedulingHarness.SchedulingHarness();
+      const [machine] = harness.addWorkers(
         1,
         schedulingHarness.buildResources(16_000, 32_768, 0, 64),
       );
-      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
       const described = schedulingHarness.buildWorkload({
         size: schedulingHarness.buildResources(10_000, 20_480),
       });
       for (let index = 0; index < 5; index += 1) {
         const now = index * 1_000;
-        world.admit('dispatch', described, 1, now);
-        const [placed] = world.scheduler.place(now);
+        harness.admit('dispatch', described, 1, now);
+        const [placed] = harness.scheduler.place(now);
         report(
-          world,
+          harness,
           placed,
           schedulingHarness.buildResources(1_000, 2_048),
           now,
         );
-        world.end(placed, false, now + 500);
+        harness.end(placed, false, now + 500);
       }
-      world.admit('dispatch', described, 20, 9_000);
-      assert.equal(world.scheduler.place(9_000).length, 16);
+      harness.admit('dispatch', described, 20, 9_000);
+      assert.equal(harness.scheduler.place(9_000).length, 16);
       assert.equal(machine.overcommitted, false);
     },
   );
@@ -269,34 +269,34 @@
     'usage above the reservation is reserved at once, and the excess of an ' +
       'overcommitted worker is relieved step by step',
     () => {
-      const world = new schedulingHarness.SchedulingHarness();
-      const [machine] = world.addWorkers(1);
-      world.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const harness = new schedulingHarness.SchedulingHarness();
+      const [machine] = harness.addWorkers(1);
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
       const described = schedulingHarness.buildWorkload({
         size: schedulingHarness.buildResources(8_000, 8_192),
       });
-      world.admit('dispatch', described, 2, 0);
-      const [first] = world.scheduler.place(0);
+      harness.admit('dispatch', described, 2, 0);
+      const [first] = harness.scheduler.place(0);
       const kinds: string[] = [];
       for (const now of [1_000, 7_000, 13_000]) {
         report(
-          world,
+          harness,
           first,
           schedulingHarness.buildResources(8_000, 30_000),
           now,
         );
-        for (const asked of world.scheduler.takeInterventions()) {
+        for (const asked of harness.scheduler.takeInterventions()) {
           kinds.push(asked.kind);
         }
       }
       assert.deepEqual(kinds, ['throttle', 'checkpoint', 'stop']);
       assert.equal(machine.overcommitted, true);
-      assert.equal(world.scheduler.takeViolations()[0].cause, 'resize');
+      assert.equal(harness.scheduler.takeViolations()[0].cause, 'resize');
     },
   );
 
   function report(
-    world: schedulingHarness.SchedulingHarness,
+    harness: schedulingHarness.SchedulingHarness,
     placed: placement.Placement,
     usage: resources.Resources,
     now: number,
@@ -304,7 +304,7 @@
     const {worker: target, task, size} = placed;
     const label = target.reservations().get(task)?.label;
     assert.ok(label !== undefined);
-    world.scheduler.observeReport(
+    harness.scheduler.observeReport(
       {
         worker: target.name,
         workerClock: now,
@@ -320,55 +320,55 @@
 
 nodeTest.describe('tasks that this process did not place', () => {
   nodeTest.test('adopted work can be reclaimed like placed work', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    const [machine] = world.addWorkers(1);
+    const harness = new schedulingHarness.SchedulingHarness();
+    const [machine] = harness.addWorkers(1);
     const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    world.addTeam(
+    harness.addTeam(
       schedulingHarness.buildTeam('flood', {workloads: [described]}),
     );
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     for (let index = 0; index < 8; index += 1) {
-      const built = world.buildRequest('flood', described, 0);
+      const built = harness.buildRequest('flood', described, 0);
       const label = placementPolicy.buildTaskLabel(built);
       const task = `${built.identity}/0.1`;
       machine.adopt({task, label, size: EIGHTH_OF_WORKER});
       const reference = {task, label, worker: machine.name};
-      world.scheduler.observeOutcome({kind: 'adopted', reference}, 0);
+      harness.scheduler.observeOutcome({kind: 'adopted', reference}, 0);
     }
     const urgent = {...described, urgency: 'urgent' as const};
-    world.admit('dispatch', urgent, 1, 1);
-    world.scheduler.place(1);
-    assert.equal(world.scheduler.takeInterventions()[0].kind, 'checkpoint');
+    harness.admit('dispatch', urgent, 1, 1);
+    harness.scheduler.place(1);
+    assert.equal(harness.scheduler.takeInterventions()[0].kind, 'checkpoint');
   });
 });
 
 nodeTest.describe('tasks that come back', () => {
   nodeTest.test('tasks of one request wait together, each once', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(2);
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(2);
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const watch = schedulingHarness.buildWorkload({
       kind: 'service',
       size: EIGHTH_OF_WORKER,
     });
-    const lost = world.buildRequest('dispatch', watch, 0);
-    for (let task = 0; task < 3; task += 1) world.scheduler.requeue(lost);
-    assert.equal(world.scheduler.place(0).length, 3);
-    assert.equal(world.scheduler.waitingCount(), 0);
+    const lost = harness.buildRequest('dispatch', watch, 0);
+    for (let task = 0; task < 3; task += 1) harness.scheduler.requeue(lost);
+    assert.equal(harness.scheduler.place(0).length, 3);
+    assert.equal(harness.scheduler.waitingCount(), 0);
   });
 
   nodeTest.test('starts given up before they were sent free the worker', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(1);
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(1);
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    world.admit('dispatch', described, 8, 0);
+    harness.admit('dispatch', described, 8, 0);
     for (let round = 0; round < 20; round += 1) {
-      const placed = world.scheduler.place(round * 200);
+      const placed = harness.scheduler.place(round * 200);
       assert.equal(placed.length, 8, `round ${round}`);
       for (const given of placed) {
         given.worker.release(given.task);
-        world.scheduler.requeue(given.request);
+        harness.scheduler.requeue(given.request);
       }
     }
   });
@@ -376,26 +376,26 @@
 
 nodeTest.describe('many kinds of work without room', () => {
   nodeTest.test('do not keep work that has room from its turn', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(1);
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(1);
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     const small = schedulingHarness.buildWorkload({
       worth: 0,
       size: EIGHTH_OF_WORKER,
     });
-    world.admit('dispatch', small, 1, 0);
-    world.scheduler.place(0);
+    harness.admit('dispatch', small, 1, 0);
+    harness.scheduler.place(0);
     for (let kind = 0; kind < 100; kind += 1) {
       const size = schedulingHarness.buildResources(15_900 - kind, 1_024);
       const large = schedulingHarness.buildWorkload({
         name: `large-${kind}`,
         size,
       });
-      world.admit('dispatch', large, 1, 1);
+      harness.admit('dispatch', large, 1, 1);
     }
-    world.admit('dispatch', small, 1, 1);
+    harness.admit('dispatch', small, 1, 1);
     let turns = 1;
-    while (world.scheduler.place(turns).length === 0) {
+    while (harness.scheduler.place(turns).length === 0) {
       turns += 1;
       assert.ok(turns < 20, 'the small task found no turn');
     }
--- a/test/contracts/team_queue_test.ts
+++ b/test/contracts/team_queue_test.ts
@@ -5,25 +5,22 @@
 import type * as request from '../../src/contracts/request.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-const world = new schedulingHarness.SchedulingHarness();
+const harness = new schedulingHarness.SchedulingHarness();
 
 function add(
-  queued: teamQueue.TeamQueue,
-  described: workload.Workload,
+  queue: teamQueue.TeamQueue,
+  definition: workload.Workload,
   now: number,
   changes: Partial<request.Request> = {},
 ): request.Request {
-  const built = world.buildRequest('dispatch', described, now, changes);
-  queued.push(built, now);
+  const built = harness.buildRequest('dispatch', definition, now, changes);
+  queue.push(built, now);
   return built;
 }
 
-function takeNext(
-  queued: teamQueue.TeamQueue,
-  now: number,
-): string | undefined {
-  const head = queued.next(() => true, now)?.head();
-  if (head !== undefined) queued.take(head, now);
+function takeNext(queue: teamQueue.TeamQueue, now: number): string | undefined {
+  const head = queue.next(() => true, now)?.head();
+  if (head !== undefined) queue.take(head, now);
   return head?.identity;
 }
 
@@ -36,11 +33,11 @@
 
 nodeTest.describe('order in a team', () => {
   nodeTest.test('urgency goes before worth, and worth before arrival', () => {
-    const queued = new teamQueue.TeamQueue('dispatch');
-    const first = add(queued, NORMAL, 0);
-    const second = add(queued, WORTHY, 1);
-    const third = add(queued, URGENT, 2);
-    const order = [3, 3, 3].map(now => takeNext(queued, now));
+    const queue = new teamQueue.TeamQueue('dispatch');
+    const first = add(queue, NORMAL, 0);
+    const second = add(queue, WORTHY, 1);
+    const third = add(queue, URGENT, 2);
+    const order = [3, 3, 3].map(now => takeNext(queue, now));
     assert.deepEqual(
       order,
       [third, second, first].map(item => item.identity),
@@ -51,11 +48,11 @@
     'a request past the starvation bound goes first, yet urgent work still ' +
       'gets every second place',
     () => {
-      const queued = new teamQueue.TeamQueue('dispatch');
-      const old = [0, 1, 2].map(now => add(queued, NORMAL, now));
+      const queue = new teamQueue.TeamQueue('dispatch');
+      const old = [0, 1, 2].map(now => add(queue, NORMAL, now));
       const now = teamQueue.STARVATION_BOUND_MS + 10;
-      const urgent = [add(queued, URGENT, now), add(queued, URGENT, now)];
-      const order = [0, 1, 2, 3].map(() => takeNext(queued, now));
+      const urgent = [add(queue, URGENT, now), add(queue, URGENT, now)];
+      const order = [0, 1, 2, 3].map(() => takeNext(queue, now));
       assert.deepEqual(
         order,
         [old[0], urgent[0], old[1], urgent[1]].map(item => item.identity),
@@ -64,24 +61,24 @@
   );
 
   nodeTest.test('a request put back keeps its place before later ones', () => {
-    const queued = new teamQueue.TeamQueue('dispatch');
-    const first = add(queued, NORMAL, 0);
-    add(queued, NORMAL, 1);
-    takeNext(queued, 2);
-    queued.putBack(first);
-    assert.equal(takeNext(queued, 3), first.identity);
+    const queue = new teamQueue.TeamQueue('dispatch');
+    const first = add(queue, NORMAL, 0);
+    add(queue, NORMAL, 1);
+    takeNext(queue, 2);
+    queue.putBack(first);
+    assert.equal(takeNext(queue, 3), first.identity);
   });
 });
 
 nodeTest.describe('leaving a queue', () => {
   nodeTest.test('a wave of cancellations leaves the others in order', () => {
-    const queued = new teamQueue.TeamQueue('dispatch');
+    const queue = new teamQueue.TeamQueue('dispatch');
     const all = Array.from({length: 2_000}, (_, now) =>
-      add(queued, NORMAL, now),
+      add(queue, NORMAL, now),
     );
-    for (const item of all.slice(0, 1_990)) queued.remove(item.identity);
-    assert.equal(queued.size, 10);
-    const rest = all.slice(1_990).map(() => takeNext(queued, 3_000));
+    for (const item of all.slice(0, 1_990)) queue.remove(item.identity);
+    assert.equal(queue.size, 10);
+    const rest = all.slice(1_990).map(() => takeNext(queue, 3_000));
     assert.deepEqual(
       rest,
       all.slice(1_990).map(item => item.identity),
@@ -89,13 +86,13 @@
   });
 
   nodeTest.test('only requests whose latest start has passed expire', () => {
-    const queued = new teamQueue.TeamQueue('dispatch');
-    const late = add(queued, NORMAL, 0, {startBy: 50});
-    add(queued, NORMAL, 0, {startBy: 150});
-    const gone = add(queued, NORMAL, 0, {startBy: 40});
-    queued.remove(gone.identity);
-    assert.deepEqual(queued.takeExpired(100), [late]);
-    assert.equal(queued.nextDeadline(), 150);
-    assert.equal(queued.size, 1);
+    const queue = new teamQueue.TeamQueue('dispatch');
+    const late = add(queue, NORMAL, 0, {startBy: 50});
+    add(queue, NORMAL, 0, {startBy: 150});
+    const gone = add(queue, NORMAL, 0, {startBy: 40});
+    queue.remove(gone.identity);
+    assert.deepEqual(queue.takeExpired(100), [late]);
+    assert.equal(queue.nextDeadline(), 150);
+    assert.equal(queue.size, 1);
   });
 });
--- a/test/support/scheduling_harness.ts
+++ b/test/support/scheduling_harness.ts
@@ -124,7 +124,7 @@
   /** Builds a request of a team. */
   buildRequest(
     teamName: string,
-    described: workload.Workload,
+    definition: workload.Workload,
     arrivedAt: clock.Milliseconds,
     changes: Partial<request.Request> = {},
   ): request.Request {
@@ -133,10 +133,10 @@
       identity: `${teamName}_${this.sequence}`,
       client: 'workshop-1',
       team: teamName,
-      workload: described,
+      workload: definition,
       payload: '',
-      size: described.size,
-      taskCount: described.taskCount,
+      size: definition.size,
+      taskCount: definition.taskCount,
       arrivedAt,
       startBy: Infinity,
       ...changes,
@@ -146,48 +146,48 @@
   /** Admits a number of equal requests; returns those that were admitted. */
   admit(
     teamName: string,
-    described: workload.Workload,
+    definition: workload.Workload,
     count: number,
     now: clock.Milliseconds,
   ): ReadonlyArray<request.Request> {
     const admitted: request.Request[] = [];
     for (let index = 0; index < count; index += 1) {
-      const built = this.buildRequest(teamName, described, now);
+      const built = this.buildRequest(teamName, definition, now);
       this.scheduler.admit(built, now).ifRight(() => admitted.push(built));
     }
     return admitted;
   }
 
   /** Notes that a start was acknowledged. */
-  start(started: placement.Placement, now: clock.Milliseconds): void {
+  start(placed: placement.Placement, now: clock.Milliseconds): void {
     this.scheduler.observeOutcome(
-      {kind: 'started', reference: referenceOf(started)},
+      {kind: 'started', reference: referenceOf(placed)},
       now,
     );
   }
 
   /** Ends a task as its worker would. */
   end(
-    ended: placement.Placement,
+    placed: placement.Placement,
     failed: boolean,
     now: clock.Milliseconds,
   ): void {
-    this.finish(ended, failed ? 'failed' : 'finished', now);
+    this.finish(placed, failed ? 'failed' : 'finished', now);
   }
 
   /** Ends a task because it was asked to make a checkpoint. */
-  checkpoint(ended: placement.Placement, now: clock.Milliseconds): void {
-    this.finish(ended, 'checkpointed', now);
+  checkpoint(placed: placement.Placement, now: clock.Milliseconds): void {
+    this.finish(placed, 'checkpointed', now);
   }
 
   private finish(
-    ended: placement.Placement,
+    placed: placement.Placement,
     end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
-    this.start(ended, now);
-    ended.worker.release(ended.task);
-    const reference = referenceOf(ended);
+    this.start(placed, now);
+    placed.worker.release(placed.task);
+    const reference = referenceOf(placed);
     this.scheduler.observeOutcome(
       {kind: 'ended', reference, end, answer: ''},
       now,
