Reword admission, attempts, fair share, leases and the simple policies

Comments, refusal details and locals of these files only; the details still name the dimension, the value and the bound. Behaviour is unchanged.

--- a/src/contracts/batch_policy.ts
+++ b/src/contracts/batch_policy.ts
@@ -1,12 +1,16 @@
 import * as placementPolicy from './placement_policy.js';
 import type * as worker from '../machines/worker.js';
 
-/** Weight of the mean remainder, which decides between equal tightest ones. */
+/**
+ * Weight of the available processors, which decide between workers with the
+ * same remaining fraction in their tightest dimension.
+ */
 const TIE_BREAK_WEIGHT = 0.01;
 
 /**
- * Packs batch work: each task goes to the sampled worker whose tightest
- * dimension it leaves fullest, so that large room stays whole.
+ * Packs batch tasks by best fit: each task goes to the sampled worker with the
+ * smallest remaining fraction in its tightest dimension, which avoids
+ * fragmentation of large free capacity.
  */
 export class BatchPolicy implements placementPolicy.PlacementPolicy {
   place(
@@ -22,7 +26,7 @@
   }
 }
 
-/** Returns the sampled worker that packs a task most tightly. */
+/** Returns the sampled worker that is the best fit for a task. */
 export function chooseBestFit(
   attempt: placementPolicy.PlacementAttempt,
   fleet: placementPolicy.FleetView,
--- a/src/contracts/capacity_reservation_table.ts
+++ b/src/contracts/capacity_reservation_table.ts
@@ -4,19 +4,19 @@
 import type * as task from './task.js';
 import type * as worker from '../machines/worker.js';
 
-/** Workers that one step of a plan looks at; bounds the cost of a turn. */
+/** Workers that one planning step examines; bounds the cost of a cycle. */
 const WORKERS_PER_PLANNING_STEP = 64;
 
-/** Time after which a plan for waiting work is made anew. */
+/** Time between plans, and lifetime of a reservation made by a plan. */
 const REPLANNING_INTERVAL_MS = 30_000;
 
-/** Room kept for one waiting request until all of it is free. */
+/** Capacity earmarked for one waiting request until all of it is free. */
 export interface CapacityReservation {
   readonly identity: string;
   readonly team: string;
-  /** Room of one task. */
+  /** Capacity for one task. */
   readonly size: resources.Resources;
-  /** Tasks that each worker is to take. */
+  /** Number of tasks that each worker is to run. */
   readonly taskCounts: ReadonlyMap<worker.Worker, number>;
   readonly expiresAt: clock.Milliseconds;
 }
@@ -29,18 +29,18 @@
   nextWorkerIndex: number;
 }
 
-/** What planning needs to know of workers and their tasks. */
+/** View of the workers and their tasks that planning uses. */
 export interface ReservationPlanningView {
   workers(): ReadonlyArray<worker.Worker>;
   mayPlace(candidate: worker.Worker): boolean;
-  /** Whether a task runs until somebody stops it. */
+  /** Whether a task runs until it is stopped, as services do. */
   runsUntilStopped(label: task.TaskLabel): boolean;
 }
 
 /**
- * Keeps room for requests that need more than is free at once, so that
- * smaller work cannot take each piece as it becomes free. One waiting request
- * at a time is planned for; reclaimed room is earmarked besides.
+ * Reserves capacity for requests that need more than is free at once, so that
+ * smaller requests cannot take each part as it becomes free. Planning covers
+ * one waiting request at a time; reclaimed capacity is reserved in addition.
  */
 export class CapacityReservationTable {
   private readonly reservations = new Map<string, CapacityReservation>();
@@ -50,22 +50,22 @@
 
   constructor(private readonly view: ReservationPlanningView) {}
 
-  /** All earmarks. */
+  /** Returns the reservations in force. */
   all(): Iterable<CapacityReservation> {
     return this.reservations.values();
   }
 
-  /** Earmarks in force. */
+  /** Number of reservations in force. */
   get size(): number {
     return this.reservations.size;
   }
 
-  /** Whether room is earmarked for a request. */
+  /** Whether a request has a reservation. */
   has(identity: string): boolean {
     return this.reservations.has(identity);
   }
 
-  /** Earmarks of a team. */
+  /** Returns the number of reservations of a team. */
   countForTeam(team: string): number {
     let count = 0;
     for (const reservation of this.reservations.values()) {
@@ -74,7 +74,7 @@
     return count;
   }
 
-  /** Puts an earmark in force. */
+  /** Adds a reservation, replacing an earlier one of the same request. */
   set(reservation: CapacityReservation): void {
     this.release(reservation.identity);
     this.reservations.set(reservation.identity, reservation);
@@ -83,7 +83,7 @@
     }
   }
 
-  /** Gives the earmarked room of a request back. */
+  /** Releases the reservation of a request and cancels its plan. */
   release(identity: string): void {
     if (this.plan?.pending.request.identity === identity) this.plan = undefined;
     if (this.plannedHolder?.request.identity === identity) {
@@ -97,7 +97,7 @@
     }
   }
 
-  /** Gives back what was not used in time or is on unusable workers. */
+  /** Releases reservations that have expired or include unusable workers. */
   expire(now: clock.Milliseconds): void {
     for (const reservation of [...this.reservations.values()]) {
       const usable = [...reservation.taskCounts.keys()].every(
@@ -110,8 +110,9 @@
   }
 
   /**
-   * Works on a plan for a request that found no room. The oldest such request
-   * is planned for; the plan is put in force once it covers all tasks.
+   * Continues planning for a request that could not be placed. Only the oldest
+   * such request is planned for; its reservation takes effect once the plan
+   * covers all tasks.
    */
   planFor(
     pending: placementPolicy.PendingPlacement,
@@ -182,7 +183,7 @@
     plan.uncoveredTaskCount -= count;
   }
 
-  /** Room that is free once all tasks that end by themselves have ended. */
+  /** Returns the capacity that is free when only services are left running. */
   private eventuallyFree(candidate: worker.Worker): resources.Resources {
     let free = candidate.capacity;
     for (const reservation of candidate.reservations().values()) {
@@ -193,7 +194,7 @@
   }
 }
 
-/** Whether all earmarked room is free by now. */
+/** Whether all reserved capacity is free now. */
 export function isAvailable(reservation: CapacityReservation): boolean {
   for (const [target, count] of reservation.taskCounts) {
     if (!target.ready) return false;
--- a/src/contracts/deadline_heap.ts
+++ b/src/contracts/deadline_heap.ts
@@ -5,23 +5,23 @@
   readonly due: clock.Milliseconds;
 }
 
-/** Names in order of a due time; a binary heap with the earliest first. */
+/** Binary heap of names ordered by due time, the earliest first. */
 export class DeadlineHeap {
   private readonly entries: HeapEntry[] = [];
 
-  /** Adds a name; one that is never due is not kept. */
+  /** Adds a name; ignores a due time of Infinity. */
   add(name: string, due: clock.Milliseconds): void {
     if (due === Infinity) return;
     this.entries.push({name, due});
     this.siftUp(this.entries.length - 1);
   }
 
-  /** The earliest due time; Infinity when nothing is due. */
+  /** Returns the earliest due time; Infinity when the heap is empty. */
   earliest(): clock.Milliseconds {
     return this.entries.length === 0 ? Infinity : this.entries[0].due;
   }
 
-  /** Takes out the names that are due, the earliest first. */
+  /** Removes and returns the names that are due, the earliest first. */
   takeDue(now: clock.Milliseconds): ReadonlyArray<string> {
     const names: string[] = [];
     while (this.entries.length > 0 && this.entries[0].due <= now) {
--- a/src/contracts/execution_attempt.ts
+++ b/src/contracts/execution_attempt.ts
@@ -3,38 +3,38 @@
 import type * as requestTable from './request_table.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
-/** Where one task of an attempt stands. */
+/** State of one task of an attempt. */
 export interface AttemptTask {
   readonly task: string;
   readonly worker: string;
   readonly state:
     'held' | 'starting' | 'running' | 'unknown' | 'notRun' | 'ended';
-  /** Latest lease end of the start, on the worker's clock. */
+  /** Latest possible end of the start's lease, on the worker's clock. */
   readonly leaseBound: clock.Milliseconds;
-  /** Whether a start was sent. */
+  /** Whether a start command was sent to the worker. */
   readonly startSent: boolean;
   readonly end?: trackedTask.TaskEndState;
   readonly answer: string;
   readonly detail: string;
 }
 
-/** What follows from the end of all tasks of an attempt. */
+/** Outcome of an attempt of which all tasks have settled. */
 export type AttemptOutcome =
   | {
-      /** Nothing runs any more, and the request may be placed again. */
+      /** No task runs any more; the request may be placed again. */
       readonly kind: 'again';
-      /** Whether a start was spent, which the retry budget has to cover. */
+      /** Whether placing the request again is charged to the retry budget. */
       readonly consumesRetry: boolean;
       readonly reason: string;
-      /** The end when it may not be placed again. */
+      /** Ending of the request if it may not be placed again. */
       readonly finalEnding: requestTable.Ending;
     }
   | {readonly kind: 'ended'; readonly ending: requestTable.Ending};
 
-/** The tasks of one placement of a request; they start together. */
+/** One attempt to run a request; its tasks start together. */
 export class ExecutionAttempt {
   private readonly tasksByName = new Map<string, AttemptTask>();
-  /** Numbers of journal entries that are not yet recorded. */
+  /** Numbers of journal entries that are not yet acknowledged. */
   private readonly unrecordedEntries = new Set<number>();
   private hasRun = false;
 
@@ -44,7 +44,7 @@
     readonly createdAt: clock.Milliseconds,
   ) {}
 
-  /** All tasks in the order of their placement. */
+  /** Returns all tasks in the order of their placement. */
   tasks(): ReadonlyArray<AttemptTask> {
     return [...this.tasksByName.values()];
   }
@@ -53,7 +53,7 @@
     this.tasksByName.set(task.task, task);
   }
 
-  /** Changes a task; returns whether it was found. */
+  /** Updates a task; returns false when the task is unknown. */
   updateTask(name: string, change: Partial<AttemptTask>): boolean {
     const existing = this.tasksByName.get(name);
     if (existing === undefined) return false;
@@ -61,36 +61,36 @@
     return true;
   }
 
-  /** Takes a task out that is replaced by another. */
+  /** Removes a task that another one replaces. */
   removeTask(name: string): void {
     this.tasksByName.delete(name);
   }
 
-  /** Notes a journal entry that has to be recorded before the start. */
+  /** Adds a journal entry that must be recorded before the tasks start. */
   addUnrecordedEntry(number: number): void {
     this.unrecordedEntries.add(number);
   }
 
-  /** Notes a recorded entry; true when it was the last one. */
+  /** Marks an entry as recorded; returns true when no entry is left. */
   markRecorded(number: number): boolean {
     return (
       this.unrecordedEntries.delete(number) && this.unrecordedEntries.size === 0
     );
   }
 
-  /** Whether an entry is still unrecorded. */
+  /** Whether at least one journal entry is not yet recorded. */
   get isRecording(): boolean {
     return this.unrecordedEntries.size > 0;
   }
 
-  /** Notes that all tasks run; true the first time. */
+  /** Marks all tasks as running; returns true on the first call. */
   markRunning(): boolean {
     const first = !this.hasRun;
     this.hasRun = true;
     return first;
   }
 
-  /** Whether no task runs or may run. */
+  /** Whether no task runs and none can start any more. */
   get isSettled(): boolean {
     return this.tasks().every(
       task => task.state === 'ended' || task.state === 'notRun',
@@ -98,7 +98,7 @@
   }
 }
 
-/** Concludes from the ends of all tasks what becomes of the request. */
+/** Determines the outcome of an attempt from the states of its tasks. */
 export function determineOutcome(
   tasks: ReadonlyArray<AttemptTask>,
   idempotent: boolean,
@@ -159,7 +159,7 @@
   return buildEnding('taskStopped', `task ${stopped?.task}: ${endState}`, '');
 }
 
-/** Several answers are joined as a JSON array in the order of the tasks. */
+/** Joins several answers as a JSON array in the order of the tasks. */
 function joinAnswers(tasks: ReadonlyArray<AttemptTask>): string {
   if (tasks.length === 1) return tasks[0].answer;
   return JSON.stringify(tasks.map(task => task.answer));
--- a/src/contracts/fair_share_calculator.ts
+++ b/src/contracts/fair_share_calculator.ts
@@ -5,29 +5,29 @@
 import type * as team from './team.js';
 import type * as workload from './workload.js';
 
-/** What teams hold of the fleet at present. */
+/** Capacity of the fleet and the reservations that teams hold. */
 export interface FleetUsage {
   readonly capacity: resources.Resources;
   readonly heldSum: resources.Resources;
   heldByTeam(team: string): resources.Resources;
-  /** Teams that hold room. */
+  /** Returns the teams that hold reservations. */
   holders(): Iterable<string>;
 }
 
-/** Source of the teams in force. */
+/** Source of the configured teams. */
 export interface TeamSource {
   team(name: string): team.Team | undefined;
 }
 
-/** Weight of a team that configures none. */
+/** Weight of a team whose configured share is missing or not positive. */
 const DEFAULT_WEIGHT = 1;
 
-/** Time after its last request for which a team counts in the fair level. */
+/** Time after its last request for which a team counts as active. */
 const ACTIVITY_WINDOW_MS = 600_000;
 
 /**
- * Compares teams by dominant resource fairness: the team whose weighted
- * largest fraction of the fleet is smallest goes next.
+ * Compares teams by dominant resource fairness: the team with the smallest
+ * weighted dominant share of the fleet goes next.
  */
 export class FairShareCalculator {
   private cellFraction = 1;
@@ -41,29 +41,31 @@
   ) {}
 
   /**
-   * Sets which fraction of the cell this process places on. Quotas cover the
-   * cell, and each process grants only its own fraction of them.
+   * Sets the fraction of the cell's capacity that this process places on.
+   * Quotas cover the whole cell; each process grants only its fraction of them.
    */
   setCellFraction(fraction: number): void {
     this.cellFraction = fraction;
   }
 
-  /** The level at which all active teams together would fill the fleet. */
+  /** Weighted share at which all active teams together would fill the fleet. */
   get fairShare(): number {
     return this.currentFairShare;
   }
 
-  /** Notes that a team has work. */
-  recordArrival(name: string, now: clock.Milliseconds): void {
-    const isNew = !this.lastArrivals.has(name);
-    this.lastArrivals.set(name, now);
+  /** Records that a request of a team has arrived. */
+  recordArrival(teamName: string, now: clock.Milliseconds): void {
+    const isNew = !this.lastArrivals.has(teamName);
+    this.lastArrivals.set(teamName, now);
     if (isNew) this.refresh(now);
   }
 
-  /** Recomputes the fair level from the teams that have or had work. */
+  /** Recomputes the fair share from the teams that are active. */
   refresh(now: clock.Milliseconds): void {
     let totalWeight = 0;
-    for (const name of this.usage.holders()) this.lastArrivals.set(name, now);
+    for (const teamName of this.usage.holders()) {
+      this.lastArrivals.set(teamName, now);
+    }
     for (const [name, arrivedAt] of this.lastArrivals) {
       if (now - arrivedAt > ACTIVITY_WINDOW_MS) this.lastArrivals.delete(name);
       else totalWeight += this.weight(name);
@@ -72,53 +74,56 @@
     this.reserve.recordDemand(this.demandWithinFairShare(), now);
   }
 
-  /** Weighted dominant fraction that a team holds. */
-  weightedShare(name: string): number {
-    return this.weightedShareOf(name, this.usage.heldByTeam(name));
+  /** Returns the weighted dominant share that a team holds. */
+  weightedShare(teamName: string): number {
+    return this.weightedShareOf(teamName, this.usage.heldByTeam(teamName));
   }
 
-  /** Weighted dominant fraction that a team would hold with `more`. */
-  weightedShareWith(name: string, additional: resources.Resources): number {
+  /** Returns the weighted dominant share of a team with `additional`. */
+  weightedShareWith(teamName: string, additional: resources.Resources): number {
     return this.weightedShareOf(
-      name,
-      resources.add(this.usage.heldByTeam(name), additional),
+      teamName,
+      resources.add(this.usage.heldByTeam(teamName), additional),
     );
   }
 
-  /** Whether a team would stay within its quota with `more`. */
-  isWithinQuota(name: string, additional: resources.Resources): boolean {
-    const quota = this.teams.team(name)?.quota;
+  /** Whether a team would stay within its quota with `additional`. */
+  isWithinQuota(teamName: string, additional: resources.Resources): boolean {
+    const quota = this.teams.team(teamName)?.quota;
     if (quota === undefined) return false;
-    const held = this.usage.heldByTeam(name);
-    const granted = resources.scale(quota, this.cellFraction);
-    if (resources.fits(resources.add(held, additional), granted)) return true;
-    // A fraction smaller than one request must not shut the team out.
+    const held = this.usage.heldByTeam(teamName);
+    const grantedQuota = resources.scale(quota, this.cellFraction);
+    if (resources.fits(resources.add(held, additional), grantedQuota)) {
+      return true;
+    }
+    // A granted fraction smaller than one request must not starve the team.
     return (
       resources.equal(held, resources.NONE) && resources.fits(additional, quota)
     );
   }
 
   /**
-   * Whether a team holds room that others may take back: more than its quota,
-   * or more than its fair level, once `lost` is gone.
+   * Whether a team holds capacity that others may reclaim: more than its quota
+   * or more than its fair share, not counting `releasing`.
    */
   hasReclaimableCapacity(
-    name: string,
+    teamName: string,
     releasing: resources.Resources,
   ): boolean {
     const heldAfter = resources.subtract(
-      this.usage.heldByTeam(name),
+      this.usage.heldByTeam(teamName),
       releasing,
     );
-    const quota = this.teams.team(name)?.quota ?? resources.NONE;
-    const granted = resources.scale(quota, this.cellFraction);
-    if (!resources.fits(heldAfter, granted)) return true;
-    return this.weightedShareOf(name, heldAfter) > this.currentFairShare;
+    const quota = this.teams.team(teamName)?.quota ?? resources.NONE;
+    const grantedQuota = resources.scale(quota, this.cellFraction);
+    if (!resources.fits(heldAfter, grantedQuota)) return true;
+    return this.weightedShareOf(teamName, heldAfter) > this.currentFairShare;
   }
 
   /**
-   * Fraction of the fleet that is missing from the reserve kept back from
-   * long tasks, with `returning` counted as free; 0 while nobody is owed it.
+   * Returns the fraction of the fleet that is missing from the reserve for
+   * long tasks, with `releasing` counted as free; 0 while no active team is
+   * below its fair share.
    */
   reserveShortfall(releasing: resources.Resources): number {
     const heldAfter = resources.subtract(this.usage.heldSum, releasing);
@@ -133,12 +138,12 @@
     return reserveFraction - unusedFraction;
   }
 
-  /** Fraction of the fleet that a quantity takes. */
+  /** Returns the dominant share of the fleet that a size takes. */
   fleetFractionOf(size: resources.Resources): number {
     return resources.dominantShare(size, this.usage.capacity);
   }
 
-  /** Whether a request may take room now, by right or as a loan. */
+  /** Whether a request may reserve capacity now, in its quota or borrowed. */
   isEntitled(
     candidate: request.Request,
     size: resources.Resources,
@@ -152,9 +157,9 @@
     return !this.depletesReserve(candidate.team, totalSize, reserveFraction);
   }
 
-  /** Whether room for a team above its fair level would use up the reserve. */
+  /** Whether capacity for a team above its fair share would use the reserve. */
   private depletesReserve(
-    name: string,
+    teamName: string,
     additional: resources.Resources,
     reserveFraction: number,
   ): boolean {
@@ -162,47 +167,50 @@
     const unusedFraction =
       1 - resources.dominantShare(heldWith, this.usage.capacity);
     if (unusedFraction >= reserveFraction) return false;
-    // The reserve grows with the excess: a team a little above its fair level
-    // must not be held back like one that holds twice as much.
+    // The reserve grows with the excess: a team slightly above its fair share
+    // must not be restricted like one that holds twice its fair share.
     const excess =
-      this.weightedShareWith(name, additional) / this.currentFairShare - 1;
+      this.weightedShareWith(teamName, additional) / this.currentFairShare - 1;
     if (unusedFraction >= reserveFraction * Math.min(1, excess)) return false;
-    return this.isAnyBelowFairShare(name);
+    return this.isAnyBelowFairShare(teamName);
   }
 
-  /** Fraction of the fleet that active teams hold within their fair level. */
+  /** Returns the fleet fraction that active teams hold within fair share. */
   private demandWithinFairShare(): number {
     let demand = 0;
-    for (const name of this.lastArrivals.keys()) {
-      const share = Math.min(this.weightedShare(name), this.currentFairShare);
-      demand += share * this.weight(name);
+    for (const teamName of this.lastArrivals.keys()) {
+      const share = Math.min(
+        this.weightedShare(teamName),
+        this.currentFairShare,
+      );
+      demand += share * this.weight(teamName);
     }
     return demand;
   }
 
-  /** Whether an active team besides `except` is below its fair level. */
+  /** Whether an active team besides `excludedTeam` is below its fair share. */
   private isAnyBelowFairShare(excludedTeam: string): boolean {
-    for (const other of this.lastArrivals.keys()) {
-      if (other === excludedTeam) continue;
-      if (this.weightedShare(other) < this.currentFairShare) return true;
+    for (const teamName of this.lastArrivals.keys()) {
+      if (teamName === excludedTeam) continue;
+      if (this.weightedShare(teamName) < this.currentFairShare) return true;
     }
     return false;
   }
 
-  private weightedShareOf(name: string, held: resources.Resources): number {
+  private weightedShareOf(teamName: string, held: resources.Resources): number {
     const fraction = resources.dominantShare(held, this.usage.capacity);
-    return fraction / this.weight(name);
+    return fraction / this.weight(teamName);
   }
 
-  private weight(name: string): number {
-    const share = this.teams.team(name)?.share ?? DEFAULT_WEIGHT;
+  private weight(teamName: string): number {
+    const share = this.teams.team(teamName)?.share ?? DEFAULT_WEIGHT;
     return share > 0 ? share : DEFAULT_WEIGHT;
   }
 }
 
 /**
- * Whether work may run in room beyond its team's quota. Only work that can be
- * checkpointed and placed again may, because lent room is taken back.
+ * Whether a workload may use capacity beyond its team's quota. Lent capacity is
+ * reclaimed, so only workloads that can be checkpointed and placed again may.
  */
 export function mayBorrow(definition: workload.Workload): boolean {
   return (
--- a/src/contracts/gang_policy.ts
+++ b/src/contracts/gang_policy.ts
@@ -3,9 +3,9 @@
 import type * as worker from '../machines/worker.js';
 
 /**
- * Places all tasks of a gang in one turn or none of them. A worker takes as
- * many of the tasks as it has room for, which keeps the gang together and
- * needs fewer samples.
+ * Places all tasks of a gang at once or none of them. Each chosen worker
+ * receives as many tasks as it has capacity for, which keeps the gang together
+ * and needs fewer samples.
  */
 export class GangPolicy implements placementPolicy.PlacementPolicy {
   place(
--- a/src/contracts/lease.ts
+++ b/src/contracts/lease.ts
@@ -1,17 +1,17 @@
 import * as clock from '../machines/clock.js';
 
-/** Longest lease that a start carries; it bounds the wait for a lost answer. */
+/** Longest lease of a start command; bounds the wait for a lost answer. */
 export const START_LEASE_MS = 3_000;
 
-/** Lease of a running task after each renewal. */
+/** Lease of a running task from each renewal. */
 export const TASK_LEASE_MS = 30_000;
 
-/** Time between renewals; two may be lost before a task lapses. */
+/** Time between renewals; a lease survives the loss of two of them. */
 export const RENEWAL_INTERVAL_MS = 10_000;
 
 /**
- * Longest time from the record of a start to the end of the start's lease. It
- * leaves the journal 7 s to acknowledge the record.
+ * Longest time from recording a start to the end of its lease. This leaves the
+ * journal 7 s to acknowledge the record.
  */
 export const RECORDED_LEASE_MS = 10_000;
 
@@ -20,7 +20,7 @@
 
 /**
  * Returns the lease end on the worker's clock for a start sent under a permit
- * that ends at `permitEnd`, so that a delayed start lapses with the permit.
+ * that ends at `permitEnd`, so that a delayed start expires with the permit.
  */
 export function startLeaseEnd(
   reading: clock.WorkerClockReading,
@@ -40,8 +40,9 @@
 }
 
 /**
- * Returns the bound on the worker's clock that is recorded before a start. The
- * start's lease is cut to it, so that recovery can rely on the record alone.
+ * Returns the bound on a start's lease, on the worker's clock, that is recorded
+ * before the start. The lease never exceeds it, so recovery needs only the
+ * record.
  */
 export function recordedLeaseBound(
   reading: clock.WorkerClockReading,
@@ -51,7 +52,7 @@
 }
 
 /**
- * Returns the local time at which a lease has certainly ended, even if the
+ * Returns the local time by which a lease has certainly ended, even if the
  * worker's clock is as slow as `MAXIMUM_DRIFT` allows.
  */
 export function latestLeaseEnd(
@@ -63,9 +64,9 @@
 }
 
 /**
- * Tells whether a report that does not list a task proves that its start never
- * ran: the lease has ended, and a task that ended at once would still be
- * listed. `leaseBound` is at most `RECORDED_LEASE_MS` after the start.
+ * Returns whether a report that omits a task proves that the task never ran:
+ * its lease has ended, and a task that ended immediately would still be listed.
+ * `leaseBound` is at most `RECORDED_LEASE_MS` after the start.
  */
 export function provesNotRun(
   leaseBound: clock.Milliseconds,
--- a/src/contracts/request_admission.ts
+++ b/src/contracts/request_admission.ts
@@ -8,7 +8,7 @@
 import type * as request from './request.js';
 import type * as team from './team.js';
 
-/** What admission knows of the team of a request. */
+/** Team, queue and fleet plan against which a request is checked. */
 export interface AdmissionContext {
   readonly team: team.Team;
   readonly queue: teamQueue.TeamQueue;
@@ -17,11 +17,11 @@
 
 type AdmissionCheck = (
   candidate: request.Request,
-  view: AdmissionContext,
+  context: AdmissionContext,
   now: clock.Milliseconds,
 ) => result.Failure | undefined;
 
-/** The cheapest checks come first. */
+/** Admission checks in the order of their cost, the cheapest first. */
 const CHECKS: ReadonlyArray<AdmissionCheck> = [
   checkQueueLimit,
   checkShapes,
@@ -29,7 +29,7 @@
   checkDeadline,
 ];
 
-/** Refuses a request that should not wait, with the reason. */
+/** Runs the admission checks; returns the first failure, if any. */
 export function check(
   candidate: request.Request,
   context: AdmissionContext,
@@ -51,7 +51,7 @@
   if (waiting < limit) return undefined;
   return result.failure(
     'queueFull',
-    `team ${candidate.team}: ${waiting} requests wait, the limit is ${limit}`,
+    `team ${candidate.team}: ${waiting} requests wait, queue limit ${limit}`,
   );
 }
 
@@ -87,19 +87,19 @@
   now: clock.Milliseconds,
 ): result.Failure | undefined {
   if (candidate.startBy === Infinity) return undefined;
-  const wait = context.queue.expectedWaitMs(candidate);
-  const remaining = candidate.startBy - now;
-  if (remaining > 0 && wait <= remaining) return undefined;
+  const waitMs = context.queue.expectedWaitMs(candidate);
+  const remainingMs = candidate.startBy - now;
+  if (remainingMs > 0 && waitMs <= remainingMs) return undefined;
   return result.failure(
     'deadlineUnmeetable',
-    `startDeadlineMs: ${Math.round(remaining)} ms remain and the expected ` +
-      `wait is ${Math.round(wait)} ms`,
+    `startDeadlineMs: ${Math.round(remainingMs)} ms remain, but the expected ` +
+      `wait is ${Math.round(waitMs)} ms`,
   );
 }
 
 /**
- * Names the constraint that keeps a request off every configured worker, even
- * an empty one; undefined when a worker can hold it.
+ * Returns the constraint that excludes a request from every configured worker,
+ * even an empty one; undefined when at least one worker shape fits.
  */
 export function excludingConstraint(
   candidate: request.Request,
@@ -131,17 +131,17 @@
   if (dimension !== undefined) {
     return (
       `${dimension}: ${size[dimension]} exceeds ${largest[dimension]}, the ` +
-      'most of any configured worker'
+      'largest capacity of any configured worker'
     );
   }
   const reasons = shapes.map(shape => {
-    const lacking = resources.exceededDimension(size, shape.capacity);
-    return `${lacking} on one with ${describe(shape.capacity)}`;
+    const exceeded = resources.exceededDimension(size, shape.capacity);
+    return `${exceeded} on one with ${formatCapacity(shape.capacity)}`;
   });
-  return `no configured worker offers all at once: lacks ${reasons.join('; ')}`;
+  return `no configured worker offers this size: lacks ${reasons.join('; ')}`;
 }
 
-function describe(capacity: resources.Resources): string {
+function formatCapacity(capacity: resources.Resources): string {
   return resources.DIMENSIONS.map(
     dimension => `${dimension}=${capacity[dimension]}`,
   ).join(' ');
--- a/src/contracts/service_policy.ts
+++ b/src/contracts/service_policy.ts
@@ -3,7 +3,8 @@
 
 /**
  * Spreads the tasks of a service: each goes to the sampled rack with the
- * fewest tasks of the service, and there to the worker with most room left.
+ * fewest tasks of the service, and there to the worker with the most free
+ * capacity.
  */
 export class ServicePolicy implements placementPolicy.PlacementPolicy {
   place(
@@ -25,7 +26,7 @@
 ): worker.Worker | undefined {
   const {request, size} = attempt.pending;
   const {maximumPerRack, name} = request.workload;
-  // Replicas are placed one at a time, so the fleet's count includes them all.
+  // Replicas are placed one at a time, so the fleet's count covers all of them.
   const onRack = (rack: string): number =>
     fleet.countOnRack(request.team, name, rack);
   const candidates = fleet.sample(
@@ -35,7 +36,7 @@
       attempt.allows(candidate) &&
       (maximumPerRack === 0 || onRack(candidate.rack) < maximumPerRack),
   );
-  // A remainder is at most 1, so the count on the rack always comes first.
+  // The remaining fraction is at most 1, so the rack count always dominates.
   return placementPolicy.selectLowestCost(
     candidates,
     candidate =>
