Reword the queue, placement policies, reclaiming and mitigation

Comments and locals: capacity instead of room, workload queues instead of lanes, reclaimable tasks instead of loans. Behaviour is unchanged.

--- a/src/contracts/overload_mitigator.ts
+++ b/src/contracts/overload_mitigator.ts
@@ -2,19 +2,19 @@
 import type * as clock from '../machines/clock.js';
 import type * as worker from '../machines/worker.js';
 
-/** Time that each step has to take effect before the next one. */
+/** Time for a step to take effect before the next step. */
 const MITIGATION_STEP_INTERVAL_MS = 5_000;
 
-/** Fraction of its processors that a throttled task keeps at least. */
+/** Smallest fraction of its processors that throttling leaves a task. */
 const MINIMUM_THROTTLED_FRACTION = 0.5;
 
-/** What is asked of a task, and why. */
+/** Action on a running task, with the reason for it. */
 export interface Intervention {
   readonly kind: 'throttle' | 'checkpoint' | 'stop';
   readonly reason: 'reclaim' | 'overload';
   readonly worker: worker.Worker;
   readonly task: string;
-  /** New limit of a throttled task. */
+  /** New limit of a throttled task; otherwise its current size. */
   readonly limit: resources.Resources;
 }
 
@@ -27,13 +27,13 @@
 }
 
 /**
- * Brings an overcommitted worker back within its capacity: its least valuable
- * task is throttled, then checkpointed, then stopped.
+ * Brings an overcommitted worker back within its capacity by throttling, then
+ * checkpointing, then stopping its least valuable task.
  */
 export class OverloadMitigator {
   private readonly mitigations = new Map<worker.Worker, Mitigation>();
 
-  /** Returns the next step for a worker that has just reported. */
+  /** Returns the next intervention for a worker that has just reported. */
   mitigate(
     target: worker.Worker,
     now: clock.Milliseconds,
@@ -79,7 +79,7 @@
       kind === 'throttle'
         ? throttledSize(target, reservation)
         : reservation.size;
-    // The worker enforces the limit, so the reservation shrinks with it.
+    // The worker enforces the limit, so the reservation can shrink to it.
     if (kind === 'throttle') target.resize(reservation.task, limit);
     return {
       kind,
@@ -91,7 +91,7 @@
   }
 }
 
-/** Tasks that may run again go first, and among them the least worth. */
+/** Prefers idempotent tasks, and among these the task of the least worth. */
 function leastValuable(target: worker.Worker): worker.Reservation | undefined {
   let least: worker.Reservation | undefined;
   for (const reservation of target.reservations().values()) {
@@ -112,7 +112,7 @@
   return left.label.worth < right.label.worth;
 }
 
-/** Only processors can be throttled; memory that is in use stays in use. */
+/** Reduces only processors; throttling does not free memory in use. */
 function throttledSize(
   target: worker.Worker,
   reservation: worker.Reservation,
--- a/src/contracts/placement.ts
+++ b/src/contracts/placement.ts
@@ -3,16 +3,16 @@
 import type * as resources from '../machines/resources.js';
 import type * as worker from '../machines/worker.js';
 
-/** A task of a request and the worker on which its room is reserved. */
+/** A task of a request and the worker on which capacity is reserved for it. */
 export interface Placement {
   readonly request: request.Request;
   readonly task: string;
   readonly worker: worker.Worker;
-  /** Reserved room; also the limit at which the worker throttles. */
+  /** Reserved capacity; also the limit at which the worker throttles. */
   readonly size: resources.Resources;
 }
 
-/** Tells whether this process may start tasks on a worker now. */
+/** Permission of this process to start tasks on workers. */
 export interface PlacementPermission {
   mayPlace(worker: string, now: clock.Milliseconds): boolean;
 }
--- a/src/contracts/placement_policy.ts
+++ b/src/contracts/placement_policy.ts
@@ -5,33 +5,33 @@
 import type * as task from './task.js';
 import type * as worker from '../machines/worker.js';
 
-/** A waiting request with what each of its tasks is to reserve. */
+/** A waiting request with the size that each of its tasks reserves. */
 export interface PendingPlacement {
   readonly request: request.Request;
-  /** Room of one task: the declared size, or the learned one. */
+  /** Size of one task: the declared size or the learned one. */
   readonly size: resources.Resources;
-  /** Tells apart the attempts to place the same request. */
+  /** Distinguishes the attempts to place the same request. */
   readonly attemptNumber: number;
 }
 
-/** What a policy sees of the fleet. */
+/** View of the fleet for a placement policy. */
 export interface FleetView {
-  /** Samples workers with room that this process may place on. */
+  /** Samples workers with enough capacity that this process may place on. */
   sample(
     size: resources.Resources,
     order: freeCapacityIndex.SearchOrder,
     filter: freeCapacityIndex.CandidateFilter,
   ): ReadonlyArray<worker.Worker>;
-  /** Tasks of a workload on a rack. */
+  /** Returns the number of tasks of a workload on a rack. */
   countOnRack(team: string, workload: string, rack: string): number;
 }
 
-/** Workers that hold the room of each task in order, or nothing at all. */
+/** Workers with reserved capacity for each task in order, or no capacity. */
 export type PlacementDecision =
   | {readonly kind: 'placed'; readonly workers: ReadonlyArray<worker.Worker>}
   | {readonly kind: 'noRoom'};
 
-/** Chooses workers for one kind of workload and reserves room on them. */
+/** Chooses workers for one kind of workload and reserves capacity there. */
 export interface PlacementPolicy {
   place(
     pending: PendingPlacement,
@@ -40,24 +40,24 @@
   ): PlacementDecision;
 }
 
-/** A request's tasks that got room so far; undone unless all of them do. */
+/** Reservations for the tasks of one request; all are kept or none. */
 export class PlacementAttempt {
   private readonly reservedWorkers: worker.Worker[] = [];
   private readonly taskCountsByRack = new Map<string, number>();
 
   constructor(readonly pending: PendingPlacement) {}
 
-  /** Tasks that have no room yet. */
+  /** Number of tasks without a reservation so far. */
   get unplacedTaskCount(): number {
     return this.pending.request.taskCount - this.reservedWorkers.length;
   }
 
-  /** Tasks of this attempt on a rack. */
+  /** Returns the number of tasks of this attempt on a rack. */
   countOnRack(rack: string): number {
     return this.taskCountsByRack.get(rack) ?? 0;
   }
 
-  /** Whether the workload allows one more task on a worker. */
+  /** Whether zones and rack limit allow another task on a worker. */
   allows(candidate: worker.Worker): boolean {
     const {zones, maximumPerRack} = this.pending.request.workload;
     if (zones.length > 0 && !zones.includes(candidate.description.zone)) {
@@ -67,7 +67,7 @@
     return this.countOnRack(candidate.rack) < maximumPerRack;
   }
 
-  /** Reserves room for the next task. */
+  /** Reserves capacity for the next task; returns false if it does not fit. */
   reserve(chosen: worker.Worker): boolean {
     const name = taskName(this.pending, this.reservedWorkers.length);
     const label = buildTaskLabel(this.pending.request);
@@ -78,7 +78,7 @@
     return true;
   }
 
-  /** Returns the decision; gives all room back when a task has none. */
+  /** Returns the decision; releases all capacity unless every task has some. */
   finish(): PlacementDecision {
     if (this.unplacedTaskCount === 0) {
       return {kind: 'placed', workers: this.reservedWorkers};
@@ -90,12 +90,12 @@
   }
 }
 
-/** Name of a task of an attempt. */
+/** Returns the name of a task, unique to the attempt. */
 export function taskName(pending: PendingPlacement, index: number): string {
   return `${pending.request.identity}/${index}.${pending.attemptNumber}`;
 }
 
-/** Label of the tasks of a request. */
+/** Builds the label of the tasks of a request. */
 export function buildTaskLabel(source: request.Request): task.TaskLabel {
   return {
     identity: source.identity,
@@ -107,7 +107,7 @@
   };
 }
 
-/** Returns the candidate with the smallest cost; the first one on a tie. */
+/** Returns the candidate with the lowest cost, the first one on a tie. */
 export function selectLowestCost(
   candidates: ReadonlyArray<worker.Worker>,
   costOf: (candidate: worker.Worker) => number,
@@ -123,7 +123,7 @@
   return best;
 }
 
-/** Fraction left in the dimension that a task would fill most. */
+/** Returns the free fraction of the dimension that a task would fill most. */
 export function smallestRemainingFraction(
   size: resources.Resources,
   candidate: worker.Worker,
--- a/src/contracts/reclaimable_task_table.ts
+++ b/src/contracts/reclaimable_task_table.ts
@@ -4,10 +4,10 @@
 import type * as placementPolicy from './placement_policy.js';
 import type * as worker from '../machines/worker.js';
 
-/** Loans that one search looks at; bounds the cost of a turn. */
+/** Tasks that one search examines; bounds the cost of a scheduling cycle. */
 const CANDIDATE_LIMIT = 16;
 
-/** A running task that can be checkpointed to take its room back. */
+/** A running task that can be checkpointed to reclaim its capacity. */
 export interface ReclaimableTask {
   readonly task: string;
   readonly team: string;
@@ -25,12 +25,12 @@
 
 interface CapacityClaim {
   readonly pending: placementPolicy.PendingPlacement;
-  /** Level of the claiming team with the room that it claims. */
+  /** Weighted share of the claiming team with the claimed capacity. */
   readonly claimantShare: number;
   mayUse(candidate: worker.Worker): boolean;
 }
 
-/** Running tasks whose room other teams may take back. */
+/** Running tasks whose capacity other teams may reclaim. */
 export class ReclaimableTaskTable {
   private readonly tasks = new Map<string, ReclaimableTask>();
   private readonly tasksByWorker = new Map<
@@ -49,7 +49,7 @@
     private readonly shares: fairShareCalculator.FairShareCalculator,
   ) {}
 
-  /** Notes a task that may be checkpointed. */
+  /** Adds a task that may be checkpointed. */
   add(reclaimable: ReclaimableTask): void {
     this.tasks.set(reclaimable.task, reclaimable);
     const onWorker = this.tasksByWorker.get(reclaimable.worker) ?? new Set();
@@ -64,7 +64,7 @@
     );
   }
 
-  /** Forgets a task that ended; does nothing when it is unknown. */
+  /** Removes a task that ended; does nothing when it is unknown. */
   remove(taskName: string): void {
     const reclaimable = this.tasks.get(taskName);
     if (reclaimable === undefined) return;
@@ -87,7 +87,7 @@
     );
   }
 
-  /** Marks loans whose tasks are being checkpointed. */
+  /** Marks tasks that are being checkpointed. */
   markCheckpointing(tasks: ReadonlyArray<ReclaimableTask>): void {
     for (const reclaimable of tasks) {
       this.checkpointing.add(reclaimable);
@@ -103,14 +103,14 @@
     }
   }
 
-  /** Room that tasks being checkpointed are about to give back. */
+  /** Capacity that tasks being checkpointed are about to release. */
   get totalReleasing(): resources.Resources {
     return this.totalReleasingValue;
   }
 
   /**
-   * Returns the least valuable loans of teams that keep more than `level`
-   * without them, in order of their worth.
+   * Returns the least valuable tasks in order of their worth, from teams whose
+   * weighted share exceeds `minimumShare` even after pending checkpoints.
    */
   leastValuable(minimumShare: number): ReadonlyArray<ReclaimableTask> {
     const found: ReclaimableTask[] = [];
@@ -127,7 +127,7 @@
     return found.slice(0, CANDIDATE_LIMIT);
   }
 
-  /** Chooses the least valuable tasks whose end makes room for one task. */
+  /** Chooses the least valuable tasks whose end frees capacity for one task. */
   choose(claim: CapacityClaim): ReclaimChoice | undefined {
     let best: ReclaimChoice | undefined;
     let bestWorth = Infinity;
@@ -191,7 +191,7 @@
     return {worker: target, tasks: chosen};
   }
 
-  /** A team gives room back only while it keeps more than the claimant gets. */
+  /** Whether a team holds reclaimable capacity and more than the claimant. */
   private mayReclaimFrom(team: string, claim: CapacityClaim): boolean {
     if (team === claim.pending.request.team) return false;
     const releasing = this.releasingOf(team);
--- a/src/contracts/reclaimer.ts
+++ b/src/contracts/reclaimer.ts
@@ -9,10 +9,10 @@
 import type * as workload from './workload.js';
 import type * as worker from '../machines/worker.js';
 
-/** Time that checkpoints have to free the room they were made for. */
+/** Time within which checkpoints must free the capacity being reclaimed. */
 const RECLAIMED_RESERVATION_MS = 2_000;
 
-/** Takes lent room back for urgent work of teams within their quota. */
+/** Reclaims lent capacity for urgent requests of teams within their quota. */
 export class Reclaimer {
   private readonly tasks: reclaimableTaskTable.ReclaimableTaskTable;
 
@@ -24,7 +24,7 @@
     this.tasks = new reclaimableTaskTable.ReclaimableTaskTable(shares);
   }
 
-  /** Notes a task that has its room, which can be taken back if it is lent. */
+  /** Records a placed task; it can be reclaimed if its workload may borrow. */
   recordStart(
     reclaimable: Omit<reclaimableTaskTable.ReclaimableTask, 'worth'>,
     definition: workload.Workload,
@@ -33,14 +33,14 @@
     this.tasks.add({...reclaimable, worth: definition.worth});
   }
 
-  /** Notes the end of a task. */
+  /** Records that a task has ended or did not run. */
   recordEnd(taskName: string): void {
     this.tasks.remove(taskName);
   }
 
   /**
-   * Chooses tasks to checkpoint for each job until one finds none, and keeps
-   * the room for the job that it was taken back for.
+   * Chooses tasks to checkpoint for each request, up to the first one for which
+   * there are none, and reserves the reclaimed capacity for that request.
    */
   reclaimFor(
     pendingPlacements: ReadonlyArray<placementPolicy.PendingPlacement>,
@@ -58,8 +58,8 @@
   }
 
   /**
-   * Chooses long tasks to checkpoint so that the lending reserve is whole
-   * again. Tasks that soon end by themselves refill it without that.
+   * Chooses long tasks to checkpoint until the lending reserve is restored.
+   * Short tasks are left out, as they soon end and refill it by themselves.
    */
   refillReserve(): ReadonlyArray<overloadMitigator.Intervention> {
     let shortfall = this.shares.reserveShortfall(this.tasks.totalReleasing);
--- a/src/contracts/team_queue.ts
+++ b/src/contracts/team_queue.ts
@@ -3,18 +3,18 @@
 import type * as clock from '../machines/clock.js';
 import type * as request from './request.js';
 
-/** Wait after which a request goes to the head of its team's queue. */
+/** Wait after which a request takes precedence in its team's queue. */
 export const STARVATION_BOUND_MS = 60_000;
 
-/** Weight of the newest gap between starts in their running mean. */
+/** Weight of the newest interval between starts in their moving average. */
 const START_INTERVAL_WEIGHT = 0.2;
 
-/** Removed entries that a lane carries before it is compacted. */
+/** Number of leading removed entries from which a queue is compacted. */
 const COMPACTION_THRESHOLD_ENTRIES = 256;
 
 interface QueueEntry {
   readonly request: request.Request;
-  /** Set when the entry left the lane; the slot is skipped later. */
+  /** Set on removal from the queue; the entry is skipped and freed later. */
   isRemoved: boolean;
 }
 
@@ -24,19 +24,19 @@
   private waitingEntries: QueueEntry[] = [];
   private firstWaitingIndex = 0;
   private waitingCount = 0;
-  /** Version of the fleet's room at which the head did not fit. */
+  /** Retry version at which the head could not be placed. */
   blockedAtVersion = -1;
-  /** Round of attempts in which the head found no room. */
+  /** Retry round in which the head could not be placed. */
   failedRetryRound = -1;
 
   constructor(readonly workload: workload.Workload) {}
 
-  /** Requests that wait in the lane. */
+  /** Number of waiting requests. */
   get size(): number {
     return this.waitingCount;
   }
 
-  /** Adds a new request at the end. */
+  /** Adds a new request at the tail. */
   push(added: request.Request): QueueEntry {
     const entry: QueueEntry = {request: added, isRemoved: false};
     this.waitingEntries.push(entry);
@@ -44,7 +44,7 @@
     return entry;
   }
 
-  /** Puts a request back before all others. */
+  /** Returns a request to the queue ahead of all others. */
   putBack(added: request.Request): QueueEntry {
     const entry: QueueEntry = {request: added, isRemoved: false};
     this.returnedEntries.push(entry);
@@ -53,14 +53,14 @@
     return entry;
   }
 
-  /** The request that goes next. */
+  /** Returns the request at the head; undefined when the queue is empty. */
   head(): request.Request | undefined {
-    let last = this.returnedEntries.at(-1);
-    while (last?.isRemoved === true) {
+    let lastReturned = this.returnedEntries.at(-1);
+    while (lastReturned?.isRemoved === true) {
       this.returnedEntries.pop();
-      last = this.returnedEntries.at(-1);
+      lastReturned = this.returnedEntries.at(-1);
     }
-    if (last !== undefined) return last.request;
+    if (lastReturned !== undefined) return lastReturned.request;
     while (this.waitingEntries[this.firstWaitingIndex]?.isRemoved === true) {
       this.firstWaitingIndex += 1;
     }
@@ -68,7 +68,7 @@
     return this.waitingEntries[this.firstWaitingIndex]?.request;
   }
 
-  /** The first requests of the lane, at most `limit`. */
+  /** Returns the first requests of the queue, at most `limit`. */
   firstRequests(limit: number): ReadonlyArray<request.Request> {
     const found: request.Request[] = [];
     for (let index = this.returnedEntries.length - 1; index >= 0; index -= 1) {
@@ -88,7 +88,7 @@
     return found;
   }
 
-  /** Takes an entry out. */
+  /** Removes an entry; does nothing when it is already removed. */
   remove(entry: QueueEntry): void {
     if (entry.isRemoved) return;
     entry.isRemoved = true;
@@ -109,37 +109,37 @@
   readonly entry: QueueEntry;
 }
 
-/** Requests of one team that wait, with a lane for each workload. */
+/** Waiting requests of one team, with a queue for each workload. */
 export class TeamQueue {
   private readonly workloadQueues = new Map<string, WorkloadQueue>();
   private readonly positions = new Map<string, QueuePosition>();
   private readonly deadlines = new deadlineHeap.DeadlineHeap();
   private meanStartIntervalMs = 0;
   private lastStartAt = Infinity;
-  private lastTakenWasStarving = false;
+  private lastTakenAsStarving = false;
 
   constructor(readonly team: string) {}
 
-  /** Requests that wait. */
+  /** Number of waiting requests. */
   get size(): number {
     return this.positions.size;
   }
 
-  /** Adds a new request. */
+  /** Adds a new request at the tail of its workload's queue. */
   push(added: request.Request, now: clock.Milliseconds): void {
-    // An empty queue has no gaps to learn from.
+    // While the queue is empty, the time between starts measures no delay.
     if (this.size === 0) this.lastStartAt = now;
     this.remove(added.identity);
     const workloadQueue = this.queueFor(added.workload);
-    this.index(added, {
+    this.indexRequest(added, {
       workloadQueue,
       entry: workloadQueue.push(added),
     });
   }
 
   /**
-   * Puts a request back before the others of its workload. Tasks of a request
-   * that come back one by one wait as one request.
+   * Returns a request to the queue ahead of the others of its workload. Tasks of
+   * one request that return one by one are merged and wait as one request.
    */
   putBack(returned: request.Request): void {
     const existing = this.get(returned.identity);
@@ -147,18 +147,18 @@
     const taskCount = returned.taskCount + (existing?.taskCount ?? 0);
     const merged = existing === undefined ? returned : {...returned, taskCount};
     const workloadQueue = this.queueFor(merged.workload);
-    this.index(merged, {
+    this.indexRequest(merged, {
       workloadQueue,
       entry: workloadQueue.putBack(merged),
     });
   }
 
-  /** Returns a request that waits here. */
+  /** Returns a waiting request; undefined when it is not in this queue. */
   get(identity: string): request.Request | undefined {
     return this.positions.get(identity)?.entry.request;
   }
 
-  /** Takes a request out; returns false when it does not wait here. */
+  /** Removes a request; returns false when it is not in this queue. */
   remove(identity: string): boolean {
     const position = this.positions.get(identity);
     if (position === undefined) return false;
@@ -167,18 +167,18 @@
     return true;
   }
 
-  /** Takes a request out that gets its room now. */
+  /** Removes a request that is being placed, and updates the start interval. */
   take(taken: request.Request, now: clock.Milliseconds): void {
     if (!this.remove(taken.identity)) return;
-    this.lastTakenWasStarving =
-      isStarving(taken, now) && !this.lastTakenWasStarving;
+    this.lastTakenAsStarving =
+      isStarving(taken, now) && !this.lastTakenAsStarving;
     const intervalMs = Math.max(0, now - this.lastStartAt);
     this.lastStartAt = now;
     this.meanStartIntervalMs +=
       START_INTERVAL_WEIGHT * (intervalMs - this.meanStartIntervalMs);
   }
 
-  /** Takes out the requests whose latest start has passed. */
+  /** Removes and returns the requests whose start deadline has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
     const expired: request.Request[] = [];
     for (const identity of this.deadlines.takeDue(now)) {
@@ -191,15 +191,16 @@
     return expired;
   }
 
-  /** The earliest latest start of the requests that wait. */
+  /** Returns the earliest start deadline; Infinity when there is none. */
   nextDeadline(): clock.Milliseconds {
     return this.deadlines.earliest();
   }
 
   /**
-   * Returns the open lane whose head goes next: by urgency, worth and arrival.
-   * Every second place goes to the oldest request that waits longer than the
-   * starvation bound, so that neither old nor urgent work starves the other.
+   * Returns the eligible workload queue whose head is placed next: by urgency,
+   * worth and arrival. Every second placement goes to the oldest request beyond
+   * the starvation bound, so that neither old nor urgent requests starve the
+   * others.
    */
   next(
     isEligible: (workloadQueue: WorkloadQueue) => boolean,
@@ -207,25 +208,28 @@
   ): WorkloadQueue | undefined {
     let highestPriority: WorkloadQueue | undefined;
     let oldestStarving: WorkloadQueue | undefined;
-    for (const lane of this.workloadQueues.values()) {
-      if (lane.size === 0 || !isEligible(lane)) continue;
-      if (highestPriority === undefined || precedes(lane, highestPriority)) {
-        highestPriority = lane;
+    for (const candidate of this.workloadQueues.values()) {
+      if (candidate.size === 0 || !isEligible(candidate)) continue;
+      if (
+        highestPriority === undefined ||
+        precedes(candidate, highestPriority)
+      ) {
+        highestPriority = candidate;
       }
-      const head = lane.head();
+      const head = candidate.head();
       if (head === undefined || !isStarving(head, now)) continue;
-      if (oldestStarving === undefined || isOlder(lane, oldestStarving)) {
-        oldestStarving = lane;
+      if (oldestStarving === undefined || isOlder(candidate, oldestStarving)) {
+        oldestStarving = candidate;
       }
     }
-    return this.lastTakenWasStarving
+    return this.lastTakenAsStarving
       ? highestPriority
       : (oldestStarving ?? highestPriority);
   }
 
   /**
-   * Estimates the wait of a new request from the requests that go before it
-   * and the pace of the latest starts.
+   * Estimates the wait of a new request from the number of requests ahead of it
+   * and the mean interval between starts.
    */
   expectedWaitMs(newcomer: request.Request): clock.Milliseconds {
     let requestsAhead = 0;
@@ -237,19 +241,19 @@
     return requestsAhead * this.meanStartIntervalMs;
   }
 
-  /** Time in which what waits now is expected to start. */
+  /** Returns the time in which all waiting requests are expected to start. */
   expectedDrainMs(): clock.Milliseconds {
     return this.size * this.meanStartIntervalMs;
   }
 
-  private index(added: request.Request, position: QueuePosition): void {
+  private indexRequest(added: request.Request, position: QueuePosition): void {
     this.positions.set(added.identity, position);
     this.deadlines.add(added.identity, added.startBy);
   }
 
   private queueFor(definition: workload.Workload): WorkloadQueue {
     const existing = this.workloadQueues.get(definition.name);
-    // A changed description gets a new lane once the old one is empty.
+    // A changed definition gets a new queue once the old one is empty.
     const isCurrent = existing?.workload === definition;
     if (existing !== undefined && (isCurrent || existing.size > 0)) {
       return existing;
@@ -260,7 +264,7 @@
   }
 }
 
-/** Whether a request has waited longer than the starvation bound. */
+/** Whether a request has waited for at least the starvation bound. */
 export function isStarving(
   waiting: request.Request,
   now: clock.Milliseconds,
@@ -273,13 +277,13 @@
 }
 
 function ranksAtLeast(
-  left: workload.Workload,
-  right: workload.Workload,
+  definition: workload.Workload,
+  other: workload.Workload,
 ): boolean {
-  if (urgencyRank(left) !== urgencyRank(right)) {
-    return urgencyRank(left) > urgencyRank(right);
+  if (urgencyRank(definition) !== urgencyRank(other)) {
+    return urgencyRank(definition) > urgencyRank(other);
   }
-  return left.worth >= right.worth;
+  return definition.worth >= other.worth;
 }
 
 function isOlder(left: WorkloadQueue, right: WorkloadQueue): boolean {
@@ -288,9 +292,10 @@
 }
 
 function precedes(left: WorkloadQueue, right: WorkloadQueue): boolean {
-  const difference = urgencyRank(left.workload) - urgencyRank(right.workload);
-  if (difference !== 0) return difference > 0;
-  const worth = left.workload.worth - right.workload.worth;
-  if (worth !== 0) return worth > 0;
+  const urgencyDifference =
+    urgencyRank(left.workload) - urgencyRank(right.workload);
+  if (urgencyDifference !== 0) return urgencyDifference > 0;
+  const worthDifference = left.workload.worth - right.workload.worth;
+  if (worthDifference !== 0) return worthDifference > 0;
   return isOlder(left, right);
 }
