Reword the scheduler, replica control, worker pool and estimator

Comments, locals and one waiting reason ("capacity is reserved for it"); the types in task, team and workload keep their properties. Behaviour is unchanged.

--- a/src/contracts/replica_controller.ts
+++ b/src/contracts/replica_controller.ts
@@ -4,30 +4,30 @@
 import type * as team from './team.js';
 import type * as workload from './workload.js';
 
-/** First wait before a replica that ended by itself is started again. */
+/** Initial backoff before a replica that ended by itself is restarted. */
 const INITIAL_BACKOFF_MS = 1_000;
 
-/** Longest wait between starts of a replica that keeps ending. */
+/** Longest backoff before a replica that keeps ending is restarted. */
 const MAXIMUM_BACKOFF_MS = 60_000;
 
-/** A replica that ran this long starts again after the first wait. */
+/** Run time after which the backoff of a replica is reset. */
 const STABLE_RUN_TIME_MS = 60_000;
 
-/** One of the numbered tasks that a service consists of. */
+/** One of the numbered tasks of a service. */
 export interface Replica {
   readonly team: string;
   readonly workload: string;
   readonly number: number;
 }
 
-/** What the keeper wants done. */
+/** Action that the controller requests of its caller. */
 export type ReplicaAction =
   | {
-      /** Start a replica; answered by `requested` with the identity used. */
+      /** Start a replica; report the identity used to `recordRequest`. */
       readonly kind: 'request';
       readonly replica: Replica;
       readonly submission: request.Submission;
-      /** Tasks of the request: one replica, not the whole service. */
+      /** Tasks of the request: one replica rather than the whole service. */
       readonly taskCount: 1;
     }
   | {
@@ -36,25 +36,25 @@
       readonly identity: string;
     };
 
-/** Tells which replicas of the zone this process looks after. */
+/** Ownership of the replicas in the zone by this process. */
 export interface ReplicaOwnership {
   owns(ownershipKey: string): boolean;
 }
 
-/** Source of the documents in force. */
+/** Source of the configuration in force. */
 export interface ConfigurationSource {
   current(): configuration.Configuration;
 }
 
 interface ReplicaState {
   readonly replica: Replica;
-  /** Identity of the running or requested task; empty when there is none. */
+  /** Identity of the running or requested task; empty if there is none. */
   readonly identity: string;
   readonly startedAt: clock.Milliseconds | undefined;
-  /** Identity of the task that is to take over; empty without a move. */
+  /** Identity of the replacing task during a move; otherwise empty. */
   readonly successorIdentity: string;
   readonly isMoving: boolean;
-  /** No start before this time. */
+  /** Earliest time of the next start. */
   readonly nextStartAt: clock.Milliseconds;
   readonly backoffMs: clock.Milliseconds;
 }
@@ -64,14 +64,14 @@
   readonly workload: workload.Workload;
 }
 
-/** Name of the item whose owner looks after a replica. */
+/** Returns the ownership key of a replica. */
 export function ownershipKeyOf(replica: Replica): string {
   return `replica:${replica.team}/${replica.workload}/${replica.number}`;
 }
 
 /**
- * Keeps the services of one availability zone at their configured number of
- * replicas. The numbers are dealt to the allowed zones in turn.
+ * Reconciles the services of one availability zone with their configured number
+ * of replicas. Replica numbers are assigned to the allowed zones round-robin.
  */
 export class ReplicaController {
   private readonly states = new Map<string, ReplicaState>();
@@ -83,21 +83,21 @@
     private readonly ownership: ReplicaOwnership,
   ) {}
 
-  /** Returns the starts and stops that are wanted now. */
+  /** Returns the starts and stops that are due now. */
   update(now: clock.Milliseconds): ReadonlyArray<ReplicaAction> {
     const desired = this.desiredReplicas();
     const actions = this.removeUndesired(desired);
     for (const replica of desired.values()) {
       const state = this.stateOf(replica);
       if (!needsStart(state, now)) continue;
-      const {team: name, workload: definition} = replica;
-      const submission = {team: name, workload: definition, payload: ''};
+      const {team: teamName, workload: workloadName} = replica;
+      const submission = {team: teamName, workload: workloadName, payload: ''};
       actions.push({kind: 'request', replica, submission, taskCount: 1});
     }
     return actions;
   }
 
-  /** When a replica may be started next. */
+  /** Returns when a replica may be started next; Infinity if none waits. */
   nextDeadline(now: clock.Milliseconds): clock.Milliseconds {
     let deadline = Infinity;
     for (const state of this.states.values()) {
@@ -107,7 +107,7 @@
     return deadline;
   }
 
-  /** Notes the identity under which a replica was requested or adopted. */
+  /** Records the identity under which a replica was requested or adopted. */
   recordRequest(replica: Replica, identity: string): void {
     const state = this.stateOf(replica);
     this.ownershipKeys.set(identity, ownershipKeyOf(replica));
@@ -115,7 +115,7 @@
     else this.saveState({...state, successorIdentity: identity});
   }
 
-  /** Notes a start; returns the identity that is to stop after a move. */
+  /** Records a start; returns the stop of the replaced task after a move. */
   recordStart(
     identity: string,
     now: clock.Milliseconds,
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Notes that a task has ended, or will have by `leaseEnd` at the latest
-   * when it is only known to be lost. Its successor never starts earlier.
+   * Records that a task has ended. A task that is only known to be lost ends by
+   * `leaseEnd` at the latest; its successor never starts earlier.
    */
   recordEnd(
     identity: string,
@@ -153,9 +153,9 @@
       this.saveState({...state, successorIdentity: '', isMoving: false});
       return;
     }
-    const ranMs = now - (state.startedAt ?? now);
+    const runTimeMs = now - (state.startedAt ?? now);
     const isStable =
-      state.startedAt !== undefined && ranMs >= STABLE_RUN_TIME_MS;
+      state.startedAt !== undefined && runTimeMs >= STABLE_RUN_TIME_MS;
     const backoffMs = isStable ? INITIAL_BACKOFF_MS : state.backoffMs;
     this.saveState({
       ...state,
@@ -169,19 +169,21 @@
   }
 
   /**
-   * Asks for a replica to be replaced elsewhere before it stops. Returns false
-   * while another replica of the service moves or does not run.
+   * Requests a replacement of a replica elsewhere before it stops. Returns
+   * false while another replica of the service is moving or not running.
    */
   requestMove(identity: string): boolean {
     const state = this.findState(identity);
     if (state === undefined || state.identity !== identity) return false;
     const {replica} = state;
-    for (const other of this.states.values()) {
+    for (const otherState of this.states.values()) {
       const isSibling =
-        other.replica.team === replica.team &&
-        other.replica.workload === replica.workload;
+        otherState.replica.team === replica.team &&
+        otherState.replica.workload === replica.workload;
       if (!isSibling) continue;
-      if (other.isMoving || other.startedAt === undefined) return false;
+      if (otherState.isMoving || otherState.startedAt === undefined) {
+        return false;
+      }
     }
     this.saveState({...state, isMoving: true});
     return true;
@@ -220,11 +222,11 @@
     const configuredZones = this.documents.current().fleet?.zones ?? [];
     const zoneNames = configuredZones.map(zone => zone.name);
     const zones = [...(service.zones.length > 0 ? service.zones : zoneNames)];
-    const position = zones.sort().indexOf(this.zone);
+    const zoneIndex = zones.sort().indexOf(this.zone);
     const numbers: number[] = [];
-    if (position < 0) return numbers;
+    if (zoneIndex < 0) return numbers;
     for (
-      let number = position;
+      let number = zoneIndex;
       number < service.taskCount;
       number += zones.length
     ) {
@@ -243,7 +245,7 @@
       for (const identity of [state.identity, state.successorIdentity]) {
         if (identity === '') continue;
         this.ownershipKeys.delete(identity);
-        // Whoever has taken the item over keeps the replica running.
+        // The new owner of the replica keeps it running.
         if (this.isConfigured(state.replica)) continue;
         actions.push({kind: 'stop', identity});
       }
--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -25,22 +25,22 @@
 import type * as workload from './workload.js';
 import type * as placement from './placement.js';
 
-/** Time after which requests that found no room are tried again. */
+/** Time after which requests that could not be placed are tried again. */
 const PLACEMENT_RETRY_INTERVAL_MS = 100;
 
-/** Requests of one lane that may have reclaimed room earmarked at once. */
+/** Requests of one workload for which capacity is reclaimed at once. */
 const RECLAIMING_REQUEST_LIMIT = 32;
 
-/** Added to the level of a team that asks for more than its quota. */
+/** Added to the weighted share of a team that exceeds its quota. */
 const BORROWING_PENALTY = 1_000_000;
 
-/** Requests without room in one turn; more lanes wait for the next turn. */
+/** Failed placements in one cycle; other queues wait for the next cycle. */
 const FAILED_PLACEMENT_LIMIT = 16;
 
-/** Failed sizes that a turn remembers; bounds the cost of comparing. */
+/** Failed sizes that a cycle keeps; bounds the cost of the comparisons. */
 const FAILED_SIZE_LIMIT = 8;
 
-/** Source of the documents in force. */
+/** Source of the configuration in force. */
 export interface ConfigurationSource {
   current(): configuration.Configuration;
 }
@@ -55,16 +55,16 @@
   readonly now: clock.Milliseconds;
   readonly retryVersion: number;
   readonly placements: placement.Placement[];
-  /** Sizes without further constraints that found no room in this turn. */
+  /** Sizes of unconstrained requests that could not be placed in this cycle. */
   readonly failedSizes: resources.Resources[];
-  /** Lanes whose head may not hold room at present. */
+  /** Queues whose head may not reserve capacity at present. */
   readonly notEntitled: Set<teamQueue.WorkloadQueue>;
   failureCount: number;
 }
 
 type PlacementOutcome = 'placed' | 'noRoom' | 'notEntitled';
 
-/** Requests that wait, and the choice of workers for them. */
+/** Queues admitted requests and places them on workers. */
 export class RequestScheduler {
   private readonly queues = new Map<string, teamQueue.TeamQueue>();
   private readonly estimator = new usageEstimator.UsageEstimator();
@@ -84,7 +84,7 @@
   private lastAttemptNumber = 0;
   private retryCount = 0;
   private nextRetryAt = 0;
-  /** Rises of the fleet's room version that this object itself caused. */
+  /** Changes of the fleet's availability version by this scheduler itself. */
   private ownAvailabilityChanges = 0;
   private lastCycleVersion = -1;
   private hasNewRequests = false;
@@ -118,7 +118,7 @@
     });
   }
 
-  /** Learns what became of a task. */
+  /** Processes the outcome of a task. */
   observeOutcome(
     outcome: trackedTask.TaskOutcome,
     now: clock.Milliseconds,
@@ -126,12 +126,12 @@
     this.observer.observeOutcome(outcome, now);
   }
 
-  /** Learns from a worker's report. */
+  /** Processes a worker's report. */
   observeReport(report: task.WorkerReport, now: clock.Milliseconds): void {
     this.interventions.push(...this.observer.observeReport(report, now));
   }
 
-  /** Queues a request, or refuses it with the reason. */
+  /** Queues a request; returns a failure with the reason if it is refused. */
   admit(
     admitted: request.Request,
     now: clock.Milliseconds,
@@ -155,13 +155,13 @@
     });
   }
 
-  /** Puts a request back whose start is proved not to have taken place. */
+  /** Returns a request to its queue after proof that its start did not run. */
   requeue(returned: request.Request): void {
     this.queueOf(returned.team).putBack(returned);
     this.hasNewRequests = true;
   }
 
-  /** Takes a waiting request out; returns false when it does not wait. */
+  /** Removes a waiting request; returns false when it is not queued. */
   remove(identity: string): boolean {
     for (const queue of this.queues.values()) {
       if (!queue.remove(identity)) continue;
@@ -171,27 +171,27 @@
     return false;
   }
 
-  /** Says why a waiting request waits. */
+  /** Explains why a request is still waiting. */
   explain(waiting: request.Request): string {
     const size = this.reservationSizeOf(waiting);
-    const runMs = this.expectedRunMs(waiting);
+    const expectedRunMs = this.expectedRunMs(waiting);
     if (this.reservations.has(waiting.identity)) {
-      return 'room is kept for it and becomes free as other tasks end';
+      return 'capacity is reserved for it and becomes free as other tasks end';
     }
-    if (!this.shares.isEntitled(waiting, size, runMs)) {
+    if (!this.shares.isEntitled(waiting, size, expectedRunMs)) {
       return `team ${waiting.team} holds its quota or all that may be lent`;
     }
     return `${this.waitingCount()} requests wait for room`;
   }
 
-  /** Requests that wait. */
+  /** Returns the number of waiting requests. */
   waitingCount(): number {
     let count = 0;
     for (const queue of this.queues.values()) count += queue.size;
     return count;
   }
 
-  /** Longest wait that new work of any team is expected to have. */
+  /** Returns the longest wait expected for a new request of any team. */
   expectedWaitMs(): clock.Milliseconds {
     let longestMs = 0;
     for (const queue of this.queues.values()) {
@@ -200,7 +200,7 @@
     return longestMs;
   }
 
-  /** Takes out requests whose latest start has passed. */
+  /** Removes and returns requests whose start deadline has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request> {
     const expired: request.Request[] = [];
     for (const queue of this.queues.values()) {
@@ -212,11 +212,11 @@
     return expired;
   }
 
-  /** When `place` or `takeExpired` is wanted next without other events. */
+  /** Returns the latest time for the next call of `place` and `takeExpired`. */
   nextDeadline(): clock.Milliseconds {
     const hasWaitingRequests = this.waitingCount() > 0;
     const readmissionAt = this.pool.nextDeadline();
-    // Workers are readmitted only when the retry interval has passed.
+    // Workers are readmitted only once the retry interval has passed.
     let deadline = Math.max(
       this.nextRetryAt,
       hasWaitingRequests ? 0 : readmissionAt,
@@ -227,12 +227,12 @@
     return deadline;
   }
 
-  /** Sets which fraction of the cell's capacity this process places on. */
+  /** Sets the fraction of the cell's capacity that this process places on. */
   setCellFraction(fraction: number): void {
     this.shares.setCellFraction(fraction);
   }
 
-  /** Reserves room for waiting requests, all tasks of a request or none. */
+  /** Places waiting requests: all tasks of a request or none. */
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     this.pool.setTime(now);
     this.refresh(now);
@@ -251,24 +251,27 @@
     const versionBefore = this.workers.availabilityVersion;
     this.placeReserved(cycle);
     this.placeInFairOrder(cycle);
-    // A cut turn goes on with the other lanes; failed ones wait for a round.
+    // A cycle that hit the limit continues with the other queues; those that
+    // failed wait for the next round.
     if (cycle.failureCount >= FAILED_PLACEMENT_LIMIT) {
       this.hasNewRequests = true;
-    } else this.retryRound += 1;
+    } else {
+      this.retryRound += 1;
+    }
     this.ownAvailabilityChanges +=
       this.workers.availabilityVersion - versionBefore;
     this.lastCycleVersion = cycle.retryVersion;
     return cycle.placements;
   }
 
-  /** Takes what is to be asked of running tasks. */
+  /** Returns the pending interventions and clears them. */
   takeInterventions(): ReadonlyArray<overloadMitigator.Intervention> {
     const taken = this.interventions;
     this.interventions = [];
     return taken;
   }
 
-  /** Takes the capacity violations noted since the last call. */
+  /** Returns the capacity violations since the last call and clears them. */
   takeViolations(): ReadonlyArray<worker.CapacityViolation> {
     return this.workers.takeViolations();
   }
@@ -284,7 +287,7 @@
     this.interventions.push(...this.reclaimer.refillReserve());
   }
 
-  /** Changes whenever requests that found no room may find it now. */
+  /** Returns a version that changes when failed placements may succeed. */
   private retryVersion(): number {
     return (
       this.workers.availabilityVersion -
@@ -312,8 +315,10 @@
     waiting: request.Request,
     cycle: SchedulingCycle,
   ): void {
-    const runMs = this.expectedRunMs(waiting);
-    if (!this.shares.isEntitled(waiting, reservation.size, runMs)) return;
+    const expectedRunMs = this.expectedRunMs(waiting);
+    if (!this.shares.isEntitled(waiting, reservation.size, expectedRunMs)) {
+      return;
+    }
     this.reservations.release(reservation.identity);
     const pending = this.pendingPlacementOf(waiting, reservation.size);
     const attempt = new placementPolicy.PlacementAttempt(pending);
@@ -378,7 +383,7 @@
     if (head === undefined) return;
     const pending = this.pendingPlacementOf(head, this.reservationSizeOf(head));
     if (!candidate.isBorrowing && this.exceedsQuota(pending)) {
-      // Teams within their quota choose first; this one comes back after them.
+      // Teams within their quota are placed first; this one is retried last.
       candidate.isBorrowing = true;
       candidate.weightedShare += BORROWING_PENALTY;
       return;
@@ -403,8 +408,10 @@
     cycle: SchedulingCycle,
   ): PlacementOutcome {
     const {request: waiting, size} = pending;
-    const runMs = this.expectedRunMs(waiting);
-    if (!this.shares.isEntitled(waiting, size, runMs)) return 'notEntitled';
+    const expectedRunMs = this.expectedRunMs(waiting);
+    if (!this.shares.isEntitled(waiting, size, expectedRunMs)) {
+      return 'notEntitled';
+    }
     if (
       cycle.failedSizes.some(failedSize => resources.fits(failedSize, size))
     ) {
@@ -481,19 +488,19 @@
     return {request: waiting, size, attemptNumber: this.lastAttemptNumber};
   }
 
-  /** The learned size, or the declared one if no worker could hold it. */
+  /** Returns the learned size, or the declared one if no worker can fit it. */
   private reservationSizeOf(waiting: request.Request): resources.Resources {
-    const learned = this.estimator.reservation(
+    const learnedSize = this.estimator.reservationSize(
       waiting.team,
       waiting.workload.name,
       waiting.size,
     );
     const plan = this.documents.current().fleet;
-    if (learned === waiting.size || plan === undefined) return learned;
-    const resized = {...waiting, size: learned};
+    if (learnedSize === waiting.size || plan === undefined) return learnedSize;
+    const resized = {...waiting, size: learnedSize};
     const fits =
       requestAdmission.excludingConstraint(resized, plan) === undefined;
-    return fits ? learned : waiting.size;
+    return fits ? learnedSize : waiting.size;
   }
 
   private expectedRunMs(waiting: request.Request): clock.Milliseconds {
@@ -507,30 +514,32 @@
     );
   }
 
-  private teamOf(name: string): team.Team | undefined {
-    return this.documents.current().teams.get(name);
+  private teamOf(teamName: string): team.Team | undefined {
+    return this.documents.current().teams.get(teamName);
   }
 
-  private queueOf(name: string): teamQueue.TeamQueue {
-    const existing = this.queues.get(name);
+  private queueOf(teamName: string): teamQueue.TeamQueue {
+    const existing = this.queues.get(teamName);
     if (existing !== undefined) return existing;
-    const created = new teamQueue.TeamQueue(name);
-    this.queues.set(name, created);
+    const created = new teamQueue.TeamQueue(teamName);
+    this.queues.set(teamName, created);
     return created;
   }
 }
 
 function lowestShareIndex(candidates: ReadonlyArray<TeamCandidate>): number {
-  let best = 0;
+  let lowestIndex = 0;
   for (let index = 1; index < candidates.length; index += 1) {
-    if (candidates[index].weightedShare < candidates[best].weightedShare) {
-      best = index;
+    if (
+      candidates[index].weightedShare < candidates[lowestIndex].weightedShare
+    ) {
+      lowestIndex = index;
     }
   }
-  return best;
+  return lowestIndex;
 }
 
-/** Whether nothing but its size restricts where a request may run. */
+/** Whether a request is restricted by nothing but its size. */
 function isUnconstrained(waiting: request.Request): boolean {
   const {workload: definition, taskCount} = waiting;
   return (
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -6,7 +6,7 @@
 import type * as requestScheduler from './request_scheduler.js';
 import type * as worker from '../machines/worker.js';
 
-/** Lets the scheduler see a report and carries out what it asks of tasks. */
+/** Passes a report to the scheduler; returns the effects that it requires. */
 export function handleEvent(
   scheduler: requestScheduler.RequestScheduler,
   handled: event.Event,
@@ -21,7 +21,7 @@
   ];
 }
 
-/** Builds the effects that carry out what the scheduler asks of tasks. */
+/** Builds the effects that carry out interventions on running tasks. */
 export function interventionEffects(
   interventions: ReadonlyArray<overloadMitigator.Intervention>,
 ): ReadonlyArray<effects.Effect> {
@@ -32,8 +32,9 @@
 }
 
 /**
- * Reports workers whose reservations exceed their capacity. Usage above the
- * reservation and a capacity that shrinks break no rule of this process.
+ * Builds the effects that report workers whose reservations exceed their
+ * capacity. Usage above the reservation and a shrinking capacity are not
+ * caused by this process and so do not violate its invariant.
  */
 export function violationEffects(
   violations: ReadonlyArray<worker.CapacityViolation>,
--- a/src/contracts/task.ts
+++ b/src/contracts/task.ts
@@ -2,8 +2,8 @@
 import type * as resources from '../machines/resources.js';
 
 /**
- * What a task belongs to. The worker returns it unchanged in its reports, so
- * that a successor can adopt tasks that it did not start.
+ * Identification of a task's request and team. The worker returns it unchanged
+ * in its reports, so that a successor can adopt tasks that it did not start.
  */
 export interface TaskLabel {
   readonly identity: string;
@@ -14,18 +14,18 @@
   readonly worth: number;
 }
 
-/** A task as the worker is asked to start it. */
+/** Command to a worker to start a task. */
 export interface TaskStart {
   readonly task: string;
   readonly label: TaskLabel;
-  /** Reservation; also the limit at which the worker throttles. */
+  /** Reserved capacity; also the limit at which the worker throttles. */
   readonly size: resources.Resources;
   readonly payload: string;
-  /** Lease end on the worker's clock; a start that arrives later never runs. */
+  /** Lease end on the worker's clock; a start that arrives later is not run. */
   readonly leaseEnd: clock.Milliseconds;
 }
 
-/** States of a task as a worker reports them. */
+/** State of a task in a worker's report. */
 export type TaskState =
   'running' | 'finished' | 'failed' | 'stopped' | 'checkpointed' | 'lapsed';
 
@@ -35,12 +35,12 @@
   readonly label: TaskLabel;
   readonly state: TaskState;
   readonly size: resources.Resources;
-  /** Lagging measurement of what the task uses. */
+  /** Measured usage of the task; lags behind the actual usage. */
   readonly usage: resources.Resources;
   readonly leaseEnd: clock.Milliseconds;
 }
 
-/** What a worker says of itself. */
+/** Report of a worker about its capacity and its tasks. */
 export interface WorkerReport {
   readonly worker: string;
   readonly workerClock: clock.Milliseconds;
--- a/src/contracts/task_observer.ts
+++ b/src/contracts/task_observer.ts
@@ -9,7 +9,7 @@
 import type * as workerPool from './worker_pool.js';
 import type * as workload from './workload.js';
 
-/** The objects that learn from tasks. */
+/** Dependencies of `TaskObserver`, which it updates with task outcomes. */
 export interface TaskObserverDependencies {
   readonly workers: fleet.Fleet;
   readonly pool: workerPool.WorkerPool;
@@ -18,22 +18,22 @@
   workloadOf(label: task.TaskLabel): workload.Workload | undefined;
 }
 
-/** Passes on what becomes of tasks to those that decide by it. */
+/** Passes task outcomes and reports to the components that depend on them. */
 export class TaskObserver {
   private readonly overloadMitigator =
     new overloadMitigator.OverloadMitigator();
 
   constructor(private readonly dependencies: TaskObserverDependencies) {}
 
-  /** Learns what became of a task. */
+  /** Processes the outcome of a task. */
   observeOutcome(
     outcome: trackedTask.TaskOutcome,
     now: clock.Milliseconds,
   ): void {
-    const {task: name, label} = outcome.reference;
+    const {task: taskName, label} = outcome.reference;
     switch (outcome.kind) {
       case 'started':
-        this.dependencies.pool.recordStart(name, now);
+        this.dependencies.pool.recordStart(taskName, now);
         return;
       case 'adopted':
         this.recordAdoption(outcome.reference);
@@ -41,18 +41,19 @@
       case 'unknown':
         return;
       case 'notRun':
-        this.dependencies.reclaimer.recordEnd(name);
-        this.dependencies.estimator.forget(name);
-        this.dependencies.pool.recordNotRun(name, outcome.sent, now);
+        this.dependencies.reclaimer.recordEnd(taskName);
+        this.dependencies.estimator.discard(taskName);
+        this.dependencies.pool.recordNotRun(taskName, outcome.sent, now);
         return;
       case 'ended':
-        this.recordEnd(name, label, outcome.end, now);
+        this.recordEnd(taskName, label, outcome.end, now);
     }
   }
 
   /**
-   * Learns from a worker's report. A task that uses more than its room gets
-   * the room at once; if the worker is then overcommitted, it is relieved.
+   * Processes a worker's report. The reservation of a task that uses more than
+   * it reserved grows at once; if that overcommits the worker, the overload is
+   * mitigated.
    */
   observeReport(
     report: task.WorkerReport,
@@ -79,12 +80,12 @@
     const definition = this.dependencies.workloadOf(reference.label);
     if (target === undefined || reservation === undefined) return;
     if (definition === undefined) return;
-    const {team: name} = reference.label;
+    const {team: teamName} = reference.label;
     const expectedRunMs =
-      this.dependencies.estimator.runTimeMs(name, definition.name) ??
+      this.dependencies.estimator.runTimeMs(teamName, definition.name) ??
       definition.runTimeMs;
     const {task: taskName, size} = reservation;
-    const adopted = {task: taskName, team: name, size, worker: target};
+    const adopted = {task: taskName, team: teamName, size, worker: target};
     this.dependencies.reclaimer.recordStart(
       {...adopted, expectedRunMs},
       definition,
@@ -92,18 +93,23 @@
   }
 
   private recordEnd(
-    name: string,
+    taskName: string,
     label: task.TaskLabel,
     end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
-    const ranMs = this.dependencies.pool.ranMs(name, now);
-    this.dependencies.reclaimer.recordEnd(name);
+    const runTimeMs = this.dependencies.pool.runTimeMs(taskName, now);
+    this.dependencies.reclaimer.recordEnd(taskName);
     if (end === 'finished') {
-      this.dependencies.estimator.recordEnd(name, label, ranMs);
-    } else this.dependencies.estimator.forget(name);
+      this.dependencies.estimator.recordEnd(taskName, label, runTimeMs);
+    } else {
+      this.dependencies.estimator.discard(taskName);
+    }
     const byItself = end === 'finished' || end === 'failed';
-    if (byItself) this.dependencies.pool.recordEnd(name, end === 'failed', now);
-    else this.dependencies.pool.recordNotRun(name, false, now);
+    if (byItself) {
+      this.dependencies.pool.recordEnd(taskName, end === 'failed', now);
+    } else {
+      this.dependencies.pool.recordNotRun(taskName, false, now);
+    }
   }
 }
--- a/src/contracts/team.ts
+++ b/src/contracts/team.ts
@@ -1,19 +1,19 @@
 import type * as resources from '../machines/resources.js';
 import type * as workload from './workload.js';
 
-/** A team with its quota and its workloads. */
+/** Configuration of a team: its clients, quota, share and workloads. */
 export interface Team {
   readonly name: string;
   /** Clients that may send requests for the team. */
   readonly clients: ReadonlyArray<string>;
   /**
-   * What the team's tasks may reserve at once in the cell. Only idempotent
-   * batch work that is not urgent may go beyond, in room lent by others.
+   * Capacity that the team's tasks may reserve at once in the cell. Only
+   * idempotent batch work that is not urgent may exceed it, by borrowing.
    */
   readonly quota: resources.Resources;
-  /** Weight among teams that compete for the same room. */
+  /** Weight among teams that compete for the same capacity. */
   readonly share: number;
-  /** Requests that may wait; more are refused. */
+  /** Largest number of waiting requests; further ones are refused. */
   readonly queueLimit: number;
   readonly workloads: ReadonlyArray<workload.Workload>;
 }
--- a/src/contracts/team_queue.ts
+++ b/src/contracts/team_queue.ts
@@ -127,7 +127,7 @@
 
   /** Adds a new request at the tail of its workload's queue. */
   push(added: request.Request, now: clock.Milliseconds): void {
-    // While the queue is empty, the time between starts measures no delay.
+    // Time in which the queue was empty is not an interval between starts.
     if (this.size === 0) this.lastStartAt = now;
     this.remove(added.identity);
     const workloadQueue = this.queueFor(added.workload);
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Returns a request to the queue ahead of the others of its workload. Tasks of
-   * one request that return one by one are merged and wait as one request.
+   * Returns a request to the head of its workload's queue. Tasks of one request
+   * that return one by one are merged and wait as one request.
    */
   putBack(returned: request.Request): void {
     const existing = this.get(returned.identity);
--- a/src/contracts/usage_estimator.ts
+++ b/src/contracts/usage_estimator.ts
@@ -2,34 +2,34 @@
 import type * as clock from '../machines/clock.js';
 import type * as task from './task.js';
 
-/** Ended tasks of a workload before learned sizes replace declared ones. */
+/** Finished tasks of a workload before learned sizes replace declared ones. */
 export const MINIMUM_SAMPLE_COUNT = 5;
 
 /** Standard deviations above the mean that a reservation covers. */
 const COVERED_STANDARD_DEVIATIONS = 3;
 
-/** Newest peaks that a reservation never falls below. */
+/** Number of newest peaks that a reservation never falls below. */
 const RECENT_PEAK_COUNT = 20;
 
-/** Weight of the newest run time in the running mean. */
+/** Weight of the newest run time in the moving average. */
 const RUN_TIME_SMOOTHING_FACTOR = 0.1;
 
-/** Only these are measured; slots and accelerators are taken whole. */
+/** Dimensions that are measured; slots and accelerators are reserved whole. */
 const MEASURED_DIMENSIONS = ['processors', 'memory'] as const;
 
 type MeasuredDimension = (typeof MEASURED_DIMENSIONS)[number];
 
-/** Running mean and variance of one dimension's per-task peaks. */
+/** Running mean and variance of the per-task peak usage of one dimension. */
 class PeakStatistics {
   private count = 0;
   private mean = 0;
   private squaredDeviationSum = 0;
   private readonly recentPeaks: number[] = [];
-  private reservationValue = 0;
+  private reservationSizeValue = 0;
 
-  /** Room for a further task: mean plus margin, at least each recent peak. */
-  get reservation(): number {
-    return this.reservationValue;
+  /** Size for a further task: mean plus margin, at least each recent peak. */
+  get reservationSize(): number {
+    return this.reservationSizeValue;
   }
 
   add(peak: number): void {
@@ -43,7 +43,7 @@
       this.squaredDeviationSum / Math.max(1, this.count - 1),
     );
     const upperEstimate = this.mean + COVERED_STANDARD_DEVIATIONS * deviation;
-    this.reservationValue = Math.ceil(
+    this.reservationSizeValue = Math.ceil(
       Math.max(upperEstimate, ...this.recentPeaks),
     );
   }
@@ -55,62 +55,65 @@
   runTimeMs: number;
 }
 
-/** Learns what the tasks of each workload use from the workers' reports. */
+/** Estimates the size and run time of each workload from its finished tasks. */
 export class UsageEstimator {
   private readonly workloads = new Map<string, WorkloadStatistics>();
   private readonly peakUsageByTask = new Map<string, resources.Resources>();
 
-  /** Notes a measurement of a running task. */
+  /** Records the measured usage of a running task. */
   recordUsage(report: task.TaskReport): void {
-    const known = this.peakUsageByTask.get(report.task) ?? resources.NONE;
-    if (resources.fits(report.usage, known)) return;
+    const peakUsage = this.peakUsageByTask.get(report.task) ?? resources.NONE;
+    if (resources.fits(report.usage, peakUsage)) return;
     this.peakUsageByTask.set(
       report.task,
-      resources.maximum(known, report.usage),
+      resources.maximum(peakUsage, report.usage),
     );
   }
 
-  /** Notes the end of a task; one that was never measured teaches nothing. */
+  /** Records that a task finished; ignores a task that was never measured. */
   recordEnd(
     taskName: string,
     label: task.TaskLabel,
-    ranMs: clock.Milliseconds,
+    runTimeMs: clock.Milliseconds,
   ): void {
-    const peak = this.peakUsageByTask.get(taskName);
+    const peakUsage = this.peakUsageByTask.get(taskName);
     this.peakUsageByTask.delete(taskName);
-    if (peak === undefined) return;
-    const known = this.statisticsOf(label.team, label.workload);
+    if (peakUsage === undefined) return;
+    const statistics = this.statisticsOf(label.team, label.workload);
     for (const dimension of MEASURED_DIMENSIONS) {
-      known.peaks[dimension].add(peak[dimension]);
+      statistics.peaks[dimension].add(peakUsage[dimension]);
     }
-    known.sampleCount += 1;
-    const weight = known.sampleCount === 1 ? 1 : RUN_TIME_SMOOTHING_FACTOR;
-    known.runTimeMs += weight * (ranMs - known.runTimeMs);
+    statistics.sampleCount += 1;
+    const weight = statistics.sampleCount === 1 ? 1 : RUN_TIME_SMOOTHING_FACTOR;
+    statistics.runTimeMs += weight * (runTimeMs - statistics.runTimeMs);
   }
 
-  /** Forgets a task whose measurements tell nothing. */
-  forget(taskName: string): void {
+  /** Discards the measurements of a task that did not finish. */
+  discard(taskName: string): void {
     this.peakUsageByTask.delete(taskName);
   }
 
-  /** What a task of a workload is to reserve. */
-  reservation(
+  /** Returns the size that a task of a workload reserves. */
+  reservationSize(
     team: string,
     workload: string,
     declared: resources.Resources,
   ): resources.Resources {
-    const known = this.workloads.get(`${team}/${workload}`);
-    if (known === undefined || known.sampleCount < MINIMUM_SAMPLE_COUNT) {
+    const statistics = this.workloads.get(`${team}/${workload}`);
+    if (
+      statistics === undefined ||
+      statistics.sampleCount < MINIMUM_SAMPLE_COUNT
+    ) {
       return declared;
     }
     return {
       ...declared,
-      processors: known.peaks.processors.reservation,
-      memory: known.peaks.memory.reservation,
+      processors: statistics.peaks.processors.reservationSize,
+      memory: statistics.peaks.memory.reservationSize,
     };
   }
 
-  /** Mean run time of a workload; undefined before the first sample. */
+  /** Returns the mean run time; undefined before the first sample. */
   runTimeMs(team: string, workload: string): clock.Milliseconds | undefined {
     return this.workloads.get(`${team}/${workload}`)?.runTimeMs;
   }
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -14,19 +14,19 @@
   readonly label: task.TaskLabel;
   readonly placedAt: clock.Milliseconds;
   readonly startedAt: clock.Milliseconds;
-  /** Whether the start has been answered. */
+  /** Whether the worker has answered the start. */
   readonly answered: boolean;
 }
 
 /**
- * The workers on which this process may place now: it holds the permit, the
- * worker is in service and its upstream accepts another call.
+ * Workers on which this process may place now: it holds the permit, the worker
+ * is in service and its upstream accepts another call.
  */
 export class WorkerPool {
   private readonly health = new workerHealth.WorkerHealth();
   private readonly upstreams = new Map<string, upstream.Upstream>();
   private readonly tasks = new Map<string, PlacedTask>();
-  /** Placed tasks whose start has not been answered. */
+  /** Names of placed tasks whose start has not been answered. */
   private readonly unanswered = new Set<string>();
   private now: clock.Milliseconds = 0;
 
@@ -35,12 +35,12 @@
     private readonly permission: placement.PlacementPermission,
   ) {}
 
-  /** Sets the time at which permits are judged. */
+  /** Sets the time for which permits are checked. */
   setTime(now: clock.Milliseconds): void {
     this.now = now;
   }
 
-  /** Brings the choice of workers up to date. */
+  /** Updates which workers are available for placement. */
   refresh(now: clock.Milliseconds): void {
     this.removeAbandonedTasks(now);
     this.health.readmit(now);
@@ -52,7 +52,7 @@
     }
   }
 
-  /** When a suspended worker may be probed next. */
+  /** Returns when a suspended worker may be probed next. */
   nextDeadline(): clock.Milliseconds {
     return this.health.nextDeadline();
   }
@@ -65,7 +65,7 @@
     );
   }
 
-  /** What the placement of a request sees of the fleet. */
+  /** Returns the view of the fleet for placing a request. */
   viewFor(waiting: request.Request): placementPolicy.FleetView {
     const {workload, taskCount} = waiting;
     const mayProbe = workload.idempotent && taskCount === 1;
@@ -77,81 +77,86 @@
     };
   }
 
-  /** Notes a placed task. */
+  /** Records that a task was placed on a worker. */
   recordPlacement(
     target: worker.Worker,
-    name: string,
+    taskName: string,
     label: task.TaskLabel,
     now: clock.Milliseconds,
   ): void {
     const times = {placedAt: now, startedAt: now, answered: false};
-    this.tasks.set(name, {worker: target, label, ...times});
-    this.unanswered.add(name);
+    this.tasks.set(taskName, {worker: target, label, ...times});
+    this.unanswered.add(taskName);
     this.upstreamOf(target).onSend();
     this.health.recordPlacement(target);
   }
 
-  /** Notes an acknowledged start; does nothing when the task is unknown. */
-  recordStart(name: string, now: clock.Milliseconds): void {
-    const known = this.tasks.get(name);
-    if (known === undefined || known.answered) return;
-    this.tasks.set(name, {...known, startedAt: now, answered: true});
-    this.unanswered.delete(name);
-    const upstreamOfWorker = this.upstreamOf(known.worker);
-    // A start that was recorded first says nothing about the worker's speed.
-    if (known.label.idempotent) {
-      upstreamOfWorker.onAnswer(now - known.placedAt, now);
-    } else upstreamOfWorker.onNeutralEnd();
+  /** Records an acknowledged start; ignores an unknown task. */
+  recordStart(taskName: string, now: clock.Milliseconds): void {
+    const placed = this.tasks.get(taskName);
+    if (placed === undefined || placed.answered) return;
+    this.tasks.set(taskName, {...placed, startedAt: now, answered: true});
+    this.unanswered.delete(taskName);
+    const calledUpstream = this.upstreamOf(placed.worker);
+    // A start that was recorded first also waited for the journal, so its latency
+    // does not measure the worker.
+    if (placed.label.idempotent) {
+      calledUpstream.onAnswer(now - placed.placedAt, now);
+    } else {
+      calledUpstream.onNeutralEnd();
+    }
   }
 
-  /** Notes a task that did not run; `sent` when its start was lost. */
-  recordNotRun(name: string, sent: boolean, now: clock.Milliseconds): void {
-    const known = this.removeTask(name);
-    if (known === undefined) return;
-    if (!known.answered) {
-      if (sent) this.upstreamOf(known.worker).onLoss(now);
-      else this.upstreamOf(known.worker).onNeutralEnd();
+  /** Records that a task did not run; `sent` if its start was sent and lost. */
+  recordNotRun(taskName: string, sent: boolean, now: clock.Milliseconds): void {
+    const placed = this.removeTask(taskName);
+    if (placed === undefined) return;
+    if (!placed.answered) {
+      if (sent) this.upstreamOf(placed.worker).onLoss(now);
+      else this.upstreamOf(placed.worker).onNeutralEnd();
     }
-    this.health.recordNotRun(known.worker);
+    this.health.recordNotRun(placed.worker);
   }
 
-  /** Time since a task started. */
-  ranMs(name: string, now: clock.Milliseconds): clock.Milliseconds {
-    return now - (this.tasks.get(name)?.startedAt ?? now);
+  /** Returns the time since a task started; 0 for an unknown task. */
+  runTimeMs(taskName: string, now: clock.Milliseconds): clock.Milliseconds {
+    return now - (this.tasks.get(taskName)?.startedAt ?? now);
   }
 
-  /** Notes a task that finished or failed by itself. */
-  recordEnd(name: string, failed: boolean, now: clock.Milliseconds): void {
-    const ranMs = this.ranMs(name, now);
-    const known = this.removeTask(name);
-    if (known === undefined) return;
-    // The end also answers a start whose own answer was lost.
-    if (!known.answered) this.upstreamOf(known.worker).onLoss(now);
-    const workload = `${known.label.team}/${known.label.workload}`;
-    const end = {worker: known.worker, workload, failed, ranMs};
+  /** Records that a task finished or failed by itself. */
+  recordEnd(taskName: string, failed: boolean, now: clock.Milliseconds): void {
+    const ranMs = this.runTimeMs(taskName, now);
+    const placed = this.removeTask(taskName);
+    if (placed === undefined) return;
+    // The end of a task also proves that the answer to its start was lost.
+    if (!placed.answered) this.upstreamOf(placed.worker).onLoss(now);
+    const workload = `${placed.label.team}/${placed.label.workload}`;
+    const end = {worker: placed.worker, workload, failed, ranMs};
     this.health.recordEnd(end, now);
   }
 
-  private removeTask(name: string): PlacedTask | undefined {
-    const known = this.tasks.get(name);
-    this.tasks.delete(name);
-    this.unanswered.delete(name);
-    return known;
+  private removeTask(taskName: string): PlacedTask | undefined {
+    const placed = this.tasks.get(taskName);
+    this.tasks.delete(taskName);
+    this.unanswered.delete(taskName);
+    return placed;
   }
 
-  /** Drops what is known of workers that left the fleet. */
+  /** Removes the upstreams of workers that left the fleet. */
   private removeUnusedUpstreams(): void {
-    for (const name of this.upstreams.keys()) {
-      if (this.workers.get(name) === undefined) this.upstreams.delete(name);
+    for (const workerName of this.upstreams.keys()) {
+      if (this.workers.get(workerName) === undefined) {
+        this.upstreams.delete(workerName);
+      }
     }
   }
 
-  /** Drops tasks that were given up before their start was sent. */
+  /** Removes tasks that were abandoned before their start was sent. */
   private removeAbandonedTasks(now: clock.Milliseconds): void {
-    for (const name of this.unanswered) {
-      const known = this.tasks.get(name);
-      if (known?.worker.reservations().has(name) === true) continue;
-      this.recordNotRun(name, false, now);
+    for (const taskName of this.unanswered) {
+      const placed = this.tasks.get(taskName);
+      if (placed?.worker.reservations().has(taskName) === true) continue;
+      this.recordNotRun(taskName, false, now);
     }
   }
 
--- a/src/contracts/workload.ts
+++ b/src/contracts/workload.ts
@@ -1,28 +1,28 @@
 import type * as resources from '../machines/resources.js';
 
-/** The kinds of workload, each with a placement policy of its own. */
+/** Kind of a workload; each kind has its own placement policy. */
 export type WorkloadKind = 'service' | 'batch' | 'gang';
 
-/** How urgent a workload is; later entries go first. */
+/** Urgency levels of workloads, the least urgent first. */
 export const URGENCY_LEVELS = ['deferrable', 'normal', 'urgent'] as const;
 
-/** One of `URGENCIES`. */
+/** Urgency of a workload, one of `URGENCY_LEVELS`. */
 export type UrgencyLevel = (typeof URGENCY_LEVELS)[number];
 
-/** What a team states about one kind of its work. */
+/** Definition of one kind of work of a team. */
 export interface Workload {
   readonly name: string;
   readonly kind: WorkloadKind;
   readonly urgency: UrgencyLevel;
-  /** Value of one request in the currency of the cell; breaks ties. */
+  /** Value of one request in the currency of the cell; orders equal urgency. */
   readonly worth: number;
-  /** Whether running twice does no harm. */
+  /** Whether a task may safely run more than once. */
   readonly idempotent: boolean;
   /** Declared size of one task. */
   readonly size: resources.Resources;
   /** Declared run time of one task in milliseconds; 0 for services. */
   readonly runTimeMs: number;
-  /** Tasks of one request; the replicas of a service. */
+  /** Number of tasks of one request, or of replicas of a service. */
   readonly taskCount: number;
   /** Longest wait for a start in milliseconds; 0 means no deadline. */
   readonly startDeadlineMs: number;
