--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -58,7 +58,7 @@
   /** Sizes of unconstrained requests that could not be placed in this cycle. */
   readonly failedSizes: resources.Resources[];
   /** Queues whose head may not reserve capacity at present. */
-  readonly notEntitled: Set<teamQueue.WorkloadQueue>;
+  readonly notEntitledQueues: Set<teamQueue.WorkloadQueue>;
   failureCount: number;
 }
 
@@ -87,7 +87,7 @@
   /** Changes of the fleet's availability version by this scheduler itself. */
   private ownAvailabilityChanges = 0;
   private lastCycleVersion = -1;
-  private hasNewRequests = false;
+  private isCycleNeeded = false;
   private retryRound = 0;
 
   constructor(
@@ -151,14 +151,14 @@
     return requestAdmission.check(admitted, context, now).ifRight(() => {
       queue.push(admitted, now);
       this.shares.recordArrival(admitted.team, now);
-      this.hasNewRequests = true;
+      this.isCycleNeeded = true;
     });
   }
 
   /** Returns a request to its queue after proof that its start did not run. */
   requeue(returned: request.Request): void {
     this.queueOf(returned.team).putBack(returned);
-    this.hasNewRequests = true;
+    this.isCycleNeeded = true;
   }
 
   /** Removes a waiting request; returns false when it is not queued. */
@@ -236,25 +236,25 @@
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     this.pool.setTime(now);
     this.refresh(now);
-    if (!this.hasNewRequests && this.lastCycleVersion === this.retryVersion()) {
+    if (!this.isCycleNeeded && this.lastCycleVersion === this.retryVersion()) {
       return [];
     }
-    this.hasNewRequests = false;
+    this.isCycleNeeded = false;
     const cycle: SchedulingCycle = {
       now,
       retryVersion: this.retryVersion(),
       placements: [],
       failedSizes: [],
-      notEntitled: new Set(),
+      notEntitledQueues: new Set(),
       failureCount: 0,
     };
     const versionBefore = this.workers.availabilityVersion;
     this.placeReserved(cycle);
     this.placeInFairOrder(cycle);
-    // A cycle that hit the limit continues with the other queues; those that
-    // failed wait for the next round.
+    // After a cycle that hit the limit, the next one tries the other queues;
+    // those that failed wait for the next round.
     if (cycle.failureCount >= FAILED_PLACEMENT_LIMIT) {
-      this.hasNewRequests = true;
+      this.isCycleNeeded = true;
     } else {
       this.retryRound += 1;
     }
@@ -370,7 +370,7 @@
     if (workloadQueue.failedRetryRound === this.retryRound) return false;
     return (
       workloadQueue.blockedAtVersion !== cycle.retryVersion &&
-      !cycle.notEntitled.has(workloadQueue)
+      !cycle.notEntitledQueues.has(workloadQueue)
     );
   }
 
@@ -392,7 +392,7 @@
     if (outcome === 'noRoom') {
       this.handlePlacementFailure(pending, workloadQueue, cycle);
     }
-    if (outcome === 'notEntitled') cycle.notEntitled.add(workloadQueue);
+    if (outcome === 'notEntitled') cycle.notEntitledQueues.add(workloadQueue);
     candidate.weightedShare = this.shares.weightedShare(candidate.queue.team);
     candidate.isBorrowing = false;
   }
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -98,8 +98,8 @@
     this.tasks.set(taskName, {...placed, startedAt: now, answered: true});
     this.unanswered.delete(taskName);
     const calledUpstream = this.upstreamOf(placed.worker);
-    // A start that was recorded first also waited for the journal, so its latency
-    // does not measure the worker.
+    // A start that was recorded first also waited for the journal, so its
+    // latency does not measure the worker.
     if (placed.label.idempotent) {
       calledUpstream.onAnswer(now - placed.placedAt, now);
     } else {
--- a/test/contracts/lending_reserve_test.ts
+++ b/test/contracts/lending_reserve_test.ts
@@ -16,21 +16,27 @@
 }
 
 nodeTest.describe('lending reserve', () => {
-  nodeTest.test('steady demand keeps only the least reserve idle', () => {
+  nodeTest.test('steady demand keeps only the minimum reserve idle', () => {
     const reserve = reserveAfter(() => 0.6);
     assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS), 0.05);
   });
 
-  nodeTest.test('varying demand keeps more back, from long tasks only', () => {
-    const random = new randomSource.SeededRandom(5);
-    const reserve = reserveAfter(() => 0.5 + random.below(100) / 1_000);
-    const kept = reserve.fractionFor(LONG_RUN_TIME_MS);
-    assert.ok(kept > 0.1 && kept < 0.15, `${kept} is kept`);
-    assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS - 1), 0.05);
-  });
+  nodeTest.test(
+    'varying demand increases the reserve for long tasks only',
+    () => {
+      const random = new randomSource.SeededRandom(5);
+      const reserve = reserveAfter(() => 0.5 + random.below(100) / 1_000);
+      const kept = reserve.fractionFor(LONG_RUN_TIME_MS);
+      assert.ok(kept > 0.1 && kept < 0.15, `reserve fraction ${kept}`);
+      assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS - 1), 0.05);
+    },
+  );
 
-  nodeTest.test('demand out of all bounds never idles most of a fleet', () => {
-    const reserve = reserveAfter(step => (step % 10 < 5 ? 0 : 1));
-    assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS), 0.2);
-  });
+  nodeTest.test(
+    'extreme demand changes do not raise the reserve above its maximum',
+    () => {
+      const reserve = reserveAfter(step => (step % 10 < 5 ? 0 : 1));
+      assert.equal(reserve.fractionFor(LONG_RUN_TIME_MS), 0.2);
+    },
+  );
 });
--- a/test/contracts/policies_test.ts
+++ b/test/contracts/policies_test.ts
@@ -24,8 +24,8 @@
 
 const EIGHTH_OF_WORKER = schedulingHarness.buildResources(2_000, 4_096);
 
-nodeTest.describe('batch work', () => {
-  nodeTest.test('fills a worker before it opens another one', () => {
+nodeTest.describe('batch policy', () => {
+  nodeTest.test('a worker is filled before the next one is used', () => {
     const harness = harnessWith(8);
     harness.admit(
       'dispatch',
@@ -41,8 +41,8 @@
   });
 });
 
-nodeTest.describe('services', () => {
-  nodeTest.test('are spread evenly over racks', () => {
+nodeTest.describe('service policy', () => {
+  nodeTest.test('the tasks of a service are spread evenly over racks', () => {
     const harness = harnessWith(32);
     const watch = schedulingHarness.buildWorkload({
       kind: 'service',
@@ -57,7 +57,7 @@
   });
 
   nodeTest.test(
-    'never exceed the limit per rack, even when room is left',
+    'the rack limit holds even when workers have free capacity',
     () => {
       const harness = harnessWith(16);
       const watch = schedulingHarness.buildWorkload({
@@ -72,21 +72,30 @@
 });
 
 nodeTest.describe('constraints', () => {
-  nodeTest.test('tasks stay in the zones that their workload allows', () => {
-    const harness = harnessWith(4);
-    harness.addWorkers(1, schedulingHarness.STANDARD_WORKER_CAPACITY, 'huye-a');
-    const bound = schedulingHarness.buildWorkload({
-      size: EIGHTH_OF_WORKER,
-      zones: ['huye-a'],
-    });
-    harness.admit('dispatch', bound, 10, 0);
-    const placed = harness.scheduler.place(0);
-    assert.equal(placed.length, 8);
-    assert.ok(placed.every(item => item.worker.description.zone === 'huye-a'));
-  });
+  nodeTest.test(
+    'tasks are placed only in the zones that their workload allows',
+    () => {
+      const harness = harnessWith(4);
+      harness.addWorkers(
+        1,
+        schedulingHarness.STANDARD_WORKER_CAPACITY,
+        'huye-a',
+      );
+      const bound = schedulingHarness.buildWorkload({
+        size: EIGHTH_OF_WORKER,
+        zones: ['huye-a'],
+      });
+      harness.admit('dispatch', bound, 10, 0);
+      const placed = harness.scheduler.place(0);
+      assert.equal(placed.length, 8);
+      assert.ok(
+        placed.every(item => item.worker.description.zone === 'huye-a'),
+      );
+    },
+  );
 });
 
-nodeTest.describe('gangs', () => {
+nodeTest.describe('gang policy', () => {
   const GANG = schedulingHarness.buildWorkload({
     name: 'gang',
     kind: 'gang',
@@ -94,14 +103,14 @@
     taskCount: 16,
   });
 
-  nodeTest.test('hold nothing unless all of their tasks have room', () => {
+  nodeTest.test('a gang reserves nothing unless all of its tasks fit', () => {
     const harness = harnessWith(1);
     harness.admit('dispatch', GANG, 1, 0);
     assert.equal(harness.scheduler.place(0).length, 0);
     assert.equal(harness.fleet.all()[0].reservations().size, 0);
   });
 
-  nodeTest.test('respect the limit per rack', () => {
+  nodeTest.test('the rack limit applies to the tasks of a gang', () => {
     const harness = harnessWith(32);
     harness.admit('dispatch', {...GANG, maximumPerRack: 4}, 1, 0);
     const counts = countBy(
@@ -111,27 +120,30 @@
     assert.deepEqual(counts, [4, 4, 4, 4]);
   });
 
-  nodeTest.test('are not starved by a stream of small work', () => {
-    const harness = harnessWith(2);
-    harness.addTeam(schedulingHarness.buildTeam('other'));
-    const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    harness.admit('other', small, 200, 0);
-    const running = [...harness.scheduler.place(0)];
-    harness.admit('dispatch', GANG, 1, 0);
-    for (let now = 100; now <= 3_000; now += 100) {
-      const oldest = running.shift();
-      if (oldest !== undefined) harness.end(oldest, false, now);
-      const placed = harness.scheduler.place(now);
-      if (placed.some(item => item.request.workload.kind === 'gang')) {
-        assert.equal(placed.length, 16);
-        return;
+  nodeTest.test(
+    'a gang is not starved by small tasks that take each freed slot',
+    () => {
+      const harness = harnessWith(2);
+      harness.addTeam(schedulingHarness.buildTeam('other'));
+      const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
+      harness.admit('other', small, 200, 0);
+      const running = [...harness.scheduler.place(0)];
+      harness.admit('dispatch', GANG, 1, 0);
+      for (let now = 100; now <= 3_000; now += 100) {
+        const oldest = running.shift();
+        if (oldest !== undefined) harness.end(oldest, false, now);
+        const placed = harness.scheduler.place(now);
+        if (placed.some(item => item.request.workload.kind === 'gang')) {
+          assert.equal(placed.length, 16);
+          return;
+        }
+        running.push(...placed);
       }
-      running.push(...placed);
-    }
-    assert.fail('the gang did not start');
-  });
+      assert.fail('the gang did not start');
+    },
+  );
 
-  nodeTest.test('free earmarked room when they are cancelled', () => {
+  nodeTest.test('cancelling a gang releases its capacity reservation', () => {
     const harness = harnessWith(2);
     const small = schedulingHarness.buildWorkload({
       name: 'small',
--- a/test/contracts/replica_controller_test.ts
+++ b/test/contracts/replica_controller_test.ts
@@ -6,7 +6,7 @@
 
 const ZONES = ['huye-a', 'kigali-a', 'musanze-a'];
 
-/** A keeper of one zone whose requests are given identities by hand. */
+/** Controller of one zone; the harness assigns the requested identities. */
 class ReplicaControllerHarness {
   readonly controller: replicaController.ReplicaController;
   private readonly teams = new Map<string, team.Team>();
@@ -43,7 +43,7 @@
     this.teams.set('dispatch', configuredTeam);
   }
 
-  /** Carries out what the keeper asks for; returns the identities used. */
+  /** Records every requested replica; returns the identities assigned. */
   request(now: number): ReadonlyArray<string> {
     const used: string[] = [];
     for (const action of this.controller.update(now)) {
@@ -57,7 +57,7 @@
     return used;
   }
 
-  /** Requests what is missing and notes its start. */
+  /** Requests missing replicas and records their start. */
   start(now: number): ReadonlyArray<string> {
     const used = this.request(now);
     for (const identity of used) this.controller.recordStart(identity, now);
@@ -66,7 +66,7 @@
 }
 
 nodeTest.describe('number of replicas', () => {
-  nodeTest.test('zones share them out without a gap or an overlap', () => {
+  nodeTest.test('zones divide the replicas without a gap or an overlap', () => {
     const counts = ZONES.map(
       zone => new ReplicaControllerHarness(7, zone).request(0).length,
     );
@@ -74,7 +74,7 @@
   });
 
   nodeTest.test(
-    'a replica is requested once, however often it is asked',
+    'repeated updates do not request the same replica twice',
     () => {
       const harness = new ReplicaControllerHarness(6);
       assert.equal(harness.request(0).length, 2);
@@ -82,53 +82,65 @@
     },
   );
 
-  nodeTest.test('fewer configured replicas stop the highest numbers', () => {
-    const harness = new ReplicaControllerHarness(6);
-    const [, last] = harness.start(0);
-    harness.configure(3);
-    assert.deepEqual(harness.controller.update(1), [
-      {kind: 'stop', identity: last},
-    ]);
-  });
+  nodeTest.test(
+    'reducing the configured count stops the highest numbers',
+    () => {
+      const harness = new ReplicaControllerHarness(6);
+      const [, last] = harness.start(0);
+      harness.configure(3);
+      assert.deepEqual(harness.controller.update(1), [
+        {kind: 'stop', identity: last},
+      ]);
+    },
+  );
 });
 
 nodeTest.describe('replacement', () => {
-  nodeTest.test('a lost replica is replaced only after its lease', () => {
-    const harness = new ReplicaControllerHarness(3);
-    const [lost] = harness.start(0);
-    harness.controller.recordEnd(lost, 100_000, 130_000);
-    assert.equal(harness.request(129_999).length, 0);
-    assert.equal(harness.controller.nextDeadline(129_999), 130_000);
-    assert.equal(harness.request(130_000).length, 1);
-  });
+  nodeTest.test(
+    'a lost replica is replaced only after its lease has ended',
+    () => {
+      const harness = new ReplicaControllerHarness(3);
+      const [lost] = harness.start(0);
+      harness.controller.recordEnd(lost, 100_000, 130_000);
+      assert.equal(harness.request(129_999).length, 0);
+      assert.equal(harness.controller.nextDeadline(129_999), 130_000);
+      assert.equal(harness.request(130_000).length, 1);
+    },
+  );
 
-  nodeTest.test('a replica that keeps ending is started less and less', () => {
-    const harness = new ReplicaControllerHarness(3);
-    let starts = 0;
-    for (let now = 0; now < 300_000; now += 100) {
-      for (const identity of harness.start(now)) {
-        starts += 1;
-        harness.controller.recordEnd(identity, now);
+  nodeTest.test(
+    'a replica that keeps ending is restarted with growing backoff',
+    () => {
+      const harness = new ReplicaControllerHarness(3);
+      let starts = 0;
+      for (let now = 0; now < 300_000; now += 100) {
+        for (const identity of harness.start(now)) {
+          starts += 1;
+          harness.controller.recordEnd(identity, now);
+        }
       }
-    }
-    assert.ok(starts >= 8 && starts <= 12, `${starts} starts in 5 min`);
-  });
+      assert.ok(starts >= 8 && starts <= 12, `${starts} starts in 5 min`);
+    },
+  );
 });
 
 nodeTest.describe('moves', () => {
-  nodeTest.test('the old replica stops only once the new one runs', () => {
-    const harness = new ReplicaControllerHarness(3);
-    const [old] = harness.start(0);
-    assert.ok(harness.controller.requestMove(old));
-    const [successor] = harness.request(1);
-    assert.deepEqual(harness.controller.recordStart(successor, 2), [
-      {kind: 'stop', identity: old},
-    ]);
-    harness.controller.recordEnd(old, 3);
-    assert.equal(harness.request(4).length, 0);
-  });
+  nodeTest.test(
+    'the old replica is stopped only once its replacement runs',
+    () => {
+      const harness = new ReplicaControllerHarness(3);
+      const [old] = harness.start(0);
+      assert.ok(harness.controller.requestMove(old));
+      const [successor] = harness.request(1);
+      assert.deepEqual(harness.controller.recordStart(successor, 2), [
+        {kind: 'stop', identity: old},
+      ]);
+      harness.controller.recordEnd(old, 3);
+      assert.equal(harness.request(4).length, 0);
+    },
+  );
 
-  nodeTest.test('the replicas of a service move one at a time', () => {
+  nodeTest.test('only one replica of a service moves at a time', () => {
     const harness = new ReplicaControllerHarness(6);
     const [first, second] = harness.start(0);
     assert.ok(harness.controller.requestMove(first));
--- a/test/contracts/request_scheduler_test.ts
+++ b/test/contracts/request_scheduler_test.ts
@@ -8,7 +8,7 @@
 
 const SEED = 20_260_401;
 
-/** One slot's share of a worker, so that eight tasks fill it. */
+/** Size of a task such that eight of them fill a worker. */
 const EIGHTH_OF_WORKER = schedulingHarness.buildResources(2_000, 4_096);
 
 function countByTeam(
@@ -22,53 +22,61 @@
   return counts;
 }
 
-nodeTest.describe('shares', () => {
-  nodeTest.test('a flood of one team does not keep room from another', () => {
-    const harness = new schedulingHarness.SchedulingHarness();
-    harness.addWorkers(4);
-    harness.addTeam(schedulingHarness.buildTeam('flood'));
-    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    harness.admit('flood', described, 1_000, 0);
-    harness.admit('dispatch', described, 16, 0);
-    const counts = countByTeam(harness.scheduler.place(0));
-    assert.equal(counts.get('dispatch'), 16);
-    assert.equal(counts.get('flood'), 16);
-  });
+nodeTest.describe('fair shares', () => {
+  nodeTest.test(
+    'a flood of requests of one team does not block another team',
+    () => {
+      const harness = new schedulingHarness.SchedulingHarness();
+      harness.addWorkers(4);
+      harness.addTeam(schedulingHarness.buildTeam('flood'));
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const definition = schedulingHarness.buildWorkload({
+        size: EIGHTH_OF_WORKER,
+      });
+      harness.admit('flood', definition, 1_000, 0);
+      harness.admit('dispatch', definition, 16, 0);
+      const counts = countByTeam(harness.scheduler.place(0));
+      assert.equal(counts.get('dispatch'), 16);
+      assert.equal(counts.get('flood'), 16);
+    },
+  );
 
-  nodeTest.test('room is divided by weight while every team waits', () => {
-    fastCheck.assert(
-      fastCheck.property(
-        fastCheck.array(fastCheck.integer({min: 1, max: 4}), {
-          minLength: 2,
-          maxLength: 5,
-        }),
-        weights => {
-          const harness = new schedulingHarness.SchedulingHarness();
-          harness.addWorkers(20);
-          const described = schedulingHarness.buildWorkload({
-            size: EIGHTH_OF_WORKER,
-          });
-          weights.forEach((share, index) => {
-            harness.addTeam(
-              schedulingHarness.buildTeam(`team-${index}`, {share}),
-            );
-            harness.admit(`team-${index}`, described, 200, 0);
-          });
-          const counts = countByTeam(harness.scheduler.place(0));
-          const sum = weights.reduce((left, right) => left + right, 0);
-          weights.forEach((share, index) => {
-            const due = (160 * share) / sum;
-            const got = counts.get(`team-${index}`) ?? 0;
-            assert.ok(Math.abs(got - due) <= share + 1, `${got} of ${due}`);
-          });
-        },
-      ),
-      {seed: SEED, numRuns: 30},
-    );
-  });
+  nodeTest.test(
+    'capacity is divided by weight while every team has waiting work',
+    () => {
+      fastCheck.assert(
+        fastCheck.property(
+          fastCheck.array(fastCheck.integer({min: 1, max: 4}), {
+            minLength: 2,
+            maxLength: 5,
+          }),
+          weights => {
+            const harness = new schedulingHarness.SchedulingHarness();
+            harness.addWorkers(20);
+            const definition = schedulingHarness.buildWorkload({
+              size: EIGHTH_OF_WORKER,
+            });
+            weights.forEach((share, index) => {
+              harness.addTeam(
+                schedulingHarness.buildTeam(`team-${index}`, {share}),
+              );
+              harness.admit(`team-${index}`, definition, 200, 0);
+            });
+            const counts = countByTeam(harness.scheduler.place(0));
+            const sum = weights.reduce((left, right) => left + right, 0);
+            weights.forEach((share, index) => {
+              const due = (160 * share) / sum;
+              const got = counts.get(`team-${index}`) ?? 0;
+              assert.ok(Math.abs(got - due) <= share + 1, `${got} of ${due}`);
+            });
+          },
+        ),
+        {seed: SEED, numRuns: 30},
+      );
+    },
+  );
 
-  nodeTest.test('work that cannot be lent room stays within its quota', () => {
+  nodeTest.test('work that may not borrow stays within its quota', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     harness.addWorkers(2);
     const quota = schedulingHarness.buildResources(6_000, 1e6, 0, 100);
@@ -81,18 +89,23 @@
     assert.equal(harness.scheduler.place(0).length, 3);
   });
 
-  nodeTest.test('lent room is kept back for a team below its share', () => {
-    const harness = new schedulingHarness.SchedulingHarness();
-    harness.addWorkers(5);
-    harness.addTeam(schedulingHarness.buildTeam('flood'));
-    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    harness.admit('dispatch', described, 1, 0);
-    harness.admit('flood', described, 100, 0);
-    assert.equal(harness.scheduler.place(0).length, 38);
-    harness.admit('dispatch', described, 2, 1);
-    assert.equal(harness.scheduler.place(1).length, 2);
-  });
+  nodeTest.test(
+    'the lending reserve stays free for a team below its fair share',
+    () => {
+      const harness = new schedulingHarness.SchedulingHarness();
+      harness.addWorkers(5);
+      harness.addTeam(schedulingHarness.buildTeam('flood'));
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const definition = schedulingHarness.buildWorkload({
+        size: EIGHTH_OF_WORKER,
+      });
+      harness.admit('dispatch', definition, 1, 0);
+      harness.admit('flood', definition, 100, 0);
+      assert.equal(harness.scheduler.place(0).length, 38);
+      harness.admit('dispatch', definition, 2, 1);
+      assert.equal(harness.scheduler.place(1).length, 2);
+    },
+  );
 });
 
 nodeTest.describe('reclaiming', () => {
@@ -101,15 +114,17 @@
     harness.addWorkers(2);
     harness.addTeam(schedulingHarness.buildTeam('flood'));
     harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    harness.admit('flood', described, 100, 0);
+    const definition = schedulingHarness.buildWorkload({
+      size: EIGHTH_OF_WORKER,
+    });
+    harness.admit('flood', definition, 100, 0);
     harness.scheduler.place(0);
     return harness;
   }
 
   nodeTest.test(
-    'urgent work within its quota names a lent task to checkpoint and gets ' +
-      'the room of that task',
+    'urgent work within its quota has a borrowing task checkpointed and ' +
+      'receives the capacity of that task',
     () => {
       const harness = floodedHarness();
       const urgent = schedulingHarness.buildWorkload({
@@ -129,92 +144,107 @@
     },
   );
 
-  nodeTest.test('an urgent flood does not take more than its share', () => {
-    const harness = floodedHarness();
-    const urgent = schedulingHarness.buildWorkload({
-      urgency: 'urgent',
-      size: EIGHTH_OF_WORKER,
-    });
-    harness.admit('dispatch', urgent, 100, 10);
-    harness.scheduler.place(10);
-    const asked = harness.scheduler.takeInterventions();
-    assert.ok(asked.length <= 8, `${asked.length} tasks of 16 were named`);
-    assert.ok(asked.length >= 6, `${asked.length} tasks of 16 were named`);
-  });
+  nodeTest.test(
+    'a flood of urgent work reclaims no more than its fair share',
+    () => {
+      const harness = floodedHarness();
+      const urgent = schedulingHarness.buildWorkload({
+        urgency: 'urgent',
+        size: EIGHTH_OF_WORKER,
+      });
+      harness.admit('dispatch', urgent, 100, 10);
+      harness.scheduler.place(10);
+      const asked = harness.scheduler.takeInterventions();
+      assert.ok(
+        asked.length <= 8,
+        `${asked.length} tasks of 16 were checkpointed`,
+      );
+      assert.ok(
+        asked.length >= 6,
+        `${asked.length} tasks of 16 were checkpointed`,
+      );
+    },
+  );
 });
 
 nodeTest.describe('placement', () => {
-  nodeTest.test('no sequence of events overcommits a worker', () => {
-    const step = fastCheck.record({
-      processors: fastCheck.integer({min: 1, max: 20_000}),
-      memory: fastCheck.integer({min: 1, max: 40_000}),
-      count: fastCheck.integer({min: 1, max: 6}),
-      kind: fastCheck.constantFrom('batch', 'gang', 'service'),
-      urgent: fastCheck.boolean(),
-      ends: fastCheck.integer({min: 0, max: 5}),
-    });
-    fastCheck.assert(
-      fastCheck.property(fastCheck.array(step, {maxLength: 40}), steps => {
-        const harness = new schedulingHarness.SchedulingHarness();
-        const workers = harness.addWorkers(6);
-        const names = ['one', 'two'];
-        for (const name of names) {
-          harness.addTeam(schedulingHarness.buildTeam(name));
-        }
-        const running: placement.Placement[] = [];
-        steps.forEach((item, index) => {
-          const now = index * 150;
-          const described = schedulingHarness.buildWorkload({
-            kind: item.kind,
-            urgency: item.urgent ? 'urgent' : 'normal',
-            size: schedulingHarness.buildResources(
-              item.processors,
-              item.memory,
-            ),
-            taskCount: item.count,
-          });
-          harness.admit(names[index % 2], described, 2, now);
-          running.push(...harness.scheduler.place(now));
-          for (const asked of harness.scheduler.takeInterventions()) {
-            const found = running.findIndex(task => task.task === asked.task);
-            harness.end(running.splice(found, 1)[0], false, now);
-          }
-          for (const ended of running.splice(0, item.ends)) {
-            harness.end(ended, false, now);
-          }
-          for (const target of workers) {
-            assert.ok(resources.fits(resources.NONE, target.free));
+  nodeTest.test(
+    'no sequence of admissions and task ends overcommits a worker',
+    () => {
+      const step = fastCheck.record({
+        processors: fastCheck.integer({min: 1, max: 20_000}),
+        memory: fastCheck.integer({min: 1, max: 40_000}),
+        count: fastCheck.integer({min: 1, max: 6}),
+        kind: fastCheck.constantFrom('batch', 'gang', 'service'),
+        urgent: fastCheck.boolean(),
+        ends: fastCheck.integer({min: 0, max: 5}),
+      });
+      fastCheck.assert(
+        fastCheck.property(fastCheck.array(step, {maxLength: 40}), steps => {
+          const harness = new schedulingHarness.SchedulingHarness();
+          const workers = harness.addWorkers(6);
+          const names = ['one', 'two'];
+          for (const name of names) {
+            harness.addTeam(schedulingHarness.buildTeam(name));
           }
-        });
-        assert.deepEqual(harness.scheduler.takeViolations(), []);
-      }),
-      {seed: SEED, numRuns: 60},
-    );
-  });
+          const running: placement.Placement[] = [];
+          steps.forEach((item, index) => {
+            const now = index * 150;
+            const definition = schedulingHarness.buildWorkload({
+              kind: item.kind,
+              urgency: item.urgent ? 'urgent' : 'normal',
+              size: schedulingHarness.buildResources(
+                item.processors,
+                item.memory,
+              ),
+              taskCount: item.count,
+            });
+            harness.admit(names[index % 2], definition, 2, now);
+            running.push(...harness.scheduler.place(now));
+            for (const asked of harness.scheduler.takeInterventions()) {
+              const found = running.findIndex(task => task.task === asked.task);
+              harness.end(running.splice(found, 1)[0], false, now);
+            }
+            for (const ended of running.splice(0, item.ends)) {
+              harness.end(ended, false, now);
+            }
+            for (const target of workers) {
+              assert.ok(resources.fits(resources.NONE, target.free));
+            }
+          });
+          assert.deepEqual(harness.scheduler.takeViolations(), []);
+        }),
+        {seed: SEED, numRuns: 60},
+      );
+    },
+  );
 
-  nodeTest.test('large work at the head does not block small work', () => {
-    const harness = new schedulingHarness.SchedulingHarness();
-    harness.addWorkers(1);
-    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const large = schedulingHarness.buildWorkload({
-      name: 'large',
-      worth: 9,
-      size: schedulingHarness.buildResources(15_000, 1_024),
-    });
-    const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    harness.admit('dispatch', small, 1, 0);
-    harness.scheduler.place(0);
-    harness.admit('dispatch', large, 1, 1);
-    harness.admit('dispatch', small, 2, 1);
-    const placed = harness.scheduler.place(1);
-    assert.deepEqual(
-      placed.map(item => item.request.workload.name),
-      ['inspection', 'inspection'],
-    );
-  });
+  nodeTest.test(
+    'a large request at the head does not block requests that fit',
+    () => {
+      const harness = new schedulingHarness.SchedulingHarness();
+      harness.addWorkers(1);
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const large = schedulingHarness.buildWorkload({
+        name: 'large',
+        worth: 9,
+        size: schedulingHarness.buildResources(15_000, 1_024),
+      });
+      const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
+      harness.admit('dispatch', small, 1, 0);
+      harness.scheduler.place(0);
+      harness.admit('dispatch', large, 1, 1);
+      harness.admit('dispatch', small, 2, 1);
+      const placed = harness.scheduler.place(1);
+      assert.deepEqual(
+        placed.map(item => item.request.workload.name),
+        ['inspection', 'inspection'],
+      );
+    },
+  );
 
   nodeTest.test(
-    'a worker without a permit or on its way out is avoided',
+    'no task is placed on a leaving worker or one without a permit',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
       const [forbidden, leaving, good] = harness.addWorkers(3);
@@ -236,7 +266,7 @@
 
 nodeTest.describe('learned sizes', () => {
   nodeTest.test(
-    'sizes declared ten times too large stop wasting room after five tasks',
+    'five tasks suffice to correct sizes declared ten times too large',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
       const [machine] = harness.addWorkers(
@@ -244,12 +274,12 @@
         schedulingHarness.buildResources(16_000, 32_768, 0, 64),
       );
       harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-      const described = schedulingHarness.buildWorkload({
+      const definition = schedulingHarness.buildWorkload({
         size: schedulingHarness.buildResources(10_000, 20_480),
       });
       for (let index = 0; index < 5; index += 1) {
         const now = index * 1_000;
-        harness.admit('dispatch', described, 1, now);
+        harness.admit('dispatch', definition, 1, now);
         const [placed] = harness.scheduler.place(now);
         report(
           harness,
@@ -259,23 +289,23 @@
         );
         harness.end(placed, false, now + 500);
       }
-      harness.admit('dispatch', described, 20, 9_000);
+      harness.admit('dispatch', definition, 20, 9_000);
       assert.equal(harness.scheduler.place(9_000).length, 16);
       assert.equal(machine.overcommitted, false);
     },
   );
 
   nodeTest.test(
-    'usage above the reservation is reserved at once, and the excess of an ' +
-      'overcommitted worker is relieved step by step',
+    'usage above the reservation is reserved at once, and the task of an ' +
+      'overcommitted worker is throttled, checkpointed and then stopped',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
       const [machine] = harness.addWorkers(1);
       harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-      const described = schedulingHarness.buildWorkload({
+      const definition = schedulingHarness.buildWorkload({
         size: schedulingHarness.buildResources(8_000, 8_192),
       });
-      harness.admit('dispatch', described, 2, 0);
+      harness.admit('dispatch', definition, 2, 0);
       const [first] = harness.scheduler.place(0);
       const kinds: string[] = [];
       for (const now of [1_000, 7_000, 13_000]) {
@@ -318,64 +348,74 @@
   }
 });
 
-nodeTest.describe('tasks that this process did not place', () => {
-  nodeTest.test('adopted work can be reclaimed like placed work', () => {
+nodeTest.describe('adopted tasks', () => {
+  nodeTest.test('adopted tasks can be reclaimed like placed tasks', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     const [machine] = harness.addWorkers(1);
-    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
+    const definition = schedulingHarness.buildWorkload({
+      size: EIGHTH_OF_WORKER,
+    });
     harness.addTeam(
-      schedulingHarness.buildTeam('flood', {workloads: [described]}),
+      schedulingHarness.buildTeam('flood', {workloads: [definition]}),
     );
     harness.addTeam(schedulingHarness.buildTeam('dispatch'));
     for (let index = 0; index < 8; index += 1) {
-      const built = harness.buildRequest('flood', described, 0);
+      const built = harness.buildRequest('flood', definition, 0);
       const label = placementPolicy.buildTaskLabel(built);
       const task = `${built.identity}/0.1`;
       machine.adopt({task, label, size: EIGHTH_OF_WORKER});
       const reference = {task, label, worker: machine.name};
       harness.scheduler.observeOutcome({kind: 'adopted', reference}, 0);
     }
-    const urgent = {...described, urgency: 'urgent' as const};
+    const urgent = {...definition, urgency: 'urgent' as const};
     harness.admit('dispatch', urgent, 1, 1);
     harness.scheduler.place(1);
     assert.equal(harness.scheduler.takeInterventions()[0].kind, 'checkpoint');
   });
 });
 
-nodeTest.describe('tasks that come back', () => {
-  nodeTest.test('tasks of one request wait together, each once', () => {
-    const harness = new schedulingHarness.SchedulingHarness();
-    harness.addWorkers(2);
-    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const watch = schedulingHarness.buildWorkload({
-      kind: 'service',
-      size: EIGHTH_OF_WORKER,
-    });
-    const lost = harness.buildRequest('dispatch', watch, 0);
-    for (let task = 0; task < 3; task += 1) harness.scheduler.requeue(lost);
-    assert.equal(harness.scheduler.place(0).length, 3);
-    assert.equal(harness.scheduler.waitingCount(), 0);
-  });
+nodeTest.describe('requeued tasks', () => {
+  nodeTest.test(
+    'tasks of one request that return one by one are placed once each',
+    () => {
+      const harness = new schedulingHarness.SchedulingHarness();
+      harness.addWorkers(2);
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const watch = schedulingHarness.buildWorkload({
+        kind: 'service',
+        size: EIGHTH_OF_WORKER,
+      });
+      const lost = harness.buildRequest('dispatch', watch, 0);
+      for (let task = 0; task < 3; task += 1) harness.scheduler.requeue(lost);
+      assert.equal(harness.scheduler.place(0).length, 3);
+      assert.equal(harness.scheduler.waitingCount(), 0);
+    },
+  );
 
-  nodeTest.test('starts given up before they were sent free the worker', () => {
-    const harness = new schedulingHarness.SchedulingHarness();
-    harness.addWorkers(1);
-    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const described = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
-    harness.admit('dispatch', described, 8, 0);
-    for (let round = 0; round < 20; round += 1) {
-      const placed = harness.scheduler.place(round * 200);
-      assert.equal(placed.length, 8, `round ${round}`);
-      for (const given of placed) {
-        given.worker.release(given.task);
-        harness.scheduler.requeue(given.request);
+  nodeTest.test(
+    'starts abandoned before they were sent do not block the worker',
+    () => {
+      const harness = new schedulingHarness.SchedulingHarness();
+      harness.addWorkers(1);
+      harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+      const definition = schedulingHarness.buildWorkload({
+        size: EIGHTH_OF_WORKER,
+      });
+      harness.admit('dispatch', definition, 8, 0);
+      for (let round = 0; round < 20; round += 1) {
+        const placed = harness.scheduler.place(round * 200);
+        assert.equal(placed.length, 8, `round ${round}`);
+        for (const given of placed) {
+          given.worker.release(given.task);
+          harness.scheduler.requeue(given.request);
+        }
       }
-    }
-  });
+    },
+  );
 });
 
-nodeTest.describe('many kinds of work without room', () => {
-  nodeTest.test('do not keep work that has room from its turn', () => {
+nodeTest.describe('many workloads that cannot be placed', () => {
+  nodeTest.test('do not prevent the placement of a request that fits', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     harness.addWorkers(1);
     harness.addTeam(schedulingHarness.buildTeam('dispatch'));
@@ -394,10 +434,13 @@
       harness.admit('dispatch', large, 1, 1);
     }
     harness.admit('dispatch', small, 1, 1);
-    let turns = 1;
-    while (harness.scheduler.place(turns).length === 0) {
-      turns += 1;
-      assert.ok(turns < 20, 'the small task found no turn');
+    let cycleCount = 1;
+    while (harness.scheduler.place(cycleCount).length === 0) {
+      cycleCount += 1;
+      assert.ok(
+        cycleCount < 20,
+        'the small task was not placed within 20 cycles',
+      );
     }
   });
 });
--- a/test/contracts/team_queue_test.ts
+++ b/test/contracts/team_queue_test.ts
@@ -31,22 +31,25 @@
   urgency: 'urgent',
 });
 
-nodeTest.describe('order in a team', () => {
-  nodeTest.test('urgency goes before worth, and worth before arrival', () => {
-    const queue = new teamQueue.TeamQueue('dispatch');
-    const first = add(queue, NORMAL, 0);
-    const second = add(queue, WORTHY, 1);
-    const third = add(queue, URGENT, 2);
-    const order = [3, 3, 3].map(now => takeNext(queue, now));
-    assert.deepEqual(
-      order,
-      [third, second, first].map(item => item.identity),
-    );
-  });
+nodeTest.describe('order within a team', () => {
+  nodeTest.test(
+    'requests are ordered by urgency, then worth, then arrival',
+    () => {
+      const queue = new teamQueue.TeamQueue('dispatch');
+      const first = add(queue, NORMAL, 0);
+      const second = add(queue, WORTHY, 1);
+      const third = add(queue, URGENT, 2);
+      const order = [3, 3, 3].map(now => takeNext(queue, now));
+      assert.deepEqual(
+        order,
+        [third, second, first].map(item => item.identity),
+      );
+    },
+  );
 
   nodeTest.test(
-    'a request past the starvation bound goes first, yet urgent work still ' +
-      'gets every second place',
+    'a request past the starvation bound goes first, but urgent requests ' +
+      'still get every second placement',
     () => {
       const queue = new teamQueue.TeamQueue('dispatch');
       const old = [0, 1, 2].map(now => add(queue, NORMAL, now));
@@ -60,32 +63,38 @@
     },
   );
 
-  nodeTest.test('a request put back keeps its place before later ones', () => {
-    const queue = new teamQueue.TeamQueue('dispatch');
-    const first = add(queue, NORMAL, 0);
-    add(queue, NORMAL, 1);
-    takeNext(queue, 2);
-    queue.putBack(first);
-    assert.equal(takeNext(queue, 3), first.identity);
-  });
+  nodeTest.test(
+    'a returned request stays ahead of requests that arrived later',
+    () => {
+      const queue = new teamQueue.TeamQueue('dispatch');
+      const first = add(queue, NORMAL, 0);
+      add(queue, NORMAL, 1);
+      takeNext(queue, 2);
+      queue.putBack(first);
+      assert.equal(takeNext(queue, 3), first.identity);
+    },
+  );
 });
 
-nodeTest.describe('leaving a queue', () => {
-  nodeTest.test('a wave of cancellations leaves the others in order', () => {
-    const queue = new teamQueue.TeamQueue('dispatch');
-    const all = Array.from({length: 2_000}, (_, now) =>
-      add(queue, NORMAL, now),
-    );
-    for (const item of all.slice(0, 1_990)) queue.remove(item.identity);
-    assert.equal(queue.size, 10);
-    const rest = all.slice(1_990).map(() => takeNext(queue, 3_000));
-    assert.deepEqual(
-      rest,
-      all.slice(1_990).map(item => item.identity),
-    );
-  });
+nodeTest.describe('removal from a queue', () => {
+  nodeTest.test(
+    'removing many cancelled requests keeps the order of the others',
+    () => {
+      const queue = new teamQueue.TeamQueue('dispatch');
+      const all = Array.from({length: 2_000}, (_, now) =>
+        add(queue, NORMAL, now),
+      );
+      for (const item of all.slice(0, 1_990)) queue.remove(item.identity);
+      assert.equal(queue.size, 10);
+      const rest = all.slice(1_990).map(() => takeNext(queue, 3_000));
+      assert.deepEqual(
+        rest,
+        all.slice(1_990).map(item => item.identity),
+      );
+    },
+  );
 
-  nodeTest.test('only requests whose latest start has passed expire', () => {
+  nodeTest.test('only requests whose start deadline has passed expire', () => {
     const queue = new teamQueue.TeamQueue('dispatch');
     const late = add(queue, NORMAL, 0, {startBy: 50});
     add(queue, NORMAL, 0, {startBy: 150});
--- a/test/support/contract_samples.ts
+++ b/test/support/contract_samples.ts
@@ -3,7 +3,7 @@
 import type * as task from '../../src/contracts/task.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-/** Size of one sample task. */
+/** Size of a sample task; `buildReport` has capacity for eight. */
 export const SAMPLE_TASK_SIZE: resources.Resources = {
   processors: 1000,
   memory: 1024,
@@ -11,7 +11,7 @@
   slots: 1,
 };
 
-/** Builds a workload; it is a non-idempotent order unless changed. */
+/** Builds a workload, a non-idempotent batch order unless changed. */
 export function buildWorkload(
   change: Partial<workload.Workload> = {},
 ): workload.Workload {
@@ -50,7 +50,7 @@
   };
 }
 
-/** Builds a row of a worker's report. */
+/** Builds the report of one task for `buildReport`. */
 export function buildTaskReport(
   name: string,
   identity: string,
@@ -74,7 +74,7 @@
   };
 }
 
-/** Builds a report of worker `worker-1` with room for eight sample tasks. */
+/** Builds a report of `worker-1`, which fits eight sample tasks. */
 export function buildReport(
   workerClock: number,
   tasks: ReadonlyArray<task.TaskReport> = [],
--- a/test/support/scheduling_harness.ts
+++ b/test/support/scheduling_harness.ts
@@ -12,7 +12,7 @@
 import type * as worker from '../../src/machines/worker.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-/** Builds a quantity; one slot unless stated. */
+/** Builds a quantity of resources with one slot by default. */
 export function buildResources(
   processors: number,
   memory: number,
@@ -22,10 +22,10 @@
   return {processors, memory, accelerators, slots};
 }
 
-/** A worker of the Authority: 16 cores, 32 GB, 8 slots. */
+/** Capacity of the workers by default: 16 cores, 32 GB, 8 slots. */
 export const STANDARD_WORKER_CAPACITY = buildResources(16_000, 32_768, 0, 8);
 
-/** Builds a workload that differs from a plain batch one in `changes`. */
+/** Builds an idempotent batch workload with `changes` applied. */
 export function buildWorkload(
   changes: Partial<workload.Workload> = {},
 ): workload.Workload {
@@ -45,7 +45,7 @@
   };
 }
 
-/** Builds a team whose quota is far above what tests use. */
+/** Builds a team whose quota and queue limit exceed what tests need. */
 export function buildTeam(
   name: string,
   changes: Partial<team.Team> = {},
@@ -61,7 +61,7 @@
   };
 }
 
-/** A scheduler with its fleet and configuration, driven by hand. */
+/** Scheduler with its fleet and configuration, under control of a test. */
 export class SchedulingHarness {
   readonly fleet: fleet.Fleet;
   readonly scheduler: requestScheduler.RequestScheduler;
@@ -79,22 +79,22 @@
     );
   }
 
-  /** Puts a team in force. */
+  /** Adds a team to the configuration. */
   addTeam(added: team.Team): void {
     this.teams.set(added.name, added);
   }
 
-  /** Puts the plan of the fleet in force. */
+  /** Sets the fleet plan of the configuration. */
   setPlan(plan: configuration.FleetPlan): void {
     this.plan = plan;
   }
 
-  /** Takes the permit for a worker away. */
+  /** Revokes the permit to place on a worker. */
   denyPlacement(name: string): void {
     this.forbiddenWorkers.add(name);
   }
 
-  /** Adds workers of one capacity, eight to a rack. */
+  /** Adds workers of the same capacity, eight in each rack. */
   addWorkers(
     count: number,
     capacity: resources.Resources = STANDARD_WORKER_CAPACITY,
@@ -121,7 +121,7 @@
     return added;
   }
 
-  /** Builds a request of a team. */
+  /** Builds a request of a team with a new identity. */
   buildRequest(
     teamName: string,
     definition: workload.Workload,
@@ -143,7 +143,7 @@
     };
   }
 
-  /** Admits a number of equal requests; returns those that were admitted. */
+  /** Submits `count` equal requests; returns those that were admitted. */
   admit(
     teamName: string,
     definition: workload.Workload,
@@ -158,7 +158,7 @@
     return admitted;
   }
 
-  /** Notes that a start was acknowledged. */
+  /** Reports an acknowledged start to the scheduler. */
   start(placed: placement.Placement, now: clock.Milliseconds): void {
     this.scheduler.observeOutcome(
       {kind: 'started', reference: referenceOf(placed)},
@@ -166,7 +166,7 @@
     );
   }
 
-  /** Ends a task as its worker would. */
+  /** Reports a finished or failed task and releases its reservation. */
   end(
     placed: placement.Placement,
     failed: boolean,
@@ -175,7 +175,7 @@
     this.finish(placed, failed ? 'failed' : 'finished', now);
   }
 
-  /** Ends a task because it was asked to make a checkpoint. */
+  /** Reports a checkpointed task and releases its reservation. */
   checkpoint(placed: placement.Placement, now: clock.Milliseconds): void {
     this.finish(placed, 'checkpointed', now);
   }
