--- a/src/contracts/capacity_reservation_table.ts
+++ b/src/contracts/capacity_reservation_table.ts
@@ -33,7 +33,7 @@
 export interface ReservationPlanningView {
   workers(): ReadonlyArray<worker.Worker>;
   mayPlace(candidate: worker.Worker): boolean;
-  /** Whether a task runs until it is stopped, as services do. */
+  /** Returns whether a task runs until it is stopped, as services do. */
   runsUntilStopped(label: task.TaskLabel): boolean;
 }
 
@@ -60,7 +60,7 @@
     return this.reservations.size;
   }
 
-  /** Whether a request has a reservation. */
+  /** Returns whether a request has a reservation. */
   has(identity: string): boolean {
     return this.reservations.has(identity);
   }
@@ -194,7 +194,7 @@
   }
 }
 
-/** Whether all reserved capacity is free now. */
+/** Returns whether all reserved capacity is free now. */
 export function isAvailable(reservation: CapacityReservation): boolean {
   for (const [target, count] of reservation.taskCounts) {
     if (!target.ready) return false;
--- a/src/contracts/fair_share_calculator.ts
+++ b/src/contracts/fair_share_calculator.ts
@@ -87,7 +87,7 @@
     );
   }
 
-  /** Whether a team would stay within its quota with `additional`. */
+  /** Returns whether a team would stay within its quota with `additional`. */
   isWithinQuota(teamName: string, additional: resources.Resources): boolean {
     const quota = this.teams.team(teamName)?.quota;
     if (quota === undefined) return false;
@@ -103,8 +103,8 @@
   }
 
   /**
-   * Whether a team holds capacity that others may reclaim: more than its quota
-   * or more than its fair share, not counting `releasing`.
+   * Returns whether a team holds capacity that others may reclaim: more than
+   * its quota or more than its fair share, not counting `releasing`.
    */
   hasReclaimableCapacity(
     teamName: string,
@@ -143,7 +143,7 @@
     return resources.dominantShare(size, this.usage.capacity);
   }
 
-  /** Whether a request may reserve capacity now, in its quota or borrowed. */
+  /** Returns whether a request may reserve or borrow capacity now. */
   isEntitled(
     candidate: request.Request,
     size: resources.Resources,
@@ -157,7 +157,7 @@
     return !this.depletesReserve(candidate.team, totalSize, reserveFraction);
   }
 
-  /** Whether capacity for a team above its fair share would use the reserve. */
+  /** Returns whether a team above its fair share would use up the reserve. */
   private depletesReserve(
     teamName: string,
     additional: resources.Resources,
@@ -188,7 +188,7 @@
     return demand;
   }
 
-  /** Whether an active team besides `excludedTeam` is below its fair share. */
+  /** Returns whether an active team but `excludedTeam` is below fair share. */
   private isAnyBelowFairShare(excludedTeam: string): boolean {
     for (const teamName of this.lastArrivals.keys()) {
       if (teamName === excludedTeam) continue;
@@ -209,8 +209,9 @@
 }
 
 /**
- * Whether a workload may use capacity beyond its team's quota. Lent capacity is
- * reclaimed, so only workloads that can be checkpointed and placed again may.
+ * Returns whether a workload may use capacity beyond its team's quota. Lent
+ * capacity is reclaimed, so only workloads that can be checkpointed and placed
+ * again may.
  */
 export function mayBorrow(definition: workload.Workload): boolean {
   return (
--- a/src/contracts/placement_policy.ts
+++ b/src/contracts/placement_policy.ts
@@ -57,7 +57,7 @@
     return this.taskCountsByRack.get(rack) ?? 0;
   }
 
-  /** Whether zones and rack limit allow another task on a worker. */
+  /** Returns whether zones and rack limit allow another task on a worker. */
   allows(candidate: worker.Worker): boolean {
     const {zones, maximumPerRack} = this.pending.request.workload;
     if (zones.length > 0 && !zones.includes(candidate.description.zone)) {
--- a/src/contracts/reclaimable_task_table.ts
+++ b/src/contracts/reclaimable_task_table.ts
@@ -191,7 +191,10 @@
     return {worker: target, tasks: chosen};
   }
 
-  /** Whether a team holds reclaimable capacity and more than the claimant. */
+  /**
+   * Returns whether capacity of a team may be reclaimed for a claim: the team
+   * must keep a larger weighted share than the claimant obtains.
+   */
   private mayReclaimFrom(team: string, claim: CapacityClaim): boolean {
     if (team === claim.pending.request.team) return false;
     const releasing = this.releasingOf(team);
--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -539,7 +539,7 @@
   return lowestIndex;
 }
 
-/** Whether a request is restricted by nothing but its size. */
+/** Returns whether a request is restricted by nothing but its size. */
 function isUnconstrained(waiting: request.Request): boolean {
   const {workload: definition, taskCount} = waiting;
   return (
--- a/src/contracts/team_queue.ts
+++ b/src/contracts/team_queue.ts
@@ -264,7 +264,7 @@
   }
 }
 
-/** Whether a request has waited for at least the starvation bound. */
+/** Returns whether a request has waited for at least the starvation bound. */
 export function isStarving(
   waiting: request.Request,
   now: clock.Milliseconds,
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -57,7 +57,7 @@
     return this.health.nextDeadline();
   }
 
-  /** Whether a task may be placed on a worker now. */
+  /** Returns whether a task may be placed on a worker now. */
   mayPlace(candidate: worker.Worker): boolean {
     return (
       this.permission.mayPlace(candidate.name, this.now) &&
--- a/test/contracts/request_admission_test.ts
+++ b/test/contracts/request_admission_test.ts
@@ -120,7 +120,7 @@
     'a request is refused when it would start after its deadline',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
-      const machine = harness.addWorkers(
+      const target = harness.addWorkers(
         1,
         schedulingHarness.buildResources(1_000, 1_024),
       )[0];
@@ -128,8 +128,8 @@
       const definition = schedulingHarness.buildWorkload();
       harness.admit('dispatch', definition, 40, 0);
       for (let now = 0; now < 20_000; now += 1_000) {
-        for (const task of [...machine.reservations().keys()]) {
-          machine.release(task);
+        for (const task of [...target.reservations().keys()]) {
+          target.release(task);
         }
         harness.scheduler.place(now);
       }
--- a/test/contracts/request_scheduler_test.ts
+++ b/test/contracts/request_scheduler_test.ts
@@ -134,13 +134,13 @@
       });
       harness.admit('dispatch', urgent, 1, 10);
       assert.equal(harness.scheduler.place(10).length, 0);
-      const [asked, ...more] = harness.scheduler.takeInterventions();
-      assert.equal(asked.kind, 'checkpoint');
+      const [intervention, ...more] = harness.scheduler.takeInterventions();
+      assert.equal(intervention.kind, 'checkpoint');
       assert.equal(more.length, 0);
-      asked.worker.release(asked.task);
+      intervention.worker.release(intervention.task);
       const [placed] = harness.scheduler.place(20);
       assert.equal(placed.request.team, 'dispatch');
-      assert.equal(placed.worker, asked.worker);
+      assert.equal(placed.worker, intervention.worker);
     },
   );
 
@@ -154,14 +154,14 @@
       });
       harness.admit('dispatch', urgent, 100, 10);
       harness.scheduler.place(10);
-      const asked = harness.scheduler.takeInterventions();
+      const interventions = harness.scheduler.takeInterventions();
       assert.ok(
-        asked.length <= 8,
-        `${asked.length} tasks of 16 were checkpointed`,
+        interventions.length <= 8,
+        `${interventions.length} tasks of 16 were checkpointed`,
       );
       assert.ok(
-        asked.length >= 6,
-        `${asked.length} tasks of 16 were checkpointed`,
+        interventions.length >= 6,
+        `${interventions.length} tasks of 16 were checkpointed`,
       );
     },
   );
@@ -201,8 +201,10 @@
             });
             harness.admit(names[index % 2], definition, 2, now);
             running.push(...harness.scheduler.place(now));
-            for (const asked of harness.scheduler.takeInterventions()) {
-              const found = running.findIndex(task => task.task === asked.task);
+            for (const intervention of harness.scheduler.takeInterventions()) {
+              const found = running.findIndex(
+                task => task.task === intervention.task,
+              );
               harness.end(running.splice(found, 1)[0], false, now);
             }
             for (const ended of running.splice(0, item.ends)) {
@@ -247,8 +249,8 @@
     'no task is placed on a leaving worker or one without a permit',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
-      const [forbidden, leaving, good] = harness.addWorkers(3);
-      harness.denyPlacement(forbidden.name);
+      const [withoutPermit, leaving, available] = harness.addWorkers(3);
+      harness.denyPlacement(withoutPermit.name);
       leaving.markLeaving();
       harness.addTeam(schedulingHarness.buildTeam('dispatch'));
       harness.admit(
@@ -259,7 +261,7 @@
       );
       const placed = harness.scheduler.place(0);
       assert.equal(placed.length, 8);
-      assert.ok(placed.every(item => item.worker === good));
+      assert.ok(placed.every(item => item.worker === available));
     },
   );
 });
@@ -269,7 +271,7 @@
     'five tasks suffice to correct sizes declared ten times too large',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
-      const [machine] = harness.addWorkers(
+      const [target] = harness.addWorkers(
         1,
         schedulingHarness.buildResources(16_000, 32_768, 0, 64),
       );
@@ -291,7 +293,7 @@
       }
       harness.admit('dispatch', definition, 20, 9_000);
       assert.equal(harness.scheduler.place(9_000).length, 16);
-      assert.equal(machine.overcommitted, false);
+      assert.equal(target.overcommitted, false);
     },
   );
 
@@ -300,7 +302,7 @@
       'overcommitted worker is throttled, checkpointed and then stopped',
     () => {
       const harness = new schedulingHarness.SchedulingHarness();
-      const [machine] = harness.addWorkers(1);
+      const [target] = harness.addWorkers(1);
       harness.addTeam(schedulingHarness.buildTeam('dispatch'));
       const definition = schedulingHarness.buildWorkload({
         size: schedulingHarness.buildResources(8_000, 8_192),
@@ -315,12 +317,12 @@
           schedulingHarness.buildResources(8_000, 30_000),
           now,
         );
-        for (const asked of harness.scheduler.takeInterventions()) {
-          kinds.push(asked.kind);
+        for (const intervention of harness.scheduler.takeInterventions()) {
+          kinds.push(intervention.kind);
         }
       }
       assert.deepEqual(kinds, ['throttle', 'checkpoint', 'stop']);
-      assert.equal(machine.overcommitted, true);
+      assert.equal(target.overcommitted, true);
       assert.equal(harness.scheduler.takeViolations()[0].cause, 'resize');
     },
   );
@@ -351,7 +353,7 @@
 nodeTest.describe('adopted tasks', () => {
   nodeTest.test('adopted tasks can be reclaimed like placed tasks', () => {
     const harness = new schedulingHarness.SchedulingHarness();
-    const [machine] = harness.addWorkers(1);
+    const [target] = harness.addWorkers(1);
     const definition = schedulingHarness.buildWorkload({
       size: EIGHTH_OF_WORKER,
     });
@@ -363,8 +365,8 @@
       const built = harness.buildRequest('flood', definition, 0);
       const label = placementPolicy.buildTaskLabel(built);
       const task = `${built.identity}/0.1`;
-      machine.adopt({task, label, size: EIGHTH_OF_WORKER});
-      const reference = {task, label, worker: machine.name};
+      target.adopt({task, label, size: EIGHTH_OF_WORKER});
+      const reference = {task, label, worker: target.name};
       harness.scheduler.observeOutcome({kind: 'adopted', reference}, 0);
     }
     const urgent = {...definition, urgency: 'urgent' as const};
@@ -405,9 +407,9 @@
       for (let round = 0; round < 20; round += 1) {
         const placed = harness.scheduler.place(round * 200);
         assert.equal(placed.length, 8, `round ${round}`);
-        for (const given of placed) {
-          given.worker.release(given.task);
-          harness.scheduler.requeue(given.request);
+        for (const abandoned of placed) {
+          abandoned.worker.release(abandoned.task);
+          harness.scheduler.requeue(abandoned.request);
         }
       }
     },
