--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -5,44 +5,44 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerClient from '../machines/worker_client.js';
 
-/** Hears what became of orders. */
+/** Receives the outcomes of commands. */
 export interface DispatchListener {
-  /** The worker obeys a later term. */
-  superseded(): void;
-  /** The worker at this address lives another life. */
-  incarnationEnded(worker: remoteWorker.RemoteWorker): void;
-  /** A start was surely not carried out, so that the task waits again. */
+  /** A worker rejected a command because it follows a later term. */
+  termSuperseded(): void;
+  /** Another incarnation answered at the worker's address. */
+  workerReplaced(worker: remoteWorker.RemoteWorker): void;
+  /** A start was definitely not carried out; the task waits again. */
   startRejected(
     assignment: jobTask.Assignment,
-    why: workerClient.RejectionReason,
+    reason: workerClient.RejectionReason,
   ): void;
-  /** A run was confirmed by its worker. */
-  started(assignment: jobTask.Assignment): void;
+  /** The worker confirmed a start. */
+  startConfirmed(assignment: jobTask.Assignment): void;
 }
 
-/** Pause before an order without an answer is repeated. */
-const ORDER_RETRY_INTERVAL_MS = 400;
+/** Time after which an unanswered command is sent again. */
+const COMMAND_RETRY_INTERVAL_MS = 400;
 
-/** Repeats of a start that follow at once. */
+/** Retries of a start that are sent without a delay. */
 const FAST_RETRIES = 3;
 
-/** Starts without an answer after which the run is stopped instead. */
+/** Age at which an unanswered start is no longer retried but stopped. */
 const START_TIMEOUT_MS = 2_000;
 
-/** Orders starts and stops and follows each until its outcome is certain. */
+/** Sends start and stop commands, each until its outcome is known. */
 export class Dispatcher {
   constructor(
-    private readonly calls: workerClient.WorkerClient,
+    private readonly workerClient: workerClient.WorkerClient,
     private readonly index: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
     private readonly fencingToken: number,
     private readonly leaseMs: number,
-    /** Tells whether leases may be granted; each start grants one. */
+    /** Returns whether leases may be granted; each start grants one. */
     private readonly mayGrantLeases: () => boolean,
     private readonly listener: DispatchListener,
   ) {}
 
-  /** Starts a run of a task; its room is taken at once. */
+  /** Starts a run of a task and reserves its resources at once. */
   start(
     task: jobTask.JobTask,
     selected: workerSelection.SelectedWorker,
@@ -57,19 +57,19 @@
     return assignment;
   }
 
-  /** Stops a run; its room stays taken until the end is listed. */
+  /** Stops a run; its resources stay reserved until its end is reported. */
   stop(assignment: jobTask.Assignment): void {
     if (assignment.phase === 'stopping') return;
     assignment.phase = 'stopping';
     this.sendStop(assignment);
   }
 
-  /** Repeats orders that got no answer. */
-  retryOrders(): void {
+  /** Retries unanswered commands that are due. */
+  retryCommands(): void {
     const now = this.clock.now();
     for (const assignment of this.index.all()) {
-      if (assignment.orderInFlight || assignment.worker.unreachable) continue;
-      if (now - assignment.lastOrderAt < ORDER_RETRY_INTERVAL_MS) continue;
+      if (assignment.commandInFlight || assignment.worker.unreachable) continue;
+      if (now - assignment.lastCommandAt < COMMAND_RETRY_INTERVAL_MS) continue;
       const stopConfirmed = assignment.stopConfirmedAt < Infinity;
       if (assignment.phase === 'stopping' && !stopConfirmed) {
         this.sendStop(assignment);
@@ -83,11 +83,11 @@
     }
   }
 
-  /** Sets the share of its processors at which a run works. */
+  /** Limits a run to a percentage of its processors. */
   throttle(assignment: jobTask.Assignment, percent: number): void {
     assignment.processorPercent = percent;
     const {worker} = assignment;
-    void this.calls.throttle(
+    void this.workerClient.throttle(
       worker.entry,
       assignment,
       percent,
@@ -97,7 +97,7 @@
 
   private sendStart(assignment: jobTask.Assignment): void {
     const {jobTask: task, worker, run, ticket} = assignment;
-    // The run may have been given up since its last order.
+    // The run may have been released since its last command.
     if (!this.mayGrantLeases() || !this.index.runsOn(worker).has(assignment)) {
       return;
     }
@@ -105,7 +105,7 @@
     const deadlineMs = worker.extendLease(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
-    const order = {
+    const command = {
       task: task.name,
       run,
       payload: task.step.owner.definition.payload,
@@ -114,8 +114,8 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    void this.calls
-      .start(worker.entry, order)
+    void this.workerClient
+      .start(worker.entry, command)
       .then(outcome => this.handleStartOutcome(assignment, outcome));
   }
 
@@ -123,22 +123,22 @@
     assignment: jobTask.Assignment,
     outcome: workerClient.CommandOutcome,
   ): void {
-    assignment.orderInFlight = false;
+    assignment.commandInFlight = false;
     if (outcome.kind === 'unanswered') {
       this.retryStart(assignment);
       return;
     }
     if (outcome.kind === 'done') {
       if (assignment.phase === 'starting') assignment.phase = 'running';
-      this.listener.started(assignment);
+      this.listener.startConfirmed(assignment);
       return;
     }
     switch (outcome.reason) {
       case 'superseded':
-        this.listener.superseded();
+        this.listener.termSuperseded();
         return;
       case 'otherLife':
-        this.listener.incarnationEnded(assignment.worker);
+        this.listener.workerReplaced(assignment.worker);
         return;
       default:
         this.handleStartRejection(assignment, outcome.reason);
@@ -147,19 +147,19 @@
 
   private handleStartRejection(
     assignment: jobTask.Assignment,
-    why: workerClient.RejectionReason,
+    reason: workerClient.RejectionReason,
   ): void {
-    // An earlier copy of the order was carried out.
+    // The worker carried out an earlier copy of the command.
     if (assignment.reported) return;
-    // An earlier copy without an answer may have run, even to its end, or may
-    // start later: what the worker lists after a stop tells.
+    // An unanswered earlier copy may have run, even to its end, or may still be
+    // carried out. The worker's report after a stop shows which.
     if (assignment.unansweredStarts > 0) this.stop(assignment);
-    else this.listener.startRejected(assignment, why);
+    else this.listener.startRejected(assignment, reason);
   }
 
   /**
-   * The same start may be sent again: a worker that carried it out before says
-   * so. Later repeats are left to the next look at all orders.
+   * Retries a start, which is idempotent: a worker that has carried it out
+   * confirms it again. After `FAST_RETRIES`, `retryOrders` takes over.
    */
   private retryStart(assignment: jobTask.Assignment): void {
     assignment.unansweredStarts += 1;
@@ -171,17 +171,17 @@
   private sendStop(assignment: jobTask.Assignment): void {
     this.markSent(assignment, this.clock.now());
     const {worker} = assignment;
-    void this.calls
+    void this.workerClient
       .stop(worker.entry, assignment, this.fencingToken)
       .then(outcome => {
-        assignment.orderInFlight = false;
+        assignment.commandInFlight = false;
         if (outcome.kind === 'done') {
           assignment.stopConfirmedAt = this.clock.now();
         }
         if (outcome.kind !== 'rejected') return;
-        if (outcome.reason === 'superseded') this.listener.superseded();
+        if (outcome.reason === 'superseded') this.listener.termSuperseded();
         if (outcome.reason === 'otherLife') {
-          this.listener.incarnationEnded(worker);
+          this.listener.workerReplaced(worker);
         }
       });
   }
@@ -190,7 +190,7 @@
     assignment: jobTask.Assignment,
     now: clock.Milliseconds,
   ): void {
-    assignment.orderInFlight = true;
-    assignment.lastOrderAt = now;
+    assignment.commandInFlight = true;
+    assignment.lastCommandAt = now;
   }
 }
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -12,34 +12,35 @@
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 
-/** Time for the headers of a call to arrive. */
-const HEADERS_DEADLINE_MS = 10_000;
+/** Time within which the headers of a call must arrive. */
+const HEADERS_TIMEOUT_MS = 10_000;
 
 /**
- * Time for which one look at a request waits for its end while its events are
- * streamed; other changes of state are seen this much later at most.
+ * Shortest wait of a poll while the events of a request are streamed. A poll
+ * returns early only when the request ends, so other changes of state are
+ * reported with up to this delay.
  */
-const FIRST_LOOK_MS = 250;
+const MIN_POLL_MS = 250;
 
-/** Longest time of a look at a request whose state does not change. */
-const LAST_LOOK_MS = 5_000;
+/** Longest wait of a poll while the state of the request does not change. */
+const MAX_POLL_MS = 5_000;
 
-/** Time for the loop to answer a readiness check. */
-const READY_DEADLINE_MS = 1_000;
+/** Time within which the loop must answer a readiness check. */
+const READY_TIMEOUT_MS = 1_000;
 
-/** Time between looks for connections that have become idle at the end. */
-const CLOSE_INTERVAL_MS = 20;
+/** Interval of checks for idle connections while the server closes. */
+const CLOSE_CHECK_INTERVAL_MS = 20;
 
-/** Time after which connections without a call are closed at the end. */
-const IDLE_CLOSE_MS = 500;
+/** Time after which a closing server closes connections without a call. */
+const IDLE_CONNECTION_GRACE_MS = 500;
 
 interface OpenCall {
   readonly event: event.CallEvent;
-  /** Gets the reply. */
+  /** Sends the reply to the caller. */
   readonly answer: (reply: effect.Reply) => void;
 }
 
-/** What a caller server is made with. */
+/** Dependencies and limits of a caller server. */
 export interface CallerServerOptions {
   readonly callNumbers: callNumberAllocator.CallNumberAllocator;
   readonly post: (event: event.Event) => void;
@@ -48,13 +49,13 @@
   readonly byteCounter?: byteCounter.ByteCounter;
 }
 
-/** Bounds of what callers may occupy. */
+/** Limits on the resources that callers may occupy. */
 export interface CallerLimits {
-  /** Time for a body to arrive. */
+  /** Time within which a body must arrive. */
   readonly bodyTimeoutMs: number;
-  /** Largest body. */
+  /** Largest size of a body. */
   readonly maxBodyBytes: number;
-  /** Most calls that are open at once. */
+  /** Largest number of calls that are open at once. */
   readonly maxOpenCalls: number;
 }
 
@@ -64,62 +65,65 @@
   maxOpenCalls: 10_000,
 };
 
-/** HTTP front end for callers and operators. */
+/** HTTP server for callers and operators; posts their calls as events. */
 export class CallerServer {
   private readonly server: http.Server;
-  private readonly open = new Map<event.CallNumber, OpenCall>();
+  private readonly calls = new Map<event.CallNumber, OpenCall>();
   private draining = false;
-  /** Responses that are not sent completely. */
-  private unsent = 0;
+  /** Number of responses that are not yet sent completely. */
+  private unfinished = 0;
   private readonly limits: CallerLimits;
 
-  constructor(private readonly parts: CallerServerOptions) {
-    this.limits = {...DEFAULT_LIMITS, ...parts.limits};
+  constructor(private readonly options: CallerServerOptions) {
+    this.limits = {...DEFAULT_LIMITS, ...options.limits};
     this.server = http.createServer(
       {
-        headersTimeout: HEADERS_DEADLINE_MS,
-        // The body has a deadline of its own that answers with a code.
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        // readBody has its own timeout, which is answered with a result code.
         requestTimeout: 0,
       },
       (incoming, response) => void this.serve(incoming, response),
     );
     this.server.on('connection', socket =>
-      parts.byteCounter?.track(socket, 'caller', 'outside'),
+      options.byteCounter?.track(socket, 'caller', 'outside'),
     );
-    this.server.on('clientError', (fault: NodeJS.ErrnoException, socket) =>
-      this.refuseMalformed(fault, socket as net.Socket),
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.refuseMalformed(error, socket as net.Socket),
     );
   }
 
-  /** Listens and returns the port, which the system chooses for port 0. */
+  /** Starts listening; returns the port, chosen by the system for port 0. */
   listen(host: string, port: number): Promise<number> {
     return listen.listen(this.server, host, port);
   }
 
-  /** Answers an open call; does nothing when its caller has gone. */
+  /** Answers an open call; has no effect when the caller has disconnected. */
   answer(call: event.CallNumber, reply: effect.Reply): void {
-    const known = this.open.get(call);
-    if (known === undefined) return;
-    this.open.delete(call);
-    known.answer(reply);
+    const openCall = this.calls.get(call);
+    if (openCall === undefined) return;
+    this.calls.delete(call);
+    openCall.answer(reply);
   }
 
-  /** Returns an open call as it was posted. */
+  /** Returns the event of an open call. */
   findOpenCall(call: event.CallNumber): event.CallEvent | undefined {
-    return this.open.get(call)?.event;
+    return this.calls.get(call)?.event;
   }
 
-  /** Posts a call of this process itself and resolves with the reply. */
+  /**
+   * Posts a call on behalf of this process. Resolves with the reply, or with
+   * undefined when there is none within the timeout.
+   */
   postAndWait(
     build: (call: event.CallNumber) => event.CallEvent,
-    deadlineMs: number,
+    timeoutMs: number,
   ): Promise<effect.Reply | undefined> {
-    const call = this.parts.callNumbers.allocate();
+    const call = this.options.callNumbers.allocate();
     return new Promise(resolve => {
       const timer = setTimeout(() => {
-        this.end(call);
+        this.endCall(call);
         resolve(undefined);
-      }, deadlineMs);
+      }, timeoutMs);
       this.postCall(build(call), reply => {
         clearTimeout(timer);
         resolve(reply);
@@ -127,21 +131,22 @@
     });
   }
 
-  /** Turns readiness off and asks callers to use other connections. */
+  /** Reports not ready and closes each connection after its next response. */
   beginDrain(): void {
     this.draining = true;
   }
 
-  /** Takes no new connections and resolves when the open ones have ended. */
+  /** Accepts no new connections; resolves when the open ones are closed. */
   close(): Promise<void> {
-    const started = performance.now();
+    const startedMs = performance.now();
     return new Promise(resolve => {
       const timer = setInterval(() => {
         this.server.closeIdleConnections();
-        // A connection on which no call has begun does not count as idle.
-        const late = performance.now() - started >= IDLE_CLOSE_MS;
-        if (late && this.unsent === 0) this.server.closeAllConnections();
-      }, CLOSE_INTERVAL_MS);
+        // Node does not count a connection without any call as idle.
+        const expired =
+          performance.now() - startedMs >= IDLE_CONNECTION_GRACE_MS;
+        if (expired && this.unfinished === 0) this.server.closeAllConnections();
+      }, CLOSE_CHECK_INTERVAL_MS);
       this.server.close(() => {
         clearInterval(timer);
         resolve();
@@ -149,14 +154,14 @@
     });
   }
 
-  /** Closes; calls that are open after the grace get the reply. */
+  /** Closes the server; calls still open after `graceMs` get the reply. */
   async closeWithReply(reply: effect.Reply, graceMs = 0): Promise<void> {
     this.beginDrain();
-    const graceEnd = performance.now() + graceMs;
+    const graceEndMs = performance.now() + graceMs;
     const timer = setInterval(() => {
-      if (performance.now() < graceEnd) return;
-      for (const call of [...this.open.keys()]) this.answer(call, reply);
-    }, CLOSE_INTERVAL_MS);
+      if (performance.now() < graceEndMs) return;
+      for (const call of [...this.calls.keys()]) this.answer(call, reply);
+    }, CLOSE_CHECK_INTERVAL_MS);
     await this.close();
     clearInterval(timer);
   }
@@ -165,8 +170,8 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    this.unsent += 1;
-    response.once('close', () => (this.unsent -= 1));
+    this.unfinished += 1;
+    response.once('close', () => (this.unfinished -= 1));
     if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
@@ -181,22 +186,22 @@
       jsonBody.sendJson(response, 200, {live: true});
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
-    } else if (this.unsent > this.limits.maxOpenCalls) {
-      const detail = `calls: ${this.unsent}: at most ${this.limits.maxOpenCalls} at once`;
-      // A call about an identity may repeat one that ran.
-      const name = namesRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
+    } else if (this.unfinished > this.limits.maxOpenCalls) {
+      const detail = `calls: ${this.unfinished}: at most ${this.limits.maxOpenCalls} at once`;
+      // A call that names an identity may repeat a request that already ran.
+      const name = targetsRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
       this.refuse(response, result.failure(name, detail));
     } else {
-      this.takeCall(incoming, response, body.text);
+      this.handleCall(incoming, response, body.text);
     }
   }
 
-  private takeCall(
+  private handleCall(
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
     body: string,
   ): void {
-    const call = this.parts.callNumbers.allocate();
+    const call = this.options.callNumbers.allocate();
     const {headers} = incoming;
     callParser
       .parseCall(
@@ -212,74 +217,77 @@
       )
       .caseOf({
         Left: failure => this.refuse(response, failure),
-        Right: read => this.post(read, response),
+        Right: parsed => this.dispatch(parsed, response),
       });
   }
 
-  private post(
-    read: callParser.ParsedCall,
+  private dispatch(
+    parsed: callParser.ParsedCall,
     response: http.ServerResponse,
   ): void {
-    if (read.form === 'events') {
+    if (parsed.responseFormat === 'events') {
       const stream = new eventStream.EventStream(response);
-      this.stream(stream, read.event, response);
+      this.streamEvents(stream, parsed.event, response);
       return;
     }
-    response.once('close', () => this.end(read.event.call));
-    this.postCall(read.event, reply => {
-      this.noteDrain(read.event, reply);
-      if (read.form === 'rawAnswer') sendAnswer(response, reply);
+    response.once('close', () => this.endCall(parsed.event.call));
+    this.postCall(parsed.event, reply => {
+      this.beginDrainIfAccepted(parsed.event, reply);
+      if (parsed.responseFormat === 'rawAnswer') sendRawAnswer(response, reply);
       else sendReply(response, reply);
     });
   }
 
-  /** Looks at a request again and again until it has ended. */
-  private stream(
+  /** Polls a request and streams its state changes until it ends. */
+  private streamEvents(
     stream: eventStream.EventStream,
     first: event.CallEvent,
     response: http.ServerResponse,
   ): void {
     if (first.kind !== 'fetchArrived') return;
-    let current = first.call;
-    response.once('close', () => this.end(current));
-    const look = (waitMs: number): void => {
-      this.postCall({...first, call: current, waitMs}, reply => {
+    let currentCall = first.call;
+    response.once('close', () => this.endCall(currentCall));
+    const poll = (waitMs: number): void => {
+      this.postCall({...first, call: currentCall, waitMs}, reply => {
         if (response.destroyed) return;
-        if (!stream.started && reply.state === undefined) {
+        if (!stream.hasStarted && reply.state === undefined) {
           sendReply(response, reply);
           return;
         }
-        const progress = stream.take(reply);
-        if (progress === 'ended') return;
-        current = this.parts.callNumbers.allocate();
-        // Looks at a request that stays as it is become rare: each one may
-        // cross regions.
-        const longer = Math.max(2 * waitMs, FIRST_LOOK_MS);
-        look(
-          progress === 'changed'
-            ? FIRST_LOOK_MS
-            : Math.min(longer, LAST_LOOK_MS),
+        const change = stream.update(reply);
+        if (change === 'ended') return;
+        currentCall = this.options.callNumbers.allocate();
+        // Each poll may cross regions, so the wait doubles while the state
+        // does not change.
+        const doubledWaitMs = Math.max(2 * waitMs, MIN_POLL_MS);
+        poll(
+          change === 'changed'
+            ? MIN_POLL_MS
+            : Math.min(doubledWaitMs, MAX_POLL_MS),
         );
       });
     };
-    look(0);
+    poll(0);
   }
 
   private postCall(
-    posted: event.CallEvent,
+    callEvent: event.CallEvent,
     answer: (reply: effect.Reply) => void,
   ): void {
-    this.open.set(posted.call, {event: posted, answer});
-    this.parts.post(posted);
+    this.calls.set(callEvent.call, {event: callEvent, answer});
+    this.options.post(callEvent);
   }
 
-  /** Ends a call whose caller has gone. */
-  private end(call: event.CallNumber): void {
-    if (this.open.delete(call)) this.parts.post({kind: 'callEnded', call});
+  /** Removes a call whose caller has disconnected, and posts its end. */
+  private endCall(call: event.CallNumber): void {
+    if (this.calls.delete(call)) this.options.post({kind: 'callEnded', call});
   }
 
-  private noteDrain(asked: event.CallEvent, reply: effect.Reply): void {
-    if (asked.kind !== 'drainArrived' || asked.worker !== undefined) return;
+  private beginDrainIfAccepted(
+    event: event.CallEvent,
+    reply: effect.Reply,
+  ): void {
+    if (event.kind !== 'drainArrived' || event.worker !== undefined) return;
     if (reply.code === result.RESULT_CODES.ok.code) this.beginDrain();
   }
 
@@ -288,20 +296,20 @@
       ? undefined
       : await this.postAndWait(
           call => ({kind: 'statusArrived', call}),
-          READY_DEADLINE_MS,
+          READY_TIMEOUT_MS,
         );
     const ready = reply !== undefined && isReady(reply);
     jsonBody.sendJson(response, ready ? 200 : 503, {ready});
   }
 
   private refuseBody(
-    fault: jsonBody.BodyError,
+    error: jsonBody.BodyError,
     response: http.ServerResponse,
   ): void {
-    // What is left of the body cannot be told from a following call.
+    // The rest of the body cannot be distinguished from a following call.
     response.setHeader('connection', 'close');
-    if (fault === 'aborted') response.destroy();
-    else if (fault === 'tooLarge') {
+    if (error === 'aborted') response.destroy();
+    else if (error === 'tooLarge') {
       this.refuse(
         response,
         result.failure(
@@ -321,33 +329,33 @@
   }
 
   private refuse(response: http.ServerResponse, failure: result.Failure): void {
-    this.parts.metrics.count('refusal', {reason: failure.result}, 1);
-    const row = result.RESULT_CODES[failure.result];
-    jsonBody.sendJson(response, row.httpStatus, {
-      code: row.code,
+    this.options.metrics.count('refusal', {reason: failure.result}, 1);
+    const resultCode = result.RESULT_CODES[failure.result];
+    jsonBody.sendJson(response, resultCode.httpStatus, {
+      code: resultCode.code,
       detail: failure.detail,
     });
   }
 
-  /** Answers what is not HTTP, or whose headers are too slow or too large. */
+  /** Answers malformed HTTP, and headers that are too slow or too large. */
   private refuseMalformed(
-    fault: NodeJS.ErrnoException,
+    error: NodeJS.ErrnoException,
     socket: net.Socket,
   ): void {
-    if (fault.code === 'ECONNRESET' || !socket.writable) {
+    if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
     }
-    const slow = fault.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    const slow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
     const name = slow ? 'bodyTooSlow' : 'malformedCall';
-    this.parts.metrics.count('refusal', {reason: name}, 1);
-    const row = result.RESULT_CODES[name];
+    this.options.metrics.count('refusal', {reason: name}, 1);
+    const resultCode = result.RESULT_CODES[name];
     const text = JSON.stringify({
-      code: row.code,
-      detail: `call: ${fault.code}: must be a complete HTTP/1.1 request`,
+      code: resultCode.code,
+      detail: `call: ${error.code}: must be a complete HTTP/1.1 request`,
     });
     socket.end(
-      `HTTP/1.1 ${row.httpStatus} ${http.STATUS_CODES[row.httpStatus]}\r\n` +
+      `HTTP/1.1 ${resultCode.httpStatus} ${http.STATUS_CODES[resultCode.httpStatus]}\r\n` +
         'content-type: application/json\r\nconnection: close\r\n' +
         `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
     );
@@ -362,18 +370,21 @@
   if (reply.version !== undefined) {
     response.setHeader('etag', `"${reply.version}"`);
   }
-  jsonBody.sendJson(response, httpStatus(reply.code), reply);
+  jsonBody.sendJson(response, toHttpStatus(reply.code), reply);
 }
 
 function isReady(reply: effect.Reply): boolean {
   return typeGuards.isObject(reply.content) && reply.content['ready'] === true;
 }
 
-/** Sends the whole answer as it came; anything else as a reply. */
-function sendAnswer(response: http.ServerResponse, reply: effect.Reply): void {
-  const whole =
+/** Sends the raw answer of a finished request, or else the JSON reply. */
+function sendRawAnswer(
+  response: http.ServerResponse,
+  reply: effect.Reply,
+): void {
+  const hasAnswer =
     reply.code === result.RESULT_CODES.ok.code && reply.answer !== undefined;
-  if (!whole) {
+  if (!hasAnswer) {
     sendReply(response, reply);
     return;
   }
@@ -385,14 +396,14 @@
   );
 }
 
-const HTTP_STATUS: ReadonlyMap<number, number> = new Map(
+const HTTP_STATUS_BY_CODE: ReadonlyMap<number, number> = new Map(
   Object.values(result.RESULT_CODES).map(row => [row.code, row.httpStatus]),
 );
 
-function httpStatus(code: number): number {
-  return HTTP_STATUS.get(code) ?? 500;
+function toHttpStatus(code: number): number {
+  return HTTP_STATUS_BY_CODE.get(code) ?? 500;
 }
 
-function namesRequest(incoming: http.IncomingMessage): boolean {
+function targetsRequest(incoming: http.IncomingMessage): boolean {
   return incoming.url?.startsWith('/v1/requests/') === true;
 }
--- a/src/links/toml_document_writer.ts
+++ b/src/links/toml_document_writer.ts
@@ -1,8 +1,8 @@
 import type * as questionnaire from '../contracts/questionnaire.js';
 
 /**
- * Writes a derived document with the answer of each value beside it; `isGiven`
- * tells whether an answer was given or left out.
+ * Returns a derived document in TOML, with a comment beside each value that
+ * names the answer behind it; `isGiven` tells answers from defaults.
  */
 export function writeDocument(
   document: questionnaire.DerivedDocument,
@@ -25,10 +25,10 @@
     const origin = [answer, leftOut, note].filter(part => part !== '');
     return `${key} = ${writeValue(value)} # ${origin.join(' ')}\n`;
   });
-  return [header(table), ...lines].join('');
+  return [writeTableHeader(table), ...lines].join('');
 }
 
-function header(table: questionnaire.DerivedTable): string {
+function writeTableHeader(table: questionnaire.DerivedTable): string {
   if (table.path === '') return '';
   return table.repeated ? `[[${table.path}]]\n` : `[${table.path}]\n`;
 }
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -40,7 +40,7 @@
 
 type Respond = (posted: event.Event, pair: Pair) => void;
 
-/** A server of one process and the link of another. */
+/** The peer server of one process and the peer link of another. */
 class Pair {
   readonly served: event.Event[] = [];
   readonly posted: event.Event[] = [];
@@ -78,7 +78,9 @@
   }
 }
 
-function calls(address: string): ReadonlyArray<peerFailure.PeerCallEffect> {
+function peerEffects(
+  address: string,
+): ReadonlyArray<peerFailure.PeerCallEffect> {
   const peer = 'peer-2';
   return [
     {kind: 'confirmPeer', peer, address, zonePosition: 12, news: NEWS},
@@ -100,7 +102,7 @@
   ];
 }
 
-function answerOf(posted: event.Event): effect.PeerEffect | undefined {
+function answerEffectFor(posted: event.Event): effect.PeerEffect | undefined {
   switch (posted.kind) {
     case 'confirmArrived':
       return {
@@ -134,8 +136,8 @@
   }
 }
 
-function answerAll(posted: event.Event, pair: Pair): void {
-  const answer = answerOf(posted);
+function answerEveryCall(posted: event.Event, pair: Pair): void {
+  const answer = answerEffectFor(posted);
   if (answer !== undefined && !('peer' in answer)) pair.server.answer(answer);
   if (posted.kind === 'fetchArrived') {
     pair.server.answerForwarded(posted.call, {code: 0, answer: 'whole'});
@@ -143,8 +145,9 @@
 }
 
 nodeTest.describe('calls between entry processes', () => {
-  nodeTest.test('each becomes its event, and its answer another', async () => {
-    const pair = new Pair(answerAll);
+  // Guards against a field that is lost or altered between two processes.
+  nodeTest.test('calls and answers become events with all fields', async () => {
+    const pair = new Pair(answerEveryCall);
     await pair.listen();
     pair.forwarded = {
       kind: 'fetchArrived',
@@ -153,7 +156,7 @@
       identity: 'i',
       waitMs: 10,
     };
-    for (const call of calls(pair.address)) await pair.link.perform(call);
+    for (const call of peerEffects(pair.address)) await pair.link.perform(call);
     const withoutCalls = pair.served.map(item => ({...item, call: 0}));
     const from = 'peer-1';
     const to = 'peer-2';
@@ -213,53 +216,62 @@
     pair.close();
   });
 
-  nodeTest.test('a call without an answer becomes a failure', async () => {
-    const pair = new Pair(() => {});
-    const nobody = '127.0.0.1:1';
-    for (const call of calls(nobody)) await pair.link.perform(call);
-    assert.deepEqual(
-      pair.posted.map(item => item.kind),
-      [
-        'confirmFailed',
-        'offerLost',
-        'withdrawAnswered',
-        'forwardFailed',
-        'documentsArrived',
-        'witnessAnswered',
-        'readWitnessAnswered',
-      ],
-    );
-    const [, , withdrawn, , , witness, entries] = pair.posted;
-    assert.equal(withdrawn.kind === 'withdrawAnswered' && withdrawn.code, 4001);
-    assert.equal(witness.kind === 'witnessAnswered' && witness.stored, false);
-    assert.equal(
-      entries.kind === 'readWitnessAnswered' && entries.complete,
-      false,
-    );
-    pair.close();
-  });
+  // Guards against a decision that waits forever for an unreachable peer.
+  nodeTest.test(
+    'a call without an answer becomes a failure event',
+    async () => {
+      const pair = new Pair(() => {});
+      const nobody = '127.0.0.1:1';
+      for (const call of peerEffects(nobody)) await pair.link.perform(call);
+      assert.deepEqual(
+        pair.posted.map(item => item.kind),
+        [
+          'confirmFailed',
+          'offerLost',
+          'withdrawAnswered',
+          'forwardFailed',
+          'documentsArrived',
+          'witnessAnswered',
+          'readWitnessAnswered',
+        ],
+      );
+      const [, , withdrawn, , , witness, entries] = pair.posted;
+      assert.equal(
+        withdrawn.kind === 'withdrawAnswered' && withdrawn.code,
+        4001,
+      );
+      assert.equal(witness.kind === 'witnessAnswered' && witness.stored, false);
+      assert.equal(
+        entries.kind === 'readWitnessAnswered' && entries.complete,
+        false,
+      );
+      pair.close();
+    },
+  );
 
-  // Guards against a permit that rests on another incarnation's word.
+  // Guards against a permit that is based on the confirmation of a restarted
+  // process at the same address.
   nodeTest.test(
-    'an answer of another incarnation confirms nothing',
+    'an answer of another incarnation does not confirm a peer',
     async () => {
       const pair = new Pair((posted, self) => {
         if (posted.kind !== 'confirmArrived') return;
-        const answer = answerOf(posted);
+        const answer = answerEffectFor(posted);
         if (answer?.kind !== 'answerConfirm') return;
         self.server.answer({...answer, news: {...NEWS, from: 'peer-3'}});
       });
       await pair.listen();
-      await pair.link.perform(calls(pair.address)[0]);
+      await pair.link.perform(peerEffects(pair.address)[0]);
       assert.deepEqual(pair.posted, [{kind: 'confirmFailed', peer: 'peer-2'}]);
       pair.close();
     },
   );
 
-  nodeTest.test('a call whose sender goes is ended', async () => {
+  // Guards against open calls that pile up when a peer disconnects.
+  nodeTest.test('a call ends when its sender disconnects', async () => {
     const pair = new Pair(() => {});
     await pair.listen();
-    const offer = pair.link.perform(calls(pair.address)[1]);
+    const offer = pair.link.perform(peerEffects(pair.address)[1]);
     await wait.until('the offer', async () => pair.served[0]);
     pair.link.close();
     await offer;
@@ -272,12 +284,14 @@
 });
 
 nodeTest.describe('silent connections between entry processes', () => {
-  nodeTest.test('a probe replaces one after a missed deadline', async () => {
-    const pair = new Pair(answerAll);
+  // Guards against a peer that counts as dead because only the connection to it
+  // is silent.
+  nodeTest.test('a probe replaces one after a timeout', async () => {
+    const pair = new Pair(answerEveryCall);
     await pair.listen();
     const relay = new faultRelay.FaultRelay(pair.address);
     const address = await relay.listen();
-    const confirm = calls(address)[0];
+    const confirm = peerEffects(address)[0];
     await pair.link.perform(confirm);
     relay.silenceConnections();
     await pair.link.perform(confirm);
@@ -295,8 +309,9 @@
     relay.close();
   });
 
+  // Guards against replacing connections to a peer that answers on none.
   nodeTest.test(
-    'a dead peer is not taken for a silent connection',
+    'a dead peer is not counted as a silent connection',
     async () => {
       const silent = net.createServer(() => {});
       await new Promise<void>(resolve =>
@@ -304,7 +319,7 @@
       );
       const address = silent.address() as net.AddressInfo;
       const pair = new Pair(() => {});
-      const [confirm] = calls(`127.0.0.1:${address.port}`);
+      const [confirm] = peerEffects(`127.0.0.1:${address.port}`);
       await pair.link.perform(confirm);
       await pair.link.perform(confirm);
       assert.equal(pair.metrics.total('silent_connection peer deadline'), 0);
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -3,25 +3,25 @@
 import type * as simulatedClock from './simulated_clock.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 
-/** Time from a call to its arrival, and back. */
-const ONE_WAY_MS = 1;
+/** Network delay of each direction. */
+const ONE_WAY_DELAY_MS = 1;
 
-/** Time after which a call without an answer is given up. */
-const TIMEOUT_MS = 600;
+/** Timeout of a call without an answer. */
+const CALL_TIMEOUT_MS = 600;
 
-/** How often a waiting report looks for an end. */
-const POLL_MS = 10;
+/** Interval at which a waiting report checks for ended runs. */
+const POLL_INTERVAL_MS = 10;
 
-/** Carries calls to fake workers in simulated time. */
+/** Delivers calls to fake workers in simulated time. */
 export class FakeWorkers implements workerClient.WorkerClient {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.WorkerEvent[] = [];
-  /** Delays one order: returns the time after which it arrives. */
-  delayOrder: (address: string) => number = () => 0;
+  /** Returns the delay of a command; the answer of a delayed one is lost. */
+  commandDelayMs: (address: string) => number = () => 0;
 
   constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
-  /** Adds a worker whose runs go as planned. */
+  /** Adds a worker whose runs follow `plan`. */
   add(
     entry: remoteWorker.RegistryEntry,
     plan: workerModel.RunPlan,
@@ -38,9 +38,9 @@
 
   start(
     entry: remoteWorker.RegistryEntry,
-    order: workerClient.StartCommand,
+    command: workerClient.StartCommand,
   ): Promise<workerClient.CommandOutcome> {
-    return this.order(entry, worker => worker.start(order));
+    return this.deliver(entry, worker => worker.start(command));
   }
 
   stop(
@@ -48,7 +48,7 @@
     name: remoteWorker.RunId,
     fence: number,
   ): Promise<workerClient.CommandOutcome> {
-    return this.order(entry, worker => worker.stop(name, fence));
+    return this.deliver(entry, worker => worker.stop(name, fence));
   }
 
   async throttle(): Promise<workerClient.CommandOutcome> {
@@ -57,43 +57,43 @@
 
   async renewLeases(
     entry: remoteWorker.RegistryEntry,
-    order: workerClient.RenewalCommand,
+    command: workerClient.RenewalCommand,
   ): Promise<workerClient.RenewalOutcome> {
-    await this.time.pause(ONE_WAY_MS);
+    await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
-    if (worker === undefined) return this.lose(order.waitMs);
-    const answer = worker.renewLease(order);
-    if (answer.kind === 'rejected' || worker.hasEndedRuns) {
-      await this.time.pause(ONE_WAY_MS);
-      return this.answered(entry, worker) ? answer : this.lose(0);
+    if (worker === undefined) return this.timeOut(command.waitMs);
+    const outcome = worker.renewLease(command);
+    if (outcome.kind === 'rejected' || worker.hasEndedRuns) {
+      await this.time.pause(ONE_WAY_DELAY_MS);
+      return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
     }
-    const until = this.time.now() + order.waitMs;
-    while (this.time.now() < until && !worker.hasEndedRuns) {
-      await this.time.pause(POLL_MS);
+    const untilMs = this.time.now() + command.waitMs;
+    while (this.time.now() < untilMs && !worker.hasEndedRuns) {
+      await this.time.pause(POLL_INTERVAL_MS);
     }
-    await this.time.pause(ONE_WAY_MS);
-    if (!this.answered(entry, worker)) return this.lose(0);
-    return worker.renewLease({...order, deadlineMs: undefined});
+    await this.time.pause(ONE_WAY_DELAY_MS);
+    if (!this.canAnswer(entry, worker)) return this.timeOut(0);
+    return worker.renewLease({...command, deadlineMs: undefined});
   }
 
-  private async order(
+  private async deliver(
     entry: remoteWorker.RegistryEntry,
-    obey: (worker: workerModel.WorkerModel) => workerClient.CommandOutcome,
+    handle: (worker: workerModel.WorkerModel) => workerClient.CommandOutcome,
   ): Promise<workerClient.CommandOutcome> {
-    const delay = this.delayOrder(entry.address);
-    if (delay > 0) {
-      this.time.runAt(this.time.now() + delay, () => {
+    const delayMs = this.commandDelayMs(entry.address);
+    if (delayMs > 0) {
+      this.time.runAt(this.time.now() + delayMs, () => {
         const late = this.byAddress.get(entry.address);
-        if (late?.crashed === false) obey(late);
+        if (late?.crashed === false) handle(late);
       });
-      return this.lose(0);
+      return this.timeOut(0);
     }
-    await this.time.pause(ONE_WAY_MS);
+    await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
-    if (worker === undefined) return this.lose(0);
-    const outcome = obey(worker);
-    await this.time.pause(ONE_WAY_MS);
-    return this.answered(entry, worker) ? outcome : this.lose(0);
+    if (worker === undefined) return this.timeOut(0);
+    const outcome = handle(worker);
+    await this.time.pause(ONE_WAY_DELAY_MS);
+    return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
   }
 
   private reachable(
@@ -103,17 +103,17 @@
     return worker?.partitioned === false ? worker : undefined;
   }
 
-  private answered(
+  private canAnswer(
     entry: remoteWorker.RegistryEntry,
     worker: workerModel.WorkerModel,
   ): boolean {
     return this.reachable(entry) === worker && !worker.losesAnswers;
   }
 
-  private async lose(
+  private async timeOut(
     waitMs: number,
   ): Promise<{kind: 'unanswered'; detail: string}> {
-    await this.time.pause(waitMs + TIMEOUT_MS);
+    await this.time.pause(waitMs + CALL_TIMEOUT_MS);
     return {kind: 'unanswered', detail: 'lost'};
   }
 }
