--- a/src/contracts/request_admission.ts
+++ b/src/contracts/request_admission.ts
@@ -30,7 +30,7 @@
 ];
 
 /** Runs the admission checks; returns the first failure, if any. */
-export function check(
+export function checkAdmission(
   candidate: request.Request,
   context: AdmissionContext,
   now: clock.Milliseconds,
--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -148,11 +148,13 @@
     const queue = this.queueOf(admitted.team);
     const fleetPlan = this.documents.current().fleet;
     const context = {team: configuredTeam, queue, fleet: fleetPlan};
-    return requestAdmission.check(admitted, context, now).ifRight(() => {
-      queue.push(admitted, now);
-      this.shares.recordArrival(admitted.team, now);
-      this.isCycleNeeded = true;
-    });
+    return requestAdmission
+      .checkAdmission(admitted, context, now)
+      .ifRight(() => {
+        queue.push(admitted, now);
+        this.shares.recordArrival(admitted.team, now);
+        this.isCycleNeeded = true;
+      });
   }
 
   /** Returns a request to its queue after proof that its start did not run. */
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -6,7 +6,7 @@
 import type * as placement from './placement.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
-/** Adapts the scheduler to `DeskQueue` and keeps the order of arrival. */
+/** Adapter of the scheduler that lists waiting requests by order of arrival. */
 export class SchedulerQueue implements requestDesk.DeskQueue {
   private readonly waitingRequests = new Map<string, request.Request>();
 
