--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -72,7 +72,7 @@
   ): placement.Placement | undefined {
     this.placementAttempts += 1;
     const task = `${pending.identity}/0.${this.placementAttempts}`;
-    const label = placementPolicy.labelOf(pending);
+    const label = placementPolicy.buildTaskLabel(pending);
     const {size} = pending;
     const target = this.workers.find(candidate =>
       candidate.reserve({task, label, size}),
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -1,7 +1,7 @@
 import * as firstFitBaseline from './first_fit_baseline.js';
 import * as randomSource from '../src/machines/random_source.js';
 import * as resources from '../src/machines/resources.js';
-import * as scheduling from '../test/support/scheduling.js';
+import * as schedulingHarness from '../test/support/scheduling_harness.js';
 import * as schedulerUnderTest from './scheduler_under_test.js';
 import * as runningTasks from './running_tasks.js';
 import type * as benchRow from './bench_row.js';
@@ -14,7 +14,7 @@
 const WORKER_COUNT = 40;
 
 /** Slots are plentiful, so that processors and memory limit the packing. */
-const WORKER_CAPACITY = scheduling.size(16_000, 32_768, 0, 64);
+const WORKER_CAPACITY = schedulingHarness.buildResources(16_000, 32_768, 0, 64);
 
 const WORKLOAD_COUNT = 20;
 
@@ -49,19 +49,22 @@
   random: randomSource.RandomSource,
 ): ReadonlyArray<MisdeclaredWorkload> {
   return Array.from({length: WORKLOAD_COUNT}, (_, index) => {
-    const actualUsage = scheduling.size(
+    const actualUsage = schedulingHarness.buildResources(
       200 + random.below(1_300),
       400 + random.below(2_600),
     );
     const error = 10 ** (2 * randomFraction(random) - 1);
-    const size = scheduling.size(
+    const size = schedulingHarness.buildResources(
       Math.min(
         WORKER_CAPACITY.processors,
         Math.ceil(actualUsage.processors * error),
       ),
       Math.min(WORKER_CAPACITY.memory, Math.ceil(actualUsage.memory * error)),
     );
-    const definition = scheduling.workloadOf({name: `mix-${index}`, size});
+    const definition = schedulingHarness.buildWorkload({
+      name: `mix-${index}`,
+      size,
+    });
     return {definition, actualUsage};
   });
 }
@@ -188,7 +191,7 @@
     seed: SEED,
     workerCount: WORKER_COUNT,
     capacity: WORKER_CAPACITY,
-    teams: [scheduling.teamOf('team')],
+    teams: [schedulingHarness.buildTeam('team')],
   };
 }
 
--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -1,4 +1,4 @@
-import * as scheduling from '../test/support/scheduling.js';
+import * as schedulingHarness from '../test/support/scheduling_harness.js';
 import type * as clock from '../src/machines/clock.js';
 import type * as request from '../src/contracts/request.js';
 import type * as resources from '../src/machines/resources.js';
@@ -41,10 +41,10 @@
 /** The real scheduler on a simulated fleet. */
 export class ProductionScheduler implements SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
-  private readonly simulation: scheduling.SchedulingWorld;
+  private readonly simulation: schedulingHarness.SchedulingHarness;
 
   constructor(options: SchedulerUnderTestOptions) {
-    this.simulation = new scheduling.SchedulingWorld(options.seed);
+    this.simulation = new schedulingHarness.SchedulingHarness(options.seed);
     for (const described of options.teams) this.simulation.addTeam(described);
     this.simulation.setPlan({
       zones: [],
--- a/src/contracts/gang_policy.ts
+++ b/src/contracts/gang_policy.ts
@@ -3,30 +3,30 @@
 import type * as worker from '../machines/worker.js';
 
 /**
- * Places all tasks of a gang in one turn or none of them. A worker takes as
- * many of the tasks as it has room for, which keeps the gang together and
- * needs fewer samples.
+ * Places all tasks of a gang at once or none of them. Each chosen worker
+ * receives as many tasks as it has capacity for, which keeps the gang together
+ * and needs fewer samples.
  */
 export class GangPolicy implements placementPolicy.PlacementPolicy {
   place(
-    job: placementPolicy.PendingJob,
+    pending: placementPolicy.PendingPlacement,
     fleet: placementPolicy.FleetView,
   ): placementPolicy.PlacementDecision {
-    const attempt = new placementPolicy.Attempt(job);
-    while (attempt.missing > 0) {
-      const chosen = batchPolicy.choosePacked(attempt, fleet);
-      if (chosen === undefined || !fill(attempt, chosen)) break;
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    while (attempt.unplacedTaskCount > 0) {
+      const chosen = batchPolicy.chooseBestFit(attempt, fleet);
+      if (chosen === undefined || !fillWorker(attempt, chosen)) break;
     }
     return attempt.finish();
   }
 }
 
-function fill(
-  attempt: placementPolicy.Attempt,
+function fillWorker(
+  attempt: placementPolicy.PlacementAttempt,
   chosen: worker.Worker,
 ): boolean {
   if (!attempt.reserve(chosen)) return false;
-  while (attempt.missing > 0 && attempt.allows(chosen)) {
+  while (attempt.unplacedTaskCount > 0 && attempt.allows(chosen)) {
     if (!attempt.reserve(chosen)) break;
   }
   return true;
--- a/src/contracts/placement_policy.ts
+++ b/src/contracts/placement_policy.ts
@@ -5,61 +5,61 @@
 import type * as task from './task.js';
 import type * as worker from '../machines/worker.js';
 
-/** A waiting request with what each of its tasks is to reserve. */
-export interface PendingJob {
+/** A waiting request with the size that each of its tasks reserves. */
+export interface PendingPlacement {
   readonly request: request.Request;
-  /** Room of one task: the declared size, or the learned one. */
+  /** Size of one task: the declared size or the learned one. */
   readonly size: resources.Resources;
-  /** Tells apart the attempts to place the same request. */
-  readonly attempt: number;
+  /** Distinguishes the attempts to place the same request. */
+  readonly attemptNumber: number;
 }
 
-/** What a policy sees of the fleet. */
+/** View of the fleet for a placement policy. */
 export interface FleetView {
-  /** Samples workers with room that this process may place on. */
+  /** Samples workers with enough capacity that this process may place on. */
   sample(
     size: resources.Resources,
     order: freeCapacityIndex.SearchOrder,
     filter: freeCapacityIndex.CandidateFilter,
   ): ReadonlyArray<worker.Worker>;
-  /** Tasks of a workload on a rack. */
+  /** Returns the number of tasks of a workload on a rack. */
   countOnRack(team: string, workload: string, rack: string): number;
 }
 
-/** Workers that hold the room of each task in order, or nothing at all. */
+/** Workers with reserved capacity for each task in order, or no capacity. */
 export type PlacementDecision =
   | {readonly kind: 'placed'; readonly workers: ReadonlyArray<worker.Worker>}
   | {readonly kind: 'noRoom'};
 
-/** Chooses workers for one kind of workload and reserves room on them. */
+/** Chooses workers for one kind of workload and reserves capacity there. */
 export interface PlacementPolicy {
   place(
-    job: PendingJob,
+    pending: PendingPlacement,
     fleet: FleetView,
     now: clock.Milliseconds,
   ): PlacementDecision;
 }
 
-/** A request's tasks that got room so far; undone unless all of them do. */
-export class Attempt {
-  private readonly chosen: worker.Worker[] = [];
-  private readonly racks = new Map<string, number>();
+/** Reservations for the tasks of one request; all are kept or none. */
+export class PlacementAttempt {
+  private readonly reservedWorkers: worker.Worker[] = [];
+  private readonly taskCountsByRack = new Map<string, number>();
 
-  constructor(readonly job: PendingJob) {}
+  constructor(readonly pending: PendingPlacement) {}
 
-  /** Tasks that have no room yet. */
-  get missing(): number {
-    return this.job.request.taskCount - this.chosen.length;
+  /** Number of tasks without a reservation so far. */
+  get unplacedTaskCount(): number {
+    return this.pending.request.taskCount - this.reservedWorkers.length;
   }
 
-  /** Tasks of this attempt on a rack. */
+  /** Returns the number of tasks of this attempt on a rack. */
   countOnRack(rack: string): number {
-    return this.racks.get(rack) ?? 0;
+    return this.taskCountsByRack.get(rack) ?? 0;
   }
 
-  /** Whether the workload allows one more task on a worker. */
+  /** Returns whether zones and rack limit allow another task on a worker. */
   allows(candidate: worker.Worker): boolean {
-    const {zones, maximumPerRack} = this.job.request.workload;
+    const {zones, maximumPerRack} = this.pending.request.workload;
     if (zones.length > 0 && !zones.includes(candidate.description.zone)) {
       return false;
     }
@@ -67,46 +67,48 @@
     return this.countOnRack(candidate.rack) < maximumPerRack;
   }
 
-  /** Reserves room for the next task. */
+  /** Reserves capacity for the next task; returns false if it does not fit. */
   reserve(chosen: worker.Worker): boolean {
-    const name = taskName(this.job, this.chosen.length);
-    const label = labelOf(this.job.request);
-    const {size} = this.job;
+    const name = taskName(this.pending, this.reservedWorkers.length);
+    const label = buildTaskLabel(this.pending.request);
+    const {size} = this.pending;
     if (!chosen.reserve({task: name, label, size})) return false;
-    this.chosen.push(chosen);
-    this.racks.set(chosen.rack, this.countOnRack(chosen.rack) + 1);
+    this.reservedWorkers.push(chosen);
+    this.taskCountsByRack.set(chosen.rack, this.countOnRack(chosen.rack) + 1);
     return true;
   }
 
-  /** Returns the decision; gives all room back when a task has none. */
+  /** Returns the decision; releases all capacity unless every task has some. */
   finish(): PlacementDecision {
-    if (this.missing === 0) return {kind: 'placed', workers: this.chosen};
-    this.chosen.forEach((chosen, index) => {
-      chosen.release(taskName(this.job, index));
+    if (this.unplacedTaskCount === 0) {
+      return {kind: 'placed', workers: this.reservedWorkers};
+    }
+    this.reservedWorkers.forEach((chosen, index) => {
+      chosen.release(taskName(this.pending, index));
     });
     return {kind: 'noRoom'};
   }
 }
 
-/** Name of a task of an attempt. */
-export function taskName(job: PendingJob, index: number): string {
-  return `${job.request.identity}/${index}.${job.attempt}`;
+/** Returns the name of a task, unique to the attempt. */
+export function taskName(pending: PendingPlacement, index: number): string {
+  return `${pending.request.identity}/${index}.${pending.attemptNumber}`;
 }
 
-/** Label of the tasks of a request. */
-export function labelOf(labelled: request.Request): task.TaskLabel {
+/** Builds the label of the tasks of a request. */
+export function buildTaskLabel(source: request.Request): task.TaskLabel {
   return {
-    identity: labelled.identity,
-    client: labelled.client,
-    team: labelled.team,
-    workload: labelled.workload.name,
-    idempotent: labelled.workload.idempotent,
-    worth: labelled.workload.worth,
+    identity: source.identity,
+    client: source.client,
+    team: source.team,
+    workload: source.workload.name,
+    idempotent: source.workload.idempotent,
+    worth: source.workload.worth,
   };
 }
 
-/** Returns the candidate with the smallest cost; the first one on a tie. */
-export function cheapest(
+/** Returns the candidate with the lowest cost, the first one on a tie. */
+export function selectLowestCost(
   candidates: ReadonlyArray<worker.Worker>,
   costOf: (candidate: worker.Worker) => number,
 ): worker.Worker | undefined {
@@ -121,8 +123,8 @@
   return best;
 }
 
-/** Fraction left in the dimension that a task would fill most. */
-export function tightestRemainder(
+/** Returns the free fraction of the dimension that a task would fill most. */
+export function smallestRemainingFraction(
   size: resources.Resources,
   candidate: worker.Worker,
 ): number {
--- a/src/contracts/admission.ts
+++ b/src/contracts/request_admission.ts
@@ -1,42 +1,42 @@
 import * as either from 'purify-ts/Either';
-import * as fairShare from './fair_share.js';
+import * as fairShareCalculator from './fair_share_calculator.js';
 import * as resources from '../machines/resources.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as configuration from './configuration.js';
-import type * as queue from './queue.js';
+import type * as teamQueue from './team_queue.js';
 import type * as request from './request.js';
 import type * as team from './team.js';
 
-/** What admission knows of the team of a request. */
-export interface AdmissionView {
+/** Team, queue and fleet plan against which a request is checked. */
+export interface AdmissionContext {
   readonly team: team.Team;
-  readonly queue: queue.TeamQueue;
+  readonly queue: teamQueue.TeamQueue;
   readonly fleet: configuration.FleetPlan | undefined;
 }
 
-type Check = (
+type AdmissionCheck = (
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
   now: clock.Milliseconds,
 ) => result.Failure | undefined;
 
-/** The cheapest checks come first. */
-const CHECKS: ReadonlyArray<Check> = [
+/** Admission checks in the order of their cost, the cheapest first. */
+const CHECKS: ReadonlyArray<AdmissionCheck> = [
   checkQueueLimit,
   checkShapes,
   checkQuota,
   checkDeadline,
 ];
 
-/** Refuses a request that should not wait, with the reason. */
-export function check(
+/** Runs the admission checks; returns the first failure, if any. */
+export function checkAdmission(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
   now: clock.Milliseconds,
 ): either.Either<result.Failure, null> {
-  for (const refuse of CHECKS) {
-    const refusal = refuse(candidate, view, now);
+  for (const runCheck of CHECKS) {
+    const refusal = runCheck(candidate, context, now);
     if (refusal !== undefined) return either.Left(refusal);
   }
   return either.Right(null);
@@ -44,62 +44,62 @@
 
 function checkQueueLimit(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
 ): result.Failure | undefined {
-  const waiting = view.queue.size;
-  const limit = view.team.queueLimit;
+  const waiting = context.queue.size;
+  const limit = context.team.queueLimit;
   if (waiting < limit) return undefined;
   return result.failure(
     'queueFull',
-    `team ${candidate.team}: ${waiting} requests wait, the limit is ${limit}`,
+    `team ${candidate.team}: ${waiting} requests wait, queue limit ${limit}`,
   );
 }
 
 function checkShapes(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
 ): result.Failure | undefined {
-  if (view.fleet === undefined) return undefined;
-  const constraint = excludingConstraint(candidate, view.fleet);
+  if (context.fleet === undefined) return undefined;
+  const constraint = excludingConstraint(candidate, context.fleet);
   if (constraint === undefined) return undefined;
   return result.failure('neverFits', constraint);
 }
 
 function checkQuota(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
 ): result.Failure | undefined {
-  const {quota} = view.team;
-  const whole = resources.scale(candidate.size, candidate.taskCount);
-  const exceeded = resources.exceededDimension(whole, quota);
+  const {quota} = context.team;
+  const totalSize = resources.scale(candidate.size, candidate.taskCount);
+  const exceeded = resources.exceededDimension(totalSize, quota);
   if (exceeded === undefined) return undefined;
-  if (fairShare.mayBorrow(candidate.workload)) return undefined;
+  if (fairShareCalculator.mayBorrow(candidate.workload)) return undefined;
   return result.failure(
     'quotaExceeded',
-    `${exceeded}: ${whole[exceeded]} for ${candidate.taskCount} tasks ` +
+    `${exceeded}: ${totalSize[exceeded]} for ${candidate.taskCount} tasks ` +
       `exceeds the quota ${quota[exceeded]} of team ${candidate.team}`,
   );
 }
 
 function checkDeadline(
   candidate: request.Request,
-  view: AdmissionView,
+  context: AdmissionContext,
   now: clock.Milliseconds,
 ): result.Failure | undefined {
   if (candidate.startBy === Infinity) return undefined;
-  const wait = view.queue.expectedWait(candidate);
-  const remaining = candidate.startBy - now;
-  if (remaining > 0 && wait <= remaining) return undefined;
+  const waitMs = context.queue.expectedWaitMs(candidate);
+  const remainingMs = candidate.startBy - now;
+  if (remainingMs > 0 && waitMs <= remainingMs) return undefined;
   return result.failure(
     'deadlineUnmeetable',
-    `startDeadlineMs: ${Math.round(remaining)} ms remain and the expected ` +
-      `wait is ${Math.round(wait)} ms`,
+    `startDeadlineMs: ${Math.round(remainingMs)} ms remain, but the expected ` +
+      `wait is ${Math.round(waitMs)} ms`,
   );
 }
 
 /**
- * Names the constraint that keeps a request off every configured worker, even
- * an empty one; undefined when a worker can hold it.
+ * Returns the constraint that excludes a request from every configured worker,
+ * even an empty one; undefined when at least one worker shape fits.
  */
 export function excludingConstraint(
   candidate: request.Request,
@@ -131,17 +131,17 @@
   if (dimension !== undefined) {
     return (
       `${dimension}: ${size[dimension]} exceeds ${largest[dimension]}, the ` +
-      'most of any configured worker'
+      'largest capacity of any configured worker'
     );
   }
   const reasons = shapes.map(shape => {
-    const lacking = resources.exceededDimension(size, shape.capacity);
-    return `${lacking} on one with ${describe(shape.capacity)}`;
+    const exceeded = resources.exceededDimension(size, shape.capacity);
+    return `${exceeded} on one with ${formatCapacity(shape.capacity)}`;
   });
-  return `no configured worker offers all at once: lacks ${reasons.join('; ')}`;
+  return `no configured worker offers this size: lacks ${reasons.join('; ')}`;
 }
 
-function describe(capacity: resources.Resources): string {
+function formatCapacity(capacity: resources.Resources): string {
   return resources.DIMENSIONS.map(
     dimension => `${dimension}=${capacity[dimension]}`,
   ).join(' ');
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -2,28 +2,28 @@
 import * as invariant from './invariant.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
-import type * as overloadRelief from './overload_relief.js';
-import type * as scheduler from './scheduler.js';
+import type * as overloadMitigator from './overload_mitigator.js';
+import type * as requestScheduler from './request_scheduler.js';
 import type * as worker from '../machines/worker.js';
 
-/** Lets the scheduler see a report and carries out what it asks of tasks. */
-export function afterEvent(
-  asking: scheduler.Scheduler,
+/** Passes a report to the scheduler; returns the effects that it requires. */
+export function handleEvent(
+  scheduler: requestScheduler.RequestScheduler,
   handled: event.Event,
   now: clock.Milliseconds,
 ): ReadonlyArray<effects.Effect> {
   if (handled.kind === 'reportArrived') {
-    asking.observeReport(handled.report, now);
+    scheduler.observeReport(handled.report, now);
   }
   return [
-    ...interventionEffects(asking.takeInterventions()),
-    ...violationEffects(asking.takeViolations()),
+    ...interventionEffects(scheduler.takeInterventions()),
+    ...violationEffects(scheduler.takeViolations()),
   ];
 }
 
-/** Builds the effects that carry out what the scheduler asks of tasks. */
+/** Builds the effects that carry out interventions on running tasks. */
 export function interventionEffects(
-  interventions: ReadonlyArray<overloadRelief.Intervention>,
+  interventions: ReadonlyArray<overloadMitigator.Intervention>,
 ): ReadonlyArray<effects.Effect> {
   return interventions.flatMap(item => [
     effects.count('intervention', {kind: item.kind, reason: item.reason}),
@@ -32,8 +32,9 @@
 }
 
 /**
- * Reports workers whose reservations exceed their capacity. Usage above the
- * reservation and a capacity that shrinks break no rule of this process.
+ * Builds the effects that report workers whose reservations exceed their
+ * capacity. Usage above the reservation and a shrinking capacity are not
+ * caused by this process and so do not violate its invariant.
  */
 export function violationEffects(
   violations: ReadonlyArray<worker.CapacityViolation>,
@@ -56,7 +57,9 @@
   });
 }
 
-function interventionEffect(item: overloadRelief.Intervention): effects.Effect {
+function interventionEffect(
+  item: overloadMitigator.Intervention,
+): effects.Effect {
   const target = {
     worker: item.worker.name,
     address: item.worker.description.address,
--- a/src/contracts/service_policy.ts
+++ b/src/contracts/service_policy.ts
@@ -3,29 +3,30 @@
 
 /**
  * Spreads the tasks of a service: each goes to the sampled rack with the
- * fewest tasks of the service, and there to the worker with most room left.
+ * fewest tasks of the service, and there to the worker with the most free
+ * capacity.
  */
 export class ServicePolicy implements placementPolicy.PlacementPolicy {
   place(
-    job: placementPolicy.PendingJob,
+    pending: placementPolicy.PendingPlacement,
     fleet: placementPolicy.FleetView,
   ): placementPolicy.PlacementDecision {
-    const attempt = new placementPolicy.Attempt(job);
-    while (attempt.missing > 0) {
-      const chosen = choose(attempt, fleet);
+    const attempt = new placementPolicy.PlacementAttempt(pending);
+    while (attempt.unplacedTaskCount > 0) {
+      const chosen = chooseWorker(attempt, fleet);
       if (chosen === undefined || !attempt.reserve(chosen)) break;
     }
     return attempt.finish();
   }
 }
 
-function choose(
-  attempt: placementPolicy.Attempt,
+function chooseWorker(
+  attempt: placementPolicy.PlacementAttempt,
   fleet: placementPolicy.FleetView,
 ): worker.Worker | undefined {
-  const {request, size} = attempt.job;
+  const {request, size} = attempt.pending;
   const {maximumPerRack, name} = request.workload;
-  // Replicas are placed one at a time, so the fleet's count includes them all.
+  // Replicas are placed one at a time, so the fleet's count covers all of them.
   const onRack = (rack: string): number =>
     fleet.countOnRack(request.team, name, rack);
   const candidates = fleet.sample(
@@ -35,11 +36,11 @@
       attempt.allows(candidate) &&
       (maximumPerRack === 0 || onRack(candidate.rack) < maximumPerRack),
   );
-  // A remainder is at most 1, so the count on the rack always comes first.
-  return placementPolicy.cheapest(
+  // The remaining fraction is at most 1, so the rack count always dominates.
+  return placementPolicy.selectLowestCost(
     candidates,
     candidate =>
       2 * onRack(candidate.rack) -
-      placementPolicy.tightestRemainder(size, candidate),
+      placementPolicy.smallestRemainingFraction(size, candidate),
   );
 }
--- a/src/contracts/task_observer.ts
+++ b/src/contracts/task_observer.ts
@@ -1,4 +1,4 @@
-import * as overloadRelief from './overload_relief.js';
+import * as overloadMitigator from './overload_mitigator.js';
 import * as resources from '../machines/resources.js';
 import type * as clock from '../machines/clock.js';
 import type * as fleet from '../machines/fleet.js';
@@ -9,8 +9,8 @@
 import type * as workerPool from './worker_pool.js';
 import type * as workload from './workload.js';
 
-/** The objects that learn from tasks. */
-export interface ObserverParts {
+/** Dependencies of `TaskObserver`, which it updates with task outcomes. */
+export interface TaskObserverDependencies {
   readonly workers: fleet.Fleet;
   readonly pool: workerPool.WorkerPool;
   readonly reclaimer: reclaimer.Reclaimer;
@@ -18,84 +18,98 @@
   workloadOf(label: task.TaskLabel): workload.Workload | undefined;
 }
 
-/** Passes on what becomes of tasks to those that decide by it. */
+/** Passes task outcomes and reports to the components that depend on them. */
 export class TaskObserver {
-  private readonly relief = new overloadRelief.OverloadRelief();
+  private readonly overloadMitigator =
+    new overloadMitigator.OverloadMitigator();
 
-  constructor(private readonly parts: ObserverParts) {}
+  constructor(private readonly dependencies: TaskObserverDependencies) {}
 
-  /** Learns what became of a task. */
-  observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void {
-    const {task: name, label} = outcome.reference;
+  /** Processes the outcome of a task. */
+  observeOutcome(
+    outcome: trackedTask.TaskOutcome,
+    now: clock.Milliseconds,
+  ): void {
+    const {task: taskName, label} = outcome.reference;
     switch (outcome.kind) {
       case 'started':
-        this.parts.pool.started(name, now);
+        this.dependencies.pool.recordStart(taskName, now);
         return;
       case 'adopted':
-        this.adopted(outcome.reference);
+        this.recordAdoption(outcome.reference);
         return;
       case 'unknown':
         return;
       case 'notRun':
-        this.parts.reclaimer.ended(name);
-        this.parts.estimator.forget(name);
-        this.parts.pool.notRun(name, outcome.sent, now);
+        this.dependencies.reclaimer.recordEnd(taskName);
+        this.dependencies.estimator.discard(taskName);
+        this.dependencies.pool.recordNotRun(taskName, outcome.sent, now);
         return;
       case 'ended':
-        this.ended(name, label, outcome.end, now);
+        this.recordEnd(taskName, label, outcome.end, now);
     }
   }
 
   /**
-   * Learns from a worker's report. A task that uses more than its room gets
-   * the room at once; if the worker is then overcommitted, it is relieved.
+   * Processes a worker's report. The reservation of a task that uses more than
+   * it reserved grows at once; if that overcommits the worker, the overload is
+   * mitigated.
    */
   observeReport(
     report: task.WorkerReport,
     now: clock.Milliseconds,
-  ): ReadonlyArray<overloadRelief.Intervention> {
-    const target = this.parts.workers.get(report.worker);
+  ): ReadonlyArray<overloadMitigator.Intervention> {
+    const target = this.dependencies.workers.get(report.worker);
     if (target === undefined) return [];
     for (const item of report.tasks) {
-      const held = target.reservations().get(item.task);
-      if (held === undefined || item.state !== 'running') continue;
-      this.parts.estimator.observe(item);
-      if (resources.fits(item.usage, held.size)) continue;
+      const reservation = target.reservations().get(item.task);
+      if (reservation === undefined || item.state !== 'running') continue;
+      this.dependencies.estimator.recordUsage(item);
+      if (resources.fits(item.usage, reservation.size)) continue;
       target.resize(
         item.task,
-        resources.roundedUpMaximum(item.usage, held.size),
+        resources.roundedUpMaximum(item.usage, reservation.size),
       );
     }
-    return this.relief.relieve(target, now);
+    return this.overloadMitigator.mitigate(target, now);
   }
 
-  private adopted(of: trackedTask.TaskReference): void {
-    const target = this.parts.workers.get(of.worker);
-    const held = target?.reservations().get(of.task);
-    const described = this.parts.workloadOf(of.label);
-    if (target === undefined || held === undefined) return;
-    if (described === undefined) return;
-    const {team: name} = of.label;
+  private recordAdoption(reference: trackedTask.TaskReference): void {
+    const target = this.dependencies.workers.get(reference.worker);
+    const reservation = target?.reservations().get(reference.task);
+    const definition = this.dependencies.workloadOf(reference.label);
+    if (target === undefined || reservation === undefined) return;
+    if (definition === undefined) return;
+    const {team: teamName} = reference.label;
     const expectedRunMs =
-      this.parts.estimator.runTimeMs(name, described.name) ??
-      described.runTimeMs;
-    const {task: taskName, size} = held;
-    const loan = {task: taskName, team: name, size, worker: target};
-    this.parts.reclaimer.started({...loan, expectedRunMs}, described);
+      this.dependencies.estimator.runTimeMs(teamName, definition.name) ??
+      definition.runTimeMs;
+    const {task: taskName, size} = reservation;
+    const adopted = {task: taskName, team: teamName, size, worker: target};
+    this.dependencies.reclaimer.recordStart(
+      {...adopted, expectedRunMs},
+      definition,
+    );
   }
 
-  private ended(
-    name: string,
+  private recordEnd(
+    taskName: string,
     label: task.TaskLabel,
     end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
-    const ranMs = this.parts.pool.ranMs(name, now);
-    this.parts.reclaimer.ended(name);
-    if (end === 'finished') this.parts.estimator.ended(name, label, ranMs);
-    else this.parts.estimator.forget(name);
+    const runTimeMs = this.dependencies.pool.runTimeMs(taskName, now);
+    this.dependencies.reclaimer.recordEnd(taskName);
+    if (end === 'finished') {
+      this.dependencies.estimator.recordEnd(taskName, label, runTimeMs);
+    } else {
+      this.dependencies.estimator.discard(taskName);
+    }
     const byItself = end === 'finished' || end === 'failed';
-    if (byItself) this.parts.pool.ended(name, end === 'failed', now);
-    else this.parts.pool.notRun(name, false, now);
+    if (byItself) {
+      this.dependencies.pool.recordEnd(taskName, end === 'failed', now);
+    } else {
+      this.dependencies.pool.recordNotRun(taskName, false, now);
+    }
   }
 }
--- a/src/contracts/usage_estimator.ts
+++ b/src/contracts/usage_estimator.ts
@@ -2,117 +2,129 @@
 import type * as clock from '../machines/clock.js';
 import type * as task from './task.js';
 
-/** Ended tasks of a workload before learned sizes replace declared ones. */
-export const SAMPLES_NEEDED = 5;
+/** Finished tasks of a workload before learned sizes replace declared ones. */
+export const MINIMUM_SAMPLE_COUNT = 5;
 
 /** Standard deviations above the mean that a reservation covers. */
-const DEVIATIONS = 3;
+const COVERED_STANDARD_DEVIATIONS = 3;
 
-/** Newest peaks that a reservation never falls below. */
-const RECENT_PEAKS = 20;
+/** Number of newest peaks that a reservation never falls below. */
+const RECENT_PEAK_COUNT = 20;
 
-/** Weight of the newest run time in the running mean. */
-const RUN_TIME_WEIGHT = 0.1;
+/** Weight of the newest run time in the moving average. */
+const RUN_TIME_SMOOTHING_FACTOR = 0.1;
 
-/** Only these are measured; slots and accelerators are taken whole. */
-const MEASURED = ['processors', 'memory'] as const;
+/** Dimensions that are measured; slots and accelerators are reserved whole. */
+const MEASURED_DIMENSIONS = ['processors', 'memory'] as const;
 
-type Measured = (typeof MEASURED)[number];
+type MeasuredDimension = (typeof MEASURED_DIMENSIONS)[number];
 
-/** Running mean and variance of one dimension's per-task peaks. */
+/** Running mean and variance of the per-task peak usage of one dimension. */
 class PeakStatistics {
   private count = 0;
   private mean = 0;
-  private squares = 0;
-  private readonly recent: number[] = [];
-  private reservationValue = 0;
+  private squaredDeviationSum = 0;
+  private readonly recentPeaks: number[] = [];
+  private reservationSizeValue = 0;
 
-  /** Room for a further task: mean plus margin, at least each recent peak. */
-  get reservation(): number {
-    return this.reservationValue;
+  /** Size for a further task: mean plus margin, at least each recent peak. */
+  get reservationSize(): number {
+    return this.reservationSizeValue;
   }
 
   add(peak: number): void {
     this.count += 1;
     const difference = peak - this.mean;
     this.mean += difference / this.count;
-    this.squares += difference * (peak - this.mean);
-    this.recent.push(peak);
-    if (this.recent.length > RECENT_PEAKS) this.recent.shift();
-    const deviation = Math.sqrt(this.squares / Math.max(1, this.count - 1));
-    const margin = this.mean + DEVIATIONS * deviation;
-    this.reservationValue = Math.ceil(Math.max(margin, ...this.recent));
+    this.squaredDeviationSum += difference * (peak - this.mean);
+    this.recentPeaks.push(peak);
+    if (this.recentPeaks.length > RECENT_PEAK_COUNT) this.recentPeaks.shift();
+    const deviation = Math.sqrt(
+      this.squaredDeviationSum / Math.max(1, this.count - 1),
+    );
+    const upperEstimate = this.mean + COVERED_STANDARD_DEVIATIONS * deviation;
+    this.reservationSizeValue = Math.ceil(
+      Math.max(upperEstimate, ...this.recentPeaks),
+    );
   }
 }
 
 interface WorkloadStatistics {
-  readonly peaks: Readonly<Record<Measured, PeakStatistics>>;
-  samples: number;
+  readonly peaks: Readonly<Record<MeasuredDimension, PeakStatistics>>;
+  sampleCount: number;
   runTimeMs: number;
 }
 
-/** Learns what the tasks of each workload use from the workers' reports. */
+/** Estimates the size and run time of each workload from its finished tasks. */
 export class UsageEstimator {
   private readonly workloads = new Map<string, WorkloadStatistics>();
-  private readonly running = new Map<string, resources.Resources>();
-
-  /** Notes a measurement of a running task. */
-  observe(report: task.TaskReport): void {
-    const known = this.running.get(report.task) ?? resources.NONE;
-    if (resources.fits(report.usage, known)) return;
-    this.running.set(report.task, resources.maximum(known, report.usage));
+  private readonly peakUsageByTask = new Map<string, resources.Resources>();
+
+  /** Records the measured usage of a running task. */
+  recordUsage(report: task.TaskReport): void {
+    const peakUsage = this.peakUsageByTask.get(report.task) ?? resources.NONE;
+    if (resources.fits(report.usage, peakUsage)) return;
+    this.peakUsageByTask.set(
+      report.task,
+      resources.maximum(peakUsage, report.usage),
+    );
   }
 
-  /** Notes the end of a task; one that was never measured teaches nothing. */
-  ended(
+  /** Records that a task finished; ignores a task that was never measured. */
+  recordEnd(
     taskName: string,
     label: task.TaskLabel,
-    ranMs: clock.Milliseconds,
+    runTimeMs: clock.Milliseconds,
   ): void {
-    const peak = this.running.get(taskName);
-    this.running.delete(taskName);
-    if (peak === undefined) return;
-    const known = this.statisticsOf(label.team, label.workload);
-    for (const dimension of MEASURED) {
-      known.peaks[dimension].add(peak[dimension]);
+    const peakUsage = this.peakUsageByTask.get(taskName);
+    this.peakUsageByTask.delete(taskName);
+    if (peakUsage === undefined) return;
+    const statistics = this.statisticsOf(label.team, label.workload);
+    for (const dimension of MEASURED_DIMENSIONS) {
+      statistics.peaks[dimension].add(peakUsage[dimension]);
     }
-    known.samples += 1;
-    const weight = known.samples === 1 ? 1 : RUN_TIME_WEIGHT;
-    known.runTimeMs += weight * (ranMs - known.runTimeMs);
+    statistics.sampleCount += 1;
+    const weight = statistics.sampleCount === 1 ? 1 : RUN_TIME_SMOOTHING_FACTOR;
+    statistics.runTimeMs += weight * (runTimeMs - statistics.runTimeMs);
   }
 
-  /** Forgets a task whose measurements tell nothing. */
-  forget(taskName: string): void {
-    this.running.delete(taskName);
+  /** Discards the measurements of a task that did not finish. */
+  discard(taskName: string): void {
+    this.peakUsageByTask.delete(taskName);
   }
 
-  /** What a task of a workload is to reserve. */
-  reservation(
+  /** Returns the size that a task of a workload reserves. */
+  reservationSize(
     team: string,
     workload: string,
     declared: resources.Resources,
   ): resources.Resources {
-    const known = this.workloads.get(`${team}/${workload}`);
-    if (known === undefined || known.samples < SAMPLES_NEEDED) return declared;
+    const statistics = this.workloads.get(`${team}/${workload}`);
+    if (
+      statistics === undefined ||
+      statistics.sampleCount < MINIMUM_SAMPLE_COUNT
+    ) {
+      return declared;
+    }
     return {
       ...declared,
-      processors: known.peaks.processors.reservation,
-      memory: known.peaks.memory.reservation,
+      processors: statistics.peaks.processors.reservationSize,
+      memory: statistics.peaks.memory.reservationSize,
     };
   }
 
-  /** Mean run time of a workload; undefined before the first sample. */
+  /** Returns the mean run time; undefined before the first sample. */
   runTimeMs(team: string, workload: string): clock.Milliseconds | undefined {
     return this.workloads.get(`${team}/${workload}`)?.runTimeMs;
   }
 
   private statisticsOf(team: string, workload: string): WorkloadStatistics {
     const key = `${team}/${workload}`;
-    const known = this.workloads.get(key);
-    if (known !== undefined) return known;
+    const existing = this.workloads.get(key);
+    if (existing !== undefined) return existing;
     const created: WorkloadStatistics = {
       peaks: {processors: new PeakStatistics(), memory: new PeakStatistics()},
-      samples: 0,
+      sampleCount: 0,
       runTimeMs: 0,
     };
     this.workloads.set(key, created);
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -111,7 +111,7 @@
   },
   {
     key: 'urgency',
-    rule: new tomlSchema.ChoiceRule(workload.URGENCIES),
+    rule: new tomlSchema.ChoiceRule(workload.URGENCY_LEVELS),
     default: 'normal',
     meaning: "Order within the team's share.",
   },
--- a/test/contracts/policies_test.ts
+++ b/test/contracts/policies_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import type * as placement from '../../src/contracts/placement.js';
 
 function countBy(
@@ -15,20 +15,25 @@
   return [...counts.values()];
 }
 
-function worldWith(workers: number): scheduling.SchedulingWorld {
-  const world = new scheduling.SchedulingWorld();
-  world.addWorkers(workers);
-  world.addTeam(scheduling.teamOf('dispatch'));
-  return world;
+function harnessWith(workers: number): schedulingHarness.SchedulingHarness {
+  const harness = new schedulingHarness.SchedulingHarness();
+  harness.addWorkers(workers);
+  harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+  return harness;
 }
 
-const EIGHTH = scheduling.size(2_000, 4_096);
+const EIGHTH_OF_WORKER = schedulingHarness.buildResources(2_000, 4_096);
 
-nodeTest.describe('batch work', () => {
-  nodeTest.test('fills a worker before it opens another one', () => {
-    const world = worldWith(8);
-    world.admit('dispatch', scheduling.workloadOf({size: EIGHTH}), 16, 0);
-    const placed = world.scheduler.place(0);
+nodeTest.describe('batch policy', () => {
+  nodeTest.test('a worker is filled before the next one is used', () => {
+    const harness = harnessWith(8);
+    harness.admit(
+      'dispatch',
+      schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER}),
+      16,
+      0,
+    );
+    const placed = harness.scheduler.place(0);
     assert.deepEqual(
       countBy(placed, item => item.worker.name),
       [8, 8],
@@ -36,94 +41,121 @@
   });
 });
 
-nodeTest.describe('services', () => {
-  nodeTest.test('are spread evenly over racks', () => {
-    const world = worldWith(32);
-    const watch = scheduling.workloadOf({kind: 'service', size: EIGHTH});
-    world.admit('dispatch', watch, 8, 0);
-    const counts = countBy(world.scheduler.place(0), item => item.worker.rack);
+nodeTest.describe('service policy', () => {
+  nodeTest.test('the tasks of a service are spread evenly over racks', () => {
+    const harness = harnessWith(32);
+    const watch = schedulingHarness.buildWorkload({
+      kind: 'service',
+      size: EIGHTH_OF_WORKER,
+    });
+    harness.admit('dispatch', watch, 8, 0);
+    const counts = countBy(
+      harness.scheduler.place(0),
+      item => item.worker.rack,
+    );
     assert.deepEqual(counts, [2, 2, 2, 2]);
   });
 
   nodeTest.test(
-    'never exceed the limit per rack, even when room is left',
+    'the rack limit holds even when workers have free capacity',
     () => {
-      const world = worldWith(16);
-      const watch = scheduling.workloadOf({
+      const harness = harnessWith(16);
+      const watch = schedulingHarness.buildWorkload({
         kind: 'service',
-        size: EIGHTH,
+        size: EIGHTH_OF_WORKER,
         maximumPerRack: 1,
       });
-      world.admit('dispatch', watch, 5, 0);
-      assert.equal(world.scheduler.place(0).length, 2);
+      harness.admit('dispatch', watch, 5, 0);
+      assert.equal(harness.scheduler.place(0).length, 2);
     },
   );
 });
 
 nodeTest.describe('constraints', () => {
-  nodeTest.test('tasks stay in the zones that their workload allows', () => {
-    const world = worldWith(4);
-    world.addWorkers(1, scheduling.AUTHORITY_WORKER, 'huye-a');
-    const bound = scheduling.workloadOf({size: EIGHTH, zones: ['huye-a']});
-    world.admit('dispatch', bound, 10, 0);
-    const placed = world.scheduler.place(0);
-    assert.equal(placed.length, 8);
-    assert.ok(placed.every(item => item.worker.description.zone === 'huye-a'));
-  });
+  nodeTest.test(
+    'tasks are placed only in the zones that their workload allows',
+    () => {
+      const harness = harnessWith(4);
+      harness.addWorkers(
+        1,
+        schedulingHarness.STANDARD_WORKER_CAPACITY,
+        'huye-a',
+      );
+      const bound = schedulingHarness.buildWorkload({
+        size: EIGHTH_OF_WORKER,
+        zones: ['huye-a'],
+      });
+      harness.admit('dispatch', bound, 10, 0);
+      const placed = harness.scheduler.place(0);
+      assert.equal(placed.length, 8);
+      assert.ok(
+        placed.every(item => item.worker.description.zone === 'huye-a'),
+      );
+    },
+  );
 });
 
-nodeTest.describe('gangs', () => {
-  const GANG = scheduling.workloadOf({
+nodeTest.describe('gang policy', () => {
+  const GANG = schedulingHarness.buildWorkload({
     name: 'gang',
     kind: 'gang',
-    size: EIGHTH,
+    size: EIGHTH_OF_WORKER,
     taskCount: 16,
   });
 
-  nodeTest.test('hold nothing unless all of their tasks have room', () => {
-    const world = worldWith(1);
-    world.admit('dispatch', GANG, 1, 0);
-    assert.equal(world.scheduler.place(0).length, 0);
-    assert.equal(world.workers.all()[0].reservations().size, 0);
+  nodeTest.test('a gang reserves nothing unless all of its tasks fit', () => {
+    const harness = harnessWith(1);
+    harness.admit('dispatch', GANG, 1, 0);
+    assert.equal(harness.scheduler.place(0).length, 0);
+    assert.equal(harness.fleet.all()[0].reservations().size, 0);
   });
 
-  nodeTest.test('respect the limit per rack', () => {
-    const world = worldWith(32);
-    world.admit('dispatch', {...GANG, maximumPerRack: 4}, 1, 0);
-    const counts = countBy(world.scheduler.place(0), item => item.worker.rack);
+  nodeTest.test('the rack limit applies to the tasks of a gang', () => {
+    const harness = harnessWith(32);
+    harness.admit('dispatch', {...GANG, maximumPerRack: 4}, 1, 0);
+    const counts = countBy(
+      harness.scheduler.place(0),
+      item => item.worker.rack,
+    );
     assert.deepEqual(counts, [4, 4, 4, 4]);
   });
 
-  nodeTest.test('are not starved by a stream of small work', () => {
-    const world = worldWith(2);
-    world.addTeam(scheduling.teamOf('other'));
-    const small = scheduling.workloadOf({size: EIGHTH});
-    world.admit('other', small, 200, 0);
-    const running = [...world.scheduler.place(0)];
-    world.admit('dispatch', GANG, 1, 0);
-    for (let now = 100; now <= 3_000; now += 100) {
-      const oldest = running.shift();
-      if (oldest !== undefined) world.end(oldest, false, now);
-      const placed = world.scheduler.place(now);
-      if (placed.some(item => item.request.workload.kind === 'gang')) {
-        assert.equal(placed.length, 16);
-        return;
+  nodeTest.test(
+    'a gang is not starved by small tasks that take each freed slot',
+    () => {
+      const harness = harnessWith(2);
+      harness.addTeam(schedulingHarness.buildTeam('other'));
+      const small = schedulingHarness.buildWorkload({size: EIGHTH_OF_WORKER});
+      harness.admit('other', small, 200, 0);
+      const running = [...harness.scheduler.place(0)];
+      harness.admit('dispatch', GANG, 1, 0);
+      for (let now = 100; now <= 3_000; now += 100) {
+        const oldest = running.shift();
+        if (oldest !== undefined) harness.end(oldest, false, now);
+        const placed = harness.scheduler.place(now);
+        if (placed.some(item => item.request.workload.kind === 'gang')) {
+          assert.equal(placed.length, 16);
+          return;
+        }
+        running.push(...placed);
       }
-      running.push(...placed);
-    }
-    assert.fail('the gang did not start');
-  });
+      assert.fail('the gang did not start');
+    },
+  );
 
-  nodeTest.test('free earmarked room when they are cancelled', () => {
-    const world = worldWith(2);
-    const small = scheduling.workloadOf({name: 'small', size: EIGHTH});
-    world.admit('dispatch', small, 1, 0);
-    world.scheduler.place(0);
-    const [gang] = world.admit('dispatch', GANG, 1, 1);
-    world.scheduler.place(1);
-    world.admit('dispatch', small, 15, 2);
-    assert.equal(world.scheduler.place(2).length, 0);
-    assert.ok(world.scheduler.remove(gang.identity));
-    assert.equal(world.scheduler.place(3).length, 15);
+  nodeTest.test('cancelling a gang releases its capacity reservation', () => {
+    const harness = harnessWith(2);
+    const small = schedulingHarness.buildWorkload({
+      name: 'small',
+      size: EIGHTH_OF_WORKER,
+    });
+    harness.admit('dispatch', small, 1, 0);
+    harness.scheduler.place(0);
+    const [gang] = harness.admit('dispatch', GANG, 1, 1);
+    harness.scheduler.place(1);
+    harness.admit('dispatch', small, 15, 2);
+    assert.equal(harness.scheduler.place(2).length, 0);
+    assert.ok(harness.scheduler.remove(gang.identity));
+    assert.equal(harness.scheduler.place(3).length, 15);
   });
 });
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as fleet from '../../src/machines/fleet.js';
-import * as samples from '../support/samples.js';
+import * as contractSamples from '../support/contract_samples.js';
 import * as taskRunner from '../../src/machines/task_runner.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
@@ -34,8 +34,8 @@
     change: Partial<workload.Workload> = {},
     name = 'id/0.1',
   ): taskRunner.RunnerOutput {
-    const request = samples.buildRequest('id', change);
-    const label = samples.buildTaskReport(name, 'id').label;
+    const request = contractSamples.buildRequest('id', change);
+    const label = contractSamples.buildTaskReport(name, 'id').label;
     this.worker.reserve({task: name, label, size: request.size});
     const {size} = request;
     this.runner.trackHeld({request, task: name, worker: this.worker, size});
@@ -56,7 +56,10 @@
     tasks: ReadonlyArray<task.TaskReport>,
     sentAt = this.now,
   ): taskRunner.RunnerOutput {
-    const report = samples.buildReport(this.now + CLOCK_OFFSET_MS, tasks);
+    const report = contractSamples.buildReport(
+      this.now + CLOCK_OFFSET_MS,
+      tasks,
+    );
     return this.handle({kind: 'reportArrived', report, sentAt});
   }
 
@@ -181,7 +184,9 @@
     fixture.start();
     fixture.answerStart('lost');
     fixture.now = 500;
-    const turn = fixture.report([samples.buildTaskReport('id/0.1', 'id')]);
+    const turn = fixture.report([
+      contractSamples.buildTaskReport('id/0.1', 'id'),
+    ]);
     assert.deepEqual(outcomeKinds(turn), ['started']);
     assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
   });
@@ -196,7 +201,7 @@
       fixture.start({idempotent: true});
       fixture.start({idempotent: true}, 'id/1.1');
       const listed = ['id/0.1', 'id/1.1'].map(name =>
-        samples.buildTaskReport(name, 'id'),
+        contractSamples.buildTaskReport(name, 'id'),
       );
       fixture.report(listed);
       const [renewal, ...more] = effectsOf(fixture.pass(600), 'renewLeases');
@@ -250,7 +255,7 @@
       assert.deepEqual(outcomeKinds(fixture.pass(5_000)), ['unknown']);
       assert.equal(fixture.worker.reservations().size, 0);
       const state = 'finished';
-      const listed = samples.buildTaskReport('id/0.1', 'id', {state});
+      const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
       const turn = fixture.report([listed]);
       assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
       assert.deepEqual(outcomeKinds(fixture.answer('id/0.1')), ['ended']);
@@ -280,7 +285,7 @@
     fixture.handle({...lost, task: 'id/0.1'});
     fixture.now = 1_000;
     const state = 'finished';
-    const listed = samples.buildTaskReport('id/0.1', 'id', {state});
+    const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
     const turn = fixture.report([listed]);
     assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
     const [ended] = fixture.answer('id/0.1').outcomes;
@@ -308,7 +313,7 @@
       'end; guards against overcommitment of a worker after a takeover',
     () => {
       const fixture = new RunnerFixture();
-      const found = samples.buildTaskReport('old/0.1', 'old');
+      const found = contractSamples.buildTaskReport('old/0.1', 'old');
       const turn = fixture.report([found]);
       assert.deepEqual(outcomeKinds(turn), ['adopted']);
       assert.equal(fixture.worker.reservations().size, 1);
@@ -334,7 +339,7 @@
       owns: () => true,
     });
     assert.equal(runner.mayPlace('worker-1', 0), false);
-    const report = samples.buildReport(CLOCK_OFFSET_MS);
+    const report = contractSamples.buildReport(CLOCK_OFFSET_MS);
     runner.handle({kind: 'reportArrived', report, sentAt: 0}, 0);
     assert.equal(runner.mayPlace('worker-1', 0), true);
   });
@@ -343,7 +348,7 @@
 nodeTest.describe('reservation', () => {
   nodeTest.test('without a task is reported and released', () => {
     const fixture = new RunnerFixture();
-    const {label, size} = samples.buildTaskReport('stray', 'stray');
+    const {label, size} = contractSamples.buildTaskReport('stray', 'stray');
     fixture.worker.reserve({task: 'stray', label, size});
     assert.deepEqual(effectsOf(fixture.report([]), 'count'), []);
     const [violated] = effectsOf(fixture.report([]), 'count');
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as scheduling from '../support/scheduling.js';
+import * as schedulingHarness from '../support/scheduling_harness.js';
 import * as workerHealth from '../../src/machines/worker_health.js';
 import type * as worker from '../../src/machines/worker.js';
 
@@ -18,7 +18,7 @@
 }
 
 function oneWorker(): worker.Worker {
-  return new scheduling.SchedulingWorld().addWorkers(1)[0];
+  return new schedulingHarness.SchedulingHarness().addWorkers(1)[0];
 }
 
 nodeTest.describe('workers that fail every task', () => {
@@ -42,7 +42,8 @@
       'elsewhere; guards against lost requests in zones with few workloads',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const [healthy, faulty] = new scheduling.SchedulingWorld().addWorkers(2);
+      const [healthy, faulty] =
+        new schedulingHarness.SchedulingHarness().addWorkers(2);
       const end = {worker: healthy, workload: 'a', failed: false, ranMs: 200};
       health.recordEnd(end, 0);
       assert.equal(recordFailures(health, faulty, ['a', 'a', 'a', 'a']), false);
@@ -55,7 +56,7 @@
     'a workload that starts to fail everywhere suspends no further worker',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const machines = new scheduling.SchedulingWorld().addWorkers(3);
+      const machines = new schedulingHarness.SchedulingHarness().addWorkers(3);
       const [first, second, third] = machines;
       const end = {worker: first, workload: 'a', failed: false, ranMs: 200};
       health.recordEnd(end, 0);
@@ -90,11 +91,14 @@
   );
 
   nodeTest.test('a worker that fails every task gets few tasks', () => {
-    const world = new scheduling.SchedulingWorld();
+    const world = new schedulingHarness.SchedulingHarness();
     const [faulty] = world.addWorkers(2);
-    world.addTeam(scheduling.teamOf('dispatch'));
+    world.addTeam(schedulingHarness.buildTeam('dispatch'));
     const kinds = ['a', 'b', 'c', 'd'].map(name =>
-      scheduling.workloadOf({name, size: scheduling.size(2_000, 4_096)}),
+      schedulingHarness.buildWorkload({
+        name,
+        size: schedulingHarness.buildResources(2_000, 4_096),
+      }),
     );
     let failed = 0;
     for (let now = 0; now < 5_000; now += 100) {
--- a/test/support/samples.ts
+++ b/test/support/contract_samples.ts
@@ -3,15 +3,15 @@
 import type * as task from '../../src/contracts/task.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-/** Size of one sample task. */
-export const SIZE: resources.Resources = {
+/** Size of a sample task; `buildReport` has capacity for eight. */
+export const SAMPLE_TASK_SIZE: resources.Resources = {
   processors: 1000,
   memory: 1024,
   accelerators: 0,
   slots: 1,
 };
 
-/** Builds a workload; it is a non-idempotent order unless changed. */
+/** Builds a workload, a non-idempotent batch order unless changed. */
 export function buildWorkload(
   change: Partial<workload.Workload> = {},
 ): workload.Workload {
@@ -21,7 +21,7 @@
     urgency: 'normal',
     worth: 1,
     idempotent: false,
-    size: SIZE,
+    size: SAMPLE_TASK_SIZE,
     runTimeMs: 100,
     taskCount: 1,
     startDeadlineMs: 0,
@@ -50,7 +50,7 @@
   };
 }
 
-/** Builds a row of a worker's report. */
+/** Builds the report of one task for `buildReport`. */
 export function buildTaskReport(
   name: string,
   identity: string,
@@ -67,14 +67,14 @@
       worth: 1,
     },
     state: 'running',
-    size: SIZE,
-    usage: SIZE,
+    size: SAMPLE_TASK_SIZE,
+    usage: SAMPLE_TASK_SIZE,
     leaseEnd: 0,
     ...change,
   };
 }
 
-/** Builds a report of worker `worker-1` with room for eight sample tasks. */
+/** Builds a report of `worker-1`, which fits eight sample tasks. */
 export function buildReport(
   workerClock: number,
   tasks: ReadonlyArray<task.TaskReport> = [],
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling_harness.ts
@@ -1,7 +1,7 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as placementPolicy from '../../src/contracts/placement_policy.js';
 import * as randomSource from '../../src/machines/random_source.js';
-import * as scheduler from '../../src/contracts/scheduler.js';
+import * as requestScheduler from '../../src/contracts/request_scheduler.js';
 import type * as placement from '../../src/contracts/placement.js';
 import type * as clock from '../../src/machines/clock.js';
 import type * as configuration from '../../src/contracts/configuration.js';
@@ -12,8 +12,8 @@
 import type * as worker from '../../src/machines/worker.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-/** Builds a quantity; one slot unless stated. */
-export function size(
+/** Builds a quantity of resources with one slot by default. */
+export function buildResources(
   processors: number,
   memory: number,
   accelerators = 0,
@@ -22,11 +22,11 @@
   return {processors, memory, accelerators, slots};
 }
 
-/** A worker of the Authority: 16 cores, 32 GB, 8 slots. */
-export const AUTHORITY_WORKER = size(16_000, 32_768, 0, 8);
+/** Capacity of the workers by default: 16 cores, 32 GB, 8 slots. */
+export const STANDARD_WORKER_CAPACITY = buildResources(16_000, 32_768, 0, 8);
 
-/** Builds a workload that differs from a plain batch one in `changes`. */
-export function workloadOf(
+/** Builds an idempotent batch workload with `changes` applied. */
+export function buildWorkload(
   changes: Partial<workload.Workload> = {},
 ): workload.Workload {
   return {
@@ -35,7 +35,7 @@
     urgency: 'normal',
     worth: 1,
     idempotent: true,
-    size: size(1_000, 1_024),
+    size: buildResources(1_000, 1_024),
     runTimeMs: 1_000,
     taskCount: 1,
     startDeadlineMs: 0,
@@ -45,15 +45,15 @@
   };
 }
 
-/** Builds a team whose quota is far above what tests use. */
-export function teamOf(
+/** Builds a team whose quota and queue limit exceed what tests need. */
+export function buildTeam(
   name: string,
   changes: Partial<team.Team> = {},
 ): team.Team {
   return {
     name,
     clients: [],
-    quota: size(1e9, 1e9, 1e6, 1e6),
+    quota: buildResources(1e9, 1e9, 1e6, 1e6),
     share: 1,
     queueLimit: 1e6,
     workloads: [],
@@ -61,50 +61,50 @@
   };
 }
 
-/** A scheduler with its fleet and configuration, driven by hand. */
-export class SchedulingWorld {
-  readonly workers: fleet.Fleet;
-  readonly scheduler: scheduler.Scheduler;
+/** Scheduler with its fleet and configuration, under control of a test. */
+export class SchedulingHarness {
+  readonly fleet: fleet.Fleet;
+  readonly scheduler: requestScheduler.RequestScheduler;
   private readonly teams = new Map<string, team.Team>();
   private plan: configuration.FleetPlan | undefined;
-  private forbidden = new Set<string>();
+  private forbiddenWorkers = new Set<string>();
   private sequence = 0;
 
   constructor(seed = 1) {
-    this.workers = new fleet.Fleet(new randomSource.SeededRandom(seed));
-    this.scheduler = new scheduler.Scheduler(
-      this.workers,
-      {mayPlace: name => !this.forbidden.has(name)},
+    this.fleet = new fleet.Fleet(new randomSource.SeededRandom(seed));
+    this.scheduler = new requestScheduler.RequestScheduler(
+      this.fleet,
+      {mayPlace: name => !this.forbiddenWorkers.has(name)},
       {current: () => this.configuration()},
     );
   }
 
-  /** Puts a team in force. */
+  /** Adds a team to the configuration. */
   addTeam(added: team.Team): void {
     this.teams.set(added.name, added);
   }
 
-  /** Puts the plan of the fleet in force. */
+  /** Sets the fleet plan of the configuration. */
   setPlan(plan: configuration.FleetPlan): void {
     this.plan = plan;
   }
 
-  /** Takes the permit for a worker away. */
-  forbid(name: string): void {
-    this.forbidden.add(name);
+  /** Revokes the permit to place on a worker. */
+  denyPlacement(name: string): void {
+    this.forbiddenWorkers.add(name);
   }
 
-  /** Adds workers of one capacity, eight to a rack. */
+  /** Adds workers of the same capacity, eight in each rack. */
   addWorkers(
     count: number,
-    capacity: resources.Resources = AUTHORITY_WORKER,
+    capacity: resources.Resources = STANDARD_WORKER_CAPACITY,
     zone = 'kigali-a',
   ): ReadonlyArray<worker.Worker> {
     const added: worker.Worker[] = [];
     for (let index = 0; index < count; index += 1) {
-      const name = `${zone}-worker-${this.workers.all().length}`;
+      const name = `${zone}-worker-${this.fleet.all().length}`;
       const rack = `${zone}-rack-${Math.floor(index / 8)}`;
-      const created = this.workers.ensure({name, zone, address: name});
+      const created = this.fleet.ensure({name, zone, address: name});
       created.update(
         {
           worker: name,
@@ -121,10 +121,10 @@
     return added;
   }
 
-  /** Builds a request of a team. */
-  request(
+  /** Builds a request of a team with a new identity. */
+  buildRequest(
     teamName: string,
-    described: workload.Workload,
+    definition: workload.Workload,
     arrivedAt: clock.Milliseconds,
     changes: Partial<request.Request> = {},
   ): request.Request {
@@ -133,62 +133,65 @@
       identity: `${teamName}_${this.sequence}`,
       client: 'workshop-1',
       team: teamName,
-      workload: described,
+      workload: definition,
       payload: '',
-      size: described.size,
-      taskCount: described.taskCount,
+      size: definition.size,
+      taskCount: definition.taskCount,
       arrivedAt,
       startBy: Infinity,
       ...changes,
     };
   }
 
-  /** Admits a number of equal requests; returns those that were admitted. */
+  /** Submits `count` equal requests; returns those that were admitted. */
   admit(
     teamName: string,
-    described: workload.Workload,
+    definition: workload.Workload,
     count: number,
     now: clock.Milliseconds,
   ): ReadonlyArray<request.Request> {
     const admitted: request.Request[] = [];
     for (let index = 0; index < count; index += 1) {
-      const built = this.request(teamName, described, now);
+      const built = this.buildRequest(teamName, definition, now);
       this.scheduler.admit(built, now).ifRight(() => admitted.push(built));
     }
     return admitted;
   }
 
-  /** Notes that a start was acknowledged. */
-  start(started: placement.Placement, now: clock.Milliseconds): void {
-    this.scheduler.observe(
-      {kind: 'started', reference: referenceOf(started)},
+  /** Reports an acknowledged start to the scheduler. */
+  start(placed: placement.Placement, now: clock.Milliseconds): void {
+    this.scheduler.observeOutcome(
+      {kind: 'started', reference: referenceOf(placed)},
       now,
     );
   }
 
-  /** Ends a task as its worker would. */
+  /** Reports a finished or failed task and releases its reservation. */
   end(
-    ended: placement.Placement,
+    placed: placement.Placement,
     failed: boolean,
     now: clock.Milliseconds,
   ): void {
-    this.finish(ended, failed ? 'failed' : 'finished', now);
+    this.finish(placed, failed ? 'failed' : 'finished', now);
   }
 
-  /** Ends a task because it was asked to make a checkpoint. */
-  checkpoint(ended: placement.Placement, now: clock.Milliseconds): void {
-    this.finish(ended, 'checkpointed', now);
+  /** Reports a checkpointed task and releases its reservation. */
+  checkpoint(placed: placement.Placement, now: clock.Milliseconds): void {
+    this.finish(placed, 'checkpointed', now);
   }
 
   private finish(
-    ended: placement.Placement,
+    placed: placement.Placement,
     end: trackedTask.TaskEndState,
     now: clock.Milliseconds,
   ): void {
-    this.start(ended, now);
-    ended.worker.release(ended.task);
-    const reference = referenceOf(ended);
-    this.scheduler.observe({kind: 'ended', reference, end, answer: ''}, now);
+    this.start(placed, now);
+    placed.worker.release(placed.task);
+    const reference = referenceOf(placed);
+    this.scheduler.observeOutcome(
+      {kind: 'ended', reference, end, answer: ''},
+      now,
+    );
   }
 
   private configuration(): configuration.Configuration {
@@ -200,6 +203,6 @@
   placement: placement.Placement,
 ): trackedTask.TaskReference {
   const {task, worker: target} = placement;
-  const label = placementPolicy.labelOf(placement.request);
+  const label = placementPolicy.buildTaskLabel(placement.request);
   return {task, label, worker: target.name};
 }
