--- a/bench/fakes/peer_messages.ts
+++ b/bench/fakes/peer_messages.ts
@@ -21,7 +21,7 @@
         call,
         to,
         zonePosition: wanted.zonePosition,
-        news: wanted.news,
+        status: wanted.status,
       };
     case 'offerRequest': {
       const {identity, client, submission, remainingMs, attempt} = wanted;
@@ -64,14 +64,14 @@
   const peer = wanted.peer;
   switch (answer.kind) {
     case 'answerConfirm': {
-      const {confirmed, zoneRecords, news} = answer;
+      const {confirmed, zoneRecords, status: news} = answer;
       return {
         kind: 'confirmAnswered',
         peer,
         sentAt,
         confirmed,
         zoneRecords,
-        news,
+        status: news,
       };
     }
     case 'answerOffer':
--- a/src/contracts/attempt.ts
+++ b/src/contracts/attempt.ts
@@ -27,9 +27,9 @@
       readonly spent: boolean;
       readonly reason: string;
       /** The end when it may not be placed again. */
-      readonly otherwise: requestTable.Ending;
+      readonly otherwise: requestTable.RequestOutcome;
     }
-  | {readonly kind: 'ended'; readonly ending: requestTable.Ending};
+  | {readonly kind: 'ended'; readonly ending: requestTable.RequestOutcome};
 
 /** The tasks of one placement of a request; they start together. */
 export class Attempt {
@@ -137,7 +137,9 @@
   };
 }
 
-function worstEnding(tasks: ReadonlyArray<AttemptTask>): requestTable.Ending {
+function worstEnding(
+  tasks: ReadonlyArray<AttemptTask>,
+): requestTable.RequestOutcome {
   const unresolved = tasks.find(task => task.end === 'unresolved');
   if (unresolved !== undefined) {
     return ending('outcomeLost', `task ${unresolved.task}`, '');
@@ -162,9 +164,9 @@
 }
 
 function ending(
-  result: requestTable.Ending['result'],
+  result: requestTable.RequestOutcome['result'],
   detail: string,
   answer: string,
-): requestTable.Ending {
+): requestTable.RequestOutcome {
   return {result, detail, answer};
 }
--- a/src/contracts/call_reply.ts
+++ b/src/contracts/call_reply.ts
@@ -1,6 +1,6 @@
 import * as effects from './effect.js';
 import * as result from '../result.js';
-import type * as identities from './identity.js';
+import type * as identityIssuer from './identity_issuer.js';
 import type * as event from './event.js';
 
 /** Answers a call with a refusal, which is counted by its reason. */
@@ -33,7 +33,7 @@
 
 /** Why an identity that was issued here can't be used; undefined if it can. */
 export function identityRefusal(
-  check: identities.IdentityCheck,
+  check: identityIssuer.IdentityStatus,
   identity: string,
 ): result.Failure | undefined {
   switch (check) {
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -4,10 +4,10 @@
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as processDirectory from './process_directory.js';
-import type * as recoveries from './recovery.js';
+import type * as outcomeRecovery from './outcome_recovery.js';
 
 /** Least time that recovery gets before a call is answered with "unknown". */
-const RECOVERY_WAIT_MS = 5_000;
+const MIN_RECOVERY_WAIT_MS = 5_000;
 
 /** A call about one identity. */
 export type IdentityCall = Extract<
@@ -19,15 +19,15 @@
 >;
 
 /** What the router needs of the process that it belongs to. */
-export interface LocalDesk {
+export interface LocalRequestHandler {
   /** Answers a call about an identity that this process knows. */
-  answerHere(
+  answerLocally(
     call: IdentityCall,
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect>;
   /** Makes sure that an identity never runs here; false when it has begun. */
-  bury(identity: string, now: clock.Milliseconds): boolean;
+  preventRun(identity: string, now: clock.Milliseconds): boolean;
   /** Whether a submission may run twice. */
   isIdempotent(call: IdentityCall): boolean | undefined;
 }
@@ -37,10 +37,10 @@
   readonly address: string;
 }
 
-interface HeldCall {
+interface CallInRecovery {
   readonly call: IdentityCall;
-  readonly question: recoveries.Question;
-  readonly until: clock.Milliseconds;
+  readonly query: outcomeRecovery.OutcomeQuery;
+  readonly deadline: clock.Milliseconds;
 }
 
 /**
@@ -48,14 +48,17 @@
  * recovery decide when the home is dead.
  */
 export class CallRouter {
-  private readonly held = new Map<event.CallNumber, HeldCall>();
-  private readonly forwarded = new Map<event.CallNumber, ForwardedCall>();
+  private readonly callsInRecovery = new Map<
+    event.CallNumber,
+    CallInRecovery
+  >();
+  private readonly forwardedCalls = new Map<event.CallNumber, ForwardedCall>();
 
   constructor(
     private readonly self: string,
     private readonly directory: processDirectory.ProcessDirectory,
-    private readonly recovery: recoveries.Recovery,
-    private readonly desk: LocalDesk,
+    private readonly recovery: outcomeRecovery.OutcomeRecovery,
+    private readonly localHandler: LocalRequestHandler,
   ) {}
 
   /** Routes a call about an identity whose home is `home`. */
@@ -70,13 +73,13 @@
       const member = {process: home, address};
       return this.forward(call, identity, member, false);
     }
-    const relay = this.directory.relay(home);
+    const relay = this.directory.relayFor(home);
     if (relay !== undefined) return this.forward(call, identity, relay, true);
-    if (!this.directory.isSucceeded(home, now)) {
+    if (!this.directory.hasSuccessor(home, now)) {
       const detail = `the home ${home} can't be reached and may be alive`;
-      return unknown(call, identity, detail);
+      return answerUnknown(call, identity, detail);
     }
-    return this.askRecovery(call, identity, home, now);
+    return this.queryRecovery(call, identity, home, now);
   }
 
   /** Handles the answers of homes; ignores other events. */
@@ -90,88 +93,94 @@
       case 'forwardFailed':
         return this.forwardFailed(handled.call);
       case 'callEnded':
-        this.forwarded.delete(handled.call);
-        this.release(handled.call);
+        this.forwardedCalls.delete(handled.call);
+        this.cancelRecovery(handled.call);
         return [];
       case 'timePassed':
-        return this.expire(now);
+        return this.expireCalls(now);
       default:
         return [];
     }
   }
 
   /** Answers the calls that wait for what recovery found. */
-  takeAnswer(
-    answer: recoveries.RecoveryAnswer,
+  handleRecoveryResult(
+    recoveryResult: outcomeRecovery.RecoveryResult,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
-    for (const held of [...this.held.values()]) {
-      const {identity, client, process} = held.question;
-      const same =
-        identity === answer.question.identity &&
-        client === answer.question.client &&
-        process === answer.question.process;
-      if (!same) continue;
-      this.held.delete(held.call.call);
-      done.push(...this.answerHeld(held, answer.finding, now));
+    const produced: effects.Effect[] = [];
+    for (const waiting of [...this.callsInRecovery.values()]) {
+      const {identity, client, process} = waiting.query;
+      const isSameQuery =
+        identity === recoveryResult.query.identity &&
+        client === recoveryResult.query.client &&
+        process === recoveryResult.query.process;
+      if (!isSameQuery) continue;
+      this.callsInRecovery.delete(waiting.call.call);
+      produced.push(
+        ...this.answerFromFinding(waiting, recoveryResult.finding, now),
+      );
     }
-    return done;
+    return produced;
   }
 
   nextDeadline(): clock.Milliseconds {
-    let due = Infinity;
-    for (const held of this.held.values()) due = Math.min(due, held.until);
-    return due;
+    let earliest = Infinity;
+    for (const waiting of this.callsInRecovery.values()) {
+      earliest = Math.min(earliest, waiting.deadline);
+    }
+    return earliest;
   }
 
   private forward(
     call: IdentityCall,
     identity: string,
-    to: processDirectory.Member,
+    target: processDirectory.PeerProcess,
     relayed: boolean,
   ): ReadonlyArray<effects.Effect> {
-    const {process: peer, address} = to;
-    this.forwarded.set(call.call, {identity, address});
+    const {process: peer, address} = target;
+    this.forwardedCalls.set(call.call, {identity, address});
     return [
       effects.count('forward', {reason: relayed ? 'otherZone' : 'home'}),
       {kind: 'forwardCall', peer, address, relayed, call: call.call},
     ];
   }
 
-  private askRecovery(
+  private queryRecovery(
     call: IdentityCall,
     identity: string,
     process: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const question = {identity, client: call.client, process};
+    const query = {identity, client: call.client, process};
     const waitMs = 'waitMs' in call ? call.waitMs : 0;
-    const until = now + Math.max(waitMs, RECOVERY_WAIT_MS);
-    this.held.set(call.call, {call, question, until});
-    const turn = this.recovery.ask(question, now);
+    const deadline = now + Math.max(waitMs, MIN_RECOVERY_WAIT_MS);
+    this.callsInRecovery.set(call.call, {call, query, deadline});
+    const output = this.recovery.query(query, now);
     return [
-      ...turn.effects,
-      ...turn.answers.flatMap(answer => this.takeAnswer(answer, now)),
+      ...output.effects,
+      ...output.results.flatMap(answer =>
+        this.handleRecoveryResult(answer, now),
+      ),
     ];
   }
 
-  private answerHeld(
-    held: HeldCall,
-    finding: recoveries.RecoveryAnswer['finding'],
+  private answerFromFinding(
+    waiting: CallInRecovery,
+    finding: outcomeRecovery.RecoveryResult['finding'],
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const {call, question} = held;
-    const {identity} = question;
+    const {call, query} = waiting;
+    const {identity} = query;
     switch (finding.kind) {
       case 'ended':
-        return [recovered(call, identity, finding.ending)];
+        return [answerOutcome(call, identity, finding.outcome)];
       case 'notRun':
-        return this.notRun(call, identity);
+        return this.answerNotRun(call, identity);
       case 'running':
-        return [running(call, identity, finding.worker)];
+        return [answerRunning(call, identity, finding.worker)];
       case 'offered':
-        return this.offered(call, question, finding.process, now);
+        return this.routeToOfferee(call, query, finding.process, now);
       case 'foreign':
         return callReply.refuse(call.call, callReply.unknownIdentity(identity));
       case 'lost': {
@@ -180,22 +189,22 @@
         return callReply.refuse(call.call, lost, identity);
       }
       default:
-        return unknown(call, identity, 'no proof has been found yet');
+        return answerUnknown(call, identity, 'no proof has been found yet');
     }
   }
 
   /** Idempotent requests leave no records, so that nothing proves nothing. */
-  private notRun(
+  private answerNotRun(
     call: IdentityCall,
     identity: string,
   ): ReadonlyArray<effects.Effect> {
     if (call.kind !== 'requestArrived') {
       const detail = 'repeat the submission: it shows if there were records';
-      return unknown(call, identity, detail);
+      return answerUnknown(call, identity, detail);
     }
-    const idempotent = this.desk.isIdempotent(call);
+    const idempotent = this.localHandler.isIdempotent(call);
     if (idempotent === undefined) {
-      return unknown(call, identity, 'the workload is not configured');
+      return answerUnknown(call, identity, 'the workload is not configured');
     }
     const failed = idempotent
       ? result.failure('outcomeLost', 'send it again under a new identity')
@@ -203,69 +212,81 @@
     return callReply.refuse(call.call, failed, identity);
   }
 
-  private offered(
+  private routeToOfferee(
     call: IdentityCall,
-    question: recoveries.Question,
+    query: outcomeRecovery.OutcomeQuery,
     process: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const {identity} = question;
-    if (process === question.process) {
-      return unknown(call, identity, 'the records name no further process');
+    const {identity} = query;
+    if (process === query.process) {
+      return answerUnknown(
+        call,
+        identity,
+        'the records name no further process',
+      );
     }
     if (process !== this.self) return this.route(call, identity, process, now);
-    if (this.desk.bury(identity, now)) return this.notRun(call, identity);
-    return this.desk.answerHere(call, identity, now);
+    if (this.localHandler.preventRun(identity, now)) {
+      return this.answerNotRun(call, identity);
+    }
+    return this.localHandler.answerLocally(call, identity, now);
   }
 
   private forwardAnswered(
     answered: Extract<event.Event, {kind: 'forwardAnswered'}>,
   ): ReadonlyArray<effects.Effect> {
     const {call} = answered;
-    const forwarded = this.forwarded.get(call);
+    const forwarded = this.forwardedCalls.get(call);
     if (forwarded === undefined) return [];
-    this.forwarded.delete(call);
+    this.forwardedCalls.delete(call);
     const {identity} = forwarded;
     const reply = readReply(answered.code, answered.body);
     if (reply.identity !== undefined && reply.identity !== identity) {
       return [
         effects.count('answer_dropped', {reason: 'otherIdentity'}),
-        ...unknownFor(call, identity, 'the home answered another request'),
+        ...answerUnknownByNumber(
+          call,
+          identity,
+          'the home answered another request',
+        ),
       ];
     }
     return [{kind: 'answerCaller', call, reply}];
   }
 
   private forwardFailed(call: event.CallNumber): ReadonlyArray<effects.Effect> {
-    const forwarded = this.forwarded.get(call);
+    const forwarded = this.forwardedCalls.get(call);
     if (forwarded === undefined) return [];
-    this.forwarded.delete(call);
+    this.forwardedCalls.delete(call);
     const {identity, address} = forwarded;
-    this.directory.noteUnreachable(address);
-    return unknownFor(call, identity, 'the home gave no answer');
+    this.directory.markUnreachable(address);
+    return answerUnknownByNumber(call, identity, 'the home gave no answer');
   }
 
-  private expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
-    for (const held of [...this.held.values()]) {
-      if (held.until > now) continue;
-      this.release(held.call.call);
+  private expireCalls(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+    const produced: effects.Effect[] = [];
+    for (const waiting of [...this.callsInRecovery.values()]) {
+      if (waiting.deadline > now) continue;
+      this.cancelRecovery(waiting.call.call);
       const detail = 'not all records of its home could be read yet';
-      done.push(...unknown(held.call, held.question.identity, detail));
+      produced.push(
+        ...answerUnknown(waiting.call, waiting.query.identity, detail),
+      );
     }
-    return done;
+    return produced;
   }
 
-  private release(call: event.CallNumber): void {
-    const held = this.held.get(call);
-    if (held === undefined) return;
-    this.held.delete(call);
-    const shared = [...this.held.values()].some(
+  private cancelRecovery(call: event.CallNumber): void {
+    const waiting = this.callsInRecovery.get(call);
+    if (waiting === undefined) return;
+    this.callsInRecovery.delete(call);
+    const isShared = [...this.callsInRecovery.values()].some(
       other =>
-        other.question.identity === held.question.identity &&
-        other.question.client === held.question.client,
+        other.query.identity === waiting.query.identity &&
+        other.query.client === waiting.query.client,
     );
-    if (!shared) this.recovery.drop(held.question);
+    if (!isShared) this.recovery.cancelQuery(waiting.query);
   }
 }
 
@@ -279,22 +300,22 @@
   }
 }
 
-function recovered(
+function answerOutcome(
   call: IdentityCall,
   identity: string,
-  ending: {
+  outcome: {
     readonly result: result.ResultName;
     readonly detail: string;
     readonly answer: string;
   },
 ): effects.Effect {
-  const {code} = result.RESULT_CODES[ending.result];
-  const {detail, answer} = ending;
+  const {code} = result.RESULT_CODES[outcome.result];
+  const {detail, answer} = outcome;
   const reply = {code, detail, identity, state: 'ended', answer};
   return {kind: 'answerCaller', call: call.call, reply};
 }
 
-function running(
+function answerRunning(
   call: IdentityCall,
   identity: string,
   worker: string,
@@ -304,15 +325,15 @@
   return {kind: 'answerCaller', call: call.call, reply};
 }
 
-function unknown(
+function answerUnknown(
   call: IdentityCall,
   identity: string,
   detail: string,
 ): ReadonlyArray<effects.Effect> {
-  return unknownFor(call.call, identity, detail);
+  return answerUnknownByNumber(call.call, identity, detail);
 }
 
-function unknownFor(
+function answerUnknownByNumber(
   call: event.CallNumber,
   identity: string,
   detail: string,
--- a/src/contracts/configuration_keeper.ts
+++ b/src/contracts/configuration_keeper.ts
@@ -129,7 +129,7 @@
         return this.takeFromPeer(handled);
       case 'confirmArrived':
       case 'confirmAnswered':
-        return this.peers.compare(handled.news, this.inForce, now);
+        return this.peers.compare(handled.status, this.inForce, now);
       case 'vmListRead':
         this.peers.noteList(handled.vms);
         return [];
--- a/src/contracts/configuration_peers.ts
+++ b/src/contracts/configuration_peers.ts
@@ -54,7 +54,7 @@
 
   /** Compares what a peer has with the documents in force. */
   compare(
-    news: event.PeerNews,
+    news: event.PeerStatus,
     inForce: configurationDocuments.DocumentSet,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
--- a/src/contracts/effect.ts
+++ b/src/contracts/effect.ts
@@ -60,14 +60,14 @@
       readonly peer: string;
       readonly address: string;
       readonly zonePosition: number;
-      readonly news: event.PeerNews;
+      readonly status: event.PeerStatus;
     }
   | {
       readonly kind: 'answerConfirm';
       readonly call: event.CallNumber;
       readonly confirmed: boolean;
       readonly zoneRecords: ReadonlyArray<event.StreamRecord>;
-      readonly news: event.PeerNews;
+      readonly status: event.PeerStatus;
     }
   | {
       readonly kind: 'offerRequest';
--- a/src/contracts/event.ts
+++ b/src/contracts/event.ts
@@ -161,7 +161,7 @@
 }
 
 /** The part of a confirmation that both directions carry. */
-export interface PeerNews {
+export interface PeerStatus {
   readonly from: string;
   readonly zone: string;
   readonly address: string;
@@ -185,7 +185,7 @@
       readonly call: CallNumber;
       readonly to: string;
       readonly zonePosition: number;
-      readonly news: PeerNews;
+      readonly status: PeerStatus;
     }
   | {
       readonly kind: 'confirmAnswered';
@@ -193,7 +193,7 @@
       readonly sentAt: clock.Milliseconds;
       readonly confirmed: boolean;
       readonly zoneRecords: ReadonlyArray<StreamRecord>;
-      readonly news: PeerNews;
+      readonly status: PeerStatus;
     }
   | {readonly kind: 'confirmFailed'; readonly peer: string}
   | {
--- a/src/contracts/identity.ts
+++ b/src/contracts/identity_issuer.ts
@@ -10,7 +10,7 @@
 }
 
 /** What the home knows of an identity that a client presents. */
-export type IdentityCheck =
+export type IdentityStatus =
   | 'valid'
   /** Malformed, issued elsewhere or to another client. */
   | 'foreign'
@@ -20,30 +20,30 @@
   | 'refused';
 
 /** Time in which an identity has to be used for the first time. */
-export const IDENTITY_LIFETIME_MS = 3_600_000;
+export const IDENTITY_VALIDITY_MS = 3_600_000;
 
 /**
  * Refused identities that are remembered, about 4 MB. Past it the oldest ones
  * expire, with all that were issued before them.
  */
-const REFUSED_LIMIT = 50_000;
+const MAX_REFUSED_IDENTITIES = 50_000;
 
 /** Hexadecimal digits of the part that nobody can guess: 96 bits. */
-const SECRET_LENGTH = 24;
+const SECRET_HEX_DIGITS = 24;
 
 /** Hexadecimal digits of the key that binds identities to clients. */
-const KEY_LENGTH = 64;
+const KEY_HEX_DIGITS = 64;
 
 /** Identities issued within this time expire together. */
-const MARK_INTERVAL_MS = 60_000;
+const ISSUE_BATCH_MS = 60_000;
 
-const PATTERN = /^([a-z0-9.-]{1,80})_([0-9]{1,15})_([0-9a-f]{24})$/;
+const IDENTITY_PATTERN = /^([a-z0-9.-]{1,80})_([0-9]{1,15})_([0-9a-f]{24})$/;
 
 /** Identities up to `through` that no earlier mark covers. */
-interface IssueMark {
+interface IssueBatch {
   /** When the first of them was issued. */
-  readonly since: clock.Milliseconds;
-  readonly through: number;
+  readonly firstIssuedAt: clock.Milliseconds;
+  readonly lastSequence: number;
 }
 
 /**
@@ -54,25 +54,25 @@
  */
 export class IdentityIssuer {
   private readonly key: string;
-  private sequence = 0;
-  private expired = 0;
-  private marks: ReadonlyArray<IssueMark> = [];
+  private lastSequence = 0;
+  private lastExpiredSequence = 0;
+  private batches: ReadonlyArray<IssueBatch> = [];
   /** Sequence numbers of refused identities, in the order of refusal. */
-  private readonly refused = new Set<number>();
+  private readonly refusedSequences = new Set<number>();
 
   constructor(
     private readonly home: string,
     random: randomSource.RandomSource,
   ) {
-    this.key = random.hexadecimal(KEY_LENGTH);
+    this.key = random.hexadecimal(KEY_HEX_DIGITS);
   }
 
   /** Returns an identity that this issuer has not returned before. */
   issue(client: string, now: clock.Milliseconds): string {
-    this.sequence += 1;
-    this.mark(now);
-    const secret = this.secret(this.sequence, client);
-    return `${this.home}_${this.sequence}_${secret}`;
+    this.lastSequence += 1;
+    this.addToBatch(now);
+    const secret = this.secret(this.lastSequence, client);
+    return `${this.home}_${this.lastSequence}_${secret}`;
   }
 
   /**
@@ -84,14 +84,14 @@
     identity: string,
     client: string,
     now: clock.Milliseconds,
-  ): IdentityCheck {
-    const parts = parseIdentity(identity);
+  ): IdentityStatus {
+    const parts = parse(identity);
     if (parts === undefined || parts.home !== this.home) return 'foreign';
     const expected = Buffer.from(this.secret(parts.sequence, client));
     const presented = Buffer.from(parts.secret);
     if (!crypto.timingSafeEqual(expected, presented)) return 'foreign';
-    if (parts.sequence <= this.expiredThrough(now)) return 'expired';
-    return this.refused.has(parts.sequence) ? 'refused' : 'valid';
+    if (parts.sequence <= this.updateLastExpiredSequence(now)) return 'expired';
+    return this.refusedSequences.has(parts.sequence) ? 'refused' : 'valid';
   }
 
   /**
@@ -99,39 +99,48 @@
    * may still be on its way when its client is told that it was not run.
    */
   refuse(identity: string): void {
-    const parts = parseIdentity(identity);
+    const parts = parse(identity);
     if (parts === undefined || parts.home !== this.home) return;
-    this.refused.add(parts.sequence);
-    if (this.refused.size <= REFUSED_LIMIT) return;
-    const [oldest] = this.refused;
-    this.refused.delete(oldest);
-    this.expired = Math.max(this.expired, oldest);
+    this.refusedSequences.add(parts.sequence);
+    if (this.refusedSequences.size <= MAX_REFUSED_IDENTITIES) return;
+    const [oldest] = this.refusedSequences;
+    this.refusedSequences.delete(oldest);
+    this.lastExpiredSequence = Math.max(this.lastExpiredSequence, oldest);
   }
 
-  private mark(now: clock.Milliseconds): void {
-    const last = this.marks.at(-1);
-    if (last === undefined || now - last.since >= MARK_INTERVAL_MS) {
-      this.marks = [...this.marks, {since: now, through: this.sequence}];
+  private addToBatch(now: clock.Milliseconds): void {
+    const last = this.batches.at(-1);
+    if (last === undefined || now - last.firstIssuedAt >= ISSUE_BATCH_MS) {
+      this.batches = [
+        ...this.batches,
+        {firstIssuedAt: now, lastSequence: this.lastSequence},
+      ];
       return;
     }
-    const extended = {since: last.since, through: this.sequence};
-    this.marks = [...this.marks.slice(0, -1), extended];
+    const extended = {
+      firstIssuedAt: last.firstIssuedAt,
+      lastSequence: this.lastSequence,
+    };
+    this.batches = [...this.batches.slice(0, -1), extended];
   }
 
-  private expiredThrough(now: clock.Milliseconds): number {
-    const isOld = (known: IssueMark): boolean =>
-      now - known.since >= IDENTITY_LIFETIME_MS;
-    const newestOld = this.marks.filter(isOld).at(-1);
-    if (newestOld === undefined) return this.expired;
-    this.expired = Math.max(this.expired, newestOld.through);
-    this.marks = this.marks.filter(known => !isOld(known));
-    this.forgetRefused(this.expired);
-    return this.expired;
+  private updateLastExpiredSequence(now: clock.Milliseconds): number {
+    const isExpired = (known: IssueBatch): boolean =>
+      now - known.firstIssuedAt >= IDENTITY_VALIDITY_MS;
+    const newestExpired = this.batches.filter(isExpired).at(-1);
+    if (newestExpired === undefined) return this.lastExpiredSequence;
+    this.lastExpiredSequence = Math.max(
+      this.lastExpiredSequence,
+      newestExpired.lastSequence,
+    );
+    this.batches = this.batches.filter(known => !isExpired(known));
+    this.forgetRefused(this.lastExpiredSequence);
+    return this.lastExpiredSequence;
   }
 
-  private forgetRefused(through: number): void {
-    for (const sequence of this.refused) {
-      if (sequence <= through) this.refused.delete(sequence);
+  private forgetRefused(lastSequence: number): void {
+    for (const sequence of this.refusedSequences) {
+      if (sequence <= lastSequence) this.refusedSequences.delete(sequence);
     }
   }
 
@@ -140,13 +149,13 @@
       .createHmac('sha256', this.key)
       .update(`${this.home}_${sequence}_${client}`)
       .digest('hex')
-      .slice(0, SECRET_LENGTH);
+      .slice(0, SECRET_HEX_DIGITS);
   }
 }
 
 /** Splits an identity; undefined when it is malformed. */
-export function parseIdentity(identity: string): IdentityParts | undefined {
-  const match = PATTERN.exec(identity);
+export function parse(identity: string): IdentityParts | undefined {
+  const match = IDENTITY_PATTERN.exec(identity);
   if (match === null) return undefined;
   return {home: match[1], sequence: Number(match[2]), secret: match[3]};
 }
--- a/src/contracts/offer_host.ts
+++ b/src/contracts/incoming_offers.ts
@@ -1,16 +1,16 @@
-import * as identities from './identity.js';
+import * as identityIssuer from './identity_issuer.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as effects from './effect.js';
 import type * as event from './event.js';
-import type * as offers from './offers.js';
+import type * as outgoingOffers from './outgoing_offers.js';
 import type * as request from './request.js';
 import type * as requestBuilder from './request_builder.js';
 import type * as requestLifecycle from './request_lifecycle.js';
 import type * as requestTable from './request_table.js';
 
 /** Queue that an offered request passes through in one turn. */
-export interface OfferQueue extends requestLifecycle.RequestQueue {
+export interface AdmissionQueue extends requestLifecycle.PlacementQueue {
   /** Takes a request in, or returns why not. */
   admit(
     admitted: request.Request,
@@ -20,24 +20,24 @@
 }
 
 /** The objects that an offer host works with. */
-export interface OfferHostParts {
+export interface IncomingOffersParts {
   readonly self: string;
   readonly builder: requestBuilder.RequestBuilder;
   readonly table: requestTable.RequestTable;
-  readonly queue: OfferQueue;
+  readonly queue: AdmissionQueue;
   readonly lifecycle: requestLifecycle.RequestLifecycle;
-  readonly offers: offers.Offers;
+  readonly offers: outgoingOffers.OutgoingOffers;
 }
 
 /**
  * Runs what other processes offer. An offer is placed in the turn in which it
  * arrives or refused for good: the refused identity never runs here.
  */
-export class OfferHost {
-  private readonly waiting = new Map<string, event.CallNumber[]>();
+export class IncomingOffers {
+  private readonly waitingCalls = new Map<string, event.CallNumber[]>();
   private draining = false;
 
-  constructor(private readonly parts: OfferHostParts) {}
+  constructor(private readonly parts: IncomingOffersParts) {}
 
   /** Refuses further offers. */
   drain(): void {
@@ -51,95 +51,106 @@
   ): ReadonlyArray<effects.Effect> {
     switch (handled.kind) {
       case 'offerArrived':
-        return this.offered(handled, now);
+        return this.handleOffer(handled, now);
       case 'withdrawArrived':
-        return this.withdrawn(handled, now);
+        return this.handleWithdrawal(handled, now);
       default:
         return [];
     }
   }
 
   /** Answers the offers of requests that have ended. */
-  ended(entry: requestTable.RequestEntry): ReadonlyArray<effects.Effect> {
+  answerEnded(entry: requestTable.RequestEntry): ReadonlyArray<effects.Effect> {
     const {identity} = entry.request;
-    const calls = this.waiting.get(identity) ?? [];
-    this.waiting.delete(identity);
-    return calls.map(call => answerEnded(call, entry));
+    const calls = this.waitingCalls.get(identity) ?? [];
+    this.waitingCalls.delete(identity);
+    return calls.map(call => answerEndedOffer(call, entry));
   }
 
-  private offered(
+  private handleOffer(
     offer: Extract<event.Event, {kind: 'offerArrived'}>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {call, identity} = offer;
-    if (offer.to !== this.parts.self) return [answer(call, 'unknownOutcome')];
-    if (identities.parseIdentity(identity)?.home !== offer.from) {
-      return [answer(call, 'unknownIdentity')];
+    if (offer.to !== this.parts.self) {
+      return [answerOffer(call, 'unknownOutcome')];
     }
-    const known = this.currentEntry(identity, offer.attempt ?? 0, offer.from);
-    if (known === undefined) return this.takeOffer(offer, now);
+    if (identityIssuer.parse(identity)?.home !== offer.from) {
+      return [answerOffer(call, 'unknownIdentity')];
+    }
+    const known = this.entryForAttempt(
+      identity,
+      offer.attempt ?? 0,
+      offer.from,
+    );
+    if (known === undefined) return this.acceptOrRefuse(offer, now);
     if (known.request.client !== offer.client) {
-      return [answer(call, 'unknownIdentity')];
+      return [answerOffer(call, 'unknownIdentity')];
     }
-    return this.join(known, call);
+    return this.answerAtEnd(known, call);
   }
 
   /** An earlier offer that ended as not run makes room for a later one. */
-  private currentEntry(
+  private entryForAttempt(
     identity: string,
     attempt: number,
     from: string,
   ): requestTable.RequestEntry | undefined {
     const {table} = this.parts;
     const known = table.get(identity);
-    if (known?.ending === undefined) return known;
-    const notRun =
-      result.RESULT_CODES[known.ending.result].execution === 'notRun';
-    const later = attempt > known.offerAttempt;
-    if (!notRun || !later || known.offeredBy !== from) return known;
-    table.forget(identity);
+    if (known?.outcome === undefined) return known;
+    const isNotRun =
+      result.RESULT_CODES[known.outcome.result].execution === 'notRun';
+    const isLaterAttempt = attempt > known.offerAttempt;
+    if (!isNotRun || !isLaterAttempt || known.offeredBy !== from) return known;
+    table.forgetEnded(identity);
     return undefined;
   }
 
-  private join(
+  private answerAtEnd(
     known: requestTable.RequestEntry,
     call: event.CallNumber,
   ): ReadonlyArray<effects.Effect> {
-    if (known.ending !== undefined) return [answerEnded(call, known)];
+    if (known.outcome !== undefined) return [answerEndedOffer(call, known)];
     const {identity} = known.request;
-    this.waiting.set(identity, [...(this.waiting.get(identity) ?? []), call]);
+    this.waitingCalls.set(identity, [
+      ...(this.waitingCalls.get(identity) ?? []),
+      call,
+    ]);
     return [];
   }
 
-  private takeOffer(
+  private acceptOrRefuse(
     offer: Extract<event.Event, {kind: 'offerArrived'}>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {call, identity, client, submission} = offer;
     const {builder, queue, table, lifecycle} = this.parts;
     const attempt = offer.attempt ?? 0;
-    if (this.parts.offers.isBuried(identity, attempt)) {
-      return [answer(call, 'cancelled')];
+    if (this.parts.offers.isRunPrevented(identity, attempt)) {
+      return [answerOffer(call, 'cancelled')];
     }
     if (this.draining) return this.refuse(offer, 'draining', now);
     // What waits here already goes first.
     if (queue.waitingCount() > 0) return this.refuse(offer, 'queueFull', now);
     const sender = {identity, client, reserved: true};
-    const built = builder.build(submission, sender, now).mapLeft(f => f.result);
+    const built = builder
+      .build(submission, sender, now)
+      .mapLeft(failure => failure.result);
     if (built.isLeft()) return this.refuse(offer, built.extract(), now);
     const offered = built.extract() as request.Request;
     const startBy = now + offer.remainingMs;
     const refusal = queue.admit({...offered, startBy}, now);
     if (refusal !== undefined) return this.refuse(offer, refusal.result, now);
     table.add({...offered, startBy}, {process: offer.from, attempt});
-    const done = lifecycle.placeWaiting(now);
+    const produced = lifecycle.placeWaiting(now);
     if (queue.remove(identity)) {
-      table.drop(identity);
-      return [...done, ...this.refuse(offer, 'queueFull', now)];
+      table.dropQueued(identity);
+      return [...produced, ...this.refuse(offer, 'queueFull', now)];
     }
     const placed = table.get(identity);
-    if (placed === undefined) return done;
-    return [...done, ...this.join(placed, call)];
+    if (placed === undefined) return produced;
+    return [...produced, ...this.answerAtEnd(placed, call)];
   }
 
   private refuse(
@@ -147,32 +158,34 @@
     name: result.ResultName,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    this.parts.offers.bury(offer.identity, offer.attempt ?? 0, now);
-    return [answer(offer.call, name)];
+    this.parts.offers.preventRun(offer.identity, offer.attempt ?? 0, now);
+    return [answerOffer(offer.call, name)];
   }
 
-  private withdrawn(
+  private handleWithdrawal(
     withdrawal: Extract<event.Event, {kind: 'withdrawArrived'}>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {call, identity, from, to} = withdrawal;
-    const {lifecycle, offers: own, table} = this.parts;
-    if (to !== this.parts.self) return [answerWithdraw(call, 'unknownOutcome')];
+    const {lifecycle, offers: outgoing, table} = this.parts;
+    if (to !== this.parts.self) {
+      return [answerWithdraw(call, 'unknownOutcome')];
+    }
     const attempt = withdrawal.attempt ?? 0;
-    this.currentEntry(identity, attempt, from);
-    if (own.bury(identity, attempt, now)) {
+    this.entryForAttempt(identity, attempt, from);
+    if (outgoing.preventRun(identity, attempt, now)) {
       return [answerWithdraw(call, 'cancelled')];
     }
     if (table.get(identity)?.offeredBy !== from) {
       return [answerWithdraw(call, 'unknownIdentity')];
     }
-    const done = lifecycle.cancel(identity, now);
-    const ending = table.get(identity)?.ending;
-    return [...done, answerWithdraw(call, ending?.result ?? 'accepted')];
+    const produced = lifecycle.cancel(identity, now);
+    const outcome = table.get(identity)?.outcome;
+    return [...produced, answerWithdraw(call, outcome?.result ?? 'accepted')];
   }
 }
 
-function answer(
+function answerOffer(
   call: event.CallNumber,
   name: result.ResultName,
 ): effects.Effect {
@@ -180,13 +193,13 @@
   return {kind: 'answerOffer', call, code, answer: ''};
 }
 
-function answerEnded(
+function answerEndedOffer(
   call: event.CallNumber,
   entry: requestTable.RequestEntry,
 ): effects.Effect {
-  const {ending} = entry;
-  const {code} = result.RESULT_CODES[ending?.result ?? 'unknownOutcome'];
-  return {kind: 'answerOffer', call, code, answer: ending?.answer ?? ''};
+  const {outcome} = entry;
+  const {code} = result.RESULT_CODES[outcome?.result ?? 'unknownOutcome'];
+  return {kind: 'answerOffer', call, code, answer: outcome?.answer ?? ''};
 }
 
 function answerWithdraw(
--- a/src/contracts/journal.ts
+++ b/src/contracts/journal_backend.ts
@@ -44,39 +44,39 @@
 }
 
 /** What a journal learnt from an event. */
-export interface JournalTurn {
+export interface JournalOutput {
   /** Numbers of the entries that are recorded from now on. */
   readonly recorded: ReadonlyArray<number>;
   readonly effects: ReadonlyArray<effect.Effect>;
 }
 
 /** Makes entries outlast this process; an event tells when they do. */
-export interface Journal {
+export interface JournalBackend {
   /** Takes an entry; it is recorded when a later turn says so. */
   record(record: JournalRecord): void;
   /** Sends what waits and learns what was recorded. */
-  handle(handled: event.Event, now: clock.Milliseconds): JournalTurn;
+  handle(handled: event.Event, now: clock.Milliseconds): JournalOutput;
   /** Sends what waits, as far as it may be sent now. */
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect>;
   /** Whether entries can be recorded at present, as far as is known. */
-  available(): boolean;
+  isAvailable(): boolean;
   /** Entries that are not yet recorded. */
-  pending(): ReadonlyArray<JournalRecord>;
+  pendingRecords(): ReadonlyArray<JournalRecord>;
   /** Number of entries that are not yet recorded. */
   pendingCount(): number;
   nextDeadline(): clock.Milliseconds;
 }
 
 /** Most entries of one append or of one message to a witness. */
-const BATCH_LIMIT = 500;
+const MAX_BATCH_ENTRIES = 500;
 
 /** Time after which a failed read of the own stream is tried again. */
-const CHECK_RETRY_MS = 1_000;
+const READ_RETRY_INTERVAL_MS = 1_000;
 
 /** Time for witnesses to acknowledge before a batch is sent again. */
-const WITNESS_DEADLINE_MS = 1_500;
+const WITNESS_TIMEOUT_MS = 1_500;
 
-const NOTHING: JournalTurn = {recorded: [], effects: []};
+const EMPTY_OUTPUT: JournalOutput = {recorded: [], effects: []};
 
 /** Returns the stream that holds the journal of a process. */
 export function journalStream(process: string): string {
@@ -100,56 +100,56 @@
   }
 }
 
-type LogPhase = 'idle' | 'appending' | 'checking';
+type AppendPhase = 'idle' | 'appending' | 'checking';
 
 /**
  * Records entries in the log. One append is open at a time. After a lost
  * answer the stream is read up to its tail: what it shows is recorded, and the
  * rest is appended again.
  */
-export class LogJournal implements Journal {
+export class LogJournal implements JournalBackend {
   private readonly stream: string;
-  private waiting: JournalRecord[] = [];
+  private queuedRecords: JournalRecord[] = [];
   private batch: ReadonlyArray<JournalRecord> = [];
-  private readonly found = new Set<number>();
-  private phase: LogPhase = 'idle';
+  private readonly numbersInLog = new Set<number>();
+  private phase: AppendPhase = 'idle';
   private appendNumber = 0;
-  private position = 0;
-  private nextAppend: clock.Milliseconds = 0;
-  private nextCheck: clock.Milliseconds = Infinity;
-  private lostAt: clock.Milliseconds = Infinity;
-  private up = true;
+  private nextOffset = 0;
+  private nextAppendAt: clock.Milliseconds = 0;
+  private nextReadAt: clock.Milliseconds = Infinity;
+  private answerLostAt: clock.Milliseconds = Infinity;
+  private logAnswers = true;
 
   constructor(
     process: string,
     /** Least time between two appends. */
-    private readonly spacingMs: () => clock.Milliseconds,
+    private readonly appendIntervalMs: () => clock.Milliseconds,
   ) {
     this.stream = journalStream(process);
   }
 
   record(record: JournalRecord): void {
-    this.waiting.push(record);
+    this.queuedRecords.push(record);
   }
 
-  available(): boolean {
-    return this.up;
+  isAvailable(): boolean {
+    return this.logAnswers;
   }
 
-  pending(): ReadonlyArray<JournalRecord> {
-    return [...this.batch, ...this.waiting];
+  pendingRecords(): ReadonlyArray<JournalRecord> {
+    return [...this.batch, ...this.queuedRecords];
   }
 
   pendingCount(): number {
-    return this.batch.length + this.waiting.length;
+    return this.batch.length + this.queuedRecords.length;
   }
 
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
-    if (this.phase !== 'idle' || this.waiting.length === 0) return [];
-    if (now < this.nextAppend) return [];
-    this.batch = this.waiting.splice(0, BATCH_LIMIT);
+    if (this.phase !== 'idle' || this.queuedRecords.length === 0) return [];
+    if (now < this.nextAppendAt) return [];
+    this.batch = this.queuedRecords.splice(0, MAX_BATCH_ENTRIES);
     this.phase = 'appending';
-    this.nextAppend = now + this.spacingMs();
+    this.nextAppendAt = now + this.appendIntervalMs();
     this.appendNumber += 1;
     return [
       {
@@ -161,98 +161,100 @@
     ];
   }
 
-  handle(handled: event.Event, now: clock.Milliseconds): JournalTurn {
+  handle(handled: event.Event, now: clock.Milliseconds): JournalOutput {
     switch (handled.kind) {
       case 'appendAnswered':
-        if (handled.stream !== this.stream) return NOTHING;
-        if (handled.append !== this.appendNumber) return NOTHING;
+        if (handled.stream !== this.stream) return EMPTY_OUTPUT;
+        if (handled.append !== this.appendNumber) return EMPTY_OUTPUT;
         return this.appendAnswered(handled.answer === 'appended', now);
       case 'recordsRead':
-        if (handled.stream !== this.stream) return NOTHING;
+        if (handled.stream !== this.stream) return EMPTY_OUTPUT;
         return this.recordsRead(handled, now);
       case 'readFailed':
-        if (handled.stream === this.stream) this.checkFailed(now);
-        return NOTHING;
+        if (handled.stream === this.stream) this.readFailed(now);
+        return EMPTY_OUTPUT;
       case 'timePassed':
         return {recorded: [], effects: this.timePassed(now)};
       default:
-        return NOTHING;
+        return EMPTY_OUTPUT;
     }
   }
 
   nextDeadline(): clock.Milliseconds {
-    if (this.phase === 'checking') return this.nextCheck;
-    const idle = this.phase === 'idle' && this.waiting.length > 0;
-    return idle ? this.nextAppend : Infinity;
+    if (this.phase === 'checking') return this.nextReadAt;
+    const mayAppend = this.phase === 'idle' && this.queuedRecords.length > 0;
+    return mayAppend ? this.nextAppendAt : Infinity;
   }
 
   private appendAnswered(
     appended: boolean,
     now: clock.Milliseconds,
-  ): JournalTurn {
-    if (this.phase !== 'appending') return NOTHING;
+  ): JournalOutput {
+    if (this.phase !== 'appending') return EMPTY_OUTPUT;
     if (appended) {
-      this.up = true;
-      return this.finish(this.batch, now);
+      this.logAnswers = true;
+      return this.finishAppend(this.batch, now);
     }
     this.phase = 'checking';
-    this.lostAt = now;
-    this.found.clear();
-    return {recorded: [], effects: [this.read()]};
+    this.answerLostAt = now;
+    this.numbersInLog.clear();
+    return {recorded: [], effects: [this.readStream()]};
   }
 
   private recordsRead(
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
-  ): JournalTurn {
-    this.position = Math.max(this.position, read.first);
+  ): JournalOutput {
+    this.nextOffset = Math.max(this.nextOffset, read.first);
     for (const {offset, data} of read.records) {
-      if (offset < this.position) continue;
-      this.position = offset + 1;
+      if (offset < this.nextOffset) continue;
+      this.nextOffset = offset + 1;
       const number = decodeRecord(data)?.number;
-      if (number !== undefined) this.found.add(number);
+      if (number !== undefined) this.numbersInLog.add(number);
     }
-    if (this.phase !== 'checking') return NOTHING;
-    const behind = this.position < read.next && read.records.length > 0;
-    if (behind || read.sentAt < this.lostAt) {
-      return {recorded: [], effects: [this.read()]};
+    if (this.phase !== 'checking') return EMPTY_OUTPUT;
+    const isBehind = this.nextOffset < read.next && read.records.length > 0;
+    if (isBehind || read.sentAt < this.answerLostAt) {
+      return {recorded: [], effects: [this.readStream()]};
     }
-    this.up = true;
-    const shown = this.batch.filter(item => this.found.has(item.number));
-    const rest = this.batch.filter(item => !this.found.has(item.number));
-    this.waiting = [...rest, ...this.waiting];
-    return this.finish(shown, now);
+    this.logAnswers = true;
+    const found = this.batch.filter(item => this.numbersInLog.has(item.number));
+    const missing = this.batch.filter(
+      item => !this.numbersInLog.has(item.number),
+    );
+    this.queuedRecords = [...missing, ...this.queuedRecords];
+    return this.finishAppend(found, now);
   }
 
-  private finish(
+  private finishAppend(
     recorded: ReadonlyArray<JournalRecord>,
     now: clock.Milliseconds,
-  ): JournalTurn {
+  ): JournalOutput {
     this.phase = 'idle';
     this.batch = [];
-    this.nextCheck = Infinity;
-    this.found.clear();
+    this.nextReadAt = Infinity;
+    this.numbersInLog.clear();
     return {
       recorded: recorded.map(item => item.number),
       effects: this.flush(now),
     };
   }
 
-  private checkFailed(now: clock.Milliseconds): void {
+  private readFailed(now: clock.Milliseconds): void {
     if (this.phase !== 'checking') return;
-    this.up = false;
-    this.nextCheck = now + CHECK_RETRY_MS;
+    this.logAnswers = false;
+    this.nextReadAt = now + READ_RETRY_INTERVAL_MS;
   }
 
   private timePassed(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.phase === 'idle') return this.flush(now);
-    if (this.phase !== 'checking' || now < this.nextCheck) return [];
-    this.nextCheck = Infinity;
-    return [this.read()];
+    if (this.phase !== 'checking' || now < this.nextReadAt) return [];
+    this.nextReadAt = Infinity;
+    return [this.readStream()];
   }
 
-  private read(): effect.Effect {
-    return {kind: 'readStream', stream: this.stream, from: this.position};
+  private readStream(): effect.Effect {
+    return {kind: 'readStream', stream: this.stream, from: this.nextOffset};
   }
 }
 
@@ -260,83 +262,86 @@
  * Records entries with the other members of the zone while the log gives no
  * answer. An entry is recorded when every member has stored it.
  */
-export class WitnessJournal implements Journal {
-  private waiting: JournalRecord[] = [];
+export class WitnessJournal implements JournalBackend {
+  private queuedRecords: JournalRecord[] = [];
   private batch: ReadonlyArray<JournalRecord> = [];
-  private readonly missing = new Set<string>();
+  private readonly unacknowledged = new Set<string>();
   private batchNumber = 0;
-  private deadline: clock.Milliseconds = Infinity;
+  private batchDeadline: clock.Milliseconds = Infinity;
 
   constructor(private readonly directory: processDirectory.ProcessDirectory) {}
 
   record(record: JournalRecord): void {
-    this.waiting.push(record);
+    this.queuedRecords.push(record);
   }
 
-  available(): boolean {
+  isAvailable(): boolean {
     return this.directory.members().length > 0;
   }
 
-  pending(): ReadonlyArray<JournalRecord> {
-    return [...this.batch, ...this.waiting];
+  pendingRecords(): ReadonlyArray<JournalRecord> {
+    return [...this.batch, ...this.queuedRecords];
   }
 
   pendingCount(): number {
-    return this.batch.length + this.waiting.length;
+    return this.batch.length + this.queuedRecords.length;
   }
 
   /** Drops entries that need no witness any more. */
-  forget(numbers: ReadonlySet<number>): void {
-    const isOpen = (item: JournalRecord): boolean => !numbers.has(item.number);
-    this.waiting = this.waiting.filter(isOpen);
-    this.batch = this.batch.filter(isOpen);
+  dropEntries(numbers: ReadonlySet<number>): void {
+    const isNeeded = (item: JournalRecord): boolean =>
+      !numbers.has(item.number);
+    this.queuedRecords = this.queuedRecords.filter(isNeeded);
+    this.batch = this.batch.filter(isNeeded);
   }
 
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
-    if (this.batch.length > 0 || this.waiting.length === 0) return [];
+    if (this.batch.length > 0 || this.queuedRecords.length === 0) return [];
     const members = this.directory.members();
     if (members.length === 0) return [];
-    this.batch = this.waiting.splice(0, BATCH_LIMIT);
+    this.batch = this.queuedRecords.splice(0, MAX_BATCH_ENTRIES);
     this.batchNumber += 1;
-    this.deadline = now + WITNESS_DEADLINE_MS;
-    this.missing.clear();
+    this.batchDeadline = now + WITNESS_TIMEOUT_MS;
+    this.unacknowledged.clear();
     const entries = this.batch.map(encodeRecord);
     return members.map(({process, address}) => {
-      this.missing.add(process);
+      this.unacknowledged.add(process);
       const batch = this.batchNumber;
       return {kind: 'sendWitness', peer: process, address, batch, entries};
     });
   }
 
-  handle(handled: event.Event, now: clock.Milliseconds): JournalTurn {
+  handle(handled: event.Event, now: clock.Milliseconds): JournalOutput {
     switch (handled.kind) {
       case 'witnessAnswered':
-        if (handled.batch !== this.batchNumber) return NOTHING;
-        if (!handled.stored) return NOTHING;
-        return this.stored(handled.peer, now);
+        if (handled.batch !== this.batchNumber) return EMPTY_OUTPUT;
+        if (!handled.stored) return EMPTY_OUTPUT;
+        return this.acknowledged(handled.peer, now);
       case 'timePassed':
         return {recorded: [], effects: this.timePassed(now)};
       default:
-        return NOTHING;
+        return EMPTY_OUTPUT;
     }
   }
 
   nextDeadline(): clock.Milliseconds {
-    return this.batch.length > 0 ? this.deadline : Infinity;
+    return this.batch.length > 0 ? this.batchDeadline : Infinity;
   }
 
-  private stored(peer: string, now: clock.Milliseconds): JournalTurn {
-    this.missing.delete(peer);
-    if (this.batch.length === 0 || this.missing.size > 0) return NOTHING;
+  private acknowledged(peer: string, now: clock.Milliseconds): JournalOutput {
+    this.unacknowledged.delete(peer);
+    if (this.batch.length === 0 || this.unacknowledged.size > 0) {
+      return EMPTY_OUTPUT;
+    }
     const recorded = this.batch.map(item => item.number);
     this.batch = [];
     return {recorded, effects: this.flush(now)};
   }
 
   private timePassed(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
-    if (this.batch.length === 0 || now < this.deadline) return [];
+    if (this.batch.length === 0 || now < this.batchDeadline) return [];
     // The members may have changed: the batch goes to the present ones.
-    this.waiting = [...this.batch, ...this.waiting];
+    this.queuedRecords = [...this.batch, ...this.queuedRecords];
     this.batch = [];
     return this.flush(now);
   }
--- a/src/contracts/outcome_rule.ts
+++ b/src/contracts/outcome_rule.ts
@@ -1,16 +1,22 @@
 import * as lease from './lease.js';
 import * as results from '../result.js';
 import type * as clock from '../machines/clock.js';
-import type * as journal from './journal.js';
+import type * as journalBackend from './journal_backend.js';
 import type * as requestTable from './request_table.js';
 import type * as task from './task.js';
 
-type StartingEntry = Extract<journal.JournalEntry, {readonly kind: 'starting'}>;
+type StartingJournalEntry = Extract<
+  journalBackend.JournalEntry,
+  {readonly kind: 'starting'}
+>;
 
-type FinishedEntry = Extract<journal.JournalEntry, {readonly kind: 'finished'}>;
+type FinishedJournalEntry = Extract<
+  journalBackend.JournalEntry,
+  {readonly kind: 'finished'}
+>;
 
 /** A report that was requested after the home's permits had ended. */
-export interface LateReport {
+export interface ConclusiveReport {
   readonly workerClock: clock.Milliseconds;
   readonly tasks: ReadonlyMap<string, task.TaskReport>;
 }
@@ -18,19 +24,19 @@
 /** What is known of an identity whose home is dead. */
 export interface Evidence {
   /** Records of the identity, in any order and with duplicates. */
-  readonly records: ReadonlyArray<journal.JournalRecord>;
+  readonly records: ReadonlyArray<journalBackend.JournalRecord>;
   /** Whether the stream was read from its first record to its tail. */
   readonly logComplete: boolean;
   /** Whether a witness answered that missed no entry. */
   readonly witnessComplete: boolean;
-  readonly reports: ReadonlyMap<string, LateReport>;
+  readonly reports: ReadonlyMap<string, ConclusiveReport>;
   /** Answers that were fetched, by task. */
-  readonly answers: ReadonlyMap<string, requestTable.Ending>;
+  readonly answers: ReadonlyMap<string, requestTable.RequestOutcome>;
 }
 
 /** What follows from the evidence. */
 export type Finding =
-  | {readonly kind: 'ended'; readonly ending: requestTable.Ending}
+  | {readonly kind: 'ended'; readonly outcome: requestTable.RequestOutcome}
   | {readonly kind: 'notRun'}
   | {readonly kind: 'running'; readonly worker: string}
   | {readonly kind: 'offered'; readonly process: string}
@@ -55,24 +61,27 @@
   const entries = orderedEntries(evidence.records);
   const last = entries.at(-1);
   if (last === undefined) return ifComplete(evidence, {kind: 'notRun'});
-  if (last.kind === 'finished') return decideByEnd(last, evidence);
+  if (last.kind === 'finished') return decideByFinishedEntry(last, evidence);
   if (last.kind === 'offered') {
     // Without all records, the home may have started it elsewhere later.
     return ifComplete(evidence, {kind: 'offered', process: last.process});
   }
-  return decideByWorkers(lastAttempt(entries), evidence);
+  return decideByReports(lastAttempt(entries), evidence);
 }
 
 /** A refused offer may have been followed by one that ran. */
-function decideByEnd(finished: FinishedEntry, evidence: Evidence): Finding {
-  const finding: Finding = {kind: 'ended', ending: recordedEnding(finished)};
+function decideByFinishedEntry(
+  finished: FinishedJournalEntry,
+  evidence: Evidence,
+): Finding {
+  const finding: Finding = {kind: 'ended', outcome: recordedOutcome(finished)};
   const {execution} = results.RESULT_CODES[finished.result];
   return execution === 'notRun' ? ifComplete(evidence, finding) : finding;
 }
 
 function orderedEntries(
-  records: ReadonlyArray<journal.JournalRecord>,
-): ReadonlyArray<journal.JournalEntry> {
+  records: ReadonlyArray<journalBackend.JournalRecord>,
+): ReadonlyArray<journalBackend.JournalEntry> {
   const byNumber = new Map(records.map(record => [record.number, record]));
   return [...byNumber.values()]
     .sort((left, right) => left.number - right.number)
@@ -84,9 +93,9 @@
  * proved not run before it was recorded.
  */
 function lastAttempt(
-  entries: ReadonlyArray<journal.JournalEntry>,
-): ReadonlyArray<StartingEntry> {
-  const starts: StartingEntry[] = [];
+  entries: ReadonlyArray<journalBackend.JournalEntry>,
+): ReadonlyArray<StartingJournalEntry> {
+  const starts: StartingJournalEntry[] = [];
   for (const entry of [...entries].reverse()) {
     if (entry.kind !== 'starting') break;
     if (starts.length > 0 && entry.attempt !== starts[0].attempt) break;
@@ -95,7 +104,9 @@
   return starts;
 }
 
-function recordedEnding(finished: FinishedEntry): requestTable.Ending {
+function recordedOutcome(
+  finished: FinishedJournalEntry,
+): requestTable.RequestOutcome {
   if (!finished.answerKept) {
     return {
       result: 'answerLost',
@@ -115,58 +126,61 @@
 type TaskFinding =
   Exclude<Finding, {readonly kind: 'offered'}> | {readonly kind: 'stopped'};
 
-function decideByWorkers(
-  starts: ReadonlyArray<StartingEntry>,
+function decideByReports(
+  starts: ReadonlyArray<StartingJournalEntry>,
   evidence: Evidence,
 ): Finding {
-  const findings = starts.map(start => decideByWorker(start, evidence));
-  const first = (kind: TaskFinding['kind']): TaskFinding | undefined =>
+  const findings = starts.map(start => decideByReport(start, evidence));
+  const findFirst = (kind: TaskFinding['kind']): TaskFinding | undefined =>
     findings.find(finding => finding.kind === kind);
-  const open =
-    first('askWorker') ??
-    first('running') ??
-    first('fetchAnswer') ??
-    first('unknown') ??
-    first('lost');
-  if (open !== undefined) return open as Finding;
+  const unresolved =
+    findFirst('askWorker') ??
+    findFirst('running') ??
+    findFirst('fetchAnswer') ??
+    findFirst('unknown') ??
+    findFirst('lost');
+  if (unresolved !== undefined) return unresolved as Finding;
   if (findings.every(finding => finding.kind === 'notRun')) {
     return ifComplete(evidence, {kind: 'notRun'});
   }
   if (starts.length === 1 && findings[0].kind === 'ended') return findings[0];
-  return {kind: 'ended', ending: joinEndings(starts, findings)};
+  return {kind: 'ended', outcome: joinOutcomes(starts, findings)};
 }
 
-function joinEndings(
-  starts: ReadonlyArray<StartingEntry>,
+function joinOutcomes(
+  starts: ReadonlyArray<StartingJournalEntry>,
   findings: ReadonlyArray<TaskFinding>,
-): requestTable.Ending {
+): requestTable.RequestOutcome {
   const answers: string[] = [];
   for (const finding of findings) {
-    if (finding.kind !== 'ended' || finding.ending.result !== 'ok') {
+    if (finding.kind !== 'ended' || finding.outcome.result !== 'ok') {
       const detail = `not all ${starts[0].taskCount} tasks finished`;
       return {result: 'taskStopped', detail, answer: ''};
     }
-    answers.push(finding.ending.answer);
+    answers.push(finding.outcome.answer);
   }
   return {result: 'ok', detail: '', answer: JSON.stringify(answers)};
 }
 
-function decideByWorker(start: StartingEntry, evidence: Evidence): TaskFinding {
-  const known = evidence.answers.get(start.task);
-  if (known !== undefined) return {kind: 'ended', ending: known};
+function decideByReport(
+  start: StartingJournalEntry,
+  evidence: Evidence,
+): TaskFinding {
+  const outcome = evidence.answers.get(start.task);
+  if (outcome !== undefined) return {kind: 'ended', outcome: outcome};
   const report = evidence.reports.get(start.worker);
   if (report === undefined) return {kind: 'askWorker', worker: start.worker};
-  const listed = report.tasks.get(start.task);
-  if (listed === undefined) {
+  const reported = report.tasks.get(start.task);
+  if (reported === undefined) {
     if (report.workerClock <= start.leaseBound) return {kind: 'unknown'};
-    const proved = lease.provesNotRun(start.leaseBound, report.workerClock);
-    return {kind: proved ? 'notRun' : 'lost'};
+    const isProved = lease.provesNotRun(start.leaseBound, report.workerClock);
+    return {kind: isProved ? 'notRun' : 'lost'};
   }
-  if (listed.label.identity !== start.identity) return LOST as TaskFinding;
-  if (listed.state === 'running') {
+  if (reported.label.identity !== start.identity) return LOST as TaskFinding;
+  if (reported.state === 'running') {
     return {kind: 'running', worker: start.worker};
   }
-  if (listed.state === 'finished' || listed.state === 'failed') {
+  if (reported.state === 'finished' || reported.state === 'failed') {
     return {kind: 'fetchAnswer', worker: start.worker, task: start.task};
   }
   return {kind: 'stopped'};
--- a/src/contracts/offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -2,43 +2,43 @@
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
-import type * as journalKeeper from './journal_keeper.js';
+import type * as requestJournal from './request_journal.js';
 import type * as processDirectory from './process_directory.js';
 import type * as request from './request.js';
 import type * as requestLifecycle from './request_lifecycle.js';
 import type * as requestTable from './request_table.js';
 
 /** Wait for room on own workers before a request is offered. */
-const OFFER_AFTER_MS = 250;
+const OFFER_DELAY_MS = 250;
 
 /** Largest factor by which refusals lengthen the wait for the next offer. */
-const LONGEST_BACKOFF = 8;
+const MAX_BACKOFF_FACTOR = 8;
 
 /** Most offers that are open at a time. */
-const OPEN_LIMIT = 16;
+const MAX_OPEN_OFFERS = 16;
 
 /** Time after which an offer without an answer is sent again. */
-const RESEND_MS = 1_000;
+const RESEND_INTERVAL_MS = 1_000;
 
 /** Time in which the other process may start what it is offered. */
 const OFFER_EXPIRY_MS = 2_000;
 
 /** Time for which a withdrawn identity is refused. */
-const TOMBSTONE_MS = 3_600_000;
+const TOMBSTONE_RETENTION_MS = 3_600_000;
 
 /** How often and by whom a request was refused. */
-interface Refusals {
+interface RefusalHistory {
   readonly count: number;
-  readonly last: string;
+  readonly lastPeer: string;
   /** Earliest time of the next offer. */
-  readonly notBefore: clock.Milliseconds;
+  readonly nextOfferAt: clock.Milliseconds;
 }
 
 /** Offers of an identity that never run here. */
 interface Tombstone {
   /** The last attempt that is refused. */
-  readonly attempt: number;
-  readonly since: clock.Milliseconds;
+  readonly lastAttempt: number;
+  readonly createdAt: clock.Milliseconds;
 }
 
 /** An offer that this process has made. */
@@ -49,10 +49,10 @@
   /** Counts the offers of the request; a sent one keeps its number. */
   readonly attempt: number;
   /** Number of the journal entry that has to be recorded first; 0 for none. */
-  readonly record: number;
+  readonly recordNumber: number;
   /** Whether an offer was sent whose answer is missing. */
-  readonly sent: boolean;
-  readonly due: clock.Milliseconds;
+  readonly isSent: boolean;
+  readonly resendAt: clock.Milliseconds;
 }
 
 /** An offer whose process has been succeeded. */
@@ -62,18 +62,18 @@
 }
 
 /** What becomes of an offer. */
-export interface OfferTurn {
+export interface OfferOutput {
   readonly effects: ReadonlyArray<effects.Effect>;
   /** Offers whose process is dead; its journal decides. */
   readonly orphaned: ReadonlyArray<OrphanedOffer>;
 }
 
 /** The objects that offers work with. */
-export interface OfferParts {
+export interface OutgoingOffersParts {
   readonly table: requestTable.RequestTable;
-  readonly queue: requestLifecycle.RequestQueue;
+  readonly queue: requestLifecycle.PlacementQueue;
   readonly lifecycle: requestLifecycle.RequestLifecycle;
-  readonly journal: journalKeeper.JournalKeeper;
+  readonly journal: requestJournal.RequestJournal;
   readonly directory: processDirectory.ProcessDirectory;
 }
 
@@ -82,61 +82,66 @@
  * its own workers are full. A request is offered to a further process, or
  * placed here, only when the last one has proved that it did not run it.
  */
-export class Offers {
-  private readonly open = new Map<string, OpenOffer>();
-  private readonly refusals = new Map<string, Refusals>();
+export class OutgoingOffers {
+  private readonly openOffers = new Map<string, OpenOffer>();
+  private readonly refusals = new Map<string, RefusalHistory>();
   private readonly tombstones = new Map<string, Tombstone>();
   private effects: effects.Effect[] = [];
   private orphaned: OrphanedOffer[] = [];
 
-  constructor(private readonly parts: OfferParts) {}
+  constructor(private readonly parts: OutgoingOffersParts) {}
 
   /** Offers requests that have waited, as far as members are left. */
   offerWaiting(
     waiting: ReadonlyArray<request.Request>,
     now: clock.Milliseconds,
-  ): OfferTurn {
+  ): OfferOutput {
     for (const candidate of waiting) {
-      if (this.open.size >= OPEN_LIMIT) break;
+      if (this.openOffers.size >= MAX_OPEN_OFFERS) break;
       this.offer(candidate, now);
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** Handles what other processes answer; ignores other events. */
-  handle(handled: event.Event, now: clock.Milliseconds): OfferTurn {
+  handle(handled: event.Event, now: clock.Milliseconds): OfferOutput {
     switch (handled.kind) {
       case 'offerAnswered':
-        this.answered(handled, now);
+        this.handleAnswer(handled, now);
         break;
       case 'offerLost':
-        this.lost(handled, now);
+        this.handleLostAnswer(handled, now);
         break;
       case 'withdrawAnswered':
-        this.withdrawn(handled, now);
+        this.handleWithdrawAnswer(handled, now);
         break;
       case 'timePassed':
-        this.resend(now);
+        this.resendOverdue(now);
         break;
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** Sends the offers whose journal entries are recorded. */
-  recorded(numbers: ReadonlyArray<number>, now: clock.Milliseconds): OfferTurn {
-    for (const offer of [...this.open.values()]) {
-      if (!offer.sent && numbers.includes(offer.record)) this.send(offer, now);
+  sendRecorded(
+    numbers: ReadonlyArray<number>,
+    now: clock.Milliseconds,
+  ): OfferOutput {
+    for (const offer of [...this.openOffers.values()]) {
+      if (!offer.isSent && numbers.includes(offer.recordNumber)) {
+        this.send(offer, now);
+      }
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** Withdraws the offer of a cancelled request; false without an offer. */
-  cancel(identity: string, now: clock.Milliseconds): OfferTurn | undefined {
-    const offer = this.open.get(identity);
+  cancel(identity: string, now: clock.Milliseconds): OfferOutput | undefined {
+    const offer = this.openOffers.get(identity);
     if (offer === undefined) return undefined;
     this.parts.table.change(identity, {cancelled: true, reason: 'cancelled'});
-    if (!offer.sent) {
-      this.open.delete(identity);
+    if (!offer.isSent) {
+      this.openOffers.delete(identity);
       this.endCancelled(identity, now);
     } else {
       const {peer, address, attempt} = offer;
@@ -148,67 +153,76 @@
         attempt,
       });
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /** Takes what recovery found of an offer whose process is dead. */
   resolve(
     identity: string,
     process: string,
-    ending: requestTable.Ending | undefined,
+    outcome: requestTable.RequestOutcome | undefined,
     now: clock.Milliseconds,
-  ): OfferTurn {
-    const offer = this.open.get(identity);
+  ): OfferOutput {
+    const offer = this.openOffers.get(identity);
     if (offer?.peer === process) {
-      if (ending === undefined) this.giveBack(offer, now);
-      else this.finish(offer, ending, now);
+      if (outcome === undefined) this.requeue(offer, now);
+      else this.endRequest(offer, outcome, now);
     }
-    return this.finishTurn();
+    return this.takeOutput();
   }
 
   /**
    * Makes sure that offers of an identity up to `attempt` never run here;
    * false when the identity has begun to run.
    */
-  bury(identity: string, attempt: number, now: clock.Milliseconds): boolean {
+  preventRun(
+    identity: string,
+    attempt: number,
+    now: clock.Milliseconds,
+  ): boolean {
     if (this.parts.table.get(identity) !== undefined) return false;
-    const buried = this.tombstones.get(identity)?.attempt ?? attempt;
+    const refusedAttempt =
+      this.tombstones.get(identity)?.lastAttempt ?? attempt;
     // Taken out first, so that the order stays by time.
     this.tombstones.delete(identity);
-    const latest = Math.max(buried, attempt);
-    this.tombstones.set(identity, {attempt: latest, since: now});
+    const latest = Math.max(refusedAttempt, attempt);
+    this.tombstones.set(identity, {lastAttempt: latest, createdAt: now});
     return true;
   }
 
   /** Whether an offer was withdrawn or refused before it arrived. */
-  isBuried(identity: string, attempt: number): boolean {
-    const buried = this.tombstones.get(identity);
-    return buried !== undefined && attempt <= buried.attempt;
+  isRunPrevented(identity: string, attempt: number): boolean {
+    const tombstone = this.tombstones.get(identity);
+    return tombstone !== undefined && attempt <= tombstone.lastAttempt;
   }
 
   /** Forgets refusals and tombstones that are no longer needed. */
   expire(forgotten: ReadonlyArray<string>, now: clock.Milliseconds): void {
     for (const identity of forgotten) this.refusals.delete(identity);
-    for (const [identity, {since}] of this.tombstones) {
-      if (now - since < TOMBSTONE_MS) break;
+    for (const [identity, {createdAt}] of this.tombstones) {
+      if (now - createdAt < TOMBSTONE_RETENTION_MS) break;
       this.tombstones.delete(identity);
     }
   }
 
   nextDeadline(): clock.Milliseconds {
-    let due = Infinity;
-    for (const offer of this.open.values()) due = Math.min(due, offer.due);
-    return due;
+    let earliest = Infinity;
+    for (const offer of this.openOffers.values()) {
+      earliest = Math.min(earliest, offer.resendAt);
+    }
+    return earliest;
   }
 
   private offer(candidate: request.Request, now: clock.Milliseconds): void {
-    if (now - candidate.arrivedAt < OFFER_AFTER_MS) return;
+    if (now - candidate.arrivedAt < OFFER_DELAY_MS) return;
     const {identity, client, workload} = candidate;
     // A single replica of a service is replaced where the others run.
     if (candidate.taskCount !== workload.taskCount) return;
-    const member = this.choose(identity, now);
+    const member = this.choosePeer(identity, now);
     if (member === undefined) return;
-    if (!workload.idempotent && !this.parts.journal.available()) return;
+    if (!workload.idempotent && !this.parts.journal.isAvailable()) {
+      return;
+    }
     if (!this.parts.queue.remove(identity)) return;
     const {process, address} = member;
     const offer: OpenOffer = {
@@ -216,21 +230,21 @@
       peer: process,
       address,
       attempt: (this.refusals.get(identity)?.count ?? 0) + 1,
-      record: 0,
-      sent: false,
-      due: now + RESEND_MS,
+      recordNumber: 0,
+      isSent: false,
+      resendAt: now + RESEND_INTERVAL_MS,
     };
     if (workload.idempotent) {
       this.send(offer, now);
       return;
     }
-    const record = this.parts.journal.record({
+    const recordNumber = this.parts.journal.record({
       kind: 'offered',
       identity,
       client,
       process,
     });
-    this.open.set(identity, {...offer, record});
+    this.openOffers.set(identity, {...offer, recordNumber: recordNumber});
     this.parts.table.change(identity, {
       state: 'recording',
       recorded: true,
@@ -238,27 +252,33 @@
     });
   }
 
-  private choose(
+  private choosePeer(
     identity: string,
     now: clock.Milliseconds,
-  ): processDirectory.Member | undefined {
+  ): processDirectory.PeerProcess | undefined {
     const refusals = this.refusals.get(identity);
-    if (refusals !== undefined && now < refusals.notBefore) return undefined;
+    if (refusals !== undefined && now < refusals.nextOfferAt) return undefined;
     const {directory} = this.parts;
-    const live = directory.offerTakers();
-    const others = live.filter(member => member.process !== refusals?.last);
-    const candidates = others.length > 0 ? others : live;
+    const accepting = directory.offerCandidates();
+    const others = accepting.filter(
+      member => member.process !== refusals?.lastPeer,
+    );
+    const candidates = others.length > 0 ? others : accepting;
     if (candidates.length === 0) return undefined;
     // Offers alternate, so that a wave does not meet one process alone.
-    return candidates[this.open.size % candidates.length];
+    return candidates[this.openOffers.size % candidates.length];
   }
 
   private send(offer: OpenOffer, now: clock.Milliseconds): void {
     const entry = this.parts.table.get(offer.identity);
     if (entry === undefined) return;
-    this.open.set(offer.identity, {...offer, sent: true, due: Infinity});
+    this.openOffers.set(offer.identity, {
+      ...offer,
+      isSent: true,
+      resendAt: Infinity,
+    });
     const {client, team, workload, payload, size} = entry.request;
-    const left = Math.min(entry.request.startBy - now, OFFER_EXPIRY_MS);
+    const remainingMs = Math.min(entry.request.startBy - now, OFFER_EXPIRY_MS);
     this.parts.table.change(offer.identity, {
       state: 'offered',
       worker: offer.peer,
@@ -272,44 +292,44 @@
       client,
       attempt: offer.attempt,
       submission: {team, workload: workload.name, payload, size},
-      remainingMs: Math.max(0, left),
+      remainingMs: Math.max(0, remainingMs),
     });
   }
 
-  private answered(
+  private handleAnswer(
     answered: Extract<event.Event, {kind: 'offerAnswered'}>,
     now: clock.Milliseconds,
   ): void {
-    const offer = this.open.get(answered.identity);
+    const offer = this.openOffers.get(answered.identity);
     if (offer === undefined || offer.peer !== answered.peer) {
       this.effects.push(effects.count('answer_dropped', {reason: 'offer'}));
       return;
     }
     const row = result.byCode(answered.code);
     if (row?.execution === 'notRun') {
-      this.refused(offer, now);
+      this.handleRefusal(offer, now);
     } else if (row?.execution === 'ran' || row?.name === 'outcomeLost') {
       const {answer} = answered;
-      this.finish(offer, {result: row.name, detail: '', answer}, now);
+      this.endRequest(offer, {result: row.name, detail: '', answer}, now);
     } else {
-      this.lost(answered, now);
+      this.handleLostAnswer(answered, now);
     }
   }
 
-  private refused(offer: OpenOffer, now: clock.Milliseconds): void {
-    const wait = OFFER_AFTER_MS * Math.min(offer.attempt, LONGEST_BACKOFF);
+  private handleRefusal(offer: OpenOffer, now: clock.Milliseconds): void {
+    const waitMs = OFFER_DELAY_MS * Math.min(offer.attempt, MAX_BACKOFF_FACTOR);
     this.refusals.set(offer.identity, {
       count: offer.attempt,
-      last: offer.peer,
-      notBefore: now + wait,
+      lastPeer: offer.peer,
+      nextOfferAt: now + waitMs,
     });
-    this.giveBack(offer, now);
+    this.requeue(offer, now);
   }
 
   /** The offered request is proved not run: it is queued here again. */
-  private giveBack(offer: OpenOffer, now: clock.Milliseconds): void {
+  private requeue(offer: OpenOffer, now: clock.Milliseconds): void {
     const {identity} = offer;
-    this.open.delete(identity);
+    this.openOffers.delete(identity);
     const entry = this.parts.table.get(identity);
     if (entry === undefined || entry.state === 'ended') return;
     if (entry.cancelled) {
@@ -322,69 +342,78 @@
     this.effects.push(effects.count('placed_again', {reason: 'offerRefused'}));
   }
 
-  private finish(
+  private endRequest(
     offer: OpenOffer,
-    ending: requestTable.Ending,
+    outcome: requestTable.RequestOutcome,
     now: clock.Milliseconds,
   ): void {
-    this.open.delete(offer.identity);
+    this.openOffers.delete(offer.identity);
     const {lifecycle} = this.parts;
-    this.effects.push(...lifecycle.end(offer.identity, ending, now));
+    this.effects.push(...lifecycle.end(offer.identity, outcome, now));
   }
 
   private endCancelled(identity: string, now: clock.Milliseconds): void {
-    const ending = {result: 'cancelled', detail: '', answer: ''} as const;
-    this.effects.push(...this.parts.lifecycle.end(identity, ending, now));
+    const outcome = {result: 'cancelled', detail: '', answer: ''} as const;
+    this.effects.push(...this.parts.lifecycle.end(identity, outcome, now));
   }
 
-  private lost(
+  private handleLostAnswer(
     lost: {readonly peer: string; readonly identity: string},
     now: clock.Milliseconds,
   ): void {
-    const offer = this.open.get(lost.identity);
+    const offer = this.openOffers.get(lost.identity);
     if (offer === undefined || offer.peer !== lost.peer) return;
-    this.open.set(offer.identity, {...offer, due: now + RESEND_MS});
+    this.openOffers.set(offer.identity, {
+      ...offer,
+      resendAt: now + RESEND_INTERVAL_MS,
+    });
     this.parts.table.change(offer.identity, {
       state: 'unknown',
       reason: `${offer.peer} gave no answer to the offer`,
     });
   }
 
-  private withdrawn(
+  private handleWithdrawAnswer(
     answered: Extract<event.Event, {kind: 'withdrawAnswered'}>,
     now: clock.Milliseconds,
   ): void {
-    const offer = this.open.get(answered.identity);
+    const offer = this.openOffers.get(answered.identity);
     if (offer === undefined || offer.peer !== answered.peer) return;
     const row = result.byCode(answered.code);
-    if (row?.execution === 'notRun') this.refused(offer, now);
+    if (row?.execution === 'notRun') this.handleRefusal(offer, now);
   }
 
   /** The same process is asked again: it joins the call to what it runs. */
-  private resend(now: clock.Milliseconds): void {
-    for (const offer of [...this.open.values()]) {
-      if (now < offer.due) continue;
-      if (this.parts.directory.isSucceeded(offer.peer, now)) {
-        this.open.set(offer.identity, {...offer, due: now + RESEND_MS});
+  private resendOverdue(now: clock.Milliseconds): void {
+    for (const offer of [...this.openOffers.values()]) {
+      if (now < offer.resendAt) continue;
+      if (this.parts.directory.hasSuccessor(offer.peer, now)) {
+        this.openOffers.set(offer.identity, {
+          ...offer,
+          resendAt: now + RESEND_INTERVAL_MS,
+        });
         const {identity, peer: process} = offer;
-        if (offer.sent) this.orphaned.push({identity, process});
-        else this.giveBack(offer, now);
-      } else if (offer.sent) this.send(offer, now);
-      else this.checkRecord(offer, now);
+        if (offer.isSent) this.orphaned.push({identity, process});
+        else this.requeue(offer, now);
+      } else if (offer.isSent) this.send(offer, now);
+      else this.requeueUnrecordable(offer, now);
     }
   }
 
-  private checkRecord(offer: OpenOffer, now: clock.Milliseconds): void {
-    this.open.set(offer.identity, {...offer, due: now + RESEND_MS});
-    if (this.parts.journal.available()) return;
+  private requeueUnrecordable(offer: OpenOffer, now: clock.Milliseconds): void {
+    this.openOffers.set(offer.identity, {
+      ...offer,
+      resendAt: now + RESEND_INTERVAL_MS,
+    });
+    if (this.parts.journal.isAvailable()) return;
     // Nothing was sent, so the request is still free to be placed here.
-    this.giveBack(offer, now);
+    this.requeue(offer, now);
   }
 
-  private finishTurn(): OfferTurn {
-    const turn = {effects: this.effects, orphaned: this.orphaned};
+  private takeOutput(): OfferOutput {
+    const output = {effects: this.effects, orphaned: this.orphaned};
     this.effects = [];
     this.orphaned = [];
-    return turn;
+    return output;
   }
 }
--- a/src/contracts/request_builder.ts
+++ b/src/contracts/request_builder.ts
@@ -5,12 +5,12 @@
 import type * as request from './request.js';
 
 /** The documents in force. */
-export interface ConfigurationSource {
+export interface ConfigurationProvider {
   current(): configuration.Configuration;
 }
 
 /** Who sends a submission, and under which identity. */
-export interface Sender {
+export interface SubmissionSender {
   readonly identity: string;
   readonly client: string;
   /** Whether the client reserved the identity beforehand. */
@@ -19,12 +19,12 @@
 
 /** Builds requests from what clients submit and teams have configured. */
 export class RequestBuilder {
-  constructor(private readonly documents: ConfigurationSource) {}
+  constructor(private readonly documents: ConfigurationProvider) {}
 
   /** Returns the request, or why the submission is refused. */
   build(
     submission: request.Submission,
-    sender: Sender,
+    sender: SubmissionSender,
     now: clock.Milliseconds,
   ): either.Either<result.Failure, request.Request> {
     const {teams, versions} = this.documents.current();
--- a/src/contracts/request_desk.ts
+++ b/src/contracts/request_coordinator.ts
@@ -1,11 +1,11 @@
 import * as callReply from './call_reply.js';
 import * as callRouter from './call_router.js';
 import * as effects from './effect.js';
-import * as identities from './identity.js';
-import * as journalKeeper from './journal_keeper.js';
-import * as offerHost from './offer_host.js';
-import * as offers from './offers.js';
-import * as recoveries from './recovery.js';
+import * as identityIssuer from './identity_issuer.js';
+import * as requestJournal from './request_journal.js';
+import * as incomingOffers from './incoming_offers.js';
+import * as outgoingOffers from './outgoing_offers.js';
+import * as outcomeRecovery from './outcome_recovery.js';
 import * as requestBuilder from './request_builder.js';
 import * as requestLifecycle from './request_lifecycle.js';
 import * as requestTable from './request_table.js';
@@ -19,7 +19,7 @@
 import type * as taskRunner from '../machines/task_runner.js';
 
 /** The queue as the desk uses it. */
-export interface DeskQueue extends offerHost.OfferQueue {
+export interface CoordinatorQueue extends incomingOffers.AdmissionQueue {
   /** Takes out requests whose latest start has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request>;
   /** Requests that wait, the longest waiting first; at most `limit`. */
@@ -29,15 +29,15 @@
 }
 
 /** What a desk is made with. */
-export interface DeskParts {
+export interface RequestCoordinatorParts {
   readonly self: string;
   readonly random: randomSource.RandomSource;
-  readonly documents: requestBuilder.ConfigurationSource;
-  readonly queue: DeskQueue;
+  readonly documents: requestBuilder.ConfigurationProvider;
+  readonly queue: CoordinatorQueue;
   readonly runner: taskRunner.TaskRunner;
   readonly directory: processDirectory.ProcessDirectory;
-  readonly workers: recoveries.WorkerAddresses;
-  readonly retries: requestLifecycle.RetryAllowance;
+  readonly workers: outcomeRecovery.WorkerDirectory;
+  readonly retries: requestLifecycle.RetryLimiter;
   /** Whether this process has been taken for dead and can't act any more. */
   readonly isSuperseded: () => boolean;
 }
@@ -48,34 +48,34 @@
 >;
 
 /** Most waiting requests that are looked at for an offer in one turn. */
-const OFFER_CANDIDATES = 16;
+const MAX_OFFER_CANDIDATES = 16;
 
 /** Most identities that one call reserves. */
-const IDENTITIES_LIMIT = 1_000;
+const MAX_IDENTITIES_PER_CALL = 1_000;
 
 /**
  * Takes requests from their arrival to their answer: calls of clients, the
  * states of requests, offers to other processes, and recovery.
  */
-export class RequestDesk implements callRouter.LocalDesk {
+export class RequestCoordinator implements callRouter.LocalRequestHandler {
   private readonly table = new requestTable.RequestTable();
-  private readonly issuer: identities.IdentityIssuer;
+  private readonly issuer: identityIssuer.IdentityIssuer;
   private readonly builder: requestBuilder.RequestBuilder;
-  private readonly journal: journalKeeper.JournalKeeper;
+  private readonly journal: requestJournal.RequestJournal;
   private readonly lifecycle: requestLifecycle.RequestLifecycle;
-  private readonly offers: offers.Offers;
-  private readonly host: offerHost.OfferHost;
+  private readonly outgoing: outgoingOffers.OutgoingOffers;
+  private readonly incoming: incomingOffers.IncomingOffers;
   private readonly witnesses: witnessStore.WitnessStore;
-  private readonly recovery: recoveries.Recovery;
+  private readonly recovery: outcomeRecovery.OutcomeRecovery;
   private readonly router: callRouter.CallRouter;
   private draining = false;
 
-  constructor(private readonly parts: DeskParts) {
+  constructor(private readonly parts: RequestCoordinatorParts) {
     const {self, directory, queue, runner, retries} = parts;
     const table = this.table;
-    this.issuer = new identities.IdentityIssuer(self, parts.random);
+    this.issuer = new identityIssuer.IdentityIssuer(self, parts.random);
     this.builder = new requestBuilder.RequestBuilder(parts.documents);
-    this.journal = new journalKeeper.JournalKeeper(self, directory);
+    this.journal = new requestJournal.RequestJournal(self, directory);
     const {journal, builder} = this;
     this.lifecycle = new requestLifecycle.RequestLifecycle({
       table,
@@ -86,23 +86,23 @@
       directory,
     });
     const {lifecycle} = this;
-    this.offers = new offers.Offers({
+    this.outgoing = new outgoingOffers.OutgoingOffers({
       table,
       queue,
       lifecycle,
       journal,
       directory,
     });
-    this.host = new offerHost.OfferHost({
+    this.incoming = new incomingOffers.IncomingOffers({
       self,
       builder,
       table,
       queue,
       lifecycle,
-      offers: this.offers,
+      offers: this.outgoing,
     });
     this.witnesses = new witnessStore.WitnessStore(self, directory);
-    this.recovery = new recoveries.Recovery(
+    this.recovery = new outcomeRecovery.OutcomeRecovery(
       directory,
       parts.workers,
       this.witnesses,
@@ -137,21 +137,21 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const wanted = this.isForRecovery(handled);
-    const done: effects.Effect[] = [
+    const isRecoveryAnswer = this.isForRecovery(handled);
+    const produced: effects.Effect[] = [
       ...this.witnesses.handle(handled, now),
       ...this.router.handle(handled, now),
-      ...this.host.handle(handled, now),
-      ...this.recover(handled, now),
-      ...(wanted ? [] : this.advance(handled, now)),
-      ...this.takeOffers(this.offers.handle(handled, now), now),
+      ...this.incoming.handle(handled, now),
+      ...this.handleByRecovery(handled, now),
+      ...(isRecoveryAnswer ? [] : this.handleByLifecycle(handled, now)),
+      ...this.applyOfferOutput(this.outgoing.handle(handled, now), now),
       ...this.handleCall(handled, now),
     ];
-    if (handled.kind === 'timePassed') done.push(...this.expire(now));
-    done.push(...this.lifecycle.placeWaiting(now));
-    if (handled.kind === 'timePassed') done.push(...this.offerWaiting(now));
-    done.push(...this.journal.flush(now), ...this.finishTurn());
-    return done;
+    if (handled.kind === 'timePassed') produced.push(...this.expire(now));
+    produced.push(...this.lifecycle.placeWaiting(now));
+    if (handled.kind === 'timePassed') produced.push(...this.offerWaiting(now));
+    produced.push(...this.journal.flush(now), ...this.answerEndedOffers());
+    return produced;
   }
 
   /** When `timePassed` is wanted next. */
@@ -159,7 +159,7 @@
     return Math.min(
       this.table.nextDeadline(),
       this.lifecycle.nextDeadline(),
-      this.offers.nextDeadline(),
+      this.outgoing.nextDeadline(),
       this.recovery.nextDeadline(),
       this.router.nextDeadline(),
       this.journal.nextDeadline(),
@@ -167,20 +167,20 @@
     );
   }
 
-  answerHere(
+  answerLocally(
     call: callRouter.IdentityCall,
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const known = this.table.get(identity);
     if (known === undefined || known.request.client !== call.client) {
-      return this.unknownIdentity(call, identity);
+      return this.refuseUnknown(call, identity);
     }
     switch (call.kind) {
       case 'requestArrived':
-        return this.repeated(call, known, now);
+        return this.answerRepeat(call, known, now);
       case 'fetchArrived':
-        return this.table.wait(identity, call, now + call.waitMs, now);
+        return this.table.answerAtEnd(identity, call, now + call.waitMs, now);
       case 'cancelArrived':
         return this.cancel(call, identity, now);
       case 'explainArrived':
@@ -188,8 +188,8 @@
     }
   }
 
-  bury(identity: string, now: clock.Milliseconds): boolean {
-    return this.offers.bury(identity, Infinity, now);
+  preventRun(identity: string, now: clock.Milliseconds): boolean {
+    return this.outgoing.preventRun(identity, Infinity, now);
   }
 
   isIdempotent(call: callRouter.IdentityCall): boolean | undefined {
@@ -206,13 +206,13 @@
         return this.issueIdentities(handled, now);
       case 'requestArrived':
         if (handled.identity === undefined) {
-          return this.requestArrived(handled, undefined, now);
+          return this.submitRequest(handled, undefined, now);
         }
-        return this.identityCall(handled, handled.identity, now);
+        return this.handleIdentityCall(handled, handled.identity, now);
       case 'fetchArrived':
       case 'cancelArrived':
       case 'explainArrived':
-        return this.identityCall(handled, handled.identity, now);
+        return this.handleIdentityCall(handled, handled.identity, now);
       case 'drainArrived':
         return handled.worker === undefined
           ? this.drain(handled)
@@ -226,7 +226,7 @@
   }
 
   /** Why no new requests are taken; undefined when they are. */
-  private closedReason(): result.Failure | undefined {
+  private admissionRefusal(): result.Failure | undefined {
     if (this.draining) {
       return result.failure('draining', 'this process is shutting down');
     }
@@ -243,9 +243,9 @@
     call: CallOf<'identitiesArrived'>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const closed = this.closedReason();
-    if (closed !== undefined) return callReply.refuse(call.call, closed);
-    const count = Math.min(call.count, IDENTITIES_LIMIT);
+    const refusal = this.admissionRefusal();
+    if (refusal !== undefined) return callReply.refuse(call.call, refusal);
+    const count = Math.min(call.count, MAX_IDENTITIES_PER_CALL);
     const issued: string[] = [];
     while (issued.length < count) {
       issued.push(this.issuer.issue(call.client, now));
@@ -255,17 +255,17 @@
     return [{kind: 'answerCaller', call: call.call, reply}];
   }
 
-  private identityCall(
+  private handleIdentityCall(
     call: callRouter.IdentityCall,
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const known = this.table.get(identity);
     if (known !== undefined && isDecidedHere(known)) {
-      return this.answerHere(call, identity, now);
+      return this.answerLocally(call, identity, now);
     }
-    const home = identities.parseIdentity(identity)?.home;
-    if (home === undefined) return this.unknownIdentity(call, identity);
+    const home = identityIssuer.parse(identity)?.home;
+    if (home === undefined) return this.refuseUnknown(call, identity);
     if (home !== this.parts.self) {
       return this.router.route(call, identity, home, now);
     }
@@ -275,20 +275,20 @@
       return callReply.refuse(call.call, refusal, identity);
     }
     if (call.kind === 'requestArrived') {
-      return this.requestArrived(call, identity, now);
+      return this.submitRequest(call, identity, now);
     }
-    return this.unusedIdentity(call, identity);
+    return this.answerUnusedIdentity(call, identity);
   }
 
   /** The submission may be on its way; a cancellation stops it on arrival. */
-  private unusedIdentity(
+  private answerUnusedIdentity(
     call: callRouter.IdentityCall,
     identity: string,
   ): ReadonlyArray<effects.Effect> {
     if (call.kind === 'cancelArrived') {
       const detail = 'cancelled before its submission arrived';
       const cancelled = result.failure('cancelled', detail);
-      return this.refuseFinally(call.call, cancelled, identity);
+      return this.refusePermanently(call.call, cancelled, identity);
     }
     const detail = 'no submission with this identity has arrived';
     const unknown = result.failure('unknownOutcome', detail);
@@ -296,7 +296,7 @@
   }
 
   /** Refuses a request for good: no later call may run it after all. */
-  private refuseFinally(
+  private refusePermanently(
     call: event.CallNumber,
     refusal: result.Failure,
     identity: string | undefined,
@@ -305,20 +305,20 @@
     return callReply.refuse(call, refusal, identity);
   }
 
-  private requestArrived(
+  private submitRequest(
     call: CallOf<'requestArrived'>,
     reserved: string | undefined,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const closed = this.closedReason();
-    if (closed !== undefined) {
-      return this.refuseFinally(call.call, closed, reserved);
+    const closedRefusal = this.admissionRefusal();
+    if (closedRefusal !== undefined) {
+      return this.refusePermanently(call.call, closedRefusal, reserved);
     }
     const identity = reserved ?? this.issuer.issue(call.client, now);
     const {client, submission} = call;
     const sender = {identity, client, reserved: reserved !== undefined};
     return this.builder.build(submission, sender, now).caseOf({
-      Left: refusal => this.refuseFinally(call.call, refusal, reserved),
+      Left: refusal => this.refusePermanently(call.call, refusal, reserved),
       Right: built => this.admit(call, built, now),
     });
   }
@@ -329,38 +329,40 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const refusal =
-      this.recordRefusal(built) ?? this.parts.queue.admit(built, now);
+      this.journalRefusal(built) ?? this.parts.queue.admit(built, now);
     if (refusal !== undefined) {
-      return this.refuseFinally(call.call, refusal, built.identity);
+      return this.refusePermanently(call.call, refusal, built.identity);
     }
     this.table.add(built);
-    return this.table.wait(built.identity, call, now + call.waitMs, now);
+    return this.table.answerAtEnd(built.identity, call, now + call.waitMs, now);
   }
 
-  private recordRefusal(built: request.Request): result.Failure | undefined {
-    if (built.workload.idempotent || this.journal.available()) return undefined;
+  private journalRefusal(built: request.Request): result.Failure | undefined {
+    if (built.workload.idempotent || this.journal.isAvailable()) {
+      return undefined;
+    }
     return result.failure(
       'logUnavailable',
       'the log gives no answer and no other process can witness the start',
     );
   }
 
-  private repeated(
+  private answerRepeat(
     call: CallOf<'requestArrived'>,
     known: requestTable.RequestEntry,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {request: first} = known;
-    const same =
+    const isSameSubmission =
       first.team === call.submission.team &&
       first.workload.name === call.submission.workload &&
       first.payload === call.submission.payload;
-    if (!same) {
+    if (!isSameSubmission) {
       const detail = `identity ${first.identity} belongs to another submission`;
       const conflict = result.failure('identityConflict', detail);
       return callReply.refuse(call.call, conflict, first.identity);
     }
-    return this.table.wait(first.identity, call, now + call.waitMs, now);
+    return this.table.answerAtEnd(first.identity, call, now + call.waitMs, now);
   }
 
   private cancel(
@@ -368,12 +370,12 @@
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const withdrawn = this.offers.cancel(identity, now);
-    const done =
+    const withdrawn = this.outgoing.cancel(identity, now);
+    const produced =
       withdrawn === undefined
         ? this.lifecycle.cancel(identity, now)
-        : this.takeOffers(withdrawn, now);
-    return [...done, ...this.table.wait(identity, call, now, now)];
+        : this.applyOfferOutput(withdrawn, now);
+    return [...produced, ...this.table.answerAtEnd(identity, call, now, now)];
   }
 
   private explain(
@@ -382,8 +384,8 @@
     now: clock.Milliseconds,
   ): effects.Effect {
     const {identity, arrivedAt, startBy} = known.request;
-    const waits = known.state === 'queued';
-    const detail = waits ? this.parts.queue.explain(identity, now) : '';
+    const isQueued = known.state === 'queued';
+    const detail = isQueued ? this.parts.queue.explain(identity, now) : '';
     const content = {
       home: this.parts.self,
       state: known.state,
@@ -395,7 +397,7 @@
       recorded: known.recorded,
       ageMs: Math.round(now - arrivedAt),
       ...(startBy < Infinity ? {startWithinMs: Math.round(startBy - now)} : {}),
-      ...(known.ending === undefined ? {} : {result: known.ending.result}),
+      ...(known.outcome === undefined ? {} : {result: known.outcome.result}),
     };
     const {code} = result.RESULT_CODES.ok;
     const reply = {code, identity, state: known.state, content};
@@ -418,7 +420,7 @@
 
   private drain(call: CallOf<'drainArrived'>): ReadonlyArray<effects.Effect> {
     this.draining = true;
-    this.host.drain();
+    this.incoming.drain();
     const {code} = result.RESULT_CODES.ok;
     const content = {unfinished: this.table.unfinishedCount()};
     return [
@@ -427,7 +429,7 @@
     ];
   }
 
-  private unknownIdentity(
+  private refuseUnknown(
     call: callRouter.IdentityCall,
     identity: string,
   ): ReadonlyArray<effects.Effect> {
@@ -438,122 +440,127 @@
   private isForRecovery(handled: event.Event): boolean {
     if (handled.kind !== 'taskAnswerArrived') return false;
     if (this.parts.runner.isTracked(handled.task)) return false;
-    return this.recovery.expects(handled.task);
+    return this.recovery.isFetching(handled.task);
   }
 
-  private recover(
+  private handleByRecovery(
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    return this.takeRecovery(this.recovery.handle(handled, now), now);
+    return this.applyRecoveryOutput(this.recovery.handle(handled, now), now);
   }
 
-  private takeRecovery(
-    turn: recoveries.RecoveryTurn,
+  private applyRecoveryOutput(
+    output: outcomeRecovery.RecoveryOutput,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done = [...turn.effects];
-    for (const answer of turn.answers) {
-      done.push(...this.router.takeAnswer(answer, now));
-      done.push(...this.resolveOffer(answer, now));
+    const produced = [...output.effects];
+    for (const recoveryResult of output.results) {
+      produced.push(...this.router.handleRecoveryResult(recoveryResult, now));
+      produced.push(...this.resolveOffer(recoveryResult, now));
     }
-    return done;
+    return produced;
   }
 
   private resolveOffer(
-    answer: recoveries.RecoveryAnswer,
+    recoveryResult: outcomeRecovery.RecoveryResult,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const {identity, process} = answer.question;
-    if (identities.parseIdentity(identity)?.home !== this.parts.self) return [];
-    const {finding} = answer;
+    const {identity, process} = recoveryResult.query;
+    if (identityIssuer.parse(identity)?.home !== this.parts.self) return [];
+    const {finding} = recoveryResult;
     switch (finding.kind) {
       case 'notRun':
-        return this.offers.resolve(identity, process, undefined, now).effects;
+        return this.outgoing.resolve(identity, process, undefined, now).effects;
       case 'ended':
-        return this.offers.resolve(identity, process, finding.ending, now)
+        return this.outgoing.resolve(identity, process, finding.outcome, now)
           .effects;
       case 'lost': {
         const detail = `${process} is gone and left no proof`;
         const lost = {result: 'outcomeLost', detail, answer: ''} as const;
-        return this.offers.resolve(identity, process, lost, now).effects;
+        return this.outgoing.resolve(identity, process, lost, now).effects;
       }
       default:
         return [];
     }
   }
 
-  private takeOffers(
-    turn: offers.OfferTurn,
+  private applyOfferOutput(
+    output: outgoingOffers.OfferOutput,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done = [...turn.effects];
-    for (const {identity, process} of turn.orphaned) {
+    const produced = [...output.effects];
+    for (const {identity, process} of output.orphaned) {
       const client = this.table.get(identity)?.request.client ?? '';
-      const asked = this.recovery.ask({identity, client, process}, now);
-      done.push(...this.takeRecovery(asked, now));
+      const queried = this.recovery.query({identity, client, process}, now);
+      produced.push(...this.applyRecoveryOutput(queried, now));
     }
-    return done;
+    return produced;
   }
 
-  private advance(
+  private handleByLifecycle(
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const turn = this.lifecycle.handle(handled, now);
-    for (const outcome of this.lifecycle.takeOrphans()) {
-      this.recovery.noteOutcome(outcome);
+    const output = this.lifecycle.handle(handled, now);
+    for (const outcome of this.lifecycle.takeUnmatchedOutcomes()) {
+      this.recovery.recordTaskOutcome(outcome);
     }
     return [
-      ...turn.effects,
-      ...this.takeOffers(this.offers.recorded(turn.recorded, now), now),
+      ...output.effects,
+      ...this.applyOfferOutput(
+        this.outgoing.sendRecorded(output.recorded, now),
+        now,
+      ),
     ];
   }
 
   private expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
+    const produced: effects.Effect[] = [];
     for (const late of this.parts.queue.takeExpired(now)) {
       const detail = 'the latest start passed while the request waited';
-      const ending = {result: 'deadlinePassed', detail, answer: ''} as const;
-      done.push(effects.count('refusal', {reason: ending.result}));
-      done.push(...this.lifecycle.end(late.identity, ending, now));
+      const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
+      produced.push(effects.count('refusal', {reason: outcome.result}));
+      produced.push(...this.lifecycle.end(late.identity, outcome, now));
     }
-    if (this.parts.isSuperseded()) done.push(...this.endWaiting(now));
-    const turn = this.table.expire(now);
-    for (const identity of turn.forgotten) this.parts.runner.forget(identity);
-    this.offers.expire(turn.forgotten, now);
-    return [...done, ...turn.effects];
+    if (this.parts.isSuperseded()) produced.push(...this.endQueued(now));
+    const expiry = this.table.expire(now);
+    for (const identity of expiry.forgotten) this.parts.runner.forget(identity);
+    this.outgoing.expire(expiry.forgotten, now);
+    return [...produced, ...expiry.effects];
   }
 
   /** A superseded process can't start what waits, now or later. */
-  private endWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private endQueued(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     const detail = 'another process has taken over from this one';
-    const ending = {result: 'noAuthority', detail, answer: ''} as const;
+    const outcome = {result: 'noAuthority', detail, answer: ''} as const;
     const {queue} = this.parts;
-    const done: effects.Effect[] = [];
+    const produced: effects.Effect[] = [];
     for (const {identity} of queue.waiting(queue.waitingCount())) {
       if (this.table.get(identity)?.state !== 'queued') continue;
       queue.remove(identity);
-      done.push(...this.lifecycle.end(identity, ending, now));
+      produced.push(...this.lifecycle.end(identity, outcome, now));
     }
-    return done;
+    return produced;
   }
 
   private offerWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     if (this.parts.isSuperseded()) return [];
-    const waiting = this.parts.queue.waiting(OFFER_CANDIDATES);
+    const waiting = this.parts.queue.waiting(MAX_OFFER_CANDIDATES);
     if (waiting.length === 0) return [];
-    return this.takeOffers(this.offers.offerWaiting(waiting, now), now);
+    return this.applyOfferOutput(this.outgoing.offerWaiting(waiting, now), now);
   }
 
-  private finishTurn(): ReadonlyArray<effects.Effect> {
-    return this.table.takeEnded().flatMap(entry => this.host.ended(entry));
+  private answerEndedOffers(): ReadonlyArray<effects.Effect> {
+    return this.table
+      .takeEnded()
+      .flatMap(entry => this.incoming.answerEnded(entry));
   }
 }
 
 /** What did not run here for its home may still run elsewhere. */
 function isDecidedHere(entry: requestTable.RequestEntry): boolean {
   if (entry.offeredBy === '') return true;
-  if (entry.ending === undefined) return false;
-  return result.RESULT_CODES[entry.ending.result].execution === 'ran';
+  if (entry.outcome === undefined) return false;
+  return result.RESULT_CODES[entry.outcome.result].execution === 'ran';
 }
--- a/src/contracts/journal_keeper.ts
+++ b/src/contracts/request_journal.ts
@@ -1,5 +1,5 @@
 import * as effects from './effect.js';
-import * as journal from './journal.js';
+import * as journalBackend from './journal_backend.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as processDirectory from './process_directory.js';
@@ -8,82 +8,85 @@
  * Most entries that wait for the log. Past it, endings are not recorded any
  * more, which costs recovery a question to the worker, and starts are refused.
  */
-const PENDING_LIMIT = 10_000;
+const MAX_PENDING_ENTRIES = 10_000;
 
 /** Appends of all entry processes together; the log accepts several hundred. */
-const APPENDS_PER_SECOND = 300;
+const MAX_APPENDS_PER_SECOND = 300;
 
 /** Longest answer that is recorded, in bytes. */
-const ANSWER_LIMIT = 4_096;
+const MAX_ANSWER_BYTES = 4_096;
 
 /** What the keeper learnt from an event. */
-export type KeeperTurn = journal.JournalTurn;
+export type RequestJournalOutput = journalBackend.JournalOutput;
 
 /**
  * The journal of this process. Every entry goes to the log; while the log
  * gives no answer it goes to witnesses as well, and the first of both that
  * acknowledges it counts.
  */
-export class JournalKeeper {
-  private readonly log: journal.LogJournal;
-  private readonly witnesses: journal.WitnessJournal;
-  private readonly unrecorded = new Set<number>();
-  private entryNumber = 0;
-  private outage = false;
+export class RequestJournal {
+  private readonly log: journalBackend.LogJournal;
+  private readonly witnesses: journalBackend.WitnessJournal;
+  private readonly unrecordedNumbers = new Set<number>();
+  private lastEntryNumber = 0;
+  private logOutage = false;
 
-  private processes = 1;
+  private processCount = 1;
 
   constructor(process: string, directory: processDirectory.ProcessDirectory) {
-    this.log = new journal.LogJournal(
+    this.log = new journalBackend.LogJournal(
       process,
-      () => (this.processes * 1_000) / APPENDS_PER_SECOND,
+      () => (this.processCount * 1_000) / MAX_APPENDS_PER_SECOND,
     );
-    this.witnesses = new journal.WitnessJournal(directory);
+    this.witnesses = new journalBackend.WitnessJournal(directory);
   }
 
   /** Takes an entry and returns the number that `handle` will name. */
-  record(entry: journal.JournalEntry): number {
-    this.entryNumber += 1;
-    const record = {number: this.entryNumber, entry: shorten(entry)};
-    const full = this.log.pendingCount() >= PENDING_LIMIT;
-    if (full && entry.kind === 'finished') return record.number;
-    this.unrecorded.add(record.number);
+  record(entry: journalBackend.JournalEntry): number {
+    this.lastEntryNumber += 1;
+    const record = {
+      number: this.lastEntryNumber,
+      entry: withoutLongAnswer(entry),
+    };
+    const isFull = this.log.pendingCount() >= MAX_PENDING_ENTRIES;
+    if (isFull && entry.kind === 'finished') return record.number;
+    this.unrecordedNumbers.add(record.number);
     this.log.record(record);
-    if (this.outage) this.witnesses.record(record);
+    if (this.logOutage) this.witnesses.record(record);
     return record.number;
   }
 
   /** Whether a new entry has a chance to be recorded. */
-  available(): boolean {
-    if (this.log.pendingCount() >= PENDING_LIMIT) return false;
-    return this.log.available() || this.witnesses.available();
+  isAvailable(): boolean {
+    if (this.log.pendingCount() >= MAX_PENDING_ENTRIES) return false;
+    return this.log.isAvailable() || this.witnesses.isAvailable();
   }
 
   /** Whether the log gives no answer. */
-  inOutage(): boolean {
-    return this.outage;
+  isLogOutage(): boolean {
+    return this.logOutage;
   }
 
   /** Entries that neither the log nor the witnesses hold. */
   unrecordedCount(): number {
-    return this.unrecorded.size;
+    return this.unrecordedNumbers.size;
   }
 
   /** Learns what was recorded and sends what waits. */
-  handle(handled: event.Event, now: clock.Milliseconds): KeeperTurn {
+  handle(handled: event.Event, now: clock.Milliseconds): RequestJournalOutput {
     if (handled.kind === 'vmListRead') this.countProcesses(handled.vms);
     const fromLog = this.log.handle(handled, now);
     const fromWitnesses = this.witnesses.handle(handled, now);
     const recorded: number[] = [];
     for (const number of [...fromLog.recorded, ...fromWitnesses.recorded]) {
-      if (this.unrecorded.delete(number)) recorded.push(number);
+      if (this.unrecordedNumbers.delete(number)) recorded.push(number);
     }
     return {
       recorded,
       effects: [
         ...fromLog.effects,
         ...fromWitnesses.effects,
-        ...this.noteOutage(),
+        ...this.updateLogOutage(),
         ...this.flush(now),
       ],
     };
@@ -100,18 +103,22 @@
 
   private countProcesses(vms: ReadonlyArray<event.ListedVm>): void {
     const entries = vms.filter(listed => listed.role === 'entry');
-    this.processes = Math.max(1, entries.length);
+    this.processCount = Math.max(1, entries.length);
   }
 
-  private noteOutage(): ReadonlyArray<effects.Effect> {
-    const outage = !this.log.available();
-    if (outage === this.outage) return [];
-    this.outage = outage;
+  private updateLogOutage(): ReadonlyArray<effects.Effect> {
+    const outage = !this.log.isAvailable();
+    if (outage === this.logOutage) return [];
+    this.logOutage = outage;
     if (outage) {
-      for (const record of this.log.pending()) this.witnesses.record(record);
+      for (const record of this.log.pendingRecords()) {
+        this.witnesses.record(record);
+      }
     } else {
-      const waiting = this.witnesses.pending().map(item => item.number);
-      this.witnesses.forget(new Set(waiting));
+      const pendingNumbers = this.witnesses
+        .pendingRecords()
+        .map(item => item.number);
+      this.witnesses.dropEntries(new Set(pendingNumbers));
     }
     return [
       effects.count('journal_outage', {state: outage ? 'begun' : 'over'}),
@@ -120,8 +127,10 @@
   }
 }
 
-function shorten(entry: journal.JournalEntry): journal.JournalEntry {
+function withoutLongAnswer(
+  entry: journalBackend.JournalEntry,
+): journalBackend.JournalEntry {
   if (entry.kind !== 'finished') return entry;
-  if (Buffer.byteLength(entry.answer) <= ANSWER_LIMIT) return entry;
+  if (Buffer.byteLength(entry.answer) <= MAX_ANSWER_BYTES) return entry;
   return {...entry, answer: '', answerKept: false};
 }
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -4,7 +4,7 @@
 import * as results from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
-import type * as journalKeeper from './journal_keeper.js';
+import type * as requestJournal from './request_journal.js';
 import type * as processDirectory from './process_directory.js';
 import type * as request from './request.js';
 import type * as requestTable from './request_table.js';
@@ -13,21 +13,21 @@
 import type * as trackedTask from '../machines/tracked_task.js';
 
 /** Time for the journal to acknowledge; the rest is for the start's lease. */
-const RECORD_LIMIT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
+const RECORD_TIMEOUT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
 
 /** Most placements of a request whose tasks keep failing. */
-const ATTEMPT_LIMIT = 3;
+const MAX_ATTEMPTS = 3;
 
 /** Whether failed work may be tried again; one budget a process. */
-export interface RetryAllowance {
+export interface RetryLimiter {
   /** Takes one retry out of the budget; false when it is spent. */
-  take(now: clock.Milliseconds): boolean;
+  trySpend(now: clock.Milliseconds): boolean;
   /** Notes a call that succeeded. */
-  succeeded(now: clock.Milliseconds): void;
+  recordSuccess(now: clock.Milliseconds): void;
 }
 
 /** The part of the scheduler that places waiting requests. */
-export interface RequestQueue {
+export interface PlacementQueue {
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement>;
   requeue(returned: request.Request): void;
   remove(identity: string): boolean;
@@ -42,19 +42,19 @@
 }
 
 /** What one event led to. */
-export interface LifecycleTurn {
+export interface LifecycleOutput {
   readonly effects: ReadonlyArray<effects.Effect>;
   /** Numbers of the journal entries that are recorded from now on. */
   readonly recorded: ReadonlyArray<number>;
 }
 
 /** The objects that a lifecycle works with. */
-export interface LifecycleParts {
+export interface RequestLifecycleParts {
   readonly table: requestTable.RequestTable;
-  readonly queue: RequestQueue;
+  readonly queue: PlacementQueue;
   readonly runner: taskRunner.TaskRunner;
-  readonly journal: journalKeeper.JournalKeeper;
-  readonly retries: RetryAllowance;
+  readonly journal: requestJournal.RequestJournal;
+  readonly retries: RetryLimiter;
   readonly directory: processDirectory.ProcessDirectory;
 }
 
@@ -65,67 +65,74 @@
  */
 export class RequestLifecycle {
   private readonly attempts = new Map<string, attempts.Attempt>();
-  private readonly recording = new Map<number, attempts.Attempt>();
+  private readonly recordingAttempts = new Map<number, attempts.Attempt>();
   /** Lost tasks of services that wait for the retry budget. */
   private postponed: LostReplica[] = [];
-  private orphans: trackedTask.TaskOutcome[] = [];
+  private unmatchedOutcomes: trackedTask.TaskOutcome[] = [];
 
-  constructor(private readonly parts: LifecycleParts) {}
+  constructor(private readonly parts: RequestLifecycleParts) {}
 
   /** Places what waits and records or starts it. */
   placeWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const begun = new Set<attempts.Attempt>();
+    const placedAttempts = new Set<attempts.Attempt>();
     for (const placement of this.parts.queue.place(now)) {
-      begun.add(this.hold(placement, now));
+      placedAttempts.add(this.addHeldTask(placement, now));
     }
-    const done = [...begun].flatMap(attempt => this.begin(attempt, now));
-    return [...done, ...this.parts.journal.flush(now)];
+    const produced = [...placedAttempts].flatMap(attempt =>
+      this.recordOrStart(attempt, now),
+    );
+    return [...produced, ...this.parts.journal.flush(now)];
   }
 
   /** Passes an event to the runner and the journal and acts on the result. */
-  handle(handled: event.Event, now: clock.Milliseconds): LifecycleTurn {
-    const turn = this.parts.journal.handle(handled, now);
-    const done = [...turn.effects];
-    for (const number of turn.recorded) {
-      done.push(...this.recorded(number, now));
+  handle(handled: event.Event, now: clock.Milliseconds): LifecycleOutput {
+    const output = this.parts.journal.handle(handled, now);
+    const produced = [...output.effects];
+    for (const number of output.recorded) {
+      produced.push(...this.handleRecorded(number, now));
     }
-    done.push(...this.take(this.parts.runner.handle(handled, now), now));
+    produced.push(
+      ...this.applyOutput(this.parts.runner.handle(handled, now), now),
+    );
     if (handled.kind === 'timePassed') {
-      done.push(...this.checkRecording(now), ...this.replacePostponed(now));
+      produced.push(
+        ...this.checkRecordTimeouts(now),
+        ...this.replacePostponed(now),
+      );
     }
-    return {effects: done, recorded: turn.recorded};
+    return {effects: produced, recorded: output.recorded};
   }
 
   /** Returns outcomes of tasks whose request is not known here. */
-  takeOrphans(): ReadonlyArray<trackedTask.TaskOutcome> {
-    const taken = this.orphans;
-    this.orphans = [];
+  takeUnmatchedOutcomes(): ReadonlyArray<trackedTask.TaskOutcome> {
+    const taken = this.unmatchedOutcomes;
+    this.unmatchedOutcomes = [];
     return taken;
   }
 
   /** Ends a request; a recorded request has its end recorded as well. */
   end(
     identity: string,
-    wanted: requestTable.Ending,
+    outcome: requestTable.RequestOutcome,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const entry = this.parts.table.get(identity);
     if (entry === undefined) return [];
-    const ending = truthful(wanted, entry);
+    const adjusted = withoutFalseNotRun(outcome, entry);
     this.attempts.delete(identity);
-    if (ending.result === 'ok') this.parts.retries.succeeded(now);
-    if (entry.recorded && entry.ending === undefined) {
+    if (adjusted.result === 'ok') this.parts.retries.recordSuccess(now);
+    if (entry.recorded && entry.outcome === undefined) {
       this.parts.journal.record({
         kind: 'finished',
         identity,
         client: entry.request.client,
-        ...ending,
+        ...adjusted,
         answerKept: true,
       });
     }
     return [
-      effects.count('ended', {result: ending.result}),
-      ...this.parts.table.end(identity, ending, now),
+      effects.count('ended', {result: adjusted.result}),
+      ...this.parts.table.end(identity, adjusted, now),
       ...this.parts.journal.flush(now),
     ];
   }
@@ -146,7 +153,7 @@
       return queued ? this.end(identity, cancelled, now) : [];
     }
     if (attempt.recording) {
-      this.abandon(attempt);
+      this.dropHeld(attempt);
       return this.end(identity, cancelled, now);
     }
     return this.stopTasks(attempt, now);
@@ -154,13 +161,13 @@
 
   /** When `timePassed` is wanted next. */
   nextDeadline(): clock.Milliseconds {
-    const oldest = this.recording.values().next();
+    const oldest = this.recordingAttempts.values().next();
     if (oldest.done === true) return Infinity;
     const {begunAt, request: concerned} = oldest.value;
-    return Math.min(begunAt + RECORD_LIMIT_MS, concerned.startBy);
+    return Math.min(begunAt + RECORD_TIMEOUT_MS, concerned.startBy);
   }
 
-  private hold(
+  private addHeldTask(
     placement: placement.Placement,
     now: clock.Milliseconds,
   ): attempts.Attempt {
@@ -169,8 +176,8 @@
     let attempt = this.attempts.get(identity);
     if (attempt === undefined) {
       const number = (entry?.attempts ?? 0) + 1;
-      const whole = entry?.request ?? placement.request;
-      attempt = new attempts.Attempt(whole, number, now);
+      const admitted = entry?.request ?? placement.request;
+      attempt = new attempts.Attempt(admitted, number, now);
       this.attempts.set(identity, attempt);
       this.parts.table.change(identity, {attempts: number});
     }
@@ -191,13 +198,15 @@
     return attempt;
   }
 
-  private begin(
+  private recordOrStart(
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity, client, workload} = attempt.request;
-    const offered = this.parts.table.get(identity)?.offeredBy !== '';
-    if (workload.idempotent && !offered) return this.startHeld(attempt, now);
+    const isOffered = this.parts.table.get(identity)?.offeredBy !== '';
+    if (workload.idempotent && !isOffered) {
+      return this.startTasks(attempt, now);
+    }
     for (const held of attempt.tasks()) {
       if (held.state !== 'held') continue;
       const number = this.parts.journal.record({
@@ -211,25 +220,25 @@
         leaseBound: held.leaseBound,
       });
       attempt.awaitRecord(number);
-      this.recording.set(number, attempt);
+      this.recordingAttempts.set(number, attempt);
     }
     this.parts.table.change(identity, {recorded: true});
-    this.show(attempt, 'recording', 'the start is being recorded');
+    this.setState(attempt, 'recording', 'the start is being recorded');
     return [];
   }
 
-  private recorded(
+  private handleRecorded(
     number: number,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const attempt = this.recording.get(number);
-    this.recording.delete(number);
+    const attempt = this.recordingAttempts.get(number);
+    this.recordingAttempts.delete(number);
     if (attempt === undefined || !attempt.recorded(number)) return [];
     const current = this.attempts.get(attempt.request.identity);
-    return current === attempt ? this.startHeld(attempt, now) : [];
+    return current === attempt ? this.startTasks(attempt, now) : [];
   }
 
-  private startHeld(
+  private startTasks(
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
@@ -239,39 +248,39 @@
     // A successor of the home may have told its client "not run" already. The
     // permit below proves that this process knows of such a successor.
     if (home !== '' && !directory.isMember(home)) {
-      return this.giveBack(attempt, 'the home of the request has ended', now);
+      return this.requeue(attempt, 'the home of the request has ended', now);
     }
     if (!held.every(task => runner.mayPlace(task.worker, now))) {
-      return this.giveBack(attempt, 'the permit ended before the start', now);
+      return this.requeue(attempt, 'the permit ended before the start', now);
     }
-    const done: effects.Effect[] = [];
+    const produced: effects.Effect[] = [];
     for (const task of held) {
       attempt.change(task.task, {state: 'starting', sent: true});
     }
-    this.show(attempt, 'starting', 'the start is on its way');
+    this.setState(attempt, 'starting', 'the start is on its way');
     for (const task of held) {
-      const turn = runner.start(task.task, task.leaseBound, now);
-      done.push(...this.take(turn, now));
+      const output = runner.start(task.task, task.leaseBound, now);
+      produced.push(...this.applyOutput(output, now));
     }
-    return done;
+    return produced;
   }
 
   /** Releases an attempt of which nothing was sent, and queues it again. */
-  private giveBack(
+  private requeue(
     attempt: attempts.Attempt,
     reason: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity} = attempt.request;
     const held = attempt.tasks().filter(task => task.state === 'held');
-    this.abandon(attempt);
+    this.dropHeld(attempt);
     if (this.parts.table.get(identity)?.offeredBy !== '') {
-      const ending = {
+      const outcome = {
         result: 'noAuthority',
         detail: reason,
         answer: '',
       } as const;
-      return this.end(identity, ending, now);
+      return this.end(identity, outcome, now);
     }
     if (held.length < attempt.tasks().length) {
       for (const task of held) attempt.remove(task.task);
@@ -289,121 +298,125 @@
     return [effects.count('placed_again', {reason: 'nothingSent'})];
   }
 
-  private abandon(attempt: attempts.Attempt): void {
+  private dropHeld(attempt: attempts.Attempt): void {
     for (const task of attempt.tasks()) this.parts.runner.dropHeld(task.task);
-    for (const [number, waiting] of this.recording) {
-      if (waiting === attempt) this.recording.delete(number);
+    for (const [number, waiting] of this.recordingAttempts) {
+      if (waiting === attempt) this.recordingAttempts.delete(number);
     }
   }
 
-  private checkRecording(
+  private checkRecordTimeouts(
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
-    for (const attempt of new Set(this.recording.values())) {
-      done.push(...this.checkRecord(attempt, now));
+    const produced: effects.Effect[] = [];
+    for (const attempt of new Set(this.recordingAttempts.values())) {
+      produced.push(...this.checkRecordTimeout(attempt, now));
     }
-    return done;
+    return produced;
   }
 
-  private checkRecord(
+  private checkRecordTimeout(
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity, startBy} = attempt.request;
     const {journal} = this.parts;
-    const tooLate = now >= attempt.begunAt + RECORD_LIMIT_MS;
+    const isTimedOut = now >= attempt.begunAt + RECORD_TIMEOUT_MS;
     if (startBy <= now) {
-      this.abandon(attempt);
+      this.dropHeld(attempt);
       const detail = 'the start could not be recorded in time';
-      const ending = {result: 'deadlinePassed', detail, answer: ''} as const;
-      return this.end(identity, ending, now);
+      const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
+      return this.end(identity, outcome, now);
     }
-    if (!journal.available() || (tooLate && journal.inOutage())) {
-      this.abandon(attempt);
+    if (!journal.isAvailable() || (isTimedOut && journal.isLogOutage())) {
+      this.dropHeld(attempt);
       const detail = 'neither the log nor the witnesses acknowledged the start';
-      const ending = {result: 'logUnavailable', detail, answer: ''} as const;
-      return this.end(identity, ending, now);
+      const outcome = {result: 'logUnavailable', detail, answer: ''} as const;
+      return this.end(identity, outcome, now);
     }
-    if (!tooLate) return [];
-    return this.giveBack(attempt, 'the log is slow to record the start', now);
+    if (!isTimedOut) return [];
+    return this.requeue(attempt, 'the log is slow to record the start', now);
   }
 
-  private take(
-    turn: taskRunner.RunnerOutput,
+  private applyOutput(
+    output: taskRunner.RunnerOutput,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done = [...turn.effects];
-    for (const outcome of turn.outcomes) {
-      done.push(...this.takeOutcome(outcome, now));
+    const produced = [...output.effects];
+    for (const outcome of output.outcomes) {
+      produced.push(...this.handleTaskOutcome(outcome, now));
     }
-    return done;
+    return produced;
   }
 
-  private takeOutcome(
+  private handleTaskOutcome(
     outcome: trackedTask.TaskOutcome,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     this.parts.queue.observe(outcome, now);
     const attempt = this.attempts.get(outcome.reference.label.identity);
-    if (attempt === undefined || !changeTask(attempt, outcome)) {
-      this.orphans.push(outcome);
+    if (attempt === undefined || !updateTask(attempt, outcome)) {
+      this.unmatchedOutcomes.push(outcome);
       return [];
     }
     switch (outcome.kind) {
       case 'started':
-        return this.started(attempt, now);
+        return this.handleStarted(attempt, now);
       case 'unknown':
-        this.show(attempt, 'unknown', 'an answer of the worker is missing');
+        this.setState(attempt, 'unknown', 'an answer of the worker is missing');
         return [];
       case 'notRun':
       case 'ended':
-        return this.taskOver(attempt, outcome.reference.task, now);
+        return this.handleTaskEnd(attempt, outcome.reference.task, now);
       case 'adopted':
         return [];
     }
   }
 
-  private started(
+  private handleStarted(
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {identity, team, arrivedAt} = attempt.request;
-    const running = attempt.tasks().every(task => task.state === 'running');
-    this.show(attempt, running ? 'running' : 'starting', 'its tasks run');
+    const allRunning = attempt.tasks().every(task => task.state === 'running');
+    this.setState(
+      attempt,
+      allRunning ? 'running' : 'starting',
+      'its tasks run',
+    );
     if (this.parts.table.get(identity)?.cancelled === true) {
       return this.stopTasks(attempt, now);
     }
-    if (!running || !attempt.noteRunning()) return [];
+    if (!allRunning || !attempt.noteRunning()) return [];
     const milliseconds = now - arrivedAt;
     return [{kind: 'observe', metric: 'wait', labels: {team}, milliseconds}];
   }
 
-  private taskOver(
+  private handleTaskEnd(
     attempt: attempts.Attempt,
     name: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const entry = this.parts.table.get(attempt.request.identity);
-    const over = attempt.tasks().find(task => task.task === name);
-    const early = over?.end !== 'finished';
-    if (attempt.over) return this.conclude(attempt, now);
-    this.show(attempt, entry?.state ?? 'running', `task ${name} is over`);
-    if (!early || entry?.cancelled === true) return [];
+    const endedTask = attempt.tasks().find(task => task.task === name);
+    const isUnfinished = endedTask?.end !== 'finished';
+    if (attempt.over) return this.concludeAttempt(attempt, now);
+    this.setState(attempt, entry?.state ?? 'running', `task ${name} is over`);
+    if (!isUnfinished || entry?.cancelled === true) return [];
     if (attempt.request.workload.kind === 'service') {
-      return this.replace(attempt, name, now);
+      return this.replaceTask(attempt, name, now);
     }
     return this.stopTasks(attempt, now);
   }
 
   /** Replaces one task of a service while the others go on. */
-  private replace(
+  private replaceTask(
     attempt: attempts.Attempt,
     name: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (!attempt.request.workload.idempotent) return [];
-    if (!this.parts.retries.take(now)) {
+    if (!this.parts.retries.trySpend(now)) {
       this.postponed.push({attempt, task: name});
       return [];
     }
@@ -413,19 +426,19 @@
   }
 
   private requeueTasks(attempt: attempts.Attempt, taskCount: number): void {
-    const whole = attempt.request;
-    this.parts.queue.requeue({...whole, taskCount, startBy: Infinity});
+    const admitted = attempt.request;
+    this.parts.queue.requeue({...admitted, taskCount, startBy: Infinity});
   }
 
   /** Tries the replacements again for which the retry budget was spent. */
   private replacePostponed(
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const waiting = this.postponed;
+    const postponed = this.postponed;
     this.postponed = [];
-    return waiting.flatMap(({attempt, task}) => {
+    return postponed.flatMap(({attempt, task}) => {
       const current = this.attempts.get(attempt.request.identity);
-      return current === attempt ? this.replace(attempt, task, now) : [];
+      return current === attempt ? this.replaceTask(attempt, task, now) : [];
     });
   }
 
@@ -433,15 +446,17 @@
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
+    const produced: effects.Effect[] = [];
     for (const task of attempt.tasks()) {
       if (task.state === 'ended' || task.state === 'notRun') continue;
-      done.push(...this.take(this.parts.runner.stop(task.task), now));
+      produced.push(
+        ...this.applyOutput(this.parts.runner.stop(task.task), now),
+      );
     }
-    return done;
+    return produced;
   }
 
-  private conclude(
+  private concludeAttempt(
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
@@ -454,7 +469,7 @@
       workload.idempotent,
       cancelled,
     );
-    this.show(attempt, 'running', 'its tasks are over');
+    this.setState(attempt, 'running', 'its tasks are over');
     if (conclusion.kind === 'ended') {
       return this.end(identity, conclusion.ending, now);
     }
@@ -490,13 +505,13 @@
     // Only the home places a request again.
     if (entry === undefined || entry.offeredBy !== '') return false;
     if (!conclusion.spent) return true;
-    const failed = attempt.tasks().some(task => task.end === 'failed');
-    const limited = attempt.request.workload.kind !== 'service';
-    if (failed && limited && attempt.number >= ATTEMPT_LIMIT) return false;
-    return this.parts.retries.take(now);
+    const hasFailed = attempt.tasks().some(task => task.end === 'failed');
+    const isLimited = attempt.request.workload.kind !== 'service';
+    if (hasFailed && isLimited && attempt.number >= MAX_ATTEMPTS) return false;
+    return this.parts.retries.trySpend(now);
   }
 
-  private show(
+  private setState(
     attempt: attempts.Attempt,
     state: requestTable.RequestState,
     reason: string,
@@ -516,17 +531,17 @@
 }
 
 /** A request of which an earlier attempt ran never counts as not run. */
-function truthful(
-  ending: requestTable.Ending,
+function withoutFalseNotRun(
+  outcome: requestTable.RequestOutcome,
   entry: requestTable.RequestEntry,
-): requestTable.Ending {
-  const {execution} = results.RESULT_CODES[ending.result];
-  if (!entry.hasRun || execution !== 'notRun') return ending;
-  const detail = `an earlier attempt ran; ${ending.result} ${ending.detail}`;
+): requestTable.RequestOutcome {
+  const {execution} = results.RESULT_CODES[outcome.result];
+  if (!entry.hasRun || execution !== 'notRun') return outcome;
+  const detail = `an earlier attempt ran; ${outcome.result} ${outcome.detail}`;
   return {result: 'taskStopped', detail, answer: ''};
 }
 
-function changeTask(
+function updateTask(
   attempt: attempts.Attempt,
   outcome: trackedTask.TaskOutcome,
 ): boolean {
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -19,7 +19,7 @@
   | 'ended';
 
 /** How a request ended. */
-export interface Ending {
+export interface RequestOutcome {
   readonly result: result.ResultName;
   readonly detail: string;
   readonly answer: string;
@@ -52,27 +52,27 @@
   readonly offeredBy: string;
   /** Number of that offer. */
   readonly offerAttempt: number;
-  readonly ending: Ending | undefined;
+  readonly outcome: RequestOutcome | undefined;
 }
 
 /** The parts of an entry that change before its end. */
-export type EntryChange = Partial<
-  Omit<RequestEntry, 'request' | 'ending' | 'offeredBy' | 'offerAttempt'>
+export type RequestEntryChange = Partial<
+  Omit<RequestEntry, 'request' | 'outcome' | 'offeredBy' | 'offerAttempt'>
 >;
 
-interface Waiter {
+interface WaitingCall {
   readonly call: event.CallNumber;
   readonly client: string;
-  readonly until: clock.Milliseconds;
+  readonly deadline: clock.Milliseconds;
 }
 
 /** How long an ended request is kept for callers that ask again. */
-export const RETENTION_MS = 3_600_000;
+export const OUTCOME_RETENTION_MS = 3_600_000;
 
-const OWN = {process: '', attempt: 0};
+const NOT_OFFERED = {process: '', attempt: 0};
 
 /** What `expire` did. */
-export interface ExpiryTurn {
+export interface ExpiryOutput {
   readonly effects: ReadonlyArray<effects.Effect>;
   /** Identities that are no longer answered. */
   readonly forgotten: ReadonlyArray<string>;
@@ -84,11 +84,11 @@
  */
 export class RequestTable {
   private readonly entries = new Map<string, RequestEntry>();
-  private readonly waiters = new Map<string, Waiter[]>();
-  private readonly identityOfCall = new Map<event.CallNumber, string>();
-  private readonly endedAt = new Map<string, clock.Milliseconds>();
+  private readonly waitingCalls = new Map<string, WaitingCall[]>();
+  private readonly identityByCall = new Map<event.CallNumber, string>();
+  private readonly endTimes = new Map<string, clock.Milliseconds>();
   private justEnded: RequestEntry[] = [];
-  private nextDue: clock.Milliseconds = Infinity;
+  private nextExpiryAt: clock.Milliseconds = Infinity;
 
   /** Returns what is kept of a request. */
   get(identity: string): RequestEntry | undefined {
@@ -97,16 +97,16 @@
 
   /** Requests that have not ended. */
   unfinishedCount(): number {
-    return this.entries.size - this.endedAt.size;
+    return this.entries.size - this.endTimes.size;
   }
 
   /** Whether nothing is left but services, whose tasks go on elsewhere. */
   isFinished(): boolean {
     if (this.unfinishedCount() === 0) return true;
     for (const entry of this.entries.values()) {
-      const goesOn =
+      const continuesElsewhere =
         entry.request.workload.kind === 'service' && entry.state === 'running';
-      if (entry.ending === undefined && !goesOn) return false;
+      if (entry.outcome === undefined && !continuesElsewhere) return false;
     }
     return true;
   }
@@ -114,7 +114,7 @@
   /** Adds an admitted request; `offer` names the home that offered it. */
   add(
     admitted: request.Request,
-    offer: {readonly process: string; readonly attempt: number} = OWN,
+    offer: {readonly process: string; readonly attempt: number} = NOT_OFFERED,
   ): void {
     this.entries.set(admitted.identity, {
       request: admitted,
@@ -128,25 +128,25 @@
       recorded: false,
       offeredBy: offer.process,
       offerAttempt: offer.attempt,
-      ending: undefined,
+      outcome: undefined,
     });
   }
 
   /** Forgets a request that was refused after all. */
-  drop(identity: string): void {
+  dropQueued(identity: string): void {
     if (this.entries.get(identity)?.state === 'queued') {
       this.entries.delete(identity);
     }
   }
 
   /** Forgets a request that ended as not run, to take it in again. */
-  forget(identity: string): void {
-    this.endedAt.delete(identity);
+  forgetEnded(identity: string): void {
+    this.endTimes.delete(identity);
     this.entries.delete(identity);
   }
 
   /** Changes a request; an ended request stays as it ended. */
-  change(identity: string, change: EntryChange): void {
+  change(identity: string, change: RequestEntryChange): void {
     const entry = this.entries.get(identity);
     if (entry === undefined || entry.state === 'ended') return;
     this.entries.set(identity, {...entry, ...change});
@@ -155,23 +155,23 @@
   /** Ends a request and answers the calls that wait for it. */
   end(
     identity: string,
-    ending: Ending,
+    outcome: RequestOutcome,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const entry = this.entries.get(identity);
     if (entry === undefined) return [];
-    if (entry.ending !== undefined) {
-      const {result: first} = entry.ending;
-      const fields = {identity, first, second: ending.result};
+    if (entry.outcome !== undefined) {
+      const {result: first} = entry.outcome;
+      const fields = {identity, first, second: outcome.result};
       return invariant.violation('endedOnce', fields);
     }
-    const ended: RequestEntry = {...entry, state: 'ended', ending};
+    const ended: RequestEntry = {...entry, state: 'ended', outcome};
     this.entries.set(identity, ended);
-    this.endedAt.set(identity, now);
+    this.endTimes.set(identity, now);
     this.justEnded.push(ended);
-    const waiting = this.waiters.get(identity) ?? [];
-    this.waiters.delete(identity);
-    return waiting.flatMap(waiter => this.answerWaiter(waiter, ended));
+    const waiting = this.waitingCalls.get(identity) ?? [];
+    this.waitingCalls.delete(identity);
+    return waiting.flatMap(waiter => this.answerCall(waiter, ended));
   }
 
   /** Returns the requests that ended since the last call. */
@@ -182,110 +182,121 @@
   }
 
   /** Answers a call now, or when the request ends, at the latest at `until`. */
-  wait(
+  answerAtEnd(
     identity: string,
     caller: {readonly call: event.CallNumber; readonly client: string},
-    until: clock.Milliseconds,
+    deadline: clock.Milliseconds,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const entry = this.entries.get(identity);
     if (entry === undefined) return [];
-    const waiter = {...caller, until};
-    if (entry.state === 'ended' || until <= now) {
-      return this.answerWaiter(waiter, entry);
+    const waitingCall = {...caller, deadline};
+    if (entry.state === 'ended' || deadline <= now) {
+      return this.answerCall(waitingCall, entry);
     }
-    const waiting = this.waiters.get(identity) ?? [];
-    waiting.push(waiter);
-    this.waiters.set(identity, waiting);
-    this.identityOfCall.set(caller.call, identity);
-    this.nextDue = Math.min(this.nextDue, until);
+    const waiting = this.waitingCalls.get(identity) ?? [];
+    waiting.push(waitingCall);
+    this.waitingCalls.set(identity, waiting);
+    this.identityByCall.set(caller.call, identity);
+    this.nextExpiryAt = Math.min(this.nextExpiryAt, deadline);
     return [];
   }
 
   /** Drops the waiting call of a caller that has gone. */
   forgetCall(call: event.CallNumber): void {
-    const identity = this.identityOfCall.get(call);
+    const identity = this.identityByCall.get(call);
     if (identity === undefined) return;
-    this.identityOfCall.delete(call);
-    const waiting = this.waiters.get(identity) ?? [];
-    this.keepWaiters(
+    this.identityByCall.delete(call);
+    const waiting = this.waitingCalls.get(identity) ?? [];
+    this.setWaitingCalls(
       identity,
       waiting.filter(waiter => waiter.call !== call),
     );
   }
 
   /** Answers calls whose wait is over and drops what was kept long enough. */
-  expire(now: clock.Milliseconds): ExpiryTurn {
-    const done: effects.Effect[] = [];
-    if (now >= this.nextDue) done.push(...this.answerOverdue(now));
+  expire(now: clock.Milliseconds): ExpiryOutput {
+    const produced: effects.Effect[] = [];
+    if (now >= this.nextExpiryAt) produced.push(...this.answerOverdue(now));
     const forgotten: string[] = [];
-    for (const [identity, endedAt] of this.endedAt) {
+    for (const [identity, endedAt] of this.endTimes) {
       // Entries are in order of their end, so the first young one ends the walk.
-      if (now - endedAt < RETENTION_MS) break;
-      this.endedAt.delete(identity);
+      if (now - endedAt < OUTCOME_RETENTION_MS) break;
+      this.endTimes.delete(identity);
       this.entries.delete(identity);
       forgotten.push(identity);
     }
-    return {effects: done, forgotten};
+    return {effects: produced, forgotten};
   }
 
   /** When `expire` is wanted next. */
   nextDeadline(): clock.Milliseconds {
-    return this.nextDue;
+    return this.nextExpiryAt;
   }
 
   private answerOverdue(
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
-    this.nextDue = Infinity;
-    for (const [identity, waiting] of this.waiters) {
+    const produced: effects.Effect[] = [];
+    this.nextExpiryAt = Infinity;
+    for (const [identity, waiting] of this.waitingCalls) {
       const entry = this.entries.get(identity);
       if (entry === undefined) continue;
-      const over = waiting.filter(waiter => waiter.until <= now);
-      const rest = waiting.filter(waiter => waiter.until > now);
-      for (const waiter of over) done.push(...this.answerWaiter(waiter, entry));
+      const overdue = waiting.filter(waiter => waiter.deadline <= now);
+      const rest = waiting.filter(waiter => waiter.deadline > now);
+      for (const waiter of overdue) {
+        produced.push(...this.answerCall(waiter, entry));
+      }
       for (const waiter of rest) {
-        this.nextDue = Math.min(this.nextDue, waiter.until);
+        this.nextExpiryAt = Math.min(this.nextExpiryAt, waiter.deadline);
       }
-      if (over.length > 0) this.keepWaiters(identity, rest);
+      if (overdue.length > 0) this.setWaitingCalls(identity, rest);
     }
-    return done;
+    return produced;
   }
 
-  private keepWaiters(identity: string, rest: Waiter[]): void {
-    if (rest.length === 0) this.waiters.delete(identity);
-    else this.waiters.set(identity, rest);
+  private setWaitingCalls(identity: string, rest: WaitingCall[]): void {
+    if (rest.length === 0) this.waitingCalls.delete(identity);
+    else this.waitingCalls.set(identity, rest);
   }
 
-  private answerWaiter(
-    waiter: Waiter,
+  private answerCall(
+    waitingCall: WaitingCall,
     entry: RequestEntry,
   ): ReadonlyArray<effects.Effect> {
-    this.identityOfCall.delete(waiter.call);
-    if (waiter.client === entry.request.client) {
-      return [{kind: 'answerCaller', call: waiter.call, reply: reply(entry)}];
+    this.identityByCall.delete(waitingCall.call);
+    if (waitingCall.client === entry.request.client) {
+      return [
+        {
+          kind: 'answerCaller',
+          call: waitingCall.call,
+          reply: buildReply(entry),
+        },
+      ];
     }
     const identity = entry.request.identity;
     const code = result.RESULT_CODES.unknownIdentity.code;
     return [
-      ...invariant.violation('ownAnswer', {identity, client: waiter.client}),
-      {kind: 'answerCaller', call: waiter.call, reply: {code, identity}},
+      ...invariant.violation('ownAnswer', {
+        identity,
+        client: waitingCall.client,
+      }),
+      {kind: 'answerCaller', call: waitingCall.call, reply: {code, identity}},
     ];
   }
 }
 
 /** Builds the reply that shows a request's state or its end. */
-export function reply(entry: RequestEntry): effects.Reply {
+export function buildReply(entry: RequestEntry): effects.Reply {
   const {identity} = entry.request;
-  if (entry.ending !== undefined) {
+  if (entry.outcome !== undefined) {
     return {
-      code: result.RESULT_CODES[entry.ending.result].code,
-      detail: entry.ending.detail,
+      code: result.RESULT_CODES[entry.outcome.result].code,
+      detail: entry.outcome.detail,
       identity,
       state: 'ended',
       worker: entry.worker,
-      answer: entry.ending.answer,
+      answer: entry.outcome.answer,
     };
   }
   const row = entry.state === 'unknown' ? 'unknownOutcome' : 'accepted';
--- a/src/contracts/retry_budget.ts
+++ b/src/contracts/retry_budget.ts
@@ -1,39 +1,42 @@
 import type * as clock from '../machines/clock.js';
 
 /** Retries that each successful call earns. */
-const EARNED_PER_SUCCESS = 0.1;
+const RETRIES_EARNED_PER_SUCCESS = 0.1;
 
 /** Retries a second that are granted without any success. */
-const GRANTED_PER_SECOND = 1;
+const RETRIES_GRANTED_PER_SECOND = 1;
 
 /** Retries that can be saved; a larger stock would feed a retry storm. */
-const STOCK_LIMIT = 100;
+const MAX_EARNED_RETRIES = 100;
 
 /** The one retry budget of a process; every retry is paid from it. */
 export class RetryBudget {
-  private stock = 0;
-  private granted = GRANTED_PER_SECOND;
-  private grantedAt = 0;
+  private earnedRetries = 0;
+  private grantedRetries = RETRIES_GRANTED_PER_SECOND;
+  private grantUpdatedAt = 0;
 
   /** Earns a part of a retry. */
-  succeeded(): void {
-    this.stock = Math.min(STOCK_LIMIT, this.stock + EARNED_PER_SUCCESS);
+  recordSuccess(): void {
+    this.earnedRetries = Math.min(
+      MAX_EARNED_RETRIES,
+      this.earnedRetries + RETRIES_EARNED_PER_SUCCESS,
+    );
   }
 
   /** Pays for one retry; returns false when the budget is spent. */
-  take(now: clock.Milliseconds): boolean {
-    const elapsed = Math.max(0, now - this.grantedAt) / 1_000;
-    this.grantedAt = now;
-    this.granted = Math.min(
-      GRANTED_PER_SECOND,
-      this.granted + elapsed * GRANTED_PER_SECOND,
+  trySpend(now: clock.Milliseconds): boolean {
+    const elapsedSeconds = Math.max(0, now - this.grantUpdatedAt) / 1_000;
+    this.grantUpdatedAt = now;
+    this.grantedRetries = Math.min(
+      RETRIES_GRANTED_PER_SECOND,
+      this.grantedRetries + elapsedSeconds * RETRIES_GRANTED_PER_SECOND,
     );
-    if (this.granted >= 1) {
-      this.granted -= 1;
+    if (this.grantedRetries >= 1) {
+      this.grantedRetries -= 1;
       return true;
     }
-    if (this.stock < 1) return false;
-    this.stock -= 1;
+    if (this.earnedRetries < 1) return false;
+    this.earnedRetries -= 1;
     return true;
   }
 }
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -1,13 +1,13 @@
 import type * as clock from '../machines/clock.js';
 import type * as request from './request.js';
-import type * as requestDesk from './request_desk.js';
+import type * as requestCoordinator from './request_coordinator.js';
 import type * as result from '../result.js';
 import type * as scheduler from './scheduler.js';
 import type * as placement from './placement.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
 /** Shows the scheduler to the desk and keeps the order of what waits. */
-export class SchedulerQueue implements requestDesk.DeskQueue {
+export class SchedulerQueue implements requestCoordinator.CoordinatorQueue {
   private readonly queued = new Map<string, request.Request>();
 
   constructor(private readonly inner: scheduler.Scheduler) {}
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -1,23 +1,23 @@
-import * as journal from './journal.js';
+import * as journalBackend from './journal_backend.js';
 import type * as clock from '../machines/clock.js';
 import type * as effect from './effect.js';
 import type * as event from './event.js';
 import type * as processDirectory from './process_directory.js';
 
 /** Time for which entries of a process are kept after its last one. */
-const KEEP_MS = 7_200_000;
+const RETENTION_MS = 7_200_000;
 
 /** Most entries that are kept for one process. */
-const ENTRY_LIMIT = 20_000;
+const MAX_ENTRIES_PER_PROCESS = 20_000;
 
 /** What one process asked this one to keep. */
-interface Testimony {
+interface StoredProcessEntries {
   readonly records: Map<number, string>;
-  lastAt: clock.Milliseconds;
+  lastStoredAt: clock.Milliseconds;
 }
 
 /** What a witness can say of a process. */
-export interface WitnessAnswer {
+export interface WitnessedRecords {
   /** Whether every entry that was sent to witnesses must have come here. */
   readonly complete: boolean;
   readonly entries: ReadonlyArray<string>;
@@ -25,7 +25,7 @@
 
 /** Keeps journal entries of other processes while the log gives no answer. */
 export class WitnessStore {
-  private readonly testimonies = new Map<string, Testimony>();
+  private readonly entriesByProcess = new Map<string, StoredProcessEntries>();
 
   constructor(
     private readonly self: string,
@@ -58,8 +58,8 @@
   }
 
   /** Returns what is kept of a process. */
-  read(process: string): WitnessAnswer {
-    const records = this.testimonies.get(process)?.records;
+  read(process: string): WitnessedRecords {
+    const records = this.entriesByProcess.get(process)?.records;
     return {
       complete: this.directory.joinedBefore(process),
       entries: [...(records?.values() ?? [])],
@@ -72,24 +72,28 @@
     now: clock.Milliseconds,
   ): boolean {
     // Recovery has read this store already and must not be contradicted.
-    if (this.directory.isSucceeded(process, now)) return false;
-    const kept = this.testimonies.get(process) ?? {
+    if (this.directory.hasSuccessor(process, now)) return false;
+    const storedEntries = this.entriesByProcess.get(process) ?? {
       records: new Map<number, string>(),
-      lastAt: now,
+      lastStoredAt: now,
     };
-    if (kept.records.size + entries.length > ENTRY_LIMIT) return false;
+    if (storedEntries.records.size + entries.length > MAX_ENTRIES_PER_PROCESS) {
+      return false;
+    }
     for (const text of entries) {
-      const record = journal.decodeRecord(text);
-      if (record !== undefined) kept.records.set(record.number, text);
+      const record = journalBackend.decodeRecord(text);
+      if (record !== undefined) storedEntries.records.set(record.number, text);
     }
-    kept.lastAt = now;
-    this.testimonies.set(process, kept);
+    storedEntries.lastStoredAt = now;
+    this.entriesByProcess.set(process, storedEntries);
     return true;
   }
 
   private expire(now: clock.Milliseconds): void {
-    for (const [process, kept] of this.testimonies) {
-      if (now - kept.lastAt >= KEEP_MS) this.testimonies.delete(process);
+    for (const [process, storedEntries] of this.entriesByProcess) {
+      if (now - storedEntries.lastStoredAt >= RETENTION_MS) {
+        this.entriesByProcess.delete(process);
+      }
     }
   }
 }
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -97,7 +97,7 @@
       (client, options) =>
         client.confirm(
           {
-            ...peerMessages.encodeNews(wanted.news),
+            ...peerMessages.encodeNews(wanted.status),
             to: wanted.peer,
             zonePosition: peerMessages.toUint64(wanted.zonePosition),
           },
@@ -115,7 +115,7 @@
       sentAt,
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.decodeRecords(answer.zoneRecords),
-      news: peerMessages.decodeNews(answer),
+      status: peerMessages.decodeNews(answer),
     };
   }
 
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -96,7 +96,7 @@
 }
 
 /** News as either message of a confirmation carries them. */
-export function encodeNews(news: event.PeerNews): EncodedNews {
+export function encodeNews(news: event.PeerStatus): EncodedNews {
   return {
     from: news.from,
     zone: news.zone,
@@ -111,7 +111,7 @@
 /** The news in either message of a confirmation. */
 export function decodeNews(
   message: peerPb.ConfirmRequest | peerPb.ConfirmResponse,
-): event.PeerNews {
+): event.PeerStatus {
   return {
     from: message.from,
     zone: message.zone,
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -100,10 +100,10 @@
       call,
       to: message.to,
       zonePosition: Number(message.zonePosition),
-      news: peerMessages.decodeNews(message),
+      status: peerMessages.decodeNews(message),
     }));
     return {
-      ...peerMessages.encodeNews(answer.news),
+      ...peerMessages.encodeNews(answer.status),
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.encodeRecords(answer.zoneRecords),
     };
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -1,6 +1,6 @@
 import * as configurationKeeper from '../contracts/configuration_keeper.js';
 import * as fleet from './fleet.js';
-import * as requestDesk from '../contracts/request_desk.js';
+import * as requestCoordinator from '../contracts/request_coordinator.js';
 import * as result from '../result.js';
 import * as retryBudget from '../contracts/retry_budget.js';
 import * as scheduler from '../contracts/scheduler.js';
@@ -49,7 +49,7 @@
   private readonly directory: zoneDirectory.ZoneDirectory;
   private readonly scheduler: scheduler.Scheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
-  private readonly desk: requestDesk.RequestDesk;
+  private readonly desk: requestCoordinator.RequestCoordinator;
   /** When the workers are handed over at the latest. */
   private handOverBy = Infinity;
   private handoverBegun = false;
@@ -74,7 +74,7 @@
       this.documents,
     );
     this.queue = new schedulerQueue.SchedulerQueue(this.scheduler);
-    this.desk = new requestDesk.RequestDesk({
+    this.desk = new requestCoordinator.RequestCoordinator({
       self: self.process,
       random,
       documents: this.documents,
--- a/src/zones/confirmations.ts
+++ b/src/zones/confirmations.ts
@@ -93,7 +93,7 @@
     now: clock.Milliseconds,
   ): effect.Effect {
     const {self, members, stream, authority: own} = this.sources;
-    const {news, call} = asked;
+    const {status: news, call} = asked;
     if (news.zone !== self.zone) return this.answerZone(asked, now);
     const meant = asked.to === self.process;
     if (meant) members.heard(news, true, now);
@@ -107,7 +107,7 @@
       call,
       confirmed,
       zoneRecords: zoneRecords ?? [],
-      news: this.memberNews(),
+      status: this.memberNews(),
     };
   }
 
@@ -117,14 +117,14 @@
     now: clock.Milliseconds,
   ): void {
     const {self, members} = this.sources;
-    if (answer.news.zone !== self.zone) {
+    if (answer.status.zone !== self.zone) {
       this.failures.delete(answer.peer);
-      this.takeSummaries(answer.news, now);
+      this.takeSummaries(answer.status, now);
       return;
     }
-    if (answer.peer !== answer.news.from) return;
-    members.heard(answer.news, false, now);
-    this.takeNews(answer.news, now);
+    if (answer.peer !== answer.status.from) return;
+    members.heard(answer.status, false, now);
+    this.takeNews(answer.status, now);
     if (answer.confirmed) members.confirmed(answer.peer, answer.sentAt, now);
   }
 
@@ -157,11 +157,11 @@
         peer: member.process,
         address: member.address,
         zonePosition: stream.position,
-        news,
+        status: news,
       }));
   }
 
-  private memberNews(): event.PeerNews {
+  private memberNews(): event.PeerStatus {
     return {
       ...this.sender(),
       documents: this.sources.documents(),
@@ -171,7 +171,7 @@
     };
   }
 
-  private zoneNews(now: clock.Milliseconds): event.PeerNews {
+  private zoneNews(now: clock.Milliseconds): event.PeerStatus {
     return {
       ...this.sender(),
       documents: [],
@@ -181,12 +181,12 @@
     };
   }
 
-  private sender(): Pick<event.PeerNews, 'from' | 'zone' | 'address'> {
+  private sender(): Pick<event.PeerStatus, 'from' | 'zone' | 'address'> {
     const {process, zone, address} = this.sources.self;
     return {from: process, zone, address};
   }
 
-  private takeNews(news: event.PeerNews, now: clock.Milliseconds): void {
+  private takeNews(news: event.PeerStatus, now: clock.Milliseconds): void {
     for (const name of news.leavingWorkers) {
       this.sources.workers.get(name)?.markLeaving();
     }
@@ -197,7 +197,7 @@
     }
   }
 
-  private takeSummaries(news: event.PeerNews, now: clock.Milliseconds): void {
+  private takeSummaries(news: event.PeerStatus, now: clock.Milliseconds): void {
     for (const summary of news.summaries) {
       if (summary.zone === this.sources.self.zone) continue;
       this.sources.regions.update(summary, now);
@@ -210,13 +210,13 @@
     asked: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
   ): effect.Effect {
-    this.takeSummaries(asked.news, now);
+    this.takeSummaries(asked.status, now);
     return {
       kind: 'answerConfirm',
       call: asked.call,
       confirmed: false,
       zoneRecords: [],
-      news: this.zoneNews(now),
+      status: this.zoneNews(now),
     };
   }
 
@@ -231,7 +231,7 @@
       peer: zoneMember(listed),
       address: listed.address,
       zonePosition: 0,
-      news,
+      status: news,
     }));
   }
 
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -77,7 +77,7 @@
   }
 
   /** Notes that a member sent something. */
-  heard(news: event.PeerNews, asked: boolean, now: clock.Milliseconds): void {
+  heard(news: event.PeerStatus, asked: boolean, now: clock.Milliseconds): void {
     const contact = this.contacts.get(news.from);
     if (contact === undefined) return;
     this.contacts.set(news.from, {
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -36,14 +36,14 @@
     return this.zone.members().some(member => member.process === process);
   }
 
-  members(): ReadonlyArray<processDirectory.Member> {
+  members(): ReadonlyArray<processDirectory.PeerProcess> {
     return this.zone
       .members()
       .filter(member => member.process !== this.self.process)
       .filter(member => member.state !== 'dead');
   }
 
-  offerTakers(): ReadonlyArray<processDirectory.Member> {
+  offerCandidates(): ReadonlyArray<processDirectory.PeerProcess> {
     return this.zone
       .members()
       .filter(member => member.process !== this.self.process)
@@ -62,7 +62,7 @@
    * A process is named by its zone, its VM and a part of its own. Any process
    * of its zone passes a call on, or recovers the outcome if it is dead.
    */
-  relay(process: string): processDirectory.Member | undefined {
+  relayFor(process: string): processDirectory.PeerProcess | undefined {
     const there = this.elsewhere.filter(
       ({zone, state}) => state === 'live' && process.startsWith(`${zone}.`),
     );
@@ -76,11 +76,11 @@
     return chosen && {process: chosen.vm, address: chosen.address};
   }
 
-  noteUnreachable(address: string): void {
+  markUnreachable(address: string): void {
     this.unreachable.add(address);
   }
 
-  isSucceeded(process: string, now: clock.Milliseconds): boolean {
+  hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     return this.zone.isSucceeded(process, now);
   }
 
--- a/test/contracts/configuration_keeper_test.ts
+++ b/test/contracts/configuration_keeper_test.ts
@@ -43,7 +43,7 @@
     sentAt: 0,
     confirmed: true,
     zoneRecords: [],
-    news,
+    status: news,
   };
 }
 
--- a/test/contracts/identity_test.ts
+++ b/test/contracts/identity_issuer_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as fastCheck from 'fast-check';
 import * as nodeTest from 'node:test';
-import * as identity from '../../src/contracts/identity.js';
+import * as identityIssuer from '../../src/contracts/identity_issuer.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as requestTable from '../../src/contracts/request_table.js';
 
@@ -9,9 +9,9 @@
 
 const HOUR_MS = 3_600_000;
 
-function buildIssuer(): identity.IdentityIssuer {
+function buildIssuer(): identityIssuer.IdentityIssuer {
   const random = new randomSource.SeededRandom(7);
-  return new identity.IdentityIssuer('kigali-a.entry-1.0a', random);
+  return new identityIssuer.IdentityIssuer('kigali-a.entry-1.0a', random);
 }
 
 /** Moments at which identities are issued, as gaps in milliseconds. */
@@ -77,7 +77,7 @@
         now += wait;
         for (const {name, at} of issued) {
           // The earliest end of a request is the moment of its identity.
-          const forgotten = now - at >= requestTable.RETENTION_MS;
+          const forgotten = now - at >= requestTable.OUTCOME_RETENTION_MS;
           const checked = issuer.check(name, 'alice', now);
           if (forgotten) assert.equal(checked, 'expired');
         }
@@ -93,7 +93,7 @@
       for (const gap of gaps) {
         now += gap;
         const name = issuer.issue('alice', now);
-        const nearEnd = now + identity.IDENTITY_LIFETIME_MS - 60_000;
+        const nearEnd = now + identityIssuer.IDENTITY_VALIDITY_MS - 60_000;
         assert.equal(issuer.check(name, 'alice', nearEnd), 'valid');
         now = nearEnd;
       }
--- a/test/contracts/journal_test.ts
+++ b/test/contracts/journal_backend_test.ts
@@ -1,18 +1,18 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as journal from '../../src/contracts/journal.js';
-import * as journalKeeper from '../../src/contracts/journal_keeper.js';
+import * as journalBackend from '../../src/contracts/journal_backend.js';
+import * as requestJournal from '../../src/contracts/request_journal.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 import type * as processDirectory from '../../src/contracts/process_directory.js';
 
 const STREAM = 'journal/home';
 
-function entry(identity: string): journal.JournalEntry {
+function entry(identity: string): journalBackend.JournalEntry {
   return {kind: 'offered', identity, client: 'alice', process: 'peer'};
 }
 
-function record(number: number): journal.JournalRecord {
+function record(number: number): journalBackend.JournalRecord {
   return {number, entry: entry(`id-${number}`)};
 }
 
@@ -25,7 +25,7 @@
 
 function recordsRead(
   sentAt: number,
-  records: ReadonlyArray<journal.JournalRecord>,
+  records: ReadonlyArray<journalBackend.JournalRecord>,
 ): event.Event {
   return {
     kind: 'recordsRead',
@@ -35,7 +35,7 @@
     next: records.length,
     records: records.map((item, offset) => ({
       offset,
-      data: journal.encodeRecord(item),
+      data: journalBackend.encodeRecord(item),
     })),
   };
 }
@@ -54,14 +54,14 @@
 ): processDirectory.ProcessDirectory {
   return {
     members: () => names.map(process => ({process, address: process})),
-    offerTakers: () => [],
+    offerCandidates: () => [],
     isMember: () => true,
     address: process => process,
-    relay: () => undefined,
+    relayFor: () => undefined,
     hasJoined: () => true,
-    isSucceeded: () => false,
+    hasSuccessor: () => false,
     joinedBefore: () => true,
-    noteUnreachable: () => {},
+    markUnreachable: () => {},
   };
 }
 
@@ -70,7 +70,7 @@
     'has one append open and puts what arrives meanwhile into the next one, ' +
       'so that the log is not flooded',
     () => {
-      const log = new journal.LogJournal('home', () => 100);
+      const log = new journalBackend.LogJournal('home', () => 100);
       log.record(record(1));
       assert.equal(appendsIn(log.flush(0)).length, 1);
       log.record(record(2));
@@ -90,7 +90,7 @@
   nodeTest.test(
     'recognises by reading what a lost append recorded and appends the rest',
     () => {
-      const log = new journal.LogJournal('home', () => 0);
+      const log = new journalBackend.LogJournal('home', () => 0);
       log.record(record(1));
       log.record(record(2));
       log.flush(0);
@@ -101,7 +101,7 @@
       const turn = log.handle(recordsRead(11, [record(1)]), 12);
       assert.deepEqual(turn.recorded, [1]);
       const [again] = appendsIn(turn.effects);
-      assert.deepEqual(again.records, [journal.encodeRecord(record(2))]);
+      assert.deepEqual(again.records, [journalBackend.encodeRecord(record(2))]);
     },
   );
 });
@@ -111,7 +111,9 @@
     'counts an entry as recorded only when every member has stored it, so ' +
       'that any witness that was there throughout knows it',
     () => {
-      const witnesses = new journal.WitnessJournal(directoryOf('a', 'b'));
+      const witnesses = new journalBackend.WitnessJournal(
+        directoryOf('a', 'b'),
+      );
       witnesses.record(record(1));
       assert.equal(witnesses.flush(0).length, 2);
       const stored = {kind: 'witnessAnswered', batch: 1} as const;
@@ -130,30 +132,36 @@
     'turns to witnesses in a log outage, with the entries whose append may ' +
       'be lost, and still brings them to the log afterwards',
     () => {
-      const keeper = new journalKeeper.JournalKeeper('home', directoryOf('a'));
-      const number = keeper.record(entry('id'));
-      keeper.flush(0);
-      keeper.handle(appendAnswered(1, 'lost'), 2_000);
+      const processJournal = new requestJournal.RequestJournal(
+        'home',
+        directoryOf('a'),
+      );
+      const number = processJournal.record(entry('id'));
+      processJournal.flush(0);
+      processJournal.handle(appendAnswered(1, 'lost'), 2_000);
       const failed = {kind: 'readFailed', stream: STREAM} as const;
-      const outage = keeper.handle(failed, 4_000);
+      const outage = processJournal.handle(failed, 4_000);
       const [sent] = outage.effects.filter(item => item.kind === 'sendWitness');
       assert.equal(sent.entries.length, 1);
       const stored = {kind: 'witnessAnswered', peer: 'a', batch: 1} as const;
-      const turn = keeper.handle({...stored, stored: true}, 4_001);
+      const turn = processJournal.handle({...stored, stored: true}, 4_001);
       assert.deepEqual(turn.recorded, [number]);
-      const back = keeper.handle(recordsRead(9_000, []), 9_001);
+      const back = processJournal.handle(recordsRead(9_000, []), 9_001);
       assert.equal(appendsIn(back.effects).length, 1);
       assert.deepEqual(back.recorded, []);
     },
   );
 
   nodeTest.test('is unavailable in an outage without another member', () => {
-    const keeper = new journalKeeper.JournalKeeper('home', directoryOf());
-    keeper.record(entry('id'));
-    keeper.flush(0);
-    keeper.handle(appendAnswered(1, 'lost'), 2_000);
-    assert.equal(keeper.available(), true);
-    keeper.handle({kind: 'readFailed', stream: STREAM}, 4_000);
-    assert.equal(keeper.available(), false);
+    const processJournal = new requestJournal.RequestJournal(
+      'home',
+      directoryOf(),
+    );
+    processJournal.record(entry('id'));
+    processJournal.flush(0);
+    processJournal.handle(appendAnswered(1, 'lost'), 2_000);
+    assert.equal(processJournal.isAvailable(), true);
+    processJournal.handle({kind: 'readFailed', stream: STREAM}, 4_000);
+    assert.equal(processJournal.isAvailable(), false);
   });
 });
--- /dev/null
+++ b/test/contracts/outcome_recovery_test.ts
@@ -0,0 +1,161 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as coordinatorHarness from '../support/coordinator_harness.js';
+import * as journalBackend from '../../src/contracts/journal_backend.js';
+import * as samples from '../support/samples.js';
+
+const IDENTITY = `dead_1_${'a'.repeat(24)}`;
+const TASK = `${IDENTITY}/0.1`;
+
+const STARTING: journalBackend.JournalEntry = {
+  kind: 'starting',
+  identity: IDENTITY,
+  client: 'alice',
+  task: TASK,
+  taskCount: 1,
+  attempt: 1,
+  worker: 'worker-1',
+  leaseBound: 55_000,
+};
+
+const FINISHED: journalBackend.JournalEntry = {
+  kind: 'finished',
+  identity: IDENTITY,
+  client: 'alice',
+  result: 'ok',
+  detail: '',
+  answer: 'polished',
+  answerKept: true,
+};
+
+/** A process in whose zone `dead` has been succeeded. */
+function survivor(): coordinatorHarness.CoordinatorHarness {
+  const harness = new coordinatorHarness.CoordinatorHarness();
+  harness.permitEnd = Infinity;
+  harness.peers = {live: [], succeeded: ['dead']};
+  return harness;
+}
+
+function showJournal(
+  harness: coordinatorHarness.CoordinatorHarness,
+  entries: ReadonlyArray<journalBackend.JournalEntry>,
+  first = 0,
+): void {
+  harness.handle({
+    kind: 'recordsRead',
+    stream: journalBackend.journalStream('dead'),
+    sentAt: harness.now,
+    first,
+    next: first + entries.length,
+    records: entries.map((entry, index) => ({
+      offset: first + index,
+      data: journalBackend.encodeRecord({number: index + 1, entry}),
+    })),
+  });
+}
+
+nodeTest.describe('identity of another home', () => {
+  nodeTest.test('is passed on while its home is live', () => {
+    const harness = new coordinatorHarness.CoordinatorHarness();
+    harness.peers = {live: ['other'], succeeded: []};
+    const identity = `other_1_${'b'.repeat(24)}`;
+    const call = harness.submit(identity);
+    assert.equal(harness.effectsOfKind('forwardCall')[0].peer, 'other');
+    const foreign = JSON.stringify({identity: IDENTITY, answer: 'secret'});
+    harness.handle({kind: 'forwardAnswered', call, code: 0, body: foreign});
+    assert.equal(
+      harness.replyTo(call)?.code,
+      4001,
+      'answers of others go nowhere',
+    );
+    assert.equal(harness.replyTo(call)?.answer, undefined);
+  });
+
+  nodeTest.test('is unknown while its home may be alive', () => {
+    const harness = new coordinatorHarness.CoordinatorHarness();
+    assert.equal(harness.replyTo(harness.submit(IDENTITY))?.code, 4001);
+  });
+});
+
+nodeTest.describe('identity of a dead home', () => {
+  nodeTest.test('is answered from its record, to its client only', () => {
+    const harness = survivor();
+    const own = harness.submit(IDENTITY);
+    const foreign = harness.submit(IDENTITY, 'order', 'bob');
+    showJournal(harness, [STARTING, FINISHED]);
+    assert.equal(harness.replyTo(own)?.answer, 'polished');
+    assert.equal(harness.replyTo(foreign)?.code, 1008);
+    const later = harness.submit(IDENTITY, 'order', 'bob');
+    assert.equal(harness.replyTo(later)?.code, 1008);
+  });
+
+  nodeTest.test('without records was not run if every record was read', () => {
+    const harness = survivor();
+    const call = harness.submit(IDENTITY);
+    showJournal(harness, []);
+    assert.equal(harness.replyTo(call)?.code, 3005);
+  });
+
+  nodeTest.test(
+    'without records has an unknown outcome after the log has dropped some',
+    () => {
+      const harness = survivor();
+      const call = harness.submit(IDENTITY);
+      showJournal(harness, [], 7);
+      assert.equal(harness.replyTo(call)?.code, 4002);
+    },
+  );
+
+  nodeTest.test(
+    'that may be idempotent is never called not run, because idempotent ' +
+      'requests leave no records',
+    () => {
+      const harness = survivor();
+      const fetched = harness.callAbout('fetchArrived', IDENTITY);
+      const sent = harness.submit(IDENTITY, 'inspection');
+      showJournal(harness, []);
+      assert.equal(harness.replyTo(fetched)?.code, 4001);
+      assert.equal(harness.replyTo(sent)?.code, 4002);
+    },
+  );
+
+  nodeTest.test(
+    'whose task ended on the worker gets the answer from there',
+    () => {
+      const harness = survivor();
+      const call = harness.submit(IDENTITY);
+      showJournal(harness, [STARTING]);
+      assert.equal(harness.replyTo(call), undefined);
+      harness.now = 500;
+      const state = 'finished';
+      harness.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+      assert.equal(harness.effectsOfKind('fetchTaskAnswer').length, 1);
+      harness.now = 3_000;
+      harness.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+      assert.equal(
+        harness.effectsOfKind('fetchTaskAnswer').length,
+        2,
+        'after a loss',
+      );
+      harness.endTask(TASK);
+      assert.equal(harness.replyTo(call)?.answer, 'done 0');
+    },
+  );
+
+  nodeTest.test(
+    'whose start was recorded was not run only after its lease bound',
+    () => {
+      const harness = survivor();
+      const early = harness.submit(IDENTITY);
+      showJournal(harness, [STARTING]);
+      harness.now = 4_000;
+      harness.report();
+      assert.equal(harness.replyTo(early)?.code, 4001);
+      harness.now = 9_000;
+      const late = harness.submit(IDENTITY);
+      harness.report();
+      assert.equal(harness.replyTo(late)?.code, 3005);
+      assert.deepEqual(harness.effectsOfKind('startTask'), []);
+    },
+  );
+});
--- a/test/contracts/outcome_rule_test.ts
+++ b/test/contracts/outcome_rule_test.ts
@@ -3,7 +3,7 @@
 import * as nodeTest from 'node:test';
 import * as outcomeRule from '../../src/contracts/outcome_rule.js';
 import * as samples from '../support/samples.js';
-import type * as journal from '../../src/contracts/journal.js';
+import type * as journalBackend from '../../src/contracts/journal_backend.js';
 import type * as requestTable from '../../src/contracts/request_table.js';
 import type * as task from '../../src/contracts/task.js';
 
@@ -32,7 +32,10 @@
   'lapsedStart',
 );
 
-function startRecord(number: number, attempt: number): journal.JournalRecord {
+function startRecord(
+  number: number,
+  attempt: number,
+): journalBackend.JournalRecord {
   return {
     number,
     entry: {
@@ -48,7 +51,7 @@
   };
 }
 
-function offerRecord(number: number): journal.JournalRecord {
+function offerRecord(number: number): journalBackend.JournalRecord {
   const process = 'peer';
   const entry = {
     kind: 'offered',
@@ -59,7 +62,10 @@
   return {number, entry};
 }
 
-function endRecord(number: number, answer = 'polished'): journal.JournalRecord {
+function endRecord(
+  number: number,
+  answer = 'polished',
+): journalBackend.JournalRecord {
   return {
     number,
     entry: {
@@ -78,8 +84,8 @@
 function history(
   steps: ReadonlyArray<Step>,
   last: LastStep,
-): ReadonlyArray<journal.JournalRecord> {
-  const records: journal.JournalRecord[] = steps.map((step, index) =>
+): ReadonlyArray<journalBackend.JournalRecord> {
+  const records: journalBackend.JournalRecord[] = steps.map((step, index) =>
     step.kind === 'lapsedStart'
       ? startRecord(index, index)
       : offerRecord(index),
@@ -95,8 +101,8 @@
   count: number,
   last: LastStep,
   workerClock: number,
-): ReadonlyMap<string, outcomeRule.LateReport> {
-  const reports = new Map<string, outcomeRule.LateReport>();
+): ReadonlyMap<string, outcomeRule.ConclusiveReport> {
+  const reports = new Map<string, outcomeRule.ConclusiveReport>();
   for (let attempt = 0; attempt <= count; attempt += 1) {
     const tasks = new Map<string, task.TaskReport>();
     const name = `${IDENTITY}/0.${attempt}`;
@@ -111,7 +117,7 @@
   return reports;
 }
 
-const NO_ANSWERS: ReadonlyMap<string, requestTable.Ending> = new Map();
+const NO_ANSWERS: ReadonlyMap<string, requestTable.RequestOutcome> = new Map();
 
 nodeTest.describe('outcome of an identity whose home is dead', () => {
   nodeTest.test(
@@ -202,7 +208,7 @@
       const entry = {
         ...record.entry,
         answerKept: false,
-      } as journal.JournalEntry;
+      } as journalBackend.JournalEntry;
       const finding = outcomeRule.decide({
         records: [{number: 1, entry}],
         logComplete: true,
@@ -211,7 +217,7 @@
         answers: NO_ANSWERS,
       });
       assert.equal(
-        finding.kind === 'ended' && finding.ending.result,
+        finding.kind === 'ended' && finding.outcome.result,
         'answerLost',
       );
     },
--- a/test/contracts/offers_test.ts
+++ b/test/contracts/outgoing_offers_test.ts
@@ -1,16 +1,16 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as deskBench from '../support/desk_bench.js';
+import * as coordinatorHarness from '../support/coordinator_harness.js';
 
 const IDENTITY = `home_1_${'a'.repeat(24)}`;
 
 /** Hands an offer of `home` to a process; returns the call. */
 function offer(
-  peer: deskBench.DeskBench,
+  peer: coordinatorHarness.CoordinatorHarness,
   attempt: number,
   workload = 'order',
 ): number {
-  const call = peer.call();
+  const call = peer.nextCallNumber();
   peer.handle({
     kind: 'offerArrived',
     call,
@@ -26,14 +26,17 @@
 }
 
 /** A process of the home's zone with room for the request. */
-function buildPeer(): deskBench.DeskBench {
-  const peer = new deskBench.DeskBench('peer');
+function buildPeer(): coordinatorHarness.CoordinatorHarness {
+  const peer = new coordinatorHarness.CoordinatorHarness('peer');
   peer.peers = {live: ['home'], succeeded: []};
   return peer;
 }
 
-function withdraw(peer: deskBench.DeskBench, attempt: number): number {
-  const call = peer.call();
+function withdraw(
+  peer: coordinatorHarness.CoordinatorHarness,
+  attempt: number,
+): number {
+  const call = peer.nextCallNumber();
   peer.handle({
     kind: 'withdrawArrived',
     call,
@@ -46,22 +49,25 @@
 }
 
 function offerCode(
-  peer: deskBench.DeskBench,
+  peer: coordinatorHarness.CoordinatorHarness,
   call: number,
 ): number | undefined {
-  const all = [...peer.all('answerOffer'), ...peer.all('answerWithdraw')];
+  const all = [
+    ...peer.effectsOfKind('answerOffer'),
+    ...peer.effectsOfKind('answerWithdraw'),
+  ];
   return all.find(answer => answer.call === call)?.code;
 }
 
 /** A home without workers whose request has been offered to `peer-1`. */
 function offeringHome(): {
-  readonly home: deskBench.DeskBench;
+  readonly home: coordinatorHarness.CoordinatorHarness;
   readonly call: number;
 } {
-  const home = new deskBench.DeskBench('home', false);
+  const home = new coordinatorHarness.CoordinatorHarness('home', false);
   home.peers = {live: ['peer-1', 'peer-2'], succeeded: []};
   const call = home.submit(home.reserve());
-  home.pass(300);
+  home.advanceTime(300);
   return {home, call};
 }
 
@@ -70,13 +76,13 @@
     const peer = buildPeer();
     const call = offer(peer, 1);
     const repeated = offer(peer, 1);
-    assert.equal(peer.all('append').length, 1);
-    const [{start}] = peer.all('startTask');
+    assert.equal(peer.effectsOfKind('append').length, 1);
+    const [{start}] = peer.effectsOfKind('startTask');
     peer.answerStart(start.task, 'started');
     peer.endTask(start.task);
     assert.equal(offerCode(peer, call), 0);
     assert.equal(offerCode(peer, repeated), 0);
-    assert.equal(peer.all('startTask').length, 1);
+    assert.equal(peer.effectsOfKind('startTask').length, 1);
   });
 
   nodeTest.test(
@@ -88,9 +94,9 @@
       assert.equal(offerCode(peer, offer(peer, 1)), 2002);
       peer.permitEnd = 4_000;
       assert.equal(offerCode(peer, offer(peer, 1)), 2006);
-      assert.deepEqual(peer.all('startTask'), []);
+      assert.deepEqual(peer.effectsOfKind('startTask'), []);
       offer(peer, 2);
-      assert.equal(peer.all('startTask').length, 1);
+      assert.equal(peer.effectsOfKind('startTask').length, 1);
     },
   );
 
@@ -98,7 +104,7 @@
     const peer = buildPeer();
     assert.equal(offerCode(peer, withdraw(peer, 1)), 2006);
     assert.equal(offerCode(peer, offer(peer, 1)), 2006);
-    assert.deepEqual(peer.all('startTask'), []);
+    assert.deepEqual(peer.effectsOfKind('startTask'), []);
   });
 
   nodeTest.test(
@@ -106,12 +112,12 @@
       'told the client that the request was not run',
     () => {
       const peer = buildPeer();
-      peer.logAnswers = false;
+      peer.logAcknowledges = false;
       const call = offer(peer, 1);
       peer.peers = {live: [], succeeded: ['home']};
-      const [{stream, append}] = peer.all('append');
+      const [{stream, append}] = peer.effectsOfKind('append');
       peer.handle({kind: 'appendAnswered', stream, append, answer: 'appended'});
-      assert.deepEqual(peer.all('startTask'), []);
+      assert.deepEqual(peer.effectsOfKind('startTask'), []);
       assert.equal(offerCode(peer, call), 3002);
     },
   );
@@ -122,26 +128,29 @@
     () => {
       const peer = buildPeer();
       const call = offer(peer, 1);
-      peer.answerStart(peer.all('startTask')[0].start.task, 'refused');
+      peer.answerStart(
+        peer.effectsOfKind('startTask')[0].start.task,
+        'refused',
+      );
       assert.equal(offerCode(peer, call), 2007);
-      const asked = peer.ask('fetchArrived', IDENTITY);
+      const asked = peer.callAbout('fetchArrived', IDENTITY);
       assert.equal(peer.replyTo(asked), undefined);
-      assert.equal(peer.all('forwardCall')[0].peer, 'home');
+      assert.equal(peer.effectsOfKind('forwardCall')[0].peer, 'home');
     },
   );
 });
 
 nodeTest.describe('offer at the home', () => {
   nodeTest.test('is recorded before it is sent', () => {
-    const home = new deskBench.DeskBench('home', false);
+    const home = new coordinatorHarness.CoordinatorHarness('home', false);
     home.peers = {live: ['peer-1'], succeeded: []};
     home.submit(home.reserve());
-    home.logAnswers = false;
-    home.pass(300);
-    assert.deepEqual(home.all('offerRequest'), []);
-    const [{stream, append}] = home.all('append');
+    home.logAcknowledges = false;
+    home.advanceTime(300);
+    assert.deepEqual(home.effectsOfKind('offerRequest'), []);
+    const [{stream, append}] = home.effectsOfKind('append');
     home.handle({kind: 'appendAnswered', stream, append, answer: 'appended'});
-    assert.equal(home.all('offerRequest').length, 1);
+    assert.equal(home.effectsOfKind('offerRequest').length, 1);
   });
 
   nodeTest.test(
@@ -149,16 +158,16 @@
       'another one only after a refusal',
     () => {
       const {home} = offeringHome();
-      const [{peer, identity}] = home.all('offerRequest');
+      const [{peer, identity}] = home.effectsOfKind('offerRequest');
       home.handle({kind: 'offerLost', peer, identity});
-      home.pass(1_000);
-      home.pass(1_000);
-      const peers = home.all('offerRequest').map(sent => sent.peer);
+      home.advanceTime(1_000);
+      home.advanceTime(1_000);
+      const peers = home.effectsOfKind('offerRequest').map(sent => sent.peer);
       assert.deepEqual(peers, [peer, peer]);
       const refusal = {code: 2002, answer: ''};
       home.handle({kind: 'offerAnswered', peer, identity, ...refusal});
-      home.pass(500);
-      const last = home.all('offerRequest').at(-1);
+      home.advanceTime(500);
+      const last = home.effectsOfKind('offerRequest').at(-1);
       assert.notEqual(last?.peer, peer);
       assert.equal(last?.attempt, 2);
     },
@@ -166,7 +175,7 @@
 
   nodeTest.test('brings the answer of the other process to the client', () => {
     const {home, call} = offeringHome();
-    const [{peer, identity}] = home.all('offerRequest');
+    const [{peer, identity}] = home.effectsOfKind('offerRequest');
     const ended = {code: 0, answer: 'polished'};
     const other = peer === 'peer-1' ? 'peer-2' : 'peer-1';
     home.handle({kind: 'offerAnswered', peer: other, identity, ...ended});
--- a/test/contracts/retry_budget_test.ts
+++ b/test/contracts/retry_budget_test.ts
@@ -4,7 +4,7 @@
 
 function spendAll(budget: retryBudget.RetryBudget, now: number): number {
   let spent = 0;
-  while (budget.take(now)) spent += 1;
+  while (budget.trySpend(now)) spent += 1;
   return spent;
 }
 
@@ -20,10 +20,10 @@
     () => {
       const budget = new retryBudget.RetryBudget();
       spendAll(budget, 0);
-      for (let call = 0; call < 50; call += 1) budget.succeeded();
+      for (let call = 0; call < 50; call += 1) budget.recordSuccess();
       // Ten additions of 0.1 may fall short of 1 by rounding.
       assert.ok([4, 5].includes(spendAll(budget, 0)));
-      for (let call = 0; call < 5_000; call += 1) budget.succeeded();
+      for (let call = 0; call < 5_000; call += 1) budget.recordSuccess();
       assert.equal(spendAll(budget, 0), 100);
     },
   );
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -11,7 +11,7 @@
 import type * as peerFailure from '../../src/links/peer_failure.js';
 import type * as event from '../../src/contracts/event.js';
 
-const NEWS: event.PeerNews = {
+const NEWS: event.PeerStatus = {
   from: 'kigali-a.entry-1.aa',
   zone: 'kigali-a',
   address: '127.0.0.1:9',
@@ -81,7 +81,7 @@
 function calls(address: string): ReadonlyArray<peerFailure.PeerCallEffect> {
   const peer = 'peer-2';
   return [
-    {kind: 'confirmPeer', peer, address, zonePosition: 12, news: NEWS},
+    {kind: 'confirmPeer', peer, address, zonePosition: 12, status: NEWS},
     {
       kind: 'offerRequest',
       peer,
@@ -108,7 +108,7 @@
         call: posted.call,
         confirmed: true,
         zoneRecords: [{offset: 3, data: 'r'}],
-        news: {...NEWS, from: 'peer-2'},
+        status: {...NEWS, from: 'peer-2'},
       };
     case 'offerArrived':
       return {kind: 'answerOffer', call: posted.call, code: 0, answer: 'é'};
@@ -247,7 +247,7 @@
         if (posted.kind !== 'confirmArrived') return;
         const answer = answerOf(posted);
         if (answer?.kind !== 'answerConfirm') return;
-        self.server.answer({...answer, news: {...NEWS, from: 'peer-3'}});
+        self.server.answer({...answer, status: {...NEWS, from: 'peer-3'}});
       });
       await pair.listen();
       await pair.link.perform(calls(pair.address)[0]);
--- a/test/support/desk_bench.ts
+++ b/test/support/coordinator_harness.ts
@@ -1,6 +1,6 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as randomSource from '../../src/machines/random_source.js';
-import * as requestDesk from '../../src/contracts/request_desk.js';
+import * as requestCoordinator from '../../src/contracts/request_coordinator.js';
 import * as samples from './samples.js';
 import * as scheduler from '../../src/contracts/scheduler.js';
 import * as schedulerQueue from '../../src/contracts/scheduler_queue.js';
@@ -12,9 +12,9 @@
 import type * as task from '../../src/contracts/task.js';
 
 /** The worker's clock is this far ahead of the local one. */
-const OFFSET = 50_000;
+const WORKER_CLOCK_OFFSET_MS = 50_000;
 
-const LIMIT = {
+const QUOTA = {
   processors: 100_000,
   memory: 100_000,
   accelerators: 9,
@@ -35,7 +35,7 @@
       {
         name: 'dispatch',
         clients: ['alice', 'bob'],
-        quota: LIMIT,
+        quota: QUOTA,
         share: 1,
         queueLimit: 100,
         workloads: WORKLOADS,
@@ -46,7 +46,7 @@
 };
 
 /** What other processes are to the desk under test. */
-export interface Peers {
+export interface PeerStates {
   readonly live: ReadonlyArray<string>;
   readonly succeeded: ReadonlyArray<string>;
 }
@@ -55,15 +55,15 @@
  * A desk with one worker, driven by hand. The log acknowledges appends by
  * itself while `logAnswers` is true.
  */
-export class DeskBench {
+export class CoordinatorHarness {
   now = 0;
   permitEnd = 4_000;
-  logAnswers = true;
+  logAcknowledges = true;
   joined = true;
-  peers: Peers = {live: [], succeeded: []};
+  peers: PeerStates = {live: [], succeeded: []};
   /** Every effect so far. */
   readonly effects: effect.Effect[] = [];
-  private readonly desk: requestDesk.RequestDesk;
+  private readonly coordinator: requestCoordinator.RequestCoordinator;
   private nextCall = 1;
 
   constructor(
@@ -80,7 +80,7 @@
     const queue = new schedulerQueue.SchedulerQueue(
       new scheduler.Scheduler(workers, runner, documents),
     );
-    this.desk = new requestDesk.RequestDesk({
+    this.coordinator = new requestCoordinator.RequestCoordinator({
       self,
       random: new randomSource.SeededRandom(1),
       documents,
@@ -91,7 +91,7 @@
         address: name => workers.get(name)?.description.address,
         isGone: () => false,
       },
-      retries: {take: () => true, succeeded: () => {}},
+      retries: {trySpend: () => true, recordSuccess: () => {}},
       isSuperseded: () => false,
     });
     if (!hasWorker) return;
@@ -101,21 +101,21 @@
 
   /** Hands in an event and returns its effects. */
   handle(handled: event.Event): ReadonlyArray<effect.Effect> {
-    const effects = this.desk.handle(handled, this.now);
+    const effects = this.coordinator.handle(handled, this.now);
     this.effects.push(...effects);
-    if (!this.logAnswers) return effects;
+    if (!this.logAcknowledges) return effects;
     const acknowledged = effects.flatMap(item => this.acknowledge(item));
     return [...effects, ...acknowledged];
   }
 
-  pass(milliseconds: number): ReadonlyArray<effect.Effect> {
+  advanceTime(milliseconds: number): ReadonlyArray<effect.Effect> {
     this.now += milliseconds;
     return this.handle({kind: 'timePassed'});
   }
 
   /** Reserves an identity. */
   reserve(client = 'alice'): string {
-    const call = this.call();
+    const call = this.nextCallNumber();
     this.handle({kind: 'identitiesArrived', call, client, count: 1});
     return this.replyTo(call)?.identities?.[0] ?? '';
   }
@@ -126,7 +126,7 @@
     workload = 'order',
     client = 'alice',
   ): number {
-    const call = this.call();
+    const call = this.nextCallNumber();
     const submission = {team: 'dispatch', workload, payload: 'stone'};
     const waitMs = 60_000;
     this.handle({
@@ -141,12 +141,12 @@
   }
 
   /** Makes a call about an identity; returns the call. */
-  ask(
+  callAbout(
     kind: 'cancelArrived' | 'explainArrived' | 'fetchArrived',
     identity: string,
     client = 'alice',
   ): number {
-    const call = this.call();
+    const call = this.nextCallNumber();
     this.handle({kind, call, client, identity, waitMs: 0});
     return call;
   }
@@ -160,7 +160,7 @@
   }
 
   /** All effects of a kind so far. */
-  all<Kind extends effect.Effect['kind']>(
+  effectsOfKind<Kind extends effect.Effect['kind']>(
     kind: Kind,
   ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
     return this.effects.filter(
@@ -186,11 +186,14 @@
   }
 
   report(tasks: ReadonlyArray<task.TaskReport> = []): void {
-    const report = samples.buildReport(this.now + OFFSET, tasks);
+    const report = samples.buildReport(
+      this.now + WORKER_CLOCK_OFFSET_MS,
+      tasks,
+    );
     this.handle({kind: 'reportArrived', report, sentAt: this.now});
   }
 
-  call(): number {
+  nextCallNumber(): number {
     this.nextCall += 1;
     return this.nextCall;
   }
@@ -205,18 +208,18 @@
   private directory(): processDirectory.ProcessDirectory {
     const isLive = (process: string): boolean =>
       this.peers.live.includes(process);
-    const members = (): ReadonlyArray<processDirectory.Member> =>
+    const members = (): ReadonlyArray<processDirectory.PeerProcess> =>
       this.peers.live.map(process => ({process, address: process}));
     return {
       members,
-      offerTakers: members,
+      offerCandidates: members,
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
-      relay: () => undefined,
+      relayFor: () => undefined,
       hasJoined: () => this.joined,
-      isSucceeded: process => this.peers.succeeded.includes(process),
+      hasSuccessor: process => this.peers.succeeded.includes(process),
       joinedBefore: () => true,
-      noteUnreachable: () => {},
+      markUnreachable: () => {},
     };
   }
 }
--- a/test/zones/confirmations_test.ts
+++ b/test/zones/confirmations_test.ts
@@ -52,7 +52,7 @@
       control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
       assert.deepEqual(control.leavingWorkers(), ['worker-1']);
       const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
-      assert.deepEqual(sent[0].news.leavingWorkers, ['worker-1']);
+      assert.deepEqual(sent[0].status.leavingWorkers, ['worker-1']);
     },
   );
 
@@ -69,7 +69,7 @@
       );
       assert.equal(sent.length, 2);
       assert.equal(more.length, 0);
-      const {documents, leavingWorkers, summaries, ...sender} = summary.news;
+      const {documents, leavingWorkers, summaries, ...sender} = summary.status;
       assert.equal(documents.length + leavingWorkers.length, 0);
       const message = protobuf.create(peer.ConfirmRequestSchema, {
         ...sender,
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -336,7 +336,7 @@
     process: SimulatedProcess,
     wanted: Extract<effect.Effect, {kind: 'confirmPeer'}>,
   ): void {
-    const {peer, zonePosition, news} = wanted;
+    const {peer, zonePosition, status: news} = wanted;
     const sentAt = process.localTime(this.now);
     const target = this.processes.find(known => known.name === peer);
     this.calls += 1;
@@ -345,7 +345,7 @@
       call: this.calls,
       to: peer,
       zonePosition,
-      news,
+      status: news,
     } as const;
     const failed = {kind: 'confirmFailed', peer} as const;
     if (target === undefined || this.isLost()) return;
@@ -354,7 +354,7 @@
       this.whenRunning(target, () => {
         const answer = this.answerTo(target, asked);
         if (answer === undefined || this.isLost()) return;
-        const {confirmed, zoneRecords, news: told} = answer;
+        const {confirmed, zoneRecords, status: told} = answer;
         this.after(this.delay(), () => {
           if (this.isCut(process, target)) return this.post(process, failed);
           this.post(process, {
@@ -363,7 +363,7 @@
             sentAt,
             confirmed,
             zoneRecords,
-            news: told,
+            status: told,
           });
         });
       });
--- a/test/zones/zone_control_test.ts
+++ b/test/zones/zone_control_test.ts
@@ -42,7 +42,7 @@
   leaving = false,
 ): boolean {
   const news = {...NEWS, leaving};
-  const asked = {call: 1, to: 'a', zonePosition: 3, news};
+  const asked = {call: 1, to: 'a', zonePosition: 3, status: news};
   const [answer] = control.handle({kind: 'confirmArrived', ...asked}, at);
   assert.ok(answer.kind === 'answerConfirm');
   return answer.confirmed;
@@ -72,7 +72,7 @@
       const control = createOwner();
       control.handle({kind: 'timePassed'}, 4_500);
       assert.ok(control.permitEnd('w1') <= 4_500);
-      const answer = {peer: 'b', sentAt: 4_600, zoneRecords: [], news: NEWS};
+      const answer = {peer: 'b', sentAt: 4_600, zoneRecords: [], status: NEWS};
       const kind = 'confirmAnswered';
       control.handle({kind, confirmed: false, ...answer}, 4_700);
       assert.ok(control.permitEnd('w1') <= 4_700);
