--- a/src/contracts/call_reply.ts
+++ b/src/contracts/call_reply.ts
@@ -3,7 +3,7 @@
 import type * as identityIssuer from './identity_issuer.js';
 import type * as event from './event.js';
 
-/** Answers a call with a refusal, which is counted by its reason. */
+/** Returns the effects that refuse a call and count the refusal by reason. */
 export function refuse(
   call: event.CallNumber,
   refusal: result.Failure,
@@ -23,7 +23,7 @@
   ];
 }
 
-/** The refusal of an identity that the client may not use here. */
+/** Returns the refusal of an identity that this client may not use. */
 export function unknownIdentity(identity: string): result.Failure {
   return result.failure(
     'unknownIdentity',
@@ -31,7 +31,7 @@
   );
 }
 
-/** Why an identity that was issued here can't be used; undefined if it can. */
+/** Returns why an identity can't be used; undefined for a valid identity. */
 export function identityRefusal(
   check: identityIssuer.IdentityStatus,
   identity: string,
@@ -40,7 +40,7 @@
     case 'foreign':
       return unknownIdentity(identity);
     case 'expired': {
-      const detail = `identity: ${identity} was issued too long ago`;
+      const detail = `identity: ${identity} has expired; its outcome is lost`;
       return result.failure('outcomeLost', detail);
     }
     case 'refused': {
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -6,10 +6,10 @@
 import type * as processDirectory from './process_directory.js';
 import type * as outcomeRecovery from './outcome_recovery.js';
 
-/** Least time that recovery gets before a call is answered with "unknown". */
+/** Minimum time for recovery before a call is answered with "unknown". */
 const MIN_RECOVERY_WAIT_MS = 5_000;
 
-/** A call about one identity. */
+/** A call that refers to the identity of one request. */
 export type IdentityCall = Extract<
   event.CallEvent,
   {
@@ -18,7 +18,7 @@
   }
 >;
 
-/** What the router needs of the process that it belongs to. */
+/** Handles the requests of the local process on behalf of the router. */
 export interface LocalRequestHandler {
   /** Answers a call about an identity that this process knows. */
   answerLocally(
@@ -26,9 +26,9 @@
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect>;
-  /** Makes sure that an identity never runs here; false when it has begun. */
+  /** Blocks an identity from running here; returns false if it has begun. */
   preventRun(identity: string, now: clock.Milliseconds): boolean;
-  /** Whether a submission may run twice. */
+  /** Whether a submission may run twice; undefined when that is not known. */
   isIdempotent(call: IdentityCall): boolean | undefined;
 }
 
@@ -44,8 +44,8 @@
 }
 
 /**
- * Passes calls about identities of other processes on to their home, and lets
- * recovery decide when the home is dead.
+ * Forwards calls about identities of other processes to their home process.
+ * When the home is dead, recovery determines the outcome.
  */
 export class CallRouter {
   private readonly callsInRecovery = new Map<
@@ -61,7 +61,7 @@
     private readonly localHandler: LocalRequestHandler,
   ) {}
 
-  /** Routes a call about an identity whose home is `home`. */
+  /** Forwards a call to the home process, or starts recovery if it is dead. */
   route(
     call: IdentityCall,
     identity: string,
@@ -76,13 +76,13 @@
     const relay = this.directory.relayFor(home);
     if (relay !== undefined) return this.forward(call, identity, relay, true);
     if (!this.directory.hasSuccessor(home, now)) {
-      const detail = `the home ${home} can't be reached and may be alive`;
+      const detail = `home process ${home} is unreachable but may be alive`;
       return answerUnknown(call, identity, detail);
     }
     return this.queryRecovery(call, identity, home, now);
   }
 
-  /** Handles the answers of homes; ignores other events. */
+  /** Handles answers of home processes; ignores events of other kinds. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -103,7 +103,7 @@
     }
   }
 
-  /** Answers the calls that wait for what recovery found. */
+  /** Answers the calls that wait for this recovery result. */
   handleRecoveryResult(
     recoveryResult: outcomeRecovery.RecoveryResult,
     now: clock.Milliseconds,
@@ -184,22 +184,27 @@
       case 'foreign':
         return callReply.refuse(call.call, callReply.unknownIdentity(identity));
       case 'lost': {
-        const detail = 'the records and reports that remain prove nothing';
+        const detail =
+          'the remaining records and reports do not show the outcome';
         const lost = result.failure('outcomeLost', detail);
         return callReply.refuse(call.call, lost, identity);
       }
       default:
-        return answerUnknown(call, identity, 'no proof has been found yet');
+        return answerUnknown(call, identity, 'the outcome is not proved yet');
     }
   }
 
-  /** Idempotent requests leave no records, so that nothing proves nothing. */
+  /**
+   * Idempotent requests leave no records, so the absence of records proves
+   * "not run" only for a non-idempotent request.
+   */
   private answerNotRun(
     call: IdentityCall,
     identity: string,
   ): ReadonlyArray<effects.Effect> {
     if (call.kind !== 'requestArrived') {
-      const detail = 'repeat the submission: it shows if there were records';
+      const detail =
+        'repeat the submission: its workload tells if records were kept';
       return answerUnknown(call, identity, detail);
     }
     const idempotent = this.localHandler.isIdempotent(call);
@@ -207,7 +212,7 @@
       return answerUnknown(call, identity, 'the workload is not configured');
     }
     const failed = idempotent
-      ? result.failure('outcomeLost', 'send it again under a new identity')
+      ? result.failure('outcomeLost', 'submit it again with a new identity')
       : result.failure('homeGone', 'it was not run; use a new identity');
     return callReply.refuse(call.call, failed, identity);
   }
@@ -223,7 +228,7 @@
       return answerUnknown(
         call,
         identity,
-        'the records name no further process',
+        `the records name no process after ${process}`,
       );
     }
     if (process !== this.self) return this.route(call, identity, process, now);
@@ -248,7 +253,7 @@
         ...answerUnknownByNumber(
           call,
           identity,
-          'the home answered another request',
+          'the home process answered for another identity',
         ),
       ];
     }
@@ -261,7 +266,11 @@
     this.forwardedCalls.delete(call);
     const {identity, address} = forwarded;
     this.directory.markUnreachable(address);
-    return answerUnknownByNumber(call, identity, 'the home gave no answer');
+    return answerUnknownByNumber(
+      call,
+      identity,
+      `the home process at ${address} did not answer`,
+    );
   }
 
   private expireCalls(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
@@ -269,7 +278,7 @@
     for (const waiting of [...this.callsInRecovery.values()]) {
       if (waiting.deadline > now) continue;
       this.cancelRecovery(waiting.call.call);
-      const detail = 'not all records of its home could be read yet';
+      const detail = 'the records of its home process are not all read yet';
       produced.push(
         ...answerUnknown(waiting.call, waiting.query.identity, detail),
       );
