--- a/src/contracts/effect.ts
+++ b/src/contracts/effect.ts
@@ -3,7 +3,7 @@
 import type * as request from './request.js';
 import type * as task from './task.js';
 
-/** An action towards a worker. */
+/** A call to a worker. */
 export type WorkerEffect =
   | {
       readonly kind: 'startTask';
@@ -38,11 +38,12 @@
       readonly address: string;
     };
 
-/** An action towards the platform's log or VM list. */
+/** A call to the platform's log or VM list. */
 export type PlatformEffect =
   | {
       readonly kind: 'append';
       readonly stream: string;
+      /** Number of the append; its answer carries the same number. */
       readonly append: number;
       readonly records: ReadonlyArray<string>;
     }
@@ -53,7 +54,7 @@
     }
   | {readonly kind: 'readVmList'};
 
-/** An action towards another entry process. */
+/** A call or an answer to another entry process. */
 export type PeerEffect =
   | {
       readonly kind: 'confirmPeer';
@@ -74,7 +75,7 @@
       readonly peer: string;
       readonly address: string;
       readonly identity: string;
-      /** Counts the offers of the request; a repeated one keeps its number. */
+      /** Number of the offer within its request; resending keeps the number. */
       readonly attempt: number;
       readonly client: string;
       readonly submission: request.Submission;
@@ -91,7 +92,7 @@
       readonly peer: string;
       readonly address: string;
       readonly identity: string;
-      /** Withdraws offers up to this number. */
+      /** Number of the last offer to withdraw; earlier ones are included. */
       readonly attempt: number;
     }
   | {
@@ -100,11 +101,11 @@
       readonly code: number;
     }
   | {
-      /** Passes a caller's call on to the home of its identity. */
+      /** Forwards a caller's call to the home process of its identity. */
       readonly kind: 'forwardCall';
-      /** The home, or the VM of any process of the home's zone. */
+      /** The home process, or the VM of any process in the home's zone. */
       readonly peer: string;
-      /** Whether any process at the address may take the call. */
+      /** Whether any process at the address may handle the call. */
       readonly relayed: boolean;
       readonly address: string;
       readonly call: event.CallNumber;
@@ -152,7 +153,7 @@
   readonly detail?: string;
   readonly identity?: string;
   readonly identities?: ReadonlyArray<string>;
-  /** Progress of a request: queued, starting, running, ended. */
+  /** State of the request; one of `RequestState`. */
   readonly state?: string;
   readonly worker?: string;
   readonly answer?: string;
@@ -161,14 +162,14 @@
   readonly version?: number;
 }
 
-/** Everything that the decision core can ask for. */
+/** All effects that the decision core can return. */
 export type Effect =
   | WorkerEffect
   | PlatformEffect
   | PeerEffect
   | {
       /**
-       * Ends the process at once: another one has succeeded it, and it can
+       * Ends the process at once because a successor has taken over. It can
        * serve again only under a new incarnation.
        */
       readonly kind: 'endProcess';
@@ -198,7 +199,7 @@
       readonly fields: Readonly<Record<string, string | number | boolean>>;
     };
 
-/** Builds a counter effect. */
+/** Returns an effect that adds `value` to a counter. */
 export function count(
   metric: string,
   labels: Readonly<Record<string, string>> = {},
@@ -207,7 +208,7 @@
   return {kind: 'count', metric, labels, value};
 }
 
-/** Builds a log effect; `event` names what happened. */
+/** Returns an effect that logs the event called `name`. */
 export function log(
   level: 'debug' | 'info' | 'warn' | 'error',
   name: string,
--- a/src/contracts/event.ts
+++ b/src/contracts/event.ts
@@ -5,7 +5,7 @@
 /** Identifies one open call of a caller or an operator. */
 export type CallNumber = number;
 
-/** A call that a client or an operator made. */
+/** A call from a client or an operator, or its end. */
 export type CallEvent =
   | {
       readonly kind: 'identitiesArrived';
@@ -52,7 +52,7 @@
       readonly kind: 'publishArrived';
       readonly call: CallNumber;
       readonly document: string;
-      /** Version that the change was made from; 0 for a new document. */
+      /** Version that the change is based on; 0 for a new document. */
       readonly baseVersion: number;
       readonly content: string;
       readonly publication: string;
@@ -65,13 +65,13 @@
     }
   | {readonly kind: 'callEnded'; readonly call: CallNumber};
 
-/** Something that a worker answered or failed to answer. */
+/** An answer from a worker, or the failure to get one. */
 export type WorkerEvent =
   | {
       readonly kind: 'startAnswered';
       readonly worker: string;
       readonly task: string;
-      /** `lost`: no answer; the task may run. */
+      /** `lost`: no answer arrived, and the task may be running. */
       readonly answer: 'started' | 'refused' | 'lost';
       readonly detail: string;
     }
@@ -89,7 +89,7 @@
       readonly answer: string;
     }
   | {
-      /** No whole answer came; the task itself may have ended or not. */
+      /** No complete answer arrived; the task may or may not have ended. */
       readonly kind: 'taskAnswerLost';
       readonly worker: string;
       readonly task: string;
@@ -107,16 +107,16 @@
   readonly data: string;
 }
 
-/** Something that the platform's log or VM list answered. */
+/** An answer from the platform's log or VM list, or the failure to get one. */
 export type PlatformEvent =
   | {
       readonly kind: 'recordsRead';
       readonly stream: string;
-      /** When the read was sent: the records are at least as new as this. */
+      /** When the read was sent; the records are at least as recent. */
       readonly sentAt: clock.Milliseconds;
-      /** Earliest offset that the log still keeps. */
+      /** Lowest offset that the log retains. */
       readonly first: number;
-      /** Offset that the next append will get, as far as the log says. */
+      /** Offset of the next append, as reported by the log. */
       readonly next: number;
       readonly records: ReadonlyArray<StreamRecord>;
     }
@@ -144,13 +144,13 @@
   readonly state: 'live' | 'leaving';
 }
 
-/** Versions of the configuration documents that a process has in force. */
+/** Version of one configuration document that a process has in force. */
 export interface DocumentVersion {
   readonly name: string;
   readonly version: number;
 }
 
-/** What a zone says of itself to other zones. */
+/** Free capacity and load of a zone, as announced to other zones. */
 export interface ZoneSummary {
   readonly zone: string;
   readonly freeProcessors: number;
@@ -160,7 +160,7 @@
   readonly workerCount: number;
 }
 
-/** The part of a confirmation that both directions carry. */
+/** Status of a process that both messages of a confirmation carry. */
 export interface PeerStatus {
   readonly from: string;
   readonly zone: string;
@@ -178,7 +178,7 @@
   readonly content: string;
 }
 
-/** Something that another entry process asked or answered. */
+/** A call or an answer from another entry process, or a failed call to it. */
 export type PeerEvent =
   | {
       readonly kind: 'confirmArrived';
@@ -202,7 +202,7 @@
       readonly from: string;
       readonly to: string;
       readonly identity: string;
-      /** Counts the offers of the request; 0 when the sender gives none. */
+      /** Number of the offer within its request; 0 if the sender gives none. */
       readonly attempt?: number;
       readonly client: string;
       readonly submission: request.Submission;
@@ -226,7 +226,7 @@
       readonly from: string;
       readonly to: string;
       readonly identity: string;
-      /** Withdraws offers up to this number; 0 when the sender gives none. */
+      /** Number of the last offer to withdraw; 0 if the sender gives none. */
       readonly attempt?: number;
     }
   | {
@@ -237,7 +237,7 @@
     }
   | {
       readonly kind: 'forwardAnswered';
-      /** The caller's call that was passed on. */
+      /** The caller's call that was forwarded. */
       readonly call: CallNumber;
       readonly code: number;
       readonly body: string;
@@ -274,12 +274,15 @@
       readonly kind: 'readWitnessAnswered';
       readonly peer: string;
       readonly process: string;
-      /** False when the peer gave no answer or was not a witness throughout. */
+      /**
+       * False if the peer did not answer or has not been a witness since
+       * before the process joined.
+       */
       readonly complete: boolean;
       readonly entries: ReadonlyArray<string>;
     };
 
-/** Everything that the loop can hand to the decision core. */
+/** All events that the loop can pass to the decision core. */
 export type Event =
   | CallEvent
   | WorkerEvent
--- a/src/contracts/invariant.ts
+++ b/src/contracts/invariant.ts
@@ -1,25 +1,25 @@
 import * as effect from './effect.js';
 
-/** Rules that hold at every moment; each is checked where it could break. */
+/** Names of safety rules; each is checked where a fault could break it. */
 export type InvariantName =
-  /** A non-idempotent request has one start a task that may have run. */
+  /** At most one start per task of a non-idempotent request may have run. */
   | 'startedOnce'
-  /** An answer goes only to the client that owns the identity. */
+  /** An answer goes only to the client to which the identity belongs. */
   | 'ownAnswer'
-  /** A request ends once. */
+  /** A request ends at most once. */
   | 'endedOnce'
-  /** Room is reserved only for a task that is followed. */
+  /** Capacity is reserved only for a task that is tracked. */
   | 'reservationHasTask'
-  /** The version of a document in force never falls. */
+  /** The version of a document in force never decreases. */
   | 'versionNeverFalls'
-  /** A permit ends before a successor that this process knows may place. */
+  /** A permit ends before a known successor of its process may place tasks. */
   | 'permitEndsBeforeSuccession'
-  /** An owner acts on a worker only under a permit of the present epoch. */
+  /** An owner acts on a worker only under a permit of the current epoch. */
   | 'ownerHasPermit'
   /** Placed and adopted tasks never exceed a worker's capacity. */
   | 'withinCapacity';
 
-/** Reports a broken invariant; the caller leaves out the unsafe action. */
+/** Returns the effects that report a violation; the caller skips the action. */
 export function violation(
   name: InvariantName,
   fields: Readonly<Record<string, string | number | boolean>>,
