--- a/src/contracts/identity_issuer.ts
+++ b/src/contracts/identity_issuer.ts
@@ -2,55 +2,55 @@
 import type * as clock from '../machines/clock.js';
 import type * as randomSource from '../machines/random_source.js';
 
-/** The parts of a request identity. */
+/** Components of a request identity. */
 export interface IdentityParts {
   readonly home: string;
   readonly sequence: number;
   readonly secret: string;
 }
 
-/** What the home knows of an identity that a client presents. */
+/** Result of checking an identity that a client presents to its home. */
 export type IdentityStatus =
   | 'valid'
-  /** Malformed, issued elsewhere or to another client. */
+  /** Malformed, issued by another process or to another client. */
   | 'foreign'
   /** Issued so long ago that its outcome may have been forgotten. */
   | 'expired'
   /** Its client was told that its request was not run. */
   | 'refused';
 
-/** Time in which an identity has to be used for the first time. */
+/** Time after its issue in which an identity must first be used. */
 export const IDENTITY_VALIDITY_MS = 3_600_000;
 
 /**
- * Refused identities that are remembered, about 4 MB. Past it the oldest ones
- * expire, with all that were issued before them.
+ * Maximum number of refused identities in memory, about 4 MB. Beyond it the
+ * oldest refused identity expires, together with all issued before it.
  */
 const MAX_REFUSED_IDENTITIES = 50_000;
 
-/** Hexadecimal digits of the part that nobody can guess: 96 bits. */
+/** Length of the secret: 96 bits, so that it can't be guessed. */
 const SECRET_HEX_DIGITS = 24;
 
-/** Hexadecimal digits of the key that binds identities to clients. */
+/** Length of the HMAC key that binds identities to clients. */
 const KEY_HEX_DIGITS = 64;
 
-/** Identities issued within this time expire together. */
+/** Identities issued within this interval expire together. */
 const ISSUE_BATCH_MS = 60_000;
 
 const IDENTITY_PATTERN = /^([a-z0-9.-]{1,80})_([0-9]{1,15})_([0-9a-f]{24})$/;
 
-/** Identities up to `through` that no earlier mark covers. */
+/** Identities up to `lastSequence` that no earlier batch contains. */
 interface IssueBatch {
-  /** When the first of them was issued. */
+  /** Issue time of the first identity in the batch. */
   readonly firstIssuedAt: clock.Milliseconds;
   readonly lastSequence: number;
 }
 
 /**
  * Issues identities whose home is one incarnation of a process. The secret is
- * a keyed hash over the sequence number and the client, so that the binding to
- * the client needs no table: clients that reserve identities without using
- * them occupy no memory. The key lives and dies with the process.
+ * a keyed hash of the sequence number and the client. The binding to the client
+ * therefore needs no table, and identities that are reserved but never used
+ * occupy no memory. The key is generated at start and never stored.
  */
 export class IdentityIssuer {
   private readonly key: string;
@@ -67,18 +67,18 @@
     this.key = random.hexadecimal(KEY_HEX_DIGITS);
   }
 
-  /** Returns an identity that this issuer has not returned before. */
+  /** Returns a new identity, bound to `client`. */
   issue(client: string, now: clock.Milliseconds): string {
     this.lastSequence += 1;
     this.addToBatch(now);
-    const secret = this.secret(this.lastSequence, client);
+    const secret = this.secretFor(this.lastSequence, client);
     return `${this.home}_${this.lastSequence}_${secret}`;
   }
 
   /**
    * Checks an identity that is used for the first time. An outcome is kept for
-   * `IDENTITY_LIFETIME_MS` after its end, so that an identity whose outcome
-   * was forgotten is always expired and can't run again.
+   * at least `IDENTITY_VALIDITY_MS` after the end of the request. An identity
+   * whose outcome was forgotten has therefore expired and can't run again.
    */
   check(
     identity: string,
@@ -87,7 +87,7 @@
   ): IdentityStatus {
     const parts = parse(identity);
     if (parts === undefined || parts.home !== this.home) return 'foreign';
-    const expected = Buffer.from(this.secret(parts.sequence, client));
+    const expected = Buffer.from(this.secretFor(parts.sequence, client));
     const presented = Buffer.from(parts.secret);
     if (!crypto.timingSafeEqual(expected, presented)) return 'foreign';
     if (parts.sequence <= this.updateLastExpiredSequence(now)) return 'expired';
@@ -95,8 +95,9 @@
   }
 
   /**
-   * Makes sure that an identity is not used any more. An earlier call with it
-   * may still be on its way when its client is told that it was not run.
+   * Marks an identity as refused, so that it can't be used later. When its
+   * client is told that the request was not run, an earlier call with the same
+   * identity may still be in transit.
    */
   refuse(identity: string): void {
     const parts = parse(identity);
@@ -125,15 +126,15 @@
   }
 
   private updateLastExpiredSequence(now: clock.Milliseconds): number {
-    const isExpired = (known: IssueBatch): boolean =>
-      now - known.firstIssuedAt >= IDENTITY_VALIDITY_MS;
+    const isExpired = (batch: IssueBatch): boolean =>
+      now - batch.firstIssuedAt >= IDENTITY_VALIDITY_MS;
     const newestExpired = this.batches.filter(isExpired).at(-1);
     if (newestExpired === undefined) return this.lastExpiredSequence;
     this.lastExpiredSequence = Math.max(
       this.lastExpiredSequence,
       newestExpired.lastSequence,
     );
-    this.batches = this.batches.filter(known => !isExpired(known));
+    this.batches = this.batches.filter(batch => !isExpired(batch));
     this.forgetRefused(this.lastExpiredSequence);
     return this.lastExpiredSequence;
   }
@@ -144,7 +145,7 @@
     }
   }
 
-  private secret(sequence: number, client: string): string {
+  private secretFor(sequence: number, client: string): string {
     return crypto
       .createHmac('sha256', this.key)
       .update(`${this.home}_${sequence}_${client}`)
@@ -153,7 +154,7 @@
   }
 }
 
-/** Splits an identity; undefined when it is malformed. */
+/** Parses an identity; returns undefined if it is malformed. */
 export function parse(identity: string): IdentityParts | undefined {
   const match = IDENTITY_PATTERN.exec(identity);
   if (match === null) return undefined;
--- a/src/contracts/incoming_offers.ts
+++ b/src/contracts/incoming_offers.ts
@@ -9,9 +9,9 @@
 import type * as requestLifecycle from './request_lifecycle.js';
 import type * as requestTable from './request_table.js';
 
-/** Queue that an offered request passes through in one turn. */
+/** Queue that admits an offered request and places it in the same turn. */
 export interface AdmissionQueue extends requestLifecycle.PlacementQueue {
-  /** Takes a request in, or returns why not. */
+  /** Queues a request, or returns why it is refused. */
   admit(
     admitted: request.Request,
     now: clock.Milliseconds,
@@ -19,7 +19,7 @@
   waitingCount(): number;
 }
 
-/** The objects that an offer host works with. */
+/** Objects that `IncomingOffers` uses. */
 export interface IncomingOffersParts {
   readonly self: string;
   readonly builder: requestBuilder.RequestBuilder;
@@ -30,8 +30,9 @@
 }
 
 /**
- * Runs what other processes offer. An offer is placed in the turn in which it
- * arrives or refused for good: the refused identity never runs here.
+ * Runs requests that other processes offer. An offer is either placed in the
+ * turn in which it arrives or refused permanently, so that it never runs here
+ * later.
  */
 export class IncomingOffers {
   private readonly waitingCalls = new Map<string, event.CallNumber[]>();
@@ -39,12 +40,12 @@
 
   constructor(private readonly parts: IncomingOffersParts) {}
 
-  /** Refuses further offers. */
+  /** Refuses all offers from now on. */
   drain(): void {
     this.draining = true;
   }
 
-  /** Handles offers and withdrawals; ignores other events. */
+  /** Handles offers and withdrawals; ignores events of other kinds. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -59,7 +60,7 @@
     }
   }
 
-  /** Answers the offers of requests that have ended. */
+  /** Answers the offers that wait for the end of this request. */
   answerEnded(entry: requestTable.RequestEntry): ReadonlyArray<effects.Effect> {
     const {identity} = entry.request;
     const calls = this.waitingCalls.get(identity) ?? [];
@@ -90,7 +91,10 @@
     return this.answerAtEnd(known, call);
   }
 
-  /** An earlier offer that ended as not run makes room for a later one. */
+  /**
+   * Returns the entry that answers an offer. An entry that ended as not run is
+   * removed when its home makes a later offer, which may run.
+   */
   private entryForAttempt(
     identity: string,
     attempt: number,
@@ -131,7 +135,7 @@
       return [answerOffer(call, 'cancelled')];
     }
     if (this.draining) return this.refuse(offer, 'draining', now);
-    // What waits here already goes first.
+    // Requests that are queued here go before offered ones.
     if (queue.waitingCount() > 0) return this.refuse(offer, 'queueFull', now);
     const sender = {identity, client, reserved: true};
     const built = builder
