--- a/src/contracts/journal_backend.ts
+++ b/src/contracts/journal_backend.ts
@@ -4,7 +4,7 @@
 import type * as processDirectory from './process_directory.js';
 import type * as result from '../result.js';
 
-/** What is recorded of a non-idempotent request. */
+/** Journal entry about a non-idempotent request. */
 export type JournalEntry =
   | {
       /** Written before the start of a task. */
@@ -13,7 +13,7 @@
       readonly client: string;
       readonly task: string;
       readonly taskCount: number;
-      /** Placements of the request so far; only the last one may have run. */
+      /** Number of this placement; only the last placement may have run. */
       readonly attempt: number;
       readonly worker: string;
       /** Latest lease end of the start, on the worker's clock. */
@@ -33,32 +33,32 @@
       readonly result: result.ResultName;
       readonly detail: string;
       readonly answer: string;
-      /** False when the answer was too long to be kept. */
+      /** False if the answer was dropped because it is too long. */
       readonly answerKept: boolean;
     };
 
-/** An entry with its number, by which readers drop duplicates. */
+/** A numbered entry; readers drop duplicates by the number. */
 export interface JournalRecord {
   readonly number: number;
   readonly entry: JournalEntry;
 }
 
-/** What a journal learnt from an event. */
+/** Newly recorded entries and the effects of handling one event. */
 export interface JournalOutput {
-  /** Numbers of the entries that are recorded from now on. */
+  /** Numbers of the entries that became durable with this event. */
   readonly recorded: ReadonlyArray<number>;
   readonly effects: ReadonlyArray<effect.Effect>;
 }
 
-/** Makes entries outlast this process; an event tells when they do. */
+/** Stores journal entries so that they survive this process. */
 export interface JournalBackend {
-  /** Takes an entry; it is recorded when a later turn says so. */
+  /** Queues an entry; the output of `handle` names it once it is recorded. */
   record(record: JournalRecord): void;
-  /** Sends what waits and learns what was recorded. */
+  /** Handles acknowledgements and sends queued entries. */
   handle(handled: event.Event, now: clock.Milliseconds): JournalOutput;
-  /** Sends what waits, as far as it may be sent now. */
+  /** Sends queued entries if a batch may be sent now. */
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect>;
-  /** Whether entries can be recorded at present, as far as is known. */
+  /** Whether entries can currently be recorded, as far as is known. */
   isAvailable(): boolean;
   /** Entries that are not yet recorded. */
   pendingRecords(): ReadonlyArray<JournalRecord>;
@@ -67,28 +67,28 @@
   nextDeadline(): clock.Milliseconds;
 }
 
-/** Most entries of one append or of one message to a witness. */
+/** Maximum number of entries in one append or one message to a witness. */
 const MAX_BATCH_ENTRIES = 500;
 
-/** Time after which a failed read of the own stream is tried again. */
+/** Time after which a failed read of this process's stream is retried. */
 const READ_RETRY_INTERVAL_MS = 1_000;
 
-/** Time for witnesses to acknowledge before a batch is sent again. */
+/** Time after which a batch that a witness did not acknowledge is resent. */
 const WITNESS_TIMEOUT_MS = 1_500;
 
 const EMPTY_OUTPUT: JournalOutput = {recorded: [], effects: []};
 
-/** Returns the stream that holds the journal of a process. */
+/** Returns the name of the log stream that holds the journal of a process. */
 export function journalStream(process: string): string {
   return `journal/${process}`;
 }
 
-/** Returns a record as text. */
+/** Serialises a record as JSON. */
 export function encodeRecord(record: JournalRecord): string {
   return JSON.stringify(record);
 }
 
-/** Reads a record; undefined when the text is none. */
+/** Parses a record; returns undefined if the text is not a valid record. */
 export function decodeRecord(text: string): JournalRecord | undefined {
   try {
     const parsed = JSON.parse(text) as Partial<JournalRecord>;
@@ -103,9 +103,9 @@
 type AppendPhase = 'idle' | 'appending' | 'checking';
 
 /**
- * Records entries in the log. One append is open at a time. After a lost
- * answer the stream is read up to its tail: what it shows is recorded, and the
- * rest is appended again.
+ * Records entries in the log with one open append at a time. If the answer to
+ * an append is lost, the stream is read up to its tail: entries found there
+ * are recorded, and the others are appended again.
  */
 export class LogJournal implements JournalBackend {
   private readonly stream: string;
@@ -117,12 +117,12 @@
   private nextOffset = 0;
   private nextAppendAt: clock.Milliseconds = 0;
   private nextReadAt: clock.Milliseconds = Infinity;
-  private answerLostAt: clock.Milliseconds = Infinity;
-  private logAnswers = true;
+  private appendLostAt: clock.Milliseconds = Infinity;
+  private isLogAnswering = true;
 
   constructor(
     process: string,
-    /** Least time between two appends. */
+    /** Returns the minimum time between two appends. */
     private readonly appendIntervalMs: () => clock.Milliseconds,
   ) {
     this.stream = journalStream(process);
@@ -133,7 +133,7 @@
   }
 
   isAvailable(): boolean {
-    return this.logAnswers;
+    return this.isLogAnswering;
   }
 
   pendingRecords(): ReadonlyArray<JournalRecord> {
@@ -192,11 +192,11 @@
   ): JournalOutput {
     if (this.phase !== 'appending') return EMPTY_OUTPUT;
     if (appended) {
-      this.logAnswers = true;
+      this.isLogAnswering = true;
       return this.finishAppend(this.batch, now);
     }
     this.phase = 'checking';
-    this.answerLostAt = now;
+    this.appendLostAt = now;
     this.numbersInLog.clear();
     return {recorded: [], effects: [this.readStream()]};
   }
@@ -214,10 +214,10 @@
     }
     if (this.phase !== 'checking') return EMPTY_OUTPUT;
     const isBehind = this.nextOffset < read.next && read.records.length > 0;
-    if (isBehind || read.sentAt < this.answerLostAt) {
+    if (isBehind || read.sentAt < this.appendLostAt) {
       return {recorded: [], effects: [this.readStream()]};
     }
-    this.logAnswers = true;
+    this.isLogAnswering = true;
     const found = this.batch.filter(item => this.numbersInLog.has(item.number));
     const missing = this.batch.filter(
       item => !this.numbersInLog.has(item.number),
@@ -242,7 +242,7 @@
 
   private readFailed(now: clock.Milliseconds): void {
     if (this.phase !== 'checking') return;
-    this.logAnswers = false;
+    this.isLogAnswering = false;
     this.nextReadAt = now + READ_RETRY_INTERVAL_MS;
   }
 
@@ -259,8 +259,8 @@
 }
 
 /**
- * Records entries with the other members of the zone while the log gives no
- * answer. An entry is recorded when every member has stored it.
+ * Records entries at the other members of the zone while the log does not
+ * answer. An entry is recorded once every member has stored it.
  */
 export class WitnessJournal implements JournalBackend {
   private queuedRecords: JournalRecord[] = [];
@@ -287,7 +287,7 @@
     return this.batch.length + this.queuedRecords.length;
   }
 
-  /** Drops entries that need no witness any more. */
+  /** Drops entries that no longer need a witness. */
   dropEntries(numbers: ReadonlySet<number>): void {
     const isNeeded = (item: JournalRecord): boolean =>
       !numbers.has(item.number);
@@ -340,7 +340,7 @@
 
   private timePassed(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.batch.length === 0 || now < this.batchDeadline) return [];
-    // The members may have changed: the batch goes to the present ones.
+    // The members may have changed, so the batch goes to the current ones.
     this.queuedRecords = [...this.batch, ...this.queuedRecords];
     this.batch = [];
     return this.flush(now);
--- a/src/contracts/request_journal.ts
+++ b/src/contracts/request_journal.ts
@@ -5,24 +5,25 @@
 import type * as processDirectory from './process_directory.js';
 
 /**
- * Most entries that wait for the log. Past it, endings are not recorded any
- * more, which costs recovery a question to the worker, and starts are refused.
+ * Maximum number of entries that wait for the log. Beyond it, starts are
+ * refused and the ends of requests are not recorded, so that recovery has to
+ * query the worker for them.
  */
 const MAX_PENDING_ENTRIES = 10_000;
 
-/** Appends of all entry processes together; the log accepts several hundred. */
+/** Limit over all entry processes; the log accepts several hundred a second. */
 const MAX_APPENDS_PER_SECOND = 300;
 
-/** Longest answer that is recorded, in bytes. */
+/** Longer answers are not recorded. */
 const MAX_ANSWER_BYTES = 4_096;
 
-/** What the keeper learnt from an event. */
+/** Newly recorded entries and the effects of handling one event. */
 export type RequestJournalOutput = journalBackend.JournalOutput;
 
 /**
- * The journal of this process. Every entry goes to the log; while the log
- * gives no answer it goes to witnesses as well, and the first of both that
- * acknowledges it counts.
+ * The request journal of this process. Every entry is appended to the log.
+ * During a log outage it is also sent to witnesses; it is recorded as soon as
+ * either of the two has acknowledged it.
  */
 export class RequestJournal {
   private readonly log: journalBackend.LogJournal;
@@ -41,7 +42,7 @@
     this.witnesses = new journalBackend.WitnessJournal(directory);
   }
 
-  /** Takes an entry and returns the number that `handle` will name. */
+  /** Queues an entry; `handle` reports the returned number once recorded. */
   record(entry: journalBackend.JournalEntry): number {
     this.lastEntryNumber += 1;
     const record = {
@@ -56,23 +57,23 @@
     return record.number;
   }
 
-  /** Whether a new entry has a chance to be recorded. */
+  /** Whether a new entry can probably be recorded. */
   isAvailable(): boolean {
     if (this.log.pendingCount() >= MAX_PENDING_ENTRIES) return false;
     return this.log.isAvailable() || this.witnesses.isAvailable();
   }
 
-  /** Whether the log gives no answer. */
+  /** Whether the log has stopped answering. */
   isLogOutage(): boolean {
     return this.logOutage;
   }
 
-  /** Entries that neither the log nor the witnesses hold. */
+  /** Returns how many entries neither the log nor the witnesses hold. */
   unrecordedCount(): number {
     return this.unrecordedNumbers.size;
   }
 
-  /** Learns what was recorded and sends what waits. */
+  /** Handles acknowledgements and sends queued entries. */
   handle(handled: event.Event, now: clock.Milliseconds): RequestJournalOutput {
     if (handled.kind === 'vmListRead') this.countProcesses(handled.vms);
     const fromLog = this.log.handle(handled, now);
@@ -92,7 +93,7 @@
     };
   }
 
-  /** Sends what waits, as far as it may be sent now. */
+  /** Sends queued entries if a batch may be sent now. */
   flush(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     return [...this.log.flush(now), ...this.witnesses.flush(now)];
   }
@@ -107,10 +108,10 @@
   }
 
   private updateLogOutage(): ReadonlyArray<effects.Effect> {
-    const outage = !this.log.isAvailable();
-    if (outage === this.logOutage) return [];
-    this.logOutage = outage;
-    if (outage) {
+    const isOutage = !this.log.isAvailable();
+    if (isOutage === this.logOutage) return [];
+    this.logOutage = isOutage;
+    if (isOutage) {
       for (const record of this.log.pendingRecords()) {
         this.witnesses.record(record);
       }
@@ -121,8 +122,8 @@
       this.witnesses.dropEntries(new Set(pendingNumbers));
     }
     return [
-      effects.count('journal_outage', {state: outage ? 'begun' : 'over'}),
-      effects.log('warn', outage ? 'journalOutage' : 'journalRestored'),
+      effects.count('journal_outage', {state: isOutage ? 'begun' : 'over'}),
+      effects.log('warn', isOutage ? 'journalOutage' : 'journalRestored'),
     ];
   }
 }
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -4,26 +4,26 @@
 import type * as event from './event.js';
 import type * as processDirectory from './process_directory.js';
 
-/** Time for which entries of a process are kept after its last one. */
-const RETENTION_MS = 7_200_000;
+/** Time for which the entries of a process are kept after the last one. */
+const ENTRY_RETENTION_MS = 7_200_000;
 
-/** Most entries that are kept for one process. */
+/** Further entries of the process are refused. */
 const MAX_ENTRIES_PER_PROCESS = 20_000;
 
-/** What one process asked this one to keep. */
+/** Journal entries that one other process has sent here. */
 interface StoredProcessEntries {
   readonly records: Map<number, string>;
   lastStoredAt: clock.Milliseconds;
 }
 
-/** What a witness can say of a process. */
+/** Entries of one process that a witness returns to recovery. */
 export interface WitnessedRecords {
-  /** Whether every entry that was sent to witnesses must have come here. */
+  /** Whether this witness has received every entry sent to witnesses. */
   readonly complete: boolean;
   readonly entries: ReadonlyArray<string>;
 }
 
-/** Keeps journal entries of other processes while the log gives no answer. */
+/** Stores journal entries of other processes during a log outage. */
 export class WitnessStore {
   private readonly entriesByProcess = new Map<string, StoredProcessEntries>();
 
@@ -32,7 +32,7 @@
     private readonly directory: processDirectory.ProcessDirectory,
   ) {}
 
-  /** Stores and returns entries; ignores other events. */
+  /** Handles calls that store or read entries; ignores other events. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -57,7 +57,7 @@
     }
   }
 
-  /** Returns what is kept of a process. */
+  /** Returns the stored entries of a process. */
   read(process: string): WitnessedRecords {
     const records = this.entriesByProcess.get(process)?.records;
     return {
@@ -71,7 +71,7 @@
     entries: ReadonlyArray<string>,
     now: clock.Milliseconds,
   ): boolean {
-    // Recovery has read this store already and must not be contradicted.
+    // Recovery may already have read this store and decided from its entries.
     if (this.directory.hasSuccessor(process, now)) return false;
     const storedEntries = this.entriesByProcess.get(process) ?? {
       records: new Map<number, string>(),
@@ -91,7 +91,7 @@
 
   private expire(now: clock.Milliseconds): void {
     for (const [process, storedEntries] of this.entriesByProcess) {
-      if (now - storedEntries.lastStoredAt >= RETENTION_MS) {
+      if (now - storedEntries.lastStoredAt >= ENTRY_RETENTION_MS) {
         this.entriesByProcess.delete(process);
       }
     }
