--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -26,7 +26,7 @@
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect>;
-  /** Blocks an identity from running here; returns false if it has begun. */
+  /** Blocks an identity from running here; false if it is already known. */
   preventRun(identity: string, now: clock.Milliseconds): boolean;
   /** Whether a submission may run twice; undefined when that is not known. */
   isIdempotent(call: IdentityCall): boolean | undefined;
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -8,25 +8,25 @@
 import type * as requestLifecycle from './request_lifecycle.js';
 import type * as requestTable from './request_table.js';
 
-/** Wait for room on own workers before a request is offered. */
+/** Time that a request waits for its home's workers before it is offered. */
 const OFFER_DELAY_MS = 250;
 
-/** Largest factor by which refusals lengthen the wait for the next offer. */
+/** Maximum factor by which refusals delay the next offer. */
 const MAX_BACKOFF_FACTOR = 8;
 
-/** Most offers that are open at a time. */
+/** Maximum number of offers that are open at the same time. */
 const MAX_OPEN_OFFERS = 16;
 
-/** Time after which an offer without an answer is sent again. */
+/** Time after which an unanswered offer is resent. */
 const RESEND_INTERVAL_MS = 1_000;
 
-/** Time in which the other process may start what it is offered. */
+/** Time within which the other process may start an offered request. */
 const OFFER_EXPIRY_MS = 2_000;
 
-/** Time for which a withdrawn identity is refused. */
+/** Time for which a withdrawn or refused identity stays blocked. */
 const TOMBSTONE_RETENTION_MS = 3_600_000;
 
-/** How often and by whom a request was refused. */
+/** Refusals of the offers of one request. */
 interface RefusalHistory {
   readonly count: number;
   readonly lastPeer: string;
@@ -34,41 +34,41 @@
   readonly nextOfferAt: clock.Milliseconds;
 }
 
-/** Offers of an identity that never run here. */
+/** Marks offers of an identity that must never run here. */
 interface Tombstone {
-  /** The last attempt that is refused. */
+  /** Number of the last blocked offer; earlier ones are blocked as well. */
   readonly lastAttempt: number;
   readonly createdAt: clock.Milliseconds;
 }
 
-/** An offer that this process has made. */
+/** An offer of this process whose outcome is not known yet. */
 interface OpenOffer {
   readonly identity: string;
   readonly peer: string;
   readonly address: string;
-  /** Counts the offers of the request; a sent one keeps its number. */
+  /** Number of the offer within its request; resending keeps the number. */
   readonly attempt: number;
-  /** Number of the journal entry that has to be recorded first; 0 for none. */
+  /** Number of the entry to be recorded before the offer is sent; 0: none. */
   readonly recordNumber: number;
-  /** Whether an offer was sent whose answer is missing. */
+  /** Whether the offer has been sent and its answer is missing. */
   readonly isSent: boolean;
   readonly resendAt: clock.Milliseconds;
 }
 
-/** An offer whose process has been succeeded. */
+/** An offer to a process whose successor has taken over. */
 export interface OrphanedOffer {
   readonly identity: string;
   readonly process: string;
 }
 
-/** What becomes of an offer. */
+/** Effects and orphaned offers that result from one event or call. */
 export interface OfferOutput {
   readonly effects: ReadonlyArray<effects.Effect>;
-  /** Offers whose process is dead; its journal decides. */
+  /** Offers to dead processes; recovery reads the outcome in their journals. */
   readonly orphaned: ReadonlyArray<OrphanedOffer>;
 }
 
-/** The objects that offers work with. */
+/** Objects that `OutgoingOffers` uses. */
 export interface OutgoingOffersParts {
   readonly table: requestTable.RequestTable;
   readonly queue: requestLifecycle.PlacementQueue;
@@ -78,9 +78,9 @@
 }
 
 /**
- * Offers that the home of a request makes to other processes of its zone while
- * its own workers are full. A request is offered to a further process, or
- * placed here, only when the last one has proved that it did not run it.
+ * Offers requests of this home to other processes of the zone while its own
+ * workers are full. A request is offered to another process or placed here
+ * only after the last offer is proved not to have run.
  */
 export class OutgoingOffers {
   private readonly openOffers = new Map<string, OpenOffer>();
@@ -91,7 +91,7 @@
 
   constructor(private readonly parts: OutgoingOffersParts) {}
 
-  /** Offers requests that have waited, as far as members are left. */
+  /** Offers requests that have waited long enough to other processes. */
   offerWaiting(
     waiting: ReadonlyArray<request.Request>,
     now: clock.Milliseconds,
@@ -103,7 +103,7 @@
     return this.takeOutput();
   }
 
-  /** Handles what other processes answer; ignores other events. */
+  /** Handles answers to offers and withdrawals; ignores other events. */
   handle(handled: event.Event, now: clock.Milliseconds): OfferOutput {
     switch (handled.kind) {
       case 'offerAnswered':
@@ -122,7 +122,7 @@
     return this.takeOutput();
   }
 
-  /** Sends the offers whose journal entries are recorded. */
+  /** Sends the offers whose journal entries have been recorded. */
   sendRecorded(
     numbers: ReadonlyArray<number>,
     now: clock.Milliseconds,
@@ -135,7 +135,7 @@
     return this.takeOutput();
   }
 
-  /** Withdraws the offer of a cancelled request; false without an offer. */
+  /** Withdraws the offer of a cancelled request; undefined without an offer. */
   cancel(identity: string, now: clock.Milliseconds): OfferOutput | undefined {
     const offer = this.openOffers.get(identity);
     if (offer === undefined) return undefined;
@@ -156,7 +156,7 @@
     return this.takeOutput();
   }
 
-  /** Takes what recovery found of an offer whose process is dead. */
+  /** Applies the outcome that recovery found for an offer to a dead process. */
   resolve(
     identity: string,
     process: string,
@@ -172,8 +172,8 @@
   }
 
   /**
-   * Makes sure that offers of an identity up to `attempt` never run here;
-   * false when the identity has begun to run.
+   * Blocks offers of an identity up to `attempt` from running here. Returns
+   * false if a request with this identity is already known here.
    */
   preventRun(
     identity: string,
@@ -183,20 +183,20 @@
     if (this.parts.table.get(identity) !== undefined) return false;
     const refusedAttempt =
       this.tombstones.get(identity)?.lastAttempt ?? attempt;
-    // Taken out first, so that the order stays by time.
+    // Deleted first, because `expire` needs the map in order of creation.
     this.tombstones.delete(identity);
     const latest = Math.max(refusedAttempt, attempt);
     this.tombstones.set(identity, {lastAttempt: latest, createdAt: now});
     return true;
   }
 
-  /** Whether an offer was withdrawn or refused before it arrived. */
+  /** Whether an offer was withdrawn or refused before it arrived here. */
   isRunPrevented(identity: string, attempt: number): boolean {
     const tombstone = this.tombstones.get(identity);
     return tombstone !== undefined && attempt <= tombstone.lastAttempt;
   }
 
-  /** Forgets refusals and tombstones that are no longer needed. */
+  /** Drops the refusals of forgotten requests, and expired tombstones. */
   expire(forgotten: ReadonlyArray<string>, now: clock.Milliseconds): void {
     for (const identity of forgotten) this.refusals.delete(identity);
     for (const [identity, {createdAt}] of this.tombstones) {
@@ -216,7 +216,7 @@
   private offer(candidate: request.Request, now: clock.Milliseconds): void {
     if (now - candidate.arrivedAt < OFFER_DELAY_MS) return;
     const {identity, client, workload} = candidate;
-    // A single replica of a service is replaced where the others run.
+    // The replacement of a single replica stays where the other replicas run.
     if (candidate.taskCount !== workload.taskCount) return;
     const member = this.choosePeer(identity, now);
     if (member === undefined) return;
@@ -265,7 +265,7 @@
     );
     const candidates = others.length > 0 ? others : accepting;
     if (candidates.length === 0) return undefined;
-    // Offers alternate, so that a wave does not meet one process alone.
+    // Offers alternate so that a burst is spread over several processes.
     return candidates[this.openOffers.size % candidates.length];
   }
 
@@ -326,7 +326,7 @@
     this.requeue(offer, now);
   }
 
-  /** The offered request is proved not run: it is queued here again. */
+  /** Queues an offered request here again after it is proved not run. */
   private requeue(offer: OpenOffer, now: clock.Milliseconds): void {
     const {identity} = offer;
     this.openOffers.delete(identity);
@@ -369,7 +369,7 @@
     });
     this.parts.table.change(offer.identity, {
       state: 'unknown',
-      reason: `${offer.peer} gave no answer to the offer`,
+      reason: `${offer.peer} did not answer the offer`,
     });
   }
 
@@ -383,7 +383,10 @@
     if (row?.execution === 'notRun') this.handleRefusal(offer, now);
   }
 
-  /** The same process is asked again: it joins the call to what it runs. */
+  /**
+   * Resends unanswered offers to the same process, which answers a repeated
+   * offer together with the first one.
+   */
   private resendOverdue(now: clock.Milliseconds): void {
     for (const offer of [...this.openOffers.values()]) {
       if (now < offer.resendAt) continue;
@@ -406,7 +409,7 @@
       resendAt: now + RESEND_INTERVAL_MS,
     });
     if (this.parts.journal.isAvailable()) return;
-    // Nothing was sent, so the request is still free to be placed here.
+    // The offer was not sent, so the request can safely be placed here.
     this.requeue(offer, now);
   }
 
