--- a/src/contracts/outcome_rule.ts
+++ b/src/contracts/outcome_rule.ts
@@ -15,26 +15,26 @@
   {readonly kind: 'finished'}
 >;
 
-/** A report that was requested after the home's permits had ended. */
+/** A worker's report that was requested after the home's permits had ended. */
 export interface ConclusiveReport {
   readonly workerClock: clock.Milliseconds;
   readonly tasks: ReadonlyMap<string, task.TaskReport>;
 }
 
-/** What is known of an identity whose home is dead. */
+/** Everything read about an identity whose home is dead. */
 export interface Evidence {
-  /** Records of the identity, in any order and with duplicates. */
+  /** Records of the identity, in any order and possibly with duplicates. */
   readonly records: ReadonlyArray<journalBackend.JournalRecord>;
   /** Whether the stream was read from its first record to its tail. */
   readonly logComplete: boolean;
-  /** Whether a witness answered that missed no entry. */
+  /** Whether a witness has answered that received every entry. */
   readonly witnessComplete: boolean;
   readonly reports: ReadonlyMap<string, ConclusiveReport>;
-  /** Answers that were fetched, by task. */
+  /** Outcomes with the answers that were fetched from workers, by task. */
   readonly answers: ReadonlyMap<string, requestTable.RequestOutcome>;
 }
 
-/** What follows from the evidence. */
+/** Outcome of an identity, or the next step to find it. */
 export type Finding =
   | {readonly kind: 'ended'; readonly outcome: requestTable.RequestOutcome}
   | {readonly kind: 'notRun'}
@@ -46,16 +46,16 @@
       readonly worker: string;
       readonly task: string;
     }
-  /** Further reports may decide. */
+  /** Not decided yet; a later report may decide. */
   | {readonly kind: 'unknown'}
-  /** Nothing that may still be read decides. */
+  /** Never to be decided: no remaining source can prove the outcome. */
   | {readonly kind: 'lost'};
 
 const LOST: Finding = {kind: 'lost'};
 
 /**
- * Decides the outcome of an identity whose home can't start anything any more.
- * The rules never guess: without proof the outcome stays unknown.
+ * Determines the outcome of an identity whose home can no longer start tasks.
+ * The outcome is reported only if it is proved, otherwise as unknown or lost.
  */
 export function decide(evidence: Evidence): Finding {
   const entries = orderedEntries(evidence.records);
@@ -63,13 +63,16 @@
   if (last === undefined) return ifComplete(evidence, {kind: 'notRun'});
   if (last.kind === 'finished') return decideByFinishedEntry(last, evidence);
   if (last.kind === 'offered') {
-    // Without all records, the home may have started it elsewhere later.
+    // A missing later record may show that the home started it elsewhere.
     return ifComplete(evidence, {kind: 'offered', process: last.process});
   }
   return decideByReports(lastAttempt(entries), evidence);
 }
 
-/** A refused offer may have been followed by one that ran. */
+/**
+ * Trusts an end that shows "not run" only if all records are known, because a
+ * later offer of the same request may have run.
+ */
 function decideByFinishedEntry(
   finished: FinishedJournalEntry,
   evidence: Evidence,
@@ -89,8 +92,8 @@
 }
 
 /**
- * Returns the starts of the last attempt. What was recorded before it was
- * proved not run before it was recorded.
+ * Returns the starts of the last attempt. It was recorded only after every
+ * earlier attempt had been proved not run.
  */
 function lastAttempt(
   entries: ReadonlyArray<journalBackend.JournalEntry>,
@@ -110,7 +113,7 @@
   if (!finished.answerKept) {
     return {
       result: 'answerLost',
-      detail: 'the answer is longer than what the journal keeps',
+      detail: 'the answer was too long to be recorded in the journal',
       answer: '',
     };
   }
@@ -118,7 +121,7 @@
   return {result, detail, answer};
 }
 
-/** A later record may exist that was not read, unless all sources are whole. */
+/** Returns `finding`, or `lost` if an unread source may hold a later record. */
 function ifComplete(evidence: Evidence, finding: Finding): Finding {
   return evidence.logComplete && evidence.witnessComplete ? finding : LOST;
 }
--- a/src/contracts/retry_budget.ts
+++ b/src/contracts/retry_budget.ts
@@ -1,21 +1,21 @@
 import type * as clock from '../machines/clock.js';
 
-/** Retries that each successful call earns. */
+/** Share of a retry that each successful request earns. */
 const RETRIES_EARNED_PER_SUCCESS = 0.1;
 
-/** Retries a second that are granted without any success. */
+/** Granted even if no request succeeds. */
 const RETRIES_GRANTED_PER_SECOND = 1;
 
-/** Retries that can be saved; a larger stock would feed a retry storm. */
+/** Upper limit of saved retries; a larger stock would feed a retry storm. */
 const MAX_EARNED_RETRIES = 100;
 
-/** The one retry budget of a process; every retry is paid from it. */
+/** Retry budget of a process; every retry is paid from this one budget. */
 export class RetryBudget {
   private earnedRetries = 0;
   private grantedRetries = RETRIES_GRANTED_PER_SECOND;
   private grantUpdatedAt = 0;
 
-  /** Earns a part of a retry. */
+  /** Adds the share of a retry that a success earns. */
   recordSuccess(): void {
     this.earnedRetries = Math.min(
       MAX_EARNED_RETRIES,
@@ -23,7 +23,7 @@
     );
   }
 
-  /** Pays for one retry; returns false when the budget is spent. */
+  /** Takes one retry from the budget; returns false if the budget is spent. */
   trySpend(now: clock.Milliseconds): boolean {
     const elapsedSeconds = Math.max(0, now - this.grantUpdatedAt) / 1_000;
     this.grantUpdatedAt = now;
