--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -1,28 +1,28 @@
 import type * as clock from '../machines/clock.js';
 
-/** Another entry process and where it listens for peers. */
+/** Another entry process and its address for peer calls. */
 export interface PeerProcess {
   readonly process: string;
   readonly address: string;
 }
 
-/** What this process knows of other entry processes. */
+/** Looks up other entry processes and their membership. */
 export interface ProcessDirectory {
-  /** Whether this process is a member, so that it will be succeeded. */
+  /** Whether this process is a member, so that a successor can take over. */
   hasJoined(): boolean;
-  /** The other members of the own zone that may be alive. */
+  /** Other members of this process's zone that may be alive. */
   members(): ReadonlyArray<PeerProcess>;
-  /** Members that take offers. */
+  /** Other members of the zone that accept offers. */
   offerCandidates(): ReadonlyArray<PeerProcess>;
-  /** Whether a process of the own zone has neither left nor been claimed. */
+  /** Whether a process of this zone has neither left nor been claimed. */
   isMember(process: string): boolean;
-  /** Address of a process of the own zone that may be alive. */
+  /** Address of a process of this zone that may be alive. */
   address(process: string): string | undefined;
-  /** A process of another zone that knows what became of `process`. */
+  /** Process that forwards calls to `process`, which is in another zone. */
   relayFor(process: string): PeerProcess | undefined;
-  /** Notes that an address gave no answer; another one relays next. */
+  /** Marks an address that did not answer, so that another one relays next. */
   markUnreachable(address: string): void;
-  /** Whether a process was succeeded and all its permits have ended. */
+  /** Whether a successor has taken over and all permits have ended. */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean;
   /** Whether this process has been a member since before `process` joined. */
   joinedBefore(process: string): boolean;
--- a/src/contracts/request.ts
+++ b/src/contracts/request.ts
@@ -2,19 +2,19 @@
 import type * as resources from '../machines/resources.js';
 import type * as workload from './workload.js';
 
-/** What a client asks for. */
+/** Request as a client submits it. */
 export interface Submission {
   readonly team: string;
   readonly workload: string;
   /** Passed to the tasks unchanged. */
   readonly payload: string;
-  /** Overrides the declared size of one task. */
+  /** Overrides the workload's size of one task. */
   readonly size?: resources.Resources;
-  /** Longest wait for a start in milliseconds; overrides the workload's. */
+  /** Maximum wait for the start in milliseconds; overrides the workload's. */
   readonly startDeadlineMs?: number;
 }
 
-/** An admitted request with everything that placement needs. */
+/** Admitted request with the data that placement needs. */
 export interface Request {
   readonly identity: string;
   readonly client: string;
--- a/src/contracts/request_builder.ts
+++ b/src/contracts/request_builder.ts
@@ -4,12 +4,12 @@
 import type * as configuration from './configuration.js';
 import type * as request from './request.js';
 
-/** The documents in force. */
+/** Provides the configuration in force. */
 export interface ConfigurationProvider {
   current(): configuration.Configuration;
 }
 
-/** Who sends a submission, and under which identity. */
+/** Client that sends a submission, and the identity that it uses. */
 export interface SubmissionSender {
   readonly identity: string;
   readonly client: string;
@@ -17,11 +17,11 @@
   readonly reserved: boolean;
 }
 
-/** Builds requests from what clients submit and teams have configured. */
+/** Builds requests from submissions and the configuration of their teams. */
 export class RequestBuilder {
   constructor(private readonly documents: ConfigurationProvider) {}
 
-  /** Returns the request, or why the submission is refused. */
+  /** Returns the request, or the reason for refusing the submission. */
   build(
     submission: request.Submission,
     sender: SubmissionSender,
@@ -29,7 +29,7 @@
   ): either.Either<result.Failure, request.Request> {
     const {teams, versions} = this.documents.current();
     if (teams.size === 0 && versions.size === 0) {
-      return refuse('noConfiguration', 'no document has been read yet');
+      return refuse('noConfiguration', 'no configuration document is read yet');
     }
     const team = teams.get(submission.team);
     if (team === undefined) {
@@ -50,7 +50,7 @@
     if (workload === undefined) {
       return refuse(
         'unknownWorkload',
-        `workload: team ${team.name} has no ${submission.workload}`,
+        `workload: team ${team.name} has no workload ${submission.workload}`,
       );
     }
     if (!workload.idempotent && !sender.reserved) {
@@ -73,7 +73,7 @@
     });
   }
 
-  /** Whether a submission may run twice; undefined when it is not known. */
+  /** Whether a submission may run twice; undefined if it is not configured. */
   isIdempotent(submission: request.Submission): boolean | undefined {
     const team = this.documents.current().teams.get(submission.team);
     return team?.workloads.find(item => item.name === submission.workload)
