--- a/src/contracts/outcome_recovery.ts
+++ b/src/contracts/outcome_recovery.ts
@@ -8,19 +8,19 @@
 import type * as trackedTask from '../machines/tracked_task.js';
 import type * as witnessStore from './witness_store.js';
 
-/** Time between two attempts to get what a query lacks. */
+/** Interval at which missing records and reports of a query are requested. */
 const QUERY_INTERVAL_MS = 1_000;
 
-/** Time after which the fetch of an ended task's answer is sent again. */
+/** Time after which an unanswered fetch of a task's answer is resent. */
 const FETCH_RETRY_MS = 2_000;
 
-/** Age up to which a report is used for a further query. */
+/** Maximum age of a report that is reused for another query. */
 const REPORT_VALIDITY_MS = 3_000;
 
-/** Time for which a dead process's journal is kept after the last query. */
+/** Time after the last use for which a dead process's journal is cached. */
 const JOURNAL_COPY_RETENTION_MS = 600_000;
 
-/** Most endings that are kept, of requests and of adopted tasks each. */
+/** Maximum number of cached outcomes, separately for requests and tasks. */
 const MAX_KEPT_OUTCOMES = 10_000;
 
 const RESULT_BY_END_STATE = {
@@ -32,40 +32,40 @@
   answerLost: 'answerLost',
 } as const;
 
-/** Where workers listen. */
+/** Looks up the addresses of workers. */
 export interface WorkerDirectory {
   address(worker: string): string | undefined;
-  /** Whether the worker's VM does not exist any more. */
+  /** Whether the worker's VM no longer exists. */
   isGone(worker: string): boolean;
 }
 
-/** An identity whose outcome is to be found. */
+/** Query for the outcome of an identity. */
 export interface OutcomeQuery {
   readonly identity: string;
-  /** Client that asks; a record of another client gives it no answer. */
+  /** Client that asks; records of other clients are never shown to it. */
   readonly client: string;
-  /** Dead process whose journal decides. */
+  /** Dead process whose journal holds the records of the identity. */
   readonly process: string;
 }
 
-/** The answer to a query. */
+/** Query together with the outcome that recovery found. */
 export interface RecoveryResult {
   readonly query: OutcomeQuery;
   readonly finding: outcomeRule.Finding | {readonly kind: 'foreign'};
 }
 
-/** What recovery learnt from an event. */
+/** Resolved queries and effects of one event. */
 export interface RecoveryOutput {
   readonly results: ReadonlyArray<RecoveryResult>;
   readonly effects: ReadonlyArray<effects.Effect>;
 }
 
-/** What is read of a dead process. */
+/** Records of a dead process, as read from the log and from witnesses. */
 interface JournalCopy {
   readonly records: Map<string, journalBackend.JournalRecord[]>;
   nextOffset: number;
   isAtTail: boolean;
-  /** False when the log had trimmed records before they were read. */
+  /** False if the log had trimmed records before they were read. */
   isUntrimmed: boolean;
   nextReadAt: clock.Milliseconds;
   readonly unansweredWitnesses: Set<string>;
@@ -93,8 +93,8 @@
 }
 
 /**
- * Finds the outcomes of identities whose home is dead, from the home's journal
- * in the log, from witnesses, and from the reports of workers.
+ * Finds the outcomes of identities whose home is dead. It reads the home's
+ * journal in the log, the entries stored by witnesses, and worker reports.
  */
 export class OutcomeRecovery {
   private readonly journalCopies = new Map<string, JournalCopy>();
@@ -115,7 +115,7 @@
     private readonly witnesses: witnessStore.WitnessStore,
   ) {}
 
-  /** Asks for the outcome of an identity; the process must be succeeded. */
+  /** Starts a query; the queried process must already have a successor. */
   query(query: OutcomeQuery, now: clock.Milliseconds): RecoveryOutput {
     const known = this.knownOutcomes.get(query.identity);
     if (known !== undefined) {
@@ -136,12 +136,12 @@
     return this.takeOutput();
   }
 
-  /** Gives up a query that nobody waits for any more. */
+  /** Cancels a query that no caller waits for. */
   cancelQuery(query: OutcomeQuery): void {
     this.openQueries.delete(keyOf(query));
   }
 
-  /** Keeps how an adopted task ended; its journal may ask for it later. */
+  /** Caches the outcome of an adopted task; a later query may need it. */
   recordTaskOutcome(outcome: trackedTask.TaskOutcome): void {
     if (outcome.kind !== 'ended') return;
     const {end, answer, reference} = outcome;
@@ -153,12 +153,12 @@
     });
   }
 
-  /** Whether an answer of this task was asked for here. */
+  /** Whether recovery has requested the answer of this task. */
   isFetching(task: string): boolean {
     return this.openFetches.has(task);
   }
 
-  /** Takes what was asked for; ignores other events. */
+  /** Handles the answers that recovery requested; ignores other events. */
   handle(handled: event.Event, now: clock.Milliseconds): RecoveryOutput {
     if (this.openQueries.size === 0 && this.journalCopies.size === 0) {
       return this.takeOutput();
@@ -340,7 +340,7 @@
     this.actOnFinding(openQuery, journalCopy, finding, now);
   }
 
-  /** Only a report from after the end of the home's permits proves anything. */
+  /** Returns recent reports requested after the end of the home's permits. */
   private conclusiveReports(
     process: string,
     now: clock.Milliseconds,
@@ -387,7 +387,7 @@
       case 'running':
       case 'unknown':
       case 'lost':
-        // An incomplete source may still show a later record.
+        // A source that is not fully read may still contain a later record.
         if (
           journalCopy.isAtTail &&
           this.unansweredWitnesses(journalCopy).length === 0
@@ -430,7 +430,7 @@
   ): void {
     const address = this.workers.address(worker);
     const sentAt = this.openFetches.get(task)?.sentAt ?? -Infinity;
-    // An ended task is answered at once, so a late answer is a lost one.
+    // Workers answer for an ended task at once, so a late answer is lost.
     if (address === undefined || now - sentAt < FETCH_RETRY_MS) return;
     this.openFetches.set(task, {worker, sentAt: now});
     this.effects.push({kind: 'fetchTaskAnswer', worker, address, task});
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -18,7 +18,7 @@
   isMember(process: string): boolean;
   /** Address of a process of this zone that may be alive. */
   address(process: string): string | undefined;
-  /** Process that forwards calls to `process`, which is in another zone. */
+  /** Process of another zone that relays calls about `process` there. */
   relayFor(process: string): PeerProcess | undefined;
   /** Marks an address that did not answer, so that another one relays next. */
   markUnreachable(address: string): void;
