--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -12,43 +12,43 @@
 import type * as taskRunner from '../machines/task_runner.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
-/** Time for the journal to acknowledge; the rest is for the start's lease. */
+/** Time for the journal to acknowledge a start; the rest is for its lease. */
 const RECORD_TIMEOUT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
 
-/** Most placements of a request whose tasks keep failing. */
+/** Maximum number of placements of a request whose tasks keep failing. */
 const MAX_ATTEMPTS = 3;
 
-/** Whether failed work may be tried again; one budget a process. */
+/** Limits retries; all requests of a process share one budget. */
 export interface RetryLimiter {
-  /** Takes one retry out of the budget; false when it is spent. */
+  /** Takes one retry from the budget; returns false if it is spent. */
   trySpend(now: clock.Milliseconds): boolean;
-  /** Notes a call that succeeded. */
+  /** Adds the share of a retry that a successful request earns. */
   recordSuccess(now: clock.Milliseconds): void;
 }
 
-/** The part of the scheduler that places waiting requests. */
+/** Queue from which the scheduler places requests. */
 export interface PlacementQueue {
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement>;
   requeue(returned: request.Request): void;
   remove(identity: string): boolean;
-  /** Learns what became of a task. */
+  /** Updates the scheduler with the outcome of a task. */
   observe(outcome: trackedTask.TaskOutcome, now: clock.Milliseconds): void;
 }
 
-/** A task of a service that is to be replaced. */
+/** A lost task of a service that has to be replaced. */
 interface LostReplica {
   readonly attempt: attempts.Attempt;
   readonly task: string;
 }
 
-/** What one event led to. */
+/** Effects of one event and the journal entries that it acknowledged. */
 export interface LifecycleOutput {
   readonly effects: ReadonlyArray<effects.Effect>;
-  /** Numbers of the journal entries that are recorded from now on. */
+  /** Numbers of the journal entries that became durable with this event. */
   readonly recorded: ReadonlyArray<number>;
 }
 
-/** The objects that a lifecycle works with. */
+/** Objects that `RequestLifecycle` uses. */
 export interface RequestLifecycleParts {
   readonly table: requestTable.RequestTable;
   readonly queue: PlacementQueue;
@@ -59,20 +59,20 @@
 }
 
 /**
- * Takes placed requests through record, start and end. Nothing is sent for a
- * request that needs a record before the record is acknowledged, and nothing
- * is placed again before every earlier task is proved not to run any more.
+ * Records, starts and ends placed requests. If a request needs a record, no
+ * start is sent before the record is acknowledged. No request is placed again
+ * before every earlier task is proved to have stopped or never to have run.
  */
 export class RequestLifecycle {
   private readonly attempts = new Map<string, attempts.Attempt>();
   private readonly recordingAttempts = new Map<number, attempts.Attempt>();
-  /** Lost tasks of services that wait for the retry budget. */
+  /** Lost tasks of services whose replacement waits for the retry budget. */
   private postponed: LostReplica[] = [];
   private unmatchedOutcomes: trackedTask.TaskOutcome[] = [];
 
   constructor(private readonly parts: RequestLifecycleParts) {}
 
-  /** Places what waits and records or starts it. */
+  /** Places waiting requests and records or starts them. */
   placeWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     const placedAttempts = new Set<attempts.Attempt>();
     for (const placement of this.parts.queue.place(now)) {
@@ -84,7 +84,7 @@
     return [...produced, ...this.parts.journal.flush(now)];
   }
 
-  /** Passes an event to the runner and the journal and acts on the result. */
+  /** Passes an event to the journal and the runner and applies their output. */
   handle(handled: event.Event, now: clock.Milliseconds): LifecycleOutput {
     const output = this.parts.journal.handle(handled, now);
     const produced = [...output.effects];
@@ -103,14 +103,14 @@
     return {effects: produced, recorded: output.recorded};
   }
 
-  /** Returns outcomes of tasks whose request is not known here. */
+  /** Returns and clears the outcomes of tasks whose request is unknown here. */
   takeUnmatchedOutcomes(): ReadonlyArray<trackedTask.TaskOutcome> {
     const taken = this.unmatchedOutcomes;
     this.unmatchedOutcomes = [];
     return taken;
   }
 
-  /** Ends a request; a recorded request has its end recorded as well. */
+  /** Ends a request, and records the end if the request was recorded. */
   end(
     identity: string,
     outcome: requestTable.RequestOutcome,
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Cancels a request. It ends at once when nothing was sent for it; otherwise
-   * its tasks are stopped and their ends tell whether it ran.
+   * Cancels a request. It ends at once if no start was sent. Otherwise its
+   * tasks are stopped, and their ends show whether the request ran.
    */
   cancel(
     identity: string,
@@ -159,12 +159,12 @@
     return this.stopTasks(attempt, now);
   }
 
-  /** When `timePassed` is wanted next. */
+  /** Returns the time at which the next `timePassed` event is needed. */
   nextDeadline(): clock.Milliseconds {
     const oldest = this.recordingAttempts.values().next();
     if (oldest.done === true) return Infinity;
-    const {begunAt, request: concerned} = oldest.value;
-    return Math.min(begunAt + RECORD_TIMEOUT_MS, concerned.startBy);
+    const {begunAt, request: admitted} = oldest.value;
+    return Math.min(begunAt + RECORD_TIMEOUT_MS, admitted.startBy);
   }
 
   private addHeldTask(
@@ -245,8 +245,8 @@
     const held = attempt.tasks().filter(task => task.state === 'held');
     const {runner, directory, table} = this.parts;
     const home = table.get(attempt.request.identity)?.offeredBy ?? '';
-    // A successor of the home may have told its client "not run" already. The
-    // permit below proves that this process knows of such a successor.
+    // A successor of the home may already have told the client "not run". With
+    // a valid permit (checked below) this process knows of any such successor.
     if (home !== '' && !directory.isMember(home)) {
       return this.requeue(attempt, 'the home of the request has ended', now);
     }
@@ -257,7 +257,7 @@
     for (const task of held) {
       attempt.change(task.task, {state: 'starting', sent: true});
     }
-    this.setState(attempt, 'starting', 'the start is on its way');
+    this.setState(attempt, 'starting', 'the start has been sent');
     for (const task of held) {
       const output = runner.start(task.task, task.leaseBound, now);
       produced.push(...this.applyOutput(output, now));
@@ -265,7 +265,7 @@
     return produced;
   }
 
-  /** Releases an attempt of which nothing was sent, and queues it again. */
+  /** Drops held tasks, whose starts were not sent, and queues them again. */
   private requeue(
     attempt: attempts.Attempt,
     reason: string,
@@ -324,7 +324,7 @@
     const isTimedOut = now >= attempt.begunAt + RECORD_TIMEOUT_MS;
     if (startBy <= now) {
       this.dropHeld(attempt);
-      const detail = 'the start could not be recorded in time';
+      const detail = 'the start deadline passed before the start was recorded';
       const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
       return this.end(identity, outcome, now);
     }
@@ -335,7 +335,7 @@
       return this.end(identity, outcome, now);
     }
     if (!isTimedOut) return [];
-    return this.requeue(attempt, 'the log is slow to record the start', now);
+    return this.requeue(attempt, 'the log did not record it in time', now);
   }
 
   private applyOutput(
@@ -363,7 +363,7 @@
       case 'started':
         return this.handleStarted(attempt, now);
       case 'unknown':
-        this.setState(attempt, 'unknown', 'an answer of the worker is missing');
+        this.setState(attempt, 'unknown', 'a worker has not answered');
         return [];
       case 'notRun':
       case 'ended':
@@ -382,7 +382,7 @@
     this.setState(
       attempt,
       allRunning ? 'running' : 'starting',
-      'its tasks run',
+      'its tasks are running',
     );
     if (this.parts.table.get(identity)?.cancelled === true) {
       return this.stopTasks(attempt, now);
@@ -401,7 +401,7 @@
     const endedTask = attempt.tasks().find(task => task.task === name);
     const isUnfinished = endedTask?.end !== 'finished';
     if (attempt.over) return this.concludeAttempt(attempt, now);
-    this.setState(attempt, entry?.state ?? 'running', `task ${name} is over`);
+    this.setState(attempt, entry?.state ?? 'running', `task ${name} has ended`);
     if (!isUnfinished || entry?.cancelled === true) return [];
     if (attempt.request.workload.kind === 'service') {
       return this.replaceTask(attempt, name, now);
@@ -409,7 +409,7 @@
     return this.stopTasks(attempt, now);
   }
 
-  /** Replaces one task of a service while the others go on. */
+  /** Replaces one task of a service while its other tasks keep running. */
   private replaceTask(
     attempt: attempts.Attempt,
     name: string,
@@ -430,7 +430,7 @@
     this.parts.queue.requeue({...admitted, taskCount, startBy: Infinity});
   }
 
-  /** Tries the replacements again for which the retry budget was spent. */
+  /** Retries the replacements that the retry budget did not allow before. */
   private replacePostponed(
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
@@ -460,8 +460,8 @@
     attempt: attempts.Attempt,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const {request: concerned} = attempt;
-    const {identity, workload} = concerned;
+    const {request: admitted} = attempt;
+    const {identity, workload} = admitted;
     const entry = this.parts.table.get(identity);
     const cancelled = entry?.cancelled === true;
     const conclusion = attempts.conclude(
@@ -469,7 +469,7 @@
       workload.idempotent,
       cancelled,
     );
-    this.setState(attempt, 'running', 'its tasks are over');
+    this.setState(attempt, 'running', 'all its tasks have ended');
     if (conclusion.kind === 'ended') {
       return this.end(identity, conclusion.ending, now);
     }
@@ -481,9 +481,9 @@
       entry?.hasRun === true ||
       attempt.tasks().some(task => task.state === 'ended');
     this.attempts.delete(identity);
-    // The deadline concerns the first start.
-    const startBy = hasRun ? Infinity : concerned.startBy;
-    this.parts.queue.requeue({...concerned, startBy});
+    // The start deadline applies to the first start only.
+    const startBy = hasRun ? Infinity : admitted.startBy;
+    this.parts.queue.requeue({...admitted, startBy});
     this.parts.table.change(identity, {
       hasRun,
       state: 'queued',
@@ -502,7 +502,7 @@
     entry: requestTable.RequestEntry | undefined,
     now: clock.Milliseconds,
   ): boolean {
-    // Only the home places a request again.
+    // Only the home of a request may place it again.
     if (entry === undefined || entry.offeredBy !== '') return false;
     if (!conclusion.spent) return true;
     const hasFailed = attempt.tasks().some(task => task.end === 'failed');
@@ -530,7 +530,7 @@
   }
 }
 
-/** A request of which an earlier attempt ran never counts as not run. */
+/** Replaces a "not run" outcome if an earlier attempt of the request ran. */
 function withoutFalseNotRun(
   outcome: requestTable.RequestOutcome,
   entry: requestTable.RequestEntry,
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -5,57 +5,57 @@
 import type * as event from './event.js';
 import type * as request from './request.js';
 
-/** Progress of a request at its home. */
+/** State of a request at the process that keeps it. */
 export type RequestState =
   | 'queued'
-  /** Its start or offer is being recorded; nothing was sent. */
+  /** Its start or offer is being recorded; nothing has been sent. */
   | 'recording'
   | 'starting'
   | 'running'
-  /** A start or an offer was sent and its answer is missing. */
+  /** A start or an offer has been sent and its answer is missing. */
   | 'unknown'
-  /** Another process was asked to run it. */
+  /** It has been offered to another process. */
   | 'offered'
   | 'ended';
 
-/** How a request ended. */
+/** Result of an ended request, with the answer to its client. */
 export interface RequestOutcome {
   readonly result: result.ResultName;
   readonly detail: string;
   readonly answer: string;
 }
 
-/** Progress of one task of a request. */
+/** State of one task of a request, as shown to callers. */
 export interface TaskProgress {
   readonly task: string;
   readonly worker: string;
   readonly state: string;
 }
 
-/** What the home keeps of a request. */
+/** State that a process keeps of one request. */
 export interface RequestEntry {
   readonly request: request.Request;
   readonly state: RequestState;
-  /** Worker of the first task, or the process that the request is offered to. */
+  /** Worker of the first task, or the process to which it is offered. */
   readonly worker: string;
-  /** Why the request stands where it stands. */
+  /** Why the request is in its state, as shown to callers. */
   readonly reason: string;
   readonly tasks: ReadonlyArray<TaskProgress>;
   readonly cancelled: boolean;
-  /** Placements so far. */
+  /** Number of placements so far. */
   readonly attempts: number;
-  /** Whether an earlier attempt ran in part or as a whole. */
+  /** Whether at least one task of an earlier attempt ran. */
   readonly hasRun: boolean;
-  /** Whether the journal holds an entry of the request. */
+  /** Whether an entry of the request was passed to the journal. */
   readonly recorded: boolean;
-  /** Home of the identity when another process offered the request. */
+  /** Home that offered the request; empty if this process is the home. */
   readonly offeredBy: string;
-  /** Number of that offer. */
+  /** Number of that offer; 0 if this process is the home. */
   readonly offerAttempt: number;
   readonly outcome: RequestOutcome | undefined;
 }
 
-/** The parts of an entry that change before its end. */
+/** Properties of an entry that can change before the request ends. */
 export type RequestEntryChange = Partial<
   Omit<RequestEntry, 'request' | 'outcome' | 'offeredBy' | 'offerAttempt'>
 >;
@@ -66,15 +66,15 @@
   readonly deadline: clock.Milliseconds;
 }
 
-/** How long an ended request is kept for callers that ask again. */
+/** Time for which the outcome of an ended request can be fetched. */
 export const OUTCOME_RETENTION_MS = 3_600_000;
 
 const NOT_OFFERED = {process: '', attempt: 0};
 
-/** What `expire` did. */
+/** Answers to overdue calls, and the requests that `expire` dropped. */
 export interface ExpiryOutput {
   readonly effects: ReadonlyArray<effects.Effect>;
-  /** Identities that are no longer answered. */
+  /** Identities of ended requests that were dropped. */
   readonly forgotten: ReadonlyArray<string>;
 }
 
@@ -88,19 +88,19 @@
   private readonly identityByCall = new Map<event.CallNumber, string>();
   private readonly endTimes = new Map<string, clock.Milliseconds>();
   private justEnded: RequestEntry[] = [];
-  private nextExpiryAt: clock.Milliseconds = Infinity;
+  private nextCallDeadline: clock.Milliseconds = Infinity;
 
-  /** Returns what is kept of a request. */
+  /** Returns the entry of a request. */
   get(identity: string): RequestEntry | undefined {
     return this.entries.get(identity);
   }
 
-  /** Requests that have not ended. */
+  /** Returns the number of requests that have not ended. */
   unfinishedCount(): number {
     return this.entries.size - this.endTimes.size;
   }
 
-  /** Whether nothing is left but services, whose tasks go on elsewhere. */
+  /** Whether only running services are left, whose tasks go on elsewhere. */
   isFinished(): boolean {
     if (this.unfinishedCount() === 0) return true;
     for (const entry of this.entries.values()) {
@@ -120,7 +120,7 @@
       request: admitted,
       state: 'queued',
       worker: '',
-      reason: 'waits for room',
+      reason: 'waiting for free capacity',
       tasks: [],
       cancelled: false,
       attempts: 0,
@@ -132,20 +132,20 @@
     });
   }
 
-  /** Forgets a request that was refused after all. */
+  /** Removes a queued request that was refused after its admission. */
   dropQueued(identity: string): void {
     if (this.entries.get(identity)?.state === 'queued') {
       this.entries.delete(identity);
     }
   }
 
-  /** Forgets a request that ended as not run, to take it in again. */
+  /** Removes a request that ended as not run, so that it can be added again. */
   forgetEnded(identity: string): void {
     this.endTimes.delete(identity);
     this.entries.delete(identity);
   }
 
-  /** Changes a request; an ended request stays as it ended. */
+  /** Changes a request unless it has ended. */
   change(identity: string, change: RequestEntryChange): void {
     const entry = this.entries.get(identity);
     if (entry === undefined || entry.state === 'ended') return;
@@ -171,7 +171,7 @@
     this.justEnded.push(ended);
     const waiting = this.waitingCalls.get(identity) ?? [];
     this.waitingCalls.delete(identity);
-    return waiting.flatMap(waiter => this.answerCall(waiter, ended));
+    return waiting.flatMap(waitingCall => this.answerCall(waitingCall, ended));
   }
 
   /** Returns the requests that ended since the last call. */
@@ -181,7 +181,7 @@
     return taken;
   }
 
-  /** Answers a call now, or when the request ends, at the latest at `until`. */
+  /** Answers a call when the request ends, or at `deadline` at the latest. */
   answerAtEnd(
     identity: string,
     caller: {readonly call: event.CallNumber; readonly client: string},
@@ -198,11 +198,11 @@
     waiting.push(waitingCall);
     this.waitingCalls.set(identity, waiting);
     this.identityByCall.set(caller.call, identity);
-    this.nextExpiryAt = Math.min(this.nextExpiryAt, deadline);
+    this.nextCallDeadline = Math.min(this.nextCallDeadline, deadline);
     return [];
   }
 
-  /** Drops the waiting call of a caller that has gone. */
+  /** Drops the waiting call of a caller that has disconnected. */
   forgetCall(call: event.CallNumber): void {
     const identity = this.identityByCall.get(call);
     if (identity === undefined) return;
@@ -210,17 +210,17 @@
     const waiting = this.waitingCalls.get(identity) ?? [];
     this.setWaitingCalls(
       identity,
-      waiting.filter(waiter => waiter.call !== call),
+      waiting.filter(waitingCall => waitingCall.call !== call),
     );
   }
 
-  /** Answers calls whose wait is over and drops what was kept long enough. */
+  /** Answers overdue calls and drops requests that ended long ago. */
   expire(now: clock.Milliseconds): ExpiryOutput {
     const produced: effects.Effect[] = [];
-    if (now >= this.nextExpiryAt) produced.push(...this.answerOverdue(now));
+    if (now >= this.nextCallDeadline) produced.push(...this.answerOverdue(now));
     const forgotten: string[] = [];
     for (const [identity, endedAt] of this.endTimes) {
-      // Entries are in order of their end, so the first young one ends the walk.
+      // The map is ordered by end, so the first recent one stops the loop.
       if (now - endedAt < OUTCOME_RETENTION_MS) break;
       this.endTimes.delete(identity);
       this.entries.delete(identity);
@@ -229,26 +229,31 @@
     return {effects: produced, forgotten};
   }
 
-  /** When `expire` is wanted next. */
+  /** Returns the time at which `expire` is to be called next. */
   nextDeadline(): clock.Milliseconds {
-    return this.nextExpiryAt;
+    return this.nextCallDeadline;
   }
 
   private answerOverdue(
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const produced: effects.Effect[] = [];
-    this.nextExpiryAt = Infinity;
+    this.nextCallDeadline = Infinity;
     for (const [identity, waiting] of this.waitingCalls) {
       const entry = this.entries.get(identity);
       if (entry === undefined) continue;
-      const overdue = waiting.filter(waiter => waiter.deadline <= now);
-      const rest = waiting.filter(waiter => waiter.deadline > now);
-      for (const waiter of overdue) {
-        produced.push(...this.answerCall(waiter, entry));
+      const overdue = waiting.filter(
+        waitingCall => waitingCall.deadline <= now,
+      );
+      const rest = waiting.filter(waitingCall => waitingCall.deadline > now);
+      for (const waitingCall of overdue) {
+        produced.push(...this.answerCall(waitingCall, entry));
       }
-      for (const waiter of rest) {
-        this.nextExpiryAt = Math.min(this.nextExpiryAt, waiter.deadline);
+      for (const waitingCall of rest) {
+        this.nextCallDeadline = Math.min(
+          this.nextCallDeadline,
+          waitingCall.deadline,
+        );
       }
       if (overdue.length > 0) this.setWaitingCalls(identity, rest);
     }
@@ -286,7 +291,7 @@
   }
 }
 
-/** Builds the reply that shows a request's state or its end. */
+/** Returns the reply that shows the state or the outcome of a request. */
 export function buildReply(entry: RequestEntry): effects.Reply {
   const {identity} = entry.request;
   if (entry.outcome !== undefined) {
