--- a/src/contracts/request_coordinator.ts
+++ b/src/contracts/request_coordinator.ts
@@ -18,17 +18,17 @@
 import type * as request from './request.js';
 import type * as taskRunner from '../machines/task_runner.js';
 
-/** The queue as the desk uses it. */
+/** Queue of the scheduler, as the coordinator uses it. */
 export interface CoordinatorQueue extends incomingOffers.AdmissionQueue {
-  /** Takes out requests whose latest start has passed. */
+  /** Removes and returns the requests whose start deadline has passed. */
   takeExpired(now: clock.Milliseconds): ReadonlyArray<request.Request>;
-  /** Requests that wait, the longest waiting first; at most `limit`. */
+  /** Returns at most `limit` queued requests, the longest waiting first. */
   waiting(limit: number): ReadonlyArray<request.Request>;
-  /** Why a request waits; empty when nothing is known. */
+  /** Returns why a request waits, or an empty text if it is not queued. */
   explain(identity: string, now: clock.Milliseconds): string;
 }
 
-/** What a desk is made with. */
+/** Objects that `RequestCoordinator` uses. */
 export interface RequestCoordinatorParts {
   readonly self: string;
   readonly random: randomSource.RandomSource;
@@ -38,7 +38,7 @@
   readonly directory: processDirectory.ProcessDirectory;
   readonly workers: outcomeRecovery.WorkerDirectory;
   readonly retries: requestLifecycle.RetryLimiter;
-  /** Whether this process has been taken for dead and can't act any more. */
+  /** Whether a successor has taken over, so that this process must not act. */
   readonly isSuperseded: () => boolean;
 }
 
@@ -47,15 +47,15 @@
   {readonly kind: Kind}
 >;
 
-/** Most waiting requests that are looked at for an offer in one turn. */
+/** Maximum number of queued requests considered for an offer in one turn. */
 const MAX_OFFER_CANDIDATES = 16;
 
-/** Most identities that one call reserves. */
+/** Maximum number of identities that one call reserves. */
 const MAX_IDENTITIES_PER_CALL = 1_000;
 
 /**
- * Takes requests from their arrival to their answer: calls of clients, the
- * states of requests, offers to other processes, and recovery.
+ * Coordinates requests from their arrival to their answer. It dispatches events
+ * to call routing, the request lifecycle, offers, the journal and recovery.
  */
 export class RequestCoordinator implements callRouter.LocalRequestHandler {
   private readonly table = new requestTable.RequestTable();
@@ -115,12 +115,12 @@
     );
   }
 
-  /** Requests that have not ended. */
+  /** Returns the number of requests that have not ended. */
   unfinishedCount(): number {
     return this.table.unfinishedCount();
   }
 
-  /** Whether everything that was taken in has ended and is recorded. */
+  /** Whether all admitted requests have ended and their ends are recorded. */
   isIdle(): boolean {
     return (
       this.table.unfinishedCount() === 0 && this.journal.unrecordedCount() === 0
@@ -132,7 +132,7 @@
     return this.draining;
   }
 
-  /** Handles one event; the zone and the documents have handled it before. */
+  /** Handles one event, after the zone and the configuration have done so. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -154,7 +154,7 @@
     return produced;
   }
 
-  /** When `timePassed` is wanted next. */
+  /** Returns the time at which the next `timePassed` event is needed. */
   nextDeadline(): clock.Milliseconds {
     return Math.min(
       this.table.nextDeadline(),
@@ -225,7 +225,7 @@
     }
   }
 
-  /** Why no new requests are taken; undefined when they are. */
+  /** Returns why new requests are refused; undefined if they are accepted. */
   private admissionRefusal(): result.Failure | undefined {
     if (this.draining) {
       return result.failure('draining', 'this process is shutting down');
@@ -235,7 +235,7 @@
       return result.failure('noAuthority', detail);
     }
     if (this.parts.directory.hasJoined()) return undefined;
-    // Nobody would succeed to the identities of a process that is no member.
+    // Without membership no successor would recover this process's identities.
     return result.failure('noAuthority', 'this process has not joined yet');
   }
 
@@ -280,7 +280,10 @@
     return this.answerUnusedIdentity(call, identity);
   }
 
-  /** The submission may be on its way; a cancellation stops it on arrival. */
+  /**
+   * Answers a call about an identity without a submission, which may still be
+   * in transit. A cancellation blocks the identity, so that it can't run later.
+   */
   private answerUnusedIdentity(
     call: callRouter.IdentityCall,
     identity: string,
@@ -295,7 +298,7 @@
     return callReply.refuse(call.call, unknown, identity);
   }
 
-  /** Refuses a request for good: no later call may run it after all. */
+  /** Refuses a request and its identity, so that no later call can run it. */
   private refusePermanently(
     call: event.CallNumber,
     refusal: result.Failure,
@@ -343,7 +346,7 @@
     }
     return result.failure(
       'logUnavailable',
-      'the log gives no answer and no other process can witness the start',
+      'the log does not answer and no other process can witness the start',
     );
   }
 
@@ -404,7 +407,7 @@
     return {kind: 'answerCaller', call: call.call, reply};
   }
 
-  /** The zone marks the worker; here the operator is answered. */
+  /** Answers the operator; the zone handles the drain of the worker itself. */
   private drainWorker(
     call: event.CallNumber,
     worker: string,
@@ -436,7 +439,7 @@
     return callReply.refuse(call.call, callReply.unknownIdentity(identity));
   }
 
-  /** Whether an answer was fetched for recovery and not for a runner's task. */
+  /** Whether an answer was fetched for recovery, not for a tracked task. */
   private isForRecovery(handled: event.Event): boolean {
     if (handled.kind !== 'taskAnswerArrived') return false;
     if (this.parts.runner.isTracked(handled.task)) return false;
@@ -476,7 +479,7 @@
         return this.outgoing.resolve(identity, process, finding.outcome, now)
           .effects;
       case 'lost': {
-        const detail = `${process} is gone and left no proof`;
+        const detail = `${process} has died and left no proof of the outcome`;
         const lost = {result: 'outcomeLost', detail, answer: ''} as const;
         return this.outgoing.resolve(identity, process, lost, now).effects;
       }
@@ -518,7 +521,7 @@
   private expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     const produced: effects.Effect[] = [];
     for (const late of this.parts.queue.takeExpired(now)) {
-      const detail = 'the latest start passed while the request waited';
+      const detail = 'the start deadline passed while the request was queued';
       const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
       produced.push(effects.count('refusal', {reason: outcome.result}));
       produced.push(...this.lifecycle.end(late.identity, outcome, now));
@@ -530,7 +533,7 @@
     return [...produced, ...expiry.effects];
   }
 
-  /** A superseded process can't start what waits, now or later. */
+  /** Ends queued requests, which a superseded process can never start. */
   private endQueued(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     const detail = 'another process has taken over from this one';
     const outcome = {result: 'noAuthority', detail, answer: ''} as const;
@@ -558,7 +561,10 @@
   }
 }
 
-/** What did not run here for its home may still run elsewhere. */
+/**
+ * Returns whether the entry decides the outcome. An offer that did not run here
+ * does not, because its home may still run the request elsewhere.
+ */
 function isDecidedHere(entry: requestTable.RequestEntry): boolean {
   if (entry.offeredBy === '') return true;
   if (entry.outcome === undefined) return false;
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -335,7 +335,7 @@
       return this.end(identity, outcome, now);
     }
     if (!isTimedOut) return [];
-    return this.requeue(attempt, 'the log did not record it in time', now);
+    return this.requeue(attempt, 'the log did not record the start', now);
   }
 
   private applyOutput(
