--- a/test/contracts/identity_issuer_test.ts
+++ b/test/contracts/identity_issuer_test.ts
@@ -14,7 +14,7 @@
   return new identityIssuer.IdentityIssuer('kigali-a.entry-1.0a', random);
 }
 
-/** Moments at which identities are issued, as gaps in milliseconds. */
+/** Gaps between the issue times of identities, in milliseconds. */
 const GAPS = fastCheck.array(fastCheck.integer({min: 0, max: HOUR_MS}), {
   minLength: 1,
   maxLength: 30,
@@ -22,8 +22,8 @@
 
 nodeTest.describe('identity', () => {
   nodeTest.test(
-    'is valid for the client that it was issued to and for no other, so that ' +
-      'nobody learns the outcome of a request that is not theirs',
+    'is valid only for the client that it was issued to; guards against a ' +
+      'client that reads the outcome of a request of another client',
     () => {
       const clients = fastCheck.string({maxLength: 8});
       const property = fastCheck.property(clients, clients, (owner, other) => {
@@ -38,8 +38,8 @@
   );
 
   nodeTest.test(
-    'stays unusable after a refusal, even when a flood of refusals is more ' +
-      'than is remembered',
+    'stays unusable after a refusal, even when later refusals exceed the ' +
+      'number of refused identities in memory',
     () => {
       const issuer = buildIssuer();
       const first = issuer.issue('alice', 0);
@@ -52,7 +52,7 @@
     },
   );
 
-  nodeTest.test('that was never issued or was altered is foreign', () => {
+  nodeTest.test('is foreign if it was never issued or was altered', () => {
     const issuer = buildIssuer();
     const issued = issuer.issue('alice', 0);
     const altered = issued.replace('_1_', '_2_');
@@ -63,8 +63,8 @@
   });
 
   nodeTest.test(
-    'has expired whenever its outcome may have been forgotten, so that a ' +
-      'repeated call can not run a request again',
+    'has expired when its outcome may have been dropped; guards against a ' +
+      'repeated call that runs the request a second time',
     () => {
       const later = fastCheck.integer({min: 0, max: 3 * HOUR_MS});
       const property = fastCheck.property(GAPS, later, (gaps, wait) => {
@@ -76,7 +76,7 @@
         });
         now += wait;
         for (const {name, at} of issued) {
-          // The earliest end of a request is the moment of its identity.
+          // A request ends no earlier than its identity is issued.
           const forgotten = now - at >= requestTable.OUTCOME_RETENTION_MS;
           const checked = issuer.check(name, 'alice', now);
           if (forgotten) assert.equal(checked, 'expired');
@@ -86,7 +86,7 @@
     },
   );
 
-  nodeTest.test('stays valid for most of its lifetime', () => {
+  nodeTest.test('stays valid until a minute before its expiry', () => {
     const property = fastCheck.property(GAPS, gaps => {
       const issuer = buildIssuer();
       let now = 0;
--- a/test/contracts/journal_backend_test.ts
+++ b/test/contracts/journal_backend_test.ts
@@ -67,8 +67,8 @@
 
 nodeTest.describe('log journal', () => {
   nodeTest.test(
-    'has one append open and puts what arrives meanwhile into the next one, ' +
-      'so that the log is not flooded',
+    'has at most one open append and batches later entries in the next one; ' +
+      'guards against flooding the log with appends',
     () => {
       const log = new journalBackend.LogJournal('home', () => 100);
       log.record(record(1));
@@ -82,13 +82,13 @@
       assert.equal(next.records.length, 2);
       log.record(record(4));
       const early = log.handle(appendAnswered(2, 'appended'), 170);
-      assert.deepEqual(early.effects, [], 'the spacing is kept');
+      assert.deepEqual(early.effects, [], 'the append interval is kept');
       assert.equal(appendsIn(log.flush(260)).length, 1);
     },
   );
 
   nodeTest.test(
-    'recognises by reading what a lost append recorded and appends the rest',
+    'reads the stream after a lost answer and appends only missing entries',
     () => {
       const log = new journalBackend.LogJournal('home', () => 0);
       log.record(record(1));
@@ -108,8 +108,8 @@
 
 nodeTest.describe('witness journal', () => {
   nodeTest.test(
-    'counts an entry as recorded only when every member has stored it, so ' +
-      'that any witness that was there throughout knows it',
+    'reports an entry as recorded only after every member has stored it; ' +
+      'guards against a witness that was always a member but lacks it',
     () => {
       const witnesses = new journalBackend.WitnessJournal(
         directoryOf('a', 'b'),
@@ -129,8 +129,8 @@
 
 nodeTest.describe('journal of a process', () => {
   nodeTest.test(
-    'turns to witnesses in a log outage, with the entries whose append may ' +
-      'be lost, and still brings them to the log afterwards',
+    'sends entries whose append may be lost to witnesses in a log outage, ' +
+      'and appends them to the log after the outage',
     () => {
       const processJournal = new requestJournal.RequestJournal(
         'home',
@@ -152,7 +152,7 @@
     },
   );
 
-  nodeTest.test('is unavailable in an outage without another member', () => {
+  nodeTest.test('is unavailable in a log outage without other members', () => {
     const processJournal = new requestJournal.RequestJournal(
       'home',
       directoryOf(),
--- a/test/contracts/outcome_recovery_test.ts
+++ b/test/contracts/outcome_recovery_test.ts
@@ -28,11 +28,11 @@
   answerKept: true,
 };
 
-/** A process in whose zone `dead` has been succeeded. */
+/** Returns a process of the zone in which `dead` has a successor. */
 function survivor(): coordinatorHarness.CoordinatorHarness {
   const harness = new coordinatorHarness.CoordinatorHarness();
   harness.permitEnd = Infinity;
-  harness.peers = {live: [], succeeded: ['dead']};
+  harness.peers = {live: [], replaced: ['dead']};
   return harness;
 }
 
@@ -55,9 +55,9 @@
 }
 
 nodeTest.describe('identity of another home', () => {
-  nodeTest.test('is passed on while its home is live', () => {
+  nodeTest.test('is forwarded to its home while the home is live', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
-    harness.peers = {live: ['other'], succeeded: []};
+    harness.peers = {live: ['other'], replaced: []};
     const identity = `other_1_${'b'.repeat(24)}`;
     const call = harness.submit(identity);
     assert.equal(harness.effectsOfKind('forwardCall')[0].peer, 'other');
@@ -66,19 +66,19 @@
     assert.equal(
       harness.replyTo(call)?.code,
       4001,
-      'answers of others go nowhere',
+      'an answer for another identity is dropped',
     );
     assert.equal(harness.replyTo(call)?.answer, undefined);
   });
 
-  nodeTest.test('is unknown while its home may be alive', () => {
+  nodeTest.test('has an unknown outcome while its home may be alive', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
     assert.equal(harness.replyTo(harness.submit(IDENTITY))?.code, 4001);
   });
 });
 
 nodeTest.describe('identity of a dead home', () => {
-  nodeTest.test('is answered from its record, to its client only', () => {
+  nodeTest.test('is answered from the journal, to its own client only', () => {
     const harness = survivor();
     const own = harness.submit(IDENTITY);
     const foreign = harness.submit(IDENTITY, 'order', 'bob');
@@ -89,7 +89,7 @@
     assert.equal(harness.replyTo(later)?.code, 1008);
   });
 
-  nodeTest.test('without records was not run if every record was read', () => {
+  nodeTest.test('is "not run" without records once all have been read', () => {
     const harness = survivor();
     const call = harness.submit(IDENTITY);
     showJournal(harness, []);
@@ -97,7 +97,7 @@
   });
 
   nodeTest.test(
-    'without records has an unknown outcome after the log has dropped some',
+    'has a lost outcome without records if the log has trimmed the journal',
     () => {
       const harness = survivor();
       const call = harness.submit(IDENTITY);
@@ -107,7 +107,7 @@
   );
 
   nodeTest.test(
-    'that may be idempotent is never called not run, because idempotent ' +
+    'is never "not run" if its request may be idempotent, because idempotent ' +
       'requests leave no records',
     () => {
       const harness = survivor();
@@ -119,31 +119,28 @@
     },
   );
 
-  nodeTest.test(
-    'whose task ended on the worker gets the answer from there',
-    () => {
-      const harness = survivor();
-      const call = harness.submit(IDENTITY);
-      showJournal(harness, [STARTING]);
-      assert.equal(harness.replyTo(call), undefined);
-      harness.now = 500;
-      const state = 'finished';
-      harness.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
-      assert.equal(harness.effectsOfKind('fetchTaskAnswer').length, 1);
-      harness.now = 3_000;
-      harness.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
-      assert.equal(
-        harness.effectsOfKind('fetchTaskAnswer').length,
-        2,
-        'after a loss',
-      );
-      harness.endTask(TASK);
-      assert.equal(harness.replyTo(call)?.answer, 'done 0');
-    },
-  );
+  nodeTest.test('is answered by the worker on which its task ended', () => {
+    const harness = survivor();
+    const call = harness.submit(IDENTITY);
+    showJournal(harness, [STARTING]);
+    assert.equal(harness.replyTo(call), undefined);
+    harness.now = 500;
+    const state = 'finished';
+    harness.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+    assert.equal(harness.effectsOfKind('fetchTaskAnswer').length, 1);
+    harness.now = 3_000;
+    harness.report([samples.buildTaskReport(TASK, IDENTITY, {state})]);
+    assert.equal(
+      harness.effectsOfKind('fetchTaskAnswer').length,
+      2,
+      'after a loss',
+    );
+    harness.endTask(TASK);
+    assert.equal(harness.replyTo(call)?.answer, 'done 0');
+  });
 
   nodeTest.test(
-    'whose start was recorded was not run only after its lease bound',
+    'is "not run" after a recorded start only once the lease bound has passed',
     () => {
       const harness = survivor();
       const early = harness.submit(IDENTITY);
--- a/test/contracts/outcome_rule_test.ts
+++ b/test/contracts/outcome_rule_test.ts
@@ -11,12 +11,12 @@
 const IDENTITY = 'home_1_a';
 const LEASE_BOUND = 10_000;
 
-/** One step of a home's life with one identity, and whether it really ran. */
+/** One attempt of a home to run an identity that was proved not to have run. */
 interface Step {
   readonly kind: 'lapsedStart' | 'refusedOffer';
 }
 
-/** How the last attempt really went. */
+/** Actual course of the last attempt. */
 type LastStep =
   'none' | 'finished' | 'endedUnrecorded' | 'stillRunning' | 'lapsedStart';
 
@@ -80,7 +80,7 @@
   };
 }
 
-/** Everything that the home recorded, in order. */
+/** Returns all records of the home, in order. */
 function history(
   steps: ReadonlyArray<Step>,
   last: LastStep,
@@ -96,7 +96,7 @@
   return records;
 }
 
-/** Reports that every worker would give at `workerClock`. */
+/** Returns the reports of all workers at `workerClock`. */
 function reportsOf(
   count: number,
   last: LastStep,
@@ -122,7 +122,7 @@
 nodeTest.describe('outcome of an identity whose home is dead', () => {
   nodeTest.test(
     'is "not run" only if nothing ran, whichever records and witnesses are ' +
-      'missing, so that no client repeats what has run',
+      'missing: guards against a client that repeats a request that ran',
     () => {
       const property = fastCheck.property(
         STEPS,
@@ -133,7 +133,7 @@
         (steps, last, seen, incomplete, workerClock) => {
           const whole = history(steps, last);
           const records = whole.filter((_, index) => seen[index]);
-          // Records can be missing only from incomplete sources.
+          // Only incomplete sources may lack records.
           const missing = records.length < whole.length;
           const finding = outcomeRule.decide({
             records,
@@ -181,8 +181,8 @@
   );
 
   nodeTest.test(
-    'stays open while the lease of the recorded start has not ended, because ' +
-      'the start may still arrive',
+    'is unknown until the lease of the recorded start has ended, because the ' +
+      'start may still reach the worker',
     () => {
       const evidence = {
         records: [startRecord(1, 0)],
@@ -202,7 +202,7 @@
   );
 
   nodeTest.test(
-    'with an answer too long to record is never a part of it',
+    'is "answerLost", not a truncated answer, if it was too long to record',
     () => {
       const record = endRecord(1, '');
       const entry = {
--- a/test/contracts/outgoing_offers_test.ts
+++ b/test/contracts/outgoing_offers_test.ts
@@ -4,7 +4,7 @@
 
 const IDENTITY = `home_1_${'a'.repeat(24)}`;
 
-/** Hands an offer of `home` to a process; returns the call. */
+/** Passes an offer from `home` to a process; returns the call number. */
 function offer(
   peer: coordinatorHarness.CoordinatorHarness,
   attempt: number,
@@ -25,10 +25,10 @@
   return call;
 }
 
-/** A process of the home's zone with room for the request. */
+/** Returns a process of the home's zone with free capacity for the request. */
 function buildPeer(): coordinatorHarness.CoordinatorHarness {
   const peer = new coordinatorHarness.CoordinatorHarness('peer');
-  peer.peers = {live: ['home'], succeeded: []};
+  peer.peers = {live: ['home'], replaced: []};
   return peer;
 }
 
@@ -59,20 +59,20 @@
   return all.find(answer => answer.call === call)?.code;
 }
 
-/** A home without workers whose request has been offered to `peer-1`. */
+/** Returns a home without workers that has offered its request to a peer. */
 function offeringHome(): {
   readonly home: coordinatorHarness.CoordinatorHarness;
   readonly call: number;
 } {
   const home = new coordinatorHarness.CoordinatorHarness('home', false);
-  home.peers = {live: ['peer-1', 'peer-2'], succeeded: []};
+  home.peers = {live: ['peer-1', 'peer-2'], replaced: []};
   const call = home.submit(home.reserve());
   home.advanceTime(300);
   return {home, call};
 }
 
-nodeTest.describe('offer at the process that gets it', () => {
-  nodeTest.test('runs at once, is recorded and joined by repeats', () => {
+nodeTest.describe('incoming offer', () => {
+  nodeTest.test('runs once, is recorded, and answers repeated offers', () => {
     const peer = buildPeer();
     const call = offer(peer, 1);
     const repeated = offer(peer, 1);
@@ -86,8 +86,8 @@
   });
 
   nodeTest.test(
-    'that was refused never runs when its repetition arrives late, but a ' +
-      'further offer may run',
+    'never runs after its refusal when it is repeated late, because its home ' +
+      'may have placed it elsewhere; a later offer may run',
     () => {
       const peer = buildPeer();
       peer.permitEnd = 0;
@@ -100,7 +100,7 @@
     },
   );
 
-  nodeTest.test('that was withdrawn before it arrived never runs', () => {
+  nodeTest.test('never runs if its withdrawal arrives before it', () => {
     const peer = buildPeer();
     assert.equal(offerCode(peer, withdraw(peer, 1)), 2006);
     assert.equal(offerCode(peer, offer(peer, 1)), 2006);
@@ -114,7 +114,7 @@
       const peer = buildPeer();
       peer.logAcknowledges = false;
       const call = offer(peer, 1);
-      peer.peers = {live: [], succeeded: ['home']};
+      peer.peers = {live: [], replaced: ['home']};
       const [{stream, append}] = peer.effectsOfKind('append');
       peer.handle({kind: 'appendAnswered', stream, append, answer: 'appended'});
       assert.deepEqual(peer.effectsOfKind('startTask'), []);
@@ -123,8 +123,8 @@
   );
 
   nodeTest.test(
-    'that ended as not run is answered to its home only, because the home ' +
-      'may still run the request elsewhere',
+    'reports "not run" to its home only, because the home may still run the ' +
+      'request elsewhere; other callers are forwarded to the home',
     () => {
       const peer = buildPeer();
       const call = offer(peer, 1);
@@ -140,10 +140,10 @@
   );
 });
 
-nodeTest.describe('offer at the home', () => {
+nodeTest.describe('outgoing offer', () => {
   nodeTest.test('is recorded before it is sent', () => {
     const home = new coordinatorHarness.CoordinatorHarness('home', false);
-    home.peers = {live: ['peer-1'], succeeded: []};
+    home.peers = {live: ['peer-1'], replaced: []};
     home.submit(home.reserve());
     home.logAcknowledges = false;
     home.advanceTime(300);
@@ -154,8 +154,8 @@
   });
 
   nodeTest.test(
-    'goes to the same process again while its answer is missing, and to ' +
-      'another one only after a refusal',
+    'is resent to the same process while its answer is missing, and goes to ' +
+      'another one only after a refusal: guards against two runs',
     () => {
       const {home} = offeringHome();
       const [{peer, identity}] = home.effectsOfKind('offerRequest');
@@ -173,7 +173,7 @@
     },
   );
 
-  nodeTest.test('brings the answer of the other process to the client', () => {
+  nodeTest.test('passes the answer of the right process to the client', () => {
     const {home, call} = offeringHome();
     const [{peer, identity}] = home.effectsOfKind('offerRequest');
     const ended = {code: 0, answer: 'polished'};
--- a/test/contracts/request_coordinator_test.ts
+++ b/test/contracts/request_coordinator_test.ts
@@ -20,8 +20,8 @@
 
 nodeTest.describe('start of a non-idempotent request', () => {
   nodeTest.test(
-    'is not sent before its record is acknowledged, so that a successor ' +
-      'always knows of it',
+    'is not sent before its record is acknowledged; guards against a start ' +
+      'that a successor does not know',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -37,7 +37,7 @@
   );
 
   nodeTest.test(
-    'is placed again when the permit ended before the acknowledgement',
+    'is placed again if the permit ends before the acknowledgement',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -58,7 +58,7 @@
   );
 
   nodeTest.test(
-    'is refused with 3003 when neither the log nor a witness records it',
+    'is refused with 3003 if neither the log nor a witness records it',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -76,9 +76,9 @@
   );
 });
 
-nodeTest.describe('whole answer to its own client', () => {
+nodeTest.describe('answer to a client', () => {
   nodeTest.test(
-    'goes to every call of the owner and to nobody else, also on repeats',
+    'goes to every call of the client that submitted, and to no other client',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -97,9 +97,9 @@
     },
   );
 
-  nodeTest.test('needs a home that somebody succeeds to', () => {
+  nodeTest.test('needs a home that has joined and so has a successor', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
-    harness.joined = false;
+    harness.hasJoined = false;
     assert.equal(harness.reserve(), '');
     assert.equal(
       harness.replyTo(harness.submit(undefined, 'inspection'))?.code,
@@ -107,14 +107,14 @@
     );
   });
 
-  nodeTest.test('needs the client that the identity was issued to', () => {
+  nodeTest.test('is refused if the identity belongs to another client', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
     const call = harness.submit(harness.reserve('bob'), 'order', 'alice');
     assert.equal(harness.replyTo(call)?.code, 1008);
     assert.deepEqual(startedTasks(harness), []);
   });
 
-  nodeTest.test('joins the answers of several tasks in their order', () => {
+  nodeTest.test('joins the answers of several tasks in task order', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
     const call = harness.submit(harness.reserve(), 'pair');
     const [first, second] = startedTasks(harness);
@@ -128,7 +128,7 @@
 
 nodeTest.describe('request with several tasks', () => {
   nodeTest.test(
-    'stops the others when one did not start, and does not count as not run',
+    'stops its other tasks if one does not start, and does not end as not run',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const call = harness.submit(harness.reserve(), 'pair');
@@ -157,7 +157,7 @@
 
 nodeTest.describe('cancellation', () => {
   nodeTest.test(
-    'that meets a start in flight never ends as not run if the task ran',
+    'during the start of a task does not end as not run if the task ran',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -173,7 +173,7 @@
   );
 
   nodeTest.test(
-    'of a start that is proved not run ends the request and starts nothing',
+    'ends the request without another start if the first start did not run',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -186,20 +186,17 @@
     },
   );
 
-  nodeTest.test(
-    'of a running idempotent request does not place it again',
-    () => {
-      const harness = new coordinatorHarness.CoordinatorHarness();
-      const identity = harness.reserve();
-      const call = harness.submit(identity, 'inspection');
-      const [name] = startedTasks(harness);
-      harness.answerStart(name, 'started');
-      harness.callAbout('cancelArrived', identity);
-      harness.endTask(name, 'stopped');
-      assert.equal(harness.replyTo(call)?.code, 5002);
-      assert.equal(startedTasks(harness).length, 1);
-    },
-  );
+  nodeTest.test('of a running idempotent request prevents its retry', () => {
+    const harness = new coordinatorHarness.CoordinatorHarness();
+    const identity = harness.reserve();
+    const call = harness.submit(identity, 'inspection');
+    const [name] = startedTasks(harness);
+    harness.answerStart(name, 'started');
+    harness.callAbout('cancelArrived', identity);
+    harness.endTask(name, 'stopped');
+    assert.equal(harness.replyTo(call)?.code, 5002);
+    assert.equal(startedTasks(harness).length, 1);
+  });
 
   nodeTest.test('before the record is acknowledged sends no start', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
@@ -221,7 +218,7 @@
 
 nodeTest.describe('retry', () => {
   nodeTest.test(
-    'of an idempotent request that ran before never ends as not run',
+    'of an idempotent request that has run before does not end as not run',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -235,7 +232,7 @@
     },
   );
 
-  nodeTest.test('of a failing request stops after three placements', () => {
+  nodeTest.test('of a failing request ends after three placements', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
     const call = harness.submit(undefined, 'inspection');
     for (let attempt = 0; attempt < 3; attempt += 1) {
@@ -250,8 +247,8 @@
 
 nodeTest.describe('refusal', () => {
   nodeTest.test(
-    'is final for its identity, so that an earlier submission that arrives ' +
-      'later does not run what its client was told was not run',
+    'is final for its identity; guards against a delayed submission that runs ' +
+      'after the client was told "not run"',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -264,7 +261,7 @@
     },
   );
 
-  nodeTest.test('of a submission that a cancellation overtook is final', () => {
+  nodeTest.test('applies to a submission that arrives after its cancel', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
     const identity = harness.reserve();
     const cancelled = harness.callAbout('cancelArrived', identity);
@@ -274,7 +271,7 @@
   });
 
   nodeTest.test(
-    'is never told of an identity whose use may be on its way',
+    'is not reported for an unused identity: its submission may be in transit',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const identity = harness.reserve();
@@ -287,7 +284,7 @@
 });
 
 nodeTest.describe('shutdown', () => {
-  nodeTest.test('refuses new requests and finishes what runs', () => {
+  nodeTest.test('refuses new requests and lets running ones finish', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
     const identity = harness.reserve();
     const running = harness.submit(identity);
@@ -305,7 +302,7 @@
 
 nodeTest.describe('drain of a worker', () => {
   nodeTest.test(
-    'is answered, so that the operator does not wait in vain',
+    'is answered, and an unknown worker is refused; guards against a time-out',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       const [known, unknown] = ['worker-1', 'worker-9'].map(worker => {
@@ -320,7 +317,7 @@
 });
 
 nodeTest.describe('explanation', () => {
-  nodeTest.test('says where a request is and why', () => {
+  nodeTest.test('contains the state of a request and its reason', () => {
     const harness = new coordinatorHarness.CoordinatorHarness('home', false);
     const identity = harness.reserve();
     harness.submit(identity);
--- a/test/contracts/retry_budget_test.ts
+++ b/test/contracts/retry_budget_test.ts
@@ -9,19 +9,22 @@
 }
 
 nodeTest.describe('retry budget', () => {
-  nodeTest.test('an outage gets one retry a second, not a storm', () => {
-    const budget = new retryBudget.RetryBudget();
-    const spent = [0, 500, 1_000, 2_000].map(now => spendAll(budget, now));
-    assert.deepEqual(spent, [1, 0, 1, 1]);
-  });
+  nodeTest.test(
+    'grants one retry a second in an outage: no retry storm',
+    () => {
+      const budget = new retryBudget.RetryBudget();
+      const spent = [0, 500, 1_000, 2_000].map(now => spendAll(budget, now));
+      assert.deepEqual(spent, [1, 0, 1, 1]);
+    },
+  );
 
   nodeTest.test(
-    'successful calls earn a tenth of a retry, up to a stock',
+    'earns a tenth of a retry with each success, up to 100 saved retries',
     () => {
       const budget = new retryBudget.RetryBudget();
       spendAll(budget, 0);
       for (let call = 0; call < 50; call += 1) budget.recordSuccess();
-      // Ten additions of 0.1 may fall short of 1 by rounding.
+      // The sum of ten times 0.1 may be less than 1 because of rounding.
       assert.ok([4, 5].includes(spendAll(budget, 0)));
       for (let call = 0; call < 5_000; call += 1) budget.recordSuccess();
       assert.equal(spendAll(budget, 0), 100);
--- a/test/support/coordinator_harness.ts
+++ b/test/support/coordinator_harness.ts
@@ -11,7 +11,7 @@
 import type * as processDirectory from '../../src/contracts/process_directory.js';
 import type * as task from '../../src/contracts/task.js';
 
-/** The worker's clock is this far ahead of the local one. */
+/** Lead of the worker's clock over the local clock. */
 const WORKER_CLOCK_OFFSET_MS = 50_000;
 
 const QUOTA = {
@@ -45,23 +45,23 @@
   versions: new Map(),
 };
 
-/** What other processes are to the desk under test. */
-export interface PeerStates {
+/** Other processes of the zone, by their state. */
+export interface OtherProcesses {
   readonly live: ReadonlyArray<string>;
-  readonly succeeded: ReadonlyArray<string>;
+  readonly replaced: ReadonlyArray<string>;
 }
 
 /**
- * A desk with one worker, driven by hand. The log acknowledges appends by
- * itself while `logAnswers` is true.
+ * Drives a request coordinator with at most one worker, event by event. The log
+ * acknowledges each append at once while `logAcknowledges` is true.
  */
 export class CoordinatorHarness {
   now = 0;
   permitEnd = 4_000;
   logAcknowledges = true;
-  joined = true;
-  peers: PeerStates = {live: [], succeeded: []};
-  /** Every effect so far. */
+  hasJoined = true;
+  peers: OtherProcesses = {live: [], replaced: []};
+  /** All effects so far, in order. */
   readonly effects: effect.Effect[] = [];
   private readonly coordinator: requestCoordinator.RequestCoordinator;
   private nextCall = 1;
@@ -99,7 +99,7 @@
     this.report();
   }
 
-  /** Hands in an event and returns its effects. */
+  /** Passes an event to the coordinator and returns its effects. */
   handle(handled: event.Event): ReadonlyArray<effect.Effect> {
     const effects = this.coordinator.handle(handled, this.now);
     this.effects.push(...effects);
@@ -113,14 +113,14 @@
     return this.handle({kind: 'timePassed'});
   }
 
-  /** Reserves an identity. */
+  /** Reserves an identity; returns an empty text if that is refused. */
   reserve(client = 'alice'): string {
     const call = this.nextCallNumber();
     this.handle({kind: 'identitiesArrived', call, client, count: 1});
     return this.replyTo(call)?.identities?.[0] ?? '';
   }
 
-  /** Submits a request, which waits 60 s for its end; returns the call. */
+  /** Submits a request whose call waits up to 60 s; returns the call number. */
   submit(
     identity: string | undefined,
     workload = 'order',
@@ -140,7 +140,7 @@
     return call;
   }
 
-  /** Makes a call about an identity; returns the call. */
+  /** Makes a call about an identity; returns the call number. */
   callAbout(
     kind: 'cancelArrived' | 'explainArrived' | 'fetchArrived',
     identity: string,
@@ -151,7 +151,7 @@
     return call;
   }
 
-  /** The reply to a call; undefined while it waits. */
+  /** Returns the reply to a call; undefined while the call waits. */
   replyTo(call: number): effect.Reply | undefined {
     for (const item of this.effects) {
       if (item.kind === 'answerCaller' && item.call === call) return item.reply;
@@ -159,7 +159,7 @@
     return undefined;
   }
 
-  /** All effects of a kind so far. */
+  /** Returns all effects of one kind so far. */
   effectsOfKind<Kind extends effect.Effect['kind']>(
     kind: Kind,
   ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
@@ -169,13 +169,13 @@
     );
   }
 
-  /** Answers the start of a task. */
+  /** Passes the worker's answer to the start of a task to the coordinator. */
   answerStart(task: string, answer: 'started' | 'refused' | 'lost'): void {
     const worker = 'worker-1';
     this.handle({kind: 'startAnswered', worker, task, answer, detail: ''});
   }
 
-  /** Ends a task. */
+  /** Reports the end of a task, with an answer that names its position. */
   endTask(
     task: string,
     state: Exclude<task.TaskState, 'running'> = 'finished',
@@ -216,8 +216,8 @@
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
       relayFor: () => undefined,
-      hasJoined: () => this.joined,
-      hasSuccessor: process => this.peers.succeeded.includes(process),
+      hasJoined: () => this.hasJoined,
+      hasSuccessor: process => this.peers.replaced.includes(process),
       joinedBefore: () => true,
       markUnreachable: () => {},
     };
