--- a/test/contracts/journal_backend_test.ts
+++ b/test/contracts/journal_backend_test.ts
@@ -76,9 +76,9 @@
       log.record(record(2));
       log.record(record(3));
       assert.deepEqual(log.flush(150), []);
-      const turn = log.handle(appendAnswered(1, 'appended'), 160);
-      assert.deepEqual(turn.recorded, [1]);
-      const [next] = appendsIn(turn.effects);
+      const output = log.handle(appendAnswered(1, 'appended'), 160);
+      assert.deepEqual(output.recorded, [1]);
+      const [next] = appendsIn(output.effects);
       assert.equal(next.records.length, 2);
       log.record(record(4));
       const early = log.handle(appendAnswered(2, 'appended'), 170);
@@ -98,9 +98,9 @@
       assert.equal(lost.effects[0].kind, 'readStream');
       const early = log.handle(recordsRead(5, [record(1)]), 11);
       assert.deepEqual(early.recorded, [], 'the read is older than the loss');
-      const turn = log.handle(recordsRead(11, [record(1)]), 12);
-      assert.deepEqual(turn.recorded, [1]);
-      const [again] = appendsIn(turn.effects);
+      const output = log.handle(recordsRead(11, [record(1)]), 12);
+      assert.deepEqual(output.recorded, [1]);
+      const [again] = appendsIn(output.effects);
       assert.deepEqual(again.records, [journalBackend.encodeRecord(record(2))]);
     },
   );
@@ -144,8 +144,8 @@
       const [sent] = outage.effects.filter(item => item.kind === 'sendWitness');
       assert.equal(sent.entries.length, 1);
       const stored = {kind: 'witnessAnswered', peer: 'a', batch: 1} as const;
-      const turn = processJournal.handle({...stored, stored: true}, 4_001);
-      assert.deepEqual(turn.recorded, [number]);
+      const output = processJournal.handle({...stored, stored: true}, 4_001);
+      assert.deepEqual(output.recorded, [number]);
       const back = processJournal.handle(recordsRead(9_000, []), 9_001);
       assert.equal(appendsIn(back.effects).length, 1);
       assert.deepEqual(back.recorded, []);
--- a/test/contracts/outcome_recovery_test.ts
+++ b/test/contracts/outcome_recovery_test.ts
@@ -29,14 +29,14 @@
 };
 
 /** Returns a process of the zone in which `dead` has a successor. */
-function survivor(): coordinatorHarness.CoordinatorHarness {
+function buildRecoveringProcess(): coordinatorHarness.CoordinatorHarness {
   const harness = new coordinatorHarness.CoordinatorHarness();
   harness.permitEnd = Infinity;
   harness.peers = {live: [], replaced: ['dead']};
   return harness;
 }
 
-function showJournal(
+function answerJournalRead(
   harness: coordinatorHarness.CoordinatorHarness,
   entries: ReadonlyArray<journalBackend.JournalEntry>,
   first = 0,
@@ -79,10 +79,10 @@
 
 nodeTest.describe('identity of a dead home', () => {
   nodeTest.test('is answered from the journal, to its own client only', () => {
-    const harness = survivor();
+    const harness = buildRecoveringProcess();
     const own = harness.submit(IDENTITY);
     const foreign = harness.submit(IDENTITY, 'order', 'bob');
-    showJournal(harness, [STARTING, FINISHED]);
+    answerJournalRead(harness, [STARTING, FINISHED]);
     assert.equal(harness.replyTo(own)?.answer, 'polished');
     assert.equal(harness.replyTo(foreign)?.code, 1008);
     const later = harness.submit(IDENTITY, 'order', 'bob');
@@ -90,18 +90,18 @@
   });
 
   nodeTest.test('is "not run" without records once all have been read', () => {
-    const harness = survivor();
+    const harness = buildRecoveringProcess();
     const call = harness.submit(IDENTITY);
-    showJournal(harness, []);
+    answerJournalRead(harness, []);
     assert.equal(harness.replyTo(call)?.code, 3005);
   });
 
   nodeTest.test(
     'has a lost outcome without records if the log has trimmed the journal',
     () => {
-      const harness = survivor();
+      const harness = buildRecoveringProcess();
       const call = harness.submit(IDENTITY);
-      showJournal(harness, [], 7);
+      answerJournalRead(harness, [], 7);
       assert.equal(harness.replyTo(call)?.code, 4002);
     },
   );
@@ -110,19 +110,19 @@
     'is never "not run" if its request may be idempotent, because idempotent ' +
       'requests leave no records',
     () => {
-      const harness = survivor();
+      const harness = buildRecoveringProcess();
       const fetched = harness.callAbout('fetchArrived', IDENTITY);
       const sent = harness.submit(IDENTITY, 'inspection');
-      showJournal(harness, []);
+      answerJournalRead(harness, []);
       assert.equal(harness.replyTo(fetched)?.code, 4001);
       assert.equal(harness.replyTo(sent)?.code, 4002);
     },
   );
 
   nodeTest.test('is answered by the worker on which its task ended', () => {
-    const harness = survivor();
+    const harness = buildRecoveringProcess();
     const call = harness.submit(IDENTITY);
-    showJournal(harness, [STARTING]);
+    answerJournalRead(harness, [STARTING]);
     assert.equal(harness.replyTo(call), undefined);
     harness.now = 500;
     const state = 'finished';
@@ -133,7 +133,7 @@
     assert.equal(
       harness.effectsOfKind('fetchTaskAnswer').length,
       2,
-      'after a loss',
+      'resent after 2 s',
     );
     harness.endTask(TASK);
     assert.equal(harness.replyTo(call)?.answer, 'done 0');
@@ -142,9 +142,9 @@
   nodeTest.test(
     'is "not run" after a recorded start only once the lease bound has passed',
     () => {
-      const harness = survivor();
+      const harness = buildRecoveringProcess();
       const early = harness.submit(IDENTITY);
-      showJournal(harness, [STARTING]);
+      answerJournalRead(harness, [STARTING]);
       harness.now = 4_000;
       harness.report();
       assert.equal(harness.replyTo(early)?.code, 4001);
--- a/test/contracts/outcome_rule_test.ts
+++ b/test/contracts/outcome_rule_test.ts
@@ -9,22 +9,25 @@
 
 const SEED = 20_262;
 const IDENTITY = 'home_1_a';
-const LEASE_BOUND = 10_000;
+const LEASE_BOUND_MS = 10_000;
 
 /** One attempt of a home to run an identity that was proved not to have run. */
-interface Step {
+interface EarlierAttempt {
   readonly kind: 'lapsedStart' | 'refusedOffer';
 }
 
 /** Actual course of the last attempt. */
-type LastStep =
+type LastAttempt =
   'none' | 'finished' | 'endedUnrecorded' | 'stillRunning' | 'lapsedStart';
 
-const STEPS = fastCheck.array(
-  fastCheck.constantFrom<Step>({kind: 'lapsedStart'}, {kind: 'refusedOffer'}),
+const EARLIER_ATTEMPTS = fastCheck.array(
+  fastCheck.constantFrom<EarlierAttempt>(
+    {kind: 'lapsedStart'},
+    {kind: 'refusedOffer'},
+  ),
   {maxLength: 4},
 );
-const LAST = fastCheck.constantFrom<LastStep>(
+const LAST_ATTEMPT = fastCheck.constantFrom<LastAttempt>(
   'none',
   'finished',
   'endedUnrecorded',
@@ -46,7 +49,7 @@
       taskCount: 1,
       attempt,
       worker: `worker-${attempt}`,
-      leaseBound: LEASE_BOUND,
+      leaseBound: LEASE_BOUND_MS,
     },
   };
 }
@@ -81,16 +84,17 @@
 }
 
 /** Returns all records of the home, in order. */
-function history(
-  steps: ReadonlyArray<Step>,
-  last: LastStep,
+function recordsOf(
+  earlier: ReadonlyArray<EarlierAttempt>,
+  last: LastAttempt,
 ): ReadonlyArray<journalBackend.JournalRecord> {
-  const records: journalBackend.JournalRecord[] = steps.map((step, index) =>
-    step.kind === 'lapsedStart'
-      ? startRecord(index, index)
-      : offerRecord(index),
+  const records: journalBackend.JournalRecord[] = earlier.map(
+    (attempt, index) =>
+      attempt.kind === 'lapsedStart'
+        ? startRecord(index, index)
+        : offerRecord(index),
   );
-  const number = steps.length;
+  const number = earlier.length;
   if (last !== 'none') records.push(startRecord(number, number));
   if (last === 'finished') records.push(endRecord(number + 1));
   return records;
@@ -99,7 +103,7 @@
 /** Returns the reports of all workers at `workerClock`. */
 function reportsOf(
   count: number,
-  last: LastStep,
+  last: LastAttempt,
   workerClock: number,
 ): ReadonlyMap<string, outcomeRule.ConclusiveReport> {
   const reports = new Map<string, outcomeRule.ConclusiveReport>();
@@ -125,13 +129,13 @@
       'missing: guards against a client that repeats a request that ran',
     () => {
       const property = fastCheck.property(
-        STEPS,
-        LAST,
+        EARLIER_ATTEMPTS,
+        LAST_ATTEMPT,
         fastCheck.array(fastCheck.boolean(), {minLength: 6, maxLength: 6}),
         fastCheck.constantFrom('log', 'witness', 'both'),
         fastCheck.integer({min: 0, max: 400_000}),
-        (steps, last, seen, incomplete, workerClock) => {
-          const whole = history(steps, last);
+        (earlier, last, seen, incomplete, workerClock) => {
+          const whole = recordsOf(earlier, last);
           const records = whole.filter((_, index) => seen[index]);
           // Only incomplete sources may lack records.
           const missing = records.length < whole.length;
@@ -139,7 +143,7 @@
             records,
             logComplete: !missing || incomplete === 'witness',
             witnessComplete: !missing || incomplete === 'log',
-            reports: reportsOf(steps.length, last, workerClock),
+            reports: reportsOf(earlier.length, last, workerClock),
             answers: NO_ANSWERS,
           });
           const ran = last !== 'none' && last !== 'lapsedStart';
@@ -155,11 +159,11 @@
     'does not depend on the order of the records or on duplicates',
     () => {
       const property = fastCheck.property(
-        STEPS,
-        LAST,
+        EARLIER_ATTEMPTS,
+        LAST_ATTEMPT,
         fastCheck.infiniteStream(fastCheck.nat(1_000)),
-        (steps, last, keys) => {
-          const records = history(steps, last);
+        (earlier, last, keys) => {
+          const records = recordsOf(earlier, last);
           const shuffled = [...records, ...records]
             .map(record => ({record, key: keys.next().value ?? 0}))
             .sort((left, right) => left.key - right.key)
@@ -167,7 +171,7 @@
           const evidence = {
             logComplete: true,
             witnessComplete: true,
-            reports: reportsOf(steps.length, last, 50_000),
+            reports: reportsOf(earlier.length, last, 50_000),
             answers: NO_ANSWERS,
           };
           assert.deepEqual(
@@ -195,9 +199,9 @@
           ...evidence,
           reports: reportsOf(0, 'none', workerClock),
         }).kind;
-      assert.equal(at(LEASE_BOUND), 'unknown');
-      assert.equal(at(LEASE_BOUND + 1), 'notRun');
-      assert.equal(at(LEASE_BOUND + 600_000), 'lost');
+      assert.equal(at(LEASE_BOUND_MS), 'unknown');
+      assert.equal(at(LEASE_BOUND_MS + 1), 'notRun');
+      assert.equal(at(LEASE_BOUND_MS + 600_000), 'lost');
     },
   );
 
--- a/test/contracts/outgoing_offers_test.ts
+++ b/test/contracts/outgoing_offers_test.ts
@@ -60,7 +60,7 @@
 }
 
 /** Returns a home without workers that has offered its request to a peer. */
-function offeringHome(): {
+function buildOfferingHome(): {
   readonly home: coordinatorHarness.CoordinatorHarness;
   readonly call: number;
 } {
@@ -157,7 +157,7 @@
     'is resent to the same process while its answer is missing, and goes to ' +
       'another one only after a refusal: guards against two runs',
     () => {
-      const {home} = offeringHome();
+      const {home} = buildOfferingHome();
       const [{peer, identity}] = home.effectsOfKind('offerRequest');
       home.handle({kind: 'offerLost', peer, identity});
       home.advanceTime(1_000);
@@ -174,7 +174,7 @@
   );
 
   nodeTest.test('passes the answer of the right process to the client', () => {
-    const {home, call} = offeringHome();
+    const {home, call} = buildOfferingHome();
     const [{peer, identity}] = home.effectsOfKind('offerRequest');
     const ended = {code: 0, answer: 'polished'};
     const other = peer === 'peer-1' ? 'peer-2' : 'peer-1';
--- a/test/contracts/request_coordinator_test.ts
+++ b/test/contracts/request_coordinator_test.ts
@@ -247,7 +247,7 @@
 
 nodeTest.describe('refusal', () => {
   nodeTest.test(
-    'is final for its identity; guards against a delayed submission that runs ' +
+    'is final for its identity: guards against a late submission that runs ' +
       'after the client was told "not run"',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
