--- a/src/links/entry_effect_performer.ts
+++ b/src/links/entry_effect_performer.ts
@@ -7,7 +7,7 @@
 import type * as workerLink from './worker_link.js';
 import type * as sinks from '../operations/sinks.js';
 
-/** The links of an entry process. */
+/** Links and sinks of an entry process. */
 export interface EntryLinks {
   readonly callerServer: callerServer.CallerServer;
   readonly workerLink: workerLink.WorkerLink;
@@ -16,16 +16,16 @@
   readonly peerServer: peerServer.PeerServer;
   readonly metrics: sinks.MetricsSink;
   readonly logs: sinks.LogSink;
-  /** Ends the process. */
+  /** Terminates the process. */
   readonly endProcess: (reason: string) => void;
 }
 
-/** Hands each effect to the link that performs it. */
+/** Routes each effect to the link or sink that performs it. */
 export class EntryEffectPerformer implements loop.EffectPerformer {
   constructor(private readonly links: EntryLinks) {}
 
-  perform(wanted: effect.Effect): void {
-    switch (wanted.kind) {
+  perform(entryEffect: effect.Effect): void {
+    switch (entryEffect.kind) {
       case 'startTask':
       case 'renewLeases':
       case 'stopTask':
@@ -33,12 +33,12 @@
       case 'fetchTaskAnswer':
       case 'throttleTask':
       case 'readReport':
-        void this.links.workerLink.perform(wanted);
+        void this.links.workerLink.perform(entryEffect);
         return;
       case 'append':
       case 'readStream':
       case 'readVmList':
-        void this.links.platformLink.perform(wanted);
+        void this.links.platformLink.perform(entryEffect);
         return;
       case 'confirmPeer':
       case 'offerRequest':
@@ -47,7 +47,7 @@
       case 'fetchDocuments':
       case 'sendWitness':
       case 'readWitness':
-        void this.links.peerLink.perform(wanted);
+        void this.links.peerLink.perform(entryEffect);
         return;
       case 'answerConfirm':
       case 'answerOffer':
@@ -55,40 +55,48 @@
       case 'answerDocuments':
       case 'answerWitness':
       case 'answerReadWitness':
-        this.links.peerServer.answer(wanted);
+        this.links.peerServer.answer(entryEffect);
         return;
       case 'answerCaller':
-        this.answerCaller(wanted.call, wanted.reply);
+        this.answerCaller(entryEffect.call, entryEffect.reply);
         return;
       case 'count':
-        this.links.metrics.count(wanted.metric, wanted.labels, wanted.value);
+        this.links.metrics.count(
+          entryEffect.metric,
+          entryEffect.labels,
+          entryEffect.value,
+        );
         return;
       case 'observe':
         this.links.metrics.observe(
-          wanted.metric,
-          wanted.labels,
-          wanted.milliseconds,
+          entryEffect.metric,
+          entryEffect.labels,
+          entryEffect.milliseconds,
         );
         return;
       case 'log':
-        this.links.logs.log(wanted.level, wanted.event, wanted.fields);
+        this.links.logs.log(
+          entryEffect.level,
+          entryEffect.event,
+          entryEffect.fields,
+        );
         return;
       case 'endProcess':
-        this.links.endProcess(wanted.reason);
+        this.links.endProcess(entryEffect.reason);
         return;
       default:
-        rejectUnperformed(wanted);
+        throwUnhandledEffect(entryEffect);
     }
   }
 
-  /** Answers the caller, who may be a caller of another process. */
+  /** Answers a caller of this process, or one whose call a peer forwarded. */
   private answerCaller(call: number, reply: effect.Reply): void {
     if (this.links.peerServer.answerForwarded(call, reply)) return;
     this.links.callerServer.answer(call, reply);
   }
 }
 
-/** Fails to compile when a kind of effect has no link. */
-function rejectUnperformed(wanted: never): never {
-  throw new Error(`no link performs ${JSON.stringify(wanted)}`);
+/** Makes the compiler reject a kind of effect without a link. */
+function throwUnhandledEffect(unhandledEffect: never): never {
+  throw new Error(`no link performs ${JSON.stringify(unhandledEffect)}`);
 }
--- a/src/links/field_checks.ts
+++ b/src/links/field_checks.ts
@@ -1,16 +1,16 @@
 import * as either from 'purify-ts/Either';
 import * as result from '../result.js';
 
-/** What a caller sent, before any check. */
+/** An object sent by a caller, before any check. */
 export type RawObject = Readonly<Record<string, unknown>>;
 
-/** A checked value or the numbered error. */
+/** A checked value, or the failure with its result code. */
 export type Checked<Value> = either.Either<result.Failure, Value>;
 
-/** Longest part of a wrong value that an error quotes. */
-const QUOTED_LENGTH = 60;
+/** Maximum characters of an invalid value that an error quotes. */
+const MAX_QUOTED_LENGTH = 60;
 
-/** Builds the error that names a field, its value and the rule. */
+/** Returns the failure that names a field, its value and the broken rule. */
 export function fieldFailure<Value>(
   field: string,
   value: unknown,
@@ -22,60 +22,60 @@
   );
 }
 
-/** Refuses an object with a field that is not in `known`. */
-export function rejectUnknown(
+/** Rejects an object with a field that is not in `known`. */
+export function rejectUnknownFields(
   raw: RawObject,
   known: ReadonlyArray<string>,
   prefix = '',
 ): Checked<RawObject> {
-  const extra = Object.keys(raw).find(key => !known.includes(key));
-  if (extra === undefined) return either.Right(raw);
+  const unknownKey = Object.keys(raw).find(key => !known.includes(key));
+  if (unknownKey === undefined) return either.Right(raw);
   return fieldFailure(
-    prefix + quoteKey(extra),
-    raw[extra],
+    prefix + quoteKey(unknownKey),
+    raw[unknownKey],
     `is not a known field; known are ${known.join(', ')}`,
   );
 }
 
-/** Checks a string whose length lies between both bounds. */
+/** Checks that a value is a string within the length bounds, inclusive. */
 export function checkText(
   field: string,
   value: unknown,
-  shortest: number,
-  longest: number,
+  minLength: number,
+  maxLength: number,
 ): Checked<string> {
   const valid =
     typeof value === 'string' &&
-    value.length >= shortest &&
-    value.length <= longest;
+    value.length >= minLength &&
+    value.length <= maxLength;
   if (valid) return either.Right(value);
   return fieldFailure(
     field,
     value,
-    `must be a string of ${shortest} to ${longest} characters`,
+    `must be a string of ${minLength} to ${maxLength} characters`,
   );
 }
 
-/** Checks a whole number that lies between both bounds. */
+/** Checks that a value is an integer within the bounds, inclusive. */
 export function checkInteger(
   field: string,
   value: unknown,
-  least: number,
-  greatest: number,
+  minimum: number,
+  maximum: number,
 ): Checked<number> {
   const valid =
     Number.isInteger(value) &&
-    (value as number) >= least &&
-    (value as number) <= greatest;
+    (value as number) >= minimum &&
+    (value as number) <= maximum;
   if (valid) return either.Right(value as number);
   return fieldFailure(
     field,
     value,
-    `must be a whole number from ${least} to ${greatest}`,
+    `must be a whole number from ${minimum} to ${maximum}`,
   );
 }
 
-/** Checks that a value is an object. */
+/** Checks that a value is an object, not an array or null. */
 export function checkObject(field: string, value: unknown): Checked<RawObject> {
   const valid =
     typeof value === 'object' && value !== null && !Array.isArray(value);
@@ -85,8 +85,8 @@
 
 function quote(value: unknown): string {
   const text = JSON.stringify(value) ?? String(value);
-  if (text.length <= QUOTED_LENGTH) return text;
-  return `${text.slice(0, QUOTED_LENGTH)}...`;
+  if (text.length <= MAX_QUOTED_LENGTH) return text;
+  return `${text.slice(0, MAX_QUOTED_LENGTH)}...`;
 }
 
 function quoteKey(key: string): string {
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -4,27 +4,27 @@
 import * as peerMessages from './peer_messages.js';
 import * as peerPb from './generated/peer_pb.js';
 
-/** Deadline of a probe. */
-const PROBE_DEADLINE_MS = 1_000;
+/** Timeout of a probe. */
+const PROBE_TIMEOUT_MS = 1_000;
 
-/** Time without calls after which a connection is closed. */
-const IDLE_LIMIT_MS = 60_000;
+/** Time after which a connection without calls is closed. */
+const IDLE_TIMEOUT_MS = 60_000;
 
-/** A client of the peer service. */
+/** Generated client of the peer service. */
 export type PeerClient = connect.Client<typeof peerPb.Peer>;
 
-/** Options of one call. */
+/** Timeout and abort signal of one call. */
 export interface PeerCallOptions {
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
 }
 
-/** Hears of connections to peers. */
+/** Listener for the connections to peers. */
 export interface ConnectionListener {
-  /** A connection was made. */
-  connected(socket: net.Socket, peer: string): void;
-  /** A connection went silent while a new one worked. */
-  silent(peer: string): void;
+  /** A socket was opened. */
+  onConnected(socket: net.Socket, peer: string): void;
+  /** A silent connection was replaced by a new one that works. */
+  onSilent(peer: string): void;
 }
 
 interface Connection {
@@ -33,32 +33,32 @@
 }
 
 /**
- * One HTTP/2 connection to each peer. A call that misses its deadline causes a
- * probe over the connection and over a new one; the old one is closed when
- * only the new one works.
+ * Keeps one HTTP/2 connection per peer. After a call has timed out, the
+ * connection and a new one are probed; when only the new one answers, it
+ * replaces the old one.
  */
 export class PeerConnections {
   private readonly connections = new Map<string, Connection>();
-  private readonly probing = new Set<string>();
+  private readonly probingAddresses = new Set<string>();
 
   constructor(private readonly listener: ConnectionListener) {}
 
-  /** Sends one call; rejects when no answer came within the deadline. */
+  /** Sends one call; rejects when it fails or is not answered in time. */
   async call<Answer>(
     peer: string,
     address: string,
-    deadlineMs: number,
+    timeoutMs: number,
     send: (client: PeerClient, options: PeerCallOptions) => Promise<Answer>,
   ): Promise<Answer> {
-    const connection = this.connection(peer, address);
+    const connection = this.connectionTo(peer, address);
     try {
-      return await sendWithin(connection.client, deadlineMs, send);
-    } catch (fault) {
-      const {code} = connect.ConnectError.from(fault);
+      return await sendWithTimeout(connection.client, timeoutMs, send);
+    } catch (error) {
+      const {code} = connect.ConnectError.from(error);
       if (code === connect.Code.DeadlineExceeded) {
         void this.probe(peer, address, connection);
       }
-      throw fault;
+      throw error;
     }
   }
 
@@ -68,23 +68,23 @@
     this.connections.clear();
   }
 
-  private connection(peer: string, address: string): Connection {
+  private connectionTo(peer: string, address: string): Connection {
     const known = this.connections.get(address);
     if (known !== undefined) return known;
-    const opened = this.open(peer, address);
+    const opened = this.openConnection(peer, address);
     this.connections.set(address, opened);
     return opened;
   }
 
-  private open(peer: string, address: string): Connection {
+  private openConnection(peer: string, address: string): Connection {
     const baseUrl = `http://${address}`;
     const session = new connectNode.Http2SessionManager(
       baseUrl,
-      {idleConnectionTimeoutMs: IDLE_LIMIT_MS},
+      {idleConnectionTimeoutMs: IDLE_TIMEOUT_MS},
       {
         createConnection: url => {
           const socket = net.connect(Number(url.port), url.hostname);
-          this.listener.connected(socket, peer);
+          this.listener.onConnected(socket, peer);
           return socket;
         },
       },
@@ -93,7 +93,7 @@
       baseUrl,
       httpVersion: '2',
       sessionManager: session,
-      // Messages are a few hundred bytes; compression would only add headers.
+      // Messages have a few hundred bytes; compression would only add headers.
       acceptCompression: [],
       readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
     });
@@ -103,32 +103,34 @@
   private async probe(
     peer: string,
     address: string,
-    old: Connection,
+    oldConnection: Connection,
   ): Promise<void> {
-    if (this.probing.has(address)) return;
-    this.probing.add(address);
-    const fresh = this.open(peer, address);
-    const [freshWorks, oldWorks] = await Promise.all([
-      answersProbe(fresh),
-      answersProbe(old),
+    if (this.probingAddresses.has(address)) return;
+    this.probingAddresses.add(address);
+    const newConnection = this.openConnection(peer, address);
+    const [newWorks, oldWorks] = await Promise.all([
+      respondsToProbe(newConnection),
+      respondsToProbe(oldConnection),
     ]);
-    this.probing.delete(address);
-    const silent =
-      freshWorks && !oldWorks && this.connections.get(address) === old;
-    if (!silent) {
-      fresh.session.abort();
+    this.probingAddresses.delete(address);
+    const isSilent =
+      newWorks && !oldWorks && this.connections.get(address) === oldConnection;
+    if (!isSilent) {
+      newConnection.session.abort();
       return;
     }
-    this.connections.set(address, fresh);
-    old.session.abort();
-    this.listener.silent(peer);
+    this.connections.set(address, newConnection);
+    oldConnection.session.abort();
+    this.listener.onSilent(peer);
   }
 }
 
-async function answersProbe(connection: Connection): Promise<boolean> {
+async function respondsToProbe(connection: Connection): Promise<boolean> {
   try {
-    await sendWithin(connection.client, PROBE_DEADLINE_MS, (client, options) =>
-      client.probe({}, options),
+    await sendWithTimeout(
+      connection.client,
+      PROBE_TIMEOUT_MS,
+      (client, options) => client.probe({}, options),
     );
     return true;
   } catch {
@@ -136,21 +138,21 @@
   }
 }
 
-function sendWithin<Answer>(
+function sendWithTimeout<Answer>(
   client: PeerClient,
-  deadlineMs: number,
+  callTimeoutMs: number,
   send: (client: PeerClient, options: PeerCallOptions) => Promise<Answer>,
 ): Promise<Answer> {
-  const deadline = new AbortController();
+  const abortController = new AbortController();
   const timer = setTimeout(() => {
-    const late = new connect.ConnectError(
-      `no answer within ${deadlineMs} ms`,
+    const timeoutError = new connect.ConnectError(
+      `no answer within ${callTimeoutMs} ms`,
       connect.Code.DeadlineExceeded,
     );
-    deadline.abort(late);
-  }, deadlineMs);
+    abortController.abort(timeoutError);
+  }, callTimeoutMs);
   return send(client, {
-    timeoutMs: deadlineMs,
-    signal: deadline.signal,
+    timeoutMs: callTimeoutMs,
+    signal: abortController.signal,
   }).finally(() => clearTimeout(timer));
 }
