--- a/src/contracts/call_reply.ts
+++ b/src/contracts/call_reply.ts
@@ -33,10 +33,10 @@
 
 /** Returns why an identity can't be used; undefined for a valid identity. */
 export function identityRefusal(
-  check: identityIssuer.IdentityStatus,
+  status: identityIssuer.IdentityStatus,
   identity: string,
 ): result.Failure | undefined {
-  switch (check) {
+  switch (status) {
     case 'foreign':
       return unknownIdentity(identity);
     case 'expired': {
--- a/src/contracts/identity_issuer.ts
+++ b/src/contracts/identity_issuer.ts
@@ -4,6 +4,7 @@
 
 /** Components of a request identity. */
 export interface IdentityParts {
+  /** Home of the identity: the process that issued it and keeps its request. */
   readonly home: string;
   readonly sequence: number;
   readonly secret: string;
--- a/src/contracts/incoming_offers.ts
+++ b/src/contracts/incoming_offers.ts
@@ -21,6 +21,7 @@
 
 /** Objects that `IncomingOffers` uses. */
 export interface IncomingOffersParts {
+  /** Name of this process. */
   readonly self: string;
   readonly builder: requestBuilder.RequestBuilder;
   readonly table: requestTable.RequestTable;
@@ -79,16 +80,16 @@
     if (identityIssuer.parse(identity)?.home !== offer.from) {
       return [answerOffer(call, 'unknownIdentity')];
     }
-    const known = this.entryForAttempt(
+    const entry = this.entryForAttempt(
       identity,
       offer.attempt ?? 0,
       offer.from,
     );
-    if (known === undefined) return this.acceptOrRefuse(offer, now);
-    if (known.request.client !== offer.client) {
+    if (entry === undefined) return this.acceptOrRefuse(offer, now);
+    if (entry.request.client !== offer.client) {
       return [answerOffer(call, 'unknownIdentity')];
     }
-    return this.answerAtEnd(known, call);
+    return this.answerAtEnd(entry, call);
   }
 
   /**
@@ -101,22 +102,22 @@
     from: string,
   ): requestTable.RequestEntry | undefined {
     const {table} = this.parts;
-    const known = table.get(identity);
-    if (known?.outcome === undefined) return known;
+    const entry = table.get(identity);
+    if (entry?.outcome === undefined) return entry;
     const isNotRun =
-      result.RESULT_CODES[known.outcome.result].execution === 'notRun';
-    const isLaterAttempt = attempt > known.offerAttempt;
-    if (!isNotRun || !isLaterAttempt || known.offeredBy !== from) return known;
+      result.RESULT_CODES[entry.outcome.result].execution === 'notRun';
+    const isLaterAttempt = attempt > entry.offerAttempt;
+    if (!isNotRun || !isLaterAttempt || entry.offeredBy !== from) return entry;
     table.forgetEnded(identity);
     return undefined;
   }
 
   private answerAtEnd(
-    known: requestTable.RequestEntry,
+    entry: requestTable.RequestEntry,
     call: event.CallNumber,
   ): ReadonlyArray<effects.Effect> {
-    if (known.outcome !== undefined) return [answerEndedOffer(call, known)];
-    const {identity} = known.request;
+    if (entry.outcome !== undefined) return [answerEndedOffer(call, entry)];
+    const {identity} = entry.request;
     this.waitingCalls.set(identity, [
       ...(this.waitingCalls.get(identity) ?? []),
       call,
--- a/src/contracts/outcome_recovery.ts
+++ b/src/contracts/outcome_recovery.ts
@@ -198,9 +198,9 @@
   }
 
   private openJournalCopy(process: string, now: clock.Milliseconds): void {
-    const known = this.journalCopies.get(process);
-    if (known !== undefined) {
-      known.lastUsedAt = now;
+    const existing = this.journalCopies.get(process);
+    if (existing !== undefined) {
+      existing.lastUsedAt = now;
       return;
     }
     const own = this.witnesses.read(process);
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -244,7 +244,7 @@
       client,
       process,
     });
-    this.openOffers.set(identity, {...offer, recordNumber: recordNumber});
+    this.openOffers.set(identity, {...offer, recordNumber});
     this.parts.table.change(identity, {
       state: 'recording',
       recorded: true,
--- a/src/contracts/request_coordinator.ts
+++ b/src/contracts/request_coordinator.ts
@@ -30,6 +30,7 @@
 
 /** Objects that `RequestCoordinator` uses. */
 export interface RequestCoordinatorParts {
+  /** Name of this process. */
   readonly self: string;
   readonly random: randomSource.RandomSource;
   readonly documents: requestBuilder.ConfigurationProvider;
@@ -172,19 +173,19 @@
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const known = this.table.get(identity);
-    if (known === undefined || known.request.client !== call.client) {
+    const entry = this.table.get(identity);
+    if (entry === undefined || entry.request.client !== call.client) {
       return this.refuseUnknown(call, identity);
     }
     switch (call.kind) {
       case 'requestArrived':
-        return this.answerRepeat(call, known, now);
+        return this.answerRepeat(call, entry, now);
       case 'fetchArrived':
         return this.table.answerAtEnd(identity, call, now + call.waitMs, now);
       case 'cancelArrived':
         return this.cancel(call, identity, now);
       case 'explainArrived':
-        return [this.explain(call, known, now)];
+        return [this.explain(call, entry, now)];
     }
   }
 
@@ -260,8 +261,8 @@
     identity: string,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const known = this.table.get(identity);
-    if (known !== undefined && isDecidedHere(known)) {
+    const entry = this.table.get(identity);
+    if (entry !== undefined && isDecidedHere(entry)) {
       return this.answerLocally(call, identity, now);
     }
     const home = identityIssuer.parse(identity)?.home;
@@ -269,8 +270,8 @@
     if (home !== this.parts.self) {
       return this.router.route(call, identity, home, now);
     }
-    const check = this.issuer.check(identity, call.client, now);
-    const refusal = callReply.identityRefusal(check, identity);
+    const status = this.issuer.check(identity, call.client, now);
+    const refusal = callReply.identityRefusal(status, identity);
     if (refusal !== undefined) {
       return callReply.refuse(call.call, refusal, identity);
     }
@@ -352,10 +353,10 @@
 
   private answerRepeat(
     call: CallOf<'requestArrived'>,
-    known: requestTable.RequestEntry,
+    entry: requestTable.RequestEntry,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const {request: first} = known;
+    const {request: first} = entry;
     const isSameSubmission =
       first.team === call.submission.team &&
       first.workload.name === call.submission.workload &&
@@ -383,27 +384,27 @@
 
   private explain(
     call: CallOf<'explainArrived'>,
-    known: requestTable.RequestEntry,
+    entry: requestTable.RequestEntry,
     now: clock.Milliseconds,
   ): effects.Effect {
-    const {identity, arrivedAt, startBy} = known.request;
-    const isQueued = known.state === 'queued';
+    const {identity, arrivedAt, startBy} = entry.request;
+    const isQueued = entry.state === 'queued';
     const detail = isQueued ? this.parts.queue.explain(identity, now) : '';
     const content = {
       home: this.parts.self,
-      state: known.state,
-      reason: detail === '' ? known.reason : detail,
-      worker: known.worker,
-      tasks: known.tasks,
-      attempts: known.attempts,
-      cancelled: known.cancelled,
-      recorded: known.recorded,
+      state: entry.state,
+      reason: detail === '' ? entry.reason : detail,
+      worker: entry.worker,
+      tasks: entry.tasks,
+      attempts: entry.attempts,
+      cancelled: entry.cancelled,
+      recorded: entry.recorded,
       ageMs: Math.round(now - arrivedAt),
       ...(startBy < Infinity ? {startWithinMs: Math.round(startBy - now)} : {}),
-      ...(known.outcome === undefined ? {} : {result: known.outcome.result}),
+      ...(entry.outcome === undefined ? {} : {result: entry.outcome.result}),
     };
     const {code} = result.RESULT_CODES.ok;
-    const reply = {code, identity, state: known.state, content};
+    const reply = {code, identity, state: entry.state, content};
     return {kind: 'answerCaller', call: call.call, reply};
   }
 
--- a/test/contracts/request_coordinator_test.ts
+++ b/test/contracts/request_coordinator_test.ts
@@ -97,15 +97,18 @@
     },
   );
 
-  nodeTest.test('needs a home that has joined and so has a successor', () => {
-    const harness = new coordinatorHarness.CoordinatorHarness();
-    harness.hasJoined = false;
-    assert.equal(harness.reserve(), '');
-    assert.equal(
-      harness.replyTo(harness.submit(undefined, 'inspection'))?.code,
-      3002,
-    );
-  });
+  nodeTest.test(
+    'needs a home that has joined, which a successor can recover',
+    () => {
+      const harness = new coordinatorHarness.CoordinatorHarness();
+      harness.hasJoined = false;
+      assert.equal(harness.reserve(), '');
+      assert.equal(
+        harness.replyTo(harness.submit(undefined, 'inspection'))?.code,
+        3002,
+      );
+    },
+  );
 
   nodeTest.test('is refused if the identity belongs to another client', () => {
     const harness = new coordinatorHarness.CoordinatorHarness();
