--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -161,7 +161,7 @@
     const from = 'peer-1';
     const to = 'peer-2';
     assert.deepEqual(withoutCalls, [
-      {kind: 'confirmArrived', call: 0, to, zonePosition: 12, news: NEWS},
+      {kind: 'confirmArrived', call: 0, to, zonePosition: 12, status: NEWS},
       {
         kind: 'offerArrived',
         call: 0,
@@ -190,7 +190,7 @@
         sentAt: 5,
         confirmed: true,
         zoneRecords: [{offset: 3, data: 'r'}],
-        news: {...NEWS, from: to},
+        status: {...NEWS, from: to},
       },
       {kind: 'offerAnswered', peer: to, identity: 'i', code: 0, answer: 'é'},
       {kind: 'withdrawAnswered', peer: to, identity: 'i', code: 2006},
