--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -28,7 +28,7 @@
   ): ReadonlyArray<effects.Effect>;
   /** Blocks an identity from running here; false if it is already known. */
   preventRun(identity: string, now: clock.Milliseconds): boolean;
-  /** Whether a submission may run twice; undefined when that is not known. */
+  /** Returns whether a submission may run twice; undefined if unknown. */
   isIdempotent(call: IdentityCall): boolean | undefined;
 }
 
--- a/src/contracts/incoming_offers.ts
+++ b/src/contracts/incoming_offers.ts
@@ -173,9 +173,7 @@
   ): ReadonlyArray<effects.Effect> {
     const {call, identity, from, to} = withdrawal;
     const {lifecycle, offers: outgoing, table} = this.parts;
-    if (to !== this.parts.self) {
-      return [answerWithdraw(call, 'unknownOutcome')];
-    }
+    if (to !== this.parts.self) return [answerWithdraw(call, 'unknownOutcome')];
     const attempt = withdrawal.attempt ?? 0;
     this.entryForAttempt(identity, attempt, from);
     if (outgoing.preventRun(identity, attempt, now)) {
--- a/src/contracts/journal_backend.ts
+++ b/src/contracts/journal_backend.ts
@@ -58,11 +58,11 @@
   handle(handled: event.Event, now: clock.Milliseconds): JournalOutput;
   /** Sends queued entries if a batch may be sent now. */
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect>;
-  /** Whether entries can currently be recorded, as far as is known. */
+  /** Returns whether entries can currently be recorded, as far as is known. */
   isAvailable(): boolean;
-  /** Entries that are not yet recorded. */
+  /** Returns the entries that are not yet recorded. */
   pendingRecords(): ReadonlyArray<JournalRecord>;
-  /** Number of entries that are not yet recorded. */
+  /** Returns the number of entries that are not yet recorded. */
   pendingCount(): number;
   nextDeadline(): clock.Milliseconds;
 }
--- a/src/contracts/outcome_recovery.ts
+++ b/src/contracts/outcome_recovery.ts
@@ -35,7 +35,7 @@
 /** Looks up the addresses of workers. */
 export interface WorkerDirectory {
   address(worker: string): string | undefined;
-  /** Whether the worker's VM no longer exists. */
+  /** Returns whether the worker's VM no longer exists. */
   isGone(worker: string): boolean;
 }
 
@@ -153,7 +153,7 @@
     });
   }
 
-  /** Whether recovery has requested the answer of this task. */
+  /** Returns whether recovery has requested the answer of this task. */
   isFetching(task: string): boolean {
     return this.openFetches.has(task);
   }
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -190,7 +190,7 @@
     return true;
   }
 
-  /** Whether an offer was withdrawn or refused before it arrived here. */
+  /** Returns whether an offer was withdrawn or refused before it arrived. */
   isRunPrevented(identity: string, attempt: number): boolean {
     const tombstone = this.tombstones.get(identity);
     return tombstone !== undefined && attempt <= tombstone.lastAttempt;
@@ -220,9 +220,7 @@
     if (candidate.taskCount !== workload.taskCount) return;
     const member = this.choosePeer(identity, now);
     if (member === undefined) return;
-    if (!workload.idempotent && !this.parts.journal.isAvailable()) {
-      return;
-    }
+    if (!workload.idempotent && !this.parts.journal.isAvailable()) return;
     if (!this.parts.queue.remove(identity)) return;
     const {process, address} = member;
     const offer: OpenOffer = {
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -8,22 +8,22 @@
 
 /** Looks up other entry processes and their membership. */
 export interface ProcessDirectory {
-  /** Whether this process is a member, so that a successor can take over. */
+  /** Returns whether this process is a member, so that it can be replaced. */
   hasJoined(): boolean;
-  /** Other members of this process's zone that may be alive. */
+  /** Returns the other members of this zone that may be alive. */
   members(): ReadonlyArray<PeerProcess>;
-  /** Other members of the zone that accept offers. */
+  /** Returns the other members of this zone that accept offers. */
   offerCandidates(): ReadonlyArray<PeerProcess>;
-  /** Whether a process of this zone has neither left nor been claimed. */
+  /** Returns whether a process of this zone has not left or been claimed. */
   isMember(process: string): boolean;
-  /** Address of a process of this zone that may be alive. */
+  /** Returns the address of a process of this zone that may be alive. */
   address(process: string): string | undefined;
-  /** Process of another zone that relays calls about `process` there. */
+  /** Returns the process that relays calls for `process` of another zone. */
   relayFor(process: string): PeerProcess | undefined;
   /** Marks an address that did not answer, so that another one relays next. */
   markUnreachable(address: string): void;
-  /** Whether a successor has taken over and all permits have ended. */
+  /** Returns whether a successor has taken over and all permits have ended. */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean;
-  /** Whether this process has been a member since before `process` joined. */
+  /** Returns whether this process joined the zone before `process` did. */
   joinedBefore(process: string): boolean;
 }
--- a/src/contracts/request_builder.ts
+++ b/src/contracts/request_builder.ts
@@ -73,7 +73,7 @@
     });
   }
 
-  /** Whether a submission may run twice; undefined if it is not configured. */
+  /** Returns whether a submission may run twice; undefined if unconfigured. */
   isIdempotent(submission: request.Submission): boolean | undefined {
     const team = this.documents.current().teams.get(submission.team);
     return team?.workloads.find(item => item.name === submission.workload)
--- a/src/contracts/request_coordinator.ts
+++ b/src/contracts/request_coordinator.ts
@@ -121,14 +121,14 @@
     return this.table.unfinishedCount();
   }
 
-  /** Whether all admitted requests have ended and their ends are recorded. */
+  /** Returns whether all admitted requests have ended, with recorded ends. */
   isIdle(): boolean {
     return (
       this.table.unfinishedCount() === 0 && this.journal.unrecordedCount() === 0
     );
   }
 
-  /** Whether new requests are refused because the process shuts down. */
+  /** Returns whether new requests are refused because of a shutdown. */
   isDraining(): boolean {
     return this.draining;
   }
@@ -440,7 +440,7 @@
     return callReply.refuse(call.call, callReply.unknownIdentity(identity));
   }
 
-  /** Whether an answer was fetched for recovery, not for a tracked task. */
+  /** Returns whether an answer was fetched for recovery, not the runner. */
   private isForRecovery(handled: event.Event): boolean {
     if (handled.kind !== 'taskAnswerArrived') return false;
     if (this.parts.runner.isTracked(handled.task)) return false;
--- a/src/contracts/request_journal.ts
+++ b/src/contracts/request_journal.ts
@@ -57,13 +57,13 @@
     return record.number;
   }
 
-  /** Whether a new entry can probably be recorded. */
+  /** Returns whether a new entry can probably be recorded. */
   isAvailable(): boolean {
     if (this.log.pendingCount() >= MAX_PENDING_ENTRIES) return false;
     return this.log.isAvailable() || this.witnesses.isAvailable();
   }
 
-  /** Whether the log has stopped answering. */
+  /** Returns whether the log has stopped answering. */
   isLogOutage(): boolean {
     return this.logOutage;
   }
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -204,9 +204,7 @@
   ): ReadonlyArray<effects.Effect> {
     const {identity, client, workload} = attempt.request;
     const isOffered = this.parts.table.get(identity)?.offeredBy !== '';
-    if (workload.idempotent && !isOffered) {
-      return this.startTasks(attempt, now);
-    }
+    if (workload.idempotent && !isOffered) return this.startTasks(attempt, now);
     for (const held of attempt.tasks()) {
       if (held.state !== 'held') continue;
       const number = this.parts.journal.record({
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -100,7 +100,7 @@
     return this.entries.size - this.endTimes.size;
   }
 
-  /** Whether only running services are left, whose tasks go on elsewhere. */
+  /** Returns whether only running services are left; their tasks go on. */
   isFinished(): boolean {
     if (this.unfinishedCount() === 0) return true;
     for (const entry of this.entries.values()) {
