--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -269,7 +269,7 @@
     return answerUnknownByNumber(
       call,
       identity,
-      `the home process at ${address} did not answer`,
+      'the home process did not answer',
     );
   }
 
