--- a/src/contracts/execution_attempt.ts
+++ b/src/contracts/execution_attempt.ts
@@ -27,9 +27,9 @@
       readonly consumesRetry: boolean;
       readonly reason: string;
       /** Ending of the request if it may not be placed again. */
-      readonly finalEnding: requestTable.Ending;
+      readonly finalEnding: requestTable.RequestOutcome;
     }
-  | {readonly kind: 'ended'; readonly ending: requestTable.Ending};
+  | {readonly kind: 'ended'; readonly ending: requestTable.RequestOutcome};
 
 /** One attempt to run a request; its tasks start together. */
 export class ExecutionAttempt {
@@ -141,7 +141,7 @@
 
 function determineWorstEnding(
   tasks: ReadonlyArray<AttemptTask>,
-): requestTable.Ending {
+): requestTable.RequestOutcome {
   const unresolved = tasks.find(task => task.end === 'unresolved');
   if (unresolved !== undefined) {
     return buildEnding('outcomeLost', `task ${unresolved.task}`, '');
@@ -166,9 +166,9 @@
 }
 
 function buildEnding(
-  result: requestTable.Ending['result'],
+  result: requestTable.RequestOutcome['result'],
   detail: string,
   answer: string,
-): requestTable.Ending {
+): requestTable.RequestOutcome {
   return {result, detail, answer};
 }
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -1,29 +1,29 @@
 import type * as clock from '../machines/clock.js';
 
-/** Another entry process and where it listens for peers. */
-export interface Member {
+/** Another entry process and its address for peer calls. */
+export interface PeerProcess {
   readonly process: string;
   readonly address: string;
 }
 
-/** What this process knows of other entry processes. */
+/** Looks up other entry processes and their membership. */
 export interface ProcessDirectory {
-  /** Whether this process is a member, so that it will be succeeded. */
+  /** Returns whether this process is a member, so that it can be replaced. */
   hasJoined(): boolean;
-  /** The other members of the own zone that may be alive. */
-  members(): ReadonlyArray<Member>;
-  /** Members that take offers. */
-  offerTakers(): ReadonlyArray<Member>;
-  /** Whether a process of the own zone has neither left nor been claimed. */
+  /** Returns the other members of this zone that may be alive. */
+  members(): ReadonlyArray<PeerProcess>;
+  /** Returns the other members of this zone that accept offers. */
+  offerCandidates(): ReadonlyArray<PeerProcess>;
+  /** Returns whether a process of this zone has not left or been claimed. */
   isMember(process: string): boolean;
-  /** Address of a process of the own zone that may be alive. */
+  /** Returns the address of a process of this zone that may be alive. */
   address(process: string): string | undefined;
-  /** A process of another zone that knows what became of `process`. */
-  relay(process: string): Member | undefined;
-  /** Notes that an address gave no answer; another one relays next. */
-  noteUnreachable(address: string): void;
-  /** Whether a process was succeeded and all its permits have ended. */
-  isSucceeded(process: string, now: clock.Milliseconds): boolean;
-  /** Whether this process has been a member since before `process` joined. */
+  /** Returns the process that relays calls for `process` of another zone. */
+  relayFor(process: string): PeerProcess | undefined;
+  /** Marks an address that did not answer, so that another one relays next. */
+  markUnreachable(address: string): void;
+  /** Returns whether a successor has taken over and all permits have ended. */
+  hasSuccessor(process: string, now: clock.Milliseconds): boolean;
+  /** Returns whether this process joined the zone before `process` did. */
   joinedBefore(process: string): boolean;
 }
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -1,13 +1,13 @@
 import type * as clock from '../machines/clock.js';
 import type * as request from './request.js';
-import type * as requestDesk from './request_desk.js';
+import type * as requestCoordinator from './request_coordinator.js';
 import type * as result from '../result.js';
 import type * as requestScheduler from './request_scheduler.js';
 import type * as placement from './placement.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
 /** Adapter of the scheduler that lists waiting requests by order of arrival. */
-export class SchedulerQueue implements requestDesk.DeskQueue {
+export class SchedulerQueue implements requestCoordinator.CoordinatorQueue {
   private readonly waitingRequests = new Map<string, request.Request>();
 
   constructor(private readonly scheduler: requestScheduler.RequestScheduler) {}
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -1,38 +1,38 @@
-import * as journal from './journal.js';
+import * as journalBackend from './journal_backend.js';
 import type * as clock from '../machines/clock.js';
 import type * as effect from './effect.js';
 import type * as event from './event.js';
 import type * as processDirectory from './process_directory.js';
 
-/** Time for which entries of a process are kept after its last one. */
-const KEEP_MS = 7_200_000;
+/** Time for which the entries of a process are kept after the last one. */
+const ENTRY_RETENTION_MS = 7_200_000;
 
-/** Most entries that are kept for one process. */
-const ENTRY_LIMIT = 20_000;
+/** Further entries of the process are refused. */
+const MAX_ENTRIES_PER_PROCESS = 20_000;
 
-/** What one process asked this one to keep. */
-interface Testimony {
+/** Journal entries that one other process has sent here. */
+interface StoredProcessEntries {
   readonly records: Map<number, string>;
-  lastAt: clock.Milliseconds;
+  lastStoredAt: clock.Milliseconds;
 }
 
-/** What a witness can say of a process. */
-export interface WitnessAnswer {
-  /** Whether every entry that was sent to witnesses must have come here. */
+/** Entries of one process that a witness returns to recovery. */
+export interface WitnessedRecords {
+  /** Whether this witness has received every entry sent to witnesses. */
   readonly complete: boolean;
   readonly entries: ReadonlyArray<string>;
 }
 
-/** Keeps journal entries of other processes while the log gives no answer. */
+/** Stores journal entries of other processes during a log outage. */
 export class WitnessStore {
-  private readonly testimonies = new Map<string, Testimony>();
+  private readonly entriesByProcess = new Map<string, StoredProcessEntries>();
 
   constructor(
     private readonly self: string,
     private readonly directory: processDirectory.ProcessDirectory,
   ) {}
 
-  /** Stores and returns entries; ignores other events. */
+  /** Handles calls that store or read entries; ignores other events. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -57,9 +57,9 @@
     }
   }
 
-  /** Returns what is kept of a process. */
-  read(process: string): WitnessAnswer {
-    const records = this.testimonies.get(process)?.records;
+  /** Returns the stored entries of a process. */
+  read(process: string): WitnessedRecords {
+    const records = this.entriesByProcess.get(process)?.records;
     return {
       complete: this.directory.joinedBefore(process),
       entries: [...(records?.values() ?? [])],
@@ -71,25 +71,29 @@
     entries: ReadonlyArray<string>,
     now: clock.Milliseconds,
   ): boolean {
-    // Recovery has read this store already and must not be contradicted.
-    if (this.directory.isSucceeded(process, now)) return false;
-    const kept = this.testimonies.get(process) ?? {
+    // Recovery may already have read this store and decided from its entries.
+    if (this.directory.hasSuccessor(process, now)) return false;
+    const storedEntries = this.entriesByProcess.get(process) ?? {
       records: new Map<number, string>(),
-      lastAt: now,
+      lastStoredAt: now,
     };
-    if (kept.records.size + entries.length > ENTRY_LIMIT) return false;
+    if (storedEntries.records.size + entries.length > MAX_ENTRIES_PER_PROCESS) {
+      return false;
+    }
     for (const text of entries) {
-      const record = journal.decodeRecord(text);
-      if (record !== undefined) kept.records.set(record.number, text);
+      const record = journalBackend.decodeRecord(text);
+      if (record !== undefined) storedEntries.records.set(record.number, text);
     }
-    kept.lastAt = now;
-    this.testimonies.set(process, kept);
+    storedEntries.lastStoredAt = now;
+    this.entriesByProcess.set(process, storedEntries);
     return true;
   }
 
   private expire(now: clock.Milliseconds): void {
-    for (const [process, kept] of this.testimonies) {
-      if (now - kept.lastAt >= KEEP_MS) this.testimonies.delete(process);
+    for (const [process, storedEntries] of this.entriesByProcess) {
+      if (now - storedEntries.lastStoredAt >= ENTRY_RETENTION_MS) {
+        this.entriesByProcess.delete(process);
+      }
     }
   }
 }
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -101,7 +101,7 @@
       (client, options) =>
         client.confirm(
           {
-            ...peerMessages.encodeNews(peerEffect.news),
+            ...peerMessages.encodeNews(peerEffect.status),
             to: peerEffect.peer,
             zonePosition: peerMessages.toUint64(peerEffect.zonePosition),
           },
@@ -121,7 +121,7 @@
       sentAt,
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.decodeRecords(answer.zoneRecords),
-      news: peerMessages.decodeNews(answer),
+      status: peerMessages.decodeNews(answer),
     };
   }
 
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -96,7 +96,7 @@
 }
 
 /** Encodes the shared fields of a confirmation request or response. */
-export function encodeNews(news: event.PeerNews): EncodedNews {
+export function encodeNews(news: event.PeerStatus): EncodedNews {
   return {
     from: news.from,
     zone: news.zone,
@@ -111,7 +111,7 @@
 /** Decodes the shared fields of a confirmation request or response. */
 export function decodeNews(
   message: peerPb.ConfirmRequest | peerPb.ConfirmResponse,
-): event.PeerNews {
+): event.PeerStatus {
   return {
     from: message.from,
     zone: message.zone,
--- a/test/contracts/outcome_rule_test.ts
+++ b/test/contracts/outcome_rule_test.ts
@@ -3,28 +3,31 @@
 import * as nodeTest from 'node:test';
 import * as outcomeRule from '../../src/contracts/outcome_rule.js';
 import * as contractSamples from '../support/contract_samples.js';
-import type * as journal from '../../src/contracts/journal.js';
+import type * as journalBackend from '../../src/contracts/journal_backend.js';
 import type * as requestTable from '../../src/contracts/request_table.js';
 import type * as task from '../../src/contracts/task.js';
 
 const SEED = 20_262;
 const IDENTITY = 'home_1_a';
-const LEASE_BOUND = 10_000;
+const LEASE_BOUND_MS = 10_000;
 
-/** One step of a home's life with one identity, and whether it really ran. */
-interface Step {
+/** One attempt of a home to run an identity that was proved not to have run. */
+interface EarlierAttempt {
   readonly kind: 'lapsedStart' | 'refusedOffer';
 }
 
-/** How the last attempt really went. */
-type LastStep =
+/** Actual course of the last attempt. */
+type LastAttempt =
   'none' | 'finished' | 'endedUnrecorded' | 'stillRunning' | 'lapsedStart';
 
-const STEPS = fastCheck.array(
-  fastCheck.constantFrom<Step>({kind: 'lapsedStart'}, {kind: 'refusedOffer'}),
+const EARLIER_ATTEMPTS = fastCheck.array(
+  fastCheck.constantFrom<EarlierAttempt>(
+    {kind: 'lapsedStart'},
+    {kind: 'refusedOffer'},
+  ),
   {maxLength: 4},
 );
-const LAST = fastCheck.constantFrom<LastStep>(
+const LAST_ATTEMPT = fastCheck.constantFrom<LastAttempt>(
   'none',
   'finished',
   'endedUnrecorded',
@@ -32,7 +35,10 @@
   'lapsedStart',
 );
 
-function startRecord(number: number, attempt: number): journal.JournalRecord {
+function startRecord(
+  number: number,
+  attempt: number,
+): journalBackend.JournalRecord {
   return {
     number,
     entry: {
@@ -43,12 +49,12 @@
       taskCount: 1,
       attempt,
       worker: `worker-${attempt}`,
-      leaseBound: LEASE_BOUND,
+      leaseBound: LEASE_BOUND_MS,
     },
   };
 }
 
-function offerRecord(number: number): journal.JournalRecord {
+function offerRecord(number: number): journalBackend.JournalRecord {
   const process = 'peer';
   const entry = {
     kind: 'offered',
@@ -59,7 +65,10 @@
   return {number, entry};
 }
 
-function endRecord(number: number, answer = 'polished'): journal.JournalRecord {
+function endRecord(
+  number: number,
+  answer = 'polished',
+): journalBackend.JournalRecord {
   return {
     number,
     entry: {
@@ -74,29 +83,30 @@
   };
 }
 
-/** Everything that the home recorded, in order. */
-function history(
-  steps: ReadonlyArray<Step>,
-  last: LastStep,
-): ReadonlyArray<journal.JournalRecord> {
-  const records: journal.JournalRecord[] = steps.map((step, index) =>
-    step.kind === 'lapsedStart'
-      ? startRecord(index, index)
-      : offerRecord(index),
+/** Returns all records of the home, in order. */
+function recordsOf(
+  earlier: ReadonlyArray<EarlierAttempt>,
+  last: LastAttempt,
+): ReadonlyArray<journalBackend.JournalRecord> {
+  const records: journalBackend.JournalRecord[] = earlier.map(
+    (attempt, index) =>
+      attempt.kind === 'lapsedStart'
+        ? startRecord(index, index)
+        : offerRecord(index),
   );
-  const number = steps.length;
+  const number = earlier.length;
   if (last !== 'none') records.push(startRecord(number, number));
   if (last === 'finished') records.push(endRecord(number + 1));
   return records;
 }
 
-/** Reports that every worker would give at `workerClock`. */
+/** Returns the reports of all workers at `workerClock`. */
 function reportsOf(
   count: number,
-  last: LastStep,
+  last: LastAttempt,
   workerClock: number,
-): ReadonlyMap<string, outcomeRule.LateReport> {
-  const reports = new Map<string, outcomeRule.LateReport>();
+): ReadonlyMap<string, outcomeRule.ConclusiveReport> {
+  const reports = new Map<string, outcomeRule.ConclusiveReport>();
   for (let attempt = 0; attempt <= count; attempt += 1) {
     const tasks = new Map<string, task.TaskReport>();
     const name = `${IDENTITY}/0.${attempt}`;
@@ -111,29 +121,29 @@
   return reports;
 }
 
-const NO_ANSWERS: ReadonlyMap<string, requestTable.Ending> = new Map();
+const NO_ANSWERS: ReadonlyMap<string, requestTable.RequestOutcome> = new Map();
 
 nodeTest.describe('outcome of an identity whose home is dead', () => {
   nodeTest.test(
     'is "not run" only if nothing ran, whichever records and witnesses are ' +
-      'missing, so that no client repeats what has run',
+      'missing: guards against a client that repeats a request that ran',
     () => {
       const property = fastCheck.property(
-        STEPS,
-        LAST,
+        EARLIER_ATTEMPTS,
+        LAST_ATTEMPT,
         fastCheck.array(fastCheck.boolean(), {minLength: 6, maxLength: 6}),
         fastCheck.constantFrom('log', 'witness', 'both'),
         fastCheck.integer({min: 0, max: 400_000}),
-        (steps, last, seen, incomplete, workerClock) => {
-          const whole = history(steps, last);
+        (earlier, last, seen, incomplete, workerClock) => {
+          const whole = recordsOf(earlier, last);
           const records = whole.filter((_, index) => seen[index]);
-          // Records can be missing only from incomplete sources.
+          // Only incomplete sources may lack records.
           const missing = records.length < whole.length;
           const finding = outcomeRule.decide({
             records,
             logComplete: !missing || incomplete === 'witness',
             witnessComplete: !missing || incomplete === 'log',
-            reports: reportsOf(steps.length, last, workerClock),
+            reports: reportsOf(earlier.length, last, workerClock),
             answers: NO_ANSWERS,
           });
           const ran = last !== 'none' && last !== 'lapsedStart';
@@ -149,11 +159,11 @@
     'does not depend on the order of the records or on duplicates',
     () => {
       const property = fastCheck.property(
-        STEPS,
-        LAST,
+        EARLIER_ATTEMPTS,
+        LAST_ATTEMPT,
         fastCheck.infiniteStream(fastCheck.nat(1_000)),
-        (steps, last, keys) => {
-          const records = history(steps, last);
+        (earlier, last, keys) => {
+          const records = recordsOf(earlier, last);
           const shuffled = [...records, ...records]
             .map(record => ({record, key: keys.next().value ?? 0}))
             .sort((left, right) => left.key - right.key)
@@ -161,7 +171,7 @@
           const evidence = {
             logComplete: true,
             witnessComplete: true,
-            reports: reportsOf(steps.length, last, 50_000),
+            reports: reportsOf(earlier.length, last, 50_000),
             answers: NO_ANSWERS,
           };
           assert.deepEqual(
@@ -175,8 +185,8 @@
   );
 
   nodeTest.test(
-    'stays open while the lease of the recorded start has not ended, because ' +
-      'the start may still arrive',
+    'is unknown until the lease of the recorded start has ended, because the ' +
+      'start may still reach the worker',
     () => {
       const evidence = {
         records: [startRecord(1, 0)],
@@ -189,20 +199,20 @@
           ...evidence,
           reports: reportsOf(0, 'none', workerClock),
         }).kind;
-      assert.equal(at(LEASE_BOUND), 'unknown');
-      assert.equal(at(LEASE_BOUND + 1), 'notRun');
-      assert.equal(at(LEASE_BOUND + 600_000), 'lost');
+      assert.equal(at(LEASE_BOUND_MS), 'unknown');
+      assert.equal(at(LEASE_BOUND_MS + 1), 'notRun');
+      assert.equal(at(LEASE_BOUND_MS + 600_000), 'lost');
     },
   );
 
   nodeTest.test(
-    'with an answer too long to record is never a part of it',
+    'is "answerLost", not a truncated answer, if it was too long to record',
     () => {
       const record = endRecord(1, '');
       const entry = {
         ...record.entry,
         answerKept: false,
-      } as journal.JournalEntry;
+      } as journalBackend.JournalEntry;
       const finding = outcomeRule.decide({
         records: [{number: 1, entry}],
         logComplete: true,
@@ -211,7 +221,7 @@
         answers: NO_ANSWERS,
       });
       assert.equal(
-        finding.kind === 'ended' && finding.ending.result,
+        finding.kind === 'ended' && finding.outcome.result,
         'answerLost',
       );
     },
--- a/test/support/desk_bench.ts
+++ b/test/support/coordinator_harness.ts
@@ -1,6 +1,6 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as randomSource from '../../src/machines/random_source.js';
-import * as requestDesk from '../../src/contracts/request_desk.js';
+import * as requestCoordinator from '../../src/contracts/request_coordinator.js';
 import * as contractSamples from './contract_samples.js';
 import * as requestScheduler from '../../src/contracts/request_scheduler.js';
 import * as schedulerQueue from '../../src/contracts/scheduler_queue.js';
@@ -11,10 +11,10 @@
 import type * as processDirectory from '../../src/contracts/process_directory.js';
 import type * as task from '../../src/contracts/task.js';
 
-/** The worker's clock is this far ahead of the local one. */
-const OFFSET = 50_000;
+/** Lead of the worker's clock over the local clock. */
+const WORKER_CLOCK_OFFSET_MS = 50_000;
 
-const LIMIT = {
+const QUOTA = {
   processors: 100_000,
   memory: 100_000,
   accelerators: 9,
@@ -35,7 +35,7 @@
       {
         name: 'dispatch',
         clients: ['alice', 'bob'],
-        quota: LIMIT,
+        quota: QUOTA,
         share: 1,
         queueLimit: 100,
         workloads: WORKLOADS,
@@ -45,25 +45,25 @@
   versions: new Map(),
 };
 
-/** What other processes are to the desk under test. */
-export interface Peers {
+/** Other processes of the zone, by their state. */
+export interface OtherProcesses {
   readonly live: ReadonlyArray<string>;
-  readonly succeeded: ReadonlyArray<string>;
+  readonly replaced: ReadonlyArray<string>;
 }
 
 /**
- * A desk with one worker, driven by hand. The log acknowledges appends by
- * itself while `logAnswers` is true.
+ * Drives a request coordinator with at most one worker, event by event. The log
+ * acknowledges each append at once while `logAcknowledges` is true.
  */
-export class DeskBench {
+export class CoordinatorHarness {
   now = 0;
   permitEnd = 4_000;
-  logAnswers = true;
-  joined = true;
-  peers: Peers = {live: [], succeeded: []};
-  /** Every effect so far. */
+  logAcknowledges = true;
+  hasJoined = true;
+  peers: OtherProcesses = {live: [], replaced: []};
+  /** All effects so far, in order. */
   readonly effects: effect.Effect[] = [];
-  private readonly desk: requestDesk.RequestDesk;
+  private readonly coordinator: requestCoordinator.RequestCoordinator;
   private nextCall = 1;
 
   constructor(
@@ -80,7 +80,7 @@
     const queue = new schedulerQueue.SchedulerQueue(
       new requestScheduler.RequestScheduler(workers, runner, documents),
     );
-    this.desk = new requestDesk.RequestDesk({
+    this.coordinator = new requestCoordinator.RequestCoordinator({
       self,
       random: new randomSource.SeededRandom(1),
       documents,
@@ -91,7 +91,7 @@
         address: name => workers.get(name)?.description.address,
         isGone: () => false,
       },
-      retries: {take: () => true, succeeded: () => {}},
+      retries: {trySpend: () => true, recordSuccess: () => {}},
       isSuperseded: () => false,
     });
     if (!hasWorker) return;
@@ -99,34 +99,34 @@
     this.report();
   }
 
-  /** Hands in an event and returns its effects. */
+  /** Passes an event to the coordinator and returns its effects. */
   handle(handled: event.Event): ReadonlyArray<effect.Effect> {
-    const effects = this.desk.handle(handled, this.now);
+    const effects = this.coordinator.handle(handled, this.now);
     this.effects.push(...effects);
-    if (!this.logAnswers) return effects;
+    if (!this.logAcknowledges) return effects;
     const acknowledged = effects.flatMap(item => this.acknowledge(item));
     return [...effects, ...acknowledged];
   }
 
-  pass(milliseconds: number): ReadonlyArray<effect.Effect> {
+  advanceTime(milliseconds: number): ReadonlyArray<effect.Effect> {
     this.now += milliseconds;
     return this.handle({kind: 'timePassed'});
   }
 
-  /** Reserves an identity. */
+  /** Reserves an identity; returns an empty text if that is refused. */
   reserve(client = 'alice'): string {
-    const call = this.call();
+    const call = this.nextCallNumber();
     this.handle({kind: 'identitiesArrived', call, client, count: 1});
     return this.replyTo(call)?.identities?.[0] ?? '';
   }
 
-  /** Submits a request, which waits 60 s for its end; returns the call. */
+  /** Submits a request whose call waits up to 60 s; returns the call number. */
   submit(
     identity: string | undefined,
     workload = 'order',
     client = 'alice',
   ): number {
-    const call = this.call();
+    const call = this.nextCallNumber();
     const submission = {team: 'dispatch', workload, payload: 'stone'};
     const waitMs = 60_000;
     this.handle({
@@ -140,18 +140,18 @@
     return call;
   }
 
-  /** Makes a call about an identity; returns the call. */
-  ask(
+  /** Makes a call about an identity; returns the call number. */
+  callAbout(
     kind: 'cancelArrived' | 'explainArrived' | 'fetchArrived',
     identity: string,
     client = 'alice',
   ): number {
-    const call = this.call();
+    const call = this.nextCallNumber();
     this.handle({kind, call, client, identity, waitMs: 0});
     return call;
   }
 
-  /** The reply to a call; undefined while it waits. */
+  /** Returns the reply to a call; undefined while the call waits. */
   replyTo(call: number): effect.Reply | undefined {
     for (const item of this.effects) {
       if (item.kind === 'answerCaller' && item.call === call) return item.reply;
@@ -159,8 +159,8 @@
     return undefined;
   }
 
-  /** All effects of a kind so far. */
-  all<Kind extends effect.Effect['kind']>(
+  /** Returns all effects of one kind so far. */
+  effectsOfKind<Kind extends effect.Effect['kind']>(
     kind: Kind,
   ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
     return this.effects.filter(
@@ -169,13 +169,13 @@
     );
   }
 
-  /** Answers the start of a task. */
+  /** Passes the worker's answer to the start of a task to the coordinator. */
   answerStart(task: string, answer: 'started' | 'refused' | 'lost'): void {
     const worker = 'worker-1';
     this.handle({kind: 'startAnswered', worker, task, answer, detail: ''});
   }
 
-  /** Ends a task. */
+  /** Reports the end of a task, with an answer that names its position. */
   endTask(
     task: string,
     state: Exclude<task.TaskState, 'running'> = 'finished',
@@ -186,11 +186,14 @@
   }
 
   report(tasks: ReadonlyArray<task.TaskReport> = []): void {
-    const report = contractSamples.buildReport(this.now + OFFSET, tasks);
+    const report = contractSamples.buildReport(
+      this.now + WORKER_CLOCK_OFFSET_MS,
+      tasks,
+    );
     this.handle({kind: 'reportArrived', report, sentAt: this.now});
   }
 
-  call(): number {
+  nextCallNumber(): number {
     this.nextCall += 1;
     return this.nextCall;
   }
@@ -205,18 +208,18 @@
   private directory(): processDirectory.ProcessDirectory {
     const isLive = (process: string): boolean =>
       this.peers.live.includes(process);
-    const members = (): ReadonlyArray<processDirectory.Member> =>
+    const members = (): ReadonlyArray<processDirectory.PeerProcess> =>
       this.peers.live.map(process => ({process, address: process}));
     return {
       members,
-      offerTakers: members,
+      offerCandidates: members,
       isMember: isLive,
       address: process => (isLive(process) ? process : undefined),
-      relay: () => undefined,
-      hasJoined: () => this.joined,
-      isSucceeded: process => this.peers.succeeded.includes(process),
+      relayFor: () => undefined,
+      hasJoined: () => this.hasJoined,
+      hasSuccessor: process => this.peers.replaced.includes(process),
       joinedBefore: () => true,
-      noteUnreachable: () => {},
+      markUnreachable: () => {},
     };
   }
 }
