--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -85,7 +85,7 @@
   fleet: string | undefined,
   teams: ReadonlyArray<string>,
 ): ReadonlyArray<CheckedFile> {
-  const set = new configurationDocuments.DocumentSet(
+  const set = new configurationDocuments.ConfigurationDocuments(
     new tomlDocumentReader.TomlDocumentReader(),
   );
   const named = [
@@ -111,5 +111,5 @@
 /** The name of a team's document by the name of its file. */
 function teamDocumentOf(file: string): string {
   const base = file.split('/').at(-1) ?? '';
-  return `${configurationDocuments.TEAM_PREFIX}${base.replace(/\.toml$/, '')}`;
+  return `${configurationDocuments.TEAM_DOCUMENT_PREFIX}${base.replace(/\.toml$/, '')}`;
 }
--- a/src/contracts/admission.ts
+++ b/src/contracts/admission.ts
@@ -12,7 +12,7 @@
 export interface AdmissionView {
   readonly team: team.Team;
   readonly queue: queue.TeamQueue;
-  readonly fleet: configuration.FleetPlan | undefined;
+  readonly fleet: configuration.FleetDefinition | undefined;
 }
 
 type Check = (
@@ -103,7 +103,7 @@
  */
 export function excludingConstraint(
   candidate: request.Request,
-  plan: configuration.FleetPlan,
+  plan: configuration.FleetDefinition,
 ): string | undefined {
   const {zones} = candidate.workload;
   const allowed = plan.workerShapes.filter(
--- a/src/contracts/configuration.ts
+++ b/src/contracts/configuration.ts
@@ -4,7 +4,7 @@
 import type * as team from './team.js';
 
 /** An availability zone as the operators describe it. */
-export interface ZonePlan {
+export interface ZoneDefinition {
   readonly name: string;
   readonly region: string;
 }
@@ -18,20 +18,20 @@
 }
 
 /** The document `fleet`: what the cell consists of. */
-export interface FleetPlan {
-  readonly zones: ReadonlyArray<ZonePlan>;
+export interface FleetDefinition {
+  readonly zones: ReadonlyArray<ZoneDefinition>;
   readonly workerShapes: ReadonlyArray<WorkerShape>;
 }
 
 /** The documents in force, each at its own version. */
 export interface Configuration {
-  readonly fleet: FleetPlan | undefined;
+  readonly fleet: FleetDefinition | undefined;
   readonly teams: ReadonlyMap<string, team.Team>;
   readonly versions: ReadonlyMap<string, number>;
 }
 
 /** Reads the text of documents; the encoding is its own affair. */
 export interface DocumentReader {
-  readFleet(content: string): either.Either<result.Failure, FleetPlan>;
+  readFleet(content: string): either.Either<result.Failure, FleetDefinition>;
   readTeam(content: string): either.Either<result.Failure, team.Team>;
 }
--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -8,28 +8,28 @@
 export const FLEET_DOCUMENT = 'fleet';
 
 /** Start of the names of the teams' documents. */
-export const TEAM_PREFIX = 'team/';
+export const TEAM_DOCUMENT_PREFIX = 'team/';
 
 /** Rule for names of teams, workloads, zones and regions. */
 export const NAME_PATTERN = /^[a-z][a-z0-9-]{0,31}$/;
 
 /** A document's content after reading. */
 export type ParsedDocument =
-  | {readonly kind: 'fleet'; readonly fleet: configuration.FleetPlan}
+  | {readonly kind: 'fleet'; readonly fleet: configuration.FleetDefinition}
   | {readonly kind: 'team'; readonly team: team.Team};
 
 /** Whether a document of this name can exist. */
 export function isDocumentName(name: string): boolean {
   if (name === FLEET_DOCUMENT) return true;
-  if (!name.startsWith(TEAM_PREFIX)) return false;
-  return NAME_PATTERN.test(name.slice(TEAM_PREFIX.length));
+  if (!name.startsWith(TEAM_DOCUMENT_PREFIX)) return false;
+  return NAME_PATTERN.test(name.slice(TEAM_DOCUMENT_PREFIX.length));
 }
 
 /** Documents by name, each at one version, with their parsed contents. */
-export class DocumentSet {
+export class ConfigurationDocuments {
   private readonly documents = new Map<string, event.Document>();
   private readonly teams = new Map<string, team.Team>();
-  private fleet: configuration.FleetPlan | undefined;
+  private fleet: configuration.FleetDefinition | undefined;
 
   constructor(private readonly reader: configuration.DocumentReader) {}
 
@@ -119,7 +119,11 @@
       return unknownZones(parsed.team, this.fleet, '');
     }
     return [...this.teams.values()].flatMap(known =>
-      unknownZones(known, parsed.fleet, `${TEAM_PREFIX}${known.name}: `),
+      unknownZones(
+        known,
+        parsed.fleet,
+        `${TEAM_DOCUMENT_PREFIX}${known.name}: `,
+      ),
     );
   }
 }
@@ -128,7 +132,7 @@
   document: string,
   read: team.Team,
 ): either.Either<result.Failure, team.Team> {
-  const expected = document.slice(TEAM_PREFIX.length);
+  const expected = document.slice(TEAM_DOCUMENT_PREFIX.length);
   if (read.name === expected) return either.Right(read);
   return either.Left(
     result.failure(
@@ -140,7 +144,7 @@
 
 function unknownZones(
   concerned: team.Team,
-  fleet: configuration.FleetPlan | undefined,
+  fleet: configuration.FleetDefinition | undefined,
   prefix: string,
 ): ReadonlyArray<string> {
   const known = new Set(fleet?.zones.map(zone => zone.name));
--- a/src/contracts/configuration_history.ts
+++ b/src/contracts/configuration_history.ts
@@ -8,7 +8,7 @@
  * Publications whose outcomes are kept for repeats. At 2,200 changes a day
  * they cover more than five hours, and a snapshot stays small.
  */
-const REMEMBERED_PUBLICATIONS = 512;
+const MAXIMUM_RETAINED_OUTCOMES = 512;
 
 /** A record of the stream `configuration`. */
 export interface PublishRecord {
@@ -42,22 +42,24 @@
  * position and its content passes the checks there.
  */
 export class ConfigurationHistory implements streamReplica.ReplicatedState {
-  private readonly set: configurationDocuments.DocumentSet;
+  private readonly acceptedDocuments: configurationDocuments.ConfigurationDocuments;
   private readonly outcomes = new Map<string, PublicationOutcome>();
-  private unreadable = 0;
+  private unreadableRecords = 0;
 
   constructor(reader: configuration.DocumentReader) {
-    this.set = new configurationDocuments.DocumentSet(reader);
+    this.acceptedDocuments = new configurationDocuments.ConfigurationDocuments(
+      reader,
+    );
   }
 
   /** The documents that the records read so far put in force. */
   documents(): ReadonlyArray<event.Document> {
-    return this.set.all();
+    return this.acceptedDocuments.all();
   }
 
   /** Version of a document by the records read so far; 0 without one. */
   version(document: string): number {
-    return this.set.version(document);
+    return this.acceptedDocuments.version(document);
   }
 
   /** Outcome of a publication; undefined when none is remembered. */
@@ -67,38 +69,40 @@
 
   /** Records so far that were no publication. */
   unreadableCount(): number {
-    return this.unreadable;
+    return this.unreadableRecords;
   }
 
   apply(record: event.StreamRecord): void {
-    const parsed = readPublish(record.data);
+    const parsed = parsePublishRecord(record.data);
     if (parsed === undefined) {
-      this.unreadable += 1;
+      this.unreadableRecords += 1;
       return;
     }
     // A lost acknowledgement leads to a second append of the same record.
     if (this.outcomes.has(parsed.publication)) return;
-    this.remember(this.judge(parsed, record.offset));
+    this.storeOutcome(this.evaluate(parsed, record.offset));
   }
 
   snapshot(): string {
     const state: HistoryState = {
-      documents: this.set.all(),
+      documents: this.acceptedDocuments.all(),
       publications: [...this.outcomes.values()],
     };
     return JSON.stringify(state);
   }
 
   restore(snapshot: string): void {
-    const {documents, publications} = readState(snapshot);
-    this.set.clear();
-    for (const document of documents) this.set.putAccepted(document);
+    const {documents, publications} = parseState(snapshot);
+    this.acceptedDocuments.clear();
+    for (const document of documents) {
+      this.acceptedDocuments.putAccepted(document);
+    }
     this.outcomes.clear();
-    for (const outcome of publications) this.remember(outcome);
+    for (const outcome of publications) this.storeOutcome(outcome);
   }
 
-  private judge(record: PublishRecord, offset: number): PublicationOutcome {
-    const current = this.set.version(record.document);
+  private evaluate(record: PublishRecord, offset: number): PublicationOutcome {
+    const current = this.acceptedDocuments.version(record.document);
     const base = {
       publication: record.publication,
       digest: digestOf(record),
@@ -109,7 +113,7 @@
       const detail = conflictDetail(record, current);
       return {...base, outcome: 'conflict', detail};
     }
-    return this.set
+    return this.acceptedDocuments
       .check(record.document, record.content)
       .caseOf<PublicationOutcome>({
         Left: fault => ({...base, outcome: 'invalid', detail: fault.detail}),
@@ -117,15 +121,15 @@
           // Versions start at 1, so that 0 can stand for a missing document.
           const version = offset + 1;
           const {document: name, content} = record;
-          this.set.put({name, version, content}, parsed);
+          this.acceptedDocuments.put({name, version, content}, parsed);
           return {...base, outcome: 'accepted', version, detail: ''};
         },
       });
   }
 
-  private remember(outcome: PublicationOutcome): void {
+  private storeOutcome(outcome: PublicationOutcome): void {
     this.outcomes.set(outcome.publication, outcome);
-    if (this.outcomes.size <= REMEMBERED_PUBLICATIONS) return;
+    if (this.outcomes.size <= MAXIMUM_RETAINED_OUTCOMES) return;
     const [oldest] = this.outcomes.keys();
     this.outcomes.delete(oldest);
   }
@@ -146,7 +150,7 @@
   );
 }
 
-function readPublish(data: string): PublishRecord | undefined {
+function parsePublishRecord(data: string): PublishRecord | undefined {
   try {
     const parsed = JSON.parse(data) as Partial<PublishRecord>;
     const valid =
@@ -163,7 +167,7 @@
 }
 
 /** Throws when the text is not the state of a history. */
-function readState(snapshot: string): HistoryState {
+function parseState(snapshot: string): HistoryState {
   const state = JSON.parse(snapshot) as HistoryState;
   const valid =
     state.documents.every(
--- a/src/contracts/configuration_keeper.ts
+++ b/src/contracts/configuration_store.ts
@@ -1,11 +1,11 @@
 import * as configurationDocuments from './configuration_documents.js';
 import * as configurationHistory from './configuration_history.js';
-import * as configurationPeers from './configuration_peers.js';
-import * as configurationPublications from './configuration_publications.js';
+import * as configurationPeerFetcher from './configuration_peer_fetcher.js';
+import * as publicationTracker from './publication_tracker.js';
 import * as effects from './effect.js';
 import * as invariant from './invariant.js';
 import * as result from '../result.js';
-import * as snapshotSchedule from './configuration_snapshot_schedule.js';
+import * as snapshotSchedule from './snapshot_schedule.js';
 import * as streamReplica from './stream_replica.js';
 import type * as clock from '../machines/clock.js';
 import type * as configuration from './configuration.js';
@@ -19,19 +19,19 @@
 const READ_INTERVAL_MS = 1_000;
 
 /** Pause after an append whose answer was lost. */
-const APPEND_RETRY_MS = 1_000;
+const APPEND_RETRY_DELAY_MS = 1_000;
 
 /** Retention of the log's records when the settings state none: a day. */
 const DEFAULT_RETENTION_MS = 86_400_000;
 
 /** What the keeper needs to know of the log. */
-export interface KeeperOptions {
+export interface ConfigurationStoreOptions {
   /** How long the log keeps a record. */
   readonly retentionMs?: clock.Milliseconds;
   /** Least time between two appends of this process. */
   readonly appendIntervalMs?: clock.Milliseconds;
   /** Where this process is. */
-  readonly place?: configurationPeers.OwnPlace;
+  readonly location?: configurationPeerFetcher.ProcessLocation;
   /** Spreads the snapshots of the processes over time. */
   readonly random?: randomSource.RandomSource;
 }
@@ -45,36 +45,37 @@
  * Keeps the documents in force. What the stream says is replayed apart from
  * what peers sent; of both, the higher version of a document is in force.
  */
-export class ConfigurationKeeper {
+export class ConfigurationStore {
   private readonly history: configurationHistory.ConfigurationHistory;
   private readonly replica: streamReplica.StreamReplica;
-  private readonly inForce: configurationDocuments.DocumentSet;
-  private readonly publications =
-    new configurationPublications.ConfigurationPublications();
+  private readonly inForce: configurationDocuments.ConfigurationDocuments;
+  private readonly publications = new publicationTracker.PublicationTracker();
   private readonly snapshots: snapshotSchedule.SnapshotSchedule;
   private readonly appendIntervalMs: clock.Milliseconds;
   private configuration: configuration.Configuration;
   /** Versions that this process cannot read, so that each is reported once. */
-  private readonly unusable = new Map<string, number>();
+  private readonly unreadableVersions = new Map<string, number>();
   /** Whether the documents were complete once, from the log or a peer. */
-  private loaded = false;
-  private caughtUpAt = -Infinity;
-  private unreadableCounted = 0;
-  private nextRead = 0;
-  private nextAppend = 0;
-  private readonly peers: configurationPeers.ConfigurationPeers;
+  private isLoadedValue = false;
+  private lastTailReadSentAt = -Infinity;
+  private countedUnreadableRecords = 0;
+  private nextReadAt = 0;
+  private nextAppendAt = 0;
+  private readonly peerFetcher: configurationPeerFetcher.ConfigurationPeerFetcher;
   private appendNumber = 0;
-  private appending = false;
+  private appendInProgress = false;
 
   constructor(
     reader: configuration.DocumentReader,
-    options: KeeperOptions = {},
+    options: ConfigurationStoreOptions = {},
   ) {
     this.history = new configurationHistory.ConfigurationHistory(reader);
     this.replica = new streamReplica.StreamReplica(this.history);
-    this.inForce = new configurationDocuments.DocumentSet(reader);
+    this.inForce = new configurationDocuments.ConfigurationDocuments(reader);
     this.configuration = this.inForce.toConfiguration();
-    this.peers = new configurationPeers.ConfigurationPeers(options.place);
+    this.peerFetcher = new configurationPeerFetcher.ConfigurationPeerFetcher(
+      options.location,
+    );
     this.appendIntervalMs = options.appendIntervalMs ?? 0;
     this.snapshots = new snapshotSchedule.SnapshotSchedule(
       options.retentionMs ?? DEFAULT_RETENTION_MS,
@@ -89,7 +90,7 @@
 
   /** Whether requests can be judged: documents came from the log or a peer. */
   isLoaded(): boolean {
-    return this.loaded;
+    return this.isLoadedValue;
   }
 
   /**
@@ -97,7 +98,7 @@
    * offsets of one stream and a process takes over all documents of a peer at
    * once, so whoever has the newest has the others too.
    */
-  news(): ReadonlyArray<event.DocumentVersion> {
+  newestDocument(): ReadonlyArray<event.DocumentVersion> {
     let newest: event.DocumentVersion | undefined;
     for (const [name, version] of this.configuration.versions) {
       if (newest === undefined || version > newest.version) {
@@ -114,7 +115,7 @@
   ): ReadonlyArray<effects.Effect> {
     switch (handled.kind) {
       case 'recordsRead':
-        return this.read(handled, now);
+        return this.handleRecords(handled, now);
       case 'appendAnswered':
         return this.appendAnswered(handled, now);
       case 'publishArrived':
@@ -126,12 +127,12 @@
       case 'fetchDocumentsArrived':
         return this.answerPeer(handled);
       case 'documentsArrived':
-        return this.takeFromPeer(handled);
+        return this.adoptFromPeer(handled);
       case 'confirmArrived':
       case 'confirmAnswered':
-        return this.peers.compare(handled.news, this.inForce, now);
+        return this.peerFetcher.fetchIfBehind(handled.news, this.inForce, now);
       case 'vmListRead':
-        this.peers.noteList(handled.vms);
+        this.peerFetcher.updateEntryVms(handled.vms);
         return [];
       case 'timePassed':
         return this.timePassed(now);
@@ -143,26 +144,26 @@
   /** When `timePassed` is wanted next. */
   nextDeadline(): clock.Milliseconds {
     const append =
-      this.publications.hasUnsent() && !this.appending
-        ? this.nextAppend
+      this.publications.hasUnsent() && !this.appendInProgress
+        ? this.nextAppendAt
         : Infinity;
-    return Math.min(this.nextRead, append, this.publications.nextDeadline());
+    return Math.min(this.nextReadAt, append, this.publications.nextDeadline());
   }
 
   private timePassed(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     const done: effects.Effect[] = [];
-    if (this.nextRead === 0) this.peers.noteLog(now);
-    if (now >= this.nextRead) done.push(this.readOn(now));
-    if (!this.loaded) {
-      done.push(...this.peers.fetchFromListed(this.inForce, now));
+    if (this.nextReadAt === 0) this.peerFetcher.recordLogProgress(now);
+    if (now >= this.nextReadAt) done.push(this.readNext(now));
+    if (!this.isLoadedValue) {
+      done.push(...this.peerFetcher.fetchFromEntryVm(this.inForce, now));
     }
     done.push(...this.publications.expire(now));
     done.push(...this.append(now));
     return done;
   }
 
-  private readOn(now: clock.Milliseconds): effects.Effect {
-    this.nextRead = now + READ_INTERVAL_MS;
+  private readNext(now: clock.Milliseconds): effects.Effect {
+    this.nextReadAt = now + READ_INTERVAL_MS;
     return {
       kind: 'readStream',
       stream: CONFIGURATION_STREAM,
@@ -170,35 +171,39 @@
     };
   }
 
-  private read(
+  private handleRecords(
     handled: EventOf<'recordsRead'>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (handled.stream !== CONFIGURATION_STREAM) return [];
-    const progress = this.replica.accept(handled);
-    const done = [...this.countUnreadable(), ...this.takeFromLog()];
+    const progress = this.replica.applyRead(handled);
+    const done = [...this.countUnreadable(), ...this.adoptFromLog()];
     done.push(...this.publications.resolve(name => this.history.outcome(name)));
     this.snapshots.observe(this.replica, now);
     switch (progress) {
       case 'behind':
-        done.push(this.readOn(now));
+        done.push(this.readNext(now));
         return done;
       case 'gap':
         done.push(effects.count('configuration_gap'));
         return done;
       case 'tail':
-        this.loaded = true;
-        this.caughtUpAt = Math.max(this.caughtUpAt, handled.sentAt);
-        this.peers.noteLog(handled.sentAt);
-        done.push(...this.judgeWaiting());
+        this.isLoadedValue = true;
+        this.lastTailReadSentAt = Math.max(
+          this.lastTailReadSentAt,
+          handled.sentAt,
+        );
+        this.peerFetcher.recordLogProgress(handled.sentAt);
+        done.push(...this.validateUnchecked());
         done.push(...this.append(now));
         return done;
     }
   }
 
   private countUnreadable(): ReadonlyArray<effects.Effect> {
-    const added = this.history.unreadableCount() - this.unreadableCounted;
-    this.unreadableCounted += added;
+    const added =
+      this.history.unreadableCount() - this.countedUnreadableRecords;
+    this.countedUnreadableRecords += added;
     if (added === 0) return [];
     return [
       effects.count('configuration_unreadable', {}, added),
@@ -206,20 +211,20 @@
     ];
   }
 
-  private takeFromLog(): ReadonlyArray<effects.Effect> {
-    return this.takeAll(this.history.documents(), 'log');
+  private adoptFromLog(): ReadonlyArray<effects.Effect> {
+    return this.adoptNewer(this.history.documents(), 'log');
   }
 
-  private takeFromPeer(
+  private adoptFromPeer(
     handled: EventOf<'documentsArrived'>,
   ): ReadonlyArray<effects.Effect> {
-    const done = this.takeAll(handled.documents, 'peer');
-    if (this.configuration.versions.size > 0) this.loaded = true;
+    const done = this.adoptNewer(handled.documents, 'peer');
+    if (this.configuration.versions.size > 0) this.isLoadedValue = true;
     return done;
   }
 
   /** Puts in force what is newer than the versions in force. */
-  private takeAll(
+  private adoptNewer(
     documents: ReadonlyArray<event.Document>,
     source: 'log' | 'peer',
   ): ReadonlyArray<effects.Effect> {
@@ -227,22 +232,22 @@
       document =>
         configurationDocuments.isDocumentName(document.name) &&
         document.version > this.inForce.version(document.name) &&
-        document.version !== this.unusable.get(document.name),
+        document.version !== this.unreadableVersions.get(document.name),
     );
     if (newer.length === 0) return [];
-    const done = newer.flatMap(document => this.take(document, source));
-    done.push(...this.expose());
+    const done = newer.flatMap(document => this.adopt(document, source));
+    done.push(...this.updateConfiguration());
     return done;
   }
 
-  private take(
+  private adopt(
     document: event.Document,
     source: 'log' | 'peer',
   ): ReadonlyArray<effects.Effect> {
     const fields = {document: document.name, version: document.version, source};
     return this.inForce.read(document.name, document.content).caseOf({
       Left: fault => {
-        this.unusable.set(document.name, document.version);
+        this.unreadableVersions.set(document.name, document.version);
         const {detail} = fault;
         return [
           effects.count('document_refused', {source}),
@@ -260,7 +265,7 @@
   }
 
   /** Shows the new documents unless one of them would fall back. */
-  private expose(): ReadonlyArray<effects.Effect> {
+  private updateConfiguration(): ReadonlyArray<effects.Effect> {
     const next = this.inForce.toConfiguration();
     for (const [document, before] of this.configuration.versions) {
       const version = next.versions.get(document) ?? 0;
@@ -277,9 +282,9 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {document, baseVersion, content, publication} = call;
-    const fault = configurationPublications.checkPublication(call);
+    const fault = publicationTracker.checkPublication(call);
     if (fault !== undefined) {
-      return configurationPublications.refusalEffects(call.call, fault);
+      return publicationTracker.refusalEffects(call.call, fault);
     }
     const record = {
       kind: 'publish',
@@ -288,10 +293,10 @@
       content,
       publication,
     } as const;
-    const reused = this.answerRepeat(call.call, record);
+    const reused = this.answerKnownPublication(call.call, record);
     if (reused !== undefined) return reused;
     if (this.publications.isFull(publication)) {
-      return configurationPublications.refusalEffects(
+      return publicationTracker.refusalEffects(
         call.call,
         result.failure(
           'publicationUnknown',
@@ -301,14 +306,14 @@
       );
     }
     this.publications.add(call.call, record, now);
-    const done = [...this.judgeWaiting(), ...this.append(now)];
+    const done = [...this.validateUnchecked(), ...this.append(now)];
     // A base that is not known here yet is judged after the next read.
-    if (this.publications.unchecked().length > 0) done.push(this.readOn(now));
+    if (this.publications.unchecked().length > 0) done.push(this.readNext(now));
     return done;
   }
 
   /** Answers a publication whose identity was used before. */
-  private answerRepeat(
+  private answerKnownPublication(
     call: event.CallNumber,
     record: configurationHistory.PublishRecord,
   ): ReadonlyArray<effects.Effect> | undefined {
@@ -319,7 +324,7 @@
       outcome?.digest ??
       (open === undefined ? undefined : configurationHistory.digestOf(open));
     if (first !== undefined && first !== digest) {
-      return configurationPublications.refusalEffects(
+      return publicationTracker.refusalEffects(
         call,
         result.failure(
           'identityConflict',
@@ -328,41 +333,41 @@
       );
     }
     if (outcome === undefined) return undefined;
-    return configurationPublications.outcomeEffects(call, outcome);
+    return publicationTracker.outcomeEffects(call, outcome);
   }
 
-  private judgeWaiting(): ReadonlyArray<effects.Effect> {
+  private validateUnchecked(): ReadonlyArray<effects.Effect> {
     return this.publications
       .unchecked()
-      .flatMap(waiting => this.judge(waiting));
+      .flatMap(waiting => this.validate(waiting));
   }
 
-  private judge(
-    waiting: configurationPublications.Unchecked,
+  private validate(
+    waiting: publicationTracker.UncheckedPublication,
   ): ReadonlyArray<effects.Effect> {
     const {record} = waiting;
-    switch (this.judgeBase(waiting)) {
+    switch (this.validateBase(waiting)) {
       case 'undecided':
         return [];
       case 'wrong':
-        return this.refuseBase(record);
+        return this.refuseWrongBase(record);
       case 'right':
-        return this.judgeContent(record);
+        return this.validateContent(record);
     }
   }
 
-  private judgeBase(
-    waiting: configurationPublications.Unchecked,
+  private validateBase(
+    waiting: publicationTracker.UncheckedPublication,
   ): 'right' | 'wrong' | 'undecided' {
     const {document, baseVersion} = waiting.record;
     // Had an earlier append of this record won, the replay would know it.
     if (baseVersion < this.history.version(document)) return 'wrong';
-    if (!this.loaded) return 'undecided';
+    if (!this.isLoadedValue) return 'undecided';
     const current = this.currentVersion(document);
     if (baseVersion === current) return 'right';
     // A lower base may have won by an earlier append that only a peer has
     // read; a higher one may come from a process that has read further.
-    const fresh = this.caughtUpAt > waiting.arrivedAt;
+    const fresh = this.lastTailReadSentAt > waiting.arrivedAt;
     return baseVersion > current && fresh ? 'wrong' : 'undecided';
   }
 
@@ -374,7 +379,7 @@
     );
   }
 
-  private refuseBase(
+  private refuseWrongBase(
     record: configurationHistory.PublishRecord,
   ): ReadonlyArray<effects.Effect> {
     const current = this.currentVersion(record.document);
@@ -385,7 +390,7 @@
     );
   }
 
-  private judgeContent(
+  private validateContent(
     record: configurationHistory.PublishRecord,
   ): ReadonlyArray<effects.Effect> {
     return this.inForce.check(record.document, record.content).caseOf({
@@ -398,21 +403,22 @@
   }
 
   private append(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    if (this.appending || now < this.nextAppend) return [];
+    if (this.appendInProgress || now < this.nextAppendAt) return [];
     const records: string[] = [];
     const caughtUp =
-      now - this.caughtUpAt < configurationPeers.LOG_HEAD_START_MS;
+      now - this.lastTailReadSentAt <
+      configurationPeerFetcher.LOG_GRACE_PERIOD_MS;
     if (this.snapshots.isDue(this.replica, now) && caughtUp) {
-      this.snapshots.sent(now);
+      this.snapshots.recordSent(now);
       records.push(JSON.stringify(this.replica.buildSnapshot()));
     }
     for (const record of this.publications.takeUnsent()) {
       records.push(JSON.stringify(record));
     }
     if (records.length === 0) return [];
-    this.appending = true;
+    this.appendInProgress = true;
     this.appendNumber += 1;
-    this.nextAppend = now + this.appendIntervalMs;
+    this.nextAppendAt = now + this.appendIntervalMs;
     return [
       {
         kind: 'append',
@@ -429,13 +435,16 @@
   ): ReadonlyArray<effects.Effect> {
     if (handled.stream !== CONFIGURATION_STREAM) return [];
     if (handled.append !== this.appendNumber) return [];
-    this.appending = false;
-    if (handled.answer === 'appended') return [this.readOn(now)];
-    this.publications.sendAgain();
-    this.nextAppend = Math.max(this.nextAppend, now + APPEND_RETRY_MS);
+    this.appendInProgress = false;
+    if (handled.answer === 'appended') return [this.readNext(now)];
+    this.publications.markForResend();
+    this.nextAppendAt = Math.max(
+      this.nextAppendAt,
+      now + APPEND_RETRY_DELAY_MS,
+    );
     return [
       effects.count('retry', {reason: 'configurationAppendLost'}),
-      this.readOn(now),
+      this.readNext(now),
     ];
   }
 
@@ -454,10 +463,10 @@
         },
       ];
     }
-    const refusal = this.loaded
+    const refusal = this.isLoadedValue
       ? result.failure('unknownDocument', `document: no ${call.document}`)
       : result.failure('noConfiguration', 'no documents were read yet');
-    return configurationPublications.refusalEffects(call.call, refusal);
+    return publicationTracker.refusalEffects(call.call, refusal);
   }
 
   private listWorkloads(
--- a/src/contracts/configuration_publications.ts
+++ b/src/contracts/publication_tracker.ts
@@ -6,16 +6,16 @@
 import type * as event from './event.js';
 
 /** Time after which an operator is told that the outcome is unknown. */
-export const PUBLICATION_LIMIT_MS = 10_000;
+export const PUBLICATION_TIMEOUT_MS = 10_000;
 
 /** Most publications that wait at once; each holds a whole document. */
-const OPEN_LIMIT = 128;
+const MAXIMUM_OPEN_PUBLICATIONS = 128;
 
 /** Length of the records of one append; a longer one goes alone. */
-const APPEND_LENGTH_LIMIT = 1_000_000;
+const MAXIMUM_APPEND_CHARACTERS = 1_000_000;
 
 /** Longest identity of a publication. */
-const PUBLICATION_LENGTH_LIMIT = 100;
+const MAXIMUM_PUBLICATION_CHARACTERS = 100;
 
 /**
  * Where a publication stands: waiting for a read that allows a judgement,
@@ -31,13 +31,13 @@
 }
 
 /** A publication that no read has allowed to judge yet. */
-export interface Unchecked {
+export interface UncheckedPublication {
   readonly record: configurationHistory.PublishRecord;
   readonly arrivedAt: clock.Milliseconds;
 }
 
 /** The publications that operators wait for at this process. */
-export class ConfigurationPublications {
+export class PublicationTracker {
   private readonly open = new Map<string, Publication>();
 
   /** Adds a publication, or a further call that waits for a known one. */
@@ -61,7 +61,9 @@
 
   /** Whether no further publication can wait; a known one always can. */
   isFull(publication: string): boolean {
-    return this.open.size >= OPEN_LIMIT && !this.open.has(publication);
+    return (
+      this.open.size >= MAXIMUM_OPEN_PUBLICATIONS && !this.open.has(publication)
+    );
   }
 
   /** The record that an open publication asks to append. */
@@ -70,7 +72,7 @@
   }
 
   /** Publications that still have to be judged before an append. */
-  unchecked(): ReadonlyArray<Unchecked> {
+  unchecked(): ReadonlyArray<UncheckedPublication> {
     return [...this.open.values()].filter(item => item.stage === 'unchecked');
   }
 
@@ -95,7 +97,7 @@
     for (const item of this.open.values()) {
       if (item.stage !== 'unsent') continue;
       length += item.record.content.length;
-      if (taken.length > 0 && length > APPEND_LENGTH_LIMIT) break;
+      if (taken.length > 0 && length > MAXIMUM_APPEND_CHARACTERS) break;
       item.stage = 'sent';
       taken.push(item.record);
     }
@@ -106,7 +108,7 @@
    * Lets the records of a lost append be sent again. They keep their
    * identities, so readers drop the second copy.
    */
-  sendAgain(): void {
+  markForResend(): void {
     for (const item of this.open.values()) {
       if (item.stage === 'sent') item.stage = 'unsent';
     }
@@ -120,7 +122,9 @@
   ): ReadonlyArray<effects.Effect> {
     return [...this.open.keys()].flatMap(publication => {
       const outcome = outcomeOf(publication);
-      return outcome === undefined ? [] : this.finish(publication, outcome);
+      return outcome === undefined
+        ? []
+        : this.answerCalls(publication, outcome);
     });
   }
 
@@ -139,20 +143,22 @@
   /** Answers publications for which the log showed nothing in time. */
   expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     return [...this.open.values()]
-      .filter(item => now >= item.arrivedAt + PUBLICATION_LIMIT_MS)
-      .flatMap(item => this.refuse(item.record.publication, expiry(item)));
+      .filter(item => now >= item.arrivedAt + PUBLICATION_TIMEOUT_MS)
+      .flatMap(item =>
+        this.refuse(item.record.publication, timeoutFailure(item)),
+      );
   }
 
   /** When `expire` has something to do next. */
   nextDeadline(): clock.Milliseconds {
     let earliest = Infinity;
     for (const item of this.open.values()) {
-      earliest = Math.min(earliest, item.arrivedAt + PUBLICATION_LIMIT_MS);
+      earliest = Math.min(earliest, item.arrivedAt + PUBLICATION_TIMEOUT_MS);
     }
     return earliest;
   }
 
-  private finish(
+  private answerCalls(
     publication: string,
     outcome: configurationHistory.PublicationOutcome,
   ): ReadonlyArray<effects.Effect> {
@@ -218,11 +224,11 @@
  * Also covers a publication that was never appended here: an earlier try may
  * have appended it through another process.
  */
-function expiry(item: Publication): result.Failure {
+function timeoutFailure(item: Publication): result.Failure {
   return result.failure(
     'publicationUnknown',
     `publication: ${item.record.publication} was not shown by the log within ` +
-      `${PUBLICATION_LIMIT_MS} ms; publish again with the same identity`,
+      `${PUBLICATION_TIMEOUT_MS} ms; publish again with the same identity`,
   );
 }
 
@@ -237,11 +243,11 @@
     );
   }
   const {length} = call.publication;
-  if (length === 0 || length > PUBLICATION_LENGTH_LIMIT) {
+  if (length === 0 || length > MAXIMUM_PUBLICATION_CHARACTERS) {
     return result.failure(
       'invalidField',
       `publication: "${call.publication}" must have 1 to ` +
-        `${PUBLICATION_LENGTH_LIMIT} characters`,
+        `${MAXIMUM_PUBLICATION_CHARACTERS} characters`,
     );
   }
   if (Number.isInteger(call.baseVersion) && call.baseVersion >= 0) {
--- a/src/contracts/questionnaire.ts
+++ b/src/contracts/questionnaire_answers.ts
@@ -1,7 +1,7 @@
 import type * as resources from '../machines/resources.js';
 
 /** How bad it is when a request starts late. */
-export const LATENESS = [
+export const LATENESS_ANSWERS = [
   'nobody notices',
   'work piles up',
   'people stand idle',
@@ -47,7 +47,7 @@
 }
 
 /** All answers of one operator. */
-export interface Answers {
+export interface QuestionnaireAnswers {
   readonly operator: string;
   readonly zones: ReadonlyArray<{
     readonly name: string;
@@ -82,7 +82,7 @@
 }
 
 /** Thousandths in a processor. */
-const PROCESSOR_PARTS = 1_000;
+const THOUSANDTHS_PER_PROCESSOR = 1_000;
 
 /** MiB in a GiB. */
 const MIB_PER_GIB = 1_024;
@@ -92,11 +92,11 @@
 const MINUTES_PER_HOUR = 60;
 
 /** Least length of a queue, so that a rare kind of work can wait too. */
-const LEAST_QUEUE = 10;
+const MINIMUM_QUEUE_LIMIT = 10;
 
 /** Derives the documents of an operator from the answers. */
 export function deriveDocuments(
-  answers: Answers,
+  answers: QuestionnaireAnswers,
 ): ReadonlyArray<DerivedDocument> {
   return [
     deriveFleet(answers),
@@ -107,7 +107,9 @@
 }
 
 /** Returns what the answers contradict each other in, one text each. */
-export function findContradictions(answers: Answers): ReadonlyArray<string> {
+export function findContradictions(
+  answers: QuestionnaireAnswers,
+): ReadonlyArray<string> {
   return answers.teams.flatMap((team, teamPosition) =>
     team.work.flatMap((work, position) => {
       const place = `teams[${teamPosition}].work[${position}]`;
@@ -141,7 +143,7 @@
   return faults;
 }
 
-function deriveFleet(answers: Answers): DerivedDocument {
+function deriveFleet(answers: QuestionnaireAnswers): DerivedDocument {
   const zones = answers.zones.map((zone, position) => ({
     path: 'zones',
     repeated: true,
@@ -189,7 +191,7 @@
   return [
     derived(
       'processors',
-      Math.ceil(stated.processors * PROCESSOR_PARTS),
+      Math.ceil(stated.processors * THOUSANDTHS_PER_PROCESSOR),
       `${place}.processors`,
       `= ${stated.processors}, in thousandths`,
     ),
@@ -205,7 +207,7 @@
 }
 
 function deriveTeam(
-  answers: Answers,
+  answers: QuestionnaireAnswers,
   team: TeamAnswers,
   place: string,
 ): DerivedDocument {
@@ -240,10 +242,10 @@
   const waiting = (perHour * team.backlogMinutes) / MINUTES_PER_HOUR;
   return derived(
     'queueLimit',
-    Math.max(LEAST_QUEUE, Math.ceil(waiting)),
+    Math.max(MINIMUM_QUEUE_LIMIT, Math.ceil(waiting)),
     `${place}.backlogMinutes`,
     `= ${team.backlogMinutes} at the sum of ` +
-      `work[].perBusyHour = ${perHour}, at least ${LEAST_QUEUE}`,
+      `work[].perBusyHour = ${perHour}, at least ${MINIMUM_QUEUE_LIMIT}`,
   );
 }
 
@@ -285,7 +287,7 @@
       0,
     );
   return {
-    processors: sum(worker => worker.processors * PROCESSOR_PARTS),
+    processors: sum(worker => worker.processors * THOUSANDTHS_PER_PROCESSOR),
     memory: sum(worker => worker.memoryGiB * MIB_PER_GIB),
     accelerators: sum(worker => worker.accelerators),
     slots: sum(worker => worker.slots),
@@ -342,7 +344,8 @@
 function deriveUrgency(work: WorkAnswers, place: string): DerivedValue {
   const note = `= "${work.whenLate}"`;
   const urgencies = ['deferrable', 'normal', 'urgent'];
-  const urgency = urgencies[LATENESS.indexOf(work.whenLate)] ?? 'normal';
+  const urgency =
+    urgencies[LATENESS_ANSWERS.indexOf(work.whenLate)] ?? 'normal';
   return derived('urgency', urgency, `${place}.whenLate`, note);
 }
 
--- a/src/contracts/configuration_snapshot_schedule.ts
+++ b/src/contracts/snapshot_schedule.ts
@@ -6,27 +6,27 @@
  * Parts of the retention time between a snapshot and the next. With the
  * random part added it stays under the half that a reader relies on.
  */
-const REPEAT_PART = 1 / 4;
+const REPEAT_FRACTION = 1 / 4;
 
 /**
  * Part of the retention time before the first snapshot of a new process; it
  * is shorter because the age of the records found at the start is unknown.
  */
-const FIRST_PART = 1 / 8;
+const FIRST_FRACTION = 1 / 8;
 
 /** Part of the retention time over which processes spread their snapshots. */
-const SPREAD_PART = 1 / 8;
+const SPREAD_FRACTION = 1 / 8;
 
 /** Steps of the random part. */
 const SPREAD_STEPS = 1_000;
 
 /** Time for a snapshot to be seen in the stream before it is sent again. */
-const RESEND_MS = 60_000;
+const RESEND_DELAY_MS = 60_000;
 
 /** Age of the position that a snapshot of another process has to include. */
-const LAG_LIMIT_MS = 60_000;
+const MAXIMUM_SNAPSHOT_LAG_MS = 60_000;
 
-interface Sample {
+interface PositionSample {
   readonly at: clock.Milliseconds;
   readonly position: number;
 }
@@ -36,10 +36,10 @@
  * for expire, and not when another process has just done so.
  */
 export class SnapshotSchedule {
-  private due = Infinity;
-  private seen = -1;
-  private older: Sample = {at: -Infinity, position: 0};
-  private newer: Sample = {at: -Infinity, position: 0};
+  private dueAt = Infinity;
+  private lastSnapshotOffset = -1;
+  private olderSample: PositionSample = {at: -Infinity, position: 0};
+  private newerSample: PositionSample = {at: -Infinity, position: 0};
 
   constructor(
     private readonly retentionMs: clock.Milliseconds,
@@ -48,12 +48,15 @@
 
   /** Takes note of how far the stream was read at `now`. */
   observe(replica: streamReplica.StreamReplica, now: clock.Milliseconds): void {
-    if (this.due === Infinity) this.due = now + this.after(FIRST_PART);
-    else if (this.isRecent(replica)) this.due = now + this.after(REPEAT_PART);
-    this.seen = replica.lastSnapshot;
-    if (now - this.newer.at < LAG_LIMIT_MS) return;
-    this.older = this.newer;
-    this.newer = {at: now, position: replica.position};
+    if (this.dueAt === Infinity) {
+      this.dueAt = now + this.randomDelay(FIRST_FRACTION);
+    } else if (this.isRecent(replica)) {
+      this.dueAt = now + this.randomDelay(REPEAT_FRACTION);
+    }
+    this.lastSnapshotOffset = replica.lastSnapshotOffset;
+    if (now - this.newerSample.at < MAXIMUM_SNAPSHOT_LAG_MS) return;
+    this.olderSample = this.newerSample;
+    this.newerSample = {at: now, position: replica.position};
   }
 
   /** Whether a snapshot is to be appended; one of no records never is. */
@@ -61,12 +64,12 @@
     replica: streamReplica.StreamReplica,
     now: clock.Milliseconds,
   ): boolean {
-    return now >= this.due && replica.isComplete && replica.position > 0;
+    return now >= this.dueAt && replica.isComplete && replica.position > 0;
   }
 
   /** Takes note that a snapshot was sent; its acknowledgement may be lost. */
-  sent(now: clock.Milliseconds): void {
-    this.due = now + RESEND_MS;
+  recordSent(now: clock.Milliseconds): void {
+    this.dueAt = now + RESEND_DELAY_MS;
   }
 
   /**
@@ -74,13 +77,13 @@
    * by a lagging process does not, and must not delay the next one.
    */
   private isRecent(replica: streamReplica.StreamReplica): boolean {
-    if (replica.lastSnapshot === this.seen) return false;
-    return replica.lastSnapshotThrough + 1 >= this.older.position;
+    if (replica.lastSnapshotOffset === this.lastSnapshotOffset) return false;
+    return replica.lastSnapshotThrough + 1 >= this.olderSample.position;
   }
 
-  private after(part: number): clock.Milliseconds {
+  private randomDelay(fraction: number): clock.Milliseconds {
     const step = this.random?.below(SPREAD_STEPS) ?? 0;
-    const spread = (step / SPREAD_STEPS) * SPREAD_PART;
-    return this.retentionMs * (part + spread);
+    const spread = (step / SPREAD_STEPS) * SPREAD_FRACTION;
+    return this.retentionMs * (fraction + spread);
   }
 }
--- a/src/contracts/stream_replica.ts
+++ b/src/contracts/stream_replica.ts
@@ -44,8 +44,8 @@
   /** Whether the state includes every record before `nextOffset`. */
   private complete = true;
   /** Records read since a gap, kept until a snapshot bridges it. */
-  private pending: event.StreamRecord[] = [];
-  private pendingStart = 0;
+  private recordsAfterGap: event.StreamRecord[] = [];
+  private firstOffsetAfterGap = 0;
 
   constructor(private readonly state: ReplicatedState) {}
 
@@ -55,7 +55,7 @@
   }
 
   /** Offset of the last snapshot seen; -1 before the first. */
-  get lastSnapshot(): number {
+  get lastSnapshotOffset(): number {
     return this.snapshotOffset;
   }
 
@@ -70,19 +70,19 @@
   }
 
   /** Applies what a read returned; repeated records change nothing. */
-  accept(
+  applyRead(
     read: Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
   ): ReplicaProgress {
     if (read.first > this.nextOffset) this.beginGap(read.first);
-    this.acceptRecords(read.records);
+    this.applyRecords(read.records);
     if (this.nextOffset < read.next) return 'behind';
     return this.complete ? 'tail' : 'gap';
   }
 
   /** Applies records in order; those that do not follow on are left alone. */
-  acceptRecords(records: ReadonlyArray<event.StreamRecord>): void {
+  applyRecords(records: ReadonlyArray<event.StreamRecord>): void {
     for (const record of records) {
-      if (record.offset === this.nextOffset) this.acceptNext(record);
+      if (record.offset === this.nextOffset) this.applyNext(record);
     }
   }
 
@@ -100,37 +100,37 @@
 
   private beginGap(first: number): void {
     this.complete = false;
-    this.pending = [];
-    this.pendingStart = first;
+    this.recordsAfterGap = [];
+    this.firstOffsetAfterGap = first;
     this.nextOffset = first;
   }
 
-  private acceptNext(record: event.StreamRecord): void {
+  private applyNext(record: event.StreamRecord): void {
     this.nextOffset = record.offset + 1;
-    const snapshot = readSnapshot(record);
+    const snapshot = parseSnapshot(record);
     if (snapshot !== undefined) {
       this.snapshotOffset = record.offset;
       this.snapshotThrough = snapshot.through;
     }
-    if (!this.complete) this.acceptAfterGap(record, snapshot);
+    if (!this.complete) this.handleDuringGap(record, snapshot);
     else if (snapshot === undefined) this.state.apply(record);
     if (this.complete) this.appliedThrough = record.offset;
   }
 
-  private acceptAfterGap(
+  private handleDuringGap(
     record: event.StreamRecord,
     snapshot: SnapshotRecord | undefined,
   ): void {
     if (snapshot === undefined) {
-      this.pending.push(record);
+      this.recordsAfterGap.push(record);
       return;
     }
-    if (snapshot.through + 1 < this.pendingStart) return;
+    if (snapshot.through + 1 < this.firstOffsetAfterGap) return;
     if (!this.restore(snapshot.state)) return;
-    for (const later of this.pending) {
+    for (const later of this.recordsAfterGap) {
       if (later.offset > snapshot.through) this.state.apply(later);
     }
-    this.pending = [];
+    this.recordsAfterGap = [];
     this.complete = true;
   }
 
@@ -144,7 +144,7 @@
   }
 }
 
-function readSnapshot(record: event.StreamRecord): SnapshotRecord | undefined {
+function parseSnapshot(record: event.StreamRecord): SnapshotRecord | undefined {
   try {
     const parsed = JSON.parse(record.data) as Partial<SnapshotRecord>;
     if (parsed.kind !== 'snapshot') return undefined;
--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -2,7 +2,7 @@
 import * as toml from 'smol-toml';
 import * as questionnaireSchema from './questionnaire_schema.js';
 import * as configurationDocuments from '../contracts/configuration_documents.js';
-import * as questionnaire from '../contracts/questionnaire.js';
+import * as questionnaireAnswers from '../contracts/questionnaire_answers.js';
 import * as tomlDocumentReader from './toml_document_reader.js';
 import * as tomlDocumentWriter from './toml_document_writer.js';
 import * as tomlSchema from './toml_schema.js';
@@ -30,17 +30,19 @@
   const faults = questionnaireSchema.QUESTIONNAIRE_SCHEMA.check(raw, '');
   if (faults.length > 0) return either.Left(faults.map(tomlSchema.formatFault));
   const completed = questionnaireSchema.QUESTIONNAIRE_SCHEMA.applyDefaults(raw);
-  const answers = completed as questionnaire.Answers;
-  const contradictions = questionnaire.findContradictions(answers);
+  const answers = completed as questionnaireAnswers.QuestionnaireAnswers;
+  const contradictions = questionnaireAnswers.findContradictions(answers);
   if (contradictions.length > 0) return either.Left(contradictions);
-  const documents = questionnaire.deriveDocuments(answers).map(document => ({
-    name: document.name,
-    content: tomlDocumentWriter.writeDocument(
-      document,
-      answers.operator,
-      answer => valueAt(raw, answer) !== undefined,
-    ),
-  }));
+  const documents = questionnaireAnswers
+    .deriveDocuments(answers)
+    .map(document => ({
+      name: document.name,
+      content: tomlDocumentWriter.writeDocument(
+        document,
+        answers.operator,
+        answer => valueAt(raw, answer) !== undefined,
+      ),
+    }));
   return checkGenerated(documents);
 }
 
@@ -57,7 +59,7 @@
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
 ): GenerationResult {
-  const set = new configurationDocuments.DocumentSet(
+  const set = new configurationDocuments.ConfigurationDocuments(
     new tomlDocumentReader.TomlDocumentReader(),
   );
   const faults: string[] = [];
--- a/src/links/questionnaire_schema.ts
+++ b/src/links/questionnaire_schema.ts
@@ -1,4 +1,4 @@
-import * as questionnaire from '../contracts/questionnaire.js';
+import * as questionnaireAnswers from '../contracts/questionnaire_answers.js';
 import * as tomlSchema from './toml_schema.js';
 
 const name = new tomlSchema.NameRule();
@@ -79,7 +79,7 @@
   },
   {
     key: 'whenLate',
-    rule: new tomlSchema.ChoiceRule(questionnaire.LATENESS),
+    rule: new tomlSchema.ChoiceRule(questionnaireAnswers.LATENESS_ANSWERS),
     meaning: 'What happens if it starts late?',
   },
   {
--- a/src/links/toml_document_reader.ts
+++ b/src/links/toml_document_reader.ts
@@ -10,8 +10,8 @@
 export class TomlDocumentReader implements configuration.DocumentReader {
   readFleet(
     content: string,
-  ): either.Either<result.Failure, configuration.FleetPlan> {
-    return read<configuration.FleetPlan>(
+  ): either.Either<result.Failure, configuration.FleetDefinition> {
+    return read<configuration.FleetDefinition>(
       content,
       documentSchema.FLEET_SCHEMA,
       fleetFaults,
@@ -50,7 +50,7 @@
 }
 
 function fleetFaults(
-  fleet: configuration.FleetPlan,
+  fleet: configuration.FleetDefinition,
 ): ReadonlyArray<tomlSchema.Fault> {
   const known = new Set(fleet.zones.map(zone => zone.name));
   return fleet.workerShapes.flatMap((shape, position) =>
--- a/src/links/toml_document_writer.ts
+++ b/src/links/toml_document_writer.ts
@@ -1,11 +1,11 @@
-import type * as questionnaire from '../contracts/questionnaire.js';
+import type * as questionnaireAnswers from '../contracts/questionnaire_answers.js';
 
 /**
  * Writes a derived document with the answer of each value beside it; `isGiven`
  * tells whether an answer was given or left out.
  */
 export function writeDocument(
-  document: questionnaire.DerivedDocument,
+  document: questionnaireAnswers.DerivedDocument,
   operator: string,
   isGiven: (answer: string) => boolean,
 ): string {
@@ -16,7 +16,7 @@
 }
 
 function writeTable(
-  table: questionnaire.DerivedTable,
+  table: questionnaireAnswers.DerivedTable,
   isGiven: (answer: string) => boolean,
 ): string {
   const lines = table.values.map(derived => {
@@ -28,12 +28,12 @@
   return [header(table), ...lines].join('');
 }
 
-function header(table: questionnaire.DerivedTable): string {
+function header(table: questionnaireAnswers.DerivedTable): string {
   if (table.path === '') return '';
   return table.repeated ? `[[${table.path}]]\n` : `[${table.path}]\n`;
 }
 
-function writeValue(value: questionnaire.DerivedValue['value']): string {
+function writeValue(value: questionnaireAnswers.DerivedValue['value']): string {
   if (typeof value === 'object') {
     return `[${value.map(item => JSON.stringify(item)).join(', ')}]`;
   }
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -1,4 +1,4 @@
-import * as configurationKeeper from '../contracts/configuration_keeper.js';
+import * as configurationStore from '../contracts/configuration_store.js';
 import * as fleet from './fleet.js';
 import * as requestDesk from '../contracts/request_desk.js';
 import * as result from '../result.js';
@@ -7,7 +7,7 @@
 import * as schedulerEffects from '../contracts/scheduler_effects.js';
 import * as schedulerQueue from '../contracts/scheduler_queue.js';
 import * as taskRunner from './task_runner.js';
-import * as zoneControl from '../zones/zone_control.js';
+import * as zoneController from '../zones/zone_controller.js';
 import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
@@ -24,7 +24,7 @@
 
 /** What an entry process is made with. */
 export interface EntryVmOptions {
-  readonly self: zoneControl.ProcessDescription;
+  readonly self: zoneController.ProcessDescription;
   readonly reader: configuration.DocumentReader;
   readonly random: randomSource.RandomSource;
   /** What the settings state of the log; defaults apply without it. */
@@ -44,8 +44,8 @@
  */
 export class EntryVm implements loop.EventHandler {
   private readonly workers = new fleet.Fleet();
-  private readonly zone: zoneControl.ZoneControl;
-  private readonly documents: configurationKeeper.ConfigurationKeeper;
+  private readonly zone: zoneController.ZoneController;
+  private readonly documents: configurationStore.ConfigurationStore;
   private readonly directory: zoneDirectory.ZoneDirectory;
   private readonly scheduler: scheduler.Scheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
@@ -56,15 +56,15 @@
 
   constructor(private readonly parts: EntryVmOptions) {
     const {self, random, logOptions} = parts;
-    this.documents = new configurationKeeper.ConfigurationKeeper(parts.reader, {
+    this.documents = new configurationStore.ConfigurationStore(parts.reader, {
       random,
-      place: self,
+      location: self,
       retentionMs: logOptions?.retentionMs,
       appendIntervalMs: logOptions?.appendIntervalMs,
     });
-    this.zone = new zoneControl.ZoneControl(self, this.workers, {
+    this.zone = new zoneController.ZoneController(self, this.workers, {
       logStalenessMs: logOptions?.stalenessMs,
-      documents: () => this.documents.news(),
+      documents: () => this.documents.newestDocument(),
     });
     this.directory = new zoneDirectory.ZoneDirectory(self, this.zone);
     const runner = new taskRunner.TaskRunner(this.workers, this.zone);
@@ -96,7 +96,7 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    if (handled.kind === 'vmListRead') this.directory.noteVms(handled.vms);
+    if (handled.kind === 'vmListRead') this.directory.updateVms(handled.vms);
     const isDrain = isOwnDrain(handled);
     if (isDrain) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
     const produced = [
@@ -109,7 +109,7 @@
       ...schedulerEffects.afterEvent(this.scheduler, handled, now),
     ];
     this.zone.setExpectedWait(this.scheduler.expectedWaitMs());
-    return this.zone.guard(produced);
+    return this.zone.blockWithoutPermit(produced);
   }
 
   /** When `timePassed` is wanted next. */
--- a/src/zones/availability_zone.ts
+++ b/src/zones/availability_zone.ts
@@ -10,8 +10,8 @@
 
 /** What is known here of an availability zone. */
 export class AvailabilityZone {
-  private latest: event.ZoneSummary | undefined;
-  private heardAt = -Infinity;
+  private latestSummary: event.ZoneSummary | undefined;
+  private summaryReceivedAt = -Infinity;
 
   constructor(
     readonly name: string,
@@ -20,13 +20,15 @@
 
   /** Takes a newer summary of the zone. */
   update(summary: event.ZoneSummary, now: clock.Milliseconds): void {
-    this.latest = summary;
-    this.heardAt = now;
+    this.latestSummary = summary;
+    this.summaryReceivedAt = now;
   }
 
   /** The last summary; undefined when it is too old to act on. */
   summary(now: clock.Milliseconds): event.ZoneSummary | undefined {
-    return now - this.heardAt > SUMMARY_LIFETIME_MS ? undefined : this.latest;
+    return now - this.summaryReceivedAt > SUMMARY_LIFETIME_MS
+      ? undefined
+      : this.latestSummary;
   }
 
   /** Whether the zone has room for a size, as far as is known. */
--- a/src/zones/confirmations.ts
+++ b/src/zones/confirmation_exchange.ts
@@ -1,6 +1,6 @@
 import * as membership from './membership.js';
 import * as resources from '../machines/resources.js';
-import type * as authority from './authority.js';
+import type * as permitTracker from './permit_tracker.js';
 import type * as clock from '../machines/clock.js';
 import type * as effect from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
@@ -14,10 +14,10 @@
 export const SUMMARY_INTERVAL_MS = 5_000;
 
 /** Longest wait that a summary states; longer ones mean the same. */
-const MAXIMUM_WAIT_MS = 60 * 60 * 1_000;
+const MAXIMUM_REPORTED_WAIT_MS = 60 * 60 * 1_000;
 
 /** Largest number of leaving workers named in one confirmation. */
-const LEAVING_LIMIT = 64;
+const MAXIMUM_LEAVING_WORKERS = 64;
 
 /** Who this process is. */
 export interface ProcessDescription {
@@ -30,36 +30,36 @@
 }
 
 /** What confirmations are made of. */
-export interface ConfirmationSources {
+export interface ConfirmationDependencies {
   readonly self: ProcessDescription;
   readonly table: ownership.OwnershipTable;
   readonly members: membership.Membership;
   readonly presence: vmPresence.VmPresence;
   readonly stream: zoneStream.ZoneStream;
-  readonly authority: authority.Authority;
+  readonly permits: permitTracker.PermitTracker;
   readonly workers: fleet.Fleet;
   readonly regions: region.RegionMap;
   readonly documents: () => ReadonlyArray<event.DocumentVersion>;
 }
 
 /** The messages between members, and between one member of each zone. */
-export class Confirmations {
-  private nextConfirm: clock.Milliseconds = 0;
-  private nextSummary: clock.Milliseconds = 0;
-  private expectedWait: clock.Milliseconds = 0;
+export class ConfirmationExchange {
+  private nextConfirmAt: clock.Milliseconds = 0;
+  private nextSummaryAt: clock.Milliseconds = 0;
+  private expectedWaitMs: clock.Milliseconds = 0;
   private leaving = false;
   /** Summaries of own zone's members, of which the zone's is the sum. */
-  private readonly parts = new Map<string, event.ZoneSummary>();
+  private readonly memberSummaries = new Map<string, event.ZoneSummary>();
   /** Summaries from other zones that members have yet to hear. */
-  private fresh: event.ZoneSummary[] = [];
+  private summariesToForward: event.ZoneSummary[] = [];
   /** VMs of other zones that did not answer, by how often. */
-  private readonly failures = new Map<string, number>();
+  private readonly failureCounts = new Map<string, number>();
 
-  constructor(private readonly sources: ConfirmationSources) {}
+  constructor(private readonly dependencies: ConfirmationDependencies) {}
 
   /** Sets the wait that new work has here, for the zone's summary. */
   setExpectedWait(wait: clock.Milliseconds): void {
-    this.expectedWait = Math.min(Math.max(0, wait), MAXIMUM_WAIT_MS);
+    this.expectedWaitMs = Math.min(Math.max(0, wait), MAXIMUM_REPORTED_WAIT_MS);
   }
 
   /** Tells other members from now on that this process leaves. */
@@ -70,34 +70,34 @@
   /** Sends what is due. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const sent: effect.Effect[] = [];
-    const due = now >= this.nextSummary;
-    if (now >= this.nextConfirm || due) {
-      this.nextConfirm = now + membership.CONFIRM_INTERVAL_MS;
+    const due = now >= this.nextSummaryAt;
+    if (now >= this.nextConfirmAt || due) {
+      this.nextConfirmAt = now + membership.CONFIRM_INTERVAL_MS;
       sent.push(...this.confirmMembers(due));
     }
     if (due) {
-      this.nextSummary = now + SUMMARY_INTERVAL_MS;
-      sent.push(...this.summarise(now));
+      this.nextSummaryAt = now + SUMMARY_INTERVAL_MS;
+      sent.push(...this.sendZoneSummary(now));
     }
     return sent;
   }
 
   /** When `poll` is wanted next. */
   nextDeadline(): clock.Milliseconds {
-    return Math.min(this.nextConfirm, this.nextSummary);
+    return Math.min(this.nextConfirmAt, this.nextSummaryAt);
   }
 
   /** Answers another process. */
-  answer(
+  handleRequest(
     asked: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
   ): effect.Effect {
-    const {self, members, stream, authority: own} = this.sources;
+    const {self, members, stream, permits: own} = this.dependencies;
     const {news, call} = asked;
-    if (news.zone !== self.zone) return this.answerZone(asked, now);
+    if (news.zone !== self.zone) return this.answerOtherZone(asked, now);
     const meant = asked.to === self.process;
-    if (meant) members.heard(news, true, now);
-    this.takeNews(news, now);
+    if (meant) members.recordMessage(news, true, now);
+    this.applyNews(news, now);
     const zoneRecords = stream.recordsFrom(asked.zonePosition);
     // A promise counts only together with every record read here.
     const confirmed =
@@ -112,31 +112,33 @@
   }
 
   /** Takes an answer; the records in it have been applied already. */
-  answered(
+  handleAnswer(
     answer: Extract<event.Event, {kind: 'confirmAnswered'}>,
     now: clock.Milliseconds,
   ): void {
-    const {self, members} = this.sources;
+    const {self, members} = this.dependencies;
     if (answer.news.zone !== self.zone) {
-      this.failures.delete(answer.peer);
-      this.takeSummaries(answer.news, now);
+      this.failureCounts.delete(answer.peer);
+      this.applySummaries(answer.news, now);
       return;
     }
     if (answer.peer !== answer.news.from) return;
-    members.heard(answer.news, false, now);
-    this.takeNews(answer.news, now);
-    if (answer.confirmed) members.confirmed(answer.peer, answer.sentAt, now);
+    members.recordMessage(answer.news, false, now);
+    this.applyNews(answer.news, now);
+    if (answer.confirmed) {
+      members.recordConfirmation(answer.peer, answer.sentAt, now);
+    }
   }
 
   /** Notes that a process did not answer, so that another one is tried. */
-  failed(peer: string): void {
-    if (this.sources.table.members().has(peer)) return;
-    this.failures.set(peer, (this.failures.get(peer) ?? 0) + 1);
+  handleFailure(peer: string): void {
+    if (this.dependencies.table.members().has(peer)) return;
+    this.failureCounts.set(peer, (this.failureCounts.get(peer) ?? 0) + 1);
   }
 
   /** Workers that are known to leave. */
   leavingWorkers(): ReadonlyArray<string> {
-    return this.sources.workers
+    return this.dependencies.workers
       .all()
       .filter(known => known.leaving)
       .map(known => known.name);
@@ -144,14 +146,14 @@
 
   /** Members learn each other's part of the summary only when it is due. */
   private confirmMembers(summarise: boolean): ReadonlyArray<effect.Effect> {
-    const {members, stream} = this.sources;
-    const summaries = [...this.fresh];
-    if (summarise) summaries.push(this.ownPart());
+    const {members, stream} = this.dependencies;
+    const summaries = [...this.summariesToForward];
+    if (summarise) summaries.push(this.ownSummary());
     const news = {...this.memberNews(), summaries};
-    this.fresh = [];
+    this.summariesToForward = [];
     return members
       .others()
-      .filter(member => !members.isGone(member))
+      .filter(member => !members.isVmGone(member))
       .map(member => ({
         kind: 'confirmPeer',
         peer: member.process,
@@ -164,8 +166,8 @@
   private memberNews(): event.PeerNews {
     return {
       ...this.sender(),
-      documents: this.sources.documents(),
-      leavingWorkers: this.leavingWorkers().slice(0, LEAVING_LIMIT),
+      documents: this.dependencies.documents(),
+      leavingWorkers: this.leavingWorkers().slice(0, MAXIMUM_LEAVING_WORKERS),
       summaries: [],
       leaving: this.leaving,
     };
@@ -182,35 +184,37 @@
   }
 
   private sender(): Pick<event.PeerNews, 'from' | 'zone' | 'address'> {
-    const {process, zone, address} = this.sources.self;
+    const {process, zone, address} = this.dependencies.self;
     return {from: process, zone, address};
   }
 
-  private takeNews(news: event.PeerNews, now: clock.Milliseconds): void {
+  private applyNews(news: event.PeerNews, now: clock.Milliseconds): void {
     for (const name of news.leavingWorkers) {
-      this.sources.workers.get(name)?.markLeaving();
+      this.dependencies.workers.get(name)?.markLeaving();
     }
     for (const summary of news.summaries) {
-      if (summary.zone !== this.sources.self.zone) {
-        this.sources.regions.update(summary, now);
-      } else this.parts.set(news.from, summary);
+      if (summary.zone !== this.dependencies.self.zone) {
+        this.dependencies.regions.update(summary, now);
+      } else this.memberSummaries.set(news.from, summary);
     }
   }
 
-  private takeSummaries(news: event.PeerNews, now: clock.Milliseconds): void {
+  private applySummaries(news: event.PeerNews, now: clock.Milliseconds): void {
     for (const summary of news.summaries) {
-      if (summary.zone === this.sources.self.zone) continue;
-      this.sources.regions.update(summary, now);
-      this.fresh = this.fresh.filter(known => known.zone !== summary.zone);
-      this.fresh.push(summary);
+      if (summary.zone === this.dependencies.self.zone) continue;
+      this.dependencies.regions.update(summary, now);
+      this.summariesToForward = this.summariesToForward.filter(
+        known => known.zone !== summary.zone,
+      );
+      this.summariesToForward.push(summary);
     }
   }
 
-  private answerZone(
+  private answerOtherZone(
     asked: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
   ): effect.Effect {
-    this.takeSummaries(asked.news, now);
+    this.applySummaries(asked.news, now);
     return {
       kind: 'answerConfirm',
       call: asked.call,
@@ -221,14 +225,16 @@
   }
 
   /** Sends the zone's summary if this process represents the zone. */
-  private summarise(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
-    const {self, members} = this.sources;
+  private sendZoneSummary(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effect.Effect> {
+    const {self, members} = this.dependencies;
     if (members.live(now)[0] !== self.process) return [];
     const news = this.zoneNews(now);
-    this.sources.regions.update(news.summaries[0], now);
+    this.dependencies.regions.update(news.summaries[0], now);
     return this.representatives().map(listed => ({
       kind: 'confirmPeer',
-      peer: zoneMember(listed),
+      peer: peerNameOf(listed),
       address: listed.address,
       zonePosition: 0,
       news,
@@ -240,7 +246,7 @@
    * zones exchanges summaries once; the answer brings the other's summary.
    */
   private representatives(): ReadonlyArray<event.ListedVm> {
-    const {self, presence} = this.sources;
+    const {self, presence} = this.dependencies;
     const chosen = new Map<string, event.ListedVm>();
     for (const listed of presence.listed()) {
       if (listed.role !== 'entry' || listed.zone <= self.zone) continue;
@@ -254,14 +260,14 @@
   }
 
   private precedes(first: event.ListedVm, second: event.ListedVm): boolean {
-    const firstFailures = this.failures.get(zoneMember(first)) ?? 0;
-    const secondFailures = this.failures.get(zoneMember(second)) ?? 0;
+    const firstFailures = this.failureCounts.get(peerNameOf(first)) ?? 0;
+    const secondFailures = this.failureCounts.get(peerNameOf(second)) ?? 0;
     if (firstFailures !== secondFailures) return firstFailures < secondFailures;
     return first.vm < second.vm;
   }
 
-  private ownPart(): event.ZoneSummary {
-    const {table, workers, self} = this.sources;
+  private ownSummary(): event.ZoneSummary {
+    const {table, workers, self} = this.dependencies;
     let free = resources.NONE;
     let workerCount = 0;
     for (const known of workers.all()) {
@@ -274,16 +280,16 @@
       freeProcessors: Math.max(0, free.processors),
       freeMemory: Math.max(0, free.memory),
       freeAccelerators: Math.max(0, free.accelerators),
-      expectedWaitMs: Math.round(this.expectedWait),
+      expectedWaitMs: Math.round(this.expectedWaitMs),
       workerCount,
     };
   }
 
   private zoneSummary(now: clock.Milliseconds): event.ZoneSummary {
-    let sum = this.ownPart();
-    for (const [process, part] of this.parts) {
-      const state = this.sources.members.state(process, now);
-      if (state === 'dead') this.parts.delete(process);
+    let sum = this.ownSummary();
+    for (const [process, part] of this.memberSummaries) {
+      const state = this.dependencies.members.state(process, now);
+      if (state === 'dead') this.memberSummaries.delete(process);
       else sum = addSummaries(sum, part);
     }
     return sum;
@@ -291,7 +297,7 @@
 }
 
 /** Name that any incarnation of the process on a VM of a zone answers to. */
-function zoneMember(listed: event.ListedVm): string {
+function peerNameOf(listed: event.ListedVm): string {
   return `${listed.zone}.${listed.vm}`;
 }
 
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -7,31 +7,31 @@
 export const CONFIRM_INTERVAL_MS = 1_000;
 
 /** Silence after which a member is suspect and gets no offers. */
-export const SUSPECT_MS = 3_000;
+export const SUSPECT_SILENCE_MS = 3_000;
 
 /** Silence after which a member's items may be claimed. */
-export const SILENCE_MS = 4_000;
+export const CLAIMABLE_SILENCE_MS = 4_000;
 
 /** What is known of a member by what it sends and by the VM list. */
 export type MemberState = 'live' | 'suspect' | 'leaving' | 'dead';
 
 /** A member of the zone as others need it. */
-export interface Member {
+export interface ZoneMember {
   readonly process: string;
   readonly vm: string;
   readonly address: string;
   readonly state: MemberState;
   /** Whether it is known to count this process as a member. */
-  readonly knowsSelf: boolean;
+  readonly recognisesSelf: boolean;
 }
 
 interface Contact {
   /** When it first appeared or last sent something. */
-  readonly heardAt: clock.Milliseconds;
+  readonly lastMessageAt: clock.Milliseconds;
   /** Whether it ever sent something. */
-  readonly heard: boolean;
+  readonly hasSentMessage: boolean;
   /** Whether it ever asked for a confirmation: it knows this process. */
-  readonly asked: boolean;
+  readonly hasRequestedConfirmation: boolean;
   readonly leaving: boolean;
   /** When the last request that it confirmed was sent. */
   readonly confirmedSentAt: clock.Milliseconds;
@@ -39,10 +39,10 @@
   readonly confirmedAt: clock.Milliseconds;
 }
 
-const NEVER: Contact = {
-  heardAt: -Infinity,
-  heard: false,
-  asked: false,
+const NO_CONTACT: Contact = {
+  lastMessageAt: -Infinity,
+  hasSentMessage: false,
+  hasRequestedConfirmation: false,
   leaving: false,
   confirmedSentAt: -Infinity,
   confirmedAt: -Infinity,
@@ -59,10 +59,10 @@
   ) {}
 
   /** Follows the table: starts to watch new members and drops ended ones. */
-  follow(now: clock.Milliseconds): void {
+  syncWithTable(now: clock.Milliseconds): void {
     for (const process of this.table.members().keys()) {
-      if (this.contacts.get(process)?.heardAt !== undefined) continue;
-      this.contacts.set(process, {...NEVER, heardAt: now});
+      if (this.contacts.get(process)?.lastMessageAt !== undefined) continue;
+      this.contacts.set(process, {...NO_CONTACT, lastMessageAt: now});
     }
     for (const process of this.contacts.keys()) {
       if (!this.table.members().has(process)) this.contacts.delete(process);
@@ -70,27 +70,31 @@
   }
 
   /** Starts to count silence anew, after this process was paused itself. */
-  restart(now: clock.Milliseconds): void {
+  resetSilence(now: clock.Milliseconds): void {
     for (const [process, contact] of this.contacts) {
-      this.contacts.set(process, {...contact, heardAt: now});
+      this.contacts.set(process, {...contact, lastMessageAt: now});
     }
   }
 
   /** Notes that a member sent something. */
-  heard(news: event.PeerNews, asked: boolean, now: clock.Milliseconds): void {
+  recordMessage(
+    news: event.PeerNews,
+    asked: boolean,
+    now: clock.Milliseconds,
+  ): void {
     const contact = this.contacts.get(news.from);
     if (contact === undefined) return;
     this.contacts.set(news.from, {
       ...contact,
-      heardAt: now,
-      heard: true,
-      asked: contact.asked || asked,
+      lastMessageAt: now,
+      hasSentMessage: true,
+      hasRequestedConfirmation: contact.hasRequestedConfirmation || asked,
       leaving: contact.leaving || news.leaving,
     });
   }
 
   /** Notes a positive confirmation of a request sent at `sentAt`. */
-  confirmed(
+  recordConfirmation(
     process: string,
     sentAt: clock.Milliseconds,
     now: clock.Milliseconds,
@@ -112,13 +116,13 @@
   }
 
   /** All members with their states, this process included. */
-  all(now: clock.Milliseconds): ReadonlyArray<Member> {
+  allWithStates(now: clock.Milliseconds): ReadonlyArray<ZoneMember> {
     return [...this.table.members().values()].map(({process, vm, address}) => ({
       process,
       vm,
       address,
       state: this.state(process, now),
-      knowsSelf: process === this.self || this.knowsSelf(process),
+      recognisesSelf: process === this.self || this.recognisesSelf(process),
     }));
   }
 
@@ -127,9 +131,9 @@
     const member = this.table.members().get(process);
     if (member === undefined) return 'dead';
     if (process === this.self) return 'live';
-    if (this.isGone(member)) return 'dead';
-    const contact = this.contacts.get(process) ?? NEVER;
-    if (now - contact.heardAt > SUSPECT_MS) return 'suspect';
+    if (this.isVmGone(member)) return 'dead';
+    const contact = this.contacts.get(process) ?? NO_CONTACT;
+    if (now - contact.lastMessageAt > SUSPECT_SILENCE_MS) return 'suspect';
     return contact.leaving ? 'leaving' : 'live';
   }
 
@@ -137,31 +141,34 @@
   live(now: clock.Milliseconds): ReadonlyArray<string> {
     return [...this.table.members().keys()]
       .filter(process => this.state(process, now) === 'live')
-      .filter(process => process === this.self || this.contact(process).heard)
+      .filter(
+        process =>
+          process === this.self || this.contact(process).hasSentMessage,
+      )
       .sort();
   }
 
   /** Whether a member has been silent long enough to be claimed. */
   isSilent(process: string, now: clock.Milliseconds): boolean {
-    return now - this.contact(process).heardAt > SILENCE_MS;
+    return now - this.contact(process).lastMessageAt > CLAIMABLE_SILENCE_MS;
   }
 
   /** Whether a member is known to count this process as a member. */
-  knowsSelf(process: string): boolean {
-    return this.contact(process).asked;
+  recognisesSelf(process: string): boolean {
+    return this.contact(process).hasRequestedConfirmation;
   }
 
   /** What a member last confirmed. */
   contact(process: string): Contact {
-    return this.contacts.get(process) ?? NEVER;
+    return this.contacts.get(process) ?? NO_CONTACT;
   }
 
   /** Whether the VM list proves that a member does not exist any more. */
-  isGone(member: ownership.JoinedMember): boolean {
+  isVmGone(member: ownership.JoinedMember): boolean {
     const own = this.table.members().get(this.self);
     const older = own !== undefined && member.joined < own.joined;
     return older
-      ? this.presence.isGoneOrOlder(member.vm)
+      ? this.presence.isGoneOrNeverListed(member.vm)
       : this.presence.isGone(member.vm);
   }
 
@@ -172,7 +179,7 @@
   isReplaced(member: ownership.JoinedMember): boolean {
     if (member.address.endsWith(':0')) return false;
     const {table} = this;
-    return [...table.members().values(), ...table.ended().values()].some(
+    return [...table.members().values(), ...table.endedMembers().values()].some(
       later =>
         later.vm === member.vm &&
         later.address === member.address &&
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -2,14 +2,14 @@
 import type * as streamReplica from '../contracts/stream_replica.js';
 
 /** Owner of an item that was released and that nobody has claimed since. */
-export const NOBODY = '';
+export const NO_OWNER = '';
 
 /**
  * Records after which a released item and an ended process are forgotten. A
  * delayed copy of a record must arrive before that, so it is far larger than
  * what a zone appends in an hour.
  */
-export const TOMBSTONE_RECORDS = 10_000;
+export const TOMBSTONE_RETENTION_RECORDS = 10_000;
 
 /** An item and the epoch that the writer of a record believed current. */
 export interface ItemEpoch {
@@ -69,7 +69,7 @@
 }
 
 /** A former member, and how and where it ended by the records read. */
-export interface EndedProcess extends JoinedMember {
+export interface EndedMember extends JoinedMember {
   readonly how: 'left' | 'claimed';
   readonly offset: number;
 }
@@ -77,7 +77,7 @@
 interface TableState {
   readonly owners: ReadonlyArray<readonly [string, Ownership]>;
   readonly joined: ReadonlyArray<readonly [string, JoinedMember]>;
-  readonly ended: ReadonlyArray<readonly [string, EndedProcess]>;
+  readonly ended: ReadonlyArray<readonly [string, EndedMember]>;
 }
 
 /** Name of the item that stands for a process and its identities. */
@@ -107,7 +107,7 @@
 export class OwnershipTable implements streamReplica.ReplicatedState {
   private owners = new Map<string, Ownership>();
   private joined = new Map<string, JoinedMember>();
-  private endedProcesses = new Map<string, EndedProcess>();
+  private endedProcesses = new Map<string, EndedMember>();
 
   /** Owner of an item; undefined when nobody has claimed it. */
   ownership(item: string): Ownership | undefined {
@@ -115,7 +115,7 @@
   }
 
   /** All items that have or had an owner. */
-  all(): ReadonlyMap<string, Ownership> {
+  ownershipByItem(): ReadonlyMap<string, Ownership> {
     return this.owners;
   }
 
@@ -134,13 +134,13 @@
   }
 
   /** Processes that left or were claimed. */
-  ended(): ReadonlyMap<string, EndedProcess> {
+  endedMembers(): ReadonlyMap<string, EndedMember> {
     return this.endedProcesses;
   }
 
   /** Applies the next record; an unreadable one changes nothing. */
   apply(record: event.StreamRecord): void {
-    const parsed = readRecord(record);
+    const parsed = parseRecord(record);
     switch (parsed?.kind) {
       case 'join':
         return this.join(parsed, record.offset);
@@ -176,7 +176,7 @@
     offset: number,
   ): void {
     const {process, vm, address} = record;
-    this.forgetBefore(offset - TOMBSTONE_RECORDS);
+    this.pruneBefore(offset - TOMBSTONE_RETENTION_RECORDS);
     if (this.joined.has(process) || this.endedProcesses.has(process)) return;
     this.joined.set(process, {process, vm, address, joined: offset});
     this.owners.set(processItem(process), {
@@ -191,7 +191,7 @@
     if (!this.joined.has(process)) return;
     this.end(process, 'left', offset);
     for (const held of this.itemsOf(process)) {
-      this.assign(held, NOBODY, 'handover', offset);
+      this.assign(held, NO_OWNER, 'handover', offset);
     }
   }
 
@@ -204,7 +204,7 @@
     for (const wanted of record.items) {
       const current = this.owners.get(wanted.item);
       if ((current?.epoch ?? 0) !== wanted.epoch) continue;
-      this.assign(wanted, record.claimant, acquisitionBy(current), offset);
+      this.assign(wanted, record.claimant, acquisitionFrom(current), offset);
       const claimed = claimedProcess(wanted.item);
       if (claimed !== undefined) this.end(claimed, 'claimed', offset);
     }
@@ -214,7 +214,7 @@
     record: Extract<ZoneRecord, {kind: 'transfer'}>,
     offset: number,
   ): void {
-    const to = this.joined.has(record.to) ? record.to : NOBODY;
+    const to = this.joined.has(record.to) ? record.to : NO_OWNER;
     for (const given of record.items) {
       const current = this.owners.get(given.item);
       if (current?.epoch !== given.epoch) continue;
@@ -240,35 +240,35 @@
     });
     if (!isWorker(given.item)) return;
     for (const [item, held] of this.owners) {
-      if (held.on !== given.item || held.owner === NOBODY) continue;
+      if (held.on !== given.item || held.owner === NO_OWNER) continue;
       this.assign({item, epoch: held.epoch}, owner, acquisition, offset);
     }
   }
 
-  private end(process: string, how: EndedProcess['how'], offset: number): void {
+  private end(process: string, how: EndedMember['how'], offset: number): void {
     const member = this.joined.get(process);
     if (member === undefined) return;
     this.joined.delete(process);
     this.endedProcesses.set(process, {...member, how, offset});
   }
 
-  private forgetBefore(offset: number): void {
+  private pruneBefore(offset: number): void {
     for (const [process, ended] of this.endedProcesses) {
       if (ended.offset >= offset) continue;
       this.endedProcesses.delete(process);
       this.owners.delete(processItem(process));
     }
     for (const [item, held] of this.owners) {
-      if (held.owner === NOBODY && held.offset < offset) {
+      if (held.owner === NO_OWNER && held.offset < offset) {
         this.owners.delete(item);
       }
     }
   }
 }
 
-function acquisitionBy(current: Ownership | undefined): Acquisition {
+function acquisitionFrom(current: Ownership | undefined): Acquisition {
   if (current === undefined) return 'first';
-  return current.owner === NOBODY ? 'handover' : 'succession';
+  return current.owner === NO_OWNER ? 'handover' : 'succession';
 }
 
 function claimedProcess(item: string): string | undefined {
@@ -277,7 +277,7 @@
     : undefined;
 }
 
-function readRecord(record: event.StreamRecord): ZoneRecord | undefined {
+function parseRecord(record: event.StreamRecord): ZoneRecord | undefined {
   try {
     return JSON.parse(record.data) as ZoneRecord;
   } catch {
--- a/src/zones/authority.ts
+++ b/src/zones/permit_tracker.ts
@@ -8,13 +8,14 @@
 import type * as zoneStream from './zone_stream.js';
 
 /** How long a proof that nobody has claimed a worker lets its owner place. */
-export const PERMIT_MS = 4_000;
+export const PERMIT_DURATION_MS = 4_000;
 
 /** How long a confirming member does not claim, whatever the clocks do. */
-export const PROMISE_MS = PERMIT_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
+export const PROMISE_DURATION_MS =
+  PERMIT_DURATION_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
 
 /** Wait after a claim: the earlier owner may have read just before it. */
-export const CLAIM_WAIT_MS = PERMIT_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
+export const CLAIM_WAIT_MS = PERMIT_DURATION_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
 
 /**
  * Wait after a handover: starts that the earlier owner sent before it gave the
@@ -24,7 +25,7 @@
   lease.START_LEASE_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
 
 /** Where authority comes from. */
-export interface AuthoritySources {
+export interface PermitTrackerDependencies {
   readonly process: string;
   readonly vm: string;
   readonly zone: string;
@@ -36,7 +37,7 @@
   readonly logStalenessMs: clock.Milliseconds;
 }
 
-interface Sighting {
+interface EpochObservation {
   readonly owner: string;
   readonly epoch: number;
   readonly at: clock.Milliseconds;
@@ -46,60 +47,63 @@
  * Until when this process may place on its workers, and what it has promised
  * to other owners.
  */
-export class Authority {
-  private readonly promises = new Map<string, clock.Milliseconds>();
+export class PermitTracker {
+  private readonly promiseEnds = new Map<string, clock.Milliseconds>();
   /** When an item's present epoch was first seen. */
-  private readonly sightings = new Map<string, Sighting>();
+  private readonly epochObservations = new Map<string, EpochObservation>();
   /** Epoch through which this process has given an item up. */
-  private readonly givenUp = new Map<string, number>();
-  private readonly endings = new Map<string, clock.Milliseconds>();
-  private leftValue = false;
+  private readonly releasedEpochs = new Map<string, number>();
+  private readonly endObservedAt = new Map<string, clock.Milliseconds>();
+  private hasLeftValue = false;
   private violations: effects.Effect[] = [];
 
-  constructor(private readonly sources: AuthoritySources) {}
+  constructor(private readonly dependencies: PermitTrackerDependencies) {}
 
   /** Whether this process has given everything up. */
-  get left(): boolean {
-    return this.leftValue;
+  get hasLeft(): boolean {
+    return this.hasLeftValue;
   }
 
   /** Whether this process is a member that has neither left nor been claimed. */
-  get active(): boolean {
-    const {table, process} = this.sources;
-    return !this.leftValue && table.members().has(process);
+  get isActive(): boolean {
+    const {table, process} = this.dependencies;
+    return !this.hasLeftValue && table.members().has(process);
   }
 
   /** Notes changes of the table; `permitEnd` is what it was before them. */
   observe(permitEnd: clock.Milliseconds, now: clock.Milliseconds): void {
-    const {table, process} = this.sources;
-    for (const [item, held] of table.all()) {
-      const seen = this.sightings.get(item);
+    const {table, process} = this.dependencies;
+    for (const [item, held] of table.ownershipByItem()) {
+      const seen = this.epochObservations.get(item);
       if (seen !== undefined && seen.epoch >= held.epoch) continue;
       const {owner, epoch} = held;
-      this.sightings.set(item, {owner, epoch, at: now});
+      this.epochObservations.set(item, {owner, epoch, at: now});
       if (seen?.owner !== process || owner === process) continue;
       this.checkSuccession(held, permitEnd, now);
     }
-    for (const ended of table.ended().keys()) {
-      if (!this.endings.has(ended)) this.endings.set(ended, now);
+    for (const ended of table.endedMembers().keys()) {
+      if (!this.endObservedAt.has(ended)) this.endObservedAt.set(ended, now);
     }
-    this.forget();
+    this.prune();
   }
 
   /** End of the permit to act as this process; -Infinity without one. */
   processPermitEnd(now: clock.Milliseconds): clock.Milliseconds {
-    if (!this.active || this.sources.stream.incomplete) return -Infinity;
-    const proof = Math.max(this.sources.stream.freshAt, this.confirmedAt(now));
-    return proof + PERMIT_MS;
+    if (!this.isActive || this.dependencies.stream.hasGap) return -Infinity;
+    const proof = Math.max(
+      this.dependencies.stream.lastTailReadSentAt,
+      this.allConfirmedSince(now),
+    );
+    return proof + PERMIT_DURATION_MS;
   }
 
   /** End of the permit for an item; -Infinity without one. */
   permitEnd(item: string, now: clock.Milliseconds): clock.Milliseconds {
-    const held = this.sources.table.ownership(item);
-    if (held?.owner !== this.sources.process) return -Infinity;
-    if ((this.givenUp.get(item) ?? 0) >= held.epoch) return -Infinity;
+    const held = this.dependencies.table.ownership(item);
+    if (held?.owner !== this.dependencies.process) return -Infinity;
+    if ((this.releasedEpochs.get(item) ?? 0) >= held.epoch) return -Infinity;
     if (now < this.waitEnd(item, held)) return -Infinity;
-    const seen = this.sightings.get(item);
+    const seen = this.epochObservations.get(item);
     if (seen?.epoch !== held.epoch || seen.owner !== held.owner) {
       this.violations.push(...invariant.violation('ownerHasPermit', {item}));
       return -Infinity;
@@ -108,9 +112,9 @@
   }
 
   /** Whether every wait after a claim or handover is over. */
-  isSettled(now: clock.Milliseconds): boolean {
-    const {table, process} = this.sources;
-    for (const [item, held] of table.all()) {
+  areWaitsOver(now: clock.Milliseconds): boolean {
+    const {table, process} = this.dependencies;
+    for (const [item, held] of table.ownershipByItem()) {
       if (held.owner !== process) continue;
       if (now < this.waitEnd(item, held)) return false;
     }
@@ -118,18 +122,18 @@
   }
 
   /** Gives items up before the record that says so is sent. */
-  giveUp(items: ReadonlyArray<ownership.ItemEpoch>): void {
-    for (const given of items) this.givenUp.set(given.item, given.epoch);
+  release(items: ReadonlyArray<ownership.ItemEpoch>): void {
+    for (const given of items) this.releasedEpochs.set(given.item, given.epoch);
   }
 
   /** Gives everything up for good. */
   leave(): void {
-    this.leftValue = true;
+    this.hasLeftValue = true;
   }
 
   /** Whether a promise to a member is in force. */
-  isPromised(member: string, now: clock.Milliseconds): boolean {
-    return now < (this.promises.get(member) ?? -Infinity);
+  hasPromised(member: string, now: clock.Milliseconds): boolean {
+    return now < (this.promiseEnds.get(member) ?? -Infinity);
   }
 
   /**
@@ -138,17 +142,17 @@
    * sent a claim that may still take effect.
    */
   promise(member: string, now: clock.Milliseconds): boolean {
-    const {table, stream} = this.sources;
-    if (!this.active || stream.incomplete) return false;
+    const {table, stream} = this.dependencies;
+    if (!this.isActive || stream.hasGap) return false;
     if (!table.members().has(member)) return false;
-    if (this.isClaiming(member)) return false;
-    this.promises.set(member, now + PROMISE_MS);
+    if (this.hasPendingClaim(member)) return false;
+    this.promiseEnds.set(member, now + PROMISE_DURATION_MS);
     return true;
   }
 
   /** Whether a process has ended and its permits with it. */
-  isSucceeded(process: string, now: clock.Milliseconds): boolean {
-    const at = this.endings.get(process);
+  permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
+    const at = this.endObservedAt.get(process);
     return at !== undefined && now >= at + this.claimWait();
   }
 
@@ -163,14 +167,14 @@
    * Earliest sending of the last confirmations of every other member;
    * -Infinity when one is missing.
    */
-  private confirmedAt(now: clock.Milliseconds): clock.Milliseconds {
-    const {members, presence, vm} = this.sources;
+  private allConfirmedSince(now: clock.Milliseconds): clock.Milliseconds {
+    const {members, presence, vm} = this.dependencies;
     // A VM that the list no longer names may be taken for gone by others.
     if (presence.wasListed(vm) && !presence.isListed(vm)) return -Infinity;
     let earliest = now;
     let absent = false;
     for (const member of members.others()) {
-      if (members.isGone(member)) absent = true;
+      if (members.isVmGone(member)) absent = true;
       else {
         const {confirmedSentAt} = members.contact(member.process);
         earliest = Math.min(earliest, confirmedSentAt);
@@ -178,7 +182,7 @@
     }
     if (!absent) return earliest;
     if (this.hasUnknownVm()) return -Infinity;
-    return Math.min(earliest, presence.lastSentAt);
+    return Math.min(earliest, presence.lastReadSentAt);
   }
 
   /**
@@ -186,16 +190,16 @@
    * read here. A member that is gone might have accepted it as a successor.
    */
   private hasUnknownVm(): boolean {
-    const {table, presence, zone, vm} = this.sources;
+    const {table, presence, zone, vm} = this.dependencies;
     const known = new Set([vm]);
     for (const member of table.members().values()) known.add(member.vm);
     return presence.entryVms(zone).some(name => !known.has(name));
   }
 
-  private isClaiming(member: string): boolean {
+  private hasPendingClaim(member: string): boolean {
     const item = ownership.processItem(member);
-    return this.sources.stream
-      .unresolved()
+    return this.dependencies.stream
+      .pendingRecords()
       .some(
         record =>
           record.kind === 'claim' &&
@@ -204,7 +208,7 @@
   }
 
   private waitEnd(item: string, held: ownership.Ownership): clock.Milliseconds {
-    const seenAt = this.sightings.get(item)?.at ?? Infinity;
+    const seenAt = this.epochObservations.get(item)?.at ?? Infinity;
     switch (held.acquisition) {
       case 'first':
         return -Infinity;
@@ -216,7 +220,7 @@
   }
 
   private claimWait(): clock.Milliseconds {
-    return CLAIM_WAIT_MS + this.sources.logStalenessMs;
+    return CLAIM_WAIT_MS + this.dependencies.logStalenessMs;
   }
 
   /** The permit must end before a claimant that saw the claim now may place. */
@@ -236,18 +240,18 @@
     );
   }
 
-  private forget(): void {
-    const {table} = this.sources;
-    for (const item of this.sightings.keys()) {
+  private prune(): void {
+    const {table} = this.dependencies;
+    for (const item of this.epochObservations.keys()) {
       if (table.ownership(item) !== undefined) continue;
-      this.sightings.delete(item);
-      this.givenUp.delete(item);
+      this.epochObservations.delete(item);
+      this.releasedEpochs.delete(item);
     }
-    for (const ended of this.endings.keys()) {
-      if (!table.ended().has(ended)) this.endings.delete(ended);
+    for (const ended of this.endObservedAt.keys()) {
+      if (!table.endedMembers().has(ended)) this.endObservedAt.delete(ended);
     }
-    for (const member of this.promises.keys()) {
-      if (!table.members().has(member)) this.promises.delete(member);
+    for (const member of this.promiseEnds.keys()) {
+      if (!table.members().has(member)) this.promiseEnds.delete(member);
     }
   }
 }
--- a/src/zones/record_plan.ts
+++ b/src/zones/record_planner.ts
@@ -1,50 +1,51 @@
-import * as distribution from './distribution.js';
+import * as workerDistribution from './worker_distribution.js';
 import * as ownership from './ownership.js';
-import * as succession from './succession.js';
+import * as successionPolicy from './succession_policy.js';
 import type * as clock from '../machines/clock.js';
 import type * as fleet from '../machines/fleet.js';
 import type * as zoneStream from './zone_stream.js';
 
 /** Time after which any member claims a worker that still has no owner. */
-const UNOWNED_GRACE_MS = 6_000;
+const UNOWNED_GRACE_PERIOD_MS = 6_000;
 
 /** Least time between handovers, so that members see each other's. */
-const BALANCE_INTERVAL_MS = 3_000;
+const REBALANCE_INTERVAL_MS = 3_000;
 
 /** Patience factor of members that are not the first to write a snapshot. */
-const SNAPSHOT_PATIENCE = 1.25;
+const SNAPSHOT_BACKUP_DELAY_FACTOR = 1.25;
 
 /** What the plan rests on. */
-export interface RecordPlanSources extends succession.SuccessionSources {
+export interface RecordPlannerDependencies
+  extends successionPolicy.SuccessionDependencies {
   readonly stream: zoneStream.ZoneStream;
   readonly workers: fleet.Fleet;
 }
 
 /** Decides which records this process has to append to the zone's stream. */
-export class RecordPlan {
-  private readonly succession: succession.Succession;
+export class RecordPlanner {
+  private readonly succession: successionPolicy.SuccessionPolicy;
   private readonly unownedSince = new Map<string, clock.Milliseconds>();
   /** Replicas that run here and the worker of each. */
-  private readonly replicas = new Map<string, string>();
-  private readonly droppedReplicas = new Set<string>();
-  private nextBalance = 0;
+  private readonly workersByReplica = new Map<string, string>();
+  private readonly removedReplicas = new Set<string>();
+  private nextRebalanceAt = 0;
   private leaving = false;
   private draining = false;
 
-  constructor(private readonly sources: RecordPlanSources) {
-    this.succession = new succession.Succession(sources);
+  constructor(private readonly dependencies: RecordPlannerDependencies) {
+    this.succession = new successionPolicy.SuccessionPolicy(dependencies);
   }
 
   /** Notes that a replica runs on a worker, so that its item moves with it. */
-  keepReplica(item: string, worker: string): void {
-    this.replicas.set(item, worker);
-    this.droppedReplicas.delete(item);
+  addReplica(item: string, worker: string): void {
+    this.workersByReplica.set(item, worker);
+    this.removedReplicas.delete(item);
   }
 
   /** Notes that a replica does not run any more; its item is released. */
-  dropReplica(item: string): void {
-    this.replicas.delete(item);
-    this.droppedReplicas.add(item);
+  removeReplica(item: string): void {
+    this.workersByReplica.delete(item);
+    this.removedReplicas.add(item);
   }
 
   /** Takes no more workers, because the process is about to leave. */
@@ -61,32 +62,33 @@
   /** Records that are due; what they give up is given up by then. */
   due(
     now: clock.Milliseconds,
-  ): ReturnType<zoneStream.ZoneStream['unresolved']> {
+  ): ReturnType<zoneStream.ZoneStream['pendingRecords']> {
     return [
       ...this.snapshots(now),
       ...this.claims(now),
-      ...(this.draining ? this.leaveZone(now) : this.keepHouse(now)),
+      ...(this.draining ? this.leaveZone(now) : this.releaseOrRebalance(now)),
     ];
   }
 
   private snapshots(
     now: clock.Milliseconds,
-  ): ReturnType<zoneStream.ZoneStream['unresolved']> {
+  ): ReturnType<zoneStream.ZoneStream['pendingRecords']> {
     // Others write only when the first member has missed its turn.
-    const first = this.sources.members.live(now)[0] === this.sources.process;
-    const due = this.sources.stream.dueSnapshot(
+    const first =
+      this.dependencies.members.live(now)[0] === this.dependencies.process;
+    const due = this.dependencies.stream.dueSnapshot(
       now,
-      first ? 1 : SNAPSHOT_PATIENCE,
+      first ? 1 : SNAPSHOT_BACKUP_DELAY_FACTOR,
     );
     return due === undefined ? [] : [due];
   }
 
   private claims(now: clock.Milliseconds): ReadonlyArray<ownership.ZoneRecord> {
     if (this.leaving) return [];
-    const claimant = this.sources.process;
-    const victims = this.succession.victims(now);
+    const claimant = this.dependencies.process;
+    const victims = this.succession.claimableMembers(now);
     const claims = [
-      ...victims.map(victim => this.sources.table.itemsOf(victim)),
+      ...victims.map(victim => this.dependencies.table.itemsOf(victim)),
       [...this.unownedWorkers(now), ...this.newReplicas(now)],
     ];
     return claims
@@ -98,27 +100,32 @@
   private unownedWorkers(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ItemEpoch> {
-    if (!this.hasHeardOthers(now)) return [];
+    if (!this.hasHeardFromOthers(now)) return [];
     const unowned = this.findUnowned(now);
-    const live = this.sources.members.live(now);
-    const assigned = distribution.spread(unowned, this.sources.table, live);
+    const live = this.dependencies.members.live(now);
+    const assigned = workerDistribution.assignUnowned(
+      unowned,
+      this.dependencies.table,
+      live,
+    );
     return unowned
       .filter(
         worker =>
-          assigned.get(worker) === this.sources.process ||
-          now - (this.unownedSince.get(worker) ?? now) > UNOWNED_GRACE_MS,
+          assigned.get(worker) === this.dependencies.process ||
+          now - (this.unownedSince.get(worker) ?? now) >
+            UNOWNED_GRACE_PERIOD_MS,
       )
       .map(item => ({
         item,
-        epoch: this.sources.table.ownership(item)?.epoch ?? 0,
+        epoch: this.dependencies.table.ownership(item)?.epoch ?? 0,
       }));
   }
 
   private findUnowned(now: clock.Milliseconds): ReadonlyArray<string> {
-    const unowned = this.sources.workers
+    const unowned = this.dependencies.workers
       .all()
       .map(known => known.name)
-      .filter(name => !this.hasLivingOwner(name));
+      .filter(name => !this.hasMemberAsOwner(name));
     const names = new Set(unowned);
     for (const name of this.unownedSince.keys()) {
       if (!names.has(name)) this.unownedSince.delete(name);
@@ -129,20 +136,20 @@
     return unowned;
   }
 
-  private hasLivingOwner(item: string): boolean {
-    const {table} = this.sources;
+  private hasMemberAsOwner(item: string): boolean {
+    const {table} = this.dependencies;
     const owner = table.ownership(item)?.owner;
     return owner !== undefined && table.members().has(owner);
   }
 
   /** Whether every member that may be live has been heard once. */
-  private hasHeardOthers(now: clock.Milliseconds): boolean {
-    return this.sources.members
+  private hasHeardFromOthers(now: clock.Milliseconds): boolean {
+    return this.dependencies.members
       .others()
       .every(
         ({process}) =>
-          this.sources.members.contact(process).heard ||
-          this.sources.members.state(process, now) !== 'live',
+          this.dependencies.members.contact(process).hasSentMessage ||
+          this.dependencies.members.state(process, now) !== 'live',
       );
   }
 
@@ -150,46 +157,46 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ItemEpoch> {
     const items: ownership.ItemEpoch[] = [];
-    for (const [item, on] of this.replicas) {
-      if (this.sources.authority.permitEnd(on, now) <= now) continue;
-      if (this.hasLivingOwner(item)) continue;
-      const epoch = this.sources.table.ownership(item)?.epoch ?? 0;
+    for (const [item, on] of this.workersByReplica) {
+      if (this.dependencies.permits.permitEnd(on, now) <= now) continue;
+      if (this.hasMemberAsOwner(item)) continue;
+      const epoch = this.dependencies.table.ownership(item)?.epoch ?? 0;
       items.push({item, epoch, on});
     }
     return items;
   }
 
   /** Releases what no longer exists and shares workers evenly. */
-  private keepHouse(
+  private releaseOrRebalance(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ZoneRecord> {
     const releases = this.releases(now);
-    if (releases.length > 0 || now < this.nextBalance) return releases;
-    const plan = distribution.planHandovers(
-      this.sources.process,
-      this.sources.table,
-      this.sources.members.live(now),
-      worker => this.sources.workers.get(worker)?.reservations().size ?? 0,
+    if (releases.length > 0 || now < this.nextRebalanceAt) return releases;
+    const plan = workerDistribution.planHandovers(
+      this.dependencies.process,
+      this.dependencies.table,
+      this.dependencies.members.live(now),
+      worker => this.dependencies.workers.get(worker)?.reservations().size ?? 0,
     );
     const records = plan.flatMap(({to, workers}) =>
       this.transfer(to, workers, now),
     );
-    if (records.length > 0) this.nextBalance = now + BALANCE_INTERVAL_MS;
+    if (records.length > 0) this.nextRebalanceAt = now + REBALANCE_INTERVAL_MS;
     return records;
   }
 
   private releases(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ZoneRecord> {
-    const gone = this.sources.table
-      .itemsOf(this.sources.process)
+    const gone = this.dependencies.table
+      .itemsOf(this.dependencies.process)
       .map(({item}) => item)
       .filter(item =>
         ownership.isWorker(item)
-          ? this.sources.presence.isGoneOrOlder(item)
-          : this.droppedReplicas.has(item),
+          ? this.dependencies.presence.isGoneOrNeverListed(item)
+          : this.removedReplicas.has(item),
       );
-    return this.transfer(ownership.NOBODY, gone, now);
+    return this.transfer(ownership.NO_OWNER, gone, now);
   }
 
   /** Stops placing on items in this turn and hands them over. */
@@ -199,28 +206,30 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ZoneRecord> {
     const items = names
-      .filter(item => this.sources.authority.permitEnd(item, now) > now)
+      .filter(item => this.dependencies.permits.permitEnd(item, now) > now)
       .map(item => ({
         item,
-        epoch: this.sources.table.ownership(item)?.epoch ?? 0,
+        epoch: this.dependencies.table.ownership(item)?.epoch ?? 0,
       }));
     if (items.length === 0) return [];
-    this.sources.authority.giveUp(items);
-    return [{kind: 'transfer', from: this.sources.process, to, items}];
+    this.dependencies.permits.release(items);
+    return [{kind: 'transfer', from: this.dependencies.process, to, items}];
   }
 
   /** Hands workers over; leaves once none is left that another could take. */
   private leaveZone(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ZoneRecord> {
-    if (!this.sources.authority.isSettled(now)) return [];
-    const others = this.sources.members
+    if (!this.dependencies.permits.areWaitsOver(now)) return [];
+    const others = this.dependencies.members
       .live(now)
-      .filter(process => process !== this.sources.process);
-    const items = this.sources.table
-      .itemsOf(this.sources.process)
+      .filter(process => process !== this.dependencies.process);
+    const items = this.dependencies.table
+      .itemsOf(this.dependencies.process)
       .map(({item}) => item)
-      .filter(item => item !== ownership.processItem(this.sources.process));
+      .filter(
+        item => item !== ownership.processItem(this.dependencies.process),
+      );
     if (others.length > 0 && items.length > 0) {
       return others.flatMap((to, index) =>
         this.transfer(
@@ -230,7 +239,7 @@
         ),
       );
     }
-    this.sources.authority.leave();
-    return [{kind: 'leave', process: this.sources.process}];
+    this.dependencies.permits.leave();
+    return [{kind: 'leave', process: this.dependencies.process}];
   }
 }
--- a/src/zones/region.ts
+++ b/src/zones/region.ts
@@ -10,7 +10,7 @@
   constructor(readonly name: string) {}
 
   /** Returns a zone of the region, which is created when it is new. */
-  ensure(zone: string): availabilityZone.AvailabilityZone {
+  getOrCreate(zone: string): availabilityZone.AvailabilityZone {
     const known = this.zones.get(zone);
     if (known !== undefined) return known;
     const created = new availabilityZone.AvailabilityZone(zone, this.name);
@@ -35,17 +35,17 @@
     private readonly ownZone: string,
     ownRegion: string,
   ) {
-    this.place({name: ownZone, region: ownRegion});
+    this.addZone({name: ownZone, region: ownRegion});
   }
 
   /** This process's own zone. */
-  own(): availabilityZone.AvailabilityZone {
+  ownAvailabilityZone(): availabilityZone.AvailabilityZone {
     return this.zone(this.ownZone);
   }
 
   /** Takes the zones of a fleet document. */
-  configure(zones: ReadonlyArray<configuration.ZonePlan>): void {
-    for (const plan of zones) this.place(plan);
+  configure(zones: ReadonlyArray<configuration.ZoneDefinition>): void {
+    for (const plan of zones) this.addZone(plan);
   }
 
   /** Takes a summary of any zone; zones that nobody configured stand alone. */
@@ -56,12 +56,12 @@
   /** A zone by its name. */
   zone(name: string): availabilityZone.AvailabilityZone {
     const region = this.regionOfZone.get(name) ?? name;
-    return this.ensure(region).ensure(name);
+    return this.getOrCreate(region).getOrCreate(name);
   }
 
   /** All regions, the process's own first. */
   all(): ReadonlyArray<Region> {
-    const own = this.own().region;
+    const own = this.ownAvailabilityZone().region;
     return [...this.regions.values()].sort((first, second) => {
       if (first.name === own) return -1;
       if (second.name === own) return 1;
@@ -69,13 +69,13 @@
     });
   }
 
-  private place(plan: configuration.ZonePlan): void {
+  private addZone(plan: configuration.ZoneDefinition): void {
     if (this.regionOfZone.has(plan.name)) return;
     this.regionOfZone.set(plan.name, plan.region);
-    this.ensure(plan.region).ensure(plan.name);
+    this.getOrCreate(plan.region).getOrCreate(plan.name);
   }
 
-  private ensure(region: string): Region {
+  private getOrCreate(region: string): Region {
     const known = this.regions.get(region);
     if (known !== undefined) return known;
     const created = new Region(region);
--- a/src/zones/succession.ts
+++ b/src/zones/succession_policy.ts
@@ -1,32 +1,32 @@
 import * as membership from './membership.js';
-import type * as authority from './authority.js';
+import type * as permitTracker from './permit_tracker.js';
 import type * as clock from '../machines/clock.js';
 import type * as ownership from './ownership.js';
 import type * as vmPresence from './vm_presence.js';
 
 /** Head start of each better placed claimant, so that claims do not meet. */
-const RANK_DELAY_MS = 1_500;
+const CLAIM_RANK_DELAY_MS = 1_500;
 
 /** Silence after which a member's consent is too old to rely on. */
-const CONSENT_MS = 3_000;
+const CONFIRMATION_VALIDITY_MS = 3_000;
 
 /** What the decision to claim rests on. */
-export interface SuccessionSources {
+export interface SuccessionDependencies {
   readonly process: string;
   readonly vm: string;
   readonly table: ownership.OwnershipTable;
   readonly members: membership.Membership;
   readonly presence: vmPresence.VmPresence;
-  readonly authority: authority.Authority;
+  readonly permits: permitTracker.PermitTracker;
 }
 
 /** Decides whose items this process may claim, and when. */
-export class Succession {
-  constructor(private readonly sources: SuccessionSources) {}
+export class SuccessionPolicy {
+  constructor(private readonly dependencies: SuccessionDependencies) {}
 
   /** Members whose items this process may and should claim now. */
-  victims(now: clock.Milliseconds): ReadonlyArray<string> {
-    const {members} = this.sources;
+  claimableMembers(now: clock.Milliseconds): ReadonlyArray<string> {
+    const {members} = this.dependencies;
     return members
       .others()
       .filter(member => this.mayClaim(member, now))
@@ -39,13 +39,13 @@
     victim: ownership.JoinedMember,
     now: clock.Milliseconds,
   ): boolean {
-    const {members, authority: own} = this.sources;
+    const {members, permits: own} = this.dependencies;
     if (!members.isSilent(victim.process, now)) return false;
-    if (own.isPromised(victim.process, now)) return false;
+    if (own.hasPromised(victim.process, now)) return false;
     return (
-      members.knowsSelf(victim.process) ||
+      members.recognisesSelf(victim.process) ||
       this.isKnownThroughLog(victim.process, now) ||
-      this.isAbsent(victim) ||
+      this.isProvenAbsent(victim) ||
       members.isReplaced(victim)
     );
   }
@@ -56,7 +56,7 @@
    * An owner has read every record up to the one that made it owner.
    */
   private isKnownThroughLog(victim: string, now: clock.Milliseconds): boolean {
-    const {table, members, process} = this.sources;
+    const {table, members, process} = this.dependencies;
     let known = Infinity;
     for (const {item} of table.itemsOf(victim)) {
       known = Math.min(known, table.ownership(item)?.offset ?? -1);
@@ -65,32 +65,35 @@
       if (member.process === victim || member.joined > known) continue;
       if (member.process === process) return true;
       const {confirmedAt} = members.contact(member.process);
-      if (now - confirmedAt <= CONSENT_MS) return true;
+      if (now - confirmedAt <= CONFIRMATION_VALIDITY_MS) return true;
     }
     return false;
   }
 
   /** Whether the victim's VM is gone and this process is visible to others. */
-  private isAbsent(victim: ownership.JoinedMember): boolean {
-    const {members, presence, vm} = this.sources;
-    return members.isGone(victim) && presence.isEstablished(vm);
+  private isProvenAbsent(victim: ownership.JoinedMember): boolean {
+    const {members, presence, vm} = this.dependencies;
+    return members.isVmGone(victim) && presence.isEstablished(vm);
   }
 
   /** Lets one live member after the other try, in an order by the victim. */
   private isTurn(victim: string, now: clock.Milliseconds): boolean {
-    const {members, process} = this.sources;
+    const {members, process} = this.dependencies;
     const order = [...members.live(now)].sort(
       (first, second) =>
-        weight(`${victim} ${first}`) - weight(`${victim} ${second}`),
+        successorHash(`${victim} ${first}`) -
+        successorHash(`${victim} ${second}`),
     );
     const rank = Math.max(0, order.indexOf(process));
-    const silentFor = now - members.contact(victim).heardAt;
-    return silentFor > rank * RANK_DELAY_MS + membership.SILENCE_MS;
+    const silentFor = now - members.contact(victim).lastMessageAt;
+    return (
+      silentFor > rank * CLAIM_RANK_DELAY_MS + membership.CLAIMABLE_SILENCE_MS
+    );
   }
 }
 
 /** FNV-1a hash: spreads successors evenly over members. */
-function weight(text: string): number {
+function successorHash(text: string): number {
   let hash = 0x811c9dc5;
   for (let index = 0; index < text.length; index += 1) {
     hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
--- a/src/zones/distribution.ts
+++ b/src/zones/worker_distribution.ts
@@ -13,7 +13,7 @@
 ): ReadonlyMap<string, ReadonlyArray<string>> {
   const held = new Map<string, string[]>();
   for (const member of members) held.set(member, []);
-  for (const [item, {owner}] of table.all()) {
+  for (const [item, {owner}] of table.ownershipByItem()) {
     if (ownership.isWorker(item)) held.get(owner)?.push(item);
   }
   return held;
@@ -24,7 +24,7 @@
  * come first. Members that see the same table reach the same result, so that
  * their claims do not meet.
  */
-export function spread(
+export function assignUnowned(
   workers: ReadonlyArray<string>,
   table: ownership.OwnershipTable,
   members: ReadonlyArray<string>,
@@ -56,7 +56,7 @@
 ): ReadonlyArray<Handover> {
   const held = workersByOwner(table, members);
   const targets = targetCounts(held);
-  const open = deficits(held, targets);
+  const open = membersBelowTarget(held, targets);
   const plan = new Map<string, string[]>();
   for (const donor of [...held.keys()].sort()) {
     const workers = [...(held.get(donor) ?? [])].sort(
@@ -92,7 +92,7 @@
 }
 
 /** Members below their target, each as often as it lacks workers. */
-function deficits(
+function membersBelowTarget(
   held: ReadonlyMap<string, ReadonlyArray<string>>,
   targets: ReadonlyMap<string, number>,
 ): string[] {
--- a/src/zones/zone_control.ts
+++ b/src/zones/zone_controller.ts
@@ -1,10 +1,10 @@
-import * as authority from './authority.js';
-import * as confirmations from './confirmations.js';
+import * as permitTracker from './permit_tracker.js';
+import * as confirmationExchange from './confirmation_exchange.js';
 import * as effects from '../contracts/effect.js';
 import * as invariant from '../contracts/invariant.js';
 import * as membership from './membership.js';
 import * as ownership from './ownership.js';
-import * as recordPlan from './record_plan.js';
+import * as recordPlanner from './record_planner.js';
 import * as region from './region.js';
 import * as vmPresence from './vm_presence.js';
 import * as zoneStream from './zone_stream.js';
@@ -16,25 +16,25 @@
 const VM_LIST_INTERVAL_MS = 2_000;
 
 /** Age of the last read up to which this process writes to the stream. */
-const WRITE_FRESHNESS_MS = 2_500;
+const MAXIMUM_READ_AGE_FOR_APPEND_MS = 2_500;
 
 /**
  * Time between two turns from which this process counts as paused: silence of
  * others during a pause says nothing about them.
  */
-const PAUSE_MS = 2_000;
+const PAUSE_THRESHOLD_MS = 2_000;
 
-export type ProcessDescription = confirmations.ProcessDescription;
+export type ProcessDescription = confirmationExchange.ProcessDescription;
 
 /** How long a proof that nobody has claimed a worker lets its owner place. */
-export const {PERMIT_MS} = authority;
+export const {PERMIT_DURATION_MS: PERMIT_DURATION_MS} = permitTracker;
 
 /** Settings of `ZoneControl` that have defaults. */
-export interface ZoneControlOptions {
+export interface ZoneControllerOptions {
   /** Lag of the log's reads; added to the wait after a claim. */
   readonly logStalenessMs?: clock.Milliseconds;
   /** When a snapshot is due; well before the log drops records. */
-  readonly snapshotRule?: zoneStream.SnapshotRule;
+  readonly snapshotPolicy?: zoneStream.SnapshotPolicy;
   /** Versions of the documents in force, which confirmations carry. */
   readonly documents?: () => ReadonlyArray<event.DocumentVersion>;
 }
@@ -43,25 +43,25 @@
  * Authority of this process in its availability zone: which workers it owns,
  * until when it may place on them, and who the other members are.
  */
-export class ZoneControl {
+export class ZoneController {
   /** Zones and regions of the cell, with the last summary of each zone. */
   readonly regions: region.RegionMap;
   private readonly table = new ownership.OwnershipTable();
   private readonly presence = new vmPresence.VmPresence();
   private readonly stream: zoneStream.ZoneStream;
   private readonly membership: membership.Membership;
-  private readonly authority: authority.Authority;
-  private readonly confirmations: confirmations.Confirmations;
-  private readonly plan: recordPlan.RecordPlan;
-  private latest: clock.Milliseconds | undefined;
+  private readonly permits: permitTracker.PermitTracker;
+  private readonly confirmationExchange: confirmationExchange.ConfirmationExchange;
+  private readonly recordPlanner: recordPlanner.RecordPlanner;
+  private lastEventAt: clock.Milliseconds | undefined;
   private nextVmList = 0;
   private joinSent = false;
-  private reportedEnd = false;
+  private supersessionReported = false;
 
   constructor(
     private readonly self: ProcessDescription,
     private readonly workers: fleet.Fleet,
-    options: ZoneControlOptions = {},
+    options: ZoneControllerOptions = {},
   ) {
     const {table, presence} = this;
     const {process, zone} = self;
@@ -70,37 +70,40 @@
       this.streamName(),
       process,
       table,
-      options.snapshotRule,
+      options.snapshotPolicy,
     );
     const sources = {...self, table, presence, members, stream};
     const logStalenessMs = options.logStalenessMs ?? 0;
     this.regions = new region.RegionMap(zone, self.region);
     this.stream = stream;
     this.membership = members;
-    this.authority = new authority.Authority({...sources, logStalenessMs});
-    this.confirmations = new confirmations.Confirmations({
+    this.permits = new permitTracker.PermitTracker({
+      ...sources,
+      logStalenessMs,
+    });
+    this.confirmationExchange = new confirmationExchange.ConfirmationExchange({
       ...sources,
       self,
       workers,
-      authority: this.authority,
+      permits: this.permits,
       regions: this.regions,
       documents: options.documents ?? (() => []),
     });
-    this.plan = new recordPlan.RecordPlan({
+    this.recordPlanner = new recordPlanner.RecordPlanner({
       ...sources,
       workers,
-      authority: this.authority,
+      permits: this.permits,
     });
   }
 
   /** End of the permit to place on a worker; -Infinity without one. */
   permitEnd(worker: string): clock.Milliseconds {
-    return this.authority.permitEnd(worker, this.latest ?? 0);
+    return this.permits.permitEnd(worker, this.lastEventAt ?? 0);
   }
 
   /** End of the permit to act as this process; -Infinity without one. */
   processPermitEnd(): clock.Milliseconds {
-    return this.authority.processPermitEnd(this.latest ?? 0);
+    return this.permits.processPermitEnd(this.lastEventAt ?? 0);
   }
 
   /** Whether this process is the owner of a worker by the records read. */
@@ -111,31 +114,33 @@
   /** Owner of an item by the records read; undefined without one. */
   ownerOf(item: string): string | undefined {
     const owner = this.table.ownership(item)?.owner;
-    return owner === ownership.NOBODY ? undefined : owner;
+    return owner === ownership.NO_OWNER ? undefined : owner;
   }
 
   /** Members of the zone with addresses and states, this process included. */
-  members(): ReadonlyArray<membership.Member> {
-    return this.membership.all(this.latest ?? 0);
+  members(): ReadonlyArray<membership.ZoneMember> {
+    return this.membership.allWithStates(this.lastEventAt ?? 0);
   }
 
   /** Offset at which a member or former member joined; else undefined. */
   joinedAt(process: string): number | undefined {
     const {table} = this;
-    const known = table.members().get(process) ?? table.ended().get(process);
+    const known =
+      table.members().get(process) ?? table.endedMembers().get(process);
     return known?.joined;
   }
 
   /** Whether a process has ended, and the time of its last permit is over. */
-  isSucceeded(process: string, now: clock.Milliseconds): boolean {
-    return this.authority.isSucceeded(process, now);
+  permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
+    return this.permits.permitsHaveExpired(process, now);
   }
 
   /** Whether this process has been a member since before another joined. */
   joinedBefore(process: string): boolean {
     const own = this.table.members().get(this.self.process);
     const other =
-      this.table.members().get(process) ?? this.table.ended().get(process);
+      this.table.members().get(process) ??
+      this.table.endedMembers().get(process);
     if (own === undefined || other === undefined) return false;
     return own.joined < other.joined;
   }
@@ -145,37 +150,37 @@
    * has to be started again.
    */
   isSuperseded(): boolean {
-    return this.table.ended().get(this.self.process)?.how === 'claimed';
+    return this.table.endedMembers().get(this.self.process)?.how === 'claimed';
   }
 
   /** Whether this process has left and its leave record was read back. */
   hasLeft(): boolean {
-    return this.table.ended().get(this.self.process)?.how === 'left';
+    return this.table.endedMembers().get(this.self.process)?.how === 'left';
   }
 
   /** Workers that the VM list, a report, an operator or a peer names leaving. */
   leavingWorkers(): ReadonlyArray<string> {
-    return this.confirmations.leavingWorkers();
+    return this.confirmationExchange.leavingWorkers();
   }
 
   /** Sets the wait that new work has here, for summaries to other zones. */
   setExpectedWait(wait: clock.Milliseconds): void {
-    this.confirmations.setExpectedWait(wait);
+    this.confirmationExchange.setExpectedWait(wait);
   }
 
   /** Notes that a replica runs on a worker, so that its item moves with it. */
-  keepReplica(item: string, worker: string): void {
-    this.plan.keepReplica(item, worker);
+  addReplica(item: string, worker: string): void {
+    this.recordPlanner.addReplica(item, worker);
   }
 
   /** Notes that a replica does not run any more; its item is released. */
-  dropReplica(item: string): void {
-    this.plan.dropReplica(item);
+  removeReplica(item: string): void {
+    this.recordPlanner.removeReplica(item);
   }
 
   /** Tells the other members that this process takes no more work. */
   announceLeaving(): void {
-    this.confirmations.beginLeaving();
+    this.confirmationExchange.beginLeaving();
   }
 
   /**
@@ -183,8 +188,8 @@
    * requests in progress have ended.
    */
   drain(): void {
-    this.confirmations.beginLeaving();
-    this.plan.drain();
+    this.confirmationExchange.beginLeaving();
+    this.recordPlanner.drain();
   }
 
   /** Handles what concerns the zone; ignores other events. */
@@ -192,12 +197,12 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    this.notePause(now);
-    this.latest = now;
+    this.detectPause(now);
+    this.lastEventAt = now;
     return [
-      ...this.take(handled, now),
-      ...this.authority.takeViolations(),
-      ...this.reportEnd(),
+      ...this.dispatch(handled, now),
+      ...this.permits.takeViolations(),
+      ...this.reportSupersession(),
     ];
   }
 
@@ -205,8 +210,10 @@
    * Lets effects through except starts and renewals without a permit, which
    * no caller should have built.
    */
-  guard(wanted: ReadonlyArray<effects.Effect>): ReadonlyArray<effects.Effect> {
-    const now = this.latest ?? 0;
+  blockWithoutPermit(
+    wanted: ReadonlyArray<effects.Effect>,
+  ): ReadonlyArray<effects.Effect> {
+    const now = this.lastEventAt ?? 0;
     return wanted.flatMap(item => {
       if (item.kind !== 'startTask' && item.kind !== 'renewLeases') {
         return [item];
@@ -215,7 +222,7 @@
       return invariant.violation('ownerHasPermit', {
         effect: item.kind,
         item: item.worker,
-        owner: this.ownerOf(item.worker) ?? ownership.NOBODY,
+        owner: this.ownerOf(item.worker) ?? ownership.NO_OWNER,
       });
     });
   }
@@ -225,42 +232,44 @@
     if (this.hasEnded()) return Infinity;
     return Math.min(
       this.stream.nextDeadline(),
-      this.confirmations.nextDeadline(),
+      this.confirmationExchange.nextDeadline(),
       this.nextVmList,
     );
   }
 
-  private take(
+  private dispatch(
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     switch (handled.kind) {
       case 'recordsRead':
-        return this.read(handled, now);
+        return this.handleRecords(handled, now);
       case 'appendAnswered':
         if (handled.stream === this.streamName()) {
           this.stream.appendAnswered(handled, now);
         }
         return [];
       case 'vmListRead':
-        this.presence.read(handled, now);
+        this.presence.recordReading(handled, now);
         this.updateFleet(handled.vms);
         return [];
       case 'confirmArrived':
-        return [this.confirmations.answer(handled, now)];
+        return [this.confirmationExchange.handleRequest(handled, now)];
       case 'confirmAnswered':
-        this.applyPassed(handled.zoneRecords, now);
-        this.confirmations.answered(handled, now);
+        this.applyForwarded(handled.zoneRecords, now);
+        this.confirmationExchange.handleAnswer(handled, now);
         return [];
       case 'confirmFailed':
-        this.confirmations.failed(handled.peer);
+        this.confirmationExchange.handleFailure(handled.peer);
         return [];
       case 'reportArrived':
-        if (handled.report.leaving) this.markLeaving(handled.report.worker);
+        if (handled.report.leaving) {
+          this.markWorkerLeaving(handled.report.worker);
+        }
         return [];
       case 'drainArrived':
         if (handled.worker === undefined) this.beginLeaving();
-        else this.markLeaving(handled.worker);
+        else this.markWorkerLeaving(handled.worker);
         return [];
       case 'timePassed':
         return this.poll(now);
@@ -276,46 +285,49 @@
       this.nextVmList = now + VM_LIST_INTERVAL_MS;
       done.push({kind: 'readVmList'});
     }
-    done.push(...this.confirmations.poll(now));
-    done.push(...this.write(now));
+    done.push(...this.confirmationExchange.poll(now));
+    done.push(...this.appendDueRecords(now));
     return done;
   }
 
-  private read(
+  private handleRecords(
     answer: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     if (answer.stream !== this.streamName()) return [];
     const permitEnd = this.processPermitEnd();
-    const atTail = this.stream.accept(answer, now);
+    const atTail = this.stream.applyRead(answer, now);
     this.follow(permitEnd, now);
-    if (this.stream.incomplete) return [effects.count('zone_stream_gap')];
-    return atTail ? this.write(now) : [];
+    if (this.stream.hasGap) return [effects.count('zone_stream_gap')];
+    return atTail ? this.appendDueRecords(now) : [];
   }
 
-  private applyPassed(
+  private applyForwarded(
     records: ReadonlyArray<event.StreamRecord>,
     now: clock.Milliseconds,
   ): void {
     if (records.length === 0) return;
     const permitEnd = this.processPermitEnd();
-    this.stream.acceptPassed(records, now);
+    this.stream.applyForwarded(records, now);
     this.follow(permitEnd, now);
   }
 
   private follow(permitEnd: clock.Milliseconds, now: clock.Milliseconds): void {
-    this.membership.follow(now);
-    this.authority.observe(permitEnd, now);
+    this.membership.syncWithTable(now);
+    this.permits.observe(permitEnd, now);
   }
 
   /** Appends what this process has to write, all in one append. */
-  private write(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const fresh = now - this.stream.freshAt <= WRITE_FRESHNESS_MS;
-    if (!fresh || this.stream.incomplete) return [];
-    if (this.hasEnded() || !this.stream.mayAppend(now)) return [];
+  private appendDueRecords(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
+    const fresh =
+      now - this.stream.lastTailReadSentAt <= MAXIMUM_READ_AGE_FOR_APPEND_MS;
+    if (!fresh || this.stream.hasGap) return [];
+    if (this.hasEnded() || !this.stream.canAppend(now)) return [];
     if (!this.joinSent) return this.join(now);
-    if (!this.authority.active) return [];
-    const records = this.plan.due(now);
+    if (!this.permits.isActive) return [];
+    const records = this.recordPlanner.due(now);
     if (records.length === 0) return [];
     return [
       ...records.map(record => effects.count('zone_record', kindOf(record))),
@@ -348,26 +360,31 @@
   }
 
   private beginLeaving(): void {
-    this.confirmations.beginLeaving();
-    this.plan.beginLeaving();
+    this.confirmationExchange.beginLeaving();
+    this.recordPlanner.beginLeaving();
   }
 
-  private markLeaving(worker: string): void {
+  private markWorkerLeaving(worker: string): void {
     this.workers.get(worker)?.markLeaving();
   }
 
-  private notePause(now: clock.Milliseconds): void {
-    if (this.latest === undefined || now - this.latest < PAUSE_MS) return;
-    this.membership.restart(now);
+  private detectPause(now: clock.Milliseconds): void {
+    if (
+      this.lastEventAt === undefined ||
+      now - this.lastEventAt < PAUSE_THRESHOLD_MS
+    ) {
+      return;
+    }
+    this.membership.resetSilence(now);
   }
 
   private hasEnded(): boolean {
-    return this.table.ended().has(this.self.process);
+    return this.table.endedMembers().has(this.self.process);
   }
 
-  private reportEnd(): ReadonlyArray<effects.Effect> {
-    if (this.reportedEnd || !this.isSuperseded()) return [];
-    this.reportedEnd = true;
+  private reportSupersession(): ReadonlyArray<effects.Effect> {
+    if (this.supersessionReported || !this.isSuperseded()) return [];
+    this.supersessionReported = true;
     const {process} = this.self;
     return [
       effects.count('superseded'),
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -1,34 +1,34 @@
 import type * as clock from '../machines/clock.js';
 import type * as event from '../contracts/event.js';
 import type * as processDirectory from '../contracts/process_directory.js';
-import type * as zoneControl from './zone_control.js';
+import type * as zoneController from './zone_controller.js';
 
 /**
  * Other entry processes by the records of the own zone and, for other zones,
  * by the VM list.
  */
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
-  private elsewhere: ReadonlyArray<event.ListedVm> = [];
-  private listRead = false;
+  private otherZoneVms: ReadonlyArray<event.ListedVm> = [];
+  private vmListRead = false;
   /** Addresses of other zones that gave no answer since others did. */
-  private readonly unreachable = new Set<string>();
+  private readonly unreachableAddresses = new Set<string>();
 
   constructor(
-    private readonly self: zoneControl.ProcessDescription,
-    private readonly zone: zoneControl.ZoneControl,
+    private readonly self: zoneController.ProcessDescription,
+    private readonly zone: zoneController.ZoneController,
   ) {}
 
   /** Takes the entry VMs of other zones from the VM list. */
-  noteVms(vms: ReadonlyArray<event.ListedVm>): void {
-    this.listRead = true;
-    this.elsewhere = vms.filter(
+  updateVms(vms: ReadonlyArray<event.ListedVm>): void {
+    this.vmListRead = true;
+    this.otherZoneVms = vms.filter(
       listed => listed.role === 'entry' && listed.zone !== this.self.zone,
     );
   }
 
   /** Whether the VM list has been read at all. */
   get hasVmList(): boolean {
-    return this.listRead;
+    return this.vmListRead;
   }
 
   hasJoined(): boolean {
@@ -63,7 +63,7 @@
    * of its zone passes a call on, or recovers the outcome if it is dead.
    */
   relay(process: string): processDirectory.Member | undefined {
-    const there = this.elsewhere.filter(
+    const there = this.otherZoneVms.filter(
       ({zone, state}) => state === 'live' && process.startsWith(`${zone}.`),
     );
     const isHome = ({zone, vm}: event.ListedVm): boolean =>
@@ -77,11 +77,11 @@
   }
 
   noteUnreachable(address: string): void {
-    this.unreachable.add(address);
+    this.unreachableAddresses.add(address);
   }
 
   isSucceeded(process: string, now: clock.Milliseconds): boolean {
-    return this.zone.isSucceeded(process, now);
+    return this.zone.permitsHaveExpired(process, now);
   }
 
   joinedBefore(process: string): boolean {
@@ -93,10 +93,10 @@
     ordered: ReadonlyArray<event.ListedVm>,
   ): event.ListedVm | undefined {
     const reachable = ordered.find(
-      ({address}) => !this.unreachable.has(address),
+      ({address}) => !this.unreachableAddresses.has(address),
     );
     if (reachable !== undefined) return reachable;
-    for (const {address} of ordered) this.unreachable.delete(address);
+    for (const {address} of ordered) this.unreachableAddresses.delete(address);
     return ordered.at(0);
   }
 }
--- a/src/zones/routing.ts
+++ b/src/zones/zone_router.ts
@@ -8,7 +8,7 @@
 export const REGION_ROUND_TRIP_MS = 40;
 
 /** Work that looks for a place. */
-export interface RoutedWork {
+export interface RoutableWork {
   readonly size: resources.Resources;
   readonly worth: number;
   /** Zones in which it may run; empty means all. */
@@ -16,7 +16,7 @@
   /** Wait that it would have in its own zone; Infinity if it cannot run. */
   readonly expectedWaitMs: clock.Milliseconds;
   /** Whether a worker of its own zone could take it now. */
-  readonly fitsHere: boolean;
+  readonly fitsOwnZone: boolean;
 }
 
 /** Why work stays or leaves. */
@@ -35,7 +35,7 @@
 }
 
 /** Chooses the nearest zone in which work can run. */
-export class Router {
+export class ZoneRouter {
   constructor(
     private readonly regions: region.RegionMap,
     /** Price of moving one request between regions, in the unit of worth. */
@@ -43,10 +43,10 @@
   ) {}
 
   /** Chooses a zone: the own one, then the region, then other regions. */
-  route(work: RoutedWork, now: clock.Milliseconds): Route {
-    const own = this.regions.own();
-    const allowed = allows(work, own.name);
-    if (allowed && work.fitsHere) return stay(own, 'ownZone');
+  route(work: RoutableWork, now: clock.Milliseconds): Route {
+    const own = this.regions.ownAvailabilityZone();
+    const allowed = allowsZone(work, own.name);
+    if (allowed && work.fitsOwnZone) return stayInOwnZone(own, 'ownZone');
     const reason = allowed ? 'ownZoneFull' : 'ownZoneNotAllowed';
     const near = this.best(work, 'ownRegion', now);
     if (near !== undefined) {
@@ -60,7 +60,7 @@
         reason: allowed ? 'shorterWaitElsewhere' : reason,
       };
     }
-    return stay(own, 'noBetterZone');
+    return stayInOwnZone(own, 'noBetterZone');
   }
 
   /** Counts a route that leaves the own zone. */
@@ -72,44 +72,50 @@
 
   /** The zone with room and the shortest wait at a distance. */
   private best(
-    work: RoutedWork,
+    work: RoutableWork,
     distance: availabilityZone.Distance,
     now: clock.Milliseconds,
   ): availabilityZone.AvailabilityZone | undefined {
-    const own = this.regions.own();
+    const own = this.regions.ownAvailabilityZone();
     const [first] = this.regions
       .all()
       .flatMap(known => known.all())
       .filter(zone => zone.distanceFrom(own) === distance)
-      .filter(zone => allows(work, zone.name) && zone.hasRoom(work.size, now))
-      .sort((left, right) => waitAt(left, now) - waitAt(right, now));
+      .filter(
+        zone => allowsZone(work, zone.name) && zone.hasRoom(work.size, now),
+      )
+      .sort(
+        (left, right) => expectedWaitIn(left, now) - expectedWaitIn(right, now),
+      );
     return first;
   }
 
   private isWorthCrossing(
-    work: RoutedWork,
+    work: RoutableWork,
     far: availabilityZone.AvailabilityZone,
     allowedHere: boolean,
     now: clock.Milliseconds,
   ): boolean {
     if (work.worth <= this.crossingCost) return false;
     if (!allowedHere) return true;
-    return work.expectedWaitMs > waitAt(far, now) + REGION_ROUND_TRIP_MS;
+    return (
+      work.expectedWaitMs > expectedWaitIn(far, now) + REGION_ROUND_TRIP_MS
+    );
   }
 }
 
-function allows(work: RoutedWork, zone: string): boolean {
+function allowsZone(work: RoutableWork, zone: string): boolean {
   return work.zones.length === 0 || work.zones.includes(zone);
 }
 
-function stay(
+function stayInOwnZone(
   own: availabilityZone.AvailabilityZone,
   reason: RouteReason,
 ): Route {
   return {zone: own.name, distance: 'ownZone', reason};
 }
 
-function waitAt(
+function expectedWaitIn(
   zone: availabilityZone.AvailabilityZone,
   now: clock.Milliseconds,
 ): clock.Milliseconds {
--- a/src/zones/zone_stream.ts
+++ b/src/zones/zone_stream.ts
@@ -25,16 +25,16 @@
 export const SNAPSHOT_INTERVAL_MS = 30 * 60 * 1_000;
 
 /** Most records that a confirmation passes on to a peer that is behind. */
-const PASSED_RECORDS = 200;
+const MAXIMUM_FORWARDED_RECORDS = 200;
 
 /** When a snapshot is due. */
-export interface SnapshotRule {
+export interface SnapshotPolicy {
   readonly records: number;
   readonly intervalMs: clock.Milliseconds;
 }
 
 /** The rule for a log that keeps records as long as the design assumes. */
-export const DEFAULT_SNAPSHOT_RULE: SnapshotRule = {
+export const DEFAULT_SNAPSHOT_POLICY: SnapshotPolicy = {
   records: SNAPSHOT_RECORDS,
   intervalMs: SNAPSHOT_INTERVAL_MS,
 };
@@ -47,7 +47,7 @@
 }
 
 /** An append that has not been read back yet. */
-interface Batch {
+interface PendingAppend {
   readonly append: number;
   readonly sentAt: clock.Milliseconds;
   /** When the answer came; undefined while it is awaited. */
@@ -61,23 +61,23 @@
  */
 export class ZoneStream {
   private readonly replica: streamReplica.StreamReplica;
-  private unread = new Map<string, WrittenRecord>();
-  private batch: Batch | undefined;
-  private recent: event.StreamRecord[] = [];
-  private numberOfAppends = 0;
-  private numberOfRecords = 0;
-  private lastAppend = -Infinity;
-  private nextRead: clock.Milliseconds = 0;
-  private freshValue = -Infinity;
-  private gapValue = false;
-  private snapshotSeen = -1;
-  private snapshotAt: clock.Milliseconds | undefined;
+  private pendingById = new Map<string, WrittenRecord>();
+  private pendingAppend: PendingAppend | undefined;
+  private recentRecords: event.StreamRecord[] = [];
+  private appendCount = 0;
+  private recordCount = 0;
+  private lastAppendAt = -Infinity;
+  private nextReadAt: clock.Milliseconds = 0;
+  private lastTailReadSentAtValue = -Infinity;
+  private hasGapValue = false;
+  private lastSnapshotOffset = -1;
+  private lastSnapshotAt: clock.Milliseconds | undefined;
 
   constructor(
     private readonly name: string,
     private readonly process: string,
     state: streamReplica.ReplicatedState,
-    private readonly rule = DEFAULT_SNAPSHOT_RULE,
+    private readonly snapshotPolicy = DEFAULT_SNAPSHOT_POLICY,
   ) {
     this.replica = new streamReplica.StreamReplica(state);
   }
@@ -88,54 +88,57 @@
   }
 
   /** When the last read that reached the tail was sent. */
-  get freshAt(): clock.Milliseconds {
-    return this.freshValue;
+  get lastTailReadSentAt(): clock.Milliseconds {
+    return this.lastTailReadSentAtValue;
   }
 
   /** Whether records are missing, so that the table cannot be relied on. */
-  get incomplete(): boolean {
-    return this.gapValue;
+  get hasGap(): boolean {
+    return this.hasGapValue;
   }
 
   /** Whether an append of this process has not been read back. */
-  get appending(): boolean {
-    return this.unread.size > 0;
+  get hasPendingRecords(): boolean {
+    return this.pendingById.size > 0;
   }
 
   /** Records of this process that may or may not have taken effect. */
-  unresolved(): ReadonlyArray<WrittenRecord['record']> {
-    return [...this.unread.values()].map(written => written.record);
+  pendingRecords(): ReadonlyArray<WrittenRecord['record']> {
+    return [...this.pendingById.values()].map(written => written.record);
   }
 
   /** Applies a read; returns whether it reached the tail. */
-  accept(
+  applyRead(
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
   ): boolean {
     const before = this.position;
-    const progress = this.replica.accept(read);
-    if (before < read.first) this.recent = [];
-    this.remember(read.records, Math.max(before, read.first), now);
-    this.gapValue = progress === 'gap';
+    const progress = this.replica.applyRead(read);
+    if (before < read.first) this.recentRecords = [];
+    this.retain(read.records, Math.max(before, read.first), now);
+    this.hasGapValue = progress === 'gap';
     if (progress === 'behind') {
-      this.nextRead = now;
+      this.nextReadAt = now;
       return false;
     }
     // A read that ends before the position is older than what is known.
     if (progress === 'gap' || read.next < this.position) return false;
-    this.freshValue = Math.max(this.freshValue, read.sentAt);
-    this.releaseIfAbsent(read.sentAt);
+    this.lastTailReadSentAtValue = Math.max(
+      this.lastTailReadSentAtValue,
+      read.sentAt,
+    );
+    this.allowRetryIfAbsent(read.sentAt);
     return true;
   }
 
   /** Applies records that a peer passed on. */
-  acceptPassed(
+  applyForwarded(
     records: ReadonlyArray<event.StreamRecord>,
     now: clock.Milliseconds,
   ): void {
     const before = this.position;
-    this.replica.acceptRecords(records);
-    this.remember(records, before, now);
+    this.replica.applyRecords(records);
+    this.retain(records, before, now);
   }
 
   /**
@@ -144,10 +147,14 @@
    */
   recordsFrom(position: number): ReadonlyArray<event.StreamRecord> | undefined {
     if (position >= this.position) return [];
-    const start = this.recent.findIndex(item => item.offset >= position);
-    if (start < 0 || this.recent[start].offset !== position) return undefined;
-    if (this.recent.length - start > PASSED_RECORDS) return undefined;
-    return this.recent.slice(start);
+    const start = this.recentRecords.findIndex(item => item.offset >= position);
+    if (start < 0 || this.recentRecords[start].offset !== position) {
+      return undefined;
+    }
+    if (this.recentRecords.length - start > MAXIMUM_FORWARDED_RECORDS) {
+      return undefined;
+    }
+    return this.recentRecords.slice(start);
   }
 
   /** Takes the answer to an append. */
@@ -155,16 +162,16 @@
     answered: Extract<event.Event, {kind: 'appendAnswered'}>,
     now: clock.Milliseconds,
   ): void {
-    if (this.batch?.append !== answered.append) return;
+    if (this.pendingAppend?.append !== answered.append) return;
     const lost = answered.answer === 'lost';
-    this.batch = {...this.batch, answeredAt: now, lost};
-    this.nextRead = now;
+    this.pendingAppend = {...this.pendingAppend, answeredAt: now, lost};
+    this.nextReadAt = now;
   }
 
   /** Whether records may be appended now. */
-  mayAppend(now: clock.Milliseconds): boolean {
-    if (this.unread.size > 0) return false;
-    return now >= this.lastAppend + APPEND_INTERVAL_MS;
+  canAppend(now: clock.Milliseconds): boolean {
+    if (this.pendingById.size > 0) return false;
+    return now >= this.lastAppendAt + APPEND_INTERVAL_MS;
   }
 
   /** Appends records, which are repeated until they are read back. */
@@ -173,10 +180,10 @@
     now: clock.Milliseconds,
   ): effect.Effect {
     for (const record of records) {
-      this.numberOfRecords += 1;
-      const id = `${this.process}/${this.numberOfRecords}`;
+      this.recordCount += 1;
+      const id = `${this.process}/${this.recordCount}`;
       const data = JSON.stringify({...record, id});
-      this.unread.set(id, {id, data, record});
+      this.pendingById.set(id, {id, data, record});
     }
     return this.send(now);
   }
@@ -184,85 +191,85 @@
   /** Reads when due, and repeats an append whose answer was lost. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const effects: effect.Effect[] = [];
-    if (now >= this.nextRead) {
-      this.nextRead = now + READ_INTERVAL_MS;
+    if (now >= this.nextReadAt) {
+      this.nextReadAt = now + READ_INTERVAL_MS;
       const from = this.position;
       effects.push({kind: 'readStream', stream: this.name, from});
     }
-    if (this.unread.size > 0 && this.batch === undefined) {
-      const wait = this.lastAppend + APPEND_INTERVAL_MS;
+    if (this.pendingById.size > 0 && this.pendingAppend === undefined) {
+      const wait = this.lastAppendAt + APPEND_INTERVAL_MS;
       if (now >= wait) effects.push(this.send(now));
     }
-    this.expireBatch(now);
+    this.expirePendingAppend(now);
     return effects;
   }
 
   /** When `poll` is wanted next. */
   nextDeadline(): clock.Milliseconds {
-    return this.nextRead;
+    return this.nextReadAt;
   }
 
   /** The snapshot that is due; undefined while the last one is recent. */
   dueSnapshot(
     now: clock.Milliseconds,
-    patience: number,
+    delayFactor: number,
   ): streamReplica.SnapshotRecord | undefined {
-    this.snapshotAt ??= now;
+    this.lastSnapshotAt ??= now;
     if (this.position === 0) return undefined;
-    const records = this.position - this.replica.lastSnapshot;
+    const records = this.position - this.replica.lastSnapshotOffset;
     const due =
-      records > this.rule.records * patience ||
-      now - this.snapshotAt > this.rule.intervalMs * patience;
+      records > this.snapshotPolicy.records * delayFactor ||
+      now - this.lastSnapshotAt > this.snapshotPolicy.intervalMs * delayFactor;
     return due ? this.replica.buildSnapshot() : undefined;
   }
 
   private send(now: clock.Milliseconds): effect.Effect {
-    this.numberOfAppends += 1;
-    this.lastAppend = now;
-    this.batch = {append: this.numberOfAppends, sentAt: now, lost: false};
+    this.appendCount += 1;
+    this.lastAppendAt = now;
+    this.pendingAppend = {append: this.appendCount, sentAt: now, lost: false};
     return {
       kind: 'append',
       stream: this.name,
-      append: this.numberOfAppends,
-      records: [...this.unread.values()].map(written => written.data),
+      append: this.appendCount,
+      records: [...this.pendingById.values()].map(written => written.data),
     };
   }
 
-  private remember(
+  private retain(
     records: ReadonlyArray<event.StreamRecord>,
     from: number,
     now: clock.Milliseconds,
   ): void {
     for (const record of records) {
       if (record.offset < from || record.offset >= this.position) continue;
-      this.recent.push(record);
-      const id = readIdentity(record);
-      if (id !== undefined) this.unread.delete(id);
+      this.recentRecords.push(record);
+      const id = parseRecordIdentity(record);
+      if (id !== undefined) this.pendingById.delete(id);
     }
-    if (this.unread.size === 0) this.batch = undefined;
-    if (this.recent.length > 2 * PASSED_RECORDS) {
-      this.recent = this.recent.slice(-PASSED_RECORDS);
+    if (this.pendingById.size === 0) this.pendingAppend = undefined;
+    if (this.recentRecords.length > 2 * MAXIMUM_FORWARDED_RECORDS) {
+      this.recentRecords = this.recentRecords.slice(-MAXIMUM_FORWARDED_RECORDS);
     }
-    if (this.replica.lastSnapshot === this.snapshotSeen) return;
-    this.snapshotSeen = this.replica.lastSnapshot;
-    this.snapshotAt = now;
+    if (this.replica.lastSnapshotOffset === this.lastSnapshotOffset) return;
+    this.lastSnapshotOffset = this.replica.lastSnapshotOffset;
+    this.lastSnapshotAt = now;
   }
 
   /** Lets a lost append be repeated when a later read does not show it. */
-  private releaseIfAbsent(sentAt: clock.Milliseconds): void {
-    const {answeredAt, lost} = this.batch ?? {lost: false};
+  private allowRetryIfAbsent(sentAt: clock.Milliseconds): void {
+    const {answeredAt, lost} = this.pendingAppend ?? {lost: false};
     if (!lost || answeredAt === undefined || sentAt <= answeredAt) return;
-    this.batch = undefined;
+    this.pendingAppend = undefined;
   }
 
-  private expireBatch(now: clock.Milliseconds): void {
-    if (this.batch === undefined || this.batch.lost) return;
-    if (now < this.batch.sentAt + APPEND_DEADLINE_MS) return;
-    this.batch = {...this.batch, answeredAt: now, lost: true};
+  private expirePendingAppend(now: clock.Milliseconds): void {
+    if (this.pendingAppend === undefined || this.pendingAppend.lost) return;
+    if (now < this.pendingAppend.sentAt + APPEND_DEADLINE_MS) return;
+    this.pendingAppend = {...this.pendingAppend, answeredAt: now, lost: true};
   }
 }
 
-function readIdentity(record: event.StreamRecord): string | undefined {
+function parseRecordIdentity(record: event.StreamRecord): string | undefined {
   try {
     return (JSON.parse(record.data) as {readonly id?: string}).id;
   } catch {
--- a/test/contracts/stream_replica_test.ts
+++ b/test/contracts/stream_replica_test.ts
@@ -64,9 +64,12 @@
       'record twice or moving back',
     () => {
       const {state, replica} = create();
-      assert.equal(replica.accept(read(0, 2, records(0, 'a', 'b'))), 'tail');
-      assert.equal(replica.accept(read(0, 1, records(0, 'a'))), 'tail');
-      assert.equal(replica.accept(read(0, 4, records(1, 'b', 'c'))), 'behind');
+      assert.equal(replica.applyRead(read(0, 2, records(0, 'a', 'b'))), 'tail');
+      assert.equal(replica.applyRead(read(0, 1, records(0, 'a'))), 'tail');
+      assert.equal(
+        replica.applyRead(read(0, 4, records(1, 'b', 'c'))),
+        'behind',
+      );
       assert.deepEqual(state.items, ['a', 'b', 'c']);
       assert.equal(replica.position, 3);
     },
@@ -77,13 +80,13 @@
       'guards against state with a hole',
     () => {
       const {state, replica} = create();
-      replica.accept(read(0, 1, records(0, 'a')));
-      assert.equal(replica.accept(read(3, 4, records(3, 'd'))), 'gap');
+      replica.applyRead(read(0, 1, records(0, 'a')));
+      assert.equal(replica.applyRead(read(3, 4, records(3, 'd'))), 'gap');
       assert.deepEqual(state.items, ['a']);
       const lagging = records(4, snapshotText(1, 'a', 'b'));
-      assert.equal(replica.accept(read(3, 5, lagging)), 'gap');
+      assert.equal(replica.applyRead(read(3, 5, lagging)), 'gap');
       const bridging = records(5, snapshotText(2, 'a', 'b', 'c'));
-      assert.equal(replica.accept(read(3, 6, bridging)), 'tail');
+      assert.equal(replica.applyRead(read(3, 6, bridging)), 'tail');
       assert.deepEqual(state.items, ['a', 'b', 'c', 'd']);
     },
   );
@@ -93,9 +96,9 @@
       'that reverts the others',
     () => {
       const {state, replica} = create();
-      replica.accept(read(0, 3, records(0, 'a', 'b', snapshotText(0, 'a'))));
+      replica.applyRead(read(0, 3, records(0, 'a', 'b', snapshotText(0, 'a'))));
       assert.deepEqual(state.items, ['a', 'b']);
-      assert.equal(replica.lastSnapshot, 2);
+      assert.equal(replica.lastSnapshotOffset, 2);
       assert.equal(replica.lastSnapshotThrough, 0);
     },
   );
@@ -105,14 +108,14 @@
       'guards against records hidden behind a faulty snapshot',
     () => {
       const {state, replica} = create();
-      replica.accept(read(3, 4, records(3, 'd')));
+      replica.applyRead(read(3, 4, records(3, 'd')));
       const faulty = JSON.stringify({
         kind: 'snapshot',
         through: 3,
         state: '{',
       });
       const early = snapshotText(9, 'z');
-      replica.accept(read(3, 6, records(4, early, faulty)));
+      replica.applyRead(read(3, 6, records(4, early, faulty)));
       assert.equal(replica.isComplete, false);
       assert.deepEqual(state.items, []);
     },
@@ -123,8 +126,8 @@
       'against a snapshot that claims records its state lacks',
     () => {
       const {replica} = create();
-      replica.accept(read(0, 2, records(0, 'a', 'b')));
-      replica.accept(read(5, 6, records(5, 'f')));
+      replica.applyRead(read(0, 2, records(0, 'a', 'b')));
+      replica.applyRead(read(5, 6, records(5, 'f')));
       assert.equal(replica.buildSnapshot().through, 1);
     },
   );
--- a/test/links/toml_document_reader_test.ts
+++ b/test/links/toml_document_reader_test.ts
@@ -116,8 +116,8 @@
 });
 
 nodeTest.describe('references between documents', () => {
-  function withFleet(): configurationDocuments.DocumentSet {
-    const set = new configurationDocuments.DocumentSet(reader);
+  function withFleet(): configurationDocuments.ConfigurationDocuments {
+    const set = new configurationDocuments.ConfigurationDocuments(reader);
     const parsed = set.check('fleet', FLEET).unsafeCoerce();
     set.put({name: 'fleet', version: 1, content: FLEET}, parsed);
     return set;
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_cell.ts
@@ -1,6 +1,6 @@
 import * as either from 'purify-ts/Either';
 import * as configurationHistory from '../../src/contracts/configuration_history.js';
-import * as configurationKeeper from '../../src/contracts/configuration_keeper.js';
+import * as configurationStore from '../../src/contracts/configuration_store.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as result from '../../src/result.js';
 import * as streamReplica from '../../src/contracts/stream_replica.js';
@@ -21,7 +21,7 @@
 export class PlainReader implements configuration.DocumentReader {
   readFleet(
     content: string,
-  ): either.Either<result.Failure, configuration.FleetPlan> {
+  ): either.Either<result.Failure, configuration.FleetDefinition> {
     if (content === 'broken') return either.Left(broken());
     const zones = content.split(',').map(name => ({name, region: 'r'}));
     return either.Right({zones, workerShapes: []});
@@ -63,7 +63,7 @@
     const start = Math.max(from, this.first);
     return {
       kind: 'recordsRead',
-      stream: configurationKeeper.CONFIGURATION_STREAM,
+      stream: configurationStore.CONFIGURATION_STREAM,
       sentAt,
       first: this.first,
       next: this.history.length,
@@ -78,7 +78,7 @@
     );
     const replica = new streamReplica.StreamReplica(state);
     const read = this.history.slice(0, Math.max(0, this.history.length - lag));
-    replica.acceptRecords(read);
+    replica.applyRecords(read);
     this.append([JSON.stringify(replica.buildSnapshot())]);
   }
 
@@ -103,7 +103,7 @@
 
 /** A keeper with the calls that it has sent and the answers on their way. */
 export class KeeperUnderTest {
-  keeper: configurationKeeper.ConfigurationKeeper;
+  keeper: configurationStore.ConfigurationStore;
   readonly replies = new Map<event.CallNumber, effect.Reply>();
   readonly counted: string[] = [];
   private sent: Array<Append | Reading> = [];
@@ -176,9 +176,9 @@
     return this.keeper.current().versions;
   }
 
-  private create(): configurationKeeper.ConfigurationKeeper {
-    return new configurationKeeper.ConfigurationKeeper(new PlainReader(), {
-      place: {vm: 'own', zone: 'z-1'},
+  private create(): configurationStore.ConfigurationStore {
+    return new configurationStore.ConfigurationStore(new PlainReader(), {
+      location: {vm: 'own', zone: 'z-1'},
       retentionMs: RETENTION_MS,
       random: new randomSource.SeededRandom(1),
     });
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -66,7 +66,7 @@
   readonly workers: fleet.Fleet;
   readonly scheduler: scheduler.Scheduler;
   private readonly teams = new Map<string, team.Team>();
-  private plan: configuration.FleetPlan | undefined;
+  private plan: configuration.FleetDefinition | undefined;
   private forbidden = new Set<string>();
   private sequence = 0;
 
@@ -85,7 +85,7 @@
   }
 
   /** Puts the plan of the fleet in force. */
-  setPlan(plan: configuration.FleetPlan): void {
+  setPlan(plan: configuration.FleetDefinition): void {
     this.plan = plan;
   }
 
--- a/test/zones/confirmations_test.ts
+++ b/test/zones/confirmation_exchange_test.ts
@@ -3,7 +3,7 @@
 import * as protobuf from '@bufbuild/protobuf';
 import * as fleet from '../../src/machines/fleet.js';
 import * as peer from '../../src/links/generated/peer_pb.js';
-import * as zoneControl from '../../src/zones/zone_control.js';
+import * as zoneController from '../../src/zones/zone_controller.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
@@ -25,8 +25,8 @@
 }
 
 /** A member of kigali-a beside a second one, `kigali-a.entry-2`. */
-function createMember(): zoneControl.ZoneControl {
-  const control = new zoneControl.ZoneControl(SELF, new fleet.Fleet());
+function createMember(): zoneController.ZoneController {
+  const control = new zoneController.ZoneController(SELF, new fleet.Fleet());
   const joins = [SELF, {process: 'kigali-a.entry-2', vm: 'entry-2'}];
   const records = joins.map(({process, vm}, offset) => {
     const address = SELF.address;
--- a/test/zones/ownership_test.ts
+++ b/test/zones/ownership_test.ts
@@ -62,7 +62,7 @@
         claim('a', 'w1', 0),
       ]);
       assert.equal(table.members().has('a'), false);
-      assert.equal(table.ended().get('a')?.how, 'claimed');
+      assert.equal(table.endedMembers().get('a')?.how, 'claimed');
       assert.equal(table.ownership('w1'), undefined);
     },
   );
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -1,6 +1,6 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as randomSource from '../../src/machines/random_source.js';
-import * as zoneControl from '../../src/zones/zone_control.js';
+import * as zoneController from '../../src/zones/zone_controller.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
@@ -24,7 +24,7 @@
 /** One simulated process with a clock of its own rate. */
 export class SimulatedProcess {
   readonly workers = new fleet.Fleet();
-  readonly control: zoneControl.ZoneControl;
+  readonly control: zoneController.ZoneController;
   /** Ends of permits in real time, by worker, after the last turn. */
   permits = new Map<string, number>();
   permitEnd = -Infinity;
@@ -41,7 +41,7 @@
     private readonly startedAt: number,
     private readonly rate: number,
   ) {
-    this.control = new zoneControl.ZoneControl(
+    this.control = new zoneController.ZoneController(
       {
         process: name,
         vm,
@@ -50,7 +50,7 @@
         address: `${vm}:7000`,
       },
       this.workers,
-      {snapshotRule: {records: 5, intervalMs: 30_000}},
+      {snapshotPolicy: {records: 5, intervalMs: 30_000}},
     );
   }
 
@@ -209,7 +209,7 @@
       if (process.permitEnd <= this.now) continue;
       for (const other of this.living()) {
         const local = other.localTime(this.now);
-        if (!other.control.isSucceeded(process.name, local)) continue;
+        if (!other.control.permitsHaveExpired(process.name, local)) continue;
         const names = `${process.name} acts, succeeded for ${other.name}`;
         this.violations.push(`${this.now}: ${names}`);
       }
--- a/test/zones/zone_control_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as fleet from '../../src/machines/fleet.js';
 import * as ownership from '../../src/zones/ownership.js';
-import * as zoneControl from '../../src/zones/zone_control.js';
+import * as zoneController from '../../src/zones/zone_controller.js';
 
 const NEWS = {
   from: 'b',
@@ -15,9 +15,9 @@
 };
 
 /** Member `a` that owns w1 and w2 beside `b`, by a read sent at 0. */
-function createOwner(): zoneControl.ZoneControl {
+function createOwner(): zoneController.ZoneController {
   const self = {process: 'a', vm: 'a', zone: 'z', region: 'r', address: 'a:1'};
-  const control = new zoneControl.ZoneControl(self, new fleet.Fleet());
+  const control = new zoneController.ZoneController(self, new fleet.Fleet());
   const items = ['w1', 'w2'].map(item => ({item, epoch: 0}));
   const written: ReadonlyArray<ownership.ZoneRecord> = [
     {kind: 'join', process: 'a', vm: 'a', address: 'a:1'},
@@ -37,7 +37,7 @@
 }
 
 function confirm(
-  control: zoneControl.ZoneControl,
+  control: zoneController.ZoneController,
   at: number,
   leaving = false,
 ): boolean {
@@ -54,14 +54,14 @@
       'guards against placing beside the receiver',
     () => {
       const control = createOwner();
-      assert.equal(control.permitEnd('w2'), zoneControl.PERMIT_MS);
+      assert.equal(control.permitEnd('w2'), zoneController.PERMIT_DURATION_MS);
       confirm(control, 10);
       const sent = control.handle({kind: 'timePassed'}, 1_000);
       const append = sent.find(wanted => wanted.kind === 'append');
       assert.match(append?.records.join() ?? '', /"transfer".*"w2"/);
       assert.equal(control.owns('w2'), true);
       assert.equal(control.permitEnd('w2'), -Infinity);
-      assert.equal(control.permitEnd('w1'), zoneControl.PERMIT_MS);
+      assert.equal(control.permitEnd('w1'), zoneController.PERMIT_DURATION_MS);
     },
   );
 
@@ -77,7 +77,10 @@
       control.handle({kind, confirmed: false, ...answer}, 4_700);
       assert.ok(control.permitEnd('w1') <= 4_700);
       control.handle({kind, confirmed: true, ...answer}, 4_800);
-      assert.equal(control.permitEnd('w1'), 4_600 + zoneControl.PERMIT_MS);
+      assert.equal(
+        control.permitEnd('w1'),
+        4_600 + zoneController.PERMIT_DURATION_MS,
+      );
     },
   );
 
--- a/test/zones/routing_test.ts
+++ b/test/zones/zone_router_test.ts
@@ -1,20 +1,20 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as region from '../../src/zones/region.js';
-import * as routing from '../../src/zones/routing.js';
+import * as zoneRouter from '../../src/zones/zone_router.js';
 
-const WORK: routing.RoutedWork = {
+const WORK: zoneRouter.RoutableWork = {
   size: {processors: 1_000, memory: 100, accelerators: 0, slots: 1},
   worth: 10,
   zones: [],
   expectedWaitMs: 1_000,
-  fitsHere: false,
+  fitsOwnZone: false,
 };
 
 function createRouter(
   waits: Readonly<Record<string, number>>,
   heardAt = 0,
-): routing.Router {
+): zoneRouter.ZoneRouter {
   const regions = new region.RegionMap('a1', 'a');
   regions.configure([
     {name: 'a2', region: 'a'},
@@ -25,7 +25,7 @@
     const summary = {zone, ...free, expectedWaitMs, workerCount: 1};
     regions.update(summary, heardAt);
   }
-  return new routing.Router(regions, 5);
+  return new zoneRouter.ZoneRouter(regions, 5);
 }
 
 nodeTest.describe('routing between zones', () => {
@@ -34,7 +34,7 @@
       'between regions that nobody needs',
     () => {
       const router = createRouter({a2: 500, b1: 0});
-      assert.equal(router.route({...WORK, fitsHere: true}, 0).zone, 'a1');
+      assert.equal(router.route({...WORK, fitsOwnZone: true}, 0).zone, 'a1');
       assert.equal(router.route(WORK, 0).zone, 'a2');
     },
   );
--- a/test/zones/zone_stream_test.ts
+++ b/test/zones/zone_stream_test.ts
@@ -38,15 +38,15 @@
       const stream = create();
       const first = stream.append([JOIN], 0);
       stream.appendAnswered(lost(1), 2_000);
-      stream.accept(read(1_900), 2_100);
+      stream.applyRead(read(1_900), 2_100);
       const early = stream.poll(2_200).map(wanted => wanted.kind);
       assert.equal(early.includes('append'), false);
-      stream.accept(read(2_300), 2_400);
+      stream.applyRead(read(2_300), 2_400);
       const again = stream.poll(2_500).find(({kind}) => kind === 'append');
       assert.ok(first.kind === 'append' && again?.kind === 'append');
       assert.deepEqual(again.records, first.records);
-      stream.accept(read(2_600, first.records), 2_700);
-      assert.equal(stream.appending, false);
+      stream.applyRead(read(2_600, first.records), 2_700);
+      assert.equal(stream.hasPendingRecords, false);
     },
   );
 
@@ -55,9 +55,9 @@
       'against permits from a log that lags',
     () => {
       const stream = create();
-      assert.equal(stream.accept(read(10, ['{}', '{}']), 20), true);
-      assert.equal(stream.accept(read(30, ['{}']), 40), false);
-      assert.equal(stream.freshAt, 10);
+      assert.equal(stream.applyRead(read(10, ['{}', '{}']), 20), true);
+      assert.equal(stream.applyRead(read(30, ['{}']), 40), false);
+      assert.equal(stream.lastTailReadSentAt, 10);
     },
   );
 
@@ -66,12 +66,12 @@
       'whose records expire',
     () => {
       const stream = create();
-      stream.accept(read(10, ['{}']), 20);
+      stream.applyRead(read(10, ['{}']), 20);
       assert.equal(stream.dueSnapshot(20, 1), undefined);
       const late = 30 + zoneStream.SNAPSHOT_INTERVAL_MS;
       assert.equal(stream.dueSnapshot(late, 1)?.through, 0);
       const many = Array<string>(zoneStream.SNAPSHOT_RECORDS + 1).fill('{}');
-      stream.accept(read(40, many), 50);
+      stream.applyRead(read(40, many), 50);
       assert.equal(stream.dueSnapshot(50, 1)?.through, many.length - 1);
     },
   );
