--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -22,7 +22,7 @@
   readonly address: string;
   readonly state: MemberState;
   /** Whether it is known to count this process as a member. */
-  readonly recognisesSelf: boolean;
+  readonly knowsSelf: boolean;
 }
 
 interface Contact {
@@ -122,7 +122,7 @@
       vm,
       address,
       state: this.state(process, now),
-      recognisesSelf: process === this.self || this.recognisesSelf(process),
+      knowsSelf: process === this.self || this.knowsSelf(process),
     }));
   }
 
@@ -154,7 +154,7 @@
   }
 
   /** Whether a member is known to count this process as a member. */
-  recognisesSelf(process: string): boolean {
+  knowsSelf(process: string): boolean {
     return this.contact(process).hasRequestedConfirmation;
   }
 
--- a/src/zones/succession_policy.ts
+++ b/src/zones/succession_policy.ts
@@ -43,7 +43,7 @@
     if (!members.isSilent(victim.process, now)) return false;
     if (own.hasPromised(victim.process, now)) return false;
     return (
-      members.recognisesSelf(victim.process) ||
+      members.knowsSelf(victim.process) ||
       this.isKnownThroughLog(victim.process, now) ||
       this.isProvenAbsent(victim) ||
       members.isReplaced(victim)
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -27,7 +27,7 @@
 export type ProcessDescription = confirmationExchange.ProcessDescription;
 
 /** How long a proof that nobody has claimed a worker lets its owner place. */
-export const {PERMIT_DURATION_MS: PERMIT_DURATION_MS} = permitTracker;
+export const {PERMIT_DURATION_MS} = permitTracker;
 
 /** Settings of `ZoneControl` that have defaults. */
 export interface ZoneControllerOptions {
