--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -27,7 +27,7 @@
   /** Calls the advice service from the VM of this process. */
   readonly adviceService: adviceCache.AdviceService;
   readonly peers: cellPeers.CellPeers;
-  readonly pauses: jobJournal.Pauses;
+  readonly pauses: jobJournal.DelayTimer;
   readonly log: schedulerOptions.EventLog;
   readonly counters: schedulerOptions.Counters;
   readonly defer: (pass: () => void) => void;
@@ -313,9 +313,9 @@
       wallClock: options.wallClock,
       retentionTimes: options.retentionTimes,
       journalStore: options.journalStore,
-      workerCalls: options.workerClient,
+      workerClient: options.workerClient,
       adviceClient: this.adviceBalancer,
-      pauses: options.pauses,
+      timer: options.pauses,
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
