--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -97,7 +97,7 @@
       .read(file)
       .chain(content =>
         set
-          .check(name, content)
+          .parseAndCheck(name, content)
           .map(parsed => set.put({name, version: 1, content}, parsed))
           .mapLeft(fault => fault.detail),
       )
--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -27,25 +27,25 @@
 
 /** Documents by name, each at one version, with their parsed contents. */
 export class ConfigurationDocuments {
-  private readonly documents = new Map<string, event.Document>();
-  private readonly teams = new Map<string, team.Team>();
+  private readonly documentsByName = new Map<string, event.Document>();
+  private readonly teamsByName = new Map<string, team.Team>();
   private fleet: configuration.FleetDefinition | undefined;
 
   constructor(private readonly reader: configuration.DocumentReader) {}
 
   /** Version of a document; 0 when there is none. */
   version(name: string): number {
-    return this.documents.get(name)?.version ?? 0;
+    return this.documentsByName.get(name)?.version ?? 0;
   }
 
   /** Returns a document. */
   get(name: string): event.Document | undefined {
-    return this.documents.get(name);
+    return this.documentsByName.get(name);
   }
 
   /** All documents in the order of their names, the same in each process. */
   all(): ReadonlyArray<event.Document> {
-    return [...this.documents.values()].sort((left, right) =>
+    return [...this.documentsByName.values()].sort((left, right) =>
       left.name < right.name ? -1 : 1,
     );
   }
@@ -54,7 +54,7 @@
   toConfiguration(): configuration.Configuration {
     return {
       fleet: this.fleet,
-      teams: new Map(this.teams),
+      teams: new Map(this.teamsByName),
       versions: new Map(
         this.all().map(document => [document.name, document.version]),
       ),
@@ -62,7 +62,7 @@
   }
 
   /** Reads a content by itself; faults are `invalidDocument`. */
-  read(
+  parse(
     name: string,
     content: string,
   ): either.Either<result.Failure, ParsedDocument> {
@@ -73,27 +73,29 @@
     }
     return this.reader
       .readTeam(content)
-      .chain(read => checkName(name, read))
+      .chain(read => checkTeamName(name, read))
       .map(read => ({kind: 'team' as const, team: read}));
   }
 
   /** Reads a content and checks what it and the other documents refer to. */
-  check(
+  parseAndCheck(
     name: string,
     content: string,
   ): either.Either<result.Failure, ParsedDocument> {
-    return this.read(name, content).chain(parsed => {
-      const faults = this.danglingReferences(parsed);
-      if (faults.length === 0) return either.Right(parsed);
-      return either.Left(result.failure('invalidDocument', faults.join('; ')));
+    return this.parse(name, content).chain(parsed => {
+      const problems = this.unknownZoneReferences(parsed);
+      if (problems.length === 0) return either.Right(parsed);
+      return either.Left(
+        result.failure('invalidDocument', problems.join('; ')),
+      );
     });
   }
 
   /** Puts a document that was read before in the place of the present one. */
   put(document: event.Document, parsed: ParsedDocument): void {
-    this.documents.set(document.name, document);
+    this.documentsByName.set(document.name, document);
     if (parsed.kind === 'fleet') this.fleet = parsed.fleet;
-    else this.teams.set(parsed.team.name, parsed.team);
+    else this.teamsByName.set(parsed.team.name, parsed.team);
   }
 
   /**
@@ -101,43 +103,39 @@
    * read it, its version counts nevertheless and its content stays unused.
    */
   putAccepted(document: event.Document): void {
-    this.documents.set(document.name, document);
-    this.read(document.name, document.content).ifRight(parsed => {
+    this.documentsByName.set(document.name, document);
+    this.parse(document.name, document.content).ifRight(parsed => {
       this.put(document, parsed);
     });
   }
 
   /** Forgets all documents. */
   clear(): void {
-    this.documents.clear();
-    this.teams.clear();
+    this.documentsByName.clear();
+    this.teamsByName.clear();
     this.fleet = undefined;
   }
 
-  private danglingReferences(parsed: ParsedDocument): ReadonlyArray<string> {
+  private unknownZoneReferences(parsed: ParsedDocument): ReadonlyArray<string> {
     if (parsed.kind === 'team') {
       return unknownZones(parsed.team, this.fleet, '');
     }
-    return [...this.teams.values()].flatMap(known =>
-      unknownZones(
-        known,
-        parsed.fleet,
-        `${TEAM_DOCUMENT_PREFIX}${known.name}: `,
-      ),
+    return [...this.teamsByName.values()].flatMap(team =>
+      unknownZones(team, parsed.fleet, `${TEAM_DOCUMENT_PREFIX}${team.name}: `),
     );
   }
 }
 
-function checkName(
+function checkTeamName(
   document: string,
-  read: team.Team,
+  parsed: team.Team,
 ): either.Either<result.Failure, team.Team> {
   const expected = document.slice(TEAM_DOCUMENT_PREFIX.length);
-  if (read.name === expected) return either.Right(read);
+  if (parsed.name === expected) return either.Right(parsed);
   return either.Left(
     result.failure(
       'invalidDocument',
-      `name: "${read.name}" must be "${expected}", as in ${document}`,
+      `name: "${parsed.name}" must be "${expected}", as in ${document}`,
     ),
   );
 }
@@ -147,10 +145,10 @@
   fleet: configuration.FleetDefinition | undefined,
   prefix: string,
 ): ReadonlyArray<string> {
-  const known = new Set(fleet?.zones.map(zone => zone.name));
+  const knownZones = new Set(fleet?.zones.map(zone => zone.name));
   return concerned.workloads.flatMap((workload, position) =>
     workload.zones
-      .filter(zone => !known.has(zone))
+      .filter(zone => !knownZones.has(zone))
       .map(
         zone =>
           `${prefix}workloads[${position}].zones: "${zone}" must be a zone ` +
--- a/src/contracts/configuration_history.ts
+++ b/src/contracts/configuration_history.ts
@@ -43,7 +43,7 @@
  */
 export class ConfigurationHistory implements streamReplica.ReplicatedState {
   private readonly acceptedDocuments: configurationDocuments.ConfigurationDocuments;
-  private readonly outcomes = new Map<string, PublicationOutcome>();
+  private readonly outcomeByPublication = new Map<string, PublicationOutcome>();
   private unreadableRecords = 0;
 
   constructor(reader: configuration.DocumentReader) {
@@ -64,7 +64,7 @@
 
   /** Outcome of a publication; undefined when none is remembered. */
   outcome(publication: string): PublicationOutcome | undefined {
-    return this.outcomes.get(publication);
+    return this.outcomeByPublication.get(publication);
   }
 
   /** Records so far that were no publication. */
@@ -79,14 +79,14 @@
       return;
     }
     // A lost acknowledgement leads to a second append of the same record.
-    if (this.outcomes.has(parsed.publication)) return;
+    if (this.outcomeByPublication.has(parsed.publication)) return;
     this.storeOutcome(this.evaluate(parsed, record.offset));
   }
 
   snapshot(): string {
     const state: HistoryState = {
       documents: this.acceptedDocuments.all(),
-      publications: [...this.outcomes.values()],
+      publications: [...this.outcomeByPublication.values()],
     };
     return JSON.stringify(state);
   }
@@ -97,7 +97,7 @@
     for (const document of documents) {
       this.acceptedDocuments.putAccepted(document);
     }
-    this.outcomes.clear();
+    this.outcomeByPublication.clear();
     for (const outcome of publications) this.storeOutcome(outcome);
   }
 
@@ -114,7 +114,7 @@
       return {...base, outcome: 'conflict', detail};
     }
     return this.acceptedDocuments
-      .check(record.document, record.content)
+      .parseAndCheck(record.document, record.content)
       .caseOf<PublicationOutcome>({
         Left: fault => ({...base, outcome: 'invalid', detail: fault.detail}),
         Right: parsed => {
@@ -128,10 +128,10 @@
   }
 
   private storeOutcome(outcome: PublicationOutcome): void {
-    this.outcomes.set(outcome.publication, outcome);
-    if (this.outcomes.size <= MAXIMUM_RETAINED_OUTCOMES) return;
-    const [oldest] = this.outcomes.keys();
-    this.outcomes.delete(oldest);
+    this.outcomeByPublication.set(outcome.publication, outcome);
+    if (this.outcomeByPublication.size <= MAXIMUM_RETAINED_OUTCOMES) return;
+    const [oldest] = this.outcomeByPublication.keys();
+    this.outcomeByPublication.delete(oldest);
   }
 }
 
--- a/src/contracts/configuration_peer_fetcher.ts
+++ b/src/contracts/configuration_peer_fetcher.ts
@@ -32,8 +32,8 @@
   constructor(private readonly location: ProcessLocation | undefined) {}
 
   /** Takes note of when the log last showed everything, or of the start. */
-  recordLogProgress(shownAt: clock.Milliseconds): void {
-    this.logCurrentAt = Math.max(this.logCurrentAt ?? shownAt, shownAt);
+  recordLogProgress(currentAt: clock.Milliseconds): void {
+    this.logCurrentAt = Math.max(this.logCurrentAt ?? currentAt, currentAt);
   }
 
   /** Takes note of the entry VMs that can be asked. */
@@ -44,11 +44,11 @@
         listed.state === 'live' &&
         listed.vm !== this.location?.vm,
     );
-    const isNear = (listed: event.ListedVm): boolean =>
+    const isInOwnZone = (listed: event.ListedVm): boolean =>
       listed.zone === this.location?.zone;
     this.entryVms = [
-      ...others.filter(isNear),
-      ...others.filter(listed => !isNear(listed)),
+      ...others.filter(isInOwnZone),
+      ...others.filter(listed => !isInOwnZone(listed)),
     ];
   }
 
--- a/src/contracts/configuration_store.ts
+++ b/src/contracts/configuration_store.ts
@@ -48,7 +48,7 @@
 export class ConfigurationStore {
   private readonly history: configurationHistory.ConfigurationHistory;
   private readonly replica: streamReplica.StreamReplica;
-  private readonly inForce: configurationDocuments.ConfigurationDocuments;
+  private readonly documentsInForce: configurationDocuments.ConfigurationDocuments;
   private readonly publications = new publicationTracker.PublicationTracker();
   private readonly snapshots: snapshotSchedule.SnapshotSchedule;
   private readonly appendIntervalMs: clock.Milliseconds;
@@ -71,8 +71,10 @@
   ) {
     this.history = new configurationHistory.ConfigurationHistory(reader);
     this.replica = new streamReplica.StreamReplica(this.history);
-    this.inForce = new configurationDocuments.ConfigurationDocuments(reader);
-    this.configuration = this.inForce.toConfiguration();
+    this.documentsInForce = new configurationDocuments.ConfigurationDocuments(
+      reader,
+    );
+    this.configuration = this.documentsInForce.toConfiguration();
     this.peerFetcher = new configurationPeerFetcher.ConfigurationPeerFetcher(
       options.location,
     );
@@ -117,11 +119,11 @@
       case 'recordsRead':
         return this.handleRecords(handled, now);
       case 'appendAnswered':
-        return this.appendAnswered(handled, now);
+        return this.handleAppendAnswer(handled, now);
       case 'publishArrived':
         return this.publish(handled, now);
       case 'documentFetchArrived':
-        return this.fetch(handled);
+        return this.answerFetch(handled);
       case 'workloadsArrived':
         return this.listWorkloads(handled);
       case 'fetchDocumentsArrived':
@@ -130,7 +132,11 @@
         return this.adoptFromPeer(handled);
       case 'confirmArrived':
       case 'confirmAnswered':
-        return this.peerFetcher.fetchIfBehind(handled.news, this.inForce, now);
+        return this.peerFetcher.fetchIfBehind(
+          handled.news,
+          this.documentsInForce,
+          now,
+        );
       case 'vmListRead':
         this.peerFetcher.updateEntryVms(handled.vms);
         return [];
@@ -155,10 +161,12 @@
     if (this.nextReadAt === 0) this.peerFetcher.recordLogProgress(now);
     if (now >= this.nextReadAt) done.push(this.readNext(now));
     if (!this.isLoadedValue) {
-      done.push(...this.peerFetcher.fetchFromEntryVm(this.inForce, now));
+      done.push(
+        ...this.peerFetcher.fetchFromEntryVm(this.documentsInForce, now),
+      );
     }
     done.push(...this.publications.expire(now));
-    done.push(...this.append(now));
+    done.push(...this.appendWaiting(now));
     return done;
   }
 
@@ -195,7 +203,7 @@
         );
         this.peerFetcher.recordLogProgress(handled.sentAt);
         done.push(...this.validateUnchecked());
-        done.push(...this.append(now));
+        done.push(...this.appendWaiting(now));
         return done;
     }
   }
@@ -231,7 +239,7 @@
     const newer = documents.filter(
       document =>
         configurationDocuments.isDocumentName(document.name) &&
-        document.version > this.inForce.version(document.name) &&
+        document.version > this.documentsInForce.version(document.name) &&
         document.version !== this.unreadableVersions.get(document.name),
     );
     if (newer.length === 0) return [];
@@ -245,7 +253,7 @@
     source: 'log' | 'peer',
   ): ReadonlyArray<effects.Effect> {
     const fields = {document: document.name, version: document.version, source};
-    return this.inForce.read(document.name, document.content).caseOf({
+    return this.documentsInForce.parse(document.name, document.content).caseOf({
       Left: fault => {
         this.unreadableVersions.set(document.name, document.version);
         const {detail} = fault;
@@ -255,7 +263,7 @@
         ];
       },
       Right: parsed => {
-        this.inForce.put(document, parsed);
+        this.documentsInForce.put(document, parsed);
         return [
           effects.count('document_in_force', {source}),
           effects.log('info', 'documentInForce', fields),
@@ -266,11 +274,11 @@
 
   /** Shows the new documents unless one of them would fall back. */
   private updateConfiguration(): ReadonlyArray<effects.Effect> {
-    const next = this.inForce.toConfiguration();
-    for (const [document, before] of this.configuration.versions) {
+    const next = this.documentsInForce.toConfiguration();
+    for (const [document, previousVersion] of this.configuration.versions) {
       const version = next.versions.get(document) ?? 0;
-      if (version >= before) continue;
-      const evidence = {document, before, version};
+      if (version >= previousVersion) continue;
+      const evidence = {document, before: previousVersion, version};
       return invariant.violation('versionNeverFalls', evidence);
     }
     this.configuration = next;
@@ -293,8 +301,8 @@
       content,
       publication,
     } as const;
-    const reused = this.answerKnownPublication(call.call, record);
-    if (reused !== undefined) return reused;
+    const repeatAnswer = this.answerKnownPublication(call.call, record);
+    if (repeatAnswer !== undefined) return repeatAnswer;
     if (this.publications.isFull(publication)) {
       return publicationTracker.refusalEffects(
         call.call,
@@ -306,9 +314,11 @@
       );
     }
     this.publications.add(call.call, record, now);
-    const done = [...this.validateUnchecked(), ...this.append(now)];
+    const done = [...this.validateUnchecked(), ...this.appendWaiting(now)];
     // A base that is not known here yet is judged after the next read.
-    if (this.publications.unchecked().length > 0) done.push(this.readNext(now));
+    if (this.publications.uncheckedPublications().length > 0) {
+      done.push(this.readNext(now));
+    }
     return done;
   }
 
@@ -319,11 +329,13 @@
   ): ReadonlyArray<effects.Effect> | undefined {
     const digest = configurationHistory.digestOf(record);
     const outcome = this.history.outcome(record.publication);
-    const open = this.publications.record(record.publication);
-    const first =
+    const openRecord = this.publications.record(record.publication);
+    const earlierDigest =
       outcome?.digest ??
-      (open === undefined ? undefined : configurationHistory.digestOf(open));
-    if (first !== undefined && first !== digest) {
+      (openRecord === undefined
+        ? undefined
+        : configurationHistory.digestOf(openRecord));
+    if (earlierDigest !== undefined && earlierDigest !== digest) {
       return publicationTracker.refusalEffects(
         call,
         result.failure(
@@ -338,15 +350,15 @@
 
   private validateUnchecked(): ReadonlyArray<effects.Effect> {
     return this.publications
-      .unchecked()
+      .uncheckedPublications()
       .flatMap(waiting => this.validate(waiting));
   }
 
   private validate(
-    waiting: publicationTracker.UncheckedPublication,
+    unchecked: publicationTracker.UncheckedPublication,
   ): ReadonlyArray<effects.Effect> {
-    const {record} = waiting;
-    switch (this.validateBase(waiting)) {
+    const {record} = unchecked;
+    switch (this.validateBase(unchecked)) {
       case 'undecided':
         return [];
       case 'wrong':
@@ -357,9 +369,9 @@
   }
 
   private validateBase(
-    waiting: publicationTracker.UncheckedPublication,
+    unchecked: publicationTracker.UncheckedPublication,
   ): 'right' | 'wrong' | 'undecided' {
-    const {document, baseVersion} = waiting.record;
+    const {document, baseVersion} = unchecked.record;
     // Had an earlier append of this record won, the replay would know it.
     if (baseVersion < this.history.version(document)) return 'wrong';
     if (!this.isLoadedValue) return 'undecided';
@@ -367,15 +379,15 @@
     if (baseVersion === current) return 'right';
     // A lower base may have won by an earlier append that only a peer has
     // read; a higher one may come from a process that has read further.
-    const fresh = this.lastTailReadSentAt > waiting.arrivedAt;
-    return baseVersion > current && fresh ? 'wrong' : 'undecided';
+    const hasReadSinceArrival = this.lastTailReadSentAt > unchecked.arrivedAt;
+    return baseVersion > current && hasReadSinceArrival ? 'wrong' : 'undecided';
   }
 
   /** The higher of what the stream and the peers have shown. */
   private currentVersion(document: string): number {
     return Math.max(
       this.history.version(document),
-      this.inForce.version(document),
+      this.documentsInForce.version(document),
     );
   }
 
@@ -393,22 +405,26 @@
   private validateContent(
     record: configurationHistory.PublishRecord,
   ): ReadonlyArray<effects.Effect> {
-    return this.inForce.check(record.document, record.content).caseOf({
-      Left: fault => this.publications.refuse(record.publication, fault),
-      Right: () => {
-        this.publications.approve(record.publication);
-        return [];
-      },
-    });
+    return this.documentsInForce
+      .parseAndCheck(record.document, record.content)
+      .caseOf({
+        Left: fault => this.publications.refuse(record.publication, fault),
+        Right: () => {
+          this.publications.approve(record.publication);
+          return [];
+        },
+      });
   }
 
-  private append(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private appendWaiting(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effects.Effect> {
     if (this.appendInProgress || now < this.nextAppendAt) return [];
     const records: string[] = [];
-    const caughtUp =
+    const isCurrent =
       now - this.lastTailReadSentAt <
       configurationPeerFetcher.LOG_GRACE_PERIOD_MS;
-    if (this.snapshots.isDue(this.replica, now) && caughtUp) {
+    if (this.snapshots.isDue(this.replica, now) && isCurrent) {
       this.snapshots.recordSent(now);
       records.push(JSON.stringify(this.replica.buildSnapshot()));
     }
@@ -429,7 +445,7 @@
     ];
   }
 
-  private appendAnswered(
+  private handleAppendAnswer(
     handled: EventOf<'appendAnswered'>,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
@@ -448,10 +464,10 @@
     ];
   }
 
-  private fetch(
+  private answerFetch(
     call: EventOf<'documentFetchArrived'>,
   ): ReadonlyArray<effects.Effect> {
-    const found = this.inForce.get(call.document);
+    const found = this.documentsInForce.get(call.document);
     if (found !== undefined) {
       const code = result.RESULT_CODES.ok.code;
       const {content, version} = found;
@@ -481,10 +497,14 @@
   private answerPeer(
     call: EventOf<'fetchDocumentsArrived'>,
   ): ReadonlyArray<effects.Effect> {
-    const have = new Map(call.have.map(item => [item.name, item.version]));
-    const documents = this.inForce
+    const peerVersions = new Map(
+      call.have.map(item => [item.name, item.version]),
+    );
+    const documents = this.documentsInForce
       .all()
-      .filter(document => document.version > (have.get(document.name) ?? 0));
+      .filter(
+        document => document.version > (peerVersions.get(document.name) ?? 0),
+      );
     return [{kind: 'answerDocuments', call: call.call, documents}];
   }
 }
--- a/src/contracts/publication_tracker.ts
+++ b/src/contracts/publication_tracker.ts
@@ -38,7 +38,7 @@
 
 /** The publications that operators wait for at this process. */
 export class PublicationTracker {
-  private readonly open = new Map<string, Publication>();
+  private readonly openPublications = new Map<string, Publication>();
 
   /** Adds a publication, or a further call that waits for a known one. */
   add(
@@ -46,12 +46,12 @@
     record: configurationHistory.PublishRecord,
     now: clock.Milliseconds,
   ): void {
-    const known = this.open.get(record.publication);
+    const known = this.openPublications.get(record.publication);
     if (known !== undefined) {
       known.calls.add(call);
       return;
     }
-    this.open.set(record.publication, {
+    this.openPublications.set(record.publication, {
       record,
       arrivedAt: now,
       calls: new Set([call]),
@@ -62,29 +62,32 @@
   /** Whether no further publication can wait; a known one always can. */
   isFull(publication: string): boolean {
     return (
-      this.open.size >= MAXIMUM_OPEN_PUBLICATIONS && !this.open.has(publication)
+      this.openPublications.size >= MAXIMUM_OPEN_PUBLICATIONS &&
+      !this.openPublications.has(publication)
     );
   }
 
   /** The record that an open publication asks to append. */
   record(publication: string): configurationHistory.PublishRecord | undefined {
-    return this.open.get(publication)?.record;
+    return this.openPublications.get(publication)?.record;
   }
 
   /** Publications that still have to be judged before an append. */
-  unchecked(): ReadonlyArray<UncheckedPublication> {
-    return [...this.open.values()].filter(item => item.stage === 'unchecked');
+  uncheckedPublications(): ReadonlyArray<UncheckedPublication> {
+    return [...this.openPublications.values()].filter(
+      item => item.stage === 'unchecked',
+    );
   }
 
   /** Lets a publication be appended. */
   approve(publication: string): void {
-    const known = this.open.get(publication);
+    const known = this.openPublications.get(publication);
     if (known !== undefined) known.stage = 'unsent';
   }
 
   /** Whether a record waits for its append. */
   hasUnsent(): boolean {
-    for (const item of this.open.values()) {
+    for (const item of this.openPublications.values()) {
       if (item.stage === 'unsent') return true;
     }
     return false;
@@ -94,7 +97,7 @@
   takeUnsent(): ReadonlyArray<configurationHistory.PublishRecord> {
     const taken: configurationHistory.PublishRecord[] = [];
     let length = 0;
-    for (const item of this.open.values()) {
+    for (const item of this.openPublications.values()) {
       if (item.stage !== 'unsent') continue;
       length += item.record.content.length;
       if (taken.length > 0 && length > MAXIMUM_APPEND_CHARACTERS) break;
@@ -109,7 +112,7 @@
    * identities, so readers drop the second copy.
    */
   markForResend(): void {
-    for (const item of this.open.values()) {
+    for (const item of this.openPublications.values()) {
       if (item.stage === 'sent') item.stage = 'unsent';
     }
   }
@@ -120,7 +123,7 @@
       publication: string,
     ) => configurationHistory.PublicationOutcome | undefined,
   ): ReadonlyArray<effects.Effect> {
-    return [...this.open.keys()].flatMap(publication => {
+    return [...this.openPublications.keys()].flatMap(publication => {
       const outcome = outcomeOf(publication);
       return outcome === undefined
         ? []
@@ -133,8 +136,8 @@
     publication: string,
     refusal: result.Failure,
   ): ReadonlyArray<effects.Effect> {
-    const known = this.open.get(publication);
-    this.open.delete(publication);
+    const known = this.openPublications.get(publication);
+    this.openPublications.delete(publication);
     return [...(known?.calls ?? [])].flatMap(call =>
       refusalEffects(call, refusal),
     );
@@ -142,7 +145,7 @@
 
   /** Answers publications for which the log showed nothing in time. */
   expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    return [...this.open.values()]
+    return [...this.openPublications.values()]
       .filter(item => now >= item.arrivedAt + PUBLICATION_TIMEOUT_MS)
       .flatMap(item =>
         this.refuse(item.record.publication, timeoutFailure(item)),
@@ -152,7 +155,7 @@
   /** When `expire` has something to do next. */
   nextDeadline(): clock.Milliseconds {
     let earliest = Infinity;
-    for (const item of this.open.values()) {
+    for (const item of this.openPublications.values()) {
       earliest = Math.min(earliest, item.arrivedAt + PUBLICATION_TIMEOUT_MS);
     }
     return earliest;
@@ -162,8 +165,8 @@
     publication: string,
     outcome: configurationHistory.PublicationOutcome,
   ): ReadonlyArray<effects.Effect> {
-    const known = this.open.get(publication);
-    this.open.delete(publication);
+    const known = this.openPublications.get(publication);
+    this.openPublications.delete(publication);
     return [...(known?.calls ?? [])].flatMap(call =>
       outcomeEffects(call, outcome),
     );
--- a/src/contracts/questionnaire_answers.ts
+++ b/src/contracts/questionnaire_answers.ts
@@ -112,35 +112,39 @@
 ): ReadonlyArray<string> {
   return answers.teams.flatMap((team, teamPosition) =>
     team.work.flatMap((work, position) => {
-      const place = `teams[${teamPosition}].work[${position}]`;
-      return workContradictions(work, place, answers.workers);
+      const path = `teams[${teamPosition}].work[${position}]`;
+      return workContradictions(work, path, answers.workers);
     }),
   );
 }
 
 function workContradictions(
   work: WorkAnswers,
-  place: string,
+  path: string,
   workers: ReadonlyArray<WorkerAnswers>,
 ): ReadonlyArray<string> {
-  const faults: string[] = [];
+  const contradictions: string[] = [];
   const fits = workers.some(
     worker =>
       work.processors <= worker.processors &&
       work.memoryGiB <= worker.memoryGiB &&
       work.accelerators <= worker.accelerators,
   );
-  if (!fits) faults.push(`${place}: ${work.name} fits no worker of the fleet`);
+  if (!fits) {
+    contradictions.push(`${path}: ${work.name} fits no worker of the fleet`);
+  }
   if (work.endsByItself && work.minutes === 0) {
-    faults.push(`${place}.minutes: 0 must be above 0 for work that ends`);
+    contradictions.push(
+      `${path}.minutes: 0 must be above 0 for work that ends`,
+    );
   }
   if (!work.endsByItself && !work.mayRunTwice) {
-    faults.push(
-      `${place}.mayRunTwice: false must be true for work that does not end, ` +
+    contradictions.push(
+      `${path}.mayRunTwice: false must be true for work that does not end, ` +
         'because its lost tasks are replaced',
     );
   }
-  return faults;
+  return contradictions;
 }
 
 function deriveFleet(answers: QuestionnaireAnswers): DerivedDocument {
@@ -160,15 +164,15 @@
 
 function deriveShape(
   worker: WorkerAnswers,
-  place: string,
+  path: string,
 ): ReadonlyArray<DerivedTable> {
   return [
     {
       path: 'workerShapes',
       repeated: true,
       values: [
-        derived('zones', worker.zones, `${place}.zones`),
-        derived('connections', worker.connections, `${place}.connections`),
+        derived('zones', worker.zones, `${path}.zones`),
+        derived('connections', worker.connections, `${path}.connections`),
       ],
     },
     {
@@ -176,8 +180,8 @@
       repeated: false,
       values: deriveResources(
         worker,
-        place,
-        derived('slots', worker.slots, `${place}.slots`),
+        path,
+        derived('slots', worker.slots, `${path}.slots`),
       ),
     },
   ];
@@ -185,23 +189,23 @@
 
 function deriveResources(
   stated: Pick<WorkerAnswers, 'processors' | 'memoryGiB' | 'accelerators'>,
-  place: string,
+  path: string,
   slots: DerivedValue,
 ): ReadonlyArray<DerivedValue> {
   return [
     derived(
       'processors',
       Math.ceil(stated.processors * THOUSANDTHS_PER_PROCESSOR),
-      `${place}.processors`,
+      `${path}.processors`,
       `= ${stated.processors}, in thousandths`,
     ),
     derived(
       'memory',
       Math.ceil(stated.memoryGiB * MIB_PER_GIB),
-      `${place}.memoryGiB`,
+      `${path}.memoryGiB`,
       `= ${stated.memoryGiB}, in MiB`,
     ),
-    derived('accelerators', stated.accelerators, `${place}.accelerators`),
+    derived('accelerators', stated.accelerators, `${path}.accelerators`),
     slots,
   ];
 }
@@ -209,10 +213,10 @@
 function deriveTeam(
   answers: QuestionnaireAnswers,
   team: TeamAnswers,
-  place: string,
+  path: string,
 ): DerivedDocument {
   const workloads = team.work.flatMap((work, position) =>
-    deriveWorkload(work, `${place}.work[${position}]`),
+    deriveWorkload(work, `${path}.work[${position}]`),
   );
   return {
     name: `team/${team.name}`,
@@ -221,29 +225,29 @@
         path: '',
         repeated: false,
         values: [
-          derived('name', team.name, `${place}.name`),
-          derived('clients', team.clients, `${place}.clients`),
-          derived('share', team.weight, `${place}.weight`),
-          deriveQueueLimit(team, place),
+          derived('name', team.name, `${path}.name`),
+          derived('clients', team.clients, `${path}.clients`),
+          derived('share', team.weight, `${path}.weight`),
+          deriveQueueLimit(team, path),
         ],
       },
       {
         path: 'quota',
         repeated: false,
-        values: deriveQuota(answers.workers, team.fleetPercent, place),
+        values: deriveQuota(answers.workers, team.fleetPercent, path),
       },
       ...workloads,
     ],
   };
 }
 
-function deriveQueueLimit(team: TeamAnswers, place: string): DerivedValue {
+function deriveQueueLimit(team: TeamAnswers, path: string): DerivedValue {
   const perHour = team.work.reduce((sum, work) => sum + work.perBusyHour, 0);
-  const waiting = (perHour * team.backlogMinutes) / MINUTES_PER_HOUR;
+  const waitingRequests = (perHour * team.backlogMinutes) / MINUTES_PER_HOUR;
   return derived(
     'queueLimit',
-    Math.max(MINIMUM_QUEUE_LIMIT, Math.ceil(waiting)),
-    `${place}.backlogMinutes`,
+    Math.max(MINIMUM_QUEUE_LIMIT, Math.ceil(waitingRequests)),
+    `${path}.backlogMinutes`,
     `= ${team.backlogMinutes} at the sum of ` +
       `work[].perBusyHour = ${perHour}, at least ${MINIMUM_QUEUE_LIMIT}`,
   );
@@ -252,32 +256,42 @@
 function deriveQuota(
   workers: ReadonlyArray<WorkerAnswers>,
   percent: number,
-  place: string,
+  path: string,
 ): ReadonlyArray<DerivedValue> {
-  const whole = wholeFleet(workers);
-  const answer = `${place}.fleetPercent`;
+  const fleetCapacity = sumFleetCapacity(workers);
+  const answer = `${path}.fleetPercent`;
   const note = `= ${percent} of the fleet's`;
-  const part = (quantity: number): number =>
+  const teamPart = (quantity: number): number =>
     Math.floor((quantity * percent) / 100);
   return [
     derived(
       'processors',
-      part(whole.processors),
+      teamPart(fleetCapacity.processors),
       answer,
-      `${note} ${whole.processors}`,
+      `${note} ${fleetCapacity.processors}`,
+    ),
+    derived(
+      'memory',
+      teamPart(fleetCapacity.memory),
+      answer,
+      `${note} ${fleetCapacity.memory}`,
     ),
-    derived('memory', part(whole.memory), answer, `${note} ${whole.memory}`),
     derived(
       'accelerators',
-      part(whole.accelerators),
+      teamPart(fleetCapacity.accelerators),
+      answer,
+      `${note} ${fleetCapacity.accelerators}`,
+    ),
+    derived(
+      'slots',
+      teamPart(fleetCapacity.slots),
       answer,
-      `${note} ${whole.accelerators}`,
+      `${note} ${fleetCapacity.slots}`,
     ),
-    derived('slots', part(whole.slots), answer, `${note} ${whole.slots}`),
   ];
 }
 
-function wholeFleet(
+function sumFleetCapacity(
   workers: ReadonlyArray<WorkerAnswers>,
 ): resources.Resources {
   const sum = (quantity: (worker: WorkerAnswers) => number): number =>
@@ -296,28 +310,28 @@
 
 function deriveWorkload(
   work: WorkAnswers,
-  place: string,
+  path: string,
 ): ReadonlyArray<DerivedTable> {
   return [
     {
       path: 'workloads',
       repeated: true,
       values: [
-        derived('name', work.name, `${place}.name`),
-        deriveKind(work, place),
-        deriveUrgency(work, place),
-        derived('worth', work.valueOfOne, `${place}.valueOfOne`),
-        derived('idempotent', work.mayRunTwice, `${place}.mayRunTwice`),
-        deriveRunTime(work, place),
-        derived('taskCount', work.machinesAtOnce, `${place}.machinesAtOnce`),
+        derived('name', work.name, `${path}.name`),
+        deriveKind(work, path),
+        deriveUrgency(work, path),
+        derived('worth', work.valueOfOne, `${path}.valueOfOne`),
+        derived('idempotent', work.mayRunTwice, `${path}.mayRunTwice`),
+        deriveRunTime(work, path),
+        derived('taskCount', work.machinesAtOnce, `${path}.machinesAtOnce`),
         derived(
           'startDeadlineMs',
           Math.round(work.uselessAfterMinutes * MS_PER_MINUTE),
-          `${place}.uselessAfterMinutes`,
+          `${path}.uselessAfterMinutes`,
           `= ${work.uselessAfterMinutes}`,
         ),
-        derived('zones', work.onlyInZones, `${place}.onlyInZones`),
-        derivePerRack(work, place),
+        derived('zones', work.onlyInZones, `${path}.onlyInZones`),
+        deriveMaximumPerRack(work, path),
       ],
     },
     {
@@ -325,45 +339,45 @@
       repeated: false,
       values: deriveResources(
         work,
-        place,
+        path,
         derived('slots', 1, '', 'a task takes one slot'),
       ),
     },
   ];
 }
 
-function deriveKind(work: WorkAnswers, place: string): DerivedValue {
+function deriveKind(work: WorkAnswers, path: string): DerivedValue {
   if (!work.endsByItself) {
-    return derived('kind', 'service', `${place}.endsByItself`, '= false');
+    return derived('kind', 'service', `${path}.endsByItself`, '= false');
   }
   const kind = work.machinesAtOnce > 1 ? 'gang' : 'batch';
   const note = `= ${work.machinesAtOnce}`;
-  return derived('kind', kind, `${place}.machinesAtOnce`, note);
+  return derived('kind', kind, `${path}.machinesAtOnce`, note);
 }
 
-function deriveUrgency(work: WorkAnswers, place: string): DerivedValue {
+function deriveUrgency(work: WorkAnswers, path: string): DerivedValue {
   const note = `= "${work.whenLate}"`;
   const urgencies = ['deferrable', 'normal', 'urgent'];
   const urgency =
     urgencies[LATENESS_ANSWERS.indexOf(work.whenLate)] ?? 'normal';
-  return derived('urgency', urgency, `${place}.whenLate`, note);
+  return derived('urgency', urgency, `${path}.whenLate`, note);
 }
 
-function deriveRunTime(work: WorkAnswers, place: string): DerivedValue {
+function deriveRunTime(work: WorkAnswers, path: string): DerivedValue {
   if (!work.endsByItself) {
-    return derived('runTimeMs', 0, `${place}.endsByItself`, '= false');
+    return derived('runTimeMs', 0, `${path}.endsByItself`, '= false');
   }
   return derived(
     'runTimeMs',
     Math.round(work.minutes * MS_PER_MINUTE),
-    `${place}.minutes`,
+    `${path}.minutes`,
     `= ${work.minutes}`,
   );
 }
 
 /** Half of the tasks may share a rack when the rest has to survive it. */
-function derivePerRack(work: WorkAnswers, place: string): DerivedValue {
-  const answer = `${place}.survivesRackLoss`;
+function deriveMaximumPerRack(work: WorkAnswers, path: string): DerivedValue {
+  const answer = `${path}.survivesRackLoss`;
   const note = `= ${work.survivesRackLoss}, machinesAtOnce = ${work.machinesAtOnce}`;
   const limit = work.survivesRackLoss ? Math.ceil(work.machinesAtOnce / 2) : 0;
   return derived('maximumPerRack', limit, answer, note);
--- a/src/contracts/snapshot_schedule.ts
+++ b/src/contracts/snapshot_schedule.ts
@@ -18,7 +18,7 @@
 const SPREAD_FRACTION = 1 / 8;
 
 /** Steps of the random part. */
-const SPREAD_STEPS = 1_000;
+const RANDOM_STEPS = 1_000;
 
 /** Time for a snapshot to be seen in the stream before it is sent again. */
 const RESEND_DELAY_MS = 60_000;
@@ -82,8 +82,8 @@
   }
 
   private randomDelay(fraction: number): clock.Milliseconds {
-    const step = this.random?.below(SPREAD_STEPS) ?? 0;
-    const spread = (step / SPREAD_STEPS) * SPREAD_FRACTION;
+    const step = this.random?.below(RANDOM_STEPS) ?? 0;
+    const spread = (step / RANDOM_STEPS) * SPREAD_FRACTION;
     return this.retentionMs * (fraction + spread);
   }
 }
--- a/src/contracts/stream_replica.ts
+++ b/src/contracts/stream_replica.ts
@@ -37,12 +37,12 @@
  */
 export class StreamReplica {
   private nextOffset = 0;
-  private snapshotOffset = -1;
-  private snapshotThrough = -1;
+  private lastSnapshotOffsetValue = -1;
+  private lastSnapshotThroughValue = -1;
   /** Offset of the last record that the state includes. */
   private appliedThrough = -1;
   /** Whether the state includes every record before `nextOffset`. */
-  private complete = true;
+  private isCompleteValue = true;
   /** Records read since a gap, kept until a snapshot bridges it. */
   private recordsAfterGap: event.StreamRecord[] = [];
   private firstOffsetAfterGap = 0;
@@ -56,17 +56,17 @@
 
   /** Offset of the last snapshot seen; -1 before the first. */
   get lastSnapshotOffset(): number {
-    return this.snapshotOffset;
+    return this.lastSnapshotOffsetValue;
   }
 
   /** Offset through which the last snapshot seen carries the state. */
   get lastSnapshotThrough(): number {
-    return this.snapshotThrough;
+    return this.lastSnapshotThroughValue;
   }
 
   /** Whether the state includes every record before `position`. */
   get isComplete(): boolean {
-    return this.complete;
+    return this.isCompleteValue;
   }
 
   /** Applies what a read returned; repeated records change nothing. */
@@ -76,7 +76,7 @@
     if (read.first > this.nextOffset) this.beginGap(read.first);
     this.applyRecords(read.records);
     if (this.nextOffset < read.next) return 'behind';
-    return this.complete ? 'tail' : 'gap';
+    return this.isCompleteValue ? 'tail' : 'gap';
   }
 
   /** Applies records in order; those that do not follow on are left alone. */
@@ -99,7 +99,7 @@
   }
 
   private beginGap(first: number): void {
-    this.complete = false;
+    this.isCompleteValue = false;
     this.recordsAfterGap = [];
     this.firstOffsetAfterGap = first;
     this.nextOffset = first;
@@ -109,12 +109,12 @@
     this.nextOffset = record.offset + 1;
     const snapshot = parseSnapshot(record);
     if (snapshot !== undefined) {
-      this.snapshotOffset = record.offset;
-      this.snapshotThrough = snapshot.through;
+      this.lastSnapshotOffsetValue = record.offset;
+      this.lastSnapshotThroughValue = snapshot.through;
     }
-    if (!this.complete) this.handleDuringGap(record, snapshot);
+    if (!this.isCompleteValue) this.handleDuringGap(record, snapshot);
     else if (snapshot === undefined) this.state.apply(record);
-    if (this.complete) this.appliedThrough = record.offset;
+    if (this.isCompleteValue) this.appliedThrough = record.offset;
   }
 
   private handleDuringGap(
@@ -131,7 +131,7 @@
       if (later.offset > snapshot.through) this.state.apply(later);
     }
     this.recordsAfterGap = [];
-    this.complete = true;
+    this.isCompleteValue = true;
   }
 
   private restore(text: string): boolean {
--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -65,7 +65,7 @@
   const faults: string[] = [];
   documents.forEach(({name, content}, position) => {
     set
-      .check(name, content)
+      .parseAndCheck(name, content)
       .ifLeft(fault => faults.push(`${name}: ${fault.detail}`))
       .ifRight(parsed => {
         set.put({name, version: position + 1, content}, parsed);
--- a/src/zones/availability_zone.ts
+++ b/src/zones/availability_zone.ts
@@ -33,12 +33,12 @@
 
   /** Whether the zone has room for a size, as far as is known. */
   hasRoom(size: resources.Resources, now: clock.Milliseconds): boolean {
-    const known = this.summary(now);
-    if (known === undefined) return false;
+    const current = this.summary(now);
+    if (current === undefined) return false;
     return (
-      known.freeProcessors >= size.processors &&
-      known.freeMemory >= size.memory &&
-      known.freeAccelerators >= size.accelerators
+      current.freeProcessors >= size.processors &&
+      current.freeMemory >= size.memory &&
+      current.freeAccelerators >= size.accelerators
     );
   }
 
--- a/src/zones/confirmation_exchange.ts
+++ b/src/zones/confirmation_exchange.ts
@@ -58,8 +58,11 @@
   constructor(private readonly dependencies: ConfirmationDependencies) {}
 
   /** Sets the wait that new work has here, for the zone's summary. */
-  setExpectedWait(wait: clock.Milliseconds): void {
-    this.expectedWaitMs = Math.min(Math.max(0, wait), MAXIMUM_REPORTED_WAIT_MS);
+  setExpectedWait(waitMs: clock.Milliseconds): void {
+    this.expectedWaitMs = Math.min(
+      Math.max(0, waitMs),
+      MAXIMUM_REPORTED_WAIT_MS,
+    );
   }
 
   /** Tells other members from now on that this process leaves. */
@@ -70,12 +73,12 @@
   /** Sends what is due. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const sent: effect.Effect[] = [];
-    const due = now >= this.nextSummaryAt;
-    if (now >= this.nextConfirmAt || due) {
+    const isSummaryDue = now >= this.nextSummaryAt;
+    if (now >= this.nextConfirmAt || isSummaryDue) {
       this.nextConfirmAt = now + membership.CONFIRM_INTERVAL_MS;
-      sent.push(...this.confirmMembers(due));
+      sent.push(...this.confirmMembers(isSummaryDue));
     }
-    if (due) {
+    if (isSummaryDue) {
       this.nextSummaryAt = now + SUMMARY_INTERVAL_MS;
       sent.push(...this.sendZoneSummary(now));
     }
@@ -89,19 +92,21 @@
 
   /** Answers another process. */
   handleRequest(
-    asked: Extract<event.Event, {kind: 'confirmArrived'}>,
+    request: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
   ): effect.Effect {
-    const {self, members, stream, permits: own} = this.dependencies;
-    const {news, call} = asked;
-    if (news.zone !== self.zone) return this.answerOtherZone(asked, now);
-    const meant = asked.to === self.process;
-    if (meant) members.recordMessage(news, true, now);
+    const {self, members, stream, permits} = this.dependencies;
+    const {news, call} = request;
+    if (news.zone !== self.zone) return this.answerOtherZone(request, now);
+    const isForThisProcess = request.to === self.process;
+    if (isForThisProcess) members.recordMessage(news, true, now);
     this.applyNews(news, now);
-    const zoneRecords = stream.recordsFrom(asked.zonePosition);
+    const zoneRecords = stream.recordsFrom(request.zonePosition);
     // A promise counts only together with every record read here.
     const confirmed =
-      meant && zoneRecords !== undefined && own.promise(news.from, now);
+      isForThisProcess &&
+      zoneRecords !== undefined &&
+      permits.promise(news.from, now);
     return {
       kind: 'answerConfirm',
       call,
@@ -141,14 +146,16 @@
     return this.dependencies.workers
       .all()
       .filter(known => known.leaving)
-      .map(known => known.name);
+      .map(worker => worker.name);
   }
 
   /** Members learn each other's part of the summary only when it is due. */
-  private confirmMembers(summarise: boolean): ReadonlyArray<effect.Effect> {
+  private confirmMembers(
+    includeOwnSummary: boolean,
+  ): ReadonlyArray<effect.Effect> {
     const {members, stream} = this.dependencies;
     const summaries = [...this.summariesToForward];
-    if (summarise) summaries.push(this.ownSummary());
+    if (includeOwnSummary) summaries.push(this.ownSummary());
     const news = {...this.memberNews(), summaries};
     this.summariesToForward = [];
     return members
@@ -165,7 +172,7 @@
 
   private memberNews(): event.PeerNews {
     return {
-      ...this.sender(),
+      ...this.senderFields(),
       documents: this.dependencies.documents(),
       leavingWorkers: this.leavingWorkers().slice(0, MAXIMUM_LEAVING_WORKERS),
       summaries: [],
@@ -175,7 +182,7 @@
 
   private zoneNews(now: clock.Milliseconds): event.PeerNews {
     return {
-      ...this.sender(),
+      ...this.senderFields(),
       documents: [],
       leavingWorkers: [],
       summaries: [this.zoneSummary(now)],
@@ -183,7 +190,7 @@
     };
   }
 
-  private sender(): Pick<event.PeerNews, 'from' | 'zone' | 'address'> {
+  private senderFields(): Pick<event.PeerNews, 'from' | 'zone' | 'address'> {
     const {process, zone, address} = this.dependencies.self;
     return {from: process, zone, address};
   }
@@ -211,13 +218,13 @@
   }
 
   private answerOtherZone(
-    asked: Extract<event.Event, {kind: 'confirmArrived'}>,
+    request: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
   ): effect.Effect {
-    this.applySummaries(asked.news, now);
+    this.applySummaries(request.news, now);
     return {
       kind: 'answerConfirm',
-      call: asked.call,
+      call: request.call,
       confirmed: false,
       zoneRecords: [],
       news: this.zoneNews(now),
@@ -229,10 +236,10 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effect.Effect> {
     const {self, members} = this.dependencies;
-    if (members.live(now)[0] !== self.process) return [];
+    if (members.liveMembers(now)[0] !== self.process) return [];
     const news = this.zoneNews(now);
     this.dependencies.regions.update(news.summaries[0], now);
-    return this.representatives().map(listed => ({
+    return this.otherZoneEntryVms().map(listed => ({
       kind: 'confirmPeer',
       peer: peerNameOf(listed),
       address: listed.address,
@@ -245,14 +252,14 @@
    * One entry VM of each other zone with a greater name, so that each pair of
    * zones exchanges summaries once; the answer brings the other's summary.
    */
-  private representatives(): ReadonlyArray<event.ListedVm> {
+  private otherZoneEntryVms(): ReadonlyArray<event.ListedVm> {
     const {self, presence} = this.dependencies;
     const chosen = new Map<string, event.ListedVm>();
     for (const listed of presence.listed()) {
       if (listed.role !== 'entry' || listed.zone <= self.zone) continue;
       if (listed.state === 'leaving') continue;
-      const known = chosen.get(listed.zone);
-      if (known === undefined || this.precedes(listed, known)) {
+      const current = chosen.get(listed.zone);
+      if (current === undefined || this.precedes(listed, current)) {
         chosen.set(listed.zone, listed);
       }
     }
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -138,7 +138,7 @@
   }
 
   /** Members that take work, lowest identity first; includes this process. */
-  live(now: clock.Milliseconds): ReadonlyArray<string> {
+  liveMembers(now: clock.Milliseconds): ReadonlyArray<string> {
     return [...this.table.members().keys()]
       .filter(process => this.state(process, now) === 'live')
       .filter(
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -105,24 +105,24 @@
  * nothing: epochs only rise, and an ended process never joins again.
  */
 export class OwnershipTable implements streamReplica.ReplicatedState {
-  private owners = new Map<string, Ownership>();
-  private joined = new Map<string, JoinedMember>();
-  private endedProcesses = new Map<string, EndedMember>();
+  private ownerships = new Map<string, Ownership>();
+  private joinedMembers = new Map<string, JoinedMember>();
+  private endedById = new Map<string, EndedMember>();
 
   /** Owner of an item; undefined when nobody has claimed it. */
   ownership(item: string): Ownership | undefined {
-    return this.owners.get(item);
+    return this.ownerships.get(item);
   }
 
   /** All items that have or had an owner. */
   ownershipByItem(): ReadonlyMap<string, Ownership> {
-    return this.owners;
+    return this.ownerships;
   }
 
   /** Items of one owner. */
   itemsOf(owner: string): ReadonlyArray<ItemEpoch> {
     const items: ItemEpoch[] = [];
-    for (const [item, held] of this.owners) {
+    for (const [item, held] of this.ownerships) {
       if (held.owner === owner) items.push({item, epoch: held.epoch});
     }
     return items;
@@ -130,12 +130,12 @@
 
   /** Members that have joined and neither left nor been claimed. */
   members(): ReadonlyMap<string, JoinedMember> {
-    return this.joined;
+    return this.joinedMembers;
   }
 
   /** Processes that left or were claimed. */
   endedMembers(): ReadonlyMap<string, EndedMember> {
-    return this.endedProcesses;
+    return this.endedById;
   }
 
   /** Applies the next record; an unreadable one changes nothing. */
@@ -156,9 +156,9 @@
   /** Returns the whole table as text. */
   snapshot(): string {
     const state: TableState = {
-      owners: [...this.owners],
-      joined: [...this.joined],
-      ended: [...this.endedProcesses],
+      owners: [...this.ownerships],
+      joined: [...this.joinedMembers],
+      ended: [...this.endedById],
     };
     return JSON.stringify(state);
   }
@@ -166,9 +166,9 @@
   /** Replaces the table by one that `snapshot` returned. */
   restore(snapshot: string): void {
     const state = JSON.parse(snapshot) as TableState;
-    this.owners = new Map(state.owners);
-    this.joined = new Map(state.joined);
-    this.endedProcesses = new Map(state.ended);
+    this.ownerships = new Map(state.owners);
+    this.joinedMembers = new Map(state.joined);
+    this.endedById = new Map(state.ended);
   }
 
   private join(
@@ -177,9 +177,9 @@
   ): void {
     const {process, vm, address} = record;
     this.pruneBefore(offset - TOMBSTONE_RETENTION_RECORDS);
-    if (this.joined.has(process) || this.endedProcesses.has(process)) return;
-    this.joined.set(process, {process, vm, address, joined: offset});
-    this.owners.set(processItem(process), {
+    if (this.joinedMembers.has(process) || this.endedById.has(process)) return;
+    this.joinedMembers.set(process, {process, vm, address, joined: offset});
+    this.ownerships.set(processItem(process), {
       owner: process,
       epoch: 1,
       offset,
@@ -188,7 +188,7 @@
   }
 
   private leave(process: string, offset: number): void {
-    if (!this.joined.has(process)) return;
+    if (!this.joinedMembers.has(process)) return;
     this.end(process, 'left', offset);
     for (const held of this.itemsOf(process)) {
       this.assign(held, NO_OWNER, 'handover', offset);
@@ -200,12 +200,17 @@
     offset: number,
   ): void {
     // A claimant that has ended cannot use what it claims.
-    if (!this.joined.has(record.claimant)) return;
-    for (const wanted of record.items) {
-      const current = this.owners.get(wanted.item);
-      if ((current?.epoch ?? 0) !== wanted.epoch) continue;
-      this.assign(wanted, record.claimant, acquisitionFrom(current), offset);
-      const claimed = claimedProcess(wanted.item);
+    if (!this.joinedMembers.has(record.claimant)) return;
+    for (const claimedItem of record.items) {
+      const current = this.ownerships.get(claimedItem.item);
+      if ((current?.epoch ?? 0) !== claimedItem.epoch) continue;
+      this.assign(
+        claimedItem,
+        record.claimant,
+        acquisitionFrom(current),
+        offset,
+      );
+      const claimed = processOfItem(claimedItem.item);
       if (claimed !== undefined) this.end(claimed, 'claimed', offset);
     }
   }
@@ -214,53 +219,53 @@
     record: Extract<ZoneRecord, {kind: 'transfer'}>,
     offset: number,
   ): void {
-    const to = this.joined.has(record.to) ? record.to : NO_OWNER;
-    for (const given of record.items) {
-      const current = this.owners.get(given.item);
-      if (current?.epoch !== given.epoch) continue;
+    const to = this.joinedMembers.has(record.to) ? record.to : NO_OWNER;
+    for (const transferredItem of record.items) {
+      const current = this.ownerships.get(transferredItem.item);
+      if (current?.epoch !== transferredItem.epoch) continue;
       if (current.owner !== record.from) continue;
-      this.assign(given, to, 'handover', offset);
+      this.assign(transferredItem, to, 'handover', offset);
     }
   }
 
   private assign(
-    given: ItemEpoch,
+    assignedItem: ItemEpoch,
     owner: string,
     acquisition: Acquisition,
     offset: number,
   ): void {
-    const current = this.owners.get(given.item);
-    const on = given.on ?? current?.on;
-    this.owners.set(given.item, {
+    const current = this.ownerships.get(assignedItem.item);
+    const on = assignedItem.on ?? current?.on;
+    this.ownerships.set(assignedItem.item, {
       owner,
       epoch: (current?.epoch ?? 0) + 1,
       offset,
       acquisition,
       ...(on === undefined ? {} : {on}),
     });
-    if (!isWorker(given.item)) return;
-    for (const [item, held] of this.owners) {
-      if (held.on !== given.item || held.owner === NO_OWNER) continue;
+    if (!isWorker(assignedItem.item)) return;
+    for (const [item, held] of this.ownerships) {
+      if (held.on !== assignedItem.item || held.owner === NO_OWNER) continue;
       this.assign({item, epoch: held.epoch}, owner, acquisition, offset);
     }
   }
 
   private end(process: string, how: EndedMember['how'], offset: number): void {
-    const member = this.joined.get(process);
+    const member = this.joinedMembers.get(process);
     if (member === undefined) return;
-    this.joined.delete(process);
-    this.endedProcesses.set(process, {...member, how, offset});
+    this.joinedMembers.delete(process);
+    this.endedById.set(process, {...member, how, offset});
   }
 
   private pruneBefore(offset: number): void {
-    for (const [process, ended] of this.endedProcesses) {
+    for (const [process, ended] of this.endedById) {
       if (ended.offset >= offset) continue;
-      this.endedProcesses.delete(process);
-      this.owners.delete(processItem(process));
+      this.endedById.delete(process);
+      this.ownerships.delete(processItem(process));
     }
-    for (const [item, held] of this.owners) {
+    for (const [item, held] of this.ownerships) {
       if (held.owner === NO_OWNER && held.offset < offset) {
-        this.owners.delete(item);
+        this.ownerships.delete(item);
       }
     }
   }
@@ -271,7 +276,7 @@
   return current.owner === NO_OWNER ? 'handover' : 'succession';
 }
 
-function claimedProcess(item: string): string | undefined {
+function processOfItem(item: string): string | undefined {
   return item.startsWith('process:')
     ? item.slice('process:'.length)
     : undefined;
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -40,7 +40,7 @@
 interface EpochObservation {
   readonly owner: string;
   readonly epoch: number;
-  readonly at: clock.Milliseconds;
+  readonly observedAt: clock.Milliseconds;
 }
 
 /**
@@ -73,13 +73,13 @@
   /** Notes changes of the table; `permitEnd` is what it was before them. */
   observe(permitEnd: clock.Milliseconds, now: clock.Milliseconds): void {
     const {table, process} = this.dependencies;
-    for (const [item, held] of table.ownershipByItem()) {
-      const seen = this.epochObservations.get(item);
-      if (seen !== undefined && seen.epoch >= held.epoch) continue;
-      const {owner, epoch} = held;
-      this.epochObservations.set(item, {owner, epoch, at: now});
-      if (seen?.owner !== process || owner === process) continue;
-      this.checkSuccession(held, permitEnd, now);
+    for (const [item, current] of table.ownershipByItem()) {
+      const previous = this.epochObservations.get(item);
+      if (previous !== undefined && previous.epoch >= current.epoch) continue;
+      const {owner, epoch} = current;
+      this.epochObservations.set(item, {owner, epoch, observedAt: now});
+      if (previous?.owner !== process || owner === process) continue;
+      this.checkPermitBeforeSuccession(current, permitEnd, now);
     }
     for (const ended of table.endedMembers().keys()) {
       if (!this.endObservedAt.has(ended)) this.endObservedAt.set(ended, now);
@@ -90,21 +90,24 @@
   /** End of the permit to act as this process; -Infinity without one. */
   processPermitEnd(now: clock.Milliseconds): clock.Milliseconds {
     if (!this.isActive || this.dependencies.stream.hasGap) return -Infinity;
-    const proof = Math.max(
+    const provenAt = Math.max(
       this.dependencies.stream.lastTailReadSentAt,
       this.allConfirmedSince(now),
     );
-    return proof + PERMIT_DURATION_MS;
+    return provenAt + PERMIT_DURATION_MS;
   }
 
   /** End of the permit for an item; -Infinity without one. */
   permitEnd(item: string, now: clock.Milliseconds): clock.Milliseconds {
-    const held = this.dependencies.table.ownership(item);
-    if (held?.owner !== this.dependencies.process) return -Infinity;
-    if ((this.releasedEpochs.get(item) ?? 0) >= held.epoch) return -Infinity;
-    if (now < this.waitEnd(item, held)) return -Infinity;
-    const seen = this.epochObservations.get(item);
-    if (seen?.epoch !== held.epoch || seen.owner !== held.owner) {
+    const current = this.dependencies.table.ownership(item);
+    if (current?.owner !== this.dependencies.process) return -Infinity;
+    if ((this.releasedEpochs.get(item) ?? 0) >= current.epoch) return -Infinity;
+    if (now < this.acquisitionWaitEnd(item, current)) return -Infinity;
+    const observation = this.epochObservations.get(item);
+    if (
+      observation?.epoch !== current.epoch ||
+      observation.owner !== current.owner
+    ) {
       this.violations.push(...invariant.violation('ownerHasPermit', {item}));
       return -Infinity;
     }
@@ -114,16 +117,18 @@
   /** Whether every wait after a claim or handover is over. */
   areWaitsOver(now: clock.Milliseconds): boolean {
     const {table, process} = this.dependencies;
-    for (const [item, held] of table.ownershipByItem()) {
-      if (held.owner !== process) continue;
-      if (now < this.waitEnd(item, held)) return false;
+    for (const [item, current] of table.ownershipByItem()) {
+      if (current.owner !== process) continue;
+      if (now < this.acquisitionWaitEnd(item, current)) return false;
     }
     return true;
   }
 
   /** Gives items up before the record that says so is sent. */
   release(items: ReadonlyArray<ownership.ItemEpoch>): void {
-    for (const given of items) this.releasedEpochs.set(given.item, given.epoch);
+    for (const released of items) {
+      this.releasedEpochs.set(released.item, released.epoch);
+    }
   }
 
   /** Gives everything up for good. */
@@ -152,15 +157,15 @@
 
   /** Whether a process has ended and its permits with it. */
   permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
-    const at = this.endObservedAt.get(process);
-    return at !== undefined && now >= at + this.claimWait();
+    const endedAt = this.endObservedAt.get(process);
+    return endedAt !== undefined && now >= endedAt + this.claimWaitMs();
   }
 
   /** Takes the invariants found violated since the last call. */
   takeViolations(): ReadonlyArray<effects.Effect> {
-    const found = this.violations;
-    if (found.length > 0) this.violations = [];
-    return found;
+    const taken = this.violations;
+    if (taken.length > 0) this.violations = [];
+    return taken;
   }
 
   /**
@@ -172,15 +177,15 @@
     // A VM that the list no longer names may be taken for gone by others.
     if (presence.wasListed(vm) && !presence.isListed(vm)) return -Infinity;
     let earliest = now;
-    let absent = false;
+    let hasGoneMember = false;
     for (const member of members.others()) {
-      if (members.isVmGone(member)) absent = true;
+      if (members.isVmGone(member)) hasGoneMember = true;
       else {
         const {confirmedSentAt} = members.contact(member.process);
         earliest = Math.min(earliest, confirmedSentAt);
       }
     }
-    if (!absent) return earliest;
+    if (!hasGoneMember) return earliest;
     if (this.hasUnknownVm()) return -Infinity;
     return Math.min(earliest, presence.lastReadSentAt);
   }
@@ -191,9 +196,9 @@
    */
   private hasUnknownVm(): boolean {
     const {table, presence, zone, vm} = this.dependencies;
-    const known = new Set([vm]);
-    for (const member of table.members().values()) known.add(member.vm);
-    return presence.entryVms(zone).some(name => !known.has(name));
+    const knownVms = new Set([vm]);
+    for (const member of table.members().values()) knownVms.add(member.vm);
+    return presence.entryVms(zone).some(name => !knownVms.has(name));
   }
 
   private hasPendingClaim(member: string): boolean {
@@ -207,35 +212,39 @@
       );
   }
 
-  private waitEnd(item: string, held: ownership.Ownership): clock.Milliseconds {
-    const seenAt = this.epochObservations.get(item)?.at ?? Infinity;
-    switch (held.acquisition) {
+  private acquisitionWaitEnd(
+    item: string,
+    current: ownership.Ownership,
+  ): clock.Milliseconds {
+    const observedAt = this.epochObservations.get(item)?.observedAt ?? Infinity;
+    switch (current.acquisition) {
       case 'first':
         return -Infinity;
       case 'handover':
-        return seenAt + HANDOVER_WAIT_MS;
+        return observedAt + HANDOVER_WAIT_MS;
       case 'succession':
-        return seenAt + this.claimWait();
+        return observedAt + this.claimWaitMs();
     }
   }
 
-  private claimWait(): clock.Milliseconds {
+  private claimWaitMs(): clock.Milliseconds {
     return CLAIM_WAIT_MS + this.dependencies.logStalenessMs;
   }
 
   /** The permit must end before a claimant that saw the claim now may place. */
-  private checkSuccession(
-    held: ownership.Ownership,
+  private checkPermitBeforeSuccession(
+    current: ownership.Ownership,
     permitEnd: clock.Milliseconds,
     now: clock.Milliseconds,
   ): void {
-    if (held.acquisition !== 'succession') return;
-    const earliest = now + this.claimWait() / (1 + clock.MAXIMUM_DRIFT);
-    if (permitEnd <= earliest) return;
+    if (current.acquisition !== 'succession') return;
+    const earliestSuccessorStart =
+      now + this.claimWaitMs() / (1 + clock.MAXIMUM_DRIFT);
+    if (permitEnd <= earliestSuccessorStart) return;
     this.violations.push(
       ...invariant.violation('permitEndsBeforeSuccession', {
-        successor: held.owner,
-        excessMs: permitEnd - earliest,
+        successor: current.owner,
+        excessMs: permitEnd - earliestSuccessorStart,
       }),
     );
   }
--- a/src/zones/record_planner.ts
+++ b/src/zones/record_planner.ts
@@ -64,32 +64,33 @@
     now: clock.Milliseconds,
   ): ReturnType<zoneStream.ZoneStream['pendingRecords']> {
     return [
-      ...this.snapshots(now),
+      ...this.dueSnapshots(now),
       ...this.claims(now),
       ...(this.draining ? this.leaveZone(now) : this.releaseOrRebalance(now)),
     ];
   }
 
-  private snapshots(
+  private dueSnapshots(
     now: clock.Milliseconds,
   ): ReturnType<zoneStream.ZoneStream['pendingRecords']> {
     // Others write only when the first member has missed its turn.
-    const first =
-      this.dependencies.members.live(now)[0] === this.dependencies.process;
-    const due = this.dependencies.stream.dueSnapshot(
+    const isFirstMember =
+      this.dependencies.members.liveMembers(now)[0] ===
+      this.dependencies.process;
+    const snapshot = this.dependencies.stream.dueSnapshot(
       now,
-      first ? 1 : SNAPSHOT_BACKUP_DELAY_FACTOR,
+      isFirstMember ? 1 : SNAPSHOT_BACKUP_DELAY_FACTOR,
     );
-    return due === undefined ? [] : [due];
+    return snapshot === undefined ? [] : [snapshot];
   }
 
   private claims(now: clock.Milliseconds): ReadonlyArray<ownership.ZoneRecord> {
     if (this.leaving) return [];
     const claimant = this.dependencies.process;
-    const victims = this.succession.claimableMembers(now);
+    const members = this.succession.claimableMembers(now);
     const claims = [
-      ...victims.map(victim => this.dependencies.table.itemsOf(victim)),
-      [...this.unownedWorkers(now), ...this.newReplicas(now)],
+      ...members.map(member => this.dependencies.table.itemsOf(member)),
+      [...this.unownedWorkers(now), ...this.newReplicaItems(now)],
     ];
     return claims
       .filter(items => items.length > 0)
@@ -102,7 +103,7 @@
   ): ReadonlyArray<ownership.ItemEpoch> {
     if (!this.hasHeardFromOthers(now)) return [];
     const unowned = this.findUnowned(now);
-    const live = this.dependencies.members.live(now);
+    const live = this.dependencies.members.liveMembers(now);
     const assigned = workerDistribution.assignUnowned(
       unowned,
       this.dependencies.table,
@@ -124,7 +125,7 @@
   private findUnowned(now: clock.Milliseconds): ReadonlyArray<string> {
     const unowned = this.dependencies.workers
       .all()
-      .map(known => known.name)
+      .map(worker => worker.name)
       .filter(name => !this.hasMemberAsOwner(name));
     const names = new Set(unowned);
     for (const name of this.unownedSince.keys()) {
@@ -153,15 +154,15 @@
       );
   }
 
-  private newReplicas(
+  private newReplicaItems(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ItemEpoch> {
     const items: ownership.ItemEpoch[] = [];
-    for (const [item, on] of this.workersByReplica) {
-      if (this.dependencies.permits.permitEnd(on, now) <= now) continue;
+    for (const [item, worker] of this.workersByReplica) {
+      if (this.dependencies.permits.permitEnd(worker, now) <= now) continue;
       if (this.hasMemberAsOwner(item)) continue;
       const epoch = this.dependencies.table.ownership(item)?.epoch ?? 0;
-      items.push({item, epoch, on});
+      items.push({item, epoch, on: worker});
     }
     return items;
   }
@@ -175,11 +176,11 @@
     const plan = workerDistribution.planHandovers(
       this.dependencies.process,
       this.dependencies.table,
-      this.dependencies.members.live(now),
+      this.dependencies.members.liveMembers(now),
       worker => this.dependencies.workers.get(worker)?.reservations().size ?? 0,
     );
     const records = plan.flatMap(({to, workers}) =>
-      this.transfer(to, workers, now),
+      this.transferItems(to, workers, now),
     );
     if (records.length > 0) this.nextRebalanceAt = now + REBALANCE_INTERVAL_MS;
     return records;
@@ -196,11 +197,11 @@
           ? this.dependencies.presence.isGoneOrNeverListed(item)
           : this.removedReplicas.has(item),
       );
-    return this.transfer(ownership.NO_OWNER, gone, now);
+    return this.transferItems(ownership.NO_OWNER, gone, now);
   }
 
   /** Stops placing on items in this turn and hands them over. */
-  private transfer(
+  private transferItems(
     to: string,
     names: ReadonlyArray<string>,
     now: clock.Milliseconds,
@@ -222,7 +223,7 @@
   ): ReadonlyArray<ownership.ZoneRecord> {
     if (!this.dependencies.permits.areWaitsOver(now)) return [];
     const others = this.dependencies.members
-      .live(now)
+      .liveMembers(now)
       .filter(process => process !== this.dependencies.process);
     const items = this.dependencies.table
       .itemsOf(this.dependencies.process)
@@ -232,7 +233,7 @@
       );
     if (others.length > 0 && items.length > 0) {
       return others.flatMap((to, index) =>
-        this.transfer(
+        this.transferItems(
           to,
           items.filter((_, rank) => rank % others.length === index),
           now,
--- a/src/zones/region.ts
+++ b/src/zones/region.ts
@@ -11,8 +11,8 @@
 
   /** Returns a zone of the region, which is created when it is new. */
   getOrCreate(zone: string): availabilityZone.AvailabilityZone {
-    const known = this.zones.get(zone);
-    if (known !== undefined) return known;
+    const existing = this.zones.get(zone);
+    if (existing !== undefined) return existing;
     const created = new availabilityZone.AvailabilityZone(zone, this.name);
     this.zones.set(zone, created);
     return created;
@@ -45,7 +45,7 @@
 
   /** Takes the zones of a fleet document. */
   configure(zones: ReadonlyArray<configuration.ZoneDefinition>): void {
-    for (const plan of zones) this.addZone(plan);
+    for (const definition of zones) this.addZone(definition);
   }
 
   /** Takes a summary of any zone; zones that nobody configured stand alone. */
@@ -69,15 +69,15 @@
     });
   }
 
-  private addZone(plan: configuration.ZoneDefinition): void {
-    if (this.regionOfZone.has(plan.name)) return;
-    this.regionOfZone.set(plan.name, plan.region);
-    this.getOrCreate(plan.region).getOrCreate(plan.name);
+  private addZone(definition: configuration.ZoneDefinition): void {
+    if (this.regionOfZone.has(definition.name)) return;
+    this.regionOfZone.set(definition.name, definition.region);
+    this.getOrCreate(definition.region).getOrCreate(definition.name);
   }
 
   private getOrCreate(region: string): Region {
-    const known = this.regions.get(region);
-    if (known !== undefined) return known;
+    const existing = this.regions.get(region);
+    if (existing !== undefined) return existing;
     const created = new Region(region);
     this.regions.set(region, created);
     return created;
--- a/src/zones/succession_policy.ts
+++ b/src/zones/succession_policy.ts
@@ -36,17 +36,17 @@
 
   /** Whether a member is silent and no promise or rule protects it. */
   private mayClaim(
-    victim: ownership.JoinedMember,
+    member: ownership.JoinedMember,
     now: clock.Milliseconds,
   ): boolean {
-    const {members, permits: own} = this.dependencies;
-    if (!members.isSilent(victim.process, now)) return false;
-    if (own.hasPromised(victim.process, now)) return false;
+    const {members, permits} = this.dependencies;
+    if (!members.isSilent(member.process, now)) return false;
+    if (permits.hasPromised(member.process, now)) return false;
     return (
-      members.knowsSelf(victim.process) ||
-      this.isKnownThroughLog(victim.process, now) ||
-      this.isProvenAbsent(victim) ||
-      members.isReplaced(victim)
+      members.knowsSelf(member.process) ||
+      this.isKnownThroughLog(member.process, now) ||
+      this.isProvenAbsent(member) ||
+      members.isReplaced(member)
     );
   }
 
@@ -55,14 +55,22 @@
    * member that counts this process as a member and would tell the victim so.
    * An owner has read every record up to the one that made it owner.
    */
-  private isKnownThroughLog(victim: string, now: clock.Milliseconds): boolean {
+  private isKnownThroughLog(
+    silentMember: string,
+    now: clock.Milliseconds,
+  ): boolean {
     const {table, members, process} = this.dependencies;
-    let known = Infinity;
-    for (const {item} of table.itemsOf(victim)) {
-      known = Math.min(known, table.ownership(item)?.offset ?? -1);
+    let lastReadOffset = Infinity;
+    for (const {item} of table.itemsOf(silentMember)) {
+      lastReadOffset = Math.min(
+        lastReadOffset,
+        table.ownership(item)?.offset ?? -1,
+      );
     }
     for (const member of table.members().values()) {
-      if (member.process === victim || member.joined > known) continue;
+      if (member.process === silentMember || member.joined > lastReadOffset) {
+        continue;
+      }
       if (member.process === process) return true;
       const {confirmedAt} = members.contact(member.process);
       if (now - confirmedAt <= CONFIRMATION_VALIDITY_MS) return true;
@@ -71,23 +79,23 @@
   }
 
   /** Whether the victim's VM is gone and this process is visible to others. */
-  private isProvenAbsent(victim: ownership.JoinedMember): boolean {
+  private isProvenAbsent(member: ownership.JoinedMember): boolean {
     const {members, presence, vm} = this.dependencies;
-    return members.isVmGone(victim) && presence.isEstablished(vm);
+    return members.isVmGone(member) && presence.isEstablished(vm);
   }
 
   /** Lets one live member after the other try, in an order by the victim. */
-  private isTurn(victim: string, now: clock.Milliseconds): boolean {
+  private isTurn(silentMember: string, now: clock.Milliseconds): boolean {
     const {members, process} = this.dependencies;
-    const order = [...members.live(now)].sort(
+    const order = [...members.liveMembers(now)].sort(
       (first, second) =>
-        successorHash(`${victim} ${first}`) -
-        successorHash(`${victim} ${second}`),
+        successorHash(`${silentMember} ${first}`) -
+        successorHash(`${silentMember} ${second}`),
     );
     const rank = Math.max(0, order.indexOf(process));
-    const silentFor = now - members.contact(victim).lastMessageAt;
+    const silenceMs = now - members.contact(silentMember).lastMessageAt;
     return (
-      silentFor > rank * CLAIM_RANK_DELAY_MS + membership.CLAIMABLE_SILENCE_MS
+      silenceMs > rank * CLAIM_RANK_DELAY_MS + membership.CLAIMABLE_SILENCE_MS
     );
   }
 }
--- a/src/zones/vm_presence.ts
+++ b/src/zones/vm_presence.ts
@@ -69,10 +69,10 @@
 
   /** Whether a VM that had been listed has been absent for `ABSENCE_MS`. */
   isGone(vm: string): boolean {
-    const since = this.missingSince.get(vm);
+    const missingSince = this.missingSince.get(vm);
     return (
-      since !== undefined &&
-      this.lastReadSentAtValue - since >= ABSENCE_CONFIRMATION_MS
+      missingSince !== undefined &&
+      this.lastReadSentAtValue - missingSince >= ABSENCE_CONFIRMATION_MS
     );
   }
 
@@ -107,9 +107,9 @@
 
   private recordMissing(vm: string): void {
     if (this.isListed(vm)) return;
-    const since = this.missingSince.get(vm) ?? this.lastReadAt;
-    this.missingSince.set(vm, since);
-    if (this.lastReadAt - since < ABSENT_VM_RETENTION_MS) return;
+    const missingSince = this.missingSince.get(vm) ?? this.lastReadAt;
+    this.missingSince.set(vm, missingSince);
+    if (this.lastReadAt - missingSince < ABSENT_VM_RETENTION_MS) return;
     this.presences.delete(vm);
     this.missingSince.delete(vm);
   }
--- a/src/zones/worker_distribution.ts
+++ b/src/zones/worker_distribution.ts
@@ -11,12 +11,12 @@
   table: ownership.OwnershipTable,
   members: ReadonlyArray<string>,
 ): ReadonlyMap<string, ReadonlyArray<string>> {
-  const held = new Map<string, string[]>();
-  for (const member of members) held.set(member, []);
+  const workersByMember = new Map<string, string[]>();
+  for (const member of members) workersByMember.set(member, []);
   for (const [item, {owner}] of table.ownershipByItem()) {
-    if (ownership.isWorker(item)) held.get(owner)?.push(item);
+    if (ownership.isWorker(item)) workersByMember.get(owner)?.push(item);
   }
-  return held;
+  return workersByMember;
 }
 
 /**
@@ -54,17 +54,17 @@
   members: ReadonlyArray<string>,
   taskCount: (worker: string) => number,
 ): ReadonlyArray<Handover> {
-  const held = workersByOwner(table, members);
-  const targets = targetCounts(held);
-  const open = membersBelowTarget(held, targets);
+  const workersByMember = workersByOwner(table, members);
+  const targets = targetCounts(workersByMember);
+  const receivers = membersBelowTarget(workersByMember, targets);
   const plan = new Map<string, string[]>();
-  for (const donor of [...held.keys()].sort()) {
-    const workers = [...(held.get(donor) ?? [])].sort(
+  for (const donor of [...workersByMember.keys()].sort()) {
+    const workers = [...(workersByMember.get(donor) ?? [])].sort(
       (first, second) =>
         taskCount(second) - taskCount(first) || (first < second ? -1 : 1),
     );
     for (const worker of workers.slice(targets.get(donor))) {
-      const to = open.shift();
+      const to = receivers.shift();
       if (to === undefined || donor !== self) continue;
       plan.set(to, [...(plan.get(to) ?? []), worker]);
     }
@@ -74,13 +74,13 @@
 
 /** The members with the most workers keep the remainder: fewest moves. */
 function targetCounts(
-  held: ReadonlyMap<string, ReadonlyArray<string>>,
+  workersByMember: ReadonlyMap<string, ReadonlyArray<string>>,
 ): ReadonlyMap<string, number> {
   let total = 0;
-  for (const workers of held.values()) total += workers.length;
-  const base = Math.floor(total / held.size);
-  const remainder = total % held.size;
-  const ordered = [...held]
+  for (const workers of workersByMember.values()) total += workers.length;
+  const base = Math.floor(total / workersByMember.size);
+  const remainder = total % workersByMember.size;
+  const ordered = [...workersByMember]
     .map(([member, workers]) => [member, workers.length] as const)
     .sort((first, second) => byCountThenName(second, first));
   return new Map(
@@ -93,16 +93,18 @@
 
 /** Members below their target, each as often as it lacks workers. */
 function membersBelowTarget(
-  held: ReadonlyMap<string, ReadonlyArray<string>>,
+  workersByMember: ReadonlyMap<string, ReadonlyArray<string>>,
   targets: ReadonlyMap<string, number>,
 ): string[] {
-  const open: string[] = [];
-  for (const member of [...held.keys()].sort()) {
-    const missing =
-      (targets.get(member) ?? 0) - (held.get(member)?.length ?? 0);
-    for (let count = 0; count < missing; count += 1) open.push(member);
+  const receivers: string[] = [];
+  for (const member of [...workersByMember.keys()].sort()) {
+    const missingCount =
+      (targets.get(member) ?? 0) - (workersByMember.get(member)?.length ?? 0);
+    for (let count = 0; count < missingCount; count += 1) {
+      receivers.push(member);
+    }
   }
-  return open;
+  return receivers;
 }
 
 function byCountThenName(
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -54,7 +54,7 @@
   private readonly confirmationExchange: confirmationExchange.ConfirmationExchange;
   private readonly recordPlanner: recordPlanner.RecordPlanner;
   private lastEventAt: clock.Milliseconds | undefined;
-  private nextVmList = 0;
+  private nextVmListReadAt = 0;
   private joinSent = false;
   private supersessionReported = false;
 
@@ -164,8 +164,8 @@
   }
 
   /** Sets the wait that new work has here, for summaries to other zones. */
-  setExpectedWait(wait: clock.Milliseconds): void {
-    this.confirmationExchange.setExpectedWait(wait);
+  setExpectedWait(waitMs: clock.Milliseconds): void {
+    this.confirmationExchange.setExpectedWait(waitMs);
   }
 
   /** Notes that a replica runs on a worker, so that its item moves with it. */
@@ -197,7 +197,7 @@
     handled: event.Event,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    this.detectPause(now);
+    this.detectOwnPause(now);
     this.lastEventAt = now;
     return [
       ...this.dispatch(handled, now),
@@ -233,7 +233,7 @@
     return Math.min(
       this.stream.nextDeadline(),
       this.confirmationExchange.nextDeadline(),
-      this.nextVmList,
+      this.nextVmListReadAt,
     );
   }
 
@@ -281,8 +281,8 @@
   private poll(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     if (this.hasEnded()) return [];
     const done: effects.Effect[] = [...this.stream.poll(now)];
-    if (now >= this.nextVmList) {
-      this.nextVmList = now + VM_LIST_INTERVAL_MS;
+    if (now >= this.nextVmListReadAt) {
+      this.nextVmListReadAt = now + VM_LIST_INTERVAL_MS;
       done.push({kind: 'readVmList'});
     }
     done.push(...this.confirmationExchange.poll(now));
@@ -368,7 +368,7 @@
     this.workers.get(worker)?.markLeaving();
   }
 
-  private detectPause(now: clock.Milliseconds): void {
+  private detectOwnPause(now: clock.Milliseconds): void {
     if (
       this.lastEventAt === undefined ||
       now - this.lastEventAt < PAUSE_THRESHOLD_MS
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -63,14 +63,14 @@
    * of its zone passes a call on, or recovers the outcome if it is dead.
    */
   relay(process: string): processDirectory.Member | undefined {
-    const there = this.otherZoneVms.filter(
+    const zoneVms = this.otherZoneVms.filter(
       ({zone, state}) => state === 'live' && process.startsWith(`${zone}.`),
     );
-    const isHome = ({zone, vm}: event.ListedVm): boolean =>
+    const isNamedVm = ({zone, vm}: event.ListedVm): boolean =>
       process.startsWith(`${zone}.${vm}.`);
     const ordered = [
-      ...there.filter(isHome),
-      ...there.filter(listed => !isHome(listed)),
+      ...zoneVms.filter(isNamedVm),
+      ...zoneVms.filter(listed => !isNamedVm(listed)),
     ];
     const chosen = this.firstReachable(ordered);
     return chosen && {process: chosen.vm, address: chosen.address};
--- a/src/zones/zone_router.ts
+++ b/src/zones/zone_router.ts
@@ -45,33 +45,38 @@
   /** Chooses a zone: the own one, then the region, then other regions. */
   route(work: RoutableWork, now: clock.Milliseconds): Route {
     const own = this.regions.ownAvailabilityZone();
-    const allowed = allowsZone(work, own.name);
-    if (allowed && work.fitsOwnZone) return stayInOwnZone(own, 'ownZone');
-    const reason = allowed ? 'ownZoneFull' : 'ownZoneNotAllowed';
-    const near = this.best(work, 'ownRegion', now);
-    if (near !== undefined) {
-      return {zone: near.name, distance: 'ownRegion', reason};
+    const allowedInOwnZone = allowsZone(work, own.name);
+    if (allowedInOwnZone && work.fitsOwnZone) {
+      return stayInOwnZone(own, 'ownZone');
     }
-    const far = this.best(work, 'otherRegion', now);
-    if (far !== undefined && this.isWorthCrossing(work, far, allowed, now)) {
+    const reason = allowedInOwnZone ? 'ownZoneFull' : 'ownZoneNotAllowed';
+    const nearZone = this.bestZone(work, 'ownRegion', now);
+    if (nearZone !== undefined) {
+      return {zone: nearZone.name, distance: 'ownRegion', reason};
+    }
+    const farZone = this.bestZone(work, 'otherRegion', now);
+    if (
+      farZone !== undefined &&
+      this.isWorthCrossing(work, farZone, allowedInOwnZone, now)
+    ) {
       return {
-        zone: far.name,
+        zone: farZone.name,
         distance: 'otherRegion',
-        reason: allowed ? 'shorterWaitElsewhere' : reason,
+        reason: allowedInOwnZone ? 'shorterWaitElsewhere' : reason,
       };
     }
     return stayInOwnZone(own, 'noBetterZone');
   }
 
   /** Counts a route that leaves the own zone. */
-  count(route: Route): ReadonlyArray<effects.Effect> {
+  countCrossing(route: Route): ReadonlyArray<effects.Effect> {
     if (route.distance === 'ownZone') return [];
     const {distance, reason} = route;
     return [effects.count('route_crossing', {distance, reason})];
   }
 
   /** The zone with room and the shortest wait at a distance. */
-  private best(
+  private bestZone(
     work: RoutableWork,
     distance: availabilityZone.Distance,
     now: clock.Milliseconds,
@@ -92,14 +97,14 @@
 
   private isWorthCrossing(
     work: RoutableWork,
-    far: availabilityZone.AvailabilityZone,
-    allowedHere: boolean,
+    farZone: availabilityZone.AvailabilityZone,
+    allowedInOwnZone: boolean,
     now: clock.Milliseconds,
   ): boolean {
     if (work.worth <= this.crossingCost) return false;
-    if (!allowedHere) return true;
+    if (!allowedInOwnZone) return true;
     return (
-      work.expectedWaitMs > expectedWaitIn(far, now) + REGION_ROUND_TRIP_MS
+      work.expectedWaitMs > expectedWaitIn(farZone, now) + REGION_ROUND_TRIP_MS
     );
   }
 }
--- a/src/zones/zone_stream.ts
+++ b/src/zones/zone_stream.ts
@@ -112,10 +112,10 @@
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
   ): boolean {
-    const before = this.position;
+    const previousPosition = this.position;
     const progress = this.replica.applyRead(read);
-    if (before < read.first) this.recentRecords = [];
-    this.retain(read.records, Math.max(before, read.first), now);
+    if (previousPosition < read.first) this.recentRecords = [];
+    this.retain(read.records, Math.max(previousPosition, read.first), now);
     this.hasGapValue = progress === 'gap';
     if (progress === 'behind') {
       this.nextReadAt = now;
@@ -136,9 +136,9 @@
     records: ReadonlyArray<event.StreamRecord>,
     now: clock.Milliseconds,
   ): void {
-    const before = this.position;
+    const previousPosition = this.position;
     this.replica.applyRecords(records);
-    this.retain(records, before, now);
+    this.retain(records, previousPosition, now);
   }
 
   /**
@@ -197,8 +197,8 @@
       effects.push({kind: 'readStream', stream: this.name, from});
     }
     if (this.pendingById.size > 0 && this.pendingAppend === undefined) {
-      const wait = this.lastAppendAt + APPEND_INTERVAL_MS;
-      if (now >= wait) effects.push(this.send(now));
+      const appendAllowedAt = this.lastAppendAt + APPEND_INTERVAL_MS;
+      if (now >= appendAllowedAt) effects.push(this.send(now));
     }
     this.expirePendingAppend(now);
     return effects;
@@ -237,11 +237,13 @@
 
   private retain(
     records: ReadonlyArray<event.StreamRecord>,
-    from: number,
+    firstOffset: number,
     now: clock.Milliseconds,
   ): void {
     for (const record of records) {
-      if (record.offset < from || record.offset >= this.position) continue;
+      if (record.offset < firstOffset || record.offset >= this.position) {
+        continue;
+      }
       this.recentRecords.push(record);
       const id = parseRecordIdentity(record);
       if (id !== undefined) this.pendingById.delete(id);
--- a/test/contracts/configuration_store_property_test.ts
+++ b/test/contracts/configuration_store_property_test.ts
@@ -8,40 +8,40 @@
 const RUNS = 600;
 
 type Action =
-  | {readonly kind: 'time'; readonly keeper: number; readonly ms: number}
+  | {readonly kind: 'time'; readonly store: number; readonly ms: number}
   | {
       readonly kind: 'serve';
-      readonly keeper: number;
+      readonly store: number;
       readonly position: number;
       readonly lost: boolean;
       readonly limit: number;
     }
   | {
       readonly kind: 'arrive';
-      readonly keeper: number;
+      readonly store: number;
       readonly position: number;
       readonly keep: boolean;
     }
   | {
       readonly kind: 'publish';
-      readonly keeper: number;
+      readonly store: number;
       readonly document: string;
       readonly behind: number;
     }
-  | {readonly kind: 'repeat'; readonly keeper: number; readonly which: number}
+  | {readonly kind: 'repeat'; readonly store: number; readonly which: number}
   | {readonly kind: 'peer'; readonly from: number; readonly to: number}
   | {readonly kind: 'trim'; readonly first: number}
   | {readonly kind: 'snapshot'; readonly lag: number}
-  | {readonly kind: 'replace'; readonly keeper: number};
+  | {readonly kind: 'replace'; readonly store: number};
 
-const keeperNumber = fastCheck.nat({max: 1});
+const storeIndex = fastCheck.nat({max: 1});
 
 const action: fastCheck.Arbitrary<Action> = fastCheck.oneof(
   {
     weight: 4,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('time' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       ms: fastCheck.constantFrom(1, 1_000, 3_000, 70_000, 260_000),
     }),
   },
@@ -49,7 +49,7 @@
     weight: 5,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('serve' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       position: fastCheck.nat({max: 5}),
       lost: fastCheck.boolean(),
       limit: fastCheck.constantFrom(1, 3, 500),
@@ -59,7 +59,7 @@
     weight: 5,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('arrive' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       position: fastCheck.nat({max: 5}),
       keep: fastCheck.boolean(),
     }),
@@ -68,7 +68,7 @@
     weight: 4,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('publish' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       document: fastCheck.constantFrom('fleet', 'team/a', 'team/b'),
       behind: fastCheck.constantFrom(0, 0, 0, 1),
     }),
@@ -77,7 +77,7 @@
     weight: 1,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('repeat' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       which: fastCheck.nat({max: 30}),
     }),
   },
@@ -85,8 +85,8 @@
     weight: 2,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('peer' as const),
-      from: keeperNumber,
-      to: keeperNumber,
+      from: storeIndex,
+      to: storeIndex,
     }),
   },
   {
@@ -107,19 +107,19 @@
     weight: 1,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('replace' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
     }),
   },
 );
 
 type Publish = Extract<event.Event, {readonly kind: 'publishArrived'}>;
 
-/** Two keepers on one log, driven by a list of actions. */
-class Run {
+/** Two stores on one log, driven by a list of actions. */
+class StoreRun {
   readonly log = new configurationCell.TrimmedLog();
-  readonly keepers = [
-    new configurationCell.KeeperUnderTest(this.log),
-    new configurationCell.KeeperUnderTest(this.log),
+  readonly stores = [
+    new configurationCell.StoreUnderTest(this.log),
+    new configurationCell.StoreUnderTest(this.log),
   ];
   readonly published: Publish[] = [];
   private readonly calls = new Map<number, Publish>();
@@ -127,20 +127,20 @@
   private nextCall = 1;
 
   perform(done: Action): void {
-    const before = this.keepers.map(keeper => keeper.versions());
-    this.act(done);
+    const versionsBefore = this.stores.map(store => store.versions());
+    this.apply(done);
     if (done.kind === 'replace') return;
-    this.keepers.forEach((keeper, index) => {
-      for (const [document, version] of before[index]) {
-        const after = keeper.versions().get(document) ?? 0;
+    this.stores.forEach((store, index) => {
+      for (const [document, version] of versionsBefore[index]) {
+        const after = store.versions().get(document) ?? 0;
         assert.ok(after >= version, `${document} fell to ${after}`);
       }
     });
   }
 
   finish(): void {
-    for (const keeper of this.keepers) this.now = keeper.settle(this.now, 20);
-    for (const keeper of this.keepers) this.now = keeper.settle(this.now, 20);
+    for (const store of this.stores) this.now = store.settle(this.now, 20);
+    for (const store of this.stores) this.now = store.settle(this.now, 20);
   }
 
   /** Versions by a replay of the records that the log no longer shows. */
@@ -154,7 +154,7 @@
   answeredWith(code: number): ReadonlyArray<Publish> {
     return [...this.calls]
       .filter(([call]) =>
-        this.keepers.some(keeper => keeper.replies.get(call)?.code === code),
+        this.stores.some(store => store.replies.get(call)?.code === code),
       )
       .map(([, publish]) => publish);
   }
@@ -175,14 +175,14 @@
     return winners;
   }
 
-  private act(done: Action): void {
+  private apply(done: Action): void {
     switch (done.kind) {
       case 'time':
         this.now += done.ms;
-        this.keepers[done.keeper].handle({kind: 'timePassed'}, this.now);
+        this.stores[done.store].handle({kind: 'timePassed'}, this.now);
         return;
       case 'serve':
-        this.keepers[done.keeper].serve(
+        this.stores[done.store].serve(
           done.position,
           this.now,
           done.lost,
@@ -190,29 +190,29 @@
         );
         return;
       case 'arrive':
-        this.keepers[done.keeper].arrive(done.position, this.now, done.keep);
+        this.stores[done.store].deliver(done.position, this.now, done.keep);
         return;
       case 'publish':
-        return this.publish(done.keeper, done.document, done.behind);
+        return this.publish(done.store, done.document, done.behind);
       case 'repeat':
-        return this.repeat(done.keeper, done.which);
+        return this.repeat(done.store, done.which);
       case 'peer':
-        return this.exchange(done.from, done.to);
+        return this.transferDocuments(done.from, done.to);
       case 'trim':
-        this.log.trimCovered(done.first);
+        this.log.trimThroughSnapshot(done.first);
         return;
       case 'snapshot':
         this.log.appendSnapshot(done.lag);
         return;
       case 'replace':
-        this.keepers[done.keeper].replace();
+        this.stores[done.store].restart();
         return;
     }
   }
 
   private publish(index: number, document: string, behind: number): void {
-    const keeper = this.keepers[index];
-    const current = keeper.versions().get(document) ?? 0;
+    const store = this.stores[index];
+    const current = store.versions().get(document) ?? 0;
     const number = this.published.length;
     const name = document.replace('team/', '');
     this.send(index, {
@@ -235,29 +235,29 @@
     this.nextCall += 1;
     this.published.push(publish);
     this.calls.set(call, publish);
-    this.keepers[index].handle({...publish, call}, this.now);
+    this.stores[index].handle({...publish, call}, this.now);
   }
 
-  private exchange(from: number, to: number): void {
-    const have = [...this.keepers[to].versions()].map(([name, version]) => ({
+  private transferDocuments(from: number, to: number): void {
+    const have = [...this.stores[to].versions()].map(([name, version]) => ({
       name,
       version,
     }));
-    const answered = this.keepers[from].handle(
+    const answered = this.stores[from].handle(
       {kind: 'fetchDocumentsArrived', call: 0, have},
       this.now,
     );
     for (const answer of answered) {
       if (answer.kind !== 'answerDocuments') continue;
       const {documents} = answer;
-      this.keepers[to].handle({kind: 'documentsArrived', documents}, this.now);
+      this.stores[to].handle({kind: 'documentsArrived', documents}, this.now);
     }
   }
 }
 
 nodeTest.describe('configuration under any order of events', () => {
   nodeTest.test(
-    'keepers that read to the end agree, nothing accepted reverts, and one ' +
+    'stores that read to the end agree, nothing accepted reverts, and one ' +
       'of the publications from one base wins; guards against snapshots, ' +
       'repeats and peers that bring an old version back',
     () => {
@@ -265,14 +265,14 @@
         fastCheck.property(
           fastCheck.array(action, {minLength: 60, maxLength: 200, size: 'max'}),
           actions => {
-            const run = new Run();
+            const run = new StoreRun();
             for (const done of actions) run.perform(done);
             run.finish();
             const expected = [...run.expectedVersions()].sort();
-            for (const keeper of run.keepers) {
-              assert.deepEqual([...keeper.versions()].sort(), expected);
+            for (const store of run.stores) {
+              assert.deepEqual([...store.versions()].sort(), expected);
               assert.ok(
-                !keeper.counted.some(name => name.startsWith('invariant')),
+                !store.counts.some(name => name.startsWith('invariant')),
               );
             }
             const winners = run.winners();
--- a/test/contracts/stream_replica_test.ts
+++ b/test/contracts/stream_replica_test.ts
@@ -4,7 +4,7 @@
 import type * as event from '../../src/contracts/event.js';
 
 /** Collects the records' data, so that order and repeats show. */
-class Collected implements streamReplica.ReplicatedState {
+class CollectedRecords implements streamReplica.ReplicatedState {
   items: string[] = [];
 
   apply(record: event.StreamRecord): void {
@@ -51,10 +51,10 @@
 }
 
 function create(): {
-  readonly state: Collected;
+  readonly state: CollectedRecords;
   readonly replica: streamReplica.StreamReplica;
 } {
-  const state = new Collected();
+  const state = new CollectedRecords();
   return {state, replica: new streamReplica.StreamReplica(state)};
 }
 
--- a/test/links/toml_document_reader_test.ts
+++ b/test/links/toml_document_reader_test.ts
@@ -118,7 +118,7 @@
 nodeTest.describe('references between documents', () => {
   function withFleet(): configurationDocuments.ConfigurationDocuments {
     const set = new configurationDocuments.ConfigurationDocuments(reader);
-    const parsed = set.check('fleet', FLEET).unsafeCoerce();
+    const parsed = set.parseAndCheck('fleet', FLEET).unsafeCoerce();
     set.put({name: 'fleet', version: 1, content: FLEET}, parsed);
     return set;
   }
@@ -129,9 +129,9 @@
     () => {
       const set = withFleet();
       const content = team('a', workload('w', 'zones = ["south-a"]'));
-      const zone = set.check('team/a', content).swap().unsafeCoerce();
+      const zone = set.parseAndCheck('team/a', content).swap().unsafeCoerce();
       assert.match(zone.detail, /^workloads\[0\].zones: "south-a" must be/);
-      const other = set.check('team/b', team('a', workload('w')));
+      const other = set.parseAndCheck('team/b', team('a', workload('w')));
       assert.equal(other.swap().unsafeCoerce().result, 'invalidDocument');
     },
   );
@@ -142,10 +142,10 @@
     () => {
       const set = withFleet();
       const content = team('a', workload('w', 'zones = ["north-a"]'));
-      const parsed = set.check('team/a', content).unsafeCoerce();
+      const parsed = set.parseAndCheck('team/a', content).unsafeCoerce();
       set.put({name: 'team/a', version: 2, content}, parsed);
       const fleet = FLEET.replaceAll('north-a', 'south-a');
-      const refused = set.check('fleet', fleet).swap().unsafeCoerce();
+      const refused = set.parseAndCheck('fleet', fleet).swap().unsafeCoerce();
       assert.match(refused.detail, /^team\/a: workloads\[0\].zones/);
     },
   );
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_cell.ts
@@ -9,16 +9,16 @@
 import type * as event from '../../src/contracts/event.js';
 import type * as team from '../../src/contracts/team.js';
 
-/** Retention that the keepers of a test are told. */
+/** Retention that the stores of a test are told. */
 export const RETENTION_MS = 100_000;
 
 type Read = Extract<event.Event, {readonly kind: 'recordsRead'}>;
 type Append = Extract<effect.Effect, {readonly kind: 'append'}>;
-type Reading = Extract<effect.Effect, {readonly kind: 'readStream'}>;
+type ReadStream = Extract<effect.Effect, {readonly kind: 'readStream'}>;
 type Answer = Extract<effect.Effect, {readonly kind: 'answerCaller'}>;
 
 /** Reads contents of the form `team name` or `zone,zone`. */
-export class PlainReader implements configuration.DocumentReader {
+export class PlainTextReader implements configuration.DocumentReader {
   readFleet(
     content: string,
   ): either.Either<result.Failure, configuration.FleetDefinition> {
@@ -49,7 +49,7 @@
 export class TrimmedLog {
   readonly history: event.StreamRecord[] = [];
   appendCount = 0;
-  private first = 0;
+  private firstOffset = 0;
 
   append(records: ReadonlyArray<string>): void {
     this.appendCount += 1;
@@ -60,12 +60,12 @@
 
   /** Answers a read of at most `limit` records. */
   read(from: number, sentAt: number, limit = 500): Read {
-    const start = Math.max(from, this.first);
+    const start = Math.max(from, this.firstOffset);
     return {
       kind: 'recordsRead',
       stream: configurationStore.CONFIGURATION_STREAM,
       sentAt,
-      first: this.first,
+      first: this.firstOffset,
       next: this.history.length,
       records: this.history.slice(start, start + limit),
     };
@@ -74,7 +74,7 @@
   /** Appends the snapshot of a process that lags by `lag` records. */
   appendSnapshot(lag: number): void {
     const state = new configurationHistory.ConfigurationHistory(
-      new PlainReader(),
+      new PlainTextReader(),
     );
     const replica = new streamReplica.StreamReplica(state);
     const read = this.history.slice(0, Math.max(0, this.history.length - lag));
@@ -84,66 +84,72 @@
 
   /** Drops records before `first`, whatever depends on them. */
   trim(first: number): void {
-    this.first = Math.max(this.first, Math.min(first, this.history.length));
+    this.firstOffset = Math.max(
+      this.firstOffset,
+      Math.min(first, this.history.length),
+    );
   }
 
   /** Drops what a snapshot that is still readable stands for. */
-  trimCovered(wanted: number): void {
-    let covered = this.first;
-    for (const record of this.history.slice(this.first)) {
+  trimThroughSnapshot(limit: number): void {
+    let firstRetained = this.firstOffset;
+    for (const record of this.history.slice(this.firstOffset)) {
       const parsed = JSON.parse(record.data) as Record<string, unknown>;
       if (parsed['kind'] !== 'snapshot') continue;
       const through = Number(parsed['through']);
-      const target = Math.min(wanted, through + 1, record.offset);
-      covered = Math.max(covered, target);
+      const target = Math.min(limit, through + 1, record.offset);
+      firstRetained = Math.max(firstRetained, target);
     }
-    this.trim(covered);
+    this.trim(firstRetained);
   }
 }
 
-/** A keeper with the calls that it has sent and the answers on their way. */
-export class KeeperUnderTest {
-  keeper: configurationStore.ConfigurationStore;
+/** A store with the calls that it has sent and the answers on their way. */
+export class StoreUnderTest {
+  store: configurationStore.ConfigurationStore;
   readonly replies = new Map<event.CallNumber, effect.Reply>();
-  readonly counted: string[] = [];
-  private sent: Array<Append | Reading> = [];
-  private arriving: event.Event[] = [];
+  readonly counts: string[] = [];
+  private pendingCalls: Array<Append | ReadStream> = [];
+  private pendingAnswers: event.Event[] = [];
 
   constructor(private readonly log: TrimmedLog) {
-    this.keeper = this.create();
+    this.store = this.create();
   }
 
   /** Handles one event and sorts its effects. */
   handle(handled: event.Event, now: number): ReadonlyArray<effect.Effect> {
-    const done = this.keeper.handle(handled, now);
+    const done = this.store.handle(handled, now);
     for (const item of done) {
       if (item.kind === 'append' || item.kind === 'readStream') {
-        this.sent.push(item);
+        this.pendingCalls.push(item);
       } else if (item.kind === 'answerCaller') {
         this.replies.set(item.call, (item as Answer).reply);
       } else if (item.kind === 'count') {
-        this.counted.push([item.metric, ...Object.values(item.labels)].join());
+        this.counts.push([item.metric, ...Object.values(item.labels)].join());
       }
     }
     return done;
   }
 
   /** Starts again without state. */
-  replace(): void {
-    this.keeper = this.create();
-    this.arriving = [];
+  restart(): void {
+    this.store = this.create();
+    this.pendingAnswers = [];
   }
 
   /** Lets the log perform the call at a position of those sent. */
   serve(position: number, now: number, lost: boolean, limit?: number): void {
-    if (this.sent.length === 0) return;
-    const [call] = this.sent.splice(position % this.sent.length, 1);
+    if (this.pendingCalls.length === 0) return;
+    const [call] = this.pendingCalls.splice(
+      position % this.pendingCalls.length,
+      1,
+    );
     if (call.kind === 'readStream') {
-      this.arriving.push(this.log.read(call.from, now, limit));
+      this.pendingAnswers.push(this.log.read(call.from, now, limit));
       return;
     }
     this.log.append(call.records);
-    this.arriving.push({
+    this.pendingAnswers.push({
       kind: 'appendAnswered',
       stream: call.stream,
       append: call.append,
@@ -152,11 +158,11 @@
   }
 
   /** Delivers an answer; one that is kept arrives again later. */
-  arrive(position: number, now: number, keep: boolean): void {
-    if (this.arriving.length === 0) return;
-    const index = position % this.arriving.length;
-    const arrived = this.arriving[index];
-    if (!keep) this.arriving.splice(index, 1);
+  deliver(position: number, now: number, keep: boolean): void {
+    if (this.pendingAnswers.length === 0) return;
+    const index = position % this.pendingAnswers.length;
+    const arrived = this.pendingAnswers[index];
+    if (!keep) this.pendingAnswers.splice(index, 1);
     this.handle(arrived, now);
   }
 
@@ -166,18 +172,18 @@
     for (let round = 0; round < seconds; round += 1) {
       time += 1_000;
       this.handle({kind: 'timePassed'}, time);
-      while (this.sent.length > 0) this.serve(0, time, false);
-      while (this.arriving.length > 0) this.arrive(0, time, false);
+      while (this.pendingCalls.length > 0) this.serve(0, time, false);
+      while (this.pendingAnswers.length > 0) this.deliver(0, time, false);
     }
     return time;
   }
 
   versions(): ReadonlyMap<string, number> {
-    return this.keeper.current().versions;
+    return this.store.current().versions;
   }
 
   private create(): configurationStore.ConfigurationStore {
-    return new configurationStore.ConfigurationStore(new PlainReader(), {
+    return new configurationStore.ConfigurationStore(new PlainTextReader(), {
       location: {vm: 'own', zone: 'z-1'},
       retentionMs: RETENTION_MS,
       random: new randomSource.SeededRandom(1),
--- a/test/zones/confirmation_exchange_test.ts
+++ b/test/zones/confirmation_exchange_test.ts
@@ -26,7 +26,7 @@
 
 /** A member of kigali-a beside a second one, `kigali-a.entry-2`. */
 function createMember(): zoneController.ZoneController {
-  const control = new zoneController.ZoneController(SELF, new fleet.Fleet());
+  const controller = new zoneController.ZoneController(SELF, new fleet.Fleet());
   const joins = [SELF, {process: 'kigali-a.entry-2', vm: 'entry-2'}];
   const records = joins.map(({process, vm}, offset) => {
     const address = SELF.address;
@@ -34,8 +34,8 @@
   });
   const stream = 'zone/kigali-a';
   const range = {first: 0, next: 2, sentAt: 0};
-  control.handle({kind: 'recordsRead', stream, ...range, records}, 1);
-  return control;
+  controller.handle({kind: 'recordsRead', stream, ...range, records}, 1);
+  return controller;
 }
 
 function confirmations(done: ReadonlyArray<effect.Effect>) {
@@ -47,11 +47,11 @@
     'a worker that the VM list names leaving is known in the same turn and ' +
       'passed on in the next confirmation: guards against late drains',
     () => {
-      const control = createMember();
+      const controller = createMember();
       const vms = [list('worker-1', SELF.zone, 'leaving')];
-      control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
-      assert.deepEqual(control.leavingWorkers(), ['worker-1']);
-      const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
+      controller.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
+      assert.deepEqual(controller.leavingWorkers(), ['worker-1']);
+      const sent = confirmations(controller.handle({kind: 'timePassed'}, 3));
       assert.deepEqual(sent[0].news.leavingWorkers, ['worker-1']);
     },
   );
@@ -60,10 +60,10 @@
     'the first live member sends the summary to one VM of each other zone in ' +
       'at most 200 bytes: guards against costly traffic between zones',
     () => {
-      const control = createMember();
+      const controller = createMember();
       const vms = [list('entry-7', 'musanze-a'), list('entry-8', 'musanze-a')];
-      control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
-      const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
+      controller.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
+      const sent = confirmations(controller.handle({kind: 'timePassed'}, 3));
       const [summary, ...more] = sent.filter(
         ({peer: to}) => to === 'musanze-a.entry-7',
       );
--- a/test/zones/fault_schedule.ts
+++ b/test/zones/fault_schedule.ts
@@ -7,26 +7,26 @@
 
 /** Draws faults at random times and applies them to a simulated zone. */
 export class FaultSchedule {
-  private vms = 0;
-  private isolated: simulatedZone.SimulatedProcess | undefined;
+  private vmCount = 0;
+  private isolatedProcess: simulatedZone.SimulatedProcess | undefined;
   /** Whether one process is cut off while all others are replaced. */
-  private siege = false;
-  private ended = false;
+  private replacesOthers = false;
+  private faultsEnded = false;
 
   constructor(private readonly zone: simulatedZone.SimulatedZone) {}
 
   /** Starts members and workers and plans every fault. */
-  begin(): void {
+  start(): void {
     const {zone} = this;
     for (let count = 0; count < 7; count += 1) zone.list(`w${count}`, 'worker');
-    const members = 1 + this.below(4);
+    const members = 1 + this.randomBelow(4);
     for (let count = 0; count < members; count += 1) this.startOnNewVm();
-    zone.loss = [0, 20, 80][this.below(3)];
-    this.siege = this.below(3) === 0;
-    const faults = 4 + this.below(10);
+    zone.lossThousandths = [0, 20, 80][this.randomBelow(3)];
+    this.replacesOthers = this.randomBelow(3) === 0;
+    const faults = 4 + this.randomBelow(10);
     for (let count = 0; count < faults; count += 1) {
-      zone.after(6_000 + this.below(FAULTS_END_MS - 30_000), () =>
-        this.strike(),
+      zone.schedule(6_000 + this.randomBelow(FAULTS_END_MS - 30_000), () =>
+        this.applyRandomFault(),
       );
     }
   }
@@ -34,30 +34,34 @@
   /** Ends every fault; from now on at least one process is kept up. */
   end(): void {
     this.zone.endFaults();
-    this.ended = true;
+    this.faultsEnded = true;
   }
 
   /** Restarts processes that were superseded, as their supervisor does. */
   restartSuperseded(): void {
-    for (const process of this.zone.living()) {
-      const {control} = process;
+    for (const process of this.zone.liveProcesses()) {
+      const {controller: control} = process;
       if (control.isSuperseded()) {
         this.zone.kill(process);
         if (this.zone.listed().has(process.vm)) this.zone.start(process.vm);
       } else if (control.hasLeft()) this.zone.kill(process);
     }
-    if (this.ended && this.zone.living().length === 0) this.startOnNewVm();
-    this.zone.after(500, () => this.restartSuperseded());
+    if (this.faultsEnded && this.zone.liveProcesses().length === 0) {
+      this.startOnNewVm();
+    }
+    this.zone.schedule(500, () => this.restartSuperseded());
   }
 
-  private strike(): void {
-    const faults = this.siege ? this.siegeFaults() : this.mixedFaults();
-    faults[this.below(faults.length)]();
+  private applyRandomFault(): void {
+    const faults = this.replacesOthers
+      ? this.isolationFaults()
+      : this.mixedFaults();
+    faults[this.randomBelow(faults.length)]();
   }
 
-  private siegeFaults(): ReadonlyArray<Fault> {
+  private isolationFaults(): ReadonlyArray<Fault> {
     return [
-      () => this.isolate(),
+      () => this.isolateProcess(),
       () => this.replaceVm(),
       () => this.replaceVm(),
       () => this.startOnNewVm(),
@@ -73,8 +77,8 @@
       () => this.cutFromPlatform(),
       () => this.cutFromPlatform(),
       () => this.cutPair(),
-      () => this.isolate(),
-      () => this.isolate(),
+      () => this.isolateProcess(),
+      () => this.isolateProcess(),
       () => this.pause(),
       () => this.killInPlace(),
       () => this.replaceVm(),
@@ -89,75 +93,82 @@
 
   private logOutage(): void {
     this.zone.logDown = true;
-    this.zone.after(this.duration(), () => (this.zone.logDown = false));
+    this.zone.schedule(
+      this.randomDurationMs(),
+      () => (this.zone.logDown = false),
+    );
   }
 
   private cutFromPlatform(): void {
-    const process = this.pick();
+    const process = this.pickProcess();
     if (process === undefined) return;
     process.cutFromLog = true;
-    process.cutFromList = this.below(2) === 0;
-    this.zone.after(this.duration(), () => {
+    process.cutFromList = this.randomBelow(2) === 0;
+    this.zone.schedule(this.randomDurationMs(), () => {
       process.cutFromLog = false;
       process.cutFromList = false;
     });
   }
 
   private cutPair(): void {
-    const first = this.pick();
-    const second = this.pick();
+    const first = this.pickProcess();
+    const second = this.pickProcess();
     if (first === undefined || second === undefined) return;
     if (first !== second) this.zone.cut(first, second);
   }
 
   /** Cuts a process from the platform and from some members. */
-  private isolate(): void {
-    const process = this.siege ? (this.isolated ?? this.pick()) : this.pick();
+  private isolateProcess(): void {
+    const process = this.replacesOthers
+      ? (this.isolatedProcess ?? this.pickProcess())
+      : this.pickProcess();
     if (process === undefined) return;
-    this.isolated = process;
+    this.isolatedProcess = process;
     process.cutFromLog = true;
-    process.cutFromList = this.below(3) === 0;
-    for (const other of this.zone.living()) {
-      if (other !== process && this.below(2) === 0) {
+    process.cutFromList = this.randomBelow(3) === 0;
+    for (const other of this.zone.liveProcesses()) {
+      if (other !== process && this.randomBelow(2) === 0) {
         this.zone.cut(process, other);
       }
     }
   }
 
   private pause(): void {
-    const process = this.pick();
+    const process = this.pickProcess();
     if (process === undefined) return;
-    process.pausedUntil = this.zone.now + this.duration();
+    process.pausedUntil = this.zone.now + this.randomDurationMs();
   }
 
   private killInPlace(): void {
-    const process = this.pick();
+    const process = this.pickProcess();
     if (process === undefined) return;
     this.zone.kill(process);
-    this.zone.after(200 + this.below(8_000), () => this.zone.start(process.vm));
+    this.zone.schedule(200 + this.randomBelow(8_000), () =>
+      this.zone.start(process.vm),
+    );
   }
 
   private replaceVm(): void {
-    const process = this.pick();
+    const process = this.pickProcess();
     if (process === undefined) return;
     this.remove(process);
-    this.zone.after(this.below(20_000), () => this.startOnNewVm());
+    this.zone.schedule(this.randomBelow(20_000), () => this.startOnNewVm());
   }
 
   private replaceAll(): void {
-    for (const process of this.zone.living()) this.remove(process);
-    this.zone.after(this.below(10_000), () => this.startOnNewVm());
+    for (const process of this.zone.liveProcesses()) this.remove(process);
+    this.zone.schedule(this.randomBelow(10_000), () => this.startOnNewVm());
   }
 
   private drain(): void {
-    const process = this.pick();
-    if (process === undefined || this.zone.living().length < 2) return;
-    process.control.drain();
+    const process = this.pickProcess();
+    if (process === undefined || this.zone.liveProcesses().length < 2) return;
+    process.controller.drain();
   }
 
   private changeWorkers(): void {
-    if (this.below(2) === 0) this.zone.unlist(`w${this.below(7)}`);
-    else this.zone.list(`w${this.below(9)}`, 'worker');
+    if (this.randomBelow(2) === 0) this.zone.unlist(`w${this.randomBelow(7)}`);
+    else this.zone.list(`w${this.randomBelow(9)}`, 'worker');
   }
 
   private remove(process: simulatedZone.SimulatedProcess): void {
@@ -166,29 +177,33 @@
   }
 
   private startOnNewVm(): void {
-    if (this.zone.living().length >= 6) return;
-    this.vms += 1;
-    const vm = `entry-${this.vms}`;
+    if (this.zone.liveProcesses().length >= 6) return;
+    this.vmCount += 1;
+    const vm = `entry-${this.vmCount}`;
     this.zone.list(vm, 'entry');
     const process = this.zone.start(vm);
-    if (this.isolated?.alive && this.below(2) === 0) {
-      this.zone.cut(process, this.isolated);
+    if (this.isolatedProcess?.alive && this.randomBelow(2) === 0) {
+      this.zone.cut(process, this.isolatedProcess);
     }
   }
 
-  private pick(): simulatedZone.SimulatedProcess | undefined {
+  private pickProcess(): simulatedZone.SimulatedProcess | undefined {
     // A siege spares the process that is cut off.
     const living = this.zone
-      .living()
-      .filter(process => !this.siege || process !== this.isolated);
-    return living.length === 0 ? undefined : living[this.below(living.length)];
+      .liveProcesses()
+      .filter(
+        process => !this.replacesOthers || process !== this.isolatedProcess,
+      );
+    return living.length === 0
+      ? undefined
+      : living[this.randomBelow(living.length)];
   }
 
-  private duration(): number {
-    return 1_000 + this.below(this.below(2) === 0 ? 8_000 : 40_000);
+  private randomDurationMs(): number {
+    return 1_000 + this.randomBelow(this.randomBelow(2) === 0 ? 8_000 : 40_000);
   }
 
-  private below(limit: number): number {
+  private randomBelow(limit: number): number {
     return this.zone.random.below(limit);
   }
 }
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -24,24 +24,24 @@
 /** One simulated process with a clock of its own rate. */
 export class SimulatedProcess {
   readonly workers = new fleet.Fleet();
-  readonly control: zoneController.ZoneController;
+  readonly controller: zoneController.ZoneController;
   /** Ends of permits in real time, by worker, after the last turn. */
-  permits = new Map<string, number>();
+  permitEnds = new Map<string, number>();
   permitEnd = -Infinity;
   alive = true;
   pausedUntil = 0;
   cutFromLog = false;
   /** The list can be reachable while the log is not: it shows absences then. */
   cutFromList = false;
-  timer = 0;
+  timerNumber = 0;
 
   constructor(
     readonly name: string,
     readonly vm: string,
     private readonly startedAt: number,
-    private readonly rate: number,
+    private readonly clockRate: number,
   ) {
-    this.control = new zoneController.ZoneController(
+    this.controller = new zoneController.ZoneController(
       {
         process: name,
         vm,
@@ -55,11 +55,11 @@
   }
 
   localTime(real: number): number {
-    return 1_000 + (real - this.startedAt) * this.rate;
+    return 1_000 + (real - this.startedAt) * this.clockRate;
   }
 
   realTime(local: number): number {
-    return this.startedAt + (local - 1_000) / this.rate;
+    return this.startedAt + (local - 1_000) / this.clockRate;
   }
 }
 
@@ -75,17 +75,17 @@
   now = 0;
   logDown = false;
   /** Chance in a thousand that an answer or a message is lost or late. */
-  loss = 0;
-  turns = 0;
-  private readonly queue: Step[] = [];
+  lossThousandths = 0;
+  eventCount = 0;
+  private readonly steps: Step[] = [];
   private readonly cuts = new Set<string>();
-  private readonly lists: {
+  private readonly listVersions: {
     readonly at: number;
     readonly vms: ReadonlyMap<string, event.ListedVm>;
   }[] = [{at: -Infinity, vms: new Map()}];
   private order = 0;
-  private incarnations = 0;
-  private calls = 0;
+  private incarnationCount = 0;
+  private callCount = 0;
 
   constructor(seed: number) {
     this.random = new randomSource.SeededRandom(seed);
@@ -93,38 +93,38 @@
 
   /** Workers and entry VMs as they are listed without any lag. */
   listed(): ReadonlyMap<string, event.ListedVm> {
-    return this.lists[this.lists.length - 1].vms;
+    return this.listVersions[this.listVersions.length - 1].vms;
   }
 
   list(vm: string, role: event.ListedVm['role']): void {
     const vms = new Map(this.listed());
     const address = `${vm}:7000`;
     vms.set(vm, {vm, role, zone: ZONE, address, state: 'live'});
-    this.lists.push({at: this.now, vms});
+    this.listVersions.push({at: this.now, vms});
   }
 
   unlist(vm: string): void {
     const vms = new Map(this.listed());
     vms.delete(vm);
-    this.lists.push({at: this.now, vms});
+    this.listVersions.push({at: this.now, vms});
   }
 
   start(vm: string): SimulatedProcess {
-    this.incarnations += 1;
+    this.incarnationCount += 1;
     const rate = 0.995 + this.random.below(11) / 1_000;
-    const name = `${vm}.${this.incarnations}`;
+    const name = `${vm}.${this.incarnationCount}`;
     const process = new SimulatedProcess(name, vm, this.now, rate);
     this.processes.push(process);
-    this.post(process, {kind: 'timePassed'});
+    this.deliver(process, {kind: 'timePassed'});
     return process;
   }
 
   kill(process: SimulatedProcess): void {
     process.alive = false;
-    process.permits.clear();
+    process.permitEnds.clear();
   }
 
-  living(): ReadonlyArray<SimulatedProcess> {
+  liveProcesses(): ReadonlyArray<SimulatedProcess> {
     return this.processes.filter(process => process.alive);
   }
 
@@ -136,7 +136,7 @@
   endFaults(): void {
     this.cuts.clear();
     this.logDown = false;
-    this.loss = 0;
+    this.lossThousandths = 0;
     for (const process of this.processes) {
       process.cutFromLog = false;
       process.cutFromList = false;
@@ -144,25 +144,25 @@
   }
 
   /** Runs a function later in real time. */
-  after(delay: number, run: () => void): void {
+  schedule(delayMs: number, run: () => void): void {
     this.order += 1;
-    const step = {at: this.now + delay, order: this.order, run};
+    const step = {at: this.now + delayMs, order: this.order, run};
     let low = 0;
-    let high = this.queue.length;
+    let high = this.steps.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (this.queue[middle].at > step.at) low = middle + 1;
+      if (this.steps[middle].at > step.at) low = middle + 1;
       else high = middle;
     }
-    this.queue.splice(low, 0, step);
+    this.steps.splice(low, 0, step);
   }
 
   /** Runs until a time, or until a condition holds after some step. */
   run(until: number, done: () => boolean = () => false): boolean {
     for (;;) {
-      const next = this.queue[this.queue.length - 1];
+      const next = this.steps[this.steps.length - 1];
       if (next === undefined || next.at > until) break;
-      this.queue.pop();
+      this.steps.pop();
       this.now = next.at;
       next.run();
       if (done()) return true;
@@ -172,44 +172,46 @@
   }
 
   /** Processes that may place on a worker now. */
-  holders(worker: string): ReadonlyArray<SimulatedProcess> {
-    return this.living().filter(
-      process => (process.permits.get(worker) ?? -Infinity) > this.now,
+  permitHolders(worker: string): ReadonlyArray<SimulatedProcess> {
+    return this.liveProcesses().filter(
+      process => (process.permitEnds.get(worker) ?? -Infinity) > this.now,
     );
   }
 
-  private post(process: SimulatedProcess, posted: event.Event): void {
+  private deliver(process: SimulatedProcess, posted: event.Event): void {
     if (!process.alive) return;
     if (this.now < process.pausedUntil) {
       const wait = process.pausedUntil - this.now;
-      this.after(wait, () => this.post(process, posted));
+      this.schedule(wait, () => this.deliver(process, posted));
       return;
     }
-    this.turn(process, posted);
+    this.handleEvent(process, posted);
   }
 
-  private turn(process: SimulatedProcess, posted: event.Event): void {
-    this.turns += 1;
+  private handleEvent(process: SimulatedProcess, posted: event.Event): void {
+    this.eventCount += 1;
     const local = process.localTime(this.now);
-    const done = process.control.handle(posted, local);
+    const done = process.controller.handle(posted, local);
     this.checkPermits(process);
     for (const wanted of done) this.perform(process, wanted);
-    process.timer += 1;
-    const timer = process.timer;
-    const due = process.realTime(process.control.nextDeadline());
+    process.timerNumber += 1;
+    const timer = process.timerNumber;
+    const due = process.realTime(process.controller.nextDeadline());
     if (due === Infinity) return;
-    this.after(Math.max(1, due - this.now), () => {
-      if (process.timer === timer) this.post(process, {kind: 'timePassed'});
+    this.schedule(Math.max(1, due - this.now), () => {
+      if (process.timerNumber === timer) {
+        this.deliver(process, {kind: 'timePassed'});
+      }
     });
   }
 
   /** A process that others count as dead must not answer for its identities. */
-  private checkSuccession(): void {
-    for (const process of this.living()) {
+  private checkNoPermitAfterExpiry(): void {
+    for (const process of this.liveProcesses()) {
       if (process.permitEnd <= this.now) continue;
-      for (const other of this.living()) {
+      for (const other of this.liveProcesses()) {
         const local = other.localTime(this.now);
-        if (!other.control.permitsHaveExpired(process.name, local)) continue;
+        if (!other.controller.permitsHaveExpired(process.name, local)) continue;
         const names = `${process.name} acts, succeeded for ${other.name}`;
         this.violations.push(`${this.now}: ${names}`);
       }
@@ -217,42 +219,42 @@
   }
 
   private checkPermits(process: SimulatedProcess): void {
-    process.permits.clear();
-    process.permitEnd = process.realTime(process.control.processPermitEnd());
-    this.checkSuccession();
+    process.permitEnds.clear();
+    process.permitEnd = process.realTime(process.controller.processPermitEnd());
+    this.checkNoPermitAfterExpiry();
     for (const worker of this.listed().keys()) {
-      const end = process.realTime(process.control.permitEnd(worker));
+      const end = process.realTime(process.controller.permitEnd(worker));
       if (end <= this.now) continue;
-      process.permits.set(worker, end);
-      const holders = this.holders(worker);
+      process.permitEnds.set(worker, end);
+      const holders = this.permitHolders(worker);
       if (holders.length < 2) continue;
       const names = holders.map(holder => holder.name).join(' and ');
       this.violations.push(`${this.now}: ${names} both hold ${worker}`);
     }
   }
 
-  private perform(process: SimulatedProcess, wanted: effect.Effect): void {
-    switch (wanted.kind) {
+  private perform(process: SimulatedProcess, requested: effect.Effect): void {
+    switch (requested.kind) {
       case 'append':
-        return this.append(process, wanted);
+        return this.append(process, requested);
       case 'readStream':
-        return this.readStream(process, wanted);
+        return this.readStream(process, requested);
       case 'readVmList':
         return this.readVmList(process);
       case 'confirmPeer':
-        return this.confirm(process, wanted);
+        return this.confirm(process, requested);
       case 'count':
-        if (wanted.metric === 'invariant') {
+        if (requested.metric === 'invariant') {
           this.violations.push(`${this.now}: ${process.name} counted it`);
         }
     }
   }
 
   private isLost(): boolean {
-    return this.random.below(1_000) < this.loss;
+    return this.random.below(1_000) < this.lossThousandths;
   }
 
-  private delay(): number {
+  private randomDelayMs(): number {
     const late = this.isLost() ? this.random.below(5_000) : 0;
     return 1 + this.random.below(20) + late;
   }
@@ -268,15 +270,15 @@
     const settle = (posted: event.Event): void => {
       if (settled) return;
       settled = true;
-      this.post(process, posted);
+      this.deliver(process, posted);
     };
-    this.after(CALL_DEADLINE_MS, () => settle(failed));
+    this.schedule(CALL_DEADLINE_MS, () => settle(failed));
     if (this.isLost()) return;
-    this.after(this.delay(), () => {
+    this.schedule(this.randomDelayMs(), () => {
       if (!reach()) return;
       const answer = serve();
       if (this.isLost()) return;
-      this.after(this.delay(), () => {
+      this.schedule(this.randomDelayMs(), () => {
         if (reach()) settle(answer);
       });
     });
@@ -284,11 +286,11 @@
 
   private append(
     process: SimulatedProcess,
-    wanted: Extract<effect.Effect, {kind: 'append'}>,
+    requested: Extract<effect.Effect, {kind: 'append'}>,
   ): void {
-    const {stream, append} = wanted;
+    const {stream, append} = requested;
     const serve = (): event.Event => {
-      for (const data of wanted.records) {
+      for (const data of requested.records) {
         this.records.push({offset: this.records.length, data});
       }
       return {kind: 'appendAnswered', stream, append, answer: 'appended'};
@@ -301,10 +303,10 @@
 
   private readStream(
     process: SimulatedProcess,
-    wanted: Extract<effect.Effect, {kind: 'readStream'}>,
+    requested: Extract<effect.Effect, {kind: 'readStream'}>,
   ): void {
     const sentAt = process.localTime(this.now);
-    const {stream, from} = wanted;
+    const {stream, from} = requested;
     const serve = (): event.Event => {
       const next = this.records.length;
       const first = Math.max(0, next - RETAINED_RECORDS);
@@ -324,7 +326,7 @@
     const sentAt = process.localTime(this.now);
     const serve = (): event.Event => {
       const seen = this.now - this.random.below(LIST_LAG_MS);
-      const shown = this.lists.filter(list => list.at <= seen);
+      const shown = this.listVersions.filter(list => list.at <= seen);
       const vms = [...shown[shown.length - 1].vms.values()];
       return {kind: 'vmListRead', sentAt, vms};
     };
@@ -334,30 +336,30 @@
 
   private confirm(
     process: SimulatedProcess,
-    wanted: Extract<effect.Effect, {kind: 'confirmPeer'}>,
+    requested: Extract<effect.Effect, {kind: 'confirmPeer'}>,
   ): void {
-    const {peer, zonePosition, news} = wanted;
+    const {peer, zonePosition, news} = requested;
     const sentAt = process.localTime(this.now);
     const target = this.processes.find(known => known.name === peer);
-    this.calls += 1;
-    const asked = {
+    this.callCount += 1;
+    const request = {
       kind: 'confirmArrived',
-      call: this.calls,
+      call: this.callCount,
       to: peer,
       zonePosition,
       news,
     } as const;
     const failed = {kind: 'confirmFailed', peer} as const;
     if (target === undefined || this.isLost()) return;
-    this.after(this.delay(), () => {
+    this.schedule(this.randomDelayMs(), () => {
       if (this.isCut(process, target)) return;
       this.whenRunning(target, () => {
-        const answer = this.answerTo(target, asked);
+        const answer = this.answerTo(target, request);
         if (answer === undefined || this.isLost()) return;
         const {confirmed, zoneRecords, news: told} = answer;
-        this.after(this.delay(), () => {
-          if (this.isCut(process, target)) return this.post(process, failed);
-          this.post(process, {
+        this.schedule(this.randomDelayMs(), () => {
+          if (this.isCut(process, target)) return this.deliver(process, failed);
+          this.deliver(process, {
             kind: 'confirmAnswered',
             peer,
             sentAt,
@@ -372,10 +374,10 @@
 
   private answerTo(
     target: SimulatedProcess,
-    asked: Extract<event.Event, {kind: 'confirmArrived'}>,
+    request: Extract<event.Event, {kind: 'confirmArrived'}>,
   ): Extract<effect.Effect, {kind: 'answerConfirm'}> | undefined {
-    this.turns += 1;
-    const done = target.control.handle(asked, target.localTime(this.now));
+    this.eventCount += 1;
+    const done = target.controller.handle(request, target.localTime(this.now));
     this.checkPermits(target);
     return done.find(wanted => wanted.kind === 'answerConfirm');
   }
@@ -383,7 +385,7 @@
   private whenRunning(process: SimulatedProcess, run: () => void): void {
     if (!process.alive) return;
     const wait = process.pausedUntil - this.now;
-    if (wait > 0) this.after(wait, () => this.whenRunning(process, run));
+    if (wait > 0) this.schedule(wait, () => this.whenRunning(process, run));
     else run();
   }
 
--- a/test/zones/zone_controller_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -17,7 +17,7 @@
 /** Member `a` that owns w1 and w2 beside `b`, by a read sent at 0. */
 function createOwner(): zoneController.ZoneController {
   const self = {process: 'a', vm: 'a', zone: 'z', region: 'r', address: 'a:1'};
-  const control = new zoneController.ZoneController(self, new fleet.Fleet());
+  const controller = new zoneController.ZoneController(self, new fleet.Fleet());
   const items = ['w1', 'w2'].map(item => ({item, epoch: 0}));
   const written: ReadonlyArray<ownership.ZoneRecord> = [
     {kind: 'join', process: 'a', vm: 'a', address: 'a:1'},
@@ -30,38 +30,47 @@
   }));
   // The join is sent after the first read and read back by the second.
   const empty = {first: 0, next: 0, sentAt: 0, records: []};
-  control.handle({kind: 'recordsRead', stream: 'zone/z', ...empty}, 0);
+  controller.handle({kind: 'recordsRead', stream: 'zone/z', ...empty}, 0);
   const range = {first: 0, next: 3, sentAt: 0};
-  control.handle({kind: 'recordsRead', stream: 'zone/z', ...range, records}, 1);
-  return control;
+  controller.handle(
+    {kind: 'recordsRead', stream: 'zone/z', ...range, records},
+    1,
+  );
+  return controller;
 }
 
 function confirm(
-  control: zoneController.ZoneController,
+  controller: zoneController.ZoneController,
   at: number,
   leaving = false,
 ): boolean {
   const news = {...NEWS, leaving};
   const asked = {call: 1, to: 'a', zonePosition: 3, news};
-  const [answer] = control.handle({kind: 'confirmArrived', ...asked}, at);
+  const [answer] = controller.handle({kind: 'confirmArrived', ...asked}, at);
   assert.ok(answer.kind === 'answerConfirm');
   return answer.confirmed;
 }
 
-nodeTest.describe('zone control', () => {
+nodeTest.describe('zone controller', () => {
   nodeTest.test(
     'an owner has no permit from the turn in which it sends a transfer: ' +
       'guards against placing beside the receiver',
     () => {
-      const control = createOwner();
-      assert.equal(control.permitEnd('w2'), zoneController.PERMIT_DURATION_MS);
-      confirm(control, 10);
-      const sent = control.handle({kind: 'timePassed'}, 1_000);
+      const controller = createOwner();
+      assert.equal(
+        controller.permitEnd('w2'),
+        zoneController.PERMIT_DURATION_MS,
+      );
+      confirm(controller, 10);
+      const sent = controller.handle({kind: 'timePassed'}, 1_000);
       const append = sent.find(wanted => wanted.kind === 'append');
       assert.match(append?.records.join() ?? '', /"transfer".*"w2"/);
-      assert.equal(control.owns('w2'), true);
-      assert.equal(control.permitEnd('w2'), -Infinity);
-      assert.equal(control.permitEnd('w1'), zoneController.PERMIT_DURATION_MS);
+      assert.equal(controller.owns('w2'), true);
+      assert.equal(controller.permitEnd('w2'), -Infinity);
+      assert.equal(
+        controller.permitEnd('w1'),
+        zoneController.PERMIT_DURATION_MS,
+      );
     },
   );
 
@@ -69,16 +78,16 @@
     'without the log a permit lasts from the sending of a confirmation of ' +
       'every member: guards against a permit by silence or by late answers',
     () => {
-      const control = createOwner();
-      control.handle({kind: 'timePassed'}, 4_500);
-      assert.ok(control.permitEnd('w1') <= 4_500);
+      const controller = createOwner();
+      controller.handle({kind: 'timePassed'}, 4_500);
+      assert.ok(controller.permitEnd('w1') <= 4_500);
       const answer = {peer: 'b', sentAt: 4_600, zoneRecords: [], news: NEWS};
       const kind = 'confirmAnswered';
-      control.handle({kind, confirmed: false, ...answer}, 4_700);
-      assert.ok(control.permitEnd('w1') <= 4_700);
-      control.handle({kind, confirmed: true, ...answer}, 4_800);
+      controller.handle({kind, confirmed: false, ...answer}, 4_700);
+      assert.ok(controller.permitEnd('w1') <= 4_700);
+      controller.handle({kind, confirmed: true, ...answer}, 4_800);
       assert.equal(
-        control.permitEnd('w1'),
+        controller.permitEnd('w1'),
         4_600 + zoneController.PERMIT_DURATION_MS,
       );
     },
@@ -88,17 +97,20 @@
     'a member with a claim that may still take effect promises nothing: ' +
       'guards against an owner that is succeeded unnoticed',
     () => {
-      const control = createOwner();
+      const controller = createOwner();
       // A leaving member gets no workers, so that only the claim is written.
-      assert.equal(confirm(control, 10, true), true);
+      assert.equal(confirm(controller, 10, true), true);
       for (let at = 1_000; at <= 6_000; at += 1_000) {
         const read = {first: 0, next: 3, sentAt: at, records: []};
         const stream = 'zone/z';
-        const done = control.handle({kind: 'recordsRead', stream, ...read}, at);
+        const done = controller.handle(
+          {kind: 'recordsRead', stream, ...read},
+          at,
+        );
         const append = done.find(wanted => wanted.kind === 'append');
         if (append?.records.join().includes('process:b')) break;
       }
-      assert.equal(confirm(control, 6_100), false);
+      assert.equal(confirm(controller, 6_100), false);
     },
   );
 });
--- a/test/zones/zone_router_test.ts
+++ b/test/zones/zone_router_test.ts
@@ -13,7 +13,7 @@
 
 function createRouter(
   waits: Readonly<Record<string, number>>,
-  heardAt = 0,
+  receivedAt = 0,
 ): zoneRouter.ZoneRouter {
   const regions = new region.RegionMap('a1', 'a');
   regions.configure([
@@ -23,7 +23,7 @@
   for (const [zone, expectedWaitMs] of Object.entries(waits)) {
     const free = {freeProcessors: 2_000, freeMemory: 200, freeAccelerators: 0};
     const summary = {zone, ...free, expectedWaitMs, workerCount: 1};
-    regions.update(summary, heardAt);
+    regions.update(summary, receivedAt);
   }
   return new zoneRouter.ZoneRouter(regions, 5);
 }
@@ -46,7 +46,7 @@
       const router = createRouter({b1: 0});
       const far = router.route(WORK, 0);
       assert.equal(far.zone, 'b1');
-      assert.deepEqual(router.count(far)[0], {
+      assert.deepEqual(router.countCrossing(far)[0], {
         kind: 'count',
         metric: 'route_crossing',
         labels: {distance: 'otherRegion', reason: 'shorterWaitElsewhere'},
--- a/test/zones/zone_safety_test.ts
+++ b/test/zones/zone_safety_test.ts
@@ -18,28 +18,30 @@
   readonly seed: number;
   readonly violations: ReadonlyArray<string>;
   readonly recoveryMs: number;
-  readonly turns: number;
+  readonly eventCount: number;
 }
 
 function simulate(seed: number): Outcome {
   const zone = new simulatedZone.SimulatedZone(seed);
   const faults = new faultSchedule.FaultSchedule(zone);
-  faults.begin();
+  faults.start();
   faults.restartSuperseded();
   zone.run(faultSchedule.FAULTS_END_MS);
   faults.end();
-  const ended = zone.now;
-  const recovered = zone.run(ended + RECOVERY_BOUND_MS, () => {
+  const faultsEndedAt = zone.now;
+  const recovered = zone.run(faultsEndedAt + RECOVERY_BOUND_MS, () => {
     for (const [name, {role}] of zone.listed()) {
-      if (role === 'worker' && zone.holders(name).length !== 1) return false;
+      if (role === 'worker' && zone.permitHolders(name).length !== 1) {
+        return false;
+      }
     }
     return true;
   });
-  const recoveryMs = recovered ? zone.now - ended : Infinity;
+  const recoveryMs = recovered ? zone.now - faultsEndedAt : Infinity;
   // Rebalancing and late messages go on after the recovery.
   zone.run(zone.now + 15_000);
-  const {violations, turns} = zone;
-  return {seed, violations, recoveryMs, turns};
+  const {violations, eventCount} = zone;
+  return {seed, violations, recoveryMs, eventCount};
 }
 
 nodeTest.describe('authority in a zone under random faults', () => {
@@ -58,7 +60,7 @@
             `after the faults`,
         );
         slowest = Math.max(slowest, outcome.recoveryMs);
-        turns += outcome.turns;
+        turns += outcome.eventCount;
       }
       console.log(
         `seeds ${FIRST_SEED}..${FIRST_SEED + SEEDS - 1}: ${turns} turns, ` +
