--- a/src/zones/availability_zone.ts
+++ b/src/zones/availability_zone.ts
@@ -2,13 +2,13 @@
 import type * as event from '../contracts/event.js';
 import type * as resources from '../machines/resources.js';
 
-/** Age from which a summary says nothing any more: three were missed. */
+/** Age at which a summary is ignored; three updates are missed by then. */
 export const SUMMARY_LIFETIME_MS = 15_000;
 
-/** How far work has to travel. */
+/** Distance between the zone of a request and the zone that runs it. */
 export type Distance = 'ownZone' | 'ownRegion' | 'otherRegion';
 
-/** What is known here of an availability zone. */
+/** An availability zone with its last summary. */
 export class AvailabilityZone {
   private latestSummary: event.ZoneSummary | undefined;
   private summaryReceivedAt = -Infinity;
@@ -18,20 +18,20 @@
     readonly region: string,
   ) {}
 
-  /** Takes a newer summary of the zone. */
+  /** Stores a newer summary of the zone. */
   update(summary: event.ZoneSummary, now: clock.Milliseconds): void {
     this.latestSummary = summary;
     this.summaryReceivedAt = now;
   }
 
-  /** The last summary; undefined when it is too old to act on. */
+  /** Returns the last summary; undefined when it is too old. */
   summary(now: clock.Milliseconds): event.ZoneSummary | undefined {
     return now - this.summaryReceivedAt > SUMMARY_LIFETIME_MS
       ? undefined
       : this.latestSummary;
   }
 
-  /** Whether the zone has room for a size, as far as is known. */
+  /** Returns whether the last summary shows room for a size. */
   hasRoom(size: resources.Resources, now: clock.Milliseconds): boolean {
     const current = this.summary(now);
     if (current === undefined) return false;
@@ -42,7 +42,7 @@
     );
   }
 
-  /** How far the zone is from another. */
+  /** Returns the distance of the zone from another. */
   distanceFrom(other: AvailabilityZone): Distance {
     if (other.name === this.name) return 'ownZone';
     return other.region === this.region ? 'ownRegion' : 'otherRegion';
--- a/src/zones/confirmation_exchange.ts
+++ b/src/zones/confirmation_exchange.ts
@@ -13,13 +13,13 @@
 /** Time between summaries of one zone to each other zone. */
 export const SUMMARY_INTERVAL_MS = 5_000;
 
-/** Longest wait that a summary states; longer ones mean the same. */
+/** Longest wait that a summary reports; longer waits make no difference. */
 const MAXIMUM_REPORTED_WAIT_MS = 60 * 60 * 1_000;
 
-/** Largest number of leaving workers named in one confirmation. */
+/** Maximum number of leaving workers in one confirmation. */
 const MAXIMUM_LEAVING_WORKERS = 64;
 
-/** Who this process is. */
+/** Identity and location of this process. */
 export interface ProcessDescription {
   /** Unique to this incarnation of the process. */
   readonly process: string;
@@ -29,7 +29,7 @@
   readonly address: string;
 }
 
-/** What confirmations are made of. */
+/** State that confirmations report and update. */
 export interface ConfirmationDependencies {
   readonly self: ProcessDescription;
   readonly table: ownership.OwnershipTable;
@@ -42,22 +42,25 @@
   readonly documents: () => ReadonlyArray<event.DocumentVersion>;
 }
 
-/** The messages between members, and between one member of each zone. */
+/**
+ * Exchanges confirmations with the other members of the zone, and summaries
+ * with one member of each other zone.
+ */
 export class ConfirmationExchange {
   private nextConfirmAt: clock.Milliseconds = 0;
   private nextSummaryAt: clock.Milliseconds = 0;
   private expectedWaitMs: clock.Milliseconds = 0;
   private leaving = false;
-  /** Summaries of own zone's members, of which the zone's is the sum. */
+  /** Last summary of each other member; the zone's summary is their sum. */
   private readonly memberSummaries = new Map<string, event.ZoneSummary>();
-  /** Summaries from other zones that members have yet to hear. */
+  /** Summaries of other zones that are still to be sent to the members. */
   private summariesToForward: event.ZoneSummary[] = [];
-  /** VMs of other zones that did not answer, by how often. */
+  /** Number of unanswered calls by process of another zone. */
   private readonly failureCounts = new Map<string, number>();
 
   constructor(private readonly dependencies: ConfirmationDependencies) {}
 
-  /** Sets the wait that new work has here, for the zone's summary. */
+  /** Sets the expected wait of new work here, for the zone's summary. */
   setExpectedWait(waitMs: clock.Milliseconds): void {
     this.expectedWaitMs = Math.min(
       Math.max(0, waitMs),
@@ -65,32 +68,32 @@
     );
   }
 
-  /** Tells other members from now on that this process leaves. */
+  /** Reports from now on to other members that this process is leaving. */
   beginLeaving(): void {
     this.leaving = true;
   }
 
-  /** Sends what is due. */
+  /** Returns the confirmations and summaries that are due. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
-    const sent: effect.Effect[] = [];
+    const effects: effect.Effect[] = [];
     const isSummaryDue = now >= this.nextSummaryAt;
     if (now >= this.nextConfirmAt || isSummaryDue) {
       this.nextConfirmAt = now + membership.CONFIRM_INTERVAL_MS;
-      sent.push(...this.confirmMembers(isSummaryDue));
+      effects.push(...this.confirmMembers(isSummaryDue));
     }
     if (isSummaryDue) {
       this.nextSummaryAt = now + SUMMARY_INTERVAL_MS;
-      sent.push(...this.sendZoneSummary(now));
+      effects.push(...this.sendZoneSummary(now));
     }
-    return sent;
+    return effects;
   }
 
-  /** When `poll` is wanted next. */
+  /** Returns when `poll` has to be called next. */
   nextDeadline(): clock.Milliseconds {
     return Math.min(this.nextConfirmAt, this.nextSummaryAt);
   }
 
-  /** Answers another process. */
+  /** Answers the confirmation request of another process. */
   handleRequest(
     request: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
@@ -102,7 +105,7 @@
     if (isForThisProcess) members.recordMessage(news, true, now);
     this.applyNews(news, now);
     const zoneRecords = stream.recordsFrom(request.zonePosition);
-    // A promise counts only together with every record read here.
+    // A promise is valid only together with every record read here.
     const confirmed =
       isForThisProcess &&
       zoneRecords !== undefined &&
@@ -116,7 +119,7 @@
     };
   }
 
-  /** Takes an answer; the records in it have been applied already. */
+  /** Handles an answer, whose records have been applied already. */
   handleAnswer(
     answer: Extract<event.Event, {kind: 'confirmAnswered'}>,
     now: clock.Milliseconds,
@@ -135,21 +138,21 @@
     }
   }
 
-  /** Notes that a process did not answer, so that another one is tried. */
+  /** Counts an unanswered call, so that another VM of the zone is tried. */
   handleFailure(peer: string): void {
     if (this.dependencies.table.members().has(peer)) return;
     this.failureCounts.set(peer, (this.failureCounts.get(peer) ?? 0) + 1);
   }
 
-  /** Workers that are known to leave. */
+  /** Returns the workers that are known to be leaving. */
   leavingWorkers(): ReadonlyArray<string> {
     return this.dependencies.workers
       .all()
-      .filter(known => known.leaving)
+      .filter(worker => worker.leaving)
       .map(worker => worker.name);
   }
 
-  /** Members learn each other's part of the summary only when it is due. */
+  /** Sends confirmations, with the own summary only when one is due. */
   private confirmMembers(
     includeOwnSummary: boolean,
   ): ReadonlyArray<effect.Effect> {
@@ -231,7 +234,7 @@
     };
   }
 
-  /** Sends the zone's summary if this process represents the zone. */
+  /** Sends the zone's summary if this process is the first live member. */
   private sendZoneSummary(
     now: clock.Milliseconds,
   ): ReadonlyArray<effect.Effect> {
@@ -249,8 +252,9 @@
   }
 
   /**
-   * One entry VM of each other zone with a greater name, so that each pair of
-   * zones exchanges summaries once; the answer brings the other's summary.
+   * Returns one entry VM of each other zone with a greater name, so that each
+   * pair of zones exchanges summaries once. The answer carries the summary of
+   * the other zone.
    */
   private otherZoneEntryVms(): ReadonlyArray<event.ListedVm> {
     const {self, presence} = this.dependencies;
@@ -259,14 +263,17 @@
       if (listed.role !== 'entry' || listed.zone <= self.zone) continue;
       if (listed.state === 'leaving') continue;
       const current = chosen.get(listed.zone);
-      if (current === undefined || this.precedes(listed, current)) {
+      if (current === undefined || this.isPreferredOver(listed, current)) {
         chosen.set(listed.zone, listed);
       }
     }
     return [...chosen.values()];
   }
 
-  private precedes(first: event.ListedVm, second: event.ListedVm): boolean {
+  private isPreferredOver(
+    first: event.ListedVm,
+    second: event.ListedVm,
+  ): boolean {
     const firstFailures = this.failureCounts.get(peerNameOf(first)) ?? 0;
     const secondFailures = this.failureCounts.get(peerNameOf(second)) ?? 0;
     if (firstFailures !== secondFailures) return firstFailures < secondFailures;
@@ -277,10 +284,10 @@
     const {table, workers, self} = this.dependencies;
     let free = resources.NONE;
     let workerCount = 0;
-    for (const known of workers.all()) {
-      if (table.ownership(known.name)?.owner !== self.process) continue;
+    for (const worker of workers.all()) {
+      if (table.ownership(worker.name)?.owner !== self.process) continue;
       workerCount += 1;
-      if (!known.leaving) free = resources.add(free, known.free);
+      if (!worker.leaving) free = resources.add(free, worker.free);
     }
     return {
       zone: self.zone,
@@ -293,17 +300,17 @@
   }
 
   private zoneSummary(now: clock.Milliseconds): event.ZoneSummary {
-    let sum = this.ownSummary();
-    for (const [process, part] of this.memberSummaries) {
+    let total = this.ownSummary();
+    for (const [process, summary] of this.memberSummaries) {
       const state = this.dependencies.members.state(process, now);
       if (state === 'dead') this.memberSummaries.delete(process);
-      else sum = addSummaries(sum, part);
+      else total = addSummaries(total, summary);
     }
-    return sum;
+    return total;
   }
 }
 
-/** Name that any incarnation of the process on a VM of a zone answers to. */
+/** Returns the name to which every incarnation of a VM's process answers. */
 function peerNameOf(listed: event.ListedVm): string {
   return `${listed.zone}.${listed.vm}`;
 }
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -12,30 +12,30 @@
 /** Silence after which a member's items may be claimed. */
 export const CLAIMABLE_SILENCE_MS = 4_000;
 
-/** What is known of a member by what it sends and by the VM list. */
+/** State of a member by its messages and the VM list. */
 export type MemberState = 'live' | 'suspect' | 'leaving' | 'dead';
 
-/** A member of the zone as others need it. */
+/** A member of the zone with its address and state. */
 export interface ZoneMember {
   readonly process: string;
   readonly vm: string;
   readonly address: string;
   readonly state: MemberState;
-  /** Whether it is known to count this process as a member. */
+  /** Whether the member is known to count this process as a member. */
   readonly knowsSelf: boolean;
 }
 
 interface Contact {
-  /** When it first appeared or last sent something. */
+  /** When the member first appeared or last sent a message. */
   readonly lastMessageAt: clock.Milliseconds;
-  /** Whether it ever sent something. */
+  /** Whether the member ever sent a message. */
   readonly hasSentMessage: boolean;
-  /** Whether it ever asked for a confirmation: it knows this process. */
+  /** Whether the member ever asked this process for a confirmation. */
   readonly hasRequestedConfirmation: boolean;
   readonly leaving: boolean;
-  /** When the last request that it confirmed was sent. */
+  /** When the last request that the member confirmed was sent. */
   readonly confirmedSentAt: clock.Milliseconds;
-  /** When its last positive confirmation arrived. */
+  /** When the member's last positive confirmation arrived. */
   readonly confirmedAt: clock.Milliseconds;
 }
 
@@ -48,7 +48,7 @@
   confirmedAt: -Infinity,
 };
 
-/** The members of the zone: who they are, and what each was last heard to say. */
+/** The members of the zone, with the last message of each. */
 export class Membership {
   private readonly contacts = new Map<string, Contact>();
 
@@ -58,7 +58,7 @@
     private readonly presence: vmPresence.VmPresence,
   ) {}
 
-  /** Follows the table: starts to watch new members and drops ended ones. */
+  /** Adds members that joined and removes members that ended. */
   syncWithTable(now: clock.Milliseconds): void {
     for (const process of this.table.members().keys()) {
       if (this.contacts.get(process)?.lastMessageAt !== undefined) continue;
@@ -69,17 +69,17 @@
     }
   }
 
-  /** Starts to count silence anew, after this process was paused itself. */
+  /** Restarts the measurement of silence after this process was paused. */
   resetSilence(now: clock.Milliseconds): void {
     for (const [process, contact] of this.contacts) {
       this.contacts.set(process, {...contact, lastMessageAt: now});
     }
   }
 
-  /** Notes that a member sent something. */
+  /** Records that a member sent a message. */
   recordMessage(
     news: event.PeerNews,
-    asked: boolean,
+    requestedConfirmation: boolean,
     now: clock.Milliseconds,
   ): void {
     const contact = this.contacts.get(news.from);
@@ -88,12 +88,13 @@
       ...contact,
       lastMessageAt: now,
       hasSentMessage: true,
-      hasRequestedConfirmation: contact.hasRequestedConfirmation || asked,
+      hasRequestedConfirmation:
+        contact.hasRequestedConfirmation || requestedConfirmation,
       leaving: contact.leaving || news.leaving,
     });
   }
 
-  /** Notes a positive confirmation of a request sent at `sentAt`. */
+  /** Records a positive confirmation of a request sent at `sentAt`. */
   recordConfirmation(
     process: string,
     sentAt: clock.Milliseconds,
@@ -108,14 +109,14 @@
     });
   }
 
-  /** Members other than this process. */
+  /** Returns the members other than this process. */
   others(): ReadonlyArray<ownership.JoinedMember> {
     return [...this.table.members().values()].filter(
       member => member.process !== this.self,
     );
   }
 
-  /** All members with their states, this process included. */
+  /** Returns all members with their states, this process included. */
   allWithStates(now: clock.Milliseconds): ReadonlyArray<ZoneMember> {
     return [...this.table.members().values()].map(({process, vm, address}) => ({
       process,
@@ -126,7 +127,7 @@
     }));
   }
 
-  /** State of a process; one that is no member is dead. */
+  /** Returns the state of a process; one that is not a member is dead. */
   state(process: string, now: clock.Milliseconds): MemberState {
     const member = this.table.members().get(process);
     if (member === undefined) return 'dead';
@@ -137,7 +138,7 @@
     return contact.leaving ? 'leaving' : 'live';
   }
 
-  /** Members that take work, lowest identity first; includes this process. */
+  /** Returns the members that take work, sorted, including this process. */
   liveMembers(now: clock.Milliseconds): ReadonlyArray<string> {
     return [...this.table.members().keys()]
       .filter(process => this.state(process, now) === 'live')
@@ -148,33 +149,33 @@
       .sort();
   }
 
-  /** Whether a member has been silent long enough to be claimed. */
+  /** Returns whether a member has been silent long enough to be claimed. */
   isSilent(process: string, now: clock.Milliseconds): boolean {
     return now - this.contact(process).lastMessageAt > CLAIMABLE_SILENCE_MS;
   }
 
-  /** Whether a member is known to count this process as a member. */
+  /** Returns whether a member is known to count this process as a member. */
   knowsSelf(process: string): boolean {
     return this.contact(process).hasRequestedConfirmation;
   }
 
-  /** What a member last confirmed. */
+  /** Returns the last messages and confirmations of a member. */
   contact(process: string): Contact {
     return this.contacts.get(process) ?? NO_CONTACT;
   }
 
-  /** Whether the VM list proves that a member does not exist any more. */
+  /** Returns whether the VM list proves that a member's VM is gone. */
   isVmGone(member: ownership.JoinedMember): boolean {
     const own = this.table.members().get(this.self);
-    const older = own !== undefined && member.joined < own.joined;
-    return older
+    const joinedEarlier = own !== undefined && member.joined < own.joined;
+    return joinedEarlier
       ? this.presence.isGoneOrNeverListed(member.vm)
       : this.presence.isGone(member.vm);
   }
 
   /**
-   * Whether a later process joined from the same address: only one process
-   * can listen there, so the earlier one has ended.
+   * Returns whether a later process joined from the same address. Only one
+   * process can listen there, so the earlier one has ended.
    */
   isReplaced(member: ownership.JoinedMember): boolean {
     if (member.address.endsWith(':0')) return false;
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -1,21 +1,21 @@
 import type * as event from '../contracts/event.js';
 import type * as streamReplica from '../contracts/stream_replica.js';
 
-/** Owner of an item that was released and that nobody has claimed since. */
+/** Owner of an item that was released and not claimed since. */
 export const NO_OWNER = '';
 
 /**
- * Records after which a released item and an ended process are forgotten. A
- * delayed copy of a record must arrive before that, so it is far larger than
- * what a zone appends in an hour.
+ * Number of records after which a released item and an ended process are
+ * removed. A delayed copy of a record must arrive before that, so the number is
+ * far larger than what a zone appends in an hour.
  */
 export const TOMBSTONE_RETENTION_RECORDS = 10_000;
 
-/** An item and the epoch that the writer of a record believed current. */
+/** An item and its epoch as known to the writer of a record. */
 export interface ItemEpoch {
   readonly item: string;
   readonly epoch: number;
-  /** Worker on which a replica runs; the replica moves with it. */
+  /** Worker on which a replica runs; the replica moves with the worker. */
   readonly on?: string;
 }
 
@@ -41,13 +41,13 @@
       readonly items: ReadonlyArray<ItemEpoch>;
     };
 
-/** How an owner came by an item; it decides how long the owner waits. */
+/** How an owner acquired an item, which determines its wait before placing. */
 export type Acquisition =
-  /** Nobody had owned the item. */
+  /** The item had no earlier owner. */
   | 'first'
-  /** The earlier owner gave it up before the record was written. */
+  /** The earlier owner released the item before the record was written. */
   | 'handover'
-  /** The earlier owner may not know yet. */
+  /** The item was claimed; the earlier owner may not know it yet. */
   | 'succession';
 
 /** Owner of an item since `epoch` began at `offset` of the stream. */
@@ -59,7 +59,7 @@
   readonly on?: string;
 }
 
-/** A member of the zone by the records read. */
+/** A member of the zone according to the records read. */
 export interface JoinedMember {
   readonly process: string;
   readonly vm: string;
@@ -68,7 +68,7 @@
   readonly joined: number;
 }
 
-/** A former member, and how and where it ended by the records read. */
+/** A former member, and how and at which offset it ended. */
 export interface EndedMember extends JoinedMember {
   readonly how: 'left' | 'claimed';
   readonly offset: number;
@@ -80,12 +80,12 @@
   readonly ended: ReadonlyArray<readonly [string, EndedMember]>;
 }
 
-/** Name of the item that stands for a process and its identities. */
+/** Returns the name of the item for a process and its request identities. */
 export function processItem(process: string): string {
   return `process:${process}`;
 }
 
-/** Name of the item of one replica of a service. */
+/** Returns the name of the item of one replica of a service. */
 export function replicaItem(
   team: string,
   workload: string,
@@ -94,51 +94,51 @@
   return `replica:${team}/${workload}/${replica}`;
 }
 
-/** Whether an item is a worker, which is known by its bare name. */
+/** Returns whether an item is a worker; its name has no prefix. */
 export function isWorker(item: string): boolean {
   return !item.startsWith('process:') && !item.startsWith('replica:');
 }
 
 /**
- * Owners of the zone's items by the order of the log's records. Every reader
- * of the same records holds the same table. Copies of a record change
- * nothing: epochs only rise, and an ended process never joins again.
+ * Owners of the zone's items as a function of the log's records, so that every
+ * reader of the same records holds the same table. Repeated records change
+ * nothing: epochs only increase, and an ended process never joins again.
  */
 export class OwnershipTable implements streamReplica.ReplicatedState {
   private ownerships = new Map<string, Ownership>();
   private joinedMembers = new Map<string, JoinedMember>();
   private endedById = new Map<string, EndedMember>();
 
-  /** Owner of an item; undefined when nobody has claimed it. */
+  /** Returns the ownership of an item; undefined if it was never claimed. */
   ownership(item: string): Ownership | undefined {
     return this.ownerships.get(item);
   }
 
-  /** All items that have or had an owner. */
+  /** Returns all items that have or had an owner. */
   ownershipByItem(): ReadonlyMap<string, Ownership> {
     return this.ownerships;
   }
 
-  /** Items of one owner. */
+  /** Returns the items of one owner with their epochs. */
   itemsOf(owner: string): ReadonlyArray<ItemEpoch> {
     const items: ItemEpoch[] = [];
-    for (const [item, held] of this.ownerships) {
-      if (held.owner === owner) items.push({item, epoch: held.epoch});
+    for (const [item, ownership] of this.ownerships) {
+      if (ownership.owner === owner) items.push({item, epoch: ownership.epoch});
     }
     return items;
   }
 
-  /** Members that have joined and neither left nor been claimed. */
+  /** Returns the members that joined and neither left nor were claimed. */
   members(): ReadonlyMap<string, JoinedMember> {
     return this.joinedMembers;
   }
 
-  /** Processes that left or were claimed. */
+  /** Returns the members that left or were claimed. */
   endedMembers(): ReadonlyMap<string, EndedMember> {
     return this.endedById;
   }
 
-  /** Applies the next record; an unreadable one changes nothing. */
+  /** Applies the next record; ignores one that cannot be parsed. */
   apply(record: event.StreamRecord): void {
     const parsed = parseRecord(record);
     switch (parsed?.kind) {
@@ -153,7 +153,7 @@
     }
   }
 
-  /** Returns the whole table as text. */
+  /** Serialises the whole table. */
   snapshot(): string {
     const state: TableState = {
       owners: [...this.ownerships],
@@ -163,7 +163,7 @@
     return JSON.stringify(state);
   }
 
-  /** Replaces the table by one that `snapshot` returned. */
+  /** Replaces the table by the result of an earlier `snapshot`. */
   restore(snapshot: string): void {
     const state = JSON.parse(snapshot) as TableState;
     this.ownerships = new Map(state.owners);
@@ -190,8 +190,8 @@
   private leave(process: string, offset: number): void {
     if (!this.joinedMembers.has(process)) return;
     this.end(process, 'left', offset);
-    for (const held of this.itemsOf(process)) {
-      this.assign(held, NO_OWNER, 'handover', offset);
+    for (const item of this.itemsOf(process)) {
+      this.assign(item, NO_OWNER, 'handover', offset);
     }
   }
 
@@ -235,13 +235,13 @@
     offset: number,
   ): void {
     const current = this.ownerships.get(assignedItem.item);
-    const on = assignedItem.on ?? current?.on;
+    const worker = assignedItem.on ?? current?.on;
     this.ownerships.set(assignedItem.item, {
       owner,
       epoch: (current?.epoch ?? 0) + 1,
       offset,
       acquisition,
-      ...(on === undefined ? {} : {on}),
+      ...(worker === undefined ? {} : {on: worker}),
     });
     if (!isWorker(assignedItem.item)) return;
     for (const [item, held] of this.ownerships) {
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -7,24 +7,33 @@
 import type * as vmPresence from './vm_presence.js';
 import type * as zoneStream from './zone_stream.js';
 
-/** How long a proof that nobody has claimed a worker lets its owner place. */
+/**
+ * Time for which the owner of an item may place after a proof that no other
+ * process has claimed it.
+ */
 export const PERMIT_DURATION_MS = 4_000;
 
-/** How long a confirming member does not claim, whatever the clocks do. */
+/**
+ * Time for which a member that confirmed does not claim; covers the permit at
+ * the largest clock drift on both sides.
+ */
 export const PROMISE_DURATION_MS =
   PERMIT_DURATION_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
 
-/** Wait after a claim: the earlier owner may have read just before it. */
+/**
+ * Wait after a claim. The earlier owner may have read the stream just before
+ * the claim was appended, so its permit may last this long.
+ */
 export const CLAIM_WAIT_MS = PERMIT_DURATION_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
 
 /**
- * Wait after a handover: starts that the earlier owner sent before it gave the
- * worker up may still arrive until their leases end.
+ * Wait after a handover. Starts that the earlier owner sent before it released
+ * the worker may still arrive until their leases end.
  */
 export const HANDOVER_WAIT_MS =
   lease.START_LEASE_MS * (1 + 2 * clock.MAXIMUM_DRIFT);
 
-/** Where authority comes from. */
+/** State from which permits are computed. */
 export interface PermitTrackerDependencies {
   readonly process: string;
   readonly vm: string;
@@ -33,7 +42,7 @@
   readonly members: membership.Membership;
   readonly presence: vmPresence.VmPresence;
   readonly stream: zoneStream.ZoneStream;
-  /** Lag of the log's reads; it lengthens the wait after a claim. */
+  /** Lag of the log's reads; added to the wait after a claim. */
   readonly logStalenessMs: clock.Milliseconds;
 }
 
@@ -44,14 +53,14 @@
 }
 
 /**
- * Until when this process may place on its workers, and what it has promised
- * to other owners.
+ * Computes until when this process may place on its workers, and records its
+ * promises to other owners not to claim their items.
  */
 export class PermitTracker {
   private readonly promiseEnds = new Map<string, clock.Milliseconds>();
-  /** When an item's present epoch was first seen. */
+  /** The present epoch of each item and when it was first seen. */
   private readonly epochObservations = new Map<string, EpochObservation>();
-  /** Epoch through which this process has given an item up. */
+  /** Last epoch of each item that this process has released. */
   private readonly releasedEpochs = new Map<string, number>();
   private readonly endObservedAt = new Map<string, clock.Milliseconds>();
   private hasLeftValue = false;
@@ -59,18 +68,21 @@
 
   constructor(private readonly dependencies: PermitTrackerDependencies) {}
 
-  /** Whether this process has given everything up. */
+  /** Whether this process has released all its items for good. */
   get hasLeft(): boolean {
     return this.hasLeftValue;
   }
 
-  /** Whether this process is a member that has neither left nor been claimed. */
+  /** Whether this process is a member that neither left nor was claimed. */
   get isActive(): boolean {
     const {table, process} = this.dependencies;
     return !this.hasLeftValue && table.members().has(process);
   }
 
-  /** Notes changes of the table; `permitEnd` is what it was before them. */
+  /**
+   * Records the changes of the table. `permitEnd` is the end of the process's
+   * permit before the changes.
+   */
   observe(permitEnd: clock.Milliseconds, now: clock.Milliseconds): void {
     const {table, process} = this.dependencies;
     for (const [item, current] of table.ownershipByItem()) {
@@ -87,7 +99,7 @@
     this.prune();
   }
 
-  /** End of the permit to act as this process; -Infinity without one. */
+  /** Returns when the process's permit to act ends; -Infinity without one. */
   processPermitEnd(now: clock.Milliseconds): clock.Milliseconds {
     if (!this.isActive || this.dependencies.stream.hasGap) return -Infinity;
     const provenAt = Math.max(
@@ -97,7 +109,7 @@
     return provenAt + PERMIT_DURATION_MS;
   }
 
-  /** End of the permit for an item; -Infinity without one. */
+  /** Returns when the permit for an item ends; -Infinity without one. */
   permitEnd(item: string, now: clock.Milliseconds): clock.Milliseconds {
     const current = this.dependencies.table.ownership(item);
     if (current?.owner !== this.dependencies.process) return -Infinity;
@@ -114,7 +126,7 @@
     return this.processPermitEnd(now);
   }
 
-  /** Whether every wait after a claim or handover is over. */
+  /** Returns whether every wait after a claim or handover is over. */
   areWaitsOver(now: clock.Milliseconds): boolean {
     const {table, process} = this.dependencies;
     for (const [item, current] of table.ownershipByItem()) {
@@ -124,27 +136,27 @@
     return true;
   }
 
-  /** Gives items up before the record that says so is sent. */
+  /** Ends the permits for items; called before the transfer record is sent. */
   release(items: ReadonlyArray<ownership.ItemEpoch>): void {
     for (const released of items) {
       this.releasedEpochs.set(released.item, released.epoch);
     }
   }
 
-  /** Gives everything up for good. */
+  /** Ends all permits of this process for good. */
   leave(): void {
     this.hasLeftValue = true;
   }
 
-  /** Whether a promise to a member is in force. */
+  /** Returns whether a promise to a member is in force. */
   hasPromised(member: string, now: clock.Milliseconds): boolean {
     return now < (this.promiseEnds.get(member) ?? -Infinity);
   }
 
   /**
-   * Promises a member not to claim its items; returns false when this process
-   * cannot: it is no member itself, does not count the other as one, or has
-   * sent a claim that may still take effect.
+   * Promises a member not to claim its items. Returns false when this process
+   * cannot promise: it is not a member, does not know the other as a member,
+   * or has sent a claim that may still take effect.
    */
   promise(member: string, now: clock.Milliseconds): boolean {
     const {table, stream} = this.dependencies;
@@ -155,13 +167,13 @@
     return true;
   }
 
-  /** Whether a process has ended and its permits with it. */
+  /** Returns whether a process has ended and its last permit is over. */
   permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
     const endedAt = this.endObservedAt.get(process);
     return endedAt !== undefined && now >= endedAt + this.claimWaitMs();
   }
 
-  /** Takes the invariants found violated since the last call. */
+  /** Returns the invariant violations found since the last call. */
   takeViolations(): ReadonlyArray<effects.Effect> {
     const taken = this.violations;
     if (taken.length > 0) this.violations = [];
@@ -169,12 +181,12 @@
   }
 
   /**
-   * Earliest sending of the last confirmations of every other member;
-   * -Infinity when one is missing.
+   * Returns the earliest of the times at which the requests were sent that the
+   * other members last confirmed; -Infinity when a confirmation is missing.
    */
   private allConfirmedSince(now: clock.Milliseconds): clock.Milliseconds {
     const {members, presence, vm} = this.dependencies;
-    // A VM that the list no longer names may be taken for gone by others.
+    // Others may consider a VM gone that the list no longer names.
     if (presence.wasListed(vm) && !presence.isListed(vm)) return -Infinity;
     let earliest = now;
     let hasGoneMember = false;
@@ -191,8 +203,9 @@
   }
 
   /**
-   * Whether an entry VM may host a process that joined after the last record
-   * read here. A member that is gone might have accepted it as a successor.
+   * Returns whether an entry VM may host a process that joined after the last
+   * record read here. A gone member may have accepted that process as a
+   * successor.
    */
   private hasUnknownVm(): boolean {
     const {table, presence, zone, vm} = this.dependencies;
@@ -208,7 +221,7 @@
       .some(
         record =>
           record.kind === 'claim' &&
-          record.items.some(wanted => wanted.item === item),
+          record.items.some(claimed => claimed.item === item),
       );
   }
 
@@ -231,7 +244,10 @@
     return CLAIM_WAIT_MS + this.dependencies.logStalenessMs;
   }
 
-  /** The permit must end before a claimant that saw the claim now may place. */
+  /**
+   * Checks that the permit ends before a claimant that sees its claim now may
+   * place.
+   */
   private checkPermitBeforeSuccession(
     current: ownership.Ownership,
     permitEnd: clock.Milliseconds,
--- a/src/zones/record_planner.ts
+++ b/src/zones/record_planner.ts
@@ -5,27 +5,27 @@
 import type * as fleet from '../machines/fleet.js';
 import type * as zoneStream from './zone_stream.js';
 
-/** Time after which any member claims a worker that still has no owner. */
+/** Time after which every member claims a worker that still has no owner. */
 const UNOWNED_GRACE_PERIOD_MS = 6_000;
 
-/** Least time between handovers, so that members see each other's. */
+/** Minimum time between handovers, so that members see each other's. */
 const REBALANCE_INTERVAL_MS = 3_000;
 
-/** Patience factor of members that are not the first to write a snapshot. */
+/** Factor on the snapshot interval of all members but the first live one. */
 const SNAPSHOT_BACKUP_DELAY_FACTOR = 1.25;
 
-/** What the plan rests on. */
+/** State from which the planner decides. */
 export interface RecordPlannerDependencies
   extends successionPolicy.SuccessionDependencies {
   readonly stream: zoneStream.ZoneStream;
   readonly workers: fleet.Fleet;
 }
 
-/** Decides which records this process has to append to the zone's stream. */
+/** Plans the records that this process appends to the zone's stream. */
 export class RecordPlanner {
   private readonly succession: successionPolicy.SuccessionPolicy;
   private readonly unownedSince = new Map<string, clock.Milliseconds>();
-  /** Replicas that run here and the worker of each. */
+  /** Worker of each replica item that this process runs. */
   private readonly workersByReplica = new Map<string, string>();
   private readonly removedReplicas = new Set<string>();
   private nextRebalanceAt = 0;
@@ -36,30 +36,30 @@
     this.succession = new successionPolicy.SuccessionPolicy(dependencies);
   }
 
-  /** Notes that a replica runs on a worker, so that its item moves with it. */
+  /** Records that a replica runs on a worker; its item moves with the worker. */
   addReplica(item: string, worker: string): void {
     this.workersByReplica.set(item, worker);
     this.removedReplicas.delete(item);
   }
 
-  /** Notes that a replica does not run any more; its item is released. */
+  /** Records that a replica no longer runs; its item is released. */
   removeReplica(item: string): void {
     this.workersByReplica.delete(item);
     this.removedReplicas.add(item);
   }
 
-  /** Takes no more workers, because the process is about to leave. */
+  /** Stops claiming workers, because the process is about to leave. */
   beginLeaving(): void {
     this.leaving = true;
   }
 
-  /** Hands everything over from now on, and then leaves. */
+  /** Starts to hand all items over, after which the process leaves. */
   drain(): void {
     this.leaving = true;
     this.draining = true;
   }
 
-  /** Records that are due; what they give up is given up by then. */
+  /** Returns the records that are due and ends the permits they release. */
   due(
     now: clock.Milliseconds,
   ): ReturnType<zoneStream.ZoneStream['pendingRecords']> {
@@ -73,7 +73,7 @@
   private dueSnapshots(
     now: clock.Milliseconds,
   ): ReturnType<zoneStream.ZoneStream['pendingRecords']> {
-    // Others write only when the first member has missed its turn.
+    // Other members write a snapshot only when the first one is late.
     const isFirstMember =
       this.dependencies.members.liveMembers(now)[0] ===
       this.dependencies.process;
@@ -97,7 +97,7 @@
       .map(items => ({kind: 'claim', claimant, items}));
   }
 
-  /** Workers without an owner that fall to this process. */
+  /** Returns the workers without an owner that this process has to claim. */
   private unownedWorkers(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ItemEpoch> {
@@ -143,7 +143,7 @@
     return owner !== undefined && table.members().has(owner);
   }
 
-  /** Whether every member that may be live has been heard once. */
+  /** Returns whether every member that may be live has sent a message. */
   private hasHeardFromOthers(now: clock.Milliseconds): boolean {
     return this.dependencies.members
       .others()
@@ -167,7 +167,7 @@
     return items;
   }
 
-  /** Releases what no longer exists and shares workers evenly. */
+  /** Releases items that no longer exist, else balances the workers. */
   private releaseOrRebalance(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ZoneRecord> {
@@ -200,7 +200,7 @@
     return this.transferItems(ownership.NO_OWNER, gone, now);
   }
 
-  /** Stops placing on items in this turn and hands them over. */
+  /** Ends the permits for items and returns the record that transfers them. */
   private transferItems(
     to: string,
     names: ReadonlyArray<string>,
@@ -217,7 +217,7 @@
     return [{kind: 'transfer', from: this.dependencies.process, to, items}];
   }
 
-  /** Hands workers over; leaves once none is left that another could take. */
+  /** Hands all items over; leaves when no item or no receiver is left. */
   private leaveZone(
     now: clock.Milliseconds,
   ): ReadonlyArray<ownership.ZoneRecord> {
--- a/src/zones/region.ts
+++ b/src/zones/region.ts
@@ -3,13 +3,13 @@
 import type * as configuration from '../contracts/configuration.js';
 import type * as event from '../contracts/event.js';
 
-/** A region: zones among which traffic is fast and costs nothing. */
+/** A region: zones between which traffic is fast and free of charge. */
 export class Region {
   private readonly zones = new Map<string, availabilityZone.AvailabilityZone>();
 
   constructor(readonly name: string) {}
 
-  /** Returns a zone of the region, which is created when it is new. */
+  /** Returns a zone of the region; creates it when it is new. */
   getOrCreate(zone: string): availabilityZone.AvailabilityZone {
     const existing = this.zones.get(zone);
     if (existing !== undefined) return existing;
@@ -18,7 +18,7 @@
     return created;
   }
 
-  /** Zones of the region by name. */
+  /** Returns the zones of the region, sorted by name. */
   all(): ReadonlyArray<availabilityZone.AvailabilityZone> {
     return [...this.zones.values()].sort((first, second) =>
       first.name < second.name ? -1 : 1,
@@ -26,7 +26,7 @@
   }
 }
 
-/** The regions of the cell as the document `fleet` names them. */
+/** The regions and zones of the cell as listed in the document `fleet`. */
 export class RegionMap {
   private readonly regions = new Map<string, Region>();
   private readonly regionOfZone = new Map<string, string>();
@@ -38,28 +38,28 @@
     this.addZone({name: ownZone, region: ownRegion});
   }
 
-  /** This process's own zone. */
+  /** Returns the zone of this process. */
   ownAvailabilityZone(): availabilityZone.AvailabilityZone {
     return this.zone(this.ownZone);
   }
 
-  /** Takes the zones of a fleet document. */
+  /** Adds the zones of a fleet document. */
   configure(zones: ReadonlyArray<configuration.ZoneDefinition>): void {
     for (const definition of zones) this.addZone(definition);
   }
 
-  /** Takes a summary of any zone; zones that nobody configured stand alone. */
+  /** Stores a summary; a zone that is not configured forms its own region. */
   update(summary: event.ZoneSummary, now: clock.Milliseconds): void {
     this.zone(summary.zone).update(summary, now);
   }
 
-  /** A zone by its name. */
+  /** Returns a zone by its name. */
   zone(name: string): availabilityZone.AvailabilityZone {
-    const region = this.regionOfZone.get(name) ?? name;
-    return this.getOrCreate(region).getOrCreate(name);
+    const regionName = this.regionOfZone.get(name) ?? name;
+    return this.getOrCreate(regionName).getOrCreate(name);
   }
 
-  /** All regions, the process's own first. */
+  /** Returns all regions, the one of this process first. */
   all(): ReadonlyArray<Region> {
     const own = this.ownAvailabilityZone().region;
     return [...this.regions.values()].sort((first, second) => {
--- a/src/zones/succession_policy.ts
+++ b/src/zones/succession_policy.ts
@@ -4,13 +4,13 @@
 import type * as ownership from './ownership.js';
 import type * as vmPresence from './vm_presence.js';
 
-/** Head start of each better placed claimant, so that claims do not meet. */
+/** Delay per rank of a claimant, so that claims do not conflict. */
 const CLAIM_RANK_DELAY_MS = 1_500;
 
-/** Silence after which a member's consent is too old to rely on. */
+/** Age after which a member's confirmation is too old to rely on. */
 const CONFIRMATION_VALIDITY_MS = 3_000;
 
-/** What the decision to claim rests on. */
+/** State from which the policy decides. */
 export interface SuccessionDependencies {
   readonly process: string;
   readonly vm: string;
@@ -20,11 +20,11 @@
   readonly permits: permitTracker.PermitTracker;
 }
 
-/** Decides whose items this process may claim, and when. */
+/** Decides which members' items this process may claim, and when. */
 export class SuccessionPolicy {
   constructor(private readonly dependencies: SuccessionDependencies) {}
 
-  /** Members whose items this process may and should claim now. */
+  /** Returns the members whose items this process has to claim now. */
   claimableMembers(now: clock.Milliseconds): ReadonlyArray<string> {
     const {members} = this.dependencies;
     return members
@@ -34,7 +34,7 @@
       .map(member => member.process);
   }
 
-  /** Whether a member is silent and no promise or rule protects it. */
+  /** Returns whether a member is silent and no promise or rule protects it. */
   private mayClaim(
     member: ownership.JoinedMember,
     now: clock.Milliseconds,
@@ -51,8 +51,9 @@
   }
 
   /**
-   * Whether the victim needs the confirmation of this process, or of a live
-   * member that counts this process as a member and would tell the victim so.
+   * Returns whether the silent member needs the confirmation of this process,
+   * or of a live member that knows this process and would report it to the
+   * silent member.
    * An owner has read every record up to the one that made it owner.
    */
   private isKnownThroughLog(
@@ -78,13 +79,16 @@
     return false;
   }
 
-  /** Whether the victim's VM is gone and this process is visible to others. */
+  /** Returns whether the VM is gone and this process is visible to others. */
   private isProvenAbsent(member: ownership.JoinedMember): boolean {
     const {members, presence, vm} = this.dependencies;
     return members.isVmGone(member) && presence.isEstablished(vm);
   }
 
-  /** Lets one live member after the other try, in an order by the victim. */
+  /**
+   * Returns whether it is this process's turn to claim. The live members take
+   * turns in an order that depends on the silent member.
+   */
   private isTurn(silentMember: string, now: clock.Milliseconds): boolean {
     const {members, process} = this.dependencies;
     const order = [...members.liveMembers(now)].sort(
@@ -100,7 +104,7 @@
   }
 }
 
-/** FNV-1a hash: spreads successors evenly over members. */
+/** Returns the FNV-1a hash, which spreads successors evenly over members. */
 function successorHash(text: string): number {
   let hash = 0x811c9dc5;
   for (let index = 0; index < text.length; index += 1) {
--- a/src/zones/vm_presence.ts
+++ b/src/zones/vm_presence.ts
@@ -2,38 +2,38 @@
 import type * as event from '../contracts/event.js';
 
 /**
- * Time after which a VM that the VM list no longer names does not exist any
- * more. The list must lag by less than this.
+ * Time after which a VM that the VM list no longer names counts as gone. The
+ * list must lag by less than this.
  */
 export const ABSENCE_CONFIRMATION_MS = 15_000;
 
 /**
- * Time after which an absent VM is forgotten. It exceeds the longest log
- * outage, after which members on absent VMs are still to be claimed.
+ * Time for which an absent VM is remembered. It exceeds the longest log outage,
+ * after which members on absent VMs still have to be claimed.
  */
 const ABSENT_VM_RETENTION_MS = 24 * 60 * 60 * 1_000;
 
 interface Presence {
-  readonly listed: event.ListedVm;
-  readonly firstListed: clock.Milliseconds;
-  readonly lastListed: clock.Milliseconds;
+  readonly listedVm: event.ListedVm;
+  readonly firstListedAt: clock.Milliseconds;
+  readonly lastListedAt: clock.Milliseconds;
 }
 
-/** What successive readings of the VM list say of each VM. */
+/** Tracks the presence of each VM over successive readings of the VM list. */
 export class VmPresence {
   private readonly presences = new Map<string, Presence>();
-  /** When a VM was first found missing; it is cleared when it is listed. */
+  /** When a VM was first found missing; cleared when it is listed again. */
   private readonly missingSince = new Map<string, clock.Milliseconds>();
   private lastReadSentAtValue = -Infinity;
   private lastReadAt = -Infinity;
   private firstReadAt = Infinity;
 
-  /** When the last reading was sent. */
+  /** When the request for the last reading was sent. */
   get lastReadSentAt(): clock.Milliseconds {
     return this.lastReadSentAtValue;
   }
 
-  /** Takes a reading of the list. */
+  /** Records a reading of the list; ignores one older than the last. */
   recordReading(
     reading: Extract<event.Event, {kind: 'vmListRead'}>,
     now: clock.Milliseconds,
@@ -43,31 +43,35 @@
     this.lastReadAt = now;
     this.firstReadAt = Math.min(this.firstReadAt, now);
     for (const listed of reading.vms) {
-      const firstListed = this.presences.get(listed.vm)?.firstListed ?? now;
+      const firstListedAt = this.presences.get(listed.vm)?.firstListedAt ?? now;
       this.missingSince.delete(listed.vm);
-      this.presences.set(listed.vm, {listed, firstListed, lastListed: now});
+      this.presences.set(listed.vm, {
+        listedVm: listed,
+        firstListedAt: firstListedAt,
+        lastListedAt: now,
+      });
     }
     for (const vm of this.presences.keys()) this.recordMissing(vm);
   }
 
-  /** Whether the last reading names a VM. */
+  /** Returns whether the last reading names a VM. */
   isListed(vm: string): boolean {
-    return this.presences.get(vm)?.lastListed === this.lastReadAt;
+    return this.presences.get(vm)?.lastListedAt === this.lastReadAt;
   }
 
-  /** Whether any reading has named a VM. */
+  /** Returns whether any reading has named a VM. */
   wasListed(vm: string): boolean {
     return this.presences.has(vm);
   }
 
-  /** The VMs that the last reading names. */
+  /** Returns the VMs that the last reading names. */
   listed(): ReadonlyArray<event.ListedVm> {
     return [...this.presences.values()]
-      .filter(presence => presence.lastListed === this.lastReadAt)
-      .map(presence => presence.listed);
+      .filter(presence => presence.lastListedAt === this.lastReadAt)
+      .map(presence => presence.listedVm);
   }
 
-  /** Whether a VM that had been listed has been absent for `ABSENCE_MS`. */
+  /** Returns whether a listed VM was then absent `ABSENCE_CONFIRMATION_MS`. */
   isGone(vm: string): boolean {
     const missingSince = this.missingSince.get(vm);
     return (
@@ -77,8 +81,8 @@
   }
 
   /**
-   * Whether a VM has been absent for `ABSENCE_MS`, counted from the first
-   * reading if it was never listed. It holds for VMs that are known to be
+   * Returns whether a VM has been absent for `ABSENCE_CONFIRMATION_MS`, counted
+   * from the first reading if it was never listed. Valid only for VMs that are
    * older than this process.
    */
   isGoneOrNeverListed(vm: string): boolean {
@@ -88,17 +92,20 @@
     );
   }
 
-  /** Whether a VM has been listed for `ABSENCE_MS`, so that all readers see it. */
+  /**
+   * Returns whether a VM has been listed for `ABSENCE_CONFIRMATION_MS`, so that
+   * all readers see it.
+   */
   isEstablished(vm: string): boolean {
     const presence = this.presences.get(vm);
     if (presence === undefined || !this.isListed(vm)) return false;
-    return this.lastReadAt - presence.firstListed >= ABSENCE_CONFIRMATION_MS;
+    return this.lastReadAt - presence.firstListedAt >= ABSENCE_CONFIRMATION_MS;
   }
 
-  /** Entry VMs of a zone that may still exist. */
+  /** Returns the entry VMs of a zone that are not known to be gone. */
   entryVms(zone: string): ReadonlyArray<string> {
     const names: string[] = [];
-    for (const [vm, {listed}] of this.presences) {
+    for (const [vm, {listedVm: listed}] of this.presences) {
       if (listed.role !== 'entry' || listed.zone !== zone) continue;
       if (!this.isGone(vm)) names.push(vm);
     }
--- a/src/zones/worker_distribution.ts
+++ b/src/zones/worker_distribution.ts
@@ -6,7 +6,7 @@
   readonly workers: ReadonlyArray<string>;
 }
 
-/** Workers of each of some members, by the records read. */
+/** Returns the workers that each of the given members owns. */
 export function workersByOwner(
   table: ownership.OwnershipTable,
   members: ReadonlyArray<string>,
@@ -20,9 +20,9 @@
 }
 
 /**
- * Spreads workers without an owner over members so that those with the fewest
- * come first. Members that see the same table reach the same result, so that
- * their claims do not meet.
+ * Assigns each worker without an owner to the member with the fewest workers.
+ * Members that see the same table compute the same result, so that their
+ * claims do not conflict.
  */
 export function assignUnowned(
   workers: ReadonlyArray<string>,
@@ -30,23 +30,24 @@
   members: ReadonlyArray<string>,
 ): ReadonlyMap<string, string> {
   const counts = new Map<string, number>();
-  for (const [member, held] of workersByOwner(table, members)) {
-    counts.set(member, held.length);
+  for (const [member, ownedWorkers] of workersByOwner(table, members)) {
+    counts.set(member, ownedWorkers.length);
   }
   const assigned = new Map<string, string>();
   for (const worker of [...workers].sort()) {
-    const [next] = [...counts].sort(byCountThenName)[0] ?? [];
-    if (next === undefined) break;
-    assigned.set(worker, next);
-    counts.set(next, (counts.get(next) ?? 0) + 1);
+    const [nextMember] = [...counts].sort(byCountThenName)[0] ?? [];
+    if (nextMember === undefined) break;
+    assigned.set(worker, nextMember);
+    counts.set(nextMember, (counts.get(nextMember) ?? 0) + 1);
   }
   return assigned;
 }
 
 /**
- * Workers that `self` hands over so that all members own equally many, give or
- * take one. Every member computes the same numbers and carries out its own
- * part. Workers with the fewest tasks go first: their tasks lose their owner.
+ * Returns the handovers of `self` after which the numbers of workers of all
+ * members differ by one at most. Every member computes the same plan and
+ * carries out its own part. Workers with the fewest tasks go first, because
+ * the tasks of a worker lose their owner.
  */
 export function planHandovers(
   self: string,
@@ -58,21 +59,24 @@
   const targets = targetCounts(workersByMember);
   const receivers = membersBelowTarget(workersByMember, targets);
   const plan = new Map<string, string[]>();
-  for (const donor of [...workersByMember.keys()].sort()) {
-    const workers = [...(workersByMember.get(donor) ?? [])].sort(
+  for (const owner of [...workersByMember.keys()].sort()) {
+    const workers = [...(workersByMember.get(owner) ?? [])].sort(
       (first, second) =>
         taskCount(second) - taskCount(first) || (first < second ? -1 : 1),
     );
-    for (const worker of workers.slice(targets.get(donor))) {
+    for (const worker of workers.slice(targets.get(owner))) {
       const to = receivers.shift();
-      if (to === undefined || donor !== self) continue;
+      if (to === undefined || owner !== self) continue;
       plan.set(to, [...(plan.get(to) ?? []), worker]);
     }
   }
   return [...plan].map(([to, workers]) => ({to, workers}));
 }
 
-/** The members with the most workers keep the remainder: fewest moves. */
+/**
+ * Returns the number of workers that each member is to own. The members with
+ * the most workers get the remainder, which needs the fewest moves.
+ */
 function targetCounts(
   workersByMember: ReadonlyMap<string, ReadonlyArray<string>>,
 ): ReadonlyMap<string, number> {
@@ -91,7 +95,7 @@
   );
 }
 
-/** Members below their target, each as often as it lacks workers. */
+/** Returns each member below its target once for every missing worker. */
 function membersBelowTarget(
   workersByMember: ReadonlyMap<string, ReadonlyArray<string>>,
   targets: ReadonlyMap<string, number>,
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -15,36 +15,37 @@
 /** Time between reads of the VM list. */
 const VM_LIST_INTERVAL_MS = 2_000;
 
-/** Age of the last read up to which this process writes to the stream. */
+/** Maximum age of the last complete read for appending to the stream. */
 const MAXIMUM_READ_AGE_FOR_APPEND_MS = 2_500;
 
 /**
- * Time between two turns from which this process counts as paused: silence of
- * others during a pause says nothing about them.
+ * Time between two events from which this process counts as paused. Silence of
+ * other members during a pause is not evidence that they are down.
  */
 const PAUSE_THRESHOLD_MS = 2_000;
 
+/** Identity and location of this process. */
 export type ProcessDescription = confirmationExchange.ProcessDescription;
 
-/** How long a proof that nobody has claimed a worker lets its owner place. */
+/** Validity of a proof that no other process has claimed an item. */
 export const {PERMIT_DURATION_MS} = permitTracker;
 
-/** Settings of `ZoneControl` that have defaults. */
+/** Options of `ZoneController`, all with defaults. */
 export interface ZoneControllerOptions {
   /** Lag of the log's reads; added to the wait after a claim. */
   readonly logStalenessMs?: clock.Milliseconds;
-  /** When a snapshot is due; well before the log drops records. */
+  /** When a snapshot is due; must be well before the log drops records. */
   readonly snapshotPolicy?: zoneStream.SnapshotPolicy;
-  /** Versions of the documents in force, which confirmations carry. */
+  /** Returns the versions of the documents in force, for confirmations. */
   readonly documents?: () => ReadonlyArray<event.DocumentVersion>;
 }
 
 /**
- * Authority of this process in its availability zone: which workers it owns,
- * until when it may place on them, and who the other members are.
+ * Controls the part of this process in its availability zone: the workers that
+ * it owns, the permits to place on them, and the other members.
  */
 export class ZoneController {
-  /** Zones and regions of the cell, with the last summary of each zone. */
+  /** Zones and regions of the cell with the last summary of each zone. */
   readonly regions: region.RegionMap;
   private readonly table = new ownership.OwnershipTable();
   private readonly presence = new vmPresence.VmPresence();
@@ -72,17 +73,17 @@
       table,
       options.snapshotPolicy,
     );
-    const sources = {...self, table, presence, members, stream};
+    const shared = {...self, table, presence, members, stream};
     const logStalenessMs = options.logStalenessMs ?? 0;
     this.regions = new region.RegionMap(zone, self.region);
     this.stream = stream;
     this.membership = members;
     this.permits = new permitTracker.PermitTracker({
-      ...sources,
+      ...shared,
       logStalenessMs,
     });
     this.confirmationExchange = new confirmationExchange.ConfirmationExchange({
-      ...sources,
+      ...shared,
       self,
       workers,
       permits: this.permits,
@@ -90,52 +91,55 @@
       documents: options.documents ?? (() => []),
     });
     this.recordPlanner = new recordPlanner.RecordPlanner({
-      ...sources,
+      ...shared,
       workers,
       permits: this.permits,
     });
   }
 
-  /** End of the permit to place on a worker; -Infinity without one. */
+  /** Returns when the permit to place on a worker ends, else -Infinity. */
   permitEnd(worker: string): clock.Milliseconds {
     return this.permits.permitEnd(worker, this.lastEventAt ?? 0);
   }
 
-  /** End of the permit to act as this process; -Infinity without one. */
+  /** Returns when the process's permit to act ends; -Infinity without one. */
   processPermitEnd(): clock.Milliseconds {
     return this.permits.processPermitEnd(this.lastEventAt ?? 0);
   }
 
-  /** Whether this process is the owner of a worker by the records read. */
+  /** Returns whether this process owns a worker by the records read. */
   owns(worker: string): boolean {
     return this.ownerOf(worker) === this.self.process;
   }
 
-  /** Owner of an item by the records read; undefined without one. */
+  /** Returns the owner of an item by the records read; undefined without one. */
   ownerOf(item: string): string | undefined {
     const owner = this.table.ownership(item)?.owner;
     return owner === ownership.NO_OWNER ? undefined : owner;
   }
 
-  /** Members of the zone with addresses and states, this process included. */
+  /** Returns all members of the zone, this process included. */
   members(): ReadonlyArray<membership.ZoneMember> {
     return this.membership.allWithStates(this.lastEventAt ?? 0);
   }
 
-  /** Offset at which a member or former member joined; else undefined. */
+  /**
+   * Returns the offset at which a member or former member joined; undefined for
+   * other processes.
+   */
   joinedAt(process: string): number | undefined {
     const {table} = this;
-    const known =
+    const member =
       table.members().get(process) ?? table.endedMembers().get(process);
-    return known?.joined;
+    return member?.joined;
   }
 
-  /** Whether a process has ended, and the time of its last permit is over. */
+  /** Returns whether a process has ended and its last permit is over. */
   permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
     return this.permits.permitsHaveExpired(process, now);
   }
 
-  /** Whether this process has been a member since before another joined. */
+  /** Returns whether this process joined before another one. */
   joinedBefore(process: string): boolean {
     const own = this.table.members().get(this.self.process);
     const other =
@@ -146,45 +150,48 @@
   }
 
   /**
-   * Whether this process was claimed by another. It cannot act any more and
-   * has to be started again.
+   * Returns whether another process claimed this one, which then cannot act any
+   * more and has to be restarted.
    */
   isSuperseded(): boolean {
     return this.table.endedMembers().get(this.self.process)?.how === 'claimed';
   }
 
-  /** Whether this process has left and its leave record was read back. */
+  /** Returns whether this process left and its leave record was read back. */
   hasLeft(): boolean {
     return this.table.endedMembers().get(this.self.process)?.how === 'left';
   }
 
-  /** Workers that the VM list, a report, an operator or a peer names leaving. */
+  /**
+   * Returns the workers that the VM list, a report, an operator or a peer named
+   * as leaving.
+   */
   leavingWorkers(): ReadonlyArray<string> {
     return this.confirmationExchange.leavingWorkers();
   }
 
-  /** Sets the wait that new work has here, for summaries to other zones. */
+  /** Sets the expected wait of new work here, for summaries to other zones. */
   setExpectedWait(waitMs: clock.Milliseconds): void {
     this.confirmationExchange.setExpectedWait(waitMs);
   }
 
-  /** Notes that a replica runs on a worker, so that its item moves with it. */
+  /** Records that a replica runs on a worker; its item moves with the worker. */
   addReplica(item: string, worker: string): void {
     this.recordPlanner.addReplica(item, worker);
   }
 
-  /** Notes that a replica does not run any more; its item is released. */
+  /** Records that a replica no longer runs; its item is released. */
   removeReplica(item: string): void {
     this.recordPlanner.removeReplica(item);
   }
 
-  /** Tells the other members that this process takes no more work. */
+  /** Reports to the other members that this process takes no more work. */
   announceLeaving(): void {
     this.confirmationExchange.beginLeaving();
   }
 
   /**
-   * Hands everything over to other members and leaves; to be called when the
+   * Hands all items over to other members and leaves. To be called after the
    * requests in progress have ended.
    */
   drain(): void {
@@ -192,7 +199,7 @@
     this.recordPlanner.drain();
   }
 
-  /** Handles what concerns the zone; ignores other events. */
+  /** Handles the events that concern the zone; ignores others. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -207,14 +214,14 @@
   }
 
   /**
-   * Lets effects through except starts and renewals without a permit, which
-   * no caller should have built.
+   * Replaces starts and renewals without a permit by invariant violations, since
+   * no caller should request them. Returns other effects unchanged.
    */
   blockWithoutPermit(
-    wanted: ReadonlyArray<effects.Effect>,
+    requested: ReadonlyArray<effects.Effect>,
   ): ReadonlyArray<effects.Effect> {
     const now = this.lastEventAt ?? 0;
-    return wanted.flatMap(item => {
+    return requested.flatMap(item => {
       if (item.kind !== 'startTask' && item.kind !== 'renewLeases') {
         return [item];
       }
@@ -227,7 +234,7 @@
     });
   }
 
-  /** When `timePassed` is wanted next. */
+  /** Returns when the next `timePassed` is due. */
   nextDeadline(): clock.Milliseconds {
     if (this.hasEnded()) return Infinity;
     return Math.min(
@@ -246,7 +253,7 @@
         return this.handleRecords(handled, now);
       case 'appendAnswered':
         if (handled.stream === this.streamName()) {
-          this.stream.appendAnswered(handled, now);
+          this.stream.handleAppendAnswer(handled, now);
         }
         return [];
       case 'vmListRead':
@@ -280,14 +287,14 @@
 
   private poll(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     if (this.hasEnded()) return [];
-    const done: effects.Effect[] = [...this.stream.poll(now)];
+    const requested: effects.Effect[] = [...this.stream.poll(now)];
     if (now >= this.nextVmListReadAt) {
       this.nextVmListReadAt = now + VM_LIST_INTERVAL_MS;
-      done.push({kind: 'readVmList'});
+      requested.push({kind: 'readVmList'});
     }
-    done.push(...this.confirmationExchange.poll(now));
-    done.push(...this.appendDueRecords(now));
-    return done;
+    requested.push(...this.confirmationExchange.poll(now));
+    requested.push(...this.appendDueRecords(now));
+    return requested;
   }
 
   private handleRecords(
@@ -297,7 +304,7 @@
     if (answer.stream !== this.streamName()) return [];
     const permitEnd = this.processPermitEnd();
     const atTail = this.stream.applyRead(answer, now);
-    this.follow(permitEnd, now);
+    this.syncWithTable(permitEnd, now);
     if (this.stream.hasGap) return [effects.count('zone_stream_gap')];
     return atTail ? this.appendDueRecords(now) : [];
   }
@@ -309,21 +316,24 @@
     if (records.length === 0) return;
     const permitEnd = this.processPermitEnd();
     this.stream.applyForwarded(records, now);
-    this.follow(permitEnd, now);
+    this.syncWithTable(permitEnd, now);
   }
 
-  private follow(permitEnd: clock.Milliseconds, now: clock.Milliseconds): void {
+  private syncWithTable(
+    permitEnd: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): void {
     this.membership.syncWithTable(now);
     this.permits.observe(permitEnd, now);
   }
 
-  /** Appends what this process has to write, all in one append. */
+  /** Appends all due records of this process in one append. */
   private appendDueRecords(
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    const fresh =
+    const isFresh =
       now - this.stream.lastTailReadSentAt <= MAXIMUM_READ_AGE_FOR_APPEND_MS;
-    if (!fresh || this.stream.hasGap) return [];
+    if (!isFresh || this.stream.hasGap) return [];
     if (this.hasEnded() || !this.stream.canAppend(now)) return [];
     if (!this.joinSent) return this.join(now);
     if (!this.permits.isActive) return [];
@@ -354,8 +364,8 @@
       });
       if (listed.state === 'leaving') known.markLeaving();
     }
-    for (const known of this.workers.all()) {
-      if (this.presence.isGone(known.name)) this.workers.remove(known.name);
+    for (const worker of this.workers.all()) {
+      if (this.presence.isGone(worker.name)) this.workers.remove(worker.name);
     }
   }
 
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -4,13 +4,13 @@
 import type * as zoneController from './zone_controller.js';
 
 /**
- * Other entry processes by the records of the own zone and, for other zones,
- * by the VM list.
+ * Directory of the other entry processes: those of the own zone by its records,
+ * those of other zones by the VM list.
  */
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
   private otherZoneVms: ReadonlyArray<event.ListedVm> = [];
   private vmListRead = false;
-  /** Addresses of other zones that gave no answer since others did. */
+  /** Addresses in other zones that did not answer; cleared when none did. */
   private readonly unreachableAddresses = new Set<string>();
 
   constructor(
@@ -18,7 +18,7 @@
     private readonly zone: zoneController.ZoneController,
   ) {}
 
-  /** Takes the entry VMs of other zones from the VM list. */
+  /** Updates the entry VMs of other zones from the VM list. */
   updateVms(vms: ReadonlyArray<event.ListedVm>): void {
     this.vmListRead = true;
     this.otherZoneVms = vms.filter(
@@ -26,7 +26,7 @@
     );
   }
 
-  /** Whether the VM list has been read at all. */
+  /** Whether the VM list has been read at least once. */
   get hasVmList(): boolean {
     return this.vmListRead;
   }
@@ -55,12 +55,13 @@
   }
 
   address(process: string): string | undefined {
-    return this.members().find(known => known.process === process)?.address;
+    return this.members().find(member => member.process === process)?.address;
   }
 
   /**
-   * A process is named by its zone, its VM and a part of its own. Any process
-   * of its zone passes a call on, or recovers the outcome if it is dead.
+   * Chooses the entry VM that relays a call to a process of another zone. The
+   * name of a process consists of zone, VM and an incarnation. Any process of
+   * its zone forwards a call, or recovers the outcome if the process is dead.
    */
   relay(process: string): processDirectory.Member | undefined {
     const zoneVms = this.otherZoneVms.filter(
@@ -88,7 +89,10 @@
     return this.zone.joinedBefore(process);
   }
 
-  /** Begins anew when none of them answered. */
+  /**
+   * Returns the first VM that is not known to be unreachable. If all are, their
+   * addresses are tried again.
+   */
   private firstReachable(
     ordered: ReadonlyArray<event.ListedVm>,
   ): event.ListedVm | undefined {
--- a/src/zones/zone_router.ts
+++ b/src/zones/zone_router.ts
@@ -7,19 +7,19 @@
 /** Round trip between regions: 20 ms each way. */
 export const REGION_ROUND_TRIP_MS = 40;
 
-/** Work that looks for a place. */
+/** Properties of a request that decide in which zone it runs. */
 export interface RoutableWork {
   readonly size: resources.Resources;
   readonly worth: number;
   /** Zones in which it may run; empty means all. */
   readonly zones: ReadonlyArray<string>;
-  /** Wait that it would have in its own zone; Infinity if it cannot run. */
+  /** Expected wait in its own zone; Infinity if it cannot run there. */
   readonly expectedWaitMs: clock.Milliseconds;
-  /** Whether a worker of its own zone could take it now. */
+  /** Whether a worker of its own zone has room for it now. */
   readonly fitsOwnZone: boolean;
 }
 
-/** Why work stays or leaves. */
+/** Reason for the choice of a zone. */
 export type RouteReason =
   | 'ownZone'
   | 'ownZoneFull'
@@ -27,22 +27,22 @@
   | 'shorterWaitElsewhere'
   | 'noBetterZone';
 
-/** Where work goes. */
+/** The chosen zone and the reason. */
 export interface Route {
   readonly zone: string;
   readonly distance: availabilityZone.Distance;
   readonly reason: RouteReason;
 }
 
-/** Chooses the nearest zone in which work can run. */
+/** Chooses the nearest zone in which a request can run. */
 export class ZoneRouter {
   constructor(
     private readonly regions: region.RegionMap,
-    /** Price of moving one request between regions, in the unit of worth. */
+    /** Cost of moving one request between regions, in the unit of worth. */
     private readonly crossingCost: number,
   ) {}
 
-  /** Chooses a zone: the own one, then the region, then other regions. */
+  /** Chooses the own zone, else one of the region, else another region's. */
   route(work: RoutableWork, now: clock.Milliseconds): Route {
     const own = this.regions.ownAvailabilityZone();
     const allowedInOwnZone = allowsZone(work, own.name);
@@ -68,14 +68,14 @@
     return stayInOwnZone(own, 'noBetterZone');
   }
 
-  /** Counts a route that leaves the own zone. */
+  /** Returns the count of a route that leaves the own zone. */
   countCrossing(route: Route): ReadonlyArray<effects.Effect> {
     if (route.distance === 'ownZone') return [];
     const {distance, reason} = route;
     return [effects.count('route_crossing', {distance, reason})];
   }
 
-  /** The zone with room and the shortest wait at a distance. */
+  /** Returns the zone at a distance with room and the shortest wait. */
   private bestZone(
     work: RoutableWork,
     distance: availabilityZone.Distance,
@@ -84,7 +84,7 @@
     const own = this.regions.ownAvailabilityZone();
     const [first] = this.regions
       .all()
-      .flatMap(known => known.all())
+      .flatMap(region => region.all())
       .filter(zone => zone.distanceFrom(own) === distance)
       .filter(
         zone => allowsZone(work, zone.name) && zone.hasRoom(work.size, now),
--- a/src/zones/zone_stream.ts
+++ b/src/zones/zone_stream.ts
@@ -8,23 +8,23 @@
 export const READ_INTERVAL_MS = 1_000;
 
 /**
- * Least time between appends of one process. With the 168 entry processes of
- * 21 zones it keeps the cell under 300 appends a second.
+ * Minimum time between appends of one process. It keeps the 168 entry processes
+ * of 21 zones under 300 appends a second.
  */
 export const APPEND_INTERVAL_MS = 600;
 
-/** Time after which an append without any answer counts as lost. */
+/** Time after which an unanswered append counts as lost. */
 const APPEND_DEADLINE_MS = 5_000;
 
 /**
- * Records and time after which a snapshot is due. The log has to keep records
- * for over 2 h and for several thousand records, so that a snapshot is four
+ * Number of records and time after which a snapshot is due. The log has to keep
+ * records for over 2 h and for several thousand records, so snapshots are four
  * times as frequent as needed.
  */
 export const SNAPSHOT_RECORDS = 1_000;
 export const SNAPSHOT_INTERVAL_MS = 30 * 60 * 1_000;
 
-/** Most records that a confirmation passes on to a peer that is behind. */
+/** Maximum number of records that a confirmation forwards to a peer. */
 const MAXIMUM_FORWARDED_RECORDS = 200;
 
 /** When a snapshot is due. */
@@ -33,13 +33,13 @@
   readonly intervalMs: clock.Milliseconds;
 }
 
-/** The rule for a log that keeps records as long as the design assumes. */
+/** Policy for a log that keeps records as long as the design assumes. */
 export const DEFAULT_SNAPSHOT_POLICY: SnapshotPolicy = {
   records: SNAPSHOT_RECORDS,
   intervalMs: SNAPSHOT_INTERVAL_MS,
 };
 
-/** A record as it is written: its identity makes copies recognisable. */
+/** A record as written, with an identity by which copies are recognised. */
 interface WrittenRecord {
   readonly id: string;
   readonly data: string;
@@ -48,16 +48,16 @@
 
 /** An append that has not been read back yet. */
 interface PendingAppend {
-  readonly append: number;
+  readonly appendNumber: number;
   readonly sentAt: clock.Milliseconds;
-  /** When the answer came; undefined while it is awaited. */
+  /** When the answer arrived; undefined until then. */
   readonly answeredAt?: clock.Milliseconds;
   readonly lost: boolean;
 }
 
 /**
- * This process's end of the stream `zone/<zone>`: replays it, passes records
- * on, and repeats what it appended until it is read back.
+ * Client of the stream `zone/<zone>`: replays it, forwards records to peers, and
+ * repeats appended records until they are read back.
  */
 export class ZoneStream {
   private readonly replica: streamReplica.StreamReplica;
@@ -65,7 +65,7 @@
   private pendingAppend: PendingAppend | undefined;
   private recentRecords: event.StreamRecord[] = [];
   private appendCount = 0;
-  private recordCount = 0;
+  private appendedRecordCount = 0;
   private lastAppendAt = -Infinity;
   private nextReadAt: clock.Milliseconds = 0;
   private lastTailReadSentAtValue = -Infinity;
@@ -82,32 +82,35 @@
     this.replica = new streamReplica.StreamReplica(state);
   }
 
-  /** Offset from which to read next. */
+  /** Offset of the next record to read. */
   get position(): number {
     return this.replica.position;
   }
 
-  /** When the last read that reached the tail was sent. */
+  /** When the last read that reached the end of the stream was sent. */
   get lastTailReadSentAt(): clock.Milliseconds {
     return this.lastTailReadSentAtValue;
   }
 
-  /** Whether records are missing, so that the table cannot be relied on. */
+  /** Whether records are missing, which makes the table unreliable. */
   get hasGap(): boolean {
     return this.hasGapValue;
   }
 
-  /** Whether an append of this process has not been read back. */
+  /** Whether records of this process have not been read back yet. */
   get hasPendingRecords(): boolean {
     return this.pendingById.size > 0;
   }
 
-  /** Records of this process that may or may not have taken effect. */
+  /**
+   * Returns the records of this process that were not read back yet, which may
+   * or may not have taken effect.
+   */
   pendingRecords(): ReadonlyArray<WrittenRecord['record']> {
     return [...this.pendingById.values()].map(written => written.record);
   }
 
-  /** Applies a read; returns whether it reached the tail. */
+  /** Applies a read; returns whether it reached the end of the stream. */
   applyRead(
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
@@ -121,7 +124,7 @@
       this.nextReadAt = now;
       return false;
     }
-    // A read that ends before the position is older than what is known.
+    // A read that ends before the position is older than the applied records.
     if (progress === 'gap' || read.next < this.position) return false;
     this.lastTailReadSentAtValue = Math.max(
       this.lastTailReadSentAtValue,
@@ -131,7 +134,7 @@
     return true;
   }
 
-  /** Applies records that a peer passed on. */
+  /** Applies records that a peer forwarded. */
   applyForwarded(
     records: ReadonlyArray<event.StreamRecord>,
     now: clock.Milliseconds,
@@ -142,8 +145,8 @@
   }
 
   /**
-   * Records from `position` on for a peer; undefined if they are not all at
-   * hand or too many.
+   * Returns the records from `position` on for a peer; undefined if some are
+   * not in memory or if they exceed `MAXIMUM_FORWARDED_RECORDS`.
    */
   recordsFrom(position: number): ReadonlyArray<event.StreamRecord> | undefined {
     if (position >= this.position) return [];
@@ -157,38 +160,38 @@
     return this.recentRecords.slice(start);
   }
 
-  /** Takes the answer to an append. */
-  appendAnswered(
+  /** Handles the answer to an append. */
+  handleAppendAnswer(
     answered: Extract<event.Event, {kind: 'appendAnswered'}>,
     now: clock.Milliseconds,
   ): void {
-    if (this.pendingAppend?.append !== answered.append) return;
+    if (this.pendingAppend?.appendNumber !== answered.append) return;
     const lost = answered.answer === 'lost';
     this.pendingAppend = {...this.pendingAppend, answeredAt: now, lost};
     this.nextReadAt = now;
   }
 
-  /** Whether records may be appended now. */
+  /** Returns whether records may be appended now. */
   canAppend(now: clock.Milliseconds): boolean {
     if (this.pendingById.size > 0) return false;
     return now >= this.lastAppendAt + APPEND_INTERVAL_MS;
   }
 
-  /** Appends records, which are repeated until they are read back. */
+  /** Appends records; they are repeated until they are read back. */
   append(
     records: ReadonlyArray<WrittenRecord['record']>,
     now: clock.Milliseconds,
   ): effect.Effect {
     for (const record of records) {
-      this.recordCount += 1;
-      const id = `${this.process}/${this.recordCount}`;
+      this.appendedRecordCount += 1;
+      const id = `${this.process}/${this.appendedRecordCount}`;
       const data = JSON.stringify({...record, id});
       this.pendingById.set(id, {id, data, record});
     }
     return this.send(now);
   }
 
-  /** Reads when due, and repeats an append whose answer was lost. */
+  /** Reads the stream when due and repeats a lost append. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const effects: effect.Effect[] = [];
     if (now >= this.nextReadAt) {
@@ -204,12 +207,12 @@
     return effects;
   }
 
-  /** When `poll` is wanted next. */
+  /** Returns when `poll` has to be called next. */
   nextDeadline(): clock.Milliseconds {
     return this.nextReadAt;
   }
 
-  /** The snapshot that is due; undefined while the last one is recent. */
+  /** Returns the snapshot that is due; undefined if the last one is recent. */
   dueSnapshot(
     now: clock.Milliseconds,
     delayFactor: number,
@@ -217,16 +220,20 @@
     this.lastSnapshotAt ??= now;
     if (this.position === 0) return undefined;
     const records = this.position - this.replica.lastSnapshotOffset;
-    const due =
+    const isDue =
       records > this.snapshotPolicy.records * delayFactor ||
       now - this.lastSnapshotAt > this.snapshotPolicy.intervalMs * delayFactor;
-    return due ? this.replica.buildSnapshot() : undefined;
+    return isDue ? this.replica.buildSnapshot() : undefined;
   }
 
   private send(now: clock.Milliseconds): effect.Effect {
     this.appendCount += 1;
     this.lastAppendAt = now;
-    this.pendingAppend = {append: this.appendCount, sentAt: now, lost: false};
+    this.pendingAppend = {
+      appendNumber: this.appendCount,
+      sentAt: now,
+      lost: false,
+    };
     return {
       kind: 'append',
       stream: this.name,
@@ -257,7 +264,7 @@
     this.lastSnapshotAt = now;
   }
 
-  /** Lets a lost append be repeated when a later read does not show it. */
+  /** Allows a lost append to be repeated if a later read does not show it. */
   private allowRetryIfAbsent(sentAt: clock.Milliseconds): void {
     const {answeredAt, lost} = this.pendingAppend ?? {lost: false};
     if (!lost || answeredAt === undefined || sentAt <= answeredAt) return;
--- a/test/zones/zone_stream_test.ts
+++ b/test/zones/zone_stream_test.ts
@@ -37,7 +37,7 @@
     () => {
       const stream = create();
       const first = stream.append([JOIN], 0);
-      stream.appendAnswered(lost(1), 2_000);
+      stream.handleAppendAnswer(lost(1), 2_000);
       stream.applyRead(read(1_900), 2_100);
       const early = stream.poll(2_200).map(wanted => wanted.kind);
       assert.equal(early.includes('append'), false);
