--- a/src/contracts/configuration.ts
+++ b/src/contracts/configuration.ts
@@ -3,13 +3,13 @@
 import type * as result from '../result.js';
 import type * as team from './team.js';
 
-/** An availability zone as the operators describe it. */
+/** An availability zone as listed in the document `fleet`. */
 export interface ZoneDefinition {
   readonly name: string;
   readonly region: string;
 }
 
-/** A shape of worker that the operators run, and in which zones. */
+/** A shape of worker and the zones that have workers of this shape. */
 export interface WorkerShape {
   readonly capacity: resources.Resources;
   /** Connections that one worker accepts. */
@@ -17,20 +17,20 @@
   readonly zones: ReadonlyArray<string>;
 }
 
-/** The document `fleet`: what the cell consists of. */
+/** The document `fleet`: zones and worker shapes of the cell. */
 export interface FleetDefinition {
   readonly zones: ReadonlyArray<ZoneDefinition>;
   readonly workerShapes: ReadonlyArray<WorkerShape>;
 }
 
-/** The documents in force, each at its own version. */
+/** Contents of the documents in force, with the version of each document. */
 export interface Configuration {
   readonly fleet: FleetDefinition | undefined;
   readonly teams: ReadonlyMap<string, team.Team>;
   readonly versions: ReadonlyMap<string, number>;
 }
 
-/** Reads the text of documents; the encoding is its own affair. */
+/** Parses the text of documents, so that other code need not know the format. */
 export interface DocumentReader {
   readFleet(content: string): either.Either<result.Failure, FleetDefinition>;
   readTeam(content: string): either.Either<result.Failure, team.Team>;
--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -4,28 +4,28 @@
 import type * as event from './event.js';
 import type * as team from './team.js';
 
-/** Name of the document that describes the cell. */
+/** Name of the document that lists the zones and worker shapes of the cell. */
 export const FLEET_DOCUMENT = 'fleet';
 
-/** Start of the names of the teams' documents. */
+/** Prefix of the names of team documents. */
 export const TEAM_DOCUMENT_PREFIX = 'team/';
 
-/** Rule for names of teams, workloads, zones and regions. */
+/** Pattern for names of teams, workloads, zones and regions. */
 export const NAME_PATTERN = /^[a-z][a-z0-9-]{0,31}$/;
 
-/** A document's content after reading. */
+/** Parsed content of a document. */
 export type ParsedDocument =
   | {readonly kind: 'fleet'; readonly fleet: configuration.FleetDefinition}
   | {readonly kind: 'team'; readonly team: team.Team};
 
-/** Whether a document of this name can exist. */
+/** Returns whether a document of this name can exist. */
 export function isDocumentName(name: string): boolean {
   if (name === FLEET_DOCUMENT) return true;
   if (!name.startsWith(TEAM_DOCUMENT_PREFIX)) return false;
   return NAME_PATTERN.test(name.slice(TEAM_DOCUMENT_PREFIX.length));
 }
 
-/** Documents by name, each at one version, with their parsed contents. */
+/** A set of documents, each at one version, with their parsed contents. */
 export class ConfigurationDocuments {
   private readonly documentsByName = new Map<string, event.Document>();
   private readonly teamsByName = new Map<string, team.Team>();
@@ -33,24 +33,24 @@
 
   constructor(private readonly reader: configuration.DocumentReader) {}
 
-  /** Version of a document; 0 when there is none. */
+  /** Returns the version of a document; 0 if there is none. */
   version(name: string): number {
     return this.documentsByName.get(name)?.version ?? 0;
   }
 
-  /** Returns a document. */
+  /** Returns a document with its version and text. */
   get(name: string): event.Document | undefined {
     return this.documentsByName.get(name);
   }
 
-  /** All documents in the order of their names, the same in each process. */
+  /** Returns all documents sorted by name, the same order in every process. */
   all(): ReadonlyArray<event.Document> {
     return [...this.documentsByName.values()].sort((left, right) =>
       left.name < right.name ? -1 : 1,
     );
   }
 
-  /** The documents as the rest of the process sees them. */
+  /** Returns the parsed contents and versions for use by other components. */
   toConfiguration(): configuration.Configuration {
     return {
       fleet: this.fleet,
@@ -61,7 +61,7 @@
     };
   }
 
-  /** Reads a content by itself; faults are `invalidDocument`. */
+  /** Parses a content by itself; a failure has the result `invalidDocument`. */
   parse(
     name: string,
     content: string,
@@ -77,7 +77,7 @@
       .map(read => ({kind: 'team' as const, team: read}));
   }
 
-  /** Reads a content and checks what it and the other documents refer to. */
+  /** Parses a content and checks its references to and from other documents. */
   parseAndCheck(
     name: string,
     content: string,
@@ -91,7 +91,7 @@
     });
   }
 
-  /** Puts a document that was read before in the place of the present one. */
+  /** Replaces the present version of a document by one that was parsed. */
   put(document: event.Document, parsed: ParsedDocument): void {
     this.documentsByName.set(document.name, document);
     if (parsed.kind === 'fleet') this.fleet = parsed.fleet;
@@ -99,8 +99,8 @@
   }
 
   /**
-   * Puts a document that was accepted elsewhere. When this process cannot
-   * read it, its version counts nevertheless and its content stays unused.
+   * Stores a document that another process accepted. If this process cannot
+   * parse it, the version is stored nevertheless and the content stays unused.
    */
   putAccepted(document: event.Document): void {
     this.documentsByName.set(document.name, document);
@@ -109,7 +109,7 @@
     });
   }
 
-  /** Forgets all documents. */
+  /** Removes all documents. */
   clear(): void {
     this.documentsByName.clear();
     this.teamsByName.clear();
--- a/src/contracts/configuration_history.ts
+++ b/src/contracts/configuration_history.ts
@@ -5,8 +5,8 @@
 import type * as streamReplica from './stream_replica.js';
 
 /**
- * Publications whose outcomes are kept for repeats. At 2,200 changes a day
- * they cover more than five hours, and a snapshot stays small.
+ * Number of publications whose outcomes are kept for repeats. At 2,200 changes
+ * a day they cover more than five hours, and a snapshot stays small.
  */
 const MAXIMUM_RETAINED_OUTCOMES = 512;
 
@@ -19,14 +19,14 @@
   readonly publication: string;
 }
 
-/** What became of a publication at its position in the stream. */
+/** Outcome of a publication at its position in the stream. */
 export interface PublicationOutcome {
   readonly publication: string;
-  /** Digest of the record, by which a reused identity is noticed. */
+  /** Digest of the record, by which a reused identity is detected. */
   readonly digest: string;
   readonly document: string;
   readonly outcome: 'accepted' | 'conflict' | 'invalid';
-  /** The new version if accepted, else the version in force then. */
+  /** New version if accepted, else the version in force at that position. */
   readonly version: number;
   readonly detail: string;
 }
@@ -52,22 +52,22 @@
     );
   }
 
-  /** The documents that the records read so far put in force. */
+  /** Returns the documents in force after the records read so far. */
   documents(): ReadonlyArray<event.Document> {
     return this.acceptedDocuments.all();
   }
 
-  /** Version of a document by the records read so far; 0 without one. */
+  /** Returns a document's version after the records read so far, else 0. */
   version(document: string): number {
     return this.acceptedDocuments.version(document);
   }
 
-  /** Outcome of a publication; undefined when none is remembered. */
+  /** Returns the outcome of a publication; undefined if none is retained. */
   outcome(publication: string): PublicationOutcome | undefined {
     return this.outcomeByPublication.get(publication);
   }
 
-  /** Records so far that were no publication. */
+  /** Returns the number of records so far that were not a publication. */
   unreadableCount(): number {
     return this.unreadableRecords;
   }
@@ -103,7 +103,7 @@
 
   private evaluate(record: PublishRecord, offset: number): PublicationOutcome {
     const current = this.acceptedDocuments.version(record.document);
-    const base = {
+    const common = {
       publication: record.publication,
       digest: digestOf(record),
       document: record.document,
@@ -111,18 +111,22 @@
     };
     if (record.baseVersion !== current) {
       const detail = conflictDetail(record, current);
-      return {...base, outcome: 'conflict', detail};
+      return {...common, outcome: 'conflict', detail};
     }
     return this.acceptedDocuments
       .parseAndCheck(record.document, record.content)
       .caseOf<PublicationOutcome>({
-        Left: fault => ({...base, outcome: 'invalid', detail: fault.detail}),
+        Left: failure => ({
+          ...common,
+          outcome: 'invalid',
+          detail: failure.detail,
+        }),
         Right: parsed => {
-          // Versions start at 1, so that 0 can stand for a missing document.
+          // Versions start at 1, because 0 stands for a missing document.
           const version = offset + 1;
           const {document: name, content} = record;
           this.acceptedDocuments.put({name, version, content}, parsed);
-          return {...base, outcome: 'accepted', version, detail: ''};
+          return {...common, outcome: 'accepted', version, detail: ''};
         },
       });
   }
@@ -135,14 +139,14 @@
   }
 }
 
-/** Digest of what a publication asks for. */
+/** Returns a digest of the document, base version and content. */
 export function digestOf(record: PublishRecord): string {
   const {document, baseVersion, content} = record;
   const text = JSON.stringify([document, baseVersion, content]);
   return crypto.createHash('sha256').update(text).digest('hex').slice(0, 16);
 }
 
-/** Says which version the base should have been. */
+/** Returns the text of a conflict, with the version to use as the base. */
 export function conflictDetail(record: PublishRecord, current: number): string {
   return (
     `baseVersion: ${record.baseVersion} must be the current version of ` +
@@ -166,7 +170,7 @@
   }
 }
 
-/** Throws when the text is not the state of a history. */
+/** Parses a snapshot; throws if it is not the state of a history. */
 function parseState(snapshot: string): HistoryState {
   const state = JSON.parse(snapshot) as HistoryState;
   const valid =
@@ -181,6 +185,10 @@
         typeof outcome.publication === 'string' &&
         ['accepted', 'conflict', 'invalid'].includes(outcome.outcome),
     );
-  if (!valid) throw new Error('not a snapshot of the configuration');
+  if (!valid) {
+    throw new Error(
+      'invalid configuration snapshot: a document or publication is malformed',
+    );
+  }
   return state;
 }
--- a/src/contracts/configuration_peer_fetcher.ts
+++ b/src/contracts/configuration_peer_fetcher.ts
@@ -4,7 +4,7 @@
 import type * as event from './event.js';
 
 /**
- * Time for which the log may show a version that a peer already has. It
+ * Time for which the log may lag behind a version that a peer already has. It
  * exceeds the read interval, so a healthy log causes no fetches from peers.
  */
 export const LOG_GRACE_PERIOD_MS = 2_000;
@@ -12,31 +12,31 @@
 /** Time between fetches of documents from peers. */
 const FETCH_INTERVAL_MS = 1_000;
 
-/** Where this process is, by which it chooses whom to ask first. */
+/** VM and zone of this process; peers of the same zone are asked first. */
 export interface ProcessLocation {
   readonly vm: string;
   readonly zone: string;
 }
 
-/** Fetches from other processes what the log does not show in time. */
+/** Fetches documents from peers when the log does not deliver them in time. */
 export class ConfigurationPeerFetcher {
   /** Entry VMs of the VM list, those of this zone first. */
   private entryVms: ReadonlyArray<event.ListedVm> = [];
   private nextEntryVmIndex = 0;
   private nextFetchAt = 0;
   private logCurrentAt: clock.Milliseconds | undefined;
-  /** Newest version that a peer has shown and that was missing here. */
+  /** Newest version that a peer reported and that was missing here. */
   private missingVersion = 0;
   private missingSince = -Infinity;
 
   constructor(private readonly location: ProcessLocation | undefined) {}
 
-  /** Takes note of when the log last showed everything, or of the start. */
+  /** Records when the log was last read to its end, or the start time. */
   recordLogProgress(currentAt: clock.Milliseconds): void {
     this.logCurrentAt = Math.max(this.logCurrentAt ?? currentAt, currentAt);
   }
 
-  /** Takes note of the entry VMs that can be asked. */
+  /** Updates the entry VMs from which documents can be fetched. */
   updateEntryVms(vms: ReadonlyArray<event.ListedVm>): void {
     const others = vms.filter(
       listed =>
@@ -52,32 +52,32 @@
     ];
   }
 
-  /** Compares what a peer has with the documents in force. */
+  /** Fetches documents from a peer that has newer versions than are in force. */
   fetchIfBehind(
     news: event.PeerNews,
     inForce: configurationDocuments.ConfigurationDocuments,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const missing = news.documents.filter(
-      known => known.version > inForce.version(known.name),
+      reported => reported.version > inForce.version(reported.name),
     );
     if (missing.length === 0) return [];
     this.recordMissing(Math.max(...missing.map(item => item.version)), now);
-    const logIsLate = now - this.missingSince >= LOG_GRACE_PERIOD_MS;
-    const reason = this.logIsSilent(now) ? 'logSilent' : 'logLate';
-    if (reason === 'logLate' && !logIsLate) return [];
+    const isLogLate = now - this.missingSince >= LOG_GRACE_PERIOD_MS;
+    const reason = this.isLogSilent(now) ? 'logSilent' : 'logLate';
+    if (reason === 'logLate' && !isLogLate) return [];
     return this.fetch(news.from, news.address, inForce, reason, now);
   }
 
   /**
-   * Asks the listed entry VMs in turn. A process that starts during an outage
-   * of the log knows no members whose confirmations could tell it more.
+   * Fetches from the listed entry VMs in turn. A process that starts during an
+   * outage of the log knows no members whose confirmations report versions.
    */
   fetchFromEntryVm(
     inForce: configurationDocuments.ConfigurationDocuments,
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
-    if (this.entryVms.length === 0 || !this.logIsSilent(now)) return [];
+    if (this.entryVms.length === 0 || !this.isLogSilent(now)) return [];
     const {vm, address} =
       this.entryVms[this.nextEntryVmIndex % this.entryVms.length];
     const fetched = this.fetch(vm, address, inForce, 'start', now);
@@ -101,7 +101,7 @@
     ];
   }
 
-  private logIsSilent(now: clock.Milliseconds): boolean {
+  private isLogSilent(now: clock.Milliseconds): boolean {
     if (this.logCurrentAt === undefined) return false;
     return now - this.logCurrentAt >= LOG_GRACE_PERIOD_MS;
   }
--- a/src/contracts/configuration_store.ts
+++ b/src/contracts/configuration_store.ts
@@ -12,25 +12,25 @@
 import type * as event from './event.js';
 import type * as randomSource from '../machines/random_source.js';
 
-/** The stream that holds the operators' documents. */
+/** Name of the stream that holds the operators' documents. */
 export const CONFIGURATION_STREAM = 'configuration';
 
 /** Time between reads of the stream. */
 const READ_INTERVAL_MS = 1_000;
 
-/** Pause after an append whose answer was lost. */
+/** Delay of the next append after an append whose answer was lost. */
 const APPEND_RETRY_DELAY_MS = 1_000;
 
-/** Retention of the log's records when the settings state none: a day. */
+/** Retention of the log's records if the settings state none: one day. */
 const DEFAULT_RETENTION_MS = 86_400_000;
 
-/** What the keeper needs to know of the log. */
+/** Options of `ConfigurationStore`, all with defaults. */
 export interface ConfigurationStoreOptions {
-  /** How long the log keeps a record. */
+  /** Time for which the log keeps a record. */
   readonly retentionMs?: clock.Milliseconds;
-  /** Least time between two appends of this process. */
+  /** Minimum time between two appends of this process. */
   readonly appendIntervalMs?: clock.Milliseconds;
-  /** Where this process is. */
+  /** VM and zone of this process. */
   readonly location?: configurationPeerFetcher.ProcessLocation;
   /** Spreads the snapshots of the processes over time. */
   readonly random?: randomSource.RandomSource;
@@ -42,20 +42,20 @@
 >;
 
 /**
- * Keeps the documents in force. What the stream says is replayed apart from
- * what peers sent; of both, the higher version of a document is in force.
+ * Holds the documents in force. The stream is replayed separately from the
+ * documents that peers send; the higher version of a document is in force.
  */
 export class ConfigurationStore {
   private readonly history: configurationHistory.ConfigurationHistory;
   private readonly replica: streamReplica.StreamReplica;
   private readonly documentsInForce: configurationDocuments.ConfigurationDocuments;
   private readonly publications = new publicationTracker.PublicationTracker();
-  private readonly snapshots: snapshotSchedule.SnapshotSchedule;
+  private readonly snapshotSchedule: snapshotSchedule.SnapshotSchedule;
   private readonly appendIntervalMs: clock.Milliseconds;
   private configuration: configuration.Configuration;
-  /** Versions that this process cannot read, so that each is reported once. */
+  /** Version of each document that cannot be parsed, reported only once. */
   private readonly unreadableVersions = new Map<string, number>();
-  /** Whether the documents were complete once, from the log or a peer. */
+  /** Whether a complete set of documents has come from the log or a peer. */
   private isLoadedValue = false;
   private lastTailReadSentAt = -Infinity;
   private countedUnreadableRecords = 0;
@@ -79,26 +79,29 @@
       options.location,
     );
     this.appendIntervalMs = options.appendIntervalMs ?? 0;
-    this.snapshots = new snapshotSchedule.SnapshotSchedule(
+    this.snapshotSchedule = new snapshotSchedule.SnapshotSchedule(
       options.retentionMs ?? DEFAULT_RETENTION_MS,
       options.random,
     );
   }
 
-  /** The documents in force; a new object after each change. */
+  /** Returns the documents in force; a new object after each change. */
   current(): configuration.Configuration {
     return this.configuration;
   }
 
-  /** Whether requests can be judged: documents came from the log or a peer. */
+  /**
+   * Returns whether documents have come from the log or a peer, without which
+   * requests cannot be validated.
+   */
   isLoaded(): boolean {
     return this.isLoadedValue;
   }
 
   /**
-   * What a confirmation tells a peer: the newest document only. Versions are
-   * offsets of one stream and a process takes over all documents of a peer at
-   * once, so whoever has the newest has the others too.
+   * Returns the newest document, the only one that a confirmation reports.
+   * Versions are offsets of one stream and a process adopts all documents of a
+   * peer at once, so a process that has the newest has the others too.
    */
   newestDocument(): ReadonlyArray<event.DocumentVersion> {
     let newest: event.DocumentVersion | undefined;
@@ -110,7 +113,7 @@
     return newest === undefined ? [] : [newest];
   }
 
-  /** Handles what concerns the documents; ignores other events. */
+  /** Handles the events that concern the documents; ignores others. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -147,27 +150,31 @@
     }
   }
 
-  /** When `timePassed` is wanted next. */
+  /** Returns when the next `timePassed` is due. */
   nextDeadline(): clock.Milliseconds {
-    const append =
+    const appendAt =
       this.publications.hasUnsent() && !this.appendInProgress
         ? this.nextAppendAt
         : Infinity;
-    return Math.min(this.nextReadAt, append, this.publications.nextDeadline());
+    return Math.min(
+      this.nextReadAt,
+      appendAt,
+      this.publications.nextDeadline(),
+    );
   }
 
   private timePassed(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const done: effects.Effect[] = [];
+    const requested: effects.Effect[] = [];
     if (this.nextReadAt === 0) this.peerFetcher.recordLogProgress(now);
-    if (now >= this.nextReadAt) done.push(this.readNext(now));
+    if (now >= this.nextReadAt) requested.push(this.readNext(now));
     if (!this.isLoadedValue) {
-      done.push(
+      requested.push(
         ...this.peerFetcher.fetchFromEntryVm(this.documentsInForce, now),
       );
     }
-    done.push(...this.publications.expire(now));
-    done.push(...this.appendWaiting(now));
-    return done;
+    requested.push(...this.publications.expire(now));
+    requested.push(...this.appendUnsent(now));
+    return requested;
   }
 
   private readNext(now: clock.Milliseconds): effects.Effect {
@@ -185,16 +192,18 @@
   ): ReadonlyArray<effects.Effect> {
     if (handled.stream !== CONFIGURATION_STREAM) return [];
     const progress = this.replica.applyRead(handled);
-    const done = [...this.countUnreadable(), ...this.adoptFromLog()];
-    done.push(...this.publications.resolve(name => this.history.outcome(name)));
-    this.snapshots.observe(this.replica, now);
+    const requested = [...this.countUnreadable(), ...this.adoptFromLog()];
+    requested.push(
+      ...this.publications.resolve(name => this.history.outcome(name)),
+    );
+    this.snapshotSchedule.observe(this.replica, now);
     switch (progress) {
       case 'behind':
-        done.push(this.readNext(now));
-        return done;
+        requested.push(this.readNext(now));
+        return requested;
       case 'gap':
-        done.push(effects.count('configuration_gap'));
-        return done;
+        requested.push(effects.count('configuration_gap'));
+        return requested;
       case 'tail':
         this.isLoadedValue = true;
         this.lastTailReadSentAt = Math.max(
@@ -202,9 +211,9 @@
           handled.sentAt,
         );
         this.peerFetcher.recordLogProgress(handled.sentAt);
-        done.push(...this.validateUnchecked());
-        done.push(...this.appendWaiting(now));
-        return done;
+        requested.push(...this.validateUnchecked());
+        requested.push(...this.appendUnsent(now));
+        return requested;
     }
   }
 
@@ -226,12 +235,12 @@
   private adoptFromPeer(
     handled: EventOf<'documentsArrived'>,
   ): ReadonlyArray<effects.Effect> {
-    const done = this.adoptNewer(handled.documents, 'peer');
+    const requested = this.adoptNewer(handled.documents, 'peer');
     if (this.configuration.versions.size > 0) this.isLoadedValue = true;
-    return done;
+    return requested;
   }
 
-  /** Puts in force what is newer than the versions in force. */
+  /** Adopts the documents that are newer than the versions in force. */
   private adoptNewer(
     documents: ReadonlyArray<event.Document>,
     source: 'log' | 'peer',
@@ -243,9 +252,9 @@
         document.version !== this.unreadableVersions.get(document.name),
     );
     if (newer.length === 0) return [];
-    const done = newer.flatMap(document => this.adopt(document, source));
-    done.push(...this.updateConfiguration());
-    return done;
+    const requested = newer.flatMap(document => this.adopt(document, source));
+    requested.push(...this.updateConfiguration());
+    return requested;
   }
 
   private adopt(
@@ -254,9 +263,9 @@
   ): ReadonlyArray<effects.Effect> {
     const fields = {document: document.name, version: document.version, source};
     return this.documentsInForce.parse(document.name, document.content).caseOf({
-      Left: fault => {
+      Left: failure => {
         this.unreadableVersions.set(document.name, document.version);
-        const {detail} = fault;
+        const {detail} = failure;
         return [
           effects.count('document_refused', {source}),
           effects.log('warn', 'documentRefused', {...fields, detail}),
@@ -272,7 +281,7 @@
     });
   }
 
-  /** Shows the new documents unless one of them would fall back. */
+  /** Exposes the new documents unless the version of one would decrease. */
   private updateConfiguration(): ReadonlyArray<effects.Effect> {
     const next = this.documentsInForce.toConfiguration();
     for (const [document, previousVersion] of this.configuration.versions) {
@@ -290,9 +299,9 @@
     now: clock.Milliseconds,
   ): ReadonlyArray<effects.Effect> {
     const {document, baseVersion, content, publication} = call;
-    const fault = publicationTracker.checkPublication(call);
-    if (fault !== undefined) {
-      return publicationTracker.refusalEffects(call.call, fault);
+    const failure = publicationTracker.checkPublication(call);
+    if (failure !== undefined) {
+      return publicationTracker.refusalEffects(call.call, failure);
     }
     const record = {
       kind: 'publish',
@@ -308,21 +317,22 @@
         call.call,
         result.failure(
           'publicationUnknown',
-          `publication: ${publication} was not taken, because too many wait ` +
-            'for the log; publish again with the same identity',
+          `publication: ${publication} was not accepted, because too many ` +
+            'publications wait for the log; publish again with the same ' +
+            'identity',
         ),
       );
     }
     this.publications.add(call.call, record, now);
-    const done = [...this.validateUnchecked(), ...this.appendWaiting(now)];
-    // A base that is not known here yet is judged after the next read.
+    const requested = [...this.validateUnchecked(), ...this.appendUnsent(now)];
+    // A base that is not known here yet is validated after the next read.
     if (this.publications.uncheckedPublications().length > 0) {
-      done.push(this.readNext(now));
+      requested.push(this.readNext(now));
     }
-    return done;
+    return requested;
   }
 
-  /** Answers a publication whose identity was used before. */
+  /** Answers a publication whose identity was used; undefined if it was not. */
   private answerKnownPublication(
     call: event.CallNumber,
     record: configurationHistory.PublishRecord,
@@ -340,7 +350,8 @@
         call,
         result.failure(
           'identityConflict',
-          `publication: ${record.publication} was used for another change`,
+          `publication: ${record.publication} was used for another change; ` +
+            'use a new identity',
         ),
       );
     }
@@ -351,7 +362,7 @@
   private validateUnchecked(): ReadonlyArray<effects.Effect> {
     return this.publications
       .uncheckedPublications()
-      .flatMap(waiting => this.validate(waiting));
+      .flatMap(unchecked => this.validate(unchecked));
   }
 
   private validate(
@@ -372,18 +383,19 @@
     unchecked: publicationTracker.UncheckedPublication,
   ): 'right' | 'wrong' | 'undecided' {
     const {document, baseVersion} = unchecked.record;
-    // Had an earlier append of this record won, the replay would know it.
+    // If an earlier append of this record had been accepted, the replay would
+    // have its outcome.
     if (baseVersion < this.history.version(document)) return 'wrong';
     if (!this.isLoadedValue) return 'undecided';
     const current = this.currentVersion(document);
     if (baseVersion === current) return 'right';
-    // A lower base may have won by an earlier append that only a peer has
-    // read; a higher one may come from a process that has read further.
+    // A lower base may have been accepted by an earlier append that only a peer
+    // has read. A higher one may come from a process that has read further.
     const hasReadSinceArrival = this.lastTailReadSentAt > unchecked.arrivedAt;
     return baseVersion > current && hasReadSinceArrival ? 'wrong' : 'undecided';
   }
 
-  /** The higher of what the stream and the peers have shown. */
+  /** Returns the higher of the versions from the stream and from peers. */
   private currentVersion(document: string): number {
     return Math.max(
       this.history.version(document),
@@ -408,7 +420,7 @@
     return this.documentsInForce
       .parseAndCheck(record.document, record.content)
       .caseOf({
-        Left: fault => this.publications.refuse(record.publication, fault),
+        Left: failure => this.publications.refuse(record.publication, failure),
         Right: () => {
           this.publications.approve(record.publication);
           return [];
@@ -416,16 +428,14 @@
       });
   }
 
-  private appendWaiting(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  private appendUnsent(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     if (this.appendInProgress || now < this.nextAppendAt) return [];
     const records: string[] = [];
     const isCurrent =
       now - this.lastTailReadSentAt <
       configurationPeerFetcher.LOG_GRACE_PERIOD_MS;
-    if (this.snapshots.isDue(this.replica, now) && isCurrent) {
-      this.snapshots.recordSent(now);
+    if (this.snapshotSchedule.isDue(this.replica, now) && isCurrent) {
+      this.snapshotSchedule.recordSent(now);
       records.push(JSON.stringify(this.replica.buildSnapshot()));
     }
     for (const record of this.publications.takeUnsent()) {
@@ -480,8 +490,14 @@
       ];
     }
     const refusal = this.isLoadedValue
-      ? result.failure('unknownDocument', `document: no ${call.document}`)
-      : result.failure('noConfiguration', 'no documents were read yet');
+      ? result.failure(
+          'unknownDocument',
+          `document: "${call.document}" does not exist`,
+        )
+      : result.failure(
+          'noConfiguration',
+          'no documents have been read from the log or a peer yet; try again',
+        );
     return publicationTracker.refusalEffects(call.call, refusal);
   }
 
--- a/src/contracts/publication_tracker.ts
+++ b/src/contracts/publication_tracker.ts
@@ -5,21 +5,21 @@
 import type * as configurationHistory from './configuration_history.js';
 import type * as event from './event.js';
 
-/** Time after which an operator is told that the outcome is unknown. */
+/** Time after which a publication is answered with an unknown outcome. */
 export const PUBLICATION_TIMEOUT_MS = 10_000;
 
-/** Most publications that wait at once; each holds a whole document. */
+/** Maximum number of open publications; each holds a whole document. */
 const MAXIMUM_OPEN_PUBLICATIONS = 128;
 
-/** Length of the records of one append; a longer one goes alone. */
+/** Maximum length of the records of one append; a longer record goes alone. */
 const MAXIMUM_APPEND_CHARACTERS = 1_000_000;
 
-/** Longest identity of a publication. */
+/** Maximum length of a publication's identity. */
 const MAXIMUM_PUBLICATION_CHARACTERS = 100;
 
 /**
- * Where a publication stands: waiting for a read that allows a judgement,
- * waiting for its append, or appended and not seen in the stream yet.
+ * Stage of a publication: waiting for a read that allows its validation,
+ * waiting for its append, or appended and not read back from the stream yet.
  */
 type Stage = 'unchecked' | 'unsent' | 'sent';
 
@@ -30,25 +30,25 @@
   stage: Stage;
 }
 
-/** A publication that no read has allowed to judge yet. */
+/** A publication that still waits for a read that allows its validation. */
 export interface UncheckedPublication {
   readonly record: configurationHistory.PublishRecord;
   readonly arrivedAt: clock.Milliseconds;
 }
 
-/** The publications that operators wait for at this process. */
+/** Tracks the publications that operators wait for at this process. */
 export class PublicationTracker {
   private readonly openPublications = new Map<string, Publication>();
 
-  /** Adds a publication, or a further call that waits for a known one. */
+  /** Adds a publication, or another call that waits for an open one. */
   add(
     call: event.CallNumber,
     record: configurationHistory.PublishRecord,
     now: clock.Milliseconds,
   ): void {
-    const known = this.openPublications.get(record.publication);
-    if (known !== undefined) {
-      known.calls.add(call);
+    const open = this.openPublications.get(record.publication);
+    if (open !== undefined) {
+      open.calls.add(call);
       return;
     }
     this.openPublications.set(record.publication, {
@@ -59,7 +59,7 @@
     });
   }
 
-  /** Whether no further publication can wait; a known one always can. */
+  /** Returns whether the limit is reached; an open publication is exempt. */
   isFull(publication: string): boolean {
     return (
       this.openPublications.size >= MAXIMUM_OPEN_PUBLICATIONS &&
@@ -67,25 +67,25 @@
     );
   }
 
-  /** The record that an open publication asks to append. */
+  /** Returns the record of an open publication. */
   record(publication: string): configurationHistory.PublishRecord | undefined {
     return this.openPublications.get(publication)?.record;
   }
 
-  /** Publications that still have to be judged before an append. */
+  /** Returns the publications that still have to be validated. */
   uncheckedPublications(): ReadonlyArray<UncheckedPublication> {
     return [...this.openPublications.values()].filter(
       item => item.stage === 'unchecked',
     );
   }
 
-  /** Lets a publication be appended. */
+  /** Marks a publication as ready to be appended. */
   approve(publication: string): void {
-    const known = this.openPublications.get(publication);
-    if (known !== undefined) known.stage = 'unsent';
+    const open = this.openPublications.get(publication);
+    if (open !== undefined) open.stage = 'unsent';
   }
 
-  /** Whether a record waits for its append. */
+  /** Returns whether a record waits for its append. */
   hasUnsent(): boolean {
     for (const item of this.openPublications.values()) {
       if (item.stage === 'unsent') return true;
@@ -93,22 +93,22 @@
     return false;
   }
 
-  /** Returns the records to append now; others stay for the next append. */
+  /** Returns the records to append now; the rest wait for the next append. */
   takeUnsent(): ReadonlyArray<configurationHistory.PublishRecord> {
-    const taken: configurationHistory.PublishRecord[] = [];
-    let length = 0;
+    const records: configurationHistory.PublishRecord[] = [];
+    let characters = 0;
     for (const item of this.openPublications.values()) {
       if (item.stage !== 'unsent') continue;
-      length += item.record.content.length;
-      if (taken.length > 0 && length > MAXIMUM_APPEND_CHARACTERS) break;
+      characters += item.record.content.length;
+      if (records.length > 0 && characters > MAXIMUM_APPEND_CHARACTERS) break;
       item.stage = 'sent';
-      taken.push(item.record);
+      records.push(item.record);
     }
-    return taken;
+    return records;
   }
 
   /**
-   * Lets the records of a lost append be sent again. They keep their
+   * Marks the records of a lost append to be sent again. They keep their
    * identities, so readers drop the second copy.
    */
   markForResend(): void {
@@ -117,7 +117,7 @@
     }
   }
 
-  /** Answers every publication whose outcome the stream has shown. */
+  /** Answers every publication whose outcome has been read from the stream. */
   resolve(
     outcomeOf: (
       publication: string,
@@ -131,19 +131,19 @@
     });
   }
 
-  /** Refuses an open publication. */
+  /** Refuses an open publication and answers its calls. */
   refuse(
     publication: string,
     refusal: result.Failure,
   ): ReadonlyArray<effects.Effect> {
-    const known = this.openPublications.get(publication);
+    const open = this.openPublications.get(publication);
     this.openPublications.delete(publication);
-    return [...(known?.calls ?? [])].flatMap(call =>
+    return [...(open?.calls ?? [])].flatMap(call =>
       refusalEffects(call, refusal),
     );
   }
 
-  /** Answers publications for which the log showed nothing in time. */
+  /** Answers the publications that were not read back in time. */
   expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
     return [...this.openPublications.values()]
       .filter(item => now >= item.arrivedAt + PUBLICATION_TIMEOUT_MS)
@@ -152,7 +152,7 @@
       );
   }
 
-  /** When `expire` has something to do next. */
+  /** Returns when the next publication expires. */
   nextDeadline(): clock.Milliseconds {
     let earliest = Infinity;
     for (const item of this.openPublications.values()) {
@@ -165,15 +165,15 @@
     publication: string,
     outcome: configurationHistory.PublicationOutcome,
   ): ReadonlyArray<effects.Effect> {
-    const known = this.openPublications.get(publication);
+    const open = this.openPublications.get(publication);
     this.openPublications.delete(publication);
-    return [...(known?.calls ?? [])].flatMap(call =>
+    return [...(open?.calls ?? [])].flatMap(call =>
       outcomeEffects(call, outcome),
     );
   }
 }
 
-/** Answers a call with what became of its publication. */
+/** Answers a call with the outcome of its publication. */
 export function outcomeEffects(
   call: event.CallNumber,
   outcome: configurationHistory.PublicationOutcome,
@@ -224,25 +224,26 @@
 }
 
 /**
- * Also covers a publication that was never appended here: an earlier try may
- * have appended it through another process.
+ * Returns the failure of a publication that timed out. The outcome is unknown
+ * even if it was never appended here, because an earlier try may have appended
+ * it through another process.
  */
 function timeoutFailure(item: Publication): result.Failure {
   return result.failure(
     'publicationUnknown',
-    `publication: ${item.record.publication} was not shown by the log within ` +
+    `publication: ${item.record.publication} was not read back from the log within ` +
       `${PUBLICATION_TIMEOUT_MS} ms; publish again with the same identity`,
   );
 }
 
-/** Names the first field of a publication that breaks a rule. */
+/** Returns a failure for the first invalid field of a publication, if any. */
 export function checkPublication(
   call: Extract<event.Event, {readonly kind: 'publishArrived'}>,
 ): result.Failure | undefined {
   if (!configurationDocuments.isDocumentName(call.document)) {
     return result.failure(
       'unknownDocument',
-      `document: "${call.document}" must be fleet or team/ with a name`,
+      `document: "${call.document}" must be fleet or team/<name of a team>`,
     );
   }
   const {length} = call.publication;
--- a/src/contracts/questionnaire_answers.ts
+++ b/src/contracts/questionnaire_answers.ts
@@ -1,6 +1,6 @@
 import type * as resources from '../machines/resources.js';
 
-/** How bad it is when a request starts late. */
+/** Answers for the effect of a late start, from the mildest to the worst. */
 export const LATENESS_ANSWERS = [
   'nobody notices',
   'work piles up',
@@ -46,7 +46,7 @@
   readonly work: ReadonlyArray<WorkAnswers>;
 }
 
-/** All answers of one operator. */
+/** Complete answers of one operator. */
 export interface QuestionnaireAnswers {
   readonly operator: string;
   readonly zones: ReadonlyArray<{
@@ -57,41 +57,39 @@
   readonly teams: ReadonlyArray<TeamAnswers>;
 }
 
-/** A value of a document and the answer from which it came. */
+/** A value of a document and the answer from which it was derived. */
 export interface DerivedValue {
   readonly key: string;
   readonly value: string | number | boolean | ReadonlyArray<string>;
-  /** Path of the answer; empty when the value follows from none. */
+  /** Path of the answer; empty if the value follows from none. */
   readonly answer: string;
-  /** How the value follows from the answer. */
+  /** Explains how the value follows from the answer. */
   readonly note: string;
 }
 
-/** A part of a document; the path of its top level is empty. */
+/** A table of a document; the path of the top level is empty. */
 export interface DerivedTable {
   readonly path: string;
-  /** Whether the table is one of a list of tables. */
+  /** Whether the table is an element of an array of tables. */
   readonly repeated: boolean;
   readonly values: ReadonlyArray<DerivedValue>;
 }
 
-/** A document as it follows from the answers. */
+/** A document derived from the answers. */
 export interface DerivedDocument {
   readonly name: string;
   readonly tables: ReadonlyArray<DerivedTable>;
 }
 
-/** Thousandths in a processor. */
 const THOUSANDTHS_PER_PROCESSOR = 1_000;
 
-/** MiB in a GiB. */
 const MIB_PER_GIB = 1_024;
 
 const MS_PER_MINUTE = 60_000;
 
 const MINUTES_PER_HOUR = 60;
 
-/** Least length of a queue, so that a rare kind of work can wait too. */
+/** Minimum queue limit, so that a rare kind of work can be queued too. */
 const MINIMUM_QUEUE_LIMIT = 10;
 
 /** Derives the documents of an operator from the answers. */
@@ -106,7 +104,7 @@
   ];
 }
 
-/** Returns what the answers contradict each other in, one text each. */
+/** Returns a text for each contradiction between the answers. */
 export function findContradictions(
   answers: QuestionnaireAnswers,
 ): ReadonlyArray<string> {
@@ -131,7 +129,9 @@
       work.accelerators <= worker.accelerators,
   );
   if (!fits) {
-    contradictions.push(`${path}: ${work.name} fits no worker of the fleet`);
+    contradictions.push(
+      `${path}: ${work.name} fits no worker of the fleet; reduce its size or add a larger worker`,
+    );
   }
   if (work.endsByItself && work.minutes === 0) {
     contradictions.push(
@@ -375,7 +375,7 @@
   );
 }
 
-/** Half of the tasks may share a rack when the rest has to survive it. */
+/** At most half of the tasks share a rack if the rest must survive its loss. */
 function deriveMaximumPerRack(work: WorkAnswers, path: string): DerivedValue {
   const answer = `${path}.survivesRackLoss`;
   const note = `= ${work.survivesRackLoss}, machinesAtOnce = ${work.machinesAtOnce}`;
--- a/src/contracts/snapshot_schedule.ts
+++ b/src/contracts/snapshot_schedule.ts
@@ -3,27 +3,27 @@
 import type * as streamReplica from './stream_replica.js';
 
 /**
- * Parts of the retention time between a snapshot and the next. With the
- * random part added it stays under the half that a reader relies on.
+ * Fraction of the retention time between two snapshots. With the random part
+ * added it stays under the half that a reader relies on.
  */
 const REPEAT_FRACTION = 1 / 4;
 
 /**
- * Part of the retention time before the first snapshot of a new process; it
- * is shorter because the age of the records found at the start is unknown.
+ * Fraction of the retention time before the first snapshot of a new process.
+ * It is shorter because the age of the records found at the start is unknown.
  */
 const FIRST_FRACTION = 1 / 8;
 
-/** Part of the retention time over which processes spread their snapshots. */
+/** Fraction of the retention time over which snapshots are spread randomly. */
 const SPREAD_FRACTION = 1 / 8;
 
-/** Steps of the random part. */
+/** Number of equal steps in the random part. */
 const RANDOM_STEPS = 1_000;
 
-/** Time for a snapshot to be seen in the stream before it is sent again. */
+/** Time after which a snapshot that was not read back is sent again. */
 const RESEND_DELAY_MS = 60_000;
 
-/** Age of the position that a snapshot of another process has to include. */
+/** Age of the stream position that a recent snapshot has to include. */
 const MAXIMUM_SNAPSHOT_LAG_MS = 60_000;
 
 interface PositionSample {
@@ -32,8 +32,8 @@
 }
 
 /**
- * Decides when this process appends a snapshot: before the records it stands
- * for expire, and not when another process has just done so.
+ * Decides when this process appends a snapshot: before the records that it
+ * replaces expire, and not when another process has just appended one.
  */
 export class SnapshotSchedule {
   private dueAt = Infinity;
@@ -46,7 +46,7 @@
     private readonly random?: randomSource.RandomSource,
   ) {}
 
-  /** Takes note of how far the stream was read at `now`. */
+  /** Records the position to which the stream was read at `now`. */
   observe(replica: streamReplica.StreamReplica, now: clock.Milliseconds): void {
     if (this.dueAt === Infinity) {
       this.dueAt = now + this.randomDelay(FIRST_FRACTION);
@@ -59,7 +59,7 @@
     this.newerSample = {at: now, position: replica.position};
   }
 
-  /** Whether a snapshot is to be appended; one of no records never is. */
+  /** Returns whether a snapshot is due; never for an empty stream. */
   isDue(
     replica: streamReplica.StreamReplica,
     now: clock.Milliseconds,
@@ -67,14 +67,15 @@
     return now >= this.dueAt && replica.isComplete && replica.position > 0;
   }
 
-  /** Takes note that a snapshot was sent; its acknowledgement may be lost. */
+  /** Records that a snapshot was sent, whose acknowledgement may be lost. */
   recordSent(now: clock.Milliseconds): void {
     this.dueAt = now + RESEND_DELAY_MS;
   }
 
   /**
-   * Whether a new snapshot includes all but the latest records. One written
-   * by a lagging process does not, and must not delay the next one.
+   * Returns whether a new snapshot was read that includes all but the latest
+   * records. A snapshot of a lagging process does not, and must not delay the
+   * next one.
    */
   private isRecent(replica: streamReplica.StreamReplica): boolean {
     if (replica.lastSnapshotOffset === this.lastSnapshotOffset) return false;
--- a/src/contracts/stream_replica.ts
+++ b/src/contracts/stream_replica.ts
@@ -1,39 +1,39 @@
 import type * as event from './event.js';
 
-/** State that is a function of the records of a stream. */
+/** A state machine that is driven by the records of a stream. */
 export interface ReplicatedState {
   /** Applies the next record that is not a snapshot. */
   apply(record: event.StreamRecord): void;
-  /** Returns the whole state as text. */
+  /** Serialises the whole state. */
   snapshot(): string;
   /**
-   * Replaces the whole state by one that `snapshot` returned. Throws, and
-   * changes nothing, when the text is not such a state.
+   * Replaces the whole state by the result of an earlier `snapshot`. Throws and
+   * changes nothing if the text is not such a state.
    */
   restore(snapshot: string): void;
 }
 
-/** A record that carries the state through an offset past the retention. */
+/** A record with the state up to an offset, which outlives those records. */
 export interface SnapshotRecord {
   readonly kind: 'snapshot';
-  /** The state includes every record up to this offset, itself included. */
+  /** Offset of the last record that the state includes. */
   readonly through: number;
   readonly state: string;
 }
 
-/** Where a replica stands after a read. */
+/** Progress of a replica after a read. */
 export type ReplicaProgress =
-  /** Every record that the log had shown is applied. */
+  /** All records of the stream at the time of the read are applied. */
   | 'tail'
-  /** More records are to be read. */
+  /** More records have to be read. */
   | 'behind'
-  /** Records were trimmed before they were read, and no snapshot bridges them. */
+  /** Records were trimmed before they were read, and no snapshot covers them. */
   | 'gap';
 
 /**
- * Replays a log stream. A snapshot is used only by a replica that lacks
- * earlier records, and only if all records after the snapshot's state are
- * still readable, so that one written by a lagging process reverts nothing.
+ * Replays a log stream. A replica uses a snapshot only if it lacks earlier
+ * records and can still read all records after the snapshot's state, so that a
+ * snapshot of a lagging process reverts nothing.
  */
 export class StreamReplica {
   private nextOffset = 0;
@@ -43,23 +43,23 @@
   private appliedThrough = -1;
   /** Whether the state includes every record before `nextOffset`. */
   private isCompleteValue = true;
-  /** Records read since a gap, kept until a snapshot bridges it. */
+  /** Records read since a gap, kept until a snapshot covers it. */
   private recordsAfterGap: event.StreamRecord[] = [];
   private firstOffsetAfterGap = 0;
 
   constructor(private readonly state: ReplicatedState) {}
 
-  /** Offset from which to read next. */
+  /** Offset of the next record to read. */
   get position(): number {
     return this.nextOffset;
   }
 
-  /** Offset of the last snapshot seen; -1 before the first. */
+  /** Offset of the last snapshot read; -1 before the first. */
   get lastSnapshotOffset(): number {
     return this.lastSnapshotOffsetValue;
   }
 
-  /** Offset through which the last snapshot seen carries the state. */
+  /** Offset of the last record that the last snapshot includes. */
   get lastSnapshotThrough(): number {
     return this.lastSnapshotThroughValue;
   }
@@ -69,7 +69,7 @@
     return this.isCompleteValue;
   }
 
-  /** Applies what a read returned; repeated records change nothing. */
+  /** Applies the records of a read; repeated records change nothing. */
   applyRead(
     read: Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
   ): ReplicaProgress {
@@ -79,7 +79,7 @@
     return this.isCompleteValue ? 'tail' : 'gap';
   }
 
-  /** Applies records in order; those that do not follow on are left alone. */
+  /** Applies records in order; ignores those that do not follow directly. */
   applyRecords(records: ReadonlyArray<event.StreamRecord>): void {
     for (const record of records) {
       if (record.offset === this.nextOffset) this.applyNext(record);
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Builds the snapshot of the state as it stands. During a gap it names the
-   * last record before the gap, because the state holds nothing later.
+   * Builds a snapshot of the present state. During a gap it ends at the last
+   * record before the gap, because the state includes nothing later.
    */
   buildSnapshot(): SnapshotRecord {
     return {
@@ -148,7 +148,7 @@
   try {
     const parsed = JSON.parse(record.data) as Partial<SnapshotRecord>;
     if (parsed.kind !== 'snapshot') return undefined;
-    // A snapshot cannot include records that follow it; one that says so
+    // A snapshot cannot include records that follow it. One that claims to
     // would hide them from a reader that uses it.
     const {through} = parsed;
     if (!Number.isInteger(through)) return undefined;
