--- a/src/contracts/publication_tracker.ts
+++ b/src/contracts/publication_tracker.ts
@@ -231,8 +231,9 @@
 function timeoutFailure(item: Publication): result.Failure {
   return result.failure(
     'publicationUnknown',
-    `publication: ${item.record.publication} was not read back from the log within ` +
-      `${PUBLICATION_TIMEOUT_MS} ms; publish again with the same identity`,
+    `publication: ${item.record.publication} was not read back from ` +
+      `the log within ${PUBLICATION_TIMEOUT_MS} ms; publish again with the ` +
+      'same identity',
   );
 }
 
--- a/src/contracts/questionnaire_answers.ts
+++ b/src/contracts/questionnaire_answers.ts
@@ -130,7 +130,8 @@
   );
   if (!fits) {
     contradictions.push(
-      `${path}: ${work.name} fits no worker of the fleet; reduce its size or add a larger worker`,
+      `${path}: ${work.name} fits no worker of the fleet; ` +
+        'reduce its size or add a larger worker',
     );
   }
   if (work.endsByItself && work.minutes === 0) {
--- a/src/contracts/snapshot_schedule.ts
+++ b/src/contracts/snapshot_schedule.ts
@@ -27,7 +27,7 @@
 const MAXIMUM_SNAPSHOT_LAG_MS = 60_000;
 
 interface PositionSample {
-  readonly at: clock.Milliseconds;
+  readonly readAt: clock.Milliseconds;
   readonly position: number;
 }
 
@@ -38,8 +38,8 @@
 export class SnapshotSchedule {
   private dueAt = Infinity;
   private lastSnapshotOffset = -1;
-  private olderSample: PositionSample = {at: -Infinity, position: 0};
-  private newerSample: PositionSample = {at: -Infinity, position: 0};
+  private olderSample: PositionSample = {readAt: -Infinity, position: 0};
+  private newerSample: PositionSample = {readAt: -Infinity, position: 0};
 
   constructor(
     private readonly retentionMs: clock.Milliseconds,
@@ -50,13 +50,13 @@
   observe(replica: streamReplica.StreamReplica, now: clock.Milliseconds): void {
     if (this.dueAt === Infinity) {
       this.dueAt = now + this.randomDelay(FIRST_FRACTION);
-    } else if (this.isRecent(replica)) {
+    } else if (this.hasNewRecentSnapshot(replica)) {
       this.dueAt = now + this.randomDelay(REPEAT_FRACTION);
     }
     this.lastSnapshotOffset = replica.lastSnapshotOffset;
-    if (now - this.newerSample.at < MAXIMUM_SNAPSHOT_LAG_MS) return;
+    if (now - this.newerSample.readAt < MAXIMUM_SNAPSHOT_LAG_MS) return;
     this.olderSample = this.newerSample;
-    this.newerSample = {at: now, position: replica.position};
+    this.newerSample = {readAt: now, position: replica.position};
   }
 
   /** Returns whether a snapshot is due; never for an empty stream. */
@@ -77,7 +77,7 @@
    * records. A snapshot of a lagging process does not, and must not delay the
    * next one.
    */
-  private isRecent(replica: streamReplica.StreamReplica): boolean {
+  private hasNewRecentSnapshot(replica: streamReplica.StreamReplica): boolean {
     if (replica.lastSnapshotOffset === this.lastSnapshotOffset) return false;
     return replica.lastSnapshotThrough + 1 >= this.olderSample.position;
   }
--- a/test/contracts/configuration_store_property_test.ts
+++ b/test/contracts/configuration_store_property_test.ts
@@ -114,7 +114,7 @@
 
 type Publish = Extract<event.Event, {readonly kind: 'publishArrived'}>;
 
-/** Two stores on one log, driven by a list of actions. */
+/** Two stores on one log, driven by a list of random actions. */
 class StoreRun {
   readonly log = new configurationCell.TrimmedLog();
   readonly stores = [
@@ -126,10 +126,10 @@
   private now = 0;
   private nextCall = 1;
 
-  perform(done: Action): void {
+  perform(performed: Action): void {
     const versionsBefore = this.stores.map(store => store.versions());
-    this.apply(done);
-    if (done.kind === 'replace') return;
+    this.apply(performed);
+    if (performed.kind === 'replace') return;
     this.stores.forEach((store, index) => {
       for (const [document, version] of versionsBefore[index]) {
         const after = store.versions().get(document) ?? 0;
@@ -143,14 +143,17 @@
     for (const store of this.stores) this.now = store.settle(this.now, 20);
   }
 
-  /** Versions by a replay of the records that the log no longer shows. */
+  /** Returns the versions by a replay of all records, trimmed ones included. */
   expectedVersions(): ReadonlyMap<string, number> {
     return new Map(
-      [...this.winners().values()].map(win => [win.document, win.version]),
+      [...this.acceptedPublications().values()].map(win => [
+        win.document,
+        win.version,
+      ]),
     );
   }
 
-  /** Publications that were answered with a result code. */
+  /** Returns the publications that were answered with a result code. */
   answeredWith(code: number): ReadonlyArray<Publish> {
     return [...this.calls]
       .filter(([call]) =>
@@ -159,10 +162,13 @@
       .map(([, publish]) => publish);
   }
 
-  /** Winning publications of the whole history, by identity. */
-  winners(): ReadonlyMap<string, {document: string; version: number}> {
+  /** Returns the accepted publications of the whole history, by identity. */
+  acceptedPublications(): ReadonlyMap<
+    string,
+    {document: string; version: number}
+  > {
     const versions = new Map<string, number>();
-    const winners = new Map<string, {document: string; version: number}>();
+    const accepted = new Map<string, {document: string; version: number}>();
     for (const record of this.log.history) {
       const parsed = JSON.parse(record.data) as Publish;
       if ((parsed.kind as string) !== 'publish') continue;
@@ -170,42 +176,50 @@
       if (parsed.baseVersion !== current) continue;
       const version = record.offset + 1;
       versions.set(parsed.document, version);
-      winners.set(parsed.publication, {document: parsed.document, version});
+      accepted.set(parsed.publication, {document: parsed.document, version});
     }
-    return winners;
+    return accepted;
   }
 
-  private apply(done: Action): void {
-    switch (done.kind) {
+  private apply(performed: Action): void {
+    switch (performed.kind) {
       case 'time':
-        this.now += done.ms;
-        this.stores[done.store].handle({kind: 'timePassed'}, this.now);
+        this.now += performed.ms;
+        this.stores[performed.store].handle({kind: 'timePassed'}, this.now);
         return;
       case 'serve':
-        this.stores[done.store].serve(
-          done.position,
+        this.stores[performed.store].serve(
+          performed.position,
           this.now,
-          done.lost,
-          done.limit,
+          performed.lost,
+          performed.limit,
         );
         return;
       case 'arrive':
-        this.stores[done.store].deliver(done.position, this.now, done.keep);
+        this.stores[performed.store].deliver(
+          performed.position,
+          this.now,
+          performed.keep,
+        );
         return;
       case 'publish':
-        return this.publish(done.store, done.document, done.behind);
+        return this.publish(
+          performed.store,
+          performed.document,
+          performed.behind,
+        );
       case 'repeat':
-        return this.repeat(done.store, done.which);
+        return this.repeat(performed.store, performed.which);
       case 'peer':
-        return this.transferDocuments(done.from, done.to);
+        return this.transferDocuments(performed.from, performed.to);
       case 'trim':
-        this.log.trimThroughSnapshot(done.first);
+        this.log.trimThroughSnapshot(performed.first);
         return;
       case 'snapshot':
-        this.log.appendSnapshot(done.lag);
+        this.log.appendSnapshot(performed.lag);
         return;
       case 'replace':
-        this.stores[done.store].restart();
+        this.stores[performed.store].restart();
         return;
     }
   }
@@ -257,9 +271,9 @@
 
 nodeTest.describe('configuration under any order of events', () => {
   nodeTest.test(
-    'stores that read to the end agree, nothing accepted reverts, and one ' +
-      'of the publications from one base wins; guards against snapshots, ' +
-      'repeats and peers that bring an old version back',
+    'stores that read to the end agree, no accepted version reverts, and one ' +
+      'publication from each base is accepted; guards against an old version ' +
+      'restored by a snapshot, a repeat or a peer',
     () => {
       fastCheck.assert(
         fastCheck.property(
@@ -275,7 +289,7 @@
                 !store.counts.some(name => name.startsWith('invariant')),
               );
             }
-            const winners = run.winners();
+            const winners = run.acceptedPublications();
             const told = new Map<string, string>();
             for (const win of run.answeredWith(0)) {
               assert.ok(winners.has(win.publication));
@@ -284,7 +298,10 @@
               told.set(base, win.publication);
             }
             for (const lost of run.answeredWith(6001)) {
-              assert.ok(!winners.has(lost.publication), 'a winner got 6001');
+              assert.ok(
+                !winners.has(lost.publication),
+                'accepted, but got 6001',
+              );
             }
           },
         ),
--- a/test/contracts/configuration_store_test.ts
+++ b/test/contracts/configuration_store_test.ts
@@ -12,14 +12,14 @@
   readonly publication?: string;
 }
 
-function publish(change: PublicationFields): event.Event {
+function publishArrived(fields: PublicationFields): event.Event {
   return {
     kind: 'publishArrived',
-    call: change.call ?? 1,
-    document: change.document ?? 'team/a',
-    baseVersion: change.base ?? 0,
-    content: change.content ?? 'a first',
-    publication: change.publication ?? 'publication-1',
+    call: fields.call ?? 1,
+    document: fields.document ?? 'team/a',
+    baseVersion: fields.base ?? 0,
+    content: fields.content ?? 'a first',
+    publication: fields.publication ?? 'publication-1',
   };
 }
 
@@ -52,7 +52,7 @@
   return {kind: 'documentsArrived', documents};
 }
 
-/** One store on an empty log, read to the end. */
+/** Creates a store that has read an empty log to its end. */
 function createStore(): {
   readonly log: configurationCell.TrimmedLog;
   readonly store: configurationCell.StoreUnderTest;
@@ -65,15 +65,15 @@
 
 nodeTest.describe('publication', () => {
   nodeTest.test(
-    'it is answered when the log shows it, and repeats get the same answer; ' +
-      'guards against a second version from one publication',
+    'is answered when it is read back, and repeats get the same answer; ' +
+      'guards against a second version from a repeated publication',
     () => {
       const {log, store, now} = createStore();
-      store.handle(publish({call: 1}), now);
+      store.handle(publishArrived({call: 1}), now);
       assert.equal(store.replies.has(1), false);
-      store.handle(publish({call: 2}), now);
+      store.handle(publishArrived({call: 2}), now);
       const later = store.settle(now);
-      store.handle(publish({call: 3}), later);
+      store.handle(publishArrived({call: 3}), later);
       for (const call of [1, 2, 3]) {
         assert.equal(store.replies.get(call)?.code, 0);
         assert.equal(store.replies.get(call)?.version, 1);
@@ -83,16 +83,16 @@
   );
 
   nodeTest.test(
-    'a wrong base and a faulty content are refused at once without an ' +
-      'append; guards against filling the log with records that lose',
+    'with a wrong base or invalid content is refused without an append; ' +
+      'guards against filling the log with records that are never accepted',
     () => {
       const {store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       const later = store.settle(now);
-      const wrong = publish({call: 2, publication: 'p-2', base: 0});
+      const wrong = publishArrived({call: 2, publication: 'p-2', base: 0});
       assert.equal(countAppends(store.handle(wrong, later)), 0);
       assert.equal(store.replies.get(2)?.code, 6001);
-      const faulty = publish({
+      const faulty = publishArrived({
         call: 3,
         publication: 'p-3',
         base: 1,
@@ -106,14 +106,18 @@
   );
 
   nodeTest.test(
-    'of two from one base through two processes one wins and the other gets ' +
-      '6001; guards against two operators who both believe they won',
+    'through two processes from one base succeeds through one of them and ' +
+      'gets 6001 from the other; guards against two operators who are both ' +
+      'told of success',
     () => {
       const {log, store, now} = createStore();
       const other = new configurationCell.StoreUnderTest(log);
       other.settle(0);
-      store.handle(publish({publication: 'p-1'}), now);
-      other.handle(publish({publication: 'p-2', content: 'a second'}), now);
+      store.handle(publishArrived({publication: 'p-1'}), now);
+      other.handle(
+        publishArrived({publication: 'p-2', content: 'a second'}),
+        now,
+      );
       store.settle(now);
       other.settle(now);
       const codes = [store, other].map(item => item.replies.get(1)?.code);
@@ -122,11 +126,11 @@
   );
 
   nodeTest.test(
-    'a lost answer is resolved by reading; guards against reporting a ' +
-      'failure after the append took effect',
+    'whose append lost its answer is resolved by reading the log; guards ' +
+      'against reporting a failure after the append took effect',
     () => {
       const {log, store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       store.serve(0, now, true);
       store.deliver(0, now, false);
       store.settle(now);
@@ -137,24 +141,25 @@
   );
 
   nodeTest.test(
-    'without an answer of the log the operator hears 6004 after 10 s, and ' +
-      'the same identity later gets the outcome; guards against guessing',
+    'gets 6004 after 10 s without an answer of the log, and the outcome when ' +
+      'it is repeated later; guards against reporting an unknown outcome as ' +
+      'success or failure',
     () => {
       const {store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       store.handle({kind: 'timePassed'}, now + 9_999);
       assert.equal(store.replies.has(1), false);
       store.handle({kind: 'timePassed'}, now + 10_000);
       assert.equal(store.replies.get(1)?.code, 6004);
       const later = store.settle(now + 10_000);
-      store.handle(publish({call: 2}), later);
+      store.handle(publishArrived({call: 2}), later);
       assert.equal(store.replies.get(2)?.code, 0);
     },
   );
 
   nodeTest.test(
-    'large documents go in one append after another; guards against an ' +
-      'append that the log refuses for its size',
+    'of large documents uses one append for each; guards against an append ' +
+      'that the log rejects for its size',
     () => {
       const {log, store, now} = createStore();
       const sent: number[] = [];
@@ -162,7 +167,7 @@
         const content = `${name} ${'x'.repeat(600_000)}`;
         const document = `team/${name}`;
         const change = {document, content, publication: `p-${name}`};
-        sent.push(countAppends(store.handle(publish(change), now)));
+        sent.push(countAppends(store.handle(publishArrived(change), now)));
       }
       store.settle(now);
       assert.deepEqual(sent, [1, 0, 0]);
@@ -172,28 +177,28 @@
   );
 
   nodeTest.test(
-    'an identity that was used for another change is refused; guards ' +
-      'against telling an operator that an unseen change is in force',
+    'with an identity that was used for another change is refused; guards ' +
+      'against reporting a change as in force that was never appended',
     () => {
       const {store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       const later = store.settle(now);
-      store.handle(publish({call: 2, content: 'a other'}), later);
+      store.handle(publishArrived({call: 2, content: 'a other'}), later);
       assert.equal(store.replies.get(2)?.code, 1010);
     },
   );
 
   nodeTest.test(
-    'a repeat whose success only a peer has shown is not refused; guards ' +
-      'against 6001 for a publication that won',
+    'is not refused when it is repeated and only a peer has reported its ' +
+      'success; guards against 6001 for an accepted publication',
     () => {
       const {log, store, now} = createStore();
       const other = new configurationCell.StoreUnderTest(log);
       const time = other.settle(0);
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       store.settle(now);
       other.handle(documentsFromPeer(1, 'a first'), time);
-      other.handle(publish({}), time);
+      other.handle(publishArrived({}), time);
       assert.equal(other.replies.has(1), false);
       other.settle(time);
       assert.equal(other.replies.get(1)?.code, 0);
@@ -201,17 +206,20 @@
   );
 
   nodeTest.test(
-    'a base that this process has not read yet is judged after the next ' +
-      'read; guards against refusing an operator who is ahead',
+    'with a base that this process has not read yet is validated after the ' +
+      'next read; guards against refusing an operator who has read further',
     () => {
       const {log, store, now} = createStore();
       const other = new configurationCell.StoreUnderTest(log);
       const time = other.settle(0);
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       store.settle(now);
       const second = {publication: 'p-2', content: 'a second'};
-      other.handle(publish({...second, base: 1}), time);
-      other.handle(publish({call: 2, publication: 'p-3', base: 9}), time);
+      other.handle(publishArrived({...second, base: 1}), time);
+      other.handle(
+        publishArrived({call: 2, publication: 'p-3', base: 9}),
+        time,
+      );
       other.settle(time);
       assert.equal(other.replies.get(1)?.code, 0);
       assert.equal(other.replies.get(2)?.code, 6001);
@@ -221,8 +229,8 @@
 
 nodeTest.describe('documents from peers', () => {
   nodeTest.test(
-    'a process that starts during a log outage serves with the documents of ' +
-      'a peer; guards against a zone without configuration',
+    'are used by a process that starts during a log outage; guards against ' +
+      'a zone without configuration until the log is back',
     () => {
       const log = new configurationCell.TrimmedLog();
       const store = new configurationCell.StoreUnderTest(log);
@@ -239,8 +247,9 @@
   );
 
   nodeTest.test(
-    'a process that knows no members asks the listed entry VMs in turn, its ' +
-      'own zone first; guards against a start that waits for the log',
+    'are fetched from the listed entry VMs in turn, own zone first, by a ' +
+      'process that knows no members; guards against a start that waits for ' +
+      'the log',
     () => {
       const log = new configurationCell.TrimmedLog();
       const store = new configurationCell.StoreUnderTest(log);
@@ -268,29 +277,31 @@
   );
 
   nodeTest.test(
-    'a lower version is not taken, and the record of a higher one changes ' +
-      'nothing when the log shows it; guards against a reverted change',
+    'never lower a version, and a version from a peer stays in force when ' +
+      'its record is read from the log; guards against a reverted change',
     () => {
       const {log, store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       let time = store.settle(now);
       const change = {publication: 'p-2', base: 1, content: 'a second'};
-      log.append([JSON.stringify({...publish(change), kind: 'publish'})]);
+      log.append([
+        JSON.stringify({...publishArrived(change), kind: 'publish'}),
+      ]);
       store.handle(documentsFromPeer(2, 'a second'), time);
       store.handle(documentsFromPeer(1, 'a first'), time);
       assert.equal(store.versions().get('team/a'), 2);
       time = store.settle(time);
       assert.equal(store.versions().get('team/a'), 2);
       const third = {publication: 'p-3', base: 2, content: 'a third'};
-      store.handle(publish({call: 9, ...third}), time);
+      store.handle(publishArrived({call: 9, ...third}), time);
       store.settle(time);
       assert.equal(store.replies.get(9)?.code, 0);
     },
   );
 
   nodeTest.test(
-    'nothing is fetched while the log shows changes in time; guards against ' +
-      'paying for each change twice',
+    'are not fetched while the log delivers changes in time; guards against ' +
+      'transferring each change twice',
     () => {
       const {store, now} = createStore();
       const kinds = (at: number): ReadonlyArray<string> =>
@@ -306,11 +317,11 @@
 
 nodeTest.describe('documents in force', () => {
   nodeTest.test(
-    'their workloads are listed by team; guards against a call that nobody ' +
-      'answers',
+    'have their workloads listed by team; guards against a listing call ' +
+      'without an answer',
     () => {
       const {store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       const later = store.settle(now);
       store.handle({kind: 'workloadsArrived', call: 5}, later);
       const content = [{team: 'a', workloads: []}];
@@ -321,8 +332,8 @@
 
 nodeTest.describe('retention', () => {
   nodeTest.test(
-    'a snapshot with a document that cannot be read brings the others; ' +
-      'guards against a release with stricter rules that starts with nothing',
+    'a snapshot with a document that cannot be parsed restores the others; ' +
+      'guards against a release with stricter rules that starts without any',
     () => {
       const {log, store} = createStore();
       const documents = [
@@ -345,11 +356,11 @@
   );
 
   nodeTest.test(
-    'a snapshot is appended before half of the retention time; guards ' +
-      'against documents that expire with their records',
+    'a snapshot is appended before half of the retention time has passed; ' +
+      'guards against losing documents when their records expire',
     () => {
       const {log, store, now} = createStore();
-      store.handle(publish({}), now);
+      store.handle(publishArrived({}), now);
       let time = now;
       const half = now + configurationCell.RETENTION_MS / 2;
       while (log.history.length < 2 && time < half) time = store.settle(time);
--- a/test/contracts/stream_replica_test.ts
+++ b/test/contracts/stream_replica_test.ts
@@ -3,7 +3,7 @@
 import * as streamReplica from '../../src/contracts/stream_replica.js';
 import type * as event from '../../src/contracts/event.js';
 
-/** Collects the records' data, so that order and repeats show. */
+/** Collects the records' data, which exposes their order and repeats. */
 class CollectedRecords implements streamReplica.ReplicatedState {
   items: string[] = [];
 
@@ -60,8 +60,8 @@
 
 nodeTest.describe('replay of a stream', () => {
   nodeTest.test(
-    'repeated and stale reads change nothing; guards against applying a ' +
-      'record twice or moving back',
+    'ignores repeated and stale reads; guards against applying a record ' +
+      'twice and against a position that moves back',
     () => {
       const {state, replica} = create();
       assert.equal(replica.applyRead(read(0, 2, records(0, 'a', 'b'))), 'tail');
@@ -76,8 +76,8 @@
   );
 
   nodeTest.test(
-    'a reader that lost records waits for a snapshot that bridges the gap; ' +
-      'guards against state with a hole',
+    'waits after trimmed records for a snapshot that covers the gap; guards ' +
+      'against a state that lacks records',
     () => {
       const {state, replica} = create();
       replica.applyRead(read(0, 1, records(0, 'a')));
@@ -92,8 +92,8 @@
   );
 
   nodeTest.test(
-    'a complete reader ignores snapshots; guards against a lagging process ' +
-      'that reverts the others',
+    'ignores snapshots while it is complete; guards against a lagging ' +
+      'process whose snapshot reverts the others',
     () => {
       const {state, replica} = create();
       replica.applyRead(read(0, 3, records(0, 'a', 'b', snapshotText(0, 'a'))));
@@ -104,8 +104,8 @@
   );
 
   nodeTest.test(
-    'a snapshot that claims later records or is unreadable is not used; ' +
-      'guards against records hidden behind a faulty snapshot',
+    'ignores a snapshot that claims later records or cannot be parsed; ' +
+      'guards against records hidden by a faulty snapshot',
     () => {
       const {state, replica} = create();
       replica.applyRead(read(3, 4, records(3, 'd')));
@@ -122,8 +122,8 @@
   );
 
   nodeTest.test(
-    'a snapshot built during a gap names the last record before it; guards ' +
-      'against a snapshot that claims records its state lacks',
+    'builds a snapshot during a gap that ends at the last record before it; ' +
+      'guards against a snapshot that claims records its state lacks',
     () => {
       const {replica} = create();
       replica.applyRead(read(0, 2, records(0, 'a', 'b')));
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_cell.ts
@@ -9,7 +9,7 @@
 import type * as event from '../../src/contracts/event.js';
 import type * as team from '../../src/contracts/team.js';
 
-/** Retention that the stores of a test are told. */
+/** Retention time with which the stores of a test are configured. */
 export const RETENTION_MS = 100_000;
 
 type Read = Extract<event.Event, {readonly kind: 'recordsRead'}>;
@@ -17,7 +17,7 @@
 type ReadStream = Extract<effect.Effect, {readonly kind: 'readStream'}>;
 type Answer = Extract<effect.Effect, {readonly kind: 'answerCaller'}>;
 
-/** Reads contents of the form `team name` or `zone,zone`. */
+/** Parses contents of the form `team name` or `zone,zone`. */
 export class PlainTextReader implements configuration.DocumentReader {
   readFleet(
     content: string,
@@ -45,7 +45,7 @@
   return result.failure('invalidDocument', 'content: must not be broken');
 }
 
-/** A log whose records can be trimmed; the whole history stays for the test. */
+/** A log with trimmed records, which keeps the whole history for the test. */
 export class TrimmedLog {
   readonly history: event.StreamRecord[] = [];
   appendCount = 0;
@@ -82,7 +82,7 @@
     this.append([JSON.stringify(replica.buildSnapshot())]);
   }
 
-  /** Drops records before `first`, whatever depends on them. */
+  /** Trims the records before `first` without checking for a snapshot. */
   trim(first: number): void {
     this.firstOffset = Math.max(
       this.firstOffset,
@@ -90,7 +90,7 @@
     );
   }
 
-  /** Drops what a snapshot that is still readable stands for. */
+  /** Trims records that a still readable snapshot includes. */
   trimThroughSnapshot(limit: number): void {
     let firstRetained = this.firstOffset;
     for (const record of this.history.slice(this.firstOffset)) {
@@ -104,7 +104,7 @@
   }
 }
 
-/** A store with the calls that it has sent and the answers on their way. */
+/** A store with its unserved calls and the answers not delivered yet. */
 export class StoreUnderTest {
   store: configurationStore.ConfigurationStore;
   readonly replies = new Map<event.CallNumber, effect.Reply>();
@@ -118,8 +118,8 @@
 
   /** Handles one event and sorts its effects. */
   handle(handled: event.Event, now: number): ReadonlyArray<effect.Effect> {
-    const done = this.store.handle(handled, now);
-    for (const item of done) {
+    const requested = this.store.handle(handled, now);
+    for (const item of requested) {
       if (item.kind === 'append' || item.kind === 'readStream') {
         this.pendingCalls.push(item);
       } else if (item.kind === 'answerCaller') {
@@ -128,16 +128,16 @@
         this.counts.push([item.metric, ...Object.values(item.labels)].join());
       }
     }
-    return done;
+    return requested;
   }
 
-  /** Starts again without state. */
+  /** Restarts the process, which loses its state. */
   restart(): void {
     this.store = this.create();
     this.pendingAnswers = [];
   }
 
-  /** Lets the log perform the call at a position of those sent. */
+  /** Performs the pending call at a position on the log. */
   serve(position: number, now: number, lost: boolean, limit?: number): void {
     if (this.pendingCalls.length === 0) return;
     const [call] = this.pendingCalls.splice(
@@ -157,16 +157,16 @@
     });
   }
 
-  /** Delivers an answer; one that is kept arrives again later. */
+  /** Delivers a pending answer; one that is kept is delivered again later. */
   deliver(position: number, now: number, keep: boolean): void {
     if (this.pendingAnswers.length === 0) return;
     const index = position % this.pendingAnswers.length;
-    const arrived = this.pendingAnswers[index];
+    const answer = this.pendingAnswers[index];
     if (!keep) this.pendingAnswers.splice(index, 1);
-    this.handle(arrived, now);
+    this.handle(answer, now);
   }
 
-  /** Reads on for some seconds with all earlier answers delivered. */
+  /** Advances the time by some seconds and delivers all pending answers. */
   settle(now: number, seconds = 4): number {
     let time = now;
     for (let round = 0; round < seconds; round += 1) {
--- a/test/zones/confirmation_exchange_test.ts
+++ b/test/zones/confirmation_exchange_test.ts
@@ -15,7 +15,7 @@
   address: '10.0.0.1:7000',
 };
 
-function list(
+function listedVm(
   vm: string,
   zone: string,
   state: event.ListedVm['state'] = 'live',
@@ -24,7 +24,7 @@
   return {vm, role, zone, address: '10.0.0.2:7000', state};
 }
 
-/** A member of kigali-a beside a second one, `kigali-a.entry-2`. */
+/** Creates a member of kigali-a beside a second one, `kigali-a.entry-2`. */
 function createMember(): zoneController.ZoneController {
   const controller = new zoneController.ZoneController(SELF, new fleet.Fleet());
   const joins = [SELF, {process: 'kigali-a.entry-2', vm: 'entry-2'}];
@@ -38,32 +38,41 @@
   return controller;
 }
 
-function confirmations(done: ReadonlyArray<effect.Effect>) {
-  return done.filter(wanted => wanted.kind === 'confirmPeer');
+function confirmPeerEffects(requested: ReadonlyArray<effect.Effect>) {
+  return requested.filter(item => item.kind === 'confirmPeer');
 }
 
 nodeTest.describe('confirmations', () => {
   nodeTest.test(
-    'a worker that the VM list names leaving is known in the same turn and ' +
-      'passed on in the next confirmation: guards against late drains',
+    'a worker that the VM list names as leaving is known at once and ' +
+      'reported in the next confirmation: guards against members that place ' +
+      'on a worker that is being drained',
     () => {
       const controller = createMember();
-      const vms = [list('worker-1', SELF.zone, 'leaving')];
+      const vms = [listedVm('worker-1', SELF.zone, 'leaving')];
       controller.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
       assert.deepEqual(controller.leavingWorkers(), ['worker-1']);
-      const sent = confirmations(controller.handle({kind: 'timePassed'}, 3));
+      const sent = confirmPeerEffects(
+        controller.handle({kind: 'timePassed'}, 3),
+      );
       assert.deepEqual(sent[0].news.leavingWorkers, ['worker-1']);
     },
   );
 
   nodeTest.test(
     'the first live member sends the summary to one VM of each other zone in ' +
-      'at most 200 bytes: guards against costly traffic between zones',
+      'at most 200 bytes: guards against traffic between zones that grows ' +
+      'with the number of members',
     () => {
       const controller = createMember();
-      const vms = [list('entry-7', 'musanze-a'), list('entry-8', 'musanze-a')];
+      const vms = [
+        listedVm('entry-7', 'musanze-a'),
+        listedVm('entry-8', 'musanze-a'),
+      ];
       controller.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
-      const sent = confirmations(controller.handle({kind: 'timePassed'}, 3));
+      const sent = confirmPeerEffects(
+        controller.handle({kind: 'timePassed'}, 3),
+      );
       const [summary, ...more] = sent.filter(
         ({peer: to}) => to === 'musanze-a.entry-7',
       );
--- a/test/zones/fault_schedule.ts
+++ b/test/zones/fault_schedule.ts
@@ -1,6 +1,6 @@
 import type * as simulatedZone from './simulated_zone.js';
 
-/** Real time during which faults happen. */
+/** End of the faults in simulated real time. */
 export const FAULTS_END_MS = 110_000;
 
 type Fault = () => void;
@@ -9,13 +9,13 @@
 export class FaultSchedule {
   private vmCount = 0;
   private isolatedProcess: simulatedZone.SimulatedProcess | undefined;
-  /** Whether one process is cut off while all others are replaced. */
+  /** Whether one process is isolated while all others are replaced. */
   private replacesOthers = false;
   private faultsEnded = false;
 
   constructor(private readonly zone: simulatedZone.SimulatedZone) {}
 
-  /** Starts members and workers and plans every fault. */
+  /** Starts members and workers and schedules all faults. */
   start(): void {
     const {zone} = this;
     for (let count = 0; count < 7; count += 1) zone.list(`w${count}`, 'worker');
@@ -31,13 +31,13 @@
     }
   }
 
-  /** Ends every fault; from now on at least one process is kept up. */
+  /** Ends all faults; from now on at least one process is kept running. */
   end(): void {
     this.zone.endFaults();
     this.faultsEnded = true;
   }
 
-  /** Restarts processes that were superseded, as their supervisor does. */
+  /** Restarts superseded processes periodically, as their supervisor does. */
   restartSuperseded(): void {
     for (const process of this.zone.liveProcesses()) {
       const {controller: control} = process;
@@ -117,7 +117,7 @@
     if (first !== second) this.zone.cut(first, second);
   }
 
-  /** Cuts a process from the platform and from some members. */
+  /** Disconnects a process from the platform and from some members. */
   private isolateProcess(): void {
     const process = this.replacesOthers
       ? (this.isolatedProcess ?? this.pickProcess())
@@ -188,7 +188,7 @@
   }
 
   private pickProcess(): simulatedZone.SimulatedProcess | undefined {
-    // A siege spares the process that is cut off.
+    // While the others are replaced, the isolated process is left running.
     const living = this.zone
       .liveProcesses()
       .filter(
--- a/test/zones/ownership_test.ts
+++ b/test/zones/ownership_test.ts
@@ -33,8 +33,8 @@
   );
 
   nodeTest.test(
-    'a late copy of a transfer changes nothing: guards against a worker that ' +
-      'goes back to an earlier receiver',
+    'a delayed copy of a transfer changes nothing: guards against a worker ' +
+      'that is returned to an earlier receiver',
     () => {
       const items = [{item: 'w1', epoch: 1}];
       const moved = {kind: 'transfer', from: 'a', to: 'b', items} as const;
@@ -69,7 +69,8 @@
 
   nodeTest.test(
     'a replica moves with its worker, and a snapshot restores the table: ' +
-      'guards against replicas and records that are left behind',
+      'guards against a replica without the owner of its worker and against ' +
+      'a snapshot that loses records',
     () => {
       const on = {item: 'replica:t/s/0', epoch: 0, on: 'w1'};
       const items = [{item: 'w1', epoch: 1}];
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -4,15 +4,16 @@
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
-/** How long a call to the platform or a peer waits for its answer. */
+/** Time after which a call to the platform or a peer fails. */
 const CALL_DEADLINE_MS = 2_000;
 
-/** Records that the log keeps; enough for the snapshot rule below. */
+/** Number of records that the log keeps; enough for the snapshot policy. */
 const RETAINED_RECORDS = 22;
 
-/** Lag of the VM list in the simulation. */
+/** Maximum lag of the VM list. */
 const LIST_LAG_MS = 4_000;
 
+/** Zone of all simulated processes. */
 export const ZONE = 'kigali-a';
 
 interface Step {
@@ -21,17 +22,17 @@
   readonly run: () => void;
 }
 
-/** One simulated process with a clock of its own rate. */
+/** A simulated process with a clock of its own rate. */
 export class SimulatedProcess {
   readonly workers = new fleet.Fleet();
   readonly controller: zoneController.ZoneController;
-  /** Ends of permits in real time, by worker, after the last turn. */
+  /** Ends of permits in real time, by worker, after the last event. */
   permitEnds = new Map<string, number>();
   permitEnd = -Infinity;
   alive = true;
   pausedUntil = 0;
   cutFromLog = false;
-  /** The list can be reachable while the log is not: it shows absences then. */
+  /** Separate from the log: the list may show absences while the log is cut. */
   cutFromList = false;
   timerNumber = 0;
 
@@ -64,8 +65,9 @@
 }
 
 /**
- * Several `ZoneControl` objects against an in-memory log and VM list, in
- * simulated real time. Every turn checks that no worker has two permits.
+ * Several `ZoneController` objects with an in-memory log and VM list, in
+ * simulated real time. After each event it checks that no worker has two
+ * permits.
  */
 export class SimulatedZone {
   readonly random: randomSource.SeededRandom;
@@ -74,7 +76,7 @@
   readonly records: event.StreamRecord[] = [];
   now = 0;
   logDown = false;
-  /** Chance in a thousand that an answer or a message is lost or late. */
+  /** Probability, in thousandths, that a message is lost or late. */
   lossThousandths = 0;
   eventCount = 0;
   private readonly steps: Step[] = [];
@@ -91,7 +93,7 @@
     this.random = new randomSource.SeededRandom(seed);
   }
 
-  /** Workers and entry VMs as they are listed without any lag. */
+  /** Returns the workers and entry VMs as listed without any lag. */
   listed(): ReadonlyMap<string, event.ListedVm> {
     return this.listVersions[this.listVersions.length - 1].vms;
   }
@@ -157,7 +159,7 @@
     this.steps.splice(low, 0, step);
   }
 
-  /** Runs until a time, or until a condition holds after some step. */
+  /** Runs until a time, or until a condition holds after a step. */
   run(until: number, done: () => boolean = () => false): boolean {
     for (;;) {
       const next = this.steps[this.steps.length - 1];
@@ -171,7 +173,7 @@
     return done();
   }
 
-  /** Processes that may place on a worker now. */
+  /** Returns the processes that may place on a worker now. */
   permitHolders(worker: string): ReadonlyArray<SimulatedProcess> {
     return this.liveProcesses().filter(
       process => (process.permitEnds.get(worker) ?? -Infinity) > this.now,
@@ -191,9 +193,9 @@
   private handleEvent(process: SimulatedProcess, posted: event.Event): void {
     this.eventCount += 1;
     const local = process.localTime(this.now);
-    const done = process.controller.handle(posted, local);
+    const requested = process.controller.handle(posted, local);
     this.checkPermits(process);
-    for (const wanted of done) this.perform(process, wanted);
+    for (const item of requested) this.perform(process, item);
     process.timerNumber += 1;
     const timer = process.timerNumber;
     const due = process.realTime(process.controller.nextDeadline());
@@ -205,15 +207,15 @@
     });
   }
 
-  /** A process that others count as dead must not answer for its identities. */
+  /** Checks that a process that others consider expired has no permit. */
   private checkNoPermitAfterExpiry(): void {
     for (const process of this.liveProcesses()) {
       if (process.permitEnd <= this.now) continue;
       for (const other of this.liveProcesses()) {
         const local = other.localTime(this.now);
         if (!other.controller.permitsHaveExpired(process.name, local)) continue;
-        const names = `${process.name} acts, succeeded for ${other.name}`;
-        this.violations.push(`${this.now}: ${names}`);
+        const text = `${process.name} may act but expired for ${other.name}`;
+        this.violations.push(`${this.now}: ${text}`);
       }
     }
   }
@@ -226,9 +228,9 @@
       const end = process.realTime(process.controller.permitEnd(worker));
       if (end <= this.now) continue;
       process.permitEnds.set(worker, end);
-      const holders = this.permitHolders(worker);
-      if (holders.length < 2) continue;
-      const names = holders.map(holder => holder.name).join(' and ');
+      const permitHolders = this.permitHolders(worker);
+      if (permitHolders.length < 2) continue;
+      const names = permitHolders.map(holder => holder.name).join(' and ');
       this.violations.push(`${this.now}: ${names} both hold ${worker}`);
     }
   }
@@ -245,7 +247,9 @@
         return this.confirm(process, requested);
       case 'count':
         if (requested.metric === 'invariant') {
-          this.violations.push(`${this.now}: ${process.name} counted it`);
+          this.violations.push(
+            `${this.now}: ${process.name} broke an invariant`,
+          );
         }
     }
   }
@@ -259,10 +263,10 @@
     return 1 + this.random.below(20) + late;
   }
 
-  /** Calls `serve` after a delay and gives its answer, or `failed`, back. */
+  /** Calls `serve` after a delay and delivers its answer, or `failed`. */
   private call(
     process: SimulatedProcess,
-    reach: () => boolean,
+    isReachable: () => boolean,
     serve: () => event.Event,
     failed: event.Event,
   ): void {
@@ -275,11 +279,11 @@
     this.schedule(CALL_DEADLINE_MS, () => settle(failed));
     if (this.isLost()) return;
     this.schedule(this.randomDelayMs(), () => {
-      if (!reach()) return;
+      if (!isReachable()) return;
       const answer = serve();
       if (this.isLost()) return;
       this.schedule(this.randomDelayMs(), () => {
-        if (reach()) settle(answer);
+        if (isReachable()) settle(answer);
       });
     });
   }
@@ -295,10 +299,10 @@
       }
       return {kind: 'appendAnswered', stream, append, answer: 'appended'};
     };
-    const reach = (): boolean => this.reachesLog(process);
+    const isReachable = (): boolean => this.reachesLog(process);
     const answer = 'lost';
     const failed = {kind: 'appendAnswered', stream, append, answer} as const;
-    this.call(process, reach, serve, failed);
+    this.call(process, isReachable, serve, failed);
   }
 
   private readStream(
@@ -314,8 +318,8 @@
       const records = this.records.slice(start, start + 30);
       return {kind: 'recordsRead', stream, sentAt, first, next, records};
     };
-    const reach = (): boolean => this.reachesLog(process);
-    this.call(process, reach, serve, {kind: 'readFailed', stream});
+    const isReachable = (): boolean => this.reachesLog(process);
+    this.call(process, isReachable, serve, {kind: 'readFailed', stream});
   }
 
   private reachesLog(process: SimulatedProcess): boolean {
@@ -325,13 +329,13 @@
   private readVmList(process: SimulatedProcess): void {
     const sentAt = process.localTime(this.now);
     const serve = (): event.Event => {
-      const seen = this.now - this.random.below(LIST_LAG_MS);
-      const shown = this.listVersions.filter(list => list.at <= seen);
-      const vms = [...shown[shown.length - 1].vms.values()];
+      const visibleAt = this.now - this.random.below(LIST_LAG_MS);
+      const visible = this.listVersions.filter(list => list.at <= visibleAt);
+      const vms = [...visible[visible.length - 1].vms.values()];
       return {kind: 'vmListRead', sentAt, vms};
     };
-    const reach = (): boolean => !process.cutFromList;
-    this.call(process, reach, serve, {kind: 'vmListFailed'});
+    const isReachable = (): boolean => !process.cutFromList;
+    this.call(process, isReachable, serve, {kind: 'vmListFailed'});
   }
 
   private confirm(
@@ -356,7 +360,7 @@
       this.whenRunning(target, () => {
         const answer = this.answerTo(target, request);
         if (answer === undefined || this.isLost()) return;
-        const {confirmed, zoneRecords, news: told} = answer;
+        const {confirmed, zoneRecords, news: answerNews} = answer;
         this.schedule(this.randomDelayMs(), () => {
           if (this.isCut(process, target)) return this.deliver(process, failed);
           this.deliver(process, {
@@ -365,7 +369,7 @@
             sentAt,
             confirmed,
             zoneRecords,
-            news: told,
+            news: answerNews,
           });
         });
       });
@@ -377,9 +381,12 @@
     request: Extract<event.Event, {kind: 'confirmArrived'}>,
   ): Extract<effect.Effect, {kind: 'answerConfirm'}> | undefined {
     this.eventCount += 1;
-    const done = target.controller.handle(request, target.localTime(this.now));
+    const requested = target.controller.handle(
+      request,
+      target.localTime(this.now),
+    );
     this.checkPermits(target);
-    return done.find(wanted => wanted.kind === 'answerConfirm');
+    return requested.find(item => item.kind === 'answerConfirm');
   }
 
   private whenRunning(process: SimulatedProcess, run: () => void): void {
--- a/test/zones/zone_controller_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -14,7 +14,7 @@
   leaving: false,
 };
 
-/** Member `a` that owns w1 and w2 beside `b`, by a read sent at 0. */
+/** Creates member `a`, which owns w1 and w2 beside `b` by a read sent at 0. */
 function createOwner(): zoneController.ZoneController {
   const self = {process: 'a', vm: 'a', zone: 'z', region: 'r', address: 'a:1'};
   const controller = new zoneController.ZoneController(self, new fleet.Fleet());
@@ -45,16 +45,16 @@
   leaving = false,
 ): boolean {
   const news = {...NEWS, leaving};
-  const asked = {call: 1, to: 'a', zonePosition: 3, news};
-  const [answer] = controller.handle({kind: 'confirmArrived', ...asked}, at);
+  const request = {call: 1, to: 'a', zonePosition: 3, news};
+  const [answer] = controller.handle({kind: 'confirmArrived', ...request}, at);
   assert.ok(answer.kind === 'answerConfirm');
   return answer.confirmed;
 }
 
 nodeTest.describe('zone controller', () => {
   nodeTest.test(
-    'an owner has no permit from the turn in which it sends a transfer: ' +
-      'guards against placing beside the receiver',
+    'an owner has no permit as soon as it sends a transfer: guards against ' +
+      'placing on a worker at the same time as its receiver',
     () => {
       const controller = createOwner();
       assert.equal(
@@ -75,8 +75,8 @@
   );
 
   nodeTest.test(
-    'without the log a permit lasts from the sending of a confirmation of ' +
-      'every member: guards against a permit by silence or by late answers',
+    'without the log a permit starts when the request was sent that every ' +
+      'member confirmed: guards against a permit from missing or late answers',
     () => {
       const controller = createOwner();
       controller.handle({kind: 'timePassed'}, 4_500);
@@ -94,11 +94,11 @@
   );
 
   nodeTest.test(
-    'a member with a claim that may still take effect promises nothing: ' +
-      'guards against an owner that is succeeded unnoticed',
+    'a member with a claim that may still take effect makes no promise: ' +
+      'guards against an owner that places after its items were claimed',
     () => {
       const controller = createOwner();
-      // A leaving member gets no workers, so that only the claim is written.
+      // A leaving member gets no workers, so only the claim is appended.
       assert.equal(confirm(controller, 10, true), true);
       for (let at = 1_000; at <= 6_000; at += 1_000) {
         const read = {first: 0, next: 3, sentAt: at, records: []};
--- a/test/zones/zone_router_test.ts
+++ b/test/zones/zone_router_test.ts
@@ -30,8 +30,8 @@
 
 nodeTest.describe('routing between zones', () => {
   nodeTest.test(
-    'the nearest zone with room takes the work: guards against traffic ' +
-      'between regions that nobody needs',
+    'the nearest zone with room gets the work: guards against needless ' +
+      'traffic between regions',
     () => {
       const router = createRouter({a2: 500, b1: 0});
       assert.equal(router.route({...WORK, fitsOwnZone: true}, 0).zone, 'a1');
@@ -40,8 +40,8 @@
   );
 
   nodeTest.test(
-    'another region is used only for a benefit above cost and round trip, ' +
-      'and with a counted reason: guards against crossings without a gain',
+    'another region is used only if the benefit exceeds cost and round trip, ' +
+      'and the reason is counted: guards against crossings without benefit',
     () => {
       const router = createRouter({b1: 0});
       const far = router.route(WORK, 0);
--- a/test/zones/zone_safety_test.ts
+++ b/test/zones/zone_safety_test.ts
@@ -3,13 +3,13 @@
 import * as nodeTest from 'node:test';
 import * as simulatedZone from './simulated_zone.js';
 
-/** Seeds of one run; ZONE_SEEDS and ZONE_FIRST_SEED choose others by hand. */
+/** Number of seeds; ZONE_SEEDS and ZONE_FIRST_SEED select other seeds. */
 const SEEDS = Number(process.env['ZONE_SEEDS'] ?? 240);
 const FIRST_SEED = Number(process.env['ZONE_FIRST_SEED'] ?? 1);
 
 /**
- * Time from the end of faults until each worker has an owner with a permit:
- * 15 s of absence in the VM list and its lag, 15 s for a successor to be
+ * Time from the end of faults until each worker has an owner with a permit. It
+ * covers 15 s of absence in the VM list and its lag, 15 s for a successor to be
  * established, silence, claim, wait, and a second succession after it.
  */
 const RECOVERY_BOUND_MS = 60_000;
@@ -38,16 +38,17 @@
     return true;
   });
   const recoveryMs = recovered ? zone.now - faultsEndedAt : Infinity;
-  // Rebalancing and late messages go on after the recovery.
+  // Rebalancing and late messages continue after the recovery.
   zone.run(zone.now + 15_000);
   const {violations, eventCount} = zone;
   return {seed, violations, recoveryMs, eventCount};
 }
 
-nodeTest.describe('authority in a zone under random faults', () => {
+nodeTest.describe('permits in a zone under random faults', () => {
   nodeTest.test(
     `no two processes hold a permit for a worker, and each worker gets one ` +
-      `owner after faults end: guards against double placement and orphans`,
+      `owner after the faults end: guards against double placement and ` +
+      `workers without an owner after lost messages, pauses and restarts`,
     () => {
       let slowest = 0;
       let turns = 0;
@@ -56,8 +57,8 @@
         assert.deepEqual(outcome.violations.slice(0, 3), [], `seed ${seed}`);
         assert.ok(
           outcome.recoveryMs <= RECOVERY_BOUND_MS,
-          `seed ${seed}: a worker has no owner ${RECOVERY_BOUND_MS} ms ` +
-            `after the faults`,
+          `seed ${seed}: a worker has no single owner within ` +
+            `${RECOVERY_BOUND_MS} ms after the faults`,
         );
         slowest = Math.max(slowest, outcome.recoveryMs);
         turns += outcome.eventCount;
--- a/test/zones/zone_stream_test.ts
+++ b/test/zones/zone_stream_test.ts
@@ -33,7 +33,7 @@
 nodeTest.describe('zone stream', () => {
   nodeTest.test(
     'an append whose answer was lost is repeated only after a later read ' +
-      'does not show it: guards against lost and doubled records',
+      'does not show it: guards against lost and duplicate records',
     () => {
       const stream = create();
       const first = stream.append([JOIN], 0);
@@ -51,8 +51,8 @@
   );
 
   nodeTest.test(
-    'a read that ends before the known records proves nothing: guards ' +
-      'against permits from a log that lags',
+    'a read that ends before the applied records does not count as current: ' +
+      'guards against permits from a lagging log',
     () => {
       const stream = create();
       assert.equal(stream.applyRead(read(10, ['{}', '{}']), 20), true);
@@ -62,8 +62,8 @@
   );
 
   nodeTest.test(
-    'a snapshot falls due by records and by time: guards against a zone ' +
-      'whose records expire',
+    'a snapshot is due after a number of records or a time: guards against ' +
+      'a zone whose records expire before a snapshot',
     () => {
       const stream = create();
       stream.applyRead(read(10, ['{}']), 20);
