--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -7,7 +7,7 @@
 import * as tomlDocumentWriter from './toml_document_writer.js';
 import * as tomlSchema from './toml_schema.js';
 
-/** A document as it can be published. */
+/** A generated configuration document, ready to be published. */
 export interface GeneratedDocument {
   readonly name: string;
   readonly content: string;
@@ -18,14 +18,14 @@
   ReadonlyArray<GeneratedDocument>
 >;
 
-/** Generates the documents from a TOML file of answers, or names all faults. */
+/** Generates documents from answers in TOML, or returns all faults. */
 export function generateDocuments(text: string): GenerationResult {
   return either.Either.encase(() => toml.parse(text))
-    .mapLeft(fault => [tomlSchema.describeSyntaxError(fault)])
+    .mapLeft(error => [tomlSchema.describeSyntaxError(error)])
     .chain(generateFromAnswers);
 }
 
-/** Generates the documents from answers that were not checked yet. */
+/** Generates documents from unchecked answers, or returns all faults. */
 export function generateFromAnswers(raw: unknown): GenerationResult {
   const faults = questionnaireSchema.QUESTIONNAIRE_SCHEMA.check(raw, '');
   if (faults.length > 0) return either.Left(faults.map(tomlSchema.formatFault));
@@ -40,14 +40,14 @@
       content: tomlDocumentWriter.writeDocument(
         document,
         answers.operator,
-        answer => valueAt(raw, answer) !== undefined,
+        answer => readValueAt(raw, answer) !== undefined,
       ),
     }));
   return checkGenerated(documents);
 }
 
 /** Returns the value at a path such as `teams[0].work[1].minutes`. */
-function valueAt(raw: unknown, path: string): unknown {
+function readValueAt(raw: unknown, path: string): unknown {
   let value = raw;
   for (const part of path.split(/[.[\]]+/)) {
     value = (value as Readonly<Record<string, unknown>> | undefined)?.[part];
@@ -55,20 +55,20 @@
   return value;
 }
 
-/** Checks the documents as a publication would, the fleet first. */
+/** Checks documents in their order, as a publication would. */
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
 ): GenerationResult {
-  const set = new configurationDocuments.ConfigurationDocuments(
+  const documentSet = new configurationDocuments.ConfigurationDocuments(
     new tomlDocumentReader.TomlDocumentReader(),
   );
   const faults: string[] = [];
   documents.forEach(({name, content}, position) => {
-    set
+    documentSet
       .parseAndCheck(name, content)
       .ifLeft(fault => faults.push(`${name}: ${fault.detail}`))
       .ifRight(parsed => {
-        set.put({name, version: position + 1, content}, parsed);
+        documentSet.put({name, version: position + 1, content}, parsed);
       });
   });
   return faults.length > 0 ? either.Left(faults) : either.Right(documents);
