--- a/src/zones/confirmation_exchange.ts
+++ b/src/zones/confirmation_exchange.ts
@@ -214,7 +214,7 @@
       if (summary.zone === this.dependencies.self.zone) continue;
       this.dependencies.regions.update(summary, now);
       this.summariesToForward = this.summariesToForward.filter(
-        known => known.zone !== summary.zone,
+        forwarded => forwarded.zone !== summary.zone,
       );
       this.summariesToForward.push(summary);
     }
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -244,9 +244,11 @@
       ...(worker === undefined ? {} : {on: worker}),
     });
     if (!isWorker(assignedItem.item)) return;
-    for (const [item, held] of this.ownerships) {
-      if (held.on !== assignedItem.item || held.owner === NO_OWNER) continue;
-      this.assign({item, epoch: held.epoch}, owner, acquisition, offset);
+    for (const [item, ownership] of this.ownerships) {
+      if (ownership.on !== assignedItem.item || ownership.owner === NO_OWNER) {
+        continue;
+      }
+      this.assign({item, epoch: ownership.epoch}, owner, acquisition, offset);
     }
   }
 
@@ -263,8 +265,8 @@
       this.endedById.delete(process);
       this.ownerships.delete(processItem(process));
     }
-    for (const [item, held] of this.ownerships) {
-      if (held.owner === NO_OWNER && held.offset < offset) {
+    for (const [item, ownership] of this.ownerships) {
+      if (ownership.owner === NO_OWNER && ownership.offset < offset) {
         this.ownerships.delete(item);
       }
     }
--- a/src/zones/vm_presence.ts
+++ b/src/zones/vm_presence.ts
@@ -42,12 +42,13 @@
     this.lastReadSentAtValue = reading.sentAt;
     this.lastReadAt = now;
     this.firstReadAt = Math.min(this.firstReadAt, now);
-    for (const listed of reading.vms) {
-      const firstListedAt = this.presences.get(listed.vm)?.firstListedAt ?? now;
-      this.missingSince.delete(listed.vm);
-      this.presences.set(listed.vm, {
-        listedVm: listed,
-        firstListedAt: firstListedAt,
+    for (const listedVm of reading.vms) {
+      const firstListedAt =
+        this.presences.get(listedVm.vm)?.firstListedAt ?? now;
+      this.missingSince.delete(listedVm.vm);
+      this.presences.set(listedVm.vm, {
+        listedVm,
+        firstListedAt,
         lastListedAt: now,
       });
     }
@@ -71,7 +72,10 @@
       .map(presence => presence.listedVm);
   }
 
-  /** Returns whether a listed VM was then absent `ABSENCE_CONFIRMATION_MS`. */
+  /**
+   * Returns whether a VM that was once listed has been absent for
+   * `ABSENCE_CONFIRMATION_MS`.
+   */
   isGone(vm: string): boolean {
     const missingSince = this.missingSince.get(vm);
     return (
@@ -105,8 +109,8 @@
   /** Returns the entry VMs of a zone that are not known to be gone. */
   entryVms(zone: string): ReadonlyArray<string> {
     const names: string[] = [];
-    for (const [vm, {listedVm: listed}] of this.presences) {
-      if (listed.role !== 'entry' || listed.zone !== zone) continue;
+    for (const [vm, {listedVm}] of this.presences) {
+      if (listedVm.role !== 'entry' || listedVm.zone !== zone) continue;
       if (!this.isGone(vm)) names.push(vm);
     }
     return names;
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -357,12 +357,12 @@
   private updateFleet(vms: ReadonlyArray<event.ListedVm>): void {
     for (const listed of vms) {
       if (listed.role !== 'worker' || listed.zone !== this.self.zone) continue;
-      const known = this.workers.ensure({
+      const worker = this.workers.ensure({
         name: listed.vm,
         zone: listed.zone,
         address: listed.address,
       });
-      if (listed.state === 'leaving') known.markLeaving();
+      if (listed.state === 'leaving') worker.markLeaving();
     }
     for (const worker of this.workers.all()) {
       if (this.presence.isGone(worker.name)) this.workers.remove(worker.name);
--- a/test/contracts/configuration_store_property_test.ts
+++ b/test/contracts/configuration_store_property_test.ts
@@ -280,7 +280,7 @@
           fastCheck.array(action, {minLength: 60, maxLength: 200, size: 'max'}),
           actions => {
             const run = new StoreRun();
-            for (const done of actions) run.perform(done);
+            for (const next of actions) run.perform(next);
             run.finish();
             const expected = [...run.expectedVersions()].sort();
             for (const store of run.stores) {
@@ -289,17 +289,19 @@
                 !store.counts.some(name => name.startsWith('invariant')),
               );
             }
-            const winners = run.acceptedPublications();
-            const told = new Map<string, string>();
+            const accepted = run.acceptedPublications();
+            const acceptedByBase = new Map<string, string>();
             for (const win of run.answeredWith(0)) {
-              assert.ok(winners.has(win.publication));
+              assert.ok(accepted.has(win.publication));
               const base = `${win.document} ${win.baseVersion}`;
-              assert.ok([undefined, win.publication].includes(told.get(base)));
-              told.set(base, win.publication);
+              assert.ok(
+                [undefined, win.publication].includes(acceptedByBase.get(base)),
+              );
+              acceptedByBase.set(base, win.publication);
             }
             for (const lost of run.answeredWith(6001)) {
               assert.ok(
-                !winners.has(lost.publication),
+                !accepted.has(lost.publication),
                 'accepted, but got 6001',
               );
             }
--- a/test/contracts/configuration_store_test.ts
+++ b/test/contracts/configuration_store_test.ts
@@ -237,8 +237,8 @@
       store.handle({kind: 'timePassed'}, 0);
       const early = store.handle(confirmationWith(7), 1_900);
       assert.ok(!early.some(item => item.kind === 'fetchDocuments'));
-      const wanted = store.handle(confirmationWith(7), 2_100);
-      assert.ok(wanted.some(item => item.kind === 'fetchDocuments'));
+      const late = store.handle(confirmationWith(7), 2_100);
+      assert.ok(late.some(item => item.kind === 'fetchDocuments'));
       assert.equal(store.store.isLoaded(), false);
       store.handle(documentsFromPeer(7, 'a seventh'), 2_200);
       assert.equal(store.store.isLoaded(), true);
@@ -253,10 +253,10 @@
     () => {
       const log = new configurationCell.TrimmedLog();
       const store = new configurationCell.StoreUnderTest(log);
-      const asked: string[] = [];
+      const askedAddresses: string[] = [];
       const pass = (now: number): void => {
         for (const item of store.handle({kind: 'timePassed'}, now)) {
-          if (item.kind === 'fetchDocuments') asked.push(item.address);
+          if (item.kind === 'fetchDocuments') askedAddresses.push(item.address);
         }
       };
       const role = 'entry';
@@ -269,10 +269,10 @@
       pass(0);
       store.handle({kind: 'vmListRead', sentAt: 0, vms}, 10);
       for (const now of [1_000, 2_000, 3_000, 4_000]) pass(now);
-      assert.deepEqual(asked, ['near:1', 'far:1', 'near:1']);
+      assert.deepEqual(askedAddresses, ['near:1', 'far:1', 'near:1']);
       store.handle(documentsFromPeer(7, 'a seventh'), 4_100);
       pass(5_100);
-      assert.equal(asked.length, 3);
+      assert.equal(askedAddresses.length, 3);
     },
   );
 
--- a/test/zones/confirmation_exchange_test.ts
+++ b/test/zones/confirmation_exchange_test.ts
@@ -83,13 +83,13 @@
       const message = protobuf.create(peer.ConfirmRequestSchema, {
         ...sender,
         to: summary.peer,
-        summaries: summaries.map(known => ({
-          zone: known.zone,
+        summaries: summaries.map(zoneSummary => ({
+          zone: zoneSummary.zone,
           freeProcessors: 500_000n,
           freeMemory: 4_000_000n,
           freeAccelerators: 1_000n,
           expectedWaitMs: 60_000n,
-          workerCount: known.workerCount,
+          workerCount: zoneSummary.workerCount,
         })),
       });
       const bytes = protobuf.toBinary(peer.ConfirmRequestSchema, message);
--- a/test/zones/fault_schedule.ts
+++ b/test/zones/fault_schedule.ts
@@ -40,11 +40,11 @@
   /** Restarts superseded processes periodically, as their supervisor does. */
   restartSuperseded(): void {
     for (const process of this.zone.liveProcesses()) {
-      const {controller: control} = process;
-      if (control.isSuperseded()) {
+      const {controller} = process;
+      if (controller.isSuperseded()) {
         this.zone.kill(process);
         if (this.zone.listed().has(process.vm)) this.zone.start(process.vm);
-      } else if (control.hasLeft()) this.zone.kill(process);
+      } else if (controller.hasLeft()) this.zone.kill(process);
     }
     if (this.faultsEnded && this.zone.liveProcesses().length === 0) {
       this.startOnNewVm();
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -160,17 +160,17 @@
   }
 
   /** Runs until a time, or until a condition holds after a step. */
-  run(until: number, done: () => boolean = () => false): boolean {
+  run(until: number, isDone: () => boolean = () => false): boolean {
     for (;;) {
       const next = this.steps[this.steps.length - 1];
       if (next === undefined || next.at > until) break;
       this.steps.pop();
       this.now = next.at;
       next.run();
-      if (done()) return true;
+      if (isDone()) return true;
     }
     this.now = until;
-    return done();
+    return isDone();
   }
 
   /** Returns the processes that may place on a worker now. */
@@ -344,7 +344,7 @@
   ): void {
     const {peer, zonePosition, news} = requested;
     const sentAt = process.localTime(this.now);
-    const target = this.processes.find(known => known.name === peer);
+    const target = this.processes.find(item => item.name === peer);
     this.callCount += 1;
     const request = {
       kind: 'confirmArrived',
--- a/test/zones/zone_controller_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -63,7 +63,7 @@
       );
       confirm(controller, 10);
       const sent = controller.handle({kind: 'timePassed'}, 1_000);
-      const append = sent.find(wanted => wanted.kind === 'append');
+      const append = sent.find(item => item.kind === 'append');
       assert.match(append?.records.join() ?? '', /"transfer".*"w2"/);
       assert.equal(controller.owns('w2'), true);
       assert.equal(controller.permitEnd('w2'), -Infinity);
@@ -103,11 +103,11 @@
       for (let at = 1_000; at <= 6_000; at += 1_000) {
         const read = {first: 0, next: 3, sentAt: at, records: []};
         const stream = 'zone/z';
-        const done = controller.handle(
+        const requested = controller.handle(
           {kind: 'recordsRead', stream, ...read},
           at,
         );
-        const append = done.find(wanted => wanted.kind === 'append');
+        const append = requested.find(item => item.kind === 'append');
         if (append?.records.join().includes('process:b')) break;
       }
       assert.equal(confirm(controller, 6_100), false);
--- a/test/zones/zone_stream_test.ts
+++ b/test/zones/zone_stream_test.ts
@@ -39,7 +39,7 @@
       const first = stream.append([JOIN], 0);
       stream.handleAppendAnswer(lost(1), 2_000);
       stream.applyRead(read(1_900), 2_100);
-      const early = stream.poll(2_200).map(wanted => wanted.kind);
+      const early = stream.poll(2_200).map(item => item.kind);
       assert.equal(early.includes('append'), false);
       stream.applyRead(read(2_300), 2_400);
       const again = stream.poll(2_500).find(({kind}) => kind === 'append');
