--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -73,8 +73,8 @@
     }
     return this.reader
       .readTeam(content)
-      .chain(read => checkTeamName(name, read))
-      .map(read => ({kind: 'team' as const, team: read}));
+      .chain(parsed => checkTeamName(name, parsed))
+      .map(parsed => ({kind: 'team' as const, team: parsed}));
   }
 
   /** Parses a content and checks its references to and from other documents. */
@@ -141,12 +141,12 @@
 }
 
 function unknownZones(
-  concerned: team.Team,
+  checkedTeam: team.Team,
   fleet: configuration.FleetDefinition | undefined,
   prefix: string,
 ): ReadonlyArray<string> {
   const knownZones = new Set(fleet?.zones.map(zone => zone.name));
-  return concerned.workloads.flatMap((workload, position) =>
+  return checkedTeam.workloads.flatMap((workload, position) =>
     workload.zones
       .filter(zone => !knownZones.has(zone))
       .map(
--- a/src/contracts/configuration_store.ts
+++ b/src/contracts/configuration_store.ts
@@ -53,7 +53,7 @@
   private readonly snapshotSchedule: snapshotSchedule.SnapshotSchedule;
   private readonly appendIntervalMs: clock.Milliseconds;
   private configuration: configuration.Configuration;
-  /** Version of each document that cannot be parsed, reported only once. */
+  /** Versions that this process cannot parse, so that each is reported once. */
   private readonly unreadableVersions = new Map<string, number>();
   /** Whether a complete set of documents has come from the log or a peer. */
   private isLoadedValue = false;
--- a/src/contracts/stream_replica.ts
+++ b/src/contracts/stream_replica.ts
@@ -1,6 +1,6 @@
 import type * as event from './event.js';
 
-/** A state machine that is driven by the records of a stream. */
+/** State that depends only on the records of a stream. */
 export interface ReplicatedState {
   /** Applies the next record that is not a snapshot. */
   apply(record: event.StreamRecord): void;
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -36,7 +36,7 @@
   | {
       readonly kind: 'transfer';
       readonly from: string;
-      /** Receiver, or `NOBODY` to release the items. */
+      /** Receiver, or `NO_OWNER` to release the items. */
       readonly to: string;
       readonly items: ReadonlyArray<ItemEpoch>;
     };
@@ -107,7 +107,7 @@
 export class OwnershipTable implements streamReplica.ReplicatedState {
   private ownerships = new Map<string, Ownership>();
   private joinedMembers = new Map<string, JoinedMember>();
-  private endedById = new Map<string, EndedMember>();
+  private endedByProcess = new Map<string, EndedMember>();
 
   /** Returns the ownership of an item; undefined if it was never claimed. */
   ownership(item: string): Ownership | undefined {
@@ -135,7 +135,7 @@
 
   /** Returns the members that left or were claimed. */
   endedMembers(): ReadonlyMap<string, EndedMember> {
-    return this.endedById;
+    return this.endedByProcess;
   }
 
   /** Applies the next record; ignores one that cannot be parsed. */
@@ -158,7 +158,7 @@
     const state: TableState = {
       owners: [...this.ownerships],
       joined: [...this.joinedMembers],
-      ended: [...this.endedById],
+      ended: [...this.endedByProcess],
     };
     return JSON.stringify(state);
   }
@@ -168,7 +168,7 @@
     const state = JSON.parse(snapshot) as TableState;
     this.ownerships = new Map(state.owners);
     this.joinedMembers = new Map(state.joined);
-    this.endedById = new Map(state.ended);
+    this.endedByProcess = new Map(state.ended);
   }
 
   private join(
@@ -177,7 +177,8 @@
   ): void {
     const {process, vm, address} = record;
     this.pruneBefore(offset - TOMBSTONE_RETENTION_RECORDS);
-    if (this.joinedMembers.has(process) || this.endedById.has(process)) return;
+    if (this.joinedMembers.has(process) || this.endedByProcess.has(process))
+      return;
     this.joinedMembers.set(process, {process, vm, address, joined: offset});
     this.ownerships.set(processItem(process), {
       owner: process,
@@ -256,13 +257,13 @@
     const member = this.joinedMembers.get(process);
     if (member === undefined) return;
     this.joinedMembers.delete(process);
-    this.endedById.set(process, {...member, how, offset});
+    this.endedByProcess.set(process, {...member, how, offset});
   }
 
   private pruneBefore(offset: number): void {
-    for (const [process, ended] of this.endedById) {
+    for (const [process, ended] of this.endedByProcess) {
       if (ended.offset >= offset) continue;
-      this.endedById.delete(process);
+      this.endedByProcess.delete(process);
       this.ownerships.delete(processItem(process));
     }
     for (const [item, ownership] of this.ownerships) {
--- a/src/zones/record_planner.ts
+++ b/src/zones/record_planner.ts
@@ -11,7 +11,10 @@
 /** Minimum time between handovers, so that members see each other's. */
 const REBALANCE_INTERVAL_MS = 3_000;
 
-/** Factor on the snapshot interval of all members but the first live one. */
+/**
+ * Factor by which all members but the first one wait longer to write a
+ * snapshot.
+ */
 const SNAPSHOT_BACKUP_DELAY_FACTOR = 1.25;
 
 /** State from which the planner decides. */
--- a/src/zones/zone_router.ts
+++ b/src/zones/zone_router.ts
@@ -42,7 +42,7 @@
     private readonly crossingCost: number,
   ) {}
 
-  /** Chooses the own zone, else one of the region, else another region's. */
+  /** Chooses the own zone if possible, then the region, then other regions. */
   route(work: RoutableWork, now: clock.Milliseconds): Route {
     const own = this.regions.ownAvailabilityZone();
     const allowedInOwnZone = allowsZone(work, own.name);
--- a/test/contracts/configuration_store_test.ts
+++ b/test/contracts/configuration_store_test.ts
@@ -65,8 +65,8 @@
 
 nodeTest.describe('publication', () => {
   nodeTest.test(
-    'is answered when it is read back, and repeats get the same answer; ' +
-      'guards against a second version from a repeated publication',
+    'a publication is answered when it is read back, and repeats get the ' +
+      'same answer; guards against a second version from a repeat',
     () => {
       const {log, store, now} = createStore();
       store.handle(publishArrived({call: 1}), now);
@@ -83,8 +83,8 @@
   );
 
   nodeTest.test(
-    'with a wrong base or invalid content is refused without an append; ' +
-      'guards against filling the log with records that are never accepted',
+    'a wrong base and invalid content are refused without an append; guards ' +
+      'against filling the log with records that are never accepted',
     () => {
       const {store, now} = createStore();
       store.handle(publishArrived({}), now);
@@ -106,9 +106,8 @@
   );
 
   nodeTest.test(
-    'through two processes from one base succeeds through one of them and ' +
-      'gets 6001 from the other; guards against two operators who are both ' +
-      'told of success',
+    'of two publications from one base through two processes, one succeeds ' +
+      'and one gets 6001; guards against reporting success to both operators',
     () => {
       const {log, store, now} = createStore();
       const other = new configurationCell.StoreUnderTest(log);
@@ -126,7 +125,7 @@
   );
 
   nodeTest.test(
-    'whose append lost its answer is resolved by reading the log; guards ' +
+    'a lost answer to an append is resolved by reading the log; guards ' +
       'against reporting a failure after the append took effect',
     () => {
       const {log, store, now} = createStore();
@@ -141,9 +140,8 @@
   );
 
   nodeTest.test(
-    'gets 6004 after 10 s without an answer of the log, and the outcome when ' +
-      'it is repeated later; guards against reporting an unknown outcome as ' +
-      'success or failure',
+    'without an answer of the log the caller gets 6004 after 10 s, and a ' +
+      'repeat gets the outcome later; guards against a guessed outcome',
     () => {
       const {store, now} = createStore();
       store.handle(publishArrived({}), now);
@@ -158,8 +156,8 @@
   );
 
   nodeTest.test(
-    'of large documents uses one append for each; guards against an append ' +
-      'that the log rejects for its size',
+    'large documents are appended one after another; guards against an ' +
+      'append that the log rejects for its size',
     () => {
       const {log, store, now} = createStore();
       const sent: number[] = [];
@@ -177,7 +175,7 @@
   );
 
   nodeTest.test(
-    'with an identity that was used for another change is refused; guards ' +
+    'an identity that was used for another change is refused; guards ' +
       'against reporting a change as in force that was never appended',
     () => {
       const {store, now} = createStore();
@@ -189,8 +187,8 @@
   );
 
   nodeTest.test(
-    'is not refused when it is repeated and only a peer has reported its ' +
-      'success; guards against 6001 for an accepted publication',
+    'a repeat is not refused while only a peer has the accepted version; ' +
+      'guards against 6001 for an accepted publication',
     () => {
       const {log, store, now} = createStore();
       const other = new configurationCell.StoreUnderTest(log);
@@ -206,8 +204,8 @@
   );
 
   nodeTest.test(
-    'with a base that this process has not read yet is validated after the ' +
-      'next read; guards against refusing an operator who has read further',
+    'a base that this process has not read yet is validated after the next ' +
+      'read; guards against refusing an operator who knows a newer version',
     () => {
       const {log, store, now} = createStore();
       const other = new configurationCell.StoreUnderTest(log);
@@ -229,8 +227,8 @@
 
 nodeTest.describe('documents from peers', () => {
   nodeTest.test(
-    'are used by a process that starts during a log outage; guards against ' +
-      'a zone without configuration until the log is back',
+    'a process that starts during a log outage uses the documents of a peer; ' +
+      'guards against a zone without configuration',
     () => {
       const log = new configurationCell.TrimmedLog();
       const store = new configurationCell.StoreUnderTest(log);
@@ -247,9 +245,8 @@
   );
 
   nodeTest.test(
-    'are fetched from the listed entry VMs in turn, own zone first, by a ' +
-      'process that knows no members; guards against a start that waits for ' +
-      'the log',
+    'a process that knows no members fetches from the listed entry VMs in ' +
+      'turn, own zone first; guards against a start that waits for the log',
     () => {
       const log = new configurationCell.TrimmedLog();
       const store = new configurationCell.StoreUnderTest(log);
@@ -277,8 +274,8 @@
   );
 
   nodeTest.test(
-    'never lower a version, and a version from a peer stays in force when ' +
-      'its record is read from the log; guards against a reverted change',
+    'a lower version is ignored, and reading the record of a higher one from ' +
+      'the log changes nothing; guards against a reverted change',
     () => {
       const {log, store, now} = createStore();
       store.handle(publishArrived({}), now);
@@ -300,8 +297,8 @@
   );
 
   nodeTest.test(
-    'are not fetched while the log delivers changes in time; guards against ' +
-      'transferring each change twice',
+    'nothing is fetched while the log delivers changes in time; guards ' +
+      'against transferring each change twice',
     () => {
       const {store, now} = createStore();
       const kinds = (at: number): ReadonlyArray<string> =>
@@ -317,8 +314,8 @@
 
 nodeTest.describe('documents in force', () => {
   nodeTest.test(
-    'have their workloads listed by team; guards against a listing call ' +
-      'without an answer',
+    'workloads are listed by team; guards against a listing call that is ' +
+      'never answered',
     () => {
       const {store, now} = createStore();
       store.handle(publishArrived({}), now);
--- a/test/contracts/stream_replica_test.ts
+++ b/test/contracts/stream_replica_test.ts
@@ -60,8 +60,8 @@
 
 nodeTest.describe('replay of a stream', () => {
   nodeTest.test(
-    'ignores repeated and stale reads; guards against applying a record ' +
-      'twice and against a position that moves back',
+    'repeated and stale reads change nothing; guards against applying a ' +
+      'record twice and against a position that moves back',
     () => {
       const {state, replica} = create();
       assert.equal(replica.applyRead(read(0, 2, records(0, 'a', 'b'))), 'tail');
@@ -76,8 +76,8 @@
   );
 
   nodeTest.test(
-    'waits after trimmed records for a snapshot that covers the gap; guards ' +
-      'against a state that lacks records',
+    'a replica that missed trimmed records waits for a snapshot that covers ' +
+      'the gap; guards against a state that lacks records',
     () => {
       const {state, replica} = create();
       replica.applyRead(read(0, 1, records(0, 'a')));
@@ -92,8 +92,8 @@
   );
 
   nodeTest.test(
-    'ignores snapshots while it is complete; guards against a lagging ' +
-      'process whose snapshot reverts the others',
+    'a complete replica ignores snapshots; guards against a lagging process ' +
+      'whose snapshot reverts the others',
     () => {
       const {state, replica} = create();
       replica.applyRead(read(0, 3, records(0, 'a', 'b', snapshotText(0, 'a'))));
@@ -104,7 +104,7 @@
   );
 
   nodeTest.test(
-    'ignores a snapshot that claims later records or cannot be parsed; ' +
+    'a snapshot that claims later records or cannot be parsed is ignored; ' +
       'guards against records hidden by a faulty snapshot',
     () => {
       const {state, replica} = create();
@@ -122,8 +122,8 @@
   );
 
   nodeTest.test(
-    'builds a snapshot during a gap that ends at the last record before it; ' +
-      'guards against a snapshot that claims records its state lacks',
+    'a snapshot built during a gap ends at the last record before it; guards ' +
+      'against a snapshot that claims records its state lacks',
     () => {
       const {replica} = create();
       replica.applyRead(read(0, 2, records(0, 'a', 'b')));
--- a/test/zones/zone_controller_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -53,7 +53,7 @@
 
 nodeTest.describe('zone controller', () => {
   nodeTest.test(
-    'an owner has no permit as soon as it sends a transfer: guards against ' +
+    'an owner loses its permit when it sends a transfer: guards against ' +
       'placing on a worker at the same time as its receiver',
     () => {
       const controller = createOwner();
@@ -75,8 +75,8 @@
   );
 
   nodeTest.test(
-    'without the log a permit starts when the request was sent that every ' +
-      'member confirmed: guards against a permit from missing or late answers',
+    'without the log a permit counts from the sending of a request that all ' +
+      'members confirmed: guards against a permit after missing or late answers',
     () => {
       const controller = createOwner();
       controller.handle({kind: 'timePassed'}, 4_500);
