--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -177,8 +177,9 @@
   ): void {
     const {process, vm, address} = record;
     this.pruneBefore(offset - TOMBSTONE_RETENTION_RECORDS);
-    if (this.joinedMembers.has(process) || this.endedByProcess.has(process))
+    if (this.joinedMembers.has(process) || this.endedByProcess.has(process)) {
       return;
+    }
     this.joinedMembers.set(process, {process, vm, address, joined: offset});
     this.ownerships.set(processItem(process), {
       owner: process,
