--- a/src/contracts/configuration_documents.ts
+++ b/src/contracts/configuration_documents.ts
@@ -4,65 +4,65 @@
 import type * as event from './event.js';
 import type * as team from './team.js';
 
-/** Name of the document that describes the cell. */
+/** Name of the document that lists the zones and worker shapes of the cell. */
 export const FLEET_DOCUMENT = 'fleet';
 
-/** Start of the names of the teams' documents. */
-export const TEAM_PREFIX = 'team/';
+/** Prefix of the names of team documents. */
+export const TEAM_DOCUMENT_PREFIX = 'team/';
 
-/** Rule for names of teams, workloads, zones and regions. */
+/** Pattern for names of teams, workloads, zones and regions. */
 export const NAME_PATTERN = /^[a-z][a-z0-9-]{0,31}$/;
 
-/** A document's content after reading. */
+/** Parsed content of a document. */
 export type ParsedDocument =
-  | {readonly kind: 'fleet'; readonly fleet: configuration.FleetPlan}
+  | {readonly kind: 'fleet'; readonly fleet: configuration.FleetDefinition}
   | {readonly kind: 'team'; readonly team: team.Team};
 
-/** Whether a document of this name can exist. */
+/** Returns whether a document of this name can exist. */
 export function isDocumentName(name: string): boolean {
   if (name === FLEET_DOCUMENT) return true;
-  if (!name.startsWith(TEAM_PREFIX)) return false;
-  return NAME_PATTERN.test(name.slice(TEAM_PREFIX.length));
+  if (!name.startsWith(TEAM_DOCUMENT_PREFIX)) return false;
+  return NAME_PATTERN.test(name.slice(TEAM_DOCUMENT_PREFIX.length));
 }
 
-/** Documents by name, each at one version, with their parsed contents. */
-export class DocumentSet {
-  private readonly documents = new Map<string, event.Document>();
-  private readonly teams = new Map<string, team.Team>();
-  private fleet: configuration.FleetPlan | undefined;
+/** A set of documents, each at one version, with their parsed contents. */
+export class ConfigurationDocuments {
+  private readonly documentsByName = new Map<string, event.Document>();
+  private readonly teamsByName = new Map<string, team.Team>();
+  private fleet: configuration.FleetDefinition | undefined;
 
   constructor(private readonly reader: configuration.DocumentReader) {}
 
-  /** Version of a document; 0 when there is none. */
+  /** Returns the version of a document; 0 if there is none. */
   version(name: string): number {
-    return this.documents.get(name)?.version ?? 0;
+    return this.documentsByName.get(name)?.version ?? 0;
   }
 
-  /** Returns a document. */
+  /** Returns a document with its version and text. */
   get(name: string): event.Document | undefined {
-    return this.documents.get(name);
+    return this.documentsByName.get(name);
   }
 
-  /** All documents in the order of their names, the same in each process. */
+  /** Returns all documents sorted by name, the same order in every process. */
   all(): ReadonlyArray<event.Document> {
-    return [...this.documents.values()].sort((left, right) =>
+    return [...this.documentsByName.values()].sort((left, right) =>
       left.name < right.name ? -1 : 1,
     );
   }
 
-  /** The documents as the rest of the process sees them. */
+  /** Returns the parsed contents and versions for use by other components. */
   toConfiguration(): configuration.Configuration {
     return {
       fleet: this.fleet,
-      teams: new Map(this.teams),
+      teams: new Map(this.teamsByName),
       versions: new Map(
         this.all().map(document => [document.name, document.version]),
       ),
     };
   }
 
-  /** Reads a content by itself; faults are `invalidDocument`. */
-  read(
+  /** Parses a content by itself; a failure has the result `invalidDocument`. */
+  parse(
     name: string,
     content: string,
   ): either.Either<result.Failure, ParsedDocument> {
@@ -73,80 +73,82 @@
     }
     return this.reader
       .readTeam(content)
-      .chain(read => checkName(name, read))
-      .map(read => ({kind: 'team' as const, team: read}));
+      .chain(parsed => checkTeamName(name, parsed))
+      .map(parsed => ({kind: 'team' as const, team: parsed}));
   }
 
-  /** Reads a content and checks what it and the other documents refer to. */
-  check(
+  /** Parses a content and checks its references to and from other documents. */
+  parseAndCheck(
     name: string,
     content: string,
   ): either.Either<result.Failure, ParsedDocument> {
-    return this.read(name, content).chain(parsed => {
-      const faults = this.danglingReferences(parsed);
-      if (faults.length === 0) return either.Right(parsed);
-      return either.Left(result.failure('invalidDocument', faults.join('; ')));
+    return this.parse(name, content).chain(parsed => {
+      const problems = this.unknownZoneReferences(parsed);
+      if (problems.length === 0) return either.Right(parsed);
+      return either.Left(
+        result.failure('invalidDocument', problems.join('; ')),
+      );
     });
   }
 
-  /** Puts a document that was read before in the place of the present one. */
+  /** Replaces the present version of a document by one that was parsed. */
   put(document: event.Document, parsed: ParsedDocument): void {
-    this.documents.set(document.name, document);
+    this.documentsByName.set(document.name, document);
     if (parsed.kind === 'fleet') this.fleet = parsed.fleet;
-    else this.teams.set(parsed.team.name, parsed.team);
+    else this.teamsByName.set(parsed.team.name, parsed.team);
   }
 
   /**
-   * Puts a document that was accepted elsewhere. When this process cannot
-   * read it, its version counts nevertheless and its content stays unused.
+   * Stores a document that another process accepted. If this process cannot
+   * parse it, the version is stored nevertheless and the content stays unused.
    */
   putAccepted(document: event.Document): void {
-    this.documents.set(document.name, document);
-    this.read(document.name, document.content).ifRight(parsed => {
+    this.documentsByName.set(document.name, document);
+    this.parse(document.name, document.content).ifRight(parsed => {
       this.put(document, parsed);
     });
   }
 
-  /** Forgets all documents. */
+  /** Removes all documents. */
   clear(): void {
-    this.documents.clear();
-    this.teams.clear();
+    this.documentsByName.clear();
+    this.teamsByName.clear();
     this.fleet = undefined;
   }
 
-  private danglingReferences(parsed: ParsedDocument): ReadonlyArray<string> {
+  private unknownZoneReferences(parsed: ParsedDocument): ReadonlyArray<string> {
     if (parsed.kind === 'team') {
       return unknownZones(parsed.team, this.fleet, '');
     }
-    return [...this.teams.values()].flatMap(known =>
-      unknownZones(known, parsed.fleet, `${TEAM_PREFIX}${known.name}: `),
+    return [...this.teamsByName.values()].flatMap(team =>
+      unknownZones(team, parsed.fleet, `${TEAM_DOCUMENT_PREFIX}${team.name}: `),
     );
   }
 }
 
-function checkName(
+function checkTeamName(
   document: string,
-  read: team.Team,
+  parsed: team.Team,
 ): either.Either<result.Failure, team.Team> {
-  const expected = document.slice(TEAM_PREFIX.length);
-  if (read.name === expected) return either.Right(read);
+  const expected = document.slice(TEAM_DOCUMENT_PREFIX.length);
+  if (parsed.name === expected) return either.Right(parsed);
   return either.Left(
     result.failure(
       'invalidDocument',
-      `name: "${read.name}" must be "${expected}", as in ${document}`,
+      `name: "${parsed.name}" must be "${expected}", as in ${document}`,
     ),
   );
 }
 
 function unknownZones(
-  concerned: team.Team,
-  fleet: configuration.FleetPlan | undefined,
+  checkedTeam: team.Team,
+  fleet: configuration.FleetDefinition | undefined,
   prefix: string,
 ): ReadonlyArray<string> {
-  const known = new Set(fleet?.zones.map(zone => zone.name));
-  return concerned.workloads.flatMap((workload, position) =>
+  const knownZones = new Set(fleet?.zones.map(zone => zone.name));
+  return checkedTeam.workloads.flatMap((workload, position) =>
     workload.zones
-      .filter(zone => !known.has(zone))
+      .filter(zone => !knownZones.has(zone))
       .map(
         zone =>
           `${prefix}workloads[${position}].zones: "${zone}" must be a zone ` +
--- a/src/contracts/configuration_history.ts
+++ b/src/contracts/configuration_history.ts
@@ -5,10 +5,10 @@
 import type * as streamReplica from './stream_replica.js';
 
 /**
- * Publications whose outcomes are kept for repeats. At 2,200 changes a day
- * they cover more than five hours, and a snapshot stays small.
+ * Number of publications whose outcomes are kept for repeats. At 2,200 changes
+ * a day they cover more than five hours, and a snapshot stays small.
  */
-const REMEMBERED_PUBLICATIONS = 512;
+const MAXIMUM_RETAINED_OUTCOMES = 512;
 
 /** A record of the stream `configuration`. */
 export interface PublishRecord {
@@ -19,14 +19,14 @@
   readonly publication: string;
 }
 
-/** What became of a publication at its position in the stream. */
+/** Outcome of a publication at its position in the stream. */
 export interface PublicationOutcome {
   readonly publication: string;
-  /** Digest of the record, by which a reused identity is noticed. */
+  /** Digest of the record, by which a reused identity is detected. */
   readonly digest: string;
   readonly document: string;
   readonly outcome: 'accepted' | 'conflict' | 'invalid';
-  /** The new version if accepted, else the version in force then. */
+  /** New version if accepted, else the version in force at that position. */
   readonly version: number;
   readonly detail: string;
 }
@@ -42,64 +42,68 @@
  * position and its content passes the checks there.
  */
 export class ConfigurationHistory implements streamReplica.ReplicatedState {
-  private readonly set: configurationDocuments.DocumentSet;
-  private readonly outcomes = new Map<string, PublicationOutcome>();
-  private unreadable = 0;
+  private readonly acceptedDocuments: configurationDocuments.ConfigurationDocuments;
+  private readonly outcomeByPublication = new Map<string, PublicationOutcome>();
+  private unreadableRecords = 0;
 
   constructor(reader: configuration.DocumentReader) {
-    this.set = new configurationDocuments.DocumentSet(reader);
+    this.acceptedDocuments = new configurationDocuments.ConfigurationDocuments(
+      reader,
+    );
   }
 
-  /** The documents that the records read so far put in force. */
+  /** Returns the documents in force after the records read so far. */
   documents(): ReadonlyArray<event.Document> {
-    return this.set.all();
+    return this.acceptedDocuments.all();
   }
 
-  /** Version of a document by the records read so far; 0 without one. */
+  /** Returns a document's version after the records read so far, else 0. */
   version(document: string): number {
-    return this.set.version(document);
+    return this.acceptedDocuments.version(document);
   }
 
-  /** Outcome of a publication; undefined when none is remembered. */
+  /** Returns the outcome of a publication; undefined if none is retained. */
   outcome(publication: string): PublicationOutcome | undefined {
-    return this.outcomes.get(publication);
+    return this.outcomeByPublication.get(publication);
   }
 
-  /** Records so far that were no publication. */
+  /** Returns the number of records so far that were not a publication. */
   unreadableCount(): number {
-    return this.unreadable;
+    return this.unreadableRecords;
   }
 
   apply(record: event.StreamRecord): void {
-    const parsed = readPublish(record.data);
+    const parsed = parsePublishRecord(record.data);
     if (parsed === undefined) {
-      this.unreadable += 1;
+      this.unreadableRecords += 1;
       return;
     }
     // A lost acknowledgement leads to a second append of the same record.
-    if (this.outcomes.has(parsed.publication)) return;
-    this.remember(this.judge(parsed, record.offset));
+    if (this.outcomeByPublication.has(parsed.publication)) return;
+    this.storeOutcome(this.evaluate(parsed, record.offset));
   }
 
   snapshot(): string {
     const state: HistoryState = {
-      documents: this.set.all(),
-      publications: [...this.outcomes.values()],
+      documents: this.acceptedDocuments.all(),
+      publications: [...this.outcomeByPublication.values()],
     };
     return JSON.stringify(state);
   }
 
   restore(snapshot: string): void {
-    const {documents, publications} = readState(snapshot);
-    this.set.clear();
-    for (const document of documents) this.set.putAccepted(document);
-    this.outcomes.clear();
-    for (const outcome of publications) this.remember(outcome);
+    const {documents, publications} = parseState(snapshot);
+    this.acceptedDocuments.clear();
+    for (const document of documents) {
+      this.acceptedDocuments.putAccepted(document);
+    }
+    this.outcomeByPublication.clear();
+    for (const outcome of publications) this.storeOutcome(outcome);
   }
 
-  private judge(record: PublishRecord, offset: number): PublicationOutcome {
-    const current = this.set.version(record.document);
-    const base = {
+  private evaluate(record: PublishRecord, offset: number): PublicationOutcome {
+    const current = this.acceptedDocuments.version(record.document);
+    const common = {
       publication: record.publication,
       digest: digestOf(record),
       document: record.document,
@@ -107,38 +111,42 @@
     };
     if (record.baseVersion !== current) {
       const detail = conflictDetail(record, current);
-      return {...base, outcome: 'conflict', detail};
+      return {...common, outcome: 'conflict', detail};
     }
-    return this.set
-      .check(record.document, record.content)
+    return this.acceptedDocuments
+      .parseAndCheck(record.document, record.content)
       .caseOf<PublicationOutcome>({
-        Left: fault => ({...base, outcome: 'invalid', detail: fault.detail}),
+        Left: failure => ({
+          ...common,
+          outcome: 'invalid',
+          detail: failure.detail,
+        }),
         Right: parsed => {
-          // Versions start at 1, so that 0 can stand for a missing document.
+          // Versions start at 1, because 0 stands for a missing document.
           const version = offset + 1;
           const {document: name, content} = record;
-          this.set.put({name, version, content}, parsed);
-          return {...base, outcome: 'accepted', version, detail: ''};
+          this.acceptedDocuments.put({name, version, content}, parsed);
+          return {...common, outcome: 'accepted', version, detail: ''};
         },
       });
   }
 
-  private remember(outcome: PublicationOutcome): void {
-    this.outcomes.set(outcome.publication, outcome);
-    if (this.outcomes.size <= REMEMBERED_PUBLICATIONS) return;
-    const [oldest] = this.outcomes.keys();
-    this.outcomes.delete(oldest);
+  private storeOutcome(outcome: PublicationOutcome): void {
+    this.outcomeByPublication.set(outcome.publication, outcome);
+    if (this.outcomeByPublication.size <= MAXIMUM_RETAINED_OUTCOMES) return;
+    const [oldest] = this.outcomeByPublication.keys();
+    this.outcomeByPublication.delete(oldest);
   }
 }
 
-/** Digest of what a publication asks for. */
+/** Returns a digest of the document, base version and content. */
 export function digestOf(record: PublishRecord): string {
   const {document, baseVersion, content} = record;
   const text = JSON.stringify([document, baseVersion, content]);
   return crypto.createHash('sha256').update(text).digest('hex').slice(0, 16);
 }
 
-/** Says which version the base should have been. */
+/** Returns the text of a conflict, with the version to use as the base. */
 export function conflictDetail(record: PublishRecord, current: number): string {
   return (
     `baseVersion: ${record.baseVersion} must be the current version of ` +
@@ -146,7 +154,7 @@
   );
 }
 
-function readPublish(data: string): PublishRecord | undefined {
+function parsePublishRecord(data: string): PublishRecord | undefined {
   try {
     const parsed = JSON.parse(data) as Partial<PublishRecord>;
     const valid =
@@ -162,8 +170,8 @@
   }
 }
 
-/** Throws when the text is not the state of a history. */
-function readState(snapshot: string): HistoryState {
+/** Parses a snapshot; throws if it is not the state of a history. */
+function parseState(snapshot: string): HistoryState {
   const state = JSON.parse(snapshot) as HistoryState;
   const valid =
     state.documents.every(
@@ -177,6 +185,10 @@
         typeof outcome.publication === 'string' &&
         ['accepted', 'conflict', 'invalid'].includes(outcome.outcome),
     );
-  if (!valid) throw new Error('not a snapshot of the configuration');
+  if (!valid) {
+    throw new Error(
+      'invalid configuration snapshot: a document or publication is malformed',
+    );
+  }
   return state;
 }
--- a/src/contracts/questionnaire.ts
+++ b/src/contracts/questionnaire_answers.ts
@@ -1,7 +1,7 @@
 import type * as resources from '../machines/resources.js';
 
-/** How bad it is when a request starts late. */
-export const LATENESS = [
+/** Answers for the effect of a late start, from the mildest to the worst. */
+export const LATENESS_ANSWERS = [
   'nobody notices',
   'work piles up',
   'people stand idle',
@@ -46,8 +46,8 @@
   readonly work: ReadonlyArray<WorkAnswers>;
 }
 
-/** All answers of one operator. */
-export interface Answers {
+/** Complete answers of one operator. */
+export interface QuestionnaireAnswers {
   readonly operator: string;
   readonly zones: ReadonlyArray<{
     readonly name: string;
@@ -57,46 +57,44 @@
   readonly teams: ReadonlyArray<TeamAnswers>;
 }
 
-/** A value of a document and the answer from which it came. */
+/** A value of a document and the answer from which it was derived. */
 export interface DerivedValue {
   readonly key: string;
   readonly value: string | number | boolean | ReadonlyArray<string>;
-  /** Path of the answer; empty when the value follows from none. */
+  /** Path of the answer; empty if the value follows from none. */
   readonly answer: string;
-  /** How the value follows from the answer. */
+  /** Explains how the value follows from the answer. */
   readonly note: string;
 }
 
-/** A part of a document; the path of its top level is empty. */
+/** A table of a document; the path of the top level is empty. */
 export interface DerivedTable {
   readonly path: string;
-  /** Whether the table is one of a list of tables. */
+  /** Whether the table is an element of an array of tables. */
   readonly repeated: boolean;
   readonly values: ReadonlyArray<DerivedValue>;
 }
 
-/** A document as it follows from the answers. */
+/** A document derived from the answers. */
 export interface DerivedDocument {
   readonly name: string;
   readonly tables: ReadonlyArray<DerivedTable>;
 }
 
-/** Thousandths in a processor. */
-const PROCESSOR_PARTS = 1_000;
+const THOUSANDTHS_PER_PROCESSOR = 1_000;
 
-/** MiB in a GiB. */
 const MIB_PER_GIB = 1_024;
 
 const MS_PER_MINUTE = 60_000;
 
 const MINUTES_PER_HOUR = 60;
 
-/** Least length of a queue, so that a rare kind of work can wait too. */
-const LEAST_QUEUE = 10;
+/** Minimum queue limit, so that a rare kind of work can be queued too. */
+const MINIMUM_QUEUE_LIMIT = 10;
 
 /** Derives the documents of an operator from the answers. */
 export function deriveDocuments(
-  answers: Answers,
+  answers: QuestionnaireAnswers,
 ): ReadonlyArray<DerivedDocument> {
   return [
     deriveFleet(answers),
@@ -106,42 +104,51 @@
   ];
 }
 
-/** Returns what the answers contradict each other in, one text each. */
-export function findContradictions(answers: Answers): ReadonlyArray<string> {
+/** Returns a text for each contradiction between the answers. */
+export function findContradictions(
+  answers: QuestionnaireAnswers,
+): ReadonlyArray<string> {
   return answers.teams.flatMap((team, teamPosition) =>
     team.work.flatMap((work, position) => {
-      const place = `teams[${teamPosition}].work[${position}]`;
-      return workContradictions(work, place, answers.workers);
+      const path = `teams[${teamPosition}].work[${position}]`;
+      return workContradictions(work, path, answers.workers);
     }),
   );
 }
 
 function workContradictions(
   work: WorkAnswers,
-  place: string,
+  path: string,
   workers: ReadonlyArray<WorkerAnswers>,
 ): ReadonlyArray<string> {
-  const faults: string[] = [];
+  const contradictions: string[] = [];
   const fits = workers.some(
     worker =>
       work.processors <= worker.processors &&
       work.memoryGiB <= worker.memoryGiB &&
       work.accelerators <= worker.accelerators,
   );
-  if (!fits) faults.push(`${place}: ${work.name} fits no worker of the fleet`);
+  if (!fits) {
+    contradictions.push(
+      `${path}: ${work.name} fits no worker of the fleet; ` +
+        'reduce its size or add a larger worker',
+    );
+  }
   if (work.endsByItself && work.minutes === 0) {
-    faults.push(`${place}.minutes: 0 must be above 0 for work that ends`);
+    contradictions.push(
+      `${path}.minutes: 0 must be above 0 for work that ends`,
+    );
   }
   if (!work.endsByItself && !work.mayRunTwice) {
-    faults.push(
-      `${place}.mayRunTwice: false must be true for work that does not end, ` +
+    contradictions.push(
+      `${path}.mayRunTwice: false must be true for work that does not end, ` +
         'because its lost tasks are replaced',
     );
   }
-  return faults;
+  return contradictions;
 }
 
-function deriveFleet(answers: Answers): DerivedDocument {
+function deriveFleet(answers: QuestionnaireAnswers): DerivedDocument {
   const zones = answers.zones.map((zone, position) => ({
     path: 'zones',
     repeated: true,
@@ -158,15 +165,15 @@
 
 function deriveShape(
   worker: WorkerAnswers,
-  place: string,
+  path: string,
 ): ReadonlyArray<DerivedTable> {
   return [
     {
       path: 'workerShapes',
       repeated: true,
       values: [
-        derived('zones', worker.zones, `${place}.zones`),
-        derived('connections', worker.connections, `${place}.connections`),
+        derived('zones', worker.zones, `${path}.zones`),
+        derived('connections', worker.connections, `${path}.connections`),
       ],
     },
     {
@@ -174,8 +181,8 @@
       repeated: false,
       values: deriveResources(
         worker,
-        place,
-        derived('slots', worker.slots, `${place}.slots`),
+        path,
+        derived('slots', worker.slots, `${path}.slots`),
       ),
     },
   ];
@@ -183,34 +190,34 @@
 
 function deriveResources(
   stated: Pick<WorkerAnswers, 'processors' | 'memoryGiB' | 'accelerators'>,
-  place: string,
+  path: string,
   slots: DerivedValue,
 ): ReadonlyArray<DerivedValue> {
   return [
     derived(
       'processors',
-      Math.ceil(stated.processors * PROCESSOR_PARTS),
-      `${place}.processors`,
+      Math.ceil(stated.processors * THOUSANDTHS_PER_PROCESSOR),
+      `${path}.processors`,
       `= ${stated.processors}, in thousandths`,
     ),
     derived(
       'memory',
       Math.ceil(stated.memoryGiB * MIB_PER_GIB),
-      `${place}.memoryGiB`,
+      `${path}.memoryGiB`,
       `= ${stated.memoryGiB}, in MiB`,
     ),
-    derived('accelerators', stated.accelerators, `${place}.accelerators`),
+    derived('accelerators', stated.accelerators, `${path}.accelerators`),
     slots,
   ];
 }
 
 function deriveTeam(
-  answers: Answers,
+  answers: QuestionnaireAnswers,
   team: TeamAnswers,
-  place: string,
+  path: string,
 ): DerivedDocument {
   const workloads = team.work.flatMap((work, position) =>
-    deriveWorkload(work, `${place}.work[${position}]`),
+    deriveWorkload(work, `${path}.work[${position}]`),
   );
   return {
     name: `team/${team.name}`,
@@ -219,63 +226,73 @@
         path: '',
         repeated: false,
         values: [
-          derived('name', team.name, `${place}.name`),
-          derived('clients', team.clients, `${place}.clients`),
-          derived('share', team.weight, `${place}.weight`),
-          deriveQueueLimit(team, place),
+          derived('name', team.name, `${path}.name`),
+          derived('clients', team.clients, `${path}.clients`),
+          derived('share', team.weight, `${path}.weight`),
+          deriveQueueLimit(team, path),
         ],
       },
       {
         path: 'quota',
         repeated: false,
-        values: deriveQuota(answers.workers, team.fleetPercent, place),
+        values: deriveQuota(answers.workers, team.fleetPercent, path),
       },
       ...workloads,
     ],
   };
 }
 
-function deriveQueueLimit(team: TeamAnswers, place: string): DerivedValue {
+function deriveQueueLimit(team: TeamAnswers, path: string): DerivedValue {
   const perHour = team.work.reduce((sum, work) => sum + work.perBusyHour, 0);
-  const waiting = (perHour * team.backlogMinutes) / MINUTES_PER_HOUR;
+  const waitingRequests = (perHour * team.backlogMinutes) / MINUTES_PER_HOUR;
   return derived(
     'queueLimit',
-    Math.max(LEAST_QUEUE, Math.ceil(waiting)),
-    `${place}.backlogMinutes`,
+    Math.max(MINIMUM_QUEUE_LIMIT, Math.ceil(waitingRequests)),
+    `${path}.backlogMinutes`,
     `= ${team.backlogMinutes} at the sum of ` +
-      `work[].perBusyHour = ${perHour}, at least ${LEAST_QUEUE}`,
+      `work[].perBusyHour = ${perHour}, at least ${MINIMUM_QUEUE_LIMIT}`,
   );
 }
 
 function deriveQuota(
   workers: ReadonlyArray<WorkerAnswers>,
   percent: number,
-  place: string,
+  path: string,
 ): ReadonlyArray<DerivedValue> {
-  const whole = wholeFleet(workers);
-  const answer = `${place}.fleetPercent`;
+  const fleetCapacity = sumFleetCapacity(workers);
+  const answer = `${path}.fleetPercent`;
   const note = `= ${percent} of the fleet's`;
-  const part = (quantity: number): number =>
+  const teamPart = (quantity: number): number =>
     Math.floor((quantity * percent) / 100);
   return [
     derived(
       'processors',
-      part(whole.processors),
+      teamPart(fleetCapacity.processors),
       answer,
-      `${note} ${whole.processors}`,
+      `${note} ${fleetCapacity.processors}`,
+    ),
+    derived(
+      'memory',
+      teamPart(fleetCapacity.memory),
+      answer,
+      `${note} ${fleetCapacity.memory}`,
     ),
-    derived('memory', part(whole.memory), answer, `${note} ${whole.memory}`),
     derived(
       'accelerators',
-      part(whole.accelerators),
+      teamPart(fleetCapacity.accelerators),
+      answer,
+      `${note} ${fleetCapacity.accelerators}`,
+    ),
+    derived(
+      'slots',
+      teamPart(fleetCapacity.slots),
       answer,
-      `${note} ${whole.accelerators}`,
+      `${note} ${fleetCapacity.slots}`,
     ),
-    derived('slots', part(whole.slots), answer, `${note} ${whole.slots}`),
   ];
 }
 
-function wholeFleet(
+function sumFleetCapacity(
   workers: ReadonlyArray<WorkerAnswers>,
 ): resources.Resources {
   const sum = (quantity: (worker: WorkerAnswers) => number): number =>
@@ -285,7 +302,7 @@
       0,
     );
   return {
-    processors: sum(worker => worker.processors * PROCESSOR_PARTS),
+    processors: sum(worker => worker.processors * THOUSANDTHS_PER_PROCESSOR),
     memory: sum(worker => worker.memoryGiB * MIB_PER_GIB),
     accelerators: sum(worker => worker.accelerators),
     slots: sum(worker => worker.slots),
@@ -294,28 +311,28 @@
 
 function deriveWorkload(
   work: WorkAnswers,
-  place: string,
+  path: string,
 ): ReadonlyArray<DerivedTable> {
   return [
     {
       path: 'workloads',
       repeated: true,
       values: [
-        derived('name', work.name, `${place}.name`),
-        deriveKind(work, place),
-        deriveUrgency(work, place),
-        derived('worth', work.valueOfOne, `${place}.valueOfOne`),
-        derived('idempotent', work.mayRunTwice, `${place}.mayRunTwice`),
-        deriveRunTime(work, place),
-        derived('taskCount', work.machinesAtOnce, `${place}.machinesAtOnce`),
+        derived('name', work.name, `${path}.name`),
+        deriveKind(work, path),
+        deriveUrgency(work, path),
+        derived('worth', work.valueOfOne, `${path}.valueOfOne`),
+        derived('idempotent', work.mayRunTwice, `${path}.mayRunTwice`),
+        deriveRunTime(work, path),
+        derived('taskCount', work.machinesAtOnce, `${path}.machinesAtOnce`),
         derived(
           'startDeadlineMs',
           Math.round(work.uselessAfterMinutes * MS_PER_MINUTE),
-          `${place}.uselessAfterMinutes`,
+          `${path}.uselessAfterMinutes`,
           `= ${work.uselessAfterMinutes}`,
         ),
-        derived('zones', work.onlyInZones, `${place}.onlyInZones`),
-        derivePerRack(work, place),
+        derived('zones', work.onlyInZones, `${path}.onlyInZones`),
+        deriveMaximumPerRack(work, path),
       ],
     },
     {
@@ -323,44 +340,45 @@
       repeated: false,
       values: deriveResources(
         work,
-        place,
+        path,
         derived('slots', 1, '', 'a task takes one slot'),
       ),
     },
   ];
 }
 
-function deriveKind(work: WorkAnswers, place: string): DerivedValue {
+function deriveKind(work: WorkAnswers, path: string): DerivedValue {
   if (!work.endsByItself) {
-    return derived('kind', 'service', `${place}.endsByItself`, '= false');
+    return derived('kind', 'service', `${path}.endsByItself`, '= false');
   }
   const kind = work.machinesAtOnce > 1 ? 'gang' : 'batch';
   const note = `= ${work.machinesAtOnce}`;
-  return derived('kind', kind, `${place}.machinesAtOnce`, note);
+  return derived('kind', kind, `${path}.machinesAtOnce`, note);
 }
 
-function deriveUrgency(work: WorkAnswers, place: string): DerivedValue {
+function deriveUrgency(work: WorkAnswers, path: string): DerivedValue {
   const note = `= "${work.whenLate}"`;
   const urgencies = ['deferrable', 'normal', 'urgent'];
-  const urgency = urgencies[LATENESS.indexOf(work.whenLate)] ?? 'normal';
-  return derived('urgency', urgency, `${place}.whenLate`, note);
+  const urgency =
+    urgencies[LATENESS_ANSWERS.indexOf(work.whenLate)] ?? 'normal';
+  return derived('urgency', urgency, `${path}.whenLate`, note);
 }
 
-function deriveRunTime(work: WorkAnswers, place: string): DerivedValue {
+function deriveRunTime(work: WorkAnswers, path: string): DerivedValue {
   if (!work.endsByItself) {
-    return derived('runTimeMs', 0, `${place}.endsByItself`, '= false');
+    return derived('runTimeMs', 0, `${path}.endsByItself`, '= false');
   }
   return derived(
     'runTimeMs',
     Math.round(work.minutes * MS_PER_MINUTE),
-    `${place}.minutes`,
+    `${path}.minutes`,
     `= ${work.minutes}`,
   );
 }
 
-/** Half of the tasks may share a rack when the rest has to survive it. */
-function derivePerRack(work: WorkAnswers, place: string): DerivedValue {
-  const answer = `${place}.survivesRackLoss`;
+/** At most half of the tasks share a rack if the rest must survive its loss. */
+function deriveMaximumPerRack(work: WorkAnswers, path: string): DerivedValue {
+  const answer = `${path}.survivesRackLoss`;
   const note = `= ${work.survivesRackLoss}, machinesAtOnce = ${work.machinesAtOnce}`;
   const limit = work.survivesRackLoss ? Math.ceil(work.machinesAtOnce / 2) : 0;
   return derived('maximumPerRack', limit, answer, note);
--- a/src/contracts/stream_replica.ts
+++ b/src/contracts/stream_replica.ts
@@ -1,94 +1,94 @@
 import type * as event from './event.js';
 
-/** State that is a function of the records of a stream. */
+/** State that depends only on the records of a stream. */
 export interface ReplicatedState {
   /** Applies the next record that is not a snapshot. */
   apply(record: event.StreamRecord): void;
-  /** Returns the whole state as text. */
+  /** Serialises the whole state. */
   snapshot(): string;
   /**
-   * Replaces the whole state by one that `snapshot` returned. Throws, and
-   * changes nothing, when the text is not such a state.
+   * Replaces the whole state by the result of an earlier `snapshot`. Throws and
+   * changes nothing if the text is not such a state.
    */
   restore(snapshot: string): void;
 }
 
-/** A record that carries the state through an offset past the retention. */
+/** A record with the state up to an offset, which outlives those records. */
 export interface SnapshotRecord {
   readonly kind: 'snapshot';
-  /** The state includes every record up to this offset, itself included. */
+  /** Offset of the last record that the state includes. */
   readonly through: number;
   readonly state: string;
 }
 
-/** Where a replica stands after a read. */
+/** Progress of a replica after a read. */
 export type ReplicaProgress =
-  /** Every record that the log had shown is applied. */
+  /** All records of the stream at the time of the read are applied. */
   | 'tail'
-  /** More records are to be read. */
+  /** More records have to be read. */
   | 'behind'
-  /** Records were trimmed before they were read, and no snapshot bridges them. */
+  /** Records were trimmed before they were read, and no snapshot covers them. */
   | 'gap';
 
 /**
- * Replays a log stream. A snapshot is used only by a replica that lacks
- * earlier records, and only if all records after the snapshot's state are
- * still readable, so that one written by a lagging process reverts nothing.
+ * Replays a log stream. A replica uses a snapshot only if it lacks earlier
+ * records and can still read all records after the snapshot's state, so that a
+ * snapshot of a lagging process reverts nothing.
  */
 export class StreamReplica {
   private nextOffset = 0;
-  private snapshotOffset = -1;
-  private snapshotThrough = -1;
+  private lastSnapshotOffsetValue = -1;
+  private lastSnapshotThroughValue = -1;
   /** Offset of the last record that the state includes. */
   private appliedThrough = -1;
   /** Whether the state includes every record before `nextOffset`. */
-  private complete = true;
-  /** Records read since a gap, kept until a snapshot bridges it. */
-  private pending: event.StreamRecord[] = [];
-  private pendingStart = 0;
+  private isCompleteValue = true;
+  /** Records read since a gap, kept until a snapshot covers it. */
+  private recordsAfterGap: event.StreamRecord[] = [];
+  private firstOffsetAfterGap = 0;
 
   constructor(private readonly state: ReplicatedState) {}
 
-  /** Offset from which to read next. */
+  /** Offset of the next record to read. */
   get position(): number {
     return this.nextOffset;
   }
 
-  /** Offset of the last snapshot seen; -1 before the first. */
-  get lastSnapshot(): number {
-    return this.snapshotOffset;
+  /** Offset of the last snapshot read; -1 before the first. */
+  get lastSnapshotOffset(): number {
+    return this.lastSnapshotOffsetValue;
   }
 
-  /** Offset through which the last snapshot seen carries the state. */
+  /** Offset of the last record that the last snapshot includes. */
   get lastSnapshotThrough(): number {
-    return this.snapshotThrough;
+    return this.lastSnapshotThroughValue;
   }
 
   /** Whether the state includes every record before `position`. */
   get isComplete(): boolean {
-    return this.complete;
+    return this.isCompleteValue;
   }
 
-  /** Applies what a read returned; repeated records change nothing. */
-  accept(
+  /** Applies the records of a read; repeated records change nothing. */
+  applyRead(
     read: Extract<event.PlatformEvent, {kind: 'recordsRead'}>,
   ): ReplicaProgress {
     if (read.first > this.nextOffset) this.beginGap(read.first);
-    this.acceptRecords(read.records);
+    this.applyRecords(read.records);
     if (this.nextOffset < read.next) return 'behind';
-    return this.complete ? 'tail' : 'gap';
+    return this.isCompleteValue ? 'tail' : 'gap';
   }
 
-  /** Applies records in order; those that do not follow on are left alone. */
-  acceptRecords(records: ReadonlyArray<event.StreamRecord>): void {
+  /** Applies records in order; ignores those that do not follow directly. */
+  applyRecords(records: ReadonlyArray<event.StreamRecord>): void {
     for (const record of records) {
-      if (record.offset === this.nextOffset) this.acceptNext(record);
+      if (record.offset === this.nextOffset) this.applyNext(record);
     }
   }
 
   /**
-   * Builds the snapshot of the state as it stands. During a gap it names the
-   * last record before the gap, because the state holds nothing later.
+   * Builds a snapshot of the present state. During a gap it ends at the last
+   * record before the gap, because the state includes nothing later.
    */
   buildSnapshot(): SnapshotRecord {
     return {
@@ -99,39 +99,39 @@
   }
 
   private beginGap(first: number): void {
-    this.complete = false;
-    this.pending = [];
-    this.pendingStart = first;
+    this.isCompleteValue = false;
+    this.recordsAfterGap = [];
+    this.firstOffsetAfterGap = first;
     this.nextOffset = first;
   }
 
-  private acceptNext(record: event.StreamRecord): void {
+  private applyNext(record: event.StreamRecord): void {
     this.nextOffset = record.offset + 1;
-    const snapshot = readSnapshot(record);
+    const snapshot = parseSnapshot(record);
     if (snapshot !== undefined) {
-      this.snapshotOffset = record.offset;
-      this.snapshotThrough = snapshot.through;
+      this.lastSnapshotOffsetValue = record.offset;
+      this.lastSnapshotThroughValue = snapshot.through;
     }
-    if (!this.complete) this.acceptAfterGap(record, snapshot);
+    if (!this.isCompleteValue) this.handleDuringGap(record, snapshot);
     else if (snapshot === undefined) this.state.apply(record);
-    if (this.complete) this.appliedThrough = record.offset;
+    if (this.isCompleteValue) this.appliedThrough = record.offset;
   }
 
-  private acceptAfterGap(
+  private handleDuringGap(
     record: event.StreamRecord,
     snapshot: SnapshotRecord | undefined,
   ): void {
     if (snapshot === undefined) {
-      this.pending.push(record);
+      this.recordsAfterGap.push(record);
       return;
     }
-    if (snapshot.through + 1 < this.pendingStart) return;
+    if (snapshot.through + 1 < this.firstOffsetAfterGap) return;
     if (!this.restore(snapshot.state)) return;
-    for (const later of this.pending) {
+    for (const later of this.recordsAfterGap) {
       if (later.offset > snapshot.through) this.state.apply(later);
     }
-    this.pending = [];
-    this.complete = true;
+    this.recordsAfterGap = [];
+    this.isCompleteValue = true;
   }
 
   private restore(text: string): boolean {
@@ -144,11 +144,11 @@
   }
 }
 
-function readSnapshot(record: event.StreamRecord): SnapshotRecord | undefined {
+function parseSnapshot(record: event.StreamRecord): SnapshotRecord | undefined {
   try {
     const parsed = JSON.parse(record.data) as Partial<SnapshotRecord>;
     if (parsed.kind !== 'snapshot') return undefined;
-    // A snapshot cannot include records that follow it; one that says so
+    // A snapshot cannot include records that follow it. One that claims to
     // would hide them from a reader that uses it.
     const {through} = parsed;
     if (!Number.isInteger(through)) return undefined;
--- a/src/links/toml_document_reader.ts
+++ b/src/links/toml_document_reader.ts
@@ -10,8 +10,8 @@
 export class TomlDocumentReader implements configuration.DocumentReader {
   readFleet(
     content: string,
-  ): either.Either<result.Failure, configuration.FleetPlan> {
-    return parseDocument<configuration.FleetPlan>(
+  ): either.Either<result.Failure, configuration.FleetDefinition> {
+    return parseDocument<configuration.FleetDefinition>(
       content,
       documentSchema.FLEET_SCHEMA,
       findFleetFaults,
@@ -56,7 +56,7 @@
 }
 
 function findFleetFaults(
-  fleet: configuration.FleetPlan,
+  fleet: configuration.FleetDefinition,
 ): ReadonlyArray<tomlSchema.Fault> {
   const known = new Set(fleet.zones.map(zone => zone.name));
   return fleet.workerShapes.flatMap((shape, position) =>
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -1,21 +1,21 @@
 import type * as event from '../contracts/event.js';
 import type * as streamReplica from '../contracts/stream_replica.js';
 
-/** Owner of an item that was released and that nobody has claimed since. */
-export const NOBODY = '';
+/** Owner of an item that was released and not claimed since. */
+export const NO_OWNER = '';
 
 /**
- * Records after which a released item and an ended process are forgotten. A
- * delayed copy of a record must arrive before that, so it is far larger than
- * what a zone appends in an hour.
+ * Number of records after which a released item and an ended process are
+ * removed. A delayed copy of a record must arrive before that, so the number is
+ * far larger than what a zone appends in an hour.
  */
-export const TOMBSTONE_RECORDS = 10_000;
+export const TOMBSTONE_RETENTION_RECORDS = 10_000;
 
-/** An item and the epoch that the writer of a record believed current. */
+/** An item and its epoch as known to the writer of a record. */
 export interface ItemEpoch {
   readonly item: string;
   readonly epoch: number;
-  /** Worker on which a replica runs; the replica moves with it. */
+  /** Worker on which a replica runs; the replica moves with the worker. */
   readonly on?: string;
 }
 
@@ -36,18 +36,18 @@
   | {
       readonly kind: 'transfer';
       readonly from: string;
-      /** Receiver, or `NOBODY` to release the items. */
+      /** Receiver, or `NO_OWNER` to release the items. */
       readonly to: string;
       readonly items: ReadonlyArray<ItemEpoch>;
     };
 
-/** How an owner came by an item; it decides how long the owner waits. */
+/** How an owner acquired an item, which determines its wait before placing. */
 export type Acquisition =
-  /** Nobody had owned the item. */
+  /** The item had no earlier owner. */
   | 'first'
-  /** The earlier owner gave it up before the record was written. */
+  /** The earlier owner released the item before the record was written. */
   | 'handover'
-  /** The earlier owner may not know yet. */
+  /** The item was claimed; the earlier owner may not know it yet. */
   | 'succession';
 
 /** Owner of an item since `epoch` began at `offset` of the stream. */
@@ -59,7 +59,7 @@
   readonly on?: string;
 }
 
-/** A member of the zone by the records read. */
+/** A member of the zone according to the records read. */
 export interface JoinedMember {
   readonly process: string;
   readonly vm: string;
@@ -68,8 +68,8 @@
   readonly joined: number;
 }
 
-/** A former member, and how and where it ended by the records read. */
-export interface EndedProcess extends JoinedMember {
+/** A former member, and how and at which offset it ended. */
+export interface EndedMember extends JoinedMember {
   readonly how: 'left' | 'claimed';
   readonly offset: number;
 }
@@ -77,15 +77,15 @@
 interface TableState {
   readonly owners: ReadonlyArray<readonly [string, Ownership]>;
   readonly joined: ReadonlyArray<readonly [string, JoinedMember]>;
-  readonly ended: ReadonlyArray<readonly [string, EndedProcess]>;
+  readonly ended: ReadonlyArray<readonly [string, EndedMember]>;
 }
 
-/** Name of the item that stands for a process and its identities. */
+/** Returns the name of the item for a process and its request identities. */
 export function processItem(process: string): string {
   return `process:${process}`;
 }
 
-/** Name of the item of one replica of a service. */
+/** Returns the name of the item of one replica of a service. */
 export function replicaItem(
   team: string,
   workload: string,
@@ -94,53 +94,53 @@
   return `replica:${team}/${workload}/${replica}`;
 }
 
-/** Whether an item is a worker, which is known by its bare name. */
+/** Returns whether an item is a worker; its name has no prefix. */
 export function isWorker(item: string): boolean {
   return !item.startsWith('process:') && !item.startsWith('replica:');
 }
 
 /**
- * Owners of the zone's items by the order of the log's records. Every reader
- * of the same records holds the same table. Copies of a record change
- * nothing: epochs only rise, and an ended process never joins again.
+ * Owners of the zone's items as a function of the log's records, so that every
+ * reader of the same records holds the same table. Repeated records change
+ * nothing: epochs only increase, and an ended process never joins again.
  */
 export class OwnershipTable implements streamReplica.ReplicatedState {
-  private owners = new Map<string, Ownership>();
-  private joined = new Map<string, JoinedMember>();
-  private endedProcesses = new Map<string, EndedProcess>();
+  private ownerships = new Map<string, Ownership>();
+  private joinedMembers = new Map<string, JoinedMember>();
+  private endedByProcess = new Map<string, EndedMember>();
 
-  /** Owner of an item; undefined when nobody has claimed it. */
+  /** Returns the ownership of an item; undefined if it was never claimed. */
   ownership(item: string): Ownership | undefined {
-    return this.owners.get(item);
+    return this.ownerships.get(item);
   }
 
-  /** All items that have or had an owner. */
-  all(): ReadonlyMap<string, Ownership> {
-    return this.owners;
+  /** Returns all items that have or had an owner. */
+  ownershipByItem(): ReadonlyMap<string, Ownership> {
+    return this.ownerships;
   }
 
-  /** Items of one owner. */
+  /** Returns the items of one owner with their epochs. */
   itemsOf(owner: string): ReadonlyArray<ItemEpoch> {
     const items: ItemEpoch[] = [];
-    for (const [item, held] of this.owners) {
-      if (held.owner === owner) items.push({item, epoch: held.epoch});
+    for (const [item, ownership] of this.ownerships) {
+      if (ownership.owner === owner) items.push({item, epoch: ownership.epoch});
     }
     return items;
   }
 
-  /** Members that have joined and neither left nor been claimed. */
+  /** Returns the members that joined and neither left nor were claimed. */
   members(): ReadonlyMap<string, JoinedMember> {
-    return this.joined;
+    return this.joinedMembers;
   }
 
-  /** Processes that left or were claimed. */
-  ended(): ReadonlyMap<string, EndedProcess> {
-    return this.endedProcesses;
+  /** Returns the members that left or were claimed. */
+  endedMembers(): ReadonlyMap<string, EndedMember> {
+    return this.endedByProcess;
   }
 
-  /** Applies the next record; an unreadable one changes nothing. */
+  /** Applies the next record; ignores one that cannot be parsed. */
   apply(record: event.StreamRecord): void {
-    const parsed = readRecord(record);
+    const parsed = parseRecord(record);
     switch (parsed?.kind) {
       case 'join':
         return this.join(parsed, record.offset);
@@ -153,22 +153,22 @@
     }
   }
 
-  /** Returns the whole table as text. */
+  /** Serialises the whole table. */
   snapshot(): string {
     const state: TableState = {
-      owners: [...this.owners],
-      joined: [...this.joined],
-      ended: [...this.endedProcesses],
+      owners: [...this.ownerships],
+      joined: [...this.joinedMembers],
+      ended: [...this.endedByProcess],
     };
     return JSON.stringify(state);
   }
 
-  /** Replaces the table by one that `snapshot` returned. */
+  /** Replaces the table by the result of an earlier `snapshot`. */
   restore(snapshot: string): void {
     const state = JSON.parse(snapshot) as TableState;
-    this.owners = new Map(state.owners);
-    this.joined = new Map(state.joined);
-    this.endedProcesses = new Map(state.ended);
+    this.ownerships = new Map(state.owners);
+    this.joinedMembers = new Map(state.joined);
+    this.endedByProcess = new Map(state.ended);
   }
 
   private join(
@@ -176,10 +176,12 @@
     offset: number,
   ): void {
     const {process, vm, address} = record;
-    this.forgetBefore(offset - TOMBSTONE_RECORDS);
-    if (this.joined.has(process) || this.endedProcesses.has(process)) return;
-    this.joined.set(process, {process, vm, address, joined: offset});
-    this.owners.set(processItem(process), {
+    this.pruneBefore(offset - TOMBSTONE_RETENTION_RECORDS);
+    if (this.joinedMembers.has(process) || this.endedByProcess.has(process)) {
+      return;
+    }
+    this.joinedMembers.set(process, {process, vm, address, joined: offset});
+    this.ownerships.set(processItem(process), {
       owner: process,
       epoch: 1,
       offset,
@@ -188,10 +190,10 @@
   }
 
   private leave(process: string, offset: number): void {
-    if (!this.joined.has(process)) return;
+    if (!this.joinedMembers.has(process)) return;
     this.end(process, 'left', offset);
-    for (const held of this.itemsOf(process)) {
-      this.assign(held, NOBODY, 'handover', offset);
+    for (const item of this.itemsOf(process)) {
+      this.assign(item, NO_OWNER, 'handover', offset);
     }
   }
 
@@ -200,12 +202,17 @@
     offset: number,
   ): void {
     // A claimant that has ended cannot use what it claims.
-    if (!this.joined.has(record.claimant)) return;
-    for (const wanted of record.items) {
-      const current = this.owners.get(wanted.item);
-      if ((current?.epoch ?? 0) !== wanted.epoch) continue;
-      this.assign(wanted, record.claimant, acquisitionBy(current), offset);
-      const claimed = claimedProcess(wanted.item);
+    if (!this.joinedMembers.has(record.claimant)) return;
+    for (const claimedItem of record.items) {
+      const current = this.ownerships.get(claimedItem.item);
+      if ((current?.epoch ?? 0) !== claimedItem.epoch) continue;
+      this.assign(
+        claimedItem,
+        record.claimant,
+        acquisitionFrom(current),
+        offset,
+      );
+      const claimed = processOfItem(claimedItem.item);
       if (claimed !== undefined) this.end(claimed, 'claimed', offset);
     }
   }
@@ -214,70 +221,72 @@
     record: Extract<ZoneRecord, {kind: 'transfer'}>,
     offset: number,
   ): void {
-    const to = this.joined.has(record.to) ? record.to : NOBODY;
-    for (const given of record.items) {
-      const current = this.owners.get(given.item);
-      if (current?.epoch !== given.epoch) continue;
+    const to = this.joinedMembers.has(record.to) ? record.to : NO_OWNER;
+    for (const transferredItem of record.items) {
+      const current = this.ownerships.get(transferredItem.item);
+      if (current?.epoch !== transferredItem.epoch) continue;
       if (current.owner !== record.from) continue;
-      this.assign(given, to, 'handover', offset);
+      this.assign(transferredItem, to, 'handover', offset);
     }
   }
 
   private assign(
-    given: ItemEpoch,
+    assignedItem: ItemEpoch,
     owner: string,
     acquisition: Acquisition,
     offset: number,
   ): void {
-    const current = this.owners.get(given.item);
-    const on = given.on ?? current?.on;
-    this.owners.set(given.item, {
+    const current = this.ownerships.get(assignedItem.item);
+    const worker = assignedItem.on ?? current?.on;
+    this.ownerships.set(assignedItem.item, {
       owner,
       epoch: (current?.epoch ?? 0) + 1,
       offset,
       acquisition,
-      ...(on === undefined ? {} : {on}),
+      ...(worker === undefined ? {} : {on: worker}),
     });
-    if (!isWorker(given.item)) return;
-    for (const [item, held] of this.owners) {
-      if (held.on !== given.item || held.owner === NOBODY) continue;
-      this.assign({item, epoch: held.epoch}, owner, acquisition, offset);
+    if (!isWorker(assignedItem.item)) return;
+    for (const [item, ownership] of this.ownerships) {
+      if (ownership.on !== assignedItem.item || ownership.owner === NO_OWNER) {
+        continue;
+      }
+      this.assign({item, epoch: ownership.epoch}, owner, acquisition, offset);
     }
   }
 
-  private end(process: string, how: EndedProcess['how'], offset: number): void {
-    const member = this.joined.get(process);
+  private end(process: string, how: EndedMember['how'], offset: number): void {
+    const member = this.joinedMembers.get(process);
     if (member === undefined) return;
-    this.joined.delete(process);
-    this.endedProcesses.set(process, {...member, how, offset});
+    this.joinedMembers.delete(process);
+    this.endedByProcess.set(process, {...member, how, offset});
   }
 
-  private forgetBefore(offset: number): void {
-    for (const [process, ended] of this.endedProcesses) {
+  private pruneBefore(offset: number): void {
+    for (const [process, ended] of this.endedByProcess) {
       if (ended.offset >= offset) continue;
-      this.endedProcesses.delete(process);
-      this.owners.delete(processItem(process));
+      this.endedByProcess.delete(process);
+      this.ownerships.delete(processItem(process));
     }
-    for (const [item, held] of this.owners) {
-      if (held.owner === NOBODY && held.offset < offset) {
-        this.owners.delete(item);
+    for (const [item, ownership] of this.ownerships) {
+      if (ownership.owner === NO_OWNER && ownership.offset < offset) {
+        this.ownerships.delete(item);
       }
     }
   }
 }
 
-function acquisitionBy(current: Ownership | undefined): Acquisition {
+function acquisitionFrom(current: Ownership | undefined): Acquisition {
   if (current === undefined) return 'first';
-  return current.owner === NOBODY ? 'handover' : 'succession';
+  return current.owner === NO_OWNER ? 'handover' : 'succession';
 }
 
-function claimedProcess(item: string): string | undefined {
+function processOfItem(item: string): string | undefined {
   return item.startsWith('process:')
     ? item.slice('process:'.length)
     : undefined;
 }
 
-function readRecord(record: event.StreamRecord): ZoneRecord | undefined {
+function parseRecord(record: event.StreamRecord): ZoneRecord | undefined {
   try {
     return JSON.parse(record.data) as ZoneRecord;
   } catch {
--- a/src/zones/region.ts
+++ b/src/zones/region.ts
@@ -3,22 +3,22 @@
 import type * as configuration from '../contracts/configuration.js';
 import type * as event from '../contracts/event.js';
 
-/** A region: zones among which traffic is fast and costs nothing. */
+/** A region: zones between which traffic is fast and free of charge. */
 export class Region {
   private readonly zones = new Map<string, availabilityZone.AvailabilityZone>();
 
   constructor(readonly name: string) {}
 
-  /** Returns a zone of the region, which is created when it is new. */
-  ensure(zone: string): availabilityZone.AvailabilityZone {
-    const known = this.zones.get(zone);
-    if (known !== undefined) return known;
+  /** Returns a zone of the region; creates it when it is new. */
+  getOrCreate(zone: string): availabilityZone.AvailabilityZone {
+    const existing = this.zones.get(zone);
+    if (existing !== undefined) return existing;
     const created = new availabilityZone.AvailabilityZone(zone, this.name);
     this.zones.set(zone, created);
     return created;
   }
 
-  /** Zones of the region by name. */
+  /** Returns the zones of the region, sorted by name. */
   all(): ReadonlyArray<availabilityZone.AvailabilityZone> {
     return [...this.zones.values()].sort((first, second) =>
       first.name < second.name ? -1 : 1,
@@ -26,7 +26,7 @@
   }
 }
 
-/** The regions of the cell as the document `fleet` names them. */
+/** The regions and zones of the cell as listed in the document `fleet`. */
 export class RegionMap {
   private readonly regions = new Map<string, Region>();
   private readonly regionOfZone = new Map<string, string>();
@@ -35,33 +35,33 @@
     private readonly ownZone: string,
     ownRegion: string,
   ) {
-    this.place({name: ownZone, region: ownRegion});
+    this.addZone({name: ownZone, region: ownRegion});
   }
 
-  /** This process's own zone. */
-  own(): availabilityZone.AvailabilityZone {
+  /** Returns the zone of this process. */
+  ownAvailabilityZone(): availabilityZone.AvailabilityZone {
     return this.zone(this.ownZone);
   }
 
-  /** Takes the zones of a fleet document. */
-  configure(zones: ReadonlyArray<configuration.ZonePlan>): void {
-    for (const plan of zones) this.place(plan);
+  /** Adds the zones of a fleet document. */
+  configure(zones: ReadonlyArray<configuration.ZoneDefinition>): void {
+    for (const definition of zones) this.addZone(definition);
   }
 
-  /** Takes a summary of any zone; zones that nobody configured stand alone. */
+  /** Stores a summary; a zone that is not configured forms its own region. */
   update(summary: event.ZoneSummary, now: clock.Milliseconds): void {
     this.zone(summary.zone).update(summary, now);
   }
 
-  /** A zone by its name. */
+  /** Returns a zone by its name. */
   zone(name: string): availabilityZone.AvailabilityZone {
-    const region = this.regionOfZone.get(name) ?? name;
-    return this.ensure(region).ensure(name);
+    const regionName = this.regionOfZone.get(name) ?? name;
+    return this.getOrCreate(regionName).getOrCreate(name);
   }
 
-  /** All regions, the process's own first. */
+  /** Returns all regions, the one of this process first. */
   all(): ReadonlyArray<Region> {
-    const own = this.own().region;
+    const own = this.ownAvailabilityZone().region;
     return [...this.regions.values()].sort((first, second) => {
       if (first.name === own) return -1;
       if (second.name === own) return 1;
@@ -69,15 +69,15 @@
     });
   }
 
-  private place(plan: configuration.ZonePlan): void {
-    if (this.regionOfZone.has(plan.name)) return;
-    this.regionOfZone.set(plan.name, plan.region);
-    this.ensure(plan.region).ensure(plan.name);
+  private addZone(definition: configuration.ZoneDefinition): void {
+    if (this.regionOfZone.has(definition.name)) return;
+    this.regionOfZone.set(definition.name, definition.region);
+    this.getOrCreate(definition.region).getOrCreate(definition.name);
   }
 
-  private ensure(region: string): Region {
-    const known = this.regions.get(region);
-    if (known !== undefined) return known;
+  private getOrCreate(region: string): Region {
+    const existing = this.regions.get(region);
+    if (existing !== undefined) return existing;
     const created = new Region(region);
     this.regions.set(region, created);
     return created;
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -1,34 +1,34 @@
 import type * as clock from '../machines/clock.js';
 import type * as event from '../contracts/event.js';
 import type * as processDirectory from '../contracts/process_directory.js';
-import type * as zoneControl from './zone_control.js';
+import type * as zoneController from './zone_controller.js';
 
 /**
- * Other entry processes by the records of the own zone and, for other zones,
- * by the VM list.
+ * Directory of the other entry processes: those of the own zone by its records,
+ * those of other zones by the VM list.
  */
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
-  private elsewhere: ReadonlyArray<event.ListedVm> = [];
-  private listRead = false;
-  /** Addresses of other zones that gave no answer since others did. */
-  private readonly unreachable = new Set<string>();
+  private otherZoneVms: ReadonlyArray<event.ListedVm> = [];
+  private vmListRead = false;
+  /** Addresses in other zones that did not answer; cleared when none did. */
+  private readonly unreachableAddresses = new Set<string>();
 
   constructor(
-    private readonly self: zoneControl.ProcessDescription,
-    private readonly zone: zoneControl.ZoneControl,
+    private readonly self: zoneController.ProcessDescription,
+    private readonly zone: zoneController.ZoneController,
   ) {}
 
-  /** Takes the entry VMs of other zones from the VM list. */
-  noteVms(vms: ReadonlyArray<event.ListedVm>): void {
-    this.listRead = true;
-    this.elsewhere = vms.filter(
+  /** Updates the entry VMs of other zones from the VM list. */
+  updateVms(vms: ReadonlyArray<event.ListedVm>): void {
+    this.vmListRead = true;
+    this.otherZoneVms = vms.filter(
       listed => listed.role === 'entry' && listed.zone !== this.self.zone,
     );
   }
 
-  /** Whether the VM list has been read at all. */
+  /** Whether the VM list has been read at least once. */
   get hasVmList(): boolean {
-    return this.listRead;
+    return this.vmListRead;
   }
 
   hasJoined(): boolean {
@@ -55,48 +55,52 @@
   }
 
   address(process: string): string | undefined {
-    return this.members().find(known => known.process === process)?.address;
+    return this.members().find(member => member.process === process)?.address;
   }
 
   /**
-   * A process is named by its zone, its VM and a part of its own. Any process
-   * of its zone passes a call on, or recovers the outcome if it is dead.
+   * Chooses the entry VM that relays a call to a process of another zone. The
+   * name of a process consists of zone, VM and an incarnation. Any process of
+   * its zone forwards a call, or recovers the outcome if the process is dead.
    */
   relayFor(process: string): processDirectory.PeerProcess | undefined {
-    const there = this.elsewhere.filter(
+    const zoneVms = this.otherZoneVms.filter(
       ({zone, state}) => state === 'live' && process.startsWith(`${zone}.`),
     );
-    const isHome = ({zone, vm}: event.ListedVm): boolean =>
+    const isNamedVm = ({zone, vm}: event.ListedVm): boolean =>
       process.startsWith(`${zone}.${vm}.`);
     const ordered = [
-      ...there.filter(isHome),
-      ...there.filter(listed => !isHome(listed)),
+      ...zoneVms.filter(isNamedVm),
+      ...zoneVms.filter(listed => !isNamedVm(listed)),
     ];
     const chosen = this.firstReachable(ordered);
     return chosen && {process: chosen.vm, address: chosen.address};
   }
 
   markUnreachable(address: string): void {
-    this.unreachable.add(address);
+    this.unreachableAddresses.add(address);
   }
 
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
-    return this.zone.isSucceeded(process, now);
+    return this.zone.permitsHaveExpired(process, now);
   }
 
   joinedBefore(process: string): boolean {
     return this.zone.joinedBefore(process);
   }
 
-  /** Begins anew when none of them answered. */
+  /**
+   * Returns the first VM that is not known to be unreachable. If all are, their
+   * addresses are tried again.
+   */
   private firstReachable(
     ordered: ReadonlyArray<event.ListedVm>,
   ): event.ListedVm | undefined {
     const reachable = ordered.find(
-      ({address}) => !this.unreachable.has(address),
+      ({address}) => !this.unreachableAddresses.has(address),
     );
     if (reachable !== undefined) return reachable;
-    for (const {address} of ordered) this.unreachable.delete(address);
+    for (const {address} of ordered) this.unreachableAddresses.delete(address);
     return ordered.at(0);
   }
 }
--- a/src/zones/zone_stream.ts
+++ b/src/zones/zone_stream.ts
@@ -8,38 +8,38 @@
 export const READ_INTERVAL_MS = 1_000;
 
 /**
- * Least time between appends of one process. With the 168 entry processes of
- * 21 zones it keeps the cell under 300 appends a second.
+ * Minimum time between appends of one process. It keeps the 168 entry processes
+ * of 21 zones under 300 appends a second.
  */
 export const APPEND_INTERVAL_MS = 600;
 
-/** Time after which an append without any answer counts as lost. */
+/** Time after which an unanswered append counts as lost. */
 const APPEND_DEADLINE_MS = 5_000;
 
 /**
- * Records and time after which a snapshot is due. The log has to keep records
- * for over 2 h and for several thousand records, so that a snapshot is four
+ * Number of records and time after which a snapshot is due. The log has to keep
+ * records for over 2 h and for several thousand records, so snapshots are four
  * times as frequent as needed.
  */
 export const SNAPSHOT_RECORDS = 1_000;
 export const SNAPSHOT_INTERVAL_MS = 30 * 60 * 1_000;
 
-/** Most records that a confirmation passes on to a peer that is behind. */
-const PASSED_RECORDS = 200;
+/** Maximum number of records that a confirmation forwards to a peer. */
+const MAXIMUM_FORWARDED_RECORDS = 200;
 
 /** When a snapshot is due. */
-export interface SnapshotRule {
+export interface SnapshotPolicy {
   readonly records: number;
   readonly intervalMs: clock.Milliseconds;
 }
 
-/** The rule for a log that keeps records as long as the design assumes. */
-export const DEFAULT_SNAPSHOT_RULE: SnapshotRule = {
+/** Policy for a log that keeps records as long as the design assumes. */
+export const DEFAULT_SNAPSHOT_POLICY: SnapshotPolicy = {
   records: SNAPSHOT_RECORDS,
   intervalMs: SNAPSHOT_INTERVAL_MS,
 };
 
-/** A record as it is written: its identity makes copies recognisable. */
+/** A record as written, with an identity by which copies are recognised. */
 interface WrittenRecord {
   readonly id: string;
   readonly data: string;
@@ -47,222 +47,238 @@
 }
 
 /** An append that has not been read back yet. */
-interface Batch {
-  readonly append: number;
+interface PendingAppend {
+  readonly appendNumber: number;
   readonly sentAt: clock.Milliseconds;
-  /** When the answer came; undefined while it is awaited. */
+  /** When the answer arrived; undefined until then. */
   readonly answeredAt?: clock.Milliseconds;
   readonly lost: boolean;
 }
 
 /**
- * This process's end of the stream `zone/<zone>`: replays it, passes records
- * on, and repeats what it appended until it is read back.
+ * Client of the stream `zone/<zone>`: replays it, forwards records to peers, and
+ * repeats appended records until they are read back.
  */
 export class ZoneStream {
   private readonly replica: streamReplica.StreamReplica;
-  private unread = new Map<string, WrittenRecord>();
-  private batch: Batch | undefined;
-  private recent: event.StreamRecord[] = [];
-  private numberOfAppends = 0;
-  private numberOfRecords = 0;
-  private lastAppend = -Infinity;
-  private nextRead: clock.Milliseconds = 0;
-  private freshValue = -Infinity;
-  private gapValue = false;
-  private snapshotSeen = -1;
-  private snapshotAt: clock.Milliseconds | undefined;
+  private pendingById = new Map<string, WrittenRecord>();
+  private pendingAppend: PendingAppend | undefined;
+  private recentRecords: event.StreamRecord[] = [];
+  private appendCount = 0;
+  private appendedRecordCount = 0;
+  private lastAppendAt = -Infinity;
+  private nextReadAt: clock.Milliseconds = 0;
+  private lastTailReadSentAtValue = -Infinity;
+  private hasGapValue = false;
+  private lastSnapshotOffset = -1;
+  private lastSnapshotAt: clock.Milliseconds | undefined;
 
   constructor(
     private readonly name: string,
     private readonly process: string,
     state: streamReplica.ReplicatedState,
-    private readonly rule = DEFAULT_SNAPSHOT_RULE,
+    private readonly snapshotPolicy = DEFAULT_SNAPSHOT_POLICY,
   ) {
     this.replica = new streamReplica.StreamReplica(state);
   }
 
-  /** Offset from which to read next. */
+  /** Offset of the next record to read. */
   get position(): number {
     return this.replica.position;
   }
 
-  /** When the last read that reached the tail was sent. */
-  get freshAt(): clock.Milliseconds {
-    return this.freshValue;
+  /** When the last read that reached the end of the stream was sent. */
+  get lastTailReadSentAt(): clock.Milliseconds {
+    return this.lastTailReadSentAtValue;
   }
 
-  /** Whether records are missing, so that the table cannot be relied on. */
-  get incomplete(): boolean {
-    return this.gapValue;
+  /** Whether records are missing, which makes the table unreliable. */
+  get hasGap(): boolean {
+    return this.hasGapValue;
   }
 
-  /** Whether an append of this process has not been read back. */
-  get appending(): boolean {
-    return this.unread.size > 0;
+  /** Whether records of this process have not been read back yet. */
+  get hasPendingRecords(): boolean {
+    return this.pendingById.size > 0;
   }
 
-  /** Records of this process that may or may not have taken effect. */
-  unresolved(): ReadonlyArray<WrittenRecord['record']> {
-    return [...this.unread.values()].map(written => written.record);
+  /**
+   * Returns the records of this process that were not read back yet, which may
+   * or may not have taken effect.
+   */
+  pendingRecords(): ReadonlyArray<WrittenRecord['record']> {
+    return [...this.pendingById.values()].map(written => written.record);
   }
 
-  /** Applies a read; returns whether it reached the tail. */
-  accept(
+  /** Applies a read; returns whether it reached the end of the stream. */
+  applyRead(
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
   ): boolean {
-    const before = this.position;
-    const progress = this.replica.accept(read);
-    if (before < read.first) this.recent = [];
-    this.remember(read.records, Math.max(before, read.first), now);
-    this.gapValue = progress === 'gap';
+    const previousPosition = this.position;
+    const progress = this.replica.applyRead(read);
+    if (previousPosition < read.first) this.recentRecords = [];
+    this.retain(read.records, Math.max(previousPosition, read.first), now);
+    this.hasGapValue = progress === 'gap';
     if (progress === 'behind') {
-      this.nextRead = now;
+      this.nextReadAt = now;
       return false;
     }
-    // A read that ends before the position is older than what is known.
+    // A read that ends before the position is older than the applied records.
     if (progress === 'gap' || read.next < this.position) return false;
-    this.freshValue = Math.max(this.freshValue, read.sentAt);
-    this.releaseIfAbsent(read.sentAt);
+    this.lastTailReadSentAtValue = Math.max(
+      this.lastTailReadSentAtValue,
+      read.sentAt,
+    );
+    this.allowRetryIfAbsent(read.sentAt);
     return true;
   }
 
-  /** Applies records that a peer passed on. */
-  acceptPassed(
+  /** Applies records that a peer forwarded. */
+  applyForwarded(
     records: ReadonlyArray<event.StreamRecord>,
     now: clock.Milliseconds,
   ): void {
-    const before = this.position;
-    this.replica.acceptRecords(records);
-    this.remember(records, before, now);
+    const previousPosition = this.position;
+    this.replica.applyRecords(records);
+    this.retain(records, previousPosition, now);
   }
 
   /**
-   * Records from `position` on for a peer; undefined if they are not all at
-   * hand or too many.
+   * Returns the records from `position` on for a peer; undefined if some are
+   * not in memory or if they exceed `MAXIMUM_FORWARDED_RECORDS`.
    */
   recordsFrom(position: number): ReadonlyArray<event.StreamRecord> | undefined {
     if (position >= this.position) return [];
-    const start = this.recent.findIndex(item => item.offset >= position);
-    if (start < 0 || this.recent[start].offset !== position) return undefined;
-    if (this.recent.length - start > PASSED_RECORDS) return undefined;
-    return this.recent.slice(start);
+    const start = this.recentRecords.findIndex(item => item.offset >= position);
+    if (start < 0 || this.recentRecords[start].offset !== position) {
+      return undefined;
+    }
+    if (this.recentRecords.length - start > MAXIMUM_FORWARDED_RECORDS) {
+      return undefined;
+    }
+    return this.recentRecords.slice(start);
   }
 
-  /** Takes the answer to an append. */
-  appendAnswered(
+  /** Handles the answer to an append. */
+  handleAppendAnswer(
     answered: Extract<event.Event, {kind: 'appendAnswered'}>,
     now: clock.Milliseconds,
   ): void {
-    if (this.batch?.append !== answered.append) return;
+    if (this.pendingAppend?.appendNumber !== answered.append) return;
     const lost = answered.answer === 'lost';
-    this.batch = {...this.batch, answeredAt: now, lost};
-    this.nextRead = now;
+    this.pendingAppend = {...this.pendingAppend, answeredAt: now, lost};
+    this.nextReadAt = now;
   }
 
-  /** Whether records may be appended now. */
-  mayAppend(now: clock.Milliseconds): boolean {
-    if (this.unread.size > 0) return false;
-    return now >= this.lastAppend + APPEND_INTERVAL_MS;
+  /** Returns whether records may be appended now. */
+  canAppend(now: clock.Milliseconds): boolean {
+    if (this.pendingById.size > 0) return false;
+    return now >= this.lastAppendAt + APPEND_INTERVAL_MS;
   }
 
-  /** Appends records, which are repeated until they are read back. */
+  /** Appends records; they are repeated until they are read back. */
   append(
     records: ReadonlyArray<WrittenRecord['record']>,
     now: clock.Milliseconds,
   ): effect.Effect {
     for (const record of records) {
-      this.numberOfRecords += 1;
-      const id = `${this.process}/${this.numberOfRecords}`;
+      this.appendedRecordCount += 1;
+      const id = `${this.process}/${this.appendedRecordCount}`;
       const data = JSON.stringify({...record, id});
-      this.unread.set(id, {id, data, record});
+      this.pendingById.set(id, {id, data, record});
     }
     return this.send(now);
   }
 
-  /** Reads when due, and repeats an append whose answer was lost. */
+  /** Reads the stream when due and repeats a lost append. */
   poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const effects: effect.Effect[] = [];
-    if (now >= this.nextRead) {
-      this.nextRead = now + READ_INTERVAL_MS;
+    if (now >= this.nextReadAt) {
+      this.nextReadAt = now + READ_INTERVAL_MS;
       const from = this.position;
       effects.push({kind: 'readStream', stream: this.name, from});
     }
-    if (this.unread.size > 0 && this.batch === undefined) {
-      const wait = this.lastAppend + APPEND_INTERVAL_MS;
-      if (now >= wait) effects.push(this.send(now));
+    if (this.pendingById.size > 0 && this.pendingAppend === undefined) {
+      const appendAllowedAt = this.lastAppendAt + APPEND_INTERVAL_MS;
+      if (now >= appendAllowedAt) effects.push(this.send(now));
     }
-    this.expireBatch(now);
+    this.expirePendingAppend(now);
     return effects;
   }
 
-  /** When `poll` is wanted next. */
+  /** Returns when `poll` has to be called next. */
   nextDeadline(): clock.Milliseconds {
-    return this.nextRead;
+    return this.nextReadAt;
   }
 
-  /** The snapshot that is due; undefined while the last one is recent. */
+  /** Returns the snapshot that is due; undefined if the last one is recent. */
   dueSnapshot(
     now: clock.Milliseconds,
-    patience: number,
+    delayFactor: number,
   ): streamReplica.SnapshotRecord | undefined {
-    this.snapshotAt ??= now;
+    this.lastSnapshotAt ??= now;
     if (this.position === 0) return undefined;
-    const records = this.position - this.replica.lastSnapshot;
-    const due =
-      records > this.rule.records * patience ||
-      now - this.snapshotAt > this.rule.intervalMs * patience;
-    return due ? this.replica.buildSnapshot() : undefined;
+    const records = this.position - this.replica.lastSnapshotOffset;
+    const isDue =
+      records > this.snapshotPolicy.records * delayFactor ||
+      now - this.lastSnapshotAt > this.snapshotPolicy.intervalMs * delayFactor;
+    return isDue ? this.replica.buildSnapshot() : undefined;
   }
 
   private send(now: clock.Milliseconds): effect.Effect {
-    this.numberOfAppends += 1;
-    this.lastAppend = now;
-    this.batch = {append: this.numberOfAppends, sentAt: now, lost: false};
+    this.appendCount += 1;
+    this.lastAppendAt = now;
+    this.pendingAppend = {
+      appendNumber: this.appendCount,
+      sentAt: now,
+      lost: false,
+    };
     return {
       kind: 'append',
       stream: this.name,
-      append: this.numberOfAppends,
-      records: [...this.unread.values()].map(written => written.data),
+      append: this.appendCount,
+      records: [...this.pendingById.values()].map(written => written.data),
     };
   }
 
-  private remember(
+  private retain(
     records: ReadonlyArray<event.StreamRecord>,
-    from: number,
+    firstOffset: number,
     now: clock.Milliseconds,
   ): void {
     for (const record of records) {
-      if (record.offset < from || record.offset >= this.position) continue;
-      this.recent.push(record);
-      const id = readIdentity(record);
-      if (id !== undefined) this.unread.delete(id);
+      if (record.offset < firstOffset || record.offset >= this.position) {
+        continue;
+      }
+      this.recentRecords.push(record);
+      const id = parseRecordIdentity(record);
+      if (id !== undefined) this.pendingById.delete(id);
     }
-    if (this.unread.size === 0) this.batch = undefined;
-    if (this.recent.length > 2 * PASSED_RECORDS) {
-      this.recent = this.recent.slice(-PASSED_RECORDS);
+    if (this.pendingById.size === 0) this.pendingAppend = undefined;
+    if (this.recentRecords.length > 2 * MAXIMUM_FORWARDED_RECORDS) {
+      this.recentRecords = this.recentRecords.slice(-MAXIMUM_FORWARDED_RECORDS);
     }
-    if (this.replica.lastSnapshot === this.snapshotSeen) return;
-    this.snapshotSeen = this.replica.lastSnapshot;
-    this.snapshotAt = now;
+    if (this.replica.lastSnapshotOffset === this.lastSnapshotOffset) return;
+    this.lastSnapshotOffset = this.replica.lastSnapshotOffset;
+    this.lastSnapshotAt = now;
   }
 
-  /** Lets a lost append be repeated when a later read does not show it. */
-  private releaseIfAbsent(sentAt: clock.Milliseconds): void {
-    const {answeredAt, lost} = this.batch ?? {lost: false};
+  /** Allows a lost append to be repeated if a later read does not show it. */
+  private allowRetryIfAbsent(sentAt: clock.Milliseconds): void {
+    const {answeredAt, lost} = this.pendingAppend ?? {lost: false};
     if (!lost || answeredAt === undefined || sentAt <= answeredAt) return;
-    this.batch = undefined;
+    this.pendingAppend = undefined;
   }
 
-  private expireBatch(now: clock.Milliseconds): void {
-    if (this.batch === undefined || this.batch.lost) return;
-    if (now < this.batch.sentAt + APPEND_DEADLINE_MS) return;
-    this.batch = {...this.batch, answeredAt: now, lost: true};
+  private expirePendingAppend(now: clock.Milliseconds): void {
+    if (this.pendingAppend === undefined || this.pendingAppend.lost) return;
+    if (now < this.pendingAppend.sentAt + APPEND_DEADLINE_MS) return;
+    this.pendingAppend = {...this.pendingAppend, answeredAt: now, lost: true};
   }
 }
 
-function readIdentity(record: event.StreamRecord): string | undefined {
+function parseRecordIdentity(record: event.StreamRecord): string | undefined {
   try {
     return (JSON.parse(record.data) as {readonly id?: string}).id;
   } catch {
--- a/test/contracts/configuration_keeper_property_test.ts
+++ b/test/contracts/configuration_store_property_test.ts
@@ -8,40 +8,40 @@
 const RUNS = 600;
 
 type Action =
-  | {readonly kind: 'time'; readonly keeper: number; readonly ms: number}
+  | {readonly kind: 'time'; readonly store: number; readonly ms: number}
   | {
       readonly kind: 'serve';
-      readonly keeper: number;
+      readonly store: number;
       readonly position: number;
       readonly lost: boolean;
       readonly limit: number;
     }
   | {
       readonly kind: 'arrive';
-      readonly keeper: number;
+      readonly store: number;
       readonly position: number;
       readonly keep: boolean;
     }
   | {
       readonly kind: 'publish';
-      readonly keeper: number;
+      readonly store: number;
       readonly document: string;
       readonly behind: number;
     }
-  | {readonly kind: 'repeat'; readonly keeper: number; readonly which: number}
+  | {readonly kind: 'repeat'; readonly store: number; readonly which: number}
   | {readonly kind: 'peer'; readonly from: number; readonly to: number}
   | {readonly kind: 'trim'; readonly first: number}
   | {readonly kind: 'snapshot'; readonly lag: number}
-  | {readonly kind: 'replace'; readonly keeper: number};
+  | {readonly kind: 'replace'; readonly store: number};
 
-const keeperNumber = fastCheck.nat({max: 1});
+const storeIndex = fastCheck.nat({max: 1});
 
 const action: fastCheck.Arbitrary<Action> = fastCheck.oneof(
   {
     weight: 4,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('time' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       ms: fastCheck.constantFrom(1, 1_000, 3_000, 70_000, 260_000),
     }),
   },
@@ -49,7 +49,7 @@
     weight: 5,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('serve' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       position: fastCheck.nat({max: 5}),
       lost: fastCheck.boolean(),
       limit: fastCheck.constantFrom(1, 3, 500),
@@ -59,7 +59,7 @@
     weight: 5,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('arrive' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       position: fastCheck.nat({max: 5}),
       keep: fastCheck.boolean(),
     }),
@@ -68,7 +68,7 @@
     weight: 4,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('publish' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       document: fastCheck.constantFrom('fleet', 'team/a', 'team/b'),
       behind: fastCheck.constantFrom(0, 0, 0, 1),
     }),
@@ -77,7 +77,7 @@
     weight: 1,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('repeat' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
       which: fastCheck.nat({max: 30}),
     }),
   },
@@ -85,8 +85,8 @@
     weight: 2,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('peer' as const),
-      from: keeperNumber,
-      to: keeperNumber,
+      from: storeIndex,
+      to: storeIndex,
     }),
   },
   {
@@ -107,62 +107,68 @@
     weight: 1,
     arbitrary: fastCheck.record({
       kind: fastCheck.constant('replace' as const),
-      keeper: keeperNumber,
+      store: storeIndex,
     }),
   },
 );
 
 type Publish = Extract<event.Event, {readonly kind: 'publishArrived'}>;
 
-/** Two keepers on one log, driven by a list of actions. */
-class Run {
+/** Two stores on one log, driven by a list of random actions. */
+class StoreRun {
   readonly log = new configurationCell.TrimmedLog();
-  readonly keepers = [
-    new configurationCell.KeeperUnderTest(this.log),
-    new configurationCell.KeeperUnderTest(this.log),
+  readonly stores = [
+    new configurationCell.StoreUnderTest(this.log),
+    new configurationCell.StoreUnderTest(this.log),
   ];
   readonly published: Publish[] = [];
   private readonly calls = new Map<number, Publish>();
   private now = 0;
   private nextCall = 1;
 
-  perform(done: Action): void {
-    const before = this.keepers.map(keeper => keeper.versions());
-    this.act(done);
-    if (done.kind === 'replace') return;
-    this.keepers.forEach((keeper, index) => {
-      for (const [document, version] of before[index]) {
-        const after = keeper.versions().get(document) ?? 0;
+  perform(performed: Action): void {
+    const versionsBefore = this.stores.map(store => store.versions());
+    this.apply(performed);
+    if (performed.kind === 'replace') return;
+    this.stores.forEach((store, index) => {
+      for (const [document, version] of versionsBefore[index]) {
+        const after = store.versions().get(document) ?? 0;
         assert.ok(after >= version, `${document} fell to ${after}`);
       }
     });
   }
 
   finish(): void {
-    for (const keeper of this.keepers) this.now = keeper.settle(this.now, 20);
-    for (const keeper of this.keepers) this.now = keeper.settle(this.now, 20);
+    for (const store of this.stores) this.now = store.settle(this.now, 20);
+    for (const store of this.stores) this.now = store.settle(this.now, 20);
   }
 
-  /** Versions by a replay of the records that the log no longer shows. */
+  /** Returns the versions by a replay of all records, trimmed ones included. */
   expectedVersions(): ReadonlyMap<string, number> {
     return new Map(
-      [...this.winners().values()].map(win => [win.document, win.version]),
+      [...this.acceptedPublications().values()].map(win => [
+        win.document,
+        win.version,
+      ]),
     );
   }
 
-  /** Publications that were answered with a result code. */
+  /** Returns the publications that were answered with a result code. */
   answeredWith(code: number): ReadonlyArray<Publish> {
     return [...this.calls]
       .filter(([call]) =>
-        this.keepers.some(keeper => keeper.replies.get(call)?.code === code),
+        this.stores.some(store => store.replies.get(call)?.code === code),
       )
       .map(([, publish]) => publish);
   }
 
-  /** Winning publications of the whole history, by identity. */
-  winners(): ReadonlyMap<string, {document: string; version: number}> {
+  /** Returns the accepted publications of the whole history, by identity. */
+  acceptedPublications(): ReadonlyMap<
+    string,
+    {document: string; version: number}
+  > {
     const versions = new Map<string, number>();
-    const winners = new Map<string, {document: string; version: number}>();
+    const accepted = new Map<string, {document: string; version: number}>();
     for (const record of this.log.history) {
       const parsed = JSON.parse(record.data) as Publish;
       if ((parsed.kind as string) !== 'publish') continue;
@@ -170,49 +176,57 @@
       if (parsed.baseVersion !== current) continue;
       const version = record.offset + 1;
       versions.set(parsed.document, version);
-      winners.set(parsed.publication, {document: parsed.document, version});
+      accepted.set(parsed.publication, {document: parsed.document, version});
     }
-    return winners;
+    return accepted;
   }
 
-  private act(done: Action): void {
-    switch (done.kind) {
+  private apply(performed: Action): void {
+    switch (performed.kind) {
       case 'time':
-        this.now += done.ms;
-        this.keepers[done.keeper].handle({kind: 'timePassed'}, this.now);
+        this.now += performed.ms;
+        this.stores[performed.store].handle({kind: 'timePassed'}, this.now);
         return;
       case 'serve':
-        this.keepers[done.keeper].serve(
-          done.position,
+        this.stores[performed.store].serve(
+          performed.position,
           this.now,
-          done.lost,
-          done.limit,
+          performed.lost,
+          performed.limit,
         );
         return;
       case 'arrive':
-        this.keepers[done.keeper].arrive(done.position, this.now, done.keep);
+        this.stores[performed.store].deliver(
+          performed.position,
+          this.now,
+          performed.keep,
+        );
         return;
       case 'publish':
-        return this.publish(done.keeper, done.document, done.behind);
+        return this.publish(
+          performed.store,
+          performed.document,
+          performed.behind,
+        );
       case 'repeat':
-        return this.repeat(done.keeper, done.which);
+        return this.repeat(performed.store, performed.which);
       case 'peer':
-        return this.exchange(done.from, done.to);
+        return this.transferDocuments(performed.from, performed.to);
       case 'trim':
-        this.log.trimCovered(done.first);
+        this.log.trimThroughSnapshot(performed.first);
         return;
       case 'snapshot':
-        this.log.appendSnapshot(done.lag);
+        this.log.appendSnapshot(performed.lag);
         return;
       case 'replace':
-        this.keepers[done.keeper].replace();
+        this.stores[performed.store].restart();
         return;
     }
   }
 
   private publish(index: number, document: string, behind: number): void {
-    const keeper = this.keepers[index];
-    const current = keeper.versions().get(document) ?? 0;
+    const store = this.stores[index];
+    const current = store.versions().get(document) ?? 0;
     const number = this.published.length;
     const name = document.replace('team/', '');
     this.send(index, {
@@ -235,56 +249,61 @@
     this.nextCall += 1;
     this.published.push(publish);
     this.calls.set(call, publish);
-    this.keepers[index].handle({...publish, call}, this.now);
+    this.stores[index].handle({...publish, call}, this.now);
   }
 
-  private exchange(from: number, to: number): void {
-    const have = [...this.keepers[to].versions()].map(([name, version]) => ({
+  private transferDocuments(from: number, to: number): void {
+    const have = [...this.stores[to].versions()].map(([name, version]) => ({
       name,
       version,
     }));
-    const answered = this.keepers[from].handle(
+    const answered = this.stores[from].handle(
       {kind: 'fetchDocumentsArrived', call: 0, have},
       this.now,
     );
     for (const answer of answered) {
       if (answer.kind !== 'answerDocuments') continue;
       const {documents} = answer;
-      this.keepers[to].handle({kind: 'documentsArrived', documents}, this.now);
+      this.stores[to].handle({kind: 'documentsArrived', documents}, this.now);
     }
   }
 }
 
 nodeTest.describe('configuration under any order of events', () => {
   nodeTest.test(
-    'keepers that read to the end agree, nothing accepted reverts, and one ' +
-      'of the publications from one base wins; guards against snapshots, ' +
-      'repeats and peers that bring an old version back',
+    'stores that read to the end agree, no accepted version reverts, and one ' +
+      'publication from each base is accepted; guards against an old version ' +
+      'restored by a snapshot, a repeat or a peer',
     () => {
       fastCheck.assert(
         fastCheck.property(
           fastCheck.array(action, {minLength: 60, maxLength: 200, size: 'max'}),
           actions => {
-            const run = new Run();
-            for (const done of actions) run.perform(done);
+            const run = new StoreRun();
+            for (const next of actions) run.perform(next);
             run.finish();
             const expected = [...run.expectedVersions()].sort();
-            for (const keeper of run.keepers) {
-              assert.deepEqual([...keeper.versions()].sort(), expected);
+            for (const store of run.stores) {
+              assert.deepEqual([...store.versions()].sort(), expected);
               assert.ok(
-                !keeper.counted.some(name => name.startsWith('invariant')),
+                !store.counts.some(name => name.startsWith('invariant')),
               );
             }
-            const winners = run.winners();
-            const told = new Map<string, string>();
+            const accepted = run.acceptedPublications();
+            const acceptedByBase = new Map<string, string>();
             for (const win of run.answeredWith(0)) {
-              assert.ok(winners.has(win.publication));
+              assert.ok(accepted.has(win.publication));
               const base = `${win.document} ${win.baseVersion}`;
-              assert.ok([undefined, win.publication].includes(told.get(base)));
-              told.set(base, win.publication);
+              assert.ok(
+                [undefined, win.publication].includes(acceptedByBase.get(base)),
+              );
+              acceptedByBase.set(base, win.publication);
             }
             for (const lost of run.answeredWith(6001)) {
-              assert.ok(!winners.has(lost.publication), 'a winner got 6001');
+              assert.ok(
+                !accepted.has(lost.publication),
+                'accepted, but got 6001',
+              );
             }
           },
         ),
--- a/test/contracts/stream_replica_test.ts
+++ b/test/contracts/stream_replica_test.ts
@@ -3,8 +3,8 @@
 import * as streamReplica from '../../src/contracts/stream_replica.js';
 import type * as event from '../../src/contracts/event.js';
 
-/** Collects the records' data, so that order and repeats show. */
-class Collected implements streamReplica.ReplicatedState {
+/** Collects the records' data, which exposes their order and repeats. */
+class CollectedRecords implements streamReplica.ReplicatedState {
   items: string[] = [];
 
   apply(record: event.StreamRecord): void {
@@ -51,80 +51,83 @@
 }
 
 function create(): {
-  readonly state: Collected;
+  readonly state: CollectedRecords;
   readonly replica: streamReplica.StreamReplica;
 } {
-  const state = new Collected();
+  const state = new CollectedRecords();
   return {state, replica: new streamReplica.StreamReplica(state)};
 }
 
 nodeTest.describe('replay of a stream', () => {
   nodeTest.test(
     'repeated and stale reads change nothing; guards against applying a ' +
-      'record twice or moving back',
+      'record twice and against a position that moves back',
     () => {
       const {state, replica} = create();
-      assert.equal(replica.accept(read(0, 2, records(0, 'a', 'b'))), 'tail');
-      assert.equal(replica.accept(read(0, 1, records(0, 'a'))), 'tail');
-      assert.equal(replica.accept(read(0, 4, records(1, 'b', 'c'))), 'behind');
+      assert.equal(replica.applyRead(read(0, 2, records(0, 'a', 'b'))), 'tail');
+      assert.equal(replica.applyRead(read(0, 1, records(0, 'a'))), 'tail');
+      assert.equal(
+        replica.applyRead(read(0, 4, records(1, 'b', 'c'))),
+        'behind',
+      );
       assert.deepEqual(state.items, ['a', 'b', 'c']);
       assert.equal(replica.position, 3);
     },
   );
 
   nodeTest.test(
-    'a reader that lost records waits for a snapshot that bridges the gap; ' +
-      'guards against state with a hole',
+    'a replica that missed trimmed records waits for a snapshot that covers ' +
+      'the gap; guards against a state that lacks records',
     () => {
       const {state, replica} = create();
-      replica.accept(read(0, 1, records(0, 'a')));
-      assert.equal(replica.accept(read(3, 4, records(3, 'd'))), 'gap');
+      replica.applyRead(read(0, 1, records(0, 'a')));
+      assert.equal(replica.applyRead(read(3, 4, records(3, 'd'))), 'gap');
       assert.deepEqual(state.items, ['a']);
       const lagging = records(4, snapshotText(1, 'a', 'b'));
-      assert.equal(replica.accept(read(3, 5, lagging)), 'gap');
+      assert.equal(replica.applyRead(read(3, 5, lagging)), 'gap');
       const bridging = records(5, snapshotText(2, 'a', 'b', 'c'));
-      assert.equal(replica.accept(read(3, 6, bridging)), 'tail');
+      assert.equal(replica.applyRead(read(3, 6, bridging)), 'tail');
       assert.deepEqual(state.items, ['a', 'b', 'c', 'd']);
     },
   );
 
   nodeTest.test(
-    'a complete reader ignores snapshots; guards against a lagging process ' +
-      'that reverts the others',
+    'a complete replica ignores snapshots; guards against a lagging process ' +
+      'whose snapshot reverts the others',
     () => {
       const {state, replica} = create();
-      replica.accept(read(0, 3, records(0, 'a', 'b', snapshotText(0, 'a'))));
+      replica.applyRead(read(0, 3, records(0, 'a', 'b', snapshotText(0, 'a'))));
       assert.deepEqual(state.items, ['a', 'b']);
-      assert.equal(replica.lastSnapshot, 2);
+      assert.equal(replica.lastSnapshotOffset, 2);
       assert.equal(replica.lastSnapshotThrough, 0);
     },
   );
 
   nodeTest.test(
-    'a snapshot that claims later records or is unreadable is not used; ' +
-      'guards against records hidden behind a faulty snapshot',
+    'a snapshot that claims later records or cannot be parsed is ignored; ' +
+      'guards against records hidden by a faulty snapshot',
     () => {
       const {state, replica} = create();
-      replica.accept(read(3, 4, records(3, 'd')));
+      replica.applyRead(read(3, 4, records(3, 'd')));
       const faulty = JSON.stringify({
         kind: 'snapshot',
         through: 3,
         state: '{',
       });
       const early = snapshotText(9, 'z');
-      replica.accept(read(3, 6, records(4, early, faulty)));
+      replica.applyRead(read(3, 6, records(4, early, faulty)));
       assert.equal(replica.isComplete, false);
       assert.deepEqual(state.items, []);
     },
   );
 
   nodeTest.test(
-    'a snapshot built during a gap names the last record before it; guards ' +
+    'a snapshot built during a gap ends at the last record before it; guards ' +
       'against a snapshot that claims records its state lacks',
     () => {
       const {replica} = create();
-      replica.accept(read(0, 2, records(0, 'a', 'b')));
-      replica.accept(read(5, 6, records(5, 'f')));
+      replica.applyRead(read(0, 2, records(0, 'a', 'b')));
+      replica.applyRead(read(5, 6, records(5, 'f')));
       assert.equal(replica.buildSnapshot().through, 1);
     },
   );
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_cell.ts
@@ -1,6 +1,6 @@
 import * as either from 'purify-ts/Either';
 import * as configurationHistory from '../../src/contracts/configuration_history.js';
-import * as configurationKeeper from '../../src/contracts/configuration_keeper.js';
+import * as configurationStore from '../../src/contracts/configuration_store.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as result from '../../src/result.js';
 import * as streamReplica from '../../src/contracts/stream_replica.js';
@@ -9,19 +9,19 @@
 import type * as event from '../../src/contracts/event.js';
 import type * as team from '../../src/contracts/team.js';
 
-/** Retention that the keepers of a test are told. */
+/** Retention time with which the stores of a test are configured. */
 export const RETENTION_MS = 100_000;
 
 type Read = Extract<event.Event, {readonly kind: 'recordsRead'}>;
 type Append = Extract<effect.Effect, {readonly kind: 'append'}>;
-type Reading = Extract<effect.Effect, {readonly kind: 'readStream'}>;
+type ReadStream = Extract<effect.Effect, {readonly kind: 'readStream'}>;
 type Answer = Extract<effect.Effect, {readonly kind: 'answerCaller'}>;
 
-/** Reads contents of the form `team name` or `zone,zone`. */
-export class PlainReader implements configuration.DocumentReader {
+/** Parses contents of the form `team name` or `zone,zone`. */
+export class PlainTextReader implements configuration.DocumentReader {
   readFleet(
     content: string,
-  ): either.Either<result.Failure, configuration.FleetPlan> {
+  ): either.Either<result.Failure, configuration.FleetDefinition> {
     if (content === 'broken') return either.Left(broken());
     const zones = content.split(',').map(name => ({name, region: 'r'}));
     return either.Right({zones, workerShapes: []});
@@ -45,11 +45,11 @@
   return result.failure('invalidDocument', 'content: must not be broken');
 }
 
-/** A log whose records can be trimmed; the whole history stays for the test. */
+/** A log with trimmed records, which keeps the whole history for the test. */
 export class TrimmedLog {
   readonly history: event.StreamRecord[] = [];
   appendCount = 0;
-  private first = 0;
+  private firstOffset = 0;
 
   append(records: ReadonlyArray<string>): void {
     this.appendCount += 1;
@@ -60,12 +60,12 @@
 
   /** Answers a read of at most `limit` records. */
   read(from: number, sentAt: number, limit = 500): Read {
-    const start = Math.max(from, this.first);
+    const start = Math.max(from, this.firstOffset);
     return {
       kind: 'recordsRead',
-      stream: configurationKeeper.CONFIGURATION_STREAM,
+      stream: configurationStore.CONFIGURATION_STREAM,
       sentAt,
-      first: this.first,
+      first: this.firstOffset,
       next: this.history.length,
       records: this.history.slice(start, start + limit),
     };
@@ -74,76 +74,82 @@
   /** Appends the snapshot of a process that lags by `lag` records. */
   appendSnapshot(lag: number): void {
     const state = new configurationHistory.ConfigurationHistory(
-      new PlainReader(),
+      new PlainTextReader(),
     );
     const replica = new streamReplica.StreamReplica(state);
     const read = this.history.slice(0, Math.max(0, this.history.length - lag));
-    replica.acceptRecords(read);
+    replica.applyRecords(read);
     this.append([JSON.stringify(replica.buildSnapshot())]);
   }
 
-  /** Drops records before `first`, whatever depends on them. */
+  /** Trims the records before `first` without checking for a snapshot. */
   trim(first: number): void {
-    this.first = Math.max(this.first, Math.min(first, this.history.length));
+    this.firstOffset = Math.max(
+      this.firstOffset,
+      Math.min(first, this.history.length),
+    );
   }
 
-  /** Drops what a snapshot that is still readable stands for. */
-  trimCovered(wanted: number): void {
-    let covered = this.first;
-    for (const record of this.history.slice(this.first)) {
+  /** Trims records that a still readable snapshot includes. */
+  trimThroughSnapshot(limit: number): void {
+    let firstRetained = this.firstOffset;
+    for (const record of this.history.slice(this.firstOffset)) {
       const parsed = JSON.parse(record.data) as Record<string, unknown>;
       if (parsed['kind'] !== 'snapshot') continue;
       const through = Number(parsed['through']);
-      const target = Math.min(wanted, through + 1, record.offset);
-      covered = Math.max(covered, target);
+      const target = Math.min(limit, through + 1, record.offset);
+      firstRetained = Math.max(firstRetained, target);
     }
-    this.trim(covered);
+    this.trim(firstRetained);
   }
 }
 
-/** A keeper with the calls that it has sent and the answers on their way. */
-export class KeeperUnderTest {
-  keeper: configurationKeeper.ConfigurationKeeper;
+/** A store with its unserved calls and the answers not delivered yet. */
+export class StoreUnderTest {
+  store: configurationStore.ConfigurationStore;
   readonly replies = new Map<event.CallNumber, effect.Reply>();
-  readonly counted: string[] = [];
-  private sent: Array<Append | Reading> = [];
-  private arriving: event.Event[] = [];
+  readonly counts: string[] = [];
+  private pendingCalls: Array<Append | ReadStream> = [];
+  private pendingAnswers: event.Event[] = [];
 
   constructor(private readonly log: TrimmedLog) {
-    this.keeper = this.create();
+    this.store = this.create();
   }
 
   /** Handles one event and sorts its effects. */
   handle(handled: event.Event, now: number): ReadonlyArray<effect.Effect> {
-    const done = this.keeper.handle(handled, now);
-    for (const item of done) {
+    const requested = this.store.handle(handled, now);
+    for (const item of requested) {
       if (item.kind === 'append' || item.kind === 'readStream') {
-        this.sent.push(item);
+        this.pendingCalls.push(item);
       } else if (item.kind === 'answerCaller') {
         this.replies.set(item.call, (item as Answer).reply);
       } else if (item.kind === 'count') {
-        this.counted.push([item.metric, ...Object.values(item.labels)].join());
+        this.counts.push([item.metric, ...Object.values(item.labels)].join());
       }
     }
-    return done;
+    return requested;
   }
 
-  /** Starts again without state. */
-  replace(): void {
-    this.keeper = this.create();
-    this.arriving = [];
+  /** Restarts the process, which loses its state. */
+  restart(): void {
+    this.store = this.create();
+    this.pendingAnswers = [];
   }
 
-  /** Lets the log perform the call at a position of those sent. */
+  /** Performs the pending call at a position on the log. */
   serve(position: number, now: number, lost: boolean, limit?: number): void {
-    if (this.sent.length === 0) return;
-    const [call] = this.sent.splice(position % this.sent.length, 1);
+    if (this.pendingCalls.length === 0) return;
+    const [call] = this.pendingCalls.splice(
+      position % this.pendingCalls.length,
+      1,
+    );
     if (call.kind === 'readStream') {
-      this.arriving.push(this.log.read(call.from, now, limit));
+      this.pendingAnswers.push(this.log.read(call.from, now, limit));
       return;
     }
     this.log.append(call.records);
-    this.arriving.push({
+    this.pendingAnswers.push({
       kind: 'appendAnswered',
       stream: call.stream,
       append: call.append,
@@ -151,34 +157,34 @@
     });
   }
 
-  /** Delivers an answer; one that is kept arrives again later. */
-  arrive(position: number, now: number, keep: boolean): void {
-    if (this.arriving.length === 0) return;
-    const index = position % this.arriving.length;
-    const arrived = this.arriving[index];
-    if (!keep) this.arriving.splice(index, 1);
-    this.handle(arrived, now);
+  /** Delivers a pending answer; one that is kept is delivered again later. */
+  deliver(position: number, now: number, keep: boolean): void {
+    if (this.pendingAnswers.length === 0) return;
+    const index = position % this.pendingAnswers.length;
+    const answer = this.pendingAnswers[index];
+    if (!keep) this.pendingAnswers.splice(index, 1);
+    this.handle(answer, now);
   }
 
-  /** Reads on for some seconds with all earlier answers delivered. */
+  /** Advances the time by some seconds and delivers all pending answers. */
   settle(now: number, seconds = 4): number {
     let time = now;
     for (let round = 0; round < seconds; round += 1) {
       time += 1_000;
       this.handle({kind: 'timePassed'}, time);
-      while (this.sent.length > 0) this.serve(0, time, false);
-      while (this.arriving.length > 0) this.arrive(0, time, false);
+      while (this.pendingCalls.length > 0) this.serve(0, time, false);
+      while (this.pendingAnswers.length > 0) this.deliver(0, time, false);
     }
     return time;
   }
 
   versions(): ReadonlyMap<string, number> {
-    return this.keeper.current().versions;
+    return this.store.current().versions;
   }
 
-  private create(): configurationKeeper.ConfigurationKeeper {
-    return new configurationKeeper.ConfigurationKeeper(new PlainReader(), {
-      place: {vm: 'own', zone: 'z-1'},
+  private create(): configurationStore.ConfigurationStore {
+    return new configurationStore.ConfigurationStore(new PlainTextReader(), {
+      location: {vm: 'own', zone: 'z-1'},
       retentionMs: RETENTION_MS,
       random: new randomSource.SeededRandom(1),
     });
--- a/test/support/scheduling_harness.ts
+++ b/test/support/scheduling_harness.ts
@@ -66,7 +66,7 @@
   readonly fleet: fleet.Fleet;
   readonly scheduler: requestScheduler.RequestScheduler;
   private readonly teams = new Map<string, team.Team>();
-  private plan: configuration.FleetPlan | undefined;
+  private plan: configuration.FleetDefinition | undefined;
   private forbiddenWorkers = new Set<string>();
   private sequence = 0;
 
@@ -85,7 +85,7 @@
   }
 
   /** Sets the fleet plan of the configuration. */
-  setPlan(plan: configuration.FleetPlan): void {
+  setPlan(plan: configuration.FleetDefinition): void {
     this.plan = plan;
   }
 
--- a/test/zones/confirmations_test.ts
+++ b/test/zones/confirmation_exchange_test.ts
@@ -3,7 +3,7 @@
 import * as protobuf from '@bufbuild/protobuf';
 import * as fleet from '../../src/machines/fleet.js';
 import * as peer from '../../src/links/generated/peer_pb.js';
-import * as zoneControl from '../../src/zones/zone_control.js';
+import * as zoneController from '../../src/zones/zone_controller.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
@@ -15,7 +15,7 @@
   address: '10.0.0.1:7000',
 };
 
-function list(
+function listedVm(
   vm: string,
   zone: string,
   state: event.ListedVm['state'] = 'live',
@@ -24,9 +24,9 @@
   return {vm, role, zone, address: '10.0.0.2:7000', state};
 }
 
-/** A member of kigali-a beside a second one, `kigali-a.entry-2`. */
-function createMember(): zoneControl.ZoneControl {
-  const control = new zoneControl.ZoneControl(SELF, new fleet.Fleet());
+/** Creates a member of kigali-a beside a second one, `kigali-a.entry-2`. */
+function createMember(): zoneController.ZoneController {
+  const controller = new zoneController.ZoneController(SELF, new fleet.Fleet());
   const joins = [SELF, {process: 'kigali-a.entry-2', vm: 'entry-2'}];
   const records = joins.map(({process, vm}, offset) => {
     const address = SELF.address;
@@ -34,36 +34,45 @@
   });
   const stream = 'zone/kigali-a';
   const range = {first: 0, next: 2, sentAt: 0};
-  control.handle({kind: 'recordsRead', stream, ...range, records}, 1);
-  return control;
+  controller.handle({kind: 'recordsRead', stream, ...range, records}, 1);
+  return controller;
 }
 
-function confirmations(done: ReadonlyArray<effect.Effect>) {
-  return done.filter(wanted => wanted.kind === 'confirmPeer');
+function confirmPeerEffects(requested: ReadonlyArray<effect.Effect>) {
+  return requested.filter(item => item.kind === 'confirmPeer');
 }
 
 nodeTest.describe('confirmations', () => {
   nodeTest.test(
-    'a worker that the VM list names leaving is known in the same turn and ' +
-      'passed on in the next confirmation: guards against late drains',
+    'a worker that the VM list names as leaving is known at once and ' +
+      'reported in the next confirmation: guards against members that place ' +
+      'on a worker that is being drained',
     () => {
-      const control = createMember();
-      const vms = [list('worker-1', SELF.zone, 'leaving')];
-      control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
-      assert.deepEqual(control.leavingWorkers(), ['worker-1']);
-      const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
+      const controller = createMember();
+      const vms = [listedVm('worker-1', SELF.zone, 'leaving')];
+      controller.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
+      assert.deepEqual(controller.leavingWorkers(), ['worker-1']);
+      const sent = confirmPeerEffects(
+        controller.handle({kind: 'timePassed'}, 3),
+      );
       assert.deepEqual(sent[0].status.leavingWorkers, ['worker-1']);
     },
   );
 
   nodeTest.test(
     'the first live member sends the summary to one VM of each other zone in ' +
-      'at most 200 bytes: guards against costly traffic between zones',
+      'at most 200 bytes: guards against traffic between zones that grows ' +
+      'with the number of members',
     () => {
-      const control = createMember();
-      const vms = [list('entry-7', 'musanze-a'), list('entry-8', 'musanze-a')];
-      control.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
-      const sent = confirmations(control.handle({kind: 'timePassed'}, 3));
+      const controller = createMember();
+      const vms = [
+        listedVm('entry-7', 'musanze-a'),
+        listedVm('entry-8', 'musanze-a'),
+      ];
+      controller.handle({kind: 'vmListRead', sentAt: 1, vms}, 2);
+      const sent = confirmPeerEffects(
+        controller.handle({kind: 'timePassed'}, 3),
+      );
       const [summary, ...more] = sent.filter(
         ({peer: to}) => to === 'musanze-a.entry-7',
       );
@@ -74,13 +83,13 @@
       const message = protobuf.create(peer.ConfirmRequestSchema, {
         ...sender,
         to: summary.peer,
-        summaries: summaries.map(known => ({
-          zone: known.zone,
+        summaries: summaries.map(zoneSummary => ({
+          zone: zoneSummary.zone,
           freeProcessors: 500_000n,
           freeMemory: 4_000_000n,
           freeAccelerators: 1_000n,
           expectedWaitMs: 60_000n,
-          workerCount: known.workerCount,
+          workerCount: zoneSummary.workerCount,
         })),
       });
       const bytes = protobuf.toBinary(peer.ConfirmRequestSchema, message);
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -1,18 +1,19 @@
 import * as fleet from '../../src/machines/fleet.js';
 import * as randomSource from '../../src/machines/random_source.js';
-import * as zoneControl from '../../src/zones/zone_control.js';
+import * as zoneController from '../../src/zones/zone_controller.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
-/** How long a call to the platform or a peer waits for its answer. */
+/** Time after which a call to the platform or a peer fails. */
 const CALL_DEADLINE_MS = 2_000;
 
-/** Records that the log keeps; enough for the snapshot rule below. */
+/** Number of records that the log keeps; enough for the snapshot policy. */
 const RETAINED_RECORDS = 22;
 
-/** Lag of the VM list in the simulation. */
+/** Maximum lag of the VM list. */
 const LIST_LAG_MS = 4_000;
 
+/** Zone of all simulated processes. */
 export const ZONE = 'kigali-a';
 
 interface Step {
@@ -21,27 +22,27 @@
   readonly run: () => void;
 }
 
-/** One simulated process with a clock of its own rate. */
+/** A simulated process with a clock of its own rate. */
 export class SimulatedProcess {
   readonly workers = new fleet.Fleet();
-  readonly control: zoneControl.ZoneControl;
-  /** Ends of permits in real time, by worker, after the last turn. */
-  permits = new Map<string, number>();
+  readonly controller: zoneController.ZoneController;
+  /** Ends of permits in real time, by worker, after the last event. */
+  permitEnds = new Map<string, number>();
   permitEnd = -Infinity;
   alive = true;
   pausedUntil = 0;
   cutFromLog = false;
-  /** The list can be reachable while the log is not: it shows absences then. */
+  /** Separate from the log: the list may show absences while the log is cut. */
   cutFromList = false;
-  timer = 0;
+  timerNumber = 0;
 
   constructor(
     readonly name: string,
     readonly vm: string,
     private readonly startedAt: number,
-    private readonly rate: number,
+    private readonly clockRate: number,
   ) {
-    this.control = new zoneControl.ZoneControl(
+    this.controller = new zoneController.ZoneController(
       {
         process: name,
         vm,
@@ -50,22 +51,23 @@
         address: `${vm}:7000`,
       },
       this.workers,
-      {snapshotRule: {records: 5, intervalMs: 30_000}},
+      {snapshotPolicy: {records: 5, intervalMs: 30_000}},
     );
   }
 
   localTime(real: number): number {
-    return 1_000 + (real - this.startedAt) * this.rate;
+    return 1_000 + (real - this.startedAt) * this.clockRate;
   }
 
   realTime(local: number): number {
-    return this.startedAt + (local - 1_000) / this.rate;
+    return this.startedAt + (local - 1_000) / this.clockRate;
   }
 }
 
 /**
- * Several `ZoneControl` objects against an in-memory log and VM list, in
- * simulated real time. Every turn checks that no worker has two permits.
+ * Several `ZoneController` objects with an in-memory log and VM list, in
+ * simulated real time. After each event it checks that no worker has two
+ * permits.
  */
 export class SimulatedZone {
   readonly random: randomSource.SeededRandom;
@@ -74,57 +76,57 @@
   readonly records: event.StreamRecord[] = [];
   now = 0;
   logDown = false;
-  /** Chance in a thousand that an answer or a message is lost or late. */
-  loss = 0;
-  turns = 0;
-  private readonly queue: Step[] = [];
+  /** Probability, in thousandths, that a message is lost or late. */
+  lossThousandths = 0;
+  eventCount = 0;
+  private readonly steps: Step[] = [];
   private readonly cuts = new Set<string>();
-  private readonly lists: {
+  private readonly listVersions: {
     readonly at: number;
     readonly vms: ReadonlyMap<string, event.ListedVm>;
   }[] = [{at: -Infinity, vms: new Map()}];
   private order = 0;
-  private incarnations = 0;
-  private calls = 0;
+  private incarnationCount = 0;
+  private callCount = 0;
 
   constructor(seed: number) {
     this.random = new randomSource.SeededRandom(seed);
   }
 
-  /** Workers and entry VMs as they are listed without any lag. */
+  /** Returns the workers and entry VMs as listed without any lag. */
   listed(): ReadonlyMap<string, event.ListedVm> {
-    return this.lists[this.lists.length - 1].vms;
+    return this.listVersions[this.listVersions.length - 1].vms;
   }
 
   list(vm: string, role: event.ListedVm['role']): void {
     const vms = new Map(this.listed());
     const address = `${vm}:7000`;
     vms.set(vm, {vm, role, zone: ZONE, address, state: 'live'});
-    this.lists.push({at: this.now, vms});
+    this.listVersions.push({at: this.now, vms});
   }
 
   unlist(vm: string): void {
     const vms = new Map(this.listed());
     vms.delete(vm);
-    this.lists.push({at: this.now, vms});
+    this.listVersions.push({at: this.now, vms});
   }
 
   start(vm: string): SimulatedProcess {
-    this.incarnations += 1;
+    this.incarnationCount += 1;
     const rate = 0.995 + this.random.below(11) / 1_000;
-    const name = `${vm}.${this.incarnations}`;
+    const name = `${vm}.${this.incarnationCount}`;
     const process = new SimulatedProcess(name, vm, this.now, rate);
     this.processes.push(process);
-    this.post(process, {kind: 'timePassed'});
+    this.deliver(process, {kind: 'timePassed'});
     return process;
   }
 
   kill(process: SimulatedProcess): void {
     process.alive = false;
-    process.permits.clear();
+    process.permitEnds.clear();
   }
 
-  living(): ReadonlyArray<SimulatedProcess> {
+  liveProcesses(): ReadonlyArray<SimulatedProcess> {
     return this.processes.filter(process => process.alive);
   }
 
@@ -136,7 +138,7 @@
   endFaults(): void {
     this.cuts.clear();
     this.logDown = false;
-    this.loss = 0;
+    this.lossThousandths = 0;
     for (const process of this.processes) {
       process.cutFromLog = false;
       process.cutFromList = false;
@@ -144,123 +146,127 @@
   }
 
   /** Runs a function later in real time. */
-  after(delay: number, run: () => void): void {
+  schedule(delayMs: number, run: () => void): void {
     this.order += 1;
-    const step = {at: this.now + delay, order: this.order, run};
+    const step = {at: this.now + delayMs, order: this.order, run};
     let low = 0;
-    let high = this.queue.length;
+    let high = this.steps.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (this.queue[middle].at > step.at) low = middle + 1;
+      if (this.steps[middle].at > step.at) low = middle + 1;
       else high = middle;
     }
-    this.queue.splice(low, 0, step);
+    this.steps.splice(low, 0, step);
   }
 
-  /** Runs until a time, or until a condition holds after some step. */
-  run(until: number, done: () => boolean = () => false): boolean {
+  /** Runs until a time, or until a condition holds after a step. */
+  run(until: number, isDone: () => boolean = () => false): boolean {
     for (;;) {
-      const next = this.queue[this.queue.length - 1];
+      const next = this.steps[this.steps.length - 1];
       if (next === undefined || next.at > until) break;
-      this.queue.pop();
+      this.steps.pop();
       this.now = next.at;
       next.run();
-      if (done()) return true;
+      if (isDone()) return true;
     }
     this.now = until;
-    return done();
+    return isDone();
   }
 
-  /** Processes that may place on a worker now. */
-  holders(worker: string): ReadonlyArray<SimulatedProcess> {
-    return this.living().filter(
-      process => (process.permits.get(worker) ?? -Infinity) > this.now,
+  /** Returns the processes that may place on a worker now. */
+  permitHolders(worker: string): ReadonlyArray<SimulatedProcess> {
+    return this.liveProcesses().filter(
+      process => (process.permitEnds.get(worker) ?? -Infinity) > this.now,
     );
   }
 
-  private post(process: SimulatedProcess, posted: event.Event): void {
+  private deliver(process: SimulatedProcess, posted: event.Event): void {
     if (!process.alive) return;
     if (this.now < process.pausedUntil) {
       const wait = process.pausedUntil - this.now;
-      this.after(wait, () => this.post(process, posted));
+      this.schedule(wait, () => this.deliver(process, posted));
       return;
     }
-    this.turn(process, posted);
+    this.handleEvent(process, posted);
   }
 
-  private turn(process: SimulatedProcess, posted: event.Event): void {
-    this.turns += 1;
+  private handleEvent(process: SimulatedProcess, posted: event.Event): void {
+    this.eventCount += 1;
     const local = process.localTime(this.now);
-    const done = process.control.handle(posted, local);
+    const requested = process.controller.handle(posted, local);
     this.checkPermits(process);
-    for (const wanted of done) this.perform(process, wanted);
-    process.timer += 1;
-    const timer = process.timer;
-    const due = process.realTime(process.control.nextDeadline());
+    for (const item of requested) this.perform(process, item);
+    process.timerNumber += 1;
+    const timer = process.timerNumber;
+    const due = process.realTime(process.controller.nextDeadline());
     if (due === Infinity) return;
-    this.after(Math.max(1, due - this.now), () => {
-      if (process.timer === timer) this.post(process, {kind: 'timePassed'});
+    this.schedule(Math.max(1, due - this.now), () => {
+      if (process.timerNumber === timer) {
+        this.deliver(process, {kind: 'timePassed'});
+      }
     });
   }
 
-  /** A process that others count as dead must not answer for its identities. */
-  private checkSuccession(): void {
-    for (const process of this.living()) {
+  /** Checks that a process that others consider expired has no permit. */
+  private checkNoPermitAfterExpiry(): void {
+    for (const process of this.liveProcesses()) {
       if (process.permitEnd <= this.now) continue;
-      for (const other of this.living()) {
+      for (const other of this.liveProcesses()) {
         const local = other.localTime(this.now);
-        if (!other.control.isSucceeded(process.name, local)) continue;
-        const names = `${process.name} acts, succeeded for ${other.name}`;
-        this.violations.push(`${this.now}: ${names}`);
+        if (!other.controller.permitsHaveExpired(process.name, local)) continue;
+        const text = `${process.name} may act but expired for ${other.name}`;
+        this.violations.push(`${this.now}: ${text}`);
       }
     }
   }
 
   private checkPermits(process: SimulatedProcess): void {
-    process.permits.clear();
-    process.permitEnd = process.realTime(process.control.processPermitEnd());
-    this.checkSuccession();
+    process.permitEnds.clear();
+    process.permitEnd = process.realTime(process.controller.processPermitEnd());
+    this.checkNoPermitAfterExpiry();
     for (const worker of this.listed().keys()) {
-      const end = process.realTime(process.control.permitEnd(worker));
+      const end = process.realTime(process.controller.permitEnd(worker));
       if (end <= this.now) continue;
-      process.permits.set(worker, end);
-      const holders = this.holders(worker);
-      if (holders.length < 2) continue;
-      const names = holders.map(holder => holder.name).join(' and ');
+      process.permitEnds.set(worker, end);
+      const permitHolders = this.permitHolders(worker);
+      if (permitHolders.length < 2) continue;
+      const names = permitHolders.map(holder => holder.name).join(' and ');
       this.violations.push(`${this.now}: ${names} both hold ${worker}`);
     }
   }
 
-  private perform(process: SimulatedProcess, wanted: effect.Effect): void {
-    switch (wanted.kind) {
+  private perform(process: SimulatedProcess, requested: effect.Effect): void {
+    switch (requested.kind) {
       case 'append':
-        return this.append(process, wanted);
+        return this.append(process, requested);
       case 'readStream':
-        return this.readStream(process, wanted);
+        return this.readStream(process, requested);
       case 'readVmList':
         return this.readVmList(process);
       case 'confirmPeer':
-        return this.confirm(process, wanted);
+        return this.confirm(process, requested);
       case 'count':
-        if (wanted.metric === 'invariant') {
-          this.violations.push(`${this.now}: ${process.name} counted it`);
+        if (requested.metric === 'invariant') {
+          this.violations.push(
+            `${this.now}: ${process.name} broke an invariant`,
+          );
         }
     }
   }
 
   private isLost(): boolean {
-    return this.random.below(1_000) < this.loss;
+    return this.random.below(1_000) < this.lossThousandths;
   }
 
-  private delay(): number {
+  private randomDelayMs(): number {
     const late = this.isLost() ? this.random.below(5_000) : 0;
     return 1 + this.random.below(20) + late;
   }
 
-  /** Calls `serve` after a delay and gives its answer, or `failed`, back. */
+  /** Calls `serve` after a delay and delivers its answer, or `failed`. */
   private call(
     process: SimulatedProcess,
-    reach: () => boolean,
+    isReachable: () => boolean,
     serve: () => event.Event,
     failed: event.Event,
   ): void {
@@ -268,43 +274,43 @@
     const settle = (posted: event.Event): void => {
       if (settled) return;
       settled = true;
-      this.post(process, posted);
+      this.deliver(process, posted);
     };
-    this.after(CALL_DEADLINE_MS, () => settle(failed));
+    this.schedule(CALL_DEADLINE_MS, () => settle(failed));
     if (this.isLost()) return;
-    this.after(this.delay(), () => {
-      if (!reach()) return;
+    this.schedule(this.randomDelayMs(), () => {
+      if (!isReachable()) return;
       const answer = serve();
       if (this.isLost()) return;
-      this.after(this.delay(), () => {
-        if (reach()) settle(answer);
+      this.schedule(this.randomDelayMs(), () => {
+        if (isReachable()) settle(answer);
       });
     });
   }
 
   private append(
     process: SimulatedProcess,
-    wanted: Extract<effect.Effect, {kind: 'append'}>,
+    requested: Extract<effect.Effect, {kind: 'append'}>,
   ): void {
-    const {stream, append} = wanted;
+    const {stream, append} = requested;
     const serve = (): event.Event => {
-      for (const data of wanted.records) {
+      for (const data of requested.records) {
         this.records.push({offset: this.records.length, data});
       }
       return {kind: 'appendAnswered', stream, append, answer: 'appended'};
     };
-    const reach = (): boolean => this.reachesLog(process);
+    const isReachable = (): boolean => this.reachesLog(process);
     const answer = 'lost';
     const failed = {kind: 'appendAnswered', stream, append, answer} as const;
-    this.call(process, reach, serve, failed);
+    this.call(process, isReachable, serve, failed);
   }
 
   private readStream(
     process: SimulatedProcess,
-    wanted: Extract<effect.Effect, {kind: 'readStream'}>,
+    requested: Extract<effect.Effect, {kind: 'readStream'}>,
   ): void {
     const sentAt = process.localTime(this.now);
-    const {stream, from} = wanted;
+    const {stream, from} = requested;
     const serve = (): event.Event => {
       const next = this.records.length;
       const first = Math.max(0, next - RETAINED_RECORDS);
@@ -312,8 +318,8 @@
       const records = this.records.slice(start, start + 30);
       return {kind: 'recordsRead', stream, sentAt, first, next, records};
     };
-    const reach = (): boolean => this.reachesLog(process);
-    this.call(process, reach, serve, {kind: 'readFailed', stream});
+    const isReachable = (): boolean => this.reachesLog(process);
+    this.call(process, isReachable, serve, {kind: 'readFailed', stream});
   }
 
   private reachesLog(process: SimulatedProcess): boolean {
@@ -323,47 +329,47 @@
   private readVmList(process: SimulatedProcess): void {
     const sentAt = process.localTime(this.now);
     const serve = (): event.Event => {
-      const seen = this.now - this.random.below(LIST_LAG_MS);
-      const shown = this.lists.filter(list => list.at <= seen);
-      const vms = [...shown[shown.length - 1].vms.values()];
+      const visibleAt = this.now - this.random.below(LIST_LAG_MS);
+      const visible = this.listVersions.filter(list => list.at <= visibleAt);
+      const vms = [...visible[visible.length - 1].vms.values()];
       return {kind: 'vmListRead', sentAt, vms};
     };
-    const reach = (): boolean => !process.cutFromList;
-    this.call(process, reach, serve, {kind: 'vmListFailed'});
+    const isReachable = (): boolean => !process.cutFromList;
+    this.call(process, isReachable, serve, {kind: 'vmListFailed'});
   }
 
   private confirm(
     process: SimulatedProcess,
-    wanted: Extract<effect.Effect, {kind: 'confirmPeer'}>,
+    requested: Extract<effect.Effect, {kind: 'confirmPeer'}>,
   ): void {
-    const {peer, zonePosition, status: news} = wanted;
+    const {peer, zonePosition, status: news} = requested;
     const sentAt = process.localTime(this.now);
-    const target = this.processes.find(known => known.name === peer);
-    this.calls += 1;
-    const asked = {
+    const target = this.processes.find(item => item.name === peer);
+    this.callCount += 1;
+    const request = {
       kind: 'confirmArrived',
-      call: this.calls,
+      call: this.callCount,
       to: peer,
       zonePosition,
       status: news,
     } as const;
     const failed = {kind: 'confirmFailed', peer} as const;
     if (target === undefined || this.isLost()) return;
-    this.after(this.delay(), () => {
+    this.schedule(this.randomDelayMs(), () => {
       if (this.isCut(process, target)) return;
       this.whenRunning(target, () => {
-        const answer = this.answerTo(target, asked);
+        const answer = this.answerTo(target, request);
         if (answer === undefined || this.isLost()) return;
-        const {confirmed, zoneRecords, status: told} = answer;
-        this.after(this.delay(), () => {
-          if (this.isCut(process, target)) return this.post(process, failed);
-          this.post(process, {
+        const {confirmed, zoneRecords, status: answerNews} = answer;
+        this.schedule(this.randomDelayMs(), () => {
+          if (this.isCut(process, target)) return this.deliver(process, failed);
+          this.deliver(process, {
             kind: 'confirmAnswered',
             peer,
             sentAt,
             confirmed,
             zoneRecords,
-            status: told,
+            status: answerNews,
           });
         });
       });
@@ -372,18 +378,21 @@
 
   private answerTo(
     target: SimulatedProcess,
-    asked: Extract<event.Event, {kind: 'confirmArrived'}>,
+    request: Extract<event.Event, {kind: 'confirmArrived'}>,
   ): Extract<effect.Effect, {kind: 'answerConfirm'}> | undefined {
-    this.turns += 1;
-    const done = target.control.handle(asked, target.localTime(this.now));
+    this.eventCount += 1;
+    const requested = target.controller.handle(
+      request,
+      target.localTime(this.now),
+    );
     this.checkPermits(target);
-    return done.find(wanted => wanted.kind === 'answerConfirm');
+    return requested.find(item => item.kind === 'answerConfirm');
   }
 
   private whenRunning(process: SimulatedProcess, run: () => void): void {
     if (!process.alive) return;
     const wait = process.pausedUntil - this.now;
-    if (wait > 0) this.after(wait, () => this.whenRunning(process, run));
+    if (wait > 0) this.schedule(wait, () => this.whenRunning(process, run));
     else run();
   }
 
--- a/test/zones/routing_test.ts
+++ b/test/zones/zone_router_test.ts
@@ -1,20 +1,20 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as region from '../../src/zones/region.js';
-import * as routing from '../../src/zones/routing.js';
+import * as zoneRouter from '../../src/zones/zone_router.js';
 
-const WORK: routing.RoutedWork = {
+const WORK: zoneRouter.RoutableWork = {
   size: {processors: 1_000, memory: 100, accelerators: 0, slots: 1},
   worth: 10,
   zones: [],
   expectedWaitMs: 1_000,
-  fitsHere: false,
+  fitsOwnZone: false,
 };
 
 function createRouter(
   waits: Readonly<Record<string, number>>,
-  heardAt = 0,
-): routing.Router {
+  receivedAt = 0,
+): zoneRouter.ZoneRouter {
   const regions = new region.RegionMap('a1', 'a');
   regions.configure([
     {name: 'a2', region: 'a'},
@@ -23,30 +23,30 @@
   for (const [zone, expectedWaitMs] of Object.entries(waits)) {
     const free = {freeProcessors: 2_000, freeMemory: 200, freeAccelerators: 0};
     const summary = {zone, ...free, expectedWaitMs, workerCount: 1};
-    regions.update(summary, heardAt);
+    regions.update(summary, receivedAt);
   }
-  return new routing.Router(regions, 5);
+  return new zoneRouter.ZoneRouter(regions, 5);
 }
 
 nodeTest.describe('routing between zones', () => {
   nodeTest.test(
-    'the nearest zone with room takes the work: guards against traffic ' +
-      'between regions that nobody needs',
+    'the nearest zone with room gets the work: guards against needless ' +
+      'traffic between regions',
     () => {
       const router = createRouter({a2: 500, b1: 0});
-      assert.equal(router.route({...WORK, fitsHere: true}, 0).zone, 'a1');
+      assert.equal(router.route({...WORK, fitsOwnZone: true}, 0).zone, 'a1');
       assert.equal(router.route(WORK, 0).zone, 'a2');
     },
   );
 
   nodeTest.test(
-    'another region is used only for a benefit above cost and round trip, ' +
-      'and with a counted reason: guards against crossings without a gain',
+    'another region is used only if the benefit exceeds cost and round trip, ' +
+      'and the reason is counted: guards against crossings without benefit',
     () => {
       const router = createRouter({b1: 0});
       const far = router.route(WORK, 0);
       assert.equal(far.zone, 'b1');
-      assert.deepEqual(router.count(far)[0], {
+      assert.deepEqual(router.countCrossing(far)[0], {
         kind: 'count',
         metric: 'route_crossing',
         labels: {distance: 'otherRegion', reason: 'shorterWaitElsewhere'},
