--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -71,7 +71,7 @@
   private readonly calls = new Map<event.CallNumber, OpenCall>();
   private draining = false;
   /** Number of responses that are not yet sent completely. */
-  private unfinished = 0;
+  private openCount = 0;
   private readonly limits: CallerLimits;
 
   constructor(private readonly options: CallerServerOptions) {
@@ -145,7 +145,7 @@
         // Node does not count a connection without any call as idle.
         const expired =
           performance.now() - startedMs >= IDLE_CONNECTION_GRACE_MS;
-        if (expired && this.unfinished === 0) this.server.closeAllConnections();
+        if (expired && this.openCount === 0) this.server.closeAllConnections();
       }, CLOSE_CHECK_INTERVAL_MS);
       this.server.close(() => {
         clearInterval(timer);
@@ -170,8 +170,8 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    this.unfinished += 1;
-    response.once('close', () => (this.unfinished -= 1));
+    this.openCount += 1;
+    response.once('close', () => (this.openCount -= 1));
     if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
@@ -186,8 +186,8 @@
       jsonBody.sendJson(response, 200, {live: true});
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
-    } else if (this.unfinished > this.limits.maxOpenCalls) {
-      const detail = `calls: ${this.unfinished}: at most ${this.limits.maxOpenCalls} at once`;
+    } else if (this.openCount > this.limits.maxOpenCalls) {
+      const detail = `calls: ${this.openCount}: at most ${this.limits.maxOpenCalls} at once`;
       // A call that names an identity may repeat a request that already ran.
       const name = targetsRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
       this.refuse(response, result.failure(name, detail));
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -28,12 +28,12 @@
 
   async claim(
     member: cellMember.CellMember,
-    end: number,
+    expectedEnd: number,
   ): Promise<cellMember.ClaimOutcome> {
     const record = {key: CLAIM_KEY, value: jsonDocument.encode(member)};
     const outcome = await this.topic.append(
       [record],
-      {ifEnd: end},
+      {ifEnd: expectedEnd},
       APPEND_TIMEOUT_MS,
     );
     switch (outcome.kind) {
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -106,11 +106,11 @@
         call,
         to: message.to,
         zonePosition: Number(message.zonePosition),
-        status: peerMessages.decodeNews(message),
+        status: peerMessages.decodePeerStatus(message),
       }),
     );
     return {
-      ...peerMessages.encodeNews(answer.status),
+      ...peerMessages.encodePeerStatus(answer.status),
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.encodeRecords(answer.zoneRecords),
     };
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -28,7 +28,7 @@
 }
 
 /** Backoff after a read that failed. */
-const RETRY_PAUSE_MS = 200;
+const RETRY_DELAY_MS = 200;
 
 /** Reads a keyed topic in a loop: one snapshot, then its changes. */
 export class TopicFollower {
@@ -55,7 +55,7 @@
       const elapsedMs = this.clock.now() - startedAtMs;
       const pauseMs = this.isAvailable
         ? this.options.minReadIntervalMs - elapsedMs
-        : RETRY_PAUSE_MS;
+        : RETRY_DELAY_MS;
       if (pauseMs > 0) await this.pause(pauseMs);
     }
   }
--- a/src/zones/advice_relays.ts
+++ b/src/zones/advice_endpoints.ts
@@ -8,7 +8,7 @@
 const MEMBER_LIVENESS_TIMEOUT_MS = 2_000;
 
 /** Members of the cell that can relay a call to the advice service. */
-export class AdviceRelays {
+export class AdviceEndpoints {
   private readonly lastContactAt = new Map<string, clock.Milliseconds>();
 
   constructor(
@@ -24,7 +24,7 @@
   }
 
   /** Returns those of `members` that are alive, and this process itself. */
-  availableEndpoints(
+  available(
     members: ReadonlyArray<cellMember.CellMember>,
   ): ReadonlyArray<adviceBalancer.AdviceEndpoint> {
     const now = this.clock.now();
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -31,7 +31,7 @@
  * Longest time that a call waits for a scheduler. A failover takes less time
  * than this; after it, a retry by the caller is better than a longer wait.
  */
-const SCHEDULER_WAIT_LIMIT_MS = 2_000;
+const LEADER_WAIT_LIMIT_MS = 2_000;
 
 /**
  * Share of the caller's time during which a submission waits for a silent store
@@ -51,7 +51,7 @@
     private readonly localMember: LocalMember,
     private readonly peers: cellPeers.CellPeers,
     private readonly clock: clock.Clock,
-    private readonly pauses: jobJournal.DelayTimer,
+    private readonly timer: jobJournal.DelayTimer,
     private readonly counters: schedulerOptions.Counters,
   ) {}
 
@@ -64,7 +64,7 @@
     const startedAt = this.clock.now();
     const storeWaitLimitMs = STORE_WAIT_SHARE * (deadline - startedAt);
     for (;;) {
-      const outcome = await this.callScheduler(
+      const outcome = await this.callLeader(
         deadline,
         () => this.localMember.submit(definition, configurationVersion),
         (address, timeoutMs) =>
@@ -85,7 +85,7 @@
         return outcome;
       }
       this.counters.count('calls_repeated', 'storeSilent');
-      await this.pauses.pause(STORE_RETRY_DELAY_MS);
+      await this.timer.pause(STORE_RETRY_DELAY_MS);
     }
   }
 
@@ -95,7 +95,7 @@
     id: string,
     deadline: clock.Milliseconds,
   ): Promise<GatewayOutcome<jobScheduler.CancelOutcome>> {
-    return this.callScheduler(
+    return this.callLeader(
       deadline,
       () => this.localMember.cancel(queue, id),
       (address, timeoutMs) => this.peers.cancel(address, queue, id, timeoutMs),
@@ -112,7 +112,7 @@
       const found = this.localMember.readState(queue, id);
       return found && Promise.resolve(found.state);
     };
-    return this.callScheduler(deadline, local, (address, timeoutMs) =>
+    return this.callLeader(deadline, local, (address, timeoutMs) =>
       this.peers.readState(address, queue, id, timeoutMs),
     );
   }
@@ -126,12 +126,12 @@
       const count = this.localMember.countPending(queue);
       return count === undefined ? undefined : Promise.resolve(count);
     };
-    return this.callScheduler(deadline, local, (address, timeoutMs) =>
+    return this.callLeader(deadline, local, (address, timeoutMs) =>
       this.peers.countPending(address, queue, timeoutMs),
     );
   }
 
-  private async callScheduler<Value>(
+  private async callLeader<Value>(
     deadline: clock.Milliseconds,
     local: () => Promise<Value> | undefined,
     remote: (
@@ -145,7 +145,7 @@
       const now = this.clock.now();
       const budgetMs = deadline - RESPONSE_RESERVE_MS - RETRY_DELAY_MS - now;
       if (budgetMs <= 0) return {kind: uncertain ? 'unknown' : 'noScheduler'};
-      if (!uncertain && now - startedAt > SCHEDULER_WAIT_LIMIT_MS) {
+      if (!uncertain && now - startedAt > LEADER_WAIT_LIMIT_MS) {
         return {kind: 'noScheduler'};
       }
       const attempt = await this.attempt(
@@ -156,7 +156,7 @@
       if (attempt.kind === 'answered') return attempt;
       if (attempt.kind === 'unanswered') uncertain = true;
       this.counters.count('calls_repeated', attempt.kind);
-      await this.pauses.pause(RETRY_DELAY_MS);
+      await this.timer.pause(RETRY_DELAY_MS);
     }
   }
 
@@ -180,7 +180,7 @@
     answer: Promise<Value>,
   ): Promise<cellPeers.LeaderCallOutcome<Value>> {
     const answered = answer.then(value => ({kind: 'answered', value}) as const);
-    const timedOut = this.pauses
+    const timedOut = this.timer
       .pause(timeoutMs)
       .then(
         () =>
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,4 +1,4 @@
-import * as adviceRelays from './advice_relays.js';
+import * as adviceEndpoints from './advice_endpoints.js';
 import * as adviceBalancer from '../jobs/advice_balancer.js';
 import * as configurationCache from './configuration_cache.js';
 import * as election from './election.js';
@@ -27,7 +27,7 @@
   /** Calls the advice service from the VM of this process. */
   readonly adviceService: adviceCache.AdviceService;
   readonly peers: cellPeers.CellPeers;
-  readonly pauses: jobJournal.DelayTimer;
+  readonly timer: jobJournal.DelayTimer;
   readonly log: schedulerOptions.EventLog;
   readonly counters: schedulerOptions.Counters;
   readonly defer: (pass: () => void) => void;
@@ -61,7 +61,7 @@
 export class CellNode implements cellPeers.CellService {
   private readonly election: election.Election;
   private readonly configurationCache: configurationCache.ConfigurationCache;
-  private readonly adviceRelays: adviceRelays.AdviceRelays;
+  private readonly adviceEndpoints: adviceEndpoints.AdviceEndpoints;
   private readonly adviceBalancer: adviceBalancer.AdviceBalancer;
   private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
@@ -84,14 +84,14 @@
       log: options.log,
       onUpdated: configuration => this.scheduler?.configure(configuration),
     });
-    this.adviceRelays = new adviceRelays.AdviceRelays(
+    this.adviceEndpoints = new adviceEndpoints.AdviceEndpoints(
       options.clock,
       options.adviceService,
       options.peers,
     );
     this.adviceBalancer = new adviceBalancer.AdviceBalancer(
-      () => this.adviceRelays.availableEndpoints(this.election.peers),
-      (...call) => this.adviceRelays.ask(...call),
+      () => this.adviceEndpoints.available(this.election.peers),
+      (...call) => this.adviceEndpoints.ask(...call),
       options.clock,
     );
   }
@@ -173,7 +173,7 @@
 
   answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
     const now = this.options.clock.now();
-    this.adviceRelays.recordContact(message.sender);
+    this.adviceEndpoints.recordContact(message.sender);
     if (message.newest !== undefined) this.adoptClaim(message.newest, 'peer');
     if (this.election.isLeader) this.leadershipProvedAt = now;
     return {
@@ -260,7 +260,7 @@
     }
     const suspectsStoreOnly = this.election.suspectsStoreOnly(clock.now());
     // A store that has just recovered answers the leader as well: wait for it.
-    if (suspectsStoreOnly) await this.options.pauses.pause(STORE_RECOVERY_MS);
+    if (suspectsStoreOnly) await this.options.timer.pause(STORE_RECOVERY_MS);
     // A member that pings rarely may suspect the leader on outdated replies.
     const leaderAddress = this.election.newestClaim?.address;
     const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
@@ -274,7 +274,7 @@
     log.event('info', 'claimed', {outcome: outcome.kind, end: logEnd});
     if (outcome.kind === 'lost') {
       this.election.recordLostClaim(logEnd);
-      await this.options.pauses.pause(LOST_CLAIM_RETRY_DELAY_MS);
+      await this.options.timer.pause(LOST_CLAIM_RETRY_DELAY_MS);
       this.claimIfDue();
     }
     if (outcome.kind !== 'won') return;
@@ -315,7 +315,7 @@
       journalStore: options.journalStore,
       workerClient: options.workerClient,
       adviceClient: this.adviceBalancer,
-      timer: options.pauses,
+      timer: options.timer,
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
@@ -402,7 +402,7 @@
       return;
     }
     const {value} = outcome;
-    this.adviceRelays.recordContact(address);
+    this.adviceEndpoints.recordContact(address);
     if (value.newest !== undefined) this.adoptClaim(value.newest, 'peer');
     if (isLeader && address === this.election.newestClaim?.address) {
       this.election.recordStatus(value, now);
--- a/src/zones/confirmation_exchange.ts
+++ b/src/zones/confirmation_exchange.ts
@@ -99,23 +99,23 @@
     now: clock.Milliseconds,
   ): effect.Effect {
     const {self, members, stream, permits} = this.dependencies;
-    const {status: news, call} = request;
-    if (news.zone !== self.zone) return this.answerOtherZone(request, now);
+    const {status, call} = request;
+    if (status.zone !== self.zone) return this.answerOtherZone(request, now);
     const isForThisProcess = request.to === self.process;
-    if (isForThisProcess) members.recordMessage(news, true, now);
-    this.applyNews(news, now);
+    if (isForThisProcess) members.recordMessage(status, true, now);
+    this.applyStatus(status, now);
     const zoneRecords = stream.recordsFrom(request.zonePosition);
     // A promise is valid only together with every record read here.
     const confirmed =
       isForThisProcess &&
       zoneRecords !== undefined &&
-      permits.promise(news.from, now);
+      permits.promise(status.from, now);
     return {
       kind: 'answerConfirm',
       call,
       confirmed,
       zoneRecords: zoneRecords ?? [],
-      status: this.memberNews(),
+      status: this.memberStatus(),
     };
   }
 
@@ -132,7 +132,7 @@
     }
     if (answer.peer !== answer.status.from) return;
     members.recordMessage(answer.status, false, now);
-    this.applyNews(answer.status, now);
+    this.applyStatus(answer.status, now);
     if (answer.confirmed) {
       members.recordConfirmation(answer.peer, answer.sentAt, now);
     }
@@ -159,7 +159,7 @@
     const {members, stream} = this.dependencies;
     const summaries = [...this.summariesToForward];
     if (includeOwnSummary) summaries.push(this.ownSummary());
-    const news = {...this.memberNews(), summaries};
+    const status = {...this.memberStatus(), summaries};
     this.summariesToForward = [];
     return members
       .others()
@@ -169,11 +169,11 @@
         peer: member.process,
         address: member.address,
         zonePosition: stream.position,
-        status: news,
+        status,
       }));
   }
 
-  private memberNews(): event.PeerStatus {
+  private memberStatus(): event.PeerStatus {
     return {
       ...this.senderFields(),
       documents: this.dependencies.documents(),
@@ -183,7 +183,7 @@
     };
   }
 
-  private zoneNews(now: clock.Milliseconds): event.PeerStatus {
+  private zoneStatus(now: clock.Milliseconds): event.PeerStatus {
     return {
       ...this.senderFields(),
       documents: [],
@@ -198,22 +198,22 @@
     return {from: process, zone, address};
   }
 
-  private applyNews(news: event.PeerStatus, now: clock.Milliseconds): void {
-    for (const name of news.leavingWorkers) {
+  private applyStatus(status: event.PeerStatus, now: clock.Milliseconds): void {
+    for (const name of status.leavingWorkers) {
       this.dependencies.workers.get(name)?.markLeaving();
     }
-    for (const summary of news.summaries) {
+    for (const summary of status.summaries) {
       if (summary.zone !== this.dependencies.self.zone) {
         this.dependencies.regions.update(summary, now);
-      } else this.memberSummaries.set(news.from, summary);
+      } else this.memberSummaries.set(status.from, summary);
     }
   }
 
   private applySummaries(
-    news: event.PeerStatus,
+    status: event.PeerStatus,
     now: clock.Milliseconds,
   ): void {
-    for (const summary of news.summaries) {
+    for (const summary of status.summaries) {
       if (summary.zone === this.dependencies.self.zone) continue;
       this.dependencies.regions.update(summary, now);
       this.summariesToForward = this.summariesToForward.filter(
@@ -233,7 +233,7 @@
       call: request.call,
       confirmed: false,
       zoneRecords: [],
-      status: this.zoneNews(now),
+      status: this.zoneStatus(now),
     };
   }
 
@@ -243,14 +243,14 @@
   ): ReadonlyArray<effect.Effect> {
     const {self, members} = this.dependencies;
     if (members.liveMembers(now)[0] !== self.process) return [];
-    const news = this.zoneNews(now);
-    this.dependencies.regions.update(news.summaries[0], now);
+    const status = this.zoneStatus(now);
+    this.dependencies.regions.update(status.summaries[0], now);
     return this.otherZoneEntryVms().map(listed => ({
       kind: 'confirmPeer',
       peer: peerNameOf(listed),
       address: listed.address,
       zonePosition: 0,
-      status: news,
+      status,
     }));
   }
 
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -78,19 +78,19 @@
 
   /** Records that a member sent a message. */
   recordMessage(
-    news: event.PeerStatus,
+    status: event.PeerStatus,
     requestedConfirmation: boolean,
     now: clock.Milliseconds,
   ): void {
-    const contact = this.contacts.get(news.from);
+    const contact = this.contacts.get(status.from);
     if (contact === undefined) return;
-    this.contacts.set(news.from, {
+    this.contacts.set(status.from, {
       ...contact,
       lastMessageAt: now,
       hasSentMessage: true,
       hasRequestedConfirmation:
         contact.hasRequestedConfirmation || requestedConfirmation,
-      leaving: contact.leaving || news.leaving,
+      leaving: contact.leaving || status.leaving,
     });
   }
 
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -168,7 +168,7 @@
   }
 
   /** Returns whether a process has ended and its last permit is over. */
-  permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
+  hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     const endedAt = this.endObservedAt.get(process);
     return endedAt !== undefined && now >= endedAt + this.claimWaitMs();
   }
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -135,8 +135,8 @@
   }
 
   /** Returns whether a process has ended and its last permit is over. */
-  permitsHaveExpired(process: string, now: clock.Milliseconds): boolean {
-    return this.permits.permitsHaveExpired(process, now);
+  hasSuccessor(process: string, now: clock.Milliseconds): boolean {
+    return this.permits.hasSuccessor(process, now);
   }
 
   /** Returns whether this process joined before another one. */
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -15,7 +15,7 @@
 
   constructor(
     private readonly self: zoneController.ProcessDescription,
-    private readonly zone: zoneController.ZoneController,
+    private readonly controller: zoneController.ZoneController,
   ) {}
 
   /** Updates the entry VMs of other zones from the VM list. */
@@ -33,18 +33,18 @@
 
   hasJoined(): boolean {
     const {process} = this.self;
-    return this.zone.members().some(member => member.process === process);
+    return this.controller.members().some(member => member.process === process);
   }
 
   members(): ReadonlyArray<processDirectory.PeerProcess> {
-    return this.zone
+    return this.controller
       .members()
       .filter(member => member.process !== this.self.process)
       .filter(member => member.state !== 'dead');
   }
 
   offerCandidates(): ReadonlyArray<processDirectory.PeerProcess> {
-    return this.zone
+    return this.controller
       .members()
       .filter(member => member.process !== this.self.process)
       .filter(member => member.state === 'live');
@@ -82,11 +82,11 @@
   }
 
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
-    return this.zone.permitsHaveExpired(process, now);
+    return this.controller.hasSuccessor(process, now);
   }
 
   joinedBefore(process: string): boolean {
-    return this.zone.joinedBefore(process);
+    return this.controller.joinedBefore(process);
   }
 
   /**
--- a/test/links/toml_document_reader_test.ts
+++ b/test/links/toml_document_reader_test.ts
@@ -117,21 +117,24 @@
 
 nodeTest.describe('references between documents', () => {
   function withFleet(): configurationDocuments.ConfigurationDocuments {
-    const set = new configurationDocuments.ConfigurationDocuments(reader);
-    const parsed = set.parseAndCheck('fleet', FLEET).unsafeCoerce();
-    set.put({name: 'fleet', version: 1, content: FLEET}, parsed);
-    return set;
+    const documents = new configurationDocuments.ConfigurationDocuments(reader);
+    const parsed = documents.parseAndCheck('fleet', FLEET).unsafeCoerce();
+    documents.put({name: 'fleet', version: 1, content: FLEET}, parsed);
+    return documents;
   }
 
   nodeTest.test(
     'a team with an unknown zone or under another name is refused; guards ' +
       'against workloads that cannot run in any zone',
     () => {
-      const set = withFleet();
+      const documents = withFleet();
       const content = team('a', workload('w', 'zones = ["south-a"]'));
-      const zone = set.parseAndCheck('team/a', content).swap().unsafeCoerce();
+      const zone = documents
+        .parseAndCheck('team/a', content)
+        .swap()
+        .unsafeCoerce();
       assert.match(zone.detail, /^workloads\[0\].zones: "south-a" must be/);
-      const other = set.parseAndCheck('team/b', team('a', workload('w')));
+      const other = documents.parseAndCheck('team/b', team('a', workload('w')));
       assert.equal(other.swap().unsafeCoerce().result, 'invalidDocument');
     },
   );
@@ -140,12 +143,15 @@
     'a fleet without a zone that a team refers to is refused; guards ' +
       'against the removal of a zone in use',
     () => {
-      const set = withFleet();
+      const documents = withFleet();
       const content = team('a', workload('w', 'zones = ["north-a"]'));
-      const parsed = set.parseAndCheck('team/a', content).unsafeCoerce();
-      set.put({name: 'team/a', version: 2, content}, parsed);
+      const parsed = documents.parseAndCheck('team/a', content).unsafeCoerce();
+      documents.put({name: 'team/a', version: 2, content}, parsed);
       const fleet = FLEET.replaceAll('north-a', 'south-a');
-      const refused = set.parseAndCheck('fleet', fleet).swap().unsafeCoerce();
+      const refused = documents
+        .parseAndCheck('fleet', fleet)
+        .swap()
+        .unsafeCoerce();
       assert.match(refused.detail, /^team\/a: workloads\[0\].zones/);
     },
   );
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -77,7 +77,7 @@
     workerClient: new fakeWorkers.FakeWorkers(clock),
     adviceService: {ask: async () => ({kind: 'busy'})},
     peers,
-    pauses: clock,
+    timer: clock,
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
     defer: pass => clock.runAt(clock.now(), pass),
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -208,12 +208,12 @@
   }
 
   /** Checks that a process that others consider expired has no permit. */
-  private checkNoPermitAfterExpiry(): void {
+  private checkNoPermitAfterSuccession(): void {
     for (const process of this.liveProcesses()) {
       if (process.permitEnd <= this.now) continue;
       for (const other of this.liveProcesses()) {
         const local = other.localTime(this.now);
-        if (!other.controller.permitsHaveExpired(process.name, local)) continue;
+        if (!other.controller.hasSuccessor(process.name, local)) continue;
         const text = `${process.name} may act but expired for ${other.name}`;
         this.violations.push(`${this.now}: ${text}`);
       }
@@ -223,7 +223,7 @@
   private checkPermits(process: SimulatedProcess): void {
     process.permitEnds.clear();
     process.permitEnd = process.realTime(process.controller.processPermitEnd());
-    this.checkNoPermitAfterExpiry();
+    this.checkNoPermitAfterSuccession();
     for (const worker of this.listed().keys()) {
       const end = process.realTime(process.controller.permitEnd(worker));
       if (end <= this.now) continue;
@@ -342,7 +342,7 @@
     process: SimulatedProcess,
     requested: Extract<effect.Effect, {kind: 'confirmPeer'}>,
   ): void {
-    const {peer, zonePosition, status: news} = requested;
+    const {peer, zonePosition, status} = requested;
     const sentAt = process.localTime(this.now);
     const target = this.processes.find(item => item.name === peer);
     this.callCount += 1;
@@ -351,7 +351,7 @@
       call: this.callCount,
       to: peer,
       zonePosition,
-      status: news,
+      status,
     } as const;
     const failed = {kind: 'confirmFailed', peer} as const;
     if (target === undefined || this.isLost()) return;
@@ -360,7 +360,7 @@
       this.whenRunning(target, () => {
         const answer = this.answerTo(target, request);
         if (answer === undefined || this.isLost()) return;
-        const {confirmed, zoneRecords, status: answerNews} = answer;
+        const {confirmed, zoneRecords, status: answerStatus} = answer;
         this.schedule(this.randomDelayMs(), () => {
           if (this.isCut(process, target)) return this.deliver(process, failed);
           this.deliver(process, {
@@ -369,7 +369,7 @@
             sentAt,
             confirmed,
             zoneRecords,
-            status: answerNews,
+            status: answerStatus,
           });
         });
       });
--- a/test/zones/zone_controller_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -4,7 +4,7 @@
 import * as ownership from '../../src/zones/ownership.js';
 import * as zoneController from '../../src/zones/zone_controller.js';
 
-const NEWS = {
+const PEER_STATUS = {
   from: 'b',
   zone: 'z',
   address: 'b:1',
@@ -44,8 +44,8 @@
   at: number,
   leaving = false,
 ): boolean {
-  const news = {...NEWS, leaving};
-  const request = {call: 1, to: 'a', zonePosition: 3, status: news};
+  const status = {...PEER_STATUS, leaving};
+  const request = {call: 1, to: 'a', zonePosition: 3, status};
   const [answer] = controller.handle({kind: 'confirmArrived', ...request}, at);
   assert.ok(answer.kind === 'answerConfirm');
   return answer.confirmed;
@@ -81,7 +81,12 @@
       const controller = createOwner();
       controller.handle({kind: 'timePassed'}, 4_500);
       assert.ok(controller.permitEnd('w1') <= 4_500);
-      const answer = {peer: 'b', sentAt: 4_600, zoneRecords: [], status: NEWS};
+      const answer = {
+        peer: 'b',
+        sentAt: 4_600,
+        zoneRecords: [],
+        status: PEER_STATUS,
+      };
       const kind = 'confirmAnswered';
       controller.handle({kind, confirmed: false, ...answer}, 4_700);
       assert.ok(controller.permitEnd('w1') <= 4_700);
--- a/test/zones/zone_safety_test.ts
+++ b/test/zones/zone_safety_test.ts
@@ -51,7 +51,7 @@
       `workers without an owner after lost messages, pauses and restarts`,
     () => {
       let slowest = 0;
-      let turns = 0;
+      let eventCount = 0;
       for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
         const outcome = simulate(seed);
         assert.deepEqual(outcome.violations.slice(0, 3), [], `seed ${seed}`);
@@ -61,10 +61,10 @@
             `${RECOVERY_BOUND_MS} ms after the faults`,
         );
         slowest = Math.max(slowest, outcome.recoveryMs);
-        turns += outcome.eventCount;
+        eventCount += outcome.eventCount;
       }
       console.log(
-        `seeds ${FIRST_SEED}..${FIRST_SEED + SEEDS - 1}: ${turns} turns, ` +
+        `seeds ${FIRST_SEED}..${FIRST_SEED + SEEDS - 1}: ${eventCount} events, ` +
           `slowest recovery ${Math.round(slowest)} ms`,
       );
     },
