Say leader for the member that schedules, and define zone terms

Comments of the gateway and its tests name the leader, not the scheduler. Zone comments say what an item is and that permits are for placing tasks. Behaviour is unchanged.

--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -8,7 +8,7 @@
 /** Time within which an append must be answered. */
 const APPEND_TIMEOUT_MS = 700;
 
-/** Stores cell members and scheduler claims in a keyed topic. */
+/** Stores the members of the cell and their claims in a keyed topic. */
 export class CellLogStore implements cellMember.CellLog {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -5,7 +5,10 @@
 import type * as sinks from '../operations/sinks.js';
 import type * as event from '../contracts/event.js';
 
-/** Timeout of confirmations; three fit into the suspicion timeout of a peer. */
+/**
+ * Timeout of confirmations; three fit into the silence after which a peer is
+ * suspect.
+ */
 const CONFIRM_TIMEOUT_MS = 1_000;
 
 /** Timeout of short calls other than confirmations. */
--- a/src/zones/advice_endpoints.ts
+++ b/src/zones/advice_endpoints.ts
@@ -7,7 +7,7 @@
 /** A member counts as alive for this long after its last ping or reply. */
 const MEMBER_LIVENESS_TIMEOUT_MS = 2_000;
 
-/** Members of the cell that can relay a call to the advice service. */
+/** Tracks which cell members can call the advice service for this process. */
 export class AdviceEndpoints {
   private readonly lastContactAt = new Map<string, clock.Milliseconds>();
 
@@ -23,7 +23,7 @@
     this.lastContactAt.set(address, this.clock.now());
   }
 
-  /** Returns those of `members` that are alive, and this process itself. */
+  /** Returns endpoints for the live ones of `members` and for this process. */
   available(
     members: ReadonlyArray<cellMember.CellMember>,
   ): ReadonlyArray<adviceBalancer.AdviceEndpoint> {
@@ -35,7 +35,7 @@
     return [...alive, {address: undefined}];
   }
 
-  /** Calls the service through a member, or directly without an `address`. */
+  /** Calls the advice service through a member, or directly without one. */
   ask(
     address: string | undefined,
     step: string,
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -13,23 +13,23 @@
   readonly runsScheduler: boolean;
 }
 
-/** Outcome of a call that only the scheduler can answer. */
+/** Outcome of a call that only the leader of the cell can answer. */
 export type GatewayOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
-  /** No scheduler was reached; the call had no effect. */
+  /** No serving leader was reached; the call had no effect. */
   | {readonly kind: 'noScheduler'}
   /** The call may have taken effect. */
   | {readonly kind: 'unknown'};
 
-/** Timeout of one attempt; the call is then sent again. */
+/** Timeout of one attempt, after which the call is sent again. */
 const ATTEMPT_TIMEOUT_MS = 1_000;
 
 /** Delay before the next attempt. */
 const RETRY_DELAY_MS = 60;
 
 /**
- * Longest time that a call waits for a scheduler. A failover takes less time
- * than this; after it, a retry by the caller is better than a longer wait.
+ * Longest time that a call waits for a serving leader. A failover takes less
+ * time than this; after it, a retry by the caller is better than a longer wait.
  */
 const LEADER_WAIT_LIMIT_MS = 2_000;
 
@@ -45,7 +45,7 @@
 /** Part of the caller's time reserved for sending the response. */
 const RESPONSE_RESERVE_MS = 120;
 
-/** Forwards calls to the current scheduler and retries during a failover. */
+/** Forwards calls to the leader of the cell; retries during a failover. */
 export class CellGateway {
   constructor(
     private readonly localMember: LocalMember,
@@ -89,7 +89,7 @@
     }
   }
 
-  /** Cancels a job through the scheduler. */
+  /** Cancels a job through the leader. */
   cancel(
     queue: string,
     id: string,
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -331,7 +331,7 @@
     await newScheduler.begin();
   }
 
-  /** Ends a term that a claim which is not known here yet has superseded. */
+  /** Ends a term superseded by a claim that this member has not read yet. */
   private handleSuperseded(
     supersededScheduler: jobScheduler.JobScheduler,
     reason: string,
--- a/src/zones/confirmation_exchange.ts
+++ b/src/zones/confirmation_exchange.ts
@@ -93,7 +93,7 @@
     return Math.min(this.nextConfirmAt, this.nextSummaryAt);
   }
 
-  /** Answers the confirmation request of another process. */
+  /** Returns the answer to the confirmation request of another process. */
   handleRequest(
     request: Extract<event.Event, {kind: 'confirmArrived'}>,
     now: clock.Milliseconds,
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -11,7 +11,10 @@
  */
 export const TOMBSTONE_RETENTION_RECORDS = 10_000;
 
-/** An item and its epoch as known to the writer of a record. */
+/**
+ * An item, which is a worker, a process or a replica, and its epoch as known to
+ * the writer of a record.
+ */
 export interface ItemEpoch {
   readonly item: string;
   readonly epoch: number;
@@ -41,7 +44,7 @@
       readonly items: ReadonlyArray<ItemEpoch>;
     };
 
-/** How an owner acquired an item, which determines its wait before placing. */
+/** How an owner acquired an item; determines its wait before placing tasks. */
 export type Acquisition =
   /** The item had no earlier owner. */
   | 'first'
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -2,14 +2,14 @@
 import * as invariant from '../contracts/invariant.js';
 import * as lease from '../contracts/lease.js';
 import * as ownership from './ownership.js';
-import type * as effects from '../contracts/effect.js';
+import type * as effect from '../contracts/effect.js';
 import type * as membership from './membership.js';
 import type * as vmPresence from './vm_presence.js';
 import type * as zoneStream from './zone_stream.js';
 
 /**
- * Time for which the owner of an item may place after a proof that no other
- * process has claimed it.
+ * Time for which the owner of an item may place tasks after a proof that no
+ * other process has claimed the item.
  */
 export const PERMIT_DURATION_MS = 4_000;
 
@@ -53,8 +53,8 @@
 }
 
 /**
- * Computes until when this process may place on its workers, and records its
- * promises to other owners not to claim their items.
+ * Computes until when this process may place tasks on its workers, and records
+ * its promises to other owners not to claim their items.
  */
 export class PermitTracker {
   private readonly promiseEnds = new Map<string, clock.Milliseconds>();
@@ -64,7 +64,7 @@
   private readonly releasedEpochs = new Map<string, number>();
   private readonly endObservedAt = new Map<string, clock.Milliseconds>();
   private hasLeftValue = false;
-  private violations: effects.Effect[] = [];
+  private violations: effect.Effect[] = [];
 
   constructor(private readonly dependencies: PermitTrackerDependencies) {}
 
@@ -167,14 +167,14 @@
     return true;
   }
 
-  /** Returns whether a process has ended and its last permit is over. */
+  /** Returns whether a process has ended and its last permit has expired. */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     const endedAt = this.endObservedAt.get(process);
     return endedAt !== undefined && now >= endedAt + this.claimWaitMs();
   }
 
   /** Returns the invariant violations found since the last call. */
-  takeViolations(): ReadonlyArray<effects.Effect> {
+  takeViolations(): ReadonlyArray<effect.Effect> {
     const taken = this.violations;
     if (taken.length > 0) this.violations = [];
     return taken;
@@ -245,8 +245,8 @@
   }
 
   /**
-   * Checks that the permit ends before a claimant that sees its claim now may
-   * place.
+   * Checks that the permit ends before a claimant that reads its claim now may
+   * place tasks.
    */
   private checkPermitBeforeSuccession(
     current: ownership.Ownership,
--- a/src/zones/record_planner.ts
+++ b/src/zones/record_planner.ts
@@ -8,7 +8,7 @@
 /** Time after which every member claims a worker that still has no owner. */
 const UNOWNED_GRACE_PERIOD_MS = 6_000;
 
-/** Minimum time between handovers, so that members see each other's. */
+/** Minimum time between handovers, so that members read each other's first. */
 const REBALANCE_INTERVAL_MS = 3_000;
 
 /**
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -1,6 +1,6 @@
 import * as permitTracker from './permit_tracker.js';
 import * as confirmationExchange from './confirmation_exchange.js';
-import * as effects from '../contracts/effect.js';
+import * as effect from '../contracts/effect.js';
 import * as invariant from '../contracts/invariant.js';
 import * as membership from './membership.js';
 import * as ownership from './ownership.js';
@@ -24,7 +24,7 @@
  */
 const PAUSE_THRESHOLD_MS = 2_000;
 
-/** Identity and location of this process. */
+/** Description of this process, as in the confirmations to other members. */
 export type ProcessDescription = confirmationExchange.ProcessDescription;
 
 /** Validity of a proof that no other process has claimed an item. */
@@ -41,8 +41,8 @@
 }
 
 /**
- * Controls the part of this process in its availability zone: the workers that
- * it owns, the permits to place on them, and the other members.
+ * Manages the membership of this process in its availability zone: the workers
+ * that it owns, its permits to place tasks on them, and the other members.
  */
 export class ZoneController {
   /** Zones and regions of the cell with the last summary of each zone. */
@@ -97,7 +97,7 @@
     });
   }
 
-  /** Returns when the permit to place on a worker ends, else -Infinity. */
+  /** Returns when the permit for a worker ends; -Infinity without one. */
   permitEnd(worker: string): clock.Milliseconds {
     return this.permits.permitEnd(worker, this.lastEventAt ?? 0);
   }
@@ -134,7 +134,7 @@
     return member?.joined;
   }
 
-  /** Returns whether a process has ended and its last permit is over. */
+  /** Returns whether a process has ended and its last permit has expired. */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     return this.permits.hasSuccessor(process, now);
   }
@@ -203,7 +203,7 @@
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.detectOwnPause(now);
     this.lastEventAt = now;
     return [
@@ -218,8 +218,8 @@
    * no caller should request them. Returns other effects unchanged.
    */
   blockWithoutPermit(
-    requested: ReadonlyArray<effects.Effect>,
-  ): ReadonlyArray<effects.Effect> {
+    requested: ReadonlyArray<effect.Effect>,
+  ): ReadonlyArray<effect.Effect> {
     const now = this.lastEventAt ?? 0;
     return requested.flatMap(item => {
       if (item.kind !== 'startTask' && item.kind !== 'renewLeases') {
@@ -247,7 +247,7 @@
   private dispatch(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     switch (handled.kind) {
       case 'recordsRead':
         return this.handleRecords(handled, now);
@@ -285,9 +285,9 @@
     }
   }
 
-  private poll(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private poll(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.hasEnded()) return [];
-    const requested: effects.Effect[] = [...this.stream.poll(now)];
+    const requested: effect.Effect[] = [...this.stream.poll(now)];
     if (now >= this.nextVmListReadAt) {
       this.nextVmListReadAt = now + VM_LIST_INTERVAL_MS;
       requested.push({kind: 'readVmList'});
@@ -300,12 +300,12 @@
   private handleRecords(
     answer: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (answer.stream !== this.streamName()) return [];
     const permitEnd = this.processPermitEnd();
     const atTail = this.stream.applyRead(answer, now);
     this.syncWithTable(permitEnd, now);
-    if (this.stream.hasGap) return [effects.count('zone_stream_gap')];
+    if (this.stream.hasGap) return [effect.count('zone_stream_gap')];
     return atTail ? this.appendDueRecords(now) : [];
   }
 
@@ -330,7 +330,7 @@
   /** Appends all due records of this process in one append. */
   private appendDueRecords(
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const isFresh =
       now - this.stream.lastTailReadSentAt <= MAXIMUM_READ_AGE_FOR_APPEND_MS;
     if (!isFresh || this.stream.hasGap) return [];
@@ -340,16 +340,16 @@
     const records = this.recordPlanner.due(now);
     if (records.length === 0) return [];
     return [
-      ...records.map(record => effects.count('zone_record', kindOf(record))),
+      ...records.map(record => effect.count('zone_record', kindOf(record))),
       this.stream.append(records, now),
     ];
   }
 
-  private join(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private join(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     this.joinSent = true;
     const {process, vm, address} = this.self;
     return [
-      effects.count('zone_record', {kind: 'join'}),
+      effect.count('zone_record', {kind: 'join'}),
       this.stream.append([{kind: 'join', process, vm, address}], now),
     ];
   }
@@ -392,13 +392,13 @@
     return this.table.endedMembers().has(this.self.process);
   }
 
-  private reportSupersession(): ReadonlyArray<effects.Effect> {
+  private reportSupersession(): ReadonlyArray<effect.Effect> {
     if (this.supersessionReported || !this.isSuperseded()) return [];
     this.supersessionReported = true;
     const {process} = this.self;
     return [
-      effects.count('superseded'),
-      effects.log('error', 'superseded', {process}),
+      effect.count('superseded'),
+      effect.log('error', 'superseded', {process}),
       {kind: 'endProcess', reason: 'superseded'},
     ];
   }
--- a/src/zones/zone_router.ts
+++ b/src/zones/zone_router.ts
@@ -1,4 +1,4 @@
-import * as effects from '../contracts/effect.js';
+import * as effect from '../contracts/effect.js';
 import type * as availabilityZone from './availability_zone.js';
 import type * as clock from '../machines/clock.js';
 import type * as region from './region.js';
@@ -68,11 +68,11 @@
     return stayInOwnZone(own, 'noBetterZone');
   }
 
-  /** Returns the count of a route that leaves the own zone. */
-  countCrossing(route: Route): ReadonlyArray<effects.Effect> {
+  /** Returns the effect that counts a route; none for the own zone. */
+  countCrossing(route: Route): ReadonlyArray<effect.Effect> {
     if (route.distance === 'ownZone') return [];
     const {distance, reason} = route;
-    return [effects.count('route_crossing', {distance, reason})];
+    return [effect.count('route_crossing', {distance, reason})];
   }
 
   /** Returns the zone at a distance with room and the shortest wait. */
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -77,9 +77,9 @@
     }),
   );
 
-  // Guards against jobs lost or run twice when their scheduler is killed.
+  // Guards against jobs lost or run twice when the leader is killed.
   test(
-    'completes all jobs after its scheduler is killed',
+    'completes all jobs after its leader is killed',
     withCell(3, async cell => {
       await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 2_500, 4);
       await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa2', 300, 8);
@@ -95,10 +95,10 @@
     }),
   );
 
-  // Guards against duplicate starts by a scheduler that continues after a pause
+  // Guards against duplicate starts by a leader that continues after a pause
   // during which it was replaced.
   test(
-    'ignores a scheduler that was paused and replaced',
+    'ignores a leader that was paused and replaced',
     withCell(3, async cell => {
       const paused = cell.leader();
       paused.child.signal('SIGSTOP');
--- a/test/platform/store_topic_test.ts
+++ b/test/platform/store_topic_test.ts
@@ -58,7 +58,7 @@
       assert.deepEqual(newest.records.map(({key}) => key).sort(), ['a', 'b']);
     }));
 
-  // Guards against two schedulers that both believe that they won a term.
+  // Guards against two members that both believe that they won a term.
   test('appends conditionally only at the expected end', () =>
     withTopic(async topic => {
       await topic.append([record('a', '1')], {}, TIMEOUT_MS);
@@ -72,7 +72,7 @@
       assert.equal(won.kind, 'appended');
     }));
 
-  // Guards against writes by a scheduler that has been replaced, and against a
+  // Guards against writes by a leader that has been replaced, and against a
   // batch that is stored twice because it was repeated after a lost response.
   test('fences lower epochs and ignores repeated sequence numbers', () =>
     withTopic(async topic => {
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -61,7 +61,7 @@
 
 describe('cell gateway', () => {
   // Guards against refusals during a failover, which takes about a second.
-  test('waits for the next scheduler', async () => {
+  test('waits for the next leader', async () => {
     const clock = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(clock, async () =>
       clock.now() < 1_200
@@ -73,9 +73,9 @@
     assert.ok(outcome.settledAtMs < 1_400);
   });
 
-  // Guards against calls that are held until their deadline while no scheduler
-  // can be reached.
-  test('refuses after two seconds if no scheduler was reached', async () => {
+  // Guards against calls that are held until their deadline while no leader can
+  // be reached.
+  test('refuses after two seconds if no leader was reached', async () => {
     const clock = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(clock, async () => ({kind: 'refused'}));
     const outcome = await submitAndWait(clock, gateway);
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -85,7 +85,7 @@
 }
 
 describe('cell node that won a claim', () => {
-  // Guards against members that forward calls to the old scheduler for seconds,
+  // Guards against members that forward calls to the old leader for seconds,
   // because their reads of the log hang in a store that has just recovered.
   test('announces its term to all other members at once', async () => {
     const clock = new simulatedClock.SimulatedClock();
--- a/test/zones/confirmation_exchange_test.ts
+++ b/test/zones/confirmation_exchange_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as protobuf from '@bufbuild/protobuf';
 import * as fleet from '../../src/machines/fleet.js';
-import * as peer from '../../src/links/generated/peer_pb.js';
+import * as peerPb from '../../src/links/generated/peer_pb.js';
 import * as zoneController from '../../src/zones/zone_controller.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
@@ -80,7 +80,7 @@
       assert.equal(more.length, 0);
       const {documents, leavingWorkers, summaries, ...sender} = summary.status;
       assert.equal(documents.length + leavingWorkers.length, 0);
-      const message = protobuf.create(peer.ConfirmRequestSchema, {
+      const message = protobuf.create(peerPb.ConfirmRequestSchema, {
         ...sender,
         to: summary.peer,
         summaries: summaries.map(zoneSummary => ({
@@ -92,7 +92,7 @@
           workerCount: zoneSummary.workerCount,
         })),
       });
-      const bytes = protobuf.toBinary(peer.ConfirmRequestSchema, message);
+      const bytes = protobuf.toBinary(peerPb.ConfirmRequestSchema, message);
       assert.ok(bytes.length <= 200, `${bytes.length} bytes`);
     },
   );
--- a/test/zones/simulated_zone.ts
+++ b/test/zones/simulated_zone.ts
@@ -207,14 +207,14 @@
     });
   }
 
-  /** Checks that a process that others consider expired has no permit. */
+  /** Checks that a process whose successor may act has no permit any more. */
   private checkNoPermitAfterSuccession(): void {
     for (const process of this.liveProcesses()) {
       if (process.permitEnd <= this.now) continue;
       for (const other of this.liveProcesses()) {
         const local = other.localTime(this.now);
         if (!other.controller.hasSuccessor(process.name, local)) continue;
-        const text = `${process.name} may act but expired for ${other.name}`;
+        const text = `${process.name} may act but ended for ${other.name}`;
         this.violations.push(`${this.now}: ${text}`);
       }
     }
