--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -7,7 +7,7 @@
 import type * as jobScheduler from '../jobs/job_scheduler.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Member of this process, which the gateway calls without the network. */
+/** Cell member in this process, which the gateway calls without the network. */
 export interface LocalMember extends cellPeers.CellService {
   readonly leader: cellMember.Claim | undefined;
   readonly runsScheduler: boolean;
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -63,20 +63,20 @@
   /** Last epoch of each item that this process has released. */
   private readonly releasedEpochs = new Map<string, number>();
   private readonly endObservedAt = new Map<string, clock.Milliseconds>();
-  private hasLeftValue = false;
+  private hasReleasedAllValue = false;
   private violations: effect.Effect[] = [];
 
   constructor(private readonly dependencies: PermitTrackerDependencies) {}
 
   /** Whether this process has released all its items for good. */
-  get hasLeft(): boolean {
-    return this.hasLeftValue;
+  get hasReleasedAll(): boolean {
+    return this.hasReleasedAllValue;
   }
 
   /** Whether this process is a member that neither left nor was claimed. */
   get isActive(): boolean {
     const {table, process} = this.dependencies;
-    return !this.hasLeftValue && table.members().has(process);
+    return !this.hasReleasedAllValue && table.members().has(process);
   }
 
   /**
@@ -144,8 +144,8 @@
   }
 
   /** Ends all permits of this process for good. */
-  leave(): void {
-    this.hasLeftValue = true;
+  releaseAll(): void {
+    this.hasReleasedAllValue = true;
   }
 
   /** Returns whether a promise to a member is in force. */
--- a/src/zones/record_planner.ts
+++ b/src/zones/record_planner.ts
@@ -243,7 +243,7 @@
         ),
       );
     }
-    this.dependencies.permits.leave();
+    this.dependencies.permits.releaseAll();
     return [{kind: 'leave', process: this.dependencies.process}];
   }
 }
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -295,7 +295,7 @@
 nodeTest.describe('silent connections between entry processes', () => {
   // Guards against a peer that counts as dead because only the connection to it
   // is silent.
-  nodeTest.test('a probe replaces one after a timeout', async () => {
+  nodeTest.test('a probe replaces them after a timeout', async () => {
     const pair = new Pair(answerEveryCall);
     await pair.listen();
     const relay = new faultRelay.FaultRelay(pair.address);
