--- a/src/links/document_generator.ts
+++ b/src/links/document_generator.ts
@@ -59,16 +59,16 @@
 function checkGenerated(
   documents: ReadonlyArray<GeneratedDocument>,
 ): GenerationResult {
-  const documentSet = new configurationDocuments.ConfigurationDocuments(
+  const checkedDocuments = new configurationDocuments.ConfigurationDocuments(
     new tomlDocumentReader.TomlDocumentReader(),
   );
   const faults: string[] = [];
   documents.forEach(({name, content}, position) => {
-    documentSet
+    checkedDocuments
       .parseAndCheck(name, content)
       .ifLeft(fault => faults.push(`${name}: ${fault.detail}`))
       .ifRight(parsed => {
-        documentSet.put({name, version: position + 1, content}, parsed);
+        checkedDocuments.put({name, version: position + 1, content}, parsed);
       });
   });
   return faults.length > 0 ? either.Left(faults) : either.Right(documents);
--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -101,7 +101,7 @@
       (client, options) =>
         client.confirm(
           {
-            ...peerMessages.encodeNews(peerEffect.status),
+            ...peerMessages.encodeStatus(peerEffect.status),
             to: peerEffect.peer,
             zonePosition: peerMessages.toUint64(peerEffect.zonePosition),
           },
@@ -121,7 +121,7 @@
       sentAt,
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.decodeRecords(answer.zoneRecords),
-      status: peerMessages.decodeNews(answer),
+      status: peerMessages.decodeStatus(answer),
     };
   }
 
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -85,7 +85,7 @@
 }
 
 /** Fields that the request and the response of a confirmation share. */
-export interface EncodedNews {
+export interface EncodedStatus {
   readonly from: string;
   readonly zone: string;
   readonly address: string;
@@ -96,20 +96,20 @@
 }
 
 /** Encodes the shared fields of a confirmation request or response. */
-export function encodeNews(news: event.PeerStatus): EncodedNews {
+export function encodeStatus(status: event.PeerStatus): EncodedStatus {
   return {
-    from: news.from,
-    zone: news.zone,
-    address: news.address,
-    leaving: news.leaving,
-    documents: encodeVersions(news.documents),
-    leavingWorkers: [...news.leavingWorkers],
-    summaries: news.summaries.map(encodeSummary),
+    from: status.from,
+    zone: status.zone,
+    address: status.address,
+    leaving: status.leaving,
+    documents: encodeVersions(status.documents),
+    leavingWorkers: [...status.leavingWorkers],
+    summaries: status.summaries.map(encodeSummary),
   };
 }
 
 /** Decodes the shared fields of a confirmation request or response. */
-export function decodeNews(
+export function decodeStatus(
   message: peerPb.ConfirmRequest | peerPb.ConfirmResponse,
 ): event.PeerStatus {
   return {
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -106,11 +106,11 @@
         call,
         to: message.to,
         zonePosition: Number(message.zonePosition),
-        status: peerMessages.decodeNews(message),
+        status: peerMessages.decodeStatus(message),
       }),
     );
     return {
-      ...peerMessages.encodeNews(answer.status),
+      ...peerMessages.encodeStatus(answer.status),
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.encodeRecords(answer.zoneRecords),
     };
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -11,7 +11,7 @@
 import type * as peerFailure from '../../src/links/peer_failure.js';
 import type * as event from '../../src/contracts/event.js';
 
-const NEWS: event.PeerStatus = {
+const STATUS: event.PeerStatus = {
   from: 'kigali-a.entry-1.aa',
   zone: 'kigali-a',
   address: '127.0.0.1:9',
@@ -83,7 +83,7 @@
 ): ReadonlyArray<peerFailure.PeerCallEffect> {
   const peer = 'peer-2';
   return [
-    {kind: 'confirmPeer', peer, address, zonePosition: 12, status: NEWS},
+    {kind: 'confirmPeer', peer, address, zonePosition: 12, status: STATUS},
     {
       kind: 'offerRequest',
       peer,
@@ -110,7 +110,7 @@
         call: posted.call,
         confirmed: true,
         zoneRecords: [{offset: 3, data: 'r'}],
-        status: {...NEWS, from: 'peer-2'},
+        status: {...STATUS, from: 'peer-2'},
       };
     case 'offerArrived':
       return {kind: 'answerOffer', call: posted.call, code: 0, answer: 'é'};
@@ -161,7 +161,7 @@
     const from = 'peer-1';
     const to = 'peer-2';
     assert.deepEqual(withoutCalls, [
-      {kind: 'confirmArrived', call: 0, to, zonePosition: 12, status: NEWS},
+      {kind: 'confirmArrived', call: 0, to, zonePosition: 12, status: STATUS},
       {
         kind: 'offerArrived',
         call: 0,
@@ -190,7 +190,7 @@
         sentAt: 5,
         confirmed: true,
         zoneRecords: [{offset: 3, data: 'r'}],
-        status: {...NEWS, from: to},
+        status: {...STATUS, from: to},
       },
       {kind: 'offerAnswered', peer: to, identity: 'i', code: 0, answer: 'é'},
       {kind: 'withdrawAnswered', peer: to, identity: 'i', code: 2006},
@@ -258,7 +258,7 @@
         if (posted.kind !== 'confirmArrived') return;
         const answer = answerEffectFor(posted);
         if (answer?.kind !== 'answerConfirm') return;
-        self.server.answer({...answer, status: {...NEWS, from: 'peer-3'}});
+        self.server.answer({...answer, status: {...STATUS, from: 'peer-3'}});
       });
       await pair.listen();
       await pair.link.perform(peerEffects(pair.address)[0]);
