--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -143,7 +143,7 @@
 
   // Guards against a caller that gets the answer of another task because the
   // worker confused them.
-  nodeTest.test('an answer that names another task is rejected', async () => {
+  nodeTest.test('an answer that names another task counts as lost', async () => {
     const server = new standInServer.StandInServer({
       serve: call =>
         call.send(200, {task: 'other', state: 'finished', answer: 'x'}),
