--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -143,19 +143,22 @@
 
   // Guards against a caller that gets the answer of another task because the
   // worker confused them.
-  nodeTest.test('an answer that names another task counts as lost', async () => {
-    const server = new standInServer.StandInServer({
-      serve: call =>
-        call.send(200, {task: 'other', state: 'finished', answer: 'x'}),
-      control: () => {},
-      observe: () => ({}),
-    });
-    const fixture = new WorkerLinkFixture(await server.listen(0));
-    await fixture.fetch('mine');
-    assert.equal(fixture.last()?.kind, 'taskAnswerLost');
-    await fixture.close();
-    server.close();
-  });
+  nodeTest.test(
+    'an answer that names another task counts as lost',
+    async () => {
+      const server = new standInServer.StandInServer({
+        serve: call =>
+          call.send(200, {task: 'other', state: 'finished', answer: 'x'}),
+        control: () => {},
+        observe: () => ({}),
+      });
+      const fixture = new WorkerLinkFixture(await server.listen(0));
+      await fixture.fetch('mine');
+      assert.equal(fixture.last()?.kind, 'taskAnswerLost');
+      await fixture.close();
+      server.close();
+    },
+  );
 
   // Guards against an endless wait for an answer on a silent connection: the
   // reports of the worker show that the task has ended.
