--- a/src/contracts/capacity_reservation_table.ts
+++ b/src/contracts/capacity_reservation_table.ts
@@ -79,7 +79,7 @@
     this.release(reservation.identity);
     this.reservations.set(reservation.identity, reservation);
     for (const [target, count] of reservation.taskCounts) {
-      target.earmark(resources.scale(reservation.size, count));
+      target.addCapacityReservation(resources.scale(reservation.size, count));
     }
   }
 
@@ -93,7 +93,9 @@
     if (reservation === undefined) return;
     this.reservations.delete(identity);
     for (const [target, count] of reservation.taskCounts) {
-      target.withdrawEarmark(resources.scale(reservation.size, count));
+      target.removeCapacityReservation(
+        resources.scale(reservation.size, count),
+      );
     }
   }
 
--- a/src/contracts/fair_share_calculator.ts
+++ b/src/contracts/fair_share_calculator.ts
@@ -8,10 +8,10 @@
 /** Capacity of the fleet and the reservations that teams hold. */
 export interface FleetUsage {
   readonly capacity: resources.Resources;
-  readonly heldSum: resources.Resources;
-  heldByTeam(team: string): resources.Resources;
+  readonly reservedTotal: resources.Resources;
+  reservedByTeam(team: string): resources.Resources;
   /** Returns the teams that hold reservations. */
-  holders(): Iterable<string>;
+  teamsWithReservations(): Iterable<string>;
 }
 
 /** Source of the configured teams. */
@@ -63,7 +63,7 @@
   /** Recomputes the fair share from the teams that are active. */
   refresh(now: clock.Milliseconds): void {
     let totalWeight = 0;
-    for (const teamName of this.usage.holders()) {
+    for (const teamName of this.usage.teamsWithReservations()) {
       this.lastArrivals.set(teamName, now);
     }
     for (const [name, arrivedAt] of this.lastArrivals) {
@@ -76,14 +76,14 @@
 
   /** Returns the weighted dominant share that a team holds. */
   weightedShare(teamName: string): number {
-    return this.weightedShareOf(teamName, this.usage.heldByTeam(teamName));
+    return this.weightedShareOf(teamName, this.usage.reservedByTeam(teamName));
   }
 
   /** Returns the weighted dominant share of a team with `additional`. */
   weightedShareWith(teamName: string, additional: resources.Resources): number {
     return this.weightedShareOf(
       teamName,
-      resources.add(this.usage.heldByTeam(teamName), additional),
+      resources.add(this.usage.reservedByTeam(teamName), additional),
     );
   }
 
@@ -91,7 +91,7 @@
   isWithinQuota(teamName: string, additional: resources.Resources): boolean {
     const quota = this.teams.team(teamName)?.quota;
     if (quota === undefined) return false;
-    const held = this.usage.heldByTeam(teamName);
+    const held = this.usage.reservedByTeam(teamName);
     const grantedQuota = resources.scale(quota, this.cellFraction);
     if (resources.fits(resources.add(held, additional), grantedQuota)) {
       return true;
@@ -111,7 +111,7 @@
     releasing: resources.Resources,
   ): boolean {
     const heldAfter = resources.subtract(
-      this.usage.heldByTeam(teamName),
+      this.usage.reservedByTeam(teamName),
       releasing,
     );
     const quota = this.teams.team(teamName)?.quota ?? resources.NONE;
@@ -126,7 +126,7 @@
    * below its fair share.
    */
   reserveShortfall(releasing: resources.Resources): number {
-    const heldAfter = resources.subtract(this.usage.heldSum, releasing);
+    const heldAfter = resources.subtract(this.usage.reservedTotal, releasing);
     const unusedFraction =
       1 - resources.dominantShare(heldAfter, this.usage.capacity);
     const reserveFraction = this.reserve.fractionFor(
@@ -163,7 +163,7 @@
     additional: resources.Resources,
     reserveFraction: number,
   ): boolean {
-    const heldWith = resources.add(this.usage.heldSum, additional);
+    const heldWith = resources.add(this.usage.reservedTotal, additional);
     const unusedFraction =
       1 - resources.dominantShare(heldWith, this.usage.capacity);
     if (unusedFraction >= reserveFraction) return false;
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -184,7 +184,7 @@
       this.attempts.set(identity, attempt);
       this.parts.table.change(identity, {attempts: number});
     }
-    this.parts.runner.trackHeld(placement);
+    this.parts.runner.trackReserved(placement);
     const reading = placement.worker.clockReading;
     attempt.putTask({
       task: placement.task,
@@ -300,7 +300,7 @@
   }
 
   private dropHeld(attempt: attempts.ExecutionAttempt): void {
-    for (const task of attempt.tasks()) this.parts.runner.dropHeld(task.task);
+    for (const task of attempt.tasks()) this.parts.runner.untrack(task.task);
     for (const [number, waiting] of this.recordingAttempts) {
       if (waiting === attempt) this.recordingAttempts.delete(number);
     }
--- a/src/contracts/worker_pool.ts
+++ b/src/contracts/worker_pool.ts
@@ -125,13 +125,13 @@
 
   /** Records that a task finished or failed by itself. */
   recordEnd(taskName: string, failed: boolean, now: clock.Milliseconds): void {
-    const ranMs = this.runTimeMs(taskName, now);
+    const runTimeMs = this.runTimeMs(taskName, now);
     const placed = this.removeTask(taskName);
     if (placed === undefined) return;
     // The end of a task also proves that the answer to its start was lost.
     if (!placed.answered) this.upstreamOf(placed.worker).onLoss(now);
     const workload = `${placed.label.team}/${placed.label.workload}`;
-    const end = {worker: placed.worker, workload, failed, ranMs};
+    const end = {worker: placed.worker, workload, failed, runTimeMs};
     this.health.recordEnd(end, now);
   }
 
--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -158,24 +158,30 @@
     if (eligible.length === 0) return;
     const now = this.clock.now();
     const advice = this.adviceOf(step);
-    const named = this.selectWorkers(step, eligible, others);
-    const expectedMs = timing.decideMs + timing.eachMs * named.length;
+    const askedWorkers = this.selectWorkersToAsk(step, eligible, others);
+    const expectedMs = timing.decideMs + timing.eachMs * askedWorkers.length;
     if (!this.client.accepts(expectedMs)) return;
     advice.callInFlight = true;
     void this.client
       .ask(
         step.name,
-        named.map(worker => worker.id),
+        askedWorkers.map(worker => worker.id),
         expectedMs,
       )
       .then(outcome => {
         advice.callInFlight = false;
-        this.handleOutcome(advice, named, outcome, timing, now + expectedMs);
+        this.handleOutcome(
+          advice,
+          askedWorkers,
+          outcome,
+          timing,
+          now + expectedMs,
+        );
       });
   }
 
   /** Returns the workers to name, those known to be permitted first. */
-  private selectWorkers(
+  private selectWorkersToAsk(
     step: stepInstance.StepInstance,
     eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
     others: ReadonlyArray<remoteWorker.RemoteWorker>,
@@ -194,7 +200,7 @@
 
   private handleOutcome(
     advice: StepAdvice,
-    named: ReadonlyArray<remoteWorker.RemoteWorker>,
+    askedWorkers: ReadonlyArray<remoteWorker.RemoteWorker>,
     outcome: AdviceOutcome,
     timing: job.AdviceTiming,
     expectedAnswerAt: clock.Milliseconds,
@@ -210,7 +216,7 @@
     // Validity starts at the service's answer, which is no later than now.
     const validFrom = Math.min(now, expectedAnswerAt);
     const validUntil = validFrom + timing.validMs - TICKET_VALIDITY_MARGIN_MS;
-    for (const worker of named) {
+    for (const worker of askedWorkers) {
       const ticket = tickets.get(worker.id);
       if (ticket === undefined) {
         advice.refusedIncarnations.add(incarnationKey(worker));
--- a/src/jobs/assignment_index.ts
+++ b/src/jobs/assignment_index.ts
@@ -27,7 +27,7 @@
   remove(assignment: jobTask.Assignment): void {
     const {worker, jobTask: task} = assignment;
     worker.release(assignment);
-    task.remove(assignment);
+    task.removeAssignment(assignment);
     const runs = this.byWorker.get(worker);
     runs?.delete(assignment);
     if (runs?.size === 0) this.byWorker.delete(worker);
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -33,7 +33,7 @@
 export class Dispatcher {
   constructor(
     private readonly workerClient: workerClient.WorkerClient,
-    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
     private readonly fencingToken: number,
     private readonly leaseMs: number,
@@ -52,7 +52,7 @@
     const {worker, ticket} = selected;
     const assignment = new jobTask.Assignment(task, worker, run, ticket, now);
     task.highestRun = Math.max(task.highestRun, run);
-    this.index.add(assignment);
+    this.assignmentIndex.add(assignment);
     this.sendStart(assignment);
     return assignment;
   }
@@ -67,7 +67,7 @@
   /** Retries unanswered commands that are due. */
   retryCommands(): void {
     const now = this.clock.now();
-    for (const assignment of this.index.all()) {
+    for (const assignment of this.assignmentIndex.all()) {
       if (assignment.commandInFlight || assignment.worker.unreachable) continue;
       if (now - assignment.lastCommandAt < COMMAND_RETRY_INTERVAL_MS) continue;
       const stopConfirmed = assignment.stopConfirmedAt < Infinity;
@@ -98,7 +98,10 @@
   private sendStart(assignment: jobTask.Assignment): void {
     const {jobTask: task, worker, run, ticket} = assignment;
     // The run may have been released since its last command.
-    if (!this.mayGrantLeases() || !this.index.runsOn(worker).has(assignment)) {
+    if (
+      !this.mayGrantLeases() ||
+      !this.assignmentIndex.runsOn(worker).has(assignment)
+    ) {
       return;
     }
     const now = this.clock.now();
@@ -108,7 +111,7 @@
     const command = {
       task: task.name,
       run,
-      payload: task.step.owner.definition.payload,
+      payload: task.step.jobRecord.definition.payload,
       fence: this.fencingToken,
       deadlineMs,
       checkpoint: task.checkpoint,
--- a/src/jobs/evacuator.ts
+++ b/src/jobs/evacuator.ts
@@ -28,7 +28,7 @@
 export class Evacuator {
   constructor(
     private readonly workers: workerTable.WorkerTable,
-    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly listener: EvacuatorListener,
   ) {}
 
@@ -36,7 +36,7 @@
   review(now: clock.Milliseconds): void {
     for (const worker of this.workers.all()) {
       if (worker.entry.state !== 'draining' || worker.unreachable) continue;
-      for (const assignment of [...this.index.runsOn(worker)]) {
+      for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
         if (!this.shouldMove(assignment, worker, now)) continue;
         if (this.listener.prepareStart(assignment.jobTask.step)) {
           this.listener.move(assignment);
--- a/src/jobs/idle_capacity_throttle.ts
+++ b/src/jobs/idle_capacity_throttle.ts
@@ -29,13 +29,13 @@
   >();
 
   constructor(
-    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly dispatcher: dispatcher.Dispatcher,
   ) {}
 
   /** Adjusts the limits on a worker that has just reported. */
   review(worker: remoteWorker.RemoteWorker, now: clock.Milliseconds): void {
-    const runs = [...this.index.runsOn(worker)];
+    const runs = [...this.assignmentIndex.runsOn(worker)];
     const idleCapacityRuns = runs.filter(
       assignment => assignment.jobTask.step.definition.usesIdleCapacity,
     );
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -22,7 +22,7 @@
   readonly dispatcher: dispatcher.Dispatcher;
   readonly reliability: workerReliability.WorkerReliability;
   readonly runtimeModel: runtimeModel.RuntimeModel;
-  readonly requestPass: () => void;
+  readonly requestPlacementPass: () => void;
 }
 
 /** Advances jobs from acceptance through their steps to their outcome. */
@@ -32,7 +32,7 @@
   /** Opens the steps of an accepted job that are ready. */
   begin(record: jobRecord.JobRecord): void {
     if (record.outcome === 'open') this.openReadySteps(record);
-    this.dependencies.requestPass();
+    this.dependencies.requestPlacementPass();
   }
 
   /** Opens the occurrences of scheduled jobs that are due. */
@@ -53,7 +53,7 @@
     endKind: string,
   ): void {
     const {step} = task;
-    const record = step.owner;
+    const record = step.jobRecord;
     record.started = true;
     this.dependencies.options.counters.count('runs_ended', endKind);
     if (endKind === 'done') this.taskDone(task, worker);
@@ -61,7 +61,7 @@
     if (record.outcome === 'open' && !step.done) {
       this.dependencies.openSteps.open(step);
     }
-    this.dependencies.requestPass();
+    this.dependencies.requestPlacementPass();
   }
 
   /** Sets the outcome of a job, stops its remaining runs, and stores it. */
@@ -102,12 +102,12 @@
         this.dependencies.dispatcher.stop(copy);
       }
     }
-    if (step.owner.outcome === 'open' && step.done) this.stepDone(step);
+    if (step.jobRecord.outcome === 'open' && step.done) this.stepDone(step);
   }
 
   private stepDone(step: stepInstance.StepInstance): void {
     this.closeStep(step);
-    const record = step.owner;
+    const record = step.jobRecord;
     const medianMs = step.medianDurationMs(0);
     if (medianMs !== undefined) {
       const {queue} = record.definition;
@@ -129,7 +129,7 @@
   ): void {
     const {options, queues} = this.dependencies;
     const {step} = task;
-    const record = step.owner;
+    const record = step.jobRecord;
     this.recordFailure(worker, record.definition.id);
     if (!task.addFailure(run) || task.done) return;
     if (step.definition.longRunning || record.outcome !== 'open') return;
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -57,7 +57,7 @@
   private readonly jobTable: jobTable.JobTable;
   private readonly queues = new queueTable.QueueTable();
   private readonly openSteps = new openSteps.OpenSteps();
-  private readonly index = new assignmentIndex.AssignmentIndex();
+  private readonly assignmentIndex = new assignmentIndex.AssignmentIndex();
   private readonly reliability = new workerReliability.WorkerReliability();
   private readonly adviceCache: adviceCache.AdviceCache;
   private readonly dispatcher: dispatcher.Dispatcher;
@@ -75,8 +75,8 @@
 
   constructor(private readonly options: schedulerOptions.SchedulerOptions) {
     const {clock, term, timer} = options;
-    const {queues, index, reliability} = this;
-    const requestPass = (): void => this.requestPass();
+    const {queues, assignmentIndex, reliability} = this;
+    const requestPlacementPass = (): void => this.requestPlacementPass();
     const workers = new workerTable.WorkerTable();
     const runtimes = new runtimeModel.RuntimeModel();
     this.earlierLeasesExpireAt = clock.now() + EARLIER_LEASES_EXPIRY_MS;
@@ -91,11 +91,11 @@
     this.adviceCache = new adviceCache.AdviceCache(
       options.adviceClient,
       clock,
-      requestPass,
+      requestPlacementPass,
     );
     this.dispatcher = new dispatcher.Dispatcher(
       options.workerClient,
-      index,
+      assignmentIndex,
       clock,
       term,
       LEASE_DURATION_MS,
@@ -111,11 +111,11 @@
       dispatcher: this.dispatcher,
       reliability,
       runtimeModel: runtimes,
-      requestPass,
+      requestPlacementPass,
     });
     this.tracker = new runTracker.RunTracker(
       this.jobTable,
-      index,
+      assignmentIndex,
       this.dispatcher,
       this.jobLifecycle,
     );
@@ -129,20 +129,20 @@
     this.workerLifecycle = new workerLifecycle.WorkerLifecycle({
       options,
       workers,
-      index,
+      assignmentIndex,
       journal: this.journal,
       tracker: this.tracker,
       reliability,
       leaseMs: LEASE_DURATION_MS,
       earlierLeasesExpireAt: this.earlierLeasesExpireAt,
-      requestPass,
+      requestPlacementPass,
       onReport: worker => this.workerReported(worker),
       onEnded: worker => this.runRecovery?.removeWorker(worker),
     });
     this.placementPass = new placementPass.PlacementPass({
       options,
       workers,
-      index,
+      assignmentIndex,
       adviceCache: this.adviceCache,
       reliability,
       dispatcher: this.dispatcher,
@@ -154,11 +154,11 @@
     });
     this.evacuator = new evacuator.Evacuator(
       workers,
-      index,
+      assignmentIndex,
       this.placementPass,
     );
     this.idleCapacityThrottle = new idleCapacityThrottle.IdleCapacityThrottle(
-      index,
+      assignmentIndex,
       this.dispatcher,
     );
   }
@@ -202,7 +202,7 @@
 
   /** Applies a configuration if it is newer. */
   configure(configuration: job.OperatorConfiguration): void {
-    if (this.queues.update(configuration)) this.requestPass();
+    if (this.queues.update(configuration)) this.requestPlacementPass();
   }
 
   /** Applies the registry's current list of workers. */
@@ -263,13 +263,13 @@
     this.evacuator.review(now);
     this.unblockRecoveredJobs();
     this.placementPass.reportWaiting(now);
-    this.requestPass();
+    this.requestPlacementPass();
   }
 
   // Implementation of `DispatchListener`.
 
   workerReplaced(worker: remoteWorker.RemoteWorker): void {
-    this.workerLifecycle.replaced(worker);
+    this.workerLifecycle.workerReplaced(worker);
   }
 
   termSuperseded(): void {
@@ -291,12 +291,12 @@
     });
     this.tracker.release(assignment);
     if (reason === 'ticket') this.adviceCache.dropTicket(task.step, worker);
-    else this.reliability.recordRefusal(worker, this.options.clock.now());
-    this.requestPass();
+    else this.reliability.recordRejection(worker, this.options.clock.now());
+    this.requestPlacementPass();
   }
 
   startConfirmed(assignment: jobTask.Assignment): void {
-    assignment.jobTask.step.owner.started = true;
+    assignment.jobTask.step.jobRecord.started = true;
     this.options.counters.count('starts', 'confirmed');
   }
 
@@ -313,7 +313,7 @@
     return record?.definition.queue === queue ? record : undefined;
   }
 
-  private requestPass(): void {
+  private requestPlacementPass(): void {
     if (this.isServing) this.placementPass.request();
   }
 
@@ -349,12 +349,12 @@
       missingWorkers: recovery.unreportedWorkerCount,
       settled: recovery.complete,
     });
-    this.requestPass();
+    this.requestPlacementPass();
   }
 
   /** Stops stalled and slow runs, so that their tasks start elsewhere. */
   private replaceFaultyRuns(now: clock.Milliseconds): void {
-    for (const assignment of this.index.all()) {
+    for (const assignment of this.assignmentIndex.all()) {
       const fault = runHealth.detectFault(assignment, now);
       if (fault === undefined) continue;
       this.options.counters.count('runs_replaced', fault);
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -53,7 +53,7 @@
   /** Number of runs stopped because they stalled or were slow. */
   replacementCount = 0;
   readonly assignments: Assignment[] = [];
-  private readonly failed = new Set<number>();
+  private readonly failedRunNumbers = new Set<number>();
 
   constructor(
     readonly step: stepInstance.StepInstance,
@@ -63,13 +63,13 @@
 
   /** Numbers of the runs that ended as `failed`. */
   get failedRuns(): ReadonlySet<number> {
-    return this.failed;
+    return this.failedRunNumbers;
   }
 
   /** Records a failed run; returns false if it was recorded before. */
   addFailure(run: number): boolean {
-    if (this.failed.has(run)) return false;
-    this.failed.add(run);
+    if (this.failedRunNumbers.has(run)) return false;
+    this.failedRunNumbers.add(run);
     return true;
   }
 
@@ -77,13 +77,16 @@
     return !this.done && this.assignments.length === 0;
   }
 
-  find(worker: remoteWorker.RemoteWorker, run: number): Assignment | undefined {
+  findAssignment(
+    worker: remoteWorker.RemoteWorker,
+    run: number,
+  ): Assignment | undefined {
     return this.assignments.find(
       assignment => assignment.worker === worker && assignment.run === run,
     );
   }
 
-  remove(assignment: Assignment): void {
+  removeAssignment(assignment: Assignment): void {
     const position = this.assignments.indexOf(assignment);
     if (position >= 0) this.assignments.splice(position, 1);
   }
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -19,7 +19,7 @@
 export interface PlacementPassDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
-  readonly index: assignmentIndex.AssignmentIndex;
+  readonly assignmentIndex: assignmentIndex.AssignmentIndex;
   readonly adviceCache: adviceCache.AdviceCache;
   readonly reliability: workerReliability.WorkerReliability;
   readonly dispatcher: dispatcher.Dispatcher;
@@ -50,10 +50,11 @@
   private nextReportAt = 0;
 
   constructor(private readonly dependencies: PlacementPassDependencies) {
-    const {workers, index, adviceCache, reliability, dispatcher} = dependencies;
+    const {workers, assignmentIndex, adviceCache, reliability, dispatcher} =
+      dependencies;
     this.placer = new placer.Placer(
       workers,
-      index,
+      assignmentIndex,
       adviceCache,
       reliability,
       dispatcher,
@@ -91,13 +92,13 @@
 
   nextRun(task: jobTask.JobTask): number {
     const {term} = this.dependencies.options;
-    const fromEarlierTerm = task.step.owner.fromEarlierTerm;
+    const fromEarlierTerm = task.step.jobRecord.fromEarlierTerm;
     const lowestRun = fromEarlierTerm ? term * RUN_NUMBERS_PER_TERM : 1;
     return Math.max(task.highestRun + 1, lowestRun);
   }
 
   predictMs(step: stepInstance.StepInstance): number {
-    const {queue} = step.owner.definition;
+    const {queue} = step.jobRecord.definition;
     const {estimatedRuntimeMs} = step.definition;
     return this.dependencies.runtimeModel.predict(queue, estimatedRuntimeMs);
   }
@@ -170,7 +171,7 @@
     const {openSteps, queues, isBlocked} = this.dependencies;
     for (const step of openSteps) {
       const queue = queues.ofStep(step);
-      if (queue === undefined || isBlocked(step.owner)) continue;
+      if (queue === undefined || isBlocked(step.jobRecord)) continue;
       if (step.tasks.some(task => task.waiting)) yield {step, queue};
     }
   }
@@ -184,7 +185,7 @@
       if (queue?.advice === undefined) continue;
       const leadMs = placer.adviceLeadMs(queue.advice);
       if (step.expectedEndAt(this.predictMs(step)) - now > leadMs) continue;
-      for (const next of step.owner.dependents(step)) {
+      for (const next of step.jobRecord.dependents(step)) {
         if (next.readyAt === undefined) yield {step: next, queue};
       }
     }
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -47,7 +47,7 @@
 export class Placer {
   constructor(
     private readonly workers: workerTable.WorkerTable,
-    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly adviceCache: adviceCache.AdviceCache,
     private readonly reliability: workerReliability.WorkerReliability,
     private readonly dispatcher: dispatcher.Dispatcher,
@@ -217,12 +217,14 @@
     return {
       ticketFor: worker =>
         queue.advice ? this.adviceCache.ticketFor(step, worker, now) : '',
-      countTasksOfStep: worker => this.index.countTasksOfStep(worker, step),
-      countServingTasks: worker => this.index.countServingTasks(worker),
+      countTasksOfStep: worker =>
+        this.assignmentIndex.countTasksOfStep(worker, step),
+      countServingTasks: worker =>
+        this.assignmentIndex.countServingTasks(worker),
       countIdleCapacityTasks: worker =>
-        this.index.countIdleCapacityTasks(worker),
+        this.assignmentIndex.countIdleCapacityTasks(worker),
       failureProbability: worker => this.reliability.failureProbability(worker),
-      runsOn: worker => this.index.runsOn(worker),
+      runsOn: worker => this.assignmentIndex.runsOn(worker),
       priorityOf: other => this.listener.priorityOf(other),
     };
   }
--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -21,7 +21,7 @@
 
   /** Returns the queue of a step's job. */
   ofStep(step: stepInstance.StepInstance): job.Queue | undefined {
-    return this.byName.get(step.owner.definition.queue);
+    return this.byName.get(step.jobRecord.definition.queue);
   }
 
   /** Returns whether a configuration newer than the sender's lacks a queue. */
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -36,7 +36,7 @@
 export class RunTracker {
   constructor(
     private readonly jobTable: jobTable.JobTable,
-    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly dispatcher: dispatcher.Dispatcher,
     private readonly listener: RunListener,
   ) {}
@@ -72,33 +72,36 @@
 
   /** Ends all runs on a worker. */
   endAll(worker: remoteWorker.RemoteWorker, endKind: 'lapsed' | 'lost'): void {
-    for (const assignment of [...this.index.runsOn(worker)]) {
+    for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
       this.end(assignment, endKind);
     }
   }
 
   /** Releases a run that has ended or definitely did not start. */
   release(assignment: jobTask.Assignment): void {
-    this.index.remove(assignment);
+    this.assignmentIndex.remove(assignment);
   }
 
   private applyRunning(
     worker: remoteWorker.RemoteWorker,
-    row: remoteWorker.ReportedRun,
+    reportedRun: remoteWorker.ReportedRun,
     now: clock.Milliseconds,
   ): void {
-    const task = this.findTask(row.task);
+    const task = this.findTask(reportedRun.task);
     // The job was dropped, or the task is not ours: its lease will expire.
     if (task === undefined) return;
     const assignment =
-      task.find(worker, row.run) ?? this.adopt(task, worker, row.run, now);
+      task.findAssignment(worker, reportedRun.run) ??
+      this.adopt(task, worker, reportedRun.run, now);
     assignment.reported = true;
     if (assignment.phase === 'starting') assignment.phase = 'running';
-    if (row.percent > assignment.progressPercent) assignment.progressedAt = now;
-    assignment.progressPercent = row.percent;
-    assignment.reportedUsage = row.usage;
-    if (row.checkpoint !== '') task.checkpoint = row.checkpoint;
-    if (task.done || task.step.owner.outcome !== 'open') {
+    if (reportedRun.percent > assignment.progressPercent) {
+      assignment.progressedAt = now;
+    }
+    assignment.progressPercent = reportedRun.percent;
+    assignment.reportedUsage = reportedRun.usage;
+    if (reportedRun.checkpoint !== '') task.checkpoint = reportedRun.checkpoint;
+    if (task.done || task.step.jobRecord.outcome !== 'open') {
       this.dispatcher.stop(assignment);
     }
   }
@@ -121,8 +124,8 @@
     assignment.phase = 'running';
     task.highestRun = Math.max(task.highestRun, run);
     const running = task.assignments.some(other => other.phase !== 'stopping');
-    this.index.add(assignment);
-    step.owner.started = true;
+    this.assignmentIndex.add(assignment);
+    step.jobRecord.started = true;
     if (running && !step.definition.duplicatesAllowed) {
       this.dispatcher.stop(assignment);
     }
@@ -136,23 +139,30 @@
   ): void {
     const affectedTasks = new Set<jobTask.JobTask>();
     let highestNumber = worker.handledEndNumber;
-    for (const row of ended) {
-      if (row.sequenceNumber <= worker.handledEndNumber) continue;
-      highestNumber = Math.max(highestNumber, row.sequenceNumber);
-      const task = this.findTask(row.task);
+    for (const reportedEnd of ended) {
+      if (reportedEnd.sequenceNumber <= worker.handledEndNumber) continue;
+      highestNumber = Math.max(highestNumber, reportedEnd.sequenceNumber);
+      const task = this.findTask(reportedEnd.task);
       if (task === undefined) continue;
       affectedTasks.add(task);
-      if (row.checkpoint !== '' && !task.done) {
-        task.checkpoint = row.checkpoint;
+      if (reportedEnd.checkpoint !== '' && !task.done) {
+        task.checkpoint = reportedEnd.checkpoint;
       }
-      task.highestRun = Math.max(task.highestRun, row.run);
-      const assignment = task.find(worker, row.run);
+      task.highestRun = Math.max(task.highestRun, reportedEnd.run);
+      const assignment = task.findAssignment(worker, reportedEnd.run);
       if (assignment !== undefined) {
         const durationMs = now - assignment.startedAt;
-        if (row.how === 'done') task.step.recordDuration(durationMs);
+        if (reportedEnd.endKind === 'done') {
+          task.step.recordDuration(durationMs);
+        }
         this.release(assignment);
       }
-      this.listener.runEnded(task, worker, row.run, row.how);
+      this.listener.runEnded(
+        task,
+        worker,
+        reportedEnd.run,
+        reportedEnd.endKind,
+      );
     }
     if (highestNumber === worker.handledEndNumber) return;
     worker.handledEndNumber = highestNumber;
@@ -165,7 +175,9 @@
     highestNumber: number,
     affectedTasks: ReadonlySet<jobTask.JobTask>,
   ): void {
-    const records = new Set([...affectedTasks].map(task => task.step.owner));
+    const records = new Set(
+      [...affectedTasks].map(task => task.step.jobRecord),
+    );
     let unstoredCount = records.size;
     const markStored = (): void => {
       worker.storedEndNumber = Math.max(worker.storedEndNumber, highestNumber);
@@ -192,7 +204,7 @@
     const listed = new Set(
       [...report.running, ...report.ended].map(row => `${row.task}/${row.run}`),
     );
-    for (const assignment of [...this.index.runsOn(worker)]) {
+    for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
       const hasEnded =
         assignment.phase === 'stopping' &&
         assignment.stopConfirmedAt <= sentAt &&
--- a/src/jobs/step_instance.ts
+++ b/src/jobs/step_instance.ts
@@ -12,7 +12,7 @@
   private readonly durationsMs: number[] = [];
 
   constructor(
-    readonly owner: jobRecord.JobRecord,
+    readonly jobRecord: jobRecord.JobRecord,
     readonly occurrence: number,
     readonly position: number,
     readonly definition: job.Step,
@@ -26,7 +26,7 @@
 
   /** Job, occurrence and position in the platform's notation. */
   get name(): string {
-    return `${this.owner.definition.id}.${this.occurrence}.${this.position}`;
+    return `${this.jobRecord.definition.id}.${this.occurrence}.${this.position}`;
   }
 
   get done(): boolean {
--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -110,17 +110,18 @@
   }
   const objectiveMs = objectiveMsOf(record, queue, predict);
   const dueAt = record.arrivedAt + objectiveMs;
-  const spanMs = remainingWork(record, predict) / Math.max(totalProcessors, 1);
-  const effectiveDueAt = dueAt + SIZE_WEIGHT * spanMs;
+  const workDurationMs =
+    remainingWork(record, predict) / Math.max(totalProcessors, 1);
+  const effectiveDueAt = dueAt + SIZE_WEIGHT * workDurationMs;
   const endsAt = now + remainingCriticalPathMs(record, queue, predict);
   if (endsAt <= dueAt + PREDICTION_TOLERANCE_SHARE * objectiveMs) {
     return {rank: priority, effectiveDueAt, onTime: true};
   }
   const worthless =
     endsAt - record.arrivedAt > objectiveMs * WORTHLESS_OBJECTIVE_FACTOR;
-  const ranks = worthless ? WORTHLESS_RANK_PENALTY : LATE_RANK_PENALTY;
+  const rankPenalty = worthless ? WORTHLESS_RANK_PENALTY : LATE_RANK_PENALTY;
   return {
-    rank: priority + ranks,
+    rank: priority + rankPenalty,
     effectiveDueAt,
     onTime: false,
   };
@@ -142,7 +143,7 @@
     step,
     queue,
     urgency: urgencyOf(
-      step.owner,
+      step.jobRecord,
       queue,
       now,
       predict,
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -22,7 +22,7 @@
 
   constructor(
     private readonly workers: workerTable.WorkerTable,
-    private readonly index: assignmentIndex.AssignmentIndex,
+    private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly journal: jobJournal.JobJournal,
     private readonly onStored: () => void,
   ) {}
@@ -41,7 +41,7 @@
       .all()
       .some(
         worker =>
-          worker.acceptsTasks !== worker.recorded && !this.isClosed(worker),
+          worker.acceptsTasks !== worker.stored && !this.isClosed(worker),
       );
     if (changed) this.store();
   }
@@ -64,7 +64,7 @@
       () => {
         this.writeInFlight = false;
         for (const worker of openWorkers) {
-          worker.recorded = !this.closedWorkers.has(worker);
+          worker.stored = !this.closedWorkers.has(worker);
         }
         this.onStored();
       },
@@ -82,7 +82,7 @@
       return;
     }
     this.closedWorkers.add(worker);
-    worker.recorded = false;
+    worker.stored = false;
   }
 
   private storedWorker(
@@ -95,8 +95,8 @@
       return {entry, closedJobs: this.inherited.get(worker)};
     }
     const jobs = new Set<string>();
-    for (const {jobTask: task} of this.index.runsOn(worker)) {
-      jobs.add(task.step.owner.definition.id);
+    for (const {jobTask: task} of this.assignmentIndex.runsOn(worker)) {
+      jobs.add(task.step.jobRecord.definition.id);
     }
     return {entry, closedJobs: [...jobs]};
   }
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -14,14 +14,14 @@
 export interface WorkerLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
-  readonly index: assignmentIndex.AssignmentIndex;
+  readonly assignmentIndex: assignmentIndex.AssignmentIndex;
   readonly journal: jobJournal.JobJournal;
   readonly tracker: runTracker.RunTracker;
   readonly reliability: workerReliability.WorkerReliability;
   readonly leaseMs: number;
   /** When all leases granted by earlier terms have expired. */
   readonly earlierLeasesExpireAt: clock.Milliseconds;
-  readonly requestPass: () => void;
+  readonly requestPlacementPass: () => void;
   /** Called after a worker's report was applied. */
   readonly onReport: (worker: remoteWorker.RemoteWorker) => void;
   /** Called after a worker incarnation has ended. */
@@ -41,12 +41,13 @@
   private sessionsOpen = false;
 
   constructor(private readonly dependencies: WorkerLifecycleDependencies) {
-    const {workers, index, journal, requestPass} = dependencies;
+    const {workers, assignmentIndex, journal, requestPlacementPass} =
+      dependencies;
     this.storedList = new storedWorkerList.StoredWorkerList(
       workers,
-      index,
+      assignmentIndex,
       journal,
-      requestPass,
+      requestPlacementPass,
     );
   }
 
@@ -81,7 +82,7 @@
 
   /** Applies the registry's current list. */
   update(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
-    const {workers, options, requestPass} = this.dependencies;
+    const {workers, options, requestPlacementPass} = this.dependencies;
     const {joined, replaced} = workers.applyRegistryList(
       entries,
       options.clock.now(),
@@ -89,7 +90,7 @@
     for (const worker of replaced) this.endIncarnation(worker, 'replaced');
     for (const worker of joined) this.openSession(worker);
     if (this.sessionsOpen && joined.length > 0) this.storedList.store();
-    requestPass();
+    requestPlacementPass();
   }
 
   /** Handles expired leases, and updates the stored list of workers. */
@@ -102,7 +103,7 @@
     this.storedList.update();
   }
 
-  mayExtendLeases(): boolean {
+  mayGrantLeases(): boolean {
     return this.sessionsOpen && this.dependencies.options.mayGrantLeases();
   }
 
@@ -124,7 +125,7 @@
     );
   }
 
-  replaced(worker: remoteWorker.RemoteWorker): void {
+  workerReplaced(worker: remoteWorker.RemoteWorker): void {
     if (this.sessionsOpen) this.endIncarnation(worker, 'otherLife');
   }
 
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -46,7 +46,7 @@
 ): boolean {
   return (
     worker.fenceAccepted &&
-    worker.recorded &&
+    worker.stored &&
     worker.acceptsTasks &&
     worker.excludedUntil <= now
   );
--- a/src/loop.ts
+++ b/src/loop.ts
@@ -68,16 +68,18 @@
    * Handles one event. An exception is counted and logged, so that it does not
    * prevent the following turns.
    */
-  private handle(taken: event.Event): void {
+  private handle(handled: event.Event): void {
     try {
-      for (const wanted of this.handler.handle(taken, this.clock.now())) {
-        this.performer.perform(wanted);
+      for (const effect of this.handler.handle(handled, this.clock.now())) {
+        this.performer.perform(effect);
       }
     } catch (fault) {
-      this.performer.perform(effects.count('turn_failed', {event: taken.kind}));
+      this.performer.perform(
+        effects.count('turn_failed', {event: handled.kind}),
+      );
       this.performer.perform(
         effects.log('error', 'turnFailed', {
-          taken: taken.kind,
+          taken: handled.kind,
           fault: fault instanceof Error ? String(fault.stack) : String(fault),
         }),
       );
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -49,14 +49,14 @@
   private readonly directory: zoneDirectory.ZoneDirectory;
   private readonly scheduler: requestScheduler.RequestScheduler;
   private readonly queue: schedulerQueue.SchedulerQueue;
-  private readonly desk: requestCoordinator.RequestCoordinator;
+  private readonly coordinator: requestCoordinator.RequestCoordinator;
   /** Latest time at which the workers are handed over. */
   private handOverBy = Infinity;
   private handoverBegun = false;
 
-  constructor(private readonly parts: EntryVmOptions) {
-    const {self, random, logOptions} = parts;
-    this.documents = new configurationStore.ConfigurationStore(parts.reader, {
+  constructor(private readonly options: EntryVmOptions) {
+    const {self, random, logOptions} = options;
+    this.documents = new configurationStore.ConfigurationStore(options.reader, {
       random,
       location: self,
       retentionMs: logOptions?.retentionMs,
@@ -74,7 +74,7 @@
       this.documents,
     );
     this.queue = new schedulerQueue.SchedulerQueue(this.scheduler);
-    this.desk = new requestCoordinator.RequestCoordinator({
+    this.coordinator = new requestCoordinator.RequestCoordinator({
       self: self.process,
       random,
       documents: this.documents,
@@ -104,7 +104,7 @@
       // this process have ended.
       ...(isDrain ? [] : this.zone.handle(handled, now)),
       ...this.documents.handle(handled, now),
-      ...this.desk.handle(handled, now),
+      ...this.coordinator.handle(handled, now),
       ...this.handOverWhenIdle(now),
       ...(handled.kind === 'statusArrived' ? [this.status(handled.call)] : []),
       ...schedulerEffects.handleEvent(this.scheduler, handled, now),
@@ -118,7 +118,7 @@
     return Math.min(
       this.zone.nextDeadline(),
       this.documents.nextDeadline(),
-      this.desk.nextDeadline(),
+      this.coordinator.nextDeadline(),
       this.handoverBegun ? Infinity : this.handOverBy,
       this.scheduler.nextDeadline(),
     );
@@ -137,7 +137,7 @@
    * owner, calls would only wait.
    */
   private isReady(): boolean {
-    if (this.desk.isDraining() || this.isSuperseded()) return false;
+    if (this.coordinator.isDraining() || this.isSuperseded()) return false;
     if (this.documents.current().versions.size === 0) return false;
     return this.workers
       .all()
@@ -149,10 +149,12 @@
   ): ReadonlyArray<effects.Effect> {
     if (this.handOverBy === Infinity || this.handoverBegun) return [];
     this.zone.announceLeaving();
-    if (!this.desk.isIdle() && now < this.handOverBy) return [];
+    if (!this.coordinator.isIdle() && now < this.handOverBy) return [];
     this.handoverBegun = true;
     this.zone.drain();
-    return [effects.log('info', 'handoverBegun', {idle: this.desk.isIdle()})];
+    return [
+      effects.log('info', 'handoverBegun', {idle: this.coordinator.isIdle()}),
+    ];
   }
 
   private status(call: event.CallNumber): effects.Effect {
@@ -161,14 +163,14 @@
       .filter(item => this.zone.owns(item.name))
       .map(item => item.name);
     const content = {
-      process: this.parts.self.process,
-      zone: this.parts.self.zone,
+      process: this.options.self.process,
+      zone: this.options.self.zone,
       ownedWorkers: owned,
       documents: Object.fromEntries(this.documents.current().versions),
       waiting: this.queue.waitingCount(),
-      unfinished: this.desk.unfinishedCount(),
-      draining: this.desk.isDraining(),
-      idle: this.desk.isIdle(),
+      unfinished: this.coordinator.unfinishedCount(),
+      draining: this.coordinator.isDraining(),
+      idle: this.coordinator.isIdle(),
       left: this.zone.hasLeft(),
       ready: this.isReady(),
       members: this.zone.members(),
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -25,14 +25,17 @@
     worker.Worker,
     resources.Resources
   >();
-  private readonly reservedByTeam = new Map<string, resources.Resources>();
+  private readonly reservedTotalsByTeam = new Map<
+    string,
+    resources.Resources
+  >();
   private readonly rackCountsByWorkload = new Map<
     string,
     Map<string, number>
   >();
   private workerList: ReadonlyArray<worker.Worker> | undefined;
   private capacitySum = resources.NONE;
-  private heldSumValue = resources.NONE;
+  private reservedTotalValue = resources.NONE;
   private violations: worker.CapacityViolation[] = [];
   private availabilityVersionValue = 0;
   private needsRefreshValue = false;
@@ -57,8 +60,8 @@
   }
 
   /** Total size of the reservations on all known workers. */
-  get heldSum(): resources.Resources {
-    return this.heldSumValue;
+  get reservedTotal(): resources.Resources {
+    return this.reservedTotalValue;
   }
 
   /** Returns the worker of this name, created if it is not known yet. */
@@ -84,8 +87,8 @@
     if (removed === undefined) return;
     // Only the totals drop the reservations. The worker object keeps them,
     // because the worker may return with its tasks.
-    for (const held of removed.reservations().values()) {
-      this.reservationRemoved(removed, held);
+    for (const reservation of removed.reservations().values()) {
+      this.reservationRemoved(removed, reservation);
     }
     this.workers.delete(name);
     this.workerList = undefined;
@@ -115,9 +118,9 @@
   }
 
   /** Excludes a worker from the samples until `refresh` admits it. */
-  exclude(parked: worker.Worker): void {
-    this.excluded.add(parked);
-    this.index.remove(parked);
+  exclude(target: worker.Worker): void {
+    this.excluded.add(target);
+    this.index.remove(target);
   }
 
   /**
@@ -132,9 +135,9 @@
     for (let step = 0; step < Math.min(count, workers.length); step += 1) {
       this.lastRefreshedIndex = (this.lastRefreshedIndex + 1) % workers.length;
       const candidate = workers[this.lastRefreshedIndex];
-      const parked = this.excluded.has(candidate);
-      if (admits(candidate) !== parked) continue;
-      if (!parked) {
+      const isExcluded = this.excluded.has(candidate);
+      if (admits(candidate) !== isExcluded) continue;
+      if (!isExcluded) {
         this.exclude(candidate);
         continue;
       }
@@ -144,13 +147,13 @@
   }
 
   /** Returns the total size of a team's reservations on all workers. */
-  heldByTeam(team: string): resources.Resources {
-    return this.reservedByTeam.get(team) ?? resources.NONE;
+  reservedByTeam(team: string): resources.Resources {
+    return this.reservedTotalsByTeam.get(team) ?? resources.NONE;
   }
 
   /** Returns the teams that have reservations. */
-  holders(): Iterable<string> {
-    return this.reservedByTeam.keys();
+  teamsWithReservations(): Iterable<string> {
+    return this.reservedTotalsByTeam.keys();
   }
 
   /** Returns the number of tasks of a workload on a rack. */
@@ -180,22 +183,43 @@
     if (grew) this.availabilityVersionValue += 1;
   }
 
-  reservationAdded(holder: worker.Worker, held: worker.Reservation): void {
-    if (this.workers.get(holder.name) !== holder) return;
-    const before = this.heldByTeam(held.label.team);
-    this.reservedByTeam.set(held.label.team, resources.add(before, held.size));
-    this.heldSumValue = resources.add(this.heldSumValue, held.size);
-    this.updateRackCount(holder, held, 1);
+  reservationAdded(
+    target: worker.Worker,
+    reservation: worker.Reservation,
+  ): void {
+    if (this.workers.get(target.name) !== target) return;
+    const before = this.reservedByTeam(reservation.label.team);
+    this.reservedTotalsByTeam.set(
+      reservation.label.team,
+      resources.add(before, reservation.size),
+    );
+    this.reservedTotalValue = resources.add(
+      this.reservedTotalValue,
+      reservation.size,
+    );
+    this.updateRackCount(target, reservation, 1);
   }
 
-  reservationRemoved(holder: worker.Worker, held: worker.Reservation): void {
-    if (this.workers.get(holder.name) !== holder) return;
-    const {team} = held.label;
-    const left = resources.subtract(this.heldByTeam(team), held.size);
-    if (resources.equal(left, resources.NONE)) this.reservedByTeam.delete(team);
-    else this.reservedByTeam.set(team, left);
-    this.heldSumValue = resources.subtract(this.heldSumValue, held.size);
-    this.updateRackCount(holder, held, -1);
+  reservationRemoved(
+    target: worker.Worker,
+    reservation: worker.Reservation,
+  ): void {
+    if (this.workers.get(target.name) !== target) return;
+    const {team} = reservation.label;
+    const left = resources.subtract(
+      this.reservedByTeam(team),
+      reservation.size,
+    );
+    if (resources.equal(left, resources.NONE)) {
+      this.reservedTotalsByTeam.delete(team);
+    } else {
+      this.reservedTotalsByTeam.set(team, left);
+    }
+    this.reservedTotalValue = resources.subtract(
+      this.reservedTotalValue,
+      reservation.size,
+    );
+    this.updateRackCount(target, reservation, -1);
   }
 
   capacityViolated(violation: worker.CapacityViolation): void {
@@ -218,16 +242,16 @@
   }
 
   private updateRackCount(
-    holder: worker.Worker,
-    held: worker.Reservation,
+    target: worker.Worker,
+    reservation: worker.Reservation,
     change: 1 | -1,
   ): void {
-    const key = `${held.label.team}/${held.label.workload}`;
+    const key = `${reservation.label.team}/${reservation.label.workload}`;
     const racks =
       this.rackCountsByWorkload.get(key) ?? new Map<string, number>();
-    const count = (racks.get(holder.rack) ?? 0) + change;
-    if (count === 0) racks.delete(holder.rack);
-    else racks.set(holder.rack, count);
+    const count = (racks.get(target.rack) ?? 0) + change;
+    if (count === 0) racks.delete(target.rack);
+    else racks.set(target.rack, count);
     if (racks.size === 0) this.rackCountsByWorkload.delete(key);
     else this.rackCountsByWorkload.set(key, racks);
   }
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -43,7 +43,7 @@
 /** Entry for an ended run in a worker's report. */
 export interface ReportedRunEnd extends RunId {
   readonly sequenceNumber: number;
-  readonly how: string;
+  readonly endKind: string;
   readonly checkpoint: string;
 }
 
@@ -56,7 +56,7 @@
 }
 
 /** Maximum relative rate by which a worker's clock may run slow. */
-const CLOCK_DRIFT = 0.02;
+const MAXIMUM_WORKER_CLOCK_DRIFT = 0.02;
 
 /** Consecutive unanswered calls after which a worker counts as unreachable. */
 const UNREACHABLE_CALL_COUNT = 2;
@@ -76,7 +76,7 @@
   /** Whether the worker has accepted the fencing token of this term. */
   fenceAccepted = false;
   /** Whether the incarnation is stored, so that a successor finds it. */
-  recorded = false;
+  stored = false;
   /** Number of consecutive calls without an answer. */
   unansweredCalls = 0;
   /** Whether the registry lists the worker. */
@@ -192,7 +192,11 @@
     if (this.reading === undefined) return -Infinity;
     const left = this.latestLeaseEndMs - this.reading.clockMs;
     if (left <= 0) return this.reading.receivedAt;
-    return this.reading.receivedAt + left / (1 - CLOCK_DRIFT) + TIMER_MARGIN_MS;
+    return (
+      this.reading.receivedAt +
+      left / (1 - MAXIMUM_WORKER_CLOCK_DRIFT) +
+      TIMER_MARGIN_MS
+    );
   }
 }
 
--- a/src/machines/report_finding.ts
+++ b/src/machines/report_finding.ts
@@ -28,7 +28,7 @@
   workerClock: clock.Milliseconds,
   sentAt: clock.Milliseconds,
 ): ReportFinding {
-  if (tracked.state === 'held') return NO_FINDING;
+  if (tracked.state === 'reserved') return NO_FINDING;
   if (listed === undefined) return checkUnlisted(tracked, workerClock, sentAt);
   if (listed.label.identity !== tracked.label.identity) {
     return {kind: 'mismatch'};
--- a/src/machines/reservation_check.ts
+++ b/src/machines/reservation_check.ts
@@ -10,7 +10,7 @@
    * the second check, because a gang may reserve capacity over several turns
    * before its tasks are tracked.
    */
-  private readonly suspects = new Set<string>();
+  private readonly unmatchedTasks = new Set<string>();
 
   constructor(private readonly tasks: taskSet.TaskSet) {}
 
@@ -19,11 +19,11 @@
     const violations: effect.Effect[] = [];
     for (const name of target.reservations().keys()) {
       if (this.tasks.get(name) !== undefined) {
-        this.suspects.delete(name);
-      } else if (!this.suspects.has(name)) {
-        this.suspects.add(name);
+        this.unmatchedTasks.delete(name);
+      } else if (!this.unmatchedTasks.has(name)) {
+        this.unmatchedTasks.add(name);
       } else {
-        this.suspects.delete(name);
+        this.unmatchedTasks.delete(name);
         target.release(name);
         const fields = {task: name, worker: target.name};
         violations.push(...invariant.violation('reservationHasTask', fields));
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -82,8 +82,8 @@
   }
 
   /** Tracks a task with reserved capacity whose start is not yet sent. */
-  trackHeld(placement: placement.Placement): void {
-    this.tasks.put(trackedTask.heldTask(placement));
+  trackReserved(placement: placement.Placement): void {
+    this.tasks.put(trackedTask.reservedTask(placement));
   }
 
   /**
@@ -95,16 +95,16 @@
     leaseBound: clock.Milliseconds,
     now: clock.Milliseconds,
   ): RunnerOutput {
-    const held = this.tasks.get(name);
-    if (held?.state === 'held') this.sendStart(held, leaseBound, now);
+    const known = this.tasks.get(name);
+    if (known?.state === 'reserved') this.sendStart(known, leaseBound, now);
     return this.takeOutput();
   }
 
   /** Drops a held task; returns false when its start has been sent. */
-  dropHeld(name: string): boolean {
-    const held = this.tasks.get(name);
-    if (held?.state !== 'held') return false;
-    this.tasks.remove(held);
+  untrack(name: string): boolean {
+    const known = this.tasks.get(name);
+    if (known?.state !== 'reserved') return false;
+    this.tasks.remove(known);
     return true;
   }
 
@@ -112,7 +112,7 @@
   stop(name: string): RunnerOutput {
     const tracked = this.tasks.get(name);
     const canStop = tracked !== undefined && !tracked.stopping;
-    if (canStop && tracked.state !== 'held') {
+    if (canStop && tracked.state !== 'reserved') {
       this.tasks.put({...tracked, stopping: true});
       if (tracked.state === 'running') this.sendStop(tracked);
     }
@@ -156,14 +156,14 @@
   }
 
   private sendStart(
-    held: trackedTask.TrackedTask,
+    known: trackedTask.TrackedTask,
     leaseBound: clock.Milliseconds,
     now: clock.Milliseconds,
   ): void {
-    const {name, leaving, clockReading: reading} = held.worker;
+    const {name, leaving, clockReading: reading} = known.worker;
     const permitEnd = this.permits.permitEnd(name);
     if (reading === undefined || leaving || !this.mayPlace(name, now)) {
-      this.settleNotRun(held, 'worker leaving, report stale or permit ended');
+      this.settleNotRun(known, 'worker leaving, report stale or permit ended');
       return;
     }
     const leaseEnd = Math.min(
@@ -171,39 +171,39 @@
       leaseBound,
     );
     if (leaseEnd <= clocks.toWorkerClock(reading, now)) {
-      this.settleNotRun(held, 'lease bound passed before the start was sent');
+      this.settleNotRun(known, 'lease bound passed before the start was sent');
       return;
     }
-    if (!this.allowStart(held, now)) return;
-    this.tasks.put({...held, state: 'starting', leaseEnd});
+    if (!this.allowStart(known, now)) return;
+    this.tasks.put({...known, state: 'starting', leaseEnd});
     this.effects.push({
       kind: 'startTask',
-      worker: held.worker.name,
-      address: held.worker.description.address,
+      worker: known.worker.name,
+      address: known.worker.description.address,
       start: {
-        task: held.task,
-        label: held.label,
-        size: held.size,
-        payload: held.payload,
+        task: known.task,
+        label: known.label,
+        size: known.size,
+        payload: known.payload,
         leaseEnd,
       },
     });
   }
 
   private allowStart(
-    held: trackedTask.TrackedTask,
+    known: trackedTask.TrackedTask,
     now: clock.Milliseconds,
   ): boolean {
-    const {identity, idempotent} = held.label;
+    const {identity, idempotent} = known.label;
     if (idempotent) return true;
-    if (this.ledger.allowsStart(identity, held.taskCount)) {
-      this.ledger.recordStart(identity, held.task);
+    if (this.ledger.allowsStart(identity, known.taskCount)) {
+      this.ledger.recordStart(identity, known.task);
       return true;
     }
     this.effects.push(
-      ...invariant.violation('startedOnce', {identity, task: held.task}),
+      ...invariant.violation('startedOnce', {identity, task: known.task}),
     );
-    this.settleEnded(held, 'unresolved', '', now);
+    this.settleEnded(known, 'unresolved', '', now);
     return false;
   }
 
@@ -259,7 +259,7 @@
       kind: 'notRun',
       reference: trackedTask.reference(known),
       detail,
-      sent: known.state !== 'held',
+      sent: known.state !== 'reserved',
     });
   }
 
@@ -362,13 +362,13 @@
     now: clock.Milliseconds,
   ): void {
     const {workerClock} = arrived.report;
-    const judged = reportFinding.evaluateReport(
+    const finding = reportFinding.evaluateReport(
       known,
       listed,
       workerClock,
       arrived.sentAt,
     );
-    switch (judged.kind) {
+    switch (finding.kind) {
       case 'nothing':
         return;
       case 'running':
@@ -381,7 +381,7 @@
         this.collectAnswer(known, now);
         return;
       case 'ended':
-        this.settleEnded(known, judged.end, '', now);
+        this.settleEnded(known, finding.end, '', now);
         return;
       case 'notRun':
         this.settleNotRun(known, 'start lease ended before the start arrived');
@@ -506,7 +506,7 @@
     now: clock.Milliseconds,
   ): void {
     const reading = known.worker.clockReading;
-    if (known.state === 'held' || reading === undefined) return;
+    if (known.state === 'reserved' || reading === undefined) return;
     const exists = this.workers.get(known.worker.name) !== undefined;
     if (known.state === 'unresolved') {
       this.settleUnresolved(known, exists, now);
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -5,13 +5,13 @@
 import type * as worker from './worker.js';
 
 /**
- * State of a tracked task. `held`: capacity is reserved, no start was sent.
+ * State of a tracked task. `reserved`: capacity is reserved, no start was sent.
  * `starting`: the start is not answered yet. `unknown`: the answer to the start
  * was lost. `collecting`: the task ended and its answer is being fetched.
  * `unresolved`: it may have run on a worker that no longer reports.
  */
 export type TrackedState =
-  'held' | 'starting' | 'unknown' | 'running' | 'collecting' | 'unresolved';
+  'reserved' | 'starting' | 'unknown' | 'running' | 'collecting' | 'unresolved';
 
 /** Final state of a task, as far as it is known. */
 export type TaskEndState =
@@ -88,7 +88,7 @@
 }
 
 const NOT_STARTED = {
-  state: 'held',
+  state: 'reserved',
   leaseEnd: -Infinity,
   startedAt: undefined,
   stopping: false,
@@ -99,7 +99,7 @@
 } as const;
 
 /** Builds a task whose capacity is reserved and whose start is not yet sent. */
-export function heldTask(placement: placement.Placement): TrackedTask {
+export function reservedTask(placement: placement.Placement): TrackedTask {
   const {request} = placement;
   return {
     ...NOT_STARTED,
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -55,8 +55,8 @@
  */
 export class Worker {
   private readonly reservationsByTask = new Map<string, Reservation>();
-  private reserved = resources.NONE;
-  private earmarked = resources.NONE;
+  private reservedForTasks = resources.NONE;
+  private reservedForWaiting = resources.NONE;
   private availableValue = resources.NONE;
   private capacityValue = resources.NONE;
   private rackValue = '';
@@ -87,7 +87,7 @@
 
   /** Capacity minus reservations; negative when overcommitted. */
   get free(): resources.Resources {
-    return resources.subtract(this.capacityValue, this.reserved);
+    return resources.subtract(this.capacityValue, this.reservedForTasks);
   }
 
   /** Free capacity that is not earmarked for a waiting request. */
@@ -151,15 +151,15 @@
   }
 
   /** Earmarks more capacity for waiting requests. */
-  earmark(size: resources.Resources): void {
-    this.earmarked = resources.add(this.earmarked, size);
+  addCapacityReservation(size: resources.Resources): void {
+    this.reservedForWaiting = resources.add(this.reservedForWaiting, size);
     this.updateAvailable();
     this.observer.availabilityChanged(this, false);
   }
 
   /** Withdraws earmarked capacity. */
-  withdrawEarmark(size: resources.Resources): void {
-    this.earmarked = resources.subtract(this.earmarked, size);
+  removeCapacityReservation(size: resources.Resources): void {
+    this.reservedForWaiting = resources.subtract(this.reservedForWaiting, size);
     this.updateAvailable();
     this.observer.availabilityChanged(this, true);
   }
@@ -197,7 +197,10 @@
     const held = this.reservationsByTask.get(taskName);
     if (held === undefined) return;
     this.reservationsByTask.delete(taskName);
-    this.reserved = resources.subtract(this.reserved, held.size);
+    this.reservedForTasks = resources.subtract(
+      this.reservedForTasks,
+      held.size,
+    );
     this.observer.reservationRemoved(this, held);
     this.publishChange('reserve', true);
   }
@@ -212,7 +215,10 @@
     cause: ViolationCause,
   ): void {
     this.reservationsByTask.set(reservation.task, reservation);
-    this.reserved = resources.add(this.reserved, reservation.size);
+    this.reservedForTasks = resources.add(
+      this.reservedForTasks,
+      reservation.size,
+    );
     this.observer.reservationAdded(this, reservation);
     this.publishChange(cause, false);
   }
@@ -228,12 +234,12 @@
   }
 
   private updateAvailable(): void {
-    const {free, earmarked} = this;
+    const {free, reservedForWaiting: reserved} = this;
     // Capacity may be earmarked before it is free. An earmark therefore never
     // makes a dimension negative, because that would exclude even tasks that
     // need nothing in this dimension.
     const floor = resources.minimum(free, resources.NONE);
-    const left = resources.subtract(free, earmarked);
+    const left = resources.subtract(free, reserved);
     this.availableValue = resources.maximum(left, floor);
   }
 
@@ -248,7 +254,10 @@
     const dimension =
       this.clockReadingValue === undefined
         ? undefined
-        : resources.exceededDimension(this.reserved, this.capacityValue);
+        : resources.exceededDimension(
+            this.reservedForTasks,
+            this.capacityValue,
+          );
     const before = this.overcommittedValue;
     this.overcommittedValue = dimension !== undefined;
     if (dimension === undefined || before) return;
@@ -256,7 +265,7 @@
       worker: this.name,
       cause,
       dimension,
-      reserved: this.reserved,
+      reserved: this.reservedForTasks,
       capacity: this.capacityValue,
     });
   }
--- a/src/machines/worker_health.ts
+++ b/src/machines/worker_health.ts
@@ -27,7 +27,7 @@
   /** Early failures of known good workloads in the same period. */
   readonly knownGoodFailures: number;
   readonly suspensionMs: clock.Milliseconds;
-  readonly until: clock.Milliseconds;
+  readonly suspendedUntil: clock.Milliseconds;
 }
 
 const HEALTHY: HealthCondition = {
@@ -35,7 +35,7 @@
   failedWorkloads: new Set(),
   knownGoodFailures: 0,
   suspensionMs: INITIAL_SUSPENSION_MS,
-  until: Infinity,
+  suspendedUntil: Infinity,
 };
 
 /** The facts about an ended task that indicate the health of its worker. */
@@ -44,7 +44,7 @@
   /** Key of the workload, made of team and workload name. */
   readonly workload: string;
   readonly failed: boolean;
-  readonly ranMs: clock.Milliseconds;
+  readonly runTimeMs: clock.Milliseconds;
 }
 
 /**
@@ -66,25 +66,25 @@
   }
 
   /** Records a placement; a worker on probation accepts no second task. */
-  recordPlacement(on: worker.Worker): void {
-    const condition = this.conditions.get(on);
+  recordPlacement(target: worker.Worker): void {
+    const condition = this.conditions.get(target);
     if (condition?.state !== 'probation') return;
-    this.conditions.set(on, {...condition, state: 'probing'});
-    on.setSuspended(true);
+    this.conditions.set(target, {...condition, state: 'probing'});
+    target.setSuspended(true);
   }
 
   /** Records that a probe did not run, so that another one can be placed. */
-  recordNotRun(on: worker.Worker): void {
-    const condition = this.conditions.get(on);
+  recordNotRun(target: worker.Worker): void {
+    const condition = this.conditions.get(target);
     if (condition?.state !== 'probing') return;
-    this.conditions.set(on, {...condition, state: 'probation'});
-    on.setSuspended(false);
+    this.conditions.set(target, {...condition, state: 'probation'});
+    target.setSuspended(false);
   }
 
   /** Records the end of a task; returns true when it suspends the worker. */
   recordEnd(end: EndedTask, now: clock.Milliseconds): boolean {
     const condition = this.conditions.get(end.worker) ?? HEALTHY;
-    const isEarly = end.failed && end.ranMs <= EARLY_FAILURE_MS;
+    const isEarly = end.failed && end.runTimeMs <= EARLY_FAILURE_MS;
     if (condition.state === 'probing') {
       return this.probeEnded(end, isEarly, condition, now);
     }
@@ -117,7 +117,9 @@
   /** Puts workers on probation whose suspension has expired. */
   readmit(now: clock.Milliseconds): void {
     for (const [known, condition] of this.conditions) {
-      if (condition.state !== 'suspended' || condition.until > now) continue;
+      if (condition.state !== 'suspended' || condition.suspendedUntil > now) {
+        continue;
+      }
       this.conditions.set(known, {...condition, state: 'probation'});
       known.setSuspended(false);
     }
@@ -127,7 +129,9 @@
   nextDeadline(): clock.Milliseconds {
     let due = Infinity;
     for (const condition of this.conditions.values()) {
-      if (condition.state === 'suspended') due = Math.min(due, condition.until);
+      if (condition.state === 'suspended') {
+        due = Math.min(due, condition.suspendedUntil);
+      }
     }
     return due;
   }
@@ -170,7 +174,7 @@
       failedWorkloads: new Set(),
       knownGoodFailures: 0,
       suspensionMs,
-      until: now + suspensionMs,
+      suspendedUntil: now + suspensionMs,
     });
     suspended.setSuspended(true);
   }
--- a/src/machines/worker_reliability.ts
+++ b/src/machines/worker_reliability.ts
@@ -11,7 +11,7 @@
 const MAXIMUM_EXCLUSION_MS = 6_000;
 
 /** Exclusion per consecutive rejected command, up to 5 times this duration. */
-const REFUSAL_EXCLUSION_MS = 300;
+const REJECTION_EXCLUSION_MS = 300;
 
 /** Duration of the exclusion after a stalled or very slow run. */
 const SLOW_RUN_EXCLUSION_MS = 3_000;
@@ -23,7 +23,7 @@
   /** Jobs whose runs failed since the last that succeeded. */
   readonly failedJobs: Set<string>;
   exclusionMs: number;
-  refusals: number;
+  rejections: number;
 }
 
 /**
@@ -43,7 +43,7 @@
     if (record === undefined) return;
     record.failedJobs.clear();
     record.exclusionMs = INITIAL_EXCLUSION_MS;
-    record.refusals = 0;
+    record.rejections = 0;
     worker.excludedUntil = 0;
   }
 
@@ -62,13 +62,13 @@
   }
 
   /** Records that the worker rejected a command. */
-  recordRefusal(
+  recordRejection(
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
   ): void {
     const record = this.record(worker);
-    record.refusals += 1;
-    const exclusionMs = REFUSAL_EXCLUSION_MS * Math.min(record.refusals, 5);
+    record.rejections += 1;
+    const exclusionMs = REJECTION_EXCLUSION_MS * Math.min(record.rejections, 5);
     worker.excludedUntil = Math.max(worker.excludedUntil, now + exclusionMs);
   }
 
@@ -94,12 +94,12 @@
   private record(worker: remoteWorker.RemoteWorker): ReliabilityRecord {
     const known = this.records.get(worker);
     if (known !== undefined) return known;
-    const opened: ReliabilityRecord = {
+    const created: ReliabilityRecord = {
       failedJobs: new Set(),
       exclusionMs: INITIAL_EXCLUSION_MS,
-      refusals: 0,
+      rejections: 0,
     };
-    this.records.set(worker, opened);
-    return opened;
+    this.records.set(worker, created);
+    return created;
   }
 }
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -13,11 +13,11 @@
   /** A call was not answered, or was rejected without a report. */
   answerMissing(worker: remoteWorker.RemoteWorker): void;
   /** Another incarnation has answered at the worker's address. */
-  replaced(worker: remoteWorker.RemoteWorker): void;
+  workerReplaced(worker: remoteWorker.RemoteWorker): void;
   /** The worker has accepted the fencing token of a later term. */
   termSuperseded(worker: remoteWorker.RemoteWorker): void;
   /** Returns whether this term may still extend leases. */
-  mayExtendLeases(): boolean;
+  mayGrantLeases(): boolean;
 }
 
 /** Maximum time for which a worker may delay its answer until a run ends. */
@@ -44,7 +44,7 @@
     private readonly client: workerClient.WorkerClient,
     private readonly listener: SessionListener,
     private readonly clock: clock.Clock,
-    private readonly fence: number,
+    private readonly fencingToken: number,
     private readonly leaseMs: number,
     private readonly pause: (milliseconds: number) => Promise<void>,
   ) {}
@@ -77,7 +77,7 @@
     // A renewal without an answer may still have arrived. None is sent to a
     // worker that does not answer, so that its last lease certainly expires.
     const mayExtend =
-      this.listener.mayExtendLeases() && worker.unansweredCalls === 0;
+      this.listener.mayGrantLeases() && worker.unansweredCalls === 0;
     const deadlineMs = mayExtend
       ? worker.extendLease(sentAt, this.leaseMs)
       : undefined;
@@ -86,7 +86,7 @@
     const waitMs =
       worker.fenceAccepted && deadlineMs !== undefined ? LONG_POLL_WAIT_MS : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
-      fence: this.fence,
+      fence: this.fencingToken,
       storedEndNumber: worker.storedEndNumber,
       deadlineMs,
       waitMs,
@@ -113,7 +113,7 @@
   ): boolean {
     const {worker} = this;
     if (report.born !== undefined && report.born !== worker.entry.born) {
-      this.listener.replaced(worker);
+      this.listener.workerReplaced(worker);
       return false;
     }
     const first = !worker.fenceAccepted;
@@ -122,12 +122,12 @@
     this.listener.reportReceived(worker, report, sentAt);
     // When leases may not be extended, the worker answers at once; returning
     // false makes the loop pause between the calls.
-    return first || this.listener.mayExtendLeases();
+    return first || this.listener.mayGrantLeases();
   }
 
   private handleRejection(reason: workerClient.RejectionReason): void {
     if (reason === 'superseded') this.listener.termSuperseded(this.worker);
-    else if (reason === 'otherLife') this.listener.replaced(this.worker);
+    else if (reason === 'otherLife') this.listener.workerReplaced(this.worker);
     else this.listener.answerMissing(this.worker);
   }
 }
--- a/src/operations/prometheus_metrics.ts
+++ b/src/operations/prometheus_metrics.ts
@@ -36,24 +36,24 @@
   }
 
   private createCounter(name: string): promClient.Counter<'reason'> {
-    const opened = new promClient.Counter({
+    const created = new promClient.Counter({
       name: `parsleyknot_${name}_total`,
       help: `Count of ${name} by reason`,
       labelNames: ['reason'] as const,
       registers: [this.registry],
     });
-    this.counters.set(name, opened);
-    return opened;
+    this.counters.set(name, created);
+    return created;
   }
 
   private createHistogram(name: string): promClient.Histogram {
-    const opened = new promClient.Histogram({
+    const created = new promClient.Histogram({
       name: `parsleyknot_${name}_milliseconds`,
       help: `Duration of ${name}`,
       buckets: LATENCY_BUCKETS_MS,
       registers: [this.registry],
     });
-    this.histograms.set(name, opened);
-    return opened;
+    this.histograms.set(name, created);
+    return created;
   }
 }
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -145,7 +145,7 @@
         runEnd.sequenceNumber,
         runEnd.task,
         runEnd.run,
-        runEnd.how,
+        runEnd.endKind,
         runEnd.checkpoint,
       ]),
     });
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -175,7 +175,7 @@
     this.nextEndNumber += 1;
     this.ended = [
       ...this.ended,
-      {sequenceNumber, task, run, how: outcome, checkpoint: ''},
+      {sequenceNumber, task, run, endKind: outcome, checkpoint: ''},
     ];
     this.recordEvent('ended', task, run, outcome);
   }
--- a/test/jobs/idle_capacity_throttle_test.ts
+++ b/test/jobs/idle_capacity_throttle_test.ts
@@ -32,7 +32,10 @@
     review: (now: number) => void;
   } {
     const index = new assignmentIndex.AssignmentIndex();
-    const worker = new remoteWorker.RemoteWorker(jobCell.workerEntry('one'), 0);
+    const worker = new remoteWorker.RemoteWorker(
+      jobCell.registryEntry('one'),
+      0,
+    );
     const serving = place(index, worker, 'aa', {
       longRunning: true,
       targetMs: 100,
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -261,7 +261,7 @@
     const first = await cell.startTerm(1);
     jobCell.submit(first, jobCell.jobOf('aa', {}));
     await cell.time.advance(300);
-    cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
+    cell.entries = [jobCell.registryEntry('one', {state: 'draining'})];
     first.updateWorkers(cell.entries);
     await cell.time.advance(300);
     jobCell.submit(first, jobCell.jobOf('bb', {}));
@@ -331,7 +331,7 @@
   // out late.
   test('keeps the resources of a start reserved until its outcome is known', async () => {
     const cell = new jobCell.JobCell();
-    const entry = jobCell.workerEntry('one');
+    const entry = jobCell.registryEntry('one');
     const worker = cell.addWorker(entry);
     const scheduler = await cell.startTerm(1);
     cell.workers.commandDelayMs = () => 3_000;
@@ -351,14 +351,14 @@
   // late, after the worker has rejected the second one.
   test('may still carry out a start after it has rejected a copy', async () => {
     const cell = new jobCell.JobCell();
-    const first = cell.addWorker(jobCell.workerEntry('one'));
+    const first = cell.addWorker(jobCell.registryEntry('one'));
     const scheduler = await cell.startTerm(1);
     cell.workers.commandDelayMs = () => 2_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(100);
     cell.workers.commandDelayMs = () => 0;
     first.rejectReason = 'unhealthy';
-    cell.addWorker(jobCell.workerEntry('two'));
+    cell.addWorker(jobCell.registryEntry('two'));
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(1_000);
     first.rejectReason = undefined;
@@ -371,7 +371,7 @@
   // start after its proof of leadership has expired.
   test('gets no retried start without proof of leadership', async () => {
     const cell = new jobCell.JobCell();
-    const worker = cell.addWorker(jobCell.workerEntry('one'));
+    const worker = cell.addWorker(jobCell.registryEntry('one'));
     const scheduler = await cell.startTerm(1);
     cell.workers.commandDelayMs = () => 60_000;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -235,7 +235,7 @@
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {longRunning: true}));
     await cell.time.advance(1_500);
-    cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
+    cell.entries = [jobCell.registryEntry('one', {state: 'draining'})];
     cell.addWorkers(() => ({runTimeMs: 60_000, outcome: 'done'}), 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(600);
@@ -253,7 +253,7 @@
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, jobCell.jobOf('a1', {}));
     await cell.time.advance(200);
-    cell.entries = [jobCell.workerEntry('one', {state: 'draining'})];
+    cell.entries = [jobCell.registryEntry('one', {state: 'draining'})];
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'two');
     scheduler.updateWorkers(cell.entries);
     await cell.time.advance(2_000);
--- a/test/jobs/run_health_test.ts
+++ b/test/jobs/run_health_test.ts
@@ -15,7 +15,7 @@
   worker: remoteWorker.RemoteWorker;
 } {
   const record = new jobRecord.JobRecord(jobCell.jobOf('aa', step), 0);
-  const worker = new remoteWorker.RemoteWorker(jobCell.workerEntry('one'), 0);
+  const worker = new remoteWorker.RemoteWorker(jobCell.registryEntry('one'), 0);
   const task = record.steps[0].tasks[0];
   const run = new jobTask.Assignment(task, worker, 1, undefined, 0);
   run.phase = 'running';
--- a/test/jobs/step_ordering_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -33,7 +33,7 @@
       step => step.definition.estimatedRuntimeMs,
       () => PROCESSORS,
     )
-    .map(({step}) => step.owner.definition.id);
+    .map(({step}) => step.jobRecord.definition.id);
 }
 
 describe('the order of waiting steps', () => {
--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -90,10 +90,10 @@
         resources.subtract(target.capacity, target.free),
       );
     }
-    assert.deepEqual(world.fleet.heldSum, held);
-    assert.deepEqual(world.fleet.heldByTeam('dispatch'), held);
+    assert.deepEqual(world.fleet.reservedTotal, held);
+    assert.deepEqual(world.fleet.reservedByTeam('dispatch'), held);
     for (const target of workers) world.fleet.remove(target.name);
-    assert.deepEqual(world.fleet.heldSum, resources.NONE);
+    assert.deepEqual(world.fleet.reservedTotal, resources.NONE);
     assert.deepEqual(world.fleet.capacity, resources.NONE);
   });
 });
@@ -108,7 +108,7 @@
     world.fleet.remove(gone.name);
     assert.ok(gone.reservations().has('one'));
     gone.release('one');
-    assert.deepEqual(world.fleet.heldSum, size);
+    assert.deepEqual(world.fleet.reservedTotal, size);
   });
 });
 
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -38,7 +38,7 @@
     const label = contractSamples.buildTaskReport(name, 'id').label;
     this.worker.reserve({task: name, label, size: request.size});
     const {size} = request;
-    this.runner.trackHeld({request, task: name, worker: this.worker, size});
+    this.runner.trackReserved({request, task: name, worker: this.worker, size});
     return this.runner.start(name, Infinity, this.now);
   }
 
@@ -75,7 +75,7 @@
     });
   }
 
-  pass(milliseconds: number): taskRunner.RunnerOutput {
+  advance(milliseconds: number): taskRunner.RunnerOutput {
     this.now += milliseconds;
     return this.handle({kind: 'timePassed'});
   }
@@ -204,13 +204,13 @@
         contractSamples.buildTaskReport(name, 'id'),
       );
       fixture.report(listed);
-      const [renewal, ...more] = effectsOf(fixture.pass(600), 'renewLeases');
+      const [renewal, ...more] = effectsOf(fixture.advance(600), 'renewLeases');
       assert.deepEqual(renewal.tasks, ['id/0.1', 'id/1.1']);
       assert.deepEqual(more, []);
       fixture.permitEnd = 0;
       for (let second = 0; second < 12; second += 1) {
         fixture.report(listed);
-        assert.deepEqual(effectsOf(fixture.pass(1_000), 'renewLeases'), []);
+        assert.deepEqual(effectsOf(fixture.advance(1_000), 'renewLeases'), []);
       }
       assert.ok(fixture.runner.nextDeadline() > fixture.now);
     },
@@ -225,11 +225,11 @@
       const fixture = new RunnerFixture();
       fixture.start({idempotent: true});
       fixture.answerStart('started');
-      fixture.pass(600);
+      fixture.advance(600);
       fixture.permitEnd = Infinity;
-      assert.deepEqual(outcomeKinds(fixture.pass(29_900)), []);
+      assert.deepEqual(outcomeKinds(fixture.advance(29_900)), []);
       assert.equal(fixture.worker.reservations().size, 1);
-      const turn = fixture.pass(200);
+      const turn = fixture.advance(200);
       assert.deepEqual(outcomeKinds(turn), ['ended']);
       assert.equal(fixture.worker.reservations().size, 0);
     },
@@ -241,7 +241,7 @@
       const fixture = new RunnerFixture();
       fixture.start({idempotent: true});
       fixture.answerStart('started');
-      assert.deepEqual(outcomeKinds(fixture.pass(120_000)), []);
+      assert.deepEqual(outcomeKinds(fixture.advance(120_000)), []);
     },
   );
 
@@ -252,7 +252,7 @@
       fixture.start();
       fixture.answerStart('lost');
       fixture.permitEnd = Infinity;
-      assert.deepEqual(outcomeKinds(fixture.pass(5_000)), ['unknown']);
+      assert.deepEqual(outcomeKinds(fixture.advance(5_000)), ['unknown']);
       assert.equal(fixture.worker.reservations().size, 0);
       const state = 'finished';
       const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -8,11 +8,11 @@
   health: workerHealth.WorkerHealth,
   on: worker.Worker,
   workloads: ReadonlyArray<string>,
-  ranMs = 10,
+  runTimeMs = 10,
 ): boolean {
   return workloads
     .map(workload =>
-      health.recordEnd({worker: on, workload, failed: true, ranMs}, 0),
+      health.recordEnd({worker: on, workload, failed: true, runTimeMs}, 0),
     )
     .includes(true);
 }
@@ -44,7 +44,12 @@
       const health = new workerHealth.WorkerHealth();
       const [healthy, faulty] =
         new schedulingHarness.SchedulingHarness().addWorkers(2);
-      const end = {worker: healthy, workload: 'a', failed: false, ranMs: 200};
+      const end = {
+        worker: healthy,
+        workload: 'a',
+        failed: false,
+        runTimeMs: 200,
+      };
       health.recordEnd(end, 0);
       assert.equal(recordFailures(health, faulty, ['a', 'a', 'a', 'a']), false);
       assert.ok(recordFailures(health, faulty, ['a']));
@@ -58,7 +63,7 @@
       const health = new workerHealth.WorkerHealth();
       const machines = new schedulingHarness.SchedulingHarness().addWorkers(3);
       const [first, second, third] = machines;
-      const end = {worker: first, workload: 'a', failed: false, ranMs: 200};
+      const end = {worker: first, workload: 'a', failed: false, runTimeMs: 200};
       health.recordEnd(end, 0);
       const many = new Array<string>(20).fill('a');
       recordFailures(health, first, ['a']);
@@ -79,7 +84,7 @@
       assert.ok(health.isOnProbation(machine));
       health.recordPlacement(machine);
       assert.equal(machine.ready, false);
-      const probe = {worker: machine, workload: 'a', ranMs: 10};
+      const probe = {worker: machine, workload: 'a', runTimeMs: 10};
       health.recordEnd({...probe, failed: true}, 31_000);
       assert.equal(health.nextDeadline(), 91_000);
       health.readmit(91_000);
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -45,10 +45,10 @@
 
   stop(
     entry: remoteWorker.RegistryEntry,
-    name: remoteWorker.RunId,
+    runId: remoteWorker.RunId,
     fence: number,
   ): Promise<workerClient.CommandOutcome> {
-    return this.deliver(entry, worker => worker.stop(name, fence));
+    return this.deliver(entry, worker => worker.stop(runId, fence));
   }
 
   async throttle(): Promise<workerClient.CommandOutcome> {
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -50,7 +50,7 @@
 }
 
 /** Returns the registry entry of a worker with four cores. */
-export function workerEntry(
+export function registryEntry(
   name: string,
   changes: Partial<remoteWorker.RegistryEntry> = {},
 ): remoteWorker.RegistryEntry {
@@ -98,7 +98,7 @@
 
   /** Adds workers whose runs follow the same plan. */
   addWorkers(plan: workerModel.RunPlan, ...names: string[]): void {
-    for (const name of names) this.addWorker(workerEntry(name), plan);
+    for (const name of names) this.addWorker(registryEntry(name), plan);
   }
 
   addWorker(
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -19,7 +19,7 @@
 
 const WORKER_COUNT = 5;
 
-interface Leader {
+interface SimulatedTerm {
   readonly scheduler: jobScheduler.JobScheduler;
   readonly proof: {until: number};
 }
@@ -61,7 +61,7 @@
   private readonly violations: string[] = [];
   private readonly definitions = new Map<string, job.JobDefinition>();
   private readonly models: workerModel.WorkerModel[] = [];
-  private leader: Leader | undefined;
+  private currentTerm: SimulatedTerm | undefined;
   private term = 0;
   private incarnations = 0;
   private checkedEvents = 0;
@@ -131,8 +131,8 @@
     if (this.chance(3)) steps.push({count: 2, after: [0]});
     const definition = jobCell.jobOf(id, ...steps);
     // A process that has not loaded the jobs yet does not submit any.
-    if (!this.leader?.scheduler.isServing) return;
-    this.leader.scheduler.submit(definition, 1, outcome => {
+    if (!this.currentTerm?.scheduler.isServing) return;
+    this.currentTerm.scheduler.submit(definition, 1, outcome => {
       if (outcome.kind === 'accepted') this.definitions.set(id, definition);
     });
   }
@@ -140,9 +140,9 @@
   /** Starts the next scheduler while the previous one may continue. */
   private async startSuccessor(): Promise<void> {
     const now = this.cell.time.now();
-    if (this.leader !== undefined) {
+    if (this.currentTerm !== undefined) {
       const longestMs = jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
-      this.leader.proof.until = now + this.random.below(longestMs);
+      this.currentTerm.proof.until = now + this.random.below(longestMs);
     }
     this.term += 1;
     const proof = {until: Infinity};
@@ -150,13 +150,13 @@
       this.term,
       () => this.cell.time.now() < proof.until,
     );
-    const leader = {scheduler: successor, proof};
-    this.leader = leader;
+    const successorTerm = {scheduler: successor, proof};
+    this.currentTerm = successorTerm;
   }
 
   private addWorker(index: number): void {
     this.incarnations += 1;
-    const entry = jobCell.workerEntry(`w${index}`, {
+    const entry = jobCell.registryEntry(`w${index}`, {
       born: this.incarnations,
       address: `w${index}:${this.incarnations}`,
     });
@@ -169,7 +169,7 @@
       outcome: this.chance(60) ? 'failed' : 'done',
     }));
     this.models[index] = model;
-    this.leader?.scheduler.updateWorkers(this.cell.entries);
+    this.currentTerm?.scheduler.updateWorkers(this.cell.entries);
   }
 
   private disconnectWorker(): void {
@@ -257,7 +257,7 @@
 
   private checkCompleted(): void {
     for (const id of this.definitions.keys()) {
-      const state = this.leader?.scheduler.stateOf('orders', id);
+      const state = this.currentTerm?.scheduler.stateOf('orders', id);
       if (state === 'completed' || state === 'failed') continue;
       this.violations.push(`accepted job did not finish: ${id} is ${state}`);
     }
