--- a/src/links/peer_link.ts
+++ b/src/links/peer_link.ts
@@ -104,7 +104,7 @@
       (client, options) =>
         client.confirm(
           {
-            ...peerMessages.encodePeerStatus(peerEffect.status),
+            ...peerMessages.encodeStatus(peerEffect.status),
             to: peerEffect.peer,
             zonePosition: peerMessages.toUint64(peerEffect.zonePosition),
           },
@@ -124,7 +124,7 @@
       sentAt,
       confirmed: answer.confirmed,
       zoneRecords: peerMessages.decodeRecords(answer.zoneRecords),
-      status: peerMessages.decodePeerStatus(answer),
+      status: peerMessages.decodeStatus(answer),
     };
   }
 
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -85,7 +85,7 @@
 }
 
 /** Fields that the request and the response of a confirmation share. */
-export interface EncodedPeerStatus {
+export interface EncodedStatus {
   readonly from: string;
   readonly zone: string;
   readonly address: string;
@@ -96,7 +96,7 @@
 }
 
 /** Encodes the shared fields of a confirmation request or response. */
-export function encodePeerStatus(status: event.PeerStatus): EncodedPeerStatus {
+export function encodeStatus(status: event.PeerStatus): EncodedStatus {
   return {
     from: status.from,
     zone: status.zone,
@@ -109,7 +109,7 @@
 }
 
 /** Decodes the shared fields of a confirmation request or response. */
-export function decodePeerStatus(
+export function decodeStatus(
   message: peerPb.ConfirmRequest | peerPb.ConfirmResponse,
 ): event.PeerStatus {
   return {
