Reword comments in zones, links and platform that needed their context

Names the subject of each sentence and the term it is about; the test status constant is called STATUS as in the peer link test. Behaviour is unchanged.

--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -131,7 +131,7 @@
     });
   }
 
-  /** Reports not ready and closes each connection after its next response. */
+  /** Ends readiness and closes each connection after its next response. */
   beginDrain(): void {
     this.draining = true;
   }
--- a/src/links/event_stream.ts
+++ b/src/links/event_stream.ts
@@ -23,7 +23,7 @@
     return this.headersSent;
   }
 
-  /** Sends the state of the request if it changed, and closes at its end. */
+  /** Sends the state if it changed; ends the stream when the request ended. */
   update(reply: effect.Reply): StateChange {
     if (!this.headersSent) this.begin();
     const ended = reply.code !== result.RESULT_CODES.accepted.code;
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -95,7 +95,7 @@
     this.options.post({kind: 'recordsRead', stream, sentAt, ...batch});
   }
 
-  /** Transfers the list only when it has changed, as it has a row per VM. */
+  /** Transfers the list only if it has changed, because it has a row per VM. */
   private async readVmList(): Promise<void> {
     const sentAt = this.options.now();
     const cached = this.cachedList;
--- a/src/links/toml_document_writer.ts
+++ b/src/links/toml_document_writer.ts
@@ -2,7 +2,7 @@
 
 /**
  * Returns a derived document in TOML, with a comment beside each value that
- * names the answer behind it; `isGiven` tells answers from defaults.
+ * names the answer behind it; `isGiven` is false for defaults.
  */
 export function writeDocument(
   document: questionnaireAnswers.DerivedDocument,
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -118,7 +118,7 @@
     this.suspicionAt ??= now;
   }
 
-  /** Factor on the time that the leader has to answer or to take over. */
+  /** Factor by which the timeouts for the leader grow with the cell. */
   get timeoutScale(): number {
     return Math.max(1, this.members.size / REFERENCE_MEMBER_COUNT);
   }
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -186,7 +186,7 @@
    */
   private allConfirmedSince(now: clock.Milliseconds): clock.Milliseconds {
     const {members, presence, vm} = this.dependencies;
-    // Others may consider a VM gone that the list no longer names.
+    // Other members may count a VM that is missing from the list as gone.
     if (presence.wasListed(vm) && !presence.isListed(vm)) return -Infinity;
     let earliest = now;
     let hasGoneMember = false;
--- a/src/zones/zone_directory.ts
+++ b/src/zones/zone_directory.ts
@@ -4,8 +4,8 @@
 import type * as zoneController from './zone_controller.js';
 
 /**
- * Directory of the other entry processes: those of the own zone by its records,
- * those of other zones by the VM list.
+ * Directory of the other entry processes: those of its own zone by the records
+ * of that zone, and those of other zones by the VM list.
  */
 export class ZoneDirectory implements processDirectory.ProcessDirectory {
   private otherZoneVms: ReadonlyArray<event.ListedVm> = [];
--- a/test/links/worker_link_test.ts
+++ b/test/links/worker_link_test.ts
@@ -239,7 +239,7 @@
     }
   });
 
-  // Guards against a malformed report that counts as a sign of life.
+  // Guards against a malformed report that counts as proof of a live worker.
   nodeTest.test('a malformed report counts as failed', async () => {
     const server = new standInServer.StandInServer({
       serve: call => call.send(200, {...good, tasks: [{}]}),
--- a/test/zones/zone_controller_test.ts
+++ b/test/zones/zone_controller_test.ts
@@ -4,7 +4,7 @@
 import * as ownership from '../../src/zones/ownership.js';
 import * as zoneController from '../../src/zones/zone_controller.js';
 
-const PEER_STATUS = {
+const STATUS = {
   from: 'b',
   zone: 'z',
   address: 'b:1',
@@ -44,7 +44,7 @@
   at: number,
   leaving = false,
 ): boolean {
-  const status = {...PEER_STATUS, leaving};
+  const status = {...STATUS, leaving};
   const request = {call: 1, to: 'a', zonePosition: 3, status};
   const [answer] = controller.handle({kind: 'confirmArrived', ...request}, at);
   assert.ok(answer.kind === 'answerConfirm');
@@ -85,7 +85,7 @@
         peer: 'b',
         sentAt: 4_600,
         zoneRecords: [],
-        status: PEER_STATUS,
+        status: STATUS,
       };
       const kind = 'confirmAnswered';
       controller.handle({kind, confirmed: false, ...answer}, 4_700);
