--- a/bench/cell_bench.ts
+++ b/bench/cell_bench.ts
@@ -32,7 +32,7 @@
 }
 
 /** Submits jobs at a constant rate until it is stopped. */
-class JobLoad {
+class JobGenerator {
   private stopped = false;
   private lastJobNumber = 0;
 
@@ -43,12 +43,12 @@
 
   async run(): Promise<void> {
     if (this.jobsPerSecond === 0) return;
-    const entry = this.cell.processes[1];
+    const target = this.cell.processes[1];
     const startedAtMs = performance.now();
     while (!this.stopped) {
       this.lastJobNumber += 1;
       const id = platformCell.jobIdOf(this.lastJobNumber);
-      void this.cell.callFront(entry, 'POST', id, JOB_REQUEST);
+      void this.cell.callJobApi(target, 'POST', id, JOB_REQUEST);
       const dueMs =
         startedAtMs + (1_000 * this.lastJobNumber) / this.jobsPerSecond;
       await timers.setTimeout(Math.max(0, dueMs - performance.now()));
@@ -95,25 +95,25 @@
     runPlan: () => ({runTimeMs: TASK_RUN_TIME_MS, outcome: 'done'}),
     command: [process.execPath, 'target/parsleyknot.cjs'],
   });
-  const load = new JobLoad(cell, jobsPerSecond);
-  void load.run();
+  const generator = new JobGenerator(cell, jobsPerSecond);
+  void generator.run();
   await timers.setTimeout(WARM_UP_MS);
   const leader = cell.leader();
   const others = cell.processes.filter(item => item !== leader);
   const startsBefore = cell.startCount();
-  const earlier = [leader, ...others].map(readProcess);
+  const earlier = [leader, ...others].map(readCellProcess);
   await timers.setTimeout(MEASUREMENT_MS);
-  const later = [leader, ...others].map(readProcess);
+  const later = [leader, ...others].map(readCellProcess);
   const [scheduler, other] = later.map((reading, index) =>
     processMeter.usageBetween(earlier[index], reading),
   );
   const starts = cell.startCount() - startsBefore;
-  load.stop();
+  generator.stop();
   await cell.stop();
   return {scheduler, other, startsPerSecond: (starts * 1_000) / MEASUREMENT_MS};
 }
 
-function readProcess(
+function readCellProcess(
   item: platformCell.CellProcess,
 ): processMeter.ProcessReading {
   return processMeter.readProcess(item.child.pid);
--- a/bench/core_driver.ts
+++ b/bench/core_driver.ts
@@ -22,7 +22,7 @@
   readonly totalMs: number;
 }
 
-interface RunningTask {
+interface StartedTask {
   readonly worker: string;
   readonly start: task.TaskStart;
 }
@@ -35,7 +35,7 @@
   private readonly decisionCore: loop.EventHandler;
   private readonly log = new fakeLog.FakeLog(1_000_000);
   private readonly eventQueue: event.Event[] = [];
-  private readonly running = new Map<string, Map<string, RunningTask>>();
+  private readonly running = new Map<string, Map<string, StartedTask>>();
   private readonly costsByKind = new Map<string, EventCost>();
   private readonly effectCountsByKind = new Map<string, number>();
   private readonly effectBytesByKind = new Map<string, number>();
@@ -88,15 +88,15 @@
   /** Reserves an identity, submits a request under it and returns it. */
   submit(team: string, workload: string, payload: string): string {
     const client = 'client';
-    const reserve = this.allocateCall();
+    const reserveCall = this.allocateCall();
     this.eventQueue.push({
       kind: 'identitiesArrived',
-      call: reserve,
+      call: reserveCall,
       client,
       count: 1,
     });
     this.handleQueuedEvents();
-    const identity = this.replies.get(reserve)?.identities?.[0] ?? '';
+    const identity = this.replies.get(reserveCall)?.identities?.[0] ?? '';
     this.replies.clear();
     this.eventQueue.push({
       kind: 'requestArrived',
@@ -112,15 +112,15 @@
 
   /** Finishes the first `count` running tasks, worker by worker. */
   finishTasks(count: number): void {
-    let left = count;
+    let remaining = count;
     for (const tasks of this.running.values()) {
-      for (const [name, runningTask] of tasks) {
-        if (left === 0) break;
-        left -= 1;
+      for (const [name, startedTask] of tasks) {
+        if (remaining === 0) break;
+        remaining -= 1;
         tasks.delete(name);
         this.eventQueue.push({
           kind: 'taskAnswerArrived',
-          worker: runningTask.worker,
+          worker: startedTask.worker,
           task: name,
           state: 'finished',
           answer: 'done',
@@ -223,7 +223,7 @@
   }
 
   private startTask(worker: string, start: task.TaskStart): void {
-    const tasks = this.running.get(worker) ?? new Map<string, RunningTask>();
+    const tasks = this.running.get(worker) ?? new Map<string, StartedTask>();
     tasks.set(start.task, {worker, start});
     this.running.set(worker, tasks);
     this.eventQueue.push({
@@ -246,12 +246,12 @@
         capacity: this.options.capacity,
         rack: `rack-${Number(worker.split('-')[1]) >> 3}`,
         leaving: false,
-        tasks: tasks.map(driven => ({
-          task: driven.start.task,
-          label: driven.start.label,
+        tasks: tasks.map(startedTask => ({
+          task: startedTask.start.task,
+          label: startedTask.start.label,
           state: 'running',
-          size: driven.start.size,
-          usage: driven.start.size,
+          size: startedTask.start.size,
+          usage: startedTask.start.size,
           leaseEnd: this.timeMs + 30_000,
         })),
       },
--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -119,7 +119,7 @@
     this.totalCostMs = 0;
     this.decisionCount = 0;
     for (let index = 0; index < MEASURED_BACKLOG_ENDS; index += 1) {
-      this.endOne();
+      this.endRandomTask();
       while (this.waitingCount < backlog) this.admit(this.pickWorkload());
       this.place();
     }
@@ -135,11 +135,11 @@
   }
 
   private swapTask(): void {
-    if (this.running.length >= this.targetRunning) this.endOne();
+    if (this.running.length >= this.targetRunning) this.endRandomTask();
     this.admitAndPlace(this.pickWorkload());
   }
 
-  private endOne(): void {
+  private endRandomTask(): void {
     const position = this.random.below(this.running.length);
     const ended = this.running[position];
     const last = this.running.pop();
--- a/bench/fakes/invariant_checker.ts
+++ b/bench/fakes/invariant_checker.ts
@@ -27,9 +27,9 @@
 export class InvariantChecker implements fakeWorker.WorkerObserver {
   private readonly startCounts = new Map<string, number>();
   private readonly runningAttempts = new Map<string, Set<string>>();
-  private readonly notRunReportsMs = new Map<string, number>();
+  private readonly notRunReportTimesMs = new Map<string, number>();
   private readonly violationsFound: Violation[] = [];
-  private checks = 0;
+  private checksMade = 0;
 
   constructor(
     private readonly nowMs: () => number,
@@ -43,11 +43,11 @@
 
   /** Returns the number of checks made so far. */
   checkCount(): number {
-    return this.checks;
+    return this.checksMade;
   }
 
   /** Returns how often tasks of a request were started. */
-  runCount(identity: string): number {
+  startCountOf(identity: string): number {
     return this.startCounts.get(identity) ?? 0;
   }
 
@@ -95,12 +95,12 @@
       JSON.stringify({taskName, startCount, worker: worker.name}),
     );
     this.check(
-      !this.notRunReportsMs.has(identity),
+      !this.notRunReportTimesMs.has(identity),
       'no start of a request reported as not run',
       () =>
         JSON.stringify({
           identity,
-          reportedAtMs: this.notRunReportsMs.get(identity),
+          reportedAtMs: this.notRunReportTimesMs.get(identity),
         }),
     );
   }
@@ -119,12 +119,16 @@
     );
     if (resultCode === undefined) return;
     if (resultCode.execution === 'notRun') {
-      this.notRunReportsMs.set(identity, this.nowMs());
+      this.notRunReportTimesMs.set(identity, this.nowMs());
       this.check(
-        this.runCount(identity) === 0,
+        this.startCountOf(identity) === 0,
         'no start of a request reported as not run',
         () =>
-          JSON.stringify({identity, code, startCount: this.runCount(identity)}),
+          JSON.stringify({
+            identity,
+            code,
+            startCount: this.startCountOf(identity),
+          }),
       );
     }
     if (code === result.RESULT_CODES.ok.code) {
@@ -141,7 +145,7 @@
     invariant: string,
     evidence: () => string,
   ): void {
-    this.checks += 1;
+    this.checksMade += 1;
     if (holds) return;
     this.violationsFound.push({
       atMs: this.nowMs(),
--- a/bench/fakes/peer_messages.ts
+++ b/bench/fakes/peer_messages.ts
@@ -64,14 +64,14 @@
   const peer = wanted.peer;
   switch (answer.kind) {
     case 'answerConfirm': {
-      const {confirmed, zoneRecords, status: news} = answer;
+      const {confirmed, zoneRecords, status: peerStatus} = answer;
       return {
         kind: 'confirmAnswered',
         peer,
         sentAt,
         confirmed,
         zoneRecords,
-        status: news,
+        status: peerStatus,
       };
     }
     case 'answerOffer':
--- a/bench/first_fit_baseline.ts
+++ b/bench/first_fit_baseline.ts
@@ -24,8 +24,8 @@
       const name = `worker-${index}`;
       const added = new worker.Worker({name, zone: '', address: name});
       const {capacity} = options;
-      const known = {worker: name, workerClock: 0, capacity, rack: ''};
-      added.update({...known, leaving: false, tasks: []}, 0);
+      const reportHeader = {worker: name, workerClock: 0, capacity, rack: ''};
+      added.update({...reportHeader, leaving: false, tasks: []}, 0);
       workers.push(added);
     }
     this.workers = workers;
@@ -40,7 +40,7 @@
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
     const placements: placement.Placement[] = [];
     while (this.head < this.waiting.length) {
-      const placed = this.placeOne(this.waiting[this.head], now);
+      const placed = this.placeRequest(this.waiting[this.head], now);
       if (placed === undefined) break;
       placements.push(placed);
       this.head += 1;
@@ -66,7 +66,7 @@
 
   reportUsage(): void {}
 
-  private placeOne(
+  private placeRequest(
     pending: request.Request,
     _nowMs: clock.Milliseconds,
   ): placement.Placement | undefined {
--- a/bench/guarantee_checker.ts
+++ b/bench/guarantee_checker.ts
@@ -9,7 +9,7 @@
 
 /** Checks the replies to callers and the runs on workers for breaches. */
 export class GuaranteeChecker {
-  readonly breaches: string[] = [];
+  readonly violations: string[] = [];
   private readonly submittedIds = new Set<string>();
   private readonly acceptedIds = new Set<string>();
   private readonly refusedIds = new Set<string>();
@@ -41,12 +41,12 @@
 
   /** Records that an accepted job is no longer known. */
   jobLost(id: string, status: number): void {
-    this.breaches.push(`accepted job ${id} is answered with ${status}`);
+    this.violations.push(`accepted job ${id} is answered with ${status}`);
   }
 
   /** Records that an accepted job did not complete in time. */
   jobUnfinished(id: string, status: number, state: string): void {
-    this.breaches.push(`accepted job ${id} is ${status} ${state} at the end`);
+    this.violations.push(`accepted job ${id} is ${status} ${state} at the end`);
   }
 
   /** Checks the starts and ends of runs on all workers. */
@@ -67,7 +67,7 @@
         (usedByWorker.get(event.worker) ?? 0) + change * TASK_CPU_THOUSANDTHS;
       usedByWorker.set(event.worker, used);
       if (used > WORKER_CPU_THOUSANDTHS) {
-        this.breaches.push(`${event.worker} is over its capacity: ${used}`);
+        this.violations.push(`${event.worker} is over its capacity: ${used}`);
       }
       if (event.kind === 'started') active.add(runName(event));
       else active.delete(runName(event));
@@ -76,17 +76,19 @@
 
   private checkStart(
     event: workerModel.WorkerEvent,
-    runs: ReadonlySet<string>,
+    activeRuns: ReadonlySet<string>,
     completed: ReadonlySet<string>,
   ): void {
     const run = `${event.task} run ${event.run} on ${event.worker}`;
     const [id] = event.task.split('.');
-    if (runs.size > 0) this.breaches.push(`${run} beside ${[...runs].join()}`);
-    if (completed.has(event.task)) this.breaches.push(`${run} after its end`);
+    if (activeRuns.size > 0) {
+      this.violations.push(`${run} beside ${[...activeRuns].join()}`);
+    }
+    if (completed.has(event.task)) this.violations.push(`${run} after its end`);
     if (!this.submittedIds.has(id)) {
-      this.breaches.push(`${run} was never submitted`);
+      this.violations.push(`${run} was never submitted`);
     }
-    if (this.refusedIds.has(id)) this.breaches.push(`${run} was refused`);
+    if (this.refusedIds.has(id)) this.violations.push(`${run} was refused`);
   }
 }
 
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -21,7 +21,7 @@
   ['cell', cellBench.measureCell],
 ]);
 
-function readPrevious(): ReadonlyMap<string, benchRow.BenchRow> {
+function readPreviousRows(): ReadonlyMap<string, benchRow.BenchRow> {
   if (!fs.existsSync(RESULTS_FILE)) return new Map();
   const rows = JSON.parse(
     fs.readFileSync(RESULTS_FILE, 'utf8'),
@@ -33,14 +33,14 @@
   row: benchRow.BenchRow,
   previous: ReadonlyMap<string, benchRow.BenchRow>,
 ): void {
-  const before = previous.get(row.name)?.figure;
+  const previousFigure = previous.get(row.name)?.figure;
   const columns = [
     row.name.padEnd(56),
     row.figure.toFixed(2).padStart(12),
     row.unit.padEnd(14),
     row.goal === '' ? '' : `goal ${row.goal}`,
     row.baseline === '' ? '' : `baseline ${row.baseline}`,
-    before === undefined ? '' : `previous ${before.toFixed(2)}`,
+    previousFigure === undefined ? '' : `previous ${previousFigure.toFixed(2)}`,
     `seed ${row.seed}`,
   ];
   console.log(columns.filter(column => column !== '').join('  '));
@@ -58,7 +58,7 @@
     save: commandTypes.flag({long: 'save'}),
   },
   handler: async ({part, save}) => {
-    const previous = readPrevious();
+    const previous = readPreviousRows();
     const rows: benchRow.BenchRow[] = [];
     for (const [name, measure] of BENCH_PARTS) {
       if (part !== 'all' && part !== name) continue;
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -37,7 +37,7 @@
 
 /** Result of a run with one seed. */
 export interface SoakOutcome {
-  readonly breaches: ReadonlyArray<string>;
+  readonly violations: ReadonlyArray<string>;
   readonly acceptedCount: number;
   readonly startCount: number;
 }
@@ -95,7 +95,7 @@
     await this.waitForCompletion();
     this.checker.checkRuns();
     return {
-      breaches: this.checker.breaches,
+      violations: this.checker.violations,
       acceptedCount: this.checker.acceptedCount,
       startCount: this.cell.startCount(),
     };
@@ -118,9 +118,9 @@
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       if (attempt > 0) await timers.setTimeout(RETRY_DELAY_MS);
       const {processes} = this.cell;
-      const entry = processes[(firstProcess + attempt) % processes.length];
+      const target = processes[(firstProcess + attempt) % processes.length];
       const body = {spec: '{}', steps};
-      const {status} = await this.cell.callFront(entry, 'POST', id, body);
+      const {status} = await this.cell.callJobApi(target, 'POST', id, body);
       if (status === 200) {
         this.checker.jobAccepted(id);
         return;
@@ -208,8 +208,8 @@
     const deadlineMs = performance.now() + RECOVERY_TIMEOUT_MS;
     for (const id of this.checker.acceptedJobs()) {
       for (let poll = 0; ; poll += 1) {
-        const entry = this.cell.processes[poll % PROCESS_COUNT];
-        const {status, body} = await this.cell.callFront(entry, 'GET', id);
+        const target = this.cell.processes[poll % PROCESS_COUNT];
+        const {status, body} = await this.cell.callJobApi(target, 'GET', id);
         if (status === 200 && body.state === 'completed') break;
         const isLost =
           status !== NO_ANSWER_STATUS &&
--- a/bench/platform_soak_main.ts
+++ b/bench/platform_soak_main.ts
@@ -23,9 +23,9 @@
       const {acceptedCount, startCount} = outcome;
       console.log(
         `seed ${seed} accepted ${acceptedCount} starts ${startCount}` +
-          ` broken ${outcome.breaches.length} ${outcome.breaches[0] ?? ''}`,
+          ` broken ${outcome.violations.length} ${outcome.violations[0] ?? ''}`,
       );
-      if (outcome.breaches.length > 0) failedSeeds += 1;
+      if (outcome.violations.length > 0) failedSeeds += 1;
     }
     console.log(`${seeds} seeds, ${failedSeeds} with breached guarantees`);
     process.exit(failedSeeds === 0 ? 0 : 1);
--- a/bench/process_bench.ts
+++ b/bench/process_bench.ts
@@ -82,11 +82,11 @@
       `vmList = "${vmListAddress}"`,
     ];
     fs.writeFileSync(settingsFile, lines.join('\n'));
-    const serve = ['serve', '--config', settingsFile];
+    const serveArguments = ['serve', '--config', settingsFile];
     const hasBinary = fs.existsSync(BINARY);
     this.child = childProcess.spawn(
       hasBinary ? BINARY : process.execPath,
-      hasBinary ? serve : ['build/src/main.js', ...serve],
+      hasBinary ? serveArguments : ['build/src/main.js', ...serveArguments],
       {stdio: ['ignore', 'pipe', 'inherit']},
     );
     this.address = await this.waitForAddress();
@@ -96,16 +96,16 @@
   /** Measures at a constant request rate; 0 measures an idle process. */
   async measure(requestsPerSecond: number): Promise<processMeter.ProcessUsage> {
     const pid = this.child?.pid ?? 0;
-    const sending = new AbortController();
+    const abortController = new AbortController();
     const load =
       requestsPerSecond > 0
-        ? this.sendRequests(requestsPerSecond, sending.signal)
+        ? this.sendRequests(requestsPerSecond, abortController.signal)
         : undefined;
     await timers.setTimeout(1_000);
     const before = processMeter.readProcess(pid);
     await timers.setTimeout(MEASUREMENT_MS);
     const after = processMeter.readProcess(pid);
-    sending.abort();
+    abortController.abort();
     await load;
     return processMeter.usageBetween(before, after);
   }
@@ -215,12 +215,12 @@
     try {
       await cell.start(workerCount);
       for (const rate of workerCount === 15 ? [0, 5, 20, 80] : [0]) {
-        const use = await cell.measure(rate);
+        const usage = await cell.measure(rate);
         const name = `process/${workerCount} workers/${rate} starts a second`;
         rows.push(
-          row(`${name}/processor`, use.processorPercent, '% of a core'),
-          row(`${name}/resident`, use.residentMebibytes, 'MiB'),
-          row(`${name}/traffic`, use.bytesPerSecond, 'B a second'),
+          row(`${name}/processor`, usage.processorPercent, '% of a core'),
+          row(`${name}/resident`, usage.residentMebibytes, 'MiB'),
+          row(`${name}/traffic`, usage.bytesPerSecond, 'B a second'),
         );
       }
     } finally {
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -255,11 +255,11 @@
   private scheduleRequests(): void {
     const workloads = ['order', 'order', 'inspection', 'together'];
     for (let index = 0; index < REQUEST_COUNT; index += 1) {
-      const chosen = this.clients[this.random.below(this.clients.length)];
+      const client = this.clients[this.random.below(this.clients.length)];
       const workload = workloads[this.random.below(workloads.length)];
       const payload = `${workload}-${index}-${'x'.repeat(this.random.below(7))}`;
       this.time.after(this.random.below(FAULT_PERIOD_MS), () =>
-        chosen.sendRequest(
+        client.sendRequest(
           'dispatch',
           workload,
           payload,
@@ -372,10 +372,10 @@
     if (leaving.leavingSinceMs < Infinity) return;
     leaving.leavingSinceMs = this.time.now();
     this.trace(`${leaving.name} leaves`);
-    const known = this.listedVms.get(leaving.name);
+    const listedVm = this.listedVms.get(leaving.name);
     this.time.after(VM_LIST_LAG_MS, () => {
-      if (known === undefined || leaving.dead) return;
-      this.listedVms.set(leaving.name, {...known, state: 'leaving'});
+      if (listedVm === undefined || leaving.dead) return;
+      this.listedVms.set(leaving.name, {...listedVm, state: 'leaving'});
     });
   }
 
--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -41,50 +41,50 @@
 /** The real scheduler on a simulated fleet. */
 export class ProductionScheduler implements SchedulerUnderTest {
   readonly workers: ReadonlyArray<worker.Worker>;
-  private readonly simulation: schedulingHarness.SchedulingHarness;
+  private readonly harness: schedulingHarness.SchedulingHarness;
 
   constructor(options: SchedulerUnderTestOptions) {
-    this.simulation = new schedulingHarness.SchedulingHarness(options.seed);
-    for (const described of options.teams) this.simulation.addTeam(described);
-    this.simulation.setPlan({
+    this.harness = new schedulingHarness.SchedulingHarness(options.seed);
+    for (const added of options.teams) this.harness.addTeam(added);
+    this.harness.setPlan({
       zones: [],
       workerShapes: [{capacity: options.capacity, zones: ['kigali-a']}],
     });
-    this.workers = this.simulation.addWorkers(
+    this.workers = this.harness.addWorkers(
       options.workerCount,
       options.capacity,
     );
   }
 
   admit(admitted: request.Request, now: clock.Milliseconds): boolean {
-    return this.simulation.scheduler.admit(admitted, now).isRight();
+    return this.harness.scheduler.admit(admitted, now).isRight();
   }
 
   place(now: clock.Milliseconds): ReadonlyArray<placement.Placement> {
-    return this.simulation.scheduler.place(now);
+    return this.harness.scheduler.place(now);
   }
 
   takeCheckpoints(): ReadonlyArray<string> {
-    return this.simulation.scheduler
+    return this.harness.scheduler
       .takeInterventions()
       .filter(item => item.kind !== 'throttle')
       .map(item => item.task);
   }
 
   taskStarted(placement: placement.Placement, now: clock.Milliseconds): void {
-    this.simulation.start(placement, now);
+    this.harness.start(placement, now);
   }
 
   taskEnded(placement: placement.Placement, now: clock.Milliseconds): void {
-    this.simulation.end(placement, false, now);
+    this.harness.end(placement, false, now);
   }
 
   taskCheckpointed(
     placement: placement.Placement,
     now: clock.Milliseconds,
   ): void {
-    this.simulation.checkpoint(placement, now);
-    this.simulation.scheduler.requeue(placement.request);
+    this.harness.checkpoint(placement, now);
+    this.harness.scheduler.requeue(placement.request);
   }
 
   reportUsage(
@@ -92,18 +92,23 @@
     usageOf: (task: string) => resources.Resources,
     now: clock.Milliseconds,
   ): void {
-    const tasks = [...worker.reservations().values()].map(held => ({
-      task: held.task,
-      label: held.label,
+    const tasks = [...worker.reservations().values()].map(reservation => ({
+      task: reservation.task,
+      label: reservation.label,
       state: 'running' as const,
-      size: held.size,
-      usage: usageOf(held.task),
+      size: reservation.size,
+      usage: usageOf(reservation.task),
       leaseEnd: Infinity,
     }));
     const {capacity, rack} = worker;
-    const known = {worker: worker.name, workerClock: now, capacity, rack};
-    this.simulation.scheduler.observeReport(
-      {...known, leaving: false, tasks},
+    const reportHeader = {
+      worker: worker.name,
+      workerClock: now,
+      capacity,
+      rack,
+    };
+    this.harness.scheduler.observeReport(
+      {...reportHeader, leaving: false, tasks},
       now,
     );
   }
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -22,9 +22,9 @@
 
 function addCounts<Key>(
   totals: Map<Key, number>,
-  more: ReadonlyMap<Key, number>,
+  counts: ReadonlyMap<Key, number>,
 ): void {
-  for (const [key, count] of more) {
+  for (const [key, count] of counts) {
     totals.set(key, (totals.get(key) ?? 0) + count);
   }
 }
--- a/src/commands/call_arguments.ts
+++ b/src/commands/call_arguments.ts
@@ -9,7 +9,7 @@
 /** Default of --timeout. */
 const DEFAULT_TIMEOUT_SECONDS = 60;
 
-const address: commandTypes.Type<string, string> = {
+const addressType: commandTypes.Type<string, string> = {
   description: 'IP address and port for callers',
   displayName: 'address',
   async from(text) {
@@ -20,7 +20,7 @@
   },
 };
 
-const timeout: commandTypes.Type<string, number> = {
+const timeoutType: commandTypes.Type<string, number> = {
   description: 'seconds',
   displayName: 'seconds',
   async from(text) {
@@ -41,7 +41,7 @@
 export const callArguments = {
   entries: commandTypes.multioption({
     long: 'entry',
-    type: commandTypes.array(address),
+    type: commandTypes.array(addressType),
     description: 'Entry process to call; repeat it to add fallbacks',
   }),
   client: commandTypes.option({
@@ -50,9 +50,9 @@
     defaultValue: () => OPERATOR_CLIENT,
     description: 'Client on whose behalf the call is made',
   }),
-  timeout: commandTypes.option({
+  timeoutSeconds: commandTypes.option({
     long: 'timeout',
-    type: timeout,
+    type: timeoutType,
     defaultValue: () => DEFAULT_TIMEOUT_SECONDS,
     description: 'Time after which the command stops retrying, in seconds',
   }),
@@ -63,16 +63,18 @@
 export interface CallArguments {
   readonly entries: ReadonlyArray<string>;
   readonly client: string;
-  readonly timeout: number;
+  readonly timeoutSeconds: number;
   readonly json: boolean;
 }
 
 /** Returns a client of the given entry processes, or a fault without any. */
 export function createClient(
-  given: CallArguments,
+  options: CallArguments,
 ): either.Either<string, entryClient.EntryClient> {
-  if (given.entries.length === 0) {
+  if (options.entries.length === 0) {
     return either.Left('--entry: missing; name at least one entry process');
   }
-  return either.Right(new entryClient.EntryClient(given.entries, given.client));
+  return either.Right(
+    new entryClient.EntryClient(options.entries, options.client),
+  );
 }
--- a/src/commands/cell_commands.ts
+++ b/src/commands/cell_commands.ts
@@ -14,7 +14,7 @@
       command: 'parsleyknot status --entry 10.0.0.5:7000',
     },
   ],
-  handler: given => get(given, '/v1/status'),
+  handler: options => runGet(options, '/v1/status'),
 });
 
 /** The command `workloads`: lists the configured workloads. */
@@ -28,7 +28,7 @@
       command: 'parsleyknot workloads --entry 10.0.0.5:7000 --json',
     },
   ],
-  handler: given => get(given, '/v1/workloads'),
+  handler: options => runGet(options, '/v1/workloads'),
 });
 
 /** The command `drain`: drains a worker or an entry process. */
@@ -51,9 +51,9 @@
       command: 'parsleyknot drain --entry 10.0.0.5:7000 --worker worker-12',
     },
   ],
-  handler: async given => {
+  handler: async options => {
     const output = new commandReport.ProcessOutput();
-    const {worker, entries, json} = given;
+    const {worker, entries, json} = options;
     if (worker === undefined && entries.length > 1) {
       // A retry against a fallback would drain that process as well.
       const fault = '--entry: give exactly one to drain an entry process';
@@ -61,7 +61,7 @@
       return;
     }
     const body = JSON.stringify(worker === undefined ? {} : {worker});
-    await entryCommand.run(given, output, async caller => ({
+    await entryCommand.run(options, output, async caller => ({
       reply: await caller.call(() => ({
         method: 'POST',
         path: '/v1/drain',
@@ -72,9 +72,12 @@
   },
 });
 
-function get(given: callArguments.CallArguments, path: string): Promise<void> {
+function runGet(
+  options: callArguments.CallArguments,
+  path: string,
+): Promise<void> {
   return entryCommand.run(
-    given,
+    options,
     new commandReport.ProcessOutput(),
     async caller => ({
       reply: await caller.call(() => ({method: 'GET', path})),
--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -85,20 +85,20 @@
   fleet: string | undefined,
   teams: ReadonlyArray<string>,
 ): ReadonlyArray<CheckedFile> {
-  const set = new configurationDocuments.ConfigurationDocuments(
+  const documents = new configurationDocuments.ConfigurationDocuments(
     new tomlDocumentReader.TomlDocumentReader(),
   );
-  const named = [
+  const namedFiles = [
     ...(fleet === undefined ? [] : [{file: fleet, name: 'fleet'}]),
     ...teams.map(file => ({file, name: teamDocumentOf(file)})),
   ];
-  return named.map(({file, name}) => {
+  return namedFiles.map(({file, name}) => {
     const faults = inputFile
       .read(file)
       .chain(content =>
-        set
+        documents
           .parseAndCheck(name, content)
-          .map(parsed => set.put({name, version: 1, content}, parsed))
+          .map(parsed => documents.put({name, version: 1, content}, parsed))
           .mapLeft(fault => fault.detail),
       )
       .swap()
--- a/src/commands/command_report.ts
+++ b/src/commands/command_report.ts
@@ -38,7 +38,7 @@
 }
 
 /** Returns the table row of a numeric result code, if known. */
-export function rowOf(code: number): result.ResultCode | undefined {
+export function findResultCode(code: number): result.ResultCode | undefined {
   const rows: ReadonlyArray<result.ResultCode> = Object.values(
     result.RESULT_CODES,
   );
@@ -47,17 +47,17 @@
 
 /** Destination of a command's output lines and exit code. */
 export interface Output {
-  line(text: string): void;
-  exit(code: number): void;
+  printLine(text: string): void;
+  setExitCode(code: number): void;
 }
 
 /** Output to the standard output and the exit code of this process. */
 export class ProcessOutput implements Output {
-  line(text: string): void {
+  printLine(text: string): void {
     process.stdout.write(`${text}\n`);
   }
 
-  exit(code: number): void {
+  setExitCode(code: number): void {
     process.exitCode = code;
   }
 }
@@ -67,13 +67,15 @@
   output: Output,
   reply: effect.Reply | undefined,
   json: boolean,
-  further: Readonly<Record<string, string | number>> = {},
+  additionalFields: Readonly<Record<string, string | number>> = {},
 ): void {
-  output.exit(exitCodeOf(reply));
-  const shown = reply ?? {detail: 'no entry process answered within --timeout'};
-  const fields = {...further, ...shown};
-  if (json) output.line(JSON.stringify(fields));
-  else for (const text of describe(fields)) output.line(text);
+  output.setExitCode(exitCodeOf(reply));
+  const shownReply = reply ?? {
+    detail: 'no entry process answered within --timeout',
+  };
+  const fields = {...additionalFields, ...shownReply};
+  if (json) output.printLine(JSON.stringify(fields));
+  else for (const text of describe(fields)) output.printLine(text);
 }
 
 /** Prints the faults of a file; sets the exit code if there are any. */
@@ -83,13 +85,13 @@
   faults: ReadonlyArray<string>,
   json: boolean,
 ): void {
-  if (faults.length > 0) output.exit(EXIT_CODES.badInput);
+  if (faults.length > 0) output.setExitCode(EXIT_CODES.badInput);
   if (json) {
-    output.line(JSON.stringify({file, faults}));
+    output.printLine(JSON.stringify({file, faults}));
     return;
   }
-  if (faults.length === 0) output.line(`${file}: no faults`);
-  for (const fault of faults) output.line(`${file}: ${fault}`);
+  if (faults.length === 0) output.printLine(`${file}: no faults`);
+  for (const fault of faults) output.printLine(`${file}: ${fault}`);
 }
 
 function describe(
@@ -105,9 +107,9 @@
 }
 
 function describeCode(code: number): string {
-  const row = rowOf(code);
-  if (row === undefined) return `result: ${code}`;
-  return `result: ${code} ${row.name}: ${row.meaning}`;
+  const resultCode = findResultCode(code);
+  if (resultCode === undefined) return `result: ${code}`;
+  return `result: ${code} ${resultCode.name}: ${resultCode.meaning}`;
 }
 
 function describeContent(content: unknown): string {
--- a/src/commands/entry_command.ts
+++ b/src/commands/entry_command.ts
@@ -7,23 +7,26 @@
 export interface CommandResult {
   readonly reply: effect.Reply | undefined;
   /** Additional fields that are not part of the reply. */
-  readonly further?: Readonly<Record<string, string | number>>;
+  readonly additionalFields?: Readonly<Record<string, string | number>>;
 }
 
 /** Creates a client, runs the calls of a command and prints the result. */
 export async function run(
-  given: callArguments.CallArguments,
+  options: callArguments.CallArguments,
   output: commandReport.Output,
   perform: (caller: retryingCaller.RetryingCaller) => Promise<CommandResult>,
 ): Promise<void> {
-  await callArguments.createClient(given).caseOf({
+  await callArguments.createClient(options).caseOf({
     Left: async fault => {
-      commandReport.reportFaults(output, 'arguments', [fault], given.json);
+      commandReport.reportFaults(output, 'arguments', [fault], options.json);
     },
     Right: async client => {
-      const caller = new retryingCaller.RetryingCaller(client, given.timeout);
-      const {reply, further} = await perform(caller);
-      commandReport.reportReply(output, reply, given.json, further);
+      const caller = new retryingCaller.RetryingCaller(
+        client,
+        options.timeoutSeconds,
+      );
+      const {reply, additionalFields} = await perform(caller);
+      commandReport.reportReply(output, reply, options.json, additionalFields);
       await client.close();
     },
   });
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -23,9 +23,9 @@
 
 // A worker accepts about 60 connections. Using 12 for short calls and 40 for
 // pending answers leaves some for a second owner and for the platform.
-const WORKER_CONNECTIONS = {minimum: 2, initial: 4, maximum: 12};
-const ANSWER_CONNECTIONS = {minimum: 4, initial: 16, maximum: 40};
-const PLATFORM_CONNECTIONS = {minimum: 2, initial: 4, maximum: 8};
+const WORKER_CONNECTION_BOUNDS = {minimum: 2, initial: 4, maximum: 12};
+const ANSWER_CONNECTION_BOUNDS = {minimum: 4, initial: 16, maximum: 40};
+const PLATFORM_CONNECTION_BOUNDS = {minimum: 2, initial: 4, maximum: 8};
 
 type ClosableMetricsSink = sinks.MetricsSink & {close(): Promise<void>};
 
@@ -63,13 +63,13 @@
 
   constructor(
     private readonly settings: settings.Settings,
-    sinks?: SinkOverrides,
+    sinkOverrides?: SinkOverrides,
   ) {
     const suffix = this.random.hexadecimal(8);
     this.incarnation = `${settings.zone}.${settings.vm}.${suffix}`;
-    this.metrics = sinks?.metrics ?? this.buildMetrics();
+    this.metrics = sinkOverrides?.metrics ?? this.buildMetrics();
     this.logs =
-      sinks?.logs ??
+      sinkOverrides?.logs ??
       new logger.Logger(line => process.stdout.write(`${line}\n`));
     this.byteCounter = new byteCounter.ByteCounter(this.metrics);
     this.callerServer = new callerServer.CallerServer({
@@ -105,7 +105,7 @@
     // before the first decision.
     const boundPeerPort = await this.peerServer.listen(host, peerPort);
     const core = this.buildCore(`${host}:${boundPeerPort}`);
-    this.loop = new loop.Loop(core, this.buildLinks(), this.clock);
+    this.loop = new loop.Loop(core, this.buildEffectPerformer(), this.clock);
     const port = await this.callerServer.listen(host, callerPort);
     this.loop.post({kind: 'timePassed'});
     this.logs.log('info', 'serving', {
@@ -124,7 +124,7 @@
   }
 
   /** Resolves when other processes have taken over, e.g. after a long pause. */
-  superseded(): Promise<void> {
+  waitUntilSuperseded(): Promise<void> {
     return this.supersededSignal;
   }
 
@@ -184,13 +184,17 @@
     );
   }
 
-  private buildLinks(): entryEffectPerformer.EntryEffectPerformer {
+  private buildEffectPerformer(): entryEffectPerformer.EntryEffectPerformer {
     const {post, now, metrics: sink} = this;
     return new entryEffectPerformer.EntryEffectPerformer({
       callerServer: this.callerServer,
       workerLink: new workerLink.WorkerLink({
-        client: this.buildClient('worker', WORKER_CONNECTIONS, '/report'),
-        answerClient: this.buildClient('answer', ANSWER_CONNECTIONS, '/report'),
+        client: this.buildClient('worker', WORKER_CONNECTION_BOUNDS, '/report'),
+        answerClient: this.buildClient(
+          'answer',
+          ANSWER_CONNECTION_BOUNDS,
+          '/report',
+        ),
         post,
         now,
         metrics: sink,
@@ -198,7 +202,7 @@
       platformLink: new platformLink.PlatformLink({
         addresses: this.settings,
         // Any answer, even for an unknown path, shows that a connection works.
-        client: this.buildClient('platform', PLATFORM_CONNECTIONS, '/'),
+        client: this.buildClient('platform', PLATFORM_CONNECTION_BOUNDS, '/'),
         post,
         now,
         metrics: sink,
--- a/src/commands/graceful_shutdown.ts
+++ b/src/commands/graceful_shutdown.ts
@@ -24,7 +24,7 @@
 /** Time limit for the loop to answer a status request. */
 const STATUS_TIMEOUT_MS = 1_000;
 
-interface Remaining {
+interface DrainProgress {
   readonly unfinished: number;
   /** Whether the zone has recorded that this process has left. */
   readonly left: boolean;
@@ -39,8 +39,8 @@
 
   /** Drains the process; resolves when all caller connections are closed. */
   async run(): Promise<void> {
-    const started = performance.now();
-    const deadline = started + SHUTDOWN_DEADLINE_MS;
+    const startedAtMs = performance.now();
+    const deadlineMs = startedAtMs + SHUTDOWN_DEADLINE_MS;
     this.logs.log('info', 'draining', {});
     this.callerServer.beginDrain();
     void this.callerServer.postAndWait(
@@ -48,7 +48,7 @@
       SHUTDOWN_DEADLINE_MS,
     );
     await timers.setTimeout(READINESS_NOTICE_MS);
-    const remaining = await this.waitUntilLeft(deadline);
+    const progress = await this.waitUntilLeft(deadlineMs);
     // The calls still open concern requests that other processes handle.
     const {code} = result.RESULT_CODES.unknownOutcome;
     const detail = 'this process is shutting down; ask another';
@@ -56,24 +56,24 @@
       this.callerServer.closeWithReply({code, detail}, CALL_GRACE_MS),
       timers.setTimeout(CLOSE_TIMEOUT_MS),
     ]);
-    const clean = remaining.left && remaining.unfinished === 0;
+    const clean = progress.left && progress.unfinished === 0;
     this.logs.log(clean ? 'info' : 'warn', 'drained', {
-      ...remaining,
-      durationMs: Math.round(performance.now() - started),
+      ...progress,
+      durationMs: Math.round(performance.now() - startedAtMs),
     });
   }
 
   /** Polls until the process has left or the deadline has passed. */
-  private async waitUntilLeft(deadline: number): Promise<Remaining> {
+  private async waitUntilLeft(deadlineMs: number): Promise<DrainProgress> {
     for (;;) {
-      const remaining = await this.readRemaining();
-      if (remaining.left) return remaining;
-      if (performance.now() >= deadline) return remaining;
+      const progress = await this.readDrainProgress();
+      if (progress.left) return progress;
+      if (performance.now() >= deadlineMs) return progress;
       await timers.setTimeout(STATUS_POLL_INTERVAL_MS);
     }
   }
 
-  private async readRemaining(): Promise<Remaining> {
+  private async readDrainProgress(): Promise<DrainProgress> {
     const reply = await this.callerServer.postAndWait(
       call => ({kind: 'statusArrived', call}),
       STATUS_TIMEOUT_MS,
--- a/src/commands/publish.ts
+++ b/src/commands/publish.ts
@@ -58,15 +58,15 @@
         '--base 41 dispatch.toml',
     },
   ],
-  handler: async given => {
+  handler: async options => {
     const output = new commandReport.ProcessOutput();
-    await inputFile.read(given.file).caseOf({
+    await inputFile.read(options.file).caseOf({
       Left: async fault => {
-        commandReport.reportFaults(output, given.file, [fault], given.json);
+        commandReport.reportFaults(output, options.file, [fault], options.json);
       },
       Right: content =>
-        entryCommand.run(given, output, caller =>
-          publishDocument(caller, {...given, content}),
+        entryCommand.run(options, output, caller =>
+          publishDocument(caller, {...options, content}),
         ),
     });
   },
@@ -96,7 +96,7 @@
       detail: `repeat with --base ${base} --publication ${publication}`,
     },
   );
-  return {reply, further: {publication, base}};
+  return {reply, additionalFields: {publication, base}};
 }
 
 /** Returns the version in force, or the reply if it contains none. */
--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -11,7 +11,7 @@
 import * as schemaPrompter from './schema_prompter.js';
 import * as terminalPrompter from './terminal_prompter.js';
 
-type Generated = either.Either<
+type GenerationResult = either.Either<
   ReadonlyArray<string>,
   ReadonlyArray<documentGenerator.GeneratedDocument>
 >;
@@ -54,7 +54,9 @@
   handler: async ({answers, save, out, json}) => {
     const output = new commandReport.ProcessOutput();
     const generated =
-      answers === undefined ? await promptForAnswers(save) : fromFile(answers);
+      answers === undefined
+        ? await generateFromPrompts(save)
+        : generateFromFile(answers);
     generated.caseOf({
       Left: faults =>
         commandReport.reportFaults(output, answers ?? 'answers', faults, json),
@@ -63,14 +65,16 @@
   },
 });
 
-function fromFile(file: string): Generated {
+function generateFromFile(file: string): GenerationResult {
   return inputFile
     .read(file)
     .mapLeft(fault => [fault])
     .chain(documentGenerator.generateDocuments);
 }
 
-async function promptForAnswers(save: string | undefined): Promise<Generated> {
+async function generateFromPrompts(
+  save: string | undefined,
+): Promise<GenerationResult> {
   const prompter = new terminalPrompter.TerminalPrompter(
     process.stdin,
     process.stderr,
@@ -102,8 +106,8 @@
 ): void {
   for (const document of documents) {
     const file = folder === undefined ? undefined : writeFile(folder, document);
-    if (json) output.line(JSON.stringify({...document, file}));
-    else output.line(file ?? document.content);
+    if (json) output.printLine(JSON.stringify({...document, file}));
+    else output.printLine(file ?? document.content);
   }
 }
 
--- a/src/commands/request_commands.ts
+++ b/src/commands/request_commands.ts
@@ -22,11 +22,15 @@
         'kigali-a.entry-1.0a1b2c3d_17_000102030405060708090a0b',
     },
   ],
-  handler: given =>
-    entryCommand.run(given, new commandReport.ProcessOutput(), async caller => {
-      const path = `/v1/explain/${encodeURIComponent(given.identity)}`;
-      return {reply: await caller.call(() => ({method: 'GET', path}))};
-    }),
+  handler: options =>
+    entryCommand.run(
+      options,
+      new commandReport.ProcessOutput(),
+      async caller => {
+        const path = `/v1/explain/${encodeURIComponent(options.identity)}`;
+        return {reply: await caller.call(() => ({method: 'GET', path}))};
+      },
+    ),
 });
 
 /** The command `cancel`: cancels a waiting request or stops a running one. */
@@ -44,9 +48,13 @@
         'kigali-a.entry-1.0a1b2c3d_17_000102030405060708090a0b',
     },
   ],
-  handler: given =>
-    entryCommand.run(given, new commandReport.ProcessOutput(), async caller => {
-      const path = `/v1/requests/${encodeURIComponent(given.identity)}`;
-      return {reply: await caller.call(() => ({method: 'DELETE', path}))};
-    }),
+  handler: options =>
+    entryCommand.run(
+      options,
+      new commandReport.ProcessOutput(),
+      async caller => {
+        const path = `/v1/requests/${encodeURIComponent(options.identity)}`;
+        return {reply: await caller.call(() => ({method: 'DELETE', path}))};
+      },
+    ),
 });
--- a/src/commands/retrying_caller.ts
+++ b/src/commands/retrying_caller.ts
@@ -4,10 +4,10 @@
 import type * as entryClient from '../links/entry_client.js';
 
 /** Delay before a call is repeated. */
-const RETRY_PAUSE_MS = 500;
+const RETRY_DELAY_MS = 500;
 
 /** Maximum time for which one call waits for the end of a request. */
-const MAXIMUM_WAIT_SECONDS = 20;
+const MAX_WAIT_SECONDS = 20;
 
 /** Time allowed for a reply in addition to the wait that the call requests. */
 const REPLY_ALLOWANCE_MS = 15_000;
@@ -17,13 +17,13 @@
  * only for idempotent calls: each must carry an identity or change nothing.
  */
 export class RetryingCaller {
-  private readonly deadline: number;
+  private readonly deadlineMs: number;
 
   constructor(
     private readonly client: entryClient.EntryClient,
     timeoutSeconds: number,
   ) {
-    this.deadline = performance.now() + timeoutSeconds * 1_000;
+    this.deadlineMs = performance.now() + timeoutSeconds * 1_000;
   }
 
   /**
@@ -33,7 +33,7 @@
    */
   async call(
     build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
-    unknown?: effect.Reply,
+    unknownOutcomeReply?: effect.Reply,
   ): Promise<effect.Reply | undefined> {
     let lastReply: effect.Reply | undefined;
     let mayHaveTakenEffect = false;
@@ -42,16 +42,16 @@
       const reply = answer.kind === 'reply' ? answer.reply : undefined;
       if (reply !== undefined && isFinal(reply)) return reply;
       lastReply = reply ?? lastReply;
-      mayHaveTakenEffect ||= answer.kind === 'lost' || isUnsettled(reply);
-      if (performance.now() + RETRY_PAUSE_MS >= this.deadline) {
+      mayHaveTakenEffect ||= answer.kind === 'lost' || mayBeInProgress(reply);
+      if (performance.now() + RETRY_DELAY_MS >= this.deadlineMs) {
         const claimsNothingDone =
-          lastReply === undefined || !isUnsettled(lastReply);
+          lastReply === undefined || !mayBeInProgress(lastReply);
         return mayHaveTakenEffect && claimsNothingDone
-          ? (unknown ?? lastReply)
+          ? (unknownOutcomeReply ?? lastReply)
           : lastReply;
       }
       if (needsOtherProcess(reply)) this.client.failOver();
-      await timers.setTimeout(RETRY_PAUSE_MS);
+      await timers.setTimeout(RETRY_DELAY_MS);
     }
   }
 
@@ -60,9 +60,9 @@
   ): entryClient.EntryCall {
     const secondsLeft = Math.max(
       0,
-      (this.deadline - performance.now()) / 1_000,
+      (this.deadlineMs - performance.now()) / 1_000,
     );
-    const waitSeconds = Math.floor(Math.min(secondsLeft, MAXIMUM_WAIT_SECONDS));
+    const waitSeconds = Math.floor(Math.min(secondsLeft, MAX_WAIT_SECONDS));
     // The last call gets time for its reply even after the timeout.
     return {
       ...build(waitSeconds),
@@ -74,13 +74,13 @@
 /** Returns whether a repeated call with the same identity gives this reply. */
 function isFinal(reply: effect.Reply): boolean {
   if (needsOtherProcess(reply)) return false;
-  return commandReport.rowOf(reply.code)?.retry !== 'sameIdentity';
+  return commandReport.findResultCode(reply.code)?.retry !== 'sameIdentity';
 }
 
 /** Returns whether the request is, or may be, still in progress. */
-function isUnsettled(reply: effect.Reply | undefined): boolean {
+function mayBeInProgress(reply: effect.Reply | undefined): boolean {
   if (reply === undefined) return false;
-  const execution = commandReport.rowOf(reply.code)?.execution;
+  const execution = commandReport.findResultCode(reply.code)?.execution;
   return execution === 'pending' || execution === 'unknown';
 }
 
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -26,19 +26,20 @@
   },
 });
 
-async function run(read: settings.Settings): Promise<void> {
+async function run(loadedSettings: settings.Settings): Promise<void> {
   // Imported lazily, so that other commands do not load the servers.
   const entryProcess = await import('./entry_process.js');
   let entry: InstanceType<typeof entryProcess.EntryProcess>;
-  const end = (): void => void entry.shutDown().then(() => process.exit(0));
-  process.on('SIGTERM', end);
-  process.on('SIGINT', end);
+  const shutDownAndExit = (): void =>
+    void entry.shutDown().then(() => process.exit(0));
+  process.on('SIGTERM', shutDownAndExit);
+  process.on('SIGINT', shutDownAndExit);
   // A superseded process has permanently lost its identities and workers, so a
   // new incarnation replaces it on this VM.
   for (;;) {
-    entry = new entryProcess.EntryProcess(read);
+    entry = new entryProcess.EntryProcess(loadedSettings);
     await entry.start();
-    await entry.superseded();
+    await entry.waitUntilSuperseded();
     await entry.closeNow();
   }
 }
--- a/src/commands/submit.ts
+++ b/src/commands/submit.ts
@@ -63,16 +63,16 @@
         '--team dispatch --workload polish-order --payload order-17',
     },
   ],
-  handler: async given => {
+  handler: async options => {
     const output = new commandReport.ProcessOutput();
-    await readPayload(given.payload, given.payloadFile).caseOf({
+    await readPayload(options.payload, options.payloadFile).caseOf({
       Left: async fault => {
-        const file = given.payloadFile ?? '';
-        commandReport.reportFaults(output, file, [fault], given.json);
+        const file = options.payloadFile ?? '';
+        commandReport.reportFaults(output, file, [fault], options.json);
       },
       Right: payload =>
-        entryCommand.run(given, output, caller => {
-          const {team, workload, startDeadlineMs, identity} = given;
+        entryCommand.run(options, output, caller => {
+          const {team, workload, startDeadlineMs, identity} = options;
           const submission = {team, workload, payload, startDeadlineMs};
           return submitRequest(caller, submission, identity);
         }),
@@ -90,9 +90,9 @@
 async function submitRequest(
   caller: retryingCaller.RetryingCaller,
   submission: Submission,
-  known: string | undefined,
+  knownIdentity: string | undefined,
 ): Promise<entryCommand.CommandResult> {
-  const identity = known ?? (await reserveIdentity(caller));
+  const identity = knownIdentity ?? (await reserveIdentity(caller));
   if (typeof identity !== 'string') return {reply: identity};
   const path = `/v1/requests/${encodeURIComponent(identity)}`;
   const body = JSON.stringify(submission);
@@ -108,7 +108,7 @@
       detail: `repeat with --identity ${identity}`,
     },
   );
-  return {reply, further: {identity}};
+  return {reply, additionalFields: {identity}};
 }
 
 /** Returns a new identity, or the reply if it contains none. */
--- a/src/commands/try.ts
+++ b/src/commands/try.ts
@@ -5,20 +5,20 @@
 import type * as tryCell from './try_cell.js';
 
 /** Time limit for the processes to join, claim workers and read documents. */
-const READY_LIMIT_MS = 20_000;
+const READY_TIMEOUT_MS = 20_000;
 
 /** Time for which one call waits for the end of its request. */
-const WAIT_SECONDS = 20;
+const CALL_WAIT_SECONDS = 20;
 
 /** Requests of the flood phase: several times the capacity of the cell. */
-const FLOOD_SIZE = 150;
+const FLOOD_REQUEST_COUNT = 150;
 
 interface SentRequest {
   readonly team: string;
   readonly workload: string;
   readonly phase: string;
   readonly code: number;
-  readonly milliseconds: number;
+  readonly durationMs: number;
 }
 
 interface RequestSource {
@@ -63,22 +63,27 @@
   }
 
   private async waitUntilReady(): Promise<void> {
-    const started = performance.now();
+    const startedAtMs = performance.now();
     for (const addresses of this.cell.addresses().values()) {
       for (const address of addresses) {
-        await this.waitForAddress(address, started + READY_LIMIT_MS);
+        await this.waitForAddress(address, startedAtMs + READY_TIMEOUT_MS);
       }
     }
-    const seconds = (performance.now() - started) / 1_000;
+    const seconds = (performance.now() - startedAtMs) / 1_000;
     console.log(`ready after ${seconds.toFixed(1)} s`);
   }
 
-  private async waitForAddress(address: string, limit: number): Promise<void> {
+  private async waitForAddress(
+    address: string,
+    deadlineMs: number,
+  ): Promise<void> {
     for (;;) {
       const answer = await undici.request(`http://${address}/ready`);
       await answer.body.dump();
       if (answer.statusCode === 200) return;
-      if (performance.now() > limit) throw new Error(`${address} is not ready`);
+      if (performance.now() > deadlineMs) {
+        throw new Error(`${address} is not ready`);
+      }
       await timers.setTimeout(100);
     }
   }
@@ -100,7 +105,7 @@
 
   private async runFlood(): Promise<void> {
     const flood: Array<Promise<void>> = [];
-    for (let index = 0; index < FLOOD_SIZE; index += 1) {
+    for (let index = 0; index < FLOOD_REQUEST_COUNT; index += 1) {
       flood.push(this.send(ORDERS, 'flood'));
     }
     await this.runPhase('during the flood', [CERTIFICATES, ROUTES], 40);
@@ -109,22 +114,22 @@
   }
 
   private async send(source: RequestSource, phase: string): Promise<void> {
-    const started = performance.now();
+    const startedAtMs = performance.now();
     const identity = await this.reserveIdentity(source);
     const reply = await this.call(
       source,
       'PUT',
-      `/v1/requests/${identity}?wait=${WAIT_SECONDS}`,
+      `/v1/requests/${identity}?wait=${CALL_WAIT_SECONDS}`,
       {team: source.team, workload: source.workload, payload: '{}'},
     );
-    const milliseconds = performance.now() - started;
+    const durationMs = performance.now() - startedAtMs;
     const {team, workload} = source;
     this.sentRequests.push({
       team,
       workload,
       phase,
       code: reply.code,
-      milliseconds,
+      durationMs,
     });
   }
 
@@ -173,8 +178,14 @@
     const bytes = metrics.total('bytes_sent') + metrics.total('bytes_received');
     const usedPeak = Math.max(...this.usedFractions);
     console.log('\nmeasurement                              value');
-    printValue('wait to start, median', `${metrics.wait(0.5).toFixed(1)} ms`);
-    printValue('wait to start, p99', `${metrics.wait(0.99).toFixed(1)} ms`);
+    printValue(
+      'wait to start, median',
+      `${metrics.waitQuantileMs(0.5).toFixed(1)} ms`,
+    );
+    printValue(
+      'wait to start, p99',
+      `${metrics.waitQuantileMs(0.99).toFixed(1)} ms`,
+    );
     printValue('slots in use, peak', `${(usedPeak * 100).toFixed(0)} %`);
     printValue('starts over capacity', `${this.cell.overcommitmentCount()}`);
     printValue('log appends', `${this.cell.appendCount()}`);
@@ -209,7 +220,7 @@
 
 function median(sent: ReadonlyArray<SentRequest>): number {
   const sorted = sent
-    .map(item => item.milliseconds)
+    .map(item => item.durationMs)
     .sort((left, right) => left - right);
   return sorted[sorted.length >> 1] ?? 0;
 }
--- a/src/commands/try_cell.ts
+++ b/src/commands/try_cell.ts
@@ -49,7 +49,7 @@
   }
 
   /** Returns a quantile of the wait from request to start, in milliseconds. */
-  wait(quantile: number): number {
+  waitQuantileMs(quantile: number): number {
     const sorted = [...this.waits].sort((left, right) => left - right);
     const position = Math.floor(quantile * (sorted.length - 1));
     return sorted[Math.max(0, position)] ?? 0;
@@ -91,7 +91,7 @@
   /** Makes the busiest worker of the second zone fail every task. */
   breakWorker(): void {
     const [busiest] = [...this.workers.slice(WORKERS_PER_ZONE)].sort(
-      (left, right) => right.runCounts().size - left.runCounts().size,
+      (left, right) => right.startCounts().size - left.startCounts().size,
     );
     busiest.updateFailures({failsEverything: true});
   }
@@ -170,14 +170,14 @@
       `log = "${logAddress}"`,
       `vmList = "${vmListAddress}"`,
     ].join('\n');
-    const read = settings.parseSettings(text).unsafeCoerce();
-    const entry = new entryProcess.EntryProcess(read, {
+    const parsedSettings = settings.parseSettings(text).unsafeCoerce();
+    const entry = new entryProcess.EntryProcess(parsedSettings, {
       metrics: this.metrics,
       logs: {log: (level, event) => this.recordWarning(vm, level, event)},
     });
     const {callers, peers} = await entry.start();
-    const known = this.addressesByZone.get(zone) ?? [];
-    this.addressesByZone.set(zone, [...known, callers]);
+    const zoneAddresses = this.addressesByZone.get(zone) ?? [];
+    this.addressesByZone.set(zone, [...zoneAddresses, callers]);
     this.entries.push(entry);
     this.vmList.put({
       vm,
--- a/src/commands/try_documents.ts
+++ b/src/commands/try_documents.ts
@@ -12,27 +12,27 @@
   readonly taskCount: number;
 }
 
-function workload(work: WorkloadTemplate): string {
+function workloadTable(template: WorkloadTemplate): string {
   return `
 [[workloads]]
-name = "${work.name}"
-kind = "${work.kind}"
-urgency = "${work.urgency}"
+name = "${template.name}"
+kind = "${template.kind}"
+urgency = "${template.urgency}"
 worth = 10
-idempotent = ${work.idempotent}
+idempotent = ${template.idempotent}
 size = {processors = 2000, memory = 2048, accelerators = 0, slots = 1}
-runTimeMs = ${work.kind === 'service' ? 0 : 200}
-taskCount = ${work.taskCount}
+runTimeMs = ${template.kind === 'service' ? 0 : 200}
+taskCount = ${template.taskCount}
 startDeadlineMs = 0
 zones = []
 maximumPerRack = 0
 `;
 }
 
-function team(
+function teamDocument(
   name: string,
   client: string,
-  works: ReadonlyArray<WorkloadTemplate>,
+  templates: ReadonlyArray<WorkloadTemplate>,
 ): TryDocument {
   const content = `
 name = "${name}"
@@ -40,7 +40,7 @@
 share = 1
 queueLimit = 200
 quota = {processors = 96000, memory = 196608, accelerators = 0, slots = 48}
-${works.map(workload).join('')}`;
+${templates.map(workloadTable).join('')}`;
   return {name: `team/${name}`, content};
 }
 
@@ -58,7 +58,7 @@
 /** Configuration of both deployments, scaled down to one machine. */
 export const TRY_DOCUMENTS: ReadonlyArray<TryDocument> = [
   {name: 'fleet', content: FLEET},
-  team('dispatch', 'workshop', [
+  teamDocument('dispatch', 'workshop', [
     {
       name: 'polish-order',
       kind: 'batch',
@@ -81,7 +81,7 @@
       taskCount: 2,
     },
   ]),
-  team('office', 'solicitor-desk', [
+  teamDocument('office', 'solicitor-desk', [
     {
       name: 'certificate-batch',
       kind: 'batch',
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -27,13 +27,13 @@
   /** Relay between the process and the store. */
   readonly storeRelay: faultRelay.FaultRelay;
   readonly child: spawnedProcess.SpawnedProcess;
-  readonly frontAddress: string;
+  readonly jobApiAddress: string;
   readonly readyAddress: string;
   readonly metricsAddress: string;
 }
 
 /** HTTP response of a process to a caller. */
-export interface FrontResponse {
+export interface JobApiResponse {
   /** 0 when the connection ended without an answer. */
   readonly status: number;
   readonly body: Readonly<Record<string, unknown>>;
@@ -117,15 +117,18 @@
   }
 
   private async launch(name: string): Promise<CellProcess> {
-    const [front, ready, rangeStart] = await findFreePorts(3);
+    const [jobApiPort, readyPort, portRangeStart] = await findFreePorts(3);
     const settingsFile = path.join(this.folder, `${name}.json`);
     const storeRelay = new faultRelay.FaultRelay(this.storeAddress);
     const settings = {
       node_name: name,
       ip: '127.0.0.1',
       zone: 'zone-a',
-      listen: {front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`},
-      port_range: [rangeStart, rangeStart + 1],
+      listen: {
+        front: `127.0.0.1:${jobApiPort}`,
+        ready: `127.0.0.1:${readyPort}`,
+      },
+      port_range: [portRangeStart, portRangeStart + 1],
       limits: {cpu_share: 1, cpu_cores: 1},
       bounds: {grace_s: 4, status_s: 120, config_apply_ms: 2_500},
       platform: {address: await storeRelay.listen()},
@@ -139,9 +142,9 @@
       name,
       storeRelay,
       child,
-      frontAddress: `127.0.0.1:${front}`,
-      readyAddress: `127.0.0.1:${ready}`,
-      metricsAddress: `127.0.0.1:${rangeStart + 1}`,
+      jobApiAddress: `127.0.0.1:${jobApiPort}`,
+      readyAddress: `127.0.0.1:${readyPort}`,
+      metricsAddress: `127.0.0.1:${portRangeStart + 1}`,
     };
   }
 
@@ -161,14 +164,14 @@
   }
 
   /** Calls a process as a client of the queue does. */
-  callFront(
+  callJobApi(
     target: CellProcess,
     method: string,
     id: string,
     body?: unknown,
-  ): Promise<FrontResponse> {
-    return sendToFront(
-      target.frontAddress,
+  ): Promise<JobApiResponse> {
+    return sendToJobApi(
+      target.jobApiAddress,
       method,
       QUEUE_PATH_PREFIX + id,
       body,
@@ -204,9 +207,9 @@
 
   private async addWorker(
     id: string,
-    plan: workerModel.RunPlan,
+    runPlan: workerModel.RunPlan,
   ): Promise<void> {
-    const worker = new platformWorker.PlatformWorker(id, plan);
+    const worker = new platformWorker.PlatformWorker(id, runPlan);
     this.workers.push(worker);
     const entry = await worker.listen(SERVICE_NAME);
     const relay = new faultRelay.FaultRelay(String(entry.address));
@@ -254,12 +257,12 @@
 }
 
 /** Sends a request with the queue's host header to any address. */
-function sendToFront(
+function sendToJobApi(
   address: string,
   method: string,
   path: string,
   body: unknown,
-): Promise<FrontResponse> {
+): Promise<JobApiResponse> {
   const [host, port] = address.split(':');
   return new Promise(resolve => {
     const request = http.request(
--- a/stand_ins/platform_try.ts
+++ b/stand_ins/platform_try.ts
@@ -93,8 +93,9 @@
     let status = 0;
     while (status !== 200 && attempts < MAX_ATTEMPTS) {
       if (attempts > 0) await timers.setTimeout(RETRY_DELAY_MS);
-      const entry = this.cell.processes[(jobNumber + attempts) % PROCESS_COUNT];
-      ({status} = await this.cell.callFront(entry, 'POST', id, JOB_REQUEST));
+      const target =
+        this.cell.processes[(jobNumber + attempts) % PROCESS_COUNT];
+      ({status} = await this.cell.callJobApi(target, 'POST', id, JOB_REQUEST));
       attempts += 1;
     }
     const state = status === 200 ? await this.waitForEnd(id) : 'not accepted';
@@ -108,8 +109,8 @@
   private async waitForEnd(id: string): Promise<string> {
     const deadlineMs = performance.now() + JOB_TIMEOUT_MS;
     for (let poll = 0; performance.now() < deadlineMs; poll += 1) {
-      const entry = this.cell.processes[poll % PROCESS_COUNT];
-      const {status, body} = await this.cell.callFront(entry, 'GET', id);
+      const target = this.cell.processes[poll % PROCESS_COUNT];
+      const {status, body} = await this.cell.callJobApi(target, 'GET', id);
       const ended = body.state === 'completed' || body.state === 'failed';
       if (status === 200 && ended) return String(body.state);
       await timers.setTimeout(POLL_INTERVAL_MS);
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -26,7 +26,7 @@
 
   constructor(
     readonly id: string,
-    private readonly plan: workerModel.RunPlan,
+    private readonly runPlan: workerModel.RunPlan,
   ) {
     this.server = http.createServer((request, response) => {
       void this.serve(request, response);
@@ -60,7 +60,7 @@
     this.model = new workerModel.WorkerModel(
       entry,
       new clock.SystemClock(),
-      this.plan,
+      this.runPlan,
       this.events,
     );
     return {
@@ -118,13 +118,13 @@
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
       waitMs: Number(body.wait_ms),
     };
-    let outcome = model.renewLease(command);
+    let outcome = model.renewLeases(command);
     const waitEndMs = performance.now() + command.waitMs;
     while (!model.hasEndedRuns && performance.now() < waitEndMs) {
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
     }
     if (outcome.kind === 'reported') {
-      outcome = model.renewLease({...command, deadlineMs: undefined});
+      outcome = model.renewLeases({...command, deadlineMs: undefined});
     }
     if (outcome.kind !== 'reported') {
       jsonBody.sendJson(response, 409, {reason: 'fence'});
--- a/stand_ins/stand_in_worker.ts
+++ b/stand_ins/stand_in_worker.ts
@@ -59,7 +59,7 @@
   private readonly checkTimer: NodeJS.Timeout;
   private failures = NO_FAILURES;
   private leaving = false;
-  private readonly runsByIdentity = new Map<string, number>();
+  private readonly startCountsByIdentity = new Map<string, number>();
   private overcommitments = 0;
   private overuses = 0;
   private lapsedStarts = 0;
@@ -94,8 +94,8 @@
   }
 
   /** Returns the number of task starts by request identity. */
-  runCounts(): ReadonlyMap<string, number> {
-    return this.runsByIdentity;
+  startCounts(): ReadonlyMap<string, number> {
+    return this.startCountsByIdentity;
   }
 
   /** Returns the number of running tasks. */
@@ -144,7 +144,7 @@
   observe(): unknown {
     return {
       name: this.options.name,
-      runs: Object.fromEntries(this.runsByIdentity),
+      runs: Object.fromEntries(this.startCountsByIdentity),
       running: this.runningCount(),
       overcommitments: this.overcommitments,
       overuses: this.overuses,
@@ -176,9 +176,9 @@
       return;
     }
     const {identity} = start.label;
-    this.runsByIdentity.set(
+    this.startCountsByIdentity.set(
       identity,
-      (this.runsByIdentity.get(identity) ?? 0) + 1,
+      (this.startCountsByIdentity.get(identity) ?? 0) + 1,
     );
     const created = new workerTask.WorkerTask(start, {
       runTimeMs: this.options.runTimeMs,
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -43,12 +43,12 @@
   private readonly running = new Map<string, ActiveRun>();
   private readonly highestEndedRuns = new Map<string, number>();
   private ended: remoteWorker.ReportedRunEnd[] = [];
-  private nextEndNumber = 1;
+  private nextSequenceNumber = 1;
 
   constructor(
     readonly entry: remoteWorker.RegistryEntry,
     private readonly clock: clock.Clock,
-    private readonly plan: RunPlan,
+    private readonly runPlan: RunPlan,
     private readonly events: WorkerEvent[],
   ) {}
 
@@ -69,7 +69,7 @@
     if (activeRun !== undefined || command.run <= highestEndedRun) {
       return this.reject('staleRun');
     }
-    const {runTimeMs, outcome} = this.plan(command);
+    const {runTimeMs, outcome} = this.runPlan(command);
     const endsAtMs = this.clock.now() + runTimeMs;
     const startedAtMs = this.clock.now();
     this.running.set(command.task, {
@@ -94,7 +94,7 @@
     return this.done();
   }
 
-  renewLease(
+  renewLeases(
     command: workerClient.RenewalCommand,
   ): workerClient.RenewalOutcome {
     this.endDueRuns();
@@ -132,14 +132,14 @@
   }
 
   /** Returns the sum of the sizes of the running tasks. */
-  usedCapacity(
+  reservedCapacity(
     sizeOf: (task: string) => resources.Resources,
   ): resources.Resources {
-    let used = resources.NONE;
+    let reserved = resources.NONE;
     for (const task of this.running.keys()) {
-      used = resources.add(used, sizeOf(task));
+      reserved = resources.add(reserved, sizeOf(task));
     }
-    return used;
+    return reserved;
   }
 
   private toReportedRun(run: ActiveRun): remoteWorker.ReportedRun {
@@ -171,8 +171,8 @@
     this.running.delete(task);
     const highestEndedRun = this.highestEndedRuns.get(task) ?? 0;
     this.highestEndedRuns.set(task, Math.max(highestEndedRun, run));
-    const sequenceNumber = this.nextEndNumber;
-    this.nextEndNumber += 1;
+    const sequenceNumber = this.nextSequenceNumber;
+    this.nextSequenceNumber += 1;
     this.ended = [
       ...this.ended,
       {sequenceNumber, task, run, how: outcome, checkpoint: ''},
--- a/stand_ins/worker_task.ts
+++ b/stand_ins/worker_task.ts
@@ -114,14 +114,14 @@
 
   /** Returns the entry of the task in the worker's report. */
   report(): task.TaskReport {
-    const shown =
+    const usageIncluded =
       performance.now() - this.startedAtMs >= this.settings.usageLagMs;
     return {
       task: this.start.task,
       label: this.start.label,
       state: this.currentState,
       size: this.start.size,
-      usage: shown ? this.usage() : resources.NONE,
+      usage: usageIncluded ? this.usage() : resources.NONE,
       leaseEnd: this.leaseEnd,
     };
   }
--- a/test/bench/platform_soak_test.ts
+++ b/test/bench/platform_soak_test.ts
@@ -12,7 +12,7 @@
   for (const seed of SEEDS) {
     nodeTest.test(`keep their guarantees with seed ${seed}`, async () => {
       const outcome = await platformSoak.PlatformSoak.runSeed(seed);
-      assert.deepEqual(outcome.breaches, []);
+      assert.deepEqual(outcome.violations, []);
       assert.ok(
         outcome.acceptedCount > 20,
         `${outcome.acceptedCount} accepted`,
--- a/test/commands/entry_commands_test.ts
+++ b/test/commands/entry_commands_test.ts
@@ -9,7 +9,7 @@
   answer: (call: command.RecordedCall, earlier: number) => unknown,
   check: (
     entry: command.StubEntryServer,
-    ...given: ReadonlyArray<string>
+    ...commandArguments: ReadonlyArray<string>
   ) => Promise<void>,
 ): Promise<void> {
   const entry = new command.StubEntryServer(answer);
@@ -21,10 +21,10 @@
 }
 
 function publish(
-  ...given: ReadonlyArray<string>
-): Promise<command.CommandResult> {
+  ...commandArguments: ReadonlyArray<string>
+): Promise<command.CompletedCommand> {
   const document = ['--document', 'team/dispatch', TEAM_FILE];
-  return command.runCommand('', 'publish', ...given, ...document);
+  return command.runCommand('', 'publish', ...commandArguments, ...document);
 }
 
 nodeTest.describe('publish', () => {
@@ -37,8 +37,8 @@
           if (call.route.startsWith('GET')) return {code: 0, version: 41};
           return earlier === 0 ? undefined : {code: 0, version: 42};
         },
-        async (entry, ...given) => {
-          const result = await publish(...given);
+        async (entry, ...commandArguments) => {
+          const result = await publish(...commandArguments);
           assert.equal(result.exitCode, 0);
           const puts = entry.calls.filter(
             call => call.route === `PUT ${DOCUMENT_PATH}`,
@@ -63,8 +63,12 @@
       await withEntry(
         (_call, earlier) =>
           earlier === 0 ? undefined : {code: 3003, detail: 'log'},
-        async (_entry, ...given) => {
-          const result = await publish(...given, '--base=1', '--timeout=1');
+        async (_entry, ...commandArguments) => {
+          const result = await publish(
+            ...commandArguments,
+            '--base=1',
+            '--timeout=1',
+          );
           assert.equal(JSON.parse(result.output).code, 6004);
           assert.equal(result.exitCode, 7);
         },
@@ -78,8 +82,8 @@
     async () => {
       await withEntry(
         () => ({code: 6001, detail: 'baseVersion'}),
-        async (entry, ...given) => {
-          const result = await publish(...given, '--base=0');
+        async (entry, ...commandArguments) => {
+          const result = await publish(...commandArguments, '--base=0');
           assert.equal(result.exitCode, 7);
           assert.equal(entry.calls.length, 1);
         },
@@ -102,12 +106,12 @@
           if (earlier === 1) return {code: 1, state: 'running'};
           return {code: 0, answer: 'polished'};
         },
-        async (entry, ...given) => {
+        async (entry, ...commandArguments) => {
           const work = ['--team', 'dispatch', '--workload', 'polish-order'];
           const result = await command.runCommand(
             '',
             'submit',
-            ...given,
+            ...commandArguments,
             ...work,
           );
           assert.equal(result.exitCode, 0);
@@ -147,8 +151,12 @@
       for (const [words, route, code, exitCode] of cases) {
         await withEntry(
           () => ({code}),
-          async (entry, ...given) => {
-            const result = await command.runCommand('', ...words, ...given);
+          async (entry, ...commandArguments) => {
+            const result = await command.runCommand(
+              '',
+              ...words,
+              ...commandArguments,
+            );
             assert.equal(result.exitCode, exitCode, words[0]);
             assert.equal(entry.calls[0].route, route);
           },
@@ -164,9 +172,13 @@
     async () => {
       await withEntry(
         () => ({code: 0}),
-        async (_entry, ...given) => {
+        async (_entry, ...commandArguments) => {
           const dead = ['status', '--entry', '127.0.0.1:9'];
-          const reached = await command.runCommand('', ...dead, ...given);
+          const reached = await command.runCommand(
+            '',
+            ...dead,
+            ...commandArguments,
+          );
           assert.equal(reached.exitCode, 0);
           const none = await command.runCommand('', ...dead, '--timeout=0');
           assert.equal(none.exitCode, 4);
--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -26,7 +26,7 @@
   await wait.until(`${id} accepted`, async () => {
     const target = cell.processes[attempt % cell.processes.length];
     attempt += 1;
-    const {status} = await cell.callFront(target, 'POST', id, body);
+    const {status} = await cell.callJobApi(target, 'POST', id, body);
     return status === 200 ? true : undefined;
   });
 }
@@ -39,7 +39,7 @@
   await wait.until(`${id} completed`, async () => {
     const target = cell.processes[attempt % cell.processes.length];
     attempt += 1;
-    const {body} = await cell.callFront(target, 'GET', id);
+    const {body} = await cell.callJobApi(target, 'GET', id);
     return body.state === 'completed' ? true : undefined;
   });
 }
@@ -70,9 +70,9 @@
       await submitUntilAccepted(cell, 'aaaaaaaaaaaaaaa1', 100, 6);
       await waitUntilCompleted(cell, 'aaaaaaaaaaaaaaa1');
       assert.equal(cell.startEventsOf('aaaaaaaaaaaaaaa1').length, 6);
-      const unknown = await cell.callFront(cell.processes[0], 'GET', 'ff');
+      const unknown = await cell.callJobApi(cell.processes[0], 'GET', 'ff');
       assert.equal(unknown.status, 410);
-      const pending = await cell.callFront(cell.processes[1], 'GET', '');
+      const pending = await cell.callJobApi(cell.processes[1], 'GET', '');
       assert.deepEqual(pending.body, {pending: 0});
     }),
   );
@@ -120,7 +120,7 @@
     'answers open requests and exits on SIGTERM',
     withCell(2, async cell => {
       const leader = cell.leader();
-      const openCall = cell.callFront(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
+      const openCall = cell.callJobApi(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
         spec: '100',
         steps: [{...STEP, count: 1}],
       });
@@ -141,14 +141,14 @@
       cell.store.silent = true;
       const body = {spec: '100', steps: [{...STEP, count: 1}]};
       const [first] = cell.processes;
-      const undecided = await cell.callFront(
+      const undecided = await cell.callJobApi(
         first,
         'POST',
         'aaaaaaaaaaaaaaa2',
         body,
       );
       assert.equal(undecided.status, 504);
-      const refused = await cell.callFront(
+      const refused = await cell.callJobApi(
         first,
         'POST',
         'aaaaaaaaaaaaaaa3',
@@ -169,7 +169,7 @@
       cell.publishConfiguration(2, []);
       for (const target of cell.processes) {
         await wait.until('queue dropped', async () => {
-          const {status} = await cell.callFront(target, 'GET', '');
+          const {status} = await cell.callJobApi(target, 'GET', '');
           return status === 404 ? true : undefined;
         });
       }
--- a/test/processes/operator_commands_test.ts
+++ b/test/processes/operator_commands_test.ts
@@ -16,9 +16,9 @@
 type PrintedObject = Readonly<Record<string, unknown>>;
 
 async function runWithJson(
-  ...given: ReadonlyArray<string>
+  ...commandArguments: ReadonlyArray<string>
 ): Promise<PrintedObject> {
-  const {output} = await command.runCommand('', ...given, '--json');
+  const {output} = await command.runCommand('', ...commandArguments, '--json');
   return JSON.parse(output) as PrintedObject;
 }
 
@@ -110,7 +110,7 @@
           return reply['code'] === 0 ? reply : undefined;
         });
         const identity = String(ended['identity']);
-        assert.equal(worker.runCounts().get(identity), 1);
+        assert.equal(worker.startCounts().get(identity), 1);
         const listed = await runWithJson('workloads', ...entry);
         assert.match(JSON.stringify(listed), /kiln-watch/);
         const status = await runWithJson('status', ...entry);
--- a/test/processes/whole_path_test.ts
+++ b/test/processes/whole_path_test.ts
@@ -99,7 +99,7 @@
         });
         assert.equal(reply['code'], 0);
         assert.equal(reply['answer'], 'polished');
-        assert.equal(worker.runCounts().get(identity), 1);
+        assert.equal(worker.startCounts().get(identity), 1);
       } finally {
         await entry.kill();
         worker.close();
--- a/test/support/command.ts
+++ b/test/support/command.ts
@@ -3,7 +3,7 @@
 import * as listen from '../../src/links/listen.js';
 
 /** Standard output and exit code of a command. */
-export interface CommandResult {
+export interface CompletedCommand {
   readonly exitCode: number | null;
   readonly output: string;
 }
@@ -12,7 +12,7 @@
 export function runCommand(
   input: string,
   ...commandArguments: ReadonlyArray<string>
-): Promise<CommandResult> {
+): Promise<CompletedCommand> {
   return new Promise(resolve => {
     const child = childProcess.spawn(
       process.execPath,
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -62,7 +62,7 @@
     await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.timeOut(command.waitMs);
-    const outcome = worker.renewLease(command);
+    const outcome = worker.renewLeases(command);
     if (outcome.kind === 'rejected' || worker.hasEndedRuns) {
       await this.time.pause(ONE_WAY_DELAY_MS);
       return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
@@ -73,7 +73,7 @@
     }
     await this.time.pause(ONE_WAY_DELAY_MS);
     if (!this.canAnswer(entry, worker)) return this.timeOut(0);
-    return worker.renewLease({...command, deadlineMs: undefined});
+    return worker.renewLeases({...command, deadlineMs: undefined});
   }
 
   private async deliver(
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -212,7 +212,7 @@
   }
 
   private checkCapacity(model: workerModel.WorkerModel): void {
-    const used = model.usedCapacity(task => this.sizeOf(task));
+    const used = model.reservedCapacity(task => this.sizeOf(task));
     if (resources.fits(used, model.entry.capacity)) return;
     const at = Math.round(this.cell.time.now());
     this.violations.push(`worker over capacity: ${model.entry.id} at ${at} ms`);
--- a/test/support/spawned_entry_process.ts
+++ b/test/support/spawned_entry_process.ts
@@ -54,13 +54,13 @@
     const line = await child.waitForLine(/event=serving/);
     const port = /\bport=(\d+)/.exec(line)?.[1] ?? '';
     const peerPort = /\bpeerPort=(\d+)/.exec(line)?.[1] ?? '';
-    const name = /process=(\S+)/.exec(line)?.[1] ?? '';
+    const incarnation = /process=(\S+)/.exec(line)?.[1] ?? '';
     return new SpawnedEntryProcess(
       child,
       folder,
       `127.0.0.1:${port}`,
       `127.0.0.1:${peerPort}`,
-      name,
+      incarnation,
     );
   }
 
