Give the timeout in the errors of the pooled HTTP client

The three texts said only that a timeout passed. The permit comments say when a process counts as having a successor. Behaviour is unchanged otherwise.

--- a/src/links/pooled_http_client.ts
+++ b/src/links/pooled_http_client.ts
@@ -119,14 +119,17 @@
     request.signal?.addEventListener('abort', forwardAbort, {once: true});
     const timer = setTimeout(() => {
       abortController.abort(
-        new CallError('HEADERS', 'no response headers within the timeout'),
+        new CallError(
+          'HEADERS',
+          `no response headers within ${request.headersTimeoutMs} ms`,
+        ),
       );
     }, request.headersTimeoutMs);
     try {
       if (!(await acquireSlot(origin.limiter, abortController.signal))) {
         return {
           kind: 'notSent',
-          detail: 'no connection became free within the timeout',
+          detail: `no connection became free within ${request.headersTimeoutMs} ms`,
         };
       }
       return await this.sendWithSlot(origin, request, abortController, timer);
@@ -279,7 +282,10 @@
   clearTimeout(headersTimer);
   const bodyTimer = setTimeout(() => {
     abortController.abort(
-      new CallError('BODY', 'the response body did not end within the timeout'),
+      new CallError(
+        'BODY',
+        `the response body did not end within ${request.bodyTimeoutMs} ms`,
+      ),
     );
   }, request.bodyTimeoutMs);
   try {
--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -167,7 +167,10 @@
     return true;
   }
 
-  /** Returns whether a process has ended and its last permit has expired. */
+  /**
+   * Returns whether a process left or was claimed and its last permit has
+   * expired, so that its successor may act.
+   */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     const endedAt = this.endObservedAt.get(process);
     return endedAt !== undefined && now >= endedAt + this.claimWaitMs();
--- a/src/zones/zone_controller.ts
+++ b/src/zones/zone_controller.ts
@@ -134,7 +134,10 @@
     return member?.joined;
   }
 
-  /** Returns whether a process has ended and its last permit has expired. */
+  /**
+   * Returns whether a process left or was claimed and its last permit has
+   * expired, so that its successor may act.
+   */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     return this.permits.hasSuccessor(process, now);
   }
