--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -127,7 +127,7 @@
   test('accepts a file with an address, ports and the store', () => {
     const read = platformSettings.parseSettings(encode(FILE)).unsafeCoerce();
     assert.equal(read.cellPort, 7_000);
-    assert.deepEqual(read.front, {host: '10.1.0.1', port: 1});
+    assert.deepEqual(read.jobApiEndpoint, {host: '10.1.0.1', port: 1});
   });
 
   // Guards against a process that starts with unusable settings.
