Rename more names of machines and jobs after the terms of the field

TaskRunner.collectAnswer -> fetchEndedAnswer, task state 'collecting' -> 'fetchingAnswer', finding 'collect' -> 'fetchAnswer' ENDED_TASK_RETENTION_MS of the task runner -> END_TIME_RETENTION_MS (src/contracts/lease.ts has the other one) WorkerFacts, AssignmentIndex: countTasksOfStep/countServingTasks/countIdleCapacityTasks -> countRunsOfStep/countServingRuns/countIdleCapacityRuns BucketPosition.position -> indexInBucket, MAXIMUM_BACKLOG_BYTES -> MAXIMUM_UNREAD_BYTES, locate -> toSettingsFault tests: world -> harness, turn -> output, machine -> suspect or target

Behaviour is unchanged.

--- a/src/jobs/assignment_index.ts
+++ b/src/jobs/assignment_index.ts
@@ -43,7 +43,7 @@
   }
 
   /** Counts the runs of a step on a worker. */
-  countTasksOfStep(
+  countRunsOfStep(
     worker: remoteWorker.RemoteWorker,
     step: stepInstance.StepInstance,
   ): number {
@@ -55,7 +55,7 @@
   }
 
   /** Counts runs of tasks with a response time target on a worker. */
-  countServingTasks(worker: remoteWorker.RemoteWorker): number {
+  countServingRuns(worker: remoteWorker.RemoteWorker): number {
     return this.countWhere(
       worker,
       step => step.definition.targetMs !== undefined,
@@ -63,7 +63,7 @@
   }
 
   /** Counts runs of tasks that use idle capacity on a worker. */
-  countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number {
+  countIdleCapacityRuns(worker: remoteWorker.RemoteWorker): number {
     return this.countWhere(worker, step => step.definition.usesIdleCapacity);
   }
 
--- a/src/jobs/gang_plan.ts
+++ b/src/jobs/gang_plan.ts
@@ -43,10 +43,10 @@
   const plannedTaskCounts = new Map<remoteWorker.RemoteWorker, number>();
   const factsWithPlan: workerSelection.WorkerFacts = {
     ticketFor: worker => facts.ticketFor(worker),
-    countTasksOfStep: worker =>
-      facts.countTasksOfStep(worker) + (plannedTaskCounts.get(worker) ?? 0),
-    countServingTasks: worker => facts.countServingTasks(worker),
-    countIdleCapacityTasks: worker => facts.countIdleCapacityTasks(worker),
+    countRunsOfStep: worker =>
+      facts.countRunsOfStep(worker) + (plannedTaskCounts.get(worker) ?? 0),
+    countServingRuns: worker => facts.countServingRuns(worker),
+    countIdleCapacityRuns: worker => facts.countIdleCapacityRuns(worker),
     failureProbability: worker => facts.failureProbability(worker),
   };
   const size = workerSelection.reservedSize(step.definition);
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -217,12 +217,11 @@
     return {
       ticketFor: worker =>
         queue.advice ? this.adviceCache.ticketFor(step, worker, now) : '',
-      countTasksOfStep: worker =>
-        this.assignmentIndex.countTasksOfStep(worker, step),
-      countServingTasks: worker =>
-        this.assignmentIndex.countServingTasks(worker),
-      countIdleCapacityTasks: worker =>
-        this.assignmentIndex.countIdleCapacityTasks(worker),
+      countRunsOfStep: worker =>
+        this.assignmentIndex.countRunsOfStep(worker, step),
+      countServingRuns: worker => this.assignmentIndex.countServingRuns(worker),
+      countIdleCapacityRuns: worker =>
+        this.assignmentIndex.countIdleCapacityRuns(worker),
       failureProbability: worker => this.reliability.failureProbability(worker),
       runsOn: worker => this.assignmentIndex.runsOn(worker),
       priorityOf: other => this.listener.priorityOf(other),
--- a/src/jobs/preemption_planner.ts
+++ b/src/jobs/preemption_planner.ts
@@ -72,9 +72,9 @@
       .sort(
         (left, right) => sizeOf(left).processors - sizeOf(right).processors,
       );
-    const tasksOnWorker = facts.countTasksOfStep(worker);
+    const runsOnWorker = facts.countRunsOfStep(worker);
     const taskLimit =
-      (step.definition.maximumPerWorker ?? Infinity) - tasksOnWorker;
+      (step.definition.maximumPerWorker ?? Infinity) - runsOnWorker;
     const victims: jobTask.Assignment[] = [];
     let tasks = 0;
     while (tasks < Math.min(wantedCount, taskLimit)) {
--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -40,7 +40,10 @@
   const adviceMs = advice ? adviceCache.longestAdviceCallMs(advice) : 0;
   for (const step of record.steps.slice(0, record.definition.steps.length)) {
     const {after} = step.definition;
-    const startMs = Math.max(0, ...after.map(before => endsMs[before] ?? 0));
+    const startMs = Math.max(
+      0,
+      ...after.map(dependency => endsMs[dependency] ?? 0),
+    );
     const durationMs = durationOf(step);
     endsMs.push(startMs + (durationMs > 0 ? durationMs + adviceMs : 0));
   }
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -15,11 +15,11 @@
   /** Returns a ticket, or an empty string where none is needed. */
   ticketFor(worker: remoteWorker.RemoteWorker): string | undefined;
   /** Counts the step's tasks on the worker. */
-  countTasksOfStep(worker: remoteWorker.RemoteWorker): number;
+  countRunsOfStep(worker: remoteWorker.RemoteWorker): number;
   /** Counts tasks with a response time target on the worker. */
-  countServingTasks(worker: remoteWorker.RemoteWorker): number;
+  countServingRuns(worker: remoteWorker.RemoteWorker): number;
   /** Counts tasks that use idle capacity on the worker. */
-  countIdleCapacityTasks(worker: remoteWorker.RemoteWorker): number;
+  countIdleCapacityRuns(worker: remoteWorker.RemoteWorker): number;
   /** Returns how likely the worker is to fail its runs, from 0 to 1. */
   failureProbability(worker: remoteWorker.RemoteWorker): number;
 }
@@ -118,10 +118,10 @@
   worker: remoteWorker.RemoteWorker,
   facts: WorkerFacts,
 ): number {
-  const tasksOnWorker = facts.countTasksOfStep(worker);
+  const runsOnWorker = facts.countRunsOfStep(worker);
   if (
     step.maximumPerWorker !== undefined &&
-    tasksOnWorker >= step.maximumPerWorker
+    runsOnWorker >= step.maximumPerWorker
   ) {
     return Infinity;
   }
@@ -129,16 +129,16 @@
   let cost = isRemote ? REMOTE_RACK_COST : 0;
   cost += FAILURE_COST * facts.failureProbability(worker);
   if (step.usesIdleCapacity) {
-    if (facts.countServingTasks(worker) > 0) return Infinity;
+    if (facts.countServingRuns(worker) > 0) return Infinity;
     // These tasks run on idle processors: prefer the least loaded worker.
     return (
       cost +
       resources.dominantShare(worker.used, worker.entry.capacity) +
-      facts.countIdleCapacityTasks(worker)
+      facts.countIdleCapacityRuns(worker)
     );
   }
   if (step.targetMs !== undefined) {
-    cost += REMOTE_RACK_COST * facts.countIdleCapacityTasks(worker);
+    cost += REMOTE_RACK_COST * facts.countIdleCapacityRuns(worker);
   }
   const freeAfterPlacement = resources.subtract(
     worker.free,
--- a/src/machines/free_capacity_index.ts
+++ b/src/machines/free_capacity_index.ts
@@ -38,7 +38,7 @@
 interface BucketPosition {
   readonly bucket: number;
   /** Index in the bucket; changes when another worker is removed from it. */
-  position: number;
+  indexInBucket: number;
 }
 
 interface Search {
@@ -71,27 +71,27 @@
   /** Adds a worker or moves it to the bucket of its available capacity. */
   put(moved: worker.Worker): void {
     const bucket = bucketOf(moved.available);
-    const place = this.positions.get(moved);
-    if (place?.bucket === bucket) return;
-    if (place !== undefined) this.remove(moved);
+    const position = this.positions.get(moved);
+    if (position?.bucket === bucket) return;
+    if (position !== undefined) this.remove(moved);
     const members = this.buckets[bucket];
-    this.positions.set(moved, {bucket, position: members.length});
+    this.positions.set(moved, {bucket, indexInBucket: members.length});
     members.push(moved);
     this.workersPerRow[rowOf(bucket)] += 1;
   }
 
   /** Removes a worker; does nothing when it is not in the index. */
   remove(removed: worker.Worker): void {
-    const place = this.positions.get(removed);
-    if (place === undefined) return;
+    const position = this.positions.get(removed);
+    if (position === undefined) return;
     this.positions.delete(removed);
-    this.workersPerRow[rowOf(place.bucket)] -= 1;
-    const members = this.buckets[place.bucket];
+    this.workersPerRow[rowOf(position.bucket)] -= 1;
+    const members = this.buckets[position.bucket];
     const last = members.pop();
     if (last === undefined || last === removed) return;
-    members[place.position] = last;
+    members[position.indexInBucket] = last;
     const moved = this.positions.get(last);
-    if (moved !== undefined) moved.position = place.position;
+    if (moved !== undefined) moved.indexInBucket = position.indexInBucket;
   }
 
   /** Returns at most `SAMPLE_LIMIT` workers with capacity for `size`. */
--- a/src/machines/report_finding.ts
+++ b/src/machines/report_finding.ts
@@ -8,7 +8,7 @@
   | {readonly kind: 'nothing'}
   | {readonly kind: 'running'}
   /** The task has ended and its answer has to be fetched. */
-  | {readonly kind: 'collect'}
+  | {readonly kind: 'fetchAnswer'}
   | {readonly kind: 'ended'; readonly end: trackedTask.TaskEndState}
   | {readonly kind: 'notRun'}
   /** The report should list the task; a single such report may be a race. */
@@ -35,7 +35,7 @@
   }
   if (listed.state === 'running') return {kind: 'running'};
   if (listed.state === 'finished' || listed.state === 'failed') {
-    return {kind: 'collect'};
+    return {kind: 'fetchAnswer'};
   }
   return {kind: 'ended', end: listed.state};
 }
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -23,7 +23,7 @@
 const ANSWER_FETCH_RETRY_MS = 2_000;
 
 /** Retention of ended tasks, so that older reports do not adopt them again. */
-const ENDED_TASK_RETENTION_MS = 30_000;
+const END_TIME_RETENTION_MS = 30_000;
 
 /** Source of the permits under which this process may place on workers. */
 export interface PermitSource {
@@ -377,8 +377,8 @@
           this.confirmRunning(known, listed.leaseEnd, now);
         }
         return;
-      case 'collect':
-        this.collectAnswer(known, now);
+      case 'fetchAnswer':
+        this.fetchEndedAnswer(known, now);
         return;
       case 'ended':
         this.settleEnded(known, finding.end, '', now);
@@ -414,19 +414,19 @@
     if (known.stopping) this.sendStop(current);
   }
 
-  private collectAnswer(
+  private fetchEndedAnswer(
     known: trackedTask.TrackedTask,
     now: clock.Milliseconds,
   ): void {
     const ended: trackedTask.TrackedTask = {
       ...known,
-      state: 'collecting',
+      state: 'fetchingAnswer',
       startedAt: known.startedAt ?? now,
     };
     this.tasks.put(ended);
     // An ended task needs no capacity, even while its answer is being fetched.
     known.worker.release(known.task);
-    const first = known.state !== 'collecting';
+    const first = known.state !== 'fetchingAnswer';
     if (first && known.fetchedAt !== -Infinity) return;
     if (now - known.fetchedAt < ANSWER_FETCH_RETRY_MS) return;
     this.fetchAnswer(ended, now);
@@ -473,7 +473,7 @@
       this.maintainWorker(this.tasks.onWorker(name)[0].worker, now);
     }
     for (const [name, endedAt] of this.endTimes) {
-      if (now - endedAt < ENDED_TASK_RETENTION_MS) break;
+      if (now - endedAt < END_TIME_RETENTION_MS) break;
       this.endTimes.delete(name);
     }
   }
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -7,11 +7,16 @@
 /**
  * State of a tracked task. `reserved`: capacity is reserved, no start was sent.
  * `starting`: the start is not answered yet. `unknown`: the answer to the start
- * was lost. `collecting`: the task ended and its answer is being fetched.
+ * was lost. `fetchingAnswer`: the task ended and its answer is being fetched.
  * `unresolved`: it may have run on a worker that no longer reports.
  */
 export type TrackedState =
-  'reserved' | 'starting' | 'unknown' | 'running' | 'collecting' | 'unresolved';
+  | 'reserved'
+  | 'starting'
+  | 'unknown'
+  | 'running'
+  | 'fetchingAnswer'
+  | 'unresolved';
 
 /** Final state of a task, as far as it is known. */
 export type TaskEndState =
--- a/src/operations/event_log_writer.ts
+++ b/src/operations/event_log_writer.ts
@@ -2,7 +2,7 @@
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** Unread output above which lines are dropped. */
-const MAXIMUM_BACKLOG_BYTES = 262_144;
+const MAXIMUM_UNREAD_BYTES = 262_144;
 
 /** Writable stream that exposes its number of buffered bytes. */
 export interface LineOutput {
@@ -32,7 +32,7 @@
   }
 
   private write(line: string): void {
-    if (this.output.writableLength > MAXIMUM_BACKLOG_BYTES) {
+    if (this.output.writableLength > MAXIMUM_UNREAD_BYTES) {
       this.droppedLineCount += 1;
       return;
     }
--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -147,7 +147,7 @@
       if (faults.length === 0) {
         return either.Right(SETTINGS_SCHEMA.applyDefaults(table) as Settings);
       }
-      return either.Left(faults.map(fault => locate(fault, text)));
+      return either.Left(faults.map(fault => toSettingsFault(fault, text)));
     });
 }
 
@@ -165,7 +165,7 @@
   return [...faults, tomlSchema.toFault('peerPort', peerPort, rule)];
 }
 
-function locate(fault: tomlSchema.Fault, text: string): SettingsFault {
+function toSettingsFault(fault: tomlSchema.Fault, text: string): SettingsFault {
   const {field, value} = fault;
   const line = findLine(field, text);
   return {key: field, line, value, rule: `must be ${fault.rule}`};
--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -31,15 +31,20 @@
         sizes,
         fastCheck.constantFrom('tightest' as const, 'loosest' as const),
         (held, wanted, order) => {
-          const world = new schedulingHarness.SchedulingHarness();
-          const whole = schedulingHarness.buildResources(16_000, 32_768, 4, 8);
-          const workers = world.addWorkers(held.length, whole);
+          const harness = new schedulingHarness.SchedulingHarness();
+          const capacity = schedulingHarness.buildResources(
+            16_000,
+            32_768,
+            4,
+            8,
+          );
+          const workers = harness.addWorkers(held.length, capacity);
           workers.forEach((target, index) => {
             const task = `task-${index}`;
             target.reserve({task, label: LABEL, size: held[index]});
           });
-          world.fleet.refresh(() => true);
-          const found = world.fleet.sample(wanted, order, () => true);
+          harness.fleet.refresh(() => true);
+          const found = harness.fleet.sample(wanted, order, () => true);
           assert.ok(found.length <= freeCapacityIndex.SAMPLE_LIMIT);
           for (const target of found) {
             assert.ok(resources.fits(wanted, target.available));
@@ -57,12 +62,15 @@
   });
 
   nodeTest.test('tasks without accelerators avoid accelerated workers', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    world.addWorkers(4, schedulingHarness.buildResources(16_000, 32_768, 4, 8));
-    const [plain] = world.addWorkers(1);
-    world.fleet.refresh(() => true);
+    const harness = new schedulingHarness.SchedulingHarness();
+    harness.addWorkers(
+      4,
+      schedulingHarness.buildResources(16_000, 32_768, 4, 8),
+    );
+    const [plain] = harness.addWorkers(1);
+    harness.fleet.refresh(() => true);
     const wanted = schedulingHarness.buildResources(1_000, 1_024);
-    const [first] = world.fleet.sample(wanted, 'tightest', () => true);
+    const [first] = harness.fleet.sample(wanted, 'tightest', () => true);
     assert.equal(first, plain);
   });
 });
@@ -70,8 +78,8 @@
 nodeTest.describe('totals of the fleet', () => {
   nodeTest.test('equal the sums over the workers after any changes', () => {
     const random = new randomSource.SeededRandom(SEED);
-    const world = new schedulingHarness.SchedulingHarness();
-    const workers = world.addWorkers(10);
+    const harness = new schedulingHarness.SchedulingHarness();
+    const workers = harness.addWorkers(10);
     for (let step = 0; step < 2_000; step += 1) {
       const target = workers[random.below(10)];
       const task = `task-${random.below(40)}`;
@@ -90,39 +98,39 @@
         resources.subtract(target.capacity, target.free),
       );
     }
-    assert.deepEqual(world.fleet.reservedTotal, held);
-    assert.deepEqual(world.fleet.reservedByTeam('dispatch'), held);
-    for (const target of workers) world.fleet.remove(target.name);
-    assert.deepEqual(world.fleet.reservedTotal, resources.NONE);
-    assert.deepEqual(world.fleet.capacity, resources.NONE);
+    assert.deepEqual(harness.fleet.reservedTotal, held);
+    assert.deepEqual(harness.fleet.reservedByTeam('dispatch'), held);
+    for (const target of workers) harness.fleet.remove(target.name);
+    assert.deepEqual(harness.fleet.reservedTotal, resources.NONE);
+    assert.deepEqual(harness.fleet.capacity, resources.NONE);
   });
 });
 
 nodeTest.describe('removed workers', () => {
   nodeTest.test('a release after the removal leaves the totals alone', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    const [gone, stays] = world.addWorkers(2);
+    const harness = new schedulingHarness.SchedulingHarness();
+    const [removed, kept] = harness.addWorkers(2);
     const size = schedulingHarness.buildResources(1_000, 1_024);
-    gone.reserve({task: 'one', label: LABEL, size});
-    stays.reserve({task: 'two', label: LABEL, size});
-    world.fleet.remove(gone.name);
-    assert.ok(gone.reservations().has('one'));
-    gone.release('one');
-    assert.deepEqual(world.fleet.reservedTotal, size);
+    removed.reserve({task: 'one', label: LABEL, size});
+    kept.reserve({task: 'two', label: LABEL, size});
+    harness.fleet.remove(removed.name);
+    assert.ok(removed.reservations().has('one'));
+    removed.release('one');
+    assert.deepEqual(harness.fleet.reservedTotal, size);
   });
 });
 
 nodeTest.describe('capacity invariant', () => {
   nodeTest.test('a violation is reported once with cause and dimension', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    const [machine] = world.addWorkers(1);
+    const harness = new schedulingHarness.SchedulingHarness();
+    const [target] = harness.addWorkers(1);
     const size = schedulingHarness.buildResources(12_000, 1_024);
-    assert.ok(machine.reserve({task: 'one', label: LABEL, size}));
-    assert.equal(machine.reserve({task: 'two', label: LABEL, size}), false);
-    assert.deepEqual(world.fleet.takeViolations(), []);
-    machine.adopt({task: 'two', label: LABEL, size});
-    machine.adopt({task: 'three', label: LABEL, size});
-    const [violation, ...more] = world.fleet.takeViolations();
+    assert.ok(target.reserve({task: 'one', label: LABEL, size}));
+    assert.equal(target.reserve({task: 'two', label: LABEL, size}), false);
+    assert.deepEqual(harness.fleet.takeViolations(), []);
+    target.adopt({task: 'two', label: LABEL, size});
+    target.adopt({task: 'three', label: LABEL, size});
+    const [violation, ...more] = harness.fleet.takeViolations();
     assert.equal(violation.cause, 'adopt');
     assert.equal(violation.dimension, 'processors');
     assert.equal(more.length, 0);
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -85,15 +85,15 @@
   }
 }
 
-function outcomeKinds(turn: taskRunner.RunnerOutput): ReadonlyArray<string> {
-  return turn.outcomes.map(outcome => outcome.kind);
+function outcomeKinds(output: taskRunner.RunnerOutput): ReadonlyArray<string> {
+  return output.outcomes.map(outcome => outcome.kind);
 }
 
 function effectsOf<Kind extends effect.Effect['kind']>(
-  turn: taskRunner.RunnerOutput,
+  output: taskRunner.RunnerOutput,
   kind: Kind,
 ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
-  return turn.effects.filter(
+  return output.effects.filter(
     (item): item is effect.Effect & {readonly kind: Kind} => item.kind === kind,
   );
 }
@@ -117,9 +117,9 @@
     () => {
       const fixture = new RunnerFixture();
       fixture.now = 4_000;
-      const turn = fixture.start();
-      assert.deepEqual(outcomeKinds(turn), ['notRun']);
-      assert.deepEqual(effectsOf(turn, 'startTask'), []);
+      const output = fixture.start();
+      assert.deepEqual(outcomeKinds(output), ['notRun']);
+      assert.deepEqual(effectsOf(output, 'startTask'), []);
       assert.equal(fixture.worker.reservations().size, 0);
     },
   );
@@ -184,11 +184,11 @@
     fixture.start();
     fixture.answerStart('lost');
     fixture.now = 500;
-    const turn = fixture.report([
+    const output = fixture.report([
       contractSamples.buildTaskReport('id/0.1', 'id'),
     ]);
-    assert.deepEqual(outcomeKinds(turn), ['started']);
-    assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+    assert.deepEqual(outcomeKinds(output), ['started']);
+    assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
   });
 });
 
@@ -229,8 +229,8 @@
       fixture.permitEnd = Infinity;
       assert.deepEqual(outcomeKinds(fixture.advance(29_900)), []);
       assert.equal(fixture.worker.reservations().size, 1);
-      const turn = fixture.advance(200);
-      assert.deepEqual(outcomeKinds(turn), ['ended']);
+      const output = fixture.advance(200);
+      assert.deepEqual(outcomeKinds(output), ['ended']);
       assert.equal(fixture.worker.reservations().size, 0);
     },
   );
@@ -256,8 +256,8 @@
       assert.equal(fixture.worker.reservations().size, 0);
       const state = 'finished';
       const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
-      const turn = fixture.report([listed]);
-      assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+      const output = fixture.report([listed]);
+      assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
       assert.deepEqual(outcomeKinds(fixture.answer('id/0.1')), ['ended']);
     },
   );
@@ -268,12 +268,12 @@
     const fixture = new RunnerFixture();
     fixture.start();
     fixture.answerStart('started');
-    for (const turn of [
+    for (const output of [
       fixture.answer('id/0.1', 'worker-2'),
       fixture.answer('other/0.1'),
     ]) {
-      assert.deepEqual(outcomeKinds(turn), []);
-      assert.equal(effectsOf(turn, 'count')[0].metric, 'answer_dropped');
+      assert.deepEqual(outcomeKinds(output), []);
+      assert.equal(effectsOf(output, 'count')[0].metric, 'answer_dropped');
     }
   });
 
@@ -286,8 +286,8 @@
     fixture.now = 1_000;
     const state = 'finished';
     const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
-    const turn = fixture.report([listed]);
-    assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+    const output = fixture.report([listed]);
+    assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
     const [ended] = fixture.answer('id/0.1').outcomes;
     assert.equal(ended.kind === 'ended' && ended.answer, 'polished');
   });
@@ -314,10 +314,10 @@
     () => {
       const fixture = new RunnerFixture();
       const found = contractSamples.buildTaskReport('old/0.1', 'old');
-      const turn = fixture.report([found]);
-      assert.deepEqual(outcomeKinds(turn), ['adopted']);
+      const output = fixture.report([found]);
+      assert.deepEqual(outcomeKinds(output), ['adopted']);
       assert.equal(fixture.worker.reservations().size, 1);
-      assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+      assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
       fixture.now = 500;
       assert.deepEqual(outcomeKinds(fixture.answer('old/0.1')), ['ended']);
       assert.equal(fixture.worker.reservations().size, 0);
@@ -364,8 +364,8 @@
       const fixture = new RunnerFixture();
       fixture.start();
       assert.deepEqual(fixture.runner.stop('id/0.1').effects, []);
-      const turn = fixture.answerStart('started');
-      assert.equal(effectsOf(turn, 'stopTask').length, 1);
+      const output = fixture.answerStart('started');
+      assert.equal(effectsOf(output, 'stopTask').length, 1);
     },
   );
 });
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -17,24 +17,24 @@
     .includes(true);
 }
 
-function oneWorker(): worker.Worker {
+function buildWorker(): worker.Worker {
   return new schedulingHarness.SchedulingHarness().addWorkers(1)[0];
 }
 
 nodeTest.describe('workers that fail every task', () => {
   nodeTest.test('early failures of three workloads suspend a worker', () => {
     const health = new workerHealth.WorkerHealth();
-    const machine = oneWorker();
-    assert.ok(recordFailures(health, machine, ['a', 'b', 'c']));
-    assert.equal(machine.ready, false);
+    const suspect = buildWorker();
+    assert.ok(recordFailures(health, suspect, ['a', 'b', 'c']));
+    assert.equal(suspect.ready, false);
   });
 
   nodeTest.test('one workload that always fails suspends no worker', () => {
     const health = new workerHealth.WorkerHealth();
-    const machine = oneWorker();
-    assert.equal(recordFailures(health, machine, ['a', 'a', 'a', 'a']), false);
-    assert.equal(recordFailures(health, machine, ['b', 'c'], 60_000), false);
-    assert.ok(machine.ready);
+    const suspect = buildWorker();
+    assert.equal(recordFailures(health, suspect, ['a', 'a', 'a', 'a']), false);
+    assert.equal(recordFailures(health, suspect, ['b', 'c'], 60_000), false);
+    assert.ok(suspect.ready);
   });
 
   nodeTest.test(
@@ -61,8 +61,8 @@
     'a workload that starts to fail everywhere suspends no further worker',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const machines = new schedulingHarness.SchedulingHarness().addWorkers(3);
-      const [first, second, third] = machines;
+      const workers = new schedulingHarness.SchedulingHarness().addWorkers(3);
+      const [first, second, third] = workers;
       const end = {worker: first, workload: 'a', failed: false, runTimeMs: 200};
       health.recordEnd(end, 0);
       const many = new Array<string>(20).fill('a');
@@ -76,30 +76,30 @@
     'readmission takes one probe, and each failed probe doubles the wait',
     () => {
       const health = new workerHealth.WorkerHealth();
-      const machine = oneWorker();
-      recordFailures(health, machine, ['a', 'b', 'c']);
+      const suspect = buildWorker();
+      recordFailures(health, suspect, ['a', 'b', 'c']);
       health.readmit(29_999);
-      assert.equal(machine.ready, false);
+      assert.equal(suspect.ready, false);
       health.readmit(30_000);
-      assert.ok(health.isOnProbation(machine));
-      health.recordPlacement(machine);
-      assert.equal(machine.ready, false);
-      const probe = {worker: machine, workload: 'a', runTimeMs: 10};
+      assert.ok(health.isOnProbation(suspect));
+      health.recordPlacement(suspect);
+      assert.equal(suspect.ready, false);
+      const probe = {worker: suspect, workload: 'a', runTimeMs: 10};
       health.recordEnd({...probe, failed: true}, 31_000);
       assert.equal(health.nextDeadline(), 91_000);
       health.readmit(91_000);
-      health.recordPlacement(machine);
+      health.recordPlacement(suspect);
       health.recordEnd({...probe, failed: false}, 92_000);
-      assert.ok(machine.ready);
-      assert.equal(health.isOnProbation(machine), false);
+      assert.ok(suspect.ready);
+      assert.equal(health.isOnProbation(suspect), false);
     },
   );
 
   nodeTest.test('a worker that fails every task gets few tasks', () => {
-    const world = new schedulingHarness.SchedulingHarness();
-    const [faulty] = world.addWorkers(2);
-    world.addTeam(schedulingHarness.buildTeam('dispatch'));
-    const kinds = ['a', 'b', 'c', 'd'].map(name =>
+    const harness = new schedulingHarness.SchedulingHarness();
+    const [faulty] = harness.addWorkers(2);
+    harness.addTeam(schedulingHarness.buildTeam('dispatch'));
+    const workloads = ['a', 'b', 'c', 'd'].map(name =>
       schedulingHarness.buildWorkload({
         name,
         size: schedulingHarness.buildResources(2_000, 4_096),
@@ -107,10 +107,12 @@
     );
     let failed = 0;
     for (let now = 0; now < 5_000; now += 100) {
-      for (const kind of kinds) world.admit('dispatch', kind, 1, now);
-      for (const placed of world.scheduler.place(now)) {
+      for (const workload of workloads) {
+        harness.admit('dispatch', workload, 1, now);
+      }
+      for (const placed of harness.scheduler.place(now)) {
         if (placed.worker === faulty) failed += 1;
-        world.end(placed, placed.worker === faulty, now);
+        harness.end(placed, placed.worker === faulty, now);
       }
     }
     assert.ok(failed >= 3 && failed <= 8, `${failed} tasks failed`);
