--- a/src/loop.ts
+++ b/src/loop.ts
@@ -20,8 +20,8 @@
 /**
  * The only event queue of a process. Links and timers post events; each turn
  * passes one event to the handler and the resulting effects to the performer.
- * The loop runs on Node's single thread, which blocks in Node's own poll while
- * the queue is empty.
+ * The loop runs on Node's single thread, which blocks in the poll phase of
+ * Node's event loop while the queue is empty.
  */
 export class Loop {
   private readonly queue: event.Event[] = [];
--- a/src/machines/clock.ts
+++ b/src/machines/clock.ts
@@ -4,7 +4,7 @@
 /** Largest relative difference between the rates of two clocks. */
 export const MAXIMUM_DRIFT = 0.01;
 
-/** Source of monotonic time. Decision code gets readings, never the clock. */
+/** Source of monotonic time. Decision code is passed readings of it. */
 export interface Clock {
   now(): Milliseconds;
 }
--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -17,10 +17,11 @@
 import type * as randomSource from './random_source.js';
 
 /**
- * Time limit for the requests in progress to end before the workers are handed
- * over regardless. A shutdown has 30 s; the remainder is for the handover.
+ * Time that a drain gives the requests in progress to end. After it, the workers
+ * are handed over regardless. A shutdown has 30 s; the remainder is for the
+ * handover.
  */
-const DRAIN_MS = 20_000;
+const DRAIN_TIMEOUT_MS = 20_000;
 
 /** Identity, dependencies and log options of an entry process. */
 export interface EntryVmOptions {
@@ -98,7 +99,8 @@
   ): ReadonlyArray<effects.Effect> {
     if (handled.kind === 'vmListRead') this.directory.updateVms(handled.vms);
     const isDrain = isOwnDrain(handled);
-    if (isDrain) this.handOverBy = Math.min(this.handOverBy, now + DRAIN_MS);
+    if (isDrain)
+      {this.handOverBy = Math.min(this.handOverBy, now + DRAIN_TIMEOUT_MS);}
     const produced = [
       // The zone is drained later, in `handOverWhenIdle`, once the requests of
       // this process have ended.
--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -12,9 +12,9 @@
 const RENEWAL_RETRY_MS = 500;
 
 /**
- * Age of the last report from which on leases are no longer renewed. A renewal
- * to an unreachable worker may still arrive, which would delay the time at
- * which the task is known to have ended.
+ * Maximum age of a worker's last report at which its leases are renewed. A
+ * renewal to an unreachable worker may still arrive, which would delay the time
+ * at which the task is known to have ended.
  */
 const REPORT_STALENESS_LIMIT_MS = 7_000;
 
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -17,7 +17,7 @@
   readonly remainingMs?: number;
 }
 
-/** Client of the worker registry, used only while this process schedules. */
+/** Client of the worker registry; used only while the scheduler runs here. */
 export interface WorkerRegistry {
   /** Calls `onChange` with the whole list after each change, until closed. */
   follow(onChange: (entries: ReadonlyArray<RegistryEntry>) => void): {
@@ -31,7 +31,7 @@
   readonly run: number;
 }
 
-/** Entry for a running task in a worker's report. */
+/** Run of a task that a worker reports as running. */
 export interface ReportedRun extends RunId {
   readonly checkpoint: string;
   /** Progress of the work, or the processor share of a throttled service. */
@@ -40,7 +40,7 @@
   readonly usage: number;
 }
 
-/** Entry for an ended run in a worker's report. */
+/** Run of a task that a worker reports as ended. */
 export interface ReportedRunEnd extends RunId {
   readonly sequenceNumber: number;
   readonly endKind: string;
@@ -65,8 +65,9 @@
 const TIMER_MARGIN_MS = 150;
 
 /**
- * The scheduler's view of one incarnation of a worker: its reservations, its
- * clock and the latest time until which its tasks may run.
+ * The job scheduler's view of one incarnation of a worker in the registry: its
+ * reservations, its clock and the latest time until which its tasks may run.
+ * For requests, `Worker` represents a worker of the VM list.
  */
 export class RemoteWorker {
   /** Sequence number of the last run end that was handled. */
@@ -75,7 +76,7 @@
   storedEndNumber = 0;
   /** Whether the worker has accepted the fencing token of this term. */
   fenceAccepted = false;
-  /** Whether the incarnation is stored, so that a successor finds it. */
+  /** Whether the journal lists the worker as open, for the next scheduler. */
   stored = false;
   /** Number of consecutive calls without an answer. */
   unansweredCalls = 0;
--- a/src/machines/report_finding.ts
+++ b/src/machines/report_finding.ts
@@ -3,7 +3,7 @@
 import type * as task from '../contracts/task.js';
 import type * as trackedTask from './tracked_task.js';
 
-/** Conclusion that a worker's report allows about one task. */
+/** Conclusion about one task from a worker's report. */
 export type ReportFinding =
   | {readonly kind: 'nothing'}
   | {readonly kind: 'running'}
@@ -17,7 +17,7 @@
   | {readonly kind: 'mismatch'};
 
 /** Consecutive reports without a started task after which it counts as lost. */
-const MISSING_REPORTS = 2;
+const MISSING_REPORT_LIMIT = 2;
 
 const NO_FINDING: ReportFinding = {kind: 'nothing'};
 
@@ -47,7 +47,8 @@
 ): ReportFinding {
   if (tracked.startedAt !== undefined) {
     if (sentAt < tracked.startedAt) return NO_FINDING;
-    if (tracked.missingReports + 1 < MISSING_REPORTS) return {kind: 'missing'};
+    if (tracked.missingReports + 1 < MISSING_REPORT_LIMIT)
+      {return {kind: 'missing'};}
     return {kind: 'ended', end: 'answerLost'};
   }
   const proved =
--- a/src/machines/start_ledger.ts
+++ b/src/machines/start_ledger.ts
@@ -5,7 +5,7 @@
 export class StartLedger {
   private readonly starts = new Map<string, Set<string>>();
 
-  /** Returns whether another start keeps within `taskCount` starts. */
+  /** Returns whether one more start would not exceed `taskCount` starts. */
   allowsStart(identity: string, taskCount: number): boolean {
     return (this.starts.get(identity)?.size ?? 0) < taskCount;
   }
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -22,7 +22,7 @@
 /** Delay before the fetch of an ended task's answer is sent again. */
 const ANSWER_FETCH_RETRY_MS = 2_000;
 
-/** Retention of ended tasks, so that older reports do not adopt them again. */
+/** Retention of end times, so that older reports do not cause adoptions. */
 const END_TIME_RETENTION_MS = 30_000;
 
 /** Source of the permits under which this process may place on workers. */
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Sends the start of a held task, unless the permit has ended. The lease of
-   * the start ends no later than `leaseBound`.
+   * Sends the start of a reserved task, unless the permit has ended. The start's
+   * lease ends no later than `leaseBound`.
    */
   start(
     name: string,
@@ -100,7 +100,7 @@
     return this.takeOutput();
   }
 
-  /** Drops a held task; returns false when its start has been sent. */
+  /** Stops tracking a task; returns false when its start has been sent. */
   untrack(name: string): boolean {
     const known = this.tasks.get(name);
     if (known?.state !== 'reserved') return false;
--- a/src/machines/tracked_task.ts
+++ b/src/machines/tracked_task.ts
@@ -42,7 +42,7 @@
   readonly startedAt: clock.Milliseconds | undefined;
   /** Whether the task is to be stopped as soon as it runs. */
   readonly stopping: boolean;
-  /** When the last fetch of the answer was sent; -Infinity if none pends. */
+  /** When the pending answer fetch was sent; -Infinity if there is none. */
   readonly fetchedAt: clock.Milliseconds;
   /** Consecutive reports that should have listed the task but did not. */
   readonly missingReports: number;
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -50,8 +50,9 @@
 };
 
 /**
- * A machine that runs tasks. It tracks the reservations on the machine and
- * rejects a reservation that exceeds the available capacity.
+ * A worker of the VM list, which runs the tasks of requests. Tracks the
+ * reservations on the machine and rejects one that exceeds the available
+ * capacity. The job scheduler uses `RemoteWorker` instead.
  */
 export class Worker {
   private readonly reservationsByTask = new Map<string, Reservation>();
@@ -90,7 +91,7 @@
     return resources.subtract(this.capacityValue, this.reservedForTasks);
   }
 
-  /** Free capacity that is not earmarked for a waiting request. */
+  /** Free capacity that is not reserved for a waiting request. */
   get available(): resources.Resources {
     return this.availableValue;
   }
@@ -143,21 +144,21 @@
     this.observer.availabilityChanged(this, false);
   }
 
-  /** Takes the worker out of service or puts it back. */
+  /** Suspends the worker, so that it gets no tasks, or resumes it. */
   setSuspended(suspended: boolean): void {
     if (this.suspendedValue === suspended) return;
     this.suspendedValue = suspended;
     this.observer.availabilityChanged(this, !suspended);
   }
 
-  /** Earmarks more capacity for waiting requests. */
+  /** Reserves capacity for a waiting request, even if it is not free yet. */
   addCapacityReservation(size: resources.Resources): void {
     this.reservedForWaiting = resources.add(this.reservedForWaiting, size);
     this.updateAvailable();
     this.observer.availabilityChanged(this, false);
   }
 
-  /** Withdraws earmarked capacity. */
+  /** Releases capacity that was reserved for a waiting request. */
   removeCapacityReservation(size: resources.Resources): void {
     this.reservedForWaiting = resources.subtract(this.reservedForWaiting, size);
     this.updateAvailable();
@@ -235,9 +236,9 @@
 
   private updateAvailable(): void {
     const {free, reservedForWaiting: reserved} = this;
-    // Capacity may be earmarked before it is free. An earmark therefore never
-    // makes a dimension negative, because that would exclude even tasks that
-    // need nothing in this dimension.
+    // Capacity may be reserved for a waiting request before it is free. Such a
+    // reservation never makes a dimension negative, because that would exclude
+    // even tasks that need nothing in this dimension.
     const floor = resources.minimum(free, resources.NONE);
     const left = resources.subtract(free, reserved);
     this.availableValue = resources.maximum(left, floor);
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -3,6 +3,7 @@
 /** Command to start a run. */
 export interface StartCommand extends remoteWorker.RunId {
   readonly payload: string;
+  /** Fencing token: the term of the scheduler. */
   readonly fence: number;
   /** End of the lease on the worker's clock. */
   readonly deadlineMs: number;
@@ -12,6 +13,7 @@
 
 /** Command to renew the leases of all running tasks and to report. */
 export interface RenewalCommand {
+  /** Fencing token: the term of the scheduler. */
   readonly fence: number;
   /** Run ends up to this sequence number are stored. */
   readonly storedEndNumber: number;
--- a/src/machines/worker_health.ts
+++ b/src/machines/worker_health.ts
@@ -1,7 +1,7 @@
 import type * as clock from './clock.js';
 import type * as worker from './worker.js';
 
-/** Different workloads failing consecutively that suspend a worker. */
+/** Number of different workloads whose failures in a row suspend a worker. */
 const DISTINCT_FAILURE_LIMIT = 3;
 
 /**
--- a/src/machines/worker_reliability.ts
+++ b/src/machines/worker_reliability.ts
@@ -1,13 +1,13 @@
 import type * as clock from './clock.js';
 import type * as remoteWorker from './remote_worker.js';
 
-/** Different jobs failing consecutively that make a worker suspect. */
+/** Number of different jobs whose failures in a row make a worker suspect. */
 const SUSPICION_FAILURE_COUNT = 2;
 
-/** Time for which a suspect worker gets no work at first. */
+/** First exclusion of a suspect worker; doubles with each further failure. */
 const INITIAL_EXCLUSION_MS = 1_500;
 
-/** Longest time for which a suspect worker gets no work. */
+/** Maximum exclusion of a suspect worker. */
 const MAXIMUM_EXCLUSION_MS = 6_000;
 
 /** Exclusion per consecutive rejected command, up to 5 times this duration. */
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -16,7 +16,7 @@
   workerReplaced(worker: remoteWorker.RemoteWorker): void;
   /** The worker has accepted the fencing token of a later term. */
   termSuperseded(worker: remoteWorker.RemoteWorker): void;
-  /** Returns whether this term may still extend leases. */
+  /** Returns whether this term may still grant leases. */
   mayGrantLeases(): boolean;
 }
 
@@ -76,9 +76,9 @@
     const sentAt = this.clock.now();
     // A renewal without an answer may still have arrived. None is sent to a
     // worker that does not answer, so that its last lease certainly expires.
-    const mayExtend =
+    const mayGrant =
       this.listener.mayGrantLeases() && worker.unansweredCalls === 0;
-    const deadlineMs = mayExtend
+    const deadlineMs = mayGrant
       ? worker.extendLease(sentAt, this.leaseMs)
       : undefined;
     // The first report must not be delayed: it lists the running tasks and
@@ -120,7 +120,7 @@
     worker.recordClockReading(report.clockMs, this.clock.now());
     worker.fenceAccepted = true;
     this.listener.reportReceived(worker, report, sentAt);
-    // When leases may not be extended, the worker answers at once; returning
+    // When no lease may be granted, the worker answers at once; returning
     // false makes the loop pause between the calls.
     return first || this.listener.mayGrantLeases();
   }
--- a/src/operations/event_log_writer.ts
+++ b/src/operations/event_log_writer.ts
@@ -1,7 +1,7 @@
 import * as logger from './logger.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Unread output above which lines are dropped. */
+/** Maximum size of the unread output; above it, lines are dropped. */
 const MAXIMUM_UNREAD_BYTES = 262_144;
 
 /** Writable stream that exposes its number of buffered bytes. */
--- a/src/operations/sinks.ts
+++ b/src/operations/sinks.ts
@@ -1,4 +1,4 @@
-/** Receiver of counters and durations, labelled by name. */
+/** Receiver of counters and durations with labels. */
 export interface MetricsSink {
   count(
     metric: string,
