--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -41,7 +41,7 @@
   ): Promise<AdviceOutcome>;
 }
 
-/** Naming more workers takes the service longer than it saves. */
+/** Naming more workers costs more service time than it saves. */
 const MAXIMUM_WORKERS_PER_CALL = 30;
 
 /** Returns the service time of a call that names the most workers. */
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -162,7 +162,7 @@
 
   /**
    * Retries a start, which is idempotent: a worker that has carried it out
-   * confirms it again. After `FAST_RETRIES`, `retryOrders` takes over.
+   * confirms it again. After `FAST_RETRIES`, `retryCommands` takes over.
    */
   private retryStart(assignment: jobTask.Assignment): void {
     assignment.unansweredStarts += 1;
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -20,8 +20,8 @@
     };
 
 /**
- * A worker that the next scheduler has to reach; if it can't, it waits for the
- * worker's leases to expire.
+ * Journal entry of a worker that the next scheduler has to reach. If the
+ * scheduler can't, it waits for the worker's leases to expire.
  */
 export interface StoredWorker {
   readonly entry: remoteWorker.RegistryEntry;
@@ -106,17 +106,17 @@
     private readonly onSuperseded: () => void,
   ) {}
 
-  /** Returns how long the store has not answered; 0 if no answer is due. */
+  /** Returns how long the store has not answered; 0 if no call is pending. */
   unansweredMs(now: clock.Milliseconds): number {
     return this.unansweredSince === undefined ? 0 : now - this.unansweredSince;
   }
 
-  /** Whether the store was last silent and no write would show its return. */
+  /** Whether the store is silent and no write would show its recovery. */
   get needsProbe(): boolean {
     return this.unansweredSince !== undefined && !this.writing;
   }
 
-  /** Queues a change and replaces one with its key; `read` runs on sending. */
+  /** Queues a change, replacing one with its key; calls `read` on sending. */
   put(key: string, read: () => JournalChange, onStored?: StoredListener): void {
     this.pending.delete(key);
     this.pending.set(key, read);
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -29,7 +29,7 @@
 export const LEASE_DURATION_MS = 5_000;
 
 /**
- * How long an earlier scheduler may go on granting leases after it has lost
+ * How long an earlier scheduler may continue to grant leases after it has lost
  * contact with the cell; see `SchedulerOptions.mayGrantLeases`.
  */
 export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
@@ -168,7 +168,7 @@
     return this.serving && this.active;
   }
 
-  /** Returns how long the store has not answered; 0 if no answer is due. */
+  /** Returns how long the store has not answered; 0 if no call is pending. */
   storeUnansweredMs(now: clock.Milliseconds): number {
     return this.journal.unansweredMs(now);
   }
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -10,7 +10,7 @@
   phase: AssignmentPhase = 'starting';
   /** Whether the worker has reported the run. */
   reported = false;
-  /** When the worker confirmed a stop; it refuses starts that arrive later. */
+  /** When the worker confirmed a stop; it rejects starts that arrive later. */
   stopConfirmedAt: clock.Milliseconds = Infinity;
   /** When the last command for this run was sent. */
   lastCommandAt: clock.Milliseconds;
--- a/src/jobs/open_steps.ts
+++ b/src/jobs/open_steps.ts
@@ -20,7 +20,7 @@
     }
   }
 
-  /** Opens a step for which a run of an earlier term was found. */
+  /** Opens a step, for example when a run of an earlier term is found. */
   open(step: stepInstance.StepInstance): void {
     this.steps.add(step);
   }
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass.ts
@@ -38,10 +38,10 @@
 /** Most waiting steps logged at a time. */
 const MAXIMUM_REPORTED_STEPS = 3;
 
-/** Run numbers set aside for each term. */
+/** Number of run numbers reserved for each term. */
 const RUN_NUMBERS_PER_TERM = 64;
 
-/** Collects waiting steps and places their tasks, once per event loop turn. */
+/** Runs placement passes over the waiting steps, one per event loop turn. */
 export class PlacementPass
   implements placer.PlacerListener, evacuator.EvacuatorListener
 {
--- a/src/jobs/run_health.ts
+++ b/src/jobs/run_health.ts
@@ -34,7 +34,8 @@
 ): RunFault | undefined {
   const {definition} = assignment.jobTask.step;
   if (assignment.phase !== 'running' || !assignment.reported) return undefined;
-  // These runs report no progress of their own, or make it only at times.
+  // Long-running tasks report no progress, and runs that use idle capacity make
+  // progress only at times.
   if (definition.longRunning || definition.usesIdleCapacity) return undefined;
   // Counts up to the last report: a worker's silence is not the run's fault.
   const withoutProgressMs =
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -17,7 +17,7 @@
   ): void;
 }
 
-/** Parses a task name; undefined unless it has the form of this scheduler's. */
+/** Parses the name of a job's task; returns undefined for other names. */
 function parseTaskName(
   name: string,
 ): {id: string; occurrence: number; step: number; index: number} | undefined {
@@ -88,7 +88,7 @@
     now: clock.Milliseconds,
   ): void {
     const task = this.findTask(reportedRun.task);
-    // The job was dropped, or the task is not ours: its lease will expire.
+    // The job was dropped or is unknown: the lease of the run will expire.
     if (task === undefined) return;
     const assignment =
       task.findAssignment(worker, reportedRun.run) ??
@@ -169,7 +169,7 @@
     this.storeEnds(worker, highestNumber, affectedTasks);
   }
 
-  /** Lets a worker forget its ended runs once all their jobs are stored. */
+  /** Lets a worker drop its ended runs once all their jobs are stored. */
   private storeEnds(
     worker: remoteWorker.RemoteWorker,
     highestNumber: number,
--- a/src/jobs/runtime_model.ts
+++ b/src/jobs/runtime_model.ts
@@ -1,4 +1,4 @@
-/** Completed steps of a queue from which its own statistics are used. */
+/** Minimum number of completed steps before a queue's statistics are used. */
 const MINIMUM_SAMPLES = 8;
 
 /** Shorter times are noise; also keeps the logarithm's argument positive. */
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -40,11 +40,11 @@
   readonly counters: Counters;
   /**
    * Returns whether leases may be granted: whether this process still has proof
-   * that it leads.
+   * that it is the leader.
    */
   readonly mayGrantLeases: () => boolean;
   /** Called when a later term is found to exist. */
   readonly onSuperseded: (reason: string) => void;
   /** Runs a placement pass after the current event loop turn. */
-  readonly defer: (pass: () => void) => void;
+  readonly defer: (runPass: () => void) => void;
 }
--- a/src/jobs/step_instance.ts
+++ b/src/jobs/step_instance.ts
@@ -49,7 +49,7 @@
     this.durationsMs.push(milliseconds);
   }
 
-  /** Returns the median duration; undefined until `doneShare` has succeeded. */
+  /** Returns the median duration; undefined before `doneShare` succeeded. */
   medianDurationMs(doneShare: number): number | undefined {
     const {length} = this.durationsMs;
     if (length === 0 || length < doneShare * this.tasks.length) {
--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -84,11 +84,12 @@
 }
 
 /**
- * Deferral of a job's due time, as a multiple of the time in which the whole
- * service would do its work. Under overload more jobs are on time when small
- * ones go first; a large one goes first once it has waited for its deferral.
+ * Deferral of a job's due time, as a multiple of the time that all workers of
+ * the service together need for its work. Under overload more jobs are on time
+ * when small ones go first; a large one goes first once it has waited for its
+ * deferral.
  */
-const SIZE_WEIGHT = 8;
+const DEFERRAL_FACTOR = 8;
 
 /**
  * Penalty of a late job, which keeps only part of its value. It goes behind
@@ -115,7 +116,7 @@
   const dueAt = record.arrivedAt + objectiveMs;
   const workDurationMs =
     remainingWork(record, predict) / Math.max(totalProcessors, 1);
-  const effectiveDueAt = dueAt + SIZE_WEIGHT * workDurationMs;
+  const effectiveDueAt = dueAt + DEFERRAL_FACTOR * workDurationMs;
   const endsAt = now + remainingCriticalPathMs(record, queue, predict);
   if (endsAt <= dueAt + PREDICTION_TOLERANCE_SHARE * objectiveMs) {
     return {rank: priority, effectiveDueAt, onTime: true};
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -13,7 +13,7 @@
 export class StoredWorkerList {
   /** Workers that are stored, or being stored, as closed. */
   private readonly closedWorkers = new Set<remoteWorker.RemoteWorker>();
-  /** Jobs by worker as earlier terms stored them; see `closedJobs`. */
+  /** Workers that earlier terms stored, with their `closedJobs`. */
   private inherited: ReadonlyMap<
     remoteWorker.RemoteWorker,
     ReadonlyArray<string> | undefined
@@ -75,7 +75,7 @@
     return !worker.acceptsTasks && this.closedWorkers.has(worker);
   }
 
-  /** Marks a worker as sent: from now on, a closed one gets no more tasks. */
+  /** Marks a worker as sent; from then on, a closed one gets no more tasks. */
   private markAsSent(worker: remoteWorker.RemoteWorker): void {
     if (worker.acceptsTasks) {
       this.closedWorkers.delete(worker);
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -98,7 +98,7 @@
     for (const worker of this.dependencies.workers.all()) {
       if (worker.unreachable) this.reviewUnreachable(worker, now);
     }
-    // Any write shows whether the store is back; this one changes nothing.
+    // Any write shows whether the store has recovered, even an unchanged list.
     if (this.dependencies.journal.needsProbe) this.storedList.store();
     this.storedList.update();
   }
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -4,21 +4,21 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
 
-/** Cost of a rack without the step's data, in fractions of a worker. */
+/** Cost of a rack without the step's data; 1 equals a worker left empty. */
 const REMOTE_RACK_COST = 2;
 
-/** Cost of a worker that is certain to fail its runs. */
+/** Cost of a worker that is certain to fail its runs; 1 as above. */
 const FAILURE_COST = 4;
 
 /** Facts that selection needs about a worker besides its free resources. */
 export interface WorkerFacts {
-  /** Returns a ticket, or an empty string where none is needed. */
+  /** Returns a ticket; empty if none is needed, undefined if it is missing. */
   ticketFor(worker: remoteWorker.RemoteWorker): string | undefined;
-  /** Counts the step's tasks on the worker. */
+  /** Counts the step's runs on the worker. */
   countRunsOfStep(worker: remoteWorker.RemoteWorker): number;
-  /** Counts tasks with a response time target on the worker. */
+  /** Counts runs with a response time target on the worker. */
   countServingRuns(worker: remoteWorker.RemoteWorker): number;
-  /** Counts tasks that use idle capacity on the worker. */
+  /** Counts runs that use idle capacity on the worker. */
   countIdleCapacityRuns(worker: remoteWorker.RemoteWorker): number;
   /** Returns how likely the worker is to fail its runs, from 0 to 1. */
   failureProbability(worker: remoteWorker.RemoteWorker): number;
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -1,7 +1,7 @@
 import * as remoteWorker from '../machines/remote_worker.js';
 import type * as clock from '../machines/clock.js';
 
-/** Changes that a new registry list brought. */
+/** Worker incarnations affected by a new registry list. */
 export interface WorkerChanges {
   readonly joined: ReadonlyArray<remoteWorker.RemoteWorker>;
   /** Incarnations that a later one has replaced. */
@@ -90,7 +90,7 @@
   }
 }
 
-/** Returns whether both run on one machine; one without a name never does. */
+/** Returns whether both run on the same machine; false if it has no name. */
 function onSameMachine(
   left: remoteWorker.RegistryEntry,
   right: remoteWorker.RegistryEntry,
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -113,8 +113,8 @@
   });
 
   // Guards against slow detection of a recovered store: for a second, no task
-  // was started, no job accepted, and another process claimed to be the
-  // scheduler.
+  // was started and no job accepted, and another process claimed to be the
+  // leader.
   test('detects within half a second that the store is back', async () => {
     const {time, store, writer} = createFixture();
     store.down = true;
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -37,7 +37,7 @@
   });
 
   // Guards against workers that run more than their capacity.
-  test('waits while no worker has room', async () => {
+  test('waits while no worker has free capacity', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
     const scheduler = await cell.startTerm(1);
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -27,8 +27,8 @@
 });
 
 describe('preemption', () => {
-  // Load: batch runs of six seconds occupy all room when urgent work with half
-  // a second of slack arrives. Guards against urgent work that waits for them.
+  // Load: batch runs of six seconds occupy all workers when urgent work with
+  // half a second of slack arrives. Guards against urgent work that waits for them.
   test('stops checkpointing batch runs for urgent work', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [jobCell.QUEUE, BATCH];
@@ -84,9 +84,9 @@
     };
   }
 
-  // Load: many batch jobs wait, and there is room for one. Guards against
+  // Load: many batch jobs wait, and only one fits. Guards against
   // requests for tickets that expire unused and delay others at the service.
-  test('are sent only if room is left that no other step will take', async () => {
+  test('are sent only if capacity is left that no other step will take', async () => {
     const cell = new jobCell.JobCell();
     const asked: string[] = [];
     provideAdvice(cell, asked);
@@ -136,7 +136,7 @@
 
   // Load: most workers are full, and tasks end all the time. Guards against
   // calls that name only one worker and return at most one ticket.
-  test('name workers without room as well', async () => {
+  test('name workers without free capacity as well', async () => {
     const cell = new jobCell.JobCell();
     const named: Array<ReadonlyArray<string>> = [];
     provideAdvice(cell, []);
@@ -171,8 +171,8 @@
 });
 
 describe('a worker that fails all of its runs', () => {
-  // Load: a black hole worker fails runs at once, so it always has room for
-  // more. Guards against jobs that use up all their attempts there.
+  // Load: a black hole worker fails runs at once, so it always has free
+  // capacity. Guards against jobs that use up all their attempts there.
   test('gets no more work after two jobs failed on it', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
@@ -194,9 +194,9 @@
 });
 
 describe('a gang', () => {
-  // Guards against members that hold room while others have none: the gang has
-  // to wait for seven free cores.
-  test('starts once all of its tasks have room, with one run number', async () => {
+  // Guards against members that reserve capacity while others have none: the
+  // gang has to wait for seven free cores.
+  test('starts once all of its tasks fit, with one run number', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const scheduler = await cell.startTerm(1);
--- a/test/jobs/step_ordering_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -47,8 +47,8 @@
     assert.deepEqual(order, ['urgent', 'batch']);
   });
 
-  // Guards against late jobs that take room from jobs which could still be on
-  // time, so that these become late too: after a burst of urgent jobs.
+  // Guards against late jobs that take capacity from jobs which could still be
+  // on time, so that these become late too: after a burst of urgent jobs.
   test('puts late jobs behind on-time jobs of the next queue', () => {
     const nextQueue = {...BATCH, priority: 1};
     const order = orderAt(
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -133,7 +133,7 @@
         this.supersededReasons.push(reason);
         newScheduler.retire();
       },
-      defer: pass => this.time.runAt(this.time.now(), pass),
+      defer: runPass => this.time.runAt(this.time.now(), runPass),
     });
     newScheduler.configure({
       version: 1,
