--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -99,8 +99,9 @@
   ): ReadonlyArray<effects.Effect> {
     if (handled.kind === 'vmListRead') this.directory.updateVms(handled.vms);
     const isDrain = isOwnDrain(handled);
-    if (isDrain)
-      {this.handOverBy = Math.min(this.handOverBy, now + DRAIN_TIMEOUT_MS);}
+    if (isDrain) {
+      this.handOverBy = Math.min(this.handOverBy, now + DRAIN_TIMEOUT_MS);
+    }
     const produced = [
       // The zone is drained later, in `handOverWhenIdle`, once the requests of
       // this process have ended.
--- a/src/machines/report_finding.ts
+++ b/src/machines/report_finding.ts
@@ -47,8 +47,9 @@
 ): ReportFinding {
   if (tracked.startedAt !== undefined) {
     if (sentAt < tracked.startedAt) return NO_FINDING;
-    if (tracked.missingReports + 1 < MISSING_REPORT_LIMIT)
-      {return {kind: 'missing'};}
+    if (tracked.missingReports + 1 < MISSING_REPORT_LIMIT) {
+      return {kind: 'missing'};
+    }
     return {kind: 'ended', end: 'answerLost'};
   }
   const proved =
