--- a/test/machines/fleet_test.ts
+++ b/test/machines/fleet_test.ts
@@ -18,6 +18,9 @@
 };
 
 nodeTest.describe('search for free capacity', () => {
+  // Guards against a sample that contains a worker without enough capacity or
+  // omits one that has it: a bucket gives only a lower bound of its workers'
+  // capacity.
   nodeTest.test('finds only workers that have it, in either order', () => {
     const sizes = fastCheck.record({
       processors: fastCheck.integer({min: 0, max: 16_000}),
@@ -61,6 +64,8 @@
     );
   });
 
+  // Guards against tasks without accelerators that occupy accelerated workers
+  // while other workers have free capacity.
   nodeTest.test('tasks without accelerators avoid accelerated workers', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     harness.addWorkers(
@@ -76,6 +81,8 @@
 });
 
 nodeTest.describe('totals of the fleet', () => {
+  // Guards against totals that drift from the workers, because every change
+  // updates them incrementally.
   nodeTest.test('equal the sums over the workers after any changes', () => {
     const random = new randomSource.SeededRandom(SEED);
     const harness = new schedulingHarness.SchedulingHarness();
@@ -107,6 +114,8 @@
 });
 
 nodeTest.describe('removed workers', () => {
+  // Guards against totals that become too small: the removal subtracts the
+  // reservations, and a later release must not subtract them again.
   nodeTest.test('a release after the removal leaves the totals alone', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     const [removed, kept] = harness.addWorkers(2);
@@ -121,6 +130,8 @@
 });
 
 nodeTest.describe('capacity invariant', () => {
+  // Guards against overcommitment that is not reported, or is reported again
+  // with each further task.
   nodeTest.test('a violation is reported once with cause and dimension', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     const [target] = harness.addWorkers(1);
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -171,6 +171,8 @@
     },
   );
 
+  // Guards against a second run of a task that ran and ended so long ago that
+  // reports no longer list it.
   nodeTest.test('is never "not run" once reports may omit ended tasks', () => {
     const fixture = new RunnerFixture();
     fixture.start();
@@ -179,6 +181,8 @@
     assert.deepEqual(outcomeKinds(fixture.report([])), []);
   });
 
+  // Guards against a task that runs although the answer to its start was lost,
+  // and whose own answer is never fetched.
   nodeTest.test('counts as a start when a report lists the task', () => {
     const fixture = new RunnerFixture();
     fixture.start();
@@ -245,6 +249,8 @@
     },
   );
 
+  // Guards against a second run of a non-idempotent task that may have run on a
+  // worker which no longer reports.
   nodeTest.test(
     'becomes unknown if not idempotent, until a later report decides',
     () => {
@@ -264,6 +270,7 @@
 });
 
 nodeTest.describe('answer of a task', () => {
+  // Guards against an answer that is delivered for another task.
   nodeTest.test('is dropped and counted if worker or task is wrong', () => {
     const fixture = new RunnerFixture();
     fixture.start();
@@ -277,6 +284,7 @@
     }
   });
 
+  // Guards against a request that stays open because a fetch was lost.
   nodeTest.test('is fetched again after the first fetch was lost', () => {
     const fixture = new RunnerFixture();
     fixture.start();
@@ -292,6 +300,8 @@
     assert.equal(ended.kind === 'ended' && ended.answer, 'polished');
   });
 
+  // Guards against a request that waits for a task which its worker no longer
+  // knows. A single such report may be a race.
   nodeTest.test(
     'counts as lost when two consecutive reports omit the running task',
     () => {
@@ -330,6 +340,8 @@
     },
   );
 
+  // Guards against overcommitment by a new owner that does not know yet which
+  // tasks run on the worker.
   nodeTest.test('is required before any placement on a worker', () => {
     const fixture = new RunnerFixture();
     const workers = new fleet.Fleet();
@@ -346,6 +358,7 @@
 });
 
 nodeTest.describe('reservation', () => {
+  // Guards against capacity that stays reserved although no task uses it.
   nodeTest.test('without a task is reported and released', () => {
     const fixture = new RunnerFixture();
     const {label, size} = contractSamples.buildTaskReport('stray', 'stray');
@@ -358,6 +371,8 @@
 });
 
 nodeTest.describe('stop', () => {
+  // Guards against a stop that is lost because the worker does not know the
+  // task yet.
   nodeTest.test(
     'requested before the start is answered is sent after the answer',
     () => {
--- a/test/machines/upstream_test.ts
+++ b/test/machines/upstream_test.ts
@@ -13,12 +13,15 @@
 }
 
 nodeTest.describe('adaptive limit', () => {
+  // Guards against a limit that stays low although the upstream answers fast.
   nodeTest.test('grows to the connection limit while answers are fast', () => {
     const called = new upstream.Upstream();
     for (let round = 0; round < 200; round += 1) answerAll(called, 5, round);
     assert.equal(called.limit, 60);
   });
 
+  // Guards against a limit that rises although no load has shown that the
+  // upstream can handle it.
   nodeTest.test('does not grow while few calls are in flight', () => {
     const called = new upstream.Upstream();
     const before = called.limit;
@@ -29,6 +32,8 @@
     assert.equal(called.limit, before);
   });
 
+  // Guards against a limit that collapses because many answers are lost at
+  // once, and against a limit of 0, under which it could never recover.
   nodeTest.test('shrinks once a second on lost answers, not below 1', () => {
     const called = new upstream.Upstream();
     const before = called.limit;
@@ -39,6 +44,7 @@
     assert.ok(called.acceptsCalls);
   });
 
+  // Guards against an overload that is noticed only when calls time out.
   nodeTest.test('shrinks on slow answers before calls are lost', () => {
     const called = new upstream.Upstream();
     answerAll(called, 10, 0);
@@ -48,6 +54,7 @@
     assert.ok(called.limit < before);
   });
 
+  // Guards against an upstream that counts as silent because of single losses.
   nodeTest.test('consecutive losses without an answer count as silence', () => {
     const called = new upstream.Upstream();
     called.onLoss(0);
--- a/test/machines/worker_health_test.ts
+++ b/test/machines/worker_health_test.ts
@@ -22,6 +22,8 @@
 }
 
 nodeTest.describe('workers that fail every task', () => {
+  // Guards against a faulty worker that attracts all work because it appears
+  // idle.
   nodeTest.test('early failures of three workloads suspend a worker', () => {
     const health = new workerHealth.WorkerHealth();
     const suspect = buildWorker();
@@ -29,6 +31,8 @@
     assert.equal(suspect.ready, false);
   });
 
+  // Guards against suspended workers because of a faulty workload, or of tasks
+  // that fail after a long run.
   nodeTest.test('one workload that always fails suspends no worker', () => {
     const health = new workerHealth.WorkerHealth();
     const suspect = buildWorker();
@@ -57,6 +61,8 @@
     },
   );
 
+  // Guards against a zone that loses all of its workers when a workload that
+  // used to succeed begins to fail.
   nodeTest.test(
     'a workload that starts to fail everywhere suspends no further worker',
     () => {
@@ -72,6 +78,8 @@
     },
   );
 
+  // Guards against a faulty worker that fails many tasks each time it is
+  // readmitted.
   nodeTest.test(
     'readmission takes one probe, and each failed probe doubles the wait',
     () => {
@@ -95,6 +103,8 @@
     },
   );
 
+  // Guards against placing task after task on a faulty worker, whose capacity
+  // is free again at once.
   nodeTest.test('a worker that fails every task gets few tasks', () => {
     const harness = new schedulingHarness.SchedulingHarness();
     const [faulty] = harness.addWorkers(2);
--- a/test/operations/metrics_test.ts
+++ b/test/operations/metrics_test.ts
@@ -26,6 +26,7 @@
     assert.deepEqual([...new Set(missing)], []);
   });
 
+  // Guards against counts that can't be told apart by process or reason.
   nodeTest.test('a count reaches the receiver with its tags', async () => {
     const receiver = dgram.createSocket('udp4');
     await new Promise<void>(resolve =>
