--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -169,7 +169,7 @@
     this.storeEnds(worker, highestNumber, affectedTasks);
   }
 
-  /** Lets a worker drop its ended runs once all their jobs are stored. */
+  /** Allows a worker to drop its ended runs once their jobs are stored. */
   private storeEnds(
     worker: remoteWorker.RemoteWorker,
     highestNumber: number,
--- a/src/jobs/temporary_reservation.ts
+++ b/src/jobs/temporary_reservation.ts
@@ -5,16 +5,16 @@
 export class TemporaryReservation {
   private readonly workers: remoteWorker.RemoteWorker[] = [];
 
-  /** `name` distinguishes reservations that are held at the same time. */
+  /** `name` distinguishes reservations that exist at the same time. */
   constructor(private readonly name: string) {}
 
-  /** Reserves `size` on a worker, in addition to what is held there. */
+  /** Reserves `size` on a worker, in addition to earlier reservations. */
   reserve(worker: remoteWorker.RemoteWorker, size: resources.Resources): void {
     worker.reserve({task: this.name, run: this.workers.length}, size);
     this.workers.push(worker);
   }
 
-  /** Releases everything that is held. */
+  /** Releases everything that was reserved. */
   release(): void {
     for (const [run, worker] of this.workers.entries()) {
       worker.release({task: this.name, run});
--- a/src/machines/upstream.ts
+++ b/src/machines/upstream.ts
@@ -73,7 +73,7 @@
     else if (wasUsed) this.increaseLimit();
   }
 
-  /** Records the end of a call that says nothing about the upstream's load. */
+  /** Records the end of a call that is no sign of the upstream's load. */
   onNeutralEnd(): void {
     this.inFlight = Math.max(0, this.inFlight - 1);
   }
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -187,22 +187,22 @@
 
   /** Changes the reservation of a task to its measured usage. */
   resize(taskName: string, size: resources.Resources): void {
-    const held = this.reservationsByTask.get(taskName);
-    if (held === undefined) return;
+    const reservation = this.reservationsByTask.get(taskName);
+    if (reservation === undefined) return;
     this.release(taskName);
-    this.addReservation({...held, size}, 'resize');
+    this.addReservation({...reservation, size}, 'resize');
   }
 
   /** Releases the reservation of a task; does nothing when it has none. */
   release(taskName: string): void {
-    const held = this.reservationsByTask.get(taskName);
-    if (held === undefined) return;
+    const reservation = this.reservationsByTask.get(taskName);
+    if (reservation === undefined) return;
     this.reservationsByTask.delete(taskName);
     this.reservedForTasks = resources.subtract(
       this.reservedForTasks,
-      held.size,
+      reservation.size,
     );
-    this.observer.reservationRemoved(this, held);
+    this.observer.reservationRemoved(this, reservation);
     this.publishChange('reserve', true);
   }
 
@@ -225,22 +225,22 @@
   }
 
   private moveToRack(rack: string): void {
-    for (const held of this.reservationsByTask.values()) {
-      this.observer.reservationRemoved(this, held);
+    for (const reservation of this.reservationsByTask.values()) {
+      this.observer.reservationRemoved(this, reservation);
     }
     this.rackValue = rack;
-    for (const held of this.reservationsByTask.values()) {
-      this.observer.reservationAdded(this, held);
+    for (const reservation of this.reservationsByTask.values()) {
+      this.observer.reservationAdded(this, reservation);
     }
   }
 
   private updateAvailable(): void {
-    const {free, reservedForWaiting: reserved} = this;
+    const {free, reservedForWaiting} = this;
     // Capacity may be reserved for a waiting request before it is free. Such a
     // reservation never makes a dimension negative, because that would exclude
     // even tasks that need nothing in this dimension.
     const floor = resources.minimum(free, resources.NONE);
-    const left = resources.subtract(free, reserved);
+    const left = resources.subtract(free, reservedForWaiting);
     this.availableValue = resources.maximum(left, floor);
   }
 
