--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -161,7 +161,13 @@
     const from = 'peer-1';
     const to = 'peer-2';
     assert.deepEqual(withoutCalls, [
-      {kind: 'confirmArrived', call: 0, to, zonePosition: 12, status: STATUS},
+      {
+        kind: 'confirmArrived',
+        call: 0,
+        to,
+        zonePosition: 12,
+        status: STATUS,
+      },
       {
         kind: 'offerArrived',
         call: 0,
@@ -258,7 +264,10 @@
         if (posted.kind !== 'confirmArrived') return;
         const answer = answerEffectFor(posted);
         if (answer?.kind !== 'answerConfirm') return;
-        self.server.answer({...answer, status: {...STATUS, from: 'peer-3'}});
+        self.server.answer({
+          ...answer,
+          status: {...STATUS, from: 'peer-3'},
+        });
       });
       await pair.listen();
       await pair.link.perform(peerEffects(pair.address)[0]);
