--- a/src/jobs/advice_balancer.ts
+++ b/src/jobs/advice_balancer.ts
@@ -24,7 +24,7 @@
 /**
  * Service time that may still be outstanding at an endpoint when the next call
  * is sent there. It is about a round trip, so that the service is not idle for
- * this VM between two calls.
+ * the endpoint's VM between two calls.
  */
 const MAXIMUM_QUEUED_MS = 100;
 
--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -15,7 +15,7 @@
   | {readonly kind: 'busy'}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** Client of the advice service for one VM; its promises do not reject. */
+/** The advice service as called from one VM; its promises do not reject. */
 export interface AdviceService {
   ask(
     step: string,
--- a/src/jobs/run_health.ts
+++ b/src/jobs/run_health.ts
@@ -67,7 +67,7 @@
   if (medianMs === undefined) return false;
   const elapsedMs = now - assignment.startedAt;
   if (elapsedMs < SLOW_FACTOR * medianMs + SLOW_MARGIN_MS) return false;
-  const share = Math.max(assignment.progressPercent, 1) / 100;
-  const remainingMs = (elapsedMs / share) * (1 - share);
+  const progressShare = Math.max(assignment.progressPercent, 1) / 100;
+  const remainingMs = (elapsedMs / progressShare) * (1 - progressShare);
   return remainingMs > medianMs + SLOW_MARGIN_MS;
 }
--- a/src/loop.ts
+++ b/src/loop.ts
@@ -89,18 +89,18 @@
   private armTimer(): void {
     if (this.stopped) return;
     const now = this.clock.now();
-    const due = this.handler.nextDeadline(now);
-    if (due === this.timerDueAt && this.timer !== undefined) return;
+    const dueAt = this.handler.nextDeadline(now);
+    if (dueAt === this.timerDueAt && this.timer !== undefined) return;
     clearTimeout(this.timer);
     this.timer = undefined;
-    this.timerDueAt = due;
-    if (due === Infinity) return;
+    this.timerDueAt = dueAt;
+    if (dueAt === Infinity) return;
     this.timer = setTimeout(
       () => {
         this.timer = undefined;
         this.post({kind: 'timePassed'});
       },
-      Math.max(1, Math.ceil(due - now)),
+      Math.max(1, Math.ceil(dueAt - now)),
     );
   }
 }
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -206,14 +206,14 @@
   ): void {
     if (this.workers.get(target.name) !== target) return;
     const {team} = reservation.label;
-    const left = resources.subtract(
+    const remaining = resources.subtract(
       this.reservedByTeam(team),
       reservation.size,
     );
-    if (resources.equal(left, resources.NONE)) {
+    if (resources.equal(remaining, resources.NONE)) {
       this.reservedTotalsByTeam.delete(team);
     } else {
-      this.reservedTotalsByTeam.set(team, left);
+      this.reservedTotalsByTeam.set(team, remaining);
     }
     this.reservedTotalValue = resources.subtract(
       this.reservedTotalValue,
--- a/src/machines/lease_renewer.ts
+++ b/src/machines/lease_renewer.ts
@@ -36,10 +36,16 @@
     const name = started.worker.name;
     const reading = started.worker.clockReading;
     if (reading === undefined) return;
-    const left = lease.latestLeaseEnd(reading, started.leaseEnd) - now;
+    const remainingMs = lease.latestLeaseEnd(reading, started.leaseEnd) - now;
     // A third of the lease leaves time for a second attempt.
-    const wait = Math.min(FIRST_RENEWAL_DELAY_MS, Math.max(0, left / 3));
-    this.nextRenewals.set(name, Math.min(this.nextRenewalAt(name), now + wait));
+    const delayMs = Math.min(
+      FIRST_RENEWAL_DELAY_MS,
+      Math.max(0, remainingMs / 3),
+    );
+    this.nextRenewals.set(
+      name,
+      Math.min(this.nextRenewalAt(name), now + delayMs),
+    );
   }
 
   /** Makes a renewal due now if a report shows that the last one was lost. */
@@ -77,10 +83,10 @@
       return [];
     }
     const reading = target.clockReading;
-    const silent =
+    const isSilent =
       reading === undefined ||
       now - reading.receivedAt > REPORT_STALENESS_LIMIT_MS;
-    if (silent || permitEnd <= now) {
+    if (isSilent || permitEnd <= now) {
       this.nextRenewals.set(target.name, now + RENEWAL_RETRY_MS);
       return [];
     }
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -191,11 +191,11 @@
    */
   lastLeaseExpiry(): clock.Milliseconds {
     if (this.reading === undefined) return -Infinity;
-    const left = this.latestLeaseEndMs - this.reading.clockMs;
-    if (left <= 0) return this.reading.receivedAt;
+    const remainingMs = this.latestLeaseEndMs - this.reading.clockMs;
+    if (remainingMs <= 0) return this.reading.receivedAt;
     return (
       this.reading.receivedAt +
-      left / (1 - MAXIMUM_WORKER_CLOCK_DRIFT) +
+      remainingMs / (1 - MAXIMUM_WORKER_CLOCK_DRIFT) +
       TIMER_MARGIN_MS
     );
   }
--- a/src/machines/report_schedule.ts
+++ b/src/machines/report_schedule.ts
@@ -19,7 +19,7 @@
 const READ_TIMEOUT_MS = 5_000;
 
 interface ReadTimes {
-  readonly due: clock.Milliseconds;
+  readonly dueAt: clock.Milliseconds;
   /** When the pending read was sent; -Infinity when none is pending. */
   readonly pendingSince: clock.Milliseconds;
   /** Request time of the newest report that was used. */
@@ -27,7 +27,7 @@
 }
 
 const NEVER_READ: ReadTimes = {
-  due: 0,
+  dueAt: 0,
   pendingSince: -Infinity,
   newestSentAt: -Infinity,
 };
@@ -45,7 +45,11 @@
     const known = this.times.get(worker) ?? NEVER_READ;
     if (now < this.dueTime(known)) return false;
     const interval = urgent ? URGENT_INTERVAL_MS : QUIET_INTERVAL_MS;
-    this.times.set(worker, {...known, due: now + interval, pendingSince: now});
+    this.times.set(worker, {
+      ...known,
+      dueAt: now + interval,
+      pendingSince: now,
+    });
     return true;
   }
 
@@ -57,7 +61,7 @@
   /** Makes the next read due now. */
   expedite(worker: string, now: clock.Milliseconds): void {
     const known = this.times.get(worker) ?? NEVER_READ;
-    this.times.set(worker, {...known, due: Math.min(known.due, now)});
+    this.times.set(worker, {...known, dueAt: Math.min(known.dueAt, now)});
   }
 
   /** Records a report; returns false when a newer one has been used already. */
@@ -77,8 +81,8 @@
   recordFailure(worker: string, now: clock.Milliseconds): void {
     const known = this.times.get(worker);
     if (known === undefined) return;
-    const due = Math.min(known.due, now + READ_RETRY_MS);
-    this.times.set(worker, {...known, due, pendingSince: -Infinity});
+    const dueAt = Math.min(known.dueAt, now + READ_RETRY_MS);
+    this.times.set(worker, {...known, dueAt, pendingSince: -Infinity});
   }
 
   /** Returns whether the last report is recent enough to start a task. */
@@ -88,6 +92,6 @@
   }
 
   private dueTime(known: ReadTimes): clock.Milliseconds {
-    return Math.max(known.due, known.pendingSince + READ_TIMEOUT_MS);
+    return Math.max(known.dueAt, known.pendingSince + READ_TIMEOUT_MS);
   }
 }
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -574,8 +574,8 @@
     this.outcomes.push({kind, reference: trackedTask.reference(tracked)});
   }
 
-  private wakeBy(due: clock.Milliseconds): void {
-    this.nextDeadlineAt = Math.min(this.nextDeadlineAt, due);
+  private wakeBy(dueAt: clock.Milliseconds): void {
+    this.nextDeadlineAt = Math.min(this.nextDeadlineAt, dueAt);
   }
 
   private takeOutput(): RunnerOutput {
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -240,8 +240,8 @@
     // reservation never makes a dimension negative, because that would exclude
     // even tasks that need nothing in this dimension.
     const floor = resources.minimum(free, resources.NONE);
-    const left = resources.subtract(free, reservedForWaiting);
-    this.availableValue = resources.maximum(left, floor);
+    const unreserved = resources.subtract(free, reservedForWaiting);
+    this.availableValue = resources.maximum(unreserved, floor);
   }
 
   private publishChange(cause: ViolationCause, grew: boolean): void {
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -52,8 +52,8 @@
   /** Renews leases in a loop until the session is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
-      const mayContinue = await this.renewLeases();
-      if (mayContinue) await this.waitUntilEndsStored();
+      const nextCallIsDue = await this.renewLeases();
+      if (nextCallIsDue) await this.waitUntilEndsStored();
       else if (!this.closed) await this.pause(RETRY_PAUSE_MS);
     }
   }
--- a/src/operations/event_log_writer.ts
+++ b/src/operations/event_log_writer.ts
@@ -24,11 +24,11 @@
     name: string,
     fields: Readonly<Record<string, string | number | boolean | undefined>>,
   ): void {
-    const present = Object.entries(fields).filter(
+    const presentFields = Object.entries(fields).filter(
       (pair): pair is [string, string | number | boolean] =>
         pair[1] !== undefined,
     );
-    this.logger.log(level, name, Object.fromEntries(present));
+    this.logger.log(level, name, Object.fromEntries(presentFields));
   }
 
   private write(line: string): void {
--- a/src/operations/logger.ts
+++ b/src/operations/logger.ts
@@ -5,7 +5,7 @@
 /** Log sink that writes each event as one line of key=value pairs. */
 export class Logger implements sinks.LogSink {
   constructor(write: (line: string) => void) {
-    roarr.ROARR.write = message => write(toLine(message));
+    roarr.ROARR.write = message => write(formatLine(message));
   }
 
   log(
@@ -23,8 +23,8 @@
   readonly time: number;
 }
 
-function toLine(text: string): string {
-  const message = JSON.parse(text) as RoarrMessage;
+function formatLine(serialized: string): string {
+  const message = JSON.parse(serialized) as RoarrMessage;
   const {logLevel, ...fields} = message.context;
   const pairs = [
     `time=${new Date(message.time).toISOString()}`,
--- a/src/operations/prometheus_metrics.ts
+++ b/src/operations/prometheus_metrics.ts
@@ -15,13 +15,13 @@
   private readonly histograms = new Map<string, promClient.Histogram>();
 
   count(name: string, reason: string): void {
-    const known = this.counters.get(name) ?? this.createCounter(name);
-    known.inc({reason});
+    const counter = this.counters.get(name) ?? this.createCounter(name);
+    counter.inc({reason});
   }
 
   observe(name: string, milliseconds: number): void {
-    const known = this.histograms.get(name) ?? this.createHistogram(name);
-    known.observe(milliseconds);
+    const histogram = this.histograms.get(name) ?? this.createHistogram(name);
+    histogram.observe(milliseconds);
   }
 
   /** Serves the current metrics at every path and returns the port. */
--- a/src/operations/settings.ts
+++ b/src/operations/settings.ts
@@ -43,43 +43,43 @@
 /** Maximum retention of the log: one year. */
 const MAXIMUM_RETENTION_MS = 31_536_000_000;
 
-const name = new tomlSchema.NameRule();
-const host = new tomlSchema.IpAddressRule();
-const address = new tomlSchema.AddressRule();
-const port = new tomlSchema.IntegerRule(0, 65_535);
+const nameRule = new tomlSchema.NameRule();
+const hostRule = new tomlSchema.IpAddressRule();
+const addressRule = new tomlSchema.AddressRule();
+const portRule = new tomlSchema.IntegerRule(0, 65_535);
 
 /** Schema of the settings: the rule, default, unit and meaning of each key. */
 export const SETTINGS_SCHEMA = new tomlSchema.TableRule([
   {
     key: 'vm',
-    rule: name,
+    rule: nameRule,
     meaning: 'Name of this VM, as in the VM list.',
   },
   {
     key: 'zone',
-    rule: name,
+    rule: nameRule,
     meaning: 'Availability zone of this VM, as in the document `fleet`.',
   },
-  {key: 'region', rule: name, meaning: 'Region of the zone.'},
+  {key: 'region', rule: nameRule, meaning: 'Region of the zone.'},
   {
     key: 'host',
-    rule: host,
+    rule: hostRule,
     meaning: 'IP address on which callers and other entry processes connect.',
   },
   {
     key: 'callerPort',
-    rule: port,
+    rule: portRule,
     meaning: 'Port for callers; 0 lets the system choose.',
   },
   {
     key: 'peerPort',
-    rule: port,
+    rule: portRule,
     meaning: 'Port for other entry processes; 0 lets the system choose.',
   },
-  {key: 'log', rule: address, meaning: "Address of the platform's log."},
+  {key: 'log', rule: addressRule, meaning: "Address of the platform's log."},
   {
     key: 'vmList',
-    rule: address,
+    rule: addressRule,
     meaning: "Address of the platform's list of VMs.",
   },
   {
@@ -111,13 +111,13 @@
   },
   {
     key: 'metricsHost',
-    rule: host,
+    rule: hostRule,
     default: '127.0.0.1',
     meaning: 'IP address of the StatsD receiver.',
   },
   {
     key: 'metricsPort',
-    rule: port,
+    rule: portRule,
     default: 0,
     meaning: 'Port of the StatsD receiver; 0 sends nothing.',
   },
--- a/test/jobs/idle_capacity_throttle_test.ts
+++ b/test/jobs/idle_capacity_throttle_test.ts
@@ -11,7 +11,7 @@
 
 const {describe, test} = nodeTest;
 
-function place(
+function placeRun(
   index: assignmentIndex.AssignmentIndex,
   worker: remoteWorker.RemoteWorker,
   id: string,
@@ -36,11 +36,11 @@
       jobCell.registryEntry('one'),
       0,
     );
-    const serving = place(index, worker, 'aa', {
+    const serving = placeRun(index, worker, 'aa', {
       longRunning: true,
       targetMs: 100,
     });
-    const idleCapacityRun = place(index, worker, 'bb', {
+    const idleCapacityRun = placeRun(index, worker, 'bb', {
       usesIdleCapacity: true,
     });
     const fakeDispatcher = {
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -10,7 +10,7 @@
 interface Fixture {
   readonly time: simulatedClock.SimulatedClock;
   readonly store: fakeJournalStore.FakeJournalStore;
-  readonly writer: jobJournal.JobJournal;
+  readonly journal: jobJournal.JobJournal;
   readonly superseded: () => number;
 }
 
@@ -18,10 +18,10 @@
   const time = new simulatedClock.SimulatedClock();
   const store = new fakeJournalStore.FakeJournalStore(time);
   let superseded = 0;
-  const writer = new jobJournal.JobJournal(store, term, time, time, () => {
+  const journal = new jobJournal.JobJournal(store, term, time, time, () => {
     superseded += 1;
   });
-  return {time, store, writer, superseded: () => superseded};
+  return {time, store, journal, superseded: () => superseded};
 }
 
 function progressOf(started: boolean): jobRecord.JobProgress {
@@ -31,11 +31,11 @@
 describe('the job journal', () => {
   // Guards against one call to the store for each change under load.
   test('batches changes that arrive during a call into the next one', async () => {
-    const {time, store, writer} = createFixture();
+    const {time, store, journal} = createFixture();
     let stored = 0;
     for (let index = 0; index < 20; index += 1) {
       const id = `job${index}`;
-      writer.put(
+      journal.put(
         id,
         () => ({kind: 'progress', id, progress: progressOf(true)}),
         () => {
@@ -51,10 +51,10 @@
 
   // Guards against storing progress that is stale when the call is sent.
   test('reads a change when it is sent', async () => {
-    const {time, store, writer} = createFixture();
+    const {time, store, journal} = createFixture();
     let started = false;
     const put = (): void =>
-      writer.put('a', () => ({
+      journal.put('a', () => ({
         kind: 'progress',
         id: 'a',
         progress: progressOf(started),
@@ -68,10 +68,10 @@
   // Guards against acknowledging a change that is not stored: the first answers
   // are lost.
   test('reports a change only once it is stored', async () => {
-    const {time, store, writer} = createFixture();
+    const {time, store, journal} = createFixture();
     store.lostAnswerCount = 3;
     let stored = false;
-    writer.put(
+    journal.put(
       'a',
       () => ({kind: 'dropped', id: 'a'}),
       () => {
@@ -80,18 +80,18 @@
     );
     await time.advance(300);
     assert.equal(stored, false);
-    assert.ok(writer.unansweredMs(time.now()) >= 300);
+    assert.ok(journal.unansweredMs(time.now()) >= 300);
     await time.advance(300);
     assert.equal(stored, true);
-    assert.equal(writer.unansweredMs(time.now()), 0);
+    assert.equal(journal.unansweredMs(time.now()), 0);
   });
 
   // Guards against writes of a scheduler after a later term has begun.
   test('stops writing once a later term has opened the journal', async () => {
-    const {time, store, writer, superseded} = createFixture(1);
+    const {time, store, journal, superseded} = createFixture(1);
     await Promise.all([store.open(2), time.advance(50)]);
-    writer.put('a', () => ({kind: 'dropped', id: 'a'}));
-    writer.put('b', () => ({kind: 'dropped', id: 'b'}));
+    journal.put('a', () => ({kind: 'dropped', id: 'a'}));
+    journal.put('b', () => ({kind: 'dropped', id: 'b'}));
     await time.advance(500);
     assert.equal(superseded(), 1);
     assert.equal(store.appendCount, 0);
@@ -100,28 +100,28 @@
   // Guards against reporting "not stored" for a change that may still be
   // stored, because a call without an answer may take effect later.
   test('withdraws a change only while it is definitely not stored', async () => {
-    const {time, store, writer} = createFixture();
+    const {time, store, journal} = createFixture();
     store.refusing = true;
-    writer.put('a', () => ({kind: 'dropped', id: 'a'}));
+    journal.put('a', () => ({kind: 'dropped', id: 'a'}));
     await time.advance(60);
-    assert.equal(writer.withdraw('a'), true);
+    assert.equal(journal.withdraw('a'), true);
     store.refusing = false;
     store.down = true;
-    writer.put('b', () => ({kind: 'dropped', id: 'b'}));
+    journal.put('b', () => ({kind: 'dropped', id: 'b'}));
     await time.advance(300);
-    assert.equal(writer.withdraw('b'), false);
+    assert.equal(journal.withdraw('b'), false);
   });
 
   // Guards against slow detection of a recovered store: for a second, no task
   // was started and no job accepted, and another process claimed to be the
   // leader.
   test('detects within half a second that the store is back', async () => {
-    const {time, store, writer} = createFixture();
+    const {time, store, journal} = createFixture();
     store.down = true;
-    writer.put('a', () => ({kind: 'dropped', id: 'a'}));
+    journal.put('a', () => ({kind: 'dropped', id: 'a'}));
     await time.advance(3_950);
     store.down = false;
     await time.advance(500);
-    assert.equal(writer.unansweredMs(time.now()), 0);
+    assert.equal(journal.unansweredMs(time.now()), 0);
   });
 });
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -6,7 +6,7 @@
 
 const {describe, test} = nodeTest;
 
-const BATCH: job.Queue = {
+const BATCH_QUEUE: job.Queue = {
   ...jobCell.QUEUE,
   name: 'batch',
   pathPrefix: '/batch/',
@@ -15,7 +15,7 @@
 };
 
 function batchOf(id: string, step: Partial<job.Step>): job.JobDefinition {
-  return {...jobCell.jobOf(id, step), queue: BATCH.name};
+  return {...jobCell.jobOf(id, step), queue: BATCH_QUEUE.name};
 }
 
 /** Six seconds for jobs whose id starts with `b`, else one second. */
@@ -31,7 +31,7 @@
   // half a second of slack arrives. Guards against urgent work that waits for them.
   test('stops checkpointing batch runs for urgent work', async () => {
     const cell = new jobCell.JobCell();
-    cell.queues = [jobCell.QUEUE, BATCH];
+    cell.queues = [jobCell.QUEUE, BATCH_QUEUE];
     cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8, checkpointing: true}));
@@ -48,7 +48,7 @@
   // Guards against lost work: without a checkpoint a run starts from scratch.
   test('spares batch runs without checkpoints', async () => {
     const cell = new jobCell.JobCell();
-    cell.queues = [jobCell.QUEUE, BATCH];
+    cell.queues = [jobCell.QUEUE, BATCH_QUEUE];
     cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8}));
@@ -60,15 +60,15 @@
 });
 
 describe('advice requests', () => {
-  const ADVISED: job.Queue = {
-    ...BATCH,
+  const ADVISED_QUEUE: job.Queue = {
+    ...BATCH_QUEUE,
     advice: {decideMs: 500, eachMs: 10, validMs: 2_500},
   };
 
   function provideAdvice(cell: jobCell.JobCell, asked: string[]): void {
     cell.queues = [
       {...jobCell.QUEUE, advice: {decideMs: 20, eachMs: 0, validMs: 2_500}},
-      ADVISED,
+      ADVISED_QUEUE,
     ];
     cell.advice = {
       accepts: () => true,
@@ -105,7 +105,7 @@
   test('are sent in order of urgency when the service becomes free', async () => {
     const cell = new jobCell.JobCell();
     const asked: string[] = [];
-    cell.queues = [ADVISED];
+    cell.queues = [ADVISED_QUEUE];
     let isBusy = false;
     cell.advice = {
       accepts: () => !isBusy,
--- a/test/jobs/run_health_test.ts
+++ b/test/jobs/run_health_test.ts
@@ -9,7 +9,7 @@
 
 const {describe, test} = nodeTest;
 
-function runOf(step: Partial<job.Step>): {
+function buildRun(step: Partial<job.Step>): {
   run: jobTask.Assignment;
   record: jobRecord.JobRecord;
   worker: remoteWorker.RemoteWorker;
@@ -26,7 +26,7 @@
 describe('fault detection of runs', () => {
   // Guards against a job that waits for a task without progress.
   test('reports a stall if the worker reports no progress', () => {
-    const {run, worker} = runOf({});
+    const {run, worker} = buildRun({});
     worker.recordClockReading(1_000, 1_000);
     assert.equal(runHealth.detectFault(run, 1_000), undefined);
     worker.recordClockReading(1_600, 1_600);
@@ -35,7 +35,7 @@
 
   // Guards against losing the work of a run because its worker is unreachable.
   test('does not count the silence of a worker as a stall', () => {
-    const {run, worker} = runOf({});
+    const {run, worker} = buildRun({});
     worker.recordClockReading(1_000, 1_000);
     assert.equal(runHealth.detectFault(run, 60_000), undefined);
   });
@@ -43,14 +43,14 @@
   // Guards against restarts of services, which run until they are cancelled and
   // report no progress.
   test('ignores long-running tasks', () => {
-    const {run, worker} = runOf({longRunning: true});
+    const {run, worker} = buildRun({longRunning: true});
     worker.recordClockReading(9_000, 9_000);
     assert.equal(runHealth.detectFault(run, 9_000), undefined);
   });
 
   // Guards against a job that waits for one task on a slow worker.
   test('reports a slow run if the others of its step took far less time', () => {
-    const {run, record, worker} = runOf({count: 4});
+    const {run, record, worker} = buildRun({count: 4});
     for (let index = 0; index < 3; index += 1) {
       record.steps[0].recordDuration(1_000);
     }
@@ -66,7 +66,7 @@
   // Guards against endless restarts of a task that inherently takes longer than
   // the others of its step.
   test('reports a task as slow only once, and doubles its stall limit', () => {
-    const {run, record, worker} = runOf({count: 4});
+    const {run, record, worker} = buildRun({count: 4});
     for (let index = 0; index < 3; index += 1) {
       record.steps[0].recordDuration(300);
     }
--- a/test/jobs/step_ordering_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -9,9 +9,9 @@
 const {describe, test} = nodeTest;
 
 const PROCESSORS = 8_000;
-const BATCH: job.Queue = {...jobCell.QUEUE, name: 'batch', priority: 2};
+const BATCH_QUEUE: job.Queue = {...jobCell.QUEUE, name: 'batch', priority: 2};
 
-function waiting(
+function buildWaitingStep(
   id: string,
   queue: job.Queue,
   arrivedAt: number,
@@ -41,8 +41,8 @@
   test('puts the more urgent queue first', () => {
     const order = orderAt(
       100,
-      waiting('batch', BATCH, 0),
-      waiting('urgent', jobCell.QUEUE, 90),
+      buildWaitingStep('batch', BATCH_QUEUE, 0),
+      buildWaitingStep('urgent', jobCell.QUEUE, 90),
     );
     assert.deepEqual(order, ['urgent', 'batch']);
   });
@@ -50,13 +50,13 @@
   // Guards against late jobs that take capacity from jobs which could still be
   // on time, so that these become late too: after a burst of urgent jobs.
   test('puts late jobs behind on-time jobs of the next queue', () => {
-    const nextQueue = {...BATCH, priority: 1};
+    const nextQueue = {...BATCH_QUEUE, priority: 1};
     const order = orderAt(
       3_000,
-      waiting('late', jobCell.QUEUE, 0),
-      waiting('fresh', jobCell.QUEUE, 2_900),
-      waiting('next', nextQueue, 2_900),
-      waiting('batch', BATCH, 2_900),
+      buildWaitingStep('late', jobCell.QUEUE, 0),
+      buildWaitingStep('fresh', jobCell.QUEUE, 2_900),
+      buildWaitingStep('next', nextQueue, 2_900),
+      buildWaitingStep('batch', BATCH_QUEUE, 2_900),
     );
     assert.deepEqual(order, ['fresh', 'next', 'late', 'batch']);
   });
@@ -65,8 +65,8 @@
   test('puts jobs last that have exceeded three times their objective', () => {
     const order = orderAt(
       10_000,
-      waiting('worthless', jobCell.QUEUE, 0),
-      waiting('batch', BATCH, 9_900),
+      buildWaitingStep('worthless', jobCell.QUEUE, 0),
+      buildWaitingStep('batch', BATCH_QUEUE, 9_900),
     );
     assert.deepEqual(order, ['batch', 'worthless']);
   });
@@ -75,8 +75,8 @@
   test('puts a small job ahead of a large one that came before it', () => {
     const order = orderAt(
       200,
-      waiting('large', BATCH, 0, {count: 40}),
-      waiting('small', BATCH, 100, {count: 1}),
+      buildWaitingStep('large', BATCH_QUEUE, 0, {count: 40}),
+      buildWaitingStep('small', BATCH_QUEUE, 100, {count: 1}),
     );
     assert.deepEqual(order, ['small', 'large']);
   });
@@ -86,15 +86,27 @@
     const long = {count: 10, estimatedRuntimeMs: 20_000};
     const order = orderAt(
       9_500,
-      waiting('large', {...BATCH, stretch: 3}, 0, {...long, count: 12}),
-      waiting('small', {...BATCH, stretch: 3}, 9_400, {...long, count: 8}),
+      buildWaitingStep('large', {...BATCH_QUEUE, stretch: 3}, 0, {
+        ...long,
+        count: 12,
+      }),
+      buildWaitingStep('small', {...BATCH_QUEUE, stretch: 3}, 9_400, {
+        ...long,
+        count: 8,
+      }),
     );
     assert.equal(order.length, 2);
     assert.deepEqual(
       orderAt(
         29_000,
-        waiting('large', {...BATCH, stretch: 4}, 0, {...long, count: 12}),
-        waiting('small', {...BATCH, stretch: 4}, 28_900, {...long, count: 11}),
+        buildWaitingStep('large', {...BATCH_QUEUE, stretch: 4}, 0, {
+          ...long,
+          count: 12,
+        }),
+        buildWaitingStep('small', {...BATCH_QUEUE, stretch: 4}, 28_900, {
+          ...long,
+          count: 11,
+        }),
       ),
       ['large', 'small'],
     );
--- a/test/operations/settings_test.ts
+++ b/test/operations/settings_test.ts
@@ -21,10 +21,10 @@
     'missing optional keys get their defaults; guards against rejecting ' +
       'settings that were written for an earlier version',
     () => {
-      const read = settings.parseSettings(VALID).unsafeCoerce();
-      assert.equal(read.logRetentionMs, 86_400_000);
-      assert.equal(read.logStalenessMs, 0);
-      assert.equal(read.callerPort, 7000);
+      const parsed = settings.parseSettings(VALID).unsafeCoerce();
+      assert.equal(parsed.logRetentionMs, 86_400_000);
+      assert.equal(parsed.logStalenessMs, 0);
+      assert.equal(parsed.callerPort, 7000);
     },
   );
 
@@ -36,8 +36,8 @@
         VALID.replace('7000', '70000').replace('10.0.0.1', 'entry.example') +
         'colour = "red"\nlogRetentionMs = 7200000\n';
       const faults = faultsOf(text.replace('vm = "entry-1"\n', ''));
-      const shown = faults.map(({key, line, value}) => [key, line, value]);
-      assert.deepEqual(shown, [
+      const summaries = faults.map(({key, line, value}) => [key, line, value]);
+      assert.deepEqual(summaries, [
         ['vm', 0, 'missing'],
         ['host', 3, '"entry.example"'],
         ['callerPort', 4, '70000'],
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -63,8 +63,8 @@
   private readonly models: workerModel.WorkerModel[] = [];
   private currentTerm: SimulatedTerm | undefined;
   private term = 0;
-  private incarnations = 0;
-  private checkedEvents = 0;
+  private incarnationCount = 0;
+  private checkedCount = 0;
   private readonly activeRuns = new Map<string, Set<string>>();
 
   constructor(
@@ -155,10 +155,10 @@
   }
 
   private addWorker(index: number): void {
-    this.incarnations += 1;
+    this.incarnationCount += 1;
     const entry = jobCell.registryEntry(`w${index}`, {
-      born: this.incarnations,
-      address: `w${index}:${this.incarnations}`,
+      born: this.incarnationCount,
+      address: `w${index}:${this.incarnationCount}`,
     });
     const entries = this.cell.entries.filter(({id}) => id !== entry.id);
     this.cell.entries = entries;
@@ -206,8 +206,8 @@
   private checkInvariants(): void {
     for (const model of this.models) this.checkCapacity(model);
     const {events} = this.cell.workers;
-    for (; this.checkedEvents < events.length; this.checkedEvents += 1) {
-      this.checkEvent(events[this.checkedEvents]);
+    for (; this.checkedCount < events.length; this.checkedCount += 1) {
+      this.checkEvent(events[this.checkedCount]);
     }
   }
 
