--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -46,7 +46,7 @@
   constructor(options: SchedulerUnderTestOptions) {
     this.simulation = new schedulingHarness.SchedulingHarness(options.seed);
     for (const described of options.teams) this.simulation.addTeam(described);
-    this.simulation.setPlan({
+    this.simulation.setFleetDefinition({
       zones: [],
       workerShapes: [{capacity: options.capacity, zones: ['kigali-a']}],
     });
--- a/src/contracts/call_reply.ts
+++ b/src/contracts/call_reply.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as result from '../result.js';
 import type * as identityIssuer from './identity_issuer.js';
 import type * as event from './event.js';
@@ -8,9 +8,9 @@
   call: event.CallNumber,
   refusal: result.Failure,
   identity?: string,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   return [
-    effects.count('refusal', {reason: refusal.result}),
+    effect.count('refusal', {reason: refusal.result}),
     {
       kind: 'answerCaller',
       call,
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -1,5 +1,5 @@
 import * as callReply from './call_reply.js';
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
@@ -25,7 +25,7 @@
     call: IdentityCall,
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect>;
+  ): ReadonlyArray<effect.Effect>;
   /** Blocks an identity from running here; false if it is already known. */
   preventRun(identity: string, now: clock.Milliseconds): boolean;
   /** Returns whether a submission may run twice; undefined if unknown. */
@@ -67,7 +67,7 @@
     identity: string,
     home: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const address = this.directory.address(home);
     if (address !== undefined) {
       const member = {process: home, address};
@@ -86,12 +86,12 @@
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     switch (handled.kind) {
       case 'forwardAnswered':
-        return this.forwardAnswered(handled);
+        return this.handleForwardAnswer(handled);
       case 'forwardFailed':
-        return this.forwardFailed(handled.call);
+        return this.handleForwardFailure(handled.call);
       case 'callEnded':
         this.forwardedCalls.delete(handled.call);
         this.cancelRecovery(handled.call);
@@ -107,8 +107,8 @@
   handleRecoveryResult(
     recoveryResult: outcomeRecovery.RecoveryResult,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
+  ): ReadonlyArray<effect.Effect> {
+    const produced: effect.Effect[] = [];
     for (const waiting of [...this.callsInRecovery.values()]) {
       const {identity, client, process} = waiting.query;
       const isSameQuery =
@@ -137,11 +137,11 @@
     identity: string,
     target: processDirectory.PeerProcess,
     relayed: boolean,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {process: peer, address} = target;
     this.forwardedCalls.set(call.call, {identity, address});
     return [
-      effects.count('forward', {reason: relayed ? 'otherZone' : 'home'}),
+      effect.count('forward', {reason: relayed ? 'otherZone' : 'home'}),
       {kind: 'forwardCall', peer, address, relayed, call: call.call},
     ];
   }
@@ -151,7 +151,7 @@
     identity: string,
     process: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const query = {identity, client: call.client, process};
     const waitMs = 'waitMs' in call ? call.waitMs : 0;
     const deadline = now + Math.max(waitMs, MIN_RECOVERY_WAIT_MS);
@@ -169,7 +169,7 @@
     waiting: CallInRecovery,
     finding: outcomeRecovery.RecoveryResult['finding'],
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {call, query} = waiting;
     const {identity} = query;
     switch (finding.kind) {
@@ -180,7 +180,7 @@
       case 'running':
         return [answerRunning(call, identity, finding.worker)];
       case 'offered':
-        return this.routeToOfferee(call, query, finding.process, now);
+        return this.routeToOfferedProcess(call, query, finding.process, now);
       case 'foreign':
         return callReply.refuse(call.call, callReply.unknownIdentity(identity));
       case 'lost': {
@@ -201,7 +201,7 @@
   private answerNotRun(
     call: IdentityCall,
     identity: string,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (call.kind !== 'requestArrived') {
       const detail =
         'repeat the submission: its workload tells if records were kept';
@@ -217,12 +217,12 @@
     return callReply.refuse(call.call, failed, identity);
   }
 
-  private routeToOfferee(
+  private routeToOfferedProcess(
     call: IdentityCall,
     query: outcomeRecovery.OutcomeQuery,
     process: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity} = query;
     if (process === query.process) {
       return answerUnknown(
@@ -238,9 +238,9 @@
     return this.localHandler.answerLocally(call, identity, now);
   }
 
-  private forwardAnswered(
+  private handleForwardAnswer(
     answered: Extract<event.Event, {kind: 'forwardAnswered'}>,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {call} = answered;
     const forwarded = this.forwardedCalls.get(call);
     if (forwarded === undefined) return [];
@@ -249,7 +249,7 @@
     const reply = readReply(answered.code, answered.body);
     if (reply.identity !== undefined && reply.identity !== identity) {
       return [
-        effects.count('answer_dropped', {reason: 'otherIdentity'}),
+        effect.count('answer_dropped', {reason: 'otherIdentity'}),
         ...answerUnknownByNumber(
           call,
           identity,
@@ -260,7 +260,9 @@
     return [{kind: 'answerCaller', call, reply}];
   }
 
-  private forwardFailed(call: event.CallNumber): ReadonlyArray<effects.Effect> {
+  private handleForwardFailure(
+    call: event.CallNumber,
+  ): ReadonlyArray<effect.Effect> {
     const forwarded = this.forwardedCalls.get(call);
     if (forwarded === undefined) return [];
     this.forwardedCalls.delete(call);
@@ -273,8 +275,8 @@
     );
   }
 
-  private expireCalls(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
+  private expireCalls(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
+    const produced: effect.Effect[] = [];
     for (const waiting of [...this.callsInRecovery.values()]) {
       if (waiting.deadline > now) continue;
       this.cancelRecovery(waiting.call.call);
@@ -299,7 +301,7 @@
   }
 }
 
-function readReply(code: number, body: string): effects.Reply {
+function readReply(code: number, body: string): effect.Reply {
   try {
     const parsed: unknown = JSON.parse(body);
     if (typeof parsed !== 'object' || parsed === null) return {code};
@@ -317,7 +319,7 @@
     readonly detail: string;
     readonly answer: string;
   },
-): effects.Effect {
+): effect.Effect {
   const {code} = result.RESULT_CODES[outcome.result];
   const {detail, answer} = outcome;
   const reply = {code, detail, identity, state: 'ended', answer};
@@ -328,7 +330,7 @@
   call: IdentityCall,
   identity: string,
   worker: string,
-): effects.Effect {
+): effect.Effect {
   const {code} = result.RESULT_CODES.accepted;
   const reply = {code, identity, state: 'running', worker};
   return {kind: 'answerCaller', call: call.call, reply};
@@ -338,7 +340,7 @@
   call: IdentityCall,
   identity: string,
   detail: string,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   return answerUnknownByNumber(call.call, identity, detail);
 }
 
@@ -346,7 +348,7 @@
   call: event.CallNumber,
   identity: string,
   detail: string,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   const failed = result.failure('unknownOutcome', detail);
   return callReply.refuse(call, failed, identity);
 }
--- a/src/contracts/configuration_peer_fetcher.ts
+++ b/src/contracts/configuration_peer_fetcher.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import type * as clock from '../machines/clock.js';
 import type * as configurationDocuments from './configuration_documents.js';
 import type * as event from './event.js';
@@ -54,11 +54,11 @@
 
   /** Fetches documents from a peer that has newer versions than are in force. */
   fetchIfBehind(
-    news: event.PeerStatus,
+    status: event.PeerStatus,
     inForce: configurationDocuments.ConfigurationDocuments,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const missing = news.documents.filter(
+  ): ReadonlyArray<effect.Effect> {
+    const missing = status.documents.filter(
       reported => reported.version > inForce.version(reported.name),
     );
     if (missing.length === 0) return [];
@@ -66,7 +66,7 @@
     const isLogLate = now - this.missingSince >= LOG_GRACE_PERIOD_MS;
     const reason = this.isLogSilent(now) ? 'logSilent' : 'logLate';
     if (reason === 'logLate' && !isLogLate) return [];
-    return this.fetch(news.from, news.address, inForce, reason, now);
+    return this.fetch(status.from, status.address, inForce, reason, now);
   }
 
   /**
@@ -76,7 +76,7 @@
   fetchFromEntryVm(
     inForce: configurationDocuments.ConfigurationDocuments,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (this.entryVms.length === 0 || !this.isLogSilent(now)) return [];
     const {vm, address} =
       this.entryVms[this.nextEntryVmIndex % this.entryVms.length];
@@ -91,12 +91,12 @@
     inForce: configurationDocuments.ConfigurationDocuments,
     reason: 'logSilent' | 'logLate' | 'start',
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (now < this.nextFetchAt) return [];
     this.nextFetchAt = now + FETCH_INTERVAL_MS;
     const have = inForce.all().map(({name, version}) => ({name, version}));
     return [
-      effects.count('documents_fetched', {reason}),
+      effect.count('documents_fetched', {reason}),
       {kind: 'fetchDocuments', peer, address, have},
     ];
   }
--- a/src/contracts/configuration_store.ts
+++ b/src/contracts/configuration_store.ts
@@ -2,7 +2,7 @@
 import * as configurationHistory from './configuration_history.js';
 import * as configurationPeerFetcher from './configuration_peer_fetcher.js';
 import * as publicationTracker from './publication_tracker.js';
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as invariant from './invariant.js';
 import * as result from '../result.js';
 import * as snapshotSchedule from './snapshot_schedule.js';
@@ -117,7 +117,7 @@
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     switch (handled.kind) {
       case 'recordsRead':
         return this.handleRecords(handled, now);
@@ -144,7 +144,7 @@
         this.peerFetcher.updateEntryVms(handled.vms);
         return [];
       case 'timePassed':
-        return this.timePassed(now);
+        return this.handleTimePassed(now);
       default:
         return [];
     }
@@ -163,8 +163,10 @@
     );
   }
 
-  private timePassed(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const requested: effects.Effect[] = [];
+  private handleTimePassed(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effect.Effect> {
+    const requested: effect.Effect[] = [];
     if (this.nextReadAt === 0) this.peerFetcher.recordLogProgress(now);
     if (now >= this.nextReadAt) requested.push(this.readNext(now));
     if (!this.isLoadedValue) {
@@ -177,7 +179,7 @@
     return requested;
   }
 
-  private readNext(now: clock.Milliseconds): effects.Effect {
+  private readNext(now: clock.Milliseconds): effect.Effect {
     this.nextReadAt = now + READ_INTERVAL_MS;
     return {
       kind: 'readStream',
@@ -189,7 +191,7 @@
   private handleRecords(
     handled: EventOf<'recordsRead'>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (handled.stream !== CONFIGURATION_STREAM) return [];
     const progress = this.replica.applyRead(handled);
     const requested = [...this.countUnreadable(), ...this.adoptFromLog()];
@@ -202,7 +204,7 @@
         requested.push(this.readNext(now));
         return requested;
       case 'gap':
-        requested.push(effects.count('configuration_gap'));
+        requested.push(effect.count('configuration_gap'));
         return requested;
       case 'tail':
         this.isLoadedValue = true;
@@ -217,24 +219,24 @@
     }
   }
 
-  private countUnreadable(): ReadonlyArray<effects.Effect> {
+  private countUnreadable(): ReadonlyArray<effect.Effect> {
     const added =
       this.history.unreadableCount() - this.countedUnreadableRecords;
     this.countedUnreadableRecords += added;
     if (added === 0) return [];
     return [
-      effects.count('configuration_unreadable', {}, added),
-      effects.log('warn', 'configurationRecordUnreadable', {records: added}),
+      effect.count('configuration_unreadable', {}, added),
+      effect.log('warn', 'configurationRecordUnreadable', {records: added}),
     ];
   }
 
-  private adoptFromLog(): ReadonlyArray<effects.Effect> {
+  private adoptFromLog(): ReadonlyArray<effect.Effect> {
     return this.adoptNewer(this.history.documents(), 'log');
   }
 
   private adoptFromPeer(
     handled: EventOf<'documentsArrived'>,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const requested = this.adoptNewer(handled.documents, 'peer');
     if (this.configuration.versions.size > 0) this.isLoadedValue = true;
     return requested;
@@ -244,7 +246,7 @@
   private adoptNewer(
     documents: ReadonlyArray<event.Document>,
     source: 'log' | 'peer',
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const newer = documents.filter(
       document =>
         configurationDocuments.isDocumentName(document.name) &&
@@ -260,35 +262,35 @@
   private adopt(
     document: event.Document,
     source: 'log' | 'peer',
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const fields = {document: document.name, version: document.version, source};
     return this.documentsInForce.parse(document.name, document.content).caseOf({
       Left: failure => {
         this.unreadableVersions.set(document.name, document.version);
         const {detail} = failure;
         return [
-          effects.count('document_refused', {source}),
-          effects.log('warn', 'documentRefused', {...fields, detail}),
+          effect.count('document_refused', {source}),
+          effect.log('warn', 'documentRefused', {...fields, detail}),
         ];
       },
       Right: parsed => {
         this.documentsInForce.put(document, parsed);
         return [
-          effects.count('document_in_force', {source}),
-          effects.log('info', 'documentInForce', fields),
+          effect.count('document_in_force', {source}),
+          effect.log('info', 'documentInForce', fields),
         ];
       },
     });
   }
 
   /** Exposes the new documents unless the version of one would decrease. */
-  private updateConfiguration(): ReadonlyArray<effects.Effect> {
+  private updateConfiguration(): ReadonlyArray<effect.Effect> {
     const next = this.documentsInForce.toConfiguration();
     for (const [document, previousVersion] of this.configuration.versions) {
       const version = next.versions.get(document) ?? 0;
       if (version >= previousVersion) continue;
-      const evidence = {document, before: previousVersion, version};
-      return invariant.violation('versionNeverFalls', evidence);
+      const fields = {document, before: previousVersion, version};
+      return invariant.violation('versionNeverFalls', fields);
     }
     this.configuration = next;
     return [];
@@ -297,7 +299,7 @@
   private publish(
     call: EventOf<'publishArrived'>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {document, baseVersion, content, publication} = call;
     const failure = publicationTracker.checkPublication(call);
     if (failure !== undefined) {
@@ -336,7 +338,7 @@
   private answerKnownPublication(
     call: event.CallNumber,
     record: configurationHistory.PublishRecord,
-  ): ReadonlyArray<effects.Effect> | undefined {
+  ): ReadonlyArray<effect.Effect> | undefined {
     const digest = configurationHistory.digestOf(record);
     const outcome = this.history.outcome(record.publication);
     const openRecord = this.publications.record(record.publication);
@@ -359,7 +361,7 @@
     return publicationTracker.outcomeEffects(call, outcome);
   }
 
-  private validateUnchecked(): ReadonlyArray<effects.Effect> {
+  private validateUnchecked(): ReadonlyArray<effect.Effect> {
     return this.publications
       .uncheckedPublications()
       .flatMap(unchecked => this.validate(unchecked));
@@ -367,7 +369,7 @@
 
   private validate(
     unchecked: publicationTracker.UncheckedPublication,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {record} = unchecked;
     switch (this.validateBase(unchecked)) {
       case 'undecided':
@@ -405,7 +407,7 @@
 
   private refuseWrongBase(
     record: configurationHistory.PublishRecord,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const current = this.currentVersion(record.document);
     const detail = configurationHistory.conflictDetail(record, current);
     return this.publications.refuse(
@@ -416,7 +418,7 @@
 
   private validateContent(
     record: configurationHistory.PublishRecord,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     return this.documentsInForce
       .parseAndCheck(record.document, record.content)
       .caseOf({
@@ -428,7 +430,7 @@
       });
   }
 
-  private appendUnsent(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private appendUnsent(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.appendInProgress || now < this.nextAppendAt) return [];
     const records: string[] = [];
     const isCurrent =
@@ -458,7 +460,7 @@
   private handleAppendAnswer(
     handled: EventOf<'appendAnswered'>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (handled.stream !== CONFIGURATION_STREAM) return [];
     if (handled.append !== this.appendNumber) return [];
     this.appendInProgress = false;
@@ -469,14 +471,14 @@
       now + APPEND_RETRY_DELAY_MS,
     );
     return [
-      effects.count('retry', {reason: 'configurationAppendLost'}),
+      effect.count('retry', {reason: 'configurationAppendLost'}),
       this.readNext(now),
     ];
   }
 
   private answerFetch(
     call: EventOf<'documentFetchArrived'>,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const found = this.documentsInForce.get(call.document);
     if (found !== undefined) {
       const code = result.RESULT_CODES.ok.code;
@@ -503,7 +505,7 @@
 
   private listWorkloads(
     call: EventOf<'workloadsArrived'>,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const teams = [...this.configuration.teams.values()];
     const content = teams.map(({name, workloads}) => ({team: name, workloads}));
     const reply = {code: result.RESULT_CODES.ok.code, content};
@@ -512,7 +514,7 @@
 
   private answerPeer(
     call: EventOf<'fetchDocumentsArrived'>,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const peerVersions = new Map(
       call.have.map(item => [item.name, item.version]),
     );
--- a/src/contracts/execution_attempt.ts
+++ b/src/contracts/execution_attempt.ts
@@ -22,21 +22,24 @@
 export type AttemptOutcome =
   | {
       /** No task runs any more; the request may be placed again. */
-      readonly kind: 'again';
+      readonly kind: 'retry';
       /** Whether placing the request again is charged to the retry budget. */
       readonly consumesRetry: boolean;
       readonly reason: string;
       /** Ending of the request if it may not be placed again. */
-      readonly finalEnding: requestTable.RequestOutcome;
+      readonly finalOutcome: requestTable.RequestOutcome;
     }
-  | {readonly kind: 'ended'; readonly ending: requestTable.RequestOutcome};
+  | {
+      readonly kind: 'ended';
+      readonly requestOutcome: requestTable.RequestOutcome;
+    };
 
 /** One attempt to run a request; its tasks start together. */
 export class ExecutionAttempt {
   private readonly tasksByName = new Map<string, AttemptTask>();
   /** Numbers of journal entries that are not yet acknowledged. */
   private readonly unrecordedEntries = new Set<number>();
-  private hasRun = false;
+  private wasMarkedRunning = false;
 
   constructor(
     readonly request: request.Request,
@@ -85,8 +88,8 @@
 
   /** Marks all tasks as running; returns true on the first call. */
   markRunning(): boolean {
-    const first = !this.hasRun;
-    this.hasRun = true;
+    const first = !this.wasMarkedRunning;
+    this.wasMarkedRunning = true;
     return first;
   }
 
@@ -108,18 +111,21 @@
     return determineNotRunOutcome(tasks, cancelled);
   }
   if (tasks.every(task => task.end === 'finished')) {
-    return {kind: 'ended', ending: buildEnding('ok', '', joinAnswers(tasks))};
+    return {
+      kind: 'ended',
+      requestOutcome: buildOutcome('ok', '', joinAnswers(tasks)),
+    };
   }
-  const worstEnding = determineWorstEnding(tasks);
-  if (cancelled || !idempotent || worstEnding.result === 'outcomeLost') {
-    return {kind: 'ended', ending: worstEnding};
+  const worstOutcome = determineWorstOutcome(tasks);
+  if (cancelled || !idempotent || worstOutcome.result === 'outcomeLost') {
+    return {kind: 'ended', requestOutcome: worstOutcome};
   }
   const unfinished = tasks.filter(task => task.end !== 'finished');
   return {
-    kind: 'again',
+    kind: 'retry',
     consumesRetry: !unfinished.every(task => task.end === 'checkpointed'),
     reason: unfinished[0].end ?? 'startNotRun',
-    finalEnding: worstEnding,
+    finalOutcome: worstOutcome,
   };
 }
 
@@ -128,35 +134,35 @@
   cancelled: boolean,
 ): AttemptOutcome {
   if (cancelled) {
-    return {kind: 'ended', ending: buildEnding('cancelled', '', '')};
+    return {kind: 'ended', requestOutcome: buildOutcome('cancelled', '', '')};
   }
   const detail = tasks.find(task => task.detail !== '')?.detail ?? '';
   return {
-    kind: 'again',
+    kind: 'retry',
     consumesRetry: tasks.some(task => task.startSent),
     reason: 'startNotRun',
-    finalEnding: buildEnding('retryBudgetSpent', detail, ''),
+    finalOutcome: buildOutcome('retryBudgetSpent', detail, ''),
   };
 }
 
-function determineWorstEnding(
+function determineWorstOutcome(
   tasks: ReadonlyArray<AttemptTask>,
 ): requestTable.RequestOutcome {
   const unresolved = tasks.find(task => task.end === 'unresolved');
   if (unresolved !== undefined) {
-    return buildEnding('outcomeLost', `task ${unresolved.task}`, '');
+    return buildOutcome('outcomeLost', `task ${unresolved.task}`, '');
   }
   const failed = tasks.find(task => task.end === 'failed');
   if (failed !== undefined) {
-    return buildEnding('taskFailed', `task ${failed.task}`, failed.answer);
+    return buildOutcome('taskFailed', `task ${failed.task}`, failed.answer);
   }
   const answerLost = tasks.find(task => task.end === 'answerLost');
   if (answerLost !== undefined) {
-    return buildEnding('answerLost', `task ${answerLost.task}`, '');
+    return buildOutcome('answerLost', `task ${answerLost.task}`, '');
   }
   const stopped = tasks.find(task => task.end !== 'finished');
   const endState = stopped?.end ?? 'not run';
-  return buildEnding('taskStopped', `task ${stopped?.task}: ${endState}`, '');
+  return buildOutcome('taskStopped', `task ${stopped?.task}: ${endState}`, '');
 }
 
 /** Joins several answers as a JSON array in the order of the tasks. */
@@ -165,7 +171,7 @@
   return JSON.stringify(tasks.map(task => task.answer));
 }
 
-function buildEnding(
+function buildOutcome(
   result: requestTable.RequestOutcome['result'],
   detail: string,
   answer: string,
--- a/src/contracts/incoming_offers.ts
+++ b/src/contracts/incoming_offers.ts
@@ -1,7 +1,7 @@
 import * as identityIssuer from './identity_issuer.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
-import type * as effects from './effect.js';
+import type * as effect from './effect.js';
 import type * as event from './event.js';
 import type * as outgoingOffers from './outgoing_offers.js';
 import type * as request from './request.js';
@@ -20,7 +20,7 @@
 }
 
 /** Objects that `IncomingOffers` uses. */
-export interface IncomingOffersParts {
+export interface IncomingOffersDependencies {
   /** Name of this process. */
   readonly self: string;
   readonly builder: requestBuilder.RequestBuilder;
@@ -39,7 +39,7 @@
   private readonly waitingCalls = new Map<string, event.CallNumber[]>();
   private draining = false;
 
-  constructor(private readonly parts: IncomingOffersParts) {}
+  constructor(private readonly parts: IncomingOffersDependencies) {}
 
   /** Refuses all offers from now on. */
   drain(): void {
@@ -50,7 +50,7 @@
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     switch (handled.kind) {
       case 'offerArrived':
         return this.handleOffer(handled, now);
@@ -62,7 +62,7 @@
   }
 
   /** Answers the offers that wait for the end of this request. */
-  answerEnded(entry: requestTable.RequestEntry): ReadonlyArray<effects.Effect> {
+  answerEnded(entry: requestTable.RequestEntry): ReadonlyArray<effect.Effect> {
     const {identity} = entry.request;
     const calls = this.waitingCalls.get(identity) ?? [];
     this.waitingCalls.delete(identity);
@@ -72,7 +72,7 @@
   private handleOffer(
     offer: Extract<event.Event, {kind: 'offerArrived'}>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {call, identity} = offer;
     if (offer.to !== this.parts.self) {
       return [answerOffer(call, 'unknownOutcome')];
@@ -115,7 +115,7 @@
   private answerAtEnd(
     entry: requestTable.RequestEntry,
     call: event.CallNumber,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (entry.outcome !== undefined) return [answerEndedOffer(call, entry)];
     const {identity} = entry.request;
     this.waitingCalls.set(identity, [
@@ -128,7 +128,7 @@
   private acceptOrRefuse(
     offer: Extract<event.Event, {kind: 'offerArrived'}>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {call, identity, client, submission} = offer;
     const {builder, queue, table, lifecycle} = this.parts;
     const attempt = offer.attempt ?? 0;
@@ -162,7 +162,7 @@
     offer: Extract<event.Event, {kind: 'offerArrived'}>,
     name: result.ResultName,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.parts.offers.preventRun(offer.identity, offer.attempt ?? 0, now);
     return [answerOffer(offer.call, name)];
   }
@@ -170,7 +170,7 @@
   private handleWithdrawal(
     withdrawal: Extract<event.Event, {kind: 'withdrawArrived'}>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {call, identity, from, to} = withdrawal;
     const {lifecycle, offers: outgoing, table} = this.parts;
     if (to !== this.parts.self) return [answerWithdraw(call, 'unknownOutcome')];
@@ -191,7 +191,7 @@
 function answerOffer(
   call: event.CallNumber,
   name: result.ResultName,
-): effects.Effect {
+): effect.Effect {
   const {code} = result.RESULT_CODES[name];
   return {kind: 'answerOffer', call, code, answer: ''};
 }
@@ -199,7 +199,7 @@
 function answerEndedOffer(
   call: event.CallNumber,
   entry: requestTable.RequestEntry,
-): effects.Effect {
+): effect.Effect {
   const {outcome} = entry;
   const {code} = result.RESULT_CODES[outcome?.result ?? 'unknownOutcome'];
   return {kind: 'answerOffer', call, code, answer: outcome?.answer ?? ''};
@@ -208,7 +208,7 @@
 function answerWithdraw(
   call: event.CallNumber,
   name: result.ResultName,
-): effects.Effect {
+): effect.Effect {
   const {code} = result.RESULT_CODES[name];
   return {kind: 'answerWithdraw', call, code};
 }
--- a/src/contracts/journal_backend.ts
+++ b/src/contracts/journal_backend.ts
@@ -166,15 +166,15 @@
       case 'appendAnswered':
         if (handled.stream !== this.stream) return EMPTY_OUTPUT;
         if (handled.append !== this.appendNumber) return EMPTY_OUTPUT;
-        return this.appendAnswered(handled.answer === 'appended', now);
+        return this.handleAppendAnswer(handled.answer === 'appended', now);
       case 'recordsRead':
         if (handled.stream !== this.stream) return EMPTY_OUTPUT;
-        return this.recordsRead(handled, now);
+        return this.handleRecordsRead(handled, now);
       case 'readFailed':
-        if (handled.stream === this.stream) this.readFailed(now);
+        if (handled.stream === this.stream) this.handleReadFailure(now);
         return EMPTY_OUTPUT;
       case 'timePassed':
-        return {recorded: [], effects: this.timePassed(now)};
+        return {recorded: [], effects: this.handleTimePassed(now)};
       default:
         return EMPTY_OUTPUT;
     }
@@ -186,7 +186,7 @@
     return mayAppend ? this.nextAppendAt : Infinity;
   }
 
-  private appendAnswered(
+  private handleAppendAnswer(
     appended: boolean,
     now: clock.Milliseconds,
   ): JournalOutput {
@@ -201,7 +201,7 @@
     return {recorded: [], effects: [this.readStream()]};
   }
 
-  private recordsRead(
+  private handleRecordsRead(
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
   ): JournalOutput {
@@ -240,13 +240,15 @@
     };
   }
 
-  private readFailed(now: clock.Milliseconds): void {
+  private handleReadFailure(now: clock.Milliseconds): void {
     if (this.phase !== 'checking') return;
     this.isLogAnswering = false;
     this.nextReadAt = now + READ_RETRY_INTERVAL_MS;
   }
 
-  private timePassed(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
+  private handleTimePassed(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effect.Effect> {
     if (this.phase === 'idle') return this.flush(now);
     if (this.phase !== 'checking' || now < this.nextReadAt) return [];
     this.nextReadAt = Infinity;
@@ -316,9 +318,9 @@
       case 'witnessAnswered':
         if (handled.batch !== this.batchNumber) return EMPTY_OUTPUT;
         if (!handled.stored) return EMPTY_OUTPUT;
-        return this.acknowledged(handled.peer, now);
+        return this.handleAcknowledgement(handled.peer, now);
       case 'timePassed':
-        return {recorded: [], effects: this.timePassed(now)};
+        return {recorded: [], effects: this.handleTimePassed(now)};
       default:
         return EMPTY_OUTPUT;
     }
@@ -328,7 +330,10 @@
     return this.batch.length > 0 ? this.batchDeadline : Infinity;
   }
 
-  private acknowledged(peer: string, now: clock.Milliseconds): JournalOutput {
+  private handleAcknowledgement(
+    peer: string,
+    now: clock.Milliseconds,
+  ): JournalOutput {
     this.unacknowledged.delete(peer);
     if (this.batch.length === 0 || this.unacknowledged.size > 0) {
       return EMPTY_OUTPUT;
@@ -338,7 +343,9 @@
     return {recorded, effects: this.flush(now)};
   }
 
-  private timePassed(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
+  private handleTimePassed(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<effect.Effect> {
     if (this.batch.length === 0 || now < this.batchDeadline) return [];
     // The members may have changed, so the batch goes to the current ones.
     this.queuedRecords = [...this.batch, ...this.queuedRecords];
--- a/src/contracts/outcome_recovery.ts
+++ b/src/contracts/outcome_recovery.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as journalBackend from './journal_backend.js';
 import * as outcomeRule from './outcome_rule.js';
 import type * as clock from '../machines/clock.js';
@@ -57,7 +57,7 @@
 /** Resolved queries and effects of one event. */
 export interface RecoveryOutput {
   readonly results: ReadonlyArray<RecoveryResult>;
-  readonly effects: ReadonlyArray<effects.Effect>;
+  readonly effects: ReadonlyArray<effect.Effect>;
 }
 
 /** Records of a dead process, as read from the log and from witnesses. */
@@ -106,7 +106,7 @@
   >();
   private readonly knownOutcomes = new Map<string, KnownOutcome>();
   private readonly openFetches = new Map<string, OpenAnswerFetch>();
-  private effects: effects.Effect[] = [];
+  private effects: effect.Effect[] = [];
   private results: RecoveryResult[] = [];
 
   constructor(
@@ -178,15 +178,15 @@
   private processEvent(handled: event.Event, now: clock.Milliseconds): boolean {
     switch (handled.kind) {
       case 'recordsRead':
-        return this.recordsRead(handled, now);
+        return this.handleRecordsRead(handled, now);
       case 'readFailed':
-        return this.readFailed(handled.stream, now);
+        return this.handleReadFailure(handled.stream, now);
       case 'readWitnessAnswered':
-        return this.witnessRead(handled);
+        return this.handleWitnessRead(handled);
       case 'reportArrived':
-        return this.reportArrived(handled);
+        return this.handleReport(handled);
       case 'taskAnswerArrived':
-        return this.answerArrived(handled);
+        return this.handleTaskAnswer(handled);
       case 'taskAnswerLost':
         return this.openFetches.delete(handled.task);
       case 'timePassed':
@@ -235,7 +235,7 @@
     });
   }
 
-  private recordsRead(
+  private handleRecordsRead(
     read: Extract<event.Event, {kind: 'recordsRead'}>,
     now: clock.Milliseconds,
   ): boolean {
@@ -256,7 +256,7 @@
     return true;
   }
 
-  private readFailed(stream: string, now: clock.Milliseconds): boolean {
+  private handleReadFailure(stream: string, now: clock.Milliseconds): boolean {
     const [, journalCopy] = this.journalCopyOf(stream);
     if (journalCopy === undefined) return false;
     journalCopy.nextReadAt = now + QUERY_INTERVAL_MS;
@@ -272,7 +272,7 @@
     return ['', undefined];
   }
 
-  private witnessRead(
+  private handleWitnessRead(
     answered: Extract<event.Event, {kind: 'readWitnessAnswered'}>,
   ): boolean {
     const journalCopy = this.journalCopies.get(answered.process);
@@ -283,7 +283,7 @@
     return true;
   }
 
-  private reportArrived(
+  private handleReport(
     arrived: Extract<event.Event, {kind: 'reportArrived'}>,
   ): boolean {
     if (this.openQueries.size === 0) return false;
@@ -296,7 +296,7 @@
     return true;
   }
 
-  private answerArrived(
+  private handleTaskAnswer(
     arrived: Extract<event.Event, {kind: 'taskAnswerArrived'}>,
   ): boolean {
     if (this.openFetches.get(arrived.task)?.worker !== arrived.worker) {
@@ -441,7 +441,7 @@
     finding: RecoveryResult['finding'],
   ): void {
     this.openQueries.delete(keyOf(query));
-    this.effects.push(effects.count('recovered', {finding: finding.kind}));
+    this.effects.push(effect.count('recovered', {finding: finding.kind}));
     this.results.push({query, finding});
   }
 
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
@@ -56,20 +56,20 @@
 }
 
 /** An offer to a process whose successor has taken over. */
-export interface OrphanedOffer {
+export interface OfferToRecover {
   readonly identity: string;
   readonly process: string;
 }
 
 /** Effects and orphaned offers that result from one event or call. */
 export interface OfferOutput {
-  readonly effects: ReadonlyArray<effects.Effect>;
+  readonly effects: ReadonlyArray<effect.Effect>;
   /** Offers to dead processes; recovery reads the outcome in their journals. */
-  readonly orphaned: ReadonlyArray<OrphanedOffer>;
+  readonly offersToRecover: ReadonlyArray<OfferToRecover>;
 }
 
 /** Objects that `OutgoingOffers` uses. */
-export interface OutgoingOffersParts {
+export interface OutgoingOffersDependencies {
   readonly table: requestTable.RequestTable;
   readonly queue: requestLifecycle.PlacementQueue;
   readonly lifecycle: requestLifecycle.RequestLifecycle;
@@ -86,10 +86,10 @@
   private readonly openOffers = new Map<string, OpenOffer>();
   private readonly refusals = new Map<string, RefusalHistory>();
   private readonly tombstones = new Map<string, Tombstone>();
-  private effects: effects.Effect[] = [];
-  private orphaned: OrphanedOffer[] = [];
+  private effects: effect.Effect[] = [];
+  private offersToRecover: OfferToRecover[] = [];
 
-  constructor(private readonly parts: OutgoingOffersParts) {}
+  constructor(private readonly parts: OutgoingOffersDependencies) {}
 
   /** Offers requests that have waited long enough to other processes. */
   offerWaiting(
@@ -181,11 +181,11 @@
     now: clock.Milliseconds,
   ): boolean {
     if (this.parts.table.get(identity) !== undefined) return false;
-    const refusedAttempt =
+    const blockedAttempt =
       this.tombstones.get(identity)?.lastAttempt ?? attempt;
     // Deleted first, because `expire` needs the map in order of creation.
     this.tombstones.delete(identity);
-    const latest = Math.max(refusedAttempt, attempt);
+    const latest = Math.max(blockedAttempt, attempt);
     this.tombstones.set(identity, {lastAttempt: latest, createdAt: now});
     return true;
   }
@@ -245,7 +245,7 @@
     this.openOffers.set(identity, {...offer, recordNumber});
     this.parts.table.change(identity, {
       state: 'recording',
-      recorded: true,
+      hasJournalEntry: true,
       reason: `the offer to ${process} is being recorded`,
     });
   }
@@ -282,7 +282,7 @@
       worker: offer.peer,
       reason: `offered to ${offer.peer}`,
     });
-    this.effects.push(effects.count('offer', {}), {
+    this.effects.push(effect.count('offer', {}), {
       kind: 'offerRequest',
       peer: offer.peer,
       address: offer.address,
@@ -300,7 +300,7 @@
   ): void {
     const offer = this.openOffers.get(answered.identity);
     if (offer === undefined || offer.peer !== answered.peer) {
-      this.effects.push(effects.count('answer_dropped', {reason: 'offer'}));
+      this.effects.push(effect.count('answer_dropped', {reason: 'offer'}));
       return;
     }
     const row = result.byCode(answered.code);
@@ -337,7 +337,7 @@
     this.parts.queue.requeue(entry.request);
     const reason = `not run by ${offer.peer}`;
     this.parts.table.change(identity, {state: 'queued', worker: '', reason});
-    this.effects.push(effects.count('placed_again', {reason: 'offerRefused'}));
+    this.effects.push(effect.count('placed_again', {reason: 'offerRefused'}));
   }
 
   private endRequest(
@@ -394,7 +394,7 @@
           resendAt: now + RESEND_INTERVAL_MS,
         });
         const {identity, peer: process} = offer;
-        if (offer.isSent) this.orphaned.push({identity, process});
+        if (offer.isSent) this.offersToRecover.push({identity, process});
         else this.requeue(offer, now);
       } else if (offer.isSent) this.send(offer, now);
       else this.requeueUnrecordable(offer, now);
@@ -412,9 +412,12 @@
   }
 
   private takeOutput(): OfferOutput {
-    const output = {effects: this.effects, orphaned: this.orphaned};
+    const output = {
+      effects: this.effects,
+      offersToRecover: this.offersToRecover,
+    };
     this.effects = [];
-    this.orphaned = [];
+    this.offersToRecover = [];
     return output;
   }
 }
--- a/src/contracts/publication_tracker.ts
+++ b/src/contracts/publication_tracker.ts
@@ -1,5 +1,5 @@
 import * as configurationDocuments from './configuration_documents.js';
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as configurationHistory from './configuration_history.js';
@@ -122,7 +122,7 @@
     outcomeOf: (
       publication: string,
     ) => configurationHistory.PublicationOutcome | undefined,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     return [...this.openPublications.keys()].flatMap(publication => {
       const outcome = outcomeOf(publication);
       return outcome === undefined
@@ -135,7 +135,7 @@
   refuse(
     publication: string,
     refusal: result.Failure,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const open = this.openPublications.get(publication);
     this.openPublications.delete(publication);
     return [...(open?.calls ?? [])].flatMap(call =>
@@ -144,7 +144,7 @@
   }
 
   /** Answers the publications that were not read back in time. */
-  expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  expire(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     return [...this.openPublications.values()]
       .filter(item => now >= item.arrivedAt + PUBLICATION_TIMEOUT_MS)
       .flatMap(item =>
@@ -164,7 +164,7 @@
   private answerCalls(
     publication: string,
     outcome: configurationHistory.PublicationOutcome,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const open = this.openPublications.get(publication);
     this.openPublications.delete(publication);
     return [...(open?.calls ?? [])].flatMap(call =>
@@ -177,11 +177,11 @@
 export function outcomeEffects(
   call: event.CallNumber,
   outcome: configurationHistory.PublicationOutcome,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   switch (outcome.outcome) {
     case 'accepted':
       return [
-        effects.count('publication', {outcome: 'accepted'}),
+        effect.count('publication', {outcome: 'accepted'}),
         {
           kind: 'answerCaller',
           call,
@@ -209,9 +209,9 @@
 export function refusalEffects(
   call: event.CallNumber,
   refusal: result.Failure,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   return [
-    effects.count('refusal', {reason: refusal.result}),
+    effect.count('refusal', {reason: refusal.result}),
     {
       kind: 'answerCaller',
       call,
--- a/src/contracts/reclaimer.ts
+++ b/src/contracts/reclaimer.ts
@@ -81,13 +81,13 @@
     pending: placementPolicy.PendingPlacement,
   ): reclaimableTaskTable.ReclaimChoice | undefined {
     const {team} = pending.request;
-    const claims = this.reservations.countForTeam(team) + 1;
-    const claimed = resources.scale(pending.size, claims);
-    if (!this.shares.isWithinQuota(team, claimed)) return undefined;
+    const claimCount = this.reservations.countForTeam(team) + 1;
+    const claimedSize = resources.scale(pending.size, claimCount);
+    if (!this.shares.isWithinQuota(team, claimedSize)) return undefined;
     const attempt = new placementPolicy.PlacementAttempt(pending);
     return this.tasks.choose({
       pending,
-      claimantShare: this.shares.weightedShareWith(team, claimed),
+      claimantShare: this.shares.weightedShareWith(team, claimedSize),
       mayUse: candidate =>
         attempt.allows(candidate) && this.mayPlace(candidate),
     });
--- a/src/contracts/replica_controller.ts
+++ b/src/contracts/replica_controller.ts
@@ -52,7 +52,7 @@
   readonly identity: string;
   readonly startedAt: clock.Milliseconds | undefined;
   /** Identity of the replacing task during a move; otherwise empty. */
-  readonly successorIdentity: string;
+  readonly replacementIdentity: string;
   readonly isMoving: boolean;
   /** Earliest time of the next start. */
   readonly nextStartAt: clock.Milliseconds;
@@ -75,7 +75,7 @@
  */
 export class ReplicaController {
   private readonly states = new Map<string, ReplicaState>();
-  private readonly ownershipKeys = new Map<string, string>();
+  private readonly ownershipKeyByIdentity = new Map<string, string>();
 
   constructor(
     private readonly zone: string,
@@ -110,9 +110,9 @@
   /** Records the identity under which a replica was requested or adopted. */
   recordRequest(replica: Replica, identity: string): void {
     const state = this.stateOf(replica);
-    this.ownershipKeys.set(identity, ownershipKeyOf(replica));
+    this.ownershipKeyByIdentity.set(identity, ownershipKeyOf(replica));
     if (state.identity === '') this.saveState({...state, identity});
-    else this.saveState({...state, successorIdentity: identity});
+    else this.saveState({...state, replacementIdentity: identity});
   }
 
   /** Records a start; returns the stop of the replaced task after a move. */
@@ -126,12 +126,12 @@
       this.saveState({...state, startedAt: now});
       return [];
     }
-    this.ownershipKeys.delete(state.identity);
+    this.ownershipKeyByIdentity.delete(state.identity);
     this.saveState({
       ...state,
       identity,
       startedAt: now,
-      successorIdentity: '',
+      replacementIdentity: '',
       isMoving: false,
     });
     return [{kind: 'stop', identity: state.identity}];
@@ -148,9 +148,9 @@
   ): void {
     const state = this.findState(identity);
     if (state === undefined) return;
-    this.ownershipKeys.delete(identity);
-    if (state.successorIdentity === identity) {
-      this.saveState({...state, successorIdentity: '', isMoving: false});
+    this.ownershipKeyByIdentity.delete(identity);
+    if (state.replacementIdentity === identity) {
+      this.saveState({...state, replacementIdentity: '', isMoving: false});
       return;
     }
     const runTimeMs = now - (state.startedAt ?? now);
@@ -159,9 +159,9 @@
     const backoffMs = isStable ? INITIAL_BACKOFF_MS : state.backoffMs;
     this.saveState({
       ...state,
-      identity: state.successorIdentity,
+      identity: state.replacementIdentity,
       startedAt: undefined,
-      successorIdentity: '',
+      replacementIdentity: '',
       isMoving: false,
       nextStartAt: Math.max(leaseEnd, now + backoffMs),
       backoffMs: Math.min(MAXIMUM_BACKOFF_MS, 2 * backoffMs),
@@ -242,9 +242,9 @@
     for (const [ownershipKey, state] of this.states) {
       if (desired.has(ownershipKey)) continue;
       this.states.delete(ownershipKey);
-      for (const identity of [state.identity, state.successorIdentity]) {
+      for (const identity of [state.identity, state.replacementIdentity]) {
         if (identity === '') continue;
-        this.ownershipKeys.delete(identity);
+        this.ownershipKeyByIdentity.delete(identity);
         // The new owner of the replica keeps it running.
         if (this.isConfigured(state.replica)) continue;
         actions.push({kind: 'stop', identity});
@@ -269,7 +269,7 @@
       replica,
       identity: '',
       startedAt: undefined,
-      successorIdentity: '',
+      replacementIdentity: '',
       isMoving: false,
       nextStartAt: -Infinity,
       backoffMs: INITIAL_BACKOFF_MS,
@@ -279,7 +279,7 @@
   }
 
   private findState(identity: string): ReplicaState | undefined {
-    const ownershipKey = this.ownershipKeys.get(identity);
+    const ownershipKey = this.ownershipKeyByIdentity.get(identity);
     return ownershipKey === undefined
       ? undefined
       : this.states.get(ownershipKey);
@@ -291,6 +291,6 @@
 }
 
 function needsStart(state: ReplicaState, now: clock.Milliseconds): boolean {
-  if (state.isMoving) return state.successorIdentity === '';
+  if (state.isMoving) return state.replacementIdentity === '';
   return state.identity === '' && now >= state.nextStartAt;
 }
--- a/src/contracts/request_admission.ts
+++ b/src/contracts/request_admission.ts
@@ -103,10 +103,10 @@
  */
 export function excludingConstraint(
   candidate: request.Request,
-  plan: configuration.FleetDefinition,
+  fleet: configuration.FleetDefinition,
 ): string | undefined {
   const {zones} = candidate.workload;
-  const allowed = plan.workerShapes.filter(
+  const allowed = fleet.workerShapes.filter(
     shape =>
       zones.length === 0 || shape.zones.some(zone => zones.includes(zone)),
   );
--- a/src/contracts/request_builder.ts
+++ b/src/contracts/request_builder.ts
@@ -5,7 +5,7 @@
 import type * as request from './request.js';
 
 /** Provides the configuration in force. */
-export interface ConfigurationProvider {
+export interface ConfigurationSource {
   current(): configuration.Configuration;
 }
 
@@ -19,7 +19,7 @@
 
 /** Builds requests from submissions and the configuration of their teams. */
 export class RequestBuilder {
-  constructor(private readonly documents: ConfigurationProvider) {}
+  constructor(private readonly documents: ConfigurationSource) {}
 
   /** Returns the request, or the reason for refusing the submission. */
   build(
--- a/src/contracts/request_coordinator.ts
+++ b/src/contracts/request_coordinator.ts
@@ -1,6 +1,6 @@
 import * as callReply from './call_reply.js';
 import * as callRouter from './call_router.js';
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as identityIssuer from './identity_issuer.js';
 import * as requestJournal from './request_journal.js';
 import * as incomingOffers from './incoming_offers.js';
@@ -29,11 +29,11 @@
 }
 
 /** Objects that `RequestCoordinator` uses. */
-export interface RequestCoordinatorParts {
+export interface RequestCoordinatorDependencies {
   /** Name of this process. */
   readonly self: string;
   readonly random: randomSource.RandomSource;
-  readonly documents: requestBuilder.ConfigurationProvider;
+  readonly documents: requestBuilder.ConfigurationSource;
   readonly queue: CoordinatorQueue;
   readonly runner: taskRunner.TaskRunner;
   readonly directory: processDirectory.ProcessDirectory;
@@ -71,7 +71,7 @@
   private readonly router: callRouter.CallRouter;
   private draining = false;
 
-  constructor(private readonly parts: RequestCoordinatorParts) {
+  constructor(private readonly parts: RequestCoordinatorDependencies) {
     const {self, directory, queue, runner, retries} = parts;
     const table = this.table;
     this.issuer = new identityIssuer.IdentityIssuer(self, parts.random);
@@ -137,9 +137,9 @@
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const isRecoveryAnswer = this.isForRecovery(handled);
-    const produced: effects.Effect[] = [
+    const produced: effect.Effect[] = [
       ...this.witnesses.handle(handled, now),
       ...this.router.handle(handled, now),
       ...this.incoming.handle(handled, now),
@@ -172,7 +172,7 @@
     call: callRouter.IdentityCall,
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.table.get(identity);
     if (entry === undefined || entry.request.client !== call.client) {
       return this.refuseUnknown(call, identity);
@@ -201,7 +201,7 @@
   private handleCall(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     switch (handled.kind) {
       case 'identitiesArrived':
         return this.issueIdentities(handled, now);
@@ -243,7 +243,7 @@
   private issueIdentities(
     call: CallOf<'identitiesArrived'>,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const refusal = this.admissionRefusal();
     if (refusal !== undefined) return callReply.refuse(call.call, refusal);
     const count = Math.min(call.count, MAX_IDENTITIES_PER_CALL);
@@ -260,7 +260,7 @@
     call: callRouter.IdentityCall,
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.table.get(identity);
     if (entry !== undefined && isDecidedHere(entry)) {
       return this.answerLocally(call, identity, now);
@@ -288,7 +288,7 @@
   private answerUnusedIdentity(
     call: callRouter.IdentityCall,
     identity: string,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (call.kind === 'cancelArrived') {
       const detail = 'cancelled before its submission arrived';
       const cancelled = result.failure('cancelled', detail);
@@ -304,7 +304,7 @@
     call: event.CallNumber,
     refusal: result.Failure,
     identity: string | undefined,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (identity !== undefined) this.issuer.refuse(identity);
     return callReply.refuse(call, refusal, identity);
   }
@@ -313,7 +313,7 @@
     call: CallOf<'requestArrived'>,
     reserved: string | undefined,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const closedRefusal = this.admissionRefusal();
     if (closedRefusal !== undefined) {
       return this.refusePermanently(call.call, closedRefusal, reserved);
@@ -331,7 +331,7 @@
     call: CallOf<'requestArrived'>,
     built: request.Request,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const refusal =
       this.journalRefusal(built) ?? this.parts.queue.admit(built, now);
     if (refusal !== undefined) {
@@ -355,7 +355,7 @@
     call: CallOf<'requestArrived'>,
     entry: requestTable.RequestEntry,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {request: first} = entry;
     const isSameSubmission =
       first.team === call.submission.team &&
@@ -373,7 +373,7 @@
     call: CallOf<'cancelArrived'>,
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const withdrawn = this.outgoing.cancel(identity, now);
     const produced =
       withdrawn === undefined
@@ -386,7 +386,7 @@
     call: CallOf<'explainArrived'>,
     entry: requestTable.RequestEntry,
     now: clock.Milliseconds,
-  ): effects.Effect {
+  ): effect.Effect {
     const {identity, arrivedAt, startBy} = entry.request;
     const isQueued = entry.state === 'queued';
     const detail = isQueued ? this.parts.queue.explain(identity, now) : '';
@@ -398,7 +398,7 @@
       tasks: entry.tasks,
       attempts: entry.attempts,
       cancelled: entry.cancelled,
-      recorded: entry.recorded,
+      recorded: entry.hasJournalEntry,
       ageMs: Math.round(now - arrivedAt),
       ...(startBy < Infinity ? {startWithinMs: Math.round(startBy - now)} : {}),
       ...(entry.outcome === undefined ? {} : {result: entry.outcome.result}),
@@ -412,7 +412,7 @@
   private drainWorker(
     call: event.CallNumber,
     worker: string,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (this.parts.workers.address(worker) === undefined) {
       const detail = `worker: ${worker}: must be a worker of this zone`;
       return callReply.refuse(call, result.failure('invalidField', detail));
@@ -422,13 +422,13 @@
     return [{kind: 'answerCaller', call, reply}];
   }
 
-  private drain(call: CallOf<'drainArrived'>): ReadonlyArray<effects.Effect> {
+  private drain(call: CallOf<'drainArrived'>): ReadonlyArray<effect.Effect> {
     this.draining = true;
     this.incoming.drain();
     const {code} = result.RESULT_CODES.ok;
     const content = {unfinished: this.table.unfinishedCount()};
     return [
-      effects.log('info', 'drainBegun', content),
+      effect.log('info', 'drainBegun', content),
       {kind: 'answerCaller', call: call.call, reply: {code, content}},
     ];
   }
@@ -436,7 +436,7 @@
   private refuseUnknown(
     call: callRouter.IdentityCall,
     identity: string,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     return callReply.refuse(call.call, callReply.unknownIdentity(identity));
   }
 
@@ -450,14 +450,14 @@
   private handleByRecovery(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     return this.applyRecoveryOutput(this.recovery.handle(handled, now), now);
   }
 
   private applyRecoveryOutput(
     output: outcomeRecovery.RecoveryOutput,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const produced = [...output.effects];
     for (const recoveryResult of output.results) {
       produced.push(...this.router.handleRecoveryResult(recoveryResult, now));
@@ -469,7 +469,7 @@
   private resolveOffer(
     recoveryResult: outcomeRecovery.RecoveryResult,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, process} = recoveryResult.query;
     if (identityIssuer.parse(identity)?.home !== this.parts.self) return [];
     const {finding} = recoveryResult;
@@ -492,9 +492,9 @@
   private applyOfferOutput(
     output: outgoingOffers.OfferOutput,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const produced = [...output.effects];
-    for (const {identity, process} of output.orphaned) {
+    for (const {identity, process} of output.offersToRecover) {
       const client = this.table.get(identity)?.request.client ?? '';
       const queried = this.recovery.query({identity, client, process}, now);
       produced.push(...this.applyRecoveryOutput(queried, now));
@@ -505,7 +505,7 @@
   private handleByLifecycle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const output = this.lifecycle.handle(handled, now);
     for (const outcome of this.lifecycle.takeUnmatchedOutcomes()) {
       this.recovery.recordTaskOutcome(outcome);
@@ -519,12 +519,12 @@
     ];
   }
 
-  private expire(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
+  private expire(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
+    const produced: effect.Effect[] = [];
     for (const late of this.parts.queue.takeExpired(now)) {
       const detail = 'the start deadline passed while the request was queued';
       const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
-      produced.push(effects.count('refusal', {reason: outcome.result}));
+      produced.push(effect.count('refusal', {reason: outcome.result}));
       produced.push(...this.lifecycle.end(late.identity, outcome, now));
     }
     if (this.parts.isSuperseded()) produced.push(...this.endQueued(now));
@@ -535,11 +535,11 @@
   }
 
   /** Ends queued requests, which a superseded process can never start. */
-  private endQueued(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private endQueued(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const detail = 'another process has taken over from this one';
     const outcome = {result: 'noAuthority', detail, answer: ''} as const;
     const {queue} = this.parts;
-    const produced: effects.Effect[] = [];
+    const produced: effect.Effect[] = [];
     for (const {identity} of queue.waiting(queue.waitingCount())) {
       if (this.table.get(identity)?.state !== 'queued') continue;
       queue.remove(identity);
@@ -548,14 +548,14 @@
     return produced;
   }
 
-  private offerWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  private offerWaiting(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.parts.isSuperseded()) return [];
     const waiting = this.parts.queue.waiting(MAX_OFFER_CANDIDATES);
     if (waiting.length === 0) return [];
     return this.applyOfferOutput(this.outgoing.offerWaiting(waiting, now), now);
   }
 
-  private answerEndedOffers(): ReadonlyArray<effects.Effect> {
+  private answerEndedOffers(): ReadonlyArray<effect.Effect> {
     return this.table
       .takeEnded()
       .flatMap(entry => this.incoming.answerEnded(entry));
--- a/src/contracts/request_journal.ts
+++ b/src/contracts/request_journal.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as journalBackend from './journal_backend.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
@@ -94,7 +94,7 @@
   }
 
   /** Sends queued entries if a batch may be sent now. */
-  flush(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     return [...this.log.flush(now), ...this.witnesses.flush(now)];
   }
 
@@ -107,7 +107,7 @@
     this.processCount = Math.max(1, entries.length);
   }
 
-  private updateLogOutage(): ReadonlyArray<effects.Effect> {
+  private updateLogOutage(): ReadonlyArray<effect.Effect> {
     const isOutage = !this.log.isAvailable();
     if (isOutage === this.logOutage) return [];
     this.logOutage = isOutage;
@@ -122,8 +122,8 @@
       this.witnesses.dropEntries(new Set(pendingNumbers));
     }
     return [
-      effects.count('journal_outage', {state: isOutage ? 'begun' : 'over'}),
-      effects.log('warn', isOutage ? 'journalOutage' : 'journalRestored'),
+      effect.count('journal_outage', {state: isOutage ? 'begun' : 'over'}),
+      effect.log('warn', isOutage ? 'journalOutage' : 'journalRestored'),
     ];
   }
 }
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -1,7 +1,7 @@
 import * as attempts from './execution_attempt.js';
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as lease from './lease.js';
-import * as results from '../result.js';
+import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as requestJournal from './request_journal.js';
@@ -43,13 +43,13 @@
 
 /** Effects of one event and the journal entries that it acknowledged. */
 export interface LifecycleOutput {
-  readonly effects: ReadonlyArray<effects.Effect>;
+  readonly effects: ReadonlyArray<effect.Effect>;
   /** Numbers of the journal entries that became durable with this event. */
   readonly recorded: ReadonlyArray<number>;
 }
 
 /** Objects that `RequestLifecycle` uses. */
-export interface RequestLifecycleParts {
+export interface RequestLifecycleDependencies {
   readonly table: requestTable.RequestTable;
   readonly queue: PlacementQueue;
   readonly runner: taskRunner.TaskRunner;
@@ -65,45 +65,42 @@
  */
 export class RequestLifecycle {
   private readonly attempts = new Map<string, attempts.ExecutionAttempt>();
-  private readonly recordingAttempts = new Map<
-    number,
-    attempts.ExecutionAttempt
-  >();
+  private readonly unrecorded = new Map<number, attempts.ExecutionAttempt>();
   /** Lost tasks of services whose replacement waits for the retry budget. */
   private postponed: LostReplica[] = [];
   private unmatchedOutcomes: trackedTask.TaskOutcome[] = [];
 
-  constructor(private readonly parts: RequestLifecycleParts) {}
+  constructor(private readonly parts: RequestLifecycleDependencies) {}
 
   /** Places waiting requests and records or starts them. */
-  placeWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  placeWaiting(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const placedAttempts = new Set<attempts.ExecutionAttempt>();
     for (const placement of this.parts.queue.place(now)) {
       placedAttempts.add(this.addHeldTask(placement, now));
     }
-    const produced = [...placedAttempts].flatMap(attempt =>
+    const effects = [...placedAttempts].flatMap(attempt =>
       this.recordOrStart(attempt, now),
     );
-    return [...produced, ...this.parts.journal.flush(now)];
+    return [...effects, ...this.parts.journal.flush(now)];
   }
 
   /** Passes an event to the journal and the runner and applies their output. */
   handle(handled: event.Event, now: clock.Milliseconds): LifecycleOutput {
     const output = this.parts.journal.handle(handled, now);
-    const produced = [...output.effects];
+    const effects = [...output.effects];
     for (const number of output.recorded) {
-      produced.push(...this.handleRecorded(number, now));
+      effects.push(...this.handleRecorded(number, now));
     }
-    produced.push(
+    effects.push(
       ...this.applyOutput(this.parts.runner.handle(handled, now), now),
     );
     if (handled.kind === 'timePassed') {
-      produced.push(
+      effects.push(
         ...this.checkRecordTimeouts(now),
         ...this.replacePostponed(now),
       );
     }
-    return {effects: produced, recorded: output.recorded};
+    return {effects, recorded: output.recorded};
   }
 
   /** Returns and clears the outcomes of tasks whose request is unknown here. */
@@ -118,13 +115,13 @@
     identity: string,
     outcome: requestTable.RequestOutcome,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.parts.table.get(identity);
     if (entry === undefined) return [];
     const adjusted = withoutFalseNotRun(outcome, entry);
     this.attempts.delete(identity);
     if (adjusted.result === 'ok') this.parts.retries.recordSuccess(now);
-    if (entry.recorded && entry.outcome === undefined) {
+    if (entry.hasJournalEntry && entry.outcome === undefined) {
       this.parts.journal.record({
         kind: 'finished',
         identity,
@@ -134,7 +131,7 @@
       });
     }
     return [
-      effects.count('ended', {result: adjusted.result}),
+      effect.count('ended', {result: adjusted.result}),
       ...this.parts.table.end(identity, adjusted, now),
       ...this.parts.journal.flush(now),
     ];
@@ -147,7 +144,7 @@
   cancel(
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.parts.table.change(identity, {cancelled: true, reason: 'cancelled'});
     const cancelled = {result: 'cancelled', detail: '', answer: ''} as const;
     const queued = this.parts.queue.remove(identity);
@@ -164,7 +161,7 @@
 
   /** Returns the time at which the next `timePassed` event is needed. */
   nextDeadline(): clock.Milliseconds {
-    const oldest = this.recordingAttempts.values().next();
+    const oldest = this.unrecorded.values().next();
     if (oldest.done === true) return Infinity;
     const {createdAt, request: admitted} = oldest.value;
     return Math.min(createdAt + RECORD_TIMEOUT_MS, admitted.startBy);
@@ -204,7 +201,7 @@
   private recordOrStart(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, client, workload} = attempt.request;
     const isOffered = this.parts.table.get(identity)?.offeredBy !== '';
     if (workload.idempotent && !isOffered) return this.startTasks(attempt, now);
@@ -221,9 +218,9 @@
         leaseBound: held.leaseBound,
       });
       attempt.addUnrecordedEntry(number);
-      this.recordingAttempts.set(number, attempt);
+      this.unrecorded.set(number, attempt);
     }
-    this.parts.table.change(identity, {recorded: true});
+    this.parts.table.change(identity, {hasJournalEntry: true});
     this.setState(attempt, 'recording', 'the start is being recorded');
     return [];
   }
@@ -231,9 +228,9 @@
   private handleRecorded(
     number: number,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const attempt = this.recordingAttempts.get(number);
-    this.recordingAttempts.delete(number);
+  ): ReadonlyArray<effect.Effect> {
+    const attempt = this.unrecorded.get(number);
+    this.unrecorded.delete(number);
     if (attempt === undefined || !attempt.markRecorded(number)) return [];
     const current = this.attempts.get(attempt.request.identity);
     return current === attempt ? this.startTasks(attempt, now) : [];
@@ -242,7 +239,7 @@
   private startTasks(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const held = attempt.tasks().filter(task => task.state === 'held');
     const {runner, directory, table} = this.parts;
     const home = table.get(attempt.request.identity)?.offeredBy ?? '';
@@ -254,16 +251,16 @@
     if (!held.every(task => runner.mayPlace(task.worker, now))) {
       return this.requeue(attempt, 'the permit ended before the start', now);
     }
-    const produced: effects.Effect[] = [];
+    const effects: effect.Effect[] = [];
     for (const task of held) {
       attempt.updateTask(task.task, {state: 'starting', startSent: true});
     }
     this.setState(attempt, 'starting', 'the start has been sent');
     for (const task of held) {
       const output = runner.start(task.task, task.leaseBound, now);
-      produced.push(...this.applyOutput(output, now));
+      effects.push(...this.applyOutput(output, now));
     }
-    return produced;
+    return effects;
   }
 
   /** Drops held tasks, whose starts were not sent, and queues them again. */
@@ -271,7 +268,7 @@
     attempt: attempts.ExecutionAttempt,
     reason: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity} = attempt.request;
     const held = attempt.tasks().filter(task => task.state === 'held');
     this.dropHeld(attempt);
@@ -286,7 +283,7 @@
     if (held.length < attempt.tasks().length) {
       for (const task of held) attempt.removeTask(task.task);
       this.requeueTasks(attempt, held.length);
-      return [effects.count('placed_again', {reason: 'nothingSent'})];
+      return [effect.count('placed_again', {reason: 'nothingSent'})];
     }
     this.attempts.delete(identity);
     this.parts.queue.requeue(attempt.request);
@@ -296,30 +293,30 @@
       tasks: [],
       reason,
     });
-    return [effects.count('placed_again', {reason: 'nothingSent'})];
+    return [effect.count('placed_again', {reason: 'nothingSent'})];
   }
 
   private dropHeld(attempt: attempts.ExecutionAttempt): void {
     for (const task of attempt.tasks()) this.parts.runner.dropHeld(task.task);
-    for (const [number, waiting] of this.recordingAttempts) {
-      if (waiting === attempt) this.recordingAttempts.delete(number);
+    for (const [number, waiting] of this.unrecorded) {
+      if (waiting === attempt) this.unrecorded.delete(number);
     }
   }
 
   private checkRecordTimeouts(
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
-    for (const attempt of new Set(this.recordingAttempts.values())) {
-      produced.push(...this.checkRecordTimeout(attempt, now));
+  ): ReadonlyArray<effect.Effect> {
+    const effects: effect.Effect[] = [];
+    for (const attempt of new Set(this.unrecorded.values())) {
+      effects.push(...this.checkRecordTimeout(attempt, now));
     }
-    return produced;
+    return effects;
   }
 
   private checkRecordTimeout(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, startBy} = attempt.request;
     const {journal} = this.parts;
     const isTimedOut = now >= attempt.createdAt + RECORD_TIMEOUT_MS;
@@ -342,21 +339,21 @@
   private applyOutput(
     output: taskRunner.RunnerOutput,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced = [...output.effects];
+  ): ReadonlyArray<effect.Effect> {
+    const effects = [...output.effects];
     for (const outcome of output.outcomes) {
-      produced.push(...this.handleTaskOutcome(outcome, now));
+      effects.push(...this.handleTaskOutcome(outcome, now));
     }
-    return produced;
+    return effects;
   }
 
   private handleTaskOutcome(
     outcome: trackedTask.TaskOutcome,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.parts.queue.observe(outcome, now);
     const attempt = this.attempts.get(outcome.reference.label.identity);
-    if (attempt === undefined || !updateTask(attempt, outcome)) {
+    if (attempt === undefined || !applyTaskOutcome(attempt, outcome)) {
       this.unmatchedOutcomes.push(outcome);
       return [];
     }
@@ -377,7 +374,7 @@
   private handleStarted(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, team, arrivedAt} = attempt.request;
     const allRunning = attempt.tasks().every(task => task.state === 'running');
     this.setState(
@@ -397,11 +394,11 @@
     attempt: attempts.ExecutionAttempt,
     name: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.parts.table.get(attempt.request.identity);
     const endedTask = attempt.tasks().find(task => task.task === name);
     const isUnfinished = endedTask?.end !== 'finished';
-    if (attempt.isSettled) return this.concludeAttempt(attempt, now);
+    if (attempt.isSettled) return this.handleAttemptEnd(attempt, now);
     this.setState(attempt, entry?.state ?? 'running', `task ${name} has ended`);
     if (!isUnfinished || entry?.cancelled === true) return [];
     if (attempt.request.workload.kind === 'service') {
@@ -415,7 +412,7 @@
     attempt: attempts.ExecutionAttempt,
     name: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (!attempt.request.workload.idempotent) return [];
     if (!this.parts.retries.trySpend(now)) {
       this.postponed.push({attempt, task: name});
@@ -423,7 +420,7 @@
     }
     attempt.removeTask(name);
     this.requeueTasks(attempt, 1);
-    return [effects.count('retry', {reason: 'replica'})];
+    return [effect.count('retry', {reason: 'replica'})];
   }
 
   private requeueTasks(
@@ -437,7 +434,7 @@
   /** Retries the replacements that the retry budget did not allow before. */
   private replacePostponed(
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const postponed = this.postponed;
     this.postponed = [];
     return postponed.flatMap(({attempt, task}) => {
@@ -449,38 +446,36 @@
   private stopTasks(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
+  ): ReadonlyArray<effect.Effect> {
+    const effects: effect.Effect[] = [];
     for (const task of attempt.tasks()) {
       if (task.state === 'ended' || task.state === 'notRun') continue;
-      produced.push(
-        ...this.applyOutput(this.parts.runner.stop(task.task), now),
-      );
+      effects.push(...this.applyOutput(this.parts.runner.stop(task.task), now));
     }
-    return produced;
+    return effects;
   }
 
-  private concludeAttempt(
+  private handleAttemptEnd(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {request: admitted} = attempt;
     const {identity, workload} = admitted;
     const entry = this.parts.table.get(identity);
     const cancelled = entry?.cancelled === true;
-    const conclusion = attempts.determineOutcome(
+    const outcome = attempts.determineOutcome(
       attempt.tasks(),
       workload.idempotent,
       cancelled,
     );
     this.setState(attempt, 'running', 'all its tasks have ended');
-    if (conclusion.kind === 'ended') {
-      return this.end(identity, conclusion.ending, now);
+    if (outcome.kind === 'ended') {
+      return this.end(identity, outcome.requestOutcome, now);
     }
-    if (!this.mayPlaceAgain(attempt, conclusion, entry, now)) {
-      return this.end(identity, conclusion.finalEnding, now);
+    if (!this.mayRetry(attempt, outcome, entry, now)) {
+      return this.end(identity, outcome.finalOutcome, now);
     }
-    const {reason} = conclusion;
+    const {reason} = outcome;
     const hasRun =
       entry?.hasRun === true ||
       attempt.tasks().some(task => task.state === 'ended');
@@ -496,21 +491,21 @@
       reason: `placed again: ${reason}`,
     });
     return [
-      effects.count(conclusion.consumesRetry ? 'retry' : 'placed_again', {
+      effect.count(outcome.consumesRetry ? 'retry' : 'placed_again', {
         reason,
       }),
     ];
   }
 
-  private mayPlaceAgain(
+  private mayRetry(
     attempt: attempts.ExecutionAttempt,
-    conclusion: Extract<attempts.AttemptOutcome, {kind: 'again'}>,
+    outcome: Extract<attempts.AttemptOutcome, {kind: 'retry'}>,
     entry: requestTable.RequestEntry | undefined,
     now: clock.Milliseconds,
   ): boolean {
     // Only the home of a request may place it again.
     if (entry === undefined || entry.offeredBy !== '') return false;
-    if (!conclusion.consumesRetry) return true;
+    if (!outcome.consumesRetry) return true;
     const hasFailed = attempt.tasks().some(task => task.end === 'failed');
     const isLimited = attempt.request.workload.kind !== 'service';
     if (hasFailed && isLimited && attempt.attemptNumber >= MAX_ATTEMPTS) {
@@ -543,13 +538,13 @@
   outcome: requestTable.RequestOutcome,
   entry: requestTable.RequestEntry,
 ): requestTable.RequestOutcome {
-  const {execution} = results.RESULT_CODES[outcome.result];
+  const {execution} = result.RESULT_CODES[outcome.result];
   if (!entry.hasRun || execution !== 'notRun') return outcome;
   const detail = `an earlier attempt ran; ${outcome.result} ${outcome.detail}`;
   return {result: 'taskStopped', detail, answer: ''};
 }
 
-function updateTask(
+function applyTaskOutcome(
   attempt: attempts.ExecutionAttempt,
   outcome: trackedTask.TaskOutcome,
 ): boolean {
--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -146,8 +146,8 @@
       );
     }
     const queue = this.queueOf(admitted.team);
-    const fleetPlan = this.documents.current().fleet;
-    const context = {team: configuredTeam, queue, fleet: fleetPlan};
+    const fleetDefinition = this.documents.current().fleet;
+    const context = {team: configuredTeam, queue, fleet: fleetDefinition};
     return requestAdmission
       .checkAdmission(admitted, context, now)
       .ifRight(() => {
@@ -497,11 +497,11 @@
       waiting.workload.name,
       waiting.size,
     );
-    const plan = this.documents.current().fleet;
-    if (learnedSize === waiting.size || plan === undefined) return learnedSize;
+    const fleet = this.documents.current().fleet;
+    if (learnedSize === waiting.size || fleet === undefined) return learnedSize;
     const resized = {...waiting, size: learnedSize};
     const fits =
-      requestAdmission.excludingConstraint(resized, plan) === undefined;
+      requestAdmission.excludingConstraint(resized, fleet) === undefined;
     return fits ? learnedSize : waiting.size;
   }
 
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as invariant from './invariant.js';
 import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
@@ -47,7 +47,7 @@
   /** Whether at least one task of an earlier attempt ran. */
   readonly hasRun: boolean;
   /** Whether an entry of the request was passed to the journal. */
-  readonly recorded: boolean;
+  readonly hasJournalEntry: boolean;
   /** Home that offered the request; empty if this process is the home. */
   readonly offeredBy: string;
   /** Number of that offer; 0 if this process is the home. */
@@ -73,7 +73,7 @@
 
 /** Answers to overdue calls, and the requests that `expire` dropped. */
 export interface ExpiryOutput {
-  readonly effects: ReadonlyArray<effects.Effect>;
+  readonly effects: ReadonlyArray<effect.Effect>;
   /** Identities of ended requests that were dropped. */
   readonly forgotten: ReadonlyArray<string>;
 }
@@ -125,7 +125,7 @@
       cancelled: false,
       attempts: 0,
       hasRun: false,
-      recorded: false,
+      hasJournalEntry: false,
       offeredBy: offer.process,
       offerAttempt: offer.attempt,
       outcome: undefined,
@@ -157,7 +157,7 @@
     identity: string,
     outcome: RequestOutcome,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.entries.get(identity);
     if (entry === undefined) return [];
     if (entry.outcome !== undefined) {
@@ -187,7 +187,7 @@
     caller: {readonly call: event.CallNumber; readonly client: string},
     deadline: clock.Milliseconds,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.entries.get(identity);
     if (entry === undefined) return [];
     const waitingCall = {...caller, deadline};
@@ -216,7 +216,7 @@
 
   /** Answers overdue calls and drops requests that ended long ago. */
   expire(now: clock.Milliseconds): ExpiryOutput {
-    const produced: effects.Effect[] = [];
+    const produced: effect.Effect[] = [];
     if (now >= this.nextCallDeadline) produced.push(...this.answerOverdue(now));
     const forgotten: string[] = [];
     for (const [identity, endedAt] of this.endTimes) {
@@ -234,10 +234,8 @@
     return this.nextCallDeadline;
   }
 
-  private answerOverdue(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
+  private answerOverdue(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
+    const produced: effect.Effect[] = [];
     this.nextCallDeadline = Infinity;
     for (const [identity, waiting] of this.waitingCalls) {
       const entry = this.entries.get(identity);
@@ -268,7 +266,7 @@
   private answerCall(
     waitingCall: WaitingCall,
     entry: RequestEntry,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.identityByCall.delete(waitingCall.call);
     if (waitingCall.client === entry.request.client) {
       return [
@@ -292,7 +290,7 @@
 }
 
 /** Returns the reply that shows the state or the outcome of a request. */
-export function buildReply(entry: RequestEntry): effects.Reply {
+export function buildReply(entry: RequestEntry): effect.Reply {
   const {identity} = entry.request;
   if (entry.outcome !== undefined) {
     return {
--- a/src/contracts/scheduler_effects.ts
+++ b/src/contracts/scheduler_effects.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as invariant from './invariant.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
@@ -11,7 +11,7 @@
   scheduler: requestScheduler.RequestScheduler,
   handled: event.Event,
   now: clock.Milliseconds,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   if (handled.kind === 'reportArrived') {
     scheduler.observeReport(handled.report, now);
   }
@@ -24,9 +24,9 @@
 /** Builds the effects that carry out interventions on running tasks. */
 export function interventionEffects(
   interventions: ReadonlyArray<overloadMitigator.Intervention>,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   return interventions.flatMap(item => [
-    effects.count('intervention', {kind: item.kind, reason: item.reason}),
+    effect.count('intervention', {kind: item.kind, reason: item.reason}),
     interventionEffect(item),
   ]);
 }
@@ -38,7 +38,7 @@
  */
 export function violationEffects(
   violations: ReadonlyArray<worker.CapacityViolation>,
-): ReadonlyArray<effects.Effect> {
+): ReadonlyArray<effect.Effect> {
   return violations.flatMap(item => {
     const fields = {
       worker: item.worker,
@@ -51,15 +51,15 @@
       return invariant.violation('withinCapacity', fields);
     }
     return [
-      effects.count('overcommitted', {cause: item.cause}),
-      effects.log('warn', 'overcommitted', fields),
+      effect.count('overcommitted', {cause: item.cause}),
+      effect.log('warn', 'overcommitted', fields),
     ];
   });
 }
 
 function interventionEffect(
   item: overloadMitigator.Intervention,
-): effects.Effect {
+): effect.Effect {
   const target = {
     worker: item.worker.name,
     address: item.worker.description.address,
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -17,7 +17,7 @@
 }
 
 /** Entries of one process that a witness returns to recovery. */
-export interface WitnessedRecords {
+export interface WitnessedEntries {
   /** Whether this witness has received every entry sent to witnesses. */
   readonly complete: boolean;
   readonly entries: ReadonlyArray<string>;
@@ -58,7 +58,7 @@
   }
 
   /** Returns the stored entries of a process. */
-  read(process: string): WitnessedRecords {
+  read(process: string): WitnessedEntries {
     const records = this.entriesByProcess.get(process)?.records;
     return {
       complete: this.directory.joinedBefore(process),
--- a/test/contracts/configuration_store_test.ts
+++ b/test/contracts/configuration_store_test.ts
@@ -28,7 +28,7 @@
 }
 
 function confirmationWith(version: number): event.Event {
-  const news = {
+  const status = {
     from: 'peer-1',
     zone: 'z',
     address: 'host:1',
@@ -43,7 +43,7 @@
     sentAt: 0,
     confirmed: true,
     zoneRecords: [],
-    status: news,
+    status,
   };
 }
 
--- a/test/contracts/replica_controller_test.ts
+++ b/test/contracts/replica_controller_test.ts
@@ -131,8 +131,8 @@
       const harness = new ReplicaControllerHarness(3);
       const [old] = harness.start(0);
       assert.ok(harness.controller.requestMove(old));
-      const [successor] = harness.request(1);
-      assert.deepEqual(harness.controller.recordStart(successor, 2), [
+      const [replacement] = harness.request(1);
+      assert.deepEqual(harness.controller.recordStart(replacement, 2), [
         {kind: 'stop', identity: old},
       ]);
       harness.controller.recordEnd(old, 3);
@@ -145,8 +145,8 @@
     const [first, second] = harness.start(0);
     assert.ok(harness.controller.requestMove(first));
     assert.equal(harness.controller.requestMove(second), false);
-    const [successor] = harness.request(1);
-    harness.controller.recordStart(successor, 2);
+    const [replacement] = harness.request(1);
+    harness.controller.recordStart(replacement, 2);
     assert.ok(harness.controller.requestMove(second));
   });
 });
--- a/test/contracts/request_admission_test.ts
+++ b/test/contracts/request_admission_test.ts
@@ -6,7 +6,7 @@
 import type * as team from '../../src/contracts/team.js';
 import type * as workload from '../../src/contracts/workload.js';
 
-const PLAN = {
+const FLEET_DEFINITION = {
   zones: [
     {name: 'kigali-a', region: 'kigali'},
     {name: 'huye-a', region: 'huye'},
@@ -29,7 +29,7 @@
   teamChanges: Partial<team.Team> = {},
 ): result.Failure | undefined {
   const harness = new schedulingHarness.SchedulingHarness();
-  harness.setPlan(PLAN);
+  harness.setFleetDefinition(FLEET_DEFINITION);
   harness.addTeam(schedulingHarness.buildTeam('dispatch', teamChanges));
   const built = harness.buildRequest(
     'dispatch',
--- a/test/support/scheduling_harness.ts
+++ b/test/support/scheduling_harness.ts
@@ -66,7 +66,7 @@
   readonly fleet: fleet.Fleet;
   readonly scheduler: requestScheduler.RequestScheduler;
   private readonly teams = new Map<string, team.Team>();
-  private plan: configuration.FleetDefinition | undefined;
+  private fleetDefinition: configuration.FleetDefinition | undefined;
   private forbiddenWorkers = new Set<string>();
   private sequence = 0;
 
@@ -85,8 +85,8 @@
   }
 
   /** Sets the fleet plan of the configuration. */
-  setPlan(plan: configuration.FleetDefinition): void {
-    this.plan = plan;
+  setFleetDefinition(definition: configuration.FleetDefinition): void {
+    this.fleetDefinition = definition;
   }
 
   /** Revokes the permit to place on a worker. */
@@ -195,7 +195,11 @@
   }
 
   private configuration(): configuration.Configuration {
-    return {fleet: this.plan, teams: this.teams, versions: new Map()};
+    return {
+      fleet: this.fleetDefinition,
+      teams: this.teams,
+      versions: new Map(),
+    };
   }
 }
 
