--- a/src/contracts/execution_attempt.ts
+++ b/src/contracts/execution_attempt.ts
@@ -7,6 +7,7 @@
 export interface AttemptTask {
   readonly task: string;
   readonly worker: string;
+  /** `held`: capacity is reserved for the task and no start was sent. */
   readonly state:
     'held' | 'starting' | 'running' | 'unknown' | 'notRun' | 'ended';
   /** Latest possible end of the start's lease, on the worker's clock. */
@@ -26,7 +27,7 @@
       /** Whether placing the request again is charged to the retry budget. */
       readonly consumesRetry: boolean;
       readonly reason: string;
-      /** Ending of the request if it may not be placed again. */
+      /** Outcome of the request if it may not be placed again. */
       readonly finalOutcome: requestTable.RequestOutcome;
     }
   | {
--- a/src/contracts/request_coordinator.ts
+++ b/src/contracts/request_coordinator.ts
@@ -28,7 +28,7 @@
   explain(identity: string, now: clock.Milliseconds): string;
 }
 
-/** Objects that `RequestCoordinator` uses. */
+/** Dependencies of a `RequestCoordinator`. */
 export interface RequestCoordinatorDependencies {
   /** Name of this process. */
   readonly self: string;
@@ -133,7 +133,7 @@
     return this.draining;
   }
 
-  /** Handles one event, after the zone and the configuration have done so. */
+  /** Handles one event after the zone and the configuration handled it. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
@@ -521,11 +521,11 @@
 
   private expire(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const produced: effect.Effect[] = [];
-    for (const late of this.parts.queue.takeExpired(now)) {
+    for (const expired of this.parts.queue.takeExpired(now)) {
       const detail = 'the start deadline passed while the request was queued';
       const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
       produced.push(effect.count('refusal', {reason: outcome.result}));
-      produced.push(...this.lifecycle.end(late.identity, outcome, now));
+      produced.push(...this.lifecycle.end(expired.identity, outcome, now));
     }
     if (this.parts.isSuperseded()) produced.push(...this.endQueued(now));
     const expiry = this.table.expire(now);
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -12,7 +12,10 @@
 import type * as taskRunner from '../machines/task_runner.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
-/** Time for the journal to acknowledge a start; the rest is for its lease. */
+/**
+ * Time for the journal to acknowledge a start, so that the lease of the start
+ * still ends within `RECORDED_LEASE_MS`.
+ */
 const RECORD_TIMEOUT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
 
 /** Maximum number of placements of a request whose tasks keep failing. */
@@ -48,7 +51,7 @@
   readonly recorded: ReadonlyArray<number>;
 }
 
-/** Objects that `RequestLifecycle` uses. */
+/** Dependencies of a `RequestLifecycle`. */
 export interface RequestLifecycleDependencies {
   readonly table: requestTable.RequestTable;
   readonly queue: PlacementQueue;
@@ -65,6 +68,7 @@
  */
 export class RequestLifecycle {
   private readonly attempts = new Map<string, attempts.ExecutionAttempt>();
+  /** Attempts that wait for the journal, by the number of the entry. */
   private readonly unrecorded = new Map<number, attempts.ExecutionAttempt>();
   /** Lost tasks of services whose replacement waits for the retry budget. */
   private postponed: LostReplica[] = [];
@@ -110,7 +114,7 @@
     return taken;
   }
 
-  /** Ends a request, and records the end if the request was recorded. */
+  /** Ends a request; records the end if the request has a journal entry. */
   end(
     identity: string,
     outcome: requestTable.RequestOutcome,
--- a/src/contracts/request_table.ts
+++ b/src/contracts/request_table.ts
@@ -302,9 +302,9 @@
       answer: entry.outcome.answer,
     };
   }
-  const row = entry.state === 'unknown' ? 'unknownOutcome' : 'accepted';
+  const resultName = entry.state === 'unknown' ? 'unknownOutcome' : 'accepted';
   return {
-    code: result.RESULT_CODES[row].code,
+    code: result.RESULT_CODES[resultName].code,
     detail: entry.reason,
     identity,
     state: entry.state,
