--- a/src/contracts/incoming_offers.ts
+++ b/src/contracts/incoming_offers.ts
@@ -19,7 +19,7 @@
   waitingCount(): number;
 }
 
-/** Objects that `IncomingOffers` uses. */
+/** Dependencies of `IncomingOffers`. */
 export interface IncomingOffersDependencies {
   /** Name of this process. */
   readonly self: string;
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -61,14 +61,14 @@
   readonly process: string;
 }
 
-/** Effects and orphaned offers that result from one event or call. */
+/** Effects of one event or call, and the offers left to recovery. */
 export interface OfferOutput {
   readonly effects: ReadonlyArray<effect.Effect>;
   /** Offers to dead processes; recovery reads the outcome in their journals. */
   readonly offersToRecover: ReadonlyArray<OfferToRecover>;
 }
 
-/** Objects that `OutgoingOffers` uses. */
+/** Dependencies of `OutgoingOffers`. */
 export interface OutgoingOffersDependencies {
   readonly table: requestTable.RequestTable;
   readonly queue: requestLifecycle.PlacementQueue;
--- a/src/contracts/scheduler_queue.ts
+++ b/src/contracts/scheduler_queue.ts
@@ -6,7 +6,7 @@
 import type * as placement from './placement.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
-/** Adapter of the scheduler that lists waiting requests by order of arrival. */
+/** Queue of the scheduler that lists the waiting requests by their arrival. */
 export class SchedulerQueue implements requestCoordinator.CoordinatorQueue {
   private readonly waitingRequests = new Map<string, request.Request>();
 
