Explain waiting requests by free capacity

The explanation of a waiting request says free capacity, as its reason does; the test expects the new text. The title on homes that have not joined names the fault. Behaviour is otherwise unchanged.

--- a/src/contracts/request_scheduler.ts
+++ b/src/contracts/request_scheduler.ts
@@ -183,7 +183,7 @@
     if (!this.shares.isEntitled(waiting, size, expectedRunMs)) {
       return `team ${waiting.team} holds its quota or all that may be lent`;
     }
-    return `${this.waitingCount()} requests wait for room`;
+    return `${this.waitingCount()} requests wait for free capacity`;
   }
 
   /** Returns the number of waiting requests. */
--- a/test/contracts/request_coordinator_test.ts
+++ b/test/contracts/request_coordinator_test.ts
@@ -98,7 +98,8 @@
   );
 
   nodeTest.test(
-    'needs a home that has joined, which a successor can recover',
+    'is a refusal by a home that has not joined; guards against a request ' +
+      'whose outcome no successor could recover',
     () => {
       const harness = new coordinatorHarness.CoordinatorHarness();
       harness.hasJoined = false;
@@ -327,6 +328,6 @@
     const call = harness.callAbout('explainArrived', identity);
     const content = harness.replyTo(call)?.content as Record<string, unknown>;
     assert.equal(content['state'], 'queued');
-    assert.equal(content['reason'], '1 requests wait for room');
+    assert.equal(content['reason'], '1 requests wait for free capacity');
   });
 });
