Reword routing, recovery and admission comments

Rewords the text about records that name no other process and the comments on replicas, directory, rule and admission. Behaviour is unchanged.

--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -228,7 +228,7 @@
       return answerUnknown(
         call,
         identity,
-        `the records name no process after ${process}`,
+        `the records of ${process} name no other process`,
       );
     }
     if (process !== this.self) return this.route(call, identity, process, now);
--- a/src/contracts/capacity_reservation_table.ts
+++ b/src/contracts/capacity_reservation_table.ts
@@ -45,7 +45,7 @@
 export class CapacityReservationTable {
   private readonly reservations = new Map<string, CapacityReservation>();
   private plan: ReservationPlan | undefined;
-  private plannedHolder: placementPolicy.PendingPlacement | undefined;
+  private reservedPlacement: placementPolicy.PendingPlacement | undefined;
   private nextPlanningAt = 0;
 
   constructor(private readonly view: ReservationPlanningView) {}
@@ -86,8 +86,8 @@
   /** Releases the reservation of a request and cancels its plan. */
   release(identity: string): void {
     if (this.plan?.pending.request.identity === identity) this.plan = undefined;
-    if (this.plannedHolder?.request.identity === identity) {
-      this.plannedHolder = undefined;
+    if (this.reservedPlacement?.request.identity === identity) {
+      this.reservedPlacement = undefined;
     }
     const reservation = this.reservations.get(identity);
     if (reservation === undefined) return;
@@ -120,7 +120,7 @@
   ): void {
     const {identity} = pending.request;
     if (this.reservations.has(identity)) return;
-    const current = this.plannedHolder ?? this.plan?.pending;
+    const current = this.reservedPlacement ?? this.plan?.pending;
     if (current !== undefined && current.request.identity !== identity) {
       if (current.request.arrivedAt <= pending.request.arrivedAt) return;
       this.release(current.request.identity);
@@ -162,7 +162,7 @@
       taskCounts: plan.taskCounts,
       expiresAt: now + REPLANNING_INTERVAL_MS,
     });
-    this.plannedHolder = plan.pending;
+    this.reservedPlacement = plan.pending;
   }
 
   private addWorker(plan: ReservationPlan, candidate: worker.Worker): void {
--- a/src/contracts/outcome_rule.ts
+++ b/src/contracts/outcome_rule.ts
@@ -48,7 +48,7 @@
     }
   /** Not decided yet; a later report may decide. */
   | {readonly kind: 'unknown'}
-  /** Never to be decided: no remaining source can prove the outcome. */
+  /** No remaining source can prove the outcome. */
   | {readonly kind: 'lost'};
 
 const LOST: Finding = {kind: 'lost'};
--- a/src/contracts/process_directory.ts
+++ b/src/contracts/process_directory.ts
@@ -14,7 +14,7 @@
   members(): ReadonlyArray<PeerProcess>;
   /** Returns the other members of this zone that accept offers. */
   offerCandidates(): ReadonlyArray<PeerProcess>;
-  /** Returns whether a process of this zone has not left or been claimed. */
+  /** Returns whether a process of this zone neither left nor was claimed. */
   isMember(process: string): boolean;
   /** Returns the address of a process of this zone that may be alive. */
   address(process: string): string | undefined;
--- a/src/contracts/replica_controller.ts
+++ b/src/contracts/replica_controller.ts
@@ -51,7 +51,7 @@
   /** Identity of the running or requested task; empty if there is none. */
   readonly identity: string;
   readonly startedAt: clock.Milliseconds | undefined;
-  /** Identity of the replacing task during a move; otherwise empty. */
+  /** Identity of the replacement during a move; otherwise empty. */
   readonly replacementIdentity: string;
   readonly isMoving: boolean;
   /** Earliest time of the next start. */
@@ -139,7 +139,7 @@
 
   /**
    * Records that a task has ended. A task that is only known to be lost ends by
-   * `leaseEnd` at the latest; its successor never starts earlier.
+   * `leaseEnd` at the latest; its replacement never starts earlier.
    */
   recordEnd(
     identity: string,
--- a/src/contracts/request_admission.ts
+++ b/src/contracts/request_admission.ts
@@ -8,7 +8,7 @@
 import type * as request from './request.js';
 import type * as team from './team.js';
 
-/** Team, queue and fleet plan against which a request is checked. */
+/** Team, queue and fleet definition against which a request is checked. */
 export interface AdmissionContext {
   readonly team: team.Team;
   readonly queue: teamQueue.TeamQueue;
