--- a/src/contracts/request_journal.ts
+++ b/src/contracts/request_journal.ts
@@ -11,10 +11,13 @@
  */
 const MAX_PENDING_ENTRIES = 10_000;
 
-/** Limit over all entry processes; the log accepts several hundred a second. */
+/**
+ * Maximum append rate of all entry processes together. The log accepts several
+ * hundred appends a second.
+ */
 const MAX_APPENDS_PER_SECOND = 300;
 
-/** Longer answers are not recorded. */
+/** Maximum size of a recorded answer; a longer answer is dropped. */
 const MAX_ANSWER_BYTES = 4_096;
 
 /** Newly recorded entries and the effects of handling one event. */
--- a/src/contracts/retry_budget.ts
+++ b/src/contracts/retry_budget.ts
@@ -3,13 +3,13 @@
 /** Share of a retry that each successful request earns. */
 const RETRIES_EARNED_PER_SUCCESS = 0.1;
 
-/** Granted even if no request succeeds. */
+/** Retries available each second even if no request succeeds. */
 const RETRIES_GRANTED_PER_SECOND = 1;
 
-/** Upper limit of saved retries; a larger stock would feed a retry storm. */
+/** Maximum number of saved retries; more would allow a retry storm. */
 const MAX_EARNED_RETRIES = 100;
 
-/** Retry budget of a process; every retry is paid from this one budget. */
+/** Retry budget of a process, to which every retry is charged. */
 export class RetryBudget {
   private earnedRetries = 0;
   private grantedRetries = RETRIES_GRANTED_PER_SECOND;
--- a/src/contracts/snapshot_schedule.ts
+++ b/src/contracts/snapshot_schedule.ts
@@ -3,8 +3,9 @@
 import type * as streamReplica from './stream_replica.js';
 
 /**
- * Fraction of the retention time between two snapshots. With the random part
- * added it stays under the half that a reader relies on.
+ * Fraction of the retention time between two snapshots. Together with the
+ * random part it is less than one half, the longest interval that readers rely
+ * on.
  */
 const REPEAT_FRACTION = 1 / 4;
 
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -7,7 +7,7 @@
 /** Time for which the entries of a process are kept after the last one. */
 const ENTRY_RETENTION_MS = 7_200_000;
 
-/** Further entries of the process are refused. */
+/** Maximum number of entries stored for one process; the rest is refused. */
 const MAX_ENTRIES_PER_PROCESS = 20_000;
 
 /** Journal entries that one other process has sent here. */
--- a/test/contracts/retry_budget_test.ts
+++ b/test/contracts/retry_budget_test.ts
@@ -10,7 +10,7 @@
 
 nodeTest.describe('retry budget', () => {
   nodeTest.test(
-    'grants one retry a second in an outage: no retry storm',
+    'grants one retry a second in an outage; guards against a retry storm',
     () => {
       const budget = new retryBudget.RetryBudget();
       const spent = [0, 500, 1_000, 2_000].map(now => spendAll(budget, now));
