--- a/src/contracts/publication_tracker.ts
+++ b/src/contracts/publication_tracker.ts
@@ -23,7 +23,7 @@
  */
 type Stage = 'unchecked' | 'unsent' | 'sent';
 
-interface Publication {
+interface OpenPublication {
   readonly record: configurationHistory.PublishRecord;
   readonly arrivedAt: clock.Milliseconds;
   readonly calls: Set<event.CallNumber>;
@@ -38,7 +38,7 @@
 
 /** Tracks the publications that operators wait for at this process. */
 export class PublicationTracker {
-  private readonly openPublications = new Map<string, Publication>();
+  private readonly openPublications = new Map<string, OpenPublication>();
 
   /** Adds a publication, or another call that waits for an open one. */
   add(
@@ -228,7 +228,7 @@
  * even if it was never appended here, because an earlier try may have appended
  * it through another process.
  */
-function timeoutFailure(item: Publication): result.Failure {
+function timeoutFailure(item: OpenPublication): result.Failure {
   return result.failure(
     'publicationUnknown',
     `publication: ${item.record.publication} was not read back from ` +
--- a/test/contracts/configuration_store_property_test.ts
+++ b/test/contracts/configuration_store_property_test.ts
@@ -146,9 +146,9 @@
   /** Returns the versions by a replay of all records, trimmed ones included. */
   expectedVersions(): ReadonlyMap<string, number> {
     return new Map(
-      [...this.acceptedPublications().values()].map(win => [
-        win.document,
-        win.version,
+      [...this.acceptedPublications().values()].map(publication => [
+        publication.document,
+        publication.version,
       ]),
     );
   }
@@ -291,17 +291,19 @@
             }
             const accepted = run.acceptedPublications();
             const acceptedByBase = new Map<string, string>();
-            for (const win of run.answeredWith(0)) {
-              assert.ok(accepted.has(win.publication));
-              const base = `${win.document} ${win.baseVersion}`;
+            for (const publish of run.answeredWith(0)) {
+              assert.ok(accepted.has(publish.publication));
+              const base = `${publish.document} ${publish.baseVersion}`;
               assert.ok(
-                [undefined, win.publication].includes(acceptedByBase.get(base)),
+                [undefined, publish.publication].includes(
+                  acceptedByBase.get(base),
+                ),
               );
-              acceptedByBase.set(base, win.publication);
+              acceptedByBase.set(base, publish.publication);
             }
-            for (const lost of run.answeredWith(6001)) {
+            for (const refused of run.answeredWith(6001)) {
               assert.ok(
-                !accepted.has(lost.publication),
+                !accepted.has(refused.publication),
                 'accepted, but got 6001',
               );
             }
--- a/test/contracts/configuration_store_test.ts
+++ b/test/contracts/configuration_store_test.ts
@@ -134,8 +134,8 @@
       store.deliver(0, now, false);
       store.settle(now);
       assert.equal(store.replies.get(1)?.code, 0);
-      const winners = new Set(log.history.map(record => record.data));
-      assert.equal(winners.size, 1);
+      const distinctRecords = new Set(log.history.map(record => record.data));
+      assert.equal(distinctRecords.size, 1);
     },
   );
 
--- a/test/contracts/request_scheduler_test.ts
+++ b/test/contracts/request_scheduler_test.ts
@@ -65,9 +65,12 @@
             const counts = countByTeam(harness.scheduler.place(0));
             const sum = weights.reduce((left, right) => left + right, 0);
             weights.forEach((share, index) => {
-              const due = (160 * share) / sum;
+              const expected = (160 * share) / sum;
               const got = counts.get(`team-${index}`) ?? 0;
-              assert.ok(Math.abs(got - due) <= share + 1, `${got} of ${due}`);
+              assert.ok(
+                Math.abs(got - expected) <= share + 1,
+                `${got} of ${expected}`,
+              );
             });
           },
         ),
--- a/test/support/scheduling_harness.ts
+++ b/test/support/scheduling_harness.ts
@@ -84,7 +84,7 @@
     this.teams.set(added.name, added);
   }
 
-  /** Sets the fleet plan of the configuration. */
+  /** Sets the fleet definition of the configuration. */
   setFleetDefinition(definition: configuration.FleetDefinition): void {
     this.fleetDefinition = definition;
   }
