Rename the configuration test support after its class

configuration_cell.ts -> configuration_store_harness.ts, StoreUnderTest -> ConfigurationStoreHarness, as the other harnesses are named. Behaviour is unchanged.

--- a/test/contracts/configuration_store_property_test.ts
+++ b/test/contracts/configuration_store_property_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as fastCheck from 'fast-check';
 import * as nodeTest from 'node:test';
-import * as configurationCell from '../support/configuration_cell.js';
+import * as configurationStoreHarness from '../support/configuration_store_harness.js';
 import type * as event from '../../src/contracts/event.js';
 
 const SEED = 20261204;
@@ -116,10 +116,10 @@
 
 /** Two stores on one log, driven by a list of random actions. */
 class StoreRun {
-  readonly log = new configurationCell.TrimmedLog();
+  readonly log = new configurationStoreHarness.TrimmedLog();
   readonly stores = [
-    new configurationCell.StoreUnderTest(this.log),
-    new configurationCell.StoreUnderTest(this.log),
+    new configurationStoreHarness.ConfigurationStoreHarness(this.log),
+    new configurationStoreHarness.ConfigurationStoreHarness(this.log),
   ];
   readonly published: Publish[] = [];
   private readonly calls = new Map<number, Publish>();
--- a/test/contracts/configuration_store_test.ts
+++ b/test/contracts/configuration_store_test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as configurationCell from '../support/configuration_cell.js';
+import * as configurationStoreHarness from '../support/configuration_store_harness.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
 
@@ -54,12 +54,12 @@
 
 /** Creates a store that has read an empty log to its end. */
 function createStore(): {
-  readonly log: configurationCell.TrimmedLog;
-  readonly store: configurationCell.StoreUnderTest;
+  readonly log: configurationStoreHarness.TrimmedLog;
+  readonly store: configurationStoreHarness.ConfigurationStoreHarness;
   readonly now: number;
 } {
-  const log = new configurationCell.TrimmedLog();
-  const store = new configurationCell.StoreUnderTest(log);
+  const log = new configurationStoreHarness.TrimmedLog();
+  const store = new configurationStoreHarness.ConfigurationStoreHarness(log);
   return {log, store, now: store.settle(0)};
 }
 
@@ -110,7 +110,9 @@
       'and one gets 6001; guards against reporting success to both operators',
     () => {
       const {log, store, now} = createStore();
-      const other = new configurationCell.StoreUnderTest(log);
+      const other = new configurationStoreHarness.ConfigurationStoreHarness(
+        log,
+      );
       other.settle(0);
       store.handle(publishArrived({publication: 'p-1'}), now);
       other.handle(
@@ -191,7 +193,9 @@
       'guards against 6001 for an accepted publication',
     () => {
       const {log, store, now} = createStore();
-      const other = new configurationCell.StoreUnderTest(log);
+      const other = new configurationStoreHarness.ConfigurationStoreHarness(
+        log,
+      );
       const time = other.settle(0);
       store.handle(publishArrived({}), now);
       store.settle(now);
@@ -208,7 +212,9 @@
       'read; guards against refusing an operator who knows a newer version',
     () => {
       const {log, store, now} = createStore();
-      const other = new configurationCell.StoreUnderTest(log);
+      const other = new configurationStoreHarness.ConfigurationStoreHarness(
+        log,
+      );
       const time = other.settle(0);
       store.handle(publishArrived({}), now);
       store.settle(now);
@@ -230,8 +236,10 @@
     'a process that starts during a log outage uses the documents of a peer; ' +
       'guards against a zone without configuration',
     () => {
-      const log = new configurationCell.TrimmedLog();
-      const store = new configurationCell.StoreUnderTest(log);
+      const log = new configurationStoreHarness.TrimmedLog();
+      const store = new configurationStoreHarness.ConfigurationStoreHarness(
+        log,
+      );
       store.handle({kind: 'timePassed'}, 0);
       const early = store.handle(confirmationWith(7), 1_900);
       assert.ok(!early.some(item => item.kind === 'fetchDocuments'));
@@ -248,8 +256,10 @@
     'a process that knows no members fetches from the listed entry VMs in ' +
       'turn, own zone first; guards against a start that waits for the log',
     () => {
-      const log = new configurationCell.TrimmedLog();
-      const store = new configurationCell.StoreUnderTest(log);
+      const log = new configurationStoreHarness.TrimmedLog();
+      const store = new configurationStoreHarness.ConfigurationStoreHarness(
+        log,
+      );
       const askedAddresses: string[] = [];
       const pass = (now: number): void => {
         for (const item of store.handle({kind: 'timePassed'}, now)) {
@@ -359,7 +369,7 @@
       const {log, store, now} = createStore();
       store.handle(publishArrived({}), now);
       let time = now;
-      const half = now + configurationCell.RETENTION_MS / 2;
+      const half = now + configurationStoreHarness.RETENTION_MS / 2;
       while (log.history.length < 2 && time < half) time = store.settle(time);
       assert.ok(time < half);
       log.trim(1);
--- a/test/support/configuration_cell.ts
+++ b/test/support/configuration_store_harness.ts
@@ -105,7 +105,7 @@
 }
 
 /** A store with its unserved calls and the answers not delivered yet. */
-export class StoreUnderTest {
+export class ConfigurationStoreHarness {
   store: configurationStore.ConfigurationStore;
   readonly replies = new Map<event.CallNumber, effect.Reply>();
   readonly counts: string[] = [];
