--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -44,8 +44,8 @@
 }
 
 /**
- * Forwards calls about identities of other processes to their home process.
- * When the home is dead, recovery determines the outcome.
+ * Forwards calls about identities of other processes to their home. When the
+ * home is dead, recovery determines the outcome.
  */
 export class CallRouter {
   private readonly callsInRecovery = new Map<
@@ -61,7 +61,7 @@
     private readonly localHandler: LocalRequestHandler,
   ) {}
 
-  /** Forwards a call to the home process, or starts recovery if it is dead. */
+  /** Forwards a call to its home, or starts recovery if the home is dead. */
   route(
     call: IdentityCall,
     identity: string,
@@ -82,7 +82,7 @@
     return this.queryRecovery(call, identity, home, now);
   }
 
-  /** Handles answers of home processes; ignores events of other kinds. */
+  /** Handles answers to forwarded calls; ignores events of other kinds. */
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
--- a/src/contracts/effect.ts
+++ b/src/contracts/effect.ts
@@ -101,9 +101,9 @@
       readonly code: number;
     }
   | {
-      /** Forwards a caller's call to the home process of its identity. */
+      /** Forwards a caller's call to the home of its identity. */
       readonly kind: 'forwardCall';
-      /** The home process, or the VM of any process in the home's zone. */
+      /** The home, or the VM of any process in the home's zone. */
       readonly peer: string;
       /** Whether any process at the address may handle the call. */
       readonly relayed: boolean;
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -78,9 +78,9 @@
 }
 
 /**
- * Offers requests of this home to other processes of the zone while its own
- * workers are full. A request is offered to another process or placed here
- * only after the last offer is proved not to have run.
+ * Offers requests whose home is this process to other processes of the zone
+ * while its own workers are full. A request is offered to another process or
+ * placed here only after the last offer is proved not to have run.
  */
 export class OutgoingOffers {
   private readonly openOffers = new Map<string, OpenOffer>();
