--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -45,10 +45,10 @@
 
   stop(
     entry: remoteWorker.RegistryEntry,
-    name: remoteWorker.RunId,
+    runId: remoteWorker.RunId,
     fence: number,
   ): Promise<workerClient.CommandOutcome> {
-    return this.deliver(entry, worker => worker.stop(name, fence));
+    return this.deliver(entry, worker => worker.stop(runId, fence));
   }
 
   async throttle(): Promise<workerClient.CommandOutcome> {
@@ -62,7 +62,7 @@
     await this.time.pause(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.timeOut(command.waitMs);
-    const outcome = worker.renewLease(command);
+    const outcome = worker.renewLeases(command);
     if (outcome.kind === 'rejected' || worker.hasEndedRuns) {
       await this.time.pause(ONE_WAY_DELAY_MS);
       return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
@@ -73,7 +73,7 @@
     }
     await this.time.pause(ONE_WAY_DELAY_MS);
     if (!this.canAnswer(entry, worker)) return this.timeOut(0);
-    return worker.renewLease({...command, deadlineMs: undefined});
+    return worker.renewLeases({...command, deadlineMs: undefined});
   }
 
   private async deliver(
