--- a/src/contracts/team_queue.ts
+++ b/src/contracts/team_queue.ts
@@ -7,7 +7,7 @@
 export const STARVATION_BOUND_MS = 60_000;
 
 /** Weight of the newest interval between starts in their moving average. */
-const START_INTERVAL_WEIGHT = 0.2;
+const START_INTERVAL_SMOOTHING_FACTOR = 0.2;
 
 /** Number of leading removed entries from which a queue is compacted. */
 const COMPACTION_THRESHOLD_ENTRIES = 256;
@@ -175,7 +175,7 @@
     const intervalMs = Math.max(0, now - this.lastStartAt);
     this.lastStartAt = now;
     this.meanStartIntervalMs +=
-      START_INTERVAL_WEIGHT * (intervalMs - this.meanStartIntervalMs);
+      START_INTERVAL_SMOOTHING_FACTOR * (intervalMs - this.meanStartIntervalMs);
   }
 
   /** Removes and returns the requests whose start deadline has passed. */
--- a/test/contracts/journal_backend_test.ts
+++ b/test/contracts/journal_backend_test.ts
@@ -8,12 +8,12 @@
 
 const STREAM = 'journal/home';
 
-function entry(identity: string): journalBackend.JournalEntry {
+function buildEntry(identity: string): journalBackend.JournalEntry {
   return {kind: 'offered', identity, client: 'alice', process: 'peer'};
 }
 
-function record(number: number): journalBackend.JournalRecord {
-  return {number, entry: entry(`id-${number}`)};
+function buildRecord(number: number): journalBackend.JournalRecord {
+  return {number, entry: buildEntry(`id-${number}`)};
 }
 
 function appendAnswered(
@@ -71,16 +71,16 @@
       'guards against flooding the log with appends',
     () => {
       const log = new journalBackend.LogJournal('home', () => 100);
-      log.record(record(1));
+      log.record(buildRecord(1));
       assert.equal(appendsIn(log.flush(0)).length, 1);
-      log.record(record(2));
-      log.record(record(3));
+      log.record(buildRecord(2));
+      log.record(buildRecord(3));
       assert.deepEqual(log.flush(150), []);
       const output = log.handle(appendAnswered(1, 'appended'), 160);
       assert.deepEqual(output.recorded, [1]);
       const [next] = appendsIn(output.effects);
       assert.equal(next.records.length, 2);
-      log.record(record(4));
+      log.record(buildRecord(4));
       const early = log.handle(appendAnswered(2, 'appended'), 170);
       assert.deepEqual(early.effects, [], 'the append interval is kept');
       assert.equal(appendsIn(log.flush(260)).length, 1);
@@ -91,17 +91,19 @@
     'reads the stream after a lost answer and appends only missing entries',
     () => {
       const log = new journalBackend.LogJournal('home', () => 0);
-      log.record(record(1));
-      log.record(record(2));
+      log.record(buildRecord(1));
+      log.record(buildRecord(2));
       log.flush(0);
       const lost = log.handle(appendAnswered(1, 'lost'), 10);
       assert.equal(lost.effects[0].kind, 'readStream');
-      const early = log.handle(recordsRead(5, [record(1)]), 11);
+      const early = log.handle(recordsRead(5, [buildRecord(1)]), 11);
       assert.deepEqual(early.recorded, [], 'the read is older than the loss');
-      const output = log.handle(recordsRead(11, [record(1)]), 12);
+      const output = log.handle(recordsRead(11, [buildRecord(1)]), 12);
       assert.deepEqual(output.recorded, [1]);
       const [again] = appendsIn(output.effects);
-      assert.deepEqual(again.records, [journalBackend.encodeRecord(record(2))]);
+      assert.deepEqual(again.records, [
+        journalBackend.encodeRecord(buildRecord(2)),
+      ]);
     },
   );
 });
@@ -114,7 +116,7 @@
       const witnesses = new journalBackend.WitnessJournal(
         directoryOf('a', 'b'),
       );
-      witnesses.record(record(1));
+      witnesses.record(buildRecord(1));
       assert.equal(witnesses.flush(0).length, 2);
       const stored = {kind: 'witnessAnswered', batch: 1} as const;
       const first = {...stored, peer: 'a', stored: true};
@@ -136,7 +138,7 @@
         'home',
         directoryOf('a'),
       );
-      const number = processJournal.record(entry('id'));
+      const number = processJournal.record(buildEntry('id'));
       processJournal.flush(0);
       processJournal.handle(appendAnswered(1, 'lost'), 2_000);
       const failed = {kind: 'readFailed', stream: STREAM} as const;
@@ -157,7 +159,7 @@
       'home',
       directoryOf(),
     );
-    processJournal.record(entry('id'));
+    processJournal.record(buildEntry('id'));
     processJournal.flush(0);
     processJournal.handle(appendAnswered(1, 'lost'), 2_000);
     assert.equal(processJournal.isAvailable(), true);
