--- a/src/contracts/capacity_reservation_table.ts
+++ b/src/contracts/capacity_reservation_table.ts
@@ -10,7 +10,7 @@
 /** Time between plans, and lifetime of a reservation made by a plan. */
 const REPLANNING_INTERVAL_MS = 30_000;
 
-/** Capacity earmarked for one waiting request until all of it is free. */
+/** Capacity reserved for one waiting request until all of it is free. */
 export interface CapacityReservation {
   readonly identity: string;
   readonly team: string;
--- a/src/contracts/fair_share_calculator.ts
+++ b/src/contracts/fair_share_calculator.ts
@@ -91,14 +91,15 @@
   isWithinQuota(teamName: string, additional: resources.Resources): boolean {
     const quota = this.teams.team(teamName)?.quota;
     if (quota === undefined) return false;
-    const held = this.usage.reservedByTeam(teamName);
+    const reserved = this.usage.reservedByTeam(teamName);
     const grantedQuota = resources.scale(quota, this.cellFraction);
-    if (resources.fits(resources.add(held, additional), grantedQuota)) {
+    if (resources.fits(resources.add(reserved, additional), grantedQuota)) {
       return true;
     }
     // A granted fraction smaller than one request must not starve the team.
     return (
-      resources.equal(held, resources.NONE) && resources.fits(additional, quota)
+      resources.equal(reserved, resources.NONE) &&
+      resources.fits(additional, quota)
     );
   }
 
@@ -110,14 +111,16 @@
     teamName: string,
     releasing: resources.Resources,
   ): boolean {
-    const heldAfter = resources.subtract(
+    const reservedAfter = resources.subtract(
       this.usage.reservedByTeam(teamName),
       releasing,
     );
     const quota = this.teams.team(teamName)?.quota ?? resources.NONE;
     const grantedQuota = resources.scale(quota, this.cellFraction);
-    if (!resources.fits(heldAfter, grantedQuota)) return true;
-    return this.weightedShareOf(teamName, heldAfter) > this.currentFairShare;
+    if (!resources.fits(reservedAfter, grantedQuota)) return true;
+    return (
+      this.weightedShareOf(teamName, reservedAfter) > this.currentFairShare
+    );
   }
 
   /**
@@ -126,9 +129,12 @@
    * below its fair share.
    */
   reserveShortfall(releasing: resources.Resources): number {
-    const heldAfter = resources.subtract(this.usage.reservedTotal, releasing);
+    const reservedAfter = resources.subtract(
+      this.usage.reservedTotal,
+      releasing,
+    );
     const unusedFraction =
-      1 - resources.dominantShare(heldAfter, this.usage.capacity);
+      1 - resources.dominantShare(reservedAfter, this.usage.capacity);
     const reserveFraction = this.reserve.fractionFor(
       lendingReserve.LONG_TASK_RUN_TIME_MS,
     );
@@ -163,9 +169,9 @@
     additional: resources.Resources,
     reserveFraction: number,
   ): boolean {
-    const heldWith = resources.add(this.usage.reservedTotal, additional);
+    const reservedWith = resources.add(this.usage.reservedTotal, additional);
     const unusedFraction =
-      1 - resources.dominantShare(heldWith, this.usage.capacity);
+      1 - resources.dominantShare(reservedWith, this.usage.capacity);
     if (unusedFraction >= reserveFraction) return false;
     // The reserve grows with the excess: a team slightly above its fair share
     // must not be restricted like one that holds twice its fair share.
@@ -197,8 +203,11 @@
     return false;
   }
 
-  private weightedShareOf(teamName: string, held: resources.Resources): number {
-    const fraction = resources.dominantShare(held, this.usage.capacity);
+  private weightedShareOf(
+    teamName: string,
+    reserved: resources.Resources,
+  ): number {
+    const fraction = resources.dominantShare(reserved, this.usage.capacity);
     return fraction / this.weight(teamName);
   }
 
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -157,7 +157,7 @@
       return queued ? this.end(identity, cancelled, now) : [];
     }
     if (attempt.isRecording) {
-      this.dropHeld(attempt);
+      this.dropHeldTasks(attempt);
       return this.end(identity, cancelled, now);
     }
     return this.stopTasks(attempt, now);
@@ -275,7 +275,7 @@
   ): ReadonlyArray<effect.Effect> {
     const {identity} = attempt.request;
     const held = attempt.tasks().filter(task => task.state === 'held');
-    this.dropHeld(attempt);
+    this.dropHeldTasks(attempt);
     if (this.parts.table.get(identity)?.offeredBy !== '') {
       const outcome = {
         result: 'noAuthority',
@@ -300,7 +300,7 @@
     return [effect.count('placed_again', {reason: 'nothingSent'})];
   }
 
-  private dropHeld(attempt: attempts.ExecutionAttempt): void {
+  private dropHeldTasks(attempt: attempts.ExecutionAttempt): void {
     for (const task of attempt.tasks()) this.parts.runner.untrack(task.task);
     for (const [number, waiting] of this.unrecorded) {
       if (waiting === attempt) this.unrecorded.delete(number);
@@ -325,13 +325,13 @@
     const {journal} = this.parts;
     const isTimedOut = now >= attempt.createdAt + RECORD_TIMEOUT_MS;
     if (startBy <= now) {
-      this.dropHeld(attempt);
+      this.dropHeldTasks(attempt);
       const detail = 'the start deadline passed before the start was recorded';
       const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
       return this.end(identity, outcome, now);
     }
     if (!journal.isAvailable() || (isTimedOut && journal.isLogOutage())) {
-      this.dropHeld(attempt);
+      this.dropHeldTasks(attempt);
       const detail = 'neither the log nor the witnesses acknowledged the start';
       const outcome = {result: 'logUnavailable', detail, answer: ''} as const;
       return this.end(identity, outcome, now);
