--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -1,7 +1,7 @@
 import * as attempts from './execution_attempt.js';
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as lease from './lease.js';
-import * as results from '../result.js';
+import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
 import type * as requestJournal from './request_journal.js';
@@ -12,7 +12,10 @@
 import type * as taskRunner from '../machines/task_runner.js';
 import type * as trackedTask from '../machines/tracked_task.js';
 
-/** Time for the journal to acknowledge a start; the rest is for its lease. */
+/**
+ * Time for the journal to acknowledge a start, so that the lease of the start
+ * still ends within `RECORDED_LEASE_MS`.
+ */
 const RECORD_TIMEOUT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
 
 /** Maximum number of placements of a request whose tasks keep failing. */
@@ -43,13 +46,13 @@
 
 /** Effects of one event and the journal entries that it acknowledged. */
 export interface LifecycleOutput {
-  readonly effects: ReadonlyArray<effects.Effect>;
+  readonly effects: ReadonlyArray<effect.Effect>;
   /** Numbers of the journal entries that became durable with this event. */
   readonly recorded: ReadonlyArray<number>;
 }
 
-/** Objects that `RequestLifecycle` uses. */
-export interface RequestLifecycleParts {
+/** Dependencies of a `RequestLifecycle`. */
+export interface RequestLifecycleDependencies {
   readonly table: requestTable.RequestTable;
   readonly queue: PlacementQueue;
   readonly runner: taskRunner.TaskRunner;
@@ -65,45 +68,43 @@
  */
 export class RequestLifecycle {
   private readonly attempts = new Map<string, attempts.ExecutionAttempt>();
-  private readonly recordingAttempts = new Map<
-    number,
-    attempts.ExecutionAttempt
-  >();
+  /** Attempts that wait for the journal, by the number of the entry. */
+  private readonly unrecorded = new Map<number, attempts.ExecutionAttempt>();
   /** Lost tasks of services whose replacement waits for the retry budget. */
   private postponed: LostReplica[] = [];
   private unmatchedOutcomes: trackedTask.TaskOutcome[] = [];
 
-  constructor(private readonly parts: RequestLifecycleParts) {}
+  constructor(private readonly parts: RequestLifecycleDependencies) {}
 
   /** Places waiting requests and records or starts them. */
-  placeWaiting(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  placeWaiting(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     const placedAttempts = new Set<attempts.ExecutionAttempt>();
     for (const placement of this.parts.queue.place(now)) {
       placedAttempts.add(this.addHeldTask(placement, now));
     }
-    const produced = [...placedAttempts].flatMap(attempt =>
+    const effects = [...placedAttempts].flatMap(attempt =>
       this.recordOrStart(attempt, now),
     );
-    return [...produced, ...this.parts.journal.flush(now)];
+    return [...effects, ...this.parts.journal.flush(now)];
   }
 
   /** Passes an event to the journal and the runner and applies their output. */
   handle(handled: event.Event, now: clock.Milliseconds): LifecycleOutput {
     const output = this.parts.journal.handle(handled, now);
-    const produced = [...output.effects];
+    const effects = [...output.effects];
     for (const number of output.recorded) {
-      produced.push(...this.handleRecorded(number, now));
+      effects.push(...this.handleRecorded(number, now));
     }
-    produced.push(
+    effects.push(
       ...this.applyOutput(this.parts.runner.handle(handled, now), now),
     );
     if (handled.kind === 'timePassed') {
-      produced.push(
+      effects.push(
         ...this.checkRecordTimeouts(now),
         ...this.replacePostponed(now),
       );
     }
-    return {effects: produced, recorded: output.recorded};
+    return {effects, recorded: output.recorded};
   }
 
   /** Returns and clears the outcomes of tasks whose request is unknown here. */
@@ -113,18 +114,18 @@
     return taken;
   }
 
-  /** Ends a request, and records the end if the request was recorded. */
+  /** Ends a request; records the end if the request has a journal entry. */
   end(
     identity: string,
     outcome: requestTable.RequestOutcome,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.parts.table.get(identity);
     if (entry === undefined) return [];
     const adjusted = withoutFalseNotRun(outcome, entry);
     this.attempts.delete(identity);
     if (adjusted.result === 'ok') this.parts.retries.recordSuccess(now);
-    if (entry.recorded && entry.outcome === undefined) {
+    if (entry.hasJournalEntry && entry.outcome === undefined) {
       this.parts.journal.record({
         kind: 'finished',
         identity,
@@ -134,7 +135,7 @@
       });
     }
     return [
-      effects.count('ended', {result: adjusted.result}),
+      effect.count('ended', {result: adjusted.result}),
       ...this.parts.table.end(identity, adjusted, now),
       ...this.parts.journal.flush(now),
     ];
@@ -147,7 +148,7 @@
   cancel(
     identity: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.parts.table.change(identity, {cancelled: true, reason: 'cancelled'});
     const cancelled = {result: 'cancelled', detail: '', answer: ''} as const;
     const queued = this.parts.queue.remove(identity);
@@ -156,7 +157,7 @@
       return queued ? this.end(identity, cancelled, now) : [];
     }
     if (attempt.isRecording) {
-      this.dropHeld(attempt);
+      this.dropHeldTasks(attempt);
       return this.end(identity, cancelled, now);
     }
     return this.stopTasks(attempt, now);
@@ -164,7 +165,7 @@
 
   /** Returns the time at which the next `timePassed` event is needed. */
   nextDeadline(): clock.Milliseconds {
-    const oldest = this.recordingAttempts.values().next();
+    const oldest = this.unrecorded.values().next();
     if (oldest.done === true) return Infinity;
     const {createdAt, request: admitted} = oldest.value;
     return Math.min(createdAt + RECORD_TIMEOUT_MS, admitted.startBy);
@@ -204,7 +205,7 @@
   private recordOrStart(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, client, workload} = attempt.request;
     const isOffered = this.parts.table.get(identity)?.offeredBy !== '';
     if (workload.idempotent && !isOffered) return this.startTasks(attempt, now);
@@ -221,9 +222,9 @@
         leaseBound: held.leaseBound,
       });
       attempt.addUnrecordedEntry(number);
-      this.recordingAttempts.set(number, attempt);
+      this.unrecorded.set(number, attempt);
     }
-    this.parts.table.change(identity, {recorded: true});
+    this.parts.table.change(identity, {hasJournalEntry: true});
     this.setState(attempt, 'recording', 'the start is being recorded');
     return [];
   }
@@ -231,9 +232,9 @@
   private handleRecorded(
     number: number,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const attempt = this.recordingAttempts.get(number);
-    this.recordingAttempts.delete(number);
+  ): ReadonlyArray<effect.Effect> {
+    const attempt = this.unrecorded.get(number);
+    this.unrecorded.delete(number);
     if (attempt === undefined || !attempt.markRecorded(number)) return [];
     const current = this.attempts.get(attempt.request.identity);
     return current === attempt ? this.startTasks(attempt, now) : [];
@@ -242,7 +243,7 @@
   private startTasks(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const held = attempt.tasks().filter(task => task.state === 'held');
     const {runner, directory, table} = this.parts;
     const home = table.get(attempt.request.identity)?.offeredBy ?? '';
@@ -254,16 +255,16 @@
     if (!held.every(task => runner.mayPlace(task.worker, now))) {
       return this.requeue(attempt, 'the permit ended before the start', now);
     }
-    const produced: effects.Effect[] = [];
+    const effects: effect.Effect[] = [];
     for (const task of held) {
       attempt.updateTask(task.task, {state: 'starting', startSent: true});
     }
     this.setState(attempt, 'starting', 'the start has been sent');
     for (const task of held) {
       const output = runner.start(task.task, task.leaseBound, now);
-      produced.push(...this.applyOutput(output, now));
+      effects.push(...this.applyOutput(output, now));
     }
-    return produced;
+    return effects;
   }
 
   /** Drops held tasks, whose starts were not sent, and queues them again. */
@@ -271,10 +272,10 @@
     attempt: attempts.ExecutionAttempt,
     reason: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity} = attempt.request;
     const held = attempt.tasks().filter(task => task.state === 'held');
-    this.dropHeld(attempt);
+    this.dropHeldTasks(attempt);
     if (this.parts.table.get(identity)?.offeredBy !== '') {
       const outcome = {
         result: 'noAuthority',
@@ -286,7 +287,7 @@
     if (held.length < attempt.tasks().length) {
       for (const task of held) attempt.removeTask(task.task);
       this.requeueTasks(attempt, held.length);
-      return [effects.count('placed_again', {reason: 'nothingSent'})];
+      return [effect.count('placed_again', {reason: 'nothingSent'})];
     }
     this.attempts.delete(identity);
     this.parts.queue.requeue(attempt.request);
@@ -296,41 +297,41 @@
       tasks: [],
       reason,
     });
-    return [effects.count('placed_again', {reason: 'nothingSent'})];
+    return [effect.count('placed_again', {reason: 'nothingSent'})];
   }
 
-  private dropHeld(attempt: attempts.ExecutionAttempt): void {
+  private dropHeldTasks(attempt: attempts.ExecutionAttempt): void {
     for (const task of attempt.tasks()) this.parts.runner.untrack(task.task);
-    for (const [number, waiting] of this.recordingAttempts) {
-      if (waiting === attempt) this.recordingAttempts.delete(number);
+    for (const [number, waiting] of this.unrecorded) {
+      if (waiting === attempt) this.unrecorded.delete(number);
     }
   }
 
   private checkRecordTimeouts(
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
-    for (const attempt of new Set(this.recordingAttempts.values())) {
-      produced.push(...this.checkRecordTimeout(attempt, now));
+  ): ReadonlyArray<effect.Effect> {
+    const effects: effect.Effect[] = [];
+    for (const attempt of new Set(this.unrecorded.values())) {
+      effects.push(...this.checkRecordTimeout(attempt, now));
     }
-    return produced;
+    return effects;
   }
 
   private checkRecordTimeout(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, startBy} = attempt.request;
     const {journal} = this.parts;
     const isTimedOut = now >= attempt.createdAt + RECORD_TIMEOUT_MS;
     if (startBy <= now) {
-      this.dropHeld(attempt);
+      this.dropHeldTasks(attempt);
       const detail = 'the start deadline passed before the start was recorded';
       const outcome = {result: 'deadlinePassed', detail, answer: ''} as const;
       return this.end(identity, outcome, now);
     }
     if (!journal.isAvailable() || (isTimedOut && journal.isLogOutage())) {
-      this.dropHeld(attempt);
+      this.dropHeldTasks(attempt);
       const detail = 'neither the log nor the witnesses acknowledged the start';
       const outcome = {result: 'logUnavailable', detail, answer: ''} as const;
       return this.end(identity, outcome, now);
@@ -342,21 +343,21 @@
   private applyOutput(
     output: taskRunner.RunnerOutput,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced = [...output.effects];
+  ): ReadonlyArray<effect.Effect> {
+    const effects = [...output.effects];
     for (const outcome of output.outcomes) {
-      produced.push(...this.handleTaskOutcome(outcome, now));
+      effects.push(...this.handleTaskOutcome(outcome, now));
     }
-    return produced;
+    return effects;
   }
 
   private handleTaskOutcome(
     outcome: trackedTask.TaskOutcome,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     this.parts.queue.observe(outcome, now);
     const attempt = this.attempts.get(outcome.reference.label.identity);
-    if (attempt === undefined || !updateTask(attempt, outcome)) {
+    if (attempt === undefined || !applyTaskOutcome(attempt, outcome)) {
       this.unmatchedOutcomes.push(outcome);
       return [];
     }
@@ -377,7 +378,7 @@
   private handleStarted(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {identity, team, arrivedAt} = attempt.request;
     const allRunning = attempt.tasks().every(task => task.state === 'running');
     this.setState(
@@ -397,11 +398,11 @@
     attempt: attempts.ExecutionAttempt,
     name: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const entry = this.parts.table.get(attempt.request.identity);
     const endedTask = attempt.tasks().find(task => task.task === name);
     const isUnfinished = endedTask?.end !== 'finished';
-    if (attempt.isSettled) return this.concludeAttempt(attempt, now);
+    if (attempt.isSettled) return this.handleAttemptEnd(attempt, now);
     this.setState(attempt, entry?.state ?? 'running', `task ${name} has ended`);
     if (!isUnfinished || entry?.cancelled === true) return [];
     if (attempt.request.workload.kind === 'service') {
@@ -415,7 +416,7 @@
     attempt: attempts.ExecutionAttempt,
     name: string,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (!attempt.request.workload.idempotent) return [];
     if (!this.parts.retries.trySpend(now)) {
       this.postponed.push({attempt, task: name});
@@ -423,7 +424,7 @@
     }
     attempt.removeTask(name);
     this.requeueTasks(attempt, 1);
-    return [effects.count('retry', {reason: 'replica'})];
+    return [effect.count('retry', {reason: 'replica'})];
   }
 
   private requeueTasks(
@@ -437,7 +438,7 @@
   /** Retries the replacements that the retry budget did not allow before. */
   private replacePostponed(
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const postponed = this.postponed;
     this.postponed = [];
     return postponed.flatMap(({attempt, task}) => {
@@ -449,38 +450,36 @@
   private stopTasks(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
-    const produced: effects.Effect[] = [];
+  ): ReadonlyArray<effect.Effect> {
+    const effects: effect.Effect[] = [];
     for (const task of attempt.tasks()) {
       if (task.state === 'ended' || task.state === 'notRun') continue;
-      produced.push(
-        ...this.applyOutput(this.parts.runner.stop(task.task), now),
-      );
+      effects.push(...this.applyOutput(this.parts.runner.stop(task.task), now));
     }
-    return produced;
+    return effects;
   }
 
-  private concludeAttempt(
+  private handleAttemptEnd(
     attempt: attempts.ExecutionAttempt,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     const {request: admitted} = attempt;
     const {identity, workload} = admitted;
     const entry = this.parts.table.get(identity);
     const cancelled = entry?.cancelled === true;
-    const conclusion = attempts.determineOutcome(
+    const outcome = attempts.determineOutcome(
       attempt.tasks(),
       workload.idempotent,
       cancelled,
     );
     this.setState(attempt, 'running', 'all its tasks have ended');
-    if (conclusion.kind === 'ended') {
-      return this.end(identity, conclusion.ending, now);
+    if (outcome.kind === 'ended') {
+      return this.end(identity, outcome.requestOutcome, now);
     }
-    if (!this.mayPlaceAgain(attempt, conclusion, entry, now)) {
-      return this.end(identity, conclusion.finalEnding, now);
+    if (!this.mayRetry(attempt, outcome, entry, now)) {
+      return this.end(identity, outcome.finalOutcome, now);
     }
-    const {reason} = conclusion;
+    const {reason} = outcome;
     const hasRun =
       entry?.hasRun === true ||
       attempt.tasks().some(task => task.state === 'ended');
@@ -496,21 +495,21 @@
       reason: `placed again: ${reason}`,
     });
     return [
-      effects.count(conclusion.consumesRetry ? 'retry' : 'placed_again', {
+      effect.count(outcome.consumesRetry ? 'retry' : 'placed_again', {
         reason,
       }),
     ];
   }
 
-  private mayPlaceAgain(
+  private mayRetry(
     attempt: attempts.ExecutionAttempt,
-    conclusion: Extract<attempts.AttemptOutcome, {kind: 'again'}>,
+    outcome: Extract<attempts.AttemptOutcome, {kind: 'retry'}>,
     entry: requestTable.RequestEntry | undefined,
     now: clock.Milliseconds,
   ): boolean {
     // Only the home of a request may place it again.
     if (entry === undefined || entry.offeredBy !== '') return false;
-    if (!conclusion.consumesRetry) return true;
+    if (!outcome.consumesRetry) return true;
     const hasFailed = attempt.tasks().some(task => task.end === 'failed');
     const isLimited = attempt.request.workload.kind !== 'service';
     if (hasFailed && isLimited && attempt.attemptNumber >= MAX_ATTEMPTS) {
@@ -543,13 +542,13 @@
   outcome: requestTable.RequestOutcome,
   entry: requestTable.RequestEntry,
 ): requestTable.RequestOutcome {
-  const {execution} = results.RESULT_CODES[outcome.result];
+  const {execution} = result.RESULT_CODES[outcome.result];
   if (!entry.hasRun || execution !== 'notRun') return outcome;
   const detail = `an earlier attempt ran; ${outcome.result} ${outcome.detail}`;
   return {result: 'taskStopped', detail, answer: ''};
 }
 
-function updateTask(
+function applyTaskOutcome(
   attempt: attempts.ExecutionAttempt,
   outcome: trackedTask.TaskOutcome,
 ): boolean {
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -7,7 +7,7 @@
 /** Time for which the entries of a process are kept after the last one. */
 const ENTRY_RETENTION_MS = 7_200_000;
 
-/** Further entries of the process are refused. */
+/** Maximum number of entries stored for one process; the rest is refused. */
 const MAX_ENTRIES_PER_PROCESS = 20_000;
 
 /** Journal entries that one other process has sent here. */
@@ -17,7 +17,7 @@
 }
 
 /** Entries of one process that a witness returns to recovery. */
-export interface WitnessedRecords {
+export interface WitnessedEntries {
   /** Whether this witness has received every entry sent to witnesses. */
   readonly complete: boolean;
   readonly entries: ReadonlyArray<string>;
@@ -58,7 +58,7 @@
   }
 
   /** Returns the stored entries of a process. */
-  read(process: string): WitnessedRecords {
+  read(process: string): WitnessedEntries {
     const records = this.entriesByProcess.get(process)?.records;
     return {
       complete: this.directory.joinedBefore(process),
