--- a/src/contracts/request_journal.ts
+++ b/src/contracts/request_journal.ts
@@ -1,4 +1,4 @@
-import * as effects from './effect.js';
+import * as effect from './effect.js';
 import * as journalBackend from './journal_backend.js';
 import type * as clock from '../machines/clock.js';
 import type * as event from './event.js';
@@ -11,10 +11,13 @@
  */
 const MAX_PENDING_ENTRIES = 10_000;
 
-/** Limit over all entry processes; the log accepts several hundred a second. */
+/**
+ * Maximum append rate of all entry processes together. The log accepts several
+ * hundred appends a second.
+ */
 const MAX_APPENDS_PER_SECOND = 300;
 
-/** Longer answers are not recorded. */
+/** Maximum size of a recorded answer; a longer answer is dropped. */
 const MAX_ANSWER_BYTES = 4_096;
 
 /** Newly recorded entries and the effects of handling one event. */
@@ -94,7 +97,7 @@
   }
 
   /** Sends queued entries if a batch may be sent now. */
-  flush(now: clock.Milliseconds): ReadonlyArray<effects.Effect> {
+  flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     return [...this.log.flush(now), ...this.witnesses.flush(now)];
   }
 
@@ -107,7 +110,7 @@
     this.processCount = Math.max(1, entries.length);
   }
 
-  private updateLogOutage(): ReadonlyArray<effects.Effect> {
+  private updateLogOutage(): ReadonlyArray<effect.Effect> {
     const isOutage = !this.log.isAvailable();
     if (isOutage === this.logOutage) return [];
     this.logOutage = isOutage;
@@ -122,8 +125,8 @@
       this.witnesses.dropEntries(new Set(pendingNumbers));
     }
     return [
-      effects.count('journal_outage', {state: isOutage ? 'begun' : 'over'}),
-      effects.log('warn', isOutage ? 'journalOutage' : 'journalRestored'),
+      effect.count('journal_outage', {state: isOutage ? 'begun' : 'over'}),
+      effect.log('warn', isOutage ? 'journalOutage' : 'journalRestored'),
     ];
   }
 }
