--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -7,7 +7,7 @@
 /** Cost of a rack without the step's data; 1 equals a worker left empty. */
 const REMOTE_RACK_COST = 2;
 
-/** Cost of a worker that is certain to fail its runs; 1 as above. */
+/** Cost of a worker that is certain to fail its runs, on the same scale. */
 const FAILURE_COST = 4;
 
 /** Facts that selection needs about a worker besides its free resources. */
