--- a/src/jobs/run_health.ts
+++ b/src/jobs/run_health.ts
@@ -34,7 +34,8 @@
 ): RunFault | undefined {
   const {definition} = assignment.jobTask.step;
   if (assignment.phase !== 'running' || !assignment.reported) return undefined;
-  // These runs report no progress of their own, or make it only at times.
+  // Long-running tasks report no progress, and runs that use idle capacity make
+  // progress only at times.
   if (definition.longRunning || definition.usesIdleCapacity) return undefined;
   // Counts up to the last report: a worker's silence is not the run's fault.
   const withoutProgressMs =
@@ -66,7 +67,7 @@
   if (medianMs === undefined) return false;
   const elapsedMs = now - assignment.startedAt;
   if (elapsedMs < SLOW_FACTOR * medianMs + SLOW_MARGIN_MS) return false;
-  const share = Math.max(assignment.progressPercent, 1) / 100;
-  const remainingMs = (elapsedMs / share) * (1 - share);
+  const progressShare = Math.max(assignment.progressPercent, 1) / 100;
+  const remainingMs = (elapsedMs / progressShare) * (1 - progressShare);
   return remainingMs > medianMs + SLOW_MARGIN_MS;
 }
--- a/src/machines/report_finding.ts
+++ b/src/machines/report_finding.ts
@@ -3,12 +3,12 @@
 import type * as task from '../contracts/task.js';
 import type * as trackedTask from './tracked_task.js';
 
-/** Conclusion that a worker's report allows about one task. */
+/** Conclusion about one task from a worker's report. */
 export type ReportFinding =
   | {readonly kind: 'nothing'}
   | {readonly kind: 'running'}
   /** The task has ended and its answer has to be fetched. */
-  | {readonly kind: 'collect'}
+  | {readonly kind: 'fetchAnswer'}
   | {readonly kind: 'ended'; readonly end: trackedTask.TaskEndState}
   | {readonly kind: 'notRun'}
   /** The report should list the task; a single such report may be a race. */
@@ -17,7 +17,7 @@
   | {readonly kind: 'mismatch'};
 
 /** Consecutive reports without a started task after which it counts as lost. */
-const MISSING_REPORTS = 2;
+const MISSING_REPORT_LIMIT = 2;
 
 const NO_FINDING: ReportFinding = {kind: 'nothing'};
 
@@ -35,7 +35,7 @@
   }
   if (listed.state === 'running') return {kind: 'running'};
   if (listed.state === 'finished' || listed.state === 'failed') {
-    return {kind: 'collect'};
+    return {kind: 'fetchAnswer'};
   }
   return {kind: 'ended', end: listed.state};
 }
@@ -47,7 +47,9 @@
 ): ReportFinding {
   if (tracked.startedAt !== undefined) {
     if (sentAt < tracked.startedAt) return NO_FINDING;
-    if (tracked.missingReports + 1 < MISSING_REPORTS) return {kind: 'missing'};
+    if (tracked.missingReports + 1 < MISSING_REPORT_LIMIT) {
+      return {kind: 'missing'};
+    }
     return {kind: 'ended', end: 'answerLost'};
   }
   const proved =
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -50,8 +50,9 @@
 };
 
 /**
- * A machine that runs tasks. It tracks the reservations on the machine and
- * rejects a reservation that exceeds the available capacity.
+ * A worker of the VM list, which runs the tasks of requests. Tracks the
+ * reservations on the machine and rejects one that exceeds the available
+ * capacity. The job scheduler uses `RemoteWorker` instead.
  */
 export class Worker {
   private readonly reservationsByTask = new Map<string, Reservation>();
@@ -90,7 +91,7 @@
     return resources.subtract(this.capacityValue, this.reservedForTasks);
   }
 
-  /** Free capacity that is not earmarked for a waiting request. */
+  /** Free capacity that is not reserved for a waiting request. */
   get available(): resources.Resources {
     return this.availableValue;
   }
@@ -143,21 +144,21 @@
     this.observer.availabilityChanged(this, false);
   }
 
-  /** Takes the worker out of service or puts it back. */
+  /** Suspends the worker, so that it gets no tasks, or resumes it. */
   setSuspended(suspended: boolean): void {
     if (this.suspendedValue === suspended) return;
     this.suspendedValue = suspended;
     this.observer.availabilityChanged(this, !suspended);
   }
 
-  /** Earmarks more capacity for waiting requests. */
+  /** Reserves capacity for a waiting request, even if it is not free yet. */
   addCapacityReservation(size: resources.Resources): void {
     this.reservedForWaiting = resources.add(this.reservedForWaiting, size);
     this.updateAvailable();
     this.observer.availabilityChanged(this, false);
   }
 
-  /** Withdraws earmarked capacity. */
+  /** Releases capacity that was reserved for a waiting request. */
   removeCapacityReservation(size: resources.Resources): void {
     this.reservedForWaiting = resources.subtract(this.reservedForWaiting, size);
     this.updateAvailable();
@@ -186,22 +187,22 @@
 
   /** Changes the reservation of a task to its measured usage. */
   resize(taskName: string, size: resources.Resources): void {
-    const held = this.reservationsByTask.get(taskName);
-    if (held === undefined) return;
+    const reservation = this.reservationsByTask.get(taskName);
+    if (reservation === undefined) return;
     this.release(taskName);
-    this.addReservation({...held, size}, 'resize');
+    this.addReservation({...reservation, size}, 'resize');
   }
 
   /** Releases the reservation of a task; does nothing when it has none. */
   release(taskName: string): void {
-    const held = this.reservationsByTask.get(taskName);
-    if (held === undefined) return;
+    const reservation = this.reservationsByTask.get(taskName);
+    if (reservation === undefined) return;
     this.reservationsByTask.delete(taskName);
     this.reservedForTasks = resources.subtract(
       this.reservedForTasks,
-      held.size,
+      reservation.size,
     );
-    this.observer.reservationRemoved(this, held);
+    this.observer.reservationRemoved(this, reservation);
     this.publishChange('reserve', true);
   }
 
@@ -224,23 +225,23 @@
   }
 
   private moveToRack(rack: string): void {
-    for (const held of this.reservationsByTask.values()) {
-      this.observer.reservationRemoved(this, held);
+    for (const reservation of this.reservationsByTask.values()) {
+      this.observer.reservationRemoved(this, reservation);
     }
     this.rackValue = rack;
-    for (const held of this.reservationsByTask.values()) {
-      this.observer.reservationAdded(this, held);
+    for (const reservation of this.reservationsByTask.values()) {
+      this.observer.reservationAdded(this, reservation);
     }
   }
 
   private updateAvailable(): void {
-    const {free, reservedForWaiting: reserved} = this;
-    // Capacity may be earmarked before it is free. An earmark therefore never
-    // makes a dimension negative, because that would exclude even tasks that
-    // need nothing in this dimension.
+    const {free, reservedForWaiting} = this;
+    // Capacity may be reserved for a waiting request before it is free. Such a
+    // reservation never makes a dimension negative, because that would exclude
+    // even tasks that need nothing in this dimension.
     const floor = resources.minimum(free, resources.NONE);
-    const left = resources.subtract(free, reserved);
-    this.availableValue = resources.maximum(left, floor);
+    const unreserved = resources.subtract(free, reservedForWaiting);
+    this.availableValue = resources.maximum(unreserved, floor);
   }
 
   private publishChange(cause: ViolationCause, grew: boolean): void {
--- a/src/operations/event_log_writer.ts
+++ b/src/operations/event_log_writer.ts
@@ -1,8 +1,8 @@
 import * as logger from './logger.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
-/** Unread output above which lines are dropped. */
-const MAXIMUM_BACKLOG_BYTES = 262_144;
+/** Maximum size of the unread output; above it, lines are dropped. */
+const MAXIMUM_UNREAD_BYTES = 262_144;
 
 /** Writable stream that exposes its number of buffered bytes. */
 export interface LineOutput {
@@ -24,15 +24,15 @@
     name: string,
     fields: Readonly<Record<string, string | number | boolean | undefined>>,
   ): void {
-    const present = Object.entries(fields).filter(
+    const presentFields = Object.entries(fields).filter(
       (pair): pair is [string, string | number | boolean] =>
         pair[1] !== undefined,
     );
-    this.logger.log(level, name, Object.fromEntries(present));
+    this.logger.log(level, name, Object.fromEntries(presentFields));
   }
 
   private write(line: string): void {
-    if (this.output.writableLength > MAXIMUM_BACKLOG_BYTES) {
+    if (this.output.writableLength > MAXIMUM_UNREAD_BYTES) {
       this.droppedLineCount += 1;
       return;
     }
--- a/test/machines/task_runner_test.ts
+++ b/test/machines/task_runner_test.ts
@@ -85,15 +85,15 @@
   }
 }
 
-function outcomeKinds(turn: taskRunner.RunnerOutput): ReadonlyArray<string> {
-  return turn.outcomes.map(outcome => outcome.kind);
+function outcomeKinds(output: taskRunner.RunnerOutput): ReadonlyArray<string> {
+  return output.outcomes.map(outcome => outcome.kind);
 }
 
 function effectsOf<Kind extends effect.Effect['kind']>(
-  turn: taskRunner.RunnerOutput,
+  output: taskRunner.RunnerOutput,
   kind: Kind,
 ): ReadonlyArray<effect.Effect & {readonly kind: Kind}> {
-  return turn.effects.filter(
+  return output.effects.filter(
     (item): item is effect.Effect & {readonly kind: Kind} => item.kind === kind,
   );
 }
@@ -117,9 +117,9 @@
     () => {
       const fixture = new RunnerFixture();
       fixture.now = 4_000;
-      const turn = fixture.start();
-      assert.deepEqual(outcomeKinds(turn), ['notRun']);
-      assert.deepEqual(effectsOf(turn, 'startTask'), []);
+      const output = fixture.start();
+      assert.deepEqual(outcomeKinds(output), ['notRun']);
+      assert.deepEqual(effectsOf(output, 'startTask'), []);
       assert.equal(fixture.worker.reservations().size, 0);
     },
   );
@@ -171,6 +171,8 @@
     },
   );
 
+  // Guards against a second run of a task that ran and ended so long ago that
+  // reports no longer list it.
   nodeTest.test('is never "not run" once reports may omit ended tasks', () => {
     const fixture = new RunnerFixture();
     fixture.start();
@@ -179,16 +181,18 @@
     assert.deepEqual(outcomeKinds(fixture.report([])), []);
   });
 
+  // Guards against a task that runs although the answer to its start was lost,
+  // and whose own answer is never fetched.
   nodeTest.test('counts as a start when a report lists the task', () => {
     const fixture = new RunnerFixture();
     fixture.start();
     fixture.answerStart('lost');
     fixture.now = 500;
-    const turn = fixture.report([
+    const output = fixture.report([
       contractSamples.buildTaskReport('id/0.1', 'id'),
     ]);
-    assert.deepEqual(outcomeKinds(turn), ['started']);
-    assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+    assert.deepEqual(outcomeKinds(output), ['started']);
+    assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
   });
 });
 
@@ -229,8 +233,8 @@
       fixture.permitEnd = Infinity;
       assert.deepEqual(outcomeKinds(fixture.advance(29_900)), []);
       assert.equal(fixture.worker.reservations().size, 1);
-      const turn = fixture.advance(200);
-      assert.deepEqual(outcomeKinds(turn), ['ended']);
+      const output = fixture.advance(200);
+      assert.deepEqual(outcomeKinds(output), ['ended']);
       assert.equal(fixture.worker.reservations().size, 0);
     },
   );
@@ -245,6 +249,8 @@
     },
   );
 
+  // Guards against a second run of a non-idempotent task that may have run on a
+  // worker which no longer reports.
   nodeTest.test(
     'becomes unknown if not idempotent, until a later report decides',
     () => {
@@ -256,27 +262,29 @@
       assert.equal(fixture.worker.reservations().size, 0);
       const state = 'finished';
       const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
-      const turn = fixture.report([listed]);
-      assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+      const output = fixture.report([listed]);
+      assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
       assert.deepEqual(outcomeKinds(fixture.answer('id/0.1')), ['ended']);
     },
   );
 });
 
 nodeTest.describe('answer of a task', () => {
+  // Guards against an answer that is delivered for another task.
   nodeTest.test('is dropped and counted if worker or task is wrong', () => {
     const fixture = new RunnerFixture();
     fixture.start();
     fixture.answerStart('started');
-    for (const turn of [
+    for (const output of [
       fixture.answer('id/0.1', 'worker-2'),
       fixture.answer('other/0.1'),
     ]) {
-      assert.deepEqual(outcomeKinds(turn), []);
-      assert.equal(effectsOf(turn, 'count')[0].metric, 'answer_dropped');
+      assert.deepEqual(outcomeKinds(output), []);
+      assert.equal(effectsOf(output, 'count')[0].metric, 'answer_dropped');
     }
   });
 
+  // Guards against a request that stays open because a fetch was lost.
   nodeTest.test('is fetched again after the first fetch was lost', () => {
     const fixture = new RunnerFixture();
     fixture.start();
@@ -286,12 +294,14 @@
     fixture.now = 1_000;
     const state = 'finished';
     const listed = contractSamples.buildTaskReport('id/0.1', 'id', {state});
-    const turn = fixture.report([listed]);
-    assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+    const output = fixture.report([listed]);
+    assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
     const [ended] = fixture.answer('id/0.1').outcomes;
     assert.equal(ended.kind === 'ended' && ended.answer, 'polished');
   });
 
+  // Guards against a request that waits for a task which its worker no longer
+  // knows. A single such report may be a race.
   nodeTest.test(
     'counts as lost when two consecutive reports omit the running task',
     () => {
@@ -314,10 +324,10 @@
     () => {
       const fixture = new RunnerFixture();
       const found = contractSamples.buildTaskReport('old/0.1', 'old');
-      const turn = fixture.report([found]);
-      assert.deepEqual(outcomeKinds(turn), ['adopted']);
+      const output = fixture.report([found]);
+      assert.deepEqual(outcomeKinds(output), ['adopted']);
       assert.equal(fixture.worker.reservations().size, 1);
-      assert.equal(effectsOf(turn, 'fetchTaskAnswer').length, 1);
+      assert.equal(effectsOf(output, 'fetchTaskAnswer').length, 1);
       fixture.now = 500;
       assert.deepEqual(outcomeKinds(fixture.answer('old/0.1')), ['ended']);
       assert.equal(fixture.worker.reservations().size, 0);
@@ -330,6 +340,8 @@
     },
   );
 
+  // Guards against overcommitment by a new owner that does not know yet which
+  // tasks run on the worker.
   nodeTest.test('is required before any placement on a worker', () => {
     const fixture = new RunnerFixture();
     const workers = new fleet.Fleet();
@@ -346,6 +358,7 @@
 });
 
 nodeTest.describe('reservation', () => {
+  // Guards against capacity that stays reserved although no task uses it.
   nodeTest.test('without a task is reported and released', () => {
     const fixture = new RunnerFixture();
     const {label, size} = contractSamples.buildTaskReport('stray', 'stray');
@@ -358,14 +371,16 @@
 });
 
 nodeTest.describe('stop', () => {
+  // Guards against a stop that is lost because the worker does not know the
+  // task yet.
   nodeTest.test(
     'requested before the start is answered is sent after the answer',
     () => {
       const fixture = new RunnerFixture();
       fixture.start();
       assert.deepEqual(fixture.runner.stop('id/0.1').effects, []);
-      const turn = fixture.answerStart('started');
-      assert.equal(effectsOf(turn, 'stopTask').length, 1);
+      const output = fixture.answerStart('started');
+      assert.equal(effectsOf(output, 'stopTask').length, 1);
     },
   );
 });
