Say capacity, queue and violation in the benches

Comments and the messages of violated guarantees are reworded, and the mean time between requests is called an interval. Behaviour is unchanged.

--- a/bench/cell_bench.ts
+++ b/bench/cell_bench.ts
@@ -24,7 +24,7 @@
 /** CPU time per second, in milliseconds, of 1 % of a core. */
 const CPU_MS_PER_SECOND_PERCENT = 10;
 
-/** Usage of the leader and the other process during a measurement. */
+/** Usage of the process that runs the scheduler and of the other process. */
 interface CellUsage {
   readonly scheduler: processMeter.ProcessUsage;
   readonly other: processMeter.ProcessUsage;
--- a/bench/decision_bench.ts
+++ b/bench/decision_bench.ts
@@ -24,7 +24,7 @@
 /** Waiting requests of each team in the run with a full fleet. */
 const BACKLOG_PER_TEAM = 20;
 
-/** Task ends measured with a full fleet; each reopens every waiting lane. */
+/** Task ends measured with a full fleet; after each, every queue is retried. */
 const MEASURED_BACKLOG_ENDS = 300;
 
 const WARM_UP_DECISIONS = 5_000;
@@ -92,7 +92,7 @@
     this.scheduler = new schedulerUnderTest.ProductionScheduler(options);
   }
 
-  /** Fills the fleet, warms up, and measures decisions that find free room. */
+  /** Fills the fleet, warms up, and measures decisions with free capacity. */
   measure(): DecisionFigures {
     for (let index = 0; index < this.targetRunning; index += 1) {
       this.admitAndPlace(
@@ -109,7 +109,7 @@
     return this.figures();
   }
 
-  /** Fills the fleet, keeps a backlog, and measures the turn of each end. */
+  /** Fills the fleet, keeps a backlog, and measures the turn after each end. */
   measureBacklog(): DecisionFigures {
     const backlog = BACKLOG_PER_TEAM * TEAM_COUNT;
     for (let index = 0; index < this.targetRunning * 1.5; index += 1) {
--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -27,7 +27,7 @@
 /** Delay before a call is repeated whose reply was lost or not final. */
 const RETRY_DELAY_MS = 1_500;
 
-/** Time after which a client gives up on one call. */
+/** Time after which a client treats a call as lost. */
 const CALL_TIMEOUT_MS = 12_000;
 
 /** Time for which a call may wait for the end of the request. */
--- a/bench/fakes/invariant_checker.ts
+++ b/bench/fakes/invariant_checker.ts
@@ -13,7 +13,7 @@
   readonly evidence: string;
 }
 
-/** What the checker needs to know of a request: identity, payload and size. */
+/** The parts of a request that the checker compares with the reply. */
 export interface CheckedRequest {
   readonly identity: string;
   readonly payload: string;
@@ -46,7 +46,7 @@
     return this.checksMade;
   }
 
-  /** Returns how often tasks of a request were started. */
+  /** Returns how often the tasks of a request were started. */
   startCountOf(identity: string): number {
     return this.startCounts.get(identity) ?? 0;
   }
--- a/bench/fakes/simulated_entry_process.ts
+++ b/bench/fakes/simulated_entry_process.ts
@@ -32,7 +32,7 @@
 /** Time-out of a call that waits for the end of a task. */
 const TASK_ANSWER_TIMEOUT_MS = 600_000;
 
-/** Time-out of an offer, which the other process keeps open. */
+/** Time-out of an offer, which its receiver may keep open. */
 const OFFER_TIMEOUT_MS = 30_000;
 
 /** Time that a forwarded call may take beyond the wait of its caller. */
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -18,7 +18,7 @@
 
 const FLEET_SLOTS = WORKER_COUNT * SLOTS_PER_WORKER;
 
-/** A worker has room for eight tasks of this size. */
+/** A worker has capacity for eight tasks of this size. */
 const TASK_SIZE = schedulingHarness.buildResources(2_000, 4_096);
 
 const OTHER_TEAMS = ['one', 'two', 'three', 'four'] as const;
@@ -36,10 +36,10 @@
 /** Largest number of waiting requests of a team. */
 const QUEUE_LIMIT = 1_000;
 
-/** Network delay of every start, in addition to the wait for room. */
+/** Network delay of every start, in addition to the wait for capacity. */
 const NETWORK_DELAY_MS = 4;
 
-/** Time from the request of a checkpoint until its room is free. */
+/** Time from the request of a checkpoint until its capacity is free. */
 const CHECKPOINT_DURATION_MS = 500;
 
 const WARM_UP_MS = 60_000;
@@ -64,7 +64,7 @@
 interface RequestStream {
   readonly team: string;
   readonly definition: workload.Workload;
-  readonly meanGapMs: clock.Milliseconds;
+  readonly meanIntervalMs: clock.Milliseconds;
   /** One per stream, so that a flood does not change other arrivals. */
   readonly random: randomSource.RandomSource;
   nextArrivalMs: clock.Milliseconds;
@@ -88,19 +88,19 @@
 function requestStreams(
   flood: Flood | undefined,
 ): ReadonlyArray<RequestStream> {
-  const teamGapMs =
+  const teamIntervalMs =
     (RUN_TIME_MS * OTHER_TEAMS.length) / (BASE_LOAD * FLEET_SLOTS);
   const streams = OTHER_TEAMS.flatMap((team, index) => [
     requestStream(
       team,
       BASE_WORKLOAD,
-      teamGapMs / (1 - URGENT_SHARE),
+      teamIntervalMs / (1 - URGENT_SHARE),
       2 * index,
     ),
     requestStream(
       team,
       URGENT_WORKLOAD,
-      teamGapMs / URGENT_SHARE,
+      teamIntervalMs / URGENT_SHARE,
       2 * index + 1,
     ),
   ]);
@@ -113,21 +113,27 @@
     urgency,
     runTimeMs,
   };
-  const meanGapMs = runTimeMs / (FLOOD_LOAD * FLEET_SLOTS);
+  const meanIntervalMs = runTimeMs / (FLOOD_LOAD * FLEET_SLOTS);
   return [
     ...streams,
-    requestStream(FLOOD_TEAM, definition, meanGapMs, streams.length),
+    requestStream(FLOOD_TEAM, definition, meanIntervalMs, streams.length),
   ];
 }
 
 function requestStream(
   team: string,
   definition: workload.Workload,
-  meanGapMs: clock.Milliseconds,
+  meanIntervalMs: clock.Milliseconds,
   index: number,
 ): RequestStream {
   const random = new randomSource.SeededRandom(SEED + index);
-  return {team, definition, meanGapMs, random, nextArrivalMs: 0};
+  return {
+    team,
+    definition,
+    meanIntervalMs,
+    random,
+    nextArrivalMs: 0,
+  };
 }
 
 function drawExponential(
@@ -195,7 +201,7 @@
     now: clock.Milliseconds,
   ): void {
     stream.nextArrivalMs =
-      now + drawExponential(stream.random, stream.meanGapMs);
+      now + drawExponential(stream.random, stream.meanIntervalMs);
   }
 
   private endTasks(now: clock.Milliseconds): void {
--- a/bench/guarantee_checker.ts
+++ b/bench/guarantee_checker.ts
@@ -7,7 +7,7 @@
 /** CPU of a stand-in worker, in thousandths of a core. */
 const WORKER_CPU_THOUSANDTHS = 4_000;
 
-/** Checks the replies to callers and the runs on workers for breaches. */
+/** Checks the guarantees for replies to callers and runs on workers. */
 export class GuaranteeChecker {
   readonly violations: string[] = [];
   private readonly submittedIds = new Set<string>();
@@ -46,7 +46,9 @@
 
   /** Records that an accepted job did not complete in time. */
   jobUnfinished(id: string, status: number, state: string): void {
-    this.violations.push(`accepted job ${id} is ${status} ${state} at the end`);
+    this.violations.push(
+      `accepted job ${id} did not complete: status ${status}, state ${state}`,
+    );
   }
 
   /** Checks the starts and ends of runs on all workers. */
@@ -67,7 +69,9 @@
         (usedByWorker.get(event.worker) ?? 0) + change * TASK_CPU_THOUSANDTHS;
       usedByWorker.set(event.worker, used);
       if (used > WORKER_CPU_THOUSANDTHS) {
-        this.violations.push(`${event.worker} is over its capacity: ${used}`);
+        this.violations.push(
+          `${event.worker} over capacity: ${used} of ${WORKER_CPU_THOUSANDTHS}`,
+        );
       }
       if (event.kind === 'started') active.add(runName(event));
       else active.delete(runName(event));
@@ -82,13 +86,19 @@
     const run = `${event.task} run ${event.run} on ${event.worker}`;
     const [id] = event.task.split('.');
     if (activeRuns.size > 0) {
-      this.violations.push(`${run} beside ${[...activeRuns].join()}`);
+      this.violations.push(
+        `${run} started while ${[...activeRuns].join()} was active`,
+      );
+    }
+    if (completed.has(event.task)) {
+      this.violations.push(`${run} started after the task had completed`);
     }
-    if (completed.has(event.task)) this.violations.push(`${run} after its end`);
     if (!this.submittedIds.has(id)) {
-      this.violations.push(`${run} was never submitted`);
+      this.violations.push(`${run} belongs to a job that was never submitted`);
+    }
+    if (this.refusedIds.has(id)) {
+      this.violations.push(`${run} belongs to a refused job`);
     }
-    if (this.refusedIds.has(id)) this.violations.push(`${run} was refused`);
   }
 }
 
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -18,7 +18,7 @@
 
 const WORKLOAD_COUNT = 20;
 
-/** Waiting requests, enough that no room is idle for lack of work. */
+/** Waiting requests, enough that no capacity is idle for lack of work. */
 const BACKLOG_REQUESTS = 400;
 
 const STEP_MS = 100;
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -63,7 +63,7 @@
     this.checker = new guaranteeChecker.GuaranteeChecker(cell);
   }
 
-  /** Runs one seed and returns the breaches of guarantees that it caused. */
+  /** Runs one seed and returns the guarantees that were violated. */
   static async runSeed(seed: number): Promise<SoakOutcome> {
     const durations = new randomSource.SeededRandom(seed + 1);
     const cell = await platformCell.PlatformCell.start({
--- a/bench/platform_soak_main.ts
+++ b/bench/platform_soak_main.ts
@@ -23,11 +23,11 @@
       const {acceptedCount, startCount} = outcome;
       console.log(
         `seed ${seed} accepted ${acceptedCount} starts ${startCount}` +
-          ` broken ${outcome.violations.length} ${outcome.violations[0] ?? ''}`,
+          ` violations ${outcome.violations.length} ${outcome.violations[0] ?? ''}`,
       );
       if (outcome.violations.length > 0) failedSeeds += 1;
     }
-    console.log(`${seeds} seeds, ${failedSeeds} with breached guarantees`);
+    console.log(`${seeds} seeds, ${failedSeeds} with violated guarantees`);
     process.exit(failedSeeds === 0 ? 0 : 1);
   },
 });
