--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -32,14 +32,14 @@
   readonly metricsAddress: string;
 }
 
-/** HTTP response of a process to a caller. */
+/** HTTP response of the job API to a caller. */
 export interface JobApiResponse {
   /** 0 when the connection ended without an answer. */
   readonly status: number;
   readonly body: Readonly<Record<string, unknown>>;
 }
 
-/** Size, work load and program of a cell. */
+/** Size, run plan and program of a cell. */
 export interface CellOptions {
   readonly processCount: number;
   /** Defaults to `DEFAULT_WORKER_COUNT`. */
@@ -155,7 +155,7 @@
     ended.storeRelay.close();
   }
 
-  /** Returns the process that logged the highest term that began. */
+  /** Returns the process that logged the start of the latest term. */
   leader(): CellProcess {
     const [leading] = this.processes
       .map(item => ({item, term: lastLoggedTerm(item)}))
@@ -163,7 +163,7 @@
     return leading.item;
   }
 
-  /** Calls a process as a client of the queue does. */
+  /** Calls the job API of a process as a client of the queue does. */
   callJobApi(
     target: CellProcess,
     method: string,
@@ -178,7 +178,7 @@
     );
   }
 
-  /** Returns the task starts on all workers that belong to a job. */
+  /** Returns the starts of a job's tasks on all workers. */
   startEventsOf(id: string): ReadonlyArray<workerModel.WorkerEvent> {
     return this.workers
       .flatMap(worker => worker.events)
--- a/stand_ins/platform_try.ts
+++ b/stand_ins/platform_try.ts
@@ -41,7 +41,7 @@
   ],
 };
 
-/** Final state of one job and the effort that it took. */
+/** Final state of one job, attempts to submit it, and its duration. */
 interface JobOutcome {
   readonly state: string;
   readonly attempts: number;
@@ -129,7 +129,7 @@
         startedTasks.add(task);
       }
     }
-    console.log(`calls that handed a job in     ${attempts}`);
+    console.log(`calls that submitted a job     ${attempts}`);
     console.log(`tasks that were started        ${startedTasks.size}`);
     console.log(`of them started again          ${restartCount}`);
   }
