--- a/src/commands/call_arguments.ts
+++ b/src/commands/call_arguments.ts
@@ -67,7 +67,7 @@
   readonly json: boolean;
 }
 
-/** Returns a client of the given entry processes, or a fault without any. */
+/** Returns a client of the entry processes, or a fault if none is named. */
 export function createClient(
   options: CallArguments,
 ): either.Either<string, entryClient.EntryClient> {
--- a/src/commands/command_report.ts
+++ b/src/commands/command_report.ts
@@ -37,7 +37,7 @@
   return EXIT_CODES[kind];
 }
 
-/** Returns the table row of a numeric result code, if known. */
+/** Returns the entry of `RESULT_CODES` with a numeric code, if there is one. */
 export function findResultCode(code: number): result.ResultCode | undefined {
   const rows: ReadonlyArray<result.ResultCode> = Object.values(
     result.RESULT_CODES,
--- a/src/commands/retrying_caller.ts
+++ b/src/commands/retrying_caller.ts
@@ -27,9 +27,9 @@
   }
 
   /**
-   * Returns the final reply, or the last one at the timeout. Returns `unknown`
-   * instead of a reply that states that nothing was done if an earlier attempt
-   * may have taken effect.
+   * Returns the final reply, or the last one at the timeout. Returns
+   * `unknownOutcomeReply` instead of a reply that states that nothing was done
+   * if an earlier attempt may have taken effect.
    */
   async call(
     build: (waitSeconds: number) => Omit<entryClient.EntryCall, 'timeoutMs'>,
@@ -63,7 +63,7 @@
       (this.deadlineMs - performance.now()) / 1_000,
     );
     const waitSeconds = Math.floor(Math.min(secondsLeft, MAX_WAIT_SECONDS));
-    // The last call gets time for its reply even after the timeout.
+    // The last call may wait for its reply beyond the timeout.
     return {
       ...build(waitSeconds),
       timeoutMs: waitSeconds * 1_000 + REPLY_ALLOWANCE_MS,
@@ -71,20 +71,20 @@
   }
 }
 
-/** Returns whether a repeated call with the same identity gives this reply. */
+/** Returns whether a repeated call would get the same reply. */
 function isFinal(reply: effect.Reply): boolean {
   if (needsOtherProcess(reply)) return false;
   return commandReport.findResultCode(reply.code)?.retry !== 'sameIdentity';
 }
 
-/** Returns whether the request is, or may be, still in progress. */
+/** Returns whether the request is or may be in progress after this reply. */
 function mayBeInProgress(reply: effect.Reply | undefined): boolean {
   if (reply === undefined) return false;
   const execution = commandReport.findResultCode(reply.code)?.execution;
   return execution === 'pending' || execution === 'unknown';
 }
 
-/** Returns whether to try another entry process: this one is unavailable. */
+/** Returns whether this entry process is unavailable and another is needed. */
 function needsOtherProcess(reply: effect.Reply | undefined): boolean {
   if (reply === undefined) return true;
   return Math.floor(reply.code / 1_000) === 3;
--- a/src/commands/schema_prompter.ts
+++ b/src/commands/schema_prompter.ts
@@ -61,7 +61,7 @@
     path: string,
   ): Promise<unknown> {
     for (;;) {
-      const text = (await this.prompter.ask(question(key, path))).trim();
+      const text = (await this.prompter.ask(formatQuestion(key, path))).trim();
       if (text === '' && key.default !== undefined) return key.default;
       const value = key.rule.parseInput(text);
       const faults = key.rule.check(value, path);
@@ -71,7 +71,7 @@
   }
 }
 
-function question(key: tomlSchema.SchemaKey, path: string): string {
+function formatQuestion(key: tomlSchema.SchemaKey, path: string): string {
   const unit = key.unit === undefined ? '' : `, in ${key.unit}`;
   const defaultNote =
     key.default === undefined
--- a/src/commands/try.ts
+++ b/src/commands/try.ts
@@ -7,10 +7,19 @@
 /** Time limit for the processes to join, claim workers and read documents. */
 const READY_TIMEOUT_MS = 20_000;
 
+/** Time between two readiness checks of a process. */
+const READY_POLL_INTERVAL_MS = 100;
+
+/** Time between two requests of a phase. */
+const REQUEST_INTERVAL_MS = 40;
+
 /** Time for which one call waits for the end of its request. */
 const CALL_WAIT_SECONDS = 20;
 
-/** Requests of the flood phase: several times the capacity of the cell. */
+/** Requests of each phase, sent at an interval. */
+const PHASE_REQUEST_COUNT = 40;
+
+/** Requests of the flood: several times the capacity of the cell. */
 const FLOOD_REQUEST_COUNT = 150;
 
 interface SentRequest {
@@ -53,12 +62,16 @@
     await this.runPhase(
       'calm',
       [ORDERS, INSPECTIONS, CERTIFICATES, ROUTES],
-      40,
+      PHASE_REQUEST_COUNT,
     );
     await this.runFlood();
     this.cell.breakWorker();
     console.log('one worker now fails every task');
-    await this.runPhase('broken worker', [CERTIFICATES, ROUTES], 40);
+    await this.runPhase(
+      'broken worker',
+      [CERTIFICATES, ROUTES],
+      PHASE_REQUEST_COUNT,
+    );
     this.printReport();
   }
 
@@ -82,9 +95,11 @@
       await answer.body.dump();
       if (answer.statusCode === 200) return;
       if (performance.now() > deadlineMs) {
-        throw new Error(`${address} is not ready`);
+        throw new Error(
+          `${address} was not ready within ${READY_TIMEOUT_MS} ms`,
+        );
       }
-      await timers.setTimeout(100);
+      await timers.setTimeout(READY_POLL_INTERVAL_MS);
     }
   }
 
@@ -97,7 +112,7 @@
     for (let index = 0; index < count; index += 1) {
       pending.push(this.send(sources[index % sources.length], name));
       this.usedFractions.push(this.cell.usedFraction());
-      await timers.setTimeout(40);
+      await timers.setTimeout(REQUEST_INTERVAL_MS);
     }
     await Promise.all(pending);
     this.printPhase(name);
@@ -108,7 +123,11 @@
     for (let index = 0; index < FLOOD_REQUEST_COUNT; index += 1) {
       flood.push(this.send(ORDERS, 'flood'));
     }
-    await this.runPhase('during the flood', [CERTIFICATES, ROUTES], 40);
+    await this.runPhase(
+      'during the flood',
+      [CERTIFICATES, ROUTES],
+      PHASE_REQUEST_COUNT,
+    );
     await Promise.all(flood);
     this.printPhase('flood');
   }
@@ -191,11 +210,11 @@
     printValue('log appends', `${this.cell.appendCount()}`);
     printValue('bytes sent and received', `${bytes}`);
     printValue(
-      'others finished in the flood',
+      'office requests finished in the flood',
       `${finished} of ${flooded.length}`,
     );
     printValue(
-      'their median before and during it',
+      'office median, calm and during the flood',
       `${median(calm).toFixed(0)} and ${median(flooded).toFixed(0)} ms`,
     );
     this.printOutcomes();
