--- a/test/commands/entry_commands_test.ts
+++ b/test/commands/entry_commands_test.ts
@@ -6,7 +6,7 @@
 const DOCUMENT_PATH = '/v1/configuration/team%2Fdispatch';
 
 async function withEntry(
-  answer: (call: command.RecordedCall, earlier: number) => unknown,
+  answer: (call: command.RecordedCall, earlierCount: number) => unknown,
   check: (
     entry: command.StubEntryServer,
     ...commandArguments: ReadonlyArray<string>
@@ -29,13 +29,13 @@
 
 nodeTest.describe('publish', () => {
   nodeTest.test(
-    'it is based on the version in force and retries with one identity; ' +
-      'guards against a second publication after a lost reply',
+    'a publication is based on the version in force and is retried under ' +
+      'one identity; guards against a second publication after a lost reply',
     async () => {
       await withEntry(
-        (call, earlier) => {
+        (call, earlierCount) => {
           if (call.route.startsWith('GET')) return {code: 0, version: 41};
-          return earlier === 0 ? undefined : {code: 0, version: 42};
+          return earlierCount === 0 ? undefined : {code: 0, version: 42};
         },
         async (entry, ...commandArguments) => {
           const result = await publish(...commandArguments);
@@ -61,8 +61,8 @@
       'reporting that nothing was published although it may have been',
     async () => {
       await withEntry(
-        (_call, earlier) =>
-          earlier === 0 ? undefined : {code: 3003, detail: 'log'},
+        (_call, earlierCount) =>
+          earlierCount === 0 ? undefined : {code: 3003, detail: 'log'},
         async (_entry, ...commandArguments) => {
           const result = await publish(
             ...commandArguments,
@@ -98,12 +98,12 @@
       'work that is not idempotent',
     async () => {
       await withEntry(
-        (call, earlier) => {
+        (call, earlierCount) => {
           if (call.route === 'POST /v1/identities') {
             return {code: 0, identities: ['id-1']};
           }
-          if (earlier === 0) return undefined;
-          if (earlier === 1) return {code: 1, state: 'running'};
+          if (earlierCount === 0) return undefined;
+          if (earlierCount === 1) return {code: 1, state: 'running'};
           return {code: 0, answer: 'polished'};
         },
         async (entry, ...commandArguments) => {
@@ -136,8 +136,8 @@
 
 nodeTest.describe('other calls', () => {
   nodeTest.test(
-    'each calls its path and returns the exit code of its result; guards ' +
-      'against scripts that mistake a refusal for success',
+    'each command calls its path and returns the exit code of its result; ' +
+      'guards against scripts that mistake a refusal for success',
     async () => {
       const cases: ReadonlyArray<
         readonly [ReadonlyArray<string>, string, number, number]
--- a/test/commands/local_commands_test.ts
+++ b/test/commands/local_commands_test.ts
@@ -23,8 +23,8 @@
 
 nodeTest.describe('check', () => {
   nodeTest.test(
-    'it prints each fault with line, field, value and rule and returns the ' +
-      'exit code for bad input; guards against faults found only at start',
+    'each fault is printed with line, field, value and rule, and the exit ' +
+      'code is that for bad input; guards against faults found only at start',
     async () => {
       const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'check-'));
       const file = path.join(folder, 'settings.toml');
--- a/test/processes/operator_commands_test.ts
+++ b/test/processes/operator_commands_test.ts
@@ -139,7 +139,7 @@
         cell.log.setFailures({down: true});
         const second = await cell.addEntry('entry-2');
         const shown = `"fleet":${String(first['version'])}`;
-        await wait.until('the document comes from the other', async () => {
+        await wait.until('the document from its peer', async () => {
           const status = await runWithJson('status', '--entry', second);
           return JSON.stringify(status).includes(shown) ? true : undefined;
         });
