Rename types of benches, stand-ins and commands that share a name with others

stand_ins: WorkerEvent -> RunEvent, KeyedRecord -> StoreRecord bench/fakes: WorkerObserver -> TaskRunObserver, TrackedTask -> FakeWorkerTask, Endpoint -> NetworkEndpoint, peer_messages.ts -> peer_events.ts bench/randomized_run: Fault -> FaultKind PlatformSoak: disturbedProcesses -> faultyProcesses, disturbRelay -> injectRelayFault, firstProcess -> firstProcessIndex src/commands: Publication -> PublishArguments, Submission -> SubmissionBody, Generated, GenerationResult -> GenerationOutcome test/support/process_cell: Answer -> EntryResponse, status -> fetchStatus and locals of these files.

--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -37,7 +37,7 @@
  * Client that sends requests to entry processes, mostly of its own zone, and
  * repeats a call under the same identity until the reply is final.
  */
-export class FakeClient implements fakeNetwork.Endpoint {
+export class FakeClient implements fakeNetwork.NetworkEndpoint {
   readonly requests: ClientRequest[] = [];
 
   constructor(
--- a/bench/fakes/fake_network.ts
+++ b/bench/fakes/fake_network.ts
@@ -2,7 +2,7 @@
 import type * as virtualTime from './virtual_time.js';
 
 /** Sender or receiver of messages. */
-export interface Endpoint {
+export interface NetworkEndpoint {
   readonly name: string;
   /** Empty for the platform, which is outside all zones. */
   readonly zone: string;
@@ -44,7 +44,7 @@
   }
 
   /** Delivers a one-way message unless it is lost or its link is cut. */
-  send(from: Endpoint, to: Endpoint, deliver: () => void): void {
+  send(from: NetworkEndpoint, to: NetworkEndpoint, deliver: () => void): void {
     const key = [from.zone, to.zone].sort().join('|');
     if (this.partitions.has(key)) return;
     if (this.random.below(1_000) < this.lossPerThousand) return;
@@ -56,8 +56,8 @@
    * time, whether or not the call took effect.
    */
   call<Answer>(
-    from: Endpoint,
-    to: Endpoint,
+    from: NetworkEndpoint,
+    to: NetworkEndpoint,
     serve: (respond: (answer: Answer) => void) => void,
     answered: (answer: Answer) => void,
     timedOut: () => void,
@@ -80,7 +80,7 @@
     );
   }
 
-  private latencyMs(from: Endpoint, to: Endpoint): number {
+  private latencyMs(from: NetworkEndpoint, to: NetworkEndpoint): number {
     const baseMs =
       from.zone === to.zone ? IN_ZONE_LATENCY_MS : CROSS_ZONE_LATENCY_MS;
     const late = this.random.below(1_000) < this.latePerThousand;
--- a/bench/fakes/fake_worker.ts
+++ b/bench/fakes/fake_worker.ts
@@ -3,12 +3,12 @@
 import type * as virtualTime from './virtual_time.js';
 
 /** Observer of the starts and ends of tasks on workers. */
-export interface WorkerObserver {
+export interface TaskRunObserver {
   taskStarted(worker: FakeWorker, start: task.TaskStart): void;
   taskEnded(worker: FakeWorker, start: task.TaskStart): void;
 }
 
-interface TrackedTask {
+interface FakeWorkerTask {
   readonly start: task.TaskStart;
   readonly leaseEnd: number;
   readonly state: task.TaskState;
@@ -20,7 +20,7 @@
 
 /** In-memory worker that enforces leases but not its capacity. */
 export class FakeWorker {
-  private readonly tasks = new Map<string, TrackedTask>();
+  private readonly tasks = new Map<string, FakeWorkerTask>();
   private readonly answerListeners = new Map<string, Array<() => void>>();
   /** Time at which the worker began to leave; Infinity if it does not leave. */
   leavingSinceMs = Infinity;
@@ -34,7 +34,7 @@
     readonly capacity: resources.Resources,
     private readonly clock: virtualTime.DriftingClock,
     private readonly time: virtualTime.VirtualTime,
-    private readonly observer: WorkerObserver,
+    private readonly observer: TaskRunObserver,
   ) {}
 
   /** Starts a task unless its lease has lapsed. */
@@ -71,21 +71,21 @@
     const answer = state === 'finished' ? `done ${held.start.payload}` : '';
     this.tasks.set(name, {...held, state, answer});
     this.observer.taskEnded(this, held.start);
-    for (const answerNow of this.answerListeners.get(name) ?? []) answerNow();
+    for (const notify of this.answerListeners.get(name) ?? []) notify();
     this.answerListeners.delete(name);
     this.time.after(ENDED_RETENTION_MS, () => this.tasks.delete(name));
   }
 
   /** Calls back with the task once it has ended, or undefined if unknown. */
-  awaitAnswer(name: string, respond: (ended?: TrackedTask) => void): void {
+  awaitAnswer(name: string, respond: (ended?: FakeWorkerTask) => void): void {
     const held = this.tasks.get(name);
     if (held?.state !== 'running') {
       respond(held);
       return;
     }
-    const waiting = this.answerListeners.get(name) ?? [];
-    waiting.push(() => respond(this.tasks.get(name)));
-    this.answerListeners.set(name, waiting);
+    const listeners = this.answerListeners.get(name) ?? [];
+    listeners.push(() => respond(this.tasks.get(name)));
+    this.answerListeners.set(name, listeners);
   }
 
   /** Returns the worker's report of itself and its tasks. */
--- a/bench/fakes/simulated_entry_process.ts
+++ b/bench/fakes/simulated_entry_process.ts
@@ -1,6 +1,6 @@
 import * as entryVm from '../../src/machines/entry_vm.js';
 import * as peerFailure from '../../src/links/peer_failure.js';
-import * as peerMessages from './peer_messages.js';
+import * as peerEvents from './peer_events.js';
 import type * as configuration from '../../src/contracts/configuration.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as event from '../../src/contracts/event.js';
@@ -27,7 +27,10 @@
   processEnded(entry: SimulatedEntryProcess): void;
 }
 
-const PLATFORM_ENDPOINT: fakeNetwork.Endpoint = {name: 'platform', zone: ''};
+const PLATFORM_ENDPOINT: fakeNetwork.NetworkEndpoint = {
+  name: 'platform',
+  zone: '',
+};
 
 /** Time-out of a call that waits for the end of a task. */
 const TASK_ANSWER_TIMEOUT_MS = 600_000;
@@ -44,7 +47,7 @@
  * One incarnation of an entry process: the real decision core with fakes around
  * it and a drifting clock. It can be paused and killed.
  */
-export class SimulatedEntryProcess implements fakeNetwork.Endpoint {
+export class SimulatedEntryProcess implements fakeNetwork.NetworkEndpoint {
   private readonly decisionCore: loop.EventHandler;
   private readonly openCalls = new Map<event.CallNumber, ReplyCallback>();
   private readonly openPeerCalls = new Map<
@@ -373,9 +376,9 @@
       endpoint,
       respond => {
         peer?.receivePeer(
-          call => peerMessages.toPeerEvent(this.name, wanted, call),
+          call => peerEvents.toPeerEvent(this.name, wanted, call),
           answer => {
-            const answered = peerMessages.toAnswerEvent(wanted, answer, sentAt);
+            const answered = peerEvents.toAnswerEvent(wanted, answer, sentAt);
             if (answered !== undefined) respond(answered);
           },
         );
--- a/bench/guarantee_checker.ts
+++ b/bench/guarantee_checker.ts
@@ -79,7 +79,7 @@
   }
 
   private checkStart(
-    event: workerModel.WorkerEvent,
+    event: workerModel.RunEvent,
     activeRuns: ReadonlySet<string>,
     completed: ReadonlySet<string>,
   ): void {
@@ -102,6 +102,6 @@
   }
 }
 
-function runName(event: workerModel.WorkerEvent): string {
+function runName(event: workerModel.RunEvent): string {
   return `${event.worker}/${event.run}`;
 }
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -153,10 +153,10 @@
       this.scheduler.reportUsage(target, task => this.usageOf(task), now);
     }
     for (const task of this.scheduler.takeCheckpoints()) {
-      const stopped = this.runningTasks.remove(task);
-      if (stopped === undefined) continue;
+      const checkpointed = this.runningTasks.remove(task);
+      if (checkpointed === undefined) continue;
       this.usageByTask.delete(task);
-      this.scheduler.taskCheckpointed(stopped.placement, now);
+      this.scheduler.taskCheckpointed(checkpointed.placement, now);
       this.waitingCount += 1;
     }
   }
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -51,7 +51,7 @@
   private readonly random: randomSource.SeededRandom;
   private readonly checker: guaranteeChecker.GuaranteeChecker;
   private readonly activeFaults: Array<Promise<void>> = [];
-  private readonly disturbedProcesses = new Set<platformCell.CellProcess>();
+  private readonly faultyProcesses = new Set<platformCell.CellProcess>();
   private readonly submissions: Array<Promise<void>> = [];
   private faultsEnded = false;
 
@@ -109,7 +109,7 @@
     }
   }
 
-  private async submit(id: string, firstProcess: number): Promise<void> {
+  private async submit(id: string, firstProcessIndex: number): Promise<void> {
     const count = 1 + this.randomBelow(4);
     const step = {count, cpu: 1_000, mem_mb: 512, est_runtime_ms: 300};
     const steps = [step, {...step, count: 1, after: [0]}];
@@ -118,7 +118,8 @@
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       if (attempt > 0) await timers.setTimeout(RETRY_DELAY_MS);
       const {processes} = this.cell;
-      const target = processes[(firstProcess + attempt) % processes.length];
+      const target =
+        processes[(firstProcessIndex + attempt) % processes.length];
       const body = {spec: '{}', steps};
       const {status} = await this.cell.callJobApi(target, 'POST', id, body);
       if (status === 200) {
@@ -146,12 +147,15 @@
       case 3:
         return this.silenceStore(durationMs);
       case 4:
-        return this.disturbRelay(this.pick(this.cell.workerRelays), durationMs);
+        return this.injectRelayFault(
+          this.pick(this.cell.workerRelays),
+          durationMs,
+        );
       case 5:
         this.pick(this.cell.workerRelays).reset();
         return;
       case 6:
-        return this.disturbRelay(
+        return this.injectRelayFault(
           this.pick(this.cell.processes).storeRelay,
           durationMs,
         );
@@ -165,8 +169,8 @@
     downTimeMs: number,
   ): Promise<void> {
     const target = this.pick(this.cell.processes);
-    if (this.disturbedProcesses.has(target)) return;
-    this.disturbedProcesses.add(target);
+    if (this.faultyProcesses.has(target)) return;
+    this.faultyProcesses.add(target);
     await end(target);
     await timers.setTimeout(downTimeMs);
     await this.cell.restart(target);
@@ -174,12 +178,12 @@
 
   private async pauseProcess(durationMs: number): Promise<void> {
     const target = this.pick(this.cell.processes);
-    if (this.disturbedProcesses.has(target)) return;
-    this.disturbedProcesses.add(target);
+    if (this.faultyProcesses.has(target)) return;
+    this.faultyProcesses.add(target);
     target.child.signal('SIGSTOP');
     await timers.setTimeout(durationMs);
     target.child.signal('SIGCONT');
-    this.disturbedProcesses.delete(target);
+    this.faultyProcesses.delete(target);
   }
 
   private async silenceStore(durationMs: number): Promise<void> {
@@ -188,7 +192,7 @@
     this.cell.store.silent = false;
   }
 
-  private async disturbRelay(
+  private async injectRelayFault(
     relay: faultRelay.FaultRelay,
     durationMs: number,
   ): Promise<void> {
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -27,13 +27,13 @@
 ] as const;
 
 /** Kind of fault; one of `FAULTS`. */
-export type Fault = (typeof FAULTS)[number];
+export type FaultKind = (typeof FAULTS)[number];
 
 /** Options of a randomised run. */
 export interface RunOptions {
   readonly seed: number;
   /** Faults that may occur; none if empty. */
-  readonly faults: ReadonlyArray<Fault>;
+  readonly faults: ReadonlyArray<FaultKind>;
   /** Whether to keep the last lines of the trace. */
   readonly trace: boolean;
 }
@@ -43,7 +43,7 @@
   readonly seed: number;
   readonly violations: ReadonlyArray<invariantChecker.Violation>;
   readonly checkCount: number;
-  readonly faultCounts: ReadonlyMap<Fault, number>;
+  readonly faultCounts: ReadonlyMap<FaultKind, number>;
   readonly codeCounts: ReadonlyMap<number, number>;
   readonly unfinishedCount: number;
   /** Identities and last replies of the requests that did not end. */
@@ -126,7 +126,7 @@
   >();
   private readonly listedVms = new Map<string, event.ListedVm>();
   private readonly clients: fakeClient.FakeClient[] = [];
-  private readonly faultCounts = new Map<Fault, number>();
+  private readonly faultCounts = new Map<FaultKind, number>();
   private readonly reportedViolations: string[] = [];
   private readonly traceLines: string[] = [];
   private readonly simulation: simulatedEntryProcess.Simulation;
@@ -269,7 +269,7 @@
     }
   }
 
-  private scheduleFault(fault: Fault, index: number): void {
+  private scheduleFault(fault: FaultKind, index: number): void {
     const random = new randomSource.SeededRandom(
       this.options.seed * 100 + index,
     );
@@ -284,7 +284,7 @@
     }
   }
 
-  private inject(fault: Fault, random: randomSource.RandomSource): void {
+  private inject(fault: FaultKind, random: randomSource.RandomSource): void {
     const zone = ZONES[random.below(ZONES.length)];
     const durationMs = 1_000 + random.below(40_000);
     switch (fault) {
--- a/bench/running_tasks.ts
+++ b/bench/running_tasks.ts
@@ -46,17 +46,17 @@
 
   /** Removes a task before its end and returns it. */
   remove(task: string): RunningTask | undefined {
-    const stopped = this.tasks.get(task);
+    const removed = this.tasks.get(task);
     this.tasks.delete(task);
-    return stopped;
+    return removed;
   }
 
   /** Removes and returns the tasks that have ended by `now`. */
   takeEnded(now: clock.Milliseconds): ReadonlyArray<RunningTask> {
     const ended: RunningTask[] = [];
     for (const task of this.endHeap.takeDue(now)) {
-      const stopped = this.remove(task);
-      if (stopped !== undefined) ended.push(stopped);
+      const endedTask = this.remove(task);
+      if (endedTask !== undefined) ended.push(endedTask);
     }
     return ended;
   }
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -2,7 +2,7 @@
 import * as randomizedRun from './randomized_run.js';
 
 /** Parses a comma-separated list of faults, `all` or `none`. */
-function parseFaults(text: string): ReadonlyArray<randomizedRun.Fault> {
+function parseFaults(text: string): ReadonlyArray<randomizedRun.FaultKind> {
   if (text === 'all') return randomizedRun.FAULTS;
   if (text === 'none') return [];
   const names: ReadonlyArray<string> = text.split(',');
@@ -10,8 +10,9 @@
 }
 
 function describeResult(result: randomizedRun.RunResult): string {
-  const first = result.violations[0];
-  const violation = first === undefined ? '' : ` ${JSON.stringify(first)}`;
+  const firstViolation = result.violations[0];
+  const violation =
+    firstViolation === undefined ? '' : ` ${JSON.stringify(firstViolation)}`;
   const reported = result.reportedViolations[0] ?? '';
   return (
     `seed ${result.seed} violations ${result.violations.length}` +
@@ -52,7 +53,7 @@
   },
   handler: options => {
     const faults = parseFaults(options.faults);
-    const faultCounts = new Map<randomizedRun.Fault, number>();
+    const faultCounts = new Map<randomizedRun.FaultKind, number>();
     const codeCounts = new Map<number, number>();
     let checkCount = 0;
     let failedCount = 0;
--- a/src/commands/publish.ts
+++ b/src/commands/publish.ts
@@ -8,7 +8,7 @@
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
-interface Publication {
+interface PublishArguments {
   readonly document: string;
   readonly content: string;
   /** Base version; undefined for the one in force when the command starts. */
@@ -74,7 +74,7 @@
 
 async function publishDocument(
   caller: retryingCaller.RetryingCaller,
-  wanted: Publication,
+  wanted: PublishArguments,
 ): Promise<entryCommand.CommandResult> {
   const path = `/v1/configuration/${encodeURIComponent(wanted.document)}`;
   const {publication} = wanted;
--- a/src/commands/questionnaire.ts
+++ b/src/commands/questionnaire.ts
@@ -11,7 +11,7 @@
 import * as schemaPrompter from './schema_prompter.js';
 import * as terminalPrompter from './terminal_prompter.js';
 
-type GenerationResult = either.Either<
+type GenerationOutcome = either.Either<
   ReadonlyArray<string>,
   ReadonlyArray<documentGenerator.GeneratedDocument>
 >;
@@ -65,7 +65,7 @@
   },
 });
 
-function generateFromFile(file: string): GenerationResult {
+function generateFromFile(file: string): GenerationOutcome {
   return inputFile
     .read(file)
     .mapLeft(fault => [fault])
@@ -74,7 +74,7 @@
 
 async function generateFromPrompts(
   save: string | undefined,
-): Promise<GenerationResult> {
+): Promise<GenerationOutcome> {
   const prompter = new terminalPrompter.TerminalPrompter(
     process.stdin,
     process.stderr,
--- a/src/commands/submit.ts
+++ b/src/commands/submit.ts
@@ -8,7 +8,7 @@
 import * as result from '../result.js';
 import type * as effect from '../contracts/effect.js';
 
-interface Submission {
+interface SubmissionBody {
   readonly team: string;
   readonly workload: string;
   readonly payload: string;
@@ -89,7 +89,7 @@
 
 async function submitRequest(
   caller: retryingCaller.RetryingCaller,
-  submission: Submission,
+  submission: SubmissionBody,
   knownIdentity: string | undefined,
 ): Promise<entryCommand.CommandResult> {
   const identity = knownIdentity ?? (await reserveIdentity(caller));
--- a/stand_ins/fault_relay.ts
+++ b/stand_ins/fault_relay.ts
@@ -59,13 +59,13 @@
   private forward(
     from: net.Socket,
     to: net.Socket,
-    drops: () => boolean,
+    shouldDrop: () => boolean,
   ): void {
     this.sockets.add(from);
     from.on('data', bytes => {
       // The connection stays paused from here on: bytes after a gap could not
       // be interpreted.
-      if (this.silencedSockets.has(from) || drops()) from.pause();
+      if (this.silencedSockets.has(from) || shouldDrop()) from.pause();
       else if (this.mode !== 'delay') to.write(bytes);
       else setTimeout(() => to.write(bytes), DELAY_MS);
     });
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -179,7 +179,7 @@
   }
 
   /** Returns the starts of a job's tasks on all workers. */
-  startEventsOf(id: string): ReadonlyArray<workerModel.WorkerEvent> {
+  startEventsOf(id: string): ReadonlyArray<workerModel.RunEvent> {
     return this.workers
       .flatMap(worker => worker.events)
       .filter(event => event.kind === 'started' && event.task.startsWith(id));
--- a/stand_ins/platform_store.ts
+++ b/stand_ins/platform_store.ts
@@ -2,13 +2,13 @@
 import * as listen from '../src/links/listen.js';
 import * as jsonBody from '../src/links/json_body.js';
 
-interface KeyedRecord {
+interface StoreRecord {
   readonly key: string;
   readonly value: Buffer;
 }
 
 interface Topic {
-  readonly records: KeyedRecord[];
+  readonly records: StoreRecord[];
   readonly producers: Map<string, {epoch: number; sequence: number}>;
   waitingReaders: Array<() => void>;
 }
@@ -156,7 +156,7 @@
     });
   }
 
-  private addRecords(topic: Topic, records: ReadonlyArray<KeyedRecord>): void {
+  private addRecords(topic: Topic, records: ReadonlyArray<StoreRecord>): void {
     topic.records.push(...records);
     const {waitingReaders} = topic;
     topic.waitingReaders = [];
@@ -186,7 +186,7 @@
   });
 }
 
-function encodeRecord({key, value}: KeyedRecord): Buffer {
+function encodeRecord({key, value}: StoreRecord): Buffer {
   const keyBytes = Buffer.from(key);
   const header = Buffer.alloc(LENGTH_PREFIX_BYTES + 1);
   header.writeUInt32BE(1 + keyBytes.length + value.length, 0);
@@ -194,8 +194,8 @@
   return Buffer.concat([header, keyBytes, value]);
 }
 
-function decodeRecords(body: Buffer): ReadonlyArray<KeyedRecord> {
-  const records: KeyedRecord[] = [];
+function decodeRecords(body: Buffer): ReadonlyArray<StoreRecord> {
+  const records: StoreRecord[] = [];
   let position = 0;
   while (position < body.length) {
     const end = position + LENGTH_PREFIX_BYTES + body.readUInt32BE(position);
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -20,7 +20,7 @@
 
 /** Stand-in for a worker of the platform, called over HTTP. */
 export class PlatformWorker {
-  readonly events: workerModel.WorkerEvent[] = [];
+  readonly events: workerModel.RunEvent[] = [];
   private readonly server: http.Server;
   private model: workerModel.WorkerModel | undefined;
 
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -106,9 +106,9 @@
     };
     const sendTagged = (content: unknown): void => {
       const text = JSON.stringify(content);
-      const tag = `"${crypto.createHash('sha1').update(text).digest('hex')}"`;
-      response.setHeader('etag', tag);
-      if (incoming.headers['if-none-match'] !== tag) send(200, content);
+      const etag = `"${crypto.createHash('sha1').update(text).digest('hex')}"`;
+      response.setHeader('etag', etag);
+      if (incoming.headers['if-none-match'] !== etag) send(200, content);
       else if (!this.silencedSockets.has(socket)) response.writeHead(304).end();
     };
     const drop = (): void => void response.destroy();
--- a/stand_ins/worker_main.ts
+++ b/stand_ins/worker_main.ts
@@ -5,13 +5,13 @@
 function numberOption(
   long: string,
   description: string,
-  value: number,
+  defaultNumber: number,
 ): ReturnType<typeof commandTypes.option<typeof commandTypes.number>> {
   return commandTypes.option({
     long,
     description,
     type: commandTypes.number,
-    defaultValue: () => value,
+    defaultValue: () => defaultNumber,
   });
 }
 
@@ -38,8 +38,8 @@
   },
   handler: async ({port, processors, memory, accelerators, slots, ...rest}) => {
     const capacity = {processors, memory, accelerators, slots};
-    const machine = new standInWorker.StandInWorker({...rest, capacity});
-    announce.announceListening('worker', await machine.listen(port));
+    const worker = new standInWorker.StandInWorker({...rest, capacity});
+    announce.announceListening('worker', await worker.listen(port));
   },
 });
 
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -17,7 +17,7 @@
 }
 
 /** A start or end of a run on a worker, for assertions. */
-export interface WorkerEvent {
+export interface RunEvent {
   readonly atMs: number;
   readonly worker: string;
   readonly kind: 'started' | 'ended';
@@ -49,7 +49,7 @@
     readonly entry: remoteWorker.RegistryEntry,
     private readonly clock: clock.Clock,
     private readonly runPlan: RunPlan,
-    private readonly events: WorkerEvent[],
+    private readonly events: RunEvent[],
   ) {}
 
   get runningCount(): number {
@@ -181,7 +181,7 @@
   }
 
   private recordEvent(
-    kind: WorkerEvent['kind'],
+    kind: RunEvent['kind'],
     task: string,
     run: number,
     outcome: string,
--- a/test/bench/randomized_run_test.ts
+++ b/test/bench/randomized_run_test.ts
@@ -19,7 +19,7 @@
     'no invariant is violated under any combination of faults, and every ' +
       'request reaches a final state after they end',
     () => {
-      const injected = new Set<randomizedRun.Fault>();
+      const injected = new Set<randomizedRun.FaultKind>();
       let checks = 0;
       for (const seed of SEEDS) {
         const run = randomizedRun.runRandomized({
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -15,7 +15,7 @@
 /** Delivers calls to fake workers in simulated time. */
 export class FakeWorkers implements workerClient.WorkerClient {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
-  readonly events: workerModel.WorkerEvent[] = [];
+  readonly events: workerModel.RunEvent[] = [];
   /** Returns the delay of a command; the answer of a delayed one is lost. */
   commandDelayMs: (address: string) => number = () => 0;
 
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -150,7 +150,7 @@
   }
 
   /** Returns the starts of tasks whose name begins with `prefix`. */
-  startsOf(prefix: string): ReadonlyArray<workerModel.WorkerEvent> {
+  startsOf(prefix: string): ReadonlyArray<workerModel.RunEvent> {
     return this.workers.events.filter(
       event => event.kind === 'started' && event.task.startsWith(prefix),
     );
--- a/test/support/process_cell.ts
+++ b/test/support/process_cell.ts
@@ -39,7 +39,7 @@
 `;
 }
 
-type Answer = httpCall.JsonResponse;
+type EntryResponse = httpCall.JsonResponse;
 
 /** Entry processes and stand-ins of one availability zone, as OS processes. */
 export class ProcessCell {
@@ -109,7 +109,7 @@
     entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<void> {
     await wait.until(`workers of ${entry.incarnation}`, async () => {
-      const content = await this.status(entry);
+      const content = await this.fetchStatus(entry);
       const owned = content['ownedWorkers'] as ReadonlyArray<string>;
       return owned.length > 0 && content['ready'] === true ? true : undefined;
     });
@@ -120,7 +120,7 @@
     entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<void> {
     await wait.until(`members know ${entry.incarnation}`, async () => {
-      const content = await this.status(entry);
+      const content = await this.fetchStatus(entry);
       const members = content['members'] as ReadonlyArray<{
         readonly knowsSelf: boolean;
       }>;
@@ -159,7 +159,7 @@
     identity: string,
     payload: unknown,
     waitSeconds = 20,
-  ): Promise<Answer> {
+  ): Promise<EntryResponse> {
     return httpCall.callJson(
       entry.address,
       'PUT',
@@ -180,7 +180,7 @@
     entry: spawnedEntryProcess.SpawnedEntryProcess,
     identity: string,
     payload: unknown,
-  ): Promise<Answer> {
+  ): Promise<EntryResponse> {
     return wait.until(`the end of ${identity}`, async () => {
       const answer = await this.putRequest(entry, identity, payload, 5).catch(
         () => undefined,
@@ -224,7 +224,7 @@
     await Promise.all(all.map(item => item.kill()));
   }
 
-  private async status(
+  private async fetchStatus(
     entry: spawnedEntryProcess.SpawnedEntryProcess,
   ): Promise<Readonly<Record<string, unknown>>> {
     const {address} = entry;
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -224,7 +224,7 @@
     return definition?.steps[Number(step)].size ?? resources.NONE;
   }
 
-  private checkEvent(event: workerModel.WorkerEvent): void {
+  private checkEvent(event: workerModel.RunEvent): void {
     const running = this.activeRuns.get(event.task) ?? new Set<string>();
     this.activeRuns.set(event.task, running);
     const run = `${event.worker}/${event.run}`;
