--- a/bench/fakes/fake_network.ts
+++ b/bench/fakes/fake_network.ts
@@ -8,7 +8,7 @@
   readonly zone: string;
 }
 
-/** One-way latencies, to which up to 0.9 ms of jitter are added. */
+/** One-way latencies, to which up to 0.9 ms of jitter is added. */
 const IN_ZONE_LATENCY_MS = 0.2;
 const CROSS_ZONE_LATENCY_MS = 0.5;
 
--- a/bench/flood_bench.ts
+++ b/bench/flood_bench.ts
@@ -39,7 +39,7 @@
 /** Network delay of every start, in addition to the wait for capacity. */
 const NETWORK_DELAY_MS = 4;
 
-/** Time from the request of a checkpoint until its capacity is free. */
+/** Time from the request of a checkpoint until the capacity is free. */
 const CHECKPOINT_DURATION_MS = 500;
 
 const WARM_UP_MS = 60_000;
--- a/test/support/http_call.ts
+++ b/test/support/http_call.ts
@@ -1,4 +1,4 @@
-/** HTTP response with its parsed body; `body` is empty if it is no JSON. */
+/** HTTP response with its parsed body; `body` is empty if the text is not JSON. */
 export interface JsonResponse {
   readonly status: number;
   readonly headers: Headers;
