--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -27,7 +27,7 @@
 /** Delay before a call is repeated whose reply was lost or not final. */
 const RETRY_DELAY_MS = 1_500;
 
-/** Time after which a client gives up on one call. */
+/** Time after which a client treats a call as lost. */
 const CALL_TIMEOUT_MS = 12_000;
 
 /** Time for which a call may wait for the end of the request. */
@@ -37,7 +37,7 @@
  * Client that sends requests to entry processes, mostly of its own zone, and
  * repeats a call under the same identity until the reply is final.
  */
-export class FakeClient implements fakeNetwork.Endpoint {
+export class FakeClient implements fakeNetwork.NetworkEndpoint {
   readonly requests: ClientRequest[] = [];
 
   constructor(
