--- a/bench/fakes/invariant_checker.ts
+++ b/bench/fakes/invariant_checker.ts
@@ -13,7 +13,7 @@
   readonly evidence: string;
 }
 
-/** What the checker needs to know of a request: identity, payload and size. */
+/** The parts of a request that the checker compares with the reply. */
 export interface CheckedRequest {
   readonly identity: string;
   readonly payload: string;
@@ -24,7 +24,7 @@
  * Checks invariants from outside: it sees the starts and ends of tasks on the
  * workers and the replies to clients, but no state of the system itself.
  */
-export class InvariantChecker implements fakeWorker.WorkerObserver {
+export class InvariantChecker implements fakeWorker.TaskRunObserver {
   private readonly startCounts = new Map<string, number>();
   private readonly runningAttempts = new Map<string, Set<string>>();
   private readonly notRunReportTimesMs = new Map<string, number>();
@@ -46,7 +46,7 @@
     return this.checksMade;
   }
 
-  /** Returns how often tasks of a request were started. */
+  /** Returns how often the tasks of a request were started. */
   startCountOf(identity: string): number {
     return this.startCounts.get(identity) ?? 0;
   }
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -18,7 +18,7 @@
 
 const WORKLOAD_COUNT = 20;
 
-/** Waiting requests, enough that no room is idle for lack of work. */
+/** Waiting requests, enough that no capacity is idle for lack of work. */
 const BACKLOG_REQUESTS = 400;
 
 const STEP_MS = 100;
@@ -153,10 +153,10 @@
       this.scheduler.reportUsage(target, task => this.usageOf(task), now);
     }
     for (const task of this.scheduler.takeCheckpoints()) {
-      const stopped = this.runningTasks.remove(task);
-      if (stopped === undefined) continue;
+      const checkpointed = this.runningTasks.remove(task);
+      if (checkpointed === undefined) continue;
       this.usageByTask.delete(task);
-      this.scheduler.taskCheckpointed(stopped.placement, now);
+      this.scheduler.taskCheckpointed(checkpointed.placement, now);
       this.waitingCount += 1;
     }
   }
--- a/bench/scheduler_under_test.ts
+++ b/bench/scheduler_under_test.ts
@@ -46,7 +46,7 @@
   constructor(options: SchedulerUnderTestOptions) {
     this.harness = new schedulingHarness.SchedulingHarness(options.seed);
     for (const added of options.teams) this.harness.addTeam(added);
-    this.harness.setPlan({
+    this.harness.setFleetDefinition({
       zones: [],
       workerShapes: [{capacity: options.capacity, zones: ['kigali-a']}],
     });
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -6,7 +6,7 @@
 
 const {describe, test} = nodeTest;
 
-const BATCH: job.Queue = {
+const BATCH_QUEUE: job.Queue = {
   ...jobCell.QUEUE,
   name: 'batch',
   pathPrefix: '/batch/',
@@ -15,7 +15,7 @@
 };
 
 function batchOf(id: string, step: Partial<job.Step>): job.JobDefinition {
-  return {...jobCell.jobOf(id, step), queue: BATCH.name};
+  return {...jobCell.jobOf(id, step), queue: BATCH_QUEUE.name};
 }
 
 /** Six seconds for jobs whose id starts with `b`, else one second. */
@@ -27,11 +27,11 @@
 });
 
 describe('preemption', () => {
-  // Load: batch runs of six seconds occupy all room when urgent work with half
-  // a second of slack arrives. Guards against urgent work that waits for them.
+  // Load: batch runs of six seconds occupy all workers when urgent work with
+  // half a second of slack arrives. Guards against urgent work that waits for them.
   test('stops checkpointing batch runs for urgent work', async () => {
     const cell = new jobCell.JobCell();
-    cell.queues = [jobCell.QUEUE, BATCH];
+    cell.queues = [jobCell.QUEUE, BATCH_QUEUE];
     cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8, checkpointing: true}));
@@ -48,7 +48,7 @@
   // Guards against lost work: without a checkpoint a run starts from scratch.
   test('spares batch runs without checkpoints', async () => {
     const cell = new jobCell.JobCell();
-    cell.queues = [jobCell.QUEUE, BATCH];
+    cell.queues = [jobCell.QUEUE, BATCH_QUEUE];
     cell.addWorkers(RUNTIME_BY_JOB, 'one', 'two');
     const scheduler = await cell.startTerm(1);
     jobCell.submit(scheduler, batchOf('b1', {count: 8}));
@@ -60,15 +60,15 @@
 });
 
 describe('advice requests', () => {
-  const ADVISED: job.Queue = {
-    ...BATCH,
+  const ADVISED_QUEUE: job.Queue = {
+    ...BATCH_QUEUE,
     advice: {decideMs: 500, eachMs: 10, validMs: 2_500},
   };
 
   function provideAdvice(cell: jobCell.JobCell, asked: string[]): void {
     cell.queues = [
       {...jobCell.QUEUE, advice: {decideMs: 20, eachMs: 0, validMs: 2_500}},
-      ADVISED,
+      ADVISED_QUEUE,
     ];
     cell.advice = {
       accepts: () => true,
@@ -84,9 +84,9 @@
     };
   }
 
-  // Load: many batch jobs wait, and there is room for one. Guards against
+  // Load: many batch jobs wait, and only one fits. Guards against
   // requests for tickets that expire unused and delay others at the service.
-  test('are sent only if room is left that no other step will take', async () => {
+  test('are sent only if capacity is left that no other step will take', async () => {
     const cell = new jobCell.JobCell();
     const asked: string[] = [];
     provideAdvice(cell, asked);
@@ -105,7 +105,7 @@
   test('are sent in order of urgency when the service becomes free', async () => {
     const cell = new jobCell.JobCell();
     const asked: string[] = [];
-    cell.queues = [ADVISED];
+    cell.queues = [ADVISED_QUEUE];
     let isBusy = false;
     cell.advice = {
       accepts: () => !isBusy,
@@ -136,7 +136,7 @@
 
   // Load: most workers are full, and tasks end all the time. Guards against
   // calls that name only one worker and return at most one ticket.
-  test('name workers without room as well', async () => {
+  test('name workers without free capacity as well', async () => {
     const cell = new jobCell.JobCell();
     const named: Array<ReadonlyArray<string>> = [];
     provideAdvice(cell, []);
@@ -171,8 +171,8 @@
 });
 
 describe('a worker that fails all of its runs', () => {
-  // Load: a black hole worker fails runs at once, so it always has room for
-  // more. Guards against jobs that use up all their attempts there.
+  // Load: a black hole worker fails runs at once, so it always has free
+  // capacity. Guards against jobs that use up all their attempts there.
   test('gets no more work after two jobs failed on it', async () => {
     const cell = new jobCell.JobCell();
     cell.queues = [{...jobCell.QUEUE, attempts: 3}];
@@ -194,9 +194,9 @@
 });
 
 describe('a gang', () => {
-  // Guards against members that hold room while others have none: the gang has
-  // to wait for seven free cores.
-  test('starts once all of its tasks have room, with one run number', async () => {
+  // Guards against members that reserve capacity while others have none: the
+  // gang has to wait for seven free cores.
+  test('starts once all of its tasks fit, with one run number', async () => {
     const cell = new jobCell.JobCell();
     cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one', 'two');
     const scheduler = await cell.startTerm(1);
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -133,7 +133,7 @@
         this.supersededReasons.push(reason);
         newScheduler.retire();
       },
-      defer: pass => this.time.runAt(this.time.now(), pass),
+      defer: runPass => this.time.runAt(this.time.now(), runPass),
     });
     newScheduler.configure({
       version: 1,
@@ -150,7 +150,7 @@
   }
 
   /** Returns the starts of tasks whose name begins with `prefix`. */
-  startsOf(prefix: string): ReadonlyArray<workerModel.WorkerEvent> {
+  startsOf(prefix: string): ReadonlyArray<workerModel.RunEvent> {
     return this.workers.events.filter(
       event => event.kind === 'started' && event.task.startsWith(prefix),
     );
