--- a/src/zones/availability_zone.ts
+++ b/src/zones/availability_zone.ts
@@ -31,8 +31,8 @@
       : this.latestSummary;
   }
 
-  /** Returns whether the last summary shows room for a size. */
-  hasRoom(size: resources.Resources, now: clock.Milliseconds): boolean {
+  /** Returns whether the last summary shows enough free capacity. */
+  hasCapacityFor(size: resources.Resources, now: clock.Milliseconds): boolean {
     const current = this.summary(now);
     if (current === undefined) return false;
     return (
--- a/src/zones/zone_router.ts
+++ b/src/zones/zone_router.ts
@@ -15,7 +15,7 @@
   readonly zones: ReadonlyArray<string>;
   /** Expected wait in its own zone; Infinity if it cannot run there. */
   readonly expectedWaitMs: clock.Milliseconds;
-  /** Whether a worker of its own zone has room for it now. */
+  /** Whether a worker of its own zone has free capacity for it now. */
   readonly fitsOwnZone: boolean;
 }
 
@@ -75,7 +75,7 @@
     return [effect.count('route_crossing', {distance, reason})];
   }
 
-  /** Returns the zone at a distance with room and the shortest wait. */
+  /** Returns the zone at a distance with capacity and the shortest wait. */
   private bestZone(
     work: RoutableWork,
     distance: availabilityZone.Distance,
@@ -87,7 +87,8 @@
       .flatMap(region => region.all())
       .filter(zone => zone.distanceFrom(own) === distance)
       .filter(
-        zone => allowsZone(work, zone.name) && zone.hasRoom(work.size, now),
+        zone =>
+          allowsZone(work, zone.name) && zone.hasCapacityFor(work.size, now),
       )
       .sort(
         (left, right) => expectedWaitIn(left, now) - expectedWaitIn(right, now),
--- a/test/zones/zone_router_test.ts
+++ b/test/zones/zone_router_test.ts
@@ -30,7 +30,7 @@
 
 nodeTest.describe('routing between zones', () => {
   nodeTest.test(
-    'the nearest zone with room gets the work: guards against needless ' +
+    'the nearest zone with capacity gets the work: guards against needless ' +
       'traffic between regions',
     () => {
       const router = createRouter({a2: 500, b1: 0});
