--- a/src/zones/permit_tracker.ts
+++ b/src/zones/permit_tracker.ts
@@ -2,14 +2,14 @@
 import * as invariant from '../contracts/invariant.js';
 import * as lease from '../contracts/lease.js';
 import * as ownership from './ownership.js';
-import type * as effects from '../contracts/effect.js';
+import type * as effect from '../contracts/effect.js';
 import type * as membership from './membership.js';
 import type * as vmPresence from './vm_presence.js';
 import type * as zoneStream from './zone_stream.js';
 
 /**
- * Time for which the owner of an item may place after a proof that no other
- * process has claimed it.
+ * Time for which the owner of an item may place tasks after a proof that no
+ * other process has claimed the item.
  */
 export const PERMIT_DURATION_MS = 4_000;
 
@@ -53,8 +53,8 @@
 }
 
 /**
- * Computes until when this process may place on its workers, and records its
- * promises to other owners not to claim their items.
+ * Computes until when this process may place tasks on its workers, and records
+ * its promises to other owners not to claim their items.
  */
 export class PermitTracker {
   private readonly promiseEnds = new Map<string, clock.Milliseconds>();
@@ -63,20 +63,20 @@
   /** Last epoch of each item that this process has released. */
   private readonly releasedEpochs = new Map<string, number>();
   private readonly endObservedAt = new Map<string, clock.Milliseconds>();
-  private hasLeftValue = false;
-  private violations: effects.Effect[] = [];
+  private hasReleasedAllValue = false;
+  private violations: effect.Effect[] = [];
 
   constructor(private readonly dependencies: PermitTrackerDependencies) {}
 
   /** Whether this process has released all its items for good. */
-  get hasLeft(): boolean {
-    return this.hasLeftValue;
+  get hasReleasedAll(): boolean {
+    return this.hasReleasedAllValue;
   }
 
   /** Whether this process is a member that neither left nor was claimed. */
   get isActive(): boolean {
     const {table, process} = this.dependencies;
-    return !this.hasLeftValue && table.members().has(process);
+    return !this.hasReleasedAllValue && table.members().has(process);
   }
 
   /**
@@ -144,8 +144,8 @@
   }
 
   /** Ends all permits of this process for good. */
-  leave(): void {
-    this.hasLeftValue = true;
+  releaseAll(): void {
+    this.hasReleasedAllValue = true;
   }
 
   /** Returns whether a promise to a member is in force. */
@@ -167,14 +167,17 @@
     return true;
   }
 
-  /** Returns whether a process has ended and its last permit is over. */
+  /**
+   * Returns whether a process left or was claimed and its last permit has
+   * expired, so that its successor may act.
+   */
   hasSuccessor(process: string, now: clock.Milliseconds): boolean {
     const endedAt = this.endObservedAt.get(process);
     return endedAt !== undefined && now >= endedAt + this.claimWaitMs();
   }
 
   /** Returns the invariant violations found since the last call. */
-  takeViolations(): ReadonlyArray<effects.Effect> {
+  takeViolations(): ReadonlyArray<effect.Effect> {
     const taken = this.violations;
     if (taken.length > 0) this.violations = [];
     return taken;
@@ -186,7 +189,7 @@
    */
   private allConfirmedSince(now: clock.Milliseconds): clock.Milliseconds {
     const {members, presence, vm} = this.dependencies;
-    // Others may consider a VM gone that the list no longer names.
+    // Other members may count a VM that is missing from the list as gone.
     if (presence.wasListed(vm) && !presence.isListed(vm)) return -Infinity;
     let earliest = now;
     let hasGoneMember = false;
@@ -245,8 +248,8 @@
   }
 
   /**
-   * Checks that the permit ends before a claimant that sees its claim now may
-   * place.
+   * Checks that the permit ends before a claimant that reads its claim now may
+   * place tasks.
    */
   private checkPermitBeforeSuccession(
     current: ownership.Ownership,
--- a/src/zones/zone_router.ts
+++ b/src/zones/zone_router.ts
@@ -1,4 +1,4 @@
-import * as effects from '../contracts/effect.js';
+import * as effect from '../contracts/effect.js';
 import type * as availabilityZone from './availability_zone.js';
 import type * as clock from '../machines/clock.js';
 import type * as region from './region.js';
@@ -15,7 +15,7 @@
   readonly zones: ReadonlyArray<string>;
   /** Expected wait in its own zone; Infinity if it cannot run there. */
   readonly expectedWaitMs: clock.Milliseconds;
-  /** Whether a worker of its own zone has room for it now. */
+  /** Whether a worker of its own zone has free capacity for it now. */
   readonly fitsOwnZone: boolean;
 }
 
@@ -68,14 +68,14 @@
     return stayInOwnZone(own, 'noBetterZone');
   }
 
-  /** Returns the count of a route that leaves the own zone. */
-  countCrossing(route: Route): ReadonlyArray<effects.Effect> {
+  /** Returns the effect that counts a route; none for the own zone. */
+  countCrossing(route: Route): ReadonlyArray<effect.Effect> {
     if (route.distance === 'ownZone') return [];
     const {distance, reason} = route;
-    return [effects.count('route_crossing', {distance, reason})];
+    return [effect.count('route_crossing', {distance, reason})];
   }
 
-  /** Returns the zone at a distance with room and the shortest wait. */
+  /** Returns the zone at a distance with capacity and the shortest wait. */
   private bestZone(
     work: RoutableWork,
     distance: availabilityZone.Distance,
@@ -87,7 +87,8 @@
       .flatMap(region => region.all())
       .filter(zone => zone.distanceFrom(own) === distance)
       .filter(
-        zone => allowsZone(work, zone.name) && zone.hasRoom(work.size, now),
+        zone =>
+          allowsZone(work, zone.name) && zone.hasCapacityFor(work.size, now),
       )
       .sort(
         (left, right) => expectedWaitIn(left, now) - expectedWaitIn(right, now),
--- a/test/links/peer_link_test.ts
+++ b/test/links/peer_link_test.ts
@@ -161,13 +161,7 @@
     const from = 'peer-1';
     const to = 'peer-2';
     assert.deepEqual(withoutCalls, [
-      {
-        kind: 'confirmArrived',
-        call: 0,
-        to,
-        zonePosition: 12,
-        status: STATUS,
-      },
+      {kind: 'confirmArrived', call: 0, to, zonePosition: 12, status: STATUS},
       {
         kind: 'offerArrived',
         call: 0,
@@ -264,10 +258,7 @@
         if (posted.kind !== 'confirmArrived') return;
         const answer = answerEffectFor(posted);
         if (answer?.kind !== 'answerConfirm') return;
-        self.server.answer({
-          ...answer,
-          status: {...STATUS, from: 'peer-3'},
-        });
+        self.server.answer({...answer, status: {...STATUS, from: 'peer-3'}});
       });
       await pair.listen();
       await pair.link.perform(peerEffects(pair.address)[0]);
@@ -295,7 +286,7 @@
 nodeTest.describe('silent connections between entry processes', () => {
   // Guards against a peer that counts as dead because only the connection to it
   // is silent.
-  nodeTest.test('a probe replaces one after a timeout', async () => {
+  nodeTest.test('a probe replaces them after a timeout', async () => {
     const pair = new Pair(answerEveryCall);
     await pair.listen();
     const relay = new faultRelay.FaultRelay(pair.address);
