Rename max and min to maximum and minimum

Whole words in the names of constants, options and parameters, as the rest of the code has them: MAX_* -> MAXIMUM_*, MIN_* -> MINIMUM_*, maxOpenCalls -> maximumOpenCalls and the like. Names of libraries stay. Behaviour is unchanged.

--- a/bench/fakes/fake_log.ts
+++ b/bench/fakes/fake_log.ts
@@ -6,7 +6,7 @@
   private readonly trimmedCounts = new Map<string, number>();
   down = false;
 
-  constructor(private readonly maxRecords: number) {}
+  constructor(private readonly maximumRecords: number) {}
 
   /** Appends records in order. */
   append(stream: string, records: ReadonlyArray<string>): void {
@@ -15,7 +15,7 @@
       retained.push({offset: this.nextOffset(stream), data});
       this.streams.set(stream, retained);
     }
-    const excess = retained.length - this.maxRecords;
+    const excess = retained.length - this.maximumRecords;
     if (excess <= 0) return;
     retained.splice(0, excess);
     this.trimmedCounts.set(
--- a/bench/fakes/fake_network.ts
+++ b/bench/fakes/fake_network.ts
@@ -20,9 +20,9 @@
   private readonly partitions = new Set<string>();
   /** Messages lost per thousand. */
   lossPerThousand = 0;
-  /** Messages delayed per thousand, by up to `maxExtraDelayMs`. */
+  /** Messages delayed per thousand, by up to `maximumExtraDelayMs`. */
   latePerThousand = 0;
-  maxExtraDelayMs = 0;
+  maximumExtraDelayMs = 0;
 
   constructor(
     private readonly time: virtualTime.VirtualTime,
@@ -84,7 +84,7 @@
     const baseMs =
       from.zone === to.zone ? IN_ZONE_LATENCY_MS : CROSS_ZONE_LATENCY_MS;
     const late = this.random.below(1_000) < this.latePerThousand;
-    const extraMs = late ? this.random.below(this.maxExtraDelayMs + 1) : 0;
+    const extraMs = late ? this.random.below(this.maximumExtraDelayMs + 1) : 0;
     return baseMs + this.random.below(10) / 10 + extraMs;
   }
 }
--- a/bench/packing_bench.ts
+++ b/bench/packing_bench.ts
@@ -31,9 +31,9 @@
 
 const MEASURED_MS = 600_000;
 
-const MIN_RUN_TIME_MS = 20_000;
+const MINIMUM_RUN_TIME_MS = 20_000;
 
-const MAX_RUN_TIME_MS = 60_000;
+const MAXIMUM_RUN_TIME_MS = 60_000;
 
 interface MisdeclaredWorkload {
   readonly definition: workload.Workload;
@@ -143,7 +143,8 @@
       memory: Math.round(actualUsage.memory * usageFactor),
     });
     const runTimeMs =
-      MIN_RUN_TIME_MS + this.random.below(MAX_RUN_TIME_MS - MIN_RUN_TIME_MS);
+      MINIMUM_RUN_TIME_MS +
+      this.random.below(MAXIMUM_RUN_TIME_MS - MINIMUM_RUN_TIME_MS);
     this.runningTasks.add(placement, now, runTimeMs);
     this.scheduler.taskStarted(placement, now);
   }
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -13,14 +13,14 @@
 
 /** Time between two faults, and the range of their durations. */
 const FAULT_INTERVAL_MS = 500;
-const MIN_FAULT_DURATION_MS = 200;
+const MINIMUM_FAULT_DURATION_MS = 200;
 const FAULT_DURATION_SPREAD_MS = 2_500;
 
 /** Time between two submissions. */
 const JOB_INTERVAL_MS = 120;
 
 /** Attempts to submit a job, and the delay before each repetition. */
-const MAX_ATTEMPTS = 10;
+const MAXIMUM_ATTEMPTS = 10;
 const RETRY_DELAY_MS = 300;
 
 /** Time between two status calls for a job. */
@@ -115,7 +115,7 @@
     const steps = [step, {...step, count: 1, after: [0]}];
     this.checker.jobSubmitted(id);
     let mayRun = false;
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
       if (attempt > 0) await timers.setTimeout(RETRY_DELAY_MS);
       const {processes} = this.cell;
       const target =
@@ -133,7 +133,7 @@
 
   private async injectFault(): Promise<void> {
     const durationMs =
-      MIN_FAULT_DURATION_MS + this.randomBelow(FAULT_DURATION_SPREAD_MS);
+      MINIMUM_FAULT_DURATION_MS + this.randomBelow(FAULT_DURATION_SPREAD_MS);
     switch (this.randomBelow(8)) {
       case 0:
         return this.endProcess(target => target.child.kill(), durationMs);
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -63,13 +63,13 @@
 /** Delay after which the VM list shows that a worker leaves. */
 const VM_LIST_LAG_MS = 20_000;
 
-const MAX_TRACE_LINES = 4_000;
+const MAXIMUM_TRACE_LINES = 4_000;
 /** Time after which the platform restarts a process that ended itself. */
 const RESTART_DELAY_MS = 500;
-const MAX_CLOCK_OFFSET_MS = 1_000_000;
+const MAXIMUM_CLOCK_OFFSET_MS = 1_000_000;
 
 /** Drift of a clock to either side, in thousandths: half of the allowed drift. */
-const MAX_DRIFT_THOUSANDTHS = 5;
+const MAXIMUM_DRIFT_THOUSANDTHS = 5;
 
 function workloadTable(
   name: string,
@@ -246,9 +246,11 @@
   }
 
   private createClock(): virtualTime.DriftingClock {
-    const driftThousandths = this.random.below(2 * MAX_DRIFT_THOUSANDTHS + 1);
-    const rate = 1 + (driftThousandths - MAX_DRIFT_THOUSANDTHS) / 1_000;
-    const offsetMs = this.random.below(MAX_CLOCK_OFFSET_MS);
+    const driftThousandths = this.random.below(
+      2 * MAXIMUM_DRIFT_THOUSANDTHS + 1,
+    );
+    const rate = 1 + (driftThousandths - MAXIMUM_DRIFT_THOUSANDTHS) / 1_000;
+    const offsetMs = this.random.below(MAXIMUM_CLOCK_OFFSET_MS);
     return new virtualTime.DriftingClock(this.time, offsetMs, rate);
   }
 
@@ -310,7 +312,7 @@
         return;
       case 'lateMessages':
         this.network.latePerThousand = 200;
-        this.network.maxExtraDelayMs = 20_000;
+        this.network.maximumExtraDelayMs = 20_000;
         this.time.after(durationMs, () => (this.network.latePerThousand = 0));
         return;
       case 'blackHole':
@@ -426,7 +428,7 @@
   private trace(line: string): void {
     if (!this.options.trace) return;
     this.traceLines.push(`${this.time.now().toFixed(1)} ${line}`);
-    if (this.traceLines.length > MAX_TRACE_LINES) this.traceLines.shift();
+    if (this.traceLines.length > MAXIMUM_TRACE_LINES) this.traceLines.shift();
   }
 
   private result(): RunResult {
--- a/src/commands/entry_process.ts
+++ b/src/commands/entry_process.ts
@@ -78,8 +78,8 @@
       metrics: this.metrics,
       byteCounter: this.byteCounter,
       limits: {
-        maxBodyBytes: settings.bodyLimitBytes,
-        maxOpenCalls: settings.openCallLimit,
+        maximumBodyBytes: settings.bodyLimitBytes,
+        maximumOpenCalls: settings.openCallLimit,
       },
     });
     this.peerServer = new peerServer.PeerServer(
--- a/src/commands/retrying_caller.ts
+++ b/src/commands/retrying_caller.ts
@@ -7,7 +7,7 @@
 const RETRY_DELAY_MS = 500;
 
 /** Maximum time for which one call waits for the end of a request. */
-const MAX_WAIT_SECONDS = 20;
+const MAXIMUM_WAIT_SECONDS = 20;
 
 /** Time allowed for a reply in addition to the wait that the call requests. */
 const REPLY_ALLOWANCE_MS = 15_000;
@@ -62,7 +62,7 @@
       0,
       (this.deadlineMs - performance.now()) / 1_000,
     );
-    const waitSeconds = Math.floor(Math.min(secondsLeft, MAX_WAIT_SECONDS));
+    const waitSeconds = Math.floor(Math.min(secondsLeft, MAXIMUM_WAIT_SECONDS));
     // The last call may wait for its reply beyond the timeout.
     return {
       ...build(waitSeconds),
--- a/src/contracts/call_router.ts
+++ b/src/contracts/call_router.ts
@@ -7,7 +7,7 @@
 import type * as outcomeRecovery from './outcome_recovery.js';
 
 /** Minimum time for recovery before a call is answered with "unknown". */
-const MIN_RECOVERY_WAIT_MS = 5_000;
+const MINIMUM_RECOVERY_WAIT_MS = 5_000;
 
 /** A call that refers to the identity of one request. */
 export type IdentityCall = Extract<
@@ -154,7 +154,7 @@
   ): ReadonlyArray<effect.Effect> {
     const query = {identity, client: call.client, process};
     const waitMs = 'waitMs' in call ? call.waitMs : 0;
-    const deadline = now + Math.max(waitMs, MIN_RECOVERY_WAIT_MS);
+    const deadline = now + Math.max(waitMs, MINIMUM_RECOVERY_WAIT_MS);
     this.callsInRecovery.set(call.call, {call, query, deadline});
     const output = this.recovery.query(query, now);
     return [
--- a/src/contracts/identity_issuer.ts
+++ b/src/contracts/identity_issuer.ts
@@ -27,7 +27,7 @@
  * Maximum number of refused identities in memory, about 4 MB. Beyond it the
  * oldest refused identity expires, together with all issued before it.
  */
-const MAX_REFUSED_IDENTITIES = 50_000;
+const MAXIMUM_REFUSED_IDENTITIES = 50_000;
 
 /** Length of the secret: 96 bits, so that it can't be guessed. */
 const SECRET_HEX_DIGITS = 24;
@@ -104,7 +104,7 @@
     const parts = parse(identity);
     if (parts === undefined || parts.home !== this.home) return;
     this.refusedSequences.add(parts.sequence);
-    if (this.refusedSequences.size <= MAX_REFUSED_IDENTITIES) return;
+    if (this.refusedSequences.size <= MAXIMUM_REFUSED_IDENTITIES) return;
     const [oldest] = this.refusedSequences;
     this.refusedSequences.delete(oldest);
     this.lastExpiredSequence = Math.max(this.lastExpiredSequence, oldest);
--- a/src/contracts/journal_backend.ts
+++ b/src/contracts/journal_backend.ts
@@ -68,7 +68,7 @@
 }
 
 /** Maximum number of entries in one append or one message to a witness. */
-const MAX_BATCH_ENTRIES = 500;
+const MAXIMUM_BATCH_ENTRIES = 500;
 
 /** Time after which a failed read of this process's stream is retried. */
 const READ_RETRY_INTERVAL_MS = 1_000;
@@ -147,7 +147,7 @@
   flush(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.phase !== 'idle' || this.queuedRecords.length === 0) return [];
     if (now < this.nextAppendAt) return [];
-    this.batch = this.queuedRecords.splice(0, MAX_BATCH_ENTRIES);
+    this.batch = this.queuedRecords.splice(0, MAXIMUM_BATCH_ENTRIES);
     this.phase = 'appending';
     this.nextAppendAt = now + this.appendIntervalMs();
     this.appendNumber += 1;
@@ -301,7 +301,7 @@
     if (this.batch.length > 0 || this.queuedRecords.length === 0) return [];
     const members = this.directory.members();
     if (members.length === 0) return [];
-    this.batch = this.queuedRecords.splice(0, MAX_BATCH_ENTRIES);
+    this.batch = this.queuedRecords.splice(0, MAXIMUM_BATCH_ENTRIES);
     this.batchNumber += 1;
     this.batchDeadline = now + WITNESS_TIMEOUT_MS;
     this.unacknowledged.clear();
--- a/src/contracts/outcome_recovery.ts
+++ b/src/contracts/outcome_recovery.ts
@@ -21,7 +21,7 @@
 const JOURNAL_COPY_RETENTION_MS = 600_000;
 
 /** Maximum number of cached outcomes, separately for requests and tasks. */
-const MAX_KEPT_OUTCOMES = 10_000;
+const MAXIMUM_KEPT_OUTCOMES = 10_000;
 
 const RESULT_BY_END_STATE = {
   finished: 'ok',
@@ -488,7 +488,7 @@
   value: Value,
 ): void {
   kept.set(key, value);
-  if (kept.size <= MAX_KEPT_OUTCOMES) return;
+  if (kept.size <= MAXIMUM_KEPT_OUTCOMES) return;
   const oldest = kept.keys().next().value;
   if (oldest !== undefined) kept.delete(oldest);
 }
--- a/src/contracts/outgoing_offers.ts
+++ b/src/contracts/outgoing_offers.ts
@@ -12,10 +12,10 @@
 const OFFER_DELAY_MS = 250;
 
 /** Maximum factor by which refusals delay the next offer. */
-const MAX_BACKOFF_FACTOR = 8;
+const MAXIMUM_BACKOFF_FACTOR = 8;
 
 /** Maximum number of offers that are open at the same time. */
-const MAX_OPEN_OFFERS = 16;
+const MAXIMUM_OPEN_OFFERS = 16;
 
 /** Time after which an unanswered offer is resent. */
 const RESEND_INTERVAL_MS = 1_000;
@@ -97,7 +97,7 @@
     now: clock.Milliseconds,
   ): OfferOutput {
     for (const candidate of waiting) {
-      if (this.openOffers.size >= MAX_OPEN_OFFERS) break;
+      if (this.openOffers.size >= MAXIMUM_OPEN_OFFERS) break;
       this.offer(candidate, now);
     }
     return this.takeOutput();
@@ -315,7 +315,8 @@
   }
 
   private handleRefusal(offer: OpenOffer, now: clock.Milliseconds): void {
-    const waitMs = OFFER_DELAY_MS * Math.min(offer.attempt, MAX_BACKOFF_FACTOR);
+    const waitMs =
+      OFFER_DELAY_MS * Math.min(offer.attempt, MAXIMUM_BACKOFF_FACTOR);
     this.refusals.set(offer.identity, {
       count: offer.attempt,
       lastPeer: offer.peer,
--- a/src/contracts/request_coordinator.ts
+++ b/src/contracts/request_coordinator.ts
@@ -49,10 +49,10 @@
 >;
 
 /** Maximum number of queued requests considered for an offer in one turn. */
-const MAX_OFFER_CANDIDATES = 16;
+const MAXIMUM_OFFER_CANDIDATES = 16;
 
 /** Maximum number of identities that one call reserves. */
-const MAX_IDENTITIES_PER_CALL = 1_000;
+const MAXIMUM_IDENTITIES_PER_CALL = 1_000;
 
 /**
  * Coordinates requests from their arrival to their answer. It dispatches events
@@ -246,7 +246,7 @@
   ): ReadonlyArray<effect.Effect> {
     const refusal = this.admissionRefusal();
     if (refusal !== undefined) return callReply.refuse(call.call, refusal);
-    const count = Math.min(call.count, MAX_IDENTITIES_PER_CALL);
+    const count = Math.min(call.count, MAXIMUM_IDENTITIES_PER_CALL);
     const issued: string[] = [];
     while (issued.length < count) {
       issued.push(this.issuer.issue(call.client, now));
@@ -550,7 +550,7 @@
 
   private offerWaiting(now: clock.Milliseconds): ReadonlyArray<effect.Effect> {
     if (this.parts.isSuperseded()) return [];
-    const waiting = this.parts.queue.waiting(MAX_OFFER_CANDIDATES);
+    const waiting = this.parts.queue.waiting(MAXIMUM_OFFER_CANDIDATES);
     if (waiting.length === 0) return [];
     return this.applyOfferOutput(this.outgoing.offerWaiting(waiting, now), now);
   }
--- a/src/contracts/request_journal.ts
+++ b/src/contracts/request_journal.ts
@@ -9,16 +9,16 @@
  * refused and the ends of requests are not recorded, so that recovery has to
  * query the worker for them.
  */
-const MAX_PENDING_ENTRIES = 10_000;
+const MAXIMUM_PENDING_ENTRIES = 10_000;
 
 /**
  * Maximum append rate of all entry processes together. The log accepts several
  * hundred appends a second.
  */
-const MAX_APPENDS_PER_SECOND = 300;
+const MAXIMUM_APPENDS_PER_SECOND = 300;
 
 /** Maximum size of a recorded answer; a longer answer is dropped. */
-const MAX_ANSWER_BYTES = 4_096;
+const MAXIMUM_ANSWER_BYTES = 4_096;
 
 /** Newly recorded entries and the effects of handling one event. */
 export type RequestJournalOutput = journalBackend.JournalOutput;
@@ -40,7 +40,7 @@
   constructor(process: string, directory: processDirectory.ProcessDirectory) {
     this.log = new journalBackend.LogJournal(
       process,
-      () => (this.processCount * 1_000) / MAX_APPENDS_PER_SECOND,
+      () => (this.processCount * 1_000) / MAXIMUM_APPENDS_PER_SECOND,
     );
     this.witnesses = new journalBackend.WitnessJournal(directory);
   }
@@ -52,7 +52,7 @@
       number: this.lastEntryNumber,
       entry: withoutLongAnswer(entry),
     };
-    const isFull = this.log.pendingCount() >= MAX_PENDING_ENTRIES;
+    const isFull = this.log.pendingCount() >= MAXIMUM_PENDING_ENTRIES;
     if (isFull && entry.kind === 'finished') return record.number;
     this.unrecordedNumbers.add(record.number);
     this.log.record(record);
@@ -62,7 +62,7 @@
 
   /** Returns whether a new entry can probably be recorded. */
   isAvailable(): boolean {
-    if (this.log.pendingCount() >= MAX_PENDING_ENTRIES) return false;
+    if (this.log.pendingCount() >= MAXIMUM_PENDING_ENTRIES) return false;
     return this.log.isAvailable() || this.witnesses.isAvailable();
   }
 
@@ -135,6 +135,6 @@
   entry: journalBackend.JournalEntry,
 ): journalBackend.JournalEntry {
   if (entry.kind !== 'finished') return entry;
-  if (Buffer.byteLength(entry.answer) <= MAX_ANSWER_BYTES) return entry;
+  if (Buffer.byteLength(entry.answer) <= MAXIMUM_ANSWER_BYTES) return entry;
   return {...entry, answer: '', answerKept: false};
 }
--- a/src/contracts/request_lifecycle.ts
+++ b/src/contracts/request_lifecycle.ts
@@ -19,7 +19,7 @@
 const RECORD_TIMEOUT_MS = lease.RECORDED_LEASE_MS - lease.START_LEASE_MS;
 
 /** Maximum number of placements of a request whose tasks keep failing. */
-const MAX_ATTEMPTS = 3;
+const MAXIMUM_ATTEMPTS = 3;
 
 /** Limits retries; all requests of a process share one budget. */
 export interface RetryLimiter {
@@ -512,7 +512,7 @@
     if (!outcome.consumesRetry) return true;
     const hasFailed = attempt.tasks().some(task => task.end === 'failed');
     const isLimited = attempt.request.workload.kind !== 'service';
-    if (hasFailed && isLimited && attempt.attemptNumber >= MAX_ATTEMPTS) {
+    if (hasFailed && isLimited && attempt.attemptNumber >= MAXIMUM_ATTEMPTS) {
       return false;
     }
     return this.parts.retries.trySpend(now);
--- a/src/contracts/retry_budget.ts
+++ b/src/contracts/retry_budget.ts
@@ -7,7 +7,7 @@
 const RETRIES_GRANTED_PER_SECOND = 1;
 
 /** Maximum number of saved retries; more would allow a retry storm. */
-const MAX_EARNED_RETRIES = 100;
+const MAXIMUM_EARNED_RETRIES = 100;
 
 /** Retry budget of a process, to which every retry is charged. */
 export class RetryBudget {
@@ -18,7 +18,7 @@
   /** Adds the share of a retry that a success earns. */
   recordSuccess(): void {
     this.earnedRetries = Math.min(
-      MAX_EARNED_RETRIES,
+      MAXIMUM_EARNED_RETRIES,
       this.earnedRetries + RETRIES_EARNED_PER_SUCCESS,
     );
   }
--- a/src/contracts/witness_store.ts
+++ b/src/contracts/witness_store.ts
@@ -8,7 +8,7 @@
 const ENTRY_RETENTION_MS = 7_200_000;
 
 /** Maximum number of entries stored for one process; the rest is refused. */
-const MAX_ENTRIES_PER_PROCESS = 20_000;
+const MAXIMUM_ENTRIES_PER_PROCESS = 20_000;
 
 /** Journal entries that one other process has sent here. */
 interface StoredProcessEntries {
@@ -77,7 +77,10 @@
       records: new Map<number, string>(),
       lastStoredAt: now,
     };
-    if (storedEntries.records.size + entries.length > MAX_ENTRIES_PER_PROCESS) {
+    if (
+      storedEntries.records.size + entries.length >
+      MAXIMUM_ENTRIES_PER_PROCESS
+    ) {
       return false;
     }
     for (const text of entries) {
--- a/src/links/call_parser.ts
+++ b/src/links/call_parser.ts
@@ -7,25 +7,25 @@
 import type * as resources from '../machines/resources.js';
 
 /** Longest wait that a caller may ask for, in seconds. */
-export const MAX_WAIT_SECONDS = 300;
+export const MAXIMUM_WAIT_SECONDS = 300;
 
 /** Largest number of identities that one call may request. */
-export const MAX_IDENTITIES_PER_CALL = 100;
+export const MAXIMUM_IDENTITIES_PER_CALL = 100;
 
 /**
  * Maximum characters of the name of a client, team, workload, worker or
  * publication.
  */
-const MAX_NAME_LENGTH = 80;
+const MAXIMUM_NAME_LENGTH = 80;
 
 /** Maximum characters of an identity; issued identities are shorter. */
-const MAX_IDENTITY_LENGTH = 200;
+const MAXIMUM_IDENTITY_LENGTH = 200;
 
 /** Maximum characters of a payload; the default body limit is lower. */
-const MAX_PAYLOAD_LENGTH = 67_108_864;
+const MAXIMUM_PAYLOAD_LENGTH = 67_108_864;
 
 /** Largest quantity of a size, and longest start deadline in milliseconds. */
-const MAX_QUANTITY = 1_000_000_000;
+const MAXIMUM_QUANTITY = 1_000_000_000;
 
 /** An HTTP call with its body, before any check. */
 export interface RawCall {
@@ -81,13 +81,13 @@
     .chain(raw => fieldChecks.rejectUnknownFields(raw, known))
     .chain(raw =>
       fieldChecks
-        .checkText('team', raw['team'], 1, MAX_NAME_LENGTH)
+        .checkText('team', raw['team'], 1, MAXIMUM_NAME_LENGTH)
         .chain(() =>
           fieldChecks.checkText(
             'workload',
             raw['workload'],
             1,
-            MAX_NAME_LENGTH,
+            MAXIMUM_NAME_LENGTH,
           ),
         )
         .chain(() =>
@@ -95,13 +95,18 @@
             'payload',
             raw['payload'],
             0,
-            MAX_PAYLOAD_LENGTH,
+            MAXIMUM_PAYLOAD_LENGTH,
           ),
         )
         .chain(() => parseOptional(raw['size'], parseSize))
         .chain(() =>
           parseOptional(raw['startDeadlineMs'], value =>
-            fieldChecks.checkInteger('startDeadlineMs', value, 0, MAX_QUANTITY),
+            fieldChecks.checkInteger(
+              'startDeadlineMs',
+              value,
+              0,
+              MAXIMUM_QUANTITY,
+            ),
           ),
         )
         .map(() => raw as unknown as request.Submission),
@@ -185,7 +190,7 @@
           'count',
           raw['count'],
           1,
-          MAX_IDENTITIES_PER_CALL,
+          MAXIMUM_IDENTITIES_PER_CALL,
         ),
       )
       .map(count =>
@@ -275,7 +280,7 @@
     .chain(raw => fieldChecks.rejectUnknownFields(raw, ['worker']))
     .chain(raw =>
       parseOptional(raw['worker'], value =>
-        fieldChecks.checkText('worker', value, 1, MAX_NAME_LENGTH),
+        fieldChecks.checkText('worker', value, 1, MAXIMUM_NAME_LENGTH),
       ),
     )
     .map(worker =>
@@ -295,7 +300,7 @@
   header: string,
   value: string | undefined,
 ): Checked<string> {
-  return fieldChecks.checkText(header, value, 1, MAX_NAME_LENGTH);
+  return fieldChecks.checkText(header, value, 1, MAXIMUM_NAME_LENGTH);
 }
 
 function parseBaseVersion(ifMatch: string | undefined): Checked<number> {
@@ -313,12 +318,12 @@
   const text = parameters.get('wait');
   if (text === null) return either.Right(0);
   const seconds = Number(text);
-  const valid = /^\d+(\.\d+)?$/.test(text) && seconds <= MAX_WAIT_SECONDS;
+  const valid = /^\d+(\.\d+)?$/.test(text) && seconds <= MAXIMUM_WAIT_SECONDS;
   if (valid) return either.Right(seconds * 1_000);
   return fieldChecks.fieldFailure(
     'wait',
     text,
-    `must be a number of seconds from 0 to ${MAX_WAIT_SECONDS}`,
+    `must be a number of seconds from 0 to ${MAXIMUM_WAIT_SECONDS}`,
   );
 }
 
@@ -333,7 +338,7 @@
           `size.${key}`,
           raw[key],
           0,
-          MAX_QUANTITY,
+          MAXIMUM_QUANTITY,
         );
         if (checked.isLeft()) return either.Left(checked.extract());
       }
@@ -352,7 +357,7 @@
 }
 
 function parseIdentity(name: string): Checked<string> {
-  if (/^[\w.-]+$/.test(name) && name.length <= MAX_IDENTITY_LENGTH) {
+  if (/^[\w.-]+$/.test(name) && name.length <= MAXIMUM_IDENTITY_LENGTH) {
     return either.Right(name);
   }
   return either.Left(
--- a/src/links/caller_server.ts
+++ b/src/links/caller_server.ts
@@ -20,10 +20,10 @@
  * returns early only when the request ends, so other changes of state are
  * reported with up to this delay.
  */
-const MIN_POLL_MS = 250;
+const MINIMUM_POLL_MS = 250;
 
 /** Longest wait of a poll while the state of the request does not change. */
-const MAX_POLL_MS = 5_000;
+const MAXIMUM_POLL_MS = 5_000;
 
 /** Time within which the loop must answer a readiness check. */
 const READY_TIMEOUT_MS = 1_000;
@@ -54,15 +54,15 @@
   /** Time within which a body must arrive. */
   readonly bodyTimeoutMs: number;
   /** Largest size of a body. */
-  readonly maxBodyBytes: number;
+  readonly maximumBodyBytes: number;
   /** Largest number of calls that are open at once. */
-  readonly maxOpenCalls: number;
+  readonly maximumOpenCalls: number;
 }
 
 const DEFAULT_LIMITS: CallerLimits = {
   bodyTimeoutMs: 10_000,
-  maxBodyBytes: jsonBody.MAX_BODY_BYTES,
-  maxOpenCalls: 10_000,
+  maximumBodyBytes: jsonBody.MAXIMUM_BODY_BYTES,
+  maximumOpenCalls: 10_000,
 };
 
 /** HTTP server for callers and operators; posts their calls as events. */
@@ -175,7 +175,7 @@
     if (this.draining) response.setHeader('connection', 'close');
     const body = await jsonBody.readBody(
       incoming,
-      this.limits.maxBodyBytes,
+      this.limits.maximumBodyBytes,
       this.limits.bodyTimeoutMs,
     );
     if (body.kind !== 'body') {
@@ -186,8 +186,8 @@
       jsonBody.sendJson(response, 200, {live: true});
     } else if (incoming.url === '/ready') {
       await this.answerReady(response);
-    } else if (this.openCount > this.limits.maxOpenCalls) {
-      const detail = `calls: ${this.openCount}: at most ${this.limits.maxOpenCalls} at once`;
+    } else if (this.openCount > this.limits.maximumOpenCalls) {
+      const detail = `calls: ${this.openCount}: at most ${this.limits.maximumOpenCalls} at once`;
       // A call that names an identity may repeat a request that already ran.
       const name = targetsRequest(incoming) ? 'unknownOutcome' : 'tooManyCalls';
       this.refuse(response, result.failure(name, detail));
@@ -259,11 +259,11 @@
         currentCall = this.options.callNumbers.allocate();
         // Each poll may cross regions, so the wait doubles while the state
         // does not change.
-        const doubledWaitMs = Math.max(2 * waitMs, MIN_POLL_MS);
+        const doubledWaitMs = Math.max(2 * waitMs, MINIMUM_POLL_MS);
         poll(
           change === 'changed'
-            ? MIN_POLL_MS
-            : Math.min(doubledWaitMs, MAX_POLL_MS),
+            ? MINIMUM_POLL_MS
+            : Math.min(doubledWaitMs, MAXIMUM_POLL_MS),
         );
       });
     };
@@ -314,7 +314,7 @@
         response,
         result.failure(
           'bodyTooLarge',
-          `body: must have at most ${this.limits.maxBodyBytes} bytes`,
+          `body: must have at most ${this.limits.maximumBodyBytes} bytes`,
         ),
       );
     } else {
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -209,7 +209,7 @@
       sessionManager: session,
       // Messages have a few hundred bytes; compression would only add headers.
       acceptCompression: [],
-      readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
+      readMaxBytes: cellMessages.MAXIMUM_MESSAGE_BYTES,
     });
     const client = connect.createClient(cellPb.Cell, transport);
     const opened = {client, session, lastAnswerAtMs: -Infinity};
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -4,7 +4,7 @@
 import type * as cellPb from './generated/cell_pb.js';
 
 /** Largest message between cell members, in bytes. */
-export const MAX_MESSAGE_BYTES = 1_048_576;
+export const MAXIMUM_MESSAGE_BYTES = 1_048_576;
 
 /** Encodes a claim, whose term is a bigint in the message. */
 export function encodeClaim(
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -13,7 +13,7 @@
   protobuf.MessageInitShape<Schema>;
 
 /** Upper bound of a reported age; receivers treat larger ages alike. */
-const MAX_REPORTED_AGE_MS = 3_600_000;
+const MAXIMUM_REPORTED_AGE_MS = 3_600_000;
 
 const NOT_LEADING = {leading: cellPb.Leading.NO} as const;
 const NO_DOCUMENT = new Uint8Array(0);
@@ -28,7 +28,7 @@
       connectNode.connectNodeAdapter({
         routes: router => this.registerRoutes(router),
         acceptCompression: [],
-        readMaxBytes: cellMessages.MAX_MESSAGE_BYTES,
+        readMaxBytes: cellMessages.MAXIMUM_MESSAGE_BYTES,
         grpc: false,
         grpcWeb: false,
       }),
@@ -77,7 +77,7 @@
       configurationVersion: BigInt(answer.configurationVersion),
       configurationAgeMs: Math.min(
         answer.configurationAgeMs,
-        MAX_REPORTED_AGE_MS,
+        MAXIMUM_REPORTED_AGE_MS,
       ),
     };
   }
--- a/src/links/document_schema.ts
+++ b/src/links/document_schema.ts
@@ -5,51 +5,51 @@
 const DEFAULT_CONNECTIONS = 60;
 
 /** Largest processor capacity of a worker or quota, in thousandths. */
-const MAX_PROCESSOR_THOUSANDTHS = 100_000_000;
+const MAXIMUM_PROCESSOR_THOUSANDTHS = 100_000_000;
 
 /** Largest memory of a worker or quota, in MiB. */
-const MAX_MEMORY_MIB = 10_000_000_000;
+const MAXIMUM_MEMORY_MIB = 10_000_000_000;
 
 /** Largest number of accelerators or slots of a worker or quota. */
-const MAX_COUNT = 1_000_000;
+const MAXIMUM_COUNT = 1_000_000;
 
 /** Longest duration: 30 days. */
-const MAX_DURATION_MS = 2_592_000_000;
+const MAXIMUM_DURATION_MS = 2_592_000_000;
 
 const nameRule = new tomlSchema.NameRule();
 
 const zoneNamesRule = new tomlSchema.ListRule(nameRule, 0, 1_000);
 
 function resourcesRule(
-  minProcessors: number,
-  minMemory: number,
-  minSlots: number,
+  minimumProcessors: number,
+  minimumMemory: number,
+  minimumSlots: number,
 ): tomlSchema.TableRule {
   return new tomlSchema.TableRule([
     {
       key: 'processors',
       rule: new tomlSchema.IntegerRule(
-        minProcessors,
-        MAX_PROCESSOR_THOUSANDTHS,
+        minimumProcessors,
+        MAXIMUM_PROCESSOR_THOUSANDTHS,
       ),
       unit: 'thousandths of a processor',
       meaning: 'Processors.',
     },
     {
       key: 'memory',
-      rule: new tomlSchema.IntegerRule(minMemory, MAX_MEMORY_MIB),
+      rule: new tomlSchema.IntegerRule(minimumMemory, MAXIMUM_MEMORY_MIB),
       unit: 'MiB',
       meaning: 'Memory.',
     },
     {
       key: 'accelerators',
-      rule: new tomlSchema.IntegerRule(0, MAX_COUNT),
+      rule: new tomlSchema.IntegerRule(0, MAXIMUM_COUNT),
       default: 0,
       meaning: 'Whole accelerators.',
     },
     {
       key: 'slots',
-      rule: new tomlSchema.IntegerRule(minSlots, MAX_COUNT),
+      rule: new tomlSchema.IntegerRule(minimumSlots, MAXIMUM_COUNT),
       default: 1,
       meaning: 'Tasks that may run at the same time.',
     },
@@ -133,7 +133,7 @@
   },
   {
     key: 'runTimeMs',
-    rule: new tomlSchema.IntegerRule(0, MAX_DURATION_MS),
+    rule: new tomlSchema.IntegerRule(0, MAXIMUM_DURATION_MS),
     default: 0,
     unit: 'ms',
     meaning: 'Declared run time of one task; 0 for services.',
@@ -146,7 +146,7 @@
   },
   {
     key: 'startDeadlineMs',
-    rule: new tomlSchema.IntegerRule(0, MAX_DURATION_MS),
+    rule: new tomlSchema.IntegerRule(0, MAXIMUM_DURATION_MS),
     default: 0,
     unit: 'ms',
     meaning: 'Longest wait for a start; 0 means no deadline.',
--- a/src/links/field_checks.ts
+++ b/src/links/field_checks.ts
@@ -8,7 +8,7 @@
 export type Checked<Value> = either.Either<result.Failure, Value>;
 
 /** Maximum characters of an invalid value that an error quotes. */
-const MAX_QUOTED_LENGTH = 60;
+const MAXIMUM_QUOTED_LENGTH = 60;
 
 /** Returns the failure that names a field, its value and the broken rule. */
 export function fieldFailure<Value>(
@@ -41,18 +41,18 @@
 export function checkText(
   field: string,
   value: unknown,
-  minLength: number,
-  maxLength: number,
+  minimumLength: number,
+  maximumLength: number,
 ): Checked<string> {
   const valid =
     typeof value === 'string' &&
-    value.length >= minLength &&
-    value.length <= maxLength;
+    value.length >= minimumLength &&
+    value.length <= maximumLength;
   if (valid) return either.Right(value);
   return fieldFailure(
     field,
     value,
-    `must be a string of ${minLength} to ${maxLength} characters`,
+    `must be a string of ${minimumLength} to ${maximumLength} characters`,
   );
 }
 
@@ -85,8 +85,8 @@
 
 function quote(value: unknown): string {
   const text = JSON.stringify(value) ?? String(value);
-  if (text.length <= MAX_QUOTED_LENGTH) return text;
-  return `${text.slice(0, MAX_QUOTED_LENGTH)}...`;
+  if (text.length <= MAXIMUM_QUOTED_LENGTH) return text;
+  return `${text.slice(0, MAXIMUM_QUOTED_LENGTH)}...`;
 }
 
 function quoteKey(key: string): string {
--- a/src/links/json_body.ts
+++ b/src/links/json_body.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 
 /** Default limit of the size of a caller's body. */
-export const MAX_BODY_BYTES = 1_048_576;
+export const MAXIMUM_BODY_BYTES = 1_048_576;
 
 /**
  * Multiple of the size limit up to which an oversized body is read and
@@ -17,10 +17,10 @@
 export type BodyOutcome =
   {readonly kind: 'body'; readonly text: string} | {readonly kind: BodyError};
 
-/** Reads a body of at most `maxBytes` bytes within `timeoutMs`. */
+/** Reads a body of at most `maximumBytes` bytes within `timeoutMs`. */
 export function readBody(
   incoming: http.IncomingMessage,
-  maxBytes: number,
+  maximumBytes: number,
   timeoutMs: number,
 ): Promise<BodyOutcome> {
   return new Promise(resolve => {
@@ -34,12 +34,14 @@
     const timer = setTimeout(() => finish({kind: 'tooSlow'}), timeoutMs);
     incoming.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length;
-      if (receivedBytes <= maxBytes) chunks.push(chunk);
+      if (receivedBytes <= maximumBytes) chunks.push(chunk);
       else chunks.length = 0;
-      if (receivedBytes > maxBytes * DISCARD_FACTOR) finish({kind: 'tooLarge'});
+      if (receivedBytes > maximumBytes * DISCARD_FACTOR) {
+        finish({kind: 'tooLarge'});
+      }
     });
     incoming.once('end', () => {
-      if (receivedBytes > maxBytes) finish({kind: 'tooLarge'});
+      if (receivedBytes > maximumBytes) finish({kind: 'tooLarge'});
       else finish({kind: 'body', text: Buffer.concat(chunks).toString('utf8')});
     });
     incoming.once('close', () => finish({kind: 'aborted'}));
--- a/src/links/peer_connections.ts
+++ b/src/links/peer_connections.ts
@@ -95,7 +95,7 @@
       sessionManager: session,
       // Messages have a few hundred bytes; compression would only add headers.
       acceptCompression: [],
-      readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
+      readMaxBytes: peerMessages.MAXIMUM_MESSAGE_BYTES,
     });
     return {client: connect.createClient(peerPb.Peer, transport), session};
   }
--- a/src/links/peer_messages.ts
+++ b/src/links/peer_messages.ts
@@ -8,7 +8,7 @@
 const UINT32_MAX = 0xffffffff;
 
 /** Largest message that is accepted; answers of tasks are the largest. */
-export const MAX_MESSAGE_BYTES = 67_108_864;
+export const MAXIMUM_MESSAGE_BYTES = 67_108_864;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
--- a/src/links/peer_server.ts
+++ b/src/links/peer_server.ts
@@ -45,7 +45,7 @@
       connectNode.connectNodeAdapter({
         routes: router => this.registerRoutes(router),
         acceptCompression: [],
-        readMaxBytes: peerMessages.MAX_MESSAGE_BYTES,
+        readMaxBytes: peerMessages.MAXIMUM_MESSAGE_BYTES,
         grpc: false,
         grpcWeb: false,
       }),
--- a/src/links/platform_link.ts
+++ b/src/links/platform_link.ts
@@ -9,10 +9,10 @@
 const CALL_TIMEOUT_MS = 2_000;
 
 /** Largest number of records that one read returns. */
-const MAX_RECORDS_PER_READ = 500;
+const MAXIMUM_RECORDS_PER_READ = 500;
 
 /** Largest response that is accepted. */
-const MAX_RESPONSE_BYTES = 67_108_864;
+const MAXIMUM_RESPONSE_BYTES = 67_108_864;
 
 /** Addresses of the platform's log service and VM list. */
 export interface PlatformAddresses {
@@ -67,7 +67,7 @@
       body: {records: platformEffect.records},
       headersTimeoutMs: CALL_TIMEOUT_MS,
       bodyTimeoutMs: CALL_TIMEOUT_MS,
-      maxResponseBytes: MAX_RESPONSE_BYTES,
+      maximumResponseBytes: MAXIMUM_RESPONSE_BYTES,
     });
     const appended = outcome.kind === 'answered' && outcome.status === 200;
     if (!appended) this.countFailure('append', 'no_answer');
@@ -83,7 +83,7 @@
     const sentAt = this.options.now();
     const text = await this.fetchText(
       this.options.addresses.log,
-      `${recordsPath(stream)}?from=${from}&limit=${MAX_RECORDS_PER_READ}`,
+      `${recordsPath(stream)}?from=${from}&limit=${MAXIMUM_RECORDS_PER_READ}`,
     );
     const batch = text === undefined ? undefined : parseRecords(text);
     if (batch === undefined) {
@@ -150,7 +150,7 @@
     path,
     headersTimeoutMs: CALL_TIMEOUT_MS,
     bodyTimeoutMs: CALL_TIMEOUT_MS,
-    maxResponseBytes: MAX_RESPONSE_BYTES,
+    maximumResponseBytes: MAXIMUM_RESPONSE_BYTES,
   };
 }
 
@@ -171,10 +171,12 @@
     return undefined;
   }
   if (!Array.isArray(records) || !records.every(isRecord)) return undefined;
-  let minOffset = first;
+  let minimumOffset = first;
   for (const record of records) {
-    if (record.offset < minOffset || record.offset >= next) return undefined;
-    minOffset = record.offset + 1;
+    if (record.offset < minimumOffset || record.offset >= next) {
+      return undefined;
+    }
+    minimumOffset = record.offset + 1;
   }
   return {first, next, records};
 }
--- a/src/links/pooled_http_client.ts
+++ b/src/links/pooled_http_client.ts
@@ -16,7 +16,7 @@
   /** Timeout from the headers to the end of the response. */
   readonly bodyTimeoutMs: number;
   /** Largest response body. */
-  readonly maxResponseBytes: number;
+  readonly maximumResponseBytes: number;
   /** Aborts the request early. */
   readonly signal?: AbortSignal;
 }
@@ -289,7 +289,10 @@
     );
   }, request.bodyTimeoutMs);
   try {
-    const text = await readBodyText(response.body, request.maxResponseBytes);
+    const text = await readBodyText(
+      response.body,
+      request.maximumResponseBytes,
+    );
     const {etag} = response.headers;
     const entityTag = typeof etag === 'string' ? etag : undefined;
     return {
@@ -305,16 +308,16 @@
 
 async function readBodyText(
   body: AsyncIterable<Buffer>,
-  maxBytes: number,
+  maximumBytes: number,
 ): Promise<string> {
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   for await (const chunk of body) {
     receivedBytes += chunk.length;
-    if (receivedBytes > maxBytes) {
+    if (receivedBytes > maximumBytes) {
       throw new CallError(
         'TOO_LARGE',
-        `the response body exceeds ${maxBytes} bytes`,
+        `the response body exceeds ${maximumBytes} bytes`,
       );
     }
     chunks.push(chunk);
--- a/src/links/toml_schema.ts
+++ b/src/links/toml_schema.ts
@@ -46,14 +46,14 @@
 }
 
 /** Maximum characters of a value that a fault shows in full. */
-const MAX_SHOWN_LENGTH = 120;
+const MAXIMUM_SHOWN_LENGTH = 120;
 
 /** Returns the fault of a value that violates `rule`. */
 export function toFault(field: string, value: unknown, rule: string): Fault {
   const text = value === undefined ? 'missing' : JSON.stringify(value);
   const shown =
-    text.length > MAX_SHOWN_LENGTH
-      ? `${text.slice(0, MAX_SHOWN_LENGTH)}...`
+    text.length > MAXIMUM_SHOWN_LENGTH
+      ? `${text.slice(0, MAXIMUM_SHOWN_LENGTH)}...`
       : text;
   return {field, value: shown, rule};
 }
@@ -80,14 +80,14 @@
 export class TextRule extends ScalarRule {
   readonly requirement: string;
 
-  constructor(private readonly maxLength: number) {
+  constructor(private readonly maximumLength: number) {
     super();
-    this.requirement = `text of 1 to ${maxLength} printable characters`;
+    this.requirement = `text of 1 to ${maximumLength} printable characters`;
   }
 
   protected allows(value: unknown): boolean {
     if (typeof value !== 'string') return false;
-    if (value.length === 0 || value.length > this.maxLength) return false;
+    if (value.length === 0 || value.length > this.maximumLength) return false;
     return /^[^\p{Cc}]+$/u.test(value);
   }
 }
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -4,9 +4,9 @@
 /** Timing of the reads of a followed topic. */
 export interface TopicFollowerOptions {
   /** Longest time that a read waits for a record. */
-  readonly maxWaitMs: number;
+  readonly maximumWaitMs: number;
   /** Shortest time between two reads; batches the records in between. */
-  readonly minReadIntervalMs: number;
+  readonly minimumReadIntervalMs: number;
 }
 
 /** Receives the records of a followed topic and its availability. */
@@ -54,7 +54,7 @@
       this.isAvailable = answered;
       const elapsedMs = this.clock.now() - startedAtMs;
       const pauseMs = this.isAvailable
-        ? this.options.minReadIntervalMs - elapsedMs
+        ? this.options.minimumReadIntervalMs - elapsedMs
         : RETRY_DELAY_MS;
       if (pauseMs > 0) await this.pause(pauseMs);
     }
@@ -68,7 +68,7 @@
     const isSnapshot = this.nextOffset === undefined;
     // While the store is unavailable, a read with a wait would block for the
     // whole wait in a silent store, even if the store recovers meanwhile.
-    const waitMs = this.isAvailable ? this.options.maxWaitMs : 0;
+    const waitMs = this.isAvailable ? this.options.maximumWaitMs : 0;
     const outcome =
       this.nextOffset === undefined
         ? await this.topic.readNewest()
--- a/src/links/worker_link.ts
+++ b/src/links/worker_link.ts
@@ -17,10 +17,10 @@
 const TRANSFER_TIMEOUT_MS = 60_000;
 
 /** Largest report that is accepted; enough for about 10,000 tasks. */
-const MAX_REPORT_BYTES = 8_388_608;
+const MAXIMUM_REPORT_BYTES = 8_388_608;
 
 /** Largest answer of a task that is accepted. */
-const MAX_ANSWER_BYTES = 67_108_864;
+const MAXIMUM_ANSWER_BYTES = 67_108_864;
 
 type WorkerCall = Pick<effect.WorkerEffect, 'kind' | 'worker' | 'address'>;
 
@@ -139,7 +139,7 @@
       path: taskPath(taskName, 'answer'),
       headersTimeoutMs: ANSWER_WAIT_TIMEOUT_MS,
       bodyTimeoutMs: TRANSFER_TIMEOUT_MS,
-      maxResponseBytes: MAX_ANSWER_BYTES,
+      maximumResponseBytes: MAXIMUM_ANSWER_BYTES,
       signal,
     });
     this.pendingAnswers.untrack(worker, taskName, signal);
@@ -184,7 +184,7 @@
       body,
       headersTimeoutMs: CALL_TIMEOUT_MS,
       bodyTimeoutMs: CALL_TIMEOUT_MS,
-      maxResponseBytes: MAX_REPORT_BYTES,
+      maximumResponseBytes: MAXIMUM_REPORT_BYTES,
     });
     if (outcome.kind !== 'answered') {
       const labels = {call: workerEffect.kind, outcome: outcome.kind};
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -53,7 +53,7 @@
 const DEFAULT_WORKER_COUNT = 2;
 
 /** A launch is repeated because another program may take a chosen port. */
-const MAX_LAUNCH_ATTEMPTS = 3;
+const MAXIMUM_LAUNCH_ATTEMPTS = 3;
 
 const DEFAULT_COMMAND = [process.execPath, 'build/platform/main.js'];
 
@@ -111,7 +111,7 @@
       } catch (fault) {
         started.storeRelay.close();
         // Another program may have bound a port that `findFreePorts` released.
-        if (attempt === MAX_LAUNCH_ATTEMPTS) throw fault;
+        if (attempt === MAXIMUM_LAUNCH_ATTEMPTS) throw fault;
       }
     }
   }
--- a/stand_ins/platform_try.ts
+++ b/stand_ins/platform_try.ts
@@ -19,7 +19,7 @@
 const JOB_TIMEOUT_MS = 20_000;
 
 /** Attempts to submit a job, and the delay before each repetition. */
-const MAX_ATTEMPTS = 8;
+const MAXIMUM_ATTEMPTS = 8;
 const RETRY_DELAY_MS = 250;
 
 const JOB_REQUEST = {
@@ -91,7 +91,7 @@
     const startedAtMs = performance.now();
     let attempts = 0;
     let status = 0;
-    while (status !== 200 && attempts < MAX_ATTEMPTS) {
+    while (status !== 200 && attempts < MAXIMUM_ATTEMPTS) {
       if (attempts > 0) await timers.setTimeout(RETRY_DELAY_MS);
       const target =
         this.cell.processes[(jobNumber + attempts) % PROCESS_COUNT];
--- a/stand_ins/stand_in_server.ts
+++ b/stand_ins/stand_in_server.ts
@@ -5,7 +5,7 @@
 import type * as net from 'node:net';
 
 /** Largest request body that a stand-in accepts: 64 MiB. */
-const MAX_BODY_BYTES = 67_108_864;
+const MAXIMUM_BODY_BYTES = 67_108_864;
 
 /** Time within which a whole request body has to arrive. */
 const BODY_TIMEOUT_MS = 10_000;
@@ -56,8 +56,8 @@
   }
 
   /** Sets the number of connections above which new ones are refused. */
-  limitConnections(maxConnections: number): void {
-    this.server.maxConnections = maxConnections;
+  limitConnections(maximumConnections: number): void {
+    this.server.maxConnections = maximumConnections;
   }
 
   /** Returns the number of open connections, silenced ones included. */
@@ -86,7 +86,7 @@
     const {socket} = incoming;
     const body = await jsonBody.readBody(
       incoming,
-      MAX_BODY_BYTES,
+      MAXIMUM_BODY_BYTES,
       BODY_TIMEOUT_MS,
     );
     if (body.kind !== 'body') {
--- a/test/links/caller_server_test.ts
+++ b/test/links/caller_server_test.ts
@@ -219,7 +219,7 @@
   nodeTest.test(
     'calls above the limit are refused with a safe code',
     async () => {
-      const fixture = new ServerFixture(() => {}, {maxOpenCalls: 2});
+      const fixture = new ServerFixture(() => {}, {maximumOpenCalls: 2});
       const address = await fixture.listen();
       const open = ['a', 'b'].map(name =>
         httpCall.callJson(address, 'GET', `/v1/requests/${name}?wait=9`),
--- a/test/links/pooled_http_client_test.ts
+++ b/test/links/pooled_http_client_test.ts
@@ -36,7 +36,7 @@
     path,
     headersTimeoutMs,
     bodyTimeoutMs: 300,
-    maxResponseBytes: 1_000,
+    maximumResponseBytes: 1_000,
   };
 }
 
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -30,7 +30,7 @@
   };
   const follower = new topicFollower.TopicFollower(
     topic,
-    {maxWaitMs: 50, minReadIntervalMs: 0},
+    {maximumWaitMs: 50, minimumReadIntervalMs: 0},
     {
       received: (changes, end, isSnapshot) => {
         const keys = changes.map(({key}) => key).join(',');
@@ -123,7 +123,7 @@
     };
     const follower = new topicFollower.TopicFollower(
       topic,
-      {maxWaitMs: 2_500, minReadIntervalMs: 0},
+      {maximumWaitMs: 2_500, minimumReadIntervalMs: 0},
       {received: () => {}, interrupted: () => {}, resumed: () => {}},
       clock,
       milliseconds => clock.pause(milliseconds),
