Rename the workers' fence to fencingToken

StartCommand.fence, RenewalCommand.fence and the parameters -> fencingToken, fenceAccepted -> fencingTokenAccepted, highestFence -> highestFencingToken, parseFence -> parseFencingToken, raiseFenceAndLease -> raiseFencingTokenAndLease. Names on the wire and behaviour are unchanged.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -112,7 +112,7 @@
       task: task.name,
       run,
       payload: task.step.jobRecord.definition.payload,
-      fence: this.fencingToken,
+      fencingToken: this.fencingToken,
       deadlineMs,
       checkpoint: task.checkpoint,
       ticket,
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -52,7 +52,7 @@
     if (this.complete) return false;
     const countBefore = this.blockedJobs.size;
     this.unreportedWorkers = this.unreportedWorkers.filter(
-      ({worker}) => !worker.fenceAccepted,
+      ({worker}) => !worker.fencingTokenAccepted,
     );
     if (now >= this.leasesExpireAt) this.unreportedWorkers = [];
     const blocksAnyJob = this.unreportedWorkers.some(
--- a/src/jobs/stored_worker_list.ts
+++ b/src/jobs/stored_worker_list.ts
@@ -91,7 +91,7 @@
     const {entry} = worker;
     if (worker.acceptsTasks) return {entry};
     // Runs of earlier terms are known only after the worker's first report.
-    if (!worker.fenceAccepted && this.inherited.has(worker)) {
+    if (!worker.fencingTokenAccepted && this.inherited.has(worker)) {
       return {entry, closedJobs: this.inherited.get(worker)};
     }
     const jobs = new Set<string>();
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -155,7 +155,7 @@
   ): void {
     const {options, tracker, earlierLeasesExpireAt} = this.dependencies;
     const isEmptied =
-      worker.fenceAccepted && !worker.listed && worker.runCount === 0;
+      worker.fencingTokenAccepted && !worker.listed && worker.runCount === 0;
     if (isEmptied) {
       this.endIncarnation(worker, 'gone');
       return;
@@ -168,7 +168,8 @@
       });
       tracker.endAll(worker, 'lapsed');
     }
-    const neverReached = !worker.fenceAccepted && now < earlierLeasesExpireAt;
+    const neverReached =
+      !worker.fencingTokenAccepted && now < earlierLeasesExpireAt;
     if (!worker.listed && !neverReached) this.endIncarnation(worker, 'gone');
   }
 
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -45,7 +45,7 @@
   now: clock.Milliseconds,
 ): boolean {
   return (
-    worker.fenceAccepted &&
+    worker.fencingTokenAccepted &&
     worker.stored &&
     worker.acceptsTasks &&
     worker.excludedUntil <= now
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -75,7 +75,7 @@
   /** Sequence number of the last stored run end; the worker may drop it. */
   storedEndNumber = 0;
   /** Whether the worker has accepted the fencing token of this term. */
-  fenceAccepted = false;
+  fencingTokenAccepted = false;
   /** Whether the journal lists the worker as open, for the next scheduler. */
   stored = false;
   /** Number of consecutive calls without an answer. */
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -3,8 +3,8 @@
 /** Command to start a run. */
 export interface StartCommand extends remoteWorker.RunId {
   readonly payload: string;
-  /** Fencing token: the term of the scheduler. */
-  readonly fence: number;
+  /** Term of the scheduler; a worker rejects terms below its highest. */
+  readonly fencingToken: number;
   /** End of the lease on the worker's clock. */
   readonly deadlineMs: number;
   readonly checkpoint: string;
@@ -13,8 +13,8 @@
 
 /** Command to renew the leases of all running tasks and to report. */
 export interface RenewalCommand {
-  /** Fencing token: the term of the scheduler. */
-  readonly fence: number;
+  /** Term of the scheduler; a worker rejects terms below its highest. */
+  readonly fencingToken: number;
   /** Run ends up to this sequence number are stored. */
   readonly storedEndNumber: number;
   /** End of the lease on the worker's clock; omitted to renew no lease. */
@@ -60,14 +60,14 @@
   stop(
     worker: remoteWorker.RegistryEntry,
     runId: remoteWorker.RunId,
-    fence: number,
+    fencingToken: number,
   ): Promise<CommandOutcome>;
   /** Limits a task to a share of its processors, from 0 to 100 percent. */
   throttle(
     worker: remoteWorker.RegistryEntry,
     runId: remoteWorker.RunId,
     percent: number,
-    fence: number,
+    fencingToken: number,
   ): Promise<CommandOutcome>;
   renewLeases(
     worker: remoteWorker.RegistryEntry,
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -84,9 +84,11 @@
     // The first report must not be delayed: it lists the running tasks and
     // gives the worker's clock.
     const waitMs =
-      worker.fenceAccepted && deadlineMs !== undefined ? LONG_POLL_WAIT_MS : 0;
+      worker.fencingTokenAccepted && deadlineMs !== undefined
+        ? LONG_POLL_WAIT_MS
+        : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
-      fence: this.fencingToken,
+      fencingToken: this.fencingToken,
       storedEndNumber: worker.storedEndNumber,
       deadlineMs,
       waitMs,
@@ -116,9 +118,9 @@
       this.listener.workerReplaced(worker);
       return false;
     }
-    const first = !worker.fenceAccepted;
+    const first = !worker.fencingTokenAccepted;
     worker.recordClockReading(report.clockMs, this.clock.now());
-    worker.fenceAccepted = true;
+    worker.fencingTokenAccepted = true;
     this.listener.reportReceived(worker, report, sentAt);
     // When no lease may be granted, the worker answers at once; returning
     // false makes the loop pause between the calls.
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -96,7 +96,10 @@
         sendOutcome(response, model.start(parseStartCommand(body)));
         return;
       case '/run-stop':
-        sendOutcome(response, model.stop(parseRunId(body), parseFence(body)));
+        sendOutcome(
+          response,
+          model.stop(parseRunId(body), parseFencingToken(body)),
+        );
         return;
       case '/hold':
         await this.serveRenewal(model, body, response);
@@ -112,7 +115,7 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const command: workerClient.RenewalCommand = {
-      fence: parseFence(body),
+      fencingToken: parseFencingToken(body),
       storedEndNumber: Number(body.ack_cursor),
       deadlineMs:
         body.deadline_ms === undefined ? undefined : Number(body.deadline_ms),
@@ -156,7 +159,7 @@
   return {
     ...parseRunId(body),
     payload: String(body.spec),
-    fence: parseFence(body),
+    fencingToken: parseFencingToken(body),
     deadlineMs: Number(body.deadline_ms),
     checkpoint: typeof body.checkpoint === 'string' ? body.checkpoint : '',
     ticket: typeof body.ticket === 'string' ? body.ticket : undefined,
@@ -167,7 +170,7 @@
   return {task: String(body.task), run: Number(body.run)};
 }
 
-function parseFence(body: JsonObject): number {
+function parseFencingToken(body: JsonObject): number {
   return Number(body.fencing_token ?? 0);
 }
 
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -37,7 +37,7 @@
   /** Latest lease end that any call has set. */
   leaseEndMs = 0;
   /** Highest accepted fencing token; calls with a lower one are rejected. */
-  highestFence = 0;
+  highestFencingToken = 0;
   /** Reason for which all starts are rejected, if they are. */
   rejectReason: workerClient.RejectionReason | undefined;
   private readonly running = new Map<string, ActiveRun>();
@@ -59,9 +59,11 @@
 
   start(command: workerClient.StartCommand): workerClient.CommandOutcome {
     this.endDueRuns();
-    if (command.fence < this.highestFence) return this.reject('superseded');
+    if (command.fencingToken < this.highestFencingToken) {
+      return this.reject('superseded');
+    }
     if (this.rejectReason !== undefined) return this.reject(this.rejectReason);
-    this.raiseFenceAndLease(command.fence, command.deadlineMs);
+    this.raiseFencingTokenAndLease(command.fencingToken, command.deadlineMs);
     if (command.deadlineMs <= this.clock.now()) return this.reject('late');
     const activeRun = this.running.get(command.task);
     if (activeRun?.command.run === command.run) return this.done();
@@ -82,10 +84,15 @@
     return this.done();
   }
 
-  stop(runId: remoteWorker.RunId, fence: number): workerClient.CommandOutcome {
+  stop(
+    runId: remoteWorker.RunId,
+    fencingToken: number,
+  ): workerClient.CommandOutcome {
     this.endDueRuns();
-    if (fence < this.highestFence) return this.reject('superseded');
-    this.raiseFenceAndLease(fence, 0);
+    if (fencingToken < this.highestFencingToken) {
+      return this.reject('superseded');
+    }
+    this.raiseFencingTokenAndLease(fencingToken, 0);
     const highestEndedRun = this.highestEndedRuns.get(runId.task) ?? 0;
     this.highestEndedRuns.set(runId.task, Math.max(highestEndedRun, runId.run));
     if (this.running.get(runId.task)?.command.run === runId.run) {
@@ -98,10 +105,13 @@
     command: workerClient.RenewalCommand,
   ): workerClient.RenewalOutcome {
     this.endDueRuns();
-    if (command.fence < this.highestFence) {
+    if (command.fencingToken < this.highestFencingToken) {
       return {kind: 'rejected', reason: 'superseded'};
     }
-    this.raiseFenceAndLease(command.fence, command.deadlineMs ?? 0);
+    this.raiseFencingTokenAndLease(
+      command.fencingToken,
+      command.deadlineMs ?? 0,
+    );
     this.ended = this.ended.filter(
       runEnd => runEnd.sequenceNumber > command.storedEndNumber,
     );
@@ -149,8 +159,11 @@
     return {task, run: number, checkpoint, percent, usage: 0};
   }
 
-  private raiseFenceAndLease(fence: number, leaseEndMs: number): void {
-    this.highestFence = Math.max(this.highestFence, fence);
+  private raiseFencingTokenAndLease(
+    fencingToken: number,
+    leaseEndMs: number,
+  ): void {
+    this.highestFencingToken = Math.max(this.highestFencingToken, fencingToken);
     this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
   }
 
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -46,9 +46,9 @@
   stop(
     entry: remoteWorker.RegistryEntry,
     runId: remoteWorker.RunId,
-    fence: number,
+    fencingToken: number,
   ): Promise<workerClient.CommandOutcome> {
-    return this.deliver(entry, worker => worker.stop(runId, fence));
+    return this.deliver(entry, worker => worker.stop(runId, fencingToken));
   }
 
   async throttle(): Promise<workerClient.CommandOutcome> {
