Tell the local and the cell-wide advice client apart

AdviceService -> LocalAdviceClient (calls from the VM of this process) and AdviceClient -> CellAdviceClient (calls through any VM of the cell), with the option adviceService -> localAdviceClient. Behaviour is unchanged.

--- a/src/jobs/advice_balancer.ts
+++ b/src/jobs/advice_balancer.ts
@@ -46,7 +46,7 @@
  * one call at a time for each VM. Some VMs are reserved for short calls, so
  * that these do not queue behind long ones.
  */
-export class AdviceBalancer implements adviceCache.AdviceClient {
+export class AdviceBalancer implements adviceCache.CellAdviceClient {
   private readonly loads = new Map<string | undefined, EndpointLoad>();
 
   constructor(
--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -15,8 +15,11 @@
   | {readonly kind: 'busy'}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** The advice service as called from one VM; its promises do not reject. */
-export interface AdviceService {
+/**
+ * Calls the advice service from the VM of this process; its promises do not
+ * reject.
+ */
+export interface LocalAdviceClient {
   ask(
     step: string,
     workerIds: ReadonlyArray<string>,
@@ -25,10 +28,11 @@
 }
 
 /**
- * Asks the advice service which workers may run a step; its promises do not
- * reject. `expectedMs` is the time that the service needs for the answer.
+ * Asks the advice service which workers may run a step, through any VM of the
+ * cell; its promises do not reject. `expectedMs` is the time that the service
+ * needs for the answer.
  */
-export interface AdviceClient {
+export interface CellAdviceClient {
   /**
    * Returns whether a call of that duration would be sent now. If it would not,
    * neither would a longer one.
@@ -76,7 +80,7 @@
   private readonly steps = new Map<stepInstance.StepInstance, StepAdvice>();
 
   constructor(
-    private readonly client: AdviceClient,
+    private readonly client: CellAdviceClient,
     private readonly clock: clock.Clock,
     private readonly onAdvice: () => void,
   ) {}
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -34,7 +34,7 @@
   readonly retentionTimes: RetentionTimes;
   readonly journalStore: jobJournal.JobJournalStore;
   readonly workerClient: workerClient.WorkerClient;
-  readonly adviceClient: adviceCache.AdviceClient;
+  readonly adviceClient: adviceCache.CellAdviceClient;
   readonly timer: jobJournal.DelayTimer;
   readonly log: EventLog;
   readonly counters: Counters;
--- a/src/zones/advice_endpoints.ts
+++ b/src/zones/advice_endpoints.ts
@@ -14,7 +14,7 @@
   constructor(
     private readonly clock: clock.Clock,
     /** Calls the advice service from the VM of this process. */
-    private readonly localService: adviceCache.AdviceService,
+    private readonly localClient: adviceCache.LocalAdviceClient,
     private readonly peers: cellPeers.CellPeers,
   ) {}
 
@@ -43,7 +43,7 @@
     timeoutMs: number,
   ): Promise<adviceCache.AdviceOutcome> {
     return address === undefined
-      ? this.localService.ask(step, workerIds, timeoutMs)
+      ? this.localClient.ask(step, workerIds, timeoutMs)
       : this.peers.advise(address, step, workerIds, timeoutMs);
   }
 }
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -25,7 +25,7 @@
   readonly registry: remoteWorker.WorkerRegistry;
   readonly workerClient: workerClient.WorkerClient;
   /** Calls the advice service from the VM of this process. */
-  readonly adviceService: adviceCache.AdviceService;
+  readonly localAdviceClient: adviceCache.LocalAdviceClient;
   readonly peers: cellPeers.CellPeers;
   readonly timer: jobJournal.DelayTimer;
   readonly log: schedulerOptions.EventLog;
@@ -86,7 +86,7 @@
     });
     this.adviceEndpoints = new adviceEndpoints.AdviceEndpoints(
       options.clock,
-      options.adviceService,
+      options.localAdviceClient,
       options.peers,
     );
     this.adviceBalancer = new adviceBalancer.AdviceBalancer(
@@ -225,7 +225,7 @@
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
   ): Promise<adviceCache.AdviceOutcome> {
-    return this.options.adviceService.ask(step, workerIds, timeoutMs);
+    return this.options.localAdviceClient.ask(step, workerIds, timeoutMs);
   }
 
   // Claims and terms.
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -90,7 +90,7 @@
   /** Whether schedulers have proof of leadership. */
   hasLeadershipProof = true;
   queues: ReadonlyArray<job.Queue> = [QUEUE];
-  advice: adviceCache.AdviceClient = {
+  advice: adviceCache.CellAdviceClient = {
     accepts: () => true,
     ask: async () => ({kind: 'busy'}),
   };
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -75,7 +75,7 @@
     journalStore: new fakeJournalStore.FakeJournalStore(clock),
     registry: {follow: () => ({close: () => {}})},
     workerClient: new fakeWorkers.FakeWorkers(clock),
-    adviceService: {ask: async () => ({kind: 'busy'})},
+    localAdviceClient: {ask: async () => ({kind: 'busy'})},
     peers,
     timer: clock,
     log: {event: () => {}},
