Import contracts/effect.ts as effect in the remaining places

entry_vm.ts, task_runner.ts and loop_test.ts; loop.ts keeps the alias effects, because its local variable and parameter are named effect. Behaviour is unchanged.

--- a/src/machines/entry_vm.ts
+++ b/src/machines/entry_vm.ts
@@ -11,7 +11,7 @@
 import * as zoneDirectory from '../zones/zone_directory.js';
 import type * as clock from './clock.js';
 import type * as configuration from '../contracts/configuration.js';
-import * as effects from '../contracts/effect.js';
+import * as effect from '../contracts/effect.js';
 import type * as event from '../contracts/event.js';
 import type * as loop from '../loop.js';
 import type * as randomSource from './random_source.js';
@@ -96,7 +96,7 @@
   handle(
     handled: event.Event,
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (handled.kind === 'vmListRead') this.directory.updateVms(handled.vms);
     const isDrain = isOwnDrain(handled);
     if (isDrain) {
@@ -149,18 +149,18 @@
 
   private handOverWhenIdle(
     now: clock.Milliseconds,
-  ): ReadonlyArray<effects.Effect> {
+  ): ReadonlyArray<effect.Effect> {
     if (this.handOverBy === Infinity || this.handoverBegun) return [];
     this.zone.announceLeaving();
     if (!this.coordinator.isIdle() && now < this.handOverBy) return [];
     this.handoverBegun = true;
     this.zone.drain();
     return [
-      effects.log('info', 'handoverBegun', {idle: this.coordinator.isIdle()}),
+      effect.log('info', 'handoverBegun', {idle: this.coordinator.isIdle()}),
     ];
   }
 
-  private status(call: event.CallNumber): effects.Effect {
+  private status(call: event.CallNumber): effect.Effect {
     const owned = this.workers
       .all()
       .filter(item => this.zone.owns(item.name))
--- a/src/machines/task_runner.ts
+++ b/src/machines/task_runner.ts
@@ -1,5 +1,5 @@
 import * as clocks from './clock.js';
-import * as effects from '../contracts/effect.js';
+import * as effect from '../contracts/effect.js';
 import * as invariant from '../contracts/invariant.js';
 import * as lease from '../contracts/lease.js';
 import * as leaseRenewer from './lease_renewer.js';
@@ -34,7 +34,7 @@
 /** Task outcomes and effects that result from one event. */
 export interface RunnerOutput {
   readonly outcomes: ReadonlyArray<trackedTask.TaskOutcome>;
-  readonly effects: ReadonlyArray<effects.Effect>;
+  readonly effects: ReadonlyArray<effect.Effect>;
 }
 
 type EventOf<Kind extends event.Event['kind']> = Extract<
@@ -60,7 +60,7 @@
   private readonly adoptedFrom = new Set<string>();
   private nextDeadlineAt: clock.Milliseconds = 0;
   private outcomes: trackedTask.TaskOutcome[] = [];
-  private effects: effects.Effect[] = [];
+  private effects: effect.Effect[] = [];
 
   constructor(
     private readonly workers: fleet.Fleet,
@@ -285,7 +285,7 @@
   ): void {
     const known = this.tasks.get(lost.task);
     if (known === undefined || known.worker.name !== lost.worker) return;
-    this.effects.push(effects.count('retry', {reason: 'answerLost'}));
+    this.effects.push(effect.count('retry', {reason: 'answerLost'}));
     // The next report lists the state of the task and triggers a new fetch.
     this.tasks.put({...known, fetchedAt: -Infinity});
     this.reports.expedite(lost.worker, now);
@@ -346,7 +346,7 @@
       return;
     }
     this.effects.push(
-      effects.log('warn', 'workerRestarted', {worker: target.name}),
+      effect.log('warn', 'workerRestarted', {worker: target.name}),
     );
     for (const known of this.tasks.onWorker(target.name)) {
       // Lease ends refer to the clock before the restart, so they cannot be
@@ -457,7 +457,7 @@
     const adopted = trackedTask.adoptedTask(target, item, arrived.sentAt);
     this.tasks.put(adopted);
     this.addReservation(adopted);
-    this.effects.push(effects.count('adopted', {team: item.label.team}));
+    this.effects.push(effect.count('adopted', {team: item.label.team}));
     this.recordOutcome('adopted', adopted);
     this.renewer.scheduleFirst(adopted, now);
     this.wakeBy(this.renewer.nextRenewalAt(target.name));
@@ -562,8 +562,8 @@
 
   private dropAnswer(reason: string, name: string): void {
     this.effects.push(
-      effects.count('answer_dropped', {reason}),
-      effects.log('warn', 'answerDropped', {reason, task: name}),
+      effect.count('answer_dropped', {reason}),
+      effect.log('warn', 'answerDropped', {reason, task: name}),
     );
   }
 
--- a/test/loop_test.ts
+++ b/test/loop_test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as clock from '../src/machines/clock.js';
-import * as effects from '../src/contracts/effect.js';
+import * as effect from '../src/contracts/effect.js';
 import * as loop from '../src/loop.js';
 import * as wait from './support/wait.js';
 import type * as event from '../src/contracts/event.js';
@@ -9,11 +9,11 @@
 /** Records events and effects, and responds as the test defines. */
 class Recorder implements loop.EventHandler, loop.EffectPerformer {
   readonly handled: event.Event[] = [];
-  readonly performed: effects.Effect[] = [];
+  readonly performed: effect.Effect[] = [];
   due = Infinity;
-  respond: (taken: event.Event) => ReadonlyArray<effects.Effect> = () => [];
+  respond: (taken: event.Event) => ReadonlyArray<effect.Effect> = () => [];
 
-  handle(taken: event.Event): ReadonlyArray<effects.Effect> {
+  handle(taken: event.Event): ReadonlyArray<effect.Effect> {
     this.handled.push(taken);
     return this.respond(taken);
   }
@@ -22,7 +22,7 @@
     return this.due;
   }
 
-  perform(wanted: effects.Effect): void {
+  perform(wanted: effect.Effect): void {
     this.performed.push(wanted);
   }
 }
@@ -37,7 +37,7 @@
     const running = new loop.Loop(recorder, recorder, new clock.SystemClock());
     recorder.respond = taken => {
       if (recorder.handled.length === 1) running.post(reportFailed('c'));
-      return [effects.count(taken.kind)];
+      return [effect.count(taken.kind)];
     };
     running.post(reportFailed('a'));
     running.post(reportFailed('b'));
