Rename the pass runner, the invariant checkers and the delays

PlacementPass -> PlacementPassRunner; GuaranteeChecker -> JobInvariantChecker and InvariantChecker -> RequestInvariantChecker, with their files; DelayTimer.pause, SimulatedClock.pause and the functions passed for it -> delay; held -> workerTask in FakeWorker. Behaviour is unchanged.

--- a/bench/fakes/fake_client.ts
+++ b/bench/fakes/fake_client.ts
@@ -1,5 +1,5 @@
 import * as result from '../../src/result.js';
-import type * as invariantChecker from './invariant_checker.js';
+import type * as requestInvariantChecker from './request_invariant_checker.js';
 import type * as effect from '../../src/contracts/effect.js';
 import type * as simulatedEntryProcess from './simulated_entry_process.js';
 import type * as fakeNetwork from './fake_network.js';
@@ -20,7 +20,7 @@
 /** Simulation, checker and random source of a client. */
 export interface ClientEnvironment {
   readonly simulation: simulatedEntryProcess.Simulation;
-  readonly checker: invariantChecker.InvariantChecker;
+  readonly checker: requestInvariantChecker.RequestInvariantChecker;
   readonly random: randomSource.RandomSource;
 }
 
--- a/bench/fakes/fake_worker.ts
+++ b/bench/fakes/fake_worker.ts
@@ -58,19 +58,26 @@
   /** Extends the leases of tasks; never shortens them. */
   renew(names: ReadonlyArray<string>, leaseEnd: number): void {
     for (const name of names) {
-      const held = this.tasks.get(name);
-      if (held === undefined || held.leaseEnd >= leaseEnd) continue;
-      this.tasks.set(name, {...held, leaseEnd});
+      const workerTask = this.tasks.get(name);
+      if (workerTask === undefined || workerTask.leaseEnd >= leaseEnd) continue;
+      this.tasks.set(name, {...workerTask, leaseEnd});
     }
   }
 
   /** Ends a running task and notifies the callers that wait for its answer. */
   end(name: string, state: task.TaskState): void {
-    const held = this.tasks.get(name);
-    if (held === undefined || held.state !== 'running' || this.dead) return;
-    const answer = state === 'finished' ? `done ${held.start.payload}` : '';
-    this.tasks.set(name, {...held, state, answer});
-    this.observer.taskEnded(this, held.start);
+    const workerTask = this.tasks.get(name);
+    if (
+      workerTask === undefined ||
+      workerTask.state !== 'running' ||
+      this.dead
+    ) {
+      return;
+    }
+    const answer =
+      state === 'finished' ? `done ${workerTask.start.payload}` : '';
+    this.tasks.set(name, {...workerTask, state, answer});
+    this.observer.taskEnded(this, workerTask.start);
     for (const notify of this.answerListeners.get(name) ?? []) notify();
     this.answerListeners.delete(name);
     this.time.after(ENDED_RETENTION_MS, () => this.tasks.delete(name));
@@ -78,9 +85,9 @@
 
   /** Calls back with the task once it has ended, or undefined if unknown. */
   awaitAnswer(name: string, respond: (ended?: FakeWorkerTask) => void): void {
-    const held = this.tasks.get(name);
-    if (held?.state !== 'running') {
-      respond(held);
+    const workerTask = this.tasks.get(name);
+    if (workerTask?.state !== 'running') {
+      respond(workerTask);
       return;
     }
     const listeners = this.answerListeners.get(name) ?? [];
@@ -96,21 +103,23 @@
       capacity: this.capacity,
       rack: this.rack,
       leaving: this.leavingSinceMs < Infinity,
-      tasks: [...this.tasks.values()].map(held => ({
-        task: held.start.task,
-        label: held.start.label,
-        state: held.state,
-        size: held.start.size,
-        usage: held.start.size,
-        leaseEnd: held.leaseEnd,
+      tasks: [...this.tasks.values()].map(workerTask => ({
+        task: workerTask.start.task,
+        label: workerTask.start.label,
+        state: workerTask.state,
+        size: workerTask.start.size,
+        usage: workerTask.start.size,
+        leaseEnd: workerTask.leaseEnd,
       })),
     };
   }
 
   /** Ends all tasks without notice, as the loss of the machine does. */
   crash(): void {
-    for (const held of this.tasks.values()) {
-      if (held.state === 'running') this.observer.taskEnded(this, held.start);
+    for (const workerTask of this.tasks.values()) {
+      if (workerTask.state === 'running') {
+        this.observer.taskEnded(this, workerTask.start);
+      }
     }
     this.tasks.clear();
     this.dead = true;
@@ -119,16 +128,18 @@
   /** Returns the sum of the sizes of the running tasks. */
   reservedCapacity(): resources.Resources {
     let used = resources.NONE;
-    for (const held of this.tasks.values()) {
-      if (held.state === 'running') used = resources.add(used, held.start.size);
+    for (const workerTask of this.tasks.values()) {
+      if (workerTask.state === 'running') {
+        used = resources.add(used, workerTask.start.size);
+      }
     }
     return used;
   }
 
   private watchLease(name: string): void {
-    const held = this.tasks.get(name);
-    if (held === undefined || held.state !== 'running') return;
-    const remainingMs = this.clock.until(held.leaseEnd);
+    const workerTask = this.tasks.get(name);
+    if (workerTask === undefined || workerTask.state !== 'running') return;
+    const remainingMs = this.clock.until(workerTask.leaseEnd);
     if (remainingMs <= 0) this.end(name, 'lapsed');
     else this.time.after(remainingMs + 0.001, () => this.watchLease(name));
   }
--- a/bench/fakes/invariant_checker.ts
+++ b/bench/fakes/request_invariant_checker.ts
@@ -21,10 +21,11 @@
 }
 
 /**
- * Checks invariants from outside: it sees the starts and ends of tasks on the
- * workers and the replies to clients, but no state of the system itself.
+ * Checks invariants of requests from outside: it sees the starts and ends of
+ * tasks on the workers and the replies to clients, but no state of the system
+ * itself.
  */
-export class InvariantChecker implements fakeWorker.TaskRunObserver {
+export class RequestInvariantChecker implements fakeWorker.TaskRunObserver {
   private readonly startCounts = new Map<string, number>();
   private readonly runningAttempts = new Map<string, Set<string>>();
   private readonly notRunReportTimesMs = new Map<string, number>();
--- a/bench/guarantee_checker.ts
+++ b/bench/job_invariant_checker.ts
@@ -7,8 +7,8 @@
 /** CPU of a stand-in worker, in thousandths of a core. */
 const WORKER_CPU_THOUSANDTHS = 4_000;
 
-/** Checks the guarantees for replies to callers and runs on workers. */
-export class GuaranteeChecker {
+/** Checks invariants of replies to callers and of runs on workers. */
+export class JobInvariantChecker {
   readonly violations: string[] = [];
   private readonly submittedIds = new Set<string>();
   private readonly acceptedIds = new Set<string>();
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -1,6 +1,6 @@
 import * as timers from 'node:timers/promises';
 import * as platformCell from '../stand_ins/platform_cell.js';
-import * as guaranteeChecker from './guarantee_checker.js';
+import * as jobInvariantChecker from './job_invariant_checker.js';
 import * as randomSource from '../src/machines/random_source.js';
 import type * as faultRelay from '../stand_ins/fault_relay.js';
 
@@ -49,7 +49,7 @@
  */
 export class PlatformSoak {
   private readonly random: randomSource.SeededRandom;
-  private readonly checker: guaranteeChecker.GuaranteeChecker;
+  private readonly checker: jobInvariantChecker.JobInvariantChecker;
   private readonly activeFaults: Array<Promise<void>> = [];
   private readonly faultyProcesses = new Set<platformCell.CellProcess>();
   private readonly submissions: Array<Promise<void>> = [];
@@ -60,7 +60,7 @@
     seed: number,
   ) {
     this.random = new randomSource.SeededRandom(seed);
-    this.checker = new guaranteeChecker.GuaranteeChecker(cell);
+    this.checker = new jobInvariantChecker.JobInvariantChecker(cell);
   }
 
   /** Runs one seed and returns the guarantees that were violated. */
--- a/bench/randomized_run.ts
+++ b/bench/randomized_run.ts
@@ -1,4 +1,4 @@
-import * as invariantChecker from './fakes/invariant_checker.js';
+import * as requestInvariantChecker from './fakes/request_invariant_checker.js';
 import * as fakeClient from './fakes/fake_client.js';
 import * as simulatedEntryProcess from './fakes/simulated_entry_process.js';
 import * as fakeNetwork from './fakes/fake_network.js';
@@ -41,7 +41,7 @@
 /** Result of a randomised run. */
 export interface RunResult {
   readonly seed: number;
-  readonly violations: ReadonlyArray<invariantChecker.Violation>;
+  readonly violations: ReadonlyArray<requestInvariantChecker.Violation>;
   readonly checkCount: number;
   readonly faultCounts: ReadonlyMap<FaultKind, number>;
   readonly codeCounts: ReadonlyMap<number, number>;
@@ -118,7 +118,7 @@
   private readonly random: randomSource.SeededRandom;
   private readonly network: fakeNetwork.FakeNetwork;
   private readonly log = new fakeLog.FakeLog(20_000);
-  private readonly checker: invariantChecker.InvariantChecker;
+  private readonly checker: requestInvariantChecker.RequestInvariantChecker;
   private readonly workers = new Map<string, fakeWorker.FakeWorker>();
   private readonly processes = new Map<
     string,
@@ -138,7 +138,7 @@
       this.time,
       new randomSource.SeededRandom(options.seed + 1),
     );
-    this.checker = new invariantChecker.InvariantChecker(
+    this.checker = new requestInvariantChecker.RequestInvariantChecker(
       () => this.time.now(),
       line => this.trace(line),
     );
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -80,7 +80,7 @@
 
 /** Delays between attempts; tests use simulated time. */
 export interface DelayTimer {
-  pause(milliseconds: number): Promise<void>;
+  delay(milliseconds: number): Promise<void>;
 }
 
 /** Called when the change that it was passed with is stored. */
@@ -153,7 +153,7 @@
     const outcome = await this.appendUntilCertain(this.sequence + 1, changes);
     if (outcome === 'refused') {
       this.requeue(sent, storedListeners);
-      await this.timer.pause(RETRY_DELAY_MS);
+      await this.timer.delay(RETRY_DELAY_MS);
     }
     if (outcome !== 'stored') return;
     this.sequence += 1;
@@ -196,7 +196,7 @@
       }
       if (outcome === 'unanswered') outcomeUnknown = true;
       if (outcome === 'refused' && !outcomeUnknown) return 'refused';
-      await this.timer.pause(RETRY_DELAY_MS);
+      await this.timer.delay(RETRY_DELAY_MS);
     }
     return 'closed';
   }
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -8,7 +8,7 @@
 import * as jobLifecycle from './job_lifecycle.js';
 import * as openSteps from './open_steps.js';
 import * as idleCapacityThrottle from './idle_capacity_throttle.js';
-import * as placementPass from './placement_pass.js';
+import * as placementPassRunner from './placement_pass_runner.js';
 import * as queueTable from './queue_table.js';
 import * as runTracker from './run_tracker.js';
 import * as runHealth from './run_health.js';
@@ -65,7 +65,7 @@
   private readonly jobLifecycle: jobLifecycle.JobLifecycle;
   private readonly admission: jobAdmission.JobAdmission;
   private readonly workerLifecycle: workerLifecycle.WorkerLifecycle;
-  private readonly placementPass: placementPass.PlacementPass;
+  private readonly placementPassRunner: placementPassRunner.PlacementPassRunner;
   private readonly evacuator: evacuator.Evacuator;
   private readonly idleCapacityThrottle: idleCapacityThrottle.IdleCapacityThrottle;
   private runRecovery: runRecovery.RunRecovery | undefined;
@@ -139,7 +139,7 @@
       onReport: worker => this.workerReported(worker),
       onEnded: worker => this.runRecovery?.removeWorker(worker),
     });
-    this.placementPass = new placementPass.PlacementPass({
+    this.placementPassRunner = new placementPassRunner.PlacementPassRunner({
       options,
       workers,
       assignmentIndex,
@@ -155,7 +155,7 @@
     this.evacuator = new evacuator.Evacuator(
       workers,
       assignmentIndex,
-      this.placementPass,
+      this.placementPassRunner,
     );
     this.idleCapacityThrottle = new idleCapacityThrottle.IdleCapacityThrottle(
       assignmentIndex,
@@ -188,7 +188,7 @@
         this.takeOver(content);
         return true;
       }
-      await options.timer.pause(JOURNAL_RETRY_DELAY_MS);
+      await options.timer.delay(JOURNAL_RETRY_DELAY_MS);
     }
     return false;
   }
@@ -262,7 +262,7 @@
     this.replaceFaultyRuns(now);
     this.evacuator.review(now);
     this.unblockRecoveredJobs();
-    this.placementPass.reportWaiting(now);
+    this.placementPassRunner.reportWaiting(now);
     this.requestPlacementPass();
   }
 
@@ -314,7 +314,7 @@
   }
 
   private requestPlacementPass(): void {
-    if (this.isServing) this.placementPass.request();
+    if (this.isServing) this.placementPassRunner.request();
   }
 
   private takeOver(content: jobJournal.JournalContent): void {
--- a/src/jobs/placement_pass.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -15,8 +15,8 @@
 import type * as workerTable from './worker_table.js';
 import type * as workerReliability from '../machines/worker_reliability.js';
 
-/** Dependencies of a `PlacementPass`. */
-export interface PlacementPassDependencies {
+/** Dependencies of a `PlacementPassRunner`. */
+export interface PlacementPassRunnerDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
   readonly workers: workerTable.WorkerTable;
   readonly assignmentIndex: assignmentIndex.AssignmentIndex;
@@ -42,14 +42,14 @@
 const RUN_NUMBERS_PER_TERM = 64;
 
 /** Runs placement passes over the waiting steps, one per event loop turn. */
-export class PlacementPass
+export class PlacementPassRunner
   implements placer.PlacerListener, evacuator.EvacuatorListener
 {
   private readonly placer: placer.Placer;
   private passRequested = false;
   private nextReportAt = 0;
 
-  constructor(private readonly dependencies: PlacementPassDependencies) {
+  constructor(private readonly dependencies: PlacementPassRunnerDependencies) {
     const {workers, assignmentIndex, adviceCache, reliability, dispatcher} =
       dependencies;
     this.placer = new placer.Placer(
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -143,7 +143,7 @@
       options.clock,
       options.term,
       leaseMs,
-      milliseconds => options.timer.pause(milliseconds),
+      milliseconds => options.timer.delay(milliseconds),
     );
     this.sessions.set(worker, session);
     void session.run();
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -41,7 +41,7 @@
     private readonly options: TopicFollowerOptions,
     private readonly listener: TopicListener,
     private readonly clock: clock.Clock,
-    private readonly pause: (milliseconds: number) => Promise<void>,
+    private readonly delay: (milliseconds: number) => Promise<void>,
   ) {}
 
   /** Reads until the follower is closed. */
@@ -53,10 +53,10 @@
       if (answered && !this.isAvailable) this.listener.resumed();
       this.isAvailable = answered;
       const elapsedMs = this.clock.now() - startedAtMs;
-      const pauseMs = this.isAvailable
+      const delayMs = this.isAvailable
         ? this.options.minimumReadIntervalMs - elapsedMs
         : RETRY_DELAY_MS;
-      if (pauseMs > 0) await this.pause(pauseMs);
+      if (delayMs > 0) await this.delay(delayMs);
     }
   }
 
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -33,7 +33,7 @@
 const STORE_POLL_INTERVAL_MS = 10;
 
 /** Delay before the next call to a worker that does not answer. */
-const RETRY_PAUSE_MS = 250;
+const RETRY_DELAY_MS = 250;
 
 /** Renews the leases of one worker and forwards its reports, until closed. */
 export class WorkerSession {
@@ -46,7 +46,7 @@
     private readonly clock: clock.Clock,
     private readonly fencingToken: number,
     private readonly leaseMs: number,
-    private readonly pause: (milliseconds: number) => Promise<void>,
+    private readonly delay: (milliseconds: number) => Promise<void>,
   ) {}
 
   /** Renews leases in a loop until the session is closed. */
@@ -54,7 +54,7 @@
     while (!this.closed) {
       const nextCallIsDue = await this.renewLeases();
       if (nextCallIsDue) await this.waitUntilEndsStored();
-      else if (!this.closed) await this.pause(RETRY_PAUSE_MS);
+      else if (!this.closed) await this.delay(RETRY_DELAY_MS);
     }
   }
 
@@ -67,7 +67,7 @@
     const until = this.clock.now() + STORE_WAIT_LIMIT_MS;
     while (worker.storedEndNumber < worker.handledEndNumber && !this.closed) {
       if (this.clock.now() >= until) return;
-      await this.pause(STORE_POLL_INTERVAL_MS);
+      await this.delay(STORE_POLL_INTERVAL_MS);
     }
   }
 
@@ -103,7 +103,7 @@
       case 'unanswered':
         worker.unansweredCalls += 1;
         this.listener.answerMissing(worker);
-        // A single answer may get lost. The next call follows without a pause
+        // A single answer may get lost. The next call follows without a delay
         // and shows whether the worker is reachable.
         return !worker.unreachable;
     }
@@ -123,7 +123,7 @@
     worker.fencingTokenAccepted = true;
     this.listener.reportReceived(worker, report, sentAt);
     // When no lease may be granted, the worker answers at once; returning
-    // false makes the loop pause between the calls.
+    // false makes the loop wait between the calls.
     return first || this.listener.mayGrantLeases();
   }
 
--- a/src/zones/cell_gateway.ts
+++ b/src/zones/cell_gateway.ts
@@ -85,7 +85,7 @@
         return outcome;
       }
       this.counters.count('calls_repeated', 'storeSilent');
-      await this.timer.pause(STORE_RETRY_DELAY_MS);
+      await this.timer.delay(STORE_RETRY_DELAY_MS);
     }
   }
 
@@ -156,7 +156,7 @@
       if (attempt.kind === 'answered') return attempt;
       if (attempt.kind === 'unanswered') uncertain = true;
       this.counters.count('calls_repeated', attempt.kind);
-      await this.timer.pause(RETRY_DELAY_MS);
+      await this.timer.delay(RETRY_DELAY_MS);
     }
   }
 
@@ -181,7 +181,7 @@
   ): Promise<cellPeers.LeaderCallOutcome<Value>> {
     const answered = answer.then(value => ({kind: 'answered', value}) as const);
     const timedOut = this.timer
-      .pause(timeoutMs)
+      .delay(timeoutMs)
       .then(
         () =>
           ({kind: 'unanswered', detail: 'no answer from the store'}) as const,
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -260,7 +260,7 @@
     }
     const suspectsStoreOnly = this.election.suspectsStoreOnly(clock.now());
     // A store that has just recovered answers the leader as well: wait for it.
-    if (suspectsStoreOnly) await this.options.timer.pause(STORE_RECOVERY_MS);
+    if (suspectsStoreOnly) await this.options.timer.delay(STORE_RECOVERY_MS);
     // A member that pings rarely may suspect the leader on outdated replies.
     const leaderAddress = this.election.newestClaim?.address;
     const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
@@ -274,7 +274,7 @@
     log.event('info', 'claimed', {outcome: outcome.kind, end: logEnd});
     if (outcome.kind === 'lost') {
       this.election.recordLostClaim(logEnd);
-      await this.options.timer.pause(LOST_CLAIM_RETRY_DELAY_MS);
+      await this.options.timer.delay(LOST_CLAIM_RETRY_DELAY_MS);
       this.claimIfDue();
     }
     if (outcome.kind !== 'won') return;
--- a/test/jobs/advice_balancer_test.ts
+++ b/test/jobs/advice_balancer_test.ts
@@ -22,7 +22,7 @@
     () => ENDPOINTS,
     async (address, step) => {
       asked.push(`${address}:${step}`);
-      await time.pause(step === 'short' ? SHORT_MS : LONG_MS);
+      await time.delay(step === 'short' ? SHORT_MS : LONG_MS);
       return answer(String(address));
     },
     time,
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -400,7 +400,7 @@
     const {workers} = cell;
     const report = workers.renewLeases.bind(workers);
     workers.renewLeases = async () => {
-      await cell.time.pause(1_000);
+      await cell.time.delay(1_000);
       return {kind: 'unanswered', detail: 'lost'};
     };
     await cell.time.advance(1_000);
--- a/test/jobs/overload_test.ts
+++ b/test/jobs/overload_test.ts
@@ -74,7 +74,7 @@
       accepts: () => true,
       ask: async (step, workerIds, expectedMs) => {
         asked.push(step);
-        await cell.time.pause(expectedMs);
+        await cell.time.delay(expectedMs);
         const tickets: adviceCache.Ticket[] = workerIds.map(workerId => ({
           workerId,
           ticket: `ticket-${workerId}`,
@@ -113,7 +113,7 @@
         if (isBusy) return {kind: 'busy'};
         isBusy = true;
         asked.push(step);
-        await cell.time.pause(expectedMs);
+        await cell.time.delay(expectedMs);
         isBusy = false;
         return {kind: 'advised', tickets: []};
       },
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -20,11 +20,11 @@
   const topic = {
     append: async () => ({kind: 'refused', detail: ''}) as const,
     readNewest: async () => {
-      await clock.pause(5);
+      await clock.delay(5);
       return newest();
     },
     read: async (from: number) => {
-      await clock.pause(50);
+      await clock.delay(50);
       return read(from);
     },
   };
@@ -42,7 +42,7 @@
       resumed: () => notifications.push('resumed'),
     },
     clock,
-    milliseconds => clock.pause(milliseconds),
+    milliseconds => clock.delay(milliseconds),
   );
   void follower.run();
   return {notifications, follower};
@@ -83,7 +83,7 @@
 
   // Guards against a busy loop while the store rejects reads, and against one
   // log line per rejected read.
-  test('is retried with a pause while it is unavailable', async () => {
+  test('is retried with a delay while it is unavailable', async () => {
     const clock = new simulatedClock.SimulatedClock();
     let tries = 0;
     const {notifications, follower} = startFollower(
@@ -115,7 +115,7 @@
       readNewest: async () => ({kind: 'read', records: [], end: 0}) as const,
       read: async (_from: number, waitMs: number) => {
         waits.push(waitMs);
-        await clock.pause(200);
+        await clock.delay(200);
         return isDown()
           ? ({kind: 'unavailable', detail: 'timeout'} as const)
           : ({kind: 'read', records: [], end: 0} as const);
@@ -126,7 +126,7 @@
       {maximumWaitMs: 2_500, minimumReadIntervalMs: 0},
       {received: () => {}, interrupted: () => {}, resumed: () => {}},
       clock,
-      milliseconds => clock.pause(milliseconds),
+      milliseconds => clock.delay(milliseconds),
     );
     void follower.run();
     await clock.advance(1_500);
--- a/test/support/fake_journal_store.ts
+++ b/test/support/fake_journal_store.ts
@@ -24,7 +24,7 @@
   constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
-    await this.time.pause(RESPONSE_TIME_MS);
+    await this.time.delay(RESPONSE_TIME_MS);
     if (this.down) return 'unanswered';
     if (term < this.openTerm) return 'superseded';
     this.openTerm = term;
@@ -33,7 +33,7 @@
   }
 
   async load(): Promise<jobJournal.JournalContent | undefined> {
-    await this.time.pause(RESPONSE_TIME_MS);
+    await this.time.delay(RESPONSE_TIME_MS);
     if (this.down) return undefined;
     const jobs = [...this.definitions.values()].map(definition => ({
       definition,
@@ -48,9 +48,9 @@
     changes: ReadonlyArray<jobJournal.JournalChange>,
     timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
-    await this.time.pause(RESPONSE_TIME_MS);
+    await this.time.delay(RESPONSE_TIME_MS);
     if (this.down) {
-      await this.time.pause(timeoutMs - RESPONSE_TIME_MS);
+      await this.time.delay(timeoutMs - RESPONSE_TIME_MS);
       return 'unanswered';
     }
     if (this.refusing) return 'refused';
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -59,19 +59,19 @@
     entry: remoteWorker.RegistryEntry,
     command: workerClient.RenewalCommand,
   ): Promise<workerClient.RenewalOutcome> {
-    await this.time.pause(ONE_WAY_DELAY_MS);
+    await this.time.delay(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.timeOut(command.waitMs);
     const outcome = worker.renewLeases(command);
     if (outcome.kind === 'rejected' || worker.hasEndedRuns) {
-      await this.time.pause(ONE_WAY_DELAY_MS);
+      await this.time.delay(ONE_WAY_DELAY_MS);
       return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
     }
     const untilMs = this.time.now() + command.waitMs;
     while (this.time.now() < untilMs && !worker.hasEndedRuns) {
-      await this.time.pause(POLL_INTERVAL_MS);
+      await this.time.delay(POLL_INTERVAL_MS);
     }
-    await this.time.pause(ONE_WAY_DELAY_MS);
+    await this.time.delay(ONE_WAY_DELAY_MS);
     if (!this.canAnswer(entry, worker)) return this.timeOut(0);
     return worker.renewLeases({...command, deadlineMs: undefined});
   }
@@ -88,11 +88,11 @@
       });
       return this.timeOut(0);
     }
-    await this.time.pause(ONE_WAY_DELAY_MS);
+    await this.time.delay(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.timeOut(0);
     const outcome = handle(worker);
-    await this.time.pause(ONE_WAY_DELAY_MS);
+    await this.time.delay(ONE_WAY_DELAY_MS);
     return this.canAnswer(entry, worker) ? outcome : this.timeOut(0);
   }
 
@@ -113,7 +113,7 @@
   private async timeOut(
     waitMs: number,
   ): Promise<{kind: 'unanswered'; detail: string}> {
-    await this.time.pause(waitMs + CALL_TIMEOUT_MS);
+    await this.time.delay(waitMs + CALL_TIMEOUT_MS);
     return {kind: 'unanswered', detail: 'lost'};
   }
 }
--- a/test/support/simulated_clock.ts
+++ b/test/support/simulated_clock.ts
@@ -9,7 +9,7 @@
 /** Microtask turns after which all promise callbacks under test have run. */
 const MICROTASK_TURNS = 40;
 
-/** Simulated time, in which pauses end in order as a test advances it. */
+/** Simulated time, in which delays end in order as a test advances it. */
 export class SimulatedClock implements clock.Clock, jobJournal.DelayTimer {
   private timeMs = 0;
   private timers: Timer[] = [];
@@ -18,7 +18,7 @@
     return this.timeMs;
   }
 
-  pause(milliseconds: number): Promise<void> {
+  delay(milliseconds: number): Promise<void> {
     return new Promise(resolve =>
       this.runAt(this.timeMs + milliseconds, resolve),
     );
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -88,7 +88,7 @@
   test('does not refuse a call that may have arrived', async () => {
     const clock = new simulatedClock.SimulatedClock();
     const gateway = gatewayWith(clock, async () => {
-      await clock.pause(300);
+      await clock.delay(300);
       return clock.now() < 500
         ? {kind: 'unanswered', detail: 'lost'}
         : {kind: 'notLeading'};
