--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -25,7 +25,7 @@
   readonly registry: remoteWorker.WorkerRegistry;
   readonly workerClient: workerClient.WorkerClient;
   /** Calls the advice service from the VM of this process. */
-  readonly adviceService: adviceCache.AdviceService;
+  readonly localAdviceClient: adviceCache.LocalAdviceClient;
   readonly peers: cellPeers.CellPeers;
   readonly timer: jobJournal.DelayTimer;
   readonly log: schedulerOptions.EventLog;
@@ -86,7 +86,7 @@
     });
     this.adviceEndpoints = new adviceEndpoints.AdviceEndpoints(
       options.clock,
-      options.adviceService,
+      options.localAdviceClient,
       options.peers,
     );
     this.adviceBalancer = new adviceBalancer.AdviceBalancer(
@@ -225,7 +225,7 @@
     workerIds: ReadonlyArray<string>,
     timeoutMs: number,
   ): Promise<adviceCache.AdviceOutcome> {
-    return this.options.adviceService.ask(step, workerIds, timeoutMs);
+    return this.options.localAdviceClient.ask(step, workerIds, timeoutMs);
   }
 
   // Claims and terms.
@@ -260,7 +260,7 @@
     }
     const suspectsStoreOnly = this.election.suspectsStoreOnly(clock.now());
     // A store that has just recovered answers the leader as well: wait for it.
-    if (suspectsStoreOnly) await this.options.timer.pause(STORE_RECOVERY_MS);
+    if (suspectsStoreOnly) await this.options.timer.delay(STORE_RECOVERY_MS);
     // A member that pings rarely may suspect the leader on outdated replies.
     const leaderAddress = this.election.newestClaim?.address;
     const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
@@ -274,7 +274,7 @@
     log.event('info', 'claimed', {outcome: outcome.kind, end: logEnd});
     if (outcome.kind === 'lost') {
       this.election.recordLostClaim(logEnd);
-      await this.options.timer.pause(LOST_CLAIM_RETRY_DELAY_MS);
+      await this.options.timer.delay(LOST_CLAIM_RETRY_DELAY_MS);
       this.claimIfDue();
     }
     if (outcome.kind !== 'won') return;
