Log the configuration's version and age with decisions, compare reads with the topic's end

Cause: neither logs nor metrics showed by which version a request was decided, how old its confirmation was, or whether an answer of the store without records means that there are none.

No decision changes.

--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -306,7 +306,11 @@
     this.waitingListeners.delete(id);
     for (const answer of listeners) answer({kind: 'accepted'});
     this.options.counters.count('jobs_accepted', 'stored');
-    this.options.log.event('info', 'jobAccepted', {job: id, queue});
+    this.options.log.event('info', 'jobAccepted', {
+      job: id,
+      queue,
+      version: this.queues.version,
+    });
     this.onAccepted(record);
   }
 }
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -173,6 +173,7 @@
       placed: count,
       left: waitingCount,
       waitedMs,
+      version: this.dependencies.queues.version,
     });
   }
 
--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -6,6 +6,11 @@
   private configuration: job.OperatorConfiguration | undefined;
   private readonly byName = new Map<string, job.Queue>();
 
+  /** Version of the newest configuration; 0 while none is known. */
+  get version(): number {
+    return this.configuration?.version ?? 0;
+  }
+
   /** Applies a configuration; returns false if it is not newer. */
   update(configuration: job.OperatorConfiguration): boolean {
     if (configuration.version <= (this.configuration?.version ?? -1)) {
--- a/src/links/keyed_topic.ts
+++ b/src/links/keyed_topic.ts
@@ -36,12 +36,15 @@
   /** May have been appended, or may still be. */
   | {readonly kind: 'unanswered'; readonly detail: string};
 
-/** Outcome of a read; `end` is the offset after the last record. */
+/** Outcome of a read. */
 export type ReadOutcome =
   | {
       readonly kind: 'read';
       readonly records: ReadonlyArray<TopicRecord>;
+      /** Offset from which the next read continues. */
       readonly end: number;
+      /** End of the topic when the store answered. */
+      readonly topicEnd: number;
     }
   /** The records at this offset are no longer retained. */
   | {readonly kind: 'expired'}
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -9,6 +9,17 @@
   readonly minimumReadIntervalMs: number;
 }
 
+/** Where the records of a read end, compared with the topic's end. */
+export type ReadDifference =
+  /** Records up to the end of the topic. */
+  | 'news'
+  /** No records, and none are missing. */
+  | 'noNews'
+  /** The topic has records that the answer lacks. */
+  | 'recordsMissing'
+  /** The store is behind the records that were read before. */
+  | 'storeBehind';
+
 /** Receives the records of a followed topic and its availability. */
 export interface TopicListener {
   /**
@@ -21,6 +32,11 @@
     end: number,
     isSnapshot: boolean,
   ): void;
+  /**
+   * Called after each successful read with whether its records reach the end of
+   * the topic, as the store told it.
+   */
+  compared?(difference: ReadDifference): void;
   /** Called once when the store stops answering. */
   interrupted(detail: string): void;
   /** Called when the store answers again. */
@@ -76,6 +92,7 @@
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'read':
+        this.listener.compared?.(differenceOf(outcome));
         this.nextOffset = outcome.end;
         this.listener.received(outcome.records, outcome.end, isSnapshot);
         return true;
@@ -88,3 +105,13 @@
     }
   }
 }
+
+function differenceOf({
+  records,
+  end,
+  topicEnd,
+}: keyedTopic.ReadOutcome & {readonly kind: 'read'}): ReadDifference {
+  if (topicEnd > end) return 'recordsMissing';
+  if (topicEnd < end) return 'storeBehind';
+  return records.length > 0 ? 'news' : 'noNews';
+}
--- a/src/zones/configuration_cache.ts
+++ b/src/zones/configuration_cache.ts
@@ -43,8 +43,8 @@
 
   /** Records a read of the store; undefined if the operator wrote none. */
   recordStoreRead(configuration: job.OperatorConfiguration | undefined): void {
-    this.confirmedAt = this.options.clock.now();
     if (configuration !== undefined) this.adopt(configuration);
+    this.confirmedAt = this.options.clock.now();
   }
 
   /**
@@ -76,11 +76,13 @@
 
   private adopt(configuration: job.OperatorConfiguration): void {
     if (configuration.version <= (this.current?.version ?? -1)) return;
+    const previousAgeMs = this.current && Math.round(this.ageMs);
     this.current = configuration;
     this.options.onUpdated(configuration);
     this.options.log.event('info', 'configurationTaken', {
       version: configuration.version,
       queues: configuration.queues.length,
+      previousAgeMs,
     });
   }
 }
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -55,8 +55,13 @@
     const clock = new simulatedClock.SimulatedClock();
     const {notifications, follower} = startFollower(
       clock,
-      () => ({kind: 'read', records: [record('a', 3)], end: 4}),
-      from => ({kind: 'read', records: [record('b', from)], end: from + 1}),
+      () => ({kind: 'read', records: [record('a', 3)], end: 4, topicEnd: 4}),
+      from => ({
+        kind: 'read',
+        records: [record('b', from)],
+        end: from + 1,
+        topicEnd: from + 1,
+      }),
     );
     await clock.advance(120);
     follower.close();
@@ -73,7 +78,7 @@
     const clock = new simulatedClock.SimulatedClock();
     const {notifications, follower} = startFollower(
       clock,
-      () => ({kind: 'read', records: [], end: 9}),
+      () => ({kind: 'read', records: [], end: 9, topicEnd: 9}),
       () => ({kind: 'expired'}),
     );
     await clock.advance(130);
@@ -92,9 +97,9 @@
         tries += 1;
         return clock.now() < 1_000
           ? {kind: 'unavailable', detail: 'status 503'}
-          : {kind: 'read', records: [], end: 0};
+          : {kind: 'read', records: [], end: 0, topicEnd: 0};
       },
-      () => ({kind: 'read', records: [], end: 0}),
+      () => ({kind: 'read', records: [], end: 0, topicEnd: 0}),
     );
     await clock.advance(990);
     assert.ok(tries >= 4 && tries <= 6, `${tries} tries`);
@@ -112,13 +117,14 @@
     const isDown = (): boolean => clock.now() > 100 && clock.now() < 1_000;
     const topic = {
       append: async () => ({kind: 'refused', detail: ''}) as const,
-      readNewest: async () => ({kind: 'read', records: [], end: 0}) as const,
+      readNewest: async () =>
+        ({kind: 'read', records: [], end: 0, topicEnd: 0}) as const,
       read: async (_from: number, waitMs: number) => {
         waits.push(waitMs);
         await clock.delay(200);
         return isDown()
           ? ({kind: 'unavailable', detail: 'timeout'} as const)
-          : ({kind: 'read', records: [], end: 0} as const);
+          : ({kind: 'read', records: [], end: 0, topicEnd: 0} as const);
       },
     };
     const follower = new topicFollower.TopicFollower(
--- a/test/links/topic_journal_store_test.ts
+++ b/test/links/topic_journal_store_test.ts
@@ -39,7 +39,12 @@
   }
 
   async readNewest(): Promise<keyedTopic.ReadOutcome> {
-    return {kind: 'read', records: [...this.newest.values()], end: this.end};
+    return {
+      kind: 'read',
+      records: [...this.newest.values()],
+      end: this.end,
+      topicEnd: this.end,
+    };
   }
 }
 
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -65,6 +65,7 @@
       clock: time,
       delay,
       log: this.log(),
+      counters: {count: () => {}, observe: () => {}},
     });
     this.later(cell.random.below(TICK_INTERVAL_MS), () => this.startTicks());
   }
--- a/test/support/simulated_store.ts
+++ b/test/support/simulated_store.ts
@@ -26,7 +26,12 @@
   /** Returns the records from an offset on. */
   read(from: number): keyedTopic.ReadOutcome {
     const {length: end} = this.records;
-    return {kind: 'read', records: this.records.slice(from), end};
+    return {
+      kind: 'read',
+      records: this.records.slice(from),
+      end,
+      topicEnd: end,
+    };
   }
 
   /** Returns the newest record of each key. */
@@ -37,7 +42,7 @@
       newest.set(record.key, record);
     }
     const {length: end} = this.records;
-    return {kind: 'read', records: [...newest.values()], end};
+    return {kind: 'read', records: [...newest.values()], end, topicEnd: end};
   }
 
   /** Reads the records from an offset on once there is one. */
