Reject an invalid configuration whole, and odd records of other writers

Other operators saw processes that end again and again because of one odd entry in a list.

Cause: decoders checked types and not values. A version of 1e999 became Infinity, after which no version is newer and BigInt(Infinity) throws in pings and submissions; malformed routes became defaults; a configuration from another member was not checked at all.

Change: one codec checks each configuration, from the store and from members, and names the invalid field in the log; the version in force stays. Jobs with negative sizes are refused.

--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -1,8 +1,10 @@
 import * as callStatistics from './call_statistics.js';
 import * as cellMessages from './cell_messages.js';
 import * as cellPb from './generated/cell_pb.js';
+import * as configurationCodec from './configuration_codec.js';
 import * as jsonDocument from './json_document.js';
 import * as memberConnection from './member_connection.js';
+import * as typeGuards from './type_guards.js';
 import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellPeers from '../zones/cell_peers.js';
@@ -64,7 +66,12 @@
       client.fetchConfiguration({}, options),
     );
     return mapPeerCallOutcome(callOutcome, ({document}) =>
-      jsonDocument.decode<job.OperatorConfiguration>(document).extract(),
+      jsonDocument
+        .parse(document)
+        .toEither('must be a JSON document')
+        .chain(configurationCodec.checkConfiguration)
+        .toMaybe()
+        .extract(),
     );
   }
 
@@ -174,6 +181,10 @@
     timeoutMs: number,
     send: memberConnection.SendCall<Response>,
   ): Promise<cellPeers.PeerCallOutcome<Response>> {
+    // Another member's message may name an address that can't be called.
+    if (!typeGuards.isAddress(address)) {
+      return Promise.resolve({kind: 'unanswered', detail: 'invalid address'});
+    }
     return this.connectionTo(address).call(timeoutMs, send);
   }
 
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -1,4 +1,5 @@
 import * as jsonDocument from './json_document.js';
+import * as recordChecks from './record_checks.js';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as keyedTopic from './keyed_topic.js';
 
@@ -105,7 +106,7 @@
 function decodeMember(
   record: keyedTopic.TopicRecord,
 ): cellMember.CellMember | undefined {
-  return jsonDocument.decode<cellMember.CellMember>(record.value).extract();
+  return jsonDocument.decode(record.value, recordChecks.isCellMember).extract();
 }
 
 function decodeClaim(
@@ -120,5 +121,7 @@
 function decodeProgress(
   record: keyedTopic.TopicRecord,
 ): cellMember.LeaderProgress | undefined {
-  return jsonDocument.decode<cellMember.LeaderProgress>(record.value).extract();
+  return jsonDocument
+    .decode(record.value, recordChecks.isLeaderProgress)
+    .extract();
 }
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -5,9 +5,9 @@
 import * as cellPb from './generated/cell_pb.js';
 import * as jsonDocument from './json_document.js';
 import * as listen from './listen.js';
+import * as recordChecks from './record_checks.js';
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as cellPeers from '../zones/cell_peers.js';
-import type * as job from '../jobs/job.js';
 
 type MessageInit<Schema extends protobuf.DescMessage> =
   protobuf.MessageInitShape<Schema>;
@@ -97,7 +97,7 @@
     request: cellPb.SubmitRequest,
   ): Promise<MessageInit<typeof cellPb.SubmitResponseSchema>> {
     const definition = jsonDocument
-      .decode<job.JobDefinition>(request.definition)
+      .decode(request.definition, recordChecks.isJobDefinition)
       .extract();
     if (definition === undefined) {
       throw new connect.ConnectError(
--- a/src/links/stored_worker_merger.ts
+++ b/src/links/stored_worker_merger.ts
@@ -1,4 +1,5 @@
 import * as jsonDocument from './json_document.js';
+import * as recordChecks from './record_checks.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as keyedTopic from './keyed_topic.js';
 
@@ -45,8 +46,10 @@
   private addList({value, offset}: keyedTopic.TopicRecord): void {
     this.listOffset = offset;
     this.listed = jsonDocument
-      .decode<ReadonlyArray<jobJournal.StoredWorker>>(value)
-      .orDefault([]);
+      .parse(value)
+      .map(list => (Array.isArray(list) ? list : []))
+      .orDefault([])
+      .filter(recordChecks.isStoredWorker);
   }
 
   private addSingle({key, value, offset}: keyedTopic.TopicRecord): void {
@@ -55,7 +58,7 @@
       this.single.set(id, {offset, worker: undefined});
       return;
     }
-    const decoded = jsonDocument.decode<jobJournal.StoredWorker>(value);
+    const decoded = jsonDocument.decode(value, recordChecks.isStoredWorker);
     decoded.ifJust(worker => this.single.set(id, {offset, worker}));
   }
 }
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -1,5 +1,6 @@
 import * as timers from 'node:timers/promises';
 import * as jsonDocument from './json_document.js';
+import * as recordChecks from './record_checks.js';
 import * as storedWorkerMerger from './stored_worker_merger.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
@@ -44,13 +45,16 @@
       workers.add(record);
       if (value.length === 0) continue;
       if (key.startsWith(DEFINITION_PREFIX)) {
-        const decoded = jsonDocument.decode<job.JobDefinition>(value);
+        const decoded = jsonDocument.decode(
+          value,
+          recordChecks.isJobDefinition,
+        );
         decoded.ifJust(definition =>
           definitions.set(definition.id, definition),
         );
       } else if (key.startsWith(PROGRESS_PREFIX)) {
         const id = key.slice(PROGRESS_PREFIX.length);
-        const decoded = jsonDocument.decode<jobRecord.JobProgress>(value);
+        const decoded = jsonDocument.decode(value, recordChecks.isJobProgress);
         decoded.ifJust(jobProgress => progress.set(id, jobProgress));
       }
     }
--- a/src/links/type_guards.ts
+++ b/src/links/type_guards.ts
@@ -22,6 +22,13 @@
   return typeof value === 'string' && value !== '';
 }
 
+/** Returns whether a value is a host and a port that can be called. */
+export function isAddress(value: unknown): value is string {
+  if (typeof value !== 'string') return false;
+  const port = /^[a-z0-9.-]+:([0-9]{1,5})$/i.exec(value)?.[1];
+  return Number(port) >= 1 && URL.canParse(`http://${value}`);
+}
+
 /** Returns whether a value has a valid quantity of each resource. */
 export function isResources(value: unknown): value is resources.Resources {
   return (
--- a/stand_ins/platform_store.ts
+++ b/stand_ins/platform_store.ts
@@ -46,8 +46,12 @@
 
   /** Appends a record without HTTP; an undefined value deletes the key. */
   put(topic: string, key: string, value: unknown): void {
-    const bytes = value === undefined ? '' : JSON.stringify(value);
-    this.addRecords(this.topic(topic), [{key, value: Buffer.from(bytes)}]);
+    this.putText(topic, key, value === undefined ? '' : JSON.stringify(value));
+  }
+
+  /** Appends a record of any text, as another writer may. */
+  putText(topic: string, key: string, text: string): void {
+    this.addRecords(this.topic(topic), [{key, value: Buffer.from(text)}]);
   }
 
   /** Returns the newest value of each key that is not deleted. */
--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -23,6 +23,10 @@
   machine: 'm-1',
 };
 
+function decodeEntryText(text: string): unknown {
+  return registryEntryDecoder.decodeRegistryEntry('i-1', Buffer.from(text));
+}
+
 describe('registry entry decoder', () => {
   test('decodes a worker, its machine and its capacity', () => {
     const entry = registryEntryDecoder.decodeRegistryEntry(
@@ -53,6 +57,33 @@
     }
   });
 
+  // Guards against a worker without an address that can be called, and against
+  // one whose capacity draws all work.
+  test('rejects an address out of range and a capacity that is no quantity', () => {
+    const malformed = [
+      '"address":"127.0.0.1:99999"',
+      '"address":"127.0.0.1:0"',
+      '"address":"127.0.0.1:80/x"',
+      '"address":":::"',
+      '"address":"999.0.0.1:80"',
+      '"born":1e999',
+      '"born":-1',
+      '"born":1.5',
+      '"capacity":{"cpu":1e999,"mem_mb":1}',
+      '"capacity":{"cpu":1,"mem_mb":-5}',
+      '"capacity":{"cpu":1,"mem_mb":1,"gpu":-1}',
+      '"labels":"a"',
+      '"zone":7',
+    ];
+    const valid = encode(ENTRY).toString().slice(1);
+    assert.ok(decodeEntryText(`{${valid}`));
+    for (const field of malformed) {
+      // Of two fields with one name, the last one counts.
+      const text = `{${valid.slice(0, -1)},${field}}`;
+      assert.equal(decodeEntryText(text), undefined, field);
+    }
+  });
+
   // Guards against a crash of the process on malformed bytes, here and in the
   // other decoders.
   test('does not throw on arbitrary bytes', () => {
@@ -68,6 +99,57 @@
   });
 });
 
+const ROUTE = {
+  name: 'orders',
+  host: 'Orders.example',
+  path_prefix: '/orders/',
+  service_name: 'dispatch',
+};
+
+describe('configuration decoder', () => {
+  test('decodes routes and fills in what they omit', () => {
+    const decoded = configurationDecoder
+      .decodeConfiguration(encode({version: 7, routes: [ROUTE]}))
+      .unsafeCoerce();
+    assert.equal(decoded.version, 7);
+    assert.equal(decoded.queues[0].host, 'orders.example');
+    assert.equal(decoded.queues[0].attempts, 1);
+    assert.equal(decoded.bodyBytes, 262_144);
+  });
+
+  // Guards against an invalid version that replaces the one in force, and one
+  // so large that no later version is taken.
+  test('an invalid configuration was taken: rejects it whole and names the field', () => {
+    const invalid: ReadonlyArray<readonly [string, RegExp]> = [
+      ['{"version":1e999,"routes":[]}', /version/],
+      ['{"version":3.5,"routes":[]}', /version/],
+      ['{"version":-1,"routes":[]}', /version/],
+      ['{"routes":[]}', /version/],
+      ['{"version":8,"routes":"x"}', /queues/],
+      ['{"version":8,"routes":[7]}', /queues/],
+      ['{"version":8,"routes":[{"name":"a","path_prefix":"/a/"}]}', /service/],
+      ['{"version":8,"routes":[{"service_name":"a"}]}', /name/],
+      [
+        '{"version":8,"routes":[{"name":"a","service_name":"b","timeout_ms":-1}]}',
+        /timeoutMs/,
+      ],
+      [
+        '{"version":8,"routes":[{"name":"a","service_name":"b","advice":7}]}',
+        /advice/,
+      ],
+      ['{"version":8,"limits":{"max_body_bytes":-1}}', /bodyBytes/],
+      ['{"version":8,"limits":7}', /bodyBytes/],
+    ];
+    for (const [text, field] of invalid) {
+      const decoded = configurationDecoder.decodeConfiguration(
+        Buffer.from(text),
+      );
+      assert.ok(decoded.isLeft(), text);
+      assert.match(String(decoded.extract()), field, text);
+    }
+  });
+});
+
 describe('job decoder', () => {
   const STEP = {count: 2, cpu: 500, mem_mb: 64, est_runtime_ms: 900};
 
@@ -112,6 +194,7 @@
     assert.equal(faultOf([]), 'body');
     assert.equal(faultOf({}), 'steps');
     assert.equal(faultOf({steps: [{...STEP, count: 0}]}), 'steps[0].count');
+    assert.equal(faultOf({steps: [{...STEP, cpu: -500}]}), 'steps[0]');
     assert.equal(faultOf({steps: [{...STEP, after: [0]}]}), 'steps[0].after');
   });
 });
