Close idle connections to the store with one that went silent

Cause: a read that times out closes its own connection only. The next read takes another idle connection of the pool, which took the same way and went silent at the same time, and waits for its timeout too. A process has up to eight connections to the store, so a feed may be lost for eight timeouts.

The new test (eight idle connections, all silent) has its second call answered; without the change that call times out as the first one.

Change: a call to the store that times out also closes the connections that have been idle since before it was sent. Those that answered later are kept. Workers and the advice service keep the old way: their calls fail for reasons of their own, and a new connection has a price.

--- a/src/links/connection_pool.ts
+++ b/src/links/connection_pool.ts
@@ -1,6 +1,7 @@
 import * as undiciClient from 'undici/lib/dispatcher/client.js';
 import * as callStatistics from './call_statistics.js';
 import * as connectionOpener from './connection_opener.js';
+import type * as clock from '../machines/clock.js';
 import type * as responseTimer from '../machines/response_timer.js';
 import type * as undici from 'undici';
 
@@ -15,10 +16,24 @@
 
 /** Dependencies of a `ConnectionPool`. */
 export interface ConnectionPoolOptions {
+  readonly clock: clock.Clock;
   readonly timer: responseTimer.ResponseTimer;
   readonly statistics: callStatistics.CallStatistics;
   /** Maximum number of connections. */
   readonly connectionLimit: number;
+  /**
+   * Whether a call that times out on one connection also closes those that are
+   * idle since before the call. Connections that take the same way may go
+   * silent together, and calls would try them one after the other.
+   */
+  readonly closesIdleOnTimeout?: boolean;
+}
+
+/** Connection that no call uses. */
+interface IdleConnection {
+  readonly connection: Connection;
+  /** When its last call ended. */
+  readonly idleSince: clock.Milliseconds;
 }
 
 /** Timeout for opening a connection. */
@@ -37,7 +52,7 @@
     Connection,
     connectionOpener.ConnectionOpener
   >();
-  private readonly idleConnections: Connection[] = [];
+  private idleConnections: IdleConnection[] = [];
   private readonly waitingUsers = new Set<ConnectionUser>();
   private readonly history: callStatistics.ConnectionHistory;
   private readonly origin: URL;
@@ -55,13 +70,18 @@
     return this.options.timer;
   }
 
+  get clock(): clock.Clock {
+    return this.options.clock;
+  }
+
   get statistics(): callStatistics.CallStatistics {
     return this.options.statistics;
   }
 
   /** Passes a connection to the user, at once or when one becomes free. */
   acquire(user: ConnectionUser): void {
-    const connection = this.idleConnections.pop() ?? this.createConnection();
+    const idle = this.idleConnections.pop();
+    const connection = idle?.connection ?? this.createConnection();
     if (connection === undefined) this.waitingUsers.add(user);
     else user.useConnection(connection);
   }
@@ -74,7 +94,8 @@
   /** Takes back a connection whose call has ended. */
   release(connection: Connection): void {
     if (!this.openers.has(connection)) return;
-    this.idleConnections.push(connection);
+    const idleSince = this.options.clock.now();
+    this.idleConnections.push({connection, idleSince});
     this.serveWaitingUser();
   }
 
@@ -84,7 +105,8 @@
    */
   releaseUnopened(connection: Connection): void {
     if (!this.openers.has(connection)) return;
-    this.idleConnections.unshift(connection);
+    const idleSince = this.options.clock.now();
+    this.idleConnections.unshift({connection, idleSince});
     this.serveWaitingUser();
   }
 
@@ -96,11 +118,26 @@
     this.serveWaitingUser();
   }
 
+  /**
+   * Closes a connection on which a call that was sent at `sentAt` has timed
+   * out, and with it the idle ones that may be silent too.
+   */
+  discardSilent(connection: Connection, sentAt: clock.Milliseconds): void {
+    const suspects = this.options.closesIdleOnTimeout
+      ? this.idleConnections.filter(({idleSince}) => idleSince <= sentAt)
+      : [];
+    this.idleConnections = this.idleConnections.filter(
+      idle => !suspects.includes(idle),
+    );
+    for (const idle of suspects) this.discard(idle.connection, 'timeout');
+    this.discard(connection, 'timeout');
+  }
+
   /** Closes all connections; the calls in progress fail. */
   close(): void {
     for (const connection of this.openers.keys()) void connection.destroy();
     this.openers.clear();
-    this.idleConnections.length = 0;
+    this.idleConnections = [];
   }
 
   private serveWaitingUser(): void {
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as workerThreads from 'node:worker_threads';
+import * as faultRelay from '../../stand_ins/fault_relay.js';
 import * as httpClientSupport from '../support/http_client.js';
 import * as listen from '../../src/links/listen.js';
 import * as loopbackAddress from '../../stand_ins/loopback_address.js';
@@ -68,6 +69,46 @@
     server.close();
   });
 
+  // Guards against a feed that is lost for as many timeouts as it has idle
+  // connections, because all of them went silent together.
+  test('silent connections were tried one after the other: closes the idle ones with the first', async () => {
+    const server = await startServer((_path, response) => {
+      setTimeout(() => response.end('done'), 20);
+    });
+    const relay = new faultRelay.FaultRelay(server.address);
+    const address = await relay.listen(loopbackAddress.randomLoopbackAddress());
+    const counters = new recordedCounters.RecordedCounters();
+    const client = httpClientSupport.createHttpClient(8, counters, true);
+    await Promise.all(
+      Array.from({length: 8}, () => get(client, address, '/open')),
+    );
+    relay.silenceConnections();
+    const first = await get(client, address, '/first', 300);
+    assert.equal(first.kind, 'unanswered');
+    const second = await get(client, address, '/second');
+    assert.equal(second.kind, 'answered');
+    client.close();
+    relay.close();
+    server.close();
+  });
+
+  // Guards against a good connection that is closed with a silent one.
+  test('keeps the connections that answered after the silent call was sent', async () => {
+    const server = await startServer((path, response) => {
+      if (path !== '/silent') response.end('done');
+    });
+    const counters = new recordedCounters.RecordedCounters();
+    const client = httpClientSupport.createHttpClient(8, counters, true);
+    const silent = get(client, server.address, '/silent', 400);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    await get(client, server.address, '/good');
+    assert.equal((await silent).kind, 'unanswered');
+    await get(client, server.address, '/good');
+    assert.equal(server.connectionCount(), 2);
+    client.close();
+    server.close();
+  });
+
   // Guards against a command that is sent after its caller has given it up: the
   // decision behind it is outdated after the wait for a connection.
   test('does not send a call that timed out in the queue', async () => {
--- a/test/support/http_client.ts
+++ b/test/support/http_client.ts
@@ -4,14 +4,18 @@
 import * as recordedCounters from './recorded_counters.js';
 import * as responseTimer from '../../src/machines/response_timer.js';
 
-/** Creates a client of workers on the real clock. */
+/** Creates a client of workers, or of the store, on the real clock. */
 export function createHttpClient(
   connectionLimit: number,
   counters = new recordedCounters.RecordedCounters(),
+  closesIdleOnTimeout = false,
 ): httpClient.HttpClient {
+  const systemClock = new clock.SystemClock();
   return new httpClient.HttpClient({
-    timer: new responseTimer.LoopTimer(new clock.SystemClock()),
+    clock: systemClock,
+    timer: new responseTimer.LoopTimer(systemClock),
     statistics: new callStatistics.CallStatistics(counters, 'worker'),
     connectionLimit,
+    closesIdleOnTimeout,
   });
 }
