Decide by a configuration only while it is proven to be the newest

Cause: no decision but one looked at how old its version's confirmation was. A known queue was served, and tasks were started, by a version of any age. The confirmation itself was counted from the moment at which an answer was read, not from the moment at which the source was asked: an answer that was 9 s under way made a version 0 s old. A member that was told of a newer version in a submission or an answer went on by its own; a fetch that failed was not repeated. One read at a time looked for news.

Change: one class (ConfigurationFreshness) says how far a decision may rely on the version: requests of callers, submissions at the leader, starts of tasks. A proof counts from when its source was asked. When it is too old, or a member has told of a newer version, the store, the leader, another member and the member that told are asked first; a request waits at most 0.6 s for that. Every answer between members carries the version.

--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -174,7 +174,8 @@
       openSteps: this.openSteps,
       runtimeModel: runtimes,
       isBlocked: record => this.runRecovery?.blocks(record) === true,
-      mayStart: () => this.isServing && options.mayGrantLeases(),
+      mayStart: () =>
+        this.isServing && options.mayGrantLeases() && options.mayStartTasks(),
     });
     this.evacuator = new evacuator.Evacuator(
       workers,
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -45,6 +45,11 @@
    * whether this process still has proof that it is the leader.
    */
   readonly mayGrantLeases: () => boolean;
+  /**
+   * Returns whether the configuration is proven new enough to start tasks by.
+   * While it is not, this process asks for a newer one.
+   */
+  readonly mayStartTasks: () => boolean;
   /** Called when a later term is found to exist. */
   readonly onSuperseded: (reason: string) => void;
   /** Runs a slice of work in the next event loop turn, after messages are read. */
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -18,6 +18,8 @@
   readonly clock: clock.Clock;
   readonly timer: responseTimer.ResponseTimer;
   readonly statistics: callStatistics.CallStatistics;
+  /** Called with the version of the configuration that a member has. */
+  readonly onConfigurationVersion: (version: number, address: string) => void;
 }
 
 /** Calls other cell members over one HTTP/2 connection per member. */
@@ -60,19 +62,23 @@
 
   async fetchConfiguration(
     address: string,
+    knownVersion: number,
     timeoutMs: number,
-  ): Promise<cellPeers.PeerCallOutcome<job.OperatorConfiguration | undefined>> {
+  ): Promise<cellPeers.PeerCallOutcome<cellPeers.MemberConfiguration>> {
+    const request = {knownVersion: BigInt(knownVersion)};
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
-      client.fetchConfiguration({}, options),
+      client.fetchConfiguration(request, options),
     );
-    return mapPeerCallOutcome(callOutcome, ({document}) =>
-      jsonDocument
+    return mapPeerCallOutcome(callOutcome, ({document, version, ageMs}) => ({
+      configuration: jsonDocument
         .parse(document)
         .toEither('must be a JSON document')
         .chain(configurationCodec.checkConfiguration)
         .toMaybe()
         .extract(),
-    );
+      version: Number(version),
+      ageMs,
+    }));
   }
 
   async submit(
@@ -88,7 +94,11 @@
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.submit(request, options),
     );
-    return toLeaderCallOutcome(callOutcome, cellMessages.decodeSubmitResponse);
+    return this.toLeaderCallOutcome(
+      address,
+      callOutcome,
+      cellMessages.decodeSubmitResponse,
+    );
   }
 
   async screen(
@@ -101,7 +111,7 @@
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.screen({jobs: jobs.map(cellMessages.encodeScreenedJob)}, options),
     );
-    return toLeaderCallOutcome(callOutcome, ({outcomes}) =>
+    return this.toLeaderCallOutcome(address, callOutcome, ({outcomes}) =>
       outcomes.map(cellMessages.decodeScreeningOutcome),
     );
   }
@@ -115,7 +125,7 @@
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.cancel({queue, id}, options),
     );
-    return toLeaderCallOutcome(callOutcome, ({known}) =>
+    return this.toLeaderCallOutcome(address, callOutcome, ({known}) =>
       known ? 'cancelled' : 'unknown',
     );
   }
@@ -129,7 +139,7 @@
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.readState({queue, id}, options),
     );
-    return toLeaderCallOutcome(callOutcome, ({state}) =>
+    return this.toLeaderCallOutcome(address, callOutcome, ({state}) =>
       state === '' ? undefined : (state as job.JobState),
     );
   }
@@ -142,7 +152,11 @@
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.countPending({queue}, options),
     );
-    return toLeaderCallOutcome(callOutcome, ({pending}) => pending);
+    return this.toLeaderCallOutcome(
+      address,
+      callOutcome,
+      ({pending}) => pending,
+    );
   }
 
   async advise(
@@ -170,6 +184,24 @@
     return {kind: 'unanswered', detail};
   }
 
+  private toLeaderCallOutcome<
+    Response extends {
+      readonly leading: cellPb.Leading;
+      readonly configurationVersion: bigint;
+    },
+    Value,
+  >(
+    address: string,
+    callOutcome: cellPeers.PeerCallOutcome<Response>,
+    map: (response: Response) => Value,
+  ): cellPeers.LeaderCallOutcome<Value> {
+    if (callOutcome.kind !== 'answered') return callOutcome;
+    const {leading, configurationVersion} = callOutcome.value;
+    this.options.onConfigurationVersion(Number(configurationVersion), address);
+    if (leading !== cellPb.Leading.YES) return {kind: 'notLeading'};
+    return {kind: 'answered', value: map(callOutcome.value)};
+  }
+
   /** Closes the connections that take new calls. */
   close(): void {
     for (const connection of this.connections.values()) connection.close();
@@ -217,17 +249,3 @@
   if (callOutcome.kind !== 'answered') return callOutcome;
   return {kind: 'answered', value: map(callOutcome.value)};
 }
-
-function toLeaderCallOutcome<
-  Response extends {readonly leading: cellPb.Leading},
-  Value,
->(
-  callOutcome: cellPeers.PeerCallOutcome<Response>,
-  map: (response: Response) => Value,
-): cellPeers.LeaderCallOutcome<Value> {
-  if (callOutcome.kind !== 'answered') return callOutcome;
-  if (callOutcome.value.leading !== cellPb.Leading.YES) {
-    return {kind: 'notLeading'};
-  }
-  return {kind: 'answered', value: map(callOutcome.value)};
-}
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -53,12 +53,12 @@
   private registerRoutes(router: connect.ConnectRouter): void {
     router.service(cellPb.Cell, {
       ping: request => this.ping(request),
-      fetchConfiguration: () => this.fetchConfiguration(),
-      submit: request => this.submit(request),
-      screen: request => this.screen(request),
-      cancel: request => this.cancel(request),
-      readState: request => this.readState(request),
-      countPending: request => this.countPending(request),
+      fetchConfiguration: request => this.fetchConfiguration(request),
+      submit: async request => this.withVersion(await this.submit(request)),
+      screen: request => this.withVersion(this.screen(request)),
+      cancel: async request => this.withVersion(await this.cancel(request)),
+      readState: request => this.withVersion(this.readState(request)),
+      countPending: request => this.withVersion(this.countPending(request)),
       advise: request => this.advise(request),
     });
   }
@@ -76,21 +76,29 @@
       newest: cellMessages.encodeClaim(answer.newest),
       storeSilentMs: Math.round(answer.storeSilentMs),
       configurationVersion: BigInt(answer.configurationVersion),
-      configurationAgeMs: Math.min(
-        answer.configurationAgeMs,
-        MAXIMUM_REPORTED_AGE_MS,
-      ),
+      configurationAgeMs: reportedAge(answer.configurationAgeMs),
     };
   }
 
-  private fetchConfiguration(): MessageInit<
-    typeof cellPb.FetchConfigurationResponseSchema
-  > {
-    const {configuration} = this.service;
-    if (configuration === undefined) return {document: NO_DOCUMENT};
-    return {
-      document: jsonDocument.encode(configuration) as Uint8Array<ArrayBuffer>,
-    };
+  private fetchConfiguration(
+    request: cellPb.FetchConfigurationRequest,
+  ): MessageInit<typeof cellPb.FetchConfigurationResponseSchema> {
+    const {configuration, version, ageMs} = this.service.configurationSince(
+      Number(request.knownVersion),
+    );
+    const document =
+      configuration === undefined
+        ? NO_DOCUMENT
+        : (jsonDocument.encode(configuration) as Uint8Array<ArrayBuffer>);
+    return {document, version: BigInt(version), ageMs: reportedAge(ageMs)};
+  }
+
+  /** Adds the version by which this member decides to its answer. */
+  private withVersion<Answer>(
+    answer: Answer,
+  ): Answer & {readonly configurationVersion: bigint} {
+    const configurationVersion = BigInt(this.service.configurationVersion);
+    return {...answer, configurationVersion};
   }
 
   private async submit(
@@ -168,3 +176,8 @@
     return {outcome: outcome.kind, detail};
   }
 }
+
+/** Rounds an age up; receivers treat all ages above the bound alike. */
+function reportedAge(ageMs: number): number {
+  return Math.ceil(Math.min(ageMs, MAXIMUM_REPORTED_AGE_MS));
+}
--- a/src/links/keyed_topic.ts
+++ b/src/links/keyed_topic.ts
@@ -57,8 +57,11 @@
     options: AppendOptions,
     timeoutMs: number,
   ): Promise<AppendOutcome>;
-  /** Reads records from an offset on; waits up to `waitMs` for the first. */
-  read(from: number, waitMs: number): Promise<ReadOutcome>;
+  /**
+   * Reads records from an offset on; waits up to `waitMs` for the first. The
+   * read is given up `marginMs` after that wait.
+   */
+  read(from: number, waitMs: number, marginMs?: number): Promise<ReadOutcome>;
   /** Reads the newest record of each key. */
-  readNewest(): Promise<ReadOutcome>;
+  readNewest(marginMs?: number): Promise<ReadOutcome>;
 }
--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -25,12 +25,14 @@
   /**
    * Called after each successful read. `changes` are the newest records of
    * their keys, in the order of their offsets. In a snapshot, keys that are not
-   * among them no longer exist.
+   * among them no longer exist. At the time `provenAt`, the topic had no later
+   * records; undefined if the answer proves that for no time.
    */
   received(
     changes: ReadonlyArray<keyedTopic.TopicRecord>,
     end: number,
     isSnapshot: boolean,
+    provenAt: clock.Milliseconds | undefined,
   ): void;
   /**
    * Called after each successful read with whether its records reach the end of
@@ -46,6 +48,15 @@
 /** Backoff after a read that failed. */
 const RETRY_DELAY_MS = 200;
 
+/** One read, and what is known about its time. */
+interface TopicRead {
+  /** Undefined for a snapshot. */
+  readonly from: number | undefined;
+  readonly waitMs: number;
+  readonly askedAt: clock.Milliseconds;
+  readonly outcome: keyedTopic.ReadOutcome;
+}
+
 /** Reads a keyed topic in a loop: one snapshot, then its changes. */
 export class TopicFollower {
   private closed = false;
@@ -64,7 +75,7 @@
   async run(): Promise<void> {
     while (!this.closed) {
       const startedAtMs = this.clock.now();
-      const answered = await this.readOnce();
+      const answered = await this.readInTurn();
       if (this.closed) return;
       if (answered && !this.isAvailable) this.listener.resumed();
       this.isAvailable = answered;
@@ -76,33 +87,75 @@
     }
   }
 
+  /**
+   * Reads at once, beside the read of the loop, which may wait on a connection
+   * that has gone silent. Resolves to whether the store answered in time.
+   */
+  async readNow(timeoutMs: number): Promise<boolean> {
+    const read = await this.read(0, timeoutMs);
+    if (this.closed || read.outcome.kind === 'unavailable') return false;
+    this.apply(read);
+    return true;
+  }
+
   close(): void {
     this.closed = true;
   }
 
-  private async readOnce(): Promise<boolean> {
-    const isSnapshot = this.nextOffset === undefined;
+  private async readInTurn(): Promise<boolean> {
     // While the store is unavailable, a read with a wait would block for the
     // whole wait in a silent store, even if the store recovers meanwhile.
     const waitMs = this.isAvailable ? this.options.maximumWaitMs : 0;
-    const outcome =
-      this.nextOffset === undefined
-        ? await this.topic.readNewest()
-        : await this.topic.read(this.nextOffset, waitMs);
+    const read = await this.read(waitMs);
     if (this.closed) return true;
-    switch (outcome.kind) {
-      case 'read':
-        this.listener.compared?.(differenceOf(outcome));
-        this.nextOffset = outcome.end;
-        this.listener.received(outcome.records, outcome.end, isSnapshot);
-        return true;
-      case 'expired':
-        this.nextOffset = undefined;
-        return true;
-      case 'unavailable':
-        if (this.isAvailable) this.listener.interrupted(outcome.detail);
-        return false;
+    if (read.outcome.kind === 'unavailable') {
+      if (this.isAvailable) this.listener.interrupted(read.outcome.detail);
+      return false;
     }
+    this.apply(read);
+    return true;
+  }
+
+  private async read(waitMs: number, marginMs?: number): Promise<TopicRead> {
+    const askedAt = this.clock.now();
+    const {nextOffset: from, topic} = this;
+    const outcome = await (from === undefined
+      ? topic.readNewest(marginMs)
+      : topic.read(from, waitMs, marginMs));
+    return {from, waitMs, askedAt, outcome};
+  }
+
+  private apply(read: TopicRead): void {
+    const {from, outcome} = read;
+    if (outcome.kind !== 'read') {
+      this.nextOffset = undefined;
+      return;
+    }
+    const difference = differenceOf(outcome);
+    this.listener.compared?.(difference);
+    // The answers of two reads may arrive in either order.
+    this.nextOffset = Math.max(this.nextOffset ?? 0, outcome.end);
+    // Only a snapshot shows records that were deleted while a read waited.
+    const hasLostRecords =
+      difference === 'recordsMissing' && outcome.records.length === 0;
+    if (hasLostRecords) this.nextOffset = undefined;
+    const isSnapshot = from === undefined;
+    const provenAt = this.provenAt(read, difference);
+    this.listener.received(outcome.records, outcome.end, isSnapshot, provenAt);
+  }
+
+  /**
+   * Returns the latest time that an answer is known not to precede: that of its
+   * request or, if the store waited in vain for records, the end of its wait.
+   */
+  private provenAt(
+    {waitMs, askedAt}: TopicRead,
+    difference: ReadDifference,
+  ): clock.Milliseconds | undefined {
+    if (difference === 'news') return askedAt;
+    if (difference !== 'noNews') return undefined;
+    const waitEndedAt = askedAt + waitMs;
+    return waitEndedAt <= this.clock.now() ? waitEndedAt : askedAt;
   }
 }
 
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,6 +1,7 @@
 import * as adviceEndpoints from './advice_endpoints.js';
 import * as adviceBalancer from '../jobs/advice_balancer.js';
 import * as configurationCache from './configuration_cache.js';
+import * as configurationFreshness from './configuration_freshness.js';
 import * as jobScheduler from '../jobs/job_scheduler.js';
 import * as leaderElector from './leader_elector.js';
 import * as leadershipProof from './leadership_proof.js';
@@ -12,6 +13,7 @@
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
+import type * as configurationSource from './configuration_source.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as overloadController from '../jobs/overload_controller.js';
@@ -28,6 +30,9 @@
   readonly cellLog: cellMember.CellLog;
   readonly journalStore: jobJournal.JobJournalStore;
   readonly registry: remoteWorker.WorkerRegistry;
+  readonly configurationSource: configurationSource.ConfigurationSource;
+  /** Time within which a new configuration must be in force. */
+  readonly configurationMs: number;
   readonly workerClient: workerClient.WorkerClient;
   /** Calls the advice service from the VM of this process. */
   readonly localAdviceClient: adviceCache.LocalAdviceClient;
@@ -45,6 +50,15 @@
 /** Time for which a report that the leader is overloaded holds. */
 const OVERLOAD_REPORT_LIFETIME_MS = 2_000;
 
+/**
+ * Time that a submission waits for the proof that its configuration is the
+ * newest. An inquiry of the store and of other members ends within it.
+ */
+const CONFIGURATION_WAIT_MS = 600;
+
+/** Delay after which callers of a member with an outdated configuration retry. */
+const RETRY_AFTER_SECONDS = 1;
+
 /** Time after a late tick in which the messages that waited are read. */
 const BACKLOG_READ_TIME_MS = 50;
 
@@ -55,15 +69,17 @@
   private readonly loopDelayMonitor: loopDelayMonitor.LoopDelayMonitor;
   private readonly contacts: memberContacts.MemberContacts;
   private readonly configurationCache: configurationCache.ConfigurationCache;
+  private readonly freshness: configurationFreshness.ConfigurationFreshness;
   private readonly adviceEndpoints: adviceEndpoints.AdviceEndpoints;
   private readonly adviceBalancer: adviceBalancer.AdviceBalancer;
   private overloadReportedAt = -Infinity;
+  private configurationInquiryCount = 0;
   private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
   private readonly leadershipProof = new leadershipProof.LeadershipProof();
 
   constructor(private readonly options: CellNodeOptions) {
-    const {clock, localAdviceClient, peers} = options;
+    const {clock, counters, localAdviceClient, peers} = options;
     this.loopDelayMonitor = new loopDelayMonitor.LoopDelayMonitor(clock.now());
     this.contacts = new memberContacts.MemberContacts(clock);
     this.elector = new leaderElector.LeaderElector({
@@ -71,7 +87,7 @@
       configurationVersion: () => this.configurationCache.version,
       isUpToDate: () => this.loopDelayMonitor.lostMs(clock.now()) === 0,
       onNewTerm: claim => this.beginTerm(claim),
-      onReply: (address, reply) => this.handleReply(address, reply),
+      onReply: (...reply) => this.handleReply(...reply),
     });
     this.progressReporter = new progressReporter.ProgressReporter({
       cellLog: options.cellLog,
@@ -82,10 +98,22 @@
     });
     this.configurationCache = new configurationCache.ConfigurationCache({
       clock,
-      peers,
+      counters,
       log: options.log,
       onUpdated: configuration => this.scheduler?.configure(configuration),
     });
+    this.freshness = new configurationFreshness.ConfigurationFreshness(
+      this.configurationCache,
+      {
+        clock,
+        counters,
+        peers,
+        timer: options.timer,
+        source: options.configurationSource,
+        peerAddresses: () => this.configurationPeers(),
+        configurationMs: options.configurationMs,
+      },
+    );
     this.adviceEndpoints = new adviceEndpoints.AdviceEndpoints(
       this.contacts,
       localAdviceClient,
@@ -102,6 +130,10 @@
     return this.configurationCache.newest;
   }
 
+  get configurationVersion(): number {
+    return this.configurationCache.version;
+  }
+
   /** Time since the configuration was last confirmed to be the newest. */
   get configurationAgeMs(): number {
     return this.configurationCache.ageMs;
@@ -156,11 +188,23 @@
     this.reportProgress();
   }
 
-  /** Applies the operator's configuration; undefined if none was written. */
-  applyConfiguration(
-    configuration: job.OperatorConfiguration | undefined,
-  ): void {
-    this.configurationCache.recordStoreRead(configuration);
+  /** Follows the operator's configuration in the store. */
+  followConfiguration(): void {
+    this.options.configurationSource.follow((...read) =>
+      this.configurationCache.recordStoreRead(...read),
+    );
+  }
+
+  /** Returns the configuration to decide by; asks others if it may be old. */
+  configurationBasis(
+    waitMs = CONFIGURATION_WAIT_MS,
+  ): Promise<configurationFreshness.ConfigurationBasis> {
+    return this.freshness.basis(waitMs);
+  }
+
+  /** Records that another member has a version of the configuration. */
+  hearConfigurationVersion(version: number, address?: string): void {
+    this.configurationCache.announce(version, address);
   }
 
   /** Stops claiming and asks for a successor, before the process stops. */
@@ -181,6 +225,7 @@
       void this.startScheduler(this.elector.leader as cellMember.Claim);
     }
     this.reportProgress();
+    this.freshness.review();
     this.elector.pingIfDue();
     if (lostMs > 0) void this.claimAfterBacklog();
     else this.elector.claimIfDue();
@@ -191,6 +236,7 @@
   answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
     const {newest, sender} = message;
     this.contacts.recordContact(sender);
+    this.hearConfigurationVersion(message.configurationVersion, sender);
     if (newest !== undefined) this.elector.adoptClaim(newest, 'peer');
     this.leadershipProof.acceptMessage(this.options.clock.now());
     return {
@@ -211,6 +257,10 @@
   ): Promise<jobAdmission.SubmitOutcome> | undefined {
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
+    this.hearConfigurationVersion(configurationVersion);
+    if (!this.freshness.allowsStarts) {
+      return this.submitWhenConfirmed(definition, configurationVersion);
+    }
     let isAnswered = true;
     const outcome = new Promise<jobAdmission.SubmitOutcome>(resolve => {
       isAnswered = servingScheduler.submit(
@@ -222,6 +272,12 @@
     return isAnswered ? outcome : undefined;
   }
 
+  configurationSince(knownVersion: number): cellPeers.MemberConfiguration {
+    const {newest, version, ageMs} = this.configurationCache;
+    const configuration = version > knownVersion ? newest : undefined;
+    return {configuration, version, ageMs};
+  }
+
   screen(
     jobs: ReadonlyArray<jobAdmission.ScreenedJob>,
   ): ReadonlyArray<jobAdmission.ScreeningOutcome> | undefined {
@@ -260,6 +316,37 @@
     return this.options.localAdviceClient.ask(step, workerIds, timeoutMs);
   }
 
+  // Configuration.
+
+  /** Submits a job once its configuration is proven to be the newest. */
+  private async submitWhenConfirmed(
+    definition: job.JobDefinition,
+    configurationVersion: number,
+  ): Promise<jobAdmission.SubmitOutcome> {
+    await this.freshness.basis(CONFIGURATION_WAIT_MS);
+    if (!this.freshness.allowsStarts) {
+      return {
+        kind: 'refused',
+        reason: 'notReady',
+        retryAfterSeconds: RETRY_AFTER_SECONDS,
+      };
+    }
+    // A leader that was replaced meanwhile can't tell what became of the job.
+    return this.submit(definition, configurationVersion) ?? {kind: 'undecided'};
+  }
+
+  /** Returns the leader and one other member in turn. */
+  private configurationPeers(): ReadonlyArray<string> {
+    const {elector, options} = this;
+    const addresses = elector.peers.map(({address}) => address);
+    const next = addresses[this.configurationInquiryCount % addresses.length];
+    this.configurationInquiryCount += 1;
+    const own = options.self.address;
+    return [elector.leader?.address, next].filter(
+      (address): address is string => address !== undefined && address !== own,
+    );
+  }
+
   // Delays of this process's own loop.
 
   private handlePause(pauseMs: number, now: clock.Milliseconds): void {
@@ -308,6 +395,8 @@
     this.endTerm('newerClaim');
     if (!this.elector.isLeader) return;
     this.leadershipProof.prove(this.options.clock.now());
+    // The predecessor may have acted on a version that is not known here.
+    this.freshness.requireProof();
     void this.startScheduler(claim);
   }
 
@@ -327,6 +416,7 @@
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
+      mayStartTasks: () => this.freshness.allowsStarts,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
       defer: options.defer,
     });
@@ -366,10 +456,19 @@
     return this.elector.isLeader && this.leadershipProof.isValid(now);
   }
 
-  private handleReply(address: string, reply: cellPeers.PingReply): void {
+  private handleReply(
+    address: string,
+    reply: cellPeers.PingReply,
+    sentAt: clock.Milliseconds,
+  ): void {
     const now = this.options.clock.now();
     this.contacts.recordContact(address);
-    this.configurationCache.compareWithPeer(address, reply);
+    this.configurationCache.recordPeer(
+      address,
+      reply.configurationVersion,
+      reply.configurationAgeMs,
+      sentAt,
+    );
     if (address !== this.elector.leader?.address) return;
     this.overloadReportedAt = reply.overloaded ? now : -Infinity;
   }
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -26,6 +26,16 @@
   readonly overloaded: boolean;
 }
 
+/** What a member knows of the operator's configuration. */
+export interface MemberConfiguration {
+  /** Undefined if the member has none, or none that is newer than asked for. */
+  readonly configuration: job.OperatorConfiguration | undefined;
+  /** Version that the member has; 0 if none. */
+  readonly version: number;
+  /** Time since that version was last proven to be the newest. */
+  readonly ageMs: number;
+}
+
 /** Outcome of a call that only the leader can answer. */
 export type LeaderCallOutcome<Value> =
   | {readonly kind: 'answered'; readonly value: Value}
@@ -54,10 +64,12 @@
     message: PingMessage,
     timeoutMs: number,
   ): Promise<PeerCallOutcome<PingReply>>;
+  /** Asks a member for its configuration if that is newer than a version. */
   fetchConfiguration(
     address: string,
+    knownVersion: number,
     timeoutMs: number,
-  ): Promise<PeerCallOutcome<job.OperatorConfiguration | undefined>>;
+  ): Promise<PeerCallOutcome<MemberConfiguration>>;
   submit(
     address: string,
     definition: job.JobDefinition,
@@ -101,7 +113,10 @@
  */
 export interface CellService {
   answerPing(message: PingMessage): PingReply;
-  readonly configuration: job.OperatorConfiguration | undefined;
+  /** Returns the configuration of this member if it is newer than a version. */
+  configurationSince(knownVersion: number): MemberConfiguration;
+  /** Version of the configuration that this member has; 0 if none. */
+  readonly configurationVersion: number;
   submit(
     definition: job.JobDefinition,
     configurationVersion: number,
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -20,8 +20,12 @@
   readonly isUpToDate: () => boolean;
   /** Called when a newer claim than the known one was made. */
   readonly onNewTerm: (claim: cellMember.Claim) => void;
-  /** Called with each reply to a ping. */
-  readonly onReply: (address: string, reply: cellPeers.PingReply) => void;
+  /** Called with each reply to a ping and the time when that was sent. */
+  readonly onReply: (
+    address: string,
+    reply: cellPeers.PingReply,
+    sentAt: clock.Milliseconds,
+  ) => void;
 }
 
 /**
@@ -262,20 +266,20 @@
       configurationVersion: this.options.configurationVersion(),
       sender: this.options.self.address,
     };
-    const isSuspected = this.election.isLeaderSuspected(
-      this.options.clock.now(),
-    );
+    const sentAt = this.options.clock.now();
+    const isSuspected = this.election.isLeaderSuspected(sentAt);
     const outcome = await this.options.peers.ping(
       address,
       message,
       isSuspected ? SUSPICION_PING_TIMEOUT_MS : PING_TIMEOUT_MS,
     );
-    this.handlePingOutcome(address, outcome);
+    this.handlePingOutcome(address, outcome, sentAt);
   }
 
   private handlePingOutcome(
     address: string,
     outcome: cellPeers.PeerCallOutcome<cellPeers.PingReply>,
+    sentAt: clock.Milliseconds,
   ): void {
     const now = this.options.clock.now();
     const isLeader = address === this.election.newestClaim?.address;
@@ -290,7 +294,7 @@
       this.election.recordStatus(value, now);
       void this.probeStore(value.storeSilentMs);
     }
-    this.options.onReply(address, value);
+    this.options.onReply(address, value, sentAt);
     // A record that is read before the next tick may revoke what this reports.
     this.claimIfDue();
   }
--- a/test/links/cell_screen_test.ts
+++ b/test/links/cell_screen_test.ts
@@ -21,6 +21,7 @@
   received: jobAdmission.ScreenedJob[],
 ): Promise<cellPeers.LeaderCallOutcome<unknown>> {
   const service = {
+    configurationVersion: 1,
     screen: (jobs: ReadonlyArray<jobAdmission.ScreenedJob>) => {
       for (const {id, queue, score, pathMs} of jobs) {
         received.push({id, queue, score, pathMs});
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -139,4 +139,103 @@
     follower.close();
     assert.deepEqual(waits.slice(0, 4), [2_500, 0, 0, 2_500]);
   });
+
+  /** Follows a topic whose reads a test answers; records what they prove. */
+  function followProofs(
+    clock: simulatedClock.SimulatedClock,
+    read: (waitMs: number) => Promise<keyedTopic.ReadOutcome>,
+  ): {
+    readonly follower: topicFollower.TopicFollower;
+    readonly proofs: Array<number | undefined>;
+  } {
+    const proofs: Array<number | undefined> = [];
+    const follower = new topicFollower.TopicFollower(
+      {
+        append: async () => ({kind: 'refused', detail: ''}),
+        readNewest: async () => ({
+          kind: 'read',
+          records: [],
+          end: 5,
+          topicEnd: 5,
+        }),
+        read: (_from, waitMs) => read(waitMs),
+      },
+      {maximumWaitMs: 600, minimumReadIntervalMs: 0},
+      {
+        received: (_changes, _end, _isSnapshot, provenAt) =>
+          void proofs.push(provenAt),
+        interrupted: () => {},
+        resumed: () => {},
+      },
+      clock,
+      milliseconds => clock.delay(milliseconds),
+    );
+    void follower.run();
+    return {follower, proofs};
+  }
+
+  // Guards against an old answer that makes a version count as just confirmed.
+  test('an answer that was under way for seconds proves the time of its request', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const {follower, proofs} = followProofs(clock, async () => {
+      await clock.delay(3_600);
+      return {kind: 'read', records: [record('a', 5)], end: 6, topicEnd: 6};
+    });
+    await clock.advance(3_700);
+    follower.close();
+    assert.deepEqual(proofs, [0, 0]);
+  });
+
+  // Guards against an age that grows with the wait for a change on a calm day.
+  test('an answer without records proves the end of its wait', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const {follower, proofs} = followProofs(clock, async waitMs => {
+      await clock.delay(waitMs + 20);
+      return {kind: 'read', records: [], end: 5, topicEnd: 5};
+    });
+    await clock.advance(1_300);
+    follower.close();
+    assert.deepEqual(proofs, [0, 600, 1_220]);
+  });
+
+  // Guards against an answer that confirms a version although the topic has a
+  // later record, which was deleted while the read waited.
+  test('an answer that lacks records proves nothing and leads to a snapshot', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const {follower, proofs} = followProofs(clock, async () => {
+      await clock.delay(100);
+      return {kind: 'read', records: [], end: 5, topicEnd: 9};
+    });
+    await clock.advance(150);
+    follower.close();
+    assert.deepEqual(proofs.slice(0, 3), [0, undefined, 100]);
+  });
+
+  // Guards against a store that has lost its latest state and confirms it.
+  test('an answer that is behind earlier reads proves nothing', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const {follower, proofs} = followProofs(clock, async () => {
+      await clock.delay(100);
+      return {kind: 'read', records: [], end: 5, topicEnd: 3};
+    });
+    await clock.advance(150);
+    follower.close();
+    assert.deepEqual(proofs.slice(0, 2), [0, undefined]);
+  });
+
+  // Guards against a version that is learned only after the timeout of a read
+  // that waits on a silent connection.
+  test('a hung read delayed a new version: reads beside it', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const {follower, proofs} = followProofs(clock, async waitMs => {
+      await clock.delay(waitMs > 0 ? 60_000 : 5);
+      return {kind: 'read', records: [record('a', 5)], end: 6, topicEnd: 6};
+    });
+    await clock.advance(100);
+    const answered = follower.readNow(500);
+    await clock.advance(10);
+    follower.close();
+    assert.equal(await answered, true);
+    assert.deepEqual(proofs, [0, 100]);
+  });
 });
--- a/test/platform/job_api_refusal_test.ts
+++ b/test/platform/job_api_refusal_test.ts
@@ -22,7 +22,9 @@
 ): Promise<Response> {
   const configuration = {version: 1, queues: [jobCell.QUEUE], bodyBytes: 9_000};
   const server = new jobApiServer.JobApiServer({
-    node: {configuration} as unknown as cellNode.CellNode,
+    node: {
+      configurationBasis: async () => ({standing: 'confirmed', configuration}),
+    } as unknown as cellNode.CellNode,
     gateway: {
       submit: async () => ({
         kind: 'answered',
@@ -32,7 +34,6 @@
     clock: new clock.SystemClock(),
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
-    maximumConfigurationAgeMs: 1_000,
   });
   const port = await server.listen('127.0.0.1', 0);
   const response = await post(port);
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -95,6 +95,7 @@
       log: {event: () => {}},
       counters: {count: name => this.count(name), observe: () => {}},
       mayGrantLeases: () => true,
+      mayStartTasks: () => true,
       onSuperseded: () => {},
       defer: run => this.deferred.push(run),
     });
--- a/test/support/cell_client.ts
+++ b/test/support/cell_client.ts
@@ -7,11 +7,13 @@
 /** Creates a client of members on the real clock. */
 export function createCellClient(
   counters: recordedCounters.RecordedCounters,
+  onConfigurationVersion: (version: number, address: string) => void = () => {},
 ): cellClient.CellClient {
   const systemClock = new clock.SystemClock();
   return new cellClient.CellClient({
     clock: systemClock,
     timer: new responseTimer.LoopTimer(systemClock),
     statistics: new callStatistics.CallStatistics(counters, 'member'),
+    onConfigurationVersion,
   });
 }
--- a/test/support/cell_servers_thread.ts
+++ b/test/support/cell_servers_thread.ts
@@ -39,6 +39,7 @@
 }
 
 const SERVICE = {
+  configurationVersion: 1,
   answerPing: () => ({
     newest: undefined,
     incarnation: 'member-1',
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -139,6 +139,7 @@
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
       mayGrantLeases,
+      mayStartTasks: () => true,
       onSuperseded: reason => {
         this.supersededReasons.push(reason);
         newScheduler.retire();
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -18,6 +18,9 @@
 /** Round trips by which a new connection is opened and makes its first call. */
 const FIRST_CALL_ROUND_TRIPS = 3;
 
+/** Time within which a new configuration must be in force. */
+const CONFIGURATION_MS = 2_500;
+
 /** Timeout of a call to the journal's store that has none of its own. */
 const JOURNAL_TIMEOUT_MS = 900;
 
@@ -53,6 +56,8 @@
       cellLog: new cellLogStore.CellLogStore(this.topic()),
       journalStore: this.journalStore(),
       registry: {follow: () => ({close: () => {}})},
+      configurationSource: {follow: () => {}, readNow: async () => false},
+      configurationMs: CONFIGURATION_MS,
       workerClient: new fakeWorkers.FakeWorkers(time),
       localAdviceClient: {ask: async () => ({kind: 'busy'})},
       peers: this.peers(),
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -5,9 +5,11 @@
 import * as jobCell from '../support/job_cell.js';
 import * as fakeJournalStore from '../support/fake_journal_store.js';
 import * as fakeWorkers from '../support/fake_workers.js';
+import * as scriptedConfigurationSource from '../support/scripted_configuration_source.js';
 import * as simulatedClock from '../support/simulated_clock.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
 import type * as job from '../../src/jobs/job.js';
+import type * as configurationSources from '../../src/zones/configuration_source.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 import type * as overloadController from '../../src/jobs/overload_controller.js';
 
@@ -59,12 +61,18 @@
   times: {active: 0, idle: 0},
 };
 
+const NO_CONFIGURATION: configurationSources.ConfigurationSource = {
+  follow: () => {},
+  readNow: async () => false,
+};
+
 /** Creates a node whose claims always win. */
 function createNode(
   cell: TestCell,
   clock: simulatedClock.SimulatedClock,
   name: string,
   loopLoad: overloadController.LoopLoadSource = IDLE_LOOP,
+  configurationSource: configurationSources.ConfigurationSource = NO_CONFIGURATION,
 ): cellNode.CellNode {
   const peers = {
     ping: async (address: string, message: cellPeers.PingMessage) =>
@@ -86,6 +94,8 @@
     },
     journalStore: new fakeJournalStore.FakeJournalStore(clock),
     registry: {follow: () => ({close: () => {}})},
+    configurationSource,
+    configurationMs: 2_500,
     workerClient: new fakeWorkers.FakeWorkers(clock),
     localAdviceClient: {ask: async () => ({kind: 'busy'})},
     peers,
@@ -253,16 +263,17 @@
       claimCount: 0,
     };
     const loop = {delayMs: 0, times: {active: 0, idle: 0}};
-    const node = createNode(cell, clock, 'one', loop);
+    const source = new scriptedConfigurationSource.ScriptedConfigurationSource(
+      clock,
+    );
+    const node = createNode(cell, clock, 'one', loop, source);
     const members = ['one', 'two', 'three'].map(memberOf);
     node.applyCellLog(members, undefined, 6);
-    node.applyConfiguration({
-      version: 1,
-      queues: [jobCell.QUEUE],
-      bodyBytes: 1_000,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 1_000,
-    });
+    node.followConfiguration();
+    source.stored = scriptedConfigurationSource.configurationOf(1, [
+      jobCell.QUEUE,
+    ]);
+    source.deliver();
     let isConnected = true;
     clock.runEvery(100, () => {
       node.tick();
