Store the definitions of queues that have jobs

Cause: the definitions of removed queues were kept in the leader's memory only. A successor knows the newest configuration; the placement pass skips steps whose queue it does not find. The same holds for a successor with an older version: it places jobs on the service from which their queue moved.

A successor uses the stored definition of a removed queue, or one of a later version than its own, and drops definitions of removed queues without jobs. A definition that a new version leaves unchanged stays the same object, so that placement need not examine its steps again.

--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -186,6 +186,7 @@
       return true;
     }
     this.waitingListeners.set(id, [answer]);
+    this.queues.keep(definition.queue);
     const record = this.jobTable.accept(definition, arrivedAt, stored =>
       this.handleStored(stored),
     );
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -17,9 +17,20 @@
   | {readonly kind: 'worker'; readonly worker: StoredWorker}
   /** No task runs any more on a worker of this id. */
   | {readonly kind: 'workerRemoved'; readonly id: string}
+  /** The definition of a queue whose jobs are stored. */
+  | {readonly kind: 'queue'; readonly stored: StoredQueue}
+  /** No stored job belongs to a queue any more. */
+  | {readonly kind: 'queueRemoved'; readonly name: string}
   /** The list of all workers that earlier versions stored is not needed. */
   | {readonly kind: 'combinedWorkersDropped'};
 
+/** Journal entry of a queue, with which a later term continues its jobs. */
+export interface StoredQueue {
+  /** Version of the configuration that defined the queue. */
+  readonly version: number;
+  readonly queue: job.Queue;
+}
+
 /**
  * Journal entry of a worker that the next scheduler has to reach. If the
  * scheduler can't, it waits for the worker's leases to expire.
@@ -40,6 +51,7 @@
     readonly progress: jobRecord.JobProgress | undefined;
   }>;
   readonly workers: ReadonlyArray<StoredWorker>;
+  readonly queues: ReadonlyArray<StoredQueue>;
   /** How much was read; undefined if the store doesn't count it. */
   readonly size?: JournalSize;
 }
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -64,7 +64,7 @@
 export class JobScheduler implements dispatcher.DispatchListener {
   private readonly journal: jobJournal.JobJournal;
   private readonly jobTable: jobTable.JobTable;
-  private readonly queues = new queueTable.QueueTable();
+  private readonly queues: queueTable.QueueTable;
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly assignmentIndex = new assignmentIndex.AssignmentIndex();
   private readonly runReplacer: runReplacer.RunReplacer;
@@ -87,7 +87,7 @@
 
   constructor(private readonly options: schedulerOptions.SchedulerOptions) {
     const {clock, term, timer} = options;
-    const {queues, assignmentIndex, reliability} = this;
+    const {assignmentIndex, reliability} = this;
     const requestPlacementPass = (): void => this.requestPlacementPass();
     const workers = new workerTable.WorkerTable();
     const runtimes = new runtimeModel.RuntimeModel();
@@ -105,6 +105,8 @@
       timer,
       () => options.onSuperseded('journal'),
     );
+    const queues = new queueTable.QueueTable(this.journal);
+    this.queues = queues;
     this.jobTable = new jobTable.JobTable(this.journal, clock);
     this.adviceCache = new adviceCache.AdviceCache(
       options.adviceClient,
@@ -385,6 +387,7 @@
       if (record.outcome === 'open') openRecords.push(record);
     });
     if (!this.active) return;
+    this.queues.restore(content.queues, queueNamesOf(content));
     this.runRecovery = new runRecovery.RunRecovery(
       new Set(openRecords),
       this.workerLifecycle.start(content.workers),
@@ -419,3 +422,7 @@
     this.requestPlacementPass();
   }
 }
+
+function queueNamesOf({jobs}: jobJournal.JournalContent): ReadonlySet<string> {
+  return new Set(jobs.map(({definition}) => definition.queue));
+}
--- a/src/links/configuration_codec.ts
+++ b/src/links/configuration_codec.ts
@@ -68,6 +68,11 @@
   idleTimeoutMs: QUANTITY,
 });
 
+/** Returns whether a value is the valid definition of a queue. */
+export function isQueue(value: unknown): value is job.Queue {
+  return QUEUE.decode(value).isRight();
+}
+
 /**
  * Checks an operator's configuration, whether it comes from the store or from
  * another member. An invalid one is rejected whole; the error names the field.
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -1,3 +1,4 @@
+import * as configurationCodec from './configuration_codec.js';
 import * as typeGuards from './type_guards.js';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as job from '../jobs/job.js';
@@ -59,6 +60,15 @@
   );
 }
 
+/** Returns whether a value is a queue as the journal stores it. */
+export function isStoredQueue(value: unknown): value is jobJournal.StoredQueue {
+  return (
+    typeGuards.isObject(value) &&
+    typeGuards.isNonNegativeInteger(value['version']) &&
+    configurationCodec.isQueue(value['queue'])
+  );
+}
+
 /** Returns whether a value is a worker as the journal stores it. */
 export function isStoredWorker(
   value: unknown,
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -16,6 +16,7 @@
 /** Key prefixes of the topic; those of workers belong to their merger. */
 const DEFINITION_PREFIX = 'd/';
 const PROGRESS_PREFIX = 'p/';
+const QUEUE_PREFIX = 'q/';
 
 /** Records that are decoded in one turn of the event loop. */
 const RECORDS_PER_TURN = 200;
@@ -37,6 +38,7 @@
     const definitions = new Map<string, job.JobDefinition>();
     const progress = new Map<string, jobRecord.JobProgress>();
     const workers = new storedWorkerMerger.StoredWorkerMerger();
+    const queues = new Map<string, jobJournal.StoredQueue>();
     let bytes = 0;
     for (const [index, record] of outcome.records.entries()) {
       if (index % RECORDS_PER_TURN === 0) await timers.setImmediate();
@@ -56,6 +58,9 @@
         const id = key.slice(PROGRESS_PREFIX.length);
         const decoded = jsonDocument.decode(value, recordChecks.isJobProgress);
         decoded.ifJust(jobProgress => progress.set(id, jobProgress));
+      } else if (key.startsWith(QUEUE_PREFIX)) {
+        const decoded = jsonDocument.decode(value, recordChecks.isStoredQueue);
+        decoded.ifJust(stored => queues.set(stored.queue.name, stored));
       }
     }
     const jobs = [...definitions.values()].map(definition => ({
@@ -65,6 +70,7 @@
     return {
       jobs,
       workers: workers.merged(),
+      queues: [...queues.values()],
       size: {records: outcome.records.length, bytes},
     };
   }
@@ -137,6 +143,15 @@
       return [
         {key: storedWorkerMerger.WORKER_PREFIX + change.id, value: TOMBSTONE},
       ];
+    case 'queue':
+      return [
+        {
+          key: QUEUE_PREFIX + change.stored.queue.name,
+          value: jsonDocument.encode(change.stored),
+        },
+      ];
+    case 'queueRemoved':
+      return [{key: QUEUE_PREFIX + change.name, value: TOMBSTONE}];
     case 'combinedWorkersDropped':
       return [{key: storedWorkerMerger.COMBINED_WORKERS_KEY, value: TOMBSTONE}];
   }
--- a/test/jobs/takeover_test.ts
+++ b/test/jobs/takeover_test.ts
@@ -35,7 +35,7 @@
   }));
   return new backlogCell.BacklogCell({
     workerCount: WORKER_COUNT,
-    stored: {jobs: storedJobs(), workers},
+    stored: {jobs: storedJobs(), workers, queues: []},
   });
 }
 
--- a/test/jobs/tick_test.ts
+++ b/test/jobs/tick_test.ts
@@ -41,7 +41,7 @@
       definition: jobCell.jobOf(`job${index}`, {}),
       progress: {outcome: 'completed', started: true, steps: []} as const,
     }));
-    const stored = {jobs, workers: []};
+    const stored = {jobs, workers: [], queues: []};
     const cell = new backlogCell.BacklogCell({workerCount: 1, stored});
     await cell.begin();
     const droppedCount = (): number =>
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -75,7 +75,7 @@
 
   constructor(options: BacklogOptions) {
     this.journal = new InstantJournalStore(
-      options.stored ?? {jobs: [], workers: []},
+      options.stored ?? {jobs: [], workers: [], queues: []},
     );
     this.scheduler = new jobScheduler.JobScheduler({
       term: 1,
--- a/test/support/fake_journal_store.ts
+++ b/test/support/fake_journal_store.ts
@@ -18,6 +18,9 @@
   /** Number of coming appends that are stored but not answered. */
   lostAnswerCount = 0;
   appendCount = 0;
+  /** Number of stored definitions of queues. */
+  queueWriteCount = 0;
+  private readonly queuesByName = new Map<string, jobJournal.StoredQueue>();
   private readonly workersById = new Map<string, jobJournal.StoredWorker>();
   private openTerm = 0;
   private sequence = 0;
@@ -28,6 +31,10 @@
     return [...this.workersById.values()];
   }
 
+  get queues(): ReadonlyArray<jobJournal.StoredQueue> {
+    return [...this.queuesByName.values()];
+  }
+
   /** Returns when a task was first stored as done; undefined if never. */
   storedAsDoneAtMs(task: string): number | undefined {
     return this.doneAtMs.get(task);
@@ -49,7 +56,7 @@
       definition,
       progress: this.progress.get(definition.id),
     }));
-    return {jobs, workers: this.workers};
+    return {jobs, workers: this.workers, queues: this.queues};
   }
 
   async append(
@@ -96,6 +103,13 @@
       case 'workerRemoved':
         this.workersById.delete(change.id);
         return;
+      case 'queue':
+        this.queueWriteCount += 1;
+        this.queuesByName.set(change.stored.queue.name, change.stored);
+        return;
+      case 'queueRemoved':
+        this.queuesByName.delete(change.name);
+        return;
       case 'combinedWorkersDropped':
     }
   }
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -98,7 +98,9 @@
   };
   /** Whether schedulers have proof of leadership. */
   hasLeadershipProof = true;
+  /** Configuration that a scheduler gets when its term begins. */
   queues: ReadonlyArray<job.Queue> = [QUEUE];
+  configurationVersion = 1;
   advice: adviceCache.CellAdviceClient = {
     accepts: () => true,
     ask: async () => ({kind: 'busy'}),
@@ -147,7 +149,7 @@
       defer: runPass => this.time.runAt(this.time.now(), runPass),
     });
     newScheduler.configure({
-      version: 1,
+      version: this.configurationVersion,
       queues: this.queues,
       bodyBytes: 1_000,
       headerTimeoutMs: 1_000,
