Change the configuration in the randomised runs, and measure how it spreads

Change: the simulated cell has the operator's topic, silent connections and fetches between members; a randomised run publishes versions while members are cut off, blocked, killed and their connections go silent, and checks that no decision relies on a version that a later one should have replaced, that none falls, and that members in touch decide. The random cell of schedulers removes, adds and moves its queue, and checks the service of each start and that no job is forgotten. The soak of real processes adds and removes a queue and asks each process at the end. A bench part (`configuration`) measures the time from the store's acknowledgement to each member.

--- a/bench/job_invariant_checker.ts
+++ b/bench/job_invariant_checker.ts
@@ -39,6 +39,17 @@
     this.refusedIds.add(id);
   }
 
+  /** Records that a process answers by an older version than the last one. */
+  configurationOutdated(
+    process: string,
+    status: number,
+    version: number,
+  ): void {
+    this.violations.push(
+      `${process} answers ${status}, not as version ${version} says`,
+    );
+  }
+
   /** Records that an accepted job is no longer known. */
   jobLost(id: string, status: number): void {
     this.violations.push(`accepted job ${id} is answered with ${status}`);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import * as capacityBench from './capacity_bench.js';
 import * as cellBench from './cell_bench.js';
 import * as commandTypes from 'cmd-ts';
+import * as configurationBench from './configuration_bench.js';
 import * as overloadBench from './load_curve/overload_bench.js';
 import * as placementBench from './placement_bench.js';
 import * as processBench from './process_bench.js';
@@ -21,6 +22,7 @@
   ['process', processBench.measureProcess],
   ['cell', cellBench.measureCell],
   ['overload', overloadBench.measureOverload],
+  ['configuration', configurationBench.measureConfiguration],
 ]);
 
 function readPreviousRows(): ReadonlyMap<string, benchRow.BenchRow> {
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -46,6 +46,24 @@
 /** Number of kinds of faults without slow processes. */
 const FAULT_KIND_COUNT = 8;
 
+/** Time between two changes of the configuration. */
+const CHANGE_INTERVAL_MS = 400;
+
+/** Queue that changes of the configuration add and remove. */
+const OTHER_QUEUE_PATH = '/inspections/';
+
+const OTHER_QUEUE_ROUTE = {
+  ...platformCell.QUEUE_ROUTE,
+  name: 'inspections',
+  path_prefix: OTHER_QUEUE_PATH,
+};
+
+/**
+ * Time after the last fault and the last change from which each process has to
+ * decide by the last version: contact is due again after 4 s.
+ */
+const CONFIGURATION_TIMEOUT_MS = 4_000;
+
 /** Attempts to submit a job, and the delay before each repetition. */
 const MAXIMUM_ATTEMPTS = 10;
 const RETRY_DELAY_MS = 300;
@@ -72,7 +90,8 @@
 /**
  * Runs real processes over the stand-ins and injects random faults: processes
  * are killed, paused, slowed, or stopped and restarted; connections are reset, delayed
- * or silent in one or both directions; the store stops answering.
+ * or silent in one or both directions; the store stops answering; a queue is
+ * added and removed meanwhile.
  */
 export class PlatformSoak {
   private readonly random: randomSource.SeededRandom;
@@ -81,11 +100,13 @@
   private readonly faultyProcesses = new Set<platformCell.CellProcess>();
   private readonly submissions: Array<Promise<void>> = [];
   private faultsEnded = false;
+  private version = 1;
+  private hasOtherQueue = false;
 
   private constructor(
     private readonly cell: platformCell.PlatformCell,
     private readonly size: SoakSize,
-    seed: number,
+    private readonly seed: number,
   ) {
     this.random = new randomSource.SeededRandom(seed);
     this.checker = new jobInvariantChecker.JobInvariantChecker(cell);
@@ -114,6 +135,7 @@
 
   private async run(): Promise<SoakOutcome> {
     const load = this.submitJobs();
+    const changes = this.changeConfigurations();
     const faultsEndMs = performance.now() + FAULT_PERIOD_MS;
     while (performance.now() < faultsEndMs) {
       this.activeFaults.push(this.injectFault());
@@ -121,7 +143,9 @@
     }
     this.faultsEnded = true;
     await load;
+    await changes;
     await Promise.all(this.activeFaults);
+    await this.checkConfiguration();
     await Promise.all(this.submissions);
     await this.waitForCompletion();
     this.checker.checkRuns();
@@ -142,6 +166,31 @@
     }
   }
 
+  /** Adds and removes a queue until the faults end, in uneven steps. */
+  private async changeConfigurations(): Promise<void> {
+    // A source of its own, so that the faults of a seed keep their course.
+    const random = new randomSource.SeededRandom(this.seed + 2);
+    while (!this.faultsEnded) {
+      await timers.setTimeout(random.below(2 * CHANGE_INTERVAL_MS));
+      this.version += 1 + random.below(3);
+      this.hasOtherQueue = random.below(2) === 0;
+      const others = this.hasOtherQueue ? [OTHER_QUEUE_ROUTE] : [];
+      const routes = [platformCell.QUEUE_ROUTE, ...others];
+      this.cell.publishConfiguration(this.version, routes);
+    }
+  }
+
+  /** Checks that all processes decide by the last version of the operator. */
+  private async checkConfiguration(): Promise<void> {
+    await timers.setTimeout(CONFIGURATION_TIMEOUT_MS);
+    const expected = this.hasOtherQueue ? 200 : 404;
+    for (const target of this.cell.processes) {
+      const status = await this.cell.countPending(target, OTHER_QUEUE_PATH);
+      if (status === expected) continue;
+      this.checker.configurationOutdated(target.name, status, this.version);
+    }
+  }
+
   private async submit(id: string, firstProcessIndex: number): Promise<void> {
     const count = 1 + this.randomBelow(4);
     const step = {count, cpu: 1_000, mem_mb: 512, est_runtime_ms: 300};
--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -171,6 +171,18 @@
     return leading.item;
   }
 
+  /** Returns the status of a count of waiting jobs in any queue. */
+  async countPending(target: CellProcess, pathPrefix: string): Promise<number> {
+    const {jobApiAddress} = target;
+    const {status} = await sendToJobApi(
+      jobApiAddress,
+      'GET',
+      pathPrefix,
+      undefined,
+    );
+    return status;
+  }
+
   /** Calls the job API of a process as a client of the queue does. */
   callJobApi(
     target: CellProcess,
@@ -227,7 +239,8 @@
   }
 }
 
-const QUEUE_ROUTE = {
+/** Route of the configured queue. */
+export const QUEUE_ROUTE = {
   name: 'orders',
   host: QUEUE_HOST,
   path_prefix: QUEUE_PATH_PREFIX,
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -1,5 +1,6 @@
 import * as jobCell from './job_cell.js';
 import * as randomSource from '../../src/machines/random_source.js';
+import * as scriptedConfigurationSource from './scripted_configuration_source.js';
 import * as resources from '../../src/machines/resources.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as job from '../../src/jobs/job.js';
@@ -19,6 +20,12 @@
 
 const WORKER_COUNT = 5;
 
+/** Service to which the queue moves and from which it moves back. */
+const OTHER_SERVICE = 'annex';
+
+/** Workers of the other service; the remaining ones are of the queue's own. */
+const OTHER_SERVICE_WORKERS: ReadonlySet<number> = new Set([3, 4]);
+
 interface SimulatedTerm {
   readonly scheduler: jobScheduler.JobScheduler;
   readonly proof: {until: number};
@@ -52,8 +59,9 @@
 /**
  * Simulates a cell with random jobs and faults: failovers in which the previous
  * scheduler continues for up to two seconds; workers that are unreachable but
- * keep running, crash, or carry out commands late; and a store that is down or
- * whose answers are lost.
+ * keep running, crash, or carry out commands late; a store that is down or
+ * whose answers are lost; and a queue that is removed and added, moves between
+ * two services, and changes its timeout.
  */
 export class RandomCell {
   private readonly cell = new jobCell.JobCell();
@@ -66,10 +74,19 @@
   private incarnationCount = 0;
   private checkedCount = 0;
   private readonly activeRuns = new Map<string, Set<string>>();
+  /** Service of the queue in each version; undefined where it was removed. */
+  private readonly serviceByVersion: Array<string | undefined> = [
+    undefined,
+    jobCell.QUEUE.service,
+  ];
+  /** Version that was in force when each job was submitted. */
+  private readonly submittedVersions = new Map<string, number>();
 
   constructor(
     seed: number,
     private readonly runtimes: RuntimeRange = USUAL_RUNTIMES,
+    /** Earlier seeds keep their course without changes. */
+    private readonly changesConfiguration = false,
   ) {
     this.random = new randomSource.SeededRandom(seed);
   }
@@ -108,6 +125,9 @@
 
   private async injectEvents(): Promise<void> {
     const {cell} = this;
+    if (this.changesConfiguration && this.chance(40)) {
+      this.changeConfiguration();
+    }
     if (this.chance(6)) this.submit();
     if (this.chance(90)) await this.startSuccessor();
     if (this.chance(60)) this.disconnectWorker();
@@ -132,11 +152,41 @@
     const definition = jobCell.jobOf(id, ...steps);
     // A process that has not loaded the jobs yet does not submit any.
     if (!this.currentTerm?.scheduler.isServing) return;
-    this.currentTerm.scheduler.submit(definition, 1, outcome => {
+    const {configurationVersion: version} = this.cell;
+    if (this.serviceByVersion[version] === undefined) return;
+    this.submittedVersions.set(id, version);
+    this.currentTerm.scheduler.submit(definition, version, outcome => {
       if (outcome.kind === 'accepted') this.definitions.set(id, definition);
     });
   }
 
+  /** Removes the queue, adds it again, moves it or changes its timeout. */
+  private changeConfiguration(): void {
+    const {cell} = this;
+    const service = this.serviceByVersion[cell.configurationVersion];
+    const isOwn = service === jobCell.QUEUE.service;
+    const moved = isOwn ? OTHER_SERVICE : jobCell.QUEUE.service;
+    const choices = [service ?? moved, moved, undefined];
+    this.configure(
+      choices[this.random.below(choices.length)],
+      1_000 + this.random.below(3_000),
+    );
+  }
+
+  private configure(service: string | undefined, timeoutMs: number): void {
+    const {cell} = this;
+    cell.configurationVersion += 1;
+    this.serviceByVersion[cell.configurationVersion] = service;
+    cell.queues =
+      service === undefined ? [] : [{...jobCell.QUEUE, service, timeoutMs}];
+    this.currentTerm?.scheduler.configure(
+      scriptedConfigurationSource.configurationOf(
+        cell.configurationVersion,
+        cell.queues,
+      ),
+    );
+  }
+
   /** Starts the next scheduler while the previous one may continue. */
   private async startSuccessor(): Promise<void> {
     const now = this.cell.time.now();
@@ -159,6 +209,7 @@
     const entry = jobCell.registryEntry(`w${index}`, {
       born: this.incarnationCount,
       address: `w${index}:${this.incarnationCount}`,
+      service: this.serviceOf(index),
     });
     const entries = this.cell.entries.filter(({id}) => id !== entry.id);
     this.cell.entries = entries;
@@ -172,6 +223,12 @@
     this.currentTerm?.scheduler.updateWorkers(this.cell.entries);
   }
 
+  private serviceOf(index: number): string {
+    const isOther =
+      this.changesConfiguration && OTHER_SERVICE_WORKERS.has(index);
+    return isOther ? OTHER_SERVICE : jobCell.QUEUE.service;
+  }
+
   private disconnectWorker(): void {
     const model = this.models[this.random.below(WORKER_COUNT)];
     const losesAnswers = this.chance(2);
@@ -242,6 +299,22 @@
       this.violations.push(`task started after its end was stored: ${at}`);
     }
     running.add(run);
+    if (!this.isServiceAllowed(event)) {
+      this.violations.push(`service of an older version: ${at}`);
+    }
+  }
+
+  /**
+   * Returns whether a version that was in force when the job was submitted, or
+   * a later one, sends the queue to the worker's service.
+   */
+  private isServiceAllowed({task, worker}: workerModel.RunEvent): boolean {
+    if (!this.changesConfiguration) return true;
+    const [id] = task.split('.');
+    const model = this.models.find(({entry}) => entry.id === worker);
+    const version = this.submittedVersions.get(id) ?? 0;
+    const allowed = this.serviceByVersion.slice(version);
+    return allowed.includes(model?.entry.service);
   }
 
   /** Returns whether a task's end was stored before a start took place. */
--- a/test/support/random_seeds.ts
+++ b/test/support/random_seeds.ts
@@ -6,10 +6,15 @@
 export function testSeeds(
   seeds: ReadonlyArray<number>,
   runtimes?: randomCell.RuntimeRange,
+  changesConfiguration = false,
 ): void {
   for (const seed of seeds) {
     nodeTest.test(`violates no invariant with seed ${seed}`, async () => {
-      const outcome = await new randomCell.RandomCell(seed, runtimes).run();
+      const outcome = await new randomCell.RandomCell(
+        seed,
+        runtimes,
+        changesConfiguration,
+      ).run();
       assert.deepEqual(outcome.violations, []);
       assert.ok(outcome.startCount > 20);
     });
--- a/test/support/simulated_cell.ts
+++ b/test/support/simulated_cell.ts
@@ -20,6 +20,14 @@
   readonly reason: string;
 }
 
+/** Version of the configuration that the store took, or a member. */
+export interface VersionEvent {
+  readonly version: number;
+  /** Node of the member; empty for the store. */
+  readonly node: string;
+  readonly at: number;
+}
+
 type EventFields = Readonly<
   Record<string, string | number | boolean | undefined>
 >;
@@ -28,6 +36,10 @@
 export class SimulatedCell {
   readonly time = new simulatedClock.SimulatedClock();
   readonly store = new simulatedStore.SimulatedStore();
+  /** Topic with the operator's configuration. */
+  readonly operatorStore = new simulatedStore.SimulatedStore();
+  readonly publishedVersions: VersionEvent[] = [];
+  readonly takenVersions: VersionEvent[] = [];
   readonly journal = new fakeJournalStore.FakeJournalStore(this.time);
   readonly random: randomSource.SeededRandom;
   readonly members: simulatedMember.SimulatedMember[] = [];
@@ -43,18 +55,39 @@
   extraDelayMs: () => number = () => 0;
   private readonly incarnationCounts = new Map<string, number>();
 
-  constructor(seed = 1) {
+  /** Members follow the configuration only if `isConfigured` is set. */
+  constructor(
+    seed = 1,
+    readonly isConfigured = false,
+  ) {
     this.random = new randomSource.SeededRandom(seed);
   }
 
   /** Creates a cell of which all members know one leader. */
-  static async start(count: number, seed = 1): Promise<SimulatedCell> {
-    const created = new SimulatedCell(seed);
+  static async start(
+    count: number,
+    seed = 1,
+    isConfigured = false,
+  ): Promise<SimulatedCell> {
+    const created = new SimulatedCell(seed, isConfigured);
+    if (isConfigured) created.publish(1);
     for (let index = 0; index < count; index += 1) created.addMember(index);
     await created.time.advance(SETTLING_TIME_MS);
     return created;
   }
 
+  /** Writes a version of the configuration as the operator does. */
+  publish(version: number): void {
+    const value = Buffer.from(JSON.stringify({version}));
+    this.operatorStore.append([{key: 'config', value}], {});
+    this.publishedVersions.push({version, node: '', at: this.time.now()});
+  }
+
+  /** Returns the newest version that the store had taken by a time. */
+  versionAt(time: number): number {
+    return this.publishedVersions.findLast(({at}) => at <= time)?.version ?? 0;
+  }
+
   /** Starts a process; replaces an earlier one with the same number. */
   addMember(index: number): simulatedMember.SimulatedMember {
     const node = `vm${String(index).padStart(2, '0')}`;
@@ -116,6 +149,10 @@
       this.wonClaims.push({...event, term: Number(fields.end) + 1});
     }
     if (name === 'termBegun') this.begunTerms.push(event);
+    if (name === 'configurationTaken') {
+      const {node, at} = event;
+      this.takenVersions.push({version: Number(fields.version), node, at});
+    }
     if (name !== 'schedulerChanged') return;
     const known = this.leadersByTerm.get(term) ?? new Set();
     this.leadersByTerm.set(term, known.add(String(fields.node)));
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -19,7 +19,7 @@
 const FIRST_CALL_ROUND_TRIPS = 3;
 
 /** Time within which a new configuration must be in force. */
-const CONFIGURATION_MS = 2_500;
+export const CONFIGURATION_MS = 2_500;
 
 /** Timeout of a call to the journal's store that has none of its own. */
 const JOURNAL_TIMEOUT_MS = 900;
@@ -34,6 +34,8 @@
   /** Whether replies of this process to pings arrive. */
   repliesToPings = true;
   private alive = true;
+  private connectionEpoch = 0;
+  private silentIdleCount = 0;
   private blockedUntil = -Infinity;
   /** Events that arrived while the loop was blocked, in their order. */
   private backlog: Array<() => void> = [];
@@ -56,7 +58,16 @@
       cellLog: new cellLogStore.CellLogStore(this.topic()),
       journalStore: this.journalStore(),
       registry: {follow: () => ({close: () => {}})},
-      configurationSource: {follow: () => {}, readNow: async () => false},
+      configurationSource: new platformFeeds.PlatformConfigurationSource(
+        this.topic(cell.operatorStore),
+        CONFIGURATION_MS,
+        {
+          clock: time,
+          delay,
+          log: this.log(),
+          counters: {count: () => {}, observe: () => {}},
+        },
+      ),
       configurationMs: CONFIGURATION_MS,
       workerClient: new fakeWorkers.FakeWorkers(time),
       localAdviceClient: {ask: async () => ({kind: 'busy'})},
@@ -72,6 +83,7 @@
       log: this.log(),
       counters: {count: () => {}, observe: () => {}},
     });
+    if (cell.isConfigured) this.node.followConfiguration();
     this.later(cell.random.below(TICK_INTERVAL_MS), () => this.startTicks());
   }
 
@@ -79,6 +91,15 @@
     return this.alive;
   }
 
+  /**
+   * Makes the connections to the store go silent: reads and writes in progress
+   * get no answer, nor do the next calls, which take idle connections.
+   */
+  silenceConnections(idleCount: number): void {
+    this.connectionEpoch += 1;
+    this.silentIdleCount = idleCount;
+  }
+
   /** Ends the process without notice; its port refuses connections. */
   kill(): void {
     this.alive = false;
@@ -157,12 +178,20 @@
     serve: (answer: (value: Answer) => void) => void,
   ): Promise<Answer> {
     this.cell.storeCallCount += 1;
-    const isReachable = (): boolean => this.alive && this.reachesStore;
+    const epoch = this.connectionEpoch;
+    const isSilent = this.silentIdleCount > 0;
+    // The first call that times out closes the other silent connections.
+    if (isSilent) this.later(timeoutMs, () => (this.silentIdleCount = 0));
+    const isReachable = (): boolean =>
+      this.alive &&
+      this.reachesStore &&
+      !isSilent &&
+      epoch === this.connectionEpoch;
     return this.call(timeoutMs, failure, isReachable, serve);
   }
 
-  private topic(): keyedTopic.KeyedTopic {
-    const {store, time} = this.cell;
+  private topic(store = this.cell.store): keyedTopic.KeyedTopic {
+    const {time} = this.cell;
     const unavailable = {kind: 'unavailable', detail: 'timeout'} as const;
     const unanswered = {kind: 'unanswered', detail: 'timeout'} as const;
     return {
@@ -172,20 +201,18 @@
           unanswered,
           answer => answer(store.append(records, options)),
         ),
-      read: (from, waitMs) =>
+      read: (from, waitMs, marginMs = READ_TIMEOUT_MARGIN_MS) =>
         this.callStore<keyedTopic.ReadOutcome>(
-          waitMs + READ_TIMEOUT_MARGIN_MS,
+          waitMs + marginMs,
           unavailable,
           answer => {
             store.readWhenAppended(from, answer);
             time.runAt(time.now() + waitMs, () => answer(store.read(from)));
           },
         ),
-      readNewest: () =>
-        this.callStore<keyedTopic.ReadOutcome>(
-          READ_TIMEOUT_MARGIN_MS,
-          unavailable,
-          answer => answer(store.readNewest()),
+      readNewest: (marginMs = READ_TIMEOUT_MARGIN_MS) =>
+        this.callStore<keyedTopic.ReadOutcome>(marginMs, unavailable, answer =>
+          answer(store.readNewest()),
         ),
     };
   }
@@ -223,6 +250,11 @@
         message: cellPeers.PingMessage,
         timeoutMs: number,
       ) => this.ping(address, message, timeoutMs),
+      fetchConfiguration: (
+        address: string,
+        knownVersion: number,
+        timeoutMs: number,
+      ) => this.fetchConfiguration(address, knownVersion, timeoutMs),
     } as unknown as cellPeers.CellPeers;
   }
 
@@ -252,6 +284,29 @@
     return outcome;
   }
 
+  private fetchConfiguration(
+    address: string,
+    knownVersion: number,
+    timeoutMs: number,
+  ): Promise<cellPeers.PeerCallOutcome<cellPeers.MemberConfiguration>> {
+    return this.call<cellPeers.PeerCallOutcome<cellPeers.MemberConfiguration>>(
+      timeoutMs,
+      {kind: 'unanswered', detail: 'timeout'},
+      () => this.cell.canCall(this, address),
+      answer => {
+        const target = this.cell.memberAt(address);
+        if (target?.isAlive !== true) {
+          answer({kind: 'refused'});
+          return;
+        }
+        target.run(() => {
+          const value = target.node.configurationSince(knownVersion);
+          answer({kind: 'answered', value});
+        });
+      },
+    );
+  }
+
   /** Handles a ping after the round trips that open its connection. */
   private serve(
     message: cellPeers.PingMessage,
--- a/test/support/simulated_store.ts
+++ b/test/support/simulated_store.ts
@@ -3,6 +3,8 @@
 /** Keyed topic in memory that conditional appends and long polls work on. */
 export class SimulatedStore {
   readonly records: keyedTopic.TopicRecord[] = [];
+  /** Returns the number of records that reads show; all by default. */
+  visibleCount: () => number = () => this.records.length;
   private waitingReads: Array<() => void> = [];
 
   /** Appends all records or, if the condition does not hold, none. */
@@ -25,23 +27,19 @@
 
   /** Returns the records from an offset on. */
   read(from: number): keyedTopic.ReadOutcome {
-    const {length: end} = this.records;
-    return {
-      kind: 'read',
-      records: this.records.slice(from),
-      end,
-      topicEnd: end,
-    };
+    const topicEnd = this.visibleCount();
+    const records = this.records.slice(from, topicEnd);
+    return {kind: 'read', records, end: from + records.length, topicEnd};
   }
 
   /** Returns the newest record of each key. */
   readNewest(): keyedTopic.ReadOutcome {
     const newest = new Map<string, keyedTopic.TopicRecord>();
-    for (const record of this.records) {
+    const end = this.visibleCount();
+    for (const record of this.records.slice(0, end)) {
       newest.delete(record.key);
       newest.set(record.key, record);
     }
-    const {length: end} = this.records;
     return {kind: 'read', records: [...newest.values()], end, topicEnd: end};
   }
 
@@ -50,7 +48,7 @@
     from: number,
     answer: (outcome: keyedTopic.ReadOutcome) => void,
   ): void {
-    if (this.records.length > from) answer(this.read(from));
+    if (this.visibleCount() > from) answer(this.read(from));
     else this.waitingReads.push(() => answer(this.read(from)));
   }
 }
