Close the pools of addresses that are no longer called

Cause: the pool of a worker that has left stayed in the HTTP client for the life of the process; its sockets closed after 20 s, its tables did not.

--- a/src/links/connection_pool.ts
+++ b/src/links/connection_pool.ts
@@ -56,6 +56,7 @@
   private readonly waitingUsers = new Set<ConnectionUser>();
   private readonly history: callStatistics.ConnectionHistory;
   private readonly origin: URL;
+  private lastUsedAt: clock.Milliseconds;
 
   /** Throws an error if the address is invalid. */
   constructor(
@@ -64,6 +65,7 @@
   ) {
     this.origin = new URL(`http://${address}`);
     this.history = new callStatistics.ConnectionHistory(options.statistics);
+    this.lastUsedAt = options.clock.now();
   }
 
   get timer(): responseTimer.ResponseTimer {
@@ -78,8 +80,15 @@
     return this.options.statistics;
   }
 
+  /** Returns whether no call has used the pool since a time, or uses it now. */
+  isUnusedSince(time: clock.Milliseconds): boolean {
+    const hasCalls = this.openers.size > this.idleConnections.length;
+    return !hasCalls && this.lastUsedAt < time;
+  }
+
   /** Passes a connection to the user, at once or when one becomes free. */
   acquire(user: ConnectionUser): void {
+    this.lastUsedAt = this.options.clock.now();
     const idle = this.idleConnections.pop();
     const connection = idle?.connection ?? this.createConnection();
     if (connection === undefined) this.waitingUsers.add(user);
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -8,6 +8,7 @@
 import * as listen from '../../src/links/listen.js';
 import * as loopbackAddress from '../../stand_ins/loopback_address.js';
 import * as recordedCounters from '../support/recorded_counters.js';
+import * as simulatedClock from '../support/simulated_clock.js';
 import type * as httpClient from '../../platform/http_client.js';
 
 const {describe, test} = nodeTest;
@@ -92,6 +93,29 @@
     server.close();
   });
 
+  // Guards against memory that grows with each worker that has ever been called.
+  test('forgets an address that is no longer called', async () => {
+    const first = await startServer((_path, response) => response.end('done'));
+    const second = await startServer((_path, response) => response.end('done'));
+    const poolClock = new simulatedClock.SimulatedClock();
+    const counters = new recordedCounters.RecordedCounters();
+    const client = httpClientSupport.createHttpClient(
+      2,
+      counters,
+      false,
+      poolClock,
+    );
+    await get(client, first.address, '/');
+    await get(client, second.address, '/');
+    assert.equal(client.poolCount, 2);
+    await poolClock.advance(61_000);
+    await get(client, second.address, '/');
+    assert.equal(client.poolCount, 1);
+    client.close();
+    first.close();
+    second.close();
+  });
+
   // Guards against a good connection that is closed with a silent one.
   test('keeps the connections that answered after the silent call was sent', async () => {
     const server = await startServer((path, response) => {
--- a/test/support/http_client.ts
+++ b/test/support/http_client.ts
@@ -9,10 +9,11 @@
   connectionLimit: number,
   counters = new recordedCounters.RecordedCounters(),
   closesIdleOnTimeout = false,
+  poolClock: clock.Clock = new clock.SystemClock(),
 ): httpClient.HttpClient {
   const systemClock = new clock.SystemClock();
   return new httpClient.HttpClient({
-    clock: systemClock,
+    clock: poolClock,
     timer: new responseTimer.LoopTimer(systemClock),
     statistics: new callStatistics.CallStatistics(counters, 'worker'),
     connectionLimit,
