Move the configuration of a member out of CellNode

Change: CellConfiguration joins the cache, its freshness and the members to ask. No decision changes, except that the age of a proof is sent unrounded to the server, which rounds it up.

--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,7 +1,6 @@
 import * as adviceEndpoints from './advice_endpoints.js';
 import * as adviceBalancer from '../jobs/advice_balancer.js';
-import * as configurationCache from './configuration_cache.js';
-import * as configurationFreshness from './configuration_freshness.js';
+import * as cellConfiguration from './cell_configuration.js';
 import * as jobScheduler from '../jobs/job_scheduler.js';
 import * as leaderElector from './leader_elector.js';
 import * as leadershipProof from './leadership_proof.js';
@@ -13,10 +12,11 @@
 import type * as cellMember from './cell_member.js';
 import type * as cellPeers from './cell_peers.js';
 import type * as clock from '../machines/clock.js';
+import type * as configurationFreshness from './configuration_freshness.js';
 import type * as configurationSource from './configuration_source.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
-import type * as overloadController from '../jobs/overload_controller.js';
+import type * as loopLoads from '../machines/loop_load.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 import type * as workerClient from '../machines/worker_client.js';
@@ -38,7 +38,7 @@
   readonly localAdviceClient: adviceCache.LocalAdviceClient;
   readonly peers: cellPeers.CellPeers;
   readonly timer: jobJournal.DelayTimer;
-  readonly loopLoad: overloadController.LoopLoadSource;
+  readonly loopLoad: loopLoads.LoopLoadSource;
   readonly log: schedulerOptions.EventLog;
   readonly counters: schedulerOptions.Counters;
   readonly defer: (pass: () => void) => void;
@@ -68,23 +68,21 @@
   private readonly progressReporter: progressReporter.ProgressReporter;
   private readonly loopDelayMonitor: loopDelayMonitor.LoopDelayMonitor;
   private readonly contacts: memberContacts.MemberContacts;
-  private readonly configurationCache: configurationCache.ConfigurationCache;
-  private readonly freshness: configurationFreshness.ConfigurationFreshness;
+  private readonly cellConfiguration: cellConfiguration.CellConfiguration;
   private readonly adviceEndpoints: adviceEndpoints.AdviceEndpoints;
   private readonly adviceBalancer: adviceBalancer.AdviceBalancer;
   private overloadReportedAt = -Infinity;
-  private configurationInquiryCount = 0;
   private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
   private readonly leadershipProof = new leadershipProof.LeadershipProof();
 
   constructor(private readonly options: CellNodeOptions) {
-    const {clock, counters, localAdviceClient, peers} = options;
+    const {clock, localAdviceClient, peers} = options;
     this.loopDelayMonitor = new loopDelayMonitor.LoopDelayMonitor(clock.now());
     this.contacts = new memberContacts.MemberContacts(clock);
     this.elector = new leaderElector.LeaderElector({
       ...options,
-      configurationVersion: () => this.configurationCache.version,
+      configurationVersion: () => this.cellConfiguration.version,
       isUpToDate: () => this.loopDelayMonitor.lostMs(clock.now()) === 0,
       onNewTerm: claim => this.beginTerm(claim),
       onReply: (...reply) => this.handleReply(...reply),
@@ -96,24 +94,12 @@
       onLogRead: ({members, claim, progress}, end) =>
         this.applyCellLog(members, claim, end, progress),
     });
-    this.configurationCache = new configurationCache.ConfigurationCache({
-      clock,
-      counters,
-      log: options.log,
+    this.cellConfiguration = new cellConfiguration.CellConfiguration({
+      ...options,
+      peerAddresses: () => this.elector.peers.map(({address}) => address),
+      leaderAddress: () => this.remoteLeaderAddress,
       onUpdated: configuration => this.scheduler?.configure(configuration),
     });
-    this.freshness = new configurationFreshness.ConfigurationFreshness(
-      this.configurationCache,
-      {
-        clock,
-        counters,
-        peers,
-        timer: options.timer,
-        source: options.configurationSource,
-        peerAddresses: () => this.configurationPeers(),
-        configurationMs: options.configurationMs,
-      },
-    );
     this.adviceEndpoints = new adviceEndpoints.AdviceEndpoints(
       this.contacts,
       localAdviceClient,
@@ -127,16 +113,16 @@
   }
 
   get configuration(): job.OperatorConfiguration | undefined {
-    return this.configurationCache.newest;
+    return this.cellConfiguration.newest;
   }
 
   get configurationVersion(): number {
-    return this.configurationCache.version;
+    return this.cellConfiguration.version;
   }
 
   /** Time since the configuration was last confirmed to be the newest. */
   get configurationAgeMs(): number {
-    return this.configurationCache.ageMs;
+    return this.cellConfiguration.ageMs;
   }
 
   /** Newest claim that this member knows; its owner is the leader. */
@@ -163,6 +149,10 @@
     return this.scheduler?.isServing ? this.scheduler : undefined;
   }
 
+  private get remoteLeaderAddress(): string | undefined {
+    return this.elector.isLeader ? undefined : this.leader?.address;
+  }
+
   /** How long the store has not answered the leader. */
   private get storeSilentMs(): number {
     const now = this.options.clock.now();
@@ -190,21 +180,19 @@
 
   /** Follows the operator's configuration in the store. */
   followConfiguration(): void {
-    this.options.configurationSource.follow((...read) =>
-      this.configurationCache.recordStoreRead(...read),
-    );
+    this.cellConfiguration.follow();
   }
 
   /** Returns the configuration to decide by; asks others if it may be old. */
   configurationBasis(
     waitMs = CONFIGURATION_WAIT_MS,
   ): Promise<configurationFreshness.ConfigurationBasis> {
-    return this.freshness.basis(waitMs);
+    return this.cellConfiguration.basis(waitMs);
   }
 
   /** Records that another member has a version of the configuration. */
   hearConfigurationVersion(version: number, address?: string): void {
-    this.configurationCache.announce(version, address);
+    this.cellConfiguration.announce(version, address);
   }
 
   /** Stops claiming and asks for a successor, before the process stops. */
@@ -225,7 +213,7 @@
       void this.startScheduler(this.elector.leader as cellMember.Claim);
     }
     this.reportProgress();
-    this.freshness.review();
+    this.cellConfiguration.review();
     this.elector.pingIfDue();
     if (lostMs > 0) void this.claimAfterBacklog();
     else this.elector.claimIfDue();
@@ -245,8 +233,8 @@
       leading: this.servesJobs,
       resigning: this.elector.resigning,
       storeSilentMs: this.storeSilentMs,
-      configurationVersion: this.configurationCache.version,
-      configurationAgeMs: Math.round(this.configurationCache.ageMs),
+      configurationVersion: this.cellConfiguration.version,
+      configurationAgeMs: this.cellConfiguration.ageMs,
       overloaded: this.scheduler?.overloaded === true,
     };
   }
@@ -258,7 +246,7 @@
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
     this.hearConfigurationVersion(configurationVersion);
-    if (!this.freshness.allowsStarts) {
+    if (!this.cellConfiguration.allowsStarts) {
       return this.submitWhenConfirmed(definition, configurationVersion);
     }
     let isAnswered = true;
@@ -273,9 +261,7 @@
   }
 
   configurationSince(knownVersion: number): cellPeers.MemberConfiguration {
-    const {newest, version, ageMs} = this.configurationCache;
-    const configuration = version > knownVersion ? newest : undefined;
-    return {configuration, version, ageMs};
+    return this.cellConfiguration.since(knownVersion);
   }
 
   screen(
@@ -323,8 +309,8 @@
     definition: job.JobDefinition,
     configurationVersion: number,
   ): Promise<jobAdmission.SubmitOutcome> {
-    await this.freshness.basis(CONFIGURATION_WAIT_MS);
-    if (!this.freshness.allowsStarts) {
+    await this.cellConfiguration.basis(CONFIGURATION_WAIT_MS);
+    if (!this.cellConfiguration.allowsStarts) {
       return {
         kind: 'refused',
         reason: 'notReady',
@@ -335,18 +321,6 @@
     return this.submit(definition, configurationVersion) ?? {kind: 'undecided'};
   }
 
-  /** Returns the leader and one other member in turn. */
-  private configurationPeers(): ReadonlyArray<string> {
-    const {elector, options} = this;
-    const addresses = elector.peers.map(({address}) => address);
-    const next = addresses[this.configurationInquiryCount % addresses.length];
-    this.configurationInquiryCount += 1;
-    const own = options.self.address;
-    return [elector.leader?.address, next].filter(
-      (address): address is string => address !== undefined && address !== own,
-    );
-  }
-
   // Delays of this process's own loop.
 
   private handlePause(pauseMs: number, now: clock.Milliseconds): void {
@@ -396,7 +370,7 @@
     if (!this.elector.isLeader) return;
     this.leadershipProof.prove(this.options.clock.now());
     // The predecessor may have acted on a version that is not known here.
-    this.freshness.requireProof();
+    this.cellConfiguration.requireProof();
     void this.startScheduler(claim);
   }
 
@@ -416,7 +390,7 @@
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
-      mayStartTasks: () => this.freshness.allowsStarts,
+      mayStartTasks: () => this.cellConfiguration.allowsStarts,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
       defer: options.defer,
     });
@@ -424,7 +398,7 @@
     this.contacts.beginTerm();
     this.progressReporter.beginTerm(claim.term);
     this.reportProgress();
-    const {newest} = this.configurationCache;
+    const {newest} = this.cellConfiguration;
     if (newest !== undefined) newScheduler.configure(newest);
     this.registrySubscription = options.registry.follow(entries => {
       if (this.scheduler === newScheduler) newScheduler.updateWorkers(entries);
@@ -463,12 +437,7 @@
   ): void {
     const now = this.options.clock.now();
     this.contacts.recordContact(address);
-    this.configurationCache.recordPeer(
-      address,
-      reply.configurationVersion,
-      reply.configurationAgeMs,
-      sentAt,
-    );
+    this.cellConfiguration.recordReply(address, reply, sentAt);
     if (address !== this.elector.leader?.address) return;
     this.overloadReportedAt = reply.overloaded ? now : -Infinity;
   }
