One FNV hash, and two import circles less

Cause: the same hash stood in job_score and succession_policy; job_admission and recent_refusals, overload_controller and scheduler_options imported each other.

Change: machines/text_hash.ts serves both; RecentRefusals is generic in what it remembers; the load of a loop has a file of its own. The circle of job_record, job_task and step_instance is left.

--- a/bench/load_curve/simulated_loop.ts
+++ b/bench/load_curve/simulated_loop.ts
@@ -1,4 +1,4 @@
-import type * as overloadController from '../../src/jobs/overload_controller.js';
+import type * as loopLoads from '../../src/machines/loop_load.js';
 import type * as simulatedClock from '../../test/support/simulated_clock.js';
 
 /** Simulated event loop: does its work in order, one item at a time. */
@@ -9,7 +9,7 @@
   constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
   /** Busy and idle time since the start of the simulation. */
-  get times(): overloadController.LoopTimes {
+  get times(): loopLoads.LoopTimes {
     const active = this.scheduledMs - this.delayMs;
     return {active, idle: this.time.now() - active};
   }
--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -87,7 +87,8 @@
  */
 export class JobAdmission {
   private readonly waitingListeners = new Map<string, SubmitListener[]>();
-  private readonly refusals = new recentRefusals.RecentRefusals();
+  private readonly refusals =
+    new recentRefusals.RecentRefusals<SubmitRefused>();
   private readonly controller: overloadController.OverloadController;
 
   constructor(
--- a/src/jobs/job_score.ts
+++ b/src/jobs/job_score.ts
@@ -1,3 +1,4 @@
+import * as textHash from '../machines/text_hash.js';
 import type * as job from './job.js';
 
 /** Processors that one accelerator counts as. */
@@ -40,17 +41,12 @@
   return processors + PROCESSORS_PER_ACCELERATOR * accelerators;
 }
 
-const FNV_OFFSET_BASIS = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
 const HASH_RANGE = 2 ** 32;
 
 /** Returns a number from 0 to 1 that depends only on the id. */
 export function spreadOf(id: string): number {
-  let hash = FNV_OFFSET_BASIS;
-  for (let index = 0; index < id.length; index += 1) {
-    hash = Math.imul(hash ^ id.charCodeAt(index), FNV_PRIME);
-  }
+  let hash = textHash.hashOf(id);
   // The last multiplications mix the low bits into the high ones.
-  hash = Math.imul(hash ^ (hash >>> 15), FNV_PRIME);
+  hash = Math.imul(hash ^ (hash >>> 15), textHash.FNV_PRIME);
   return ((hash ^ (hash >>> 13)) >>> 0) / HASH_RANGE;
 }
--- a/src/jobs/overload_controller.ts
+++ b/src/jobs/overload_controller.ts
@@ -2,21 +2,9 @@
 import * as recentArrivals from './recent_arrivals.js';
 import * as stepOrdering from './step_ordering.js';
 import type * as clock from '../machines/clock.js';
+import type * as loopLoad from '../machines/loop_load.js';
 import type * as schedulerOptions from './scheduler_options.js';
 
-/** Busy and idle time of an event loop since its start. */
-export interface LoopTimes {
-  readonly active: clock.Milliseconds;
-  readonly idle: clock.Milliseconds;
-}
-
-/** Load of the event loop of the process that runs the scheduler. */
-export interface LoopLoadSource {
-  /** Current delay of work that waits for the loop. */
-  readonly delayMs: clock.Milliseconds;
-  readonly times: LoopTimes;
-}
-
 /** Interval at which the level is adjusted. */
 const INTERVAL_MS = 300;
 
@@ -67,12 +55,12 @@
   /** Lowest admitted score by rank; others are admitted in full. */
   private lowestScores: ReadonlyMap<number, number> = new Map();
   private intervalStartedAt: clock.Milliseconds | undefined;
-  private timesAtStart: LoopTimes;
+  private timesAtStart: loopLoad.LoopTimes;
   private lowestDelayMs = Infinity;
   private lastDelayMs = 0;
 
   constructor(
-    private readonly loopLoad: LoopLoadSource,
+    private readonly loopLoad: loopLoad.LoopLoadSource,
     private readonly log: schedulerOptions.EventLog,
   ) {
     this.timesAtStart = loopLoad.times;
--- a/src/jobs/recent_refusals.ts
+++ b/src/jobs/recent_refusals.ts
@@ -1,5 +1,4 @@
 import type * as clock from '../machines/clock.js';
-import type * as jobAdmission from './job_admission.js';
 
 /**
  * Time for which a refusal is in force. It covers an earlier call with the same
@@ -11,26 +10,22 @@
 const REFUSAL_MEMORY_MS = 30_000;
 
 /** First and last refusals of a job. */
-interface Refusals {
+interface Refusals<Refusal> {
   readonly firstAt: clock.Milliseconds;
   readonly lastAt: clock.Milliseconds;
-  readonly last: jobAdmission.SubmitRefused;
+  readonly last: Refusal;
 }
 
 /**
  * Jobs that were refused lately. A call that was overtaken by a later one must
  * not be accepted after the caller was told that the job never runs.
  */
-export class RecentRefusals {
+export class RecentRefusals<Refusal> {
   /** In the order of the last refusals. */
-  private readonly byId = new Map<string, Refusals>();
+  private readonly byId = new Map<string, Refusals<Refusal>>();
 
   /** Records a refusal; repeating the one in force does not extend it. */
-  add(
-    id: string,
-    refusal: jobAdmission.SubmitRefused,
-    now: clock.Milliseconds,
-  ): void {
+  add(id: string, refusal: Refusal, now: clock.Milliseconds): void {
     if (refusal === this.inForce(id, now)) return;
     const firstAt = this.byId.get(id)?.firstAt ?? now;
     this.byId.delete(id);
@@ -43,10 +38,7 @@
   }
 
   /** Returns the refusal that still rules out that the job is accepted. */
-  inForce(
-    id: string,
-    now: clock.Milliseconds,
-  ): jobAdmission.SubmitRefused | undefined {
+  inForce(id: string, now: clock.Milliseconds): Refusal | undefined {
     const refusals = this.byId.get(id);
     if (refusals === undefined) return undefined;
     return now - refusals.lastAt < REFUSAL_FORCE_MS ? refusals.last : undefined;
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -1,7 +1,7 @@
 import type * as adviceCache from './advice_cache.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
-import type * as overloadController from './overload_controller.js';
+import type * as loopLoads from '../machines/loop_load.js';
 import type * as workerClient from '../machines/worker_client.js';
 
 /** Log of structured events, one for each decision. */
@@ -37,7 +37,7 @@
   readonly workerClient: workerClient.WorkerClient;
   readonly adviceClient: adviceCache.CellAdviceClient;
   readonly timer: jobJournal.DelayTimer;
-  readonly loopLoad: overloadController.LoopLoadSource;
+  readonly loopLoad: loopLoads.LoopLoadSource;
   readonly log: EventLog;
   readonly counters: Counters;
   /**
--- a/src/operations/loop_monitor.ts
+++ b/src/operations/loop_monitor.ts
@@ -1,5 +1,5 @@
 import type * as clock from '../machines/clock.js';
-import type * as overloadController from '../jobs/overload_controller.js';
+import type * as loopLoads from '../machines/loop_load.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
 /** Load of this process's event loop, as last measured. */
@@ -22,10 +22,10 @@
  * apart from silent peers. It sets no timers; the process calls `tick` from its
  * own.
  */
-export class LoopMonitor implements overloadController.LoopLoadSource {
+export class LoopMonitor implements loopLoads.LoopLoadSource {
   private lastTickAt: clock.Milliseconds | undefined;
   private reportedAt: clock.Milliseconds = -Infinity;
-  private timesAtReport: overloadController.LoopTimes;
+  private timesAtReport: loopLoads.LoopTimes;
   private longestDelayMs = 0;
   private lastDelayMs = 0;
   private lastLoad: LoopLoad = {utilization: 0, longestDelayMs: 0};
@@ -34,7 +34,7 @@
     private readonly clock: clock.Clock,
     private readonly tickIntervalMs: number,
     /** Returns the loop's times since the start of the process. */
-    private readonly readTimes: () => overloadController.LoopTimes,
+    private readonly readTimes: () => loopLoads.LoopTimes,
     private readonly log: schedulerOptions.EventLog,
     private readonly counters: schedulerOptions.Counters,
   ) {
@@ -54,7 +54,7 @@
   }
 
   /** Busy and idle time of the loop since its start. */
-  get times(): overloadController.LoopTimes {
+  get times(): loopLoads.LoopTimes {
     return this.readTimes();
   }
 
--- a/src/zones/succession_policy.ts
+++ b/src/zones/succession_policy.ts
@@ -1,4 +1,5 @@
 import * as membership from './membership.js';
+import * as textHash from '../machines/text_hash.js';
 import type * as permitTracker from './permit_tracker.js';
 import type * as clock from '../machines/clock.js';
 import type * as ownership from './ownership.js';
@@ -92,9 +93,10 @@
   private isTurn(silentMember: string, now: clock.Milliseconds): boolean {
     const {members, process} = this.dependencies;
     const order = [...members.liveMembers(now)].sort(
+      // The hash spreads successors evenly over members.
       (first, second) =>
-        successorHash(`${silentMember} ${first}`) -
-        successorHash(`${silentMember} ${second}`),
+        textHash.hashOf(`${silentMember} ${first}`) -
+        textHash.hashOf(`${silentMember} ${second}`),
     );
     const rank = Math.max(0, order.indexOf(process));
     const silenceMs = now - members.contact(silentMember).lastMessageAt;
@@ -103,12 +105,3 @@
     );
   }
 }
-
-/** Returns the FNV-1a hash, which spreads successors evenly over members. */
-function successorHash(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-  }
-  return hash >>> 0;
-}
--- a/test/jobs/overload_controller_test.ts
+++ b/test/jobs/overload_controller_test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as overloadController from '../../src/jobs/overload_controller.js';
+import type * as loopLoads from '../../src/machines/loop_load.js';
 
 const {describe, test} = nodeTest;
 
@@ -14,7 +15,7 @@
 class LoadedLoop {
   delayMs = 0;
   utilization = 0;
-  times: overloadController.LoopTimes = {active: 0, idle: 0};
+  times: loopLoads.LoopTimes = {active: 0, idle: 0};
   readonly controller = new overloadController.OverloadController(this, {
     event: () => {},
   });
--- a/test/operations/loop_monitor_test.ts
+++ b/test/operations/loop_monitor_test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as clock from '../../src/machines/clock.js';
 import * as loopMonitor from '../../src/operations/loop_monitor.js';
-import type * as overloadController from '../../src/jobs/overload_controller.js';
+import type * as loopLoads from '../../src/machines/loop_load.js';
 
 const {describe, test} = nodeTest;
 
@@ -13,7 +13,7 @@
   readonly logged: Array<Readonly<Record<string, unknown>>> = [];
   readonly monitor: loopMonitor.LoopMonitor;
   private readonly time = new clock.ManualClock();
-  private times: overloadController.LoopTimes = {active: 0, idle: 0};
+  private times: loopLoads.LoopTimes = {active: 0, idle: 0};
 
   constructor() {
     this.monitor = new loopMonitor.LoopMonitor(
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -7,7 +7,7 @@
 import type * as adviceCache from '../../src/jobs/advice_cache.js';
 import type * as schedulerOptions from '../../src/jobs/scheduler_options.js';
 import type * as job from '../../src/jobs/job.js';
-import type * as overloadController from '../../src/jobs/overload_controller.js';
+import type * as loopLoads from '../../src/machines/loop_load.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 
@@ -92,7 +92,7 @@
   /** Receives the schedulers' log events. */
   log: schedulerOptions.EventLog = {event: () => {}};
   /** Load of the event loop that schedulers see. */
-  loopLoad: overloadController.LoopLoadSource = {
+  loopLoad: loopLoads.LoopLoadSource = {
     delayMs: 0,
     times: {active: 0, idle: 0},
   };
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -11,7 +11,7 @@
 import type * as job from '../../src/jobs/job.js';
 import type * as configurationSources from '../../src/zones/configuration_source.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
-import type * as overloadController from '../../src/jobs/overload_controller.js';
+import type * as loopLoads from '../../src/machines/loop_load.js';
 
 const {describe, test} = nodeTest;
 
@@ -56,7 +56,7 @@
   claimCount: number;
 }
 
-const IDLE_LOOP: overloadController.LoopLoadSource = {
+const IDLE_LOOP: loopLoads.LoopLoadSource = {
   delayMs: 0,
   times: {active: 0, idle: 0},
 };
@@ -71,7 +71,7 @@
   cell: TestCell,
   clock: simulatedClock.SimulatedClock,
   name: string,
-  loopLoad: overloadController.LoopLoadSource = IDLE_LOOP,
+  loopLoad: loopLoads.LoopLoadSource = IDLE_LOOP,
   configurationSource: configurationSources.ConfigurationSource = NO_CONFIGURATION,
 ): cellNode.CellNode {
   const peers = {
