--- a/src/zones/cell_configuration.ts
+++ b/src/zones/cell_configuration.ts
@@ -55,6 +55,11 @@
     return this.cache.version;
   }
 
+  /** Newest version that this member has, or of which it was told. */
+  get newestKnownVersion(): number {
+    return this.cache.announced?.version ?? this.cache.version;
+  }
+
   /** Time since the configuration was last proven to be the newest. */
   get ageMs(): number {
     return this.cache.ageMs;
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -190,6 +190,11 @@
     return this.cellConfiguration.basis(waitMs);
   }
 
+  /** Returns whether a newer version of the configuration is known to exist. */
+  hasNewerVersion(version: number): boolean {
+    return this.cellConfiguration.newestKnownVersion > version;
+  }
+
   /** Records that another member has a version of the configuration. */
   hearConfigurationVersion(version: number, address?: string): void {
     this.cellConfiguration.announce(version, address);
--- a/test/platform/job_api_configuration_test.ts
+++ b/test/platform/job_api_configuration_test.ts
@@ -8,6 +8,7 @@
 import * as scriptedConfigurationSource from '../support/scripted_configuration_source.js';
 import type * as cellGateway from '../../src/zones/cell_gateway.js';
 import type * as cellNode from '../../src/zones/cell_node.js';
+import type * as job from '../../src/jobs/job.js';
 import type * as configurationFreshness from '../../src/zones/configuration_freshness.js';
 
 const {describe, test} = nodeTest;
@@ -41,6 +42,7 @@
     node: {
       configuration,
       configurationAgeMs: configuration === undefined ? Infinity : 40,
+      hasNewerVersion: () => false,
       configurationBasis: async () => ({standing, configuration}),
     } as unknown as cellNode.CellNode,
     gateway: {
@@ -56,6 +58,44 @@
   return status;
 }
 
+/** Returns the status of a count whose answer tells of a newer version. */
+async function statusAfterNews(
+  newer: job.OperatorConfiguration,
+): Promise<number | undefined> {
+  let configuration = CONFIGURATION;
+  const server = new jobApiServer.JobApiServer({
+    node: {
+      configurationAgeMs: 40,
+      hasNewerVersion: (version: number) => configuration.version > version,
+      configurationBasis: async () => ({standing: 'confirmed', configuration}),
+    } as unknown as cellNode.CellNode,
+    gateway: {
+      countPending: async () => {
+        configuration = newer;
+        return {kind: 'answered', value: 3};
+      },
+    } as unknown as cellGateway.CellGateway,
+    clock: new clock.SystemClock(),
+    log: {event: () => {}},
+    counters: new prometheusMetrics.PrometheusMetrics(),
+  });
+  const port = await server.listen('127.0.0.1', 0);
+  const status = await get(port, KNOWN_PATH);
+  server.drain();
+  return status;
+}
+
+describe('job API whose scheduler answers by a newer version', () => {
+  // Guards against a count of a dropped queue, answered by the version that
+  // routed the request although the answer has told of a newer one.
+  test('a dropped queue was still answered: routes the request again', async () => {
+    const {configurationOf} = scriptedConfigurationSource;
+    assert.equal(await statusAfterNews(configurationOf(8)), 404);
+    const kept = configurationOf(8, [jobCell.QUEUE]);
+    assert.equal(await statusAfterNews(kept), 200);
+  });
+});
+
 describe('job API with a configuration of any standing', () => {
   // Guards against a queue that is called unknown, or served, by a version that
   // may be outdated, and against faults while there is no version yet.
--- a/test/platform/job_api_refusal_test.ts
+++ b/test/platform/job_api_refusal_test.ts
@@ -23,6 +23,7 @@
   const configuration = {version: 1, queues: [jobCell.QUEUE], bodyBytes: 9_000};
   const server = new jobApiServer.JobApiServer({
     node: {
+      hasNewerVersion: () => false,
       configurationBasis: async () => ({standing: 'confirmed', configuration}),
     } as unknown as cellNode.CellNode,
     gateway: {
