--- a/src/result.ts
+++ b/src/result.ts
@@ -242,7 +242,7 @@
     503,
     'notRun',
     'later',
-    'This process has no configuration yet.',
+    'This process has no configuration yet, or none that is known to be in force.',
   ),
   noAuthority: row(
     3002,
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -79,7 +79,10 @@
     undefined,
     jobCell.QUEUE.service,
   ];
-  /** Version that was in force when each job was submitted. */
+  /**
+   * Version that was in force at the first submission of each job that was not
+   * refused.
+   */
   private readonly submittedVersions = new Map<string, number>();
 
   constructor(
@@ -154,9 +157,13 @@
     if (!this.currentTerm?.scheduler.isServing) return;
     const {configurationVersion: version} = this.cell;
     if (this.serviceByVersion[version] === undefined) return;
-    this.submittedVersions.set(id, version);
+    // A repeated call finds the job that an earlier one has brought.
+    if (!this.submittedVersions.has(id)) {
+      this.submittedVersions.set(id, version);
+    }
     this.currentTerm.scheduler.submit(definition, version, outcome => {
       if (outcome.kind === 'accepted') this.definitions.set(id, definition);
+      if (outcome.kind === 'refused') this.submittedVersions.delete(id);
     });
   }
 
