Never refuse a known job for an outdated configuration

Callers would see a job refused (never runs) that an earlier call had brought and that runs (REFUSED).

Cause: a leader that lacked an announced version refused a submission before it looked whether the job is known, without proof that it leads, and without a record that keeps an overtaken earlier call from being accepted.

Change: a known job is answered at once. The refusal is made by JobAdmission beside those for the load: with proof of leading, and in force for a second. The names say that the configuration is usable, not that starts are allowed.

--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -21,6 +21,7 @@
   | 'overloaded'
   /** The accepted work leaves no room to serve the job in time. */
   | 'noRoomInTime'
+  /** A newer configuration exists, which this process could not get yet. */
   | 'notReady'
   | 'unknownQueue';
 
@@ -175,10 +176,11 @@
     const queue = this.queues.find(definition.queue);
     const screened = toScreenedJob(definition);
     const refusal =
-      queue &&
-      (this.overloadRefusal(screened, queue) ??
-        this.roomRefusal(definition, queue, arrivedAt) ??
-        this.refusalInForce(id));
+      this.configurationRefusal() ??
+      (queue &&
+        (this.overloadRefusal(screened, queue) ??
+          this.roomRefusal(definition, queue, arrivedAt))) ??
+      this.refusalInForce(id);
     if (refusal !== undefined && !this.options.mayGrantLeases()) return false;
     if (queue) this.recordArrival(screened, queue);
     if (refusal !== undefined) {
@@ -245,6 +247,13 @@
     };
   }
 
+  /** Returns the refusal of a new job by an outdated process. */
+  private configurationRefusal(): SubmitRefused | undefined {
+    if (this.options.isConfigurationUsable()) return undefined;
+    const retryAfterSeconds = RETRY_AFTER_SECONDS;
+    return {kind: 'refused', reason: 'notReady', retryAfterSeconds};
+  }
+
   /** Returns the refusal of a new job by an overloaded process. */
   private overloadRefusal(
     screened: ScreenedJob,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -177,7 +177,9 @@
       runtimeModel: runtimes,
       isBlocked: record => this.runRecovery?.blocks(record) === true,
       mayStart: () =>
-        this.isServing && options.mayGrantLeases() && options.mayStartTasks(),
+        this.isServing &&
+        options.mayGrantLeases() &&
+        options.isConfigurationUsable(),
     });
     this.evacuator = new evacuator.Evacuator(
       workers,
@@ -255,6 +257,11 @@
     this.workerLifecycle.update(entries);
   }
 
+  /** Returns whether a job was submitted before, accepted yet or not. */
+  knows(id: string): boolean {
+    return this.jobTable.get(id) !== undefined;
+  }
+
   /** Submits a job; see `JobAdmission.submit`. */
   submit(
     definition: job.JobDefinition,
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -46,10 +46,10 @@
    */
   readonly mayGrantLeases: () => boolean;
   /**
-   * Returns whether the configuration is proven new enough to start tasks by.
-   * While it is not, this process asks for a newer one.
+   * Returns whether the configuration is proven new enough to accept jobs and
+   * start tasks by. While it is not, this process asks for a newer one.
    */
-  readonly mayStartTasks: () => boolean;
+  readonly isConfigurationUsable: () => boolean;
   /** Called when a later term is found to exist. */
   readonly onSuperseded: (reason: string) => void;
   /** Runs a slice of work in the next event loop turn, after messages are read. */
--- a/src/zones/cell_configuration.ts
+++ b/src/zones/cell_configuration.ts
@@ -65,9 +65,9 @@
     return this.cache.ageMs;
   }
 
-  /** Whether tasks may be started by the configuration now; asks if not. */
-  get allowsStarts(): boolean {
-    return this.freshness.allowsStarts;
+  /** Whether the leader may decide by it now; see `ConfigurationFreshness`. */
+  get isUsable(): boolean {
+    return this.freshness.isUsable;
   }
 
   /** Follows the configuration in the store. */
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -56,9 +56,6 @@
  */
 const CONFIGURATION_WAIT_MS = 600;
 
-/** Delay after which callers of a member with an outdated configuration retry. */
-const RETRY_AFTER_SECONDS = 1;
-
 /** Time after a late tick in which the messages that waited are read. */
 const BACKLOG_READ_TIME_MS = 50;
 
@@ -196,7 +193,7 @@
   }
 
   /** Records that another member has a version of the configuration. */
-  hearConfigurationVersion(version: number, address?: string): void {
+  recordAnnouncedVersion(version: number, address?: string): void {
     this.cellConfiguration.announce(version, address);
   }
 
@@ -229,7 +226,7 @@
   answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
     const {newest, sender} = message;
     this.contacts.recordContact(sender);
-    this.hearConfigurationVersion(message.configurationVersion, sender);
+    this.recordAnnouncedVersion(message.configurationVersion, sender);
     if (newest !== undefined) this.elector.adoptClaim(newest, 'peer');
     this.leadershipProof.acceptMessage(this.options.clock.now());
     return {
@@ -250,19 +247,12 @@
   ): Promise<jobAdmission.SubmitOutcome> | undefined {
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
-    this.hearConfigurationVersion(configurationVersion);
-    if (!this.cellConfiguration.allowsStarts) {
-      return this.submitWhenConfirmed(definition, configurationVersion);
+    this.recordAnnouncedVersion(configurationVersion);
+    const isKnown = servingScheduler.knows(definition.id);
+    if (!isKnown && !this.cellConfiguration.isUsable) {
+      return this.submitAfterInquiry(definition, configurationVersion);
     }
-    let isAnswered = true;
-    const outcome = new Promise<jobAdmission.SubmitOutcome>(resolve => {
-      isAnswered = servingScheduler.submit(
-        definition,
-        configurationVersion,
-        resolve,
-      );
-    });
-    return isAnswered ? outcome : undefined;
+    return this.submitNow(definition, configurationVersion);
   }
 
   configurationSince(knownVersion: number): cellPeers.MemberConfiguration {
@@ -309,21 +299,34 @@
 
   // Configuration.
 
-  /** Submits a job once its configuration is proven to be the newest. */
-  private async submitWhenConfirmed(
+  /** Submits a job once the sources were asked for the configuration. */
+  private async submitAfterInquiry(
     definition: job.JobDefinition,
     configurationVersion: number,
   ): Promise<jobAdmission.SubmitOutcome> {
     await this.cellConfiguration.basis(CONFIGURATION_WAIT_MS);
-    if (!this.cellConfiguration.allowsStarts) {
-      return {
-        kind: 'refused',
-        reason: 'notReady',
-        retryAfterSeconds: RETRY_AFTER_SECONDS,
-      };
-    }
     // A leader that was replaced meanwhile can't tell what became of the job.
-    return this.submit(definition, configurationVersion) ?? {kind: 'undecided'};
+    return (
+      this.submitNow(definition, configurationVersion) ?? {kind: 'undecided'}
+    );
+  }
+
+  /** Submits a job; undefined if this member does not lead. */
+  private submitNow(
+    definition: job.JobDefinition,
+    configurationVersion: number,
+  ): Promise<jobAdmission.SubmitOutcome> | undefined {
+    const {servingScheduler} = this;
+    if (servingScheduler === undefined) return undefined;
+    let isAnswered = true;
+    const outcome = new Promise<jobAdmission.SubmitOutcome>(resolve => {
+      isAnswered = servingScheduler.submit(
+        definition,
+        configurationVersion,
+        resolve,
+      );
+    });
+    return isAnswered ? outcome : undefined;
   }
 
   // Delays of this process's own loop.
@@ -395,7 +398,7 @@
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
-      mayStartTasks: () => this.cellConfiguration.allowsStarts,
+      isConfigurationUsable: () => this.cellConfiguration.isUsable,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
       defer: options.defer,
     });
--- a/src/zones/configuration_freshness.ts
+++ b/src/zones/configuration_freshness.ts
@@ -85,8 +85,11 @@
     return now - toldAt < this.maximumAgeMs ? 'outdated' : 'cutOff';
   }
 
-  /** Whether tasks may be started by the configuration now; asks if not. */
-  get allowsStarts(): boolean {
+  /**
+   * Whether the leader may accept jobs and start tasks by the configuration now;
+   * asks the sources if not.
+   */
+  get isUsable(): boolean {
     const {standing} = this;
     if (standing === 'unconfirmed') void this.inquire();
     return standing !== 'unconfirmed' && standing !== 'outdated';
--- a/test/jobs/removed_queue_test.ts
+++ b/test/jobs/removed_queue_test.ts
@@ -100,3 +100,41 @@
     assert.deepEqual(cell.journal.queues, []);
   });
 });
+
+describe('a scheduler that knows of a newer configuration and lacks it', () => {
+  // Guards against a refusal, which says that a job never runs, of a job that
+  // an earlier call has brought.
+  test('refused an accepted job on its second call: tells that it is accepted', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'w1');
+    const scheduler = await cell.startTerm(1);
+    const first = jobCell.submit(scheduler, chainOf('chain', 1));
+    await cell.time.advance(100);
+    cell.isConfigurationUsable = false;
+    const second = jobCell.submit(scheduler, chainOf('chain', 1));
+    await cell.time.advance(100);
+    assert.equal(first.outcome?.kind, 'accepted');
+    assert.equal(second.outcome?.kind, 'accepted');
+  });
+
+  // Guards against a job that runs although a later call with its id was told
+  // that it never does.
+  test('refuses a new job, and an earlier call with its id that arrives later', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'w1');
+    const scheduler = await cell.startTerm(1);
+    cell.isConfigurationUsable = false;
+    const later = jobCell.submit(scheduler, chainOf('chain', 1));
+    await cell.time.advance(100);
+    cell.isConfigurationUsable = true;
+    const overtaken = jobCell.submit(scheduler, chainOf('chain', 1));
+    await cell.time.advance(5_000);
+    assert.deepEqual(later.outcome, {
+      kind: 'refused',
+      reason: 'notReady',
+      retryAfterSeconds: 1,
+    });
+    assert.equal(overtaken.outcome?.kind, 'refused');
+    assert.deepEqual(cell.startsOf('chain'), []);
+  });
+});
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -95,7 +95,7 @@
       log: {event: () => {}},
       counters: {count: name => this.count(name), observe: () => {}},
       mayGrantLeases: () => true,
-      mayStartTasks: () => true,
+      isConfigurationUsable: () => true,
       onSuperseded: () => {},
       defer: run => this.deferred.push(run),
     });
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -101,6 +101,8 @@
   /** Configuration that a scheduler gets when its term begins. */
   queues: ReadonlyArray<job.Queue> = [QUEUE];
   configurationVersion = 1;
+  /** Whether schedulers may decide by their configuration. */
+  isConfigurationUsable = true;
   advice: adviceCache.CellAdviceClient = {
     accepts: () => true,
     ask: async () => ({kind: 'busy'}),
@@ -141,7 +143,7 @@
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
       mayGrantLeases,
-      mayStartTasks: () => true,
+      isConfigurationUsable: () => this.isConfigurationUsable,
       onSuperseded: reason => {
         this.supersededReasons.push(reason);
         newScheduler.retire();
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -77,6 +77,7 @@
   const peers = {
     ping: async (address: string, message: cellPeers.PingMessage) =>
       cell.answerPing(address, message),
+    fetchConfiguration: async () => ({kind: 'unanswered', detail: 'silent'}),
   } as unknown as cellPeers.CellPeers;
   return new cellNode.CellNode({
     self: memberOf(name),
@@ -252,6 +253,48 @@
   });
 });
 
+describe('cell node that leads and is behind its fronts', () => {
+  // Guards against a leader that accepts and places a job by its old version
+  // although the submission has told it of a newer one.
+  test('a leader decided by an older version than its front: gets the newer one first', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const cell: TestCell = {
+      answerPing: () => ({kind: 'unanswered', detail: 'silent'}),
+      storeAnswers: () => true,
+      claimCount: 0,
+    };
+    const source = new scriptedConfigurationSource.ScriptedConfigurationSource(
+      clock,
+    );
+    const node = createNode(cell, clock, 'one', IDLE_LOOP, source);
+    node.applyCellLog(['one', 'two'].map(memberOf), undefined, 6);
+    node.followConfiguration();
+    const {configurationOf} = scriptedConfigurationSource;
+    source.stored = configurationOf(1, [jobCell.QUEUE]);
+    source.deliver();
+    clock.runEvery(100, () => {
+      node.tick();
+      node.applyCellLog([], undefined, 7);
+    });
+    await clock.advance(2_000);
+    assert.equal(node.servesJobs, true);
+    source.stored = configurationOf(2, [{...jobCell.QUEUE, service: 'annex'}]);
+    const outcome = node.submit(jobCell.jobOf('a1', {}), 2);
+    assert.equal(node.configurationVersion, 1);
+    await clock.advance(50);
+    assert.deepEqual(await outcome, {kind: 'accepted'});
+    assert.equal(node.configurationVersion, 2);
+    // A newer version that nobody can deliver.
+    source.answers = false;
+    const refused = node.submit(jobCell.jobOf('a2', {}), 3);
+    await clock.advance(700);
+    assert.equal((await refused)?.kind, 'refused');
+    const repeated = node.submit(jobCell.jobOf('a1', {}), 3);
+    await clock.advance(700);
+    assert.deepEqual(await repeated, {kind: 'accepted'});
+  });
+});
+
 describe('cell node that leads and is overloaded', () => {
   // Guards against a cut-off leader that tells a caller that its job never
   // runs, although its successor has accepted it.
--- a/test/zones/configuration_freshness_test.ts
+++ b/test/zones/configuration_freshness_test.ts
@@ -95,7 +95,7 @@
     member.peer = {configuration: configurationOf(8), version: 8, ageMs: 40};
     member.source.answers = false;
     member.cache.announce(8, 'other:1');
-    assert.equal(member.freshness.allowsStarts, false);
+    assert.equal(member.freshness.isUsable, false);
     const {standing, configuration} = await member.decide();
     assert.equal(standing, 'confirmed');
     assert.equal(configuration?.version, 8);
@@ -109,7 +109,7 @@
     member.source.answers = false;
     member.cache.announce(8, 'other:1');
     assert.equal((await member.decide()).standing, 'outdated');
-    assert.equal(member.freshness.allowsStarts, false);
+    assert.equal(member.freshness.isUsable, false);
   });
 
   // Guards against an availability zone that is cut off and serves nothing.
@@ -120,7 +120,7 @@
     const {standing, configuration} = await member.decide();
     assert.equal(standing, 'cutOff');
     assert.equal(configuration?.version, 6);
-    assert.equal(member.freshness.allowsStarts, true);
+    assert.equal(member.freshness.isUsable, true);
     member.source.answers = true;
     member.source.stored = configurationOf(9);
     await member.clock.advance(400);
@@ -164,9 +164,9 @@
     await member.clock.advance(100);
     member.source.stored = configurationOf(7);
     member.freshness.requireProof();
-    assert.equal(member.freshness.allowsStarts, false);
+    assert.equal(member.freshness.isUsable, false);
     await member.clock.advance(10);
-    assert.equal(member.freshness.allowsStarts, true);
+    assert.equal(member.freshness.isUsable, true);
     assert.equal(member.cache.version, 7);
   });
 });
