Take the newest valid configuration of an answer; no proof from earlier releases

During a rolling upgrade a member of the earlier release sends its configuration without an age, which counted as just proven.

A configuration without version and age proves nothing.

--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -77,7 +77,8 @@
         .toMaybe()
         .extract(),
       version: Number(version),
-      ageMs,
+      // Members of an earlier release send neither version nor age.
+      ageMs: version === 0n ? Infinity : ageMs,
     }));
   }
 
--- a/test/platform/foreign_records_test.ts
+++ b/test/platform/foreign_records_test.ts
@@ -155,6 +155,39 @@
   });
 });
 
+describe('configuration feed', () => {
+  // Guards against a valid version that is passed over because an invalid one
+  // was read with it.
+  test('takes the newest valid version of those in one answer', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const texts = ['{"version":3}', '{"version":4}', '{"version":1e999}'];
+    const records = texts.map((text, offset) => ({
+      key: 'config',
+      value: Buffer.from(text),
+      offset,
+    }));
+    const events: string[] = [];
+    const topic: keyedTopic.KeyedTopic = {
+      ...topicOf(records),
+      read: async () => {
+        await clock.delay(1_000);
+        return {kind: 'read', records: [], end: 3, topicEnd: 3};
+      },
+    };
+    const source = new platformFeeds.PlatformConfigurationSource(topic, 2_500, {
+      clock,
+      delay: milliseconds => clock.delay(milliseconds),
+      log: {event: (_level, name) => void events.push(name)},
+      counters: {count: () => {}, observe: () => {}},
+    });
+    const versions: Array<number | undefined> = [];
+    source.follow(configuration => void versions.push(configuration?.version));
+    await clock.advance(1);
+    assert.equal(versions[0], 4);
+    assert.deepEqual(events, ['configurationUnreadable']);
+  });
+});
+
 describe('process that reads odd entries', () => {
   // Guards against processes that end again and again, or stop following a
   // list, because of one odd entry of another writer.
