--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -30,11 +30,14 @@
     return true;
   }
 
-  /** Stores the definition of a queue, before the first of its jobs. */
+  /**
+   * Stores the definition of a queue, before the first of its jobs; one that is
+   * not known yet, as soon as it is.
+   */
   keep(name: string): void {
-    if (this.storedNames.has(name) || !this.byName.has(name)) return;
+    if (this.storedNames.has(name)) return;
     this.storedNames.add(name);
-    this.store(name);
+    if (this.byName.has(name)) this.store(name);
   }
 
   /**
@@ -53,6 +56,8 @@
         this.journal.put(queueKey(name), () => ({kind: 'queueRemoved', name}));
       }
     }
+    // Earlier releases stored jobs without their queues.
+    for (const name of usedNames) this.keep(name);
   }
 
   /** Returns the newest definition of a queue. */
--- a/test/jobs/removed_queue_test.ts
+++ b/test/jobs/removed_queue_test.ts
@@ -75,6 +75,22 @@
     assert.deepEqual([...used], ['new']);
   });
 
+  // Guards against jobs of an earlier release, whose journal has no queues.
+  test('are continued after the release that did not store their queue', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'w1');
+    cell.journal.definitions.set('chain', chainOf('chain', 3));
+    const first = await cell.startTerm(1);
+    await cell.time.advance(100);
+    first.configure(configurationOf(2, [OTHER_QUEUE]));
+    first.retire();
+    cell.configurationVersion = 2;
+    cell.queues = [OTHER_QUEUE];
+    const second = await cell.startTerm(2);
+    await cell.time.advance(25_000);
+    assert.equal(second.stateOf(jobCell.QUEUE.name, 'chain'), 'completed');
+  });
+
   // Guards against a journal that grows with each version of a configuration.
   test('store a definition once, and drop it when no job is left', async () => {
     const cell = new jobCell.JobCell();
