--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -76,8 +76,13 @@
 export interface JobJournalStore {
   /** Opens the journal for a term and fences off earlier ones. */
   open(term: number): Promise<StoreOutcome>;
-  /** Reads the whole journal; undefined if the store can't be read now. */
-  load(): Promise<JournalContent | undefined>;
+  /**
+   * Reads the whole journal; undefined if the store can't be read now. Calls
+   * `onPart` with the size in bytes of each part that arrives.
+   */
+  load(
+    onPart?: (byteCount: number) => void,
+  ): Promise<JournalContent | undefined>;
   /**
    * Stores a batch of changes atomically. `sequence` rises by one with each new
    * batch; a call with the same number repeats the batch idempotently.
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -208,9 +208,9 @@
     return this.options.term;
   }
 
-  /** Number of completed steps of the takeover. */
+  /** Rises while the takeover makes progress. */
   get takeoverStep(): number {
-    return this.takeoverTimeline.completedCount;
+    return this.takeoverTimeline.progressCount;
   }
 
   /** Returns how long the store has not answered; 0 if no call is pending. */
@@ -229,7 +229,7 @@
       }
       if (opened === 'stored') this.takeoverTimeline.complete('journalOpened');
       const content =
-        opened === 'stored' ? await options.journalStore.load() : undefined;
+        opened === 'stored' ? await this.loadJournal() : undefined;
       if (content !== undefined && this.active) {
         this.takeoverTimeline.complete('journalRead', {...content.size});
         await this.takeOver(content);
@@ -240,6 +240,13 @@
     return false;
   }
 
+  private loadJournal(): Promise<jobJournal.JournalContent | undefined> {
+    this.takeoverTimeline.beginRead();
+    return this.options.journalStore.load(byteCount =>
+      this.takeoverTimeline.recordPart(byteCount),
+    );
+  }
+
   /** Ends the term: sends no more commands and stores no more changes. */
   retire(): void {
     this.active = false;
--- a/src/links/keyed_topic.ts
+++ b/src/links/keyed_topic.ts
@@ -50,6 +50,9 @@
   | {readonly kind: 'expired'}
   | {readonly kind: 'unavailable'; readonly detail: string};
 
+/** Called with the size in bytes of a part of a response that has arrived. */
+export type PartListener = (byteCount: number) => void;
+
 /** One keyed topic in the platform's store; no call rejects its promise. */
 export interface KeyedTopic {
   append(
@@ -62,6 +65,10 @@
    * read is given up `marginMs` after that wait.
    */
   read(from: number, waitMs: number, marginMs?: number): Promise<ReadOutcome>;
-  /** Reads the newest record of each key. */
-  readNewest(marginMs?: number): Promise<ReadOutcome>;
+  /**
+   * Reads the newest record of each key. With `onPart`, which is called with
+   * the size of each part that arrives, the read is given up only once nothing
+   * has arrived for `marginMs`.
+   */
+  readNewest(marginMs?: number, onPart?: PartListener): Promise<ReadOutcome>;
 }
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -21,6 +21,9 @@
 /** Records that are decoded in one turn of the event loop. */
 const RECORDS_PER_TURN = 200;
 
+/** Time without a part of the journal after which a load is given up. */
+const LOAD_STALL_TIMEOUT_MS = 900;
+
 const TOMBSTONE = new Uint8Array(0);
 
 /** Journal in a keyed topic: two keys per job and one per worker. */
@@ -32,8 +35,10 @@
     return this.send([], term, 0, FENCE_TIMEOUT_MS);
   }
 
-  async load(): Promise<jobJournal.JournalContent | undefined> {
-    const outcome = await this.topic.readNewest();
+  async load(
+    onPart?: keyedTopic.PartListener,
+  ): Promise<jobJournal.JournalContent | undefined> {
+    const outcome = await this.topic.readNewest(LOAD_STALL_TIMEOUT_MS, onPart);
     if (outcome.kind !== 'read') return undefined;
     const definitions = new Map<string, job.JobDefinition>();
     const progress = new Map<string, jobRecord.JobProgress>();
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -25,7 +25,7 @@
   /** Whether the leader has taken over and serves jobs. */
   readonly leading: boolean;
   readonly resigning: boolean;
-  /** Number of completed steps of the takeover. */
+  /** Rises with each completed step of the takeover and each part of one. */
   readonly takeoverStep: number;
   /** Whether the leader has lately heard a majority of the members. */
   readonly hearsMajority: boolean;
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -237,6 +237,39 @@
     server.close();
   });
 
+  // Guards against a successor that never reads the whole journal, because a
+  // narrow link carries it in more time than a call has.
+  test('a large response was given up while it arrived: waits as long as parts arrive', async () => {
+    const server = await startServer((path, response) => {
+      let sentCount = 0;
+      const timer = setInterval(() => {
+        sentCount += 1;
+        response.write('part ');
+        if (path === '/stalls' && sentCount === 2) clearInterval(timer);
+        if (sentCount < 12) return;
+        clearInterval(timer);
+        response.end();
+      }, 50);
+    });
+    const client = httpClientSupport.createHttpClient(2);
+    let byteCount = 0;
+    const request = {
+      method: 'GET',
+      address: server.address,
+      timeoutMs: 400,
+      onPart: (size: number): void => {
+        byteCount += size;
+      },
+    } as const;
+    const whole = await client.call({...request, path: '/whole'});
+    assert.equal(whole.kind, 'answered');
+    assert.equal(byteCount, 60);
+    const stalled = await client.call({...request, path: '/stalls'});
+    assert.equal(stalled.kind, 'unanswered');
+    client.close();
+    server.close();
+  });
+
   // Guards against an uncertain outcome for a call that reached no server.
   test('reports a refused connection as refused', async () => {
     const server = await startServer(() => {});
--- a/test/support/simulated_cell.ts
+++ b/test/support/simulated_cell.ts
@@ -49,6 +49,8 @@
   readonly begunTerms: TermEvent[] = [];
   /** Nodes that any member took for the leader of a term. */
   readonly leadersByTerm = new Map<number, Set<string>>();
+  /** Number of parts in which the journal arrives, one after the other. */
+  journalPartCount = 0;
   pingCount = 0;
   storeCallCount = 0;
   /** Returns the delay of a message; `Infinity` if it is lost. */
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -24,6 +24,10 @@
 /** Timeout of a call to the journal's store that has none of its own. */
 const JOURNAL_TIMEOUT_MS = 900;
 
+/** Size and transfer time of a part of the journal on a narrow link. */
+const JOURNAL_PART_BYTES = 65_536;
+const JOURNAL_PART_DELAY_MS = 300;
+
 /** One process of a simulated cell, with injectable faults. */
 export class SimulatedMember {
   readonly node: cellNode.CellNode;
@@ -230,12 +234,21 @@
         deliver<jobJournal.StoreOutcome>(JOURNAL_TIMEOUT_MS, 'unanswered', () =>
           journal.open(term),
         ),
-      load: () =>
-        deliver<jobJournal.JournalContent | undefined>(
+      load: async onPart => {
+        for (let part = 0; part < this.cell.journalPartCount; part += 1) {
+          const arrived = await deliver(JOURNAL_TIMEOUT_MS, false, async () => {
+            await this.cell.time.delay(JOURNAL_PART_DELAY_MS);
+            return true;
+          });
+          if (!arrived) return undefined;
+          onPart?.(JOURNAL_PART_BYTES);
+        }
+        return deliver<jobJournal.JournalContent | undefined>(
           JOURNAL_TIMEOUT_MS,
           undefined,
           () => journal.load(),
-        ),
+        );
+      },
       append: (term, sequence, changes, timeoutMs) =>
         deliver<jobJournal.StoreOutcome>(timeoutMs, 'unanswered', () =>
           journal.append(term, sequence, changes, timeoutMs),
