Judge a run by the time of its report, not by its lag

Cause: a run's progress was compared with the present time, although the report that gave it may be a second and more old, and a run counted as stalled from when its start was decided, although the order may wait as long. Change: the progress counts up to the worker's last answer, from when the worker first confirmed or reported the run.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -67,7 +67,7 @@
   /** Stops a run; its resources stay reserved until its end is reported. */
   stop(assignment: jobTask.Assignment): void {
     if (assignment.phase === 'stopping') return;
-    assignment.phase = 'stopping';
+    assignment.beginStop();
     this.unconfirmed.add(assignment);
     this.sendStop(assignment);
   }
@@ -157,7 +157,7 @@
       return;
     }
     if (outcome.kind === 'done') {
-      if (assignment.phase === 'starting') assignment.phase = 'running';
+      assignment.confirm(this.clock.now());
       this.listener.startConfirmed(assignment);
       return;
     }
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -7,7 +7,7 @@
 
 /** One run of a task on one worker. */
 export class Assignment implements remoteWorker.RunId {
-  phase: AssignmentPhase = 'starting';
+  private currentPhase: AssignmentPhase = 'starting';
   /** Whether the worker has reported the run. */
   reported = false;
   /** When the worker confirmed a stop; it rejects starts that arrive later. */
@@ -18,7 +18,7 @@
   /** Number of start commands that got no answer. */
   unansweredStarts = 0;
   progressPercent = 0;
-  /** When the progress last rose. */
+  /** When the progress last rose, or the run was first known to run. */
   progressedAt: clock.Milliseconds;
   /** Percentage of its processors that the run may use. */
   processorPercent = 100;
@@ -27,6 +27,8 @@
    * tasks, thousandths of a core for others.
    */
   reportedUsage = 0;
+  /** When the worker first confirmed or reported the run. */
+  private confirmedAt: clock.Milliseconds | undefined;
 
   constructor(
     readonly jobTask: JobTask,
@@ -42,6 +44,28 @@
   get task(): string {
     return this.jobTask.name;
   }
+
+  get phase(): AssignmentPhase {
+    return this.currentPhase;
+  }
+
+  /** When the run was first known to run, which is later than its start. */
+  get runningSince(): clock.Milliseconds {
+    return this.confirmedAt ?? this.startedAt;
+  }
+
+  /** Records that the worker runs the task; has no effect after that. */
+  confirm(now: clock.Milliseconds): void {
+    if (this.currentPhase === 'starting') this.currentPhase = 'running';
+    if (this.confirmedAt !== undefined) return;
+    this.confirmedAt = now;
+    this.progressedAt = now;
+  }
+
+  /** Records that the run is being stopped. */
+  beginStop(): void {
+    this.currentPhase = 'stopping';
+  }
 }
 
 /** One task of a step, with its runs. */
--- a/src/jobs/run_health.ts
+++ b/src/jobs/run_health.ts
@@ -1,4 +1,3 @@
-import type * as clock from '../machines/clock.js';
 import type * as stepInstance from './step_instance.js';
 import type * as jobTask from './job_task.js';
 
@@ -30,7 +29,6 @@
 /** Returns the fault that a run's progress reports show; undefined if none. */
 export function detectFault(
   assignment: jobTask.Assignment,
-  now: clock.Milliseconds,
 ): RunFault | undefined {
   const {definition} = assignment.jobTask.step;
   if (assignment.phase !== 'running' || !assignment.reported) return undefined;
@@ -45,7 +43,7 @@
   if (withoutProgressMs > stallFactor * stallLimitMs(assignment.jobTask.step)) {
     return 'stalled';
   }
-  return isSlow(assignment, now) ? 'slow' : undefined;
+  return isSlow(assignment) ? 'slow' : undefined;
 }
 
 function stallLimitMs(step: stepInstance.StepInstance): number {
@@ -55,17 +53,15 @@
 }
 
 /** Returns whether a new run on another worker would probably end sooner. */
-function isSlow(
-  assignment: jobTask.Assignment,
-  now: clock.Milliseconds,
-): boolean {
+function isSlow(assignment: jobTask.Assignment): boolean {
   const {step} = assignment.jobTask;
   if (step.definition.gang || assignment.jobTask.replacementCount > 0) {
     return false;
   }
   const medianMs = step.medianDurationMs(MINIMUM_DONE_SHARE);
   if (medianMs === undefined) return false;
-  const elapsedMs = now - assignment.startedAt;
+  // Progress is known up to the last report, and from when the run was known.
+  const elapsedMs = assignment.worker.lastAnswerAt - assignment.runningSince;
   if (elapsedMs < SLOW_FACTOR * medianMs + SLOW_MARGIN_MS) return false;
   const progressShare = Math.max(assignment.progressPercent, 1) / 100;
   const remainingMs = (elapsedMs / progressShare) * (1 - progressShare);
--- a/src/jobs/run_replacer.ts
+++ b/src/jobs/run_replacer.ts
@@ -26,7 +26,7 @@
   /** Reviews the next runs in turn. */
   review(now: clock.Milliseconds): void {
     for (const assignment of this.runs.take(MAXIMUM_RUNS_PER_REVIEW)) {
-      const fault = runHealth.detectFault(assignment, now);
+      const fault = runHealth.detectFault(assignment);
       if (fault !== undefined) this.replace(assignment, fault, now);
     }
   }
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -94,7 +94,7 @@
       task.findAssignment(worker, reportedRun.run) ??
       this.adopt(task, worker, reportedRun.run, now);
     assignment.reported = true;
-    if (assignment.phase === 'starting') assignment.phase = 'running';
+    assignment.confirm(now);
     if (reportedRun.percent > assignment.progressPercent) {
       assignment.progressedAt = now;
     }
@@ -121,7 +121,7 @@
       undefined,
       now,
     );
-    assignment.phase = 'running';
+    assignment.confirm(now);
     task.highestRun = Math.max(task.highestRun, run);
     const running = task.assignments.some(other => other.phase !== 'stopping');
     this.assignmentIndex.add(assignment);
