Start no more tasks than the VM's link carries soon

Cause: starts carry their job's payload and were sent as fast as they were placed.

Change: the process counts the bytes of its calls by purpose (bytes_sent, bytes_received) and models when its link has carried them. The timeout of a call grows by the time that the link needs for what is before it.

--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -41,6 +41,13 @@
 /** Most waiting steps logged at a time. */
 const MAXIMUM_REPORTED_STEPS = 3;
 
+/**
+ * Time until the link has carried what was sent from which on no more tasks are
+ * started: renewals and journal writes would wait behind the starts, and tasks
+ * that still wait can be placed by what is then known.
+ */
+const MAXIMUM_SEND_DELAY_MS = 150;
+
 /** Number of run numbers reserved for each term. */
 const RUN_NUMBERS_PER_TERM = 64;
 
@@ -77,7 +84,7 @@
     this.passRequested = true;
     this.dependencies.options.defer(() => {
       this.passRequested = false;
-      if (this.dependencies.mayStart()) this.runSlice();
+      if (this.dependencies.mayStart() && !this.isLinkFull()) this.runSlice();
     });
   }
 
@@ -179,7 +186,7 @@
 
   private runSlice(): void {
     const {clock, counters} = this.dependencies.options;
-    const budget = new sliceBudget.SliceBudget(clock);
+    const budget = new sliceBudget.SliceBudget(clock, () => this.isLinkFull());
     const {complete, examinedCount} = this.placeWithin(budget, clock.now());
     counters.observe('placement_slice', budget.elapsedMs);
     const end = complete ? 'complete' : 'continued';
@@ -188,6 +195,12 @@
     if (!complete) this.request();
   }
 
+  /** Whether starts have to wait for the link; the next tick tries again. */
+  private isLinkFull(): boolean {
+    const {linkLoad} = this.dependencies.options;
+    return linkLoad.sendDelayMs >= MAXIMUM_SEND_DELAY_MS;
+  }
+
   /** Places the most urgent steps. */
   private placeWithin(
     budget: sliceBudget.SliceBudget,
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -1,6 +1,7 @@
 import type * as adviceCache from './advice_cache.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
+import type * as linkLoads from '../machines/link_load.js';
 import type * as loopLoads from '../machines/loop_load.js';
 import type * as workerClient from '../machines/worker_client.js';
 
@@ -38,6 +39,7 @@
   readonly adviceClient: adviceCache.CellAdviceClient;
   readonly timer: jobJournal.DelayTimer;
   readonly loopLoad: loopLoads.LoopLoadSource;
+  readonly linkLoad: linkLoads.LinkLoadSource;
   readonly log: EventLog;
   readonly counters: Counters;
   /**
--- a/src/jobs/slice_budget.ts
+++ b/src/jobs/slice_budget.ts
@@ -3,6 +3,9 @@
 /** Most units of work in one event loop turn; a unit is one examined pair. */
 const MAXIMUM_UNITS = 5_000;
 
+/** Cost of starting a task, in units. */
+const START_UNITS = 50;
+
 /** Longest time that one turn works, so that sockets are read in between. */
 const MAXIMUM_SLICE_MS = 5;
 
@@ -14,10 +17,13 @@
   private spentUnits = 0;
   private checkCount = 0;
   private timedOut = false;
+  private linkIsFull = false;
   private readonly startedAt: clock.Milliseconds;
 
   constructor(
     private readonly clock: clock.Clock,
+    /** Returns whether the link can't carry more starts at present. */
+    private readonly isLinkFull: () => boolean = () => false,
     private readonly maximumUnits = MAXIMUM_UNITS,
   ) {
     this.startedAt = clock.now();
@@ -34,7 +40,7 @@
 
   /** Whether the remaining work has to wait for the next turn. */
   isExhausted(): boolean {
-    if (this.spentUnits >= this.maximumUnits) return true;
+    if (this.spentUnits >= this.maximumUnits || this.linkIsFull) return true;
     this.checkCount += 1;
     if (this.checkCount % CHECKS_PER_CLOCK_READING === 0) {
       this.timedOut ||= this.elapsedMs >= MAXIMUM_SLICE_MS;
@@ -45,4 +51,10 @@
   spend(units: number): void {
     this.spentUnits += units;
   }
+
+  /** Counts the starts of tasks, which also take up the link. */
+  spendOnStarts(count: number): void {
+    this.spend(START_UNITS * count);
+    this.linkIsFull ||= this.isLinkFull();
+  }
 }
--- a/src/jobs/task_starter.ts
+++ b/src/jobs/task_starter.ts
@@ -7,9 +7,6 @@
 import type * as stepInstance from './step_instance.js';
 import type * as workerSelection from './worker_selection.js';
 
-/** Cost of starting a task, in units of the slice's budget. */
-const START_UNITS = 50;
-
 /** Answers queries about tasks that start, and receives the starts. */
 export interface StartListener {
   /** Returns the number of a task's next run. */
@@ -71,7 +68,7 @@
       }
       this.dispatcher.start(task, selected, this.listener.nextRun(task));
       ranking.update();
-      budget.spend(START_UNITS);
+      budget.spendOnStarts(1);
       startedCount += 1;
     }
     if (startedCount > 0) {
@@ -95,7 +92,7 @@
     for (const [index, selected] of plan.entries()) {
       this.dispatcher.start(step.tasks[index], selected, run);
     }
-    budget.spend(START_UNITS * plan.length);
+    budget.spendOnStarts(plan.length);
     this.listener.tasksPlaced(step, plan.length, 0);
     return 'started';
   }
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -16,6 +16,7 @@
 import type * as configurationSource from './configuration_source.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
+import type * as linkLoads from '../machines/link_load.js';
 import type * as loopLoads from '../machines/loop_load.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
@@ -39,6 +40,7 @@
   readonly peers: cellPeers.CellPeers;
   readonly timer: jobJournal.DelayTimer;
   readonly loopLoad: loopLoads.LoopLoadSource;
+  readonly linkLoad: linkLoads.LinkLoadSource;
   readonly log: schedulerOptions.EventLog;
   readonly counters: schedulerOptions.Counters;
   readonly defer: (pass: () => void) => void;
@@ -395,6 +397,7 @@
       adviceClient: this.adviceBalancer,
       timer: options.timer,
       loopLoad: options.loopLoad,
+      linkLoad: options.linkLoad,
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as workerThreads from 'node:worker_threads';
+import * as clock from '../../src/machines/clock.js';
 import * as faultRelay from '../../stand_ins/fault_relay.js';
 import * as httpClientSupport from '../support/http_client.js';
 import * as listen from '../../src/links/listen.js';
@@ -51,7 +52,13 @@
   path: string,
   timeoutMs = 2_000,
 ): Promise<httpClient.HttpOutcome> {
-  return client.call({method: 'GET', address, path, timeoutMs});
+  return client.call({
+    purpose: 'test',
+    method: 'GET',
+    address,
+    path,
+    timeoutMs,
+  });
 }
 
 describe('HTTP client', () => {
@@ -254,6 +261,7 @@
     const client = httpClientSupport.createHttpClient(2);
     let byteCount = 0;
     const request = {
+      purpose: 'test',
       method: 'GET',
       address: server.address,
       timeoutMs: 400,
@@ -270,6 +278,34 @@
     server.close();
   });
 
+  // Guards against calls that are given up and repeated while they wait for the
+  // VM's own link, which fills it for good.
+  test('a call behind a full link was repeated: adds the time that the link needs to the timeout', async () => {
+    const server = await startServer((_path, response) => {
+      setTimeout(() => response.end('done'), 400);
+    });
+    const bytesPerSecond = 10_000;
+    const client = httpClientSupport.createHttpClient(
+      2,
+      new recordedCounters.RecordedCounters(),
+      false,
+      new clock.SystemClock(),
+      bytesPerSecond,
+    );
+    const body = 'x'.repeat(bytesPerSecond);
+    const outcome = await client.call({
+      purpose: 'test',
+      method: 'POST',
+      address: server.address,
+      path: '/',
+      body,
+      timeoutMs: 200,
+    });
+    assert.equal(outcome.kind, 'answered');
+    client.close();
+    server.close();
+  });
+
   // Guards against an uncertain outcome for a call that reached no server.
   test('reports a refused connection as refused', async () => {
     const server = await startServer(() => {});
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -92,6 +92,7 @@
         delay: () => new Promise(resolve => this.delayed.push(resolve)),
       },
       loopLoad: {delayMs: 0, times: {active: 0, idle: 0}},
+      linkLoad: {sendDelayMs: 0},
       log: {event: () => {}},
       counters: {count: name => this.count(name), observe: () => {}},
       mayGrantLeases: () => true,
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -7,6 +7,7 @@
 import type * as adviceCache from '../../src/jobs/advice_cache.js';
 import type * as schedulerOptions from '../../src/jobs/scheduler_options.js';
 import type * as job from '../../src/jobs/job.js';
+import type * as linkLoads from '../../src/machines/link_load.js';
 import type * as loopLoads from '../../src/machines/loop_load.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
@@ -96,6 +97,8 @@
     delayMs: 0,
     times: {active: 0, idle: 0},
   };
+  /** Load of the network link that schedulers see. */
+  linkLoad: linkLoads.LinkLoadSource = {sendDelayMs: 0};
   /** Whether schedulers have proof of leadership. */
   hasLeadershipProof = true;
   /** Configuration that a scheduler gets when its term begins. */
@@ -140,6 +143,7 @@
       },
       timer: this.time,
       loopLoad: this.loopLoad,
+      linkLoad: this.linkLoad,
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
       mayGrantLeases,
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -57,6 +57,7 @@
       self,
       clock: time,
       loopLoad: {delayMs: 0, times: {active: 0, idle: 0}},
+      linkLoad: {sendDelayMs: 0},
       wallClock: () => time.now(),
       retentionTimes: {stateKeptMs: 120_000},
       cellLog: new cellLogStore.CellLogStore(this.topic()),
--- a/test/zones/cell_gateway_test.ts
+++ b/test/zones/cell_gateway_test.ts
@@ -192,6 +192,7 @@
     const client = httpClientSupport.createHttpClient(1);
     const systemClock = new clock.SystemClock();
     const call = {
+      purpose: 'test',
       method: 'POST',
       address: store.addresses[0],
       path: '/',
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -102,6 +102,7 @@
     peers,
     timer: clock,
     loopLoad,
+    linkLoad: {sendDelayMs: 0},
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
     defer: pass => clock.runAt(clock.now(), pass),
