Measure what the scheduler's loop is busy with

Change: a meter counts the time of each kind of the scheduler's work; the monitor of the loop counts it (loop_milliseconds) and adds it to the line loopBusy, so that an operator can ask the same question.

--- a/bench/load_curve/loaded_cell.ts
+++ b/bench/load_curve/loaded_cell.ts
@@ -1,6 +1,7 @@
 import * as cellGateway from '../../src/zones/cell_gateway.js';
 import * as jobCell from '../../test/support/job_cell.js';
 import * as loopBoundWorkers from './loop_bound_workers.js';
+import * as loopMeter from '../../src/machines/loop_meter.js';
 import * as loopMonitor from '../../src/operations/loop_monitor.js';
 import * as simulatedLoop from './simulated_loop.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
@@ -61,6 +62,7 @@
     this.time,
     TICK_INTERVAL_MS,
     () => this.loop.times,
+    new loopMeter.LoopMeter(this.time),
     {event: () => {}},
     {count: () => {}, observe: () => {}},
   );
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -2,6 +2,7 @@
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as workerSelection from './worker_selection.js';
+import type * as loopMeter from '../machines/loop_meter.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerClient from '../machines/worker_client.js';
 
@@ -45,6 +46,7 @@
     private readonly leaseMs: number,
     /** Returns whether leases may be granted; each start grants one. */
     private readonly mayGrantLeases: () => boolean,
+    private readonly loopMeter: loopMeter.LoopMeter,
     private readonly listener: DispatchListener,
   ) {}
 
@@ -142,8 +144,8 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    void this.workerClient
-      .start(worker.entry, command)
+    void this.loopMeter
+      .measure('starts', () => this.workerClient.start(worker.entry, command))
       .then(outcome => this.handleStartOutcome(assignment, outcome));
   }
 
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -120,6 +120,7 @@
       term,
       LEASE_DURATION_MS,
       () => this.active && options.mayGrantLeases(),
+      options.loopMeter,
       this,
     );
     this.jobLifecycle = new jobLifecycle.JobLifecycle({
@@ -275,7 +276,9 @@
     configurationVersion: number,
     answer: jobAdmission.SubmitListener,
   ): boolean {
-    return this.admission.submit(definition, configurationVersion, answer);
+    return this.options.loopMeter.measure('admission', () =>
+      this.admission.submit(definition, configurationVersion, answer),
+    );
   }
 
   /** Whether jobs are refused because this process is overloaded. */
@@ -325,14 +328,17 @@
   tick(): void {
     if (!this.isServing) return;
     const now = this.options.clock.now();
+    const {loopMeter, retentionTimes} = this.options;
     this.dispatcher.retryCommands();
-    this.workerLifecycle.review(now);
+    loopMeter.measure('workerReview', () => this.workerLifecycle.review(now));
     this.jobLifecycle.openDueOccurrences();
-    this.jobTable.dropSettled(now, this.options.retentionTimes.stateKeptMs);
-    this.admission.review(now);
-    this.runReplacer.review(now);
-    this.placementPassRunner.prefetchAdvice(now);
-    this.evacuator.review(now);
+    this.jobTable.dropSettled(now, retentionTimes.stateKeptMs);
+    loopMeter.measure('forecast', () => this.admission.review(now));
+    loopMeter.measure('runReview', () => this.runReplacer.review(now));
+    loopMeter.measure('advice', () =>
+      this.placementPassRunner.prefetchAdvice(now),
+    );
+    loopMeter.measure('evacuation', () => this.evacuator.review(now));
     this.unblockRecoveredJobs();
     this.placementPassRunner.reportWaiting(now);
     this.requestPlacementPass();
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -84,7 +84,9 @@
     this.passRequested = true;
     this.dependencies.options.defer(() => {
       this.passRequested = false;
-      if (this.dependencies.mayStart() && !this.isLinkFull()) this.runSlice();
+      if (!this.dependencies.mayStart() || this.isLinkFull()) return;
+      const {loopMeter} = this.dependencies.options;
+      loopMeter.measure('placement', () => this.runSlice());
     });
   }
 
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -2,6 +2,7 @@
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
 import type * as linkLoads from '../machines/link_load.js';
+import type * as loopMeter from '../machines/loop_meter.js';
 import type * as loopLoads from '../machines/loop_load.js';
 import type * as workerClient from '../machines/worker_client.js';
 
@@ -40,6 +41,7 @@
   readonly timer: jobJournal.DelayTimer;
   readonly loopLoad: loopLoads.LoopLoadSource;
   readonly linkLoad: linkLoads.LinkLoadSource;
+  readonly loopMeter: loopMeter.LoopMeter;
   readonly log: EventLog;
   readonly counters: Counters;
   /**
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -128,9 +128,11 @@
     sentAt: clock.Milliseconds,
   ): void {
     if (!this.sessionsOpen) return;
-    const now = this.dependencies.options.clock.now();
-    this.dependencies.tracker.applyReport(worker, report, sentAt, now);
-    this.dependencies.onReport(worker);
+    const {options, tracker, onReport} = this.dependencies;
+    options.loopMeter.measure('reports', () => {
+      tracker.applyReport(worker, report, sentAt, options.clock.now());
+      onReport(worker);
+    });
   }
 
   answerMissing(worker: remoteWorker.RemoteWorker): void {
--- a/src/operations/loop_monitor.ts
+++ b/src/operations/loop_monitor.ts
@@ -1,4 +1,5 @@
 import type * as clock from '../machines/clock.js';
+import type * as loopMeter from '../machines/loop_meter.js';
 import type * as loopLoads from '../machines/loop_load.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
 
@@ -35,6 +36,7 @@
     private readonly tickIntervalMs: number,
     /** Returns the loop's times since the start of the process. */
     private readonly readTimes: () => loopLoads.LoopTimes,
+    private readonly meter: loopMeter.LoopMeter,
     private readonly log: schedulerOptions.EventLog,
     private readonly counters: schedulerOptions.Counters,
   ) {
@@ -83,13 +85,25 @@
     this.longestDelayMs = 0;
     this.lastLoad = load;
     this.counters.observe('loop_busy_per_second', 1_000 * utilization);
+    const timesByWork = this.takeTimesByWork();
     if (isLogged(load)) {
       this.log.event('info', 'loopBusy', {
         utilization: Number(load.utilization.toFixed(2)),
         longestDelayMs: Math.round(load.longestDelayMs),
+        ...timesByWork,
       });
     }
   }
+
+  /** Counts the times of the scheduler's work, and returns them as log fields. */
+  private takeTimesByWork(): Readonly<Record<string, number>> {
+    const fields: Record<string, number> = {};
+    for (const [work, milliseconds] of this.meter.take()) {
+      this.counters.count('loop_milliseconds', work, milliseconds);
+      if (milliseconds >= 1) fields[`${work}Ms`] = Math.round(milliseconds);
+    }
+    return fields;
+  }
 }
 
 function isLogged(load: LoopLoad): boolean {
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -17,6 +17,7 @@
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as linkLoads from '../machines/link_load.js';
+import type * as loopMeter from '../machines/loop_meter.js';
 import type * as loopLoads from '../machines/loop_load.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
@@ -41,6 +42,7 @@
   readonly timer: jobJournal.DelayTimer;
   readonly loopLoad: loopLoads.LoopLoadSource;
   readonly linkLoad: linkLoads.LinkLoadSource;
+  readonly loopMeter: loopMeter.LoopMeter;
   readonly log: schedulerOptions.EventLog;
   readonly counters: schedulerOptions.Counters;
   readonly defer: (pass: () => void) => void;
@@ -398,6 +400,7 @@
       timer: options.timer,
       loopLoad: options.loopLoad,
       linkLoad: options.linkLoad,
+      loopMeter: options.loopMeter,
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.hasLeadershipProof(),
--- a/test/operations/loop_monitor_test.ts
+++ b/test/operations/loop_monitor_test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as clock from '../../src/machines/clock.js';
+import * as loopMeter from '../../src/machines/loop_meter.js';
 import * as loopMonitor from '../../src/operations/loop_monitor.js';
 import type * as loopLoads from '../../src/machines/loop_load.js';
 
@@ -12,14 +13,17 @@
 class MonitoredLoop {
   readonly logged: Array<Readonly<Record<string, unknown>>> = [];
   readonly monitor: loopMonitor.LoopMonitor;
+  readonly meter: loopMeter.LoopMeter;
   private readonly time = new clock.ManualClock();
   private times: loopLoads.LoopTimes = {active: 0, idle: 0};
 
   constructor() {
+    this.meter = new loopMeter.LoopMeter(this.time);
     this.monitor = new loopMonitor.LoopMonitor(
       this.time,
       TICK_INTERVAL_MS,
       () => this.times,
+      this.meter,
       {event: (_level, _name, fields) => this.logged.push(fields)},
       {count: () => {}, observe: () => {}},
     );
@@ -46,6 +50,21 @@
     assert.deepEqual(loop.monitor.load, {utilization: 1, longestDelayMs: 300});
   });
 
+  // Guards against a busy loop of which nobody can tell what kept it busy.
+  test('logs the time that each kind of work took, without the work inside it', () => {
+    const loop = new MonitoredLoop();
+    loop.meter.measure('placement', () => {
+      loop.turn(100, 0);
+      loop.meter.measure('starts', () => loop.turn(300, 0));
+    });
+    for (let turn = 0; turn < 6; turn += 1) loop.turn(100, 0);
+    const [{placementMs, startsMs}] = loop.logged;
+    assert.deepEqual(
+      {placementMs, startsMs},
+      {placementMs: 100, startsMs: 300},
+    );
+  });
+
   // Guards against a line each second from every idle process.
   test('logs nothing while the loop is idle', () => {
     const loop = new MonitoredLoop();
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -1,5 +1,6 @@
 import * as jobCell from './job_cell.js';
 import * as scriptedWorkers from './scripted_workers.js';
+import * as loopMeter from '../../src/machines/loop_meter.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as adviceCache from '../../src/jobs/advice_cache.js';
 import type * as job from '../../src/jobs/job.js';
@@ -93,6 +94,7 @@
       },
       loopLoad: {delayMs: 0, times: {active: 0, idle: 0}},
       linkLoad: {sendDelayMs: 0},
+      loopMeter: new loopMeter.LoopMeter({now: () => this.nowMs}),
       log: {event: () => {}},
       counters: {count: name => this.count(name), observe: () => {}},
       mayGrantLeases: () => true,
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -1,5 +1,6 @@
 import * as fakeJournalStore from './fake_journal_store.js';
 import * as fakeWorkers from './fake_workers.js';
+import * as loopMeter from '../../src/machines/loop_meter.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import * as simulatedClock from './simulated_clock.js';
 import type * as jobAdmission from '../../src/jobs/job_admission.js';
@@ -144,6 +145,7 @@
       timer: this.time,
       loopLoad: this.loopLoad,
       linkLoad: this.linkLoad,
+      loopMeter: new loopMeter.LoopMeter(this.time),
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
       mayGrantLeases,
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -1,6 +1,7 @@
 import * as cellLogStore from '../../src/links/cell_log_store.js';
 import * as cellNode from '../../src/zones/cell_node.js';
 import * as fakeWorkers from './fake_workers.js';
+import * as loopMeter from '../../src/machines/loop_meter.js';
 import * as platformFeeds from '../../platform/platform_feeds.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
@@ -58,6 +59,7 @@
       clock: time,
       loopLoad: {delayMs: 0, times: {active: 0, idle: 0}},
       linkLoad: {sendDelayMs: 0},
+      loopMeter: new loopMeter.LoopMeter(time),
       wallClock: () => time.now(),
       retentionTimes: {stateKeptMs: 120_000},
       cellLog: new cellLogStore.CellLogStore(this.topic()),
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -3,6 +3,7 @@
 import * as cellNode from '../../src/zones/cell_node.js';
 import * as jobAdmission from '../../src/jobs/job_admission.js';
 import * as jobCell from '../support/job_cell.js';
+import * as loopMeter from '../../src/machines/loop_meter.js';
 import * as fakeJournalStore from '../support/fake_journal_store.js';
 import * as fakeWorkers from '../support/fake_workers.js';
 import * as scriptedConfigurationSource from '../support/scripted_configuration_source.js';
@@ -103,6 +104,7 @@
     timer: clock,
     loopLoad,
     linkLoad: {sendDelayMs: 0},
+    loopMeter: new loopMeter.LoopMeter(clock),
     log: {event: () => {}},
     counters: {count: () => {}, observe: () => {}},
     defer: pass => clock.runAt(clock.now(), pass),
