Look up a worker's ticket before its cost

Change: the ticket is looked up first, the runs of a step are counted only where it limits them, and eligibility no longer computes a cost.

--- a/src/jobs/worker_ranking.ts
+++ b/src/jobs/worker_ranking.ts
@@ -22,10 +22,11 @@
     private readonly facts: workerSelection.WorkerFacts,
   ) {
     for (const worker of workers) {
-      const cost = this.costOf(worker);
-      if (cost === Infinity) continue;
+      // Most workers lack a ticket, which is found out faster than their cost.
       const ticket = facts.ticketFor(worker);
-      if (ticket !== undefined) this.ranked.push({worker, ticket, cost});
+      if (ticket === undefined) continue;
+      const cost = this.costOf(worker);
+      if (cost < Infinity) this.ranked.push({worker, ticket, cost});
     }
   }
 
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -67,15 +67,29 @@
   );
 }
 
+/** Returns whether the rules of the step allow one more run on a worker. */
+function hasRunsLeft(
+  step: job.Step,
+  worker: remoteWorker.RemoteWorker,
+  facts: WorkerFacts,
+): boolean {
+  const {maximumPerWorker, usesIdleCapacity} = step;
+  if (
+    maximumPerWorker !== undefined &&
+    facts.countRunsOfStep(worker) >= maximumPerWorker
+  ) {
+    return false;
+  }
+  return !usesIdleCapacity || facts.countServingRuns(worker) === 0;
+}
+
 /** Returns whether a worker could run a task now, tickets aside. */
 export function isEligible(
   worker: remoteWorker.RemoteWorker,
   step: job.Step,
   facts: WorkerFacts,
 ): boolean {
-  return (
-    hasFreeCapacity(worker, step) && costOf(step, worker, facts) < Infinity
-  );
+  return hasFreeCapacity(worker, step) && hasRunsLeft(step, worker, facts);
 }
 
 /** Returns whether a task of the step would fit the worker if it were empty. */
@@ -99,18 +113,11 @@
   worker: remoteWorker.RemoteWorker,
   facts: WorkerFacts,
 ): number {
-  const runsOnWorker = facts.countRunsOfStep(worker);
-  if (
-    step.maximumPerWorker !== undefined &&
-    runsOnWorker >= step.maximumPerWorker
-  ) {
-    return Infinity;
-  }
+  if (!hasRunsLeft(step, worker, facts)) return Infinity;
   const isRemote = step.dataRack !== undefined && worker.rack !== step.dataRack;
   let cost = isRemote ? REMOTE_RACK_COST : 0;
   cost += FAILURE_COST * facts.failureProbability(worker);
   if (step.usesIdleCapacity) {
-    if (facts.countServingRuns(worker) > 0) return Infinity;
     // These tasks run on idle processors: prefer the least loaded worker.
     return (
       cost +
