Examine a step that waits for tickets only where that may help it

Cause: each run that ended made the placement pass examine every step that waits for tickets on all workers of its service. Change: such a step is examined on all workers only when tickets can be requested for it; else on the workers for which it has one, or, while its reservation is not complete, on those that have changed.

--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -254,15 +254,42 @@
     const usable = changed.filter(worker =>
       workerSelection.hasFreeCapacity(worker, step.definition),
     );
+    if (usable.length > 0 && step.definition.gang) return workers;
     const {advice} = queue;
-    const examinesAll =
-      (usable.length > 0 && (step.definition.gang || advice !== undefined)) ||
-      (advice !== undefined &&
-        result.lacksTickets &&
-        slice.adviceRequester.canRequest(step, advice));
-    if (examinesAll) return workers;
-    if (usable.length === 0) known.changeVersion = this.workers.version;
-    return usable;
+    if (advice !== undefined) {
+      known.lacksTickets ||= usable.some(worker =>
+        this.needsTicket(step, worker, slice.now),
+      );
+      const mayRequest =
+        known.lacksTickets && slice.adviceRequester.canRequest(step, advice);
+      if (mayRequest) return workers;
+    }
+    const lacksReservations =
+      known.lacksTickets && result.reservedOn.length < step.waitingTaskCount;
+    const candidates =
+      advice === undefined || lacksReservations
+        ? usable
+        : usable.filter(worker => this.hasTicket(step, worker, slice.now));
+    if (candidates.length === 0) known.changeVersion = this.workers.version;
+    return candidates;
+  }
+
+  private hasTicket(
+    step: stepInstance.StepInstance,
+    worker: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): boolean {
+    return this.adviceCache.ticketFor(step, worker, now) !== undefined;
+  }
+
+  /** Returns whether a worker may run a step once it has a ticket. */
+  private needsTicket(
+    step: stepInstance.StepInstance,
+    worker: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): boolean {
+    const isRefused = this.adviceCache.mayRun(step, worker) === false;
+    return !isRefused && !this.hasTicket(step, worker, now);
   }
 
   private examineStep(
--- a/src/jobs/step_examination.ts
+++ b/src/jobs/step_examination.ts
@@ -24,6 +24,9 @@
 
 /** What is known about a step that was examined and still waits. */
 export class StepExamination {
+  /** Whether workers could take a task if the step had tickets for them. */
+  lacksTickets: boolean;
+
   constructor(
     readonly result: ExaminationResult,
     /** Rank of the step's urgency when it was last considered. */
@@ -32,5 +35,7 @@
     public changeVersion: number,
     /** Number of the placement pass that last considered the step. */
     public passNumber: number,
-  ) {}
+  ) {
+    this.lacksTickets = result.lacksTickets;
+  }
 }
--- a/test/jobs/placement_progress_test.ts
+++ b/test/jobs/placement_progress_test.ts
@@ -102,6 +102,24 @@
     assert.equal(busy.batchStartCount, BATCH_STEP_COUNT);
   });
 
+  // Load: runs end all the time while steps wait for tickets that the service
+  // has no capacity for. Guards against a loop that is busy with examining each
+  // of these steps on all workers for each run that ends.
+  test('the steps that wait for tickets took up the loop: are not examined for capacity that they have reserved', async () => {
+    const busy = new BusyCell();
+    await busy.begin();
+    busy.endRun();
+    await busy.cell.runTurns(1);
+    let pairs = 0;
+    for (let turn = 0; turn < BATCH_STEP_COUNT; turn += 1) {
+      busy.endRun();
+      const turns = await busy.cell.runTurns(1);
+      for (const {examinedPairs} of turns) pairs += examinedPairs;
+    }
+    const maximumPairs = BATCH_STEP_COUNT * WORKER_COUNT;
+    assert.ok(pairs <= maximumPairs, `${pairs} pairs`);
+  });
+
   // Guards against less urgent steps that take the capacity reserved for steps
   // which a slice passes over.
   test('keeps the capacity reserved for steps without tickets', async () => {
