--- a/src/jobs/advice_requester.ts
+++ b/src/jobs/advice_requester.ts
@@ -67,15 +67,11 @@
     now: clock.Milliseconds,
   ): void {
     if (!this.canRequest(step, timing)) return;
+    if (this.adviceCache.nextExpiryAt(step, now) < Infinity) return;
     const {definition} = step;
     const candidates = workers.filter(worker =>
       workerSelection.fitsTotalCapacity(worker, definition),
     );
-    if (
-      candidates.some(worker => this.adviceCache.ticketFor(step, worker, now))
-    ) {
-      return;
-    }
     this.adviceCache.request(
       step,
       timing,
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -1,3 +1,4 @@
+import * as passPacer from './pass_pacer.js';
 import * as placementOrder from './placement_order.js';
 import * as placer from './placer.js';
 import * as sliceBudget from './slice_budget.js';
@@ -63,11 +64,13 @@
     this.urgencyOf(waiting, now),
   );
   private passRequested = false;
+  private readonly pacer: passPacer.PassPacer;
   private nextReportAt = 0;
 
   constructor(private readonly dependencies: PlacementPassRunnerDependencies) {
     const {workers, assignmentIndex, adviceCache, reliability, dispatcher} =
       dependencies;
+    this.pacer = new passPacer.PassPacer(dependencies.options.clock);
     this.placer = new placer.Placer(
       workers,
       assignmentIndex,
@@ -82,6 +85,16 @@
   request(): void {
     if (this.passRequested) return;
     this.passRequested = true;
+    const {pauseMs} = this.pacer;
+    if (pauseMs === 0) {
+      this.deferSlice();
+      return;
+    }
+    const {timer} = this.dependencies.options;
+    void timer.delay(pauseMs).then(() => this.deferSlice());
+  }
+
+  private deferSlice(): void {
     this.dependencies.options.defer(() => {
       this.passRequested = false;
       if (!this.dependencies.mayStart() || this.isLinkFull()) return;
@@ -194,7 +207,8 @@
     const end = complete ? 'complete' : 'continued';
     counters.count('placement_slices', end);
     if (examinedCount > 0) counters.count('steps_examined', end, examinedCount);
-    if (!complete) this.request();
+    if (complete) this.pacer.recordPass(budget.elapsedMs);
+    else this.request();
   }
 
   /** Whether starts have to wait for the link; the next tick tries again. */
