--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -206,6 +206,16 @@
     this.elector.resign();
   }
 
+  /**
+   * Discards the scheduler of this process after an unexpected error, which may
+   * have left it half changed. The next term begins from what is stored.
+   */
+  abandonTerm(): void {
+    if (this.scheduler === undefined) return;
+    this.endTerm('fault');
+    this.elector.invalidateOwnClaim();
+  }
+
   /** Runs periodic work; called several times per second. */
   tick(): void {
     const now = this.options.clock.now();
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -111,6 +111,33 @@
   });
 }
 
+describe('cell node that met an unexpected error', () => {
+  // Guards against a leader that goes on with a scheduler whose state an error
+  // has left half changed, and against a cell without a scheduler after that.
+  test('discards its scheduler and begins a new term', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const cell: TestCell = {
+      answerPing: () => ({kind: 'unanswered', detail: 'silent'}),
+      storeAnswers: () => true,
+      claimCount: 0,
+    };
+    const node = createNode(cell, clock, 'one');
+    node.applyCellLog([memberOf('one')], undefined, 6);
+    await clock.advance(10);
+    node.tick();
+    await clock.advance(1_000);
+    node.tick();
+    await clock.advance(50);
+    assert.equal(node.servesJobs, true);
+    const claimCount = cell.claimCount;
+    node.abandonTerm();
+    assert.equal(node.runsScheduler, false);
+    node.tick();
+    await clock.advance(50);
+    assert.equal(cell.claimCount, claimCount + 1);
+  });
+});
+
 describe('cell node that won a claim', () => {
   // Guards against members that forward calls to the old leader for seconds,
   // because their reads of the log hang in a store that has just recovered.
