--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -60,6 +60,7 @@
 const FAILED_CALL_BACKOFF_MS = 150;
 
 interface TicketGrant {
+  readonly worker: remoteWorker.RemoteWorker;
   readonly ticket: string;
   readonly incarnation: number;
   readonly validUntil: clock.Milliseconds;
@@ -101,6 +102,18 @@
     return grant.validUntil > now ? grant.ticket : undefined;
   }
 
+  /** Returns the workers for which a step has tickets that are valid now. */
+  workersWithTicket(
+    step: stepInstance.StepInstance,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<remoteWorker.RemoteWorker> {
+    const workers: remoteWorker.RemoteWorker[] = [];
+    for (const grant of this.steps.get(step)?.grants.values() ?? []) {
+      if (grant.validUntil > now) workers.push(grant.worker);
+    }
+    return workers;
+  }
+
   /** Returns whether a worker may run a step; undefined while unknown. */
   mayRun(
     step: stepInstance.StepInstance,
@@ -253,7 +266,12 @@
         advice.grants.delete(worker.id);
         continue;
       }
-      advice.grants.set(worker.id, {ticket, incarnation: born, validUntil});
+      advice.grants.set(worker.id, {
+        worker,
+        ticket,
+        incarnation: born,
+        validUntil,
+      });
     }
     this.onAdvice();
   }
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -274,6 +274,15 @@
     return candidates;
   }
 
+  private workersWithTicket(
+    step: stepInstance.StepInstance,
+    now: clock.Milliseconds,
+  ): ReadonlyArray<remoteWorker.RemoteWorker> {
+    return this.adviceCache
+      .workersWithTicket(step, now)
+      .filter(worker => this.workers.has(worker));
+  }
+
   private hasTicket(
     step: stepInstance.StepInstance,
     worker: remoteWorker.RemoteWorker,
@@ -303,9 +312,12 @@
     const changeVersion = this.workers.version;
     const adviceVersion = this.adviceCache.versionOf(step);
     const facts = this.factsFor(step, queue, slice.now);
-    slice.budget.spend(candidates.length);
+    const startable = queue.advice
+      ? this.workersWithTicket(step, slice.now)
+      : candidates;
+    slice.budget.spend(startable.length);
     slice.examinedCount += 1;
-    const outcome = this.starter.start(step, candidates, facts, slice.budget);
+    const outcome = this.starter.start(step, startable, facts, slice.budget);
     if (outcome === 'interrupted') slice.interrupt();
     if (outcome !== 'waiting') {
       this.forget(step);
