Ask for the tickets of a wide step in parallel

Cause: a step had one call for tickets in flight, which names 30 workers. Change: one call for each ten waiting tasks, four at most, none of which names a worker that another one names.

--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -48,6 +48,15 @@
 /** Naming more workers costs more service time than it saves. */
 const MAXIMUM_WORKERS_PER_CALL = 30;
 
+/**
+ * Waiting tasks for which one call is made at a time. A service that allows a
+ * third of the workers gives about this many tickets a call.
+ */
+const TASKS_PER_CALL = 10;
+
+/** Most calls about one step at a time; each waits for the capacity of a VM. */
+const MAXIMUM_PARALLEL_CALLS = 4;
+
 /** Returns the service time of a call that names the most workers. */
 export function longestAdviceCallMs(timing: job.AdviceTiming): number {
   return timing.decideMs + timing.eachMs * MAXIMUM_WORKERS_PER_CALL;
@@ -70,7 +79,9 @@
   readonly grants: Map<string, TicketGrant>;
   /** Refused worker incarnations, by worker id. */
   readonly refusedIncarnations: Map<string, number>;
-  callInFlight: boolean;
+  /** Workers that calls in flight name, by worker id, and their calls. */
+  readonly askedWorkers: Set<string>;
+  callsInFlight: number;
   backoffUntil: clock.Milliseconds;
   /** Rises with each change of the tickets. */
   version: number;
@@ -165,14 +176,28 @@
     const valid = [...advice.grants.values()].filter(
       grant => grant.validUntil > now,
     );
-    const state = advice.callInFlight ? 'asking' : 'idle';
+    const state = advice.callsInFlight > 0 ? 'asking' : 'idle';
     return `${state} granted=${advice.grants.size} valid=${valid.length} refused=${advice.refusedIncarnations.size}`;
   }
 
-  /** Returns whether no call about the step is in flight or has just failed. */
+  /**
+   * Returns whether one more call may be made about a step: no call has just
+   * failed, and those in flight are fewer than its waiting tasks need.
+   */
   mayAsk(step: stepInstance.StepInstance): boolean {
-    const {callInFlight, backoffUntil} = this.adviceOf(step);
-    return !callInFlight && backoffUntil <= this.clock.now();
+    const {callsInFlight, backoffUntil} = this.adviceOf(step);
+    if (backoffUntil > this.clock.now()) return false;
+    const neededCalls = Math.ceil(step.waitingTaskCount / TASKS_PER_CALL);
+    const limit = Math.min(Math.max(neededCalls, 1), MAXIMUM_PARALLEL_CALLS);
+    return callsInFlight < limit;
+  }
+
+  /** Returns whether a call in flight names a worker. */
+  isBeingAsked(
+    step: stepInstance.StepInstance,
+    worker: remoteWorker.RemoteWorker,
+  ): boolean {
+    return this.steps.get(step)?.askedWorkers.has(worker.id) === true;
   }
 
   /**
@@ -201,7 +226,8 @@
     const askedWorkers = this.selectWorkersToAsk(step, eligible, others);
     const expectedMs = timing.decideMs + timing.eachMs * askedWorkers.length;
     if (!this.client.accepts(expectedMs)) return false;
-    advice.callInFlight = true;
+    advice.callsInFlight += 1;
+    for (const worker of askedWorkers) advice.askedWorkers.add(worker.id);
     void this.client
       .ask(
         step.name,
@@ -209,7 +235,10 @@
         expectedMs,
       )
       .then(outcome => {
-        advice.callInFlight = false;
+        advice.callsInFlight -= 1;
+        for (const worker of askedWorkers) {
+          advice.askedWorkers.delete(worker.id);
+        }
         this.handleOutcome(
           advice,
           askedWorkers,
@@ -236,7 +265,9 @@
       ...eligible.filter(isUnknown),
       ...others.filter(isPermitted),
       ...others.filter(isUnknown),
-    ].slice(0, MAXIMUM_WORKERS_PER_CALL);
+    ]
+      .filter(worker => !this.isBeingAsked(step, worker))
+      .slice(0, MAXIMUM_WORKERS_PER_CALL);
   }
 
   private handleOutcome(
@@ -282,7 +313,8 @@
     const created: StepAdvice = {
       grants: new Map(),
       refusedIncarnations: new Map(),
-      callInFlight: false,
+      askedWorkers: new Set(),
+      callsInFlight: 0,
       backoffUntil: 0,
       version: 0,
     };
--- a/src/jobs/advice_requester.ts
+++ b/src/jobs/advice_requester.ts
@@ -47,16 +47,33 @@
       const isEligible = workerSelection.isEligible(worker, definition, facts);
       (isEligible ? eligible : others).push(worker);
     }
-    if (eligible.length > 0 && this.canRequest(step, timing)) {
+    this.sendCalls(step, timing, eligible, others);
+    return eligible;
+  }
+
+  /** Sends as many calls about a step as it needs and the service takes. */
+  private sendCalls(
+    step: stepInstance.StepInstance,
+    timing: job.AdviceTiming,
+    eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
+    others: ReadonlyArray<remoteWorker.RemoteWorker>,
+  ): void {
+    const isUnasked = (worker: remoteWorker.RemoteWorker): boolean =>
+      !this.adviceCache.isBeingAsked(step, worker);
+    let unasked = eligible.filter(isUnasked);
+    while (unasked.length > 0 && this.canRequest(step, timing)) {
       const sent = this.adviceCache.request(
         step,
         timing,
-        sortByPreference(definition, eligible),
-        sortByPreference(definition, others),
+        sortByPreference(step.definition, unasked),
+        sortByPreference(step.definition, others),
       );
-      if (!sent) this.refusedCallMs = timing.decideMs;
+      if (!sent) {
+        this.refusedCallMs = timing.decideMs;
+        return;
+      }
+      unasked = unasked.filter(isUnasked);
     }
-    return eligible;
   }
 
   /** Requests tickets for a step that is not ready, unless it has some. */
