Withhold the acknowledgement of a success whose task was started again

Cause: a worker that was out of reach for longer than its lease lists a success after its task has been started elsewhere. It was taken for the task's end and acknowledged, so that the task counts as run twice. Change: the later run decides. The end, and with it all later ones of that worker's life, because acknowledgements are cumulative, is not acknowledged. Ruled out: waiting for the worker to answer, which would hold up the work of each worker that is really cut off. Measured: the new test fails without the change. Not covered: a successor that hears of the late success before it hears of the later run.

--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -32,6 +32,24 @@
   };
 }
 
+/**
+ * Returns whether a run that was given up, because its worker was out of reach
+ * for longer than its lease, had succeeded before and its task was started again
+ * meanwhile. The later run decides: a task whose success is acknowledged must
+ * not have been started after it.
+ */
+function isSupersededSuccess(
+  task: jobTask.JobTask,
+  worker: remoteWorker.RemoteWorker,
+  {run, endKind}: remoteWorker.ReportedRunEnd,
+): boolean {
+  if (endKind !== 'done' || task.step.definition.duplicatesAllowed) {
+    return false;
+  }
+  const isGivenUp = task.findAssignment(worker, run) === undefined;
+  return isGivenUp && task.highestRun > run;
+}
+
 /** Applies worker reports to the jobs and their runs. */
 export class RunTracker {
   constructor(
@@ -144,6 +162,10 @@
       highestNumber = Math.max(highestNumber, reportedEnd.sequenceNumber);
       const task = this.findTask(reportedEnd.task);
       if (task === undefined) continue;
+      if (isSupersededSuccess(task, worker, reportedEnd)) {
+        worker.withholdEnd(reportedEnd.sequenceNumber);
+        continue;
+      }
       affectedTasks.add(task);
       if (reportedEnd.checkpoint !== '' && !task.done) {
         task.checkpoint = reportedEnd.checkpoint;
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -65,7 +65,10 @@
   private async waitUntilEndsStored(): Promise<void> {
     const {worker} = this;
     const until = this.clock.now() + STORE_WAIT_LIMIT_MS;
-    while (worker.storedEndNumber < worker.handledEndNumber && !this.closed) {
+    while (
+      worker.acknowledgedEndNumber < worker.handledEndNumber &&
+      !this.closed
+    ) {
       if (this.clock.now() >= until) return;
       await this.delay(STORE_POLL_INTERVAL_MS);
     }
@@ -89,7 +92,7 @@
         : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
       fencingToken: this.fencingToken,
-      storedEndNumber: worker.storedEndNumber,
+      storedEndNumber: worker.acknowledgedEndNumber,
       deadlineMs,
       waitMs,
     });
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -327,6 +327,31 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
+  // Guards against work that is done twice and counted twice: the report of a
+  // run that had ended well waited behind a full link until its task had been
+  // started again.
+  test('a late success was acknowledged after a second run: withholds the acknowledgement', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(300);
+    const unreachable = cell.workers.byAddress.get('one:1');
+    assert.ok(unreachable);
+    unreachable.partitioned = true;
+    cell.addWorkers(() => ({runTimeMs: 20_000, outcome: 'done'}), 'two');
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(8_000);
+    assert.equal(cell.startsOf('aa').length, 2);
+    unreachable.partitioned = false;
+    await cell.time.advance(5_000);
+    assert.equal(unreachable.hasEndedRuns, true, 'the end was acknowledged');
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'running');
+    await cell.time.advance(16_000);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    assert.equal(cell.startsOf('aa').length, 2);
+  });
+
   // Guards against a worker over capacity: an unanswered start may be carried
   // out late.
   test('keeps the resources of a start reserved until its outcome is known', async () => {
