--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -79,7 +79,7 @@
   readonly grants: Map<string, TicketGrant>;
   /** Refused worker incarnations, by worker id. */
   readonly refusedIncarnations: Map<string, number>;
-  /** Workers that calls in flight name, by worker id, and their calls. */
+  /** Ids of the workers that the calls in flight name. */
   readonly askedWorkers: Set<string>;
   callsInFlight: number;
   backoffUntil: clock.Milliseconds;
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -264,6 +264,7 @@
         known.lacksTickets && slice.adviceRequester.canRequest(step, advice);
       if (mayRequest) return workers;
     }
+    // Capacity that has become free is reserved until the tickets are there.
     const lacksReservations =
       known.lacksTickets && result.reservedOn.length < step.waitingTaskCount;
     const candidates =
--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -213,6 +213,17 @@
     assert.deepEqual(read.jobApiEndpoint, {host: '10.1.0.1', port: 1});
   });
 
+  // Guards against a process that refuses to start, or never starts a task,
+  // because the platform gives no usable rate of its link.
+  test('assumes a fast link where the rate is missing or is not positive', () => {
+    const rateOf = (limits: unknown): number =>
+      platformSettings.parseSettings(encode({...FILE, limits})).unsafeCoerce()
+        .linkBytesPerSecond;
+    assert.equal(rateOf({link_mbps: 2}), 250_000);
+    assert.equal(rateOf({}), 125_000_000);
+    assert.equal(rateOf({link_mbps: 0}), 125_000_000);
+  });
+
   // Guards against a process that starts with unusable settings.
   test('rejects invalid settings and names the key', () => {
     const keyOf = (file: unknown): string =>
