--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -264,11 +264,8 @@
         known.lacksTickets && slice.adviceRequester.canRequest(step, advice);
       if (mayRequest) return workers;
     }
-    // Capacity that has become free is reserved until the tickets are there.
-    const lacksReservations =
-      known.lacksTickets && result.reservedOn.length < step.waitingTaskCount;
     const candidates =
-      advice === undefined || lacksReservations
+      advice === undefined || lacksReservations(step, known)
         ? usable
         : usable.filter(worker => this.hasTicket(step, worker, slice.now));
     if (candidates.length === 0) known.changeVersion = this.workers.version;
@@ -419,6 +416,18 @@
   }
 }
 
+/**
+ * Returns whether capacity that becomes free is to be reserved for a step until
+ * its tickets are there.
+ */
+function lacksReservations(
+  step: stepInstance.StepInstance,
+  known: stepExamination.StepExamination,
+): boolean {
+  const reservedCount = known.result.reservedOn.length;
+  return known.lacksTickets && reservedCount < step.waitingTaskCount;
+}
+
 /** Returns the free processors of all workers, in thousandths of a core. */
 function freeProcessors(
   workers: ReadonlyArray<remoteWorker.RemoteWorker>,
--- a/src/machines/loop_meter.ts
+++ b/src/machines/loop_meter.ts
@@ -6,7 +6,6 @@
   | 'advice'
   | 'evacuation'
   | 'forecast'
-  | 'journal'
   | 'placement'
   | 'reports'
   | 'runReview'
