--- a/review/stand_ins/cell.mjs
+++ b/review/stand_ins/cell.mjs
@@ -90,7 +90,12 @@
     for (let index = 0; index < nodeCount; index += 1) {
       this.nodes.push(await this.createNode(`edge-zone-a-${index + 1}`));
     }
-    await this.until(() => this.leader() !== undefined, START_TIMEOUT_MS);
+    const isStarted = ({lines}) =>
+      lines.some(({line}) => / event=started /.test(line));
+    const isReady = () =>
+      this.leader() !== undefined && this.nodes.every(isStarted);
+    if (await this.until(isReady, START_TIMEOUT_MS)) return;
+    throw new Error('a process did not start');
   }
 
   async createNode(name) {
@@ -293,23 +298,31 @@
   return prefix + number.toString(16).padStart(16 - prefix.length, '0');
 }
 
-/** Returns ports whose next port is free too. */
+/**
+ * Returns ports whose next port is free too. They lie below those that the
+ * system gives to outgoing connections, so that none takes them meanwhile.
+ */
 async function freePorts(host, count) {
   const servers = [];
   const ports = [];
   while (ports.length < count) {
-    const [first, second] = [net.createServer(), net.createServer()];
-    await new Promise(resolve => first.listen(0, host, resolve));
-    servers.push(first);
-    const {port} = first.address();
-    const isFree = await new Promise(resolve => {
-      second.once('error', () => resolve(false));
-      second.listen(port + 1, host, () => resolve(true));
-    });
-    if (!isFree) continue;
-    servers.push(second);
-    ports.push(port);
+    const port = 10_000 + 2 * Math.floor(Math.random() * 10_000);
+    const pair = await Promise.all([
+      listen(host, port),
+      listen(host, port + 1),
+    ]);
+    servers.push(...pair.filter(server => server !== undefined));
+    if (!pair.includes(undefined)) ports.push(port);
   }
   for (const server of servers) server.close();
   return ports;
 }
+
+/** Returns a listening server, or undefined if the port is in use. */
+function listen(host, port) {
+  return new Promise(resolve => {
+    const server = net.createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(port, host, () => resolve(server));
+  });
+}
