--- a/review/stand_ins/cell.mjs
+++ b/review/stand_ins/cell.mjs
@@ -33,6 +33,7 @@
     this.lines = [];
     this.events = [];
     this.nodes = [];
+    this.usedPorts = new Set();
     this.workers = [];
     this.settingsFolder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
     const [second, third, fourth] = [1, 2, 3].map(() =>
@@ -99,7 +100,11 @@
   }
 
   async createNode(name) {
-    const [front, ready, first, control] = await freePorts(this.host, 4);
+    const [front, ready, first, control] = await freePorts(
+      this.host,
+      4,
+      this.usedPorts,
+    );
     const file = path.join(this.settingsFolder, `${name}.json`);
     const settings = {
       node_name: name,
@@ -302,11 +307,13 @@
  * Returns ports whose next port is free too. They lie below those that the
  * system gives to outgoing connections, so that none takes them meanwhile.
  */
-async function freePorts(host, count) {
+async function freePorts(host, count, used) {
   const servers = [];
   const ports = [];
   while (ports.length < count) {
     const port = 10_000 + 2 * Math.floor(Math.random() * 10_000);
+    if (used.has(port)) continue;
+    used.add(port);
     const pair = await Promise.all([
       listen(host, port),
       listen(host, port + 1),
--- a/review/stand_ins/store.mjs
+++ b/review/stand_ins/store.mjs
@@ -3,9 +3,17 @@
 /** Time that the store takes for an append (`append_ms`). */
 const APPEND_MS = 3;
 
+/** Most bytes of a record (`record_bytes`) and of a call (`call_bytes`). */
+const RECORD_BYTES = 262_144;
+const CALL_BYTES = 2_097_152;
+
 /** Most items of one page of `/log-newest`. */
 const PAGE_ITEMS = 500;
 
+/** Most bytes of history that a partition keeps (`part_mb`), and for how long. */
+const HISTORY_BYTES = 200_000_000;
+const HISTORY_MS = 20_000;
+
 /** Producers' repeats that get their first response again. */
 const REMEMBERED_APPENDS = 5;
 
@@ -17,6 +25,7 @@
 export class Store {
   constructor() {
     this.topics = new Map();
+    this.refusedAppends = 0;
     this.server = http.createServer((request, response) => {
       this.serve(request, response).catch(() => response.destroy());
     });
@@ -42,7 +51,9 @@
   topic(name) {
     let topic = this.topics.get(name);
     if (topic === undefined) {
-      topic = {records: [], producers: new Map(), readers: new Set()};
+      topic = {records: [], first: 0, bytes: 0, newest: new Map()};
+      topic.producers = new Map();
+      topic.readers = new Set();
       topic.turn = Promise.resolve();
       this.topics.set(name, topic);
     }
@@ -70,7 +81,14 @@
   }
 
   append(topic, query, body, response) {
-    const end = topic.records.length;
+    const end = endOf(topic);
+    const records = decodeRecords(body);
+    const isTooLarge = records.some(({size}) => size > RECORD_BYTES);
+    if (isTooLarge || body.length > CALL_BYTES) {
+      this.refusedAppends += 1;
+      sendJson(response, 413, {});
+      return;
+    }
     const producer = query.get('producer');
     const epoch = Number(query.get('epoch'));
     const seq = Number(query.get('seq'));
@@ -98,8 +116,8 @@
       sendJson(response, 412, {end});
       return;
     }
-    this.addRecords(topic, decodeRecords(body));
-    const answer = {offset: end, end: topic.records.length};
+    this.addRecords(topic, records);
+    const answer = {offset: end, end: endOf(topic)};
     if (producer !== null) {
       this.recordProducer(topic, producer, epoch, seq, body, answer);
     }
@@ -122,7 +140,11 @@
   async read(topic, query, response) {
     const from = Number(query.get('from'));
     const waitMs = Number(query.get('wait_ms') ?? 0);
-    if (topic.records.length <= from && waitMs > 0) {
+    if (from < topic.first) {
+      sendJson(response, 410, {first: topic.first});
+      return;
+    }
+    if (endOf(topic) <= from && waitMs > 0) {
       await new Promise(resolve => {
         const timer = setTimeout(resolve, waitMs);
         topic.readers.add(() => {
@@ -132,41 +154,64 @@
       });
     }
     const header = Buffer.alloc(16);
-    header.writeBigUInt64BE(BigInt(topic.records.length), 0);
-    header.writeBigUInt64BE(0n, 8);
-    const records = topic.records.slice(from).map(encodeRecord);
+    header.writeBigUInt64BE(BigInt(endOf(topic)), 0);
+    header.writeBigUInt64BE(BigInt(topic.first), 8);
+    const start = Math.max(0, from - topic.first);
+    const records = topic.records.slice(start).map(encodeRecord);
     response.writeHead(200);
     response.end(Buffer.concat([header, ...records]));
   }
 
   sendNewest(topic, query, response) {
-    const newest = new Map();
-    for (const [offset, {key, value}] of topic.records.entries()) {
-      newest.delete(key);
-      if (value.length === 0) continue;
-      newest.set(key, {key, value: value.toString('base64'), offset});
-    }
-    const all = [...newest.values()].sort((left, right) =>
+    const all = [...topic.newest.values()].sort((left, right) =>
       left.key < right.key ? -1 : 1,
     );
     const after = query.get('after');
     const rest = after === null ? all : all.filter(item => item.key > after);
     sendJson(response, 200, {
-      items: rest.slice(0, PAGE_ITEMS),
+      items: rest.slice(0, PAGE_ITEMS).map(({key, value, offset}) => {
+        return {key, value: value.toString('base64'), offset};
+      }),
       more_pages: rest.length > PAGE_ITEMS,
-      end: topic.records.length,
+      end: endOf(topic),
     });
   }
 
   addRecords(topic, records) {
     if (records.length === 0) return;
-    topic.records.push(...records);
+    const now = performance.now();
+    for (const {key, value} of records) {
+      const offset = endOf(topic);
+      topic.records.push({key, value, at: now});
+      topic.bytes += value.length;
+      if (value.length > 0) topic.newest.set(key, {key, value, offset});
+      else topic.newest.delete(key);
+    }
+    expire(topic, now);
     const readers = [...topic.readers];
     topic.readers.clear();
     for (const wake of readers) wake();
   }
 }
 
+function endOf(topic) {
+  return topic.first + topic.records.length;
+}
+
+/** Drops the oldest records; the newest of each key is kept besides. */
+function expire(topic, now) {
+  let count = 0;
+  for (const {value, at} of topic.records) {
+    const isOld = now - at > HISTORY_MS || topic.bytes > HISTORY_BYTES;
+    if (!isOld) break;
+    topic.bytes -= value.length;
+    count += 1;
+  }
+  if (count === 0) return;
+  topic.records.splice(0, count);
+  topic.first += count;
+}
+
 function delay(milliseconds) {
   return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
@@ -198,6 +243,7 @@
     records.push({
       key: body.toString('utf8', keyStart, keyEnd),
       value: body.subarray(keyEnd, end),
+      size: end - position - 4,
     });
     position = end;
   }
--- a/review/stand_ins/worker.mjs
+++ b/review/stand_ins/worker.mjs
@@ -226,6 +226,11 @@
     return [task, run, '', percent, this.usageOf(item)];
   }
 
+  /** Returns after what time a run fails. */
+  failsAfterMs() {
+    return Infinity;
+  }
+
   /** Returns the rough figure that a report gives for a run. */
   usageOf() {
     return 500;
@@ -248,6 +253,10 @@
     const now = performance.now();
     const isLapsed = this.clock() >= this.deadline;
     for (const item of [...this.running.values()]) {
+      if (now - item.startedAt >= this.failsAfterMs(item)) {
+        this.end(item, 'failed');
+        continue;
+      }
       if (now - item.startedAt >= item.workMs) this.end(item, 'done');
       else if (isLapsed) this.end(item, 'lapsed');
     }
