--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -69,7 +69,7 @@
 }
 
 async function run() {
-  await cell.start({nodeCount: 3, workerCount: 6, cpu: 16_000});
+  await cell.start({nodeCount: 3, workerCount: 8, cpu: 16_000});
   await cell.delay(2_000);
   let isOver = false;
   const submissions = [];
