Wait for the next life of a worker before its unanswered starts run elsewhere

Cause: a call names a worker's life by its id only, so the next life carries out a start that is on its way. When the registry or a report showed that life, all runs of the last one counted as lost at once and were started again. The seven tests of next_life_test.ts all fail on that code. Change: only runs that the last life has reported, with no start outstanding, are lost with it. The others move to the next life and are stopped there; their tasks wait for the stop and a report without them. Related paths: a hold after a silence carries no acknowledgement, the next life counts as holding leases for the longest that a worker accepts, and a successor waits for its report. Why it works: a worker refuses a run once it was stopped there, so a report that was requested after the stop is conclusive, however late the start is.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -135,6 +135,7 @@
     const deadlineMs = worker.extendLease(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
+    assignment.startsInFlight += 1;
     const command = {
       task: task.name,
       run,
@@ -154,6 +155,7 @@
     outcome: workerClient.CommandOutcome,
   ): void {
     assignment.commandInFlight = false;
+    assignment.startsInFlight -= 1;
     if (outcome.kind === 'unanswered') {
       this.retryStart(assignment);
       return;
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -164,7 +164,8 @@
       earlierLeasesExpireAt: this.earlierLeasesExpireAt,
       requestPlacementPass,
       onReport: worker => this.workerReported(worker),
-      onEnded: worker => this.runRecovery?.removeWorker(worker),
+      onEnded: (worker, nextLife) =>
+        this.runRecovery?.workerEnded(worker, nextLife),
     });
     this.placementPassRunner = new placementPassRunner.PlacementPassRunner({
       options,
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -17,6 +17,8 @@
   commandInFlight = false;
   /** Number of start commands that got no answer. */
   unansweredStarts = 0;
+  /** Number of start commands that may still be answered. */
+  startsInFlight = 0;
   progressPercent = 0;
   /** When the progress last rose, or the run was first known to run. */
   progressedAt: clock.Milliseconds;
@@ -54,6 +56,16 @@
     return this.confirmedAt ?? this.startedAt;
   }
 
+  /**
+   * Whether a start command may be carried out by the next life of the worker,
+   * which has the same id: an answer may be missing, or may have come from that
+   * life. Only a report shows which life has started the run.
+   */
+  get mayStartInNextLife(): boolean {
+    const outcomeUnknown = this.unansweredStarts + this.startsInFlight > 0;
+    return outcomeUnknown || !this.reported;
+  }
+
   /** Records that the worker runs the task; has no effect after that. */
   confirm(now: clock.Milliseconds): void {
     if (this.currentPhase === 'starting') this.currentPhase = 'running';
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -42,9 +42,23 @@
     return this.blockedJobs.has(record);
   }
 
-  /** Stops waiting for a worker that has ended. */
-  removeWorker(worker: remoteWorker.RemoteWorker): void {
-    this.keepUnreported(inherited => inherited.worker !== worker);
+  /**
+   * Stops waiting for a worker that has ended. Waits for its next life instead,
+   * which may have carried out the starts of an earlier term.
+   */
+  workerEnded(
+    worker: remoteWorker.RemoteWorker,
+    nextLife: remoteWorker.RemoteWorker | undefined,
+  ): void {
+    if (nextLife === undefined) {
+      this.keepUnreported(inherited => inherited.worker !== worker);
+      return;
+    }
+    this.unreportedWorkers = this.unreportedWorkers.map(inherited =>
+      inherited.worker === worker
+        ? {...inherited, worker: nextLife}
+        : inherited,
+    );
   }
 
   /** Unblocks jobs whose runs are all known; returns whether there were any. */
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -88,6 +88,27 @@
     this.confirmStops(worker, report, sentAt);
   }
 
+  /**
+   * Moves the runs that the next life of a worker may carry out to that life,
+   * and stops them there. Their tasks stay assigned until the new life has
+   * confirmed the stop and reported that it does not run them.
+   */
+  moveToNextLife(
+    worker: remoteWorker.RemoteWorker,
+    nextLife: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): void {
+    for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
+      if (!assignment.mayStartInNextLife) continue;
+      const {jobTask: task, run, ticket} = assignment;
+      const moved = new jobTask.Assignment(task, nextLife, run, ticket, now);
+      // Added first, so that the task is never without an assignment.
+      this.assignmentIndex.add(moved);
+      this.assignmentIndex.remove(assignment);
+      this.dispatcher.stop(moved);
+    }
+  }
+
   /** Ends all runs on a worker. */
   endAll(worker: remoteWorker.RemoteWorker, endKind: 'lapsed' | 'lost'): void {
     for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -29,7 +29,10 @@
   /** Called after a worker's report was applied. */
   readonly onReport: (worker: remoteWorker.RemoteWorker) => void;
   /** Called after a worker incarnation has ended. */
-  readonly onEnded: (worker: remoteWorker.RemoteWorker) => void;
+  readonly onEnded: (
+    worker: remoteWorker.RemoteWorker,
+    nextLife: remoteWorker.RemoteWorker | undefined,
+  ) => void;
 }
 
 /** Why a worker incarnation ended. */
@@ -101,7 +104,9 @@
       entries,
       options.clock.now(),
     );
-    for (const worker of replaced) this.endIncarnation(worker, 'replaced');
+    for (const {worker, nextLife} of replaced) {
+      this.endIncarnation(worker, 'replaced', nextLife);
+    }
     for (const worker of joined) {
       this.openSession(worker);
       if (this.sessionsOpen) this.storedList.store(worker.id);
@@ -142,8 +147,16 @@
     );
   }
 
-  workerReplaced(worker: remoteWorker.RemoteWorker): void {
-    if (this.sessionsOpen) this.endIncarnation(worker, 'otherLife');
+  workerReplaced(worker: remoteWorker.RemoteWorker, born?: number): void {
+    if (!this.sessionsOpen) return;
+    if (born === undefined) {
+      this.endIncarnation(worker, 'otherLife');
+      return;
+    }
+    const {workers, options} = this.dependencies;
+    const nextLife = workers.addNextLife(worker, born, options.clock.now());
+    this.endIncarnation(worker, 'otherLife', nextLife);
+    this.openSession(nextLife);
   }
 
   termSuperseded(): void {
@@ -193,6 +206,7 @@
   private endIncarnation(
     worker: remoteWorker.RemoteWorker,
     reason: EndReason,
+    nextLife?: remoteWorker.RemoteWorker,
   ): void {
     const {options, workers, reliability, tracker, onEnded} = this.dependencies;
     this.sessions.get(worker)?.close();
@@ -204,8 +218,11 @@
       reason,
       runs: worker.runCount,
     });
+    if (nextLife !== undefined) {
+      tracker.moveToNextLife(worker, nextLife, options.clock.now());
+    }
     tracker.endAll(worker, 'lost');
-    onEnded(worker);
+    onEnded(worker, nextLife);
     // Otherwise the next scheduler would wait for this worker's leases.
     if (this.sessionsOpen) this.storedList.removeEnded(worker);
   }
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -4,8 +4,14 @@
 /** Worker incarnations affected by a new registry list. */
 export interface WorkerChanges {
   readonly joined: ReadonlyArray<remoteWorker.RemoteWorker>;
-  /** Incarnations that a later one has replaced. */
-  readonly replaced: ReadonlyArray<remoteWorker.RemoteWorker>;
+  readonly replaced: ReadonlyArray<ReplacedWorker>;
+}
+
+/** A worker incarnation that a later one has replaced. */
+export interface ReplacedWorker {
+  readonly worker: remoteWorker.RemoteWorker;
+  /** The next life under the same id; undefined if the id is another one. */
+  readonly nextLife?: remoteWorker.RemoteWorker;
 }
 
 /** All worker incarnations on which tasks may run, by worker id. */
@@ -24,15 +30,36 @@
     if (this.workers.get(worker.id) === worker) this.workers.delete(worker.id);
   }
 
-  /** Returns whether a later incarnation has the same id or machine. */
+  /**
+   * Returns whether a later incarnation of another id runs on the machine. One
+   * of the same id does not count: it may carry out calls meant for this one.
+   */
   isReplaced(entry: remoteWorker.RegistryEntry): boolean {
-    return this.all().some(({entry: other}) => {
-      const same = other.id === entry.id || onSameMachine(other, entry);
-      return same && other.born > entry.born;
-    });
+    return this.all().some(
+      ({entry: other}) =>
+        other.id !== entry.id &&
+        onSameMachine(other, entry) &&
+        other.born > entry.born,
+    );
+  }
+
+  /** Adds the next life of a worker before the registry lists it. */
+  addNextLife(
+    worker: remoteWorker.RemoteWorker,
+    born: number,
+    now: clock.Milliseconds,
+  ): remoteWorker.RemoteWorker {
+    const entry = {...worker.entry, born};
+    const nextLife = remoteWorker.RemoteWorker.nextLife(entry, now);
+    nextLife.listed = false;
+    this.workers.set(entry.id, nextLife);
+    return nextLife;
   }
 
-  /** Adds a worker that an earlier term stored, unless it is known. */
+  /**
+   * Adds a worker that an earlier term stored, unless it or a later life of it
+   * is known.
+   */
   addInherited(
     entry: remoteWorker.RegistryEntry,
     now: clock.Milliseconds,
@@ -51,7 +78,7 @@
     now: clock.Milliseconds,
   ): WorkerChanges {
     const joined: remoteWorker.RemoteWorker[] = [];
-    const replaced: remoteWorker.RemoteWorker[] = [];
+    const replaced: ReplacedWorker[] = [];
     const listed = new Set(entries.map(entry => entry.id));
     for (const worker of this.workers.values()) {
       if (!listed.has(worker.id)) worker.listed = false;
@@ -64,8 +91,10 @@
       }
       // An entry older than the known incarnation of this id is stale.
       if (known && known.entry.born > entry.born) continue;
-      if (known) replaced.push(known);
-      const worker = new remoteWorker.RemoteWorker(entry, now);
+      const worker = known
+        ? remoteWorker.RemoteWorker.nextLife(entry, now)
+        : new remoteWorker.RemoteWorker(entry, now);
+      if (known) replaced.push({worker: known, nextLife: worker});
       this.workers.set(entry.id, worker);
       joined.push(worker);
     }
@@ -76,14 +105,14 @@
   /** Removes incarnations whose machine runs a later one and returns them. */
   private removeReplacedOnMachines(
     joined: ReadonlyArray<remoteWorker.RemoteWorker>,
-  ): ReadonlyArray<remoteWorker.RemoteWorker> {
-    const ended: remoteWorker.RemoteWorker[] = [];
+  ): ReadonlyArray<ReplacedWorker> {
+    const ended: ReplacedWorker[] = [];
     for (const later of joined) {
       for (const worker of this.workers.values()) {
         if (!onSameMachine(worker.entry, later.entry)) continue;
         if (worker.entry.born >= later.entry.born) continue;
         this.workers.delete(worker.id);
-        ended.push(worker);
+        ended.push({worker});
       }
     }
     return ended;
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -61,6 +61,9 @@
 /** Consecutive unanswered calls after which a worker counts as unreachable. */
 const UNREACHABLE_CALL_COUNT = 2;
 
+/** Longest lease that a worker accepts. */
+const MAXIMUM_LEASE_MS = 10_000;
+
 /** Allowance for a worker's lease timer that fires late. */
 const TIMER_MARGIN_MS = 150;
 
@@ -94,6 +97,8 @@
   private capacityChanges = 0;
   private reading: {clockMs: number; receivedAt: number} | undefined;
   private latestLeaseEndMs = 0;
+  /** When a lease that was meant for the earlier life has certainly ended. */
+  private earlierLifeLeaseExpiry: clock.Milliseconds = -Infinity;
   /** First run end that must not be acknowledged. */
   private firstWithheldEnd = Infinity;
   private registryEntry: RegistryEntry;
@@ -104,6 +109,15 @@
     this.update(entry, now);
   }
 
+  /** Creates the next life of a worker, which has the same id. */
+  static nextLife(entry: RegistryEntry, now: clock.Milliseconds): RemoteWorker {
+    const worker = new RemoteWorker(entry, now);
+    // A call that was meant for the earlier life may reach this one. Its
+    // deadline is far ahead on a clock that has started anew.
+    worker.earlierLifeLeaseExpiry = now + longestLeaseMs(MAXIMUM_LEASE_MS);
+    return worker;
+  }
+
   get entry(): RegistryEntry {
     return this.registryEntry;
   }
@@ -225,14 +239,14 @@
    * certainly ended. A worker whose clock is unknown has been sent no lease.
    */
   lastLeaseExpiry(): clock.Milliseconds {
+    return Math.max(this.earlierLifeLeaseExpiry, this.ownLeaseExpiry());
+  }
+
+  private ownLeaseExpiry(): clock.Milliseconds {
     if (this.reading === undefined) return -Infinity;
     const remainingMs = this.latestLeaseEndMs - this.reading.clockMs;
     if (remainingMs <= 0) return this.reading.receivedAt;
-    return (
-      this.reading.receivedAt +
-      remainingMs / (1 - MAXIMUM_WORKER_CLOCK_DRIFT) +
-      TIMER_MARGIN_MS
-    );
+    return this.reading.receivedAt + longestLeaseMs(remainingMs);
   }
 
   private setUsed(used: resources.Resources): void {
@@ -241,6 +255,11 @@
   }
 }
 
+/** Returns the longest local time that a lease on a worker's clock may take. */
+function longestLeaseMs(leaseMs: number): number {
+  return leaseMs / (1 - MAXIMUM_WORKER_CLOCK_DRIFT) + TIMER_MARGIN_MS;
+}
+
 /** Returns whether both entries of a worker fit the same tasks. */
 function canTakeSameTasks(left: RegistryEntry, right: RegistryEntry): boolean {
   return (
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -12,8 +12,11 @@
   ): void;
   /** A call was not answered, or was rejected without a report. */
   answerMissing(worker: remoteWorker.RemoteWorker): void;
-  /** Another incarnation has answered at the worker's address. */
-  workerReplaced(worker: remoteWorker.RemoteWorker): void;
+  /**
+   * Another incarnation has answered at the worker's address: the next life of
+   * the same id, which began at `born`, or another worker if that is undefined.
+   */
+  workerReplaced(worker: remoteWorker.RemoteWorker, born?: number): void;
   /** The worker has accepted the fencing token of a later term. */
   termSuperseded(worker: remoteWorker.RemoteWorker): void;
   /** Returns whether this term may still grant leases. */
@@ -92,7 +95,9 @@
         : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
       fencingToken: this.fencingToken,
-      storedEndNumber: worker.acknowledgedEndNumber,
+      // After a silence the next life may answer, which counts its ends anew.
+      storedEndNumber:
+        worker.unansweredCalls === 0 ? worker.acknowledgedEndNumber : 0,
       deadlineMs,
       waitMs,
     });
@@ -118,7 +123,7 @@
   ): boolean {
     const {worker} = this;
     if (report.born !== undefined && report.born !== worker.entry.born) {
-      this.listener.workerReplaced(worker);
+      this.listener.workerReplaced(worker, report.born);
       return false;
     }
     const first = !worker.fencingTokenAccepted;
--- /dev/null
+++ b/test/jobs/next_life_test.ts
@@ -0,0 +1,194 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as jobCell from '../support/job_cell.js';
+import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as workerModel from '../../stand_ins/worker_model.js';
+
+const {describe, test} = nodeTest;
+
+const LONG_RUN_MS = 20_000;
+
+const LONG_RUNS: workerModel.RunPlan = () => ({
+  runTimeMs: LONG_RUN_MS,
+  outcome: 'done',
+});
+
+/**
+ * Crashes worker `one`, which comes back at once under its id and address. It
+ * belongs to another service then, so that tasks are placed elsewhere.
+ */
+function restartWorker(cell: jobCell.JobCell): workerModel.WorkerModel {
+  const [entry] = cell.entries;
+  cell.workers.byAddress.get(entry.address)?.crash();
+  const nextEntry = {...entry, born: entry.born + 1, service: 'annex'};
+  cell.entries = [nextEntry, ...cell.entries.slice(1)];
+  return cell.workers.add(nextEntry, LONG_RUNS);
+}
+
+/** Returns the tasks of which two runs were up at the same time. */
+function tasksRunTwice(cell: jobCell.JobCell): ReadonlyArray<string> {
+  const activeRuns = new Map<string, number>();
+  const twice: string[] = [];
+  for (const {kind, task} of cell.workers.events) {
+    const change = kind === 'started' ? 1 : -1;
+    const count = (activeRuns.get(task) ?? 0) + change;
+    activeRuns.set(task, count);
+    if (count > 1) twice.push(task);
+  }
+  return twice;
+}
+
+/** Lets the second worker take tasks. */
+function useSecondWorker(cell: jobCell.JobCell): void {
+  cell.entries = cell.entries.map(entry =>
+    entry.id === 'two' ? {...entry, service: jobCell.QUEUE.service} : entry,
+  );
+}
+
+/** Starts a cell whose second worker belongs to another service at first. */
+async function createCell(): Promise<{
+  readonly cell: jobCell.JobCell;
+  readonly scheduler: jobScheduler.JobScheduler;
+}> {
+  const cell = new jobCell.JobCell();
+  cell.addWorkers(LONG_RUNS, 'one');
+  const second = jobCell.registryEntry('two', {service: 'annex'});
+  cell.addWorker(second, LONG_RUNS);
+  const scheduler = await cell.startTerm(1);
+  await cell.time.advance(200);
+  return {cell, scheduler};
+}
+
+describe('a worker that is back under its id', () => {
+  // Guards against a task that runs twice: a start that was on its way reached
+  // the next life of its worker, and the task was started elsewhere as soon as
+  // the registry listed that life.
+  test('carries out a start meant for its last life: the task runs once', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 300;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    restartWorker(cell);
+    await cell.time.advance(250);
+    assert.equal(cell.startsOf('aa').length, 1, 'the start did not arrive');
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(30_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against the same when the start arrives only after the next life is
+  // known: its task must not be started elsewhere before the stop is confirmed.
+  test('carries out a late start after it was listed: the task runs once', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 500;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    restartWorker(cell);
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(30_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against a confirmed start that counts as one of the last life, when
+  // the answer came from the next one.
+  test('confirms a start before it is known: the task runs once', async () => {
+    const {cell, scheduler} = await createCell();
+    restartWorker(cell);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(20);
+    assert.equal(cell.startsOf('aa').length, 1);
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(30_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against the same when a report shows the next life before the
+  // registry lists it.
+  test('reports before the registry lists it: the task runs once', async () => {
+    const {cell, scheduler} = await createCell();
+    const {entries} = cell;
+    restartWorker(cell);
+    cell.entries = entries;
+    useSecondWorker(cell);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(20);
+    assert.equal(cell.startsOf('aa').length, 1);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(30_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against a task that runs twice after a failover: the next scheduler
+  // took the worker's old life as over, but a start of the earlier one had
+  // reached the new life.
+  test('is back at a failover: waits for the report of the next life', async () => {
+    const {cell, scheduler} = await createCell();
+    const nextLife = restartWorker(cell);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(20);
+    assert.equal(cell.startsOf('aa').length, 1);
+    scheduler.retire();
+    nextLife.partitioned = true;
+    useSecondWorker(cell);
+    const successor = await cell.startTerm(2);
+    await cell.time.advance(1_000);
+    nextLife.partitioned = false;
+    await cell.time.advance(40_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against a task that runs twice when the next life falls silent: a
+  // deadline on the old clock is far ahead on one that has started anew.
+  test('falls silent with such a run: its task waits for the longest lease', async () => {
+    const {cell, scheduler} = await createCell();
+    const nextLife = restartWorker(cell);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(20);
+    nextLife.leaseEndMs = cell.time.now() + 10_000;
+    nextLife.partitioned = true;
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    for (let step = 0; step < 1_200; step += 1) {
+      await cell.time.advance(10);
+      nextLife.endDueRuns();
+    }
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(cell.startsOf('aa').length, 2, 'the task still waits');
+  });
+
+  // Guards against an end that the next life forgets unseen: an acknowledgement
+  // meant for the last life names a number that the next one has not reached.
+  test('answers after a silence: no acknowledgement of the last life reaches it', async () => {
+    const {cell, scheduler} = await createCell();
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(LONG_RUN_MS + 500);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    const lastLife = cell.workers.byAddress.get('one:1');
+    assert.ok(lastLife);
+    lastLife.partitioned = true;
+    await cell.time.advance(1_500);
+    const acknowledged: number[] = [];
+    const {workers} = cell;
+    const renew = workers.renewLeases.bind(workers);
+    workers.renewLeases = (entry, command) => {
+      acknowledged.push(command.storedEndNumber);
+      return renew(entry, command);
+    };
+    await cell.time.advance(2_000);
+    assert.ok(acknowledged.length > 0);
+    assert.deepEqual(
+      acknowledged.filter(number => number > 0),
+      [],
+    );
+  });
+});
