Acknowledge the ends of a worker whose success came too late

Cause: a success that was listed after its task had been started again was withheld from acknowledgement for the life of its worker, and with it all later ends, because acknowledgements are cumulative. Change: an end is acknowledged once it is stored. A success that came too late is counted and logged; the later run still decides. Why it works: a run is given up only when the last lease that the worker can hold is over, and an end before a lapse does not count as taken note of.

--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -62,6 +62,21 @@
     this.dependencies.requestPlacementPass();
   }
 
+  successSuperseded(
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+    run: number,
+  ): void {
+    const {counters, log} = this.dependencies.options;
+    counters.count('runs_ended', 'superseded');
+    log.event('info', 'successSuperseded', {
+      task: task.name,
+      run,
+      worker: worker.id,
+      latestRun: task.highestRun,
+    });
+  }
+
   /** Sets the outcome of a job, stops its remaining runs, and stores it. */
   settle(
     record: jobRecord.JobRecord,
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -15,6 +15,12 @@
     run: number,
     endKind: string,
   ): void;
+  /** A run that was given up had succeeded; a later run of the task decides. */
+  successSuperseded(
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+    run: number,
+  ): void;
 }
 
 /** Parses the name of a job's task; returns undefined for other names. */
@@ -35,8 +41,8 @@
 /**
  * Returns whether a run that was given up, because its worker was out of reach
  * for longer than its lease, had succeeded before and its task was started again
- * meanwhile. The later run decides: a task whose success is acknowledged must
- * not have been started after it.
+ * meanwhile. The later run decides. The worker may forget the success: it does
+ * not count as the task's end, because its lease has lapsed since.
  */
 function isSupersededSuccess(
   task: jobTask.JobTask,
@@ -184,7 +190,7 @@
       const task = this.findTask(reportedEnd.task);
       if (task === undefined) continue;
       if (isSupersededSuccess(task, worker, reportedEnd)) {
-        worker.withholdEnd(reportedEnd.sequenceNumber);
+        this.listener.successSuperseded(task, worker, reportedEnd.run);
         continue;
       }
       affectedTasks.add(task);
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -99,8 +99,6 @@
   private latestLeaseEndMs = 0;
   /** When a lease that was meant for the earlier life has certainly ended. */
   private earlierLifeLeaseExpiry: clock.Milliseconds = -Infinity;
-  /** First run end that must not be acknowledged. */
-  private firstWithheldEnd = Infinity;
   private registryEntry: RegistryEntry;
 
   constructor(entry: RegistryEntry, now: clock.Milliseconds) {
@@ -130,11 +128,6 @@
     return this.registryEntry.labels[1];
   }
 
-  /** Sequence number of the last run end that is acknowledged to the worker. */
-  get acknowledgedEndNumber(): number {
-    return Math.min(this.storedEndNumber, this.firstWithheldEnd - 1);
-  }
-
   /** Reserved capacity, including that of stopping and unconfirmed runs. */
   get used(): resources.Resources {
     return this.usedResources;
@@ -197,14 +190,6 @@
     this.capacityChanges += 1;
   }
 
-  /**
-   * Withholds the acknowledgement of a run end, and with it that of all later
-   * ones of this incarnation, because acknowledgements are cumulative.
-   */
-  withholdEnd(sequenceNumber: number): void {
-    this.firstWithheldEnd = Math.min(this.firstWithheldEnd, sequenceNumber);
-  }
-
   /** Takes capacity while a placement is planned, until `returnCapacity`. */
   takeCapacity(size: resources.Resources): void {
     this.setUsed(resources.add(this.usedResources, size));
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -68,10 +68,7 @@
   private async waitUntilEndsStored(): Promise<void> {
     const {worker} = this;
     const until = this.clock.now() + STORE_WAIT_LIMIT_MS;
-    while (
-      worker.acknowledgedEndNumber < worker.handledEndNumber &&
-      !this.closed
-    ) {
+    while (worker.storedEndNumber < worker.handledEndNumber && !this.closed) {
       if (this.clock.now() >= until) return;
       await this.delay(STORE_POLL_INTERVAL_MS);
     }
@@ -97,7 +94,7 @@
       fencingToken: this.fencingToken,
       // After a silence the next life may answer, which counts its ends anew.
       storedEndNumber:
-        worker.unansweredCalls === 0 ? worker.acknowledgedEndNumber : 0,
+        worker.unansweredCalls === 0 ? worker.storedEndNumber : 0,
       deadlineMs,
       waitMs,
     });
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -16,6 +16,7 @@
 export class FakeWorkers implements workerClient.WorkerClient {
   readonly byAddress = new Map<string, workerModel.WorkerModel>();
   readonly events: workerModel.RunEvent[] = [];
+  readonly acknowledgedEnds: workerModel.AcknowledgedEnd[] = [];
   /** Returns the delay of a command; the answer of a delayed one is lost. */
   commandDelayMs: (address: string) => number = () => 0;
 
@@ -31,6 +32,7 @@
       this.time,
       plan,
       this.events,
+      this.acknowledgedEnds,
     );
     this.byAddress.set(entry.address, worker);
     return worker;
