Take no report that leaves ends out as proof that a run is gone

Seen: in the new test a task that had succeeded was started again. Cause: a worker lists at most 500 ends in one report. A stopped run that a report did not list counted as not run, although its end may be among those that were left out. 500 ends are reached while the store is silent, or when tasks fail at once. Change: a report says whether ends are left out; such a report confirms no stop. Measured: "holds more ends than a report lists" starts the task twice without the change and once with it.

--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -243,13 +243,14 @@
   /**
    * Ends stopped runs that a report does not list. Once a worker has confirmed
    * a stop, it refuses later starts of that run, so a report requested after
-   * the confirmation is conclusive.
+   * the confirmation is conclusive, unless it leaves ends out.
    */
   private confirmStops(
     worker: remoteWorker.RemoteWorker,
     report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
   ): void {
+    if (report.hasMoreEnds) return;
     const stopped: jobTask.Assignment[] = [];
     for (const assignment of this.assignmentIndex.runsOn(worker)) {
       const {phase, stopConfirmedAt} = assignment;
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -53,6 +53,8 @@
   readonly born: number | undefined;
   readonly running: ReadonlyArray<ReportedRun>;
   readonly ended: ReadonlyArray<ReportedRunEnd>;
+  /** Whether the worker holds more ends than one report lists. */
+  readonly hasMoreEnds: boolean;
 }
 
 /** Maximum relative rate by which a worker's clock may run slow. */
--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -143,6 +143,7 @@
         ended: this.ended
           .slice(0, MAXIMUM_ENDS_PER_REPORT)
           .map(({reported}) => reported),
+        hasMoreEnds: this.ended.length >= MAXIMUM_ENDS_PER_REPORT,
       },
     };
   }
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -398,6 +398,38 @@
     assert.deepEqual(open, []);
   });
 
+  // Guards against a task that runs again after its success: a report lists 500
+  // ends, and a stopped run whose end was not among them counted as not run.
+  test('holds more ends than a report lists: a stopped run is not started again', async () => {
+    const cell = new jobCell.JobCell();
+    const size = {...jobCell.registryEntry('one').capacity, processors: 1e6};
+    const worker = cell.addWorker(
+      jobCell.registryEntry('one', {capacity: {...size, memory: 1e6}}),
+      () => ({runTimeMs: 100, outcome: 'done'}),
+    );
+    const scheduler = await cell.startTerm(1);
+    // The starts of this job are carried out late and not answered.
+    const {workers} = cell;
+    const start = workers.start.bind(workers);
+    workers.start = async (entry, command) => {
+      if (!command.task.startsWith('late')) return start(entry, command);
+      cell.time.runAt(cell.time.now() + 800, () => worker.start(command));
+      await cell.time.delay(600);
+      return {kind: 'unanswered', detail: 'lost'};
+    };
+    jobCell.submit(scheduler, jobCell.jobOf('many', {count: 600}));
+    jobCell.submit(scheduler, jobCell.jobOf('late', {}));
+    await cell.time.advance(20);
+    cell.journal.down = true;
+    await cell.time.advance(4_500);
+    assert.ok(cell.startsOf('many').length > 500);
+    cell.journal.down = false;
+    await cell.time.advance(10_000);
+    assert.equal(cell.startsOf('late').length, 1);
+    assert.equal(scheduler.stateOf('orders', 'late'), 'completed');
+    assert.equal(scheduler.stateOf('orders', 'many'), 'completed');
+  });
+
   // Guards against a worker over capacity: an unanswered start may be carried
   // out late.
   test('keeps the resources of a start reserved until its outcome is known', async () => {
--- a/test/support/scripted_workers.ts
+++ b/test/support/scripted_workers.ts
@@ -112,7 +112,12 @@
   }
 
   private reportOf(runs: ReportedRuns): workerClient.RenewalOutcome {
-    const report = {clockMs: this.now(), born: 1, ...runs};
+    const report = {
+      clockMs: this.now(),
+      born: 1,
+      hasMoreEnds: false,
+      ...runs,
+    };
     return {kind: 'reported', report};
   }
 }
