Acknowledge an end only when all ends before it are stored

Seen: in the new test a finished task runs again after a failover during a silence of the store. Cause: storeEnds() marked all ends up to its own report's highest number as stored. A later report whose ends need no storing let the worker forget an end of an earlier report that was still on its way to the store. Change: EndCursor keeps the reports of a worker in order and passes one only when all before it are stored.

--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -183,9 +183,10 @@
     now: clock.Milliseconds,
   ): void {
     const affectedTasks = new Set<jobTask.JobTask>();
-    let highestNumber = worker.handledEndNumber;
+    const {handledNumber} = worker.endCursor;
+    let highestNumber = handledNumber;
     for (const reportedEnd of ended) {
-      if (reportedEnd.sequenceNumber <= worker.handledEndNumber) continue;
+      if (reportedEnd.sequenceNumber <= handledNumber) continue;
       highestNumber = Math.max(highestNumber, reportedEnd.sequenceNumber);
       const task = this.findTask(reportedEnd.task);
       if (task === undefined) continue;
@@ -213,29 +214,24 @@
         reportedEnd.endKind,
       );
     }
-    if (highestNumber === worker.handledEndNumber) return;
-    worker.handledEndNumber = highestNumber;
-    this.storeEnds(worker, highestNumber, affectedTasks);
+    if (highestNumber === handledNumber) return;
+    this.storeEnds(affectedTasks, worker.endCursor.handle(highestNumber));
   }
 
-  /** Allows a worker to drop its ended runs once their jobs are stored. */
+  /** Stores the jobs of ended runs; calls `onStored` once all are stored. */
   private storeEnds(
-    worker: remoteWorker.RemoteWorker,
-    highestNumber: number,
     affectedTasks: ReadonlySet<jobTask.JobTask>,
+    onStored: () => void,
   ): void {
     const records = new Set(
       [...affectedTasks].map(task => task.step.jobRecord),
     );
     let unstoredCount = records.size;
-    const markStored = (): void => {
-      worker.storedEndNumber = Math.max(worker.storedEndNumber, highestNumber);
-    };
-    if (unstoredCount === 0) markStored();
+    if (unstoredCount === 0) onStored();
     for (const record of records) {
       this.jobTable.store(record, () => {
         unstoredCount -= 1;
-        if (unstoredCount === 0) markStored();
+        if (unstoredCount === 0) onStored();
       });
     }
   }
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -1,3 +1,4 @@
+import * as endCursor from './end_cursor.js';
 import * as resources from './resources.js';
 import type * as clock from './clock.js';
 
@@ -75,10 +76,8 @@
  * For requests, `Worker` represents a worker of the VM list.
  */
 export class RemoteWorker {
-  /** Sequence number of the last run end that was handled. */
-  handledEndNumber = 0;
-  /** Sequence number of the last stored run end; the worker may drop it. */
-  storedEndNumber = 0;
+  /** The run ends that are handled, and those that the worker may drop. */
+  readonly endCursor = new endCursor.EndCursor();
   /** Whether the worker has accepted the fencing token of this term. */
   fencingTokenAccepted = false;
   /** Whether the journal lists the worker as open, for the next scheduler. */
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -68,7 +68,8 @@
   private async waitUntilEndsStored(): Promise<void> {
     const {worker} = this;
     const until = this.clock.now() + STORE_WAIT_LIMIT_MS;
-    while (worker.storedEndNumber < worker.handledEndNumber && !this.closed) {
+    const {endCursor} = worker;
+    while (endCursor.storedNumber < endCursor.handledNumber && !this.closed) {
       if (this.clock.now() >= until) return;
       await this.delay(STORE_POLL_INTERVAL_MS);
     }
@@ -94,7 +95,7 @@
       fencingToken: this.fencingToken,
       // After a silence the next life may answer, which counts its ends anew.
       storedEndNumber:
-        worker.unansweredCalls === 0 ? worker.storedEndNumber : 0,
+        worker.unansweredCalls === 0 ? worker.endCursor.storedNumber : 0,
       deadlineMs,
       waitMs,
     });
--- a/test/jobs/job_scheduler_test.ts
+++ b/test/jobs/job_scheduler_test.ts
@@ -398,6 +398,36 @@
     assert.deepEqual(open, []);
   });
 
+  // Guards against a finished task that runs again after a failover: a later
+  // report, of ends that needed no storing, let the worker forget an end that was
+  // still on its way to the store.
+  test('lists ends of unknown tasks: keeps an earlier end until it is stored', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 100, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(50);
+    cell.journal.down = true;
+    await cell.time.advance(500);
+    const worker = cell.workers.byAddress.get('one:1');
+    assert.equal(worker?.hasEndedRuns, true);
+    worker?.start({
+      task: 'unknown.0.0.0',
+      run: 1,
+      payload: '',
+      fencingToken: 1,
+      deadlineMs: cell.time.now() + 1_000,
+      checkpoint: '',
+    });
+    await cell.time.advance(1_500);
+    scheduler.retire();
+    cell.journal.down = false;
+    const successor = await cell.startTerm(2);
+    await cell.time.advance(5_000);
+    assert.equal(cell.startsOf('aa').length, 1);
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against a task that runs again after its success: a report lists 500
   // ends, and a stopped run whose end was not among them counted as not run.
   test('holds more ends than a report lists: a stopped run is not started again', async () => {
