Keep no list of the failures of tasks that last

Cause: the number of each failed run was kept and stored in the one record of its job, also for tasks that last, whose failures count for nothing. The record outgrew what the store accepts. Change: failures are kept only where they count as attempts, and not after the task or its job is done. A longer list of an earlier version is read for its run numbers and dropped. An end that changes nothing that is stored is no longer written before it is acknowledged. Now the size is constant and the list is gone with the next write.

--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -144,8 +144,8 @@
     const {step} = task;
     const record = step.jobRecord;
     this.recordFailure(worker, record.definition.id);
-    if (!task.addFailure(run) || task.done) return;
-    if (step.definition.longRunning || record.outcome !== 'open') return;
+    if (task.done || record.outcome !== 'open') return;
+    if (!step.countsFailures || !task.addFailure(run)) return;
     const attempts = queues.ofStep(step)?.attempts;
     if (attempts === undefined || countFailures(step, task) < attempts) return;
     options.log.event('info', 'jobFailed', {
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -168,8 +168,10 @@
   }
   for (const [index, run] of stored.failed) {
     const task = instance.tasks[index];
-    task?.addFailure(run);
-    if (task !== undefined) task.highestRun = Math.max(task.highestRun, run);
+    if (task === undefined) continue;
+    task.highestRun = Math.max(task.highestRun, run);
+    // Earlier versions also stored failures that do not count.
+    if (instance.countsFailures) task.addFailure(run);
   }
   for (const [index, checkpoint] of stored.checkpoints) {
     const task = instance.tasks[index];
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -56,6 +56,20 @@
   return isGivenUp && task.highestRun > run;
 }
 
+/**
+ * Returns whether the end of a run has to be stored before its worker may forget
+ * it. A success is stored even if the task is done already: the end that made it
+ * done may not be stored yet.
+ */
+function changesStoredProgress(
+  task: jobTask.JobTask,
+  {endKind, checkpoint}: remoteWorker.ReportedRunEnd,
+): boolean {
+  const {step} = task;
+  if (!step.jobRecord.started || checkpoint !== '') return true;
+  return endKind === 'done' || (endKind === 'failed' && step.countsFailures);
+}
+
 /** Applies worker reports to the jobs and their runs. */
 export class RunTracker {
   constructor(
@@ -194,7 +208,7 @@
         this.listener.successSuperseded(task, worker, reportedEnd.run);
         continue;
       }
-      affectedTasks.add(task);
+      if (changesStoredProgress(task, reportedEnd)) affectedTasks.add(task);
       if (reportedEnd.checkpoint !== '' && !task.done) {
         task.checkpoint = reportedEnd.checkpoint;
       }
--- a/src/jobs/step_instance.ts
+++ b/src/jobs/step_instance.ts
@@ -40,6 +40,11 @@
     return checkpointing && !gang && !longRunning;
   }
 
+  /** Whether failed runs count as attempts; tasks that last have no limit. */
+  get countsFailures(): boolean {
+    return !this.definition.longRunning;
+  }
+
   get done(): boolean {
     return this.doneTaskCount === this.tasks.length;
   }
--- /dev/null
+++ b/test/jobs/failing_service_test.ts
@@ -0,0 +1,90 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as jobCell from '../support/job_cell.js';
+import type * as jobRecord from '../../src/jobs/job_record.js';
+import type * as workerModel from '../../stand_ins/worker_model.js';
+
+const {describe, test} = nodeTest;
+
+/** Tasks of the widest service on the users' sites. */
+const TASK_COUNT = 48;
+
+const RUN_TIME_MS = 75;
+
+/** Size that the record of a job that fails for ever stays under. */
+const RECORD_LIMIT_BYTES = 64 * 1_024;
+
+const FAILS_AT_ONCE: workerModel.RunPlan = () => ({
+  runTimeMs: RUN_TIME_MS,
+  outcome: 'failed',
+});
+
+const SERVICE = jobCell.jobOf('service', {
+  count: TASK_COUNT,
+  longRunning: true,
+  size: {...jobCell.STEP.size, processors: 100},
+});
+
+function recordBytes(cell: jobCell.JobCell): number {
+  const progress = cell.journal.progress.get('service');
+  return JSON.stringify(progress ?? {}).length;
+}
+
+describe('a service whose tasks fail at once', () => {
+  // Guards against a record that grows with each failure until the store refuses
+  // it, and with it every other record of the cell.
+  test('keeps a record of constant size', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(FAILS_AT_ONCE, 'one', 'two');
+    const scheduler = await cell.startTerm(1);
+    jobCell.submit(scheduler, SERVICE);
+    await cell.time.advance(2_000);
+    const early = recordBytes(cell);
+    await cell.time.advance(20_000);
+    assert.ok(cell.startsOf('service').length > 2 * TASK_COUNT);
+    assert.equal(recordBytes(cell), early);
+    assert.ok(early < RECORD_LIMIT_BYTES);
+  });
+
+  // Guards against a successor that carries on with the list that an earlier
+  // version has stored.
+  test('shrinks the record that an earlier version has stored', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(FAILS_AT_ONCE, 'one');
+    const first = await cell.startTerm(1);
+    jobCell.submit(first, SERVICE);
+    await cell.time.advance(500);
+    first.retire();
+    const failed = Array.from(
+      {length: 30_000},
+      (_unused, index) => [index % TASK_COUNT, index] as const,
+    );
+    const step = {occurrence: 0, position: 0, done: [], checkpoints: []};
+    const stored: jobRecord.JobProgress = {
+      outcome: 'open',
+      started: true,
+      steps: [{...step, failed}],
+    };
+    cell.journal.progress.set('service', stored);
+    assert.ok(recordBytes(cell) > 262_144);
+    const successor = await cell.startTerm(2);
+    successor.cancel('orders', 'service', () => {});
+    await cell.time.advance(1_000);
+    assert.ok(recordBytes(cell) < 1_024, `${recordBytes(cell)} bytes`);
+    assert.equal(successor.stateOf('orders', 'service'), 'cancelled');
+  });
+
+  // Guards against a write to the store for each end that changes nothing there.
+  test('stores nothing for a failure that does not count', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(FAILS_AT_ONCE, 'one');
+    const scheduler = await cell.startTerm(1);
+    jobCell.submit(scheduler, SERVICE);
+    await cell.time.advance(2_000);
+    const {appendCount} = cell.journal;
+    const startCount = cell.startsOf('service').length;
+    await cell.time.advance(20_000);
+    assert.ok(cell.startsOf('service').length > startCount + TASK_COUNT);
+    assert.ok(cell.journal.appendCount - appendCount <= 1);
+  });
+});
