Space the restarts of services that fail soon after each start

Cause: a task that lasts was started again at once, however it ended. Change: the first restart after a failure is immediate; further ones wait 0.5 s, 1 s, 2 s and at most 4 s, which is less than the six seconds after which a task without a run counts as lost. A run of ten seconds starts afresh. Counter "restarts", log line restartDelayed.

--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -1,4 +1,6 @@
+import * as restartBackoff from './restart_backoff.js';
 import type * as adviceCache from './advice_cache.js';
+import type * as clock from '../machines/clock.js';
 import type * as dispatcher from './dispatcher.js';
 import type * as jobTable from './job_table.js';
 import type * as jobRecord from './job_record.js';
@@ -27,6 +29,8 @@
 
 /** Advances jobs from acceptance through their steps to their outcome. */
 export class JobLifecycle implements runTracker.RunListener {
+  private readonly restartBackoff = new restartBackoff.RestartBackoff();
+
   constructor(private readonly dependencies: JobLifecycleDependencies) {}
 
   /** Opens the steps of an accepted job that are ready. */
@@ -35,6 +39,13 @@
     this.dependencies.requestPlacementPass();
   }
 
+  /** Lets the tasks restart whose delay is over. */
+  reviewRestarts(now: clock.Milliseconds): void {
+    if (this.restartBackoff.review(now)) {
+      this.dependencies.requestPlacementPass();
+    }
+  }
+
   /** Opens the occurrences of scheduled jobs that are due. */
   openDueOccurrences(): void {
     const nowUnixMs = this.dependencies.options.wallClock();
@@ -56,6 +67,7 @@
     this.dependencies.options.counters.count('runs_ended', endKind);
     if (endKind === 'done') this.taskDone(task, worker);
     if (endKind === 'failed') this.taskFailed(task, worker, run);
+    if (endKind === 'done' || endKind === 'failed') this.delayRestart(task);
     if (record.outcome === 'open' && !step.done) {
       this.dependencies.openSteps.open(step);
     }
@@ -135,6 +147,19 @@
     if (record.allDone) this.settle(record, 'completed');
   }
 
+  /** Delays the restart of a task that lasts and keeps ending by itself. */
+  private delayRestart(task: jobTask.JobTask): void {
+    const {step} = task;
+    if (!step.definition.longRunning) return;
+    if (step.jobRecord.outcome !== 'open') return;
+    const {options} = this.dependencies;
+    const delayMs = this.restartBackoff.runEnded(task, options.clock.now());
+    const reason = delayMs > 0 ? 'delayed' : 'immediate';
+    options.counters.count('restarts', reason);
+    if (delayMs === 0) return;
+    options.log.event('info', 'restartDelayed', {task: task.name, delayMs});
+  }
+
   private taskFailed(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -333,6 +333,7 @@
     this.dispatcher.retryCommands();
     loopMeter.measure('workerReview', () => this.workerLifecycle.review(now));
     this.jobLifecycle.openDueOccurrences();
+    this.jobLifecycle.reviewRestarts(now);
     this.jobTable.dropSettled(now, retentionTimes.stateKeptMs);
     loopMeter.measure('forecast', () => this.admission.review(now));
     loopMeter.measure('runReview', () => this.runReplacer.review(now));
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -88,7 +88,10 @@
   checkpoint = '';
   /** Number of runs stopped because they stalled or were slow. */
   replacementCount = 0;
+  /** When the last run was started. */
+  lastStartedAt: clock.Milliseconds = -Infinity;
   private readonly activeAssignments: Assignment[] = [];
+  private startDelayed = false;
   private readonly failedRunNumbers = new Set<number>();
 
   constructor(
@@ -114,12 +117,27 @@
     return this.activeAssignments;
   }
 
+  /** Whether the task may be started now, apart from its step's order. */
   get waiting(): boolean {
-    return !this.done && this.assignments.length === 0;
+    return !this.done && !this.startDelayed && this.assignments.length === 0;
+  }
+
+  /** Keeps the task from being started until `allowStart`. */
+  delayStart(): void {
+    if (this.waiting) this.step.taskStoppedWaiting();
+    this.startDelayed = true;
+  }
+
+  /** Ends the delay of `delayStart`. */
+  allowStart(): void {
+    if (!this.startDelayed) return;
+    this.startDelayed = false;
+    if (this.waiting) this.step.taskWaits();
   }
 
   addAssignment(assignment: Assignment): void {
     if (this.waiting) this.step.taskStoppedWaiting();
+    this.lastStartedAt = assignment.startedAt;
     this.activeAssignments.push(assignment);
   }
 
