--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -23,7 +23,9 @@
   | 'noRoomInTime'
   /** A newer configuration exists, which this process could not get yet. */
   | 'notReady'
-  | 'unknownQueue';
+  | 'unknownQueue'
+  /** The store can't hold a record of the job's size. */
+  | 'recordTooLarge';
 
 /** Outcome of the submission of a job that is definitely not accepted. */
 export interface SubmitRefused {
@@ -190,8 +192,11 @@
     }
     this.waitingListeners.set(id, [answer]);
     this.queues.keep(definition.queue);
-    const record = this.jobTable.accept(definition, arrivedAt, stored =>
-      this.handleStored(stored),
+    const record = this.jobTable.accept(
+      definition,
+      arrivedAt,
+      stored => this.handleStored(stored),
+      rejected => this.handleRejected(rejected),
     );
     if (queue) this.forecast.add(record, queue, now);
     return true;
@@ -311,6 +316,12 @@
     return this.journal.unansweredMs(this.options.clock.now());
   }
 
+  private handleRejected({definition}: jobRecord.JobRecord): void {
+    const listeners = this.waitingListeners.get(definition.id) ?? [];
+    this.waitingListeners.delete(definition.id);
+    for (const answer of listeners) this.refuse('recordTooLarge', answer);
+  }
+
   private handleStored(record: jobRecord.JobRecord): void {
     const {id, queue} = record.definition;
     const listeners = this.waitingListeners.get(id) ?? [];
--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -62,9 +62,26 @@
   readonly bytes: number;
 }
 
+/** Why the store can never hold a change. */
+export interface ChangeRejection {
+  readonly reason: 'recordTooLarge' | 'keyTooLong' | 'rejectedByStore';
+  /** Size of the record or key; undefined if only the store knows. */
+  readonly bytes?: number;
+  readonly limitBytes?: number;
+}
+
+/** Size of a change in the store. */
+export interface ChangeSize {
+  readonly bytes: number;
+  /** Undefined if the store can hold the change. */
+  readonly rejection?: ChangeRejection;
+}
+
 /** Outcome of a call to the journal's store. */
 export type StoreOutcome =
   | 'stored'
+  /** Not stored, and never will be: a change breaks a limit of the store. */
+  | 'rejected'
   /** Definitely not stored; safe to retry. */
   | 'refused'
   /** May be stored now or later; the same call is safe to repeat. */
@@ -83,6 +100,8 @@
   load(
     onPart?: (byteCount: number) => void,
   ): Promise<JournalContent | undefined>;
+  /** Returns the size of a change, and whether the store can hold it. */
+  measure(change: JournalChange): ChangeSize;
   /**
    * Stores a batch of changes atomically. `sequence` rises by one with each new
    * batch; a call with the same number repeats the batch idempotently.
@@ -115,11 +134,24 @@
 /** Most changes of one call, which are encoded in one event loop turn. */
 const MAXIMUM_BATCH_SIZE = 250;
 
+/** Size that a call does not exceed unless it has one change only. */
+const MAXIMUM_BATCH_BYTES = 1_048_576;
+
+/** Called when the store can never hold the change that it was passed with. */
+export type RejectedListener = (rejection: ChangeRejection) => void;
+
 /** A change that is not stored yet. */
 interface PendingChange {
   /** Returns the change; called on sending. */
   readonly read: () => JournalChange;
   readonly listeners: ReadonlyArray<StoredListener>;
+  readonly onRejected: RejectedListener | undefined;
+}
+
+/** The changes of one call, by their keys. */
+interface Batch {
+  readonly pending: ReadonlyMap<string, PendingChange>;
+  readonly changes: ReadonlyArray<JournalChange>;
 }
 
 /**
@@ -134,6 +166,8 @@
   private unansweredSince: clock.Milliseconds | undefined;
   /** Whether a call since `unansweredSince` was given up or refused. */
   private hasFailedCall = false;
+  /** Number of coming calls with one change each, to find a rejected one. */
+  private singleChangeCalls = 0;
 
   constructor(
     private readonly store: JobJournalStore,
@@ -141,6 +175,10 @@
     private readonly clock: clock.Clock,
     private readonly timer: DelayTimer,
     private readonly onSuperseded: () => void,
+    private readonly onRejected: (
+      key: string,
+      rejection: ChangeRejection,
+    ) => void,
   ) {}
 
   /**
@@ -162,12 +200,17 @@
   }
 
   /** Queues a change, replacing one with its key; calls `read` on sending. */
-  put(key: string, read: () => JournalChange, onStored?: StoredListener): void {
+  put(
+    key: string,
+    read: () => JournalChange,
+    onStored?: StoredListener,
+    onRejected?: RejectedListener,
+  ): void {
     const replaced = this.pending.get(key)?.listeners ?? [];
     const listeners =
       onStored === undefined ? replaced : [...replaced, onStored];
     this.pending.delete(key);
-    this.pending.set(key, {read, listeners});
+    this.pending.set(key, {read, listeners, onRejected});
     if (!this.writing) void this.writePending();
   }
 
@@ -191,31 +234,87 @@
 
   /** Sends the oldest changes until they are stored or definitely are not. */
   private async appendBatch(): Promise<void> {
-    const sent = this.takeBatch();
-    const changes = [...sent.values()].map(({read}) => read());
+    const {pending: sent, changes} = this.takeBatch();
+    if (changes.length === 0) return;
     this.unansweredSince ??= this.clock.now();
     const outcome = await this.appendUntilCertain(this.sequence + 1, changes);
-    if (outcome === 'refused') {
-      this.requeue(sent);
-      await this.timer.delay(RETRY_DELAY_MS);
+    switch (outcome) {
+      case 'refused':
+        this.requeue(sent);
+        await this.timer.delay(RETRY_DELAY_MS);
+        return;
+      case 'rejected':
+        this.recordAnswer();
+        this.handleRejectedBatch(sent);
+        return;
+      case 'stored':
+        this.sequence += 1;
+        this.recordAnswer();
+        for (const {listeners} of sent.values()) {
+          for (const listener of listeners) listener();
+        }
+        return;
+      case 'closed':
     }
-    if (outcome !== 'stored') return;
-    this.sequence += 1;
+  }
+
+  private recordAnswer(): void {
     this.unansweredSince = undefined;
     this.hasFailedCall = false;
-    for (const {listeners} of sent.values()) {
-      for (const listener of listeners) listener();
-    }
   }
 
-  private takeBatch(): ReadonlyMap<string, PendingChange> {
+  /** Takes the oldest changes; drops those that the store can never hold. */
+  private takeBatch(): Batch {
     const batch = new Map<string, PendingChange>();
-    for (const [key, change] of this.pending) {
-      if (batch.size === MAXIMUM_BATCH_SIZE) break;
-      batch.set(key, change);
+    const changes: JournalChange[] = [];
+    const maximumSize = this.singleChangeCalls > 0 ? 1 : MAXIMUM_BATCH_SIZE;
+    this.singleChangeCalls = Math.max(0, this.singleChangeCalls - 1);
+    let batchBytes = 0;
+    for (const [key, pendingChange] of this.pending) {
+      if (batch.size === maximumSize) break;
+      const change = pendingChange.read();
+      const {bytes, rejection} = this.store.measure(change);
+      if (rejection !== undefined) {
+        this.reject(key, pendingChange, rejection);
+        continue;
+      }
+      if (batch.size > 0 && batchBytes + bytes > MAXIMUM_BATCH_BYTES) break;
+      batchBytes += bytes;
+      batch.set(key, pendingChange);
+      changes.push(change);
       this.pending.delete(key);
     }
-    return batch;
+    return {pending: batch, changes};
+  }
+
+  /**
+   * Drops a change that can never be stored. If its listener queues another one
+   * in its place, those who wait for the change wait for that one.
+   */
+  private reject(
+    key: string,
+    rejected: PendingChange,
+    rejection: ChangeRejection,
+  ): void {
+    if (this.pending.get(key) === rejected) this.pending.delete(key);
+    this.onRejected(key, rejection);
+    rejected.onRejected?.(rejection);
+    const replacement = this.pending.get(key);
+    if (replacement === undefined) return;
+    const listeners = [...rejected.listeners, ...replacement.listeners];
+    this.pending.set(key, {...replacement, listeners});
+  }
+
+  /** Finds the change at fault by sending each of the batch by itself. */
+  private handleRejectedBatch(sent: ReadonlyMap<string, PendingChange>): void {
+    if (sent.size > 1) {
+      this.requeue(sent);
+      this.singleChangeCalls = sent.size;
+      return;
+    }
+    for (const [key, change] of sent) {
+      this.reject(key, change, {reason: 'rejectedByStore'});
+    }
   }
 
   /** Queues a refused batch again, before the changes that came later. */
@@ -226,7 +325,7 @@
     for (const [key, change] of newer) {
       const earlier = this.pending.get(key)?.listeners ?? [];
       const listeners = [...earlier, ...change.listeners];
-      this.pending.set(key, {read: change.read, listeners});
+      this.pending.set(key, {...change, listeners});
     }
   }
 
@@ -237,7 +336,7 @@
   private async appendUntilCertain(
     sequence: number,
     changes: ReadonlyArray<JournalChange>,
-  ): Promise<'stored' | 'refused' | 'closed'> {
+  ): Promise<'stored' | 'rejected' | 'refused' | 'closed'> {
     let outcomeUnknown = false;
     while (!this.closed) {
       const outcome = await this.store.append(
@@ -246,7 +345,7 @@
         changes,
         outcomeUnknown ? RETRY_TIMEOUT_MS : APPEND_TIMEOUT_MS,
       );
-      if (outcome === 'stored') return 'stored';
+      if (outcome === 'stored' || outcome === 'rejected') return outcome;
       this.hasFailedCall = true;
       if (outcome === 'superseded') {
         this.closed = true;
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -117,11 +117,14 @@
     }
   }
 
+  /** Progress to store; once the job has settled, that of its steps is over. */
   progress(): JobProgress {
+    const {outcome, started} = this;
+    if (outcome !== 'open') return {outcome, started, steps: []};
     const steps = this.steps.map(instance => progressOf(instance));
     return {
-      outcome: this.outcome,
-      started: this.started,
+      outcome,
+      started,
       steps: steps.filter(
         step =>
           step.done.length + step.failed.length > 0 ||
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -20,6 +20,7 @@
 import * as workerTable from './worker_table.js';
 import * as workerLifecycle from './worker_lifecycle.js';
 import * as workerReliability from '../machines/worker_reliability.js';
+import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
@@ -104,10 +105,13 @@
       clock,
       timer,
       () => options.onSuperseded('journal'),
+      (key, rejection) => this.recordRejected(key, rejection),
     );
     const queues = new queueTable.QueueTable(this.journal);
     this.queues = queues;
-    this.jobTable = new jobTable.JobTable(this.journal, clock);
+    this.jobTable = new jobTable.JobTable(this.journal, clock, record =>
+      this.jobLifecycle.settle(record, 'failed'),
+    );
     this.adviceCache = new adviceCache.AdviceCache(
       options.adviceClient,
       clock,
@@ -380,6 +384,23 @@
     this.options.counters.count('starts', 'confirmed');
   }
 
+  /** The store can never hold a record; only that record is at fault. */
+  private recordRejected(
+    key: string,
+    {reason, bytes, limitBytes}: jobJournal.ChangeRejection,
+  ): void {
+    const {counters, log} = this.options;
+    counters.count('records_rejected', reason);
+    const {code} = result.RESULT_CODES.recordTooLarge;
+    log.event('error', 'recordRejected', {
+      code,
+      key,
+      reason,
+      bytes,
+      limitBytes,
+    });
+  }
+
   private workerReported(worker: remoteWorker.RemoteWorker): void {
     this.takeoverTimeline.complete('firstReport');
     this.idleCapacityThrottle.review(worker, this.options.clock.now());
--- a/src/jobs/job_table.ts
+++ b/src/jobs/job_table.ts
@@ -17,6 +17,8 @@
   constructor(
     private readonly journal: jobJournal.JobJournal,
     private readonly clock: clock.Clock,
+    /** Called when the store can't hold the progress of an open job. */
+    private readonly onProgressRejected: (record: jobRecord.JobRecord) => void,
   ) {}
 
   /** Returns the open jobs that have an occurrence due. */
@@ -55,11 +57,15 @@
     return record;
   }
 
-  /** Adds and stores a new job; calls `onStored` when it may start. */
+  /**
+   * Adds and stores a new job; calls `onStored` when it may start, or
+   * `onRejected` when the store can't hold it.
+   */
   accept(
     definition: job.JobDefinition,
     arrivedAt: clock.Milliseconds,
     onStored: (record: jobRecord.JobRecord) => void,
+    onRejected: (record: jobRecord.JobRecord) => void,
   ): jobRecord.JobRecord {
     const record = new jobRecord.JobRecord(definition, arrivedAt);
     this.add(record);
@@ -72,6 +78,11 @@
         record.accepted = true;
         onStored(record);
       },
+      () => {
+        if (this.jobs.get(definition.id) !== record) return;
+        this.remove(definition.id);
+        onRejected(record);
+      },
     );
     return record;
   }
@@ -101,6 +112,9 @@
         }
         onStored?.();
       },
+      () => {
+        if (record.outcome === 'open') this.onProgressRejected(record);
+      },
     );
   }
 
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -41,6 +41,8 @@
     switch (outcome.kind) {
       case 'appended':
         return {kind: 'won', term: outcome.offset + 1};
+      case 'rejected':
+        return {kind: 'refused', detail: outcome.detail};
       case 'refused':
       case 'unanswered':
         return outcome;
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -31,6 +31,7 @@
     'noRoomInTime',
     'notReady',
     'unknownQueue',
+    'recordTooLarge',
   ],
 );
 
--- a/src/links/keyed_topic.ts
+++ b/src/links/keyed_topic.ts
@@ -31,6 +31,8 @@
   | {readonly kind: 'fenced'}
   /** The sequence number does not follow the last stored one. */
   | {readonly kind: 'outOfSequence'; readonly expected: number | undefined}
+  /** Not appended, and never will be: the call breaks a limit of the store. */
+  | {readonly kind: 'rejected'; readonly detail: string}
   /** Definitely not appended; safe to retry. */
   | {readonly kind: 'refused'; readonly detail: string}
   /** May have been appended, or may still be. */
@@ -53,6 +55,9 @@
 /** Called with the size in bytes of a part of a response that has arrived. */
 export type PartListener = (byteCount: number) => void;
 
+/** Longest key, whose length has one byte in its record. */
+export const MAXIMUM_KEY_BYTES = 255;
+
 /** One keyed topic in the platform's store; no call rejects its promise. */
 export interface KeyedTopic {
   append(
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -1,11 +1,11 @@
 import * as timers from 'node:timers/promises';
 import * as jsonDocument from './json_document.js';
+import * as keyedTopic from './keyed_topic.js';
 import * as recordChecks from './record_checks.js';
 import * as storedWorkerMerger from './stored_worker_merger.js';
 import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as jobRecord from '../jobs/job_record.js';
-import type * as keyedTopic from './keyed_topic.js';
 
 /** Producer of all terms, so that a later term fences earlier ones. */
 const PRODUCER_NAME = 'scheduler';
@@ -26,9 +26,39 @@
 
 const TOMBSTONE = new Uint8Array(0);
 
+/** Largest record of a store that states no limit. */
+export const DEFAULT_MAXIMUM_RECORD_BYTES = 262_144;
+
+/** Bytes of a record that hold the length of its key. */
+const KEY_LENGTH_BYTES = 1;
+
 /** Journal in a keyed topic: two keys per job and one per worker. */
 export class TopicJournalStore implements jobJournal.JobJournalStore {
-  constructor(private readonly topic: keyedTopic.KeyedTopic) {}
+  /** Records of measured changes, so that each is encoded once. */
+  private readonly encoded = new WeakMap<
+    jobJournal.JournalChange,
+    ReadonlyArray<keyedTopic.KeyedRecord>
+  >();
+
+  constructor(
+    private readonly topic: keyedTopic.KeyedTopic,
+    private readonly maximumRecordBytes = DEFAULT_MAXIMUM_RECORD_BYTES,
+  ) {}
+
+  measure(change: jobJournal.JournalChange): jobJournal.ChangeSize {
+    const records = this.recordsOf(change);
+    let bytes = 0;
+    for (const {key, value} of records) {
+      const keyBytes = Buffer.byteLength(key);
+      const recordBytes = KEY_LENGTH_BYTES + keyBytes + value.length;
+      bytes += recordBytes;
+      const rejection =
+        rejectionOf('keyTooLong', keyBytes, keyedTopic.MAXIMUM_KEY_BYTES) ??
+        rejectionOf('recordTooLarge', recordBytes, this.maximumRecordBytes);
+      if (rejection !== undefined) return {bytes, rejection};
+    }
+    return {bytes};
+  }
 
   async open(term: number): Promise<jobJournal.StoreOutcome> {
     // An append without records raises the epoch and writes nothing.
@@ -86,7 +116,18 @@
     changes: ReadonlyArray<jobJournal.JournalChange>,
     timeoutMs: number,
   ): Promise<jobJournal.StoreOutcome> {
-    return this.send(changes.flatMap(toRecords), term, sequence, timeoutMs);
+    const records = changes.flatMap(change => this.recordsOf(change));
+    return this.send(records, term, sequence, timeoutMs);
+  }
+
+  private recordsOf(
+    change: jobJournal.JournalChange,
+  ): ReadonlyArray<keyedTopic.KeyedRecord> {
+    const known = this.encoded.get(change);
+    if (known !== undefined) return known;
+    const records = toRecords(change);
+    this.encoded.set(change, records);
+    return records;
   }
 
   private async send(
@@ -105,6 +146,8 @@
       case 'outOfSequence':
         // An earlier call stored this sequence, but its answer was lost.
         return outcome.expected === sequence + 1 ? 'stored' : 'refused';
+      case 'rejected':
+        return 'rejected';
       case 'conditionFailed':
       case 'refused':
         return 'refused';
@@ -114,6 +157,14 @@
   }
 }
 
+function rejectionOf(
+  reason: jobJournal.ChangeRejection['reason'],
+  bytes: number,
+  limitBytes: number,
+): jobJournal.ChangeRejection | undefined {
+  return bytes > limitBytes ? {reason, bytes, limitBytes} : undefined;
+}
+
 function toRecords(
   change: jobJournal.JournalChange,
 ): ReadonlyArray<keyedTopic.KeyedRecord> {
--- a/src/result.ts
+++ b/src/result.ts
@@ -148,6 +148,14 @@
     'no',
     'The queue has no job of this identity, or removed it after its end.',
   ),
+  recordTooLarge: row(
+    1015,
+    'recordTooLarge',
+    413,
+    'notRun',
+    'afterCorrection',
+    'The job needs a larger record than the store accepts.',
+  ),
   malformedCall: row(
     1020,
     'malformedCall',
--- a/test/jobs/failing_service_test.ts
+++ b/test/jobs/failing_service_test.ts
@@ -109,6 +109,48 @@
     assert.equal(successor.stateOf('orders', 'service'), 'cancelled');
   });
 
+  // Guards against a cell that no job ends in any more: progress that the store
+  // can't hold ends its own job and no other.
+  test('ends a job whose progress the store can not hold', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(({task}) => {
+      const index = Number(task.split('.')[3]);
+      return {runTimeMs: 500 + 10 * index, outcome: 'done'};
+    }, 'one');
+    const scheduler = await cell.startTerm(1);
+    const size = {...jobCell.STEP.size, processors: 10, memory: 1};
+    jobCell.submit(scheduler, jobCell.jobOf('large', {count: 300, size}));
+    jobCell.submit(scheduler, jobCell.jobOf('small', {}));
+    await cell.time.advance(500);
+    cell.journal.recordLimitBytes = 600;
+    await cell.time.advance(5_000);
+    assert.equal(scheduler.stateOf('orders', 'large'), 'failed');
+    assert.equal(scheduler.stateOf('orders', 'small'), 'completed');
+    assert.equal(scheduler.isServing, true);
+  });
+
+  // Guards against a caller that gets no answer: its job does not fit a record.
+  test('refuses a job whose definition the store can not hold', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(jobCell.ONE_SECOND_RUNS, 'one');
+    const scheduler = await cell.startTerm(1);
+    cell.journal.recordLimitBytes = 2_000;
+    const definition = {
+      ...jobCell.jobOf('large', {}),
+      payload: 'x'.repeat(2_000),
+    };
+    const large = jobCell.submit(scheduler, definition);
+    const small = jobCell.submit(scheduler, jobCell.jobOf('small', {}));
+    await cell.time.advance(500);
+    assert.deepEqual(large.outcome, {
+      kind: 'refused',
+      reason: 'recordTooLarge',
+      retryAfterSeconds: 1,
+    });
+    assert.equal(small.outcome?.kind, 'accepted');
+    assert.equal(scheduler.knows('large'), false);
+  });
+
   // Guards against a write to the store for each end that changes nothing there.
   test('stores nothing for a failure that does not count', async () => {
     const cell = new jobCell.JobCell();
--- a/test/jobs/job_journal_test.ts
+++ b/test/jobs/job_journal_test.ts
@@ -12,16 +12,25 @@
   readonly store: fakeJournalStore.FakeJournalStore;
   readonly journal: jobJournal.JobJournal;
   readonly superseded: () => number;
+  readonly rejectedKeys: ReadonlyArray<string>;
 }
 
 function createFixture(term = 1): Fixture {
   const time = new simulatedClock.SimulatedClock();
   const store = new fakeJournalStore.FakeJournalStore(time);
   let superseded = 0;
-  const journal = new jobJournal.JobJournal(store, term, time, time, () => {
-    superseded += 1;
-  });
-  return {time, store, journal, superseded: () => superseded};
+  const rejectedKeys: string[] = [];
+  const journal = new jobJournal.JobJournal(
+    store,
+    term,
+    time,
+    time,
+    () => {
+      superseded += 1;
+    },
+    key => rejectedKeys.push(key),
+  );
+  return {time, store, journal, superseded: () => superseded, rejectedKeys};
 }
 
 function progressOf(started: boolean): jobRecord.JobProgress {
@@ -127,6 +136,63 @@
     assert.equal(journal.withdraw('b'), false);
   });
 
+  // Guards against a cell that stands still: one record that is too large for the
+  // store was sent again for ever, and all others waited behind it.
+  for (const limit of ['recordLimitBytes', 'unannouncedLimitBytes'] as const) {
+    test(`drops only the change that breaks a limit (${limit})`, async () => {
+      const {time, store, journal, rejectedKeys} = createFixture();
+      store[limit] = 1_000;
+      const stored: string[] = [];
+      const put = (id: string): void =>
+        journal.put(
+          id,
+          () => ({kind: 'dropped', id}),
+          () => stored.push(id),
+        );
+      put('a');
+      put('large'.repeat(300));
+      put('b');
+      await time.advance(500);
+      assert.deepEqual(stored, ['a', 'b']);
+      assert.deepEqual(rejectedKeys, ['large'.repeat(300)]);
+      assert.equal(journal.unansweredMs(time.now()), 0);
+      put('c');
+      await time.advance(100);
+      assert.deepEqual(stored, ['a', 'b', 'c']);
+    });
+  }
+
+  // Guards against a caller that waits for ever for a change that was replaced
+  // because the store could not hold it.
+  test('reports a rejected change once the one in its place is stored', async () => {
+    const {time, store, journal} = createFixture();
+    store.recordLimitBytes = 1_000;
+    let stored = 0;
+    const countStored = (): void => {
+      stored += 1;
+    };
+    journal.put(
+      'a',
+      () => ({kind: 'dropped', id: 'large'.repeat(300)}),
+      countStored,
+      () => journal.put('a', () => ({kind: 'dropped', id: 'a'}), countStored),
+    );
+    await time.advance(100);
+    assert.equal(stored, 2);
+  });
+
+  // Guards against a call that the store refuses because all its records together
+  // are too large.
+  test('splits a batch by its size', async () => {
+    const {time, store, journal} = createFixture();
+    store.measure = () => ({bytes: 400_000});
+    for (const id of ['a', 'b', 'c']) {
+      journal.put(id, () => ({kind: 'dropped', id}));
+    }
+    await time.advance(100);
+    assert.equal(store.appendCount, 2);
+  });
+
   // Guards against slow detection of a recovered store: for a second, no task
   // was started and no job accepted, and another process claimed to be the
   // leader.
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -31,6 +31,10 @@
     return this.content;
   }
 
+  measure(): jobJournal.ChangeSize {
+    return {bytes: 0};
+  }
+
   async append(
     _term: number,
     _sequence: number,
--- a/test/support/fake_journal_store.ts
+++ b/test/support/fake_journal_store.ts
@@ -18,6 +18,10 @@
   /** Number of coming appends that are stored but not answered. */
   lostAnswerCount = 0;
   appendCount = 0;
+  /** Size of a record, as JSON, above which it is rejected. */
+  recordLimitBytes = Infinity;
+  /** Size from which only the store's answer tells that it rejects a record. */
+  unannouncedLimitBytes = Infinity;
   /** Number of stored definitions of queues. */
   queueWriteCount = 0;
   private readonly queuesByName = new Map<string, jobJournal.StoredQueue>();
@@ -59,6 +63,13 @@
     return {jobs, workers: this.workers, queues: this.queues};
   }
 
+  measure(change: jobJournal.JournalChange): jobJournal.ChangeSize {
+    const bytes = JSON.stringify(change).length;
+    const limitBytes = this.recordLimitBytes;
+    if (bytes <= limitBytes) return {bytes};
+    return {bytes, rejection: {reason: 'recordTooLarge', bytes, limitBytes}};
+  }
+
   async append(
     term: number,
     sequence: number,
@@ -71,6 +82,10 @@
       return 'unanswered';
     }
     if (this.refusing) return 'refused';
+    const largest = Math.max(
+      ...changes.map(change => this.measure(change).bytes),
+    );
+    if (largest > this.unannouncedLimitBytes) return 'rejected';
     if (term < this.openTerm) return 'superseded';
     this.appendCount += 1;
     if (sequence > this.sequence) {
@@ -92,6 +107,9 @@
       case 'progress':
         this.progress.set(change.id, structuredClone(change.progress));
         this.recordDone(change.id, change.progress);
+        if (change.progress.outcome === 'completed') {
+          this.recordAllDone(change.id);
+        }
         return;
       case 'dropped':
         this.definitions.delete(change.id);
@@ -114,6 +132,23 @@
     }
   }
 
+  private recordAllDone(id: string): void {
+    const definition = this.definitions.get(id);
+    const occurrenceCount = definition?.schedule?.occurrences ?? 1;
+    const allTasks = (step: job.Step): ReadonlyArray<number> =>
+      Array.from({length: step.count}, (_unused, index) => index);
+    for (let occurrence = 0; occurrence < occurrenceCount; occurrence += 1) {
+      const steps = (definition?.steps ?? []).map((step, position) => ({
+        occurrence,
+        position,
+        done: allTasks(step),
+        failed: [],
+        checkpoints: [],
+      }));
+      this.recordDone(id, {outcome: 'completed', started: true, steps});
+    }
+  }
+
   private recordDone(id: string, progress: jobRecord.JobProgress): void {
     for (const {occurrence, position, done} of progress.steps) {
       for (const index of done) {
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -252,6 +252,7 @@
           () => journal.load(),
         );
       },
+      measure: change => journal.measure(change),
       append: (term, sequence, changes, timeoutMs) =>
         deliver<jobJournal.StoreOutcome>(timeoutMs, 'unanswered', () =>
           journal.append(term, sequence, changes, timeoutMs),
