--- a/test/platform/decoding_test.ts
+++ b/test/platform/decoding_test.ts
@@ -150,6 +150,18 @@
   });
 });
 
+describe('the id of a job', () => {
+  // Guards against an id that breaks task names, or that does not fit the key of
+  // a record and ended the scheduler's term.
+  test('is refused when it is too long or has other characters', () => {
+    assert.equal(jobDecoder.checkId('00f3a7c2d94b36f8'), undefined);
+    assert.equal(jobDecoder.checkId('a'.repeat(128)), undefined);
+    for (const id of ['a'.repeat(129), 'a.b', 'a/b', 'é', '']) {
+      assert.equal(jobDecoder.checkId(id)?.field, 'id');
+    }
+  });
+});
+
 describe('job decoder', () => {
   const STEP = {count: 2, cpu: 500, mem_mb: 64, est_runtime_ms: 900};
 
