Send a processor limit until its worker has confirmed it

Cause: the wanted limit was noted as the limit in force, the call's outcome was dropped, and nothing was sent again while the noted limit was the wanted one. An adopted run counted as at full speed, so that a run that an earlier leader had paused stayed paused after a failover. Change: ThrottleCommands repeats a limit until it is confirmed; the last wanted one wins.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,4 +1,5 @@
 import * as jobTask from './job_task.js';
+import * as throttleCommands from './throttle_commands.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as workerSelection from './worker_selection.js';
@@ -33,10 +34,11 @@
 /** Most commands that one call of `retryCommands` sends. */
 const MAXIMUM_RETRIES_PER_CALL = 100;
 
-/** Sends start and stop commands, each until its outcome is known. */
+/** Sends commands to workers, each until its outcome is known. */
 export class Dispatcher {
   /** Runs whose last command may need a retry. */
   private readonly unconfirmed = new Set<jobTask.Assignment>();
+  private readonly throttleCommands: throttleCommands.ThrottleCommands;
 
   constructor(
     private readonly workerClient: workerClient.WorkerClient,
@@ -48,7 +50,15 @@
     private readonly mayGrantLeases: () => boolean,
     private readonly loopMeter: loopMeter.LoopMeter,
     private readonly listener: DispatchListener,
-  ) {}
+  ) {
+    this.throttleCommands = new throttleCommands.ThrottleCommands(
+      workerClient,
+      assignmentIndex,
+      clock,
+      fencingToken,
+      (assignment, reason) => this.handleRejection(assignment, reason),
+    );
+  }
 
   /** Starts a run of a task and reserves its resources at once. */
   start(
@@ -77,6 +87,7 @@
   /** Retries unanswered commands that are due. */
   retryCommands(): void {
     const now = this.clock.now();
+    this.throttleCommands.retry(now);
     let sentCount = 0;
     for (const assignment of this.unconfirmed) {
       if (!this.needsCommand(assignment)) {
@@ -94,13 +105,7 @@
   /** Limits a run to a percentage of its processors. */
   throttle(assignment: jobTask.Assignment, percent: number): void {
     assignment.processorPercent = percent;
-    const {worker} = assignment;
-    void this.workerClient.throttle(
-      worker.entry,
-      assignment,
-      percent,
-      this.fencingToken,
-    );
+    this.throttleCommands.set(assignment, percent);
   }
 
   private needsCommand(assignment: jobTask.Assignment): boolean {
@@ -210,14 +215,23 @@
         if (outcome.kind === 'done') {
           assignment.stopConfirmedAt = this.clock.now();
         }
-        if (outcome.kind !== 'rejected') return;
-        if (outcome.reason === 'superseded') this.listener.termSuperseded();
-        if (outcome.reason === 'otherLife') {
-          this.listener.workerReplaced(worker);
+        if (outcome.kind === 'rejected') {
+          this.handleRejection(assignment, outcome.reason);
         }
       });
   }
 
+  /** Handles what a rejection says about this term or the worker's life. */
+  private handleRejection(
+    assignment: jobTask.Assignment,
+    reason: workerClient.RejectionReason,
+  ): void {
+    if (reason === 'superseded') this.listener.termSuperseded();
+    if (reason === 'otherLife') {
+      this.listener.workerReplaced(assignment.worker);
+    }
+  }
+
   private markSent(
     assignment: jobTask.Assignment,
     now: clock.Milliseconds,
--- a/src/jobs/idle_capacity_throttle.ts
+++ b/src/jobs/idle_capacity_throttle.ts
@@ -44,6 +44,10 @@
       assignment => assignment.jobTask.step.definition.usesIdleCapacity,
     );
     const highestShare = Math.max(0, ...runs.map(shareOfTarget));
+    for (const assignment of idleCapacityRuns) {
+      if (assignment.processorPercent !== undefined) continue;
+      this.throttle(assignment, initialPercent(assignment, highestShare));
+    }
     if (highestShare < RECOVERY_TARGET_SHARE) {
       this.raiseLimits(worker, idleCapacityRuns, now);
       return;
@@ -67,7 +71,7 @@
         assignment,
         Math.min(
           FULL_PERCENT,
-          assignment.processorPercent + RECOVERY_STEP_PERCENT,
+          (assignment.processorPercent ?? 0) + RECOVERY_STEP_PERCENT,
         ),
       );
     }
@@ -83,6 +87,19 @@
   }
 }
 
+/**
+ * Returns the limit of a run that an earlier term may have limited: the one that
+ * its worker reports, which it does for tasks that last, or full speed unless a
+ * service is near its target.
+ */
+function initialPercent(
+  {jobTask: task, progressPercent}: jobTask.Assignment,
+  highestShare: number,
+): number {
+  if (task.step.definition.longRunning) return progressPercent;
+  return highestShare <= THROTTLE_TARGET_SHARE ? FULL_PERCENT : 0;
+}
+
 /** Returns tail response time divided by its target; 0 without a target. */
 function shareOfTarget(assignment: jobTask.Assignment): number {
   const {targetMs} = assignment.jobTask.step.definition;
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -22,8 +22,11 @@
   progressPercent = 0;
   /** When the progress last rose, or the run was first known to run. */
   progressedAt: clock.Milliseconds;
-  /** Percentage of its processors that the run may use. */
-  processorPercent = 100;
+  /**
+   * Percentage of its processors that the run may use; undefined while it is not
+   * known, because an earlier term may have limited the run.
+   */
+  processorPercent: number | undefined = 100;
   /**
    * Last usage that the worker reported: tail response time in ms for serving
    * tasks, thousandths of a core for others.
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -181,6 +181,9 @@
       now,
     );
     assignment.confirm(now);
+    if (step.definition.usesIdleCapacity) {
+      assignment.processorPercent = undefined;
+    }
     task.highestRun = Math.max(task.highestRun, run);
     const running = task.assignments.some(other => other.phase !== 'stopping');
     this.assignmentIndex.add(assignment);
--- a/test/jobs/narrow_link_test.ts
+++ b/test/jobs/narrow_link_test.ts
@@ -48,8 +48,10 @@
     return this.workers.stop(entry, runId, fencingToken);
   }
 
-  throttle(): Promise<workerClient.CommandOutcome> {
-    return this.workers.throttle();
+  throttle(
+    ...call: Parameters<workerClient.WorkerClient['throttle']>
+  ): Promise<workerClient.CommandOutcome> {
+    return this.workers.throttle(...call);
   }
 
   async renewLeases(
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -53,9 +53,11 @@
     return this.deliver(entry, worker => worker.stop(runId, fencingToken));
   }
 
-  async throttle(): Promise<workerClient.CommandOutcome> {
-    return {kind: 'done', clockMs: undefined};
-  }
+  /** Limits a run; tests replace it to see the limits. */
+  throttle: workerClient.WorkerClient['throttle'] = async () => ({
+    kind: 'done',
+    clockMs: undefined,
+  });
 
   async renewLeases(
     entry: remoteWorker.RegistryEntry,
