Deny a job only under proof of leadership

Cause: reads, cancellations and the count of pending jobs asked for no proof. Change: "unknown" and that count are told only while the proof holds; otherwise the call goes on to the leader or is refused as retryable. Counter answers_withheld.

--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -287,6 +287,7 @@
   ): Promise<jobScheduler.CancelOutcome> | undefined {
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
+    if (!this.mayTell(servingScheduler.stateOf(queue, id))) return undefined;
     return new Promise(resolve => servingScheduler.cancel(queue, id, resolve));
   }
 
@@ -296,13 +297,26 @@
   ): {readonly state: job.JobState | undefined} | undefined {
     const {servingScheduler} = this;
     if (servingScheduler === undefined) return undefined;
-    return {state: servingScheduler.stateOf(queue, id)};
+    const state = servingScheduler.stateOf(queue, id);
+    return this.mayTell(state) ? {state} : undefined;
   }
 
   countPending(queue: string): number | undefined {
+    // A successor may have accepted jobs that this process doesn't count.
+    if (!this.hasLeadershipProof()) return undefined;
     return this.servingScheduler?.countPending(queue);
   }
 
+  /**
+   * Returns whether a job's state may be told. A successor may have accepted a
+   * job that this process doesn't know; "unknown" needs proof that none exists.
+   */
+  private mayTell(state: job.JobState | undefined): boolean {
+    if (state !== undefined || this.hasLeadershipProof()) return true;
+    this.options.counters.count('answers_withheld', 'noProof');
+    return false;
+  }
+
   advise(
     step: string,
     workerIds: ReadonlyArray<string>,
