--- a/test/platform/platform_process_test.ts
+++ b/test/platform/platform_process_test.ts
@@ -132,6 +132,27 @@
     }),
   );
 
+  // Guards against requests that are cut off by a second SIGTERM: the process
+  // ended at once, although its drain was not over.
+  test(
+    'answers open requests after a second SIGTERM, too',
+    withCell(2, async cell => {
+      const leader = cell.leader();
+      cell.store.silent = true;
+      const openCall = cell.callJobApi(leader, 'POST', 'aaaaaaaaaaaaaaa1', {
+        spec: '100',
+        steps: [{...STEP, count: 1}],
+      });
+      leader.child.signal('SIGTERM');
+      await leader.child.waitForLine(/event=stopping/);
+      leader.child.signal('SIGTERM');
+      assert.equal((await openCall).status, 504);
+      assert.equal(await leader.child.waitForExit(), 0);
+      cell.store.silent = false;
+      cell.processes.splice(cell.processes.indexOf(leader), 1);
+    }),
+  );
+
   // Guards against refusing a job that the store may still accept, and against
   // callers that are held for as long as the store is silent.
   test(
