Random cell: workers that come back under their ids, and the rule on successes

Cause: the randomised run gave each life of a worker an address of its own, so a call meant for the last life never reached the next one, and it did not look at which ends are acknowledged. Change: a variant in which a crashed worker is back within a second at its address while its entry lags, and a check of the rule itself: no start after a success that was acknowledged before its worker's lease lapsed.

--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -4,6 +4,7 @@
 import * as resources from '../../src/machines/resources.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as job from '../../src/jobs/job.js';
+import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
 /** Duration of the phase with jobs and faults. */
@@ -20,6 +21,12 @@
 
 const WORKER_COUNT = 5;
 
+/** Longest time for which a worker that comes back in place is dark. */
+const MAXIMUM_DARK_MS = 1_000;
+
+/** Longest time from a worker's return until the registry lists it. */
+const MAXIMUM_REGISTRY_LAG_MS = 2_000;
+
 /** Service to which the queue moves and from which it moves back. */
 const OTHER_SERVICE = 'annex';
 
@@ -90,6 +97,8 @@
     private readonly runtimes: RuntimeRange = USUAL_RUNTIMES,
     /** Earlier seeds keep their course without changes. */
     private readonly changesConfiguration = false,
+    /** Whether crashed workers come back under their id and address. */
+    private readonly restartsInPlace = false,
   ) {
     this.random = new randomSource.SeededRandom(seed);
   }
@@ -114,6 +123,7 @@
       this.checkInvariants();
     }
     this.checkCompleted();
+    this.checkAcknowledgedSuccesses();
     return {
       violations: this.violations,
       jobCount: this.definitions.size,
@@ -211,23 +221,22 @@
     this.currentTerm = successorTerm;
   }
 
-  private addWorker(index: number): void {
+  private addWorker(index: number, isListed = true): void {
     this.incarnationCount += 1;
+    const port = this.restartsInPlace ? 1 : this.incarnationCount;
     const entry = jobCell.registryEntry(`w${index}`, {
       born: this.incarnationCount,
-      address: `w${index}:${this.incarnationCount}`,
+      address: `w${index}:${port}`,
       service: this.serviceOf(index),
     });
-    const entries = this.cell.entries.filter(({id}) => id !== entry.id);
-    this.cell.entries = entries;
     const {minimumMs, rangeMs} = this.runtimes;
     const runtimeMs = (): number => minimumMs + this.random.below(rangeMs);
-    const model = this.cell.addWorker(entry, () => ({
+    const model = this.cell.workers.add(entry, () => ({
       runTimeMs: runtimeMs(),
       outcome: this.chance(60) ? 'failed' : 'done',
     }));
     this.models[index] = model;
-    this.currentTerm?.scheduler.updateWorkers(this.cell.entries);
+    if (isListed) this.publishEntry(entry);
   }
 
   private serviceOf(index: number): string {
@@ -252,8 +261,28 @@
   private crashWorker(): void {
     const index = this.random.below(WORKER_COUNT);
     const model = this.models[index];
+    if (model.crashed) return;
     model.crash();
-    this.addWorker(index);
+    if (this.restartsInPlace) this.restartInPlace(index);
+    else this.addWorker(index);
+  }
+
+  /**
+   * Starts the next life of a crashed worker within a second. Its entry follows
+   * later, so that calls meant for the last life reach it.
+   */
+  private restartInPlace(index: number): void {
+    const {time} = this.cell;
+    const returnsAt = time.now() + this.random.below(MAXIMUM_DARK_MS);
+    const listedAt = returnsAt + this.random.below(MAXIMUM_REGISTRY_LAG_MS);
+    time.runAt(returnsAt, () => this.addWorker(index, false));
+    time.runAt(listedAt, () => this.publishEntry(this.models[index].entry));
+  }
+
+  private publishEntry(entry: remoteWorker.RegistryEntry): void {
+    const others = this.cell.entries.filter(({id}) => id !== entry.id);
+    this.cell.entries = [...others, entry];
+    this.currentTerm?.scheduler.updateWorkers(this.cell.entries);
   }
 
   private async endFaults(): Promise<void> {
@@ -332,6 +361,25 @@
     return storedAtMs !== undefined && storedAtMs < atMs;
   }
 
+  /**
+   * Checks that no task was started after a success that counts: one that was
+   * acknowledged before its worker's lease lapsed.
+   */
+  private checkAcknowledgedSuccesses(): void {
+    const starts = this.cell.startsOf('');
+    for (const acknowledged of this.cell.workers.acknowledgedEnds) {
+      const {task, run, endKind, endedAtMs, leaseLapsed} = acknowledged;
+      if (endKind !== 'done' || leaseLapsed) continue;
+      const later = starts.find(
+        start => start.task === task && start.atMs > endedAtMs,
+      );
+      if (later === undefined) continue;
+      this.violations.push(
+        `task started after a success that counts: ${task} run ${run}, started again as run ${later.run} at ${Math.round(later.atMs)} ms`,
+      );
+    }
+  }
+
   private checkCompleted(): void {
     for (const id of this.definitions.keys()) {
       const state = this.currentTerm?.scheduler.stateOf('orders', id);
--- a/test/support/random_seeds.ts
+++ b/test/support/random_seeds.ts
@@ -7,6 +7,7 @@
   seeds: ReadonlyArray<number>,
   runtimes?: randomCell.RuntimeRange,
   changesConfiguration = false,
+  restartsInPlace = false,
 ): void {
   for (const seed of seeds) {
     nodeTest.test(`violates no invariant with seed ${seed}`, async () => {
@@ -14,6 +15,7 @@
         seed,
         runtimes,
         changesConfiguration,
+        restartsInPlace,
       ).run();
       assert.deepEqual(outcome.violations, []);
       assert.ok(outcome.startCount > 20);
