Let a leader that waits for its store recover, however it came to be suspected

Cause: when the store came back, a weak member suspected the strong leader for its late replies, asked it once more, learned that it still waited for the store, and claimed at once: the wait for the leader's recovery was decided before that ping. Change: after such a reply the member waits for the recovery and asks again. Why it works: a leader that the store answers says so in the second reply.

--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -183,14 +183,7 @@
       this.storeAnsweringSince = undefined;
       return;
     }
-    const suspectsStoreOnly = this.election.suspectsStoreOnly(clock.now());
-    if (suspectsStoreOnly) await this.awaitStoreRecovery();
-    // A member that pings rarely may suspect the leader on outdated replies.
-    const leaderAddress = this.election.newestClaim?.address;
-    const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
-    if (leaderAddress !== undefined && (suspectsStoreOnly || pingsRarely)) {
-      await this.ping(leaderAddress);
-    }
+    await this.confirmSuspicion();
     const outcome = await this.appendClaim();
     if (outcome?.kind === 'lost') {
       await timer.delay(LOST_CLAIM_RETRY_DELAY_MS);
@@ -199,6 +192,26 @@
     if (outcome?.kind === 'won') this.beginTerm(outcome.term);
   }
 
+  /** Asks the leader once more if the suspicion may be outdated. */
+  private async confirmSuspicion(): Promise<void> {
+    const leaderAddress = this.election.newestClaim?.address;
+    const suspectsStore = this.suspectsStoreOnly();
+    if (suspectsStore) await this.awaitStoreRecovery();
+    // A member that pings rarely may suspect the leader on outdated replies.
+    const pingsRarely = this.election.rank >= SUCCESSOR_COUNT;
+    if (leaderAddress === undefined || !(suspectsStore || pingsRarely)) return;
+    await this.ping(leaderAddress);
+    // The reply of a leader that was silent before may be the first to tell that
+    // it waits for the store.
+    if (suspectsStore || !this.suspectsStoreOnly()) return;
+    await this.awaitStoreRecovery();
+    await this.ping(leaderAddress);
+  }
+
+  private suspectsStoreOnly(): boolean {
+    return this.election.suspectsStoreOnly(this.options.clock.now());
+  }
+
   /** Waits while a store that has just recovered may yet answer the leader. */
   private async awaitStoreRecovery(): Promise<void> {
     const now = this.options.clock.now();
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -196,6 +196,38 @@
     assert.equal(cell.claimCount, 0);
   });
 
+  // Guards against an unnecessary failover to a weak member: a busy leader gave
+  // late replies during an outage, and the first reply after it, which told that
+  // the leader waits for the store, was reason enough to replace it at once.
+  test('waits for a leader that replies late and has no store yet', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const [leader] = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
+    const {node, incarnation, address} = leader;
+    const claim = {term: 3, node, incarnation, address};
+    const recoveryAt = 3_350;
+    const leaderRecoveryAt = recoveryAt + 300;
+    const cell: TestCell = {
+      answerPing: () => {
+        const now = clock.now();
+        if (now > 800 && now < recoveryAt) {
+          return {kind: 'unanswered', detail: 'late'};
+        }
+        return pingReplyOf(claim, now < leaderRecoveryAt ? now : 0);
+      },
+      storeAnswers: () => clock.now() >= recoveryAt,
+      claimCount: 0,
+    };
+    const lastMember = createNode(cell, clock, 'zed');
+    const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
+    lastMember.applyCellLog(members, claim, 3);
+    clock.runEvery(100, () => {
+      lastMember.tick();
+      if (clock.now() >= recoveryAt) lastMember.applyCellLog([], undefined, 3);
+    });
+    await clock.advance(6_000);
+    assert.equal(cell.claimCount, 0);
+  });
+
   // Guards against an unnecessary failover just after an outage of the store
   // that the leader noticed before this member did.
   test('waits for the leader although the store answered it earlier', async () => {
