--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -221,7 +221,7 @@
       });
   }
 
-  /** Handles what a rejection says about this term or the worker's life. */
+  /** Handles what a rejection says about this term or the worker's incarnation. */
   private handleRejection(
     assignment: jobTask.Assignment,
     reason: workerClient.RejectionReason,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -168,8 +168,8 @@
       earlierLeasesExpireAt: this.earlierLeasesExpireAt,
       requestPlacementPass,
       onReport: worker => this.workerReported(worker),
-      onEnded: (worker, nextLife) =>
-        this.runRecovery?.workerEnded(worker, nextLife),
+      onEnded: (worker, nextIncarnation) =>
+        this.runRecovery?.workerEnded(worker, nextIncarnation),
     });
     this.placementPassRunner = new placementPassRunner.PlacementPassRunner({
       options,
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -60,11 +60,11 @@
   }
 
   /**
-   * Whether a start command may be carried out by the next life of the worker,
+   * Whether a start command may be carried out by the next incarnation of the worker,
    * which has the same id: an answer may be missing, or may have come from that
-   * life. Only a report shows which life has started the run.
+   * incarnation. Only a report shows which incarnation has started the run.
    */
-  get mayStartInNextLife(): boolean {
+  get mayStartInNextIncarnation(): boolean {
     const outcomeUnknown = this.unansweredStarts + this.startsInFlight > 0;
     return outcomeUnknown || !this.reported;
   }
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -43,20 +43,20 @@
   }
 
   /**
-   * Stops waiting for a worker that has ended. Waits for its next life instead,
+   * Stops waiting for a worker that has ended. Waits for its next incarnation instead,
    * which may have carried out the starts of an earlier term.
    */
   workerEnded(
     worker: remoteWorker.RemoteWorker,
-    nextLife: remoteWorker.RemoteWorker | undefined,
+    nextIncarnation: remoteWorker.RemoteWorker | undefined,
   ): void {
-    if (nextLife === undefined) {
+    if (nextIncarnation === undefined) {
       this.keepUnreported(inherited => inherited.worker !== worker);
       return;
     }
     this.unreportedWorkers = this.unreportedWorkers.map(inherited =>
       inherited.worker === worker
-        ? {...inherited, worker: nextLife}
+        ? {...inherited, worker: nextIncarnation}
         : inherited,
     );
   }
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -109,19 +109,25 @@
   }
 
   /**
-   * Moves the runs that the next life of a worker may carry out to that life,
-   * and stops them there. Their tasks stay assigned until the new life has
+   * Moves the runs that the next incarnation of a worker may carry out to that incarnation,
+   * and stops them there. Their tasks stay assigned until the new incarnation has
    * confirmed the stop and reported that it does not run them.
    */
-  moveToNextLife(
+  moveToNextIncarnation(
     worker: remoteWorker.RemoteWorker,
-    nextLife: remoteWorker.RemoteWorker,
+    nextIncarnation: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
   ): void {
     for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
-      if (!assignment.mayStartInNextLife) continue;
+      if (!assignment.mayStartInNextIncarnation) continue;
       const {jobTask: task, run, ticket} = assignment;
-      const moved = new jobTask.Assignment(task, nextLife, run, ticket, now);
+      const moved = new jobTask.Assignment(
+        task,
+        nextIncarnation,
+        run,
+        ticket,
+        now,
+      );
       // Added first, so that the task is never without an assignment.
       this.assignmentIndex.add(moved);
       this.assignmentIndex.remove(assignment);
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -31,7 +31,7 @@
   /** Called after a worker incarnation has ended. */
   readonly onEnded: (
     worker: remoteWorker.RemoteWorker,
-    nextLife: remoteWorker.RemoteWorker | undefined,
+    nextIncarnation: remoteWorker.RemoteWorker | undefined,
   ) => void;
 }
 
@@ -104,8 +104,8 @@
       entries,
       options.clock.now(),
     );
-    for (const {worker, nextLife} of replaced) {
-      this.endIncarnation(worker, 'replaced', nextLife);
+    for (const {worker, nextIncarnation} of replaced) {
+      this.endIncarnation(worker, 'replaced', nextIncarnation);
     }
     for (const worker of joined) {
       this.openSession(worker);
@@ -154,9 +154,13 @@
       return;
     }
     const {workers, options} = this.dependencies;
-    const nextLife = workers.addNextLife(worker, born, options.clock.now());
-    this.endIncarnation(worker, 'otherLife', nextLife);
-    this.openSession(nextLife);
+    const nextIncarnation = workers.addNextIncarnation(
+      worker,
+      born,
+      options.clock.now(),
+    );
+    this.endIncarnation(worker, 'otherLife', nextIncarnation);
+    this.openSession(nextIncarnation);
   }
 
   termSuperseded(): void {
@@ -206,7 +210,7 @@
   private endIncarnation(
     worker: remoteWorker.RemoteWorker,
     reason: EndReason,
-    nextLife?: remoteWorker.RemoteWorker,
+    nextIncarnation?: remoteWorker.RemoteWorker,
   ): void {
     const {options, workers, reliability, tracker, onEnded} = this.dependencies;
     this.sessions.get(worker)?.close();
@@ -218,11 +222,15 @@
       reason,
       runs: worker.runCount,
     });
-    if (nextLife !== undefined) {
-      tracker.moveToNextLife(worker, nextLife, options.clock.now());
+    if (nextIncarnation !== undefined) {
+      tracker.moveToNextIncarnation(
+        worker,
+        nextIncarnation,
+        options.clock.now(),
+      );
     }
     tracker.endAll(worker, 'lost');
-    onEnded(worker, nextLife);
+    onEnded(worker, nextIncarnation);
     // Otherwise the next scheduler would wait for this worker's leases.
     if (this.sessionsOpen) this.storedList.removeEnded(worker);
   }
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -10,8 +10,8 @@
 /** A worker incarnation that a later one has replaced. */
 export interface ReplacedWorker {
   readonly worker: remoteWorker.RemoteWorker;
-  /** The next life under the same id; undefined if the id is another one. */
-  readonly nextLife?: remoteWorker.RemoteWorker;
+  /** The next incarnation under the same id; undefined if the id is another one. */
+  readonly nextIncarnation?: remoteWorker.RemoteWorker;
 }
 
 /** All worker incarnations on which tasks may run, by worker id. */
@@ -43,21 +43,24 @@
     );
   }
 
-  /** Adds the next life of a worker before the registry lists it. */
-  addNextLife(
+  /** Adds the next incarnation of a worker before the registry lists it. */
+  addNextIncarnation(
     worker: remoteWorker.RemoteWorker,
     born: number,
     now: clock.Milliseconds,
   ): remoteWorker.RemoteWorker {
     const entry = {...worker.entry, born};
-    const nextLife = remoteWorker.RemoteWorker.nextLife(entry, now);
-    nextLife.listed = false;
-    this.workers.set(entry.id, nextLife);
-    return nextLife;
+    const nextIncarnation = remoteWorker.RemoteWorker.nextIncarnation(
+      entry,
+      now,
+    );
+    nextIncarnation.listed = false;
+    this.workers.set(entry.id, nextIncarnation);
+    return nextIncarnation;
   }
 
   /**
-   * Adds a worker that an earlier term stored, unless it or a later life of it
+   * Adds a worker that an earlier term stored, unless it or a later incarnation of it
    * is known.
    */
   addInherited(
@@ -92,9 +95,9 @@
       // An entry older than the known incarnation of this id is stale.
       if (known && known.entry.born > entry.born) continue;
       const worker = known
-        ? remoteWorker.RemoteWorker.nextLife(entry, now)
+        ? remoteWorker.RemoteWorker.nextIncarnation(entry, now)
         : new remoteWorker.RemoteWorker(entry, now);
-      if (known) replaced.push({worker: known, nextLife: worker});
+      if (known) replaced.push({worker: known, nextIncarnation: worker});
       this.workers.set(entry.id, worker);
       joined.push(worker);
     }
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -98,8 +98,8 @@
   private capacityChanges = 0;
   private reading: {clockMs: number; receivedAt: number} | undefined;
   private latestLeaseEndMs = 0;
-  /** When a lease that was meant for the earlier life has certainly ended. */
-  private earlierLifeLeaseExpiry: clock.Milliseconds = -Infinity;
+  /** When a lease that was meant for the earlier incarnation has certainly ended. */
+  private earlierIncarnationLeaseExpiry: clock.Milliseconds = -Infinity;
   private registryEntry: RegistryEntry;
 
   constructor(entry: RegistryEntry, now: clock.Milliseconds) {
@@ -108,12 +108,16 @@
     this.update(entry, now);
   }
 
-  /** Creates the next life of a worker, which has the same id. */
-  static nextLife(entry: RegistryEntry, now: clock.Milliseconds): RemoteWorker {
+  /** Creates the next incarnation of a worker, which has the same id. */
+  static nextIncarnation(
+    entry: RegistryEntry,
+    now: clock.Milliseconds,
+  ): RemoteWorker {
     const worker = new RemoteWorker(entry, now);
-    // A call that was meant for the earlier life may reach this one. Its
+    // A call that was meant for the earlier incarnation may reach this one. Its
     // deadline is far ahead on a clock that has started anew.
-    worker.earlierLifeLeaseExpiry = now + longestLeaseMs(MAXIMUM_LEASE_MS);
+    worker.earlierIncarnationLeaseExpiry =
+      now + longestLeaseMs(MAXIMUM_LEASE_MS);
     return worker;
   }
 
@@ -225,7 +229,7 @@
    * certainly ended. A worker whose clock is unknown has been sent no lease.
    */
   lastLeaseExpiry(): clock.Milliseconds {
-    return Math.max(this.earlierLifeLeaseExpiry, this.ownLeaseExpiry());
+    return Math.max(this.earlierIncarnationLeaseExpiry, this.ownLeaseExpiry());
   }
 
   private ownLeaseExpiry(): clock.Milliseconds {
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -13,7 +13,7 @@
   /** A call was not answered, or was rejected without a report. */
   answerMissing(worker: remoteWorker.RemoteWorker): void;
   /**
-   * Another incarnation has answered at the worker's address: the next life of
+   * Another incarnation has answered at the worker's address: the next incarnation of
    * the same id, which began at `born`, or another worker if that is undefined.
    */
   workerReplaced(worker: remoteWorker.RemoteWorker, born?: number): void;
@@ -93,7 +93,7 @@
         : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
       fencingToken: this.fencingToken,
-      // After a silence the next life may answer, which counts its ends anew.
+      // After a silence the next incarnation may answer, which counts its ends anew.
       storedEndNumber:
         worker.unansweredCalls === 0 ? worker.endCursor.storedNumber : 0,
       deadlineMs,
--- a/test/jobs/next_life_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -61,9 +61,9 @@
 
 describe('a worker that is back under its id', () => {
   // Guards against a task that runs twice: a start that was on its way reached
-  // the next life of its worker, and the task was started elsewhere as soon as
-  // the registry listed that life.
-  test('carries out a start meant for its last life: the task runs once', async () => {
+  // the next incarnation of its worker, and the task was started elsewhere as soon as
+  // the registry listed that incarnation.
+  test('carries out a start meant for its last incarnation: the task runs once', async () => {
     const {cell, scheduler} = await createCell();
     cell.workers.commandDelayMs = () => 300;
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
@@ -79,7 +79,7 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against the same when the start arrives only after the next life is
+  // Guards against the same when the start arrives only after the next incarnation is
   // known: its task must not be started elsewhere before the stop is confirmed.
   test('carries out a late start after it was listed: the task runs once', async () => {
     const {cell, scheduler} = await createCell();
@@ -95,7 +95,7 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against a confirmed start that counts as one of the last life, when
+  // Guards against a confirmed start that counts as one of the last incarnation, when
   // the answer came from the next one.
   test('confirms a start before it is known: the task runs once', async () => {
     const {cell, scheduler} = await createCell();
@@ -110,7 +110,7 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against the same when a report shows the next life before the
+  // Guards against the same when a report shows the next incarnation before the
   // registry lists it.
   test('reports before the registry lists it: the task runs once', async () => {
     const {cell, scheduler} = await createCell();
@@ -128,54 +128,54 @@
   });
 
   // Guards against a task that runs twice after a failover: the next scheduler
-  // took the worker's old life as over, but a start of the earlier one had
-  // reached the new life.
-  test('is back at a failover: waits for the report of the next life', async () => {
+  // took the worker's last incarnation as over, but a start of the earlier one had
+  // reached the new incarnation.
+  test('is back at a failover: waits for the report of the next incarnation', async () => {
     const {cell, scheduler} = await createCell();
-    const nextLife = restartWorker(cell);
+    const nextIncarnation = restartWorker(cell);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(20);
     assert.equal(cell.startsOf('aa').length, 1);
     scheduler.retire();
-    nextLife.partitioned = true;
+    nextIncarnation.partitioned = true;
     useSecondWorker(cell);
     const successor = await cell.startTerm(2);
     await cell.time.advance(1_000);
-    nextLife.partitioned = false;
+    nextIncarnation.partitioned = false;
     await cell.time.advance(40_000);
     assert.deepEqual(tasksRunTwice(cell), []);
     assert.equal(successor.stateOf('orders', 'aa'), 'completed');
   });
 
-  // Guards against a task that runs twice when the next life falls silent: a
+  // Guards against a task that runs twice when the next incarnation falls silent: a
   // deadline on the old clock is far ahead on one that has started anew.
   test('falls silent with such a run: its task waits for the longest lease', async () => {
     const {cell, scheduler} = await createCell();
-    const nextLife = restartWorker(cell);
+    const nextIncarnation = restartWorker(cell);
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(20);
-    nextLife.leaseEndMs = cell.time.now() + 10_000;
-    nextLife.partitioned = true;
+    nextIncarnation.leaseEndMs = cell.time.now() + 10_000;
+    nextIncarnation.partitioned = true;
     useSecondWorker(cell);
     scheduler.updateWorkers(cell.entries);
     for (let step = 0; step < 1_200; step += 1) {
       await cell.time.advance(10);
-      nextLife.endDueRuns();
+      nextIncarnation.endDueRuns();
     }
     assert.deepEqual(tasksRunTwice(cell), []);
     assert.equal(cell.startsOf('aa').length, 2, 'the task still waits');
   });
 
-  // Guards against an end that the next life forgets unseen: an acknowledgement
-  // meant for the last life names a number that the next one has not reached.
-  test('answers after a silence: no acknowledgement of the last life reaches it', async () => {
+  // Guards against an end that the next incarnation forgets unseen: an acknowledgement
+  // meant for the last incarnation names a number that the next one has not reached.
+  test('answers after a silence: no acknowledgement of the last incarnation reaches it', async () => {
     const {cell, scheduler} = await createCell();
     jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
     await cell.time.advance(LONG_RUN_MS + 500);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
-    const lastLife = cell.workers.byAddress.get('one:1');
-    assert.ok(lastLife);
-    lastLife.partitioned = true;
+    const lastIncarnation = cell.workers.byAddress.get('one:1');
+    assert.ok(lastIncarnation);
+    lastIncarnation.partitioned = true;
     await cell.time.advance(1_500);
     const acknowledged: number[] = [];
     const {workers} = cell;
--- a/test/jobs/random_cell_next_life_test.ts
+++ b/test/jobs/random_cell_next_incarnation_test.ts
@@ -8,7 +8,7 @@
 
 nodeTest.describe('a cell whose workers come back under their ids', () => {
   // Guards against tasks that run twice because calls meant for a worker's last
-  // life, late ones too, reach the next one.
+  // incarnation, late ones too, reach the next one.
   const indexes = Array.from({length: SEED_COUNT}, (_unused, index) => index);
   const seeds = indexes.map(index => FIRST_SEED + index);
   randomSeeds.testSeeds(seeds, randomCell.SHORT_RUNTIMES, false, true);
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -268,8 +268,8 @@
   }
 
   /**
-   * Starts the next life of a crashed worker within a second. Its entry follows
-   * later, so that calls meant for the last life reach it.
+   * Starts the next incarnation of a crashed worker within a second. Its entry follows
+   * later, so that calls meant for the last incarnation reach it.
    */
   private restartInPlace(index: number): void {
     const {time} = this.cell;
