--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -111,6 +111,18 @@
   });
 }
 
+/** Ticks a node that reads nothing new from the log while the store answers. */
+function followLog(
+  node: cellNode.CellNode,
+  cell: TestCell,
+  clock: simulatedClock.SimulatedClock,
+): void {
+  clock.runEvery(100, () => {
+    node.tick();
+    if (cell.storeAnswers()) node.applyCellLog([], undefined, 3);
+  });
+}
+
 describe('cell node that met an unexpected error', () => {
   // Guards against a leader that goes on with a scheduler whose state an error
   // has left half changed, and against a cell without a scheduler after that.
@@ -187,11 +199,7 @@
     const lastMember = createNode(cell, clock, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     lastMember.applyCellLog(members, claim, 3);
-    clock.runEvery(100, () => {
-      lastMember.tick();
-      // The store answers this member again, with nothing new.
-      if (clock.now() >= recoveryAt) lastMember.applyCellLog([], undefined, 3);
-    });
+    followLog(lastMember, cell, clock);
     await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
   });
@@ -220,10 +228,7 @@
     const lastMember = createNode(cell, clock, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
     lastMember.applyCellLog(members, claim, 3);
-    clock.runEvery(100, () => {
-      lastMember.tick();
-      if (clock.now() >= recoveryAt) lastMember.applyCellLog([], undefined, 3);
-    });
+    followLog(lastMember, cell, clock);
     await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
   });
@@ -248,10 +253,7 @@
     };
     const successor = createNode(cell, clock, 'b');
     successor.applyCellLog(members, claim, 3);
-    clock.runEvery(100, () => {
-      successor.tick();
-      if (storeAnswers()) successor.applyCellLog([], undefined, 3);
-    });
+    followLog(successor, cell, clock);
     await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
   });
