--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -22,9 +22,6 @@
   startConfirmed(assignment: jobTask.Assignment): void;
 }
 
-/** Time after which an unanswered command is sent again. */
-const COMMAND_RETRY_INTERVAL_MS = 400;
-
 /** Retries of a start that are sent without a delay. */
 const FAST_RETRIES = 3;
 
@@ -95,7 +92,8 @@
         continue;
       }
       if (assignment.commandInFlight || assignment.worker.unreachable) continue;
-      if (now - assignment.lastCommandAt < COMMAND_RETRY_INTERVAL_MS) continue;
+      const sinceCommandMs = now - assignment.lastCommandAt;
+      if (sinceCommandMs < throttleCommands.COMMAND_RETRY_INTERVAL_MS) continue;
       this.retryCommand(assignment, now);
       sentCount += 1;
       if (sentCount === MAXIMUM_RETRIES_PER_CALL) return;
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -60,9 +60,9 @@
   }
 
   /**
-   * Whether a start command may be carried out by the next incarnation of the worker,
+   * Whether a start command may be carried out by the worker's next incarnation,
    * which has the same id: an answer may be missing, or may have come from that
-   * incarnation. Only a report shows which incarnation has started the run.
+   * one. Only a report shows which incarnation has started the run.
    */
   get mayStartInNextIncarnation(): boolean {
     const outcomeUnknown = this.unansweredStarts + this.startsInFlight > 0;
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -43,8 +43,8 @@
   }
 
   /**
-   * Stops waiting for a worker that has ended. Waits for its next incarnation instead,
-   * which may have carried out the starts of an earlier term.
+   * Stops waiting for a worker that has ended. Waits for its next incarnation
+   * instead, which may have carried out the starts of an earlier term.
    */
   workerEnded(
     worker: remoteWorker.RemoteWorker,
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -109,9 +109,9 @@
   }
 
   /**
-   * Moves the runs that the next incarnation of a worker may carry out to that incarnation,
-   * and stops them there. Their tasks stay assigned until the new incarnation has
-   * confirmed the stop and reported that it does not run them.
+   * Moves the runs that a worker's next incarnation may carry out to that one,
+   * and stops them there. Their tasks stay assigned until it has confirmed the
+   * stop and reported that it does not run them.
    */
   moveToNextIncarnation(
     worker: remoteWorker.RemoteWorker,
--- a/src/jobs/throttle_commands.ts
+++ b/src/jobs/throttle_commands.ts
@@ -3,8 +3,8 @@
 import type * as jobTask from './job_task.js';
 import type * as workerClient from '../machines/worker_client.js';
 
-/** Time after which a limit without a known outcome is sent again. */
-const RETRY_INTERVAL_MS = 400;
+/** Time after which a command without a known outcome is sent again. */
+export const COMMAND_RETRY_INTERVAL_MS = 400;
 
 /** Time for which an unanswered limit may still be carried out. */
 const LATE_COMMAND_MS = 10_000;
@@ -69,7 +69,7 @@
       if (limit.inFlight || assignment.worker.unreachable) continue;
       const intervalMs = limit.confirmed
         ? REPEAT_INTERVAL_MS
-        : RETRY_INTERVAL_MS;
+        : COMMAND_RETRY_INTERVAL_MS;
       if (now - limit.sentAt >= intervalMs) this.send(assignment);
     }
   }
