Reproduce the incident: a leader that is cut off with its zone

The simulated cell gets workers that all members share and partitions with members and workers on each side.

--- a/test/support/simulated_cell.ts
+++ b/test/support/simulated_cell.ts
@@ -1,9 +1,12 @@
 import * as fakeJournalStore from './fake_journal_store.js';
+import * as fakeWorkers from './fake_workers.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as simulatedClock from './simulated_clock.js';
 import * as simulatedMember from './simulated_member.js';
 import * as simulatedStore from './simulated_store.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
+import type * as remoteWorker from '../../src/machines/remote_worker.js';
+import type * as workerModel from '../../stand_ins/worker_model.js';
 
 /** Range of the one-way latency of calls. */
 const MINIMUM_LATENCY_MS = 1;
@@ -41,6 +44,9 @@
   readonly publishedVersions: VersionEvent[] = [];
   readonly takenVersions: VersionEvent[] = [];
   readonly journal = new fakeJournalStore.FakeJournalStore(this.time);
+  /** Workers that the members' schedulers call, and the registry's list. */
+  readonly workers = new fakeWorkers.FakeWorkers(this.time);
+  workerEntries: ReadonlyArray<remoteWorker.RegistryEntry> = [];
   readonly random: randomSource.SeededRandom;
   readonly members: simulatedMember.SimulatedMember[] = [];
   /** Claims that were won, in their order. */
@@ -56,6 +62,8 @@
   /** Returns the delay of a message; `Infinity` if it is lost. */
   extraDelayMs: () => number = () => 0;
   private readonly incarnationCounts = new Map<string, number>();
+  /** Addresses of the members and workers on the side without the store. */
+  private cutOffAddresses: ReadonlySet<string> = new Set();
 
   /** Members follow the configuration only if `isConfigured` is set. */
   constructor(
@@ -65,22 +73,56 @@
     this.random = new randomSource.SeededRandom(seed);
   }
 
-  /** Creates a cell of which all members know one leader. */
+  /**
+   * Creates a cell of which all members know one leader. `prepare` may add
+   * workers before the members start.
+   */
   static async start(
     count: number,
     seed = 1,
     isConfigured = false,
+    prepare: (cell: SimulatedCell) => void = () => {},
   ): Promise<SimulatedCell> {
     const created = new SimulatedCell(seed, isConfigured);
-    if (isConfigured) created.publish(1);
+    prepare(created);
+    if (isConfigured && created.publishedVersions.length === 0) {
+      created.publish(1);
+    }
     for (let index = 0; index < count; index += 1) created.addMember(index);
     await created.time.advance(SETTLING_TIME_MS);
     return created;
   }
 
+  /** Adds a worker to the registry's list. */
+  addWorker(
+    entry: remoteWorker.RegistryEntry,
+    plan: workerModel.RunPlan,
+  ): workerModel.WorkerModel {
+    this.workerEntries = [...this.workerEntries, entry];
+    return this.workers.add(entry, plan);
+  }
+
+  /**
+   * Cuts members and workers off from the store and from all others; they reach
+   * one another.
+   */
+  partition(addresses: ReadonlyArray<string>): void {
+    this.cutOffAddresses = new Set(addresses);
+  }
+
+  /** Ends the partition. */
+  heal(): void {
+    this.cutOffAddresses = new Set();
+  }
+
+  /** Returns whether an address is on the side without the store. */
+  isCutOff(address: string): boolean {
+    return this.cutOffAddresses.has(address);
+  }
+
   /** Writes a version of the configuration as the operator does. */
-  publish(version: number): void {
-    const value = Buffer.from(JSON.stringify({version}));
+  publish(version: number, routes: ReadonlyArray<unknown> = []): void {
+    const value = Buffer.from(JSON.stringify({version, routes}));
     this.operatorStore.append([{key: 'config', value}], {});
     this.publishedVersions.push({version, node: '', at: this.time.now()});
   }
@@ -128,7 +170,9 @@
   /** Returns whether a message between two members arrives. */
   canCall(sender: simulatedMember.SimulatedMember, address: string): boolean {
     const target = this.memberAt(address);
-    return sender.reachesPeers && target?.reachesPeers === true;
+    const sameSide =
+      this.isCutOff(sender.self.address) === this.isCutOff(address);
+    return sameSide && sender.reachesPeers && target?.reachesPeers === true;
   }
 
   /** Delivers a message after a random latency. */
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -1,12 +1,13 @@
 import * as cellLogStore from '../../src/links/cell_log_store.js';
 import * as cellNode from '../../src/zones/cell_node.js';
-import * as fakeWorkers from './fake_workers.js';
 import * as loopMeter from '../../src/machines/loop_meter.js';
+import * as partitionedWorkers from './partitioned_workers.js';
 import * as platformFeeds from '../../platform/platform_feeds.js';
 import type * as cellMember from '../../src/zones/cell_member.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
 import type * as jobJournal from '../../src/jobs/job_journal.js';
 import type * as keyedTopic from '../../src/links/keyed_topic.js';
+import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as schedulerOptions from '../../src/jobs/scheduler_options.js';
 import type * as simulatedCell from './simulated_cell.js';
 
@@ -64,7 +65,7 @@
       retentionTimes: {stateKeptMs: 120_000},
       cellLog: new cellLogStore.CellLogStore(this.topic()),
       journalStore: this.journalStore(),
-      registry: {follow: () => ({close: () => {}})},
+      registry: {follow: onChange => this.followRegistry(onChange)},
       configurationSource: new platformFeeds.PlatformConfigurationSource(
         this.topic(cell.operatorStore),
         CONFIGURATION_MS,
@@ -76,7 +77,11 @@
         },
       ),
       configurationMs: CONFIGURATION_MS,
-      workerClient: new fakeWorkers.FakeWorkers(time),
+      workerClient: new partitionedWorkers.PartitionedWorkers(
+        cell.workers,
+        time,
+        worker => cell.isCutOff(worker.address) === cell.isCutOff(self.address),
+      ),
       localAdviceClient: {ask: async () => ({kind: 'busy'})},
       peers: this.peers(),
       timer: {delay},
@@ -192,6 +197,7 @@
     const isReachable = (): boolean =>
       this.alive &&
       this.reachesStore &&
+      !this.cell.isCutOff(this.self.address) &&
       !isSilent &&
       epoch === this.connectionEpoch;
     return this.call(timeoutMs, failure, isReachable, serve);
@@ -224,6 +230,15 @@
     };
   }
 
+  /** Tells the list of workers once, if there are any. */
+  private followRegistry(
+    onChange: (entries: ReadonlyArray<remoteWorker.RegistryEntry>) => void,
+  ): {close(): void} {
+    const {workerEntries} = this.cell;
+    if (workerEntries.length > 0) this.later(1, () => onChange(workerEntries));
+    return {close: () => {}};
+  }
+
   private journalStore(): jobJournal.JobJournalStore {
     const {journal} = this.cell;
     const deliver = <Answer>(
