Tell a lost term from a restart in the reason of a claim

Cause: a member whose own claim was invalidated, because a worker or the store knew a later term, claimed under the reason ownRestart. Change: reason ownTermEnded in event=claimed and in the counter claim_reasons. Shown by election_test.ts.

--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -115,7 +115,9 @@
       return {reason: 'noLeader', since: knownClaimAt};
     }
     if (knownClaim.address === this.self.address) {
-      return {reason: 'ownRestart', since: knownClaimAt};
+      const reason =
+        knownClaim.incarnation === '' ? 'ownTermEnded' : 'ownRestart';
+      return {reason, since: knownClaimAt};
     }
     return this.monitor.suspicion(now);
   }
--- a/src/zones/leader_monitor.ts
+++ b/src/zones/leader_monitor.ts
@@ -15,6 +15,8 @@
   | 'noLeader'
   /** This process is the claimed leader, but was restarted since. */
   | 'ownRestart'
+  /** This process led until a worker or the store told it of a later term. */
+  | 'ownTermEnded'
   /** Neither replies to pings nor records of progress arrive. */
   | 'silence'
   /** Like silence, but the leader reports that it hears no majority. */
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -152,6 +152,20 @@
     assert.equal(candidate.newestClaim?.node, 'three');
   });
 
+  // Guards against a record of an incident in which a leader that was replaced
+  // looks like a process that was restarted.
+  test('names why a member claims while its own claim is the newest', () => {
+    const leader = electionOf('one');
+    leader.invalidateOwnClaim();
+    assert.equal(leader.suspicion(100)?.reason, 'ownTermEnded');
+    const restarted = new election.Election(
+      {...member('one'), incarnation: 'one-2'},
+      0,
+    );
+    restarted.recordClaim(claimOf('one', 5), 0);
+    assert.equal(restarted.suspicion(100)?.reason, 'ownRestart');
+  });
+
   // Guards against a restarted process that takes its earlier claim for a
   // current one, so that the cell has no leader.
   test('claims again if the process was the leader before its restart', () => {
