Date each proof of leadership, and ask more than one member for it

Cause: the ping of any one member that knew no later term renewed the leader's permission for 2 s from when it was read. The members that are cut off with the leader ping it for as long as the cut lasts. It then took the leases of the workers that it couldn't reach for lapsed, although its successor extended them, and started their tasks on the worker that was cut off with it.

Change: permission by the cell's log, by all members, or by a majority for 20 s without the log; every proof counts from when its source was asked (pings name the last reply that their sender has read). A run is given up only if no later term existed when its lease ended. A successor waits until a majority knows its term, else 20 s (src/jobs/earlier_leases.ts). A claim that is read late proves nothing, and a suspension of the VM, in which the steady clock stands still, voids all proof.

Why it works: a majority of the members and a majority that was informed share a member, and what that one says tells of the later term.

--- /dev/null
+++ b/src/jobs/earlier_leases.ts
@@ -0,0 +1,61 @@
+import type * as clock from '../machines/clock.js';
+
+/** Duration of the leases that a scheduler grants. */
+export const LEASE_DURATION_MS = 5_000;
+
+/** How long a leader may act after the time for which its proof was given. */
+export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
+
+/**
+ * How long after its last proof by the cell's log a leader may act on the word
+ * of a majority of the members alone.
+ */
+export const MAJORITY_PROOF_LIMIT_MS = 20_000;
+
+/** Duration of a lease on a clock that runs slow, with late timers. */
+const LONGEST_LEASE_MS = LEASE_DURATION_MS * 1.03 + 300;
+
+/** What a new term knows of the leaders before it. */
+export interface EarlierTerms {
+  /** Latest time at which no later term than this one existed. */
+  readonly provedLeaderAt: () => clock.Milliseconds;
+  /**
+   * When a majority of the members knew this term, so that no earlier leader
+   * finds a majority that doesn't; undefined until then.
+   */
+  readonly majorityInformedAt: () => clock.Milliseconds | undefined;
+}
+
+/**
+ * Bound on how long the leases of earlier terms may last on workers that this
+ * term can't reach. No task that may run on such a worker is started before.
+ *
+ * An earlier leader acts on what the cell's log showed before this term's claim,
+ * or on the word of the members. Of a majority of these, one knows
+ * this term as soon as a majority was told of it; without the log, the word of a
+ * majority counts for a limited time only.
+ */
+export class EarlierLeases {
+  constructor(
+    private readonly clock: clock.Clock,
+    /** When this term began. */
+    private readonly beganAt: clock.Milliseconds,
+    private readonly earlierTerms: EarlierTerms,
+  ) {}
+
+  /** Whether no lease of an earlier term can last, nor of a later one. */
+  get haveExpired(): boolean {
+    const expireAt = this.lastPermissionEndsAt + LONGEST_LEASE_MS;
+    if (this.clock.now() < expireAt) return false;
+    // A later term may have extended them.
+    return this.earlierTerms.provedLeaderAt() >= expireAt;
+  }
+
+  /** When no leader of an earlier term may grant leases any more. */
+  private get lastPermissionEndsAt(): clock.Milliseconds {
+    const withoutLogAt = this.beganAt + MAJORITY_PROOF_LIMIT_MS;
+    const informedAt = this.earlierTerms.majorityInformedAt();
+    if (informedAt === undefined) return withoutLogAt;
+    return Math.min(informedAt + LEADERSHIP_PROOF_LIFETIME_MS, withoutLogAt);
+  }
+}
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -2,6 +2,7 @@
 import * as assignmentIndex from './assignment_index.js';
 import * as dispatcher from './dispatcher.js';
 import * as runRecovery from './run_recovery.js';
+import * as earlierLeases from './earlier_leases.js';
 import * as evacuator from './evacuator.js';
 import * as jobTable from './job_table.js';
 import * as jobJournal from './job_journal.js';
@@ -29,22 +30,6 @@
 import type * as jobTask from './job_task.js';
 import type * as workerClient from '../machines/worker_client.js';
 
-/** Duration of the leases that a scheduler grants. */
-export const LEASE_DURATION_MS = 5_000;
-
-/**
- * How long an earlier scheduler may continue to grant leases after it has lost
- * contact with the cell; see `SchedulerOptions.mayGrantLeases`.
- */
-export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
-
-/**
- * Time from the start of a term until no unreported run of an earlier term can
- * be left: proof lifetime plus lease, with a margin for drift and late timers.
- */
-const EARLIER_LEASES_EXPIRY_MS =
-  LEADERSHIP_PROOF_LIFETIME_MS + LEASE_DURATION_MS * 1.03 + 300;
-
 /** Cost of restoring a job, in units of a slice's budget. */
 const RESTORE_UNITS = 25;
 
@@ -82,7 +67,7 @@
   private readonly slicer: turnSlicer.TurnSlicer;
   private readonly takeoverTimeline: takeoverTimeline.TakeoverTimeline;
   private runRecovery: runRecovery.RunRecovery | undefined;
-  private readonly earlierLeasesExpireAt: clock.Milliseconds;
+  private readonly earlierLeases: earlierLeases.EarlierLeases;
   private active = true;
   private serving = false;
 
@@ -92,7 +77,11 @@
     const requestPlacementPass = (): void => this.requestPlacementPass();
     const workers = new workerTable.WorkerTable();
     const runtimes = new runtimeModel.RuntimeModel();
-    this.earlierLeasesExpireAt = clock.now() + EARLIER_LEASES_EXPIRY_MS;
+    this.earlierLeases = new earlierLeases.EarlierLeases(
+      clock,
+      clock.now(),
+      options.earlierTerms,
+    );
     this.slicer = new turnSlicer.TurnSlicer(
       clock,
       options.defer,
@@ -122,7 +111,7 @@
       assignmentIndex,
       clock,
       term,
-      LEASE_DURATION_MS,
+      earlierLeases.LEASE_DURATION_MS,
       () => this.active && options.mayGrantLeases(),
       options.loopMeter,
       this,
@@ -164,8 +153,8 @@
       journal: this.journal,
       tracker: this.tracker,
       reliability,
-      leaseMs: LEASE_DURATION_MS,
-      earlierLeasesExpireAt: this.earlierLeasesExpireAt,
+      leaseMs: earlierLeases.LEASE_DURATION_MS,
+      earlierLeases: this.earlierLeases,
       requestPlacementPass,
       onReport: worker => this.workerReported(worker),
       onEnded: (worker, nextIncarnation) =>
@@ -434,7 +423,7 @@
     this.runRecovery = new runRecovery.RunRecovery(
       new Set(openRecords),
       this.workerLifecycle.start(content.workers),
-      this.earlierLeasesExpireAt,
+      this.earlierLeases,
     );
     this.serving = true;
     this.options.log.event('info', 'termBegun', {
@@ -454,7 +443,7 @@
   private unblockRecoveredJobs(): void {
     const {runRecovery: recovery} = this;
     if (!this.active || recovery === undefined) return;
-    const unblocked = recovery.unblockJobs(this.options.clock.now());
+    const unblocked = recovery.unblockJobs();
     if (recovery.complete) this.takeoverTimeline.complete('earlierRunsKnown');
     if (!unblocked) return;
     this.options.log.event('info', 'earlierRunsKnown', {
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -1,4 +1,4 @@
-import type * as clock from '../machines/clock.js';
+import type * as earlierLeases from './earlier_leases.js';
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 
@@ -22,7 +22,7 @@
   constructor(
     private readonly blockedJobs: Set<jobRecord.JobRecord>,
     workers: ReadonlyArray<InheritedWorker>,
-    private readonly leasesExpireAt: clock.Milliseconds,
+    private readonly earlierLeases: earlierLeases.EarlierLeases,
   ) {
     this.unreportedWorkers = workers;
   }
@@ -62,10 +62,11 @@
   }
 
   /** Unblocks jobs whose runs are all known; returns whether there were any. */
-  unblockJobs(now: clock.Milliseconds): boolean {
+  unblockJobs(): boolean {
     if (this.complete) return false;
+    const {haveExpired} = this.earlierLeases;
     this.keepUnreported(
-      ({worker}) => !worker.fencingTokenAccepted && now < this.leasesExpireAt,
+      ({worker}) => !worker.fencingTokenAccepted && !haveExpired,
     );
     if (!this.workersChanged) return false;
     this.workersChanged = false;
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -1,4 +1,5 @@
 import type * as adviceCache from './advice_cache.js';
+import type * as earlierLeases from './earlier_leases.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobJournal from './job_journal.js';
 import type * as linkLoads from '../machines/link_load.js';
@@ -49,6 +50,8 @@
    * whether this process still has proof that it is the leader.
    */
   readonly mayGrantLeases: () => boolean;
+  /** What this term knows of the leaders before and after it. */
+  readonly earlierTerms: earlierLeases.EarlierTerms;
   /**
    * Returns whether the configuration is proven new enough to accept jobs and
    * start tasks by. While it is not, this process asks for a newer one.
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -3,6 +3,7 @@
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as runRecovery from './run_recovery.js';
+import type * as earlierLeases from './earlier_leases.js';
 import type * as jobJournal from './job_journal.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as runTracker from './run_tracker.js';
@@ -23,8 +24,7 @@
   readonly tracker: runTracker.RunTracker;
   readonly reliability: workerReliability.WorkerReliability;
   readonly leaseMs: number;
-  /** When all leases granted by earlier terms have expired. */
-  readonly earlierLeasesExpireAt: clock.Milliseconds;
+  readonly earlierLeases: earlierLeases.EarlierLeases;
   readonly requestPlacementPass: () => void;
   /** Called after a worker's report was applied. */
   readonly onReport: (worker: remoteWorker.RemoteWorker) => void;
@@ -187,14 +187,17 @@
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
   ): void {
-    const {options, tracker, earlierLeasesExpireAt} = this.dependencies;
+    const {options, tracker, earlierLeases} = this.dependencies;
     const isEmptied =
       worker.fencingTokenAccepted && !worker.listed && worker.runCount === 0;
     if (isEmptied) {
       this.endIncarnation(worker, 'gone');
       return;
     }
-    if (worker.lastLeaseExpiry() > now) return;
+    const expiry = worker.lastLeaseExpiry();
+    if (expiry > now) return;
+    // A later term that reaches the worker may have extended its leases.
+    if (options.earlierTerms.provedLeaderAt() < expiry) return;
     if (worker.runCount > 0) {
       options.log.event('warn', 'leaseLapsed', {
         worker: worker.id,
@@ -203,7 +206,7 @@
       tracker.endAll(worker, 'lapsed');
     }
     const neverReached =
-      !worker.fencingTokenAccepted && now < earlierLeasesExpireAt;
+      !worker.fencingTokenAccepted && !earlierLeases.haveExpired;
     if (!worker.listed && !neverReached) this.endIncarnation(worker, 'gone');
   }
 
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -44,6 +44,7 @@
       newest: cellMessages.encodeClaim(pingMessage.newest),
       configurationVersion: BigInt(pingMessage.configurationVersion),
       sender: pingMessage.sender,
+      lastReply: cellMessages.encodeReceivedReply(pingMessage.lastReply),
     };
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
       client.ping(request, options),
@@ -57,6 +58,7 @@
       configurationVersion: Number(response.configurationVersion),
       configurationAgeMs: response.configurationAgeMs,
       overloaded: response.overloaded,
+      sentAt: response.sentAtMs,
     }));
   }
 
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -2,6 +2,7 @@
 import type * as protobuf from '@bufbuild/protobuf';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as cellPb from './generated/cell_pb.js';
+import type * as cellPeers from '../zones/cell_peers.js';
 
 /** Largest message between cell members, in bytes. */
 export const MAXIMUM_MESSAGE_BYTES = 1_048_576;
@@ -23,6 +24,22 @@
   return {term: Number(claim.term), node, incarnation, address};
 }
 
+/** Encodes which reply of a member was read last. */
+export function encodeReceivedReply(
+  reply: cellPeers.ReceivedReply | undefined,
+): protobuf.MessageInitShape<typeof cellPb.ReceivedReplySchema> | undefined {
+  if (reply === undefined) return undefined;
+  return {incarnation: reply.incarnation, sentAtMs: reply.sentAt};
+}
+
+/** Decodes which reply was read last; undefined when the message has none. */
+export function decodeReceivedReply(
+  reply: cellPb.ReceivedReply | undefined,
+): cellPeers.ReceivedReply | undefined {
+  if (reply === undefined) return undefined;
+  return {incarnation: reply.incarnation, sentAt: reply.sentAtMs};
+}
+
 const KNOWN_REFUSALS: ReadonlySet<string> = new Set<jobAdmission.SubmitRefusal>(
   [
     'storeSilent',
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -70,6 +70,7 @@
       newest: cellMessages.decodeClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
       sender: request.sender,
+      lastReply: cellMessages.decodeReceivedReply(request.lastReply),
     });
     return {
       ...answer,
@@ -77,6 +78,7 @@
       storeSilentMs: Math.round(answer.storeSilentMs),
       configurationVersion: BigInt(answer.configurationVersion),
       configurationAgeMs: reportedAge(answer.configurationAgeMs),
+      sentAtMs: answer.sentAt,
     };
   }
 
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,12 +1,15 @@
 import * as adviceEndpoints from './advice_endpoints.js';
 import * as adviceBalancer from '../jobs/advice_balancer.js';
 import * as cellConfiguration from './cell_configuration.js';
+import * as earlierLeases from '../jobs/earlier_leases.js';
 import * as jobScheduler from '../jobs/job_scheduler.js';
 import * as leaderElector from './leader_elector.js';
 import * as leadershipProof from './leadership_proof.js';
 import * as loopDelayMonitor from './loop_delay_monitor.js';
 import * as memberContacts from './member_contacts.js';
 import * as progressReporter from './progress_reporter.js';
+import * as suspensionDetector from './suspension_detector.js';
+import * as termAnnouncement from './term_announcement.js';
 import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
@@ -48,8 +51,8 @@
   readonly defer: (pass: () => void) => void;
 }
 
-/** Time between two ticks above which the process counts as paused. */
-const PROCESS_PAUSE_LIMIT_MS = 1_000;
+/** Time between two ticks from which on a pause of the process is logged. */
+const LOGGED_PAUSE_MS = 1_000;
 
 /** Time for which a report that the leader is overloaded holds. */
 const OVERLOAD_REPORT_LIFETIME_MS = 2_000;
@@ -76,16 +79,25 @@
   private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
   private readonly leadershipProof = new leadershipProof.LeadershipProof();
+  private readonly termAnnouncement: termAnnouncement.TermAnnouncement;
+  private readonly suspensionDetector: suspensionDetector.SuspensionDetector;
+  private proofBasis: leadershipProof.ProofBasis = 'none';
 
   constructor(private readonly options: CellNodeOptions) {
     const {clock, localAdviceClient, peers} = options;
     this.loopDelayMonitor = new loopDelayMonitor.LoopDelayMonitor(clock.now());
     this.contacts = new memberContacts.MemberContacts(clock);
+    this.termAnnouncement = new termAnnouncement.TermAnnouncement(clock);
+    this.suspensionDetector = new suspensionDetector.SuspensionDetector(
+      clock,
+      options.wallClock,
+    );
     this.elector = new leaderElector.LeaderElector({
       ...options,
       configurationVersion: () => this.cellConfiguration.version,
       isUpToDate: () => this.loopDelayMonitor.lostMs(clock.now()) === 0,
       onNewTerm: claim => this.beginTerm(claim),
+      onClaimWon: sentAt => this.leadershipProof.proveByStore(sentAt),
       onReply: (...reply) => this.handleReply(...reply),
     });
     this.progressReporter = new progressReporter.ProgressReporter({
@@ -97,7 +109,7 @@
     });
     this.cellConfiguration = new cellConfiguration.CellConfiguration({
       ...options,
-      peerAddresses: () => this.elector.peers.map(({address}) => address),
+      peerAddresses: () => this.peerAddresses(),
       leaderAddress: () => this.remoteLeaderAddress,
       onUpdated: configuration => this.scheduler?.configure(configuration),
     });
@@ -166,16 +178,21 @@
 
   // Input from the feeds and the process.
 
-  /** Applies records of the cell's log, which was read up to `end`. */
+  /**
+   * Applies records of the cell's log, which was read up to `end`. The read
+   * shows that no further record existed at `provenAt`, if that is known.
+   */
   applyCellLog(
     members: ReadonlyArray<cellMember.CellMember>,
     claim: cellMember.Claim | undefined,
     end: number,
     progress?: cellMember.LeaderProgress,
+    provenAt?: clock.Milliseconds,
   ): void {
     this.progressReporter.recordAnswer();
-    this.leadershipProof.acceptMessage(this.options.clock.now());
     this.elector.applyCellLog(members, claim, end, progress);
+    const isProof = this.elector.isLeader && provenAt !== undefined;
+    if (isProof) this.leadershipProof.proveByStore(provenAt);
     this.reportProgress();
   }
 
@@ -221,7 +238,8 @@
     const now = this.options.clock.now();
     const gapMs = this.loopDelayMonitor.recordTick(now);
     const lostMs = loopDelayMonitor.lostTimeMs(gapMs);
-    if (gapMs > PROCESS_PAUSE_LIMIT_MS) this.handlePause(gapMs, now);
+    if (gapMs > LOGGED_PAUSE_MS) this.logPause(gapMs);
+    this.reviewProof(now);
     if (lostMs > 0) this.excludeLostTime(lostMs);
     this.scheduler?.tick();
     if (this.elector.isLeader && this.scheduler === undefined) {
@@ -242,8 +260,9 @@
     this.contacts.recordContact(sender);
     this.recordAnnouncedVersion(message.configurationVersion, sender);
     if (newest !== undefined) this.elector.adoptClaim(newest, 'peer');
-    this.leadershipProof.acceptMessage(this.options.clock.now());
+    this.recordMemberState(sender, newest, this.askedAt(message));
     return {
+      sentAt: this.options.clock.now(),
       newest: this.elector.leader,
       incarnation: this.options.self.incarnation,
       leading: this.servesJobs,
@@ -277,7 +296,7 @@
     jobs: ReadonlyArray<jobAdmission.ScreenedJob>,
   ): ReadonlyArray<jobAdmission.ScreeningOutcome> | undefined {
     // A successor may have accepted a job that this process doesn't know.
-    if (!this.hasLeadershipProof()) return undefined;
+    if (!this.isProvedLeader()) return undefined;
     return this.servingScheduler?.screen(jobs);
   }
 
@@ -303,7 +322,7 @@
 
   countPending(queue: string): number | undefined {
     // A successor may have accepted jobs that this process doesn't count.
-    if (!this.hasLeadershipProof()) return undefined;
+    if (!this.isProvedLeader()) return undefined;
     return this.servingScheduler?.countPending(queue);
   }
 
@@ -312,7 +331,7 @@
    * job that this process doesn't know; "unknown" needs proof that none exists.
    */
   private mayTell(state: job.JobState | undefined): boolean {
-    if (state !== undefined || this.hasLeadershipProof()) return true;
+    if (state !== undefined || this.isProvedLeader()) return true;
     this.options.counters.count('answers_withheld', 'noProof');
     return false;
   }
@@ -359,8 +378,7 @@
 
   // Delays of this process's own loop.
 
-  private handlePause(pauseMs: number, now: clock.Milliseconds): void {
-    this.leadershipProof.voidUntil(now + BACKLOG_READ_TIME_MS);
+  private logPause(pauseMs: number): void {
     this.options.log.event('warn', 'processPaused', {
       pauseMs: Math.round(pauseMs),
     });
@@ -394,7 +412,7 @@
   }
 
   private handleProgressStored(sentAt: clock.Milliseconds): void {
-    this.leadershipProof.prove(sentAt);
+    this.leadershipProof.proveByStore(sentAt);
     // After a long turn, the next record is due before the next tick.
     this.reportProgress();
   }
@@ -404,7 +422,8 @@
   private beginTerm(claim: cellMember.Claim): void {
     this.endTerm('newerClaim');
     if (!this.elector.isLeader) return;
-    this.leadershipProof.prove(this.options.clock.now());
+    this.leadershipProof.beginTerm();
+    this.termAnnouncement.beginTerm(claim.term, this.peerAddresses());
     // The predecessor may have acted on a version that is not known here.
     this.cellConfiguration.requireProof();
     void this.startScheduler(claim);
@@ -427,7 +446,11 @@
       loopMeter: options.loopMeter,
       log: options.log,
       counters: options.counters,
-      mayGrantLeases: () => this.hasLeadershipProof(),
+      mayGrantLeases: () => this.mayAct(),
+      earlierTerms: {
+        provedLeaderAt: () => this.provedLeaderAt(),
+        majorityInformedAt: () => this.termAnnouncement.majorityInformedAt,
+      },
       isConfigurationUsable: () => this.cellConfiguration.isUsable,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
       defer: options.defer,
@@ -463,9 +486,89 @@
     this.registrySubscription = undefined;
   }
 
-  private hasLeadershipProof(): boolean {
+  // Proof of leadership.
+
+  /** Whether this process may grant leases and start tasks. */
+  private mayAct(): boolean {
+    if (!this.elector.isLeader) return false;
+    this.voidProofAfterSuspension();
     const now = this.options.clock.now();
-    return this.elector.isLeader && this.leadershipProof.isValid(now);
+    return this.leadershipProof.basis(this.peerAddresses(), now) !== 'none';
+  }
+
+  /** Whether no later term existed lately, so that no other process leads. */
+  private isProvedLeader(): boolean {
+    const ageMs = this.options.clock.now() - this.provedLeaderAt();
+    return ageMs < earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
+  }
+
+  /** Latest time at which no later term than that of this process existed. */
+  private provedLeaderAt(): clock.Milliseconds {
+    if (!this.elector.isLeader) return -Infinity;
+    this.voidProofAfterSuspension();
+    return this.leadershipProof.provedAt(this.peerAddresses());
+  }
+
+  /** Voids the proof from before a suspension, which the clock doesn't show. */
+  private voidProofAfterSuspension(): void {
+    const suspendedMs = this.suspensionDetector.review();
+    if (suspendedMs === 0) return;
+    this.leadershipProof.voidBefore(this.options.clock.now());
+    this.options.counters.count('leadership_proof', 'suspended');
+    this.options.log.event('warn', 'processSuspended', {
+      suspendedMs: Math.round(suspendedMs),
+    });
+  }
+
+  /** Logs when what allows this process to act has changed. */
+  private reviewProof(now: clock.Milliseconds): void {
+    this.voidProofAfterSuspension();
+    const {proofBasis} = this;
+    const isLeading = this.elector.isLeader && this.scheduler !== undefined;
+    const peers = this.peerAddresses();
+    this.proofBasis = isLeading
+      ? this.leadershipProof.basis(peers, now)
+      : 'none';
+    if (!isLeading || this.proofBasis === proofBasis) return;
+    this.options.counters.count('leadership_proof', this.proofBasis);
+    const provedAt = this.leadershipProof.provedAt(peers);
+    this.options.log.event('info', 'leadershipProof', {
+      term: this.elector.leader?.term,
+      basis: this.proofBasis,
+      ageMs: Math.round(now - provedAt),
+      members: peers.length + 1,
+    });
+  }
+
+  /** When the sender of a ping was told what it knew; undefined if unknown. */
+  private askedAt({
+    lastReply,
+  }: cellPeers.PingMessage): clock.Milliseconds | undefined {
+    const {incarnation} = this.options.self;
+    return lastReply?.incarnation === incarnation
+      ? lastReply.sentAt
+      : undefined;
+  }
+
+  /** Records which term a member knew when it was asked, at `askedAt`. */
+  private recordMemberState(
+    address: string,
+    newest: cellMember.Claim | undefined,
+    askedAt: clock.Milliseconds | undefined,
+  ): void {
+    // A member that knows a later term has ended this one.
+    if (!this.elector.isLeader) return;
+    this.termAnnouncement.recordKnownTerm(
+      address,
+      newest?.term,
+      this.peerAddresses(),
+    );
+    const isPast = askedAt !== undefined && askedAt <= this.options.clock.now();
+    if (isPast) this.leadershipProof.proveByMember(address, askedAt);
+  }
+
+  private peerAddresses(): ReadonlyArray<string> {
+    return this.elector.peers.map(({address}) => address);
   }
 
   private handleReply(
@@ -475,6 +578,7 @@
   ): void {
     const now = this.options.clock.now();
     this.contacts.recordContact(address);
+    this.recordMemberState(address, reply.newest, sentAt);
     this.cellConfiguration.recordReply(address, reply, sentAt);
     if (address !== this.elector.leader?.address) return;
     this.overloadReportedAt = reply.overloaded ? now : -Infinity;
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -1,6 +1,7 @@
 import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
+import type * as clock from '../machines/clock.js';
 import type * as job from '../jobs/job.js';
 import type * as jobScheduler from '../jobs/job_scheduler.js';
 import type * as leaderMonitor from './leader_monitor.js';
@@ -12,10 +13,23 @@
   readonly configurationVersion: number;
 }
 
+/** A reply to a ping, as its reader tells the member that sent it. */
+export interface ReceivedReply {
+  /** Incarnation of the process that sent the reply. */
+  readonly incarnation: string;
+  /** When it was sent, on the clock of that process. */
+  readonly sentAt: clock.Milliseconds;
+}
+
 /** Ping that tells another member the newest state known to the sender. */
 export interface PingMessage extends GossipState {
   /** Address of the member that sent the ping. */
   readonly sender: string;
+  /**
+   * Last reply of the receiver that the sender has read. It shows that the
+   * ping, which may be read late, was sent after that reply.
+   */
+  readonly lastReply: ReceivedReply | undefined;
 }
 
 /** Reply to a ping, with the leadership status of the replying member. */
@@ -24,6 +38,8 @@
   readonly configurationAgeMs: number;
   /** Whether the replying member refuses jobs as an overloaded leader. */
   readonly overloaded: boolean;
+  /** When the reply was sent, on the clock of the replying member. */
+  readonly sentAt: clock.Milliseconds;
 }
 
 /** What a member knows of the operator's configuration. */
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -20,6 +20,8 @@
   readonly isUpToDate: () => boolean;
   /** Called when a newer claim than the known one was made. */
   readonly onNewTerm: (claim: cellMember.Claim) => void;
+  /** Called with the time when this member sent a claim that has won. */
+  readonly onClaimWon: (sentAt: clock.Milliseconds) => void;
   /** Called with each reply to a ping and the time when that was sent. */
   readonly onReply: (
     address: string,
@@ -75,6 +77,8 @@
   private nextPingAt = 0;
   private pingsInFlight = 0;
   private hasResigned = false;
+  /** Last reply of each member, by its address. */
+  private readonly lastReplies = new Map<string, cellPeers.ReceivedReply>();
 
   constructor(private readonly options: LeaderElectorOptions) {
     this.election = new election.Election(options.self, options.clock.now());
@@ -184,12 +188,13 @@
       return;
     }
     await this.confirmSuspicion();
+    const sentAt = clock.now();
     const outcome = await this.appendClaim();
     if (outcome?.kind === 'lost') {
       await timer.delay(LOST_CLAIM_RETRY_DELAY_MS);
       this.claimIfDue();
     }
-    if (outcome?.kind === 'won') this.beginTerm(outcome.term);
+    if (outcome?.kind === 'won') this.beginTerm(outcome.term, sentAt);
   }
 
   /** Asks the leader once more if the suspicion may be outdated. */
@@ -256,9 +261,10 @@
   }
 
   /** Announces the term to all members; a silent store may delay the log. */
-  private beginTerm(term: number): void {
+  private beginTerm(term: number, claimSentAt: clock.Milliseconds): void {
     const {node, incarnation, address} = this.options.self;
     this.adoptClaim({term, node, incarnation, address}, 'won');
+    this.options.onClaimWon(claimSentAt);
     for (const peer of this.election.peers) void this.ping(peer.address);
   }
 
@@ -278,6 +284,7 @@
       newest: this.election.newestClaim,
       configurationVersion: this.options.configurationVersion(),
       sender: this.options.self.address,
+      lastReply: this.lastReplies.get(address),
     };
     const sentAt = this.options.clock.now();
     const isSuspected = this.election.isLeaderSuspected(sentAt);
@@ -302,6 +309,8 @@
       return;
     }
     const {value} = outcome;
+    const {incarnation, sentAt: repliedAt} = value;
+    this.lastReplies.set(address, {incarnation, sentAt: repliedAt});
     if (value.newest !== undefined) this.adoptClaim(value.newest, 'peer');
     if (isLeader && address === this.election.newestClaim?.address) {
       this.election.recordStatus(value, now);
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -1,35 +1,93 @@
-import * as jobScheduler from '../jobs/job_scheduler.js';
+import * as earlierLeases from '../jobs/earlier_leases.js';
 import type * as clock from '../machines/clock.js';
 
+/** What allows a leader to act. */
+export type ProofBasis =
+  /** The cell's log, by a record stored or a read. */
+  | 'store'
+  /** All members that it knows. */
+  | 'allMembers'
+  /** A majority of the members, for a limited time without the store. */
+  | 'majority'
+  | 'none';
+
 /**
- * Proof that this process may still lead: no later term was known at a recent
- * time. A successor waits for the proof's lifetime before it relies on the old
- * leader having stopped.
+ * Proof that no later term existed at a recent time, so that this process may
+ * lead. Times are those at which the source was asked, on this process's clock,
+ * so that an answer which waited to be read proves nothing newer.
  */
 export class LeadershipProof {
-  private provedAt: clock.Milliseconds = -Infinity;
+  private storeProvedAt: clock.Milliseconds = -Infinity;
+  private readonly memberProvedAt = new Map<string, clock.Milliseconds>();
   private acceptedFrom: clock.Milliseconds = -Infinity;
 
-  /** Records that no later term was known at `at`. */
-  prove(at: clock.Milliseconds): void {
-    this.provedAt = Math.max(this.provedAt, at);
+  /** Discards the proofs of an earlier term of this process. */
+  beginTerm(): void {
+    this.storeProvedAt = -Infinity;
+    this.memberProvedAt.clear();
+  }
+
+  /** Records that the cell's log held no later claim at `provedAt`. */
+  proveByStore(provedAt: clock.Milliseconds): void {
+    if (provedAt < this.acceptedFrom) return;
+    this.storeProvedAt = Math.max(this.storeProvedAt, provedAt);
   }
 
-  /** Accepts a message that is read now and knows no later term. */
-  acceptMessage(now: clock.Milliseconds): void {
-    if (now >= this.acceptedFrom) this.prove(now);
+  /** Records that a member knew no later term at `provedAt`. */
+  proveByMember(address: string, provedAt: clock.Milliseconds): void {
+    if (provedAt < this.acceptedFrom) return;
+    const known = this.memberProvedAt.get(address) ?? -Infinity;
+    this.memberProvedAt.set(address, Math.max(known, provedAt));
+  }
+
+  /** Voids all proofs that were given for times before `time`. */
+  voidBefore(time: clock.Milliseconds): void {
+    this.acceptedFrom = time;
+    this.beginTerm();
   }
 
   /**
-   * Voids the proof after a pause of this process. Messages that are read
-   * before `acceptedFrom` may be from before the pause.
+   * Returns the latest time at which no later term existed, given the addresses
+   * of all other members: any member may have claimed through the store.
    */
-  voidUntil(acceptedFrom: clock.Milliseconds): void {
-    this.provedAt = -Infinity;
-    this.acceptedFrom = acceptedFrom;
+  provedAt(peers: ReadonlyArray<string>): clock.Milliseconds {
+    let provedByAll = peers.length === 0 ? -Infinity : Infinity;
+    for (const address of peers) {
+      provedByAll = Math.min(provedByAll, this.provedByMemberAt(address));
+    }
+    return Math.max(this.storeProvedAt, provedByAll);
   }
 
-  isValid(now: clock.Milliseconds): boolean {
-    return now - this.provedAt < jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
+  /**
+   * Returns what allows this process to grant leases and start tasks. A
+   * successor waits until the last such permission has ended.
+   */
+  basis(peers: ReadonlyArray<string>, now: clock.Milliseconds): ProofBasis {
+    if (isRecent(this.storeProvedAt, now)) return 'store';
+    if (isRecent(this.provedAt(peers), now)) return 'allMembers';
+    const withoutStoreMs = now - this.storeProvedAt;
+    const isBounded = withoutStoreMs < earlierLeases.MAJORITY_PROOF_LIMIT_MS;
+    return isBounded && this.hasMajority(peers, now) ? 'majority' : 'none';
   }
+
+  private hasMajority(
+    peers: ReadonlyArray<string>,
+    now: clock.Milliseconds,
+  ): boolean {
+    const provedBy = peers.filter(address =>
+      isRecent(this.provedByMemberAt(address), now),
+    );
+    return 2 * (provedBy.length + 1) > peers.length + 1;
+  }
+
+  private provedByMemberAt(address: string): clock.Milliseconds {
+    return this.memberProvedAt.get(address) ?? -Infinity;
+  }
+}
+
+function isRecent(
+  provedAt: clock.Milliseconds,
+  now: clock.Milliseconds,
+): boolean {
+  return now - provedAt < earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
 }
--- /dev/null
+++ b/test/jobs/earlier_leases_test.ts
@@ -0,0 +1,54 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as earlierLeases from '../../src/jobs/earlier_leases.js';
+
+const {describe, test} = nodeTest;
+
+/** Lease of 5 s on a slow clock, with late timers. */
+const LONGEST_LEASE_MS = 5_450;
+
+const BEGAN_AT_MS = 1_000;
+
+/** Returns when a term that began at `BEGAN_AT_MS` relies on the expiry. */
+function findExpiry(
+  informedAtMs: number | undefined,
+  provedLeaderAt: (now: number) => number,
+): number | undefined {
+  let now = BEGAN_AT_MS;
+  const leases = new earlierLeases.EarlierLeases(
+    {now: () => now},
+    BEGAN_AT_MS,
+    {
+      provedLeaderAt: () => provedLeaderAt(now),
+      majorityInformedAt: () => informedAtMs,
+    },
+  );
+  for (; now < 60_000; now += 10) if (leases.haveExpired) return now;
+  return undefined;
+}
+
+describe('leases of earlier terms', () => {
+  // Guards against tasks that are started again while an earlier leader may
+  // extend their leases.
+  test('expire 2 s and a lease after a majority was informed', () => {
+    const expiry = findExpiry(3_000, now => now);
+    assert.equal(expiry, 3_000 + 2_000 + LONGEST_LEASE_MS);
+  });
+
+  // Guards against a successor with a minority of the members that starts tasks
+  // which the earlier leader still runs with the majority.
+  test('expire 20 s and a lease after the claim if no majority is heard', () => {
+    const expiry = findExpiry(undefined, now => now);
+    assert.equal(expiry, BEGAN_AT_MS + 20_000 + LONGEST_LEASE_MS);
+  });
+
+  // Guards against a leader that was replaced meanwhile: its successor may have
+  // extended the leases.
+  test('last until no later term is proved to have existed', () => {
+    const provedUntil = 5_000;
+    assert.equal(
+      findExpiry(1_000, now => Math.min(now, provedUntil)),
+      undefined,
+    );
+  });
+});
--- a/test/links/cell_client_test.ts
+++ b/test/links/cell_client_test.ts
@@ -52,7 +52,12 @@
   cell: Cell,
   address: string,
 ): Promise<cellPeers.PeerCallOutcome<cellPeers.PingReply>> {
-  const message = {newest: undefined, configurationVersion: 1, sender: 'a:1'};
+  const message = {
+    newest: undefined,
+    configurationVersion: 1,
+    sender: 'a:1',
+    lastReply: undefined,
+  };
   return cell.client.ping(address, message, PING_TIMEOUT_MS);
 }
 
@@ -160,7 +165,12 @@
     const port = await listen.listen(server, '127.0.0.1', 0);
     const counters = new recordedCounters.RecordedCounters();
     const client = cellClientSupport.createCellClient(counters);
-    const message = {newest: undefined, configurationVersion: 1, sender: 'a:1'};
+    const message = {
+      newest: undefined,
+      configurationVersion: 1,
+      sender: 'a:1',
+      lastReply: undefined,
+    };
     for (let attempt = 0; attempt < 3; attempt += 1) {
       const outcome = await client.ping(
         `127.0.0.1:${port}`,
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -102,6 +102,10 @@
       log: {event: () => {}},
       counters: {count: name => this.count(name), observe: () => {}},
       mayGrantLeases: () => true,
+      earlierTerms: {
+        provedLeaderAt: () => this.nowMs,
+        majorityInformedAt: () => 0,
+      },
       isConfigurationUsable: () => true,
       onSuperseded: () => {},
       defer: run => this.deferred.push(run),
--- a/test/support/cell_servers_thread.ts
+++ b/test/support/cell_servers_thread.ts
@@ -48,6 +48,7 @@
     storeSilentMs: 0,
     configurationVersion: 1,
     configurationAgeMs: 0,
+    sentAt: 0,
   }),
   submit: async () => {
     await timers.setTimeout(settings.submitMs);
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -130,7 +130,10 @@
   async startTerm(
     term: number,
     mayGrantLeases: () => boolean = () => this.hasLeadershipProof,
+    provedLeaderAt: () => number = () =>
+      this.hasLeadershipProof ? this.time.now() : -Infinity,
   ): Promise<jobScheduler.JobScheduler> {
+    const beganAt = this.time.now();
     const newScheduler = new jobScheduler.JobScheduler({
       term,
       clock: this.time,
@@ -149,6 +152,7 @@
       log: this.log,
       counters: {count: () => {}, observe: () => {}},
       mayGrantLeases,
+      earlierTerms: {provedLeaderAt, majorityInformedAt: () => beganAt},
       isConfigurationUsable: () => this.isConfigurationUsable,
       onSuperseded: reason => {
         this.supersededReasons.push(reason);
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -2,8 +2,9 @@
 import * as randomSource from '../../src/machines/random_source.js';
 import * as scriptedConfigurationSource from './scripted_configuration_source.js';
 import * as resources from '../../src/machines/resources.js';
-import * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import * as earlierLeases from '../../src/jobs/earlier_leases.js';
 import type * as job from '../../src/jobs/job.js';
+import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
@@ -36,6 +37,8 @@
 interface SimulatedTerm {
   readonly scheduler: jobScheduler.JobScheduler;
   readonly proof: {until: number};
+  /** When the next term began. */
+  readonly replaced: {at: number};
 }
 
 /** Range of task runtimes: uniform from `minimumMs`, `rangeMs` wide. */
@@ -208,16 +211,19 @@
   private async startSuccessor(): Promise<void> {
     const now = this.cell.time.now();
     if (this.currentTerm !== undefined) {
-      const longestMs = jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
+      const longestMs = earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
       this.currentTerm.proof.until = now + this.random.below(longestMs);
+      this.currentTerm.replaced.at = now;
     }
     this.term += 1;
     const proof = {until: Infinity};
+    const replaced = {at: Infinity};
     const successor = await this.cell.startTerm(
       this.term,
       () => this.cell.time.now() < proof.until,
+      () => Math.min(this.cell.time.now(), replaced.at),
     );
-    const successorTerm = {scheduler: successor, proof};
+    const successorTerm = {scheduler: successor, proof, replaced};
     this.currentTerm = successorTerm;
   }
 
--- a/test/support/simulated_cell.ts
+++ b/test/support/simulated_cell.ts
@@ -23,6 +23,12 @@
   readonly reason: string;
 }
 
+/** Whether the store answers the members on each side of a partition. */
+export interface StoreSides {
+  readonly main: boolean;
+  readonly cutOff: boolean;
+}
+
 /** Version of the configuration that the store took, or a member. */
 export interface VersionEvent {
   readonly version: number;
@@ -62,8 +68,10 @@
   /** Returns the delay of a message; `Infinity` if it is lost. */
   extraDelayMs: () => number = () => 0;
   private readonly incarnationCounts = new Map<string, number>();
-  /** Addresses of the members and workers on the side without the store. */
+  /** Addresses of the members and workers on the other side of a partition. */
   private cutOffAddresses: ReadonlySet<string> = new Set();
+  /** Whether the store answers the members on either side. */
+  private storeSides: StoreSides = {main: true, cutOff: true};
 
   /** Members follow the configuration only if `isConfigured` is set. */
   constructor(
@@ -103,19 +111,30 @@
   }
 
   /**
-   * Cuts members and workers off from the store and from all others; they reach
-   * one another.
+   * Cuts members and workers off from all others; they reach one another. By
+   * default the store answers only the others.
    */
-  partition(addresses: ReadonlyArray<string>): void {
+  partition(
+    addresses: ReadonlyArray<string>,
+    storeSides: StoreSides = {main: true, cutOff: false},
+  ): void {
     this.cutOffAddresses = new Set(addresses);
+    this.storeSides = storeSides;
   }
 
   /** Ends the partition. */
   heal(): void {
     this.cutOffAddresses = new Set();
+    this.storeSides = {main: true, cutOff: true};
+  }
+
+  /** Returns whether the store answers the process at an address. */
+  storeAnswers(address: string): boolean {
+    const {main, cutOff} = this.storeSides;
+    return this.isCutOff(address) ? cutOff : main;
   }
 
-  /** Returns whether an address is on the side without the store. */
+  /** Returns whether an address is on the side that was cut off. */
   isCutOff(address: string): boolean {
     return this.cutOffAddresses.has(address);
   }
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -197,7 +197,7 @@
     const isReachable = (): boolean =>
       this.alive &&
       this.reachesStore &&
-      !this.cell.isCutOff(this.self.address) &&
+      this.cell.storeAnswers(this.self.address) &&
       !isSilent &&
       epoch === this.connectionEpoch;
     return this.call(timeoutMs, failure, isReachable, serve);
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -42,6 +42,7 @@
       configurationVersion: 0,
       configurationAgeMs: 0,
       overloaded: false,
+      sentAt: 0,
     },
   };
 }
@@ -338,7 +339,7 @@
     source.deliver();
     clock.runEvery(100, () => {
       node.tick();
-      node.applyCellLog([], undefined, 7);
+      node.applyCellLog([], undefined, 7, undefined, clock.now());
     });
     await clock.advance(2_000);
     assert.equal(node.servesJobs, true);
@@ -384,7 +385,8 @@
     let isConnected = true;
     clock.runEvery(100, () => {
       node.tick();
-      if (isConnected) node.applyCellLog([], undefined, 7);
+      if (!isConnected) return;
+      node.applyCellLog([], undefined, 7, undefined, clock.now());
     });
     await clock.advance(2_000);
     loop.delayMs = 3_000;
