Void the proof of a configuration after a suspension of the VM

Cause: the steady clock stands still while a VM is suspended, so a proof of the configuration from before seemed new afterwards, for up to 2.25 s. Change: what voids the proof of leadership also demands a new proof of the configuration. The simulated members can be suspended, and answers of workers wait while a member's loop is blocked. Shown by cut_off_leader_test.ts, 'has no proof by the time that it slept through': 'confirmed' before, 'cutOff' after.

--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -514,6 +514,7 @@
     const suspendedMs = this.suspensionDetector.review();
     if (suspendedMs === 0) return;
     this.leadershipProof.voidBefore(this.options.clock.now());
+    this.cellConfiguration.requireProof();
     this.options.counters.count('leadership_proof', 'suspended');
     this.options.log.event('warn', 'processSuspended', {
       suspendedMs: Math.round(suspendedMs),
--- a/test/support/partitioned_workers.ts
+++ b/test/support/partitioned_workers.ts
@@ -13,6 +13,8 @@
     private readonly isReachable: (
       worker: remoteWorker.RegistryEntry,
     ) => boolean,
+    /** Handles an answer when the loop of the calling process is free. */
+    private readonly runWhenFree: (handle: () => void) => void,
   ) {}
 
   start: workerClient.WorkerClient['start'] = (worker, ...command) =>
@@ -34,8 +36,9 @@
     send: () => Promise<Outcome>,
   ): Promise<Outcome | {kind: 'unanswered'; detail: string}> {
     const answer = this.isReachable(worker) ? await send() : undefined;
-    if (answer !== undefined && this.isReachable(worker)) return answer;
-    await this.time.delay(CALL_TIMEOUT_MS);
-    return {kind: 'unanswered', detail: 'lost'};
+    const arrives = answer !== undefined && this.isReachable(worker);
+    if (!arrives) await this.time.delay(CALL_TIMEOUT_MS);
+    await new Promise<void>(resolve => this.runWhenFree(resolve));
+    return arrives ? answer : {kind: 'unanswered', detail: 'lost'};
   }
 }
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -40,6 +40,8 @@
   /** Whether replies of this process to pings arrive. */
   repliesToPings = true;
   private alive = true;
+  /** Time for which the steady clock of this process stood still. */
+  private suspendedMs = 0;
   private connectionEpoch = 0;
   private silentIdleCount = 0;
   private blockedUntil = -Infinity;
@@ -53,11 +55,12 @@
     private readonly cell: simulatedCell.SimulatedCell,
   ) {
     const {time} = cell;
+    const clock = {now: () => time.now() - this.suspendedMs};
     const delay = (milliseconds: number): Promise<void> =>
       this.delay(milliseconds);
     this.node = new cellNode.CellNode({
       self,
-      clock: time,
+      clock,
       loopLoad: {delayMs: 0, times: {active: 0, idle: 0}},
       linkLoad: {sendDelayMs: 0},
       loopMeter: new loopMeter.LoopMeter(time),
@@ -70,7 +73,7 @@
         this.topic(cell.operatorStore),
         CONFIGURATION_MS,
         {
-          clock: time,
+          clock,
           delay,
           log: this.log(),
           counters: {count: () => {}, observe: () => {}},
@@ -81,6 +84,7 @@
         cell.workers,
         time,
         worker => cell.isCutOff(worker.address) === cell.isCutOff(self.address),
+        handle => this.run(handle),
       ),
       localAdviceClient: {ask: async () => ({kind: 'busy'})},
       peers: this.peers(),
@@ -90,7 +94,7 @@
       defer: pass => this.later(0, pass),
     });
     platformFeeds.followCellLog(this.topic(), this.node, {
-      clock: time,
+      clock,
       delay,
       log: this.log(),
       counters: {count: () => {}, observe: () => {}},
@@ -112,6 +116,12 @@
     this.silentIdleCount = idleCount;
   }
 
+  /** Suspends the VM: its loop and its steady clock stand still for a time. */
+  suspend(milliseconds: number): void {
+    this.block(milliseconds);
+    this.suspendedMs += milliseconds;
+  }
+
   /** Ends the process without notice; its port refuses connections. */
   kill(): void {
     this.alive = false;
--- a/test/zones/cut_off_leader_test.ts
+++ b/test/zones/cut_off_leader_test.ts
@@ -7,13 +7,16 @@
 
 const {describe, test} = nodeTest;
 
+const RUN_TIME_MS = 2_000;
+
+/** Shorter than a lease, longer than a proof of leadership holds. */
+const SUSPENSION_MS = 4_300;
+
 /** Longer than the wait of a successor for workers that it can't reach. */
 const PARTITION_MS = 12_000;
 
 /** Longer than a leader may act on the word of a majority alone. */
-const LONG_OUTAGE_MS = 28_000;
-
-const RUN_TIME_MS = 2_000;
+const LONG_OUTAGE_MS = 32_000;
 
 /** Returns a leader and the members of its availability zone. */
 function zoneOfLeader(
@@ -24,12 +27,19 @@
 }
 
 describe('a leader that is cut off with its availability zone', () => {
-  for (const seed of [1, 2, 3]) {
+  const cases = [
+    {seed: 1, runTimeMs: RUN_TIME_MS},
+    {seed: 2, runTimeMs: RUN_TIME_MS},
+    {seed: 3, runTimeMs: RUN_TIME_MS},
+    // Its leases must not outlast the successor's wait either.
+    {seed: 4, runTimeMs: PARTITION_MS},
+  ];
+  for (const {seed, runTimeMs} of cases) {
     // Guards against the incident of issue 35: the members that are cut off with
     // the leader know no later term, and their pings extended its permission for
     // as long as the cut lasted.
     test(`starts no task that its successor starts too (seed ${seed})`, async () => {
-      const cell = await workingCell.startCell(seed, RUN_TIME_MS);
+      const cell = await workingCell.startCell(seed, runTimeMs);
       await workingCell.submitJobs(cell, 3_000);
       const cutOff = zoneOfLeader(cell).map(({self}) => self.address);
       const claimCount = cell.wonClaims.length;
@@ -46,7 +56,7 @@
   // side of a partition for ended: that leader acts on a majority's word.
   for (const durationMs of [PARTITION_MS, LONG_OUTAGE_MS]) {
     test(`and with most members: no task runs twice in ${durationMs} ms`, async () => {
-      const cell = await workingCell.startCell(4, RUN_TIME_MS);
+      const cell = await workingCell.startCell(4, durationMs);
       await workingCell.submitJobs(cell, 3_000);
       const {zone} = cell.leader().self;
       const withStore = cell.members.filter(({self}) => self.zone !== zone);
@@ -63,6 +73,38 @@
   }
 });
 
+describe('a leader whose VM is suspended while it is cut off', () => {
+  // Guards against a permission that outlives the suspension, in which the
+  // steady clock stands still.
+  test('extends no lease beyond the wait of its successor', async () => {
+    const cell = await workingCell.startCell(6, PARTITION_MS);
+    await workingCell.submitJobs(cell, 600);
+    const leader = cell.leader();
+    cell.partition([leader.self.address, cell.workerEntries[0].address]);
+    leader.suspend(SUSPENSION_MS);
+    await cell.time.advance(PARTITION_MS);
+    assert.notEqual(cell.leader(), leader, 'not replaced');
+    cell.heal();
+    await cell.time.advance(10_000);
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against a decision by a configuration whose proof seems new only
+  // because the clock stood still.
+  test('has no proof by the time that it slept through', async () => {
+    const cell = await workingCell.startCell(7, RUN_TIME_MS);
+    const leader = cell.leader();
+    leader.suspend(8_000);
+    await cell.time.advance(7_999);
+    cell.partition([leader.self.address]);
+    await cell.time.advance(150);
+    assert.equal(leader.node.countPending(workingCell.QUEUE_NAME), undefined);
+    const basis = leader.node.configurationBasis();
+    await cell.time.advance(1_000);
+    assert.equal((await basis).standing, 'cutOff');
+  });
+});
+
 describe('a leader whose members all lose the store', () => {
   // Guards against work that lapses in a long outage of the store, in which no
   // other member can claim.
