Count starts by age at sending, and name the runs that a term never asked for

Cause: no line or counter told how old the decision behind a start was when the start left, for which incarnation of a worker it was meant, or that a worker runs what this term did not start. The causes of tasks that run twice could not be told apart.

Change: starts_sent and start_age, by copy and age; the warning startSentLate; runs_adopted and the line runAdopted. The age is taken when the HTTP client writes the call, not when the scheduler hands it over. An adopted run that is not needed is stopped in one place.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -4,6 +4,7 @@
 import type * as clock from '../machines/clock.js';
 import type * as workerSelection from './worker_selection.js';
 import type * as loopMeter from '../machines/loop_meter.js';
+import type * as runMonitor from './run_monitor.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerClient from '../machines/worker_client.js';
 
@@ -46,6 +47,7 @@
     /** Returns whether leases may be granted; each start grants one. */
     private readonly mayGrantLeases: () => boolean,
     private readonly loopMeter: loopMeter.LoopMeter,
+    private readonly runMonitor: runMonitor.RunMonitor,
     private readonly listener: DispatchListener,
   ) {
     this.throttleCommands = new throttleCommands.ThrottleCommands(
@@ -139,6 +141,9 @@
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     assignment.startsInFlight += 1;
+    const isRepeat = assignment.unansweredStarts > 0;
+    const onSent = (): void =>
+      this.runMonitor.startSent(assignment, isRepeat, this.clock.now());
     const command = {
       task: task.name,
       run,
@@ -149,7 +154,9 @@
       ticket,
     };
     void this.loopMeter
-      .measure('starts', () => this.workerClient.start(worker.entry, command))
+      .measure('starts', () =>
+        this.workerClient.start(worker.entry, command, onSent),
+      )
       .then(outcome => this.handleStartOutcome(assignment, outcome));
   }
 
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -13,6 +13,7 @@
 import * as roomForecast from './room_forecast.js';
 import * as runTracker from './run_tracker.js';
 import * as turnSlicer from './turn_slicer.js';
+import * as runMonitor from './run_monitor.js';
 import * as runReplacer from './run_replacer.js';
 import * as runtimeModel from './runtime_model.js';
 import * as jobAdmission from './job_admission.js';
@@ -117,6 +118,7 @@
       clock,
       requestPlacementPass,
     );
+    const monitor = new runMonitor.RunMonitor(options);
     this.dispatcher = new dispatcher.Dispatcher(
       options.workerClient,
       assignmentIndex,
@@ -125,6 +127,7 @@
       LEASE_DURATION_MS,
       () => this.active && options.mayGrantLeases(),
       options.loopMeter,
+      monitor,
       this,
     );
     this.jobLifecycle = new jobLifecycle.JobLifecycle({
@@ -142,6 +145,7 @@
       this.jobTable,
       assignmentIndex,
       this.dispatcher,
+      monitor,
       this.jobLifecycle,
     );
     this.admission = new jobAdmission.JobAdmission(
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -1,6 +1,7 @@
 import * as passPacer from './pass_pacer.js';
 import * as placementOrder from './placement_order.js';
 import * as placer from './placer.js';
+import * as runNumbers from './run_numbers.js';
 import * as sliceBudget from './slice_budget.js';
 import * as stepOrdering from './step_ordering.js';
 import type * as adviceCache from './advice_cache.js';
@@ -49,9 +50,6 @@
  */
 const MAXIMUM_SEND_DELAY_MS = 150;
 
-/** Number of run numbers reserved for each term. */
-const RUN_NUMBERS_PER_TERM = 64;
-
 /**
  * Runs placement passes over the waiting steps, in slices of one event loop turn
  * each, so that messages are read in between.
@@ -133,7 +131,7 @@
   nextRun(task: jobTask.JobTask): number {
     const {term} = this.dependencies.options;
     const fromEarlierTerm = task.step.jobRecord.fromEarlierTerm;
-    const lowestRun = fromEarlierTerm ? term * RUN_NUMBERS_PER_TERM : 1;
+    const lowestRun = fromEarlierTerm ? runNumbers.firstRunOfTerm(term) : 1;
     return Math.max(task.highestRun + 1, lowestRun);
   }
 
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -4,6 +4,7 @@
 import type * as dispatcher from './dispatcher.js';
 import type * as jobTable from './job_table.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
+import type * as runMonitor from './run_monitor.js';
 import type * as stepInstance from './step_instance.js';
 
 /** Receives the ends of runs. */
@@ -76,6 +77,7 @@
     private readonly jobTable: jobTable.JobTable,
     private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly dispatcher: dispatcher.Dispatcher,
+    private readonly runMonitor: runMonitor.RunMonitor,
     private readonly listener: RunListener,
   ) {}
 
@@ -171,7 +173,10 @@
     }
   }
 
-  /** Adopts a run that an earlier term started. */
+  /**
+   * Adopts a run that this term did not start, or has given up. It is stopped
+   * unless its task still needs it.
+   */
   private adopt(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
@@ -191,12 +196,16 @@
       assignment.processorPercent = undefined;
     }
     task.highestRun = Math.max(task.highestRun, run);
-    const running = task.assignments.some(other => other.phase !== 'stopping');
+    const otherRun = task.assignments.find(other => other.phase !== 'stopping');
     this.assignmentIndex.add(assignment);
     step.jobRecord.started = true;
-    if (running && !step.definition.duplicatesAllowed) {
-      this.dispatcher.stop(assignment);
-    }
+    const isNeeded =
+      !task.done &&
+      step.jobRecord.outcome === 'open' &&
+      (otherRun === undefined || step.definition.duplicatesAllowed);
+    const action = isNeeded ? 'kept' : 'stopped';
+    this.runMonitor.runAdopted({assignment, otherRun, action});
+    if (!isNeeded) this.dispatcher.stop(assignment);
     return assignment;
   }
 
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -53,9 +53,11 @@
 
 /** Client for calls to workers. The returned promises never reject. */
 export interface WorkerClient {
+  /** Sends a start; `onSent` is called when it leaves this process. */
   start(
     worker: remoteWorker.RegistryEntry,
     command: StartCommand,
+    onSent?: () => void,
   ): Promise<CommandOutcome>;
   stop(
     worker: remoteWorker.RegistryEntry,
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -41,7 +41,9 @@
   start(
     entry: remoteWorker.RegistryEntry,
     command: workerClient.StartCommand,
+    onSent?: () => void,
   ): Promise<workerClient.CommandOutcome> {
+    onSent?.();
     return this.deliver(entry, worker => worker.start(command));
   }
 
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -93,6 +93,8 @@
   readonly supersededReasons: string[] = [];
   /** Receives the schedulers' log events. */
   log: schedulerOptions.EventLog = {event: () => {}};
+  /** Receives the schedulers' counts and durations. */
+  counters: schedulerOptions.Counters = {count: () => {}, observe: () => {}};
   /** Load of the event loop that schedulers see. */
   loopLoad: loopLoads.LoopLoadSource = {
     delayMs: 0,
@@ -147,7 +149,7 @@
       linkLoad: this.linkLoad,
       loopMeter: new loopMeter.LoopMeter(this.time),
       log: this.log,
-      counters: {count: () => {}, observe: () => {}},
+      counters: this.counters,
       mayGrantLeases,
       isConfigurationUsable: () => this.isConfigurationUsable,
       onSuperseded: reason => {
