Start the clock of a stand-in worker anew with each incarnation

The fake workers of simulated time kept one clock over all incarnations. A call meant for the last incarnation then had a deadline that passed within its lease, so a start that came more than 5 s late was always rejected. By the protocol the clock starts anew and the deadline lies far ahead. The model also shortens leases to the longest one that a worker accepts.

--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -46,6 +46,9 @@
 /** Most ends that one report lists. */
 const MAXIMUM_ENDS_PER_REPORT = 500;
 
+/** Longest lease; the worker shortens longer ones to it. */
+const MAXIMUM_LEASE_MS = 10_000;
+
 /** Model of one incarnation of a worker under the platform's protocol. */
 export class WorkerModel {
   /** Calls do not reach the worker and answers do not leave it. */
@@ -54,7 +57,7 @@
   crashed = false;
   /** Calls take effect but their answers are lost. */
   losesAnswers = false;
-  /** Latest lease end that any call has set. */
+  /** Latest lease end that any call has set, on the worker's clock. */
   leaseEndMs = 0;
   /** Highest accepted fencing token; calls with a lower one are rejected. */
   highestFencingToken = 0;
@@ -71,8 +74,15 @@
     private readonly runPlan: RunPlan,
     private readonly events: RunEvent[],
     private readonly acknowledgedEnds: AcknowledgedEnd[] = [],
+    /** Time at which the worker's own clock began. */
+    private readonly clockStartMs = 0,
   ) {}
 
+  /** Time on the worker's own clock, which starts anew in each incarnation. */
+  private get workerClockMs(): number {
+    return this.clock.now() - this.clockStartMs;
+  }
+
   get runningCount(): number {
     this.endDueRuns();
     return this.running.size;
@@ -85,7 +95,7 @@
     }
     if (this.rejectReason !== undefined) return this.reject(this.rejectReason);
     this.raiseFencingTokenAndLease(command.fencingToken, command.deadlineMs);
-    if (command.deadlineMs <= this.clock.now()) return this.reject('late');
+    if (command.deadlineMs <= this.workerClockMs) return this.reject('late');
     const activeRun = this.running.get(command.task);
     if (activeRun?.command.run === command.run) return this.done();
     const highestEndedRun = this.highestEndedRuns.get(command.task) ?? 0;
@@ -137,7 +147,7 @@
     return {
       kind: 'reported',
       report: {
-        clockMs: this.clock.now(),
+        clockMs: this.workerClockMs,
         born: this.entry.born,
         running: [...this.running.values()].map(run => this.toReportedRun(run)),
         ended: this.ended
@@ -200,18 +210,21 @@
     leaseEndMs: number,
   ): void {
     this.highestFencingToken = Math.max(this.highestFencingToken, fencingToken);
-    this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
+    const longestLeaseEndMs = this.workerClockMs + MAXIMUM_LEASE_MS;
+    const grantedMs = Math.min(leaseEndMs, longestLeaseEndMs);
+    this.leaseEndMs = Math.max(this.leaseEndMs, grantedMs);
   }
 
   /** Ends the runs that have finished, and all runs if the lease has ended. */
   endDueRuns(): void {
     const now = this.clock.now();
     for (const [task, run] of [...this.running]) {
-      if (run.endsAtMs <= Math.min(now, this.leaseEndMs)) {
+      const lastMs = Math.min(now, this.leaseEndMs + this.clockStartMs);
+      if (run.endsAtMs <= lastMs) {
         this.endRun(task, run.outcome);
       }
     }
-    if (this.leaseEndMs > now) return;
+    if (this.leaseEndMs > this.workerClockMs) return;
     for (const task of [...this.running.keys()]) this.endRun(task, 'lapsed');
     this.ended = this.ended.map(listed => ({...listed, leaseLapsed: true}));
   }
@@ -249,12 +262,12 @@
   }
 
   private done(): workerClient.CommandOutcome {
-    return {kind: 'done', clockMs: this.clock.now()};
+    return {kind: 'done', clockMs: this.workerClockMs};
   }
 
   private reject(
     reason: workerClient.RejectionReason,
   ): workerClient.CommandOutcome {
-    return {kind: 'rejected', reason, clockMs: this.clock.now()};
+    return {kind: 'rejected', reason, clockMs: this.workerClockMs};
   }
 }
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -22,10 +22,11 @@
 
   constructor(private readonly time: simulatedClock.SimulatedClock) {}
 
-  /** Adds a worker whose runs follow `plan`. */
+  /** Adds a worker whose runs follow `plan` and whose clock began then. */
   add(
     entry: remoteWorker.RegistryEntry,
     plan: workerModel.RunPlan,
+    clockStartMs = 0,
   ): workerModel.WorkerModel {
     const worker = new workerModel.WorkerModel(
       entry,
@@ -33,6 +34,7 @@
       plan,
       this.events,
       this.acknowledgedEnds,
+      clockStartMs,
     );
     this.byAddress.set(entry.address, worker);
     return worker;
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -231,10 +231,14 @@
     });
     const {minimumMs, rangeMs} = this.runtimes;
     const runtimeMs = (): number => minimumMs + this.random.below(rangeMs);
-    const model = this.cell.workers.add(entry, () => ({
+    const plan = (): ReturnType<workerModel.RunPlan> => ({
       runTimeMs: runtimeMs(),
       outcome: this.chance(60) ? 'failed' : 'done',
-    }));
+    });
+    // The clock of an incarnation under the same id starts anew, so that the
+    // deadline of a call meant for the last one lies far ahead.
+    const clockStartMs = this.restartsInPlace ? this.cell.time.now() : 0;
+    const model = this.cell.workers.add(entry, plan, clockStartMs);
     this.models[index] = model;
     if (isListed) this.publishEntry(entry);
   }
