Give each incarnation of a worker its own fencing token

Cause: a copy of a start got no answer, another copy ran to its end, and the worker came back under its id. The late copy carried the term's token, which is all that the next incarnation had been told, so it was carried out, long after the scheduler had reached that incarnation.

The first call to an incarnation fences all that was meant for earlier ones. A rejection by a worker that this term knows a later incarnation of does not end the term.

A test that starts a run at the model by itself uses the token that the term's scheduler uses; otherwise the model would reject it and the test would guard nothing.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,3 +1,4 @@
+import * as fencingToken from '../machines/fencing_token.js';
 import * as jobTask from './job_task.js';
 import * as throttleCommands from './throttle_commands.js';
 import type * as assignmentIndex from './assignment_index.js';
@@ -10,8 +11,8 @@
 
 /** Receives the outcomes of commands. */
 export interface DispatchListener {
-  /** A worker rejected a command because it follows a later term. */
-  termSuperseded(): void;
+  /** A worker rejected a command because it has seen a higher fencing token. */
+  termSuperseded(worker: remoteWorker.RemoteWorker): void;
   /** Another incarnation answered at the worker's address. */
   workerReplaced(worker: remoteWorker.RemoteWorker): void;
   /** A start was definitely not carried out; the task waits again. */
@@ -42,7 +43,7 @@
     private readonly workerClient: workerClient.WorkerClient,
     private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
-    private readonly fencingToken: number,
+    private readonly term: number,
     private readonly leaseMs: number,
     /** Returns whether leases may be granted; each start grants one. */
     private readonly mayGrantLeases: () => boolean,
@@ -54,7 +55,7 @@
       workerClient,
       assignmentIndex,
       clock,
-      fencingToken,
+      term,
       (assignment, reason) => this.handleRejection(assignment, reason),
     );
   }
@@ -148,7 +149,7 @@
       task: task.name,
       run,
       payload: task.step.jobRecord.definition.payload,
-      fencingToken: this.fencingToken,
+      fencingToken: this.fencingTokenOf(worker),
       deadlineMs,
       checkpoint: task.checkpoint,
       ticket,
@@ -177,7 +178,7 @@
     }
     switch (outcome.reason) {
       case 'superseded':
-        this.listener.termSuperseded();
+        this.listener.termSuperseded(assignment.worker);
         return;
       case 'otherLife':
         this.listener.workerReplaced(assignment.worker);
@@ -214,7 +215,7 @@
     this.markSent(assignment, this.clock.now());
     const {worker} = assignment;
     void this.workerClient
-      .stop(worker.entry, assignment, this.fencingToken)
+      .stop(worker.entry, assignment, this.fencingTokenOf(worker))
       .then(outcome => {
         assignment.commandInFlight = false;
         if (outcome.kind === 'done') {
@@ -231,12 +232,18 @@
     assignment: jobTask.Assignment,
     reason: workerClient.RejectionReason,
   ): void {
-    if (reason === 'superseded') this.listener.termSuperseded();
+    if (reason === 'superseded') {
+      this.listener.termSuperseded(assignment.worker);
+    }
     if (reason === 'otherLife') {
       this.listener.workerReplaced(assignment.worker);
     }
   }
 
+  private fencingTokenOf(worker: remoteWorker.RemoteWorker): number {
+    return fencingToken.fencingTokenOf(this.term, worker.incarnation);
+  }
+
   private markSent(
     assignment: jobTask.Assignment,
     now: clock.Milliseconds,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -213,7 +213,7 @@
     return this.serving && this.active;
   }
 
-  /** Position of this term's claim in the cell's log; the fencing token. */
+  /** Position of this term's claim in the cell's log. */
   get term(): number {
     return this.options.term;
   }
@@ -360,8 +360,8 @@
     this.workerLifecycle.workerReplaced(worker);
   }
 
-  termSuperseded(): void {
-    if (this.active) this.options.onSuperseded('worker');
+  termSuperseded(worker: remoteWorker.RemoteWorker): void {
+    this.workerLifecycle.termSuperseded(worker);
   }
 
   startRejected(
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -29,7 +29,7 @@
 
 /** Dependencies and settings of a scheduler; tests pass fakes. */
 export interface SchedulerOptions {
-  /** Position of this term's claim in the cell's log; the fencing token. */
+  /** Position of this term's claim in the cell's log. */
   readonly term: number;
   readonly clock: clock.Clock;
   /** Returns Unix time in milliseconds. */
--- a/src/jobs/throttle_commands.ts
+++ b/src/jobs/throttle_commands.ts
@@ -1,3 +1,4 @@
+import * as fencingToken from '../machines/fencing_token.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobTask from './job_task.js';
@@ -37,7 +38,7 @@
     private readonly workerClient: workerClient.WorkerClient,
     private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
-    private readonly fencingToken: number,
+    private readonly term: number,
     private readonly onRejected: (
       assignment: jobTask.Assignment,
       reason: workerClient.RejectionReason,
@@ -86,8 +87,9 @@
     const {percent, version} = limit;
     const sentAt = this.clock.now();
     this.limits.set(assignment, {...limit, sentAt, inFlight: true});
+    const token = fencingToken.fencingTokenOf(this.term, worker.incarnation);
     void this.workerClient
-      .throttle(worker.entry, assignment, percent, this.fencingToken)
+      .throttle(worker.entry, assignment, percent, token)
       .then(outcome => this.handleOutcome(assignment, version, outcome));
   }
 
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -163,7 +163,12 @@
     this.openSession(nextIncarnation);
   }
 
-  termSuperseded(): void {
+  /**
+   * A worker has seen a higher fencing token: that of a later term, unless this
+   * term knows a later incarnation, whose own token it may be.
+   */
+  termSuperseded(worker: remoteWorker.RemoteWorker): void {
+    if (this.dependencies.workers.get(worker.id) !== worker) return;
     if (this.sessionsOpen) this.dependencies.options.onSuperseded('worker');
   }
 
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -17,6 +17,8 @@
 /** All worker incarnations on which tasks may run, by worker id. */
 export class WorkerTable {
   private readonly workers = new Map<string, remoteWorker.RemoteWorker>();
+  /** Number of incarnations by worker id, with those that have ended. */
+  private readonly incarnationCounts = new Map<string, number>();
 
   all(): ReadonlyArray<remoteWorker.RemoteWorker> {
     return [...this.workers.values()];
@@ -53,6 +55,7 @@
     const nextIncarnation = remoteWorker.RemoteWorker.nextIncarnation(
       entry,
       now,
+      this.countIncarnation(entry.id),
     );
     nextIncarnation.listed = false;
     this.workers.set(entry.id, nextIncarnation);
@@ -69,7 +72,7 @@
   ): remoteWorker.RemoteWorker {
     const known = this.workers.get(entry.id);
     if (known !== undefined) return known;
-    const worker = new remoteWorker.RemoteWorker(entry, now);
+    const worker = this.createWorker(entry, now);
     worker.listed = false;
     this.workers.set(entry.id, worker);
     return worker;
@@ -95,8 +98,12 @@
       // An entry older than the known incarnation of this id is stale.
       if (known && known.entry.born > entry.born) continue;
       const worker = known
-        ? remoteWorker.RemoteWorker.nextIncarnation(entry, now)
-        : new remoteWorker.RemoteWorker(entry, now);
+        ? remoteWorker.RemoteWorker.nextIncarnation(
+            entry,
+            now,
+            this.countIncarnation(entry.id),
+          )
+        : this.createWorker(entry, now);
       if (known) replaced.push({worker: known, nextIncarnation: worker});
       this.workers.set(entry.id, worker);
       joined.push(worker);
@@ -105,6 +112,21 @@
     return {joined, replaced};
   }
 
+  private createWorker(
+    entry: remoteWorker.RegistryEntry,
+    now: clock.Milliseconds,
+  ): remoteWorker.RemoteWorker {
+    const incarnation = this.countIncarnation(entry.id);
+    return new remoteWorker.RemoteWorker(entry, now, incarnation);
+  }
+
+  /** Returns how many incarnations of an id were known before, and adds one. */
+  private countIncarnation(id: string): number {
+    const count = this.incarnationCounts.get(id) ?? 0;
+    this.incarnationCounts.set(id, count + 1);
+    return count;
+  }
+
   /** Removes incarnations whose machine runs a later one and returns them. */
   private removeReplacedOnMachines(
     joined: ReadonlyArray<remoteWorker.RemoteWorker>,
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -102,7 +102,12 @@
   private earlierIncarnationLeaseExpiry: clock.Milliseconds = -Infinity;
   private registryEntry: RegistryEntry;
 
-  constructor(entry: RegistryEntry, now: clock.Milliseconds) {
+  constructor(
+    entry: RegistryEntry,
+    now: clock.Milliseconds,
+    /** Number of this incarnation among those of its id in this term. */
+    readonly incarnation = 0,
+  ) {
     this.registryEntry = entry;
     this.lastAnswerAt = now;
     this.update(entry, now);
@@ -112,8 +117,9 @@
   static nextIncarnation(
     entry: RegistryEntry,
     now: clock.Milliseconds,
+    incarnation: number,
   ): RemoteWorker {
-    const worker = new RemoteWorker(entry, now);
+    const worker = new RemoteWorker(entry, now, incarnation);
     // A call that was meant for the earlier incarnation may reach this one. Its
     // deadline is far ahead on a clock that has started anew.
     worker.earlierIncarnationLeaseExpiry =
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -3,7 +3,7 @@
 /** Command to start a run. */
 export interface StartCommand extends remoteWorker.RunId {
   readonly payload: string;
-  /** Term of the scheduler; a worker rejects terms below its highest. */
+  /** A worker rejects tokens below its highest; see `fencing_token.ts`. */
   readonly fencingToken: number;
   /** End of the lease on the worker's clock. */
   readonly deadlineMs: number;
@@ -13,7 +13,7 @@
 
 /** Command to renew the leases of all running tasks and to report. */
 export interface RenewalCommand {
-  /** Term of the scheduler; a worker rejects terms below its highest. */
+  /** A worker rejects tokens below its highest; see `fencing_token.ts`. */
   readonly fencingToken: number;
   /** Run ends up to this sequence number are stored. */
   readonly storedEndNumber: number;
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -1,3 +1,4 @@
+import * as fencingToken from './fencing_token.js';
 import type * as clock from './clock.js';
 import type * as remoteWorker from './remote_worker.js';
 import type * as workerClient from './worker_client.js';
@@ -47,7 +48,7 @@
     private readonly client: workerClient.WorkerClient,
     private readonly listener: SessionListener,
     private readonly clock: clock.Clock,
-    private readonly fencingToken: number,
+    private readonly term: number,
     private readonly leaseMs: number,
     private readonly delay: (milliseconds: number) => Promise<void>,
   ) {}
@@ -92,7 +93,7 @@
         ? LONG_POLL_WAIT_MS
         : 0;
     const outcome = await this.client.renewLeases(worker.entry, {
-      fencingToken: this.fencingToken,
+      fencingToken: fencingToken.fencingTokenOf(this.term, worker.incarnation),
       // After a silence the next incarnation may answer, which counts its ends anew.
       storedEndNumber:
         worker.unansweredCalls === 0 ? worker.endCursor.storedNumber : 0,
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
 import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as workerClient from '../../src/machines/worker_client.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
 const {describe, test} = nodeTest;
@@ -22,7 +23,7 @@
   cell.workers.byAddress.get(entry.address)?.crash();
   const nextEntry = {...entry, born: entry.born + 1, service: 'annex'};
   cell.entries = [nextEntry, ...cell.entries.slice(1)];
-  return cell.workers.add(nextEntry, LONG_RUNS);
+  return cell.workers.add(nextEntry, LONG_RUNS, cell.time.now());
 }
 
 /** Returns the tasks of which two runs were up at the same time. */
@@ -166,6 +167,74 @@
     assert.equal(cell.startsOf('aa').length, 2, 'the task still waits');
   });
 
+  // Guards against a task that starts again after its success was acknowledged: a
+  // copy of its start that got no answer reached the worker's next incarnation.
+  test('is reached by a late copy of a start whose run is done: does not run it', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 5_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_000);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    assert.equal(cell.workers.acknowledgedEnds.length, 1);
+    const nextIncarnation = restartWorker(cell);
+    await cell.time.advance(10_000);
+    assert.equal(nextIncarnation.runningCount, 0);
+    assert.equal(cell.startsOf('aa').length, 1, 'the task started again');
+  });
+
+  // Guards against the same from a scheduler of the same term that does not
+  // know any run there, after the registry has dropped the worker for a while.
+  test('is dropped and listed again: no late copy of a start is carried out', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 8_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(1_000);
+    cell.workers.byAddress.get('one:1')?.crash();
+    scheduler.updateWorkers([]);
+    await cell.time.advance(5_000);
+    restartWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(10_000);
+    assert.equal(cell.startsOf('aa').length, 1, 'the task started again');
+  });
+
+  // Guards against a term that ends because a call meant for the last incarnation
+  // is rejected by the token that the next one was given in the same term.
+  test('rejects a start meant for its last incarnation: the term goes on', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(LONG_RUNS, 'one');
+    const outcomes: workerClient.CommandOutcome[] = [];
+    const start = cell.workers.start.bind(cell.workers);
+    cell.workers.start = async (entry, command) => {
+      await cell.time.delay(300);
+      const outcome = await start(entry, command);
+      outcomes.push(outcome);
+      return outcome;
+    };
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(50);
+    restartWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(1_000);
+    assert.deepEqual(
+      outcomes.map(outcome => outcome.kind === 'rejected' && outcome.reason),
+      ['superseded'],
+    );
+    assert.deepEqual(cell.supersededReasons, []);
+  });
+
   // Guards against an end that the next incarnation forgets unseen: an acknowledgement
   // meant for the last incarnation names a number that the next one has not reached.
   test('answers after a silence: no acknowledgement of the last incarnation reaches it', async () => {
--- a/test/jobs/run_ends_test.ts
+++ b/test/jobs/run_ends_test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as fencingToken from '../../src/machines/fencing_token.js';
 import * as jobCell from '../support/job_cell.js';
 
 const {describe, test} = nodeTest;
@@ -93,7 +94,7 @@
       task: 'unknown.0.0.0',
       run: 1,
       payload: '',
-      fencingToken: 1,
+      fencingToken: fencingToken.fencingTokenOf(1, 0),
       deadlineMs: cell.time.now() + 1_000,
       checkpoint: '',
     });
--- a/test/jobs/run_monitor_test.ts
+++ b/test/jobs/run_monitor_test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as fencingToken from '../../src/machines/fencing_token.js';
 import * as jobCell from '../support/job_cell.js';
 import * as recordedCounters from '../support/recorded_counters.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
@@ -145,7 +146,7 @@
       task: 'aa.0.0.0',
       run: 130,
       payload: 'payload of aa',
-      fencingToken: 2,
+      fencingToken: fencingToken.fencingTokenOf(2, 0),
       deadlineMs: cell.time.now() + 5_000,
       checkpoint: '',
     });
