Wait for late starts before a silent worker's run is given up

What callers saw: nothing yet; two runs of a task at the same time in the new test.

Cause: a run whose start had got no answer was given up once its worker's lease was over, some 5 s after the worker fell silent. The start could still come to the next incarnation under the worker's id, while the task ran elsewhere.

Change: such a run stays assigned until its start is 12 s old.

Evidence: the new test fails without the wait and passes with it.

Costs: a task whose start was on its way when its worker fell silent starts elsewhere after 12 s instead of 5 s. Starts that were refused a connection, and runs that had answered, don't wait.

--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -91,7 +91,7 @@
  * Returns whether a copy of a start of the task may be carried out, or one of
  * another member of its gang: a member's success counts for all of them.
  */
-function mayStartAgain(
+export function mayStartAgain(
   {step, sentStarts}: jobTask.JobTask,
   now: clock.Milliseconds,
 ): boolean {
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -147,13 +147,29 @@
     this.lateStarts.review(now);
   }
 
-  /** Ends all runs on a worker. */
-  endAll(worker: remoteWorker.RemoteWorker, endKind: 'lapsed' | 'lost'): void {
+  /** Ends all runs of an incarnation that is over. */
+  endLost(worker: remoteWorker.RemoteWorker): void {
     for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
-      this.end(assignment, endKind);
+      this.end(assignment, 'lost');
     }
   }
 
+  /**
+   * Ends the runs on a worker whose last lease has expired, and returns how many
+   * there were. Those that a late start may still begin, in an incarnation that
+   * has not been reached, stay assigned until then.
+   */
+  endLapsed(
+    worker: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): number {
+    const lapsed = [...this.assignmentIndex.runsOn(worker)].filter(
+      ({jobTask: task}) => !lateStarts.mayStartAgain(task, now),
+    );
+    for (const assignment of lapsed) this.end(assignment, 'lapsed');
+    return lapsed.length;
+  }
+
   /** Releases a run that has ended or definitely did not start. */
   release(assignment: jobTask.Assignment): void {
     this.assignmentIndex.remove(assignment);
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -201,13 +201,14 @@
       return;
     }
     if (worker.lastLeaseExpiry() > now) return;
-    if (worker.runCount > 0) {
+    const lapsedCount = tracker.endLapsed(worker, now);
+    if (lapsedCount > 0) {
       options.log.event('warn', 'leaseLapsed', {
         worker: worker.id,
-        runs: worker.runCount,
+        runs: lapsedCount,
       });
-      tracker.endAll(worker, 'lapsed');
     }
+    if (worker.runCount > 0) return;
     const neverReached =
       !worker.fencingTokenAccepted && now < earlierLeasesExpireAt;
     if (!worker.listed && !neverReached) this.endIncarnation(worker, 'gone');
@@ -235,7 +236,7 @@
         options.clock.now(),
       );
     }
-    tracker.endAll(worker, 'lost');
+    tracker.endLost(worker);
     onEnded(worker, nextIncarnation);
     // Otherwise the next scheduler would wait for this worker's leases.
     if (this.sessionsOpen) this.storedList.removeEnded(worker);
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -213,6 +213,24 @@
     );
   });
 
+  // Guards against two runs at the same time: the lease of a silent worker was
+  // over, but a start that it had not answered came to its next incarnation.
+  test('comes back after its lease with a late start: the task runs once', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 8_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    cell.workers.byAddress.get('one:1')?.crash();
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(7_880);
+    restartWorker(cell);
+    await cell.time.advance(30_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against ends that are never acknowledged again, and against a job that
   // waits for an acknowledgement.
   test('a copy of a start got no answer: the success counts at once, its acknowledgement waits for 12 s', async () => {
