--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,16 +1,18 @@
+import * as fencingToken from '../machines/fencing_token.js';
 import * as jobTask from './job_task.js';
 import * as throttleCommands from './throttle_commands.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as workerSelection from './worker_selection.js';
 import type * as loopMeter from '../machines/loop_meter.js';
+import type * as runMonitor from './run_monitor.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as workerClient from '../machines/worker_client.js';
 
 /** Receives the outcomes of commands. */
 export interface DispatchListener {
-  /** A worker rejected a command because it follows a later term. */
-  termSuperseded(): void;
+  /** A worker rejected a command because it has seen a higher fencing token. */
+  termSuperseded(worker: remoteWorker.RemoteWorker): void;
   /** Another incarnation answered at the worker's address. */
   workerReplaced(worker: remoteWorker.RemoteWorker): void;
   /** A start was definitely not carried out; the task waits again. */
@@ -41,18 +43,19 @@
     private readonly workerClient: workerClient.WorkerClient,
     private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly clock: clock.Clock,
-    private readonly fencingToken: number,
+    private readonly term: number,
     private readonly leaseMs: number,
     /** Returns whether leases may be granted; each start grants one. */
     private readonly mayGrantLeases: () => boolean,
     private readonly loopMeter: loopMeter.LoopMeter,
+    private readonly runMonitor: runMonitor.RunMonitor,
     private readonly listener: DispatchListener,
   ) {
     this.throttleCommands = new throttleCommands.ThrottleCommands(
       workerClient,
       assignmentIndex,
       clock,
-      fencingToken,
+      term,
       (assignment, reason) => this.handleRejection(assignment, reason),
     );
   }
@@ -139,18 +142,27 @@
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     assignment.startsInFlight += 1;
+    const copy = task.sentStarts.add(now);
+    const isRepeat = assignment.unansweredStarts > 0;
+    const onSent = (): void =>
+      this.runMonitor.startSent(assignment, isRepeat, this.clock.now());
     const command = {
       task: task.name,
       run,
       payload: task.step.jobRecord.definition.payload,
-      fencingToken: this.fencingToken,
+      fencingToken: this.fencingTokenOf(worker),
       deadlineMs,
       checkpoint: task.checkpoint,
       ticket,
     };
     void this.loopMeter
-      .measure('starts', () => this.workerClient.start(worker.entry, command))
-      .then(outcome => this.handleStartOutcome(assignment, outcome));
+      .measure('starts', () =>
+        this.workerClient.start(worker.entry, command, onSent),
+      )
+      .then(outcome => {
+        if (isConclusive(outcome)) task.sentStarts.settle(copy);
+        this.handleStartOutcome(assignment, outcome);
+      });
   }
 
   private handleStartOutcome(
@@ -170,7 +182,7 @@
     }
     switch (outcome.reason) {
       case 'superseded':
-        this.listener.termSuperseded();
+        this.listener.termSuperseded(assignment.worker);
         return;
       case 'otherLife':
         this.listener.workerReplaced(assignment.worker);
@@ -207,7 +219,7 @@
     this.markSent(assignment, this.clock.now());
     const {worker} = assignment;
     void this.workerClient
-      .stop(worker.entry, assignment, this.fencingToken)
+      .stop(worker.entry, assignment, this.fencingTokenOf(worker))
       .then(outcome => {
         assignment.commandInFlight = false;
         if (outcome.kind === 'done') {
@@ -224,12 +236,18 @@
     assignment: jobTask.Assignment,
     reason: workerClient.RejectionReason,
   ): void {
-    if (reason === 'superseded') this.listener.termSuperseded();
+    if (reason === 'superseded') {
+      this.listener.termSuperseded(assignment.worker);
+    }
     if (reason === 'otherLife') {
       this.listener.workerReplaced(assignment.worker);
     }
   }
 
+  private fencingTokenOf(worker: remoteWorker.RemoteWorker): number {
+    return fencingToken.fencingTokenOf(this.term, worker.incarnation);
+  }
+
   private markSent(
     assignment: jobTask.Assignment,
     now: clock.Milliseconds,
@@ -238,3 +256,8 @@
     assignment.lastCommandAt = now;
   }
 }
+
+/** Returns whether a start with this outcome can't be carried out any more. */
+function isConclusive(outcome: workerClient.CommandOutcome): boolean {
+  return outcome.kind !== 'unanswered' || outcome.notSent === true;
+}
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -14,6 +14,7 @@
 import * as roomForecast from './room_forecast.js';
 import * as runTracker from './run_tracker.js';
 import * as turnSlicer from './turn_slicer.js';
+import * as runMonitor from './run_monitor.js';
 import * as runReplacer from './run_replacer.js';
 import * as runtimeModel from './runtime_model.js';
 import * as jobAdmission from './job_admission.js';
@@ -106,6 +107,7 @@
       clock,
       requestPlacementPass,
     );
+    const monitor = new runMonitor.RunMonitor(options);
     this.dispatcher = new dispatcher.Dispatcher(
       options.workerClient,
       assignmentIndex,
@@ -114,6 +116,7 @@
       earlierLeases.LEASE_DURATION_MS,
       () => this.active && options.mayGrantLeases(),
       options.loopMeter,
+      monitor,
       this,
     );
     this.jobLifecycle = new jobLifecycle.JobLifecycle({
@@ -131,6 +134,7 @@
       this.jobTable,
       assignmentIndex,
       this.dispatcher,
+      monitor,
       this.jobLifecycle,
     );
     this.admission = new jobAdmission.JobAdmission(
@@ -198,7 +202,7 @@
     return this.serving && this.active;
   }
 
-  /** Position of this term's claim in the cell's log; the fencing token. */
+  /** Position of this term's claim in the cell's log. */
   get term(): number {
     return this.options.term;
   }
@@ -345,8 +349,8 @@
     this.workerLifecycle.workerReplaced(worker);
   }
 
-  termSuperseded(): void {
-    if (this.active) this.options.onSuperseded('worker');
+  termSuperseded(worker: remoteWorker.RemoteWorker): void {
+    this.workerLifecycle.termSuperseded(worker);
   }
 
   startRejected(
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -1,13 +1,15 @@
 import * as jobTask from './job_task.js';
+import * as lateStarts from './late_starts.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as dispatcher from './dispatcher.js';
 import type * as jobTable from './job_table.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
+import type * as runMonitor from './run_monitor.js';
 import type * as stepInstance from './step_instance.js';
 
 /** Receives the ends of runs. */
-export interface RunListener {
+export interface RunListener extends lateStarts.HeldSuccessListener {
   /** A run ended, whether it succeeded or not; its resources are released. */
   runEnded(
     task: jobTask.JobTask,
@@ -72,12 +74,17 @@
 
 /** Applies worker reports to the jobs and their runs. */
 export class RunTracker {
+  private readonly lateStarts: lateStarts.LateStarts;
+
   constructor(
     private readonly jobTable: jobTable.JobTable,
     private readonly assignmentIndex: assignmentIndex.AssignmentIndex,
     private readonly dispatcher: dispatcher.Dispatcher,
+    private readonly runMonitor: runMonitor.RunMonitor,
     private readonly listener: RunListener,
-  ) {}
+  ) {
+    this.lateStarts = new lateStarts.LateStarts(listener);
+  }
 
   /** Finds a task by its name; opens its job's occurrences up to that task. */
   findTask(name: string): jobTask.JobTask | undefined {
@@ -135,13 +142,34 @@
     }
   }
 
-  /** Ends all runs on a worker. */
-  endAll(worker: remoteWorker.RemoteWorker, endKind: 'lapsed' | 'lost'): void {
+  /** Acknowledges successes that no late start can follow any more. */
+  reviewHeldSuccesses(now: clock.Milliseconds): void {
+    this.lateStarts.review(now);
+  }
+
+  /** Ends all runs of an incarnation that is over. */
+  endLost(worker: remoteWorker.RemoteWorker): void {
     for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
-      this.end(assignment, endKind);
+      this.end(assignment, 'lost');
     }
   }
 
+  /**
+   * Ends the runs on a worker whose last lease has expired, and returns how many
+   * there were. Those that a late start may still begin, in an incarnation that
+   * has not been reached, stay assigned until then.
+   */
+  endLapsed(
+    worker: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): number {
+    const lapsed = [...this.assignmentIndex.runsOn(worker)].filter(
+      ({jobTask: task}) => !lateStarts.mayStartAgain(task, now),
+    );
+    for (const assignment of lapsed) this.end(assignment, 'lapsed');
+    return lapsed.length;
+  }
+
   /** Releases a run that has ended or definitely did not start. */
   release(assignment: jobTask.Assignment): void {
     this.assignmentIndex.remove(assignment);
@@ -171,7 +199,10 @@
     }
   }
 
-  /** Adopts a run that an earlier term started. */
+  /**
+   * Adopts a run that this term did not start, or has given up. It is stopped
+   * unless its task still needs it.
+   */
   private adopt(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
@@ -191,12 +222,16 @@
       assignment.processorPercent = undefined;
     }
     task.highestRun = Math.max(task.highestRun, run);
-    const running = task.assignments.some(other => other.phase !== 'stopping');
+    const otherRun = task.assignments.find(other => other.phase !== 'stopping');
     this.assignmentIndex.add(assignment);
     step.jobRecord.started = true;
-    if (running && !step.definition.duplicatesAllowed) {
-      this.dispatcher.stop(assignment);
-    }
+    const isNeeded =
+      !task.done &&
+      step.jobRecord.outcome === 'open' &&
+      (otherRun === undefined || step.definition.duplicatesAllowed);
+    const action = isNeeded ? 'kept' : 'stopped';
+    this.runMonitor.runAdopted({assignment, otherRun, action});
+    if (!isNeeded) this.dispatcher.stop(assignment);
     return assignment;
   }
 
@@ -206,6 +241,7 @@
     now: clock.Milliseconds,
   ): void {
     const affectedTasks = new Set<jobTask.JobTask>();
+    const succeededTasks = new Set<jobTask.JobTask>();
     const {handledNumber} = worker.endCursor;
     let highestNumber = handledNumber;
     for (const reportedEnd of ended) {
@@ -221,6 +257,7 @@
       if (reportedEnd.checkpoint !== '' && !task.done) {
         task.checkpoint = reportedEnd.checkpoint;
       }
+      if (reportedEnd.endKind === 'done') succeededTasks.add(task);
       task.highestRun = Math.max(task.highestRun, reportedEnd.run);
       const assignment = task.findAssignment(worker, reportedEnd.run);
       if (assignment !== undefined) {
@@ -238,7 +275,16 @@
       );
     }
     if (highestNumber === handledNumber) return;
-    this.storeEnds(affectedTasks, worker.endCursor.handle(highestNumber));
+    let openCount = succeededTasks.size + 1;
+    const onStored = worker.endCursor.handle(highestNumber);
+    const complete = (): void => {
+      openCount -= 1;
+      if (openCount === 0) onStored();
+    };
+    for (const task of succeededTasks) {
+      this.lateStarts.whenNoneMayArrive(task, now, complete);
+    }
+    this.storeEnds(affectedTasks, complete);
   }
 
   /** Stores the jobs of ended runs; calls `onStored` once all are stored. */
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -119,6 +119,7 @@
     for (const worker of this.dependencies.workers.all()) {
       if (worker.unreachable) this.reviewUnreachable(worker, now);
     }
+    this.dependencies.tracker.reviewHeldSuccesses(now);
     if (this.dependencies.journal.needsProbe) this.storedList.probe();
     this.storedList.update();
   }
@@ -163,7 +164,12 @@
     this.openSession(nextIncarnation);
   }
 
-  termSuperseded(): void {
+  /**
+   * A worker has seen a higher fencing token: that of a later term, unless this
+   * term knows a later incarnation, whose own token it may be.
+   */
+  termSuperseded(worker: remoteWorker.RemoteWorker): void {
+    if (this.dependencies.workers.get(worker.id) !== worker) return;
     if (this.sessionsOpen) this.dependencies.options.onSuperseded('worker');
   }
 
@@ -198,13 +204,14 @@
     if (expiry > now) return;
     // A later term that reaches the worker may have extended its leases.
     if (options.earlierTerms.provedLeaderAt() < expiry) return;
-    if (worker.runCount > 0) {
+    const lapsedCount = tracker.endLapsed(worker, now);
+    if (lapsedCount > 0) {
       options.log.event('warn', 'leaseLapsed', {
         worker: worker.id,
-        runs: worker.runCount,
+        runs: lapsedCount,
       });
-      tracker.endAll(worker, 'lapsed');
     }
+    if (worker.runCount > 0) return;
     const neverReached =
       !worker.fencingTokenAccepted && !earlierLeases.haveExpired;
     if (!worker.listed && !neverReached) this.endIncarnation(worker, 'gone');
@@ -232,7 +239,7 @@
         options.clock.now(),
       );
     }
-    tracker.endAll(worker, 'lost');
+    tracker.endLost(worker);
     onEnded(worker, nextIncarnation);
     // Otherwise the next scheduler would wait for this worker's leases.
     if (this.sessionsOpen) this.storedList.removeEnded(worker);
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -3,7 +3,7 @@
 /** Command to start a run. */
 export interface StartCommand extends remoteWorker.RunId {
   readonly payload: string;
-  /** Term of the scheduler; a worker rejects terms below its highest. */
+  /** A worker rejects tokens below its highest; see `fencing_token.ts`. */
   readonly fencingToken: number;
   /** End of the lease on the worker's clock. */
   readonly deadlineMs: number;
@@ -13,7 +13,7 @@
 
 /** Command to renew the leases of all running tasks and to report. */
 export interface RenewalCommand {
-  /** Term of the scheduler; a worker rejects terms below its highest. */
+  /** A worker rejects tokens below its highest; see `fencing_token.ts`. */
   readonly fencingToken: number;
   /** Run ends up to this sequence number are stored. */
   readonly storedEndNumber: number;
@@ -42,8 +42,13 @@
       readonly reason: RejectionReason;
       readonly clockMs: number | undefined;
     }
-  /** The command may have been executed, or may still be. */
-  | {readonly kind: 'unanswered'; readonly detail: string};
+  /** The command may have been executed, or may still be, unless `notSent`. */
+  | {
+      readonly kind: 'unanswered';
+      readonly detail: string;
+      /** The command has not left this process, or nobody took it. */
+      readonly notSent?: true;
+    };
 
 /** Outcome of a lease renewal. */
 export type RenewalOutcome =
@@ -53,9 +58,11 @@
 
 /** Client for calls to workers. The returned promises never reject. */
 export interface WorkerClient {
+  /** Sends a start; `onSent` is called when it leaves this process. */
   start(
     worker: remoteWorker.RegistryEntry,
     command: StartCommand,
+    onSent?: () => void,
   ): Promise<CommandOutcome>;
   stop(
     worker: remoteWorker.RegistryEntry,
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
 import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as workerClient from '../../src/machines/worker_client.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
 const {describe, test} = nodeTest;
@@ -22,7 +23,7 @@
   cell.workers.byAddress.get(entry.address)?.crash();
   const nextEntry = {...entry, born: entry.born + 1, service: 'annex'};
   cell.entries = [nextEntry, ...cell.entries.slice(1)];
-  return cell.workers.add(nextEntry, LONG_RUNS);
+  return cell.workers.add(nextEntry, LONG_RUNS, cell.time.now());
 }
 
 /** Returns the tasks of which two runs were up at the same time. */
@@ -166,6 +167,140 @@
     assert.equal(cell.startsOf('aa').length, 2, 'the task still waits');
   });
 
+  // Guards against a task that starts again after its success was acknowledged: a
+  // copy of its start that got no answer reached the worker's next incarnation.
+  test('is reached by a late copy of a start whose run is done: does not run it', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 5_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_000);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    const nextIncarnation = restartWorker(cell);
+    await cell.time.advance(10_000);
+    assert.equal(nextIncarnation.runningCount, 0);
+    assert.equal(cell.startsOf('aa').length, 1, 'the task started again');
+  });
+
+  // Guards against a start after an acknowledged success: the late copy arrives
+  // before the next incarnation has seen any fencing token.
+  test('carries out a late copy before it is known: the success was not acknowledged', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 3_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_500);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(300);
+    restartWorker(cell);
+    await cell.time.advance(10_000);
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    const firstEnd = cell.workers.events.find(({kind}) => kind === 'ended');
+    assert.deepEqual(
+      cell.workers.acknowledgedEnds.filter(
+        ({endedAtMs}) => endedAtMs === firstEnd?.atMs,
+      ),
+      [],
+    );
+  });
+
+  // Guards against two runs at the same time: the lease of a silent worker was
+  // over, but a start that it had not answered came to its next incarnation.
+  test('comes back after its lease with a late start: the task runs once', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 8_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    cell.workers.byAddress.get('one:1')?.crash();
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(7_880);
+    restartWorker(cell);
+    await cell.time.advance(30_000);
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against ends that are never acknowledged again, and against a job that
+  // waits for an acknowledgement.
+  test('a copy of a start got no answer: the success counts at once, its acknowledgement waits for 12 s', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 3_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(1_500);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    jobCell.submit(scheduler, jobCell.jobOf('bb', {}));
+    await cell.time.advance(9_900);
+    assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
+    assert.deepEqual(cell.workers.acknowledgedEnds, []);
+    await cell.time.advance(1_500);
+    const tasks = cell.workers.acknowledgedEnds.map(({task}) => task);
+    assert.deepEqual(tasks, ['aa.0.0.0', 'bb.0.0.0']);
+  });
+
+  // Guards against a task that starts again on an incarnation that this term
+  // takes for a new worker, because the registry had dropped the earlier one.
+  test('is dropped and listed again: no late copy of a start is carried out', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 8_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(1_000);
+    cell.workers.byAddress.get('one:1')?.crash();
+    scheduler.updateWorkers([]);
+    await cell.time.advance(5_000);
+    restartWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(10_000);
+    assert.equal(cell.startsOf('aa').length, 1, 'the task started again');
+  });
+
+  // Guards against a term that ends because a call meant for the last incarnation
+  // is rejected by the token that the next one was given in the same term.
+  test('rejects a start meant for its last incarnation: the term goes on', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(LONG_RUNS, 'one');
+    const outcomes: workerClient.CommandOutcome[] = [];
+    const start = cell.workers.start.bind(cell.workers);
+    cell.workers.start = async (entry, command) => {
+      await cell.time.delay(300);
+      const outcome = await start(entry, command);
+      outcomes.push(outcome);
+      return outcome;
+    };
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(50);
+    restartWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(1_000);
+    assert.deepEqual(
+      outcomes.map(outcome => outcome.kind === 'rejected' && outcome.reason),
+      ['superseded'],
+    );
+    assert.deepEqual(cell.supersededReasons, []);
+  });
+
   // Guards against an end that the next incarnation forgets unseen: an acknowledgement
   // meant for the last incarnation names a number that the next one has not reached.
   test('answers after a silence: no acknowledgement of the last incarnation reaches it', async () => {
