Keep the record of a job that repeats at a constant size

What callers would see: a scheduled job is ended as failed after some 3,600 occurrences of one task, two hours at one in two seconds.

Cause: the progress record lists the steps of each occurrence that is over; it outgrows record_bytes, and the job is ended because its progress doesn't fit.

Change: once more than 2,000 tasks of done occurrences are listed, ranges of occurrences take their place. Shorter lists are stored as before, because an earlier version of the program doesn't read ranges and would run these occurrences again during a rolling update.

--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -15,13 +15,25 @@
   readonly checkpoints: ReadonlyArray<readonly [number, string]>;
 }
 
+/** First and last of a range of a job's occurrences. */
+export type OccurrenceRange = readonly [first: number, last: number];
+
 /** Stored state of a job apart from its definition. */
 export interface JobProgress {
   readonly outcome: 'open' | 'completed' | 'failed' | 'cancelled';
   readonly started: boolean;
   readonly steps: ReadonlyArray<StepProgress>;
+  /** Occurrences that are done and whose steps are not listed. */
+  readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
 }
 
+/**
+ * Most tasks of done occurrences that a record lists one by one. Ranges take
+ * their place from then on. Earlier versions of the program don't read ranges
+ * and would run these occurrences again, so shorter lists stay as they were.
+ */
+const MAXIMUM_LISTED_DONE_TASKS = 2_000;
+
 /** A job with its steps, tasks and outcome. */
 export class JobRecord {
   readonly steps: stepInstance.StepInstance[] = [];
@@ -121,16 +133,16 @@
   progress(): JobProgress {
     const {outcome, started} = this;
     if (outcome !== 'open') return {outcome, started, steps: []};
-    const steps = this.steps.map(instance => progressOf(instance));
-    return {
-      outcome,
-      started,
-      steps: steps.filter(
+    const doneOccurrences = this.doneOccurrences();
+    const steps = this.listedSteps(doneOccurrences)
+      .map(instance => progressOf(instance))
+      .filter(
         step =>
           step.done.length + step.failed.length > 0 ||
           step.checkpoints.length > 0,
-      ),
-    };
+      );
+    if (doneOccurrences.length === 0) return {outcome, started, steps};
+    return {outcome, started, steps, doneOccurrences};
   }
 
   /** Restores progress that an earlier term stored. */
@@ -138,12 +150,58 @@
     this.outcome = progress.outcome;
     this.storedOutcome = progress.outcome;
     this.started = progress.started;
+    for (const [first, last] of progress.doneOccurrences ?? []) {
+      while (this.nextOccurrence <= last) this.openOccurrence();
+      const steps = this.stepsOf(first, last);
+      for (const step of steps) markAllDone(step);
+    }
     for (const stored of progress.steps) {
       while (this.nextOccurrence <= stored.occurrence) this.openOccurrence();
       const instance = this.stepAt(stored.occurrence, stored.position);
       if (instance !== undefined) restoreStep(instance, stored);
     }
   }
+
+  /** Returns the done occurrences; none while their tasks are few. */
+  private doneOccurrences(): ReadonlyArray<OccurrenceRange> {
+    const ranges: Array<[first: number, last: number]> = [];
+    let taskCount = 0;
+    for (let number = 0; number < this.nextOccurrence; number += 1) {
+      const steps = this.stepsOf(number, number);
+      if (!steps.every(step => step.done)) continue;
+      for (const step of steps) taskCount += step.tasks.length;
+      const lastRange = ranges.at(-1);
+      if (lastRange?.[1] === number - 1) lastRange[1] = number;
+      else ranges.push([number, number]);
+    }
+    return taskCount > MAXIMUM_LISTED_DONE_TASKS ? ranges : [];
+  }
+
+  /** Returns the steps of all occurrences outside some ranges. */
+  private listedSteps(
+    ranges: ReadonlyArray<OccurrenceRange>,
+  ): ReadonlyArray<stepInstance.StepInstance> {
+    const listed: stepInstance.StepInstance[] = [];
+    let position = 0;
+    for (const [first, last] of ranges) {
+      listed.push(...this.stepsOf(position, first - 1));
+      position = last + 1;
+    }
+    return [...listed, ...this.stepsOf(position, this.nextOccurrence - 1)];
+  }
+
+  /** Returns the steps of the occurrences `first` to `last`. */
+  private stepsOf(
+    first: number,
+    last: number,
+  ): ReadonlyArray<stepInstance.StepInstance> {
+    const stepCount = this.definition.steps.length;
+    return this.steps.slice(first * stepCount, (last + 1) * stepCount);
+  }
+}
+
+function markAllDone(instance: stepInstance.StepInstance): void {
+  for (const task of instance.tasks) instance.markDone(task);
 }
 
 function progressOf(instance: stepInstance.StepInstance): StepProgress {
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -56,7 +56,9 @@
     OUTCOMES.has(value['outcome']) &&
     typeof value['started'] === 'boolean' &&
     Array.isArray(value['steps']) &&
-    value['steps'].every(isStepProgress)
+    value['steps'].every(isStepProgress) &&
+    (value['doneOccurrences'] === undefined ||
+      isRangeList(value['doneOccurrences']))
   );
 }
 
@@ -132,6 +134,12 @@
   return Array.isArray(value) && value.every(typeGuards.isNonNegativeInteger);
 }
 
+function isRangeList(value: unknown): boolean {
+  return (
+    isPairList(value) && (value as ReadonlyArray<unknown>).every(isIndexList)
+  );
+}
+
 function isPairList(value: unknown): boolean {
   return (
     Array.isArray(value) &&
--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -68,7 +68,12 @@
   }
 
   async readNewest(): Promise<keyedTopic.ReadOutcome> {
-    return {kind: 'read', records: [], end: 0, topicEnd: 0};
+    const records = this.appended.map((record, offset) => ({
+      ...record,
+      offset,
+    }));
+    const end = records.length;
+    return {kind: 'read', records, end, topicEnd: end};
   }
 }
 
@@ -157,15 +162,19 @@
   return {kind: 'progress', id: definition.id, progress: record.progress()};
 }
 
-/** Returns the progress of an open job whose occurrences are all done but one. */
-function progressAfter(occurrences: number): jobJournal.JournalChange {
-  const definition = decode(JOB_ID, {
+function repeatedJob(occurrences: number): job.JobDefinition {
+  return decode(JOB_ID, {
     spec: '',
     steps: [{count: 1, cpu: 100, mem_mb: 10}],
-    repeat_count: occurrences + 1,
+    repeat_count: occurrences,
     start_at_ms: 0,
     interval_ms: 2_000,
   });
+}
+
+/** Returns the progress of an open job whose occurrences are all done but one. */
+function progressAfter(occurrences: number): jobJournal.JournalChange {
+  const definition = repeatedJob(occurrences + 1);
   const record = openRecord(definition);
   for (const step of record.steps.slice(0, -1)) step.markDone(step.tasks[0]);
   return {kind: 'progress', id: definition.id, progress: record.progress()};
@@ -301,6 +310,38 @@
     assert.equal(many.rejection, undefined);
     assert.ok(many.bytes < few.bytes + 100);
   });
+
+  // Guards against occurrences that run again after a failover, and against a
+  // record that a long occurrence among them splits into many ranges.
+  test('restores its occurrences from the record', async () => {
+    const definition = repeatedJob(3_000);
+    const record = openRecord(definition);
+    const runningNumber = 1_500;
+    for (const step of record.steps) {
+      if (step.occurrence !== runningNumber) step.markDone(step.tasks[0]);
+    }
+    const progress = record.progress();
+    assert.equal(progress.steps.length, 0);
+    const ends = [runningNumber - 1, 2_999];
+    assert.deepEqual(
+      progress.doneOccurrences?.map(([, last]) => last),
+      ends,
+    );
+    const topic = new RecordingTopic();
+    const store = new topicJournalStore.TopicJournalStore(topic);
+    const change = {kind: 'progress', id: JOB_ID, progress} as const;
+    await store.append(1, 1, [definitionOf(definition), change], 1);
+    const loaded = (await store.load())?.jobs.at(0)?.progress;
+    assert.deepEqual(loaded, progress);
+    const restored = new jobRecord.JobRecord(definition, 0);
+    restored.restore(progress);
+    const open = restored.steps.filter(step => !step.done);
+    assert.deepEqual(
+      open.map(({occurrence}) => occurrence),
+      [runningNumber],
+    );
+    assert.equal(restored.nextDueUnixMs, Infinity);
+  });
 });
 
 function definitionOf(definition: job.JobDefinition): jobJournal.JournalChange {
