--- a/test/support/random_seeds.ts
+++ b/test/support/random_seeds.ts
@@ -1,11 +1,12 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as randomCell from './random_cell.js';
+import type * as randomWorld from './random_world.js';
 
 /** Declares one simulation test for each seed. */
 export function testSeeds(
   seeds: ReadonlyArray<number>,
-  runtimes?: randomCell.RuntimeRange,
+  runtimes?: randomWorld.RuntimeRange,
   changesConfiguration = false,
   restartsInPlace = false,
 ): void {
--- /dev/null
+++ b/test/support/random_world.ts
@@ -0,0 +1,179 @@
+import * as jobCell from './job_cell.js';
+import * as randomSource from '../../src/machines/random_source.js';
+import * as scriptedConfigurationSource from './scripted_configuration_source.js';
+import * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as job from '../../src/jobs/job.js';
+import type * as remoteWorker from '../../src/machines/remote_worker.js';
+import type * as workerModel from '../../stand_ins/worker_model.js';
+
+/** Number of workers in the cell. */
+export const WORKER_COUNT = 5;
+
+/** Service to which the queue moves and from which it moves back. */
+const OTHER_SERVICE = 'annex';
+
+/** Workers of the other service; the remaining ones are of the queue's own. */
+const OTHER_SERVICE_WORKERS: ReadonlySet<number> = new Set([3, 4]);
+
+interface SimulatedTerm {
+  readonly scheduler: jobScheduler.JobScheduler;
+  readonly proof: {until: number};
+}
+
+/** Range of task runtimes: uniform from `minimumMs`, `rangeMs` wide. */
+export interface RuntimeRange {
+  readonly minimumMs: number;
+  readonly rangeMs: number;
+}
+
+/** What differs between simulated cells. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly runtimes: RuntimeRange;
+  /** Whether the queue is removed, added and moved. */
+  readonly changesConfiguration: boolean;
+  /** Whether crashed workers come back under their id and address. */
+  readonly restartsInPlace: boolean;
+}
+
+/** Jobs, workers and terms of a simulated cell, drawn from one seed. */
+export class RandomWorld {
+  readonly cell = new jobCell.JobCell();
+  /** Accepted jobs. */
+  readonly definitions = new Map<string, job.JobDefinition>();
+  /** Newest incarnation of each worker. */
+  readonly models: workerModel.WorkerModel[] = [];
+  /** Service of the queue in each version; undefined where it was removed. */
+  readonly serviceByVersion: Array<string | undefined> = [
+    undefined,
+    jobCell.QUEUE.service,
+  ];
+  /**
+   * Version that was in force at the first submission of each job that was not
+   * refused.
+   */
+  readonly submittedVersions = new Map<string, number>();
+  private readonly random: randomSource.SeededRandom;
+  private newestTerm: SimulatedTerm | undefined;
+  private term = 0;
+  private incarnationCount = 0;
+
+  constructor(readonly options: WorldOptions) {
+    this.random = new randomSource.SeededRandom(options.seed);
+  }
+
+  get termCount(): number {
+    return this.term;
+  }
+
+  /** Scheduler of the newest term. */
+  get scheduler(): jobScheduler.JobScheduler | undefined {
+    return this.newestTerm?.scheduler;
+  }
+
+  /** Returns a whole number from 0, below a bound. */
+  below(bound: number): number {
+    return this.random.below(bound);
+  }
+
+  chance(oneIn: number): boolean {
+    return this.random.below(oneIn) === 0;
+  }
+
+  /** Submits a job of one or two steps. */
+  submit(): void {
+    const id = `job${this.definitions.size}`;
+    const count = 1 + this.random.below(5);
+    const steps: Array<Partial<job.Step>> = [{count}];
+    if (this.chance(3)) steps.push({count: 2, after: [0]});
+    const definition = jobCell.jobOf(id, ...steps);
+    // A process that has not loaded the jobs yet does not submit any.
+    if (!this.scheduler?.isServing) return;
+    const {configurationVersion: version} = this.cell;
+    if (this.serviceByVersion[version] === undefined) return;
+    // A repeated call finds the job that an earlier one has brought.
+    if (!this.submittedVersions.has(id)) {
+      this.submittedVersions.set(id, version);
+    }
+    this.scheduler.submit(definition, version, outcome => {
+      if (outcome.kind === 'accepted') this.definitions.set(id, definition);
+      if (outcome.kind === 'refused') this.submittedVersions.delete(id);
+    });
+  }
+
+  /** Removes the queue, adds it again, moves it or changes its timeout. */
+  changeConfiguration(): void {
+    const {cell} = this;
+    const service = this.serviceByVersion[cell.configurationVersion];
+    const isOwn = service === jobCell.QUEUE.service;
+    const moved = isOwn ? OTHER_SERVICE : jobCell.QUEUE.service;
+    const choices = [service ?? moved, moved, undefined];
+    this.configure(
+      choices[this.random.below(choices.length)],
+      1_000 + this.random.below(3_000),
+    );
+  }
+
+  /** Puts the next version of the configuration in force. */
+  configure(service: string | undefined, timeoutMs: number): void {
+    const {cell} = this;
+    cell.configurationVersion += 1;
+    this.serviceByVersion[cell.configurationVersion] = service;
+    cell.queues =
+      service === undefined ? [] : [{...jobCell.QUEUE, service, timeoutMs}];
+    this.scheduler?.configure(
+      scriptedConfigurationSource.configurationOf(
+        cell.configurationVersion,
+        cell.queues,
+      ),
+    );
+  }
+
+  /** Starts the next scheduler while the previous one may continue. */
+  async startSuccessor(): Promise<void> {
+    const now = this.cell.time.now();
+    if (this.newestTerm !== undefined) {
+      const longestMs = jobScheduler.LEADERSHIP_PROOF_LIFETIME_MS;
+      this.newestTerm.proof.until = now + this.random.below(longestMs);
+    }
+    this.term += 1;
+    const proof = {until: Infinity};
+    const successor = await this.cell.startTerm(
+      this.term,
+      () => this.cell.time.now() < proof.until,
+    );
+    this.newestTerm = {scheduler: successor, proof};
+  }
+
+  /** Starts the next incarnation of a worker. */
+  addWorker(index: number, isListed = true): void {
+    this.incarnationCount += 1;
+    const port = this.options.restartsInPlace ? 1 : this.incarnationCount;
+    const entry = jobCell.registryEntry(`w${index}`, {
+      born: this.incarnationCount,
+      address: `w${index}:${port}`,
+      service: this.serviceOf(index),
+    });
+    const {minimumMs, rangeMs} = this.options.runtimes;
+    const runtimeMs = (): number => minimumMs + this.random.below(rangeMs);
+    const model = this.cell.workers.add(entry, () => ({
+      runTimeMs: runtimeMs(),
+      outcome: this.chance(60) ? 'failed' : 'done',
+    }));
+    this.models[index] = model;
+    if (isListed) this.publishEntry(entry);
+  }
+
+  private serviceOf(index: number): string {
+    const isOther =
+      this.options.changesConfiguration && OTHER_SERVICE_WORKERS.has(index);
+    return isOther ? OTHER_SERVICE : jobCell.QUEUE.service;
+  }
+
+  /** Lists a worker in the registry. */
+  publishEntry(entry: remoteWorker.RegistryEntry): void {
+    const others = this.cell.entries.filter(({id}) => id !== entry.id);
+    this.cell.entries = [...others, entry];
+    this.scheduler?.updateWorkers(this.cell.entries);
+  }
+}
