Random cell: services, limits, silent stores, floods of ends, paused leaders

Change: five kinds of faults, switched on by options. Tasks that serve beside tasks that use idle capacity, whose limits get lost or are refused, and a service that fails for ever; a store that refuses records for their size, announced or not; a store that is silent while ends arrive, and a leader lost after that; leaders that are paused past their term with calls in flight; workers with more ends than one report lists, also in the calm phase. The worker model carries out limits. Checks in the calm phase: HARM, LOST for tasks that last and for unknown jobs, UNASKED and Acks for cancellations and ends, REFUSED, failures that are stored one by one, runs left paused.

--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -3,17 +3,41 @@
 import type * as remoteWorker from '../src/machines/remote_worker.js';
 import type * as workerClient from '../src/machines/worker_client.js';
 
-/** Returns the duration and the outcome of a run. */
-export type RunPlan = (command: workerClient.StartCommand) => {
+/** What a run does once it has started. */
+export interface PlannedRun {
   readonly runTimeMs: number;
   readonly outcome: 'done' | 'failed';
-};
+  /** Whether the run disturbs the serving tasks of its worker. */
+  readonly disturbs?: boolean;
+  /** Whether the run lasts: it reports its processor share as its progress. */
+  readonly lasts?: boolean;
+  /**
+   * Returns the tail response time of a serving task from the processor shares
+   * of the runs that disturb it, as a sum of percentages.
+   */
+  readonly tailMs?: (disturbingPercent: number) => number;
+}
+
+/** Returns the duration and the outcome of a run. */
+export type RunPlan = (command: workerClient.StartCommand) => PlannedRun;
 
 interface ActiveRun {
   readonly command: workerClient.StartCommand;
-  readonly startedAtMs: number;
-  readonly endsAtMs: number;
-  readonly outcome: string;
+  readonly planned: PlannedRun;
+  /** Processor share of the run, in percent. */
+  readonly percent: number;
+  /** When the processor share was set. */
+  readonly percentSinceMs: number;
+  /** Work left at that time, as a duration at full speed. */
+  readonly remainingMs: number;
+}
+
+/** A serving task that is running, with what disturbs it. */
+export interface ServingRun {
+  readonly task: string;
+  readonly run: number;
+  readonly tailMs: number;
+  readonly undisturbedTailMs: number;
 }
 
 /** A start or end of a run on a worker, for assertions. */
@@ -46,6 +70,8 @@
 /** Most ends that one report lists. */
 const MAXIMUM_ENDS_PER_REPORT = 500;
 
+const FULL_PERCENT = 100;
+
 /** Model of one incarnation of a worker under the platform's protocol. */
 export class WorkerModel {
   /** Calls do not reach the worker and answers do not leave it. */
@@ -92,14 +118,13 @@
     if (activeRun !== undefined || command.run <= highestEndedRun) {
       return this.reject('staleRun');
     }
-    const {runTimeMs, outcome} = this.runPlan(command);
-    const endsAtMs = this.clock.now() + runTimeMs;
-    const startedAtMs = this.clock.now();
+    const planned = this.runPlan(command);
     this.running.set(command.task, {
       command,
-      startedAtMs,
-      endsAtMs,
-      outcome,
+      planned,
+      percent: FULL_PERCENT,
+      percentSinceMs: this.clock.now(),
+      remainingMs: planned.runTimeMs,
     });
     this.recordEvent('started', command.task, command.run, '');
     return this.done();
@@ -122,6 +147,26 @@
     return this.done();
   }
 
+  /** Sets the processor share of a run; does nothing if it is not there. */
+  throttle(
+    runId: remoteWorker.RunId,
+    percent: number,
+    fencingToken: number,
+  ): workerClient.CommandOutcome {
+    this.endDueRuns();
+    if (fencingToken < this.highestFencingToken) {
+      return this.reject('superseded');
+    }
+    this.raiseFencingTokenAndLease(fencingToken, 0);
+    const run = this.running.get(runId.task);
+    if (run?.command.run !== runId.run) return this.reject('staleRun');
+    const now = this.clock.now();
+    const remainingMs = remainingWorkMs(run, now);
+    const changed = {...run, percent, percentSinceMs: now, remainingMs};
+    this.running.set(runId.task, changed);
+    return this.done();
+  }
+
   renewLeases(
     command: workerClient.RenewalCommand,
   ): workerClient.RenewalOutcome {
@@ -177,6 +222,42 @@
     return this.ended.length > 0;
   }
 
+  /** Number of ends before a time that the worker still lists. */
+  countListedEnds(beforeMs: number): number {
+    return this.ended.filter(({endedAtMs}) => endedAtMs < beforeMs).length;
+  }
+
+  /** Returns the processor share of each run that disturbs others. */
+  disturbingRuns(): ReadonlyArray<{task: string; percent: number}> {
+    return [...this.running]
+      .filter(([, {planned}]) => planned.disturbs === true)
+      .map(([task, {percent}]) => ({task, percent}));
+  }
+
+  /** Returns the serving tasks that are running. */
+  servingRuns(): ReadonlyArray<ServingRun> {
+    const disturbingPercent = this.disturbingPercent();
+    const serving: ServingRun[] = [];
+    for (const [task, {command, planned}] of this.running) {
+      if (planned.tailMs === undefined) continue;
+      const tailMs = planned.tailMs(disturbingPercent);
+      const undisturbedTailMs = planned.tailMs(0);
+      serving.push({task, run: command.run, tailMs, undisturbedTailMs});
+    }
+    return serving;
+  }
+
+  private disturbingPercent(): number {
+    let sum = 0;
+    for (const {percent} of this.disturbingRuns()) sum += percent;
+    return sum;
+  }
+
+  /** Whether a task has a run here. */
+  isRunning(task: string): boolean {
+    return this.running.has(task);
+  }
+
   /** Returns the sum of the sizes of the running tasks. */
   reservedCapacity(
     sizeOf: (task: string) => resources.Resources,
@@ -190,9 +271,12 @@
 
   private toReportedRun(run: ActiveRun): remoteWorker.ReportedRun {
     const {task, run: number, checkpoint} = run.command;
-    const elapsedMs = this.clock.now() - run.startedAtMs;
-    const percent = (100 * elapsedMs) / (run.endsAtMs - run.startedAtMs);
-    return {task, run: number, checkpoint, percent, usage: 0};
+    const {lasts, runTimeMs, tailMs} = run.planned;
+    const remainingMs = remainingWorkMs(run, this.clock.now());
+    const doneMs = runTimeMs - remainingMs;
+    const percent = lasts ? run.percent : (FULL_PERCENT * doneMs) / runTimeMs;
+    const usage = tailMs?.(this.disturbingPercent()) ?? 0;
+    return {task, run: number, checkpoint, percent, usage};
   }
 
   private raiseFencingTokenAndLease(
@@ -207,8 +291,8 @@
   endDueRuns(): void {
     const now = this.clock.now();
     for (const [task, run] of [...this.running]) {
-      if (run.endsAtMs <= Math.min(now, this.leaseEndMs)) {
-        this.endRun(task, run.outcome);
+      if (endOf(run) <= Math.min(now, this.leaseEndMs)) {
+        this.endRun(task, run.planned.outcome);
       }
     }
     if (this.leaseEndMs > now) return;
@@ -258,3 +342,16 @@
     return {kind: 'rejected', reason, clockMs: this.clock.now()};
   }
 }
+
+/** Returns the work that a run has left, as a duration at full speed. */
+function remainingWorkMs(run: ActiveRun, now: clock.Milliseconds): number {
+  const elapsedMs = now - run.percentSinceMs;
+  const doneMs = (elapsedMs * run.percent) / FULL_PERCENT;
+  return Math.max(0, run.remainingMs - doneMs);
+}
+
+/** Returns when a run ends at its present speed; Infinity if it is paused. */
+function endOf(run: ActiveRun): clock.Milliseconds {
+  if (run.percent === 0) return Infinity;
+  return run.percentSinceMs + (run.remainingMs * FULL_PERCENT) / run.percent;
+}
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -59,6 +59,17 @@
     clockMs: undefined,
   });
 
+  /** Delivers a limit to its worker, like any other command. */
+  deliverThrottle: workerClient.WorkerClient['throttle'] = (
+    entry,
+    runId,
+    percent,
+    fencingToken,
+  ) =>
+    this.deliver(entry, worker =>
+      worker.throttle(runId, percent, fencingToken),
+    );
+
   async renewLeases(
     entry: remoteWorker.RegistryEntry,
     command: workerClient.RenewalCommand,
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -1,6 +1,7 @@
 import * as fakeJournalStore from './fake_journal_store.js';
 import * as fakeWorkers from './fake_workers.js';
 import * as loopMeter from '../../src/machines/loop_meter.js';
+import type * as pausableProcess from './pausable_process.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import * as simulatedClock from './simulated_clock.js';
 import type * as jobAdmission from '../../src/jobs/job_admission.js';
@@ -130,19 +131,21 @@
   async startTerm(
     term: number,
     mayGrantLeases: () => boolean = () => this.hasLeadershipProof,
+    process?: pausableProcess.PausableProcess,
   ): Promise<jobScheduler.JobScheduler> {
     const newScheduler = new jobScheduler.JobScheduler({
       term,
       clock: this.time,
       wallClock: () => this.time.now(),
       retentionTimes: {stateKeptMs: 120_000},
-      journalStore: this.journal,
-      workerClient: this.workerClient,
+      journalStore: process?.journalStore(this.journal) ?? this.journal,
+      workerClient:
+        process?.workerClient(this.workerClient) ?? this.workerClient,
       adviceClient: {
         accepts: expectedMs => this.advice.accepts(expectedMs),
         ask: (...call) => this.advice.ask(...call),
       },
-      timer: this.time,
+      timer: process ?? this.time,
       loopLoad: this.loopLoad,
       linkLoad: this.linkLoad,
       loopMeter: new loopMeter.LoopMeter(this.time),
@@ -154,7 +157,10 @@
         this.supersededReasons.push(reason);
         newScheduler.retire();
       },
-      defer: runPass => this.time.runAt(this.time.now(), runPass),
+      defer: runPass => {
+        if (process !== undefined) process.runSoon(runPass);
+        else this.time.runAt(this.time.now(), runPass);
+      },
     });
     newScheduler.configure({
       version: this.configurationVersion,
@@ -164,7 +170,9 @@
       idleTimeoutMs: 1_000,
     });
     newScheduler.updateWorkers(this.entries);
-    this.time.runEvery(100, () => newScheduler.tick());
+    this.time.runEvery(100, () => {
+      if (process?.isPaused !== true) newScheduler.tick();
+    });
     void newScheduler.begin();
     await this.time.advance(50);
     return newScheduler;
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -1,5 +1,8 @@
+import * as randomCalmChecks from './random_calm_checks.js';
 import * as randomCellChecks from './random_cell_checks.js';
+import * as randomFaultKinds from './random_fault_kinds.js';
 import * as randomFaults from './random_faults.js';
+import * as randomServices from './random_services.js';
 import * as randomWorld from './random_world.js';
 
 /** Duration of the phase with jobs and faults. */
@@ -28,6 +31,32 @@
   rangeMs: 400,
 };
 
+/** Kinds of faults that earlier seeds do not have. */
+export interface AdditionalFaults {
+  /** Services, one of which fails for ever, and limits that get lost. */
+  readonly services?: boolean;
+  /** A store that refuses records for their size. */
+  readonly recordLimits?: boolean;
+  /** A store that is silent while ends arrive. */
+  readonly storeSilence?: boolean;
+  /** Leaders that are paused past their term. */
+  readonly leaderPauses?: boolean;
+  /** Workers with more ends than one report lists. */
+  readonly endFloods?: boolean;
+}
+
+/** All kinds of additional faults. */
+export const ALL_FAULTS: AdditionalFaults = {
+  services: true,
+  recordLimits: true,
+  storeSilence: true,
+  leaderPauses: true,
+  endFloods: true,
+};
+
+/** Time before the end at which the services are cancelled. */
+const CANCEL_LEAD_MS = 8_000;
+
 /** Result of one simulation. */
 export interface RandomOutcome {
   readonly violations: ReadonlyArray<string>;
@@ -41,12 +70,16 @@
  * scheduler continues for up to two seconds; workers that are unreachable but
  * keep running, crash, or carry out commands late; a store that is down or
  * whose answers are lost; and a queue that is removed and added, moves between
- * two services, and changes its timeout.
+ * two services, and changes its timeout. Further kinds of faults are switched on
+ * by `AdditionalFaults`. In the calm phase after them all bounds of the rules
+ * hold.
  */
 export class RandomCell {
   private readonly world: randomWorld.RandomWorld;
   private readonly faults: randomFaults.RandomFaults;
   private readonly checks: randomCellChecks.RandomCellChecks;
+  private readonly services: randomServices.RandomServices | undefined;
+  private readonly kinds: ReadonlyArray<randomFaultKinds.FaultKind>;
 
   constructor(
     seed: number,
@@ -55,15 +88,21 @@
     changesConfiguration = false,
     /** Whether crashed workers come back under their id and address. */
     restartsInPlace = false,
+    additional: AdditionalFaults = {},
   ) {
     this.world = new randomWorld.RandomWorld({
       seed,
       runtimes,
       changesConfiguration,
       restartsInPlace,
+      pausesLeaders: additional.leaderPauses === true,
     });
     this.faults = new randomFaults.RandomFaults(this.world);
     this.checks = new randomCellChecks.RandomCellChecks(this.world);
+    this.services = additional.services
+      ? new randomServices.RandomServices(this.world)
+      : undefined;
+    this.kinds = this.createKinds(additional);
   }
 
   /** Runs the simulation to its end. */
@@ -73,21 +112,66 @@
     await this.begin();
     while (time.now() < FAULT_PHASE_MS) {
       await this.faults.inject();
+      for (const kind of this.kinds) await kind.inject();
       await this.advanceAndCheck();
     }
     await this.faults.end();
-    const end = time.now() + QUIET_PHASE_MS;
-    while (time.now() < end) await this.advanceAndCheck();
+    for (const kind of this.kinds) kind.end();
+    const calmChecks = await this.runCalmPhase();
     checks.checkCompleted();
     checks.checkAcknowledgedSuccesses();
+    checks.checkRefused();
     return {
-      violations: checks.violations,
+      violations: [...checks.violations, ...calmChecks.violations],
       jobCount: world.definitions.size,
       startCount: world.cell.startsOf('').length,
       termCount: world.termCount,
     };
   }
 
+  private createKinds(
+    additional: AdditionalFaults,
+  ): ReadonlyArray<randomFaultKinds.FaultKind> {
+    const {world, services} = this;
+    const kinds: randomFaultKinds.FaultKind[] = [];
+    if (services !== undefined) kinds.push(services);
+    if (additional.recordLimits) {
+      kinds.push(new randomFaultKinds.RecordLimits(world));
+    }
+    if (additional.storeSilence) {
+      kinds.push(new randomFaultKinds.StoreSilence(world));
+    }
+    if (additional.leaderPauses) {
+      kinds.push(new randomFaultKinds.LeaderPauses(world));
+    }
+    if (additional.endFloods) kinds.push(new randomFaultKinds.EndFloods(world));
+    return kinds;
+  }
+
+  /** Runs the phase without faults, at whose end the services are cancelled. */
+  private async runCalmPhase(): Promise<randomCalmChecks.RandomCalmChecks> {
+    const {world} = this;
+    const {time} = world.cell;
+    const endMs = time.now() + QUIET_PHASE_MS;
+    const cancelAtMs = endMs - CANCEL_LEAD_MS;
+    const calmChecks = new randomCalmChecks.RandomCalmChecks(world, time.now());
+    while (time.now() < cancelAtMs) {
+      await this.advanceAndCheck();
+      calmChecks.check();
+    }
+    const cancelledIds: string[] = [];
+    this.services?.cancel((id, outcome) => {
+      if (outcome === 'cancelled') world.cancelledAtMs.set(id, time.now());
+    });
+    for (const [id, {steps}] of world.definitions) {
+      if (steps[0].longRunning) cancelledIds.push(id);
+    }
+    while (time.now() < endMs) await this.advanceAndCheck();
+    for (const id of cancelledIds) calmChecks.checkCancelled(id, cancelAtMs);
+    calmChecks.checkEnds();
+    return calmChecks;
+  }
+
   private async begin(): Promise<void> {
     const {world} = this;
     for (let index = 0; index < randomWorld.WORKER_COUNT; index += 1) {
--- a/test/support/random_cell_checks.ts
+++ b/test/support/random_cell_checks.ts
@@ -1,3 +1,4 @@
+import * as jobCell from './job_cell.js';
 import * as resources from '../../src/machines/resources.js';
 import type * as randomWorld from './random_world.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
@@ -29,7 +30,11 @@
   private sizeOf(task: string): resources.Resources {
     const [id, , step] = task.split('.');
     const definition = this.world.cell.journal.definitions.get(id);
-    return definition?.steps[Number(step)].size ?? resources.NONE;
+    const {size, usesIdleCapacity} = definition?.steps[Number(step)] ?? {
+      size: resources.NONE,
+      usesIdleCapacity: false,
+    };
+    return usesIdleCapacity ? {...size, processors: 0} : size;
   }
 
   private checkEvent(event: workerModel.RunEvent): void {
@@ -97,8 +102,32 @@
   checkCompleted(): void {
     for (const id of this.world.definitions.keys()) {
       const state = this.world.scheduler?.stateOf('orders', id);
-      if (state === 'completed' || state === 'failed') continue;
+      if (state === 'completed') continue;
+      if (state === 'failed' && this.hasFailedAttempts(id)) continue;
+      if (state === 'cancelled' && this.world.cancelledAtMs.has(id)) continue;
       this.violations.push(`accepted job did not finish: ${id} is ${state}`);
     }
   }
+
+  /** Returns whether a task of a job has failed as often as it may. */
+  private hasFailedAttempts(id: string): boolean {
+    const counts = new Map<string, number>();
+    for (const {kind, task, outcome} of this.world.cell.workers.events) {
+      if (kind !== 'ended' || outcome !== 'failed') continue;
+      if (!task.startsWith(`${id}.`)) continue;
+      counts.set(task, (counts.get(task) ?? 0) + 1);
+    }
+    return Math.max(0, ...counts.values()) >= jobCell.QUEUE.attempts;
+  }
+
+  /** Checks that no job runs of which all submissions were refused. */
+  checkRefused(): void {
+    const started = new Set(
+      this.world.cell.startsOf('').map(({task}) => task.split('.')[0]),
+    );
+    for (const id of started) {
+      if (!this.world.isRefused(id)) continue;
+      this.violations.push(`refused job was started: ${id}`);
+    }
+  }
 }
--- a/test/support/random_seeds.ts
+++ b/test/support/random_seeds.ts
@@ -9,6 +9,7 @@
   runtimes?: randomWorld.RuntimeRange,
   changesConfiguration = false,
   restartsInPlace = false,
+  additional: randomCell.AdditionalFaults = {},
 ): void {
   for (const seed of seeds) {
     nodeTest.test(`violates no invariant with seed ${seed}`, async () => {
@@ -17,6 +18,7 @@
         runtimes,
         changesConfiguration,
         restartsInPlace,
+        additional,
       ).run();
       assert.deepEqual(outcome.violations, []);
       assert.ok(outcome.startCount > 20);
--- a/test/support/random_world.ts
+++ b/test/support/random_world.ts
@@ -1,9 +1,11 @@
 import * as jobCell from './job_cell.js';
+import * as pausableProcess from './pausable_process.js';
 import * as randomSource from '../../src/machines/random_source.js';
 import * as scriptedConfigurationSource from './scripted_configuration_source.js';
 import * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as job from '../../src/jobs/job.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
+import type * as workerClient from '../../src/machines/worker_client.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
 /** Number of workers in the cell. */
@@ -18,8 +20,20 @@
 interface SimulatedTerm {
   readonly scheduler: jobScheduler.JobScheduler;
   readonly proof: {until: number};
+  readonly process: pausableProcess.PausableProcess | undefined;
 }
 
+/** What became of the submissions of a job. */
+interface Submissions {
+  readonly count: number;
+  readonly refusedCount: number;
+}
+
+/** Plan of the tasks of some jobs; undefined for other tasks. */
+export type TaskPlan = (
+  command: workerClient.StartCommand,
+) => workerModel.PlannedRun | undefined;
+
 /** Range of task runtimes: uniform from `minimumMs`, `rangeMs` wide. */
 export interface RuntimeRange {
   readonly minimumMs: number;
@@ -34,6 +48,13 @@
   readonly changesConfiguration: boolean;
   /** Whether crashed workers come back under their id and address. */
   readonly restartsInPlace: boolean;
+  /** Whether the processes of leaders can be paused. */
+  readonly pausesLeaders: boolean;
+}
+
+/** Returns the label that only one worker has. */
+export function labelOf(workerIndex: number): string {
+  return `w${workerIndex}`;
 }
 
 /** Jobs, workers and terms of a simulated cell, drawn from one seed. */
@@ -53,6 +74,11 @@
    * refused.
    */
   readonly submittedVersions = new Map<string, number>();
+  /** Plans of jobs that are not drawn from the usual runtimes. */
+  readonly taskPlans: TaskPlan[] = [];
+  /** Jobs whose cancellation was acknowledged, and when. */
+  readonly cancelledAtMs = new Map<string, number>();
+  private readonly submissions = new Map<string, Submissions>();
   private readonly random: randomSource.SeededRandom;
   private newestTerm: SimulatedTerm | undefined;
   private term = 0;
@@ -87,6 +113,12 @@
     const steps: Array<Partial<job.Step>> = [{count}];
     if (this.chance(3)) steps.push({count: 2, after: [0]});
     const definition = jobCell.jobOf(id, ...steps);
+    this.submitDefinition(definition);
+  }
+
+  /** Submits a job, or submits it again, to the newest scheduler. */
+  submitDefinition(definition: job.JobDefinition): void {
+    const {id} = definition;
     // A process that has not loaded the jobs yet does not submit any.
     if (!this.scheduler?.isServing) return;
     const {configurationVersion: version} = this.cell;
@@ -95,9 +127,27 @@
     if (!this.submittedVersions.has(id)) {
       this.submittedVersions.set(id, version);
     }
+    this.countSubmission(id, 1, 0);
     this.scheduler.submit(definition, version, outcome => {
       if (outcome.kind === 'accepted') this.definitions.set(id, definition);
-      if (outcome.kind === 'refused') this.submittedVersions.delete(id);
+      if (outcome.kind !== 'refused') return;
+      this.submittedVersions.delete(id);
+      this.countSubmission(id, 0, 1);
+    });
+  }
+
+  /** Returns whether all submissions of a job were refused. */
+  isRefused(id: string): boolean {
+    const submissions = this.submissions.get(id);
+    if (submissions === undefined) return false;
+    return submissions.refusedCount === submissions.count;
+  }
+
+  private countSubmission(id: string, count: number, refused: number): void {
+    const earlier = this.submissions.get(id);
+    this.submissions.set(id, {
+      count: (earlier?.count ?? 0) + count,
+      refusedCount: (earlier?.refusedCount ?? 0) + refused,
     });
   }
 
@@ -138,11 +188,20 @@
     }
     this.term += 1;
     const proof = {until: Infinity};
+    const process = this.options.pausesLeaders
+      ? new pausableProcess.PausableProcess(this.cell.time)
+      : undefined;
     const successor = await this.cell.startTerm(
       this.term,
       () => this.cell.time.now() < proof.until,
+      process,
     );
-    this.newestTerm = {scheduler: successor, proof};
+    this.newestTerm = {scheduler: successor, proof, process};
+  }
+
+  /** Pauses the process of the newest scheduler. */
+  pauseLeader(milliseconds: number): void {
+    this.newestTerm?.process?.pause(milliseconds);
   }
 
   /** Starts the next incarnation of a worker. */
@@ -153,17 +212,23 @@
       born: this.incarnationCount,
       address: `w${index}:${port}`,
       service: this.serviceOf(index),
+      labels: ['a', 'r1-1', labelOf(index)],
     });
-    const {minimumMs, rangeMs} = this.options.runtimes;
-    const runtimeMs = (): number => minimumMs + this.random.below(rangeMs);
-    const model = this.cell.workers.add(entry, () => ({
-      runTimeMs: runtimeMs(),
-      outcome: this.chance(60) ? 'failed' : 'done',
-    }));
+    const model = this.cell.workers.add(entry, command => this.plan(command));
     this.models[index] = model;
     if (isListed) this.publishEntry(entry);
   }
 
+  private plan(command: workerClient.StartCommand): workerModel.PlannedRun {
+    for (const taskPlan of this.taskPlans) {
+      const planned = taskPlan(command);
+      if (planned !== undefined) return planned;
+    }
+    const {minimumMs, rangeMs} = this.options.runtimes;
+    const runTimeMs = minimumMs + this.random.below(rangeMs);
+    return {runTimeMs, outcome: this.chance(60) ? 'failed' : 'done'};
+  }
+
   private serviceOf(index: number): string {
     const isOther =
       this.options.changesConfiguration && OTHER_SERVICE_WORKERS.has(index);
