Random cell: a store that refuses the progress of a running job

Change: the limit is below the progress of a flood, and the fake store also refuses (413) what it had announced as too large.

--- a/test/support/fake_journal_store.ts
+++ b/test/support/fake_journal_store.ts
@@ -85,7 +85,11 @@
     const largest = Math.max(
       ...changes.map(change => this.measure(change).bytes),
     );
-    if (largest > this.unannouncedLimitBytes) return 'rejected';
+    const limitBytes = Math.min(
+      this.unannouncedLimitBytes,
+      this.recordLimitBytes,
+    );
+    if (largest > limitBytes) return 'rejected';
     if (term < this.openTerm) return 'superseded';
     this.appendCount += 1;
     if (sequence > this.sequence) {
--- a/test/support/random_cell_checks.ts
+++ b/test/support/random_cell_checks.ts
@@ -103,13 +103,21 @@
     for (const id of this.world.definitions.keys()) {
       const state = this.world.scheduler?.stateOf('orders', id);
       if (state === 'completed') continue;
-      if (state === 'failed' && this.hasFailedAttempts(id)) continue;
+      if (state === 'failed' && this.mayFail(id)) continue;
       if (state === 'cancelled' && this.world.cancelledAtMs.has(id)) continue;
       this.violations.push(`accepted job did not finish: ${id} is ${state}`);
     }
   }
 
-  /** Returns whether a task of a job has failed as often as it may. */
+  /**
+   * Returns whether a job has a cause to fail: a task has failed as often as it
+   * may, or the store can't hold the job's progress (code 1015).
+   */
+  private mayFail(id: string): boolean {
+    const isTooLarge = this.world.hasRecordLimit && id.startsWith('flood');
+    return isTooLarge || this.hasFailedAttempts(id);
+  }
+
   private hasFailedAttempts(id: string): boolean {
     const counts = new Map<string, number>();
     for (const {kind, task, outcome} of this.world.cell.workers.events) {
--- a/test/support/random_fault_kinds.ts
+++ b/test/support/random_fault_kinds.ts
@@ -9,8 +9,8 @@
   end(): void;
 }
 
-/** Size that each record stays below where the store refuses larger ones. */
-const RECORD_LIMIT_BYTES = 8_000;
+/** Size above which records are refused: the progress of a flood outgrows it. */
+const RECORD_LIMIT_BYTES = 2_000;
 
 /** A job that no record can hold. */
 const LARGE_PAYLOAD = 'x'.repeat(RECORD_LIMIT_BYTES);
@@ -24,6 +24,7 @@
 
   constructor(private readonly world: randomWorld.RandomWorld) {
     const {journal} = world.cell;
+    world.hasRecordLimit = true;
     if (world.chance(2)) journal.recordLimitBytes = RECORD_LIMIT_BYTES;
     else journal.unannouncedLimitBytes = RECORD_LIMIT_BYTES;
   }
--- a/test/support/random_world.ts
+++ b/test/support/random_world.ts
@@ -78,6 +78,8 @@
   readonly taskPlans: TaskPlan[] = [];
   /** Jobs whose cancellation was acknowledged, and when. */
   readonly cancelledAtMs = new Map<string, number>();
+  /** Whether the store refuses records for their size. */
+  hasRecordLimit = false;
   private readonly submissions = new Map<string, Submissions>();
   private readonly random: randomSource.SeededRandom;
   private newestTerm: SimulatedTerm | undefined;
