Soak: series of SIGTERM, and a check of requests that are cut off

Change: a process that is stopped gets one to four SIGTERM within half a second, drawn from a source of its own, so that the faults of a seed keep their course. A submission that was read before the first one and ends without an answer within grace_s breaks the run.

--- a/bench/job_invariant_checker.ts
+++ b/bench/job_invariant_checker.ts
@@ -50,6 +50,11 @@
     );
   }
 
+  /** Records that a process that drains has ended an open request. */
+  requestCutOff(process: string, id: string): void {
+    this.violations.push(`${process} cut off the submission of ${id}`);
+  }
+
   /** Records that an accepted job is no longer known. */
   jobLost(id: string, status: number): void {
     this.violations.push(`accepted job ${id} is answered with ${status}`);
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -39,6 +39,16 @@
 const MINIMUM_FAULT_DURATION_MS = 200;
 const FAULT_DURATION_SPREAD_MS = 2_500;
 
+/** Most signals of a series of SIGTERM, and the range of their distances. */
+const MAXIMUM_TERMINATION_SIGNALS = 4;
+const TERMINATION_SPREAD_MS = 150;
+
+/** Limit of a process's drain, `grace_s` of the stand-in's settings. */
+const GRACE_MS = 4_000;
+
+/** A request that was sent this long before SIGTERM was certainly read. */
+const READ_MARGIN_MS = 250;
+
 /** Turns of a process that gets a quarter of its processor time. */
 const SLOW_PAUSE_MS = 300;
 const SLOW_RUN_MS = 100;
@@ -89,7 +99,7 @@
 
 /**
  * Runs real processes over the stand-ins and injects random faults: processes
- * are killed, paused, slowed, or stopped and restarted; connections are reset, delayed
+ * are killed, paused, slowed, or stopped by series of SIGTERM and restarted; connections are reset, delayed
  * or silent in one or both directions; the store stops answering; a queue is
  * added and removed meanwhile.
  */
@@ -99,6 +109,10 @@
   private readonly activeFaults: Array<Promise<void>> = [];
   private readonly faultyProcesses = new Set<platformCell.CellProcess>();
   private readonly submissions: Array<Promise<void>> = [];
+  /** When each process that is being terminated got its first SIGTERM. */
+  private readonly terminatedAtMs = new Map<platformCell.CellProcess, number>();
+  /** A source of its own, so that the faults of a seed keep their course. */
+  private readonly signalRandom: randomSource.SeededRandom;
   private faultsEnded = false;
   private version = 1;
   private hasOtherQueue = false;
@@ -109,6 +123,7 @@
     private readonly seed: number,
   ) {
     this.random = new randomSource.SeededRandom(seed);
+    this.signalRandom = new randomSource.SeededRandom(seed + 3);
     this.checker = new jobInvariantChecker.JobInvariantChecker(cell);
   }
 
@@ -203,7 +218,9 @@
       const target =
         processes[(firstProcessIndex + attempt) % processes.length];
       const body = {spec: '{}', steps};
+      const sentAtMs = performance.now();
       const {status} = await this.cell.callJobApi(target, 'POST', id, body);
+      if (status === NO_ANSWER_STATUS) this.checkCutOff(target, id, sentAtMs);
       if (status === 200) {
         this.checker.jobAccepted(id);
         return;
@@ -221,10 +238,7 @@
       case 0:
         return this.endProcess(target => target.child.kill(), durationMs);
       case 1:
-        return this.endProcess(target => {
-          target.child.signal('SIGTERM');
-          return target.child.waitForExit();
-        }, durationMs);
+        return this.endProcess(target => this.terminate(target), durationMs);
       case 2:
         return this.pauseProcess(durationMs);
       case 3:
@@ -262,6 +276,36 @@
     await this.cell.restart(target);
   }
 
+  /** Sends a series of SIGTERM, as overlapping rolling restarts do. */
+  private async terminate(target: platformCell.CellProcess): Promise<void> {
+    const {signalRandom} = this;
+    this.terminatedAtMs.set(target, performance.now());
+    const exit = target.child.waitForExit();
+    const count = 1 + signalRandom.below(MAXIMUM_TERMINATION_SIGNALS);
+    for (let sent = 0; sent < count; sent += 1) {
+      target.child.signal('SIGTERM');
+      const pauseMs = signalRandom.below(TERMINATION_SPREAD_MS);
+      await Promise.race([exit, timers.setTimeout(pauseMs)]);
+    }
+    await exit;
+    // Calls that ended with the process are checked before it is forgotten.
+    await timers.setTimeout(READ_MARGIN_MS);
+    this.terminatedAtMs.delete(target);
+  }
+
+  /** Checks that only the limit of the drain has ended an open request. */
+  private checkCutOff(
+    target: platformCell.CellProcess,
+    id: string,
+    sentAtMs: number,
+  ): void {
+    const terminatedAtMs = this.terminatedAtMs.get(target);
+    if (terminatedAtMs === undefined) return;
+    const wasRead = sentAtMs <= terminatedAtMs - READ_MARGIN_MS;
+    const isWithinGrace = performance.now() < terminatedAtMs + GRACE_MS;
+    if (wasRead && isWithinGrace) this.checker.requestCutOff(target.name, id);
+  }
+
   private async pauseProcess(durationMs: number): Promise<void> {
     const target = this.pick(this.cell.processes);
     if (this.faultyProcesses.has(target)) return;
