--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -12,8 +12,12 @@
  */
 export const MAJORITY_PROOF_LIMIT_MS = 20_000;
 
+/** Largest ratio of two clocks' rates, and an allowance for late timers. */
+const CLOCK_RATE_RATIO = 1.03;
+const TIMER_MARGIN_MS = 300;
+
 /** Duration of a lease on a clock that runs slow, with late timers. */
-const LONGEST_LEASE_MS = LEASE_DURATION_MS * 1.03 + 300;
+const LONGEST_LEASE_MS = LEASE_DURATION_MS * CLOCK_RATE_RATIO + TIMER_MARGIN_MS;
 
 /** What a new term knows of the leaders before it. */
 export interface EarlierTerms {
@@ -24,6 +28,11 @@
    * finds a majority that doesn't; undefined until then.
    */
   readonly majorityInformedAt: () => clock.Milliseconds | undefined;
+  /**
+   * Whether the last leader knew this member. Otherwise that leader may act for
+   * as long as it hears all members that it knows.
+   */
+  readonly isKnownToPredecessor: () => boolean;
 }
 
 /**
@@ -53,7 +62,9 @@
 
   /** When no leader of an earlier term may grant leases any more. */
   private get lastPermissionEndsAt(): clock.Milliseconds {
-    const withoutLogAt = this.beganAt + MAJORITY_PROOF_LIMIT_MS;
+    if (!this.earlierTerms.isKnownToPredecessor()) return Infinity;
+    const withoutLogAt =
+      this.beganAt + MAJORITY_PROOF_LIMIT_MS * CLOCK_RATE_RATIO;
     const informedAt = this.earlierTerms.majorityInformedAt();
     if (informedAt === undefined) return withoutLogAt;
     return Math.min(informedAt + LEADERSHIP_PROOF_LIFETIME_MS, withoutLogAt);
--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -183,7 +183,7 @@
         (this.overloadRefusal(screened, queue) ??
           this.roomRefusal(definition, queue, arrivedAt))) ??
       this.refusalInForce(id);
-    if (refusal !== undefined && !this.options.mayGrantLeases()) return false;
+    if (refusal !== undefined && !this.options.isProvedLeader()) return false;
     if (queue) this.recordArrival(screened, queue);
     if (refusal !== undefined) {
       this.recordRefusal(id, refusal);
--- a/src/jobs/scheduler_options.ts
+++ b/src/jobs/scheduler_options.ts
@@ -46,9 +46,11 @@
   readonly log: EventLog;
   readonly counters: Counters;
   /**
-   * Returns whether leases may be granted and jobs refused because of the load:
-   * whether this process still has proof that it is the leader.
+   * Returns whether no other leader has existed lately, so that a job which is
+   * refused here was accepted nowhere.
    */
+  readonly isProvedLeader: () => boolean;
+  /** Returns whether leases may be granted and tasks started. */
   readonly mayGrantLeases: () => boolean;
   /** What this term knows of the leaders before and after it. */
   readonly earlierTerms: earlierLeases.EarlierTerms;
--- a/src/links/cell_client.ts
+++ b/src/links/cell_client.ts
@@ -44,6 +44,7 @@
       newest: cellMessages.encodeClaim(pingMessage.newest),
       configurationVersion: BigInt(pingMessage.configurationVersion),
       sender: pingMessage.sender,
+      senderIncarnation: pingMessage.senderIncarnation,
       lastReply: cellMessages.encodeReceivedReply(pingMessage.lastReply),
     };
     const callOutcome = await this.call(address, timeoutMs, (client, options) =>
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -92,7 +92,7 @@
   let claim: cellMember.Claim | undefined;
   let progress: cellMember.LeaderProgress | undefined;
   for (const record of records) {
-    if (record.key.startsWith(MEMBER_PREFIX)) {
+    if (isMemberKey(record.key)) {
       const member = decodeMember(record);
       if (member !== undefined) members.push(member);
     } else if (record.key === CLAIM_KEY) {
@@ -102,7 +102,33 @@
       progress = decodeProgress(record) ?? progress;
     }
   }
-  return {members, claim, progress};
+  const leaderOffset = lastLeaderOffset(records);
+  const addressesBeforeLeaderRecord = records
+    .filter(({key, offset}) => isMemberKey(key) && offset < leaderOffset)
+    .map(({key}) => key.slice(MEMBER_PREFIX.length));
+  return {
+    members,
+    claim,
+    progress,
+    hasLeaderRecord: leaderOffset >= 0,
+    addressesBeforeLeaderRecord,
+  };
+}
+
+function isMemberKey(key: string): boolean {
+  return key.startsWith(MEMBER_PREFIX);
+}
+
+/** Returns the offset of the last claim or progress record; -1 if none. */
+function lastLeaderOffset(
+  records: ReadonlyArray<keyedTopic.TopicRecord>,
+): number {
+  let lastOffset = -1;
+  for (const {key, offset} of records) {
+    const isLeaderRecord = key === CLAIM_KEY || key === PROGRESS_KEY;
+    if (isLeaderRecord) lastOffset = Math.max(lastOffset, offset);
+  }
+  return lastOffset;
 }
 
 function decodeMember(
--- a/src/links/cell_server.ts
+++ b/src/links/cell_server.ts
@@ -70,6 +70,7 @@
       newest: cellMessages.decodeClaim(request.newest),
       configurationVersion: Number(request.configurationVersion),
       sender: request.sender,
+      senderIncarnation: request.senderIncarnation,
       lastReply: cellMessages.decodeReceivedReply(request.lastReply),
     });
     return {
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -38,6 +38,13 @@
   readonly claim: Claim | undefined;
   /** Newest progress record; undefined in a snapshot, where it may be old. */
   readonly progress: LeaderProgress | undefined;
+  /** Whether a claim or a progress record is among these records. */
+  readonly hasLeaderRecord: boolean;
+  /**
+   * Addresses of the members here that precede the last such record, whose
+   * writer had read them.
+   */
+  readonly addressesBeforeLeaderRecord: ReadonlyArray<string>;
 }
 
 /** Outcome of an attempt to write a progress record. */
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -66,6 +66,16 @@
 /** Time after a late tick in which the messages that waited are read. */
 const BACKLOG_READ_TIME_MS = 50;
 
+/** What a member has told of itself in a ping or a reply. */
+interface MemberState {
+  readonly address: string;
+  readonly incarnation: string;
+  /** Newest claim that it knew. */
+  readonly newest: cellMember.Claim | undefined;
+  /** When it was asked, on this process's clock; undefined if not known. */
+  readonly askedAt: clock.Milliseconds | undefined;
+}
+
 /** Process of the cell: takes part in elections and schedules as leader. */
 export class CellNode implements cellPeers.CellService {
   private readonly elector: leaderElector.LeaderElector;
@@ -104,8 +114,7 @@
       cellLog: options.cellLog,
       clock,
       onStored: sentAt => this.handleProgressStored(sentAt),
-      onLogRead: ({members, claim, progress}, end) =>
-        this.applyCellLog(members, claim, end, progress),
+      onLogRead: (content, end) => this.applyLogContent(content, end),
     });
     this.cellConfiguration = new cellConfiguration.CellConfiguration({
       ...options,
@@ -196,6 +205,19 @@
     this.reportProgress();
   }
 
+  /** Applies what a read of the cell's log has brought; see `applyCellLog`. */
+  applyLogContent(
+    content: cellMember.CellLogContent,
+    end: number,
+    provenAt?: clock.Milliseconds,
+  ): void {
+    const {members, claim, progress} = content;
+    if (content.hasLeaderRecord) {
+      this.elector.recordLeaderKnows(content.addressesBeforeLeaderRecord);
+    }
+    this.applyCellLog(members, claim, end, progress, provenAt);
+  }
+
   /** Follows the operator's configuration in the store. */
   followConfiguration(): void {
     this.cellConfiguration.follow();
@@ -205,6 +227,7 @@
   configurationBasis(
     waitMs = CONFIGURATION_WAIT_MS,
   ): Promise<configurationFreshness.ConfigurationBasis> {
+    this.voidProofAfterSuspension();
     return this.cellConfiguration.basis(waitMs);
   }
 
@@ -256,11 +279,17 @@
   // Calls from other members.
 
   answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
+    this.voidProofAfterSuspension();
     const {newest, sender} = message;
     this.contacts.recordContact(sender);
     this.recordAnnouncedVersion(message.configurationVersion, sender);
     if (newest !== undefined) this.elector.adoptClaim(newest, 'peer');
-    this.recordMemberState(sender, newest, this.askedAt(message));
+    this.recordMemberState({
+      address: sender,
+      incarnation: message.senderIncarnation,
+      newest,
+      askedAt: this.askedAt(message),
+    });
     return {
       sentAt: this.options.clock.now(),
       newest: this.elector.leader,
@@ -289,6 +318,7 @@
   }
 
   configurationSince(knownVersion: number): cellPeers.MemberConfiguration {
+    this.voidProofAfterSuspension();
     return this.cellConfiguration.since(knownVersion);
   }
 
@@ -447,9 +477,11 @@
       log: options.log,
       counters: options.counters,
       mayGrantLeases: () => this.mayAct(),
+      isProvedLeader: () => this.isProvedLeader(),
       earlierTerms: {
         provedLeaderAt: () => this.provedLeaderAt(),
         majorityInformedAt: () => this.termAnnouncement.majorityInformedAt,
+        isKnownToPredecessor: () => this.elector.wasKnownToPredecessor,
       },
       isConfigurationUsable: () => this.cellConfiguration.isUsable,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
@@ -551,21 +583,26 @@
       : undefined;
   }
 
-  /** Records which term a member knew when it was asked, at `askedAt`. */
-  private recordMemberState(
-    address: string,
-    newest: cellMember.Claim | undefined,
-    askedAt: clock.Milliseconds | undefined,
-  ): void {
+  /**
+   * Records which term a member knew. One that was restarted has forgotten what
+   * its last incarnation was told, so only the incarnation that this process has
+   * read from the log is a witness.
+   */
+  private recordMemberState(state: MemberState): void {
     // A member that knows a later term has ended this one.
     if (!this.elector.isLeader) return;
+    const {address, incarnation, newest, askedAt} = state;
     this.termAnnouncement.recordKnownTerm(
       address,
       newest?.term,
       this.peerAddresses(),
     );
-    const isPast = askedAt !== undefined && askedAt <= this.options.clock.now();
-    if (isPast) this.leadershipProof.proveByMember(address, askedAt);
+    const isRegistered = this.elector.peers.some(
+      peer => peer.address === address && peer.incarnation === incarnation,
+    );
+    if (!isRegistered || askedAt === undefined) return;
+    if (askedAt > this.options.clock.now()) return;
+    this.leadershipProof.proveByMember(address, askedAt);
   }
 
   private peerAddresses(): ReadonlyArray<string> {
@@ -579,7 +616,12 @@
   ): void {
     const now = this.options.clock.now();
     this.contacts.recordContact(address);
-    this.recordMemberState(address, reply.newest, sentAt);
+    this.recordMemberState({
+      address,
+      incarnation: reply.incarnation,
+      newest: reply.newest,
+      askedAt: sentAt,
+    });
     this.cellConfiguration.recordReply(address, reply, sentAt);
     if (address !== this.elector.leader?.address) return;
     this.overloadReportedAt = reply.overloaded ? now : -Infinity;
--- a/src/zones/cell_peers.ts
+++ b/src/zones/cell_peers.ts
@@ -25,6 +25,8 @@
 export interface PingMessage extends GossipState {
   /** Address of the member that sent the ping. */
   readonly sender: string;
+  /** Incarnation of the process that sent the ping. */
+  readonly senderIncarnation: string;
   /**
    * Last reply of the receiver that the sender has read. It shows that the
    * ping, which may be read late, was sent after that reply.
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -17,6 +17,12 @@
 /** Additional delay before a weak member claims. */
 const WEAK_DELAY_MS = 1_000;
 
+/**
+ * Additional delay before a member claims that the last leader did not know: it
+ * can't tell when that leader's leases have ended.
+ */
+const NEWCOMER_DELAY_MS = 3_000;
+
 /** Shortest time between two claims of one process. */
 const CLAIM_RETRY_INTERVAL_MS = 600;
 
@@ -36,6 +42,8 @@
   private knownLogEnd = 0;
   /** End of the log that the last lost claim was based on. */
   private lostClaimEnd: number | undefined;
+  /** Addresses of members that the last leader certainly knew. */
+  private readonly knownToLeader = new Set<string>();
 
   constructor(
     private readonly self: cellMember.CellMember,
@@ -65,6 +73,27 @@
     this.members.set(member.address, member);
   }
 
+  /**
+   * Whether the last leader knew this member. A leader acts on the word of all
+   * members that it knows; without this one, that can't rule its claim out.
+   */
+  get isKnownToLeader(): boolean {
+    return this.knownClaim === undefined || this.isInLeadersList;
+  }
+
+  private get isInLeadersList(): boolean {
+    return this.knownToLeader.has(this.self.address);
+  }
+
+  /**
+   * Records which members the leader has read: those that were known before its
+   * record, and `addresses`, which precede it among the records read with it.
+   */
+  recordLeaderKnows(addresses: ReadonlyArray<string>): void {
+    for (const address of this.members.keys()) this.knownToLeader.add(address);
+    for (const address of addresses) this.knownToLeader.add(address);
+  }
+
   /** Records a claim from the log or a peer; returns true if it is newer. */
   recordClaim(claim: cellMember.Claim, now: clock.Milliseconds): boolean {
     if (this.knownClaim !== undefined && claim.term <= this.knownClaim.term) {
@@ -199,7 +228,9 @@
     const rankDelayMs =
       Math.min(this.rank, MAXIMUM_DELAYED_RANK) * RANK_DELAY_MS;
     const weakDelayMs = this.isWeak() ? WEAK_DELAY_MS : 0;
-    if (now < suspicion.since + rankDelayMs + weakDelayMs) return false;
+    const newcomerDelayMs = this.isKnownToLeader ? 0 : NEWCOMER_DELAY_MS;
+    const delayMs = rankDelayMs + weakDelayMs + newcomerDelayMs;
+    if (now < suspicion.since + delayMs) return false;
     if (now < this.lastAttemptAt + CLAIM_RETRY_INTERVAL_MS) return false;
     this.lastAttemptAt = now;
     return true;
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -77,6 +77,7 @@
   private nextPingAt = 0;
   private pingsInFlight = 0;
   private hasResigned = false;
+  private knownToPredecessor = false;
   /** Last reply of each member, by its address. */
   private readonly lastReplies = new Map<string, cellPeers.ReceivedReply>();
 
@@ -107,6 +108,16 @@
     return this.election.logEnd;
   }
 
+  /** Whether the leader before this member's last won claim knew this member. */
+  get wasKnownToPredecessor(): boolean {
+    return this.knownToPredecessor;
+  }
+
+  /** Records which members the leader has read; see `Election`. */
+  recordLeaderKnows(addresses: ReadonlyArray<string>): void {
+    this.election.recordLeaderKnows(addresses);
+  }
+
   /** Applies records of the cell's log, which was read up to `end`. */
   applyCellLog(
     members: ReadonlyArray<cellMember.CellMember>,
@@ -243,9 +254,10 @@
     const startedAt = clock.now();
     const suspicion = this.election.suspicion(startedAt);
     if (suspicion === undefined) return undefined;
-    const {logEnd} = this.election;
+    const {logEnd, isKnownToLeader} = this.election;
     const silentMs = Math.round(this.election.leaderSilenceMs(startedAt));
     const outcome = await cellLog.claim(self, logEnd);
+    this.knownToPredecessor = isKnownToLeader;
     counters.count('claims', outcome.kind);
     counters.count('claim_reasons', suspicion.reason);
     counters.observe('claim', clock.now() - startedAt);
@@ -284,6 +296,7 @@
       newest: this.election.newestClaim,
       configurationVersion: this.options.configurationVersion(),
       sender: this.options.self.address,
+      senderIncarnation: this.options.self.incarnation,
       lastReply: this.lastReplies.get(address),
     };
     const sentAt = this.options.clock.now();
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -77,7 +77,9 @@
     const provedBy = peers.filter(address =>
       isRecent(this.provedByMemberAt(address), now),
     );
-    return 2 * (provedBy.length + 1) > peers.length + 1;
+    // A leader alone has nobody who would know of a successor.
+    const hasWitness = provedBy.length > 0;
+    return hasWitness && 2 * (provedBy.length + 1) > peers.length + 1;
   }
 
   private provedByMemberAt(address: string): clock.Milliseconds {
--- a/src/zones/suspension_detector.ts
+++ b/src/zones/suspension_detector.ts
@@ -6,6 +6,9 @@
  */
 const SUSPICIOUS_ADVANCE_MS = 200;
 
+/** Drift of the time of day, in each millisecond, that is no suspension. */
+const TOLERATED_DRIFT = 0.02;
+
 /**
  * Notices that this VM may have been suspended. The steady clock stands still
  * meanwhile, so that permissions seem to last longer than they do; the time of
@@ -13,24 +16,31 @@
  */
 export class SuspensionDetector {
   private offsetMs: number;
+  private reviewedAt: clock.Milliseconds;
 
   constructor(
     private readonly steadyClock: clock.Clock,
     /** Returns Unix time in milliseconds. */
     private readonly wallClock: () => number,
   ) {
-    this.offsetMs = this.readOffset();
+    this.reviewedAt = steadyClock.now();
+    this.offsetMs = wallClock() - this.reviewedAt;
   }
 
-  /** Returns how long this VM may have been suspended since the last call. */
+  /**
+   * Returns how long this VM may have been suspended since that was last told.
+   * Short suspensions add up.
+   */
   review(): number {
-    const offsetMs = this.readOffset();
-    const advanceMs = offsetMs - this.offsetMs;
+    const now = this.steadyClock.now();
+    const tolerated = TOLERATED_DRIFT * (now - this.reviewedAt);
+    const offsetMs = this.wallClock() - now;
+    const advanceMs = offsetMs - this.offsetMs - tolerated;
+    this.reviewedAt = now;
+    // An advance within the tolerance, or a time that is set back, is forgotten.
+    this.offsetMs = advanceMs > 0 ? this.offsetMs + tolerated : offsetMs;
+    if (advanceMs < SUSPICIOUS_ADVANCE_MS) return 0;
     this.offsetMs = offsetMs;
-    return advanceMs < SUSPICIOUS_ADVANCE_MS ? 0 : advanceMs;
-  }
-
-  private readOffset(): number {
-    return this.wallClock() - this.steadyClock.now();
+    return advanceMs;
   }
 }
--- a/src/zones/term_announcement.ts
+++ b/src/zones/term_announcement.ts
@@ -40,7 +40,8 @@
     const informedCount = peers.filter(address =>
       this.informed.has(address),
     ).length;
-    const isMajority = 2 * (informedCount + 1) > peers.length + 1;
-    if (isMajority) this.informedAt = this.clock.now();
+    // Without half of the members, the others are no majority.
+    const isEnough = 2 * (informedCount + 1) >= peers.length + 1;
+    if (isEnough) this.informedAt = this.clock.now();
   }
 }
--- a/test/links/cell_client_test.ts
+++ b/test/links/cell_client_test.ts
@@ -56,6 +56,7 @@
     newest: undefined,
     configurationVersion: 1,
     sender: 'a:1',
+    senderIncarnation: 'a-1',
     lastReply: undefined,
   };
   return cell.client.ping(address, message, PING_TIMEOUT_MS);
@@ -169,6 +170,7 @@
       newest: undefined,
       configurationVersion: 1,
       sender: 'a:1',
+      senderIncarnation: 'a-1',
       lastReply: undefined,
     };
     for (let attempt = 0; attempt < 3; attempt += 1) {
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -102,9 +102,11 @@
       log: {event: () => {}},
       counters: {count: name => this.count(name), observe: () => {}},
       mayGrantLeases: () => true,
+      isProvedLeader: () => true,
       earlierTerms: {
         provedLeaderAt: () => this.nowMs,
         majorityInformedAt: () => 0,
+        isKnownToPredecessor: () => true,
       },
       isConfigurationUsable: () => true,
       onSuperseded: () => {},
--- a/test/zones/cut_off_leader_test.ts
+++ b/test/zones/cut_off_leader_test.ts
@@ -70,6 +70,49 @@
   });
 });
 
+describe('a member that joins while the leader and all others are cut off', () => {
+  // Guards against a successor of which no member that the leader hears knows.
+  test('starts no task that the leader still runs', async () => {
+    const cell = await startWithLongRuns();
+    const addresses = cell.members.map(({self}) => self.address);
+    cell.partition([...addresses, cell.workerEntries[0].address]);
+    cell.addMember(cell.members.length);
+    await cell.time.advance(LONG_OUTAGE_MS);
+    assert.equal(cell.leader(), cell.members.at(-1), 'no successor');
+    await expectNoRepeatedRun(cell);
+  });
+});
+
+describe('a member that restarts on the side of a leader without the store', () => {
+  // Guards against a witness that has forgotten the later term which its last
+  // incarnation was told.
+  test('gives that leader no proof', async () => {
+    const cell = await startWithLongRuns();
+    const leader = cell.leader();
+    const [successorSide, other] = [0, 1].map(half =>
+      cell.followers().filter((_member, index) => index % 2 === half),
+    );
+    const [worker] = cell.workerEntries;
+    cell.partition([leader.self.address, worker.address]);
+    await cell.time.advance(3_000);
+    assert.notEqual(cell.leader(), leader, 'not replaced');
+    // All but the successor's half restart on the other side.
+    const moved = other.filter(member => member !== cell.leader());
+    cell.partition([
+      leader.self.address,
+      worker.address,
+      ...moved.map(({self}) => self.address),
+    ]);
+    for (const member of moved) {
+      member.kill();
+      cell.addMember(cell.members.indexOf(member));
+    }
+    assert.ok(successorSide.length > 0);
+    await cell.time.advance(PARTITION_MS);
+    await expectNoRepeatedRun(cell);
+  });
+});
+
 describe('a leader that is cut off from the store with most members', () => {
   // Guards against a successor that takes the runs of a leader on the larger
   // side of a partition for ended: that leader acts on a majority's word, but
--- a/test/zones/leadership_proof_test.ts
+++ b/test/zones/leadership_proof_test.ts
@@ -51,6 +51,15 @@
     assert.equal(proof.basis(PEERS, 7_000), 'none');
   });
 
+  // Guards against a leader that is alone, so that nobody knows of a successor
+  // among members that have joined since.
+  test('needs a witness where a leader is a majority by itself', () => {
+    const proof = new leadershipProof.LeadershipProof();
+    proof.proveByStore(0);
+    assert.equal(proof.basis([], 1_999), 'store');
+    assert.equal(proof.basis([], 2_000), 'none');
+  });
+
   // Guards against a leader on the larger side of a partition that acts for
   // longer than its successor on the other side waits.
   test('is given by a majority only for 20 s without the store', () => {
--- a/test/zones/progress_reporter_test.ts
+++ b/test/zones/progress_reporter_test.ts
@@ -18,6 +18,8 @@
   members: [],
   claim: undefined,
   progress: undefined,
+  hasLeaderRecord: false,
+  addressesBeforeLeaderRecord: [],
 };
 
 /** Answer time of the store. */
--- a/test/zones/term_announcement_test.ts
+++ b/test/zones/term_announcement_test.ts
@@ -31,6 +31,16 @@
     assert.equal(announcement.majorityInformedAt, undefined, 'a new term');
   });
 
+  // Guards against a successor that waits for long although the members that
+  // it can't reach are no majority.
+  test('is complete once half of the members know it', () => {
+    const announcement = new termAnnouncement.TermAnnouncement({now: () => 10});
+    announcement.beginTerm(7, PEERS.slice(0, 3));
+    assert.equal(announcement.majorityInformedAt, undefined);
+    announcement.recordKnownTerm('b', 7, PEERS.slice(0, 3));
+    assert.equal(announcement.majorityInformedAt, 10);
+  });
+
   test('needs nobody else in a cell of one', () => {
     const announcement = new termAnnouncement.TermAnnouncement({now: () => 10});
     announcement.beginTerm(7, []);
