Take a worker's ends for known once a report has listed all of them

What callers saw: after a takeover tasks ran again whose success their worker still held, and the success was acknowledged afterwards (TWICE). Cause: a new term counted a worker as reported after its first report, although a report lists 500 ends at most. Jobs of earlier terms now wait until a report leaves nothing out, or until the worker is out of reach and all leases have expired.

--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -66,7 +66,8 @@
     if (this.complete) return false;
     const {haveExpired} = this.earlierLeases;
     this.keepUnreported(
-      ({worker}) => !worker.fencingTokenAccepted && !haveExpired,
+      ({worker}) =>
+        !worker.allEndsReported && (!haveExpired || reportsEnds(worker)),
     );
     if (!this.workersChanged) return false;
     this.workersChanged = false;
@@ -92,3 +93,8 @@
     if (this.unreportedWorkers.length < countBefore) this.workersChanged = true;
   }
 }
+
+/** Returns whether a worker will list further ends of earlier terms. */
+function reportsEnds(worker: remoteWorker.RemoteWorker): boolean {
+  return worker.fencingTokenAccepted && !worker.unreachable;
+}
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -135,6 +135,7 @@
   ): void {
     if (!this.sessionsOpen) return;
     const {options, tracker, onReport} = this.dependencies;
+    if (!report.hasMoreEnds) worker.allEndsReported = true;
     options.loopMeter.measure('reports', () => {
       tracker.applyReport(worker, report, sentAt, options.clock.now());
       onReport(worker);
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -80,6 +80,8 @@
   readonly endCursor = new endCursor.EndCursor();
   /** Whether the worker has accepted the fencing token of this term. */
   fencingTokenAccepted = false;
+  /** Whether a report of this term has listed all run ends that it holds. */
+  allEndsReported = false;
   /** Whether the journal lists the worker as open, for the next scheduler. */
   stored = false;
   /** Number of consecutive calls without an answer. */
