Check again when a start leaves whether it may be sent

Cause: a start was checked when it was decided. It could wait in the client for a connection after that, and the client's timer does not count the time in which the process stands still. A scheduler without proof of leadership then sent it, and one whose job had been cancelled meanwhile.

Change: the client asks when it writes the call to its connection. A withdrawn call leaves its connection open and counts as not sent.

That such starts took part in the incident is not shown.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -144,8 +144,7 @@
     assignment.startsInFlight += 1;
     const copy = task.sentStarts.add(now);
     const isRepeat = assignment.unansweredStarts > 0;
-    const onSent = (): void =>
-      this.runMonitor.startSent(assignment, isRepeat, this.clock.now());
+    const maySend = (): boolean => this.confirmSending(assignment, isRepeat);
     const command = {
       task: task.name,
       run,
@@ -157,7 +156,7 @@
     };
     void this.loopMeter
       .measure('starts', () =>
-        this.workerClient.start(worker.entry, command, onSent),
+        this.workerClient.start(worker.entry, command, maySend),
       )
       .then(outcome => {
         if (isConclusive(outcome)) task.sentStarts.settle(copy);
@@ -165,6 +164,21 @@
       });
   }
 
+  /**
+   * Decides once more about a start that is about to leave: it may have waited
+   * for a connection, or this process may have stood still.
+   */
+  private confirmSending(
+    assignment: jobTask.Assignment,
+    isRepeat: boolean,
+  ): boolean {
+    const isWanted =
+      assignment.phase !== 'stopping' && this.assignmentIndex.has(assignment);
+    if (!isWanted || !this.mayGrantLeases()) return false;
+    this.runMonitor.startSent(assignment, isRepeat, this.clock.now());
+    return true;
+  }
+
   private handleStartOutcome(
     assignment: jobTask.Assignment,
     outcome: workerClient.CommandOutcome,
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -58,11 +58,14 @@
 
 /** Client for calls to workers. The returned promises never reject. */
 export interface WorkerClient {
-  /** Sends a start; `onSent` is called when it leaves this process. */
+  /**
+   * Sends a start, unless `maySend` forbids it, which is asked when the start
+   * leaves this process.
+   */
   start(
     worker: remoteWorker.RegistryEntry,
     command: StartCommand,
-    onSent?: () => void,
+    maySend?: () => boolean,
   ): Promise<CommandOutcome>;
   stop(
     worker: remoteWorker.RegistryEntry,
--- a/test/jobs/run_monitor_test.ts
+++ b/test/jobs/run_monitor_test.ts
@@ -43,12 +43,12 @@
     const {time, workers} = this.cell;
     this.cell.workerClient = {
       start: async (
-        ...[entry, command, onSent]: Parameters<
+        ...[entry, command, maySend]: Parameters<
           workerClient.WorkerClient['start']
         >
       ) => {
         await time.delay(delayMs);
-        return workers.start(entry, command, onSent);
+        return workers.start(entry, command, maySend);
       },
       stop: (...call) => workers.stop(...call),
       throttle: (...call) => workers.throttle(...call),
--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -177,6 +177,33 @@
     server.close();
   });
 
+  // Guards against a start that leaves after the permission for it has ended: it
+  // waited for a connection, or the process stood still.
+  test('withdraws a call that may not be sent any more when its turn comes', async () => {
+    const server = await startServer((path, response) => {
+      if (path === '/slow') setTimeout(() => response.end('slow'), 100);
+      else response.end('done');
+    });
+    const client = httpClientSupport.createHttpClient(1);
+    const slow = get(client, server.address, '/slow');
+    const withdrawn = client.call({
+      purpose: 'start',
+      method: 'GET',
+      address: server.address,
+      path: '/withdrawn',
+      timeoutMs: 1_000,
+      maySend: () => false,
+    });
+    const next = get(client, server.address, '/next');
+    assert.equal((await withdrawn).kind, 'notSent');
+    assert.equal((await slow).kind, 'answered');
+    assert.equal((await next).kind, 'answered');
+    assert.deepEqual(server.paths, ['/slow', '/next']);
+    assert.equal(server.connectionCount(), 1);
+    client.close();
+    server.close();
+  });
+
   // Guards against calls that are lost or reordered by the wait for the only
   // connection.
   test('sends the calls that wait for a connection in order', async () => {
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -40,12 +40,14 @@
     return worker;
   }
 
-  start(
+  async start(
     entry: remoteWorker.RegistryEntry,
     command: workerClient.StartCommand,
-    onSent?: () => void,
+    maySend?: () => boolean,
   ): Promise<workerClient.CommandOutcome> {
-    onSent?.();
+    if (maySend?.() === false) {
+      return {kind: 'unanswered', detail: 'withdrawn', notSent: true};
+    }
     return this.deliver(entry, worker => worker.start(command));
   }
 
