Count the last leader itself as known to it; read logs whole in tests

Cause: a member whose own term had ended claimed 3 s late, because no record after its own had shown that the leader, itself, knew it. cell_node_test.ts hands over what a read of the log brings, with the order of its records.

--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -78,11 +78,9 @@
    * members that it knows; without this one, that can't rule its claim out.
    */
   get isKnownToLeader(): boolean {
-    return this.knownClaim === undefined || this.isInLeadersList;
-  }
-
-  private get isInLeadersList(): boolean {
-    return this.knownToLeader.has(this.self.address);
+    const {address} = this.self;
+    const leaderAddress = this.knownClaim?.address ?? address;
+    return leaderAddress === address || this.knownToLeader.has(address);
   }
 
   /**
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -112,6 +112,22 @@
   });
 }
 
+/** Lets a node read a log in which the members precede the leader's claim. */
+function readLog(
+  node: cellNode.CellNode,
+  members: ReadonlyArray<cellMember.CellMember>,
+  claim: cellMember.Claim,
+): void {
+  const content = {
+    members,
+    claim,
+    progress: undefined,
+    hasLeaderRecord: true,
+    addressesBeforeLeaderRecord: members.map(({address}) => address),
+  };
+  node.applyLogContent(content, claim.term);
+}
+
 /** Ticks a node that reads nothing new from the log while the store answers. */
 function followLog(
   node: cellNode.CellNode,
@@ -199,7 +215,7 @@
     };
     const lastMember = createNode(cell, clock, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
-    lastMember.applyCellLog(members, claim, 3);
+    readLog(lastMember, members, claim);
     followLog(lastMember, cell, clock);
     await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
@@ -228,7 +244,7 @@
     };
     const lastMember = createNode(cell, clock, 'zed');
     const members = ['a', 'b', 'c', 'd', 'zed'].map(memberOf);
-    lastMember.applyCellLog(members, claim, 3);
+    readLog(lastMember, members, claim);
     followLog(lastMember, cell, clock);
     await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
@@ -253,7 +269,7 @@
       claimCount: 0,
     };
     const successor = createNode(cell, clock, 'b');
-    successor.applyCellLog(members, claim, 3);
+    readLog(successor, members, claim);
     followLog(successor, cell, clock);
     await clock.advance(6_000);
     assert.equal(cell.claimCount, 0);
@@ -282,7 +298,7 @@
         hearsMajority: true,
       };
       const successor = createNode(cell, clock, 'b');
-      successor.applyCellLog(members, claim, 3);
+      readLog(successor, members, claim);
       let end = 3;
       clock.runEvery(100, () => successor.tick());
       clock.runEvery(intervalMs, () => {
@@ -311,7 +327,7 @@
       claimCount: 0,
     };
     const lastMember = createNode(cell, clock, 'zed');
-    lastMember.applyCellLog(members, claim, 3);
+    readLog(lastMember, members, claim);
     clock.runEvery(100, () => lastMember.tick());
     await clock.advance(4_000);
     assert.equal(cell.claimCount, 0);
