Jobs keep their age when a scheduler takes over

A successor took all restored jobs for new: it started those that had lost their value first, and each takeover moved the objective of the others by the time that no scheduler served, so that they went behind newer jobs until they were late.

The time of arrival is now stored with the definition. Records of earlier versions have none, and their jobs count as new, as before.

The tests of the order after a takeover failed before the change.

--- a/src/jobs/job_journal.ts
+++ b/src/jobs/job_journal.ts
@@ -5,7 +5,12 @@
 
 /** A change that has to survive this process. */
 export type JournalChange =
-  | {readonly kind: 'definition'; readonly definition: job.JobDefinition}
+  | {
+      readonly kind: 'definition';
+      readonly definition: job.JobDefinition;
+      /** Unix time at which the job arrived. */
+      readonly arrivedAtUnixMs: number;
+    }
   | {
       readonly kind: 'progress';
       readonly id: string;
@@ -44,12 +49,17 @@
   readonly closedJobs?: ReadonlyArray<string>;
 }
 
+/** Journal entry of a job, with which a later term continues it. */
+export interface StoredJob {
+  readonly definition: job.JobDefinition;
+  readonly progress: jobRecord.JobProgress | undefined;
+  /** Unix time of arrival; undefined if an earlier version stored the job. */
+  readonly arrivedAtUnixMs?: number;
+}
+
 /** Content of the journal as earlier terms stored it. */
 export interface JournalContent {
-  readonly jobs: ReadonlyArray<{
-    readonly definition: job.JobDefinition;
-    readonly progress: jobRecord.JobProgress | undefined;
-  }>;
+  readonly jobs: ReadonlyArray<StoredJob>;
   readonly workers: ReadonlyArray<StoredWorker>;
   readonly queues: ReadonlyArray<StoredQueue>;
   /** How much was read; undefined if the store doesn't count it. */
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -109,8 +109,11 @@
     );
     const queues = new queueTable.QueueTable(this.journal);
     this.queues = queues;
-    this.jobTable = new jobTable.JobTable(this.journal, clock, record =>
-      this.jobLifecycle.settle(record, 'failed'),
+    this.jobTable = new jobTable.JobTable(
+      this.journal,
+      clock,
+      options.wallClock,
+      record => this.jobLifecycle.settle(record, 'failed'),
     );
     this.adviceCache = new adviceCache.AdviceCache(
       options.adviceClient,
@@ -426,7 +429,7 @@
   private async takeOver(content: jobJournal.JournalContent): Promise<void> {
     const openRecords: jobRecord.JobRecord[] = [];
     await this.slicer.forEach(content.jobs, RESTORE_UNITS, stored => {
-      const record = this.jobTable.restore(stored.definition, stored.progress);
+      const record = this.jobTable.restore(stored);
       if (record.outcome === 'open') openRecords.push(record);
     });
     if (!this.active) return;
--- a/src/jobs/job_table.ts
+++ b/src/jobs/job_table.ts
@@ -17,6 +17,8 @@
   constructor(
     private readonly journal: jobJournal.JobJournal,
     private readonly clock: clock.Clock,
+    /** Returns Unix time in milliseconds. */
+    private readonly wallClock: () => number,
     /** Called when the store can't hold the progress of an open job. */
     private readonly onProgressRejected: (record: jobRecord.JobRecord) => void,
   ) {}
@@ -43,12 +45,15 @@
     return this.jobs.get(id);
   }
 
-  /** Restores a job that an earlier term stored. */
-  restore(
-    definition: job.JobDefinition,
-    progress: jobRecord.JobProgress | undefined,
-  ): jobRecord.JobRecord {
-    const record = new jobRecord.JobRecord(definition, this.clock.now());
+  /** Restores a job that an earlier term stored; it keeps its age. */
+  restore({
+    definition,
+    progress,
+    arrivedAtUnixMs,
+  }: jobJournal.StoredJob): jobRecord.JobRecord {
+    const ageMs = this.ageMsSince(arrivedAtUnixMs);
+    const arrivedAt = this.clock.now() - ageMs;
+    const record = new jobRecord.JobRecord(definition, arrivedAt);
     record.accepted = true;
     record.fromEarlierTerm = true;
     if (progress !== undefined) record.restore(progress);
@@ -69,9 +74,11 @@
   ): jobRecord.JobRecord {
     const record = new jobRecord.JobRecord(definition, arrivedAt);
     this.add(record);
+    const ageMs = this.clock.now() - arrivedAt;
+    const arrivedAtUnixMs = this.wallClock() - ageMs;
     this.journal.put(
       definitionKey(definition.id),
-      () => ({kind: 'definition', definition}),
+      () => ({kind: 'definition', definition, arrivedAtUnixMs}),
       () => {
         // The job may have been withdrawn while the store refused it.
         if (this.jobs.get(definition.id) !== record) return;
@@ -145,6 +152,12 @@
     return count;
   }
 
+  /** Returns the age of a stored job; clocks of VMs may differ. */
+  private ageMsSince(arrivedAtUnixMs: number | undefined): clock.Milliseconds {
+    if (arrivedAtUnixMs === undefined) return 0;
+    return Math.max(0, this.wallClock() - arrivedAtUnixMs);
+  }
+
   private add(record: jobRecord.JobRecord): void {
     this.jobs.set(record.definition.id, record);
     if (record.definition.schedule !== undefined) this.scheduled.add(record);
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -49,6 +49,22 @@
   );
 }
 
+/** Record of a job's definition in the journal. */
+export interface StoredDefinition extends job.JobDefinition {
+  /** Unix time of arrival; earlier versions stored none. */
+  readonly arrivedAtUnixMs?: number;
+}
+
+/** Returns whether a value is a job's definition as the journal stores it. */
+export function isStoredDefinition(value: unknown): value is StoredDefinition {
+  if (!isJobDefinition(value)) return false;
+  const {arrivedAtUnixMs} = value as StoredDefinition;
+  return (
+    arrivedAtUnixMs === undefined ||
+    typeGuards.isNonNegativeNumber(arrivedAtUnixMs)
+  );
+}
+
 /** Returns whether a value is the stored progress of a job. */
 export function isJobProgress(value: unknown): value is jobRecord.JobProgress {
   return (
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -3,7 +3,6 @@
 import * as keyedTopic from './keyed_topic.js';
 import * as recordChecks from './record_checks.js';
 import * as storedWorkerMerger from './stored_worker_merger.js';
-import type * as job from '../jobs/job.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as jobRecord from '../jobs/job_record.js';
 
@@ -70,7 +69,7 @@
   ): Promise<jobJournal.JournalContent | undefined> {
     const outcome = await this.topic.readNewest(LOAD_STALL_TIMEOUT_MS, onPart);
     if (outcome.kind !== 'read') return undefined;
-    const definitions = new Map<string, job.JobDefinition>();
+    const definitions = new Map<string, recordChecks.StoredDefinition>();
     const progress = new Map<string, jobRecord.JobProgress>();
     const workers = new storedWorkerMerger.StoredWorkerMerger();
     const queues = new Map<string, jobJournal.StoredQueue>();
@@ -84,11 +83,9 @@
       if (key.startsWith(DEFINITION_PREFIX)) {
         const decoded = jsonDocument.decode(
           value,
-          recordChecks.isJobDefinition,
-        );
-        decoded.ifJust(definition =>
-          definitions.set(definition.id, definition),
+          recordChecks.isStoredDefinition,
         );
+        decoded.ifJust(stored => definitions.set(stored.id, stored));
       } else if (key.startsWith(PROGRESS_PREFIX)) {
         const id = key.slice(PROGRESS_PREFIX.length);
         const decoded = jsonDocument.decode(value, recordChecks.isJobProgress);
@@ -98,10 +95,13 @@
         decoded.ifJust(stored => queues.set(stored.queue.name, stored));
       }
     }
-    const jobs = [...definitions.values()].map(definition => ({
-      definition,
-      progress: progress.get(definition.id),
-    }));
+    const jobs = [...definitions.values()].map(
+      ({arrivedAtUnixMs, ...definition}) => ({
+        definition,
+        progress: progress.get(definition.id),
+        arrivedAtUnixMs,
+      }),
+    );
     return {
       jobs,
       workers: workers.merged(),
@@ -173,7 +173,10 @@
       return [
         {
           key: DEFINITION_PREFIX + change.definition.id,
-          value: jsonDocument.encode(change.definition),
+          value: jsonDocument.encode({
+            ...change.definition,
+            arrivedAtUnixMs: change.arrivedAtUnixMs,
+          }),
         },
       ];
     case 'progress':
--- a/test/jobs/takeover_test.ts
+++ b/test/jobs/takeover_test.ts
@@ -95,3 +95,58 @@
     assert.equal(cell.workers.starts.length, 0);
   });
 });
+
+describe('the jobs of an earlier term', () => {
+  const WORKERS = [{entry: jobCell.registryEntry('w0')}];
+
+  /** Returns the jobs of which tasks start first on the only worker. */
+  async function startedAfterTakeover(
+    ...ages: ReadonlyArray<{readonly id: string; readonly ageMs: number}>
+  ): Promise<ReadonlyArray<string>> {
+    const nowMs = 100_000;
+    const cell = new backlogCell.BacklogCell({
+      workerCount: 1,
+      stored: {
+        jobs: ages.map(({id, ageMs}) => ({
+          definition: jobCell.jobOf(id, {count: 4, requiredLabel: 'a'}),
+          progress: undefined,
+          arrivedAtUnixMs: nowMs - ageMs,
+        })),
+        workers: WORKERS,
+        queues: [],
+      },
+    });
+    cell.nowMs = nowMs;
+    await cell.begin();
+    return cell.workers.starts.map(({task}) => task.split('.')[0]);
+  }
+
+  // Load: a backlog that has lost its value while no scheduler served. Guards
+  // against a successor that takes it for new and starts it first, so that jobs
+  // which could still be on time become late too.
+  test('go behind newer ones once they have lost their value', async () => {
+    const started = await startedAfterTakeover(
+      {id: 'worthless', ageMs: 60_000},
+      {id: 'fresh', ageMs: 100},
+    );
+    assert.deepEqual(started, ['fresh', 'fresh', 'fresh', 'fresh']);
+  });
+
+  // Guards against a job that loses its turn to newer ones at each takeover.
+  test('keep their order of arrival', async () => {
+    const started = await startedAfterTakeover(
+      {id: 'newer', ageMs: 0},
+      {id: 'older', ageMs: 200},
+    );
+    assert.deepEqual(started, ['older', 'older', 'older', 'older']);
+  });
+
+  // Guards against an age of less than nothing, from a clock that is behind.
+  test('are new at least if the clock is behind their arrival', async () => {
+    const started = await startedAfterTakeover(
+      {id: 'older', ageMs: 200},
+      {id: 'ahead', ageMs: -60_000},
+    );
+    assert.deepEqual(started, ['older', 'older', 'older', 'older']);
+  });
+});
--- a/test/links/topic_journal_store_test.ts
+++ b/test/links/topic_journal_store_test.ts
@@ -57,6 +57,35 @@
 }
 
 describe('the stored jobs of the journal topic', () => {
+  // Guards against a job that counts as new after each takeover.
+  test('keep the time of their arrival', async () => {
+    const topic = new FakeTopic();
+    const store = new topicJournalStore.TopicJournalStore(topic);
+    const definition = jobCell.jobOf('job', {});
+    await store.append(
+      1,
+      1,
+      [{kind: 'definition', definition, arrivedAtUnixMs: 1_234}],
+      APPEND_TIMEOUT_MS,
+    );
+    const content = await store.load();
+    assert.deepEqual(content?.jobs, [
+      {definition, progress: undefined, arrivedAtUnixMs: 1_234},
+    ]);
+  });
+
+  // Guards against the loss of jobs that an earlier version has stored.
+  test('are read without a time of arrival', async () => {
+    const topic = new FakeTopic();
+    const definition = jobCell.jobOf('job', {});
+    topic.write('d/job', jsonDocument.encode(definition));
+    const store = new topicJournalStore.TopicJournalStore(topic);
+    const content = await store.load();
+    assert.deepEqual(content?.jobs, [
+      {definition, progress: undefined, arrivedAtUnixMs: undefined},
+    ]);
+  });
+
   // Guards against a successor that answers no ping while it decodes thousands
   // of jobs.
   test('are decoded over several turns of the loop', async () => {
--- a/test/support/fake_journal_store.ts
+++ b/test/support/fake_journal_store.ts
@@ -10,6 +10,7 @@
 export class FakeJournalStore implements jobJournal.JobJournalStore {
   readonly definitions = new Map<string, job.JobDefinition>();
   readonly progress = new Map<string, jobRecord.JobProgress>();
+  private readonly arrivals = new Map<string, number>();
   private readonly doneAtMs = new Map<string, number>();
   /** Whether the store neither stores nor answers anything. */
   down = false;
@@ -59,6 +60,7 @@
     const jobs = [...this.definitions.values()].map(definition => ({
       definition,
       progress: this.progress.get(definition.id),
+      arrivedAtUnixMs: this.arrivals.get(definition.id),
     }));
     return {jobs, workers: this.workers, queues: this.queues};
   }
@@ -103,6 +105,7 @@
     switch (change.kind) {
       case 'definition':
         this.definitions.set(change.definition.id, change.definition);
+        this.arrivals.set(change.definition.id, change.arrivedAtUnixMs);
         return;
       case 'progress':
         this.progress.set(change.id, structuredClone(change.progress));
@@ -113,6 +116,7 @@
         return;
       case 'dropped':
         this.definitions.delete(change.id);
+        this.arrivals.delete(change.id);
         this.progress.delete(change.id);
         return;
       case 'worker':
