Keep connections to the likely next leaders open

A server accepts one connection in each turn of its loop (libuv 1.46). A new leader's loop makes about 20 turns a second, and all members open a connection to it at once. Those of its own region are accepted in the first moments; the others wait, time out and are replaced by new ones behind them.

Each member now pings the three members that are first in succession, in turn, one each 2 s, so that its connection is open and accepted before a term begins.

The test failed before: only the leader was pinged.

--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -156,19 +156,31 @@
     return this.monitor.suspectsStoreOnly(now);
   }
 
+  /** Other members that may claim, in the order of succession. */
+  get successors(): ReadonlyArray<cellMember.CellMember> {
+    return this.successionOrder().filter(
+      member => member.address !== this.self.address,
+    );
+  }
+
   /** Position of this member in the order of succession; 0 claims first. */
   get rank(): number {
-    const candidates = [...this.members.values()]
+    const candidates = this.successionOrder();
+    const position = candidates.findIndex(
+      member => member.address === this.self.address,
+    );
+    return position < 0 ? candidates.length : position;
+  }
+
+  /** Returns all members but the leader; the first one claims first. */
+  private successionOrder(): ReadonlyArray<cellMember.CellMember> {
+    return [...this.members.values()]
       .filter(member => member.incarnation !== this.knownClaim?.incarnation)
       .sort(
         (left, right) =>
           right.processors - left.processors ||
           (left.address < right.address ? -1 : 1),
       );
-    const position = candidates.findIndex(
-      member => member.address === this.self.address,
-    );
-    return position < 0 ? candidates.length : position;
   }
 
   /**
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -46,9 +46,15 @@
 /** Interval between pings by all other members. */
 const PING_INTERVAL_MS = 800;
 
-/** Number of ranks that ping at the short interval. */
+/** Number of ranks that ping at the short interval, and that others ping. */
 const SUCCESSOR_COUNT = 3;
 
+/**
+ * Interval between pings to the likely next leaders in turn. Each of them is
+ * pinged more often than idle connections are closed.
+ */
+const STANDBY_PING_INTERVAL_MS = 2_000;
+
 /** A read of the log this recently proves that the store answers. */
 const RECENT_READ_MS = 300;
 
@@ -74,6 +80,8 @@
   private joining = false;
   private nextPingAt = 0;
   private pingsInFlight = 0;
+  private nextStandbyPingAt = 0;
+  private standbyPingCount = 0;
   private hasResigned = false;
 
   constructor(private readonly options: LeaderElectorOptions) {
@@ -148,11 +156,12 @@
     this.hasResigned = true;
   }
 
-  /** Sends the next ping if it is due. */
+  /** Sends the pings that are due. */
   pingIfDue(): void {
     const now = this.options.clock.now();
     const mayPing = this.pingsInFlight < MAXIMUM_PINGS_IN_FLIGHT;
     if (mayPing && now >= this.nextPingAt) void this.pingNext(now);
+    if (now >= this.nextStandbyPingAt) this.pingSuccessor(now);
   }
 
   /** Claims the next term if the leader is lost and it is this member's turn. */
@@ -273,6 +282,19 @@
     this.pingsInFlight -= 1;
   }
 
+  /**
+   * Pings a likely next leader, so that the connection to it is open before it
+   * leads. A leader is busiest when its term begins, and its server accepts
+   * only one new connection in each turn of the loop.
+   */
+  private pingSuccessor(now: clock.Milliseconds): void {
+    this.nextStandbyPingAt = now + STANDBY_PING_INTERVAL_MS;
+    const successors = this.election.successors.slice(0, SUCCESSOR_COUNT);
+    const successor = successors[this.standbyPingCount % successors.length];
+    this.standbyPingCount += 1;
+    if (successor !== undefined) void this.ping(successor.address);
+  }
+
   private async ping(address: string): Promise<void> {
     const message = {
       newest: this.election.newestClaim,
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -181,6 +181,43 @@
   });
 });
 
+describe('cell node that follows a leader', () => {
+  // Load: all members call a new leader at once, while it takes over. Guards
+  // against connections that are opened only then, and wait for many turns of
+  // its loop.
+  test('keeps connections to the next leaders open', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const claim = {
+      term: 7,
+      node: 'two',
+      incarnation: 'two-1',
+      address: 'two:1',
+    };
+    const pingedAt = new Map<string, number[]>();
+    const cell: TestCell = {
+      answerPing: address => {
+        const times = pingedAt.get(address) ?? [];
+        pingedAt.set(address, [...times, clock.now()]);
+        return pingReplyOf(claim, 0);
+      },
+      storeAnswers: () => true,
+      claimCount: 0,
+    };
+    const node = createNode(cell, clock, 'one');
+    const names = ['one', 'two', 'three', 'four', 'five', 'six'];
+    node.applyCellLog(names.map(memberOf), claim, 6);
+    followLog(node, cell, clock);
+    await clock.advance(60_000);
+    const addresses = [...pingedAt.keys()].sort();
+    assert.deepEqual(addresses, ['five:1', 'four:1', 'six:1', 'two:1']);
+    for (const times of pingedAt.values()) {
+      const gapsMs = times.map((time, index) => time - (times[index - 1] ?? 0));
+      assert.ok(Math.max(...gapsMs) < 20_000, `${Math.max(...gapsMs)} ms`);
+    }
+    assert.equal(cell.claimCount, 0);
+  });
+});
+
 describe('cell node after a silence of the store', () => {
   // Guards against an unnecessary failover just after an outage of the store by
   // a member that pings rarely: its last reply is from before the recovery.
