Leave connections to a member that is too busy to accept them

A call without an answer replaced its connection. If the member was only too busy to accept connections, the new one waited behind the old one and all others, and was replaced in turn: members opened them faster than the leader accepts them, one in each turn of its loop.

Once two connections in a row have given no response, the next one that is open in the network gets 10 s for its first response. A connection that is lost is still replaced at once.

--- a/src/links/call_statistics.ts
+++ b/src/links/call_statistics.ts
@@ -49,9 +49,18 @@
   }
 }
 
+/**
+ * Number of connections in a row without a response after which the process at
+ * the address counts as busy: a lost connection alone would have been replaced
+ * by one that works.
+ */
+const UNANSWERED_CONNECTIONS_LIMIT = 2;
+
 /** Connections to one address; tells why each new one is opened. */
 export class ConnectionHistory {
   private openCount = 0;
+  /** Number of connections in a row that were given up without a response. */
+  private unansweredCount = 0;
   private readonly lostCounts: Record<CloseReason, number> = {
     timeout: 0,
     failure: 0,
@@ -66,6 +75,21 @@
     this.openCount += 1;
   }
 
+  /** Whether the process at the address seems too busy to accept a connection. */
+  get seemsBusy(): boolean {
+    return this.unansweredCount >= UNANSWERED_CONNECTIONS_LIMIT;
+  }
+
+  /** Records a response on any connection. */
+  recordResponse(): void {
+    this.unansweredCount = 0;
+  }
+
+  /** Records that a connection was given up without a response. */
+  recordUnanswered(): void {
+    this.unansweredCount += 1;
+  }
+
   /** Records that a connection was closed or could not be opened. */
   recordClose(reason: CloseReason): void {
     this.openCount -= 1;
--- a/src/links/member_connection.ts
+++ b/src/links/member_connection.ts
@@ -10,6 +10,13 @@
 /** Time after which a connection without calls is closed. */
 const IDLE_TIMEOUT_MS = 30_000;
 
+/**
+ * Time that a busy member has for the first response on an open connection. It
+ * accepts one connection in each turn of its loop, so replacing connections
+ * that wait to be accepted delays those of all other members.
+ */
+const ACCEPT_PATIENCE_MS = 10_000;
+
 /** Client of the calls between members. */
 export type MemberClient = connect.Client<typeof cellPb.Cell>;
 
@@ -42,6 +49,8 @@
   private isSilent = false;
   private wasOpen = false;
   private lastResponseAt: clock.Milliseconds = -Infinity;
+  /** When the first call was sent. */
+  private usedSince: clock.Milliseconds | undefined;
 
   constructor(
     address: string,
@@ -70,6 +79,7 @@
     this.openIfClosed();
     this.callsInProgress += 1;
     const sentAt = this.options.clock.now();
+    this.usedSince ??= sentAt;
     const abortController = new AbortController();
     let timedOut: cellPeers.MissingResponse | undefined;
     const timeout = this.options.timer.start(timeoutMs, () => {
@@ -79,6 +89,7 @@
     try {
       const value = await send(this.client, {signal: abortController.signal});
       this.lastResponseAt = this.options.clock.now();
+      this.options.history.recordResponse();
       if (timeout.isOverdue) this.options.statistics.countLateRead();
       return {kind: 'answered', value};
     } catch (error) {
@@ -119,15 +130,29 @@
     statistics.countTimeout(isConnecting ? 'connecting' : 'silent');
     // Without any response since the call was sent, the connection may be
     // silent while a new one would work.
-    if (this.lastResponseAt <= sentAt) this.retire();
+    const isUnanswered = this.lastResponseAt <= sentAt;
+    if (isUnanswered && (isConnecting || !this.mayWaitForAccept())) {
+      this.retire();
+    }
     return {kind: 'unanswered', detail};
   }
 
+  /** Returns whether a busy member may not have accepted the connection yet. */
+  private mayWaitForAccept(): boolean {
+    const {clock, history} = this.options;
+    const hadResponse = this.lastResponseAt > -Infinity;
+    if (hadResponse || !history.seemsBusy) return false;
+    const usedForMs = clock.now() - (this.usedSince ?? clock.now());
+    return usedForMs < ACCEPT_PATIENCE_MS;
+  }
+
   /** Leaves the connection to the calls in progress. */
   private retire(): void {
     if (this.isSilent) return;
     this.isSilent = true;
-    this.options.history.recordClose('timeout');
+    const {history} = this.options;
+    if (this.lastResponseAt === -Infinity) history.recordUnanswered();
+    history.recordClose('timeout');
     this.options.onSilent();
   }
 
--- a/test/links/cell_client_test.ts
+++ b/test/links/cell_client_test.ts
@@ -143,6 +143,25 @@
       assert.equal((await cell.servers.counts()).opened, 2);
     }));
 
+  // Load: calls to a new leader whose loop is busy. Its server accepts one
+  // connection in each turn of the loop. Guards against members that replace
+  // connections faster than it accepts them, so that none is ever answered.
+  test('leaves connections to a member that is too busy to accept them', () =>
+    withCell({}, async cell => {
+      const [address] = cell.servers.addresses;
+      cell.servers.block(3_000);
+      await timers.setTimeout(50);
+      for (let attempt = 0; attempt < 6; attempt += 1) {
+        assert.equal((await ping(cell, address)).kind, 'unanswered');
+      }
+      await wait.until('the member answers', async () => {
+        const {kind} = await ping(cell, address);
+        return kind === 'answered' ? true : undefined;
+      });
+      const {opened} = await cell.servers.counts();
+      assert.ok(opened <= 3, `${opened} connections`);
+    }));
+
   // Guards against a leader that is given up late because its process is gone.
   test('reports a refused connection as refused', () =>
     withCell({}, async cell => {
