Start less urgent jobs that are short of time first while there is room

The loop started 300 to 550 tasks a second, more arrived in the most urgent queue alone, and each slice of a placement pass begins with that queue.

A job that is on time and has used up half of its slack now goes first, but only while a quarter of its service's processors has been free for a second: room that is short still goes to the urgent queue.

The tests of the order and of a backlog of urgent jobs failed before.

--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -244,6 +244,7 @@
       now,
       other => this.predictMs(other),
       this.placer.processorsOf(queue.service),
+      this.placer.hasRoom(queue.service),
     );
   }
 
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -83,6 +83,11 @@
     return this.workers.processorsOf(service);
   }
 
+  /** Returns whether a service is far from short of room. */
+  hasRoom(service: string): boolean {
+    return this.workers.hasRoom(service);
+  }
+
   /** Forgets a step that no longer waits. */
   forget(step: stepInstance.StepInstance): void {
     const known = this.examinations.get(step);
--- a/src/jobs/schedulable_workers.ts
+++ b/src/jobs/schedulable_workers.ts
@@ -6,6 +6,12 @@
 /** Number of changes that are kept; steps examined earlier start afresh. */
 const MAXIMUM_LOGGED_CHANGES = 2_048;
 
+/** Free share of a service's processors above which it has room. */
+const ROOM_SHARE = 0.25;
+
+/** Time after which room counts; until then more urgent work may take it. */
+const STANDING_ROOM_MS = 1_000;
+
 /** Workers of a service that were logged up to a version. */
 interface ChangedWorkers {
   readonly version: number;
@@ -18,10 +24,12 @@
   /** Results of `changedSince` since the last refresh, by its argument. */
   readonly changedCache = new Map<number, ChangedWorkers>();
   processors = 0;
+  freeProcessors = 0;
 
   add(worker: remoteWorker.RemoteWorker): void {
     this.workers.push(worker);
     this.processors += worker.entry.capacity.processors;
+    this.freeProcessors += Math.max(0, worker.free.processors);
   }
 }
 
@@ -37,6 +45,9 @@
   private known = new Map<remoteWorker.RemoteWorker, number>();
   private changes: remoteWorker.RemoteWorker[] = [];
   private droppedChangeCount = 0;
+  /** Since when each service has room; only those that have it. */
+  private roomSince: ReadonlyMap<string, clock.Milliseconds> = new Map();
+  private refreshedAt: clock.Milliseconds = -Infinity;
 
   constructor(private readonly workers: workerTable.WorkerTable) {}
 
@@ -64,6 +75,7 @@
     }
     this.known = known;
     this.byService = byService;
+    this.refreshRoom(now);
     this.dropOldChanges();
   }
 
@@ -82,6 +94,22 @@
     return this.byService.get(service)?.processors ?? 0;
   }
 
+  /** Returns whether a good part of a service's processors stays free. */
+  hasRoom(service: string): boolean {
+    const since = this.roomSince.get(service) ?? Infinity;
+    return this.refreshedAt - since >= STANDING_ROOM_MS;
+  }
+
+  private refreshRoom(now: clock.Milliseconds): void {
+    const roomSince = new Map<string, clock.Milliseconds>();
+    for (const [service, {freeProcessors, processors}] of this.byService) {
+      if (freeProcessors <= ROOM_SHARE * processors) continue;
+      roomSince.set(service, this.roomSince.get(service) ?? now);
+    }
+    this.roomSince = roomSince;
+    this.refreshedAt = now;
+  }
+
   /** Logs a worker that may be able to take more tasks. */
   logChange(worker: remoteWorker.RemoteWorker): void {
     this.changes.push(worker);
--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -86,7 +86,10 @@
 
 /** Sort key of a job; smaller values are scheduled first. */
 export interface Urgency {
-  /** The queue's priority, plus a penalty for jobs that will be late. */
+  /**
+   * The queue's priority, plus a penalty for jobs that will be late; lowest for
+   * less urgent jobs that are short of time.
+   */
   readonly rank: number;
   /** Due time, deferred in proportion to the job's remaining work. */
   readonly effectiveDueAt: clock.Milliseconds;
@@ -107,29 +110,48 @@
  */
 const LATE_RANK_PENALTY = 1.5;
 
+/**
+ * Rank of a less urgent job that has used up half of its slack although its
+ * service has room. The event loop then can't start all that arrives, and jobs
+ * of the most urgent queue would keep others from ever being started.
+ */
+const SHORT_OF_TIME_RANK = -1;
+
+/** Share of its slack that a job has left when it is short of time. */
+const SHORT_OF_TIME_SLACK_SHARE = 0.5;
+
 /** Penalty of a job without value; puts it behind all others. */
 const WORTHLESS_RANK_PENALTY = 100;
 
-/** Returns the urgency of a job from its queue and its remaining time. */
+/**
+ * Returns the urgency of a job from its queue and its remaining time. `hasRoom`
+ * tells whether its service is far from short of room.
+ */
 export function urgencyOf(
   record: jobRecord.JobRecord,
   queue: job.Queue,
   now: clock.Milliseconds,
   predict: RuntimePredictor,
   totalProcessors: number,
+  hasRoom = false,
 ): Urgency {
   const {priority} = queue;
   if (record.longRunning) {
     return {rank: priority, effectiveDueAt: record.arrivedAt, onTime: true};
   }
-  const objectiveMs = objectiveMsOf(record, queue, predict);
+  const pathMs = criticalPathMs(record, queue, predict);
+  const objectiveMs = queue.stretch * pathMs + queue.objectiveMs;
   const dueAt = record.arrivedAt + objectiveMs;
   const workDurationMs =
     remainingWork(record, predict) / Math.max(totalProcessors, 1);
   const effectiveDueAt = dueAt + DEFERRAL_FACTOR * workDurationMs;
   const endsAt = now + remainingCriticalPathMs(record, queue, predict);
   const rank = rankOf(priority, objectiveMs, endsAt - record.arrivedAt);
-  return {rank, effectiveDueAt, onTime: rank === priority};
+  const onTime = rank === priority;
+  const slackMs = objectiveMs - pathMs;
+  const isShortOfTime = dueAt - endsAt < SHORT_OF_TIME_SLACK_SHARE * slackMs;
+  const goesFirst = hasRoom && onTime && isShortOfTime && priority > 0;
+  return {rank: goesFirst ? SHORT_OF_TIME_RANK : rank, effectiveDueAt, onTime};
 }
 
 /** Returns the rank of a job that is expected to end at a certain age. */
--- a/test/jobs/placement_backlog_test.ts
+++ b/test/jobs/placement_backlog_test.ts
@@ -226,3 +226,39 @@
     assert.ok(totalPairs(turns) <= WORKER_COUNT, `${totalPairs(turns)} pairs`);
   });
 });
+
+describe('a backlog of urgent jobs in a cell with room', () => {
+  // Load: for seconds more urgent jobs arrive than the event loop can start,
+  // while most processors are free. Guards against a less urgent job that gets
+  // no turn until it is late.
+  test('leaves a turn to a less urgent job that is short of time', async () => {
+    const patientQueue = {...BATCH_QUEUE, objectiveMs: 4_000};
+    const cell = new backlogCell.BacklogCell({
+      workerCount: WORKER_COUNT,
+      queues: [jobCell.QUEUE, patientQueue],
+    });
+    await cell.begin();
+    const batch = cell.jobOf('batch');
+    jobCell.submit(cell.scheduler, {...batch, queue: patientQueue.name});
+    const submittedAtMs = cell.nowMs;
+    let startedAtMs: number | undefined;
+    let endedCount = 0;
+    for (let turn = 0; turn < 110 && startedAtMs === undefined; turn += 1) {
+      for (let index = 0; index < 40; index += 1) {
+        cell.submit(`urgent${turn}-${index}`);
+      }
+      await cell.runTurns(1);
+      const starts = cell.workers.starts.slice(endedCount);
+      endedCount = cell.workers.starts.length;
+      for (const start of starts) {
+        if (start.task.startsWith('batch')) startedAtMs = cell.nowMs;
+        cell.workers.endRun(start);
+      }
+      cell.nowMs += 40;
+      cell.scheduler.tick();
+    }
+    assert.ok(startedAtMs !== undefined, 'never started');
+    const waitedMs = startedAtMs - submittedAtMs;
+    assert.ok(waitedMs <= 3_500, `${waitedMs} ms`);
+  });
+});
--- a/test/jobs/step_ordering_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -27,6 +27,14 @@
 function orderAt(
   now: number,
   ...steps: ReadonlyArray<stepOrdering.WaitingStep>
+): ReadonlyArray<string> {
+  return orderWith(false, now, ...steps);
+}
+
+function orderWith(
+  hasRoom: boolean,
+  now: number,
+  ...steps: ReadonlyArray<stepOrdering.WaitingStep>
 ): ReadonlyArray<string> {
   const order = new placementOrder.PlacementOrder(({step, queue}) =>
     stepOrdering.urgencyOf(
@@ -35,6 +43,7 @@
       now,
       other => other.definition.estimatedRuntimeMs,
       PROCESSORS,
+      hasRoom,
     ),
   );
   const budget = new sliceBudget.SliceBudget({now: () => now});
@@ -53,6 +62,34 @@
     assert.deepEqual(order, ['urgent', 'batch']);
   });
 
+  // Load: for many seconds more urgent jobs arrive than the event loop can
+  // start. Guards against jobs of another queue that are started too late, or
+  // never, although their objective left time enough.
+  test('puts a less urgent job first when it is short of time', () => {
+    const urgent = buildWaitingStep('urgent', jobCell.QUEUE, 600);
+    const batch = buildWaitingStep('batch', BATCH_QUEUE, 0);
+    assert.deepEqual(orderWith(true, 650, urgent, batch), ['batch', 'urgent']);
+    assert.deepEqual(orderWith(true, 400, urgent, batch), ['urgent', 'batch']);
+  });
+
+  // Guards against urgent jobs that get no room in a flood of batch work.
+  test('keeps the order of queues while room is short', () => {
+    const urgent = buildWaitingStep('urgent', jobCell.QUEUE, 600);
+    const batch = buildWaitingStep('batch', BATCH_QUEUE, 0);
+    assert.deepEqual(orderWith(false, 650, urgent, batch), ['urgent', 'batch']);
+  });
+
+  // Guards against late jobs of a less urgent queue that go ahead of urgent ones.
+  test('leaves a job behind that was short of time and is late', () => {
+    const order = orderWith(
+      true,
+      3_000,
+      buildWaitingStep('late', BATCH_QUEUE, 0),
+      buildWaitingStep('urgent', jobCell.QUEUE, 2_900),
+    );
+    assert.deepEqual(order, ['urgent', 'late']);
+  });
+
   // Guards against late jobs that take capacity from jobs which could still be
   // on time, so that these become late too: after a burst of urgent jobs.
   test('puts late jobs behind on-time jobs of the next queue', () => {
