Put new jobs that would end late behind those that would not

While more arrives than can be started, jobs are started at the last moment at which they count as on time. The tolerance for errors of the prediction, a fifth of the objective, then makes nearly all of them late. It is now left to jobs that have started.

The test of the order failed before.

--- a/src/jobs/step_ordering.ts
+++ b/src/jobs/step_ordering.ts
@@ -146,7 +146,13 @@
     remainingWork(record, predict) / Math.max(totalProcessors, 1);
   const effectiveDueAt = dueAt + DEFERRAL_FACTOR * workDurationMs;
   const endsAt = now + remainingCriticalPathMs(record, queue, predict);
-  const rank = rankOf(priority, objectiveMs, endsAt - record.arrivedAt);
+  const endAgeMs = endsAt - record.arrivedAt;
+  // While more arrives than can be started, new jobs are started at the last
+  // moment that counts as on time, and any tolerance makes all of them late.
+  const rank =
+    !record.started && endAgeMs > objectiveMs
+      ? lateRankOf(priority, objectiveMs, endAgeMs)
+      : rankOf(priority, objectiveMs, endAgeMs);
   const onTime = rank === priority;
   const slackMs = objectiveMs - pathMs;
   const isShortOfTime = dueAt - endsAt < SHORT_OF_TIME_SLACK_SHARE * slackMs;
@@ -161,6 +167,14 @@
   endAgeMs: number,
 ): number {
   if (endAgeMs <= latestOnTimeMs(objectiveMs)) return priority;
+  return lateRankOf(priority, objectiveMs, endAgeMs);
+}
+
+function lateRankOf(
+  priority: number,
+  objectiveMs: number,
+  endAgeMs: number,
+): number {
   const isWorthless = endAgeMs > latestValuableMs(objectiveMs);
   return priority + (isWorthless ? WORTHLESS_RANK_PENALTY : LATE_RANK_PENALTY);
 }
--- a/test/jobs/step_ordering_test.ts
+++ b/test/jobs/step_ordering_test.ts
@@ -104,6 +104,23 @@
     assert.deepEqual(order, ['fresh', 'next', 'late', 'batch']);
   });
 
+  // Load: more jobs of one queue arrive than the event loop can start. Guards
+  // against jobs that are all started just too late, the oldest first.
+  test('puts a new job that would end late behind those that would not', () => {
+    const late = buildWaitingStep('late', jobCell.QUEUE, 0);
+    const fresh = buildWaitingStep('fresh', jobCell.QUEUE, 1_000);
+    assert.deepEqual(orderAt(1_100, late, fresh), ['fresh', 'late']);
+    assert.deepEqual(orderAt(900, late, fresh), ['late', 'fresh']);
+  });
+
+  // Guards against the loss of the work of a job that may yet end on time.
+  test('allows for errors of the prediction once a job has started', () => {
+    const started = buildWaitingStep('started', jobCell.QUEUE, 0);
+    started.step.jobRecord.started = true;
+    const fresh = buildWaitingStep('fresh', jobCell.QUEUE, 1_000);
+    assert.deepEqual(orderAt(1_100, started, fresh), ['started', 'fresh']);
+  });
+
   // Guards against a job without value that goes ahead of jobs with value.
   test('puts jobs last that have exceeded three times their objective', () => {
     const order = orderAt(
