--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -242,6 +242,7 @@
       now,
       other => this.predictMs(other),
       this.placer.processorsOf(queue.service),
+      this.placer.hasRoom(queue.service),
     );
   }
 
