--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -345,5 +345,5 @@
 });
 
 function definitionOf(definition: job.JobDefinition): jobJournal.JournalChange {
-  return {kind: 'definition', definition};
+  return {kind: 'definition', definition, arrivedAtUnixMs: 1_700_000_000_000};
 }
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -32,6 +32,7 @@
 function electionOf(name: string): election.Election {
   const created = new election.Election(member(name), 0);
   for (const other of ['one', 'two', 'three']) created.addMember(member(other));
+  created.recordLeaderKnows([]);
   created.recordClaim(claimOf('one', 5), 0);
   return created;
 }
