--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -1,15 +1,12 @@
 import * as adviceEndpoints from './advice_endpoints.js';
 import * as adviceBalancer from '../jobs/advice_balancer.js';
 import * as cellConfiguration from './cell_configuration.js';
-import * as earlierLeases from '../jobs/earlier_leases.js';
 import * as jobScheduler from '../jobs/job_scheduler.js';
 import * as leaderElector from './leader_elector.js';
-import * as leadershipProof from './leadership_proof.js';
+import * as leadership from './leadership.js';
 import * as loopDelayMonitor from './loop_delay_monitor.js';
 import * as memberContacts from './member_contacts.js';
 import * as progressReporter from './progress_reporter.js';
-import * as suspensionDetector from './suspension_detector.js';
-import * as termAnnouncement from './term_announcement.js';
 import type * as jobAdmission from '../jobs/job_admission.js';
 import type * as adviceCache from '../jobs/advice_cache.js';
 import type * as cellMember from './cell_member.js';
@@ -66,16 +63,6 @@
 /** Time after a late tick in which the messages that waited are read. */
 const BACKLOG_READ_TIME_MS = 50;
 
-/** What a member has told of itself in a ping or a reply. */
-interface MemberState {
-  readonly address: string;
-  readonly incarnation: string;
-  /** Newest claim that it knew. */
-  readonly newest: cellMember.Claim | undefined;
-  /** When it was asked, on this process's clock; undefined if not known. */
-  readonly askedAt: clock.Milliseconds | undefined;
-}
-
 /** Process of the cell: takes part in elections and schedules as leader. */
 export class CellNode implements cellPeers.CellService {
   private readonly elector: leaderElector.LeaderElector;
@@ -88,26 +75,24 @@
   private overloadReportedAt = -Infinity;
   private scheduler: jobScheduler.JobScheduler | undefined;
   private registrySubscription: {close(): void} | undefined;
-  private readonly leadershipProof = new leadershipProof.LeadershipProof();
-  private readonly termAnnouncement: termAnnouncement.TermAnnouncement;
-  private readonly suspensionDetector: suspensionDetector.SuspensionDetector;
-  private proofBasis: leadershipProof.ProofBasis = 'none';
+  private readonly leadership: leadership.Leadership;
 
   constructor(private readonly options: CellNodeOptions) {
     const {clock, localAdviceClient, peers} = options;
     this.loopDelayMonitor = new loopDelayMonitor.LoopDelayMonitor(clock.now());
     this.contacts = new memberContacts.MemberContacts(clock);
-    this.termAnnouncement = new termAnnouncement.TermAnnouncement(clock);
-    this.suspensionDetector = new suspensionDetector.SuspensionDetector(
-      clock,
-      options.wallClock,
-    );
+    this.leadership = new leadership.Leadership({
+      ...options,
+      isLeader: () => this.elector.isLeader,
+      peers: () => this.elector.peers,
+      onSuspended: () => this.cellConfiguration.requireProof(),
+    });
     this.elector = new leaderElector.LeaderElector({
       ...options,
       configurationVersion: () => this.cellConfiguration.version,
       isUpToDate: () => this.loopDelayMonitor.lostMs(clock.now()) === 0,
       onNewTerm: claim => this.beginTerm(claim),
-      onClaimWon: sentAt => this.leadershipProof.proveByStore(sentAt),
+      onClaimWon: sentAt => this.leadership.proveByStore(sentAt),
       onReply: (...reply) => this.handleReply(...reply),
     });
     this.progressReporter = new progressReporter.ProgressReporter({
@@ -118,7 +103,7 @@
     });
     this.cellConfiguration = new cellConfiguration.CellConfiguration({
       ...options,
-      peerAddresses: () => this.peerAddresses(),
+      peerAddresses: () => this.elector.peers.map(({address}) => address),
       leaderAddress: () => this.remoteLeaderAddress,
       onUpdated: configuration => this.scheduler?.configure(configuration),
     });
@@ -200,8 +185,7 @@
   ): void {
     this.progressReporter.recordAnswer();
     this.elector.applyCellLog(members, claim, end, progress);
-    const isProof = this.elector.isLeader && provenAt !== undefined;
-    if (isProof) this.leadershipProof.proveByStore(provenAt);
+    if (provenAt !== undefined) this.leadership.proveByStore(provenAt);
     this.reportProgress();
   }
 
@@ -227,7 +211,7 @@
   configurationBasis(
     waitMs = CONFIGURATION_WAIT_MS,
   ): Promise<configurationFreshness.ConfigurationBasis> {
-    this.voidProofAfterSuspension();
+    this.leadership.voidAfterSuspension();
     return this.cellConfiguration.basis(waitMs);
   }
 
@@ -262,7 +246,7 @@
     const gapMs = this.loopDelayMonitor.recordTick(now);
     const lostMs = loopDelayMonitor.lostTimeMs(gapMs);
     if (gapMs > LOGGED_PAUSE_MS) this.logPause(gapMs);
-    this.reviewProof(now);
+    this.leadership.review(this.scheduler?.term);
     if (lostMs > 0) this.excludeLostTime(lostMs);
     this.scheduler?.tick();
     if (this.elector.isLeader && this.scheduler === undefined) {
@@ -279,12 +263,12 @@
   // Calls from other members.
 
   answerPing(message: cellPeers.PingMessage): cellPeers.PingReply {
-    this.voidProofAfterSuspension();
+    this.leadership.voidAfterSuspension();
     const {newest, sender} = message;
     this.contacts.recordContact(sender);
     this.recordAnnouncedVersion(message.configurationVersion, sender);
     if (newest !== undefined) this.elector.adoptClaim(newest, 'peer');
-    this.recordMemberState({
+    this.leadership.recordMemberState({
       address: sender,
       incarnation: message.senderIncarnation,
       newest,
@@ -318,7 +302,7 @@
   }
 
   configurationSince(knownVersion: number): cellPeers.MemberConfiguration {
-    this.voidProofAfterSuspension();
+    this.leadership.voidAfterSuspension();
     return this.cellConfiguration.since(knownVersion);
   }
 
@@ -326,7 +310,7 @@
     jobs: ReadonlyArray<jobAdmission.ScreenedJob>,
   ): ReadonlyArray<jobAdmission.ScreeningOutcome> | undefined {
     // A successor may have accepted a job that this process doesn't know.
-    if (!this.isProvedLeader()) return undefined;
+    if (!this.leadership.isProved()) return undefined;
     return this.servingScheduler?.screen(jobs);
   }
 
@@ -352,7 +336,7 @@
 
   countPending(queue: string): number | undefined {
     // A successor may have accepted jobs that this process doesn't count.
-    if (!this.isProvedLeader()) return undefined;
+    if (!this.leadership.isProved()) return undefined;
     return this.servingScheduler?.countPending(queue);
   }
 
@@ -361,7 +345,7 @@
    * job that this process doesn't know; "unknown" needs proof that none exists.
    */
   private mayTell(state: job.JobState | undefined): boolean {
-    if (state !== undefined || this.isProvedLeader()) return true;
+    if (state !== undefined || this.leadership.isProved()) return true;
     this.options.counters.count('answers_withheld', 'noProof');
     return false;
   }
@@ -442,7 +426,7 @@
   }
 
   private handleProgressStored(sentAt: clock.Milliseconds): void {
-    this.leadershipProof.proveByStore(sentAt);
+    this.leadership.proveByStore(sentAt);
     // After a long turn, the next record is due before the next tick.
     this.reportProgress();
   }
@@ -452,8 +436,7 @@
   private beginTerm(claim: cellMember.Claim): void {
     this.endTerm('newerClaim');
     if (!this.elector.isLeader) return;
-    this.leadershipProof.beginTerm();
-    this.termAnnouncement.beginTerm(claim.term, this.peerAddresses());
+    this.leadership.beginTerm(claim.term);
     // The predecessor may have acted on a version that is not known here.
     this.cellConfiguration.requireProof();
     void this.startScheduler(claim);
@@ -476,11 +459,11 @@
       loopMeter: options.loopMeter,
       log: options.log,
       counters: options.counters,
-      mayGrantLeases: () => this.mayAct(),
-      isProvedLeader: () => this.isProvedLeader(),
+      mayGrantLeases: () => this.leadership.mayAct(),
+      isProvedLeader: () => this.leadership.isProved(),
       earlierTerms: {
-        provedLeaderAt: () => this.provedLeaderAt(),
-        majorityInformedAt: () => this.termAnnouncement.majorityInformedAt,
+        provedLeaderAt: () => this.leadership.provedAt(),
+        majorityInformedAt: () => this.leadership.majorityInformedAt,
         isKnownToPredecessor: () => this.elector.wasKnownToPredecessor,
       },
       isConfigurationUsable: () => this.cellConfiguration.isUsable,
@@ -518,61 +501,6 @@
     this.registrySubscription = undefined;
   }
 
-  // Proof of leadership.
-
-  /** Whether this process may grant leases and start tasks. */
-  private mayAct(): boolean {
-    if (!this.elector.isLeader) return false;
-    this.voidProofAfterSuspension();
-    const now = this.options.clock.now();
-    return this.leadershipProof.basis(this.peerAddresses(), now) !== 'none';
-  }
-
-  /** Whether no later term existed lately, so that no other process leads. */
-  private isProvedLeader(): boolean {
-    const ageMs = this.options.clock.now() - this.provedLeaderAt();
-    return ageMs < earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
-  }
-
-  /** Latest time at which no later term than that of this process existed. */
-  private provedLeaderAt(): clock.Milliseconds {
-    if (!this.elector.isLeader) return -Infinity;
-    this.voidProofAfterSuspension();
-    return this.leadershipProof.provedAt(this.peerAddresses());
-  }
-
-  /** Voids the proof from before a suspension, which the clock doesn't show. */
-  private voidProofAfterSuspension(): void {
-    const suspendedMs = this.suspensionDetector.review();
-    if (suspendedMs === 0) return;
-    this.leadershipProof.voidBefore(this.options.clock.now());
-    this.cellConfiguration.requireProof();
-    this.options.counters.count('leadership_proof', 'suspended');
-    this.options.log.event('warn', 'processSuspended', {
-      suspendedMs: Math.round(suspendedMs),
-    });
-  }
-
-  /** Logs when what allows this process to act has changed. */
-  private reviewProof(now: clock.Milliseconds): void {
-    this.voidProofAfterSuspension();
-    const {proofBasis} = this;
-    const isLeading = this.elector.isLeader && this.scheduler !== undefined;
-    const peers = this.peerAddresses();
-    this.proofBasis = isLeading
-      ? this.leadershipProof.basis(peers, now)
-      : 'none';
-    if (!isLeading || this.proofBasis === proofBasis) return;
-    this.options.counters.count('leadership_proof', this.proofBasis);
-    const provedAt = this.leadershipProof.provedAt(peers);
-    this.options.log.event('info', 'leadershipProof', {
-      term: this.elector.leader?.term,
-      basis: this.proofBasis,
-      ageMs: Math.round(now - provedAt),
-      members: peers.length + 1,
-    });
-  }
-
   /** When the sender of a ping was told what it knew; undefined if unknown. */
   private askedAt({
     lastReply,
@@ -583,32 +511,6 @@
       : undefined;
   }
 
-  /**
-   * Records which term a member knew. One that was restarted has forgotten what
-   * its last incarnation was told, so only the incarnation that this process has
-   * read from the log is a witness.
-   */
-  private recordMemberState(state: MemberState): void {
-    // A member that knows a later term has ended this one.
-    if (!this.elector.isLeader) return;
-    const {address, incarnation, newest, askedAt} = state;
-    this.termAnnouncement.recordKnownTerm(
-      address,
-      newest?.term,
-      this.peerAddresses(),
-    );
-    const isRegistered = this.elector.peers.some(
-      peer => peer.address === address && peer.incarnation === incarnation,
-    );
-    if (!isRegistered || askedAt === undefined) return;
-    if (askedAt > this.options.clock.now()) return;
-    this.leadershipProof.proveByMember(address, askedAt);
-  }
-
-  private peerAddresses(): ReadonlyArray<string> {
-    return this.elector.peers.map(({address}) => address);
-  }
-
   private handleReply(
     address: string,
     reply: cellPeers.PingReply,
@@ -616,7 +518,7 @@
   ): void {
     const now = this.options.clock.now();
     this.contacts.recordContact(address);
-    this.recordMemberState({
+    this.leadership.recordMemberState({
       address,
       incarnation: reply.incarnation,
       newest: reply.newest,
--- /dev/null
+++ b/src/zones/leadership.ts
@@ -0,0 +1,154 @@
+import * as earlierLeases from '../jobs/earlier_leases.js';
+import * as leadershipProof from './leadership_proof.js';
+import * as suspensionDetector from './suspension_detector.js';
+import * as termAnnouncement from './term_announcement.js';
+import type * as cellMember from './cell_member.js';
+import type * as clock from '../machines/clock.js';
+import type * as schedulerOptions from '../jobs/scheduler_options.js';
+
+/** Dependencies of `Leadership`. */
+export interface LeadershipOptions {
+  readonly clock: clock.Clock;
+  /** Returns Unix time in milliseconds. */
+  readonly wallClock: () => number;
+  readonly log: schedulerOptions.EventLog;
+  readonly counters: schedulerOptions.Counters;
+  /** Whether this process owns the newest claim that it knows. */
+  readonly isLeader: () => boolean;
+  /** Returns all other members that this process has read from the log. */
+  readonly peers: () => ReadonlyArray<cellMember.CellMember>;
+  /** Called when this VM may have been suspended. */
+  readonly onSuspended: () => void;
+}
+
+/** What a member has told of itself in a ping or a reply. */
+export interface MemberState {
+  readonly address: string;
+  readonly incarnation: string;
+  /** Newest claim that it knew. */
+  readonly newest: cellMember.Claim | undefined;
+  /** When it was asked, on this process's clock; undefined if not known. */
+  readonly askedAt: clock.Milliseconds | undefined;
+}
+
+/**
+ * What this process may do as leader. Example: leader A is cut off with member
+ * B, and C, D and E elect D. B vouches for A, which is no majority, so A stops
+ * 2 s after it last reached the log. D waits until it has told C and E, then for
+ * A's permission and its leases to end, before it starts what A may still run.
+ */
+export class Leadership {
+  private readonly proof = new leadershipProof.LeadershipProof();
+  private readonly announcement: termAnnouncement.TermAnnouncement;
+  private readonly suspensions: suspensionDetector.SuspensionDetector;
+  private loggedBasis: leadershipProof.ProofBasis = 'none';
+
+  constructor(private readonly options: LeadershipOptions) {
+    const {clock, wallClock} = options;
+    this.announcement = new termAnnouncement.TermAnnouncement(clock);
+    this.suspensions = new suspensionDetector.SuspensionDetector(
+      clock,
+      wallClock,
+    );
+  }
+
+  /** When enough members knew the term; see `EarlierTerms`. */
+  get majorityInformedAt(): clock.Milliseconds | undefined {
+    return this.announcement.majorityInformedAt;
+  }
+
+  /** Begins a term of this process, without any proof yet. */
+  beginTerm(term: number): void {
+    this.proof.beginTerm();
+    this.announcement.beginTerm(term, this.peerAddresses());
+  }
+
+  /** Records that the cell's log held no later claim at `provedAt`. */
+  proveByStore(provedAt: clock.Milliseconds): void {
+    if (this.options.isLeader()) this.proof.proveByStore(provedAt);
+  }
+
+  /**
+   * Records which term a member knew. One that was restarted has forgotten what
+   * its last incarnation was told, so only the incarnation that this process has
+   * read from the log is a witness.
+   */
+  recordMemberState(state: MemberState): void {
+    // A member that knows a later term has ended this one.
+    if (!this.options.isLeader()) return;
+    const {address, incarnation, newest, askedAt} = state;
+    this.announcement.recordKnownTerm(
+      address,
+      newest?.term,
+      this.peerAddresses(),
+    );
+    const isRegistered = this.options
+      .peers()
+      .some(
+        peer => peer.address === address && peer.incarnation === incarnation,
+      );
+    if (!isRegistered || askedAt === undefined) return;
+    if (askedAt > this.options.clock.now()) return;
+    this.proof.proveByMember(address, askedAt);
+  }
+
+  /** Returns whether this process may grant leases and start tasks. */
+  mayAct(): boolean {
+    this.voidAfterSuspension();
+    return this.basis() !== 'none';
+  }
+
+  /** Returns whether no other process has led lately. */
+  isProved(): boolean {
+    const ageMs = this.options.clock.now() - this.provedAt();
+    return ageMs < earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
+  }
+
+  /** Returns the latest time at which no later term than this one existed. */
+  provedAt(): clock.Milliseconds {
+    if (!this.options.isLeader()) return -Infinity;
+    this.voidAfterSuspension();
+    return this.proof.provedAt(this.peerAddresses());
+  }
+
+  /** Voids all proof from before a suspension, which the clock doesn't show. */
+  voidAfterSuspension(): void {
+    const {clock, counters, log, onSuspended} = this.options;
+    const suspendedMs = this.suspensions.review();
+    if (suspendedMs === 0) return;
+    this.proof.voidBefore(clock.now());
+    onSuspended();
+    counters.count('leadership_proof', 'suspended');
+    log.event('warn', 'processSuspended', {
+      suspendedMs: Math.round(suspendedMs),
+    });
+  }
+
+  /** Logs when what allows this process to act has changed; called regularly. */
+  review(term: number | undefined): void {
+    this.voidAfterSuspension();
+    const basis = this.basis();
+    if (basis === this.loggedBasis) return;
+    this.loggedBasis = basis;
+    if (!this.options.isLeader()) return;
+    const {clock, counters, log} = this.options;
+    const peers = this.peerAddresses();
+    counters.count('leadership_proof', basis);
+    log.event('info', 'leadershipProof', {
+      term,
+      basis,
+      ageMs: Math.round(clock.now() - this.proof.provedAt(peers)),
+      members: peers.length + 1,
+    });
+  }
+
+  private basis(): leadershipProof.ProofBasis {
+    const {clock, isLeader} = this.options;
+    if (!isLeader()) return 'none';
+    return this.proof.basis(this.peerAddresses(), clock.now());
+  }
+
+  private peerAddresses(): ReadonlyArray<string> {
+    return this.options.peers().map(({address}) => address);
+  }
+}
