--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -79,16 +79,32 @@
     const weak = new election.Election(member('weak', 0.4), 0);
     for (const other of ['one', 'two']) weak.addMember(member(other));
     weak.addMember(member('weak', 0.4));
+    weak.recordLeaderKnows([]);
     weak.recordClaim(claimOf('one', 5), 0);
     assert.equal(timeOfClaim(weak), 900 + 200 + 1_000);
   });
 
+  // Guards against a newcomer that leads although a member could which knows when
+  // the last leader's leases have ended.
+  test('delays the claim of a member that the leader did not know by 3 s', () => {
+    const newcomer = new election.Election(member('four'), 0);
+    newcomer.addMember(member('one'));
+    newcomer.recordLeaderKnows([]);
+    newcomer.recordClaim(claimOf('one', 5), 0);
+    newcomer.addMember(member('four'));
+    assert.equal(newcomer.isKnownToLeader, false);
+    assert.equal(timeOfClaim(newcomer), 900 + 3_000);
+    newcomer.recordLeaderKnows([]);
+    assert.equal(newcomer.isKnownToLeader, true);
+  });
+
   // Guards against jobs that wait for a lost leader because its cell is large.
   test('waits no longer for the leader of a larger cell', () => {
     const candidate = new election.Election(member('m10'), 0);
     for (let index = 10; index < 46; index += 1) {
       candidate.addMember(member(`m${index}`));
     }
+    candidate.recordLeaderKnows([]);
     candidate.recordClaim(claimOf('m11', 5), 0);
     assert.equal(timeOfClaim(candidate), 900);
   });
