--- a/test/zones/cut_off_leader_test.ts
+++ b/test/zones/cut_off_leader_test.ts
@@ -113,6 +113,17 @@
   });
 });
 
+/** Cuts the leader, most members and half of the workers off from the store. */
+function cutOffWithMostMembers(cell: simulatedCell.SimulatedCell): void {
+  const {zone} = cell.leader().self;
+  const withStore = cell.members.filter(({self}) => self.zone !== zone);
+  const cutOff = cell.members
+    .filter(member => !withStore.slice(0, 3).includes(member))
+    .map(({self}) => self.address);
+  const [first, second] = cell.workerEntries;
+  cell.partition([...cutOff, first.address, second.address]);
+}
+
 describe('a leader that is cut off from the store with most members', () => {
   // Guards against a successor that takes the runs of a leader on the larger
   // side of a partition for ended: that leader acts on a majority's word, but
@@ -120,17 +131,21 @@
   for (const durationMs of [PARTITION_MS, LONG_OUTAGE_MS]) {
     test(`shares no run with its successor in ${durationMs} ms`, async () => {
       const cell = await startWithLongRuns();
-      const {zone} = cell.leader().self;
-      const withStore = cell.members.filter(({self}) => self.zone !== zone);
-      const cutOff = cell.members
-        .filter(member => !withStore.slice(0, 3).includes(member))
-        .map(({self}) => self.address);
-      const [first, second] = cell.workerEntries;
-      cell.partition([...cutOff, first.address, second.address]);
+      cutOffWithMostMembers(cell);
       await cell.time.advance(durationMs);
       await expectNoRepeatedRun(cell);
     });
   }
+
+  // Guards against runs that this leader gives up, and starts again, although its
+  // successor reaches their workers and has extended their leases.
+  test('starts no task that its successor has adopted', async () => {
+    const cell = await workingCell.startCell(4, RUN_TIME_MS);
+    await workingCell.submitJobs(cell, 3_000);
+    cutOffWithMostMembers(cell);
+    await workingCell.submitJobs(cell, PARTITION_MS);
+    await expectNoRepeatedRun(cell);
+  });
 });
 
 describe('a leader whose VM is suspended while it is cut off', () => {
