Log whether a leader may start tasks while steps wait and before its term ends

A leader that is cut off writes stepWaits whether it has permission to start tasks or not, and termEnded without the time for which it had none.

stepWaits has mayStart; termEnded has the term and withoutPermissionMs.

--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -121,6 +121,7 @@
       this.dependencies.options.log.event('info', 'stepWaits', {
         step: step.name,
         waitedMs: Math.round(waitedMs),
+        mayStart: this.dependencies.mayStart(),
         reason: this.placer.explain(step, queue, now),
       });
       reportedCount += 1;
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -494,7 +494,11 @@
 
   private endTerm(reason: string): void {
     if (this.scheduler === undefined) return;
-    this.options.log.event('warn', 'termEnded', {reason});
+    this.options.log.event('warn', 'termEnded', {
+      reason,
+      term: this.scheduler.term,
+      withoutPermissionMs: Math.round(this.leadership.withoutPermissionMs),
+    });
     this.scheduler.retire();
     this.scheduler = undefined;
     this.registrySubscription?.close();
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -42,6 +42,7 @@
   private readonly announcement: termAnnouncement.TermAnnouncement;
   private readonly suspensions: suspensionDetector.SuspensionDetector;
   private loggedBasis: leadershipProof.ProofBasis = 'none';
+  private lastPermittedAt: clock.Milliseconds = -Infinity;
 
   constructor(private readonly options: LeadershipOptions) {
     const {clock, wallClock} = options;
@@ -57,8 +58,17 @@
     return this.announcement.majorityInformedAt;
   }
 
+  /**
+   * Time since the last review of a term in which this process had permission to
+   * grant leases and start tasks, or since the term began.
+   */
+  get withoutPermissionMs(): number {
+    return this.options.clock.now() - this.lastPermittedAt;
+  }
+
   /** Begins a term of this process, without any proof yet. */
   beginTerm(term: number): void {
+    this.lastPermittedAt = this.options.clock.now();
     this.proof.beginTerm();
     this.announcement.beginTerm(term, this.peerAddresses());
   }
@@ -128,6 +138,7 @@
   review(term: number | undefined): void {
     this.voidAfterSuspension();
     const basis = this.basis();
+    if (basis !== 'none') this.lastPermittedAt = this.options.clock.now();
     if (basis === this.loggedBasis) return;
     this.loggedBasis = basis;
     if (!this.options.isLeader()) return;
--- a/test/support/simulated_cell.ts
+++ b/test/support/simulated_cell.ts
@@ -23,6 +23,12 @@
   readonly reason: string;
 }
 
+/** The end of a term, as its leader has logged it. */
+export interface EndedTerm extends TermEvent {
+  /** How long the leader had not been allowed to start tasks. */
+  readonly withoutPermissionMs: number;
+}
+
 /** Whether the store answers the members on each side of a partition. */
 export interface StoreSides {
   readonly main: boolean;
@@ -59,6 +65,7 @@
   readonly wonClaims: TermEvent[] = [];
   /** Terms that began to serve, in their order. */
   readonly begunTerms: TermEvent[] = [];
+  readonly endedTerms: EndedTerm[] = [];
   /** Nodes that any member took for the leader of a term. */
   readonly leadersByTerm = new Map<number, Set<string>>();
   /** Number of parts in which the journal arrives, one after the other. */
@@ -214,6 +221,10 @@
       this.wonClaims.push({...event, term: Number(fields.end) + 1});
     }
     if (name === 'termBegun') this.begunTerms.push(event);
+    if (name === 'termEnded') {
+      const withoutPermissionMs = Number(fields.withoutPermissionMs);
+      this.endedTerms.push({...event, withoutPermissionMs});
+    }
     if (name === 'configurationTaken') {
       const {node, at} = event;
       this.takenVersions.push({version: Number(fields.version), node, at});
--- a/test/zones/cut_off_leader_test.ts
+++ b/test/zones/cut_off_leader_test.ts
@@ -59,6 +59,24 @@
     });
   }
 
+  // Guards against a record of an incident from which nobody can tell whether the
+  // leader was allowed to start tasks while it was cut off.
+  test('logs for how long it was not allowed to start tasks', async () => {
+    const cell = await workingCell.startCell(1, RUN_TIME_MS);
+    await workingCell.submitJobs(cell, 3_000);
+    const cutOff = zoneOfLeader(cell).map(({self}) => self.address);
+    const oldTerm = cell.leader().node.leader?.term;
+    cell.partition([...cutOff, cell.workerEntries[0].address]);
+    await workingCell.submitJobs(cell, PARTITION_MS);
+    cell.heal();
+    await cell.time.advance(10_000);
+    const ended = cell.endedTerms.find(({term}) => term === oldTerm);
+    const {withoutPermissionMs = 0} = ended ?? {};
+    // The permission ends 2 s after the last proof before the partition.
+    assert.ok(withoutPermissionMs > PARTITION_MS - 2_500);
+    assert.ok(withoutPermissionMs < PARTITION_MS);
+  });
+
   // Guards against leases that outlast the successor's wait for a worker that it
   // can't reach.
   test('extends no lease beyond the wait of its successor', async () => {
