Count only members that the earlier leaders know

Cause: a successor relied on the end of earlier permissions if its direct predecessor knew it, and counted informed members by its own list. A leader that is cut off from the log acts on the word of the members that it has read. With two successions of newcomers in one cut, a newcomer that restarts, a cell that has just started, or newcomers that make up half of the list, the successor started tasks that the first leader still ran (two runs at once).

Change: claims and progress records name the offset before which members are known to every leader that may still act. Only such a member ends the word of all members, and only these count against a majority. The new line termAnnounced and the counter term_announced tell when the members had learned of a term.

Tests of isKnownToPredecessor are replaced: they now ask when the first witness knew the term, and without one the leases last for ever, as before.

--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -29,10 +29,10 @@
    */
   readonly majorityInformedAt: () => clock.Milliseconds | undefined;
   /**
-   * Whether the last leader knew this member. Otherwise that leader may act for
-   * as long as it hears all members that it knows.
+   * When a member that all earlier leaders know knew this term; undefined until
+   * then. They may act for as long as they hear all members that they know.
    */
-  readonly isKnownToPredecessor: () => boolean;
+  readonly witnessInformedAt: () => clock.Milliseconds | undefined;
 }
 
 /**
@@ -42,7 +42,8 @@
  * An earlier leader acts on what the cell's log showed before this term's claim,
  * or on the word of the members. Of a majority of these, one knows
  * this term as soon as a majority was told of it; without the log, the word of a
- * majority counts for a limited time only.
+ * majority counts for a limited time only. The word of all members counts until
+ * one of them knows this term.
  */
 export class EarlierLeases {
   constructor(
@@ -52,6 +53,11 @@
     private readonly earlierTerms: EarlierTerms,
   ) {}
 
+  /** Whether no leader of an earlier term may grant leases any more. */
+  get permissionsHaveEnded(): boolean {
+    return this.clock.now() >= this.lastPermissionEndsAt;
+  }
+
   /** Whether no lease of an earlier term can last, nor of a later one. */
   get haveExpired(): boolean {
     const expireAt = this.lastPermissionEndsAt + LONGEST_LEASE_MS;
@@ -62,11 +68,13 @@
 
   /** When no leader of an earlier term may grant leases any more. */
   private get lastPermissionEndsAt(): clock.Milliseconds {
-    if (!this.earlierTerms.isKnownToPredecessor()) return Infinity;
-    const withoutLogAt =
-      this.beganAt + MAJORITY_PROOF_LIMIT_MS * CLOCK_RATE_RATIO;
-    const informedAt = this.earlierTerms.majorityInformedAt();
-    if (informedAt === undefined) return withoutLogAt;
-    return Math.min(informedAt + LEADERSHIP_PROOF_LIFETIME_MS, withoutLogAt);
+    const {witnessInformedAt, majorityInformedAt} = this.earlierTerms;
+    const allHeardUntil =
+      (witnessInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS;
+    const majorityHeardUntil = Math.min(
+      (majorityInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS,
+      this.beganAt + MAJORITY_PROOF_LIMIT_MS * CLOCK_RATE_RATIO,
+    );
+    return Math.max(allHeardUntil, majorityHeardUntil);
   }
 }
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -205,6 +205,11 @@
     return this.serving && this.active;
   }
 
+  /** Whether no leader of an earlier term may act any more. */
+  get earlierLeadersEnded(): boolean {
+    return this.earlierLeases.permissionsHaveEnded;
+  }
+
   /** Position of this term's claim in the cell's log. */
   get term(): number {
     return this.options.term;
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -1,5 +1,6 @@
 import * as jsonDocument from './json_document.js';
 import * as recordChecks from './record_checks.js';
+import * as typeGuards from './type_guards.js';
 import type * as cellMember from '../zones/cell_member.js';
 import type * as keyedTopic from './keyed_topic.js';
 
@@ -31,8 +32,10 @@
   async claim(
     member: cellMember.CellMember,
     expectedEnd: number,
+    witnessEnd: number | undefined,
   ): Promise<cellMember.ClaimOutcome> {
-    const record = {key: CLAIM_KEY, value: jsonDocument.encode(member)};
+    const value = jsonDocument.encode({...member, witnessEnd});
+    const record = {key: CLAIM_KEY, value};
     const outcome = await this.topic.append(
       [record],
       {ifEnd: expectedEnd},
@@ -102,33 +105,40 @@
       progress = decodeProgress(record) ?? progress;
     }
   }
-  const leaderOffset = lastLeaderOffset(records);
-  const addressesBeforeLeaderRecord = records
-    .filter(({key, offset}) => isMemberKey(key) && offset < leaderOffset)
-    .map(({key}) => key.slice(MEMBER_PREFIX.length));
-  return {
-    members,
-    claim,
-    progress,
-    hasLeaderRecord: leaderOffset >= 0,
-    addressesBeforeLeaderRecord,
-  };
+  const memberOffsets = new Map(
+    records
+      .filter(({key}) => isMemberKey(key))
+      .map(({key, offset}) => [key.slice(MEMBER_PREFIX.length), offset]),
+  );
+  const leaderRecord = findLeaderRecord(records);
+  return {members, claim, progress, memberOffsets, leaderRecord};
 }
 
 function isMemberKey(key: string): boolean {
   return key.startsWith(MEMBER_PREFIX);
 }
 
-/** Returns the offset of the last claim or progress record; -1 if none. */
-function lastLeaderOffset(
+/** Returns the last claim or progress record; undefined if there is none. */
+function findLeaderRecord(
   records: ReadonlyArray<keyedTopic.TopicRecord>,
-): number {
-  let lastOffset = -1;
-  for (const {key, offset} of records) {
-    const isLeaderRecord = key === CLAIM_KEY || key === PROGRESS_KEY;
-    if (isLeaderRecord) lastOffset = Math.max(lastOffset, offset);
+): cellMember.LeaderRecord | undefined {
+  let last: keyedTopic.TopicRecord | undefined;
+  for (const record of records) {
+    const isLeaderRecord =
+      record.key === CLAIM_KEY || record.key === PROGRESS_KEY;
+    if (!isLeaderRecord) continue;
+    if (last === undefined || record.offset > last.offset) last = record;
   }
-  return lastOffset;
+  if (last === undefined) return undefined;
+  const {offset, value} = last;
+  return {offset, witnessEnd: decodeWitnessEnd(value) ?? offset};
+}
+
+/** Returns the `witnessEnd` of a leader's record; undefined if it has none. */
+function decodeWitnessEnd(value: Uint8Array): number | undefined {
+  const record = jsonDocument.decode(value, typeGuards.isObject).extract();
+  const witnessEnd = record?.['witnessEnd'];
+  return typeGuards.isNonNegativeInteger(witnessEnd) ? witnessEnd : undefined;
 }
 
 function decodeMember(
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -32,7 +32,9 @@
     typeof value['leading'] === 'boolean' &&
     typeof value['resigning'] === 'boolean' &&
     typeGuards.isNonNegativeInteger(value['takeoverStep']) &&
-    typeof value['hearsMajority'] === 'boolean'
+    typeof value['hearsMajority'] === 'boolean' &&
+    (value['witnessEnd'] === undefined ||
+      typeGuards.isNonNegativeInteger(value['witnessEnd']))
   );
 }
 
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -29,6 +29,19 @@
   readonly takeoverStep: number;
   /** Whether the leader has lately heard a majority of the members. */
   readonly hearsMajority: boolean;
+  /** As in `LeaderRecord`; undefined once no earlier leader may act. */
+  readonly witnessEnd?: number;
+}
+
+/** A claim or a progress record of a leader. */
+export interface LeaderRecord {
+  /** Its position in the log; its writer had read all that precedes it. */
+  readonly offset: number;
+  /**
+   * Members that registered before this offset are known to the writer and to
+   * every earlier leader that could still act when the record was written.
+   */
+  readonly witnessEnd: number;
 }
 
 /** Content of the cell's log, or of its new records. */
@@ -38,13 +51,10 @@
   readonly claim: Claim | undefined;
   /** Newest progress record; undefined in a snapshot, where it may be old. */
   readonly progress: LeaderProgress | undefined;
-  /** Whether a claim or a progress record is among these records. */
-  readonly hasLeaderRecord: boolean;
-  /**
-   * Addresses of the members here that precede the last such record, whose
-   * writer had read them.
-   */
-  readonly addressesBeforeLeaderRecord: ReadonlyArray<string>;
+  /** Offsets of the members' registrations, by their addresses. */
+  readonly memberOffsets: ReadonlyMap<string, number>;
+  /** Newest claim or progress record, also if the latter may be old. */
+  readonly leaderRecord: LeaderRecord | undefined;
 }
 
 /** Outcome of an attempt to write a progress record. */
@@ -75,8 +85,15 @@
   join(member: CellMember): Promise<boolean>;
   /** Returns whether the store answers this process at present. */
   probe(): Promise<boolean>;
-  /** Claims the next term if the log ends at `expectedEnd`. */
-  claim(member: CellMember, expectedEnd: number): Promise<ClaimOutcome>;
+  /**
+   * Claims the next term if the log ends at `expectedEnd`. `witnessEnd` is that
+   * of the last leader's record; undefined if there was no leader.
+   */
+  claim(
+    member: CellMember,
+    expectedEnd: number,
+    witnessEnd: number | undefined,
+  ): Promise<ClaimOutcome>;
   /** Writes the leader's progress if the log ends at `expectedEnd`. */
   reportProgress(
     progress: LeaderProgress,
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -85,6 +85,7 @@
       ...options,
       isLeader: () => this.elector.isLeader,
       peers: () => this.elector.peers,
+      isWitness: address => this.elector.isWitness(address),
       onSuspended: () => this.cellConfiguration.requireProof(),
     });
     this.elector = new leaderElector.LeaderElector({
@@ -196,9 +197,10 @@
     provenAt?: clock.Milliseconds,
   ): void {
     const {members, claim, progress} = content;
-    if (content.hasLeaderRecord) {
-      this.elector.recordLeaderKnows(content.addressesBeforeLeaderRecord);
-    }
+    this.elector.recordRegistrations(
+      content.memberOffsets,
+      content.leaderRecord,
+    );
     this.applyCellLog(members, claim, end, progress, provenAt);
   }
 
@@ -421,6 +423,9 @@
       resigning: elector.resigning,
       takeoverStep: scheduler.takeoverStep,
       hearsMajority: this.contacts.hearsMajority(elector.peers),
+      witnessEnd: scheduler.earlierLeadersEnded
+        ? undefined
+        : elector.witnessEnd,
     };
     this.progressReporter.report(progress, elector.logEnd);
   }
@@ -464,7 +469,7 @@
       earlierTerms: {
         provedLeaderAt: () => this.leadership.provedAt(),
         majorityInformedAt: () => this.leadership.majorityInformedAt,
-        isKnownToPredecessor: () => this.elector.wasKnownToPredecessor,
+        witnessInformedAt: () => this.leadership.witnessInformedAt,
       },
       isConfigurationUsable: () => this.cellConfiguration.isUsable,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -1,4 +1,5 @@
 import * as leaderMonitor from './leader_monitor.js';
+import * as witnessTable from './witness_table.js';
 import type * as cellMember from './cell_member.js';
 import type * as clock from '../machines/clock.js';
 
@@ -42,8 +43,7 @@
   private knownLogEnd = 0;
   /** End of the log that the last lost claim was based on. */
   private lostClaimEnd: number | undefined;
-  /** Addresses of members that the last leader certainly knew. */
-  private readonly knownToLeader = new Set<string>();
+  private readonly witnesses = new witnessTable.WitnessTable();
 
   constructor(
     private readonly self: cellMember.CellMember,
@@ -80,16 +80,25 @@
   get isKnownToLeader(): boolean {
     const {address} = this.self;
     const leaderAddress = this.knownClaim?.address ?? address;
-    return leaderAddress === address || this.knownToLeader.has(address);
+    return leaderAddress === address || this.witnesses.isKnownToLeader(address);
   }
 
-  /**
-   * Records which members the leader has read: those that were known before its
-   * record, and `addresses`, which precede it among the records read with it.
-   */
-  recordLeaderKnows(addresses: ReadonlyArray<string>): void {
-    for (const address of this.members.keys()) this.knownToLeader.add(address);
-    for (const address of addresses) this.knownToLeader.add(address);
+  /** End of the witnesses' registrations for a claim; see `WitnessTable`. */
+  get witnessEnd(): number | undefined {
+    return this.witnesses.witnessEnd;
+  }
+
+  /** Records where members have registered, and the newest leader's record. */
+  recordRegistrations(
+    memberOffsets: ReadonlyMap<string, number>,
+    leaderRecord: cellMember.LeaderRecord | undefined,
+  ): void {
+    this.witnesses.applyLog(memberOffsets, leaderRecord);
+  }
+
+  /** Returns whether a member registered before an offset of the log. */
+  isRegisteredBefore(address: string, end: number | undefined): boolean {
+    return this.witnesses.isRegisteredBefore(address, end);
   }
 
   /** Records a claim from the log or a peer; returns true if it is newer. */
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -85,7 +85,8 @@
   private nextStandbyPingAt = 0;
   private standbyPingCount = 0;
   private hasResigned = false;
-  private knownToPredecessor = false;
+  /** End of the witnesses' registrations in the last claim of this member. */
+  private claimedWitnessEnd: number | undefined;
   /** Last reply of each member, by its address. */
   private readonly lastReplies = new Map<string, cellPeers.ReceivedReply>();
 
@@ -116,14 +117,22 @@
     return this.election.logEnd;
   }
 
-  /** Whether the leader before this member's last won claim knew this member. */
-  get wasKnownToPredecessor(): boolean {
-    return this.knownToPredecessor;
+  /** End of the witnesses' registrations for this member's last claim. */
+  get witnessEnd(): number | undefined {
+    return this.claimedWitnessEnd;
   }
 
-  /** Records which members the leader has read; see `Election`. */
-  recordLeaderKnows(addresses: ReadonlyArray<string>): void {
-    this.election.recordLeaderKnows(addresses);
+  /** Returns whether a member is a witness for this member's last claim. */
+  isWitness(address: string): boolean {
+    return this.election.isRegisteredBefore(address, this.claimedWitnessEnd);
+  }
+
+  /** Records the registrations of members; see `Election`. */
+  recordRegistrations(
+    memberOffsets: ReadonlyMap<string, number>,
+    leaderRecord: cellMember.LeaderRecord | undefined,
+  ): void {
+    this.election.recordRegistrations(memberOffsets, leaderRecord);
   }
 
   /** Applies records of the cell's log, which was read up to `end`. */
@@ -263,10 +272,11 @@
     const startedAt = clock.now();
     const suspicion = this.election.suspicion(startedAt);
     if (suspicion === undefined) return undefined;
-    const {logEnd, isKnownToLeader} = this.election;
+    const {logEnd, witnessEnd} = this.election;
     const silentMs = Math.round(this.election.leaderSilenceMs(startedAt));
-    const outcome = await cellLog.claim(self, logEnd);
-    this.knownToPredecessor = isKnownToLeader;
+    // The log may show the claim before its answer arrives.
+    this.claimedWitnessEnd = witnessEnd;
+    const outcome = await cellLog.claim(self, logEnd, witnessEnd);
     counters.count('claims', outcome.kind);
     counters.count('claim_reasons', suspicion.reason);
     counters.observe('claim', clock.now() - startedAt);
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -8,6 +8,7 @@
 
 /** Dependencies of `Leadership`. */
 export interface LeadershipOptions {
+  readonly self: cellMember.CellMember;
   readonly clock: clock.Clock;
   /** Returns Unix time in milliseconds. */
   readonly wallClock: () => number;
@@ -17,10 +18,15 @@
   readonly isLeader: () => boolean;
   /** Returns all other members that this process has read from the log. */
   readonly peers: () => ReadonlyArray<cellMember.CellMember>;
+  /** Returns whether all earlier leaders that may act know a member. */
+  readonly isWitness: (address: string) => boolean;
   /** Called when this VM may have been suspended. */
   readonly onSuspended: () => void;
 }
 
+/** Members that have to know a term before those of earlier leaders end. */
+type InformedMembers = 'witness' | 'majority';
+
 /** What a member has told of itself in a ping or a reply. */
 export interface MemberState {
   readonly address: string;
@@ -42,6 +48,9 @@
   private readonly announcement: termAnnouncement.TermAnnouncement;
   private readonly suspensions: suspensionDetector.SuspensionDetector;
   private loggedBasis: leadershipProof.ProofBasis = 'none';
+  private beganAt: clock.Milliseconds = -Infinity;
+  /** Which of the members that have to know the term were logged to do so. */
+  private readonly loggedInformed = new Set<InformedMembers>();
 
   constructor(private readonly options: LeadershipOptions) {
     const {clock, wallClock} = options;
@@ -57,10 +66,21 @@
     return this.announcement.majorityInformedAt;
   }
 
+  /** When a witness knew the term; see `EarlierTerms`. */
+  get witnessInformedAt(): clock.Milliseconds | undefined {
+    return this.announcement.witnessInformedAt;
+  }
+
   /** Begins a term of this process, without any proof yet. */
   beginTerm(term: number): void {
     this.proof.beginTerm();
-    this.announcement.beginTerm(term, this.peerAddresses());
+    this.beganAt = this.options.clock.now();
+    this.loggedInformed.clear();
+    const {isWitness, self} = this.options;
+    this.announcement.beginTerm(
+      {term, isWitness: isWitness(self.address)},
+      this.informedMembers(),
+    );
   }
 
   /** Records that the cell's log held no later claim at `provedAt`. */
@@ -80,7 +100,7 @@
     this.announcement.recordKnownTerm(
       address,
       newest?.term,
-      this.peerAddresses(),
+      this.informedMembers(),
     );
     const isRegistered = this.options
       .peers()
@@ -124,9 +144,14 @@
     });
   }
 
-  /** Logs when what allows this process to act has changed; called regularly. */
+  /**
+   * Logs when what allows this process to act has changed, and when the members
+   * that earlier leaders need know the term; called regularly.
+   */
   review(term: number | undefined): void {
     this.voidAfterSuspension();
+    this.logInformed(term, 'witness', this.witnessInformedAt);
+    this.logInformed(term, 'majority', this.majorityInformedAt);
     const basis = this.basis();
     if (basis === this.loggedBasis) return;
     this.loggedBasis = basis;
@@ -142,12 +167,37 @@
     });
   }
 
+  private logInformed(
+    term: number | undefined,
+    informed: InformedMembers,
+    informedAt: clock.Milliseconds | undefined,
+  ): void {
+    if (informedAt === undefined || !this.options.isLeader()) return;
+    if (this.loggedInformed.has(informed)) return;
+    this.loggedInformed.add(informed);
+    const {counters, log} = this.options;
+    counters.count('term_announced', informed);
+    log.event('info', 'termAnnounced', {
+      term,
+      informed,
+      afterMs: Math.round(informedAt - this.beganAt),
+    });
+  }
+
   private basis(): leadershipProof.ProofBasis {
     const {clock, isLeader} = this.options;
     if (!isLeader()) return 'none';
     return this.proof.basis(this.peerAddresses(), clock.now());
   }
 
+  private informedMembers(): ReadonlyArray<termAnnouncement.InformedMember> {
+    const {isWitness, peers} = this.options;
+    return peers().map(({address}) => ({
+      address,
+      isWitness: isWitness(address),
+    }));
+  }
+
   private peerAddresses(): ReadonlyArray<string> {
     return this.options.peers().map(({address}) => address);
   }
--- a/src/zones/term_announcement.ts
+++ b/src/zones/term_announcement.ts
@@ -1,26 +1,53 @@
 import type * as clock from '../machines/clock.js';
 
+/** A member as the announcement of a term counts it. */
+export interface InformedMember {
+  readonly address: string;
+  /** Whether every earlier leader that may still act knows it. */
+  readonly isWitness: boolean;
+}
+
+/** A term of this process, and whether this process is a witness. */
+export interface AnnouncedTerm {
+  readonly term: number;
+  readonly isWitness: boolean;
+}
+
 /**
- * Which members know the term that this process leads. Once a majority does, an
- * earlier leader finds no majority that doesn't.
+ * Which members know the term that this process leads. Once a witness does, no
+ * earlier leader hears all members; once a majority does, none finds a majority
+ * that doesn't.
  */
 export class TermAnnouncement {
-  private term = 0;
+  private announced: AnnouncedTerm = {term: 0, isWitness: true};
   private readonly informed = new Set<string>();
-  private informedAt: clock.Milliseconds | undefined;
+  private firstWitnessAt: clock.Milliseconds | undefined;
+  private majorityAt: clock.Milliseconds | undefined;
 
   constructor(private readonly clock: clock.Clock) {}
 
-  /** When a majority of the members knew the term; undefined until then. */
+  /** When the first witness knew the term; undefined until then. */
+  get witnessInformedAt(): clock.Milliseconds | undefined {
+    return this.firstWitnessAt;
+  }
+
+  /**
+   * When so many witnesses knew the term that the other members that an earlier
+   * leader may know are no majority of these; undefined until then.
+   */
   get majorityInformedAt(): clock.Milliseconds | undefined {
-    return this.informedAt;
+    return this.majorityAt;
   }
 
-  /** Starts to announce a term; `peers` are the addresses of all others. */
-  beginTerm(term: number, peers: ReadonlyArray<string>): void {
-    this.term = term;
+  /** Starts to announce a term; `peers` are all others. */
+  beginTerm(
+    announced: AnnouncedTerm,
+    peers: ReadonlyArray<InformedMember>,
+  ): void {
+    this.announced = announced;
     this.informed.clear();
-    this.informedAt = undefined;
+    this.firstWitnessAt = undefined;
+    this.majorityAt = undefined;
     this.review(peers);
   }
 
@@ -28,20 +55,29 @@
   recordKnownTerm(
     address: string,
     knownTerm: number | undefined,
-    peers: ReadonlyArray<string>,
+    peers: ReadonlyArray<InformedMember>,
   ): void {
-    if (knownTerm === undefined || knownTerm < this.term) return;
+    if (knownTerm === undefined || knownTerm < this.announced.term) return;
     this.informed.add(address);
     this.review(peers);
   }
 
-  private review(peers: ReadonlyArray<string>): void {
-    if (this.informedAt !== undefined) return;
-    const informedCount = peers.filter(address =>
-      this.informed.has(address),
-    ).length;
+  private review(peers: ReadonlyArray<InformedMember>): void {
+    if (this.firstWitnessAt !== undefined && this.majorityAt !== undefined) {
+      return;
+    }
+    const ownCount = this.announced.isWitness ? 1 : 0;
+    let informedWitnessCount = ownCount;
+    // An earlier leader may know any of the others, too.
+    let possibleCount = ownCount;
+    for (const {address, isWitness} of peers) {
+      const isInformed = this.informed.has(address);
+      if (isWitness && isInformed) informedWitnessCount += 1;
+      if (isWitness || !isInformed) possibleCount += 1;
+    }
+    const now = this.clock.now();
+    if (informedWitnessCount > 0) this.firstWitnessAt ??= now;
     // Without half of the members, the others are no majority.
-    const isEnough = 2 * (informedCount + 1) >= peers.length + 1;
-    if (isEnough) this.informedAt = this.clock.now();
+    if (2 * informedWitnessCount >= possibleCount) this.majorityAt ??= now;
   }
 }
--- a/test/jobs/earlier_leases_test.ts
+++ b/test/jobs/earlier_leases_test.ts
@@ -13,7 +13,7 @@
 function findExpiry(
   informedAtMs: number | undefined,
   provedLeaderAt: (now: number) => number,
-  isKnown = true,
+  witnessInformedAtMs: number | undefined = BEGAN_AT_MS,
 ): number | undefined {
   let now = BEGAN_AT_MS;
   const leases = new earlierLeases.EarlierLeases(
@@ -22,7 +22,7 @@
     {
       provedLeaderAt: () => provedLeaderAt(now),
       majorityInformedAt: () => informedAtMs,
-      isKnownToPredecessor: () => isKnown,
+      witnessInformedAt: () => witnessInformedAtMs,
     },
   );
   for (; now < 60_000; now += 10) if (leases.haveExpired) return now;
@@ -57,10 +57,13 @@
 
   // Guards against a member that has joined since the last leader read the log:
   // that leader still acts on the word of all others.
-  test('last for all that a member can tell which their leader did not know', () => {
+  test('last until a member that their leader knew was informed', () => {
+    const never = Infinity;
     assert.equal(
-      findExpiry(1_000, now => now, false),
+      findExpiry(1_000, now => now, never),
       undefined,
     );
+    const expiry = findExpiry(1_000, now => now, 30_000);
+    assert.equal(expiry, 30_000 + 2_000 + LONGEST_LEASE_MS);
   });
 });
--- a/test/links/cell_log_store_test.ts
+++ b/test/links/cell_log_store_test.ts
@@ -28,8 +28,8 @@
   // waits for the record that came first, and a refused claim has none.
   test('tells a refused claim from a lost one', async () => {
     const refused = {kind: 'refused', detail: 'status 503'} as const;
-    assert.deepEqual(await storeWith(refused).claim(MEMBER, 7), refused);
+    assert.deepEqual(await storeWith(refused).claim(MEMBER, 7, 5), refused);
     const preceded = storeWith({kind: 'conditionFailed', end: 8});
-    assert.deepEqual(await preceded.claim(MEMBER, 7), {kind: 'lost'});
+    assert.deepEqual(await preceded.claim(MEMBER, 7, 5), {kind: 'lost'});
   });
 });
--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -235,7 +235,7 @@
     const topic = new RecordingTopic();
     const store = new cellLogStore.CellLogStore(topic);
     await store.join(MEMBER);
-    await store.claim(MEMBER, 0);
+    await store.claim(MEMBER, 0, Number.MAX_SAFE_INTEGER);
     const progress = {
       term: Number.MAX_SAFE_INTEGER,
       leading: false,
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -106,7 +106,7 @@
       earlierTerms: {
         provedLeaderAt: () => this.nowMs,
         majorityInformedAt: () => 0,
-        isKnownToPredecessor: () => true,
+        witnessInformedAt: () => 0,
       },
       isConfigurationUsable: () => true,
       onSuperseded: () => {},
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -164,7 +164,7 @@
       earlierTerms: {
         provedLeaderAt,
         majorityInformedAt: () => beganAt,
-        isKnownToPredecessor: () => true,
+        witnessInformedAt: () => beganAt,
       },
       isConfigurationUsable: () => this.isConfigurationUsable,
       onSuperseded: reason => {
--- a/test/support/working_cell.ts
+++ b/test/support/working_cell.ts
@@ -25,12 +25,13 @@
   attempts: QUEUE.attempts,
 };
 
-/** Starts a cell of nine members and four workers that takes jobs. */
+/** Starts a cell of some members and four workers that takes jobs. */
 export async function startCell(
   seed: number,
   runTimeMs: number,
+  memberCount = MEMBER_COUNT,
 ): Promise<simulatedCell.SimulatedCell> {
-  return simulatedCell.SimulatedCell.start(MEMBER_COUNT, seed, true, cell => {
+  return simulatedCell.SimulatedCell.start(memberCount, seed, true, cell => {
     for (let index = 0; index < WORKER_COUNT; index += 1) {
       cell.addWorker(jobCell.registryEntry(`w${index}`), () => ({
         runTimeMs,
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -118,12 +118,13 @@
   members: ReadonlyArray<cellMember.CellMember>,
   claim: cellMember.Claim,
 ): void {
+  const offset = claim.term - 1;
   const content = {
     members,
     claim,
     progress: undefined,
-    hasLeaderRecord: true,
-    addressesBeforeLeaderRecord: members.map(({address}) => address),
+    memberOffsets: new Map(members.map(({address}, index) => [address, index])),
+    leaderRecord: {offset, witnessEnd: offset},
   };
   node.applyLogContent(content, claim.term);
 }
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -28,11 +28,24 @@
   storeSilentMs: 0,
 };
 
+/** Records that members registered before the leader's newest record. */
+function registerBeforeLeader(
+  candidate: election.Election,
+  names: ReadonlyArray<string>,
+): void {
+  const offset = names.length;
+  candidate.recordRegistrations(
+    new Map(names.map((name, index) => [member(name).address, index])),
+    {offset, witnessEnd: offset},
+  );
+}
+
 /** Creates the election of a member of a cell of three; `one` is the leader. */
 function electionOf(name: string): election.Election {
   const created = new election.Election(member(name), 0);
-  for (const other of ['one', 'two', 'three']) created.addMember(member(other));
-  created.recordLeaderKnows([]);
+  const names = ['one', 'two', 'three'];
+  for (const other of names) created.addMember(member(other));
+  registerBeforeLeader(created, names);
   created.recordClaim(claimOf('one', 5), 0);
   return created;
 }
@@ -79,7 +92,7 @@
     const weak = new election.Election(member('weak', 0.4), 0);
     for (const other of ['one', 'two']) weak.addMember(member(other));
     weak.addMember(member('weak', 0.4));
-    weak.recordLeaderKnows([]);
+    registerBeforeLeader(weak, ['one', 'two', 'weak']);
     weak.recordClaim(claimOf('one', 5), 0);
     assert.equal(timeOfClaim(weak), 900 + 200 + 1_000);
   });
@@ -89,22 +102,22 @@
   test('delays the claim of a member that the leader did not know by 3 s', () => {
     const newcomer = new election.Election(member('four'), 0);
     newcomer.addMember(member('one'));
-    newcomer.recordLeaderKnows([]);
+    registerBeforeLeader(newcomer, ['one']);
     newcomer.recordClaim(claimOf('one', 5), 0);
     newcomer.addMember(member('four'));
+    newcomer.recordRegistrations(new Map([['four:1', 2]]), undefined);
     assert.equal(newcomer.isKnownToLeader, false);
     assert.equal(timeOfClaim(newcomer), 900 + 3_000);
-    newcomer.recordLeaderKnows([]);
+    registerBeforeLeader(newcomer, ['one', 'two', 'three']);
     assert.equal(newcomer.isKnownToLeader, true);
   });
 
   // Guards against jobs that wait for a lost leader because its cell is large.
   test('waits no longer for the leader of a larger cell', () => {
     const candidate = new election.Election(member('m10'), 0);
-    for (let index = 10; index < 46; index += 1) {
-      candidate.addMember(member(`m${index}`));
-    }
-    candidate.recordLeaderKnows([]);
+    const names = Array.from({length: 36}, (_item, index) => `m${index + 10}`);
+    for (const name of names) candidate.addMember(member(name));
+    registerBeforeLeader(candidate, names);
     candidate.recordClaim(claimOf('m11', 5), 0);
     assert.equal(timeOfClaim(candidate), 900);
   });
--- a/test/zones/progress_reporter_test.ts
+++ b/test/zones/progress_reporter_test.ts
@@ -18,8 +18,8 @@
   members: [],
   claim: undefined,
   progress: undefined,
-  hasLeaderRecord: false,
-  addressesBeforeLeaderRecord: [],
+  memberOffsets: new Map(),
+  leaderRecord: undefined,
 };
 
 /** Answer time of the store. */
--- a/test/zones/term_announcement_test.ts
+++ b/test/zones/term_announcement_test.ts
@@ -4,7 +4,23 @@
 
 const {describe, test} = nodeTest;
 
-const PEERS = ['b', 'c', 'd', 'e'];
+/** Returns members that the earlier leaders know. */
+function witnesses(
+  ...addresses: ReadonlyArray<string>
+): ReadonlyArray<termAnnouncement.InformedMember> {
+  return addresses.map(address => ({address, isWitness: true}));
+}
+
+/** Returns members that have joined since the earlier leaders read the log. */
+function newcomers(
+  ...addresses: ReadonlyArray<string>
+): ReadonlyArray<termAnnouncement.InformedMember> {
+  return addresses.map(address => ({address, isWitness: false}));
+}
+
+const PEERS = witnesses('b', 'c', 'd', 'e');
+
+const TERM = {term: 7, isWitness: true};
 
 describe('announcement of a term', () => {
   // Guards against a successor that counts members which still support the
@@ -14,7 +30,7 @@
     const announcement = new termAnnouncement.TermAnnouncement({
       now: () => now,
     });
-    announcement.beginTerm(7, PEERS);
+    announcement.beginTerm(TERM, PEERS);
     announcement.recordKnownTerm('b', 7, PEERS);
     announcement.recordKnownTerm('b', 7, PEERS);
     announcement.recordKnownTerm('c', 6, PEERS);
@@ -27,7 +43,7 @@
     now = 90;
     announcement.recordKnownTerm('d', 8, PEERS);
     assert.equal(announcement.majorityInformedAt, 50, 'stays');
-    announcement.beginTerm(9, PEERS);
+    announcement.beginTerm({...TERM, term: 9}, PEERS);
     assert.equal(announcement.majorityInformedAt, undefined, 'a new term');
   });
 
@@ -35,7 +51,7 @@
   // it can't reach are no majority.
   test('is complete once half of the members know it', () => {
     const announcement = new termAnnouncement.TermAnnouncement({now: () => 10});
-    announcement.beginTerm(7, PEERS.slice(0, 3));
+    announcement.beginTerm(TERM, PEERS.slice(0, 3));
     assert.equal(announcement.majorityInformedAt, undefined);
     announcement.recordKnownTerm('b', 7, PEERS.slice(0, 3));
     assert.equal(announcement.majorityInformedAt, 10);
@@ -43,7 +59,43 @@
 
   test('needs nobody else in a cell of one', () => {
     const announcement = new termAnnouncement.TermAnnouncement({now: () => 10});
-    announcement.beginTerm(7, []);
+    announcement.beginTerm(TERM, []);
+    assert.equal(announcement.majorityInformedAt, 10);
+  });
+
+  // Guards against a successor that counts newcomers, of which an earlier leader
+  // doesn't know, as members whose word that leader would need.
+  test('counts only members that the earlier leaders know', () => {
+    let now = 10;
+    const announcement = new termAnnouncement.TermAnnouncement({
+      now: () => now,
+    });
+    const peers = [...witnesses('a', 'b', 'c'), ...newcomers('x', 'y', 'z')];
+    announcement.beginTerm({term: 7, isWitness: false}, peers);
+    for (const address of ['x', 'y', 'z']) {
+      announcement.recordKnownTerm(address, 7, peers);
+    }
+    assert.equal(announcement.witnessInformedAt, undefined);
+    assert.equal(announcement.majorityInformedAt, undefined);
+    now = 50;
+    announcement.recordKnownTerm('b', 7, peers);
+    assert.equal(announcement.witnessInformedAt, 50);
+    assert.equal(announcement.majorityInformedAt, undefined, 'a finds c');
+    now = 90;
+    announcement.recordKnownTerm('c', 7, peers);
+    assert.equal(announcement.majorityInformedAt, 90);
+  });
+
+  // Guards against a newcomer without the term which an earlier leader may know
+  // after all: it has read more of the log than it has written since.
+  test('takes a newcomer that was not told for one that the leader hears', () => {
+    const announcement = new termAnnouncement.TermAnnouncement({now: () => 10});
+    const peers = [...witnesses('a', 'b'), ...newcomers('x')];
+    announcement.beginTerm(TERM, peers);
+    assert.equal(announcement.majorityInformedAt, undefined);
+    announcement.recordKnownTerm('x', 7, peers);
+    assert.equal(announcement.majorityInformedAt, undefined);
+    announcement.recordKnownTerm('b', 7, peers);
     assert.equal(announcement.majorityInformedAt, 10);
   });
 });
