Check the permission again when a renewal leaves

Cause: whether a renewal may grant leases was decided when it was made. One that waited for a connection, or in a paused process, granted its leases after the proof of leadership had ended. Starts were checked already.

Change: the renewal is withdrawn when it is due to be written and no lease may be granted any more. That doesn't count as silence of the worker. Counter renewals_withdrawn.

--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -149,6 +149,10 @@
     );
   }
 
+  renewalWithdrawn(): void {
+    this.dependencies.options.counters.count('renewals_withdrawn', 'noProof');
+  }
+
   workerReplaced(worker: remoteWorker.RemoteWorker, born?: number): void {
     if (!this.sessionsOpen) return;
     if (born === undefined) {
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -79,8 +79,10 @@
     percent: number,
     fencingToken: number,
   ): Promise<CommandOutcome>;
+  /** Sends a renewal, unless `maySend` forbids it, as for a start. */
   renewLeases(
     worker: remoteWorker.RegistryEntry,
     command: RenewalCommand,
+    maySend?: () => boolean,
   ): Promise<RenewalOutcome>;
 }
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -13,6 +13,8 @@
   ): void;
   /** A call was not answered, or was rejected without a report. */
   answerMissing(worker: remoteWorker.RemoteWorker): void;
+  /** A renewal has not left: leases could no longer be granted when it was due. */
+  renewalWithdrawn(): void;
   /**
    * Another incarnation has answered at the worker's address: the next incarnation of
    * the same id, which began at `born`, or another worker if that is undefined.
@@ -92,15 +94,30 @@
       worker.fencingTokenAccepted && deadlineMs !== undefined
         ? LONG_POLL_WAIT_MS
         : 0;
-    const outcome = await this.client.renewLeases(worker.entry, {
-      fencingToken: fencingToken.fencingTokenOf(this.term, worker.incarnation),
-      // After a silence the next incarnation may answer, which counts its ends anew.
-      storedEndNumber:
-        worker.unansweredCalls === 0 ? worker.endCursor.storedNumber : 0,
-      deadlineMs,
-      waitMs,
-    });
+    let isWithdrawn = false;
+    const outcome = await this.client.renewLeases(
+      worker.entry,
+      {
+        fencingToken: fencingToken.fencingTokenOf(
+          this.term,
+          worker.incarnation,
+        ),
+        // After a silence the next incarnation may answer, which counts its ends anew.
+        storedEndNumber:
+          worker.unansweredCalls === 0 ? worker.endCursor.storedNumber : 0,
+        deadlineMs,
+        waitMs,
+      },
+      () => {
+        isWithdrawn = !this.maySend(deadlineMs);
+        return !isWithdrawn;
+      },
+    );
     if (this.closed) return true;
+    if (isWithdrawn) {
+      this.listener.renewalWithdrawn();
+      return false;
+    }
     switch (outcome.kind) {
       case 'reported':
         return this.acceptReport(outcome.report, sentAt);
@@ -116,6 +133,15 @@
     }
   }
 
+  /**
+   * Decides once more about a renewal that is about to leave: it may have waited
+   * for a connection, or this process may have stood still.
+   */
+  private maySend(deadlineMs: number | undefined): boolean {
+    if (this.closed) return false;
+    return deadlineMs === undefined || this.listener.mayGrantLeases();
+  }
+
   private acceptReport(
     report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
--- a/test/platform/late_loop_test.ts
+++ b/test/platform/late_loop_test.ts
@@ -198,6 +198,7 @@
   const listener: workerSession.SessionListener = {
     reportReceived: () => {},
     answerMissing: () => {},
+    renewalWithdrawn: () => {},
     workerReplaced: () => assert.fail('no worker was replaced'),
     termSuperseded: () => assert.fail('no term was superseded'),
     mayGrantLeases: () => true,
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -79,7 +79,11 @@
   async renewLeases(
     entry: remoteWorker.RegistryEntry,
     command: workerClient.RenewalCommand,
+    maySend?: () => boolean,
   ): Promise<workerClient.RenewalOutcome> {
+    if (maySend?.() === false) {
+      return {kind: 'unanswered', detail: 'withdrawn'};
+    }
     await this.time.delay(ONE_WAY_DELAY_MS);
     const worker = this.reachable(entry);
     if (worker === undefined) return this.timeOut(command.waitMs);
