Date the proof of an idle long poll from its request

Cause: a read of the cell's log that brought nothing proved leadership from the end of its wait. A store that answers early, and whose answer is held up until after the wait, dates that proof up to 2.5 s too new, more than a proof lasts.

Change: a followed topic says whether its store is trusted to wait.

Result: "an answer without records proves no wait that is not trusted" in topic_follower_test.ts; it fails with the new line switched off (the option is new).

--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -7,6 +7,12 @@
   readonly maximumWaitMs: number;
   /** Shortest time between two reads; batches the records in between. */
   readonly minimumReadIntervalMs: number;
+  /**
+   * Whether an answer without records proves the end of its wait, rather than
+   * the time of its request. A store that answers before that, and whose answer
+   * is held up, would prove a time at which it wasn't asked.
+   */
+  readonly trustsWait: boolean;
 }
 
 /** Where the records of a read end, compared with the topic's end. */
@@ -146,7 +152,7 @@
 
   /**
    * Returns the latest time that an answer is known not to precede: that of its
-   * request or, if the store waited in vain for records, the end of its wait.
+   * request or, if the store is trusted to have waited, the end of its wait.
    */
   private provenAt(
     {waitMs, askedAt}: TopicRead,
@@ -154,6 +160,7 @@
   ): clock.Milliseconds | undefined {
     if (difference === 'news') return askedAt;
     if (difference !== 'noNews') return undefined;
+    if (!this.options.trustsWait) return askedAt;
     const waitEndedAt = askedAt + waitMs;
     return waitEndedAt <= this.clock.now() ? waitEndedAt : askedAt;
   }
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -30,7 +30,7 @@
   };
   const follower = new topicFollower.TopicFollower(
     topic,
-    {maximumWaitMs: 50, minimumReadIntervalMs: 0},
+    {maximumWaitMs: 50, minimumReadIntervalMs: 0, trustsWait: true},
     {
       received: (changes, end, isSnapshot) => {
         const keys = changes.map(({key}) => key).join(',');
@@ -129,7 +129,7 @@
     };
     const follower = new topicFollower.TopicFollower(
       topic,
-      {maximumWaitMs: 2_500, minimumReadIntervalMs: 0},
+      {maximumWaitMs: 2_500, minimumReadIntervalMs: 0, trustsWait: true},
       {received: () => {}, interrupted: () => {}, resumed: () => {}},
       clock,
       milliseconds => clock.delay(milliseconds),
@@ -144,6 +144,7 @@
   function followProofs(
     clock: simulatedClock.SimulatedClock,
     read: (waitMs: number) => Promise<keyedTopic.ReadOutcome>,
+    trustsWait = true,
   ): {
     readonly follower: topicFollower.TopicFollower;
     readonly proofs: Array<number | undefined>;
@@ -160,7 +161,7 @@
         }),
         read: (_from, waitMs) => read(waitMs),
       },
-      {maximumWaitMs: 600, minimumReadIntervalMs: 0},
+      {maximumWaitMs: 600, minimumReadIntervalMs: 0, trustsWait},
       {
         received: (_changes, _end, _isSnapshot, provenAt) =>
           void proofs.push(provenAt),
@@ -198,6 +199,20 @@
     assert.deepEqual(proofs, [0, 600, 1_220]);
   });
 
+  // Guards against a proof of leadership that is dated too new: the store answers
+  // early, and the answer is held up until after the wait.
+  test('an answer without records proves no wait that is not trusted', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const read = async (): Promise<keyedTopic.ReadOutcome> => {
+      await clock.delay(900);
+      return {kind: 'read', records: [], end: 5, topicEnd: 5};
+    };
+    const {follower, proofs} = followProofs(clock, read, false);
+    await clock.advance(1_900);
+    follower.close();
+    assert.deepEqual(proofs, [0, 0, 900]);
+  });
+
   // Guards against an answer that confirms a version although the topic has a
   // later record, which was deleted while the read waited.
   test('an answer that lacks records proves nothing and leads to a snapshot', async () => {
