Give runs up only by what the cell's log shows

Cause: a leader without the log took the word of all members that it knows for proof that nobody led when the lease of an unreachable worker ended. A member that joined since it last read the log may lead, and may have adopted the run and extended its lease: two runs at once.

Change: giving up a run, and taking the leases of earlier terms for expired, need proof by the log. The word of the members still allows the leader to renew leases and to start tasks. Price: a worker that is lost while the store is away keeps its runs until the store answers.

--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -467,7 +467,7 @@
       mayGrantLeases: () => this.leadership.mayAct(),
       isProvedLeader: () => this.leadership.isProved(),
       earlierTerms: {
-        provedLeaderAt: () => this.leadership.provedAt(),
+        provedLeaderAt: () => this.leadership.provedByStoreAt(),
         majorityInformedAt: () => this.leadership.majorityInformedAt,
         witnessInformedAt: () => this.leadership.witnessInformedAt,
       },
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -124,8 +124,18 @@
     return ageMs < earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
   }
 
-  /** Returns the latest time at which no later term than this one existed. */
-  provedAt(): clock.Milliseconds {
+  /**
+   * Returns the latest time at which no later term than this one existed. Only
+   * the cell's log tells that: a member that this process doesn't know may lead.
+   */
+  provedByStoreAt(): clock.Milliseconds {
+    if (!this.options.isLeader()) return -Infinity;
+    this.voidAfterSuspension();
+    return this.proof.provedByStoreAt;
+  }
+
+  /** Returns the latest time at which nobody asked knew a later term. */
+  private provedAt(): clock.Milliseconds {
     if (!this.options.isLeader()) return -Infinity;
     this.voidAfterSuspension();
     return this.proof.provedAt(this.peerAddresses());
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -46,9 +46,15 @@
     this.beginTerm();
   }
 
+  /** Latest time at which the cell's log is known to have held no later claim. */
+  get provedByStoreAt(): clock.Milliseconds {
+    return this.storeProvedAt;
+  }
+
   /**
-   * Returns the latest time at which no later term existed, given the addresses
-   * of all other members: any member may have claimed through the store.
+   * Returns the latest time at which neither the cell's log nor any of the
+   * members, given the addresses of all others, knew a later term. A member that
+   * has joined since this process last read the log may have claimed.
    */
   provedAt(peers: ReadonlyArray<string>): clock.Milliseconds {
     let provedByAll = peers.length === 0 ? -Infinity : Infinity;
--- a/test/zones/newcomer_succession_test.ts
+++ b/test/zones/newcomer_succession_test.ts
@@ -13,8 +13,11 @@
 const SUCCESSION_MS = 6_000;
 
 /** Starts a cell whose runs, all started just now, outlast every partition. */
-async function startWithLongRuns(): Promise<simulatedCell.SimulatedCell> {
-  const cell = await workingCell.startCell(4, 3 * LONG_OUTAGE_MS);
+async function startWithLongRuns(
+  memberCount?: number,
+): Promise<simulatedCell.SimulatedCell> {
+  const runTimeMs = 3 * LONG_OUTAGE_MS;
+  const cell = await workingCell.startCell(4, runTimeMs, memberCount);
   await workingCell.submitJobs(cell, 600);
   return cell;
 }
@@ -109,3 +112,25 @@
     await expectNoRepeatedRun(cell);
   });
 });
+
+describe('a newcomer that leads while a leader hears all its members', () => {
+  // Guards against runs that the old leader gives up, and starts again, because
+  // no member that it knows has heard of the newcomer, which reaches their
+  // workers and extends their leases. In a small cell it claims before these end.
+  test('shares no run that it has adopted with the old leader', async () => {
+    const cell = await startWithLongRuns(3);
+    const first = cell.leader();
+    const addresses = cell.members.map(({self}) => self.address);
+    // The worker on the old leader's side has room for other workers' runs.
+    const idle = cell.workerEntries.find(({address}) =>
+      cell.workers.events.every(({worker}) => !address.startsWith(worker)),
+    );
+    assert.ok(idle !== undefined, 'no worker is idle');
+    cell.partition([...addresses, idle.address]);
+    cell.addMember(cell.members.length);
+    await cell.time.advance(LONG_OUTAGE_MS);
+    assert.equal(cell.leader(), cell.members.at(-1), 'no successor');
+    assert.ok(first.node.runsScheduler, 'the first leader has stopped');
+    await expectNoRepeatedRun(cell);
+  });
+});
