--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -20,6 +20,8 @@
     assignment: jobTask.Assignment,
     reason: workerClient.RejectionReason,
   ): void;
+  /** A copy of a start got no answer and may still be carried out. */
+  startUnanswered(task: jobTask.JobTask): void;
   /** The worker confirmed a start. */
   startConfirmed(assignment: jobTask.Assignment): void;
 }
@@ -160,6 +162,7 @@
       )
       .then(outcome => {
         if (isConclusive(outcome)) task.sentStarts.settle(copy);
+        else this.listener.startUnanswered(task);
         this.handleStartOutcome(assignment, outcome);
       });
   }
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -18,6 +18,13 @@
 /** First and last of a range of a job's occurrences. */
 export type OccurrenceRange = readonly [first: number, last: number];
 
+/** Identifies a task of a job. */
+export type TaskPosition = readonly [
+  occurrence: number,
+  position: number,
+  index: number,
+];
+
 /** Stored state of a job apart from its definition. */
 export interface JobProgress {
   readonly outcome: 'open' | 'completed' | 'failed' | 'cancelled';
@@ -25,8 +32,13 @@
   readonly steps: ReadonlyArray<StepProgress>;
   /** Occurrences that are done and whose steps are not listed. */
   readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
+  /** Tasks of which a start without an answer may still be carried out. */
+  readonly unansweredStarts?: ReadonlyArray<TaskPosition>;
 }
 
+/** Most tasks that a record lists as `unansweredStarts`. */
+const MAXIMUM_UNANSWERED_STARTS = 200;
+
 /**
  * Most tasks of done occurrences that a record lists one by one. Ranges take
  * their place from then on. Earlier versions of the program don't read ranges
@@ -47,6 +59,8 @@
   fromEarlierTerm = false;
   /** When the final outcome was stored. */
   settledAt: clock.Milliseconds | undefined;
+  /** Tasks that the stored progress lists, or will list, as unanswered. */
+  private readonly unansweredTasks = new Set<jobTask.JobTask>();
   private nextOccurrence = 0;
 
   constructor(
@@ -129,8 +143,27 @@
     }
   }
 
-  /** Progress to store; once the job has settled, that of its steps is over. */
-  progress(): JobProgress {
+  /**
+   * Records that a start of a task got no answer. Returns whether the stored
+   * progress does not tell that yet.
+   */
+  addUnansweredStart(task: jobTask.JobTask): boolean {
+    if (task.step.definition.duplicatesAllowed) return false;
+    if (this.unansweredTasks.has(task)) return false;
+    this.unansweredTasks.add(task);
+    return true;
+  }
+
+  /** Progress to store. */
+  progress(now: clock.Milliseconds): JobProgress {
+    const progress = this.progressOfSteps();
+    const unansweredStarts = this.unansweredStarts(now);
+    if (unansweredStarts.length === 0) return progress;
+    return {...progress, unansweredStarts};
+  }
+
+  /** Progress of the steps; once the job has settled, it is over. */
+  private progressOfSteps(): JobProgress {
     const {outcome, started} = this;
     if (outcome !== 'open') return {outcome, started, steps: []};
     const doneOccurrences = this.doneOccurrences();
@@ -146,7 +179,7 @@
   }
 
   /** Restores progress that an earlier term stored. */
-  restore(progress: JobProgress): void {
+  restore(progress: JobProgress, now: clock.Milliseconds): void {
     this.outcome = progress.outcome;
     this.storedOutcome = progress.outcome;
     this.started = progress.started;
@@ -160,6 +193,32 @@
       const instance = this.stepAt(stored.occurrence, stored.position);
       if (instance !== undefined) restoreStep(instance, stored);
     }
+    this.restoreUnansweredStarts(progress.unansweredStarts ?? [], now);
+  }
+
+  private restoreUnansweredStarts(
+    positions: ReadonlyArray<TaskPosition>,
+    now: clock.Milliseconds,
+  ): void {
+    for (const [occurrence, position, index] of positions) {
+      while (this.nextOccurrence <= occurrence) this.openOccurrence();
+      const task = this.stepAt(occurrence, position)?.tasks[index];
+      if (task === undefined) continue;
+      task.sentStarts.inherit(now);
+      this.unansweredTasks.add(task);
+    }
+  }
+
+  /** Returns the tasks with unanswered starts that may still be carried out. */
+  private unansweredStarts(
+    now: clock.Milliseconds,
+  ): ReadonlyArray<TaskPosition> {
+    for (const task of this.unansweredTasks) {
+      if (!task.sentStarts.mayArrive(now)) this.unansweredTasks.delete(task);
+    }
+    return [...this.unansweredTasks]
+      .slice(0, MAXIMUM_UNANSWERED_STARTS)
+      .map(({step, index}) => [step.occurrence, step.position, index]);
   }
 
   /** Returns the done occurrences; none while their tasks are few. */
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -375,6 +375,16 @@
     this.requestPlacementPass();
   }
 
+  startUnanswered(task: jobTask.JobTask): void {
+    if (!this.active) return;
+    const {jobRecord: record} = task.step;
+    const isNew = record.addUnansweredStart(task);
+    const reason = isNew ? 'recorded' : 'alreadyRecorded';
+    this.options.counters.count('starts_unanswered', reason);
+    // The next term must know it, because it may acknowledge the task's end.
+    if (isNew) this.jobTable.store(record);
+  }
+
   startConfirmed(assignment: jobTask.Assignment): void {
     assignment.jobTask.step.jobRecord.started = true;
     this.options.counters.count('starts', 'confirmed');
--- a/src/jobs/job_table.ts
+++ b/src/jobs/job_table.ts
@@ -56,7 +56,7 @@
     const record = new jobRecord.JobRecord(definition, arrivedAt);
     record.accepted = true;
     record.fromEarlierTerm = true;
-    if (progress !== undefined) record.restore(progress);
+    if (progress !== undefined) record.restore(progress, this.clock.now());
     this.add(record);
     if (record.storedOutcome !== 'open') this.markSettled(record);
     return record;
@@ -109,7 +109,11 @@
       progressKey(id),
       () => {
         sentOutcome = record.outcome;
-        return {kind: 'progress', id, progress: record.progress()};
+        return {
+          kind: 'progress',
+          id,
+          progress: record.progress(this.clock.now()),
+        };
       },
       () => {
         // The outcome may have changed after this batch was sent.
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -1,3 +1,4 @@
+import * as earlierLeases from './earlier_leases.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobTask from './job_task.js';
 
@@ -23,6 +24,14 @@
     return copy;
   }
 
+  /**
+   * Records that an earlier term left starts without an answer, which it may
+   * have repeated until its proof of leadership ended.
+   */
+  inherit(now: clock.Milliseconds): void {
+    this.add(now + earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS);
+  }
+
   /** Records that a copy can't be carried out any more. */
   settle(copy: SentStart): void {
     this.open.delete(copy);
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -74,7 +74,9 @@
     Array.isArray(value['steps']) &&
     value['steps'].every(isStepProgress) &&
     (value['doneOccurrences'] === undefined ||
-      isRangeList(value['doneOccurrences']))
+      isRangeList(value['doneOccurrences'])) &&
+    (value['unansweredStarts'] === undefined ||
+      isTaskPositionList(value['unansweredStarts']))
   );
 }
 
@@ -150,6 +152,13 @@
   return Array.isArray(value) && value.every(typeGuards.isNonNegativeInteger);
 }
 
+function isTaskPositionList(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every(item => isIndexList(item) && item.length === 3)
+  );
+}
+
 function isRangeList(value: unknown): boolean {
   return (
     isPairList(value) && (value as ReadonlyArray<unknown>).every(isIndexList)
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
+import * as runAudit from '../support/run_audit.js';
 import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
@@ -60,6 +61,41 @@
   return {cell, scheduler};
 }
 
+function acknowledgedTasks(cell: jobCell.JobCell): ReadonlyArray<string> {
+  return cell.workers.acknowledgedEnds.map(({task}) => task);
+}
+
+/**
+ * Starts a cell in its second term. The first one ran `aa` by a second copy of
+ * its start; the first copy arrives 3 s after it was sent. It also ran `cc` on
+ * another worker, and no end is acknowledged yet.
+ */
+async function createCellWithLateCopy(): Promise<{
+  readonly cell: jobCell.JobCell;
+  readonly successor: jobScheduler.JobScheduler;
+}> {
+  const cell = new jobCell.JobCell();
+  for (const [name, runTimeMs] of [
+    ['one', 1_100],
+    ['two', 1_500],
+  ] as const) {
+    const entry = jobCell.registryEntry(name, {labels: [name, 'r1-1']});
+    cell.addWorker(entry, () => ({runTimeMs, outcome: 'done'}));
+  }
+  const scheduler = await cell.startTerm(1);
+  await cell.time.advance(200);
+  cell.workers.commandDelayMs = address => (address === 'one:1' ? 3_000 : 0);
+  jobCell.submit(scheduler, jobCell.jobOf('aa', {requiredLabel: 'one'}));
+  jobCell.submit(scheduler, jobCell.jobOf('cc', {requiredLabel: 'two'}));
+  await cell.time.advance(100);
+  cell.workers.commandDelayMs = () => 0;
+  await cell.time.advance(1_000);
+  scheduler.retire();
+  const successor = await cell.startTerm(2);
+  await cell.time.advance(1_000);
+  return {cell, successor};
+}
+
 describe('a worker that is back under its id', () => {
   // Guards against a task that runs twice: a start that was on its way reached
   // the next incarnation of its worker, and the task was started elsewhere as soon as
@@ -213,6 +249,30 @@
     );
   });
 
+  // Guards against a start after an acknowledged success: the copy was sent by the
+  // last term, and the next one acknowledged the end at once.
+  test('carries out a late copy of the last term: the success was not acknowledged', async () => {
+    const {cell, successor} = await createCellWithLateCopy();
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(700);
+    restartWorker(cell);
+    await cell.time.advance(10_000);
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against ends that a new term never acknowledges, and against ends of
+  // other tasks that wait with them although nothing is known against them.
+  test('a copy of the last term got no answer: only its success waits, for 14 s', async () => {
+    const {cell, successor} = await createCellWithLateCopy();
+    await cell.time.advance(12_500);
+    assert.deepEqual(acknowledgedTasks(cell), ['cc.0.0.0']);
+    await cell.time.advance(1_000);
+    assert.deepEqual(acknowledgedTasks(cell), ['cc.0.0.0', 'aa.0.0.0']);
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against two runs at the same time: the lease of a silent worker was
   // over, but a start that it had not answered came to its next incarnation.
   test('comes back after its lease with a late start: the task runs once', async () => {
--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -159,7 +159,7 @@
       task.checkpoint = CHECKPOINT;
     }
   }
-  return {kind: 'progress', id: definition.id, progress: record.progress()};
+  return {kind: 'progress', id: definition.id, progress: record.progress(0)};
 }
 
 function repeatedJob(occurrences: number): job.JobDefinition {
@@ -177,7 +177,7 @@
   const definition = repeatedJob(occurrences + 1);
   const record = openRecord(definition);
   for (const step of record.steps.slice(0, -1)) step.markDone(step.tasks[0]);
-  return {kind: 'progress', id: definition.id, progress: record.progress()};
+  return {kind: 'progress', id: definition.id, progress: record.progress(0)};
 }
 
 function workerChange(
@@ -320,7 +320,7 @@
     for (const step of record.steps) {
       if (step.occurrence !== runningNumber) step.markDone(step.tasks[0]);
     }
-    const progress = record.progress();
+    const progress = record.progress(0);
     assert.equal(progress.steps.length, 0);
     const ends = [runningNumber - 1, 2_999];
     assert.deepEqual(
@@ -334,7 +334,7 @@
     const loaded = (await store.load())?.jobs.at(0)?.progress;
     assert.deepEqual(loaded, progress);
     const restored = new jobRecord.JobRecord(definition, 0);
-    restored.restore(progress);
+    restored.restore(progress, 0);
     const open = restored.steps.filter(step => !step.done);
     assert.deepEqual(
       open.map(({occurrence}) => occurrence),
