Send each acknowledgement once, and not in a call that may wait too long

Each renewal named the last stored end, also after the worker had confirmed it. A worker that restarts between two renewals gets that number from the next one. Its ends are counted anew, so the renewal, which waits for an end, forgets that end in its own answer.

A number that the worker has confirmed is not sent again. A renewal that acknowledges ends later than 0.1 s after the worker's last answer does not wait for an end; the one after it does.

Two tests of next_incarnation_test.ts and one of end_cursor_test.ts are new; the two failed before (the third tests a new function).

--- a/src/machines/end_cursor.ts
+++ b/src/machines/end_cursor.ts
@@ -11,7 +11,8 @@
  */
 export class EndCursor {
   private handled = 0;
-  private acknowledged = 0;
+  private stored = 0;
+  private confirmed = 0;
   private readonly unstoredBatches: EndBatch[] = [];
 
   /** Sequence number of the last run end that was handled. */
@@ -21,7 +22,21 @@
 
   /** Sequence number up to which all run ends are stored. */
   get storedNumber(): number {
-    return this.acknowledged;
+    return this.stored;
+  }
+
+  /**
+   * Sequence number to acknowledge; 0 if the worker has confirmed it. None is
+   * sent twice without need: each may reach the worker's next incarnation, which
+   * counts its ends anew and would forget some that nobody has seen.
+   */
+  get unconfirmedNumber(): number {
+    return this.stored > this.confirmed ? this.stored : 0;
+  }
+
+  /** Records that the worker has answered the acknowledgement of a number. */
+  confirm(acknowledgedNumber: number): void {
+    this.confirmed = Math.max(this.confirmed, acknowledgedNumber);
   }
 
   /**
@@ -40,7 +55,7 @@
 
   private advance(): void {
     while (this.unstoredBatches[0]?.stored) {
-      this.acknowledged = this.unstoredBatches[0].highestNumber;
+      this.stored = this.unstoredBatches[0].highestNumber;
       this.unstoredBatches.shift();
     }
   }
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -33,6 +33,9 @@
  */
 const STORE_WAIT_LIMIT_MS = 200;
 
+/** Time after an answer in which no worker is back from a restart. */
+const MINIMUM_RESTART_MS = 100;
+
 /** Interval at which the stored run ends are checked. */
 const STORE_POLL_INTERVAL_MS = 10;
 
@@ -86,23 +89,25 @@
     const deadlineMs = mayGrant
       ? worker.extendLease(sentAt, this.leaseMs)
       : undefined;
+    // After a silence the next incarnation may answer, which counts its ends anew.
+    const acknowledgedNumber =
+      worker.unansweredCalls === 0 ? worker.endCursor.unconfirmedNumber : 0;
     // The first report must not be delayed: it lists the running tasks and
     // gives the worker's clock.
-    const waitMs =
-      worker.fencingTokenAccepted && deadlineMs !== undefined
-        ? LONG_POLL_WAIT_MS
-        : 0;
+    const mayWait =
+      worker.fencingTokenAccepted &&
+      deadlineMs !== undefined &&
+      !this.mayAcknowledgeToNextIncarnation(acknowledgedNumber, sentAt);
     const outcome = await this.client.renewLeases(worker.entry, {
       fencingToken: fencingToken.fencingTokenOf(this.term, worker.incarnation),
-      // After a silence the next incarnation may answer, which counts its ends anew.
-      storedEndNumber:
-        worker.unansweredCalls === 0 ? worker.endCursor.storedNumber : 0,
+      storedEndNumber: acknowledgedNumber,
       deadlineMs,
-      waitMs,
+      waitMs: mayWait ? LONG_POLL_WAIT_MS : 0,
     });
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'reported':
+        worker.endCursor.confirm(acknowledgedNumber);
         return this.acceptReport(outcome.report, sentAt);
       case 'rejected':
         this.handleRejection(outcome.reason);
@@ -116,6 +121,19 @@
     }
   }
 
+  /**
+   * Returns whether the worker may have restarted since its last answer. A call
+   * that acknowledges ends must not wait then: the next incarnation would forget
+   * the ends of the runs that end there meanwhile.
+   */
+  private mayAcknowledgeToNextIncarnation(
+    acknowledgedNumber: number,
+    now: clock.Milliseconds,
+  ): boolean {
+    const sinceAnswerMs = now - this.worker.lastAnswerAt;
+    return acknowledgedNumber > 0 && sinceAnswerMs > MINIMUM_RESTART_MS;
+  }
+
   private acceptReport(
     report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -16,15 +16,44 @@
 });
 
 /**
- * Crashes worker `one`, which comes back at once under its id and address. It
- * belongs to another service then, so that tasks are placed elsewhere.
+ * Crashes worker `one`, which comes back at once under its id and address. By
+ * default it belongs to another service then, so that tasks are placed elsewhere.
  */
-function restartWorker(cell: jobCell.JobCell): workerModel.WorkerModel {
+function restartWorker(
+  cell: jobCell.JobCell,
+  service = 'annex',
+  runTimeMs = LONG_RUN_MS,
+): workerModel.WorkerModel {
   const [entry] = cell.entries;
   cell.workers.byAddress.get(entry.address)?.crash();
-  const nextEntry = {...entry, born: entry.born + 1, service: 'annex'};
+  const nextEntry = {...entry, born: entry.born + 1, service};
   cell.entries = [nextEntry, ...cell.entries.slice(1)];
-  return cell.workers.add(nextEntry, LONG_RUNS, cell.time.now());
+  const plan: workerModel.RunPlan = () => ({runTimeMs, outcome: 'done'});
+  return cell.workers.add(nextEntry, plan, cell.time.now());
+}
+
+/** Records the renewals, and counts those whose answer is awaited. */
+function trackRenewals(cell: jobCell.JobCell): {
+  readonly inFlightCount: number;
+  readonly commands: ReadonlyArray<workerClient.RenewalCommand>;
+} {
+  const commands: workerClient.RenewalCommand[] = [];
+  let inFlightCount = 0;
+  const {workers} = cell;
+  const renew = workers.renewLeases.bind(workers);
+  workers.renewLeases = async (entry, command) => {
+    commands.push(command);
+    inFlightCount += 1;
+    const outcome = await renew(entry, command);
+    inFlightCount -= 1;
+    return outcome;
+  };
+  return {
+    commands,
+    get inFlightCount() {
+      return inFlightCount;
+    },
+  };
 }
 
 /** Returns the tasks of which two runs were up at the same time. */
@@ -361,6 +390,59 @@
     assert.deepEqual(cell.supersededReasons, []);
   });
 
+  // Guards against a task that runs again because its end was forgotten unseen: an
+  // acknowledgement that was sent to the last incarnation again, while another
+  // one was held back, waited in the next incarnation when the run ended there.
+  test('is back between two renewals: forgets no end that nobody has seen', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'done'}), 'one');
+    const renewals = trackRenewals(cell);
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(1_000);
+    assert.deepEqual(acknowledgedTasks(cell), ['aa.0.0.0']);
+    cell.workers.commandDelayMs = () => 20_000;
+    jobCell.submit(scheduler, jobCell.jobOf('bb', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_000);
+    assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
+    while (renewals.inFlightCount > 0) await cell.time.advance(1);
+    restartWorker(cell, 'dispatch', 400);
+    await cell.time.advance(250);
+    jobCell.submit(scheduler, jobCell.jobOf('cc', {}));
+    await cell.time.advance(1_000);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(5_000);
+    assert.equal(scheduler.stateOf('orders', 'cc'), 'completed');
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+    assert.equal(cell.startsOf('cc').length, 1, 'the task ran again');
+  });
+
+  // Guards against the same by an acknowledgement that comes late and then waits
+  // at a worker that may have restarted since its last answer.
+  test('may be back when an acknowledgement is due: the call does not wait', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    const renewals = trackRenewals(cell);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 20_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(14_000);
+    assert.deepEqual(acknowledgedTasks(cell), ['aa.0.0.0']);
+    const acknowledging = renewals.commands.filter(
+      ({storedEndNumber}) => storedEndNumber > 0,
+    );
+    assert.deepEqual(
+      acknowledging.map(({waitMs}) => waitMs),
+      [0],
+    );
+  });
+
   // Guards against an end that the next incarnation forgets unseen: an acknowledgement
   // meant for the last incarnation names a number that the next one has not reached.
   test('answers after a silence: no acknowledgement of the last incarnation reaches it', async () => {
--- a/test/machines/end_cursor_test.ts
+++ b/test/machines/end_cursor_test.ts
@@ -27,4 +27,18 @@
     nextStored();
     assert.equal(cursor.storedNumber, 4);
   });
+
+  // Guards against an acknowledgement that is sent again after the worker has
+  // confirmed it, and against one that is not repeated although it got lost.
+  test('acknowledges each number until it is confirmed', () => {
+    const cursor = new endCursor.EndCursor();
+    cursor.handle(3)();
+    assert.equal(cursor.unconfirmedNumber, 3);
+    cursor.confirm(0);
+    assert.equal(cursor.unconfirmedNumber, 3);
+    cursor.confirm(3);
+    assert.equal(cursor.unconfirmedNumber, 0);
+    cursor.handle(4)();
+    assert.equal(cursor.unconfirmedNumber, 4);
+  });
 });
