--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -48,6 +48,8 @@
   readonly task: string;
   readonly run: number;
   readonly outcome: string;
+  /** When the start was sent, which may be long before it was carried out. */
+  readonly sentAtMs?: number;
 }
 
 /** An end of a run that the system has allowed the worker to forget. */
@@ -114,7 +116,10 @@
     return this.running.size;
   }
 
-  start(command: workerClient.StartCommand): workerClient.CommandOutcome {
+  start(
+    command: workerClient.StartCommand,
+    sentAtMs = this.clock.now(),
+  ): workerClient.CommandOutcome {
     this.endDueRuns();
     if (command.fencingToken < this.highestFencingToken) {
       return this.reject('superseded');
@@ -136,7 +141,7 @@
       percentSinceMs: this.clock.now(),
       remainingMs: planned.runTimeMs,
     });
-    this.recordEvent('started', command.task, command.run, '');
+    this.recordEvent('started', command.task, command.run, '', sentAtMs);
     return this.done();
   }
 
@@ -333,6 +338,7 @@
     task: string,
     run: number,
     outcome: string,
+    sentAtMs?: number,
   ): void {
     const atMs = this.clock.now();
     this.events.push({
@@ -342,6 +348,7 @@
       task,
       run,
       outcome,
+      sentAtMs,
     });
   }
 
