Place tasks beside a late start only shortly after an answer

The first copy of a start to w0 (born 1) got no answer at 2,262 ms; the second copy ran until 3,060, and its room was free again. The worker crashed at 3,950 and came back at 4,883. Before the scheduler knew, four tasks were started there (5,029 and 5,181), and at 5,248 the first copy was carried out as a fifth.

While a start without an answer may still be carried out at a worker, tasks are placed there only within 0.3 s of an answer of the worker: a restart is then seen first, and from then on the late copy is rejected. Weighed: keeping the room of such a start for 12 s, which costs a core for 12 s for each lost answer.

The new test of next_incarnation_test.ts failed before (5 runs on four cores).

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,4 +1,5 @@
 import * as fencingToken from '../machines/fencing_token.js';
+import * as lateStarts from './late_starts.js';
 import * as jobTask from './job_task.js';
 import * as throttleCommands from './throttle_commands.js';
 import type * as assignmentIndex from './assignment_index.js';
@@ -161,8 +162,12 @@
         this.workerClient.start(worker.entry, command, maySend),
       )
       .then(outcome => {
-        if (isConclusive(outcome)) task.sentStarts.settle(copy);
-        else this.listener.startUnanswered(task);
+        if (isConclusive(outcome)) {
+          task.sentStarts.settle(copy);
+        } else {
+          lateStarts.expectLateStart(worker, copy);
+          this.listener.startUnanswered(task);
+        }
         this.handleStartOutcome(assignment, outcome);
       });
   }
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -1,6 +1,7 @@
 import * as earlierLeases from './earlier_leases.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobTask from './job_task.js';
+import type * as remoteWorker from '../machines/remote_worker.js';
 
 /**
  * Time after sending for which a start without an answer may still be carried
@@ -13,6 +14,15 @@
   readonly sentAt: clock.Milliseconds;
 }
 
+/** Records at a worker that a copy has got no answer and may arrive late. */
+export function expectLateStart(
+  worker: remoteWorker.RemoteWorker,
+  copy: SentStart,
+): void {
+  const until = copy.sentAt + LATE_START_MS;
+  worker.lateStartsUntil = Math.max(worker.lateStartsUntil, until);
+}
+
 /** The copies of a task's starts, of all runs, that may still be carried out. */
 export class SentStarts {
   private readonly open = new Set<SentStart>();
--- a/src/jobs/worker_selection.ts
+++ b/src/jobs/worker_selection.ts
@@ -47,7 +47,8 @@
     worker.fencingTokenAccepted &&
     worker.stored &&
     worker.acceptsTasks &&
-    worker.excludedUntil <= now
+    worker.excludedUntil <= now &&
+    !worker.mayHoldLateStart(now)
   );
 }
 
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -64,6 +64,9 @@
 /** Consecutive unanswered calls after which a worker counts as unreachable. */
 const UNREACHABLE_CALL_COUNT = 2;
 
+/** Age of a worker's last answer up to which it counts as not restarted. */
+const MAXIMUM_ANSWER_AGE_MS = 300;
+
 /** Longest lease that a worker accepts. */
 const MAXIMUM_LEASE_MS = 10_000;
 
@@ -90,6 +93,8 @@
   listed = true;
   /** Time until which placement skips the worker. */
   excludedUntil = 0;
+  /** Until when a start that got no answer may still be carried out here. */
+  lateStartsUntil: clock.Milliseconds = -Infinity;
   /** When the drain notice was first seen. */
   drainingSince: clock.Milliseconds | undefined;
   lastAnswerAt: clock.Milliseconds;
@@ -170,6 +175,15 @@
     return this.listed && !this.unreachable && ready;
   }
 
+  /**
+   * Returns whether a late start may take room of which no report tells: the
+   * worker may have restarted since its last answer.
+   */
+  mayHoldLateStart(now: clock.Milliseconds): boolean {
+    if (now >= this.lateStartsUntil) return false;
+    return now - this.lastAnswerAt > MAXIMUM_ANSWER_AGE_MS;
+  }
+
   /** Updates the registry entry of the same incarnation. */
   update(entry: RegistryEntry, now: clock.Milliseconds): void {
     if (!canTakeSameTasks(this.registryEntry, entry)) this.capacityChanges += 1;
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -302,6 +302,34 @@
     assert.equal(successor.stateOf('orders', 'aa'), 'completed');
   });
 
+  // Guards against a worker over its capacity: a late copy of a start was carried
+  // out beside tasks that were started before the next incarnation was known.
+  test('carries out a late copy: no tasks were started before it was known', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 3_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_500);
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(250);
+    const nextIncarnation = restartWorker(cell, 'dispatch', 1_000);
+    await cell.time.advance(100);
+    jobCell.submit(scheduler, jobCell.jobOf('bb', {count: 4}));
+    let mostRuns = 0;
+    for (let step = 0; step < 400; step += 1) {
+      await cell.time.advance(10);
+      mostRuns = Math.max(mostRuns, nextIncarnation.runningCount);
+      if (step === 200) scheduler.updateWorkers(cell.entries);
+    }
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    assert.equal(mostRuns, 4);
+    assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
+  });
+
   // Guards against two runs at the same time: the lease of a silent worker was
   // over, but a start that it had not answered came to its next incarnation.
   test('comes back after its lease with a late start: the task runs once', async () => {
