Wait for the lease of a late start's run on a worker out of reach

A worker restarts while it is out of reach. Its next incarnation carries out a copy of a start just before that counts as impossible, 12 s after it was sent. The deadline of the copy is one on the old clock, so the run has a lease of up to 10 s; but the task was started elsewhere at 12 s.

Such a task now waits for 22.4 s after the copy was sent: 12 s, and 10 s on a clock that is 2 % slow. late_starts.ts states both bounds. Nothing changes once the worker or its next incarnation answers.

The new test of next_incarnation_test.ts failed before.

--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -1,7 +1,7 @@
 import * as earlierLeases from './earlier_leases.js';
+import * as remoteWorker from '../machines/remote_worker.js';
 import type * as clock from '../machines/clock.js';
 import type * as jobTask from './job_task.js';
-import type * as remoteWorker from '../machines/remote_worker.js';
 
 /**
  * Time after sending for which a start without an answer may still be carried
@@ -9,6 +9,13 @@
  */
 const LATE_START_MS = 12_000;
 
+/**
+ * Time after sending for which a run of such a start may go on unseen, on an
+ * incarnation that no call of this term reaches. Its deadline may be far ahead
+ * on a clock that has started anew, so the lease is the longest one.
+ */
+const UNSEEN_RUN_MS = LATE_START_MS + remoteWorker.LONGEST_LEASE_MS;
+
 /** One copy of a start, until its answer has arrived. */
 export interface SentStart {
   readonly sentAt: clock.Milliseconds;
@@ -49,9 +56,21 @@
 
   /** Returns whether a copy may still be carried out. */
   mayArrive(now: clock.Milliseconds): boolean {
+    return this.hasSentSince(now - LATE_START_MS);
+  }
+
+  /** Returns whether a copy may still be carried out, or may run unseen. */
+  mayRunUnseen(now: clock.Milliseconds): boolean {
+    const sinceMs = now - UNSEEN_RUN_MS;
     for (const copy of this.open) {
-      if (now < copy.sentAt + LATE_START_MS) return true;
-      this.open.delete(copy);
+      if (copy.sentAt <= sinceMs) this.open.delete(copy);
+    }
+    return this.open.size > 0;
+  }
+
+  private hasSentSince(sinceMs: clock.Milliseconds): boolean {
+    for (const {sentAt} of this.open) {
+      if (sentAt > sinceMs) return true;
     }
     return false;
   }
@@ -110,11 +129,30 @@
  * Returns whether a copy of a start of the task may be carried out, or one of
  * another member of its gang: a member's success counts for all of them.
  */
-export function mayStartAgain(
-  {step, sentStarts}: jobTask.JobTask,
+function mayStartAgain(
+  task: jobTask.JobTask,
   now: clock.Milliseconds,
 ): boolean {
-  if (step.definition.duplicatesAllowed) return false;
-  if (!step.definition.gang) return sentStarts.mayArrive(now);
-  return step.tasks.some(member => member.sentStarts.mayArrive(now));
+  return sentStartsOf(task).some(starts => starts.mayArrive(now));
+}
+
+/**
+ * Returns whether a copy of a start of the task, or of another member of its
+ * gang, may be carried out or may run on an incarnation out of reach.
+ */
+export function mayRunUnseen(
+  task: jobTask.JobTask,
+  now: clock.Milliseconds,
+): boolean {
+  return sentStartsOf(task).some(starts => starts.mayRunUnseen(now));
+}
+
+/** Returns the starts that count for a task; none if it may have duplicates. */
+function sentStartsOf({
+  step,
+  sentStarts,
+}: jobTask.JobTask): ReadonlyArray<SentStarts> {
+  if (step.definition.duplicatesAllowed) return [];
+  if (!step.definition.gang) return [sentStarts];
+  return step.tasks.map(member => member.sentStarts);
 }
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -156,15 +156,15 @@
 
   /**
    * Ends the runs on a worker whose last lease has expired, and returns how many
-   * there were. Those that a late start may still begin, in an incarnation that
-   * has not been reached, stay assigned until then.
+   * there were. Those that a late start may still begin or keep running, in an
+   * incarnation that has not been reached, stay assigned until then.
    */
   endLapsed(
     worker: remoteWorker.RemoteWorker,
     now: clock.Milliseconds,
   ): number {
     const lapsed = [...this.assignmentIndex.runsOn(worker)].filter(
-      ({jobTask: task}) => !lateStarts.mayStartAgain(task, now),
+      ({jobTask: task}) => !lateStarts.mayRunUnseen(task, now),
     );
     for (const assignment of lapsed) this.end(assignment, 'lapsed');
     return lapsed.length;
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -73,6 +73,9 @@
 /** Allowance for a worker's lease timer that fires late. */
 const TIMER_MARGIN_MS = 150;
 
+/** Local time after which the longest lease of a worker is certainly over. */
+export const LONGEST_LEASE_MS = longestLeaseMs(MAXIMUM_LEASE_MS);
+
 /**
  * The job scheduler's view of one incarnation of a worker in the registry: its
  * reservations, its clock and the latest time until which its tasks may run.
@@ -129,8 +132,7 @@
     const worker = new RemoteWorker(entry, now, incarnation);
     // A call that was meant for the earlier incarnation may reach this one. Its
     // deadline is far ahead on a clock that has started anew.
-    worker.earlierIncarnationLeaseExpiry =
-      now + longestLeaseMs(MAXIMUM_LEASE_MS);
+    worker.earlierIncarnationLeaseExpiry = now + LONGEST_LEASE_MS;
     return worker;
   }
 
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -10,6 +10,9 @@
 
 const LONG_RUN_MS = 20_000;
 
+/** Age of the first worker when the test begins. */
+const WORKER_AGE_MS = 100_000;
+
 const LONG_RUNS: workerModel.RunPlan = () => ({
   runTimeMs: LONG_RUN_MS,
   outcome: 'done',
@@ -82,7 +85,10 @@
   readonly scheduler: jobScheduler.JobScheduler;
 }> {
   const cell = new jobCell.JobCell();
-  cell.addWorkers(LONG_RUNS, 'one');
+  const first = jobCell.registryEntry('one');
+  cell.entries = [first];
+  // Deadlines on its clock are far ahead on that of the next incarnation.
+  cell.workers.add(first, LONG_RUNS, -WORKER_AGE_MS);
   const second = jobCell.registryEntry('two', {service: 'annex'});
   cell.addWorker(second, LONG_RUNS);
   const scheduler = await cell.startTerm(1);
@@ -348,6 +354,29 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
+  // Guards against two runs at the same time: the next incarnation, out of reach,
+  // carried out a late copy just before that counted as impossible, and ran it
+  // for the longest lease.
+  test('stays out of reach with a late start: its task waits for the lease of that run', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 11_900;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    const nextIncarnation = restartWorker(cell);
+    nextIncarnation.partitioned = true;
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    for (let step = 0; step < 2_500; step += 1) {
+      await cell.time.advance(10);
+      nextIncarnation.endDueRuns();
+    }
+    assert.ok(cell.startsOf('aa').length >= 2, 'the copy did not arrive');
+    assert.deepEqual(tasksRunTwice(cell), []);
+    await cell.time.advance(LONG_RUN_MS);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against ends that are never acknowledged again, and against a job that
   // waits for an acknowledgement.
   test('a copy of a start got no answer: the success counts at once, its acknowledgement waits for 12 s', async () => {
