--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,4 +1,5 @@
 import * as fencingToken from '../machines/fencing_token.js';
+import * as lateStarts from './late_starts.js';
 import * as jobTask from './job_task.js';
 import * as throttleCommands from './throttle_commands.js';
 import type * as assignmentIndex from './assignment_index.js';
@@ -20,6 +21,8 @@
     assignment: jobTask.Assignment,
     reason: workerClient.RejectionReason,
   ): void;
+  /** A copy of a start got no answer and may still be carried out. */
+  startUnanswered(task: jobTask.JobTask): void;
   /** The worker confirmed a start. */
   startConfirmed(assignment: jobTask.Assignment): void;
 }
@@ -159,7 +162,12 @@
         this.workerClient.start(worker.entry, command, maySend),
       )
       .then(outcome => {
-        if (isConclusive(outcome)) task.sentStarts.settle(copy);
+        if (isConclusive(outcome)) {
+          task.sentStarts.settle(copy);
+        } else {
+          lateStarts.expectLateStart(worker, copy);
+          this.listener.startUnanswered(task);
+        }
         this.handleStartOutcome(assignment, outcome);
       });
   }
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -64,12 +64,18 @@
 /** Consecutive unanswered calls after which a worker counts as unreachable. */
 const UNREACHABLE_CALL_COUNT = 2;
 
+/** Age of a worker's last answer up to which it counts as not restarted. */
+const MAXIMUM_ANSWER_AGE_MS = 300;
+
 /** Longest lease that a worker accepts. */
 const MAXIMUM_LEASE_MS = 10_000;
 
 /** Allowance for a worker's lease timer that fires late. */
 const TIMER_MARGIN_MS = 150;
 
+/** Local time after which the longest lease of a worker is certainly over. */
+export const LONGEST_LEASE_MS = longestLeaseMs(MAXIMUM_LEASE_MS);
+
 /**
  * The job scheduler's view of one incarnation of a worker in the registry: its
  * reservations, its clock and the latest time until which its tasks may run.
@@ -90,6 +96,8 @@
   listed = true;
   /** Time until which placement skips the worker. */
   excludedUntil = 0;
+  /** Until when a start that got no answer may still be carried out here. */
+  lateStartsUntil: clock.Milliseconds = -Infinity;
   /** When the drain notice was first seen. */
   drainingSince: clock.Milliseconds | undefined;
   lastAnswerAt: clock.Milliseconds;
@@ -124,8 +132,7 @@
     const worker = new RemoteWorker(entry, now, incarnation);
     // A call that was meant for the earlier incarnation may reach this one. Its
     // deadline is far ahead on a clock that has started anew.
-    worker.earlierIncarnationLeaseExpiry =
-      now + longestLeaseMs(MAXIMUM_LEASE_MS);
+    worker.earlierIncarnationLeaseExpiry = now + LONGEST_LEASE_MS;
     return worker;
   }
 
@@ -170,6 +177,15 @@
     return this.listed && !this.unreachable && ready;
   }
 
+  /**
+   * Returns whether a late start may take room of which no report tells: the
+   * worker may have restarted since its last answer.
+   */
+  mayHoldLateStart(now: clock.Milliseconds): boolean {
+    if (now >= this.lateStartsUntil) return false;
+    return now - this.lastAnswerAt > MAXIMUM_ANSWER_AGE_MS;
+  }
+
   /** Updates the registry entry of the same incarnation. */
   update(entry: RegistryEntry, now: clock.Milliseconds): void {
     if (!canTakeSameTasks(this.registryEntry, entry)) this.capacityChanges += 1;
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as jobCell from '../support/job_cell.js';
+import * as runAudit from '../support/run_audit.js';
 import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
@@ -9,21 +10,53 @@
 
 const LONG_RUN_MS = 20_000;
 
+/** Age of the first worker when the test begins. */
+const WORKER_AGE_MS = 100_000;
+
 const LONG_RUNS: workerModel.RunPlan = () => ({
   runTimeMs: LONG_RUN_MS,
   outcome: 'done',
 });
 
 /**
- * Crashes worker `one`, which comes back at once under its id and address. It
- * belongs to another service then, so that tasks are placed elsewhere.
+ * Crashes worker `one`, which comes back at once under its id and address. By
+ * default it belongs to another service then, so that tasks are placed elsewhere.
  */
-function restartWorker(cell: jobCell.JobCell): workerModel.WorkerModel {
+function restartWorker(
+  cell: jobCell.JobCell,
+  service = 'annex',
+  runTimeMs = LONG_RUN_MS,
+): workerModel.WorkerModel {
   const [entry] = cell.entries;
   cell.workers.byAddress.get(entry.address)?.crash();
-  const nextEntry = {...entry, born: entry.born + 1, service: 'annex'};
+  const nextEntry = {...entry, born: entry.born + 1, service};
   cell.entries = [nextEntry, ...cell.entries.slice(1)];
-  return cell.workers.add(nextEntry, LONG_RUNS, cell.time.now());
+  const plan: workerModel.RunPlan = () => ({runTimeMs, outcome: 'done'});
+  return cell.workers.add(nextEntry, plan, cell.time.now());
+}
+
+/** Records the renewals, and counts those whose answer is awaited. */
+function trackRenewals(cell: jobCell.JobCell): {
+  readonly inFlightCount: number;
+  readonly commands: ReadonlyArray<workerClient.RenewalCommand>;
+} {
+  const commands: workerClient.RenewalCommand[] = [];
+  let inFlightCount = 0;
+  const {workers} = cell;
+  const renew = workers.renewLeases.bind(workers);
+  workers.renewLeases = async (entry, command) => {
+    commands.push(command);
+    inFlightCount += 1;
+    const outcome = await renew(entry, command);
+    inFlightCount -= 1;
+    return outcome;
+  };
+  return {
+    commands,
+    get inFlightCount() {
+      return inFlightCount;
+    },
+  };
 }
 
 /** Returns the tasks of which two runs were up at the same time. */
@@ -52,7 +85,10 @@
   readonly scheduler: jobScheduler.JobScheduler;
 }> {
   const cell = new jobCell.JobCell();
-  cell.addWorkers(LONG_RUNS, 'one');
+  const first = jobCell.registryEntry('one');
+  cell.entries = [first];
+  // Deadlines on its clock are far ahead on that of the next incarnation.
+  cell.workers.add(first, LONG_RUNS, -WORKER_AGE_MS);
   const second = jobCell.registryEntry('two', {service: 'annex'});
   cell.addWorker(second, LONG_RUNS);
   const scheduler = await cell.startTerm(1);
@@ -60,6 +96,41 @@
   return {cell, scheduler};
 }
 
+function acknowledgedTasks(cell: jobCell.JobCell): ReadonlyArray<string> {
+  return cell.workers.acknowledgedEnds.map(({task}) => task);
+}
+
+/**
+ * Starts a cell in its second term. The first one ran `aa` by a second copy of
+ * its start; the first copy arrives 3 s after it was sent. It also ran `cc` on
+ * another worker, and no end is acknowledged yet.
+ */
+async function createCellWithLateCopy(): Promise<{
+  readonly cell: jobCell.JobCell;
+  readonly successor: jobScheduler.JobScheduler;
+}> {
+  const cell = new jobCell.JobCell();
+  for (const [name, runTimeMs] of [
+    ['one', 1_100],
+    ['two', 1_500],
+  ] as const) {
+    const entry = jobCell.registryEntry(name, {labels: [name, 'r1-1']});
+    cell.addWorker(entry, () => ({runTimeMs, outcome: 'done'}));
+  }
+  const scheduler = await cell.startTerm(1);
+  await cell.time.advance(200);
+  cell.workers.commandDelayMs = address => (address === 'one:1' ? 3_000 : 0);
+  jobCell.submit(scheduler, jobCell.jobOf('aa', {requiredLabel: 'one'}));
+  jobCell.submit(scheduler, jobCell.jobOf('cc', {requiredLabel: 'two'}));
+  await cell.time.advance(100);
+  cell.workers.commandDelayMs = () => 0;
+  await cell.time.advance(1_000);
+  scheduler.retire();
+  const successor = await cell.startTerm(2);
+  await cell.time.advance(1_000);
+  return {cell, successor};
+}
+
 describe('a worker that is back under its id', () => {
   // Guards against a task that runs twice: a start that was on its way reached
   // the next incarnation of its worker, and the task was started elsewhere as soon as
@@ -213,6 +284,58 @@
     );
   });
 
+  // Guards against a start after an acknowledged success: the copy was sent by the
+  // last term, and the next one acknowledged the end at once.
+  test('carries out a late copy of the last term: the success was not acknowledged', async () => {
+    const {cell, successor} = await createCellWithLateCopy();
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(700);
+    restartWorker(cell);
+    await cell.time.advance(10_000);
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against ends that a new term never acknowledges, and against ends of
+  // other tasks that wait with them although nothing is known against them.
+  test('a copy of the last term got no answer: only its success waits, for 14 s', async () => {
+    const {cell, successor} = await createCellWithLateCopy();
+    await cell.time.advance(12_500);
+    assert.deepEqual(acknowledgedTasks(cell), ['cc.0.0.0']);
+    await cell.time.advance(1_000);
+    assert.deepEqual(acknowledgedTasks(cell), ['cc.0.0.0', 'aa.0.0.0']);
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+  });
+
+  // Guards against a worker over its capacity: a late copy of a start was carried
+  // out beside tasks that were started before the next incarnation was known.
+  test('carries out a late copy: no tasks were started before it was known', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 200, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 3_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_500);
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(250);
+    const nextIncarnation = restartWorker(cell, 'dispatch', 1_000);
+    await cell.time.advance(100);
+    jobCell.submit(scheduler, jobCell.jobOf('bb', {count: 4}));
+    let mostRuns = 0;
+    for (let step = 0; step < 400; step += 1) {
+      await cell.time.advance(10);
+      mostRuns = Math.max(mostRuns, nextIncarnation.runningCount);
+      if (step === 200) scheduler.updateWorkers(cell.entries);
+    }
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    assert.equal(mostRuns, 4);
+    assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
+  });
+
   // Guards against two runs at the same time: the lease of a silent worker was
   // over, but a start that it had not answered came to its next incarnation.
   test('comes back after its lease with a late start: the task runs once', async () => {
@@ -231,6 +354,29 @@
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
+  // Guards against two runs at the same time: the next incarnation, out of reach,
+  // carried out a late copy just before that counted as impossible, and ran it
+  // for the longest lease.
+  test('stays out of reach with a late start: its task waits for the lease of that run', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 11_900;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    const nextIncarnation = restartWorker(cell);
+    nextIncarnation.partitioned = true;
+    useSecondWorker(cell);
+    scheduler.updateWorkers(cell.entries);
+    for (let step = 0; step < 2_500; step += 1) {
+      await cell.time.advance(10);
+      nextIncarnation.endDueRuns();
+    }
+    assert.ok(cell.startsOf('aa').length >= 2, 'the copy did not arrive');
+    assert.deepEqual(tasksRunTwice(cell), []);
+    await cell.time.advance(LONG_RUN_MS);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against ends that are never acknowledged again, and against a job that
   // waits for an acknowledgement.
   test('a copy of a start got no answer: the success counts at once, its acknowledgement waits for 12 s', async () => {
@@ -301,6 +447,59 @@
     assert.deepEqual(cell.supersededReasons, []);
   });
 
+  // Guards against a task that runs again because its end was forgotten unseen: an
+  // acknowledgement that was sent to the last incarnation again, while another
+  // one was held back, waited in the next incarnation when the run ended there.
+  test('is back between two renewals: forgets no end that nobody has seen', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'done'}), 'one');
+    const renewals = trackRenewals(cell);
+    const scheduler = await cell.startTerm(1);
+    await cell.time.advance(200);
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(1_000);
+    assert.deepEqual(acknowledgedTasks(cell), ['aa.0.0.0']);
+    cell.workers.commandDelayMs = () => 20_000;
+    jobCell.submit(scheduler, jobCell.jobOf('bb', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(2_000);
+    assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
+    while (renewals.inFlightCount > 0) await cell.time.advance(1);
+    restartWorker(cell, 'dispatch', 400);
+    await cell.time.advance(250);
+    jobCell.submit(scheduler, jobCell.jobOf('cc', {}));
+    await cell.time.advance(1_000);
+    scheduler.updateWorkers(cell.entries);
+    await cell.time.advance(5_000);
+    assert.equal(scheduler.stateOf('orders', 'cc'), 'completed');
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+    assert.equal(cell.startsOf('cc').length, 1, 'the task ran again');
+  });
+
+  // Guards against the same by an acknowledgement that comes late and then waits
+  // at a worker that may have restarted since its last answer.
+  test('may be back when an acknowledgement is due: the call does not wait', async () => {
+    const cell = new jobCell.JobCell();
+    cell.addWorkers(() => ({runTimeMs: 400, outcome: 'done'}), 'one');
+    const scheduler = await cell.startTerm(1);
+    const renewals = trackRenewals(cell);
+    await cell.time.advance(200);
+    cell.workers.commandDelayMs = () => 20_000;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await cell.time.advance(14_000);
+    assert.deepEqual(acknowledgedTasks(cell), ['aa.0.0.0']);
+    const acknowledging = renewals.commands.filter(
+      ({storedEndNumber}) => storedEndNumber > 0,
+    );
+    assert.deepEqual(
+      acknowledging.map(({waitMs}) => waitMs),
+      [0],
+    );
+  });
+
   // Guards against an end that the next incarnation forgets unseen: an acknowledgement
   // meant for the last incarnation names a number that the next one has not reached.
   test('answers after a silence: no acknowledgement of the last incarnation reaches it', async () => {
