Hold back the slow response until the queued call has timed out

Two tests of the HTTP client answered '/slow' after 300 ms and expected a call with a timeout of 100 ms to time out before. A response timer does not count time in which the loop stands still, so under load both were due in the same turn and the queued call got the connection: seen once in four runs at load 18 as 'answered' instead of 'notSent'. The client is right there.

Reproduced by a loop that stands still for 350 ms, 60 ms after the server starts to listen: both tests failed. The response now waits until the queued call has ended, so the tests depend on no pair of durations; with the same standstill both pass three times of three.

--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -26,6 +26,26 @@
   readonly close: () => void;
 }
 
+/** Response that a test server holds back until a test releases it. */
+class HeldResponse {
+  private hold: (response: http.ServerResponse) => void = () => {};
+  private readonly held = new Promise<http.ServerResponse>(resolve => {
+    this.hold = resolve;
+  });
+
+  /** Holds the response to `/slow` and answers all other calls at once. */
+  readonly handler: Handler = (path, response) => {
+    if (path === '/slow') this.hold(response);
+    else response.end('done');
+  };
+
+  /** Sends the response, once its call has arrived. */
+  async release(): Promise<void> {
+    const response = await this.held;
+    response.end('slow');
+  }
+}
+
 /** Starts a server that records the paths of the calls it receives. */
 async function startServer(handler: Handler): Promise<TestServer> {
   const paths: string[] = [];
@@ -143,14 +163,13 @@
   // Guards against a command that is sent after its caller has given it up: the
   // decision behind it is outdated after the wait for a connection.
   test('does not send a call that timed out in the queue', async () => {
-    const server = await startServer((path, response) => {
-      if (path === '/slow') setTimeout(() => response.end('slow'), 300);
-      else response.end('done');
-    });
+    const slowResponse = new HeldResponse();
+    const server = await startServer(slowResponse.handler);
     const client = httpClientSupport.createHttpClient(1);
     const slow = get(client, server.address, '/slow');
     const late = await get(client, server.address, '/late', 100);
     assert.equal(late.kind, 'notSent');
+    await slowResponse.release();
     assert.equal((await slow).kind, 'answered');
     assert.equal((await get(client, server.address, '/next')).kind, 'answered');
     assert.deepEqual(server.paths, ['/slow', '/next']);
@@ -161,14 +180,13 @@
   // Guards against a healthy connection that is closed for each call that timed
   // out while it waited for the connection.
   test('keeps its connection when a call times out in the queue', async () => {
-    const server = await startServer((path, response) => {
-      if (path === '/slow') setTimeout(() => response.end('slow'), 300);
-      else response.end('done');
-    });
+    const slowResponse = new HeldResponse();
+    const server = await startServer(slowResponse.handler);
     const counters = new recordedCounters.RecordedCounters();
     const client = httpClientSupport.createHttpClient(1, counters);
     const slow = get(client, server.address, '/slow');
     await get(client, server.address, '/late', 100);
+    await slowResponse.release();
     assert.equal((await slow).kind, 'answered');
     assert.equal((await get(client, server.address, '/next')).kind, 'answered');
     assert.equal(server.connectionCount(), 1);
