--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -31,6 +31,8 @@
   readonly jobApiAddress: string;
   readonly readyAddress: string;
   readonly metricsAddress: string;
+  /** Address for calls of other members. */
+  readonly cellAddress: string;
 }
 
 /** HTTP response of the job API to a caller. */
@@ -153,6 +155,7 @@
       jobApiAddress: `${this.host}:${jobApiPort}`,
       readyAddress: `${this.host}:${readyPort}`,
       metricsAddress: `${this.host}:${portRangeStart + 1}`,
+      cellAddress: `${this.host}:${portRangeStart}`,
     };
   }
 
