Act without members that are gone once the log names them

Cause: in an outage of the store a leader acts on the word of all members, or of a majority for 20 s. Members that are well also ping a leader without the store only half as often, so that even their word was too old at times.

Change: the leader's progress records name the members without which it acts. A successor takes these for no witnesses, like members that the leader doesn't know. While the log doesn't answer, the leader asks each member that it needs for its word every 0.6 s.

The test of the exempt member fails (4 tasks run twice) if a successor counts it as a witness.

--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -32,9 +32,13 @@
   async claim(
     member: cellMember.CellMember,
     expectedEnd: number,
-    witnessEnd: number | undefined,
+    witnesses: cellMember.Witnesses | undefined,
   ): Promise<cellMember.ClaimOutcome> {
-    const value = jsonDocument.encode({...member, witnessEnd});
+    const value = jsonDocument.encode({
+      ...member,
+      witnessEnd: witnesses?.witnessEnd,
+      exempt: witnesses?.exempt,
+    });
     const record = {key: CLAIM_KEY, value};
     const outcome = await this.topic.append(
       [record],
@@ -131,14 +135,16 @@
   }
   if (last === undefined) return undefined;
   const {offset, value} = last;
-  return {offset, witnessEnd: decodeWitnessEnd(value) ?? offset};
-}
-
-/** Returns the `witnessEnd` of a leader's record; undefined if it has none. */
-function decodeWitnessEnd(value: Uint8Array): number | undefined {
   const record = jsonDocument.decode(value, typeGuards.isObject).extract();
   const witnessEnd = record?.['witnessEnd'];
-  return typeGuards.isNonNegativeInteger(witnessEnd) ? witnessEnd : undefined;
+  const exempt = record?.['exempt'];
+  return {
+    offset,
+    witnessEnd: typeGuards.isNonNegativeInteger(witnessEnd)
+      ? witnessEnd
+      : offset,
+    exempt: recordChecks.isTextList(exempt) ? exempt : [],
+  };
 }
 
 function decodeMember(
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -34,7 +34,8 @@
     typeGuards.isNonNegativeInteger(value['takeoverStep']) &&
     typeof value['hearsMajority'] === 'boolean' &&
     (value['witnessEnd'] === undefined ||
-      typeGuards.isNonNegativeInteger(value['witnessEnd']))
+      typeGuards.isNonNegativeInteger(value['witnessEnd'])) &&
+    (value['exempt'] === undefined || isTextList(value['exempt']))
   );
 }
 
@@ -144,7 +145,8 @@
   );
 }
 
-function isTextList(value: unknown): value is ReadonlyArray<string> {
+/** Returns whether a value is a list of strings. */
+export function isTextList(value: unknown): value is ReadonlyArray<string> {
   return Array.isArray(value) && value.every(item => typeof item === 'string');
 }
 
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -29,19 +29,27 @@
   readonly takeoverStep: number;
   /** Whether the leader has lately heard a majority of the members. */
   readonly hearsMajority: boolean;
-  /** As in `LeaderRecord`; undefined once no earlier leader may act. */
+  /** As in `Witnesses`; undefined once no earlier leader may act. */
   readonly witnessEnd?: number;
+  /** As in `Witnesses`; undefined if there are none. */
+  readonly exempt?: ReadonlyArray<string>;
+}
+
+/**
+ * Members that are known to, and needed by, the writer of a record and every
+ * earlier leader that could still act when it was written.
+ */
+export interface Witnesses {
+  /** They registered before this offset. */
+  readonly witnessEnd: number;
+  /** Addresses of members that registered before it and are not needed. */
+  readonly exempt: ReadonlyArray<string>;
 }
 
 /** A claim or a progress record of a leader. */
-export interface LeaderRecord {
+export interface LeaderRecord extends Witnesses {
   /** Its position in the log; its writer had read all that precedes it. */
   readonly offset: number;
-  /**
-   * Members that registered before this offset are known to the writer and to
-   * every earlier leader that could still act when the record was written.
-   */
-  readonly witnessEnd: number;
 }
 
 /** Content of the cell's log, or of its new records. */
@@ -86,13 +94,13 @@
   /** Returns whether the store answers this process at present. */
   probe(): Promise<boolean>;
   /**
-   * Claims the next term if the log ends at `expectedEnd`. `witnessEnd` is that
+   * Claims the next term if the log ends at `expectedEnd`. `witnesses` are those
    * of the last leader's record; undefined if there was no leader.
    */
   claim(
     member: CellMember,
     expectedEnd: number,
-    witnessEnd: number | undefined,
+    witnesses: Witnesses | undefined,
   ): Promise<ClaimOutcome>;
   /** Writes the leader's progress if the log ends at `expectedEnd`. */
   reportProgress(
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -99,7 +99,7 @@
     this.progressReporter = new progressReporter.ProgressReporter({
       cellLog: options.cellLog,
       clock,
-      onStored: sentAt => this.handleProgressStored(sentAt),
+      onStored: (...stored) => this.handleProgressStored(...stored),
       onLogRead: (content, end) => this.applyLogContent(content, end),
     });
     this.cellConfiguration = new cellConfiguration.CellConfiguration({
@@ -258,6 +258,9 @@
     this.reportProgress();
     this.cellConfiguration.review();
     this.elector.pingIfDue();
+    for (const address of this.leadership.takePeersToAsk()) {
+      void this.elector.ping(address);
+    }
     if (lostMs > 0) void this.claimAfterBacklog();
     else this.elector.claimIfDue();
   }
@@ -423,15 +426,34 @@
       resigning: elector.resigning,
       takeoverStep: scheduler.takeoverStep,
       hearsMajority: this.contacts.hearsMajority(elector.peers),
-      witnessEnd: scheduler.earlierLeadersEnded
-        ? undefined
-        : elector.witnessEnd,
+      ...this.witnessesToReport(scheduler),
     };
     this.progressReporter.report(progress, elector.logEnd);
   }
 
-  private handleProgressStored(sentAt: clock.Milliseconds): void {
+  /** Returns what a successor has to know of this leader and earlier ones. */
+  private witnessesToReport(
+    scheduler: jobScheduler.JobScheduler,
+  ): Pick<cellMember.LeaderProgress, 'witnessEnd' | 'exempt'> {
+    if (scheduler.earlierLeadersEnded) {
+      return {exempt: this.leadership.reviewExempt()};
+    }
+    return this.elector.witnesses === undefined
+      ? {}
+      : {
+          witnessEnd: this.elector.witnesses.witnessEnd,
+          exempt: this.elector.witnesses.exempt,
+        };
+  }
+
+  private handleProgressStored(
+    sentAt: clock.Milliseconds,
+    progress: cellMember.LeaderProgress,
+  ): void {
     this.leadership.proveByStore(sentAt);
+    if (progress.witnessEnd === undefined) {
+      this.leadership.recordExemptStored(progress.exempt ?? []);
+    }
     // After a long turn, the next record is due before the next tick.
     this.reportProgress();
   }
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -43,7 +43,7 @@
   private knownLogEnd = 0;
   /** End of the log that the last lost claim was based on. */
   private lostClaimEnd: number | undefined;
-  private readonly witnesses = new witnessTable.WitnessTable();
+  private readonly witnessTable = new witnessTable.WitnessTable();
 
   constructor(
     private readonly self: cellMember.CellMember,
@@ -80,12 +80,14 @@
   get isKnownToLeader(): boolean {
     const {address} = this.self;
     const leaderAddress = this.knownClaim?.address ?? address;
-    return leaderAddress === address || this.witnesses.isKnownToLeader(address);
+    return (
+      leaderAddress === address || this.witnessTable.isKnownToLeader(address)
+    );
   }
 
-  /** End of the witnesses' registrations for a claim; see `WitnessTable`. */
-  get witnessEnd(): number | undefined {
-    return this.witnesses.witnessEnd;
+  /** Witnesses for the leaders before a claim; see `WitnessTable`. */
+  get witnesses(): cellMember.Witnesses | undefined {
+    return this.witnessTable.witnesses;
   }
 
   /** Records where members have registered, and the newest leader's record. */
@@ -93,12 +95,15 @@
     memberOffsets: ReadonlyMap<string, number>,
     leaderRecord: cellMember.LeaderRecord | undefined,
   ): void {
-    this.witnesses.applyLog(memberOffsets, leaderRecord);
+    this.witnessTable.applyLog(memberOffsets, leaderRecord);
   }
 
-  /** Returns whether a member registered before an offset of the log. */
-  isRegisteredBefore(address: string, end: number | undefined): boolean {
-    return this.witnesses.isRegisteredBefore(address, end);
+  /** Returns whether a member is one of the witnesses. */
+  isWitness(
+    address: string,
+    witnesses: cellMember.Witnesses | undefined,
+  ): boolean {
+    return this.witnessTable.isWitness(address, witnesses);
   }
 
   /** Records a claim from the log or a peer; returns true if it is newer. */
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -85,8 +85,8 @@
   private nextStandbyPingAt = 0;
   private standbyPingCount = 0;
   private hasResigned = false;
-  /** End of the witnesses' registrations in the last claim of this member. */
-  private claimedWitnessEnd: number | undefined;
+  /** Witnesses for the leaders before the last claim of this member. */
+  private claimedWitnesses: cellMember.Witnesses | undefined;
   /** Last reply of each member, by its address. */
   private readonly lastReplies = new Map<string, cellPeers.ReceivedReply>();
 
@@ -117,14 +117,14 @@
     return this.election.logEnd;
   }
 
-  /** End of the witnesses' registrations for this member's last claim. */
-  get witnessEnd(): number | undefined {
-    return this.claimedWitnessEnd;
+  /** Witnesses for the leaders before this member's last claim. */
+  get witnesses(): cellMember.Witnesses | undefined {
+    return this.claimedWitnesses;
   }
 
-  /** Returns whether a member is a witness for this member's last claim. */
+  /** Returns whether a member is one of these witnesses. */
   isWitness(address: string): boolean {
-    return this.election.isRegisteredBefore(address, this.claimedWitnessEnd);
+    return this.election.isWitness(address, this.claimedWitnesses);
   }
 
   /** Records the registrations of members; see `Election`. */
@@ -272,11 +272,11 @@
     const startedAt = clock.now();
     const suspicion = this.election.suspicion(startedAt);
     if (suspicion === undefined) return undefined;
-    const {logEnd, witnessEnd} = this.election;
+    const {logEnd, witnesses} = this.election;
     const silentMs = Math.round(this.election.leaderSilenceMs(startedAt));
     // The log may show the claim before its answer arrives.
-    this.claimedWitnessEnd = witnessEnd;
-    const outcome = await cellLog.claim(self, logEnd, witnessEnd);
+    this.claimedWitnesses = witnesses;
+    const outcome = await cellLog.claim(self, logEnd, witnesses);
     counters.count('claims', outcome.kind);
     counters.count('claim_reasons', suspicion.reason);
     counters.observe('claim', clock.now() - startedAt);
@@ -323,7 +323,8 @@
     if (successor !== undefined) void this.ping(successor.address);
   }
 
-  private async ping(address: string): Promise<void> {
+  /** Pings a member, outside the intervals. */
+  async ping(address: string): Promise<void> {
     const message = {
       newest: this.election.newestClaim,
       configurationVersion: this.options.configurationVersion(),
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -1,4 +1,5 @@
 import * as earlierLeases from '../jobs/earlier_leases.js';
+import * as exemptMembers from './exempt_members.js';
 import * as leadershipProof from './leadership_proof.js';
 import * as suspensionDetector from './suspension_detector.js';
 import * as termAnnouncement from './term_announcement.js';
@@ -24,6 +25,12 @@
   readonly onSuspended: () => void;
 }
 
+/**
+ * Age of the proof by the log from which on the members are asked for their
+ * word, and age of a member's word at which it is asked again.
+ */
+const ASKED_AGE_MS = 600;
+
 /** Members that have to know a term before those of earlier leaders end. */
 type InformedMembers = 'witness' | 'majority';
 
@@ -45,6 +52,9 @@
  */
 export class Leadership {
   private readonly proof = new leadershipProof.LeadershipProof();
+  private readonly exemptMembers = new exemptMembers.ExemptMembers();
+  /** When each member was last asked for its word. */
+  private readonly lastAskedAt = new Map<string, clock.Milliseconds>();
   private readonly announcement: termAnnouncement.TermAnnouncement;
   private readonly suspensions: suspensionDetector.SuspensionDetector;
   private loggedBasis: leadershipProof.ProofBasis = 'none';
@@ -75,6 +85,8 @@
   beginTerm(term: number): void {
     this.proof.beginTerm();
     this.beganAt = this.options.clock.now();
+    this.exemptMembers.restart(this.beganAt);
+    this.lastAskedAt.clear();
     this.loggedInformed.clear();
     const {isWitness, self} = this.options;
     this.announcement.beginTerm(
@@ -83,6 +95,42 @@
     );
   }
 
+  /**
+   * Returns the members that a record of this leader, about to be sent, names as
+   * exempt; see `ExemptMembers`.
+   */
+  reviewExempt(): ReadonlyArray<string> {
+    const addresses = this.options.peers().map(({address}) => address);
+    return this.exemptMembers.review(
+      addresses,
+      address => this.proof.provedByMemberAt(address),
+      this.options.clock.now(),
+    );
+  }
+
+  /** Records that the log holds the names of exempt members. */
+  recordExemptStored(addresses: ReadonlyArray<string>): void {
+    this.exemptMembers.recordStored(addresses);
+  }
+
+  /**
+   * Returns the members to ask for their word, and records that they are asked.
+   * While the log answers, none are; without it, members ping this leader too
+   * rarely, because they suspect it.
+   */
+  takePeersToAsk(): ReadonlyArray<string> {
+    if (!this.options.isLeader()) return [];
+    const now = this.options.clock.now();
+    if (now - this.proof.provedByStoreAt < ASKED_AGE_MS) return [];
+    const due = this.neededPeers().filter(address => {
+      const askedAt = this.lastAskedAt.get(address) ?? -Infinity;
+      const provedAt = this.proof.provedByMemberAt(address);
+      return now - Math.max(askedAt, provedAt) >= ASKED_AGE_MS;
+    });
+    for (const address of due) this.lastAskedAt.set(address, now);
+    return due;
+  }
+
   /** Records that the cell's log held no later claim at `provedAt`. */
   proveByStore(provedAt: clock.Milliseconds): void {
     if (this.options.isLeader()) this.proof.proveByStore(provedAt);
@@ -138,7 +186,7 @@
   private provedAt(): clock.Milliseconds {
     if (!this.options.isLeader()) return -Infinity;
     this.voidAfterSuspension();
-    return this.proof.provedAt(this.peerAddresses());
+    return this.proof.provedAt(this.neededPeers());
   }
 
   /** Voids all proof from before a suspension, which the clock doesn't show. */
@@ -147,6 +195,7 @@
     const suspendedMs = this.suspensions.review();
     if (suspendedMs === 0) return;
     this.proof.voidBefore(clock.now());
+    this.exemptMembers.restart(clock.now());
     onSuspended();
     counters.count('leadership_proof', 'suspended');
     log.event('warn', 'processSuspended', {
@@ -167,13 +216,14 @@
     this.loggedBasis = basis;
     if (!this.options.isLeader()) return;
     const {clock, counters, log} = this.options;
-    const peers = this.peerAddresses();
+    const needed = this.neededPeers();
     counters.count('leadership_proof', basis);
     log.event('info', 'leadershipProof', {
       term,
       basis,
-      ageMs: Math.round(clock.now() - this.proof.provedAt(peers)),
-      members: peers.length + 1,
+      ageMs: Math.round(clock.now() - this.proof.provedAt(needed)),
+      members: this.options.peers().length + 1,
+      needed: needed.length + 1,
     });
   }
 
@@ -197,7 +247,7 @@
   private basis(): leadershipProof.ProofBasis {
     const {clock, isLeader} = this.options;
     if (!isLeader()) return 'none';
-    return this.proof.basis(this.peerAddresses(), clock.now());
+    return this.proof.basis(this.neededPeers(), clock.now());
   }
 
   private informedMembers(): ReadonlyArray<termAnnouncement.InformedMember> {
@@ -208,7 +258,11 @@
     }));
   }
 
-  private peerAddresses(): ReadonlyArray<string> {
-    return this.options.peers().map(({address}) => address);
+  /** Addresses of the members without whose word this leader doesn't act. */
+  private neededPeers(): ReadonlyArray<string> {
+    return this.options
+      .peers()
+      .map(({address}) => address)
+      .filter(address => !this.exemptMembers.isExempt(address));
   }
 }
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -88,7 +88,8 @@
     return hasWitness && 2 * (provedBy.length + 1) > peers.length + 1;
   }
 
-  private provedByMemberAt(address: string): clock.Milliseconds {
+  /** Returns the latest time at which a member knew no later term. */
+  provedByMemberAt(address: string): clock.Milliseconds {
     return this.memberProvedAt.get(address) ?? -Infinity;
   }
 }
--- a/src/zones/progress_reporter.ts
+++ b/src/zones/progress_reporter.ts
@@ -17,8 +17,11 @@
 export interface ProgressReporterOptions {
   readonly cellLog: cellMember.CellLog;
   readonly clock: clock.Clock;
-  /** Called with the time at which a stored record was sent. */
-  readonly onStored: (sentAt: clock.Milliseconds) => void;
+  /** Called with the time at which a stored record was sent, and its content. */
+  readonly onStored: (
+    sentAt: clock.Milliseconds,
+    progress: cellMember.LeaderProgress,
+  ) => void;
   /** Called with other records that preceded the leader's. */
   readonly onLogRead: (content: cellMember.CellLogContent, end: number) => void;
 }
@@ -97,7 +100,7 @@
         this.writtenEnd = outcome.end;
         this.lastReported = progress;
         this.nextReportAt = sentAt + PROGRESS_INTERVAL_MS;
-        this.options.onStored(sentAt);
+        this.options.onStored(sentAt, progress);
         return;
       case 'outdated':
         // The same condition would fail again as fast as the store answers.
--- a/src/zones/witness_table.ts
+++ b/src/zones/witness_table.ts
@@ -5,7 +5,8 @@
  * member is a witness: once it knows a later term, none of these leaders hears
  * all members that it knows. Example: leader A has read A, B and C. D and E join
  * while A is cut off with B and C. D leads, then E. D had read E, but A knows
- * neither, so only A, B and C are witnesses for both of them.
+ * neither, so only A, B and C are witnesses for both of them. Had A written that
+ * it acts without C, only A and B would be.
  */
 export class WitnessTable {
   /** Offset at which a process of each address first registered. */
@@ -27,26 +28,34 @@
     }
   }
 
-  /**
-   * Members that registered before this offset are witnesses for all leaders of
-   * the log so far; undefined if there was none.
-   */
-  get witnessEnd(): number | undefined {
-    return this.lastLeaderRecord?.witnessEnd;
+  /** Witnesses for all leaders of the log so far; undefined if there was none. */
+  get witnesses(): cellMember.Witnesses | undefined {
+    return this.lastLeaderRecord;
   }
 
   /** Returns whether the last leader has read a member's registration. */
   isKnownToLeader(address: string): boolean {
-    return this.isRegisteredBefore(address, this.lastLeaderRecord?.offset);
+    const {lastLeaderRecord: last} = this;
+    return last === undefined || this.isRegisteredBefore(address, last.offset);
   }
 
   /**
-   * Returns whether a process at the address registered before an offset. A
-   * later process there shows that the registered one has ended, so that its
-   * leader doesn't hear it either.
+   * Returns whether a member is one of the witnesses. A later process at the
+   * address of one is, too: it shows that the registered process has ended, so
+   * that a leader which knows that one doesn't hear it.
    */
-  isRegisteredBefore(address: string, end: number | undefined): boolean {
-    if (end === undefined) return true;
+  isWitness(
+    address: string,
+    witnesses: cellMember.Witnesses | undefined,
+  ): boolean {
+    if (witnesses === undefined) return true;
+    const {witnessEnd, exempt} = witnesses;
+    return (
+      this.isRegisteredBefore(address, witnessEnd) && !exempt.includes(address)
+    );
+  }
+
+  private isRegisteredBefore(address: string, end: number): boolean {
     return (this.registrations.get(address) ?? Infinity) < end;
   }
 }
