--- a/test/support/partitioned_workers.ts
+++ b/test/support/partitioned_workers.ts
@@ -1,5 +1,6 @@
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as simulatedClock from './simulated_clock.js';
+import type * as simulatedMember from './simulated_member.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 
 /** Timeout of a call to a worker on the other side of a partition. */
@@ -12,6 +13,7 @@
     private readonly time: simulatedClock.SimulatedClock,
     private readonly isReachable: (
       worker: remoteWorker.RegistryEntry,
+      message: simulatedMember.CallMessage,
     ) => boolean,
     /** Handles an answer when the loop of the calling process is free. */
     private readonly runWhenFree: (handle: () => void) => void,
@@ -35,8 +37,8 @@
     worker: remoteWorker.RegistryEntry,
     send: () => Promise<Outcome>,
   ): Promise<Outcome | {kind: 'unanswered'; detail: string}> {
-    const answer = this.isReachable(worker) ? await send() : undefined;
-    const arrives = answer !== undefined && this.isReachable(worker);
+    const answer = this.isReachable(worker, 'call') ? await send() : undefined;
+    const arrives = answer !== undefined && this.isReachable(worker, 'answer');
     if (!arrives) await this.time.delay(CALL_TIMEOUT_MS);
     await new Promise<void>(resolve => this.runWhenFree(resolve));
     return arrives ? answer : {kind: 'unanswered', detail: 'lost'};
--- a/test/support/random_partitions.ts
+++ b/test/support/random_partitions.ts
@@ -67,7 +67,7 @@
     return {
       violations: [
         ...runAudit.findRepeatedRuns(this.cell.workers),
-        ...this.findUnfinished(ids),
+        ...runAudit.findUnfinished(this.cell.workers, ids),
       ],
       acceptedCount: ids.size,
     };
@@ -121,18 +121,4 @@
       default:
     }
   }
-
-  /** Returns the accepted jobs of which a task has not succeeded. */
-  private findUnfinished(ids: ReadonlySet<string>): ReadonlyArray<string> {
-    const done = new Set(
-      this.cell.workers.events
-        .filter(({outcome}) => outcome === 'done')
-        .map(({task}) => task),
-    );
-    return [...ids].flatMap(id => {
-      const tasks = [`${id}.0.0.0`, `${id}.0.0.1`];
-      const missing = tasks.filter(task => !done.has(task));
-      return missing.length === 0 ? [] : [`${missing.join()} did not succeed`];
-    });
-  }
 }
--- a/test/support/run_audit.ts
+++ b/test/support/run_audit.ts
@@ -11,6 +11,21 @@
   return [...findSimultaneousRuns(workers), ...findRunsAfterSuccess(workers)];
 }
 
+/** Returns a line for each job of two tasks of which one has not succeeded. */
+export function findUnfinished(
+  {events}: fakeWorkers.FakeWorkers,
+  ids: ReadonlySet<string>,
+): ReadonlyArray<string> {
+  const done = new Set(
+    events.filter(({outcome}) => outcome === 'done').map(({task}) => task),
+  );
+  return [...ids].flatMap(id => {
+    const tasks = [`${id}.0.0.0`, `${id}.0.0.1`];
+    const missing = tasks.filter(task => !done.has(task));
+    return missing.length === 0 ? [] : [`${missing.join()} did not succeed`];
+  });
+}
+
 function findSimultaneousRuns({
   events,
 }: fakeWorkers.FakeWorkers): ReadonlyArray<string> {
--- a/test/support/simulated_cell.ts
+++ b/test/support/simulated_cell.ts
@@ -29,6 +29,9 @@
   readonly cutOff: boolean;
 }
 
+/** Messages between the sides of a partition that are lost. */
+export type LostMessages = 'all' | 'fromCutOff' | 'toCutOff';
+
 /** Version of the configuration that the store took, or a member. */
 export interface VersionEvent {
   readonly version: number;
@@ -72,6 +75,9 @@
   private cutOffAddresses: ReadonlySet<string> = new Set();
   /** Whether the store answers the members on either side. */
   private storeSides: StoreSides = {main: true, cutOff: true};
+  private lostMessages: LostMessages = 'all';
+  /** Returns the rate of the clock of a node, which has this number. */
+  clockRateOf: (index: number) => number = () => 1;
 
   /** Members follow the configuration only if `isConfigured` is set. */
   constructor(
@@ -112,26 +118,48 @@
 
   /**
    * Cuts members and workers off from all others; they reach one another. By
-   * default the store answers only the others.
+   * default the store answers only the others. With `lostMessages`, calls or
+   * answers still arrive in one direction.
    */
   partition(
     addresses: ReadonlyArray<string>,
     storeSides: StoreSides = {main: true, cutOff: false},
+    lostMessages: LostMessages = 'all',
   ): void {
     this.cutOffAddresses = new Set(addresses);
     this.storeSides = storeSides;
+    this.lostMessages = lostMessages;
   }
 
   /** Ends the partition. */
   heal(): void {
     this.cutOffAddresses = new Set();
     this.storeSides = {main: true, cutOff: true};
+    this.lostMessages = 'all';
+  }
+
+  /** Returns whether calls of the process at an address reach the store. */
+  storeHears(address: string): boolean {
+    return this.reachesStore(address, 'toCutOff');
   }
 
-  /** Returns whether the store answers the process at an address. */
+  /** Returns whether answers of the store reach the process at an address. */
   storeAnswers(address: string): boolean {
+    return this.reachesStore(address, 'fromCutOff');
+  }
+
+  /** Returns whether a message from one address to another one arrives. */
+  delivers(from: string, to: string): boolean {
+    const isFromCutOff = this.isCutOff(from);
+    if (isFromCutOff === this.isCutOff(to)) return true;
+    return this.lostMessages === (isFromCutOff ? 'toCutOff' : 'fromCutOff');
+  }
+
+  /** A store that a side can't reach still gets the messages that aren't lost. */
+  private reachesStore(address: string, passing: LostMessages): boolean {
     const {main, cutOff} = this.storeSides;
-    return this.isCutOff(address) ? cutOff : main;
+    if (!this.isCutOff(address)) return main;
+    return cutOff || (main && this.lostMessages === passing);
   }
 
   /** Returns whether an address is on the side that was cut off. */
@@ -163,7 +191,11 @@
       zone: `zone${index % 3}`,
       processors: 1,
     };
-    const created = new simulatedMember.SimulatedMember(self, this);
+    const created = new simulatedMember.SimulatedMember(
+      self,
+      this,
+      this.clockRateOf(index),
+    );
     this.members[index] = created;
     return created;
   }
@@ -186,12 +218,19 @@
     return this.members.find(({self}) => self.address === address);
   }
 
-  /** Returns whether a message between two members arrives. */
-  canCall(sender: simulatedMember.SimulatedMember, address: string): boolean {
+  /** Returns whether a call of a member, or the answer to it, arrives. */
+  canCall(
+    sender: simulatedMember.SimulatedMember,
+    address: string,
+    message: simulatedMember.CallMessage,
+  ): boolean {
+    const own = sender.self.address;
+    const arrives =
+      message === 'call'
+        ? this.delivers(own, address)
+        : this.delivers(address, own);
     const target = this.memberAt(address);
-    const sameSide =
-      this.isCutOff(sender.self.address) === this.isCutOff(address);
-    return sameSide && sender.reachesPeers && target?.reachesPeers === true;
+    return arrives && sender.reachesPeers && target?.reachesPeers === true;
   }
 
   /** Delivers a message after a random latency. */
--- a/test/support/simulated_member.ts
+++ b/test/support/simulated_member.ts
@@ -30,6 +30,9 @@
 const JOURNAL_PART_BYTES = 65_536;
 const JOURNAL_PART_DELAY_MS = 300;
 
+/** The two messages of a call. */
+export type CallMessage = 'call' | 'answer';
+
 /** One process of a simulated cell, with injectable faults. */
 export class SimulatedMember {
   readonly node: cellNode.CellNode;
@@ -53,9 +56,13 @@
   constructor(
     readonly self: cellMember.CellMember,
     private readonly cell: simulatedCell.SimulatedCell,
+    /** Rate of the steady clock of this process. */
+    private readonly clockRate = 1,
   ) {
     const {time} = cell;
-    const clock = {now: () => time.now() - this.suspendedMs};
+    const clock = {
+      now: () => (time.now() - this.suspendedMs) * clockRate,
+    };
     const delay = (milliseconds: number): Promise<void> =>
       this.delay(milliseconds);
     this.node = new cellNode.CellNode({
@@ -83,7 +90,10 @@
       workerClient: new partitionedWorkers.PartitionedWorkers(
         cell.workers,
         time,
-        worker => cell.isCutOff(worker.address) === cell.isCutOff(self.address),
+        (worker, message) =>
+          message === 'call'
+            ? cell.delivers(self.address, worker.address)
+            : cell.delivers(worker.address, self.address),
         handle => this.run(handle),
       ),
       localAdviceClient: {ask: async () => ({kind: 'busy'})},
@@ -169,25 +179,27 @@
   }
 
   private delay(milliseconds: number): Promise<void> {
-    return new Promise(resolve => this.later(milliseconds, resolve));
+    return new Promise(resolve =>
+      this.later(milliseconds / this.clockRate, resolve),
+    );
   }
 
   /** Sends a call; resolves to its answer, or to `failure` on a timeout. */
   private call<Answer>(
     timeoutMs: number,
     failure: Answer,
-    isReachable: () => boolean,
+    isReachable: (message: CallMessage) => boolean,
     serve: (answer: (value: Answer) => void) => void,
   ): Promise<Answer> {
     const {cell} = this;
     return new Promise(resolve => {
       this.later(timeoutMs, () => resolve(failure));
-      if (!isReachable()) return;
+      if (!isReachable('call')) return;
       cell.afterLatency(() => {
-        if (!isReachable()) return;
+        if (!isReachable('call')) return;
         serve(value =>
           cell.afterLatency(() => {
-            if (isReachable()) this.run(() => resolve(value));
+            if (isReachable('answer')) this.run(() => resolve(value));
           }),
         );
       });
@@ -204,10 +216,13 @@
     const isSilent = this.silentIdleCount > 0;
     // The first call that times out closes the other silent connections.
     if (isSilent) this.later(timeoutMs, () => (this.silentIdleCount = 0));
-    const isReachable = (): boolean =>
+    const {address} = this.self;
+    const isReachable = (message: CallMessage): boolean =>
       this.alive &&
       this.reachesStore &&
-      this.cell.storeAnswers(this.self.address) &&
+      (message === 'call'
+        ? this.cell.storeHears(address)
+        : this.cell.storeAnswers(address)) &&
       !isSilent &&
       epoch === this.connectionEpoch;
     return this.call(timeoutMs, failure, isReachable, serve);
@@ -311,7 +326,7 @@
     const outcome = this.call<cellPeers.PeerCallOutcome<cellPeers.PingReply>>(
       timeoutMs,
       {kind: 'unanswered', detail: 'timeout'},
-      () => this.cell.canCall(this, address),
+      sent => this.cell.canCall(this, address, sent),
       answer => {
         const target = this.cell.memberAt(address);
         if (target?.isAlive === true) target.serve(message, roundTrips, answer);
@@ -334,7 +349,7 @@
     return this.call<cellPeers.PeerCallOutcome<cellPeers.MemberConfiguration>>(
       timeoutMs,
       {kind: 'unanswered', detail: 'timeout'},
-      () => this.cell.canCall(this, address),
+      sent => this.cell.canCall(this, address, sent),
       answer => {
         const target = this.cell.memberAt(address);
         if (target?.isAlive !== true) {
--- a/test/support/working_cell.ts
+++ b/test/support/working_cell.ts
@@ -30,8 +30,10 @@
   seed: number,
   runTimeMs: number,
   memberCount = MEMBER_COUNT,
+  clockRateOf: (index: number) => number = () => 1,
 ): Promise<simulatedCell.SimulatedCell> {
   return simulatedCell.SimulatedCell.start(memberCount, seed, true, cell => {
+    cell.clockRateOf = clockRateOf;
     for (let index = 0; index < WORKER_COUNT; index += 1) {
       cell.addWorker(jobCell.registryEntry(`w${index}`), () => ({
         runTimeMs,
