Need all members' word to say that nobody knows a job

A leader that acts without exempt members must not tell callers that a job is unknown on the word of the others: the exempt member may lead, and have accepted the job. It needs the log, or all members, for that, as before.

--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -100,9 +100,8 @@
    * exempt; see `ExemptMembers`.
    */
   reviewExempt(): ReadonlyArray<string> {
-    const addresses = this.options.peers().map(({address}) => address);
     return this.exemptMembers.review(
-      addresses,
+      this.peerAddresses(),
       address => this.proof.provedByMemberAt(address),
       this.options.clock.now(),
     );
@@ -182,11 +181,12 @@
     return this.proof.provedByStoreAt;
   }
 
-  /** Returns the latest time at which nobody asked knew a later term. */
+  /** Returns the latest time at which no member is known to have led. */
   private provedAt(): clock.Milliseconds {
     if (!this.options.isLeader()) return -Infinity;
     this.voidAfterSuspension();
-    return this.proof.provedAt(this.neededPeers());
+    // An exempt member may lead, and have accepted jobs.
+    return this.proof.provedAt(this.peerAddresses());
   }
 
   /** Voids all proof from before a suspension, which the clock doesn't show. */
@@ -258,11 +258,14 @@
     }));
   }
 
+  private peerAddresses(): ReadonlyArray<string> {
+    return this.options.peers().map(({address}) => address);
+  }
+
   /** Addresses of the members without whose word this leader doesn't act. */
   private neededPeers(): ReadonlyArray<string> {
-    return this.options
-      .peers()
-      .map(({address}) => address)
-      .filter(address => !this.exemptMembers.isExempt(address));
+    return this.peerAddresses().filter(
+      address => !this.exemptMembers.isExempt(address),
+    );
   }
 }
