Hear workers whose answers take longer than usual

Running work was given up and started again although its worker worked: a worker whose answers to renewals took more than 350 ms was heard by no call, got no lease for as long as that lasted, and its runs lapsed after 5 s.

The fourth call in a row without an answer waits 1.5 s, early enough to renew a lease, and so does each tenth after it. Once an answer took long, the next ones may take twice as long, until one comes as quickly as usual. Two calls without an answer still make a worker unreachable. A worker that comes back while a long call is pending is noticed up to 1.2 s later than before.

--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -79,8 +79,10 @@
     percent: number,
     fencingToken: number,
   ): Promise<CommandOutcome>;
+  /** Renews leases; the timeout of the answer is beyond `command.waitMs`. */
   renewLeases(
     worker: remoteWorker.RegistryEntry,
     command: RenewalCommand,
+    answerTimeoutMs?: number,
   ): Promise<RenewalOutcome>;
 }
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -1,3 +1,4 @@
+import * as answerTimeout from './answer_timeout.js';
 import * as fencingToken from './fencing_token.js';
 import type * as clock from './clock.js';
 import type * as remoteWorker from './remote_worker.js';
@@ -44,6 +45,7 @@
 
 /** Renews the leases of one worker and forwards its reports, until closed. */
 export class WorkerSession {
+  private readonly answerTimeout = new answerTimeout.AnswerTimeout();
   private closed = false;
 
   constructor(
@@ -98,16 +100,23 @@
       worker.fencingTokenAccepted &&
       deadlineMs !== undefined &&
       !this.mayAcknowledgeToNextIncarnation(acknowledgedNumber, sentAt);
-    const outcome = await this.client.renewLeases(worker.entry, {
+    const waitMs = mayWait ? LONG_POLL_WAIT_MS : 0;
+    const command = {
       fencingToken: fencingToken.fencingTokenOf(this.term, worker.incarnation),
       storedEndNumber: acknowledgedNumber,
       deadlineMs,
-      waitMs: mayWait ? LONG_POLL_WAIT_MS : 0,
-    });
+      waitMs,
+    };
+    const outcome = await this.client.renewLeases(
+      worker.entry,
+      command,
+      this.answerTimeout.next(worker.unansweredCalls),
+    );
     if (this.closed) return true;
     switch (outcome.kind) {
       case 'reported':
         worker.endCursor.confirm(acknowledgedNumber);
+        this.answerTimeout.recordAnswer(this.clock.now() - sentAt, waitMs);
         return this.acceptReport(outcome.report, sentAt);
       case 'rejected':
         this.handleRejection(outcome.reason);
--- a/test/jobs/held_up_starts_test.ts
+++ b/test/jobs/held_up_starts_test.ts
@@ -18,7 +18,7 @@
     },
     stop: (...call) => workers.stop(...call),
     throttle: (...call) => workers.throttle(...call),
-    renewLeases: (...call) => workers.renewLeases(...call),
+    renewLeases: (entry, command) => workers.renewLeases(entry, command),
   };
   return cell;
 }
--- a/test/jobs/run_monitor_test.ts
+++ b/test/jobs/run_monitor_test.ts
@@ -52,7 +52,7 @@
       },
       stop: (...call) => workers.stop(...call),
       throttle: (...call) => workers.throttle(...call),
-      renewLeases: (...call) => workers.renewLeases(...call),
+      renewLeases: (entry, command) => workers.renewLeases(entry, command),
     };
   }
 }
