Wait after a takeover for late starts on a worker out of reach

The new term waits for the leases of a worker that it can't reach, about 7.5 s. A copy of a start that the last term left without an answer may be carried out later by the worker's next incarnation, and run there for up to 10 s.

A job whose stored progress lists such a start now waits until no run of it can go on there, at most 24.4 s after the takeover: 2 s in which the last term may have repeated it, 12 s and the longest lease. That holds only if a worker of the list stays out of reach; jobs without such a start don't wait longer than before.

The new test of next_incarnation_test.ts failed before.

--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -1,3 +1,4 @@
+import * as lateStarts from './late_starts.js';
 import * as stepInstance from './step_instance.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
@@ -32,7 +33,7 @@
   readonly steps: ReadonlyArray<StepProgress>;
   /** Occurrences that are done and whose steps are not listed. */
   readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
-  /** Tasks of which a start without an answer may still be carried out. */
+  /** Tasks of which a start without an answer may arrive or run unseen. */
   readonly unansweredStarts?: ReadonlyArray<TaskPosition>;
 }
 
@@ -154,6 +155,13 @@
     return true;
   }
 
+  /** Returns whether a late start of a task that is not done may run unseen. */
+  mayRunUnseen(now: clock.Milliseconds): boolean {
+    return [...this.unansweredTasks].some(
+      task => !task.done && lateStarts.mayRunUnseen(task, now),
+    );
+  }
+
   /** Progress to store. */
   progress(now: clock.Milliseconds): JobProgress {
     const progress = this.progressOfSteps();
@@ -209,12 +217,12 @@
     }
   }
 
-  /** Returns the tasks with unanswered starts that may still be carried out. */
+  /** Returns the tasks with unanswered starts of which a run may go on. */
   private unansweredStarts(
     now: clock.Milliseconds,
   ): ReadonlyArray<TaskPosition> {
     for (const task of this.unansweredTasks) {
-      if (!task.sentStarts.mayArrive(now)) this.unansweredTasks.delete(task);
+      if (!task.sentStarts.mayRunUnseen(now)) this.unansweredTasks.delete(task);
     }
     return [...this.unansweredTasks]
       .slice(0, MAXIMUM_UNANSWERED_STARTS)
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -460,7 +460,7 @@
   private unblockRecoveredJobs(): void {
     const {runRecovery: recovery} = this;
     if (!this.active || recovery === undefined) return;
-    const unblocked = recovery.unblockJobs();
+    const unblocked = recovery.unblockJobs(this.options.clock.now());
     if (recovery.complete) this.takeoverTimeline.complete('earlierRunsKnown');
     if (!unblocked) return;
     this.options.log.event('info', 'earlierRunsKnown', {
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -1,3 +1,4 @@
+import type * as clock from '../machines/clock.js';
 import type * as earlierLeases from './earlier_leases.js';
 import type * as jobRecord from './job_record.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
@@ -12,12 +13,16 @@
 /**
  * Tracks the jobs that may still have unreported runs of an earlier term. Their
  * tasks are not started until each worker that may run them has reported, or
- * until the last lease of an earlier term has certainly expired.
+ * until the last lease of an earlier term has certainly expired. If a worker
+ * stays out of reach, a job with an unanswered start waits until no run of that
+ * start can go on there.
  */
 export class RunRecovery {
   private unreportedWorkers: ReadonlyArray<InheritedWorker>;
   /** Whether fewer workers are unreported than at the last look at the jobs. */
   private workersChanged = true;
+  /** Whether a worker was given up that has not reported all its ends. */
+  private hasUnseenWorker = false;
 
   constructor(
     private readonly blockedJobs: Set<jobRecord.JobRecord>,
@@ -51,6 +56,7 @@
     nextIncarnation: remoteWorker.RemoteWorker | undefined,
   ): void {
     if (nextIncarnation === undefined) {
+      if (!worker.allEndsReported) this.hasUnseenWorker = true;
       this.keepUnreported(inherited => inherited.worker !== worker);
       return;
     }
@@ -62,14 +68,16 @@
   }
 
   /** Unblocks jobs whose runs are all known; returns whether there were any. */
-  unblockJobs(): boolean {
+  unblockJobs(now: clock.Milliseconds): boolean {
     if (this.complete) return false;
     const {haveExpired} = this.earlierLeases;
-    this.keepUnreported(
-      ({worker}) =>
-        !worker.allEndsReported && (!haveExpired || reportsEnds(worker)),
-    );
-    if (!this.workersChanged) return false;
+    this.keepUnreported(({worker}) => {
+      if (worker.allEndsReported) return false;
+      if (!haveExpired || reportsEnds(worker)) return true;
+      this.hasUnseenWorker = true;
+      return false;
+    });
+    if (!this.workersChanged && !this.hasUnseenWorker) return false;
     this.workersChanged = false;
     const blocksAnyJob = this.unreportedWorkers.some(
       ({closedJobs}) => closedJobs === undefined,
@@ -80,7 +88,9 @@
       this.unreportedWorkers.flatMap(({closedJobs}) => closedJobs ?? []),
     );
     for (const record of this.blockedJobs) {
-      if (!blocked.has(record.definition.id)) this.blockedJobs.delete(record);
+      if (blocked.has(record.definition.id)) continue;
+      if (this.hasUnseenWorker && record.mayRunUnseen(now)) continue;
+      this.blockedJobs.delete(record);
     }
     return this.blockedJobs.size < countBefore;
   }
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -59,6 +59,28 @@
   };
 }
 
+/** Advances time; the workers' leases end in time. */
+async function advanceWithLeases(
+  cell: jobCell.JobCell,
+  milliseconds: number,
+): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += 10) {
+    await cell.time.advance(10);
+    for (const worker of cell.workers.byAddress.values()) worker.endDueRuns();
+  }
+}
+
+/** Restarts worker `one` out of reach, and ends the term once it knows that. */
+async function restartOutOfReach(
+  cell: jobCell.JobCell,
+  scheduler: jobScheduler.JobScheduler,
+): Promise<void> {
+  restartWorker(cell).partitioned = true;
+  await cell.time.advance(1_000);
+  scheduler.retire();
+  useSecondWorker(cell);
+}
+
 /** Returns the tasks of which two runs were up at the same time. */
 function tasksRunTwice(cell: jobCell.JobCell): ReadonlyArray<string> {
   const activeRuns = new Map<string, number>();
@@ -367,16 +389,32 @@
     nextIncarnation.partitioned = true;
     useSecondWorker(cell);
     scheduler.updateWorkers(cell.entries);
-    for (let step = 0; step < 2_500; step += 1) {
-      await cell.time.advance(10);
-      nextIncarnation.endDueRuns();
-    }
+    await advanceWithLeases(cell, 25_000);
     assert.ok(cell.startsOf('aa').length >= 2, 'the copy did not arrive');
     assert.deepEqual(tasksRunTwice(cell), []);
     await cell.time.advance(LONG_RUN_MS);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
+  // Guards against the same after a change of the leader, which waits only for the
+  // leases that its predecessor granted.
+  test('stays out of reach of the next term with a late start: its task waits', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 11_900;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await restartOutOfReach(cell, scheduler);
+    const successor = await cell.startTerm(2);
+    jobCell.submit(successor, jobCell.jobOf('cc', {}));
+    await advanceWithLeases(cell, 27_000);
+    assert.ok(cell.startsOf('aa').length >= 2, 'a start did not arrive');
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(cell.startsOf('cc').length, 1, 'other jobs wait too');
+    await cell.time.advance(LONG_RUN_MS);
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against ends that are never acknowledged again, and against a job that
   // waits for an acknowledgement.
   test('a copy of a start got no answer: the success counts at once, its acknowledgement waits for 12 s', async () => {
