--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -1,5 +1,5 @@
-import * as lateStarts from './late_starts.js';
 import * as stepInstance from './step_instance.js';
+import * as unansweredStarts from './unanswered_starts.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobTask from './job_task.js';
@@ -19,13 +19,6 @@
 /** First and last of a range of a job's occurrences. */
 export type OccurrenceRange = readonly [first: number, last: number];
 
-/** Identifies a task of a job. */
-export type TaskPosition = readonly [
-  occurrence: number,
-  position: number,
-  index: number,
-];
-
 /** Stored state of a job apart from its definition. */
 export interface JobProgress {
   readonly outcome: 'open' | 'completed' | 'failed' | 'cancelled';
@@ -34,12 +27,9 @@
   /** Occurrences that are done and whose steps are not listed. */
   readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
   /** Tasks of which a start without an answer may arrive or run unseen. */
-  readonly unansweredStarts?: ReadonlyArray<TaskPosition>;
+  readonly unansweredStarts?: ReadonlyArray<unansweredStarts.TaskPosition>;
 }
 
-/** Most tasks that a record lists as `unansweredStarts`. */
-const MAXIMUM_UNANSWERED_STARTS = 200;
-
 /**
  * Most tasks of done occurrences that a record lists one by one. Ranges take
  * their place from then on. Earlier versions of the program don't read ranges
@@ -58,10 +48,10 @@
   started = false;
   /** Whether an earlier term may have started runs that are not known. */
   fromEarlierTerm = false;
+  /** Tasks with a start that got no answer. */
+  readonly unansweredStarts = new unansweredStarts.UnansweredStarts();
   /** When the final outcome was stored. */
   settledAt: clock.Milliseconds | undefined;
-  /** Tasks that the stored progress lists, or will list, as unanswered. */
-  private readonly unansweredTasks = new Set<jobTask.JobTask>();
   private nextOccurrence = 0;
 
   constructor(
@@ -144,30 +134,12 @@
     }
   }
 
-  /**
-   * Records that a start of a task got no answer. Returns whether the stored
-   * progress does not tell that yet.
-   */
-  addUnansweredStart(task: jobTask.JobTask): boolean {
-    if (task.step.definition.duplicatesAllowed) return false;
-    if (this.unansweredTasks.has(task)) return false;
-    this.unansweredTasks.add(task);
-    return true;
-  }
-
-  /** Returns whether a late start of a task that is not done may run unseen. */
-  mayRunUnseen(now: clock.Milliseconds): boolean {
-    return [...this.unansweredTasks].some(
-      task => !task.done && lateStarts.mayRunUnseen(task, now),
-    );
-  }
-
   /** Progress to store. */
   progress(now: clock.Milliseconds): JobProgress {
     const progress = this.progressOfSteps();
-    const unansweredStarts = this.unansweredStarts(now);
-    if (unansweredStarts.length === 0) return progress;
-    return {...progress, unansweredStarts};
+    const listedTasks = this.unansweredStarts.listedTasks(now);
+    if (listedTasks.length === 0) return progress;
+    return {...progress, unansweredStarts: listedTasks};
   }
 
   /** Progress of the steps; once the job has settled, it is over. */
@@ -205,28 +177,14 @@
   }
 
   private restoreUnansweredStarts(
-    positions: ReadonlyArray<TaskPosition>,
+    positions: ReadonlyArray<unansweredStarts.TaskPosition>,
     now: clock.Milliseconds,
   ): void {
     for (const [occurrence, position, index] of positions) {
       while (this.nextOccurrence <= occurrence) this.openOccurrence();
       const task = this.stepAt(occurrence, position)?.tasks[index];
-      if (task === undefined) continue;
-      task.sentStarts.inherit(now);
-      this.unansweredTasks.add(task);
-    }
-  }
-
-  /** Returns the tasks with unanswered starts of which a run may go on. */
-  private unansweredStarts(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<TaskPosition> {
-    for (const task of this.unansweredTasks) {
-      if (!task.sentStarts.mayRunUnseen(now)) this.unansweredTasks.delete(task);
+      if (task !== undefined) this.unansweredStarts.inherit(task, now);
     }
-    return [...this.unansweredTasks]
-      .slice(0, MAXIMUM_UNANSWERED_STARTS)
-      .map(({step, index}) => [step.occurrence, step.position, index]);
   }
 
   /** Returns the done occurrences; none while their tasks are few. */
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -378,7 +378,7 @@
   startUnanswered(task: jobTask.JobTask): void {
     if (!this.active) return;
     const {jobRecord: record} = task.step;
-    const isNew = record.addUnansweredStart(task);
+    const isNew = record.unansweredStarts.add(task);
     const reason = isNew ? 'recorded' : 'alreadyRecorded';
     this.options.counters.count('starts_unanswered', reason);
     // The next term must know it, because it may acknowledge the task's end.
--- a/src/jobs/run_recovery.ts
+++ b/src/jobs/run_recovery.ts
@@ -89,7 +89,8 @@
     );
     for (const record of this.blockedJobs) {
       if (blocked.has(record.definition.id)) continue;
-      if (this.hasUnseenWorker && record.mayRunUnseen(now)) continue;
+      const {unansweredStarts} = record;
+      if (this.hasUnseenWorker && unansweredStarts.mayRunUnseen(now)) continue;
       this.blockedJobs.delete(record);
     }
     return this.blockedJobs.size < countBefore;
