--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -22,7 +22,7 @@
     reason: workerClient.RejectionReason,
   ): void;
   /** A copy of a start got no answer and may still be carried out. */
-  startUnanswered(task: jobTask.JobTask): void;
+  startUnanswered(assignment: jobTask.Assignment): void;
   /** The worker confirmed a start. */
   startConfirmed(assignment: jobTask.Assignment): void;
 }
@@ -166,7 +166,7 @@
           task.sentStarts.settle(copy);
         } else {
           lateStarts.expectLateStart(worker, copy);
-          this.listener.startUnanswered(task);
+          this.listener.startUnanswered(assignment);
         }
         this.handleStartOutcome(assignment, outcome);
       });
--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -26,8 +26,8 @@
   readonly steps: ReadonlyArray<StepProgress>;
   /** Occurrences that are done and whose steps are not listed. */
   readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
-  /** Tasks of which a start without an answer may arrive or run unseen. */
-  readonly unansweredStarts?: ReadonlyArray<unansweredStarts.TaskPosition>;
+  /** Starts without an answer that may arrive late or run unseen. */
+  readonly unansweredStarts?: ReadonlyArray<unansweredStarts.UnansweredStart>;
 }
 
 /**
@@ -137,9 +137,9 @@
   /** Progress to store. */
   progress(now: clock.Milliseconds): JobProgress {
     const progress = this.progressOfSteps();
-    const listedTasks = this.unansweredStarts.listedTasks(now);
-    if (listedTasks.length === 0) return progress;
-    return {...progress, unansweredStarts: listedTasks};
+    const listedStarts = this.unansweredStarts.list(now);
+    if (listedStarts.length === 0) return progress;
+    return {...progress, unansweredStarts: listedStarts};
   }
 
   /** Progress of the steps; once the job has settled, it is over. */
@@ -177,13 +177,14 @@
   }
 
   private restoreUnansweredStarts(
-    positions: ReadonlyArray<unansweredStarts.TaskPosition>,
+    starts: ReadonlyArray<unansweredStarts.UnansweredStart>,
     now: clock.Milliseconds,
   ): void {
-    for (const [occurrence, position, index] of positions) {
+    for (const {occurrence, position, index, workers} of starts) {
       while (this.nextOccurrence <= occurrence) this.openOccurrence();
       const task = this.stepAt(occurrence, position)?.tasks[index];
-      if (task !== undefined) this.unansweredStarts.inherit(task, now);
+      if (task === undefined) continue;
+      this.unansweredStarts.inherit(task, workers, now);
     }
   }
 
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -375,10 +375,10 @@
     this.requestPlacementPass();
   }
 
-  startUnanswered(task: jobTask.JobTask): void {
+  startUnanswered({jobTask: task, worker}: jobTask.Assignment): void {
     if (!this.active) return;
     const {jobRecord: record} = task.step;
-    const isNew = record.unansweredStarts.add(task);
+    const isNew = record.unansweredStarts.add(task, worker.id);
     const reason = isNew ? 'recorded' : 'alreadyRecorded';
     this.options.counters.count('starts_unanswered', reason);
     // The next term must know it, because it may acknowledge the task's end.
@@ -439,7 +439,7 @@
     this.queues.restore(content.queues, queueNamesOf(content));
     this.runRecovery = new runRecovery.RunRecovery(
       new Set(openRecords),
-      this.workerLifecycle.start(content.workers),
+      this.workerLifecycle.start(content.workers, lateWorkersOf(content)),
       this.earlierLeases,
     );
     this.serving = true;
@@ -472,6 +472,15 @@
   }
 }
 
+/** Returns the ids of the workers at which earlier terms left open starts. */
+function lateWorkersOf({jobs}: jobJournal.JournalContent): ReadonlySet<string> {
+  return new Set(
+    jobs
+      .flatMap(({progress}) => progress?.unansweredStarts ?? [])
+      .flatMap(({workers}) => workers),
+  );
+}
+
 function queueNamesOf({jobs}: jobJournal.JournalContent): ReadonlySet<string> {
   return new Set(jobs.map(({definition}) => definition.queue));
 }
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -30,6 +30,22 @@
   worker.lateStartsUntil = Math.max(worker.lateStartsUntil, until);
 }
 
+/** Records at a worker that a start of an earlier term may arrive late. */
+export function inheritLateStart(
+  worker: remoteWorker.RemoteWorker,
+  now: clock.Milliseconds,
+): void {
+  expectLateStart(worker, inheritedStart(now));
+}
+
+/**
+ * Returns a start that an earlier term left without an answer, as if it were
+ * sent when that term's proof of leadership ends: it may be repeated until then.
+ */
+function inheritedStart(now: clock.Milliseconds): SentStart {
+  return {sentAt: now + earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS};
+}
+
 /** The copies of a task's starts, of all runs, that may still be carried out. */
 export class SentStarts {
   private readonly open = new Set<SentStart>();
@@ -41,12 +57,9 @@
     return copy;
   }
 
-  /**
-   * Records that an earlier term left starts without an answer, which it may
-   * have repeated until its proof of leadership ended.
-   */
+  /** Records that an earlier term left a start without an answer. */
   inherit(now: clock.Milliseconds): void {
-    this.add(now + earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS);
+    this.open.add(inheritedStart(now));
   }
 
   /** Records that a copy can't be carried out any more. */
--- a/src/jobs/unanswered_starts.ts
+++ b/src/jobs/unanswered_starts.ts
@@ -2,51 +2,64 @@
 import type * as clock from '../machines/clock.js';
 import type * as jobTask from './job_task.js';
 
-/** Identifies a task of a job. */
-export type TaskPosition = readonly [
-  occurrence: number,
-  step: number,
-  index: number,
-];
+/** A task of a job and the workers at which its starts may be carried out. */
+export interface UnansweredStart {
+  readonly occurrence: number;
+  readonly position: number;
+  readonly index: number;
+  readonly workers: ReadonlyArray<string>;
+}
 
 /** Most tasks of a job that its stored progress lists. */
-const MAXIMUM_LISTED_TASKS = 200;
+const MAXIMUM_LISTED_TASKS = 100;
 
 /**
  * Tasks of one job that have a start without an answer. The stored progress
  * lists them, so that the next term knows which starts may still be carried out.
  */
 export class UnansweredStarts {
-  private readonly tasks = new Set<jobTask.JobTask>();
+  private readonly workersByTask = new Map<jobTask.JobTask, Set<string>>();
 
-  /** Adds a task; returns false if it is listed already or need not be. */
-  add(task: jobTask.JobTask): boolean {
+  /** Adds a start; returns false if it is listed already or need not be. */
+  add(task: jobTask.JobTask, workerId: string): boolean {
     if (task.step.definition.duplicatesAllowed) return false;
-    if (this.tasks.has(task)) return false;
-    this.tasks.add(task);
+    const workers = this.workersByTask.get(task) ?? new Set();
+    if (workers.has(workerId)) return false;
+    workers.add(workerId);
+    this.workersByTask.set(task, workers);
     return true;
   }
 
-  /** Adds a task that an earlier term has listed. */
-  inherit(task: jobTask.JobTask, now: clock.Milliseconds): void {
+  /** Adds starts that an earlier term has listed. */
+  inherit(
+    task: jobTask.JobTask,
+    workers: ReadonlyArray<string>,
+    now: clock.Milliseconds,
+  ): void {
     task.sentStarts.inherit(now);
-    this.tasks.add(task);
+    this.workersByTask.set(task, new Set(workers));
   }
 
   /** Returns whether a late start of a task that is not done may run unseen. */
   mayRunUnseen(now: clock.Milliseconds): boolean {
-    return [...this.tasks].some(
+    return [...this.workersByTask.keys()].some(
       task => !task.done && lateStarts.mayRunUnseen(task, now),
     );
   }
 
-  /** Returns the tasks to list; forgets those of which no start can run. */
-  listedTasks(now: clock.Milliseconds): ReadonlyArray<TaskPosition> {
-    for (const task of this.tasks) {
-      if (!task.sentStarts.mayRunUnseen(now)) this.tasks.delete(task);
+  /** Returns what to list; forgets the tasks of which no start can run. */
+  list(now: clock.Milliseconds): ReadonlyArray<UnansweredStart> {
+    for (const task of this.workersByTask.keys()) {
+      if (task.sentStarts.mayRunUnseen(now)) continue;
+      this.workersByTask.delete(task);
     }
-    return [...this.tasks]
+    return [...this.workersByTask]
       .slice(0, MAXIMUM_LISTED_TASKS)
-      .map(({step, index}) => [step.occurrence, step.position, index]);
+      .map(([{step, index}, workers]) => ({
+        occurrence: step.occurrence,
+        position: step.position,
+        index,
+        workers: [...workers],
+      }));
   }
 }
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -1,3 +1,4 @@
+import * as lateStarts from './late_starts.js';
 import * as storedWorkerList from './stored_worker_list.js';
 import * as workerSession from '../machines/worker_session.js';
 import type * as assignmentIndex from './assignment_index.js';
@@ -61,9 +62,11 @@
   /**
    * Takes over the workers of earlier terms. The jobs must be loaded, because
    * the reports of all sessions that open from now on are applied to them.
+   * `lateWorkers` are those at which starts of earlier terms may arrive late.
    */
   start(
     stored: ReadonlyArray<jobJournal.StoredWorker>,
+    lateWorkers: ReadonlySet<string>,
   ): ReadonlyArray<runRecovery.InheritedWorker> {
     const {workers, options} = this.dependencies;
     const now = options.clock.now();
@@ -73,6 +76,10 @@
         worker: workers.addInherited(entry, now),
         closedJobs,
       }));
+    for (const id of lateWorkers) {
+      const worker = workers.get(id);
+      if (worker !== undefined) lateStarts.inheritLateStart(worker, now);
+    }
     this.sessionsOpen = true;
     this.storedList.inherit(
       inherited,
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -76,7 +76,7 @@
     (value['doneOccurrences'] === undefined ||
       isRangeList(value['doneOccurrences'])) &&
     (value['unansweredStarts'] === undefined ||
-      isTaskPositionList(value['unansweredStarts']))
+      isUnansweredStartList(value['unansweredStarts']))
   );
 }
 
@@ -152,10 +152,17 @@
   return Array.isArray(value) && value.every(typeGuards.isNonNegativeInteger);
 }
 
-function isTaskPositionList(value: unknown): boolean {
+function isUnansweredStartList(value: unknown): boolean {
+  return Array.isArray(value) && value.every(isUnansweredStart);
+}
+
+function isUnansweredStart(value: unknown): boolean {
   return (
-    Array.isArray(value) &&
-    value.every(item => isIndexList(item) && item.length === 3)
+    typeGuards.isObject(value) &&
+    typeGuards.isNonNegativeInteger(value['occurrence']) &&
+    typeGuards.isNonNegativeInteger(value['position']) &&
+    typeGuards.isNonNegativeInteger(value['index']) &&
+    isTextList(value['workers'])
   );
 }
 
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -358,6 +358,26 @@
     assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
   });
 
+  // Guards against the same by a copy that the last term sent.
+  test('carries out a late copy of the last term: no tasks were started before it was known', async () => {
+    const {cell, successor} = await createCellWithLateCopy();
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(600);
+    const nextIncarnation = restartWorker(cell, 'dispatch', 1_000);
+    await cell.time.advance(300);
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    const steps = {count: 4, requiredLabel: 'one'};
+    jobCell.submit(successor, jobCell.jobOf('bb', steps));
+    let mostRuns = 0;
+    for (let step = 0; step < 500; step += 1) {
+      await cell.time.advance(10);
+      mostRuns = Math.max(mostRuns, nextIncarnation.runningCount);
+      if (step === 200) successor.updateWorkers(cell.entries);
+    }
+    assert.equal(mostRuns, 4);
+    assert.equal(successor.stateOf('orders', 'bb'), 'completed');
+  });
+
   // Guards against two runs at the same time: the lease of a silent worker was
   // over, but a start that it had not answered came to its next incarnation.
   test('comes back after its lease with a late start: the task runs once', async () => {
