--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -1,4 +1,5 @@
 import * as stepInstance from './step_instance.js';
+import * as unansweredStarts from './unanswered_starts.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobTask from './job_task.js';
@@ -18,13 +19,6 @@
 /** First and last of a range of a job's occurrences. */
 export type OccurrenceRange = readonly [first: number, last: number];
 
-/** Identifies a task of a job. */
-export type TaskPosition = readonly [
-  occurrence: number,
-  position: number,
-  index: number,
-];
-
 /** Stored state of a job apart from its definition. */
 export interface JobProgress {
   readonly outcome: 'open' | 'completed' | 'failed' | 'cancelled';
@@ -32,13 +26,10 @@
   readonly steps: ReadonlyArray<StepProgress>;
   /** Occurrences that are done and whose steps are not listed. */
   readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
-  /** Tasks of which a start without an answer may still be carried out. */
-  readonly unansweredStarts?: ReadonlyArray<TaskPosition>;
+  /** Starts without an answer that may arrive late or run unseen. */
+  readonly unansweredStarts?: ReadonlyArray<unansweredStarts.UnansweredStart>;
 }
 
-/** Most tasks that a record lists as `unansweredStarts`. */
-const MAXIMUM_UNANSWERED_STARTS = 200;
-
 /**
  * Most tasks of done occurrences that a record lists one by one. Ranges take
  * their place from then on. Earlier versions of the program don't read ranges
@@ -57,10 +48,10 @@
   started = false;
   /** Whether an earlier term may have started runs that are not known. */
   fromEarlierTerm = false;
+  /** Tasks with a start that got no answer. */
+  readonly unansweredStarts = new unansweredStarts.UnansweredStarts();
   /** When the final outcome was stored. */
   settledAt: clock.Milliseconds | undefined;
-  /** Tasks that the stored progress lists, or will list, as unanswered. */
-  private readonly unansweredTasks = new Set<jobTask.JobTask>();
   private nextOccurrence = 0;
 
   constructor(
@@ -143,23 +134,12 @@
     }
   }
 
-  /**
-   * Records that a start of a task got no answer. Returns whether the stored
-   * progress does not tell that yet.
-   */
-  addUnansweredStart(task: jobTask.JobTask): boolean {
-    if (task.step.definition.duplicatesAllowed) return false;
-    if (this.unansweredTasks.has(task)) return false;
-    this.unansweredTasks.add(task);
-    return true;
-  }
-
   /** Progress to store. */
   progress(now: clock.Milliseconds): JobProgress {
     const progress = this.progressOfSteps();
-    const unansweredStarts = this.unansweredStarts(now);
-    if (unansweredStarts.length === 0) return progress;
-    return {...progress, unansweredStarts};
+    const listedStarts = this.unansweredStarts.list(now);
+    if (listedStarts.length === 0) return progress;
+    return {...progress, unansweredStarts: listedStarts};
   }
 
   /** Progress of the steps; once the job has settled, it is over. */
@@ -197,28 +177,15 @@
   }
 
   private restoreUnansweredStarts(
-    positions: ReadonlyArray<TaskPosition>,
+    starts: ReadonlyArray<unansweredStarts.UnansweredStart>,
     now: clock.Milliseconds,
   ): void {
-    for (const [occurrence, position, index] of positions) {
+    for (const {occurrence, position, index, workers} of starts) {
       while (this.nextOccurrence <= occurrence) this.openOccurrence();
       const task = this.stepAt(occurrence, position)?.tasks[index];
       if (task === undefined) continue;
-      task.sentStarts.inherit(now);
-      this.unansweredTasks.add(task);
-    }
-  }
-
-  /** Returns the tasks with unanswered starts that may still be carried out. */
-  private unansweredStarts(
-    now: clock.Milliseconds,
-  ): ReadonlyArray<TaskPosition> {
-    for (const task of this.unansweredTasks) {
-      if (!task.sentStarts.mayArrive(now)) this.unansweredTasks.delete(task);
+      this.unansweredStarts.inherit(task, workers, now);
     }
-    return [...this.unansweredTasks]
-      .slice(0, MAXIMUM_UNANSWERED_STARTS)
-      .map(({step, index}) => [step.occurrence, step.position, index]);
   }
 
   /** Returns the done occurrences; none while their tasks are few. */
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -380,10 +380,10 @@
     this.requestPlacementPass();
   }
 
-  startUnanswered(task: jobTask.JobTask): void {
+  startUnanswered({jobTask: task, worker}: jobTask.Assignment): void {
     if (!this.active) return;
     const {jobRecord: record} = task.step;
-    const isNew = record.addUnansweredStart(task);
+    const isNew = record.unansweredStarts.add(task, worker.id);
     const reason = isNew ? 'recorded' : 'alreadyRecorded';
     this.options.counters.count('starts_unanswered', reason);
     // The next term must know it, because it may acknowledge the task's end.
@@ -444,7 +444,7 @@
     this.queues.restore(content.queues, queueNamesOf(content));
     this.runRecovery = new runRecovery.RunRecovery(
       new Set(openRecords),
-      this.workerLifecycle.start(content.workers),
+      this.workerLifecycle.start(content.workers, lateWorkersOf(content)),
       this.earlierLeases,
     );
     this.serving = true;
@@ -465,7 +465,7 @@
   private unblockRecoveredJobs(): void {
     const {runRecovery: recovery} = this;
     if (!this.active || recovery === undefined) return;
-    const unblocked = recovery.unblockJobs();
+    const unblocked = recovery.unblockJobs(this.options.clock.now());
     if (recovery.complete) this.takeoverTimeline.complete('earlierRunsKnown');
     if (!unblocked) return;
     this.options.log.event('info', 'earlierRunsKnown', {
@@ -477,6 +477,15 @@
   }
 }
 
+/** Returns the ids of the workers at which earlier terms left open starts. */
+function lateWorkersOf({jobs}: jobJournal.JournalContent): ReadonlySet<string> {
+  return new Set(
+    jobs
+      .flatMap(({progress}) => progress?.unansweredStarts ?? [])
+      .flatMap(({workers}) => workers),
+  );
+}
+
 function queueNamesOf({jobs}: jobJournal.JournalContent): ReadonlySet<string> {
   return new Set(jobs.map(({definition}) => definition.queue));
 }
--- a/src/machines/worker_client.ts
+++ b/src/machines/worker_client.ts
@@ -56,6 +56,14 @@
   | {readonly kind: 'rejected'; readonly reason: RejectionReason}
   | {readonly kind: 'unanswered'; readonly detail: string};
 
+/** How a renewal is sent. */
+export interface RenewalConditions {
+  /** Time for the answer beyond the wait that the command asks for. */
+  readonly answerTimeoutMs?: number;
+  /** Asked when the renewal is due to be written; as for a start. */
+  readonly maySend?: () => boolean;
+}
+
 /** Client for calls to workers. The returned promises never reject. */
 export interface WorkerClient {
   /**
@@ -79,10 +87,10 @@
     percent: number,
     fencingToken: number,
   ): Promise<CommandOutcome>;
-  /** Sends a renewal, unless `maySend` forbids it, as for a start. */
+  /** Sends a renewal; not sent, it counts as unanswered. */
   renewLeases(
     worker: remoteWorker.RegistryEntry,
     command: RenewalCommand,
-    maySend?: () => boolean,
+    conditions?: RenewalConditions,
   ): Promise<RenewalOutcome>;
 }
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -1,3 +1,4 @@
+import * as answerTimeout from './answer_timeout.js';
 import * as fencingToken from './fencing_token.js';
 import type * as clock from './clock.js';
 import type * as remoteWorker from './remote_worker.js';
@@ -46,6 +47,7 @@
 
 /** Renews the leases of one worker and forwards its reports, until closed. */
 export class WorkerSession {
+  private readonly answerTimeout = new answerTimeout.AnswerTimeout();
   private closed = false;
 
   constructor(
@@ -100,23 +102,21 @@
       worker.fencingTokenAccepted &&
       deadlineMs !== undefined &&
       !this.mayAcknowledgeToNextIncarnation(acknowledgedNumber, sentAt);
+    const waitMs = mayWait ? LONG_POLL_WAIT_MS : 0;
+    const command = {
+      fencingToken: fencingToken.fencingTokenOf(this.term, worker.incarnation),
+      storedEndNumber: acknowledgedNumber,
+      deadlineMs,
+      waitMs,
+    };
     let isWithdrawn = false;
-    const outcome = await this.client.renewLeases(
-      worker.entry,
-      {
-        fencingToken: fencingToken.fencingTokenOf(
-          this.term,
-          worker.incarnation,
-        ),
-        storedEndNumber: acknowledgedNumber,
-        deadlineMs,
-        waitMs: mayWait ? LONG_POLL_WAIT_MS : 0,
-      },
-      () => {
+    const outcome = await this.client.renewLeases(worker.entry, command, {
+      answerTimeoutMs: this.answerTimeout.next(worker.unansweredCalls),
+      maySend: () => {
         isWithdrawn = !this.maySend(deadlineMs);
         return !isWithdrawn;
       },
-    );
+    });
     if (this.closed) return true;
     if (isWithdrawn) {
       this.listener.renewalWithdrawn();
@@ -125,6 +125,7 @@
     switch (outcome.kind) {
       case 'reported':
         worker.endCursor.confirm(acknowledgedNumber);
+        this.answerTimeout.recordAnswer(this.clock.now() - sentAt, waitMs);
         return this.acceptReport(outcome.report, sentAt);
       case 'rejected':
         this.handleRejection(outcome.reason);
--- a/test/jobs/held_up_renewals_test.ts
+++ b/test/jobs/held_up_renewals_test.ts
@@ -29,10 +29,10 @@
   private async renewLater(
     entry: remoteWorker.RegistryEntry,
     command: workerClient.RenewalCommand,
-    maySend?: () => boolean,
+    conditions?: workerClient.RenewalConditions,
   ): Promise<workerClient.RenewalOutcome> {
     await this.cell.time.delay(HELD_UP_MS);
-    if (maySend?.() === false) {
+    if (conditions?.maySend?.() === false) {
       this.withdrawnCount += 1;
       return {kind: 'unanswered', detail: 'withdrawn'};
     }
--- a/test/jobs/next_incarnation_test.ts
+++ b/test/jobs/next_incarnation_test.ts
@@ -59,6 +59,28 @@
   };
 }
 
+/** Advances time; the workers' leases end in time. */
+async function advanceWithLeases(
+  cell: jobCell.JobCell,
+  milliseconds: number,
+): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += 10) {
+    await cell.time.advance(10);
+    for (const worker of cell.workers.byAddress.values()) worker.endDueRuns();
+  }
+}
+
+/** Restarts worker `one` out of reach, and ends the term once it knows that. */
+async function restartOutOfReach(
+  cell: jobCell.JobCell,
+  scheduler: jobScheduler.JobScheduler,
+): Promise<void> {
+  restartWorker(cell).partitioned = true;
+  await cell.time.advance(1_000);
+  scheduler.retire();
+  useSecondWorker(cell);
+}
+
 /** Returns the tasks of which two runs were up at the same time. */
 function tasksRunTwice(cell: jobCell.JobCell): ReadonlyArray<string> {
   const activeRuns = new Map<string, number>();
@@ -336,6 +358,26 @@
     assert.equal(scheduler.stateOf('orders', 'bb'), 'completed');
   });
 
+  // Guards against the same by a copy that the last term sent.
+  test('carries out a late copy of the last term: no tasks were started before it was known', async () => {
+    const {cell, successor} = await createCellWithLateCopy();
+    cell.workers.byAddress.get('one:1')?.crash();
+    await cell.time.advance(600);
+    const nextIncarnation = restartWorker(cell, 'dispatch', 1_000);
+    await cell.time.advance(300);
+    assert.equal(cell.startsOf('aa').length, 2, 'the copy did not arrive');
+    const steps = {count: 4, requiredLabel: 'one'};
+    jobCell.submit(successor, jobCell.jobOf('bb', steps));
+    let mostRuns = 0;
+    for (let step = 0; step < 500; step += 1) {
+      await cell.time.advance(10);
+      mostRuns = Math.max(mostRuns, nextIncarnation.runningCount);
+      if (step === 200) successor.updateWorkers(cell.entries);
+    }
+    assert.equal(mostRuns, 4);
+    assert.equal(successor.stateOf('orders', 'bb'), 'completed');
+  });
+
   // Guards against two runs at the same time: the lease of a silent worker was
   // over, but a start that it had not answered came to its next incarnation.
   test('comes back after its lease with a late start: the task runs once', async () => {
@@ -367,16 +409,32 @@
     nextIncarnation.partitioned = true;
     useSecondWorker(cell);
     scheduler.updateWorkers(cell.entries);
-    for (let step = 0; step < 2_500; step += 1) {
-      await cell.time.advance(10);
-      nextIncarnation.endDueRuns();
-    }
+    await advanceWithLeases(cell, 25_000);
     assert.ok(cell.startsOf('aa').length >= 2, 'the copy did not arrive');
     assert.deepEqual(tasksRunTwice(cell), []);
     await cell.time.advance(LONG_RUN_MS);
     assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
   });
 
+  // Guards against the same after a change of the leader, which waits only for the
+  // leases that its predecessor granted.
+  test('stays out of reach of the next term with a late start: its task waits', async () => {
+    const {cell, scheduler} = await createCell();
+    cell.workers.commandDelayMs = () => 11_900;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await cell.time.advance(100);
+    cell.workers.commandDelayMs = () => 0;
+    await restartOutOfReach(cell, scheduler);
+    const successor = await cell.startTerm(2);
+    jobCell.submit(successor, jobCell.jobOf('cc', {}));
+    await advanceWithLeases(cell, 27_000);
+    assert.ok(cell.startsOf('aa').length >= 2, 'a start did not arrive');
+    assert.deepEqual(tasksRunTwice(cell), []);
+    assert.equal(cell.startsOf('cc').length, 1, 'other jobs wait too');
+    await cell.time.advance(LONG_RUN_MS);
+    assert.equal(successor.stateOf('orders', 'aa'), 'completed');
+  });
+
   // Guards against ends that are never acknowledged again, and against a job that
   // waits for an acknowledgement.
   test('a copy of a start got no answer: the success counts at once, its acknowledgement waits for 12 s', async () => {
--- a/test/support/fake_workers.ts
+++ b/test/support/fake_workers.ts
@@ -80,9 +80,9 @@
   async renewLeases(
     entry: remoteWorker.RegistryEntry,
     command: workerClient.RenewalCommand,
-    maySend?: () => boolean,
+    conditions?: workerClient.RenewalConditions,
   ): Promise<workerClient.RenewalOutcome> {
-    if (maySend?.() === false) {
+    if (conditions?.maySend?.() === false) {
       return {kind: 'unanswered', detail: 'withdrawn'};
     }
     await this.time.delay(ONE_WAY_DELAY_MS);
