Keep reading a feed after an unexpected error of its listener

An error that one record causes behind a feed ended the loop that reads it: the process lived on without new claims, members or configurations until it was restarted. Found by reading; no record is known that causes one today.

Cause: the loop called its listener without handling errors, and nothing starts the loop again.

Evidence: topic_follower_test.ts, 'an error of its listener ended the feed for good' and 'an error of its listener does not reach who asks for a read', failed before and hold now; platform_process_test.ts, foreign_records_test.ts and malformed_input_test.ts hold.

--- a/src/links/topic_follower.ts
+++ b/src/links/topic_follower.ts
@@ -41,6 +41,11 @@
   compared?(difference: ReadDifference): void;
   /** Called once when the store stops answering. */
   interrupted(detail: string): void;
+  /**
+   * Called with an unexpected error of `received`. A snapshot follows after a
+   * pause, as it is not known which changes were applied.
+   */
+  failed(error: unknown): void;
   /** Called when the store answers again. */
   resumed(): void;
 }
@@ -48,6 +53,15 @@
 /** Backoff after a read that failed. */
 const RETRY_DELAY_MS = 200;
 
+/**
+ * Delay after an unexpected error of the listener. A record that causes one
+ * each time must not end a process that exits when errors follow each other.
+ */
+const FAULT_DELAY_MS = 2_500;
+
+/** What became of one read of the loop. */
+type ReadResult = 'applied' | 'unavailable' | 'failed';
+
 /** One read, and what is known about its time. */
 interface TopicRead {
   /** Undefined for a snapshot. */
@@ -75,14 +89,12 @@
   async run(): Promise<void> {
     while (!this.closed) {
       const startedAtMs = this.clock.now();
-      const answered = await this.readInTurn();
+      const result = await this.readInTurn();
       if (this.closed) return;
+      const answered = result !== 'unavailable';
       if (answered && !this.isAvailable) this.listener.resumed();
       this.isAvailable = answered;
-      const elapsedMs = this.clock.now() - startedAtMs;
-      const delayMs = this.isAvailable
-        ? this.options.minimumReadIntervalMs - elapsedMs
-        : RETRY_DELAY_MS;
+      const delayMs = this.delayAfter(result, startedAtMs);
       if (delayMs > 0) await this.delay(delayMs);
     }
   }
@@ -94,26 +106,40 @@
   async readNow(timeoutMs: number): Promise<boolean> {
     const read = await this.read(0, timeoutMs);
     if (this.closed || read.outcome.kind === 'unavailable') return false;
-    this.apply(read);
-    return true;
+    return this.apply(read);
   }
 
   close(): void {
     this.closed = true;
   }
 
-  private async readInTurn(): Promise<boolean> {
+  private delayAfter(
+    result: ReadResult,
+    startedAt: clock.Milliseconds,
+  ): number {
+    switch (result) {
+      case 'applied':
+        return (
+          startedAt + this.options.minimumReadIntervalMs - this.clock.now()
+        );
+      case 'unavailable':
+        return RETRY_DELAY_MS;
+      case 'failed':
+        return FAULT_DELAY_MS;
+    }
+  }
+
+  private async readInTurn(): Promise<ReadResult> {
     // While the store is unavailable, a read with a wait would block for the
     // whole wait in a silent store, even if the store recovers meanwhile.
     const waitMs = this.isAvailable ? this.options.maximumWaitMs : 0;
     const read = await this.read(waitMs);
-    if (this.closed) return true;
+    if (this.closed) return 'applied';
     if (read.outcome.kind === 'unavailable') {
       if (this.isAvailable) this.listener.interrupted(read.outcome.detail);
-      return false;
+      return 'unavailable';
     }
-    this.apply(read);
-    return true;
+    return this.apply(read) ? 'applied' : 'failed';
   }
 
   private async read(waitMs: number, marginMs?: number): Promise<TopicRead> {
@@ -125,11 +151,12 @@
     return {from, waitMs, askedAt, outcome};
   }
 
-  private apply(read: TopicRead): void {
+  /** Passes an answer to the listener; returns whether it had no error. */
+  private apply(read: TopicRead): boolean {
     const {from, outcome} = read;
     if (outcome.kind !== 'read') {
       this.nextOffset = undefined;
-      return;
+      return true;
     }
     const difference = differenceOf(outcome);
     this.listener.compared?.(difference);
@@ -141,7 +168,15 @@
     if (hasLostRecords) this.nextOffset = undefined;
     const isSnapshot = from === undefined;
     const provenAt = this.provenAt(read, difference);
-    this.listener.received(outcome.records, outcome.end, isSnapshot, provenAt);
+    const {records, end} = outcome;
+    try {
+      this.listener.received(records, end, isSnapshot, provenAt);
+      return true;
+    } catch (error) {
+      this.nextOffset = undefined;
+      this.listener.failed(error);
+      return false;
+    }
   }
 
   /**
--- a/test/links/topic_follower_test.ts
+++ b/test/links/topic_follower_test.ts
@@ -15,6 +15,7 @@
   clock: simulatedClock.SimulatedClock,
   newest: () => keyedTopic.ReadOutcome,
   read: (from: number) => keyedTopic.ReadOutcome,
+  onReceived: () => void = () => {},
 ): {notifications: string[]; follower: topicFollower.TopicFollower} {
   const notifications: string[] = [];
   const topic = {
@@ -37,9 +38,11 @@
         notifications.push(
           `${isSnapshot ? 'whole' : 'more'} ${keys} to ${end}`,
         );
+        onReceived();
       },
       interrupted: detail => notifications.push(`interrupted ${detail}`),
       resumed: () => notifications.push('resumed'),
+      failed: error => notifications.push(`failed ${String(error)}`),
     },
     clock,
     milliseconds => clock.delay(milliseconds),
@@ -130,7 +133,12 @@
     const follower = new topicFollower.TopicFollower(
       topic,
       {maximumWaitMs: 2_500, minimumReadIntervalMs: 0},
-      {received: () => {}, interrupted: () => {}, resumed: () => {}},
+      {
+        received: () => {},
+        interrupted: () => {},
+        resumed: () => {},
+        failed: assert.fail,
+      },
       clock,
       milliseconds => clock.delay(milliseconds),
     );
@@ -166,6 +174,7 @@
           void proofs.push(provenAt),
         interrupted: () => {},
         resumed: () => {},
+        failed: assert.fail,
       },
       clock,
       milliseconds => clock.delay(milliseconds),
@@ -238,4 +247,44 @@
     assert.equal(await answered, true);
     assert.deepEqual(proofs, [0, 100]);
   });
+
+  // Guards against a feed that is never read again after one unexpected error,
+  // and against a loop of errors without a pause.
+  test('an error of its listener ended the feed for good', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    let faultCount = 0;
+    const {notifications, follower} = startFollower(
+      clock,
+      () => ({kind: 'read', records: [record('a', 3)], end: 4, topicEnd: 4}),
+      from => ({kind: 'read', records: [], end: from, topicEnd: from}),
+      () => {
+        faultCount += 1;
+        if (faultCount <= 3) throw new Error('odd record');
+      },
+    );
+    await clock.advance(1_000);
+    const fault = ['whole a to 4', 'failed Error: odd record'];
+    assert.deepEqual(notifications, fault);
+    await clock.advance(9_000);
+    follower.close();
+    const delivered = notifications.slice(0, 7);
+    assert.deepEqual(delivered, [...fault, ...fault, ...fault, 'whole a to 4']);
+  });
+
+  // Guards against a caller that waits for a read and gets the listener's error.
+  test('an error of its listener does not reach who asks for a read', async () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const {follower} = startFollower(
+      clock,
+      () => ({kind: 'read', records: [record('a', 3)], end: 4, topicEnd: 4}),
+      from => ({kind: 'read', records: [], end: from, topicEnd: from}),
+      () => {
+        throw new Error('odd record');
+      },
+    );
+    const read = follower.readNow(50);
+    await clock.advance(100);
+    assert.equal(await read, false);
+    follower.close();
+  });
 });
