Look at fewer workers for each call about tickets

Cause: for each step that waits for tickets, a placement slice looked up its tickets and refusals twice for every worker of the service, sorted the workers without room as well, and filtered both lists four times, although a call names 30 workers. In a profile of a leader with 378 workers this was the largest part of placement.

Change: room is compared before tickets are looked up, one look-up answers whether a worker lacks one, workers without room are found and sorted only if those with room are too few, and the selection ends at 30. Startable steps are found in one pass over the open steps. The decisions stay the same.

Tests of advice, placement, ticks and the scheduler: 55 pass.

--- a/src/jobs/advice_cache.ts
+++ b/src/jobs/advice_cache.ts
@@ -138,6 +138,23 @@
     return isGranted ? true : undefined;
   }
 
+  /**
+   * Returns whether a worker has no ticket for a step that is valid now, and may
+   * get one.
+   */
+  lacksTicket(
+    step: stepInstance.StepInstance,
+    worker: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): boolean {
+    const advice = this.steps.get(step);
+    if (advice === undefined) return true;
+    const {id, entry} = worker;
+    if (advice.refusedIncarnations.get(id) === entry.born) return false;
+    const grant = advice.grants.get(id);
+    return grant?.incarnation !== entry.born || grant.validUntil <= now;
+  }
+
   /** Removes a ticket that the worker rejected. */
   dropTicket(
     step: stepInstance.StepInstance,
@@ -212,13 +229,14 @@
    * Requests tickets if the client has capacity. Eligible workers are named
    * first. The others are named as well, because most of a call's time does not
    * depend on how many it names, and they may get free capacity while the
-   * tickets are valid. Returns whether a call was sent.
+   * tickets are valid. They are read only if the eligible ones are few. Returns
+   * whether a call was sent.
    */
   request(
     step: stepInstance.StepInstance,
     timing: job.AdviceTiming,
     eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
-    others: ReadonlyArray<remoteWorker.RemoteWorker>,
+    others: () => ReadonlyArray<remoteWorker.RemoteWorker>,
   ): boolean {
     if (eligible.length === 0) return false;
     const now = this.clock.now();
@@ -254,20 +272,30 @@
   private selectWorkersToAsk(
     step: stepInstance.StepInstance,
     eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
-    others: ReadonlyArray<remoteWorker.RemoteWorker>,
+    others: () => ReadonlyArray<remoteWorker.RemoteWorker>,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
-    const isPermitted = (worker: remoteWorker.RemoteWorker): boolean =>
-      this.mayRun(step, worker) === true;
-    const isUnknown = (worker: remoteWorker.RemoteWorker): boolean =>
-      this.mayRun(step, worker) === undefined;
-    return [
-      ...eligible.filter(isPermitted),
-      ...eligible.filter(isUnknown),
-      ...others.filter(isPermitted),
-      ...others.filter(isUnknown),
-    ]
-      .filter(worker => !this.isBeingAsked(step, worker))
-      .slice(0, MAXIMUM_WORKERS_PER_CALL);
+    const selected: remoteWorker.RemoteWorker[] = [];
+    this.selectInto(selected, step, eligible, true);
+    this.selectInto(selected, step, eligible, undefined);
+    if (selected.length === MAXIMUM_WORKERS_PER_CALL) return selected;
+    const otherWorkers = others();
+    this.selectInto(selected, step, otherWorkers, true);
+    this.selectInto(selected, step, otherWorkers, undefined);
+    return selected;
+  }
+
+  /** Adds the workers with a given permission, up to the most of one call. */
+  private selectInto(
+    selected: remoteWorker.RemoteWorker[],
+    step: stepInstance.StepInstance,
+    workers: ReadonlyArray<remoteWorker.RemoteWorker>,
+    permission: true | undefined,
+  ): void {
+    for (const worker of workers) {
+      if (selected.length === MAXIMUM_WORKERS_PER_CALL) return;
+      if (this.mayRun(step, worker) !== permission) continue;
+      if (!this.isBeingAsked(step, worker)) selected.push(worker);
+    }
   }
 
   private handleOutcome(
--- a/src/jobs/advice_requester.ts
+++ b/src/jobs/advice_requester.ts
@@ -36,18 +36,25 @@
     timing: job.AdviceTiming,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     facts: workerSelection.WorkerFacts,
+    now: clock.Milliseconds,
   ): ReadonlyArray<remoteWorker.RemoteWorker> {
     const {definition} = step;
-    const eligible: remoteWorker.RemoteWorker[] = [];
-    const others: remoteWorker.RemoteWorker[] = [];
-    for (const worker of workers) {
-      if (this.adviceCache.mayRun(step, worker) === false) continue;
-      if (!workerSelection.fitsTotalCapacity(worker, definition)) continue;
-      if (facts.ticketFor(worker) !== undefined) continue;
-      const isEligible = workerSelection.isEligible(worker, definition, facts);
-      (isEligible ? eligible : others).push(worker);
+    const eligible = workers.filter(
+      worker =>
+        workerSelection.isEligible(worker, definition, facts) &&
+        this.adviceCache.lacksTicket(step, worker, now),
+    );
+    const unasked = eligible.filter(worker => this.isUnasked(step, worker));
+    if (unasked.length > 0 && this.canRequest(step, timing)) {
+      this.sendCalls(step, timing, unasked, () =>
+        workers.filter(
+          worker =>
+            !workerSelection.isEligible(worker, definition, facts) &&
+            workerSelection.fitsTotalCapacity(worker, definition) &&
+            this.adviceCache.lacksTicket(step, worker, now),
+        ),
+      );
     }
-    this.sendCalls(step, timing, eligible, others);
     return eligible;
   }
 
@@ -56,15 +63,12 @@
     step: stepInstance.StepInstance,
     timing: job.AdviceTiming,
     eligible: ReadonlyArray<remoteWorker.RemoteWorker>,
-    others: ReadonlyArray<remoteWorker.RemoteWorker>,
+    findOthers: () => ReadonlyArray<remoteWorker.RemoteWorker>,
   ): void {
-    const isUnasked = (worker: remoteWorker.RemoteWorker): boolean =>
-      !this.adviceCache.isBeingAsked(step, worker);
-    const firstUnasked = eligible.filter(isUnasked);
-    const isNeeded = firstUnasked.length > 0;
-    if (!isNeeded || !this.canRequest(step, timing)) return;
-    let unasked = sortByPreference(step.definition, firstUnasked);
-    const sortedOthers = sortByPreference(step.definition, others);
+    let unasked = sortByPreference(step.definition, eligible);
+    let others: ReadonlyArray<remoteWorker.RemoteWorker> | undefined;
+    const sortedOthers = (): ReadonlyArray<remoteWorker.RemoteWorker> =>
+      (others ??= sortByPreference(step.definition, findOthers()));
     while (unasked.length > 0 && this.canRequest(step, timing)) {
       const sent = this.adviceCache.request(
         step,
@@ -76,10 +80,17 @@
         this.refusedCallMs = timing.decideMs;
         return;
       }
-      unasked = unasked.filter(isUnasked);
+      unasked = unasked.filter(worker => this.isUnasked(step, worker));
     }
   }
 
+  private isUnasked(
+    step: stepInstance.StepInstance,
+    worker: remoteWorker.RemoteWorker,
+  ): boolean {
+    return !this.adviceCache.isBeingAsked(step, worker);
+  }
+
   /** Requests tickets for a step that is not ready, unless it has some. */
   prefetch(
     step: stepInstance.StepInstance,
@@ -97,7 +108,7 @@
       step,
       timing,
       sortByPreference(definition, candidates),
-      [],
+      () => [],
     );
   }
 }
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -247,16 +247,20 @@
   }
 
   /** Returns the waiting steps without gangs of which members still run. */
-  private *findStartableSteps(): Iterable<stepOrdering.WaitingStep> {
-    for (const waiting of this.findWaitingSteps()) {
-      if (waiting.step.hasStartableTasks) yield waiting;
-    }
+  private findStartableSteps(): Iterable<stepOrdering.WaitingStep> {
+    return this.findSteps(step => step.hasStartableTasks);
+  }
+
+  private findWaitingSteps(): Iterable<stepOrdering.WaitingStep> {
+    return this.findSteps(step => step.waitingTaskCount > 0);
   }
 
-  private *findWaitingSteps(): Iterable<stepOrdering.WaitingStep> {
+  private *findSteps(
+    isWanted: (step: stepInstance.StepInstance) => boolean,
+  ): Iterable<stepOrdering.WaitingStep> {
     const {openSteps, queues, isBlocked} = this.dependencies;
     for (const step of openSteps) {
-      if (step.waitingTaskCount === 0) continue;
+      if (!isWanted(step)) continue;
       const queue = queues.ofStep(step);
       if (queue === undefined || isBlocked(step.jobRecord)) continue;
       yield {step, queue};
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -148,7 +148,7 @@
     if (ranking.select() !== undefined) return true;
     if (queue.advice !== undefined) {
       const requester = new adviceRequester.AdviceRequester(this.adviceCache);
-      requester.request(step, queue.advice, workers, facts);
+      requester.request(step, queue.advice, workers, facts, now);
     }
     return false;
   }
@@ -263,7 +263,7 @@
     const {advice} = queue;
     if (advice !== undefined) {
       known.lacksTickets ||= usable.some(worker =>
-        this.needsTicket(step, worker, slice.now),
+        this.adviceCache.lacksTicket(step, worker, slice.now),
       );
       const mayRequest =
         known.lacksTickets && slice.adviceRequester.canRequest(step, advice);
@@ -294,16 +294,6 @@
     return this.adviceCache.ticketFor(step, worker, now) !== undefined;
   }
 
-  /** Returns whether a worker may run a step once it has a ticket. */
-  private needsTicket(
-    step: stepInstance.StepInstance,
-    worker: remoteWorker.RemoteWorker,
-    now: clock.Milliseconds,
-  ): boolean {
-    const isRefused = this.adviceCache.mayRun(step, worker) === false;
-    return !isRefused && !this.hasTicket(step, worker, now);
-  }
-
   private examineStep(
     prioritized: stepOrdering.PrioritizedStep,
     candidates: ReadonlyArray<remoteWorker.RemoteWorker>,
@@ -362,7 +352,13 @@
     if (advice === undefined) return stepExamination.NO_TICKET_WAIT;
     const {adviceRequester, budget, reservation} = slice;
     budget.spend(workers.length);
-    const eligible = adviceRequester.request(step, advice, workers, facts);
+    const eligible = adviceRequester.request(
+      step,
+      advice,
+      workers,
+      facts,
+      slice.now,
+    );
     const count = step.waitingTaskCount;
     const reservedOn = reservation.reserve(step, count, eligible, facts);
     return {lacksTickets: eligible.length > 0, reservedOn};
