Look for a VM once in a tick for tickets ahead of time

Cause: for each step that will be ready soon, the tick asked anew which VM takes a call for tickets, which compares all members of the cell. On the large deployment the log line loopBusy shows 39 to 85 ms of each second (adviceMs) while the loop is full, when mostly no VM takes a call.

Change: the steps of one tick share one requester, which asks no more once a call of that length was not taken, as a placement slice does. A step that has tickets is left out before a VM is looked for.

--- a/src/jobs/advice_requester.ts
+++ b/src/jobs/advice_requester.ts
@@ -98,8 +98,8 @@
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
     now: clock.Milliseconds,
   ): void {
-    if (!this.canRequest(step, timing)) return;
     if (this.adviceCache.nextExpiryAt(step, now) < Infinity) return;
+    if (!this.canRequest(step, timing)) return;
     const {definition} = step;
     const candidates = workers.filter(worker =>
       workerSelection.fitsTotalCapacity(worker, definition),
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -105,9 +105,7 @@
   prefetchAdvice(now: clock.Milliseconds): void {
     if (!this.dependencies.mayStart()) return;
     this.placer.refreshWorkers(now);
-    for (const upcoming of this.findUpcomingSteps(now)) {
-      this.placer.prefetchAdvice(upcoming, now);
-    }
+    this.placer.prefetchAdvice(this.findUpcomingSteps(now), now);
   }
 
   /** Logs why the steps that have waited longest wait, once per interval. */
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -120,15 +120,17 @@
     return slice;
   }
 
-  /** Requests tickets before a step is ready, so that it need not wait. */
+  /** Requests tickets before steps are ready, so that they need not wait. */
   prefetchAdvice(
-    {step, queue}: stepOrdering.WaitingStep,
+    upcoming: Iterable<stepOrdering.WaitingStep>,
     now: clock.Milliseconds,
   ): void {
-    if (queue.advice === undefined) return;
     const requester = new adviceRequester.AdviceRequester(this.adviceCache);
-    const workers = this.workers.ofService(queue.service);
-    requester.prefetch(step, queue.advice, workers, now);
+    for (const {step, queue} of upcoming) {
+      if (queue.advice === undefined) continue;
+      const workers = this.workers.ofService(queue.service);
+      requester.prefetch(step, queue.advice, workers, now);
+    }
   }
 
   /**
--- a/test/jobs/advice_requests_test.ts
+++ b/test/jobs/advice_requests_test.ts
@@ -62,4 +62,44 @@
     await cell.time.advance(CALL_MS - 100);
     assert.equal(asked.length, 1);
   });
+
+  // Load: 30 jobs whose second steps will be ready soon, and no VM that takes a
+  // call. Guards against a full loop that looks for a VM anew for each of them
+  // in each tick.
+  test('looks for a VM once in a tick while none takes a call', async () => {
+    const cell = new jobCell.JobCell();
+    cell.queues = [ADVISED_QUEUE];
+    for (let index = 0; index < WORKER_COUNT; index += 1) {
+      cell.addWorkers(
+        () => ({runTimeMs: 60_000, outcome: 'done'}),
+        `w${index}`,
+      );
+    }
+    let isFull = false;
+    let askedForVms = 0;
+    cell.advice = {
+      accepts: () => {
+        askedForVms += 1;
+        return !isFull;
+      },
+      ask: async (_step, workerIds) => ({
+        kind: 'advised',
+        tickets: workerIds.map(workerId => ({workerId, ticket: 'ticket'})),
+      }),
+    };
+    const scheduler = await cell.startTerm(1);
+    for (let index = 0; index < 30; index += 1) {
+      const definition = jobCell.jobOf(`job${index}`, {}, {after: [0]});
+      jobCell.submit(scheduler, definition);
+    }
+    await cell.time.advance(50);
+    assert.equal(cell.startsOf('job0').length, 1);
+    // The tickets that were requested ahead of time expire.
+    isFull = true;
+    await cell.time.advance(3_000);
+    askedForVms = 0;
+    await cell.time.advance(1_000);
+    assert.ok(askedForVms > 0, 'steps will be ready soon');
+    assert.ok(askedForVms <= 20, `asked ${askedForVms} times in 10 ticks`);
+  });
 });
