Record ends of runs on a stand-in worker when they are due

The worker model noticed the end of a run or of its lease only when it was called, and recorded it for that time. A checker saw the runs of a worker that nobody reached as overlapping with later ones elsewhere.

Ends are recorded for the time at which they were due, also before a crash, and events name the fencing token of their start. The worker's clock may run slow.

--- a/stand_ins/worker_model.ts
+++ b/stand_ins/worker_model.ts
@@ -47,6 +47,9 @@
   readonly kind: 'started' | 'ended';
   readonly task: string;
   readonly run: number;
+  /** Token of the start: the term and the incarnation that it was meant for. */
+  readonly fencingToken: number;
+  /** How the run ended; empty for a start. */
   readonly outcome: string;
 }
 
@@ -102,11 +105,18 @@
     private readonly acknowledgedEnds: AcknowledgedEnd[] = [],
     /** Time at which the worker's own clock began. */
     private readonly clockStartMs = 0,
+    /** Rate of the worker's own clock; below 1 it runs slow. */
+    private readonly clockRate = 1,
   ) {}
 
   /** Time on the worker's own clock, which starts anew in each incarnation. */
   private get workerClockMs(): number {
-    return this.clock.now() - this.clockStartMs;
+    return (this.clock.now() - this.clockStartMs) * this.clockRate;
+  }
+
+  /** Time at which the lease ends or has ended. */
+  private get leaseLapseMs(): number {
+    return this.clockStartMs + this.leaseEndMs / this.clockRate;
   }
 
   get runningCount(): number {
@@ -136,7 +146,7 @@
       percentSinceMs: this.clock.now(),
       remainingMs: planned.runTimeMs,
     });
-    this.recordEvent('started', command.task, command.run, '');
+    this.recordEvent('started', command, '', this.clock.now());
     return this.done();
   }
 
@@ -152,7 +162,7 @@
     const highestEndedRun = this.highestEndedRuns.get(runId.task) ?? 0;
     this.highestEndedRuns.set(runId.task, Math.max(highestEndedRun, runId.run));
     if (this.running.get(runId.task)?.command.run === runId.run) {
-      this.endRun(runId.task, 'stopped');
+      this.endRun(runId.task, 'stopped', this.clock.now());
     }
     return this.done();
   }
@@ -219,8 +229,9 @@
 
   /** Ends the incarnation: all runs are lost and no call is answered again. */
   crash(): void {
-    for (const [task, {command}] of this.running) {
-      this.recordEvent('ended', task, command.run, 'lost');
+    this.endDueRuns();
+    for (const {command} of this.running.values()) {
+      this.recordEvent('ended', command, 'lost', this.clock.now());
     }
     this.running.clear();
     this.partitioned = true;
@@ -299,50 +310,48 @@
     this.leaseEndMs = Math.max(this.leaseEndMs, grantedMs);
   }
 
-  /** Ends the runs that have finished, and all runs if the lease has ended. */
+  /**
+   * Ends the runs that have finished, and all runs if the lease has ended. The
+   * ends are recorded for the times at which they were due.
+   */
   endDueRuns(): void {
-    const now = this.clock.now();
+    const lastMs = Math.min(this.clock.now(), this.leaseLapseMs);
     for (const [task, run] of [...this.running]) {
-      const lastMs = Math.min(now, this.leaseEndMs + this.clockStartMs);
-      if (endOf(run) <= lastMs) {
-        this.endRun(task, run.planned.outcome);
-      }
+      const endMs = endOf(run);
+      if (endMs <= lastMs) this.endRun(task, run.planned.outcome, endMs);
     }
     if (this.leaseEndMs > this.workerClockMs) return;
-    for (const task of [...this.running.keys()]) this.endRun(task, 'lapsed');
+    for (const task of [...this.running.keys()]) {
+      this.endRun(task, 'lapsed', this.leaseLapseMs);
+    }
     this.ended = this.ended.map(listed => ({...listed, leaseLapsed: true}));
   }
 
-  private endRun(task: string, outcome: string): void {
-    const run = this.running.get(task)?.command.run ?? 0;
+  private endRun(task: string, outcome: string, endedAtMs: number): void {
+    const ending = this.running.get(task);
+    if (ending === undefined) return;
     this.running.delete(task);
+    const {run} = ending.command;
     const highestEndedRun = this.highestEndedRuns.get(task) ?? 0;
     this.highestEndedRuns.set(task, Math.max(highestEndedRun, run));
     const sequenceNumber = this.nextSequenceNumber;
     this.nextSequenceNumber += 1;
     this.ended.push({
       reported: {sequenceNumber, task, run, endKind: outcome, checkpoint: ''},
-      endedAtMs: this.clock.now(),
+      endedAtMs,
       leaseLapsed: false,
     });
-    this.recordEvent('ended', task, run, outcome);
+    this.recordEvent('ended', ending.command, outcome, endedAtMs);
   }
 
   private recordEvent(
     kind: RunEvent['kind'],
-    task: string,
-    run: number,
+    {task, run, fencingToken}: workerClient.StartCommand,
     outcome: string,
+    atMs: number,
   ): void {
-    const atMs = this.clock.now();
-    this.events.push({
-      atMs,
-      worker: this.entry.id,
-      kind,
-      task,
-      run,
-      outcome,
-    });
+    const worker = this.entry.id;
+    this.events.push({atMs, worker, kind, task, run, fencingToken, outcome});
   }
 
   private done(): workerClient.CommandOutcome {
