Add a switch that cuts zones of a stand-in cell off

The relays of a stand-in cell know only one end of a connection, stand between no two processes, and lose what a fault stops. A zone that is cut off could not be expressed.

A preload sends the connections of a process to a switch that knows both ends. Cells have several zones; workers crash and come back under their id with a clock that begins anew. Children end with the process that started them.

--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -6,9 +6,11 @@
 import * as spawnedProcess from './spawned_process.js';
 import * as faultRelay from './fault_relay.js';
 import * as listen from '../src/links/listen.js';
+import * as linkFault from './link_fault.js';
 import * as loopbackAddress from './loopback_address.js';
 import * as platformStore from './platform_store.js';
 import * as platformWorker from './platform_worker.js';
+import type * as linkSwitch from './link_switch.js';
 import type * as workerModel from './worker_model.js';
 
 /** Host name of the configured queue. */
@@ -25,7 +27,8 @@
 /** One running process of the cell with its addresses. */
 export interface CellProcess {
   readonly name: string;
-  /** Relay between the process and the store. */
+  readonly zone: string;
+  /** Relay between the process and the store, unless the cell has a switch. */
   readonly storeRelay: faultRelay.FaultRelay;
   readonly child: spawnedProcess.SpawnedProcess;
   readonly jobApiAddress: string;
@@ -51,13 +54,23 @@
   readonly runPlan: workerModel.RunPlan;
   /** Program and leading arguments; defaults to the compiled code. */
   readonly command?: ReadonlyArray<string>;
+  /** Availability zones, between which VMs and workers are spread evenly. */
+  readonly zones?: ReadonlyArray<string>;
+  /** Rate of each worker's clock; defaults to that of the processes. */
+  readonly workerClockRate?: (index: number) => number;
+  /** Carries all connections of the processes, in place of the relays. */
+  readonly linkSwitch?: linkSwitch.LinkSwitch;
 }
 
 const DEFAULT_WORKER_COUNT = 2;
+const DEFAULT_ZONES = ['zone-a'];
 
 /** A launch is repeated because another program may take a chosen port. */
 const MAXIMUM_LAUNCH_ATTEMPTS = 3;
 
+/** Line of a process that has applied the configuration. */
+export const READY_LINE = /event=configurationTaken/;
+
 const DEFAULT_COMMAND = [process.execPath, 'build/platform/main.js'];
 
 /** Real scheduler processes with stand-ins for the store and the workers. */
@@ -65,26 +78,32 @@
   readonly store = new platformStore.PlatformStore();
   readonly workers: platformWorker.PlatformWorker[] = [];
   readonly processes: CellProcess[] = [];
-  /** One relay per worker, between it and the processes. */
+  /** All processes that were started, with those that have ended. */
+  readonly incarnations: CellProcess[] = [];
+  /** One relay per worker unless the cell has a switch. */
   readonly workerRelays: faultRelay.FaultRelay[] = [];
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'cell-'));
   /** Keeps calls of other cells' processes away from reused ports. */
   private readonly host = loopbackAddress.randomLoopbackAddress();
+  private readonly command: ReadonlyArray<string>;
+  private readonly zones: ReadonlyArray<string>;
   private storeAddress = '';
 
-  private constructor(private readonly command: ReadonlyArray<string>) {}
+  private constructor(private readonly options: CellOptions) {
+    this.command = options.command ?? DEFAULT_COMMAND;
+    this.zones = options.zones ?? DEFAULT_ZONES;
+  }
 
   /** Starts the stand-ins and the processes and waits until all are ready. */
   static async start(options: CellOptions): Promise<PlatformCell> {
-    const cell = new PlatformCell(options.command ?? DEFAULT_COMMAND);
+    const cell = new PlatformCell(options);
     cell.storeAddress = await cell.store.listen(cell.host);
+    await options.linkSwitch?.listen(cell.host);
+    options.linkSwitch?.addAddress(cell.storeAddress, linkFault.STORE);
     cell.publishConfiguration(1);
-    for (
-      let index = 0;
-      index < (options.workerCount ?? DEFAULT_WORKER_COUNT);
-      index += 1
-    ) {
-      await cell.addWorker(`worker-${index}`, options.runPlan);
+    const workerCount = options.workerCount ?? DEFAULT_WORKER_COUNT;
+    for (let index = 0; index < workerCount; index += 1) {
+      await cell.addWorker(index);
     }
     for (let index = 0; index < options.processCount; index += 1) {
       await cell.startProcess(`node-${index}`);
@@ -110,7 +129,7 @@
     for (let attempt = 1; ; attempt += 1) {
       const started = await this.launch(name);
       try {
-        await started.child.waitForLine(/event=configurationTaken/);
+        await started.child.waitForLine(READY_LINE);
         this.processes.push(started);
         return started;
       } catch (fault) {
@@ -122,16 +141,18 @@
   }
 
   private async launch(name: string): Promise<CellProcess> {
+    const {linkSwitch} = this.options;
     const [jobApiPort, readyPort, portRangeStart] = await findFreePorts(
       this.host,
       3,
     );
+    const zone = this.zoneOf(Number(/\d+$/.exec(name)?.[0]));
     const settingsFile = path.join(this.folder, `${name}.json`);
     const storeRelay = new faultRelay.FaultRelay(this.storeAddress);
     const settings = {
       node_name: name,
       ip: this.host,
-      zone: 'zone-a',
+      zone,
       listen: {
         front: `${this.host}:${jobApiPort}`,
         ready: `${this.host}:${readyPort}`,
@@ -139,21 +160,38 @@
       port_range: [portRangeStart, portRangeStart + 1],
       limits: {cpu_share: 1, cpu_cores: 1},
       bounds: {grace_s: 4, status_s: 120, config_apply_ms: 2_500},
-      platform: {address: await storeRelay.listen(this.host)},
+      platform: {
+        address: linkSwitch
+          ? this.storeAddress
+          : await storeRelay.listen(this.host),
+      },
     };
     fs.writeFileSync(settingsFile, JSON.stringify(settings));
+    const {front, ready} = settings.listen;
+    const ports = settings.port_range.map(port => `${this.host}:${port}`);
+    for (const address of [front, ready, ...ports]) {
+      linkSwitch?.addAddress(address, {kind: 'vm', name, zone});
+    }
     const [program, ...programArguments] = this.command;
     const child = new spawnedProcess.SpawnedProcess(program, programArguments, {
       PARSLEYKNOT_SETTINGS: settingsFile,
+      ...linkSwitch?.environmentOf(name),
     });
-    return {
+    const started = {
       name,
+      zone,
       storeRelay,
       child,
-      jobApiAddress: `${this.host}:${jobApiPort}`,
-      readyAddress: `${this.host}:${readyPort}`,
-      metricsAddress: `${this.host}:${portRangeStart + 1}`,
+      jobApiAddress: front,
+      readyAddress: ready,
+      metricsAddress: ports[1],
     };
+    this.incarnations.push(started);
+    return started;
+  }
+
+  private zoneOf(index: number): string {
+    return this.zones[index % this.zones.length];
   }
 
   /** Replaces an ended process by a new incarnation on other ports. */
@@ -163,6 +201,19 @@
     ended.storeRelay.close();
   }
 
+  /** Replaces an ended process and does not wait until the next is ready. */
+  async replace(ended: CellProcess): Promise<CellProcess> {
+    const started = await this.launch(ended.name);
+    this.processes.splice(this.processes.indexOf(ended), 1, started);
+    ended.storeRelay.close();
+    return started;
+  }
+
+  /** Brings a crashed worker back as its next incarnation. */
+  bringWorkerBack(worker: platformWorker.PlatformWorker): void {
+    this.store.put('keyed.servers', worker.id, worker.comeBack());
+  }
+
   /** Returns the process that logged the start of the latest term. */
   leader(): CellProcess {
     const [leading] = this.processes
@@ -215,6 +266,7 @@
   }
 
   async stop(): Promise<void> {
+    this.options.linkSwitch?.close();
     for (const {child, storeRelay} of this.processes) {
       await child.kill();
       storeRelay.close();
@@ -225,14 +277,21 @@
     fs.rmSync(this.folder, {recursive: true});
   }
 
-  private async addWorker(
-    id: string,
-    runPlan: workerModel.RunPlan,
-  ): Promise<void> {
-    const worker = new platformWorker.PlatformWorker(id, runPlan);
+  private async addWorker(index: number): Promise<void> {
+    const {runPlan, workerClockRate, linkSwitch} = this.options;
+    const id = `worker-${index}`;
+    const zone = this.zoneOf(index);
+    const clockRate = workerClockRate?.(index) ?? 1;
+    const options = {id, service: SERVICE_NAME, zone, runPlan, clockRate};
+    const worker = new platformWorker.PlatformWorker(options);
     this.workers.push(worker);
-    const entry = await worker.listen(SERVICE_NAME, this.host);
-    const relay = new faultRelay.FaultRelay(String(entry.address));
+    const entry = await worker.listen(this.host);
+    if (linkSwitch !== undefined) {
+      linkSwitch.addAddress(worker.address, {kind: 'worker', name: id, zone});
+      this.store.put('keyed.servers', id, entry);
+      return;
+    }
+    const relay = new faultRelay.FaultRelay(worker.address);
     this.workerRelays.push(relay);
     const address = await relay.listen(this.host);
     this.store.put('keyed.servers', id, {...entry, address});
--- a/stand_ins/platform_worker.ts
+++ b/stand_ins/platform_worker.ts
@@ -8,6 +8,9 @@
 /** Interval at which a waiting lease renewal checks for ended runs. */
 const POLL_INTERVAL_MS = 10;
 
+/** Interval at which due ends of runs and of the lease take effect. */
+const DUE_END_INTERVAL_MS = 10;
+
 /** Rejection reasons as the platform's worker protocol spells them. */
 const REJECTION_REASONS: Readonly<Record<string, string>> = {
   superseded: 'fence',
@@ -18,41 +21,92 @@
 
 type JsonObject = Readonly<Record<string, unknown>>;
 
+/** Where a worker is and how it behaves. */
+export interface WorkerOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly runPlan: workerModel.RunPlan;
+  /** Rate of the worker's clock; below 1 it runs slow. */
+  readonly clockRate: number;
+}
+
 /** Stand-in for a worker of the platform, called over HTTP. */
 export class PlatformWorker {
   readonly events: workerModel.RunEvent[] = [];
+  readonly acknowledgedEnds: workerModel.AcknowledgedEnd[] = [];
   private readonly server: http.Server;
+  private readonly timer: NodeJS.Timeout;
+  private listeningAddress = '';
   private model: workerModel.WorkerModel | undefined;
 
-  constructor(
-    readonly id: string,
-    private readonly runPlan: workerModel.RunPlan,
-  ) {
+  constructor(private readonly options: WorkerOptions) {
     this.server = http.createServer((request, response) => {
       void this.serve(request, response);
     });
+    this.timer = setInterval(
+      () => this.model?.endDueRuns(),
+      DUE_END_INTERVAL_MS,
+    );
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  get zone(): string {
+    return this.options.zone;
+  }
+
+  /** Address at which the worker listens, in all its incarnations. */
+  get address(): string {
+    return this.listeningAddress;
+  }
+
+  /** Whether the worker has crashed and not come back. */
+  get isDown(): boolean {
+    return this.model === undefined;
   }
 
   /** Starts listening and returns the worker's entry for the registry. */
-  async listen(service: string, host: string): Promise<JsonObject> {
+  async listen(host: string): Promise<JsonObject> {
     const port = await listen.listen(this.server, host, 0);
-    return this.createModelAndEntry(service, `${host}:${port}`);
+    this.listeningAddress = `${host}:${port}`;
+    return this.createModelAndEntry(0);
+  }
+
+  /** Loses all runs and state; calls get no answer until `comeBack`. */
+  crash(): void {
+    this.model?.crash();
+    this.model = undefined;
+    this.server.closeAllConnections();
+  }
+
+  /**
+   * Starts the next incarnation at the same address, with a clock that begins
+   * anew, and returns its entry for the registry.
+   */
+  comeBack(): JsonObject {
+    return this.createModelAndEntry(performance.now());
   }
 
   close(): void {
+    clearInterval(this.timer);
     this.server.closeAllConnections();
     this.server.close();
   }
 
-  private createModelAndEntry(service: string, address: string): JsonObject {
+  private createModelAndEntry(clockStartMs: number): JsonObject {
+    const {id, service, zone, runPlan, clockRate} = this.options;
+    const {address} = this;
     const capacity = {processors: 4_000, memory: 16_384, accelerators: 0};
     const entry = {
-      id: this.id,
+      id,
       born: Date.now(),
-      machine: `machine-${this.id}`,
+      machine: `machine-${id}`,
       address,
       service,
-      zone: 'zone-a',
+      zone,
       state: 'ready' as const,
       capacity: {...capacity, slots: 8},
       labels: ['a', 'r1-1'],
@@ -60,13 +114,16 @@
     this.model = new workerModel.WorkerModel(
       entry,
       new clock.SystemClock(),
-      this.runPlan,
+      runPlan,
       this.events,
+      this.acknowledgedEnds,
+      clockStartMs,
+      clockRate,
     );
     return {
       service_name: service,
       address,
-      zone: entry.zone,
+      zone,
       version: 'v1',
       slots: 8,
       state: entry.state,
@@ -91,7 +148,11 @@
       jsonBody.sendJson(response, 400, {});
       return;
     }
-    if (request.headers['expect-instance'] !== this.id || !this.model) {
+    if (this.model === undefined) {
+      request.destroy();
+      return;
+    }
+    if (request.headers['expect-instance'] !== this.id) {
       jsonBody.sendJson(response, 421, {});
       return;
     }
@@ -131,6 +192,10 @@
     while (!model.hasEndedRuns && performance.now() < waitEndMs) {
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
     }
+    if (model.crashed) {
+      response.destroy();
+      return;
+    }
     if (outcome.kind === 'reported') {
       outcome = model.renewLeases({...command, deadlineMs: undefined});
     }
@@ -183,12 +248,11 @@
   response: http.ServerResponse,
   outcome: workerClient.CommandOutcome,
 ): void {
-  const clockMs = performance.now();
   if (outcome.kind === 'done') {
-    jsonBody.sendJson(response, 200, {clock_ms: clockMs});
+    jsonBody.sendJson(response, 200, {clock_ms: outcome.clockMs});
   } else if (outcome.kind === 'rejected') {
     jsonBody.sendJson(response, 409, {
-      clock_ms: clockMs,
+      clock_ms: outcome.clockMs,
       reason: REJECTION_REASONS[outcome.reason],
     });
   }
--- a/stand_ins/spawned_process.ts
+++ b/stand_ins/spawned_process.ts
@@ -3,6 +3,13 @@
 /** Time within which an expected line has to appear. */
 const LINE_TIMEOUT_MS = 20_000;
 
+/** Children that have not exited; they end with this process. */
+const runningChildren = new Set<childProcess.ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of runningChildren) child.kill('SIGKILL');
+});
+
 /** A child process of a test and the lines it has printed. */
 export class SpawnedProcess {
   readonly lines: string[] = [];
@@ -18,8 +25,12 @@
       stdio: ['ignore', 'pipe', 'inherit'],
       env: {...process.env, ...environment},
     });
+    runningChildren.add(this.child);
     this.exitCode = new Promise(resolve =>
-      this.child.once('exit', code => resolve(code)),
+      this.child.once('exit', code => {
+        runningChildren.delete(this.child);
+        resolve(code);
+      }),
     );
     let partialLine = '';
     this.child.stdout?.on('data', (chunk: Buffer) => {
