Share the clients and the checks of the soak of real processes

Another soak needs the same clients, and a rule for successes on workers that are cut off beyond their lease: one that was not acknowledged under an unbroken lease may be repeated.

Which success completes a task is a rule of its own; that of the present soak is the same as before.

--- a/bench/job_invariant_checker.ts
+++ b/bench/job_invariant_checker.ts
@@ -1,4 +1,3 @@
-import type * as platformCell from '../stand_ins/platform_cell.js';
 import type * as workerModel from '../stand_ins/worker_model.js';
 
 /** CPU that each task of the soak's jobs reserves, in thousandths of a core. */
@@ -7,6 +6,51 @@
 /** CPU of a stand-in worker, in thousandths of a core. */
 const WORKER_CPU_THOUSANDTHS = 4_000;
 
+/** What one worker has run, and which ends the system has acknowledged. */
+export interface WorkerHistory {
+  readonly id: string;
+  readonly events: ReadonlyArray<workerModel.RunEvent>;
+  readonly acknowledgedEnds: ReadonlyArray<workerModel.AcknowledgedEnd>;
+}
+
+/** Workers of a cell. */
+export interface WorkerHistories {
+  readonly workers: ReadonlyArray<WorkerHistory>;
+}
+
+/** Decides which ends of runs forbid that their task starts again. */
+export interface CompletionRule {
+  completes(end: workerModel.RunEvent): boolean;
+}
+
+/** Each success completes its task: no worker is cut off beyond its lease. */
+export class AnySuccess implements CompletionRule {
+  completes(end: workerModel.RunEvent): boolean {
+    return end.outcome === 'done';
+  }
+}
+
+/**
+ * A success completes its task if it was acknowledged, at any time, before the
+ * worker's lease had lapsed. One that was not may be repeated.
+ */
+export class AcknowledgedSuccess implements CompletionRule {
+  private readonly ends = new Set<string>();
+
+  constructor(cell: WorkerHistories) {
+    for (const {id, acknowledgedEnds} of cell.workers) {
+      for (const {task, run, endedAtMs, leaseLapsed} of acknowledgedEnds) {
+        if (!leaseLapsed) this.ends.add([id, task, run, endedAtMs].join());
+      }
+    }
+  }
+
+  completes({worker, task, run, atMs, outcome}: workerModel.RunEvent): boolean {
+    const end = [worker, task, run, atMs].join();
+    return outcome === 'done' && this.ends.has(end);
+  }
+}
+
 /** Checks invariants of replies to callers and of runs on workers. */
 export class JobInvariantChecker {
   readonly violations: string[] = [];
@@ -14,7 +58,7 @@
   private readonly acceptedIds = new Set<string>();
   private readonly refusedIds = new Set<string>();
 
-  constructor(private readonly cell: platformCell.PlatformCell) {}
+  constructor(private readonly cell: WorkerHistories) {}
 
   get acceptedCount(): number {
     return this.acceptedIds.size;
@@ -67,8 +111,23 @@
     );
   }
 
+  /** Records that a process ended although nobody had stopped it. */
+  processExited(process: string, exitCode: number | null): void {
+    this.violations.push(`${process} exited by itself with ${exitCode}`);
+  }
+
+  /** Records that a process did not end after SIGTERM. */
+  processLingered(process: string): void {
+    this.violations.push(`${process} did not exit after SIGTERM`);
+  }
+
+  /** Records that a process had no configuration after the faults. */
+  processNotReady(process: string): void {
+    this.violations.push(`${process} did not become ready`);
+  }
+
   /** Checks the starts and ends of runs on all workers. */
-  checkRuns(): void {
+  checkRuns(rule: CompletionRule): void {
     const events = this.cell.workers
       .flatMap(worker => worker.events)
       .sort((left, right) => left.atMs - right.atMs);
@@ -79,7 +138,7 @@
       const active = activeRunsByTask.get(event.task) ?? new Set<string>();
       activeRunsByTask.set(event.task, active);
       if (event.kind === 'started') this.checkStart(event, active, completed);
-      else if (event.outcome === 'done') completed.add(event.task);
+      else if (rule.completes(event)) completed.add(event.task);
       const change = event.kind === 'started' ? 1 : -1;
       const used =
         (usedByWorker.get(event.worker) ?? 0) + change * TASK_CPU_THOUSANDTHS;
@@ -99,7 +158,8 @@
     activeRuns: ReadonlySet<string>,
     completed: ReadonlySet<string>,
   ): void {
-    const run = `${event.task} run ${event.run} on ${event.worker}`;
+    const {task, worker, fencingToken} = event;
+    const run = `${task} run ${event.run} on ${worker} by ${fencingToken}`;
     const [id] = event.task.split('.');
     if (activeRuns.size > 0) {
       this.violations.push(
--- a/bench/platform_soak.ts
+++ b/bench/platform_soak.ts
@@ -1,5 +1,6 @@
 import * as timers from 'node:timers/promises';
 import * as platformCell from '../stand_ins/platform_cell.js';
+import * as jobClients from './job_clients.js';
 import * as jobInvariantChecker from './job_invariant_checker.js';
 import * as randomSource from '../src/machines/random_source.js';
 import type * as faultRelay from '../stand_ins/fault_relay.js';
@@ -74,21 +75,11 @@
  */
 const CONFIGURATION_TIMEOUT_MS = 4_000;
 
-/** Attempts to submit a job, and the delay before each repetition. */
-const MAXIMUM_ATTEMPTS = 10;
-const RETRY_DELAY_MS = 300;
-
-/** Time between two status calls for a job. */
-const POLL_INTERVAL_MS = 100;
-
 /** Range of the random part of a task's run time. */
 const RUN_TIME_SPREAD_MS = 700;
 
-/** Status of a call that ended without an answer. */
-const NO_ANSWER_STATUS = 0;
-
-/** HTTP statuses that say that a job was definitely not accepted. */
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+/** Runtime that the jobs announce. */
+const ESTIMATED_RUN_TIME_MS = 300;
 
 /** Result of a run with one seed. */
 export interface SoakOutcome {
@@ -108,7 +99,7 @@
   private readonly checker: jobInvariantChecker.JobInvariantChecker;
   private readonly activeFaults: Array<Promise<void>> = [];
   private readonly faultyProcesses = new Set<platformCell.CellProcess>();
-  private readonly submissions: Array<Promise<void>> = [];
+  private readonly clients: jobClients.JobClients;
   /** When each process that is being terminated got its first SIGTERM. */
   private readonly terminatedAtMs = new Map<platformCell.CellProcess, number>();
   /** A source of its own, so that the faults of a seed keep their course. */
@@ -125,6 +116,11 @@
     this.random = new randomSource.SeededRandom(seed);
     this.signalRandom = new randomSource.SeededRandom(seed + 3);
     this.checker = new jobInvariantChecker.JobInvariantChecker(cell);
+    this.clients = new jobClients.JobClients(cell, this.checker, this.random, {
+      jobIntervalMs: size.jobIntervalMs,
+      estimatedRunTimeMs: ESTIMATED_RUN_TIME_MS,
+      unanswered: call => this.checkCutOff(call),
+    });
   }
 
   /** Runs one seed and returns the guarantees that were violated. */
@@ -149,7 +145,7 @@
   }
 
   private async run(): Promise<SoakOutcome> {
-    const load = this.submitJobs();
+    const load = this.clients.submitJobs();
     const changes = this.changeConfigurations();
     const faultsEndMs = performance.now() + FAULT_PERIOD_MS;
     while (performance.now() < faultsEndMs) {
@@ -157,13 +153,14 @@
       await timers.setTimeout(FAULT_INTERVAL_MS);
     }
     this.faultsEnded = true;
+    this.clients.end();
     await load;
     await changes;
     await Promise.all(this.activeFaults);
     await this.checkConfiguration();
-    await Promise.all(this.submissions);
-    await this.waitForCompletion();
-    this.checker.checkRuns();
+    await this.clients.waitForSubmissions();
+    await this.clients.waitForCompletion(RECOVERY_TIMEOUT_MS);
+    this.checker.checkRuns(new jobInvariantChecker.AnySuccess());
     return {
       violations: this.checker.violations,
       acceptedCount: this.checker.acceptedCount,
@@ -171,16 +168,6 @@
     };
   }
 
-  private async submitJobs(): Promise<void> {
-    for (let jobNumber = 1; !this.faultsEnded; jobNumber += 1) {
-      const id = platformCell.jobIdOf(jobNumber);
-      this.submissions.push(
-        this.submit(id, this.randomBelow(this.size.processCount)),
-      );
-      await timers.setTimeout(this.size.jobIntervalMs);
-    }
-  }
-
   /** Adds and removes a queue until the faults end, in uneven steps. */
   private async changeConfigurations(): Promise<void> {
     // A source of its own, so that the faults of a seed keep their course.
@@ -206,30 +193,6 @@
     }
   }
 
-  private async submit(id: string, firstProcessIndex: number): Promise<void> {
-    const count = 1 + this.randomBelow(4);
-    const step = {count, cpu: 1_000, mem_mb: 512, est_runtime_ms: 300};
-    const steps = [step, {...step, count: 1, after: [0]}];
-    this.checker.jobSubmitted(id);
-    let mayRun = false;
-    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
-      if (attempt > 0) await timers.setTimeout(RETRY_DELAY_MS);
-      const {processes} = this.cell;
-      const target =
-        processes[(firstProcessIndex + attempt) % processes.length];
-      const body = {spec: '{}', steps};
-      const sentAtMs = performance.now();
-      const {status} = await this.cell.callJobApi(target, 'POST', id, body);
-      if (status === NO_ANSWER_STATUS) this.checkCutOff(target, id, sentAtMs);
-      if (status === 200) {
-        this.checker.jobAccepted(id);
-        return;
-      }
-      if (!REFUSAL_STATUSES.has(status)) mayRun = true;
-    }
-    if (!mayRun) this.checker.jobRefused(id);
-  }
-
   private async injectFault(): Promise<void> {
     const durationMs =
       MINIMUM_FAULT_DURATION_MS + this.randomBelow(FAULT_DURATION_SPREAD_MS);
@@ -294,11 +257,7 @@
   }
 
   /** Checks that only the limit of the drain has ended an open request. */
-  private checkCutOff(
-    target: platformCell.CellProcess,
-    id: string,
-    sentAtMs: number,
-  ): void {
+  private checkCutOff({target, id, sentAtMs}: jobClients.UnansweredCall): void {
     const terminatedAtMs = this.terminatedAtMs.get(target);
     if (terminatedAtMs === undefined) return;
     const wasRead = sentAtMs <= terminatedAtMs - READ_MARGIN_MS;
@@ -353,27 +312,6 @@
     relay.reset();
   }
 
-  private async waitForCompletion(): Promise<void> {
-    const deadlineMs = performance.now() + RECOVERY_TIMEOUT_MS;
-    for (const id of this.checker.acceptedJobs()) {
-      for (let poll = 0; ; poll += 1) {
-        const target = this.cell.processes[poll % this.size.processCount];
-        const {status, body} = await this.cell.callJobApi(target, 'GET', id);
-        if (status === 200 && body.state === 'completed') break;
-        const isLost =
-          status !== NO_ANSWER_STATUS &&
-          !REFUSAL_STATUSES.has(status) &&
-          status !== 200;
-        if (isLost && status !== 504) this.checker.jobLost(id, status);
-        if (performance.now() > deadlineMs) {
-          this.checker.jobUnfinished(id, status, String(body.state));
-          break;
-        }
-        await timers.setTimeout(POLL_INTERVAL_MS);
-      }
-    }
-  }
-
   private randomBelow(bound: number): number {
     return this.random.below(bound);
   }
