--- a/test/jobs/random_cell_checks_test.ts
+++ b/test/jobs/random_cell_checks_test.ts
@@ -44,6 +44,7 @@
     kind: 'started',
     task: TASK,
     run: 1,
+    fencingToken: 1_000,
     outcome: '',
     sentAtMs,
   });
