Tests of cut-off leaders: two files, and one place for what partitions share

The tests of leaders without the store have a file of their own now. What three files started and checked alike stands in test/support/partitioned_cell.ts.

--- a/test/zones/newcomer_succession_test.ts
+++ b/test/zones/newcomer_succession_test.ts
@@ -1,44 +1,28 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import * as runAudit from '../support/run_audit.js';
+import * as partitionedCell from '../support/partitioned_cell.js';
 import * as workingCell from '../support/working_cell.js';
 import type * as simulatedCell from '../support/simulated_cell.js';
 
 const {describe, test} = nodeTest;
 
-/** Longer than a leader may act on the word of a majority alone. */
-const LONG_OUTAGE_MS = 32_000;
+const {LONG_OUTAGE_MS, expectNoRepeatedRun, startWithLongRuns} =
+  partitionedCell;
+
+/** Outlasts every partition. */
+const RUN_TIME_MS = 3 * LONG_OUTAGE_MS;
 
 /** Time in which a newcomer claims, takes over and writes its progress. */
 const SUCCESSION_MS = 6_000;
 
-/** Starts a cell whose runs, all started just now, outlast every partition. */
-async function startWithLongRuns(
-  memberCount?: number,
-): Promise<simulatedCell.SimulatedCell> {
-  const runTimeMs = 3 * LONG_OUTAGE_MS;
-  const cell = await workingCell.startCell(4, runTimeMs, memberCount);
-  await workingCell.submitJobs(cell, 600);
-  return cell;
-}
-
 /** Starts a cell of which all members, and one worker, are cut off. */
 async function startCutOff(): Promise<simulatedCell.SimulatedCell> {
-  const cell = await startWithLongRuns();
+  const cell = await startWithLongRuns(RUN_TIME_MS);
   const addresses = cell.members.map(({self}) => self.address);
   cell.partition([...addresses, cell.workerEntries[0].address]);
   return cell;
 }
 
-/** Ends the partition and checks that no task has run twice. */
-async function expectNoRepeatedRun(
-  cell: simulatedCell.SimulatedCell,
-): Promise<void> {
-  cell.heal();
-  await cell.time.advance(10_000);
-  assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
-}
-
 describe('two successions of newcomers while a leader hears all its members', () => {
   // Guards against a successor that is known to the leader before it, a newcomer,
   // and takes the leases of the leader before that one for expired.
@@ -75,7 +59,7 @@
   // Guards against a successor that counts the newcomers as informed members:
   // the leader, which knows none of them, still finds its majority.
   test('shorten no wait for what that leader may run', async () => {
-    const cell = await startWithLongRuns();
+    const cell = await startWithLongRuns(RUN_TIME_MS);
     const leader = cell.leader();
     const withStore = cell.followers().slice(0, 3);
     const cutOff = cell.members
@@ -96,7 +80,7 @@
   // Guards against members that register in the cut and follow one another as
   // leaders, while the first leader hears all of the few that it has read.
   test('shares no run with the members that register in the cut', async () => {
-    const cell = await workingCell.startCell(4, 3 * LONG_OUTAGE_MS, 3);
+    const cell = await workingCell.startCell(4, RUN_TIME_MS, 3);
     await workingCell.submitJobs(cell, 600);
     const first = cell.leader();
     const cutOff = cell.members.map(({self}) => self.address);
@@ -118,7 +102,7 @@
   // no member that it knows has heard of the newcomer, which reaches their
   // workers and extends their leases. In a small cell it claims before these end.
   test('shares no run that it has adopted with the old leader', async () => {
-    const cell = await startWithLongRuns(3);
+    const cell = await startWithLongRuns(RUN_TIME_MS, 3);
     const first = cell.leader();
     const addresses = cell.members.map(({self}) => self.address);
     // The worker on the old leader's side has room for other workers' runs.
