Restore no more occurrences than a job has

A progress record that names an occurrence far beyond those of its job kept the loop of each process that took over busy for good; the cell had no leader.

Cause: restoring opened occurrences up to the stored number. A position behind the last step found a step of a later occurrence.

Change: occurrences end with those of the job, and a position that the job doesn't have names no step.

--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -89,6 +89,7 @@
     position: number,
   ): stepInstance.StepInstance | undefined {
     const stepCount = this.definition.steps.length;
+    if (position >= stepCount) return undefined;
     return this.steps[occurrence * stepCount + position];
   }
 
@@ -151,17 +152,26 @@
     this.storedOutcome = progress.outcome;
     this.started = progress.started;
     for (const [first, last] of progress.doneOccurrences ?? []) {
-      while (this.nextOccurrence <= last) this.openOccurrence();
+      this.openThrough(last);
       const steps = this.stepsOf(first, last);
       for (const step of steps) markAllDone(step);
     }
     for (const stored of progress.steps) {
-      while (this.nextOccurrence <= stored.occurrence) this.openOccurrence();
+      this.openThrough(stored.occurrence);
       const instance = this.stepAt(stored.occurrence, stored.position);
       if (instance !== undefined) restoreStep(instance, stored);
     }
   }
 
+  /**
+   * Opens the occurrences up to a stored number, but none beyond those that the
+   * job has: the record may not belong to this definition.
+   */
+  private openThrough(last: number): void {
+    const end = Math.min(last, this.occurrenceCount - 1);
+    while (this.nextOccurrence <= end) this.openOccurrence();
+  }
+
   /** Returns the done occurrences; none while their tasks are few. */
   private doneOccurrences(): ReadonlyArray<OccurrenceRange> {
     const ranges: Array<[first: number, last: number]> = [];
--- a/test/platform/malformed_input_test.ts
+++ b/test/platform/malformed_input_test.ts
@@ -135,6 +135,65 @@
   {requiredKeys: ['steps']},
 );
 
+const SMALL_INDEX = fastCheck.constantFrom(0, 1, 2, 7, 1e9);
+
+/** Definitions of jobs that another writer may leave in the journal. */
+const STORED_DEFINITIONS = fastCheck.record(
+  {
+    queue: fastCheck.constantFrom('orders', 'other', '__proto__'),
+    payload: fastCheck.constant(''),
+    steps: fastCheck.array(
+      fastCheck.record({
+        count: fastCheck.constantFrom(0, 1, 2, 9),
+        size: fastCheck.record({
+          processors: fastCheck.constantFrom(0, 500, 1e300),
+          memory: fastCheck.constantFrom(0, 64),
+          accelerators: fastCheck.constantFrom(0, 1),
+          slots: fastCheck.constantFrom(0, 1),
+        }),
+        estimatedRuntimeMs: fastCheck.constantFrom(0, -5, 100),
+        after: fastCheck.array(SMALL_INDEX, {maxLength: 2}),
+        gang: ODD_VALUES,
+        longRunning: ODD_VALUES,
+        usesIdleCapacity: ODD_VALUES,
+        requiredLabel: ODD_VALUES,
+        dataRack: ODD_VALUES,
+        maximumPerWorker: ODD_VALUES,
+        image: ODD_VALUES,
+        targetMs: ODD_VALUES,
+      }),
+      {maxLength: 3},
+    ),
+    schedule: fastCheck.record({
+      occurrences: fastCheck.constantFrom(0, 1, 3, -1, 0.5),
+      startAtMs: fastCheck.constantFrom(0, -1, 1e300),
+      intervalMs: fastCheck.constantFrom(0, -1, 1_000),
+    }),
+    arrivedAtUnixMs: fastCheck.constantFrom(0, 1e300),
+  },
+  {requiredKeys: ['queue', 'payload', 'steps']},
+);
+
+/** Progress of these jobs, which may not fit the definition. */
+const STORED_PROGRESS = fastCheck.record({
+  outcome: fastCheck.constantFrom('open', 'completed', 'failed', 'cancelled'),
+  started: fastCheck.boolean(),
+  steps: fastCheck.array(
+    fastCheck.record({
+      occurrence: SMALL_INDEX,
+      position: SMALL_INDEX,
+      done: fastCheck.array(SMALL_INDEX, {maxLength: 2}),
+      failed: fastCheck.array(fastCheck.tuple(ODD_VALUES, ODD_VALUES), {
+        maxLength: 2,
+      }),
+      checkpoints: fastCheck.array(fastCheck.tuple(ODD_VALUES, ODD_VALUES), {
+        maxLength: 2,
+      }),
+    }),
+    {maxLength: 2},
+  ),
+});
+
 const MEMBER_CALLS = fastCheck.record({
   path: fastCheck.constantFrom(
     ...[
@@ -239,11 +298,12 @@
     runPlan: () => ({runTimeMs: 50, outcome: 'done'}),
   });
   try {
-    const [target] = cell.processes;
-    await completeJob(cell, target, 0xf000);
-    await body(cell, target);
-    await completeJob(cell, target, 0xf001);
-    assertNoFault(target);
+    const [first] = cell.processes;
+    await completeJob(cell, first, 0xf000);
+    await body(cell, first);
+    const [last] = cell.processes;
+    await completeJob(cell, last, 0xf001);
+    assertNoFault(last);
   } finally {
     await cell.stop();
   }
@@ -333,4 +393,23 @@
         await cell.callJobApi(target, 'DELETE', id);
       }
     }));
+
+  // Guards against a stored record that ends the term of each leader that reads
+  // it.
+  test('takes over whatever the journal holds', () =>
+    withProcess(async (cell, target) => {
+      const definitions = sampleOf(STORED_DEFINITIONS, 100);
+      const progress = sampleOf(STORED_PROGRESS, 100);
+      for (const [index, definition] of definitions.entries()) {
+        const id = platformCell.jobIdOf(index);
+        cell.store.put('keyed.jobs', `d/${id}`, {...definition, id});
+        if (index % 3 === 0) continue;
+        cell.store.put('keyed.jobs', `p/${id}`, progress[index]);
+      }
+      const successor = await cell.startProcess('node-successor');
+      await target.child.kill();
+      await completeJob(cell, successor, 0xf002);
+      assertNoFault(successor);
+      cell.processes.splice(cell.processes.indexOf(target), 1);
+    }));
 });
