Test the HTTP client with malformed answers

120 sampled answers (fixed seed) of a raw server: odd status lines, lengths, interim responses, upgrades, oversized headers, any bytes. Each call ends with an outcome and no error reaches the process.

--- a/test/platform/http_client_test.ts
+++ b/test/platform/http_client_test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as workerThreads from 'node:worker_threads';
+import * as fastCheck from 'fast-check';
 import * as clock from '../../src/machines/clock.js';
 import * as faultRelay from '../../stand_ins/fault_relay.js';
 import * as httpClientSupport from '../support/http_client.js';
@@ -373,4 +374,62 @@
     assert.equal((await get(client, 'no address', '/')).kind, 'notSent');
     client.close();
   });
+
+  // Guards against an answer of a worker or the store that ends the process or
+  // leaves its caller without an outcome.
+  test('ends each call whatever its server answers', async () => {
+    const heads = [
+      'HTTP/1.1 200 OK',
+      'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK',
+      'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x',
+      'HTTP/1.1 103 Early Hints',
+      'HTTP/1.1 204 No Content',
+      'HTTP/1.1 304 Not Modified',
+      'HTTP/1.1 999 Odd',
+      'HTTP/2.0 200 OK',
+      'ICY 200 OK',
+      '',
+    ];
+    const headers = [
+      'Content-Length: 5',
+      'Content-Length: -1',
+      'Content-Length: 99999999999999999999',
+      'Transfer-Encoding: chunked',
+      'Connection: close',
+      'Keep-Alive: timeout=-1',
+      `X-Large: ${'x'.repeat(100_000)}`,
+      'No colon',
+    ];
+    const answers = fastCheck.sample(
+      fastCheck.oneof(
+        fastCheck.uint8Array({maxLength: 100}),
+        fastCheck
+          .tuple(
+            fastCheck.constantFrom(...heads),
+            fastCheck.array(fastCheck.constantFrom(...headers), {maxLength: 3}),
+            fastCheck.string({maxLength: 20}),
+          )
+          .map(([head, lines, body]) =>
+            Buffer.from([head, ...lines, '', body].join('\r\n')),
+          ),
+      ),
+      {seed: 20_261_206, numRuns: 120},
+    );
+    let answer: Uint8Array = Buffer.from('');
+    const server = net.createServer(socket => {
+      socket.on('error', () => {});
+      socket.on('data', () => socket.write(answer));
+    });
+    const host = loopbackAddress.randomLoopbackAddress();
+    const port = await listen.listen(server, host, 0);
+    const client = httpClientSupport.createHttpClient(2);
+    const kinds = new Set<string>();
+    for (answer of answers) {
+      const outcome = await get(client, `${host}:${port}`, '/', 60);
+      kinds.add(outcome.kind);
+    }
+    assert.ok(kinds.has('answered') && kinds.has('unanswered'));
+    client.close();
+    server.close();
+  });
 });
