--- a/stand_ins/platform_cell.ts
+++ b/stand_ins/platform_cell.ts
@@ -339,6 +339,9 @@
   return ports;
 }
 
+/** Clients keep connections open until the process ends them. */
+const clientConnections = new http.Agent({keepAlive: true});
+
 /** Sends a request with the queue's host header to any address. */
 function sendToJobApi(
   address: string,
@@ -354,6 +357,7 @@
         port,
         method,
         path,
+        agent: clientConnections,
         headers: {host: QUEUE_HOST, 'deadline-ms': '3000'},
       },
       response => {
