--- a/bench/zone_soak_report.ts
+++ b/bench/zone_soak_report.ts
@@ -78,11 +78,25 @@
     return `${event}=${count}`;
   });
   if (!isLeader && explained.length === 0) return '';
+  counts.push(`stepWaitsWithoutProof=${countWaitsWithoutProof(lines)}`);
   const role = isLeader ? 'leader ' : '';
   const shown = explained.slice(0, MAXIMUM_EXPLAINED_LINES);
   return [`${role}${process.name}`, ...counts, ...shown].join(' ');
 }
 
+/** Counts waiting steps that a leader logs while it may not start any. */
+function countWaitsWithoutProof(lines: ReadonlyArray<string>): number {
+  let hasProof = true;
+  let count = 0;
+  for (const line of lines) {
+    if (line.includes('event=leadershipProof ')) {
+      hasProof = !line.includes('basis=none');
+    }
+    if (!hasProof && line.includes('event=stepWaits ')) count += 1;
+  }
+  return count;
+}
+
 function explainLine(line: string): ReadonlyArray<string> {
   const event = /event=(\w+)/.exec(line)?.[1] ?? '';
   const keys = EXPLAINED_EVENTS[event];
