Limit the word of all members to two hours without the log

Cause: a leader without the log acted on the word of all members without limit, so a successor that hears none of them could never rely on the end of its leases. In a cell whose members were all replaced, no later leader would have started the tasks of a listed worker out of reach again.

Result: new tests of both bounds.

--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -12,6 +12,13 @@
  */
 export const MAJORITY_PROOF_LIMIT_MS = 20_000;
 
+/**
+ * How long after its last proof by the cell's log a leader may act on the word
+ * of all members. It outlasts an outage of hours, and bounds the wait for a
+ * leader whose members are all gone.
+ */
+export const ALL_MEMBERS_PROOF_LIMIT_MS = 2 * 3_600_000;
+
 /** Largest ratio of two clocks' rates, and an allowance for late timers. */
 const CLOCK_RATE_RATIO = 1.03;
 const TIMER_MARGIN_MS = 300;
@@ -43,7 +50,7 @@
  * or on the word of the members. Of a majority of these, one knows
  * this term as soon as a majority was told of it; without the log, the word of a
  * majority counts for a limited time only. The word of all members counts until
- * one of them knows this term.
+ * one of them knows this term, or for hours.
  */
 export class EarlierLeases {
   constructor(
@@ -69,8 +76,10 @@
   /** When no leader of an earlier term may grant leases any more. */
   private get lastPermissionEndsAt(): clock.Milliseconds {
     const {witnessInformedAt, majorityInformedAt} = this.earlierTerms;
-    const allHeardUntil =
-      (witnessInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS;
+    const allHeardUntil = Math.min(
+      (witnessInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS,
+      this.beganAt + ALL_MEMBERS_PROOF_LIMIT_MS * CLOCK_RATE_RATIO,
+    );
     const majorityHeardUntil = Math.min(
       (majorityInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS,
       this.beganAt + MAJORITY_PROOF_LIMIT_MS * CLOCK_RATE_RATIO,
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -70,8 +70,11 @@
    */
   basis(peers: ReadonlyArray<string>, now: clock.Milliseconds): ProofBasis {
     if (isRecent(this.storeProvedAt, now)) return 'store';
-    if (isRecent(this.provedAt(peers), now)) return 'allMembers';
     const withoutStoreMs = now - this.storeProvedAt;
+    const mayRelyOnAll =
+      withoutStoreMs < earlierLeases.ALL_MEMBERS_PROOF_LIMIT_MS;
+    if (mayRelyOnAll && isRecent(this.provedAt(peers), now))
+      return 'allMembers';
     const isBounded = withoutStoreMs < earlierLeases.MAJORITY_PROOF_LIMIT_MS;
     return isBounded && this.hasMajority(peers, now) ? 'majority' : 'none';
   }
--- a/test/jobs/earlier_leases_test.ts
+++ b/test/jobs/earlier_leases_test.ts
@@ -14,6 +14,7 @@
   informedAtMs: number | undefined,
   provedLeaderAt: (now: number) => number,
   witnessInformedAtMs: number | undefined = BEGAN_AT_MS,
+  untilMs = 60_000,
 ): number | undefined {
   let now = BEGAN_AT_MS;
   const leases = new earlierLeases.EarlierLeases(
@@ -25,7 +26,7 @@
       witnessInformedAt: () => witnessInformedAtMs,
     },
   );
-  for (; now < 60_000; now += 10) if (leases.haveExpired) return now;
+  for (; now < untilMs; now += 10) if (leases.haveExpired) return now;
   return undefined;
 }
 
@@ -66,4 +67,12 @@
     const expiry = findExpiry(1_000, now => now, 30_000);
     assert.equal(expiry, 30_000 + 2_000 + LONGEST_LEASE_MS);
   });
+
+  // Guards against tasks that no later leader ever starts again, because all
+  // members that an earlier leader knew are gone.
+  test('expire after hours if no such member is left', () => {
+    const limitMs = 7_200_000 * 1.03;
+    const expiry = findExpiry(1_000, now => now, Infinity, limitMs + 60_000);
+    assert.equal(expiry, BEGAN_AT_MS + limitMs + LONGEST_LEASE_MS);
+  });
 });
--- a/test/zones/leadership_proof_test.ts
+++ b/test/zones/leadership_proof_test.ts
@@ -20,6 +20,8 @@
   // ping from before the pause for new proof.
   test('counts a ping from when the reply before it was sent', () => {
     const proof = new leadershipProof.LeadershipProof();
+    // Too long ago for the word of a majority.
+    proof.proveByStore(-25_000);
     for (const address of PEERS) proof.proveByMember(address, 100);
     // Read after the pause; the last replies were sent before it.
     assert.equal(proof.basis(PEERS, 3_010), 'none');
@@ -73,6 +75,17 @@
     assert.equal(proof.basis(PEERS, 20_000), 'allMembers');
   });
 
+  // Guards against a leader that acts for longer than a successor waits which
+  // hears none of the members that this leader knows.
+  test('is given by all members only for hours without the store', () => {
+    const limitMs = 7_200_000;
+    const proof = new leadershipProof.LeadershipProof();
+    proof.proveByStore(0);
+    for (const address of PEERS) proof.proveByMember(address, limitMs - 100);
+    assert.equal(proof.basis(PEERS, limitMs - 1), 'allMembers');
+    assert.equal(proof.basis(PEERS, limitMs), 'none');
+  });
+
   // Guards against a run that is given up although a successor, which only some
   // of the members know, has extended its lease.
   test('knows no later time than the member that was heard least', () => {
--- /dev/null
+++ b/test/zones/replaced_members_test.ts
@@ -0,0 +1,71 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as runAudit from '../support/run_audit.js';
+import * as workingCell from '../support/working_cell.js';
+import type * as simulatedCell from '../support/simulated_cell.js';
+
+const {describe, test} = nodeTest;
+
+const MEMBER_COUNT = 3;
+
+/** Longer than any lease or permission of an earlier leader lasts. */
+const SETTLED_MS = 180_000;
+
+/** Starts a cell with jobs whose runs outlast a short time only. */
+async function startSmallCell(): Promise<simulatedCell.SimulatedCell> {
+  const cell = await workingCell.startCell(4, 20_000, MEMBER_COUNT);
+  await workingCell.submitJobs(cell, 600);
+  return cell;
+}
+
+/** Kills all members, so that no leader of an earlier term can act. */
+function killAll(cell: simulatedCell.SimulatedCell): void {
+  for (const member of cell.members) member.kill();
+}
+
+/** Checks that every task has ended with success, once. */
+function expectAllDone(cell: simulatedCell.SimulatedCell): void {
+  const started = new Set(cell.workers.events.map(({task}) => task));
+  const done = new Set(
+    cell.workers.events
+      .filter(({kind, outcome}) => kind === 'ended' && outcome === 'done')
+      .map(({task}) => task),
+  );
+  assert.deepEqual(
+    [...started].filter(task => !done.has(task)),
+    [],
+  );
+  assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+}
+
+describe('a cell whose members are all replaced while a worker is out of reach', () => {
+  // Guards against a successor that waits for hours for members which are
+  // gone for good, so that the lost worker's tasks are never started again.
+  test('finishes its tasks if the new members have other addresses', async () => {
+    const cell = await startSmallCell();
+    killAll(cell);
+    cell.partition([cell.workerEntries[0].address]);
+    for (let index = MEMBER_COUNT; index < 2 * MEMBER_COUNT; index += 1) {
+      cell.addMember(index);
+    }
+    await cell.time.advance(SETTLED_MS);
+    expectAllDone(cell);
+  });
+
+  // Guards against a cell that works after such a replacement, but starts no
+  // lost task again after any later succession.
+  test('finishes the tasks of a worker that is lost with a later leader', async () => {
+    const cell = await startSmallCell();
+    killAll(cell);
+    for (let index = MEMBER_COUNT; index < 2 * MEMBER_COUNT + 1; index += 1) {
+      cell.addMember(index);
+    }
+    await cell.time.advance(SETTLED_MS);
+    expectAllDone(cell);
+    await workingCell.submitJobs(cell, 600);
+    cell.leader().kill();
+    cell.partition([cell.workerEntries[0].address]);
+    await cell.time.advance(SETTLED_MS);
+    expectAllDone(cell);
+  });
+});
