Know members by their first registration over restarts

Cause: the log keeps only the newest registration of an address. Members that restarted twice before a leader wrote a record seemed to have joined after it, so that no successor found a member that the earlier leader knows, and none took the leases of a worker out of reach for expired.

Change: a registration names the first offset of its address that its sender has read. A later process there shows that the first one has ended.

--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -15,10 +15,14 @@
 export class CellLogStore implements cellMember.CellLog {
   constructor(private readonly topic: keyedTopic.KeyedTopic) {}
 
-  async join(member: cellMember.CellMember): Promise<boolean> {
+  async join(
+    member: cellMember.CellMember,
+    firstOffset: number | undefined,
+  ): Promise<boolean> {
+    const registration = {...member, firstOffset};
     const record = {
       key: MEMBER_PREFIX + member.address,
-      value: jsonDocument.encode(member),
+      value: jsonDocument.encode(registration),
     };
     const outcome = await this.topic.append([record], {}, APPEND_TIMEOUT_MS);
     return outcome.kind === 'appended';
@@ -96,12 +100,15 @@
   isSnapshot: boolean,
 ): cellMember.CellLogContent {
   const members: cellMember.CellMember[] = [];
+  const memberOffsets = new Map<string, number>();
   let claim: cellMember.Claim | undefined;
   let progress: cellMember.LeaderProgress | undefined;
   for (const record of records) {
     if (isMemberKey(record.key)) {
+      const address = record.key.slice(MEMBER_PREFIX.length);
       const member = decodeMember(record);
       if (member !== undefined) members.push(member);
+      memberOffsets.set(address, member?.firstOffset ?? record.offset);
     } else if (record.key === CLAIM_KEY) {
       claim = decodeClaim(record) ?? claim;
     } else if (record.key === PROGRESS_KEY && !isSnapshot) {
@@ -109,11 +116,6 @@
       progress = decodeProgress(record) ?? progress;
     }
   }
-  const memberOffsets = new Map(
-    records
-      .filter(({key}) => isMemberKey(key))
-      .map(({key, offset}) => [key.slice(MEMBER_PREFIX.length), offset]),
-  );
   const leaderRecord = findLeaderRecord(records);
   return {members, claim, progress, memberOffsets, leaderRecord};
 }
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -18,7 +18,9 @@
     typeof value['incarnation'] === 'string' &&
     typeGuards.isAddress(value['address']) &&
     typeof value['zone'] === 'string' &&
-    typeGuards.isNonNegativeNumber(value['processors'])
+    typeGuards.isNonNegativeNumber(value['processors']) &&
+    (value['firstOffset'] === undefined ||
+      typeGuards.isNonNegativeInteger(value['firstOffset']))
   );
 }
 
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -8,6 +8,8 @@
   readonly zone: string;
   /** Processor share of its VM; the largest members claim first. */
   readonly processors: number;
+  /** Offset at which a process at the address first registered, if known. */
+  readonly firstOffset?: number;
 }
 
 /** A member's claim to lead the cell, with its position in the log. */
@@ -90,7 +92,7 @@
 /** Writes to the cell's log; no call rejects. */
 export interface CellLog {
   /** Registers a member; resolves to true if the record was stored. */
-  join(member: CellMember): Promise<boolean>;
+  join(member: CellMember, firstOffset: number | undefined): Promise<boolean>;
   /** Returns whether the store answers this process at present. */
   probe(): Promise<boolean>;
   /**
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -90,6 +90,11 @@
     return this.witnessTable.witnesses;
   }
 
+  /** Returns where a process at an address first registered, if known. */
+  firstOffsetOf(address: string): number | undefined {
+    return this.witnessTable.firstOffsetOf(address);
+  }
+
   /** Records where members have registered, and the newest leader's record. */
   recordRegistrations(
     memberOffsets: ReadonlyMap<string, number>,
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -202,7 +202,10 @@
 
   private async join(): Promise<void> {
     this.joining = true;
-    this.joined = await this.options.cellLog.join(this.options.self);
+    this.joined = await this.options.cellLog.join(
+      this.options.self,
+      this.election.firstOffsetOf(this.options.self.address),
+    );
     this.joining = false;
   }
 
--- a/src/zones/witness_table.ts
+++ b/src/zones/witness_table.ts
@@ -28,6 +28,11 @@
     }
   }
 
+  /** Returns where a process at an address first registered, if known. */
+  firstOffsetOf(address: string): number | undefined {
+    return this.registrations.get(address);
+  }
+
   /** Witnesses for all leaders of the log so far; undefined if there was none. */
   get witnesses(): cellMember.Witnesses | undefined {
     return this.lastLeaderRecord;
--- a/test/links/cell_log_store_test.ts
+++ b/test/links/cell_log_store_test.ts
@@ -53,7 +53,7 @@
     const store = new cellLogStore.CellLogStore(
       topic as unknown as keyedTopic.KeyedTopic,
     );
-    await store.join(MEMBER);
+    await store.join(MEMBER, undefined);
     await store.claim(MEMBER, 1, WITNESSES);
     const progress = {
       term: 2,
@@ -76,5 +76,9 @@
       exempt: [],
     });
     assert.deepEqual([...read(4).memberOffsets], [[MEMBER.address, 0]]);
+    // A restarted member is known since its first process registered.
+    await store.join(MEMBER, 0);
+    records.push({...appended[4], offset: 9});
+    assert.deepEqual([...read(5).memberOffsets], [[MEMBER.address, 0]]);
   });
 });
--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -234,7 +234,7 @@
   test('fits the store (member, claim and its progress)', async t => {
     const topic = new RecordingTopic();
     const store = new cellLogStore.CellLogStore(topic);
-    await store.join(MEMBER);
+    await store.join(MEMBER, Number.MAX_SAFE_INTEGER);
     const witnesses = {
       witnessEnd: Number.MAX_SAFE_INTEGER,
       exempt: Array.from({length: 8}, () => MEMBER.address),
