Exempt no member while one doesn't heed exemptions

Cause: a member of the version before doesn't read which members a leader acts without. Exempt, it took itself for known to and needed by that leader, claimed, and started what the leader still ran in an outage of the store. A rolling upgrade makes members late, so it is then that they are exempt.

Change: registrations say that their sender heeds exemptions; a leader names none while a member's does not.

--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -19,7 +19,7 @@
     member: cellMember.CellMember,
     firstOffset: number | undefined,
   ): Promise<boolean> {
-    const registration = {...member, firstOffset};
+    const registration = {...member, firstOffset, heedsExemptions: true};
     const record = {
       key: MEMBER_PREFIX + member.address,
       value: jsonDocument.encode(registration),
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -10,6 +10,8 @@
   readonly processors: number;
   /** Offset at which a process at the address first registered, if known. */
   readonly firstOffset?: number;
+  /** Whether it heeds the exempt members that leaders' records name. */
+  readonly heedsExemptions?: boolean;
 }
 
 /** A member's claim to lead the cell, with its position in the log. */
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -110,8 +110,12 @@
    * exempt; see `ExemptMembers`.
    */
   reviewExempt(): ReadonlyArray<string> {
+    // A member of a version without exemptions takes itself for a witness.
+    const areHeeded = this.options
+      .peers()
+      .every(({heedsExemptions}) => heedsExemptions === true);
     return this.exemptMembers.review(
-      this.peerAddresses(),
+      areHeeded ? this.peerAddresses() : [],
       address => this.proof.provedByMemberAt(address),
       this.options.clock.now(),
     );
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -74,7 +74,7 @@
     const mayRelyOnAll =
       withoutStoreMs < earlierLeases.ALL_MEMBERS_PROOF_LIMIT_MS;
     if (mayRelyOnAll && isRecent(this.provedAt(peers), now))
-      return 'allMembers';
+      {return 'allMembers';}
     const isBounded = withoutStoreMs < earlierLeases.MAJORITY_PROOF_LIMIT_MS;
     return isBounded && this.hasMajority(peers, now) ? 'majority' : 'none';
   }
