Elections: call the members that grant permission grantors

The election's new use of the word for members whose word allows a leader to act gets the usual term for who grants a lease. No behaviour is changed.

--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -36,10 +36,10 @@
    */
   readonly majorityInformedAt: () => clock.Milliseconds | undefined;
   /**
-   * When a member that all earlier leaders know knew this term; undefined until
+   * When a member that all earlier leaders know and need knew this term; undefined until
    * then. They may act for as long as they hear all members that they know.
    */
-  readonly witnessInformedAt: () => clock.Milliseconds | undefined;
+  readonly grantorInformedAt: () => clock.Milliseconds | undefined;
 }
 
 /**
@@ -75,9 +75,9 @@
 
   /** When no leader of an earlier term may grant leases any more. */
   private get lastPermissionEndsAt(): clock.Milliseconds {
-    const {witnessInformedAt, majorityInformedAt} = this.earlierTerms;
+    const {grantorInformedAt, majorityInformedAt} = this.earlierTerms;
     const allHeardUntil = Math.min(
-      (witnessInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS,
+      (grantorInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS,
       this.beganAt + ALL_MEMBERS_PROOF_LIMIT_MS * CLOCK_RATE_RATIO,
     );
     const majorityHeardUntil = Math.min(
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -36,12 +36,12 @@
   async claim(
     member: cellMember.CellMember,
     expectedEnd: number,
-    witnesses: cellMember.Witnesses | undefined,
+    grantors: cellMember.Grantors | undefined,
   ): Promise<cellMember.ClaimOutcome> {
     const value = jsonDocument.encode({
       ...member,
-      witnessEnd: witnesses?.witnessEnd,
-      exempt: witnesses?.exempt,
+      grantorEnd: grantors?.grantorEnd,
+      exempt: grantors?.exempt,
     });
     const record = {key: CLAIM_KEY, value};
     const outcome = await this.topic.append(
@@ -138,12 +138,12 @@
   if (last === undefined) return undefined;
   const {offset, value} = last;
   const record = jsonDocument.decode(value, typeGuards.isObject).extract();
-  const witnessEnd = record?.['witnessEnd'];
+  const grantorEnd = record?.['grantorEnd'];
   const exempt = record?.['exempt'];
   return {
     offset,
-    witnessEnd: typeGuards.isNonNegativeInteger(witnessEnd)
-      ? witnessEnd
+    grantorEnd: typeGuards.isNonNegativeInteger(grantorEnd)
+      ? grantorEnd
       : offset,
     exempt: recordChecks.isTextList(exempt) ? exempt : [],
   };
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -35,8 +35,8 @@
     typeof value['resigning'] === 'boolean' &&
     typeGuards.isNonNegativeInteger(value['takeoverStep']) &&
     typeof value['hearsMajority'] === 'boolean' &&
-    (value['witnessEnd'] === undefined ||
-      typeGuards.isNonNegativeInteger(value['witnessEnd'])) &&
+    (value['grantorEnd'] === undefined ||
+      typeGuards.isNonNegativeInteger(value['grantorEnd'])) &&
     (value['exempt'] === undefined || isTextList(value['exempt']))
   );
 }
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -33,9 +33,9 @@
   readonly takeoverStep: number;
   /** Whether the leader has lately heard a majority of the members. */
   readonly hearsMajority: boolean;
-  /** As in `Witnesses`; undefined once no earlier leader may act. */
-  readonly witnessEnd?: number;
-  /** As in `Witnesses`; undefined if there are none. */
+  /** As in `Grantors`; undefined once no earlier leader may act. */
+  readonly grantorEnd?: number;
+  /** As in `Grantors`; undefined if there are none. */
   readonly exempt?: ReadonlyArray<string>;
 }
 
@@ -43,15 +43,15 @@
  * Members that are known to, and needed by, the writer of a record and every
  * earlier leader that could still act when it was written.
  */
-export interface Witnesses {
+export interface Grantors {
   /** They registered before this offset. */
-  readonly witnessEnd: number;
+  readonly grantorEnd: number;
   /** Addresses of members that registered before it and are not needed. */
   readonly exempt: ReadonlyArray<string>;
 }
 
 /** A claim or a progress record of a leader. */
-export interface LeaderRecord extends Witnesses {
+export interface LeaderRecord extends Grantors {
   /** Its position in the log; its writer had read all that precedes it. */
   readonly offset: number;
 }
@@ -98,13 +98,13 @@
   /** Returns whether the store answers this process at present. */
   probe(): Promise<boolean>;
   /**
-   * Claims the next term if the log ends at `expectedEnd`. `witnesses` are those
+   * Claims the next term if the log ends at `expectedEnd`. `grantors` are those
    * of the last leader's record; undefined if there was no leader.
    */
   claim(
     member: CellMember,
     expectedEnd: number,
-    witnesses: Witnesses | undefined,
+    grantors: Grantors | undefined,
   ): Promise<ClaimOutcome>;
   /** Writes the leader's progress if the log ends at `expectedEnd`. */
   reportProgress(
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -85,7 +85,7 @@
       ...options,
       isLeader: () => this.elector.isLeader,
       peers: () => this.elector.peers,
-      isWitness: address => this.elector.isWitness(address),
+      isGrantor: address => this.elector.isGrantor(address),
       onSuspended: () => this.cellConfiguration.requireProof(),
     });
     this.elector = new leaderElector.LeaderElector({
@@ -426,23 +426,23 @@
       resigning: elector.resigning,
       takeoverStep: scheduler.takeoverStep,
       hearsMajority: this.contacts.hearsMajority(elector.peers),
-      ...this.witnessesToReport(scheduler),
+      ...this.grantorsToReport(scheduler),
     };
     this.progressReporter.report(progress, elector.logEnd);
   }
 
   /** Returns what a successor has to know of this leader and earlier ones. */
-  private witnessesToReport(
+  private grantorsToReport(
     scheduler: jobScheduler.JobScheduler,
-  ): Pick<cellMember.LeaderProgress, 'witnessEnd' | 'exempt'> {
+  ): Pick<cellMember.LeaderProgress, 'grantorEnd' | 'exempt'> {
     if (scheduler.earlierLeadersEnded) {
       return {exempt: this.leadership.reviewExempt()};
     }
-    return this.elector.witnesses === undefined
+    return this.elector.grantors === undefined
       ? {}
       : {
-          witnessEnd: this.elector.witnesses.witnessEnd,
-          exempt: this.elector.witnesses.exempt,
+          grantorEnd: this.elector.grantors.grantorEnd,
+          exempt: this.elector.grantors.exempt,
         };
   }
 
@@ -451,7 +451,7 @@
     progress: cellMember.LeaderProgress,
   ): void {
     this.leadership.proveByStore(sentAt);
-    if (progress.witnessEnd === undefined) {
+    if (progress.grantorEnd === undefined) {
       this.leadership.recordExemptStored(progress.exempt ?? []);
     }
     // After a long turn, the next record is due before the next tick.
@@ -491,7 +491,7 @@
       earlierTerms: {
         provedLeaderAt: () => this.leadership.provedByStoreAt(),
         majorityInformedAt: () => this.leadership.majorityInformedAt,
-        witnessInformedAt: () => this.leadership.witnessInformedAt,
+        grantorInformedAt: () => this.leadership.grantorInformedAt,
       },
       isConfigurationUsable: () => this.cellConfiguration.isUsable,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -1,5 +1,5 @@
 import * as leaderMonitor from './leader_monitor.js';
-import * as witnessTable from './witness_table.js';
+import * as grantorTable from './grantor_table.js';
 import type * as cellMember from './cell_member.js';
 import type * as clock from '../machines/clock.js';
 
@@ -43,7 +43,7 @@
   private knownLogEnd = 0;
   /** End of the log that the last lost claim was based on. */
   private lostClaimEnd: number | undefined;
-  private readonly witnessTable = new witnessTable.WitnessTable();
+  private readonly grantorTable = new grantorTable.GrantorTable();
 
   constructor(
     private readonly self: cellMember.CellMember,
@@ -81,18 +81,18 @@
     const {address} = this.self;
     const leaderAddress = this.knownClaim?.address ?? address;
     return (
-      leaderAddress === address || this.witnessTable.isKnownToLeader(address)
+      leaderAddress === address || this.grantorTable.isKnownToLeader(address)
     );
   }
 
-  /** Witnesses for the leaders before a claim; see `WitnessTable`. */
-  get witnesses(): cellMember.Witnesses | undefined {
-    return this.witnessTable.witnesses;
+  /** Grantors for the leaders before a claim; see `GrantorTable`. */
+  get grantors(): cellMember.Grantors | undefined {
+    return this.grantorTable.grantors;
   }
 
   /** Returns where a process at an address first registered, if known. */
   firstOffsetOf(address: string): number | undefined {
-    return this.witnessTable.firstOffsetOf(address);
+    return this.grantorTable.firstOffsetOf(address);
   }
 
   /** Records where members have registered, and the newest leader's record. */
@@ -100,15 +100,15 @@
     memberOffsets: ReadonlyMap<string, number>,
     leaderRecord: cellMember.LeaderRecord | undefined,
   ): void {
-    this.witnessTable.applyLog(memberOffsets, leaderRecord);
+    this.grantorTable.applyLog(memberOffsets, leaderRecord);
   }
 
-  /** Returns whether a member is one of the witnesses. */
-  isWitness(
+  /** Returns whether a member is one of the grantors. */
+  isGrantor(
     address: string,
-    witnesses: cellMember.Witnesses | undefined,
+    grantors: cellMember.Grantors | undefined,
   ): boolean {
-    return this.witnessTable.isWitness(address, witnesses);
+    return this.grantorTable.isGrantor(address, grantors);
   }
 
   /** Records a claim from the log or a peer; returns true if it is newer. */
--- a/src/zones/witness_table.ts
+++ b/src/zones/grantor_table.ts
@@ -2,13 +2,13 @@
 
 /**
  * Which members the leaders that may still act have read from the log. Such a
- * member is a witness: once it knows a later term, none of these leaders hears
+ * member is a grantor: once it knows a later term, none of these leaders hears
  * all members that it knows. Example: leader A has read A, B and C. D and E join
  * while A is cut off with B and C. D leads, then E. D had read E, but A knows
- * neither, so only A, B and C are witnesses for both of them. Had A written that
+ * neither, so only A, B and C are grantors for both of them. Had A written that
  * it acts without C, only A and B would be.
  */
-export class WitnessTable {
+export class GrantorTable {
   /** Offset at which a process of each address first registered. */
   private readonly registrations = new Map<string, number>();
   private lastLeaderRecord: cellMember.LeaderRecord | undefined;
@@ -33,8 +33,8 @@
     return this.registrations.get(address);
   }
 
-  /** Witnesses for all leaders of the log so far; undefined if there was none. */
-  get witnesses(): cellMember.Witnesses | undefined {
+  /** Grantors for all leaders of the log so far; undefined if there was none. */
+  get grantors(): cellMember.Grantors | undefined {
     return this.lastLeaderRecord;
   }
 
@@ -45,18 +45,18 @@
   }
 
   /**
-   * Returns whether a member is one of the witnesses. A later process at the
+   * Returns whether a member is one of the grantors. A later process at the
    * address of one is, too: it shows that the registered process has ended, so
    * that a leader which knows that one doesn't hear it.
    */
-  isWitness(
+  isGrantor(
     address: string,
-    witnesses: cellMember.Witnesses | undefined,
+    grantors: cellMember.Grantors | undefined,
   ): boolean {
-    if (witnesses === undefined) return true;
-    const {witnessEnd, exempt} = witnesses;
+    if (grantors === undefined) return true;
+    const {grantorEnd, exempt} = grantors;
     return (
-      this.isRegisteredBefore(address, witnessEnd) && !exempt.includes(address)
+      this.isRegisteredBefore(address, grantorEnd) && !exempt.includes(address)
     );
   }
 
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -85,8 +85,8 @@
   private nextStandbyPingAt = 0;
   private standbyPingCount = 0;
   private hasResigned = false;
-  /** Witnesses for the leaders before the last claim of this member. */
-  private claimedWitnesses: cellMember.Witnesses | undefined;
+  /** Grantors for the leaders before the last claim of this member. */
+  private claimedGrantors: cellMember.Grantors | undefined;
   /** Last reply of each member, by its address. */
   private readonly lastReplies = new Map<string, cellPeers.ReceivedReply>();
 
@@ -117,14 +117,14 @@
     return this.election.logEnd;
   }
 
-  /** Witnesses for the leaders before this member's last claim. */
-  get witnesses(): cellMember.Witnesses | undefined {
-    return this.claimedWitnesses;
+  /** Grantors for the leaders before this member's last claim. */
+  get grantors(): cellMember.Grantors | undefined {
+    return this.claimedGrantors;
   }
 
-  /** Returns whether a member is one of these witnesses. */
-  isWitness(address: string): boolean {
-    return this.election.isWitness(address, this.claimedWitnesses);
+  /** Returns whether a member is one of these grantors. */
+  isGrantor(address: string): boolean {
+    return this.election.isGrantor(address, this.claimedGrantors);
   }
 
   /** Records the registrations of members; see `Election`. */
@@ -275,11 +275,11 @@
     const startedAt = clock.now();
     const suspicion = this.election.suspicion(startedAt);
     if (suspicion === undefined) return undefined;
-    const {logEnd, witnesses} = this.election;
+    const {logEnd, grantors} = this.election;
     const silentMs = Math.round(this.election.leaderSilenceMs(startedAt));
     // The log may show the claim before its answer arrives.
-    this.claimedWitnesses = witnesses;
-    const outcome = await cellLog.claim(self, logEnd, witnesses);
+    this.claimedGrantors = grantors;
+    const outcome = await cellLog.claim(self, logEnd, grantors);
     counters.count('claims', outcome.kind);
     counters.count('claim_reasons', suspicion.reason);
     counters.observe('claim', clock.now() - startedAt);
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -20,7 +20,7 @@
   /** Returns all other members that this process has read from the log. */
   readonly peers: () => ReadonlyArray<cellMember.CellMember>;
   /** Returns whether all earlier leaders that may act know a member. */
-  readonly isWitness: (address: string) => boolean;
+  readonly isGrantor: (address: string) => boolean;
   /** Called when this VM may have been suspended. */
   readonly onSuspended: () => void;
 }
@@ -32,7 +32,7 @@
 const ASKED_AGE_MS = 600;
 
 /** Members that have to know a term before those of earlier leaders end. */
-type InformedMembers = 'witness' | 'majority';
+type InformedMembers = 'grantor' | 'majority';
 
 /** What a member has told of itself in a ping or a reply. */
 export interface MemberState {
@@ -85,9 +85,9 @@
     return this.options.clock.now() - this.lastPermittedAt;
   }
 
-  /** When a witness knew the term; see `EarlierTerms`. */
-  get witnessInformedAt(): clock.Milliseconds | undefined {
-    return this.announcement.witnessInformedAt;
+  /** When a grantor knew the term; see `EarlierTerms`. */
+  get grantorInformedAt(): clock.Milliseconds | undefined {
+    return this.announcement.grantorInformedAt;
   }
 
   /** Begins a term of this process, without any proof yet. */
@@ -98,9 +98,9 @@
     this.exemptMembers.restart(this.beganAt);
     this.lastAskedAt.clear();
     this.loggedInformed.clear();
-    const {isWitness, self} = this.options;
+    const {isGrantor, self} = this.options;
     this.announcement.beginTerm(
-      {term, isWitness: isWitness(self.address)},
+      {term, isGrantor: isGrantor(self.address)},
       this.informedMembers(),
     );
   }
@@ -110,7 +110,7 @@
    * exempt; see `ExemptMembers`.
    */
   reviewExempt(): ReadonlyArray<string> {
-    // A member of a version without exemptions takes itself for a witness.
+    // A member of a version without exemptions takes itself for a grantor.
     const areHeeded = this.options
       .peers()
       .every(({heedsExemptions}) => heedsExemptions === true);
@@ -152,7 +152,7 @@
   /**
    * Records which term a member knew. One that was restarted has forgotten what
    * its last incarnation was told, so only the incarnation that this process has
-   * read from the log is a witness.
+   * read from the log is a grantor.
    */
   recordMemberState(state: MemberState): void {
     // A member that knows a later term has ended this one.
@@ -223,7 +223,7 @@
    */
   review(term: number | undefined): void {
     this.voidAfterSuspension();
-    this.logInformed(term, 'witness', this.witnessInformedAt);
+    this.logInformed(term, 'grantor', this.grantorInformedAt);
     this.logInformed(term, 'majority', this.majorityInformedAt);
     const basis = this.basis();
     if (basis !== 'none') this.lastPermittedAt = this.options.clock.now();
@@ -266,10 +266,10 @@
   }
 
   private informedMembers(): ReadonlyArray<termAnnouncement.InformedMember> {
-    const {isWitness, peers} = this.options;
+    const {isGrantor, peers} = this.options;
     return peers().map(({address}) => ({
       address,
-      isWitness: isWitness(address),
+      isGrantor: isGrantor(address),
     }));
   }
 
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -73,8 +73,9 @@
     const withoutStoreMs = now - this.storeProvedAt;
     const mayRelyOnAll =
       withoutStoreMs < earlierLeases.ALL_MEMBERS_PROOF_LIMIT_MS;
-    if (mayRelyOnAll && isRecent(this.provedAt(peers), now))
-      {return 'allMembers';}
+    if (mayRelyOnAll && isRecent(this.provedAt(peers), now)) {
+      return 'allMembers';
+    }
     const isBounded = withoutStoreMs < earlierLeases.MAJORITY_PROOF_LIMIT_MS;
     return isBounded && this.hasMajority(peers, now) ? 'majority' : 'none';
   }
@@ -87,8 +88,8 @@
       isRecent(this.provedByMemberAt(address), now),
     );
     // A leader alone has nobody who would know of a successor.
-    const hasWitness = provedBy.length > 0;
-    return hasWitness && 2 * (provedBy.length + 1) > peers.length + 1;
+    const hasGrantor = provedBy.length > 0;
+    return hasGrantor && 2 * (provedBy.length + 1) > peers.length + 1;
   }
 
   /** Returns the latest time at which a member knew no later term. */
--- a/src/zones/term_announcement.ts
+++ b/src/zones/term_announcement.ts
@@ -3,36 +3,36 @@
 /** A member as the announcement of a term counts it. */
 export interface InformedMember {
   readonly address: string;
-  /** Whether every earlier leader that may still act knows it. */
-  readonly isWitness: boolean;
+  /** Whether every earlier leader that may still act knows and needs it. */
+  readonly isGrantor: boolean;
 }
 
-/** A term of this process, and whether this process is a witness. */
+/** A term of this process, and whether this process is a grantor. */
 export interface AnnouncedTerm {
   readonly term: number;
-  readonly isWitness: boolean;
+  readonly isGrantor: boolean;
 }
 
 /**
- * Which members know the term that this process leads. Once a witness does, no
+ * Which members know the term that this process leads. Once a grantor does, no
  * earlier leader hears all members; once a majority does, none finds a majority
  * that doesn't.
  */
 export class TermAnnouncement {
-  private announced: AnnouncedTerm = {term: 0, isWitness: true};
+  private announced: AnnouncedTerm = {term: 0, isGrantor: true};
   private readonly informed = new Set<string>();
-  private firstWitnessAt: clock.Milliseconds | undefined;
+  private firstGrantorAt: clock.Milliseconds | undefined;
   private majorityAt: clock.Milliseconds | undefined;
 
   constructor(private readonly clock: clock.Clock) {}
 
-  /** When the first witness knew the term; undefined until then. */
-  get witnessInformedAt(): clock.Milliseconds | undefined {
-    return this.firstWitnessAt;
+  /** When the first grantor knew the term; undefined until then. */
+  get grantorInformedAt(): clock.Milliseconds | undefined {
+    return this.firstGrantorAt;
   }
 
   /**
-   * When so many witnesses knew the term that the other members that an earlier
+   * When so many grantors knew the term that the other members that an earlier
    * leader may know are no majority of these; undefined until then.
    */
   get majorityInformedAt(): clock.Milliseconds | undefined {
@@ -46,7 +46,7 @@
   ): void {
     this.announced = announced;
     this.informed.clear();
-    this.firstWitnessAt = undefined;
+    this.firstGrantorAt = undefined;
     this.majorityAt = undefined;
     this.review(peers);
   }
@@ -63,21 +63,21 @@
   }
 
   private review(peers: ReadonlyArray<InformedMember>): void {
-    if (this.firstWitnessAt !== undefined && this.majorityAt !== undefined) {
+    if (this.firstGrantorAt !== undefined && this.majorityAt !== undefined) {
       return;
     }
-    const ownCount = this.announced.isWitness ? 1 : 0;
-    let informedWitnessCount = ownCount;
+    const ownCount = this.announced.isGrantor ? 1 : 0;
+    let informedGrantorCount = ownCount;
     // An earlier leader may know any of the others, too.
     let possibleCount = ownCount;
-    for (const {address, isWitness} of peers) {
+    for (const {address, isGrantor} of peers) {
       const isInformed = this.informed.has(address);
-      if (isWitness && isInformed) informedWitnessCount += 1;
-      if (isWitness || !isInformed) possibleCount += 1;
+      if (isGrantor && isInformed) informedGrantorCount += 1;
+      if (isGrantor || !isInformed) possibleCount += 1;
     }
     const now = this.clock.now();
-    if (informedWitnessCount > 0) this.firstWitnessAt ??= now;
+    if (informedGrantorCount > 0) this.firstGrantorAt ??= now;
     // Without half of the members, the others are no majority.
-    if (2 * informedWitnessCount >= possibleCount) this.majorityAt ??= now;
+    if (2 * informedGrantorCount >= possibleCount) this.majorityAt ??= now;
   }
 }
--- a/test/jobs/earlier_leases_test.ts
+++ b/test/jobs/earlier_leases_test.ts
@@ -13,7 +13,7 @@
 function findExpiry(
   informedAtMs: number | undefined,
   provedLeaderAt: (now: number) => number,
-  witnessInformedAtMs: number | undefined = BEGAN_AT_MS,
+  grantorInformedAtMs: number | undefined = BEGAN_AT_MS,
   untilMs = 60_000,
 ): number | undefined {
   let now = BEGAN_AT_MS;
@@ -23,7 +23,7 @@
     {
       provedLeaderAt: () => provedLeaderAt(now),
       majorityInformedAt: () => informedAtMs,
-      witnessInformedAt: () => witnessInformedAtMs,
+      grantorInformedAt: () => grantorInformedAtMs,
     },
   );
   for (; now < untilMs; now += 10) if (leases.haveExpired) return now;
--- a/test/links/cell_log_store_test.ts
+++ b/test/links/cell_log_store_test.ts
@@ -6,7 +6,7 @@
 
 const {describe, test} = nodeTest;
 
-const WITNESSES: cellMember.Witnesses = {witnessEnd: 5, exempt: ['b:1']};
+const GRANTORS: cellMember.Grantors = {grantorEnd: 5, exempt: ['b:1']};
 
 const MEMBER: cellMember.CellMember = {
   node: 'one',
@@ -31,18 +31,18 @@
   test('tells a refused claim from a lost one', async () => {
     const refused = {kind: 'refused', detail: 'status 503'} as const;
     assert.deepEqual(
-      await storeWith(refused).claim(MEMBER, 7, WITNESSES),
+      await storeWith(refused).claim(MEMBER, 7, GRANTORS),
       refused,
     );
     const preceded = storeWith({kind: 'conditionFailed', end: 8});
-    assert.deepEqual(await preceded.claim(MEMBER, 7, WITNESSES), {
+    assert.deepEqual(await preceded.claim(MEMBER, 7, GRANTORS), {
       kind: 'lost',
     });
   });
 
   // Guards against a successor that counts members which an earlier leader does
   // not know or need.
-  test('keeps the witnesses of a claim and of a progress record', async () => {
+  test('keeps the grantors of a claim and of a progress record', async () => {
     const appended: keyedTopic.KeyedRecord[] = [];
     const topic = {
       append: async (records: ReadonlyArray<keyedTopic.KeyedRecord>) => {
@@ -54,7 +54,7 @@
       topic as unknown as keyedTopic.KeyedTopic,
     );
     await store.join(MEMBER, undefined);
-    await store.claim(MEMBER, 1, WITNESSES);
+    await store.claim(MEMBER, 1, GRANTORS);
     const progress = {
       term: 2,
       leading: true,
@@ -62,17 +62,17 @@
       takeoverStep: 1,
       hearsMajority: true,
     };
-    await store.reportProgress({...progress, ...WITNESSES}, 2, 100);
+    await store.reportProgress({...progress, ...GRANTORS}, 2, 100);
     await store.reportProgress(progress, 3, 100);
     const records = appended.map((record, offset) => ({...record, offset}));
     const read = (count: number): cellMember.CellLogContent =>
       cellLogStore.decodeCellLog(records.slice(0, count), true);
     assert.equal(read(1).leaderRecord, undefined);
-    assert.deepEqual(read(2).leaderRecord, {offset: 1, ...WITNESSES});
-    assert.deepEqual(read(3).leaderRecord, {offset: 2, ...WITNESSES});
+    assert.deepEqual(read(2).leaderRecord, {offset: 1, ...GRANTORS});
+    assert.deepEqual(read(3).leaderRecord, {offset: 2, ...GRANTORS});
     assert.deepEqual(read(4).leaderRecord, {
       offset: 3,
-      witnessEnd: 3,
+      grantorEnd: 3,
       exempt: [],
     });
     assert.deepEqual([...read(4).memberOffsets], [[MEMBER.address, 0]]);
--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -235,18 +235,18 @@
     const topic = new RecordingTopic();
     const store = new cellLogStore.CellLogStore(topic);
     await store.join(MEMBER, Number.MAX_SAFE_INTEGER);
-    const witnesses = {
-      witnessEnd: Number.MAX_SAFE_INTEGER,
+    const grantors = {
+      grantorEnd: Number.MAX_SAFE_INTEGER,
       exempt: Array.from({length: 8}, () => MEMBER.address),
     };
-    await store.claim(MEMBER, 0, witnesses);
+    await store.claim(MEMBER, 0, grantors);
     const progress = {
       term: Number.MAX_SAFE_INTEGER,
       leading: false,
       resigning: false,
       takeoverStep: Number.MAX_SAFE_INTEGER,
       hearsMajority: false,
-      ...witnesses,
+      ...grantors,
     };
     await store.reportProgress(progress, 0, 0);
     assert.equal(topic.appended.length, 3);
--- a/test/support/backlog_cell.ts
+++ b/test/support/backlog_cell.ts
@@ -106,7 +106,7 @@
       earlierTerms: {
         provedLeaderAt: () => this.nowMs,
         majorityInformedAt: () => 0,
-        witnessInformedAt: () => 0,
+        grantorInformedAt: () => 0,
       },
       isConfigurationUsable: () => true,
       onSuperseded: () => {},
--- a/test/support/job_cell.ts
+++ b/test/support/job_cell.ts
@@ -164,7 +164,7 @@
       earlierTerms: {
         provedLeaderAt,
         majorityInformedAt: () => beganAt,
-        witnessInformedAt: () => beganAt,
+        grantorInformedAt: () => beganAt,
       },
       isConfigurationUsable: () => this.isConfigurationUsable,
       onSuperseded: reason => {
--- a/test/zones/cell_node_test.ts
+++ b/test/zones/cell_node_test.ts
@@ -124,7 +124,7 @@
     claim,
     progress: undefined,
     memberOffsets: new Map(members.map(({address}, index) => [address, index])),
-    leaderRecord: {offset, witnessEnd: offset, exempt: []},
+    leaderRecord: {offset, grantorEnd: offset, exempt: []},
   };
   node.applyLogContent(content, claim.term);
 }
--- a/test/zones/cut_off_leader_test.ts
+++ b/test/zones/cut_off_leader_test.ts
@@ -82,7 +82,7 @@
 });
 
 describe('a member that restarts on the side of a leader without the store', () => {
-  // Guards against a witness that has forgotten the later term which its last
+  // Guards against a grantor that has forgotten the later term which its last
   // incarnation was told.
   test('gives that leader no proof', async () => {
     const cell = await partitionedCell.startWithLongRuns(LONG_RUN_TIME_MS);
--- a/test/zones/election_test.ts
+++ b/test/zones/election_test.ts
@@ -36,7 +36,7 @@
   const offset = names.length;
   candidate.recordRegistrations(
     new Map(names.map((name, index) => [member(name).address, index])),
-    {offset, witnessEnd: offset, exempt: []},
+    {offset, grantorEnd: offset, exempt: []},
   );
 }
 
--- a/test/zones/leadership_proof_test.ts
+++ b/test/zones/leadership_proof_test.ts
@@ -55,7 +55,7 @@
 
   // Guards against a leader that is alone, so that nobody knows of a successor
   // among members that have joined since.
-  test('needs a witness where a leader is a majority by itself', () => {
+  test('needs a grantor where a leader is a majority by itself', () => {
     const proof = new leadershipProof.LeadershipProof();
     proof.proveByStore(0);
     assert.equal(proof.basis([], 1_999), 'store');
--- a/test/zones/mixed_version_exemption_test.ts
+++ b/test/zones/mixed_version_exemption_test.ts
@@ -27,14 +27,14 @@
     const leaderRecord =
       last === undefined
         ? undefined
-        : {offset: last.offset, witnessEnd: last.offset, exempt: []};
+        : {offset: last.offset, grantorEnd: last.offset, exempt: []};
     apply({...content, leaderRecord}, ...rest);
   };
 }
 
 describe('a member of the version before in a rolling upgrade', () => {
   // Guards against a leader that exempts a member which doesn't read that: the
-  // member takes itself for a witness, and starts what the leader still runs.
+  // member takes itself for a grantor, and starts what the leader still runs.
   test('starts nothing that the leader still runs', async () => {
     const cell = await workingCell.startCell(5, 60_000);
     await workingCell.submitJobs(cell, 600);
--- a/test/zones/term_announcement_test.ts
+++ b/test/zones/term_announcement_test.ts
@@ -5,22 +5,22 @@
 const {describe, test} = nodeTest;
 
 /** Returns members that the earlier leaders know. */
-function witnesses(
+function grantors(
   ...addresses: ReadonlyArray<string>
 ): ReadonlyArray<termAnnouncement.InformedMember> {
-  return addresses.map(address => ({address, isWitness: true}));
+  return addresses.map(address => ({address, isGrantor: true}));
 }
 
 /** Returns members that have joined since the earlier leaders read the log. */
 function newcomers(
   ...addresses: ReadonlyArray<string>
 ): ReadonlyArray<termAnnouncement.InformedMember> {
-  return addresses.map(address => ({address, isWitness: false}));
+  return addresses.map(address => ({address, isGrantor: false}));
 }
 
-const PEERS = witnesses('b', 'c', 'd', 'e');
+const PEERS = grantors('b', 'c', 'd', 'e');
 
-const TERM = {term: 7, isWitness: true};
+const TERM = {term: 7, isGrantor: true};
 
 describe('announcement of a term', () => {
   // Guards against a successor that counts members which still support the
@@ -70,16 +70,16 @@
     const announcement = new termAnnouncement.TermAnnouncement({
       now: () => now,
     });
-    const peers = [...witnesses('a', 'b', 'c'), ...newcomers('x', 'y', 'z')];
-    announcement.beginTerm({term: 7, isWitness: false}, peers);
+    const peers = [...grantors('a', 'b', 'c'), ...newcomers('x', 'y', 'z')];
+    announcement.beginTerm({term: 7, isGrantor: false}, peers);
     for (const address of ['x', 'y', 'z']) {
       announcement.recordKnownTerm(address, 7, peers);
     }
-    assert.equal(announcement.witnessInformedAt, undefined);
+    assert.equal(announcement.grantorInformedAt, undefined);
     assert.equal(announcement.majorityInformedAt, undefined);
     now = 50;
     announcement.recordKnownTerm('b', 7, peers);
-    assert.equal(announcement.witnessInformedAt, 50);
+    assert.equal(announcement.grantorInformedAt, 50);
     assert.equal(announcement.majorityInformedAt, undefined, 'a finds c');
     now = 90;
     announcement.recordKnownTerm('c', 7, peers);
@@ -90,7 +90,7 @@
   // after all: it has read more of the log than it has written since.
   test('takes a newcomer that was not told for one that the leader hears', () => {
     const announcement = new termAnnouncement.TermAnnouncement({now: () => 10});
-    const peers = [...witnesses('a', 'b'), ...newcomers('x')];
+    const peers = [...grantors('a', 'b'), ...newcomers('x')];
     announcement.beginTerm(TERM, peers);
     assert.equal(announcement.majorityInformedAt, undefined);
     announcement.recordKnownTerm('x', 7, peers);
