List the members only when the log has not answered lately

Whether a leader may act is asked for each start, renewal and placement step. Each time all members were listed, mapped and filtered, and each ping or reply built an object for every member: with 97 members some 100 elements a question, though the log's proof alone answers it in ordinary operation. The members are looked up only without a recent proof by the log, and the announcement of a term only until it is complete. No decision is changed.

--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -158,11 +158,13 @@
     // A member that knows a later term has ended this one.
     if (!this.options.isLeader()) return;
     const {address, incarnation, newest, askedAt} = state;
-    this.announcement.recordKnownTerm(
-      address,
-      newest?.term,
-      this.informedMembers(),
-    );
+    if (!this.announcement.isComplete) {
+      this.announcement.recordKnownTerm(
+        address,
+        newest?.term,
+        this.informedMembers(),
+      );
+    }
     const isRegistered = this.options
       .peers()
       .some(
@@ -262,7 +264,10 @@
   private basis(): leadershipProof.ProofBasis {
     const {clock, isLeader} = this.options;
     if (!isLeader()) return 'none';
-    return this.proof.basis(this.neededPeers(), clock.now());
+    const now = clock.now();
+    // Asked for each start and renewal: the members are not listed for nothing.
+    if (this.proof.isProvedByStore(now)) return 'store';
+    return this.proof.basis(this.neededPeers(), now);
   }
 
   private informedMembers(): ReadonlyArray<termAnnouncement.InformedMember> {
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -64,12 +64,17 @@
     return Math.max(this.storeProvedAt, provedByAll);
   }
 
+  /** Returns whether the cell's log alone allows this process to act. */
+  isProvedByStore(now: clock.Milliseconds): boolean {
+    return isRecent(this.storeProvedAt, now);
+  }
+
   /**
    * Returns what allows this process to grant leases and start tasks. A
    * successor waits until the last such permission has ended.
    */
   basis(peers: ReadonlyArray<string>, now: clock.Milliseconds): ProofBasis {
-    if (isRecent(this.storeProvedAt, now)) return 'store';
+    if (this.isProvedByStore(now)) return 'store';
     const withoutStoreMs = now - this.storeProvedAt;
     const mayRelyOnAll =
       withoutStoreMs < earlierLeases.ALL_MEMBERS_PROOF_LIMIT_MS;
--- a/src/zones/term_announcement.ts
+++ b/src/zones/term_announcement.ts
@@ -39,6 +39,11 @@
     return this.majorityAt;
   }
 
+  /** Whether both times are known. */
+  get isComplete(): boolean {
+    return this.firstGrantorAt !== undefined && this.majorityAt !== undefined;
+  }
+
   /** Starts to announce a term; `peers` are all others. */
   beginTerm(
     announced: AnnouncedTerm,
@@ -63,9 +68,7 @@
   }
 
   private review(peers: ReadonlyArray<InformedMember>): void {
-    if (this.firstGrantorAt !== undefined && this.majorityAt !== undefined) {
-      return;
-    }
+    if (this.isComplete) return;
     const ownCount = this.announced.isGrantor ? 1 : 0;
     let informedGrantorCount = ownCount;
     // An earlier leader may know any of the others, too.
