Review case 8: a late copy of a start runs beside the task's next run

Cause: a run that failed is started again at once, although a copy of its start may still be carried out by the next life of the worker (an entry of KNOWN-RED.txt). Change: a script in which one worker fails its runs, leaves half of its orders open and restarts.

--- a/review/stand_ins_2/worker.mjs
+++ b/review/stand_ins_2/worker.mjs
@@ -7,6 +7,16 @@
 const STEP_MS = 10;
 const HEARTBEAT_MS = 1_500;
 
+/** Range of the time after which an order without an answer is carried out. */
+const LATE_MINIMUM_MS = 2_000;
+const LATE_MAXIMUM_MS = 12_000;
+
+/** How long a task works on a worker that fails all that it starts. */
+const FAILURE_MS = 50;
+
+/** Time from a restart until the worker writes its entry. */
+const FIRST_ENTRY_MS = 400;
+
 export class Worker {
   /**
    * `record` receives each start and end: {at, kind, worker, task, run, how}.
@@ -16,6 +26,16 @@
     this.server = http.createServer((request, response) => {
       this.serve(request, response).catch(() => response.destroy());
     });
+    this.alive = true;
+    /** Share of the starts that get no answer and are carried out late. */
+    this.lateShare = 0;
+    /** Whether all that is started here fails. */
+    this.failsAll = false;
+    this.beginLife();
+  }
+
+  /** Begins a life: the worker holds and knows nothing of before. */
+  beginLife() {
     this.born = Date.now();
     this.clockStart = performance.now();
     this.running = new Map();
@@ -25,8 +45,39 @@
     this.fence = 0;
     this.leaseEnd = 0;
     this.seq = 0;
-    this.alive = true;
-    this.acknowledged = [];
+    this.down = false;
+  }
+
+  /**
+   * Crashes silently and starts again under its id after a time. Its host then
+   * resets the connections of before.
+   */
+  crashFor(downMs, store) {
+    this.down = true;
+    clearInterval(this.heartbeat);
+    for (const [task, {run}] of this.running) {
+      this.note('end', task, run, 'gone');
+    }
+    this.running.clear();
+    this.restart = setTimeout(() => {
+      this.server.closeAllConnections();
+      this.beginLife();
+      this.failsAll = false;
+      this.restart = setTimeout(() => this.register(store), FIRST_ENTRY_MS);
+    }, downMs);
+  }
+
+  /** Keeps an order; the life that is up then carries it out. */
+  keepLateStart(body) {
+    const spread = LATE_MAXIMUM_MS - LATE_MINIMUM_MS;
+    const carryOut = () => {
+      if (!this.alive || this.down || body.fencing_token < this.fence) return;
+      this.fence = body.fencing_token;
+      this.advance();
+      this.start(body, () => {});
+    };
+    const delayMs = LATE_MINIMUM_MS + spread * Math.random();
+    setTimeout(carryOut, delayMs).unref();
   }
 
   async listen(host, port) {
@@ -81,6 +132,7 @@
     clearInterval(this.timer);
     clearInterval(this.heartbeat);
     clearTimeout(this.dropTimer);
+    clearTimeout(this.restart);
     this.server.closeAllConnections();
     this.server.close();
   }
@@ -94,9 +146,10 @@
   }
 
   advance() {
+    if (this.down) return;
     const now = this.clockMs;
     for (const [task, entry] of this.running) {
-      if (entry.endsAt <= now) this.end(task, 'done');
+      if (entry.endsAt <= now) this.end(task, entry.how);
       else if (this.leaseEnd <= now) this.end(task, 'lapsed');
     }
   }
@@ -124,6 +177,7 @@
   async serve(request, response) {
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
+    if (this.down) return undefined;
     const body = JSON.parse(Buffer.concat(chunks).toString() || '{}');
     const answer = (status, fields = {}) => {
       response.writeHead(status, {'content-type': 'application/json'});
@@ -131,6 +185,8 @@
       response.end(JSON.stringify(text));
     };
     if (request.headers['expect-instance'] !== this.id) return answer(421);
+    const isLate = Math.random() < this.lateShare;
+    if (request.url === '/run-start' && isLate) return this.keepLateStart(body);
     this.advance();
     const token = body.fencing_token ?? 0;
     if (token < this.fence) return answer(409, {reason: 'fence'});
@@ -165,23 +221,24 @@
     }
     const {ms = 1_000, lasts = false} = JSON.parse(spec);
     const startedAt = this.clockMs;
-    const endsAt = lasts ? Infinity : startedAt + ms;
-    this.running.set(task, {run, startedAt, endsAt, ms, lasts});
+    const how = this.failsAll ? 'failed' : 'done';
+    const workMs = this.failsAll ? FAILURE_MS : ms;
+    const endsAt = lasts ? Infinity : startedAt + workMs;
+    this.running.set(task, {run, startedAt, endsAt, ms, lasts, how});
     this.note('start', task, run);
     return answer(200);
   }
 
   async hold(body, answer) {
+    const {born} = this;
     this.extendLease(body.deadline_ms);
     const acknowledged = body.ack_cursor ?? 0;
-    for (const row of this.finished) {
-      if (row[0] <= acknowledged) this.acknowledged.push(row);
-    }
     this.finished = this.finished.filter(([number]) => number > acknowledged);
     const waitUntil = performance.now() + (body.wait_ms ?? 0);
     while (this.finished.length === 0 && performance.now() < waitUntil) {
       await new Promise(resolve => setTimeout(resolve, STEP_MS));
     }
+    if (this.down || this.born !== born) return undefined;
     const now = this.clockMs;
     const running = [...this.running].map(([task, entry]) => {
       const {run, startedAt, ms, lasts} = entry;
