Name workers as witnesses of a leader that has lost the log

Cause: without the cell's log a leader acted on the word of its members alone, so only they could tell a successor that it has ended. Members that are gone for good never tell, and the successor waited out the longest permission, 20 s or 2 h.

--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -26,6 +26,14 @@
 /** Duration of a lease on a clock that runs slow, with late timers. */
 const LONGEST_LEASE_MS = LEASE_DURATION_MS * CLOCK_RATE_RATIO + TIMER_MARGIN_MS;
 
+/** What the witnesses of earlier leaders tell; see `WorkerWitnesses`. */
+export interface WitnessKnowledge {
+  /** Which of the earlier leaders that may act heed witnesses. */
+  readonly heededBy: 'none' | 'some' | 'all';
+  /** When a majority of them knew this term; undefined until then. */
+  readonly informedAt: clock.Milliseconds | undefined;
+}
+
 /** What a new term knows of the leaders before it. */
 export interface EarlierTerms {
   /** Latest time at which no later term than this one existed. */
@@ -40,6 +48,8 @@
    * then. They may act for as long as they hear all members that they know.
    */
   readonly grantorInformedAt: () => clock.Milliseconds | undefined;
+  /** What the witnesses tell; undefined if no earlier leader heeds any. */
+  readonly witnesses?: () => WitnessKnowledge;
 }
 
 /**
@@ -51,6 +61,10 @@
  * this term as soon as a majority was told of it; without the log, the word of a
  * majority counts for a limited time only. The word of all members counts until
  * one of them knows this term, or for hours.
+ *
+ * An earlier leader that heeds witnesses needs a majority of the members and one
+ * of the witnesses. Either of them ends its permission, so that members which
+ * are gone for good don't prolong it.
  */
 export class EarlierLeases {
   constructor(
@@ -75,6 +89,38 @@
 
   /** When no leader of an earlier term may grant leases any more. */
   private get lastPermissionEndsAt(): clock.Milliseconds {
+    const {heededBy = 'none', informedAt} =
+      this.earlierTerms.witnesses?.() ?? {};
+    switch (heededBy) {
+      case 'none':
+        return this.memberPermissionEndsAt;
+      case 'some':
+        return Math.max(
+          this.memberPermissionEndsAt,
+          this.witnessedPermissionEndsAt(informedAt),
+        );
+      case 'all':
+        return this.witnessedPermissionEndsAt(informedAt);
+    }
+  }
+
+  /** When the permission of a leader ends that needs witnesses as well. */
+  private witnessedPermissionEndsAt(
+    witnessesInformedAt: clock.Milliseconds | undefined,
+  ): clock.Milliseconds {
+    const majorityInformedAt = this.earlierTerms.majorityInformedAt();
+    const informedAt = Math.min(
+      witnessesInformedAt ?? Infinity,
+      majorityInformedAt ?? Infinity,
+    );
+    return Math.min(
+      informedAt + LEADERSHIP_PROOF_LIFETIME_MS,
+      this.beganAt + ALL_MEMBERS_PROOF_LIMIT_MS * CLOCK_RATE_RATIO,
+    );
+  }
+
+  /** When the permission of a leader ends that needs the members alone. */
+  private get memberPermissionEndsAt(): clock.Milliseconds {
     const {grantorInformedAt, majorityInformedAt} = this.earlierTerms;
     const allHeardUntil = Math.min(
       (grantorInformedAt() ?? Infinity) + LEADERSHIP_PROOF_LIFETIME_MS,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -29,6 +29,7 @@
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as jobTask from './job_task.js';
+import type * as witness from '../machines/witness.js';
 import type * as workerClient from '../machines/worker_client.js';
 
 /** Cost of restoring a job, in units of a slice's budget. */
@@ -51,6 +52,7 @@
 export class JobScheduler implements dispatcher.DispatchListener {
   private readonly journal: jobJournal.JobJournal;
   private readonly jobTable: jobTable.JobTable;
+  private readonly workers = new workerTable.WorkerTable();
   private readonly queues: queueTable.QueueTable;
   private readonly openSteps = new openSteps.OpenSteps();
   private readonly assignmentIndex = new assignmentIndex.AssignmentIndex();
@@ -74,9 +76,8 @@
 
   constructor(private readonly options: schedulerOptions.SchedulerOptions) {
     const {clock, term, timer} = options;
-    const {assignmentIndex, reliability} = this;
+    const {assignmentIndex, reliability, workers} = this;
     const requestPlacementPass = (): void => this.requestPlacementPass();
-    const workers = new workerTable.WorkerTable();
     const runtimes = new runtimeModel.RuntimeModel();
     this.earlierLeases = new earlierLeases.EarlierLeases(
       clock,
@@ -210,6 +211,11 @@
     return this.earlierLeases.permissionsHaveEnded;
   }
 
+  /** The workers, as witnesses of this term. */
+  get witnessSource(): witness.WitnessSource {
+    return this.workers;
+  }
+
   /** Position of this term's claim in the cell's log. */
   get term(): number {
     return this.options.term;
--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -6,6 +6,7 @@
 
 const CLAIM_KEY = 'claim';
 const PROGRESS_KEY = 'progress';
+const WITNESSES_KEY = 'witnesses';
 const MEMBER_PREFIX = 'member/';
 
 /** Time within which an append must be answered. */
@@ -19,7 +20,12 @@
     member: cellMember.CellMember,
     firstOffset: number | undefined,
   ): Promise<boolean> {
-    const registration = {...member, firstOffset, heedsExemptions: true};
+    const registration = {
+      ...member,
+      firstOffset,
+      heedsExemptions: true,
+      heedsWitnesses: true,
+    };
     const record = {
       key: MEMBER_PREFIX + member.address,
       value: jsonDocument.encode(registration),
@@ -67,15 +73,15 @@
     expectedEnd: number,
     timeoutMs: number,
   ): Promise<cellMember.ProgressOutcome> {
-    const record = {key: PROGRESS_KEY, value: jsonDocument.encode(progress)};
+    const records = progressRecords(progress);
     const outcome = await this.topic.append(
-      [record],
+      records,
       {ifEnd: expectedEnd},
       timeoutMs,
     );
     switch (outcome.kind) {
       case 'appended':
-        return {kind: 'stored', end: outcome.offset + 1};
+        return {kind: 'stored', end: outcome.offset + records.length};
       case 'conditionFailed':
         return this.readNewRecords(expectedEnd);
       default:
@@ -94,6 +100,19 @@
   }
 }
 
+/**
+ * Returns the records of a leader's progress, which are stored all or not at
+ * all. The witnesses have a key of their own, because they seldom change.
+ */
+function progressRecords({
+  witnesses,
+  ...progress
+}: cellMember.LeaderProgress): ReadonlyArray<keyedTopic.KeyedRecord> {
+  const record = {key: PROGRESS_KEY, value: jsonDocument.encode(progress)};
+  if (witnesses === undefined) return [record];
+  return [{key: WITNESSES_KEY, value: jsonDocument.encode(witnesses)}, record];
+}
+
 /** Decodes records of the cell's log; skips unknown kinds. */
 export function decodeCellLog(
   records: ReadonlyArray<keyedTopic.TopicRecord>,
@@ -103,6 +122,7 @@
   const memberOffsets = new Map<string, number>();
   let claim: cellMember.Claim | undefined;
   let progress: cellMember.LeaderProgress | undefined;
+  let witnesses: ReadonlyArray<string> | undefined;
   for (const record of records) {
     if (isMemberKey(record.key)) {
       const address = record.key.slice(MEMBER_PREFIX.length);
@@ -111,13 +131,15 @@
       memberOffsets.set(address, member?.firstOffset ?? record.offset);
     } else if (record.key === CLAIM_KEY) {
       claim = decodeClaim(record) ?? claim;
+    } else if (record.key === WITNESSES_KEY) {
+      witnesses = decodeWitnesses(record) ?? witnesses;
     } else if (record.key === PROGRESS_KEY && !isSnapshot) {
       // The progress in a snapshot may be from long ago.
       progress = decodeProgress(record) ?? progress;
     }
   }
   const leaderRecord = findLeaderRecord(records);
-  return {members, claim, progress, memberOffsets, leaderRecord};
+  return {members, claim, progress, memberOffsets, leaderRecord, witnesses};
 }
 
 function isMemberKey(key: string): boolean {
@@ -164,6 +186,12 @@
   return {term: record.offset + 1, node, incarnation, address};
 }
 
+function decodeWitnesses(
+  record: keyedTopic.TopicRecord,
+): ReadonlyArray<string> | undefined {
+  return jsonDocument.decode(record.value, recordChecks.isTextList).extract();
+}
+
 function decodeProgress(
   record: keyedTopic.TopicRecord,
 ): cellMember.LeaderProgress | undefined {
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -1,6 +1,7 @@
 import * as endCursor from './end_cursor.js';
 import * as resources from './resources.js';
 import type * as clock from './clock.js';
+import type * as witness from './witness.js';
 
 /** Entry of a worker in the platform's registry. */
 export interface RegistryEntry {
@@ -81,11 +82,13 @@
  * reservations, its clock and the latest time until which its tasks may run.
  * For requests, `Worker` represents a worker of the VM list.
  */
-export class RemoteWorker {
+export class RemoteWorker implements witness.Witness {
   /** The run ends that are handled, and those that the worker may drop. */
   readonly endCursor = new endCursor.EndCursor();
-  /** Whether the worker has accepted the fencing token of this term. */
-  fencingTokenAccepted = false;
+  /** When the worker first accepted its fencing token of this term. */
+  tokenAcceptedAt: clock.Milliseconds | undefined;
+  /** When the last call was sent in which it accepted that token. */
+  tokenAskedAt: clock.Milliseconds = -Infinity;
   /** Whether a report of this term has listed all run ends that it holds. */
   allEndsReported = false;
   /** Whether the journal lists the worker as open, for the next scheduler. */
@@ -140,10 +143,28 @@
     return this.registryEntry;
   }
 
+  /** Whether the worker has accepted its fencing token of this term. */
+  get fencingTokenAccepted(): boolean {
+    return this.tokenAcceptedAt !== undefined;
+  }
+
+  /** Records that a call sent at `sentAt` was answered with the token accepted. */
+  recordTokenAccepted(
+    sentAt: clock.Milliseconds,
+    now: clock.Milliseconds,
+  ): void {
+    this.tokenAcceptedAt ??= now;
+    this.tokenAskedAt = Math.max(this.tokenAskedAt, sentAt);
+  }
+
   get id(): string {
     return this.registryEntry.id;
   }
 
+  get zone(): string {
+    return this.registryEntry.zone;
+  }
+
   get rack(): string | undefined {
     return this.registryEntry.labels[1];
   }
--- a/src/machines/worker_session.ts
+++ b/src/machines/worker_session.ts
@@ -171,8 +171,9 @@
       return false;
     }
     const first = !worker.fencingTokenAccepted;
-    worker.recordClockReading(report.clockMs, this.clock.now());
-    worker.fencingTokenAccepted = true;
+    const now = this.clock.now();
+    worker.recordClockReading(report.clockMs, now);
+    worker.recordTokenAccepted(sentAt, now);
     this.listener.reportReceived(worker, report, sentAt);
     // When no lease may be granted, the worker answers at once; returning
     // false makes the loop wait between the calls.
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -12,6 +12,8 @@
   readonly firstOffset?: number;
   /** Whether it heeds the exempt members that leaders' records name. */
   readonly heedsExemptions?: boolean;
+  /** Whether it heeds the witnesses that leaders' records name. */
+  readonly heedsWitnesses?: boolean;
 }
 
 /** A member's claim to lead the cell, with its position in the log. */
@@ -37,6 +39,8 @@
   readonly grantorEnd?: number;
   /** As in `Grantors`; undefined if there are none. */
   readonly exempt?: ReadonlyArray<string>;
+  /** Ids of the workers that are witnesses from now on, if they change. */
+  readonly witnesses?: ReadonlyArray<string>;
 }
 
 /**
@@ -67,6 +71,8 @@
   readonly memberOffsets: ReadonlyMap<string, number>;
   /** Newest claim or progress record, also if the latter may be old. */
   readonly leaderRecord: LeaderRecord | undefined;
+  /** Newest list of witnesses; undefined if the content has none. */
+  readonly witnesses?: ReadonlyArray<string>;
 }
 
 /** Outcome of an attempt to write a progress record. */
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -86,6 +86,10 @@
       isLeader: () => this.elector.isLeader,
       peers: () => this.elector.peers,
       isGrantor: address => this.elector.isGrantor(address),
+      witnessSource: {
+        get: id => this.scheduler?.witnessSource.get(id),
+        all: () => this.scheduler?.witnessSource.all() ?? [],
+      },
       onSuspended: () => this.cellConfiguration.requireProof(),
     });
     this.elector = new leaderElector.LeaderElector({
@@ -196,7 +200,9 @@
     end: number,
     provenAt?: clock.Milliseconds,
   ): void {
-    const {members, claim, progress} = content;
+    const {members, claim, progress, witnesses} = content;
+    // A list of an earlier leader precedes the claim that it is read with.
+    if (witnesses !== undefined) this.leadership.recordWitnesses(witnesses);
     this.elector.recordRegistrations(
       content.memberOffsets,
       content.leaderRecord,
@@ -434,9 +440,12 @@
   /** Returns what a successor has to know of this leader and earlier ones. */
   private grantorsToReport(
     scheduler: jobScheduler.JobScheduler,
-  ): Pick<cellMember.LeaderProgress, 'grantorEnd' | 'exempt'> {
+  ): Pick<cellMember.LeaderProgress, 'grantorEnd' | 'exempt' | 'witnesses'> {
     if (scheduler.earlierLeadersEnded) {
-      return {exempt: this.leadership.reviewExempt()};
+      return {
+        exempt: this.leadership.reviewExempt(),
+        witnesses: this.leadership.takeWitnessChange(),
+      };
     }
     return this.elector.grantors === undefined
       ? {}
@@ -451,6 +460,8 @@
     progress: cellMember.LeaderProgress,
   ): void {
     this.leadership.proveByStore(sentAt);
+    const {witnesses} = progress;
+    if (witnesses !== undefined) this.leadership.recordWitnesses(witnesses);
     if (progress.grantorEnd === undefined) {
       this.leadership.recordExemptStored(progress.exempt ?? []);
     }
@@ -492,6 +503,7 @@
         provedLeaderAt: () => this.leadership.provedByStoreAt(),
         majorityInformedAt: () => this.leadership.majorityInformedAt,
         grantorInformedAt: () => this.leadership.grantorInformedAt,
+        witnesses: () => this.leadership.witnessKnowledge,
       },
       isConfigurationUsable: () => this.cellConfiguration.isUsable,
       onSuperseded: reason => this.handleSuperseded(newScheduler, reason),
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -3,9 +3,11 @@
 import * as leadershipProof from './leadership_proof.js';
 import * as suspensionDetector from './suspension_detector.js';
 import * as termAnnouncement from './term_announcement.js';
+import * as workerWitnesses from './worker_witnesses.js';
 import type * as cellMember from './cell_member.js';
 import type * as clock from '../machines/clock.js';
 import type * as schedulerOptions from '../jobs/scheduler_options.js';
+import type * as witness from '../machines/witness.js';
 
 /** Dependencies of `Leadership`. */
 export interface LeadershipOptions {
@@ -21,6 +23,8 @@
   readonly peers: () => ReadonlyArray<cellMember.CellMember>;
   /** Returns whether all earlier leaders that may act know a member. */
   readonly isGrantor: (address: string) => boolean;
+  /** The workers that have accepted a fencing token of the term. */
+  readonly witnessSource: witness.WitnessSource;
   /** Called when this VM may have been suspended. */
   readonly onSuspended: () => void;
 }
@@ -31,8 +35,8 @@
  */
 const ASKED_AGE_MS = 600;
 
-/** Members that have to know a term before those of earlier leaders end. */
-type InformedMembers = 'grantor' | 'majority';
+/** Who has to know a term before the permissions of earlier leaders end. */
+type InformedParties = 'grantor' | 'majority' | 'witnesses';
 
 /** What a member has told of itself in a ping or a reply. */
 export interface MemberState {
@@ -57,11 +61,12 @@
   private readonly lastAskedAt = new Map<string, clock.Milliseconds>();
   private readonly announcement: termAnnouncement.TermAnnouncement;
   private readonly suspensions: suspensionDetector.SuspensionDetector;
+  private readonly witnesses: workerWitnesses.WorkerWitnesses;
   private loggedBasis: leadershipProof.ProofBasis = 'none';
   private lastPermittedAt: clock.Milliseconds = -Infinity;
   private beganAt: clock.Milliseconds = -Infinity;
-  /** Which of the members that have to know the term were logged to do so. */
-  private readonly loggedInformed = new Set<InformedMembers>();
+  /** Which of those that have to know the term were logged to do so. */
+  private readonly loggedInformed = new Set<InformedParties>();
 
   constructor(private readonly options: LeadershipOptions) {
     const {clock, wallClock} = options;
@@ -70,6 +75,7 @@
       clock,
       wallClock,
     );
+    this.witnesses = new workerWitnesses.WorkerWitnesses(options.witnessSource);
   }
 
   /** When enough members knew the term; see `EarlierTerms`. */
@@ -90,6 +96,25 @@
     return this.announcement.grantorInformedAt;
   }
 
+  /** What the witnesses of earlier leaders tell; see `EarlierTerms`. */
+  get witnessKnowledge(): earlierLeases.WitnessKnowledge {
+    const {areInherited, informedAt} = this.witnesses;
+    if (!areInherited) return {heededBy: 'none', informedAt};
+    return {heededBy: this.allHeedWitnesses ? 'all' : 'some', informedAt};
+  }
+
+  /** Records the newest list of witnesses in the log. */
+  recordWitnesses(ids: ReadonlyArray<string>): void {
+    this.witnesses.recordStored(ids);
+  }
+
+  /** Returns the list of witnesses to store, if the stored one has to change. */
+  takeWitnessChange(): ReadonlyArray<string> | undefined {
+    const mayChange = this.allHeedWitnesses && this.isProvedByStore;
+    if (!mayChange) return undefined;
+    return this.witnesses.takeChange(this.options.clock.now());
+  }
+
   /** Begins a term of this process, without any proof yet. */
   beginTerm(term: number): void {
     this.lastPermittedAt = this.options.clock.now();
@@ -98,6 +123,7 @@
     this.exemptMembers.restart(this.beganAt);
     this.lastAskedAt.clear();
     this.loggedInformed.clear();
+    this.witnesses.beginTerm();
     const {isGrantor, self} = this.options;
     this.announcement.beginTerm(
       {term, isGrantor: isGrantor(self.address)},
@@ -184,7 +210,8 @@
   /** Returns whether no other process has led lately. */
   isProved(): boolean {
     const ageMs = this.options.clock.now() - this.provedAt();
-    return ageMs < earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
+    if (ageMs >= earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS) return false;
+    return this.isProvedByStore || this.witnessWord() !== 'noQuorum';
   }
 
   /**
@@ -225,8 +252,11 @@
    */
   review(term: number | undefined): void {
     this.voidAfterSuspension();
+    if (this.options.isLeader())
+      this.witnesses.review(this.options.clock.now());
     this.logInformed(term, 'grantor', this.grantorInformedAt);
     this.logInformed(term, 'majority', this.majorityInformedAt);
+    this.logInformed(term, 'witnesses', this.witnesses.informedAt);
     const basis = this.basis();
     if (basis !== 'none') this.lastPermittedAt = this.options.clock.now();
     if (basis === this.loggedBasis) return;
@@ -246,7 +276,7 @@
 
   private logInformed(
     term: number | undefined,
-    informed: InformedMembers,
+    informed: InformedParties,
     informedAt: clock.Milliseconds | undefined,
   ): void {
     if (informedAt === undefined || !this.options.isLeader()) return;
@@ -266,8 +296,24 @@
     if (!isLeader()) return 'none';
     const now = clock.now();
     // Asked for each start and renewal: the members are not listed for nothing.
-    if (this.proof.isProvedByStore(now)) return 'store';
-    return this.proof.basis(this.neededPeers(), now);
+    if (this.isProvedByStore) return 'store';
+    return this.proof.basis(this.neededPeers(), now, this.witnessWord());
+  }
+
+  private get isProvedByStore(): boolean {
+    return this.proof.isProvedByStore(this.options.clock.now());
+  }
+
+  private witnessWord(): workerWitnesses.WitnessWord {
+    const now = this.options.clock.now();
+    return this.witnesses.word(this.proof.witnessLimits(now));
+  }
+
+  /** Whether no registered member runs a version that ignores witnesses. */
+  private get allHeedWitnesses(): boolean {
+    return this.options
+      .peers()
+      .every(({heedsWitnesses}) => heedsWitnesses === true);
   }
 
   private informedMembers(): ReadonlyArray<termAnnouncement.InformedMember> {
--- a/src/zones/leadership_proof.ts
+++ b/src/zones/leadership_proof.ts
@@ -1,5 +1,6 @@
 import * as earlierLeases from '../jobs/earlier_leases.js';
 import type * as clock from '../machines/clock.js';
+import type * as workerWitnesses from './worker_witnesses.js';
 
 /** What allows a leader to act. */
 export type ProofBasis =
@@ -71,20 +72,39 @@
 
   /**
    * Returns what allows this process to grant leases and start tasks. A
-   * successor waits until the last such permission has ended.
+   * successor waits until the last such permission has ended. Without the log, a
+   * leader that heeds witnesses needs their word, too; then a majority of the
+   * members counts as long as all of them would.
    */
-  basis(peers: ReadonlyArray<string>, now: clock.Milliseconds): ProofBasis {
+  basis(
+    peers: ReadonlyArray<string>,
+    now: clock.Milliseconds,
+    witnessWord: workerWitnesses.WitnessWord = 'unnamed',
+  ): ProofBasis {
     if (this.isProvedByStore(now)) return 'store';
+    if (witnessWord === 'noQuorum') return 'none';
     const withoutStoreMs = now - this.storeProvedAt;
     const mayRelyOnAll =
       withoutStoreMs < earlierLeases.ALL_MEMBERS_PROOF_LIMIT_MS;
     if (mayRelyOnAll && isRecent(this.provedAt(peers), now)) {
       return 'allMembers';
     }
-    const isBounded = withoutStoreMs < earlierLeases.MAJORITY_PROOF_LIMIT_MS;
+    const isBounded =
+      witnessWord === 'quorum'
+        ? mayRelyOnAll
+        : withoutStoreMs < earlierLeases.MAJORITY_PROOF_LIMIT_MS;
     return isBounded && this.hasMajority(peers, now) ? 'majority' : 'none';
   }
 
+  /** When the word of a witness has to have been asked for, to count at `now`. */
+  witnessLimits(now: clock.Milliseconds): workerWitnesses.WitnessLimits {
+    const expiredAt = now - earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
+    return {
+      provedByStoreAt: this.storeProvedAt,
+      askedAfter: Math.max(expiredAt, this.acceptedFrom),
+    };
+  }
+
   private hasMajority(
     peers: ReadonlyArray<string>,
     now: clock.Milliseconds,
--- a/test/jobs/earlier_leases_test.ts
+++ b/test/jobs/earlier_leases_test.ts
@@ -15,6 +15,7 @@
   provedLeaderAt: (now: number) => number,
   grantorInformedAtMs: number | undefined = BEGAN_AT_MS,
   untilMs = 60_000,
+  witnesses?: earlierLeases.WitnessKnowledge,
 ): number | undefined {
   let now = BEGAN_AT_MS;
   const leases = new earlierLeases.EarlierLeases(
@@ -24,6 +25,7 @@
       provedLeaderAt: () => provedLeaderAt(now),
       majorityInformedAt: () => informedAtMs,
       grantorInformedAt: () => grantorInformedAtMs,
+      witnesses: witnesses && (() => witnesses),
     },
   );
   for (; now < untilMs; now += 10) if (leases.haveExpired) return now;
@@ -75,4 +77,24 @@
     const expiry = findExpiry(1_000, now => now, Infinity, limitMs + 60_000);
     assert.equal(expiry, BEGAN_AT_MS + limitMs + LONGEST_LEASE_MS);
   });
+
+  // Guards against a cell whose members were all replaced, so that nobody is
+  // left who could tell that an earlier leader has ended.
+  test('expire once either the members or the witnesses are informed', () => {
+    const findWitnessed = (
+      majorityMs: number | undefined,
+      informedAt: number | undefined,
+      heededBy: 'some' | 'all' = 'all',
+    ): number | undefined =>
+      findExpiry(majorityMs, now => now, Infinity, 60_000, {
+        heededBy,
+        informedAt,
+      });
+    const wait = 2_000 + LONGEST_LEASE_MS;
+    assert.equal(findWitnessed(undefined, 3_000), 3_000 + wait);
+    assert.equal(findWitnessed(4_000, undefined), 4_000 + wait);
+    assert.equal(findWitnessed(undefined, undefined), undefined);
+    // A member of an earlier version may have led, which heeds none.
+    assert.equal(findWitnessed(1_000, 3_000, 'some'), undefined);
+  });
 });
--- a/test/links/cell_log_store_test.ts
+++ b/test/links/cell_log_store_test.ts
@@ -81,4 +81,37 @@
     records.push({...appended[4], offset: 9});
     assert.deepEqual([...read(5).memberOffsets], [[MEMBER.address, 0]]);
   });
+
+  // Guards against a successor that takes the witnesses of one leader for those
+  // of another, because they were stored without the rest of its record.
+  test('stores witnesses together with the progress that names them', async () => {
+    const appends: Array<ReadonlyArray<keyedTopic.KeyedRecord>> = [];
+    const topic = {
+      append: async (records: ReadonlyArray<keyedTopic.KeyedRecord>) => {
+        appends.push(records);
+        return {kind: 'appended', offset: 7};
+      },
+    };
+    const store = new cellLogStore.CellLogStore(
+      topic as unknown as keyedTopic.KeyedTopic,
+    );
+    const progress = {
+      term: 2,
+      leading: true,
+      resigning: false,
+      takeoverStep: 1,
+      hearsMajority: true,
+    };
+    const plain = await store.reportProgress(progress, 7, 100);
+    assert.deepEqual(plain, {kind: 'stored', end: 8});
+    const witnesses = ['w1', 'w2'];
+    const named = {...progress, witnesses};
+    const outcome = await store.reportProgress(named, 7, 100);
+    assert.deepEqual(outcome, {kind: 'stored', end: 9});
+    assert.equal(appends.length, 2);
+    const records = appends[1].map((record, offset) => ({...record, offset}));
+    const content = cellLogStore.decodeCellLog(records, false);
+    assert.deepEqual(content.witnesses, witnesses);
+    assert.deepEqual(content.progress, progress);
+  });
 });
