Name queues by their host and path instead of the operator's label

Cause: jobs, counts and stored definitions were kept by the route's name, which may change while jobs of the path run. POST compared the id alone.

Change: a queue is identified by its host and path; the operator's name is a label for logs. Records and members of earlier versions are translated. The fixture of cell_configuration_test.ts has a label now, as each configuration that a member sends has one; the comparison is as strict as before.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -42,6 +42,7 @@
 export interface JobDefinition {
   /** Chosen by the caller as an idempotency key: same id, same job. */
   readonly id: string;
+  /** Name of the job's queue. */
   readonly queue: string;
   /** Text passed to each task unchanged. */
   readonly payload: string;
@@ -69,7 +70,10 @@
 
 /** A queue of jobs and the policy for its tasks. */
 export interface Queue {
+  /** Identifies the queue over all versions; see `identify`. */
   readonly name: string;
+  /** What the operator calls the queue, which may change at any time. */
+  readonly label?: string;
   readonly host: string;
   readonly pathPrefix: string;
   readonly service: string;
@@ -95,6 +99,17 @@
   readonly idleTimeoutMs: number;
 }
 
+/**
+ * Returns a queue with the name by which its jobs are known: its host and path.
+ * The operator may rename a queue, or swap the names of two; callers know only
+ * the path at which they have submitted a job.
+ */
+export function identify(queue: Queue): Queue {
+  if (queue.label !== undefined) return queue;
+  const name = queue.host + queue.pathPrefix;
+  return {...queue, name, label: queue.name};
+}
+
 /** Returns the queue that serves a path on a host: the longest prefix wins. */
 export function queueFor(
   configuration: OperatorConfiguration,
--- a/src/jobs/job_admission.ts
+++ b/src/jobs/job_admission.ts
@@ -24,6 +24,8 @@
   /** A newer configuration exists, which this process could not get yet. */
   | 'notReady'
   | 'unknownQueue'
+  /** A job of another queue has the id. */
+  | 'idInUse'
   /** The store can't hold a record of the job's size. */
   | 'recordTooLarge';
 
@@ -125,7 +127,7 @@
    */
   screen(jobs: ReadonlyArray<ScreenedJob>): ReadonlyArray<ScreeningOutcome> {
     return jobs.map(screened => {
-      const queue = this.queues.find(screened.queue);
+      const queue = this.queues.find(this.queues.nameOf(screened.queue));
       const isKnown = this.jobTable.get(screened.id) !== undefined;
       if (queue === undefined || isKnown) return {refusal: undefined};
       const refusal =
@@ -147,13 +149,15 @@
    * and unlike an acceptance a refusal needs no write that would fail then.
    */
   submit(
-    definition: job.JobDefinition,
+    submitted: job.JobDefinition,
     configurationVersion: number,
     answer: SubmitListener,
   ): boolean {
+    const queue = this.queues.nameOf(submitted.queue);
+    const definition = {...submitted, queue};
     const known = this.jobTable.get(definition.id);
     if (known !== undefined) {
-      this.answerRepeat(known, answer);
+      this.answerRepeat(known, queue, answer);
       return true;
     }
     if (this.queues.isRemoved(definition.queue, configurationVersion)) {
@@ -205,9 +209,12 @@
   /** Answers the caller of a job that was submitted before. */
   private answerRepeat(
     known: jobRecord.JobRecord,
+    queue: string,
     answer: SubmitListener,
   ): void {
-    if (known.accepted) answer({kind: 'accepted'});
+    if (!this.queues.areSame(known.definition.queue, queue)) {
+      answer({kind: 'refused', reason: 'idInUse', retryAfterSeconds: 0});
+    } else if (known.accepted) answer({kind: 'accepted'});
     else if (this.isStoreSilent()) answer({kind: 'undecided'});
     else this.waitingListeners.get(known.definition.id)?.push(answer);
   }
@@ -330,7 +337,7 @@
     this.options.counters.count('jobs_accepted', 'stored');
     this.options.log.event('info', 'jobAccepted', {
       job: id,
-      queue,
+      queue: this.queues.labelOf(queue),
       version: this.queues.version,
     });
     this.onAccepted(record);
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -98,7 +98,7 @@
     record: jobRecord.JobRecord,
     outcome: jobRecord.JobProgress['outcome'],
   ): void {
-    const {options, jobTable, dispatcher} = this.dependencies;
+    const {options, jobTable, dispatcher, queues} = this.dependencies;
     record.outcome = outcome;
     for (const step of record.steps) this.closeStep(step);
     for (const assignment of [...record.assignments()]) {
@@ -107,7 +107,7 @@
     options.counters.count('jobs_settled', outcome);
     options.log.event('info', 'jobSettled', {
       job: record.definition.id,
-      queue: record.definition.queue,
+      queue: queues.labelOf(record.definition.queue),
       outcome,
       afterMs: Math.round(options.clock.now() - record.arrivedAt),
     });
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -333,7 +333,7 @@
 
   /** Counts accepted jobs of a queue of which no task has started. */
   countPending(queue: string): number {
-    return this.jobTable.countPending(queue);
+    return this.jobTable.countPending(this.queues.nameOf(queue));
   }
 
   /** Runs the periodic work; called several times a second. */
@@ -429,7 +429,9 @@
     id: string,
   ): jobRecord.JobRecord | undefined {
     const record = this.jobTable.get(id);
-    return record?.definition.queue === queue ? record : undefined;
+    if (record === undefined) return undefined;
+    const isOfQueue = this.queues.areSame(record.definition.queue, queue);
+    return isOfQueue ? record : undefined;
   }
 
   private requestPlacementPass(): void {
--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -26,7 +26,8 @@
     const {version, queues} = configuration;
     if (version <= (this.configuration?.version ?? -1)) return false;
     this.configuration = configuration;
-    for (const queue of queues) this.define({version, queue});
+    // Of two queues with one host and path, the first serves all requests.
+    for (const queue of [...queues].reverse()) this.define({version, queue});
     return true;
   }
 
@@ -60,6 +61,27 @@
     for (const name of usedNames) this.keep(name);
   }
 
+  /**
+   * Returns the name of a queue, given that or its label, by which members and
+   * journals of earlier versions refer to it.
+   */
+  nameOf(reference: string): string {
+    if (this.byName.has(reference)) return reference;
+    const queues = this.configuration?.queues ?? [];
+    const labelled = queues.find(({label}) => label === reference);
+    return labelled?.name ?? reference;
+  }
+
+  /** Returns whether two references name one queue; see `nameOf`. */
+  areSame(left: string, right: string): boolean {
+    return this.nameOf(left) === this.nameOf(right);
+  }
+
+  /** Returns what the operator calls a queue. */
+  labelOf(name: string): string {
+    return this.find(name)?.label ?? name;
+  }
+
   /** Returns the newest definition of a queue. */
   find(name: string): job.Queue | undefined {
     return this.byName.get(name)?.queue;
--- a/src/links/cell_messages.ts
+++ b/src/links/cell_messages.ts
@@ -48,6 +48,7 @@
     'noRoomInTime',
     'notReady',
     'unknownQueue',
+    'idInUse',
     'recordTooLarge',
   ],
 );
--- a/src/links/configuration_codec.ts
+++ b/src/links/configuration_codec.ts
@@ -1,5 +1,5 @@
 import * as purify from 'purify-ts';
-import type * as job from '../jobs/job.js';
+import * as job from '../jobs/job.js';
 
 /** Rule on one value, with the text that completes "must be ...". */
 function valueCodec<Value>(
@@ -43,6 +43,7 @@
 
 const QUEUE = purify.Codec.interface({
   name: NAME,
+  label: purify.optional(NAME),
   host: purify.string,
   pathPrefix: PATH_PREFIX,
   service: NAME,
@@ -80,5 +81,8 @@
 export function checkConfiguration(
   value: unknown,
 ): purify.Either<string, job.OperatorConfiguration> {
-  return CONFIGURATION.decode(value);
+  return CONFIGURATION.decode(value).map(configuration => ({
+    ...configuration,
+    queues: configuration.queues.map(job.identify),
+  }));
 }
--- a/src/links/topic_journal_store.ts
+++ b/src/links/topic_journal_store.ts
@@ -2,6 +2,7 @@
 import * as jsonDocument from './json_document.js';
 import * as keyedTopic from './keyed_topic.js';
 import * as recordChecks from './record_checks.js';
+import * as storedQueueMerger from './stored_queue_merger.js';
 import * as storedWorkerMerger from './stored_worker_merger.js';
 import type * as jobJournal from '../jobs/job_journal.js';
 import type * as jobRecord from '../jobs/job_record.js';
@@ -72,7 +73,7 @@
     const definitions = new Map<string, recordChecks.StoredDefinition>();
     const progress = new Map<string, jobRecord.JobProgress>();
     const workers = new storedWorkerMerger.StoredWorkerMerger();
-    const queues = new Map<string, jobJournal.StoredQueue>();
+    const queues = new storedQueueMerger.StoredQueueMerger();
     let bytes = 0;
     for (const [index, record] of outcome.records.entries()) {
       if (index % RECORDS_PER_TURN === 0) await timers.setImmediate();
@@ -92,12 +93,12 @@
         decoded.ifJust(jobProgress => progress.set(id, jobProgress));
       } else if (key.startsWith(QUEUE_PREFIX)) {
         const decoded = jsonDocument.decode(value, recordChecks.isStoredQueue);
-        decoded.ifJust(stored => queues.set(stored.queue.name, stored));
+        decoded.ifJust(stored => queues.add(stored));
       }
     }
     const jobs = [...definitions.values()].map(
       ({arrivedAtUnixMs, ...definition}) => ({
-        definition,
+        definition: {...definition, queue: queues.nameOf(definition.queue)},
         progress: progress.get(definition.id),
         arrivedAtUnixMs,
       }),
@@ -105,7 +106,7 @@
     return {
       jobs,
       workers: workers.merged(),
-      queues: [...queues.values()],
+      queues: queues.merged(),
       size: {records: outcome.records.length, bytes},
     };
   }
--- a/test/links/cell_configuration_test.ts
+++ b/test/links/cell_configuration_test.ts
@@ -7,7 +7,7 @@
 import * as scriptedConfigurationSource from '../support/scripted_configuration_source.js';
 import type * as cellClient from '../../src/links/cell_client.js';
 import type * as cellPeers from '../../src/zones/cell_peers.js';
-import type * as job from '../../src/jobs/job.js';
+import * as job from '../../src/jobs/job.js';
 
 const {describe, test} = nodeTest;
 const {configurationOf} = scriptedConfigurationSource;
@@ -48,7 +48,7 @@
 
 describe('configuration of another member', () => {
   test('is fetched with its version and age if it is newer', async () => {
-    const stored = configurationOf(VERSION, [jobCell.QUEUE]);
+    const stored = configurationOf(VERSION, [job.identify(jobCell.QUEUE)]);
     const outcome = await withMember(stored, (client, address) =>
       client.fetchConfiguration(address, VERSION - 1, CALL_TIMEOUT_MS),
     );
