Start no task elsewhere while a copy of its start may be carried out

Cause: only successes looked for open copies. Ruled out: a higher fencing token for the incarnation that reported the failure, because its next one forgets it.

Change: after any other end a task is started on no other worker until each copy is dead: 12 s after it was sent and reported, or as soon as a later incarnation has accepted the term's token or another worker has the machine. The worker itself may take the next run, so that a stopped start need not wait.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -145,7 +145,7 @@
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     assignment.startsInFlight += 1;
-    const copy = task.sentStarts.add(now);
+    const copy = task.sentStarts.add(now, worker);
     const isRepeat = assignment.unansweredStarts > 0;
     const maySend = (): boolean => this.confirmSending(assignment, isRepeat);
     const command = {
--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -25,6 +25,11 @@
   readonly reliability: workerReliability.WorkerReliability;
   readonly runtimeModel: runtimeModel.RuntimeModel;
   readonly requestPlacementPass: () => void;
+  /** Starts a waiting task on a worker, if that can take it. */
+  readonly startOn: (
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+  ) => boolean;
 }
 
 /** Advances jobs from acceptance through their steps to their outcome. */
@@ -78,6 +83,23 @@
     this.dependencies.options.counters.observe('acknowledgement_held', heldMs);
   }
 
+  restartHeldBack(task: jobTask.JobTask, heldMs: clock.Milliseconds): void {
+    const {counters, log} = this.dependencies.options;
+    counters.observe('restart_held', heldMs);
+    const rounded = Math.round(heldMs);
+    log.event('info', 'restartHeld', {task: task.name, heldMs: rounded});
+    this.dependencies.requestPlacementPass();
+  }
+
+  restartInPlace(
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+  ): void {
+    if (task.step.jobRecord.outcome !== 'open') return;
+    if (!this.dependencies.startOn(task, worker)) return;
+    this.dependencies.options.counters.count('restarts', 'inPlace');
+  }
+
   successSuperseded(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -133,6 +133,7 @@
       reliability,
       runtimeModel: runtimes,
       requestPlacementPass,
+      startOn: (...placement) => this.placementPassRunner.startOn(...placement),
     });
     this.tracker = new runTracker.RunTracker(
       this.jobTable,
@@ -380,7 +381,7 @@
       worker: worker.id,
       why: reason,
     });
-    this.tracker.release(assignment);
+    this.tracker.release(assignment, this.options.clock.now());
     if (reason === 'ticket') this.adviceCache.dropTicket(task.step, worker);
     else this.reliability.recordRejection(worker, this.options.clock.now());
     this.requestPlacementPass();
@@ -463,9 +464,10 @@
       workers: content.workers.length,
     });
     await this.workerLifecycle.openSessions(this.slicer);
-    await this.slicer.forEach(openRecords, BEGIN_UNITS, record =>
-      this.jobLifecycle.begin(record),
-    );
+    await this.slicer.forEach(openRecords, BEGIN_UNITS, record => {
+      this.tracker.holdRestarts(record, this.options.clock.now());
+      this.jobLifecycle.begin(record);
+    });
     this.unblockRecoveredJobs();
   }
 
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -84,6 +84,13 @@
   }
 }
 
+/** Why a task that waits may not be started yet. */
+export type StartDelay =
+  /** Its runs keep ending soon. */
+  | 'backoff'
+  /** A copy of an earlier start may still be carried out. */
+  | 'lateStart';
+
 /** One task of a step, with its runs. */
 export class JobTask {
   done = false;
@@ -97,7 +104,7 @@
   /** Copies of starts of all runs that may still be carried out. */
   readonly sentStarts = new lateStarts.SentStarts();
   private readonly activeAssignments: Assignment[] = [];
-  private startDelayed = false;
+  private readonly startDelays = new Set<StartDelay>();
   private readonly failedRunNumbers = new Set<number>();
 
   constructor(
@@ -125,19 +132,19 @@
 
   /** Whether the task may be started now, apart from its step's order. */
   get waiting(): boolean {
-    return !this.done && !this.startDelayed && this.assignments.length === 0;
+    const mayStart = !this.done && this.startDelays.size === 0;
+    return mayStart && this.assignments.length === 0;
   }
 
   /** Keeps the task from being started until `allowStart`. */
-  delayStart(): void {
+  delayStart(reason: StartDelay): void {
     if (this.waiting) this.step.taskStoppedWaiting();
-    this.startDelayed = true;
+    this.startDelays.add(reason);
   }
 
   /** Ends the delay of `delayStart`. */
-  allowStart(): void {
-    if (!this.startDelayed) return;
-    this.startDelayed = false;
+  allowStart(reason: StartDelay): void {
+    if (!this.startDelays.delete(reason)) return;
     if (this.waiting) this.step.taskWaits();
   }
 
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -19,6 +19,8 @@
 /** One copy of a start, until its answer has arrived. */
 export interface SentStart {
   readonly sentAt: clock.Milliseconds;
+  /** Worker that it was sent to; undefined if an earlier term has sent it. */
+  readonly worker?: remoteWorker.RemoteWorker;
 }
 
 /** Records at a worker that a copy has got no answer and may arrive late. */
@@ -51,8 +53,8 @@
   private readonly open = new Set<SentStart>();
 
   /** Records a copy that is being sent. */
-  add(now: clock.Milliseconds): SentStart {
-    const copy = {sentAt: now};
+  add(now: clock.Milliseconds, worker?: remoteWorker.RemoteWorker): SentStart {
+    const copy = {sentAt: now, worker};
     this.open.add(copy);
     return copy;
   }
@@ -81,6 +83,11 @@
     return this.open.size > 0;
   }
 
+  /** Returns the copies that may be carried out, or run unseen, by a worker. */
+  unfenced(now: clock.Milliseconds): ReadonlyArray<SentStart> {
+    return [...this.open].filter(copy => isUnfenced(copy, now));
+  }
+
   private hasSentSince(sinceMs: clock.Milliseconds): boolean {
     for (const {sentAt} of this.open) {
       if (sentAt > sinceMs) return true;
@@ -89,6 +96,20 @@
   }
 }
 
+/** Returns whether a copy may be carried out, or run unseen, by its worker. */
+function isUnfenced(
+  {sentAt, worker}: SentStart,
+  now: clock.Milliseconds,
+): boolean {
+  if (worker?.rejectsLateStarts === true) return false;
+  const arrivesUntil = sentAt + LATE_START_MS;
+  if (now < arrivesUntil) return true;
+  // Of an earlier term, which waits for the workers' reports as a whole.
+  if (worker === undefined) return false;
+  const isReported = worker.lastAnswerAt >= arrivesUntil;
+  return !isReported && now < sentAt + UNSEEN_RUN_MS;
+}
+
 /** A success that is stored and not acknowledged yet. */
 interface HeldSuccess {
   readonly task: jobTask.JobTask;
@@ -96,13 +117,27 @@
   readonly acknowledge: () => void;
 }
 
-/** Receives the successes that were held back, once they are acknowledged. */
-export interface HeldSuccessListener {
+/** Receives what was held back, once it is not any more. */
+export interface LateStartListener {
+  /** A success is acknowledged. */
   successHeldBack(heldMs: clock.Milliseconds): void;
+  /** A task may start again on any worker. */
+  restartHeldBack(task: jobTask.JobTask, heldMs: clock.Milliseconds): void;
+  /** A task may start again on one worker only. */
+  restartInPlace(
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+  ): void;
 }
 
 /**
- * Holds back the acknowledgement of a success while a copy of a start of its
+ * Holds back the next run of a task while a copy of an earlier start may still
+ * be carried out: the incarnation that has ended or stopped the earlier run
+ * rejects that copy, but the next one under the worker's id does not. Until then
+ * the task may run on that worker alone: if its next incarnation carries the copy
+ * out, the later run has ended with the incarnation before.
+ *
+ * It also holds back the acknowledgement of a success while a copy of a start of its
  * task may still be carried out. The worker that ran the task rejects such a
  * copy, but its next incarnation does not: it has seen neither the run nor a
  * fencing token. A worker that is lost before the acknowledgement takes the
@@ -110,8 +145,18 @@
  */
 export class LateStarts {
   private held: ReadonlyArray<HeldSuccess> = [];
+  /** Tasks whose next run is held back, and since when. */
+  private readonly heldTasks = new Map<jobTask.JobTask, clock.Milliseconds>();
 
-  constructor(private readonly listener: HeldSuccessListener) {}
+  constructor(private readonly listener: LateStartListener) {}
+
+  /** Keeps a task without a run from being started, if that is needed. */
+  holdRestart(task: jobTask.JobTask, now: clock.Milliseconds): void {
+    if (task.done || this.heldTasks.has(task)) return;
+    if (unfencedStarts(task, now).length === 0) return;
+    task.delayStart('lateStart');
+    this.heldTasks.set(task, now);
+  }
 
   /** Calls `acknowledge` once no start of the task can be carried out. */
   whenNoneMayArrive(
@@ -126,8 +171,18 @@
     }
   }
 
-  /** Acknowledges the successes that need not be held back any more. */
+  /** Ends what need not be held back any more. */
   review(now: clock.Milliseconds): void {
+    for (const [task, heldSince] of this.heldTasks) {
+      const copies = task.done ? [] : unfencedStarts(task, now);
+      if (copies.length > 0) {
+        this.tryRestartInPlace(task, copies);
+        continue;
+      }
+      this.heldTasks.delete(task);
+      task.allowStart('lateStart');
+      this.listener.restartHeldBack(task, now - heldSince);
+    }
     if (this.held.length === 0) return;
     const due = this.held.filter(({task}) => !mayStartAgain(task, now));
     this.held = this.held.filter(success => !due.includes(success));
@@ -136,6 +191,19 @@
       acknowledge();
     }
   }
+
+  private tryRestartInPlace(
+    task: jobTask.JobTask,
+    copies: ReadonlyArray<SentStart>,
+  ): void {
+    const [{worker}] = copies;
+    const isOnlyTarget = copies.every(copy => copy.worker === worker);
+    if (worker === undefined || !isOnlyTarget) return;
+    // A run that has failed there would most likely fail again.
+    const hasFailed = task.failedRuns.size > 0 || task.step.definition.gang;
+    if (hasFailed || task.assignments.length > 0) return;
+    this.listener.restartInPlace(task, worker);
+  }
 }
 
 /**
@@ -149,6 +217,14 @@
   return sentStartsOf(task).some(starts => starts.mayArrive(now));
 }
 
+/** Returns the copies that keep a task from being started on other workers. */
+function unfencedStarts(
+  task: jobTask.JobTask,
+  now: clock.Milliseconds,
+): ReadonlyArray<SentStart> {
+  return sentStartsOf(task).flatMap(starts => starts.unfenced(now));
+}
+
 /**
  * Returns whether a copy of a start of the task, or of another member of its
  * gang, may be carried out or may run on an incarnation out of reach.
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -13,6 +13,7 @@
 import type * as placementSlice from './placement_slice.js';
 import type * as openSteps from './open_steps.js';
 import type * as queueTable from './queue_table.js';
+import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as runtimeModel from './runtime_model.js';
 import type * as schedulerOptions from './scheduler_options.js';
 import type * as stepInstance from './step_instance.js';
@@ -166,6 +167,21 @@
     );
   }
 
+  /**
+   * Starts a task on a worker if that can take it now, outside of the order of
+   * urgency. Returns whether it was started.
+   */
+  startOn(task: jobTask.JobTask, worker: remoteWorker.RemoteWorker): boolean {
+    const {queues, mayStart, isBlocked, options} = this.dependencies;
+    const {step} = task;
+    const queue = queues.ofStep(step);
+    if (queue === undefined || queue.service !== worker.entry.service) {
+      return false;
+    }
+    if (!mayStart() || isBlocked(step.jobRecord)) return false;
+    return this.placer.startOn(task, worker, queue, options.clock.now());
+  }
+
   move(assignment: jobTask.Assignment): void {
     const {options, dispatcher} = this.dependencies;
     options.counters.count('runs_moved', 'workerLeaves');
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -155,6 +155,24 @@
     return false;
   }
 
+  /** Starts a task on a worker if that can take it now. */
+  startOn(
+    task: jobTask.JobTask,
+    worker: remoteWorker.RemoteWorker,
+    queue: job.Queue,
+    now: clock.Milliseconds,
+  ): boolean {
+    const {step} = task;
+    const facts = this.factsFor(step, queue, now);
+    const isUsable =
+      workerSelection.isSchedulable(worker, now) &&
+      workerSelection.isEligible(worker, step.definition, facts);
+    const ticket = isUsable ? facts.ticketFor(worker) : undefined;
+    if (ticket === undefined) return false;
+    this.starter.startOn(task, {worker, ticket: ticket || undefined});
+    return true;
+  }
+
   /** Returns a log summary of why tasks of a step still wait. */
   explain(
     step: stepInstance.StepInstance,
--- a/src/jobs/restart_backoff.ts
+++ b/src/jobs/restart_backoff.ts
@@ -25,7 +25,7 @@
     this.quickFailures.set(task, failures);
     const delayMs = delayAfter(failures);
     if (delayMs > 0) {
-      task.delayStart();
+      task.delayStart('backoff');
       this.delayed.set(task, now + delayMs);
     }
     return delayMs;
@@ -37,7 +37,7 @@
     for (const [task, dueAt] of this.delayed) {
       if (now < dueAt) continue;
       this.delayed.delete(task);
-      task.allowStart();
+      task.allowStart('backoff');
       released = true;
     }
     return released;
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -3,13 +3,14 @@
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
 import type * as dispatcher from './dispatcher.js';
+import type * as jobRecord from './job_record.js';
 import type * as jobTable from './job_table.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as runMonitor from './run_monitor.js';
 import type * as stepInstance from './step_instance.js';
 
 /** Receives the ends of runs. */
-export interface RunListener extends lateStarts.HeldSuccessListener {
+export interface RunListener extends lateStarts.LateStartListener {
   /** A run ended, whether it succeeded or not; its resources are released. */
   runEnded(
     task: jobTask.JobTask,
@@ -112,7 +113,7 @@
   ): void {
     for (const row of report.running) this.applyRunning(worker, row, now);
     this.applyEnded(worker, report.ended, now);
-    this.confirmStops(worker, report, sentAt);
+    this.confirmStops(worker, report, sentAt, now);
   }
 
   /**
@@ -142,15 +143,22 @@
     }
   }
 
-  /** Acknowledges successes that no late start can follow any more. */
-  reviewHeldSuccesses(now: clock.Milliseconds): void {
+  /** Holds back the tasks of a job that earlier terms left with late starts. */
+  holdRestarts(record: jobRecord.JobRecord, now: clock.Milliseconds): void {
+    for (const task of record.unansweredStarts.tasks) {
+      this.lateStarts.holdRestart(task, now);
+    }
+  }
+
+  /** Ends what was held back for late starts that can't arrive any more. */
+  reviewLateStarts(now: clock.Milliseconds): void {
     this.lateStarts.review(now);
   }
 
   /** Ends all runs of an incarnation that is over. */
-  endLost(worker: remoteWorker.RemoteWorker): void {
+  endLost(worker: remoteWorker.RemoteWorker, now: clock.Milliseconds): void {
     for (const assignment of [...this.assignmentIndex.runsOn(worker)]) {
-      this.end(assignment, 'lost');
+      this.end(assignment, 'lost', now);
     }
   }
 
@@ -166,13 +174,14 @@
     const lapsed = [...this.assignmentIndex.runsOn(worker)].filter(
       ({jobTask: task}) => !lateStarts.mayRunUnseen(task, now),
     );
-    for (const assignment of lapsed) this.end(assignment, 'lapsed');
+    for (const assignment of lapsed) this.end(assignment, 'lapsed', now);
     return lapsed.length;
   }
 
   /** Releases a run that has ended or definitely did not start. */
-  release(assignment: jobTask.Assignment): void {
+  release(assignment: jobTask.Assignment, now: clock.Milliseconds): void {
     this.assignmentIndex.remove(assignment);
+    this.lateStarts.holdRestart(assignment.jobTask, now);
   }
 
   private applyRunning(
@@ -265,7 +274,7 @@
         if (reportedEnd.endKind === 'done') {
           task.step.recordDuration(durationMs);
         }
-        this.release(assignment);
+        this.release(assignment, now);
       }
       this.listener.runEnded(
         task,
@@ -314,6 +323,7 @@
     worker: remoteWorker.RemoteWorker,
     report: remoteWorker.RenewalReport,
     sentAt: clock.Milliseconds,
+    now: clock.Milliseconds,
   ): void {
     if (report.hasMoreEnds) return;
     const stopped: jobTask.Assignment[] = [];
@@ -330,13 +340,17 @@
     for (const assignment of stopped) {
       const isListed = listed.has(`${assignment.task}/${assignment.run}`);
       if (!isListed && this.assignmentIndex.has(assignment)) {
-        this.end(assignment, 'stopped');
+        this.end(assignment, 'stopped', now);
       }
     }
   }
 
-  private end(assignment: jobTask.Assignment, endKind: string): void {
-    this.release(assignment);
+  private end(
+    assignment: jobTask.Assignment,
+    endKind: string,
+    now: clock.Milliseconds,
+  ): void {
+    this.release(assignment, now);
     const {jobTask: task, worker, run} = assignment;
     this.listener.runEnded(task, worker, run, endKind);
   }
--- a/src/jobs/task_starter.ts
+++ b/src/jobs/task_starter.ts
@@ -46,6 +46,16 @@
       : this.startTasks(step, workers, facts, budget);
   }
 
+  /** Starts one task on a worker. */
+  startOn(
+    task: jobTask.JobTask,
+    selected: workerSelection.SelectedWorker,
+  ): void {
+    this.dispatcher.start(task, selected, this.listener.nextRun(task));
+    const {step} = task;
+    this.listener.tasksPlaced(step, 1, step.waitingTaskCount);
+  }
+
   private startTasks(
     step: stepInstance.StepInstance,
     workers: ReadonlyArray<remoteWorker.RemoteWorker>,
--- a/src/jobs/unanswered_starts.ts
+++ b/src/jobs/unanswered_starts.ts
@@ -40,6 +40,11 @@
     this.workersByTask.set(task, new Set(workers));
   }
 
+  /** The tasks with a start without an answer. */
+  get tasks(): ReadonlyArray<jobTask.JobTask> {
+    return [...this.workersByTask.keys()];
+  }
+
   /** Returns whether a late start of a task that is not done may run unseen. */
   mayRunUnseen(now: clock.Milliseconds): boolean {
     return [...this.workersByTask.keys()].some(
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -126,7 +126,7 @@
     for (const worker of this.dependencies.workers.all()) {
       if (worker.unreachable) this.reviewUnreachable(worker, now);
     }
-    this.dependencies.tracker.reviewHeldSuccesses(now);
+    this.dependencies.tracker.reviewLateStarts(now);
     if (this.dependencies.journal.needsProbe) this.storedList.probe();
     this.storedList.update();
   }
@@ -238,6 +238,8 @@
     this.sessions.get(worker)?.close();
     this.sessions.delete(worker);
     workers.remove(worker);
+    worker.next = nextIncarnation;
+    worker.idHasEnded = nextIncarnation === undefined && reason !== 'gone';
     reliability.forget(worker);
     options.log.event('info', 'workerEnded', {
       worker: worker.id,
@@ -251,7 +253,7 @@
         options.clock.now(),
       );
     }
-    tracker.endLost(worker);
+    tracker.endLost(worker, options.clock.now());
     onEnded(worker, nextIncarnation);
     // Otherwise the next scheduler would wait for this worker's leases.
     if (this.sessionsOpen) this.storedList.removeEnded(worker);
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -97,6 +97,10 @@
   unansweredCalls = 0;
   /** Whether the registry lists the worker. */
   listed = true;
+  /** Whether another worker has taken its machine, so that its id is over. */
+  idHasEnded = false;
+  /** Next incarnation under the same id, once it is known. */
+  next: RemoteWorker | undefined;
   /** Time until which placement skips the worker. */
   excludedUntil = 0;
   /** Until when a start that got no answer may still be carried out here. */
@@ -148,6 +152,19 @@
     return this.tokenAcceptedAt !== undefined;
   }
 
+  /**
+   * Whether nobody carries out late starts that were sent to this incarnation:
+   * its id is over, or a later incarnation has accepted a higher fencing token.
+   */
+  get rejectsLateStarts(): boolean {
+    if (this.idHasEnded) return true;
+    const {next} = this;
+    return (
+      next !== undefined &&
+      (next.fencingTokenAccepted || next.rejectsLateStarts)
+    );
+  }
+
   /** Records that a call sent at `sentAt` was answered with the token accepted. */
   recordTokenAccepted(
     sentAt: clock.Milliseconds,
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -252,8 +252,9 @@
    */
   review(term: number | undefined): void {
     this.voidAfterSuspension();
-    if (this.options.isLeader())
+    if (this.options.isLeader()) {
       this.witnesses.review(this.options.clock.now());
+    }
     this.logInformed(term, 'grantor', this.grantorInformedAt);
     this.logInformed(term, 'majority', this.majorityInformedAt);
     this.logInformed(term, 'witnesses', this.witnesses.informedAt);
--- /dev/null
+++ b/test/jobs/late_start_restart_test.ts
@@ -0,0 +1,148 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as jobCell from '../support/job_cell.js';
+import * as runAudit from '../support/run_audit.js';
+import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as workerModel from '../../stand_ins/worker_model.js';
+
+const {describe, test} = nodeTest;
+
+/** Age of the first worker when the test begins. */
+const WORKER_AGE_MS = 100_000;
+
+/** Time after which the first copy of each start is carried out. */
+const COPY_DELAY_MS = 4_000;
+
+const LONG_RUN: workerModel.PlannedRun = {runTimeMs: 30_000, outcome: 'done'};
+
+/** Longest time for which a copy may arrive, and run unseen after that. */
+const COPIES_OVER_MS = 23_000;
+
+/** Cell of worker `one`, at which the first copy of a start is delayed. */
+class LateCopyCell extends jobCell.JobCell {
+  /** Starts the first term; the first run on worker `one` follows the plan. */
+  async begin(
+    firstRun: workerModel.PlannedRun,
+  ): Promise<jobScheduler.JobScheduler> {
+    const first = jobCell.registryEntry('one');
+    this.entries = [first];
+    this.workers.add(first, () => firstRun, -WORKER_AGE_MS);
+    const scheduler = await this.startTerm(1);
+    await this.time.advance(200);
+    this.workers.commandDelayMs = () => COPY_DELAY_MS;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await this.time.advance(50);
+    this.workers.commandDelayMs = () => 0;
+    return scheduler;
+  }
+
+  /** Adds a second worker, which is idle. */
+  addIdleWorker(scheduler: jobScheduler.JobScheduler): void {
+    this.addWorker(jobCell.registryEntry('two'), () => LONG_RUN);
+    scheduler.updateWorkers(this.entries);
+  }
+
+  /** Restarts worker `one`, which no call of the system reaches after that. */
+  restartOutOfReach(): void {
+    const [entry] = this.entries;
+    this.workers.byAddress.get(entry.address)?.crash();
+    const next = {...entry, born: entry.born + 1};
+    this.workers.add(next, () => LONG_RUN, this.time.now()).partitioned = true;
+  }
+
+  /** Advances time; the workers' leases end in time. */
+  async advanceWithLeases(milliseconds: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += 10) {
+      await this.time.advance(10);
+      for (const worker of this.workers.byAddress.values()) worker.endDueRuns();
+    }
+  }
+
+  startsOn(worker: string): number {
+    return this.startsOf('aa').filter(start => start.worker === worker).length;
+  }
+}
+
+describe('a task of which a copy of a start may still be carried out', () => {
+  // Guards against two runs at once: a run failed and its task was started on
+  // another worker, while the next incarnation of the first one, which nobody
+  // had reached, carried out a copy of the start.
+  test('does not start on another worker after its run has failed', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin({runTimeMs: 300, outcome: 'failed'});
+    await cell.advanceWithLeases(800);
+    cell.addIdleWorker(scheduler);
+    await cell.advanceWithLeases(500);
+    cell.restartOutOfReach();
+    await cell.advanceWithLeases(COPIES_OVER_MS);
+    assert.equal(cell.startsOn('one'), 2, 'the copy was not carried out');
+    assert.equal(cell.startsOn('two'), 1);
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against the same after a start that was stopped, because none of its
+  // copies got an answer.
+  test('does not start on another worker after its run was stopped', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin(LONG_RUN);
+    const one = cell.workers.byAddress.get('one:1');
+    assert.ok(one);
+    one.rejectReason = 'unhealthy';
+    cell.addIdleWorker(scheduler);
+    await cell.advanceWithLeases(2_500);
+    assert.equal(cell.startsOf('aa').length, 0);
+    cell.restartOutOfReach();
+    await cell.advanceWithLeases(COPIES_OVER_MS);
+    assert.equal(cell.startsOn('one'), 1, 'the copy was not carried out');
+    assert.equal(cell.startsOn('two'), 1);
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against the same with a takeover between: the next term restored the
+  // task as one that waits.
+  test('does not start on another worker in the next term', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin({runTimeMs: 300, outcome: 'failed'});
+    await cell.advanceWithLeases(900);
+    scheduler.retire();
+    const successor = await cell.startTerm(2);
+    cell.addIdleWorker(successor);
+    await cell.advanceWithLeases(500);
+    cell.restartOutOfReach();
+    await cell.advanceWithLeases(COPY_DELAY_MS);
+    assert.equal(cell.startsOn('two'), 0);
+    assert.equal(cell.startsOn('one'), 2, 'the copy was not carried out');
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against a task that waits for a copy which nobody can carry out.
+  test('starts at once if its worker was replaced by another one', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin(LONG_RUN);
+    await cell.advanceWithLeases(800);
+    cell.workers.byAddress.get('one:1')?.crash();
+    const [{machine}] = cell.entries;
+    const other = jobCell.registryEntry('two', {born: 2, machine});
+    cell.entries = [];
+    cell.addWorker(other, () => LONG_RUN);
+    scheduler.updateWorkers(cell.entries);
+    await cell.advanceWithLeases(300);
+    assert.equal(cell.startsOn('two'), 1);
+  });
+
+  // Guards against a job that waits 12 s for each start whose answer is lost: its
+  // own worker rejects the copies.
+  test('starts on the same worker while that is in reach', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin(LONG_RUN);
+    const one = cell.workers.byAddress.get('one:1');
+    assert.ok(one);
+    one.rejectReason = 'unhealthy';
+    cell.addIdleWorker(scheduler);
+    await cell.advanceWithLeases(1_500);
+    one.rejectReason = undefined;
+    await cell.advanceWithLeases(1_500);
+    assert.equal(cell.startsOn('one'), 1);
+    assert.equal(cell.startsOn('two'), 0);
+  });
+});
