Drop members that have left from the cell's log

Cause: each address that ever registered counted as a member for good.

Change: a leader drops members from which it has heard nothing for 10 s, by tombstones in its progress record, once no earlier leader may act and as long as the others are a majority. A member that was dropped by mistake registers again. The record of largest_records_test.ts is twelve records now, with the most tombstones and witnesses, all held to the same limit.

--- a/src/links/cell_log_store.ts
+++ b/src/links/cell_log_store.ts
@@ -9,6 +9,8 @@
 const WITNESSES_KEY = 'witnesses';
 const MEMBER_PREFIX = 'member/';
 
+const TOMBSTONE = new Uint8Array(0);
+
 /** Time within which an append must be answered. */
 const APPEND_TIMEOUT_MS = 700;
 
@@ -19,6 +21,7 @@
   async join(
     member: cellMember.CellMember,
     firstOffset: number | undefined,
+    expectedEnd: number,
   ): Promise<boolean> {
     const registration = {
       ...member,
@@ -30,7 +33,11 @@
       key: MEMBER_PREFIX + member.address,
       value: jsonDocument.encode(registration),
     };
-    const outcome = await this.topic.append([record], {}, APPEND_TIMEOUT_MS);
+    const outcome = await this.topic.append(
+      [record],
+      firstOffset === undefined ? {} : {ifEnd: expectedEnd},
+      APPEND_TIMEOUT_MS,
+    );
     return outcome.kind === 'appended';
   }
 
@@ -106,11 +113,21 @@
  */
 function progressRecords({
   witnesses,
+  departed = [],
   ...progress
 }: cellMember.LeaderProgress): ReadonlyArray<keyedTopic.KeyedRecord> {
-  const record = {key: PROGRESS_KEY, value: jsonDocument.encode(progress)};
-  if (witnesses === undefined) return [record];
-  return [{key: WITNESSES_KEY, value: jsonDocument.encode(witnesses)}, record];
+  const records: keyedTopic.KeyedRecord[] = departed.map(address => ({
+    key: MEMBER_PREFIX + address,
+    value: TOMBSTONE,
+  }));
+  if (witnesses !== undefined) {
+    const value = jsonDocument.encode(witnesses);
+    records.push({key: WITNESSES_KEY, value});
+  }
+  return [
+    ...records,
+    {key: PROGRESS_KEY, value: jsonDocument.encode(progress)},
+  ];
 }
 
 /** Decodes records of the cell's log; skips unknown kinds. */
@@ -118,16 +135,24 @@
   records: ReadonlyArray<keyedTopic.TopicRecord>,
   isSnapshot: boolean,
 ): cellMember.CellLogContent {
-  const members: cellMember.CellMember[] = [];
+  const members = new Map<string, cellMember.CellMember>();
   const memberOffsets = new Map<string, number>();
+  const departed = new Set<string>();
   let claim: cellMember.Claim | undefined;
   let progress: cellMember.LeaderProgress | undefined;
   let witnesses: ReadonlyArray<string> | undefined;
   for (const record of records) {
     if (isMemberKey(record.key)) {
       const address = record.key.slice(MEMBER_PREFIX.length);
+      if (record.value.length === 0) {
+        members.delete(address);
+        memberOffsets.delete(address);
+        departed.add(address);
+        continue;
+      }
+      departed.delete(address);
       const member = decodeMember(record);
-      if (member !== undefined) members.push(member);
+      if (member !== undefined) members.set(address, member);
       memberOffsets.set(address, member?.firstOffset ?? record.offset);
     } else if (record.key === CLAIM_KEY) {
       claim = decodeClaim(record) ?? claim;
@@ -139,7 +164,16 @@
     }
   }
   const leaderRecord = findLeaderRecord(records);
-  return {members, claim, progress, memberOffsets, leaderRecord, witnesses};
+  return {
+    members: [...members.values()],
+    claim,
+    progress,
+    memberOffsets,
+    leaderRecord,
+    witnesses,
+    departed: [...departed],
+    isComplete: isSnapshot,
+  };
 }
 
 function isMemberKey(key: string): boolean {
--- a/src/zones/cell_member.ts
+++ b/src/zones/cell_member.ts
@@ -41,6 +41,8 @@
   readonly exempt?: ReadonlyArray<string>;
   /** Ids of the workers that are witnesses from now on, if they change. */
   readonly witnesses?: ReadonlyArray<string>;
+  /** Addresses of members that are dropped from the log; none if undefined. */
+  readonly departed?: ReadonlyArray<string>;
 }
 
 /**
@@ -73,6 +75,10 @@
   readonly leaderRecord: LeaderRecord | undefined;
   /** Newest list of witnesses; undefined if the content has none. */
   readonly witnesses?: ReadonlyArray<string>;
+  /** Addresses of members that were dropped and have not registered since. */
+  readonly departed?: ReadonlyArray<string>;
+  /** Whether members that are not among `members` have left. */
+  readonly isComplete?: boolean;
 }
 
 /** Outcome of an attempt to write a progress record. */
@@ -99,8 +105,16 @@
 
 /** Writes to the cell's log; no call rejects. */
 export interface CellLog {
-  /** Registers a member; resolves to true if the record was stored. */
-  join(member: CellMember, firstOffset: number | undefined): Promise<boolean>;
+  /**
+   * Registers a member; resolves to true if the record was stored. If
+   * `firstOffset` is known, the log has to end at `expectedEnd`: the member may
+   * have been dropped since.
+   */
+  join(
+    member: CellMember,
+    firstOffset: number | undefined,
+    expectedEnd: number,
+  ): Promise<boolean>;
   /** Returns whether the store answers this process at present. */
   probe(): Promise<boolean>;
   /**
--- a/src/zones/cell_node.ts
+++ b/src/zones/cell_node.ts
@@ -203,6 +203,7 @@
     const {members, claim, progress, witnesses} = content;
     // A list of an earlier leader precedes the claim that it is read with.
     if (witnesses !== undefined) this.leadership.recordWitnesses(witnesses);
+    this.elector.removeDeparted(content);
     this.elector.recordRegistrations(
       content.memberOffsets,
       content.leaderRecord,
@@ -440,10 +441,16 @@
   /** Returns what a successor has to know of this leader and earlier ones. */
   private grantorsToReport(
     scheduler: jobScheduler.JobScheduler,
-  ): Pick<cellMember.LeaderProgress, 'grantorEnd' | 'exempt' | 'witnesses'> {
+  ): Pick<
+    cellMember.LeaderProgress,
+    'grantorEnd' | 'exempt' | 'witnesses' | 'departed'
+  > {
     if (scheduler.earlierLeadersEnded) {
       return {
         exempt: this.leadership.reviewExempt(),
+        departed: this.leadership.reviewDeparted(address =>
+          this.contacts.lastContactAtOf(address),
+        ),
         witnesses: this.leadership.takeWitnessChange(),
       };
     }
--- a/src/zones/election.ts
+++ b/src/zones/election.ts
@@ -73,6 +73,17 @@
     this.members.set(member.address, member);
   }
 
+  /** Removes a member that a leader has dropped from the log. */
+  removeMember(address: string): void {
+    this.members.delete(address);
+    this.grantorTable.forget(address);
+  }
+
+  /** Addresses of all registered members. */
+  get addresses(): ReadonlyArray<string> {
+    return [...this.members.keys()];
+  }
+
   /**
    * Whether the last leader knew this member. A leader acts on the word of all
    * members that it knows; without this one, that can't rule its claim out.
--- a/src/zones/grantor_table.ts
+++ b/src/zones/grantor_table.ts
@@ -28,6 +28,11 @@
     }
   }
 
+  /** Forgets a member that a leader has dropped from the log. */
+  forget(address: string): void {
+    this.registrations.delete(address);
+  }
+
   /** Returns where a process at an address first registered, if known. */
   firstOffsetOf(address: string): number | undefined {
     return this.registrations.get(address);
--- a/src/zones/leader_elector.ts
+++ b/src/zones/leader_elector.ts
@@ -135,6 +135,23 @@
     this.election.recordRegistrations(memberOffsets, leaderRecord);
   }
 
+  /** Removes members that the log no longer holds; see `CellLogContent`. */
+  removeDeparted({
+    members,
+    departed = [],
+    isComplete,
+  }: cellMember.CellLogContent): void {
+    const listed = new Set(members.map(({address}) => address));
+    const unlisted = isComplete
+      ? this.election.addresses.filter(address => !listed.has(address))
+      : [];
+    for (const address of [...departed, ...unlisted]) {
+      this.election.removeMember(address);
+      // Dropped by mistake: it registers again when it has applied the read.
+      if (address === this.options.self.address) this.joined = false;
+    }
+  }
+
   /** Applies records of the cell's log, which was read up to `end`. */
   applyCellLog(
     members: ReadonlyArray<cellMember.CellMember>,
@@ -205,6 +222,7 @@
     this.joined = await this.options.cellLog.join(
       this.options.self,
       this.election.firstOffsetOf(this.options.self.address),
+      this.election.logEnd,
     );
     this.joining = false;
   }
--- a/src/zones/leadership.ts
+++ b/src/zones/leadership.ts
@@ -1,4 +1,5 @@
 import * as earlierLeases from '../jobs/earlier_leases.js';
+import * as departedMembers from './departed_members.js';
 import * as exemptMembers from './exempt_members.js';
 import * as leadershipProof from './leadership_proof.js';
 import * as suspensionDetector from './suspension_detector.js';
@@ -57,6 +58,7 @@
 export class Leadership {
   private readonly proof = new leadershipProof.LeadershipProof();
   private readonly exemptMembers = new exemptMembers.ExemptMembers();
+  private readonly departedMembers = new departedMembers.DepartedMembers();
   /** When each member was last asked for its word. */
   private readonly lastAskedAt = new Map<string, clock.Milliseconds>();
   private readonly announcement: termAnnouncement.TermAnnouncement;
@@ -121,6 +123,7 @@
     this.proof.beginTerm();
     this.beganAt = this.options.clock.now();
     this.exemptMembers.restart(this.beganAt);
+    this.departedMembers.restart(this.beganAt);
     this.lastAskedAt.clear();
     this.loggedInformed.clear();
     this.witnesses.beginTerm();
@@ -147,6 +150,23 @@
     );
   }
 
+  /**
+   * Returns the members that a record of this leader, about to be sent, drops
+   * from the log; see `DepartedMembers`.
+   */
+  reviewDeparted(
+    heardAt: (address: string) => clock.Milliseconds,
+  ): ReadonlyArray<string> | undefined {
+    // Members of a version that never forgets members would count them on.
+    if (!this.allHeedWitnesses || !this.isProvedByStore) return undefined;
+    const departed = this.departedMembers.review(
+      this.peerAddresses(),
+      heardAt,
+      this.options.clock.now(),
+    );
+    return departed.length === 0 ? undefined : departed;
+  }
+
   /** Records that the log holds the names of exempt members. */
   recordExemptStored(addresses: ReadonlyArray<string>): void {
     this.exemptMembers.recordStored(addresses);
@@ -197,6 +217,7 @@
         peer => peer.address === address && peer.incarnation === incarnation,
       );
     if (!isRegistered || askedAt === undefined) return;
+    if (this.departedMembers.isNominated(address)) return;
     if (askedAt > this.options.clock.now()) return;
     this.proof.proveByMember(address, askedAt);
   }
--- a/src/zones/member_contacts.ts
+++ b/src/zones/member_contacts.ts
@@ -20,6 +20,11 @@
     this.lastContactAt.set(address, this.clock.now());
   }
 
+  /** Returns when a member was last heard; -Infinity if it never was. */
+  lastContactAtOf(address: string): clock.Milliseconds {
+    return this.lastContactAt.get(address) ?? -Infinity;
+  }
+
   /** Returns the members that were heard within `windowMs`. */
   heardWithin(
     members: ReadonlyArray<cellMember.CellMember>,
@@ -27,8 +32,7 @@
   ): ReadonlyArray<cellMember.CellMember> {
     const now = this.clock.now();
     return members.filter(({address}) => {
-      const lastContactAt = this.lastContactAt.get(address) ?? -Infinity;
-      return now - lastContactAt < windowMs;
+      return now - this.lastContactAtOf(address) < windowMs;
     });
   }
 
--- a/test/links/cell_log_store_test.ts
+++ b/test/links/cell_log_store_test.ts
@@ -53,7 +53,7 @@
     const store = new cellLogStore.CellLogStore(
       topic as unknown as keyedTopic.KeyedTopic,
     );
-    await store.join(MEMBER, undefined);
+    await store.join(MEMBER, undefined, 0);
     await store.claim(MEMBER, 1, GRANTORS);
     const progress = {
       term: 2,
@@ -77,7 +77,7 @@
     });
     assert.deepEqual([...read(4).memberOffsets], [[MEMBER.address, 0]]);
     // A restarted member is known since its first process registered.
-    await store.join(MEMBER, 0);
+    await store.join(MEMBER, 0, 4);
     records.push({...appended[4], offset: 9});
     assert.deepEqual([...read(5).memberOffsets], [[MEMBER.address, 0]]);
   });
--- a/test/links/largest_records_test.ts
+++ b/test/links/largest_records_test.ts
@@ -234,7 +234,7 @@
   test('fits the store (member, claim and its progress)', async t => {
     const topic = new RecordingTopic();
     const store = new cellLogStore.CellLogStore(topic);
-    await store.join(MEMBER, Number.MAX_SAFE_INTEGER);
+    await store.join(MEMBER, Number.MAX_SAFE_INTEGER, 0);
     const grantors = {
       grantorEnd: Number.MAX_SAFE_INTEGER,
       exempt: Array.from({length: 8}, () => MEMBER.address),
@@ -247,9 +247,11 @@
       takeoverStep: Number.MAX_SAFE_INTEGER,
       hearsMajority: false,
       ...grantors,
+      witnesses: Array.from({length: 15}, () => MEMBER.address),
+      departed: grantors.exempt,
     };
     await store.reportProgress(progress, 0, 0);
-    assert.equal(topic.appended.length, 3);
+    assert.equal(topic.appended.length, 12);
     for (const {key, value} of topic.appended) {
       const bytes = 1 + Buffer.byteLength(key) + value.length;
       t.diagnostic(`${key}: ${bytes} bytes`);
