List all unanswered starts of a job, and none that are over

A job with more than 100 starts without an answer listed 100 of them, so that the next term acknowledged successes of the others whose copies then ran. A start that was answered by a repeat long ago stayed listed, so that each later term held its acknowledgement back.

Change: the stored progress says if any other task may have such a start, and is stored again once listed starts can't run any more.

--- a/src/jobs/job_record.ts
+++ b/src/jobs/job_record.ts
@@ -28,6 +28,8 @@
   readonly doneOccurrences?: ReadonlyArray<OccurrenceRange>;
   /** Starts without an answer that may arrive late or run unseen. */
   readonly unansweredStarts?: ReadonlyArray<unansweredStarts.UnansweredStart>;
+  /** Whether any other task may have such a start, too. */
+  readonly hasMoreUnansweredStarts?: boolean;
 }
 
 /**
@@ -138,9 +140,10 @@
   /** Progress to store. */
   progress(now: clock.Milliseconds): JobProgress {
     const progress = this.progressOfSteps();
-    const listedStarts = this.unansweredStarts.list(now);
-    if (listedStarts.length === 0) return progress;
-    return {...progress, unansweredStarts: listedStarts};
+    const {tasks, isIncomplete} = this.unansweredStarts.list(now);
+    if (tasks.length === 0) return progress;
+    const listed = {...progress, unansweredStarts: tasks};
+    return isIncomplete ? {...listed, hasMoreUnansweredStarts: true} : listed;
   }
 
   /** Progress of the steps; once the job has settled, it is over. */
@@ -175,6 +178,19 @@
       if (instance !== undefined) restoreStep(instance, stored);
     }
     this.restoreUnansweredStarts(progress.unansweredStarts ?? [], now);
+    if (progress.hasMoreUnansweredStarts === true) {
+      this.assumeUnansweredStarts(now);
+    }
+  }
+
+  /** Takes every task for one with a start that got no answer. */
+  private assumeUnansweredStarts(now: clock.Milliseconds): void {
+    const listed = new Set(this.unansweredStarts.tasks);
+    for (const instance of this.steps) {
+      for (const task of instance.tasks) {
+        if (!listed.has(task)) this.unansweredStarts.inherit(task, [], now);
+      }
+    }
   }
 
   private restoreUnansweredStarts(
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -69,6 +69,8 @@
   private readonly idleCapacityThrottle: idleCapacityThrottle.IdleCapacityThrottle;
   private readonly slicer: turnSlicer.TurnSlicer;
   private readonly takeoverTimeline: takeoverTimeline.TakeoverTimeline;
+  /** Jobs whose stored progress lists starts without an answer. */
+  private readonly recordsWithUnansweredStarts = new Set<jobRecord.JobRecord>();
   private runRecovery: runRecovery.RunRecovery | undefined;
   private readonly earlierLeases: earlierLeases.EarlierLeases;
   private active = true;
@@ -354,6 +356,7 @@
       this.placementPassRunner.prefetchAdvice(now),
     );
     loopMeter.measure('evacuation', () => this.evacuator.review(now));
+    this.expireUnansweredStarts(now);
     this.unblockRecoveredJobs();
     this.placementPassRunner.reportWaiting(now);
     this.requestPlacementPass();
@@ -395,7 +398,9 @@
     const reason = isNew ? 'recorded' : 'alreadyRecorded';
     this.options.counters.count('starts_unanswered', reason);
     // The next term must know it, because it may acknowledge the task's end.
-    if (isNew) this.jobTable.store(record);
+    if (!isNew) return;
+    this.recordsWithUnansweredStarts.add(record);
+    this.jobTable.store(record);
   }
 
   startConfirmed(assignment: jobTask.Assignment): void {
@@ -426,6 +431,22 @@
     this.unblockRecoveredJobs();
   }
 
+  /**
+   * Stores the jobs again whose listed starts can't run any more: the next term
+   * would take them for new ones.
+   */
+  private expireUnansweredStarts(now: clock.Milliseconds): void {
+    for (const record of this.recordsWithUnansweredStarts) {
+      const {unansweredStarts} = record;
+      const hasChanged = unansweredStarts.expire(now);
+      if (unansweredStarts.isEmpty) {
+        this.recordsWithUnansweredStarts.delete(record);
+      }
+      const isKept = this.jobTable.get(record.definition.id) === record;
+      if (hasChanged && isKept) this.jobTable.store(record);
+    }
+  }
+
   private findRecord(
     queue: string,
     id: string,
@@ -449,6 +470,9 @@
     await this.slicer.forEach(content.jobs, RESTORE_UNITS, stored => {
       const record = this.jobTable.restore(stored);
       if (record.outcome === 'open') openRecords.push(record);
+      if (!record.unansweredStarts.isEmpty) {
+        this.recordsWithUnansweredStarts.add(record);
+      }
     });
     if (!this.active) return;
     this.queues.restore(content.queues, queueNamesOf(content));
--- a/src/jobs/unanswered_starts.ts
+++ b/src/jobs/unanswered_starts.ts
@@ -10,9 +10,16 @@
   readonly workers: ReadonlyArray<string>;
 }
 
-/** Most tasks of a job that its stored progress lists. */
+/** Most tasks of a job that its stored progress lists one by one. */
 const MAXIMUM_LISTED_TASKS = 100;
 
+/** What a job's stored progress says of its starts without an answer. */
+export interface UnansweredStartList {
+  readonly tasks: ReadonlyArray<UnansweredStart>;
+  /** Whether any other task of the job may have such a start, too. */
+  readonly isIncomplete: boolean;
+}
+
 /**
  * Tasks of one job that have a start without an answer. The stored progress
  * lists them, so that the next term knows which starts may still be carried out.
@@ -52,13 +59,23 @@
     );
   }
 
-  /** Returns what to list; forgets the tasks of which no start can run. */
-  list(now: clock.Milliseconds): ReadonlyArray<UnansweredStart> {
+  /**
+   * Forgets the tasks of which no start can run any more; returns whether there
+   * were any.
+   */
+  expire(now: clock.Milliseconds): boolean {
+    const countBefore = this.workersByTask.size;
     for (const task of this.workersByTask.keys()) {
       if (task.sentStarts.mayRunUnseen(now)) continue;
       this.workersByTask.delete(task);
     }
-    return [...this.workersByTask]
+    return this.workersByTask.size < countBefore;
+  }
+
+  /** Returns what to list; forgets the tasks of which no start can run. */
+  list(now: clock.Milliseconds): UnansweredStartList {
+    this.expire(now);
+    const tasks = [...this.workersByTask]
       .slice(0, MAXIMUM_LISTED_TASKS)
       .map(([{step, index}, workers]) => ({
         occurrence: step.occurrence,
@@ -66,5 +83,11 @@
         index,
         workers: [...workers],
       }));
+    return {tasks, isIncomplete: this.workersByTask.size > tasks.length};
+  }
+
+  /** Whether no task has such a start. */
+  get isEmpty(): boolean {
+    return this.workersByTask.size === 0;
   }
 }
--- a/src/links/record_checks.ts
+++ b/src/links/record_checks.ts
@@ -81,7 +81,9 @@
     (value['doneOccurrences'] === undefined ||
       isRangeList(value['doneOccurrences'])) &&
     (value['unansweredStarts'] === undefined ||
-      isUnansweredStartList(value['unansweredStarts']))
+      isUnansweredStartList(value['unansweredStarts'])) &&
+    (value['hasMoreUnansweredStarts'] === undefined ||
+      typeof value['hasMoreUnansweredStarts'] === 'boolean')
   );
 }
 
