Late calls: one constant for the end of their leases

The time until no lease of a late call is left stood in two modules under two names. The tests of late starts share their first steps.

--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -27,9 +27,6 @@
 /** Duration of a lease on a clock that runs slow, with late timers. */
 const LONGEST_LEASE_MS = LEASE_DURATION_MS * CLOCK_RATE_RATIO + TIMER_MARGIN_MS;
 
-/** Time from sending a call that is carried out late to the end of its lease. */
-const LATE_LEASE_MS = remoteWorker.LATE_CALL_MS + remoteWorker.LONGEST_LEASE_MS;
-
 /** Largest difference between the times of day of two VMs. */
 const MAXIMUM_CLOCK_SKEW_MS = 5_000;
 
@@ -104,7 +101,7 @@
     const bornAt = this.clock.now() - ageMs + MAXIMUM_CLOCK_SKEW_MS;
     const foreignUntil = Math.min(
       bornAt + remoteWorker.FOREIGN_LEASE_MS,
-      this.lastPermissionEndsAt + LATE_LEASE_MS,
+      this.lastPermissionEndsAt + remoteWorker.LATE_LEASE_MS,
     );
     return this.isOver(Math.max(this.expireAt, foreignUntil));
   }
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -3,13 +3,6 @@
 import type * as clock from '../machines/clock.js';
 import type * as jobTask from './job_task.js';
 
-/**
- * Time after sending for which a run of a start may go on unseen, on an
- * incarnation that no call of this term reaches. Its deadline may be far ahead
- * on a clock that has started anew, so the lease is the longest one.
- */
-const UNSEEN_RUN_MS = remoteWorker.LATE_CALL_MS + remoteWorker.LONGEST_LEASE_MS;
-
 /** One copy of a start, until its answer has arrived. */
 export interface SentStart {
   readonly sentAt: clock.Milliseconds;
@@ -47,7 +40,7 @@
   private readonly open = new Set<SentStart>();
 
   /** Records a copy that is being sent. */
-  add(now: clock.Milliseconds, worker?: remoteWorker.RemoteWorker): SentStart {
+  add(now: clock.Milliseconds, worker: remoteWorker.RemoteWorker): SentStart {
     const copy = {sentAt: now, worker};
     this.open.add(copy);
     return copy;
@@ -70,7 +63,7 @@
 
   /** Returns whether a copy may still be carried out, or may run unseen. */
   mayRunUnseen(now: clock.Milliseconds): boolean {
-    const sinceMs = now - UNSEEN_RUN_MS;
+    const sinceMs = now - remoteWorker.LATE_LEASE_MS;
     for (const copy of this.open) {
       if (copy.sentAt <= sinceMs) this.open.delete(copy);
     }
@@ -101,7 +94,7 @@
   // Of an earlier term, which waits for the workers' reports as a whole.
   if (worker === undefined) return false;
   const isReported = worker.lastAnswerAt >= arrivesUntil;
-  return !isReported && now < sentAt + UNSEEN_RUN_MS;
+  return !isReported && now < sentAt + remoteWorker.LATE_LEASE_MS;
 }
 
 /** A success that is stored and not acknowledged yet. */
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -83,16 +83,21 @@
  */
 export const LATE_CALL_MS = 12_000;
 
+/**
+ * Time from sending a call without an answer until no lease is left that it has
+ * granted. Its deadline may be far ahead on the clock of a later incarnation, so
+ * the lease is the longest one.
+ */
+export const LATE_LEASE_MS = LATE_CALL_MS + LONGEST_LEASE_MS;
+
 /** Time for which calls with leases are sent to an incarnation that has ended. */
 const UNNOTICED_END_MS = 2_000;
 
 /**
- * Time from the start of an incarnation until no lease is left that a call which
- * was meant for the one before it has granted. The deadline of such a call comes
- * from the clock of that one, which the worker's new clock is far behind.
+ * Time from the start of an incarnation until no lease is left that a call for
+ * the one before it has granted.
  */
-export const FOREIGN_LEASE_MS =
-  UNNOTICED_END_MS + LATE_CALL_MS + LONGEST_LEASE_MS;
+export const FOREIGN_LEASE_MS = UNNOTICED_END_MS + LATE_LEASE_MS;
 
 /**
  * The job scheduler's view of one incarnation of a worker in the registry: its
--- a/test/jobs/late_start_restart_test.ts
+++ b/test/jobs/late_start_restart_test.ts
@@ -58,6 +58,16 @@
     }
   }
 
+  /** Starts the first term; worker `one` rejects the repeats of its first start. */
+  async beginUnhealthy(): Promise<workerModel.WorkerModel> {
+    const scheduler = await this.begin(LONG_RUN);
+    const one = this.workers.byAddress.get('one:1');
+    assert.ok(one);
+    one.rejectReason = 'unhealthy';
+    this.addIdleWorker(scheduler);
+    return one;
+  }
+
   startsOn(worker: string): number {
     return this.startsOf('aa').filter(start => start.worker === worker).length;
   }
@@ -84,11 +94,7 @@
   // copies got an answer.
   test('does not start on another worker after its run was stopped', async () => {
     const cell = new LateCopyCell();
-    const scheduler = await cell.begin(LONG_RUN);
-    const one = cell.workers.byAddress.get('one:1');
-    assert.ok(one);
-    one.rejectReason = 'unhealthy';
-    cell.addIdleWorker(scheduler);
+    await cell.beginUnhealthy();
     await cell.advanceWithLeases(2_500);
     assert.equal(cell.startsOf('aa').length, 0);
     cell.restartOutOfReach();
@@ -134,11 +140,7 @@
   // own worker rejects the copies.
   test('starts on the same worker while that is in reach', async () => {
     const cell = new LateCopyCell();
-    const scheduler = await cell.begin(LONG_RUN);
-    const one = cell.workers.byAddress.get('one:1');
-    assert.ok(one);
-    one.rejectReason = 'unhealthy';
-    cell.addIdleWorker(scheduler);
+    const one = await cell.beginUnhealthy();
     await cell.advanceWithLeases(1_500);
     one.rejectReason = undefined;
     await cell.advanceWithLeases(1_500);
