--- a/review/stand_ins_3/worker.mjs
+++ b/review/stand_ins_3/worker.mjs
@@ -75,8 +75,9 @@
   /** Writes its entry to the registry until it is closed. */
   register(registry) {
     const write = () => {
-      if (!this.isUp) return;
+      if (!this.isUp || this.isDark) return;
       this.seq += 1;
+      this.pingedAt = Date.now();
       registry.put('keyed.servers', this.options.id, this.entry());
     };
     write();
@@ -203,10 +204,13 @@
       this.note(event, {task, run}, `how=${how}`);
       return false;
     });
+    const {born} = this;
     const until = performance.now() + (body.wait_ms ?? 0);
     while (this.ended.length === 0 && performance.now() < until && this.isUp) {
       await new Promise(resolve => setTimeout(resolve, TICK_MS));
     }
+    // An answer is lost if its worker is cut off or has restarted meanwhile.
+    if (this.isDark || born !== this.born) return;
     if (!this.isUp) {
       response.destroy();
       return;
