--- a/review/stand_ins_3/worker.mjs
+++ b/review/stand_ins_3/worker.mjs
@@ -16,7 +16,10 @@
 
 /** What all workers of a case share: the plan of each task, and the record. */
 export class WorkerWorld {
-  /** `planOf(name)` returns `{workMs, gang, checkpointMs}` of a task. */
+  /**
+   * `planOf(name)` returns `{workMs, lasts, gang, checkpointMs, failsAfterMs}`
+   * of a task; the last one is for its first run only.
+   */
   constructor(planOf, record) {
     this.planOf = planOf;
     this.record = record;
@@ -86,7 +89,7 @@
   }
 
   entry() {
-    const {service, zone, machine, rack, capacity} = this.options;
+    const {service, zone, machine, rack, capacity, kind = 'a'} = this.options;
     return {
       service_name: service,
       address: this.address,
@@ -96,7 +99,7 @@
       state: 'ready',
       cold_left_ms: 0,
       capacity,
-      labels: ['a', rack],
+      labels: [kind, rack],
       machine,
       born: this.born,
       clock_ms: this.clockMs,
@@ -260,6 +263,12 @@
         return;
       }
     }
+    if (plan.failsAfterMs !== undefined && run.run === 1) {
+      if (now - run.workedSince >= plan.failsAfterMs) {
+        this.end(run, 'failed');
+        return;
+      }
+    }
     if (plan.checkpointMs !== undefined) {
       if (now - run.savedAt >= plan.checkpointMs) {
         run.savedAt = now;
