--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -58,6 +58,8 @@
    * the fault phase then, and tasks that stand are looked for after it.
    */
   readonly workerLosses?: boolean;
+  /** An organisation that may have little running. */
+  readonly quotas?: boolean;
 }
 
 /** All kinds of additional faults. */
@@ -119,6 +121,7 @@
       pausesLeaders: additional.leaderPauses === true,
       // The wait for a worker that came back depends on when it did.
       tellsBirthTimes: additional.workerLosses === true,
+      hasQuotas: additional.quotas === true,
     });
     this.faults = new randomFaults.RandomFaults(this.world);
     this.checks = new randomCellChecks.RandomCellChecks(this.world);
--- a/test/support/random_cell_checks.ts
+++ b/test/support/random_cell_checks.ts
@@ -1,8 +1,11 @@
 import * as jobCell from './job_cell.js';
 import * as resources from '../../src/machines/resources.js';
-import type * as randomWorld from './random_world.js';
+import * as randomWorld from './random_world.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
+/** Share of a quota that callers accept. */
+const QUOTA_TOLERANCE = 1.1;
+
 /** Checks a simulated cell against the rules, and keeps what breaks them. */
 export class RandomCellChecks {
   readonly violations: string[] = [];
@@ -14,6 +17,7 @@
   /** Checks what has happened since the last call. */
   checkInvariants(): void {
     for (const model of this.world.models) this.checkCapacity(model);
+    if (this.world.options.hasQuotas) this.checkQuota();
     const {events} = this.world.cell.workers;
     for (; this.checkedCount < events.length; this.checkedCount += 1) {
       this.checkEvent(events[this.checkedCount]);
@@ -27,6 +31,29 @@
     this.violations.push(`worker over capacity: ${model.entry.id} at ${at} ms`);
   }
 
+  /**
+   * Checks what an organisation has running on all workers together. Callers
+   * accept a tenth and one task more than its quota.
+   */
+  private checkQuota(): void {
+    const {name, quota} = randomWorld.LIMITED_ORGANISATION;
+    const {definitions} = this.world.cell.journal;
+    const isLimited = (task: string): boolean =>
+      definitions.get(task.split('.')[0])?.organisation === name;
+    let processors = 0;
+    for (const model of this.world.models) {
+      const used = model.reservedCapacity(task =>
+        isLimited(task) ? this.sizeOf(task) : resources.NONE,
+      );
+      processors += used.processors;
+    }
+    const limit =
+      QUOTA_TOLERANCE * quota.processors + jobCell.STEP.size.processors;
+    if (processors <= limit) return;
+    const at = Math.round(this.world.cell.time.now());
+    this.violations.push(`quota exceeded: ${processors} at ${at} ms`);
+  }
+
   private sizeOf(task: string): resources.Resources {
     const [id, , step] = task.split('.');
     const definition = this.world.cell.journal.definitions.get(id);
--- a/test/support/random_world.ts
+++ b/test/support/random_world.ts
@@ -5,6 +5,7 @@
 import * as earlierLeases from '../../src/jobs/earlier_leases.js';
 import type * as job from '../../src/jobs/job.js';
 import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as organisation from '../../src/jobs/organisation.js';
 import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as workerClient from '../../src/machines/worker_client.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
@@ -12,6 +13,13 @@
 /** Number of workers in the cell. */
 export const WORKER_COUNT = 5;
 
+/** Organisation of every other job in cells with quotas. */
+export const LIMITED_ORGANISATION: organisation.Organisation = {
+  name: 'limited',
+  apiKeys: ['key'],
+  quota: {processors: 2_000, memory: 0, accelerators: 0},
+};
+
 /** Service to which the queue moves and from which it moves back. */
 const OTHER_SERVICE = 'annex';
 
@@ -58,6 +66,8 @@
    * seeds number the incarnations.
    */
   readonly tellsBirthTimes?: boolean;
+  /** Whether every other job is of an organisation with a quota. */
+  readonly hasQuotas?: boolean;
 }
 
 /** Returns the label that only one worker has. */
@@ -99,6 +109,7 @@
 
   constructor(readonly options: WorldOptions) {
     this.random = new randomSource.SeededRandom(options.seed);
+    if (options.hasQuotas) this.cell.organisations = [LIMITED_ORGANISATION];
   }
 
   get termCount(): number {
@@ -134,7 +145,12 @@
     const steps: Array<Partial<job.Step>> = [{count}];
     if (this.chance(3)) steps.push({count: 2, after: [0]});
     const definition = jobCell.jobOf(id, ...steps);
-    this.submitDefinition(definition);
+    const isLimited = this.options.hasQuotas && this.definitions.size % 2 === 0;
+    this.submitDefinition(
+      isLimited
+        ? {...definition, organisation: LIMITED_ORGANISATION.name}
+        : definition,
+    );
   }
 
   /** Submits a job, or submits it again, to the newest scheduler. */
