Grant leases of 4.4 s, so that a succession ends within calm

Cause: after a succession the tasks of a worker that is lost wait for the permission of the leader before (2 s) and for its leases (5.45 s with slow clocks and late timers): 7.5 s after the claim. Callers take a task that lasts for lost after 7 s of calm, 4 s in touch and 3 s without a run. Each leader that is lost meanwhile began that wait anew. Change: leases of 4.4 s, so that all runs of an earlier term are over 6.9 s after a claim. A worker whose answers are slow is still heard by its fourth call, 3.9 s after its last answer. A term of an earlier version grants 5 s: in the first succession after an upgrade its runs may outlast the wait by 0.6 s.

--- a/src/jobs/earlier_leases.ts
+++ b/src/jobs/earlier_leases.ts
@@ -1,8 +1,12 @@
 import * as remoteWorker from '../machines/remote_worker.js';
 import type * as clock from '../machines/clock.js';
 
-/** Duration of the leases that a scheduler grants. */
-export const LEASE_DURATION_MS = 5_000;
+/**
+ * Duration of the leases that a scheduler grants. After a succession the tasks of
+ * a lost worker wait for the permission of the leader before and for such a lease,
+ * and callers take them for lost after 7 s of calm.
+ */
+export const LEASE_DURATION_MS = 4_400;
 
 /** How long a leader may act after the time for which its proof was given. */
 export const LEADERSHIP_PROOF_LIFETIME_MS = 2_000;
--- a/test/jobs/earlier_leases_test.ts
+++ b/test/jobs/earlier_leases_test.ts
@@ -4,8 +4,8 @@
 
 const {describe, test} = nodeTest;
 
-/** Lease of 5 s on a slow clock, with late timers. */
-const LONGEST_LEASE_MS = 5_450;
+/** Lease of 4.4 s on a slow clock, with late timers, in steps of 10 ms. */
+const LONGEST_LEASE_MS = 4_840;
 
 const BEGAN_AT_MS = 1_000;
 
@@ -40,6 +40,14 @@
     assert.equal(expiry, 3_000 + 2_000 + LONGEST_LEASE_MS);
   });
 
+  // Guards against tasks of a lost worker that stand for 7 s of calm after a
+  // succession, which callers don't accept.
+  test('expire before callers take a task that lasts for lost', () => {
+    const calmMs = 4_000 + 3_000;
+    const expiry = findExpiry(BEGAN_AT_MS, now => now);
+    assert.ok(expiry !== undefined && expiry - BEGAN_AT_MS < calmMs);
+  });
+
   // Guards against a successor with a minority of the members that starts tasks
   // which the earlier leader still runs with the majority.
   test('expire 20 s and a lease after the claim if no majority is heard', () => {
