--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,5 +1,5 @@
 import * as fencingToken from '../machines/fencing_token.js';
-import * as lateStarts from './late_starts.js';
+import * as sentStarts from './sent_starts.js';
 import * as jobTask from './job_task.js';
 import * as throttleCommands from './throttle_commands.js';
 import type * as assignmentIndex from './assignment_index.js';
@@ -186,7 +186,7 @@
         if (isConclusive(outcome)) {
           task.sentStarts.settle(copy);
         } else {
-          lateStarts.expectLateStart(worker, copy);
+          sentStarts.expectLateStart(worker, copy);
           this.listener.startUnanswered(assignment);
         }
         this.handleStartOutcome(assignment, outcome);
--- /dev/null
+++ b/src/jobs/held_restart.ts
@@ -0,0 +1,37 @@
+import * as sentStarts from './sent_starts.js';
+import type * as clock from '../machines/clock.js';
+import type * as jobTask from './job_task.js';
+
+/** Time without a run after which callers take a task that lasts for lost. */
+const STANDING_LIMIT_MS = 9_000;
+
+/** Time that a start takes at most, with the record of its worker before it. */
+const START_ALLOWANCE_MS = 1_500;
+
+/**
+ * A task whose next run is held back because copies of earlier starts may still
+ * be carried out.
+ */
+export class HeldRestart {
+  constructor(
+    readonly task: jobTask.JobTask,
+    readonly heldSince: clock.Milliseconds,
+    /** When the last run of the task was last known to run. */
+    private readonly lastRunAt: clock.Milliseconds,
+  ) {}
+
+  /**
+   * Returns whether the task still has to wait. A task that lasts does not wait
+   * for incarnations that may never come until callers take it for lost.
+   */
+  mustWait(
+    copies: ReadonlyArray<sentStarts.SentStart>,
+    now: clock.Milliseconds,
+  ): boolean {
+    if (this.task.done || copies.length === 0) return false;
+    if (!this.task.step.definition.longRunning) return true;
+    const limitMs = STANDING_LIMIT_MS - START_ALLOWANCE_MS;
+    if (now < this.lastRunAt + limitMs) return true;
+    return copies.some(copy => sentStarts.stateOf(copy, now) === 'open');
+  }
+}
--- a/src/jobs/job_task.ts
+++ b/src/jobs/job_task.ts
@@ -1,4 +1,4 @@
-import * as lateStarts from './late_starts.js';
+import * as sentStarts from './sent_starts.js';
 import type * as clock from '../machines/clock.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 import type * as stepInstance from './step_instance.js';
@@ -122,7 +122,7 @@
   private sentWorkers: ReadonlySet<string> = NO_WORKERS;
   private storedWorkers: ReadonlySet<string> = NO_WORKERS;
   /** Copies of starts of all runs that may still be carried out. */
-  readonly sentStarts = new lateStarts.SentStarts();
+  readonly sentStarts = new sentStarts.SentStarts();
   private readonly activeAssignments: Assignment[] = [];
   private readonly startDelays = new Set<StartDelay>();
   private readonly failedRunNumbers = new Set<number>();
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -172,7 +172,7 @@
     now: clock.Milliseconds,
   ): number {
     const lapsed = [...this.assignmentIndex.runsOn(worker)].filter(
-      ({jobTask: task}) => !lateStarts.mayRunElsewhere(task, now),
+      ({jobTask: task}) => !lateStarts.mayRunUnseen(task, now),
     );
     for (const assignment of lapsed) this.end(assignment, 'lapsed', now);
     return lapsed.length;
@@ -180,8 +180,9 @@
 
   /** Releases a run that has ended or definitely did not start. */
   release(assignment: jobTask.Assignment, now: clock.Milliseconds): void {
+    const {jobTask: task, worker} = assignment;
     this.assignmentIndex.remove(assignment);
-    this.lateStarts.holdRestart(assignment.jobTask, now);
+    this.lateStarts.holdRestart(task, now, worker.lastAnswerAt);
   }
 
   private applyRunning(
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -1,4 +1,4 @@
-import * as lateStarts from './late_starts.js';
+import * as sentStarts from './sent_starts.js';
 import * as lineLimiter from './line_limiter.js';
 import * as storedWorkerList from './stored_worker_list.js';
 import * as workerSession from '../machines/worker_session.js';
@@ -93,7 +93,7 @@
       }));
     for (const id of lateWorkers) {
       const worker = workers.get(id);
-      if (worker !== undefined) lateStarts.inheritLateStart(worker, now);
+      if (worker !== undefined) sentStarts.inheritLateStart(worker, now);
     }
     this.sessionsOpen = true;
     this.storedList.inherit(
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -59,6 +59,7 @@
       entry,
       now,
       this.countIncarnation(entry.id),
+      worker,
     );
     nextIncarnation.recordMissing(now);
     this.workers.set(entry.id, nextIncarnation);
@@ -112,6 +113,7 @@
             entry,
             now,
             this.countIncarnation(entry.id),
+            known,
           )
         : this.createWorker(entry, now);
       if (known) replaced.push({worker: known, nextIncarnation: worker});
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -177,14 +177,16 @@
     this.update(entry, now);
   }
 
-  /** Creates the next incarnation of a worker, which has the same id. */
+  /** Creates the next incarnation of worker `last`, which has the same id. */
   static nextIncarnation(
     entry: RegistryEntry,
     now: clock.Milliseconds,
     incarnation: number,
+    last: RemoteWorker,
   ): RemoteWorker {
     const worker = new RemoteWorker(entry, now, incarnation);
     worker.markRestarted();
+    worker.lateStartsUntil = last.lateStartsUntil;
     // Until this incarnation has accepted a higher fencing token, it carries out
     // calls that were meant for the earlier one.
     worker.foreignLeaseExpiry = now + LONGEST_LEASE_MS;
@@ -223,24 +225,30 @@
     return this.tokenAcceptedAt !== undefined;
   }
 
+  /** Latest known incarnation under the same id. */
+  get newest(): RemoteWorker {
+    return this.next?.newest ?? this;
+  }
+
   /**
-   * Whether no later incarnation carries out starts that were sent to this one:
-   * its id is over, a later incarnation has accepted a higher fencing token, or
-   * none was listed and the worker is gone.
+   * Whether the incarnation that is known last rejects calls that were sent to
+   * this one and got no answer. The one after it has seen no fencing token and
+   * would carry them out.
    */
-  get rejectsLateStarts(): boolean {
-    if (this.idHasEnded) return true;
-    return this.next === undefined ? this.departed : this.next.isFenced;
+  get rejectsLateCalls(): boolean {
+    const {newest} = this;
+    return newest.fencingTokenAccepted && !newest.unreachable;
   }
 
   /**
-   * Whether calls for earlier incarnations are rejected: this one or a later one
-   * has accepted a higher fencing token, or its id is over. One that was never
-   * reached may have carried them out, also if it has departed since.
+   * Whether the worker is gone with all its incarnations, and none of them may
+   * have carried out calls that nobody knows of: a later one that was never
+   * reached may have done so before it departed.
    */
-  private get isFenced(): boolean {
-    if (this.fencingTokenAccepted || this.idHasEnded) return true;
-    return this.next?.isFenced === true;
+  get isGone(): boolean {
+    const {newest} = this;
+    const wasReached = newest === this || newest.fencingTokenAccepted;
+    return wasReached && newest.departed;
   }
 
   /**
