--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -19,6 +19,14 @@
 /** Most `taskHeld` lines in one second. */
 const MAXIMUM_HELD_LINES_PER_SECOND = 10;
 
+/** Starts tasks on workers that the caller names. */
+export interface DirectStarter {
+  /** Returns whether a worker would take a task if it had room. */
+  mayTake(task: jobTask.JobTask, worker: remoteWorker.RemoteWorker): boolean;
+  /** Starts a waiting task on a worker, if that can take it now. */
+  startOn(task: jobTask.JobTask, worker: remoteWorker.RemoteWorker): boolean;
+}
+
 /** Dependencies of a `JobLifecycle`. */
 export interface JobLifecycleDependencies {
   readonly options: schedulerOptions.SchedulerOptions;
@@ -31,11 +39,8 @@
   readonly runtimeModel: runtimeModel.RuntimeModel;
   readonly startShares: startShares.StartShares;
   readonly requestPlacementPass: () => void;
-  /** Starts a waiting task on a worker, if that can take it. */
-  readonly startOn: (
-    task: jobTask.JobTask,
-    worker: remoteWorker.RemoteWorker,
-  ) => boolean;
+  /** Returns what starts tasks outside of the order of urgency. */
+  readonly directStarter: () => DirectStarter;
 }
 
 /** Advances jobs from acceptance through their steps to their outcome. */
@@ -116,12 +121,16 @@
     this.dependencies.requestPlacementPass();
   }
 
+  mayTake(task: jobTask.JobTask, worker: remoteWorker.RemoteWorker): boolean {
+    if (task.step.jobRecord.outcome !== 'open') return false;
+    return this.dependencies.directStarter().mayTake(task, worker);
+  }
+
   restartInPlace(
     task: jobTask.JobTask,
     worker: remoteWorker.RemoteWorker,
   ): void {
-    if (task.step.jobRecord.outcome !== 'open') return;
-    if (!this.dependencies.startOn(task, worker)) return;
+    if (!this.dependencies.directStarter().startOn(task, worker)) return;
     this.dependencies.options.counters.count('restarts', 'inPlace');
   }
 
--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -174,7 +174,7 @@
       runtimeModel: runtimes,
       startShares: this.startShares,
       requestPlacementPass,
-      startOn: (...placement) => this.placementPassRunner.startOn(...placement),
+      directStarter: () => this.placementPassRunner,
     });
     this.tracker = new runTracker.RunTracker(
       this.jobTable,
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -19,6 +19,8 @@
   successHeldBack(heldMs: clock.Milliseconds): void;
   /** A task may start again on any worker. */
   restartHeldBack(task: jobTask.JobTask, heldMs: clock.Milliseconds): void;
+  /** Returns whether a worker would take a task if it had room. */
+  mayTake(task: jobTask.JobTask, worker: remoteWorker.RemoteWorker): boolean;
   /** Starts a task on a worker if that can take it now. */
   restartInPlace(
     task: jobTask.JobTask,
@@ -64,6 +66,8 @@
     if (!held.mustWait(copies, now)) return;
     task.delayStart('lateStart');
     this.restarts.set(task, held);
+    // At once, before another task takes the room of the last run.
+    held.keepRoomOn(this.findKeptWorker(task, copies));
     const workers = copies.map(({worker}) => worker?.id ?? 'ofEarlierTerm');
     this.listener.restartHeld(task, [...new Set(workers)]);
   }
@@ -99,31 +103,37 @@
   ): void {
     const {task, heldSince} = held;
     const copies = pendingStarts(task, now);
-    if (!held.mustWait(copies, now)) {
+    // A task with a run is held again once that has ended.
+    if (task.assignments.length > 0 || !held.mustWait(copies, now)) {
+      held.keepRoomOn(undefined);
       this.restarts.delete(task);
       task.allowStart('lateStart');
       this.listener.restartHeldBack(task, now - heldSince);
       return;
     }
-    const worker = findOnlyWorker(task, copies);
-    if (worker !== undefined && task.isDelayedOnlyBy('lateStart')) {
-      this.listener.restartInPlace(task, worker);
-    }
+    const worker = this.findKeptWorker(task, copies);
+    held.keepRoomOn(worker);
+    if (worker === undefined || !task.isDelayedOnlyBy('lateStart')) return;
+    held.useRoom(() => this.listener.restartInPlace(task, worker));
   }
-}
 
-/**
- * Returns the worker on which a task may start in spite of the copies; undefined
- * if there is none.
- */
-function findOnlyWorker(
-  task: jobTask.JobTask,
-  copies: ReadonlyArray<sentStarts.SentStart>,
-): remoteWorker.RemoteWorker | undefined {
-  // A run that has failed there would most likely fail again.
-  const hasFailed = task.failedRuns.size > 0 || task.step.definition.gang;
-  if (hasFailed || task.assignments.length > 0) return undefined;
-  return onlyWorkerOf(copies);
+  /**
+   * Returns the worker on which a task may start in spite of the copies, if that
+   * takes tasks; undefined if there is none.
+   */
+  private findKeptWorker(
+    task: jobTask.JobTask,
+    copies: ReadonlyArray<sentStarts.SentStart>,
+  ): remoteWorker.RemoteWorker | undefined {
+    // A run that has failed there would most likely fail again.
+    const hasFailed = task.failedRuns.size > 0 || task.step.definition.gang;
+    if (hasFailed || task.assignments.length > 0) return undefined;
+    const worker = onlyWorkerOf(copies);
+    if (worker === undefined || !this.listener.mayTake(task, worker)) {
+      return undefined;
+    }
+    return worker;
+  }
 }
 
 /**
--- a/src/jobs/placement_pass_runner.ts
+++ b/src/jobs/placement_pass_runner.ts
@@ -4,6 +4,7 @@
 import * as runNumbers from './run_numbers.js';
 import * as sliceBudget from './slice_budget.js';
 import * as stepOrdering from './step_ordering.js';
+import * as workerSelection from './worker_selection.js';
 import type * as adviceCache from './advice_cache.js';
 import type * as assignmentIndex from './assignment_index.js';
 import type * as clock from '../machines/clock.js';
@@ -194,6 +195,15 @@
     );
   }
 
+  /** Returns whether a worker would take a task if it had room. */
+  mayTake({step}: jobTask.JobTask, worker: remoteWorker.RemoteWorker): boolean {
+    return (
+      this.dependencies.queues.ofStep(step)?.service === worker.entry.service &&
+      worker.acceptsTasks &&
+      workerSelection.fitsTotalCapacity(worker, step.definition)
+    );
+  }
+
   /**
    * Starts a task on a worker if that can take it now, outside of the order of
    * urgency. Returns whether it was started.
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -372,16 +372,25 @@
     this.capacityChanges += 1;
   }
 
-  /** Takes capacity while a placement is planned, until `returnCapacity`. */
+  /**
+   * Takes capacity for a task without a run: while a placement is planned, or
+   * until the task may start here.
+   */
   takeCapacity(size: resources.Resources): void {
     this.setUsed(resources.add(this.usedResources, size));
   }
 
-  /** Returns capacity that `takeCapacity` has taken. */
+  /** Returns capacity that `takeCapacity` has taken, to the same task. */
   returnCapacity(size: resources.Resources): void {
     this.setUsed(resources.subtract(this.usedResources, size));
   }
 
+  /** Returns capacity that `takeCapacity` has taken, to any task. */
+  releaseCapacity(size: resources.Resources): void {
+    this.returnCapacity(size);
+    this.capacityChanges += 1;
+  }
+
   /** Records the worker's clock from an answer received at `now`. */
   recordClockReading(clockMs: number, now: clock.Milliseconds): void {
     if (this.reading === undefined && this.isRestart) {
--- a/test/jobs/late_start_restart_test.ts
+++ b/test/jobs/late_start_restart_test.ts
@@ -17,6 +17,9 @@
 
 const LONG_RUN: workerModel.PlannedRun = {runTimeMs: 30_000, outcome: 'done'};
 
+/** Size of a task that takes all processors of a worker. */
+const WHOLE_WORKER = {...jobCell.STEP.size, processors: 4_000};
+
 const SHORT_RUN: workerModel.PlannedRun = {runTimeMs: 300, outcome: 'done'};
 
 /** Longest time for which a copy may arrive, and run unseen after that. */
@@ -239,6 +242,25 @@
     assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
   });
 
+  // Guards against a task that lasts and stands still for 12 s: its worker, which
+  // alone could take it, gave the room of its last run to another task.
+  test('keeps the room of its last run on the worker', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin(
+      {runTimeMs: 2_000, outcome: 'failed'},
+      {longRunning: true, size: WHOLE_WORKER},
+    );
+    const other = {size: WHOLE_WORKER, requiredLabel: 'a'};
+    jobCell.submit(scheduler, jobCell.jobOf('bb', other));
+    await cell.advanceWithLeases(1_000);
+    const labels = ['b', 'r1-1'];
+    cell.addWorker(jobCell.registryEntry('two', {labels}), () => LONG_RUN);
+    scheduler.updateWorkers(cell.entries);
+    await cell.advanceWithLeases(2_500);
+    assert.equal(cell.startsOn('one'), 2);
+    assert.equal(cell.startsOf('bb').length, 0);
+  });
+
   // Guards against a task that lasts and stands still for 12 s, because its worker
   // has come back as one of another service.
   test('lasts and starts on another worker before callers take it for lost', async () => {
