--- a/src/jobs/sent_starts.ts
+++ b/src/jobs/sent_starts.ts
@@ -12,8 +12,8 @@
 /**
  * What may still become of a copy without an answer, while its task has no run.
  * `open`: its worker may carry it out, or run it unseen. `rejected`: the worker
- * rejects it, as far as is known; an incarnation that is not known yet has seen
- * neither a fencing token nor a run and would carry it out. `over`:
+ * rejects it, or is gone, as far as is known; an incarnation that is not known
+ * yet has seen neither a fencing token nor a run and would carry it out. `over`:
  * it can't be carried out any more.
  */
 export type CopyState = 'open' | 'rejected' | 'over';
@@ -112,12 +112,12 @@
     return now < arrivesUntil ? 'open' : 'over';
   }
   const {newest} = worker;
-  if (newest.idHasEnded || worker.isGone) return 'over';
+  if (newest.idHasEnded) return 'over';
   if (now < arrivesUntil) {
     return worker.rejectsLateCalls ? 'rejected' : 'open';
   }
   const isReported =
     newest.fencingTokenAccepted && newest.lastAnswerAt >= arrivesUntil;
-  if (isReported) return 'over';
+  if (isReported || worker.isGone) return 'over';
   return now < sentAt + remoteWorker.LATE_LEASE_MS ? 'open' : 'over';
 }
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -240,9 +240,12 @@
     now: clock.Milliseconds,
   ): void {
     const {options, tracker, earlierLeases} = this.dependencies;
-    // Until then a start may arrive late at a next incarnation, if there is one.
-    const hasLeft =
-      !worker.listed && (worker.departed || !worker.hasLateStarts);
+    // Until then a start may arrive late at a next incarnation, which is to be
+    // called as soon as it answers.
+    const awaitsReturn = worker.departed
+      ? now < worker.lateStartsUntil
+      : worker.hasLateStarts;
+    const hasLeft = !worker.listed && !awaitsReturn;
     const isEmptied =
       worker.fencingTokenAccepted && hasLeft && worker.runCount === 0;
     if (isEmptied) {
@@ -306,7 +309,6 @@
     this.sessions.get(worker)?.close();
     this.sessions.delete(worker);
     workers.remove(worker);
-    worker.next = nextIncarnation;
     worker.idHasEnded = nextIncarnation === undefined && reason !== 'gone';
     reliability.forget(worker);
     options.log.event('info', 'workerEnded', {
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -20,8 +20,11 @@
 /** All worker incarnations on which tasks may run, by worker id. */
 export class WorkerTable {
   private readonly workers = new Map<string, remoteWorker.RemoteWorker>();
-  /** Number of incarnations by worker id, with those that have ended. */
-  private readonly incarnationCounts = new Map<string, number>();
+  /** The last incarnation of each worker id, also if it has ended. */
+  private readonly lastIncarnations = new Map<
+    string,
+    remoteWorker.RemoteWorker
+  >();
 
   all(): ReadonlyArray<remoteWorker.RemoteWorker> {
     return [...this.workers.values()];
@@ -55,12 +58,7 @@
     now: clock.Milliseconds,
   ): remoteWorker.RemoteWorker {
     const entry = {...worker.entry, born};
-    const nextIncarnation = remoteWorker.RemoteWorker.nextIncarnation(
-      entry,
-      now,
-      this.countIncarnation(entry.id),
-      worker,
-    );
+    const nextIncarnation = this.createIncarnation(entry, now);
     nextIncarnation.recordMissing(now);
     this.workers.set(entry.id, nextIncarnation);
     return nextIncarnation;
@@ -81,7 +79,7 @@
       else if (restarted === true) known.markRestarted(reached);
       return known;
     }
-    const worker = this.createWorker(entry, now);
+    const worker = this.createIncarnation(entry, now);
     if (restarted === true) worker.markRestarted(reached);
     worker.recordMissing(now);
     this.workers.set(entry.id, worker);
@@ -108,14 +106,7 @@
       }
       // An entry older than the known incarnation of this id is stale.
       if (known && known.entry.born > entry.born) continue;
-      const worker = known
-        ? remoteWorker.RemoteWorker.nextIncarnation(
-            entry,
-            now,
-            this.countIncarnation(entry.id),
-            known,
-          )
-        : this.createWorker(entry, now);
+      const worker = this.createIncarnation(entry, now);
       if (known) replaced.push({worker: known, nextIncarnation: worker});
       this.workers.set(entry.id, worker);
       joined.push(worker);
@@ -124,23 +115,20 @@
     return {joined, replaced, unlisted};
   }
 
-  private createWorker(
+  /** Creates the next incarnation of an id, or the first that is known. */
+  private createIncarnation(
     entry: remoteWorker.RegistryEntry,
     now: clock.Milliseconds,
   ): remoteWorker.RemoteWorker {
-    const incarnation = this.countIncarnation(entry.id);
-    const worker = new remoteWorker.RemoteWorker(entry, now, incarnation);
-    if (incarnation > 0) worker.markRestarted();
+    const last = this.lastIncarnations.get(entry.id);
+    const worker =
+      last === undefined
+        ? new remoteWorker.RemoteWorker(entry, now)
+        : remoteWorker.RemoteWorker.nextIncarnation(entry, now, last);
+    this.lastIncarnations.set(entry.id, worker);
     return worker;
   }
 
-  /** Returns how many incarnations of an id were known before, and adds one. */
-  private countIncarnation(id: string): number {
-    const count = this.incarnationCounts.get(id) ?? 0;
-    this.incarnationCounts.set(id, count + 1);
-    return count;
-  }
-
   /** Removes incarnations whose machine runs a later one and returns them. */
   private removeReplacedOnMachines(
     joined: ReadonlyArray<remoteWorker.RemoteWorker>,
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -139,8 +139,6 @@
   listed = true;
   /** Whether another worker has taken its machine, so that its id is over. */
   idHasEnded = false;
-  /** Next incarnation under the same id, once it is known. */
-  next: RemoteWorker | undefined;
   /** Time until which placement skips the worker. */
   excludedUntil = 0;
   /** Until when a start that got no answer may still be carried out here. */
@@ -149,6 +147,8 @@
   drainingSince: clock.Milliseconds | undefined;
   lastAnswerAt: clock.Milliseconds;
 
+  /** Next incarnation under the same id, once it is known. */
+  private next: RemoteWorker | undefined;
   private readonly reservations = new Map<string, resources.Resources>();
   private usedResources = resources.NONE;
   private freeResources = resources.NONE;
@@ -177,19 +177,22 @@
     this.update(entry, now);
   }
 
-  /** Creates the next incarnation of worker `last`, which has the same id. */
+  /**
+   * Creates the next incarnation of worker `last`, which has the same id and may
+   * have ended long before.
+   */
   static nextIncarnation(
     entry: RegistryEntry,
     now: clock.Milliseconds,
-    incarnation: number,
     last: RemoteWorker,
   ): RemoteWorker {
-    const worker = new RemoteWorker(entry, now, incarnation);
+    const worker = new RemoteWorker(entry, now, last.incarnation + 1);
     worker.markRestarted();
     worker.lateStartsUntil = last.lateStartsUntil;
     // Until this incarnation has accepted a higher fencing token, it carries out
     // calls that were meant for the earlier one.
     worker.foreignLeaseExpiry = now + LONGEST_LEASE_MS;
+    if (!last.idHasEnded) last.next = worker;
     return worker;
   }
 
@@ -232,12 +235,13 @@
 
   /**
    * Whether the incarnation that is known last rejects calls that were sent to
-   * this one and got no answer. The one after it has seen no fencing token and
-   * would carry them out.
+   * this one and got no answer, or is gone. The one after it has seen no fencing
+   * token and would carry them out.
    */
   get rejectsLateCalls(): boolean {
     const {newest} = this;
-    return newest.fencingTokenAccepted && !newest.unreachable;
+    const isInReach = newest.fencingTokenAccepted && !newest.unreachable;
+    return isInReach || this.isGone;
   }
 
   /**
--- a/test/jobs/lost_worker_test.ts
+++ b/test/jobs/lost_worker_test.ts
@@ -4,6 +4,7 @@
 import * as runAudit from '../support/run_audit.js';
 import type * as job from '../../src/jobs/job.js';
 import type * as jobScheduler from '../../src/jobs/job_scheduler.js';
+import type * as remoteWorker from '../../src/machines/remote_worker.js';
 import type * as workerModel from '../../stand_ins/worker_model.js';
 
 const {describe, test} = nodeTest;
@@ -46,6 +47,23 @@
     return scheduler;
   }
 
+  /** Begins with a batch task whose starts are carried out after some time. */
+  async beginUnanswered(
+    delayMs: number,
+  ): Promise<[remoteWorker.RegistryEntry, jobScheduler.JobScheduler]> {
+    const entry = jobCell.registryEntry('one');
+    this.entries = [entry];
+    // The deadline of its start lies far ahead on the next incarnation's clock.
+    this.workers.add(entry, LASTING_RUNS, -WORKER_AGE_MS);
+    const scheduler = await this.startTerm(1);
+    await this.time.advance(200);
+    this.workers.commandDelayMs = () => delayMs;
+    jobCell.submit(scheduler, jobCell.jobOf('aa', {}));
+    await this.time.advance(50);
+    this.workers.commandDelayMs = () => 0;
+    return [entry, scheduler];
+  }
+
   /** Adds a second worker, which is idle. */
   addIdleWorker(scheduler: jobScheduler.JobScheduler): void {
     this.addWorkers(LASTING_RUNS, 'two');
@@ -124,6 +142,42 @@
     assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
   });
 
+  // Guards against two runs at once: the worker counted as gone 2 s after its
+  // entry, so that its task ran elsewhere as its next incarnation carried the
+  // start out. Callers accept that a batch task waits for it.
+  test('holds a batch task up until the start can arrive no more', async () => {
+    const cell = new LostWorkerCell();
+    const [entry, scheduler] = await cell.beginUnanswered(9_000);
+    cell.addIdleWorker(scheduler);
+    cell.loseFirst();
+    await cell.time.advance(REGISTRY_TIMEOUT_MS);
+    cell.dropFirstEntry(scheduler);
+    await cell.time.advance(8_400 - REGISTRY_TIMEOUT_MS);
+    assert.equal(cell.startsOn('two'), 0);
+    const next = {...entry, born: 2};
+    const model = cell.workers.add(next, LASTING_RUNS, cell.time.now());
+    model.partitioned = true;
+    await cell.time.advance(1_000);
+    assert.equal(cell.startsOn('one'), 1, 'the start was not carried out');
+    model.partitioned = false;
+    cell.entries = [...cell.entries, next];
+    scheduler.updateWorkers(cell.entries);
+    await cell.advanceWithLeases(COPIES_OVER_MS);
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
+
+  // Guards against a batch task that waits for a worker that does not come back.
+  test('lets a batch task start elsewhere 12 s after its last copy', async () => {
+    const cell = new LostWorkerCell();
+    const [, scheduler] = await cell.beginUnanswered(1_000_000);
+    cell.addIdleWorker(scheduler);
+    cell.loseFirst();
+    await cell.time.advance(REGISTRY_TIMEOUT_MS);
+    cell.dropFirstEntry(scheduler);
+    await cell.time.advance(14_500 - REGISTRY_TIMEOUT_MS);
+    assert.equal(cell.startsOn('two'), 1);
+  });
+
   // Guards against a worker that counts as gone because its entry expired while
   // the registry did not answer: a live one writes it again.
   test('holds its task up while the registry does not answer', async () => {
