--- a/src/jobs/job_scheduler.ts
+++ b/src/jobs/job_scheduler.ts
@@ -12,6 +12,7 @@
 import * as idleCapacityThrottle from './idle_capacity_throttle.js';
 import * as placementPassRunner from './placement_pass_runner.js';
 import * as queueTable from './queue_table.js';
+import * as rejectedRecords from './rejected_records.js';
 import * as recoveryReporter from './recovery_reporter.js';
 import * as quotaLedger from './quota_ledger.js';
 import * as roomForecast from './room_forecast.js';
@@ -30,7 +31,6 @@
 import * as workerLifecycle from './worker_lifecycle.js';
 import * as workerReliability from '../machines/worker_reliability.js';
 import * as resources from '../machines/resources.js';
-import * as result from '../result.js';
 import type * as clock from '../machines/clock.js';
 import type * as job from './job.js';
 import type * as jobRecord from './job_record.js';
@@ -118,7 +118,7 @@
       clock,
       timer,
       () => options.onSuperseded('journal'),
-      (key, rejection) => this.recordRejected(key, rejection),
+      (...record) => rejectedRecords.reportRejected(options, ...record),
     );
     const queues = new queueTable.QueueTable(this.journal);
     this.queues = queues;
@@ -209,6 +209,7 @@
       leaseMs: earlierLeases.LEASE_DURATION_MS,
       earlierLeases: this.earlierLeases,
       requestPlacementPass,
+      isKnownService: service => queues.usesService(service),
       onReport: worker => this.workerReported(worker),
       onEnded: (worker, nextIncarnation) =>
         this.runRecovery?.workerEnded(worker, nextIncarnation),
@@ -319,6 +320,7 @@
   configure(configuration: job.OperatorConfiguration): void {
     if (!this.queues.update(configuration)) return;
     this.quotaLedger.configure(configuration);
+    this.workerLifecycle.reviewServices();
     this.requestPlacementPass();
   }
 
@@ -468,23 +470,6 @@
     this.options.counters.count('starts', 'confirmed');
   }
 
-  /** The store can never hold a record; only that record is at fault. */
-  private recordRejected(
-    key: string,
-    {reason, bytes, limitBytes}: jobJournal.ChangeRejection,
-  ): void {
-    const {counters, log} = this.options;
-    counters.count('records_rejected', reason);
-    const {code} = result.RESULT_CODES.recordTooLarge;
-    log.event('error', 'recordRejected', {
-      code,
-      key,
-      reason,
-      bytes,
-      limitBytes,
-    });
-  }
-
   private workerReported(worker: remoteWorker.RemoteWorker): void {
     this.takeoverTimeline.complete('firstReport');
     this.idleCapacityThrottle.review(worker, this.options.clock.now());
--- a/src/jobs/queue_table.ts
+++ b/src/jobs/queue_table.ts
@@ -87,6 +87,14 @@
     return this.byName.get(name)?.queue;
   }
 
+  /** Returns whether a queue uses a service; true while no queue is known. */
+  usesService(service: string): boolean {
+    if (this.byName.size === 0) return true;
+    return [...this.byName.values()].some(
+      ({queue}) => queue.service === service,
+    );
+  }
+
   /** Returns the queue of a step's job. */
   ofStep(step: stepInstance.StepInstance): job.Queue | undefined {
     return this.find(step.jobRecord.definition.queue);
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -31,6 +31,8 @@
   readonly leaseMs: number;
   readonly earlierLeases: earlierLeases.EarlierLeases;
   readonly requestPlacementPass: () => void;
+  /** Returns whether a queue uses a service; true while none is known. */
+  readonly isKnownService: (service: string) => boolean;
   /** Called after a worker's report was applied. */
   readonly onReport: (worker: remoteWorker.RemoteWorker) => void;
   /** Called after a worker incarnation has ended. */
@@ -53,6 +55,12 @@
   private readonly unlistedLines: lineLimiter.LineLimiter;
   /** Workers whose kept runs were logged. */
   private readonly loggedKeptRuns = new WeakSet<remoteWorker.RemoteWorker>();
+  /** The registry's last list. */
+  private lastEntries: ReadonlyArray<remoteWorker.RegistryEntry> = [];
+  /** Ids of entries that name no worker, as no queue uses their services. */
+  private readonly ignoredIds = new Set<string>();
+  /** Ids of the workers that earlier terms have stored. */
+  private readonly inheritedIds = new Set<string>();
   private sessionsOpen = false;
   /** Whether the registry answers, so that its list is the present one. */
   private registryAvailable = false;
@@ -83,6 +91,8 @@
     lateWorkers: ReadonlySet<string>,
   ): ReadonlyArray<runRecovery.InheritedWorker> {
     const {workers, options} = this.dependencies;
+    for (const {entry} of stored) this.inheritedIds.add(entry.id);
+    this.reviewServices();
     const now = options.clock.now();
     const inherited = stored
       .filter(({entry}) => !workers.isReplaced(entry))
@@ -121,16 +131,33 @@
 
   /** Applies the registry's current list. */
   update(entries: ReadonlyArray<remoteWorker.RegistryEntry>): void {
-    const {workers, options, requestPlacementPass} = this.dependencies;
     this.registryAvailable = true;
-    const {joined, replaced, unlisted} = workers.applyRegistryList(
-      entries,
-      options.clock.now(),
+    this.lastEntries = entries;
+    this.applyList(entries);
+  }
+
+  /** Applies the last list again if it names workers of services now known. */
+  reviewServices(): void {
+    const namesMore = this.lastEntries.some(
+      entry => this.ignoredIds.has(entry.id) && this.isOfCell(entry),
     );
+    if (namesMore) this.applyList(this.lastEntries);
+  }
+
+  private applyList(listed: ReadonlyArray<remoteWorker.RegistryEntry>): void {
+    const {workers, options, requestPlacementPass} = this.dependencies;
+    const entries = listed.filter(entry => this.namesWorker(entry));
+    const now = options.clock.now();
+    const changes = workers.applyRegistryList(entries, now);
+    const {joined, replaced, claimed, unlisted} = changes;
     for (const worker of unlisted) this.logUnlisted(worker);
     for (const {worker, nextIncarnation} of replaced) {
       this.endIncarnation(worker, 'replaced', nextIncarnation);
     }
+    for (const worker of claimed) {
+      worker.machineClaimedAt = now;
+      this.reviewClaim(worker);
+    }
     for (const worker of joined) {
       this.openSession(worker);
       if (this.sessionsOpen) this.storedList.store(worker.id);
@@ -176,6 +203,7 @@
   ): void {
     if (!this.sessionsOpen) return;
     const {options, tracker, onReport} = this.dependencies;
+    this.refuteClaim(worker, sentAt);
     if (!report.hasMoreEnds) worker.allEndsReported = true;
     options.loopMeter.measure('reports', () => {
       tracker.applyReport(worker, report, sentAt, options.clock.now());
@@ -188,6 +216,7 @@
       'worker_silent',
       worker.entry.zone,
     );
+    this.reviewClaim(worker);
   }
 
   renewalWithdrawn(): void {
@@ -272,6 +301,63 @@
     if (hasLeft && !neverReached) this.endIncarnation(worker, 'gone');
   }
 
+  /** Returns whether an entry names a worker; logs one that does not. */
+  private namesWorker(entry: remoteWorker.RegistryEntry): boolean {
+    const {id, service, machine} = entry;
+    const {options} = this.dependencies;
+    if (this.isOfCell(entry)) {
+      this.ignoredIds.delete(id);
+      return true;
+    }
+    if (this.ignoredIds.has(id)) return false;
+    this.ignoredIds.add(id);
+    options.counters.count('registry_entries_ignored', 'unknownService');
+    options.log.event('info', 'workerEntryIgnored', {
+      worker: id,
+      service,
+      machine,
+    });
+    return false;
+  }
+
+  /**
+   * Returns whether an entry is that of a worker which is known, or of a service
+   * that a queue uses. Others may be those of another system.
+   */
+  private isOfCell({id, service}: remoteWorker.RegistryEntry): boolean {
+    const {workers, isKnownService} = this.dependencies;
+    const isKnown = this.inheritedIds.has(id) || workers.get(id) !== undefined;
+    return isKnown || isKnownService(service);
+  }
+
+  /**
+   * Ends a worker on whose machine the registry names a later one, once it is not
+   * listed any more or does not answer. Another writer may have left that entry, so that the worker's own
+   * answers count for more.
+   */
+  private reviewClaim(worker: remoteWorker.RemoteWorker): void {
+    const {machineClaimedAt, listed, unreachable} = worker;
+    if (machineClaimedAt === undefined || (listed && !unreachable)) return;
+    if (this.dependencies.workers.get(worker.id) !== worker) return;
+    this.endIncarnation(worker, 'replaced');
+  }
+
+  /** Drops the claim on a worker's machine if it has answered a later call. */
+  private refuteClaim(
+    worker: remoteWorker.RemoteWorker,
+    sentAt: clock.Milliseconds,
+  ): void {
+    const {machineClaimedAt = Infinity} = worker;
+    if (sentAt <= machineClaimedAt) return;
+    worker.machineClaimedAt = undefined;
+    const {counters, log} = this.dependencies.options;
+    counters.count('machine_claims', 'refuted');
+    log.event('warn', 'machineClaimRefuted', {
+      worker: worker.id,
+      machine: worker.entry.machine,
+    });
+  }
+
   private logUnlisted(worker: remoteWorker.RemoteWorker): void {
     const {options} = this.dependencies;
     const now = options.clock.now();
--- a/src/jobs/worker_table.ts
+++ b/src/jobs/worker_table.ts
@@ -6,15 +6,16 @@
 export interface WorkerChanges {
   readonly joined: ReadonlyArray<remoteWorker.RemoteWorker>;
   readonly replaced: ReadonlyArray<ReplacedWorker>;
+  /** Workers on whose machines the list names a later one, of another id. */
+  readonly claimed: ReadonlyArray<remoteWorker.RemoteWorker>;
   /** Workers that the last list named and this one does not. */
   readonly unlisted: ReadonlyArray<remoteWorker.RemoteWorker>;
 }
 
-/** A worker incarnation that a later one has replaced. */
+/** A worker incarnation and the next one under its id. */
 export interface ReplacedWorker {
   readonly worker: remoteWorker.RemoteWorker;
-  /** The next incarnation under the same id; undefined if the id is another one. */
-  readonly nextIncarnation?: remoteWorker.RemoteWorker;
+  readonly nextIncarnation: remoteWorker.RemoteWorker;
 }
 
 /** All worker incarnations on which tasks may run, by worker id. */
@@ -39,10 +40,12 @@
   }
 
   /**
-   * Returns whether a later incarnation of another id runs on the machine. One
-   * of the same id does not count: it may carry out calls meant for this one.
+   * Returns whether the registry lists a later worker of another id on the
+   * machine, and not this one. A later incarnation of the same id does not count:
+   * it may carry out calls meant for this one.
    */
   isReplaced(entry: remoteWorker.RegistryEntry): boolean {
+    if (this.workers.has(entry.id)) return false;
     return this.all().some(
       ({entry: other}) =>
         other.id !== entry.id &&
@@ -111,8 +114,7 @@
       this.workers.set(entry.id, worker);
       joined.push(worker);
     }
-    replaced.push(...this.removeReplacedOnMachines(joined));
-    return {joined, replaced, unlisted};
+    return {joined, replaced, claimed: this.findClaimed(joined), unlisted};
   }
 
   /** Creates the next incarnation of an id, or the first that is known. */
@@ -129,20 +131,16 @@
     return worker;
   }
 
-  /** Removes incarnations whose machine runs a later one and returns them. */
-  private removeReplacedOnMachines(
+  /** Returns the workers on whose machines later ones are listed. */
+  private findClaimed(
     joined: ReadonlyArray<remoteWorker.RemoteWorker>,
-  ): ReadonlyArray<ReplacedWorker> {
-    const ended: ReplacedWorker[] = [];
-    for (const later of joined) {
-      for (const worker of this.workers.values()) {
-        if (!onSameMachine(worker.entry, later.entry)) continue;
-        if (worker.entry.born >= later.entry.born) continue;
-        this.workers.delete(worker.id);
-        ended.push({worker});
-      }
-    }
-    return ended;
+  ): ReadonlyArray<remoteWorker.RemoteWorker> {
+    return this.all().filter(({entry}) =>
+      joined.some(
+        ({entry: later}) =>
+          onSameMachine(entry, later) && entry.born < later.born,
+      ),
+    );
   }
 }
 
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -139,6 +139,11 @@
   listed = true;
   /** Whether another worker has taken its machine, so that its id is over. */
   idHasEnded = false;
+  /**
+   * When the registry first named a later worker on its machine; undefined if it
+   * does not, or if this one has answered since.
+   */
+  machineClaimedAt: clock.Milliseconds | undefined;
   /** Time until which placement skips the worker. */
   excludedUntil = 0;
   /** Until when a start that got no answer may still be carried out here. */
--- a/test/jobs/run_monitor_test.ts
+++ b/test/jobs/run_monitor_test.ts
@@ -23,6 +23,9 @@
     [];
 
   constructor() {
+    // A queue of each worker's service, so that both are workers of the cell.
+    const annex = {service: 'annex', name: 'annex', pathPrefix: '/annex/'};
+    this.cell.queues = [jobCell.QUEUE, {...jobCell.QUEUE, ...annex}];
     this.cell.addWorkers(LONG_RUNS, 'one');
     this.cell.addWorker(
       jobCell.registryEntry('two', {service: 'annex'}),
