Hold back the acknowledgement of a last attempt beside an open copy

A copy without an answer may bring one, on the next incarnation of the worker. Only successes were held back. Change: an end that settles its job as failed is acknowledged like a success, once no copy of a start of the task can be carried out. Evidence: late_start_restart_test.ts, "is not acknowledged after its last attempt has failed", fails before. 345 tests of test/jobs and test/machines pass.

--- a/src/jobs/job_lifecycle.ts
+++ b/src/jobs/job_lifecycle.ts
@@ -96,7 +96,7 @@
     this.dependencies.requestPlacementPass();
   }
 
-  successHeldBack(heldMs: clock.Milliseconds): void {
+  endHeldBack(heldMs: clock.Milliseconds): void {
     this.dependencies.options.counters.observe('acknowledgement_held', heldMs);
   }
 
--- a/src/jobs/late_starts.ts
+++ b/src/jobs/late_starts.ts
@@ -4,8 +4,8 @@
 import type * as jobTask from './job_task.js';
 import type * as remoteWorker from '../machines/remote_worker.js';
 
-/** A success that is stored and not acknowledged yet. */
-interface HeldSuccess {
+/** A final end of a task that is stored and not acknowledged yet. */
+interface HeldEnd {
   readonly task: jobTask.JobTask;
   readonly heldSince: clock.Milliseconds;
   readonly acknowledge: () => void;
@@ -15,8 +15,8 @@
 export interface LateStartListener {
   /** A task may not start, as some workers may carry out earlier starts. */
   restartHeld(task: jobTask.JobTask, workers: ReadonlyArray<string>): void;
-  /** A success is acknowledged. */
-  successHeldBack(heldMs: clock.Milliseconds): void;
+  /** A final end is acknowledged. */
+  endHeldBack(heldMs: clock.Milliseconds): void;
   /** A task may start again on any worker. */
   restartHeldBack(task: jobTask.JobTask, heldMs: clock.Milliseconds): void;
   /** Returns whether a worker would take a task if it had room. */
@@ -36,14 +36,15 @@
  * next incarnation carries the copy out, the later run has ended with the
  * incarnation before.
  *
- * It also holds back the acknowledgement of a success while a copy of a start of its
- * task may still be carried out. The worker that ran the task rejects such a
- * copy, but its next incarnation does not: it has seen neither the run nor a
- * fencing token. A worker that is lost before the acknowledgement takes the
- * success with it, so that no start follows an acknowledged one.
+ * It also holds back the acknowledgement of a success, or of the last attempt that
+ * has failed, while a copy of a start of its task may still be carried out. The
+ * worker that ran the task rejects such a copy, but its next incarnation does not:
+ * it has seen neither the run nor a fencing token. A worker that is lost before
+ * the acknowledgement takes the end with it, so that no start follows an
+ * acknowledged one.
  */
 export class LateStarts {
-  private held: ReadonlyArray<HeldSuccess> = [];
+  private held: ReadonlyArray<HeldEnd> = [];
   private readonly restarts = new Map<
     jobTask.JobTask,
     heldRestarts.HeldRestart
@@ -90,9 +91,9 @@
     for (const held of this.restarts.values()) this.reviewRestart(held, now);
     if (this.held.length === 0) return;
     const due = this.held.filter(({task}) => !mayStartAgain(task, now));
-    this.held = this.held.filter(success => !due.includes(success));
+    this.held = this.held.filter(end => !due.includes(end));
     for (const {heldSince, acknowledge} of due) {
-      this.listener.successHeldBack(now - heldSince);
+      this.listener.endHeldBack(now - heldSince);
       acknowledge();
     }
   }
--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -73,6 +73,18 @@
   return endKind === 'done' || (endKind === 'failed' && step.countsFailures);
 }
 
+/**
+ * Returns whether no run of a task may start after an end that was handled: the
+ * run succeeded, or it was the last attempt of its job.
+ */
+function isFinal(
+  {step}: jobTask.JobTask,
+  {endKind}: remoteWorker.ReportedRunEnd,
+): boolean {
+  if (endKind === 'done') return true;
+  return endKind === 'failed' && step.jobRecord.outcome === 'failed';
+}
+
 /** Applies worker reports to the jobs and their runs. */
 export class RunTracker {
   private readonly lateStarts: lateStarts.LateStarts;
@@ -254,7 +266,7 @@
     now: clock.Milliseconds,
   ): void {
     const affectedTasks = new Set<jobTask.JobTask>();
-    const succeededTasks = new Set<jobTask.JobTask>();
+    const finalTasks = new Set<jobTask.JobTask>();
     const {handledNumber} = worker.endCursor;
     let highestNumber = handledNumber;
     for (const reportedEnd of ended) {
@@ -270,7 +282,6 @@
       if (reportedEnd.checkpoint !== '' && !task.done) {
         task.checkpoint = reportedEnd.checkpoint;
       }
-      if (reportedEnd.endKind === 'done') succeededTasks.add(task);
       task.highestRun = Math.max(task.highestRun, reportedEnd.run);
       const assignment = task.findAssignment(worker, reportedEnd.run);
       if (assignment !== undefined) {
@@ -286,15 +297,16 @@
         reportedEnd.run,
         reportedEnd.endKind,
       );
+      if (isFinal(task, reportedEnd)) finalTasks.add(task);
     }
     if (highestNumber === handledNumber) return;
-    let openCount = succeededTasks.size + 1;
+    let openCount = finalTasks.size + 1;
     const onStored = worker.endCursor.handle(highestNumber);
     const complete = (): void => {
       openCount -= 1;
       if (openCount === 0) onStored();
     };
-    for (const task of succeededTasks) {
+    for (const task of finalTasks) {
       this.lateStarts.whenNoneMayArrive(task, now, complete);
     }
     this.storeEnds(affectedTasks, complete);
--- a/test/jobs/late_start_restart_test.ts
+++ b/test/jobs/late_start_restart_test.ts
@@ -226,6 +226,21 @@
     assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
   });
 
+  // Guards against a start after the last attempt has failed: its end was
+  // acknowledged while a copy could still be carried out.
+  test('is not acknowledged after its last attempt has failed', async () => {
+    const cell = new LateCopyCell();
+    cell.queues = [{...jobCell.QUEUE, attempts: 1}];
+    const scheduler = await cell.begin({runTimeMs: 300, outcome: 'failed'});
+    await cell.advanceWithLeases(1_500);
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'failed');
+    assert.deepEqual(cell.workers.acknowledgedEnds, []);
+    cell.restartOutOfReach();
+    await cell.advanceWithLeases(COPY_DELAY_MS);
+    assert.equal(cell.startsOn('one'), 2, 'the copy was not carried out');
+    assert.deepEqual(cell.workers.acknowledgedEnds, []);
+  });
+
   // Guards against a task that waits 12 s after a restart that was seen: if the
   // incarnation after that carries the copy out, the run on this one is over.
   test('goes on at once in the next incarnation of its worker', async () => {
