Count the success of a late start, unless its lease may have lapsed

What callers would see: a task started again after an acknowledged success. Cause: a success counted as superseded if a later run had been sent, whatever the reason why its own run was assigned no more. Its acknowledgement was not held back beside other copies. Change: only a worker of which leases may have lapsed can have a superseded success, and the acknowledgement of that waits like any other. Evidence: late_start_restart_test.ts, "succeeds by a late copy: no later run is started", fails before.

--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -45,7 +45,8 @@
  * Returns whether a run that was given up, because its worker was out of reach
  * for longer than its lease, had succeeded before and its task was started again
  * meanwhile. The later run decides. The worker may forget the success: it does
- * not count as the task's end, because its lease has lapsed since.
+ * not count as the task's end, because its lease has lapsed since. The success of
+ * a late start does, on an incarnation that this term has found in time.
  */
 function isSupersededSuccess(
   task: jobTask.JobTask,
@@ -55,6 +56,7 @@
   if (endKind !== 'done' || task.step.definition.duplicatesAllowed) {
     return false;
   }
+  if (!worker.mayHaveLapsed) return false;
   const isGivenUp = task.findAssignment(worker, run) === undefined;
   return isGivenUp && task.highestRun > run;
 }
@@ -187,6 +189,7 @@
       ({jobTask: task}) => !lateStarts.mayRunUnseen(task, now),
     );
     for (const assignment of lapsed) this.end(assignment, 'lapsed', now);
+    worker.leaseHasLapsed = true;
     return lapsed.length;
   }
 
@@ -276,6 +279,8 @@
       if (task === undefined) continue;
       if (isSupersededSuccess(task, worker, reportedEnd)) {
         this.listener.successSuperseded(task, worker, reportedEnd.run);
+        // Its lease may not have lapsed after all.
+        finalTasks.add(task);
         continue;
       }
       if (changesStoredProgress(task, reportedEnd)) affectedTasks.add(task);
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -144,6 +144,8 @@
    * does not, or if this one has answered since.
    */
   machineClaimedAt: clock.Milliseconds | undefined;
+  /** Whether this term has given up runs here, as their leases were over. */
+  leaseHasLapsed = false;
   /** Time until which placement skips the worker. */
   excludedUntil = 0;
   /** Until when a start that got no answer may still be carried out here. */
@@ -194,6 +196,8 @@
     const worker = new RemoteWorker(entry, now, last.incarnation + 1);
     worker.markRestarted();
     worker.lateStartsUntil = last.lateStartsUntil;
+    const isSame = worker.isSameIncarnation(last.entry);
+    worker.leaseHasLapsed = isSame && last.leaseHasLapsed;
     // Until this incarnation has accepted a higher fencing token, it carries out
     // calls that were meant for the earlier one.
     worker.foreignLeaseExpiry = now + LONGEST_LEASE_MS;
@@ -228,6 +232,14 @@
     return this.registryEntry;
   }
 
+  /**
+   * Whether the leases of runs here may have lapsed unseen: this term has given
+   * runs up, or does not know how long the worker was out of reach before.
+   */
+  get mayHaveLapsed(): boolean {
+    return this.leaseHasLapsed || this.incarnation === 0;
+  }
+
   /** Whether the worker has accepted its fencing token of this term. */
   get fencingTokenAccepted(): boolean {
     return this.tokenAcceptedAt !== undefined;
--- a/test/jobs/late_start_restart_test.ts
+++ b/test/jobs/late_start_restart_test.ts
@@ -50,12 +50,16 @@
     scheduler.updateWorkers(this.entries);
   }
 
-  /** Restarts worker `one`, which no call of the system reaches after that. */
-  restartOutOfReach(): void {
+  /** Restarts worker `one`, which no call of the system reaches then. */
+  restartOutOfReach(
+    plan: workerModel.PlannedRun = LONG_RUN,
+  ): workerModel.WorkerModel {
     const [entry] = this.entries;
     this.workers.byAddress.get(entry.address)?.crash();
     const next = {...entry, born: entry.born + 1};
-    this.workers.add(next, () => LONG_RUN, this.time.now()).partitioned = true;
+    const model = this.workers.add(next, () => plan, this.time.now());
+    model.partitioned = true;
+    return model;
   }
 
   /**
@@ -291,4 +295,24 @@
     const start = cell.startsOf('aa').find(({worker}) => worker === 'two');
     assert.ok(start !== undefined && start.atMs - lostAtMs < 9_000);
   });
+
+  // Guards against a success that is taken for that of a run which was given up:
+  // a later run had been sent, and was started after the success was forgotten.
+  test('succeeds by a late copy: no later run is started', async () => {
+    const cell = new LateCopyCell();
+    const scheduler = await cell.begin(LONG_RUN);
+    await cell.advanceWithLeases(1_500);
+    cell.restartInReach(scheduler);
+    await cell.advanceWithLeases(1_000);
+    assert.equal(cell.startsOn('one'), 2);
+    // The run in the second incarnation is lost; the third one succeeds.
+    const third = cell.restartOutOfReach(SHORT_RUN);
+    await cell.advanceWithLeases(1_800);
+    assert.equal(cell.startsOn('one'), 3, 'the copy was not carried out');
+    third.partitioned = false;
+    await cell.advanceWithLeases(1_500);
+    assert.equal(cell.startsOn('one'), 3, 'a later run was started');
+    assert.equal(scheduler.stateOf('orders', 'aa'), 'completed');
+    assert.deepEqual(runAudit.findRepeatedRuns(cell.workers), []);
+  });
 });
