Send no start beside an earlier run's copy to a worker that may have restarted

Cause: a start without an answer was repeated although its worker might have restarted, and have carried out and ended a copy of an earlier run of the task.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -162,11 +162,17 @@
       return;
     }
     const now = this.clock.now();
+    // The worker may have restarted and carried out a copy of an earlier run. Its
+    // next answer shows that, and `retryCommands` sends the start after it.
+    const awaitsAnswer =
+      worker.mayHaveRestarted(now) &&
+      task.sentStarts.hasPendingBefore(run, worker, now);
+    if (awaitsAnswer) return;
     const deadlineMs = worker.extendLease(now, this.leaseMs);
     if (deadlineMs === undefined) return;
     this.markSent(assignment, now);
     assignment.startsInFlight += 1;
-    const copy = task.sentStarts.add(now, worker);
+    const copy = task.sentStarts.add(now, run, worker);
     const isRepeat = assignment.unansweredStarts > 0;
     const maySend = (): boolean => this.confirmSending(assignment, isRepeat);
     const command = {
--- a/src/jobs/sent_starts.ts
+++ b/src/jobs/sent_starts.ts
@@ -5,6 +5,8 @@
 /** One copy of a start, until its answer has arrived. */
 export interface SentStart {
   readonly sentAt: clock.Milliseconds;
+  /** Number of the run; 0 if an earlier term has sent it. */
+  readonly run: number;
   /** Worker that it was sent to; undefined if no record of its term names it. */
   readonly worker?: remoteWorker.RemoteWorker;
 }
@@ -44,7 +46,8 @@
   now: clock.Milliseconds,
   worker?: remoteWorker.RemoteWorker,
 ): SentStart {
-  return {sentAt: now + earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS, worker};
+  const sentAt = now + earlierLeases.LEADERSHIP_PROOF_LIFETIME_MS;
+  return {sentAt, run: 0, worker};
 }
 
 /** The copies of a task's starts, of all runs, that may still be carried out. */
@@ -52,8 +55,12 @@
   private readonly copies = new Set<SentStart>();
 
   /** Records a copy that is being sent. */
-  add(now: clock.Milliseconds, worker: remoteWorker.RemoteWorker): SentStart {
-    const copy = {sentAt: now, worker};
+  add(
+    now: clock.Milliseconds,
+    run: number,
+    worker: remoteWorker.RemoteWorker,
+  ): SentStart {
+    const copy = {sentAt: now, run, worker};
     this.copies.add(copy);
     return copy;
   }
@@ -95,6 +102,20 @@
     return this.copies.size > 0;
   }
 
+  /**
+   * Returns whether a worker may have to do with a copy of an earlier run than
+   * `run`, in this incarnation or in one that is not known yet.
+   */
+  hasPendingBefore(
+    run: number,
+    worker: remoteWorker.RemoteWorker,
+    now: clock.Milliseconds,
+  ): boolean {
+    return this.pending(now).some(
+      copy => copy.run < run && copy.worker?.newest === worker,
+    );
+  }
+
   /** Returns the copies that are not over. */
   pending(now: clock.Milliseconds): ReadonlyArray<SentStart> {
     return [...this.copies].filter(copy => stateOf(copy, now) !== 'over');
--- a/src/machines/remote_worker.ts
+++ b/src/machines/remote_worker.ts
@@ -349,7 +349,11 @@
    * worker may have restarted since its last answer.
    */
   mayHoldLateStart(now: clock.Milliseconds): boolean {
-    if (now >= this.lateStartsUntil) return false;
+    return now < this.lateStartsUntil && this.mayHaveRestarted(now);
+  }
+
+  /** Returns whether the worker may have restarted since its last answer. */
+  mayHaveRestarted(now: clock.Milliseconds): boolean {
     return now - this.lastAnswerAt > MAXIMUM_ANSWER_AGE_MS;
   }
 
