--- a/src/jobs/run_tracker.ts
+++ b/src/jobs/run_tracker.ts
@@ -27,10 +27,10 @@
 }
 
 /**
- * Time for which a task may have stood when a term takes it over. After a
- * succession callers wait that much less than after its last run.
+ * Time for which a held task counts as without a run when a term takes it over:
+ * callers wait 7 s after a succession, and 9 s after the last run.
  */
-const SUCCESSION_MS = 2_000;
+const STANDING_BEFORE_TAKEOVER_MS = 2_000;
 
 /** Parses the name of a job's task; returns undefined for other names. */
 function parseTaskName(
@@ -166,7 +166,7 @@
   /** Holds back the tasks of a job that earlier terms left with late starts. */
   holdRestarts(record: jobRecord.JobRecord, now: clock.Milliseconds): void {
     for (const task of record.unansweredStarts.tasks) {
-      this.lateStarts.holdRestart(task, now, now - SUCCESSION_MS);
+      this.lateStarts.holdRestart(task, now, now - STANDING_BEFORE_TAKEOVER_MS);
     }
   }
 
--- a/src/jobs/worker_lifecycle.ts
+++ b/src/jobs/worker_lifecycle.ts
@@ -332,8 +332,8 @@
 
   /**
    * Ends a worker on whose machine the registry names a later one, once it is not
-   * listed any more or does not answer. Another writer may have left that entry, so that the worker's own
-   * answers count for more.
+   * listed any more or does not answer. Another writer may have left that entry,
+   * so that the worker's own answers count for more.
    */
   private reviewClaim(worker: remoteWorker.RemoteWorker): void {
     const {machineClaimedAt, listed, unreachable} = worker;
--- a/test/support/random_cell.ts
+++ b/test/support/random_cell.ts
@@ -2,6 +2,8 @@
 import * as randomCellChecks from './random_cell_checks.js';
 import * as randomFaultKinds from './random_fault_kinds.js';
 import * as randomFaults from './random_faults.js';
+import * as randomForeignEntries from './random_foreign_entries.js';
+import * as randomLateCopies from './random_late_copies.js';
 import * as randomServices from './random_services.js';
 import * as randomStandingChecks from './random_standing_checks.js';
 import * as randomWorkerLosses from './random_worker_losses.js';
@@ -60,6 +62,10 @@
   readonly workerLosses?: boolean;
   /** An organisation that may have little running. */
   readonly quotas?: boolean;
+  /** What happens around commands without an answer, if anything. */
+  readonly lateCopies?: 'twoRestarts' | 'leaderLoss' | 'restartBehindCut';
+  /** Entries of other systems in the registry. */
+  readonly foreignEntries?: boolean;
 }
 
 /** All kinds of additional faults. */
@@ -71,6 +77,12 @@
   endFloods: true,
 };
 
+const LATE_COPY_SCENARIOS = {
+  twoRestarts: randomLateCopies.TwoRestarts,
+  leaderLoss: randomLateCopies.LeaderLoss,
+  restartBehindCut: randomLateCopies.RestartBehindCut,
+} as const;
+
 /** Time before the end at which the services are cancelled. */
 const CANCEL_LEAD_MS = 8_000;
 
@@ -175,6 +187,13 @@
     if (additional.restartsThenCuts) {
       kinds.push(new randomFaultKinds.RestartsThenCuts(world));
     }
+    if (additional.lateCopies !== undefined) {
+      const scenario = new LATE_COPY_SCENARIOS[additional.lateCopies](world);
+      kinds.push(new randomLateCopies.RandomLateCopies(world, scenario));
+    }
+    if (additional.foreignEntries) {
+      kinds.push(new randomForeignEntries.RandomForeignEntries(world));
+    }
     if (additional.workerLosses) {
       const losses = new randomWorkerLosses.RandomWorkerLosses(
         world,
--- a/test/support/random_world.ts
+++ b/test/support/random_world.ts
@@ -321,7 +321,8 @@
     this.publishEntries([...this.entriesBeside(entry), entry]);
   }
 
-  private dropEntry(entry: remoteWorker.RegistryEntry): void {
+  /** Drops a worker from the registry. */
+  dropEntry(entry: remoteWorker.RegistryEntry): void {
     this.publishEntries(this.entriesBeside(entry));
   }
 
